--- /dev/null
+++ b/crates/bluebellreel_admission/src/limits.rs
@@ -0,0 +1,45 @@
+//! Bounds and targets of one side process.
+
+use std::time::Duration;
+
+/// Which of the two measures a deployment puts first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lean {
+    /// Batch throughput first (the rental service).
+    Throughput,
+    /// The online tail first (the booking desk).
+    Tail,
+}
+
+/// Bounds and targets, from the settings.
+#[derive(Clone, Debug)]
+pub struct AdmissionLimits {
+    /// Most attempts at the engine at one time, both classes together.
+    pub window: u32,
+    /// Most online attempts that wait.
+    pub queue_count: usize,
+    /// Most bytes of online attempts that wait.
+    pub queue_bytes: usize,
+    /// Most attempts remembered after their end.
+    pub ledger_count: usize,
+    /// How long an ended attempt is remembered past its deadline.
+    pub ledger_keep: Duration,
+    /// Time between tokens that online streams should keep.
+    pub inter_token_target: Duration,
+    /// Which measure goes first.
+    pub lean: Lean,
+}
+
+impl Default for AdmissionLimits {
+    fn default() -> Self {
+        Self {
+            window: 32,
+            queue_count: 256,
+            queue_bytes: 8 << 20,
+            ledger_count: 65_536,
+            ledger_keep: Duration::from_mins(1),
+            inter_token_target: Duration::from_millis(34),
+            lean: Lean::Throughput,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_claim/src/resolve.rs
@@ -0,0 +1,71 @@
+//! What a claim that is found means.
+
+use crate::ClaimState;
+use bluebellreel_types::{AttemptEnd, AttemptVerdict};
+use std::sync::Arc;
+
+/// What a resend of a claimed call may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resend {
+    /// The first one surely did not run: this one may.
+    MayRun,
+    /// The caller is told what is recorded.
+    ReadRecorded,
+    /// The side process named in the claim must be asked first.
+    AskSide,
+}
+
+/// Decides what a resend may do.
+#[must_use]
+pub fn decide(state: &ClaimState) -> Resend {
+    match state {
+        ClaimState::NotRun => Resend::MayRun,
+        ClaimState::Pending => Resend::AskSide,
+        ClaimState::Completed { .. } | ClaimState::Rejected { .. } | ClaimState::Unknown => {
+            Resend::ReadRecorded
+        }
+    }
+}
+
+/// The state to record once a side process has spoken; none while it runs.
+///
+/// "Not run" is recorded only for an attempt that the side process has never
+/// seen and refuses from now on, or that it refused itself.
+#[must_use]
+pub fn state_after_verdict(verdict: &AttemptVerdict) -> Option<ClaimState> {
+    Some(match verdict {
+        AttemptVerdict::Running => return None,
+        AttemptVerdict::NeverSeen | AttemptVerdict::Ended(AttemptEnd::NotRun(_)) => {
+            ClaimState::NotRun
+        }
+        AttemptVerdict::Ended(AttemptEnd::Completed { status, body, .. }) => {
+            ClaimState::Completed {
+                status: *status,
+                body: Arc::from(String::from_utf8_lossy(body)),
+            }
+        }
+        AttemptVerdict::Ended(AttemptEnd::Rejected { status, message }) => ClaimState::Rejected {
+            status: *status,
+            message: message.clone(),
+        },
+        AttemptVerdict::Ended(AttemptEnd::Broken { .. }) => ClaimState::Unknown,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bluebellreel_types::BrokenReason;
+
+    /// A slot confirmation broke off in the middle. Nobody can tell whether
+    /// the antenna was booked, so the member must never be told "not run".
+    #[test]
+    fn broken_call_is_never_called_not_run() {
+        let verdict = AttemptVerdict::Ended(AttemptEnd::Broken {
+            reason: BrokenReason::EngineLost,
+            partial: Arc::from(""),
+        });
+        assert_eq!(state_after_verdict(&verdict), Some(ClaimState::Unknown));
+        assert_eq!(state_after_verdict(&AttemptVerdict::Running), None);
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/http/mod.rs
@@ -0,0 +1,12 @@
+//! Callers' and operators' HTTP.
+
+mod batches;
+mod chat;
+mod online;
+mod operator;
+mod requests;
+mod route;
+mod services;
+mod sse;
+
+pub(crate) use route::{Rim, handle};
--- /dev/null
+++ b/crates/bluebellreel_entry/src/http/online.rs
@@ -0,0 +1,122 @@
+//! What chat completions and service calls share: the way through the actor.
+
+use crate::http::requests::claimed_reply;
+use crate::http::route::{CallerRequest, Rim};
+use crate::message::Message;
+use crate::online::{CallerEvent, NewCall, OnlineMessage};
+use bluebellreel_claim::ClaimRecord;
+use bluebellreel_http::{ApiError, Reply};
+use bluebellreel_routing::{NewRequest, Outcome};
+use bluebellreel_types::{Moment, NotRunReason, Ran, RequestId, Work};
+use crossbeam_channel::{Receiver, RecvTimeoutError, unbounded};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time past the deadline after which a handler gives up on its actor.
+const OVERTIME: Duration = Duration::from_secs(3);
+
+/// A request handed to the actor.
+pub(crate) struct Pending {
+    pub(crate) id: RequestId,
+    pub(crate) rx: Receiver<CallerEvent>,
+    pub(crate) deadline: Moment,
+    digest: String,
+}
+
+/// Hands work to the online actor.
+pub(crate) fn begin(rim: &Rim, call: &CallerRequest, work: Work, digest: String) -> Pending {
+    let id = RequestId::random();
+    let latest = rim.now() + rim.parts.settings.online_deadline;
+    let deadline = call.deadline.unwrap_or(latest);
+    // Bounded by the tokens of one answer.
+    let (caller, rx) = unbounded();
+    let new = NewCall {
+        request: NewRequest {
+            id,
+            work: Arc::new(work),
+            deadline,
+            trace: call.span.below(),
+        },
+        digest: digest.clone(),
+        caller,
+    };
+    rim.parts
+        .tell(Message::Online(OnlineMessage::Call(Box::new(new))));
+    Pending {
+        id,
+        rx,
+        deadline,
+        digest,
+    }
+}
+
+impl Pending {
+    /// Waits for what comes next.
+    pub(crate) fn next(&self, rim: &Rim) -> CallerEvent {
+        let left = self.deadline.since(rim.now()) + OVERTIME;
+        match self.rx.recv_timeout(left) {
+            Ok(event) => event,
+            // The actor is gone or stuck: nobody can tell what ran.
+            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
+                CallerEvent::Finished(Outcome::Unknown)
+            }
+        }
+    }
+
+    /// What a caller is told whose key was used before.
+    pub(crate) fn claimed(&self, rim: &Rim, record: ClaimRecord) -> Result<Reply, ApiError> {
+        if record.digest != self.digest {
+            let message = "the key was used before, for another request";
+            return Err(ApiError::new(409, "key_reused", message));
+        }
+        claimed_reply(rim, record)
+    }
+
+    /// Tells the actor that the caller has gone away.
+    pub(crate) fn caller_gone(&self, rim: &Rim) {
+        let message = OnlineMessage::CallerGone(self.id);
+        rim.parts.tell(Message::Online(message));
+    }
+}
+
+/// The error for an outcome that is no answer.
+pub(crate) fn error_of(outcome: &Outcome, keyed: bool, now: Moment) -> ApiError {
+    match outcome {
+        Outcome::Completed { .. } => ApiError::new(500, "internal", "not an error"),
+        Outcome::Rejected { status, message } => {
+            ApiError::new(*status, "rejected", message.to_string())
+        }
+        Outcome::NotRun { reason, retry_at } => {
+            let (status, code) = not_run_status(*reason);
+            let error = ApiError::new(status, code, format!("not run: {reason}"));
+            error.retry_after(retry_at.since(now))
+        }
+        Outcome::Failed { message } => {
+            ApiError::new(502, "failed", message.to_string()).ran(Ran::Yes)
+        }
+        Outcome::Unknown => {
+            let message = if keyed {
+                "the outcome is not known yet; read it at /v1/requests/{key}"
+            } else {
+                "the outcome is not known"
+            };
+            ApiError::new(504, "unknown", message).ran(Ran::Unknown)
+        }
+    }
+}
+
+fn not_run_status(reason: NotRunReason) -> (u16, &'static str) {
+    match reason {
+        NotRunReason::Overloaded => (429, "overloaded"),
+        NotRunReason::TooLate => (503, "too_late"),
+        NotRunReason::Expired => (504, "expired"),
+        NotRunReason::NoWorker => (503, "no_worker"),
+        NotRunReason::ClaimUnavailable => (503, "claim_unavailable"),
+        NotRunReason::Leaving
+        | NotRunReason::StaleIncarnation
+        | NotRunReason::Cancelled
+        | NotRunReason::WrongModel
+        | NotRunReason::Unreachable
+        | NotRunReason::EngineBusy => (503, "not_run"),
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/http/requests.rs
@@ -0,0 +1,116 @@
+//! Outcomes of calls with an idempotency key.
+
+use crate::http::route::Rim;
+use crate::message::Message;
+use crate::online::{AskAnswer, OnlineMessage, find_claim, record_state};
+use bluebellreel_claim::{ClaimRecord, ClaimState, state_after_verdict};
+use bluebellreel_http::{ApiError, Reply};
+use bluebellreel_types::{Ran, TeamName};
+use crossbeam_channel::bounded;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// Longest wait for a side process that is asked.
+const ASK_TIME: Duration = Duration::from_secs(3);
+/// Longest time to record what it said.
+const RECORD_TIME: Duration = Duration::from_secs(3);
+
+/// `GET /v1/requests/{key}`
+pub(crate) fn show(rim: &Rim, team: &TeamName, key: &str) -> Result<Reply, ApiError> {
+    let found = find_claim(&rim.parts.kv, team, key).map_err(|e| unavailable(&e.to_string()))?;
+    let Some((record, revision)) = found else {
+        let message = "no request with this key has been taken up";
+        return Err(ApiError::new(404, "no_request", message));
+    };
+    let record = settle(rim, record, revision);
+    let (outcome, ran) = match &record.state {
+        ClaimState::Pending => ("pending", Ran::Unknown),
+        ClaimState::Completed { .. } => ("completed", Ran::Yes),
+        ClaimState::Rejected { .. } => ("rejected", Ran::No),
+        ClaimState::NotRun => ("not_run", Ran::No),
+        ClaimState::Unknown => ("unknown", Ran::Unknown),
+    };
+    let mut body = json!({ "key": record.key, "outcome": outcome, "ran": ran });
+    if let ClaimState::Completed { status, body: text } = &record.state {
+        body["response"] = json!({ "status_code": status, "body": text });
+    }
+    if let ClaimState::Rejected { status, message } = &record.state {
+        body["response"] = json!({ "status_code": status, "message": message });
+    }
+    Ok(Reply::json(200, &body))
+}
+
+/// What the caller of a key that was used before is told.
+pub(crate) fn claimed_reply(rim: &Rim, record: ClaimRecord) -> Result<Reply, ApiError> {
+    let current = find_claim(&rim.parts.kv, &record.team, &record.key);
+    let record = match current {
+        Ok(Some((record, revision))) => settle(rim, record, revision),
+        Ok(None) | Err(_) => record,
+    };
+    match record.state {
+        ClaimState::Completed { status, body } => {
+            Ok(Reply::bytes(status, "application/json", body.as_bytes()))
+        }
+        ClaimState::Rejected { status, message } => {
+            Err(ApiError::new(status, "rejected", message.to_string()))
+        }
+        // It has just been settled as not run: the key is free again.
+        ClaimState::NotRun => {
+            let error = ApiError::new(503, "not_run", "not run: send it again");
+            Err(error.retry_after(Duration::from_secs(1)))
+        }
+        ClaimState::Pending => {
+            let message = "a request with this key is in progress; read it at /v1/requests/{key}";
+            Err(ApiError::new(409, "in_progress", message).ran(Ran::Unknown))
+        }
+        ClaimState::Unknown => {
+            let message = "a request with this key may have run; it will not be run again";
+            Err(ApiError::new(409, "unknown", message).ran(Ran::Unknown))
+        }
+    }
+}
+
+fn unavailable(reason: &str) -> ApiError {
+    let message = format!("the outcome cannot be read now: {reason}");
+    let error = ApiError::new(503, "unavailable", message).ran(Ran::Unknown);
+    error.retry_after(Duration::from_secs(2))
+}
+
+/// Finds out what became of a claim that is still open, from the side process
+/// that it names, and records it. An entry that died between claim and record
+/// leaves such claims behind.
+fn settle(rim: &Rim, record: ClaimRecord, revision: i64) -> ClaimRecord {
+    if record.state != ClaimState::Pending {
+        return record;
+    }
+    let (answer, told) = bounded(1);
+    let message = OnlineMessage::AskClaim {
+        record: Box::new(record.clone()),
+        answer,
+    };
+    rim.parts.tell(Message::Online(message));
+    let state = match told.recv_timeout(ASK_TIME) {
+        Ok(AskAnswer::Verdict(verdict)) => state_after_verdict(&verdict),
+        Ok(AskAnswer::Gone) => Some(ClaimState::Unknown),
+        // A worker that is away may come back and tell; past the deadline
+        // the caller deserves an answer, and "unknown" is the true one.
+        Ok(AskAnswer::Unreachable) | Err(_) if record.deadline.is_past(rim.now()) => {
+            Some(ClaimState::Unknown)
+        }
+        Ok(AskAnswer::Unreachable) | Err(_) => None,
+    };
+    let Some(state) = state else {
+        return record;
+    };
+    let settled = record.in_state(state);
+    let until = Instant::now() + RECORD_TIME;
+    if record_state(&rim.parts.kv, &settled, revision, until) {
+        // Another may have settled it first: what is recorded counts.
+        match find_claim(&rim.parts.kv, &record.team, &record.key) {
+            Ok(Some((current, _))) => current,
+            Ok(None) | Err(_) => record,
+        }
+    } else {
+        record
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/http/route.rs
@@ -0,0 +1,193 @@
+//! From a request to its handler.
+
+use crate::fleet::SharedManifest;
+use crate::http::{batches, chat, operator, requests, services};
+use crate::parts::Parts;
+use bluebellreel_http::{ApiError, BodyLimits, Method, Reply, Request, header, respond};
+use bluebellreel_settings::Principal;
+use bluebellreel_telemetry::{Span, Tracer};
+use bluebellreel_types::{Moment, TeamName, TraceContext};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Longest time to read an online request's body.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Longest idempotency key, in bytes.
+const LONGEST_KEY: usize = 255;
+
+/// What HTTP handlers work with.
+#[derive(Clone)]
+pub(crate) struct Rim {
+    pub(crate) parts: Parts,
+    pub(crate) manifest: SharedManifest,
+    pub(crate) ready: Arc<AtomicBool>,
+}
+
+/// A caller's request, its caller known.
+pub(crate) struct CallerRequest {
+    pub(crate) req: Request,
+    pub(crate) team: TeamName,
+    pub(crate) key: Option<String>,
+    pub(crate) deadline: Option<Moment>,
+    pub(crate) span: Span,
+}
+
+impl Rim {
+    pub(crate) fn now(&self) -> Moment {
+        self.parts.clock.now()
+    }
+
+    pub(crate) fn body_limits(&self) -> BodyLimits {
+        BodyLimits {
+            bytes: self.parts.settings.limits.body_bytes,
+            time: BODY_TIME,
+        }
+    }
+
+    pub(crate) fn tracer(&self) -> &Tracer {
+        &self.parts.tracer
+    }
+}
+
+/// Serves one request.
+pub(crate) fn handle(rim: &Rim, req: Request) {
+    let url = req.url().to_owned();
+    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+    match path {
+        "/healthz" => respond(req, &Reply::bytes(200, "text/plain", *b"ok\n")),
+        "/readyz" => respond(req, &readiness(rim)),
+        "/metrics" => {
+            let counts = rim.parts.kv.counts();
+            let total = i64::try_from(counts.writes + counts.reads).unwrap_or(i64::MAX);
+            rim.parts.metrics.kv_calls.set(total);
+            let failures = i64::try_from(counts.failures).unwrap_or(i64::MAX);
+            rim.parts.metrics.kv_failures.set(failures);
+            let text = rim.parts.metrics.text().into_bytes();
+            respond(req, &Reply::bytes(200, "text/plain; version=0.0.4", text));
+        }
+        _ if path == "/operator" || path.starts_with("/operator/") => {
+            operator::handle(rim, req, path, query);
+        }
+        _ => handle_caller(rim, req, path, query),
+    }
+}
+
+fn readiness(rim: &Rim) -> Reply {
+    if rim.ready.load(Ordering::SeqCst) {
+        Reply::bytes(200, "text/plain", *b"ready\n")
+    } else {
+        ApiError::new(503, "not_ready", "starting or stopping").into()
+    }
+}
+
+fn handle_caller(rim: &Rim, req: Request, path: &str, query: &str) {
+    let call = match caller_request(rim, &req) {
+        Ok(known) => known.with(req),
+        Err(e) => return respond(req, &e.into()),
+    };
+    let method = call.req.method().clone();
+    match (&method, path) {
+        (Method::Post, "/v1/chat/completions") => chat::complete(rim, call),
+        (Method::Get, "/v1/models") => answer(rim, call, |_| Ok(chat::models(rim))),
+        (Method::Post, "/v1/batches") => answer(rim, call, |call| batches::submit(rim, call)),
+        _ => match path.strip_prefix("/v1/batches/") {
+            Some(rest) => batches::handle(rim, call, rest, query),
+            None => handle_named(rim, call, path, query),
+        },
+    }
+}
+
+fn handle_named(rim: &Rim, call: CallerRequest, path: &str, query: &str) {
+    if let Some(key) = path.strip_prefix("/v1/requests/") {
+        let key = key.to_owned();
+        answer(rim, call, |call| requests::show(rim, &call.team, &key));
+    } else if let Some(rest) = path.strip_prefix("/services/") {
+        services::call(rim, call, rest, query);
+    } else {
+        answer(rim, call, |_| {
+            Err(ApiError::new(404, "not_found", "no such path"))
+        });
+    }
+}
+
+/// Runs a handler whose answer is known as a whole, and closes its span.
+pub(crate) fn answer(
+    rim: &Rim,
+    mut call: CallerRequest,
+    run: impl FnOnce(&mut CallerRequest) -> Result<Reply, ApiError>,
+) {
+    let reply = run(&mut call).unwrap_or_else(Reply::from);
+    let span = call.span.with("status", reply.status.to_string());
+    rim.tracer().finish(span, rim.now());
+    respond(call.req, &reply);
+}
+
+struct KnownCaller {
+    team: TeamName,
+    key: Option<String>,
+    deadline: Option<Moment>,
+    span: Span,
+}
+
+impl KnownCaller {
+    fn with(self, req: Request) -> CallerRequest {
+        CallerRequest {
+            req,
+            team: self.team,
+            key: self.key,
+            deadline: self.deadline,
+            span: self.span,
+        }
+    }
+}
+
+fn caller_request(rim: &Rim, req: &Request) -> Result<KnownCaller, ApiError> {
+    let team = match principal(rim, req)? {
+        Principal::Team(team) => team.clone(),
+        Principal::Operator(_) => {
+            let message = "operators' tokens are for /operator only";
+            return Err(ApiError::new(403, "forbidden", message));
+        }
+    };
+    let trace = header(req, "traceparent").and_then(|text| TraceContext::try_from(text).ok());
+    let trace = trace.unwrap_or_else(TraceContext::fresh);
+    Ok(KnownCaller {
+        team,
+        key: key_of(req)?,
+        deadline: deadline_of(req)?,
+        span: Span::begin(trace, "caller", rim.now()),
+    })
+}
+
+/// Who sends a request.
+pub(crate) fn principal<'a>(rim: &'a Rim, req: &Request) -> Result<&'a Principal, ApiError> {
+    let refused = || ApiError::new(401, "unauthorized", "a known bearer token is needed");
+    let token = header(req, "Authorization")
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .ok_or_else(refused)?;
+    rim.parts.settings.tokens.find(token).ok_or_else(refused)
+}
+
+fn key_of(req: &Request) -> Result<Option<String>, ApiError> {
+    let Some(key) = header(req, "Idempotency-Key") else {
+        return Ok(None);
+    };
+    let printable = key.bytes().all(|byte| byte.is_ascii_graphic());
+    if key.is_empty() || key.len() > LONGEST_KEY || !printable || key.contains('/') {
+        let message = format!("Idempotency-Key: 1 to {LONGEST_KEY} visible characters, no '/'");
+        return Err(ApiError::new(400, "bad_key", message));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+fn deadline_of(req: &Request) -> Result<Option<Moment>, ApiError> {
+    header(req, "Bluebellreel-Deadline")
+        .map(|text| {
+            Moment::from_rfc3339(text).map_err(|reason| {
+                let message = format!("Bluebellreel-Deadline: {reason}");
+                ApiError::new(400, "bad_deadline", message)
+            })
+        })
+        .transpose()
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/http/services.rs
@@ -0,0 +1,62 @@
+//! Calls to plain services.
+
+use crate::http::online::{begin, error_of};
+use crate::http::route::{CallerRequest, Rim, answer};
+use crate::online::CallerEvent;
+use bluebellreel_http::{ApiError, Reply, read_body};
+use bluebellreel_routing::Outcome;
+use bluebellreel_types::{ModelName, Work, WorkKind, content_digest};
+use std::sync::Arc;
+
+/// `/services/{name}/…`
+pub(crate) fn call(rim: &Rim, call: CallerRequest, rest: &str, query: &str) {
+    answer(rim, call, |call| run(rim, call, rest, query));
+}
+
+fn run(rim: &Rim, call: &mut CallerRequest, rest: &str, query: &str) -> Result<Reply, ApiError> {
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = ModelName::from(name);
+    let manifest = rim.manifest.get();
+    if !manifest.services.iter().any(|spec| spec.name == service) {
+        return Err(ApiError::new(404, "no_service", "no such service"));
+    }
+    let path = if query.is_empty() {
+        format!("/{path}")
+    } else {
+        format!("/{path}?{query}")
+    };
+    let kind = WorkKind::Call {
+        method: Arc::from(call.req.method().as_str()),
+        path: Arc::from(path.as_str()),
+    };
+    let repeatable = manifest.is_repeatable(&service, &kind);
+    if !repeatable && call.key.is_none() {
+        let message = "this call runs at most once and needs an Idempotency-Key";
+        return Err(ApiError::new(400, "key_needed", message));
+    }
+    let body = read_body(&mut call.req, rim.body_limits())?;
+    let asked = [path.as_bytes(), b"\n", &body].concat();
+    let work = Work {
+        kind,
+        model: service,
+        body: Arc::from(body),
+        tokens: 1,
+        prefix: 0,
+        repeatable,
+        key: Arc::from(call.key.as_deref().unwrap_or("")),
+        team: call.team.clone(),
+    };
+    let pending = begin(rim, call, work, content_digest(&asked));
+    loop {
+        match pending.next(rim) {
+            CallerEvent::Text(_) => {}
+            CallerEvent::Finished(Outcome::Completed { status, body, .. }) => {
+                return Ok(Reply::bytes(status, "application/json", body));
+            }
+            CallerEvent::Finished(outcome) => {
+                return Err(error_of(&outcome, call.key.is_some(), rim.now()));
+            }
+            CallerEvent::Claimed(record) => return pending.claimed(rim, *record),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/jobs/actor.rs
@@ -0,0 +1,653 @@
+//! The actor that owns jobs.
+
+use crate::jobs::index::JobIndex;
+use crate::jobs::messages::{
+    ClaimedPart, JobWrite, JobsMessage, JobsSummary, OpenedJob, OwnedSummary, PendingPull,
+};
+use crate::jobs::store;
+use crate::message::Message;
+use crate::parts::Parts;
+use crate::platform::{EntryRecord, job_id_of};
+use bluebellreel_job::{
+    Board, BoardLimits, Handout, ItemEnd, ItemLease, JobEffect, JobLimits, JobRecord, JobTarget,
+    OwnedJob,
+};
+use bluebellreel_kv::WatchEvent;
+use bluebellreel_rpc::{EntryCommand, EntryNotice, PullAnswer};
+use bluebellreel_types::{
+    Class, Dispatch, EntryName, Incarnation, JobId, ModelName, Moment, TraceContext, WorkerName,
+};
+use stakker::{CX, after};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// Between two looks at all jobs.
+const TICK: Duration = Duration::from_millis(50);
+/// How often a worker is told again that batch work waits.
+const OFFER_PERIOD: Duration = Duration::from_secs(1);
+/// Between two tidyings.
+const TIDY_PERIOD: Duration = Duration::from_secs(10);
+
+/// A connected worker as this part sees it.
+struct Puller {
+    incarnation: Incarnation,
+    models: BTreeSet<ModelName>,
+    offered: u32,
+    offer_at: Moment,
+}
+
+/// Owns jobs.
+pub(crate) struct JobsActor {
+    parts: Parts,
+    board: Board,
+    index: JobIndex,
+    pullers: BTreeMap<WorkerName, Puller>,
+    claim_seqs: HashMap<JobId, u64>,
+    opening: BTreeSet<JobId>,
+    tidy_at: Moment,
+    stopping: bool,
+}
+
+impl JobsActor {
+    #[expect(
+        clippy::unnecessary_wraps,
+        reason = "stakker wants an option from init"
+    )]
+    pub(crate) fn init(cx: CX![], parts: Parts) -> Option<Self> {
+        after!(TICK, [cx], tick());
+        Some(Self {
+            parts,
+            board: Board::new(BoardLimits::default()),
+            index: JobIndex::default(),
+            pullers: BTreeMap::new(),
+            claim_seqs: HashMap::new(),
+            opening: BTreeSet::new(),
+            tidy_at: Moment(0),
+            stopping: false,
+        })
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now = self.now();
+        self.poll_all(now);
+        self.take_over_due(now);
+        self.offer_all(now);
+        if self.tidy_at.is_past(now) {
+            self.tidy_at = now + TIDY_PERIOD;
+            self.board.tidy(now);
+        }
+        let metrics = &self.parts.metrics;
+        let owned = i64::try_from(self.board.jobs.len()).unwrap_or(i64::MAX);
+        metrics.jobs_owned.set(owned);
+        let waiting = self.board.unrecorded_bytes();
+        let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
+        metrics.unrecorded_bytes.set(waiting);
+    }
+
+    fn now(&self) -> Moment {
+        self.parts.clock.now()
+    }
+
+    /// Hands out nothing new from now on.
+    pub(crate) fn stop(&mut self, _: CX![]) {
+        self.stopping = true;
+    }
+
+    /// Whether all that is out has come back and been recorded.
+    pub(crate) fn is_idle(&mut self, _: CX![]) -> bool {
+        let jobs = self.board.jobs.values();
+        jobs.into_iter()
+            .all(|job| job.leased() == 0 && job.unrecorded() == 0)
+    }
+
+    pub(crate) fn on_entry_seen(&mut self, _: CX![], record: EntryRecord) {
+        self.index.note_entry(record.name, record.run);
+    }
+
+    #[expect(clippy::needless_pass_by_value, reason = "a message is handed over")]
+    pub(crate) fn on_entry_gone(&mut self, _: CX![], name: EntryName) {
+        log::warn!(target: "jobs", entry:% = name; "Entry daemon gone.");
+        self.index.forget_entry(&name);
+    }
+
+    pub(crate) fn on_notice(&mut self, _: CX![], notice: EntryNotice) {
+        let now = self.now();
+        match notice {
+            EntryNotice::Connected(hello) => {
+                let puller = Puller {
+                    incarnation: hello.incarnation,
+                    models: hello.models.into_iter().collect(),
+                    offered: 0,
+                    offer_at: now,
+                };
+                self.pullers.insert(hello.worker, puller);
+            }
+            EntryNotice::Lost(worker) => {
+                if self.pullers.remove(&worker).is_some() {
+                    for job in self.board.jobs.values_mut() {
+                        job.lose_worker(&worker, now);
+                    }
+                }
+            }
+            EntryNotice::Load { worker, load } => {
+                if let Some(puller) = self.pullers.get_mut(&worker) {
+                    puller.models = load.models.into_iter().collect();
+                }
+            }
+            EntryNotice::Pull {
+                worker,
+                room,
+                answer,
+            } => self.pull(&worker, room, answer, now),
+            EntryNotice::Reports { reports, .. } => {
+                for report in reports {
+                    self.board.report(report.attempt, report.end, now);
+                }
+                self.poll_all(now);
+            }
+            EntryNotice::Verdict { attempt, verdict } => {
+                for job in self.board.jobs.values_mut() {
+                    job.note_verdict(attempt, verdict.clone(), now);
+                }
+            }
+            EntryNotice::Part { .. } | EntryNotice::Ended { .. } | EntryNotice::Applied { .. } => {}
+        }
+    }
+
+    fn pull(&mut self, worker: &WorkerName, room: u32, answer: PullAnswer, now: Moment) {
+        let handouts = match self.pullers.get_mut(worker) {
+            Some(puller) if !self.stopping => {
+                puller.offered = 0;
+                puller.offer_at = now;
+                let room = usize::try_from(room).unwrap_or(0);
+                let run = puller.incarnation;
+                self.board.pull(room, worker, run, &puller.models, now)
+            }
+            _ => Vec::new(),
+        };
+        let Some(puller) = self.pullers.get(worker) else {
+            answer.0.send(Vec::new()).ok();
+            return;
+        };
+        let run = puller.incarnation;
+        let mut pull = PendingPull {
+            answer,
+            ready: Vec::new(),
+            claimed: Vec::new(),
+        };
+        for Handout { job, leases } in handouts {
+            let dispatches = leases.iter().map(|lease| dispatch_of(lease, run)).collect();
+            if self.board.jobs[&job].repeatable {
+                pull.ready.extend(dispatches);
+            } else {
+                pull.claimed.push(ClaimedPart { job, dispatches });
+            }
+        }
+        if pull.claimed.is_empty() {
+            answer_pull(pull);
+        } else {
+            self.write_claims(pull);
+        }
+    }
+
+    /// Items that may not be repeated leave only after their claims are
+    /// recorded under our epoch, so that an owner that was paused while
+    /// another took over can send none of them.
+    fn write_claims(&mut self, pull: PendingPull) {
+        let mut writes = Vec::new();
+        for part in &pull.claimed {
+            let Some(job) = self.board.jobs.get(&part.job) else {
+                continue;
+            };
+            let seq = self.claim_seqs.entry(part.job.clone()).or_default();
+            *seq += 1;
+            let attempts = part.dispatches.iter().map(|d| d.attempt);
+            let claims = job.claims_of(attempts);
+            writes.push((job.record.clone(), job.revision, *seq, claims));
+        }
+        let parts = self.parts.clone();
+        let pull = Box::new(pull);
+        // A pull that cannot be queued is dropped: the side asks again, and
+        // the leases come back when they lapse.
+        self.parts.pool.run(move |kv| {
+            let written = writes
+                .into_iter()
+                .map(|(record, revision, seq, claims)| {
+                    store::record_claims(kv, &record, revision, seq, claims)
+                })
+                .collect();
+            parts.tell(Message::Jobs(JobsMessage::Claimed { pull, written }));
+        });
+    }
+
+    fn note_claimed(&mut self, mut pull: PendingPull, written: &[JobWrite]) {
+        let claimed = std::mem::take(&mut pull.claimed);
+        for (part, write) in claimed.into_iter().zip(written) {
+            match write {
+                JobWrite::Done => pull.ready.extend(part.dispatches),
+                JobWrite::Failed => self.release(&part),
+                JobWrite::Fenced => self.drop_job(&part.job),
+            }
+        }
+        answer_pull(pull);
+    }
+
+    /// The claim's fate is open, but nothing was sent: the items stay claimed
+    /// by attempts that will never run, and are claimed anew later.
+    fn release(&mut self, part: &ClaimedPart) {
+        if let Some(job) = self.board.jobs.get_mut(&part.job) {
+            for dispatch in &part.dispatches {
+                job.release(dispatch.attempt);
+            }
+        }
+    }
+
+    pub(crate) fn on_message(&mut self, _: CX![], message: JobsMessage) {
+        let now = self.now();
+        match message {
+            JobsMessage::Accepted(record, revision) => self.adopt_new(*record, revision),
+            JobsMessage::AllJobs(jobs) => self.note_all(jobs),
+            JobsMessage::Changed(event) => self.note_change(event),
+            JobsMessage::Opened(opened) => self.open(*opened),
+            JobsMessage::OpenFailed(id) => {
+                self.opening.remove(&id);
+                self.reopen(&id);
+            }
+            JobsMessage::TakenOver { id, result } => self.note_taken(&id, result),
+            JobsMessage::Chunk {
+                id,
+                epoch,
+                chunk,
+                bytes,
+            } => self.note_chunk(&id, epoch, chunk, bytes.as_deref(), now),
+            JobsMessage::Recorded {
+                id,
+                epoch,
+                seq,
+                items,
+                failed,
+                write,
+            } => {
+                if write == JobWrite::Done {
+                    self.parts.metrics.items.inc_by(u64::from(items));
+                    self.parts.metrics.items_failed.inc_by(u64::from(failed));
+                }
+                self.note_write(&id, epoch, write, now, |job| job.note_recorded(seq, now));
+            }
+            JobsMessage::Closed { id, epoch, write } => {
+                if write == JobWrite::Done {
+                    log::info!(target: "jobs", job:% = id; "Job ended.");
+                    self.board.jobs.remove(&id);
+                } else {
+                    self.note_write(&id, epoch, write, now, |_| ());
+                }
+            }
+            JobsMessage::Claimed { pull, written } => self.note_claimed(*pull, &written),
+            JobsMessage::SummaryAsked(answer) => {
+                answer.send(self.summary(now)).ok();
+            }
+        }
+        self.poll_all(now);
+    }
+
+    fn adopt_new(&mut self, record: JobRecord, revision: i64) {
+        log::info!(target: "jobs", job:% = record.id, items = record.items; "Job accepted.");
+        self.index.put(record.clone(), revision);
+        self.open(OpenedJob {
+            record,
+            revision,
+            recorded: Vec::new(),
+            claims: Vec::new(),
+        });
+    }
+
+    fn note_all(&mut self, jobs: Vec<(JobRecord, i64)>) {
+        let present: BTreeSet<JobId> = jobs.iter().map(|(r, _)| r.id.clone()).collect();
+        let gone: Vec<JobId> = self
+            .index
+            .jobs
+            .keys()
+            .filter(|id| !present.contains(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.index.jobs.remove(&id);
+            self.drop_job(&id);
+        }
+        for (record, revision) in jobs {
+            self.note_record(record, revision);
+        }
+    }
+
+    fn note_change(&mut self, event: WatchEvent) {
+        match event {
+            WatchEvent::Put(kv) => {
+                if let Ok(record) = serde_json::from_slice::<JobRecord>(&kv.value) {
+                    self.note_record(record, kv.revision);
+                }
+            }
+            WatchEvent::Deleted { key, revision } => {
+                let id = job_id_of(&key);
+                self.index.remove(&id, revision);
+                self.drop_job(&id);
+            }
+        }
+    }
+
+    /// A record under another owner ends our ownership.
+    fn note_record(&mut self, record: JobRecord, revision: i64) {
+        let mine = self.is_mine(&record);
+        let id = record.id.clone();
+        self.index.put(record, revision);
+        let outdated = self
+            .board
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.revision < revision);
+        if outdated && !mine {
+            self.drop_job(&id);
+        }
+    }
+
+    fn is_mine(&self, record: &JobRecord) -> bool {
+        record.owner == self.parts.settings.name && record.owner_run == self.parts.run
+    }
+
+    fn take_over_due(&mut self, now: Moment) {
+        if self.stopping {
+            return;
+        }
+        let me = self.parts.settings.name.clone();
+        for (record, revision) in self.index.due(&me, now) {
+            let (me, run) = (me.clone(), self.parts.run);
+            let parts = self.parts.clone();
+            self.parts.pool.run(move |kv| {
+                let result = store::take_over(kv, &record, revision, me, run);
+                let id = record.id.clone();
+                parts.tell(Message::Jobs(JobsMessage::TakenOver { id, result }));
+            });
+        }
+    }
+
+    fn note_taken(&mut self, id: &JobId, result: Option<(Box<JobRecord>, i64)>) {
+        match result {
+            Some((record, revision)) => {
+                log::info!(target: "jobs", job:% = id, epoch = record.epoch; "Job taken over.");
+                self.parts.metrics.takeovers.inc();
+                self.index.put(*record, revision);
+                self.reopen(id);
+            }
+            None => {
+                if let Some(job) = self.index.jobs.get_mut(id) {
+                    job.taking = false;
+                }
+            }
+        }
+    }
+
+    /// Reads what is recorded of a job that is ours, then opens it.
+    fn reopen(&mut self, id: &JobId) {
+        let Some(job) = self.index.jobs.get(id) else {
+            return;
+        };
+        if !self.is_mine(&job.record) || !self.opening.insert(id.clone()) {
+            return;
+        }
+        let (record, revision) = (job.record.clone(), job.revision);
+        let (parts, id) = (self.parts.clone(), id.clone());
+        self.parts.pool.run(move |kv| {
+            let message = match store::open_job(kv, record, revision) {
+                Ok(opened) => JobsMessage::Opened(Box::new(opened)),
+                Err(e) => {
+                    log::warn!(target: "jobs", job:% = id, error:% = e; "A job cannot be opened yet.");
+                    std::thread::sleep(Duration::from_millis(500));
+                    JobsMessage::OpenFailed(id)
+                }
+            };
+            parts.tell(Message::Jobs(message));
+        });
+    }
+
+    fn open(&mut self, opened: OpenedJob) {
+        let id = opened.record.id.clone();
+        self.opening.remove(&id);
+        let current = self.index.jobs.get(&id).map(|job| job.revision);
+        if current != Some(opened.revision) {
+            return;
+        }
+        // A job may hold any call of a service, so all of them run at most once.
+        let repeatable = matches!(opened.record.target, JobTarget::Chat(_));
+        let job = OwnedJob::open(
+            opened.record,
+            opened.revision,
+            repeatable,
+            JobLimits::default(),
+            &opened.recorded,
+            &opened.claims,
+        );
+        self.board.jobs.insert(id, job);
+    }
+
+    fn drop_job(&mut self, id: &JobId) {
+        let Some(mut job) = self.board.jobs.remove(id) else {
+            return;
+        };
+        log::info!(target: "jobs", job:% = id; "Job is no longer ours.");
+        let mut effects = Vec::new();
+        job.withdraw_all(&mut effects);
+        for effect in effects {
+            self.carry_out(id, &job.record, job.revision, effect);
+        }
+    }
+
+    fn note_chunk(
+        &mut self,
+        id: &JobId,
+        epoch: u64,
+        chunk: u32,
+        bytes: Option<&[u8]>,
+        now: Moment,
+    ) {
+        let Some(job) = self.owned(id, epoch) else {
+            return;
+        };
+        let Some(bytes) = bytes else {
+            job.note_chunk_failed(now);
+            return;
+        };
+        if let Err(reason) = job.note_chunk(chunk, bytes) {
+            log::error!(target: "jobs", job:% = id, reason; "An input chunk is not as accepted.");
+            job.note_chunk_failed(now);
+        }
+    }
+
+    fn owned(&mut self, id: &JobId, epoch: u64) -> Option<&mut OwnedJob> {
+        let job = self.board.jobs.get_mut(id)?;
+        (job.record.epoch == epoch).then_some(job)
+    }
+
+    fn note_write(
+        &mut self,
+        id: &JobId,
+        epoch: u64,
+        write: JobWrite,
+        now: Moment,
+        done: impl FnOnce(&mut OwnedJob),
+    ) {
+        let Some(job) = self.owned(id, epoch) else {
+            return;
+        };
+        match write {
+            JobWrite::Done => done(job),
+            JobWrite::Failed => job.note_record_failed(now),
+            JobWrite::Fenced => self.drop_job(id),
+        }
+    }
+
+    fn poll_all(&mut self, now: Moment) {
+        let mut todo = Vec::new();
+        for (id, job) in &mut self.board.jobs {
+            let effects = job.poll(now);
+            if !effects.is_empty() {
+                todo.push((id.clone(), job.record.clone(), job.revision, effects));
+            }
+        }
+        for (id, record, revision, effects) in todo {
+            for effect in effects {
+                self.carry_out(&id, &record, revision, effect);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, id: &JobId, record: &JobRecord, revision: i64, effect: JobEffect) {
+        let parts = self.parts.clone();
+        let (id, record, epoch) = (id.clone(), record.clone(), record.epoch);
+        let tell = move |message| {
+            parts.tell(Message::Jobs(message));
+        };
+        match effect {
+            JobEffect::LoadChunk(chunk) => {
+                self.run_kv(&id.clone(), epoch, move |kv| {
+                    let bytes = store::load_chunk(kv, &record, chunk);
+                    tell(JobsMessage::Chunk {
+                        id,
+                        epoch,
+                        chunk,
+                        bytes,
+                    });
+                });
+            }
+            JobEffect::Record { seq, results } => {
+                let items = u32::try_from(results.len()).unwrap_or(u32::MAX);
+                let failed = results
+                    .iter()
+                    .filter(|r| matches!(r.end, ItemEnd::Failed { .. }));
+                let failed = u32::try_from(failed.count()).unwrap_or(u32::MAX);
+                self.run_kv(&id.clone(), epoch, move |kv| {
+                    let write = store::record_results(kv, &record, revision, seq, &results);
+                    tell(JobsMessage::Recorded {
+                        id,
+                        epoch,
+                        seq,
+                        items,
+                        failed,
+                        write,
+                    });
+                });
+            }
+            JobEffect::Close { state, counts } => {
+                let ended = record.ended(state, counts, self.now());
+                self.run_kv(&id.clone(), epoch, move |kv| {
+                    let write = store::close_job(kv, &record, revision, &ended);
+                    tell(JobsMessage::Closed { id, epoch, write });
+                });
+            }
+            JobEffect::Withdraw { worker, attempts } => {
+                self.parts.send(EntryCommand::Withdraw { worker, attempts });
+            }
+            JobEffect::Ask {
+                worker,
+                incarnation,
+                attempt,
+            } => self.ask(&id, &worker, incarnation, attempt),
+        }
+    }
+
+    fn run_kv(
+        &mut self,
+        id: &JobId,
+        epoch: u64,
+        task: impl FnOnce(&bluebellreel_kv::KvClient) + Send + 'static,
+    ) {
+        if !self.parts.pool.run(task) {
+            let now = self.now();
+            if let Some(job) = self.owned(id, epoch) {
+                job.note_chunk_failed(now);
+                job.note_record_failed(now);
+            }
+        }
+    }
+
+    fn ask(
+        &mut self,
+        id: &JobId,
+        worker: &WorkerName,
+        incarnation: Incarnation,
+        attempt: bluebellreel_types::AttemptId,
+    ) {
+        let now = self.now();
+        match self.pullers.get(worker) {
+            Some(puller) if puller.incarnation == incarnation => {
+                let worker = worker.clone();
+                self.parts.send(EntryCommand::Cancel { worker, attempt });
+            }
+            Some(_) => {
+                if let Some(job) = self.board.jobs.get_mut(id) {
+                    job.note_untellable(attempt, now);
+                }
+            }
+            None => {}
+        }
+    }
+
+    /// Tells workers that batch work waits, so that they pull.
+    fn offer_all(&mut self, now: Moment) {
+        if self.stopping {
+            return;
+        }
+        for (worker, puller) in &mut self.pullers {
+            let waiting = self.board.waiting(&puller.models);
+            let rises = puller.offered == 0 && waiting > 0;
+            if !(rises || waiting > 0 && puller.offer_at.is_past(now)) {
+                continue;
+            }
+            puller.offered = waiting;
+            puller.offer_at = now + OFFER_PERIOD;
+            let worker = worker.clone();
+            self.parts.send(EntryCommand::Offer { worker, waiting });
+        }
+    }
+
+    fn summary(&self, now: Moment) -> JobsSummary {
+        let late = self
+            .index
+            .jobs
+            .values()
+            .filter(|job| job.record.deadline.is_past(now));
+        let owned = self.board.jobs.values().map(|job| OwnedSummary {
+            id: job.record.id.clone(),
+            team: job.record.team.clone(),
+            items: job.record.items,
+            succeeded: job.counts().succeeded,
+            failed: job.counts().failed,
+            running: job.leased(),
+            deadline: job.record.deadline.to_rfc3339(),
+        });
+        JobsSummary {
+            running: self.index.jobs.len(),
+            owned: owned.collect(),
+            orphaned: self.index.orphaned(),
+            late: late.count(),
+            unrecorded_bytes: self.board.unrecorded_bytes(),
+        }
+    }
+}
+
+fn dispatch_of(lease: &ItemLease, side: Incarnation) -> Dispatch {
+    Dispatch {
+        attempt: lease.attempt,
+        side,
+        class: Class::Batch,
+        work: lease.work.clone(),
+        deadline: lease.deadline,
+        resume: lease.resume.clone(),
+        trace: TraceContext::fresh(),
+    }
+}
+
+fn answer_pull(pull: PendingPull) {
+    // A side process that is gone hears nothing; its leases come back when
+    // its connection is seen to be lost.
+    pull.answer.0.send(pull.ready).ok();
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/jobs/index.rs
@@ -0,0 +1,110 @@
+//! Jobs of the fleet that are not over, by owner.
+
+use bluebellreel_job::JobRecord;
+use bluebellreel_routing::rendezvous_score;
+use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+/// How long an owner must be gone before its jobs are taken over.
+///
+/// Guards against a stampede after an outage of the key-value service, when
+/// all leases have lapsed and every daemon is about to take a new one.
+const TAKE_OVER_GRACE: Duration = Duration::from_millis(1_500);
+
+/// One job of the index.
+#[derive(Clone, Debug)]
+pub(crate) struct IndexedJob {
+    pub(crate) record: JobRecord,
+    pub(crate) revision: i64,
+    /// When its owner was first missed.
+    missed_at: Option<Moment>,
+    /// Whether a take-over is under way here.
+    pub(crate) taking: bool,
+}
+
+/// The index.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct JobIndex {
+    pub(crate) jobs: BTreeMap<JobId, IndexedJob>,
+    entries: HashMap<EntryName, Incarnation>,
+}
+
+impl JobIndex {
+    /// Takes a record in, unless a later one is known.
+    pub(crate) fn put(&mut self, record: JobRecord, revision: i64) {
+        let known = self.jobs.get(&record.id);
+        if known.is_some_and(|job| job.revision >= revision) {
+            return;
+        }
+        let job = IndexedJob {
+            revision,
+            missed_at: None,
+            taking: false,
+            record,
+        };
+        self.jobs.insert(job.record.id.clone(), job);
+    }
+
+    /// Takes a job out that is over.
+    pub(crate) fn remove(&mut self, id: &JobId, revision: i64) {
+        let known = self.jobs.get(id);
+        if known.is_some_and(|job| job.revision <= revision) {
+            self.jobs.remove(id);
+        }
+    }
+
+    /// A daemon is there.
+    pub(crate) fn note_entry(&mut self, name: EntryName, run: Incarnation) {
+        self.entries.insert(name, run);
+    }
+
+    /// A daemon is gone.
+    pub(crate) fn forget_entry(&mut self, name: &EntryName) {
+        self.entries.remove(name);
+    }
+
+    fn owner_is_there(&self, record: &JobRecord) -> bool {
+        self.entries.get(&record.owner) == Some(&record.owner_run)
+    }
+
+    /// Jobs whose owner is not there.
+    pub(crate) fn orphaned(&self) -> usize {
+        let orphaned = self
+            .jobs
+            .values()
+            .filter(|job| !self.owner_is_there(&job.record));
+        orphaned.count()
+    }
+
+    /// The jobs that this daemon should take over now. Each orphaned job has
+    /// one daemon that ranks highest for it, so that they do not all try.
+    pub(crate) fn due(&mut self, me: &EntryName, now: Moment) -> Vec<(JobRecord, i64)> {
+        let mut due = Vec::new();
+        let entries = &self.entries;
+        for job in self.jobs.values_mut() {
+            if entries.get(&job.record.owner) == Some(&job.record.owner_run) {
+                job.missed_at = None;
+                continue;
+            }
+            let missed_at = *job.missed_at.get_or_insert(now);
+            let waited = (missed_at + TAKE_OVER_GRACE).is_past(now);
+            if !waited || job.taking || heir(entries, &job.record.id) != Some(me) {
+                continue;
+            }
+            job.taking = true;
+            due.push((job.record.clone(), job.revision));
+        }
+        due
+    }
+}
+
+fn heir<'a>(entries: &'a HashMap<EntryName, Incarnation>, job: &JobId) -> Option<&'a EntryName> {
+    entries
+        .keys()
+        .max_by_key(|entry| (rendezvous_score(hash_of(job), entry.as_str()), *entry))
+}
+
+fn hash_of(job: &JobId) -> u64 {
+    rendezvous_score(0, job.as_str())
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/jobs/upload.rs
@@ -0,0 +1,200 @@
+//! Accepting a job: its body streams into input chunks, then its record is
+//! created. The record is the acceptance.
+
+use crate::jobs::store::{find_job, job_value};
+use crate::platform::{done_key, input_key, input_prefix, job_key};
+use bluebellreel_http::ApiError;
+use bluebellreel_job::{ChunkRef, InputChunk, InputReader, JobCounts, JobRecord, JobState};
+use bluebellreel_kv::{Commit, Compare, KvClient, Put, Txn};
+use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, Ran, TeamName, content_digest};
+use sha2::{Digest, Sha256};
+use std::time::{Duration, Instant};
+
+/// Longest time to store one chunk.
+const CHUNK_TIME: Duration = Duration::from_secs(5);
+/// Longest time to create the record.
+const ACCEPT_TIME: Duration = Duration::from_secs(5);
+
+/// How a submission came out.
+#[derive(Debug)]
+pub(crate) enum AcceptAnswer {
+    /// Accepted now, at this revision of its record.
+    Accepted(Box<JobRecord>, i64),
+    /// The same job had been accepted before.
+    Existing(Box<JobRecord>),
+}
+
+/// Who submits, and how.
+#[derive(Clone, Debug)]
+pub(crate) struct Submission {
+    pub(crate) id: JobId,
+    pub(crate) team: TeamName,
+    pub(crate) deadline: Moment,
+    pub(crate) accepted_at: Moment,
+    pub(crate) owner: EntryName,
+    pub(crate) owner_run: Incarnation,
+    pub(crate) most_items: usize,
+}
+
+/// Hashes a body that is read piece by piece.
+pub(crate) fn digest_body(
+    mut next: impl FnMut() -> Result<Option<Vec<u8>>, ApiError>,
+) -> Result<String, ApiError> {
+    let mut hasher = Sha256::new();
+    while let Some(piece) = next()? {
+        hasher.update(&piece);
+    }
+    Ok(hex::encode(hasher.finalize()))
+}
+
+/// Accepts a job whose body `next` gives piece by piece.
+pub(crate) fn accept_job(
+    kv: &KvClient,
+    submission: &Submission,
+    mut next: impl FnMut() -> Result<Option<Vec<u8>>, ApiError>,
+) -> Result<AcceptAnswer, ApiError> {
+    let before = find_job(kv, &submission.id).map_err(|e| not_accepted(&e.to_string()))?;
+    if let Some(before) = before {
+        let digest = digest_body(next)?;
+        return same_body(before.record, &digest);
+    }
+    let upload = Incarnation::random().to_string();
+    let stored = store_body(kv, submission, &upload, &mut next);
+    let record = match stored {
+        Ok(record) => record,
+        Err(e) => {
+            discard_upload(kv, &submission.id, &upload);
+            return Err(e);
+        }
+    };
+    create_record(kv, record)
+}
+
+fn store_body(
+    kv: &KvClient,
+    submission: &Submission,
+    upload: &str,
+    next: &mut impl FnMut() -> Result<Option<Vec<u8>>, ApiError>,
+) -> Result<JobRecord, ApiError> {
+    let mut reader = InputReader::new(submission.most_items);
+    let mut hasher = Sha256::new();
+    let mut chunks = Vec::new();
+    let bad_line = |e: bluebellreel_job::InputError| ApiError::new(400, "bad_line", e.to_string());
+    while let Some(piece) = next()? {
+        hasher.update(&piece);
+        for chunk in reader.push(&piece).map_err(bad_line)? {
+            chunks.push(store_chunk(kv, submission, upload, chunks.len(), &chunk)?);
+        }
+    }
+    let (target, last) = reader.finish().map_err(bad_line)?;
+    if let Some(chunk) = last {
+        chunks.push(store_chunk(kv, submission, upload, chunks.len(), &chunk)?);
+    }
+    Ok(JobRecord {
+        id: submission.id.clone(),
+        team: submission.team.clone(),
+        digest: hex::encode(hasher.finalize()),
+        upload: upload.to_owned(),
+        target,
+        accepted_at: submission.accepted_at,
+        deadline: submission.deadline,
+        items: reader.items(),
+        chunks,
+        state: JobState::Running,
+        owner: submission.owner.clone(),
+        owner_run: submission.owner_run,
+        epoch: 1,
+        counts: JobCounts::default(),
+        ended_at: None,
+    })
+}
+
+fn store_chunk(
+    kv: &KvClient,
+    submission: &Submission,
+    upload: &str,
+    number: usize,
+    chunk: &InputChunk,
+) -> Result<ChunkRef, ApiError> {
+    let number = u32::try_from(number).unwrap_or(u32::MAX);
+    let key = input_key(&submission.id, upload, number);
+    let txn = Txn::create(key, chunk.bytes.clone());
+    match kv.commit(&txn, Instant::now() + CHUNK_TIME) {
+        Commit::Applied { .. } => Ok(ChunkRef {
+            first: chunk.first,
+            items: chunk.items,
+            digest: content_digest(&chunk.bytes),
+            bytes: chunk.bytes.len() as u64,
+        }),
+        Commit::Beaten(_) => Err(not_accepted("the upload's name was taken")),
+        Commit::NotDone(reason) | Commit::Unknown(reason) => Err(not_accepted(&reason)),
+    }
+}
+
+/// Nothing of a job runs before its record is there, so "not run" is true.
+fn not_accepted(reason: &str) -> ApiError {
+    let message = format!("the job could not be stored: {reason}");
+    ApiError::new(503, "unavailable", message).retry_after(Duration::from_secs(2))
+}
+
+fn create_record(kv: &KvClient, record: JobRecord) -> Result<AcceptAnswer, ApiError> {
+    let done = done_key(&record.id);
+    let txn = Txn {
+        puts: vec![Put {
+            key: job_key(&record.id),
+            value: job_value(&record),
+            lease: 0,
+        }],
+        compares: vec![
+            Compare::Absent(job_key(&record.id)),
+            Compare::Absent(done.clone()),
+        ],
+        ..Txn::default()
+    }
+    .reading(done);
+    match kv.commit(&txn, Instant::now() + ACCEPT_TIME) {
+        Commit::Applied { revision } => Ok(AcceptAnswer::Accepted(Box::new(record), revision)),
+        Commit::Beaten(found) => {
+            discard_upload(kv, &record.id, &record.upload);
+            let first = found
+                .first()
+                .and_then(|kv| serde_json::from_slice::<JobRecord>(&kv.value).ok());
+            match first {
+                Some(first) => same_body(first, &record.digest),
+                None => Err(not_accepted("the first submission cannot be read")),
+            }
+        }
+        Commit::NotDone(reason) => {
+            discard_upload(kv, &record.id, &record.upload);
+            Err(not_accepted(&reason))
+        }
+        // The record may be there: only a resend, or a look, can tell.
+        Commit::Unknown(reason) => {
+            let message = format!("whether the job was accepted is not known: {reason}");
+            let error = ApiError::new(503, "unknown", message).ran(Ran::Unknown);
+            Err(error.retry_after(Duration::from_secs(2)))
+        }
+    }
+}
+
+/// The same key finds the first job; with another body it is an error.
+fn same_body(first: JobRecord, digest: &str) -> Result<AcceptAnswer, ApiError> {
+    if first.digest == digest {
+        return Ok(AcceptAnswer::Existing(Box::new(first)));
+    }
+    let message = format!(
+        "the key was used before, with another body, for {}",
+        first.id
+    );
+    Err(ApiError::new(409, "key_reused", message))
+}
+
+/// Deletes the chunks of an upload that no record names. What cannot be
+/// deleted now is found by the sweep.
+fn discard_upload(kv: &KvClient, id: &JobId, upload: &str) {
+    let prefix = input_prefix(id, upload);
+    let until = Instant::now() + CHUNK_TIME;
+    if let Err(e) = kv.delete_prefix(&prefix, until) {
+        log::warn!(target: "jobs", job:% = id, error:% = e; "Chunks were left behind.");
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/message.rs
@@ -0,0 +1,28 @@
+//! Messages to the entry daemon's actors.
+
+use crate::fleet::FleetMessage;
+use crate::jobs::JobsMessage;
+use crate::online::OnlineMessage;
+use bluebellreel_rpc::EntryNotice;
+use bluebellreel_types::EntryName;
+
+/// What reaches the actors' thread.
+#[derive(Debug)]
+pub(crate) enum Message {
+    /// From a side process.
+    Rpc(EntryNotice),
+    /// For the online part.
+    Online(OnlineMessage),
+    /// For the batch part.
+    Jobs(JobsMessage),
+    /// For the manifest and the fleet.
+    Fleet(FleetMessage),
+    /// The platform lists these workers.
+    Listed(Vec<crate::platform::ListedWorker>),
+    /// Another daemon's lease is there.
+    EntrySeen(crate::platform::EntryRecord),
+    /// Another daemon's lease has ended.
+    EntryGone(EntryName),
+    /// The process is asked to stop gracefully.
+    StopAsked,
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/parts.rs
@@ -0,0 +1,38 @@
+//! What the actors and the HTTP threads work with.
+
+use crate::message::Message;
+use crate::platform::KvPool;
+use bluebellreel_kv::KvClient;
+use bluebellreel_rpc::EntryCommand;
+use bluebellreel_settings::EntrySettings;
+use bluebellreel_telemetry::{EntryMetrics, Tracer};
+use bluebellreel_types::{Clock, Incarnation};
+use crossbeam_channel::Sender;
+use std::sync::Arc;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Handles shared by all threads of the daemon.
+#[derive(Clone)]
+pub(crate) struct Parts {
+    pub(crate) settings: Arc<EntrySettings>,
+    pub(crate) run: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) kv: Arc<KvClient>,
+    pub(crate) pool: KvPool,
+    pub(crate) rpc: UnboundedSender<EntryCommand>,
+    pub(crate) tx: Sender<Message>,
+    pub(crate) tracer: Tracer,
+    pub(crate) metrics: Arc<EntryMetrics>,
+}
+
+impl Parts {
+    /// Sends to the connections; their thread ends only with the process.
+    pub(crate) fn send(&self, command: EntryCommand) {
+        self.rpc.send(command).ok();
+    }
+
+    /// Sends to the actors; false once their thread has ended.
+    pub(crate) fn tell(&self, message: Message) -> bool {
+        self.tx.send(message).is_ok()
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/platform/keys.rs
@@ -0,0 +1,79 @@
+//! Names of the keys in the key-value service.
+//!
+//! `job/` holds only the jobs that are not over, so that a watch on it tells
+//! every change of ownership and every end, and a daemon that starts reads
+//! little. Ended jobs move to `done/` in the transaction that ends them.
+
+use bluebellreel_kv::Key;
+use bluebellreel_types::{EntryName, JobId};
+
+/// The manifest.
+pub(crate) fn manifest_key() -> Key {
+    Key::from("manifest")
+}
+
+/// All live entry daemons.
+pub(crate) fn entry_prefix() -> Key {
+    Key::from("entry/")
+}
+
+/// One live entry daemon.
+pub(crate) fn entry_key(name: &EntryName) -> Key {
+    Key::from(format!("entry/{name}"))
+}
+
+/// All jobs that are not over.
+pub(crate) fn job_prefix() -> Key {
+    Key::from("job/")
+}
+
+/// A job that is not over.
+pub(crate) fn job_key(id: &JobId) -> Key {
+    Key::from(format!("job/{id}"))
+}
+
+/// The job that a key under [`job_prefix`] names.
+pub(crate) fn job_id_of(key: &Key) -> JobId {
+    let text = key.as_str();
+    JobId::from(text.strip_prefix("job/").unwrap_or(text))
+}
+
+/// A job that is over.
+pub(crate) fn done_key(id: &JobId) -> Key {
+    Key::from(format!("done/{id}"))
+}
+
+/// All input chunks of one upload.
+pub(crate) fn input_prefix(id: &JobId, upload: &str) -> Key {
+    Key::from(format!("in/{id}/{upload}/"))
+}
+
+/// One input chunk.
+pub(crate) fn input_key(id: &JobId, upload: &str, chunk: u32) -> Key {
+    Key::from(format!("in/{id}/{upload}/{chunk:08}"))
+}
+
+/// All result chunks of a job.
+pub(crate) fn output_prefix(id: &JobId) -> Key {
+    Key::from(format!("out/{id}/"))
+}
+
+/// One result chunk.
+pub(crate) fn output_key(id: &JobId, epoch: u64, seq: u64) -> Key {
+    Key::from(format!("out/{id}/{epoch:08}-{seq:08}"))
+}
+
+/// All claims of items that may not be repeated.
+pub(crate) fn item_claim_prefix(id: &JobId) -> Key {
+    Key::from(format!("sent/{id}/"))
+}
+
+/// One group of such claims.
+pub(crate) fn item_claim_key(id: &JobId, epoch: u64, seq: u64) -> Key {
+    Key::from(format!("sent/{id}/{epoch:08}-{seq:08}"))
+}
+
+/// The claim of an online call that may not be repeated.
+pub(crate) fn claim_key(id: &str) -> Key {
+    Key::from(format!("claim/{id}"))
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/platform/membership.rs
@@ -0,0 +1,183 @@
+//! Which entry daemons are there: a lease each, watched by all.
+
+use crate::message::Message;
+use crate::parts::Parts;
+use crate::platform::{entry_key, entry_prefix};
+use bluebellreel_kv::{Commit, Key, KeyValue, KvClient, KvError, Put, Txn, Watch, WatchEvent};
+use bluebellreel_types::{EntryName, Incarnation};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Pause before a watch is opened again.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+
+/// A live daemon, as its lease's key tells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EntryRecord {
+    /// Its name.
+    pub(crate) name: EntryName,
+    /// Its run.
+    pub(crate) run: Incarnation,
+    /// Where operators reach it.
+    pub(crate) address: SocketAddr,
+}
+
+/// Holds the daemon's lease until the process ends.
+pub(crate) fn hold_lease(parts: &Parts, address: SocketAddr) -> io::Result<()> {
+    let parts = parts.clone();
+    let record = EntryRecord {
+        name: parts.settings.name.clone(),
+        run: parts.run,
+        address,
+    };
+    thread::Builder::new()
+        .name("entry-lease".into())
+        .spawn(move || {
+            let ttl = parts.settings.lease;
+            let mut lease = None;
+            loop {
+                lease = renew(&parts.kv, lease, ttl, &record);
+                thread::sleep(ttl / 3);
+            }
+        })?;
+    Ok(())
+}
+
+/// Renews the lease, or takes a new one when it has lapsed.
+fn renew(kv: &KvClient, lease: Option<i64>, ttl: Duration, record: &EntryRecord) -> Option<i64> {
+    if let Some(id) = lease {
+        match kv.keep_alive(id) {
+            Ok(true) => return Some(id),
+            Ok(false) => log::warn!(target: "entry", "The lease had lapsed; taking a new one."),
+            Err(e) => {
+                log::warn!(target: "entry", error:% = e; "The lease could not be renewed.");
+                return Some(id);
+            }
+        }
+    }
+    match register(kv, ttl, record) {
+        Ok(id) => Some(id),
+        Err(e) => {
+            log::warn!(target: "entry", error:% = e; "No lease could be taken.");
+            None
+        }
+    }
+}
+
+fn register(kv: &KvClient, ttl: Duration, record: &EntryRecord) -> Result<i64, KvError> {
+    let id = kv.grant(ttl)?;
+    let value = serde_json::to_vec(record).unwrap_or_default();
+    let txn = Txn {
+        puts: vec![Put {
+            key: entry_key(&record.name),
+            value,
+            lease: id,
+        }],
+        ..Txn::default()
+    };
+    match kv.commit(&txn, Instant::now() + ttl) {
+        Commit::Applied { .. } => Ok(id),
+        Commit::Beaten(_) => Err(KvError::Refused(
+            "a write without a guard was beaten".into(),
+        )),
+        Commit::NotDone(reason) => Err(KvError::NotDone(reason)),
+        Commit::Unknown(reason) => Err(KvError::Unknown(reason)),
+    }
+}
+
+/// Watches the leases of all daemons.
+pub(crate) fn watch_entries(parts: &Parts) -> io::Result<()> {
+    let parts = parts.clone();
+    thread::Builder::new()
+        .name("entry-watch".into())
+        .spawn(move || {
+            let mut known = BTreeSet::new();
+            follow_prefix(
+                &parts.kv,
+                &entry_prefix(),
+                |all| note_all(&parts, &mut known, &all),
+                |event| note_event(&parts, event),
+            );
+        })?;
+    Ok(())
+}
+
+/// Reads a prefix, then follows its changes; starts over when the watch
+/// cannot go on. Ends never.
+pub(crate) fn follow_prefix(
+    kv: &KvClient,
+    prefix: &Key,
+    mut on_all: impl FnMut(Vec<KeyValue>) -> bool,
+    mut on_event: impl FnMut(WatchEvent) -> bool,
+) {
+    loop {
+        if let Ok((all, revision)) = kv.list(prefix) {
+            if !on_all(all) {
+                return;
+            }
+            if !follow_from(kv, prefix, revision + 1, &mut on_event) {
+                return;
+            }
+        }
+        thread::sleep(WATCH_PAUSE);
+    }
+}
+
+/// Follows changes as long as watches can be opened; false when the receiver
+/// is gone.
+fn follow_from(
+    kv: &KvClient,
+    prefix: &Key,
+    mut next: i64,
+    on_event: &mut impl FnMut(WatchEvent) -> bool,
+) -> bool {
+    while let Ok(mut watch) = Watch::open(kv, prefix, next) {
+        loop {
+            match watch.wait() {
+                Ok(events) => {
+                    for event in events {
+                        if !on_event(event) {
+                            return false;
+                        }
+                    }
+                }
+                Err(KvError::Refused(_)) => return true,
+                Err(_) => break,
+            }
+        }
+        next = watch.next_revision();
+    }
+    true
+}
+
+fn record_of(kv: &KeyValue) -> Option<EntryRecord> {
+    serde_json::from_slice(&kv.value).ok()
+}
+
+fn note_all(parts: &Parts, known: &mut BTreeSet<EntryName>, all: &[KeyValue]) -> bool {
+    let records: Vec<EntryRecord> = all.iter().filter_map(record_of).collect();
+    let present: BTreeSet<EntryName> = records.iter().map(|r| r.name.clone()).collect();
+    let gone: Vec<EntryName> = known.difference(&present).cloned().collect();
+    *known = present;
+    let seen = records.into_iter().map(Message::EntrySeen);
+    let gone = gone.into_iter().map(Message::EntryGone);
+    gone.chain(seen).all(|message| parts.tell(message))
+}
+
+fn note_event(parts: &Parts, event: WatchEvent) -> bool {
+    match event {
+        WatchEvent::Put(kv) => match record_of(&kv) {
+            Some(record) => parts.tell(Message::EntrySeen(record)),
+            None => true,
+        },
+        WatchEvent::Deleted { key, .. } => {
+            let text = key.as_str();
+            let name = text.strip_prefix("entry/").unwrap_or(text);
+            parts.tell(Message::EntryGone(EntryName::from(name)))
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/platform/mod.rs
@@ -0,0 +1,14 @@
+//! The platform as the daemon meets it: key-value service and VM list.
+
+mod keys;
+mod kv_pool;
+mod membership;
+mod vm_list;
+
+pub(crate) use keys::{
+    claim_key, done_key, entry_key, entry_prefix, input_key, input_prefix, item_claim_key,
+    item_claim_prefix, job_id_of, job_key, job_prefix, manifest_key, output_key, output_prefix,
+};
+pub(crate) use kv_pool::KvPool;
+pub(crate) use membership::{EntryRecord, follow_prefix, hold_lease, watch_entries};
+pub(crate) use vm_list::{ListedState, ListedWorker, watch_vms};
--- /dev/null
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -0,0 +1,321 @@
+//! Wiring of the entry daemon.
+
+use crate::fleet::{FleetActor, SharedManifest, watch_manifest};
+use crate::http::{Rim, handle};
+use crate::jobs::{JobsActor, JobsMessage};
+use crate::message::Message;
+use crate::online::OnlineActor;
+use crate::parts::Parts;
+use crate::platform::{KvPool, follow_prefix, hold_lease, job_prefix, watch_entries, watch_vms};
+use bluebellreel_http::{HttpServer, serve};
+use bluebellreel_job::JobRecord;
+use bluebellreel_kv::{KeyValue, KvClient, KvSettings};
+use bluebellreel_rpc::{EntryCommand, EntryNotice, run_entry};
+use bluebellreel_settings::EntrySettings;
+use bluebellreel_telemetry::{EntryMetrics, TraceSink, Tracer};
+use bluebellreel_types::{Clock, Incarnation};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use stakker::{ActorOwn, Stakker, actor, call, query, ret_nop};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+
+/// Messages that wait for the actors; past it, senders wait.
+const MESSAGES: usize = 65_536;
+/// Messages handled before timers are looked at again.
+const MESSAGES_AT_ONCE: usize = 1_024;
+/// Longest sleep of the actors' loop.
+const LONGEST_SLEEP: Duration = Duration::from_millis(100);
+/// Longest wait for one call to the key-value service.
+const KV_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A running entry daemon.
+pub struct Entry {
+    /// Where callers and operators reach it.
+    pub address: SocketAddr,
+    tx: Sender<Message>,
+    ready: Arc<AtomicBool>,
+    http: HttpServer,
+    actors: JoinHandle<bool>,
+    stop: Duration,
+}
+
+impl Entry {
+    /// Stops gracefully: nothing new, what is in progress finishes. Whether
+    /// nothing was cut.
+    #[must_use = "a stop that cut something must be reported"]
+    pub fn stop(self) -> bool {
+        let until = Instant::now() + self.stop;
+        self.begin_stop();
+        let clean = self.actors.join().unwrap_or(false);
+        while self.http.in_progress() > 0 && Instant::now() < until {
+            thread::sleep(Duration::from_millis(10));
+        }
+        let cut = self.http.in_progress();
+        self.http.stop();
+        if cut > 0 {
+            log::error!(target: "entry", cut; "Stopped at the deadline; requests were cut.");
+        }
+        clean && cut == 0
+    }
+
+    /// Asks for a graceful stop without waiting for it.
+    pub fn begin_stop(&self) {
+        self.ready.store(false, Ordering::SeqCst);
+        self.tx.send(Message::StopAsked).ok();
+    }
+}
+
+/// Starts an entry daemon within this process.
+///
+/// # Errors
+///
+/// Gives the system's error when an address cannot be bound or a thread cannot
+/// be started.
+pub fn start_entry(settings: EntrySettings) -> eyre::Result<Entry> {
+    let settings = Arc::new(settings);
+    let run = Incarnation::random();
+    let (tx, rx) = bounded(MESSAGES);
+    let kv = Arc::new(KvClient::new(
+        KvSettings {
+            url: settings.kv.clone(),
+            call_timeout: KV_TIMEOUT,
+            calls_per_second: settings.kv_calls_per_second,
+        },
+        run,
+    ));
+    let parts = Parts {
+        run,
+        clock: Clock::start(),
+        pool: KvPool::start(&kv)?,
+        kv,
+        rpc: start_rpc(&settings, tx.clone())?,
+        tx: tx.clone(),
+        tracer: start_tracer(&settings),
+        metrics: Arc::new(EntryMetrics::default()),
+        settings: settings.clone(),
+    };
+    let shared = SharedManifest::default();
+    let ready = Arc::new(AtomicBool::new(false));
+    let rim = Rim {
+        parts: parts.clone(),
+        manifest: shared.clone(),
+        ready: ready.clone(),
+    };
+    let http = serve(settings.listen, settings.limits.threads, move |req| {
+        handle(&rim, req);
+    })?;
+    hold_lease(&parts, http.address)?;
+    watch_entries(&parts)?;
+    watch_vms(&parts)?;
+    watch_manifest(&parts)?;
+    watch_jobs(&parts)?;
+    let stop = settings.stop;
+    let name = settings.name.clone();
+    let actors = thread::Builder::new()
+        .name("entry-actors".into())
+        .spawn(move || run_actors(&parts, shared, &rx, stop))?;
+    ready.store(true, Ordering::SeqCst);
+    log::info!(target: "entry", entry:% = name, address:% = http.address; "Entry daemon started.");
+    Ok(Entry {
+        address: http.address,
+        tx,
+        ready,
+        http,
+        actors,
+        stop,
+    })
+}
+
+fn start_tracer(settings: &EntrySettings) -> Tracer {
+    let sink = match (&settings.trace.file, &settings.trace.otlp) {
+        (Some(file), _) => TraceSink::File(file.clone()),
+        (None, Some(url)) => TraceSink::Http(url.clone()),
+        (None, None) => TraceSink::Off,
+    };
+    Tracer::start("bluebellreel", sink)
+}
+
+fn start_rpc(
+    settings: &EntrySettings,
+    tx: Sender<Message>,
+) -> io::Result<mpsc::UnboundedSender<EntryCommand>> {
+    let (commands, queue) = mpsc::unbounded_channel();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let name = settings.name.clone();
+    thread::Builder::new()
+        .name("entry-rpc".into())
+        .spawn(move || {
+            let local = tokio::task::LocalSet::new();
+            let notify = move |notice: EntryNotice| {
+                tx.send(Message::Rpc(notice)).ok();
+            };
+            local.block_on(&runtime, run_entry(name, queue, notify));
+        })?;
+    Ok(commands)
+}
+
+/// Follows the jobs that are not over.
+fn watch_jobs(parts: &Parts) -> io::Result<()> {
+    let parts = parts.clone();
+    thread::Builder::new()
+        .name("job-watch".into())
+        .spawn(move || {
+            follow_prefix(
+                &parts.kv,
+                &job_prefix(),
+                |all| {
+                    let jobs = all.iter().filter_map(job_of).collect();
+                    parts.tell(Message::Jobs(JobsMessage::AllJobs(jobs)))
+                },
+                |event| parts.tell(Message::Jobs(JobsMessage::Changed(event))),
+            );
+        })?;
+    Ok(())
+}
+
+fn job_of(kv: &KeyValue) -> Option<(JobRecord, i64)> {
+    let record = serde_json::from_slice(&kv.value).ok()?;
+    Some((record, kv.revision))
+}
+
+struct Actors {
+    online: ActorOwn<OnlineActor>,
+    jobs: ActorOwn<JobsActor>,
+    fleet: ActorOwn<FleetActor>,
+}
+
+/// Runs the actors until a graceful stop is done; whether it cut nothing.
+fn run_actors(
+    parts: &Parts,
+    shared: SharedManifest,
+    rx: &Receiver<Message>,
+    stop: Duration,
+) -> bool {
+    let mut stakker = Stakker::new(Instant::now());
+    let s = &mut stakker;
+    let actors = Actors {
+        online: actor!(s, OnlineActor::init(parts.clone()), ret_nop!()),
+        jobs: actor!(s, JobsActor::init(parts.clone()), ret_nop!()),
+        fleet: actor!(s, FleetActor::init(parts.clone(), shared), ret_nop!()),
+    };
+    s.run(Instant::now(), false);
+    let mut stop_at: Option<Instant> = None;
+    loop {
+        let sleep = s.next_wait_max(Instant::now(), LONGEST_SLEEP, false);
+        match rx.recv_timeout(sleep) {
+            Ok(message) => {
+                for message in std::iter::once(message).chain(rx.try_iter().take(MESSAGES_AT_ONCE))
+                {
+                    if matches!(message, Message::StopAsked) {
+                        stop_at.get_or_insert(Instant::now() + stop);
+                    }
+                    deliver(s, &actors, message);
+                }
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return true,
+        }
+        s.run(Instant::now(), false);
+        if let Some(stop_at) = stop_at {
+            let online = &actors.online;
+            let jobs = &actors.jobs;
+            let idle = query!([online, s], is_idle()).unwrap_or(true)
+                && query!([jobs, s], is_idle()).unwrap_or(true);
+            if idle {
+                log::info!(target: "entry", "Stopped; nothing was cut.");
+                return true;
+            }
+            if Instant::now() >= stop_at {
+                log::error!(target: "entry", "Stopped at the deadline with work in progress.");
+                return false;
+            }
+        }
+    }
+}
+
+fn deliver(s: &mut Stakker, actors: &Actors, message: Message) {
+    let Actors {
+        online,
+        jobs,
+        fleet,
+    } = actors;
+    match message {
+        Message::Online(message) => call!([online], on_message(message)),
+        Message::Jobs(message) => call!([jobs], on_message(message)),
+        Message::Fleet(message) => {
+            call!([fleet], on_message(message));
+            s.run(Instant::now(), false);
+            if let Some(manifest) = query!([fleet, s], manifest()) {
+                call!([online], apply(manifest));
+            }
+        }
+        Message::Listed(list) => call!([online], on_listed(list)),
+        Message::EntrySeen(record) => call!([jobs], on_entry_seen(record)),
+        Message::EntryGone(name) => call!([jobs], on_entry_gone(name)),
+        Message::Rpc(notice) => deliver_notice(actors, notice),
+        Message::StopAsked => {
+            log::info!(target: "entry", "Stopping: nothing new is taken.");
+            call!([online], stop());
+            call!([jobs], stop());
+        }
+    }
+}
+
+/// Connections and verdicts concern several parts; the rest concerns one.
+fn deliver_notice(actors: &Actors, notice: EntryNotice) {
+    let Actors {
+        online,
+        jobs,
+        fleet,
+    } = actors;
+    match notice {
+        EntryNotice::Connected(hello) => {
+            let (one, two) = (hello.clone(), hello.clone());
+            call!([online], on_notice(EntryNotice::Connected(hello)));
+            call!([jobs], on_notice(EntryNotice::Connected(one)));
+            call!([fleet], on_notice(EntryNotice::Connected(two)));
+        }
+        EntryNotice::Lost(worker) => {
+            let (one, two) = (worker.clone(), worker.clone());
+            call!([online], on_notice(EntryNotice::Lost(worker)));
+            call!([jobs], on_notice(EntryNotice::Lost(one)));
+            call!([fleet], on_notice(EntryNotice::Lost(two)));
+        }
+        EntryNotice::Load { worker, load } => {
+            let jobs_load = load.clone();
+            let jobs_worker = worker.clone();
+            call!([online], on_notice(EntryNotice::Load { worker, load }));
+            let notice = EntryNotice::Load {
+                worker: jobs_worker,
+                load: jobs_load,
+            };
+            call!([jobs], on_notice(notice));
+        }
+        EntryNotice::Verdict { attempt, verdict } => {
+            let copy = verdict.clone();
+            call!(
+                [online],
+                on_notice(EntryNotice::Verdict { attempt, verdict })
+            );
+            let notice = EntryNotice::Verdict {
+                attempt,
+                verdict: copy,
+            };
+            call!([jobs], on_notice(notice));
+        }
+        notice @ (EntryNotice::Part { .. } | EntryNotice::Ended { .. }) => {
+            call!([online], on_notice(notice));
+        }
+        notice @ (EntryNotice::Pull { .. } | EntryNotice::Reports { .. }) => {
+            call!([jobs], on_notice(notice));
+        }
+        notice @ EntryNotice::Applied { .. } => call!([fleet], on_notice(notice)),
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_fleet/src/lib.rs
@@ -0,0 +1,17 @@
+//! The fleet as a manifest declares it.
+//!
+//! A pipeline generates the manifest; bluebellreel accepts it as a whole or
+//! refuses it with every error listed, and makes the fleet match it.
+//!
+//! ```
+//! use bluebellreel_fleet::Manifest;
+//!
+//! let manifest = Manifest::try_from("[[models]]\nname = \"m\"\nversion = \"1\"\n").unwrap();
+//! assert_eq!(manifest.models.len(), 1);
+//! ```
+
+mod generation;
+mod manifest;
+
+pub use generation::{AcceptedManifest, Applied};
+pub use manifest::{Manifest, ManifestError, ModelSpec, RepeatableCall, ServiceSpec, TeamSpec};
--- /dev/null
+++ b/crates/bluebellreel_job/src/lib.rs
@@ -0,0 +1,38 @@
+//! Batch jobs: records, items, ownership and the order of their work.
+//!
+//! A job's record lives in the platform's key-value service and names its
+//! owner and an epoch that grows with every change of owner. The owner keeps
+//! an [`OwnedJob`] in memory, hands its items out in leases to sides that pull
+//! them, and records results in groups. Every write compares the record's
+//! revision, so that an owner that was paused while another took over can
+//! change nothing.
+//!
+//! All of it is plain state and functions over it; the entry daemon does the
+//! reading and writing.
+//!
+//! ```
+//! use bluebellreel_job::JobInput;
+//!
+//! let line = r#"{"custom_id":"note-1","method":"POST","url":"/v1/chat/completions",
+//!     "body":{"model":"m","messages":[{"role":"user","content":"hello"}]}}"#
+//!     .replace('\n', " ");
+//! let input = JobInput::read(line.as_bytes(), 10).unwrap();
+//! assert_eq!(input.items.len(), 1);
+//! ```
+
+mod board;
+mod input;
+mod lease;
+mod owned;
+mod record;
+mod share;
+
+pub use board::{Board, BoardLimits, Handout};
+pub use input::{InputChunk, InputError, InputItem, InputReader, JobInput, JobTarget, custom_ids};
+pub use lease::{ItemLease, LeaseState};
+pub use owned::{JobEffect, JobLimits, OwnedJob};
+pub use record::{
+    ChunkRef, ClaimChunk, ClaimedItem, ItemEnd, ItemResult, JobCounts, JobRecord, JobState,
+    ResultChunk,
+};
+pub use share::TeamShares;
--- /dev/null
+++ b/crates/bluebellreel_kv/src/client.rs
@@ -0,0 +1,325 @@
+//! Calls to the key-value service.
+
+use crate::gateway::{self, LeaseAnswer, RangeAnswer, Streamed, TxnAnswer};
+use crate::{Backoff, CallBudget, Commit, Key, KeyValue, KvError, Txn};
+use bluebellreel_http::is_unsent;
+use bluebellreel_types::Incarnation;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Keys that one read of a range brings.
+const RANGE_PAGE: usize = 64;
+
+/// How the service is reached.
+#[derive(Clone, Debug)]
+pub struct KvSettings {
+    /// Its address as a URL, without a path.
+    pub url: String,
+    /// Longest wait for one call.
+    pub call_timeout: Duration,
+    /// Calls a second that this process makes at the most.
+    pub calls_per_second: u32,
+}
+
+/// Calls made so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KvCounts {
+    /// Guarded writes and lease calls.
+    pub writes: u64,
+    /// Reads.
+    pub reads: u64,
+    /// Calls that failed.
+    pub failures: u64,
+}
+
+/// A client; share it by reference.
+#[derive(Debug)]
+pub struct KvClient {
+    settings: KvSettings,
+    agent: ureq::Agent,
+    run: Incarnation,
+    next_write: AtomicU64,
+    budget: Mutex<CallBudget>,
+    writes: AtomicU64,
+    reads: AtomicU64,
+    failures: AtomicU64,
+}
+
+impl KvClient {
+    /// A client for one run of a process.
+    #[must_use]
+    pub fn new(settings: KvSettings, run: Incarnation) -> Self {
+        let config = ureq::Agent::config_builder()
+            .timeout_global(Some(settings.call_timeout))
+            .timeout_connect(Some(settings.call_timeout))
+            .http_status_as_error(false)
+            .build();
+        let budget = CallBudget::new(settings.calls_per_second, Instant::now());
+        Self {
+            agent: config.new_agent(),
+            settings,
+            run,
+            next_write: AtomicU64::new(0),
+            budget: Mutex::new(budget),
+            writes: AtomicU64::new(0),
+            reads: AtomicU64::new(0),
+            failures: AtomicU64::new(0),
+        }
+    }
+
+    /// The service's URL.
+    #[must_use]
+    pub fn url(&self) -> &str {
+        &self.settings.url
+    }
+
+    /// Calls made so far.
+    #[must_use]
+    pub fn counts(&self) -> KvCounts {
+        KvCounts {
+            writes: self.writes.load(Ordering::Relaxed),
+            reads: self.reads.load(Ordering::Relaxed),
+            failures: self.failures.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Reads one key.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when the service cannot be read.
+    pub fn get(&self, key: &Key) -> Result<Option<KeyValue>, KvError> {
+        let (mut found, _) = self.range_page(key, &[], 1, false)?;
+        Ok(found.pop())
+    }
+
+    /// Reads all keys that start with `prefix`, and the revision read at.
+    /// Pages follow each other, so keys changed meanwhile may be seen either
+    /// way; a watch from the returned revision brings them again.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when the service cannot be read.
+    pub fn list(&self, prefix: &Key) -> Result<(Vec<KeyValue>, i64), KvError> {
+        self.list_from(prefix, prefix)
+    }
+
+    /// Reads the keys under `prefix` that do not lie before `from`.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when the service cannot be read.
+    pub fn list_from(&self, prefix: &Key, from: &Key) -> Result<(Vec<KeyValue>, i64), KvError> {
+        let mut all = Vec::new();
+        let mut revision = None;
+        let mut next = from.clone();
+        loop {
+            let (page, at, more) = self.page(&next, &prefix.prefix_end(), RANGE_PAGE, false)?;
+            let first_read = *revision.get_or_insert(at);
+            let Some(last) = page.last() else {
+                return Ok((all, first_read));
+            };
+            next = Key::from(format!("{}\0", last.key));
+            all.extend(page);
+            if !more {
+                return Ok((all, first_read));
+            }
+        }
+    }
+
+    /// Reads up to `limit` keys from `key` up to `end`.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when the service cannot be read.
+    pub fn range_page(
+        &self,
+        key: &Key,
+        end: &[u8],
+        limit: usize,
+        keys_only: bool,
+    ) -> Result<(Vec<KeyValue>, bool), KvError> {
+        let (page, _, more) = self.page(key, end, limit, keys_only)?;
+        Ok((page, more))
+    }
+
+    fn page(
+        &self,
+        key: &Key,
+        end: &[u8],
+        limit: usize,
+        keys_only: bool,
+    ) -> Result<(Vec<KeyValue>, i64, bool), KvError> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        let body = gateway::range_body(key, end, limit, keys_only);
+        let answer: RangeAnswer = self.call("/v3/kv/range", &body)?;
+        let found = gateway::key_values(answer.kvs).map_err(KvError::Refused)?;
+        Ok((found, answer.header.revision, answer.more))
+    }
+
+    /// Writes, and finds out what became of it until `deadline`.
+    pub fn commit(&self, txn: &Txn, deadline: Instant) -> Commit {
+        let number = self.next_write.fetch_add(1, Ordering::Relaxed);
+        let writer = format!("{}-{number}", self.run);
+        let body = gateway::txn_body(txn, &writer);
+        let mut backoff = Backoff::default();
+        let mut may_be_done = false;
+        loop {
+            self.writes.fetch_add(1, Ordering::Relaxed);
+            let reason = match self.call::<TxnAnswer>("/v3/kv/txn", &body) {
+                Ok(answer) if answer.succeeded => {
+                    let revision = answer.header.revision;
+                    return Commit::Applied { revision };
+                }
+                Ok(answer) => match resolve(answer, txn, &writer) {
+                    Ok(commit) => return commit,
+                    Err(reason) => reason,
+                },
+                Err(KvError::Refused(reason)) => return Commit::NotDone(reason),
+                Err(KvError::NotDone(reason)) => reason,
+                Err(KvError::Unknown(reason)) => {
+                    may_be_done = true;
+                    reason
+                }
+            };
+            let pause = backoff.next(&mut rand::rng());
+            if Instant::now() + pause >= deadline {
+                return if may_be_done {
+                    Commit::Unknown(reason)
+                } else {
+                    Commit::NotDone(reason)
+                };
+            }
+            thread::sleep(pause);
+        }
+    }
+
+    /// Deletes all keys that start with `prefix`. Deleting again does no harm,
+    /// so it is tried until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when it could not be done.
+    pub fn delete_prefix(&self, prefix: &Key, deadline: Instant) -> Result<(), KvError> {
+        let body = gateway::delete_body(prefix);
+        let mut backoff = Backoff::default();
+        loop {
+            self.writes.fetch_add(1, Ordering::Relaxed);
+            let Err(error) = self.call::<Value>("/v3/kv/txn", &body) else {
+                return Ok(());
+            };
+            let pause = backoff.next(&mut rand::rng());
+            if Instant::now() + pause >= deadline {
+                return Err(error);
+            }
+            thread::sleep(pause);
+        }
+    }
+
+    /// Asks for a lease; its id.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when the service does not grant one.
+    pub fn grant(&self, ttl: Duration) -> Result<i64, KvError> {
+        self.writes.fetch_add(1, Ordering::Relaxed);
+        let body = json!({ "TTL": ttl.as_secs().to_string() });
+        let answer: LeaseAnswer = self.call("/v3/lease/grant", &body)?;
+        Ok(answer.id)
+    }
+
+    /// Renews a lease; whether it was still there.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when the service cannot be asked.
+    pub fn keep_alive(&self, lease: i64) -> Result<bool, KvError> {
+        self.writes.fetch_add(1, Ordering::Relaxed);
+        let body = json!({ "ID": lease.to_string() });
+        let answer: Streamed<LeaseAnswer> = self.call("/v3/lease/keepalive", &body)?;
+        Ok(answer.result.ttl > 0)
+    }
+
+    /// Gives a lease back.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when the service cannot be asked.
+    pub fn revoke(&self, lease: i64) -> Result<(), KvError> {
+        self.writes.fetch_add(1, Ordering::Relaxed);
+        let body = json!({ "ID": lease.to_string() });
+        self.call::<Value>("/v3/lease/revoke", &body).map(drop)
+    }
+
+    fn call<T: DeserializeOwned>(&self, path: &str, body: &Value) -> Result<T, KvError> {
+        let pause = match self.budget.lock() {
+            Ok(mut budget) => budget.take(Instant::now()),
+            Err(_) => Duration::ZERO,
+        };
+        thread::sleep(pause);
+        let result = self.send(path, body);
+        if result.is_err() {
+            self.failures.fetch_add(1, Ordering::Relaxed);
+        }
+        result
+    }
+
+    fn send<T: DeserializeOwned>(&self, path: &str, body: &Value) -> Result<T, KvError> {
+        let url = format!("{}{path}", self.settings.url);
+        let mut answer = self
+            .agent
+            .post(&url)
+            .send_json(body)
+            .map_err(|e| classify(&e))?;
+        let status = answer.status().as_u16();
+        let unknown = |e: ureq::Error| KvError::Unknown(e.to_string());
+        match status {
+            200 => answer
+                .body_mut()
+                .with_config()
+                .limit(u64::MAX)
+                .read_json()
+                .map_err(unknown),
+            429 => Err(KvError::NotDone("too many calls".into())),
+            400..500 => {
+                let text = answer.body_mut().read_to_string().unwrap_or_default();
+                Err(KvError::Refused(text))
+            }
+            _ => Err(KvError::Unknown(format!("status {status}"))),
+        }
+    }
+}
+
+/// Tells errors that came before anything was sent from all others.
+fn classify(error: &ureq::Error) -> KvError {
+    let reason = error.to_string();
+    if is_unsent(error) {
+        KvError::NotDone(reason)
+    } else {
+        KvError::Unknown(reason)
+    }
+}
+
+/// What a failed guard means: our own earlier try took effect, or another's
+/// write came first.
+fn resolve(answer: TxnAnswer, txn: &Txn, writer: &str) -> Result<Commit, String> {
+    let mut found = Vec::new();
+    for response in answer.responses {
+        let raw = response.response_range.unwrap_or_default().kvs;
+        found.extend(gateway::key_values(raw)?);
+    }
+    let first = txn.puts.first().map(|put| &put.key);
+    let ours = found
+        .iter()
+        .find(|kv| Some(&kv.key) == first && kv.writer == writer);
+    Ok(match ours {
+        Some(kv) => Commit::Applied {
+            revision: kv.revision,
+        },
+        None => Commit::Beaten(found),
+    })
+}
--- /dev/null
+++ b/crates/bluebellreel_kv/tests/lost_answers.rs
@@ -0,0 +1,146 @@
+//! Writes whose answers are lost, against the key-value stand-in.
+
+use bluebellreel_kv::{Commit, Key, KvClient, KvSettings, Txn, Watch, WatchEvent};
+use bluebellreel_standins::{KvFaults, KvLimits, StandIn, start_kv};
+use bluebellreel_types::Incarnation;
+use std::time::{Duration, Instant};
+
+fn start() -> (StandIn, KvClient) {
+    let address = "127.0.0.1:0".parse().expect("address");
+    let stand_in = start_kv(address, KvLimits::default()).expect("started");
+    let client = client_of(&stand_in, 1);
+    (stand_in, client)
+}
+
+fn client_of(stand_in: &StandIn, run: u64) -> KvClient {
+    let settings = KvSettings {
+        url: stand_in.url(),
+        call_timeout: Duration::from_secs(2),
+        calls_per_second: 1_000,
+    };
+    KvClient::new(settings, Incarnation(run))
+}
+
+fn set_faults(stand_in: &StandIn, faults: &KvFaults) {
+    ureq::post(format!("{}/stand-in/faults", stand_in.url()))
+        .send_json(faults)
+        .expect("faults set");
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(5)
+}
+
+/// A school's job is accepted, but the answer to the write is lost. The entry
+/// must find out that its own write took effect, and not tell the school that
+/// another was faster or that nothing was accepted.
+#[test]
+fn lost_answer_is_found_to_be_applied_by_us() {
+    let (stand_in, client) = start();
+    let lose_answers = 1;
+    set_faults(
+        &stand_in,
+        &KvFaults {
+            lose_answers,
+            ..KvFaults::default()
+        },
+    );
+    let txn = Txn::create(Key::from("job/a"), b"first".to_vec());
+    assert!(matches!(
+        client.commit(&txn, soon()),
+        Commit::Applied { .. }
+    ));
+    let found = client
+        .get(&Key::from("job/a"))
+        .expect("read")
+        .expect("there");
+    assert_eq!(found.value, b"first");
+}
+
+/// Two phones change the manifest at once; the second one's answer is lost as
+/// well. It must learn what won, not that its own change is in force.
+#[test]
+fn beaten_writer_learns_what_won() {
+    let (stand_in, client) = start();
+    let key = Key::from("manifest");
+    let first = Txn::create(key.clone(), b"one".to_vec());
+    let Commit::Applied { revision } = client.commit(&first, soon()) else {
+        panic!("applied");
+    };
+    let other = client_of(&stand_in, 2);
+    let change = |text: &str| Txn::replace(key.clone(), revision, text.as_bytes().to_vec());
+    assert!(matches!(
+        other.commit(&change("two"), soon()),
+        Commit::Applied { .. }
+    ));
+    let Commit::Beaten(found) = client.commit(&change("three"), soon()) else {
+        panic!("beaten");
+    };
+    assert_eq!(found[0].value, b"two");
+}
+
+/// The service is down: a write that was answered "unavailable" may still have
+/// been done, so it is unknown and never called refused.
+#[test]
+fn outage_is_unknown_and_a_dead_port_is_not_done() {
+    let (stand_in, client) = start();
+    set_faults(
+        &stand_in,
+        &KvFaults {
+            down: true,
+            ..KvFaults::default()
+        },
+    );
+    let txn = Txn::create(Key::from("job/a"), Vec::new());
+    let deadline = Instant::now() + Duration::from_millis(300);
+    assert!(matches!(client.commit(&txn, deadline), Commit::Unknown(_)));
+    let settings = KvSettings {
+        url: "http://127.0.0.1:1".into(),
+        call_timeout: Duration::from_secs(1),
+        calls_per_second: 100,
+    };
+    let nobody = KvClient::new(settings, Incarnation(3));
+    let deadline = Instant::now() + Duration::from_millis(300);
+    assert!(matches!(nobody.commit(&txn, deadline), Commit::NotDone(_)));
+}
+
+/// A watch that broke goes on from the revision it had seen: no change between
+/// the two watches may be missed.
+#[test]
+fn resumed_watch_misses_nothing() {
+    let (_stand_in, client) = start();
+    let prefix = Key::from("job/");
+    let put = |name: &str| {
+        let txn = Txn::create(Key::from(name), b"x".to_vec());
+        assert!(matches!(
+            client.commit(&txn, soon()),
+            Commit::Applied { .. }
+        ));
+    };
+    put("job/a");
+    let mut watch = Watch::open(&client, &prefix, 1).expect("watch");
+    assert_eq!(next_keys(&mut watch), ["job/a"]);
+    let resume = watch.next_revision();
+    drop(watch);
+    put("job/b");
+    put("other/c");
+    put("job/d");
+    let mut watch = Watch::open(&client, &prefix, resume).expect("watch");
+    assert_eq!(next_keys(&mut watch), ["job/b", "job/d"]);
+}
+
+fn next_keys(watch: &mut Watch) -> Vec<String> {
+    loop {
+        let events = watch.wait().expect("open");
+        if !events.is_empty() {
+            return events.iter().map(key_of).collect();
+        }
+    }
+}
+
+fn key_of(event: &WatchEvent) -> String {
+    match event {
+        WatchEvent::Put(kv) => kv.key.to_string(),
+        WatchEvent::Deleted { key, .. } => key.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_routing/src/choice.rs
@@ -0,0 +1,151 @@
+//! Which worker gets a request.
+//!
+//! The prefix's rendezvous home keeps the engine's prefix cache warm; its load
+//! is bounded, and past the bound the better of two random workers is taken.
+
+use crate::{RouterLimits, Worker};
+use bluebellreel_types::{DataCentre, Moment, Work, WorkerName};
+use rand::{Rng, RngExt};
+use twox_hash::XxHash64;
+
+/// Load below which a home is never passed over, in tokens.
+const HOME_FLOOR_TOKENS: u64 = 512;
+
+/// A choice's result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Send it there.
+    Worker(WorkerName),
+    /// No worker serves the model now.
+    NoWorker,
+    /// Every worker's first token would miss the deadline; the soonest one
+    /// would come at this moment.
+    TooLate(Moment),
+}
+
+/// The rank of a node for a key: the highest is the key's home.
+#[must_use]
+pub fn rendezvous_score(key: u64, node: &str) -> u64 {
+    XxHash64::oneshot(key, node.as_bytes())
+}
+
+/// The `count` nodes that rank highest for a key.
+#[must_use]
+pub fn subset_of(key: u64, nodes: &[WorkerName], count: usize) -> Vec<WorkerName> {
+    let mut ranked: Vec<_> = nodes
+        .iter()
+        .map(|node| (rendezvous_score(key, node.as_str()), node))
+        .collect();
+    ranked.sort_unstable();
+    ranked
+        .into_iter()
+        .rev()
+        .take(count)
+        .map(|(_, node)| node.clone())
+        .collect()
+}
+
+/// What a worker is chosen for.
+#[derive(Clone, Copy, Debug)]
+pub struct Question<'a> {
+    /// The work.
+    pub work: &'a Work,
+    /// When its answer is no longer wanted.
+    pub deadline: Moment,
+    /// Workers that failed it.
+    pub avoid: &'a [WorkerName],
+    /// Where the asking daemon stands.
+    pub local: &'a DataCentre,
+    /// The present.
+    pub now: Moment,
+}
+
+struct Candidate<'a> {
+    worker: &'a Worker,
+    ahead: u64,
+}
+
+/// Chooses a worker for some work.
+pub fn choose<'a>(
+    workers: impl Iterator<Item = &'a Worker>,
+    question: Question<'_>,
+    limits: &RouterLimits,
+    rng: &mut impl Rng,
+) -> Choice {
+    let Question {
+        work,
+        deadline,
+        avoid,
+        local,
+        now,
+    } = question;
+    let able: Vec<Candidate> = workers
+        .filter(|w| w.takes(&work.model, now))
+        .map(|worker| Candidate {
+            worker,
+            ahead: worker.tokens_ahead(limits.load_age, now),
+        })
+        .collect();
+    if able.is_empty() {
+        return Choice::NoWorker;
+    }
+    let first_token = |c: &Candidate| now + c.worker.predicted_first_token(limits.load_age, now);
+    let in_time: Vec<&Candidate> = able
+        .iter()
+        .filter(|c| !deadline.is_past(first_token(c)))
+        .collect();
+    if in_time.is_empty() {
+        let soonest = able.iter().map(first_token).min().unwrap_or(now);
+        return Choice::TooLate(soonest);
+    }
+    let preferred = preferred(&in_time, avoid, local, limits);
+    Choice::Worker(pick(&preferred, work.prefix, limits, rng))
+}
+
+/// Leaves out workers that failed this request and those of other data
+/// centres, as long as others remain that are not overfull.
+fn preferred<'a>(
+    in_time: &[&'a Candidate<'a>],
+    avoid: &[WorkerName],
+    local: &DataCentre,
+    limits: &RouterLimits,
+) -> Vec<&'a Candidate<'a>> {
+    let untried: Vec<_> = in_time
+        .iter()
+        .copied()
+        .filter(|c| !avoid.contains(&c.worker.name))
+        .collect();
+    let pool = if untried.is_empty() {
+        in_time.to_vec()
+    } else {
+        untried
+    };
+    let bound = bound_tokens(&pool, limits);
+    let near: Vec<_> = pool
+        .iter()
+        .copied()
+        .filter(|c| c.worker.data_centre == *local && c.ahead <= bound)
+        .collect();
+    if near.is_empty() { pool } else { near }
+}
+
+/// Load up to which a home is taken.
+fn bound_tokens(pool: &[&Candidate], limits: &RouterLimits) -> u64 {
+    let total: u64 = pool.iter().map(|c| c.ahead).sum();
+    let mean = total / pool.len().max(1) as u64;
+    mean + mean * limits.home_slack_percent / 100 + HOME_FLOOR_TOKENS
+}
+
+fn pick(pool: &[&Candidate], prefix: u64, limits: &RouterLimits, rng: &mut impl Rng) -> WorkerName {
+    let home = pool
+        .iter()
+        .max_by_key(|c| rendezvous_score(prefix, c.worker.name.as_str()))
+        .expect("the pool is not empty");
+    if home.ahead <= bound_tokens(pool, limits) {
+        return home.worker.name.clone();
+    }
+    let one = pool[rng.random_range(0..pool.len())];
+    let other = pool[rng.random_range(0..pool.len())];
+    let better = if other.ahead < one.ahead { other } else { one };
+    better.worker.name.clone()
+}
--- /dev/null
+++ b/crates/bluebellreel_rpc/src/side.rs
@@ -0,0 +1,380 @@
+//! The side process's end: serves entries and pulls batch work from them.
+
+use crate::convert;
+use crate::side_capnp as wire;
+use bluebellreel_types::{
+    AttemptEnd, AttemptId, AttemptVerdict, BatchReport, Dispatch, EntryName, LoadReport, SideHello,
+};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+/// What the side process asks of its connections.
+#[derive(Debug)]
+pub enum SideCommand {
+    /// Send part of an online answer.
+    Part {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The text.
+        text: Arc<str>,
+    },
+    /// Tell the end of an online attempt.
+    End {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How it ended.
+        end: AttemptEnd,
+        /// The load now.
+        load: LoadReport,
+    },
+    /// Ask an entry for batch items.
+    Pull {
+        /// The entry.
+        entry: EntryName,
+        /// How many.
+        room: u32,
+    },
+    /// Tell an entry how its batch items ended.
+    Report {
+        /// The entry.
+        entry: EntryName,
+        /// The ends.
+        reports: Vec<BatchReport>,
+    },
+}
+
+/// What the connections tell the side process.
+#[derive(Debug)]
+pub enum SideNotice {
+    /// An entry has connected.
+    Connected(EntryName),
+    /// An entry's connection is gone.
+    Lost(EntryName),
+    /// An online attempt.
+    Submitted {
+        /// Who sent it.
+        entry: EntryName,
+        /// The attempt.
+        dispatch: Box<Dispatch>,
+    },
+    /// An attempt is to end.
+    CancelAsked {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where the verdict goes.
+        answer: oneshot::Sender<AttemptVerdict>,
+    },
+    /// Batch items are to stop, unreported.
+    Withdrawn(Vec<AttemptId>),
+    /// An entry has batch work.
+    Offered {
+        /// The entry.
+        entry: EntryName,
+        /// Items waiting there.
+        waiting: u32,
+    },
+    /// Answer to a pull.
+    Pulled {
+        /// The entry.
+        entry: EntryName,
+        /// The items, empty for none.
+        items: Vec<Dispatch>,
+    },
+    /// Reports that could not be delivered.
+    ReportLost {
+        /// The entry.
+        entry: EntryName,
+    },
+    /// The load is asked for.
+    LoadAsked(oneshot::Sender<LoadReport>),
+    /// A manifest to bring into force.
+    Configured {
+        /// Its generation.
+        generation: u64,
+        /// The manifest as accepted.
+        manifest: Arc<str>,
+        /// Where the generation in force goes.
+        answer: oneshot::Sender<u64>,
+    },
+    /// The worker is to leave.
+    DrainAsked,
+}
+
+type Notify = Rc<dyn Fn(SideNotice)>;
+
+struct OpenSink {
+    sink: wire::sink::Client,
+    closed: oneshot::Sender<()>,
+}
+
+#[derive(Default)]
+struct Shared {
+    sinks: HashMap<AttemptId, OpenSink>,
+    feeds: HashMap<EntryName, wire::batch_feed::Client>,
+}
+
+struct Service {
+    hello: SideHello,
+    notify: Notify,
+    shared: Rc<RefCell<Shared>>,
+    entry: RefCell<Option<EntryName>>,
+}
+
+impl Service {
+    fn entry(&self) -> Result<EntryName, capnp::Error> {
+        self.entry
+            .borrow()
+            .clone()
+            .ok_or_else(|| capnp::Error::failed("no greeting yet".into()))
+    }
+}
+
+fn gone<T>(_: T) -> capnp::Error {
+    capnp::Error::disconnected("the side process is stopping".into())
+}
+
+impl wire::side::Server for Service {
+    async fn hello(
+        self: Rc<Self>,
+        params: wire::side::HelloParams,
+        mut results: wire::side::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let entry = EntryName::from(params.get_entry()?.to_str()?);
+        self.entry.replace(Some(entry.clone()));
+        let feed = params.get_feed()?;
+        self.shared.borrow_mut().feeds.insert(entry.clone(), feed);
+        convert::write_hello(results.get().init_hello(), &self.hello);
+        (self.notify)(SideNotice::Connected(entry));
+        Ok(())
+    }
+
+    async fn submit(
+        self: Rc<Self>,
+        params: wire::side::SubmitParams,
+        _: wire::side::SubmitResults,
+    ) -> Result<(), capnp::Error> {
+        let entry = self.entry()?;
+        let params = params.get()?;
+        let dispatch = Box::new(convert::read_dispatch(params.get_dispatch()?)?);
+        let sink = params.get_sink()?;
+        let (closed, end_told) = oneshot::channel();
+        let open = OpenSink { sink, closed };
+        self.shared
+            .borrow_mut()
+            .sinks
+            .insert(dispatch.attempt, open);
+        (self.notify)(SideNotice::Submitted { entry, dispatch });
+        end_told.await.map_err(gone)
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: wire::side::CancelParams,
+        mut results: wire::side::CancelResults,
+    ) -> Result<(), capnp::Error> {
+        let attempt = convert::read_attempt(params.get()?.get_attempt()?);
+        let (answer, verdict) = oneshot::channel();
+        (self.notify)(SideNotice::CancelAsked { attempt, answer });
+        match verdict.await.map_err(gone)? {
+            AttemptVerdict::NeverSeen => results.get().set_never_seen(true),
+            AttemptVerdict::Running => results.get().set_running(true),
+            AttemptVerdict::Ended(end) => convert::write_end(results.get().init_ended(), &end),
+        }
+        Ok(())
+    }
+
+    async fn offer(
+        self: Rc<Self>,
+        params: wire::side::OfferParams,
+        _: wire::side::OfferResults,
+    ) -> Result<(), capnp::Error> {
+        let entry = self.entry()?;
+        let waiting = params.get()?.get_waiting();
+        (self.notify)(SideNotice::Offered { entry, waiting });
+        Ok(())
+    }
+
+    async fn load(
+        self: Rc<Self>,
+        _: wire::side::LoadParams,
+        mut results: wire::side::LoadResults,
+    ) -> Result<(), capnp::Error> {
+        let (answer, load) = oneshot::channel();
+        (self.notify)(SideNotice::LoadAsked(answer));
+        let load = load.await.map_err(gone)?;
+        convert::write_load(results.get().init_load(), &load);
+        Ok(())
+    }
+
+    async fn withdraw(
+        self: Rc<Self>,
+        params: wire::side::WithdrawParams,
+        _: wire::side::WithdrawResults,
+    ) -> Result<(), capnp::Error> {
+        let attempts = params.get()?.get_attempts()?;
+        let attempts = attempts.iter().map(convert::read_attempt).collect();
+        (self.notify)(SideNotice::Withdrawn(attempts));
+        Ok(())
+    }
+
+    async fn configure(
+        self: Rc<Self>,
+        params: wire::side::ConfigureParams,
+        mut results: wire::side::ConfigureResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let (answer, applied) = oneshot::channel();
+        (self.notify)(SideNotice::Configured {
+            generation: params.get_generation(),
+            manifest: Arc::from(params.get_manifest()?.to_str()?),
+            answer,
+        });
+        results.get().set_applied(applied.await.map_err(gone)?);
+        Ok(())
+    }
+
+    async fn drain(
+        self: Rc<Self>,
+        _: wire::side::DrainParams,
+        _: wire::side::DrainResults,
+    ) -> Result<(), capnp::Error> {
+        (self.notify)(SideNotice::DrainAsked);
+        Ok(())
+    }
+}
+
+/// Serves entries on `listener` until the command channel closes.
+///
+/// Must be called within a `tokio::task::LocalSet`. `notify` is called on this
+/// thread for whatever comes in.
+pub async fn run_side(
+    hello: SideHello,
+    listener: tokio::net::TcpListener,
+    mut commands: mpsc::UnboundedReceiver<SideCommand>,
+    notify: impl Fn(SideNotice) + 'static,
+) {
+    let notify: Notify = Rc::new(notify);
+    let shared = Rc::new(RefCell::new(Shared::default()));
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                Some(command) => run_command(command, &shared, &notify),
+                None => return,
+            },
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    stream.set_nodelay(true).ok();
+                    let service = Service {
+                        hello: hello.clone(),
+                        notify: notify.clone(),
+                        shared: shared.clone(),
+                        entry: RefCell::default(),
+                    };
+                    tokio::task::spawn_local(serve(stream, service));
+                }
+            }
+        }
+    }
+}
+
+async fn serve(stream: tokio::net::TcpStream, service: Service) {
+    let shared = service.shared.clone();
+    let notify = service.notify.clone();
+    let service = Rc::new(service);
+    let (reader, writer) = stream.into_split();
+    let network = twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader.compat()),
+        futures::io::BufWriter::new(writer.compat_write()),
+        rpc_twoparty_capnp::Side::Server,
+        capnp::message::ReaderOptions::default(),
+    );
+    let client: wire::side::Client = capnp_rpc::new_client_from_rc(service.clone());
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    system.await.ok();
+    let entry = service.entry.borrow().clone();
+    if let Some(entry) = entry {
+        shared.borrow_mut().feeds.remove(&entry);
+        notify(SideNotice::Lost(entry));
+    }
+}
+
+fn run_command(command: SideCommand, shared: &Rc<RefCell<Shared>>, notify: &Notify) {
+    match command {
+        SideCommand::Part { attempt, text } => {
+            if let Some(open) = shared.borrow().sinks.get(&attempt) {
+                let mut call = open.sink.write_request();
+                call.get().set_text(&*text);
+                tokio::task::spawn_local(call.send());
+            }
+        }
+        SideCommand::End { attempt, end, load } => {
+            if let Some(open) = shared.borrow_mut().sinks.remove(&attempt) {
+                tokio::task::spawn_local(tell_end(open, end, load));
+            }
+        }
+        SideCommand::Pull { entry, room } => {
+            let feed = shared.borrow().feeds.get(&entry).cloned();
+            tokio::task::spawn_local(pull(entry, room, feed, notify.clone()));
+        }
+        SideCommand::Report { entry, reports } => {
+            let feed = shared.borrow().feeds.get(&entry).cloned();
+            tokio::task::spawn_local(report(entry, reports, feed, notify.clone()));
+        }
+    }
+}
+
+async fn tell_end(open: OpenSink, end: AttemptEnd, load: LoadReport) {
+    let mut call = open.sink.end_request();
+    convert::write_end(call.get().init_end(), &end);
+    convert::write_load(call.get().init_load(), &load);
+    call.send().promise.await.ok();
+    open.closed.send(()).ok();
+}
+
+async fn pull(entry: EntryName, room: u32, feed: Option<wire::batch_feed::Client>, notify: Notify) {
+    let items = match feed {
+        Some(feed) => ask_items(room, &feed).await.unwrap_or_default(),
+        None => Vec::new(),
+    };
+    notify(SideNotice::Pulled { entry, items });
+}
+
+async fn ask_items(
+    room: u32,
+    feed: &wire::batch_feed::Client,
+) -> Result<Vec<Dispatch>, capnp::Error> {
+    let mut call = feed.pull_request();
+    call.get().set_room(room);
+    let answer = call.send().promise.await?;
+    let items = answer.get()?.get_items()?;
+    items.iter().map(convert::read_dispatch).collect()
+}
+
+async fn report(
+    entry: EntryName,
+    reports: Vec<BatchReport>,
+    feed: Option<wire::batch_feed::Client>,
+    notify: Notify,
+) {
+    let Some(feed) = feed else {
+        notify(SideNotice::ReportLost { entry });
+        return;
+    };
+    let mut call = feed.report_request();
+    let count = u32::try_from(reports.len()).unwrap_or(u32::MAX);
+    let mut list = call.get().init_reports(count);
+    for (index, report) in (0..count).zip(&reports) {
+        let mut slot = list.reborrow().get(index);
+        convert::write_attempt(slot.reborrow().init_attempt(), report.attempt);
+        convert::write_end(slot.init_end(), &report.end);
+    }
+    if call.send().promise.await.is_err() {
+        notify(SideNotice::ReportLost { entry });
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_settings/src/entry.rs
@@ -0,0 +1,318 @@
+//! Settings of the entry daemon.
+
+use crate::parts::Check;
+use crate::{LogTarget, Principal, SettingsError, TokenTable, TraceTarget};
+use bluebellreel_types::{DataCentre, EntryName, TeamName};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawEntry {
+    name: String,
+    data_centre: String,
+    listen: String,
+    platform: RawPlatform,
+    #[serde(default)]
+    deadlines: RawDeadlines,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    teams: Vec<RawToken>,
+    #[serde(default)]
+    operators: Vec<RawToken>,
+    #[serde(default)]
+    log: LogTarget,
+    #[serde(default)]
+    trace: TraceTarget,
+    data_folder: Option<PathBuf>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawPlatform {
+    kv: String,
+    vm_list: String,
+    #[serde(default = "default_kv_calls")]
+    kv_calls_per_second: u32,
+}
+
+fn default_kv_calls() -> u32 {
+    100
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawDeadlines {
+    online_ms: u64,
+    first_token_ms: u64,
+    batch_s: u64,
+    lease_s: u64,
+    stop_s: u64,
+}
+
+impl Default for RawDeadlines {
+    fn default() -> Self {
+        Self {
+            online_ms: 30_000,
+            first_token_ms: 1_200,
+            batch_s: 86_400,
+            lease_s: 5,
+            stop_s: 30,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RawLimits {
+    body_bytes: usize,
+    job_bytes: usize,
+    job_items: usize,
+    threads: usize,
+    requests: usize,
+    team_requests: usize,
+    workers_per_model: usize,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 1 << 20,
+            job_bytes: 128 << 20,
+            job_items: 64_000,
+            threads: 1_024,
+            requests: 4_096,
+            team_requests: 256,
+            workers_per_model: 48,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawToken {
+    name: String,
+    token_sha256: String,
+}
+
+/// Bounds of an entry daemon.
+#[derive(Clone, Debug)]
+pub struct EntryLimits {
+    /// Bytes of an online request's body.
+    pub body_bytes: usize,
+    /// Bytes of a job's body.
+    pub job_bytes: usize,
+    /// Items of a job.
+    pub job_items: usize,
+    /// HTTP requests in progress.
+    pub threads: usize,
+    /// Online requests in progress.
+    pub requests: usize,
+    /// Online requests of one team in progress.
+    pub team_requests: usize,
+    /// Workers of one model that this daemon connects to.
+    pub workers_per_model: usize,
+}
+
+/// Checked settings of an entry daemon.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// The daemon's name.
+    pub name: EntryName,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Where callers and operators reach it.
+    pub listen: SocketAddr,
+    /// The key-value service's URL.
+    pub kv: String,
+    /// Calls a second to it at the most.
+    pub kv_calls_per_second: u32,
+    /// The VM list's URL.
+    pub vm_list: String,
+    /// Time for an online answer when the caller names no deadline.
+    pub online_deadline: Duration,
+    /// Time for the first token that the deployment wants to keep.
+    pub first_token_target: Duration,
+    /// Time for a job when the caller names no deadline.
+    pub batch_deadline: Duration,
+    /// Time to live of the daemon's lease.
+    pub lease: Duration,
+    /// Time for a graceful stop.
+    pub stop: Duration,
+    /// Bounds.
+    pub limits: EntryLimits,
+    /// Tokens of teams and operators.
+    pub tokens: TokenTable,
+    /// Log lines.
+    pub log: LogTarget,
+    /// Spans.
+    pub trace: TraceTarget,
+    /// Folder for bulk data on a VM that has a small disk.
+    pub data_folder: Option<PathBuf>,
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Gives the first error with file, key and reason.
+pub fn load_entry(path: &str) -> Result<EntrySettings, SettingsError> {
+    let text =
+        std::fs::read_to_string(path).map_err(|e| SettingsError::new(path, "", e.to_string()))?;
+    parse_entry(path, &text)
+}
+
+/// Checks settings given as text; `file` names them in errors.
+///
+/// # Errors
+///
+/// Gives the first error with file, key and reason.
+pub fn parse_entry(file: &str, text: &str) -> Result<EntrySettings, SettingsError> {
+    let raw: RawEntry =
+        toml::from_str(text).map_err(|e| SettingsError::new(file, "", e.message()))?;
+    let check = Check { file };
+    EntrySettings::try_from((&check, raw))
+}
+
+impl TryFrom<(&Check<'_>, RawEntry)> for EntrySettings {
+    type Error = SettingsError;
+
+    fn try_from((check, raw): (&Check<'_>, RawEntry)) -> Result<Self, SettingsError> {
+        check.name("name", &raw.name)?;
+        check.name("data_centre", &raw.data_centre)?;
+        let deadlines = check_deadlines(check, &raw.deadlines)?;
+        let limits = check_limits(check, &raw.limits)?;
+        let mut tokens = TokenTable::default();
+        add_tokens(check, "teams", &raw.teams, Principal::Team, &mut tokens)?;
+        add_tokens(
+            check,
+            "operators",
+            &raw.operators,
+            Principal::Operator,
+            &mut tokens,
+        )?;
+        if tokens.is_empty() {
+            return Err(check.fail("teams", "no team and no operator may do anything"));
+        }
+        let calls = raw.platform.kv_calls_per_second;
+        Ok(Self {
+            name: EntryName::from(raw.name),
+            data_centre: DataCentre::from(raw.data_centre),
+            listen: check.listen("listen", &raw.listen)?,
+            kv: check.url("platform.kv", &raw.platform.kv)?,
+            kv_calls_per_second: check.at_least("platform.kv_calls_per_second", calls, 1)?,
+            vm_list: check.url("platform.vm_list", &raw.platform.vm_list)?,
+            online_deadline: Duration::from_millis(deadlines.online_ms),
+            first_token_target: Duration::from_millis(deadlines.first_token_ms),
+            batch_deadline: Duration::from_secs(deadlines.batch_s),
+            lease: Duration::from_secs(deadlines.lease_s),
+            stop: Duration::from_secs(deadlines.stop_s),
+            limits,
+            tokens,
+            log: raw.log,
+            trace: raw.trace,
+            data_folder: raw.data_folder,
+        })
+    }
+}
+
+fn check_deadlines<'a>(
+    check: &Check<'_>,
+    raw: &'a RawDeadlines,
+) -> Result<&'a RawDeadlines, SettingsError> {
+    check.at_least("deadlines.online_ms", raw.online_ms, 100)?;
+    check.at_least("deadlines.first_token_ms", raw.first_token_ms, 10)?;
+    check.at_least("deadlines.batch_s", raw.batch_s, 1)?;
+    check.at_least("deadlines.lease_s", raw.lease_s, 2)?;
+    if raw.first_token_ms > raw.online_ms {
+        let reason = "cannot be met: it lies after deadlines.online_ms";
+        return Err(check.fail("deadlines.first_token_ms", reason));
+    }
+    if raw.stop_s.saturating_mul(1_000) < raw.online_ms {
+        let reason = "cannot be met: online requests may take deadlines.online_ms";
+        return Err(check.fail("deadlines.stop_s", reason));
+    }
+    Ok(raw)
+}
+
+fn check_limits(check: &Check<'_>, raw: &RawLimits) -> Result<EntryLimits, SettingsError> {
+    Ok(EntryLimits {
+        body_bytes: check.at_least("limits.body_bytes", raw.body_bytes, 1_024)?,
+        job_bytes: check.at_least("limits.job_bytes", raw.job_bytes, 1_024)?,
+        job_items: check.at_least("limits.job_items", raw.job_items, 1)?,
+        threads: check.at_least("limits.threads", raw.threads, 4)?,
+        requests: check.at_least("limits.requests", raw.requests, 1)?,
+        team_requests: check.at_least("limits.team_requests", raw.team_requests, 1)?,
+        workers_per_model: check.at_least("limits.workers_per_model", raw.workers_per_model, 2)?,
+    })
+}
+
+fn add_tokens(
+    check: &Check<'_>,
+    list: &str,
+    raw: &[RawToken],
+    principal: fn(TeamName) -> Principal,
+    tokens: &mut TokenTable,
+) -> Result<(), SettingsError> {
+    for token in raw {
+        let key = format!("{list}.{}.token_sha256", token.name);
+        check.name(&format!("{list}.name"), &token.name)?;
+        let name = TeamName::from(token.name.as_str());
+        tokens
+            .add(&token.token_sha256, principal(name))
+            .map_err(|reason| check.fail(&key, reason))?;
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"
+        name = "sligo-1"
+        data_centre = "Sligo"
+        listen = "127.0.0.1:8080"
+        [platform]
+        kv = "http://127.0.0.1:2379"
+        vm_list = "http://127.0.0.1:2380"
+        [[teams]]
+        name = "school"
+        token_sha256 = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+    "#;
+
+    fn error_of(from: &str, to: &str) -> String {
+        let text = GOOD.replace(from, to);
+        assert_ne!(text, GOOD, "the replacement must change something");
+        parse_entry("e.toml", &text).unwrap_err().to_string()
+    }
+
+    #[test]
+    fn good_settings_pass() {
+        assert!(parse_entry("e.toml", GOOD).is_ok());
+    }
+
+    #[test]
+    fn errors_name_file_key_and_reason_in_one_line() {
+        let address = error_of("127.0.0.1:8080", "localhost");
+        assert_eq!(address, "e.toml: listen: \"localhost\" is not IP:PORT");
+        let unknown = error_of("data_centre", "zone = 1\n data_centre");
+        assert!(
+            unknown.contains("zone") && !unknown.contains('\n'),
+            "{unknown}"
+        );
+        let late = error_of(
+            "[platform]",
+            "[deadlines]\nfirst_token_ms = 99000\n[platform]",
+        );
+        assert!(late.contains("first_token_ms: cannot be met"), "{late}");
+        let hash = error_of("2bb80d", "zz");
+        assert!(
+            hash.starts_with("e.toml: teams.school.token_sha256"),
+            "{hash}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_settings/src/lib.rs
@@ -0,0 +1,21 @@
+//! Settings of both programs, read from TOML and checked.
+//!
+//! Raw settings mirror the file; `TryFrom` turns them into domain types. An
+//! error names the file, the key and the reason in one line.
+//!
+//! ```
+//! let error = bluebellreel_settings::parse_entry("entry.toml", "nmae = 1").unwrap_err();
+//! assert!(error.to_string().starts_with("entry.toml: "));
+//! ```
+
+mod entry;
+mod error;
+mod parts;
+mod side;
+mod token;
+
+pub use entry::{EntryLimits, EntrySettings, load_entry, parse_entry};
+pub use error::SettingsError;
+pub use parts::{LogLevel, LogTarget, TraceTarget};
+pub use side::{SideLean, SideSettings, load_side, parse_side};
+pub use token::{Principal, TokenTable, hash_token};
--- /dev/null
+++ b/crates/bluebellreel_settings/src/token.rs
@@ -0,0 +1,78 @@
+//! Bearer tokens, kept as hashes.
+
+use bluebellreel_types::TeamName;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// Who a token stands for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Principal {
+    /// A caller.
+    Team(TeamName),
+    /// A person or pipeline that operates the fleet.
+    Operator(TeamName),
+}
+
+/// Known tokens by hash.
+#[derive(Clone, Debug, Default)]
+pub struct TokenTable {
+    entries: Vec<([u8; 32], Principal)>,
+}
+
+/// The hash of a token.
+#[must_use]
+pub fn hash_token(token: &str) -> [u8; 32] {
+    Sha256::digest(token.as_bytes()).into()
+}
+
+impl TokenTable {
+    /// Adds a token by its SHA-256 in hexadecimal.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when the text is no such hash.
+    pub fn add(&mut self, hash: &str, principal: Principal) -> Result<(), String> {
+        let bytes = hex::decode(hash).map_err(|e| e.to_string())?;
+        let hash = <[u8; 32]>::try_from(bytes).map_err(|_| "not 64 hexadecimal digits")?;
+        self.entries.push((hash, principal));
+        Ok(())
+    }
+
+    /// Who a token stands for.
+    ///
+    /// Compares in constant time and looks at every entry, so that the time
+    /// taken tells nothing about how much of a guess was right.
+    #[must_use]
+    pub fn find(&self, token: &str) -> Option<&Principal> {
+        let hash = hash_token(token);
+        let mut found = None;
+        for (known, principal) in &self.entries {
+            if bool::from(known.ct_eq(&hash)) {
+                found = Some(principal);
+            }
+        }
+        found
+    }
+
+    /// Whether there is no token at all.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_the_right_token_is_found() {
+        let mut table = TokenTable::default();
+        let hash = hex::encode(hash_token("secret"));
+        let school = Principal::Team(TeamName::from("school"));
+        table.add(&hash, school.clone()).expect("a hash");
+        assert_eq!(table.find("secret"), Some(&school));
+        assert_eq!(table.find("secret2"), None);
+        assert!(table.add("zz", school).is_err());
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_side/src/backend.rs
@@ -0,0 +1,320 @@
+//! Calls to the backend server, each on a thread of its own.
+
+use crate::message::Message;
+use bluebellreel_admission::EngineEnd;
+use bluebellreel_http::is_unsent;
+use bluebellreel_telemetry::{Span, Tracer};
+use bluebellreel_types::{AttemptId, Clock, Dispatch, ModelName, WorkKind};
+use crossbeam_channel::Sender;
+use serde::Deserialize;
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Longest wait for a connection to the backend server.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the answer to a cancel or a look at the models.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time past an attempt's deadline after which its call is given up.
+const OVERTIME: Duration = Duration::from_secs(2);
+/// Longest time that an unrepeatable call is waited for past its deadline.
+const UNREPEATABLE_OVERTIME: Duration = Duration::from_mins(1);
+/// Most bytes of a plain service's answer.
+const MOST_ANSWER: u64 = 8 << 20;
+/// Stack of a thread that reads one answer.
+const READER_STACK: usize = 256 << 10;
+
+/// The backend server.
+pub(crate) struct Backend {
+    url: String,
+    service: Option<ModelName>,
+    agent: ureq::Agent,
+    clock: Clock,
+    tx: Sender<Message>,
+    tracer: Tracer,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    delta: Delta,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ModelList {
+    data: Vec<ListedModel>,
+}
+
+#[derive(Deserialize)]
+struct ListedModel {
+    id: String,
+}
+
+impl Backend {
+    pub(crate) fn new(
+        url: String,
+        service: Option<ModelName>,
+        clock: Clock,
+        tx: Sender<Message>,
+        tracer: Tracer,
+    ) -> Self {
+        let config = ureq::Agent::config_builder()
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .http_status_as_error(false)
+            .max_idle_connections_per_host(64)
+            .build();
+        Self {
+            url,
+            service,
+            agent: config.new_agent(),
+            clock,
+            tx,
+            tracer,
+        }
+    }
+
+    /// Sends an attempt; its text and its end come as messages.
+    pub(crate) fn start(self: &Arc<Self>, dispatch: Box<Dispatch>) {
+        let backend = self.clone();
+        let attempt = dispatch.attempt;
+        let spawned = thread::Builder::new()
+            .name("backend-call".into())
+            .stack_size(READER_STACK)
+            .spawn(move || backend.run(&dispatch));
+        // Nothing was sent, so "unreachable" is true.
+        if spawned.is_err() {
+            let end = EngineEnd::Unreachable;
+            self.tx.send(Message::Ended { attempt, end }).ok();
+        }
+    }
+
+    fn run(&self, dispatch: &Dispatch) {
+        let span = Span::begin(dispatch.trace, "engine", self.clock.now());
+        let end = match &dispatch.work.kind {
+            WorkKind::Chat => self.chat(dispatch, &span),
+            WorkKind::Call { method, path } => self.call(dispatch, method, path, &span),
+        };
+        let name = end_name(&end);
+        self.tracer.finish(span.with("end", name), self.clock.now());
+        let attempt = dispatch.attempt;
+        self.tx.send(Message::Ended { attempt, end }).ok();
+    }
+
+    fn chat(&self, dispatch: &Dispatch, span: &Span) -> EngineEnd {
+        let Ok(Value::Object(mut body)) = serde_json::from_slice(&dispatch.work.body) else {
+            return EngineEnd::Rejected {
+                status: 400,
+                message: Arc::from("the body is not a JSON object"),
+            };
+        };
+        body.insert("stream".into(), true.into());
+        let id = dispatch.attempt.to_string();
+        body.insert("request_id".into(), id.into());
+        if !dispatch.resume.is_empty() {
+            body.insert("resume".into(), Value::from(&*dispatch.resume));
+        }
+        let left = dispatch.deadline.since(self.clock.now()) + OVERTIME;
+        let answer = self
+            .agent
+            .post(format!("{}/v1/chat/completions", self.url))
+            .config()
+            .timeout_global(Some(left))
+            .build()
+            .header("traceparent", span.below().to_string())
+            .send_json(Value::Object(body));
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(e) if is_unsent(&e) => return EngineEnd::Unreachable,
+            Err(_) => return EngineEnd::Broken,
+        };
+        let status = answer.status().as_u16();
+        match status {
+            200 => self.read_stream(dispatch.attempt, answer),
+            429 | 503 => EngineEnd::Busy,
+            400..500 => rejected(status, answer),
+            _ => EngineEnd::Broken,
+        }
+    }
+
+    fn read_stream(
+        &self,
+        attempt: AttemptId,
+        answer: ureq::http::Response<ureq::Body>,
+    ) -> EngineEnd {
+        let reader = BufReader::new(answer.into_body().into_reader());
+        for line in reader.lines() {
+            let Ok(line) = line else {
+                return EngineEnd::Broken;
+            };
+            let Some(data) = line.strip_prefix("data: ") else {
+                continue;
+            };
+            if data == "[DONE]" {
+                return EngineEnd::Completed {
+                    status: 200,
+                    body: Arc::from([]),
+                };
+            }
+            let Ok(chunk) = serde_json::from_str::<Chunk>(data) else {
+                return EngineEnd::Broken;
+            };
+            self.send_text(attempt, chunk);
+        }
+        // A stream without its last line is not a whole answer.
+        EngineEnd::Broken
+    }
+
+    fn send_text(&self, attempt: AttemptId, chunk: Chunk) {
+        for choice in chunk.choices {
+            let done = choice.finish_reason.is_some();
+            let Some(text) = choice
+                .delta
+                .content
+                .filter(|text| !text.is_empty() || !done)
+            else {
+                continue;
+            };
+            let text = Arc::from(text);
+            let tokens = 1;
+            let message = Message::Text {
+                attempt,
+                text,
+                tokens,
+            };
+            self.tx.send(message).ok();
+        }
+    }
+
+    fn call(&self, dispatch: &Dispatch, method: &str, path: &str, span: &Span) -> EngineEnd {
+        let overtime = if dispatch.work.repeatable {
+            OVERTIME
+        } else {
+            UNREPEATABLE_OVERTIME
+        };
+        let left = dispatch.deadline.since(self.clock.now()) + overtime;
+        let request = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.url))
+            .header("Content-Type", "application/json")
+            .header("Idempotency-Key", &*dispatch.work.key)
+            .header("traceparent", span.below().to_string())
+            .body(dispatch.work.body.to_vec());
+        let request = match request {
+            Ok(request) => request,
+            Err(e) => {
+                return EngineEnd::Rejected {
+                    status: 400,
+                    message: Arc::from(e.to_string()),
+                };
+            }
+        };
+        // A library that repeats a call by itself would break "at most once":
+        // no redirects are followed, and a fresh connection is used, since a
+        // kept one may close under the call and leave its fate open.
+        let request = self
+            .agent
+            .configure_request(request)
+            .timeout_global(Some(left))
+            .max_redirects(0)
+            .max_idle_age(Duration::ZERO)
+            .build();
+        let mut answer = match self.agent.run(request) {
+            Ok(answer) => answer,
+            Err(e) if is_unsent(&e) => return EngineEnd::Unreachable,
+            Err(_) => return EngineEnd::Broken,
+        };
+        let status = answer.status().as_u16();
+        let body = answer
+            .body_mut()
+            .with_config()
+            .limit(MOST_ANSWER)
+            .read_to_vec();
+        match body {
+            Ok(body) => EngineEnd::Completed {
+                status,
+                body: Arc::from(body),
+            },
+            Err(_) => EngineEnd::Broken,
+        }
+    }
+
+    /// Cancels an attempt at the engine; its stream then ends.
+    pub(crate) fn cancel(self: &Arc<Self>, attempt: AttemptId) {
+        let backend = self.clone();
+        let spawned = thread::Builder::new()
+            .name("backend-cancel".into())
+            .stack_size(READER_STACK)
+            .spawn(move || {
+                let body = serde_json::json!({ "request_id": attempt.to_string() });
+                backend
+                    .agent
+                    .post(format!("{}/v1/cancel", backend.url))
+                    .config()
+                    .timeout_global(Some(CONTROL_TIMEOUT))
+                    .build()
+                    .send_json(body)
+                    .ok();
+            });
+        if let Err(e) = spawned {
+            log::error!(target: "side", error = e.to_string(); "No thread for a cancel.");
+        }
+    }
+
+    /// Models that the backend server holds; none when it does not answer.
+    pub(crate) fn models(&self) -> Option<Vec<ModelName>> {
+        if let Some(service) = &self.service {
+            return Some(vec![service.clone()]);
+        }
+        let list: ModelList = self
+            .agent
+            .get(format!("{}/v1/models", self.url))
+            .config()
+            .timeout_global(Some(CONTROL_TIMEOUT))
+            .build()
+            .call()
+            .ok()?
+            .body_mut()
+            .read_json()
+            .ok()?;
+        let models = list.data.into_iter();
+        Some(models.map(|model| ModelName::from(model.id)).collect())
+    }
+}
+
+fn end_name(end: &EngineEnd) -> &'static str {
+    match end {
+        EngineEnd::Completed { .. } => "completed",
+        EngineEnd::Unreachable => "unreachable",
+        EngineEnd::Busy => "busy",
+        EngineEnd::Rejected { .. } => "rejected",
+        EngineEnd::Broken => "broken",
+    }
+}
+
+fn rejected(status: u16, mut answer: ureq::http::Response<ureq::Body>) -> EngineEnd {
+    let text = answer.body_mut().read_to_string().unwrap_or_default();
+    let parsed: Option<Value> = serde_json::from_str(&text).ok();
+    let message = parsed
+        .as_ref()
+        .and_then(|v| v["error"]["message"].as_str())
+        .unwrap_or(&text);
+    EngineEnd::Rejected {
+        status,
+        message: Arc::from(message),
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_side/src/orders.rs
@@ -0,0 +1,1 @@
+//! Bringing the backend server to what the manifest wants.
--- /dev/null
+++ b/crates/bluebellreel_site/src/lib.rs
@@ -0,0 +1,18 @@
+//! A whole site within one process, on loopback: stand-ins, side processes
+//! and entry daemons. For the demo, the examples and the tests; never shipped.
+//!
+//! ```no_run
+//! use bluebellreel_site::{Site, SitePlan};
+//!
+//! let site = Site::start(&SitePlan::default()).unwrap();
+//! let answer = site.caller(0).chat("fiddle size for a child of six", 8).unwrap();
+//! assert!(!answer.is_empty());
+//! ```
+
+mod caller;
+mod plan;
+mod site;
+
+pub use caller::{Caller, ItemLine, JobView, chat_body, chat_line, service_line};
+pub use plan::{Deployment, SitePlan};
+pub use site::{OPERATOR_TOKEN, Site, TEAM_TOKEN, WorkerParts};
--- /dev/null
+++ b/crates/bluebellreel_standins/src/kv_store.rs
@@ -0,0 +1,162 @@
+//! The key-value stand-in's state: keys, revisions, leases and events.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Events kept for watches that resume.
+const EVENTS_KEPT: usize = 100_000;
+
+/// One key's present value.
+#[derive(Clone, Debug)]
+pub(crate) struct Stored {
+    pub(crate) value: Vec<u8>,
+    pub(crate) create_revision: i64,
+    pub(crate) mod_revision: i64,
+    pub(crate) version: i64,
+    pub(crate) lease: i64,
+}
+
+/// One change. `value` is none for a delete.
+#[derive(Clone, Debug)]
+pub(crate) struct Change {
+    pub(crate) revision: i64,
+    pub(crate) key: Vec<u8>,
+    pub(crate) stored: Option<Stored>,
+}
+
+struct Lease {
+    ttl: Duration,
+    ends: Instant,
+}
+
+/// Keys, leases and the latest changes.
+#[derive(Default)]
+pub(crate) struct KvStore {
+    pub(crate) revision: i64,
+    keys: BTreeMap<Vec<u8>, Stored>,
+    leases: BTreeMap<i64, Lease>,
+    changes: Vec<Change>,
+    next_lease: i64,
+}
+
+impl KvStore {
+    pub(crate) fn get(&self, key: &[u8]) -> Option<&Stored> {
+        self.keys.get(key)
+    }
+
+    /// Keys from `key` up to `end`; an empty end means the one key.
+    pub(crate) fn range(&self, key: &[u8], end: &[u8]) -> Vec<(&Vec<u8>, &Stored)> {
+        if end.is_empty() {
+            return self.keys.get_key_value(key).into_iter().collect();
+        }
+        self.keys
+            .range(key.to_vec()..)
+            .take_while(|(k, _)| end == [0] || k.as_slice() < end)
+            .collect()
+    }
+
+    pub(crate) fn put(&mut self, key: &[u8], value: &[u8], lease: i64, revision: i64) {
+        let before = self.keys.get(key);
+        let stored = Stored {
+            value: value.to_vec(),
+            create_revision: before.map_or(revision, |s| s.create_revision),
+            mod_revision: revision,
+            version: before.map_or(1, |s| s.version + 1),
+            lease,
+        };
+        self.keys.insert(key.to_vec(), stored.clone());
+        self.note(key, Some(stored), revision);
+    }
+
+    pub(crate) fn delete(&mut self, key: &[u8], end: &[u8], revision: i64) -> usize {
+        let doomed: Vec<Vec<u8>> = self
+            .range(key, end)
+            .into_iter()
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in &doomed {
+            self.keys.remove(key);
+            self.note(key, None, revision);
+        }
+        doomed.len()
+    }
+
+    fn note(&mut self, key: &[u8], stored: Option<Stored>, revision: i64) {
+        self.revision = revision;
+        self.changes.push(Change {
+            revision,
+            key: key.to_vec(),
+            stored,
+        });
+        if self.changes.len() > EVENTS_KEPT {
+            self.changes.drain(..EVENTS_KEPT / 2);
+        }
+    }
+
+    /// Changes of a range from a revision on.
+    pub(crate) fn changes(&self, key: &[u8], end: &[u8], from: i64) -> Vec<Change> {
+        let first = self.changes.partition_point(|c| c.revision < from);
+        self.changes[first..]
+            .iter()
+            .filter(|c| in_range(&c.key, key, end))
+            .cloned()
+            .collect()
+    }
+
+    pub(crate) fn grant(&mut self, ttl: Duration) -> i64 {
+        self.next_lease += 1;
+        let ends = Instant::now() + ttl;
+        self.leases.insert(self.next_lease, Lease { ttl, ends });
+        self.next_lease
+    }
+
+    /// Renews a lease; its time to live, none if it has lapsed.
+    pub(crate) fn keep_alive(&mut self, id: i64) -> Option<Duration> {
+        let lease = self.leases.get_mut(&id)?;
+        lease.ends = Instant::now() + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    pub(crate) fn has_lease(&self, id: i64) -> bool {
+        self.leases.contains_key(&id)
+    }
+
+    pub(crate) fn revoke(&mut self, id: i64) {
+        self.leases.remove(&id);
+        let doomed: Vec<Vec<u8>> = self
+            .keys
+            .iter()
+            .filter(|(_, s)| s.lease == id)
+            .map(|(k, _)| k.clone())
+            .collect();
+        if doomed.is_empty() {
+            return;
+        }
+        let revision = self.revision + 1;
+        for key in doomed {
+            self.delete(&key, &[], revision);
+        }
+    }
+
+    /// Ends leases whose time is up; whether any key went.
+    pub(crate) fn expire(&mut self, now: Instant) -> bool {
+        let lapsed: Vec<i64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        let before = self.revision;
+        for id in lapsed {
+            self.revoke(id);
+        }
+        before != self.revision
+    }
+}
+
+fn in_range(key: &[u8], from: &[u8], end: &[u8]) -> bool {
+    if end.is_empty() {
+        return key == from;
+    }
+    key >= from && (end == [0] || key < end)
+}
--- /dev/null
+++ b/crates/bluebellreel_standins/src/lib.rs
@@ -0,0 +1,31 @@
+//! Small stand-ins for the systems outside bluebellreel; never shipped.
+//!
+//! Each one speaks the published protocol of the system that it stands for,
+//! on a loopback address, and can be told to misbehave by a `POST` of its
+//! faults as JSON to `/stand-in/faults`. Engines generate words that follow
+//! from the prompt alone ([`expected_answer`]), so that a test can tell a whole
+//! answer from a mixed one.
+//!
+//! ```
+//! let answer = bluebellreel_standins::expected_answer("fiddle for a child of six", 3);
+//! assert_eq!(answer.split_whitespace().count(), 3);
+//! ```
+
+mod engine;
+mod engine_model;
+mod http;
+mod kv;
+mod kv_store;
+mod plain_service;
+mod vm_list;
+mod weight_store;
+mod words;
+
+pub use engine::{Engine, EngineFaults, EngineSettings, start_engine};
+pub use engine_model::{EngineCosts, EngineModel, Sequence, Step};
+pub use http::StandIn;
+pub use kv::{KvFaults, KvLimits, start_kv};
+pub use plain_service::{ServiceFaults, start_plain_service};
+pub use vm_list::{Vm, VmState, start_vm_list};
+pub use weight_store::start_weight_store;
+pub use words::{expected_answer, word};
--- /dev/null
+++ b/crates/bluebellreel_standins/src/words.rs
@@ -0,0 +1,18 @@
+//! Words that an engine stand-in generates.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// The word at a place of the answer to a prompt, with a space behind it.
+#[must_use]
+pub fn word(prompt: &str, index: u32) -> String {
+    let mut hasher = DefaultHasher::new();
+    prompt.hash(&mut hasher);
+    index.hash(&mut hasher);
+    format!("{:04x}-{index} ", hasher.finish() & 0xffff)
+}
+
+/// The whole answer to a prompt.
+#[must_use]
+pub fn expected_answer(prompt: &str, tokens: u32) -> String {
+    (0..tokens).map(|index| word(prompt, index)).collect()
+}
--- /dev/null
+++ b/crates/bluebellreel_types/src/id.rs
@@ -0,0 +1,166 @@
+//! Names and ids.
+//!
+//! Names are shared immutable strings, so that cloning one costs a counter and
+//! never an allocation. Ids are random numbers wide enough that two processes
+//! never draw the same one.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt;
+use std::sync::Arc;
+
+macro_rules! name_type {
+    ($(#[$doc:meta] $name:ident),+ $(,)?) => {$(
+        #[$doc]
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )+};
+}
+
+name_type! {
+    /// Name of a backend server (worker), unique in the fleet.
+    WorkerName,
+    /// Name of a caller's team, member or school.
+    TeamName,
+    /// Name of a model or of a plain service.
+    ModelName,
+    /// Name of a data centre.
+    DataCentre,
+    /// Name of an entry daemon, unique in the fleet.
+    EntryName,
+    /// Id of a batch job, derived from team and idempotency key.
+    JobId,
+}
+
+macro_rules! wide_id {
+    ($(#[$doc:meta] $name:ident),+ $(,)?) => {$(
+        #[$doc]
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Draws a fresh id.
+            #[must_use]
+            pub fn random() -> Self {
+                Self(rand::random())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:016x}", self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:016x}", self.0)
+            }
+        }
+    )+};
+}
+
+wide_id! {
+    /// One caller's request, or one batch item's lease.
+    RequestId,
+    /// One run of a process, drawn at its start: a restart is another one.
+    Incarnation,
+}
+
+/// One try at a request. Answers are matched by it, so that a late or crossed
+/// answer reaches nobody else.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AttemptId {
+    /// The request tried.
+    pub request: RequestId,
+    /// First try is 1.
+    pub number: u32,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.request, self.number)
+    }
+}
+
+impl fmt::Debug for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self}")
+    }
+}
+
+/// Length in characters of an id made by [`digest_id`].
+const DIGEST_ID_LEN: usize = 24;
+
+/// Derives a short id from a team and its idempotency key, so that a resend
+/// through any entry finds the first one.
+#[must_use]
+pub fn digest_id(team: &TeamName, key: &str) -> String {
+    let mut hasher = Sha256::new();
+    hasher.update((team.as_str().len() as u64).to_be_bytes());
+    hasher.update(team.as_str());
+    hasher.update(key);
+    let mut text = hex::encode(hasher.finalize());
+    text.truncate(DIGEST_ID_LEN);
+    text
+}
+
+/// SHA-256 of some bytes in hexadecimal.
+#[must_use]
+pub fn content_digest(bytes: &[u8]) -> String {
+    hex::encode(Sha256::digest(bytes))
+}
+
+impl JobId {
+    /// The job's id for a team's idempotency key.
+    #[must_use]
+    pub fn derived(team: &TeamName, key: &str) -> Self {
+        Self::from(format!("job-{}", digest_id(team, key)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn key_and_team_do_not_run_together() {
+        let one = JobId::derived(&TeamName::from("ab"), "c");
+        let other = JobId::derived(&TeamName::from("a"), "bc");
+        assert_ne!(one, other);
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_types/src/time.rs
@@ -0,0 +1,115 @@
+//! Time as the decision code sees it.
+//!
+//! Decisions are handed the present [`Moment`]; only a process's outermost
+//! layer reads a clock. State keeps moments (deadlines), never durations.
+
+use serde::{Deserialize, Serialize};
+use std::ops::Add;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A point in time: microseconds since the Unix epoch.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// The latest moment that can be told.
+    pub const FAR: Self = Self(u64::MAX / 4);
+
+    /// Whether this deadline has come at `now`.
+    #[must_use]
+    pub fn is_past(self, now: Self) -> bool {
+        now >= self
+    }
+
+    /// Time from `earlier` to this moment, zero if it lies behind.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Writes the moment as RFC 3339, to the millisecond.
+    #[must_use]
+    pub fn to_rfc3339(self) -> String {
+        let time = UNIX_EPOCH + Duration::from_micros(self.0);
+        humantime::format_rfc3339_millis(time).to_string()
+    }
+
+    /// Reads an RFC 3339 moment.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when the text is no such moment or lies before 1970.
+    pub fn from_rfc3339(text: &str) -> Result<Self, String> {
+        let time = humantime::parse_rfc3339_weak(text).map_err(|e| e.to_string())?;
+        let since = time.duration_since(UNIX_EPOCH).map_err(|e| e.to_string())?;
+        Ok(Self(micros(since)))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(micros(span)))
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX / 4)
+}
+
+/// A clock that starts at the wall clock's time and never steps back.
+///
+/// Guards against a wall clock set back while the process runs, which would
+/// bring deadlines and leases to life again: it advances by the monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    base: Moment,
+    started: Instant,
+}
+
+impl Clock {
+    /// Starts a clock at the present wall time.
+    #[must_use]
+    pub fn start() -> Self {
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Self {
+            base: Moment(micros(since)),
+            started: Instant::now(),
+        }
+    }
+
+    /// The present moment.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        self.base + self.started.elapsed()
+    }
+
+    /// The instant of the operating system's clock that `moment` stands for.
+    #[must_use]
+    pub fn instant(&self, moment: Moment) -> Instant {
+        self.started + moment.since(self.base)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn rfc3339_round_trip_keeps_milliseconds() {
+        let moment = Moment(1_764_700_000_123_000);
+        assert_eq!(Moment::from_rfc3339(&moment.to_rfc3339()), Ok(moment));
+    }
+
+    #[test]
+    fn adding_a_long_span_saturates() {
+        let far = Moment::FAR + Duration::MAX;
+        assert!(!far.is_past(Moment::FAR));
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,7 @@
+//! The command line of `bluebellreel`.
+
+mod client;
+mod commands;
+mod output;
+
+pub use commands::{Arguments, run};
--- /dev/null
+++ b/src/cli/output.rs
@@ -0,0 +1,80 @@
+//! Tables for people.
+
+use serde_json::Value;
+
+/// A value as a person reads it.
+fn shown(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".into(),
+        Value::Array(list) if list.is_empty() => "-".into(),
+        Value::Array(list) => list.iter().map(shown).collect::<Vec<_>>().join(", "),
+        other => other.to_string(),
+    }
+}
+
+/// Prints rows with aligned columns.
+pub(crate) fn print_table(head: &[&str], rows: &[Vec<String>]) {
+    let mut widths: Vec<usize> = head.iter().map(|cell| cell.chars().count()).collect();
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let line = |cells: Vec<&str>| {
+        let padded = cells.iter().zip(&widths).map(|(c, w)| format!("{c:<w$}"));
+        println!("{}", padded.collect::<Vec<_>>().join("  ").trim_end());
+    };
+    line(head.to_vec());
+    for row in rows {
+        line(row.iter().map(String::as_str).collect());
+    }
+}
+
+/// Prints a job.
+pub(crate) fn print_job(job: &Value) {
+    let counts = &job["request_counts"];
+    let row = vec![
+        shown(&job["id"]),
+        shown(&job["status"]),
+        shown(&counts["total"]),
+        shown(&counts["completed"]),
+        shown(&counts["failed"]),
+        shown(&job["deadline"]),
+    ];
+    let head = ["job", "status", "items", "completed", "failed", "deadline"];
+    print_table(&head, &[row]);
+}
+
+/// Prints the outcomes.
+pub(crate) fn print_outcomes(outcomes: &Value) {
+    let row = |name: &str, key: &str, facts: &[&str]| {
+        let outcome = &outcomes[key];
+        let facts = facts
+            .iter()
+            .map(|fact| format!("{fact} {}", shown(&outcome[*fact])));
+        vec![
+            name.to_owned(),
+            shown(&outcome["state"]),
+            facts.collect::<Vec<_>>().join(", "),
+        ]
+    };
+    let rows = [
+        row(
+            "people waiting get answers in time",
+            "answers_in_time",
+            &["in_time", "late"],
+        ),
+        row(
+            "every accepted item finishes once and is readable",
+            "items_finish_once",
+            &["running_jobs", "orphaned_jobs", "late_jobs"],
+        ),
+        row(
+            "accepted changes hold everywhere",
+            "changes_hold",
+            &["generation", "in_force", "workers", "behind"],
+        ),
+    ];
+    print_table(&["outcome", "state", "facts"], &rows);
+}
