--- a/crates/bluebellreel_entry/src/http/batches.rs
+++ b/crates/bluebellreel_entry/src/http/batches.rs
@@ -15,8 +15,6 @@
 
 /// Bytes of a job's body read at one time.
 const PIECE: usize = 64 << 10;
-/// Longest time to read a job's body.
-const UPLOAD_TIME: Duration = Duration::from_mins(2);
 
 /// `POST /v1/batches`
 pub(crate) fn submit(rim: &Rim, call: &mut CallerRequest) -> Result<Reply, ApiError> {
@@ -48,7 +46,8 @@
         most_items: settings.limits.job_items,
     };
     let announced = call.req.body_length();
-    let next = body_pieces(call.req.as_reader(), announced, most);
+    let until = Instant::now() + settings.limits.job_time;
+    let next = body_pieces(call.req.as_reader(), announced, most, until);
     let answer = accept_job(&rim.parts.kv, &submission, next)?;
     match answer {
         AcceptAnswer::Accepted(record, revision) => {
@@ -69,8 +68,8 @@
     reader: &mut dyn Read,
     announced: Option<usize>,
     most: usize,
+    until: Instant,
 ) -> impl FnMut() -> Result<Option<Vec<u8>>, ApiError> {
-    let until = Instant::now() + UPLOAD_TIME;
     let mut total = 0;
     move || {
         let cut_short = || ApiError::new(400, "cut_short", "the body ended early");
--- a/crates/bluebellreel_entry/src/http/route.rs
+++ b/crates/bluebellreel_entry/src/http/route.rs
@@ -9,10 +9,7 @@
 use bluebellreel_types::{Moment, TeamName, TraceContext};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
-/// Longest time to read an online request's body.
-const BODY_TIME: Duration = Duration::from_secs(10);
 /// Longest idempotency key, in bytes.
 const LONGEST_KEY: usize = 255;
 
@@ -41,7 +38,7 @@
     pub(crate) fn body_limits(&self) -> BodyLimits {
         BodyLimits {
             bytes: self.parts.settings.limits.body_bytes,
-            time: BODY_TIME,
+            time: self.parts.settings.limits.body_time,
         }
     }
 
--- a/crates/bluebellreel_entry/src/jobs/upload.rs
+++ b/crates/bluebellreel_entry/src/jobs/upload.rs
@@ -53,6 +53,9 @@
     submission: &Submission,
     mut next: impl FnMut() -> Result<Option<Vec<u8>>, ApiError>,
 ) -> Result<AcceptAnswer, ApiError> {
+    if kv.seems_down() {
+        return Err(not_accepted("the key-value service is down"));
+    }
     let before = find_job(kv, &submission.id).map_err(|e| not_accepted(&e.to_string()))?;
     if let Some(before) = before {
         let digest = digest_body(next)?;
--- a/crates/bluebellreel_entry/src/online/actor.rs
+++ b/crates/bluebellreel_entry/src/online/actor.rs
@@ -21,8 +21,9 @@
 
 /// Between two looks at deadlines.
 const TICK: Duration = Duration::from_millis(20);
-/// Time that a claim may take beyond the caller's deadline: none.
-const LONGEST_CLAIM: Duration = Duration::from_secs(10);
+/// Longest time that a claim may take: a caller who hears "not run" soon can
+/// still go elsewhere.
+const LONGEST_CLAIM: Duration = Duration::from_secs(2);
 /// How long an outcome is tried to be recorded.
 const LONGEST_RECORD: Duration = Duration::from_mins(2);
 
@@ -349,9 +350,13 @@
 
     fn write_claim(&mut self, intent: ClaimIntent, now: Moment) {
         let attempt = intent.attempt;
+        let kv_down = self.parts.kv.seems_down();
         let Some(claim) = self.claim_of(intent.request) else {
             return;
         };
+        if kv_down {
+            return self.decide(Event::ClaimFailed(attempt));
+        }
         claim.intent = Some(intent.clone());
         let cx = claim.cx.clone();
         let left = cx.deadline.since(now).min(LONGEST_CLAIM);
--- a/crates/bluebellreel_kv/src/client.rs
+++ b/crates/bluebellreel_kv/src/client.rs
@@ -1,6 +1,7 @@
 //! Calls to the key-value service.
 
 use crate::gateway::{self, LeaseAnswer, RangeAnswer, Streamed, TxnAnswer};
+use crate::outage::Outage;
 use crate::{Backoff, CallBudget, Commit, Key, KeyValue, KvError, Txn};
 use bluebellreel_http::is_unsent;
 use bluebellreel_types::Incarnation;
@@ -47,6 +48,7 @@
     writes: AtomicU64,
     reads: AtomicU64,
     failures: AtomicU64,
+    outage: Mutex<Outage>,
 }
 
 impl KvClient {
@@ -68,9 +70,21 @@
             writes: AtomicU64::new(0),
             reads: AtomicU64::new(0),
             failures: AtomicU64::new(0),
+            outage: Mutex::new(Outage::default()),
         }
     }
 
+    /// Whether the service seems to be down: calls have failed for a while and
+    /// none has come through. New work that needs it is then refused at once
+    /// instead of being held for an answer that will not come; calls that go on
+    /// in the background, such as the lease's, find out when it is back.
+    #[must_use]
+    pub fn seems_down(&self) -> bool {
+        self.outage
+            .lock()
+            .is_ok_and(|outage| outage.seems_down(Instant::now()))
+    }
+
     /// The service's URL.
     #[must_use]
     pub fn url(&self) -> &str {
@@ -262,9 +276,13 @@
         };
         thread::sleep(pause);
         let result = self.send(path, body);
-        if result.is_err() {
+        let answered = matches!(result, Ok(_) | Err(KvError::Refused(_)));
+        if !answered {
             self.failures.fetch_add(1, Ordering::Relaxed);
         }
+        if let Ok(mut outage) = self.outage.lock() {
+            outage.note(answered, Instant::now());
+        }
         result
     }
 
--- a/crates/bluebellreel_kv/src/lib.rs
+++ b/crates/bluebellreel_kv/src/lib.rs
@@ -19,6 +19,7 @@
 mod error;
 mod gateway;
 mod key;
+mod outage;
 mod pace;
 mod txn;
 mod watch;
--- /dev/null
+++ b/crates/bluebellreel_kv/src/outage.rs
@@ -0,0 +1,54 @@
+//! Telling an outage from a failed call.
+
+use std::time::{Duration, Instant};
+
+/// How long calls must have failed.
+const SPAN: Duration = Duration::from_millis(300);
+/// How many must have failed in a row.
+const FAILURES: u32 = 3;
+
+/// Failures in a row.
+#[derive(Debug, Default)]
+pub(crate) struct Outage {
+    since: Option<Instant>,
+    failures: u32,
+}
+
+impl Outage {
+    /// Takes in how a call came out.
+    pub(crate) fn note(&mut self, answered: bool, now: Instant) {
+        if answered {
+            *self = Self::default();
+            return;
+        }
+        self.since.get_or_insert(now);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Whether the service seems to be down.
+    pub(crate) fn seems_down(&self, now: Instant) -> bool {
+        let lasted = self.since.is_some_and(|since| now - since >= SPAN);
+        lasted && self.failures >= FAILURES
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_answer_ends_an_outage() {
+        let start = Instant::now();
+        let mut outage = Outage::default();
+        for _ in 0..FAILURES {
+            outage.note(false, start);
+        }
+        assert!(
+            !outage.seems_down(start),
+            "a burst of failures is no outage yet"
+        );
+        assert!(outage.seems_down(start + SPAN));
+        outage.note(true, start + SPAN);
+        assert!(!outage.seems_down(start + SPAN));
+    }
+}
--- a/crates/bluebellreel_settings/src/entry.rs
+++ b/crates/bluebellreel_settings/src/entry.rs
@@ -69,7 +69,9 @@
 #[serde(deny_unknown_fields, default)]
 struct RawLimits {
     body_bytes: usize,
+    body_s: u64,
     job_bytes: usize,
+    job_s: u64,
     job_items: usize,
     threads: usize,
     requests: usize,
@@ -81,7 +83,9 @@
     fn default() -> Self {
         Self {
             body_bytes: 1 << 20,
+            body_s: 10,
             job_bytes: 128 << 20,
+            job_s: 120,
             job_items: 64_000,
             threads: 1_024,
             requests: 4_096,
@@ -103,8 +107,12 @@
 pub struct EntryLimits {
     /// Bytes of an online request's body.
     pub body_bytes: usize,
+    /// Longest time to read an online request's body.
+    pub body_time: Duration,
     /// Bytes of a job's body.
     pub job_bytes: usize,
+    /// Longest time to read a job's body.
+    pub job_time: Duration,
     /// Items of a job.
     pub job_items: usize,
     /// HTTP requests in progress.
@@ -241,7 +249,9 @@
 fn check_limits(check: &Check<'_>, raw: &RawLimits) -> Result<EntryLimits, SettingsError> {
     Ok(EntryLimits {
         body_bytes: check.at_least("limits.body_bytes", raw.body_bytes, 1_024)?,
+        body_time: Duration::from_secs(check.at_least("limits.body_s", raw.body_s, 1)?),
         job_bytes: check.at_least("limits.job_bytes", raw.job_bytes, 1_024)?,
+        job_time: Duration::from_secs(check.at_least("limits.job_s", raw.job_s, 1)?),
         job_items: check.at_least("limits.job_items", raw.job_items, 1)?,
         threads: check.at_least("limits.threads", raw.threads, 4)?,
         requests: check.at_least("limits.requests", raw.requests, 1)?,
--- a/crates/bluebellreel_standins/src/http.rs
+++ b/crates/bluebellreel_standins/src/http.rs
@@ -3,7 +3,7 @@
 use bluebellreel_http::{HttpServer, Reply, Request, respond};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::io::{self, Read};
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
 /// Most bytes that a stand-in reads of one body.
@@ -66,3 +66,10 @@
         &serde_json::json!({ "error": { "message": message } }),
     );
 }
+
+/// Answers with bytes that no client can read as an answer.
+pub(crate) fn garble(req: Request) {
+    let mut writer = req.into_writer();
+    writer.write_all(b"lost\r\n\r\n").ok();
+    writer.flush().ok();
+}
--- a/crates/bluebellreel_standins/src/kv.rs
+++ b/crates/bluebellreel_standins/src/kv.rs
@@ -204,8 +204,8 @@
             self.changed.notify_all();
         }
         if lost {
-            // The effect stays; the connection closes without an answer.
-            drop(req.into_writer());
+            // The effect stays; the answer does not come through.
+            http::garble(req);
             return;
         }
         match result {
--- /dev/null
+++ b/tests/calls.rs
@@ -0,0 +1,113 @@
+//! Online calls that may not be repeated.
+
+use bluebellreel_site::{Site, SitePlan};
+use bluebellreel_standins::{KvFaults, ServiceFaults};
+use std::thread;
+use std::time::Duration;
+
+fn book(site: &Site, entry: usize, key: &str) -> (u16, String) {
+    let headers = [("Idempotency-Key", key)];
+    site.caller(entry)
+        .send("POST", "/services/desk/bookings", &headers, b"{}")
+        .expect("an answer")
+}
+
+fn outcome(site: &Site, entry: usize, key: &str) -> String {
+    let path = format!("/v1/requests/{key}");
+    let (_, text) = site
+        .caller(entry)
+        .send("GET", &path, &[], b"")
+        .expect("answer");
+    let body: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    body["outcome"].as_str().unwrap_or_default().to_owned()
+}
+
+/// A member confirms a slot, hears nothing for a while and sends the same
+/// confirmation through both daemons at once. The antenna is booked once, and
+/// everyone is told the same.
+#[test]
+fn confirmation_sent_many_times_runs_once() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let answers: Vec<(u16, String)> = thread::scope(|scope| {
+        let send = |n: usize| {
+            let site = &site;
+            scope.spawn(move || book(site, n % 2, "slot-9"))
+        };
+        let sent: Vec<_> = (0..8).map(send).collect();
+        sent.into_iter().map(|s| s.join().expect("sent")).collect()
+    });
+    assert!(answers.iter().any(|(status, _)| *status == 201));
+    for (status, text) in &answers {
+        assert!(matches!(status, 201 | 409), "{status}: {text}");
+    }
+    assert_eq!(site.service_runs().expect("runs")["slot-9"], 1);
+    assert_eq!(book(&site, 1, "slot-9").0, 201, "the recorded answer");
+    assert_eq!(outcome(&site, 0, "slot-9"), "completed");
+    assert_eq!(site.service_runs().expect("runs")["slot-9"], 1);
+}
+
+/// The service books the slot, but its answer is lost. Nobody may say "not
+/// run", and a resend must not book a second time.
+#[test]
+fn lost_answer_is_unknown_and_never_run_again() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let service = site.workers.last().expect("service");
+    let faults = ServiceFaults {
+        lose_answers: 1,
+        ..ServiceFaults::default()
+    };
+    ureq::post(format!("{}/stand-in/faults", service.backend.url()))
+        .send_json(&faults)
+        .expect("faults");
+    let (status, text) = book(&site, 0, "slot-1");
+    assert_eq!(status, 504, "{text}");
+    assert!(text.contains("\"ran\":\"unknown\""), "{text}");
+    assert_eq!(outcome(&site, 1, "slot-1"), "unknown");
+    let (status, text) = book(&site, 1, "slot-1");
+    assert_eq!(status, 409, "{text}");
+    assert_eq!(site.service_runs().expect("runs")["slot-1"], 1);
+}
+
+/// The key-value service is down, so no claim can be recorded. The member is
+/// told "not run" at once, and it is true; questions are answered as ever.
+#[test]
+fn no_claim_no_run() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let down = KvFaults {
+        down: true,
+        ..KvFaults::default()
+    };
+    site.set_kv_faults(&down).expect("faults");
+    let headers = [
+        ("Idempotency-Key", "slot-2"),
+        ("Bluebellreel-Deadline", "2020-01-01T00:00:00Z"),
+    ];
+    let path = "/services/desk/bookings";
+    let late = site.caller(0).send("POST", path, &headers, b"{}");
+    assert_eq!(late.expect("answer").0, 504);
+    assert!(site.caller(0).chat("pass window", 4).is_ok());
+    let (status, text) = book(&site, 0, "slot-3");
+    assert_eq!(status, 503, "{text}");
+    assert!(text.contains("\"ran\":\"no\""), "{text}");
+    site.set_kv_faults(&KvFaults::default()).expect("faults");
+    assert_eq!(site.service_runs().expect("runs").len(), 0);
+    // The daemon finds out soon that the service is back; until then it goes
+    // on saying "not run", as Retry-After tells.
+    while book(&site, 1, "slot-3").0 == 503 {
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(site.service_runs().expect("runs")["slot-3"], 1);
+}
+
+#[test]
+fn repeatable_call_needs_no_key() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let slots = site.caller(0).send("GET", "/services/desk/slots", &[], b"");
+    assert_eq!(slots.expect("answer").0, 200);
+    let booking = site
+        .caller(0)
+        .send("POST", "/services/desk/bookings", &[], b"{}");
+    let (status, text) = booking.expect("answer");
+    assert_eq!(status, 400);
+    assert!(text.contains("key_needed"), "{text}");
+}
--- /dev/null
+++ b/tests/jobs.rs
@@ -0,0 +1,117 @@
+//! Batch jobs through two entry daemons.
+
+use bluebellreel_site::{Site, SitePlan, chat_line, service_line};
+use bluebellreel_standins::{EngineCosts, KvFaults};
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::Duration;
+
+const LONG: Duration = Duration::from_secs(60);
+
+fn lines(site: &Site, count: u32, tokens: u32) -> Vec<String> {
+    let model = site.plan.deployment.model();
+    let line = |n: u32| chat_line(&format!("n{n}"), model, &format!("note {n}"), tokens);
+    (0..count).map(line).collect()
+}
+
+fn ends(site: &Site, id: &str) -> BTreeMap<String, Vec<String>> {
+    let mut ends: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for item in site.caller(1).results(id).expect("results") {
+        ends.entry(item.custom_id).or_default().push(item.status);
+    }
+    ends
+}
+
+/// A school's client thinks that its booking was lost and sends it again,
+/// through both daemons and at the same moment. There must be one job.
+#[test]
+fn resends_at_the_same_moment_find_one_job() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let body = lines(&site, 40, 4);
+    let ids: Vec<String> = thread::scope(|scope| {
+        let send = |n: usize| {
+            let (caller, body) = (site.caller(n % 2), &body);
+            scope.spawn(move || caller.submit("term", body).expect("accepted").id)
+        };
+        let sent: Vec<_> = (0..6).map(send).collect();
+        sent.into_iter().map(|s| s.join().expect("sent")).collect()
+    });
+    assert!(ids.iter().all(|id| *id == ids[0]), "{ids:?}");
+    let job = site.caller(1).wait(&ids[0], LONG).expect("over");
+    assert_eq!(job.request_counts.completed, 40);
+    let ends = ends(&site, &ids[0]);
+    assert_eq!(ends.len(), 40);
+    assert!(ends.values().all(|e| *e == ["succeeded"]));
+    let other = site.caller(0).submit("term", &lines(&site, 39, 4));
+    let error = other.expect_err("another body").to_string();
+    assert!(
+        error.starts_with("409") && error.contains("key_reused"),
+        "{error}"
+    );
+    let mut member = site.caller(0);
+    member.token = "member-token".into();
+    assert!(
+        member.job(&ids[0]).is_err(),
+        "another team's job is not shown"
+    );
+}
+
+/// A bulk booking is cancelled through the other daemon while it runs. It must
+/// stop, keep what had finished, and show every other item as cancelled.
+#[test]
+fn cancelled_job_stops_and_keeps_what_had_finished() {
+    let costs = EngineCosts {
+        base: Duration::from_millis(20),
+        ..EngineCosts::default()
+    };
+    let plan = SitePlan {
+        costs,
+        window: 4,
+        ..SitePlan::default()
+    };
+    let site = Site::start(&plan).expect("site");
+    let job = site
+        .caller(0)
+        .submit("harps", &lines(&site, 400, 8))
+        .expect("job");
+    while site.caller(0).results(&job.id).expect("results").is_empty() {
+        thread::sleep(Duration::from_millis(50));
+    }
+    let path = format!("/v1/batches/{}/cancel", job.id);
+    let (status, text) = site
+        .caller(1)
+        .send("POST", &path, &[], b"")
+        .expect("answer");
+    assert_eq!(status, 200, "{text}");
+    let ends = ends(&site, &job.id);
+    assert_eq!(ends.len(), 400);
+    let count = |status: &str| ends.values().filter(|e| *e == &[status]).count();
+    assert!(count("succeeded") > 0 && count("cancelled") > 0, "{ends:?}");
+    assert_eq!(count("succeeded") + count("cancelled"), 400);
+    thread::sleep(Duration::from_millis(300));
+    let later = site.caller(0).wait(&job.id, LONG).expect("over");
+    assert_eq!(later.status, "cancelled");
+    let again = site.caller(0).results(&job.id).expect("results");
+    assert_eq!(again.len(), 400, "nothing is recorded after the cancel");
+}
+
+/// A job books harps at a plain service that must not book one twice, while
+/// answers of the key-value service are lost. Each booking runs once.
+#[test]
+fn bookings_of_a_job_run_once_each() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let lose_answers = 2;
+    let faults = KvFaults {
+        lose_answers,
+        ..KvFaults::default()
+    };
+    site.set_kv_faults(&faults).expect("faults");
+    let line = |n: u32| service_line(&format!("harp-{n}"), "desk", "/bookings");
+    let body: Vec<String> = (0..30).map(line).collect();
+    let job = site.caller(0).submit("harps", &body).expect("job");
+    let over = site.caller(1).wait(&job.id, LONG).expect("over");
+    assert_eq!(over.request_counts.completed, 30);
+    let runs = site.service_runs().expect("runs");
+    assert_eq!(runs.len(), 30);
+    assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+}
