--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -33,8 +33,11 @@
             let site = &site;
             scope.spawn(move || book(site, n % 2, "slot-9"))
         };
-        let sent: Vec<_> = (0..8).map(send).collect();
-        sent.into_iter().map(|s| s.join().expect("sent")).collect()
+        let threads: Vec<_> = (0..8).map(send).collect();
+        threads
+            .into_iter()
+            .map(|t| t.join().expect("sent"))
+            .collect()
     });
     assert!(answers.iter().any(|(status, _)| *status == 201));
     for (status, text) in &answers {
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-const LONG: Duration = Duration::from_secs(60);
+const LONG: Duration = Duration::from_mins(1);
 
 fn lines(site: &Site, count: u32, tokens: u32) -> Vec<String> {
     let model = site.plan.deployment.model();
@@ -33,8 +33,11 @@
             let (caller, body) = (site.caller(n % 2), &body);
             scope.spawn(move || caller.submit("term", body).expect("accepted").id)
         };
-        let sent: Vec<_> = (0..6).map(send).collect();
-        sent.into_iter().map(|s| s.join().expect("sent")).collect()
+        let threads: Vec<_> = (0..6).map(send).collect();
+        threads
+            .into_iter()
+            .map(|t| t.join().expect("sent"))
+            .collect()
     });
     assert!(ids.iter().all(|id| *id == ids[0]), "{ids:?}");
     let job = site.caller(1).wait(&ids[0], LONG).expect("over");
