--- /dev/null
+++ b/crates/bluebellreel_entry/src/bench.rs
@@ -0,0 +1,396 @@
+//! Drives the daemon's real code by hand: no thread, no socket, a clock that
+//! is set. For the fault matrix and other tests of failures.
+
+use crate::core::EntryCore;
+use crate::fleet::{FleetMessage, PutAnswer, SharedManifest, accepted, get_manifest, put_manifest};
+use crate::http::settle_as;
+use crate::jobs::{
+    AcceptAnswer, CancelAnswer, JobsMessage, Submission, accept_job, cancel_job, find_job,
+    read_results,
+};
+use crate::message::Message;
+use crate::online::{AskAnswer, CallerEvent, NewCall, OnlineMessage, find_claim};
+use crate::parts::Parts;
+use crate::platform::{
+    EntryRecord, KvPool, ListedState, ListedWorker, entry_key, entry_prefix, job_prefix,
+};
+use bluebellreel_claim::ClaimRecord;
+use bluebellreel_http::ApiError;
+use bluebellreel_job::{JobRecord, JobState};
+use bluebellreel_kv::{Commit, KvClient, KvSettings, KvTransport, Put, Txn};
+use bluebellreel_routing::{NewRequest, Outcome};
+use bluebellreel_rpc::{EntryCommand, EntryNotice};
+use bluebellreel_settings::EntrySettings;
+use bluebellreel_telemetry::{EntryMetrics, Tracer};
+use bluebellreel_types::{
+    Clock, DataCentre, EntryName, Incarnation, JobId, Moment, RequestId, TeamName, TraceContext,
+    Work, WorkerName, content_digest,
+};
+use crossbeam_channel::{Receiver, bounded, unbounded};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Messages that wait.
+const MESSAGES: usize = 65_536;
+
+/// A caller that waits for an online answer.
+pub struct BenchCall {
+    /// Its request.
+    pub id: RequestId,
+    rx: Receiver<CallerEvent>,
+    /// Text received so far.
+    pub text: String,
+    /// How it ended, once it has.
+    pub end: Option<CallEnd>,
+}
+
+/// How an online call ended for its caller.
+#[derive(Clone, Debug)]
+pub enum CallEnd {
+    /// By this outcome.
+    Outcome(Outcome),
+    /// The key had been claimed before.
+    Claimed(Box<ClaimRecord>),
+}
+
+impl BenchCall {
+    /// Takes in what has come.
+    pub fn poll(&mut self) {
+        while let Ok(event) = self.rx.try_recv() {
+            match event {
+                CallerEvent::Text(text) => self.text.push_str(&text),
+                CallerEvent::Finished(outcome) => self.end = Some(CallEnd::Outcome(outcome)),
+                CallerEvent::Claimed(record) => self.end = Some(CallEnd::Claimed(record)),
+            }
+        }
+    }
+}
+
+/// One line of results.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BenchLine {
+    /// The item.
+    pub custom_id: String,
+    /// How it ended.
+    pub status: &'static str,
+    /// Its answer.
+    pub body: Option<String>,
+}
+
+/// A question to the side process that a claim names.
+pub struct BenchQuestion {
+    record: ClaimRecord,
+    revision: i64,
+    rx: Receiver<AskAnswer>,
+}
+
+/// An entry daemon without threads, sockets or platform.
+pub struct EntryBench {
+    /// Its name.
+    pub name: EntryName,
+    /// Its run.
+    pub run: Incarnation,
+    core: EntryCore,
+    parts: Parts,
+    rx: Receiver<Message>,
+    commands: mpsc::UnboundedReceiver<EntryCommand>,
+    lease: Option<i64>,
+    seen: BTreeSet<EntryName>,
+}
+
+impl EntryBench {
+    /// A daemon that has just started.
+    #[must_use]
+    pub fn new(settings: EntrySettings, send: KvTransport, clock: Clock) -> Self {
+        let run = Incarnation::random();
+        let (tx, rx) = bounded(MESSAGES);
+        let (rpc, commands) = mpsc::unbounded_channel();
+        let kv_settings = KvSettings {
+            url: settings.kv.clone(),
+            call_timeout: Duration::from_secs(2),
+            calls_per_second: settings.kv_calls_per_second,
+        };
+        let kv = KvClient::over(send, kv_settings, run, clock.clone());
+        let parts = Parts {
+            run,
+            clock,
+            kv: Arc::new(kv),
+            pool: KvPool::held(),
+            rpc,
+            tx,
+            tracer: Tracer::disabled(),
+            metrics: Arc::new(EntryMetrics::default()),
+            settings: Arc::new(settings),
+        };
+        Self {
+            name: parts.settings.name.clone(),
+            run,
+            core: EntryCore::new(&parts, SharedManifest::default()),
+            parts,
+            rx,
+            commands,
+            lease: None,
+            seen: BTreeSet::new(),
+        }
+    }
+
+    /// Handles the messages that wait.
+    pub fn handle_messages(&mut self) {
+        while let Ok(message) = self.rx.try_recv() {
+            self.core.deliver(message);
+        }
+    }
+
+    /// Lets the daemon look at its deadlines.
+    pub fn tick(&mut self) {
+        self.core.tick();
+    }
+
+    /// Runs one call to the key-value service that waits; whether there was one.
+    pub fn run_kv_task(&mut self) -> bool {
+        let Some(task) = self.parts.pool.take() else {
+            return false;
+        };
+        task(&self.parts.kv);
+        true
+    }
+
+    /// The next command to the connections.
+    pub fn command(&mut self) -> Option<EntryCommand> {
+        self.commands.try_recv().ok()
+    }
+
+    /// Hands a message of a side process in.
+    pub fn notice(&mut self, notice: EntryNotice) {
+        self.core.deliver(Message::Rpc(notice));
+    }
+
+    /// Tells the daemon of a worker, as the VM list does.
+    pub fn list(&mut self, workers: &[(WorkerName, SocketAddr, DataCentre)]) {
+        let listed = workers
+            .iter()
+            .map(|(name, side, data_centre)| ListedWorker {
+                name: name.clone(),
+                side: *side,
+                data_centre: data_centre.clone(),
+                state: ListedState::Live,
+            });
+        self.core.deliver(Message::Listed(listed.collect()));
+    }
+
+    /// Renews the daemon's lease, or takes a new one.
+    pub fn renew_lease(&mut self) {
+        let kv = &self.parts.kv;
+        if let Some(lease) = self.lease
+            && kv.keep_alive(lease).unwrap_or(true)
+        {
+            return;
+        }
+        let Ok(lease) = kv.grant(self.parts.settings.lease) else {
+            return;
+        };
+        let record = EntryRecord {
+            name: self.name.clone(),
+            run: self.run,
+            address: self.parts.settings.listen,
+        };
+        let txn = Txn {
+            puts: vec![Put {
+                key: entry_key(&self.name),
+                value: serde_json::to_vec(&record).unwrap_or_default(),
+                lease,
+            }],
+            ..Txn::default()
+        };
+        if let Commit::Applied { .. } = kv.commit(&txn, kv.now() + Duration::from_secs(1)) {
+            self.lease = Some(lease);
+        }
+    }
+
+    /// Reads the leases, the jobs and the manifest anew, as the watches do
+    /// when they start over.
+    pub fn read_all(&mut self) {
+        let kv = self.parts.kv.clone();
+        if let Ok((all, _)) = kv.list(&entry_prefix()) {
+            let records: Vec<EntryRecord> = all
+                .iter()
+                .filter_map(|kv| serde_json::from_slice(&kv.value).ok())
+                .collect();
+            let present: BTreeSet<_> = records.iter().map(|r| r.name.clone()).collect();
+            for name in self.seen.difference(&present) {
+                self.core.deliver(Message::EntryGone(name.clone()));
+            }
+            self.seen = present;
+            for record in records {
+                self.core.deliver(Message::EntrySeen(record));
+            }
+        }
+        if let Ok((all, _)) = kv.list(&job_prefix()) {
+            let job = |kv: &bluebellreel_kv::KeyValue| {
+                let record: JobRecord = serde_json::from_slice(&kv.value).ok()?;
+                Some((record, kv.revision))
+            };
+            let jobs = all.iter().filter_map(job).collect();
+            self.core.deliver(Message::Jobs(JobsMessage::AllJobs(jobs)));
+        }
+        if let Ok(Some(stored)) = get_manifest(&kv)
+            && let Some(accepted) = accepted(&stored)
+        {
+            let message = FleetMessage::Offered(accepted);
+            self.core.deliver(Message::Fleet(message));
+        }
+    }
+
+    /// Submits a job as a caller does.
+    ///
+    /// # Errors
+    ///
+    /// Gives the error that the caller sees.
+    pub fn submit(
+        &mut self,
+        team: &TeamName,
+        key: &str,
+        body: &[u8],
+        deadline: Moment,
+    ) -> Result<JobId, ApiError> {
+        let submission = Submission {
+            id: JobId::derived(team, key),
+            team: team.clone(),
+            deadline,
+            accepted_at: self.parts.clock.now(),
+            owner: self.name.clone(),
+            owner_run: self.run,
+            most_items: self.parts.settings.limits.job_items,
+        };
+        let mut pieces = vec![body.to_vec()];
+        let answer = accept_job(&self.parts.kv, &submission, || Ok(pieces.pop()))?;
+        match answer {
+            AcceptAnswer::Accepted(record, revision) => {
+                let message = JobsMessage::Accepted(record, revision);
+                self.core.deliver(Message::Jobs(message));
+            }
+            AcceptAnswer::Existing(_) => {}
+        }
+        Ok(submission.id)
+    }
+
+    /// Cancels a job; the state that it ended in.
+    ///
+    /// # Errors
+    ///
+    /// Gives the reason when it could not be recorded.
+    pub fn cancel(&mut self, id: &JobId) -> Result<JobState, String> {
+        match cancel_job(&self.parts.kv, id, self.parts.clock.now()) {
+            CancelAnswer::Over(record) => Ok(record.state),
+            CancelAnswer::NoSuchJob => Err("no such job".into()),
+            CancelAnswer::Failed { reason, .. } => Err(reason),
+        }
+    }
+
+    /// A job's state, none when it cannot be read.
+    #[must_use]
+    pub fn job_state(&self, id: &JobId) -> Option<JobState> {
+        let found = find_job(&self.parts.kv, id).ok()??;
+        Some(found.record.state)
+    }
+
+    /// All results of a job; none when they cannot be read.
+    #[must_use]
+    pub fn results(&self, id: &JobId) -> Option<Vec<BenchLine>> {
+        let record = find_job(&self.parts.kv, id).ok()??.record;
+        let mut lines = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let page = read_results(&self.parts.kv, &record, after.as_deref()).ok()?;
+            lines.extend(page.lines.into_iter().map(|line| BenchLine {
+                custom_id: line.custom_id.to_string(),
+                status: line.status,
+                body: line.response.map(|r| r.body.to_string()),
+            }));
+            match page.next {
+                Some(next) => after = Some(next),
+                None => return Some(lines),
+            }
+        }
+    }
+
+    /// Sends an online request as a caller does.
+    pub fn call(&mut self, work: Work, deadline: Moment) -> BenchCall {
+        let id = RequestId::random();
+        let (caller, rx) = unbounded();
+        let call = NewCall {
+            digest: content_digest(&work.body),
+            request: NewRequest {
+                id,
+                work: Arc::new(work),
+                deadline,
+                trace: TraceContext::fresh(),
+            },
+            caller,
+        };
+        let message = OnlineMessage::Call(Box::new(call));
+        self.core.deliver(Message::Online(message));
+        BenchCall {
+            id,
+            rx,
+            text: String::new(),
+            end: None,
+        }
+    }
+
+    /// Reads the claim of a key.
+    #[must_use]
+    pub fn claim(&self, team: &TeamName, key: &str) -> Option<ClaimRecord> {
+        Some(find_claim(&self.parts.kv, team, key).ok()??.0)
+    }
+
+    /// Asks what became of an open claim.
+    pub fn ask_claim(&mut self, team: &TeamName, key: &str) -> Option<BenchQuestion> {
+        let (record, revision) = find_claim(&self.parts.kv, team, key).ok()??;
+        let (answer, rx) = bounded(1);
+        let message = OnlineMessage::AskClaim {
+            record: Box::new(record.clone()),
+            answer,
+        };
+        self.core.deliver(Message::Online(message));
+        Some(BenchQuestion {
+            record,
+            revision,
+            rx,
+        })
+    }
+
+    /// Records the answer to a question, if there is one; whether there was.
+    pub fn settle(&mut self, question: &BenchQuestion) -> bool {
+        let Ok(told) = question.rx.try_recv() else {
+            return false;
+        };
+        let record = question.record.clone();
+        settle_as(&self.parts.kv, record, question.revision, &told);
+        true
+    }
+
+    /// Puts a manifest in place of the generation that was seen.
+    ///
+    /// # Errors
+    ///
+    /// Gives the generation that won, or none when it is not known.
+    pub fn put_manifest(&mut self, seen: u64, text: &str) -> Result<u64, Option<u64>> {
+        match put_manifest(&self.parts.kv, seen, text) {
+            PutAnswer::Accepted(stored) => Ok(stored.generation),
+            PutAnswer::Beaten(winner) => Err(winner.map(|w| w.generation)),
+            PutAnswer::NotDone(_) | PutAnswer::Unknown(_) => Err(None),
+        }
+    }
+
+    /// The generation in force here.
+    pub fn generation(&mut self) -> u64 {
+        let (answer, rx) = bounded(1);
+        let message = FleetMessage::SummaryAsked(answer);
+        self.core.deliver(Message::Fleet(message));
+        rx.try_recv().map_or(0, |summary| summary.generation)
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/core.rs
@@ -0,0 +1,98 @@
+//! The daemon's state as a whole: its parts, and which message goes to which.
+
+use crate::fleet::{FleetPart, SharedManifest};
+use crate::jobs::JobsPart;
+use crate::message::Message;
+use crate::online::OnlinePart;
+use crate::parts::Parts;
+use bluebellreel_rpc::EntryNotice;
+
+/// The parts. All of them run on one thread and never block.
+pub(crate) struct EntryCore {
+    pub(crate) online: OnlinePart,
+    pub(crate) jobs: JobsPart,
+    fleet: FleetPart,
+}
+
+impl EntryCore {
+    pub(crate) fn new(parts: &Parts, shared: SharedManifest) -> Self {
+        Self {
+            online: OnlinePart::new(parts.clone()),
+            jobs: JobsPart::new(parts.clone()),
+            fleet: FleetPart::new(parts.clone(), shared),
+        }
+    }
+
+    /// Looks at what time has brought.
+    pub(crate) fn tick(&mut self) {
+        self.online.tick();
+        self.jobs.tick();
+        self.fleet.tick();
+    }
+
+    /// Whether a graceful stop would cut nothing now.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.online.is_idle() && self.jobs.is_idle()
+    }
+
+    /// Hands a message to the part that it is for.
+    pub(crate) fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Online(message) => self.online.on_message(message),
+            Message::Jobs(message) => self.jobs.on_message(message),
+            Message::Fleet(message) => {
+                self.fleet.on_message(message);
+                self.online.apply(&self.fleet.manifest());
+            }
+            Message::Listed(list) => self.online.on_listed(list),
+            Message::EntrySeen(record) => self.jobs.on_entry_seen(record),
+            Message::EntryGone(name) => self.jobs.on_entry_gone(&name),
+            Message::Rpc(notice) => self.deliver_notice(notice),
+            Message::StopAsked => {
+                log::info!(target: "entry", "Stopping: nothing new is taken.");
+                self.online.stop();
+                self.jobs.stop();
+            }
+        }
+    }
+
+    /// Connections and verdicts concern several parts; the rest concerns one.
+    fn deliver_notice(&mut self, notice: EntryNotice) {
+        match notice {
+            EntryNotice::Connected(hello) => {
+                self.online.on_notice(EntryNotice::Connected(hello.clone()));
+                self.jobs.on_notice(EntryNotice::Connected(hello.clone()));
+                self.fleet.on_notice(EntryNotice::Connected(hello));
+            }
+            EntryNotice::Lost(worker) => {
+                self.online.on_notice(EntryNotice::Lost(worker.clone()));
+                self.jobs.on_notice(EntryNotice::Lost(worker.clone()));
+                self.fleet.on_notice(EntryNotice::Lost(worker));
+            }
+            EntryNotice::Load { worker, load } => {
+                let copy = EntryNotice::Load {
+                    worker: worker.clone(),
+                    load: load.clone(),
+                };
+                self.online.on_notice(copy);
+                self.jobs.on_notice(EntryNotice::Load { worker, load });
+            }
+            EntryNotice::Verdict { attempt, verdict } => {
+                let copy = EntryNotice::Verdict {
+                    attempt,
+                    verdict: verdict.clone(),
+                };
+                self.online.on_notice(copy);
+                self.jobs
+                    .on_notice(EntryNotice::Verdict { attempt, verdict });
+            }
+            notice @ (EntryNotice::Part { .. } | EntryNotice::Ended { .. }) => {
+                self.online.on_notice(notice);
+            }
+            notice @ (EntryNotice::Pull { .. } | EntryNotice::Reports { .. }) => {
+                self.jobs.on_notice(notice);
+            }
+            notice @ EntryNotice::Applied { .. } => self.fleet.on_notice(notice),
+        }
+    }
+}
--- a/crates/bluebellreel_entry/src/fleet/mod.rs
+++ b/crates/bluebellreel_entry/src/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! The manifest: accepting it, bringing it into force, seeing that it is.
 
-mod actor;
+mod part;
 mod store;
 
-pub(crate) use actor::{FleetActor, FleetMessage, FleetSummary, SharedManifest};
-pub(crate) use store::{PutAnswer, get_manifest, put_manifest, watch_manifest};
+pub(crate) use part::{FleetMessage, FleetPart, FleetSummary, SharedManifest};
+pub(crate) use store::{PutAnswer, accepted, get_manifest, put_manifest, watch_manifest};
--- a/crates/bluebellreel_entry/src/fleet/actor.rs
+++ b/crates/bluebellreel_entry/src/fleet/part.rs
@@ -1,12 +1,11 @@
-//! The actor that brings manifests into force.
+//! The part that brings manifests into force.
 
 use crate::parts::Parts;
 use bluebellreel_fleet::{AcceptedManifest, Applied, Manifest};
 use bluebellreel_rpc::{EntryCommand, EntryNotice};
-use bluebellreel_types::WorkerName;
+use bluebellreel_types::{Moment, WorkerName};
 use crossbeam_channel::Sender;
 use serde::Serialize;
-use stakker::{CX, after};
 use std::collections::BTreeMap;
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
@@ -31,7 +30,7 @@
     }
 }
 
-/// What reaches the fleet actor.
+/// What reaches the fleet part.
 #[derive(Debug)]
 pub(crate) enum FleetMessage {
     /// A manifest that was accepted.
@@ -54,31 +53,32 @@
 }
 
 /// Brings manifests into force.
-pub(crate) struct FleetActor {
+pub(crate) struct FleetPart {
     parts: Parts,
     applied: Applied,
     shared: SharedManifest,
     workers: BTreeMap<WorkerName, u64>,
+    repair_at: Moment,
 }
 
-impl FleetActor {
-    #[expect(
-        clippy::unnecessary_wraps,
-        reason = "stakker wants an option from init"
-    )]
-    pub(crate) fn init(cx: CX![], parts: Parts, shared: SharedManifest) -> Option<Self> {
-        after!(REPAIR_PERIOD, [cx], repair());
-        Some(Self {
+impl FleetPart {
+    pub(crate) fn new(parts: Parts, shared: SharedManifest) -> Self {
+        Self {
             parts,
             applied: Applied::default(),
             shared,
             workers: BTreeMap::new(),
-        })
+            repair_at: Moment(0),
+        }
     }
 
     /// Tells side processes that are behind again: a message may be lost.
-    fn repair(&mut self, cx: CX![]) {
-        after!(REPAIR_PERIOD, [cx], repair());
+    pub(crate) fn tick(&mut self) {
+        let now = self.parts.clock.now();
+        if !self.repair_at.is_past(now) {
+            return;
+        }
+        self.repair_at = now + REPAIR_PERIOD;
         let generation = self.applied.generation();
         for (worker, applied) in &self.workers {
             if *applied < generation {
@@ -98,9 +98,8 @@
         });
     }
 
-    /// Takes a manifest in; the one to bring into force elsewhere, if it is
-    /// newer.
-    pub(crate) fn on_message(&mut self, _: CX![], message: FleetMessage) {
+    /// Takes a manifest in, or tells what is in force.
+    pub(crate) fn on_message(&mut self, message: FleetMessage) {
         match message {
             FleetMessage::Offered(accepted) => self.offer(accepted),
             FleetMessage::SummaryAsked(answer) => {
@@ -110,7 +109,7 @@
     }
 
     /// The manifest in force.
-    pub(crate) fn manifest(&mut self, _: CX![]) -> Arc<Manifest> {
+    pub(crate) fn manifest(&self) -> Arc<Manifest> {
         self.shared.get()
     }
 
@@ -129,7 +128,7 @@
         }
     }
 
-    pub(crate) fn on_notice(&mut self, _: CX![], notice: EntryNotice) {
+    pub(crate) fn on_notice(&mut self, notice: EntryNotice) {
         match notice {
             EntryNotice::Connected(hello) => {
                 self.workers.insert(hello.worker.clone(), 0);
--- a/crates/bluebellreel_entry/src/fleet/store.rs
+++ b/crates/bluebellreel_entry/src/fleet/store.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Longest time to put a manifest.
 const PUT_TIME: Duration = Duration::from_secs(5);
@@ -67,7 +67,7 @@
         Some(found) => Txn::replace(manifest_key(), found.revision, value),
         None => Txn::create(manifest_key(), value),
     };
-    match kv.commit(&txn, Instant::now() + PUT_TIME) {
+    match kv.commit(&txn, kv.now() + PUT_TIME) {
         Commit::Applied { .. } => PutAnswer::Accepted(next),
         Commit::Beaten(found) => PutAnswer::Beaten(found.first().and_then(parse)),
         Commit::NotDone(reason) => PutAnswer::NotDone(reason),
@@ -91,7 +91,7 @@
     }
 }
 
-/// Follows the manifest and offers each one to the fleet actor.
+/// Follows the manifest and offers each one to the fleet part.
 pub(crate) fn watch_manifest(parts: &Parts) -> io::Result<()> {
     let parts = parts.clone();
     thread::Builder::new()
--- a/crates/bluebellreel_entry/src/http/mod.rs
+++ b/crates/bluebellreel_entry/src/http/mod.rs
@@ -9,4 +9,5 @@
 mod services;
 mod sse;
 
+pub(crate) use requests::settle_as;
 pub(crate) use route::{Rim, handle};
--- a/crates/bluebellreel_entry/src/http/requests.rs
+++ b/crates/bluebellreel_entry/src/http/requests.rs
@@ -5,10 +5,11 @@
 use crate::online::{AskAnswer, OnlineMessage, find_claim, record_state};
 use bluebellreel_claim::{ClaimRecord, ClaimState, state_after_verdict};
 use bluebellreel_http::{ApiError, Reply};
+use bluebellreel_kv::KvClient;
 use bluebellreel_types::{Ran, TeamName};
 use crossbeam_channel::bounded;
 use serde_json::json;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Longest wait for a side process that is asked.
 const ASK_TIME: Duration = Duration::from_secs(3);
@@ -89,28 +90,36 @@
         answer,
     };
     rim.parts.tell(Message::Online(message));
-    let state = match told.recv_timeout(ASK_TIME) {
-        Ok(AskAnswer::Verdict(verdict)) => state_after_verdict(&verdict),
-        Ok(AskAnswer::Gone) => Some(ClaimState::Unknown),
+    let told = told.recv_timeout(ASK_TIME);
+    let told = told.unwrap_or(AskAnswer::Unreachable);
+    settle_as(&rim.parts.kv, record, revision, &told)
+}
+
+/// Records what a side process told of an open claim.
+pub(crate) fn settle_as(
+    kv: &KvClient,
+    record: ClaimRecord,
+    revision: i64,
+    told: &AskAnswer,
+) -> ClaimRecord {
+    let state = match told {
+        AskAnswer::Verdict(verdict) => state_after_verdict(verdict),
+        AskAnswer::Gone => Some(ClaimState::Unknown),
         // A worker that is away may come back and tell; past the deadline
         // the caller deserves an answer, and "unknown" is the true one.
-        Ok(AskAnswer::Unreachable) | Err(_) if record.deadline.is_past(rim.now()) => {
-            Some(ClaimState::Unknown)
-        }
-        Ok(AskAnswer::Unreachable) | Err(_) => None,
+        AskAnswer::Unreachable if record.deadline.is_past(kv.now()) => Some(ClaimState::Unknown),
+        AskAnswer::Unreachable => None,
     };
     let Some(state) = state else {
         return record;
     };
     let settled = record.in_state(state);
-    let until = Instant::now() + RECORD_TIME;
-    if record_state(&rim.parts.kv, &settled, revision, until) {
-        // Another may have settled it first: what is recorded counts.
-        match find_claim(&rim.parts.kv, &record.team, &record.key) {
-            Ok(Some((current, _))) => current,
-            Ok(None) | Err(_) => record,
-        }
-    } else {
-        record
+    if !record_state(kv, &settled, revision, kv.now() + RECORD_TIME) {
+        return record;
+    }
+    // Another may have settled it first: what is recorded counts.
+    match find_claim(kv, &record.team, &record.key) {
+        Ok(Some((current, _))) => current,
+        Ok(None) | Err(_) => record,
     }
 }
--- a/crates/bluebellreel_entry/src/jobs/messages.rs
+++ b/crates/bluebellreel_entry/src/jobs/messages.rs
@@ -1,4 +1,4 @@
-//! Messages to the jobs actor.
+//! Messages to the jobs part.
 
 use bluebellreel_job::{ClaimedItem, JobRecord};
 use bluebellreel_kv::WatchEvent;
@@ -43,7 +43,7 @@
     pub(crate) dispatches: Vec<Dispatch>,
 }
 
-/// What reaches the jobs actor.
+/// What reaches the jobs part.
 #[derive(Debug)]
 pub(crate) enum JobsMessage {
     /// A job has been accepted here.
--- a/crates/bluebellreel_entry/src/jobs/actor.rs
+++ b/crates/bluebellreel_entry/src/jobs/part.rs
@@ -1,4 +1,4 @@
-//! The actor that owns jobs.
+//! The part that owns jobs.
 
 use crate::jobs::index::JobIndex;
 use crate::jobs::messages::{
@@ -17,7 +17,6 @@
 use bluebellreel_types::{
     Class, Dispatch, EntryName, Incarnation, JobId, ModelName, Moment, TraceContext, WorkerName,
 };
-use stakker::{CX, after};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -37,39 +36,40 @@
 }
 
 /// Owns jobs.
-pub(crate) struct JobsActor {
+pub(crate) struct JobsPart {
     parts: Parts,
     board: Board,
     index: JobIndex,
     pullers: BTreeMap<WorkerName, Puller>,
     claim_seqs: HashMap<JobId, u64>,
     opening: BTreeSet<JobId>,
+    tick_at: Moment,
     tidy_at: Moment,
     stopping: bool,
 }
 
-impl JobsActor {
-    #[expect(
-        clippy::unnecessary_wraps,
-        reason = "stakker wants an option from init"
-    )]
-    pub(crate) fn init(cx: CX![], parts: Parts) -> Option<Self> {
-        after!(TICK, [cx], tick());
-        Some(Self {
+impl JobsPart {
+    pub(crate) fn new(parts: Parts) -> Self {
+        Self {
             parts,
             board: Board::new(BoardLimits::default()),
             index: JobIndex::default(),
             pullers: BTreeMap::new(),
             claim_seqs: HashMap::new(),
             opening: BTreeSet::new(),
+            tick_at: Moment(0),
             tidy_at: Moment(0),
             stopping: false,
-        })
+        }
     }
 
-    fn tick(&mut self, cx: CX![]) {
-        after!(TICK, [cx], tick());
+    /// Looks at all jobs.
+    pub(crate) fn tick(&mut self) {
         let now = self.now();
+        if !self.tick_at.is_past(now) {
+            return;
+        }
+        self.tick_at = now + TICK;
         self.poll_all(now);
         self.take_over_due(now);
         self.offer_all(now);
@@ -90,28 +90,27 @@
     }
 
     /// Hands out nothing new from now on.
-    pub(crate) fn stop(&mut self, _: CX![]) {
+    pub(crate) fn stop(&mut self) {
         self.stopping = true;
     }
 
     /// Whether all that is out has come back and been recorded.
-    pub(crate) fn is_idle(&mut self, _: CX![]) -> bool {
+    pub(crate) fn is_idle(&self) -> bool {
         let jobs = self.board.jobs.values();
         jobs.into_iter()
             .all(|job| job.leased() == 0 && job.unrecorded() == 0)
     }
 
-    pub(crate) fn on_entry_seen(&mut self, _: CX![], record: EntryRecord) {
+    pub(crate) fn on_entry_seen(&mut self, record: EntryRecord) {
         self.index.note_entry(record.name, record.run);
     }
 
-    #[expect(clippy::needless_pass_by_value, reason = "a message is handed over")]
-    pub(crate) fn on_entry_gone(&mut self, _: CX![], name: EntryName) {
+    pub(crate) fn on_entry_gone(&mut self, name: &EntryName) {
         log::warn!(target: "jobs", entry:% = name; "Entry daemon gone.");
-        self.index.forget_entry(&name);
+        self.index.forget_entry(name);
     }
 
-    pub(crate) fn on_notice(&mut self, _: CX![], notice: EntryNotice) {
+    pub(crate) fn on_notice(&mut self, notice: EntryNotice) {
         let now = self.now();
         match notice {
             EntryNotice::Connected(hello) => {
@@ -243,7 +242,7 @@
         }
     }
 
-    pub(crate) fn on_message(&mut self, _: CX![], message: JobsMessage) {
+    pub(crate) fn on_message(&mut self, message: JobsMessage) {
         let now = self.now();
         match message {
             JobsMessage::Accepted(record, revision) => self.adopt_new(*record, revision),
--- a/crates/bluebellreel_entry/src/jobs/store.rs
+++ b/crates/bluebellreel_entry/src/jobs/store.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Longest time for one write to a job before it is tried again later.
 const WRITE_TIME: Duration = Duration::from_secs(4);
@@ -58,7 +58,7 @@
 ) -> Option<(Box<JobRecord>, i64)> {
     let mine = record.taken_over(me, run);
     let txn = Txn::replace(job_key(&record.id), revision, job_value(&mine));
-    match kv.commit(&txn, Instant::now() + WRITE_TIME) {
+    match kv.commit(&txn, kv.now() + WRITE_TIME) {
         Commit::Applied { revision } => Some((Box::new(mine), revision)),
         Commit::Beaten(_) | Commit::NotDone(_) | Commit::Unknown(_) => None,
     }
@@ -166,7 +166,7 @@
     let value = serde_json::to_vec(&chunk).unwrap_or_default();
     let key = output_key(&record.id, record.epoch, seq);
     let txn = guarded(record, revision, key, value);
-    write_of(&kv.commit(&txn, Instant::now() + WRITE_TIME))
+    write_of(&kv.commit(&txn, kv.now() + WRITE_TIME))
 }
 
 /// Writes claims of items that may not be repeated.
@@ -184,7 +184,7 @@
     let value = serde_json::to_vec(&chunk).unwrap_or_default();
     let key = item_claim_key(&record.id, record.epoch, seq);
     let txn = guarded(record, revision, key, value);
-    write_of(&kv.commit(&txn, Instant::now() + WRITE_TIME))
+    write_of(&kv.commit(&txn, kv.now() + WRITE_TIME))
 }
 
 /// Moves a job to its end, in one transaction with one winner.
@@ -194,10 +194,7 @@
     revision: i64,
     ended: &JobRecord,
 ) -> JobWrite {
-    write_of(&kv.commit(
-        &end_txn(record, revision, ended),
-        Instant::now() + WRITE_TIME,
-    ))
+    write_of(&kv.commit(&end_txn(record, revision, ended), kv.now() + WRITE_TIME))
 }
 
 fn end_txn(record: &JobRecord, revision: i64, ended: &JobRecord) -> Txn {
@@ -235,7 +232,7 @@
 
 /// Cancels a job for good. Answered only once it is recorded.
 pub(crate) fn cancel_job(kv: &KvClient, id: &JobId, now: Moment) -> CancelAnswer {
-    let until = Instant::now() + WRITE_TIME;
+    let until = kv.now() + WRITE_TIME;
     loop {
         let found = match find_job(kv, id) {
             Ok(Some(found)) => found,
@@ -255,7 +252,7 @@
         match kv.commit(&txn, until) {
             Commit::Applied { .. } => return CancelAnswer::Over(Box::new(ended)),
             // Completed, or taken over, at the same moment: look again.
-            Commit::Beaten(_) if Instant::now() < until => {}
+            Commit::Beaten(_) if !until.is_past(kv.now()) => {}
             Commit::Beaten(_) => {
                 let reason = "the job changes too often".into();
                 let unknown = false;
--- a/crates/bluebellreel_entry/src/jobs/upload.rs
+++ b/crates/bluebellreel_entry/src/jobs/upload.rs
@@ -8,7 +8,7 @@
 use bluebellreel_kv::{Commit, Compare, KvClient, Put, Txn};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, Ran, TeamName, content_digest};
 use sha2::{Digest, Sha256};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Longest time to store one chunk.
 const CHUNK_TIME: Duration = Duration::from_secs(5);
@@ -122,7 +122,7 @@
     let number = u32::try_from(number).unwrap_or(u32::MAX);
     let key = input_key(&submission.id, upload, number);
     let txn = Txn::create(key, chunk.bytes.clone());
-    match kv.commit(&txn, Instant::now() + CHUNK_TIME) {
+    match kv.commit(&txn, kv.now() + CHUNK_TIME) {
         Commit::Applied { .. } => Ok(ChunkRef {
             first: chunk.first,
             items: chunk.items,
@@ -155,7 +155,7 @@
         ..Txn::default()
     }
     .reading(done);
-    match kv.commit(&txn, Instant::now() + ACCEPT_TIME) {
+    match kv.commit(&txn, kv.now() + ACCEPT_TIME) {
         Commit::Applied { revision } => Ok(AcceptAnswer::Accepted(Box::new(record), revision)),
         Commit::Beaten(found) => {
             discard_upload(kv, &record.id, &record.upload);
@@ -196,7 +196,7 @@
 /// deleted now is found by the sweep.
 fn discard_upload(kv: &KvClient, id: &JobId, upload: &str) {
     let prefix = input_prefix(id, upload);
-    let until = Instant::now() + CHUNK_TIME;
+    let until = kv.now() + CHUNK_TIME;
     if let Err(e) = kv.delete_prefix(&prefix, until) {
         log::warn!(target: "jobs", job:% = id, error:% = e; "Chunks were left behind.");
     }
--- a/crates/bluebellreel_entry/src/lib.rs
+++ b/crates/bluebellreel_entry/src/lib.rs
@@ -1,21 +1,21 @@
 //! The entry daemon: callers' and operators' HTTP, routing of online requests,
 //! ownership of batch jobs, and the manifest.
 //!
-//! One thread runs the actors ([`online`], [`jobs`], [`fleet`]), which drive
-//! the pure decision code of the other packages. HTTP requests, connections to
-//! side processes and calls to the platform live on threads at the rim and
-//! talk to the actors by channels. [`start_entry`] wires the parts.
+//! One thread runs an actor that holds the parts (online requests, jobs, the
+//! manifest), which drive the pure decision code of the other packages. HTTP
+//! requests, connections to side processes and calls to the platform live on
+//! threads at the rim and talk to the actor by channels. [`start_entry`] wires
+//! all of it; [`bench`] drives the same code by hand.
 //!
 //! ```no_run
 //! let settings = bluebellreel_settings::load_entry("entry.toml").unwrap();
 //! let entry = bluebellreel_entry::start_entry(settings).unwrap();
 //! assert!(entry.stop());
 //! ```
-//!
-//! [`online`]: self
-//! [`jobs`]: self
-//! [`fleet`]: self
 
+mod actor;
+pub mod bench;
+mod core;
 mod fleet;
 mod http;
 mod jobs;
--- a/crates/bluebellreel_entry/src/online/caller.rs
+++ b/crates/bluebellreel_entry/src/online/caller.rs
@@ -1,4 +1,4 @@
-//! Messages between HTTP threads and the online actor.
+//! Messages between HTTP threads and the online part.
 
 use crate::online::claims::ClaimAnswer;
 use bluebellreel_claim::ClaimRecord;
@@ -27,7 +27,7 @@
     pub(crate) caller: Sender<CallerEvent>,
 }
 
-/// What reaches the online actor.
+/// What reaches the online part.
 #[derive(Debug)]
 pub(crate) enum OnlineMessage {
     /// A request.
--- a/crates/bluebellreel_entry/src/online/claims.rs
+++ b/crates/bluebellreel_entry/src/online/claims.rs
@@ -6,7 +6,6 @@
 use bluebellreel_routing::{ClaimIntent, Outcome};
 use bluebellreel_types::{EntryName, Incarnation, Moment, TeamName};
 use std::sync::Arc;
-use std::time::Instant;
 
 /// A claim's fate.
 #[derive(Clone, Debug)]
@@ -37,7 +36,7 @@
     kv: &KvClient,
     cx: &ClaimContext,
     intent: &ClaimIntent,
-    until: Instant,
+    until: Moment,
 ) -> ClaimAnswer {
     let record = ClaimRecord {
         team: cx.team.clone(),
@@ -66,7 +65,7 @@
     record: &ClaimRecord,
     before: ClaimRecord,
     revision: i64,
-    until: Instant,
+    until: Moment,
 ) -> ClaimAnswer {
     let same = before.digest == record.digest;
     if !same || decide(&before.state) != Resend::MayRun {
@@ -82,7 +81,7 @@
     }
 }
 
-fn write(kv: &KvClient, record: &ClaimRecord, revision: i64, until: Instant) -> Commit {
+fn write(kv: &KvClient, record: &ClaimRecord, revision: i64, until: Moment) -> Commit {
     let key = claim_key(&ClaimRecord::id(&record.team, &record.key));
     let value = serde_json::to_vec(record).unwrap_or_default();
     let txn = if revision == 0 {
@@ -113,7 +112,7 @@
     kv: &KvClient,
     record: &ClaimRecord,
     revision: i64,
-    until: Instant,
+    until: Moment,
 ) -> bool {
     matches!(
         write(kv, record, revision, until),
--- a/crates/bluebellreel_entry/src/online/mod.rs
+++ b/crates/bluebellreel_entry/src/online/mod.rs
@@ -1,9 +1,9 @@
-//! Online requests: the actor that drives the router, and claims.
+//! Online requests: the part that drives the router, and claims.
 
-mod actor;
 mod caller;
 mod claims;
+mod part;
 
-pub(crate) use actor::OnlineActor;
 pub(crate) use caller::{AskAnswer, CallerEvent, NewCall, OnlineMessage};
 pub(crate) use claims::{find_claim, record_state};
+pub(crate) use part::OnlinePart;
--- a/crates/bluebellreel_entry/src/online/actor.rs
+++ b/crates/bluebellreel_entry/src/online/part.rs
@@ -1,4 +1,4 @@
-//! The actor that drives the router.
+//! The part that drives the router.
 
 use crate::message::Message;
 use crate::online::caller::{AskAnswer, CallerEvent, NewCall, OnlineMessage};
@@ -14,13 +14,10 @@
 use crossbeam_channel::Sender;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use stakker::{CX, after};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Between two looks at deadlines.
-const TICK: Duration = Duration::from_millis(20);
 /// Longest time that a claim may take: a caller who hears "not run" soon can
 /// still go elsewhere.
 const LONGEST_CLAIM: Duration = Duration::from_secs(2);
@@ -52,7 +49,7 @@
 }
 
 /// Drives the router.
-pub(crate) struct OnlineActor {
+pub(crate) struct OnlinePart {
     router: Router,
     rng: SmallRng,
     parts: Parts,
@@ -62,19 +59,14 @@
     drained: HashSet<WorkerName>,
 }
 
-impl OnlineActor {
-    #[expect(
-        clippy::unnecessary_wraps,
-        reason = "stakker wants an option from init"
-    )]
-    pub(crate) fn init(cx: CX![], parts: Parts) -> Option<Self> {
-        after!(TICK, [cx], tick());
+impl OnlinePart {
+    pub(crate) fn new(parts: Parts) -> Self {
         let limits = RouterLimits {
             requests: parts.settings.limits.requests,
             team_requests: parts.settings.limits.team_requests,
             ..RouterLimits::default()
         };
-        Some(Self {
+        Self {
             router: Router::new(limits, parts.settings.data_centre.clone()),
             rng: SmallRng::seed_from_u64(parts.run.0),
             parts,
@@ -82,11 +74,11 @@
             askers: HashMap::new(),
             links: BTreeMap::new(),
             drained: HashSet::new(),
-        })
+        }
     }
 
-    fn tick(&mut self, cx: CX![]) {
-        after!(TICK, [cx], tick());
+    /// Looks at deadlines.
+    pub(crate) fn tick(&mut self) {
         self.decide(Event::Ticked);
         let now = self.now();
         self.askers.retain(|_, askers| {
@@ -105,18 +97,17 @@
     }
 
     /// Whether no caller waits.
-    pub(crate) fn is_idle(&mut self, _: CX![]) -> bool {
+    pub(crate) fn is_idle(&self) -> bool {
         self.router.requests.is_empty()
     }
 
     /// Takes nothing new from now on.
-    pub(crate) fn stop(&mut self, _: CX![]) {
+    pub(crate) fn stop(&mut self) {
         self.router.stopping = true;
     }
 
     /// Takes in the manifest in force.
-    #[expect(clippy::needless_pass_by_value, reason = "a message is handed over")]
-    pub(crate) fn apply(&mut self, _: CX![], manifest: Arc<Manifest>) {
+    pub(crate) fn apply(&mut self, manifest: &Manifest) {
         self.router.team_limits = manifest
             .teams
             .iter()
@@ -124,7 +115,7 @@
             .collect();
     }
 
-    pub(crate) fn on_message(&mut self, _: CX![], message: OnlineMessage) {
+    pub(crate) fn on_message(&mut self, message: OnlineMessage) {
         match message {
             OnlineMessage::Call(call) => self.begin(*call),
             OnlineMessage::CallerGone(id) => {
@@ -168,7 +159,7 @@
         self.decide(Event::Arrived(request));
     }
 
-    pub(crate) fn on_notice(&mut self, _: CX![], notice: EntryNotice) {
+    pub(crate) fn on_notice(&mut self, notice: EntryNotice) {
         match notice {
             EntryNotice::Connected(hello) => {
                 log::info!(target: "router", worker:% = hello.worker; "Worker connected.");
@@ -213,7 +204,7 @@
     }
 
     /// Takes in the VM list: connects to the workers that it names.
-    pub(crate) fn on_listed(&mut self, _: CX![], list: Vec<ListedWorker>) {
+    pub(crate) fn on_listed(&mut self, list: Vec<ListedWorker>) {
         let listed: HashSet<&WorkerName> = list.iter().map(|w| &w.name).collect();
         let gone: Vec<WorkerName> = self
             .links
@@ -359,8 +350,7 @@
         }
         claim.intent = Some(intent.clone());
         let cx = claim.cx.clone();
-        let left = cx.deadline.since(now).min(LONGEST_CLAIM);
-        let until = std::time::Instant::now() + left;
+        let until = cx.deadline.min(now + LONGEST_CLAIM);
         let parts = self.parts.clone();
         let queued = self.parts.pool.run(move |kv| {
             let answer = claims::claim(kv, &cx, &intent, until);
@@ -383,7 +373,7 @@
         };
         let revision = claim.cx.revision;
         let parts = self.parts.clone();
-        let until = std::time::Instant::now() + LONGEST_RECORD;
+        let until = self.now() + LONGEST_RECORD;
         let queued = self.parts.pool.run(move |kv| {
             claims::record_state(kv, &record, revision, until);
             let message = OnlineMessage::OutcomeRecorded(request);
--- a/crates/bluebellreel_entry/src/platform/kv_pool.rs
+++ b/crates/bluebellreel_entry/src/platform/kv_pool.rs
@@ -2,8 +2,9 @@
 
 use bluebellreel_kv::KvClient;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use std::collections::VecDeque;
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 /// Threads: calls in progress at one time.
@@ -11,12 +12,15 @@
 /// Tasks that wait.
 const QUEUE: usize = 4_096;
 
-type Task = Box<dyn FnOnce(&KvClient) + Send>;
+pub(crate) type Task = Box<dyn FnOnce(&KvClient) + Send>;
 
 /// Runs tasks that block on the key-value service.
 #[derive(Clone)]
-pub(crate) struct KvPool {
-    tx: Sender<Task>,
+pub(crate) enum KvPool {
+    /// On threads.
+    Threads(Sender<Task>),
+    /// By hand, one at a time.
+    Held(Arc<Mutex<VecDeque<Task>>>),
 }
 
 impl KvPool {
@@ -33,13 +37,35 @@
                     }
                 })?;
         }
-        Ok(Self { tx })
+        Ok(Self::Threads(tx))
+    }
+
+    /// A pool whose tasks wait until they are taken.
+    pub(crate) fn held() -> Self {
+        Self::Held(Arc::default())
+    }
+
+    /// The next task that waits to be run by hand.
+    pub(crate) fn take(&self) -> Option<Task> {
+        match self {
+            Self::Threads(_) => None,
+            Self::Held(tasks) => tasks.lock().ok()?.pop_front(),
+        }
     }
 
     /// Queues a task; false when too many wait. The actors must never block
     /// on the service: during its outage online requests go on.
     pub(crate) fn run(&self, task: impl FnOnce(&KvClient) + Send + 'static) -> bool {
-        match self.tx.try_send(Box::new(task)) {
+        let tx = match self {
+            Self::Threads(tx) => tx,
+            Self::Held(tasks) => {
+                if let Ok(mut tasks) = tasks.lock() {
+                    tasks.push_back(Box::new(task));
+                }
+                return true;
+            }
+        };
+        match tx.try_send(Box::new(task)) {
             Ok(()) => true,
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 log::warn!(target: "kv", "Too many calls wait for the key-value service.");
--- a/crates/bluebellreel_entry/src/platform/membership.rs
+++ b/crates/bluebellreel_entry/src/platform/membership.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Pause before a watch is opened again.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
@@ -79,7 +79,7 @@
         }],
         ..Txn::default()
     };
-    match kv.commit(&txn, Instant::now() + ttl) {
+    match kv.commit(&txn, kv.now() + ttl) {
         Commit::Applied { .. } => Ok(id),
         Commit::Beaten(_) => Err(KvError::Refused(
             "a write without a guard was beaten".into(),
--- a/crates/bluebellreel_entry/src/run.rs
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -1,10 +1,11 @@
 //! Wiring of the entry daemon.
 
-use crate::fleet::{FleetActor, SharedManifest, watch_manifest};
+use crate::actor::EntryActor;
+use crate::core::EntryCore;
+use crate::fleet::{SharedManifest, watch_manifest};
 use crate::http::{Rim, handle};
-use crate::jobs::{JobsActor, JobsMessage};
+use crate::jobs::JobsMessage;
 use crate::message::Message;
-use crate::online::OnlineActor;
 use crate::parts::Parts;
 use crate::platform::{KvPool, follow_prefix, hold_lease, job_prefix, watch_entries, watch_vms};
 use bluebellreel_http::{HttpServer, serve};
@@ -80,6 +81,7 @@
     let settings = Arc::new(settings);
     let run = Incarnation::random();
     let (tx, rx) = bounded(MESSAGES);
+    let clock = Clock::start();
     let kv = Arc::new(KvClient::new(
         KvSettings {
             url: settings.kv.clone(),
@@ -87,10 +89,11 @@
             calls_per_second: settings.kv_calls_per_second,
         },
         run,
+        clock.clone(),
     ));
     let parts = Parts {
         run,
-        clock: Clock::start(),
+        clock,
         pool: KvPool::start(&kv)?,
         kv,
         rpc: start_rpc(&settings, tx.clone())?,
@@ -118,7 +121,7 @@
     let name = settings.name.clone();
     let actors = thread::Builder::new()
         .name("entry-actors".into())
-        .spawn(move || run_actors(&parts, shared, &rx, stop))?;
+        .spawn(move || run_actor(&parts, shared, &rx, stop))?;
     ready.store(true, Ordering::SeqCst);
     log::info!(target: "entry", entry:% = name, address:% = http.address; "Entry daemon started.");
     Ok(Entry {
@@ -185,14 +188,8 @@
     Some((record, kv.revision))
 }
 
-struct Actors {
-    online: ActorOwn<OnlineActor>,
-    jobs: ActorOwn<JobsActor>,
-    fleet: ActorOwn<FleetActor>,
-}
-
-/// Runs the actors until a graceful stop is done; whether it cut nothing.
-fn run_actors(
+/// Runs the actor until a graceful stop is done; whether it cut nothing.
+fn run_actor(
     parts: &Parts,
     shared: SharedManifest,
     rx: &Receiver<Message>,
@@ -200,11 +197,8 @@
 ) -> bool {
     let mut stakker = Stakker::new(Instant::now());
     let s = &mut stakker;
-    let actors = Actors {
-        online: actor!(s, OnlineActor::init(parts.clone()), ret_nop!()),
-        jobs: actor!(s, JobsActor::init(parts.clone()), ret_nop!()),
-        fleet: actor!(s, FleetActor::init(parts.clone(), shared), ret_nop!()),
-    };
+    let core = EntryCore::new(parts, shared);
+    let entry: ActorOwn<EntryActor> = actor!(s, EntryActor::init(core), ret_nop!());
     s.run(Instant::now(), false);
     let mut stop_at: Option<Instant> = None;
     loop {
@@ -216,7 +210,7 @@
                     if matches!(message, Message::StopAsked) {
                         stop_at.get_or_insert(Instant::now() + stop);
                     }
-                    deliver(s, &actors, message);
+                    call!([entry], on_message(message));
                 }
             }
             Err(RecvTimeoutError::Timeout) => {}
@@ -224,11 +218,7 @@
         }
         s.run(Instant::now(), false);
         if let Some(stop_at) = stop_at {
-            let online = &actors.online;
-            let jobs = &actors.jobs;
-            let idle = query!([online, s], is_idle()).unwrap_or(true)
-                && query!([jobs, s], is_idle()).unwrap_or(true);
-            if idle {
+            if query!([entry, s], is_idle()).unwrap_or(true) {
                 log::info!(target: "entry", "Stopped; nothing was cut.");
                 return true;
             }
@@ -239,83 +229,3 @@
         }
     }
 }
-
-fn deliver(s: &mut Stakker, actors: &Actors, message: Message) {
-    let Actors {
-        online,
-        jobs,
-        fleet,
-    } = actors;
-    match message {
-        Message::Online(message) => call!([online], on_message(message)),
-        Message::Jobs(message) => call!([jobs], on_message(message)),
-        Message::Fleet(message) => {
-            call!([fleet], on_message(message));
-            s.run(Instant::now(), false);
-            if let Some(manifest) = query!([fleet, s], manifest()) {
-                call!([online], apply(manifest));
-            }
-        }
-        Message::Listed(list) => call!([online], on_listed(list)),
-        Message::EntrySeen(record) => call!([jobs], on_entry_seen(record)),
-        Message::EntryGone(name) => call!([jobs], on_entry_gone(name)),
-        Message::Rpc(notice) => deliver_notice(actors, notice),
-        Message::StopAsked => {
-            log::info!(target: "entry", "Stopping: nothing new is taken.");
-            call!([online], stop());
-            call!([jobs], stop());
-        }
-    }
-}
-
-/// Connections and verdicts concern several parts; the rest concerns one.
-fn deliver_notice(actors: &Actors, notice: EntryNotice) {
-    let Actors {
-        online,
-        jobs,
-        fleet,
-    } = actors;
-    match notice {
-        EntryNotice::Connected(hello) => {
-            let (one, two) = (hello.clone(), hello.clone());
-            call!([online], on_notice(EntryNotice::Connected(hello)));
-            call!([jobs], on_notice(EntryNotice::Connected(one)));
-            call!([fleet], on_notice(EntryNotice::Connected(two)));
-        }
-        EntryNotice::Lost(worker) => {
-            let (one, two) = (worker.clone(), worker.clone());
-            call!([online], on_notice(EntryNotice::Lost(worker)));
-            call!([jobs], on_notice(EntryNotice::Lost(one)));
-            call!([fleet], on_notice(EntryNotice::Lost(two)));
-        }
-        EntryNotice::Load { worker, load } => {
-            let jobs_load = load.clone();
-            let jobs_worker = worker.clone();
-            call!([online], on_notice(EntryNotice::Load { worker, load }));
-            let notice = EntryNotice::Load {
-                worker: jobs_worker,
-                load: jobs_load,
-            };
-            call!([jobs], on_notice(notice));
-        }
-        EntryNotice::Verdict { attempt, verdict } => {
-            let copy = verdict.clone();
-            call!(
-                [online],
-                on_notice(EntryNotice::Verdict { attempt, verdict })
-            );
-            let notice = EntryNotice::Verdict {
-                attempt,
-                verdict: copy,
-            };
-            call!([jobs], on_notice(notice));
-        }
-        notice @ (EntryNotice::Part { .. } | EntryNotice::Ended { .. }) => {
-            call!([online], on_notice(notice));
-        }
-        notice @ (EntryNotice::Pull { .. } | EntryNotice::Reports { .. }) => {
-            call!([jobs], on_notice(notice));
-        }
-        notice @ EntryNotice::Applied { .. } => call!([fleet], on_notice(notice)),
-    }
-}
--- a/crates/bluebellreel_kv/src/budget.rs
+++ b/crates/bluebellreel_kv/src/budget.rs
@@ -1,6 +1,7 @@
 //! A bound on the calls that one process makes.
 
-use std::time::{Duration, Instant};
+use bluebellreel_types::Moment;
+use std::time::Duration;
 
 /// Calls a second, with a second's worth saved up.
 ///
@@ -10,13 +11,13 @@
 pub struct CallBudget {
     rate: f64,
     left: f64,
-    at: Instant,
+    at: Moment,
 }
 
 impl CallBudget {
     /// A full budget of `rate` calls a second.
     #[must_use]
-    pub fn new(rate: u32, now: Instant) -> Self {
+    pub fn new(rate: u32, now: Moment) -> Self {
         let rate = f64::from(rate.max(1));
         Self {
             rate,
@@ -26,8 +27,8 @@
     }
 
     /// Takes one call; the pause to keep before it is made.
-    pub fn take(&mut self, now: Instant) -> Duration {
-        let gained = now.saturating_duration_since(self.at).as_secs_f64() * self.rate;
+    pub fn take(&mut self, now: Moment) -> Duration {
+        let gained = now.since(self.at).as_secs_f64() * self.rate;
         self.left = (self.left + gained).min(self.rate) - 1.0;
         self.at = now;
         if self.left >= 0.0 {
@@ -43,7 +44,7 @@
 
     #[test]
     fn calls_over_the_rate_are_spread_out() {
-        let start = Instant::now();
+        let start = Moment(0);
         let mut budget = CallBudget::new(10, start);
         for _ in 0..10 {
             assert_eq!(budget.take(start), Duration::ZERO);
--- a/crates/bluebellreel_kv/src/client.rs
+++ b/crates/bluebellreel_kv/src/client.rs
@@ -4,13 +4,12 @@
 use crate::outage::Outage;
 use crate::{Backoff, CallBudget, Commit, Key, KeyValue, KvError, Txn};
 use bluebellreel_http::is_unsent;
-use bluebellreel_types::Incarnation;
+use bluebellreel_types::{Clock, Incarnation, Moment};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Keys that one read of a range brings.
 const RANGE_PAGE: usize = 64;
@@ -37,11 +36,14 @@
     pub failures: u64,
 }
 
+/// Sends one call, by its path and body, and gives the answer's body.
+pub type KvTransport = Box<dyn Fn(&str, &Value) -> Result<Value, KvError> + Send + Sync>;
+
 /// A client; share it by reference.
-#[derive(Debug)]
 pub struct KvClient {
     settings: KvSettings,
-    agent: ureq::Agent,
+    send: KvTransport,
+    clock: Clock,
     run: Incarnation,
     next_write: AtomicU64,
     budget: Mutex<CallBudget>,
@@ -52,18 +54,21 @@
 }
 
 impl KvClient {
-    /// A client for one run of a process.
+    /// A client for one run of a process, over HTTP.
+    #[must_use]
+    pub fn new(settings: KvSettings, run: Incarnation, clock: Clock) -> Self {
+        let send = http_transport(&settings);
+        Self::over(send, settings, run, clock)
+    }
+
+    /// A client over any transport.
     #[must_use]
-    pub fn new(settings: KvSettings, run: Incarnation) -> Self {
-        let config = ureq::Agent::config_builder()
-            .timeout_global(Some(settings.call_timeout))
-            .timeout_connect(Some(settings.call_timeout))
-            .http_status_as_error(false)
-            .build();
-        let budget = CallBudget::new(settings.calls_per_second, Instant::now());
+    pub fn over(send: KvTransport, settings: KvSettings, run: Incarnation, clock: Clock) -> Self {
+        let budget = CallBudget::new(settings.calls_per_second, clock.now());
         Self {
-            agent: config.new_agent(),
             settings,
+            send,
+            clock,
             run,
             next_write: AtomicU64::new(0),
             budget: Mutex::new(budget),
@@ -82,7 +87,13 @@
     pub fn seems_down(&self) -> bool {
         self.outage
             .lock()
-            .is_ok_and(|outage| outage.seems_down(Instant::now()))
+            .is_ok_and(|outage| outage.seems_down(self.clock.now()))
+    }
+
+    /// The present, by the client's clock.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        self.clock.now()
     }
 
     /// The service's URL.
@@ -176,7 +187,7 @@
     }
 
     /// Writes, and finds out what became of it until `deadline`.
-    pub fn commit(&self, txn: &Txn, deadline: Instant) -> Commit {
+    pub fn commit(&self, txn: &Txn, deadline: Moment) -> Commit {
         let number = self.next_write.fetch_add(1, Ordering::Relaxed);
         let writer = format!("{}-{number}", self.run);
         let body = gateway::txn_body(txn, &writer);
@@ -201,14 +212,14 @@
                 }
             };
             let pause = backoff.next(&mut rand::rng());
-            if Instant::now() + pause >= deadline {
+            if deadline.is_past(self.clock.now() + pause) {
                 return if may_be_done {
                     Commit::Unknown(reason)
                 } else {
                     Commit::NotDone(reason)
                 };
             }
-            thread::sleep(pause);
+            self.clock.wait(pause);
         }
     }
 
@@ -218,7 +229,7 @@
     /// # Errors
     ///
     /// Gives the reason when it could not be done.
-    pub fn delete_prefix(&self, prefix: &Key, deadline: Instant) -> Result<(), KvError> {
+    pub fn delete_prefix(&self, prefix: &Key, deadline: Moment) -> Result<(), KvError> {
         let body = gateway::delete_body(prefix);
         let mut backoff = Backoff::default();
         loop {
@@ -227,10 +238,10 @@
                 return Ok(());
             };
             let pause = backoff.next(&mut rand::rng());
-            if Instant::now() + pause >= deadline {
+            if deadline.is_past(self.clock.now() + pause) {
                 return Err(error);
             }
-            thread::sleep(pause);
+            self.clock.wait(pause);
         }
     }
 
@@ -271,44 +282,52 @@
 
     fn call<T: DeserializeOwned>(&self, path: &str, body: &Value) -> Result<T, KvError> {
         let pause = match self.budget.lock() {
-            Ok(mut budget) => budget.take(Instant::now()),
+            Ok(mut budget) => budget.take(self.clock.now()),
             Err(_) => Duration::ZERO,
         };
-        thread::sleep(pause);
-        let result = self.send(path, body);
+        self.clock.wait(pause);
+        let result = (self.send)(path, body).and_then(|answer| {
+            serde_json::from_value(answer).map_err(|e| KvError::Unknown(e.to_string()))
+        });
         let answered = matches!(result, Ok(_) | Err(KvError::Refused(_)));
         if !answered {
             self.failures.fetch_add(1, Ordering::Relaxed);
         }
         if let Ok(mut outage) = self.outage.lock() {
-            outage.note(answered, Instant::now());
+            outage.note(answered, self.clock.now());
         }
         result
     }
+}
 
-    fn send<T: DeserializeOwned>(&self, path: &str, body: &Value) -> Result<T, KvError> {
-        let url = format!("{}{path}", self.settings.url);
-        let mut answer = self
-            .agent
-            .post(&url)
-            .send_json(body)
-            .map_err(|e| classify(&e))?;
-        let status = answer.status().as_u16();
-        let unknown = |e: ureq::Error| KvError::Unknown(e.to_string());
-        match status {
-            200 => answer
-                .body_mut()
-                .with_config()
-                .limit(u64::MAX)
-                .read_json()
-                .map_err(unknown),
-            429 => Err(KvError::NotDone("too many calls".into())),
-            400..500 => {
-                let text = answer.body_mut().read_to_string().unwrap_or_default();
-                Err(KvError::Refused(text))
-            }
-            _ => Err(KvError::Unknown(format!("status {status}"))),
+fn http_transport(settings: &KvSettings) -> KvTransport {
+    let config = ureq::Agent::config_builder()
+        .timeout_global(Some(settings.call_timeout))
+        .timeout_connect(Some(settings.call_timeout))
+        .http_status_as_error(false)
+        .build();
+    let agent = config.new_agent();
+    let url = settings.url.clone();
+    Box::new(move |path, body| send_http(&agent, &format!("{url}{path}"), body))
+}
+
+fn send_http(agent: &ureq::Agent, url: &str, body: &Value) -> Result<Value, KvError> {
+    let mut answer = agent.post(url).send_json(body).map_err(|e| classify(&e))?;
+    let status = answer.status().as_u16();
+    let unknown = |e: ureq::Error| KvError::Unknown(e.to_string());
+    match status {
+        200 => answer
+            .body_mut()
+            .with_config()
+            .limit(u64::MAX)
+            .read_json()
+            .map_err(unknown),
+        429 => Err(KvError::NotDone("too many calls".into())),
+        400..500 => {
+            let text = answer.body_mut().read_to_string().unwrap_or_default();
+            Err(KvError::Refused(text))
         }
+        _ => Err(KvError::Unknown(format!("status {status}"))),
     }
 }
 
--- a/crates/bluebellreel_kv/src/lib.rs
+++ b/crates/bluebellreel_kv/src/lib.rs
@@ -25,7 +25,7 @@
 mod watch;
 
 pub use budget::CallBudget;
-pub use client::{KvClient, KvCounts, KvSettings};
+pub use client::{KvClient, KvCounts, KvSettings, KvTransport};
 pub use commit::Commit;
 pub use error::KvError;
 pub use key::{Key, KeyValue};
--- a/crates/bluebellreel_kv/src/outage.rs
+++ b/crates/bluebellreel_kv/src/outage.rs
@@ -1,6 +1,7 @@
 //! Telling an outage from a failed call.
 
-use std::time::{Duration, Instant};
+use bluebellreel_types::Moment;
+use std::time::Duration;
 
 /// How long calls must have failed.
 const SPAN: Duration = Duration::from_millis(300);
@@ -10,13 +11,13 @@
 /// Failures in a row.
 #[derive(Debug, Default)]
 pub(crate) struct Outage {
-    since: Option<Instant>,
+    since: Option<Moment>,
     failures: u32,
 }
 
 impl Outage {
     /// Takes in how a call came out.
-    pub(crate) fn note(&mut self, answered: bool, now: Instant) {
+    pub(crate) fn note(&mut self, answered: bool, now: Moment) {
         if answered {
             *self = Self::default();
             return;
@@ -26,8 +27,8 @@
     }
 
     /// Whether the service seems to be down.
-    pub(crate) fn seems_down(&self, now: Instant) -> bool {
-        let lasted = self.since.is_some_and(|since| now - since >= SPAN);
+    pub(crate) fn seems_down(&self, now: Moment) -> bool {
+        let lasted = self.since.is_some_and(|since| (since + SPAN).is_past(now));
         lasted && self.failures >= FAILURES
     }
 }
@@ -38,7 +39,7 @@
 
     #[test]
     fn one_answer_ends_an_outage() {
-        let start = Instant::now();
+        let start = Moment(0);
         let mut outage = Outage::default();
         for _ in 0..FAILURES {
             outage.note(false, start);
--- a/crates/bluebellreel_kv/tests/lost_answers.rs
+++ b/crates/bluebellreel_kv/tests/lost_answers.rs
@@ -2,8 +2,8 @@
 
 use bluebellreel_kv::{Commit, Key, KvClient, KvSettings, Txn, Watch, WatchEvent};
 use bluebellreel_standins::{KvFaults, KvLimits, StandIn, start_kv};
-use bluebellreel_types::Incarnation;
-use std::time::{Duration, Instant};
+use bluebellreel_types::{Clock, Incarnation, Moment};
+use std::time::Duration;
 
 fn start() -> (StandIn, KvClient) {
     let address = "127.0.0.1:0".parse().expect("address");
@@ -18,7 +18,7 @@
         call_timeout: Duration::from_secs(2),
         calls_per_second: 1_000,
     };
-    KvClient::new(settings, Incarnation(run))
+    KvClient::new(settings, Incarnation(run), Clock::start())
 }
 
 fn set_faults(stand_in: &StandIn, faults: &KvFaults) {
@@ -27,8 +27,8 @@
         .expect("faults set");
 }
 
-fn soon() -> Instant {
-    Instant::now() + Duration::from_secs(5)
+fn soon(client: &KvClient) -> Moment {
+    client.now() + Duration::from_secs(5)
 }
 
 /// A school's job is accepted, but the answer to the write is lost. The entry
@@ -47,7 +47,7 @@
     );
     let txn = Txn::create(Key::from("job/a"), b"first".to_vec());
     assert!(matches!(
-        client.commit(&txn, soon()),
+        client.commit(&txn, soon(&client)),
         Commit::Applied { .. }
     ));
     let found = client
@@ -64,16 +64,16 @@
     let (stand_in, client) = start();
     let key = Key::from("manifest");
     let first = Txn::create(key.clone(), b"one".to_vec());
-    let Commit::Applied { revision } = client.commit(&first, soon()) else {
+    let Commit::Applied { revision } = client.commit(&first, soon(&client)) else {
         panic!("applied");
     };
     let other = client_of(&stand_in, 2);
     let change = |text: &str| Txn::replace(key.clone(), revision, text.as_bytes().to_vec());
     assert!(matches!(
-        other.commit(&change("two"), soon()),
+        other.commit(&change("two"), soon(&other)),
         Commit::Applied { .. }
     ));
-    let Commit::Beaten(found) = client.commit(&change("three"), soon()) else {
+    let Commit::Beaten(found) = client.commit(&change("three"), soon(&client)) else {
         panic!("beaten");
     };
     assert_eq!(found[0].value, b"two");
@@ -92,15 +92,15 @@
         },
     );
     let txn = Txn::create(Key::from("job/a"), Vec::new());
-    let deadline = Instant::now() + Duration::from_millis(300);
+    let deadline = client.now() + Duration::from_millis(300);
     assert!(matches!(client.commit(&txn, deadline), Commit::Unknown(_)));
     let settings = KvSettings {
         url: "http://127.0.0.1:1".into(),
         call_timeout: Duration::from_secs(1),
         calls_per_second: 100,
     };
-    let nobody = KvClient::new(settings, Incarnation(3));
-    let deadline = Instant::now() + Duration::from_millis(300);
+    let nobody = KvClient::new(settings, Incarnation(3), Clock::start());
+    let deadline = nobody.now() + Duration::from_millis(300);
     assert!(matches!(nobody.commit(&txn, deadline), Commit::NotDone(_)));
 }
 
@@ -113,7 +113,7 @@
     let put = |name: &str| {
         let txn = Txn::create(Key::from(name), b"x".to_vec());
         assert!(matches!(
-            client.commit(&txn, soon()),
+            client.commit(&txn, soon(&client)),
             Commit::Applied { .. }
         ));
     };
--- a/crates/bluebellreel_rpc/src/entry.rs
+++ b/crates/bluebellreel_rpc/src/entry.rs
@@ -31,7 +31,7 @@
 pub struct PullAnswer(pub oneshot::Sender<Vec<Dispatch>>);
 
 /// What the daemon asks of its connections.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum EntryCommand {
     /// Keep a connection to this worker's side process.
     Connect {
--- a/crates/bluebellreel_rpc/src/side.rs
+++ b/crates/bluebellreel_rpc/src/side.rs
@@ -14,7 +14,7 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 /// What the side process asks of its connections.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum SideCommand {
     /// Send part of an online answer.
     Part {
--- /dev/null
+++ b/crates/bluebellreel_side/src/bench.rs
@@ -0,0 +1,81 @@
+//! Drives the side process's real code by hand, under a clock that is set.
+
+use crate::core::SideCore;
+use crate::message::Message;
+use crate::parts::{BackendOrder, Parts};
+use bluebellreel_admission::{Admission, AdmissionLimits, EngineEnd};
+use bluebellreel_rpc::{SideCommand, SideNotice};
+use bluebellreel_telemetry::{SideMetrics, Tracer};
+use bluebellreel_types::{AttemptId, Clock, Incarnation, ModelName};
+use std::sync::{Arc, mpsc as std_mpsc};
+use tokio::sync::mpsc;
+
+/// A side process without threads, sockets or backend server.
+pub struct SideBench {
+    core: SideCore,
+    commands: mpsc::UnboundedReceiver<SideCommand>,
+    orders: std_mpsc::Receiver<BackendOrder>,
+}
+
+impl SideBench {
+    /// A side process that has just started.
+    #[must_use]
+    pub fn new(incarnation: Incarnation, limits: AdmissionLimits, clock: Clock) -> Self {
+        let (rpc, commands) = mpsc::unbounded_channel();
+        let (tx, orders) = std_mpsc::channel();
+        let parts = Parts {
+            clock,
+            rpc,
+            backend: Box::new(move |order| {
+                tx.send(order).ok();
+            }),
+            tracer: Tracer::disabled(),
+            metrics: Arc::new(SideMetrics::default()),
+        };
+        Self {
+            core: SideCore::new(Admission::new(incarnation, limits), parts),
+            commands,
+            orders,
+        }
+    }
+
+    /// Hands a message of an entry in.
+    pub fn notice(&mut self, notice: SideNotice) {
+        self.core.on_message(Message::Rpc(notice));
+    }
+
+    /// Says what the backend server serves.
+    pub fn serve(&mut self, models: Vec<ModelName>) {
+        self.core.on_message(Message::Models(models));
+    }
+
+    /// Hands generated text in.
+    pub fn text(&mut self, attempt: AttemptId, text: &str, tokens: u32) {
+        let text = Arc::from(text);
+        self.core.on_message(Message::Text {
+            attempt,
+            text,
+            tokens,
+        });
+    }
+
+    /// Hands the backend server's end of an attempt in.
+    pub fn end(&mut self, attempt: AttemptId, end: EngineEnd) {
+        self.core.on_message(Message::Ended { attempt, end });
+    }
+
+    /// Lets the process look at its deadlines.
+    pub fn tick(&mut self) {
+        self.core.tick();
+    }
+
+    /// The next message to an entry.
+    pub fn command(&mut self) -> Option<SideCommand> {
+        self.commands.try_recv().ok()
+    }
+
+    /// The next order to the backend server.
+    pub fn order(&mut self) -> Option<BackendOrder> {
+        self.orders.try_recv().ok()
+    }
+}
--- a/crates/bluebellreel_side/src/lib.rs
+++ b/crates/bluebellreel_side/src/lib.rs
@@ -12,10 +12,13 @@
 
 mod actor;
 mod backend;
+pub mod bench;
+mod core;
 mod message;
 mod orders;
 mod parts;
 mod rim;
 mod run;
 
+pub use parts::BackendOrder;
 pub use run::{Side, start_side};
--- a/crates/bluebellreel_side/src/run.rs
+++ b/crates/bluebellreel_side/src/run.rs
@@ -2,8 +2,9 @@
 
 use crate::actor::SideActor;
 use crate::backend::Backend;
+use crate::core::SideCore;
 use crate::message::Message;
-use crate::parts::Parts;
+use crate::parts::{BackendOrder, Parts};
 use crate::rim;
 use bluebellreel_admission::{Admission, AdmissionLimits, Lean};
 use bluebellreel_http::HttpServer;
@@ -75,7 +76,7 @@
     let backend = Arc::new(Backend::new(
         settings.backend.clone(),
         settings.service.clone(),
-        clock,
+        clock.clone(),
         tx.clone(),
         tracer.clone(),
     ));
@@ -90,7 +91,10 @@
     let parts = Parts {
         clock,
         rpc,
-        backend,
+        backend: Box::new(move |order| match order {
+            BackendOrder::Start(dispatch) => backend.start(dispatch),
+            BackendOrder::Cancel(attempt) => backend.cancel(attempt),
+        }),
         tracer,
         metrics: Arc::new(SideMetrics::default()),
     };
@@ -188,7 +192,8 @@
 fn run_actor(state: Admission, parts: Parts, rx: &Receiver<Message>, stop: Duration) -> bool {
     let mut stakker = Stakker::new(Instant::now());
     let s = &mut stakker;
-    let side: ActorOwn<SideActor> = actor!(s, SideActor::init(state, parts), ret_nop!());
+    let core = SideCore::new(state, parts);
+    let side: ActorOwn<SideActor> = actor!(s, SideActor::init(core), ret_nop!());
     s.run(Instant::now(), false);
     let mut stop_at: Option<Instant> = None;
     loop {
--- a/crates/bluebellreel_standins/src/kv.rs
+++ b/crates/bluebellreel_standins/src/kv.rs
@@ -1,10 +1,12 @@
 //! Stand-in for the platform's key-value service: etcd v3's JSON gateway.
 
 use crate::http::{self, StandIn};
-use crate::kv_store::{Change, KvStore, Stored};
+use crate::kv_calls::{KvCalls, bytes, header, key_value, list, number};
+use crate::kv_store::Change;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bluebellreel_http::{ChunkedStream, Request};
+use bluebellreel_types::Clock;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -91,7 +93,8 @@
 }
 
 struct State {
-    store: KvStore,
+    calls: KvCalls,
+    clock: Clock,
     faults: KvFaults,
     counts: Counts,
     writes: Bucket,
@@ -99,7 +102,6 @@
 }
 
 struct Kv {
-    limits: KvLimits,
     state: Mutex<State>,
     changed: Condvar,
 }
@@ -115,9 +117,9 @@
 /// A thread that panicked while it held the state ends the stand-in.
 pub fn start_kv(address: SocketAddr, limits: KvLimits) -> io::Result<StandIn> {
     let kv = Arc::new(Kv {
-        limits,
         state: Mutex::new(State {
-            store: KvStore::default(),
+            calls: KvCalls::new(limits.value_bytes),
+            clock: Clock::start(),
             faults: KvFaults::default(),
             counts: Counts::default(),
             writes: Bucket::new(limits.writes),
@@ -129,7 +131,8 @@
     thread::spawn(move || {
         while let Some(kv) = expiring.upgrade() {
             let mut state = kv.state.lock().expect("kv lock");
-            if state.store.expire(Instant::now()) {
+            let now = state.clock.now();
+            if state.calls.expire(now) {
                 kv.changed.notify_all();
             }
             drop(state);
@@ -192,9 +195,10 @@
             drop(state);
             return http::refuse(req, 429, "too many requests");
         }
-        let before = state.store.revision;
-        let result = self.run(&mut state.store, path, body);
-        let wrote = before != state.store.revision;
+        let before = state.calls.revision();
+        let now = state.clock.now();
+        let result = state.calls.call(path, body, now);
+        let wrote = before != state.calls.revision();
         let lost = wrote && state.faults.lose_answers > 0;
         if lost {
             state.faults.lose_answers -= 1;
@@ -214,77 +218,6 @@
         }
     }
 
-    fn run(&self, store: &mut KvStore, path: &str, body: &Value) -> Result<Value, String> {
-        match path {
-            "/v3/kv/range" => range(store, body),
-            "/v3/kv/put" => {
-                let revision = store.revision + 1;
-                self.put(store, body, revision)?;
-                Ok(json!({ "header": header(store) }))
-            }
-            "/v3/kv/txn" => self.txn(store, body),
-            "/v3/lease/grant" => {
-                let ttl = number(body, "TTL").max(1).unsigned_abs();
-                let id = store.grant(Duration::from_secs(ttl));
-                Ok(json!({ "header": header(store), "ID": id.to_string(), "TTL": ttl.to_string() }))
-            }
-            "/v3/lease/keepalive" => {
-                let id = number(body, "ID");
-                let ttl = store.keep_alive(id).map_or(0, |ttl| ttl.as_secs());
-                Ok(json!({ "result": { "ID": id.to_string(), "TTL": ttl.to_string() } }))
-            }
-            "/v3/lease/revoke" => {
-                store.revoke(number(body, "ID"));
-                Ok(json!({ "header": header(store) }))
-            }
-            _ => Err("no such call".into()),
-        }
-    }
-
-    fn put(&self, store: &mut KvStore, put: &Value, revision: i64) -> Result<(), String> {
-        let value = bytes(put, "value")?;
-        if value.len() > self.limits.value_bytes {
-            return Err("the value is too large".into());
-        }
-        let lease = number(put, "lease");
-        if lease != 0 && !store.has_lease(lease) {
-            return Err("requested lease not found".into());
-        }
-        store.put(&bytes(put, "key")?, &value, lease, revision);
-        Ok(())
-    }
-
-    fn txn(&self, store: &mut KvStore, body: &Value) -> Result<Value, String> {
-        let mut holds = true;
-        for compare in list(body, "compare") {
-            holds &= compare_holds(store, compare)?;
-        }
-        let branch = if holds { "success" } else { "failure" };
-        let operations: Vec<Value> = list(body, branch).cloned().collect();
-        for operation in &operations {
-            let put = &operation["requestPut"];
-            if put.is_object() && bytes(put, "value")?.len() > self.limits.value_bytes {
-                return Err("the value is too large".into());
-            }
-        }
-        let revision = store.revision + 1;
-        let mut responses = Vec::new();
-        for operation in &operations {
-            if let Some(put) = operation.get("requestPut") {
-                self.put(store, put, revision)?;
-                responses.push(json!({ "response_put": {} }));
-            } else if let Some(request) = operation.get("requestRange") {
-                responses.push(json!({ "response_range": range(store, request)? }));
-            } else if let Some(request) = operation.get("requestDeleteRange") {
-                let end = bytes(request, "range_end")?;
-                let deleted = store.delete(&bytes(request, "key")?, &end, revision);
-                responses
-                    .push(json!({ "response_delete_range": { "deleted": deleted.to_string() } }));
-            }
-        }
-        Ok(json!({ "header": header(store), "succeeded": holds, "responses": responses }))
-    }
-
     fn watch(&self, req: Request, body: &Value) {
         let create = &body["create_request"];
         let (Ok(key), Ok(end)) = (bytes(create, "key"), bytes(create, "range_end")) else {
@@ -298,9 +231,10 @@
         let mut next = if asked > 0 {
             asked
         } else {
-            state.store.revision + 1
+            state.calls.store.revision + 1
         };
-        let created = json!({ "result": { "header": header(&state.store), "created": true } });
+        let created =
+            json!({ "result": { "header": header(&state.calls.store), "created": true } });
         if stream.send(format!("{created}\n").as_bytes()).is_err() {
             return;
         }
@@ -308,9 +242,9 @@
             if state.faults.down {
                 return;
             }
-            let changes = state.store.changes(&key, &end, next);
-            next = state.store.revision + 1;
-            let at = header(&state.store);
+            let changes = state.calls.store.changes(&key, &end, next);
+            next = state.calls.store.revision + 1;
+            let at = header(&state.calls.store);
             drop(state);
             let events: Vec<Value> = changes.iter().map(event).collect();
             // An empty message is etcd's progress notice; it shows here
@@ -320,7 +254,7 @@
                 return;
             }
             state = self.state.lock().expect("kv lock");
-            if state.store.revision < next {
+            if state.calls.store.revision < next {
                 state = self
                     .changed
                     .wait_timeout(state, WATCH_TICK)
@@ -343,65 +277,6 @@
     count > 0
 }
 
-fn compare_holds(store: &KvStore, compare: &Value) -> Result<bool, String> {
-    let stored = store.get(&bytes(compare, "key")?);
-    let result = compare["result"].as_str().unwrap_or("EQUAL");
-    let (have, want) = match compare["target"].as_str().unwrap_or("VERSION") {
-        "MOD" => (
-            stored.map_or(0, |s| s.mod_revision),
-            number(compare, "mod_revision"),
-        ),
-        "CREATE" => (
-            stored.map_or(0, |s| s.create_revision),
-            number(compare, "create_revision"),
-        ),
-        "VERSION" => (stored.map_or(0, |s| s.version), number(compare, "version")),
-        other => return Err(format!("compare target {other} is not supported")),
-    };
-    Ok(match result {
-        "EQUAL" => have == want,
-        "NOT_EQUAL" => have != want,
-        "GREATER" => have > want,
-        "LESS" => have < want,
-        other => return Err(format!("compare result {other} is not supported")),
-    })
-}
-
-fn range(store: &KvStore, body: &Value) -> Result<Value, String> {
-    let found = store.range(&bytes(body, "key")?, &bytes(body, "range_end")?);
-    let limit = usize::try_from(number(body, "limit")).unwrap_or(0);
-    let keys_only = body["keys_only"].as_bool().unwrap_or(false);
-    let count = found.len();
-    let shown = if limit == 0 { count } else { limit.min(count) };
-    let kvs: Vec<Value> = found
-        .into_iter()
-        .take(shown)
-        .map(|(key, stored)| key_value(key, stored, keys_only))
-        .collect();
-    Ok(json!({
-        "header": header(store),
-        "kvs": kvs,
-        "more": shown < count,
-        "count": count.to_string(),
-    }))
-}
-
-fn key_value(key: &[u8], stored: &Stored, keys_only: bool) -> Value {
-    let mut value = json!({
-        "key": STANDARD.encode(key),
-        "create_revision": stored.create_revision.to_string(),
-        "mod_revision": stored.mod_revision.to_string(),
-        "version": stored.version.to_string(),
-    });
-    if !keys_only {
-        value["value"] = STANDARD.encode(&stored.value).into();
-    }
-    if stored.lease != 0 {
-        value["lease"] = stored.lease.to_string().into();
-    }
-    value
-}
-
 fn event(change: &Change) -> Value {
     match &change.stored {
         Some(stored) => json!({ "kv": key_value(&change.key, stored, false) }),
@@ -414,25 +289,3 @@
         }),
     }
 }
-
-fn header(store: &KvStore) -> Value {
-    json!({ "revision": store.revision.to_string() })
-}
-
-fn list<'a>(body: &'a Value, field: &str) -> impl Iterator<Item = &'a Value> + use<'a> {
-    body[field].as_array().into_iter().flatten()
-}
-
-/// A proto3 JSON integer: a string or a number, zero when left out.
-fn number(body: &Value, field: &str) -> i64 {
-    let value = &body[field];
-    value
-        .as_i64()
-        .or_else(|| value.as_str()?.parse().ok())
-        .unwrap_or(0)
-}
-
-fn bytes(body: &Value, field: &str) -> Result<Vec<u8>, String> {
-    let text = body[field].as_str().unwrap_or("");
-    STANDARD.decode(text).map_err(|e| e.to_string())
-}
--- a/crates/bluebellreel_standins/src/kv_store.rs
+++ b/crates/bluebellreel_standins/src/kv_store.rs
@@ -1,7 +1,8 @@
 //! The key-value stand-in's state: keys, revisions, leases and events.
 
+use bluebellreel_types::Moment;
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Events kept for watches that resume.
 const EVENTS_KEPT: usize = 100_000;
@@ -26,7 +27,7 @@
 
 struct Lease {
     ttl: Duration,
-    ends: Instant,
+    ends: Moment,
 }
 
 /// Keys, leases and the latest changes.
@@ -103,17 +104,17 @@
             .collect()
     }
 
-    pub(crate) fn grant(&mut self, ttl: Duration) -> i64 {
+    pub(crate) fn grant(&mut self, ttl: Duration, now: Moment) -> i64 {
         self.next_lease += 1;
-        let ends = Instant::now() + ttl;
+        let ends = now + ttl;
         self.leases.insert(self.next_lease, Lease { ttl, ends });
         self.next_lease
     }
 
     /// Renews a lease; its time to live, none if it has lapsed.
-    pub(crate) fn keep_alive(&mut self, id: i64) -> Option<Duration> {
+    pub(crate) fn keep_alive(&mut self, id: i64, now: Moment) -> Option<Duration> {
         let lease = self.leases.get_mut(&id)?;
-        lease.ends = Instant::now() + lease.ttl;
+        lease.ends = now + lease.ttl;
         Some(lease.ttl)
     }
 
@@ -139,11 +140,11 @@
     }
 
     /// Ends leases whose time is up; whether any key went.
-    pub(crate) fn expire(&mut self, now: Instant) -> bool {
+    pub(crate) fn expire(&mut self, now: Moment) -> bool {
         let lapsed: Vec<i64> = self
             .leases
             .iter()
-            .filter(|(_, lease)| lease.ends <= now)
+            .filter(|(_, lease)| lease.ends.is_past(now))
             .map(|(id, _)| *id)
             .collect();
         let before = self.revision;
--- a/crates/bluebellreel_types/src/id.rs
+++ b/crates/bluebellreel_types/src/id.rs
@@ -4,8 +4,11 @@
 //! never an allocation. Ids are random numbers wide enough that two processes
 //! never draw the same one.
 
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use std::cell::RefCell;
 use std::fmt;
 use std::sync::Arc;
 
@@ -76,7 +79,7 @@
             /// Draws a fresh id.
             #[must_use]
             pub fn random() -> Self {
-                Self(rand::random())
+                Self(draw_id())
             }
         }
 
@@ -94,6 +97,23 @@
     )+};
 }
 
+thread_local! {
+    static SEEDED: RefCell<Option<SmallRng>> = const { RefCell::new(None) };
+}
+
+/// Makes the ids that this thread draws from now on follow from a seed, so
+/// that a test of failures takes the same course every time.
+pub fn seed_ids(seed: u64) {
+    SEEDED.with_borrow_mut(|rng| *rng = Some(SmallRng::seed_from_u64(seed)));
+}
+
+fn draw_id() -> u64 {
+    SEEDED.with_borrow_mut(|rng| match rng {
+        Some(rng) => rng.random(),
+        None => rand::random(),
+    })
+}
+
 wide_id! {
     /// One caller's request, or one batch item's lease.
     RequestId,
--- a/crates/bluebellreel_types/src/time.rs
+++ b/crates/bluebellreel_types/src/time.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 use std::ops::Add;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A point in time: microseconds since the Unix epoch.
@@ -65,10 +67,14 @@
 ///
 /// Guards against a wall clock set back while the process runs, which would
 /// bring deadlines and leases to life again: it advances by the monotonic clock.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    base: Moment,
-    started: Instant,
+/// Tests set it by hand.
+#[derive(Clone, Debug)]
+pub struct Clock(Kind);
+
+#[derive(Clone, Debug)]
+enum Kind {
+    Running { base: Moment, started: Instant },
+    Set(Arc<AtomicU64>),
 }
 
 impl Clock {
@@ -78,22 +84,43 @@
         let since = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
-        Self {
+        Self(Kind::Running {
             base: Moment(micros(since)),
             started: Instant::now(),
-        }
+        })
     }
 
-    /// The present moment.
+    /// A clock that stands until it is set.
     #[must_use]
-    pub fn now(&self) -> Moment {
-        self.base + self.started.elapsed()
+    pub fn standing_at(now: Moment) -> Self {
+        Self(Kind::Set(Arc::new(AtomicU64::new(now.0))))
+    }
+
+    /// Sets a standing clock on, for all its clones; a running one goes its way.
+    pub fn advance(&self, span: Duration) {
+        match &self.0 {
+            Kind::Running { .. } => {}
+            Kind::Set(now) => {
+                now.fetch_add(micros(span), Ordering::SeqCst);
+            }
+        }
     }
 
-    /// The instant of the operating system's clock that `moment` stands for.
+    /// Lets time pass: sleeps, or sets a standing clock on.
+    pub fn wait(&self, span: Duration) {
+        match &self.0 {
+            Kind::Running { .. } => std::thread::sleep(span),
+            Kind::Set(_) => self.advance(span),
+        }
+    }
+
+    /// The present moment.
     #[must_use]
-    pub fn instant(&self, moment: Moment) -> Instant {
-        self.started + moment.since(self.base)
+    pub fn now(&self) -> Moment {
+        match &self.0 {
+            Kind::Running { base, started } => *base + started.elapsed(),
+            Kind::Set(now) => Moment(now.load(Ordering::SeqCst)),
+        }
     }
 }
 
