--- a/crates/bluebellreel_admission/src/batch_window.rs
+++ b/crates/bluebellreel_admission/src/batch_window.rs
@@ -16,7 +16,7 @@
 const GROW_BELOW_PERCENT: u32 = 90;
 
 /// The controller's state.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct BatchWindow {
     full: u32,
     beside_online: u32,
--- a/crates/bluebellreel_admission/src/ledger.rs
+++ b/crates/bluebellreel_admission/src/ledger.rs
@@ -6,10 +6,10 @@
 //! is remembered, so that an entry that lost the answer can still read it.
 
 use bluebellreel_types::{AttemptEnd, AttemptId, Moment};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What is known of one attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum LedgerEntry {
     /// Put an end to before it was seen.
     Tombstone,
@@ -20,9 +20,9 @@
 }
 
 /// Attempts by id, forgotten some time after their deadline.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Ledger {
-    entries: HashMap<AttemptId, (LedgerEntry, Moment)>,
+    entries: BTreeMap<AttemptId, (LedgerEntry, Moment)>,
     by_expiry: BTreeSet<(Moment, AttemptId)>,
 }
 
--- a/crates/bluebellreel_admission/src/limits.rs
+++ b/crates/bluebellreel_admission/src/limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Which of the two measures a deployment puts first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Lean {
     /// Batch throughput first (the rental service).
     Throughput,
@@ -12,7 +12,7 @@
 }
 
 /// Bounds and targets, from the settings.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct AdmissionLimits {
     /// Most attempts at the engine at one time, both classes together.
     pub window: u32,
--- a/crates/bluebellreel_admission/src/online_queue.rs
+++ b/crates/bluebellreel_admission/src/online_queue.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 
 /// One waiting attempt.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Queued {
     /// Who sent it.
     pub entry: EntryName,
@@ -13,7 +13,7 @@
 }
 
 /// A queue bounded in count and bytes, served in order of arrival.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct OnlineQueue {
     waiting: VecDeque<Queued>,
     bytes: usize,
--- a/crates/bluebellreel_admission/src/pace.rs
+++ b/crates/bluebellreel_admission/src/pace.rs
@@ -6,7 +6,7 @@
 const SMOOTHING: u64 = 8;
 
 /// Running means of the engine's times.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Pace {
     inter_token_micros: u64,
     first_token_micros: u64,
--- a/crates/bluebellreel_admission/src/state.rs
+++ b/crates/bluebellreel_admission/src/state.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// One attempt at the engine.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Running {
     /// Who sent it.
     pub entry: EntryName,
@@ -28,7 +28,7 @@
 }
 
 /// Admission of one side process.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Admission {
     /// This run of the process.
     pub incarnation: Incarnation,
--- a/crates/bluebellreel_admission/src/step.rs
+++ b/crates/bluebellreel_admission/src/step.rs
@@ -163,13 +163,19 @@
 ) {
     let attempt = dispatch.attempt;
     effects.push(Effect::StartEngine(dispatch.clone()));
+    // A batch item that gave way before goes on from its text; its answer is
+    // all of it, not only what this attempt adds.
+    let text = match dispatch.class {
+        Class::Batch => dispatch.resume.to_string(),
+        Class::Online => String::new(),
+    };
     let running = Running {
         entry,
         dispatch,
         started_at: now,
         last_token_at: None,
         tokens: 0,
-        text: String::new(),
+        text,
         stopping: None,
         unreported: false,
     };
--- a/crates/bluebellreel_claim/src/record.rs
+++ b/crates/bluebellreel_claim/src/record.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 /// What became of a claimed call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(tag = "state", rename_all = "snake_case")]
 pub enum ClaimState {
     /// It was sent, or is about to be.
--- a/crates/bluebellreel_claim/src/resolve.rs
+++ b/crates/bluebellreel_claim/src/resolve.rs
@@ -35,7 +35,8 @@
 pub fn state_after_verdict(verdict: &AttemptVerdict) -> Option<ClaimState> {
     Some(match verdict {
         AttemptVerdict::Running => return None,
-        AttemptVerdict::NeverSeen | AttemptVerdict::Ended(AttemptEnd::NotRun(_)) => {
+        AttemptVerdict::NeverSeen => ClaimState::NotRun,
+        AttemptVerdict::Ended(AttemptEnd::NotRun(reason)) if reason.is_certain() => {
             ClaimState::NotRun
         }
         AttemptVerdict::Ended(AttemptEnd::Completed { status, body, .. }) => {
@@ -48,7 +49,9 @@
             status: *status,
             message: message.clone(),
         },
-        AttemptVerdict::Ended(AttemptEnd::Broken { .. }) => ClaimState::Unknown,
+        AttemptVerdict::Ended(AttemptEnd::NotRun(_) | AttemptEnd::Broken { .. }) => {
+            ClaimState::Unknown
+        }
     })
 }
 
--- a/crates/bluebellreel_entry/src/bench.rs
+++ b/crates/bluebellreel_entry/src/bench.rs
@@ -26,7 +26,7 @@
     Clock, DataCentre, EntryName, Incarnation, JobId, Moment, RequestId, TeamName, TraceContext,
     Work, WorkerName, content_digest,
 };
-use crossbeam_channel::{Receiver, bounded, unbounded};
+use crossbeam_channel::{Receiver, TryRecvError, bounded, unbounded};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -45,6 +45,7 @@
     pub text: String,
     /// How it ended, once it has.
     pub end: Option<CallEnd>,
+    stranded: bool,
 }
 
 /// How an online call ended for its caller.
@@ -59,14 +60,27 @@
 impl BenchCall {
     /// Takes in what has come.
     pub fn poll(&mut self) {
-        while let Ok(event) = self.rx.try_recv() {
-            match event {
-                CallerEvent::Text(text) => self.text.push_str(&text),
-                CallerEvent::Finished(outcome) => self.end = Some(CallEnd::Outcome(outcome)),
-                CallerEvent::Claimed(record) => self.end = Some(CallEnd::Claimed(record)),
+        loop {
+            match self.rx.try_recv() {
+                Ok(CallerEvent::Text(text)) => self.text.push_str(&text),
+                Ok(CallerEvent::Finished(outcome)) => {
+                    self.end = Some(CallEnd::Outcome(outcome));
+                }
+                Ok(CallerEvent::Claimed(record)) => self.end = Some(CallEnd::Claimed(record)),
+                Err(TryRecvError::Empty) => return,
+                Err(TryRecvError::Disconnected) => {
+                    self.stranded = self.end.is_none();
+                    return;
+                }
             }
         }
     }
+
+    /// Whether the daemon that was to answer has died.
+    #[must_use]
+    pub fn is_stranded(&self) -> bool {
+        self.stranded
+    }
 }
 
 /// One line of results.
@@ -338,6 +352,7 @@
             rx,
             text: String::new(),
             end: None,
+            stranded: false,
         }
     }
 
--- /dev/null
+++ b/crates/bluebellreel_faults/src/invariants.rs
@@ -0,0 +1,292 @@
+//! What must always hold.
+
+use crate::scenario::{
+    BOOKINGS, FollowedCall, IMPOSSIBLE_NOTE, NOTES, Scenario, TOKENS, note_prompt,
+};
+use bluebellreel_claim::ClaimState;
+use bluebellreel_entry::bench::{BenchLine, CallEnd};
+use bluebellreel_job::JobState;
+use bluebellreel_routing::Outcome;
+use bluebellreel_standins::expected_answer;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Times that results are tried to be read.
+const READINGS: u32 = 20;
+
+/// Remembers how often a key had run when its caller was told "not run".
+pub(crate) fn note_refusals(scenario: &mut Scenario) {
+    let runs = scenario.world.service().runs.clone();
+    for followed in &mut scenario.calls {
+        let refused = matches!(
+            followed.call.as_ref().and_then(|call| call.end.as_ref()),
+            Some(CallEnd::Outcome(Outcome::NotRun { .. }))
+        );
+        if let (true, None, Some(key)) = (refused, followed.runs_when_refused, &followed.key) {
+            followed.runs_when_refused = Some(runs.get(key).copied().unwrap_or(0));
+        }
+    }
+}
+
+/// Checks everything; gives the bookings that ended in doubt.
+pub(crate) fn check(scenario: &mut Scenario) -> usize {
+    check_notes(scenario);
+    check_harps(scenario);
+    let in_doubt = check_bookings(scenario);
+    check_runs(scenario);
+    check_calls(scenario);
+    check_generations(scenario);
+    in_doubt
+}
+
+/// Reads a job as a caller does: one that fails is tried again later. The
+/// reading is a step, too, and may be struck by a fault.
+fn lines_of(scenario: &mut Scenario, key: &str) -> Option<(JobState, Vec<BenchLine>)> {
+    let id = scenario.jobs[key].id.clone();
+    for _ in 0..READINGS {
+        let index = scenario.world.live_entry(0)?;
+        let entry = scenario.world.entry(index)?;
+        let state = entry.job_state(&id);
+        let lines = entry.results(&id);
+        scenario.world.carry_out_struck();
+        if let (Some(state), Some(lines)) = (state, lines) {
+            return Some((state, lines));
+        }
+        scenario.world.run_for(Duration::from_secs(2));
+    }
+    None
+}
+
+/// The job's lines by item, each exactly once.
+fn by_item(
+    scenario: &mut Scenario,
+    key: &str,
+    expected: u32,
+) -> Option<(JobState, BTreeMap<String, BenchLine>)> {
+    let Some((state, lines)) = lines_of(scenario, key) else {
+        scenario
+            .broken
+            .push(format!("{key}: its results cannot be read"));
+        return None;
+    };
+    let count = lines.len();
+    let items: BTreeMap<String, BenchLine> = lines
+        .into_iter()
+        .map(|line| (line.custom_id.clone(), line))
+        .collect();
+    if count != expected as usize || items.len() != count {
+        scenario.broken.push(format!(
+            "{key}: {count} lines for {} items of {expected}",
+            items.len()
+        ));
+    }
+    Some((state, items))
+}
+
+fn check_notes(scenario: &mut Scenario) {
+    let Some((state, items)) = by_item(scenario, "notes", NOTES) else {
+        return;
+    };
+    if state != JobState::Complete {
+        scenario.broken.push(format!("notes: ended as {state:?}"));
+    }
+    for number in 0..NOTES {
+        check_note(scenario, "notes", number, &items);
+    }
+}
+
+fn check_note(
+    scenario: &mut Scenario,
+    job: &str,
+    number: u32,
+    items: &BTreeMap<String, BenchLine>,
+) {
+    let id = format!("{job}-{number}");
+    let Some(line) = items.get(&id) else {
+        scenario.broken.push(format!("{id}: no result"));
+        return;
+    };
+    let expected = expected_answer(&note_prompt(job, number), TOKENS);
+    let wanted = if number == IMPOSSIBLE_NOTE {
+        "failed"
+    } else {
+        "succeeded"
+    };
+    if line.status != wanted {
+        scenario
+            .broken
+            .push(format!("{id}: {} instead of {wanted}", line.status));
+    }
+    if line.status == "succeeded" && line.body.as_deref() != Some(expected.as_str()) {
+        scenario.broken.push(format!("{id}: another item's answer"));
+    }
+}
+
+fn check_harps(scenario: &mut Scenario) {
+    let Some((state, items)) = by_item(scenario, "harps", NOTES) else {
+        return;
+    };
+    match scenario.cancel_told {
+        None => scenario.broken.push("harps: never cancelled".into()),
+        Some(told) if told != state => scenario
+            .broken
+            .push(format!("harps: told {told:?}, ended as {state:?}")),
+        Some(_) => {}
+    }
+    let ended = items.values().filter(|l| l.status != "cancelled").count();
+    if state == JobState::Cancelled && scenario.lines_at_cancel.is_some_and(|n| n != ended) {
+        scenario
+            .broken
+            .push("harps: results were recorded after the cancel".into());
+    }
+    if state == JobState::Complete && ended != items.len() {
+        scenario
+            .broken
+            .push("harps: complete with items left".into());
+    }
+}
+
+fn check_bookings(scenario: &mut Scenario) -> usize {
+    let Some((state, items)) = by_item(scenario, "bookings", BOOKINGS) else {
+        return 0;
+    };
+    if state != JobState::Complete {
+        scenario
+            .broken
+            .push(format!("bookings: ended as {state:?}"));
+    }
+    let job = scenario.jobs["bookings"].id.clone();
+    let runs = scenario.world.service().runs.clone();
+    let mut in_doubt = 0;
+    for (id, line) in items {
+        let count = runs.get(&format!("{job}/{id}")).copied().unwrap_or(0);
+        if line.status == "succeeded" && count != 1 {
+            scenario
+                .broken
+                .push(format!("{id}: succeeded after {count} runs"));
+        }
+        if line.status == "failed" {
+            in_doubt += 1;
+        }
+    }
+    in_doubt
+}
+
+fn check_runs(scenario: &mut Scenario) {
+    for (key, count) in scenario.world.service().runs.clone() {
+        if count > 1 {
+            scenario.broken.push(format!("{key}: ran {count} times"));
+        }
+    }
+}
+
+fn check_calls(scenario: &mut Scenario) {
+    for index in 0..scenario.calls.len() {
+        let broken = call_faults(scenario, index);
+        scenario.broken.extend(broken);
+    }
+    let keys: Vec<String> = scenario
+        .calls
+        .iter()
+        .filter(|c| c.call.is_some())
+        .filter_map(|c| c.key.clone())
+        .collect();
+    for key in keys {
+        check_claim(scenario, &key);
+    }
+}
+
+fn call_faults(scenario: &Scenario, index: usize) -> Vec<String> {
+    let followed: &FollowedCall = &scenario.calls[index];
+    let name = followed.key.clone().unwrap_or(format!("question {index}"));
+    let Some(call) = &followed.call else {
+        return Vec::new();
+    };
+    let mut broken = Vec::new();
+    if !followed.expected.starts_with(&call.text) {
+        broken.push(format!("{name}: got another's answer {:?}", call.text));
+    }
+    let completed = matches!(call.end, Some(CallEnd::Outcome(Outcome::Completed { .. })));
+    if completed && call.text != followed.expected {
+        broken.push(format!("{name}: only part of its answer"));
+    }
+    if call.end.is_none() && !followed.is_stranded() {
+        broken.push(format!("{name}: never told how it ended"));
+    }
+    let runs = followed
+        .key
+        .as_ref()
+        .and_then(|key| scenario.world.service().runs.get(key))
+        .copied()
+        .unwrap_or(0);
+    if followed.runs_when_refused.is_some_and(|before| before > 0) {
+        broken.push(format!("{name}: \"not run\" was said though it ran"));
+    }
+    let resent = scenario
+        .calls
+        .iter()
+        .filter(|c| c.key == followed.key)
+        .count()
+        > 1;
+    if followed.runs_when_refused.is_some() && runs > 0 && !resent {
+        broken.push(format!("{name}: ran after \"not run\" was said"));
+    }
+    let is_slot = name.starts_with("slot");
+    if completed && is_slot && runs != 1 {
+        broken.push(format!("{name}: completed with {runs} runs"));
+    }
+    broken
+}
+
+/// What is recorded of a key must agree with what ran.
+fn check_claim(scenario: &mut Scenario, key: &str) {
+    scenario.settle(key);
+    let team = scenario.team.clone();
+    let claim = scenario
+        .world
+        .live_entry(0)
+        .and_then(|index| scenario.world.entry(index))
+        .and_then(|entry| entry.claim(&team, key));
+    let Some(claim) = claim else { return };
+    let runs = scenario.world.service().runs.get(key).copied().unwrap_or(0);
+    let is_slot = key.starts_with("slot");
+    match claim.state {
+        ClaimState::NotRun if runs > 0 => scenario
+            .broken
+            .push(format!("{key}: recorded as not run, but it ran")),
+        ClaimState::Completed { .. } if is_slot && runs != 1 => scenario
+            .broken
+            .push(format!("{key}: recorded as completed with {runs} runs")),
+        ClaimState::Pending => scenario
+            .broken
+            .push(format!("{key}: its outcome can never be told")),
+        _ => {}
+    }
+}
+
+/// A daemon that lives never goes back to an older manifest, and in the end
+/// the last accepted one is in force everywhere.
+fn check_generations(scenario: &mut Scenario) {
+    let history = scenario.generations.clone();
+    for pair in history.windows(2) {
+        for (before, after) in pair[0].iter().zip(pair[1]) {
+            // Zero is a daemon that has just come back and serves nothing yet.
+            if after != 0 && after < *before {
+                scenario
+                    .broken
+                    .push(format!("generation {before} reverted to {after}"));
+            }
+        }
+    }
+    let last = scenario.accepted_generations.iter().max().copied();
+    for index in 0..3 {
+        if let (Some(entry), Some(last)) = (scenario.world.entry(index), last) {
+            let in_force = entry.generation();
+            if in_force < last {
+                scenario.broken.push(format!(
+                    "entry {index} has {in_force} in force, {last} was accepted"
+                ));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_faults/src/scenario.rs
@@ -0,0 +1,437 @@
+//! The work that goes on while faults strike.
+
+use crate::invariants;
+use crate::plan::{Fault, Plan, Step};
+use crate::world::{DESK, MODEL, World};
+use bluebellreel_entry::bench::{BenchCall, BenchQuestion};
+use bluebellreel_job::JobState;
+use bluebellreel_types::{ChatBody, JobId, ModelName, Moment, TeamName, Work, WorkKind};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Items of each job of chat completions.
+pub(crate) const NOTES: u32 = 24;
+/// The item that can never be done.
+pub(crate) const IMPOSSIBLE_NOTE: u32 = 7;
+/// Tokens of each item.
+pub(crate) const TOKENS: u32 = 4;
+/// Items of the job of bookings.
+pub(crate) const BOOKINGS: u32 = 8;
+/// Longest time until everything must be over.
+const LONGEST: Duration = Duration::from_mins(4);
+/// Pause before a caller sends again.
+const RESEND_PAUSE: Duration = Duration::from_secs(1);
+/// When the bulk booking is cancelled.
+const CANCEL_AFTER: Duration = Duration::from_millis(200);
+/// Time that an online caller waits.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A job as its caller follows it.
+#[derive(Clone, Debug)]
+pub(crate) struct FollowedJob {
+    pub(crate) key: &'static str,
+    pub(crate) body: String,
+    pub(crate) id: JobId,
+    pub(crate) accepted: bool,
+    pub(crate) resend_at: Moment,
+}
+
+/// An online call as its caller follows it.
+pub(crate) struct FollowedCall {
+    pub(crate) key: Option<String>,
+    pub(crate) work: Work,
+    pub(crate) expected: String,
+    pub(crate) call: Option<BenchCall>,
+    /// Runs of the key when "not run" was told.
+    pub(crate) runs_when_refused: Option<u32>,
+}
+
+impl FollowedCall {
+    /// Whether nobody can answer it any more: its daemon died.
+    pub(crate) fn is_stranded(&self) -> bool {
+        self.call.as_ref().is_none_or(BenchCall::is_stranded)
+    }
+}
+
+/// Everything that is going on.
+pub(crate) struct Scenario {
+    pub(crate) world: World,
+    pub(crate) team: TeamName,
+    pub(crate) jobs: BTreeMap<&'static str, FollowedJob>,
+    pub(crate) calls: Vec<FollowedCall>,
+    pub(crate) cancel_told: Option<JobState>,
+    pub(crate) lines_at_cancel: Option<usize>,
+    pub(crate) generations: Vec<[u64; 3]>,
+    pub(crate) accepted_generations: Vec<u64>,
+    pub(crate) broken: Vec<String>,
+}
+
+/// How a run came out.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// What must hold and did not.
+    pub broken: Vec<String>,
+    /// Whether every planned fault struck.
+    pub struck: bool,
+    /// How often each step was reached.
+    pub reached: BTreeMap<Step, u32>,
+    /// Time until everything was over.
+    pub took: Duration,
+    /// Items of the plain service's job that ended in doubt.
+    pub in_doubt: usize,
+}
+
+/// Runs the work through a plan's faults and checks what must always hold.
+#[must_use]
+pub fn run_plan(plan: &Plan) -> Report {
+    let mut scenario = Scenario::new(plan);
+    let begun = scenario.world.now();
+    scenario.world.run_for(Duration::from_millis(600));
+    scenario.put_manifest(0, 0);
+    scenario.start_jobs();
+    scenario.start_calls();
+    if plan.owner_dies {
+        scenario.world.run_for(Duration::from_millis(300));
+        let back = scenario.world.now() + Duration::from_secs(15);
+        scenario.world.kill_entry(0, Some(back));
+    }
+    let cancel_at = scenario.world.now() + CANCEL_AFTER;
+    let until = begun + LONGEST;
+    while !until.is_past(scenario.world.now()) && !scenario.is_over() {
+        scenario.world.turn();
+        scenario.react();
+        if cancel_at.is_past(scenario.world.now()) {
+            scenario.cancel_harps(1);
+        }
+        scenario.note_generations();
+    }
+    let took = scenario.world.now().since(begun);
+    // Late and doubled messages still arrive, and nothing may come of them.
+    scenario.world.run_for(Duration::from_secs(15));
+    scenario.react();
+    let in_doubt = invariants::check(&mut scenario);
+    let kv = scenario.world.kv.clone();
+    Report {
+        broken: scenario.broken,
+        struck: kv.with(|kv| kv.all_struck()),
+        reached: Step::ALL
+            .iter()
+            .map(|step| (*step, kv.with(|kv| kv.reached(*step))))
+            .collect(),
+        took,
+        in_doubt,
+    }
+}
+
+/// A note's prompt.
+pub(crate) fn note_prompt(job: &str, number: u32) -> String {
+    if number == IMPOSSIBLE_NOTE {
+        format!("impossible {job} {number}")
+    } else {
+        format!("{job} {number}")
+    }
+}
+
+fn chat(prompt: &str) -> serde_json::Value {
+    json!({
+        "model": MODEL,
+        "messages": [{ "role": "user", "content": prompt }],
+        "max_tokens": TOKENS,
+    })
+}
+
+fn notes(job: &str) -> String {
+    let line = |number| {
+        json!({
+            "custom_id": format!("{job}-{number}"),
+            "method": "POST",
+            "url": "/v1/chat/completions",
+            "body": chat(&note_prompt(job, number)),
+        })
+        .to_string()
+    };
+    (0..NOTES).map(line).collect::<Vec<_>>().join("\n")
+}
+
+fn bookings() -> String {
+    let line = |number: u32| {
+        json!({
+            "custom_id": format!("harp-{number}"),
+            "method": "POST",
+            "url": format!("/services/{DESK}/bookings"),
+            "body": {},
+        })
+        .to_string()
+    };
+    (0..BOOKINGS).map(line).collect::<Vec<_>>().join("\n")
+}
+
+impl Scenario {
+    fn new(plan: &Plan) -> Self {
+        Self {
+            world: World::new(plan),
+            team: TeamName::from("school"),
+            jobs: BTreeMap::new(),
+            calls: Vec::new(),
+            cancel_told: None,
+            lines_at_cancel: None,
+            generations: Vec::new(),
+            accepted_generations: Vec::new(),
+            broken: Vec::new(),
+        }
+    }
+
+    fn start_jobs(&mut self) {
+        for (key, entry, body) in [
+            ("notes", 0, notes("notes")),
+            ("bookings", 0, bookings()),
+            ("harps", 1, notes("harps")),
+        ] {
+            let id = JobId::derived(&self.team, key);
+            let job = FollowedJob {
+                key,
+                body,
+                id,
+                accepted: false,
+                resend_at: Moment(0),
+            };
+            self.jobs.insert(key, job);
+            self.submit(key, entry);
+        }
+    }
+
+    /// Submits a job through the first live daemon from `from` on.
+    fn submit(&mut self, key: &'static str, from: usize) {
+        let now = self.world.now();
+        let deadline = now + Duration::from_hours(1);
+        let team = self.team.clone();
+        let body = self.jobs[key].body.clone();
+        let Some(index) = self.world.live_entry(from) else {
+            return;
+        };
+        let Some(entry) = self.world.entry(index) else {
+            return;
+        };
+        let answer = entry.submit(&team, key, body.as_bytes(), deadline);
+        self.world.carry_out_struck();
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        // An answer of a daemon that died meanwhile reaches nobody.
+        let heard = answer.is_ok() && self.world.entry(index).is_some();
+        if heard {
+            job.accepted = true;
+            for strike in self.world.kv.with(|kv| kv.reach(Step::Acknowledge)) {
+                self.world.strike(strike, index, 0);
+            }
+        } else {
+            job.resend_at = self.world.now() + RESEND_PAUSE;
+        }
+    }
+
+    fn start_calls(&mut self) {
+        for (number, key) in [None, None, Some("answer-1")].into_iter().enumerate() {
+            let prompt = format!("pass window {number}");
+            let body = chat(&prompt).to_string();
+            let chat = ChatBody::try_from(body.as_bytes()).expect("a valid body");
+            let work = chat.into_work(self.team.clone(), key);
+            let expected = bluebellreel_standins::expected_answer(&prompt, TOKENS);
+            self.start_call(number, key, work, expected);
+        }
+        for number in 0..2 {
+            let key = format!("slot-{number}");
+            let work = self.slot(&key);
+            self.start_call(number, Some(&key), work, String::new());
+        }
+    }
+
+    fn slot(&self, key: &str) -> Work {
+        Work {
+            kind: WorkKind::Call {
+                method: Arc::from("POST"),
+                path: Arc::from("/bookings"),
+            },
+            model: ModelName::from(DESK),
+            body: Arc::from(*b"{}"),
+            tokens: 1,
+            prefix: 0,
+            repeatable: false,
+            key: Arc::from(key),
+            team: self.team.clone(),
+        }
+    }
+
+    fn start_call(&mut self, from: usize, key: Option<&str>, work: Work, expected: String) {
+        let deadline = self.world.now() + PATIENCE;
+        let call = self
+            .world
+            .live_entry(from)
+            .and_then(|index| self.world.entry(index))
+            .map(|entry| entry.call(work.clone(), deadline));
+        self.calls.push(FollowedCall {
+            key: key.map(str::to_owned),
+            work,
+            expected,
+            call,
+            runs_when_refused: None,
+        });
+    }
+
+    /// What callers and operators do as things come about.
+    fn react(&mut self) {
+        let now = self.world.now();
+        let unheard: Vec<&'static str> = self
+            .jobs
+            .values()
+            .filter(|job| !job.accepted && job.resend_at.is_past(now))
+            .map(|job| job.key)
+            .collect();
+        for key in unheard {
+            self.submit(key, 1);
+        }
+        for call in &mut self.calls {
+            if let Some(call) = &mut call.call {
+                call.poll();
+            }
+        }
+        invariants::note_refusals(self);
+        for fault in std::mem::take(&mut self.world.asked) {
+            match fault {
+                Fault::CallerResends => self.resend_all(),
+                _ => self.race(),
+            }
+        }
+    }
+
+    /// The caller takes everything for lost and sends it again elsewhere.
+    fn resend_all(&mut self) {
+        for key in ["notes", "bookings", "harps"] {
+            if self.jobs.contains_key(key) {
+                self.submit(key, 2);
+            }
+        }
+        for index in 0..self.calls.len() {
+            let call = &self.calls[index];
+            if let Some(key) = call.key.clone() {
+                let (work, expected) = (call.work.clone(), call.expected.clone());
+                self.start_call(2, Some(&key), work, expected);
+            }
+        }
+    }
+
+    /// Two phones act at once.
+    fn race(&mut self) {
+        self.cancel_harps(2);
+        self.cancel_harps(1);
+        let seen = self.accepted_generations.iter().max().copied();
+        self.put_manifest(1, seen.unwrap_or(0));
+        self.put_manifest(2, seen.unwrap_or(0));
+    }
+
+    fn put_manifest(&mut self, from: usize, seen: u64) {
+        let manifest = "[[services]]\nname = \"desk\"\n";
+        let put = self
+            .world
+            .live_entry(from)
+            .and_then(|index| self.world.entry(index))
+            .map(|entry| entry.put_manifest(seen, manifest));
+        self.world.carry_out_struck();
+        if let Some(Ok(generation)) = put {
+            if self.accepted_generations.contains(&generation) {
+                self.broken
+                    .push(format!("generation {generation} was accepted twice"));
+            }
+            self.accepted_generations.push(generation);
+        }
+    }
+
+    /// Cancels the job of harps unless it was cancelled before.
+    fn cancel_harps(&mut self, from: usize) {
+        let (Some(job), None) = (self.jobs.get("harps"), &self.cancel_told) else {
+            return;
+        };
+        if !job.accepted {
+            return;
+        }
+        let id = job.id.clone();
+        let Some(index) = self.world.live_entry(from) else {
+            return;
+        };
+        let told = self.world.entry(index).map(|entry| entry.cancel(&id));
+        self.world.carry_out_struck();
+        if let (Some(Ok(state)), true) = (told, self.world.entry(index).is_some()) {
+            self.cancel_told = Some(state);
+            self.lines_at_cancel = self.recorded("harps");
+        }
+    }
+
+    /// Results of a job that are recorded as succeeded or failed.
+    pub(crate) fn recorded(&mut self, key: &str) -> Option<usize> {
+        let id = self.jobs[key].id.clone();
+        let index = self.world.live_entry(0)?;
+        let lines = self.world.entry(index)?.results(&id);
+        self.world.carry_out_struck();
+        let ended = |line: &&bluebellreel_entry::bench::BenchLine| line.status != "cancelled";
+        Some(lines?.iter().filter(ended).count())
+    }
+
+    fn note_generations(&mut self) {
+        let mut all = self.generations.last().copied().unwrap_or_default();
+        for (index, known) in all.iter_mut().enumerate() {
+            if let Some(entry) = self.world.entry(index) {
+                *known = entry.generation();
+            }
+        }
+        if self.generations.last() != Some(&all) {
+            self.generations.push(all);
+        }
+    }
+
+    fn is_over(&mut self) -> bool {
+        if self.calls.iter().any(|c| {
+            let waiting = c.call.as_ref().is_some_and(|call| call.end.is_none());
+            waiting && !c.is_stranded()
+        }) {
+            return false;
+        }
+        if self.cancel_told.is_none() {
+            return false;
+        }
+        let ids: Vec<JobId> = self.jobs.values().map(|job| job.id.clone()).collect();
+        let Some(index) = self.world.live_entry(0) else {
+            return false;
+        };
+        ids.iter().all(|id| {
+            self.world
+                .entry(index)
+                .and_then(|entry| entry.job_state(id))
+                .is_some_and(|state| state != JobState::Running)
+        })
+    }
+
+    /// Asks what became of a key until somebody can tell.
+    pub(crate) fn settle(&mut self, key: &str) {
+        for _ in 0..40 {
+            let Some(index) = self.world.live_entry(0) else {
+                return;
+            };
+            let team = self.team.clone();
+            let question: Option<BenchQuestion> = self
+                .world
+                .entry(index)
+                .and_then(|entry| entry.ask_claim(&team, key));
+            self.world.run_for(Duration::from_millis(500));
+            let (Some(question), Some(entry)) = (question, self.world.entry(index)) else {
+                continue;
+            };
+            entry.settle(&question);
+            let claim = entry.claim(&team, key);
+            let open = claim.is_none_or(|c| c.state == bluebellreel_claim::ClaimState::Pending);
+            if !open {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_faults/src/world.rs
@@ -0,0 +1,734 @@
+//! Entry daemons, side processes and what lies between, under one clock.
+
+use crate::backend::{Backend, BackendEvent, BackendKind};
+use crate::kv::{FakeKv, KvHandle};
+use crate::net::{Envelope, Link, Net, Payload};
+use crate::plan::{Fault, Plan, Step, Strike};
+use bluebellreel_admission::AdmissionLimits;
+use bluebellreel_entry::bench::EntryBench;
+use bluebellreel_rpc::{EntryCommand, EntryNotice, PullAnswer, SideCommand, SideNotice};
+use bluebellreel_settings::parse_entry;
+use bluebellreel_side::BackendOrder;
+use bluebellreel_side::bench::SideBench;
+use bluebellreel_types::{
+    AttemptId, Clock, DataCentre, Dispatch, EntryName, Incarnation, LoadReport, ModelName, Moment,
+    SideHello, WorkerName,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Entry daemons.
+pub const ENTRIES: usize = 3;
+/// Side processes; the last one stands beside the plain service.
+pub const SIDES: usize = 4;
+/// The side process beside the plain service.
+pub const SERVICE: usize = SIDES - 1;
+/// The model that the engines serve.
+pub const MODEL: &str = "rental-assistant";
+/// The plain service.
+pub const DESK: &str = "desk";
+
+/// Time that one turn of the world takes.
+const TURN: Duration = Duration::from_millis(10);
+/// Time of a message on its way.
+const LATENCY: Duration = Duration::from_millis(1);
+/// Time until a dead side process is back.
+const SIDE_AWAY: Duration = Duration::from_secs(1);
+/// Time until a dead entry daemon is back.
+const ENTRY_AWAY: Duration = Duration::from_secs(10);
+/// Time that a paused entry daemon sleeps.
+const PAUSE: Duration = Duration::from_secs(12);
+/// Delay of a late message.
+const DELAY: Duration = Duration::from_secs(8);
+/// Delay of a doubled message's second arrival.
+const SECOND: Duration = Duration::from_secs(1);
+/// Between two renewals of a lease.
+const RENEWAL: Duration = Duration::from_millis(1_600);
+/// Between two readings of leases, jobs and manifest.
+const READING: Duration = Duration::from_millis(400);
+/// Between two load reports.
+const LOADING: Duration = Duration::from_secs(1);
+
+enum EntryState {
+    Up,
+    /// Its calls and messages wait.
+    Paused(Moment),
+    /// Comes back as another run, or never.
+    Dead(Option<Moment>),
+}
+
+struct EntryNode {
+    bench: Option<EntryBench>,
+    state: EntryState,
+    renew_at: Moment,
+    read_at: Moment,
+}
+
+struct SideNode {
+    bench: Option<SideBench>,
+    incarnation: Incarnation,
+    back_at: Moment,
+    backend: Backend,
+    load_at: Moment,
+}
+
+struct Pull {
+    link: Link,
+    rx: oneshot::Receiver<Vec<Dispatch>>,
+}
+
+/// What a message-fault waits for.
+#[derive(Default)]
+struct MessageFaults {
+    late: u32,
+    doubled: u32,
+    crossed: u32,
+    held: Option<Envelope>,
+}
+
+/// The world.
+pub struct World {
+    /// Its clock.
+    pub clock: Clock,
+    /// Its key-value service.
+    pub kv: KvHandle,
+    entries: Vec<EntryNode>,
+    sides: Vec<SideNode>,
+    connected: BTreeSet<Link>,
+    net: Net,
+    message_faults: MessageFaults,
+    pulls: Vec<Pull>,
+    senders: BTreeMap<AttemptId, usize>,
+    /// Faults that the scenario must carry out: resends and races.
+    pub asked: Vec<Fault>,
+    /// Attempts handed to backend servers, by job, with the time.
+    pub started: Vec<(Moment, Dispatch)>,
+}
+
+impl World {
+    /// A world in which the plan's faults will strike.
+    #[must_use]
+    pub fn new(plan: &Plan) -> Self {
+        bluebellreel_types::seed_ids(plan.seed);
+        let clock = Clock::standing_at(Moment(1_700_000_000_000_000));
+        let kv = KvHandle::new(clock.clone(), plan.strikes.clone());
+        let mut world = Self {
+            entries: Vec::new(),
+            sides: Vec::new(),
+            connected: BTreeSet::new(),
+            net: Net::default(),
+            message_faults: MessageFaults::default(),
+            pulls: Vec::new(),
+            senders: BTreeMap::new(),
+            asked: Vec::new(),
+            started: Vec::new(),
+            clock,
+            kv,
+        };
+        for index in 0..SIDES {
+            let kind = if index == SERVICE {
+                BackendKind::Service
+            } else {
+                BackendKind::Engine
+            };
+            world.sides.push(SideNode {
+                bench: None,
+                incarnation: Incarnation(0),
+                back_at: Moment(0),
+                backend: Backend::new(kind),
+                load_at: Moment(0),
+            });
+        }
+        for index in 0..ENTRIES {
+            let bench = world.new_entry(index);
+            world.entries.push(EntryNode {
+                bench: Some(bench),
+                state: EntryState::Up,
+                renew_at: Moment(0),
+                read_at: Moment(0),
+            });
+        }
+        world
+    }
+
+    /// The present.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// The plain service.
+    #[must_use]
+    pub fn service(&self) -> &Backend {
+        &self.sides[SERVICE].backend
+    }
+
+    fn new_entry(&self, index: usize) -> EntryBench {
+        let hash = "0".repeat(64);
+        let settings = format!(
+            "name = \"entry-{index}\"\ndata_centre = \"Sligo\"\nlisten = \"127.0.0.1:0\"\n\
+             [platform]\nkv = \"http://127.0.0.1:1\"\nvm_list = \"http://127.0.0.1:1\"\n\
+             kv_calls_per_second = 100000\n\
+             [[teams]]\nname = \"school\"\ntoken_sha256 = \"{hash}\"\n"
+        );
+        let settings = parse_entry("world", &settings).expect("valid settings");
+        let send = self.kv.transport(index);
+        let mut bench = EntryBench::new(settings, send, self.clock.clone());
+        bench.list(&workers());
+        bench
+    }
+
+    /// An entry daemon that can be talked to now.
+    pub fn entry(&mut self, index: usize) -> Option<&mut EntryBench> {
+        let node = &mut self.entries[index];
+        match node.state {
+            EntryState::Up => node.bench.as_mut(),
+            EntryState::Paused(_) | EntryState::Dead(_) => None,
+        }
+    }
+
+    /// The first entry daemon, from `from` on, that can be talked to.
+    #[must_use]
+    pub fn live_entry(&self, from: usize) -> Option<usize> {
+        (0..ENTRIES)
+            .map(|offset| (from + offset) % ENTRIES)
+            .find(|index| matches!(self.entries[*index].state, EntryState::Up))
+    }
+
+    /// Lets the world run for a while.
+    pub fn run_for(&mut self, span: Duration) {
+        let until = self.now() + span;
+        while !until.is_past(self.now()) {
+            self.turn();
+        }
+    }
+
+    /// One turn: everybody does what is due.
+    pub fn turn(&mut self) {
+        self.clock.advance(TURN);
+        self.kv.with(FakeKv::expire);
+        self.revive();
+        self.connect_all();
+        for index in 0..ENTRIES {
+            self.run_entry(index);
+        }
+        for index in 0..SIDES {
+            self.run_side(index);
+        }
+        self.answer_pulls();
+        self.deliver_arrived();
+        self.carry_out_struck();
+    }
+
+    fn revive(&mut self) {
+        let now = self.now();
+        for index in 0..ENTRIES {
+            match self.entries[index].state {
+                EntryState::Paused(until) if until.is_past(now) => {
+                    self.entries[index].state = EntryState::Up;
+                    self.kv.with(|kv| {
+                        kv.set_silent(index, false);
+                        kv.release_held(index);
+                    });
+                }
+                EntryState::Dead(Some(back)) if back.is_past(now) => {
+                    self.kv.with(|kv| kv.set_silent(index, false));
+                    let bench = self.new_entry(index);
+                    let node = &mut self.entries[index];
+                    node.bench = Some(bench);
+                    node.state = EntryState::Up;
+                    node.renew_at = now;
+                    node.read_at = now;
+                }
+                _ => {}
+            }
+        }
+        for side in &mut self.sides {
+            if side.bench.is_none() && side.back_at.is_past(now) {
+                side.incarnation = Incarnation::random();
+                let limits = AdmissionLimits {
+                    window: 6,
+                    ..AdmissionLimits::default()
+                };
+                let mut bench = SideBench::new(side.incarnation, limits, self.clock.clone());
+                bench.serve(vec![model_of(side.backend.kind)]);
+                side.bench = Some(bench);
+            }
+        }
+    }
+
+    fn connect_all(&mut self) {
+        for entry in 0..ENTRIES {
+            for side in 0..SIDES {
+                let link = Link { entry, side };
+                if !self.connected.contains(&link) {
+                    self.connect(link);
+                }
+            }
+        }
+    }
+
+    fn connect(&mut self, link: Link) {
+        let up = matches!(self.entries[link.entry].state, EntryState::Up);
+        let side = &mut self.sides[link.side];
+        let (true, Some(bench)) = (up, side.bench.as_mut()) else {
+            return;
+        };
+        let Some(entry) = self.entries[link.entry].bench.as_mut() else {
+            return;
+        };
+        bench.notice(SideNotice::Connected(entry.name.clone()));
+        entry.notice(EntryNotice::Connected(SideHello {
+            worker: worker_name(link.side),
+            incarnation: side.incarnation,
+            data_centre: DataCentre::from("Sligo"),
+            models: vec![model_of(side.backend.kind)],
+        }));
+        self.connected.insert(link);
+    }
+
+    fn disconnect(&mut self, link: Link) {
+        if !self.connected.remove(&link) {
+            return;
+        }
+        self.net.cut(link);
+        self.pulls.retain(|pull| pull.link != link);
+        if let Some(entry) = self.entries[link.entry].bench.as_mut() {
+            entry.notice(EntryNotice::Lost(worker_name(link.side)));
+        }
+        if let Some(side) = self.sides[link.side].bench.as_mut() {
+            side.notice(SideNotice::Lost(entry_name(link.entry)));
+        }
+    }
+
+    fn run_entry(&mut self, index: usize) {
+        let now = self.now();
+        let node = &mut self.entries[index];
+        let (EntryState::Up, Some(bench)) = (&node.state, node.bench.as_mut()) else {
+            return;
+        };
+        if node.renew_at.is_past(now) {
+            node.renew_at = now + RENEWAL;
+            bench.renew_lease();
+        }
+        if node.read_at.is_past(now) {
+            node.read_at = now + READING;
+            bench.read_all();
+        }
+        bench.handle_messages();
+        bench.tick();
+        // A task that strikes a fault is the entry's last one for now.
+        while bench.run_kv_task() {
+            if self.kv.with(|kv| kv.has_struck()) {
+                break;
+            }
+            bench.handle_messages();
+        }
+        let mut commands = Vec::new();
+        while let Some(command) = bench.command() {
+            commands.push(command);
+        }
+        self.carry_out_struck();
+        if !matches!(self.entries[index].state, EntryState::Up) {
+            return;
+        }
+        for command in commands {
+            self.send_to_side(index, command);
+        }
+    }
+
+    fn send_to_side(&mut self, entry: usize, command: EntryCommand) {
+        let side = match &command {
+            EntryCommand::Submit { worker, .. }
+            | EntryCommand::Cancel { worker, .. }
+            | EntryCommand::Offer { worker, .. }
+            | EntryCommand::Withdraw { worker, .. }
+            | EntryCommand::Configure { worker, .. }
+            | EntryCommand::Drain(worker) => side_index(worker),
+            EntryCommand::Connect { .. } | EntryCommand::Forget(_) => return,
+        };
+        let is_dispatch = matches!(command, EntryCommand::Submit { .. });
+        if let EntryCommand::Submit { dispatch, .. } = &command {
+            self.senders.insert(dispatch.attempt, entry);
+        }
+        let link = Link { entry, side };
+        let step = is_dispatch.then_some(Step::Dispatch);
+        self.send(link, Payload::ToSide(command), step);
+    }
+
+    /// Sends a message; the step that it is may be struck by a fault.
+    fn send(&mut self, link: Link, payload: Payload, step: Option<Step>) {
+        let strikes = step.map(|step| self.kv.with(|kv| kv.reach(step)));
+        for strike in strikes.unwrap_or_default() {
+            self.strike(strike, link.entry, link.side);
+        }
+        if !self.connected.contains(&link) {
+            return;
+        }
+        let now = self.now();
+        let mut envelope = Envelope {
+            link,
+            at: now + LATENCY,
+            payload,
+            delayed: false,
+        };
+        // Only steps are struck by faults of messages; the chatter between
+        // them is resent anyway.
+        if step.is_some() {
+            let faults = &mut self.message_faults;
+            if faults.late > 0 {
+                faults.late -= 1;
+                envelope.at = now + DELAY;
+                envelope.delayed = true;
+            } else if faults.doubled > 0 {
+                faults.doubled -= 1;
+                let mut second = envelope.clone();
+                second.at = now + SECOND;
+                second.delayed = true;
+                self.net.send(second);
+            } else if faults.crossed > 0 {
+                faults.crossed -= 1;
+                faults.held = Some(envelope);
+                return;
+            }
+        }
+        let held = self.message_faults.held.take();
+        self.net.send(envelope);
+        if let Some(mut held) = held {
+            held.at = now + LATENCY * 2;
+            self.net.send(held);
+        }
+    }
+
+    fn run_side(&mut self, index: usize) {
+        let now = self.now();
+        let side = &mut self.sides[index];
+        let events = side.backend.step(now);
+        self.hand_in(index, events);
+        let side = &mut self.sides[index];
+        let Some(bench) = side.bench.as_mut() else {
+            return;
+        };
+        bench.tick();
+        if side.load_at.is_past(now) {
+            side.load_at = now + LOADING;
+            self.report_load(index);
+        }
+        self.carry_out_orders(index);
+        self.send_from_side(index);
+    }
+
+    fn hand_in(&mut self, index: usize, events: Vec<BackendEvent>) {
+        let Some(bench) = self.sides[index].bench.as_mut() else {
+            return;
+        };
+        for event in events {
+            match event {
+                BackendEvent::Text(attempt, text) => bench.text(attempt, &text, 1),
+                BackendEvent::End(attempt, end) => bench.end(attempt, end),
+            }
+        }
+    }
+
+    fn report_load(&mut self, index: usize) {
+        let Some(bench) = self.sides[index].bench.as_mut() else {
+            return;
+        };
+        let (answer, mut rx) = oneshot::channel();
+        bench.notice(SideNotice::LoadAsked(answer));
+        let Ok(load): Result<LoadReport, _> = rx.try_recv() else {
+            return;
+        };
+        for entry in 0..ENTRIES {
+            let link = Link { entry, side: index };
+            let up = matches!(self.entries[entry].state, EntryState::Up);
+            if up
+                && self.connected.contains(&link)
+                && let Some(bench) = self.entries[entry].bench.as_mut()
+            {
+                let worker = worker_name(index);
+                let load = load.clone();
+                bench.notice(EntryNotice::Load { worker, load });
+            }
+        }
+    }
+
+    fn carry_out_orders(&mut self, index: usize) {
+        let now = self.now();
+        while let Some(order) = self.sides[index].bench.as_mut().and_then(SideBench::order) {
+            match order {
+                BackendOrder::Start(dispatch) => {
+                    for strike in self.kv.with(|kv| kv.reach(Step::Run)) {
+                        let entry = self.entry_of(&dispatch);
+                        self.strike(strike, entry, index);
+                    }
+                    if self.sides[index].bench.is_none() {
+                        return;
+                    }
+                    self.started.push((now, (*dispatch).clone()));
+                    let attempt = dispatch.attempt;
+                    if let Some(end) = self.sides[index].backend.start(&dispatch, now) {
+                        self.hand_in(index, vec![BackendEvent::End(attempt, end)]);
+                    }
+                }
+                BackendOrder::Cancel(attempt) => {
+                    let event = self.sides[index].backend.cancel(attempt);
+                    self.hand_in(index, event.into_iter().collect());
+                }
+            }
+        }
+    }
+
+    fn entry_of(&self, dispatch: &Dispatch) -> usize {
+        let sender = self.senders.get(&dispatch.attempt);
+        sender.copied().unwrap_or(0)
+    }
+
+    fn send_from_side(&mut self, index: usize) {
+        while let Some(command) = self.sides[index]
+            .bench
+            .as_mut()
+            .and_then(SideBench::command)
+        {
+            let (entry, step) = match &command {
+                SideCommand::Part { attempt, .. } => (self.senders.get(attempt).copied(), None),
+                SideCommand::End { attempt, .. } => {
+                    (self.senders.get(attempt).copied(), Some(Step::Result))
+                }
+                SideCommand::Pull { entry, .. } => (Some(entry_index(entry)), None),
+                SideCommand::Report { entry, .. } => (Some(entry_index(entry)), Some(Step::Result)),
+            };
+            let Some(entry) = entry else { continue };
+            let link = Link { entry, side: index };
+            self.send(link, Payload::ToEntry(command), step);
+            if self.sides[index].bench.is_none() {
+                return;
+            }
+        }
+    }
+
+    fn answer_pulls(&mut self) {
+        for mut pull in std::mem::take(&mut self.pulls) {
+            match pull.rx.try_recv() {
+                Ok(items) => {
+                    for item in &items {
+                        self.senders.insert(item.attempt, pull.link.entry);
+                    }
+                    let step = (!items.is_empty()).then_some(Step::Dispatch);
+                    let name = entry_name(pull.link.entry);
+                    self.send(pull.link, Payload::Items(name, items), step);
+                }
+                Err(oneshot::error::TryRecvError::Empty) => self.pulls.push(pull),
+                Err(oneshot::error::TryRecvError::Closed) => {
+                    let name = entry_name(pull.link.entry);
+                    self.send(pull.link, Payload::Items(name, Vec::new()), None);
+                }
+            }
+        }
+    }
+
+    fn deliver_arrived(&mut self) {
+        let mut waiting = Vec::new();
+        while let Some(envelope) = self.net.arrived(self.now()) {
+            let entry_paused = matches!(
+                self.entries[envelope.link.entry].state,
+                EntryState::Paused(_)
+            );
+            match envelope.payload {
+                Payload::ToSide(command) => self.deliver_to_side(envelope.link, command),
+                Payload::Items(entry, items) => {
+                    if let Some(side) = self.sides[envelope.link.side].bench.as_mut() {
+                        side.notice(SideNotice::Pulled { entry, items });
+                    }
+                }
+                // A paused process reads its sockets when it wakes.
+                Payload::ToEntry(command) if entry_paused => waiting.push(Envelope {
+                    payload: Payload::ToEntry(command),
+                    ..envelope
+                }),
+                Payload::ToEntry(command) => self.deliver_to_entry(envelope.link, command),
+            }
+        }
+        self.net.put_back(waiting);
+    }
+
+    fn deliver_to_side(&mut self, link: Link, command: EntryCommand) {
+        let entry = entry_name(link.entry);
+        let Some(side) = self.sides[link.side].bench.as_mut() else {
+            return;
+        };
+        match command {
+            EntryCommand::Submit { dispatch, .. } => {
+                side.notice(SideNotice::Submitted { entry, dispatch });
+            }
+            EntryCommand::Cancel { attempt, .. } => {
+                let (answer, mut rx) = oneshot::channel();
+                side.notice(SideNotice::CancelAsked { attempt, answer });
+                let verdict = rx.try_recv().expect("a verdict is given at once");
+                if let Some(bench) = self.entries[link.entry].bench.as_mut() {
+                    bench.notice(EntryNotice::Verdict { attempt, verdict });
+                }
+            }
+            EntryCommand::Offer { waiting, .. } => {
+                side.notice(SideNotice::Offered { entry, waiting });
+            }
+            EntryCommand::Withdraw { attempts, .. } => {
+                side.notice(SideNotice::Withdrawn(attempts));
+            }
+            EntryCommand::Configure {
+                generation,
+                manifest,
+                ..
+            } => {
+                let (answer, mut rx) = oneshot::channel();
+                side.notice(SideNotice::Configured {
+                    generation,
+                    manifest,
+                    answer,
+                });
+                if let (Ok(generation), Some(bench)) =
+                    (rx.try_recv(), self.entries[link.entry].bench.as_mut())
+                {
+                    let worker = worker_name(link.side);
+                    bench.notice(EntryNotice::Applied { worker, generation });
+                }
+            }
+            EntryCommand::Drain(_) => side.notice(SideNotice::DrainAsked),
+            EntryCommand::Connect { .. } | EntryCommand::Forget(_) => {}
+        }
+    }
+
+    fn deliver_to_entry(&mut self, link: Link, command: SideCommand) {
+        let worker = worker_name(link.side);
+        let Some(bench) = self.entries[link.entry].bench.as_mut() else {
+            return;
+        };
+        match command {
+            SideCommand::Part { attempt, text } => {
+                bench.notice(EntryNotice::Part { attempt, text });
+            }
+            SideCommand::End { attempt, end, load } => {
+                let load = Some(load);
+                bench.notice(EntryNotice::Ended {
+                    worker,
+                    attempt,
+                    end,
+                    load,
+                });
+            }
+            SideCommand::Pull { room, .. } => {
+                let (tx, rx) = oneshot::channel();
+                let answer = PullAnswer(tx);
+                bench.notice(EntryNotice::Pull {
+                    worker,
+                    room,
+                    answer,
+                });
+                self.pulls.push(Pull { link, rx });
+            }
+            SideCommand::Report { reports, .. } => {
+                bench.notice(EntryNotice::Reports { worker, reports });
+            }
+        }
+    }
+
+    /// Carries out faults that struck within calls to the key-value service.
+    pub fn carry_out_struck(&mut self) {
+        for (strike, entry) in self.kv.with(FakeKv::take_struck) {
+            let side = if strike.step == Step::Claim {
+                SERVICE
+            } else {
+                0
+            };
+            self.strike(strike, entry, side);
+        }
+    }
+
+    /// A fault strikes at the step of an entry daemon and a side process.
+    pub fn strike(&mut self, strike: Strike, entry: usize, side: usize) {
+        let now = self.now();
+        match strike.fault {
+            Fault::SideDies => self.kill_side(side),
+            Fault::WorkerDies => {
+                let events = self.sides[side].backend.die(now);
+                self.hand_in(side, events);
+            }
+            Fault::EntryDies => self.kill_entry(entry, Some(now + ENTRY_AWAY)),
+            Fault::VmLost => self.kill_entry(entry, None),
+            Fault::KvDown => self.kv.with(FakeKv::go_down),
+            Fault::KvSlow => self.kv.with(FakeKv::go_slow),
+            Fault::AnswerLost => self.kv.with(FakeKv::lose_answer),
+            Fault::LeaseLapses => self.pause_entry(entry),
+            Fault::MessageLate => self.message_faults.late += 1,
+            Fault::MessageDoubled => self.message_faults.doubled += 1,
+            Fault::AnswersCrossed => self.message_faults.crossed += 1,
+            Fault::CallerResends | Fault::OperatorsRace => self.asked.push(strike.fault),
+        }
+    }
+
+    fn kill_side(&mut self, side: usize) {
+        self.sides[side].bench = None;
+        self.sides[side].back_at = self.now() + SIDE_AWAY;
+        // A plain call that was sent runs on without anybody to hear of it.
+        self.sides[side].backend.drop_streams();
+        for entry in 0..ENTRIES {
+            self.disconnect(Link { entry, side });
+        }
+    }
+
+    /// Kills an entry daemon; it comes back then, or never.
+    pub fn kill_entry(&mut self, entry: usize, back: Option<Moment>) {
+        if matches!(self.entries[entry].state, EntryState::Dead(_)) {
+            return;
+        }
+        self.kv.with(|kv| kv.set_silent(entry, true));
+        self.entries[entry].state = EntryState::Dead(back);
+        self.entries[entry].bench = None;
+        for side in 0..SIDES {
+            self.disconnect(Link { entry, side });
+        }
+    }
+
+    fn pause_entry(&mut self, entry: usize) {
+        let now = self.now();
+        if !matches!(self.entries[entry].state, EntryState::Up) {
+            return;
+        }
+        self.kv.with(|kv| kv.set_silent(entry, true));
+        self.entries[entry].state = EntryState::Paused(now + PAUSE);
+    }
+}
+
+fn worker_name(side: usize) -> WorkerName {
+    WorkerName::from(format!("worker-{side}"))
+}
+
+fn side_index(worker: &WorkerName) -> usize {
+    let digits = worker.as_str().trim_start_matches("worker-");
+    digits.parse().expect("a worker of the world")
+}
+
+fn entry_name(entry: usize) -> EntryName {
+    EntryName::from(format!("entry-{entry}"))
+}
+
+fn entry_index(entry: &EntryName) -> usize {
+    let digits = entry.as_str().trim_start_matches("entry-");
+    digits.parse().expect("an entry of the world")
+}
+
+fn model_of(kind: BackendKind) -> ModelName {
+    ModelName::from(match kind {
+        BackendKind::Engine => MODEL,
+        BackendKind::Service => DESK,
+    })
+}
+
+fn workers() -> Vec<(WorkerName, SocketAddr, DataCentre)> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    (0..SIDES)
+        .map(|side| (worker_name(side), address, DataCentre::from("Sligo")))
+        .collect()
+}
--- a/crates/bluebellreel_job/src/owned.rs
+++ b/crates/bluebellreel_job/src/owned.rs
@@ -452,6 +452,9 @@
                 self.fail_item(index, &message, now);
             }
             AttemptEnd::Rejected { message, .. } => self.fail_attempt(index, &message, now),
+            AttemptEnd::NotRun(reason) if !reason.is_certain() && !self.repeatable => {
+                self.fail_item(index, "it may have run: the worker restarted", now);
+            }
             AttemptEnd::NotRun(_) => self.put_back(index),
             AttemptEnd::Broken { reason, partial } => {
                 self.note_break(lease, attempt, reason, partial, now);
--- /dev/null
+++ b/crates/bluebellreel_model/src/lib.rs
@@ -0,0 +1,20 @@
+//! Model checking of the core protocol.
+//!
+//! Two small specifications, each explored through all its states: the life of
+//! one call that may not be repeated ([`call`]), which drives the real
+//! admission and claim functions, and the ownership of one job's item
+//! ([`ownership`]). Guards can be left out, to show that the checker finds what
+//! each one is for.
+//!
+//! ```
+//! use bluebellreel_model::ownership::{self, Guards};
+//!
+//! let explored = ownership::explore(Guards::all());
+//! assert!(explored.violation.is_none());
+//! ```
+
+pub mod call;
+mod explored;
+pub mod ownership;
+
+pub use explored::Explored;
--- /dev/null
+++ b/crates/bluebellreel_model/tests/guards.rs
@@ -0,0 +1,80 @@
+//! All states hold with all guards; without one of them the checker finds why.
+
+use bluebellreel_model::{Explored, call, ownership};
+
+fn holds(name: &str, explored: &Explored) {
+    println!("{name}: {} states", explored.states);
+    assert!(explored.violation.is_none(), "{:?}", explored.violation);
+}
+
+fn found(name: &str, explored: &Explored, reason: &str) {
+    let violation = explored.violation.as_deref().unwrap_or("nothing");
+    let first = violation.lines().next().unwrap_or_default();
+    println!("{name}: found after {} states: {first}", explored.states);
+    assert!(violation.contains(reason), "{name}: {violation}");
+}
+
+#[test]
+fn all_states_hold_with_all_guards() {
+    holds("ownership", &ownership::explore(ownership::Guards::all()));
+    holds("call", &call::explore(call::Guards::all()));
+}
+
+/// An owner is paused while another takes the job over. Without the revision
+/// in its write, its late result stands beside the new owner's.
+#[test]
+fn without_the_revision_an_item_has_two_results() {
+    let guards = ownership::Guards {
+        revision: false,
+        ..ownership::Guards::all()
+    };
+    found("no revision", &ownership::explore(guards), "result");
+}
+
+/// The answer to a write is lost and the write is made again. Without keys
+/// that are created once, the result stands twice.
+#[test]
+fn without_create_once_a_lost_answer_doubles_a_result() {
+    let guards = ownership::Guards {
+        create_once: false,
+        ..ownership::Guards::all()
+    };
+    found("no create-once", &ownership::explore(guards), "two results");
+}
+
+/// A member sends a confirmation through two daemons. Without claims both run.
+#[test]
+fn without_claims_a_call_runs_twice() {
+    let guards = call::Guards {
+        claim: false,
+        ..call::Guards::all()
+    };
+    found("no claim", &call::explore(guards), "ran twice");
+}
+
+/// A dispatch is delayed; its side process says "never seen" and the member is
+/// told "not run". Without a tombstone the dispatch runs when it comes.
+#[test]
+fn without_the_tombstone_not_run_is_a_lie() {
+    let guards = call::Guards {
+        tombstone: false,
+        ..call::Guards::all()
+    };
+    found("no tombstone", &call::explore(guards), "run");
+}
+
+/// A side process restarts and knows nothing of the call that its predecessor
+/// ran. Without the incarnation a doubled dispatch is taken as a new one: the
+/// nearest harm is a "not run" that the predecessor's run makes a lie.
+#[test]
+fn without_the_incarnation_a_doubled_message_makes_a_lie() {
+    let guards = call::Guards {
+        incarnation: false,
+        ..call::Guards::all()
+    };
+    found(
+        "no incarnation",
+        &call::explore(guards),
+        "of a call that ran",
+    );
+}
--- a/crates/bluebellreel_routing/src/attempt.rs
+++ b/crates/bluebellreel_routing/src/attempt.rs
@@ -190,6 +190,9 @@
             let outcome = Outcome::Rejected { status, message };
             conclude(router, id, outcome, now, effects);
         }
+        AttemptEnd::NotRun(reason) if !reason.is_certain() && !request.work.repeatable => {
+            conclude(router, id, Outcome::Unknown, now, effects);
+        }
         AttemptEnd::NotRun(reason) if reason.is_worth_retry() => {
             try_again(router, id, reason, now, rng, effects);
         }
--- a/crates/bluebellreel_types/src/outcome.rs
+++ b/crates/bluebellreel_types/src/outcome.rs
@@ -36,6 +36,18 @@
 }
 
 impl NotRunReason {
+    /// Whether a side process that gives this reason speaks for its
+    /// predecessors too.
+    ///
+    /// Guards against a message that comes twice, with a restart between: the
+    /// first run of the side process ran the call, the second one refuses it
+    /// as not meant for it. Of a call that may not be repeated, that says
+    /// nothing about whether it ran.
+    #[must_use]
+    pub fn is_certain(self) -> bool {
+        self != Self::StaleIncarnation
+    }
+
     /// Whether another worker may well take the work.
     #[must_use]
     pub fn is_worth_retry(self) -> bool {
@@ -93,7 +105,7 @@
 }
 
 /// How one attempt ended, as the side process tells it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum AttemptEnd {
     /// The whole answer was delivered.
     Completed {
--- a/crates/bluebellreel_types/src/trace.rs
+++ b/crates/bluebellreel_types/src/trace.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 /// The ids of a `traceparent` header.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TraceContext {
     /// Shared by all spans of a request.
     pub trace: u128,
--- a/crates/bluebellreel_types/src/work.rs
+++ b/crates/bluebellreel_types/src/work.rs
@@ -18,7 +18,7 @@
 }
 
 /// What a backend server is asked to do.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum WorkKind {
     /// A chat completion by a model engine.
     Chat,
@@ -32,7 +32,7 @@
 }
 
 /// One unit of work, the same over all its attempts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Work {
     /// What is asked.
     pub kind: WorkKind,
@@ -53,7 +53,7 @@
 }
 
 /// One attempt handed to a side process.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Dispatch {
     /// The attempt.
     pub attempt: AttemptId,
