Kill and pause real processes; measure what jobs cost

Cause: the matrix drives the code by hand; real processes, sockets and signals were not shown, and the cost of a job was not known.

The matrix's members now ask elsewhere what became of their calls, since a trial that left the tombstone out was not found by it before.

--- a/crates/bluebellreel_faults/src/scenario.rs
+++ b/crates/bluebellreel_faults/src/scenario.rs
@@ -25,6 +25,8 @@
 const RESEND_PAUSE: Duration = Duration::from_secs(1);
 /// When the bulk booking is cancelled.
 const CANCEL_AFTER: Duration = Duration::from_millis(200);
+/// When members lose patience and ask elsewhere what became of their calls.
+const IMPATIENCE: Duration = Duration::from_millis(1_500);
 /// Time that an online caller waits.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -61,6 +63,7 @@
     pub(crate) team: TeamName,
     pub(crate) jobs: BTreeMap<&'static str, FollowedJob>,
     pub(crate) calls: Vec<FollowedCall>,
+    questions: Vec<(usize, BenchQuestion)>,
     pub(crate) cancel_told: Option<JobState>,
     pub(crate) lines_at_cancel: Option<usize>,
     pub(crate) generations: Vec<[u64; 3]>,
@@ -98,6 +101,7 @@
         scenario.world.kill_entry(0, Some(back));
     }
     let cancel_at = scenario.world.now() + CANCEL_AFTER;
+    let mut ask_at = Some(scenario.world.now() + IMPATIENCE);
     let until = begun + LONGEST;
     while !until.is_past(scenario.world.now()) && !scenario.is_over() {
         scenario.world.turn();
@@ -105,6 +109,10 @@
         if cancel_at.is_past(scenario.world.now()) {
             scenario.cancel_harps(1);
         }
+        if ask_at.is_some_and(|at| at.is_past(scenario.world.now())) {
+            ask_at = None;
+            scenario.ask_outcomes();
+        }
         scenario.note_generations();
     }
     let took = scenario.world.now().since(begun);
@@ -175,6 +183,7 @@
             team: TeamName::from("school"),
             jobs: BTreeMap::new(),
             calls: Vec::new(),
+            questions: Vec::new(),
             cancel_told: None,
             lines_at_cancel: None,
             generations: Vec::new(),
@@ -297,6 +306,7 @@
             }
         }
         invariants::note_refusals(self);
+        self.settle_asked();
         for fault in std::mem::take(&mut self.world.asked) {
             match fault {
                 Fault::CallerResends => self.resend_all(),
@@ -305,6 +315,33 @@
         }
     }
 
+    /// Members ask through another daemon what became of their calls.
+    fn ask_outcomes(&mut self) {
+        let keys: Vec<String> = self.calls.iter().filter_map(|c| c.key.clone()).collect();
+        let team = self.team.clone();
+        for key in keys {
+            let Some(index) = self.world.live_entry(2) else {
+                return;
+            };
+            let entry = self.world.entry(index);
+            if let Some(question) = entry.and_then(|entry| entry.ask_claim(&team, &key)) {
+                self.questions.push((index, question));
+            }
+        }
+    }
+
+    fn settle_asked(&mut self) {
+        for (index, question) in std::mem::take(&mut self.questions) {
+            let settled = match self.world.entry(index) {
+                Some(entry) => entry.settle(&question),
+                None => true,
+            };
+            if !settled {
+                self.questions.push((index, question));
+            }
+        }
+    }
+
     /// The caller takes everything for lost and sends it again elsewhere.
     fn resend_all(&mut self) {
         for key in ["notes", "bookings", "harps"] {
--- /dev/null
+++ b/crates/bluebellreel_site/src/processes.rs
@@ -0,0 +1,430 @@
+//! A site of real processes on loopback, whose stand-ins are this very program.
+
+use crate::Caller;
+use bluebellreel_settings::hash_token;
+use bluebellreel_standins::program;
+use eyre::{OptionExt, bail, ensure};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The model that the engines serve.
+pub const MODEL: &str = "rental-assistant";
+/// First argument that turns a program into a stand-in.
+const STAND_IN: &str = "stand-in";
+/// Seconds after which a stand-in ends by itself.
+const STAND_IN_SECONDS: &str = "300";
+/// Longest wait for a site to come up.
+const START_TIME: Duration = Duration::from_secs(30);
+
+/// What a site of processes is to look like.
+#[derive(Clone, Debug)]
+pub struct ProcessPlan {
+    /// Entry daemons.
+    pub entries: usize,
+    /// Engines; a plain service comes on top.
+    pub engines: usize,
+    /// Attempts at an engine at one time.
+    pub window: u32,
+    /// Microseconds of an engine's empty step.
+    pub step_micros: u32,
+}
+
+/// A process that can be started again with the same arguments.
+pub struct Process {
+    program: PathBuf,
+    arguments: Vec<String>,
+    child: Child,
+}
+
+impl Process {
+    fn start(program: &Path, arguments: &[String]) -> eyre::Result<Self> {
+        let child = Command::new(program)
+            .args(arguments)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Self {
+            program: program.to_owned(),
+            arguments: arguments.to_vec(),
+            child,
+        })
+    }
+
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        let id = i32::try_from(self.child.id())?;
+        Ok(kill(Pid::from_raw(id), signal)?)
+    }
+
+    /// Freezes it.
+    ///
+    /// # Errors
+    ///
+    /// Gives the system's error.
+    pub fn pause(&self) -> eyre::Result<()> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets it go on.
+    ///
+    /// # Errors
+    ///
+    /// Gives the system's error.
+    pub fn resume(&self) -> eyre::Result<()> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Kills it.
+    ///
+    /// # Errors
+    ///
+    /// Gives the system's error.
+    pub fn kill(&mut self) -> eyre::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Starts it again.
+    ///
+    /// # Errors
+    ///
+    /// Gives the system's error.
+    pub fn restart(&mut self) -> eyre::Result<()> {
+        *self = Self::start(&self.program, &self.arguments)?;
+        Ok(())
+    }
+
+    /// Asks it to stop gracefully and waits until it has.
+    ///
+    /// # Errors
+    ///
+    /// Gives the system's error.
+    pub fn stop(&mut self) -> eyre::Result<ExitStatus> {
+        self.signal(Signal::SIGTERM)?;
+        Ok(self.child.wait()?)
+    }
+
+    /// Most memory that it has held so far, in KiB.
+    ///
+    /// # Errors
+    ///
+    /// Gives the system's error.
+    pub fn peak_memory_kib(&self) -> eyre::Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let field = line.and_then(|line| line.split_whitespace().nth(1));
+        Ok(field.ok_or_eyre("no peak memory")?.parse()?)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+/// All processes of a site.
+pub struct ProcessSite {
+    /// The key-value service's address.
+    pub kv: SocketAddr,
+    /// The plain service's address.
+    pub service: SocketAddr,
+    /// Entry daemons.
+    pub entries: Vec<Process>,
+    /// Their addresses.
+    pub entry_addresses: Vec<SocketAddr>,
+    /// Side processes; the last one stands beside the plain service.
+    pub sides: Vec<Process>,
+    /// Engines.
+    pub engines: Vec<Process>,
+    engine_addresses: Vec<SocketAddr>,
+    platform: Vec<Process>,
+    folder: PathBuf,
+    me: PathBuf,
+    programs: PathBuf,
+}
+
+impl Drop for ProcessSite {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+/// Runs as a stand-in if this program was started as one.
+#[must_use]
+pub fn stand_in_main() -> Option<eyre::Result<()>> {
+    let own: Vec<String> = std::env::args().collect();
+    let asked = own.get(1).is_some_and(|first| first == STAND_IN);
+    asked.then(|| run_stand_in(&own[2..]))
+}
+
+fn run_stand_in(arguments: &[String]) -> eyre::Result<()> {
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let parsed = <program::Arguments as argh::FromArgs>::from_args(&[STAND_IN], &arguments);
+    match parsed {
+        Ok(parsed) => program::run(&parsed),
+        Err(e) => bail!("{}", e.output),
+    }
+}
+
+/// An address that was free a moment ago.
+fn free_address() -> eyre::Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+/// Tries until it works or time is up.
+///
+/// # Errors
+///
+/// Gives the last try's error.
+pub fn retry<T>(longest: Duration, mut work: impl FnMut() -> eyre::Result<T>) -> eyre::Result<T> {
+    let until = Instant::now() + longest;
+    loop {
+        match work() {
+            Ok(value) => return Ok(value),
+            Err(e) if Instant::now() >= until => return Err(e),
+            Err(_) => thread::sleep(Duration::from_millis(200)),
+        }
+    }
+}
+
+impl ProcessSite {
+    /// Starts a site and waits until it serves. The daemons' programs are
+    /// looked for beside this one or one folder up.
+    ///
+    /// # Errors
+    ///
+    /// Gives what could not be started.
+    pub fn start(plan: &ProcessPlan) -> eyre::Result<Self> {
+        let me = std::env::current_exe()?;
+        let programs = me
+            .ancestors()
+            .skip(1)
+            .find(|folder| folder.join("bluebellreel").is_file())
+            .ok_or_eyre("the programs are not built")?
+            .to_owned();
+        let name = format!("bluebellreel-site-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder)?;
+        let mut site = Self {
+            kv: free_address()?,
+            service: free_address()?,
+            entries: Vec::new(),
+            entry_addresses: Vec::new(),
+            sides: Vec::new(),
+            engines: Vec::new(),
+            engine_addresses: Vec::new(),
+            platform: Vec::new(),
+            folder,
+            me,
+            programs,
+        };
+        let kv = site.stand_in(site.kv, &["kv"])?;
+        site.platform.push(kv);
+        let vm_list = site.start_workers(plan)?;
+        for index in 0..plan.entries {
+            site.start_entry(index, vm_list)?;
+        }
+        site.put_manifest()?;
+        site.wait_until_serving(plan)?;
+        Ok(site)
+    }
+
+    fn stand_in(&self, address: SocketAddr, kind: &[&str]) -> eyre::Result<Process> {
+        let address = address.to_string();
+        let common = [
+            STAND_IN,
+            "--listen",
+            &address,
+            "--seconds",
+            STAND_IN_SECONDS,
+        ];
+        let all: Vec<String> = common.iter().chain(kind).map(|s| (*s).to_owned()).collect();
+        Process::start(&self.me, &all)
+    }
+
+    /// Starts the backend servers, their side processes and the VM list.
+    fn start_workers(&mut self, plan: &ProcessPlan) -> eyre::Result<SocketAddr> {
+        let mut vms = Vec::new();
+        for index in 0..plan.engines {
+            let backend = free_address()?;
+            let step = plan.step_micros.to_string();
+            let kind = ["engine", "--model", MODEL, "--step-micros", &step];
+            let engine = self.stand_in(backend, &kind)?;
+            self.engines.push(engine);
+            self.engine_addresses.push(backend);
+            vms.push(self.start_side(index, backend, "", plan.window)?);
+        }
+        let service = self.stand_in(self.service, &["plain-service"])?;
+        self.platform.push(service);
+        let line = "service = \"desk\"\n";
+        vms.push(self.start_side(plan.engines, self.service, line, plan.window)?);
+        let list = self.folder.join("vms.json");
+        std::fs::write(&list, json!(vms).to_string())?;
+        let vm_list = free_address()?;
+        let file = list.display().to_string();
+        let process = self.stand_in(vm_list, &["vm-list", "--file", &file])?;
+        self.platform.push(process);
+        Ok(vm_list)
+    }
+
+    fn start_side(
+        &mut self,
+        index: usize,
+        backend: SocketAddr,
+        service: &str,
+        window: u32,
+    ) -> eyre::Result<Value> {
+        let side = free_address()?;
+        let settings = format!(
+            "worker = \"worker-{index}\"\ndata_centre = \"Sligo\"\nlisten = \"{side}\"\n\
+             [backend]\nurl = \"http://{backend}\"\n{service}[limits]\nwindow = {window}\n"
+        );
+        let file = self.folder.join(format!("side-{index}.toml"));
+        std::fs::write(&file, settings)?;
+        let arguments = ["--settings".to_owned(), file.display().to_string()];
+        let program = self.programs.join("bluebellreel-side");
+        self.sides.push(Process::start(&program, &arguments)?);
+        Ok(json!({
+            "name": format!("worker-{index}"),
+            "side": side,
+            "data_centre": "Sligo",
+            "state": "live",
+        }))
+    }
+
+    fn start_entry(&mut self, index: usize, vm_list: SocketAddr) -> eyre::Result<()> {
+        let address = free_address()?;
+        let settings = format!(
+            "name = \"entry-{index}\"\ndata_centre = \"Sligo\"\nlisten = \"{address}\"\n\
+             [platform]\nkv = \"http://{}\"\nvm_list = \"http://{vm_list}\"\n\
+             [deadlines]\nlease_s = 3\n\
+             [[teams]]\nname = \"school\"\ntoken_sha256 = \"{}\"\n\
+             [[operators]]\nname = \"on-call\"\ntoken_sha256 = \"{}\"\n",
+            self.kv,
+            hex::encode(hash_token("school")),
+            hex::encode(hash_token("operator")),
+        );
+        let file = self.folder.join(format!("entry-{index}.toml"));
+        std::fs::write(&file, settings)?;
+        let file = file.display().to_string();
+        let arguments = ["serve".to_owned(), "--settings".into(), file];
+        let program = self.programs.join("bluebellreel");
+        self.entries.push(Process::start(&program, &arguments)?);
+        self.entry_addresses.push(address);
+        Ok(())
+    }
+
+    /// A caller of an entry daemon.
+    #[must_use]
+    pub fn caller(&self, index: usize) -> Caller {
+        let url = format!("http://{}", self.entry_addresses[index]);
+        Caller::new(url, "school", MODEL)
+    }
+
+    /// An operator at an entry daemon.
+    #[must_use]
+    pub fn operator(&self, index: usize) -> Caller {
+        let url = format!("http://{}", self.entry_addresses[index]);
+        Caller::new(url, "operator", MODEL)
+    }
+
+    fn put_manifest(&self) -> eyre::Result<()> {
+        let operator = self.operator(0);
+        let manifest = format!(
+            "[[models]]\nname = \"{MODEL}\"\nversion = \"1\"\n[[services]]\nname = \"desk\"\n"
+        );
+        retry(START_TIME, || {
+            let headers = [("If-Match", "0")];
+            let path = "/operator/v1/manifest";
+            let (status, text) = operator.send("PUT", path, &headers, manifest.as_bytes())?;
+            ensure!(matches!(status, 200 | 409), "{status}: {text}");
+            Ok(())
+        })
+    }
+
+    fn wait_until_serving(&self, plan: &ProcessPlan) -> eyre::Result<()> {
+        for index in 0..plan.entries {
+            retry(START_TIME, || {
+                let in_force = self.workers_in_force(index)?;
+                ensure!(in_force > plan.engines, "not all workers are connected");
+                Ok(())
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Workers that an entry daemon reaches and that have its manifest.
+    ///
+    /// # Errors
+    ///
+    /// Gives the daemon's error.
+    pub fn workers_in_force(&self, index: usize) -> eyre::Result<usize> {
+        let path = "/operator/v1/outcomes";
+        let (status, text) = self.operator(index).send("GET", path, &[], b"")?;
+        ensure!(status == 200, "{status}: {text}");
+        let outcomes: Value = serde_json::from_str(&text)?;
+        let in_force = outcomes["changes_hold"]["in_force"].as_u64().unwrap_or(0);
+        Ok(usize::try_from(in_force)?)
+    }
+
+    /// Lets the key-value service go down or come back.
+    ///
+    /// # Errors
+    ///
+    /// Gives the connection's error.
+    pub fn set_kv_down(&self, down: bool) -> eyre::Result<()> {
+        let faults = json!({ "down": down });
+        ureq::post(format!("http://{}/stand-in/faults", self.kv)).send_json(faults)?;
+        Ok(())
+    }
+
+    /// Calls that the key-value service has counted.
+    ///
+    /// # Errors
+    ///
+    /// Gives the connection's error.
+    pub fn kv_counts(&self) -> eyre::Result<Value> {
+        let url = format!("http://{}/stand-in/counts", self.kv);
+        Ok(ureq::get(&url).call()?.body_mut().read_json()?)
+    }
+
+    /// Attempts that reached an engine.
+    ///
+    /// # Errors
+    ///
+    /// Gives the connection's error.
+    pub fn engine_requests(&self) -> eyre::Result<u64> {
+        let mut sum = 0;
+        for address in &self.engine_addresses {
+            let url = format!("http://{address}/stand-in/admitted");
+            let admitted: u64 = ureq::get(&url).call()?.body_mut().read_json()?;
+            sum += admitted;
+        }
+        Ok(sum)
+    }
+
+    /// Runs of the plain service's calls by key.
+    ///
+    /// # Errors
+    ///
+    /// Gives the connection's error.
+    pub fn service_runs(&self) -> eyre::Result<BTreeMap<String, u32>> {
+        let url = format!("http://{}/stand-in/runs", self.service);
+        Ok(ureq::get(&url).call()?.body_mut().read_json()?)
+    }
+}
--- a/crates/bluebellreel_standins/src/engine.rs
+++ b/crates/bluebellreel_standins/src/engine.rs
@@ -121,6 +121,7 @@
     highest_fence: u64,
     orders: Vec<Order>,
     loads: Vec<(Instant, Load)>,
+    admitted: u64,
 }
 
 /// A running engine's shared state.
@@ -148,6 +149,7 @@
         highest_fence: 0,
         orders: Vec::new(),
         loads: Vec::new(),
+        admitted: 0,
     };
     let engine = Arc::new(Engine {
         settings,
@@ -232,6 +234,10 @@
                 }
                 Err(e) => http::refuse(req, 400, &e),
             },
+            "/stand-in/admitted" => {
+                let admitted = self.state.lock().expect("engine lock").admitted;
+                http::answer(req, 200, &admitted);
+            }
             "/stand-in/orders" => {
                 let orders = self.state.lock().expect("engine lock").orders.clone();
                 http::answer(req, 200, &orders);
@@ -290,6 +296,7 @@
             return rx;
         }
         let mut state = self.state.lock().expect("engine lock");
+        state.admitted += 1;
         state.streams.insert(completion.request_id.clone(), tx);
         state.model.admit(Sequence {
             id: completion.request_id.clone(),
--- a/crates/bluebellreel_standins/src/lib.rs
+++ b/crates/bluebellreel_standins/src/lib.rs
@@ -18,6 +18,7 @@
 mod kv_calls;
 mod kv_store;
 mod plain_service;
+pub mod program;
 mod vm_list;
 mod weight_store;
 mod words;
