--- a/crates/bluebellreel_entry/src/jobs/part.rs
+++ b/crates/bluebellreel_entry/src/jobs/part.rs
@@ -24,6 +24,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// How often a worker is told again that batch work waits.
 const OFFER_PERIOD: Duration = Duration::from_secs(1);
+/// Pause before a job that could not be opened is tried again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 /// Between two tidyings.
 const TIDY_PERIOD: Duration = Duration::from_secs(10);
 
@@ -43,6 +45,7 @@
     pullers: BTreeMap<WorkerName, Puller>,
     claim_seqs: HashMap<JobId, u64>,
     opening: BTreeSet<JobId>,
+    reopen_at: BTreeMap<JobId, Moment>,
     tick_at: Moment,
     tidy_at: Moment,
     stopping: bool,
@@ -57,6 +60,7 @@
             pullers: BTreeMap::new(),
             claim_seqs: HashMap::new(),
             opening: BTreeSet::new(),
+            reopen_at: BTreeMap::new(),
             tick_at: Moment(0),
             tidy_at: Moment(0),
             stopping: false,
@@ -72,6 +76,7 @@
         self.tick_at = now + TICK;
         self.poll_all(now);
         self.take_over_due(now);
+        self.reopen_due(now);
         self.offer_all(now);
         if self.tidy_at.is_past(now) {
             self.tidy_at = now + TIDY_PERIOD;
@@ -251,7 +256,7 @@
             JobsMessage::Opened(opened) => self.open(*opened),
             JobsMessage::OpenFailed(id) => {
                 self.opening.remove(&id);
-                self.reopen(&id);
+                self.reopen_at.insert(id, now + REOPEN_PAUSE);
             }
             JobsMessage::TakenOver { id, result } => self.note_taken(&id, result),
             JobsMessage::Chunk {
@@ -385,6 +390,16 @@
         }
     }
 
+    /// Tries again to open jobs that could not be opened before.
+    fn reopen_due(&mut self, now: Moment) {
+        let due = self.reopen_at.iter().filter(|(_, at)| at.is_past(now));
+        let due: Vec<JobId> = due.map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.reopen_at.remove(&id);
+            self.reopen(&id);
+        }
+    }
+
     /// Reads what is recorded of a job that is ours, then opens it.
     fn reopen(&mut self, id: &JobId) {
         let Some(job) = self.index.jobs.get(id) else {
@@ -400,7 +415,6 @@
                 Ok(opened) => JobsMessage::Opened(Box::new(opened)),
                 Err(e) => {
                     log::warn!(target: "jobs", job:% = id, error:% = e; "A job cannot be opened yet.");
-                    std::thread::sleep(Duration::from_millis(500));
                     JobsMessage::OpenFailed(id)
                 }
             };
--- /dev/null
+++ b/crates/bluebellreel_experiment/src/simulation.rs
@@ -0,0 +1,671 @@
+//! One run of a scenario.
+
+use crate::engine::{Engine, StepResult};
+use crate::jobs::Jobs;
+use crate::load::{Arrival, arrivals};
+use crate::measure::{Latencies, Outcome, Sample};
+use crate::{Mode, Scenario};
+use bluebellreel_admission::{self as admission, Admission, AdmissionLimits, EngineEnd};
+use bluebellreel_routing::{self as routing, NewRequest, Router, RouterLimits};
+use bluebellreel_types::{
+    AttemptEnd, AttemptId, BrokenReason, Class, DataCentre, Dispatch, EntryName, Incarnation,
+    ModelName, Moment, RequestId, SideHello, TraceContext, WorkerName,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Between two looks at deadlines.
+const TICK: Duration = Duration::from_millis(20);
+/// Between two load reports of a side process.
+const REPORT: Duration = Duration::from_secs(1);
+/// Between two points of the plot.
+const SAMPLE: Duration = Duration::from_millis(500);
+/// Time after the scenario's end for requests to finish.
+const DRAIN: Duration = Duration::from_secs(12);
+/// Batch attempts kept at an engine that takes all as they come.
+const FIRST_COME_DEPTH: usize = 96;
+
+/// What happens, in order of time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Arrive(usize),
+    StepDone(usize, u64),
+    Tick,
+    Report(usize),
+    Sample,
+    Submit(usize),
+    TroubleBegins(usize),
+    TroubleEnds(usize),
+}
+
+struct Side {
+    admission: Admission,
+    engine: Engine,
+    steps: HashMap<u64, StepResult>,
+}
+
+/// A request as its caller follows it.
+struct Followed {
+    arrival: usize,
+    arrived_at: Moment,
+    heard_at: Option<Moment>,
+    last_at: Option<Moment>,
+    longest_gap: Duration,
+    broke: bool,
+}
+
+struct Simulation<'a> {
+    scenario: &'a Scenario,
+    mode: Mode,
+    now: Moment,
+    queue: BinaryHeap<Reverse<(Moment, u64, What)>>,
+    next_event: u64,
+    next_step: u64,
+    next_request: u64,
+    rng: SmallRng,
+    router: Router,
+    jobs: Jobs,
+    sides: Vec<Side>,
+    arrivals: Vec<Arrival>,
+    followed: HashMap<RequestId, Followed>,
+    prompts: HashMap<RequestId, u32>,
+    freeing: HashMap<AttemptId, Moment>,
+    first_token: Latencies,
+    inter_token: Latencies,
+    broken_gap: Latencies,
+    preemption: Latencies,
+    recent: Latencies,
+    batch_tokens: u64,
+    batch_wasted: u64,
+    batch_at_sample: u64,
+    online_tokens: u64,
+    outcome: Outcome,
+    models: BTreeSet<ModelName>,
+}
+
+/// Runs a scenario in a mode.
+#[must_use]
+pub fn simulate(scenario: &Scenario, mode: Mode) -> Outcome {
+    bluebellreel_types::seed_ids(scenario.seed);
+    let mut simulation = Simulation::new(scenario, mode);
+    simulation.prepare();
+    simulation.run();
+    simulation.finish()
+}
+
+fn worker_name(index: usize) -> WorkerName {
+    WorkerName::from(format!("w{index:04}"))
+}
+
+fn worker_index(name: &WorkerName) -> usize {
+    name.as_str()[1..].parse().expect("a worker of the run")
+}
+
+fn entry() -> EntryName {
+    EntryName::from("e")
+}
+
+impl<'a> Simulation<'a> {
+    fn new(scenario: &'a Scenario, mode: Mode) -> Self {
+        let limits = AdmissionLimits {
+            window: scenario.window,
+            lean: scenario.lean,
+            inter_token_target: scenario.inter_token,
+            ..AdmissionLimits::default()
+        };
+        let side = |index: usize| Side {
+            admission: Admission::new(Incarnation(index as u64 + 1), limits.clone()),
+            engine: Engine::new(scenario.costs),
+            steps: HashMap::new(),
+        };
+        Self {
+            scenario,
+            mode,
+            now: Moment(0),
+            queue: BinaryHeap::new(),
+            next_event: 0,
+            next_step: 0,
+            next_request: 1 << 40,
+            rng: SmallRng::seed_from_u64(scenario.seed),
+            router: Router::new(RouterLimits::default(), DataCentre::from("Sligo")),
+            jobs: Jobs::new(scenario),
+            sides: (0..scenario.workers).map(side).collect(),
+            arrivals: Vec::new(),
+            followed: HashMap::new(),
+            prompts: HashMap::new(),
+            freeing: HashMap::new(),
+            first_token: Latencies::new(),
+            inter_token: Latencies::new(),
+            broken_gap: Latencies::new(),
+            preemption: Latencies::new(),
+            recent: Latencies::new(),
+            batch_tokens: 0,
+            batch_wasted: 0,
+            batch_at_sample: 0,
+            online_tokens: 0,
+            outcome: Outcome {
+                mode: mode.name(),
+                ..Outcome::default()
+            },
+            models: BTreeSet::from([ModelName::from("m")]),
+        }
+    }
+
+    fn at(&mut self, at: Moment, what: What) {
+        self.next_event += 1;
+        self.queue.push(Reverse((at, self.next_event, what)));
+    }
+
+    fn prepare(&mut self) {
+        for index in 0..self.sides.len() {
+            let incarnation = self.sides[index].admission.incarnation;
+            let models = vec!["m".into()];
+            self.admit(index, admission::Event::ModelsChanged(models));
+            self.route(routing::Event::WorkerConnected(SideHello {
+                worker: worker_name(index),
+                incarnation,
+                data_centre: DataCentre::from("Sligo"),
+                models: vec!["m".into()],
+            }));
+            // Reports do not all come at the same moment.
+            let offset = REPORT * u32::try_from(index).unwrap_or(0) / 16;
+            self.at(Moment(0) + offset, What::Report(index));
+        }
+        if self.mode != Mode::BatchAlone {
+            self.arrivals = arrivals(self.scenario);
+            for index in 0..self.arrivals.len() {
+                self.at(self.arrivals[index].at, What::Arrive(index));
+            }
+            self.outcome.online.arrived = self.arrivals.len() as u64;
+        }
+        if self.mode != Mode::NoBatch {
+            for (index, team) in self.scenario.teams.iter().enumerate() {
+                let at = Moment(0) + Duration::from_secs_f64(team.at);
+                self.at(at, What::Submit(index));
+            }
+        }
+        for (index, trouble) in self.scenario.troubles.iter().enumerate() {
+            let at = Moment(0) + Duration::from_secs_f64(trouble.at);
+            let end = at + Duration::from_secs_f64(trouble.seconds);
+            self.at(at, What::TroubleBegins(index));
+            self.at(end, What::TroubleEnds(index));
+        }
+        self.at(Moment(0), What::Tick);
+        self.at(Moment(0) + SAMPLE, What::Sample);
+    }
+
+    fn run(&mut self) {
+        let end = Moment(0) + self.scenario.length + DRAIN;
+        while let Some(Reverse((at, _, what))) = self.queue.pop() {
+            if end.is_past(at) {
+                return;
+            }
+            self.now = at;
+            self.happen(what);
+        }
+    }
+
+    /// Whether the scenario's own time is running.
+    fn counts(&self) -> bool {
+        !(Moment(0) + self.scenario.length).is_past(self.now)
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::Arrive(index) => self.arrive(index),
+            What::StepDone(side, step) => self.step_done(side, step),
+            What::Tick => {
+                self.route(routing::Event::Ticked);
+                for index in 0..self.sides.len() {
+                    self.admit(index, admission::Event::Ticked);
+                }
+                self.jobs.poll(self.now);
+                self.feed_batch();
+                self.at(self.now + TICK, What::Tick);
+            }
+            What::Report(index) => {
+                let load = self.sides[index].admission.load(self.now);
+                let bytes = self.sides[index].admission.queue.bytes();
+                self.outcome.most_queued_bytes = self.outcome.most_queued_bytes.max(bytes);
+                let worker = worker_name(index);
+                if !self.sides[index].engine.dead {
+                    self.route(routing::Event::LoadArrived { worker, load });
+                }
+                self.at(self.now + REPORT, What::Report(index));
+            }
+            What::Sample => self.sample(),
+            What::Submit(index) => {
+                let team = self.scenario.teams[index].clone();
+                self.jobs.submit(&team, self.now);
+                self.jobs.poll(self.now);
+                self.feed_batch();
+            }
+            What::TroubleBegins(index) => self.begin_trouble(index),
+            What::TroubleEnds(index) => {
+                let engine = &mut self.sides[self.scenario.troubles[index].worker].engine;
+                engine.dead = false;
+                engine.slow_percent = 100;
+            }
+        }
+    }
+
+    fn begin_trouble(&mut self, index: usize) {
+        let trouble = self.scenario.troubles[index];
+        if trouble.slow_percent > 0 {
+            self.sides[trouble.worker].engine.slow_percent = trouble.slow_percent;
+            return;
+        }
+        self.sides[trouble.worker].engine.dead = true;
+        self.break_streams(trouble.worker);
+    }
+
+    fn break_streams(&mut self, side: usize) {
+        for attempt in self.sides[side].engine.drop_all() {
+            let end = EngineEnd::Broken;
+            self.admit(side, admission::Event::EngineEnded { attempt, end });
+        }
+    }
+
+    fn sample(&mut self) {
+        let seconds = SAMPLE.as_secs_f64();
+        let tokens = self.batch_tokens - self.batch_at_sample;
+        self.batch_at_sample = self.batch_tokens;
+        let figures = self.recent.figures();
+        self.recent = Latencies::new();
+        if self.counts() {
+            self.outcome.samples.push(Sample {
+                at: self.now.since(Moment(0)).as_secs_f64(),
+                first_token_ms: figures.p95_ms,
+                batch_tokens: to_f64(tokens) / seconds,
+            });
+        }
+        self.at(self.now + SAMPLE, What::Sample);
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let arrival = self.arrivals[index].clone();
+        self.next_request += 1;
+        let id = RequestId(self.next_request);
+        self.prompts.insert(id, arrival.prompt_tokens);
+        let followed = Followed {
+            arrival: index,
+            arrived_at: self.now,
+            heard_at: None,
+            last_at: None,
+            longest_gap: Duration::ZERO,
+            broke: false,
+        };
+        self.followed.insert(id, followed);
+        self.route(routing::Event::Arrived(NewRequest {
+            id,
+            work: arrival.work,
+            deadline: self.now + self.scenario.deadline,
+            trace: TraceContext {
+                trace: 1,
+                parent: 1,
+            },
+        }));
+    }
+
+    fn route(&mut self, event: routing::Event) {
+        let effects = routing::step(&mut self.router, event, self.now, &mut self.rng);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&mut self, effect: routing::Effect) {
+        match effect {
+            routing::Effect::Dispatch { worker, dispatch } => {
+                if dispatch.attempt.number == 1 {
+                    self.outcome.online.first_attempts += 1;
+                } else {
+                    self.outcome.online.retries += 1;
+                    if let Some(followed) = self.followed.get_mut(&dispatch.attempt.request) {
+                        followed.broke = followed.heard_at.is_some();
+                    }
+                }
+                let entry = entry();
+                let event = admission::Event::Arrived { entry, dispatch };
+                self.admit(worker_index(&worker), event);
+            }
+            routing::Effect::Cancel { worker, attempt } => {
+                let event = admission::Event::CancelAsked { attempt };
+                self.admit(worker_index(&worker), event);
+            }
+            routing::Effect::Deliver { request, .. } => self.deliver(request),
+            routing::Effect::Finish {
+                request, outcome, ..
+            } => self.finish_request(request, &outcome),
+            routing::Effect::Claim(_) | routing::Effect::RecordOutcome { .. } => {}
+        }
+    }
+
+    fn deliver(&mut self, request: RequestId) {
+        let now = self.now;
+        let Some(followed) = self.followed.get_mut(&request) else {
+            return;
+        };
+        self.online_tokens += 1;
+        if let Some(last) = followed.last_at.replace(now) {
+            let gap = now.since(last);
+            followed.longest_gap = followed.longest_gap.max(gap);
+            self.inter_token.note(gap);
+        } else {
+            followed.heard_at = Some(now);
+            let waited = now.since(followed.arrived_at);
+            self.first_token.note(waited);
+            self.recent.note(waited);
+        }
+    }
+
+    fn finish_request(&mut self, request: RequestId, outcome: &routing::Outcome) {
+        let Some(followed) = self.followed.remove(&request) else {
+            return;
+        };
+        self.prompts.remove(&request);
+        let online = &mut self.outcome.online;
+        match outcome {
+            routing::Outcome::Completed { .. } => {
+                online.completed += 1;
+                let waited = followed
+                    .heard_at
+                    .unwrap_or(self.now)
+                    .since(followed.arrived_at);
+                if waited <= self.scenario.first_token {
+                    online.in_time += 1;
+                }
+                if followed.broke {
+                    self.broken_gap.note(followed.longest_gap);
+                }
+            }
+            routing::Outcome::NotRun { retry_at, .. } => {
+                online.refused += 1;
+                self.ask_again(followed.arrival, *retry_at);
+            }
+            _ => online.failed += 1,
+        }
+    }
+
+    /// A refused caller asks again, as a client library does.
+    fn ask_again(&mut self, index: usize, retry_at: Moment) {
+        let arrival = &self.arrivals[index];
+        if arrival.tries >= self.scenario.client_retries {
+            return;
+        }
+        let again = Arrival {
+            tries: arrival.tries + 1,
+            ..arrival.clone()
+        };
+        // An impatient client keeps to its own pause.
+        let pause = self.scenario.client_pause.min(retry_at.since(self.now));
+        self.arrivals.push(again);
+        let index = self.arrivals.len() - 1;
+        self.at(self.now + pause, What::Arrive(index));
+    }
+
+    fn admit(&mut self, index: usize, event: admission::Event) {
+        if self.mode == Mode::FirstCome
+            && let admission::Event::Arrived { dispatch, .. } = event
+        {
+            self.start(index, &dispatch);
+            let attempt = dispatch.attempt;
+            self.track(index, attempt, dispatch);
+            return;
+        }
+        let effects = admission::step(&mut self.sides[index].admission, event, self.now);
+        for effect in effects {
+            self.side_effect(index, effect);
+        }
+    }
+
+    /// Without admission, attempts still have to be known to the side.
+    fn track(&mut self, index: usize, attempt: AttemptId, dispatch: Box<Dispatch>) {
+        let running = admission::Running {
+            entry: entry(),
+            dispatch,
+            started_at: self.now,
+            last_token_at: None,
+            tokens: 0,
+            text: String::new(),
+            stopping: None,
+            unreported: false,
+        };
+        self.sides[index].admission.running.insert(attempt, running);
+    }
+
+    fn side_effect(&mut self, index: usize, effect: admission::Effect) {
+        match effect {
+            admission::Effect::StartEngine(dispatch) => self.start(index, &dispatch),
+            admission::Effect::CancelEngine(attempt) => {
+                self.sides[index].engine.cancel(attempt);
+                self.freeing.insert(attempt, self.now);
+                let end = EngineEnd::Broken;
+                self.admit(index, admission::Event::EngineEnded { attempt, end });
+            }
+            admission::Effect::SendPart { attempt, text } => {
+                self.route(routing::Event::PartArrived { attempt, text });
+            }
+            admission::Effect::SendEnd { attempt, end } => {
+                let load = Some(self.sides[index].admission.load(self.now));
+                self.route(routing::Event::AttemptEnded {
+                    worker: worker_name(index),
+                    attempt,
+                    end,
+                    load,
+                });
+            }
+            admission::Effect::Pull { entry, room } => self.pull(index, entry, room),
+            admission::Effect::Report { report, .. } => {
+                self.note_report(&report.end, report.attempt);
+            }
+            admission::Effect::SendVerdict { .. } => {}
+        }
+    }
+
+    fn note_report(&mut self, end: &AttemptEnd, attempt: AttemptId) {
+        if let AttemptEnd::Broken { reason, partial } = end {
+            if *reason == BrokenReason::Preempted {
+                self.outcome.batch.preemptions += 1;
+            } else {
+                let lost = partial.split_whitespace().count() as u64;
+                self.batch_wasted += lost;
+            }
+        }
+        self.jobs.board.report(attempt, end.clone(), self.now);
+    }
+
+    fn pull(&mut self, index: usize, entry: EntryName, room: u32) {
+        let incarnation = self.sides[index].admission.incarnation;
+        let handouts = self.jobs.board.pull(
+            room as usize,
+            &worker_name(index),
+            incarnation,
+            &self.models,
+            self.now,
+        );
+        self.jobs.poll(self.now);
+        let mut items = Vec::new();
+        for handout in handouts {
+            let team = self.jobs.board.jobs[&handout.job].record.team.to_string();
+            for lease in handout.leases {
+                if self.all_teams_have_work() {
+                    let served = self.outcome.batch.served.entry(team.clone()).or_default();
+                    *served += u64::from(lease.work.tokens);
+                }
+                items.push(Dispatch {
+                    attempt: lease.attempt,
+                    side: incarnation,
+                    class: Class::Batch,
+                    work: lease.work,
+                    deadline: lease.deadline,
+                    resume: lease.resume,
+                    trace: TraceContext {
+                        trace: 1,
+                        parent: 1,
+                    },
+                });
+            }
+        }
+        self.admit(index, admission::Event::Pulled { entry, items });
+    }
+
+    fn all_teams_have_work(&self) -> bool {
+        let with_work = self.jobs.board.jobs.values().filter(|j| j.waiting() > 0);
+        with_work.count() == self.scenario.teams.len()
+    }
+
+    /// Offers batch work to all side processes, or stuffs the engines.
+    fn feed_batch(&mut self) {
+        let waiting = self.jobs.board.waiting(&self.models);
+        for index in 0..self.sides.len() {
+            if self.mode == Mode::FirstCome {
+                self.stuff(index);
+            } else {
+                let entry = entry();
+                self.admit(index, admission::Event::Offered { entry, waiting });
+            }
+        }
+    }
+
+    fn stuff(&mut self, index: usize) {
+        let room = FIRST_COME_DEPTH.saturating_sub(self.sides[index].engine.load());
+        let incarnation = self.sides[index].admission.incarnation;
+        let worker = worker_name(index);
+        let board = &mut self.jobs.board;
+        let handouts = board.pull(room, &worker, incarnation, &self.models, self.now);
+        let leases = handouts.into_iter().flat_map(|handout| handout.leases);
+        for lease in leases.collect::<Vec<_>>() {
+            let dispatch = Box::new(Dispatch {
+                attempt: lease.attempt,
+                side: incarnation,
+                class: Class::Batch,
+                work: lease.work,
+                deadline: lease.deadline,
+                resume: lease.resume,
+                trace: TraceContext {
+                    trace: 1,
+                    parent: 1,
+                },
+            });
+            self.start(index, &dispatch);
+            self.track(index, lease.attempt, dispatch);
+        }
+    }
+
+    fn start(&mut self, index: usize, dispatch: &Dispatch) {
+        if self.sides[index].engine.dead {
+            let attempt = dispatch.attempt;
+            let end = EngineEnd::Unreachable;
+            self.admit(index, admission::Event::EngineEnded { attempt, end });
+            return;
+        }
+        let request = dispatch.attempt.request;
+        let prompt = self.prompts.get(&request).copied().unwrap_or(60);
+        self.sides[index].engine.admit(dispatch, prompt);
+        self.begin_step(index);
+    }
+
+    fn begin_step(&mut self, index: usize) {
+        let side = &mut self.sides[index];
+        if side.engine.stepping || side.engine.dead || side.engine.is_idle() {
+            return;
+        }
+        let result = side.engine.step();
+        side.engine.stepping = true;
+        self.next_step += 1;
+        let at = self.now + result.span;
+        side.steps.insert(self.next_step, result);
+        self.at(at, What::StepDone(index, self.next_step));
+    }
+
+    fn step_done(&mut self, index: usize, step: u64) {
+        self.sides[index].engine.stepping = false;
+        // A place given up during the step is free from the next one on.
+        let freed: Vec<Moment> = self.freeing.drain().map(|(_, at)| at).collect();
+        for at in freed {
+            self.preemption.note(self.now.since(at));
+        }
+        let Some(result) = self.sides[index].steps.remove(&step) else {
+            return;
+        };
+        for attempt in result.tokens {
+            self.token(index, attempt);
+        }
+        for attempt in result.finished {
+            let end = EngineEnd::Completed {
+                status: 200,
+                body: Arc::from([]),
+            };
+            self.admit(index, admission::Event::EngineEnded { attempt, end });
+        }
+        self.begin_step(index);
+    }
+
+    fn token(&mut self, index: usize, attempt: AttemptId) {
+        let Some(running) = self.sides[index].admission.running.get(&attempt) else {
+            return;
+        };
+        if running.dispatch.class == Class::Batch {
+            if self.counts() {
+                self.batch_tokens += 1;
+            }
+            if self.is_poison(&running.dispatch.clone()) {
+                self.break_streams(index);
+                return;
+            }
+        }
+        let text = Arc::from("w ");
+        let tokens = 1;
+        self.admit(
+            index,
+            admission::Event::EngineText {
+                attempt,
+                text,
+                tokens,
+            },
+        );
+    }
+
+    fn is_poison(&self, dispatch: &Dispatch) -> bool {
+        let every = self.scenario.poison_every;
+        if every == 0 {
+            return false;
+        }
+        let key = dispatch.work.key.rsplit('n').next();
+        let number: u32 = key.and_then(|k| k.parse().ok()).unwrap_or(1);
+        number % every == every - 1
+    }
+
+    fn finish(mut self) -> Outcome {
+        let seconds = self.scenario.length.as_secs_f64();
+        let online = &mut self.outcome.online;
+        online.first_token = self.first_token.figures();
+        online.inter_token = self.inter_token.figures();
+        online.broken_gap = self.broken_gap.figures();
+        online.preemption = self.preemption.figures();
+        let batch = &mut self.outcome.batch;
+        batch.items = self.jobs.recorded;
+        batch.failed = self.jobs.failed;
+        let useful = self.batch_tokens.saturating_sub(self.batch_wasted);
+        batch.tokens_per_second = to_f64(useful) / seconds;
+        let mean = f64::from(self.scenario.batch_tokens[0] + self.scenario.batch_tokens[1]) / 2.0;
+        batch.items_per_second = batch.tokens_per_second / mean;
+        let all = to_f64(self.batch_tokens.max(1));
+        batch.wasted_percent = to_f64(self.batch_wasted) * 100.0 / all;
+        self.outcome.online_tokens_per_second = to_f64(self.online_tokens) / seconds;
+        self.outcome
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a run are far below 2^52"
+)]
+pub(crate) fn to_f64(count: u64) -> f64 {
+    count as f64
+}
--- a/crates/bluebellreel_faults/src/matrix.rs
+++ b/crates/bluebellreel_faults/src/matrix.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 
 /// Times of a step at which a fault strikes, one run each.
-const TIMES: [u32; 2] = [1, 3];
+const TIMES: [u32; 4] = [1, 2, 4, 7];
 /// Seed of the matrix.
 const SEED: u64 = 20_261_202;
 
