Keep online work on few workers; learn the engine's pace; pace batch starts

Now the side process keeps a little above the best pace that the engine showed, starts two batch attempts in a step at the most, one in 25 steps beside online work; the router fills a worker with online requests (limits.online_per_worker) before it uses the next, in an order that all daemons agree on. The first-come baseline no longer preempts through the other events' steps.

--- a/crates/bluebellreel_admission/src/lib.rs
+++ b/crates/bluebellreel_admission/src/lib.rs
@@ -25,6 +25,7 @@
 mod limits;
 mod online_queue;
 mod pace;
+mod start_pace;
 mod state;
 mod step;
 
@@ -34,5 +35,6 @@
 pub use limits::{AdmissionLimits, Lean};
 pub use online_queue::{OnlineQueue, Queued};
 pub use pace::Pace;
+pub use start_pace::StartPace;
 pub use state::{Admission, Running};
 pub use step::step;
--- a/crates/bluebellreel_admission/src/state.rs
+++ b/crates/bluebellreel_admission/src/state.rs
@@ -1,6 +1,6 @@
 //! State of one side process's admission.
 
-use crate::{AdmissionLimits, BatchWindow, Ledger, OnlineQueue, Pace};
+use crate::{AdmissionLimits, BatchWindow, Ledger, OnlineQueue, Pace, StartPace};
 use bluebellreel_types::{
     AttemptId, Class, Dispatch, EntryName, Incarnation, LoadReport, ModelName, Moment,
 };
@@ -52,6 +52,10 @@
     pub leaving: bool,
     /// Models served now; empty means that any is taken.
     pub models: BTreeSet<ModelName>,
+    /// Batch attempts that may start now; see [`crate::StartPace`].
+    pub starts: StartPace,
+    /// Until when no batch is asked for, after the backend server took none.
+    pub hold_batch_until: Moment,
     /// The entry asked last, for fairness among entries.
     pub last_asked: Option<EntryName>,
 }
@@ -72,6 +76,8 @@
             pulling: BTreeMap::new(),
             leaving: false,
             models: BTreeSet::new(),
+            starts: StartPace::default(),
+            hold_batch_until: Moment(0),
             last_asked: None,
         }
     }
--- a/crates/bluebellreel_admission/src/step.rs
+++ b/crates/bluebellreel_admission/src/step.rs
@@ -6,6 +6,10 @@
     Moment, NotRunReason,
 };
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause before batch is asked for again after the backend server took none.
+const BATCH_HOLD: Duration = Duration::from_millis(500);
 
 /// Takes in one event and says what to do.
 #[must_use]
@@ -33,7 +37,7 @@
     }
     start_queued(state, now, &mut effects);
     yield_batch(state, &mut effects);
-    ask_for_batch(state, &mut effects);
+    ask_for_batch(state, now, &mut effects);
     effects
 }
 
@@ -237,8 +241,8 @@
 }
 
 /// Asks the next entry in turn when there is room for batch.
-fn ask_for_batch(state: &mut Admission, effects: &mut Vec<Effect>) {
-    if state.leaving {
+fn ask_for_batch(state: &mut Admission, now: Moment, effects: &mut Vec<Effect>) {
+    if state.leaving || !state.hold_batch_until.is_past(now) {
         return;
     }
     let held = state.count(Class::Batch) + state.pulling.values().sum::<u32>();
@@ -246,6 +250,9 @@
         .batch_window
         .allowed(state.online())
         .saturating_sub(held);
+    let online = state.online() > 0;
+    let step = state.pace.step();
+    let room = room.min(state.starts.allowed(step, online, now));
     if room == 0 {
         return;
     }
@@ -253,6 +260,7 @@
         return;
     };
     let room = room.min(state.offers[&entry]);
+    state.starts.take(room);
     state.pulling.insert(entry.clone(), room);
     state.last_asked = Some(entry.clone());
     effects.push(Effect::Pull { entry, room });
@@ -361,6 +369,9 @@
     }
     running.tokens += tokens;
     let before = running.last_token_at.replace(now);
+    if let Some(before) = before {
+        state.pace.note_step(now.since(before) / tokens.max(1));
+    }
     // Text of a call that may not be repeated is kept, so that its outcome can
     // still be read here when the entry that waits for it is lost.
     if running.dispatch.class == Class::Batch || !running.dispatch.work.repeatable {
@@ -392,6 +403,11 @@
     let Some(running) = state.running.remove(&attempt) else {
         return;
     };
+    // Guards against a loop of pulls and returns while the backend server is
+    // away: items would go to and fro as fast as messages do.
+    if matches!(end, EngineEnd::Unreachable | EngineEnd::Busy) {
+        state.hold_batch_until = now + BATCH_HOLD;
+    }
     let end = attempt_end(&running, end, now);
     remember_end(state, &running.dispatch, &end);
     if running.unreported {
--- a/crates/bluebellreel_admission/tests/admission.rs
+++ b/crates/bluebellreel_admission/tests/admission.rs
@@ -213,7 +213,8 @@
 /// owner, nothing new is taken.
 #[test]
 fn drained_worker_finishes_online_and_returns_batch() {
-    let mut side = side(4);
+    // Wide enough that batch has a share beside online work.
+    let mut side = side(32);
     arrive(&mut side, dispatch(1, Class::Online));
     fill_with_batch(&mut side, 2);
     let effects = step(&mut side, Event::DrainAsked, NOW);
@@ -237,3 +238,21 @@
     let effects = step(&mut side, Event::Ticked, later);
     assert_eq!(not_run(&effects), Some(NotRunReason::Expired));
 }
+
+/// The engine is away. Notes must not go to and fro between the owner and the
+/// side process as fast as messages do: nothing is asked for during a pause.
+#[test]
+fn no_batch_is_pulled_while_the_engine_is_away() {
+    let mut side = side(4);
+    fill_with_batch(&mut side, 1);
+    let attempt = id(100);
+    let end = EngineEnd::Unreachable;
+    let effects = step(&mut side, Event::EngineEnded { attempt, end }, NOW);
+    let pulls = |effects: &[Effect]| effects.iter().any(|e| matches!(e, Effect::Pull { .. }));
+    assert!(!pulls(&effects), "{effects:?}");
+    let entry = EntryName::from("e");
+    let offer = Event::Offered { entry, waiting: 9 };
+    assert!(!pulls(&step(&mut side, offer.clone(), NOW)));
+    let later = NOW + Duration::from_secs(1);
+    assert!(pulls(&step(&mut side, offer, later)));
+}
--- a/crates/bluebellreel_entry/src/online/part.rs
+++ b/crates/bluebellreel_entry/src/online/part.rs
@@ -64,6 +64,7 @@
         let limits = RouterLimits {
             requests: parts.settings.limits.requests,
             team_requests: parts.settings.limits.team_requests,
+            online_per_worker: parts.settings.limits.online_per_worker,
             ..RouterLimits::default()
         };
         Self {
--- a/crates/bluebellreel_experiment/src/scenario.rs
+++ b/crates/bluebellreel_experiment/src/scenario.rs
@@ -87,6 +87,7 @@
     seed: u64,
     workers: usize,
     window: u32,
+    online_per_worker: u32,
     step_micros: u64,
     sequence_micros: u64,
     prompt_token_micros: u64,
@@ -115,7 +116,8 @@
             seconds: 30.0,
             seed: 1,
             workers: 0,
-            window: 32,
+            window: 64,
+            online_per_worker: 0,
             step_micros: 4_000,
             sequence_micros: 20,
             prompt_token_micros: 10,
@@ -153,6 +155,8 @@
     pub workers: usize,
     /// Attempts at an engine at one time.
     pub window: u32,
+    /// Online requests that a worker takes before the next one is used.
+    pub online_per_worker: u32,
     /// Costs of an engine's step.
     pub costs: EngineCosts,
     /// Online requests a second.
@@ -192,9 +196,9 @@
 
     fn try_from(text: &str) -> Result<Self, String> {
         let raw: RawScenario = toml::from_str(text).map_err(|e| e.message().to_owned())?;
-        let (lean, workers) = match raw.deployment.as_str() {
-            "rental" => (Lean::Throughput, 12),
-            "booking-desk" => (Lean::Tail, 9),
+        let (lean, workers, online_per_worker) = match raw.deployment.as_str() {
+            "rental" => (Lean::Throughput, 12, 48),
+            "booking-desk" => (Lean::Tail, 9, 32),
             other => return Err(format!("deployment: {other:?} is none of ours")),
         };
         if raw.seconds <= 0.0 || raw.seconds > 3_600.0 {
@@ -222,6 +226,11 @@
                 raw.workers
             },
             window: raw.window,
+            online_per_worker: if raw.online_per_worker == 0 {
+                online_per_worker
+            } else {
+                raw.online_per_worker
+            },
             costs,
             online_rate: raw.online_rate,
             online_tokens: raw.online_tokens,
--- a/crates/bluebellreel_experiment/src/simulation.rs
+++ b/crates/bluebellreel_experiment/src/simulation.rs
@@ -5,7 +5,9 @@
 use crate::load::{Arrival, arrivals};
 use crate::measure::{Latencies, Outcome, Sample};
 use crate::{Mode, Scenario};
-use bluebellreel_admission::{self as admission, Admission, AdmissionLimits, EngineEnd};
+use bluebellreel_admission::{
+    self as admission, Admission, AdmissionLimits, BatchWindow, EngineEnd,
+};
 use bluebellreel_routing::{self as routing, NewRequest, Router, RouterLimits};
 use bluebellreel_types::{
     AttemptEnd, AttemptId, BrokenReason, Class, DataCentre, Dispatch, EntryName, Incarnation,
@@ -26,6 +28,8 @@
 const SAMPLE: Duration = Duration::from_millis(500);
 /// Time after the scenario's end for requests to finish.
 const DRAIN: Duration = Duration::from_secs(12);
+/// A window that holds nothing back.
+const OPEN_WINDOW: u32 = 1 << 20;
 /// Batch attempts kept at an engine that takes all as they come.
 const FIRST_COME_DEPTH: usize = 96;
 
@@ -117,6 +121,17 @@
             inter_token_target: scenario.inter_token,
             ..AdmissionLimits::default()
         };
+        let limits = match mode {
+            Mode::FirstCome => AdmissionLimits {
+                window: OPEN_WINDOW,
+                ..limits
+            },
+            _ => limits,
+        };
+        let router_limits = RouterLimits {
+            online_per_worker: scenario.online_per_worker,
+            ..RouterLimits::default()
+        };
         let side = |index: usize| Side {
             admission: Admission::new(Incarnation(index as u64 + 1), limits.clone()),
             engine: Engine::new(scenario.costs),
@@ -131,7 +146,7 @@
             next_step: 0,
             next_request: 1 << 40,
             rng: SmallRng::seed_from_u64(scenario.seed),
-            router: Router::new(RouterLimits::default(), DataCentre::from("Sligo")),
+            router: Router::new(router_limits, DataCentre::from("Sligo")),
             jobs: Jobs::new(scenario),
             sides: (0..scenario.workers).map(side).collect(),
             arrivals: Vec::new(),
@@ -417,6 +432,10 @@
             self.track(index, attempt, dispatch);
             return;
         }
+        if self.mode == Mode::FirstCome {
+            let open = BatchWindow::new(OPEN_WINDOW, self.scenario.lean);
+            self.sides[index].admission.batch_window = open;
+        }
         let effects = admission::step(&mut self.sides[index].admission, event, self.now);
         for effect in effects {
             self.side_effect(index, effect);
--- a/crates/bluebellreel_routing/src/choice.rs
+++ b/crates/bluebellreel_routing/src/choice.rs
@@ -99,7 +99,8 @@
         return Choice::TooLate(soonest);
     }
     let preferred = preferred(&in_time, avoid, local, limits);
-    Choice::Worker(pick(&preferred, work.prefix, limits, rng))
+    let used = used_workers(preferred, work, limits);
+    Choice::Worker(pick(&used, work.prefix, limits, rng))
 }
 
 /// Leaves out workers that failed this request and those of other data
@@ -129,6 +130,32 @@
     if near.is_empty() { pool } else { near }
 }
 
+/// Keeps online work on as few workers as carry it.
+///
+/// Beside online work an engine can take little batch without slowing it down.
+/// Spread thin, a handful of online requests would hold batch back on every
+/// worker; kept together, they leave the others to batch. All daemons rank the
+/// workers of a model alike, so they agree on which ones without a word.
+fn used_workers<'a>(
+    mut pool: Vec<&'a Candidate<'a>>,
+    work: &Work,
+    limits: &RouterLimits,
+) -> Vec<&'a Candidate<'a>> {
+    if limits.online_per_worker == 0 {
+        return pool;
+    }
+    let online: u64 = pool.iter().map(|c| u64::from(c.worker.online())).sum();
+    let needed = (online + 1).div_ceil(u64::from(limits.online_per_worker));
+    let needed = usize::try_from(needed).unwrap_or(usize::MAX);
+    if needed >= pool.len() {
+        return pool;
+    }
+    let key = rendezvous_score(0, work.model.as_str());
+    pool.sort_by_cached_key(|c| std::cmp::Reverse(rendezvous_score(key, c.worker.name.as_str())));
+    pool.truncate(needed);
+    pool
+}
+
 /// Load up to which a home is taken.
 fn bound_tokens(pool: &[&Candidate], limits: &RouterLimits) -> u64 {
     let total: u64 = pool.iter().map(|c| c.ahead).sum();
--- a/crates/bluebellreel_routing/src/limits.rs
+++ b/crates/bluebellreel_routing/src/limits.rs
@@ -18,6 +18,9 @@
     /// A worker's load may exceed the mean by this, in percent, before its
     /// prefix home is passed over.
     pub home_slack_percent: u64,
+    /// Online requests that a worker takes before the next one is used; zero
+    /// spreads them over all.
+    pub online_per_worker: u32,
     /// Age at which a load report counts for nothing.
     pub load_age: Duration,
     /// Longest wait for an outcome to be recorded before the caller is told.
@@ -33,6 +36,7 @@
             attempts: 4,
             retry_percent: 10,
             home_slack_percent: 25,
+            online_per_worker: 32,
             load_age: Duration::from_secs(5),
             record_wait: Duration::from_millis(500),
         }
--- a/crates/bluebellreel_routing/src/worker.rs
+++ b/crates/bluebellreel_routing/src/worker.rs
@@ -66,6 +66,12 @@
             && self.health.admits(self.in_flight, now)
     }
 
+    /// Online requests there, as far as is known here.
+    #[must_use]
+    pub fn online(&self) -> u32 {
+        self.in_flight.max(self.load.online)
+    }
+
     /// Tokens ahead of a new request: the last report, counting for less as it
     /// ages, and what was sent since.
     #[must_use]
--- a/crates/bluebellreel_settings/src/entry.rs
+++ b/crates/bluebellreel_settings/src/entry.rs
@@ -76,6 +76,7 @@
     threads: usize,
     requests: usize,
     team_requests: usize,
+    online_per_worker: u32,
     workers_per_model: usize,
 }
 
@@ -90,6 +91,7 @@
             threads: 1_024,
             requests: 4_096,
             team_requests: 256,
+            online_per_worker: 32,
             workers_per_model: 48,
         }
     }
@@ -121,6 +123,9 @@
     pub requests: usize,
     /// Online requests of one team in progress.
     pub team_requests: usize,
+    /// Online requests that a worker takes before the next one is used; zero
+    /// spreads them over all.
+    pub online_per_worker: u32,
     /// Workers of one model that this daemon connects to.
     pub workers_per_model: usize,
 }
@@ -256,6 +261,7 @@
         threads: check.at_least("limits.threads", raw.threads, 4)?,
         requests: check.at_least("limits.requests", raw.requests, 1)?,
         team_requests: check.at_least("limits.team_requests", raw.team_requests, 1)?,
+        online_per_worker: raw.online_per_worker,
         workers_per_model: check.at_least("limits.workers_per_model", raw.workers_per_model, 2)?,
     })
 }
