Give operators drain, roll forward and a page for a phone

Cause: the command line's drain and roll-forward had no endpoint behind them, and there was no page.

A drain is an order in the key-value service that names the run of the side process, so a VM that comes back under the same name is not held to it; roll forward accepts the standing manifest as the next generation and is idempotent by the generation seen.

Shown: two phones race over one generation and one wins; a double tap makes one generation; a drained worker gets nothing new and cuts nothing; an outage reverts nothing.

--- a/crates/bluebellreel_entry/src/fleet/part.rs
+++ b/crates/bluebellreel_entry/src/fleet/part.rs
@@ -1,9 +1,10 @@
 //! The part that brings manifests into force.
 
+use crate::fleet::DrainOrder;
 use crate::parts::Parts;
 use bluebellreel_fleet::{AcceptedManifest, Applied, Manifest};
 use bluebellreel_rpc::{EntryCommand, EntryNotice};
-use bluebellreel_types::{Moment, WorkerName};
+use bluebellreel_types::{Incarnation, Moment, WorkerName};
 use crossbeam_channel::Sender;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -35,8 +36,12 @@
 pub(crate) enum FleetMessage {
     /// A manifest that was accepted.
     Offered(AcceptedManifest),
+    /// An operator ordered a worker to leave.
+    DrainOrdered(DrainOrder),
     /// What is in force is asked for.
     SummaryAsked(Sender<FleetSummary>),
+    /// The run of a worker's side process is asked for.
+    IncarnationAsked(WorkerName, Sender<Option<Incarnation>>),
 }
 
 /// What is in force where.
@@ -50,6 +55,10 @@
     pub(crate) in_force: usize,
     /// Workers that do not.
     pub(crate) behind: Vec<WorkerName>,
+    /// Workers that an operator ordered to leave.
+    pub(crate) draining: Vec<WorkerName>,
+    /// All connected workers.
+    pub(crate) names: Vec<WorkerName>,
 }
 
 /// Brings manifests into force.
@@ -57,10 +66,18 @@
     parts: Parts,
     applied: Applied,
     shared: SharedManifest,
-    workers: BTreeMap<WorkerName, u64>,
+    workers: BTreeMap<WorkerName, KnownWorker>,
+    drains: BTreeMap<WorkerName, DrainOrder>,
     repair_at: Moment,
 }
 
+/// A connected worker as this part sees it.
+struct KnownWorker {
+    incarnation: Incarnation,
+    /// The generation that it has in force.
+    applied: u64,
+}
+
 impl FleetPart {
     pub(crate) fn new(parts: Parts, shared: SharedManifest) -> Self {
         Self {
@@ -68,6 +85,7 @@
             applied: Applied::default(),
             shared,
             workers: BTreeMap::new(),
+            drains: BTreeMap::new(),
             repair_at: Moment(0),
         }
     }
@@ -80,13 +98,28 @@
         }
         self.repair_at = now + REPAIR_PERIOD;
         let generation = self.applied.generation();
-        for (worker, applied) in &self.workers {
-            if *applied < generation {
+        for (worker, known) in &self.workers {
+            if known.applied < generation {
                 self.configure(worker);
             }
         }
     }
 
+    /// Lets a worker leave if that was ordered for this run of it. The side
+    /// process then tells all daemons with its load.
+    fn drain_if_ordered(&self, worker: &WorkerName) {
+        let order = self.drains.get(worker);
+        let known = self.workers.get(worker);
+        if order.is_some_and(|o| known.is_some_and(|k| k.incarnation == o.incarnation)) {
+            self.parts.send(EntryCommand::Drain(worker.clone()));
+        }
+    }
+
+    /// The run of a connected worker's side process.
+    fn incarnation_of(&self, worker: &WorkerName) -> Option<Incarnation> {
+        self.workers.get(worker).map(|known| known.incarnation)
+    }
+
     fn configure(&self, worker: &WorkerName) {
         let Some(current) = self.applied.current() else {
             return;
@@ -102,9 +135,18 @@
     pub(crate) fn on_message(&mut self, message: FleetMessage) {
         match message {
             FleetMessage::Offered(accepted) => self.offer(accepted),
+            FleetMessage::DrainOrdered(order) => {
+                log::info!(target: "fleet", worker:% = order.worker; "Drain ordered.");
+                let worker = order.worker.clone();
+                self.drains.insert(worker.clone(), order);
+                self.drain_if_ordered(&worker);
+            }
             FleetMessage::SummaryAsked(answer) => {
                 answer.send(self.summary()).ok();
             }
+            FleetMessage::IncarnationAsked(worker, answer) => {
+                answer.send(self.incarnation_of(&worker)).ok();
+            }
         }
     }
 
@@ -131,15 +173,20 @@
     pub(crate) fn on_notice(&mut self, notice: EntryNotice) {
         match notice {
             EntryNotice::Connected(hello) => {
-                self.workers.insert(hello.worker.clone(), 0);
+                let known = KnownWorker {
+                    incarnation: hello.incarnation,
+                    applied: 0,
+                };
+                self.workers.insert(hello.worker.clone(), known);
                 self.configure(&hello.worker);
+                self.drain_if_ordered(&hello.worker);
             }
             EntryNotice::Lost(worker) => {
                 self.workers.remove(&worker);
             }
             EntryNotice::Applied { worker, generation } => {
-                if let Some(applied) = self.workers.get_mut(&worker) {
-                    *applied = generation;
+                if let Some(known) = self.workers.get_mut(&worker) {
+                    known.applied = generation;
                 }
             }
             _ => {}
@@ -153,7 +200,7 @@
         let behind: Vec<WorkerName> = self
             .workers
             .iter()
-            .filter(|(_, applied)| **applied < generation)
+            .filter(|(_, known)| known.applied < generation)
             .map(|(worker, _)| worker.clone())
             .collect();
         FleetSummary {
@@ -161,6 +208,8 @@
             workers: self.workers.len(),
             in_force: self.workers.len() - behind.len(),
             behind,
+            draining: self.drains.keys().cloned().collect(),
+            names: self.workers.keys().cloned().collect(),
         }
     }
 }
--- a/crates/bluebellreel_entry/src/http/mod.rs
+++ b/crates/bluebellreel_entry/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod chat;
 mod online;
 mod operator;
+mod page;
 mod requests;
 mod route;
 mod services;
--- a/crates/bluebellreel_entry/src/http/operator.rs
+++ b/crates/bluebellreel_entry/src/http/operator.rs
@@ -1,14 +1,16 @@
 //! Operators' calls.
 
-use crate::fleet::{FleetMessage, FleetSummary, PutAnswer, get_manifest, put_manifest};
-use crate::http::batches;
+use crate::fleet::{
+    DrainOrder, FleetMessage, FleetSummary, PutAnswer, get_manifest, order_drain, put_manifest,
+};
 use crate::http::route::{Rim, principal};
+use crate::http::{batches, page};
 use crate::jobs::{JobsMessage, JobsSummary};
 use crate::message::Message;
 use bluebellreel_fleet::Manifest;
 use bluebellreel_http::{ApiError, Method, Reply, Request, header, read_body, respond};
 use bluebellreel_settings::Principal;
-use bluebellreel_types::{JobId, Ran};
+use bluebellreel_types::{JobId, Ran, WorkerName};
 use crossbeam_channel::{Sender, bounded};
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -17,7 +19,12 @@
 const ACTOR_TIME: Duration = Duration::from_secs(2);
 
 /// `/operator/…`
-pub(crate) fn handle(rim: &Rim, mut req: Request, path: &str, _query: &str) {
+pub(crate) fn handle(rim: &Rim, mut req: Request, path: &str, query: &str) {
+    // The page's own form: a browser cannot set headers, so the token comes in
+    // the form's body and answers are pages.
+    if path == "/operator" {
+        return page::handle(rim, req, query);
+    }
     let reply = allowed(rim, &req)
         .and_then(|()| run(rim, &mut req, path))
         .unwrap_or_else(Reply::from);
@@ -40,12 +47,70 @@
         (Method::Get, "outcomes") => Ok(Reply::json(200, &outcomes(rim)?)),
         (Method::Post, _) => match path.split('/').collect::<Vec<_>>()[..] {
             ["jobs", id, "cancel"] => batches::cancel(rim, &JobId::from(id)),
+            ["workers", name, "drain"] => drain(rim, &WorkerName::from(name)),
+            ["roll-forward"] => {
+                let seen = header(req, "If-Match").is_some();
+                let seen = seen.then(|| seen_generation(req)).transpose()?;
+                roll_forward(rim, seen)
+            }
             _ => Err(ApiError::new(404, "not_found", "no such path")),
         },
         _ => Err(ApiError::new(404, "not_found", "no such path")),
     }
 }
 
+/// Lets a worker leave: nothing new within seconds, what runs finishes.
+pub(crate) fn drain(rim: &Rim, worker: &WorkerName) -> Result<Reply, ApiError> {
+    let asked = worker.clone();
+    let incarnation = ask(rim, |answer| {
+        Message::Fleet(FleetMessage::IncarnationAsked(asked, answer))
+    })?;
+    let Some(incarnation) = incarnation else {
+        return Err(ApiError::new(
+            404,
+            "no_worker",
+            "no such worker is connected",
+        ));
+    };
+    let order = DrainOrder {
+        worker: worker.clone(),
+        incarnation,
+        at: rim.now(),
+    };
+    order_drain(&rim.parts.kv, &order).map_err(|reason| unavailable(&reason))?;
+    Ok(Reply::json(
+        200,
+        &json!({ "worker": worker, "draining": true }),
+    ))
+}
+
+/// Accepts the manifest that stands once more, as the next generation, so that
+/// every process brings it into force anew. A second tap on what the first one
+/// has done finds it done.
+pub(crate) fn roll_forward(rim: &Rim, seen: Option<u64>) -> Result<Reply, ApiError> {
+    let found = get_manifest(&rim.parts.kv).map_err(|e| unavailable(&e.to_string()))?;
+    let Some(found) = found else {
+        return Err(ApiError::new(404, "no_manifest", "no manifest yet"));
+    };
+    if seen.is_some_and(|seen| found.generation == seen + 1) {
+        return Ok(Reply::json(200, &json!({ "generation": found.generation })));
+    }
+    let seen = seen.unwrap_or(found.generation);
+    match put_manifest(&rim.parts.kv, seen, &found.text) {
+        PutAnswer::Accepted(stored) => Ok(Reply::json(
+            200,
+            &json!({ "generation": stored.generation }),
+        )),
+        PutAnswer::Beaten(winner) => {
+            let generation = winner.map_or(0, |w| w.generation);
+            let message = format!("generation {generation} stands; look again");
+            Err(ApiError::new(409, "beaten", message))
+        }
+        PutAnswer::NotDone(reason) => Err(unavailable(&reason)),
+        PutAnswer::Unknown(reason) => Err(unavailable(&reason).ran(Ran::Unknown)),
+    }
+}
+
 fn show_manifest(rim: &Rim) -> Result<Reply, ApiError> {
     let found = get_manifest(&rim.parts.kv).map_err(|e| unavailable(&e.to_string()))?;
     let Some(found) = found else {
@@ -115,7 +180,7 @@
 }
 
 /// Whether the outcomes hold.
-fn outcomes(rim: &Rim) -> Result<Value, ApiError> {
+pub(crate) fn outcomes(rim: &Rim) -> Result<Value, ApiError> {
     let jobs: JobsSummary = ask(rim, |answer| {
         Message::Jobs(JobsMessage::SummaryAsked(answer))
     })?;
@@ -145,6 +210,8 @@
             "workers": fleet.workers,
             "in_force": fleet.in_force,
             "behind": fleet.behind,
+            "draining": fleet.draining,
+            "worker_names": fleet.names,
         },
     }))
 }
--- a/crates/bluebellreel_entry/src/online/part.rs
+++ b/crates/bluebellreel_entry/src/online/part.rs
@@ -56,7 +56,6 @@
     callers: HashMap<RequestId, Caller>,
     askers: HashMap<AttemptId, Vec<Asker>>,
     links: BTreeMap<WorkerName, ListedWorker>,
-    drained: HashSet<WorkerName>,
 }
 
 impl OnlinePart {
@@ -74,7 +73,6 @@
             callers: HashMap::new(),
             askers: HashMap::new(),
             links: BTreeMap::new(),
-            drained: HashSet::new(),
         }
     }
 
@@ -224,7 +222,7 @@
     }
 
     fn note_listed(&mut self, listed: ListedWorker) {
-        let leaving = listed.state == ListedState::Leaving || self.drained.contains(&listed.name);
+        let leaving = listed.state == ListedState::Leaving;
         self.decide(Event::WorkerListed {
             worker: listed.name.clone(),
             data_centre: listed.data_centre.clone(),
--- a/crates/bluebellreel_entry/src/platform/keys.rs
+++ b/crates/bluebellreel_entry/src/platform/keys.rs
@@ -5,13 +5,23 @@
 //! little. Ended jobs move to `done/` in the transaction that ends them.
 
 use bluebellreel_kv::Key;
-use bluebellreel_types::{EntryName, JobId};
+use bluebellreel_types::{EntryName, JobId, WorkerName};
 
 /// The manifest.
 pub(crate) fn manifest_key() -> Key {
     Key::from("manifest")
 }
 
+/// All drain orders.
+pub(crate) fn drain_prefix() -> Key {
+    Key::from("order/drain/")
+}
+
+/// The drain order for a worker.
+pub(crate) fn drain_key(worker: &WorkerName) -> Key {
+    Key::from(format!("order/drain/{worker}"))
+}
+
 /// All live entry daemons.
 pub(crate) fn entry_prefix() -> Key {
     Key::from("entry/")
--- a/crates/bluebellreel_experiment/src/simulation.rs
+++ b/crates/bluebellreel_experiment/src/simulation.rs
@@ -11,7 +11,7 @@
 use bluebellreel_routing::{self as routing, NewRequest, Router, RouterLimits};
 use bluebellreel_types::{
     AttemptEnd, AttemptId, BrokenReason, Class, DataCentre, Dispatch, EntryName, Incarnation,
-    ModelName, Moment, RequestId, SideHello, TraceContext, WorkerName,
+    ModelName, Moment, NotRunReason, RequestId, SideHello, TraceContext, WorkerName,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -427,8 +427,17 @@
         if self.mode == Mode::FirstCome
             && let admission::Event::Arrived { dispatch, .. } = event
         {
-            self.start(index, &dispatch);
             let attempt = dispatch.attempt;
+            if self.sides[index].engine.dead {
+                self.route(routing::Event::AttemptEnded {
+                    worker: worker_name(index),
+                    attempt,
+                    end: AttemptEnd::NotRun(NotRunReason::Unreachable),
+                    load: None,
+                });
+                return;
+            }
+            self.start(index, &dispatch);
             self.track(index, attempt, dispatch);
             return;
         }
@@ -552,6 +561,9 @@
     }
 
     fn stuff(&mut self, index: usize) {
+        if self.sides[index].engine.dead {
+            return;
+        }
         let room = FIRST_COME_DEPTH.saturating_sub(self.sides[index].engine.load());
         let incarnation = self.sides[index].admission.incarnation;
         let worker = worker_name(index);
--- a/crates/bluebellreel_site/src/site.rs
+++ b/crates/bluebellreel_site/src/site.rs
@@ -209,6 +209,16 @@
         set_faults(&self.workers[worker].backend, faults)
     }
 
+    /// Attempts that reached a worker's engine.
+    ///
+    /// # Errors
+    ///
+    /// Gives the connection's error.
+    pub fn engine_admitted(&self, worker: usize) -> eyre::Result<u64> {
+        let url = format!("{}/stand-in/admitted", self.workers[worker].backend.url());
+        Ok(ureq::get(&url).call()?.body_mut().read_json()?)
+    }
+
     /// Stops an entry daemon gracefully; whether nothing was cut.
     ///
     /// # Errors
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,222 @@
+//! Operators at two entry daemons.
+
+use bluebellreel_site::{OPERATOR_TOKEN, Site, SitePlan};
+use bluebellreel_standins::EngineCosts;
+use serde_json::Value;
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn post(site: &Site, entry: usize, path: &str, headers: &[(&str, &str)]) -> (u16, Value) {
+    let (status, text) = site
+        .operator(entry)
+        .send("POST", path, headers, b"")
+        .expect("an answer");
+    (status, serde_json::from_str(&text).expect("JSON"))
+}
+
+fn outcomes(site: &Site, entry: usize) -> Value {
+    let path = "/operator/v1/outcomes";
+    let (_, text) = site
+        .operator(entry)
+        .send("GET", path, &[], b"")
+        .expect("answer");
+    serde_json::from_str(&text).expect("JSON")
+}
+
+/// Waits for something that must come about; how long is not judged here.
+fn until(mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(30);
+    while !holds() {
+        assert!(Instant::now() < end, "it never came about");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// An operator drains a worker at one daemon. Soon no daemon sends it anything
+/// new, while answers that it was giving come whole.
+#[test]
+fn drained_worker_gets_nothing_new_and_cuts_nothing() {
+    let costs = EngineCosts {
+        base: Duration::from_millis(10),
+        ..EngineCosts::default()
+    };
+    let plan = SitePlan {
+        workers: 2,
+        services: 0,
+        costs,
+        ..SitePlan::default()
+    };
+    let site = Site::start(&plan).expect("site");
+    thread::scope(|scope| {
+        let asked: Vec<_> = (0..6)
+            .map(|n| {
+                let caller = site.caller(n % 2);
+                scope.spawn(move || caller.chat(&format!("question {n}"), 40))
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(100));
+        for _ in 0..2 {
+            let (status, body) = post(&site, 0, "/operator/v1/workers/worker-0/drain", &[]);
+            assert_eq!(status, 200, "{body}");
+        }
+        for answer in asked {
+            answer.join().expect("asked").expect("whole");
+        }
+    });
+    let drained = || site.engine_admitted(0).expect("count");
+    until(|| {
+        let before = drained();
+        for n in 0..10 {
+            site.caller(n % 2)
+                .chat(&format!("later {n}"), 1)
+                .expect("answer");
+        }
+        drained() == before
+    });
+    assert_eq!(
+        post(&site, 1, "/operator/v1/workers/nobody/drain", &[]).0,
+        404
+    );
+}
+
+/// Two phones put different manifests over the same generation. One is
+/// accepted; the other operator is shown what won; it is in force everywhere
+/// and stays so.
+#[test]
+fn racing_operators_have_one_winner() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let manifest = |version: usize| {
+        site.manifest()
+            .replace("version = \"1\"", &format!("version = \"{version}\""))
+    };
+    let answers: Vec<(u16, String)> = thread::scope(|scope| {
+        let put = |n: usize| {
+            let (operator, text) = (site.operator(n), manifest(n + 2));
+            scope.spawn(move || {
+                let headers = [("If-Match", "1")];
+                operator
+                    .send("PUT", "/operator/v1/manifest", &headers, text.as_bytes())
+                    .expect("answer")
+            })
+        };
+        let threads = [put(0), put(1)];
+        threads
+            .into_iter()
+            .map(|t| t.join().expect("put"))
+            .collect()
+    });
+    let won: Vec<bool> = answers.iter().map(|(status, _)| *status == 200).collect();
+    assert_eq!(won.iter().filter(|w| **w).count(), 1, "{answers:?}");
+    let loser = answers
+        .iter()
+        .find(|(status, _)| *status != 200)
+        .expect("a loser");
+    assert_eq!(loser.0, 409);
+    assert!(
+        loser.1.contains("\"generation\":2"),
+        "shown what won: {}",
+        loser.1
+    );
+    until(|| (0..2).all(|n| outcomes(&site, n)["changes_hold"]["generation"] == 2));
+    until(|| (0..2).all(|n| outcomes(&site, n)["changes_hold"]["state"] == "holds"));
+}
+
+/// A thumb taps "roll forward" twice. One generation is made, not two.
+#[test]
+fn double_tap_rolls_forward_once() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let seen = [("If-Match", "1")];
+    for entry in 0..2 {
+        let (status, body) = post(&site, entry, "/operator/v1/roll-forward", &seen);
+        assert_eq!(
+            (status, &body["generation"]),
+            (200, &Value::from(2)),
+            "{body}"
+        );
+    }
+    let (status, _) = post(&site, 0, "/operator/v1/roll-forward", &[("If-Match", "0")]);
+    assert_eq!(status, 409);
+}
+
+#[test]
+fn bad_manifest_is_refused_whole_with_every_error() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let text = "[[models]]\nname = \"a b\"\nversion = \"\"\n";
+    let headers = [("If-Match", "1")];
+    let path = "/operator/v1/manifest";
+    let put = site
+        .operator(0)
+        .send("PUT", path, &headers, text.as_bytes());
+    let (status, answer) = put.expect("answer");
+    assert_eq!(status, 422);
+    assert!(
+        answer.contains("models.a b.name") && answer.contains("version"),
+        "{answer}"
+    );
+    let without = site.operator(0).send("PUT", path, &[], text.as_bytes());
+    assert_eq!(without.expect("answer").0, 428);
+}
+
+/// The page works without script: a token, the outcomes, a confirmation, and
+/// the deed. It is small, and a team's token opens nothing.
+#[test]
+fn page_shows_outcomes_and_asks_before_it_acts() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let send = |body: &str| {
+        site.operator(0)
+            .send("POST", "/operator", &[], body.as_bytes())
+            .expect("answer")
+    };
+    let (status, form) = site
+        .operator(0)
+        .send("GET", "/operator", &[], b"")
+        .expect("page");
+    assert_eq!(status, 200);
+    assert!(form.contains("type=\"password\""));
+    assert_eq!(send("token=school-token").0, 401);
+    let (status, page) = send(&format!("token={OPERATOR_TOKEN}"));
+    assert_eq!(status, 200);
+    assert!(page.len() < 30_000, "{} bytes", page.len());
+    assert!(page.contains("Every accepted item finishes once"));
+    assert!(!page.contains("<script"));
+    let act = format!("token={OPERATOR_TOKEN}&action=roll-forward&seen=1");
+    assert!(send(&act).1.contains("Accept the manifest anew"));
+    assert_eq!(
+        outcomes(&site, 0)["changes_hold"]["generation"],
+        1,
+        "only asked"
+    );
+    assert!(
+        send(&format!("{act}&confirmed=yes"))
+            .1
+            .contains("accepted anew")
+    );
+    until(|| outcomes(&site, 1)["changes_hold"]["generation"] == 2);
+}
+
+/// The key-value service is down before, during and after a change is asked
+/// for. Nothing reverts, and what was in force stays in force.
+#[test]
+fn outage_reverts_nothing() {
+    let site = Site::start(&SitePlan::default()).expect("site");
+    let down = bluebellreel_standins::KvFaults {
+        down: true,
+        ..Default::default()
+    };
+    site.set_kv_faults(&down).expect("faults");
+    let headers = [("If-Match", "1")];
+    let text = site.manifest().replace("\"1\"", "\"9\"");
+    let path = "/operator/v1/manifest";
+    let put = || {
+        site.operator(0)
+            .send("PUT", path, &headers, text.as_bytes())
+            .expect("answer")
+    };
+    assert_eq!(put().0, 503);
+    assert!(site.caller(1).chat("still served", 2).is_ok());
+    assert_eq!(outcomes(&site, 1)["changes_hold"]["generation"], 1);
+    site.set_kv_faults(&bluebellreel_standins::KvFaults::default())
+        .expect("faults");
+    until(|| matches!(put().0, 200 | 409));
+    until(|| (0..2).all(|n| outcomes(&site, n)["changes_hold"]["generation"] == 2));
+}
