Stop gracefully: stay for the balancer, give the lease back; rolling restart

Cause: a stopping daemon refused new requests at once, while the balancer still sent them, and left its lease to run out.

It now goes on serving for deadlines.notice_s after it has said "not ready", then finishes what is in progress and revokes its lease, so that another daemon takes over jobs after the grace alone.

--- a/crates/bluebellreel_entry/src/bench.rs
+++ b/crates/bluebellreel_entry/src/bench.rs
@@ -131,6 +131,7 @@
         let parts = Parts {
             run,
             clock,
+            lease: Arc::default(),
             kv: Arc::new(kv),
             pool: KvPool::held(),
             rpc,
--- a/crates/bluebellreel_entry/src/parts.rs
+++ b/crates/bluebellreel_entry/src/parts.rs
@@ -9,6 +9,7 @@
 use bluebellreel_types::{Clock, Incarnation};
 use crossbeam_channel::Sender;
 use std::sync::Arc;
+use std::sync::atomic::AtomicI64;
 use tokio::sync::mpsc::UnboundedSender;
 
 /// Handles shared by all threads of the daemon.
@@ -17,6 +18,8 @@
     pub(crate) settings: Arc<EntrySettings>,
     pub(crate) run: Incarnation,
     pub(crate) clock: Clock,
+    /// The daemon's lease, zero while it has none.
+    pub(crate) lease: Arc<AtomicI64>,
     pub(crate) kv: Arc<KvClient>,
     pub(crate) pool: KvPool,
     pub(crate) rpc: UnboundedSender<EntryCommand>,
--- a/crates/bluebellreel_entry/src/platform/membership.rs
+++ b/crates/bluebellreel_entry/src/platform/membership.rs
@@ -9,9 +9,12 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+/// Stands for the lease of a daemon that has stopped.
+pub(crate) const STOPPED: i64 = -1;
 /// Pause before a watch is opened again.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
 
@@ -39,14 +42,30 @@
         .spawn(move || {
             let ttl = parts.settings.lease;
             let mut lease = None;
-            loop {
+            while parts.lease.load(Ordering::SeqCst) != STOPPED {
                 lease = renew(&parts.kv, lease, ttl, &record);
+                parts.note_lease(lease.unwrap_or(0));
                 thread::sleep(ttl / 3);
             }
         })?;
     Ok(())
 }
 
+impl Parts {
+    /// Notes the lease, unless the daemon has stopped meanwhile: one that was
+    /// taken too late goes back at once.
+    fn note_lease(&self, lease: i64) {
+        let noted = self
+            .lease
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |known| {
+                (known != STOPPED).then_some(lease)
+            });
+        if noted.is_err() && lease > 0 {
+            self.kv.revoke(lease).ok();
+        }
+    }
+}
+
 /// Renews the lease, or takes a new one when it has lapsed.
 fn renew(kv: &KvClient, lease: Option<i64>, ttl: Duration, record: &EntryRecord) -> Option<i64> {
     if let Some(id) = lease {
--- a/crates/bluebellreel_entry/src/platform/mod.rs
+++ b/crates/bluebellreel_entry/src/platform/mod.rs
@@ -11,5 +11,5 @@
     output_prefix,
 };
 pub(crate) use kv_pool::KvPool;
-pub(crate) use membership::{EntryRecord, follow_prefix, hold_lease, watch_entries};
+pub(crate) use membership::{EntryRecord, STOPPED, follow_prefix, hold_lease, watch_entries};
 pub(crate) use vm_list::{ListedState, ListedWorker, watch_vms};
--- a/crates/bluebellreel_entry/src/run.rs
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -7,7 +7,9 @@
 use crate::jobs::JobsMessage;
 use crate::message::Message;
 use crate::parts::Parts;
-use crate::platform::{KvPool, follow_prefix, hold_lease, job_prefix, watch_entries, watch_vms};
+use crate::platform::{
+    KvPool, STOPPED, follow_prefix, hold_lease, job_prefix, watch_entries, watch_vms,
+};
 use bluebellreel_http::{HttpServer, serve};
 use bluebellreel_job::JobRecord;
 use bluebellreel_kv::{KeyValue, KvClient, KvSettings};
@@ -42,7 +44,7 @@
     ready: Arc<AtomicBool>,
     http: HttpServer,
     actors: JoinHandle<bool>,
-    stop: Duration,
+    parts: Parts,
 }
 
 impl Entry {
@@ -50,24 +52,34 @@
     /// nothing was cut.
     #[must_use = "a stop that cut something must be reported"]
     pub fn stop(self) -> bool {
-        let until = Instant::now() + self.stop;
-        self.begin_stop();
+        self.ready.store(false, Ordering::SeqCst);
+        log::info!(target: "entry", "Stopping: not ready any more.");
+        // The balancer goes on sending for a while; those callers are served.
+        thread::sleep(self.parts.settings.notice);
+        let until = Instant::now() + self.parts.settings.stop;
+        self.tx.send(Message::StopAsked).ok();
         let clean = self.actors.join().unwrap_or(false);
         while self.http.in_progress() > 0 && Instant::now() < until {
             thread::sleep(Duration::from_millis(10));
         }
         let cut = self.http.in_progress();
         self.http.stop();
+        give_back_lease(&self.parts);
         if cut > 0 {
             log::error!(target: "entry", cut; "Stopped at the deadline; requests were cut.");
         }
         clean && cut == 0
     }
+}
 
-    /// Asks for a graceful stop without waiting for it.
-    pub fn begin_stop(&self) {
-        self.ready.store(false, Ordering::SeqCst);
-        self.tx.send(Message::StopAsked).ok();
+/// Gives the lease back, so that other daemons need not wait for its end to
+/// take over what is left.
+fn give_back_lease(parts: &Parts) {
+    let lease = parts.lease.swap(STOPPED, Ordering::SeqCst);
+    if lease > 0
+        && let Err(e) = parts.kv.revoke(lease)
+    {
+        log::warn!(target: "entry", error:% = e; "The lease could not be given back.");
     }
 }
 
@@ -94,6 +106,7 @@
     let parts = Parts {
         run,
         clock,
+        lease: Arc::default(),
         pool: KvPool::start(&kv)?,
         kv,
         rpc: start_rpc(&settings, tx.clone())?,
@@ -120,9 +133,10 @@
     watch_jobs(&parts)?;
     let stop = settings.stop;
     let name = settings.name.clone();
-    let actors = thread::Builder::new()
-        .name("entry-actors".into())
-        .spawn(move || run_actor(&parts, shared, &rx, stop))?;
+    let actors = thread::Builder::new().name("entry-actors".into()).spawn({
+        let parts = parts.clone();
+        move || run_actor(&parts, shared, &rx, stop)
+    })?;
     ready.store(true, Ordering::SeqCst);
     log::info!(target: "entry", entry:% = name, address:% = http.address; "Entry daemon started.");
     Ok(Entry {
@@ -131,7 +145,7 @@
         ready,
         http,
         actors,
-        stop,
+        parts,
     })
 }
 
--- a/crates/bluebellreel_settings/src/entry.rs
+++ b/crates/bluebellreel_settings/src/entry.rs
@@ -50,6 +50,7 @@
     first_token_ms: u64,
     batch_s: u64,
     lease_s: u64,
+    notice_s: u64,
     stop_s: u64,
 }
 
@@ -60,6 +61,7 @@
             first_token_ms: 1_200,
             batch_s: 86_400,
             lease_s: 5,
+            notice_s: 3,
             stop_s: 30,
         }
     }
@@ -153,7 +155,10 @@
     pub batch_deadline: Duration,
     /// Time to live of the daemon's lease.
     pub lease: Duration,
-    /// Time for a graceful stop.
+    /// Time that a stopping daemon goes on serving, not ready any more, until
+    /// the balancer has noticed.
+    pub notice: Duration,
+    /// Time for a graceful stop after that.
     pub stop: Duration,
     /// Bounds.
     pub limits: EntryLimits,
@@ -222,6 +227,7 @@
             first_token_target: Duration::from_millis(deadlines.first_token_ms),
             batch_deadline: Duration::from_secs(deadlines.batch_s),
             lease: Duration::from_secs(deadlines.lease_s),
+            notice: Duration::from_secs(deadlines.notice_s),
             stop: Duration::from_secs(deadlines.stop_s),
             limits,
             tokens,
--- a/crates/bluebellreel_site/src/processes.rs
+++ b/crates/bluebellreel_site/src/processes.rs
@@ -312,7 +312,7 @@
         let settings = format!(
             "name = \"entry-{index}\"\ndata_centre = \"Sligo\"\nlisten = \"{address}\"\n\
              [platform]\nkv = \"http://{}\"\nvm_list = \"http://{vm_list}\"\n\
-             [deadlines]\nlease_s = 3\n\
+             [deadlines]\nlease_s = 3\nnotice_s = 1\n\
              [[teams]]\nname = \"school\"\ntoken_sha256 = \"{}\"\n\
              [[operators]]\nname = \"on-call\"\ntoken_sha256 = \"{}\"\n",
             self.kv,
--- /dev/null
+++ b/examples/rolling_restart.rs
@@ -0,0 +1,136 @@
+//! Restarts every daemon and side process under load, one after another: nothing fails, nothing is cut.
+
+use bluebellreel_site::{Caller, MODEL, ProcessPlan, ProcessSite, chat_line, retry, stand_in_main};
+use bluebellreel_standins::expected_answer;
+use eyre::{bail, ensure};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const ENTRIES: usize = 3;
+const ENGINES: usize = 4;
+const CALLERS: usize = 12;
+const ITEMS: u32 = 1_500;
+
+fn main() -> ExitCode {
+    let outcome = stand_in_main().unwrap_or_else(run);
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            println!("FAILED: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Online callers' counts.
+#[derive(Default)]
+struct Counts {
+    answered: AtomicU32,
+    failed: AtomicU32,
+    moved: AtomicU32,
+}
+
+fn run() -> eyre::Result<()> {
+    let mut site = ProcessSite::start(&ProcessPlan {
+        entries: ENTRIES,
+        engines: ENGINES,
+        window: 8,
+        step_micros: 10_000,
+    })?;
+    let lines: Vec<String> = (0..ITEMS)
+        .map(|n| chat_line(&format!("note-{n}"), MODEL, &format!("note {n}"), 8))
+        .collect();
+    let job = site.caller(0).submit("rolling", &lines)?.id;
+    let callers: Vec<Caller> = (0..ENTRIES).map(|n| site.caller(n)).collect();
+    let (stop, counts) = (AtomicBool::new(false), Counts::default());
+    thread::scope(|scope| -> eyre::Result<()> {
+        for number in 0..CALLERS {
+            let (stop, callers, counts) = (&stop, &callers, &counts);
+            scope.spawn(move || call_until(stop, callers, number, counts));
+        }
+        let restarted = restart_all(&mut site);
+        stop.store(true, Ordering::SeqCst);
+        restarted
+    })?;
+    let over = callers[1].wait(&job, Duration::from_mins(2))?;
+    ensure!(over.request_counts.completed == ITEMS, "{over:?}");
+    ensure!(
+        callers[2].results(&job)?.len() == ITEMS as usize,
+        "each item once"
+    );
+    let answered = counts.answered.load(Ordering::SeqCst);
+    let moved = counts.moved.load(Ordering::SeqCst);
+    let failed = counts.failed.load(Ordering::SeqCst);
+    println!(
+        "{answered} answers whole, {failed} failed or cut, {moved} sent to another daemon by the balancer"
+    );
+    ensure!(failed == 0, "{failed} requests failed or were cut");
+    println!("{ITEMS} batch items once each; all daemons and side processes restarted: passed");
+    Ok(())
+}
+
+fn restart_all(site: &mut ProcessSite) -> eyre::Result<()> {
+    thread::sleep(Duration::from_millis(500));
+    for index in 0..ENTRIES {
+        let began = Instant::now();
+        let status = site.entries[index].stop()?;
+        ensure!(status.success(), "entry {index} cut something: {status}");
+        site.entries[index].restart()?;
+        println!("entry {index} stopped in {:.1?}", began.elapsed());
+        retry(Duration::from_secs(20), || {
+            ensure!(site.workers_in_force(index)? > ENGINES, "not serving yet");
+            Ok(())
+        })?;
+    }
+    for index in 0..=ENGINES {
+        let began = Instant::now();
+        let status = site.sides[index].stop()?;
+        ensure!(
+            status.success(),
+            "side process {index} cut something: {status}"
+        );
+        site.sides[index].restart()?;
+        println!("side process {index} stopped in {:.1?}", began.elapsed());
+        for entry in 0..ENTRIES {
+            retry(Duration::from_secs(20), || {
+                ensure!(site.workers_in_force(entry)? > ENGINES, "not connected yet");
+                Ok(())
+            })?;
+        }
+    }
+    Ok(())
+}
+
+/// Asks through the balancer's choice: a daemon that is ready. The platform's
+/// balancer looks at `/readyz` and sends a request that was not run elsewhere.
+fn call_until(stop: &AtomicBool, callers: &[Caller], number: usize, counts: &Counts) {
+    let mut asked = number;
+    while !stop.load(Ordering::SeqCst) {
+        asked += 1;
+        let prompt = format!("caller {number} asks {asked}");
+        match ask(callers, asked, &prompt, counts) {
+            Ok(answer) if answer == expected_answer(&prompt, 12) => {
+                counts.answered.fetch_add(1, Ordering::SeqCst);
+            }
+            Ok(_) | Err(_) => {
+                counts.failed.fetch_add(1, Ordering::SeqCst);
+            }
+        }
+        thread::sleep(Duration::from_millis(30));
+    }
+}
+
+fn ask(callers: &[Caller], first: usize, prompt: &str, counts: &Counts) -> eyre::Result<String> {
+    for offset in 0..callers.len() {
+        let caller = &callers[(first + offset) % callers.len()];
+        let ready = caller.send("GET", "/readyz", &[], b"");
+        if !matches!(ready, Ok((200, _))) {
+            counts.moved.fetch_add(1, Ordering::SeqCst);
+            continue;
+        }
+        return caller.stream(prompt, 12, None, |_| ());
+    }
+    bail!("no daemon is ready")
+}
