--- a/crates/bluebellreel_side/src/core.rs
+++ b/crates/bluebellreel_side/src/core.rs
@@ -1,13 +1,14 @@
 //! The side process's state: it takes messages in and carries out effects.
 
-use crate::message::Message;
+use crate::fence::Fence;
+use crate::message::{Message, OrderAnswer};
 use crate::parts::{BackendOrder, Parts};
 use bluebellreel_admission::{Admission, Effect, Event, step};
 use bluebellreel_rpc::{SideCommand, SideNotice};
 use bluebellreel_telemetry::{OutcomeLabel, Span};
 use bluebellreel_types::{
-    AttemptEnd, AttemptId, AttemptVerdict, BatchReport, BrokenReason, Dispatch, EntryName, Moment,
-    TraceContext,
+    AttemptEnd, AttemptId, AttemptVerdict, BatchReport, BrokenReason, Dispatch, EntryName,
+    ModelVersion, Moment, TraceContext,
 };
 use std::collections::{BTreeMap, HashMap};
 use tokio::sync::oneshot;
@@ -20,6 +21,8 @@
     spans: HashMap<AttemptId, Span>,
     reports: BTreeMap<EntryName, Vec<BatchReport>>,
     generation: u64,
+    fence: Fence,
+    orders: HashMap<ModelVersion, Vec<OrderAnswer>>,
 }
 
 impl SideCore {
@@ -31,6 +34,8 @@
             spans: HashMap::new(),
             reports: BTreeMap::new(),
             generation: 0,
+            fence: Fence::default(),
+            orders: HashMap::new(),
         }
     }
 
@@ -59,6 +64,11 @@
             }),
             Message::Ended { attempt, end } => self.decide(Event::EngineEnded { attempt, end }),
             Message::Models(models) => self.decide(Event::ModelsChanged(models)),
+            Message::OrderEnded { model, loaded } => {
+                for answer in self.orders.remove(&model).unwrap_or_default() {
+                    answer.send(loaded).ok();
+                }
+            }
             Message::MetricsAsked(answer) => {
                 answer.send(self.parts.metrics.text()).ok();
             }
@@ -111,6 +121,27 @@
                 answer.send(self.generation).ok();
             }
             SideNotice::DrainAsked => self.decide(Event::DrainAsked),
+            SideNotice::FenceTold(fence) => self.fence.learn(fence),
+            SideNotice::Ordered {
+                fence,
+                model,
+                answer,
+            } => self.order(fence, model, answer),
+        }
+    }
+
+    /// Passes an order on, unless a later matcher has spoken. A load that is
+    /// under way is not ordered twice.
+    fn order(&mut self, fence: u64, model: ModelVersion, answer: OrderAnswer) {
+        if !self.fence.admits(fence) {
+            log::warn!(target: "side", fence; "An outdated order was refused.");
+            answer.send(false).ok();
+            return;
+        }
+        let waiting = self.orders.entry(model.clone()).or_default();
+        waiting.push(answer);
+        if waiting.len() == 1 {
+            (self.parts.backend)(BackendOrder::Load(fence, model));
         }
     }
 
--- a/crates/bluebellreel_side/src/message.rs
+++ b/crates/bluebellreel_side/src/message.rs
@@ -2,10 +2,13 @@
 
 use bluebellreel_admission::EngineEnd;
 use bluebellreel_rpc::SideNotice;
-use bluebellreel_types::{AttemptId, ModelName};
+use bluebellreel_types::{AttemptId, ModelVersion};
 use crossbeam_channel::Sender;
 use std::sync::Arc;
 
+/// Where the end of an order goes.
+pub(crate) type OrderAnswer = tokio::sync::oneshot::Sender<bool>;
+
 /// What reaches the actor.
 #[derive(Debug)]
 pub(crate) enum Message {
@@ -20,7 +23,9 @@
     /// The engine ended an attempt.
     Ended { attempt: AttemptId, end: EngineEnd },
     /// What the backend server serves.
-    Models(Vec<ModelName>),
+    Models(Vec<ModelVersion>),
+    /// An order to the backend server has ended.
+    OrderEnded { model: ModelVersion, loaded: bool },
     /// Metrics are read.
     MetricsAsked(Sender<String>),
     /// The process is asked to stop gracefully.
--- a/crates/bluebellreel_side/src/orders.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Bringing the backend server to what the manifest wants.
--- a/crates/bluebellreel_side/src/parts.rs
+++ b/crates/bluebellreel_side/src/parts.rs
@@ -2,7 +2,7 @@
 
 use bluebellreel_rpc::SideCommand;
 use bluebellreel_telemetry::{SideMetrics, Tracer};
-use bluebellreel_types::{AttemptId, Clock, Dispatch};
+use bluebellreel_types::{AttemptId, Clock, Dispatch, ModelVersion};
 use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -13,6 +13,8 @@
     Start(Box<Dispatch>),
     /// Cancel an attempt.
     Cancel(AttemptId),
+    /// Load a model, under this fencing number.
+    Load(u64, ModelVersion),
 }
 
 /// Carries an order out, without blocking.
--- a/crates/bluebellreel_side/src/run.rs
+++ b/crates/bluebellreel_side/src/run.rs
@@ -11,7 +11,7 @@
 use bluebellreel_rpc::{SideCommand, SideNotice, run_side};
 use bluebellreel_settings::{SideLean, SideSettings};
 use bluebellreel_telemetry::{SideMetrics, TraceSink, Tracer};
-use bluebellreel_types::{Clock, Incarnation, SideHello};
+use bluebellreel_types::{Clock, Incarnation, ModelName, SideHello};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use stakker::{ActorOwn, Stakker, actor, call, query, ret_nop};
 use std::io;
@@ -85,7 +85,7 @@
         worker: settings.worker.clone(),
         incarnation,
         data_centre: settings.data_centre.clone(),
-        models: backend.models().unwrap_or_default(),
+        models: model_names(&backend),
     };
     let rpc = start_rpc(hello, listener, tx.clone())?;
     let parts = Parts {
@@ -94,6 +94,7 @@
         backend: Box::new(move |order| match order {
             BackendOrder::Start(dispatch) => backend.start(dispatch),
             BackendOrder::Cancel(attempt) => backend.cancel(attempt),
+            BackendOrder::Load(fence, model) => backend.load(fence, model),
         }),
         tracer,
         metrics: Arc::new(SideMetrics::default()),
@@ -136,6 +137,11 @@
     }
 }
 
+fn model_names(backend: &Backend) -> Vec<ModelName> {
+    let loaded = backend.models().unwrap_or_default();
+    loaded.into_iter().map(|model| model.name).collect()
+}
+
 /// Looks at the backend server's models until the actor is gone.
 fn watch_models(backend: &Arc<Backend>, tx: &Sender<Message>) -> io::Result<()> {
     let backend = Arc::downgrade(backend);
--- a/crates/bluebellreel_site/src/site.rs
+++ b/crates/bluebellreel_site/src/site.rs
@@ -209,6 +209,18 @@
         set_faults(&self.workers[worker].backend, faults)
     }
 
+    /// The version of the site's model that a worker's engine holds.
+    ///
+    /// # Errors
+    ///
+    /// Gives the connection's error.
+    pub fn engine_version(&self, worker: usize) -> eyre::Result<String> {
+        let url = format!("{}/v1/models", self.workers[worker].backend.url());
+        let list: serde_json::Value = ureq::get(&url).call()?.body_mut().read_json()?;
+        let version = list["data"][0]["version"].as_str();
+        Ok(version.unwrap_or_default().to_owned())
+    }
+
     /// Attempts that reached a worker's engine.
     ///
     /// # Errors
--- a/crates/bluebellreel_types/src/work.rs
+++ b/crates/bluebellreel_types/src/work.rs
@@ -87,6 +87,17 @@
     pub leaving: bool,
     /// Models and services that it serves now.
     pub models: Vec<ModelName>,
+    /// The same with their versions, where the backend server tells them.
+    pub loaded: Vec<ModelVersion>,
+}
+
+/// A model and the version of it that is loaded.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ModelVersion {
+    /// The model.
+    pub name: ModelName,
+    /// Its version.
+    pub version: Arc<str>,
 }
 
 /// What a side process tells when an entry connects.
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -220,3 +220,57 @@
     until(|| matches!(put().0, 200 | 409));
     until(|| (0..2).all(|n| outcomes(&site, n)["changes_hold"]["generation"] == 2));
 }
+
+/// The pipeline puts a new version. One engine's load fails at first: it is
+/// shown, holds up no other and is tried again. Questions are answered all the
+/// while, and in the end every engine holds the new version.
+#[test]
+fn fleet_is_matched_to_the_manifest_under_load() {
+    let plan = SitePlan {
+        entries: 3,
+        services: 0,
+        ..SitePlan::default()
+    };
+    let site = Site::start(&plan).expect("site");
+    let fails = bluebellreel_standins::EngineFaults {
+        fail_loads: true,
+        ..Default::default()
+    };
+    site.set_engine_faults(1, &fails).expect("faults");
+    let text = format!(
+        "[[models]]\nname = \"{}\"\nversion = \"2\"\n\
+         replicas = {{ Sligo = 1, Galway = 1, Castlebar = 1 }}\n",
+        plan.deployment.model()
+    );
+    let headers = [("If-Match", "1")];
+    let path = "/operator/v1/manifest";
+    let put = site
+        .operator(2)
+        .send("PUT", path, &headers, text.as_bytes());
+    assert_eq!(put.expect("answer").0, 200);
+    let mut asked = 0;
+    let mut ask = || {
+        asked += 1;
+        let question = format!("during the change {asked}");
+        site.caller(asked % 3).chat(&question, 2).expect("answered");
+    };
+    let version = |worker: usize| site.engine_version(worker).expect("models");
+    until(|| {
+        ask();
+        version(0) == "2" && version(2) == "2"
+    });
+    assert_eq!(version(1), "1", "its load fails");
+    until(|| {
+        ask();
+        let changes = &outcomes(&site, 1)["changes_hold"];
+        changes["state"] == "at risk"
+            && !changes["failed_loads"].as_array().expect("list").is_empty()
+    });
+    site.set_engine_faults(1, &bluebellreel_standins::EngineFaults::default())
+        .expect("faults");
+    until(|| {
+        ask();
+        version(1) == "2"
+    });
+    until(|| outcomes(&site, 1)["changes_hold"]["state"] == "holds");
+}
