--- a/crates/bluebellreel_entry/src/platform/vm_list.rs
+++ b/crates/bluebellreel_entry/src/platform/vm_list.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Between two looks at the list.
-const PERIOD: Duration = Duration::from_secs(1);
+const PERIOD: Duration = Duration::from_secs(2);
 /// Longest wait for the list.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/bluebellreel_rpc/src/entry.rs
+++ b/crates/bluebellreel_rpc/src/entry.rs
@@ -21,7 +21,7 @@
 /// Longest wait for a connection and its greeting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often each connected side process is asked for its load.
-const LOAD_PERIOD: Duration = Duration::from_secs(1);
+const LOAD_PERIOD: Duration = Duration::from_secs(3);
 /// Unanswered load calls after which a connection counts as lost: guards
 /// against a frozen side process, whose socket stays open.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
