--- a/crates/bluebellreel_routing/src/retry_budget.rs
+++ b/crates/bluebellreel_routing/src/retry_budget.rs
@@ -6,8 +6,9 @@
 
 /// Units in one retry.
 const UNITS: u32 = 100;
-/// Retries that may be saved up.
-const MOST_SAVED: u32 = 10;
+/// Retries that may be saved up: a worker that dies breaks as many streams as
+/// it held at once, and each of them has to go on elsewhere.
+const MOST_SAVED: u32 = 64;
 
 /// Retries earned and spent.
 #[derive(Clone, Copy, Debug)]
