--- a/crates/bluebellreel_entry/src/jobs/part.rs
+++ b/crates/bluebellreel_entry/src/jobs/part.rs
@@ -1,19 +1,16 @@
 //! The part that owns jobs.
 
+mod handout;
+mod ownership;
+
 use crate::jobs::index::JobIndex;
-use crate::jobs::messages::{
-    ClaimedPart, JobWrite, JobsMessage, JobsSummary, OpenedJob, OwnedSummary, PendingPull,
-};
+use crate::jobs::messages::{JobWrite, JobsMessage, JobsSummary, OwnedSummary, PendingPull};
 use crate::jobs::store;
 use crate::message::Message;
 use crate::parts::Parts;
-use crate::platform::{EntryRecord, job_id_of};
-use bluebellreel_job::{
-    Board, BoardLimits, Handout, ItemEnd, ItemLease, JobEffect, JobLimits, JobRecord, JobTarget,
-    OwnedJob,
-};
-use bluebellreel_kv::WatchEvent;
-use bluebellreel_rpc::{EntryCommand, EntryNotice, PullAnswer};
+use crate::platform::EntryRecord;
+use bluebellreel_job::{Board, BoardLimits, ItemEnd, ItemLease, JobEffect, JobRecord, OwnedJob};
+use bluebellreel_rpc::{EntryCommand, EntryNotice};
 use bluebellreel_types::{
     Class, Dispatch, EntryName, Incarnation, JobId, ModelName, Moment, TraceContext, WorkerName,
 };
@@ -162,94 +159,6 @@
         }
     }
 
-    fn pull(&mut self, worker: &WorkerName, room: u32, answer: PullAnswer, now: Moment) {
-        let handouts = match self.pullers.get_mut(worker) {
-            Some(puller) if !self.stopping => {
-                puller.offered = 0;
-                puller.offer_at = now;
-                let room = usize::try_from(room).unwrap_or(0);
-                let run = puller.incarnation;
-                self.board.pull(room, worker, run, &puller.models, now)
-            }
-            _ => Vec::new(),
-        };
-        let Some(puller) = self.pullers.get(worker) else {
-            answer.0.send(Vec::new()).ok();
-            return;
-        };
-        let run = puller.incarnation;
-        let mut pull = PendingPull {
-            answer,
-            ready: Vec::new(),
-            claimed: Vec::new(),
-        };
-        for Handout { job, leases } in handouts {
-            let dispatches = leases.iter().map(|lease| dispatch_of(lease, run)).collect();
-            if self.board.jobs[&job].repeatable {
-                pull.ready.extend(dispatches);
-            } else {
-                pull.claimed.push(ClaimedPart { job, dispatches });
-            }
-        }
-        if pull.claimed.is_empty() {
-            answer_pull(pull);
-        } else {
-            self.write_claims(pull);
-        }
-    }
-
-    /// Items that may not be repeated leave only after their claims are
-    /// recorded under our epoch, so that an owner that was paused while
-    /// another took over can send none of them.
-    fn write_claims(&mut self, pull: PendingPull) {
-        let mut writes = Vec::new();
-        for part in &pull.claimed {
-            let Some(job) = self.board.jobs.get(&part.job) else {
-                continue;
-            };
-            let seq = self.claim_seqs.entry(part.job.clone()).or_default();
-            *seq += 1;
-            let attempts = part.dispatches.iter().map(|d| d.attempt);
-            let claims = job.claims_of(attempts);
-            writes.push((job.record.clone(), job.revision, *seq, claims));
-        }
-        let parts = self.parts.clone();
-        let pull = Box::new(pull);
-        // A pull that cannot be queued is dropped: the side asks again, and
-        // the leases come back when they lapse.
-        self.parts.pool.run(move |kv| {
-            let written = writes
-                .into_iter()
-                .map(|(record, revision, seq, claims)| {
-                    store::record_claims(kv, &record, revision, seq, claims)
-                })
-                .collect();
-            parts.tell(Message::Jobs(JobsMessage::Claimed { pull, written }));
-        });
-    }
-
-    fn note_claimed(&mut self, mut pull: PendingPull, written: &[JobWrite]) {
-        let claimed = std::mem::take(&mut pull.claimed);
-        for (part, write) in claimed.into_iter().zip(written) {
-            match write {
-                JobWrite::Done => pull.ready.extend(part.dispatches),
-                JobWrite::Failed => self.release(&part),
-                JobWrite::Fenced => self.drop_job(&part.job),
-            }
-        }
-        answer_pull(pull);
-    }
-
-    /// The claim's fate is open, but nothing was sent: the items stay claimed
-    /// by attempts that will never run, and are claimed anew later.
-    fn release(&mut self, part: &ClaimedPart) {
-        if let Some(job) = self.board.jobs.get_mut(&part.job) {
-            for dispatch in &part.dispatches {
-                job.release(dispatch.attempt);
-            }
-        }
-    }
-
     pub(crate) fn on_message(&mut self, message: JobsMessage) {
         let now = self.now();
         match message {
@@ -298,165 +207,6 @@
         self.poll_all(now);
     }
 
-    fn adopt_new(&mut self, record: JobRecord, revision: i64) {
-        log::info!(target: "jobs", job:% = record.id, items = record.items; "Job accepted.");
-        self.index.put(record.clone(), revision);
-        self.open(OpenedJob {
-            record,
-            revision,
-            recorded: Vec::new(),
-            claims: Vec::new(),
-        });
-    }
-
-    fn note_all(&mut self, jobs: Vec<(JobRecord, i64)>) {
-        let present: BTreeSet<JobId> = jobs.iter().map(|(r, _)| r.id.clone()).collect();
-        let gone: Vec<JobId> = self
-            .index
-            .jobs
-            .keys()
-            .filter(|id| !present.contains(*id))
-            .cloned()
-            .collect();
-        for id in gone {
-            self.index.jobs.remove(&id);
-            self.drop_job(&id);
-        }
-        for (record, revision) in jobs {
-            self.note_record(record, revision);
-        }
-    }
-
-    fn note_change(&mut self, event: WatchEvent) {
-        match event {
-            WatchEvent::Put(kv) => {
-                if let Ok(record) = serde_json::from_slice::<JobRecord>(&kv.value) {
-                    self.note_record(record, kv.revision);
-                }
-            }
-            WatchEvent::Deleted { key, revision } => {
-                let id = job_id_of(&key);
-                self.index.remove(&id, revision);
-                self.drop_job(&id);
-            }
-        }
-    }
-
-    /// A record under another owner ends our ownership.
-    fn note_record(&mut self, record: JobRecord, revision: i64) {
-        let mine = self.is_mine(&record);
-        let id = record.id.clone();
-        self.index.put(record, revision);
-        let outdated = self
-            .board
-            .jobs
-            .get(&id)
-            .is_some_and(|job| job.revision < revision);
-        if outdated && !mine {
-            self.drop_job(&id);
-        }
-    }
-
-    fn is_mine(&self, record: &JobRecord) -> bool {
-        record.owner == self.parts.settings.name && record.owner_run == self.parts.run
-    }
-
-    fn take_over_due(&mut self, now: Moment) {
-        if self.stopping {
-            return;
-        }
-        let me = self.parts.settings.name.clone();
-        for (record, revision) in self.index.due(&me, now) {
-            let (me, run) = (me.clone(), self.parts.run);
-            let parts = self.parts.clone();
-            self.parts.pool.run(move |kv| {
-                let result = store::take_over(kv, &record, revision, me, run);
-                let id = record.id.clone();
-                parts.tell(Message::Jobs(JobsMessage::TakenOver { id, result }));
-            });
-        }
-    }
-
-    fn note_taken(&mut self, id: &JobId, result: Option<(Box<JobRecord>, i64)>) {
-        match result {
-            Some((record, revision)) => {
-                log::info!(target: "jobs", job:% = id, epoch = record.epoch; "Job taken over.");
-                self.parts.metrics.takeovers.inc();
-                self.index.put(*record, revision);
-                self.reopen(id);
-            }
-            None => {
-                if let Some(job) = self.index.jobs.get_mut(id) {
-                    job.taking = false;
-                }
-            }
-        }
-    }
-
-    /// Tries again to open jobs that could not be opened before.
-    fn reopen_due(&mut self, now: Moment) {
-        let due = self.reopen_at.iter().filter(|(_, at)| at.is_past(now));
-        let due: Vec<JobId> = due.map(|(id, _)| id.clone()).collect();
-        for id in due {
-            self.reopen_at.remove(&id);
-            self.reopen(&id);
-        }
-    }
-
-    /// Reads what is recorded of a job that is ours, then opens it.
-    fn reopen(&mut self, id: &JobId) {
-        let Some(job) = self.index.jobs.get(id) else {
-            return;
-        };
-        if !self.is_mine(&job.record) || !self.opening.insert(id.clone()) {
-            return;
-        }
-        let (record, revision) = (job.record.clone(), job.revision);
-        let (parts, id) = (self.parts.clone(), id.clone());
-        self.parts.pool.run(move |kv| {
-            let message = match store::open_job(kv, record, revision) {
-                Ok(opened) => JobsMessage::Opened(Box::new(opened)),
-                Err(e) => {
-                    log::warn!(target: "jobs", job:% = id, error:% = e; "A job cannot be opened yet.");
-                    JobsMessage::OpenFailed(id)
-                }
-            };
-            parts.tell(Message::Jobs(message));
-        });
-    }
-
-    fn open(&mut self, opened: OpenedJob) {
-        let id = opened.record.id.clone();
-        self.opening.remove(&id);
-        let current = self.index.jobs.get(&id).map(|job| job.revision);
-        if current != Some(opened.revision) {
-            return;
-        }
-        // A job may hold any call of a service, so all of them run at most once.
-        let repeatable = matches!(opened.record.target, JobTarget::Chat(_));
-        let job = OwnedJob::open(
-            opened.record,
-            opened.revision,
-            repeatable,
-            JobLimits::default(),
-            &opened.recorded,
-            &opened.claims,
-        );
-        self.board.jobs.insert(id, job);
-    }
-
-    fn drop_job(&mut self, id: &JobId) {
-        let Some(mut job) = self.board.jobs.remove(id) else {
-            return;
-        };
-        log::info!(target: "jobs", job:% = id; "Job is no longer ours.");
-        let mut effects = Vec::new();
-        job.withdraw_all(&mut effects);
-        for effect in effects {
-            self.carry_out(id, &job.record, job.revision, effect);
-        }
-    }
-
     fn note_chunk(
         &mut self,
         id: &JobId,
@@ -607,24 +357,6 @@
         }
     }
 
-    /// Tells workers that batch work waits, so that they pull.
-    fn offer_all(&mut self, now: Moment) {
-        if self.stopping {
-            return;
-        }
-        for (worker, puller) in &mut self.pullers {
-            let waiting = self.board.waiting(&puller.models);
-            let rises = puller.offered == 0 && waiting > 0;
-            if !(rises || waiting > 0 && puller.offer_at.is_past(now)) {
-                continue;
-            }
-            puller.offered = waiting;
-            puller.offer_at = now + OFFER_PERIOD;
-            let worker = worker.clone();
-            self.parts.send(EntryCommand::Offer { worker, waiting });
-        }
-    }
-
     fn summary(&self, now: Moment) -> JobsSummary {
         let late = self
             .index
--- /dev/null
+++ b/crates/bluebellreel_entry/src/jobs/part/handout.rs
@@ -0,0 +1,117 @@
+//! Handing items out to side processes that pull.
+
+use super::{JobsPart, OFFER_PERIOD, answer_pull, dispatch_of};
+use crate::jobs::messages::{ClaimedPart, JobWrite, JobsMessage, PendingPull};
+use crate::jobs::store;
+use crate::message::Message;
+use bluebellreel_job::Handout;
+use bluebellreel_rpc::{EntryCommand, PullAnswer};
+use bluebellreel_types::{Moment, WorkerName};
+
+impl JobsPart {
+    pub(super) fn pull(&mut self, worker: &WorkerName, room: u32, answer: PullAnswer, now: Moment) {
+        let handouts = match self.pullers.get_mut(worker) {
+            Some(puller) if !self.stopping => {
+                puller.offered = 0;
+                puller.offer_at = now;
+                let room = usize::try_from(room).unwrap_or(0);
+                let run = puller.incarnation;
+                self.board.pull(room, worker, run, &puller.models, now)
+            }
+            _ => Vec::new(),
+        };
+        let Some(puller) = self.pullers.get(worker) else {
+            answer.0.send(Vec::new()).ok();
+            return;
+        };
+        let run = puller.incarnation;
+        let mut pull = PendingPull {
+            answer,
+            ready: Vec::new(),
+            claimed: Vec::new(),
+        };
+        for Handout { job, leases } in handouts {
+            let dispatches = leases.iter().map(|lease| dispatch_of(lease, run)).collect();
+            if self.board.jobs[&job].repeatable {
+                pull.ready.extend(dispatches);
+            } else {
+                pull.claimed.push(ClaimedPart { job, dispatches });
+            }
+        }
+        if pull.claimed.is_empty() {
+            answer_pull(pull);
+        } else {
+            self.write_claims(pull);
+        }
+    }
+
+    /// Items that may not be repeated leave only after their claims are
+    /// recorded under our epoch, so that an owner that was paused while
+    /// another took over can send none of them.
+    pub(super) fn write_claims(&mut self, pull: PendingPull) {
+        let mut writes = Vec::new();
+        for part in &pull.claimed {
+            let Some(job) = self.board.jobs.get(&part.job) else {
+                continue;
+            };
+            let seq = self.claim_seqs.entry(part.job.clone()).or_default();
+            *seq += 1;
+            let attempts = part.dispatches.iter().map(|d| d.attempt);
+            let claims = job.claims_of(attempts);
+            writes.push((job.record.clone(), job.revision, *seq, claims));
+        }
+        let parts = self.parts.clone();
+        let pull = Box::new(pull);
+        // A pull that cannot be queued is dropped: the side asks again, and
+        // the leases come back when they lapse.
+        self.parts.pool.run(move |kv| {
+            let written = writes
+                .into_iter()
+                .map(|(record, revision, seq, claims)| {
+                    store::record_claims(kv, &record, revision, seq, claims)
+                })
+                .collect();
+            parts.tell(Message::Jobs(JobsMessage::Claimed { pull, written }));
+        });
+    }
+
+    pub(super) fn note_claimed(&mut self, mut pull: PendingPull, written: &[JobWrite]) {
+        let claimed = std::mem::take(&mut pull.claimed);
+        for (part, write) in claimed.into_iter().zip(written) {
+            match write {
+                JobWrite::Done => pull.ready.extend(part.dispatches),
+                JobWrite::Failed => self.release(&part),
+                JobWrite::Fenced => self.drop_job(&part.job),
+            }
+        }
+        answer_pull(pull);
+    }
+
+    /// The claim's fate is open, but nothing was sent: the items stay claimed
+    /// by attempts that will never run, and are claimed anew later.
+    pub(super) fn release(&mut self, part: &ClaimedPart) {
+        if let Some(job) = self.board.jobs.get_mut(&part.job) {
+            for dispatch in &part.dispatches {
+                job.release(dispatch.attempt);
+            }
+        }
+    }
+
+    /// Tells workers that batch work waits, so that they pull.
+    pub(super) fn offer_all(&mut self, now: Moment) {
+        if self.stopping {
+            return;
+        }
+        for (worker, puller) in &mut self.pullers {
+            let waiting = self.board.waiting(&puller.models);
+            let rises = puller.offered == 0 && waiting > 0;
+            if !(rises || waiting > 0 && puller.offer_at.is_past(now)) {
+                continue;
+            }
+            puller.offered = waiting;
+            puller.offer_at = now + OFFER_PERIOD;
+            let worker = worker.clone();
+            self.parts.send(EntryCommand::Offer { worker, waiting });
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/jobs/part/ownership.rs
@@ -0,0 +1,172 @@
+//! Which jobs are ours: accepted, taken over, lost.
+
+use super::JobsPart;
+use crate::jobs::messages::{JobsMessage, OpenedJob};
+use crate::jobs::store;
+use crate::message::Message;
+use crate::platform::job_id_of;
+use bluebellreel_job::{JobLimits, JobRecord, JobTarget, OwnedJob};
+use bluebellreel_kv::WatchEvent;
+use bluebellreel_types::{JobId, Moment};
+use std::collections::BTreeSet;
+
+impl JobsPart {
+    pub(super) fn take_over_due(&mut self, now: Moment) {
+        if self.stopping {
+            return;
+        }
+        let me = self.parts.settings.name.clone();
+        for (record, revision) in self.index.due(&me, now) {
+            let (me, run) = (me.clone(), self.parts.run);
+            let parts = self.parts.clone();
+            self.parts.pool.run(move |kv| {
+                let result = store::take_over(kv, &record, revision, me, run);
+                let id = record.id.clone();
+                parts.tell(Message::Jobs(JobsMessage::TakenOver { id, result }));
+            });
+        }
+    }
+
+    pub(super) fn note_taken(&mut self, id: &JobId, result: Option<(Box<JobRecord>, i64)>) {
+        match result {
+            Some((record, revision)) => {
+                log::info!(target: "jobs", job:% = id, epoch = record.epoch; "Job taken over.");
+                self.parts.metrics.takeovers.inc();
+                self.index.put(*record, revision);
+                self.reopen(id);
+            }
+            None => {
+                if let Some(job) = self.index.jobs.get_mut(id) {
+                    job.taking = false;
+                }
+            }
+        }
+    }
+
+    /// Tries again to open jobs that could not be opened before.
+    pub(super) fn reopen_due(&mut self, now: Moment) {
+        let due = self.reopen_at.iter().filter(|(_, at)| at.is_past(now));
+        let due: Vec<JobId> = due.map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.reopen_at.remove(&id);
+            self.reopen(&id);
+        }
+    }
+
+    /// Reads what is recorded of a job that is ours, then opens it.
+    pub(super) fn reopen(&mut self, id: &JobId) {
+        let Some(job) = self.index.jobs.get(id) else {
+            return;
+        };
+        if !self.is_mine(&job.record) || !self.opening.insert(id.clone()) {
+            return;
+        }
+        let (record, revision) = (job.record.clone(), job.revision);
+        let (parts, id) = (self.parts.clone(), id.clone());
+        self.parts.pool.run(move |kv| {
+            let message = match store::open_job(kv, record, revision) {
+                Ok(opened) => JobsMessage::Opened(Box::new(opened)),
+                Err(e) => {
+                    log::warn!(target: "jobs", job:% = id, error:% = e; "A job cannot be opened yet.");
+                    JobsMessage::OpenFailed(id)
+                }
+            };
+            parts.tell(Message::Jobs(message));
+        });
+    }
+
+    pub(super) fn open(&mut self, opened: OpenedJob) {
+        let id = opened.record.id.clone();
+        self.opening.remove(&id);
+        let current = self.index.jobs.get(&id).map(|job| job.revision);
+        if current != Some(opened.revision) {
+            return;
+        }
+        // A job may hold any call of a service, so all of them run at most once.
+        let repeatable = matches!(opened.record.target, JobTarget::Chat(_));
+        let job = OwnedJob::open(
+            opened.record,
+            opened.revision,
+            repeatable,
+            JobLimits::default(),
+            &opened.recorded,
+            &opened.claims,
+        );
+        self.board.jobs.insert(id, job);
+    }
+
+    pub(super) fn drop_job(&mut self, id: &JobId) {
+        let Some(mut job) = self.board.jobs.remove(id) else {
+            return;
+        };
+        log::info!(target: "jobs", job:% = id; "Job is no longer ours.");
+        let mut effects = Vec::new();
+        job.withdraw_all(&mut effects);
+        for effect in effects {
+            self.carry_out(id, &job.record, job.revision, effect);
+        }
+    }
+
+    pub(super) fn adopt_new(&mut self, record: JobRecord, revision: i64) {
+        log::info!(target: "jobs", job:% = record.id, items = record.items; "Job accepted.");
+        self.index.put(record.clone(), revision);
+        self.open(OpenedJob {
+            record,
+            revision,
+            recorded: Vec::new(),
+            claims: Vec::new(),
+        });
+    }
+
+    pub(super) fn note_all(&mut self, jobs: Vec<(JobRecord, i64)>) {
+        let present: BTreeSet<JobId> = jobs.iter().map(|(r, _)| r.id.clone()).collect();
+        let gone: Vec<JobId> = self
+            .index
+            .jobs
+            .keys()
+            .filter(|id| !present.contains(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.index.jobs.remove(&id);
+            self.drop_job(&id);
+        }
+        for (record, revision) in jobs {
+            self.note_record(record, revision);
+        }
+    }
+
+    pub(super) fn note_change(&mut self, event: WatchEvent) {
+        match event {
+            WatchEvent::Put(kv) => {
+                if let Ok(record) = serde_json::from_slice::<JobRecord>(&kv.value) {
+                    self.note_record(record, kv.revision);
+                }
+            }
+            WatchEvent::Deleted { key, revision } => {
+                let id = job_id_of(&key);
+                self.index.remove(&id, revision);
+                self.drop_job(&id);
+            }
+        }
+    }
+
+    /// A record under another owner ends our ownership.
+    pub(super) fn note_record(&mut self, record: JobRecord, revision: i64) {
+        let mine = self.is_mine(&record);
+        let id = record.id.clone();
+        self.index.put(record, revision);
+        let outdated = self
+            .board
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.revision < revision);
+        if outdated && !mine {
+            self.drop_job(&id);
+        }
+    }
+
+    pub(super) fn is_mine(&self, record: &JobRecord) -> bool {
+        record.owner == self.parts.settings.name && record.owner_run == self.parts.run
+    }
+}
--- a/crates/bluebellreel_experiment/src/simulation.rs
+++ b/crates/bluebellreel_experiment/src/simulation.rs
@@ -1,5 +1,8 @@
 //! One run of a scenario.
 
+mod batch;
+mod online;
+
 use crate::engine::{Engine, StepResult};
 use crate::jobs::Jobs;
 use crate::load::{Arrival, arrivals};
@@ -8,10 +11,10 @@
 use bluebellreel_admission::{
     self as admission, Admission, AdmissionLimits, BatchWindow, EngineEnd,
 };
-use bluebellreel_routing::{self as routing, NewRequest, Router, RouterLimits};
+use bluebellreel_routing::{self as routing, Router, RouterLimits};
 use bluebellreel_types::{
-    AttemptEnd, AttemptId, BrokenReason, Class, DataCentre, Dispatch, EntryName, Incarnation,
-    ModelName, ModelVersion, Moment, NotRunReason, RequestId, SideHello, TraceContext, WorkerName,
+    AttemptEnd, AttemptId, Class, DataCentre, Dispatch, EntryName, Incarnation, ModelName,
+    ModelVersion, Moment, NotRunReason, RequestId, SideHello, WorkerName,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -304,128 +307,6 @@
         self.at(self.now + SAMPLE, What::Sample);
     }
 
-    fn arrive(&mut self, index: usize) {
-        let arrival = self.arrivals[index].clone();
-        self.next_request += 1;
-        let id = RequestId(self.next_request);
-        self.prompts.insert(id, arrival.prompt_tokens);
-        let followed = Followed {
-            arrival: index,
-            arrived_at: self.now,
-            heard_at: None,
-            last_at: None,
-            longest_gap: Duration::ZERO,
-            broke: false,
-        };
-        self.followed.insert(id, followed);
-        self.route(routing::Event::Arrived(NewRequest {
-            id,
-            work: arrival.work,
-            deadline: self.now + self.scenario.deadline,
-            trace: TraceContext {
-                trace: 1,
-                parent: 1,
-            },
-        }));
-    }
-
-    fn route(&mut self, event: routing::Event) {
-        let effects = routing::step(&mut self.router, event, self.now, &mut self.rng);
-        for effect in effects {
-            self.carry_out(effect);
-        }
-    }
-
-    fn carry_out(&mut self, effect: routing::Effect) {
-        match effect {
-            routing::Effect::Dispatch { worker, dispatch } => {
-                if dispatch.attempt.number == 1 {
-                    self.outcome.online.first_attempts += 1;
-                } else {
-                    self.outcome.online.retries += 1;
-                    if let Some(followed) = self.followed.get_mut(&dispatch.attempt.request) {
-                        followed.broke = followed.heard_at.is_some();
-                    }
-                }
-                let entry = entry();
-                let event = admission::Event::Arrived { entry, dispatch };
-                self.admit(worker_index(&worker), event);
-            }
-            routing::Effect::Cancel { worker, attempt } => {
-                let event = admission::Event::CancelAsked { attempt };
-                self.admit(worker_index(&worker), event);
-            }
-            routing::Effect::Deliver { request, .. } => self.deliver(request),
-            routing::Effect::Finish {
-                request, outcome, ..
-            } => self.finish_request(request, &outcome),
-            routing::Effect::Claim(_) | routing::Effect::RecordOutcome { .. } => {}
-        }
-    }
-
-    fn deliver(&mut self, request: RequestId) {
-        let now = self.now;
-        let Some(followed) = self.followed.get_mut(&request) else {
-            return;
-        };
-        self.online_tokens += 1;
-        if let Some(last) = followed.last_at.replace(now) {
-            let gap = now.since(last);
-            followed.longest_gap = followed.longest_gap.max(gap);
-            self.inter_token.note(gap);
-        } else {
-            followed.heard_at = Some(now);
-            let waited = now.since(followed.arrived_at);
-            self.first_token.note(waited);
-            self.recent.note(waited);
-        }
-    }
-
-    fn finish_request(&mut self, request: RequestId, outcome: &routing::Outcome) {
-        let Some(followed) = self.followed.remove(&request) else {
-            return;
-        };
-        self.prompts.remove(&request);
-        let online = &mut self.outcome.online;
-        match outcome {
-            routing::Outcome::Completed { .. } => {
-                online.completed += 1;
-                let waited = followed
-                    .heard_at
-                    .unwrap_or(self.now)
-                    .since(followed.arrived_at);
-                if waited <= self.scenario.first_token {
-                    online.in_time += 1;
-                }
-                if followed.broke {
-                    self.broken_gap.note(followed.longest_gap);
-                }
-            }
-            routing::Outcome::NotRun { retry_at, .. } => {
-                online.refused += 1;
-                self.ask_again(followed.arrival, *retry_at);
-            }
-            _ => online.failed += 1,
-        }
-    }
-
-    /// A refused caller asks again, as a client library does.
-    fn ask_again(&mut self, index: usize, retry_at: Moment) {
-        let arrival = &self.arrivals[index];
-        if arrival.tries >= self.scenario.client_retries {
-            return;
-        }
-        let again = Arrival {
-            tries: arrival.tries + 1,
-            ..arrival.clone()
-        };
-        // An impatient client keeps to its own pause.
-        let pause = self.scenario.client_pause.min(retry_at.since(self.now));
-        self.arrivals.push(again);
-        let index = self.arrivals.len() - 1;
-        self.at(self.now + pause, What::Arrive(index));
-    }
-
     fn admit(&mut self, index: usize, event: admission::Event) {
         if self.mode == Mode::FirstCome
             && let admission::Event::Arrived { dispatch, .. } = event
@@ -498,99 +379,6 @@
         }
     }
 
-    fn note_report(&mut self, end: &AttemptEnd, attempt: AttemptId) {
-        if let AttemptEnd::Broken { reason, partial } = end {
-            if *reason == BrokenReason::Preempted {
-                self.outcome.batch.preemptions += 1;
-            } else {
-                let lost = partial.split_whitespace().count() as u64;
-                self.batch_wasted += lost;
-            }
-        }
-        self.jobs.board.report(attempt, end.clone(), self.now);
-    }
-
-    fn pull(&mut self, index: usize, entry: EntryName, room: u32) {
-        let incarnation = self.sides[index].admission.incarnation;
-        let handouts = self.jobs.board.pull(
-            room as usize,
-            &worker_name(index),
-            incarnation,
-            &self.models,
-            self.now,
-        );
-        self.jobs.poll(self.now);
-        let mut items = Vec::new();
-        for handout in handouts {
-            let team = self.jobs.board.jobs[&handout.job].record.team.to_string();
-            for lease in handout.leases {
-                if self.all_teams_have_work() {
-                    let served = self.outcome.batch.served.entry(team.clone()).or_default();
-                    *served += u64::from(lease.work.tokens);
-                }
-                items.push(Dispatch {
-                    attempt: lease.attempt,
-                    side: incarnation,
-                    class: Class::Batch,
-                    work: lease.work,
-                    deadline: lease.deadline,
-                    resume: lease.resume,
-                    trace: TraceContext {
-                        trace: 1,
-                        parent: 1,
-                    },
-                });
-            }
-        }
-        self.admit(index, admission::Event::Pulled { entry, items });
-    }
-
-    fn all_teams_have_work(&self) -> bool {
-        let with_work = self.jobs.board.jobs.values().filter(|j| j.waiting() > 0);
-        with_work.count() == self.scenario.teams.len()
-    }
-
-    /// Offers batch work to all side processes, or stuffs the engines.
-    fn feed_batch(&mut self) {
-        let waiting = self.jobs.board.waiting(&self.models);
-        for index in 0..self.sides.len() {
-            if self.mode == Mode::FirstCome {
-                self.stuff(index);
-            } else {
-                let entry = entry();
-                self.admit(index, admission::Event::Offered { entry, waiting });
-            }
-        }
-    }
-
-    fn stuff(&mut self, index: usize) {
-        if self.sides[index].engine.dead {
-            return;
-        }
-        let room = FIRST_COME_DEPTH.saturating_sub(self.sides[index].engine.load());
-        let incarnation = self.sides[index].admission.incarnation;
-        let worker = worker_name(index);
-        let board = &mut self.jobs.board;
-        let handouts = board.pull(room, &worker, incarnation, &self.models, self.now);
-        let leases = handouts.into_iter().flat_map(|handout| handout.leases);
-        for lease in leases.collect::<Vec<_>>() {
-            let dispatch = Box::new(Dispatch {
-                attempt: lease.attempt,
-                side: incarnation,
-                class: Class::Batch,
-                work: lease.work,
-                deadline: lease.deadline,
-                resume: lease.resume,
-                trace: TraceContext {
-                    trace: 1,
-                    parent: 1,
-                },
-            });
-            self.start(index, &dispatch);
-            self.track(index, lease.attempt, dispatch);
-        }
-    }
-
     fn start(&mut self, index: usize, dispatch: &Dispatch) {
         if self.sides[index].engine.dead {
             let attempt = dispatch.attempt;
@@ -665,16 +453,6 @@
         );
     }
 
-    fn is_poison(&self, dispatch: &Dispatch) -> bool {
-        let every = self.scenario.poison_every;
-        if every == 0 {
-            return false;
-        }
-        let key = dispatch.work.key.rsplit('n').next();
-        let number: u32 = key.and_then(|k| k.parse().ok()).unwrap_or(1);
-        number % every == every - 1
-    }
-
     fn finish(mut self) -> Outcome {
         let seconds = self.scenario.length.as_secs_f64();
         let online = &mut self.outcome.online;
--- /dev/null
+++ b/crates/bluebellreel_experiment/src/simulation/online.rs
@@ -0,0 +1,133 @@
+//! Online requests of a run.
+
+use super::What;
+use super::{Followed, Simulation, entry, worker_index};
+use crate::load::Arrival;
+use bluebellreel_admission as admission;
+use bluebellreel_routing::{self as routing, NewRequest};
+use bluebellreel_types::{Moment, RequestId, TraceContext};
+use std::time::Duration;
+
+impl Simulation<'_> {
+    pub(super) fn arrive(&mut self, index: usize) {
+        let arrival = self.arrivals[index].clone();
+        self.next_request += 1;
+        let id = RequestId(self.next_request);
+        self.prompts.insert(id, arrival.prompt_tokens);
+        let followed = Followed {
+            arrival: index,
+            arrived_at: self.now,
+            heard_at: None,
+            last_at: None,
+            longest_gap: Duration::ZERO,
+            broke: false,
+        };
+        self.followed.insert(id, followed);
+        self.route(routing::Event::Arrived(NewRequest {
+            id,
+            work: arrival.work,
+            deadline: self.now + self.scenario.deadline,
+            trace: TraceContext {
+                trace: 1,
+                parent: 1,
+            },
+        }));
+    }
+
+    pub(super) fn route(&mut self, event: routing::Event) {
+        let effects = routing::step(&mut self.router, event, self.now, &mut self.rng);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, effect: routing::Effect) {
+        match effect {
+            routing::Effect::Dispatch { worker, dispatch } => {
+                if dispatch.attempt.number == 1 {
+                    self.outcome.online.first_attempts += 1;
+                } else {
+                    self.outcome.online.retries += 1;
+                    if let Some(followed) = self.followed.get_mut(&dispatch.attempt.request) {
+                        followed.broke = followed.heard_at.is_some();
+                    }
+                }
+                let entry = entry();
+                let event = admission::Event::Arrived { entry, dispatch };
+                self.admit(worker_index(&worker), event);
+            }
+            routing::Effect::Cancel { worker, attempt } => {
+                let event = admission::Event::CancelAsked { attempt };
+                self.admit(worker_index(&worker), event);
+            }
+            routing::Effect::Deliver { request, .. } => self.deliver(request),
+            routing::Effect::Finish {
+                request, outcome, ..
+            } => self.finish_request(request, &outcome),
+            routing::Effect::Claim(_) | routing::Effect::RecordOutcome { .. } => {}
+        }
+    }
+
+    pub(super) fn deliver(&mut self, request: RequestId) {
+        let now = self.now;
+        let Some(followed) = self.followed.get_mut(&request) else {
+            return;
+        };
+        self.online_tokens += 1;
+        if let Some(last) = followed.last_at.replace(now) {
+            let gap = now.since(last);
+            followed.longest_gap = followed.longest_gap.max(gap);
+            self.inter_token.note(gap);
+        } else {
+            followed.heard_at = Some(now);
+            let waited = now.since(followed.arrived_at);
+            self.first_token.note(waited);
+            self.recent.note(waited);
+        }
+    }
+
+    pub(super) fn finish_request(&mut self, request: RequestId, outcome: &routing::Outcome) {
+        let Some(followed) = self.followed.remove(&request) else {
+            return;
+        };
+        self.prompts.remove(&request);
+        let online = &mut self.outcome.online;
+        match outcome {
+            routing::Outcome::Completed { .. } => {
+                online.completed += 1;
+                let waited = followed
+                    .heard_at
+                    .unwrap_or(self.now)
+                    .since(followed.arrived_at);
+                if waited <= self.scenario.first_token {
+                    online.in_time += 1;
+                }
+                if followed.broke {
+                    self.broken_gap.note(followed.longest_gap);
+                }
+            }
+            routing::Outcome::NotRun { retry_at, .. } => {
+                online.refused += 1;
+                self.ask_again(followed.arrival, *retry_at);
+            }
+            _ => online.failed += 1,
+        }
+    }
+
+    /// A refused caller asks again, as a client library does.
+    pub(super) fn ask_again(&mut self, index: usize, retry_at: Moment) {
+        let arrival = &self.arrivals[index];
+        if arrival.tries >= self.scenario.client_retries {
+            return;
+        }
+        let again = Arrival {
+            tries: arrival.tries + 1,
+            ..arrival.clone()
+        };
+        // An impatient client keeps to its own pause.
+        let pause = self.scenario.client_pause.min(retry_at.since(self.now));
+        self.arrivals.push(again);
+        let index = self.arrivals.len() - 1;
+        self.at(self.now + pause, What::Arrive(index));
+    }
+}
