Take out two settings that did nothing

Cause: limits.workers_per_model and data_folder were read and checked, but no code used them; an operator who set a data folder would have taken it for durability.

--- a/crates/bluebellreel_settings/src/entry.rs
+++ b/crates/bluebellreel_settings/src/entry.rs
@@ -5,7 +5,6 @@
 use bluebellreel_types::{DataCentre, EntryName, TeamName};
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 #[derive(Debug, Deserialize)]
@@ -27,7 +26,6 @@
     log: LogTarget,
     #[serde(default)]
     trace: TraceTarget,
-    data_folder: Option<PathBuf>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -79,7 +77,6 @@
     requests: usize,
     team_requests: usize,
     online_per_worker: u32,
-    workers_per_model: usize,
 }
 
 impl Default for RawLimits {
@@ -94,7 +91,6 @@
             requests: 4_096,
             team_requests: 256,
             online_per_worker: 32,
-            workers_per_model: 48,
         }
     }
 }
@@ -128,8 +124,6 @@
     /// Online requests that a worker takes before the next one is used; zero
     /// spreads them over all.
     pub online_per_worker: u32,
-    /// Workers of one model that this daemon connects to.
-    pub workers_per_model: usize,
 }
 
 /// Checked settings of an entry daemon.
@@ -168,8 +162,6 @@
     pub log: LogTarget,
     /// Spans.
     pub trace: TraceTarget,
-    /// Folder for bulk data on a VM that has a small disk.
-    pub data_folder: Option<PathBuf>,
 }
 
 /// Reads and checks a settings file.
@@ -233,7 +225,6 @@
             tokens,
             log: raw.log,
             trace: raw.trace,
-            data_folder: raw.data_folder,
         })
     }
 }
@@ -268,7 +259,6 @@
         requests: check.at_least("limits.requests", raw.requests, 1)?,
         team_requests: check.at_least("limits.team_requests", raw.team_requests, 1)?,
         online_per_worker: raw.online_per_worker,
-        workers_per_model: check.at_least("limits.workers_per_model", raw.workers_per_model, 2)?,
     })
 }
 
