Write the examples' start and a run's dispatch once

Cause: four examples repeated the choice between stand-in and run with its error report, and the experiment built the same dispatch in two places.

One function each now.

--- a/crates/bluebellreel_experiment/src/simulation/batch.rs
+++ b/crates/bluebellreel_experiment/src/simulation/batch.rs
@@ -3,8 +3,9 @@
 use super::{FIRST_COME_DEPTH, Simulation, entry, worker_name};
 use crate::Mode;
 use bluebellreel_admission as admission;
+use bluebellreel_job::ItemLease;
 use bluebellreel_types::{
-    AttemptEnd, AttemptId, BrokenReason, Class, Dispatch, EntryName, TraceContext,
+    AttemptEnd, AttemptId, BrokenReason, Class, Dispatch, EntryName, Incarnation, TraceContext,
 };
 
 impl Simulation<'_> {
@@ -38,18 +39,7 @@
                     let served = self.outcome.batch.served.entry(team.clone()).or_default();
                     *served += u64::from(lease.work.tokens);
                 }
-                items.push(Dispatch {
-                    attempt: lease.attempt,
-                    side: incarnation,
-                    class: Class::Batch,
-                    work: lease.work,
-                    deadline: lease.deadline,
-                    resume: lease.resume,
-                    trace: TraceContext {
-                        trace: 1,
-                        parent: 1,
-                    },
-                });
+                items.push(dispatch_of(lease, incarnation));
             }
         }
         self.admit(index, admission::Event::Pulled { entry, items });
@@ -84,20 +74,10 @@
         let handouts = board.pull(room, &worker, incarnation, &self.models, self.now);
         let leases = handouts.into_iter().flat_map(|handout| handout.leases);
         for lease in leases.collect::<Vec<_>>() {
-            let dispatch = Box::new(Dispatch {
-                attempt: lease.attempt,
-                side: incarnation,
-                class: Class::Batch,
-                work: lease.work,
-                deadline: lease.deadline,
-                resume: lease.resume,
-                trace: TraceContext {
-                    trace: 1,
-                    parent: 1,
-                },
-            });
+            let attempt = lease.attempt;
+            let dispatch = Box::new(dispatch_of(lease, incarnation));
             self.start(index, &dispatch);
-            self.track(index, lease.attempt, dispatch);
+            self.track(index, attempt, dispatch);
         }
     }
 
@@ -111,3 +91,19 @@
         number % every == every - 1
     }
 }
+
+/// The message that hands a leased item to a side process.
+fn dispatch_of(lease: ItemLease, side: Incarnation) -> Dispatch {
+    Dispatch {
+        attempt: lease.attempt,
+        side,
+        class: Class::Batch,
+        work: lease.work,
+        deadline: lease.deadline,
+        resume: lease.resume,
+        trace: TraceContext {
+            trace: 1,
+            parent: 1,
+        },
+    }
+}
--- a/crates/bluebellreel_site/src/processes.rs
+++ b/crates/bluebellreel_site/src/processes.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -164,12 +164,23 @@
     }
 }
 
-/// Runs as a stand-in if this program was started as one.
+/// Runs a program whose site's stand-ins are the program itself: as a stand-in
+/// if it was started as one, else `run`. An error is printed.
 #[must_use]
-pub fn stand_in_main() -> Option<eyre::Result<()>> {
+pub fn run_with_stand_ins(run: impl FnOnce() -> eyre::Result<()>) -> ExitCode {
     let own: Vec<String> = std::env::args().collect();
-    let asked = own.get(1).is_some_and(|first| first == STAND_IN);
-    asked.then(|| run_stand_in(&own[2..]))
+    let outcome = if own.get(1).is_some_and(|first| first == STAND_IN) {
+        run_stand_in(&own[2..])
+    } else {
+        run()
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            println!("FAILED: {e}");
+            ExitCode::FAILURE
+        }
+    }
 }
 
 fn run_stand_in(arguments: &[String]) -> eyre::Result<()> {
--- a/examples/job_costs.rs
+++ b/examples/job_costs.rs
@@ -1,6 +1,6 @@
 //! Measures what jobs cost: calls to the key-value service, memory, take-over, reruns.
 
-use bluebellreel_site::{MODEL, ProcessPlan, ProcessSite, chat_line, stand_in_main};
+use bluebellreel_site::{MODEL, ProcessPlan, ProcessSite, chat_line, run_with_stand_ins};
 use eyre::ensure;
 use serde_json::Value;
 use std::process::ExitCode;
@@ -10,14 +10,7 @@
 const LONGEST: Duration = Duration::from_mins(4);
 
 fn main() -> ExitCode {
-    let outcome = stand_in_main().unwrap_or_else(run);
-    match outcome {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            println!("FAILED: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    run_with_stand_ins(run)
 }
 
 fn run() -> eyre::Result<()> {
--- a/examples/process_faults.rs
+++ b/examples/process_faults.rs
@@ -1,7 +1,7 @@
 //! Kills and pauses real processes under load and checks that nothing is lost or run twice.
 
 use bluebellreel_site::{
-    Caller, MODEL, ProcessPlan, ProcessSite, chat_line, retry, service_line, stand_in_main,
+    Caller, MODEL, ProcessPlan, ProcessSite, chat_line, retry, run_with_stand_ins, service_line,
 };
 use bluebellreel_standins::expected_answer;
 use eyre::{bail, ensure};
@@ -31,14 +31,7 @@
 }
 
 fn main() -> ExitCode {
-    let outcome = stand_in_main().unwrap_or_else(|| run(&argh::from_env()));
-    match outcome {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            println!("FAILED: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    run_with_stand_ins(|| run(&argh::from_env()))
 }
 
 fn run(arguments: &Arguments) -> eyre::Result<()> {
--- a/examples/rolling_restart.rs
+++ b/examples/rolling_restart.rs
@@ -1,6 +1,8 @@
 //! Restarts every daemon and side process under load, one after another: nothing fails, nothing is cut.
 
-use bluebellreel_site::{Caller, MODEL, ProcessPlan, ProcessSite, chat_line, retry, stand_in_main};
+use bluebellreel_site::{
+    Caller, MODEL, ProcessPlan, ProcessSite, chat_line, retry, run_with_stand_ins,
+};
 use bluebellreel_standins::expected_answer;
 use eyre::{bail, ensure};
 use std::process::ExitCode;
@@ -14,14 +16,7 @@
 const ITEMS: u32 = 1_500;
 
 fn main() -> ExitCode {
-    let outcome = stand_in_main().unwrap_or_else(run);
-    match outcome {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            println!("FAILED: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    run_with_stand_ins(run)
 }
 
 /// Online callers' counts.
--- a/examples/running_costs.rs
+++ b/examples/running_costs.rs
@@ -1,7 +1,7 @@
 //! Measures what running costs: CPU of requests and items, control traffic of idle links, time of a change.
 
 use bluebellreel_site::{
-    MODEL, ProcessPlan, ProcessSite, Site, SitePlan, chat_line, stand_in_main,
+    MODEL, ProcessPlan, ProcessSite, Site, SitePlan, chat_line, run_with_stand_ins,
 };
 use eyre::{OptionExt, ensure};
 use serde_json::Value;
@@ -14,14 +14,7 @@
 const IDLE: Duration = Duration::from_secs(8);
 
 fn main() -> ExitCode {
-    let outcome = stand_in_main().unwrap_or_else(run);
-    match outcome {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            println!("FAILED: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    run_with_stand_ins(run)
 }
 
 fn run() -> eyre::Result<()> {
