A restart refuses nobody: ready only with workers, models known, hand-over at once

Causes, found in the daemons' logs and by tests that fail without each change: - A daemon said "ready" as soon as it listened. It now waits until every listed worker has been tried once (at most 10 s, so that it still takes jobs with the VM list down). - A restarted side process greeted with its models, but its actor could answer the first load question before it knew them; daemons then took it for a worker without models for 3 s. Four restarts within 3 s left none. The actor now hears the models first, and an empty report is asked again after 0.3 s. - The owner of a job waited 5 s at its stop for a group of results that could no longer fill. A job that is handed over is recorded when its last item is back; a call in doubt, recorded as a claim, no longer holds up a stop. - The actors of a stopping daemon ended before its HTTP threads; a late caller heard "unknown" of a request that was never sent. They now end last.

Ruled out: connections cut by the exit, and answers sent to others. BLUEBELLREEL_SITE_LOGS keeps the processes' logs; the example prints why a request failed.

--- a/crates/bluebellreel_entry/src/actor.rs
+++ b/crates/bluebellreel_entry/src/actor.rs
@@ -31,8 +31,4 @@
     pub(crate) fn on_message(&mut self, _: CX![], message: Message) {
         self.core.deliver(message);
     }
-
-    pub(crate) fn is_idle(&mut self, _: CX![]) -> bool {
-        self.core.is_idle()
-    }
 }
--- a/crates/bluebellreel_entry/src/bench.rs
+++ b/crates/bluebellreel_entry/src/bench.rs
@@ -14,6 +14,7 @@
 use crate::platform::{
     EntryRecord, KvPool, ListedState, ListedWorker, entry_key, entry_prefix, job_prefix,
 };
+use crate::readiness::Readiness;
 use bluebellreel_claim::ClaimRecord;
 use bluebellreel_http::ApiError;
 use bluebellreel_job::{JobRecord, JobState};
@@ -138,6 +139,7 @@
             tx,
             tracer: Tracer::disabled(),
             metrics: Arc::new(EntryMetrics::default()),
+            readiness: Readiness::default(),
             settings: Arc::new(settings),
         };
         Self {
--- a/crates/bluebellreel_entry/src/core.rs
+++ b/crates/bluebellreel_entry/src/core.rs
@@ -31,7 +31,7 @@
     }
 
     /// Whether a graceful stop would cut nothing now.
-    pub(crate) fn is_idle(&self) -> bool {
+    fn is_idle(&self) -> bool {
         self.online.is_idle() && self.jobs.is_idle()
     }
 
@@ -48,6 +48,11 @@
             Message::EntrySeen(record) => self.jobs.on_entry_seen(record),
             Message::EntryGone(name) => self.jobs.on_entry_gone(&name),
             Message::Rpc(notice) => self.deliver_notice(notice),
+            Message::IdleAsked(answer) => {
+                answer.send(self.is_idle()).ok();
+            }
+            // The loop that runs the actors sees to it.
+            Message::Quit => {}
             Message::StopAsked => {
                 log::info!(target: "entry", "Stopping: nothing new is taken.");
                 self.online.stop();
--- a/crates/bluebellreel_entry/src/http/route.rs
+++ b/crates/bluebellreel_entry/src/http/route.rs
@@ -7,8 +7,6 @@
 use bluebellreel_settings::Principal;
 use bluebellreel_telemetry::{Span, Tracer};
 use bluebellreel_types::{Moment, TeamName, TraceContext};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Longest idempotency key, in bytes.
 const LONGEST_KEY: usize = 255;
@@ -18,7 +16,6 @@
 pub(crate) struct Rim {
     pub(crate) parts: Parts,
     pub(crate) manifest: SharedManifest,
-    pub(crate) ready: Arc<AtomicBool>,
 }
 
 /// A caller's request, its caller known.
@@ -71,7 +68,7 @@
 }
 
 fn readiness(rim: &Rim) -> Reply {
-    if rim.ready.load(Ordering::SeqCst) {
+    if rim.parts.readiness.is_ready() {
         Reply::bytes(200, "text/plain", *b"ready\n")
     } else {
         ApiError::new(503, "not_ready", "starting or stopping").into()
--- a/crates/bluebellreel_entry/src/jobs/part.rs
+++ b/crates/bluebellreel_entry/src/jobs/part.rs
@@ -94,13 +94,14 @@
     /// Hands out nothing new from now on.
     pub(crate) fn stop(&mut self) {
         self.stopping = true;
+        for job in self.board.jobs.values_mut() {
+            job.hand_over();
+        }
     }
 
     /// Whether all that is out has come back and been recorded.
     pub(crate) fn is_idle(&self) -> bool {
-        let jobs = self.board.jobs.values();
-        jobs.into_iter()
-            .all(|job| job.leased() == 0 && job.unrecorded() == 0)
+        self.board.jobs.values().all(OwnedJob::is_handed_over)
     }
 
     pub(crate) fn on_entry_seen(&mut self, record: EntryRecord) {
--- a/crates/bluebellreel_entry/src/lib.rs
+++ b/crates/bluebellreel_entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod online;
 mod parts;
 mod platform;
+mod readiness;
 mod run;
 
 pub use run::{Entry, start_entry};
--- a/crates/bluebellreel_entry/src/message.rs
+++ b/crates/bluebellreel_entry/src/message.rs
@@ -5,6 +5,7 @@
 use crate::online::OnlineMessage;
 use bluebellreel_rpc::EntryNotice;
 use bluebellreel_types::EntryName;
+use crossbeam_channel::Sender;
 
 /// What reaches the actors' thread.
 #[derive(Debug)]
@@ -25,4 +26,8 @@
     EntryGone(EntryName),
     /// The process is asked to stop gracefully.
     StopAsked,
+    /// Whether a stop would cut nothing now is asked for.
+    IdleAsked(Sender<bool>),
+    /// The actors' thread is to end.
+    Quit,
 }
--- a/crates/bluebellreel_entry/src/online/part.rs
+++ b/crates/bluebellreel_entry/src/online/part.rs
@@ -56,6 +56,10 @@
     callers: HashMap<RequestId, Caller>,
     askers: HashMap<AttemptId, Vec<Asker>>,
     links: BTreeMap<WorkerName, ListedWorker>,
+    /// Listed workers whose first try to connect is still out; none before the
+    /// first list.
+    untried: Option<HashSet<WorkerName>>,
+    started_at: Moment,
 }
 
 impl OnlinePart {
@@ -66,7 +70,10 @@
             online_per_worker: parts.settings.limits.online_per_worker,
             ..RouterLimits::default()
         };
+        let started_at = parts.clock.now();
         Self {
+            untried: None,
+            started_at,
             router: Router::new(limits, parts.settings.data_centre.clone()),
             rng: SmallRng::seed_from_u64(parts.run.0),
             parts,
@@ -89,6 +96,10 @@
         });
         let in_progress = i64::try_from(self.router.requests.len()).unwrap_or(i64::MAX);
         self.parts.metrics.in_progress.set(in_progress);
+        let all_tried = self.untried.as_ref().is_some_and(HashSet::is_empty);
+        let now = self.now();
+        let readiness = &self.parts.readiness;
+        readiness.note_workers(all_tried, self.started_at, now);
     }
 
     fn now(&self) -> Moment {
@@ -162,9 +173,11 @@
         match notice {
             EntryNotice::Connected(hello) => {
                 log::info!(target: "router", worker:% = hello.worker; "Worker connected.");
+                self.note_tried(&hello.worker);
                 self.decide(Event::WorkerConnected(hello));
             }
             EntryNotice::Lost(worker) => {
+                self.note_tried(&worker);
                 let known = self.router.workers.get(&worker);
                 if known.is_some_and(|w| w.incarnation.is_some()) {
                     log::warn!(target: "router", worker:% = worker; "Worker lost.");
@@ -203,8 +216,16 @@
         self.decide(Event::VerdictArrived { attempt, verdict });
     }
 
+    fn note_tried(&mut self, worker: &WorkerName) {
+        if let Some(untried) = &mut self.untried {
+            untried.remove(worker);
+        }
+    }
+
     /// Takes in the VM list: connects to the workers that it names.
     pub(crate) fn on_listed(&mut self, list: Vec<ListedWorker>) {
+        self.untried
+            .get_or_insert_with(|| list.iter().map(|w| w.name.clone()).collect());
         let listed: HashSet<&WorkerName> = list.iter().map(|w| &w.name).collect();
         let gone: Vec<WorkerName> = self
             .links
--- a/crates/bluebellreel_entry/src/parts.rs
+++ b/crates/bluebellreel_entry/src/parts.rs
@@ -2,6 +2,7 @@
 
 use crate::message::Message;
 use crate::platform::KvPool;
+use crate::readiness::Readiness;
 use bluebellreel_kv::KvClient;
 use bluebellreel_rpc::EntryCommand;
 use bluebellreel_settings::EntrySettings;
@@ -26,6 +27,7 @@
     pub(crate) tx: Sender<Message>,
     pub(crate) tracer: Tracer,
     pub(crate) metrics: Arc<EntryMetrics>,
+    pub(crate) readiness: Readiness,
 }
 
 impl Parts {
--- /dev/null
+++ b/crates/bluebellreel_entry/src/readiness.rs
@@ -0,0 +1,73 @@
+//! Whether the platform's balancer may send people here.
+
+use bluebellreel_types::Moment;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Longest time that a daemon stays away from the balancer while it looks for
+/// its workers: with the VM list down it can still take jobs.
+const LONGEST_LOOK: Duration = Duration::from_secs(10);
+
+/// Whether this daemon serves, as told at `/readyz`.
+///
+/// Shared by the actors, which know the workers, and the HTTP threads.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Readiness {
+    workers_known: Arc<AtomicBool>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl Readiness {
+    /// Whether people may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.workers_known.load(Ordering::SeqCst) && !self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Takes in whether every listed worker has been tried once.
+    ///
+    /// A daemon that said "ready" before that would refuse people with "no
+    /// worker serves this model" right after a restart, though the fleet is
+    /// whole.
+    pub(crate) fn note_workers(&self, all_tried: bool, started_at: Moment, now: Moment) {
+        let waited = (started_at + LONGEST_LOOK).is_past(now);
+        if (all_tried || waited) && !self.workers_known.swap(true, Ordering::SeqCst) {
+            log::info!(target: "entry", all_tried; "Ready: the listed workers have been tried.");
+        }
+    }
+
+    /// Takes nothing new from the balancer from now on.
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn waits_for_workers_but_not_for_ever() {
+        let start = Moment(1_000_000);
+        let readiness = Readiness::default();
+        readiness.note_workers(false, start, start);
+        assert!(!readiness.is_ready());
+        readiness.note_workers(
+            false,
+            start,
+            start + LONGEST_LOOK + Duration::from_millis(1),
+        );
+        assert!(readiness.is_ready());
+        readiness.stop();
+        assert!(!readiness.is_ready());
+    }
+
+    #[test]
+    fn stays_ready_when_a_worker_is_new() {
+        let start = Moment(1_000_000);
+        let readiness = Readiness::default();
+        readiness.note_workers(true, start, start);
+        readiness.note_workers(false, start, start);
+        assert!(readiness.is_ready());
+    }
+}
--- a/crates/bluebellreel_entry/src/run.rs
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -10,6 +10,7 @@
 use crate::platform::{
     KvPool, STOPPED, follow_prefix, hold_lease, job_prefix, watch_entries, watch_vms,
 };
+use crate::readiness::Readiness;
 use bluebellreel_http::{HttpServer, serve};
 use bluebellreel_job::JobRecord;
 use bluebellreel_kv::{KeyValue, KvClient, KvSettings};
@@ -18,11 +19,11 @@
 use bluebellreel_telemetry::{EntryMetrics, TraceSink, Tracer};
 use bluebellreel_types::{Clock, Incarnation};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
-use stakker::{ActorOwn, Stakker, actor, call, query, ret_nop};
+use stakker::{ActorOwn, Stakker, actor, call, ret_nop};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
@@ -33,6 +34,8 @@
 const MESSAGES_AT_ONCE: usize = 1_024;
 /// Longest sleep of the actors' loop.
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
+/// Between two looks at whether a stop is done.
+const IDLE_POLL: Duration = Duration::from_millis(10);
 /// Longest wait for one call to the key-value service.
 const KV_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -41,9 +44,8 @@
     /// Where callers and operators reach it.
     pub address: SocketAddr,
     tx: Sender<Message>,
-    ready: Arc<AtomicBool>,
     http: HttpServer,
-    actors: JoinHandle<bool>,
+    actors: JoinHandle<()>,
     parts: Parts,
 }
 
@@ -52,23 +54,38 @@
     /// nothing was cut.
     #[must_use = "a stop that cut something must be reported"]
     pub fn stop(self) -> bool {
-        self.ready.store(false, Ordering::SeqCst);
+        self.parts.readiness.stop();
         log::info!(target: "entry", "Stopping: not ready any more.");
         // The balancer goes on sending for a while; those callers are served.
         thread::sleep(self.parts.settings.notice);
         let until = Instant::now() + self.parts.settings.stop;
         self.tx.send(Message::StopAsked).ok();
-        let clean = self.actors.join().unwrap_or(false);
-        while self.http.in_progress() > 0 && Instant::now() < until {
-            thread::sleep(Duration::from_millis(10));
+        // The actors go on to the end: a late caller hears "not run" from them.
+        let mut clean = self.is_done();
+        while !clean && Instant::now() < until {
+            thread::sleep(IDLE_POLL);
+            clean = self.is_done();
         }
         let cut = self.http.in_progress();
         self.http.stop();
+        self.tx.try_send(Message::Quit).ok();
+        if clean {
+            self.actors.join().ok();
+        }
         give_back_lease(&self.parts);
-        if cut > 0 {
-            log::error!(target: "entry", cut; "Stopped at the deadline; requests were cut.");
+        if clean {
+            log::info!(target: "entry", "Stopped; nothing was cut.");
+        } else {
+            log::error!(target: "entry", cut; "Stopped at the deadline with work in progress.");
         }
-        clean && cut == 0
+        clean
+    }
+
+    /// Whether nothing is in progress any more.
+    fn is_done(&self) -> bool {
+        let (answer, idle) = bounded(1);
+        self.tx.send(Message::IdleAsked(answer)).ok();
+        idle.recv_timeout(LONGEST_SLEEP * 10).unwrap_or(false) && self.http.in_progress() == 0
     }
 }
 
@@ -114,13 +131,12 @@
         tracer: start_tracer(&settings),
         metrics: Arc::new(EntryMetrics::default()),
         settings: settings.clone(),
+        readiness: Readiness::default(),
     };
     let shared = SharedManifest::default();
-    let ready = Arc::new(AtomicBool::new(false));
     let rim = Rim {
         parts: parts.clone(),
         manifest: shared.clone(),
-        ready: ready.clone(),
     };
     let http = serve(settings.listen, settings.limits.threads, move |req| {
         handle(&rim, req);
@@ -132,18 +148,15 @@
     watch_drains(&parts)?;
     watch_matchers(&parts)?;
     watch_jobs(&parts)?;
-    let stop = settings.stop;
     let name = settings.name.clone();
     let actors = thread::Builder::new().name("entry-actors".into()).spawn({
         let parts = parts.clone();
-        move || run_actor(&parts, shared, &rx, stop)
+        move || run_actor(&parts, shared, &rx)
     })?;
-    ready.store(true, Ordering::SeqCst);
     log::info!(target: "entry", entry:% = name, address:% = http.address; "Entry daemon started.");
     Ok(Entry {
         address: http.address,
         tx,
-        ready,
         http,
         actors,
         parts,
@@ -204,44 +217,27 @@
     Some((record, kv.revision))
 }
 
-/// Runs the actor until a graceful stop is done; whether it cut nothing.
-fn run_actor(
-    parts: &Parts,
-    shared: SharedManifest,
-    rx: &Receiver<Message>,
-    stop: Duration,
-) -> bool {
+/// Runs the actor until it is told to quit.
+fn run_actor(parts: &Parts, shared: SharedManifest, rx: &Receiver<Message>) {
     let mut stakker = Stakker::new(Instant::now());
     let s = &mut stakker;
     let core = EntryCore::new(parts, shared);
     let entry: ActorOwn<EntryActor> = actor!(s, EntryActor::init(core), ret_nop!());
     s.run(Instant::now(), false);
-    let mut stop_at: Option<Instant> = None;
-    loop {
+    let mut running = true;
+    while running {
         let sleep = s.next_wait_max(Instant::now(), LONGEST_SLEEP, false);
         match rx.recv_timeout(sleep) {
-            Ok(message) => {
-                for message in std::iter::once(message).chain(rx.try_iter().take(MESSAGES_AT_ONCE))
-                {
-                    if matches!(message, Message::StopAsked) {
-                        stop_at.get_or_insert(Instant::now() + stop);
-                    }
+            Ok(first) => {
+                let more = rx.try_iter().take(MESSAGES_AT_ONCE);
+                for message in std::iter::once(first).chain(more) {
+                    running &= !matches!(message, Message::Quit);
                     call!([entry], on_message(message));
                 }
             }
             Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return true,
+            Err(RecvTimeoutError::Disconnected) => running = false,
         }
         s.run(Instant::now(), false);
-        if let Some(stop_at) = stop_at {
-            if query!([entry, s], is_idle()).unwrap_or(true) {
-                log::info!(target: "entry", "Stopped; nothing was cut.");
-                return true;
-            }
-            if Instant::now() >= stop_at {
-                log::error!(target: "entry", "Stopped at the deadline with work in progress.");
-                return false;
-            }
-        }
     }
 }
--- a/crates/bluebellreel_job/src/owned.rs
+++ b/crates/bluebellreel_job/src/owned.rs
@@ -129,6 +129,7 @@
     ended: u32,
     counts: JobCounts,
     closing: bool,
+    handing_over: bool,
     ask_at: Moment,
 }
 
@@ -177,6 +178,7 @@
             ended: 0,
             counts: JobCounts::default(),
             closing: false,
+            handing_over: false,
             ask_at: Moment(0),
         };
         for (index, succeeded) in recorded {
@@ -241,6 +243,24 @@
         self.leases.len()
     }
 
+    /// Prepares for another owner: results are recorded as soon as the last
+    /// item that is out has come back, instead of waiting for a full group.
+    pub fn hand_over(&mut self) {
+        self.handing_over = true;
+    }
+
+    /// Whether another owner would find all that happened here. Items in doubt
+    /// are recorded as claims, which the next owner settles.
+    #[must_use]
+    pub fn is_handed_over(&self) -> bool {
+        !self.has_items_out() && self.unrecorded() == 0
+    }
+
+    /// Whether items are out that are still expected back.
+    fn has_items_out(&self) -> bool {
+        self.leases.values().any(|lease| !lease.in_doubt)
+    }
+
     /// Items out with one worker.
     #[must_use]
     pub fn held_by(&self, worker: &WorkerName) -> usize {
--- a/crates/bluebellreel_job/src/owned/poll.rs
+++ b/crates/bluebellreel_job/src/owned/poll.rs
@@ -65,7 +65,7 @@
 
     /// The next chunk that items are needed from, within the memory bound.
     fn want_chunk(&mut self, effects: &mut Vec<JobEffect>) {
-        if self.loading.is_some() || self.closing {
+        if self.loading.is_some() || self.closing || self.handing_over {
             return;
         }
         let wanted = [self.alone.front(), self.again.front()]
@@ -136,7 +136,9 @@
         }
         let full = self.unrecorded.len() >= self.limits.group_items
             || self.unrecorded_bytes >= self.limits.group_bytes;
-        let last = self.is_done() || self.record.deadline.is_past(now);
+        let last = self.is_done()
+            || self.record.deadline.is_past(now)
+            || self.handing_over && !self.has_items_out();
         if !(full || last || self.flush_at.is_past(now)) {
             return;
         }
--- a/crates/bluebellreel_job/tests/owned.rs
+++ b/crates/bluebellreel_job/tests/owned.rs
@@ -1,12 +1,12 @@
 //! A job under any course of events.
 
 use bluebellreel_job::{
-    ChunkRef, ItemEnd, ItemLease, JobCounts, JobEffect, JobLimits, JobRecord, JobState, JobTarget,
-    OwnedJob,
+    ChunkRef, ClaimedItem, ItemEnd, ItemLease, JobCounts, JobEffect, JobLimits, JobRecord,
+    JobState, JobTarget, OwnedJob,
 };
 use bluebellreel_types::{
     AttemptEnd, AttemptId, BrokenReason, EntryName, Incarnation, JobId, Moment, NotRunReason,
-    TeamName, WorkerName,
+    RequestId, TeamName, WorkerName,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -307,3 +307,44 @@
     }
     assert_eq!(bench.out.len(), 5, "five items are left");
 }
+
+/// A daemon that stops stood idle for five seconds: the last results of its
+/// job waited for a group that could no longer fill. Once the last item that
+/// is out has come back, they are recorded at once.
+#[test]
+fn handed_over_job_records_a_part_of_a_group_at_once() {
+    let mut bench = Bench::new(20, JobLimits::default());
+    bench.poll(true);
+    bench.pull("w", 2);
+    bench.end_one(0, completed());
+    bench.poll(true);
+    assert!(bench.recorded.is_empty(), "the group is not full");
+    bench.job.hand_over();
+    bench.poll(true);
+    assert!(bench.recorded.is_empty(), "an item is still out");
+    assert!(!bench.job.is_handed_over());
+    bench.end_one(0, completed());
+    bench.poll(true);
+    assert_eq!(bench.recorded.len(), 2);
+    assert!(bench.job.is_handed_over());
+}
+
+/// A side process died with a call that may not be repeated. The daemon that
+/// sent it can stop: its claim is recorded, and the next owner settles it.
+#[test]
+fn call_in_doubt_does_not_hold_up_a_stop() {
+    let limits = JobLimits::default();
+    let claim = ClaimedItem {
+        index: 0,
+        attempt: AttemptId {
+            request: RequestId(9),
+            number: 1,
+        },
+        worker: WorkerName::from("w"),
+        incarnation: Incarnation(1),
+    };
+    let mut job = OwnedJob::open(record(20), 1, false, limits, &[], &[claim]);
+    job.hand_over();
+    assert_eq!(job.leased(), 1);
+    assert!(job.is_handed_over());
+}
--- a/crates/bluebellreel_rpc/src/entry.rs
+++ b/crates/bluebellreel_rpc/src/entry.rs
@@ -22,6 +22,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often each connected side process is asked for its load.
 const LOAD_PERIOD: Duration = Duration::from_secs(3);
+/// How soon a side process is asked again that told of no model: its backend
+/// server may just be starting, or the process itself.
+const EMPTY_LOAD_PERIOD: Duration = Duration::from_millis(300);
 /// Unanswered load calls after which a connection counts as lost: guards
 /// against a frozen side process, whose socket stays open.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
@@ -537,10 +540,14 @@
             .get()
             .and_then(wire::side::load_results::Reader::get_load)
             .and_then(convert::read_load);
+        let mut pause = LOAD_PERIOD;
         if let Ok(load) = load {
+            if load.models.is_empty() {
+                pause = EMPTY_LOAD_PERIOD;
+            }
             let worker = worker.clone();
             notify(EntryNotice::Load { worker, load });
         }
-        tokio::time::sleep(LOAD_PERIOD).await;
+        tokio::time::sleep(pause).await;
     }
 }
--- a/crates/bluebellreel_side/src/run.rs
+++ b/crates/bluebellreel_side/src/run.rs
@@ -11,7 +11,7 @@
 use bluebellreel_rpc::{SideCommand, SideNotice, run_side};
 use bluebellreel_settings::{SideLean, SideSettings};
 use bluebellreel_telemetry::{SideMetrics, TraceSink, Tracer};
-use bluebellreel_types::{Clock, Incarnation, ModelName, SideHello};
+use bluebellreel_types::{Clock, Incarnation, ModelVersion, SideHello};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use stakker::{ActorOwn, Stakker, actor, call, query, ret_nop};
 use std::io;
@@ -80,13 +80,19 @@
         tx.clone(),
         tracer.clone(),
     ));
-    watch_models(&backend, &tx)?;
+    // The actor hears the models before any connection: a load report without
+    // them would hide this worker from daemons until their next question.
+    let loaded = backend.models();
+    if let Some(models) = &loaded {
+        tx.send(Message::Models(models.clone())).ok();
+    }
     let hello = SideHello {
         worker: settings.worker.clone(),
         incarnation,
         data_centre: settings.data_centre.clone(),
-        models: model_names(&backend),
+        models: loaded.iter().flatten().map(|m| m.name.clone()).collect(),
     };
+    watch_models(&backend, &tx, loaded)?;
     let rpc = start_rpc(hello, listener, tx.clone())?;
     let parts = Parts {
         clock,
@@ -137,19 +143,17 @@
     }
 }
 
-fn model_names(backend: &Backend) -> Vec<ModelName> {
-    let loaded = backend.models().unwrap_or_default();
-    loaded.into_iter().map(|model| model.name).collect()
-}
-
 /// Looks at the backend server's models until the actor is gone.
-fn watch_models(backend: &Arc<Backend>, tx: &Sender<Message>) -> io::Result<()> {
+fn watch_models(
+    backend: &Arc<Backend>,
+    tx: &Sender<Message>,
+    mut known: Option<Vec<ModelVersion>>,
+) -> io::Result<()> {
     let backend = Arc::downgrade(backend);
     let tx = tx.clone();
     thread::Builder::new()
         .name("backend-models".into())
         .spawn(move || {
-            let mut known = None;
             while let Some(backend) = backend.upgrade() {
                 let models = backend.models();
                 drop(backend);
--- a/crates/bluebellreel_site/src/processes.rs
+++ b/crates/bluebellreel_site/src/processes.rs
@@ -36,6 +36,26 @@
     pub step_micros: u32,
 }
 
+/// Environment variable naming a folder in which each process's log is kept.
+const LOGS: &str = "BLUEBELLREEL_SITE_LOGS";
+
+/// Where a process's log goes: nowhere unless somebody looks for a fault.
+fn log_of(program: &Path, arguments: &[String]) -> eyre::Result<Stdio> {
+    let Some(folder) = std::env::var_os(LOGS) else {
+        return Ok(Stdio::null());
+    };
+    let program = program.file_name().and_then(|name| name.to_str());
+    let last = arguments.last().map_or("", String::as_str);
+    let last = last.rsplit('/').next().unwrap_or(last);
+    let me = std::process::id();
+    let name = format!("{me}-{}-{last}.log", program.unwrap_or("process"));
+    let file = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(Path::new(&folder).join(name))?;
+    Ok(Stdio::from(file))
+}
+
 /// A process that can be started again with the same arguments.
 pub struct Process {
     program: PathBuf,
@@ -48,7 +68,7 @@
         let child = Command::new(program)
             .args(arguments)
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(log_of(program, arguments)?)
             .spawn()?;
         Ok(Self {
             program: program.to_owned(),
--- a/crates/bluebellreel_site/src/site.rs
+++ b/crates/bluebellreel_site/src/site.rs
@@ -241,6 +241,18 @@
         Ok(entry.stop())
     }
 
+    /// Starts an entry daemon that is down, at its former address; it may not
+    /// be ready yet.
+    ///
+    /// # Errors
+    ///
+    /// Gives the system's error.
+    pub fn restart_entry(&mut self, index: usize) -> eyre::Result<()> {
+        let address = self.urls[index].trim_start_matches("http://").parse()?;
+        self.entries[index] = Some(self.start_entry(index, address)?);
+        Ok(())
+    }
+
     /// Runs of a plain service's calls by key.
     ///
     /// # Errors
--- a/examples/rolling_restart.rs
+++ b/examples/rolling_restart.rs
@@ -27,6 +27,14 @@
     moved: AtomicU32,
 }
 
+impl Counts {
+    /// Counts a failure and says which one it was.
+    fn fail(&self, reason: &str) {
+        self.failed.fetch_add(1, Ordering::SeqCst);
+        println!("failed: {reason}");
+    }
+}
+
 fn run() -> eyre::Result<()> {
     let mut site = ProcessSite::start(&ProcessPlan {
         entries: ENTRIES,
@@ -109,9 +117,8 @@
             Ok(answer) if answer == expected_answer(&prompt, 12) => {
                 counts.answered.fetch_add(1, Ordering::SeqCst);
             }
-            Ok(_) | Err(_) => {
-                counts.failed.fetch_add(1, Ordering::SeqCst);
-            }
+            Ok(answer) => counts.fail(&format!("got {answer:?} for {prompt:?}")),
+            Err(e) => counts.fail(&e.to_string()),
         }
         thread::sleep(Duration::from_millis(30));
     }
