Trust in workers is a preference: a fleet on its way back refuses nobody

Cause: a worker whose connection was lost is set aside for half a second, then takes one probe, then two requests, and so on. While side processes are restarted quickly, every worker of a daemon can be in one of these states at once; the choice then found nobody, though all were connected.

Now a distrusted worker is passed over only while a trusted one is there, and a worker whose last run said that it leaves starts with full trust. A test drives three lost and reconnected workers and 20 requests: before, the second request was refused; after, all are sent. A second test keeps the old rule.

--- a/crates/bluebellreel_routing/src/choice.rs
+++ b/crates/bluebellreel_routing/src/choice.rs
@@ -4,7 +4,7 @@
 //! is bounded, and past the bound the better of two random workers is taken.
 
 use crate::{RouterLimits, Worker};
-use bluebellreel_types::{DataCentre, Moment, Work, WorkerName};
+use bluebellreel_types::{DataCentre, ModelName, Moment, Work, WorkerName};
 use rand::{Rng, RngExt};
 use twox_hash::XxHash64;
 
@@ -79,8 +79,8 @@
         local,
         now,
     } = question;
-    let able: Vec<Candidate> = workers
-        .filter(|w| w.takes(&work.model, now))
+    let able: Vec<Candidate> = trusted(workers, &work.model, now)
+        .into_iter()
         .map(|worker| Candidate {
             worker,
             ahead: worker.tokens_ahead(limits.load_age, now),
@@ -103,6 +103,23 @@
     Choice::Worker(pick(&used, work.prefix, limits, rng))
 }
 
+/// The workers that serve a model and are trusted; if none is, all that serve
+/// it.
+///
+/// Trust is a preference among several. While a fleet is restarted quickly,
+/// every worker may be on its way back at one moment: refusing people then, with
+/// "no worker serves this model", would harm them and help nobody.
+fn trusted<'a>(
+    workers: impl Iterator<Item = &'a Worker>,
+    model: &ModelName,
+    now: Moment,
+) -> Vec<&'a Worker> {
+    let serving: Vec<&Worker> = workers.filter(|w| w.serves(model)).collect();
+    let takes = |worker: &&&Worker| worker.takes(model, now);
+    let trusted: Vec<&Worker> = serving.iter().filter(takes).copied().collect();
+    if trusted.is_empty() { serving } else { trusted }
+}
+
 /// Leaves out workers that failed this request and those of other data
 /// centres, as long as others remain that are not overfull.
 fn preferred<'a>(
--- a/crates/bluebellreel_routing/src/step.rs
+++ b/crates/bluebellreel_routing/src/step.rs
@@ -1,6 +1,6 @@
 //! The decisions: one event in, effects out.
 
-use crate::{Effect, Event, Router, Worker, arrival, attempt};
+use crate::{Effect, Event, Health, Router, Worker, arrival, attempt};
 use bluebellreel_types::{Moment, SideHello};
 use rand::Rng;
 
@@ -69,6 +69,10 @@
     if worker.incarnation != Some(hello.incarnation) {
         worker.in_flight = 0;
     }
+    // Its last run left as planned: no reason to trust the next one less.
+    if worker.side_leaving {
+        worker.health = Health::default();
+    }
     worker.data_centre = hello.data_centre;
     worker.incarnation = Some(hello.incarnation);
     worker.models = hello.models.into_iter().collect();
--- a/crates/bluebellreel_routing/src/worker.rs
+++ b/crates/bluebellreel_routing/src/worker.rs
@@ -57,13 +57,16 @@
         self.side_leaving || self.ordered_leaving
     }
 
-    /// Whether a request for a model may go there now.
+    /// Whether it serves a model and does not leave, however far it is trusted.
+    #[must_use]
+    pub fn serves(&self, model: &ModelName) -> bool {
+        self.incarnation.is_some() && !self.is_leaving() && self.models.contains(model)
+    }
+
+    /// Whether a request for a model should go there now.
     #[must_use]
     pub fn takes(&self, model: &ModelName, now: Moment) -> bool {
-        self.incarnation.is_some()
-            && !self.is_leaving()
-            && self.models.contains(model)
-            && self.health.admits(self.in_flight, now)
+        self.serves(model) && self.health.admits(self.in_flight, now)
     }
 
     /// Online requests there, as far as is known here.
--- a/crates/bluebellreel_routing/tests/requests.rs
+++ b/crates/bluebellreel_routing/tests/requests.rs
@@ -222,3 +222,33 @@
     }));
     sent(&effects);
 }
+
+/// All side processes were restarted one after another. For a moment every
+/// worker was on its way back, set aside or at its probe's share, and people
+/// were refused with "no worker serves this model" though all were connected.
+#[test]
+fn fleet_on_its_way_back_refuses_nobody() {
+    let workers = ["w1", "w2", "w3"];
+    let mut bench = Bench::new(&workers);
+    for worker in workers {
+        bench.step(Event::WorkerLost(worker.into()));
+        bench.connect(worker, 2);
+    }
+    for id in 0..20 {
+        let effects = bench.ask(id, true);
+        assert!(outcome(&effects).is_none(), "{:?}", outcome(&effects));
+        sent(&effects);
+    }
+}
+
+/// A worker that fails is still passed over while another one is trusted.
+#[test]
+fn distrusted_worker_is_passed_over_while_another_is_trusted() {
+    let mut bench = Bench::new(&["w1", "w2"]);
+    bench.step(Event::WorkerLost("w1".into()));
+    bench.connect("w1", 2);
+    for id in 0..20 {
+        let (worker, ..) = sent(&bench.ask(id, true));
+        assert_eq!(worker, WorkerName::from("w2"));
+    }
+}
