--- /dev/null
+++ b/crates/bluebellreel_chunk/tests/store.rs
@@ -0,0 +1,114 @@
+//! A disk that is stopped, filled, damaged and moved.
+
+use bluebellreel_chunk::{ChunkFolder, ChunkName, ChunkStore, StoreError, StoreLimits, VolumeId};
+use std::fs;
+use std::path::Path;
+
+const ROOMY: StoreLimits = StoreLimits { bytes: 1 << 20 };
+
+fn folder(volume: u32) -> ChunkFolder {
+    ChunkFolder::new(VolumeId(volume), "job", "upload")
+}
+
+fn open(root: &Path) -> ChunkStore {
+    ChunkStore::open(root, ROOMY).expect("the folder opens")
+}
+
+#[test]
+fn chunks_outlive_the_process() {
+    let root = tempfile::tempdir().expect("a folder");
+    let before = open(root.path());
+    let digest = before.write(&folder(1), 1, b"text").expect("it is kept");
+    let after = open(root.path());
+    assert_eq!(after.id, before.id);
+    assert_eq!(after.used(), 4);
+    let read = after.read(&folder(1), &digest).expect("it is read");
+    assert_eq!(read.as_deref(), Some(b"text".as_slice()));
+}
+
+/// The power went while a chunk was written. What is left of it must not be
+/// taken for a chunk, nor fill the disk for ever.
+#[test]
+fn half_written_chunk_is_gone_after_a_restart() {
+    let root = tempfile::tempdir().expect("a folder");
+    let store = open(root.path());
+    store.write(&folder(1), 1, b"text").expect("it is kept");
+    let path = folder(1).path_in(root.path()).expect("a plain name");
+    fs::write(path.join("7.part"), b"hal").expect("written");
+    let store = open(root.path());
+    assert_eq!(store.used(), 4);
+    assert_eq!(store.chunks_of(VolumeId(1)).expect("listed").len(), 1);
+    assert!(!path.join("7.part").exists());
+}
+
+/// A bit flipped on the disk. The reader must not get other bytes than were
+/// accepted, and a good copy must find its place free.
+#[test]
+fn damaged_chunk_is_not_read_and_can_be_copied_anew() {
+    let root = tempfile::tempdir().expect("a folder");
+    let store = open(root.path());
+    let digest = store.write(&folder(1), 1, b"text").expect("it is kept");
+    let path = folder(1).path_in(root.path()).expect("a plain name");
+    fs::write(path.join(&digest), b"teXt").expect("written");
+    assert_eq!(store.read(&folder(1), &digest).expect("no failure"), None);
+    let chunk = ChunkName {
+        folder: folder(1),
+        digest: digest.clone(),
+    };
+    assert!(!store.has(&chunk), "it must not count as a copy");
+    store.copy_in(&folder(1), b"text").expect("it is kept");
+    let read = store.read(&folder(1), &digest).expect("it is read");
+    assert_eq!(read.as_deref(), Some(b"text".as_slice()));
+}
+
+#[test]
+fn full_disk_refuses_and_takes_again_after_a_removal() {
+    let root = tempfile::tempdir().expect("a folder");
+    let store = ChunkStore::open(root.path(), StoreLimits { bytes: 10 }).expect("it opens");
+    store.write(&folder(1), 1, b"12345678").expect("it is kept");
+    let refused = store.write(&folder(2), 1, b"abc");
+    assert!(matches!(refused, Err(StoreError::Full)), "{refused:?}");
+    store
+        .write(&folder(1), 1, b"12345678")
+        .expect("the same chunk takes no room");
+    store.remove(&folder(1)).expect("it is removed");
+    assert_eq!(store.used(), 0);
+    store.write(&folder(2), 1, b"abc").expect("it is kept");
+}
+
+/// A volume is copied to a new holder. A writer with the old view writes to the
+/// holder that is left, after the copy was listed: its chunk would be missing
+/// on the new holder. The holder refuses it.
+#[test]
+fn sealed_volume_takes_no_late_write() {
+    let root = tempfile::tempdir().expect("a folder");
+    let store = open(root.path());
+    store.write(&folder(1), 1, b"before").expect("it is kept");
+    store.seal(VolumeId(1), 1);
+    let late = store.write(&folder(1), 1, b"late");
+    assert!(matches!(late, Err(StoreError::Moved)), "{late:?}");
+    store
+        .write(&folder(2), 1, b"other")
+        .expect("another volume");
+    store
+        .write(&folder(1), 2, b"new view")
+        .expect("the next epoch");
+    store.seal(VolumeId(2), 1);
+    store.unseal(VolumeId(2));
+    store
+        .write(&folder(2), 1, b"again")
+        .expect("the move failed");
+}
+
+#[test]
+fn names_cannot_lead_out_of_the_folder() {
+    let root = tempfile::tempdir().expect("a folder");
+    let store = open(root.path());
+    for bad in ["..", "a/b", "", "a\0"] {
+        let place = ChunkFolder::new(VolumeId(1), bad, "upload");
+        let written = store.write(&place, 1, b"x");
+        assert!(matches!(written, Err(StoreError::BadName)), "{bad:?}");
+    }
+    let read = store.read(&folder(1), "../disk-id");
+    assert!(matches!(read, Err(StoreError::BadName)));
+}
--- /dev/null
+++ b/crates/bluebellreel_chunk/tests/volumes.rs
@@ -0,0 +1,117 @@
+//! Who holds a volume, under any course of VMs that leave and come.
+
+use bluebellreel_chunk::{
+    DiskId, DiskSeat, VolumeId, VolumeRecord, copy_target, holders_for, is_writable,
+};
+use bluebellreel_types::{DataCentre, Moment};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_mins(1);
+
+fn disk(number: usize) -> DiskId {
+    DiskId(Arc::from(format!("disk-{number}")))
+}
+
+fn seat(number: usize) -> DiskSeat {
+    DiskSeat {
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: DataCentre::from(format!("dc-{}", number % 3)),
+        gone_since: None,
+    }
+}
+
+fn seats(count: usize) -> BTreeMap<DiskId, DiskSeat> {
+    (0..count)
+        .map(|number| (disk(number), seat(number)))
+        .collect()
+}
+
+fn record(holders: [DiskId; 2]) -> VolumeRecord {
+    let (id, epoch) = (VolumeId(1), 1);
+    VolumeRecord { id, epoch, holders }
+}
+
+#[test]
+fn volumes_spread_over_all_disks_in_two_data_centres_each() {
+    let disks = seats(6);
+    let mut held: BTreeMap<DiskId, u32> = BTreeMap::new();
+    for number in 0..64 {
+        let [one, other] = holders_for(VolumeId(number), &disks).expect("enough disks");
+        assert_ne!(disks[&one].data_centre, disks[&other].data_centre);
+        *held.entry(one).or_default() += 1;
+        *held.entry(other).or_default() += 1;
+    }
+    assert_eq!(held.len(), 6, "{held:?}");
+}
+
+#[test]
+fn one_data_centre_is_not_enough() {
+    let mut disks = seats(2);
+    for seat in disks.values_mut() {
+        seat.data_centre = DataCentre::from("Sligo");
+    }
+    assert_eq!(holders_for(VolumeId(1), &disks), None);
+}
+
+#[test]
+fn only_the_holder_that_is_left_copies_and_only_after_a_while() {
+    let mut disks = seats(3);
+    let volume = record([disk(0), disk(1)]);
+    let gone = Moment(0) + Duration::from_secs(100);
+    if let Some(seat) = disks.get_mut(&disk(1)) {
+        seat.gone_since = Some(gone);
+    }
+    let at = |me: usize, now| copy_target(&volume, &disks, &disk(me), PATIENCE, now);
+    assert!(!is_writable(&volume, &disks));
+    assert_eq!(at(0, gone), None, "it may come back");
+    let later = gone + PATIENCE;
+    assert_eq!(at(0, later), Some((disk(1), disk(2))));
+    assert_eq!(at(1, later), None, "the one that is gone");
+    assert_eq!(at(2, later), None, "holds nothing of it");
+}
+
+/// Whatever disks leave and come back: a volume's holders are never in one data
+/// centre, and one of the holders of each epoch is among those of the next, so
+/// that its chunks have a way on.
+#[test]
+fn holders_stay_apart_and_hand_on() {
+    let config = Config {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let steps = proptest::collection::vec((0_usize..5, any::<bool>()), 0..60);
+    let run = TestRunner::new(config).run(&steps, |steps| {
+        let mut disks = seats(5);
+        let mut volume = record(holders_for(VolumeId(1), &disks).expect("enough disks"));
+        let mut now = Moment(1_000_000);
+        for (number, leaves) in steps {
+            now = now + PATIENCE;
+            if let Some(seat) = disks.get_mut(&disk(number)) {
+                seat.gone_since = leaves.then_some(now);
+            }
+            now = now + PATIENCE;
+            for me in 0..5 {
+                let live = disks[&disk(me)].gone_since.is_none();
+                let target = copy_target(&volume, &disks, &disk(me), PATIENCE, now);
+                if let Some((gone, to)) = target.filter(|_| live) {
+                    let next = volume.moved(&gone, &to);
+                    prop_assert!(next.holders.contains(&disk(me)));
+                    prop_assert!(volume.holders.contains(&disk(me)));
+                    prop_assert_eq!(next.epoch, volume.epoch + 1);
+                    volume = next;
+                }
+            }
+            let [one, other] = &volume.holders;
+            prop_assert_ne!(&disks[one].data_centre, &disks[other].data_centre);
+        }
+        Ok(())
+    });
+    run.expect("it holds");
+}
--- a/crates/bluebellreel_entry/src/bench.rs
+++ b/crates/bluebellreel_entry/src/bench.rs
@@ -2,6 +2,7 @@
 //! is set. For the fault matrix and other tests of failures.
 
 use crate::core::EntryCore;
+use crate::data::ChunkAccess;
 use crate::fleet::{FleetMessage, PutAnswer, SharedManifest, accepted, get_manifest, put_manifest};
 use crate::http::settle_as;
 use crate::jobs::{
@@ -140,6 +141,7 @@
             tracer: Tracer::disabled(),
             metrics: Arc::new(EntryMetrics::default()),
             readiness: Readiness::default(),
+            data: ChunkAccess::default(),
             settings: Arc::new(settings),
         };
         Self {
@@ -213,6 +215,8 @@
             name: self.name.clone(),
             run: self.run,
             address: self.parts.settings.listen,
+            data_centre: self.parts.settings.data_centre.clone(),
+            disk: None,
         };
         let txn = Txn {
             puts: vec![Put {
@@ -283,7 +287,7 @@
             most_items: self.parts.settings.limits.job_items,
         };
         let mut pieces = vec![body.to_vec()];
-        let answer = accept_job(&self.parts.kv, &submission, || Ok(pieces.pop()))?;
+        let answer = accept_job(self.parts.storage(), &submission, || Ok(pieces.pop()))?;
         match answer {
             AcceptAnswer::Accepted(record, revision) => {
                 let message = JobsMessage::Accepted(record, revision);
@@ -300,7 +304,7 @@
     ///
     /// Gives the reason when it could not be recorded.
     pub fn cancel(&mut self, id: &JobId) -> Result<JobState, String> {
-        match cancel_job(&self.parts.kv, id, self.parts.clock.now()) {
+        match cancel_job(self.parts.storage(), id, self.parts.clock.now()) {
             CancelAnswer::Over(record) => Ok(record.state),
             CancelAnswer::NoSuchJob => Err("no such job".into()),
             CancelAnswer::Failed { reason, .. } => Err(reason),
@@ -321,7 +325,7 @@
         let mut lines = Vec::new();
         let mut after: Option<String> = None;
         loop {
-            let page = read_results(&self.parts.kv, &record, after.as_deref()).ok()?;
+            let page = read_results(self.parts.storage(), &record, after.as_deref()).ok()?;
             lines.extend(page.lines.into_iter().map(|line| BenchLine {
                 custom_id: line.custom_id.to_string(),
                 status: line.status,
--- /dev/null
+++ b/crates/bluebellreel_entry/src/data/access.rs
@@ -0,0 +1,332 @@
+//! Writing and reading chunks, wherever they lie.
+
+use crate::data::endpoint::{COPY_HEADER, EPOCH_HEADER, chunk_path};
+use crate::data::places::Places;
+use crate::platform::EntryRecord;
+use bluebellreel_chunk::{
+    ChunkFolder, ChunkName, ChunkStore, DiskId, StoreError, StoreLimits, VolumeId, VolumeRecord,
+};
+use bluebellreel_job::{HeldChunk, JobRecord};
+use bluebellreel_settings::DataSettings;
+use bluebellreel_types::{Clock, EntryName, Moment, content_digest};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use std::thread;
+use std::time::Duration;
+
+/// Longest time for one chunk's way to or from a disk.
+const CALL_TIME: Duration = Duration::from_secs(5);
+/// Volumes tried for one chunk.
+const TRIES: usize = 4;
+/// Bytes of a chunk at the most.
+pub(crate) const MOST_BYTES: usize = 8 << 20;
+
+/// Why a chunk could not be kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PutError {
+    /// All disks are full.
+    Full,
+    /// No volume has both its holders.
+    NoHolders,
+}
+
+/// Chunks on disks; off by default.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ChunkAccess(Option<Arc<Inner>>);
+
+#[derive(Debug)]
+struct Inner {
+    places: RwLock<Places>,
+    own: Option<ChunkStore>,
+    settings: DataSettings,
+    agent: ureq::Agent,
+    clock: Clock,
+    turn: AtomicUsize,
+}
+
+impl ChunkAccess {
+    /// Opens this daemon's disk, if it has one.
+    ///
+    /// # Errors
+    ///
+    /// Gives that the folder cannot be used.
+    pub(crate) fn open(settings: Option<&DataSettings>, clock: &Clock) -> eyre::Result<Self> {
+        let Some(settings) = settings else {
+            return Ok(Self::default());
+        };
+        let limits = StoreLimits {
+            bytes: settings.bytes,
+        };
+        let folder = settings.folder.as_ref();
+        let own = folder.map(|f| ChunkStore::open(f, limits)).transpose()?;
+        let config = ureq::Agent::config_builder()
+            .timeout_global(Some(CALL_TIME))
+            .http_status_as_error(false)
+            .build();
+        Ok(Self(Some(Arc::new(Inner {
+            places: RwLock::default(),
+            own,
+            settings: settings.clone(),
+            agent: config.new_agent(),
+            clock: clock.clone(),
+            turn: AtomicUsize::new(rand::random::<u16>().into()),
+        }))))
+    }
+
+    pub(crate) fn is_on(&self) -> bool {
+        self.0.is_some()
+    }
+
+    /// This daemon's disk.
+    pub(crate) fn own(&self) -> Option<&ChunkStore> {
+        self.0.as_ref()?.own.as_ref()
+    }
+
+    pub(crate) fn settings(&self) -> Option<&DataSettings> {
+        Some(&self.0.as_ref()?.settings)
+    }
+
+    pub(crate) fn places(&self) -> Option<RwLockReadGuard<'_, Places>> {
+        self.0.as_ref()?.places.read().ok()
+    }
+
+    pub(crate) fn places_mut(&self) -> Option<RwLockWriteGuard<'_, Places>> {
+        self.0.as_ref()?.places.write().ok()
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        let clock = self.0.as_ref().map(|inner| inner.clock.now());
+        clock.unwrap_or(Moment(0))
+    }
+
+    /// Takes in a live daemon.
+    pub(crate) fn note_daemon(&self, record: &EntryRecord) {
+        let now = self.now();
+        if let Some(mut places) = self.places_mut() {
+            places.note_daemon(record, now);
+        }
+    }
+
+    /// Takes in that a daemon's lease has ended.
+    pub(crate) fn note_daemon_gone(&self, name: &EntryName) {
+        let now = self.now();
+        if let Some(mut places) = self.places_mut() {
+            places.note_daemon_gone(name, now);
+        }
+    }
+
+    /// Whether a chunk of so many bytes goes to disks. Small ones stay in the
+    /// key-value service: there they cost one write and little room, on disks
+    /// two calls and some syncs.
+    pub(crate) fn takes(&self, bytes: usize) -> bool {
+        let settings = self.settings();
+        settings.is_some_and(|settings| bytes >= settings.kv_below)
+    }
+
+    /// Keeps a chunk on both holders of a volume; returns only after both have
+    /// it on their disks.
+    pub(crate) fn put(&self, job: &str, upload: &str, bytes: &[u8]) -> Result<HeldChunk, PutError> {
+        let Some(inner) = &self.0 else {
+            return Err(PutError::NoHolders);
+        };
+        for _ in 0..TRIES {
+            let Some(volume) = inner.next_volume()? else {
+                return Err(PutError::NoHolders);
+            };
+            let folder = ChunkFolder::new(volume.id, job, upload);
+            if inner.put_on_both(&volume, &folder, bytes) {
+                return Ok(HeldChunk {
+                    volume: volume.id,
+                    digest: content_digest(bytes),
+                    bytes: bytes.len() as u64,
+                });
+            }
+        }
+        inner.next_volume()?;
+        Err(PutError::NoHolders)
+    }
+
+    /// Reads a chunk from whichever holder has it whole.
+    pub(crate) fn get(&self, record: &JobRecord, chunk: &HeldChunk) -> Option<Vec<u8>> {
+        let inner = self.0.as_ref()?;
+        let folder = ChunkFolder::new(chunk.volume, record.id.as_str(), &record.upload);
+        let name = ChunkName {
+            folder,
+            digest: chunk.digest.clone(),
+        };
+        if let Some(bytes) = inner.read_own(&name) {
+            return Some(bytes);
+        }
+        for (disk, address) in inner.holders_of(chunk.volume) {
+            if let Some(bytes) = inner.fetch(address, &name) {
+                inner.repair_own(&name, &bytes);
+                return Some(bytes);
+            }
+            log::warn!(target: "data", disk:% = disk, volume:% = chunk.volume; "A chunk is not to be had there.");
+        }
+        None
+    }
+
+    /// Copies a chunk of this daemon's disk to another; whether it is there.
+    pub(crate) fn copy_to(&self, address: SocketAddr, chunk: &ChunkName) -> bool {
+        let Some(inner) = &self.0 else { return false };
+        let Some(bytes) = inner.read_own(chunk) else {
+            // Damaged here, so not to be copied; the partner is gone. Readers
+            // will hear that it is missing rather than get other bytes.
+            log::error!(target: "data", chunk:% = chunk.digest; "A chunk cannot be copied: damaged.");
+            return true;
+        };
+        let sent = inner.send(address, &chunk.folder, &chunk.digest, None, &bytes);
+        matches!(sent, Sent::Kept)
+    }
+}
+
+/// What became of a chunk that was sent to a disk.
+enum Sent {
+    Kept,
+    Full,
+    Refused,
+}
+
+impl Inner {
+    /// The next volume to write to; none while no volume has both holders.
+    fn next_volume(&self) -> Result<Option<VolumeRecord>, PutError> {
+        let Ok(places) = self.places.read() else {
+            return Ok(None);
+        };
+        let mut writable = places.writable(self.clock.now());
+        if writable.is_empty() {
+            return if places.only_full() {
+                Err(PutError::Full)
+            } else {
+                Ok(None)
+            };
+        }
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        Ok(Some(writable.swap_remove(turn % writable.len())))
+    }
+
+    fn put_on_both(&self, volume: &VolumeRecord, folder: &ChunkFolder, bytes: &[u8]) -> bool {
+        let [one, other] = &volume.holders;
+        thread::scope(|scope| {
+            let first = scope.spawn(|| self.put_on(one, volume.epoch, folder, bytes));
+            let second = self.put_on(other, volume.epoch, folder, bytes);
+            first.join().unwrap_or(false) && second
+        })
+    }
+
+    fn put_on(&self, disk: &DiskId, epoch: u64, folder: &ChunkFolder, bytes: &[u8]) -> bool {
+        let sent = match &self.own {
+            Some(own) if own.id == *disk => match own.write(folder, epoch, bytes) {
+                Ok(_) => Sent::Kept,
+                Err(StoreError::Full) => Sent::Full,
+                Err(e) => {
+                    log::warn!(target: "data", error:% = e; "A chunk could not be kept here.");
+                    Sent::Refused
+                }
+            },
+            _ => match self.address_of(disk) {
+                Some(address) => {
+                    let digest = content_digest(bytes);
+                    self.send(address, folder, &digest, Some(epoch), bytes)
+                }
+                None => Sent::Refused,
+            },
+        };
+        if matches!(sent, Sent::Full)
+            && let Ok(mut places) = self.places.write()
+        {
+            log::error!(target: "data", disk:% = disk; "A disk is full.");
+            places.note_full(disk, self.clock.now());
+        }
+        matches!(sent, Sent::Kept)
+    }
+
+    fn address_of(&self, disk: &DiskId) -> Option<SocketAddr> {
+        let places = self.places.read().ok()?;
+        let seat = places.disks.get(disk)?;
+        seat.gone_since.is_none().then_some(seat.address)
+    }
+
+    /// The volume's holders that are there, but for this daemon's own disk.
+    fn holders_of(&self, volume: VolumeId) -> Vec<(DiskId, SocketAddr)> {
+        let holders = self.places.read().ok().and_then(|places| {
+            let known = places.volumes.get(&volume)?;
+            Some(known.record.holders.clone())
+        });
+        let own = self.own.as_ref().map(|own| &own.id);
+        let others = holders.into_iter().flatten();
+        others
+            .filter(|disk| Some(disk) != own)
+            .filter_map(|disk| Some((disk.clone(), self.address_of(&disk)?)))
+            .collect()
+    }
+
+    fn read_own(&self, chunk: &ChunkName) -> Option<Vec<u8>> {
+        match self.own.as_ref()?.read(&chunk.folder, &chunk.digest) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::error!(target: "data", error:% = e; "The disk cannot be read.");
+                None
+            }
+        }
+    }
+
+    /// Puts back a chunk that was damaged on this daemon's disk.
+    fn repair_own(&self, chunk: &ChunkName, bytes: &[u8]) {
+        let Some(own) = &self.own else { return };
+        let holds = self.places.read().is_ok_and(|places| {
+            let known = places.volumes.get(&chunk.folder.volume);
+            known.is_some_and(|v| v.record.holders.contains(&own.id))
+        });
+        if holds {
+            log::warn!(target: "data", chunk:% = chunk.digest; "A chunk is put back from its other holder.");
+            own.copy_in(&chunk.folder, bytes).ok();
+        }
+    }
+
+    fn fetch(&self, address: SocketAddr, chunk: &ChunkName) -> Option<Vec<u8>> {
+        let url = format!(
+            "http://{address}{}",
+            chunk_path(&chunk.folder, &chunk.digest)
+        );
+        let mut answer = self
+            .agent
+            .get(url)
+            .header("Authorization", self.bearer())
+            .call()
+            .ok()?;
+        if answer.status().as_u16() != 200 {
+            return None;
+        }
+        let limited = answer.body_mut().with_config().limit(MOST_BYTES as u64);
+        let bytes = limited.read_to_vec().ok()?;
+        (content_digest(&bytes) == chunk.digest).then_some(bytes)
+    }
+
+    fn send(
+        &self,
+        address: SocketAddr,
+        folder: &ChunkFolder,
+        digest: &str,
+        epoch: Option<u64>,
+        bytes: &[u8],
+    ) -> Sent {
+        let url = format!("http://{address}{}", chunk_path(folder, digest));
+        let call = self.agent.put(url).header("Authorization", self.bearer());
+        let call = match epoch {
+            Some(epoch) => call.header(EPOCH_HEADER, epoch.to_string()),
+            None => call.header(COPY_HEADER, "1"),
+        };
+        match call.send(bytes).map(|answer| answer.status().as_u16()) {
+            Ok(204) => Sent::Kept,
+            Ok(507) => Sent::Full,
+            Ok(_) | Err(_) => Sent::Refused,
+        }
+    }
+
+    fn bearer(&self) -> String {
+        format!("Bearer {}", self.settings.peer_token)
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/data/endpoint.rs
@@ -0,0 +1,123 @@
+//! A disk as other daemons reach it.
+
+use crate::data::access::{ChunkAccess, MOST_BYTES};
+use bluebellreel_chunk::{ChunkFolder, ChunkStore, StoreError, VolumeId};
+use bluebellreel_http::{ApiError, BodyLimits, Method, Reply, Request, header, read_body};
+use bluebellreel_settings::is_same_token;
+use bluebellreel_types::content_digest;
+use std::time::Duration;
+
+/// Below it lie the chunks.
+pub(crate) const PATH_PREFIX: &str = "/internal/v1/chunks/";
+/// Names the epoch of the volume as the writer knows it.
+pub(crate) const EPOCH_HEADER: &str = "Bluebellreel-Epoch";
+/// Marks a copy by another holder.
+pub(crate) const COPY_HEADER: &str = "Bluebellreel-Copy";
+/// Longest time to read a chunk.
+const BODY_TIME: Duration = Duration::from_secs(5);
+
+/// Where a chunk is reached.
+pub(crate) fn chunk_path(folder: &ChunkFolder, digest: &str) -> String {
+    let ChunkFolder {
+        volume,
+        job,
+        upload,
+    } = folder;
+    format!("{PATH_PREFIX}{volume}/{job}/{upload}/{digest}")
+}
+
+/// Serves one request of a peer.
+pub(crate) fn handle(data: &ChunkAccess, req: &mut Request, rest: &str) -> Reply {
+    serve(data, req, rest).unwrap_or_else(Reply::from)
+}
+
+fn serve(data: &ChunkAccess, req: &mut Request, rest: &str) -> Result<Reply, ApiError> {
+    let not_found = || ApiError::new(404, "not_found", "no such chunk here");
+    let (Some(settings), Some(own)) = (data.settings(), data.own()) else {
+        return Err(not_found());
+    };
+    let token = header(req, "Authorization").and_then(|value| value.strip_prefix("Bearer "));
+    if !token.is_some_and(|token| is_same_token(token, &settings.peer_token)) {
+        return Err(ApiError::new(
+            401,
+            "unauthorized",
+            "the peers' token is needed",
+        ));
+    }
+    let (folder, digest) = parse(rest).ok_or_else(not_found)?;
+    match req.method() {
+        Method::Get => match own.read(&folder, digest) {
+            Ok(Some(bytes)) => Ok(Reply::bytes(200, "application/octet-stream", bytes)),
+            Ok(None) => Err(not_found()),
+            Err(e) => Err(error_of(&e)),
+        },
+        Method::Put => keep(data, own, req, &folder, digest),
+        _ => Err(ApiError::new(405, "bad_method", "GET or PUT")),
+    }
+}
+
+fn parse(rest: &str) -> Option<(ChunkFolder, &str)> {
+    let mut parts = rest.split('/');
+    let volume = VolumeId(parts.next()?.parse().ok()?);
+    let folder = ChunkFolder::new(volume, parts.next()?, parts.next()?);
+    let digest = parts.next()?;
+    parts.next().is_none().then_some((folder, digest))
+}
+
+fn keep(
+    data: &ChunkAccess,
+    own: &ChunkStore,
+    req: &mut Request,
+    folder: &ChunkFolder,
+    digest: &str,
+) -> Result<Reply, ApiError> {
+    let epoch = header(req, EPOCH_HEADER).and_then(|text| text.parse::<u64>().ok());
+    let is_copy = header(req, COPY_HEADER).is_some();
+    let limits = BodyLimits {
+        bytes: MOST_BYTES,
+        time: BODY_TIME,
+    };
+    let bytes = read_body(req, limits)?;
+    if content_digest(&bytes) != digest {
+        return Err(ApiError::new(
+            400,
+            "damaged",
+            "the bytes do not fit the name",
+        ));
+    }
+    let kept = match epoch {
+        Some(epoch) if knows_no_later(data, folder.volume, epoch) => {
+            own.write(folder, epoch, &bytes)
+        }
+        None if is_copy => own.copy_in(folder, &bytes),
+        _ => Err(StoreError::Moved),
+    };
+    match kept {
+        Ok(_) => Ok(Reply::bytes(204, "text/plain", *b"")),
+        Err(e) => Err(error_of(&e)),
+    }
+}
+
+/// Whether a writer's view of a volume is no older than this daemon's.
+///
+/// A writer that was paused while a volume moved could otherwise put a chunk on
+/// a holder that is none any more. A daemon that has just started and does not
+/// know the volume yet takes nothing for it.
+fn knows_no_later(data: &ChunkAccess, volume: VolumeId, epoch: u64) -> bool {
+    data.places().is_some_and(|places| {
+        let known = places.volumes.get(&volume);
+        known.is_some_and(|known| known.record.epoch <= epoch)
+    })
+}
+
+fn error_of(e: &StoreError) -> ApiError {
+    match e {
+        StoreError::Full => ApiError::new(507, "disk_full", e.to_string()),
+        StoreError::Moved => ApiError::new(409, "moved", e.to_string()),
+        StoreError::BadName => ApiError::new(400, "bad_name", e.to_string()),
+        StoreError::Io(_) => {
+            log::error!(target: "data", error:% = e; "The disk failed.");
+            ApiError::new(500, "disk_failed", e.to_string())
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/data/keeper.rs
@@ -0,0 +1,183 @@
+//! Keeps every volume on two disks: creates volumes, and copies those whose
+//! other holder is gone.
+
+use crate::data::access::ChunkAccess;
+use crate::data::places::KnownVolume;
+use crate::parts::Parts;
+use crate::platform::{follow_prefix, volume_key, volume_prefix};
+use bluebellreel_chunk::{ChunkStore, DiskId, VolumeId, VolumeRecord, copy_target, holders_for};
+use bluebellreel_kv::{Commit, KeyValue, KvClient, Txn, WatchEvent};
+use bluebellreel_types::Moment;
+use std::io;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+/// Between two looks.
+const PERIOD: Duration = Duration::from_secs(1);
+/// Volumes for each disk: with more disks, volumes come that use them.
+const VOLUMES_PER_DISK: u32 = 8;
+/// Longest time to write a volume's record.
+const WRITE_TIME: Duration = Duration::from_secs(4);
+
+/// Watches who holds which volume.
+pub(crate) fn watch_volumes(parts: &Parts) -> io::Result<()> {
+    if !parts.data.is_on() {
+        return Ok(());
+    }
+    let parts = parts.clone();
+    thread::Builder::new()
+        .name("volume-watch".into())
+        .spawn(move || {
+            follow_prefix(
+                &parts.kv,
+                &volume_prefix(),
+                |all| all.iter().all(|kv| note_volume(&parts.data, kv)),
+                |event| match event {
+                    WatchEvent::Put(kv) => note_volume(&parts.data, &kv),
+                    WatchEvent::Deleted { .. } => true,
+                },
+            );
+        })?;
+    Ok(())
+}
+
+fn note_volume(data: &ChunkAccess, kv: &KeyValue) -> bool {
+    match serde_json::from_slice::<VolumeRecord>(&kv.value) {
+        Ok(record) => {
+            if let Some(mut places) = data.places_mut() {
+                places.note_volume(record, kv.revision);
+            }
+        }
+        Err(e) => {
+            log::error!(target: "data", key:% = kv.key, error:% = e; "A volume's record is damaged.");
+        }
+    }
+    true
+}
+
+/// Keeps the volumes of this daemon's disk, if it has one, until it stops.
+pub(crate) fn keep_volumes(parts: &Parts) -> io::Result<()> {
+    if parts.data.own().is_none() {
+        return Ok(());
+    }
+    let parts = parts.clone();
+    thread::Builder::new()
+        .name("volume-keeper".into())
+        .spawn(move || {
+            while parts.lease.load(Ordering::SeqCst) != crate::platform::STOPPED {
+                thread::sleep(PERIOD);
+                if let Some(own) = parts.data.own()
+                    && !parts.kv.seems_down()
+                {
+                    create_missing(&parts.kv, &parts.data, own);
+                    copy_orphaned(&parts.kv, &parts.data, own);
+                }
+            }
+        })?;
+    Ok(())
+}
+
+/// Creates the volumes in which this disk ranks first.
+fn create_missing(kv: &KvClient, data: &ChunkAccess, own: &ChunkStore) {
+    let Some(missing) = missing_volumes(data, &own.id) else {
+        return;
+    };
+    for record in missing {
+        let value = serde_json::to_vec(&record).unwrap_or_default();
+        let txn = Txn::create(volume_key(record.id), value);
+        if let Commit::Applied { .. } = kv.commit(&txn, kv.now() + WRITE_TIME) {
+            log::info!(target: "data", volume:% = record.id; "Volume created.");
+        }
+    }
+}
+
+fn missing_volumes(data: &ChunkAccess, me: &DiskId) -> Option<Vec<VolumeRecord>> {
+    let places = data.places()?;
+    let live = places
+        .disks
+        .values()
+        .filter(|seat| seat.gone_since.is_none());
+    let live = u32::try_from(live.count()).ok()?;
+    let wanted = (0..live * VOLUMES_PER_DISK).map(VolumeId);
+    let missing = wanted.filter(|id| !places.volumes.contains_key(id));
+    let records = missing.filter_map(|id| {
+        let holders = holders_for(id, &places.disks)?;
+        let epoch = 1;
+        (holders[0] == *me).then_some(VolumeRecord { id, epoch, holders })
+    });
+    Some(records.collect())
+}
+
+/// A volume to copy, who left it, and where its copy goes.
+struct Move {
+    volume: KnownVolume,
+    gone: DiskId,
+    to: DiskId,
+}
+
+fn copy_orphaned(kv: &KvClient, data: &ChunkAccess, own: &ChunkStore) {
+    for moving in due_moves(data, &own.id, data.now()) {
+        let before = &moving.volume.record;
+        // First no more writes, then the list: a chunk that was acknowledged
+        // before the seal is in the list, one after it is refused here, so its
+        // writer goes elsewhere.
+        own.seal(before.id, before.epoch);
+        if !copy_all(data, own, &moving) || !record_move(kv, &moving) {
+            own.unseal(before.id);
+        }
+    }
+}
+
+fn due_moves(data: &ChunkAccess, me: &DiskId, now: Moment) -> Vec<Move> {
+    let Some(patience) = data.settings().map(|settings| settings.patience) else {
+        return Vec::new();
+    };
+    let Some(mut places) = data.places_mut() else {
+        return Vec::new();
+    };
+    places.note_unseen_holders(now);
+    let due = places.volumes.values().filter_map(|volume| {
+        let (gone, to) = copy_target(&volume.record, &places.disks, me, patience, now)?;
+        let volume = volume.clone();
+        Some(Move { volume, gone, to })
+    });
+    due.collect()
+}
+
+fn copy_all(data: &ChunkAccess, own: &ChunkStore, moving: &Move) -> bool {
+    let seat = data
+        .places()
+        .and_then(|places| places.disks.get(&moving.to).cloned());
+    let Some(seat) = seat else { return false };
+    let id = moving.volume.record.id;
+    let chunks = match own.chunks_of(id) {
+        Ok(chunks) => chunks,
+        Err(e) => {
+            log::error!(target: "data", volume:% = id, error:% = e; "A volume cannot be listed.");
+            return false;
+        }
+    };
+    let all = chunks.iter().all(|chunk| data.copy_to(seat.address, chunk));
+    if !all {
+        log::warn!(target: "data", volume:% = id, to:% = moving.to; "A volume could not be copied yet.");
+    }
+    all
+}
+
+/// Of several that move a volume one wins; the revision is the guard.
+fn record_move(kv: &KvClient, moving: &Move) -> bool {
+    let after = moving.volume.record.moved(&moving.gone, &moving.to);
+    let value = serde_json::to_vec(&after).unwrap_or_default();
+    let txn = Txn::replace(volume_key(after.id), moving.volume.revision, value);
+    match kv.commit(&txn, kv.now() + WRITE_TIME) {
+        Commit::Applied { .. } => {
+            log::info!(target: "data", volume:% = after.id, from:% = moving.gone, to:% = moving.to; "Volume moved.");
+            true
+        }
+        // Whether the seal must stay is not known; the record will tell, and
+        // until then no write is better than one that is lost.
+        Commit::Unknown(_) => true,
+        Commit::Beaten(_) | Commit::NotDone(_) => false,
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_entry/src/data/places.rs
@@ -0,0 +1,149 @@
+//! What a daemon knows of volumes and disks.
+
+use crate::platform::EntryRecord;
+use bluebellreel_chunk::{DiskId, DiskSeat, VolumeId, VolumeRecord, is_writable};
+use bluebellreel_types::{EntryName, Moment};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a disk that was full gets no more chunks.
+const FULL_PAUSE: Duration = Duration::from_secs(30);
+
+/// A volume and the revision of its record.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownVolume {
+    pub(crate) record: VolumeRecord,
+    pub(crate) revision: i64,
+}
+
+/// How the volumes stand, for operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub(crate) struct VolumesSummary {
+    /// All.
+    pub(crate) volumes: usize,
+    /// Those with one holder left: one more loss would lose items.
+    pub(crate) on_one_disk: usize,
+    /// Those without a holder now.
+    pub(crate) unreadable: usize,
+}
+
+/// Volumes, disks, and which daemon stands before which disk.
+#[derive(Debug, Default)]
+pub(crate) struct Places {
+    pub(crate) volumes: BTreeMap<VolumeId, KnownVolume>,
+    pub(crate) disks: BTreeMap<DiskId, DiskSeat>,
+    daemons: BTreeMap<EntryName, DiskId>,
+    full_until: BTreeMap<DiskId, Moment>,
+}
+
+impl Places {
+    /// Takes in a volume's record, unless a later one is known: a list that was
+    /// read before a change may be handed in after it.
+    pub(crate) fn note_volume(&mut self, record: VolumeRecord, revision: i64) {
+        let known = self.volumes.get(&record.id);
+        if known.is_none_or(|known| known.revision < revision) {
+            let id = record.id;
+            self.volumes.insert(id, KnownVolume { record, revision });
+        }
+    }
+
+    /// Takes in a live daemon.
+    pub(crate) fn note_daemon(&mut self, record: &EntryRecord, now: Moment) {
+        let before = self.daemons.remove(&record.name);
+        if let Some(before) = before.filter(|disk| Some(disk) != record.disk.as_ref()) {
+            self.note_disk_gone(&before, now);
+        }
+        if let Some(disk) = &record.disk {
+            self.daemons.insert(record.name.clone(), disk.clone());
+            let seat = DiskSeat {
+                address: record.address,
+                data_centre: record.data_centre.clone(),
+                gone_since: None,
+            };
+            self.disks.insert(disk.clone(), seat);
+        }
+    }
+
+    /// Takes in that a daemon's lease has ended.
+    pub(crate) fn note_daemon_gone(&mut self, name: &EntryName, now: Moment) {
+        if let Some(disk) = self.daemons.remove(name) {
+            self.note_disk_gone(&disk, now);
+        }
+    }
+
+    fn note_disk_gone(&mut self, disk: &DiskId, now: Moment) {
+        if let Some(seat) = self.disks.get_mut(disk) {
+            seat.gone_since.get_or_insert(now);
+        }
+    }
+
+    /// A holder that no daemon has ever shown here counts as gone from now on:
+    /// it left before this daemon started.
+    pub(crate) fn note_unseen_holders(&mut self, now: Moment) {
+        let holders = self.volumes.values().flat_map(|v| v.record.holders.iter());
+        let unseen: Vec<DiskId> = holders
+            .filter(|disk| !self.disks.contains_key(disk))
+            .cloned()
+            .collect();
+        for disk in unseen {
+            let seat = DiskSeat {
+                address: SocketAddr::from(([0, 0, 0, 0], 0)),
+                data_centre: "".into(),
+                gone_since: Some(now),
+            };
+            self.disks.insert(disk, seat);
+        }
+    }
+
+    /// Takes in that a disk is full.
+    pub(crate) fn note_full(&mut self, disk: &DiskId, now: Moment) {
+        self.full_until.insert(disk.clone(), now + FULL_PAUSE);
+    }
+
+    fn is_full(&self, disk: &DiskId, now: Moment) -> bool {
+        let until = self.full_until.get(disk);
+        until.is_some_and(|until| !until.is_past(now))
+    }
+
+    /// Volumes whose two holders are there and not full.
+    pub(crate) fn writable(&self, now: Moment) -> Vec<VolumeRecord> {
+        let volumes = self.volumes.values().map(|known| &known.record);
+        volumes
+            .filter(|record| is_writable(record, &self.disks))
+            .filter(|record| !record.holders.iter().any(|disk| self.is_full(disk, now)))
+            .cloned()
+            .collect()
+    }
+
+    /// How the volumes stand.
+    pub(crate) fn summary(&self) -> VolumesSummary {
+        let mut summary = VolumesSummary::default();
+        for known in self.volumes.values() {
+            let live = |disk| {
+                let seat = self.disks.get(disk);
+                seat.is_some_and(|seat: &DiskSeat| seat.gone_since.is_none())
+            };
+            summary.volumes += 1;
+            match known
+                .record
+                .holders
+                .iter()
+                .filter(|disk| live(disk))
+                .count()
+            {
+                0 => summary.unreadable += 1,
+                1 => summary.on_one_disk += 1,
+                _ => {}
+            }
+        }
+        summary
+    }
+
+    /// Whether some volume would be writable if its disks were not full.
+    pub(crate) fn only_full(&self) -> bool {
+        let mut volumes = self.volumes.values();
+        volumes.any(|known| is_writable(&known.record, &self.disks))
+    }
+}
--- a/crates/bluebellreel_entry/src/http/batches.rs
+++ b/crates/bluebellreel_entry/src/http/batches.rs
@@ -48,7 +48,7 @@
     let announced = call.req.body_length();
     let until = Instant::now() + settings.limits.job_time;
     let next = body_pieces(call.req.as_reader(), announced, most, until);
-    let answer = accept_job(&rim.parts.kv, &submission, next)?;
+    let answer = accept_job(rim.parts.storage(), &submission, next)?;
     match answer {
         AcceptAnswer::Accepted(record, revision) => {
             let message = JobsMessage::Accepted(record.clone(), revision);
@@ -131,7 +131,7 @@
 
 /// Cancels a job for whoever may.
 pub(crate) fn cancel(rim: &Rim, id: &JobId) -> Result<Reply, ApiError> {
-    match cancel_job(&rim.parts.kv, id, rim.now()) {
+    match cancel_job(rim.parts.storage(), id, rim.now()) {
         CancelAnswer::Over(record) => Ok(Reply::json(200, &job_body(&record))),
         CancelAnswer::NoSuchJob => Err(ApiError::new(404, "no_job", "no such job")),
         CancelAnswer::Failed { unknown, reason } => {
@@ -160,7 +160,7 @@
 
 fn one_page(rim: &Rim, record: &JobRecord, after: Option<&str>) -> Result<Reply, ApiError> {
     let page =
-        read_results(&rim.parts.kv, record, after).map_err(|e| unreadable(&e.to_string()))?;
+        read_results(rim.parts.storage(), record, after).map_err(|e| unreadable(&e.to_string()))?;
     let body = json!({ "data": page.lines, "next": page.next });
     Ok(Reply::json(200, &body))
 }
@@ -169,7 +169,7 @@
 /// cannot be finished is cut without its last chunk, so that the caller does
 /// not take a part for the whole.
 fn stream_results(rim: &Rim, call: CallerRequest, record: &JobRecord) {
-    let first = match read_results(&rim.parts.kv, record, None) {
+    let first = match read_results(rim.parts.storage(), record, None) {
         Ok(page) => page,
         Err(e) => return answer(rim, call, |_| Err(unreadable(&e.to_string()))),
     };
@@ -199,7 +199,7 @@
         let Some(next) = page.next else {
             return Ok(());
         };
-        page = match read_results(&rim.parts.kv, record, Some(&next)) {
+        page = match read_results(rim.parts.storage(), record, Some(&next)) {
             Ok(page) => page,
             Err(e) => {
                 stream.abandon();
--- a/crates/bluebellreel_entry/src/http/operator.rs
+++ b/crates/bluebellreel_entry/src/http/operator.rs
@@ -1,5 +1,6 @@
 //! Operators' calls.
 
+use crate::data::VolumesSummary;
 use crate::fleet::{
     DrainOrder, FleetMessage, FleetSummary, PutAnswer, get_manifest, order_drain, put_manifest,
 };
@@ -187,6 +188,8 @@
     let fleet: FleetSummary = ask(rim, |answer| {
         Message::Fleet(FleetMessage::SummaryAsked(answer))
     })?;
+    let volumes = rim.parts.data.places().map(|places| places.summary());
+    let volumes = volumes.unwrap_or_default();
     let metrics = &rim.parts.metrics;
     let (in_time, late) = (metrics.in_time.get(), metrics.late.get());
     Ok(json!({
@@ -197,7 +200,8 @@
             "late": late,
         },
         "items_finish_once": {
-            "state": items_state(&jobs),
+            "state": items_state(&jobs, volumes),
+            "volumes": volumes,
             "running_jobs": jobs.running,
             "orphaned_jobs": jobs.orphaned,
             "late_jobs": jobs.late,
@@ -233,10 +237,10 @@
     }
 }
 
-fn items_state(jobs: &JobsSummary) -> &'static str {
-    if jobs.late > 0 {
+fn items_state(jobs: &JobsSummary, volumes: VolumesSummary) -> &'static str {
+    if jobs.late > 0 || volumes.unreadable > 0 {
         "broken"
-    } else if jobs.orphaned > 0 || jobs.unrecorded_bytes > 16 << 20 {
+    } else if volumes.on_one_disk > 0 || jobs.orphaned > 0 || jobs.unrecorded_bytes > 16 << 20 {
         "at risk"
     } else {
         "holds"
--- a/crates/bluebellreel_entry/src/http/page.rs
+++ b/crates/bluebellreel_entry/src/http/page.rs
@@ -257,11 +257,9 @@
         (
             "Every accepted item finishes once and is readable",
             items,
-            format!(
-                "{} jobs run, {} without an owner, {} late",
-                items["running_jobs"], items["orphaned_jobs"], items["late_jobs"]
-            ),
-            "Without an owner: a daemon was lost, another takes over in seconds. Late: see the jobs.",
+            items_number(items),
+            "Without an owner: a daemon was lost, another takes over in seconds. Late: see the jobs. \
+             Volumes on one disk: a VM with a disk is gone, copies are made; none: bring it back.",
         ),
         (
             "Accepted changes hold everywhere",
@@ -294,6 +292,19 @@
     }
 }
 
+fn items_number(items: &Value) -> String {
+    let mut number = format!(
+        "{} jobs run, {} without an owner, {} late",
+        items["running_jobs"], items["orphaned_jobs"], items["late_jobs"]
+    );
+    let volumes = &items["volumes"];
+    let (alone, lost) = (&volumes["on_one_disk"], &volumes["unreadable"]);
+    if volumes["volumes"] != 0 {
+        write!(number, "; volumes: {alone} on one disk, {lost} on none").ok();
+    }
+    number
+}
+
 /// Jobs and workers that one page lists at the most, to stay small on a slow
 /// line.
 const MOST_ROWS: usize = 20;
--- a/crates/bluebellreel_entry/src/http/route.rs
+++ b/crates/bluebellreel_entry/src/http/route.rs
@@ -1,5 +1,6 @@
 //! From a request to its handler.
 
+use crate::data;
 use crate::fleet::SharedManifest;
 use crate::http::{batches, chat, operator, requests, services};
 use crate::parts::Parts;
@@ -60,6 +61,12 @@
             let text = rim.parts.metrics.text().into_bytes();
             respond(req, &Reply::bytes(200, "text/plain; version=0.0.4", text));
         }
+        _ if path.starts_with(data::PATH_PREFIX) => {
+            let mut req = req;
+            let rest = &path[data::PATH_PREFIX.len()..];
+            let reply = data::handle(&rim.parts.data, &mut req, rest);
+            respond(req, &reply);
+        }
         _ if path == "/operator" || path.starts_with("/operator/") => {
             operator::handle(rim, req, path, query);
         }
--- a/crates/bluebellreel_entry/src/jobs/mod.rs
+++ b/crates/bluebellreel_entry/src/jobs/mod.rs
@@ -3,10 +3,12 @@
 mod index;
 mod messages;
 mod part;
+mod results;
 mod store;
 mod upload;
 
 pub(crate) use messages::{JobsMessage, JobsSummary};
 pub(crate) use part::JobsPart;
-pub(crate) use store::{CancelAnswer, ResultPage, cancel_job, find_job, read_results};
+pub(crate) use results::{ResultPage, read_results};
+pub(crate) use store::{CancelAnswer, JobStorage, cancel_job, find_job};
 pub(crate) use upload::{AcceptAnswer, Submission, accept_job};
--- a/crates/bluebellreel_entry/src/jobs/part.rs
+++ b/crates/bluebellreel_entry/src/jobs/part.rs
@@ -268,15 +268,15 @@
     }
 
     fn carry_out(&mut self, id: &JobId, record: &JobRecord, revision: i64, effect: JobEffect) {
-        let parts = self.parts.clone();
+        let (at, parts) = (self.parts.clone(), self.parts.clone());
         let (id, record, epoch) = (id.clone(), record.clone(), record.epoch);
         let tell = move |message| {
             parts.tell(Message::Jobs(message));
         };
         match effect {
             JobEffect::LoadChunk(chunk) => {
-                self.run_kv(&id.clone(), epoch, move |kv| {
-                    let bytes = store::load_chunk(kv, &record, chunk);
+                self.run_kv(&id.clone(), epoch, move |_| {
+                    let bytes = store::load_chunk(at.storage(), &record, chunk);
                     tell(JobsMessage::Chunk {
                         id,
                         epoch,
@@ -291,8 +291,9 @@
                     .iter()
                     .filter(|r| matches!(r.end, ItemEnd::Failed { .. }));
                 let failed = u32::try_from(failed.count()).unwrap_or(u32::MAX);
-                self.run_kv(&id.clone(), epoch, move |kv| {
-                    let write = store::record_results(kv, &record, revision, seq, &results);
+                self.run_kv(&id.clone(), epoch, move |_| {
+                    let write =
+                        store::record_results(at.storage(), &record, revision, seq, &results);
                     tell(JobsMessage::Recorded {
                         id,
                         epoch,
--- a/crates/bluebellreel_entry/src/jobs/part/ownership.rs
+++ b/crates/bluebellreel_entry/src/jobs/part/ownership.rs
@@ -63,8 +63,8 @@
         }
         let (record, revision) = (job.record.clone(), job.revision);
         let (parts, id) = (self.parts.clone(), id.clone());
-        self.parts.pool.run(move |kv| {
-            let message = match store::open_job(kv, record, revision) {
+        self.parts.pool.run(move |_| {
+            let message = match store::open_job(parts.storage(), record, revision) {
                 Ok(opened) => JobsMessage::Opened(Box::new(opened)),
                 Err(e) => {
                     log::warn!(target: "jobs", job:% = id, error:% = e; "A job cannot be opened yet.");
--- a/crates/bluebellreel_entry/src/jobs/store.rs
+++ b/crates/bluebellreel_entry/src/jobs/store.rs
@@ -1,5 +1,6 @@
-//! Jobs in the key-value service.
+//! Jobs as they are kept.
 
+use crate::data::ChunkAccess;
 use crate::jobs::messages::{JobWrite, OpenedJob};
 use crate::platform::{
     done_key, input_key, item_claim_key, item_claim_prefix, job_key, output_key, output_prefix,
@@ -9,15 +10,20 @@
 };
 use bluebellreel_kv::{Commit, Compare, Key, KvClient, KvError, Put, Txn};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, content_digest};
-use serde::Serialize;
-use std::collections::HashSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest time for one write to a job before it is tried again later.
 const WRITE_TIME: Duration = Duration::from_secs(4);
 /// Result chunks read at one time.
-const READ_PAGE: usize = 4;
+pub(crate) const READ_PAGE: usize = 4;
+
+/// Where jobs are kept: the key-value service, and disks for the chunks of
+/// large ones.
+#[derive(Clone, Copy)]
+pub(crate) struct JobStorage<'a> {
+    pub(crate) kv: &'a KvClient,
+    pub(crate) data: &'a ChunkAccess,
+}
 
 /// A job as it is found.
 #[derive(Clone, Debug)]
@@ -66,21 +72,17 @@
 
 /// Reads what is recorded of a job.
 pub(crate) fn open_job(
-    kv: &KvClient,
+    at: JobStorage<'_>,
     record: JobRecord,
     revision: i64,
 ) -> Result<OpenedJob, KvError> {
     let mut recorded = Vec::new();
-    for_each_chunk(kv, &output_prefix(&record.id), |_, value| {
-        let chunk: ResultChunk = parse(value)?;
-        recorded.extend(chunk.results.iter().map(|result| {
-            let succeeded = matches!(result.end, ItemEnd::Succeeded { .. });
-            (result.index, succeeded)
-        }));
-        Ok(())
+    for_each_result(at, &record, |result| {
+        let succeeded = matches!(result.end, ItemEnd::Succeeded { .. });
+        recorded.push((result.index, succeeded));
     })?;
     let mut claims: Vec<ClaimedItem> = Vec::new();
-    for_each_chunk(kv, &item_claim_prefix(&record.id), |_, value| {
+    for_each_chunk(at.kv, &item_claim_prefix(&record.id), |_, value| {
         let chunk: ClaimChunk = parse(value)?;
         claims.extend(chunk.claims);
         Ok(())
@@ -93,6 +95,34 @@
     })
 }
 
+/// Visits every result that is recorded.
+pub(crate) fn for_each_result(
+    at: JobStorage<'_>,
+    record: &JobRecord,
+    mut visit: impl FnMut(ItemResult),
+) -> Result<(), KvError> {
+    for_each_chunk(at.kv, &output_prefix(&record.id), |_, value| {
+        results_of(at, record, value)?
+            .into_iter()
+            .for_each(&mut visit);
+        Ok(())
+    })
+}
+
+/// The results of one chunk, wherever they lie.
+pub(crate) fn results_of(
+    at: JobStorage<'_>,
+    record: &JobRecord,
+    value: &[u8],
+) -> Result<Vec<ItemResult>, KvError> {
+    let chunk: ResultChunk = parse(value)?;
+    let Some(held) = chunk.held else {
+        return Ok(chunk.results);
+    };
+    let bytes = at.data.get(record, &held);
+    parse(&bytes.ok_or_else(|| KvError::NotDone("results cannot be read from disks".into()))?)
+}
+
 fn parse<T: serde::de::DeserializeOwned>(value: &[u8]) -> Result<T, KvError> {
     serde_json::from_slice(value).map_err(|e| KvError::Refused(e.to_string()))
 }
@@ -117,11 +147,16 @@
 }
 
 /// Reads an input chunk and checks that it is the one that was accepted.
-pub(crate) fn load_chunk(kv: &KvClient, record: &JobRecord, chunk: u32) -> Option<Vec<u8>> {
-    let key = input_key(&record.id, &record.upload, chunk);
+pub(crate) fn load_chunk(at: JobStorage<'_>, record: &JobRecord, chunk: u32) -> Option<Vec<u8>> {
     let expected = record.chunks.get(chunk as usize)?;
-    match kv.get(&key) {
-        Ok(Some(found)) if content_digest(&found.value) == expected.digest => Some(found.value),
+    let found = if let Some(held) = expected.held() {
+        Ok(at.data.get(record, &held))
+    } else {
+        let key = input_key(&record.id, &record.upload, chunk);
+        at.kv.get(&key).map(|found| Some(found?.value))
+    };
+    match found {
+        Ok(Some(bytes)) if content_digest(&bytes) == expected.digest => Some(bytes),
         Ok(Some(_)) => {
             log::error!(target: "jobs", job:% = record.id, chunk; "An input chunk is damaged.");
             None
@@ -151,22 +186,35 @@
     Txn::create(key, value).and(Compare::Unchanged(job_key(&record.id), revision))
 }
 
-/// Writes results.
+/// Writes results: to disks, and only their place to the key-value service, or
+/// all of it there if they are few or no disk takes them. Results are never
+/// given up for want of a disk.
 pub(crate) fn record_results(
-    kv: &KvClient,
+    at: JobStorage<'_>,
     record: &JobRecord,
     revision: i64,
     seq: u64,
     results: &[ItemResult],
 ) -> JobWrite {
+    let bytes = serde_json::to_vec(results).unwrap_or_default();
+    let held = if at.data.takes(bytes.len()) {
+        at.data.put(record.id.as_str(), &record.upload, &bytes).ok()
+    } else {
+        None
+    };
     let chunk = ResultChunk {
         epoch: record.epoch,
-        results: results.to_vec(),
+        results: if held.is_none() {
+            results.to_vec()
+        } else {
+            Vec::new()
+        },
+        held,
     };
     let value = serde_json::to_vec(&chunk).unwrap_or_default();
     let key = output_key(&record.id, record.epoch, seq);
     let txn = guarded(record, revision, key, value);
-    write_of(&kv.commit(&txn, kv.now() + WRITE_TIME))
+    write_of(&at.kv.commit(&txn, at.kv.now() + WRITE_TIME))
 }
 
 /// Writes claims of items that may not be repeated.
@@ -231,7 +279,8 @@
 }
 
 /// Cancels a job for good. Answered only once it is recorded.
-pub(crate) fn cancel_job(kv: &KvClient, id: &JobId, now: Moment) -> CancelAnswer {
+pub(crate) fn cancel_job(at: JobStorage<'_>, id: &JobId, now: Moment) -> CancelAnswer {
+    let kv = at.kv;
     let until = kv.now() + WRITE_TIME;
     loop {
         let found = match find_job(kv, id) {
@@ -246,7 +295,7 @@
         if found.record.state != JobState::Running {
             return CancelAnswer::Over(Box::new(found.record));
         }
-        let counts = count_results(kv, id).unwrap_or(found.record.counts);
+        let counts = count_results(at, &found.record).unwrap_or(found.record.counts);
         let ended = found.record.ended(JobState::Cancelled, counts, now);
         let txn = end_txn(&found.record, found.revision, &ended);
         match kv.commit(&txn, until) {
@@ -271,175 +320,11 @@
 }
 
 /// Counts the results that are recorded.
-pub(crate) fn count_results(kv: &KvClient, id: &JobId) -> Result<JobCounts, KvError> {
+fn count_results(at: JobStorage<'_>, record: &JobRecord) -> Result<JobCounts, KvError> {
     let mut counts = JobCounts::default();
-    for_each_chunk(kv, &output_prefix(id), |_, value| {
-        let chunk: ResultChunk = parse(value)?;
-        for result in &chunk.results {
-            match result.end {
-                ItemEnd::Succeeded { .. } => counts.succeeded += 1,
-                ItemEnd::Failed { .. } => counts.failed += 1,
-            }
-        }
-        Ok(())
+    for_each_result(at, record, |result| match result.end {
+        ItemEnd::Succeeded { .. } => counts.succeeded += 1,
+        ItemEnd::Failed { .. } => counts.failed += 1,
     })?;
     Ok(counts)
 }
-
-/// One line of a job's results.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct ItemLine {
-    pub(crate) custom_id: Arc<str>,
-    pub(crate) status: &'static str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub(crate) response: Option<ItemResponse>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub(crate) error: Option<ItemError>,
-}
-
-/// An item's answer.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct ItemResponse {
-    pub(crate) status_code: u16,
-    pub(crate) body: Arc<str>,
-}
-
-/// Why an item has no answer.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct ItemError {
-    pub(crate) message: Arc<str>,
-    pub(crate) attempts: u32,
-}
-
-/// A page of results and where the next one begins.
-#[derive(Clone, Debug)]
-pub(crate) struct ResultPage {
-    pub(crate) lines: Vec<ItemLine>,
-    /// Cursor of the next page; none when this was the last one.
-    pub(crate) next: Option<String>,
-}
-
-/// Cursor of the part that lists items without a recorded result.
-const UNFINISHED: &str = "unfinished";
-
-/// Reads one page of results, in the order in which they were recorded. Items
-/// of a cancelled or expired job that never finished come last.
-pub(crate) fn read_results(
-    kv: &KvClient,
-    record: &JobRecord,
-    after: Option<&str>,
-) -> Result<ResultPage, KvError> {
-    if let Some(rest) = after.and_then(|cursor| cursor.strip_prefix(UNFINISHED)) {
-        let chunk = rest.trim_start_matches('-').parse().unwrap_or(0);
-        return read_unfinished(kv, record, chunk);
-    }
-    let prefix = output_prefix(&record.id);
-    let start = match after {
-        Some(cursor) => Key::from(format!("{prefix}{cursor}\0")),
-        None => prefix.clone(),
-    };
-    let (page, more) = kv.range_page(&start, &prefix.prefix_end(), READ_PAGE, false)?;
-    let mut lines = Vec::new();
-    for found in &page {
-        let chunk: ResultChunk = parse(&found.value)?;
-        for result in chunk.results {
-            lines.push(line_of(kv, record, result)?);
-        }
-    }
-    let last = page.last().map(|found| &found.key);
-    let next = match last {
-        Some(last) if more => last
-            .as_str()
-            .strip_prefix(prefix.as_str())
-            .map(str::to_owned),
-        _ if has_unfinished(record) => Some(format!("{UNFINISHED}-0")),
-        _ => None,
-    };
-    Ok(ResultPage { lines, next })
-}
-
-fn has_unfinished(record: &JobRecord) -> bool {
-    matches!(record.state, JobState::Cancelled | JobState::Expired)
-}
-
-fn line_of(kv: &KvClient, record: &JobRecord, result: ItemResult) -> Result<ItemLine, KvError> {
-    // An item that ended in doubt under a later owner was recorded before its
-    // chunk was read again; its name is found here.
-    let custom_id = if result.custom_id.is_empty() {
-        name_of(kv, record, result.index)?
-    } else {
-        result.custom_id
-    };
-    Ok(match result.end {
-        ItemEnd::Succeeded { status, body } => ItemLine {
-            custom_id,
-            status: "succeeded",
-            response: Some(ItemResponse {
-                status_code: status,
-                body,
-            }),
-            error: None,
-        },
-        ItemEnd::Failed { reason, attempts } => ItemLine {
-            custom_id,
-            status: "failed",
-            response: None,
-            error: Some(ItemError {
-                message: reason,
-                attempts,
-            }),
-        },
-    })
-}
-
-fn name_of(kv: &KvClient, record: &JobRecord, index: u32) -> Result<Arc<str>, KvError> {
-    let chunk = record.chunk_of(index);
-    let names = names_in(kv, record, chunk)?;
-    let first = record.chunks[chunk as usize].first;
-    Ok(names
-        .get((index - first) as usize)
-        .cloned()
-        .unwrap_or_default())
-}
-
-fn names_in(kv: &KvClient, record: &JobRecord, chunk: u32) -> Result<Vec<Arc<str>>, KvError> {
-    let bytes = load_chunk(kv, record, chunk)
-        .ok_or_else(|| KvError::NotDone("an input chunk cannot be read".into()))?;
-    bluebellreel_job::custom_ids(&bytes).map_err(KvError::Refused)
-}
-
-/// Lists the items of one input chunk that have no recorded result.
-fn read_unfinished(kv: &KvClient, record: &JobRecord, chunk: u32) -> Result<ResultPage, KvError> {
-    let Some(place) = record.chunks.get(chunk as usize) else {
-        let (lines, next) = (Vec::new(), None);
-        return Ok(ResultPage { lines, next });
-    };
-    let range = place.first..place.first + place.items;
-    let mut finished = HashSet::new();
-    for_each_chunk(kv, &output_prefix(&record.id), |_, value| {
-        let results: ResultChunk = parse(value)?;
-        let indexes = results.results.iter().map(|result| result.index);
-        finished.extend(indexes.filter(|index| range.contains(index)));
-        Ok(())
-    })?;
-    let status = if record.state == JobState::Cancelled {
-        "cancelled"
-    } else {
-        "expired"
-    };
-    let names = names_in(kv, record, chunk)?;
-    let unfinished = range
-        .zip(names)
-        .filter(|(index, _)| !finished.contains(index));
-    let lines = unfinished.map(|(_, custom_id)| ItemLine {
-        custom_id,
-        status,
-        response: None,
-        error: None,
-    });
-    let more = (chunk as usize) + 1 < record.chunks.len();
-    Ok(ResultPage {
-        lines: lines.collect(),
-        next: more.then(|| format!("{UNFINISHED}-{}", chunk + 1)),
-    })
-}
--- a/crates/bluebellreel_entry/src/jobs/upload.rs
+++ b/crates/bluebellreel_entry/src/jobs/upload.rs
@@ -1,8 +1,10 @@
 //! Accepting a job: its body streams into input chunks, then its record is
 //! created. The record is the acceptance.
 
-use crate::jobs::store::{find_job, job_value};
+use crate::data::PutError;
+use crate::jobs::store::{JobStorage, find_job, job_value};
 use crate::platform::{done_key, input_key, input_prefix, job_key};
+use bluebellreel_chunk::VolumeId;
 use bluebellreel_http::ApiError;
 use bluebellreel_job::{ChunkRef, InputChunk, InputReader, JobCounts, JobRecord, JobState};
 use bluebellreel_kv::{Commit, Compare, KvClient, Put, Txn};
@@ -12,6 +14,8 @@
 
 /// Longest time to store one chunk.
 const CHUNK_TIME: Duration = Duration::from_secs(5);
+/// When a caller may come back whose job found the disks full.
+const FULL_PAUSE: Duration = Duration::from_mins(1);
 /// Longest time to create the record.
 const ACCEPT_TIME: Duration = Duration::from_secs(5);
 
@@ -49,10 +53,11 @@
 
 /// Accepts a job whose body `next` gives piece by piece.
 pub(crate) fn accept_job(
-    kv: &KvClient,
+    at: JobStorage<'_>,
     submission: &Submission,
     mut next: impl FnMut() -> Result<Option<Vec<u8>>, ApiError>,
 ) -> Result<AcceptAnswer, ApiError> {
+    let kv = at.kv;
     if kv.seems_down() {
         return Err(not_accepted("the key-value service is down"));
     }
@@ -62,7 +67,7 @@
         return same_body(before.record, &digest);
     }
     let upload = Incarnation::random().to_string();
-    let stored = store_body(kv, submission, &upload, &mut next);
+    let stored = store_body(at, submission, &upload, &mut next);
     let record = match stored {
         Ok(record) => record,
         Err(e) => {
@@ -74,7 +79,7 @@
 }
 
 fn store_body(
-    kv: &KvClient,
+    at: JobStorage<'_>,
     submission: &Submission,
     upload: &str,
     next: &mut impl FnMut() -> Result<Option<Vec<u8>>, ApiError>,
@@ -86,12 +91,12 @@
     while let Some(piece) = next()? {
         hasher.update(&piece);
         for chunk in reader.push(&piece).map_err(bad_line)? {
-            chunks.push(store_chunk(kv, submission, upload, chunks.len(), &chunk)?);
+            chunks.push(store_chunk(at, submission, upload, chunks.len(), &chunk)?);
         }
     }
     let (target, last) = reader.finish().map_err(bad_line)?;
     if let Some(chunk) = last {
-        chunks.push(store_chunk(kv, submission, upload, chunks.len(), &chunk)?);
+        chunks.push(store_chunk(at, submission, upload, chunks.len(), &chunk)?);
     }
     Ok(JobRecord {
         id: submission.id.clone(),
@@ -113,24 +118,54 @@
 }
 
 fn store_chunk(
-    kv: &KvClient,
+    at: JobStorage<'_>,
     submission: &Submission,
     upload: &str,
     number: usize,
     chunk: &InputChunk,
 ) -> Result<ChunkRef, ApiError> {
-    let number = u32::try_from(number).unwrap_or(u32::MAX);
-    let key = input_key(&submission.id, upload, number);
-    let txn = Txn::create(key, chunk.bytes.clone());
-    match kv.commit(&txn, kv.now() + CHUNK_TIME) {
-        Commit::Applied { .. } => Ok(ChunkRef {
-            first: chunk.first,
-            items: chunk.items,
-            digest: content_digest(&chunk.bytes),
-            bytes: chunk.bytes.len() as u64,
-        }),
-        Commit::Beaten(_) => Err(not_accepted("the upload's name was taken")),
-        Commit::NotDone(reason) | Commit::Unknown(reason) => Err(not_accepted(&reason)),
+    let volume = if at.data.takes(chunk.bytes.len()) {
+        hold_chunk(at, submission, upload, chunk)?
+    } else {
+        None
+    };
+    if volume.is_none() {
+        let number = u32::try_from(number).unwrap_or(u32::MAX);
+        let key = input_key(&submission.id, upload, number);
+        let txn = Txn::create(key, chunk.bytes.clone());
+        match at.kv.commit(&txn, at.kv.now() + CHUNK_TIME) {
+            Commit::Applied { .. } => {}
+            Commit::Beaten(_) => return Err(not_accepted("the upload's name was taken")),
+            Commit::NotDone(reason) | Commit::Unknown(reason) => {
+                return Err(not_accepted(&reason));
+            }
+        }
+    }
+    Ok(ChunkRef {
+        first: chunk.first,
+        items: chunk.items,
+        digest: content_digest(&chunk.bytes),
+        bytes: chunk.bytes.len() as u64,
+        volume,
+    })
+}
+
+/// Keeps a chunk on disks; none if no volume has both holders now, as in a site
+/// that has just started: then the key-value service takes it.
+fn hold_chunk(
+    at: JobStorage<'_>,
+    submission: &Submission,
+    upload: &str,
+    chunk: &InputChunk,
+) -> Result<Option<VolumeId>, ApiError> {
+    match at.data.put(submission.id.as_str(), upload, &chunk.bytes) {
+        Ok(held) => Ok(Some(held.volume)),
+        Err(PutError::NoHolders) => Ok(None),
+        Err(PutError::Full) => {
+            let message = "the job could not be stored: the disks are full";
+            let error = ApiError::new(507, "disks_full", message);
+            Err(error.retry_after(FULL_PAUSE))
+        }
     }
 }
 
--- a/crates/bluebellreel_entry/src/lib.rs
+++ b/crates/bluebellreel_entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod actor;
 pub mod bench;
 mod core;
+mod data;
 mod fleet;
 mod http;
 mod jobs;
--- a/crates/bluebellreel_entry/src/parts.rs
+++ b/crates/bluebellreel_entry/src/parts.rs
@@ -1,5 +1,7 @@
 //! What the actors and the HTTP threads work with.
 
+use crate::data::ChunkAccess;
+use crate::jobs::JobStorage;
 use crate::message::Message;
 use crate::platform::KvPool;
 use crate::readiness::Readiness;
@@ -28,9 +30,18 @@
     pub(crate) tracer: Tracer,
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) readiness: Readiness,
+    pub(crate) data: ChunkAccess,
 }
 
 impl Parts {
+    /// Where jobs are kept.
+    pub(crate) fn storage(&self) -> JobStorage<'_> {
+        JobStorage {
+            kv: &self.kv,
+            data: &self.data,
+        }
+    }
+
     /// Sends to the connections; their thread ends only with the process.
     pub(crate) fn send(&self, command: EntryCommand) {
         self.rpc.send(command).ok();
--- a/crates/bluebellreel_entry/src/platform/keys.rs
+++ b/crates/bluebellreel_entry/src/platform/keys.rs
@@ -4,6 +4,7 @@
 //! every change of ownership and every end, and a daemon that starts reads
 //! little. Ended jobs move to `done/` in the transaction that ends them.
 
+use bluebellreel_chunk::VolumeId;
 use bluebellreel_kv::Key;
 use bluebellreel_types::{DataCentre, EntryName, JobId, WorkerName};
 
@@ -32,6 +33,16 @@
     Key::from(format!("matcher/{data_centre}"))
 }
 
+/// All volumes.
+pub(crate) fn volume_prefix() -> Key {
+    Key::from("volume/")
+}
+
+/// The record of a volume.
+pub(crate) fn volume_key(volume: VolumeId) -> Key {
+    Key::from(format!("volume/{volume}"))
+}
+
 /// All live entry daemons.
 pub(crate) fn entry_prefix() -> Key {
     Key::from("entry/")
--- a/crates/bluebellreel_entry/src/platform/membership.rs
+++ b/crates/bluebellreel_entry/src/platform/membership.rs
@@ -3,8 +3,9 @@
 use crate::message::Message;
 use crate::parts::Parts;
 use crate::platform::{entry_key, entry_prefix};
+use bluebellreel_chunk::DiskId;
 use bluebellreel_kv::{Commit, Key, KeyValue, KvClient, KvError, Put, Txn, Watch, WatchEvent};
-use bluebellreel_types::{EntryName, Incarnation};
+use bluebellreel_types::{DataCentre, EntryName, Incarnation};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::io;
@@ -27,6 +28,11 @@
     pub(crate) run: Incarnation,
     /// Where operators reach it.
     pub(crate) address: SocketAddr,
+    /// Where it stands.
+    pub(crate) data_centre: DataCentre,
+    /// Its disk for chunks, if it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) disk: Option<DiskId>,
 }
 
 /// Holds the daemon's lease until the process ends.
@@ -36,6 +42,8 @@
         name: parts.settings.name.clone(),
         run: parts.run,
         address,
+        data_centre: parts.settings.data_centre.clone(),
+        disk: parts.data.own().map(|own| own.id.clone()),
     };
     thread::Builder::new()
         .name("entry-lease".into())
@@ -182,6 +190,12 @@
     let present: BTreeSet<EntryName> = records.iter().map(|r| r.name.clone()).collect();
     let gone: Vec<EntryName> = known.difference(&present).cloned().collect();
     *known = present;
+    for name in &gone {
+        parts.data.note_daemon_gone(name);
+    }
+    for record in &records {
+        parts.data.note_daemon(record);
+    }
     let seen = records.into_iter().map(Message::EntrySeen);
     let gone = gone.into_iter().map(Message::EntryGone);
     gone.chain(seen).all(|message| parts.tell(message))
@@ -190,13 +204,17 @@
 fn note_event(parts: &Parts, event: WatchEvent) -> bool {
     match event {
         WatchEvent::Put(kv) => match record_of(&kv) {
-            Some(record) => parts.tell(Message::EntrySeen(record)),
+            Some(record) => {
+                parts.data.note_daemon(&record);
+                parts.tell(Message::EntrySeen(record))
+            }
             None => true,
         },
         WatchEvent::Deleted { key, .. } => {
             let text = key.as_str();
-            let name = text.strip_prefix("entry/").unwrap_or(text);
-            parts.tell(Message::EntryGone(EntryName::from(name)))
+            let name = EntryName::from(text.strip_prefix("entry/").unwrap_or(text));
+            parts.data.note_daemon_gone(&name);
+            parts.tell(Message::EntryGone(name))
         }
     }
 }
--- a/crates/bluebellreel_entry/src/run.rs
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::actor::EntryActor;
 use crate::core::EntryCore;
+use crate::data::{ChunkAccess, keep_volumes, watch_volumes};
 use crate::fleet::{SharedManifest, watch_drains, watch_manifest, watch_matchers};
 use crate::http::{Rim, handle};
 use crate::jobs::JobsMessage;
@@ -122,7 +123,7 @@
     ));
     let parts = Parts {
         run,
-        clock,
+        clock: clock.clone(),
         lease: Arc::default(),
         pool: KvPool::start(&kv)?,
         kv,
@@ -132,6 +133,7 @@
         metrics: Arc::new(EntryMetrics::default()),
         settings: settings.clone(),
         readiness: Readiness::default(),
+        data: ChunkAccess::open(settings.data.as_ref(), &clock)?,
     };
     let shared = SharedManifest::default();
     let rim = Rim {
@@ -142,7 +144,9 @@
         handle(&rim, req);
     })?;
     hold_lease(&parts, http.address)?;
+    watch_volumes(&parts)?;
     watch_entries(&parts)?;
+    keep_volumes(&parts)?;
     watch_vms(&parts)?;
     watch_manifest(&parts)?;
     watch_drains(&parts)?;
--- a/crates/bluebellreel_experiment/src/jobs.rs
+++ b/crates/bluebellreel_experiment/src/jobs.rs
@@ -41,6 +41,7 @@
             items: PER_CHUNK.min(team.items - chunk * PER_CHUNK),
             digest: String::new(),
             bytes: 0,
+            volume: None,
         });
         let record = JobRecord {
             id: JobId::from(format!("job-{}", team.name)),
--- a/crates/bluebellreel_job/src/lib.rs
+++ b/crates/bluebellreel_job/src/lib.rs
@@ -32,7 +32,7 @@
 pub use lease::{ItemLease, LeaseState};
 pub use owned::{JobEffect, JobLimits, OwnedJob};
 pub use record::{
-    ChunkRef, ClaimChunk, ClaimedItem, ItemEnd, ItemResult, JobCounts, JobRecord, JobState,
-    ResultChunk,
+    ChunkRef, ClaimChunk, ClaimedItem, HeldChunk, ItemEnd, ItemResult, JobCounts, JobRecord,
+    JobState, ResultChunk,
 };
 pub use share::TeamShares;
--- a/crates/bluebellreel_job/src/record.rs
+++ b/crates/bluebellreel_job/src/record.rs
@@ -1,6 +1,7 @@
 //! What is kept of a job in the key-value service.
 
 use crate::JobTarget;
+use bluebellreel_chunk::VolumeId;
 use bluebellreel_types::{AttemptId, EntryName, Incarnation, JobId, Moment, TeamName, WorkerName};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -39,6 +40,32 @@
     pub digest: String,
     /// Bytes in it.
     pub bytes: u64,
+    /// The volume that holds it; none if the key-value service does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub volume: Option<VolumeId>,
+}
+
+/// A chunk that lies on the disks of a volume's holders.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldChunk {
+    /// The volume.
+    pub volume: VolumeId,
+    /// SHA-256 of its bytes, in hexadecimal.
+    pub digest: String,
+    /// Bytes in it.
+    pub bytes: u64,
+}
+
+impl ChunkRef {
+    /// Where it lies, if on disks.
+    #[must_use]
+    pub fn held(&self) -> Option<HeldChunk> {
+        Some(HeldChunk {
+            volume: self.volume?,
+            digest: self.digest.clone(),
+            bytes: self.bytes,
+        })
+    }
 }
 
 /// A job's record.
@@ -112,8 +139,12 @@
 pub struct ResultChunk {
     /// The owner's epoch.
     pub epoch: u64,
-    /// The results.
+    /// The results, unless they lie on disks.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub results: Vec<ItemResult>,
+    /// Where the results lie, as a JSON list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub held: Option<HeldChunk>,
 }
 
 /// One item of a call that may not be repeated, claimed before it is sent.
--- a/crates/bluebellreel_job/tests/owned.rs
+++ b/crates/bluebellreel_job/tests/owned.rs
@@ -32,6 +32,7 @@
         items: PER_CHUNK.min(items - chunk * PER_CHUNK),
         digest: String::new(),
         bytes: 0,
+        volume: None,
     });
     JobRecord {
         id: JobId::from("job"),
--- a/crates/bluebellreel_settings/src/entry.rs
+++ b/crates/bluebellreel_settings/src/entry.rs
@@ -1,5 +1,6 @@
 //! Settings of the entry daemon.
 
+use crate::data::{DataSettings, RawData, check_data};
 use crate::parts::Check;
 use crate::{LogTarget, Principal, SettingsError, TokenTable, TraceTarget};
 use bluebellreel_types::{DataCentre, EntryName, TeamName};
@@ -22,6 +23,7 @@
     teams: Vec<RawToken>,
     #[serde(default)]
     operators: Vec<RawToken>,
+    data: Option<RawData>,
     #[serde(default)]
     log: LogTarget,
     #[serde(default)]
@@ -158,6 +160,8 @@
     pub limits: EntryLimits,
     /// Tokens of teams and operators.
     pub tokens: TokenTable,
+    /// Disks for the chunks of large jobs; off if none.
+    pub data: Option<DataSettings>,
     /// Log lines.
     pub log: LogTarget,
     /// Spans.
@@ -223,6 +227,7 @@
             stop: Duration::from_secs(deadlines.stop_s),
             limits,
             tokens,
+            data: raw.data.map(|raw| check_data(check, raw)).transpose()?,
             log: raw.log,
             trace: raw.trace,
         })
--- a/crates/bluebellreel_settings/src/lib.rs
+++ b/crates/bluebellreel_settings/src/lib.rs
@@ -8,14 +8,16 @@
 //! assert!(error.to_string().starts_with("entry.toml: "));
 //! ```
 
+mod data;
 mod entry;
 mod error;
 mod parts;
 mod side;
 mod token;
 
+pub use data::DataSettings;
 pub use entry::{EntryLimits, EntrySettings, load_entry, parse_entry};
 pub use error::SettingsError;
 pub use parts::{LogLevel, LogTarget, TraceTarget};
 pub use side::{SideLean, SideSettings, load_side, parse_side};
-pub use token::{Principal, TokenTable, hash_token};
+pub use token::{Principal, TokenTable, hash_token, is_same_token};
--- a/crates/bluebellreel_settings/src/token.rs
+++ b/crates/bluebellreel_settings/src/token.rs
@@ -25,6 +25,12 @@
     Sha256::digest(token.as_bytes()).into()
 }
 
+/// Whether two tokens are the same, compared in constant time.
+#[must_use]
+pub fn is_same_token(one: &str, other: &str) -> bool {
+    hash_token(one).ct_eq(&hash_token(other)).into()
+}
+
 impl TokenTable {
     /// Adds a token by its SHA-256 in hexadecimal.
     ///
--- a/crates/bluebellreel_site/src/lib.rs
+++ b/crates/bluebellreel_site/src/lib.rs
@@ -15,6 +15,6 @@
 mod site;
 
 pub use caller::{Caller, ItemLine, JobView, chat_body, chat_line, service_line};
-pub use plan::{Deployment, SitePlan};
+pub use plan::{Deployment, DiskPlan, SitePlan};
 pub use processes::{MODEL, Process, ProcessPlan, ProcessSite, retry, run_with_stand_ins};
 pub use site::{OPERATOR_TOKEN, Site, TEAM_TOKEN, WorkerParts};
--- a/crates/bluebellreel_site/src/plan.rs
+++ b/crates/bluebellreel_site/src/plan.rs
@@ -76,6 +76,19 @@
     pub trace: Option<PathBuf>,
     /// Further settings of every entry daemon, as TOML.
     pub entry_settings: String,
+    /// Disks for chunks of large jobs.
+    pub disks: DiskPlan,
+}
+
+/// Which daemons have a disk, and how chunks go there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DiskPlan {
+    /// Daemons with a disk; the first ones. None switches disks off.
+    pub daemons: usize,
+    /// Size below which chunks stay in the key-value service, in KiB.
+    pub kv_below_kb: usize,
+    /// Size of a disk, in MiB.
+    pub max_mb: u64,
 }
 
 impl Default for SitePlan {
@@ -92,6 +105,7 @@
             vm_lag: Duration::from_millis(200),
             trace: None,
             entry_settings: String::new(),
+            disks: DiskPlan::default(),
         }
     }
 }
--- a/crates/bluebellreel_site/src/site.rs
+++ b/crates/bluebellreel_site/src/site.rs
@@ -11,8 +11,10 @@
 use eyre::{OptionExt, ensure};
 use serde::Serialize;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
+use tempfile::TempDir;
 
 /// The token of the site's one team, `school`.
 pub const TEAM_TOKEN: &str = "school-token";
@@ -46,6 +48,8 @@
     /// Entry daemons; none where one is down.
     pub entries: Vec<Option<Entry>>,
     urls: Vec<String>,
+    /// Folders of the daemons' disks.
+    folder: TempDir,
 }
 
 fn any_port() -> SocketAddr {
@@ -73,6 +77,7 @@
             workers,
             entries: Vec::new(),
             urls: Vec::new(),
+            folder: tempfile::tempdir()?,
         };
         for index in 0..plan.entries {
             let entry = site.start_entry(index, any_port())?;
@@ -89,6 +94,30 @@
         start_entry(parse_entry("site", &settings)?)
     }
 
+    /// The folder of a daemon's disk.
+    #[must_use]
+    pub fn disk_folder(&self, index: usize) -> PathBuf {
+        self.folder.path().join(format!("disk-{index}"))
+    }
+
+    fn data_settings(&self, index: usize) -> String {
+        let disks = self.plan.disks;
+        if disks.daemons == 0 {
+            return String::new();
+        }
+        let folder = self.disk_folder(index).display().to_string();
+        let folder = if index < disks.daemons {
+            format!("folder = {folder:?}\n")
+        } else {
+            String::new()
+        };
+        format!(
+            "[data]\npeer_token = \"known-to-daemons-only\"\npatience_s = 1\n\
+             kv_below_kb = {}\nmax_mb = {}\n{folder}",
+            disks.kv_below_kb, disks.max_mb,
+        )
+    }
+
     /// Settings of an entry daemon as TOML.
     #[must_use]
     pub fn entry_settings(&self, index: usize, listen: SocketAddr) -> String {
@@ -100,7 +129,7 @@
         format!(
             "name = \"entry-{index}\"\ndata_centre = \"{data_centre}\"\nlisten = \"{listen}\"\n\
              {}\n[platform]\nkv = \"{}\"\nvm_list = \"{}\"\nkv_calls_per_second = 400\n\
-             [deadlines]\nlease_s = {}\n{trace}\
+             [deadlines]\nlease_s = {}\n{trace}{}\
              [[teams]]\nname = \"school\"\ntoken_sha256 = \"{}\"\n\
              [[teams]]\nname = \"member\"\ntoken_sha256 = \"{}\"\n\
              [[operators]]\nname = \"on-call\"\ntoken_sha256 = \"{}\"\n",
@@ -108,6 +137,7 @@
             self.kv.url(),
             self.vm_list.url(),
             self.plan.lease_s,
+            self.data_settings(index),
             hex::encode(hash_token(TEAM_TOKEN)),
             hex::encode(hash_token("member-token")),
             hex::encode(hash_token(OPERATOR_TOKEN)),
--- a/crates/bluebellreel_standins/src/kv.rs
+++ b/crates/bluebellreel_standins/src/kv.rs
@@ -162,6 +162,11 @@
             http::answer(req, 200, &counts);
             return;
         }
+        if path == "/stand-in/space" {
+            let space = self.state.lock().expect("kv lock").calls.store.space();
+            http::answer(req, 200, &space);
+            return;
+        }
         let body: Value = match http::read_json(&mut req) {
             Ok(body) => body,
             Err(e) => return http::refuse(req, 400, &e),
--- a/crates/bluebellreel_standins/src/kv_store.rs
+++ b/crates/bluebellreel_standins/src/kv_store.rs
@@ -45,6 +45,17 @@
         self.keys.get(key)
     }
 
+    /// Bytes of values by the first part of their keys.
+    pub(crate) fn space(&self) -> BTreeMap<String, u64> {
+        let mut space = BTreeMap::new();
+        for (key, stored) in &self.keys {
+            let key = String::from_utf8_lossy(key);
+            let part = key.split('/').next().unwrap_or_default();
+            *space.entry(part.to_owned()).or_default() += stored.value.len() as u64;
+        }
+        space
+    }
+
     /// Keys from `key` up to `end`; an empty end means the one key.
     pub(crate) fn range(&self, key: &[u8], end: &[u8]) -> Vec<(&Vec<u8>, &Stored)> {
         if end.is_empty() {
--- /dev/null
+++ b/tests/disks.rs
@@ -0,0 +1,232 @@
+//! Large jobs on the disks of VMs that are lost, damaged and full.
+
+use bluebellreel_site::{DiskPlan, Site, SitePlan, chat_line};
+use bluebellreel_standins::{EngineCosts, expected_answer};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const MODEL: &str = "rental-assistant";
+/// Two volumes' worth of holders each, for three disks.
+const VOLUMES: u64 = 24;
+
+/// Three daemons with disks in three data centres, a fourth without one.
+fn start_site(max_mb: u64) -> Site {
+    let site = Site::start(&SitePlan {
+        entries: 4,
+        lease_s: 2,
+        disks: DiskPlan {
+            daemons: 3,
+            kv_below_kb: 0,
+            max_mb,
+        },
+        costs: EngineCosts {
+            base: Duration::from_millis(5),
+            ..EngineCosts::default()
+        },
+        entry_settings: "[limits]\nonline_per_worker = 0\n".into(),
+        ..SitePlan::default()
+    })
+    .expect("a site");
+    until(|| volumes(&site, 3)["volumes"] == VOLUMES);
+    site
+}
+
+fn volumes(site: &Site, entry: usize) -> Value {
+    let operator = site.operator(entry);
+    let Ok((200, text)) = operator.send("GET", "/operator/v1/outcomes", &[], b"") else {
+        return Value::Null;
+    };
+    let view: Value = serde_json::from_str(&text).expect("JSON");
+    view["items_finish_once"]["volumes"].clone()
+}
+
+/// Waits for something that must come about; how long is not judged here.
+fn until(mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_mins(1);
+    while !holds() {
+        assert!(Instant::now() < end, "it never came about");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn prompt(number: u32) -> String {
+    format!("note {number} {}", "x".repeat(1_500))
+}
+
+fn lines(items: u32) -> Vec<String> {
+    let line = |n| chat_line(&format!("note-{n}"), MODEL, &prompt(n), 4);
+    (0..items).map(line).collect()
+}
+
+/// Bytes in the key-value service by the first part of their keys.
+fn kv_space(site: &Site) -> BTreeMap<String, u64> {
+    let url = format!("{}/stand-in/space", site.kv.url());
+    let mut answer = ureq::get(&url).call().expect("an answer");
+    answer.body_mut().read_json().expect("JSON")
+}
+
+fn assert_whole(site: &Site, entry: usize, job: &str, items: u32) {
+    let results = site.caller(entry).results(job).expect("results");
+    let by_name: BTreeMap<&str, &str> = results
+        .iter()
+        .filter_map(|line| {
+            Some((
+                line.custom_id.as_str(),
+                line.response.as_ref()?.body.as_str(),
+            ))
+        })
+        .collect();
+    assert_eq!(results.len(), items as usize, "each item once");
+    for n in 0..items {
+        let expected = expected_answer(&prompt(n), 4);
+        assert_eq!(by_name.get(&*format!("note-{n}")), Some(&&*expected));
+    }
+}
+
+/// The VM with a disk is lost while a job runs whose notes lie there, and some
+/// seconds later another one. Each time the other holder has every chunk, and
+/// what lay on one disk only is copied in between. Nothing accepted is lost.
+#[test]
+fn jobs_outlive_two_disks_lost_one_after_the_other() {
+    let items = 4_000;
+    let mut site = start_site(64);
+    let waiting = cancelled_job(&site, items);
+    let job = submit(&site, "disks", items);
+    assert_eq!(kv_space(&site).get("in"), None, "the notes are on disks");
+    lose(&mut site, 0);
+    // What follows must rest on a copy, so the loss is to be seen first.
+    until(|| volumes(&site, 3)["on_one_disk"] != 0);
+    until(|| volumes(&site, 3)["on_one_disk"] == 0);
+    let over = site
+        .caller(3)
+        .wait(&job, Duration::from_mins(1))
+        .expect("it ends");
+    assert_eq!(over.request_counts.completed, items);
+    let space = kv_space(&site);
+    assert!(
+        space["out"] < u64::from(items) * 20,
+        "results are on disks: {space:?}"
+    );
+    lose(&mut site, 1);
+    assert_whole(&site, 3, &job, items);
+    assert_whole(&site, 2, &job, items);
+    assert_names(&site, &waiting, items);
+}
+
+/// A disk fails while jobs come in. A chunk that only the other holder has
+/// must not count as kept: that VM may be the next to go.
+#[test]
+fn chunk_on_one_disk_only_is_not_acknowledged() {
+    let items = 4_000;
+    let mut site = start_site(64);
+    let broken = site.disk_folder(1);
+    fs::remove_dir_all(&broken).expect("it had a folder");
+    fs::write(&broken, b"not a folder").expect("written");
+    let waiting = cancelled_job(&site, items);
+    lose(&mut site, 0);
+    assert_names(&site, &waiting, items);
+}
+
+fn submit(site: &Site, key: &str, items: u32) -> String {
+    let job = site.caller(3).submit(key, &lines(items));
+    job.expect("accepted").id
+}
+
+/// A job that is cancelled at once: its notes' names are read from its input.
+fn cancelled_job(site: &Site, items: u32) -> String {
+    let job = submit(site, "cancelled", items);
+    let path = format!("/v1/batches/{job}/cancel");
+    let (status, text) = site
+        .caller(3)
+        .send("POST", &path, &[], b"")
+        .expect("an answer");
+    assert_eq!(status, 200, "{text}");
+    job
+}
+
+fn assert_names(site: &Site, job: &str, items: u32) {
+    let results = site.caller(3).results(job).expect("results");
+    let names: BTreeSet<&str> = results.iter().map(|line| line.custom_id.as_str()).collect();
+    assert_eq!(results.len(), items as usize, "each item once");
+    assert_eq!(names.len(), items as usize, "each by its name");
+}
+
+/// A VM is lost with its disk.
+fn lose(site: &mut Site, entry: usize) {
+    site.stop_entry(entry).expect("it was up");
+    fs::remove_dir_all(site.disk_folder(entry)).expect("it had a folder");
+}
+
+/// A disk gives back other bytes than were written. Nobody may get them: they
+/// are read from the other holder, and put back.
+#[test]
+fn damaged_chunks_are_read_from_the_other_holder() {
+    let items = 300;
+    let site = start_site(64);
+    let job = site
+        .caller(0)
+        .submit("damage", &lines(items))
+        .expect("accepted")
+        .id;
+    site.caller(0)
+        .wait(&job, Duration::from_mins(1))
+        .expect("it ends");
+    let damaged = chunk_files(&site.disk_folder(0));
+    assert!(!damaged.is_empty(), "some chunks lie here");
+    for path in &damaged {
+        fs::write(path, b"rubbish").expect("written");
+    }
+    assert_whole(&site, 0, &job, items);
+    // The job's results are put back; its notes are not read any more.
+    let whole = damaged
+        .iter()
+        .filter(|path| fs::read(path).is_ok_and(|b| b != b"rubbish"));
+    assert!(whole.count() > 0, "what was read was put back");
+}
+
+fn chunk_files(folder: &Path) -> Vec<PathBuf> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            files.extend(chunk_files(&path));
+        } else if path.file_name().is_some_and(|name| name.len() == 64) {
+            files.push(path);
+        }
+    }
+    files
+}
+
+/// The disks are full. A large job is refused with a clear reason, and nothing
+/// of it runs; it is accepted once there is room.
+#[test]
+fn full_disks_refuse_a_job_truthfully() {
+    let site = start_site(1);
+    let caller = site.caller(3);
+    let refused = caller
+        .submit("too-much", &lines(4_000))
+        .expect_err("no room");
+    let reason = refused.to_string();
+    assert!(reason.starts_with("507"), "{reason}");
+    assert!(
+        reason.contains("disks_full") && reason.contains("\"ran\":\"no\""),
+        "{reason}"
+    );
+}
+
+/// Chunks are for daemons only: callers' and operators' tokens open nothing.
+#[test]
+fn chunks_are_for_peers_only() {
+    let site = start_site(64);
+    let path = format!("/internal/v1/chunks/0000/job/upload/{}", "a".repeat(64));
+    for stranger in [site.caller(0), site.operator(0)] {
+        let (status, _) = stranger.send("GET", &path, &[], b"").expect("an answer");
+        assert_eq!(status, 401);
+        let (status, _) = stranger.send("PUT", &path, &[], b"x").expect("an answer");
+        assert_eq!(status, 401);
+    }
+}
