--- a/crates/bluebellreel_entry/src/jobs/mod.rs
+++ b/crates/bluebellreel_entry/src/jobs/mod.rs
@@ -5,10 +5,12 @@
 mod part;
 mod results;
 mod store;
+mod sweep;
 mod upload;
 
 pub(crate) use messages::{JobsMessage, JobsSummary};
 pub(crate) use part::JobsPart;
 pub(crate) use results::{ResultPage, read_results};
 pub(crate) use store::{CancelAnswer, JobStorage, cancel_job, find_job};
+pub(crate) use sweep::keep_swept;
 pub(crate) use upload::{AcceptAnswer, Submission, accept_job};
--- a/crates/bluebellreel_entry/src/jobs/store.rs
+++ b/crates/bluebellreel_entry/src/jobs/store.rs
@@ -2,8 +2,10 @@
 
 use crate::data::ChunkAccess;
 use crate::jobs::messages::{JobWrite, OpenedJob};
+use crate::jobs::sweep::day_of;
 use crate::platform::{
-    done_key, input_key, item_claim_key, item_claim_prefix, job_key, output_key, output_prefix,
+    done_key, ended_key, input_key, item_claim_key, item_claim_prefix, job_key, output_key,
+    output_prefix,
 };
 use bluebellreel_job::{
     ClaimChunk, ClaimedItem, ItemEnd, ItemResult, JobCounts, JobRecord, JobState, ResultChunk,
@@ -252,11 +254,21 @@
             Compare::Absent(done.clone()),
             Compare::Unchanged(running.clone(), revision),
         ],
-        puts: vec![Put {
-            key: done,
-            value: job_value(ended),
-            lease: 0,
-        }],
+        puts: vec![
+            Put {
+                key: done,
+                value: job_value(ended),
+                lease: 0,
+            },
+            Put {
+                key: ended_key(
+                    day_of(ended.ended_at.unwrap_or(ended.accepted_at)),
+                    &ended.id,
+                ),
+                value: Vec::new(),
+                lease: 0,
+            },
+        ],
         ..Txn::default()
     }
     .deleting(running)
--- /dev/null
+++ b/crates/bluebellreel_entry/src/jobs/sweep.rs
@@ -0,0 +1,353 @@
+//! Removes what is not needed any more: chunks of uploads that were cut off,
+//! and jobs whose results have been kept long enough.
+//!
+//! All of it may be done twice, or half and then again: only what no record
+//! names is removed, and a job's record goes last.
+
+use crate::jobs::store::{JobStorage, find_job};
+use crate::parts::Parts;
+use crate::platform::{
+    STOPPED, done_key, ended_prefix, entry_prefix, input_prefix, item_claim_prefix, job_inputs,
+    output_prefix, uploads_prefix,
+};
+use bluebellreel_chunk::{ChunkFolder, ChunkStore};
+use bluebellreel_kv::{Key, KvClient, KvError};
+use bluebellreel_types::{Incarnation, JobId, Moment};
+use std::io;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, SystemTime};
+
+/// Between two passes.
+const PERIOD: Duration = Duration::from_mins(10);
+/// Between two looks at whether the daemon stops.
+const STOP_LOOK: Duration = Duration::from_secs(1);
+/// Age at which an upload without a record is no upload under way any more.
+pub(crate) const UPLOAD_AGE: Duration = Duration::from_hours(1);
+/// Keys looked at in one pass.
+const KEYS_A_PASS: usize = 2_000;
+/// Folders of a disk looked at in one pass.
+const FOLDERS_A_PASS: usize = 500;
+/// Longest time for one removal.
+const REMOVE_TIME: Duration = Duration::from_secs(5);
+/// Microseconds of a day.
+const DAY_MICROS: u64 = 86_400_000_000;
+
+/// A name for an upload that tells when it began.
+pub(crate) fn upload_name(now: Moment) -> String {
+    format!("{:016x}-{}", now.0, Incarnation::random())
+}
+
+/// When an upload began; none for a name that does not tell.
+fn began_at(upload: &str) -> Option<Moment> {
+    let (time, _) = upload.split_once('-')?;
+    u64::from_str_radix(time, 16).ok().map(Moment)
+}
+
+/// The day of a moment, counted from 1970.
+pub(crate) fn day_of(moment: Moment) -> u64 {
+    moment.0 / DAY_MICROS
+}
+
+/// Where a sweep of the key-value service goes on.
+#[derive(Debug, Default)]
+pub(crate) struct Sweeper {
+    next_input: Option<Key>,
+    next_folder: usize,
+}
+
+/// Sweeps from time to time, until the daemon stops.
+pub(crate) fn keep_swept(parts: &Parts) -> io::Result<()> {
+    let parts = parts.clone();
+    thread::Builder::new()
+        .name("job-sweep".into())
+        .spawn(move || {
+            let mut sweeper = Sweeper::default();
+            let mut due = parts.clock.now() + PERIOD;
+            while parts.lease.load(Ordering::SeqCst) != STOPPED {
+                thread::sleep(STOP_LOOK);
+                if due.is_past(parts.clock.now()) {
+                    due = parts.clock.now() + PERIOD;
+                    if let Err(e) = sweeper.pass(&parts) {
+                        log::warn!(target: "jobs", error:% = e; "A sweep was cut short.");
+                    }
+                }
+            }
+        })?;
+    Ok(())
+}
+
+impl Sweeper {
+    fn pass(&mut self, parts: &Parts) -> Result<(), KvError> {
+        let now = parts.clock.now();
+        // One daemon is enough for the key-value service; that another may
+        // think itself the first as well does no harm.
+        if is_first(parts)? {
+            self.sweep_uploads(parts.storage(), now)?;
+            sweep_ended(&parts.kv, parts.settings.limits.keep, now)?;
+        }
+        if let Some(own) = parts.data.own() {
+            self.sweep_disk(&parts.kv, own)?;
+        }
+        Ok(())
+    }
+
+    /// Removes input chunks of uploads that no record names.
+    pub(crate) fn sweep_uploads(
+        &mut self,
+        at: JobStorage<'_>,
+        now: Moment,
+    ) -> Result<usize, KvError> {
+        let prefix = uploads_prefix();
+        let start = self.next_input.take().unwrap_or_else(|| prefix.clone());
+        let (page, more) = at
+            .kv
+            .range_page(&start, &prefix.prefix_end(), KEYS_A_PASS, true)?;
+        let mut uploads: Vec<(JobId, String)> = page.iter().filter_map(upload_of).collect();
+        uploads.dedup();
+        let mut removed = 0;
+        for (job, upload) in uploads {
+            if is_abandoned(at.kv, &job, &upload, now)? {
+                log::info!(target: "jobs", job:% = job; "Chunks of a cut-off upload are removed.");
+                let prefix = input_prefix(&job, &upload);
+                at.kv.delete_prefix(&prefix, at.kv.now() + REMOVE_TIME)?;
+                removed += 1;
+            }
+        }
+        self.next_input = match page.last() {
+            Some(last) if more => Some(Key::from(format!("{}\0", last.key))),
+            _ => None,
+        };
+        Ok(removed)
+    }
+
+    /// Removes folders of uploads that no record names from this VM's disk.
+    fn sweep_disk(&mut self, kv: &KvClient, own: &ChunkStore) -> Result<(), KvError> {
+        let folders = own.folders_by_age();
+        let mut folders = folders.map_err(|e| KvError::NotDone(e.to_string()))?;
+        folders.sort();
+        if self.next_folder >= folders.len() {
+            self.next_folder = 0;
+        }
+        let some = folders
+            .into_iter()
+            .skip(self.next_folder)
+            .take(FOLDERS_A_PASS);
+        for (folder, written_at) in some {
+            self.next_folder += 1;
+            if is_old(written_at) && !is_named(kv, &folder)? {
+                log::info!(target: "data", job:% = folder.job; "Chunks that no job names are removed.");
+                if let Err(e) = own.remove(&folder) {
+                    log::error!(target: "data", error:% = e; "Chunks could not be removed.");
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn is_first(parts: &Parts) -> Result<bool, KvError> {
+    let prefix = entry_prefix();
+    let (first, _) = parts
+        .kv
+        .range_page(&prefix, &prefix.prefix_end(), 1, true)?;
+    let me = crate::platform::entry_key(&parts.settings.name);
+    Ok(first.first().is_some_and(|found| found.key == me))
+}
+
+/// The upload that a key of an input chunk names.
+fn upload_of(kv: &bluebellreel_kv::KeyValue) -> Option<(JobId, String)> {
+    let mut parts = kv.key.as_str().split('/').skip(1);
+    Some((JobId::from(parts.next()?), parts.next()?.to_owned()))
+}
+
+fn is_abandoned(kv: &KvClient, job: &JobId, upload: &str, now: Moment) -> Result<bool, KvError> {
+    let Some(began_at) = began_at(upload) else {
+        return Ok(false);
+    };
+    if !(began_at + UPLOAD_AGE).is_past(now) {
+        return Ok(false);
+    }
+    let found = find_job(kv, job)?;
+    Ok(found.is_none_or(|found| found.record.upload != upload))
+}
+
+fn is_old(written_at: SystemTime) -> bool {
+    written_at.elapsed().is_ok_and(|age| age > UPLOAD_AGE)
+}
+
+fn is_named(kv: &KvClient, folder: &ChunkFolder) -> Result<bool, KvError> {
+    let found = find_job(kv, &JobId::from(&*folder.job))?;
+    Ok(found.is_some_and(|found| *found.record.upload == *folder.upload))
+}
+
+/// Removes jobs that ended longer ago than `keep`; how many.
+pub(crate) fn sweep_ended(kv: &KvClient, keep: Duration, now: Moment) -> Result<usize, KvError> {
+    let keep_days = keep.as_secs() / 86_400;
+    // The day of the end counts as not over yet.
+    let Some(last) = day_of(now).checked_sub(keep_days + 1) else {
+        return Ok(0);
+    };
+    let start = ended_prefix(0);
+    let end = ended_prefix(last).prefix_end();
+    let (page, _) = kv.range_page(&start, &end, KEYS_A_PASS, true)?;
+    for found in &page {
+        let Some(id) = found.key.as_str().split('/').nth(2) else {
+            continue;
+        };
+        remove_job(kv, &JobId::from(id))?;
+        kv.delete_prefix(&found.key, kv.now() + REMOVE_TIME)?;
+    }
+    Ok(page.len())
+}
+
+fn remove_job(kv: &KvClient, id: &JobId) -> Result<(), KvError> {
+    log::info!(target: "jobs", job:% = id; "Job removed: kept long enough.");
+    let all = [
+        output_prefix(id),
+        item_claim_prefix(id),
+        job_inputs(id),
+        done_key(id),
+    ];
+    for prefix in all {
+        kv.delete_prefix(&prefix, kv.now() + REMOVE_TIME)?;
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::data::ChunkAccess;
+    use crate::jobs::upload::{AcceptAnswer, Submission, accept_job};
+    use crate::jobs::{CancelAnswer, cancel_job};
+    use crate::platform::input_key;
+    use bluebellreel_kv::{Commit, KvSettings, Txn};
+    use bluebellreel_standins::KvCalls;
+    use bluebellreel_types::{Clock, EntryName, TeamName};
+    use std::sync::Mutex;
+
+    const LINE: &[u8] = br#"{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"m","messages":[{"role":"user","content":"a"}]}}"#;
+    const KEEP: Duration = Duration::from_hours(24 * 2);
+
+    struct Fixture {
+        kv: KvClient,
+        data: ChunkAccess,
+        clock: Clock,
+    }
+
+    impl Fixture {
+        fn new() -> Self {
+            let clock = Clock::standing_at(Moment(20_000 * DAY_MICROS));
+            let calls = Mutex::new(KvCalls::new(1 << 20));
+            let time = clock.clone();
+            let send = move |path: &str, body: &serde_json::Value| {
+                let mut calls = calls.lock().expect("no test thread panicked");
+                calls.call(path, body, time.now()).map_err(KvError::Refused)
+            };
+            let settings = KvSettings {
+                url: String::new(),
+                call_timeout: Duration::from_secs(1),
+                calls_per_second: 1_000_000,
+            };
+            let kv = KvClient::over(Box::new(send), settings, Incarnation(1), clock.clone());
+            let data = ChunkAccess::default();
+            Self { kv, data, clock }
+        }
+
+        fn storage(&self) -> JobStorage<'_> {
+            JobStorage {
+                kv: &self.kv,
+                data: &self.data,
+            }
+        }
+
+        fn submit(&self, key: &str) -> JobId {
+            let team = TeamName::from("school");
+            let submission = Submission {
+                id: JobId::derived(&team, key),
+                team,
+                deadline: self.clock.now() + Duration::from_hours(1),
+                accepted_at: self.clock.now(),
+                owner: EntryName::from("e"),
+                owner_run: Incarnation(1),
+                most_items: 10,
+            };
+            let mut body = Some(LINE.to_vec());
+            let answer = accept_job(self.storage(), &submission, || Ok(body.take()));
+            assert!(
+                matches!(answer, Ok(AcceptAnswer::Accepted(..))),
+                "{answer:?}"
+            );
+            submission.id
+        }
+
+        /// A daemon died while it took an upload in.
+        fn cut_off_upload(&self, key: &str) -> JobId {
+            let job = JobId::derived(&TeamName::from("school"), key);
+            let upload = upload_name(self.clock.now());
+            let txn = Txn::create(input_key(&job, &upload, 0), b"half a job".to_vec());
+            let commit = self.kv.commit(&txn, self.clock.now() + UPLOAD_AGE);
+            assert!(matches!(commit, Commit::Applied { .. }));
+            job
+        }
+
+        fn inputs(&self, job: &JobId) -> usize {
+            self.kv.list(&job_inputs(job)).expect("listed").0.len()
+        }
+
+        fn sweep(&self) {
+            let now = self.clock.now();
+            let mut sweeper = Sweeper::default();
+            sweeper.sweep_uploads(self.storage(), now).expect("swept");
+            sweep_ended(&self.kv, KEEP, now).expect("swept");
+        }
+    }
+
+    /// A daemon died in the middle of an upload. Its chunks must go, but not
+    /// those of an upload that is still under way, nor any that a job names.
+    #[test]
+    fn only_abandoned_uploads_are_removed() {
+        let fixture = Fixture::new();
+        let dead = fixture.cut_off_upload("dead");
+        let accepted = fixture.submit("accepted");
+        fixture.clock.advance(UPLOAD_AGE + Duration::from_secs(1));
+        let young = fixture.cut_off_upload("young");
+        fixture.sweep();
+        assert_eq!(fixture.inputs(&dead), 0);
+        assert_eq!(fixture.inputs(&young), 1);
+        assert_eq!(fixture.inputs(&accepted), 1);
+    }
+
+    /// A resend of a job was cut off beside the first one: same job, another
+    /// upload. Only the resend's chunks go.
+    #[test]
+    fn chunks_of_the_accepted_upload_stay() {
+        let fixture = Fixture::new();
+        let job = fixture.submit("twice");
+        fixture.cut_off_upload("twice");
+        assert_eq!(fixture.inputs(&job), 2);
+        fixture.clock.advance(UPLOAD_AGE + Duration::from_secs(1));
+        fixture.sweep();
+        assert_eq!(fixture.inputs(&job), 1);
+    }
+
+    /// Results stay readable for as long as was promised, and not for ever. A
+    /// job that still runs is never removed, however old it is.
+    #[test]
+    fn ended_jobs_go_after_their_time_and_running_ones_never() {
+        let fixture = Fixture::new();
+        let (ended, running) = (fixture.submit("ended"), fixture.submit("running"));
+        let over = cancel_job(fixture.storage(), &ended, fixture.clock.now());
+        assert!(matches!(over, CancelAnswer::Over(_)));
+        fixture.clock.advance(KEEP);
+        fixture.sweep();
+        assert!(find_job(&fixture.kv, &ended).expect("read").is_some());
+        fixture.clock.advance(Duration::from_hours(24));
+        fixture.sweep();
+        assert!(find_job(&fixture.kv, &ended).expect("read").is_none());
+        assert_eq!(fixture.inputs(&ended), 0);
+        assert!(find_job(&fixture.kv, &running).expect("read").is_some());
+        assert_eq!(fixture.inputs(&running), 1);
+    }
+}
--- a/crates/bluebellreel_entry/src/jobs/upload.rs
+++ b/crates/bluebellreel_entry/src/jobs/upload.rs
@@ -3,6 +3,7 @@
 
 use crate::data::PutError;
 use crate::jobs::store::{JobStorage, find_job, job_value};
+use crate::jobs::sweep::upload_name;
 use crate::platform::{done_key, input_key, input_prefix, job_key};
 use bluebellreel_chunk::VolumeId;
 use bluebellreel_http::ApiError;
@@ -66,7 +67,7 @@
         let digest = digest_body(next)?;
         return same_body(before.record, &digest);
     }
-    let upload = Incarnation::random().to_string();
+    let upload = upload_name(submission.accepted_at);
     let stored = store_body(at, submission, &upload, &mut next);
     let record = match stored {
         Ok(record) => record,
--- a/crates/bluebellreel_entry/src/platform/keys.rs
+++ b/crates/bluebellreel_entry/src/platform/keys.rs
@@ -74,6 +74,26 @@
     Key::from(format!("done/{id}"))
 }
 
+/// Jobs that ended on a day, counted from 1970.
+pub(crate) fn ended_prefix(day: u64) -> Key {
+    Key::from(format!("ended/{day:08}/"))
+}
+
+/// Says that a job ended on a day; what a sweep of old jobs goes by.
+pub(crate) fn ended_key(day: u64, id: &JobId) -> Key {
+    Key::from(format!("ended/{day:08}/{id}"))
+}
+
+/// All input chunks.
+pub(crate) fn uploads_prefix() -> Key {
+    Key::from("in/")
+}
+
+/// All input chunks of a job.
+pub(crate) fn job_inputs(id: &JobId) -> Key {
+    Key::from(format!("in/{id}/"))
+}
+
 /// All input chunks of one upload.
 pub(crate) fn input_prefix(id: &JobId, upload: &str) -> Key {
     Key::from(format!("in/{id}/{upload}/"))
--- a/crates/bluebellreel_entry/src/run.rs
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -5,7 +5,7 @@
 use crate::data::{ChunkAccess, keep_volumes, watch_volumes};
 use crate::fleet::{SharedManifest, watch_drains, watch_manifest, watch_matchers};
 use crate::http::{Rim, handle};
-use crate::jobs::JobsMessage;
+use crate::jobs::{JobsMessage, keep_swept};
 use crate::message::Message;
 use crate::parts::Parts;
 use crate::platform::{
@@ -152,6 +152,7 @@
     watch_drains(&parts)?;
     watch_matchers(&parts)?;
     watch_jobs(&parts)?;
+    keep_swept(&parts)?;
     let name = settings.name.clone();
     let actors = thread::Builder::new().name("entry-actors".into()).spawn({
         let parts = parts.clone();
--- a/crates/bluebellreel_settings/src/entry.rs
+++ b/crates/bluebellreel_settings/src/entry.rs
@@ -79,6 +79,7 @@
     requests: usize,
     team_requests: usize,
     online_per_worker: u32,
+    keep_days: u64,
 }
 
 impl Default for RawLimits {
@@ -93,6 +94,7 @@
             requests: 4_096,
             team_requests: 256,
             online_per_worker: 32,
+            keep_days: 30,
         }
     }
 }
@@ -126,6 +128,8 @@
     /// Online requests that a worker takes before the next one is used; zero
     /// spreads them over all.
     pub online_per_worker: u32,
+    /// How long an ended job stays readable.
+    pub keep: Duration,
 }
 
 /// Checked settings of an entry daemon.
@@ -264,6 +268,7 @@
         requests: check.at_least("limits.requests", raw.requests, 1)?,
         team_requests: check.at_least("limits.team_requests", raw.team_requests, 1)?,
         online_per_worker: raw.online_per_worker,
+        keep: Duration::from_hours(24 * check.at_least("limits.keep_days", raw.keep_days, 1)?),
     })
 }
 
