Connect to a few workers for each model, to all for a job

Reach is a pure decision: up to 64 listed workers all are connected, as before; beyond, 8 for each model, near ones first and ranked alike by all daemons of a data centre. Models are learnt by looking at unknown workers. For a job with waiting items all workers of its model are connected, for the matcher all of its data centre; a busy connection is never let go. A worker that is let go now counts as lost for jobs and manifest, too, as one taken off the VM list did not before.

Control traffic was not measured anew. The unused subset_of is gone.

--- a/crates/bluebellreel_entry/src/core.rs
+++ b/crates/bluebellreel_entry/src/core.rs
@@ -3,8 +3,9 @@
 use crate::fleet::{FleetPart, SharedManifest};
 use crate::jobs::JobsPart;
 use crate::message::Message;
-use crate::online::OnlinePart;
+use crate::online::{OnlinePart, ReachPart};
 use crate::parts::Parts;
+use bluebellreel_routing::ReachNeeds;
 use bluebellreel_rpc::EntryNotice;
 
 /// The parts. All of them run on one thread and never block.
@@ -12,6 +13,8 @@
     pub(crate) online: OnlinePart,
     pub(crate) jobs: JobsPart,
     fleet: FleetPart,
+    reach: ReachPart,
+    parts: Parts,
 }
 
 impl EntryCore {
@@ -20,6 +23,8 @@
             online: OnlinePart::new(parts.clone()),
             jobs: JobsPart::new(parts.clone()),
             fleet: FleetPart::new(parts.clone(), shared),
+            reach: ReachPart::new(parts),
+            parts: parts.clone(),
         }
     }
 
@@ -28,6 +33,29 @@
         self.online.tick();
         self.jobs.tick();
         self.fleet.tick();
+        self.reach_out();
+    }
+
+    /// Connects to the workers that are needed now and lets go of the others.
+    fn reach_out(&mut self) {
+        let now = self.parts.clock.now();
+        if !self.reach.is_due(now) {
+            return;
+        }
+        let mut busy = self.online.busy_workers();
+        busy.extend(self.jobs.busy_workers());
+        let needs = ReachNeeds {
+            models: self.fleet.served_names(),
+            batch: self.jobs.waiting_models(),
+            all_local: self.fleet.is_matcher(),
+            busy,
+        };
+        let reached = self.reach.plan(&needs, now);
+        for gone in self.online.hold(reached.workers, reached.is_short) {
+            // Their connections are closed from here, so that nobody else tells.
+            self.jobs.on_notice(EntryNotice::Lost(gone.clone()));
+            self.fleet.on_notice(EntryNotice::Lost(gone));
+        }
     }
 
     /// Whether a graceful stop would cut nothing now.
@@ -44,7 +72,10 @@
                 self.fleet.on_message(message);
                 self.online.apply(&self.fleet.manifest());
             }
-            Message::Listed(list) => self.online.on_listed(list),
+            Message::Listed(list) => {
+                self.reach.list(list);
+                self.reach_out();
+            }
             Message::EntrySeen(record) => self.jobs.on_entry_seen(record),
             Message::EntryGone(name) => self.jobs.on_entry_gone(&name),
             Message::Rpc(notice) => self.deliver_notice(notice),
@@ -63,6 +94,7 @@
 
     /// Connections and verdicts concern several parts; the rest concerns one.
     fn deliver_notice(&mut self, notice: EntryNotice) {
+        self.reach.note(&notice, self.parts.clock.now());
         match notice {
             EntryNotice::Connected(hello) => {
                 self.online.on_notice(EntryNotice::Connected(hello.clone()));
--- a/crates/bluebellreel_entry/src/fleet/part.rs
+++ b/crates/bluebellreel_entry/src/fleet/part.rs
@@ -11,7 +11,7 @@
 };
 use crossbeam_channel::Sender;
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
@@ -111,6 +111,19 @@
         }
     }
 
+    /// Models and services that the manifest in force names.
+    pub(crate) fn served_names(&self) -> BTreeSet<ModelName> {
+        let manifest = self.shared.get();
+        let models = manifest.models.iter().map(|model| model.name.clone());
+        let services = manifest.services.iter().map(|service| service.name.clone());
+        models.chain(services).collect()
+    }
+
+    /// Whether this daemon matches the fleet in its data centre.
+    pub(crate) fn is_matcher(&self) -> bool {
+        self.matches_here
+    }
+
     /// Tells side processes that are behind again: a message may be lost.
     pub(crate) fn tick(&mut self) {
         let now = self.parts.clock.now();
--- a/crates/bluebellreel_entry/src/jobs/part.rs
+++ b/crates/bluebellreel_entry/src/jobs/part.rs
@@ -104,6 +104,19 @@
         self.board.jobs.values().all(OwnedJob::is_handed_over)
     }
 
+    /// Models and services that waiting items need.
+    pub(crate) fn waiting_models(&self) -> BTreeSet<ModelName> {
+        if self.stopping {
+            return BTreeSet::new();
+        }
+        self.board.waiting_models()
+    }
+
+    /// Workers that hold items of this daemon's jobs.
+    pub(crate) fn busy_workers(&self) -> BTreeSet<WorkerName> {
+        self.board.holders()
+    }
+
     pub(crate) fn on_entry_seen(&mut self, record: EntryRecord) {
         self.index.note_entry(record.name, record.run);
     }
--- a/crates/bluebellreel_entry/src/online/part.rs
+++ b/crates/bluebellreel_entry/src/online/part.rs
@@ -14,7 +14,7 @@
 use crossbeam_channel::Sender;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -59,6 +59,8 @@
     /// Listed workers whose first try to connect is still out; none before the
     /// first list.
     untried: Option<HashSet<WorkerName>>,
+    /// Whether workers of some model are still looked for.
+    is_short: bool,
     started_at: Moment,
 }
 
@@ -73,6 +75,7 @@
         let started_at = parts.clock.now();
         Self {
             untried: None,
+            is_short: false,
             started_at,
             router: Router::new(limits, parts.settings.data_centre.clone()),
             rng: SmallRng::seed_from_u64(parts.run.0),
@@ -96,7 +99,7 @@
         });
         let in_progress = i64::try_from(self.router.requests.len()).unwrap_or(i64::MAX);
         self.parts.metrics.in_progress.set(in_progress);
-        let all_tried = self.untried.as_ref().is_some_and(HashSet::is_empty);
+        let all_tried = self.untried.as_ref().is_some_and(HashSet::is_empty) && !self.is_short;
         let now = self.now();
         let readiness = &self.parts.readiness;
         readiness.note_workers(all_tried, self.started_at, now);
@@ -222,8 +225,15 @@
         }
     }
 
-    /// Takes in the VM list: connects to the workers that it names.
-    pub(crate) fn on_listed(&mut self, list: Vec<ListedWorker>) {
+    /// Workers that hold requests of this daemon.
+    pub(crate) fn busy_workers(&self) -> BTreeSet<WorkerName> {
+        let busy = self.router.workers.values().filter(|w| w.in_flight > 0);
+        busy.map(|w| w.name.clone()).collect()
+    }
+
+    /// Holds connections to these workers and closes the others; those closed.
+    pub(crate) fn hold(&mut self, list: Vec<ListedWorker>, is_short: bool) -> Vec<WorkerName> {
+        self.is_short = is_short;
         self.untried
             .get_or_insert_with(|| list.iter().map(|w| w.name.clone()).collect());
         let listed: HashSet<&WorkerName> = list.iter().map(|w| &w.name).collect();
@@ -233,14 +243,15 @@
             .filter(|name| !listed.contains(name))
             .cloned()
             .collect();
-        for worker in gone {
-            self.links.remove(&worker);
+        for worker in &gone {
+            self.links.remove(worker);
             self.parts.send(EntryCommand::Forget(worker.clone()));
-            self.decide(Event::WorkerUnlisted(worker));
+            self.decide(Event::WorkerUnlisted(worker.clone()));
         }
         for listed in list {
             self.note_listed(listed);
         }
+        gone
     }
 
     fn note_listed(&mut self, listed: ListedWorker) {
--- /dev/null
+++ b/crates/bluebellreel_entry/src/online/reach.rs
@@ -0,0 +1,85 @@
+//! Which of the listed workers the daemon is connected to.
+
+use crate::parts::Parts;
+use crate::platform::ListedWorker;
+use bluebellreel_routing::{Listing, Reach, ReachLimits, ReachNeeds, rendezvous_score};
+use bluebellreel_rpc::EntryNotice;
+use bluebellreel_types::{Moment, WorkerName};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Between two plans.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Plans the daemon's connections.
+pub(crate) struct ReachPart {
+    reach: Reach,
+    listed: BTreeMap<WorkerName, ListedWorker>,
+    due_at: Moment,
+}
+
+/// Listed workers to be connected to.
+pub(crate) struct Reached {
+    pub(crate) workers: Vec<ListedWorker>,
+    /// Whether some model lacks workers that may still be found.
+    pub(crate) is_short: bool,
+}
+
+impl ReachPart {
+    pub(crate) fn new(parts: &Parts) -> Self {
+        let limits = ReachLimits {
+            whole: parts.settings.limits.workers_whole,
+            per_model: parts.settings.limits.workers_per_model,
+            ..ReachLimits::default()
+        };
+        let entry_key = rendezvous_score(0, parts.settings.name.as_str());
+        Self {
+            reach: Reach::new(limits, entry_key, parts.settings.data_centre.clone()),
+            listed: BTreeMap::new(),
+            due_at: Moment::FAR,
+        }
+    }
+
+    /// Takes in the VM list; a plan is due at once.
+    pub(crate) fn list(&mut self, list: Vec<ListedWorker>) {
+        let listing = |listed: &ListedWorker| Listing {
+            worker: listed.name.clone(),
+            data_centre: listed.data_centre.clone(),
+        };
+        self.reach.list(list.iter().map(listing).collect());
+        self.listed = list.into_iter().map(|l| (l.name.clone(), l)).collect();
+        self.due_at = Moment(0);
+    }
+
+    /// Learns what a worker serves.
+    pub(crate) fn note(&mut self, notice: &EntryNotice, now: Moment) {
+        match notice {
+            EntryNotice::Connected(hello) => {
+                let models = hello.models.iter().cloned();
+                self.reach.note_models(&hello.worker, models, now);
+            }
+            EntryNotice::Load { worker, load } => {
+                let models = load.models.iter().cloned();
+                self.reach.note_models(worker, models, now);
+            }
+            EntryNotice::Lost(worker) => self.reach.note_unreachable(worker, now),
+            _ => {}
+        }
+    }
+
+    /// Whether a plan is due.
+    pub(crate) fn is_due(&self, now: Moment) -> bool {
+        self.due_at.is_past(now)
+    }
+
+    /// Makes a plan.
+    pub(crate) fn plan(&mut self, needs: &ReachNeeds, now: Moment) -> Reached {
+        self.due_at = now + PERIOD;
+        let plan = self.reach.plan(needs, now);
+        let listed = plan.workers.iter().filter_map(|w| self.listed.get(w));
+        Reached {
+            workers: listed.cloned().collect(),
+            is_short: plan.is_short,
+        }
+    }
+}
--- a/crates/bluebellreel_job/src/board.rs
+++ b/crates/bluebellreel_job/src/board.rs
@@ -64,6 +64,22 @@
             .fold(0, u32::saturating_add)
     }
 
+    /// Models that items wait for.
+    #[must_use]
+    pub fn waiting_models(&self) -> BTreeSet<ModelName> {
+        let waiting = self.jobs.values().filter(|job| job.waiting() > 0);
+        waiting
+            .map(|job| job.record.target.model().clone())
+            .collect()
+    }
+
+    /// Workers that hold items.
+    #[must_use]
+    pub fn holders(&self) -> BTreeSet<WorkerName> {
+        let holders = self.jobs.values().flat_map(OwnedJob::holders);
+        holders.cloned().collect()
+    }
+
     /// Bytes of results that wait to be recorded.
     #[must_use]
     pub fn unrecorded_bytes(&self) -> usize {
--- a/crates/bluebellreel_job/src/owned.rs
+++ b/crates/bluebellreel_job/src/owned.rs
@@ -261,6 +261,11 @@
         self.leases.values().any(|lease| !lease.in_doubt)
     }
 
+    /// Workers that items are out with, once for each item.
+    pub fn holders(&self) -> impl Iterator<Item = &WorkerName> {
+        self.leases.values().map(|lease| &lease.worker)
+    }
+
     /// Items out with one worker.
     #[must_use]
     pub fn held_by(&self, worker: &WorkerName) -> usize {
--- a/crates/bluebellreel_routing/src/choice.rs
+++ b/crates/bluebellreel_routing/src/choice.rs
@@ -29,22 +29,6 @@
     XxHash64::oneshot(key, node.as_bytes())
 }
 
-/// The `count` nodes that rank highest for a key.
-#[must_use]
-pub fn subset_of(key: u64, nodes: &[WorkerName], count: usize) -> Vec<WorkerName> {
-    let mut ranked: Vec<_> = nodes
-        .iter()
-        .map(|node| (rendezvous_score(key, node.as_str()), node))
-        .collect();
-    ranked.sort_unstable();
-    ranked
-        .into_iter()
-        .rev()
-        .take(count)
-        .map(|(_, node)| node.clone())
-        .collect()
-}
-
 /// What a worker is chosen for.
 #[derive(Clone, Copy, Debug)]
 pub struct Question<'a> {
--- a/crates/bluebellreel_settings/src/entry.rs
+++ b/crates/bluebellreel_settings/src/entry.rs
@@ -79,6 +79,8 @@
     requests: usize,
     team_requests: usize,
     online_per_worker: u32,
+    workers_whole: usize,
+    workers_per_model: usize,
     keep_days: u64,
 }
 
@@ -94,6 +96,8 @@
             requests: 4_096,
             team_requests: 256,
             online_per_worker: 32,
+            workers_whole: 64,
+            workers_per_model: 8,
             keep_days: 30,
         }
     }
@@ -128,6 +132,10 @@
     /// Online requests that a worker takes before the next one is used; zero
     /// spreads them over all.
     pub online_per_worker: u32,
+    /// Up to so many listed workers, the daemon connects to all of them.
+    pub workers_whole: usize,
+    /// Workers connected for each model beyond that.
+    pub workers_per_model: usize,
     /// How long an ended job stays readable.
     pub keep: Duration,
 }
@@ -268,6 +276,8 @@
         requests: check.at_least("limits.requests", raw.requests, 1)?,
         team_requests: check.at_least("limits.team_requests", raw.team_requests, 1)?,
         online_per_worker: raw.online_per_worker,
+        workers_whole: raw.workers_whole,
+        workers_per_model: check.at_least("limits.workers_per_model", raw.workers_per_model, 1)?,
         keep: Duration::from_hours(24 * check.at_least("limits.keep_days", raw.keep_days, 1)?),
     })
 }
--- a/crates/bluebellreel_site/src/plan.rs
+++ b/crates/bluebellreel_site/src/plan.rs
@@ -76,6 +76,9 @@
     pub trace: Option<PathBuf>,
     /// Further settings of every entry daemon, as TOML.
     pub entry_settings: String,
+    /// Workers that each daemon is connected to before the site counts as up;
+    /// all of them if none.
+    pub connected: Option<usize>,
     /// Disks for chunks of large jobs.
     pub disks: DiskPlan,
 }
@@ -105,6 +108,7 @@
             vm_lag: Duration::from_millis(200),
             trace: None,
             entry_settings: String::new(),
+            connected: None,
             disks: DiskPlan::default(),
         }
     }
--- a/crates/bluebellreel_site/src/site.rs
+++ b/crates/bluebellreel_site/src/site.rs
@@ -175,8 +175,9 @@
 
     fn wait_until_serving(&self) -> eyre::Result<()> {
         let until = Instant::now() + START_TIME;
+        let connected = self.plan.connected.unwrap_or(self.workers.len());
         for index in 0..self.entries.len() {
-            while self.workers_in_force(index)? < self.workers.len() {
+            while self.workers_in_force(index)? < connected {
                 ensure!(Instant::now() < until, "not all workers are connected");
                 thread::sleep(Duration::from_millis(20));
             }
