--- a/crates/bluebellreel_entry/src/platform/vm_list.rs
+++ b/crates/bluebellreel_entry/src/platform/vm_list.rs
@@ -11,6 +11,8 @@
 
 /// Between two looks at the list.
 const PERIOD: Duration = Duration::from_secs(2);
+/// The list is the one that was seen last.
+const NOT_MODIFIED: u16 = 304;
 /// Longest wait for the list.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -49,9 +51,11 @@
                 .build();
             let agent = config.new_agent();
             let url = format!("{}/vms", parts.settings.vm_list);
+            let mut seen = String::new();
             loop {
-                let told = match read(&agent, &url) {
-                    Ok(list) => parts.tell(Message::Listed(list)),
+                let told = match read(&agent, &url, &mut seen) {
+                    Ok(Some(list)) => parts.tell(Message::Listed(list)),
+                    Ok(None) => true,
                     Err(e) => {
                         log::warn!(target: "fleet", error:% = e; "The VM list cannot be read.");
                         true
@@ -66,6 +70,26 @@
     Ok(())
 }
 
-fn read(agent: &ureq::Agent, url: &str) -> Result<Vec<ListedWorker>, ureq::Error> {
-    agent.get(url).call()?.body_mut().read_json()
+/// Reads the list; none if it is the one that was `seen` last. A list of 1,900
+/// VMs is some 200 KB, too much to be read every other second for nothing.
+fn read(
+    agent: &ureq::Agent,
+    url: &str,
+    seen: &mut String,
+) -> Result<Option<Vec<ListedWorker>>, ureq::Error> {
+    let mut answer = agent
+        .get(url)
+        .header("If-None-Match", seen.as_str())
+        .call()?;
+    if answer.status() == NOT_MODIFIED {
+        return Ok(None);
+    }
+    let tag = answer
+        .headers()
+        .get("ETag")
+        .and_then(|tag| tag.to_str().ok());
+    let tag = tag.unwrap_or_default().to_owned();
+    let list = answer.body_mut().read_json()?;
+    *seen = tag;
+    Ok(Some(list))
 }
--- a/crates/bluebellreel_site/src/processes.rs
+++ b/crates/bluebellreel_site/src/processes.rs
@@ -11,6 +11,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -212,9 +213,26 @@
     }
 }
 
-/// An address that was free a moment ago.
+/// Ports below those that systems give to outgoing connections.
+const PORTS: std::ops::Range<u16> = 15_000..32_000;
+/// Ports handed out by this program so far.
+static HANDED_OUT: AtomicU16 = AtomicU16::new(0);
+
+/// An address that is free, and that neither this program nor an outgoing
+/// connection takes before its process listens there. With ports of the
+/// system's choice a daemon and a stand-in were given the same one now and then.
 fn free_address() -> eyre::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    let span = u32::from(PORTS.end - PORTS.start);
+    let first = std::process::id().wrapping_mul(97);
+    for _ in 0..span {
+        let step = u32::from(HANDED_OUT.fetch_add(1, Ordering::Relaxed));
+        let offset = u16::try_from(first.wrapping_add(step) % span)?;
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + offset));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    bail!("no port is free")
 }
 
 /// Tries until it works or time is up.
--- a/crates/bluebellreel_standins/src/vm_list.rs
+++ b/crates/bluebellreel_standins/src/vm_list.rs
@@ -1,6 +1,8 @@
 //! Stand-in for the platform's list of VMs: live and leaving, with a lag.
 
 use crate::http::{self, StandIn};
+use bluebellreel_http::{Reply, Request, header, respond};
+use bluebellreel_types::content_digest;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::io;
@@ -31,6 +33,21 @@
     pub state: VmState,
 }
 
+/// Gives the list, or says that the caller has it.
+fn answer_unless_known(req: Request, vms: &[Vm]) {
+    let reply = Reply::json(200, &vms);
+    let tag = content_digest(&reply.body);
+    let known = header(&req, "If-None-Match").is_some_and(|seen| seen.trim_matches('"') == tag);
+    if known {
+        respond(
+            req,
+            &Reply::bytes(304, "application/json", *b"").tagged(tag),
+        );
+    } else {
+        respond(req, &reply.tagged(tag));
+    }
+}
+
 /// Starts a VM list. `GET /vms` gives the list as it was `lag` ago; a `PUT` of
 /// a list replaces it.
 ///
@@ -63,6 +80,6 @@
         }
         let vms = versions[0].1.clone();
         drop(versions);
-        http::answer(req, 200, &vms);
+        answer_unless_known(req, &vms);
     })
 }
--- a/examples/running_costs.rs
+++ b/examples/running_costs.rs
@@ -107,11 +107,16 @@
     let (one, cpu_one, memory_one) = idle(1, 12)?;
     let (two, _, _) = idle(2, 12)?;
     let (wide, cpu_wide, memory_wide) = idle(1, 36)?;
+    let (wide_two, _, _) = idle(2, 36)?;
     println!(
         "idle entry with 13 workers: {:.1} KB/s both ways, {cpu_one:.2} % of a core, {memory_one} KiB",
         (two - one) / 1_000.0
     );
     let sides = 24.0;
+    println!(
+        "each further connection of an entry: {:.0} B/s both ways",
+        ((wide_two - wide) - (two - one)) / sides
+    );
     println!(
         "each further worker: {:.0} B/s in all (its polling of its engine included), \
          {:.4} % of a core and {:.1} KiB in the entry",
@@ -129,6 +134,7 @@
             entries: 3,
             workers,
             services: 0,
+            entry_settings: "[limits]\nworkers_whole = 1000\n".into(),
             ..SitePlan::default()
         })?;
         let mut times = Vec::new();
