"Never seen" is believed only while it cannot have been forgotten

Cause: a side process remembered an attempt for one minute past its deadline. The claim could be looked at only after the outage; the side process, asked then, said "never seen" of a call that it had run and forgotten. Ruled out: the ownership epoch and the claims themselves, which were all there.

Now an attempt that may not be repeated is remembered for an hour past its deadline, answers up to 32 MiB (older ones: only that they ran), 131,072 attempts at the most. Whoever asks believes "never seen" for half an hour past the call's deadline, after that the outcome is "unknown". Such calls get half an hour at the most, so that a paused daemon's late dispatch is past its deadline before its tombstone goes.

--- a/crates/bluebellreel_admission/src/limits.rs
+++ b/crates/bluebellreel_admission/src/limits.rs
@@ -22,7 +22,9 @@
     pub queue_bytes: usize,
     /// Most attempts remembered after their end.
     pub ledger_count: usize,
-    /// How long an ended attempt is remembered past its deadline.
+    /// Most bytes of answers remembered with them.
+    pub ledger_bytes: usize,
+    /// How long an attempt that may be repeated is remembered past its deadline.
     pub ledger_keep: Duration,
     /// Time between tokens that online streams should keep.
     pub inter_token_target: Duration,
@@ -36,7 +38,8 @@
             window: 32,
             queue_count: 256,
             queue_bytes: 8 << 20,
-            ledger_count: 65_536,
+            ledger_count: 131_072,
+            ledger_bytes: 32 << 20,
             ledger_keep: Duration::from_mins(1),
             inter_token_target: Duration::from_millis(34),
             lean: Lean::Throughput,
--- a/crates/bluebellreel_admission/src/step.rs
+++ b/crates/bluebellreel_admission/src/step.rs
@@ -3,7 +3,7 @@
 use crate::{Admission, Effect, EngineEnd, Event, LedgerEntry, Queued, Running};
 use bluebellreel_types::{
     AttemptEnd, AttemptId, AttemptVerdict, BatchReport, BrokenReason, Class, Dispatch, EntryName,
-    Moment, NotRunReason,
+    Moment, NotRunReason, OUTCOME_KEPT,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -113,20 +113,33 @@
 }
 
 fn open(state: &mut Admission, dispatch: &Dispatch) {
-    let expiry = dispatch.deadline + state.limits.ledger_keep;
+    let expiry = expiry_of(state, dispatch);
     state
         .ledger
         .put(dispatch.attempt, LedgerEntry::Open, expiry);
 }
 
 fn remember_end(state: &mut Admission, dispatch: &Dispatch, end: &AttemptEnd) {
-    let expiry = dispatch.deadline + state.limits.ledger_keep;
+    let expiry = expiry_of(state, dispatch);
     let entry = if dispatch.work.repeatable {
         LedgerEntry::Ended(without_text(end))
     } else {
         LedgerEntry::Ended(end.clone())
     };
     state.ledger.put(dispatch.attempt, entry, expiry);
+    state.ledger.strip_texts(state.limits.ledger_bytes);
+}
+
+/// Until when an attempt is remembered. One that may not be repeated must not
+/// be forgotten as long as somebody believes "never seen": its caller would be
+/// told "not run" of a call that ran, and send it again.
+fn expiry_of(state: &Admission, dispatch: &Dispatch) -> Moment {
+    let keep = if dispatch.work.repeatable {
+        state.limits.ledger_keep
+    } else {
+        OUTCOME_KEPT
+    };
+    dispatch.deadline + keep
 }
 
 /// The end of repeatable work without its text: nobody reads it here again,
@@ -466,7 +479,7 @@
         }
         Some(LedgerEntry::Tombstone) => AttemptVerdict::NeverSeen,
         None => {
-            let expiry = now + state.limits.ledger_keep;
+            let expiry = now + OUTCOME_KEPT;
             state.ledger.put(attempt, LedgerEntry::Tombstone, expiry);
             AttemptVerdict::NeverSeen
         }
--- a/crates/bluebellreel_claim/src/resolve.rs
+++ b/crates/bluebellreel_claim/src/resolve.rs
@@ -1,7 +1,7 @@
 //! What a claim that is found means.
 
 use crate::ClaimState;
-use bluebellreel_types::{AttemptEnd, AttemptVerdict};
+use bluebellreel_types::{AttemptEnd, AttemptVerdict, Moment, NEVER_SEEN_BELIEVED};
 use std::sync::Arc;
 
 /// What a resend of a claimed call may do.
@@ -30,11 +30,18 @@
 /// The state to record once a side process has spoken; none while it runs.
 ///
 /// "Not run" is recorded only for an attempt that the side process has never
-/// seen and refuses from now on, or that it refused itself.
+/// seen and refuses from now on, or that it refused itself; and only as long as
+/// the side process cannot have forgotten it.
 #[must_use]
-pub fn state_after_verdict(verdict: &AttemptVerdict) -> Option<ClaimState> {
+pub fn state_after_verdict(
+    verdict: &AttemptVerdict,
+    deadline: Moment,
+    now: Moment,
+) -> Option<ClaimState> {
+    let may_be_forgotten = (deadline + NEVER_SEEN_BELIEVED).is_past(now);
     Some(match verdict {
         AttemptVerdict::Running => return None,
+        AttemptVerdict::NeverSeen if may_be_forgotten => ClaimState::Unknown,
         AttemptVerdict::NeverSeen => ClaimState::NotRun,
         AttemptVerdict::Ended(AttemptEnd::NotRun(reason)) if reason.is_certain() => {
             ClaimState::NotRun
@@ -68,7 +75,26 @@
             reason: BrokenReason::EngineLost,
             partial: Arc::from(""),
         });
-        assert_eq!(state_after_verdict(&verdict), Some(ClaimState::Unknown));
-        assert_eq!(state_after_verdict(&AttemptVerdict::Running), None);
+        let now = Moment(0);
+        let state = state_after_verdict(&verdict, now, now);
+        assert_eq!(state, Some(ClaimState::Unknown));
+        assert_eq!(
+            state_after_verdict(&AttemptVerdict::Running, now, now),
+            None
+        );
+    }
+
+    /// A harp was booked, and for an hour nobody could record it. The side
+    /// process has forgotten the call and would say "never seen"; the member
+    /// must not be told "not run", or the harp is booked twice.
+    #[test]
+    fn never_seen_is_not_believed_for_ever() {
+        let verdict = AttemptVerdict::NeverSeen;
+        let deadline = Moment(0);
+        let soon = deadline + NEVER_SEEN_BELIEVED;
+        let state = state_after_verdict(&verdict, deadline, deadline);
+        assert_eq!(state, Some(ClaimState::NotRun));
+        let state = state_after_verdict(&verdict, deadline, soon + NEVER_SEEN_BELIEVED);
+        assert_eq!(state, Some(ClaimState::Unknown));
     }
 }
--- a/crates/bluebellreel_entry/src/http/online.rs
+++ b/crates/bluebellreel_entry/src/http/online.rs
@@ -7,7 +7,7 @@
 use bluebellreel_claim::ClaimRecord;
 use bluebellreel_http::{ApiError, Reply};
 use bluebellreel_routing::{NewRequest, Outcome};
-use bluebellreel_types::{Moment, NotRunReason, Ran, RequestId, Work};
+use bluebellreel_types::{LONGEST_UNREPEATABLE, Moment, NotRunReason, Ran, RequestId, Work};
 use crossbeam_channel::{Receiver, RecvTimeoutError, unbounded};
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +28,11 @@
     let id = RequestId::random();
     let latest = rim.now() + rim.parts.settings.online_deadline;
     let deadline = call.deadline.unwrap_or(latest);
+    let deadline = if work.repeatable {
+        deadline
+    } else {
+        deadline.min(rim.now() + LONGEST_UNREPEATABLE)
+    };
     // Bounded by the tokens of one answer.
     let (caller, rx) = unbounded();
     let new = NewCall {
--- a/crates/bluebellreel_entry/src/http/requests.rs
+++ b/crates/bluebellreel_entry/src/http/requests.rs
@@ -103,7 +103,7 @@
     told: &AskAnswer,
 ) -> ClaimRecord {
     let state = match told {
-        AskAnswer::Verdict(verdict) => state_after_verdict(verdict),
+        AskAnswer::Verdict(verdict) => state_after_verdict(verdict, record.deadline, kv.now()),
         AskAnswer::Gone => Some(ClaimState::Unknown),
         // A worker that is away may come back and tell; past the deadline
         // the caller deserves an answer, and "unknown" is the true one.
--- a/crates/bluebellreel_faults/src/kv.rs
+++ b/crates/bluebellreel_faults/src/kv.rs
@@ -1,6 +1,6 @@
 //! The key-value service of a world: the stand-in's calls, with faults.
 
-use crate::plan::{Fault, Step, Strike};
+use crate::plan::{Fault, Plan, Step, Strike};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bluebellreel_kv::{KvError, KvTransport};
@@ -11,8 +11,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// How long an outage or slowness lasts.
-const TROUBLE: Duration = Duration::from_secs(20);
 /// How much longer a slow call takes.
 const SLOWNESS: Duration = Duration::from_millis(700);
 /// Largest value.
@@ -32,6 +30,7 @@
     slow_until: Moment,
     lose_answers: u32,
     strikes: Vec<Strike>,
+    trouble: Duration,
     reached: BTreeMap<Step, u32>,
     /// Faults that struck and that the world must carry out, with the entry
     /// whose step it was.
@@ -50,14 +49,15 @@
 impl KvHandle {
     /// An empty service.
     #[must_use]
-    pub fn new(clock: Clock, strikes: Vec<Strike>) -> Self {
+    pub fn new(clock: Clock, plan: &Plan) -> Self {
         Self(Arc::new(Mutex::new(FakeKv {
             calls: KvCalls::new(VALUE_BYTES),
             clock,
             down_until: Moment(0),
             slow_until: Moment(0),
             lose_answers: 0,
-            strikes,
+            strikes: plan.strikes.clone(),
+            trouble: plan.trouble,
             reached: BTreeMap::new(),
             struck: Vec::new(),
             silent: BTreeSet::new(),
@@ -129,12 +129,12 @@
 
     /// Starts an outage.
     pub fn go_down(&mut self) {
-        self.down_until = self.clock.now() + TROUBLE;
+        self.down_until = self.clock.now() + self.trouble;
     }
 
     /// Starts a time of slowness.
     pub fn go_slow(&mut self) {
-        self.slow_until = self.clock.now() + TROUBLE;
+        self.slow_until = self.clock.now() + self.trouble;
     }
 
     /// Loses the answer of the next write.
--- a/crates/bluebellreel_faults/src/plan.rs
+++ b/crates/bluebellreel_faults/src/plan.rs
@@ -1,5 +1,7 @@
 //! Faults, steps and when they meet.
 
+use std::time::Duration;
+
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fault {
@@ -167,8 +169,13 @@
     pub strikes: Vec<Strike>,
     /// Whether the first owner dies early, so that jobs are taken over.
     pub owner_dies: bool,
+    /// How long the key-value service is down or slow.
+    pub trouble: Duration,
 }
 
+/// How long trouble of the key-value service lasts if nothing else is said.
+const TROUBLE: Duration = Duration::from_secs(20);
+
 impl Plan {
     /// Nothing goes wrong.
     #[must_use]
@@ -177,6 +184,7 @@
             seed,
             strikes: Vec::new(),
             owner_dies: false,
+            trouble: TROUBLE,
         }
     }
 
@@ -187,6 +195,7 @@
             seed,
             strikes: vec![Strike { fault, step, nth }],
             owner_dies: step == Step::Own,
+            trouble: TROUBLE,
         }
     }
 }
--- a/crates/bluebellreel_faults/src/scenario.rs
+++ b/crates/bluebellreel_faults/src/scenario.rs
@@ -102,7 +102,7 @@
     }
     let cancel_at = scenario.world.now() + CANCEL_AFTER;
     let mut ask_at = Some(scenario.world.now() + IMPATIENCE);
-    let until = begun + LONGEST;
+    let until = begun + LONGEST + plan.trouble;
     while !until.is_past(scenario.world.now()) && !scenario.is_over() {
         scenario.world.turn();
         scenario.react();
--- a/crates/bluebellreel_faults/src/world.rs
+++ b/crates/bluebellreel_faults/src/world.rs
@@ -116,7 +116,7 @@
     pub fn new(plan: &Plan) -> Self {
         bluebellreel_types::seed_ids(plan.seed);
         let clock = Clock::standing_at(Moment(1_700_000_000_000_000));
-        let kv = KvHandle::new(clock.clone(), plan.strikes.clone());
+        let kv = KvHandle::new(clock.clone(), plan);
         let mut world = Self {
             entries: Vec::new(),
             sides: Vec::new(),
--- a/crates/bluebellreel_faults/tests/pairs.rs
+++ b/crates/bluebellreel_faults/tests/pairs.rs
@@ -29,9 +29,9 @@
     let plans = (strikes(), strikes(), any::<bool>(), 0_u64..1_000);
     let outcome = TestRunner::new(config).run(&plans, |(one, other, owner_dies, seed)| {
         let plan = Plan {
-            seed,
             strikes: vec![one, other],
             owner_dies,
+            ..Plan::quiet(seed)
         };
         let report = run_plan(&plan);
         prop_assert!(report.broken.is_empty(), "{:#?}", report.broken);
--- a/crates/bluebellreel_job/src/owned.rs
+++ b/crates/bluebellreel_job/src/owned.rs
@@ -210,7 +210,7 @@
                 number: claim.attempt.number,
                 worker: claim.worker.clone(),
                 incarnation: claim.incarnation,
-                until: Moment::FAR,
+                until: claim.deadline,
                 in_doubt: true,
             };
             self.leases.insert(claim.attempt.request, lease);
@@ -450,6 +450,7 @@
                 attempt,
                 worker: lease.worker.clone(),
                 incarnation: lease.incarnation,
+                deadline: lease.until,
             })
         };
         attempts.filter_map(claim).collect()
--- a/crates/bluebellreel_job/src/owned/report.rs
+++ b/crates/bluebellreel_job/src/owned/report.rs
@@ -3,7 +3,8 @@
 use super::{ItemState, OwnedJob, RESULT_OVERHEAD, is_final};
 use crate::{ItemEnd, ItemResult, LeaseState};
 use bluebellreel_types::{
-    AttemptEnd, AttemptId, AttemptVerdict, BrokenReason, Moment, NotRunReason, WorkerName,
+    AttemptEnd, AttemptId, AttemptVerdict, BrokenReason, Moment, NEVER_SEEN_BELIEVED, NotRunReason,
+    WorkerName,
 };
 use std::sync::Arc;
 
@@ -53,7 +54,6 @@
             if reason == BrokenReason::SideLost {
                 let in_doubt = LeaseState {
                     in_doubt: true,
-                    until: Moment::FAR,
                     ..lease
                 };
                 self.leases.insert(attempt.request, in_doubt);
@@ -69,10 +69,11 @@
             BrokenReason::EngineLost | BrokenReason::SideLost => {
                 self.fail_attempt(index, &reason.to_string(), now);
             }
-            // Giving way is no failed attempt.
-            BrokenReason::Preempted | BrokenReason::Cancelled | BrokenReason::Expired => {
-                self.put_back(index);
-            }
+            // Giving way is no failed attempt, nor is an answer that was lost.
+            BrokenReason::Preempted
+            | BrokenReason::Cancelled
+            | BrokenReason::Expired
+            | BrokenReason::Forgotten => self.put_back(index),
         }
     }
 
@@ -172,15 +173,15 @@
 
     /// Takes in what a side process knows of an attempt in doubt.
     pub fn note_verdict(&mut self, attempt: AttemptId, verdict: AttemptVerdict, now: Moment) {
-        let in_doubt = self
-            .leases
-            .get(&attempt.request)
-            .is_some_and(|lease| lease.in_doubt && lease.number == attempt.number);
-        if !in_doubt {
+        let lease = self.leases.get(&attempt.request);
+        let in_doubt = lease.filter(|lease| lease.in_doubt && lease.number == attempt.number);
+        let Some(lease) = in_doubt else {
             return;
-        }
+        };
+        let may_be_forgotten = (lease.until + NEVER_SEEN_BELIEVED).is_past(now);
         match verdict {
             AttemptVerdict::Running => {}
+            AttemptVerdict::NeverSeen if may_be_forgotten => self.note_untellable(attempt, now),
             AttemptVerdict::NeverSeen => {
                 let end = AttemptEnd::NotRun(NotRunReason::Cancelled);
                 self.report(attempt, end, now);
--- a/crates/bluebellreel_job/src/record.rs
+++ b/crates/bluebellreel_job/src/record.rs
@@ -158,6 +158,8 @@
     pub worker: WorkerName,
     /// The run of the side process that it is meant for.
     pub incarnation: Incarnation,
+    /// The attempt's deadline.
+    pub deadline: Moment,
 }
 
 /// Claims that are written together.
--- a/crates/bluebellreel_job/tests/owned.rs
+++ b/crates/bluebellreel_job/tests/owned.rs
@@ -5,8 +5,8 @@
     JobState, JobTarget, OwnedJob,
 };
 use bluebellreel_types::{
-    AttemptEnd, AttemptId, BrokenReason, EntryName, Incarnation, JobId, Moment, NotRunReason,
-    RequestId, TeamName, WorkerName,
+    AttemptEnd, AttemptId, AttemptVerdict, BrokenReason, EntryName, Incarnation, JobId, Moment,
+    NotRunReason, RequestId, TeamName, WorkerName,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -343,9 +343,35 @@
         },
         worker: WorkerName::from("w"),
         incarnation: Incarnation(1),
+        deadline: Moment(0),
     };
     let mut job = OwnedJob::open(record(20), 1, false, limits, &[], &[claim]);
     job.hand_over();
     assert_eq!(job.leased(), 1);
     assert!(job.is_handed_over());
 }
+
+/// Nobody could record for an hour that a booking had run. Its side process
+/// has forgotten it and says "never seen"; the booking must not run again.
+#[test]
+fn never_seen_is_not_believed_of_an_old_claim() {
+    let limits = JobLimits::default();
+    let attempt = AttemptId {
+        request: RequestId(9),
+        number: 1,
+    };
+    let claim = ClaimedItem {
+        index: 0,
+        attempt,
+        worker: WorkerName::from("w"),
+        incarnation: Incarnation(1),
+        deadline: Moment(0),
+    };
+    let mut young = OwnedJob::open(record(20), 1, false, limits, &[], &[claim]);
+    let mut old = young.clone();
+    young.note_verdict(attempt, AttemptVerdict::NeverSeen, Moment(0));
+    assert_eq!(young.waiting(), 20, "it surely did not run");
+    let later = Moment(0) + Duration::from_hours(1);
+    old.note_verdict(attempt, AttemptVerdict::NeverSeen, later);
+    assert_eq!(old.waiting(), 19, "it may have run");
+}
--- a/crates/bluebellreel_model/src/call.rs
+++ b/crates/bluebellreel_model/src/call.rs
@@ -271,7 +271,7 @@
     };
     heard.entries[index] = Entry::Done;
     let verdict = AttemptVerdict::Ended(end.clone());
-    if state_after_verdict(&verdict) == Some(ClaimState::NotRun) {
+    if state_after_verdict(&verdict, NOW, NOW) == Some(ClaimState::NotRun) {
         heard.refused.insert(attempt);
     }
     record(&mut heard, attempt, &verdict);
@@ -286,7 +286,7 @@
     if claim.attempt != attempt || claim.state != ClaimState::Pending {
         return;
     }
-    if let Some(settled) = state_after_verdict(verdict) {
+    if let Some(settled) = state_after_verdict(verdict, NOW, NOW) {
         claim.state = settled;
     }
 }
--- a/crates/bluebellreel_rpc/src/convert.rs
+++ b/crates/bluebellreel_rpc/src/convert.rs
@@ -27,12 +27,13 @@
 ];
 
 /// Reasons of a break by their name on the wire.
-const BROKEN: [(BrokenReason, &str); 5] = [
+const BROKEN: [(BrokenReason, &str); 6] = [
     (BrokenReason::EngineLost, "engine-lost"),
     (BrokenReason::SideLost, "side-lost"),
     (BrokenReason::Preempted, "preempted"),
     (BrokenReason::Cancelled, "cancelled"),
     (BrokenReason::Expired, "expired"),
+    (BrokenReason::Forgotten, "forgotten"),
 ];
 
 fn name_of<T: PartialEq>(table: &[(T, &'static str)], value: &T) -> &'static str {
--- a/crates/bluebellreel_types/src/outcome.rs
+++ b/crates/bluebellreel_types/src/outcome.rs
@@ -90,6 +90,8 @@
     Cancelled,
     /// The deadline passed while it ran.
     Expired,
+    /// It ended, but its answer is not kept any more.
+    Forgotten,
 }
 
 impl fmt::Display for BrokenReason {
@@ -100,6 +102,7 @@
             Self::Preempted => "gave way to online work",
             Self::Cancelled => "cancelled while running",
             Self::Expired => "the deadline passed while running",
+            Self::Forgotten => "its answer is not kept any more",
         })
     }
 }
