Measure how daemons come back after an outage; split two long files

Cause: "coming back is no stampede" was designed but not shown. Watches that start over pause with growing jitter instead of 0.5 s each time.

No rule changed.

--- a/crates/bluebellreel_admission/src/lib.rs
+++ b/crates/bluebellreel_admission/src/lib.rs
@@ -19,12 +19,14 @@
 //! assert!(admission.load(Moment(0)).leaving);
 //! ```
 
+mod batch;
 mod batch_window;
 mod event;
 mod ledger;
 mod limits;
 mod online_queue;
 mod pace;
+mod settle;
 mod start_pace;
 mod state;
 mod step;
--- a/crates/bluebellreel_admission/src/step.rs
+++ b/crates/bluebellreel_admission/src/step.rs
@@ -1,9 +1,11 @@
 //! The decisions: one event in, effects out.
 
+use crate::batch::{ask_for_batch, take_items, yield_batch};
+use crate::settle::{cancel, open, remember_end, withdraw};
 use crate::{Admission, Effect, EngineEnd, Event, LedgerEntry, Queued, Running};
 use bluebellreel_types::{
-    AttemptEnd, AttemptId, AttemptVerdict, BatchReport, BrokenReason, Class, Dispatch, EntryName,
-    Moment, NotRunReason, OUTCOME_KEPT,
+    AttemptEnd, AttemptId, BatchReport, BrokenReason, Class, Dispatch, EntryName, Moment,
+    NotRunReason,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -78,7 +80,7 @@
 }
 
 /// Why an attempt cannot be taken, if it cannot.
-fn refusal(state: &Admission, dispatch: &Dispatch, now: Moment) -> Option<NotRunReason> {
+pub(crate) fn refusal(state: &Admission, dispatch: &Dispatch, now: Moment) -> Option<NotRunReason> {
     // A dispatch delayed past a restart was decided on against a process that
     // no longer exists; its entry may have told the caller "unknown" already.
     if dispatch.side != state.incarnation {
@@ -112,53 +114,6 @@
     None
 }
 
-fn open(state: &mut Admission, dispatch: &Dispatch) {
-    let expiry = expiry_of(state, dispatch);
-    state
-        .ledger
-        .put(dispatch.attempt, LedgerEntry::Open, expiry);
-}
-
-fn remember_end(state: &mut Admission, dispatch: &Dispatch, end: &AttemptEnd) {
-    let expiry = expiry_of(state, dispatch);
-    let entry = if dispatch.work.repeatable {
-        LedgerEntry::Ended(without_text(end))
-    } else {
-        LedgerEntry::Ended(end.clone())
-    };
-    state.ledger.put(dispatch.attempt, entry, expiry);
-    state.ledger.strip_texts(state.limits.ledger_bytes);
-}
-
-/// Until when an attempt is remembered. One that may not be repeated must not
-/// be forgotten as long as somebody believes "never seen": its caller would be
-/// told "not run" of a call that ran, and send it again.
-fn expiry_of(state: &Admission, dispatch: &Dispatch) -> Moment {
-    let keep = if dispatch.work.repeatable {
-        state.limits.ledger_keep
-    } else {
-        OUTCOME_KEPT
-    };
-    dispatch.deadline + keep
-}
-
-/// The end of repeatable work without its text: nobody reads it here again,
-/// and the ledger's memory belongs to calls that may not be repeated.
-fn without_text(end: &AttemptEnd) -> AttemptEnd {
-    match end {
-        AttemptEnd::Completed { status, tokens, .. } => AttemptEnd::Completed {
-            status: *status,
-            body: Arc::from([]),
-            tokens: *tokens,
-        },
-        AttemptEnd::Broken { reason, .. } => AttemptEnd::Broken {
-            reason: *reason,
-            partial: Arc::from(""),
-        },
-        other => other.clone(),
-    }
-}
-
 /// Starts waiting online attempts while the window has places. A place held
 /// by batch counts as free: the batch attempt is cancelled in the same step.
 fn start_queued(state: &mut Admission, now: Moment, effects: &mut Vec<Effect>) {
@@ -174,7 +129,7 @@
     }
 }
 
-fn start(
+pub(crate) fn start(
     state: &mut Admission,
     entry: EntryName,
     dispatch: Box<Dispatch>,
@@ -202,7 +157,7 @@
     state.running.insert(attempt, running);
 }
 
-fn refuse_queued(
+pub(crate) fn refuse_queued(
     state: &mut Admission,
     queued: &Queued,
     reason: NotRunReason,
@@ -214,35 +169,7 @@
     effects.push(Effect::SendEnd { attempt, end });
 }
 
-/// Cancels batch attempts over their share, least progress first.
-fn yield_batch(state: &mut Admission, effects: &mut Vec<Effect>) {
-    let allowed = if state.leaving {
-        0
-    } else {
-        state.batch_window.allowed(state.online())
-    };
-    let mut over = state.count(Class::Batch).saturating_sub(allowed);
-    while over > 0 {
-        let least = state
-            .running
-            .iter()
-            .filter(|(_, r)| can_yield(r))
-            .min_by_key(|(_, r)| r.tokens)
-            .map(|(attempt, _)| *attempt);
-        let Some(attempt) = least else { return };
-        stop(state, attempt, BrokenReason::Preempted, effects);
-        over -= 1;
-    }
-}
-
-/// A call that may not be repeated is never preempted: it would end in doubt.
-fn can_yield(running: &Running) -> bool {
-    running.dispatch.class == Class::Batch
-        && running.stopping.is_none()
-        && running.dispatch.work.repeatable
-}
-
-fn stop(
+pub(crate) fn stop(
     state: &mut Admission,
     attempt: AttemptId,
     reason: BrokenReason,
@@ -256,99 +183,6 @@
     }
 }
 
-/// Asks the next entry in turn when there is room for batch.
-fn ask_for_batch(state: &mut Admission, now: Moment, effects: &mut Vec<Effect>) {
-    if state.leaving || !state.hold_batch_until.is_past(now) {
-        return;
-    }
-    let held = state.count(Class::Batch) + state.pulling.values().sum::<u32>();
-    let room = state
-        .batch_window
-        .allowed(state.online())
-        .saturating_sub(held);
-    let online = state.online() > 0;
-    let step = state.pace.step();
-    let room = room.min(state.starts.allowed(step, online, now));
-    if room == 0 {
-        return;
-    }
-    let Some(entry) = next_offer(state) else {
-        return;
-    };
-    let room = room.min(state.offers[&entry]);
-    state.starts.take(room);
-    state.pulling.insert(entry.clone(), room);
-    state.last_asked = Some(entry.clone());
-    effects.push(Effect::Pull { entry, room });
-}
-
-fn next_offer(state: &Admission) -> Option<EntryName> {
-    let ready =
-        |entry: &&EntryName| state.offers[*entry] > 0 && !state.pulling.contains_key(*entry);
-    let after = |entry: &&EntryName| state.last_asked.as_ref().is_none_or(|last| *entry > last);
-    state
-        .offers
-        .keys()
-        .filter(ready)
-        .find(after)
-        .or_else(|| state.offers.keys().find(ready))
-        .cloned()
-}
-
-fn take_items(
-    state: &mut Admission,
-    entry: &EntryName,
-    items: Vec<Dispatch>,
-    now: Moment,
-    effects: &mut Vec<Effect>,
-) {
-    let asked = state.pulling.remove(entry).unwrap_or(0);
-    let taken = u32::try_from(items.len()).unwrap_or(u32::MAX);
-    if let Some(offer) = state.offers.get_mut(entry) {
-        // Fewer than asked: the entry has none left until its next offer.
-        *offer = if taken < asked {
-            0
-        } else {
-            offer.saturating_sub(taken)
-        };
-    }
-    for item in items {
-        take_item(state, entry, Box::new(item), now, effects);
-    }
-}
-
-fn take_item(
-    state: &mut Admission,
-    entry: &EntryName,
-    dispatch: Box<Dispatch>,
-    now: Moment,
-    effects: &mut Vec<Effect>,
-) {
-    let attempt = dispatch.attempt;
-    if matches!(state.ledger.get(attempt), Some(LedgerEntry::Open)) {
-        return;
-    }
-    let allowed = state.batch_window.allowed(state.online());
-    let full = state.count(Class::Batch) >= allowed;
-    let known = state.ledger.get(attempt).is_some();
-    let reason = if known {
-        Some(NotRunReason::Cancelled)
-    } else if full {
-        Some(NotRunReason::Overloaded)
-    } else {
-        refusal(state, &dispatch, now)
-    };
-    if let Some(reason) = reason {
-        let end = AttemptEnd::NotRun(reason);
-        let entry = entry.clone();
-        let report = BatchReport { attempt, end };
-        effects.push(Effect::Report { entry, report });
-        return;
-    }
-    open(state, &dispatch);
-    start(state, entry.clone(), dispatch, now, effects);
-}
-
 /// An entry that is gone can take no answers: its repeatable work is stopped
 /// so that it does not hold places; what may not be repeated runs to its end,
 /// and the ledger keeps the outcome.
@@ -464,50 +298,6 @@
     }
 }
 
-fn cancel(state: &mut Admission, attempt: AttemptId, now: Moment, effects: &mut Vec<Effect>) {
-    let queued = state
-        .queue
-        .take_out(|queued| queued.dispatch.attempt == attempt);
-    for queued in queued {
-        refuse_queued(state, &queued, NotRunReason::Cancelled, effects);
-    }
-    let verdict = match state.ledger.get(attempt) {
-        Some(LedgerEntry::Ended(end)) => AttemptVerdict::Ended(end.clone()),
-        Some(LedgerEntry::Open) => {
-            stop_repeatable(state, attempt, effects);
-            AttemptVerdict::Running
-        }
-        Some(LedgerEntry::Tombstone) => AttemptVerdict::NeverSeen,
-        None => {
-            let expiry = now + OUTCOME_KEPT;
-            state.ledger.put(attempt, LedgerEntry::Tombstone, expiry);
-            AttemptVerdict::NeverSeen
-        }
-    };
-    effects.push(Effect::SendVerdict { attempt, verdict });
-}
-
-/// Stops an attempt unless it may not be repeated: cut in the middle, such a
-/// call would end in doubt, so it runs on and its end is kept to be read.
-fn stop_repeatable(state: &mut Admission, attempt: AttemptId, effects: &mut Vec<Effect>) {
-    let repeatable = state
-        .running
-        .get(&attempt)
-        .is_some_and(|r| r.dispatch.work.repeatable);
-    if repeatable {
-        stop(state, attempt, BrokenReason::Cancelled, effects);
-    }
-}
-
-fn withdraw(state: &mut Admission, attempts: &[AttemptId], effects: &mut Vec<Effect>) {
-    for attempt in attempts {
-        if let Some(running) = state.running.get_mut(attempt) {
-            running.unreported = true;
-            stop(state, *attempt, BrokenReason::Cancelled, effects);
-        }
-    }
-}
-
 /// Leaving: nothing new; batch goes back to its owners at once; online work
 /// that was admitted finishes.
 fn drain(state: &mut Admission, effects: &mut Vec<Effect>) {
--- a/crates/bluebellreel_entry/src/platform/membership.rs
+++ b/crates/bluebellreel_entry/src/platform/membership.rs
@@ -4,7 +4,9 @@
 use crate::parts::Parts;
 use crate::platform::{entry_key, entry_prefix};
 use bluebellreel_chunk::DiskId;
-use bluebellreel_kv::{Commit, Key, KeyValue, KvClient, KvError, Put, Txn, Watch, WatchEvent};
+use bluebellreel_kv::{
+    Backoff, Commit, Key, KeyValue, KvClient, KvError, Put, Txn, Watch, WatchEvent,
+};
 use bluebellreel_types::{DataCentre, EntryName, Incarnation};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -141,8 +143,10 @@
     mut on_all: impl FnMut(Vec<KeyValue>) -> bool,
     mut on_event: impl FnMut(WatchEvent) -> bool,
 ) {
+    let mut backoff = Backoff::default();
     loop {
         if let Ok((all, revision)) = kv.list(prefix) {
+            backoff = Backoff::default();
             if !on_all(all) {
                 return;
             }
@@ -150,7 +154,8 @@
                 return;
             }
         }
-        thread::sleep(WATCH_PAUSE);
+        // With jitter: after an outage all daemons start over.
+        thread::sleep(WATCH_PAUSE + backoff.next(&mut rand::rng()));
     }
 }
 
--- a/crates/bluebellreel_routing/src/lib.rs
+++ b/crates/bluebellreel_routing/src/lib.rs
@@ -28,6 +28,7 @@
 mod retry_budget;
 mod router;
 mod step;
+mod upkeep;
 mod worker;
 
 pub use choice::{Choice, Question, choose, rendezvous_score};
--- a/crates/bluebellreel_routing/src/step.rs
+++ b/crates/bluebellreel_routing/src/step.rs
@@ -1,6 +1,6 @@
 //! The decisions: one event in, effects out.
 
-use crate::{Effect, Event, Health, Router, Worker, arrival, attempt};
+use crate::{Effect, Event, Health, Router, Worker, arrival, attempt, upkeep};
 use bluebellreel_types::{Moment, SideHello};
 use rand::Rng;
 
@@ -14,7 +14,7 @@
         Event::ClaimFailed(id) => attempt::claim_failed(router, id, now, &mut effects),
         Event::ClaimTaken(id) => attempt::claim_taken(router, id),
         Event::OutcomeRecorded(id) => attempt::outcome_recorded(router, id, &mut effects),
-        Event::CallerGone(id) => attempt::caller_gone(router, id, &mut effects),
+        Event::CallerGone(id) => upkeep::caller_gone(router, id, &mut effects),
         Event::PartArrived { attempt, text } => {
             attempt::part(router, attempt, text, now, &mut effects);
         }
@@ -30,7 +30,7 @@
             attempt::ended(router, &worker, attempt, end, now, rng, &mut effects);
         }
         Event::VerdictArrived { attempt, verdict } => {
-            attempt::verdict(router, attempt, verdict, now, rng, &mut effects);
+            upkeep::verdict(router, attempt, verdict, now, rng, &mut effects);
         }
         Event::WorkerListed {
             worker,
@@ -44,19 +44,19 @@
                 .ordered_leaving = leaving;
         }
         Event::WorkerUnlisted(worker) => {
-            attempt::worker_lost(router, &worker, now, rng, &mut effects);
+            upkeep::worker_lost(router, &worker, now, rng, &mut effects);
             router.workers.remove(&worker);
         }
         Event::WorkerConnected(hello) => connect(router, hello, now),
         Event::WorkerLost(worker) => {
-            attempt::worker_lost(router, &worker, now, rng, &mut effects);
+            upkeep::worker_lost(router, &worker, now, rng, &mut effects);
         }
         Event::LoadArrived { worker, load } => {
             if let Some(worker) = router.workers.get_mut(&worker) {
                 worker.note_load(load, now);
             }
         }
-        Event::Ticked => attempt::tick(router, now, &mut effects),
+        Event::Ticked => upkeep::tick(router, now, &mut effects),
     }
     effects
 }
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -1,7 +1,7 @@
 //! Daemons that come back.
 
 use bluebellreel_site::{Site, SitePlan};
-use bluebellreel_standins::expected_answer;
+use bluebellreel_standins::{KvFaults, expected_answer};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -25,3 +25,60 @@
         assert_eq!(answer, expected_answer(&prompt, 4));
     }
 }
+
+/// The key-value service was away and all daemons found it back at the same
+/// moment. They must not bring it down again: each comes back with a few calls,
+/// the same however many daemons there are.
+#[test]
+fn daemons_do_not_overrun_a_service_that_comes_back() {
+    const WATCHES_A_DAEMON: u64 = 5;
+    let mut per_daemon = Vec::new();
+    for entries in [2, 8] {
+        let site = Site::start(&SitePlan {
+            entries,
+            lease_s: 2,
+            ..SitePlan::default()
+        })
+        .expect("a site");
+        let down = |down| KvFaults {
+            down,
+            ..KvFaults::default()
+        };
+        site.set_kv_faults(&down(true)).expect("set");
+        // Longer than the leases, so that each daemon takes a new one.
+        thread::sleep(Duration::from_secs(4));
+        let before = kv_counts(&site);
+        site.set_kv_faults(&down(false)).expect("set");
+        let daemons = u64::try_from(entries).expect("few");
+        let end = Instant::now() + Duration::from_secs(30);
+        while kv_counts(&site).watches < before.watches + WATCHES_A_DAEMON * daemons {
+            assert!(Instant::now() < end, "not all watches came back");
+            thread::sleep(Duration::from_millis(10));
+        }
+        let after = kv_counts(&site);
+        let calls = after.reads + after.writes + after.watches
+            - before.reads
+            - before.writes
+            - before.watches;
+        println!("{entries} daemons: {calls} calls until all watches were back");
+        per_daemon.push(calls / daemons);
+    }
+    assert!(
+        per_daemon.iter().all(|calls| *calls <= 40),
+        "{per_daemon:?}"
+    );
+}
+
+/// Calls that the key-value stand-in has counted.
+#[derive(serde::Deserialize)]
+struct KvCounts {
+    reads: u64,
+    writes: u64,
+    watches: u64,
+}
+
+fn kv_counts(site: &Site) -> KvCounts {
+    let url = format!("{}/stand-in/counts", site.kv.url());
+    let mut answer = ureq::get(&url).call().expect("an answer");
+    answer.body_mut().read_json().expect("JSON")
+}
