--- a/crates/bluebellreel_site/src/processes.rs
+++ b/crates/bluebellreel_site/src/processes.rs
@@ -423,10 +423,7 @@
     ///
     /// Gives the daemon's error.
     pub fn workers_in_force(&self, index: usize) -> eyre::Result<usize> {
-        let path = "/operator/v1/outcomes";
-        let (status, text) = self.operator(index).send("GET", path, &[], b"")?;
-        ensure!(status == 200, "{status}: {text}");
-        let outcomes: Value = serde_json::from_str(&text)?;
+        let outcomes = self.outcomes(index)?;
         let in_force = outcomes["changes_hold"]["in_force"].as_u64().unwrap_or(0);
         Ok(usize::try_from(in_force)?)
     }
@@ -458,13 +455,32 @@
     ///
     /// Gives the connection's error.
     pub fn engine_requests(&self) -> eyre::Result<u64> {
-        let mut sum = 0;
-        for address in &self.engine_addresses {
-            let url = format!("http://{address}/stand-in/admitted");
-            let admitted: u64 = ureq::get(&url).call()?.body_mut().read_json()?;
-            sum += admitted;
-        }
-        Ok(sum)
+        (0..self.engine_addresses.len())
+            .map(|index| self.engine_admitted(index))
+            .sum()
+    }
+
+    /// Attempts that reached one engine.
+    ///
+    /// # Errors
+    ///
+    /// Gives the connection's error.
+    pub fn engine_admitted(&self, index: usize) -> eyre::Result<u64> {
+        let address = self.engine_addresses[index];
+        let url = format!("http://{address}/stand-in/admitted");
+        Ok(ureq::get(&url).call()?.body_mut().read_json()?)
+    }
+
+    /// The outcomes as an entry daemon sees them.
+    ///
+    /// # Errors
+    ///
+    /// Gives the daemon's error.
+    pub fn outcomes(&self, index: usize) -> eyre::Result<Value> {
+        let path = "/operator/v1/outcomes";
+        let (status, text) = self.operator(index).send("GET", path, &[], b"")?;
+        ensure!(status == 200, "{status}: {text}");
+        Ok(serde_json::from_str(&text)?)
     }
 
     /// Runs of the plain service's calls by key.
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,21 @@
+//! What tests over example programs share.
+
+use std::path::Path;
+use std::process::Command;
+
+/// Builds an example and runs it to its end; it must pass.
+pub fn run_example(name: &str, arguments: &[&str]) {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_bluebellreel"));
+    let built = Command::new(env!("CARGO"))
+        .args(["build", "--quiet", "--example", name])
+        .status()
+        .expect("cargo runs");
+    assert!(built.success());
+    let example = daemon.with_file_name("examples").join(name);
+    let output = Command::new(example)
+        .args(arguments)
+        .output()
+        .expect("the example runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+}
