Bound the running jobs, in the fleet and of one team

Cause: every queue was bounded but that of jobs: each daemon holds the record of every running job, and one team could submit without end, at all others' cost.

A new job past limits.team_jobs (1000) or limits.jobs (20000) is refused with 429, ran: no and when to come back, before its body is read. A resend of a job that was accepted finds it, as before. The bound is soft by the jobs that are accepted at the same moment.

Shown by a test: with a bound of three, the fourth job is refused, the second one sent again is found, and another team's is accepted.

--- a/crates/bluebellreel_entry/src/bench.rs
+++ b/crates/bluebellreel_entry/src/bench.rs
@@ -287,7 +287,12 @@
             most_items: self.parts.settings.limits.job_items,
         };
         let mut pieces = vec![body.to_vec()];
-        let answer = accept_job(self.parts.storage(), &submission, || Ok(pieces.pop()))?;
+        let answer = accept_job(
+            self.parts.storage(),
+            &submission,
+            || Ok(()),
+            || Ok(pieces.pop()),
+        )?;
         match answer {
             AcceptAnswer::Accepted(record, revision) => {
                 let message = JobsMessage::Accepted(record, revision);
--- a/crates/bluebellreel_entry/src/http/batches.rs
+++ b/crates/bluebellreel_entry/src/http/batches.rs
@@ -1,9 +1,10 @@
 //! Batch jobs.
 
+use crate::http::operator::ask;
 use crate::http::route::{CallerRequest, Rim, answer};
 use crate::jobs::{
-    AcceptAnswer, CancelAnswer, JobsMessage, ResultPage, Submission, accept_job, cancel_job,
-    find_job, read_results,
+    AcceptAnswer, CancelAnswer, JobsCount, JobsMessage, ResultPage, Submission, accept_job,
+    cancel_job, find_job, read_results,
 };
 use crate::message::Message;
 use bluebellreel_http::{ApiError, ChunkedStream, Method, Reply};
@@ -13,6 +14,8 @@
 use std::io::Read;
 use std::time::{Duration, Instant};
 
+/// When a caller may come back whose job was one too many.
+const JOBS_PAUSE: Duration = Duration::from_secs(30);
 /// Bytes of a job's body read at one time.
 const PIECE: usize = 64 << 10;
 
@@ -48,7 +51,8 @@
     let announced = call.req.body_length();
     let until = Instant::now() + settings.limits.job_time;
     let next = body_pieces(call.req.as_reader(), announced, most, until);
-    let answer = accept_job(rim.parts.storage(), &submission, next)?;
+    let admit = || admit_job(rim, &submission.team);
+    let answer = accept_job(rim.parts.storage(), &submission, admit, next)?;
     match answer {
         AcceptAnswer::Accepted(record, revision) => {
             let message = JobsMessage::Accepted(record.clone(), revision);
@@ -59,6 +63,26 @@
     }
 }
 
+/// Refuses a new job while too many run: each is kept in the memory of every
+/// daemon, and one team's must not keep others' out. The bound is soft: jobs
+/// that are accepted at the same moment may go over it by some.
+fn admit_job(rim: &Rim, team: &TeamName) -> Result<(), ApiError> {
+    let asked = team.clone();
+    let count: JobsCount = ask(rim, |answer| {
+        Message::Jobs(JobsMessage::CountAsked(asked, answer))
+    })?;
+    let limits = &rim.parts.settings.limits;
+    let reason = if count.of_team >= limits.team_jobs {
+        "the team has too many jobs running"
+    } else if count.all >= limits.jobs {
+        "too many jobs are running"
+    } else {
+        return Ok(());
+    };
+    let error = ApiError::new(429, "too_many_jobs", reason);
+    Err(error.retry_after(JOBS_PAUSE))
+}
+
 fn too_large(most: usize) -> ApiError {
     ApiError::new(413, "too_large", format!("a job has at most {most} bytes"))
 }
--- a/crates/bluebellreel_entry/src/http/operator.rs
+++ b/crates/bluebellreel_entry/src/http/operator.rs
@@ -173,7 +173,7 @@
 }
 
 /// Asks an actor.
-fn ask<T>(rim: &Rim, message: impl FnOnce(Sender<T>) -> Message) -> Result<T, ApiError> {
+pub(crate) fn ask<T>(rim: &Rim, message: impl FnOnce(Sender<T>) -> Message) -> Result<T, ApiError> {
     let (answer, told) = bounded(1);
     rim.parts.tell(message(answer));
     told.recv_timeout(ACTOR_TIME)
--- a/crates/bluebellreel_entry/src/jobs/index.rs
+++ b/crates/bluebellreel_entry/src/jobs/index.rs
@@ -1,8 +1,9 @@
 //! Jobs of the fleet that are not over, by owner.
 
+use crate::jobs::messages::JobsCount;
 use bluebellreel_job::JobRecord;
 use bluebellreel_routing::rendezvous_score;
-use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
+use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, TeamName};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -54,6 +55,15 @@
         }
     }
 
+    /// Jobs in all and of a team.
+    pub(crate) fn count(&self, team: &TeamName) -> JobsCount {
+        let jobs = self.jobs.values();
+        JobsCount {
+            all: self.jobs.len(),
+            of_team: jobs.filter(|job| job.record.team == *team).count(),
+        }
+    }
+
     /// A daemon is there.
     pub(crate) fn note_entry(&mut self, name: EntryName, run: Incarnation) {
         self.entries.insert(name, run);
--- a/crates/bluebellreel_entry/src/jobs/messages.rs
+++ b/crates/bluebellreel_entry/src/jobs/messages.rs
@@ -3,7 +3,7 @@
 use bluebellreel_job::{ClaimedItem, JobRecord};
 use bluebellreel_kv::WatchEvent;
 use bluebellreel_rpc::PullAnswer;
-use bluebellreel_types::{Dispatch, JobId};
+use bluebellreel_types::{Dispatch, JobId, TeamName};
 use crossbeam_channel::Sender;
 use serde::Serialize;
 
@@ -90,6 +90,17 @@
     },
     /// The jobs here are asked for.
     SummaryAsked(Sender<JobsSummary>),
+    /// How many jobs run is asked for, in all and of one team.
+    CountAsked(TeamName, Sender<JobsCount>),
+}
+
+/// Jobs of the fleet that are not over.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct JobsCount {
+    /// All.
+    pub(crate) all: usize,
+    /// Those of the team that was asked about.
+    pub(crate) of_team: usize,
 }
 
 /// Jobs as this daemon sees them.
@@ -111,7 +122,7 @@
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct OwnedSummary {
     pub(crate) id: JobId,
-    pub(crate) team: bluebellreel_types::TeamName,
+    pub(crate) team: TeamName,
     pub(crate) items: u32,
     pub(crate) succeeded: u32,
     pub(crate) failed: u32,
--- a/crates/bluebellreel_entry/src/jobs/mod.rs
+++ b/crates/bluebellreel_entry/src/jobs/mod.rs
@@ -8,7 +8,7 @@
 mod sweep;
 mod upload;
 
-pub(crate) use messages::{JobsMessage, JobsSummary};
+pub(crate) use messages::{JobsCount, JobsMessage, JobsSummary};
 pub(crate) use part::JobsPart;
 pub(crate) use results::{ResultPage, read_results};
 pub(crate) use store::{CancelAnswer, JobStorage, cancel_job, find_job};
--- a/crates/bluebellreel_entry/src/jobs/part.rs
+++ b/crates/bluebellreel_entry/src/jobs/part.rs
@@ -214,6 +214,9 @@
                 }
             }
             JobsMessage::Claimed { pull, written } => self.note_claimed(*pull, &written),
+            JobsMessage::CountAsked(team, answer) => {
+                answer.send(self.index.count(&team)).ok();
+            }
             JobsMessage::SummaryAsked(answer) => {
                 answer.send(self.summary(now)).ok();
             }
--- a/crates/bluebellreel_entry/src/jobs/sweep.rs
+++ b/crates/bluebellreel_entry/src/jobs/sweep.rs
@@ -274,7 +274,7 @@
                 most_items: 10,
             };
             let mut body = Some(LINE.to_vec());
-            let answer = accept_job(self.storage(), &submission, || Ok(body.take()));
+            let answer = accept_job(self.storage(), &submission, || Ok(()), || Ok(body.take()));
             assert!(
                 matches!(answer, Ok(AcceptAnswer::Accepted(..))),
                 "{answer:?}"
--- a/crates/bluebellreel_entry/src/jobs/upload.rs
+++ b/crates/bluebellreel_entry/src/jobs/upload.rs
@@ -52,10 +52,12 @@
     Ok(hex::encode(hasher.finalize()))
 }
 
-/// Accepts a job whose body `next` gives piece by piece.
+/// Accepts a job whose body `next` gives piece by piece. `admit` may refuse a
+/// new one; a resend of one that was accepted always finds it.
 pub(crate) fn accept_job(
     at: JobStorage<'_>,
     submission: &Submission,
+    admit: impl FnOnce() -> Result<(), ApiError>,
     mut next: impl FnMut() -> Result<Option<Vec<u8>>, ApiError>,
 ) -> Result<AcceptAnswer, ApiError> {
     let kv = at.kv;
@@ -67,6 +69,7 @@
         let digest = digest_body(next)?;
         return same_body(before.record, &digest);
     }
+    admit()?;
     let upload = upload_name(submission.accepted_at);
     let stored = store_body(at, submission, &upload, &mut next);
     let record = match stored {
--- a/crates/bluebellreel_settings/src/entry.rs
+++ b/crates/bluebellreel_settings/src/entry.rs
@@ -81,6 +81,8 @@
     online_per_worker: u32,
     workers_whole: usize,
     workers_per_model: usize,
+    jobs: usize,
+    team_jobs: usize,
     keep_days: u64,
 }
 
@@ -98,6 +100,8 @@
             online_per_worker: 32,
             workers_whole: 64,
             workers_per_model: 8,
+            jobs: 20_000,
+            team_jobs: 1_000,
             keep_days: 30,
         }
     }
@@ -136,6 +140,10 @@
     pub workers_whole: usize,
     /// Workers connected for each model beyond that.
     pub workers_per_model: usize,
+    /// Running jobs in the fleet.
+    pub jobs: usize,
+    /// Running jobs of one team.
+    pub team_jobs: usize,
     /// How long an ended job stays readable.
     pub keep: Duration,
 }
@@ -276,6 +284,8 @@
         requests: check.at_least("limits.requests", raw.requests, 1)?,
         team_requests: check.at_least("limits.team_requests", raw.team_requests, 1)?,
         online_per_worker: raw.online_per_worker,
+        jobs: check.at_least("limits.jobs", raw.jobs, 1)?,
+        team_jobs: check.at_least("limits.team_jobs", raw.team_jobs, 1)?,
         workers_whole: raw.workers_whole,
         workers_per_model: check.at_least("limits.workers_per_model", raw.workers_per_model, 1)?,
         keep: Duration::from_hours(24 * check.at_least("limits.keep_days", raw.keep_days, 1)?),
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -1,6 +1,6 @@
 //! Batch jobs through two entry daemons.
 
-use bluebellreel_site::{Site, SitePlan, chat_line, service_line};
+use bluebellreel_site::{Caller, Site, SitePlan, chat_line, service_line};
 use bluebellreel_standins::{EngineCosts, KvFaults};
 use std::collections::BTreeMap;
 use std::thread;
@@ -118,3 +118,34 @@
     assert_eq!(runs.len(), 30);
     assert!(runs.values().all(|count| *count == 1), "{runs:?}");
 }
+
+/// One school's client submits job after job. Past its bound it is told so at
+/// once, with when to come back; another team's jobs are still accepted, and a
+/// resend of what was accepted finds it.
+#[test]
+fn team_with_too_many_jobs_keeps_nobody_else_out() {
+    let site = Site::start(&SitePlan {
+        entry_settings: "[limits]\nteam_jobs = 3\n".into(),
+        costs: EngineCosts {
+            base: Duration::from_millis(50),
+            ..EngineCosts::default()
+        },
+        ..SitePlan::default()
+    })
+    .expect("site");
+    let body = lines(&site, 400, 64);
+    let caller = site.caller(0);
+    for key in ["one", "two", "three"] {
+        caller.submit(key, &body).expect("accepted");
+    }
+    let refused = caller.submit("four", &body).expect_err("too many");
+    let reason = refused.to_string();
+    assert!(reason.starts_with("429"), "{reason}");
+    assert!(reason.contains("too_many_jobs") && reason.contains("\"ran\":\"no\""));
+    caller.submit("two", &body).expect("it was accepted before");
+    let member = Caller::new(site.url(0).to_owned(), "member-token", &caller.model);
+    let other = member.submit("one", &body).expect("another team").id;
+    let path = format!("/v1/batches/{other}/cancel");
+    let (status, _) = member.send("POST", &path, &[], b"").expect("an answer");
+    assert_eq!(status, 200);
+}
