--- /dev/null
+++ b/crates/bluebellreel_job/benches/handout.rs
@@ -0,0 +1,116 @@
+//! What a job owner's decisions cost: items handed out, reported and recorded.
+
+use bluebellreel_job::{
+    Board, BoardLimits, ChunkRef, JobCounts, JobEffect, JobLimits, JobRecord, JobState, JobTarget,
+    OwnedJob,
+};
+use bluebellreel_types::{
+    AttemptEnd, EntryName, Incarnation, JobId, ModelName, Moment, TeamName, WorkerName,
+};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+const ITEMS: u32 = 64_000;
+const PER_CHUNK: u32 = 500;
+const ROOM: usize = 16;
+
+fn chunk_bytes(first: u32) -> Vec<u8> {
+    let line = |n: u32| {
+        format!(
+            r#"{{"custom_id":"n{n}","method":"POST","url":"/v1/chat/completions","body":{{"model":"m","messages":[{{"role":"user","content":"{n}"}}]}}}}"#
+        )
+    };
+    let lines: Vec<String> = (first..first + PER_CHUNK).map(line).collect();
+    lines.join("\n").into_bytes()
+}
+
+fn record(number: usize) -> JobRecord {
+    let chunk = |chunk: u32| ChunkRef {
+        first: chunk * PER_CHUNK,
+        items: PER_CHUNK,
+        digest: String::new(),
+        bytes: 0,
+        volume: None,
+    };
+    JobRecord {
+        id: JobId::from(format!("job-{number}")),
+        team: TeamName::from(format!("team-{}", number % 7)),
+        digest: String::new(),
+        upload: String::new(),
+        target: JobTarget::Chat("m".into()),
+        accepted_at: Moment(0),
+        deadline: Moment(0) + Duration::from_hours(1),
+        items: ITEMS,
+        chunks: (0..ITEMS / PER_CHUNK).map(chunk).collect(),
+        state: JobState::Running,
+        owner: EntryName::from("e"),
+        owner_run: Incarnation(1),
+        epoch: 1,
+        counts: JobCounts::default(),
+        ended_at: None,
+    }
+}
+
+fn carry_out(job: &mut OwnedJob, now: Moment) {
+    for effect in job.poll(now) {
+        match effect {
+            JobEffect::LoadChunk(chunk) => {
+                let bytes = chunk_bytes(chunk * PER_CHUNK);
+                job.note_chunk(chunk, &bytes).expect("as accepted");
+            }
+            JobEffect::Record { seq, .. } => job.note_recorded(seq, now),
+            _ => {}
+        }
+    }
+}
+
+fn board(jobs: usize) -> Board {
+    let mut board = Board::new(BoardLimits::default());
+    for number in 0..jobs {
+        let record = record(number);
+        let id = record.id.clone();
+        let mut job = OwnedJob::open(record, 1, true, JobLimits::default(), &[], &[]);
+        carry_out(&mut job, Moment(1));
+        board.jobs.insert(id, job);
+    }
+    board
+}
+
+fn completed() -> AttemptEnd {
+    AttemptEnd::Completed {
+        status: 200,
+        body: Arc::from(*b"an answer of some length"),
+        tokens: 8,
+    }
+}
+
+fn pull_and_report(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("16 items pulled, reported, recorded");
+    let models = BTreeSet::from([ModelName::from("m")]);
+    let worker = WorkerName::from("w");
+    for jobs in [1, 13, 130] {
+        let mut fresh = board(jobs);
+        let mut now = Moment(1);
+        group.bench_function(BenchmarkId::from_parameter(jobs), |b| {
+            b.iter(|| {
+                now = now + Duration::from_micros(10);
+                let handouts = fresh.pull(ROOM, &worker, Incarnation(1), &models, now);
+                if handouts.is_empty() {
+                    fresh = board(jobs);
+                }
+                for lease in handouts.iter().flat_map(|handout| &handout.leases) {
+                    fresh.report(lease.attempt, completed(), now);
+                }
+                for job in fresh.jobs.values_mut() {
+                    carry_out(job, now);
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, pull_and_report);
+criterion_main!(benches);
