Write what load examples and site tests share once

Cause: two examples counted their callers' answers with the same code, three tests each had their own wait and their own reading of the outcomes.

AskCounts, wait_until and Site::outcomes stand in the site package now.

--- a/crates/bluebellreel_site/src/lib.rs
+++ b/crates/bluebellreel_site/src/lib.rs
@@ -9,11 +9,13 @@
 //! assert!(!answer.is_empty());
 //! ```
 
+mod asking;
 mod caller;
 mod plan;
 mod processes;
 mod site;
 
+pub use asking::{AskCounts, wait_until};
 pub use caller::{Caller, ItemLine, JobView, chat_body, chat_line, service_line};
 pub use plan::{Deployment, DiskPlan, SitePlan};
 pub use processes::{MODEL, Process, ProcessPlan, ProcessSite, retry, run_with_stand_ins};
--- a/crates/bluebellreel_site/src/site.rs
+++ b/crates/bluebellreel_site/src/site.rs
@@ -191,9 +191,7 @@
     ///
     /// Gives the daemon's error.
     pub fn workers_in_force(&self, index: usize) -> eyre::Result<usize> {
-        let path = "/operator/v1/outcomes";
-        let (_, text) = self.operator(index).send("GET", path, &[], b"")?;
-        let outcomes: serde_json::Value = serde_json::from_str(&text)?;
+        let outcomes = self.outcomes(index)?;
         let changes = &outcomes["changes_hold"];
         if changes["generation"].as_u64().unwrap_or(0) == 0 {
             return Ok(0);
@@ -202,6 +200,17 @@
         Ok(usize::try_from(in_force)?)
     }
 
+    /// The outcomes as an entry daemon sees them.
+    ///
+    /// # Errors
+    ///
+    /// Gives the connection's error.
+    pub fn outcomes(&self, index: usize) -> eyre::Result<serde_json::Value> {
+        let path = "/operator/v1/outcomes";
+        let (_, text) = self.operator(index).send("GET", path, &[], b"")?;
+        Ok(serde_json::from_str(&text)?)
+    }
+
     /// The URL of an entry daemon.
     #[must_use]
     pub fn url(&self, index: usize) -> &str {
--- a/examples/changes.rs
+++ b/examples/changes.rs
@@ -1,16 +1,18 @@
 //! Changes the configuration of 3 daemons and 13 side processes under load: races, an outage, a killed daemon, a drain.
 
-use bluebellreel_site::{Caller, MODEL, ProcessPlan, ProcessSite, retry, run_with_stand_ins};
-use bluebellreel_standins::expected_answer;
+use bluebellreel_site::{
+    AskCounts, Caller, MODEL, ProcessPlan, ProcessSite, retry, run_with_stand_ins,
+};
 use eyre::ensure;
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 const ENTRIES: usize = 3;
 const ENGINES: usize = 12;
 const CALLERS: usize = 24;
+const TOKENS: u32 = 8;
 const LONGEST: Duration = Duration::from_secs(30);
 /// After which a worker that an operator drained gets nothing new.
 const DRAINED_AFTER: Duration = Duration::from_secs(3);
@@ -19,13 +21,6 @@
     run_with_stand_ins(run)
 }
 
-/// Callers' counts.
-#[derive(Default)]
-struct Counts {
-    answered: AtomicU32,
-    failed: AtomicU32,
-}
-
 fn run() -> eyre::Result<()> {
     let mut site = ProcessSite::start(&ProcessPlan {
         entries: ENTRIES,
@@ -34,7 +29,7 @@
         step_micros: 5_000,
     })?;
     let callers: Vec<Caller> = (0..ENTRIES).map(|n| site.caller(n)).collect();
-    let (stop, counts) = (AtomicBool::new(false), Counts::default());
+    let (stop, counts) = (AtomicBool::new(false), AskCounts::default());
     thread::scope(|scope| -> eyre::Result<()> {
         for number in 0..CALLERS {
             let (stop, counts) = (&stop, &counts);
@@ -46,33 +41,21 @@
         stop.store(true, Ordering::SeqCst);
         shown
     })?;
-    let answered = counts.answered.load(Ordering::SeqCst);
-    let failed = counts.failed.load(Ordering::SeqCst);
+    let (answered, failed) = (counts.answered(), counts.failed());
     println!("{answered} answers whole, {failed} failed or cut");
     ensure!(failed == 0, "{failed} requests failed or were cut");
     println!("passed");
     Ok(())
 }
 
-fn call_until(stop: &AtomicBool, caller: &Caller, number: usize, counts: &Counts) {
+fn call_until(stop: &AtomicBool, caller: &Caller, number: usize, counts: &AskCounts) {
     for asked in 0.. {
         if stop.load(Ordering::SeqCst) {
             return;
         }
         let prompt = format!("caller {number} asks {asked}");
-        match caller.stream(&prompt, 8, None, |_| ()) {
-            Ok(answer) if answer == expected_answer(&prompt, 8) => {
-                counts.answered.fetch_add(1, Ordering::SeqCst);
-            }
-            Ok(answer) => {
-                counts.failed.fetch_add(1, Ordering::SeqCst);
-                println!("failed: got {answer:?} for {prompt:?}");
-            }
-            Err(e) => {
-                counts.failed.fetch_add(1, Ordering::SeqCst);
-                println!("failed: {e}");
-            }
-        }
+        let answer = caller.stream(&prompt, TOKENS, None, |_| ());
+        counts.note(&prompt, TOKENS, answer);
     }
 }
 
--- a/examples/rolling_restart.rs
+++ b/examples/rolling_restart.rs
@@ -1,9 +1,8 @@
 //! Restarts every daemon and side process under load, one after another: nothing fails, nothing is cut.
 
 use bluebellreel_site::{
-    Caller, MODEL, ProcessPlan, ProcessSite, chat_line, retry, run_with_stand_ins,
+    AskCounts, Caller, MODEL, ProcessPlan, ProcessSite, chat_line, retry, run_with_stand_ins,
 };
-use bluebellreel_standins::expected_answer;
 use eyre::{bail, ensure};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -14,27 +13,12 @@
 const ENGINES: usize = 4;
 const CALLERS: usize = 12;
 const ITEMS: u32 = 1_500;
+const TOKENS: u32 = 12;
 
 fn main() -> ExitCode {
     run_with_stand_ins(run)
 }
 
-/// Online callers' counts.
-#[derive(Default)]
-struct Counts {
-    answered: AtomicU32,
-    failed: AtomicU32,
-    moved: AtomicU32,
-}
-
-impl Counts {
-    /// Counts a failure and says which one it was.
-    fn fail(&self, reason: &str) {
-        self.failed.fetch_add(1, Ordering::SeqCst);
-        println!("failed: {reason}");
-    }
-}
-
 fn run() -> eyre::Result<()> {
     let mut site = ProcessSite::start(&ProcessPlan {
         entries: ENTRIES,
@@ -47,11 +31,12 @@
         .collect();
     let job = site.caller(0).submit("rolling", &lines)?.id;
     let callers: Vec<Caller> = (0..ENTRIES).map(|n| site.caller(n)).collect();
-    let (stop, counts) = (AtomicBool::new(false), Counts::default());
+    let (stop, counts) = (AtomicBool::new(false), AskCounts::default());
+    let moved = AtomicU32::new(0);
     thread::scope(|scope| -> eyre::Result<()> {
         for number in 0..CALLERS {
-            let (stop, callers, counts) = (&stop, &callers, &counts);
-            scope.spawn(move || call_until(stop, callers, number, counts));
+            let (stop, callers, counts, moved) = (&stop, &callers, &counts, &moved);
+            scope.spawn(move || call_until(stop, callers, number, counts, moved));
         }
         let restarted = restart_all(&mut site);
         stop.store(true, Ordering::SeqCst);
@@ -63,9 +48,8 @@
         callers[2].results(&job)?.len() == ITEMS as usize,
         "each item once"
     );
-    let answered = counts.answered.load(Ordering::SeqCst);
-    let moved = counts.moved.load(Ordering::SeqCst);
-    let failed = counts.failed.load(Ordering::SeqCst);
+    let (answered, failed) = (counts.answered(), counts.failed());
+    let moved = moved.load(Ordering::SeqCst);
     println!(
         "{answered} answers whole, {failed} failed or cut, {moved} sent to another daemon by the balancer"
     );
@@ -108,31 +92,32 @@
 
 /// Asks through the balancer's choice: a daemon that is ready. The platform's
 /// balancer looks at `/readyz` and sends a request that was not run elsewhere.
-fn call_until(stop: &AtomicBool, callers: &[Caller], number: usize, counts: &Counts) {
+fn call_until(
+    stop: &AtomicBool,
+    callers: &[Caller],
+    number: usize,
+    counts: &AskCounts,
+    moved: &AtomicU32,
+) {
     let mut asked = number;
     while !stop.load(Ordering::SeqCst) {
         asked += 1;
         let prompt = format!("caller {number} asks {asked}");
-        match ask(callers, asked, &prompt, counts) {
-            Ok(answer) if answer == expected_answer(&prompt, 12) => {
-                counts.answered.fetch_add(1, Ordering::SeqCst);
-            }
-            Ok(answer) => counts.fail(&format!("got {answer:?} for {prompt:?}")),
-            Err(e) => counts.fail(&e.to_string()),
-        }
+        let answer = ask(callers, asked, &prompt, moved);
+        counts.note(&prompt, TOKENS, answer);
         thread::sleep(Duration::from_millis(30));
     }
 }
 
-fn ask(callers: &[Caller], first: usize, prompt: &str, counts: &Counts) -> eyre::Result<String> {
+fn ask(callers: &[Caller], first: usize, prompt: &str, moved: &AtomicU32) -> eyre::Result<String> {
     for offset in 0..callers.len() {
         let caller = &callers[(first + offset) % callers.len()];
         let ready = caller.send("GET", "/readyz", &[], b"");
         if !matches!(ready, Ok((200, _))) {
-            counts.moved.fetch_add(1, Ordering::SeqCst);
+            moved.fetch_add(1, Ordering::SeqCst);
             continue;
         }
-        return caller.stream(prompt, 12, None, |_| ());
+        return caller.stream(prompt, TOKENS, None, |_| ());
     }
     bail!("no daemon is ready")
 }
--- a/tests/disks.rs
+++ b/tests/disks.rs
@@ -1,13 +1,12 @@
 //! Large jobs on the disks of VMs that are lost, damaged and full.
 
-use bluebellreel_site::{DiskPlan, Site, SitePlan, chat_line};
+use bluebellreel_site::{DiskPlan, Site, SitePlan, chat_line, wait_until};
 use bluebellreel_standins::{EngineCosts, expected_answer};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const MODEL: &str = "rental-assistant";
 /// Two volumes' worth of holders each, for three disks.
@@ -31,7 +30,7 @@
         ..SitePlan::default()
     })
     .expect("a site");
-    until(|| volumes(&site, 3)["volumes"] == VOLUMES);
+    wait_until(|| volumes(&site, 3)["volumes"] == VOLUMES);
     site
 }
 
@@ -44,15 +43,6 @@
     view["items_finish_once"]["volumes"].clone()
 }
 
-/// Waits for something that must come about; how long is not judged here.
-fn until(mut holds: impl FnMut() -> bool) {
-    let end = Instant::now() + Duration::from_mins(1);
-    while !holds() {
-        assert!(Instant::now() < end, "it never came about");
-        thread::sleep(Duration::from_millis(50));
-    }
-}
-
 fn prompt(number: u32) -> String {
     format!("note {number} {}", "x".repeat(1_500))
 }
@@ -99,8 +89,8 @@
     assert_eq!(kv_space(&site).get("in"), None, "the notes are on disks");
     lose(&mut site, 0);
     // What follows must rest on a copy, so the loss is to be seen first.
-    until(|| volumes(&site, 3)["on_one_disk"] != 0);
-    until(|| volumes(&site, 3)["on_one_disk"] == 0);
+    wait_until(|| volumes(&site, 3)["on_one_disk"] != 0);
+    wait_until(|| volumes(&site, 3)["on_one_disk"] == 0);
     let over = site
         .caller(3)
         .wait(&job, Duration::from_mins(1))
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -1,10 +1,10 @@
 //! Operators at two entry daemons.
 
-use bluebellreel_site::{OPERATOR_TOKEN, Site, SitePlan};
+use bluebellreel_site::{OPERATOR_TOKEN, Site, SitePlan, wait_until};
 use bluebellreel_standins::EngineCosts;
 use serde_json::Value;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 fn post(site: &Site, entry: usize, path: &str, headers: &[(&str, &str)]) -> (u16, Value) {
     let (status, text) = site
@@ -14,24 +14,6 @@
     (status, serde_json::from_str(&text).expect("JSON"))
 }
 
-fn outcomes(site: &Site, entry: usize) -> Value {
-    let path = "/operator/v1/outcomes";
-    let (_, text) = site
-        .operator(entry)
-        .send("GET", path, &[], b"")
-        .expect("answer");
-    serde_json::from_str(&text).expect("JSON")
-}
-
-/// Waits for something that must come about; how long is not judged here.
-fn until(mut holds: impl FnMut() -> bool) {
-    let end = Instant::now() + Duration::from_secs(30);
-    while !holds() {
-        assert!(Instant::now() < end, "it never came about");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
 /// An operator drains a worker at one daemon. Soon no daemon sends it anything
 /// new, while answers that it was giving come whole.
 #[test]
@@ -64,7 +46,7 @@
         }
     });
     let drained = || site.engine_admitted(0).expect("count");
-    until(|| {
+    wait_until(|| {
         let before = drained();
         for n in 0..10 {
             site.caller(n % 2)
@@ -117,8 +99,12 @@
         "shown what won: {}",
         loser.1
     );
-    until(|| (0..2).all(|n| outcomes(&site, n)["changes_hold"]["generation"] == 2));
-    until(|| (0..2).all(|n| outcomes(&site, n)["changes_hold"]["state"] == "holds"));
+    wait_until(|| {
+        (0..2).all(|n| site.outcomes(n).expect("an answer")["changes_hold"]["generation"] == 2)
+    });
+    wait_until(|| {
+        (0..2).all(|n| site.outcomes(n).expect("an answer")["changes_hold"]["state"] == "holds")
+    });
 }
 
 /// A thumb taps "roll forward" twice. One generation is made, not two.
@@ -182,7 +168,7 @@
     let act = format!("token={OPERATOR_TOKEN}&action=roll-forward&seen=1");
     assert!(send(&act).1.contains("Accept the manifest anew"));
     assert_eq!(
-        outcomes(&site, 0)["changes_hold"]["generation"],
+        site.outcomes(0).expect("an answer")["changes_hold"]["generation"],
         1,
         "only asked"
     );
@@ -191,7 +177,7 @@
             .1
             .contains("accepted anew")
     );
-    until(|| outcomes(&site, 1)["changes_hold"]["generation"] == 2);
+    wait_until(|| site.outcomes(1).expect("an answer")["changes_hold"]["generation"] == 2);
 }
 
 /// The key-value service is down before, during and after a change is asked
@@ -214,11 +200,16 @@
     };
     assert_eq!(put().0, 503);
     assert!(site.caller(1).chat("still served", 2).is_ok());
-    assert_eq!(outcomes(&site, 1)["changes_hold"]["generation"], 1);
+    assert_eq!(
+        site.outcomes(1).expect("an answer")["changes_hold"]["generation"],
+        1
+    );
     site.set_kv_faults(&bluebellreel_standins::KvFaults::default())
         .expect("faults");
-    until(|| matches!(put().0, 200 | 409));
-    until(|| (0..2).all(|n| outcomes(&site, n)["changes_hold"]["generation"] == 2));
+    wait_until(|| matches!(put().0, 200 | 409));
+    wait_until(|| {
+        (0..2).all(|n| site.outcomes(n).expect("an answer")["changes_hold"]["generation"] == 2)
+    });
 }
 
 /// The pipeline puts a new version. One engine's load fails at first: it is
@@ -255,22 +246,22 @@
         site.caller(asked % 3).chat(&question, 2).expect("answered");
     };
     let version = |worker: usize| site.engine_version(worker).expect("models");
-    until(|| {
+    wait_until(|| {
         ask();
         version(0) == "2" && version(2) == "2"
     });
     assert_eq!(version(1), "1", "its load fails");
-    until(|| {
+    wait_until(|| {
         ask();
-        let changes = &outcomes(&site, 1)["changes_hold"];
+        let changes = &site.outcomes(1).expect("an answer")["changes_hold"];
         changes["state"] == "at risk"
             && !changes["failed_loads"].as_array().expect("list").is_empty()
     });
     site.set_engine_faults(1, &bluebellreel_standins::EngineFaults::default())
         .expect("faults");
-    until(|| {
+    wait_until(|| {
         ask();
         version(1) == "2"
     });
-    until(|| outcomes(&site, 1)["changes_hold"]["state"] == "holds");
+    wait_until(|| site.outcomes(1).expect("an answer")["changes_hold"]["state"] == "holds");
 }
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -1,33 +1,18 @@
 //! Daemons that are connected to a few workers of many.
 
-use bluebellreel_site::{Site, SitePlan, chat_line};
+use bluebellreel_site::{Site, SitePlan, chat_line, wait_until};
 use bluebellreel_standins::expected_answer;
-use serde_json::Value;
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const WORKERS: usize = 12;
 const MODEL: &str = "rental-assistant";
 
 /// Workers that a daemon is connected to.
 fn connected(site: &Site, entry: usize) -> u64 {
-    let operator = site.operator(entry);
-    let (_, text) = operator
-        .send("GET", "/operator/v1/outcomes", &[], b"")
-        .expect("an answer");
-    let view: Value = serde_json::from_str(&text).expect("JSON");
+    let view = site.outcomes(entry).expect("an answer");
     view["changes_hold"]["workers"].as_u64().expect("a number")
 }
 
-/// Waits for something that must come about; how long is not judged here.
-fn until(mut holds: impl FnMut() -> bool) {
-    let end = Instant::now() + Duration::from_secs(30);
-    while !holds() {
-        assert!(Instant::now() < end, "it never came about");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
 /// With many workers each daemon holds connections to a few. People are served
 /// by those; a job gets all workers of its model, or it would crawl, and lets
 /// them go when it is done, without cutting anything.
@@ -43,7 +28,7 @@
     // The matcher of Sligo is connected to the four workers and the service
     // that stand there; the other daemon to two of the model, one of the
     // service, and one that it looks at.
-    until(|| (0..2).all(|entry| connected(&site, entry) <= 7));
+    wait_until(|| (0..2).all(|entry| connected(&site, entry) <= 7));
     let prompt = "fiddle size?";
     for entry in 0..2 {
         let answer = site.caller(entry).chat(prompt, 4).expect("an answer");
@@ -52,7 +37,7 @@
     let line = |n: u32| chat_line(&format!("n{n}"), MODEL, &format!("note {n}"), 8);
     let lines: Vec<String> = (0..6_000).map(line).collect();
     let job = site.caller(1).submit("wide", &lines).expect("accepted").id;
-    until(|| connected(&site, 1) >= WORKERS as u64);
+    wait_until(|| connected(&site, 1) >= WORKERS as u64);
     let over = site
         .caller(1)
         .wait(&job, Duration::from_mins(2))
@@ -64,5 +49,5 @@
             "worker {worker} had a share"
         );
     }
-    until(|| connected(&site, 1) <= 7);
+    wait_until(|| connected(&site, 1) <= 7);
 }
