--- a/crates/bluebellreel_entry/src/jobs/sweep.rs
+++ b/crates/bluebellreel_entry/src/jobs/sweep.rs
@@ -7,8 +7,8 @@
 use crate::jobs::store::{JobStorage, find_job};
 use crate::parts::Parts;
 use crate::platform::{
-    STOPPED, done_key, ended_prefix, entry_prefix, input_prefix, item_claim_prefix, job_inputs,
-    output_prefix, uploads_prefix,
+    STOPPED, done_key, ended_prefix, entry_prefix, input_prefix, item_claim_prefix, output_prefix,
+    uploads_prefix,
 };
 use bluebellreel_chunk::{ChunkFolder, ChunkStore};
 use bluebellreel_kv::{Key, KvClient, KvError};
@@ -195,18 +195,31 @@
         let Some(id) = found.key.as_str().split('/').nth(2) else {
             continue;
         };
-        remove_job(kv, &JobId::from(id))?;
+        remove_if_old(kv, &JobId::from(id), last)?;
         kv.delete_prefix(&found.key, kv.now() + REMOVE_TIME)?;
     }
     Ok(page.len())
 }
 
-fn remove_job(kv: &KvClient, id: &JobId) -> Result<(), KvError> {
+/// Removes a job, if it is still the one that ended by the day `last`.
+///
+/// A sweep that was cut off after it removed the record leaves its mark behind.
+/// The caller may have used the key again since: the new job has the same id,
+/// and must lose nothing by the old one's mark.
+fn remove_if_old(kv: &KvClient, id: &JobId, last: u64) -> Result<(), KvError> {
+    let Some(found) = find_job(kv, id)? else {
+        return Ok(());
+    };
+    let ended = found.record.ended_at;
+    if ended.is_none_or(|ended_at| day_of(ended_at) > last) {
+        return Ok(());
+    }
     log::info!(target: "jobs", job:% = id; "Job removed: kept long enough.");
+    let inputs = input_prefix(id, &found.record.upload);
     let all = [
         output_prefix(id),
         item_claim_prefix(id),
-        job_inputs(id),
+        inputs,
         done_key(id),
     ];
     for prefix in all {
@@ -230,6 +243,11 @@
     const LINE: &[u8] = br#"{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"m","messages":[{"role":"user","content":"a"}]}}"#;
     const KEEP: Duration = Duration::from_hours(24 * 2);
 
+    /// All input chunks of a job.
+    fn job_inputs(id: &JobId) -> Key {
+        Key::from(format!("in/{id}/"))
+    }
+
     struct Fixture {
         kv: KvClient,
         data: ChunkAccess,
@@ -350,4 +368,24 @@
         assert!(find_job(&fixture.kv, &running).expect("read").is_some());
         assert_eq!(fixture.inputs(&running), 1);
     }
+
+    /// A sweep was cut off after it had removed a job's record, but not the mark
+    /// of its end. The caller used the key again; the next sweep found the mark
+    /// and took the new, running job's notes away.
+    #[test]
+    fn key_used_again_loses_nothing_to_a_sweep_that_was_cut_off() {
+        let fixture = Fixture::new();
+        let job = fixture.submit("again");
+        let over = cancel_job(fixture.storage(), &job, fixture.clock.now());
+        assert!(matches!(over, CancelAnswer::Over(_)));
+        fixture.clock.advance(KEEP + Duration::from_hours(24));
+        for gone in [job_inputs(&job), done_key(&job)] {
+            let until = fixture.clock.now() + REMOVE_TIME;
+            fixture.kv.delete_prefix(&gone, until).expect("removed");
+        }
+        assert_eq!(fixture.submit("again"), job, "the same id");
+        fixture.sweep();
+        assert!(find_job(&fixture.kv, &job).expect("read").is_some());
+        assert_eq!(fixture.inputs(&job), 1);
+    }
 }
--- a/crates/bluebellreel_entry/src/platform/keys.rs
+++ b/crates/bluebellreel_entry/src/platform/keys.rs
@@ -89,11 +89,6 @@
     Key::from("in/")
 }
 
-/// All input chunks of a job.
-pub(crate) fn job_inputs(id: &JobId) -> Key {
-    Key::from(format!("in/{id}/"))
-}
-
 /// All input chunks of one upload.
 pub(crate) fn input_prefix(id: &JobId, upload: &str) -> Key {
     Key::from(format!("in/{id}/{upload}/"))
