--- /dev/null
+++ b/crates/bluebellreel_batch/src/keys.rs
@@ -0,0 +1,61 @@
+//! Names under which a job's parts are kept.
+
+use bluebellreel_types::JobId;
+use std::fmt;
+
+/// A key's text, to be turned into the client's key type by the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyText(String);
+
+impl KeyText {
+    /// The text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for KeyText {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Prefix of the index of open jobs.
+pub const OPEN: &str = "job/open/";
+
+/// A job's record.
+#[must_use]
+pub fn record(id: &JobId) -> KeyText {
+    KeyText(format!("job/rec/{id}"))
+}
+
+/// A job's place in the index of open jobs.
+#[must_use]
+pub fn open(id: &JobId) -> KeyText {
+    KeyText(format!("{OPEN}{id}"))
+}
+
+/// One chunk of a job's input.
+#[must_use]
+pub fn input(id: &JobId, chunk: usize) -> KeyText {
+    KeyText(format!("job/in/{id}/{chunk:05}"))
+}
+
+/// Prefix of all chunks of a job's input.
+#[must_use]
+pub fn inputs(id: &JobId) -> KeyText {
+    KeyText(format!("job/in/{id}/"))
+}
+
+/// One segment of a job's results.
+#[must_use]
+pub fn segment(id: &JobId, number: usize) -> KeyText {
+    KeyText(format!("job/out/{id}/{number:05}"))
+}
+
+/// Prefix of all segments of a job's results.
+#[must_use]
+pub fn segments(id: &JobId) -> KeyText {
+    KeyText(format!("job/out/{id}/"))
+}
--- /dev/null
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -0,0 +1,31 @@
+//! Batch jobs kept in a key-value service, decided without any I/O.
+//!
+//! A job is accepted when its record is created, together with its last chunk
+//! of input. The record names the owner; **every write to the job compares the
+//! record's revision**, so a take-over or a cancel ends every right of the
+//! owner before it. Results are appended in segments, each created under a
+//! number that must not be taken yet; once in a segment, a result never
+//! changes.
+//!
+//! ```
+//! use bluebellreel_batch::keys;
+//! use bluebellreel_types::JobId;
+//!
+//! let id = JobId::from("7c41");
+//! assert_eq!(keys::segment(&id, 2).as_str(), "job/out/7c41/00002");
+//! ```
+
+mod input;
+mod job;
+pub mod keys;
+mod progress;
+mod record;
+mod result;
+mod schedule;
+
+pub use input::{NewItem, decode_items, encode_items, split_input};
+pub use job::{Item, ItemEnd, ItemPhase, Job, Segment};
+pub use progress::{EventGap, Progress};
+pub use record::{JobPhase, JobRecord, Owner, RecordError};
+pub use result::{ItemResult, ResultState, decode_segment, encode_segment};
+pub use schedule::{Candidate, next_item};
--- /dev/null
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -0,0 +1,233 @@
+//! The slots of all workers, and who uses them.
+
+use crate::{Catalog, Class, Doubt, PeerLoad, Running, Ticket, WorkerRecord, WorkerState};
+use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Bounds of placement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlacementLimits {
+    /// Online requests that may wait at one worker beyond its slots.
+    ///
+    /// A slot of 8 comes free about every 90 ms where a run lasts 700 ms, so
+    /// the second in line waits some 180 ms and still meets an objective of
+    /// 300 ms; the third would not.
+    pub queued_per_worker: u32,
+}
+
+impl Default for PlacementLimits {
+    fn default() -> Self {
+        Self {
+            queued_per_worker: 2,
+        }
+    }
+}
+
+/// One worker with its load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seat {
+    /// What it says of itself.
+    pub record: WorkerRecord,
+    /// Our own runs there.
+    pub own: Running,
+    /// Runs of all peers there.
+    pub peers: Running,
+    /// How far it is trusted.
+    pub doubt: Doubt,
+}
+
+impl Seat {
+    /// All runs there.
+    #[must_use]
+    pub fn running(&self) -> Running {
+        Running {
+            online: self.own.online + self.peers.online,
+            batch: self.own.batch + self.peers.batch,
+        }
+    }
+
+    /// Slots that nothing uses.
+    #[must_use]
+    pub fn free(&self) -> u32 {
+        self.record.slots.saturating_sub(self.running().total())
+    }
+
+    /// Runs beyond the slots.
+    #[must_use]
+    pub fn excess(&self) -> u32 {
+        self.running().total().saturating_sub(self.record.slots)
+    }
+}
+
+/// The slots of all workers, and who uses them.
+#[derive(Clone, Debug)]
+pub struct Board {
+    /// Where this daemon stands.
+    pub local: DataCentre,
+    /// Bounds.
+    pub limits: PlacementLimits,
+    seats: BTreeMap<WorkerName, Seat>,
+    peers: BTreeMap<EntryName, PeerLoad>,
+}
+
+impl Board {
+    /// An empty board.
+    #[must_use]
+    pub fn new(local: DataCentre, limits: PlacementLimits) -> Self {
+        Self {
+            local,
+            limits,
+            seats: BTreeMap::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Follows the catalog. A worker that left it keeps its seat while runs of
+    /// ours are there, but takes nothing new.
+    pub fn follow(&mut self, catalog: &Catalog) {
+        let listed: BTreeMap<&WorkerName, &WorkerRecord> =
+            catalog.workers().map(|r| (&r.id, r)).collect();
+        self.seats.retain(|id, seat| {
+            if !listed.contains_key(id) {
+                seat.record.state = WorkerState::Draining;
+            }
+            listed.contains_key(id) || seat.own.total() > 0
+        });
+        for (id, record) in listed {
+            if let Some(seat) = self.seats.get_mut(id) {
+                seat.record = record.clone();
+                continue;
+            }
+            let seat = Seat {
+                record: record.clone(),
+                own: Running::default(),
+                peers: Running::default(),
+                doubt: Doubt::default(),
+            };
+            self.seats.insert(id.clone(), seat);
+        }
+        self.sum_peers();
+    }
+
+    /// All workers with their load.
+    pub fn seats(&self) -> impl Iterator<Item = &Seat> {
+        self.seats.values()
+    }
+
+    /// One worker with its load.
+    #[must_use]
+    pub fn seat(&self, id: &WorkerName) -> Option<&Seat> {
+        self.seats.get(id)
+    }
+
+    /// Workers of a service that take new work.
+    pub fn takers<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Seat> {
+        self.seats
+            .values()
+            .filter(move |s| &*s.record.service == service && s.record.state == WorkerState::Ready)
+    }
+
+    /// Counts a run at a worker.
+    pub fn start(&mut self, worker: &WorkerName, class: Class) -> Ticket {
+        if let Some(seat) = self.seats.get_mut(worker) {
+            match class {
+                Class::Online => seat.own.online += 1,
+                Class::Batch => seat.own.batch += 1,
+            }
+            seat.doubt.sent();
+        }
+        Ticket {
+            worker: worker.clone(),
+            class,
+        }
+    }
+
+    /// A run is over.
+    pub fn end(&mut self, ticket: &Ticket) {
+        let Some(seat) = self.seats.get_mut(&ticket.worker) else {
+            return;
+        };
+        let count = match ticket.class {
+            Class::Online => &mut seat.own.online,
+            Class::Batch => &mut seat.own.batch,
+        };
+        *count = count.saturating_sub(1);
+        seat.doubt.trial_over();
+    }
+
+    /// A run gave its first event or a whole answer.
+    pub fn succeeded(&mut self, worker: &WorkerName) {
+        if let Some(seat) = self.seats.get_mut(worker) {
+            seat.doubt.succeeded();
+        }
+    }
+
+    /// A run failed in a way that speaks against its worker.
+    pub fn failed(&mut self, worker: &WorkerName, now: Moment) {
+        if let Some(seat) = self.seats.get_mut(worker) {
+            seat.doubt.failed(now);
+        }
+    }
+
+    /// Takes a peer's word over, unless a newer one is known.
+    pub fn hear(&mut self, peer: &EntryName, load: PeerLoad) {
+        let known = self.peers.get(peer).map_or(0, |p| p.sequence);
+        if load.sequence <= known {
+            return;
+        }
+        self.peers.insert(peer.clone(), load);
+        self.sum_peers();
+    }
+
+    /// Stops counting peers that were not heard in time: their runs ended with
+    /// them, or will.
+    pub fn forget_silent(&mut self, now: Moment) {
+        let before = self.peers.len();
+        self.peers.retain(|_, load| !load.expires_at.is_past(now));
+        if self.peers.len() != before {
+            self.sum_peers();
+        }
+    }
+
+    /// Our own runs at each worker that has any.
+    pub fn own(&self) -> impl Iterator<Item = (&WorkerName, Running)> {
+        self.seats
+            .iter()
+            .filter(|(_, s)| s.own.total() > 0)
+            .map(|(id, s)| (id, s.own))
+    }
+
+    /// Names of the services that have a worker.
+    #[must_use]
+    pub fn serves(&self, service: &str) -> bool {
+        self.takers(service).next().is_some()
+    }
+
+    /// Services that have workers listed.
+    #[must_use]
+    pub fn services(&self) -> Vec<Arc<str>> {
+        let mut names: Vec<Arc<str>> = self
+            .seats
+            .values()
+            .map(|s| s.record.service.clone())
+            .collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    fn sum_peers(&mut self) {
+        for seat in self.seats.values_mut() {
+            seat.peers = Running::default();
+        }
+        for load in self.peers.values() {
+            for (id, running) in &load.running {
+                if let Some(seat) = self.seats.get_mut(id) {
+                    seat.peers.online += running.online;
+                    seat.peers.batch += running.batch;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_dispatch/src/catalog.rs
@@ -0,0 +1,182 @@
+//! Which workers there are, as the platform's store tells.
+//!
+//! Each fact carries the store's revision, and the higher one wins, whichever
+//! way it came: by a watch of our own, by a list, or told by a peer.
+
+use bluebellreel_types::{DataCentre, Moment, WorkerName};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Whether a worker takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WorkerState {
+    /// It takes requests.
+    Ready,
+    /// It leaves: nothing new may be sent to it.
+    Draining,
+}
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerRecord {
+    /// The worker; a restart is another one.
+    pub id: WorkerName,
+    /// The service that it serves.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: WorkerState,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Entry {
+    revision: i64,
+    record: Option<WorkerRecord>,
+    gone_at: Option<Moment>,
+}
+
+/// All workers with the revision of what is known of each.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Catalog {
+    entries: BTreeMap<WorkerName, Entry>,
+    revision: i64,
+}
+
+/// Removed entries that are remembered, so that an older fact does not bring a
+/// worker back.
+const REMEMBERED: usize = 4096;
+
+impl Catalog {
+    /// Revision up to which all changes are known.
+    #[must_use]
+    pub fn revision(&self) -> i64 {
+        self.revision
+    }
+
+    /// Takes a fact over; whether it was news.
+    pub fn put(&mut self, revision: i64, record: WorkerRecord) -> bool {
+        if self.is_old(&record.id, revision) {
+            return false;
+        }
+        let id = record.id.clone();
+        let entry = Entry {
+            revision,
+            record: Some(record),
+            gone_at: None,
+        };
+        let before = self.entries.insert(id, entry.clone());
+        before.is_none_or(|b| b.record != entry.record || b.gone_at.is_some())
+    }
+
+    /// A worker's entry is gone: it leaves, or it is dead.
+    pub fn remove(&mut self, revision: i64, id: &WorkerName) -> bool {
+        if self.is_old(id, revision) {
+            return false;
+        }
+        let entry = Entry {
+            revision,
+            record: None,
+            gone_at: None,
+        };
+        let before = self.entries.insert(id.clone(), entry);
+        self.forget_some();
+        before.is_some_and(|b| b.record.is_some())
+    }
+
+    /// All changes up to this revision are known.
+    pub fn seen_to(&mut self, revision: i64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes a complete list over: what it lacks is gone.
+    ///
+    /// After an outage of the store the entries of live workers may have
+    /// lapsed; they register again within about two seconds. `keep_until`
+    /// holds on to those that are missing until then, so that an outage that
+    /// has just ended does not leave the fleet without workers.
+    pub fn replace(
+        &mut self,
+        revision: i64,
+        list: Vec<(i64, WorkerRecord)>,
+        keep_until: Option<Moment>,
+    ) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        let mut changed = false;
+        let listed: Vec<WorkerName> = list.iter().map(|(_, r)| r.id.clone()).collect();
+        for (at, record) in list {
+            changed |= self.put(at, record);
+        }
+        let missing: Vec<WorkerName> = self
+            .entries
+            .iter()
+            .filter(|(id, e)| e.record.is_some() && e.revision <= revision && !listed.contains(id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            match (keep_until, self.entries.get_mut(&id)) {
+                (Some(until), Some(entry)) => {
+                    entry.gone_at.get_or_insert(until);
+                }
+                _ => changed |= self.remove(revision, &id),
+            }
+        }
+        self.seen_to(revision);
+        changed
+    }
+
+    /// Drops workers whose time to register again is over.
+    pub fn expire(&mut self, now: Moment) -> bool {
+        let mut changed = false;
+        for entry in self.entries.values_mut() {
+            if entry.gone_at.is_some_and(|at| at.is_past(now)) {
+                entry.record = None;
+                entry.gone_at = None;
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// All workers that are listed.
+    pub fn workers(&self) -> impl Iterator<Item = &WorkerRecord> {
+        self.entries.values().filter_map(|e| e.record.as_ref())
+    }
+
+    /// All facts, for a peer: removed ones without a record.
+    pub fn facts(&self) -> impl Iterator<Item = (i64, &WorkerName, Option<&WorkerRecord>)> {
+        self.entries
+            .iter()
+            .map(|(id, e)| (e.revision, id, e.record.as_ref()))
+    }
+
+    fn is_old(&self, id: &WorkerName, revision: i64) -> bool {
+        self.entries.get(id).is_some_and(|e| {
+            e.revision > revision || (e.revision == revision && e.gone_at.is_none())
+        })
+    }
+
+    fn forget_some(&mut self) {
+        let gone = self.entries.values().filter(|e| e.record.is_none()).count();
+        if gone <= REMEMBERED {
+            return;
+        }
+        let oldest = self
+            .entries
+            .iter()
+            .filter(|(_, e)| e.record.is_none())
+            .min_by_key(|(_, e)| e.revision)
+            .map(|(id, _)| id.clone());
+        if let Some(id) = oldest {
+            self.entries.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -0,0 +1,35 @@
+//! Where work goes, decided at the entry daemon.
+//!
+//! An engine runs as many requests as it has slots and admits in order of
+//! arrival. Every daemon keeps a [`Board`] of all slots: what it runs itself,
+//! what its peers say they run, and which workers it doubts. From that board
+//! [`place_online`] chooses a worker for a waiting caller, [`place_batch`] one
+//! for a batch item, and [`batch_to_yield`] tells which batch runs must make
+//! room. All of it is plain data and functions: no clock, no I/O.
+//!
+//! ```
+//! use bluebellreel_dispatch::{Board, Placement, PlacementLimits, Query, place_online};
+//! use bluebellreel_types::{DataCentre, Moment};
+//!
+//! let board = Board::new(DataCentre::from("sligo"), PlacementLimits::default());
+//! let query = Query { service: "assist", avoid: &[], now: Moment(0) };
+//! assert_eq!(place_online(&board, &query), Placement::NoWorker);
+//! ```
+
+mod board;
+mod catalog;
+mod doubt;
+mod peer;
+mod place;
+mod routes;
+mod ticket;
+
+pub use board::{Board, PlacementLimits, Seat};
+pub use catalog::{Catalog, WorkerRecord, WorkerState};
+pub use doubt::Doubt;
+pub use peer::{PeerLoad, Running};
+pub use place::{
+    BatchRun, Placement, Query, batch_to_yield, idle_slots, place_batch, place_online,
+};
+pub use routes::{CallerLimits, Configuration, Route, RouteKind, Service, Target};
+pub use ticket::{Class, Ticket};
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/answers.rs
@@ -0,0 +1,44 @@
+//! Answers of our own.
+
+use bluebellreel_net::Body;
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use std::time::Duration;
+
+/// A successful answer with a body.
+pub(crate) fn bytes(body: impl Into<Bytes>) -> Response<Body> {
+    Response::new(Body::full(body))
+}
+
+/// A successful JSON answer.
+pub(crate) fn json(body: impl Into<Bytes>) -> Response<Body> {
+    let mut answer = bytes(body);
+    let kind = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
+/// An answer with a status only.
+pub(crate) fn status(status: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(Body::full(Bytes::new()));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// A failure with its reason.
+pub(crate) fn failure(status: StatusCode, reason: &str) -> Response<Body> {
+    let mut answer = Response::new(Body::full(Bytes::from(format!("{reason}\n"))));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// A failure that says when to come back. With 429 and 503 it promises that
+/// the request has not run and never will.
+pub(crate) fn come_back(code: StatusCode, reason: &str, after: Duration) -> Response<Body> {
+    let mut answer = failure(code, reason);
+    let seconds = format!("{:.3}", after.as_secs_f64());
+    if let Ok(value) = HeaderValue::try_from(seconds) {
+        answer.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -0,0 +1,116 @@
+//! What one daemon holds; shared by all its tasks on the one thread.
+
+use crate::facts::Facts;
+use crate::jobs::Jobs;
+use crate::members::Members;
+use crate::metrics::Metrics;
+use crate::store::StoreClient;
+use bluebellreel_dispatch::{Board, Configuration, PlacementLimits};
+use bluebellreel_net::{Pool, PoolLimits};
+use bluebellreel_settings::GatewaySettings;
+use bluebellreel_types::{Clock, EntryName, Incarnation, Moment};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Longest wait for a connection to a worker: one takes some milliseconds;
+/// past this the worker is down, dark or flooded.
+const WORKER_CONNECT: Duration = Duration::from_millis(250);
+/// Idle time of worker connections that state none.
+const WORKER_IDLE: Duration = Duration::from_secs(4);
+/// Idle connections kept for one worker: its slots, and as many again.
+const WORKER_IDLE_COUNT: usize = 16;
+/// Longest wait for a connection to a peer.
+const PEER_CONNECT: Duration = Duration::from_millis(250);
+/// Idle time of peer connections.
+const PEER_IDLE: Duration = Duration::from_secs(4);
+/// Idle connections kept for one peer.
+const PEER_IDLE_COUNT: usize = 8;
+
+/// One daemon.
+pub(crate) struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) run: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) rng: RefCell<SmallRng>,
+    pub(crate) facts: RefCell<Facts>,
+    pub(crate) board: RefCell<Board>,
+    pub(crate) members: RefCell<Members>,
+    pub(crate) jobs: RefCell<Jobs>,
+    pub(crate) workers: Pool,
+    pub(crate) peers: Pool,
+    pub(crate) store: StoreClient,
+    pub(crate) metrics: Metrics,
+    /// Set from SIGTERM on.
+    pub(crate) stopping: Cell<bool>,
+    /// Requests of callers that are being answered.
+    pub(crate) in_progress: Cell<usize>,
+    /// Wakes the sender of reports to peers.
+    pub(crate) report_due: Notify,
+    /// Wakes the task that starts batch items.
+    pub(crate) batch_due: Notify,
+}
+
+impl Gateway {
+    pub(crate) fn new(settings: GatewaySettings) -> Rc<Self> {
+        let workers = Pool::new(PoolLimits {
+            connect: WORKER_CONNECT,
+            idle: WORKER_IDLE,
+            idle_per_address: WORKER_IDLE_COUNT,
+        });
+        let peers = Pool::new(PoolLimits {
+            connect: PEER_CONNECT,
+            idle: PEER_IDLE,
+            idle_per_address: PEER_IDLE_COUNT,
+        });
+        let board = Board::new(settings.data_centre.clone(), PlacementLimits::default());
+        Rc::new(Self {
+            run: Incarnation::random(),
+            clock: Clock::start(),
+            rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+            facts: RefCell::default(),
+            board: RefCell::new(board),
+            members: RefCell::default(),
+            jobs: RefCell::default(),
+            workers,
+            peers,
+            store: StoreClient::new(settings.store),
+            metrics: Metrics::default(),
+            stopping: Cell::new(false),
+            in_progress: Cell::new(0),
+            report_due: Notify::new(),
+            batch_due: Notify::new(),
+            settings,
+        })
+    }
+
+    pub(crate) fn me(&self) -> &EntryName {
+        &self.settings.name
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// The configuration in force; none before the first is known.
+    pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.facts.borrow().configuration()
+    }
+
+    /// Daemons that live, this one included.
+    pub(crate) fn alive(&self) -> Vec<EntryName> {
+        let mut alive = self.members.borrow().heard(self.now());
+        alive.push(self.me().clone());
+        alive.sort();
+        alive
+    }
+
+    /// Whether the balancer should send requests here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let knows_workers = self.board.borrow().seats().next().is_some();
+        !self.stopping.get() && self.configuration().is_some() && knows_workers
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -0,0 +1,308 @@
+//! Accepting a job once.
+//!
+//! A job is kept when its record is created. The write goes on when its caller
+//! has left, until it is decided: while it is in doubt the answer promises
+//! nothing, as "not run" would be untrue if it took effect later.
+
+use super::key;
+use super::own::{Accepted, OwnedJob};
+use super::quota;
+use crate::gateway::Gateway;
+use crate::online::millis;
+use crate::{answers, jobs};
+use bluebellreel_batch::{Job, JobPhase, JobRecord, NewItem, Owner, keys, split_input};
+use bluebellreel_dispatch::Route;
+use bluebellreel_kv::{Commit, Compare, Key, KeyValue, Put, Txn};
+use bluebellreel_net::Body;
+use bluebellreel_platform::{ingress, jobs as wire};
+use bluebellreel_types::JobId;
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use log::{info, warn};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+/// How long a write that is in doubt is repeated after its caller has left.
+const DECIDE: Duration = Duration::from_secs(30);
+/// Longest that a caller is kept while the store turns its job away. Past it
+/// the caller does better at another daemon.
+const TRY_STORE: Duration = Duration::from_millis(1200);
+/// When a caller should return whose job was not kept.
+const RETURN_AFTER: Duration = Duration::from_millis(400);
+/// When a caller should return whose job did not fit.
+const RETURN_WHEN_ROOM: Duration = Duration::from_millis(1200);
+/// Puts of one write: the store takes 32 entries.
+const CHUNKS_AT_ONCE: usize = 24;
+/// Share of the longest value that a chunk takes, in percent.
+const CHUNK_PERCENT: usize = 60;
+
+/// Answers a submission.
+pub(crate) async fn submit(
+    gw: &Rc<Gateway>,
+    route: &Arc<Route>,
+    head: &http::request::Parts,
+    body: &Bytes,
+    received: Instant,
+    deadline: Instant,
+) -> Response<Body> {
+    let id = JobId::from(ingress::request_id(&head.headers));
+    if id.as_str().is_empty() {
+        return answers::failure(StatusCode::BAD_REQUEST, "no id");
+    }
+    if gw.jobs.borrow().own.contains_key(&id) {
+        return kept(gw, &id, received, "known");
+    }
+    let underway = gw.jobs.borrow().submissions.get(&id).cloned();
+    let decided = if let Some(underway) = underway {
+        underway
+    } else {
+        let items = match wire::decode_job(body) {
+            Ok(items) => items,
+            Err(e) => {
+                warn!(target: "jobs", job:% = id, error:% = e; "job not read");
+                return answers::failure(StatusCode::BAD_REQUEST, &e.to_string());
+            }
+        };
+        let tokens: u64 = items.iter().map(|i| i.tokens).sum();
+        if !quota::fits(gw, route, tokens) {
+            return no_room(gw, &id, route, tokens).await;
+        }
+        begin(gw, &id, route, items, tokens)
+    };
+    await_decision(gw, &id, decided, received, deadline).await
+}
+
+/// A job that does not fit now may be one that was accepted before.
+async fn no_room(gw: &Gateway, id: &JobId, route: &Route, tokens: u64) -> Response<Body> {
+    let known = gw.store.read(&key(&keys::record(id))).await;
+    if let Ok(Some(_)) = known {
+        return answers::status(StatusCode::ACCEPTED);
+    }
+    let waiting = quota::tokens_waiting(gw, &route.name);
+    warn!(target: "jobs", job:% = id, route:% = route.name, tokens, waiting, quota = route.quota_tokens; "job does not fit");
+    gw.metrics.job("no_room");
+    if known.is_err() {
+        let reason = "store away";
+        return answers::come_back(StatusCode::BAD_GATEWAY, reason, RETURN_AFTER);
+    }
+    answers::come_back(StatusCode::TOO_MANY_REQUESTS, "no room", RETURN_WHEN_ROOM)
+}
+
+fn kept(gw: &Gateway, id: &JobId, received: Instant, how: &str) -> Response<Body> {
+    let took = received.elapsed();
+    gw.metrics.job("accepted");
+    gw.metrics.job_accepted.observe(took.as_secs_f64());
+    info!(target: "jobs", job:% = id, took_ms = millis(took), how; "job accepted");
+    answers::status(StatusCode::ACCEPTED)
+}
+
+async fn await_decision(
+    gw: &Gateway,
+    id: &JobId,
+    mut decided: watch::Receiver<Accepted>,
+    received: Instant,
+    deadline: Instant,
+) -> Response<Body> {
+    let outcome = timeout_at(deadline, decided.wait_for(|a| *a != Accepted::Open)).await;
+    let outcome = match outcome {
+        Ok(Ok(accepted)) => *accepted,
+        _ => Accepted::Open,
+    };
+    match outcome {
+        Accepted::Kept => kept(gw, id, received, "stored"),
+        Accepted::NotKept => {
+            warn!(target: "jobs", job:% = id; "job refused: store away");
+            gw.metrics.job("refused");
+            answers::come_back(StatusCode::SERVICE_UNAVAILABLE, "store away", RETURN_AFTER)
+        }
+        Accepted::Open => {
+            warn!(target: "jobs", job:% = id; "job in doubt");
+            gw.metrics.job("in_doubt");
+            answers::failure(StatusCode::GATEWAY_TIMEOUT, "not decided in time")
+        }
+    }
+}
+
+/// Starts the write; those who submit the same job meanwhile wait for it too.
+fn begin(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    route: &Arc<Route>,
+    items: Vec<NewItem>,
+    tokens: u64,
+) -> watch::Receiver<Accepted> {
+    let (tx, rx) = watch::channel(Accepted::Open);
+    let now = gw.now();
+    let record = JobRecord {
+        host: route.host.clone(),
+        route: route.name.clone(),
+        accepted_at: now,
+        due_at: now + route.job_objective,
+        items: items.len(),
+        tokens,
+        chunks: 0,
+        phase: JobPhase::Open,
+        owner: Owner {
+            entry: gw.me().clone(),
+            run: gw.run,
+        },
+    };
+    {
+        let mut jobs = gw.jobs.borrow_mut();
+        jobs.submissions.insert(id.clone(), rx.clone());
+        *jobs
+            .submitted_tokens
+            .entry(route.name.to_string())
+            .or_default() += tokens;
+    }
+    gw.report_due.notify_one();
+    let (gw, id) = (gw.clone(), id.clone());
+    tokio::task::spawn_local(async move {
+        let route_name = record.route.to_string();
+        let accepted = store(&gw, &id, record, items).await;
+        {
+            let mut jobs = gw.jobs.borrow_mut();
+            jobs.submissions.remove(&id);
+            if let Some(sum) = jobs.submitted_tokens.get_mut(&route_name) {
+                *sum = sum.saturating_sub(tokens);
+            }
+        }
+        gw.report_due.notify_one();
+        tx.send_replace(accepted);
+    });
+    rx
+}
+
+async fn store(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    mut record: JobRecord,
+    items: Vec<NewItem>,
+) -> Accepted {
+    let chunk_bytes = gw.settings.value_bytes / 100 * CHUNK_PERCENT;
+    let chunks = split_input(&items, chunk_bytes);
+    record.chunks = chunks.len();
+    let mut puts: Vec<Put> = chunks
+        .iter()
+        .enumerate()
+        .map(|(at, chunk)| {
+            put(
+                key(&keys::input(id, at)),
+                bluebellreel_batch::encode_items(chunk),
+            )
+        })
+        .collect();
+    // Chunks without a record are nobody's; only the record makes the job.
+    while chunk_weight(&puts) > chunk_bytes || puts.len() > CHUNKS_AT_ONCE {
+        let first = Txn {
+            puts: vec![puts.remove(0)],
+            ..Txn::default()
+        };
+        match gw.store.commit(&first, Instant::now() + TRY_STORE).await {
+            Commit::Applied { .. } => {}
+            other => {
+                warn!(target: "jobs", job:% = id, outcome:? = other; "input not stored");
+                return Accepted::NotKept;
+            }
+        }
+    }
+    let record_key = key(&keys::record(id));
+    puts.push(put(record_key.clone(), record.encode()));
+    puts.push(put(key(&keys::open(id)), Vec::new()));
+    let txn = Txn {
+        compares: vec![Compare::Absent(record_key.clone())],
+        puts,
+        ..Txn::default()
+    };
+    decide(gw, id, record, items, &txn, &record_key).await
+}
+
+fn chunk_weight(puts: &[Put]) -> usize {
+    puts.iter().map(|p| p.value.len()).sum()
+}
+
+fn put(key: Key, value: Vec<u8>) -> Put {
+    Put {
+        key,
+        value,
+        lease: 0,
+    }
+}
+
+/// Creates the record. A first try is short; once an answer was lost the write
+/// is repeated until it is decided.
+async fn decide(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    record: JobRecord,
+    items: Vec<NewItem>,
+    txn: &Txn,
+    record_key: &Key,
+) -> Accepted {
+    let mut outcome = gw.store.commit(txn, Instant::now() + TRY_STORE).await;
+    if let Commit::Unknown(reason) = &outcome {
+        warn!(target: "jobs", job:% = id, reason = reason.as_str(); "acceptance in doubt");
+        outcome = gw.store.commit(txn, Instant::now() + DECIDE).await;
+        // A later try that was surely not done does not settle the first one.
+        if let Commit::NotDone(reason) = outcome {
+            outcome = Commit::Unknown(reason);
+        }
+    }
+    match outcome {
+        Commit::Applied { revision } => {
+            own(gw, id, record, revision, items);
+            Accepted::Kept
+        }
+        Commit::Beaten(found) => {
+            let stored = stored_record(&found, record_key);
+            match stored {
+                Some((revision, stored)) if stored == record => {
+                    own(gw, id, record, revision, items);
+                }
+                Some((_, stored)) => gw.jobs.borrow_mut().note_owner(id, &stored),
+                None => {}
+            }
+            Accepted::Kept
+        }
+        Commit::NotDone(_) => Accepted::NotKept,
+        Commit::Unknown(_) => Accepted::Open,
+    }
+}
+
+/// The record among the keys that a failed guard showed.
+pub(super) fn stored_record(found: &[KeyValue], record_key: &Key) -> Option<(i64, JobRecord)> {
+    let kv = found.iter().find(|kv| kv.key == *record_key)?;
+    match JobRecord::try_from(kv.value.as_slice()) {
+        Ok(record) => Some((kv.revision, record)),
+        Err(e) => {
+            warn!(target: "jobs", key:% = record_key, error:% = e; "record not read");
+            None
+        }
+    }
+}
+
+fn own(gw: &Rc<Gateway>, id: &JobId, record: JobRecord, revision: i64, items: Vec<NewItem>) {
+    let job = Job::new(id.clone(), record, revision, items, Vec::new());
+    adopt(gw, job);
+}
+
+/// Begins to run a job that this daemon owns by the store's word.
+pub(super) fn adopt(gw: &Rc<Gateway>, job: Job) {
+    let id = job.id.clone();
+    let due_in = job.record.due_at.since(gw.now());
+    info!(target: "jobs", job:% = id, items = job.items.len(), listed = job.listed.len(), revision = job.revision, due_in_ms = millis(due_in); "job owned");
+    let owned = OwnedJob::new(job);
+    {
+        let mut jobs = gw.jobs.borrow_mut();
+        jobs.owners.remove(&id);
+        if jobs.own.insert(id.clone(), owned.clone()).is_some() {
+            jobs.end_runs(&id);
+        }
+    }
+    tokio::task::spawn_local(jobs::record::record_results(gw.clone(), owned));
+    gw.report_due.notify_one();
+    gw.batch_due.notify_one();
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/jobs/archive.rs
@@ -0,0 +1,53 @@
+//! Results of jobs that are over, kept for readers within a bound.
+
+use bluebellreel_batch::ItemResult;
+use bluebellreel_types::JobId;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Bytes of results kept. A small VM has some 100 MB; a day's results of one
+/// daemon are some megabytes.
+const BYTES: usize = 12 * 1024 * 1024;
+
+/// The final results of one job.
+pub(crate) struct Archived {
+    pub(crate) total: usize,
+    pub(crate) listed: Vec<ItemResult>,
+}
+
+impl Archived {
+    fn bytes(&self) -> usize {
+        self.listed.iter().map(|r| r.text.len() + r.id.len()).sum()
+    }
+}
+
+/// Jobs that are over; the ones added last are kept.
+#[derive(Default)]
+pub(crate) struct Archive {
+    jobs: HashMap<JobId, Rc<Archived>>,
+    order: VecDeque<JobId>,
+    bytes: usize,
+}
+
+impl Archive {
+    pub(crate) fn get(&self, id: &JobId) -> Option<Rc<Archived>> {
+        self.jobs.get(id).cloned()
+    }
+
+    pub(crate) fn add(&mut self, id: JobId, archived: Archived) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        self.bytes += archived.bytes();
+        self.order.push_back(id.clone());
+        self.jobs.insert(id, Rc::new(archived));
+        while self.bytes > BYTES && self.order.len() > 1 {
+            let Some(oldest) = self.order.pop_front() else {
+                return;
+            };
+            if let Some(gone) = self.jobs.remove(&oldest) {
+                self.bytes -= gone.bytes();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -0,0 +1,166 @@
+//! Handing jobs over when this daemon stops.
+
+use super::accept::adopt;
+use super::own::OwnedJob;
+use super::takeover::{heir, owner_txn};
+use super::{key, load};
+use crate::gateway::Gateway;
+use crate::{answers, peer_calls};
+use bluebellreel_batch::{ItemPhase, JobRecord, Owner, Progress, keys};
+use bluebellreel_kv::{Commit, Key};
+use bluebellreel_net::Body;
+use bluebellreel_types::JobId;
+use http::{Response, StatusCode};
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Longest that results under way may take to be recorded before their job is
+/// handed over without them.
+const RECORD: Duration = Duration::from_millis(1200);
+/// Time between looks whether they are.
+const LOOK: Duration = Duration::from_millis(25);
+/// How long a hand-over's write is repeated.
+const DECIDE: Duration = Duration::from_millis(1500);
+
+/// What an item had generated.
+#[derive(Serialize, Deserialize)]
+struct ItemProgress {
+    item: Arc<str>,
+    failures: u32,
+    last_id: u64,
+    events: u64,
+    text: String,
+}
+
+/// Hands all jobs over to peers that go on. Jobs that cannot be handed over
+/// are taken over by others once this daemon is gone.
+pub(crate) async fn hand_over_all(gw: &Rc<Gateway>) {
+    let all: Vec<Rc<OwnedJob>> = gw.jobs.borrow().own.values().cloned().collect();
+    let tasks = all
+        .into_iter()
+        .map(|owned| tokio::task::spawn_local(hand_over(gw.clone(), owned)));
+    for task in tasks.collect::<Vec<_>>() {
+        if let Err(e) = task.await {
+            warn!(target: "jobs", error:% = e; "hand-over ended early");
+        }
+    }
+}
+
+async fn hand_over(gw: Rc<Gateway>, owned: Rc<OwnedJob>) {
+    let id = owned.job.borrow().id.clone();
+    stop_items(&gw, &owned, &id);
+    let until = Instant::now() + RECORD;
+    owned.record_due.notify_one();
+    while owned.job.borrow().has_pending() && Instant::now() < until {
+        sleep(LOOK).await;
+    }
+    if !owned.job.borrow().is_open() || !gw.jobs.borrow().own.contains_key(&id) {
+        return;
+    }
+    let Some(to) = heir(&gw, &id, false) else {
+        warn!(target: "jobs", job:% = id; "nobody to hand the job over to");
+        return;
+    };
+    let peer = gw.members.borrow().alive(&to, gw.now()).cloned();
+    let Some(peer) = peer else {
+        return;
+    };
+    let (record, revision, progress) = {
+        let job = owned.job.borrow();
+        let record = JobRecord {
+            owner: Owner {
+                entry: to.clone(),
+                run: peer.run,
+            },
+            ..job.record.clone()
+        };
+        (record, job.revision, progress(&owned))
+    };
+    let txn = owner_txn(&id, &record, revision);
+    let outcome = gw.store.commit(&txn, Instant::now() + DECIDE).await;
+    let Commit::Applied { revision } = outcome else {
+        warn!(target: "jobs", job:% = id, outcome:? = outcome; "job not handed over");
+        return;
+    };
+    {
+        let mut jobs = gw.jobs.borrow_mut();
+        jobs.let_go(&id);
+        jobs.note_owner(&id, &record);
+    }
+    let told = peer_calls::hand_over(&gw, peer.calls, &id, progress).await;
+    info!(target: "jobs", job:% = id, peer:% = to, revision, told:? = told; "job handed over");
+}
+
+/// Ends the job's runs; their items keep what they have generated.
+fn stop_items(gw: &Gateway, owned: &OwnedJob, id: &JobId) {
+    gw.jobs.borrow_mut().end_runs(id);
+    let now = gw.now();
+    let mut job = owned.job.borrow_mut();
+    for item in &mut job.items {
+        if item.phase == ItemPhase::Running {
+            item.phase = ItemPhase::Waiting { from: now };
+        }
+    }
+}
+
+fn progress(owned: &OwnedJob) -> Vec<u8> {
+    let job = owned.job.borrow();
+    let begun = job.items.iter().filter_map(|item| {
+        Some(ItemProgress {
+            item: item.input.id.clone(),
+            failures: item.failures,
+            last_id: item.progress.last_id()?,
+            events: item.progress.events(),
+            text: item.progress.text().to_owned(),
+        })
+    });
+    let begun: Vec<ItemProgress> = begun.collect();
+    // Without it the items begin anew, which is right if slower.
+    postcard::to_allocvec(&begun).unwrap_or_default()
+}
+
+/// Takes a job that a peer has handed over.
+pub(crate) async fn take_hand_over(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    progress: &[u8],
+) -> Response<Body> {
+    let record_key: Key = key(&keys::record(id));
+    let loaded = match load::record(gw, id).await {
+        Ok(Some((revision, record))) if record.owner.run == gw.run => {
+            load::job(gw, id, record, revision).await
+        }
+        Ok(_) => return answers::failure(StatusCode::CONFLICT, "not the owner"),
+        Err(e) => Err(e),
+    };
+    let mut job = match loaded {
+        Ok(job) => job,
+        Err(e) => {
+            warn!(target: "jobs", key:% = record_key, error:% = e; "handed-over job not read");
+            gw.jobs.borrow().orphans_due.notify_one();
+            return answers::failure(StatusCode::SERVICE_UNAVAILABLE, "not read");
+        }
+    };
+    let begun: Vec<ItemProgress> = match postcard::from_bytes(progress) {
+        Ok(begun) => begun,
+        Err(e) => {
+            warn!(target: "jobs", job:% = id, error:% = e; "progress not read");
+            Vec::new()
+        }
+    };
+    for known in begun {
+        let item = job.items.iter_mut().find(|i| i.input.id == known.item);
+        if let Some(item) = item.filter(|i| i.phase != ItemPhase::Ended) {
+            item.failures = known.failures;
+            item.progress = Progress::restored(known.last_id, known.events, known.text);
+        }
+    }
+    if !gw.jobs.borrow().own.contains_key(id) {
+        adopt(gw, job);
+    }
+    answers::status(StatusCode::OK)
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -0,0 +1,55 @@
+//! Reading a job from the store.
+
+use super::key;
+use crate::gateway::Gateway;
+use bluebellreel_batch::{
+    ItemResult, Job, JobRecord, NewItem, RecordError, decode_items, decode_segment, keys,
+};
+use bluebellreel_kv::{Key, KvError};
+use bluebellreel_types::JobId;
+
+fn unreadable(e: &RecordError) -> KvError {
+    KvError::Refused(e.to_string())
+}
+
+/// A job's record and its revision; `None` if there is no such job.
+pub(super) async fn record(gw: &Gateway, id: &JobId) -> Result<Option<(i64, JobRecord)>, KvError> {
+    let Some(kv) = gw.store.read(&key(&keys::record(id))).await? else {
+        return Ok(None);
+    };
+    let record = JobRecord::try_from(kv.value.as_slice()).map_err(|e| unreadable(&e))?;
+    gw.jobs.borrow_mut().note_owner(id, &record);
+    Ok(Some((kv.revision, record)))
+}
+
+/// All recorded results of a job, by segment.
+pub(super) async fn segments(gw: &Gateway, id: &JobId) -> Result<Vec<Vec<ItemResult>>, KvError> {
+    let prefix = Key::from(keys::segments(id).as_str());
+    let (all, _) = gw.store.list(&prefix).await?;
+    all.iter()
+        .map(|kv| decode_segment(&kv.value).map_err(|e| unreadable(&e)))
+        .collect()
+}
+
+/// All items of a job.
+pub(super) async fn input(gw: &Gateway, id: &JobId) -> Result<Vec<NewItem>, KvError> {
+    let prefix = Key::from(keys::inputs(id).as_str());
+    let (all, _) = gw.store.list(&prefix).await?;
+    let mut items = Vec::new();
+    for kv in &all {
+        items.extend(decode_items(&kv.value).map_err(|e| unreadable(&e))?);
+    }
+    Ok(items)
+}
+
+/// A job as its record at this revision, its input and its segments make it.
+pub(super) async fn job(
+    gw: &Gateway,
+    id: &JobId,
+    record: JobRecord,
+    revision: i64,
+) -> Result<Job, KvError> {
+    let input = input(gw, id).await?;
+    let segments = segments(gw, id).await?;
+    Ok(Job::new(id.clone(), record, revision, input, segments))
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -0,0 +1,46 @@
+//! Batch jobs: accepted, run, recorded, read, ended, taken over.
+//!
+//! What a job is and when a result counts is decided in `bluebellreel_batch`;
+//! here it meets the store, the workers and the peers.
+
+mod accept;
+mod archive;
+mod cancel;
+mod hand_over;
+mod load;
+mod own;
+mod quota;
+mod read;
+mod record;
+mod runs;
+mod takeover;
+
+use crate::gateway::Gateway;
+use bluebellreel_batch::keys::KeyText;
+use bluebellreel_kv::Key;
+use bluebellreel_net::Body;
+use bluebellreel_platform::ingress::JobCall;
+use http::Response;
+use std::rc::Rc;
+
+pub(crate) use accept::submit;
+pub(crate) use cancel::{cancel_own, heard_cancelled};
+pub(crate) use hand_over::{hand_over_all, take_hand_over};
+pub(crate) use own::Jobs;
+pub(crate) use read::{body_of_own, read_own};
+pub(crate) use runs::{make_room, start_items};
+pub(crate) use takeover::adopt_orphans;
+
+/// Answers a call of a job's interface.
+pub(crate) async fn answer(gw: &Rc<Gateway>, call: JobCall) -> Response<Body> {
+    match call {
+        JobCall::Read { id, after, wait } => read::read(gw, &id, after, wait).await,
+        JobCall::ItemBody { id, item } => read::item_body(gw, &id, &item).await,
+        JobCall::End { id } => cancel::cancel(gw, &id).await,
+    }
+}
+
+/// A key of the store.
+fn key(text: &KeyText) -> Key {
+    Key::from(text.as_str())
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -0,0 +1,122 @@
+//! The jobs that this daemon owns.
+
+use bluebellreel_batch::{Job, JobRecord};
+use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use tokio::sync::{Notify, watch};
+use tokio::task::AbortHandle;
+
+use super::archive::Archive;
+
+/// One job, with what wakes those that wait for it.
+pub(crate) struct OwnedJob {
+    pub(crate) job: RefCell<Job>,
+    /// Wakes the task that records its results.
+    pub(crate) record_due: Notify,
+    /// Wakes readers.
+    pub(crate) listed: Notify,
+}
+
+impl OwnedJob {
+    pub(crate) fn new(job: Job) -> Rc<Self> {
+        Rc::new(Self {
+            job: RefCell::new(job),
+            record_due: Notify::new(),
+            listed: Notify::new(),
+        })
+    }
+}
+
+/// A run of an item at a worker.
+pub(crate) struct ItemRun {
+    pub(crate) worker: WorkerName,
+    pub(crate) due_at: Moment,
+    pub(crate) abort: AbortHandle,
+}
+
+/// Where a job is known to be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct KnownOwner {
+    pub(crate) entry: EntryName,
+    pub(crate) run: Incarnation,
+}
+
+/// How a submission came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Accepted {
+    /// Not decided yet.
+    Open,
+    /// The job is kept.
+    Kept,
+    /// It is certainly not kept, and never will be.
+    NotKept,
+}
+
+/// All jobs that this daemon knows of.
+#[derive(Default)]
+pub(crate) struct Jobs {
+    pub(crate) own: BTreeMap<JobId, Rc<OwnedJob>>,
+    pub(crate) runs: HashMap<(JobId, usize), ItemRun>,
+    /// Submissions on their way to the store.
+    pub(crate) submissions: HashMap<JobId, watch::Receiver<Accepted>>,
+    /// Tokens of submissions on their way, by route.
+    pub(crate) submitted_tokens: BTreeMap<String, u64>,
+    /// Owners of other jobs, as last read.
+    pub(crate) owners: HashMap<JobId, KnownOwner>,
+    pub(crate) archive: Archive,
+    /// Wakes the task that looks for jobs without an owner.
+    pub(crate) orphans_due: Rc<Notify>,
+}
+
+/// Owners remembered; each takes some hundred bytes.
+const OWNERS: usize = 8192;
+
+impl Jobs {
+    /// Remembers who owns a job.
+    pub(crate) fn note_owner(&mut self, id: &JobId, record: &JobRecord) {
+        if self.owners.len() >= OWNERS {
+            self.owners.clear();
+        }
+        let owner = KnownOwner {
+            entry: record.owner.entry.clone(),
+            run: record.owner.run,
+        };
+        self.owners.insert(id.clone(), owner);
+    }
+
+    /// Tokens that wait, by route.
+    pub(crate) fn tokens_by_route(&self) -> BTreeMap<String, u64> {
+        let mut tokens = self.submitted_tokens.clone();
+        for owned in self.own.values() {
+            let job = owned.job.borrow();
+            let left = job.tokens_left();
+            if left > 0 {
+                *tokens.entry(job.record.route.to_string()).or_default() += left;
+            }
+        }
+        tokens
+    }
+
+    /// Drops a job that another daemon owns now, or that is over, and ends its
+    /// runs.
+    pub(crate) fn let_go(&mut self, id: &JobId) -> Option<Rc<OwnedJob>> {
+        self.end_runs(id);
+        let owned = self.own.remove(id)?;
+        owned.record_due.notify_one();
+        owned.listed.notify_waiters();
+        Some(owned)
+    }
+
+    /// Ends all runs of a job's items.
+    pub(crate) fn end_runs(&mut self, id: &JobId) {
+        let of_job = |(job, _): &(JobId, usize)| job == id;
+        self.runs.retain(|key, run| {
+            if of_job(key) {
+                run.abort.abort();
+            }
+            !of_job(key)
+        });
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/jobs/record.rs
@@ -0,0 +1,144 @@
+//! Recording results: the only way for a result to count.
+
+use super::archive::Archived;
+use super::key;
+use super::own::OwnedJob;
+use crate::gateway::Gateway;
+use bluebellreel_batch::{Job, JobPhase, JobRecord, Segment, encode_segment, keys};
+use bluebellreel_kv::{Commit, Compare, KeyValue, Put, Txn};
+use bluebellreel_types::{JobId, Moment};
+use log::{info, warn};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// How long results gather before they are recorded. A write costs as much as
+/// a read; what is not recorded runs again if this daemon dies.
+const GATHER: Duration = Duration::from_secs(1);
+/// Time between looks at what gathers.
+const LOOK: Duration = Duration::from_millis(250);
+/// How long one round of repeating a write lasts.
+const ROUND: Duration = Duration::from_secs(5);
+/// Share of the longest value that a segment's texts take, in percent: JSON's
+/// escapes and the ids take the rest.
+const SEGMENT_PERCENT: usize = 40;
+
+/// Records a job's results until it is over or another daemon owns it.
+pub(crate) async fn record_results(gw: Rc<Gateway>, owned: Rc<OwnedJob>) {
+    let id = owned.job.borrow().id.clone();
+    while is_ours(&gw, &id, &owned) {
+        let segment = next_segment(&gw, &owned);
+        if let Some(segment) = segment {
+            write(&gw, &id, &owned, &segment).await;
+            continue;
+        }
+        // A timeout is the next look.
+        let _ = timeout(LOOK, owned.record_due.notified()).await;
+    }
+}
+
+/// Whether this daemon still owns the job and it can have more results.
+fn is_ours(gw: &Gateway, id: &JobId, owned: &Rc<OwnedJob>) -> bool {
+    let jobs = gw.jobs.borrow();
+    let same = jobs.own.get(id).is_some_and(|o| Rc::ptr_eq(o, owned));
+    same && owned.job.borrow().is_open()
+}
+
+fn next_segment(gw: &Gateway, owned: &OwnedJob) -> Option<Segment> {
+    let bytes = gw.settings.value_bytes / 100 * SEGMENT_PERCENT;
+    // A daemon that stops hands its jobs over and records what it has.
+    let gather = if gw.stopping.get() {
+        Duration::ZERO
+    } else {
+        GATHER
+    };
+    let mut job = owned.job.borrow_mut();
+    job.segment_to_write(|since: Moment| since + gather, gw.now(), bytes)
+}
+
+fn txn_of(job: &Job, segment: &Segment) -> Txn {
+    let record_key = key(&keys::record(&job.id));
+    let segment_key = key(&keys::segment(&job.id, segment.number));
+    let mut txn = Txn {
+        compares: vec![
+            Compare::Unchanged(record_key.clone(), job.revision),
+            Compare::Absent(segment_key.clone()),
+        ],
+        puts: vec![Put {
+            key: segment_key,
+            value: encode_segment(&segment.results),
+            lease: 0,
+        }],
+        ..Txn::default()
+    };
+    if segment.last {
+        let done = JobRecord {
+            phase: JobPhase::Done,
+            ..job.record.clone()
+        };
+        txn.puts.push(Put {
+            key: record_key,
+            value: done.encode(),
+            lease: 0,
+        });
+        txn.deletes.push(key(&keys::open(&job.id)));
+    }
+    txn
+}
+
+async fn write(gw: &Rc<Gateway>, id: &JobId, owned: &Rc<OwnedJob>, segment: &Segment) {
+    let txn = txn_of(&owned.job.borrow(), segment);
+    match gw.store.commit(&txn, Instant::now() + ROUND).await {
+        Commit::Applied { revision } => recorded(gw, id, owned, segment, revision),
+        Commit::Beaten(found) => match own_write(&found, &txn) {
+            Some(revision) => recorded(gw, id, owned, segment, revision),
+            None => lost(gw, id, &found),
+        },
+        Commit::NotDone(reason) | Commit::Unknown(reason) => {
+            warn!(target: "jobs", job:% = id, segment = segment.number, reason = reason.as_str(); "results not recorded yet");
+        }
+    }
+}
+
+/// The revision of our own write, if a try whose answer was lost has done it.
+fn own_write(found: &[KeyValue], txn: &Txn) -> Option<i64> {
+    let put = &txn.puts[0];
+    let kv = found.iter().find(|kv| kv.key == put.key)?;
+    (kv.value == put.value).then_some(kv.revision)
+}
+
+fn recorded(gw: &Rc<Gateway>, id: &JobId, owned: &OwnedJob, segment: &Segment, revision: i64) {
+    let (listed, done) = {
+        let mut job = owned.job.borrow_mut();
+        job.recorded(segment.last.then_some(revision));
+        (job.listed.len(), !job.is_open())
+    };
+    info!(target: "jobs", job:% = id, segment = segment.number, results = segment.results.len(), listed, done, revision; "results recorded");
+    if done {
+        let job = owned.job.borrow();
+        let archived = Archived {
+            total: job.items.len(),
+            listed: job.listed.clone(),
+        };
+        drop(job);
+        let mut jobs = gw.jobs.borrow_mut();
+        jobs.archive.add(id.clone(), archived);
+        jobs.let_go(id);
+    }
+    owned.listed.notify_waiters();
+    gw.report_due.notify_one();
+}
+
+/// Another daemon owns the job now, or it was ended.
+fn lost(gw: &Gateway, id: &JobId, found: &[KeyValue]) {
+    let record_key = key(&keys::record(id));
+    let stored = super::accept::stored_record(found, &record_key);
+    let mut jobs = gw.jobs.borrow_mut();
+    jobs.let_go(id);
+    if let Some((revision, record)) = stored {
+        warn!(target: "jobs", job:% = id, owner:% = record.owner.entry, run:% = record.owner.run, phase:? = record.phase, revision; "job lost");
+        jobs.note_owner(id, &record);
+    } else {
+        warn!(target: "jobs", job:% = id; "job lost");
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -0,0 +1,282 @@
+//! Running items at workers.
+
+use super::own::{ItemRun, OwnedJob};
+use crate::events::Events;
+use crate::gateway::Gateway;
+use crate::ticket::Place;
+use crate::upstream::{NoAnswer, Send, Upstream, send};
+use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
+use bluebellreel_dispatch::{BatchRun, Class, Query, Route, batch_to_yield, place_batch};
+use bluebellreel_net::Reuse;
+use bluebellreel_platform::engine::Outgoing;
+use bluebellreel_types::{JobId, Moment, WorkerName};
+use http::StatusCode;
+use log::{info, warn};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// Longest wait for the head of a worker's answer to an item.
+const HEAD: Duration = Duration::from_millis(900);
+/// Silence after which an item goes on at another worker.
+const SILENCE: Duration = Duration::from_millis(700);
+/// Rest of an item after a run that came to nothing, so that it does not go
+/// round workers that all refuse it.
+const REST: Duration = Duration::from_millis(120);
+
+/// Starts waiting items wherever a slot is free, for ever.
+pub(crate) async fn start_items(gw: Rc<Gateway>) {
+    /// Time between looks when nothing wakes the task.
+    const LOOK: Duration = Duration::from_millis(50);
+    loop {
+        // A timeout is the next look.
+        let _ = timeout(LOOK, gw.batch_due.notified()).await;
+        if !gw.stopping.get() {
+            fill_slots(&gw);
+        }
+    }
+}
+
+fn fill_slots(gw: &Rc<Gateway>) {
+    let mut full: BTreeSet<Arc<str>> = BTreeSet::new();
+    let alive = gw.alive();
+    while let Some(next) = choose_item(gw, &full) {
+        let query = Query {
+            service: &next.service,
+            avoid: &[],
+            now: gw.now(),
+        };
+        let worker = place_batch(&gw.board.borrow(), &query, gw.me(), &alive);
+        match worker {
+            Some(worker) => start(gw, next, &worker),
+            None => {
+                full.insert(next.service.clone());
+            }
+        }
+    }
+}
+
+/// An item to start and what it needs.
+struct Next {
+    owned: Rc<OwnedJob>,
+    job: JobId,
+    item: usize,
+    due_at: Moment,
+    route: Arc<Route>,
+    service: Arc<str>,
+}
+
+fn choose_item(gw: &Gateway, full: &BTreeSet<Arc<str>>) -> Option<Next> {
+    let now = gw.now();
+    let configuration = gw.configuration()?;
+    let jobs = gw.jobs.borrow();
+    let mut ruled_out: BTreeSet<JobId> = BTreeSet::new();
+    loop {
+        let open = jobs.own.iter().filter(|(id, _)| !ruled_out.contains(*id));
+        let borrowed: Vec<_> = open.map(|(_, owned)| owned.job.borrow()).collect();
+        let found = next_item(borrowed.iter().map(|j| &**j), now)?;
+        drop(borrowed);
+        let owned = jobs.own.get(&found.job)?.clone();
+        let wanted = {
+            let job = owned.job.borrow();
+            let input = &job.items[found.item].input;
+            let route = configuration.route(&job.record.host, &input.path).cloned();
+            route.map(|r| (r.service_for(&input.id), r))
+        };
+        match wanted {
+            Some((service, route)) if !full.contains(&service) => {
+                return Some(Next {
+                    owned,
+                    job: found.job,
+                    item: found.item,
+                    due_at: found.due_at,
+                    route,
+                    service,
+                });
+            }
+            _ => {
+                ruled_out.insert(found.job);
+            }
+        }
+    }
+}
+
+fn start(gw: &Rc<Gateway>, next: Next, worker: &WorkerName) {
+    let place = Place::take(gw, worker, Class::Batch);
+    next.owned.job.borrow_mut().items[next.item].phase = ItemPhase::Running;
+    let key = (next.job.clone(), next.item);
+    let due_at = next.due_at;
+    let task = tokio::task::spawn_local(run(gw.clone(), next, place));
+    let run = ItemRun {
+        worker: worker.clone(),
+        due_at,
+        abort: task.abort_handle(),
+    };
+    gw.jobs.borrow_mut().runs.insert(key, run);
+}
+
+async fn run(gw: Rc<Gateway>, next: Next, place: Place) {
+    let worker = place.worker().clone();
+    let (id, after) = {
+        let job = next.owned.job.borrow();
+        let item = &job.items[next.item];
+        (item.input.id.clone(), item.progress.last_id())
+    };
+    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, after:? = after; "item sent");
+    let end = run_at(&gw, &next, place, after).await;
+    let now = gw.now();
+    let key = (next.job.clone(), next.item);
+    gw.jobs.borrow_mut().runs.remove(&key);
+    let outcome = match &end {
+        ItemEnd::Completed => "completed",
+        ItemEnd::Impossible => "impossible",
+        ItemEnd::Failed => "failed",
+        ItemEnd::Interrupted(_) => "interrupted",
+    };
+    gw.metrics.item(outcome);
+    let mut job = next.owned.job.borrow_mut();
+    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, events = job.items[next.item].progress.events(), outcome; "item run ended");
+    job.end_run(next.item, end, next.route.max_workers, now);
+    drop(job);
+    next.owned.record_due.notify_one();
+    gw.batch_due.notify_one();
+}
+
+async fn run_at(gw: &Rc<Gateway>, next: &Next, place: Place, after: Option<u64>) -> ItemEnd {
+    let out = {
+        let job = next.owned.job.borrow();
+        let input = &job.items[next.item].input;
+        let host = &job.record.host;
+        Outgoing::of_item(
+            host,
+            &input.id,
+            &input.path,
+            &input.headers,
+            input.body.clone(),
+        )
+    };
+    let Some(out) = out else {
+        return ItemEnd::Impossible;
+    };
+    let worker = place.worker().clone();
+    let sent = send(
+        gw,
+        Send {
+            place,
+            out: &out,
+            left: None,
+            after,
+            reuse: Reuse::Any,
+            until: Instant::now() + HEAD,
+        },
+    )
+    .await;
+    match sent {
+        Ok(upstream) if upstream.head.status.is_success() => read_events(gw, next, upstream).await,
+        Ok(upstream) => of_status(gw, next, &upstream),
+        Err(e) => {
+            if e == NoAnswer::Silent {
+                gw.board.borrow_mut().failed(&worker, gw.now());
+            }
+            warn!(target: "jobs", job:% = next.job, worker:% = worker, outcome:? = e; "no answer to an item");
+            rest(gw)
+        }
+    }
+}
+
+fn of_status(gw: &Gateway, next: &Next, upstream: &Upstream) -> ItemEnd {
+    let status = upstream.head.status;
+    warn!(target: "jobs", job:% = next.job, worker:% = upstream.place.worker(), status = status.as_u16(); "item not done");
+    match status {
+        StatusCode::UNPROCESSABLE_ENTITY => ItemEnd::Impossible,
+        StatusCode::INTERNAL_SERVER_ERROR => ItemEnd::Failed,
+        _ => rest(gw),
+    }
+}
+
+fn rest(gw: &Gateway) -> ItemEnd {
+    ItemEnd::Interrupted(gw.now() + REST)
+}
+
+async fn read_events(gw: &Rc<Gateway>, next: &Next, mut upstream: Upstream) -> ItemEnd {
+    let mut events = Events::default();
+    loop {
+        match timeout(SILENCE, upstream.body.next()).await {
+            Ok(Ok(Some(bytes))) => {
+                events.push(&bytes);
+                if let Err(reason) = take_events(gw, next, &mut events, &upstream) {
+                    return interrupted(gw, next, &upstream, reason);
+                }
+            }
+            Ok(Ok(None)) if !events.has_rest() => return ItemEnd::Completed,
+            Ok(Ok(None) | Err(_)) => return interrupted(gw, next, &upstream, "broken off"),
+            Err(_) => return interrupted(gw, next, &upstream, "silent"),
+        }
+    }
+}
+
+fn take_events(
+    gw: &Gateway,
+    next: &Next,
+    events: &mut Events,
+    upstream: &Upstream,
+) -> Result<(), &'static str> {
+    let mut job = next.owned.job.borrow_mut();
+    let progress = progress_of(&mut job, next.item);
+    while let Some(event) = events.next() {
+        let Some(id) = event.id else {
+            continue;
+        };
+        if progress.push(id, &event.data).is_err() {
+            return Err("events do not follow");
+        }
+        gw.board.borrow_mut().succeeded(upstream.place.worker());
+    }
+    Ok(())
+}
+
+fn progress_of(job: &mut Job, item: usize) -> &mut bluebellreel_batch::Progress {
+    &mut job.items[item].progress
+}
+
+fn interrupted(gw: &Gateway, next: &Next, upstream: &Upstream, reason: &str) -> ItemEnd {
+    let worker = upstream.place.worker();
+    warn!(target: "jobs", job:% = next.job, worker:% = worker, reason; "item interrupted");
+    gw.board.borrow_mut().failed(worker, gw.now());
+    rest(gw)
+}
+
+/// Ends the batch runs that must make room now. Their items go on elsewhere.
+pub(crate) fn make_room(gw: &Gateway) {
+    let Ok(mut jobs) = gw.jobs.try_borrow_mut() else {
+        return;
+    };
+    if jobs.runs.is_empty() {
+        return;
+    }
+    let runs: Vec<BatchRun<(JobId, usize)>> = jobs
+        .runs
+        .iter()
+        .map(|(key, run)| BatchRun {
+            key: key.clone(),
+            worker: run.worker.clone(),
+            due_at: run.due_at,
+        })
+        .collect();
+    let yields = batch_to_yield(&gw.board.borrow(), &runs);
+    for key in yields {
+        let Some(run) = jobs.runs.remove(&key) else {
+            continue;
+        };
+        run.abort.abort();
+        gw.metrics.yields.inc();
+        if let Some(owned) = jobs.own.get(&key.0) {
+            let mut job = owned.job.borrow_mut();
+            let end = ItemEnd::Interrupted(gw.now());
+            job.end_run(key.1, end, u32::MAX, gw.now());
+            info!(target: "jobs", job:% = key.0, request:% = job.items[key.1].input.id, worker:% = run.worker; "item makes room");
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -0,0 +1,171 @@
+//! Taking over jobs whose owner is gone.
+
+use super::accept::{adopt, stored_record};
+use super::{key, load};
+use crate::gateway::Gateway;
+use bluebellreel_batch::{JobPhase, JobRecord, Owner, keys};
+use bluebellreel_kv::{Commit, Compare, Key, KvError, Put, Txn};
+use bluebellreel_types::{EntryName, JobId};
+use log::{info, warn};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+use twox_hash::XxHash64;
+
+/// Time between looks when nothing hints at a lost owner.
+const LOOK: Duration = Duration::from_secs(6);
+/// Time between looks while an owner is gone or this daemon is new.
+const LOOK_SOON: Duration = Duration::from_millis(900);
+/// Wait after the start for peers to be heard.
+const FIRST_LOOK: Duration = Duration::from_millis(1200);
+/// How long a take-over's write is repeated.
+const DECIDE: Duration = Duration::from_secs(3);
+
+/// Looks for jobs without an owner, for ever.
+pub(crate) async fn adopt_orphans(gw: Rc<Gateway>) {
+    let due = gw.jobs.borrow().orphans_due.clone();
+    sleep(FIRST_LOOK).await;
+    loop {
+        let more = match look(&gw).await {
+            Ok(left) => left > 0,
+            Err(e) => {
+                warn!(target: "jobs", error:% = e; "open jobs not listed");
+                true
+            }
+        };
+        let pause = if more { LOOK_SOON } else { LOOK };
+        if timeout(pause, due.notified()).await.is_ok() {
+            // Its peers may be silent for a moment longer than its entry.
+            sleep(LOOK_SOON).await;
+        }
+    }
+}
+
+/// Goes through all open jobs; gives the number of those whose owner is not
+/// here and that are not taken over yet.
+async fn look(gw: &Rc<Gateway>) -> Result<usize, KvError> {
+    if gw.stopping.get() {
+        return Ok(0);
+    }
+    let (open, _) = gw.store.list(&Key::from(keys::OPEN)).await?;
+    let mut left = 0;
+    for kv in open {
+        let Some(id) = kv.key.as_str().strip_prefix(keys::OPEN) else {
+            continue;
+        };
+        let id = JobId::from(id);
+        if gw.jobs.borrow().own.contains_key(&id) || has_owner(gw, &id) {
+            continue;
+        }
+        left += usize::from(!take_over(gw, &id).await?);
+    }
+    Ok(left)
+}
+
+/// Whether the owner last read is alive; saves reading the record.
+fn has_owner(gw: &Gateway, id: &JobId) -> bool {
+    let jobs = gw.jobs.borrow();
+    let Some(owner) = jobs.owners.get(id) else {
+        return false;
+    };
+    let members = gw.members.borrow();
+    let alive = members.alive(&owner.entry, gw.now());
+    alive.is_some_and(|p| p.run == owner.run)
+}
+
+/// Takes a job over if its owner is gone and this daemon is the one to do so;
+/// whether the job is in good hands.
+async fn take_over(gw: &Rc<Gateway>, id: &JobId) -> Result<bool, KvError> {
+    let Some((revision, record)) = load::record(gw, id).await? else {
+        return Ok(true);
+    };
+    if record.phase != JobPhase::Open {
+        return Ok(true);
+    }
+    let ours = record.owner.entry == *gw.me() && record.owner.run == gw.run;
+    if ours {
+        let job = load::job(gw, id, record, revision).await?;
+        adopt(gw, job);
+        return Ok(true);
+    }
+    let gone = is_gone(gw, &record.owner);
+    if !gone || !is_heir(gw, id) {
+        return Ok(!gone);
+    }
+    claim(gw, id, record, revision).await
+}
+
+fn is_gone(gw: &Gateway, owner: &Owner) -> bool {
+    if owner.entry == *gw.me() {
+        return true;
+    }
+    let members = gw.members.borrow();
+    members.is_gone(&owner.entry, owner.run, gw.now())
+}
+
+/// Whether this daemon takes a job over: the first by rendezvous of those that
+/// live and do not stop.
+fn is_heir(gw: &Gateway, id: &JobId) -> bool {
+    heir(gw, id, true).is_some_and(|name| name == *gw.me())
+}
+
+/// The daemon that should have a job.
+pub(super) fn heir(gw: &Gateway, id: &JobId, with_me: bool) -> Option<EntryName> {
+    let members = gw.members.borrow();
+    let now = gw.now();
+    let peers = members.peers.keys().filter(|name| {
+        let peer = members.alive(name, now);
+        peer.is_some_and(|p| !p.stopping)
+    });
+    let me = with_me.then(|| gw.me());
+    peers
+        .chain(me)
+        .max_by_key(|name| XxHash64::oneshot(0, format!("{id}/{name}").as_bytes()))
+        .cloned()
+}
+
+async fn claim(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    record: JobRecord,
+    revision: i64,
+) -> Result<bool, KvError> {
+    let before = record.owner.clone();
+    let record = JobRecord {
+        owner: Owner {
+            entry: gw.me().clone(),
+            run: gw.run,
+        },
+        ..record
+    };
+    let txn = owner_txn(id, &record, revision);
+    let taken = match gw.store.commit(&txn, Instant::now() + DECIDE).await {
+        Commit::Applied { revision } => Some(revision),
+        Commit::Beaten(found) => stored_record(&found, &key(&keys::record(id)))
+            .filter(|(_, stored)| *stored == record)
+            .map(|(revision, _)| revision),
+        Commit::NotDone(reason) => return Err(KvError::NotDone(reason)),
+        Commit::Unknown(reason) => return Err(KvError::Unknown(reason)),
+    };
+    let Some(revision) = taken else {
+        return Ok(false);
+    };
+    info!(target: "jobs", job:% = id, owner:% = before.entry, run:% = before.run, revision; "job taken over");
+    let job = load::job(gw, id, record, revision).await?;
+    adopt(gw, job);
+    Ok(true)
+}
+
+/// A write that makes the record's owner the job's owner.
+pub(super) fn owner_txn(id: &JobId, record: &JobRecord, revision: i64) -> Txn {
+    let record_key = key(&keys::record(id));
+    Txn {
+        compares: vec![Compare::Unchanged(record_key.clone(), revision)],
+        puts: vec![Put {
+            key: record_key,
+            value: record.encode(),
+            lease: 0,
+        }],
+        ..Txn::default()
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -0,0 +1,38 @@
+//! The gateway: an entry daemon that sends to workers directly.
+//!
+//! One process on each entry VM, one thread, one event loop. Callers' requests
+//! go straight to workers; batch jobs are kept in the platform's store and run
+//! by the daemon that owns them. Daemons tell each other what they run, so
+//! that none piles work on a worker that another has filled.
+//!
+//! The way of a request: [`run_gateway`] listens, `serve` tells calls apart,
+//! `online` chooses a worker and sends, `relay` passes events on; `jobs` holds
+//! what happens to batch jobs. Decisions are in `bluebellreel_dispatch` and
+//! `bluebellreel_batch`.
+//!
+//! ```no_run
+//! let settings = bluebellreel_settings::load_gateway("gateway.toml".as_ref()).unwrap();
+//! let clean = bluebellreel_gateway::run_gateway(settings).unwrap();
+//! assert!(clean);
+//! ```
+
+mod answers;
+mod events;
+mod facts;
+mod gateway;
+mod jobs;
+mod members;
+mod metrics;
+mod online;
+mod peer_api;
+mod peer_calls;
+mod registration;
+mod relay;
+mod reports;
+mod run;
+mod serve;
+mod store;
+mod ticket;
+mod upstream;
+
+pub use run::run_gateway;
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/members.rs
@@ -0,0 +1,153 @@
+//! The other daemons: who they are, when they were heard, what they said.
+
+use bluebellreel_types::{EntryName, Incarnation, Moment};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Silence after which a peer no longer counts as alive. It reports four times
+/// a second; a few reports are lost now and then.
+pub(crate) const SILENT: Duration = Duration::from_millis(1500);
+/// Silence after which a peer whose entry in the store still stands counts as
+/// gone: its entry cannot be seen to end while the store is away.
+const LONG_SILENT: Duration = Duration::from_secs(8);
+
+/// A daemon's entry in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MemberEntry {
+    pub(crate) run: Incarnation,
+    pub(crate) calls: SocketAddr,
+    pub(crate) reports: SocketAddr,
+}
+
+/// One peer.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    pub(crate) run: Incarnation,
+    /// Where it takes calls of peers.
+    pub(crate) calls: SocketAddr,
+    /// Where it takes reports.
+    pub(crate) reports: SocketAddr,
+    pub(crate) heard_at: Option<Moment>,
+    pub(crate) stopping: bool,
+    /// Whether its entry stands in the store, as far as is known.
+    pub(crate) registered: bool,
+    /// Tokens of its jobs that wait, by route.
+    pub(crate) tokens: BTreeMap<String, u64>,
+    /// Revisions of its facts: configuration, workers.
+    pub(crate) revisions: (i64, i64),
+}
+
+/// All peers.
+#[derive(Default)]
+pub(crate) struct Members {
+    pub(crate) peers: BTreeMap<EntryName, Peer>,
+    /// Jobs that were cancelled lately, with when that is forgotten.
+    pub(crate) cancelled: BTreeMap<String, Moment>,
+    regained_at: Option<Moment>,
+    revision: i64,
+}
+
+impl Members {
+    /// Peers that were heard lately.
+    pub(crate) fn heard(&self, now: Moment) -> Vec<EntryName> {
+        let alive = self.peers.iter().filter(|(_, p)| is_heard(p, now));
+        alive.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// A peer that is heard.
+    pub(crate) fn alive(&self, name: &EntryName, now: Moment) -> Option<&Peer> {
+        self.peers.get(name).filter(|p| is_heard(p, now))
+    }
+
+    /// Whether a run of a daemon is certainly not at work any more, or cannot
+    /// be reached by anybody: its jobs may be taken over.
+    pub(crate) fn is_gone(&self, name: &EntryName, run: Incarnation, now: Moment) -> bool {
+        let Some(peer) = self.peers.get(name) else {
+            return true;
+        };
+        if peer.run != run {
+            return true;
+        }
+        if is_heard(peer, now) {
+            return false;
+        }
+        let silent = |span| peer.heard_at.is_none_or(|at| (at + span).is_past(now));
+        !peer.registered || silent(LONG_SILENT)
+    }
+
+    /// Takes the entries of the store over, as listed at a revision.
+    pub(crate) fn listed(&mut self, list: Vec<(EntryName, MemberEntry)>, revision: i64) {
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
+        let names: BTreeSet<EntryName> = list.iter().map(|(n, _)| n.clone()).collect();
+        for (name, entry) in list {
+            self.registered(name, entry);
+        }
+        for (name, peer) in &mut self.peers {
+            peer.registered &= names.contains(name);
+        }
+    }
+
+    /// A daemon has an entry in the store.
+    pub(crate) fn registered(&mut self, name: EntryName, entry: MemberEntry) {
+        let known = self.peers.get_mut(&name);
+        match known {
+            Some(peer) if peer.run == entry.run => peer.registered = true,
+            // A peer that is heard under another run tells better than an
+            // entry that may be its last run's.
+            Some(peer) if peer.heard_at.is_some() && !peer.registered => {}
+            _ => {
+                let peer = Peer {
+                    run: entry.run,
+                    calls: entry.calls,
+                    reports: entry.reports,
+                    heard_at: None,
+                    stopping: false,
+                    registered: true,
+                    tokens: BTreeMap::new(),
+                    revisions: (0, 0),
+                };
+                self.peers.insert(name, peer);
+            }
+        }
+    }
+
+    /// A daemon's entry is gone from the store.
+    pub(crate) fn unregistered(&mut self, name: &EntryName) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.registered = false;
+        }
+    }
+
+    /// Forgets peers that neither stand in the store nor are heard.
+    pub(crate) fn sweep(&mut self, now: Moment) {
+        let keep = |peer: &Peer| {
+            let lately = peer
+                .heard_at
+                .is_some_and(|at| !(at + LONG_SILENT).is_past(now));
+            peer.registered || lately
+        };
+        self.peers.retain(|_, peer| keep(peer));
+        self.cancelled.retain(|_, until| !until.is_past(now));
+    }
+
+    /// The store answers again after an outage.
+    pub(crate) fn store_regained(&mut self, now: Moment) {
+        self.regained_at = Some(now);
+    }
+
+    /// Until when workers missing from the store are kept, if an outage has
+    /// ended less than `span` ago.
+    pub(crate) fn outage_ended_at(&self, now: Moment, span: Duration) -> Option<Moment> {
+        let until = self.regained_at? + span;
+        (!until.is_past(now)).then_some(until)
+    }
+}
+
+fn is_heard(peer: &Peer, now: Moment) -> bool {
+    peer.heard_at.is_some_and(|at| !(at + SILENT).is_past(now))
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -0,0 +1,252 @@
+//! One caller's request: chosen a worker, sent, answered.
+
+use crate::answers;
+use crate::gateway::Gateway;
+use crate::relay::Relay;
+use crate::ticket::Place;
+use crate::upstream::{NoAnswer, Send, Upstream, send};
+use bluebellreel_dispatch::{Class, Placement, Query, Route, RouteKind, place_online};
+use bluebellreel_net::{Body, Reuse};
+use bluebellreel_platform::engine::Outgoing;
+use bluebellreel_platform::ingress;
+use bluebellreel_types::WorkerName;
+use bytes::Bytes;
+use http::{Response, StatusCode, header};
+use log::{info, warn};
+use rand::RngExt;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest answer that is gathered before it is passed on.
+const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// How long a worker with a free slot may take to its first byte before a
+/// request that may be repeated goes elsewhere. An idle engine takes some
+/// 20 ms; a send elsewhere must still leave half of a 300 ms objective.
+const FIRST_BYTE: Duration = Duration::from_millis(130);
+/// Added for each request that waits before it: about the time in which one of
+/// a worker's slots comes free.
+const FIRST_BYTE_PER_WAITING: Duration = Duration::from_millis(110);
+/// Sends that nothing came of before a request is given up. Refusals by
+/// workers cost a round trip each.
+const MOST_REFUSALS: u32 = 4;
+/// Bounds of the time after which a refused caller should return: spread over
+/// a wave's length, so that callers do not return together.
+const RETURN_AFTER: (f64, f64) = (0.25, 1.2);
+
+/// A caller's request on its way.
+pub(crate) struct Request {
+    pub(crate) id: Arc<str>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    pub(crate) out: Outgoing,
+    /// When its answer is no longer wanted, or no longer allowed.
+    pub(crate) deadline: Instant,
+    pub(crate) received: Instant,
+    /// Workers that it was sent to.
+    pub(crate) tried: Vec<WorkerName>,
+    /// Sends that may have run.
+    pub(crate) runs: u32,
+}
+
+impl Request {
+    /// Whether it may be sent once more.
+    pub(crate) fn may_repeat(&self) -> bool {
+        let allowed = self.runs == 0 || self.route.repeatable();
+        allowed && self.runs < self.route.max_workers.max(1)
+    }
+
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Until when the first byte from a worker is waited for.
+    fn first_byte_until(&self, gw: &Gateway, worker: &WorkerName) -> Instant {
+        let last_try = self.runs + 1 >= self.route.max_workers.max(1);
+        if last_try || !self.route.repeatable() {
+            return self.deadline;
+        }
+        let waiting = gw
+            .board
+            .borrow()
+            .seat(worker)
+            .map_or(0, |s| s.running().online.saturating_sub(s.record.slots));
+        let wait = FIRST_BYTE + FIRST_BYTE_PER_WAITING * waiting;
+        (Instant::now() + wait).min(self.deadline)
+    }
+}
+
+/// Answers a caller.
+pub(crate) async fn answer(gw: Rc<Gateway>, mut req: Request) -> Response<Body> {
+    let mut refusals = 0;
+    loop {
+        if req.left().is_zero() {
+            return give_up(&gw, &req, "deadline passed");
+        }
+        let worker = match choose(&gw, &req) {
+            Placement::Send(worker) => worker,
+            Placement::Full => return give_up(&gw, &req, "all workers full"),
+            Placement::NoWorker => return give_up(&gw, &req, "no worker"),
+        };
+        match send_to(&gw, &mut req, &worker).await {
+            Ok(upstream) => match pass_on(&gw, req, upstream).await {
+                Ok(answer) => return answer,
+                Err(again) => req = again,
+            },
+            Err(NoAnswer::NotRun(_) | NoAnswer::Unsent(_)) => refusals += 1,
+            Err(NoAnswer::Unknown(_) | NoAnswer::Silent) => req.runs += 1,
+        }
+        if refusals >= MOST_REFUSALS || !req.may_repeat() {
+            return give_up(&gw, &req, "nothing came of its sends");
+        }
+    }
+}
+
+pub(crate) fn choose(gw: &Gateway, req: &Request) -> Placement {
+    let query = Query {
+        service: &req.service,
+        avoid: &req.tried,
+        now: gw.now(),
+    };
+    place_online(&gw.board.borrow(), &query)
+}
+
+/// Sends to a worker, and logs what decided it and what came of it.
+pub(crate) async fn send_to(
+    gw: &Rc<Gateway>,
+    req: &mut Request,
+    worker: &WorkerName,
+) -> Result<Upstream, NoAnswer> {
+    let until = req.first_byte_until(gw, worker);
+    log_choice(gw, req, worker);
+    req.tried.push(worker.clone());
+    let reuse = if req.route.repeatable() {
+        Reuse::Any
+    } else {
+        Reuse::Settled
+    };
+    let sent = send(
+        gw,
+        Send {
+            place: Place::take(gw, worker, Class::Online),
+            out: &req.out,
+            left: Some(req.left()),
+            after: None,
+            reuse,
+            until,
+        },
+    )
+    .await;
+    if let Err(e) = &sent {
+        if *e == NoAnswer::Silent && until < req.deadline {
+            gw.board.borrow_mut().failed(worker, gw.now());
+        }
+        warn!(target: "online", request:% = req.id, worker:% = worker, outcome:? = e, runs = req.runs; "no answer from worker");
+    }
+    sent
+}
+
+fn log_choice(gw: &Gateway, req: &Request, worker: &WorkerName) {
+    let board = gw.board.borrow();
+    let Some(seat) = board.seat(worker) else {
+        return;
+    };
+    let running = seat.running();
+    info!(
+        target: "online",
+        request:% = req.id,
+        route:% = req.route.name,
+        worker:% = worker,
+        online = running.online,
+        batch = running.batch,
+        slots = seat.record.slots,
+        tried = req.tried.len(),
+        left_ms = millis(req.left());
+        "sent"
+    );
+}
+
+/// Passes a worker's answer on, or hands the request back to be sent once
+/// more.
+async fn pass_on(
+    gw: &Rc<Gateway>,
+    mut req: Request,
+    mut upstream: Upstream,
+) -> Result<Response<Body>, Request> {
+    let status = upstream.head.status;
+    let failed = status.is_server_error();
+    req.runs += 1;
+    if failed && req.route.repeatable() && req.may_repeat() {
+        gw.board
+            .borrow_mut()
+            .failed(upstream.place.worker(), gw.now());
+        return Err(req);
+    }
+    if req.route.kind == RouteKind::Stream && status.is_success() {
+        return Ok(stream(gw, req, upstream));
+    }
+    let body = tokio::time::timeout_at(req.deadline, upstream.body.whole(ANSWER_BYTES)).await;
+    let Ok(Ok(body)) = body else {
+        gw.board
+            .borrow_mut()
+            .failed(upstream.place.worker(), gw.now());
+        return Err(req);
+    };
+    if !failed {
+        gw.board.borrow_mut().succeeded(upstream.place.worker());
+    }
+    gw.metrics
+        .request(if failed { "worker_failed" } else { "served" });
+    info!(target: "online", request:% = req.id, worker:% = upstream.place.worker(), status = status.as_u16(); "answered");
+    Ok(whole(&upstream.head, body))
+}
+
+fn whole(head: &http::response::Parts, body: Bytes) -> Response<Body> {
+    let mut answer = Response::new(Body::full(body));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = ingress::end_to_end(&head.headers);
+    answer.headers_mut().remove(header::CONTENT_LENGTH);
+    answer
+}
+
+fn stream(gw: &Rc<Gateway>, req: Request, upstream: Upstream) -> Response<Body> {
+    let mut headers = ingress::end_to_end(&upstream.head.headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let status = upstream.head.status;
+    let relay = Relay::new(gw.clone(), req, upstream);
+    let mut answer = Response::new(Body::stream(relay.into_stream()));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+/// The final answer to a request that nothing more is tried for.
+fn give_up(gw: &Gateway, req: &Request, reason: &str) -> Response<Body> {
+    let held = millis(req.received.elapsed());
+    let mut answer = if req.runs == 0 {
+        gw.metrics.request("refused");
+        let after = gw
+            .rng
+            .borrow_mut()
+            .random_range(RETURN_AFTER.0..RETURN_AFTER.1);
+        answers::come_back(
+            StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            Duration::from_secs_f64(after),
+        )
+    } else if req.left().is_zero() {
+        gw.metrics.request("timed_out");
+        answers::failure(StatusCode::GATEWAY_TIMEOUT, reason)
+    } else {
+        gw.metrics.request("failed");
+        answers::failure(StatusCode::BAD_GATEWAY, reason)
+    };
+    warn!(target: "online", request:% = req.id, route:% = req.route.name, status = answer.status().as_u16(), runs = req.runs, tried = req.tried.len(), held_ms = held, reason; "given up");
+    ingress::set_request_id(answer.headers_mut(), &req.id);
+    answer
+}
+
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -0,0 +1,56 @@
+//! What peers may call.
+
+use crate::answers;
+use crate::gateway::Gateway;
+use crate::jobs;
+use bluebellreel_net::{Body, read_body};
+use bluebellreel_types::JobId;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest body of a peer's call.
+const BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Longest wait for it.
+const BODY_TIME: Duration = Duration::from_secs(2);
+
+/// Answers a peer.
+pub(crate) async fn answer(gw: Rc<Gateway>, req: Request<Incoming>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (req.method(), parts.as_slice()) {
+        (&Method::GET, ["facts"]) => match postcard::to_allocvec(&gw.facts.borrow().share()) {
+            Ok(bytes) => answers::bytes(bytes),
+            Err(e) => answers::failure(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+        },
+        (&Method::GET, ["jobs", id, "results"]) => {
+            let after = number(&req, "after");
+            let wait = Duration::from_millis(number(&req, "wait_ms"));
+            let after = usize::try_from(after).unwrap_or(usize::MAX);
+            jobs::read_own(&gw, &JobId::from(*id), after, wait).await
+        }
+        (&Method::GET, ["jobs", id, "items", item]) => {
+            jobs::body_of_own(&gw, &JobId::from(*id), item)
+        }
+        (&Method::DELETE, ["jobs", id]) => jobs::cancel_own(&gw, &JobId::from(*id)).await,
+        (&Method::PUT, ["jobs", id, "owner"]) => {
+            let id = JobId::from(*id);
+            match read_body(req.into_body(), BODY_BYTES, BODY_TIME).await {
+                Ok(Some(progress)) => jobs::take_hand_over(&gw, &id, &progress).await,
+                _ => answers::failure(StatusCode::BAD_REQUEST, "no body"),
+            }
+        }
+        _ => answers::failure(StatusCode::NOT_FOUND, "no such call"),
+    }
+}
+
+fn number(req: &Request<Incoming>, name: &str) -> u64 {
+    let query = req.uri().query().unwrap_or("");
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(n, _)| *n == name)
+        .and_then(|(_, v)| v.parse().ok())
+        .unwrap_or(0)
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -0,0 +1,105 @@
+//! Calls to peers.
+
+use crate::facts::SharedFacts;
+use crate::gateway::Gateway;
+use bluebellreel_net::Reuse;
+use bluebellreel_types::JobId;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Longest wait for a peer that should answer at once.
+const TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest answer read.
+const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Why a peer gave no answer.
+pub(crate) type PeerError = String;
+
+async fn call(
+    gw: &Gateway,
+    to: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+    longest: Duration,
+) -> Result<(StatusCode, Bytes), PeerError> {
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = method;
+    *req.uri_mut() = path.parse().map_err(|_| format!("path {path}"))?;
+    let host = http::HeaderValue::try_from(to.to_string()).map_err(|e| e.to_string())?;
+    req.headers_mut().insert(http::header::HOST, host);
+    let sent = async {
+        let mut reply = gw
+            .peers
+            .send(to, req, Reuse::Any)
+            .await
+            .map_err(|e| e.to_string())?;
+        let body = reply.body.whole(ANSWER_BYTES).await;
+        Ok((reply.head.status, body.map_err(|e| e.to_string())?))
+    };
+    timeout(longest, sent)
+        .await
+        .unwrap_or_else(|_| Err("no answer in time".into()))
+}
+
+/// All facts that a peer knows.
+pub(crate) async fn facts(gw: &Gateway, to: SocketAddr) -> Result<SharedFacts, PeerError> {
+    let (status, body) = call(gw, to, Method::GET, "/facts", Bytes::new(), TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    postcard::from_bytes(&body).map_err(|e| e.to_string())
+}
+
+/// Results of a job that the peer owns, in the form that callers get.
+pub(crate) async fn results(
+    gw: &Gateway,
+    to: SocketAddr,
+    id: &JobId,
+    after: usize,
+    wait: Duration,
+) -> Result<(StatusCode, Bytes), PeerError> {
+    let path = format!(
+        "/jobs/{id}/results?after={after}&wait_ms={}",
+        wait.as_millis()
+    );
+    call(gw, to, Method::GET, &path, Bytes::new(), TIMEOUT + wait).await
+}
+
+/// Body of an item of a job that the peer owns.
+pub(crate) async fn item_body(
+    gw: &Gateway,
+    to: SocketAddr,
+    id: &JobId,
+    item: &str,
+) -> Result<(StatusCode, Bytes), PeerError> {
+    let path = format!("/jobs/{id}/items/{item}");
+    call(gw, to, Method::GET, &path, Bytes::new(), TIMEOUT).await
+}
+
+/// Ends a job that the peer owns.
+pub(crate) async fn cancel(
+    gw: &Gateway,
+    to: SocketAddr,
+    id: &JobId,
+) -> Result<(StatusCode, Bytes), PeerError> {
+    let path = format!("/jobs/{id}");
+    call(gw, to, Method::DELETE, &path, Bytes::new(), TIMEOUT).await
+}
+
+/// Tells a peer that it owns a job now, and what its items had generated.
+pub(crate) async fn hand_over(
+    gw: &Gateway,
+    to: SocketAddr,
+    id: &JobId,
+    progress: Vec<u8>,
+) -> Result<StatusCode, PeerError> {
+    let path = format!("/jobs/{id}/owner");
+    let body = Bytes::from(progress);
+    let (status, _) = call(gw, to, Method::PUT, &path, body, TIMEOUT).await?;
+    Ok(status)
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -0,0 +1,148 @@
+//! This daemon's entry in the store, and those of the others.
+//!
+//! The entry stands under a lease. It can vanish without any call telling, so
+//! the daemon watches its own entry like the others' and writes it again.
+
+use crate::facts::{Change, watch_prefix};
+use crate::gateway::Gateway;
+use crate::members::MemberEntry;
+use bluebellreel_kv::{Commit, Key, KeyValue, KvError, Put, Txn, WatchEvent};
+use bluebellreel_types::EntryName;
+use log::{info, warn};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Prefix of all daemons' entries.
+const MEMBERS: &str = "member/";
+/// Time to live of a daemon's entry. Short, as a dead daemon's jobs wait for
+/// it to end; a renewal costs a tenth of a read.
+const TTL: Duration = Duration::from_millis(2500);
+/// Time between renewals: three within the time to live.
+const RENEWAL: Duration = Duration::from_millis(800);
+/// Pause after a call that failed.
+const RETRY: Duration = Duration::from_millis(300);
+
+thread_local! {
+    /// The lease in use; zero for none.
+    static LEASE: Cell<i64> = const { Cell::new(0) };
+}
+
+fn own_key(gw: &Gateway) -> Key {
+    Key::from(format!("{MEMBERS}{}", gw.me()))
+}
+
+/// Keeps this daemon's entry in the store until it stops.
+pub(crate) async fn keep_registered(gw: Rc<Gateway>) {
+    while !gw.stopping.get() {
+        let lease = match register(&gw).await {
+            Ok(lease) => lease,
+            Err(e) => {
+                warn!(target: "members", error:% = e; "not registered");
+                sleep(RETRY).await;
+                continue;
+            }
+        };
+        LEASE.set(lease);
+        info!(target: "members", lease; "registered");
+        renew_while_it_lasts(&gw, lease).await;
+    }
+}
+
+async fn renew_while_it_lasts(gw: &Rc<Gateway>, lease: i64) {
+    while LEASE.get() == lease && !gw.stopping.get() {
+        sleep(RENEWAL).await;
+        match gw.store.renew(lease).await {
+            Ok(true) => {}
+            Ok(false) => {
+                warn!(target: "members", lease; "lease has ended");
+                return;
+            }
+            Err(e) => warn!(target: "members", lease, error:% = e; "lease not renewed"),
+        }
+    }
+}
+
+async fn register(gw: &Rc<Gateway>) -> Result<i64, KvError> {
+    let ttl = TTL.max(gw.settings.shortest_lease);
+    let lease = gw.store.lease(ttl).await?;
+    let entry = MemberEntry {
+        run: gw.run,
+        calls: gw.settings.peers,
+        reports: gw.settings.reports,
+    };
+    let value = serde_json::to_vec(&entry).map_err(|e| KvError::Refused(e.to_string()))?;
+    // Unguarded: the newest run of a name is the one that lives.
+    let txn = Txn {
+        puts: vec![Put {
+            key: own_key(gw),
+            value,
+            lease: lease.id,
+        }],
+        ..Txn::default()
+    };
+    match gw.store.commit(&txn, Instant::now() + ttl).await {
+        Commit::Applied { .. } => Ok(lease.id),
+        Commit::Beaten(_) => Err(KvError::NotDone("guard failed".into())),
+        Commit::NotDone(reason) => Err(KvError::NotDone(reason)),
+        Commit::Unknown(reason) => Err(KvError::Unknown(reason)),
+    }
+}
+
+/// Gives the lease back, so that the others learn of the stop at once.
+pub(crate) async fn unregister(gw: &Gateway) {
+    let lease = LEASE.take();
+    if lease == 0 {
+        return;
+    }
+    if let Err(e) = gw.store.release(lease).await {
+        warn!(target: "members", lease, error:% = e; "lease not given back");
+    }
+}
+
+/// Follows the entries of all daemons.
+pub(crate) async fn watch_members(gw: Rc<Gateway>) {
+    watch_prefix(gw, Key::from(MEMBERS), |gw, change| match change {
+        Change::All(all, revision) => {
+            let own = all.iter().any(|kv| kv.key == own_key(gw));
+            let list = all.iter().filter_map(|kv| read_member(gw, kv)).collect();
+            gw.members.borrow_mut().listed(list, revision);
+            if !own {
+                LEASE.set(0);
+            }
+        }
+        Change::One(WatchEvent::Put(kv)) => {
+            if let Some((name, entry)) = read_member(gw, &kv) {
+                info!(target: "members", peer:% = name, run:% = entry.run, revision = kv.revision; "peer registered");
+                gw.members.borrow_mut().registered(name, entry);
+            }
+        }
+        Change::One(WatchEvent::Deleted { key, revision }) => {
+            if key == own_key(gw) {
+                warn!(target: "members", revision; "own entry has vanished, registering again");
+                LEASE.set(0);
+            } else if let Some(name) = key.as_str().strip_prefix(MEMBERS) {
+                info!(target: "members", peer = name, revision; "peer no longer registered");
+                gw.members.borrow_mut().unregistered(&EntryName::from(name));
+                gw.jobs.borrow().orphans_due.notify_one();
+            }
+        }
+        Change::SeenTo(_) => {}
+    })
+    .await;
+}
+
+fn read_member(gw: &Gateway, kv: &KeyValue) -> Option<(EntryName, MemberEntry)> {
+    let name = EntryName::from(kv.key.as_str().strip_prefix(MEMBERS)?);
+    if name == *gw.me() {
+        return None;
+    }
+    match serde_json::from_slice(&kv.value) {
+        Ok(entry) => Some((name, entry)),
+        Err(e) => {
+            warn!(target: "members", peer:% = name, error:% = e; "entry not read");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -0,0 +1,233 @@
+//! Passing a worker's events on as they come, across workers where the route
+//! allows it.
+//!
+//! Only whole events are passed on and their ids must follow each other, so
+//! that a stream can go on at another worker after any event. A stream that
+//! cannot be finished is broken off visibly.
+
+use crate::events::Events;
+use crate::gateway::Gateway;
+use crate::online::{Request, choose, millis};
+use crate::ticket::Place;
+use crate::upstream::{NoAnswer, Send, Upstream, send};
+use bluebellreel_dispatch::{Class, Placement};
+use bluebellreel_net::{Broken, Reuse};
+use bluebellreel_types::WorkerName;
+use bytes::{Bytes, BytesMut};
+use futures::Stream;
+use log::{info, warn};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Silence after which a stream goes on at another worker. Events come some
+/// 30 ms apart and a pause is late from 300 ms on: noticed after half of it,
+/// the other worker still brings its first event in time.
+const SILENCE: Duration = Duration::from_millis(150);
+/// How long a worker may take to the first event of a stream that goes on.
+const RESUMED_FIRST: Duration = Duration::from_millis(250);
+/// Silence of other workers, too, is a sign that this process was paused: what
+/// has arrived meanwhile is read before a worker is doubted.
+const LAST_LOOK: Duration = Duration::from_millis(12);
+
+/// What the worker's body brought.
+enum Brought {
+    Bytes(Bytes),
+    End,
+    Broken,
+    Silent,
+    DeadlinePassed,
+}
+
+/// A stream on its way to a caller.
+pub(crate) struct Relay {
+    gw: Rc<Gateway>,
+    req: Request,
+    upstream: Upstream,
+    events: Events,
+    last_id: Option<u64>,
+    passed: u64,
+    quiet_until: Instant,
+    over: bool,
+}
+
+impl Relay {
+    pub(crate) fn new(gw: Rc<Gateway>, req: Request, upstream: Upstream) -> Self {
+        let quiet_until = first_event_until(&gw, upstream.place.worker());
+        let last_id = bluebellreel_platform::ingress::last_event_id(&req.out.headers);
+        Self {
+            gw,
+            req,
+            upstream,
+            events: Events::default(),
+            last_id,
+            passed: 0,
+            quiet_until,
+            over: false,
+        }
+    }
+
+    /// The events as a stream of bytes.
+    pub(crate) fn into_stream(self) -> impl Stream<Item = Result<Bytes, Broken>> {
+        futures::stream::unfold(self, |mut relay| async {
+            let piece = relay.next().await?;
+            Some((piece, relay))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        if self.over {
+            return None;
+        }
+        loop {
+            let whole = match self.whole_events() {
+                Ok(whole) => whole,
+                Err(reason) => {
+                    if self.go_on(reason).await {
+                        continue;
+                    }
+                    return Some(self.break_off(reason));
+                }
+            };
+            if !whole.is_empty() {
+                return Some(Ok(whole));
+            }
+            match self.bring().await {
+                Brought::Bytes(bytes) => self.events.push(&bytes),
+                Brought::End if !self.events.has_rest() => {
+                    self.finish();
+                    return None;
+                }
+                Brought::End | Brought::Broken => {
+                    if !self.go_on("broken off by the worker").await {
+                        return Some(self.break_off("broken off by the worker"));
+                    }
+                }
+                Brought::Silent => {
+                    if !self.go_on("worker silent").await {
+                        self.quiet_until = self.req.deadline;
+                    }
+                }
+                Brought::DeadlinePassed => return Some(self.break_off("deadline passed")),
+            }
+        }
+    }
+
+    /// Whole events that follow the last one.
+    fn whole_events(&mut self) -> Result<Bytes, &'static str> {
+        let mut all = BytesMut::new();
+        while let Some(event) = self.events.next() {
+            if let (Some(last), Some(id)) = (self.last_id, event.id)
+                && id != last + 1
+            {
+                if all.is_empty() {
+                    return Err("events do not follow");
+                }
+                // Pass on what is whole; the gap shows again next time.
+                self.events = Events::default();
+                break;
+            }
+            self.last_id = event.id.or(self.last_id);
+            self.note_event();
+            all.extend_from_slice(&event.bytes);
+        }
+        Ok(all.freeze())
+    }
+
+    fn note_event(&mut self) {
+        if self.passed == 0 {
+            let waited = self.req.received.elapsed();
+            self.gw.metrics.first_event.observe(waited.as_secs_f64());
+        }
+        self.passed += 1;
+        self.quiet_until = Instant::now() + SILENCE;
+        let worker = self.upstream.place.worker();
+        self.gw.board.borrow_mut().succeeded(worker);
+    }
+
+    async fn bring(&mut self) -> Brought {
+        let until = self.quiet_until.min(self.req.deadline);
+        let mut read = timeout_at(until, self.upstream.body.next()).await;
+        if read.is_err() {
+            let last = Instant::now() + LAST_LOOK;
+            read = timeout_at(last, self.upstream.body.next()).await;
+        }
+        match read {
+            Ok(Ok(Some(bytes))) => Brought::Bytes(bytes),
+            Ok(Ok(None)) => Brought::End,
+            Ok(Err(Broken)) => Brought::Broken,
+            Err(_) if self.req.left().is_zero() => Brought::DeadlinePassed,
+            Err(_) => Brought::Silent,
+        }
+    }
+
+    /// Goes on at another worker; whether it could.
+    async fn go_on(&mut self, reason: &str) -> bool {
+        let worker = self.upstream.place.worker().clone();
+        let now = self.gw.now();
+        let resumable = self.req.route.resumable && self.req.may_repeat();
+        warn!(target: "online", request:% = self.req.id, worker:% = worker, events = self.passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
+        self.gw.board.borrow_mut().failed(&worker, now);
+        while resumable && self.req.may_repeat() && !self.req.left().is_zero() {
+            let Placement::Send(next) = choose(&self.gw, &self.req) else {
+                return false;
+            };
+            self.req.tried.push(next.clone());
+            match self.send_on(&next).await {
+                Ok(upstream) if upstream.head.status.is_success() => {
+                    // Dropping the old one closes its connection, and with it
+                    // ends its run.
+                    self.upstream = upstream;
+                    self.events = Events::default();
+                    self.req.runs += 1;
+                    self.quiet_until = Instant::now() + RESUMED_FIRST;
+                    self.gw.metrics.resumed.inc();
+                    info!(target: "online", request:% = self.req.id, worker:% = next, last_id:? = self.last_id; "stream goes on");
+                    return true;
+                }
+                Ok(_) | Err(NoAnswer::Unknown(_) | NoAnswer::Silent) => self.req.runs += 1,
+                Err(NoAnswer::Unsent(_) | NoAnswer::NotRun(_)) => {}
+            }
+        }
+        false
+    }
+
+    async fn send_on(&self, worker: &WorkerName) -> Result<Upstream, NoAnswer> {
+        let until = (Instant::now() + RESUMED_FIRST).min(self.req.deadline);
+        send(
+            &self.gw,
+            Send {
+                place: Place::take(&self.gw, worker, Class::Online),
+                out: &self.req.out,
+                left: Some(self.req.left()),
+                after: self.last_id,
+                reuse: Reuse::Any,
+                until,
+            },
+        )
+        .await
+    }
+
+    fn finish(&mut self) {
+        self.over = true;
+        self.gw.metrics.request("served");
+        info!(target: "online", request:% = self.req.id, worker:% = self.upstream.place.worker(), events = self.passed, runs = self.req.runs, took_ms = millis(self.req.received.elapsed()); "served");
+    }
+
+    fn break_off(&mut self, reason: &str) -> Result<Bytes, Broken> {
+        self.over = true;
+        self.gw.metrics.request("broken_off");
+        warn!(target: "online", request:% = self.req.id, worker:% = self.upstream.place.worker(), events = self.passed, runs = self.req.runs, took_ms = millis(self.req.received.elapsed()), reason; "broken off");
+        Err(Broken)
+    }
+}
+
+/// Until when the first event may take: longer where requests wait before it.
+fn first_event_until(gw: &Gateway, worker: &WorkerName) -> Instant {
+    let waiting = gw
+        .board
+        .borrow()
+        .seat(worker)
+        .map_or(0, |s| s.running().total().saturating_sub(s.record.slots));
+    Instant::now() + SILENCE + Duration::from_millis(110) * waiting
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -0,0 +1,235 @@
+//! Reports to peers by datagram: what runs where, and what is known.
+//!
+//! A report is sent at once when something changed, but not more often than a
+//! few milliseconds apart, and four times a second in any case. It is complete
+//! in itself: one that is lost is made up for by the next.
+
+use crate::facts::{SharedFacts, follow_workers};
+use crate::gateway::Gateway;
+use crate::members::{Peer, SILENT};
+use crate::peer_calls;
+use bluebellreel_dispatch::{PeerLoad, Running};
+use bluebellreel_types::{EntryName, Incarnation, Moment, WorkerName};
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, timeout};
+
+/// Time between reports when nothing changes.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Least time between reports to few peers. Two daemons that choose a worker
+/// within it may both take its last slot.
+const GAP_FEW: Duration = Duration::from_millis(8);
+/// Least time between reports to many peers.
+const GAP_MANY: Duration = Duration::from_millis(50);
+/// From this many peers on they count as many: a report each 8 ms to 24 peers
+/// would take a tenth of a small core.
+const MANY: usize = 8;
+/// Longest datagram taken.
+const DATAGRAM_BYTES: usize = 60 * 1024;
+/// How far a peer must be ahead, and stay, before its facts are asked for: a
+/// watch of our own usually brings them in this time.
+const AHEAD: Duration = Duration::from_millis(300);
+
+/// One report.
+#[derive(Serialize, Deserialize)]
+struct Report {
+    entry: EntryName,
+    run: Incarnation,
+    sequence: u64,
+    calls: SocketAddr,
+    reports: SocketAddr,
+    stopping: bool,
+    configuration_revision: i64,
+    workers_revision: i64,
+    running: Vec<(WorkerName, u32, u32)>,
+    tokens: Vec<(String, u64)>,
+    cancelled: Vec<String>,
+}
+
+fn report(gw: &Gateway, sequence: u64) -> Report {
+    let board = gw.board.borrow();
+    let running = board
+        .own()
+        .map(|(worker, r)| (worker.clone(), r.online, r.batch));
+    let facts = gw.facts.borrow();
+    Report {
+        entry: gw.me().clone(),
+        run: gw.run,
+        sequence,
+        calls: gw.settings.peers,
+        reports: gw.settings.reports,
+        stopping: gw.stopping.get(),
+        configuration_revision: facts.configuration_revision(),
+        workers_revision: facts.catalog.revision(),
+        running: running.collect(),
+        tokens: gw.jobs.borrow().tokens_by_route().into_iter().collect(),
+        cancelled: gw.members.borrow().cancelled.keys().cloned().collect(),
+    }
+}
+
+/// Sends reports for ever.
+pub(crate) async fn send_reports(gw: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    // Later runs of this daemon must not be taken for older than this one.
+    let mut sequence = gw.now().0;
+    loop {
+        // A timeout is the heartbeat.
+        let _ = timeout(HEARTBEAT, gw.report_due.notified()).await;
+        sequence += 1;
+        let targets = targets(&gw);
+        match postcard::to_allocvec(&report(&gw, sequence)) {
+            Ok(bytes) => {
+                for to in &targets {
+                    // A report that cannot be sent now is as good as lost;
+                    // the next one is complete again.
+                    let _ = socket.try_send_to(&bytes, *to);
+                }
+            }
+            Err(e) => warn!(target: "members", error:% = e; "report not written"),
+        }
+        let gap = if targets.len() < MANY {
+            GAP_FEW
+        } else {
+            GAP_MANY
+        };
+        sleep(gap).await;
+    }
+}
+
+/// Peers that are known, and seeds as long as they are not among them.
+fn targets(gw: &Gateway) -> BTreeSet<SocketAddr> {
+    let members = gw.members.borrow();
+    let mut targets: BTreeSet<SocketAddr> = members.peers.values().map(|p| p.reports).collect();
+    let port = gw.settings.reports.port();
+    let seeds = gw.settings.seeds.iter();
+    targets.extend(seeds.map(|s| SocketAddr::new(s.ip(), port)));
+    targets.remove(&gw.settings.reports);
+    targets
+}
+
+/// What is known of peers that are ahead of us.
+#[derive(Default)]
+struct Ahead {
+    since: RefCell<Option<Moment>>,
+    asking: Cell<bool>,
+}
+
+/// Takes reports for ever.
+pub(crate) async fn take_reports(gw: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; DATAGRAM_BYTES];
+    let ahead = Rc::new(Ahead::default());
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buf).await else {
+            // A datagram that came back as undeliverable; the peer is down.
+            continue;
+        };
+        match postcard::from_bytes::<Report>(&buf[..length]) {
+            Ok(report) if report.entry != *gw.me() => {
+                hear(&gw, report, &ahead);
+            }
+            Ok(_) => {}
+            Err(e) => warn!(target: "members", from:% = from, error:% = e; "report not read"),
+        }
+    }
+}
+
+fn hear(gw: &Rc<Gateway>, report: Report, ahead: &Rc<Ahead>) {
+    let now = gw.now();
+    let load = PeerLoad {
+        sequence: report.sequence,
+        running: report
+            .running
+            .iter()
+            .map(|(worker, online, batch)| {
+                let running = Running {
+                    online: *online,
+                    batch: *batch,
+                };
+                (worker.clone(), running)
+            })
+            .collect(),
+        expires_at: now + SILENT,
+    };
+    gw.board.borrow_mut().hear(&report.entry, load);
+    for job in &report.cancelled {
+        crate::jobs::heard_cancelled(gw, job);
+    }
+    let calls = report.calls;
+    let revisions = (report.configuration_revision, report.workers_revision);
+    let name = report.entry.clone();
+    note_peer(gw, report, now);
+    crate::jobs::make_room(gw);
+    gw.batch_due.notify_one();
+    catch_up(gw, &name, calls, revisions, ahead, now);
+}
+
+fn note_peer(gw: &Gateway, report: Report, now: Moment) {
+    let mut members = gw.members.borrow_mut();
+    let known = members.peers.get(&report.entry);
+    let registered = known.is_some_and(|p| p.run == report.run && p.registered);
+    if known.is_none_or(|p| p.run != report.run || p.heard_at.is_none()) {
+        info!(target: "members", peer:% = report.entry, run:% = report.run; "peer heard");
+    }
+    let peer = Peer {
+        run: report.run,
+        calls: report.calls,
+        reports: report.reports,
+        heard_at: Some(now),
+        stopping: report.stopping,
+        registered,
+        tokens: report.tokens.into_iter().collect::<BTreeMap<_, _>>(),
+        revisions: (report.configuration_revision, report.workers_revision),
+    };
+    members.peers.insert(report.entry, peer);
+}
+
+/// Asks a peer for its facts if it has known more than we do for a while.
+fn catch_up(
+    gw: &Rc<Gateway>,
+    peer: &EntryName,
+    calls: SocketAddr,
+    revisions: (i64, i64),
+    ahead: &Rc<Ahead>,
+    now: Moment,
+) {
+    let own = {
+        let facts = gw.facts.borrow();
+        (facts.configuration_revision(), facts.catalog.revision())
+    };
+    let newest = {
+        let members = gw.members.borrow();
+        let known = members.peers.values().map(|p| p.revisions);
+        known.fold((0, 0), |a, b| (a.0.max(b.0), a.1.max(b.1)))
+    };
+    if newest.0 <= own.0 && newest.1 <= own.1 {
+        *ahead.since.borrow_mut() = None;
+        return;
+    }
+    let is_ahead = revisions.0 > own.0 || revisions.1 > own.1;
+    let since = *ahead.since.borrow_mut().get_or_insert(now);
+    if !is_ahead || ahead.asking.get() || !(since + AHEAD).is_past(now) {
+        return;
+    }
+    ahead.asking.set(true);
+    let (gw, ahead, peer) = (gw.clone(), ahead.clone(), peer.clone());
+    tokio::task::spawn_local(async move {
+        match peer_calls::facts(&gw, calls).await {
+            Ok(shared) => learn(&gw, shared, &peer),
+            Err(e) => warn!(target: "facts", peer:% = peer, error:% = e; "facts not brought"),
+        }
+        ahead.asking.set(false);
+    });
+}
+
+fn learn(gw: &Gateway, shared: SharedFacts, peer: &EntryName) {
+    let changed = gw.facts.borrow_mut().learn(shared, peer.as_str());
+    info!(target: "facts", peer:% = peer, changed; "facts taken over");
+    if changed {
+        follow_workers(gw);
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -0,0 +1,179 @@
+//! The life of a gateway: start, signals, graceful stop.
+
+use crate::gateway::Gateway;
+use crate::{facts, jobs, peer_api, registration, reports, serve};
+use bluebellreel_net::{Served, Stop, every, listen};
+use bluebellreel_settings::GatewaySettings;
+use eyre::Context;
+use log::{info, warn};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+/// Longest that a caller's connection may stay without a request, until the
+/// configuration says otherwise.
+const CALLER_IDLE: Duration = Duration::from_secs(15);
+/// The same for connections of peers and the balancer.
+const INNER_IDLE: Duration = Duration::from_secs(30);
+/// Time between clean-ups of what has outlived its time.
+const SWEEP: Duration = Duration::from_millis(250);
+/// How long a stopping daemon still takes connections: the balancer asks each
+/// second and needs two misses.
+const LEAVE_ROTATION: Duration = Duration::from_millis(2600);
+/// Time before the kill at which the process ends by itself.
+const BEFORE_KILL: Duration = Duration::from_millis(700);
+/// Time between looks whether requests are still in progress.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Runs a gateway until it is asked to stop; whether nothing was cut.
+///
+/// # Errors
+///
+/// Gives the reason when an address cannot be listened on.
+pub fn run_gateway(settings: GatewaySettings) -> eyre::Result<bool> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, live(settings))
+}
+
+async fn live(settings: GatewaySettings) -> eyre::Result<bool> {
+    let mut hang_up = signal(SignalKind::hangup())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let gw = Gateway::new(settings);
+    let stop = Stop::default();
+    let served = Served::default();
+    start(&gw, &stop, &served).await?;
+    info!(target: "gateway", entry:% = gw.me(), run:% = gw.run, data_centre:% = gw.settings.data_centre, requests:% = gw.settings.requests; "started");
+    loop {
+        tokio::select! {
+            _ = hang_up.recv() => info!(target: "gateway", entry:% = gw.me(); "settings changed; they take effect at the next start"),
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+        }
+    }
+    let clean = leave(&gw, &stop, &served).await;
+    info!(target: "gateway", entry:% = gw.me(), clean; "stopped");
+    Ok(clean)
+}
+
+async fn start(gw: &Rc<Gateway>, stop: &Stop, served: &Served) -> eyre::Result<()> {
+    let callers = listen(gw.settings.requests).wrap_err("address for requests")?;
+    let balancer = listen(gw.settings.readiness).wrap_err("address for readiness")?;
+    let peers = listen(gw.settings.peers).wrap_err("address for peers")?;
+    let metrics = listen(gw.settings.metrics).wrap_err("address for metrics")?;
+    let socket = UdpSocket::bind(gw.settings.reports)
+        .await
+        .wrap_err("address for reports")?;
+    let socket = Rc::new(socket);
+
+    let g = gw.clone();
+    spawn_local(bluebellreel_net::serve(
+        callers,
+        stop.clone(),
+        served.clone(),
+        CALLER_IDLE,
+        move |req| serve::answer(g.clone(), req),
+    ));
+    let inner = Stop::default();
+    let g = gw.clone();
+    spawn_local(bluebellreel_net::serve(
+        balancer,
+        inner.clone(),
+        Served::default(),
+        INNER_IDLE,
+        move |_| {
+            let answer = serve::readiness(&g);
+            async move { answer }
+        },
+    ));
+    let g = gw.clone();
+    spawn_local(bluebellreel_net::serve(
+        peers,
+        inner.clone(),
+        Served::default(),
+        INNER_IDLE,
+        move |req| peer_api::answer(g.clone(), req),
+    ));
+    let g = gw.clone();
+    spawn_local(bluebellreel_net::serve(
+        metrics,
+        inner,
+        Served::default(),
+        INNER_IDLE,
+        move |_| {
+            let answer = crate::answers::bytes(metrics_text(&g));
+            async move { answer }
+        },
+    ));
+
+    spawn_local(reports::send_reports(gw.clone(), socket.clone()));
+    spawn_local(reports::take_reports(gw.clone(), socket));
+    spawn_local(facts::watch_operator(gw.clone()));
+    spawn_local(facts::watch_workers(gw.clone()));
+    spawn_local(registration::keep_registered(gw.clone()));
+    spawn_local(registration::watch_members(gw.clone()));
+    spawn_local(jobs::start_items(gw.clone()));
+    spawn_local(jobs::adopt_orphans(gw.clone()));
+    let g = gw.clone();
+    every(SWEEP, move || sweep(&g));
+    Ok(())
+}
+
+fn sweep(gw: &Gateway) {
+    let now = gw.now();
+    gw.workers.sweep();
+    gw.peers.sweep();
+    gw.members.borrow_mut().sweep(now);
+    gw.board.borrow_mut().forget_silent(now);
+    let expired = gw.facts.borrow_mut().catalog.expire(now);
+    if expired {
+        facts::follow_workers(gw);
+    }
+}
+
+fn metrics_text(gw: &Gateway) -> String {
+    let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+    let (calls, failures) = gw.store.counts();
+    let metrics = &gw.metrics;
+    metrics.in_progress.set(count(gw.in_progress.get()));
+    metrics
+        .store_calls
+        .set(i64::try_from(calls).unwrap_or(i64::MAX));
+    metrics
+        .store_failures
+        .set(i64::try_from(failures).unwrap_or(i64::MAX));
+    metrics
+        .workers
+        .set(count(gw.board.borrow().seats().count()));
+    metrics
+        .peers
+        .set(count(gw.members.borrow().heard(gw.now()).len()));
+    metrics.text()
+}
+
+/// Stops: not ready, still accepting until out of rotation, jobs handed over,
+/// streams finished.
+async fn leave(gw: &Rc<Gateway>, stop: &Stop, served: &Served) -> bool {
+    let asked_at = Instant::now();
+    let end = asked_at + gw.settings.grace.saturating_sub(BEFORE_KILL);
+    gw.stopping.set(true);
+    gw.report_due.notify_one();
+    info!(target: "gateway", entry:% = gw.me(), in_progress = gw.in_progress.get(), jobs = gw.jobs.borrow().own.len(); "stopping");
+    jobs::hand_over_all(gw).await;
+    tokio::time::sleep_until((asked_at + LEAVE_ROTATION).min(end)).await;
+    stop.close();
+    while (gw.in_progress.get() > 0 || served.open() > 0) && Instant::now() < end {
+        sleep(LOOK).await;
+    }
+    registration::unregister(gw).await;
+    let cut = gw.in_progress.get();
+    if cut > 0 {
+        warn!(target: "gateway", cut; "requests cut by the stop");
+    }
+    cut == 0
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -0,0 +1,150 @@
+//! Telling callers' requests apart.
+
+use crate::gateway::Gateway;
+use crate::online::{self, Request};
+use crate::{answers, jobs};
+use bluebellreel_dispatch::{Configuration, Route, RouteKind};
+use bluebellreel_net::{Body, read_body};
+use bluebellreel_platform::engine::Outgoing;
+use bluebellreel_platform::ingress;
+use bytes::Bytes;
+use http::{HeaderValue, Method, Response, StatusCode, header};
+use hyper::body::Incoming;
+use log::info;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// When a caller should return to a daemon that knows no configuration yet.
+const NOT_CONFIGURED: Duration = Duration::from_millis(500);
+
+struct InProgress(Rc<Gateway>);
+
+impl InProgress {
+    fn begin(gw: &Rc<Gateway>) -> Self {
+        gw.in_progress.set(gw.in_progress.get() + 1);
+        Self(gw.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0
+            .in_progress
+            .set(self.0.in_progress.get().saturating_sub(1));
+    }
+}
+
+/// Answers a caller. While the daemon stops, every answer asks the caller to
+/// open its next connection elsewhere.
+pub(crate) async fn answer(gw: Rc<Gateway>, req: http::Request<Incoming>) -> Response<Body> {
+    let in_progress = InProgress::begin(&gw);
+    let mut answer = answer_open(&gw, req).await;
+    if gw.stopping.get() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer.map(|body| match body {
+        Body::Full(bytes) => Body::Full(bytes),
+        Body::Stream(pieces) => {
+            // The request is in progress until its last piece is out.
+            Body::stream(Held {
+                pieces,
+                _until_dropped: in_progress,
+            })
+        }
+    })
+}
+
+struct Held<S> {
+    pieces: S,
+    _until_dropped: InProgress,
+}
+
+impl<S: futures::Stream + Unpin> futures::Stream for Held<S> {
+    type Item = S::Item;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<S::Item>> {
+        std::pin::Pin::new(&mut self.pieces).poll_next(cx)
+    }
+}
+
+async fn answer_open(gw: &Rc<Gateway>, req: http::Request<Incoming>) -> Response<Body> {
+    if ingress::is_readiness(req.uri().path()) {
+        return readiness(gw);
+    }
+    let Some(configuration) = gw.configuration() else {
+        let reason = "no configuration yet";
+        return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, NOT_CONFIGURED);
+    };
+    if let Some(call) = ingress::job_call(&req) {
+        return jobs::answer(gw, call).await;
+    }
+    let path = req.uri().path();
+    let Some(route) = configuration.route(ingress::host(&req), path).cloned() else {
+        let id = ingress::request_id(req.headers());
+        info!(target: "online", request = id, path, host = ingress::host(&req), version = configuration.version; "no route");
+        return answers::failure(StatusCode::NOT_FOUND, "no route");
+    };
+    let received = Instant::now();
+    let patience = ingress::patience(req.headers()).unwrap_or(route.timeout);
+    let deadline = received + patience.min(route.timeout);
+    let (head, body) = req.into_parts();
+    let body = match body_of(&configuration, body, deadline).await {
+        Ok(body) => body,
+        Err(answer) => return answer,
+    };
+    if route.kind == RouteKind::Batch && head.method == Method::POST {
+        let deadline = received + patience;
+        return jobs::submit(gw, &route, &head, &body, received, deadline).await;
+    }
+    let request = request(&route, &head, body, received, deadline);
+    online::answer(gw.clone(), request).await
+}
+
+async fn body_of(
+    configuration: &Configuration,
+    body: Incoming,
+    deadline: Instant,
+) -> Result<Bytes, Response<Body>> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    match read_body(body, configuration.limits.body_bytes, left).await {
+        Ok(Some(body)) => Ok(body),
+        Ok(None) => Err(answers::status(StatusCode::PAYLOAD_TOO_LARGE)),
+        // The body did not come: nothing was sent on.
+        Err(_) => Err(answers::status(StatusCode::REQUEST_TIMEOUT)),
+    }
+}
+
+fn request(
+    route: &Arc<Route>,
+    head: &http::request::Parts,
+    body: Bytes,
+    received: Instant,
+    deadline: Instant,
+) -> Request {
+    let id: Arc<str> = Arc::from(ingress::request_id(&head.headers));
+    Request {
+        service: route.service_for(&id),
+        id,
+        route: route.clone(),
+        out: Outgoing::of_caller(head, body),
+        deadline,
+        received,
+        tried: Vec::new(),
+        runs: 0,
+    }
+}
+
+/// Answers the balancer.
+pub(crate) fn readiness(gw: &Gateway) -> Response<Body> {
+    answers::status(if gw.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
+}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -0,0 +1,211 @@
+//! Calls to the platform's store.
+//!
+//! A call without an answer is given up after a time and its connection never
+//! used again. A write without an answer may have taken effect, or may do so
+//! seconds later while its guards hold: [`StoreClient::commit`] repeats it
+//! unchanged until it is decided.
+
+use bluebellreel_kv::{Commit, Key, KeyValue, KvError, Txn};
+use bluebellreel_net::{Pool, PoolLimits, Reuse, SendError};
+use bluebellreel_platform::store::{self, Lease, Page, TxnOutcome, Watched};
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::Full;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Longest wait for an answer. The store answers in some 4 ms, fifty times as
+/// slowly on a bad day.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest wait for a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Idle time of connections.
+const IDLE: Duration = Duration::from_secs(5);
+/// Idle connections kept.
+const IDLE_COUNT: usize = 4;
+/// Pause before a refused or lost call is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(150);
+/// Longest answer read.
+const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// How much longer than asked for a watch may take.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+
+/// A client of the store.
+pub(crate) struct StoreClient {
+    pool: Pool,
+    address: SocketAddr,
+    calls: Cell<u64>,
+    failures: Cell<u64>,
+    failing_since: Cell<Option<Instant>>,
+}
+
+impl StoreClient {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        let limits = PoolLimits {
+            connect: CONNECT_TIMEOUT,
+            idle: IDLE,
+            idle_per_address: IDLE_COUNT,
+        };
+        Self {
+            pool: Pool::new(limits),
+            address,
+            calls: Cell::new(0),
+            failures: Cell::new(0),
+            failing_since: Cell::new(None),
+        }
+    }
+
+    /// Calls made and calls that failed.
+    pub(crate) fn counts(&self) -> (u64, u64) {
+        (self.calls.get(), self.failures.get())
+    }
+
+    /// How long every call has failed; zero while the last one succeeded.
+    pub(crate) fn failing_for(&self) -> Duration {
+        self.failing_since
+            .get()
+            .map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    async fn call(
+        &self,
+        mut req: Request<Bytes>,
+        longest: Duration,
+    ) -> Result<(StatusCode, Bytes), KvError> {
+        self.calls.set(self.calls.get() + 1);
+        let host = header::HeaderValue::try_from(self.address.to_string());
+        if let Ok(host) = host {
+            req.headers_mut().insert(header::HOST, host);
+        }
+        let sent = async {
+            let mut reply = self
+                .pool
+                .send(self.address, req.map(Full::new), Reuse::Any)
+                .await
+                .map_err(|e| match e {
+                    SendError::Unsent(reason) => KvError::NotDone(reason),
+                    SendError::Unknown(reason) => KvError::Unknown(reason),
+                })?;
+            let body = reply.body.whole(ANSWER_BYTES).await;
+            let body = body.map_err(|e| KvError::Unknown(e.to_string()))?;
+            Ok((reply.head.status, body))
+        };
+        let answer = timeout(longest, sent).await;
+        let answer = answer.unwrap_or_else(|_| Err(KvError::Unknown("no answer in time".into())));
+        self.note(&answer);
+        answer
+    }
+
+    fn note(&self, answer: &Result<(StatusCode, Bytes), KvError>) {
+        let turned_away = |status: &StatusCode| {
+            *status == StatusCode::SERVICE_UNAVAILABLE || *status == StatusCode::TOO_MANY_REQUESTS
+        };
+        let failed = match answer {
+            Ok((status, _)) => turned_away(status),
+            Err(_) => true,
+        };
+        if failed {
+            self.failures.set(self.failures.get() + 1);
+            if self.failing_since.get().is_none() {
+                self.failing_since.set(Some(Instant::now()));
+            }
+        } else {
+            self.failing_since.set(None);
+        }
+    }
+
+    /// Reads one key.
+    pub(crate) async fn read(&self, key: &Key) -> Result<Option<KeyValue>, KvError> {
+        let (status, body) = self.call(store::read_call(key), CALL_TIMEOUT).await?;
+        store::read_answer(status, &body)
+    }
+
+    /// Reads all keys that start with `prefix`, and the revision from which a
+    /// watch brings what changed since the first page.
+    pub(crate) async fn list(&self, prefix: &Key) -> Result<(Vec<KeyValue>, i64), KvError> {
+        let mut all = Vec::new();
+        let mut revision = None;
+        loop {
+            let after = all.last().map(|kv: &KeyValue| kv.key.clone());
+            let call = store::list_call(prefix, after.as_ref());
+            let (status, body) = self.call(call, CALL_TIMEOUT).await?;
+            let Page {
+                items,
+                truncated,
+                revision: as_of,
+            } = store::list_answer(status, &body)?;
+            let as_of = *revision.get_or_insert(as_of);
+            let last_page = !truncated || items.is_empty();
+            all.extend(items);
+            if last_page {
+                return Ok((all, as_of));
+            }
+        }
+    }
+
+    /// Waits for changes.
+    pub(crate) async fn watch(
+        &self,
+        prefix: &Key,
+        after: i64,
+        wait: Duration,
+    ) -> Result<Watched, KvError> {
+        let call = store::watch_call(prefix, after, wait);
+        let (status, body) = self.call(call, wait + WATCH_SLACK).await?;
+        store::watch_answer(status, &body)
+    }
+
+    /// Asks for a lease.
+    pub(crate) async fn lease(&self, ttl: Duration) -> Result<Lease, KvError> {
+        let (status, body) = self.call(store::lease_call(ttl), CALL_TIMEOUT).await?;
+        store::lease_answer(status, &body)
+    }
+
+    /// Renews a lease; whether it still runs.
+    pub(crate) async fn renew(&self, lease: i64) -> Result<bool, KvError> {
+        let (status, _) = self.call(store::renew_call(lease), CALL_TIMEOUT).await?;
+        store::renew_answer(status)
+    }
+
+    /// Gives a lease back.
+    pub(crate) async fn release(&self, lease: i64) -> Result<(), KvError> {
+        self.call(store::release_call(lease), CALL_TIMEOUT).await?;
+        Ok(())
+    }
+
+    /// Carries a write out, repeating it unchanged until it is decided or
+    /// `until` has come.
+    ///
+    /// A guard that fails after a try whose answer was lost may have been
+    /// overtaken by that very try: [`Commit::Beaten`] hands out what the
+    /// guarded keys hold, for the caller to tell its own write by its content.
+    pub(crate) async fn commit(&self, txn: &Txn, until: Instant) -> Commit {
+        let mut in_doubt = None;
+        loop {
+            let tried = match self.call(store::txn_call(txn), CALL_TIMEOUT).await {
+                Ok((status, body)) => store::txn_answer(status, &body),
+                Err(e) => Err(e),
+            };
+            let reason = match tried {
+                Ok(TxnOutcome::Done(revision)) => return Commit::Applied { revision },
+                Ok(TxnOutcome::Conflict(items)) => return Commit::Beaten(items),
+                Ok(TxnOutcome::NoLease) => return Commit::NotDone("the lease has ended".into()),
+                Err(KvError::Refused(reason)) => return Commit::NotDone(reason),
+                Err(KvError::NotDone(reason)) => reason,
+                Err(KvError::Unknown(reason)) => {
+                    in_doubt = Some(reason.clone());
+                    reason
+                }
+            };
+            if Instant::now() + REPEAT_PAUSE >= until {
+                return match in_doubt {
+                    Some(reason) => Commit::Unknown(reason),
+                    None => Commit::NotDone(reason),
+                };
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_net/src/pool.rs
@@ -0,0 +1,239 @@
+//! Calls over kept connections.
+
+use crate::reply::{Reply, ReplyBody};
+use crate::server::prepare;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SendError {
+    /// Nothing reached the other side.
+    Unsent(String),
+    /// It may have reached the other side.
+    Unknown(String),
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unsent(reason) => write!(f, "not sent: {reason}"),
+            Self::Unknown(reason) => write!(f, "no answer: {reason}"),
+        }
+    }
+}
+
+/// Which connection a call may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any kept one.
+    Any,
+    /// Only one that has been idle for a while: bytes that do not belong to
+    /// the last answer would have shown by now and closed it. For calls that
+    /// cannot be repeated.
+    Settled,
+    /// A new one.
+    Never,
+}
+
+/// Bounds of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolLimits {
+    /// Longest wait for a new connection.
+    pub connect: Duration,
+    /// How long an idle connection is kept when the other side does not say.
+    pub idle: Duration,
+    /// Idle connections kept for one address.
+    pub idle_per_address: usize,
+}
+
+/// Idle time after which a connection counts as settled: an extra answer
+/// follows its predecessor within some tens of milliseconds.
+const SETTLED: Duration = Duration::from_millis(150);
+/// Taken off the idle time that the other side states, as it counts from its
+/// own last byte.
+const IDLE_MARGIN: Duration = Duration::from_millis(400);
+
+pub(crate) struct Kept {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) task: AbortHandle,
+    idle_since: Instant,
+    idle_until: Instant,
+}
+
+impl Drop for Kept {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub(crate) struct Inner {
+    limits: PoolLimits,
+    idle: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
+    opened: Cell<u64>,
+}
+
+/// Kept connections by address. Clones share them.
+#[derive(Clone)]
+pub struct Pool(Rc<Inner>);
+
+impl Pool {
+    /// An empty pool.
+    #[must_use]
+    pub fn new(limits: PoolLimits) -> Self {
+        Self(Rc::new(Inner {
+            limits,
+            idle: RefCell::default(),
+            opened: Cell::new(0),
+        }))
+    }
+
+    /// Connections opened so far.
+    #[must_use]
+    pub fn opened(&self) -> u64 {
+        self.0.opened.get()
+    }
+
+    /// Sends a request and waits for the answer's head.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the request may have reached the other side.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut req: http::Request<Full<Bytes>>,
+        reuse: Reuse,
+    ) -> Result<Reply, SendError> {
+        while let Some(mut kept) = self.0.take(address, reuse) {
+            match kept.sender.try_send_request(req).await {
+                Ok(answer) => return Ok(self.reply(address, kept, answer)),
+                Err(mut e) => match e.take_message() {
+                    // The connection ended before the request was written.
+                    Some(back) => req = back,
+                    None => return Err(SendError::Unknown(e.error().to_string())),
+                },
+            }
+        }
+        let mut kept = self.connect(address).await?;
+        match kept.sender.try_send_request(req).await {
+            Ok(answer) => Ok(self.reply(address, kept, answer)),
+            Err(mut e) => {
+                let unsent = e.take_message().is_some();
+                let reason = e.error().to_string();
+                Err(if unsent {
+                    SendError::Unsent(reason)
+                } else {
+                    SendError::Unknown(reason)
+                })
+            }
+        }
+    }
+
+    /// Drops the idle connections that have outlived their time.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut idle = self.0.idle.borrow_mut();
+        for kept in idle.values_mut() {
+            kept.retain(|k| k.idle_until > now && !k.sender.is_closed());
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+
+    /// Drops all idle connections to an address.
+    pub fn drop_idle(&self, address: SocketAddr) {
+        self.0.idle.borrow_mut().remove(&address);
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Kept, SendError> {
+        let unsent = |reason: String| SendError::Unsent(reason);
+        let stream = tokio::time::timeout(self.0.limits.connect, TcpStream::connect(address))
+            .await
+            .map_err(|_| unsent("no connection in time".into()))?
+            .map_err(|e| unsent(e.to_string()))?;
+        prepare(&stream);
+        self.0.opened.set(self.0.opened.get() + 1);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| unsent(e.to_string()))?;
+        let task = tokio::task::spawn_local(async move {
+            // Its end shows in the call that used it.
+            let _ = connection.await;
+        });
+        Ok(Kept {
+            sender,
+            task: task.abort_handle(),
+            idle_since: Instant::now(),
+            idle_until: Instant::now(),
+        })
+    }
+
+    fn reply(
+        &self,
+        address: SocketAddr,
+        kept: Kept,
+        answer: http::Response<hyper::body::Incoming>,
+    ) -> Reply {
+        let (head, body) = answer.into_parts();
+        let idle = idle_time(&head.headers).unwrap_or(self.0.limits.idle);
+        let body = ReplyBody::new(body, kept, self.0.clone(), address, idle);
+        Reply { head, body }
+    }
+}
+
+/// The time that the other side keeps an idle connection.
+fn idle_time(headers: &http::HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let stated = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds: u64 = stated.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
+}
+
+impl Inner {
+    fn take(&self, address: SocketAddr, reuse: Reuse) -> Option<Kept> {
+        if reuse == Reuse::Never {
+            return None;
+        }
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        kept.retain(|k| k.idle_until > now && !k.sender.is_closed());
+        let usable = |k: &Kept| {
+            k.sender.is_ready() && (reuse == Reuse::Any || now - k.idle_since >= SETTLED)
+        };
+        // The one used last is the least likely to be closed by the other
+        // side; the one idle longest the least likely to bring stray bytes.
+        let at = match reuse {
+            Reuse::Settled => kept.iter().position(usable),
+            _ => kept.iter().rposition(usable),
+        }?;
+        Some(kept.remove(at))
+    }
+
+    pub(crate) fn give_back(&self, address: SocketAddr, mut kept: Kept, idle: Duration) {
+        if kept.sender.is_closed() {
+            return;
+        }
+        kept.idle_since = Instant::now();
+        kept.idle_until = Instant::now() + idle;
+        let mut all = self.idle.borrow_mut();
+        let list = all.entry(address).or_default();
+        if list.len() >= self.limits.idle_per_address {
+            list.remove(0);
+        }
+        list.push(kept);
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -0,0 +1,153 @@
+//! Settings of a gateway: an entry daemon that sends to workers directly and
+//! keeps what must last in the platform's store.
+
+use crate::SettingsError;
+use bluebellreel_types::{DataCentre, EntryName};
+use serde::Deserialize;
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+/// Checked settings of a gateway.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// Its name, unique in the fleet.
+    pub name: EntryName,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Where callers connect.
+    pub requests: SocketAddr,
+    /// Where the balancer asks whether it takes requests.
+    pub readiness: SocketAddr,
+    /// Where its peers connect.
+    pub peers: SocketAddr,
+    /// Where its peers send their reports, by UDP; the port is the same on
+    /// all VMs.
+    pub reports: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Peers to begin with; they may be stale or down.
+    pub seeds: Vec<SocketAddr>,
+    /// The store.
+    pub store: SocketAddr,
+    /// Longest value that the store takes, in bytes.
+    pub value_bytes: usize,
+    /// Shortest lease that the store grants.
+    pub shortest_lease: Duration,
+    /// Time between a worker's registrations.
+    pub heartbeat: Duration,
+    /// Time from SIGTERM until the process is killed.
+    pub grace: Duration,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    vm: RawVm,
+    listen: RawListen,
+    #[serde(default)]
+    peers: RawPeers,
+    store: RawStore,
+    workers: RawWorkers,
+    stop: RawStop,
+}
+
+#[derive(Deserialize)]
+struct RawVm {
+    name: String,
+    address: IpAddr,
+    data_centre: String,
+}
+
+#[derive(Deserialize)]
+struct RawListen {
+    requests: SocketAddr,
+    readiness: SocketAddr,
+    peers: SocketAddr,
+    reports_port: u16,
+    metrics_port: u16,
+}
+
+#[derive(Default, Deserialize)]
+struct RawPeers {
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+struct RawStore {
+    address: SocketAddr,
+    value_bytes: usize,
+    shortest_lease_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct RawWorkers {
+    heartbeat_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct RawStop {
+    grace_s: f64,
+}
+
+/// Shortest stop in which requests in progress can end.
+const LEAST_GRACE_S: f64 = 1.0;
+/// Least value size that a batch item's longest result fits into.
+const LEAST_VALUE_BYTES: usize = 64 * 1024;
+
+/// Reads and checks the settings file of a gateway.
+///
+/// # Errors
+///
+/// Names the file, the key and what is wrong.
+pub fn load_gateway(path: &Path) -> Result<GatewaySettings, SettingsError> {
+    let file = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).map_err(|e| SettingsError::new(&file, "", e.to_string()))?;
+    parse_gateway(&file, &text)
+}
+
+/// Checks the text of a gateway's settings; `file` names it in errors.
+///
+/// # Errors
+///
+/// Names the file, the key and what is wrong.
+pub fn parse_gateway(file: &str, text: &str) -> Result<GatewaySettings, SettingsError> {
+    let raw: Raw = toml::from_str(text).map_err(|e| SettingsError::new(file, "", e.to_string()))?;
+    if raw.vm.name.is_empty() {
+        return Err(SettingsError::new(file, "vm.name", "must not be empty"));
+    }
+    if !raw.stop.grace_s.is_finite() || raw.stop.grace_s < LEAST_GRACE_S {
+        return Err(SettingsError::new(
+            file,
+            "stop.grace_s",
+            "must be 1 or more",
+        ));
+    }
+    if raw.store.value_bytes < LEAST_VALUE_BYTES {
+        let reason = "must be 65536 or more";
+        return Err(SettingsError::new(file, "store.value_bytes", reason));
+    }
+    if raw.workers.heartbeat_ms == 0 {
+        return Err(SettingsError::new(
+            file,
+            "workers.heartbeat_ms",
+            "must not be 0",
+        ));
+    }
+    Ok(GatewaySettings {
+        name: EntryName::from(raw.vm.name),
+        data_centre: DataCentre::from(raw.vm.data_centre),
+        requests: raw.listen.requests,
+        readiness: raw.listen.readiness,
+        peers: raw.listen.peers,
+        reports: SocketAddr::new(raw.vm.address, raw.listen.reports_port),
+        metrics: SocketAddr::new(raw.vm.address, raw.listen.metrics_port),
+        seeds: raw.peers.seeds,
+        store: raw.store.address,
+        value_bytes: raw.store.value_bytes,
+        shortest_lease: Duration::from_millis(raw.store.shortest_lease_ms),
+        heartbeat: Duration::from_millis(raw.workers.heartbeat_ms),
+        grace: Duration::from_secs_f64(raw.stop.grace_s),
+    })
+}
--- a/crates/bluebellreel_settings/src/lib.rs
+++ b/crates/bluebellreel_settings/src/lib.rs
@@ -11,6 +11,7 @@
 mod data;
 mod entry;
 mod error;
+mod gateway;
 mod parts;
 mod side;
 mod token;
@@ -18,6 +19,7 @@
 pub use data::DataSettings;
 pub use entry::{EntryLimits, EntrySettings, load_entry, parse_entry};
 pub use error::SettingsError;
+pub use gateway::{GatewaySettings, load_gateway, parse_gateway};
 pub use parts::{LogLevel, LogTarget, TraceTarget};
 pub use side::{SideLean, SideSettings, load_side, parse_side};
 pub use token::{Principal, TokenTable, hash_token, is_same_token};
--- a/crates/bluebellreel_telemetry/src/lib.rs
+++ b/crates/bluebellreel_telemetry/src/lib.rs
@@ -12,11 +12,13 @@
 //! assert_eq!(tracer.dropped(), 0);
 //! ```
 
+mod json_log;
 mod logging;
 mod metrics;
 mod otlp;
 mod tracing;
 
+pub use json_log::{DroppedLines, start_json_logging};
 pub use logging::{LogSettings, start_logging};
 pub use metrics::{EntryMetrics, ModelLabel, OutcomeLabel, SideMetrics, encode_metrics};
 pub use otlp::{TraceSink, span_json};
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -1,6 +1,7 @@
 //! Subcommands.
 
 use crate::cli::client::{Answer, Client};
+use crate::cli::gateway;
 use crate::cli::output::{print_job, print_outcomes};
 use crate::program::{Running, run_program};
 use bluebellreel_entry::start_entry;
@@ -8,6 +9,7 @@
 use bluebellreel_settings::{load_entry, load_side};
 use eyre::{Context, bail};
 use serde_json::Value;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Exit code for input that cannot be used.
@@ -28,6 +30,8 @@
 #[argh(subcommand)]
 enum Command {
     Serve(Serve),
+    Gateway(GatewayCommand),
+    Idle(Idle),
     Check(Check),
     Manifest(ManifestCommand),
     Outcomes(Outcomes),
@@ -45,6 +49,20 @@
     settings: String,
 }
 
+/// run the entry daemon that sends to workers directly
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "gateway")]
+struct GatewayCommand {
+    /// settings file (TOML); else the file named by the environment
+    #[argh(option)]
+    settings: Option<PathBuf>,
+}
+
+/// wait for the end, for VMs that must run a process and have nothing to do
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "idle")]
+struct Idle {}
+
 /// check settings of either program, or a manifest
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -261,6 +279,8 @@
 pub fn run(arguments: Arguments) -> ExitCode {
     match arguments.command {
         Command::Serve(serve) => run_serve(&serve),
+        Command::Gateway(command) => gateway::gateway(command.settings),
+        Command::Idle(Idle {}) => gateway::idle(),
         Command::Check(check) => run_check(&check),
         command => match run_call(command) {
             Ok(()) => ExitCode::SUCCESS,
@@ -355,7 +375,9 @@
             println!("{}", answer.text);
             Ok(())
         }
-        Command::Serve(_) | Command::Check(_) => unreachable!("run without a daemon"),
+        Command::Serve(_) | Command::Gateway(_) | Command::Idle(_) | Command::Check(_) => {
+            unreachable!("run without a daemon")
+        }
     }
 }
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod commands;
+mod gateway;
 mod output;
 
 pub use commands::{Arguments, run};
