Batch takes free slots by turns and leaves a reserve

Ruled out: faster reports alone (the race stays within one report's delay).

Now each worker's free slots belong to one daemon with items waiting, by rendezvous; 10 % of running online requests stay free; the run with least progress yields; daemons break placement ties each in its own way.

--- a/crates/bluebellreel_batch/src/job.rs
+++ b/crates/bluebellreel_batch/src/job.rs
@@ -127,6 +127,16 @@
         left.map(|i| i.input.tokens).sum()
     }
 
+    /// Items that wait to run.
+    #[must_use]
+    pub fn items_waiting(&self) -> usize {
+        if !self.is_open() {
+            return 0;
+        }
+        let waits = |item: &&Item| matches!(item.phase, ItemPhase::Waiting { .. });
+        self.items.iter().filter(waits).count()
+    }
+
     /// Whether a result waits to be recorded.
     #[must_use]
     pub fn has_pending(&self) -> bool {
--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -14,12 +14,16 @@
     /// the second in line waits some 180 ms and still meets an objective of
     /// 300 ms; the third would not.
     pub queued_per_worker: u32,
+    /// Slots that batch leaves free, as a share of the online requests that
+    /// run.
+    pub reserve_percent: u32,
 }
 
 impl Default for PlacementLimits {
     fn default() -> Self {
         Self {
             queued_per_worker: 2,
+            reserve_percent: 10,
         }
     }
 }
@@ -190,6 +194,12 @@
         }
     }
 
+    /// Peers that have batch items waiting.
+    pub fn peers_with_items(&self) -> impl Iterator<Item = &EntryName> {
+        let waiting = self.peers.iter().filter(|(_, load)| load.waiting > 0);
+        waiting.map(|(name, _)| name)
+    }
+
     /// Our own runs at each worker that has any.
     pub fn own(&self) -> impl Iterator<Item = (&WorkerName, Running)> {
         self.seats
--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -9,11 +9,12 @@
 //!
 //! ```
 //! use bluebellreel_dispatch::{Board, Placement, PlacementLimits, Query, place_online};
-//! use bluebellreel_types::{DataCentre, Moment};
+//! use bluebellreel_types::{DataCentre, EntryName, Moment};
 //!
 //! let board = Board::new(DataCentre::from("sligo"), PlacementLimits::default());
 //! let query = Query { service: "assist", avoid: &[], now: Moment(0) };
-//! assert_eq!(place_online(&board, &query), Placement::NoWorker);
+//! let me = EntryName::from("entry-1");
+//! assert_eq!(place_online(&board, &query, &me), Placement::NoWorker);
 //! ```
 
 mod board;
@@ -29,7 +30,7 @@
 pub use doubt::Doubt;
 pub use peer::{PeerLoad, Running};
 pub use place::{
-    BatchRun, Placement, Query, batch_to_yield, idle_slots, place_batch, place_online,
+    BatchRun, Placement, Query, batch_to_yield, place_batch, place_online,
 };
 pub use routes::{CallerLimits, Configuration, Route, RouteKind, Service, Target};
 pub use ticket::{Class, Ticket};
--- a/crates/bluebellreel_dispatch/src/peer.rs
+++ b/crates/bluebellreel_dispatch/src/peer.rs
@@ -27,6 +27,8 @@
     pub sequence: u64,
     /// Its runs at each worker.
     pub running: BTreeMap<WorkerName, Running>,
+    /// Items of its jobs that wait for a slot.
+    pub waiting: u32,
     /// When its runs are no longer counted, unless it is heard again.
     pub expires_at: Moment,
 }
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -37,7 +37,7 @@
 /// Trust is a preference: where every worker is doubted, the request goes to
 /// one of them rather than to none.
 #[must_use]
-pub fn place_online(board: &Board, query: &Query) -> Placement {
+pub fn place_online(board: &Board, query: &Query, me: &EntryName) -> Placement {
     let takers: Vec<&Seat> = board.takers(query.service).collect();
     if takers.is_empty() {
         return Placement::NoWorker;
@@ -58,7 +58,7 @@
     } else {
         trusted
     };
-    let best = pool.into_iter().min_by_key(|seat| online_rank(board, seat));
+    let best = pool.into_iter().min_by_key(|seat| online_rank(board, me, seat));
     match best {
         None => Placement::NoWorker,
         Some(seat) if waiting_online(seat) >= board.limits.queued_per_worker => Placement::Full,
@@ -71,61 +71,58 @@
     seat.running().online.saturating_sub(seat.record.slots)
 }
 
-/// The lower, the better: no waiting first, then a free slot rather than one
-/// that a batch item must give up, then the own data centre, then the
-/// emptiest.
-fn online_rank(board: &Board, seat: &Seat) -> (u32, bool, bool, bool, u32) {
+/// The lower, the better: no waiting first, then a free slot, then one that a
+/// batch run of our own gives up, as that needs no message; then the own data
+/// centre, then the emptiest. Daemons that see the same loads break ties each
+/// in its own way, so that they do not all choose the same worker.
+fn online_rank(board: &Board, me: &EntryName, seat: &Seat) -> (u32, u32, bool, u32, u64) {
     let running = seat.running();
     let slots = seat.record.slots;
-    let no_slot_for_online = running.online >= slots;
-    let must_yield = seat.free() == 0;
-    let far = seat.record.data_centre != board.local;
-    let waiting = if no_slot_for_online {
-        running.online + 1 - slots
-    } else {
-        0
+    let waiting = (running.online + 1).saturating_sub(slots);
+    let slot = match (seat.free(), seat.own.batch) {
+        (1.., _) => 0,
+        (0, 1..) => 1,
+        (0, 0) => 2,
     };
-    // A batch run of our own yields without a message.
-    let asks_peer = must_yield && seat.own.batch == 0;
-    (waiting, must_yield, asks_peer, far, running.total())
+    let far = seat.record.data_centre != board.local;
+    let tie = rendezvous(me, &seat.record.id);
+    (waiting, slot, far, running.total(), tie)
 }
 
-/// Slots of a service that nothing uses.
-#[must_use]
-pub fn idle_slots(board: &Board, service: &str) -> u32 {
-    board.takers(service).map(Seat::free).sum()
+fn rendezvous(entry: &EntryName, worker: &WorkerName) -> u64 {
+    XxHash64::oneshot(0, format!("{entry}/{worker}").as_bytes())
 }
 
 /// Chooses a worker with a free slot for a batch item.
 ///
-/// Two daemons that take the last free slot of a worker at the same moment
-/// overfill it, and one of them has to yield at once. So the last slot is left
-/// to the worker's first daemon by rendezvous among those alive.
+/// Daemons that take the same free slot at the same moment overfill a worker,
+/// and one of them has to yield at once. So each worker's free slots belong to
+/// one daemon: the first by rendezvous of those that have items waiting. And
+/// some slots are left free, so that online arrivals find one without making
+/// an item yield; see [`crate::PlacementLimits::reserve_percent`].
 #[must_use]
-pub fn place_batch(
-    board: &Board,
-    query: &Query,
-    me: &EntryName,
-    alive: &[EntryName],
-) -> Option<WorkerName> {
-    board
+pub fn place_batch(board: &Board, query: &Query, me: &EntryName) -> Option<WorkerName> {
+    let ours: Vec<&Seat> = board
         .takers(query.service)
-        .filter(|s| !query.avoid.contains(&s.record.id) && s.doubt.takes(query.now))
-        .filter(|s| {
-            let kept = u32::from(!is_first(me, alive, &s.record.id));
-            s.free() > kept
-        })
-        .max_by_key(|s| {
-            let first = is_first(me, alive, &s.record.id);
-            (s.free(), first, s.record.data_centre == board.local)
-        })
+        .filter(|s| s.doubt.takes(query.now) && is_first(board, me, &s.record.id))
+        .collect();
+    let free: u32 = ours.iter().map(|s| s.free()).sum();
+    let online: u32 = ours.iter().map(|s| s.running().online).sum();
+    let reserve = (online * board.limits.reserve_percent).div_ceil(100);
+    if free <= reserve {
+        return None;
+    }
+    ours.into_iter()
+        .filter(|s| s.free() > 0)
+        .max_by_key(|s| (s.free(), s.record.data_centre == board.local))
         .map(|s| s.record.id.clone())
 }
 
-fn is_first(me: &EntryName, alive: &[EntryName], worker: &WorkerName) -> bool {
-    let rank = |e: &EntryName| XxHash64::oneshot(0, format!("{e}/{worker}").as_bytes());
-    let mine = rank(me);
-    alive.iter().all(|other| other == me || rank(other) <= mine)
+fn is_first(board: &Board, me: &EntryName, worker: &WorkerName) -> bool {
+    let mine = rendezvous(me, worker);
+    board
+        .peers_with_items()
+        .all(|peer| peer == me || rendezvous(peer, worker) < mine)
 }
 
 /// One batch run of this daemon.
@@ -135,15 +132,16 @@
     pub key: T,
     /// Where it runs.
     pub worker: WorkerName,
-    /// When its job is due.
-    pub due_at: Moment,
+    /// Events that it has brought so far.
+    pub events: u64,
 }
 
 /// The batch runs that must make room now: as many as a worker has beyond its
 /// slots, and all at a worker that leaves.
 ///
-/// The run whose job is due last goes first. What it has generated is kept and
-/// it goes on elsewhere, so the cost is reading its prompt once more.
+/// The run that has generated least goes first. What it has generated is kept
+/// and it goes on elsewhere, so the cost is reading that and its prompt once
+/// more.
 #[must_use]
 pub fn batch_to_yield<T: Clone>(board: &Board, runs: &[BatchRun<T>]) -> Vec<T> {
     let mut yields = Vec::new();
@@ -153,7 +151,7 @@
         if here.is_empty() {
             continue;
         }
-        here.sort_by_key(|r| std::cmp::Reverse(r.due_at));
+        here.sort_by_key(|r| r.events);
         let count = if seat.record.state == crate::WorkerState::Draining {
             here.len()
         } else {
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -100,14 +100,6 @@
         self.facts.borrow().configuration()
     }
 
-    /// Daemons that live, this one included.
-    pub(crate) fn alive(&self) -> Vec<EntryName> {
-        let mut alive = self.members.borrow().heard(self.now());
-        alive.push(self.me().clone());
-        alive.sort();
-        alive
-    }
-
     /// Whether the balancer should send requests here.
     pub(crate) fn is_ready(&self) -> bool {
         let knows_workers = self.board.borrow().seats().next().is_some();
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -1,7 +1,7 @@
 //! The jobs that this daemon owns.
 
 use bluebellreel_batch::{Job, JobRecord};
-use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
+use bluebellreel_types::{EntryName, Incarnation, JobId, WorkerName};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -32,7 +32,6 @@
 /// A run of an item at a worker.
 pub(crate) struct ItemRun {
     pub(crate) worker: WorkerName,
-    pub(crate) due_at: Moment,
     pub(crate) abort: AbortHandle,
 }
 
@@ -86,6 +85,12 @@
         self.owners.insert(id.clone(), owner);
     }
 
+    /// Items that wait for a slot.
+    pub(crate) fn items_waiting(&self) -> u32 {
+        let open = self.own.values().map(|owned| owned.job.borrow().items_waiting());
+        u32::try_from(open.sum::<usize>()).unwrap_or(u32::MAX)
+    }
+
     /// Tokens that wait, by route.
     pub(crate) fn tokens_by_route(&self) -> BTreeMap<String, u64> {
         let mut tokens = self.submitted_tokens.clone();
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -1,6 +1,6 @@
 //! Running items at workers.
 
-use super::own::{ItemRun, OwnedJob};
+use super::own::{ItemRun, Jobs, OwnedJob};
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::ticket::Place;
@@ -9,7 +9,7 @@
 use bluebellreel_dispatch::{BatchRun, Class, Query, Route, batch_to_yield, place_batch};
 use bluebellreel_net::Reuse;
 use bluebellreel_platform::engine::Outgoing;
-use bluebellreel_types::{JobId, Moment, WorkerName};
+use bluebellreel_types::{JobId, WorkerName};
 use http::StatusCode;
 use log::{info, warn};
 use std::collections::BTreeSet;
@@ -41,14 +41,13 @@
 
 fn fill_slots(gw: &Rc<Gateway>) {
     let mut full: BTreeSet<Arc<str>> = BTreeSet::new();
-    let alive = gw.alive();
     while let Some(next) = choose_item(gw, &full) {
         let query = Query {
             service: &next.service,
             avoid: &[],
             now: gw.now(),
         };
-        let worker = place_batch(&gw.board.borrow(), &query, gw.me(), &alive);
+        let worker = place_batch(&gw.board.borrow(), &query, gw.me());
         match worker {
             Some(worker) => start(gw, next, &worker),
             None => {
@@ -63,7 +62,6 @@
     owned: Rc<OwnedJob>,
     job: JobId,
     item: usize,
-    due_at: Moment,
     route: Arc<Route>,
     service: Arc<str>,
 }
@@ -91,7 +89,6 @@
                     owned,
                     job: found.job,
                     item: found.item,
-                    due_at: found.due_at,
                     route,
                     service,
                 });
@@ -107,11 +104,9 @@
     let place = Place::take(gw, worker, Class::Batch);
     next.owned.job.borrow_mut().items[next.item].phase = ItemPhase::Running;
     let key = (next.job.clone(), next.item);
-    let due_at = next.due_at;
     let task = tokio::task::spawn_local(run(gw.clone(), next, place));
     let run = ItemRun {
         worker: worker.clone(),
-        due_at,
         abort: task.abort_handle(),
     };
     gw.jobs.borrow_mut().runs.insert(key, run);
@@ -248,6 +243,11 @@
     rest(gw)
 }
 
+fn events_of(jobs: &Jobs, key: &(JobId, usize)) -> u64 {
+    let owned = jobs.own.get(&key.0);
+    owned.map_or(0, |o| o.job.borrow().items[key.1].progress.events())
+}
+
 /// Ends the batch runs that must make room now. Their items go on elsewhere.
 pub(crate) fn make_room(gw: &Gateway) {
     let Ok(mut jobs) = gw.jobs.try_borrow_mut() else {
@@ -262,7 +262,7 @@
         .map(|(key, run)| BatchRun {
             key: key.clone(),
             worker: run.worker.clone(),
-            due_at: run.due_at,
+            events: events_of(&jobs, key),
         })
         .collect();
     let yields = batch_to_yield(&gw.board.borrow(), &runs);
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -109,7 +109,7 @@
         avoid: &req.tried,
         now: gw.now(),
     };
-    place_online(&gw.board.borrow(), &query)
+    place_online(&gw.board.borrow(), &query, gw.me())
 }
 
 /// Sends to a worker, and logs what decided it and what came of it.
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -48,6 +48,7 @@
     configuration_revision: i64,
     workers_revision: i64,
     running: Vec<(WorkerName, u32, u32)>,
+    waiting: u32,
     tokens: Vec<(String, u64)>,
     cancelled: Vec<String>,
 }
@@ -68,6 +69,7 @@
         configuration_revision: facts.configuration_revision(),
         workers_revision: facts.catalog.revision(),
         running: running.collect(),
+        waiting: gw.jobs.borrow().items_waiting(),
         tokens: gw.jobs.borrow().tokens_by_route().into_iter().collect(),
         cancelled: gw.members.borrow().cancelled.keys().cloned().collect(),
     }
@@ -153,6 +155,7 @@
                 (worker.clone(), running)
             })
             .collect(),
+        waiting: report.waiting,
         expires_at: now + SILENT,
     };
     gw.board.borrow_mut().hear(&report.entry, load);
