Two daemons watch the store, the others are told; calls by way of peers

(2) A daemon that the store turned away lost its lease and left its jobs standing, though peers reached it.

Now: two daemons by rank watch; reports carry revisions, who lacks them asks; new jobs are told in reports; a new run of a known daemon wakes the search for orphans; jobs left by their heir go to the caretaker; store calls go by way of a peer while the straight way fails.

--- a/crates/bluebellreel_dispatch/src/catalog.rs
+++ b/crates/bluebellreel_dispatch/src/catalog.rs
@@ -151,11 +151,24 @@
         self.entries.values().filter_map(|e| e.record.as_ref())
     }
 
-    /// All facts, for a peer: removed ones without a record.
-    pub fn facts(&self) -> impl Iterator<Item = (i64, &WorkerName, Option<&WorkerRecord>)> {
-        self.entries
+    /// Revision of the newest fact; lies behind [`Catalog::revision`] while
+    /// nothing changes.
+    #[must_use]
+    pub fn newest(&self) -> i64 {
+        let revisions = self.entries.values().map(|e| e.revision);
+        revisions.max().unwrap_or(0)
+    }
+
+    /// Facts after a revision, for a peer: removed ones without a record.
+    pub fn facts_after(
+        &self,
+        revision: i64,
+    ) -> impl Iterator<Item = (i64, &WorkerName, Option<&WorkerRecord>)> {
+        let newer = self
+            .entries
             .iter()
-            .map(|(id, e)| (e.revision, id, e.record.as_ref()))
+            .filter(move |(_, e)| e.revision > revision);
+        newer.map(|(id, e)| (e.revision, id, e.record.as_ref()))
     }
 
     fn is_old(&self, id: &WorkerName, revision: i64) -> bool {
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -58,7 +58,9 @@
     } else {
         trusted
     };
-    let best = pool.into_iter().min_by_key(|seat| online_rank(board, me, seat));
+    let best = pool
+        .into_iter()
+        .min_by_key(|seat| online_rank(board, me, seat));
     match best {
         None => Placement::NoWorker,
         Some(seat) if waiting_online(seat) >= board.limits.queued_per_worker => Placement::Full,
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -44,6 +44,8 @@
     pub(crate) peers: Pool,
     pub(crate) store: StoreClient,
     pub(crate) metrics: Metrics,
+    /// Lease of this daemon's entry in the store; zero for none.
+    pub(crate) lease: Cell<i64>,
     /// Set from SIGTERM on.
     pub(crate) stopping: Cell<bool>,
     /// Requests of callers that are being answered.
@@ -79,6 +81,7 @@
             peers,
             store: StoreClient::new(settings.store),
             metrics: Metrics::default(),
+            lease: Cell::new(0),
             stopping: Cell::new(false),
             in_progress: Cell::new(0),
             report_due: Notify::new(),
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -298,6 +298,8 @@
     {
         let mut jobs = gw.jobs.borrow_mut();
         jobs.owners.remove(&id);
+        jobs.orphans.remove(&id);
+        jobs.tell_owned(&id, gw.now());
         if jobs.own.insert(id.clone(), owned.clone()).is_some() {
             jobs.end_runs(&id);
         }
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -1,10 +1,11 @@
 //! The jobs that this daemon owns.
 
 use bluebellreel_batch::{Job, JobRecord};
-use bluebellreel_types::{EntryName, Incarnation, JobId, WorkerName};
+use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
 
@@ -62,32 +63,60 @@
     pub(crate) submissions: HashMap<JobId, watch::Receiver<Accepted>>,
     /// Tokens of submissions on their way, by route.
     pub(crate) submitted_tokens: BTreeMap<String, u64>,
+    /// Jobs that came to be owned here lately, and until when peers are told.
+    pub(crate) lately: VecDeque<(JobId, Moment)>,
     /// Owners of other jobs, as last read.
     pub(crate) owners: HashMap<JobId, KnownOwner>,
+    /// Jobs without an owner that another daemon should take over, and since
+    /// when they are known.
+    pub(crate) orphans: HashMap<JobId, Moment>,
     pub(crate) archive: Archive,
     /// Wakes the task that looks for jobs without an owner.
     pub(crate) orphans_due: Rc<Notify>,
 }
 
+/// How long peers are told of a job; a caller comes to read it within a second.
+const TELL_OWNED: Duration = Duration::from_secs(2);
 /// Owners remembered; each takes some hundred bytes.
 const OWNERS: usize = 8192;
 
 impl Jobs {
     /// Remembers who owns a job.
     pub(crate) fn note_owner(&mut self, id: &JobId, record: &JobRecord) {
-        if self.owners.len() >= OWNERS {
-            self.owners.clear();
-        }
         let owner = KnownOwner {
             entry: record.owner.entry.clone(),
             run: record.owner.run,
         };
+        self.heard_owner(id, owner);
+    }
+
+    /// Remembers who says that it owns a job.
+    pub(crate) fn heard_owner(&mut self, id: &JobId, owner: KnownOwner) {
+        if self.owners.len() >= OWNERS {
+            self.owners.clear();
+        }
         self.owners.insert(id.clone(), owner);
     }
 
+    /// Has peers told of a job that is owned here now.
+    pub(crate) fn tell_owned(&mut self, id: &JobId, now: Moment) {
+        self.lately.push_back((id.clone(), now + TELL_OWNED));
+        self.lately.retain(|(_, until)| !until.is_past(now));
+    }
+
+    /// Jobs that peers are told of, as far as they are still owned here.
+    pub(crate) fn owned_lately(&self, now: Moment) -> Vec<JobId> {
+        let lately = self.lately.iter().filter(|(_, until)| !until.is_past(now));
+        let own = lately.filter(|(id, _)| self.own.contains_key(id));
+        own.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Items that wait for a slot.
     pub(crate) fn items_waiting(&self) -> u32 {
-        let open = self.own.values().map(|owned| owned.job.borrow().items_waiting());
+        let open = self
+            .own
+            .values()
+            .map(|owned| owned.job.borrow().items_waiting());
         u32::try_from(open.sum::<usize>()).unwrap_or(u32::MAX)
     }
 
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -69,7 +69,7 @@
 }
 
 fn owned(gw: &Gateway, id: &JobId) -> Option<Rc<OwnedJob>> {
-    if gw.store.failing_for() > BELIEVED {
+    if !gw.store.has_answered_within(BELIEVED) {
         return None;
     }
     gw.jobs.borrow().own.get(id).cloned()
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -3,6 +3,7 @@
 use super::accept::{adopt, stored_record};
 use super::{key, load};
 use crate::gateway::Gateway;
+use crate::registration;
 use bluebellreel_batch::{JobPhase, JobRecord, Owner, keys};
 use bluebellreel_kv::{Commit, Compare, Key, KvError, Put, Txn};
 use bluebellreel_types::{EntryName, JobId};
@@ -16,8 +17,13 @@
 const LOOK: Duration = Duration::from_secs(6);
 /// Time between looks while an owner is gone or this daemon is new.
 const LOOK_SOON: Duration = Duration::from_millis(900);
+/// Time between looks of daemons that another one looks for: it tells them by
+/// being lost.
+const LOOK_SELDOM: Duration = Duration::from_secs(20);
 /// Wait after the start for peers to be heard.
 const FIRST_LOOK: Duration = Duration::from_millis(1200);
+/// How long a job without an owner is left to its heir.
+const LEFT_BY_HEIR: Duration = Duration::from_millis(2500);
 /// How long a take-over's write is repeated.
 const DECIDE: Duration = Duration::from_secs(3);
 
@@ -33,7 +39,11 @@
                 true
             }
         };
-        let pause = if more { LOOK_SOON } else { LOOK };
+        let pause = match (more, is_caretaker(&gw)) {
+            (true, _) => LOOK_SOON,
+            (false, true) => LOOK,
+            (false, false) => LOOK_SELDOM,
+        };
         if timeout(pause, due.notified()).await.is_ok() {
             // Its peers may be silent for a moment longer than its entry.
             sleep(LOOK_SOON).await;
@@ -48,7 +58,11 @@
         return Ok(0);
     }
     let (open, _) = gw.store.list(&Key::from(keys::OPEN)).await?;
+    if open.is_empty() {
+        gw.jobs.borrow_mut().orphans.clear();
+    }
     let mut left = 0;
+    let mut entries_read = false;
     for kv in open {
         let Some(id) = kv.key.as_str().strip_prefix(keys::OPEN) else {
             continue;
@@ -57,11 +71,21 @@
         if gw.jobs.borrow().own.contains_key(&id) || has_owner(gw, &id) {
             continue;
         }
+        if !std::mem::replace(&mut entries_read, true) {
+            registration::read_members(gw).await?;
+        }
         left += usize::from(!take_over(gw, &id).await?);
     }
     Ok(left)
 }
 
+/// Whether this daemon is the first of those that live, which looks more often
+/// than the others.
+fn is_caretaker(gw: &Gateway) -> bool {
+    let heard = gw.members.borrow().heard(gw.now());
+    heard.iter().all(|peer| gw.me() < peer)
+}
+
 /// Whether the owner last read is alive; saves reading the record.
 fn has_owner(gw: &Gateway, id: &JobId) -> bool {
     let jobs = gw.jobs.borrow();
@@ -88,9 +112,11 @@
         adopt(gw, job);
         return Ok(true);
     }
-    let gone = is_gone(gw, &record.owner);
-    if !gone || !is_heir(gw, id) {
-        return Ok(!gone);
+    if !is_gone(gw, &record.owner) {
+        return Ok(true);
+    }
+    if !is_heir(gw, id) && !is_left_by_heir(gw, id) {
+        return Ok(false);
     }
     claim(gw, id, record, revision).await
 }
@@ -109,6 +135,16 @@
     heir(gw, id, true).is_some_and(|name| name == *gw.me())
 }
 
+/// Whether this daemon is the one that looks after jobs that their heir leaves
+/// alone: the heir may believe that the owner lives, or not reach the store.
+/// The write is guarded, so two that claim a job at once do no harm.
+fn is_left_by_heir(gw: &Gateway, id: &JobId) -> bool {
+    let now = gw.now();
+    let mut jobs = gw.jobs.borrow_mut();
+    let found_at = *jobs.orphans.entry(id.clone()).or_insert(now);
+    is_caretaker(gw) && (found_at + LEFT_BY_HEIR).is_past(now)
+}
+
 /// The daemon that should have a job.
 pub(super) fn heir(gw: &Gateway, id: &JobId, with_me: bool) -> Option<EntryName> {
     let members = gw.members.borrow();
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod answers;
+mod detour;
 mod events;
 mod facts;
 mod gateway;
@@ -34,5 +35,6 @@
 mod store;
 mod ticket;
 mod upstream;
+mod watching;
 
-pub use run::run_gateway;
+pub use run::{live, run_gateway};
--- a/crates/bluebellreel_gateway/src/members.rs
+++ b/crates/bluebellreel_gateway/src/members.rs
@@ -35,8 +35,8 @@
     pub(crate) registered: bool,
     /// Tokens of its jobs that wait, by route.
     pub(crate) tokens: BTreeMap<String, u64>,
-    /// Revisions of its facts: configuration, workers.
-    pub(crate) revisions: (i64, i64),
+    /// Whether it reaches the store, as far as it knows.
+    pub(crate) reaches_store: bool,
 }
 
 /// All peers.
@@ -45,6 +45,7 @@
     pub(crate) peers: BTreeMap<EntryName, Peer>,
     /// Jobs that were cancelled lately, with when that is forgotten.
     pub(crate) cancelled: BTreeMap<String, Moment>,
+    last_heard: BTreeSet<EntryName>,
     regained_at: Option<Moment>,
     revision: i64,
 }
@@ -56,6 +57,23 @@
         alive.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Peers that were heard lately and reach the store.
+    pub(crate) fn heard_with_store(&self, now: Moment) -> impl Iterator<Item = &EntryName> {
+        let reach = self
+            .peers
+            .iter()
+            .filter(move |(_, p)| is_heard(p, now) && p.reaches_store);
+        reach.map(|(name, _)| name)
+    }
+
+    /// Whether a peer has fallen silent since the last call.
+    pub(crate) fn has_lost_peer(&mut self, now: Moment) -> bool {
+        let heard: BTreeSet<EntryName> = self.heard(now).into_iter().collect();
+        let lost = self.last_heard.difference(&heard).next().is_some();
+        self.last_heard = heard;
+        lost
+    }
+
     /// A peer that is heard.
     pub(crate) fn alive(&self, name: &EntryName, now: Moment) -> Option<&Peer> {
         self.peers.get(name).filter(|p| is_heard(p, now))
@@ -109,20 +127,13 @@
                     stopping: false,
                     registered: true,
                     tokens: BTreeMap::new(),
-                    revisions: (0, 0),
+                    reaches_store: true,
                 };
                 self.peers.insert(name, peer);
             }
         }
     }
 
-    /// A daemon's entry is gone from the store.
-    pub(crate) fn unregistered(&mut self, name: &EntryName) {
-        if let Some(peer) = self.peers.get_mut(name) {
-            peer.registered = false;
-        }
-    }
-
     /// Forgets peers that neither stand in the store nor are heard.
     pub(crate) fn sweep(&mut self, now: Moment) {
         let keep = |peer: &Peer| {
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -1,6 +1,8 @@
 //! What peers may call.
 
 use crate::answers;
+use crate::detour;
+use crate::facts::Revisions;
 use crate::gateway::Gateway;
 use crate::jobs;
 use bluebellreel_net::{Body, read_body};
@@ -20,10 +22,7 @@
     let path = req.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (req.method(), parts.as_slice()) {
-        (&Method::GET, ["facts"]) => match postcard::to_allocvec(&gw.facts.borrow().share()) {
-            Ok(bytes) => answers::bytes(bytes),
-            Err(e) => answers::failure(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
-        },
+        (&Method::GET, ["facts"]) => facts(&gw, &req),
         (&Method::GET, ["jobs", id, "results"]) => {
             let after = number(&req, "after");
             let wait = Duration::from_millis(number(&req, "wait_ms"));
@@ -41,10 +40,35 @@
                 _ => answers::failure(StatusCode::BAD_REQUEST, "no body"),
             }
         }
+        (&Method::POST, ["store"]) => store(&gw, req).await,
         _ => answers::failure(StatusCode::NOT_FOUND, "no such call"),
     }
 }
 
+/// Makes a call to the store for a peer that the store turns away.
+async fn store(gw: &Gateway, req: Request<Incoming>) -> Response<Body> {
+    let body = read_body(req.into_body(), BODY_BYTES, BODY_TIME).await;
+    let Ok(Some(body)) = body else {
+        return answers::failure(StatusCode::BAD_REQUEST, "no body");
+    };
+    match detour::make_for_peer(gw, &body).await {
+        Ok(answer) => answers::bytes(answer),
+        Err(e) => answers::failure(StatusCode::BAD_REQUEST, &e),
+    }
+}
+
+fn facts(gw: &Gateway, req: &Request<Incoming>) -> Response<Body> {
+    let revision = |name| i64::try_from(number(req, name)).unwrap_or(i64::MAX);
+    let seen = Revisions {
+        configuration: revision("configuration"),
+        workers: revision("workers"),
+    };
+    match postcard::to_allocvec(&gw.facts.borrow().share(seen)) {
+        Ok(bytes) => answers::bytes(bytes),
+        Err(e) => answers::failure(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+    }
+}
+
 fn number(req: &Request<Incoming>, name: &str) -> u64 {
     let query = req.uri().query().unwrap_or("");
     query
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -1,6 +1,6 @@
 //! Calls to peers.
 
-use crate::facts::SharedFacts;
+use crate::facts::{Revisions, SharedFacts};
 use crate::gateway::Gateway;
 use bluebellreel_net::Reuse;
 use bluebellreel_types::JobId;
@@ -46,9 +46,17 @@
         .unwrap_or_else(|_| Err("no answer in time".into()))
 }
 
-/// All facts that a peer knows.
-pub(crate) async fn facts(gw: &Gateway, to: SocketAddr) -> Result<SharedFacts, PeerError> {
-    let (status, body) = call(gw, to, Method::GET, "/facts", Bytes::new(), TIMEOUT).await?;
+/// What a peer knows beyond `seen`.
+pub(crate) async fn facts(
+    gw: &Gateway,
+    to: SocketAddr,
+    seen: Revisions,
+) -> Result<SharedFacts, PeerError> {
+    let path = format!(
+        "/facts?configuration={}&workers={}",
+        seen.configuration, seen.workers
+    );
+    let (status, body) = call(gw, to, Method::GET, &path, Bytes::new(), TIMEOUT).await?;
     if status != StatusCode::OK {
         return Err(format!("status {status}"));
     }
@@ -91,6 +99,22 @@
     call(gw, to, Method::DELETE, &path, Bytes::new(), TIMEOUT).await
 }
 
+/// Has a peer make a call to the store.
+pub(crate) async fn store(
+    gw: &Gateway,
+    to: SocketAddr,
+    body: Vec<u8>,
+    longest: Duration,
+) -> Result<Bytes, PeerError> {
+    let body = Bytes::from(body);
+    let longest = longest + TIMEOUT;
+    let (status, body) = call(gw, to, Method::POST, "/store", body, longest).await?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    Ok(body)
+}
+
 /// Tells a peer that it owns a job now, and what its items had generated.
 pub(crate) async fn hand_over(
     gw: &Gateway,
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -1,15 +1,14 @@
 //! This daemon's entry in the store, and those of the others.
 //!
 //! The entry stands under a lease. It can vanish without any call telling, so
-//! the daemon watches its own entry like the others' and writes it again.
+//! the daemon looks for its own entry whenever it reads the others', and writes
+//! it again.
 
-use crate::facts::{Change, watch_prefix};
 use crate::gateway::Gateway;
 use crate::members::MemberEntry;
-use bluebellreel_kv::{Commit, Key, KeyValue, KvError, Put, Txn, WatchEvent};
+use bluebellreel_kv::{Commit, Key, KeyValue, KvError, Put, Txn};
 use bluebellreel_types::EntryName;
 use log::{info, warn};
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -18,17 +17,14 @@
 const MEMBERS: &str = "member/";
 /// Time to live of a daemon's entry. Short, as a dead daemon's jobs wait for
 /// it to end; a renewal costs a tenth of a read.
-const TTL: Duration = Duration::from_millis(2500);
+const TTL: Duration = Duration::from_millis(3600);
 /// Time between renewals: three within the time to live.
-const RENEWAL: Duration = Duration::from_millis(800);
+const RENEWAL: Duration = Duration::from_millis(1100);
+/// Time between reads of all entries.
+const LIST_PAUSE: Duration = Duration::from_secs(15);
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(300);
 
-thread_local! {
-    /// The lease in use; zero for none.
-    static LEASE: Cell<i64> = const { Cell::new(0) };
-}
-
 fn own_key(gw: &Gateway) -> Key {
     Key::from(format!("{MEMBERS}{}", gw.me()))
 }
@@ -44,14 +40,14 @@
                 continue;
             }
         };
-        LEASE.set(lease);
+        gw.lease.set(lease);
         info!(target: "members", lease; "registered");
         renew_while_it_lasts(&gw, lease).await;
     }
 }
 
 async fn renew_while_it_lasts(gw: &Rc<Gateway>, lease: i64) {
-    while LEASE.get() == lease && !gw.stopping.get() {
+    while gw.lease.get() == lease && !gw.stopping.get() {
         sleep(RENEWAL).await;
         match gw.store.renew(lease).await {
             Ok(true) => {}
@@ -92,7 +88,7 @@
 
 /// Gives the lease back, so that the others learn of the stop at once.
 pub(crate) async fn unregister(gw: &Gateway) {
-    let lease = LEASE.take();
+    let lease = gw.lease.take();
     if lease == 0 {
         return;
     }
@@ -101,36 +97,29 @@
     }
 }
 
-/// Follows the entries of all daemons.
-pub(crate) async fn watch_members(gw: Rc<Gateway>) {
-    watch_prefix(gw, Key::from(MEMBERS), |gw, change| match change {
-        Change::All(all, revision) => {
-            let own = all.iter().any(|kv| kv.key == own_key(gw));
-            let list = all.iter().filter_map(|kv| read_member(gw, kv)).collect();
-            gw.members.borrow_mut().listed(list, revision);
-            if !own {
-                LEASE.set(0);
-            }
+/// Reads the entries of all daemons now and then. A new daemon reads them once
+/// and reports to all, so the others hear of it without a read.
+pub(crate) async fn list_members(gw: Rc<Gateway>) {
+    loop {
+        let listed = read_members(&gw).await;
+        let pause = if listed.is_ok() { LIST_PAUSE } else { RETRY };
+        if let Err(e) = listed {
+            warn!(target: "members", error:% = e; "entries not read");
         }
-        Change::One(WatchEvent::Put(kv)) => {
-            if let Some((name, entry)) = read_member(gw, &kv) {
-                info!(target: "members", peer:% = name, run:% = entry.run, revision = kv.revision; "peer registered");
-                gw.members.borrow_mut().registered(name, entry);
-            }
-        }
-        Change::One(WatchEvent::Deleted { key, revision }) => {
-            if key == own_key(gw) {
-                warn!(target: "members", revision; "own entry has vanished, registering again");
-                LEASE.set(0);
-            } else if let Some(name) = key.as_str().strip_prefix(MEMBERS) {
-                info!(target: "members", peer = name, revision; "peer no longer registered");
-                gw.members.borrow_mut().unregistered(&EntryName::from(name));
-                gw.jobs.borrow().orphans_due.notify_one();
-            }
-        }
-        Change::SeenTo(_) => {}
-    })
-    .await;
+        sleep(pause).await;
+    }
+}
+
+/// Reads the entries of all daemons.
+pub(crate) async fn read_members(gw: &Rc<Gateway>) -> Result<(), KvError> {
+    let (all, revision) = gw.store.list(&Key::from(MEMBERS)).await?;
+    if !all.iter().any(|kv| kv.key == own_key(gw)) && gw.lease.get() != 0 {
+        warn!(target: "members", revision; "own entry has vanished, registering again");
+        gw.lease.set(0);
+    }
+    let list = all.iter().filter_map(|kv| read_member(gw, kv)).collect();
+    gw.members.borrow_mut().listed(list, revision);
+    Ok(())
 }
 
 fn read_member(gw: &Gateway, kv: &KeyValue) -> Option<(EntryName, MemberEntry)> {
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -4,15 +4,16 @@
 //! few milliseconds apart, and four times a second in any case. It is complete
 //! in itself: one that is lost is made up for by the next.
 
-use crate::facts::{SharedFacts, follow_workers};
+use crate::facts::{Revisions, SharedFacts, follow_workers};
 use crate::gateway::Gateway;
+use crate::jobs::KnownOwner;
 use crate::members::{Peer, SILENT};
 use crate::peer_calls;
 use bluebellreel_dispatch::{PeerLoad, Running};
-use bluebellreel_types::{EntryName, Incarnation, Moment, WorkerName};
+use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -32,10 +33,6 @@
 const MANY: usize = 8;
 /// Longest datagram taken.
 const DATAGRAM_BYTES: usize = 60 * 1024;
-/// How far a peer must be ahead, and stay, before its facts are asked for: a
-/// watch of our own usually brings them in this time.
-const AHEAD: Duration = Duration::from_millis(300);
-
 /// One report.
 #[derive(Serialize, Deserialize)]
 struct Report {
@@ -45,8 +42,9 @@
     calls: SocketAddr,
     reports: SocketAddr,
     stopping: bool,
-    configuration_revision: i64,
-    workers_revision: i64,
+    reaches_store: bool,
+    revisions: Revisions,
+    accepted: Vec<JobId>,
     running: Vec<(WorkerName, u32, u32)>,
     waiting: u32,
     tokens: Vec<(String, u64)>,
@@ -66,8 +64,9 @@
         calls: gw.settings.peers,
         reports: gw.settings.reports,
         stopping: gw.stopping.get(),
-        configuration_revision: facts.configuration_revision(),
-        workers_revision: facts.catalog.revision(),
+        reaches_store: !gw.store.is_lost(),
+        revisions: facts.revisions(),
+        accepted: gw.jobs.borrow().owned_lately(gw.now()),
         running: running.collect(),
         waiting: gw.jobs.borrow().items_waiting(),
         tokens: gw.jobs.borrow().tokens_by_route().into_iter().collect(),
@@ -114,17 +113,10 @@
     targets
 }
 
-/// What is known of peers that are ahead of us.
-#[derive(Default)]
-struct Ahead {
-    since: RefCell<Option<Moment>>,
-    asking: Cell<bool>,
-}
-
 /// Takes reports for ever.
 pub(crate) async fn take_reports(gw: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; DATAGRAM_BYTES];
-    let ahead = Rc::new(Ahead::default());
+    let asking = Rc::new(Cell::new(false));
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buf).await else {
             // A datagram that came back as undeliverable; the peer is down.
@@ -132,7 +124,7 @@
         };
         match postcard::from_bytes::<Report>(&buf[..length]) {
             Ok(report) if report.entry != *gw.me() => {
-                hear(&gw, report, &ahead);
+                hear(&gw, report, &asking);
             }
             Ok(_) => {}
             Err(e) => warn!(target: "members", from:% = from, error:% = e; "report not read"),
@@ -140,7 +132,7 @@
     }
 }
 
-fn hear(gw: &Rc<Gateway>, report: Report, ahead: &Rc<Ahead>) {
+fn hear(gw: &Rc<Gateway>, report: Report, asking: &Rc<Cell<bool>>) {
     let now = gw.now();
     let load = PeerLoad {
         sequence: report.sequence,
@@ -162,20 +154,31 @@
     for job in &report.cancelled {
         crate::jobs::heard_cancelled(gw, job);
     }
-    let calls = report.calls;
-    let revisions = (report.configuration_revision, report.workers_revision);
+    for job in &report.accepted {
+        let owner = KnownOwner {
+            entry: report.entry.clone(),
+            run: report.run,
+        };
+        gw.jobs.borrow_mut().heard_owner(job, owner);
+    }
+    let (calls, revisions) = (report.calls, report.revisions);
     let name = report.entry.clone();
     note_peer(gw, report, now);
     crate::jobs::make_room(gw);
     gw.batch_due.notify_one();
-    catch_up(gw, &name, calls, revisions, ahead, now);
+    if gw.facts.borrow().lacks(revisions) {
+        catch_up(gw, &name, calls, asking);
+    }
 }
 
 fn note_peer(gw: &Gateway, report: Report, now: Moment) {
     let mut members = gw.members.borrow_mut();
     let known = members.peers.get(&report.entry);
     let registered = known.is_some_and(|p| p.run == report.run && p.registered);
+    // A daemon that was restarted at once is never missed, but the jobs of its
+    // run before have no owner now.
     if known.is_none_or(|p| p.run != report.run || p.heard_at.is_none()) {
+        gw.jobs.borrow().orphans_due.notify_one();
         info!(target: "members", peer:% = report.entry, run:% = report.run; "peer heard");
     }
     let peer = Peer {
@@ -186,46 +189,24 @@
         stopping: report.stopping,
         registered,
         tokens: report.tokens.into_iter().collect::<BTreeMap<_, _>>(),
-        revisions: (report.configuration_revision, report.workers_revision),
+        reaches_store: report.reaches_store,
     };
     members.peers.insert(report.entry, peer);
 }
 
-/// Asks a peer for its facts if it has known more than we do for a while.
-fn catch_up(
-    gw: &Rc<Gateway>,
-    peer: &EntryName,
-    calls: SocketAddr,
-    revisions: (i64, i64),
-    ahead: &Rc<Ahead>,
-    now: Moment,
-) {
-    let own = {
-        let facts = gw.facts.borrow();
-        (facts.configuration_revision(), facts.catalog.revision())
-    };
-    let newest = {
-        let members = gw.members.borrow();
-        let known = members.peers.values().map(|p| p.revisions);
-        known.fold((0, 0), |a, b| (a.0.max(b.0), a.1.max(b.1)))
-    };
-    if newest.0 <= own.0 && newest.1 <= own.1 {
-        *ahead.since.borrow_mut() = None;
-        return;
-    }
-    let is_ahead = revisions.0 > own.0 || revisions.1 > own.1;
-    let since = *ahead.since.borrow_mut().get_or_insert(now);
-    if !is_ahead || ahead.asking.get() || !(since + AHEAD).is_past(now) {
+/// Asks a peer for what it knows and we do not; one question at a time.
+fn catch_up(gw: &Rc<Gateway>, peer: &EntryName, calls: SocketAddr, asking: &Rc<Cell<bool>>) {
+    if asking.replace(true) {
         return;
     }
-    ahead.asking.set(true);
-    let (gw, ahead, peer) = (gw.clone(), ahead.clone(), peer.clone());
+    let (gw, asking, peer) = (gw.clone(), asking.clone(), peer.clone());
     tokio::task::spawn_local(async move {
-        match peer_calls::facts(&gw, calls).await {
+        let seen = gw.facts.borrow().seen();
+        match peer_calls::facts(&gw, calls, seen).await {
             Ok(shared) => learn(&gw, shared, &peer),
             Err(e) => warn!(target: "facts", peer:% = peer, error:% = e; "facts not brought"),
         }
-        ahead.asking.set(false);
+        asking.set(false);
     });
 }
 
@@ -235,4 +216,5 @@
     if changed {
         follow_workers(gw);
     }
+    gw.report_due.notify_one();
 }
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -1,7 +1,7 @@
 //! The life of a gateway: start, signals, graceful stop.
 
 use crate::gateway::Gateway;
-use crate::{facts, jobs, peer_api, registration, reports, serve};
+use crate::{detour, facts, jobs, peer_api, registration, reports, serve, watching};
 use bluebellreel_net::{Served, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
 use eyre::Context;
@@ -28,7 +28,8 @@
 /// Time between looks whether requests are still in progress.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Runs a gateway until it is asked to stop; whether nothing was cut.
+/// Runs a gateway until it is asked to stop by a signal; whether nothing was
+/// cut.
 ///
 /// # Errors
 ///
@@ -37,25 +38,45 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, live(settings))
+    LocalSet::new().block_on(&runtime, async {
+        let asked = asked_to_stop()?;
+        live(settings, asked).await
+    })
 }
 
-async fn live(settings: GatewaySettings) -> eyre::Result<bool> {
+/// Ends when a signal asks for the end. The handlers stand once this returns.
+fn asked_to_stop() -> eyre::Result<impl Future<Output = ()>> {
     let mut hang_up = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    Ok(async move {
+        loop {
+            tokio::select! {
+                _ = hang_up.recv() => info!(target: "gateway", "settings changed; they take effect at the next start"),
+                _ = terminate.recv() => return,
+                _ = interrupt.recv() => return,
+            }
+        }
+    })
+}
+
+/// Runs a gateway on the present local task set until `stop` ends; whether
+/// nothing was cut.
+///
+/// # Errors
+///
+/// Gives the reason when an address cannot be listened on.
+pub async fn live(
+    settings: GatewaySettings,
+    stop_asked: impl Future<Output = ()>,
+) -> eyre::Result<bool> {
     let gw = Gateway::new(settings);
+    detour::install(&gw);
     let stop = Stop::default();
     let served = Served::default();
     start(&gw, &stop, &served).await?;
     info!(target: "gateway", entry:% = gw.me(), run:% = gw.run, data_centre:% = gw.settings.data_centre, requests:% = gw.settings.requests; "started");
-    loop {
-        tokio::select! {
-            _ = hang_up.recv() => info!(target: "gateway", entry:% = gw.me(); "settings changed; they take effect at the next start"),
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-        }
-    }
+    stop_asked.await;
     let clean = leave(&gw, &stop, &served).await;
     info!(target: "gateway", entry:% = gw.me(), clean; "stopped");
     Ok(clean)
@@ -113,10 +134,10 @@
 
     spawn_local(reports::send_reports(gw.clone(), socket.clone()));
     spawn_local(reports::take_reports(gw.clone(), socket));
-    spawn_local(facts::watch_operator(gw.clone()));
-    spawn_local(facts::watch_workers(gw.clone()));
+    spawn_local(watching::watch_operator(gw.clone()));
+    spawn_local(watching::watch_workers(gw.clone()));
     spawn_local(registration::keep_registered(gw.clone()));
-    spawn_local(registration::watch_members(gw.clone()));
+    spawn_local(registration::list_members(gw.clone()));
     spawn_local(jobs::start_items(gw.clone()));
     spawn_local(jobs::adopt_orphans(gw.clone()));
     let g = gw.clone();
@@ -129,6 +150,9 @@
     gw.workers.sweep();
     gw.peers.sweep();
     gw.members.borrow_mut().sweep(now);
+    if gw.members.borrow_mut().has_lost_peer(now) {
+        gw.jobs.borrow().orphans_due.notify_one();
+    }
     gw.board.borrow_mut().forget_silent(now);
     let expired = gw.facts.borrow_mut().catalog.expire(now);
     if expired {
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -9,9 +9,10 @@
 use bluebellreel_net::{Pool, PoolLimits, Reuse, SendError};
 use bluebellreel_platform::store::{self, Lease, Page, TxnOutcome, Watched};
 use bytes::Bytes;
+use futures::future::LocalBoxFuture;
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
@@ -29,16 +30,45 @@
 const REPEAT_PAUSE: Duration = Duration::from_millis(150);
 /// Longest answer read.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Time in which every straight call failed after which the store counts as
+/// lost. A single call may fail by a reset connection.
+const LOST: Duration = Duration::from_millis(500);
+/// Time between straight calls while the store is lost.
+const TRY_STRAIGHT: Duration = Duration::from_secs(1);
 /// How much longer than asked for a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
+/// What a call brought: status and body.
+pub(crate) type StoreAnswer = Result<(StatusCode, Bytes), KvError>;
+/// Makes a call through a peer; `None` if no peer reaches the store.
+pub(crate) type Detour =
+    Box<dyn Fn(Request<Bytes>, Duration) -> Option<LocalBoxFuture<'static, StoreAnswer>>>;
+
+/// Whether the store has dealt with a call.
+fn is_good(answer: &StoreAnswer) -> bool {
+    let turned_away = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    matches!(answer, Ok((status, _)) if !turned_away.contains(status))
+}
+
 /// A client of the store.
+///
+/// The store may turn one daemon away and serve the others. Such a daemon
+/// makes its calls through a peer, and tries the straight way now and then.
 pub(crate) struct StoreClient {
     pool: Pool,
     address: SocketAddr,
     calls: Cell<u64>,
     failures: Cell<u64>,
+    /// Since when every straight call has failed.
     failing_since: Cell<Option<Instant>>,
+    /// When a straight call was made last.
+    tried_at: Cell<Option<Instant>>,
+    /// When a call succeeded last, either way.
+    answered_at: Cell<Option<Instant>>,
+    detour: RefCell<Option<Detour>>,
 }
 
 impl StoreClient {
@@ -54,29 +84,62 @@
             calls: Cell::new(0),
             failures: Cell::new(0),
             failing_since: Cell::new(None),
+            tried_at: Cell::new(None),
+            answered_at: Cell::new(None),
+            detour: RefCell::new(None),
         }
     }
 
+    /// Sets the way through peers.
+    pub(crate) fn set_detour(&self, detour: Detour) {
+        *self.detour.borrow_mut() = Some(detour);
+    }
+
     /// Calls made and calls that failed.
     pub(crate) fn counts(&self) -> (u64, u64) {
         (self.calls.get(), self.failures.get())
     }
 
-    /// How long every call has failed; zero while the last one succeeded.
-    pub(crate) fn failing_for(&self) -> Duration {
-        self.failing_since
-            .get()
-            .map_or(Duration::ZERO, |since| since.elapsed())
+    /// Whether the store turns this daemon's own calls away.
+    pub(crate) fn is_lost(&self) -> bool {
+        let failing = self.failing_since.get();
+        failing.is_some_and(|since| since.elapsed() > LOST)
     }
 
-    async fn call(
-        &self,
-        mut req: Request<Bytes>,
-        longest: Duration,
-    ) -> Result<(StatusCode, Bytes), KvError> {
+    /// Whether any call has succeeded in the last `span`.
+    pub(crate) fn has_answered_within(&self, span: Duration) -> bool {
+        let answered = self.answered_at.get();
+        answered.is_some_and(|at| at.elapsed() <= span)
+    }
+
+    async fn call(&self, req: Request<Bytes>, longest: Duration) -> StoreAnswer {
         self.calls.set(self.calls.get() + 1);
-        let host = header::HeaderValue::try_from(self.address.to_string());
-        if let Ok(host) = host {
+        let tried_lately = self
+            .tried_at
+            .get()
+            .is_some_and(|at| at.elapsed() < TRY_STRAIGHT);
+        let detour = if self.is_lost() && tried_lately {
+            let detour = self.detour.borrow();
+            detour.as_ref().and_then(|d| d(req.clone(), longest))
+        } else {
+            None
+        };
+        let answer = match detour {
+            Some(detour) => detour.await,
+            None => self.straight(req, longest).await,
+        };
+        if is_good(&answer) {
+            self.answered_at.set(Some(Instant::now()));
+        } else {
+            self.failures.set(self.failures.get() + 1);
+        }
+        answer
+    }
+
+    /// Makes a call from this VM.
+    pub(crate) async fn straight(&self, mut req: Request<Bytes>, longest: Duration) -> StoreAnswer {
+        self.tried_at.set(Some(Instant::now()));
+        if let Ok(host) = header::HeaderValue::try_from(self.address.to_string()) {
             req.headers_mut().insert(header::HOST, host);
         }
         let sent = async {
@@ -94,26 +157,12 @@
         };
         let answer = timeout(longest, sent).await;
         let answer = answer.unwrap_or_else(|_| Err(KvError::Unknown("no answer in time".into())));
-        self.note(&answer);
-        answer
-    }
-
-    fn note(&self, answer: &Result<(StatusCode, Bytes), KvError>) {
-        let turned_away = |status: &StatusCode| {
-            *status == StatusCode::SERVICE_UNAVAILABLE || *status == StatusCode::TOO_MANY_REQUESTS
-        };
-        let failed = match answer {
-            Ok((status, _)) => turned_away(status),
-            Err(_) => true,
-        };
-        if failed {
-            self.failures.set(self.failures.get() + 1);
-            if self.failing_since.get().is_none() {
-                self.failing_since.set(Some(Instant::now()));
-            }
-        } else {
+        if is_good(&answer) {
             self.failing_since.set(None);
+        } else if self.failing_since.get().is_none() {
+            self.failing_since.set(Some(Instant::now()));
         }
+        answer
     }
 
     /// Reads one key.
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -0,0 +1,250 @@
+//! Following the store: what operators write, and which workers there are.
+//!
+//! A watch costs a call for each change, so only two daemons watch; the others
+//! take over what those report (see `reports`). A daemon that the store turns
+//! away says so and is passed over. One that hears nobody watches by itself.
+
+use crate::facts::follow_workers;
+use crate::gateway::Gateway;
+use bluebellreel_dispatch::WorkerRecord;
+use bluebellreel_kv::{Key, KeyValue, KvError, Txn, WatchEvent};
+use bluebellreel_platform::store::Watched;
+use bluebellreel_platform::{decode_worker, keys};
+use bluebellreel_types::{EntryName, Moment, WorkerName};
+use log::{info, warn};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+use twox_hash::XxHash64;
+
+/// Daemons that watch. Two, as one may be turned away, or its connection
+/// silent, without anybody knowing yet.
+const WATCHERS: usize = 2;
+/// Longest wait of one watch. A connection that has silently died brings
+/// nothing; the next watch shows what was missed, within this time.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// Pause after a failed call.
+const RETRY: Duration = Duration::from_millis(300);
+/// Time between looks of a daemon that does not watch whether it should.
+const LOOK: Duration = Duration::from_millis(250);
+/// Time in which the store's calls must have failed for its return to count as
+/// the end of an outage.
+const OUTAGE: Duration = Duration::from_millis(900);
+/// How long a worker that is missing after an outage may take to register
+/// again: the platform says about two seconds.
+const REGISTER_AGAIN: Duration = Duration::from_millis(2500);
+/// How long the answer to a request to empty a VM is repeated.
+const SAY_EMPTY: Duration = Duration::from_secs(30);
+
+/// Whether this daemon is one of those that watch: the first by rank of those
+/// that are heard and reach the store.
+fn is_watcher(gw: &Gateway) -> bool {
+    let rank = |name: &EntryName| XxHash64::oneshot(1, name.as_str().as_bytes());
+    let mine = rank(gw.me());
+    let members = gw.members.borrow();
+    let mut others = members.heard_with_store(gw.now());
+    if gw.store.is_lost() {
+        return others.next().is_none();
+    }
+    others.filter(|n| rank(n) > mine).count() < WATCHERS
+}
+
+/// Keeps the configuration current, and answers requests to empty VMs.
+pub(crate) async fn watch_operator(gw: Rc<Gateway>) {
+    follow(&gw, Key::from(keys::OPERATOR), &OPERATOR).await;
+}
+
+/// Keeps the list of workers current.
+pub(crate) async fn watch_workers(gw: Rc<Gateway>) {
+    follow(&gw, Key::from(keys::WORKERS), &WORKERS).await;
+}
+
+/// What is done with a prefix.
+struct Subject {
+    /// Revision up to which everything is known.
+    seen: fn(&Gateway) -> i64,
+    /// Takes the complete list.
+    listed: fn(&Rc<Gateway>, &[KeyValue], i64),
+    /// Takes one change.
+    changed: fn(&Rc<Gateway>, WatchEvent),
+    /// Everything up to a revision was handed out.
+    seen_to: fn(&Gateway, i64),
+}
+
+const OPERATOR: Subject = Subject {
+    seen: |gw| gw.facts.borrow().operator_seen,
+    listed: |gw, all, revision| {
+        for kv in all {
+            operator_wrote(gw, kv);
+        }
+        operator_seen_to(gw, revision);
+    },
+    changed: |gw, event| {
+        if let WatchEvent::Put(kv) = event {
+            operator_wrote(gw, &kv);
+        }
+    },
+    seen_to: operator_seen_to,
+};
+
+const WORKERS: Subject = Subject {
+    seen: |gw| gw.facts.borrow().catalog.revision(),
+    listed: workers_listed,
+    changed: |gw, event| {
+        if worker_changed(gw, event) {
+            follow_workers(gw);
+            gw.report_due.notify_one();
+        }
+    },
+    seen_to: |gw, revision| gw.facts.borrow_mut().catalog.seen_to(revision),
+};
+
+fn operator_seen_to(gw: &Gateway, revision: i64) {
+    let mut facts = gw.facts.borrow_mut();
+    facts.operator_seen = facts.operator_seen.max(revision);
+}
+
+fn operator_wrote(gw: &Rc<Gateway>, kv: &KeyValue) {
+    if kv.key.as_str() == keys::CONFIGURATION {
+        let mut facts = gw.facts.borrow_mut();
+        facts.configure(kv.revision, &kv.value, "store");
+        gw.report_due.notify_one();
+    } else if let Some(vm) = keys::vm_to_empty(kv.key.as_str()) {
+        tokio::task::spawn_local(say_empty(gw.clone(), vm.to_owned()));
+    }
+}
+
+/// VMs with a disk hold nothing of ours, so one that is to be emptied is empty
+/// at once. Each watching daemon writes the same; one write suffices.
+async fn say_empty(gw: Rc<Gateway>, vm: String) {
+    let key = Key::from(keys::vm_status(&vm));
+    let txn = Txn::create(key, keys::vm_is_empty().to_vec());
+    let outcome = gw.store.commit(&txn, Instant::now() + SAY_EMPTY).await;
+    info!(target: "facts", vm = vm.as_str(), outcome:? = outcome; "VM reported empty");
+}
+
+fn worker_changed(gw: &Gateway, event: WatchEvent) -> bool {
+    let mut facts = gw.facts.borrow_mut();
+    match event {
+        WatchEvent::Put(kv) => {
+            let Some(record) = read_worker(&kv) else {
+                return false;
+            };
+            let (id, state) = (record.id.clone(), record.state);
+            let changed = facts.catalog.put(kv.revision, record);
+            if changed {
+                info!(target: "facts", worker:% = id, state:? = state, revision = kv.revision; "worker listed");
+            }
+            changed
+        }
+        WatchEvent::Deleted { key, revision } => {
+            let Some(id) = keys::worker_id(key.as_str()) else {
+                return false;
+            };
+            info!(target: "facts", worker = id, revision; "worker no longer listed");
+            facts.catalog.remove(revision, &WorkerName::from(id))
+        }
+    }
+}
+
+fn workers_listed(gw: &Rc<Gateway>, all: &[KeyValue], revision: i64) {
+    let list: Vec<(i64, WorkerRecord)> = all
+        .iter()
+        .filter_map(|kv| Some((kv.revision, read_worker(kv)?)))
+        .collect();
+    info!(target: "facts", workers = list.len(), revision; "workers read");
+    let keep_until = gw
+        .members
+        .borrow()
+        .outage_ended_at(gw.now(), REGISTER_AGAIN);
+    let changed = {
+        let mut facts = gw.facts.borrow_mut();
+        facts.catalog.replace(revision, list, keep_until)
+    };
+    if changed {
+        follow_workers(gw);
+        gw.report_due.notify_one();
+    }
+}
+
+fn read_worker(kv: &KeyValue) -> Option<WorkerRecord> {
+    let id = keys::worker_id(kv.key.as_str())?;
+    match decode_worker(id, &kv.value) {
+        Ok(record) => Some(record),
+        Err(e) => {
+            warn!(target: "facts", worker = id, error:% = e; "worker not taken");
+            None
+        }
+    }
+}
+
+/// Lists a prefix and follows its changes for ever. After a gap in the history
+/// it lists again at once: what changed in the gap would otherwise stay hidden.
+async fn follow(gw: &Rc<Gateway>, prefix: Key, subject: &Subject) {
+    let failing = Cell::new(None::<Moment>);
+    let mut must_list = true;
+    loop {
+        let known = (subject.seen)(gw) > 0;
+        if known && !is_watcher(gw) {
+            // What a peer brings meanwhile is complete up to its revision.
+            must_list = false;
+            sleep(LOOK).await;
+            continue;
+        }
+        if must_list || !known {
+            match gw.store.list(&prefix).await {
+                Ok((all, revision)) => {
+                    works(gw, &prefix, &failing);
+                    (subject.listed)(gw, &all, revision);
+                    must_list = false;
+                }
+                Err(e) => {
+                    failed(gw, &prefix, &failing, &e);
+                    sleep(RETRY).await;
+                    continue;
+                }
+            }
+        }
+        let after = (subject.seen)(gw);
+        match gw.store.watch(&prefix, after, WATCH_WAIT).await {
+            Ok(Watched::Changes(changes)) => {
+                must_list = works(gw, &prefix, &failing);
+                for event in changes.events {
+                    (subject.changed)(gw, event);
+                }
+                (subject.seen_to)(gw, changes.revision);
+            }
+            Ok(Watched::HistoryGone) => {
+                info!(target: "facts", prefix:% = prefix, after; "history gone, listing again");
+                must_list = true;
+            }
+            Err(e) => {
+                failed(gw, &prefix, &failing, &e);
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+fn failed(gw: &Gateway, prefix: &Key, failing: &Cell<Option<Moment>>, e: &KvError) {
+    if failing.get().is_none() {
+        failing.set(Some(gw.now()));
+        warn!(target: "facts", prefix:% = prefix, error:% = e; "store lost");
+    }
+}
+
+/// Notes that the store answers; whether that ends an outage.
+fn works(gw: &Gateway, prefix: &Key, failing: &Cell<Option<Moment>>) -> bool {
+    let Some(since) = failing.take() else {
+        return false;
+    };
+    let lasted = gw.now().since(since);
+    let lasted_ms = crate::online::millis(lasted);
+    info!(target: "facts", prefix:% = prefix, lasted_ms; "store regained");
+    if lasted < OUTAGE {
+        return false;
+    }
+    gw.members.borrow_mut().store_regained(gw.now());
+    true
+}
