--- a/crates/bluebellreel_dispatch/src/catalog.rs
+++ b/crates/bluebellreel_dispatch/src/catalog.rs
@@ -39,7 +39,9 @@
 struct Entry {
     revision: i64,
     record: Option<WorkerRecord>,
-    gone_at: Option<Moment>,
+    /// Until when a worker that is missing may register again, and the
+    /// revision at which it was missing.
+    missing: Option<(Moment, i64)>,
 }
 
 /// All workers with the revision of what is known of each.
@@ -69,10 +71,10 @@
         let entry = Entry {
             revision,
             record: Some(record),
-            gone_at: None,
+            missing: None,
         };
         let before = self.entries.insert(id, entry.clone());
-        before.is_none_or(|b| b.record != entry.record || b.gone_at.is_some())
+        before.is_none_or(|b| b.record != entry.record || b.missing.is_some())
     }
 
     /// A worker's entry is gone: it leaves, or it is dead.
@@ -83,7 +85,7 @@
         let entry = Entry {
             revision,
             record: None,
-            gone_at: None,
+            missing: None,
         };
         let before = self.entries.insert(id.clone(), entry);
         self.forget_some();
@@ -122,24 +124,40 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in missing {
-            match (keep_until, self.entries.get_mut(&id)) {
-                (Some(until), Some(entry)) => {
-                    entry.gone_at.get_or_insert(until);
-                }
-                _ => changed |= self.remove(revision, &id),
-            }
+            changed |= match keep_until {
+                Some(until) => self.miss(revision, &id, until),
+                None => self.remove(revision, &id),
+            };
         }
         self.seen_to(revision);
         changed
     }
 
-    /// Drops workers whose time to register again is over.
+    /// A worker's entry is gone just after an outage of the store, in which
+    /// entries of live workers lapse: it is kept until it had time to register
+    /// again. Nothing changes at once.
+    pub fn miss(&mut self, revision: i64, id: &WorkerName, until: Moment) -> bool {
+        if let Some(entry) = self.entries.get_mut(id)
+            && entry.revision <= revision
+            && entry.record.is_some()
+        {
+            entry.missing.get_or_insert((until, revision));
+        }
+        false
+    }
+
+    /// Drops workers whose time to register again is over. The removal counts
+    /// from the revision at which they were missing, so that peers take it
+    /// over as well.
     pub fn expire(&mut self, now: Moment) -> bool {
         let mut changed = false;
         for entry in self.entries.values_mut() {
-            if entry.gone_at.is_some_and(|at| at.is_past(now)) {
+            if let Some((until, revision)) = entry.missing
+                && until.is_past(now)
+            {
                 entry.record = None;
-                entry.gone_at = None;
+                entry.missing = None;
+                entry.revision = entry.revision.max(revision);
                 changed = true;
             }
         }
@@ -173,7 +191,7 @@
 
     fn is_old(&self, id: &WorkerName, revision: i64) -> bool {
         self.entries.get(id).is_some_and(|e| {
-            e.revision > revision || (e.revision == revision && e.gone_at.is_none())
+            e.revision > revision || (e.revision == revision && e.missing.is_none())
         })
     }
 
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -48,6 +48,8 @@
     pub(crate) lease: Cell<i64>,
     /// Set from SIGTERM on.
     pub(crate) stopping: Cell<bool>,
+    /// Set once a new request could not end before the process does.
+    pub(crate) refusing: Cell<bool>,
     /// Requests of callers that are being answered.
     pub(crate) in_progress: Cell<usize>,
     /// Wakes the sender of reports to peers.
@@ -83,6 +85,7 @@
             metrics: Metrics::default(),
             lease: Cell::new(0),
             stopping: Cell::new(false),
+            refusing: Cell::new(false),
             in_progress: Cell::new(0),
             report_due: Notify::new(),
             batch_due: Notify::new(),
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -32,6 +32,8 @@
 const TRY_STORE: Duration = Duration::from_millis(1200);
 /// When a caller should return whose job was not kept.
 const RETURN_AFTER: Duration = Duration::from_millis(400);
+/// When a caller should return to another daemon.
+const ELSEWHERE: Duration = Duration::from_millis(50);
 /// When a caller should return whose job did not fit.
 const RETURN_WHEN_ROOM: Duration = Duration::from_millis(1200);
 /// Puts of one write: the store takes 32 entries.
@@ -55,6 +57,11 @@
     if gw.jobs.borrow().own.contains_key(&id) {
         return kept(gw, &id, received, "known");
     }
+    if gw.stopping.get() {
+        // It would lie here until this process has ended.
+        let reason = "stopping";
+        return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, ELSEWHERE);
+    }
     let underway = gw.jobs.borrow().submissions.get(&id).cloned();
     let decided = if let Some(underway) = underway {
         underway
--- a/crates/bluebellreel_gateway/src/members.rs
+++ b/crates/bluebellreel_gateway/src/members.rs
@@ -46,7 +46,6 @@
     /// Jobs that were cancelled lately, with when that is forgotten.
     pub(crate) cancelled: BTreeMap<String, Moment>,
     last_heard: BTreeSet<EntryName>,
-    regained_at: Option<Moment>,
     revision: i64,
 }
 
@@ -145,18 +144,6 @@
         self.peers.retain(|_, peer| keep(peer));
         self.cancelled.retain(|_, until| !until.is_past(now));
     }
-
-    /// The store answers again after an outage.
-    pub(crate) fn store_regained(&mut self, now: Moment) {
-        self.regained_at = Some(now);
-    }
-
-    /// Until when workers missing from the store are kept, if an outage has
-    /// ended less than `span` ago.
-    pub(crate) fn outage_ended_at(&self, now: Moment, span: Duration) -> Option<Moment> {
-        let until = self.regained_at? + span;
-        (!until.is_past(now)).then_some(until)
-    }
 }
 
 fn is_heard(peer: &Peer, now: Moment) -> bool {
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -20,6 +20,11 @@
 const TTL: Duration = Duration::from_millis(3600);
 /// Time between renewals: three within the time to live.
 const RENEWAL: Duration = Duration::from_millis(1100);
+/// Reads that follow each other soon after the start: daemons that start
+/// together read before all of them have registered.
+const EARLY_LISTS: u32 = 2;
+/// Time between those.
+const LIST_PAUSE_EARLY: Duration = Duration::from_millis(1500);
 /// Time between reads of all entries.
 const LIST_PAUSE: Duration = Duration::from_secs(15);
 /// Pause after a call that failed.
@@ -100,9 +105,15 @@
 /// Reads the entries of all daemons now and then. A new daemon reads them once
 /// and reports to all, so the others hear of it without a read.
 pub(crate) async fn list_members(gw: Rc<Gateway>) {
+    let mut early = EARLY_LISTS;
     loop {
         let listed = read_members(&gw).await;
-        let pause = if listed.is_ok() { LIST_PAUSE } else { RETRY };
+        let pause = match (&listed, early) {
+            (Err(_), _) => RETRY,
+            (Ok(()), 1..) => LIST_PAUSE_EARLY,
+            (Ok(()), 0) => LIST_PAUSE,
+        };
+        early = early.saturating_sub(u32::from(listed.is_ok()));
         if let Err(e) = listed {
             warn!(target: "members", error:% = e; "entries not read");
         }
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -25,6 +25,9 @@
 const LEAVE_ROTATION: Duration = Duration::from_millis(2600);
 /// Time before the kill at which the process ends by itself.
 const BEFORE_KILL: Duration = Duration::from_millis(700);
+/// Share of the time to the kill after which new requests are refused: a
+/// request passed on later may be cut by the end of the process.
+const REFUSE_FROM: f64 = 0.6;
 /// Time between looks whether requests are still in progress.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -191,7 +194,9 @@
     jobs::hand_over_all(gw).await;
     tokio::time::sleep_until((asked_at + LEAVE_ROTATION).min(end)).await;
     stop.close();
+    let refuse_from = asked_at + gw.settings.grace.mul_f64(REFUSE_FROM);
     while (gw.in_progress.get() > 0 || served.open() > 0) && Instant::now() < end {
+        gw.refusing.set(Instant::now() >= refuse_from);
         sleep(LOOK).await;
     }
     registration::unregister(gw).await;
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -19,6 +19,9 @@
 /// When a caller should return to a daemon that knows no configuration yet.
 const NOT_CONFIGURED: Duration = Duration::from_millis(500);
 
+/// When a caller should return to another daemon.
+const STOPPING: Duration = Duration::from_millis(50);
+
 struct InProgress(Rc<Gateway>);
 
 impl InProgress {
@@ -77,6 +80,10 @@
     if ingress::is_readiness(req.uri().path()) {
         return readiness(gw);
     }
+    if gw.refusing.get() {
+        let reason = "stopping";
+        return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, STOPPING);
+    }
     let Some(configuration) = gw.configuration() else {
         let reason = "no configuration yet";
         return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, NOT_CONFIGURED);
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -33,6 +33,10 @@
 /// Time in which every straight call failed after which the store counts as
 /// lost. A single call may fail by a reset connection.
 const LOST: Duration = Duration::from_millis(500);
+/// Time in which every straight call failed after which a success counts as
+/// the end of an outage. Leases lapse only in longer ones, but this daemon may
+/// have made its first call late in it.
+const OUTAGE: Duration = Duration::from_millis(250);
 /// Time between straight calls while the store is lost.
 const TRY_STRAIGHT: Duration = Duration::from_secs(1);
 /// How much longer than asked for a watch may take.
@@ -64,6 +68,8 @@
     failures: Cell<u64>,
     /// Since when every straight call has failed.
     failing_since: Cell<Option<Instant>>,
+    /// When the last outage ended.
+    regained_at: Cell<Option<Instant>>,
     /// When a straight call was made last.
     tried_at: Cell<Option<Instant>>,
     /// When a call succeeded last, either way.
@@ -84,6 +90,7 @@
             calls: Cell::new(0),
             failures: Cell::new(0),
             failing_since: Cell::new(None),
+            regained_at: Cell::new(None),
             tried_at: Cell::new(None),
             answered_at: Cell::new(None),
             detour: RefCell::new(None),
@@ -106,6 +113,11 @@
         failing.is_some_and(|since| since.elapsed() > LOST)
     }
 
+    /// How long ago the last outage ended.
+    pub(crate) fn regained_for(&self) -> Option<Duration> {
+        Some(self.regained_at.get()?.elapsed())
+    }
+
     /// Whether any call has succeeded in the last `span`.
     pub(crate) fn has_answered_within(&self, span: Duration) -> bool {
         let answered = self.answered_at.get();
@@ -158,7 +170,10 @@
         let answer = timeout(longest, sent).await;
         let answer = answer.unwrap_or_else(|_| Err(KvError::Unknown("no answer in time".into())));
         if is_good(&answer) {
-            self.failing_since.set(None);
+            let failing = self.failing_since.take();
+            if failing.is_some_and(|since| since.elapsed() >= OUTAGE) {
+                self.regained_at.set(Some(Instant::now()));
+            }
         } else if self.failing_since.get().is_none() {
             self.failing_since.set(Some(Instant::now()));
         }
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -28,9 +28,6 @@
 const RETRY: Duration = Duration::from_millis(300);
 /// Time between looks of a daemon that does not watch whether it should.
 const LOOK: Duration = Duration::from_millis(250);
-/// Time in which the store's calls must have failed for its return to count as
-/// the end of an outage.
-const OUTAGE: Duration = Duration::from_millis(900);
 /// How long a worker that is missing after an outage may take to register
 /// again: the platform says about two seconds.
 const REGISTER_AGAIN: Duration = Duration::from_millis(2500);
@@ -124,6 +121,12 @@
     info!(target: "facts", vm = vm.as_str(), outcome:? = outcome; "VM reported empty");
 }
 
+/// Until when workers that are missing are kept; none but after an outage.
+fn keep_missing_until(gw: &Gateway) -> Option<Moment> {
+    let left = REGISTER_AGAIN.checked_sub(gw.store.regained_for()?)?;
+    Some(gw.now() + left)
+}
+
 fn worker_changed(gw: &Gateway, event: WatchEvent) -> bool {
     let mut facts = gw.facts.borrow_mut();
     match event {
@@ -142,8 +145,13 @@
             let Some(id) = keys::worker_id(key.as_str()) else {
                 return false;
             };
-            info!(target: "facts", worker = id, revision; "worker no longer listed");
-            facts.catalog.remove(revision, &WorkerName::from(id))
+            let keep_until = keep_missing_until(gw);
+            info!(target: "facts", worker = id, revision, kept = keep_until.is_some(); "worker no longer listed");
+            let id = WorkerName::from(id);
+            match keep_until {
+                Some(until) => facts.catalog.miss(revision, &id, until),
+                None => facts.catalog.remove(revision, &id),
+            }
         }
     }
 }
@@ -154,10 +162,7 @@
         .filter_map(|kv| Some((kv.revision, read_worker(kv)?)))
         .collect();
     info!(target: "facts", workers = list.len(), revision; "workers read");
-    let keep_until = gw
-        .members
-        .borrow()
-        .outage_ended_at(gw.now(), REGISTER_AGAIN);
+    let keep_until = keep_missing_until(gw);
     let changed = {
         let mut facts = gw.facts.borrow_mut();
         facts.catalog.replace(revision, list, keep_until)
@@ -242,9 +247,5 @@
     let lasted = gw.now().since(since);
     let lasted_ms = crate::online::millis(lasted);
     info!(target: "facts", prefix:% = prefix, lasted_ms; "store regained");
-    if lasted < OUTAGE {
-        return false;
-    }
-    gw.members.borrow_mut().store_regained(gw.now());
     true
 }
--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -128,6 +128,12 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut stopping = stop.0.subscribe();
+    // A connection that comes after the stop is here for one request, which
+    // would be lost if the connection were closed before it is read.
+    if *stopping.borrow() {
+        let _ = connection.as_mut().await;
+        return;
+    }
     tokio::select! {
         // How a caller's connection ends is the caller's affair: what it meant
         // for a request is logged where the request is.
