--- /dev/null
+++ b/crates/bluebellreel_dispatch/tests/catalog.rs
@@ -0,0 +1,126 @@
+//! What is believed of workers, whichever way facts come.
+
+use bluebellreel_dispatch::{Catalog, WorkerRecord, WorkerState};
+use bluebellreel_types::{DataCentre, Moment, WorkerName};
+use proptest::prelude::*;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn worker(id: &str, state: WorkerState) -> WorkerRecord {
+    WorkerRecord {
+        id: WorkerName::from(id),
+        service: Arc::from("lm"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: DataCentre::from("hall"),
+        slots: 8,
+        state,
+    }
+}
+
+fn listed(catalog: &Catalog) -> Vec<String> {
+    catalog.workers().map(|w| w.id.to_string()).collect()
+}
+
+/// A worker is drained. A peer whose news is older says that it is ready; if
+/// believed, the worker would get requests that its end cuts.
+#[test]
+fn an_older_fact_never_replaces_a_newer_one() {
+    let mut catalog = Catalog::default();
+    assert!(catalog.put(5, worker("a", WorkerState::Ready)));
+    assert!(catalog.put(9, worker("a", WorkerState::Draining)));
+    assert!(!catalog.put(5, worker("a", WorkerState::Ready)));
+    let state = catalog.workers().next().map(|w| w.state);
+    assert_eq!(state, Some(WorkerState::Draining));
+    assert!(catalog.remove(12, &WorkerName::from("a")));
+    assert!(!catalog.put(9, worker("a", WorkerState::Draining)));
+    assert!(listed(&catalog).is_empty());
+}
+
+#[test]
+fn a_list_removes_what_it_lacks() {
+    let mut catalog = Catalog::default();
+    catalog.put(3, worker("a", WorkerState::Ready));
+    catalog.put(4, worker("b", WorkerState::Ready));
+    assert!(catalog.replace(10, vec![(4, worker("b", WorkerState::Ready))], None));
+    assert_eq!(listed(&catalog), ["b"]);
+    // A list from before is no news.
+    assert!(!catalog.replace(8, vec![], None));
+    assert_eq!(listed(&catalog), ["b"]);
+}
+
+/// Entries of live workers lapse in an outage. Taken as gone at its end, no
+/// worker would be left for the two seconds in which they register again.
+#[test]
+fn workers_missing_after_an_outage_are_kept_for_a_while() {
+    let start = Moment(1_000_000);
+    let until = start + Duration::from_millis(2500);
+    let mut catalog = Catalog::default();
+    catalog.put(3, worker("a", WorkerState::Ready));
+    catalog.put(4, worker("b", WorkerState::Ready));
+    catalog.replace(20, vec![], Some(until));
+    assert_eq!(listed(&catalog), ["a", "b"]);
+    catalog.put(21, worker("b", WorkerState::Ready));
+    assert!(!catalog.expire(start + Duration::from_millis(2400)));
+    assert!(catalog.expire(until));
+    assert_eq!(listed(&catalog), ["b"]);
+}
+
+/// The daemon that watches drops a worker at the end of its time. The others
+/// take facts over by revision and would keep the worker for ever if its
+/// removal had the revision of its registration.
+#[test]
+fn the_removal_after_an_outage_reaches_peers() {
+    let until = Moment(1_000_000);
+    let mut watcher = Catalog::default();
+    let mut other = Catalog::default();
+    for catalog in [&mut watcher, &mut other] {
+        catalog.put(3, worker("a", WorkerState::Ready));
+        catalog.seen_to(10);
+    }
+    watcher.miss(20, &WorkerName::from("a"), until);
+    watcher.expire(until);
+    assert!(watcher.newest() > other.revision());
+    let news: Vec<_> = watcher
+        .facts_after(other.revision())
+        .map(|(revision, id, record)| (revision, id.clone(), record.cloned()))
+        .collect();
+    for (revision, id, record) in news {
+        assert!(record.is_none());
+        assert!(other.remove(revision, &id));
+    }
+    assert!(listed(&other).is_empty());
+}
+
+proptest! {
+    /// Facts may come twice and in any order, by a watch or from peers: what
+    /// is believed in the end does not depend on it.
+    #[test]
+    fn the_order_of_facts_does_not_matter(
+        facts in prop::collection::vec((0usize..3, any::<Option<bool>>()), 1..12),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 40),
+    ) {
+        let ids = ["a", "b", "c"];
+        let take = |catalog: &mut Catalog, at: usize| {
+            let revision = i64::try_from(at).expect("few facts") + 1;
+            let (id, fact) = facts[at];
+            let state = fact.map(|ready| if ready { WorkerState::Ready } else { WorkerState::Draining });
+            match state {
+                Some(state) => catalog.put(revision, worker(ids[id], state)),
+                None => catalog.remove(revision, &WorkerName::from(ids[id])),
+            }
+        };
+        let mut straight = Catalog::default();
+        for at in 0..facts.len() {
+            take(&mut straight, at);
+        }
+        let mut shuffled = Catalog::default();
+        for index in order {
+            take(&mut shuffled, index.index(facts.len()));
+        }
+        for at in 0..facts.len() {
+            take(&mut shuffled, at);
+        }
+        let all = |c: &Catalog| c.workers().cloned().collect::<Vec<_>>();
+        prop_assert_eq!(all(&straight), all(&shuffled));
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -0,0 +1,272 @@
+//! Where work goes under load.
+
+use bluebellreel_dispatch::{
+    BatchRun, Board, Catalog, Class, PeerLoad, Placement, PlacementLimits, Query, Running,
+    WorkerRecord, WorkerState, batch_to_yield, place_batch, place_online,
+};
+use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const SLOTS: u32 = 4;
+const NOW: Moment = Moment(1_000_000);
+
+fn me() -> EntryName {
+    EntryName::from("entry-1")
+}
+
+fn name(n: usize) -> WorkerName {
+    WorkerName::from(format!("w-{n}"))
+}
+
+/// A board with workers; the odd ones stand in another data centre.
+fn board(workers: usize) -> Board {
+    let mut board = Board::new(DataCentre::from("here"), PlacementLimits::default());
+    board.follow(&catalog(workers, WorkerState::Ready));
+    board
+}
+
+fn catalog(workers: usize, state: WorkerState) -> Catalog {
+    let mut catalog = Catalog::default();
+    for n in 0..workers {
+        let place = if n % 2 == 0 { "here" } else { "there" };
+        let record = WorkerRecord {
+            id: name(n),
+            service: Arc::from("lm"),
+            address: "10.0.0.1:80".parse().expect("an address"),
+            data_centre: DataCentre::from(place),
+            slots: SLOTS,
+            state,
+        };
+        let revision = match state {
+            WorkerState::Ready => 1,
+            WorkerState::Draining => 2,
+        };
+        catalog.put(revision, record);
+    }
+    catalog
+}
+
+fn query(avoid: &[WorkerName]) -> Query<'_> {
+    Query {
+        service: "lm",
+        avoid,
+        now: NOW,
+    }
+}
+
+fn start(board: &mut Board, worker: usize, class: Class, count: u32) {
+    for _ in 0..count {
+        board.start(&name(worker), class);
+    }
+}
+
+fn peer(board: &mut Board, entry: &str, sequence: u64, waiting: u32, runs: &[(usize, u32, u32)]) {
+    let running: BTreeMap<WorkerName, Running> = runs
+        .iter()
+        .map(|(worker, online, batch)| {
+            let running = Running {
+                online: *online,
+                batch: *batch,
+            };
+            (name(*worker), running)
+        })
+        .collect();
+    let load = PeerLoad {
+        sequence,
+        running,
+        waiting,
+        expires_at: NOW + Duration::from_secs(2),
+    };
+    board.hear(&EntryName::from(entry), load);
+}
+
+fn online(board: &Board) -> Placement {
+    place_online(board, &query(&[]), &me())
+}
+
+#[test]
+fn a_free_slot_nearby_is_taken_first() {
+    let mut board = board(2);
+    assert_eq!(online(&board), Placement::Send(name(0)));
+    start(&mut board, 0, Class::Online, SLOTS);
+    assert_eq!(online(&board), Placement::Send(name(1)));
+}
+
+/// Five daemons see only their own requests and all choose the same worker; it
+/// queues while its neighbours idle. What peers run counts like our own.
+#[test]
+fn what_peers_run_counts() {
+    let mut board = board(1);
+    board.follow(&catalog(3, WorkerState::Ready));
+    peer(&mut board, "entry-2", 1, 0, &[(0, 3, 0), (2, 1, 0)]);
+    assert_eq!(online(&board), Placement::Send(name(2)));
+    // An older report does not count.
+    peer(&mut board, "entry-2", 3, 0, &[(0, 0, 0), (2, 4, 0)]);
+    peer(&mut board, "entry-2", 2, 0, &[(0, 4, 0), (2, 0, 0)]);
+    assert_eq!(online(&board), Placement::Send(name(0)));
+    // A peer that is not heard any more runs nothing that counts.
+    board.forget_silent(NOW + Duration::from_secs(3));
+    assert!(board.seats().all(|s| s.peers.total() == 0));
+}
+
+/// A wave of people comes while batch fills every slot. Each of them takes a
+/// slot from batch, ours first, and none waits behind an item.
+#[test]
+fn people_take_slots_from_batch() {
+    let mut board = board(3);
+    peer(&mut board, "entry-2", 1, 0, &[(0, 0, 4), (1, 0, 4)]);
+    start(&mut board, 2, Class::Batch, SLOTS);
+    assert_eq!(online(&board), Placement::Send(name(2)));
+    start(&mut board, 2, Class::Online, 1);
+    let runs: Vec<BatchRun<u64>> = (0..4)
+        .map(|n| BatchRun {
+            key: n,
+            worker: name(2),
+            events: 100 - n,
+        })
+        .collect();
+    // One item makes room: the one that has generated least.
+    assert_eq!(batch_to_yield(&board, &runs), [3]);
+}
+
+/// Two daemons have batch at a worker that one run too many came to. Both know
+/// of it; if each gave up the whole excess, slots would lie idle, and if none
+/// did, the caller would wait behind an item.
+#[test]
+fn daemons_share_what_must_yield() {
+    let mut board = board(1);
+    start(&mut board, 0, Class::Batch, 2);
+    peer(&mut board, "entry-2", 1, 0, &[(0, 2, 2)]);
+    let runs: Vec<BatchRun<u64>> = (0..2)
+        .map(|n| BatchRun {
+            key: n,
+            worker: name(0),
+            events: n,
+        })
+        .collect();
+    // Six runs on four slots: two must go, one of them ours.
+    assert_eq!(batch_to_yield(&board, &runs), [0]);
+}
+
+#[test]
+fn batch_leaves_a_worker_that_drains() {
+    let mut board = board(1);
+    start(&mut board, 0, Class::Batch, 2);
+    board.follow(&catalog(1, WorkerState::Draining));
+    let runs: Vec<BatchRun<u64>> = (0..2)
+        .map(|n| BatchRun {
+            key: n,
+            worker: name(0),
+            events: 0,
+        })
+        .collect();
+    assert_eq!(batch_to_yield(&board, &runs).len(), 2);
+    assert_eq!(online(&board), Placement::NoWorker);
+}
+
+/// A wave beyond all slots. Two may wait at each worker, as they still meet
+/// their objective; the next one is refused at once.
+#[test]
+fn beyond_a_short_queue_people_are_refused() {
+    let mut board = board(2);
+    for worker in 0..2 {
+        start(&mut board, worker, Class::Online, SLOTS + 2);
+    }
+    assert_eq!(online(&board), Placement::Full);
+    board.end(&bluebellreel_dispatch::Ticket {
+        worker: name(1),
+        class: Class::Online,
+    });
+    assert_eq!(online(&board), Placement::Send(name(1)));
+}
+
+/// A worker breaks off what it gets. It is set aside, tried again with one
+/// request after a while, and used fully once that one has succeeded.
+#[test]
+fn a_failing_worker_is_set_aside_and_let_back() {
+    let mut board = board(1);
+    board.follow(&catalog(3, WorkerState::Ready));
+    board.failed(&name(0), NOW);
+    board.failed(&name(2), NOW);
+    let choose = |board: &Board, after: u64| {
+        let query = Query {
+            service: "lm",
+            avoid: &[],
+            now: NOW + Duration::from_millis(after),
+        };
+        place_online(board, &query, &me())
+    };
+    assert_eq!(choose(&board, 0), Placement::Send(name(1)));
+    let Placement::Send(first) = choose(&board, 600) else {
+        panic!("nobody");
+    };
+    assert_ne!(first, name(1), "the near ones are back");
+    board.start(&first, Class::Online);
+    // One request is on trial there; the next goes elsewhere.
+    assert_ne!(choose(&board, 600), Placement::Send(first.clone()));
+    board.succeeded(&first);
+    assert!(board.seat(&first).is_some_and(|s| s.doubt.takes(NOW)));
+}
+
+/// Every worker is doubted, as after a restart of the fleet. Refusing people
+/// then would help nobody.
+#[test]
+fn where_all_are_doubted_one_is_used() {
+    let mut board = board(2);
+    for worker in 0..2 {
+        board.failed(&name(worker), NOW);
+    }
+    assert!(matches!(online(&board), Placement::Send(_)));
+}
+
+#[test]
+fn a_request_does_not_return_to_a_worker_that_failed_it() {
+    let board = board(2);
+    let avoid = [name(0)];
+    let placed = place_online(&board, &query(&avoid), &me());
+    assert_eq!(placed, Placement::Send(name(1)));
+    let avoid = [name(0), name(1)];
+    let placed = place_online(&board, &query(&avoid), &me());
+    assert_eq!(placed, Placement::NoWorker);
+}
+
+/// Many daemons have items and see the same free slots. If all took them,
+/// workers would be overfull and most items thrown out again. Each worker's
+/// slots belong to one of them.
+#[test]
+fn one_daemon_starts_batch_at_each_worker() {
+    let entries = ["entry-1", "entry-2", "entry-3", "entry-4"];
+    let mut takers: BTreeMap<WorkerName, u32> = BTreeMap::new();
+    for entry in entries {
+        let mut board = board(24);
+        for other in entries.iter().filter(|o| **o != entry) {
+            peer(&mut board, other, 1, 5, &[]);
+        }
+        while let Some(worker) = place_batch(&board, &query(&[]), &EntryName::from(entry)) {
+            board.start(&worker, Class::Batch);
+            *takers.entry(worker).or_default() += 1;
+        }
+    }
+    assert_eq!(takers.len(), 24, "no worker is left idle");
+    assert!(takers.values().all(|runs| *runs == SLOTS));
+}
+
+/// Batch that took each slot as it came free made every arrival throw an item
+/// out: ten sends for each item. A tenth of what people use stays free.
+#[test]
+fn batch_leaves_some_slots_to_people() {
+    let mut board = board(5);
+    for worker in 0..5 {
+        start(&mut board, worker, Class::Online, 3);
+    }
+    let mut started = 0;
+    while let Some(worker) = place_batch(&board, &query(&[]), &me()) {
+        board.start(&worker, Class::Batch);
+        started += 1;
+    }
+    // Five slots are free beside fifteen people: two stay.
+    assert_eq!(started, 3);
+    assert!(matches!(online(&board), Placement::Send(_)));
+}
