A ledger near the quota; items given up in time or without a route; fresh connections

Causes: (1) a test of three daemons that accept at the same moment: each saw room and three times the quota waited. (2) Retention and a route's end never gave an item up, so that a job could stay open for ever. (3) A kept connection that has fallen silent, or that brings an extra answer first, cost a request that may run once its only send.

Ruled out: counting submissions under way in the reports (three that are submitted together then refuse each other; the test showed it).

Now: near the quota an acceptance also changes the route's ledger, guarded; overdue items and items without a route are given up; what may run once gets a fresh connection; after a timeout no kept connection to that address is used.

--- a/crates/bluebellreel_batch/src/job.rs
+++ b/crates/bluebellreel_batch/src/job.rs
@@ -3,6 +3,7 @@
 use crate::{ItemResult, JobPhase, JobRecord, NewItem, Progress, ResultState};
 use bluebellreel_types::{JobId, Moment};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Refusals of an item's work itself after which it is given up.
 const FINAL_REFUSALS: u32 = 1;
@@ -173,12 +174,21 @@
         }
     }
 
-    /// Gives up all items that do not run and have no result.
-    pub fn give_up_waiting(&mut self, now: Moment) {
-        for at in 0..self.items.len() {
-            if matches!(self.items[at].phase, ItemPhase::Waiting { .. }) {
-                self.conclude(at, ResultState::Dead, now);
-            }
+    /// Gives an item up that does not run and has no result.
+    pub fn give_up(&mut self, item: usize, now: Moment) {
+        if matches!(self.items[item].phase, ItemPhase::Waiting { .. }) {
+            self.conclude(item, ResultState::Dead, now);
+        }
+    }
+
+    /// Gives up all items that wait, once the job has been kept as long as was
+    /// asked. Clocks of daemons differ, so `slack` is added.
+    pub fn give_up_overdue(&mut self, slack: Duration, now: Moment) {
+        if !self.is_open() || !(self.record.give_up_at + slack).is_past(now) {
+            return;
+        }
+        for item in 0..self.items.len() {
+            self.give_up(item, now);
         }
     }
 
--- a/crates/bluebellreel_batch/src/keys.rs
+++ b/crates/bluebellreel_batch/src/keys.rs
@@ -36,6 +36,12 @@
     KeyText(format!("{OPEN}{id}"))
 }
 
+/// Ledger of a route whose quota is nearly used up.
+#[must_use]
+pub fn quota(route: &str) -> KeyText {
+    KeyText(format!("quota/{route}"))
+}
+
 /// One chunk of a job's input.
 #[must_use]
 pub fn input(id: &JobId, chunk: usize) -> KeyText {
--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -18,6 +18,7 @@
 mod input;
 mod job;
 pub mod keys;
+mod ledger;
 mod progress;
 mod record;
 mod result;
@@ -25,6 +26,7 @@
 
 pub use input::{NewItem, decode_items, encode_items, split_input};
 pub use job::{Item, ItemEnd, ItemPhase, Job, Segment};
+pub use ledger::QuotaLedger;
 pub use progress::{EventGap, Progress};
 pub use record::{JobPhase, JobRecord, Owner, RecordError};
 pub use result::{ItemResult, ResultState, decode_segment, encode_segment};
--- a/crates/bluebellreel_batch/src/record.rs
+++ b/crates/bluebellreel_batch/src/record.rs
@@ -36,6 +36,8 @@
     pub accepted_at: Moment,
     /// When its results are due, likewise.
     pub due_at: Moment,
+    /// When items that wait are given up, likewise.
+    pub give_up_at: Moment,
     /// Number of its items.
     pub items: usize,
     /// Tokens of all its items.
--- a/crates/bluebellreel_batch/tests/jobs.rs
+++ b/crates/bluebellreel_batch/tests/jobs.rs
@@ -1,8 +1,8 @@
 //! One job at its owner: items, segments, order.
 
 use bluebellreel_batch::{
-    ItemEnd, ItemPhase, Job, JobPhase, JobRecord, NewItem, Owner, Progress, ResultState,
-    decode_items, encode_items, next_item, split_input,
+    ItemEnd, ItemPhase, Job, JobPhase, JobRecord, NewItem, Owner, Progress, QuotaLedger,
+    ResultState, decode_items, encode_items, next_item, split_input,
 };
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
 use bytes::Bytes;
@@ -29,6 +29,7 @@
         route: Arc::from("book"),
         accepted_at: NOW,
         due_at,
+        give_up_at: NOW + Duration::from_secs(60),
         items,
         tokens: 10 * items as u64,
         chunks: 1,
@@ -138,6 +139,35 @@
     assert_eq!(job.items[0].progress.text(), "a");
 }
 
+/// Items that nobody could do would wait for ever. They are given up when the
+/// time asked for is over by every daemon's clock, and not before.
+#[test]
+fn items_are_given_up_when_their_time_is_over() {
+    let slack = Duration::from_secs(8);
+    let mut job = job("j", 2, NOW);
+    job.items[1].phase = ItemPhase::Running;
+    job.give_up_overdue(slack, NOW + Duration::from_secs(67));
+    assert_eq!(job.items_waiting(), 1);
+    job.give_up_overdue(slack, NOW + Duration::from_secs(69));
+    assert_eq!(job.items_waiting(), 0);
+    assert_eq!(job.items[1].phase, ItemPhase::Running);
+}
+
+/// Two daemons accept at the same moment, each seeing room for one job. The
+/// second one's guarded write fails; it must see the first in the ledger, and
+/// count it no longer once the reports contain it.
+#[test]
+fn a_ledger_tells_what_reports_do_not_contain_yet() {
+    let mut ledger = QuotaLedger::default();
+    ledger.add(JobId::from("a"), 300, NOW);
+    ledger.add(JobId::from("b"), 200, NOW);
+    let ledger = QuotaLedger::try_from(ledger.encode().as_slice()).expect("just encoded");
+    assert_eq!(ledger.unreported(|_| false, NOW), 500);
+    assert_eq!(ledger.unreported(|job| job.as_str() == "a", NOW), 200);
+    let later = NOW + Duration::from_secs(20);
+    assert_eq!(ledger.unreported(|_| false, later), 0);
+}
+
 #[test]
 fn a_loaded_job_knows_what_is_listed() {
     let mut first = job("j", 3, NOW);
--- a/crates/bluebellreel_gateway/src/facts.rs
+++ b/crates/bluebellreel_gateway/src/facts.rs
@@ -7,7 +7,7 @@
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{Catalog, Configuration, WorkerRecord};
 use bluebellreel_platform::decode_configuration;
-use bluebellreel_types::WorkerName;
+use bluebellreel_types::{Moment, WorkerName};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
@@ -16,6 +16,8 @@
 #[derive(Clone)]
 struct Configured {
     revision: i64,
+    /// Since when it is in force here.
+    since: Moment,
     text: Vec<u8>,
     checked: Rc<Configuration>,
 }
@@ -52,6 +54,11 @@
         self.configured.as_ref().map(|c| c.checked.clone())
     }
 
+    /// Since when the configuration is in force here.
+    pub(crate) fn configured_since(&self) -> Option<Moment> {
+        self.configured.as_ref().map(|c| c.since)
+    }
+
     fn configuration_revision(&self) -> i64 {
         self.configured.as_ref().map_or(0, |c| c.revision)
     }
@@ -79,7 +86,7 @@
     }
 
     /// Takes a configuration over unless a newer one is in force.
-    pub(crate) fn configure(&mut self, revision: i64, text: &[u8], source: &str) {
+    pub(crate) fn configure(&mut self, revision: i64, text: &[u8], source: &str, now: Moment) {
         if revision <= self.configuration_revision() {
             return;
         }
@@ -98,6 +105,7 @@
         info!(target: "facts", revision, source, version = checked.version, routes = checked.routes.len(); "configuration in force");
         self.configured = Some(Configured {
             revision,
+            since: now,
             text: text.to_vec(),
             checked: Rc::new(checked),
         });
@@ -120,9 +128,9 @@
     }
 
     /// Takes over what a peer knows better; whether workers changed.
-    pub(crate) fn learn(&mut self, shared: SharedFacts, source: &str) -> bool {
+    pub(crate) fn learn(&mut self, shared: SharedFacts, source: &str, now: Moment) -> bool {
         if let Some((revision, text)) = shared.configuration {
-            self.configure(revision, &text, source);
+            self.configure(revision, &text, source, now);
         }
         let mut changed = false;
         for (revision, id, record) in shared.workers {
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -36,6 +36,9 @@
 const ELSEWHERE: Duration = Duration::from_millis(50);
 /// When a caller should return whose job did not fit.
 const RETURN_WHEN_ROOM: Duration = Duration::from_millis(1200);
+/// Times that an acceptance near the quota is tried again after another one
+/// came first.
+const LEDGER_TRIES: usize = 5;
 /// Puts of one write: the store takes 32 entries.
 const CHUNKS_AT_ONCE: usize = 24;
 /// Share of the longest value that a chunk takes, in percent.
@@ -125,6 +128,11 @@
             gw.metrics.job("refused");
             answers::come_back(StatusCode::SERVICE_UNAVAILABLE, "store away", RETURN_AFTER)
         }
+        Accepted::NoRoom => {
+            warn!(target: "jobs", job:% = id; "job does not fit");
+            gw.metrics.job("no_room");
+            answers::come_back(StatusCode::TOO_MANY_REQUESTS, "no room", RETURN_WHEN_ROOM)
+        }
         Accepted::Open => {
             warn!(target: "jobs", job:% = id; "job in doubt");
             gw.metrics.job("in_doubt");
@@ -148,6 +156,7 @@
         route: route.name.clone(),
         accepted_at: now,
         due_at: now + route.job_objective,
+        give_up_at: now + route.retention,
         items: items.len(),
         tokens,
         chunks: 0,
@@ -157,27 +166,14 @@
             run: gw.run,
         },
     };
-    {
-        let mut jobs = gw.jobs.borrow_mut();
-        jobs.submissions.insert(id.clone(), rx.clone());
-        *jobs
-            .submitted_tokens
-            .entry(route.name.to_string())
-            .or_default() += tokens;
-    }
-    gw.report_due.notify_one();
-    let (gw, id) = (gw.clone(), id.clone());
+    gw.jobs
+        .borrow_mut()
+        .submissions
+        .insert(id.clone(), rx.clone());
+    let (gw, id, route) = (gw.clone(), id.clone(), route.clone());
     tokio::task::spawn_local(async move {
-        let route_name = record.route.to_string();
-        let accepted = store(&gw, &id, record, items).await;
-        {
-            let mut jobs = gw.jobs.borrow_mut();
-            jobs.submissions.remove(&id);
-            if let Some(sum) = jobs.submitted_tokens.get_mut(&route_name) {
-                *sum = sum.saturating_sub(tokens);
-            }
-        }
-        gw.report_due.notify_one();
+        let accepted = store(&gw, &id, &route, record, items).await;
+        gw.jobs.borrow_mut().submissions.remove(&id);
         tx.send_replace(accepted);
     });
     rx
@@ -186,6 +182,7 @@
 async fn store(
     gw: &Rc<Gateway>,
     id: &JobId,
+    route: &Route,
     mut record: JobRecord,
     items: Vec<NewItem>,
 ) -> Accepted {
@@ -224,7 +221,25 @@
         puts,
         ..Txn::default()
     };
-    decide(gw, id, record, items, &txn, &record_key).await
+    let near = quota::is_near(gw, route, record.tokens);
+    for _ in 0..LEDGER_TRIES {
+        let txn = if near {
+            match quota::guard(gw, route, id, record.tokens, &txn).await {
+                Ok(Some(txn)) => txn,
+                Ok(None) => return Accepted::NoRoom,
+                Err(e) => {
+                    warn!(target: "jobs", job:% = id, error:% = e; "quota not read");
+                    return Accepted::NotKept;
+                }
+            }
+        } else {
+            txn.clone()
+        };
+        if let Some(accepted) = decide(gw, id, &record, &items, &txn, &record_key).await {
+            return accepted;
+        }
+    }
+    Accepted::NotKept
 }
 
 fn chunk_weight(puts: &[Put]) -> usize {
@@ -240,15 +255,16 @@
 }
 
 /// Creates the record. A first try is short; once an answer was lost the write
-/// is repeated until it is decided.
+/// is repeated until it is decided. `None` if another acceptance on the route
+/// came first.
 async fn decide(
     gw: &Rc<Gateway>,
     id: &JobId,
-    record: JobRecord,
-    items: Vec<NewItem>,
+    record: &JobRecord,
+    items: &[NewItem],
     txn: &Txn,
     record_key: &Key,
-) -> Accepted {
+) -> Option<Accepted> {
     let mut outcome = gw.store.commit(txn, Instant::now() + TRY_STORE).await;
     if let Commit::Unknown(reason) = &outcome {
         warn!(target: "jobs", job:% = id, reason = reason.as_str(); "acceptance in doubt");
@@ -260,22 +276,20 @@
     }
     match outcome {
         Commit::Applied { revision } => {
-            own(gw, id, record, revision, items);
-            Accepted::Kept
+            own(gw, id, record.clone(), revision, items.to_vec());
+            Some(Accepted::Kept)
         }
         Commit::Beaten(found) => {
-            let stored = stored_record(&found, record_key);
-            match stored {
-                Some((revision, stored)) if stored == record => {
-                    own(gw, id, record, revision, items);
-                }
-                Some((_, stored)) => gw.jobs.borrow_mut().note_owner(id, &stored),
-                None => {}
+            let (revision, stored) = stored_record(&found, record_key)?;
+            if stored == *record {
+                own(gw, id, stored, revision, items.to_vec());
+            } else {
+                gw.jobs.borrow_mut().note_owner(id, &stored);
             }
-            Accepted::Kept
+            Some(Accepted::Kept)
         }
-        Commit::NotDone(_) => Accepted::NotKept,
-        Commit::Unknown(_) => Accepted::Open,
+        Commit::NotDone(_) => Some(Accepted::NotKept),
+        Commit::Unknown(_) => Some(Accepted::Open),
     }
 }
 
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -3,7 +3,7 @@
 use bluebellreel_batch::{Job, JobRecord};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -52,6 +52,8 @@
     Kept,
     /// It is certainly not kept, and never will be.
     NotKept,
+    /// The same, as it does not fit its route's quota.
+    NoRoom,
 }
 
 /// All jobs that this daemon knows of.
@@ -61,8 +63,6 @@
     pub(crate) runs: HashMap<(JobId, usize), ItemRun>,
     /// Submissions on their way to the store.
     pub(crate) submissions: HashMap<JobId, watch::Receiver<Accepted>>,
-    /// Tokens of submissions on their way, by route.
-    pub(crate) submitted_tokens: BTreeMap<String, u64>,
     /// Jobs that came to be owned here lately, and until when peers are told.
     pub(crate) lately: VecDeque<(JobId, Moment)>,
     /// Owners of other jobs, as last read.
@@ -70,6 +70,8 @@
     /// Jobs without an owner that another daemon should take over, and since
     /// when they are known.
     pub(crate) orphans: HashMap<JobId, Moment>,
+    /// Jobs that were owned here or that peers have reported as theirs.
+    reported: HashSet<JobId>,
     pub(crate) archive: Archive,
     /// Wakes the task that looks for jobs without an owner.
     pub(crate) orphans_due: Rc<Notify>,
@@ -87,11 +89,24 @@
             entry: record.owner.entry.clone(),
             run: record.owner.run,
         };
-        self.heard_owner(id, owner);
+        self.set_owner(id, owner);
     }
 
-    /// Remembers who says that it owns a job.
-    pub(crate) fn heard_owner(&mut self, id: &JobId, owner: KnownOwner) {
+    /// Takes a peer's report over that it owns a job, whose tokens are among
+    /// those that it reports.
+    pub(crate) fn reported(&mut self, id: &JobId, owner: KnownOwner) {
+        self.note_reported(id);
+        self.set_owner(id, owner);
+    }
+
+    fn note_reported(&mut self, id: &JobId) {
+        if self.reported.len() >= OWNERS {
+            self.reported.clear();
+        }
+        self.reported.insert(id.clone());
+    }
+
+    fn set_owner(&mut self, id: &JobId, owner: KnownOwner) {
         if self.owners.len() >= OWNERS {
             self.owners.clear();
         }
@@ -100,10 +115,17 @@
 
     /// Has peers told of a job that is owned here now.
     pub(crate) fn tell_owned(&mut self, id: &JobId, now: Moment) {
+        self.note_reported(id);
         self.lately.push_back((id.clone(), now + TELL_OWNED));
         self.lately.retain(|(_, until)| !until.is_past(now));
     }
 
+    /// Whether a job's tokens are, or were, among those counted here or reported
+    /// by peers.
+    pub(crate) fn is_counted(&self, id: &JobId) -> bool {
+        self.reported.contains(id)
+    }
+
     /// Jobs that peers are told of, as far as they are still owned here.
     pub(crate) fn owned_lately(&self, now: Moment) -> Vec<JobId> {
         let lately = self.lately.iter().filter(|(_, until)| !until.is_past(now));
@@ -120,9 +142,9 @@
         u32::try_from(open.sum::<usize>()).unwrap_or(u32::MAX)
     }
 
-    /// Tokens that wait, by route.
+    /// Tokens of own jobs that wait, by route.
     pub(crate) fn tokens_by_route(&self) -> BTreeMap<String, u64> {
-        let mut tokens = self.submitted_tokens.clone();
+        let mut tokens = BTreeMap::new();
         for owned in self.own.values() {
             let job = owned.job.borrow();
             let left = job.tokens_left();
--- a/crates/bluebellreel_gateway/src/jobs/quota.rs
+++ b/crates/bluebellreel_gateway/src/jobs/quota.rs
@@ -1,7 +1,17 @@
 //! How much a route's callers may have waiting.
 
+use super::key;
 use crate::gateway::Gateway;
+use bluebellreel_batch::{QuotaLedger, keys};
 use bluebellreel_dispatch::Route;
+use bluebellreel_kv::{Compare, KvError, Put, Txn};
+use bluebellreel_types::JobId;
+use log::warn;
+
+/// Share of a quota from which on acceptances go through the route's ledger,
+/// in percent. Below it, four daemons that accept at the same moment without
+/// knowing of each other still stay within the quota.
+const NEAR_PERCENT: u64 = 25;
 
 /// Tokens that wait on a route at all daemons, as far as is known.
 pub(crate) fn tokens_waiting(gw: &Gateway, route: &str) -> u64 {
@@ -13,7 +23,57 @@
     own + theirs
 }
 
-/// Whether a job of so many tokens fits.
+/// Whether a job of so many tokens fits, as far as is known.
 pub(crate) fn fits(gw: &Gateway, route: &Route, tokens: u64) -> bool {
     route.quota_tokens == 0 || tokens_waiting(gw, &route.name) + tokens <= route.quota_tokens
 }
+
+/// Whether a job's acceptance goes through the route's ledger.
+pub(crate) fn is_near(gw: &Gateway, route: &Route, tokens: u64) -> bool {
+    let waiting = tokens_waiting(gw, &route.name) + tokens;
+    route.quota_tokens > 0 && waiting * 100 > route.quota_tokens * NEAR_PERCENT
+}
+
+/// Adds the ledger to a job's acceptance; `None` if the job does not fit.
+///
+/// # Errors
+///
+/// Gives the reason when the ledger cannot be read.
+pub(crate) async fn guard(
+    gw: &Gateway,
+    route: &Route,
+    id: &JobId,
+    tokens: u64,
+    txn: &Txn,
+) -> Result<Option<Txn>, KvError> {
+    let ledger_key = key(&keys::quota(&route.name));
+    let stored = gw.store.read(&ledger_key).await?;
+    let mut ledger = match &stored {
+        Some(kv) => QuotaLedger::try_from(kv.value.as_slice()).unwrap_or_else(|e| {
+            warn!(target: "jobs", route:% = route.name, error:% = e; "ledger begun anew");
+            QuotaLedger::default()
+        }),
+        None => QuotaLedger::default(),
+    };
+    let now = gw.now();
+    let unreported = {
+        let jobs = gw.jobs.borrow();
+        let is_known = |job: &JobId| job == id || jobs.is_counted(job);
+        ledger.unreported(is_known, now)
+    };
+    if tokens_waiting(gw, &route.name) + unreported + tokens > route.quota_tokens {
+        return Ok(None);
+    }
+    ledger.add(id.clone(), tokens, now);
+    let compare = match &stored {
+        Some(kv) => Compare::Unchanged(ledger_key.clone(), kv.revision),
+        None => Compare::Absent(ledger_key.clone()),
+    };
+    let mut txn = txn.clone().and(compare);
+    txn.puts.push(Put {
+        key: ledger_key,
+        value: ledger.encode(),
+        lease: 0,
+    });
+    Ok(Some(txn))
+}
--- a/crates/bluebellreel_gateway/src/jobs/record.rs
+++ b/crates/bluebellreel_gateway/src/jobs/record.rs
@@ -17,6 +17,8 @@
 const GATHER: Duration = Duration::from_secs(1);
 /// Time between looks at what gathers.
 const LOOK: Duration = Duration::from_millis(250);
+/// How far the clocks of two daemons may differ, with some margin.
+const CLOCK_SLACK: Duration = Duration::from_secs(8);
 /// How long one round of repeating a write lasts.
 const ROUND: Duration = Duration::from_secs(5);
 /// Share of the longest value that a segment's texts take, in percent: JSON's
@@ -53,6 +55,7 @@
         GATHER
     };
     let mut job = owned.job.borrow_mut();
+    job.give_up_overdue(CLOCK_SLACK, gw.now());
     job.segment_to_write(|since: Moment| since + gather, gw.now(), bytes)
 }
 
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -9,7 +9,7 @@
 use bluebellreel_dispatch::{BatchRun, Class, Query, Route, batch_to_yield, place_batch};
 use bluebellreel_net::Reuse;
 use bluebellreel_platform::engine::Outgoing;
-use bluebellreel_types::{JobId, WorkerName};
+use bluebellreel_types::{JobId, Moment, WorkerName};
 use http::StatusCode;
 use log::{info, warn};
 use std::collections::BTreeSet;
@@ -22,6 +22,9 @@
 const HEAD: Duration = Duration::from_millis(900);
 /// Silence after which an item goes on at another worker.
 const SILENCE: Duration = Duration::from_millis(700);
+/// How long a configuration without an item's route must be in force before
+/// the item is given up: versions that follow quickly may bring it back.
+const ROUTE_GONE: Duration = Duration::from_secs(3);
 /// Rest of an item after a run that came to nothing, so that it does not go
 /// round workers that all refuse it.
 const REST: Duration = Duration::from_millis(120);
@@ -93,13 +96,33 @@
                     service,
                 });
             }
-            _ => {
+            Some(_) => {
+                ruled_out.insert(found.job);
+            }
+            None => {
+                if gw
+                    .facts
+                    .borrow()
+                    .configured_since()
+                    .is_some_and(|s| (s + ROUTE_GONE).is_past(now))
+                {
+                    give_up_without_route(&owned, found.item, now);
+                }
                 ruled_out.insert(found.job);
             }
         }
     }
 }
 
+/// The operators took the item's route away.
+fn give_up_without_route(owned: &OwnedJob, item: usize, now: Moment) {
+    let mut job = owned.job.borrow_mut();
+    warn!(target: "jobs", job:% = job.id, request:% = job.items[item].input.id; "item given up, its route is gone");
+    job.give_up(item, now);
+    drop(job);
+    owned.record_due.notify_one();
+}
+
 fn start(gw: &Rc<Gateway>, next: Next, worker: &WorkerName) {
     let place = Place::take(gw, worker, Class::Batch);
     next.owned.job.borrow_mut().items[next.item].phase = ItemPhase::Running;
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -124,7 +124,7 @@
     let reuse = if req.route.repeatable() {
         Reuse::Any
     } else {
-        Reuse::Settled
+        Reuse::Never
     };
     let sent = send(
         gw,
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -41,9 +41,11 @@
         let body = reply.body.whole(ANSWER_BYTES).await;
         Ok((reply.head.status, body.map_err(|e| e.to_string())?))
     };
-    timeout(longest, sent)
-        .await
-        .unwrap_or_else(|_| Err("no answer in time".into()))
+    timeout(longest, sent).await.unwrap_or_else(|_| {
+        // Its kept connections may all have fallen silent.
+        gw.peers.drop_idle(to);
+        Err("no answer in time".into())
+    })
 }
 
 /// What a peer knows beyond `seen`.
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -159,7 +159,7 @@
             entry: report.entry.clone(),
             run: report.run,
         };
-        gw.jobs.borrow_mut().heard_owner(job, owner);
+        gw.jobs.borrow_mut().reported(job, owner);
     }
     let (calls, revisions) = (report.calls, report.revisions);
     let name = report.entry.clone();
@@ -211,7 +211,7 @@
 }
 
 fn learn(gw: &Gateway, shared: SharedFacts, peer: &EntryName) {
-    let changed = gw.facts.borrow_mut().learn(shared, peer.as_str());
+    let changed = gw.facts.borrow_mut().learn(shared, peer.as_str(), gw.now());
     info!(target: "facts", peer:% = peer, changed; "facts taken over");
     if changed {
         follow_workers(gw);
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -168,7 +168,11 @@
             Ok((reply.head.status, body))
         };
         let answer = timeout(longest, sent).await;
-        let answer = answer.unwrap_or_else(|_| Err(KvError::Unknown("no answer in time".into())));
+        let answer = answer.unwrap_or_else(|_| {
+            // Its kept connections may all have fallen silent.
+            self.pool.drop_idle(self.address);
+            Err(KvError::Unknown("no answer in time".into()))
+        });
         if is_good(&answer) {
             let failing = self.failing_since.take();
             if failing.is_some_and(|since| since.elapsed() >= OUTAGE) {
--- a/crates/bluebellreel_gateway/src/upstream.rs
+++ b/crates/bluebellreel_gateway/src/upstream.rs
@@ -65,7 +65,11 @@
                 SendError::Unknown(reason) => NoAnswer::Unknown(reason),
             });
         }
-        Err(_) => return Err(NoAnswer::Silent),
+        Err(_) => {
+            // Its kept connections may all have fallen silent.
+            gw.workers.drop_idle(address);
+            return Err(NoAnswer::Silent);
+        }
     };
     let AnswerHead {
         request_id,
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -105,7 +105,7 @@
 fn operator_wrote(gw: &Rc<Gateway>, kv: &KeyValue) {
     if kv.key.as_str() == keys::CONFIGURATION {
         let mut facts = gw.facts.borrow_mut();
-        facts.configure(kv.revision, &kv.value, "store");
+        facts.configure(kv.revision, &kv.value, "store", gw.now());
         gw.report_due.notify_one();
     } else if let Some(vm) = keys::vm_to_empty(kv.key.as_str()) {
         tokio::task::spawn_local(say_empty(gw.clone(), vm.to_owned()));
--- a/crates/bluebellreel_net/src/pool.rs
+++ b/crates/bluebellreel_net/src/pool.rs
@@ -39,11 +39,8 @@
 pub enum Reuse {
     /// Any kept one.
     Any,
-    /// Only one that has been idle for a while: bytes that do not belong to
-    /// the last answer would have shown by now and closed it. For calls that
-    /// cannot be repeated.
-    Settled,
-    /// A new one.
+    /// A new one. For calls that cannot be repeated: a kept connection may
+    /// have fallen silent, or bring an extra answer first.
     Never,
 }
 
@@ -58,9 +55,6 @@
     pub idle_per_address: usize,
 }
 
-/// Idle time after which a connection counts as settled: an extra answer
-/// follows its predecessor within some tens of milliseconds.
-const SETTLED: Duration = Duration::from_millis(150);
 /// Taken off the idle time that the other side states, as it counts from its
 /// own last byte.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
@@ -68,7 +62,6 @@
 pub(crate) struct Kept {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) task: AbortHandle,
-    idle_since: Instant,
     idle_until: Instant,
 }
 
@@ -174,7 +167,6 @@
         Ok(Kept {
             sender,
             task: task.abort_handle(),
-            idle_since: Instant::now(),
             idle_until: Instant::now(),
         })
     }
@@ -211,15 +203,8 @@
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
         kept.retain(|k| k.idle_until > now && !k.sender.is_closed());
-        let usable = |k: &Kept| {
-            k.sender.is_ready() && (reuse == Reuse::Any || now - k.idle_since >= SETTLED)
-        };
-        // The one used last is the least likely to be closed by the other
-        // side; the one idle longest the least likely to bring stray bytes.
-        let at = match reuse {
-            Reuse::Settled => kept.iter().position(usable),
-            _ => kept.iter().rposition(usable),
-        }?;
+        // The one used last is the least likely to be closed by the other side.
+        let at = kept.iter().rposition(|k| k.sender.is_ready())?;
         Some(kept.remove(at))
     }
 
@@ -227,7 +212,6 @@
         if kept.sender.is_closed() {
             return;
         }
-        kept.idle_since = Instant::now();
         kept.idle_until = Instant::now() + idle;
         let mut all = self.idle.borrow_mut();
         let list = all.entry(address).or_default();
