One unreadable job holds up no others; owners learn of jobs they were not told of

Its records lacked the new field give_up_at, so restarted daemons could not read running jobs, and the search for orphans ended at the first of them.

Now: unreadable jobs are passed over with a log line; a record of an earlier version is read; reports name all jobs owned, so that nobody relies on an owner read long ago; a daemon named in a record is told of its job by whoever reads.

--- a/crates/bluebellreel_batch/src/record.rs
+++ b/crates/bluebellreel_batch/src/record.rs
@@ -36,7 +36,9 @@
     pub accepted_at: Moment,
     /// When its results are due, likewise.
     pub due_at: Moment,
-    /// When items that wait are given up, likewise.
+    /// When items that wait are given up, likewise. A record of a version that
+    /// had no such time keeps its items for good.
+    #[serde(default = "never")]
     pub give_up_at: Moment,
     /// Number of its items.
     pub items: usize,
@@ -50,6 +52,10 @@
     pub owner: Owner,
 }
 
+fn never() -> Moment {
+    Moment::FAR
+}
+
 /// A record that cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordError(String);
--- a/crates/bluebellreel_batch/tests/jobs.rs
+++ b/crates/bluebellreel_batch/tests/jobs.rs
@@ -29,7 +29,7 @@
         route: Arc::from("book"),
         accepted_at: NOW,
         due_at,
-        give_up_at: NOW + Duration::from_secs(60),
+        give_up_at: NOW + Duration::from_mins(1),
         items,
         tokens: 10 * items as u64,
         chunks: 1,
@@ -153,6 +153,23 @@
     assert_eq!(job.items[1].phase, ItemPhase::Running);
 }
 
+/// A fleet is upgraded while jobs run. Records that the version before wrote
+/// lack the newer fields; unreadable, their jobs would lie until the end.
+#[test]
+fn a_record_of_an_earlier_version_is_read() {
+    let record = job("j", 1, NOW).record;
+    let mut stored: serde_json::Value =
+        serde_json::from_slice(&record.encode()).expect("just encoded");
+    stored
+        .as_object_mut()
+        .expect("a table")
+        .remove("give_up_at");
+    let bytes = stored.to_string().into_bytes();
+    let read = JobRecord::try_from(bytes.as_slice()).expect("it is one");
+    assert_eq!(read.owner, record.owner);
+    assert_eq!(read.give_up_at, Moment::FAR);
+}
+
 /// Two daemons accept at the same moment, each seeing room for one job. The
 /// second one's guarded write fails; it must see the first in the ledger, and
 /// count it no longer once the reports contain it.
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -320,7 +320,7 @@
         let mut jobs = gw.jobs.borrow_mut();
         jobs.owners.remove(&id);
         jobs.orphans.remove(&id);
-        jobs.tell_owned(&id, gw.now());
+        jobs.note_reported(&id);
         if jobs.own.insert(id.clone(), owned.clone()).is_some() {
             jobs.end_runs(&id);
         }
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -3,9 +3,8 @@
 use bluebellreel_batch::{Job, JobRecord};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
 
@@ -63,8 +62,6 @@
     pub(crate) runs: HashMap<(JobId, usize), ItemRun>,
     /// Submissions on their way to the store.
     pub(crate) submissions: HashMap<JobId, watch::Receiver<Accepted>>,
-    /// Jobs that came to be owned here lately, and until when peers are told.
-    pub(crate) lately: VecDeque<(JobId, Moment)>,
     /// Owners of other jobs, as last read.
     pub(crate) owners: HashMap<JobId, KnownOwner>,
     /// Jobs without an owner that another daemon should take over, and since
@@ -77,8 +74,9 @@
     pub(crate) orphans_due: Rc<Notify>,
 }
 
-/// How long peers are told of a job; a caller comes to read it within a second.
-const TELL_OWNED: Duration = Duration::from_secs(2);
+/// Jobs named in a report, some 20 bytes each. Owners of more are found by
+/// reading records.
+const REPORTED: usize = 500;
 /// Owners remembered; each takes some hundred bytes.
 const OWNERS: usize = 8192;
 
@@ -99,7 +97,8 @@
         self.set_owner(id, owner);
     }
 
-    fn note_reported(&mut self, id: &JobId) {
+    /// Remembers that a job's tokens are counted somewhere.
+    pub(crate) fn note_reported(&mut self, id: &JobId) {
         if self.reported.len() >= OWNERS {
             self.reported.clear();
         }
@@ -113,24 +112,15 @@
         self.owners.insert(id.clone(), owner);
     }
 
-    /// Has peers told of a job that is owned here now.
-    pub(crate) fn tell_owned(&mut self, id: &JobId, now: Moment) {
-        self.note_reported(id);
-        self.lately.push_back((id.clone(), now + TELL_OWNED));
-        self.lately.retain(|(_, until)| !until.is_past(now));
-    }
-
     /// Whether a job's tokens are, or were, among those counted here or reported
     /// by peers.
     pub(crate) fn is_counted(&self, id: &JobId) -> bool {
         self.reported.contains(id)
     }
 
-    /// Jobs that peers are told of, as far as they are still owned here.
-    pub(crate) fn owned_lately(&self, now: Moment) -> Vec<JobId> {
-        let lately = self.lately.iter().filter(|(_, until)| !until.is_past(now));
-        let own = lately.filter(|(id, _)| self.own.contains_key(id));
-        own.map(|(id, _)| id.clone()).collect()
+    /// Jobs owned here that peers are told of.
+    pub(crate) fn owned_ids(&self) -> Vec<JobId> {
+        self.own.keys().take(REPORTED).cloned().collect()
     }
 
     /// Items that wait for a slot.
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -51,6 +51,7 @@
             Ok((StatusCode::OK, body)) => return answers::json(body),
             Ok((status, _)) => {
                 info!(target: "jobs", job:% = id, status = status.as_u16(); "owner does not have it");
+                tell_owner(gw, id, owner);
             }
             Err(e) => warn!(target: "jobs", job:% = id, error:% = e; "owner not reached"),
         }
@@ -62,6 +63,21 @@
     }
 }
 
+/// Tells a daemon that the record names it a job's owner. It may have missed
+/// the hand-over, and would find the job only when it looks for orphans.
+fn tell_owner(gw: &Rc<Gateway>, id: &JobId, owner: SocketAddr) {
+    let (gw, id) = (gw.clone(), id.clone());
+    tokio::task::spawn_local(async move {
+        let Ok(Some((_, record))) = load::record(&gw, &id).await else {
+            return;
+        };
+        if record.phase == JobPhase::Open && owner_address(&gw, &id) == Some(owner) {
+            let told = peer_calls::hand_over(&gw, owner, &id, Vec::new()).await;
+            info!(target: "jobs", job:% = id, owner:% = record.owner.entry, told:? = told; "owner told of its job");
+        }
+    });
+}
+
 fn unsure(id: &JobId, e: &KvError) -> Response<Body> {
     warn!(target: "jobs", job:% = id, error:% = e; "job not readable now");
     let reason = "job not readable now";
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -74,7 +74,14 @@
         if !std::mem::replace(&mut entries_read, true) {
             registration::read_members(gw).await?;
         }
-        left += usize::from(!take_over(gw, &id).await?);
+        // One job that cannot be read must not hold up those behind it.
+        match take_over(gw, &id).await {
+            Ok(settled) => left += usize::from(!settled),
+            Err(KvError::Refused(reason)) => {
+                warn!(target: "jobs", job:% = id, reason = reason.as_str(); "job not taken over");
+            }
+            Err(e) => return Err(e),
+        }
     }
     Ok(left)
 }
@@ -86,15 +93,15 @@
     heard.iter().all(|peer| gw.me() < peer)
 }
 
-/// Whether the owner last read is alive; saves reading the record.
+/// Whether a peer that is heard says that it owns a job; saves reading the
+/// record.
 fn has_owner(gw: &Gateway, id: &JobId) -> bool {
-    let jobs = gw.jobs.borrow();
-    let Some(owner) = jobs.owners.get(id) else {
-        return false;
-    };
     let members = gw.members.borrow();
-    let alive = members.alive(&owner.entry, gw.now());
-    alive.is_some_and(|p| p.run == owner.run)
+    let heard = members.heard(gw.now());
+    heard
+        .iter()
+        .filter_map(|name| members.peers.get(name))
+        .any(|peer| peer.jobs.contains(id))
 }
 
 /// Takes a job over if its owner is gone and this daemon is the one to do so;
--- a/crates/bluebellreel_gateway/src/members.rs
+++ b/crates/bluebellreel_gateway/src/members.rs
@@ -1,6 +1,6 @@
 //! The other daemons: who they are, when they were heard, what they said.
 
-use bluebellreel_types::{EntryName, Incarnation, Moment};
+use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -33,6 +33,8 @@
     pub(crate) stopping: bool,
     /// Whether its entry stands in the store, as far as is known.
     pub(crate) registered: bool,
+    /// Jobs that it owns.
+    pub(crate) jobs: BTreeSet<JobId>,
     /// Tokens of its jobs that wait, by route.
     pub(crate) tokens: BTreeMap<String, u64>,
     /// Whether it reaches the store, as far as it knows.
@@ -125,6 +127,7 @@
                     heard_at: None,
                     stopping: false,
                     registered: true,
+                    jobs: BTreeSet::new(),
                     tokens: BTreeMap::new(),
                     reaches_store: true,
                 };
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -44,7 +44,7 @@
     stopping: bool,
     reaches_store: bool,
     revisions: Revisions,
-    accepted: Vec<JobId>,
+    jobs: Vec<JobId>,
     running: Vec<(WorkerName, u32, u32)>,
     waiting: u32,
     tokens: Vec<(String, u64)>,
@@ -66,7 +66,7 @@
         stopping: gw.stopping.get(),
         reaches_store: !gw.store.is_lost(),
         revisions: facts.revisions(),
-        accepted: gw.jobs.borrow().owned_lately(gw.now()),
+        jobs: gw.jobs.borrow().owned_ids(),
         running: running.collect(),
         waiting: gw.jobs.borrow().items_waiting(),
         tokens: gw.jobs.borrow().tokens_by_route().into_iter().collect(),
@@ -154,7 +154,7 @@
     for job in &report.cancelled {
         crate::jobs::heard_cancelled(gw, job);
     }
-    for job in &report.accepted {
+    for job in &report.jobs {
         let owner = KnownOwner {
             entry: report.entry.clone(),
             run: report.run,
@@ -188,6 +188,7 @@
         heard_at: Some(now),
         stopping: report.stopping,
         registered,
+        jobs: report.jobs.into_iter().collect(),
         tokens: report.tokens.into_iter().collect::<BTreeMap<_, _>>(),
         reaches_store: report.reaches_store,
     };
