A soak of real gateway processes; explain tells a request's story from logs

The soak starts gateways as processes, store and engines as stand-ins behind proxies (delay, silence, one way, reset), signals (KILL, TERM, STOP) and workers that break off; it checks what callers and engines saw: whole answers, notes once, true refusals, jobs once and stable, ends obeyed. explain gathers a story by id with what was believed around it.

--- /dev/null
+++ b/examples/soak.rs
@@ -0,0 +1,53 @@
+//! A soak of real gateways with faults from outside, for seeds one after the
+//! other: `cargo run --release --example soak -- FIRST COUNT SECONDS`.
+//!
+//! Prints a line a seed, and for a broken promise the faults that led to it.
+//! Settings and logs of a seed stay in a folder under the system's folder for
+//! temporary files when it breaks something.
+
+use bluebellreel_platform_standins::{SoakPlan, soak};
+use std::time::Duration;
+
+fn main() -> eyre::Result<()> {
+    let numbers: Vec<u64> = std::env::args()
+        .skip(1)
+        .filter_map(|a| a.parse().ok())
+        .collect();
+    let first = numbers.first().copied().unwrap_or(1);
+    let count = numbers.get(1).copied().unwrap_or(1);
+    let seconds = numbers.get(2).copied().unwrap_or(20);
+    let here = std::env::current_exe()?;
+    let folder = here.parent().and_then(|p| p.parent());
+    let program = folder.map(|p| p.join("bluebellreel")).unwrap_or_default();
+    let mut broken = 0;
+    for seed in first..first + count {
+        let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+        let report = soak(SoakPlan {
+            seed,
+            span: Duration::from_secs(seconds),
+            gateways: 3,
+            workers: 4,
+            program: program.clone(),
+            folder: folder.clone(),
+        })?;
+        println!(
+            "seed {seed}: {} faults, {} of {} requests served, {} jobs, {} broken",
+            report.faults.len(),
+            report.served,
+            report.asked,
+            report.jobs,
+            report.broken.len()
+        );
+        if report.broken.is_empty() {
+            std::fs::remove_dir_all(&folder)?;
+            continue;
+        }
+        broken += 1;
+        for line in report.broken.iter().chain(&report.faults) {
+            println!("  {line}");
+        }
+        println!("  logs: {}", folder.display());
+    }
+    eyre::ensure!(broken == 0, "{broken} seeds broke a promise");
+    Ok(())
+}
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -1,6 +1,7 @@
 //! Subcommands.
 
 use crate::cli::client::{Answer, Client};
+use crate::cli::explain::{self, LogLine};
 use crate::cli::gateway;
 use crate::cli::output::{print_job, print_outcomes};
 use crate::program::{Running, run_program};
@@ -32,6 +33,7 @@
     Serve(Serve),
     Gateway(GatewayCommand),
     Idle(Idle),
+    Explain(Explain),
     Check(Check),
     Manifest(ManifestCommand),
     Outcomes(Outcomes),
@@ -63,6 +65,18 @@
 #[argh(subcommand, name = "idle")]
 struct Idle {}
 
+/// print the story of a request, job or item from gateways' logs
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct Explain {
+    /// id of the request, job or item
+    #[argh(positional)]
+    id: String,
+    /// log files, one of each process
+    #[argh(option)]
+    logs: Vec<PathBuf>,
+}
+
 /// check settings of either program, or a manifest
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -281,6 +295,7 @@
         Command::Serve(serve) => run_serve(&serve),
         Command::Gateway(command) => gateway::gateway(command.settings),
         Command::Idle(Idle {}) => gateway::idle(),
+        Command::Explain(explain) => run_explain(&explain),
         Command::Check(check) => run_check(&check),
         command => match run_call(command) {
             Ok(()) => ExitCode::SUCCESS,
@@ -309,6 +324,28 @@
     })
 }
 
+fn run_explain(explain: &Explain) -> ExitCode {
+    let mut lines = Vec::new();
+    for path in &explain.logs {
+        let text = match std::fs::read(path) {
+            Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(e) => {
+                eprintln!("{}: {e}", path.display());
+                return ExitCode::from(BAD_INPUT);
+            }
+        };
+        let source = path.file_stem().unwrap_or_default().to_string_lossy();
+        lines.extend(text.lines().filter_map(|l| LogLine::read(&source, l)));
+    }
+    let story = explain::explain(&explain.id, &lines);
+    if story.is_empty() {
+        eprintln!("no line names {}", explain.id);
+        return ExitCode::from(FAILED);
+    }
+    print!("{story}");
+    ExitCode::SUCCESS
+}
+
 fn run_check(check: &Check) -> ExitCode {
     let mut errors = Vec::new();
     if let Some(path) = &check.entry {
@@ -375,7 +412,11 @@
             println!("{}", answer.text);
             Ok(())
         }
-        Command::Serve(_) | Command::Gateway(_) | Command::Idle(_) | Command::Check(_) => {
+        Command::Serve(_)
+        | Command::Gateway(_)
+        | Command::Idle(_)
+        | Command::Explain(_)
+        | Command::Check(_) => {
             unreachable!("run without a daemon")
         }
     }
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,116 @@
+//! The story of one request, job or item, from the logs of several processes.
+//!
+//! Log lines are JSON. The story is every line that names the id, in time
+//! order; with it comes what the same processes learned shortly before and
+//! meanwhile: workers that came or went, the store lost or regained, the
+//! configuration, stops.
+
+use serde_json::{Map, Value};
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::time::{Duration, SystemTime};
+
+/// How long before the first line of a story its surroundings begin. A worker
+/// that left or a store that was lost shows in requests within seconds.
+const BEFORE: Duration = Duration::from_secs(5);
+/// The same after its last line.
+const AFTER: Duration = Duration::from_secs(1);
+/// Events that tell what a process believes, apart from any request.
+const SURROUNDINGS: [&str; 14] = [
+    "started",
+    "stopping",
+    "stopped",
+    "configuration in force",
+    "worker listed",
+    "worker no longer listed",
+    "workers read",
+    "store lost",
+    "store regained",
+    "peer heard",
+    "own entry has vanished, registering again",
+    "lease has ended",
+    "facts taken over",
+    "lines dropped",
+];
+
+/// One log line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogLine {
+    /// Where it comes from: the log's name.
+    pub source: String,
+    /// When it was written.
+    pub at: SystemTime,
+    fields: Map<String, Value>,
+}
+
+impl LogLine {
+    /// Reads a line; text before the JSON is passed over, and lines without
+    /// any are none.
+    #[must_use]
+    pub fn read(source: &str, line: &str) -> Option<Self> {
+        let json = &line[line.find('{')?..];
+        let Ok(Value::Object(fields)) = serde_json::from_str(json) else {
+            return None;
+        };
+        let at = humantime::parse_rfc3339(fields.get("at")?.as_str()?).ok()?;
+        let source = source.to_owned();
+        Some(Self { source, at, fields })
+    }
+
+    fn text(&self, field: &str) -> &str {
+        self.fields.get(field).and_then(Value::as_str).unwrap_or("")
+    }
+
+    fn names(&self, id: &str) -> bool {
+        self.text("request") == id || self.text("job") == id
+    }
+
+    fn print(&self, out: &mut String) {
+        let at = humantime::format_rfc3339_millis(self.at).to_string();
+        let time = at.get(11..23).unwrap_or(&at);
+        let event = self.text("event");
+        // Writing to a string does not fail.
+        let _ = write!(out, "{time}  {:<24} {event}", self.source);
+        for (name, value) in &self.fields {
+            if ["at", "event", "level", "part"].contains(&name.as_str()) {
+                continue;
+            }
+            let text = value
+                .as_str()
+                .map_or_else(|| value.to_string(), str::to_owned);
+            let _ = write!(out, "  {name}={text}");
+        }
+        out.push('\n');
+    }
+}
+
+/// The story of an id; empty if no line names it.
+#[must_use]
+pub fn explain(id: &str, lines: &[LogLine]) -> String {
+    let of_id: Vec<&LogLine> = lines.iter().filter(|l| l.names(id)).collect();
+    let (Some(first), Some(last)) = (
+        of_id.iter().map(|l| l.at).min(),
+        of_id.iter().map(|l| l.at).max(),
+    ) else {
+        return String::new();
+    };
+    let sources: BTreeSet<&str> = of_id.iter().map(|l| l.source.as_str()).collect();
+    let workers: BTreeSet<&str> = of_id.iter().map(|l| l.text("worker")).collect();
+    let surrounds = |line: &&LogLine| {
+        let in_time = line.at + BEFORE >= first && line.at <= last + AFTER;
+        let worker = line.text("worker");
+        let of_worker = worker.is_empty() || workers.contains(worker);
+        in_time
+            && of_worker
+            && sources.contains(line.source.as_str())
+            && SURROUNDINGS.contains(&line.text("event"))
+    };
+    let mut story: Vec<&LogLine> = lines.iter().filter(surrounds).collect();
+    story.extend(of_id);
+    story.sort_by_key(|l| l.at);
+    let mut out = String::new();
+    for line in story {
+        line.print(&mut out);
+    }
+    out
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,7 +2,9 @@
 
 mod client;
 mod commands;
+mod explain;
 mod gateway;
 mod output;
 
 pub use commands::{Arguments, run};
+pub use explain::{LogLine, explain};
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,49 @@
+//! From a request's id to its story.
+
+use bluebellreel::cli::{LogLine, explain};
+
+const ENTRY: &str = r#"
+{"at":"2026-12-02T10:00:00.000Z","event":"worker no longer listed","part":"facts","worker":"w-9"}
+{"at":"2026-12-02T10:00:03.000Z","event":"worker no longer listed","part":"facts","worker":"w-1"}
+  3.2 entry-1 {"at":"2026-12-02T10:00:03.200Z","event":"sent","request":"r1","worker":"w-1","left_ms":5000}
+{"at":"2026-12-02T10:00:03.300Z","event":"sent","request":"r2","worker":"w-1"}
+{"at":"2026-12-02T10:00:03.400Z","event":"stream interrupted","request":"r1","worker":"w-1","reason":"worker silent"}
+{"at":"2026-12-02T10:00:03.500Z","event":"store lost","part":"facts"}
+{"at":"2026-12-02T10:00:03.600Z","event":"stream goes on","request":"r1","worker":"w-2"}
+{"at":"2026-12-02T10:00:09.000Z","event":"store regained","part":"facts"}
+cut off {"at":"2026-
+"#;
+
+fn lines(source: &str, text: &str) -> Vec<LogLine> {
+    text.lines()
+        .filter_map(|l| LogLine::read(source, l))
+        .collect()
+}
+
+#[test]
+fn a_story_holds_its_lines_and_what_was_believed() {
+    let story = explain("r1", &lines("entry-1", ENTRY));
+    let events: Vec<&str> = story.lines().map(|l| &l[39..]).collect();
+    assert_eq!(
+        events,
+        [
+            "worker no longer listed  worker=w-1",
+            "sent  left_ms=5000  request=r1  worker=w-1",
+            "stream interrupted  reason=worker silent  request=r1  worker=w-1",
+            "store lost",
+            "stream goes on  request=r1  worker=w-2",
+        ]
+    );
+    assert!(story.starts_with("10:00:03.000  entry-1"));
+}
+
+#[test]
+fn other_processes_add_their_lines_in_time_order() {
+    let mut all = lines("entry-1", ENTRY);
+    let other = r#"{"at":"2026-12-02T10:00:03.250Z","event":"job owned","job":"r1"}"#;
+    all.extend(lines("entry-2", other));
+    let story = explain("r1", &all);
+    let sources: Vec<&str> = story.lines().map(|l| l[14..22].trim()).collect();
+    assert_eq!(sources[..3], ["entry-1", "entry-1", "entry-2"]);
+    assert_eq!(explain("nobody", &all), "");
+}
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,32 @@
+//! A short soak of real gateway processes. Seeds that ever broke a promise stay
+//! here, each with a line on the cause.
+
+use bluebellreel_platform_standins::{SoakPlan, soak};
+use std::time::Duration;
+
+fn play(seed: u64, seconds: u64) {
+    let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+    let report = soak(SoakPlan {
+        seed,
+        span: Duration::from_secs(seconds),
+        gateways: 3,
+        workers: 4,
+        program: env!("CARGO_BIN_EXE_bluebellreel").into(),
+        folder: folder.clone(),
+    })
+    .expect("the soak can be set up");
+    assert!(
+        report.broken.is_empty(),
+        "{:#?}\nfaults: {:#?}\nlogs: {}",
+        report.broken,
+        report.faults,
+        folder.display()
+    );
+    assert!(report.served > 0 && report.jobs > 0, "nothing was served");
+    std::fs::remove_dir_all(folder).expect("the folder is ours");
+}
+
+#[test]
+fn promises_hold_under_faults_from_outside() {
+    play(1, 12);
+}
