Ends are recorded at last; a daemon cut off alone believes that workers leave; stay in line

The daemon had been cut off alone, took its return for the end of an outage of the store and kept the worker for 2.5 s. (3) In a flood every request whose first byte was late left its place in line for another line.

Now: an end is repeated until it is recorded; reports say how long the store has served a daemon, and missing workers are kept only if it served nobody all along; a late first byte is a reason to leave only for a free slot, or if nothing at all is heard from the worker.

--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -39,6 +39,8 @@
     pub peers: Running,
     /// How far it is trusted.
     pub doubt: Doubt,
+    /// When one of our runs there last gave an event.
+    pub heard_at: Moment,
 }
 
 impl Seat {
@@ -108,6 +110,7 @@
                 own: Running::default(),
                 peers: Running::default(),
                 doubt: Doubt::default(),
+                heard_at: Moment::default(),
             };
             self.seats.insert(id.clone(), seat);
         }
@@ -161,9 +164,10 @@
     }
 
     /// A run gave its first event or a whole answer.
-    pub fn succeeded(&mut self, worker: &WorkerName) {
+    pub fn succeeded(&mut self, worker: &WorkerName, now: Moment) {
         if let Some(seat) = self.seats.get_mut(worker) {
             seat.doubt.succeeded();
+            seat.heard_at = now;
         }
     }
 
--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -29,6 +29,8 @@
 pub use catalog::{Catalog, WorkerRecord, WorkerState};
 pub use doubt::Doubt;
 pub use peer::{PeerLoad, Running};
-pub use place::{BatchRun, Placement, Query, batch_to_yield, place_batch, place_online};
+pub use place::{
+    BatchRun, Placement, Query, batch_to_yield, place_batch, place_online, should_leave,
+};
 pub use routes::{CallerLimits, Configuration, Route, RouteKind, Service, Target};
 pub use ticket::{Class, Ticket};
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -8,6 +8,7 @@
 
 use crate::{Board, Seat};
 use bluebellreel_types::{EntryName, Moment, WorkerName};
+use std::time::Duration;
 use twox_hash::XxHash64;
 
 /// What is asked.
@@ -68,6 +69,27 @@
     }
 }
 
+/// Time without any event from a worker after which it counts as silent, and
+/// not only as busy. Events of one stream come some 30 ms apart.
+const BUSY: Duration = Duration::from_millis(120);
+
+/// Whether a request that has waited long for its first byte does better
+/// elsewhere.
+///
+/// Where nobody else takes it, it stays in line. From a worker whose other
+/// streams go on it leaves only for a free slot: a place in a second line is
+/// no better than its place in the first.
+#[must_use]
+pub fn should_leave(board: &Board, query: &Query, worker: &WorkerName, me: &EntryName) -> bool {
+    let Placement::Send(other) = place_online(board, query, me) else {
+        return false;
+    };
+    let heard_at = board.seat(worker).map_or(Moment(0), |s| s.heard_at);
+    let busy = !(heard_at + BUSY).is_past(query.now);
+    let free = board.seat(&other).is_some_and(|s| s.free() > 0);
+    free || !busy
+}
+
 /// Online requests beyond a worker's slots.
 fn waiting_online(seat: &Seat) -> u32 {
     seat.running().online.saturating_sub(seat.record.slots)
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -14,10 +14,12 @@
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Longest that a caller waits for the end to be recorded.
 const DECIDE: Duration = Duration::from_millis(2500);
+/// Pause before an end that could not be recorded is repeated.
+const REPEAT: Duration = Duration::from_millis(500);
 /// When a caller should return while the end cannot be recorded.
 const RETURN_AFTER: Duration = Duration::from_millis(300);
 /// How long peers are told of an end: an owner that no call reached still
@@ -46,7 +48,26 @@
         return answers::failure(StatusCode::CONFLICT, "not the owner");
     };
     stop_running(gw, &owned);
-    cancel_in_store(gw, id).await
+    let answer = cancel_in_store(gw, id).await;
+    if !answer.status().is_success() {
+        // Its items have stopped and will not go on. If its sender does not
+        // ask again, the job would lie open for ever.
+        tokio::task::spawn_local(end_at_last(gw.clone(), owned));
+    }
+    answer
+}
+
+/// Repeats a job's end until it is recorded, or another daemon owns the job.
+async fn end_at_last(gw: Rc<Gateway>, owned: Rc<OwnedJob>) {
+    let id = owned.job.borrow().id.clone();
+    let is_ours = || {
+        let jobs = gw.jobs.borrow();
+        jobs.own.get(&id).is_some_and(|o| Rc::ptr_eq(o, &owned))
+    };
+    while is_ours() {
+        sleep(REPEAT).await;
+        cancel_in_store(&gw, &id).await;
+    }
 }
 
 /// Stops a job's items at once; whether the end is recorded shows later.
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -250,7 +250,9 @@
         if progress.push(id, &event.data).is_err() {
             return Err("events do not follow");
         }
-        gw.board.borrow_mut().succeeded(upstream.place.worker());
+        gw.board
+            .borrow_mut()
+            .succeeded(upstream.place.worker(), gw.now());
     }
     Ok(())
 }
--- a/crates/bluebellreel_gateway/src/members.rs
+++ b/crates/bluebellreel_gateway/src/members.rs
@@ -33,6 +33,8 @@
     pub(crate) stopping: bool,
     /// Whether its entry stands in the store, as far as is known.
     pub(crate) registered: bool,
+    /// How long the store has served it without an outage; in seconds.
+    pub(crate) served_s: u32,
     /// Jobs that it owns.
     pub(crate) jobs: BTreeSet<JobId>,
     /// Tokens of its jobs that wait, by route.
@@ -67,6 +69,12 @@
         reach.map(|(name, _)| name)
     }
 
+    /// Whether the store has served some peer for so long without an outage.
+    pub(crate) fn is_served_for(&self, span: Duration, now: Moment) -> bool {
+        let mut heard = self.peers.values().filter(|p| is_heard(p, now));
+        heard.any(|p| u64::from(p.served_s) >= span.as_secs())
+    }
+
     /// Whether a peer has fallen silent since the last call.
     pub(crate) fn has_lost_peer(&mut self, now: Moment) -> bool {
         let heard: BTreeSet<EntryName> = self.heard(now).into_iter().collect();
@@ -127,6 +135,7 @@
                     heard_at: None,
                     stopping: false,
                     registered: true,
+                    served_s: 0,
                     jobs: BTreeSet::new(),
                     tokens: BTreeMap::new(),
                     reaches_store: true,
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -5,7 +5,9 @@
 use crate::relay::Relay;
 use crate::ticket::Place;
 use crate::upstream::{NoAnswer, Send, Upstream, send};
-use bluebellreel_dispatch::{Class, Placement, Query, Route, RouteKind, place_online};
+use bluebellreel_dispatch::{
+    Class, Placement, Query, Route, RouteKind, place_online, should_leave,
+};
 use bluebellreel_net::{Body, Reuse};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_platform::ingress;
@@ -14,10 +16,11 @@
 use http::{Response, StatusCode, header};
 use log::{info, warn};
 use rand::RngExt;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 /// Longest answer that is gathered before it is passed on.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -28,6 +31,9 @@
 /// Added for each request that waits before it: about the time in which one of
 /// a worker's slots comes free.
 const FIRST_BYTE_PER_WAITING: Duration = Duration::from_millis(110);
+/// Time between looks whether a request whose first byte is late does better
+/// elsewhere.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
 /// Sends that nothing came of before a request is given up. Refusals by
 /// workers cost a round trip each.
 const MOST_REFUSALS: u32 = 4;
@@ -61,8 +67,9 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Until when the first byte from a worker is waited for.
-    fn first_byte_until(&self, gw: &Gateway, worker: &WorkerName) -> Instant {
+    /// When the first byte from a worker counts as late; never for a request
+    /// that cannot go elsewhere.
+    fn first_byte_due(&self, gw: &Gateway, worker: &WorkerName) -> Instant {
         let last_try = self.runs + 1 >= self.route.max_workers.max(1);
         if last_try || !self.route.repeatable() {
             return self.deadline;
@@ -118,7 +125,7 @@
     req: &mut Request,
     worker: &WorkerName,
 ) -> Result<Upstream, NoAnswer> {
-    let until = req.first_byte_until(gw, worker);
+    let mut due = req.first_byte_due(gw, worker);
     log_choice(gw, req, worker);
     req.tried.push(worker.clone());
     let reuse = if req.route.repeatable() {
@@ -126,7 +133,7 @@
     } else {
         Reuse::Never
     };
-    let sent = send(
+    let mut answer = pin!(send(
         gw,
         Send {
             place: Place::take(gw, worker, Class::Online),
@@ -134,17 +141,32 @@
             left: Some(req.left()),
             after: None,
             reuse,
-            until,
+            until: req.deadline,
         },
-    )
-    .await;
-    if let Err(e) = &sent {
-        if *e == NoAnswer::Silent && until < req.deadline {
-            gw.board.borrow_mut().failed(worker, gw.now());
+    ));
+    let outcome = loop {
+        match timeout_at(due, answer.as_mut()).await {
+            Ok(outcome) => break outcome,
+            Err(_) if does_better_elsewhere(gw, req, worker) => {
+                gw.board.borrow_mut().failed(worker, gw.now());
+                break Err(NoAnswer::Silent);
+            }
+            Err(_) => due = (Instant::now() + LOOK_AGAIN).min(req.deadline),
         }
+    };
+    if let Err(e) = &outcome {
         warn!(target: "online", request:% = req.id, worker:% = worker, outcome:? = e, runs = req.runs; "no answer from worker");
     }
-    sent
+    outcome
+}
+
+fn does_better_elsewhere(gw: &Gateway, req: &Request, worker: &WorkerName) -> bool {
+    let query = Query {
+        service: &req.service,
+        avoid: &req.tried,
+        now: gw.now(),
+    };
+    should_leave(&gw.board.borrow(), &query, worker, gw.me())
 }
 
 fn log_choice(gw: &Gateway, req: &Request, worker: &WorkerName) {
@@ -194,7 +216,9 @@
         return Err(req);
     };
     if !failed {
-        gw.board.borrow_mut().succeeded(upstream.place.worker());
+        gw.board
+            .borrow_mut()
+            .succeeded(upstream.place.worker(), gw.now());
     }
     gw.metrics
         .request(if failed { "worker_failed" } else { "served" });
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -142,7 +142,7 @@
         self.passed += 1;
         self.quiet_until = Instant::now() + SILENCE;
         let worker = self.upstream.place.worker();
-        self.gw.board.borrow_mut().succeeded(worker);
+        self.gw.board.borrow_mut().succeeded(worker, self.gw.now());
     }
 
     async fn bring(&mut self) -> Brought {
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -43,6 +43,8 @@
     reports: SocketAddr,
     stopping: bool,
     reaches_store: bool,
+    /// How long the store has served it without an outage; in seconds.
+    served_s: u32,
     revisions: Revisions,
     jobs: Vec<JobId>,
     running: Vec<(WorkerName, u32, u32)>,
@@ -65,6 +67,7 @@
         reports: gw.settings.reports,
         stopping: gw.stopping.get(),
         reaches_store: !gw.store.is_lost(),
+        served_s: u32::try_from(gw.store.served_for().as_secs()).unwrap_or(u32::MAX),
         revisions: facts.revisions(),
         jobs: gw.jobs.borrow().owned_ids(),
         running: running.collect(),
@@ -191,6 +194,7 @@
         jobs: report.jobs.into_iter().collect(),
         tokens: report.tokens.into_iter().collect::<BTreeMap<_, _>>(),
         reaches_store: report.reaches_store,
+        served_s: report.served_s,
     };
     members.peers.insert(report.entry, peer);
 }
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -68,6 +68,7 @@
     failures: Cell<u64>,
     /// Since when every straight call has failed.
     failing_since: Cell<Option<Instant>>,
+    started: Instant,
     /// When the last outage ended.
     regained_at: Cell<Option<Instant>>,
     /// When a straight call was made last.
@@ -90,6 +91,7 @@
             calls: Cell::new(0),
             failures: Cell::new(0),
             failing_since: Cell::new(None),
+            started: Instant::now(),
             regained_at: Cell::new(None),
             tried_at: Cell::new(None),
             answered_at: Cell::new(None),
@@ -118,6 +120,15 @@
         Some(self.regained_at.get()?.elapsed())
     }
 
+    /// How long the store has served this daemon without an outage.
+    pub(crate) fn served_for(&self) -> Duration {
+        if self.failing_since.get().is_some() {
+            return Duration::ZERO;
+        }
+        self.regained_for()
+            .unwrap_or_else(|| self.started.elapsed())
+    }
+
     /// Whether any call has succeeded in the last `span`.
     pub(crate) fn has_answered_within(&self, span: Duration) -> bool {
         let answered = self.answered_at.get();
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -31,6 +31,9 @@
 /// How long a worker that is missing after an outage may take to register
 /// again: the platform says about two seconds.
 const REGISTER_AGAIN: Duration = Duration::from_millis(2500);
+/// Time for which the store must have served a peer to have been there all
+/// along: longer than daemons take to notice the end of an outage.
+const ALL_ALONG: Duration = Duration::from_secs(6);
 /// How long the answer to a request to empty a VM is repeated.
 const SAY_EMPTY: Duration = Duration::from_secs(30);
 
@@ -122,8 +125,14 @@
 }
 
 /// Until when workers that are missing are kept; none but after an outage.
+///
+/// A store that has served a peer all along was not away, it was cut off from
+/// this daemon: entries did not lapse, and a worker that is missing leaves.
 fn keep_missing_until(gw: &Gateway) -> Option<Moment> {
     let left = REGISTER_AGAIN.checked_sub(gw.store.regained_for()?)?;
+    if gw.members.borrow().is_served_for(ALL_ALONG, gw.now()) {
+        return None;
+    }
     Some(gw.now() + left)
 }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -26,6 +26,19 @@
     std::fs::remove_dir_all(folder).expect("the folder is ours");
 }
 
+/// Its end was asked for while the store was silent: the job's items stopped,
+/// the end was not recorded, and the job lay open for ever.
+#[test]
+fn an_end_asked_for_during_an_outage_is_kept() {
+    play(18, 12);
+}
+
+/// The same, with the connection reset.
+#[test]
+fn an_end_asked_for_on_a_reset_connection_is_kept() {
+    play(59, 12);
+}
+
 #[test]
 fn promises_hold_under_faults_from_outside() {
     play(1, 12);
