--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -65,6 +65,8 @@
     owned: Rc<OwnedJob>,
     job: JobId,
     item: usize,
+    /// Id of the item's request.
+    id: Arc<str>,
     route: Arc<Route>,
     service: Arc<str>,
 }
@@ -84,14 +86,15 @@
             let job = owned.job.borrow();
             let input = &job.items[found.item].input;
             let route = configuration.route(&job.record.host, &input.path).cloned();
-            route.map(|r| (r.service_for(&input.id), r))
+            route.map(|r| (r.service_for(&input.id), r, input.id.clone()))
         };
         match wanted {
-            Some((service, route)) if !full.contains(&service) => {
+            Some((service, route, id)) if !full.contains(&service) => {
                 return Some(Next {
                     owned,
                     job: found.job,
                     item: found.item,
+                    id,
                     route,
                     service,
                 });
@@ -137,10 +140,10 @@
 
 async fn run(gw: Rc<Gateway>, next: Next, place: Place) {
     let worker = place.worker().clone();
-    let (id, after) = {
+    let id = next.id.clone();
+    let after = {
         let job = next.owned.job.borrow();
-        let item = &job.items[next.item];
-        (item.input.id.clone(), item.progress.last_id())
+        job.items[next.item].progress.last_id()
     };
     info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, after:? = after; "item sent");
     let end = run_at(&gw, &next, place, after).await;
@@ -198,7 +201,7 @@
             if e == NoAnswer::Silent {
                 gw.board.borrow_mut().failed(&worker, gw.now());
             }
-            warn!(target: "jobs", job:% = next.job, worker:% = worker, outcome:? = e; "no answer to an item");
+            warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, outcome:? = e; "no answer to an item");
             rest(gw)
         }
     }
@@ -206,7 +209,7 @@
 
 fn of_status(gw: &Gateway, next: &Next, upstream: &Upstream) -> ItemEnd {
     let status = upstream.head.status;
-    warn!(target: "jobs", job:% = next.job, worker:% = upstream.place.worker(), status = status.as_u16(); "item not done");
+    warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = upstream.place.worker(), status = status.as_u16(); "item not done");
     match status {
         StatusCode::UNPROCESSABLE_ENTITY => ItemEnd::Impossible,
         StatusCode::INTERNAL_SERVER_ERROR => ItemEnd::Failed,
@@ -263,7 +266,7 @@
 
 fn interrupted(gw: &Gateway, next: &Next, upstream: &Upstream, reason: &str) -> ItemEnd {
     let worker = upstream.place.worker();
-    warn!(target: "jobs", job:% = next.job, worker:% = worker, reason; "item interrupted");
+    warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, reason; "item interrupted");
     gw.board.borrow_mut().failed(worker, gw.now());
     rest(gw)
 }
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -12,7 +12,7 @@
 //!
 //! ```no_run
 //! let settings = bluebellreel_settings::load_gateway("gateway.toml".as_ref()).unwrap();
-//! let clean = bluebellreel_gateway::run_gateway(settings).unwrap();
+//! let clean = bluebellreel_gateway::run_gateway(settings, || 0).unwrap();
 //! assert!(clean);
 //! ```
 
--- a/crates/bluebellreel_gateway/src/members.rs
+++ b/crates/bluebellreel_gateway/src/members.rs
@@ -75,6 +75,13 @@
         heard.any(|p| u64::from(p.served_s) >= span.as_secs())
     }
 
+    /// Age of the oldest report that is still counted.
+    pub(crate) fn oldest_report(&self, now: Moment) -> Duration {
+        let heard = self.peers.values().filter(|p| is_heard(p, now));
+        let ages = heard.filter_map(|p| p.heard_at).map(|at| now.since(at));
+        ages.max().unwrap_or_default()
+    }
+
     /// Whether a peer has fallen silent since the last call.
     pub(crate) fn has_lost_peer(&mut self, now: Moment) -> bool {
         let heard: BTreeSet<EntryName> = self.heard(now).into_iter().collect();
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub(crate) store_failures: Gauge,
     pub(crate) workers: Gauge,
     pub(crate) peers: Gauge,
+    pub(crate) jobs_owned: Gauge,
+    pub(crate) lines_dropped: Gauge,
     registry: Registry,
 }
 
@@ -55,6 +57,8 @@
             store_failures: Gauge::default(),
             workers: Gauge::default(),
             peers: Gauge::default(),
+            jobs_owned: Gauge::default(),
+            lines_dropped: Gauge::default(),
             registry: Registry::default(),
         };
         let r = &mut registry;
@@ -106,6 +110,12 @@
         );
         r.register("workers", "Workers listed", metrics.workers.clone());
         r.register("peers", "Peers heard", metrics.peers.clone());
+        r.register("jobs_owned", "Jobs owned", metrics.jobs_owned.clone());
+        r.register(
+            "log_lines_dropped",
+            "Log lines dropped as nobody read them",
+            metrics.lines_dropped.clone(),
+        );
         Self {
             registry,
             ..metrics
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -184,7 +184,9 @@
         batch = running.batch,
         slots = seat.record.slots,
         tried = req.tried.len(),
-        left_ms = millis(req.left());
+        left_ms = millis(req.left()),
+        version = gw.configuration().map_or(0, |c| c.version),
+        report_age_ms = millis(gw.members.borrow().oldest_report(gw.now()));
         "sent"
     );
 }
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -32,18 +32,21 @@
 const LOOK: Duration = Duration::from_millis(20);
 
 /// Runs a gateway until it is asked to stop by a signal; whether nothing was
-/// cut.
+/// cut. `lines_dropped` gives the number of log lines that were dropped.
 ///
 /// # Errors
 ///
 /// Gives the reason when an address cannot be listened on.
-pub fn run_gateway(settings: GatewaySettings) -> eyre::Result<bool> {
+pub fn run_gateway(
+    settings: GatewaySettings,
+    lines_dropped: impl Fn() -> u64 + 'static,
+) -> eyre::Result<bool> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     LocalSet::new().block_on(&runtime, async {
         let asked = asked_to_stop()?;
-        live(settings, asked).await
+        live(settings, asked, lines_dropped).await
     })
 }
 
@@ -72,12 +75,13 @@
 pub async fn live(
     settings: GatewaySettings,
     stop_asked: impl Future<Output = ()>,
+    lines_dropped: impl Fn() -> u64 + 'static,
 ) -> eyre::Result<bool> {
     let gw = Gateway::new(settings);
     detour::install(&gw);
     let stop = Stop::default();
     let served = Served::default();
-    start(&gw, &stop, &served).await?;
+    start(&gw, &stop, &served, lines_dropped).await?;
     info!(target: "gateway", entry:% = gw.me(), run:% = gw.run, data_centre:% = gw.settings.data_centre, requests:% = gw.settings.requests; "started");
     stop_asked.await;
     let clean = leave(&gw, &stop, &served).await;
@@ -85,7 +89,12 @@
     Ok(clean)
 }
 
-async fn start(gw: &Rc<Gateway>, stop: &Stop, served: &Served) -> eyre::Result<()> {
+async fn start(
+    gw: &Rc<Gateway>,
+    stop: &Stop,
+    served: &Served,
+    lines_dropped: impl Fn() -> u64 + 'static,
+) -> eyre::Result<()> {
     let callers = listen(gw.settings.requests).wrap_err("address for requests")?;
     let balancer = listen(gw.settings.readiness).wrap_err("address for readiness")?;
     let peers = listen(gw.settings.peers).wrap_err("address for peers")?;
@@ -130,7 +139,7 @@
         Served::default(),
         INNER_IDLE,
         move |_| {
-            let answer = crate::answers::bytes(metrics_text(&g));
+            let answer = crate::answers::bytes(metrics_text(&g, lines_dropped()));
             async move { answer }
         },
     ));
@@ -163,11 +172,12 @@
     }
 }
 
-fn metrics_text(gw: &Gateway) -> String {
+fn metrics_text(gw: &Gateway, lines_dropped: u64) -> String {
     let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
     let (calls, failures) = gw.store.counts();
     let metrics = &gw.metrics;
     metrics.in_progress.set(count(gw.in_progress.get()));
+    metrics.jobs_owned.set(count(gw.jobs.borrow().own.len()));
     metrics
         .store_calls
         .set(i64::try_from(calls).unwrap_or(i64::MAX));
@@ -180,6 +190,9 @@
     metrics
         .peers
         .set(count(gw.members.borrow().heard(gw.now()).len()));
+    metrics
+        .lines_dropped
+        .set(i64::try_from(lines_dropped).unwrap_or(i64::MAX));
     metrics.text()
 }
 
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -37,7 +37,7 @@
     let stdout = std::io::stdout();
     let run = start_json_logging(log::LevelFilter::Info, &PARTS, stdout)
         .wrap_err("logs")
-        .and_then(|_| run_gateway(settings));
+        .and_then(|dropped| run_gateway(settings, move || dropped.count()));
     match run {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(CUT),
