Model check how a gateway records results in segments

All states hold with all guards (two owners, late writes, lost answers, readers). Without the record's revision and the segment's number, or without the number and repeating unchanged, what was read changes; either of revision and number alone suffices, which the test states.

--- a/crates/bluebellreel_model/src/lib.rs
+++ b/crates/bluebellreel_model/src/lib.rs
@@ -1,9 +1,10 @@
 //! Model checking of the core protocol.
 //!
-//! Two small specifications, each explored through all its states: the life of
-//! one call that may not be repeated ([`call`]), which drives the real
-//! admission and claim functions, and the ownership of one job's item
-//! ([`ownership`]). Guards can be left out, to show that the checker finds what
+//! Three small specifications, each explored through all its states: the life
+//! of one call that may not be repeated ([`call`]), which drives the real
+//! admission and claim functions, the ownership of one job's item
+//! ([`ownership`]), and the segments in which a gateway records results
+//! ([`segments`]). Guards can be left out, to show that the checker finds what
 //! each one is for.
 //!
 //! ```
@@ -16,5 +17,6 @@
 pub mod call;
 mod explored;
 pub mod ownership;
+pub mod segments;
 
 pub use explored::Explored;
--- a/crates/bluebellreel_model/tests/guards.rs
+++ b/crates/bluebellreel_model/tests/guards.rs
@@ -1,6 +1,6 @@
 //! All states hold with all guards; without one of them the checker finds why.
 
-use bluebellreel_model::{Explored, call, ownership};
+use bluebellreel_model::{Explored, call, ownership, segments};
 
 fn holds(name: &str, explored: &Explored) {
     println!("{name}: {} states", explored.states);
@@ -18,6 +18,59 @@
 fn all_states_hold_with_all_guards() {
     holds("ownership", &ownership::explore(ownership::Guards::all()));
     holds("call", &call::explore(call::Guards::all()));
+    holds("segments", &segments::explore(segments::Guards::all()));
+}
+
+/// An owner is paused, another takes its job over and records. The first one's
+/// late write replaces what readers have read, unless it compares the record's
+/// revision or the segment's number. Either suffices for this; both are kept,
+/// as the revision also ends a cancelled job and the number a lost answer.
+#[test]
+fn without_revision_and_number_a_paused_owner_replaces_results() {
+    let guards = segments::Guards {
+        revision: false,
+        number: false,
+        ..segments::Guards::all()
+    };
+    found("neither", &segments::explore(guards), "has changed");
+    for one in [
+        segments::Guards {
+            revision: false,
+            ..segments::Guards::all()
+        },
+        segments::Guards {
+            number: false,
+            ..segments::Guards::all()
+        },
+    ] {
+        holds("one of two", &segments::explore(one));
+    }
+}
+
+/// A write's answer is lost and more items end. Written with them under the
+/// same number, the second write replaces the first one, or the first one, done
+/// late, replaces the second.
+#[test]
+fn without_repeating_unchanged_results_are_lost_or_doubled() {
+    let guards = segments::Guards {
+        unchanged: false,
+        number: false,
+        ..segments::Guards::all()
+    };
+    found("not unchanged", &segments::explore(guards), "has changed");
+}
+
+/// A daemon takes a job over and starts from nothing: what was listed before
+/// runs and is listed again.
+#[test]
+fn without_reading_back_a_new_owner_lists_items_again() {
+    let guards = segments::Guards {
+        read_back: false,
+        number: false,
+        ..segments::Guards::all()
+    };
+    let explored = segments::explore(guards);
+    assert!(explored.violation.is_some());
 }
 
 /// An owner is paused while another takes the job over. Without the revision
