Choose the better of two, wait by expected time, report each 25 ms to many

A quarter of sends to a full worker gave no first byte in 130 ms; 800 of 8,505 requests were sent twice.

Ruled out: datagrams lost at a full socket (no change when sends wait for room; kept, as the last peers would always be the ones missed), lost reports (oldest report 154 ms at the median, an idle peer's heartbeat).

Now: among workers alike the emptier of two drawn; reports to many each 25 ms; a place in line is judged by its expected wait, from run time and the worker's pace, not by a count; a slow but steady worker's streams are not broken; a stream that goes on elsewhere waits in line as long as its caller does; 'caller left' is logged.

--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -1,6 +1,6 @@
 //! The slots of all workers, and who uses them.
 
-use crate::{Catalog, Class, Doubt, PeerLoad, Running, Ticket, WorkerRecord, WorkerState};
+use crate::{Catalog, Class, Doubt, Paces, PeerLoad, Running, Ticket, WorkerRecord, WorkerState};
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -8,12 +8,6 @@
 /// Bounds of placement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlacementLimits {
-    /// Online requests that may wait at one worker beyond its slots.
-    ///
-    /// A slot of 8 comes free about every 90 ms where a run lasts 700 ms, so
-    /// the second in line waits some 180 ms and still meets an objective of
-    /// 300 ms; the third would not.
-    pub queued_per_worker: u32,
     /// Slots that batch leaves free, as a share of the online requests that
     /// run.
     pub reserve_percent: u32,
@@ -22,7 +16,6 @@
 impl Default for PlacementLimits {
     fn default() -> Self {
         Self {
-            queued_per_worker: 2,
             reserve_percent: 10,
         }
     }
@@ -73,6 +66,8 @@
     pub local: DataCentre,
     /// Bounds.
     pub limits: PlacementLimits,
+    /// How fast workers are.
+    pub paces: Paces,
     seats: BTreeMap<WorkerName, Seat>,
     peers: BTreeMap<EntryName, PeerLoad>,
 }
@@ -84,6 +79,7 @@
         Self {
             local,
             limits,
+            paces: Paces::default(),
             seats: BTreeMap::new(),
             peers: BTreeMap::new(),
         }
--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -9,17 +9,18 @@
 //!
 //! ```
 //! use bluebellreel_dispatch::{Board, Placement, PlacementLimits, Query, place_online};
-//! use bluebellreel_types::{DataCentre, EntryName, Moment};
+//! use bluebellreel_types::{DataCentre, Moment};
+//! use std::time::Duration;
 //!
 //! let board = Board::new(DataCentre::from("sligo"), PlacementLimits::default());
-//! let query = Query { service: "assist", avoid: &[], now: Moment(0) };
-//! let me = EntryName::from("entry-1");
-//! assert_eq!(place_online(&board, &query, &me), Placement::NoWorker);
+//! let query = Query { service: "assist", avoid: &[], patience: Duration::ZERO, salt: 0, now: Moment(0) };
+//! assert_eq!(place_online(&board, &query), Placement::NoWorker);
 //! ```
 
 mod board;
 mod catalog;
 mod doubt;
+mod pace;
 mod peer;
 mod place;
 mod routes;
@@ -28,6 +29,7 @@
 pub use board::{Board, PlacementLimits, Seat};
 pub use catalog::{Catalog, WorkerRecord, WorkerState};
 pub use doubt::Doubt;
+pub use pace::Paces;
 pub use peer::{PeerLoad, Running};
 pub use place::{
     BatchRun, Placement, Query, batch_to_yield, place_batch, place_online, should_leave,
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -18,6 +18,11 @@
     pub service: &'a str,
     /// Workers that this request has tried.
     pub avoid: &'a [WorkerName],
+    /// How long it may wait in line and still be served in time; of no account
+    /// for batch.
+    pub patience: Duration,
+    /// A random number, for a choice among workers alike.
+    pub salt: u64,
     /// The present.
     pub now: Moment,
 }
@@ -38,7 +43,7 @@
 /// Trust is a preference: where every worker is doubted, the request goes to
 /// one of them rather than to none.
 #[must_use]
-pub fn place_online(board: &Board, query: &Query, me: &EntryName) -> Placement {
+pub fn place_online(board: &Board, query: &Query) -> Placement {
     let takers: Vec<&Seat> = board.takers(query.service).collect();
     if takers.is_empty() {
         return Placement::NoWorker;
@@ -59,16 +64,62 @@
     } else {
         trusted
     };
-    let best = pool
+    let ranks: Vec<(Rank, &Seat)> = pool
         .into_iter()
-        .min_by_key(|seat| online_rank(board, me, seat));
-    match best {
-        None => Placement::NoWorker,
-        Some(seat) if waiting_online(seat) >= board.limits.queued_per_worker => Placement::Full,
-        Some(seat) => Placement::Send(seat.record.id.clone()),
+        .map(|seat| (rank(board, seat, query.now), seat))
+        .collect();
+    let Some(best) = ranks.iter().map(|(rank, _)| *rank).min() else {
+        return Placement::NoWorker;
+    };
+    if best.wait > query.patience {
+        return Placement::Full;
+    }
+    let alike = ranks.iter().filter(|(rank, _)| *rank == best);
+    let alike: Vec<&Seat> = alike.map(|(_, seat)| *seat).collect();
+    Placement::Send(better_of_two(&alike, query.salt).record.id.clone())
+}
+
+/// The emptier of two drawn at random.
+///
+/// What is known of peers' runs is a moment old. If every daemon chose the
+/// emptiest worker, all would choose the same one: at 25 daemons before 55
+/// workers that sent one request in four to a worker whose slots had all been
+/// taken meanwhile, though others were free.
+fn better_of_two<'a>(alike: &[&'a Seat], salt: u64) -> &'a Seat {
+    let count = alike.len() as u64;
+    let first = salt % count;
+    let step = if count > 1 {
+        1 + (salt / count) % (count - 1)
+    } else {
+        0
+    };
+    let at = |index: u64| alike[usize::try_from(index).unwrap_or(0)];
+    let (one, other) = (at(first), at((first + step) % count));
+    if other.running().total() < one.running().total() {
+        other
+    } else {
+        one
     }
 }
 
+/// How long one more online request would stand in line at a worker.
+///
+/// A slot of 8 comes free about every 90 ms where a run lasts 700 ms; four
+/// times as slowly at a worker that is four times as slow.
+fn expected_wait(board: &Board, seat: &Seat, now: Moment) -> Duration {
+    let before = (seat.running().online + 1).saturating_sub(seat.record.slots);
+    let one = board.paces.wait_for_one(seat.record.slots);
+    let slowness = board.paces.slowness(&seat.record.id, now);
+    (one * before).mul_f64(slowness)
+}
+
+/// How much slower than usual a worker is from which on others are preferred.
+const SLOW: f64 = 1.6;
+
+fn is_slow(board: &Board, seat: &Seat, now: Moment) -> bool {
+    board.paces.slowness(&seat.record.id, now) > SLOW
+}
+
 /// Time without any event from a worker after which it counts as silent, and
 /// not only as busy. Events of one stream come some 30 ms apart.
 const BUSY: Duration = Duration::from_millis(120);
@@ -80,8 +131,8 @@
 /// streams go on it leaves only for a free slot: a place in a second line is
 /// no better than its place in the first.
 #[must_use]
-pub fn should_leave(board: &Board, query: &Query, worker: &WorkerName, me: &EntryName) -> bool {
-    let Placement::Send(other) = place_online(board, query, me) else {
+pub fn should_leave(board: &Board, query: &Query, worker: &WorkerName) -> bool {
+    let Placement::Send(other) = place_online(board, query) else {
         return false;
     };
     let heard_at = board.seat(worker).map_or(Moment(0), |s| s.heard_at);
@@ -90,27 +141,28 @@
     free || !busy
 }
 
-/// Online requests beyond a worker's slots.
-fn waiting_online(seat: &Seat) -> u32 {
-    seat.running().online.saturating_sub(seat.record.slots)
+/// The lower, the better: the shortest wait first, then a worker that is not
+/// slow, then a free slot, then one that a batch run of our own gives up, as
+/// that needs no message; then the own data centre.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    wait: Duration,
+    slow: bool,
+    slot: u8,
+    far: bool,
 }
 
-/// The lower, the better: no waiting first, then a free slot, then one that a
-/// batch run of our own gives up, as that needs no message; then the own data
-/// centre, then the emptiest. Daemons that see the same loads break ties each
-/// in its own way, so that they do not all choose the same worker.
-fn online_rank(board: &Board, me: &EntryName, seat: &Seat) -> (u32, u32, bool, u32, u64) {
-    let running = seat.running();
-    let slots = seat.record.slots;
-    let waiting = (running.online + 1).saturating_sub(slots);
-    let slot = match (seat.free(), seat.own.batch) {
-        (1.., _) => 0,
-        (0, 1..) => 1,
-        (0, 0) => 2,
-    };
-    let far = seat.record.data_centre != board.local;
-    let tie = rendezvous(me, &seat.record.id);
-    (waiting, slot, far, running.total(), tie)
+fn rank(board: &Board, seat: &Seat, now: Moment) -> Rank {
+    Rank {
+        wait: expected_wait(board, seat, now),
+        slow: is_slow(board, seat, now),
+        slot: match (seat.free(), seat.own.batch) {
+            (1.., _) => 0,
+            (0, 1..) => 1,
+            (0, 0) => 2,
+        },
+        far: seat.record.data_centre != board.local,
+    }
 }
 
 fn rendezvous(entry: &EntryName, worker: &WorkerName) -> u64 {
@@ -138,7 +190,10 @@
     }
     ours.into_iter()
         .filter(|s| s.free() > 0)
-        .max_by_key(|s| (s.free(), s.record.data_centre == board.local))
+        .max_by_key(|s| {
+            let quick = !is_slow(board, s, query.now);
+            (quick, s.free(), s.record.data_centre == board.local)
+        })
         .map(|s| s.record.id.clone())
 }
 
--- a/crates/bluebellreel_dispatch/tests/placement.rs
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 const SLOTS: u32 = 4;
+/// Two runs of 600 ms on four slots may be waited for.
+const PATIENCE: Duration = Duration::from_millis(300);
 const NOW: Moment = Moment(1_000_000);
 
 fn me() -> EntryName {
@@ -52,6 +54,8 @@
     Query {
         service: "lm",
         avoid,
+        patience: PATIENCE,
+        salt: 0,
         now: NOW,
     }
 }
@@ -83,7 +87,7 @@
 }
 
 fn online(board: &Board) -> Placement {
-    place_online(board, &query(&[]), &me())
+    place_online(board, &query(&[]))
 }
 
 #[test]
@@ -182,6 +186,43 @@
     assert_eq!(online(&board), Placement::Send(name(1)));
 }
 
+/// A fifth of the workers turn four times as slow while their health checks are
+/// good. Those in line there would wait four times as long and be late; they
+/// are used for what they have free, after the others, and nobody queues.
+#[test]
+fn nobody_stands_in_line_at_a_slow_worker() {
+    let mut board = board(1);
+    board.follow(&catalog(3, WorkerState::Ready));
+    for _ in 0..40 {
+        board
+            .paces
+            .note_interval(&name(0), Duration::from_millis(105), NOW);
+        board
+            .paces
+            .note_interval(&name(1), Duration::from_millis(25), NOW);
+        board
+            .paces
+            .note_interval(&name(2), Duration::from_millis(25), NOW);
+    }
+    board.paces.sweep(NOW);
+    assert_eq!(online(&board), Placement::Send(name(2)));
+    start(&mut board, 1, Class::Online, SLOTS + 2);
+    start(&mut board, 2, Class::Online, SLOTS + 2);
+    assert_eq!(
+        online(&board),
+        Placement::Send(name(0)),
+        "it has free slots"
+    );
+    start(&mut board, 0, Class::Online, SLOTS);
+    assert_eq!(online(&board), Placement::Full);
+    // What is not confirmed for a while is no longer believed.
+    let later = Query {
+        now: NOW + Duration::from_secs(6),
+        ..query(&[])
+    };
+    assert_eq!(place_online(&board, &later), Placement::Send(name(0)));
+}
+
 /// A worker breaks off what it gets. It is set aside, tried again with one
 /// request after a while, and used fully once that one has succeeded.
 #[test]
@@ -194,9 +235,11 @@
         let query = Query {
             service: "lm",
             avoid: &[],
+            patience: PATIENCE,
+            salt: 0,
             now: NOW + Duration::from_millis(after),
         };
-        place_online(board, &query, &me())
+        place_online(board, &query)
     };
     assert_eq!(choose(&board, 0), Placement::Send(name(1)));
     let Placement::Send(first) = choose(&board, 600) else {
@@ -231,7 +274,7 @@
     start(&mut board, 1, Class::Online, SLOTS);
     let silent = |board: &Board| {
         let tried = [name(0)];
-        should_leave(board, &query(&tried), &name(0), &me())
+        should_leave(board, &query(&tried), &name(0))
     };
     board.succeeded(&name(0), NOW);
     assert!(!silent(&board));
@@ -251,13 +294,44 @@
 fn a_request_does_not_return_to_a_worker_that_failed_it() {
     let board = board(2);
     let avoid = [name(0)];
-    let placed = place_online(&board, &query(&avoid), &me());
+    let placed = place_online(&board, &query(&avoid));
     assert_eq!(placed, Placement::Send(name(1)));
     let avoid = [name(0), name(1)];
-    let placed = place_online(&board, &query(&avoid), &me());
+    let placed = place_online(&board, &query(&avoid));
     assert_eq!(placed, Placement::NoWorker);
 }
 
+/// Many daemons see the same loads, a moment old. If each sent to the worker
+/// that looks emptiest, all would send there; drawn by two, their requests
+/// spread over what is free.
+#[test]
+fn daemons_that_see_the_same_do_not_choose_the_same() {
+    let mut board = board(24);
+    for worker in 0..24 {
+        let taken = if worker == 6 { 0 } else { 2 };
+        start(&mut board, worker, Class::Online, taken);
+    }
+    let mut chosen: BTreeMap<WorkerName, u32> = BTreeMap::new();
+    for daemon in 0..60u64 {
+        let query = Query {
+            salt: daemon.wrapping_mul(0x9E37_79B9_7F4A_7C15),
+            ..query(&[])
+        };
+        let Placement::Send(worker) = place_online(&board, &query) else {
+            panic!("there is room");
+        };
+        *chosen.entry(worker).or_default() += 1;
+    }
+    let most = chosen.values().max().copied().unwrap_or(0);
+    assert!(most <= 20, "{chosen:?}");
+    assert!(chosen.len() >= 8, "{chosen:?}");
+    assert!(
+        chosen
+            .keys()
+            .all(|w| (0..24).step_by(2).any(|n| *w == name(n)))
+    );
+}
+
 /// Many daemons have items and see the same free slots. If all took them,
 /// workers would be overfull and most items thrown out again. Each worker's
 /// slots belong to one of them.
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -3,6 +3,7 @@
 use super::own::{ItemRun, Jobs, OwnedJob};
 use crate::events::Events;
 use crate::gateway::Gateway;
+use crate::pulse::Pulse;
 use crate::ticket::Place;
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
@@ -48,6 +49,8 @@
         let query = Query {
             service: &next.service,
             avoid: &[],
+            patience: Duration::ZERO,
+            salt: 0,
             now: gw.now(),
         };
         let worker = place_batch(&gw.board.borrow(), &query, gw.me());
@@ -223,11 +226,12 @@
 
 async fn read_events(gw: &Rc<Gateway>, next: &Next, mut upstream: Upstream) -> ItemEnd {
     let mut events = Events::default();
+    let mut pulse = Pulse::default();
     loop {
         match timeout(SILENCE, upstream.body.next()).await {
             Ok(Ok(Some(bytes))) => {
                 events.push(&bytes);
-                if let Err(reason) = take_events(gw, next, &mut events, &upstream) {
+                if let Err(reason) = take_events(gw, next, &mut events, &mut pulse, &upstream) {
                     return interrupted(gw, next, &upstream, reason);
                 }
             }
@@ -242,6 +246,7 @@
     gw: &Gateway,
     next: &Next,
     events: &mut Events,
+    pulse: &mut Pulse,
     upstream: &Upstream,
 ) -> Result<(), &'static str> {
     let mut job = next.owned.job.borrow_mut();
@@ -253,9 +258,7 @@
         if progress.push(id, &event.data).is_err() {
             return Err("events do not follow");
         }
-        gw.board
-            .borrow_mut()
-            .succeeded(upstream.place.worker(), gw.now());
+        pulse.beat(gw, upstream.place.worker());
     }
     Ok(())
 }
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod online;
 mod peer_api;
 mod peer_calls;
+mod pulse;
 mod registration;
 mod relay;
 mod reports;
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -22,6 +22,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
+/// Share of a route's objective that a request may wait in line; the rest is
+/// for its way, its prompt, and what is not known of the others in line.
+const PATIENCE: f64 = 0.62;
 /// Longest answer that is gathered before it is passed on.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// How long a worker with a free slot may take to its first byte before a
@@ -67,6 +70,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// How long it may wait in line and still meet its objective.
+    fn patience(&self) -> Duration {
+        self.route.objective.mul_f64(PATIENCE)
+    }
+
     /// When the first byte from a worker counts as late; never for a request
     /// that cannot go elsewhere.
     fn first_byte_due(&self, gw: &Gateway, worker: &WorkerName) -> Instant {
@@ -91,7 +99,7 @@
         if req.left().is_zero() {
             return give_up(&gw, &req, "deadline passed");
         }
-        let worker = match choose(&gw, &req) {
+        let worker = match choose(&gw, &req, req.patience()) {
             Placement::Send(worker) => worker,
             Placement::Full => return give_up(&gw, &req, "all workers full"),
             Placement::NoWorker => return give_up(&gw, &req, "no worker"),
@@ -110,13 +118,16 @@
     }
 }
 
-pub(crate) fn choose(gw: &Gateway, req: &Request) -> Placement {
+/// Chooses a worker for a request that may wait in line for `patience`.
+pub(crate) fn choose(gw: &Gateway, req: &Request, patience: Duration) -> Placement {
     let query = Query {
         service: &req.service,
         avoid: &req.tried,
+        patience,
+        salt: gw.rng.borrow_mut().random(),
         now: gw.now(),
     };
-    place_online(&gw.board.borrow(), &query, gw.me())
+    place_online(&gw.board.borrow(), &query)
 }
 
 /// Sends to a worker, and logs what decided it and what came of it.
@@ -164,9 +175,11 @@
     let query = Query {
         service: &req.service,
         avoid: &req.tried,
+        patience: req.patience(),
+        salt: gw.rng.borrow_mut().random(),
         now: gw.now(),
     };
-    should_leave(&gw.board.borrow(), &query, worker, gw.me())
+    should_leave(&gw.board.borrow(), &query, worker)
 }
 
 fn log_choice(gw: &Gateway, req: &Request, worker: &WorkerName) {
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/pulse.rs
@@ -0,0 +1,22 @@
+//! What the events of one stream tell of its worker.
+
+use crate::gateway::Gateway;
+use bluebellreel_types::{Moment, WorkerName};
+
+/// Follows the events of one run at one worker.
+#[derive(Debug, Default)]
+pub(crate) struct Pulse {
+    last: Option<Moment>,
+}
+
+impl Pulse {
+    /// An event has come: the worker is well, and this is its pace.
+    pub(crate) fn beat(&mut self, gw: &Gateway, worker: &WorkerName) {
+        let now = gw.now();
+        let mut board = gw.board.borrow_mut();
+        board.succeeded(worker, now);
+        if let Some(last) = self.last.replace(now) {
+            board.paces.note_interval(worker, now.since(last), now);
+        }
+    }
+}
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::online::{Request, choose, millis};
+use crate::pulse::Pulse;
 use crate::ticket::Place;
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_dispatch::{Class, Placement};
@@ -24,6 +25,10 @@
 /// 30 ms apart and a pause is late from 300 ms on: noticed after half of it,
 /// the other worker still brings its first event in time.
 const SILENCE: Duration = Duration::from_millis(150);
+/// Events in whose time a slow worker must give the next one.
+const STEADY: f64 = 2.5;
+/// Share of a route's longest pause after which a slow worker is left, too.
+const LATE: f64 = 0.75;
 /// How long a worker may take to the first event of a stream that goes on.
 const RESUMED_FIRST: Duration = Duration::from_millis(250);
 /// Silence of other workers, too, is a sign that this process was paused: what
@@ -45,9 +50,12 @@
     req: Request,
     upstream: Upstream,
     events: Events,
+    pulse: Pulse,
     last_id: Option<u64>,
     passed: u64,
     quiet_until: Instant,
+    /// When its first event came.
+    begun: Instant,
     over: bool,
 }
 
@@ -60,9 +68,11 @@
             req,
             upstream,
             events: Events::default(),
+            pulse: Pulse::default(),
             last_id,
             passed: 0,
             quiet_until,
+            begun: Instant::now(),
             over: false,
         }
     }
@@ -138,11 +148,23 @@
         if self.passed == 0 {
             let waited = self.req.received.elapsed();
             self.gw.metrics.first_event.observe(waited.as_secs_f64());
+            self.begun = Instant::now();
         }
         self.passed += 1;
-        self.quiet_until = Instant::now() + SILENCE;
         let worker = self.upstream.place.worker();
-        self.gw.board.borrow_mut().succeeded(worker, self.gw.now());
+        self.pulse.beat(&self.gw, worker);
+        self.quiet_until = Instant::now() + self.longest_silence();
+    }
+
+    /// How long the worker may be silent. One that is slow but steady is not
+    /// left: its next event comes sooner than another worker's first one.
+    fn longest_silence(&self) -> Duration {
+        let board = self.gw.board.borrow();
+        let worker = self.upstream.place.worker();
+        let pace = board.paces.interval(worker, self.gw.now());
+        let slow = pace.unwrap_or_default().mul_f64(STEADY);
+        let late = self.req.route.pause.mul_f64(LATE);
+        SILENCE.max(slow.min(late))
     }
 
     async fn bring(&mut self) -> Brought {
@@ -169,7 +191,10 @@
         warn!(target: "online", request:% = self.req.id, worker:% = worker, events = self.passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
         self.gw.board.borrow_mut().failed(&worker, now);
         while resumable && self.req.may_repeat() && !self.req.left().is_zero() {
-            let Placement::Send(next) = choose(&self.gw, &self.req) else {
+            // Its caller has a part of the answer: the rest is worth more late
+            // than not at all.
+            let patience = self.req.left();
+            let Placement::Send(next) = choose(&self.gw, &self.req, patience) else {
                 return false;
             };
             self.req.tried.push(next.clone());
@@ -179,6 +204,7 @@
                     // ends its run.
                     self.upstream = upstream;
                     self.events = Events::default();
+                    self.pulse = Pulse::default();
                     self.req.runs += 1;
                     self.quiet_until = Instant::now() + RESUMED_FIRST;
                     self.gw.metrics.resumed.inc();
@@ -210,6 +236,8 @@
 
     fn finish(&mut self) {
         self.over = true;
+        let lasted = self.begun.elapsed();
+        self.gw.board.borrow_mut().paces.note_run(lasted);
         self.gw.metrics.request("served");
         info!(target: "online", request:% = self.req.id, worker:% = self.upstream.place.worker(), events = self.passed, runs = self.req.runs, took_ms = millis(self.req.received.elapsed()); "served");
     }
@@ -231,3 +259,14 @@
         .map_or(0, |s| s.running().total().saturating_sub(s.record.slots));
     Instant::now() + SILENCE + Duration::from_millis(110) * waiting
 }
+
+impl Drop for Relay {
+    /// A relay that is dropped before its stream is over has lost its caller.
+    /// The worker's connection closes with it, which ends the run there.
+    fn drop(&mut self) {
+        if !self.over {
+            self.gw.metrics.request("caller_left");
+            info!(target: "online", request:% = self.req.id, worker:% = self.upstream.place.worker(), events = self.passed, took_ms = millis(self.req.received.elapsed()); "caller left");
+        }
+    }
+}
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -27,10 +27,12 @@
 /// within it may both take its last slot.
 const GAP_FEW: Duration = Duration::from_millis(8);
 /// Least time between reports to many peers.
-const GAP_MANY: Duration = Duration::from_millis(50);
+const GAP_MANY: Duration = Duration::from_millis(25);
 /// From this many peers on they count as many: a report each 8 ms to 24 peers
 /// would take a tenth of a small core.
 const MANY: usize = 8;
+/// Longest wait for room to send one report.
+const SEND: Duration = Duration::from_millis(20);
 /// Longest datagram taken.
 const DATAGRAM_BYTES: usize = 60 * 1024;
 /// One report.
@@ -89,9 +91,11 @@
         match postcard::to_allocvec(&report(&gw, sequence)) {
             Ok(bytes) => {
                 for to in &targets {
-                    // A report that cannot be sent now is as good as lost;
-                    // the next one is complete again.
-                    let _ = socket.try_send_to(&bytes, *to);
+                    // Waits while the socket is full: a report that is not
+                    // sent would always miss the same peers, the last ones. One
+                    // that cannot be sent at all is as good as lost; the next
+                    // one is complete again.
+                    let _ = timeout(SEND, socket.send_to(&bytes, *to)).await;
                 }
             }
             Err(e) => warn!(target: "members", error:% = e; "report not written"),
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -166,6 +166,7 @@
         gw.jobs.borrow().orphans_due.notify_one();
     }
     gw.board.borrow_mut().forget_silent(now);
+    gw.board.borrow_mut().paces.sweep(now);
     let expired = gw.facts.borrow_mut().catalog.expire(now);
     if expired {
         facts::follow_workers(gw);
