Calls that somebody waits for do not try a closed way; progress outlives the order of messages

Now: while the store is lost only lease renewals try the straight way (and then go by a peer themselves); a failed write tries the other way at once; progress is merged into a job that is owned already.

--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -1,13 +1,13 @@
 //! Handing jobs over when this daemon stops.
 
 use super::accept::adopt;
+use super::load;
 use super::own::OwnedJob;
 use super::takeover::{heir, owner_txn};
-use super::{key, load};
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
-use bluebellreel_batch::{ItemPhase, JobRecord, Owner, Progress, keys};
-use bluebellreel_kv::{Commit, Key};
+use bluebellreel_batch::{ItemPhase, Job, JobRecord, Owner, Progress};
+use bluebellreel_kv::Commit;
 use bluebellreel_net::Body;
 use bluebellreel_types::JobId;
 use http::{Response, StatusCode};
@@ -129,7 +129,13 @@
     id: &JobId,
     progress: &[u8],
 ) -> Response<Body> {
-    let record_key: Key = key(&keys::record(id));
+    let begun = read_progress(id, progress);
+    // Somebody who only knew of the new owner may have told us before.
+    let known = gw.jobs.borrow().own.get(id).cloned();
+    if let Some(owned) = known {
+        restore(&mut owned.job.borrow_mut(), begun);
+        return answers::status(StatusCode::OK);
+    }
     let loaded = match load::record(gw, id).await {
         Ok(Some((revision, record))) if record.owner.run == gw.run => {
             load::job(gw, id, record, revision).await
@@ -140,27 +146,41 @@
     let mut job = match loaded {
         Ok(job) => job,
         Err(e) => {
-            warn!(target: "jobs", key:% = record_key, error:% = e; "handed-over job not read");
+            warn!(target: "jobs", job:% = id, error:% = e; "handed-over job not read");
             gw.jobs.borrow().orphans_due.notify_one();
             return answers::failure(StatusCode::SERVICE_UNAVAILABLE, "not read");
         }
     };
-    let begun: Vec<ItemProgress> = match postcard::from_bytes(progress) {
-        Ok(begun) => begun,
-        Err(e) => {
-            warn!(target: "jobs", job:% = id, error:% = e; "progress not read");
-            Vec::new()
-        }
-    };
+    restore(&mut job, begun);
+    if !gw.jobs.borrow().own.contains_key(id) {
+        adopt(gw, job);
+    }
+    answers::status(StatusCode::OK)
+}
+
+/// What the items had generated; nothing if the peer did not know.
+fn read_progress(id: &JobId, progress: &[u8]) -> Vec<ItemProgress> {
+    if progress.is_empty() {
+        return Vec::new();
+    }
+    postcard::from_bytes(progress).unwrap_or_else(|e| {
+        // The items begin anew, which is right if slower.
+        warn!(target: "jobs", job:% = id, error:% = e; "progress not read");
+        Vec::new()
+    })
+}
+
+/// Lets waiting items go on from where they were, if that is further.
+fn restore(job: &mut Job, begun: Vec<ItemProgress>) {
     for known in begun {
         let item = job.items.iter_mut().find(|i| i.input.id == known.item);
-        if let Some(item) = item.filter(|i| i.phase != ItemPhase::Ended) {
-            item.failures = known.failures;
+        let Some(item) = item else {
+            continue;
+        };
+        let waits = matches!(item.phase, ItemPhase::Waiting { .. });
+        if waits && item.progress.events() < known.events {
+            item.failures = item.failures.max(known.failures);
             item.progress = Progress::restored(known.last_id, known.events, known.text);
         }
     }
-    if !gw.jobs.borrow().own.contains_key(id) {
-        adopt(gw, job);
-    }
-    answers::status(StatusCode::OK)
 }
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -21,7 +21,7 @@
 /// slowly on a bad day.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest wait for a new connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle time of connections.
 const IDLE: Duration = Duration::from_secs(5);
 /// Idle connections kept.
@@ -37,8 +37,6 @@
 /// the end of an outage. Leases lapse only in longer ones, but this daemon may
 /// have made its first call late in it.
 const OUTAGE: Duration = Duration::from_millis(250);
-/// Time between straight calls while the store is lost.
-const TRY_STRAIGHT: Duration = Duration::from_secs(1);
 /// How much longer than asked for a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
@@ -60,7 +58,8 @@
 /// A client of the store.
 ///
 /// The store may turn one daemon away and serve the others. Such a daemon
-/// makes its calls through a peer, and tries the straight way now and then.
+/// makes its calls through a peer, and tries the straight way at each renewal
+/// of its lease.
 pub(crate) struct StoreClient {
     pool: Pool,
     address: SocketAddr,
@@ -71,8 +70,6 @@
     started: Instant,
     /// When the last outage ended.
     regained_at: Cell<Option<Instant>>,
-    /// When a straight call was made last.
-    tried_at: Cell<Option<Instant>>,
     /// When a call succeeded last, either way.
     answered_at: Cell<Option<Instant>>,
     detour: RefCell<Option<Detour>>,
@@ -93,7 +90,6 @@
             failing_since: Cell::new(None),
             started: Instant::now(),
             regained_at: Cell::new(None),
-            tried_at: Cell::new(None),
             answered_at: Cell::new(None),
             detour: RefCell::new(None),
         }
@@ -135,13 +131,17 @@
         answered.is_some_and(|at| at.elapsed() <= span)
     }
 
+    /// Makes a call by the way that is likely to succeed.
     async fn call(&self, req: Request<Bytes>, longest: Duration) -> StoreAnswer {
+        let by_peer = self.is_lost();
+        self.call_by(by_peer, req, longest).await
+    }
+
+    /// Makes a call by way of a peer if that is asked for and one reaches the
+    /// store; else straight.
+    async fn call_by(&self, by_peer: bool, req: Request<Bytes>, longest: Duration) -> StoreAnswer {
         self.calls.set(self.calls.get() + 1);
-        let tried_lately = self
-            .tried_at
-            .get()
-            .is_some_and(|at| at.elapsed() < TRY_STRAIGHT);
-        let detour = if self.is_lost() && tried_lately {
+        let detour = if by_peer {
             let detour = self.detour.borrow();
             detour.as_ref().and_then(|d| d(req.clone(), longest))
         } else {
@@ -161,7 +161,6 @@
 
     /// Makes a call from this VM.
     pub(crate) async fn straight(&self, mut req: Request<Bytes>, longest: Duration) -> StoreAnswer {
-        self.tried_at.set(Some(Instant::now()));
         if let Ok(host) = header::HeaderValue::try_from(self.address.to_string()) {
             req.headers_mut().insert(header::HOST, host);
         }
@@ -242,9 +241,19 @@
         store::lease_answer(status, &body)
     }
 
-    /// Renews a lease; whether it still runs.
+    /// Renews a lease; whether it still runs. This call always tries the
+    /// straight way first, and so finds out when it is open again: calls that
+    /// somebody waits for do not.
     pub(crate) async fn renew(&self, lease: i64) -> Result<bool, KvError> {
-        let (status, _) = self.call(store::renew_call(lease), CALL_TIMEOUT).await?;
+        let mut answer = self
+            .call_by(false, store::renew_call(lease), CALL_TIMEOUT)
+            .await;
+        if !is_good(&answer) {
+            answer = self
+                .call_by(true, store::renew_call(lease), CALL_TIMEOUT)
+                .await;
+        }
+        let (status, _) = answer?;
         store::renew_answer(status)
     }
 
@@ -262,8 +271,10 @@
     /// guarded keys hold, for the caller to tell its own write by its content.
     pub(crate) async fn commit(&self, txn: &Txn, until: Instant) -> Commit {
         let mut in_doubt = None;
+        let mut by_peer = self.is_lost();
         loop {
-            let tried = match self.call(store::txn_call(txn), CALL_TIMEOUT).await {
+            let call = self.call_by(by_peer, store::txn_call(txn), CALL_TIMEOUT);
+            let tried = match call.await {
                 Ok((status, body)) => store::txn_answer(status, &body),
                 Err(e) => Err(e),
             };
@@ -284,7 +295,11 @@
                     None => Commit::NotDone(reason),
                 };
             }
-            sleep(REPEAT_PAUSE).await;
+            // The other way may be open, and is tried at once.
+            by_peer = !by_peer;
+            if !by_peer {
+                sleep(REPEAT_PAUSE).await;
+            }
         }
     }
 }
