--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -182,7 +182,7 @@
         }
         // Only what this peer says changes: with hundreds of peers, summing all
         // of them up anew for each report would take most of a small core.
-        let before = self.peers.insert(peer.clone(), load.clone());
+        let before = self.peers.remove(peer);
         for (id, running) in before.into_iter().flat_map(|b| b.running) {
             if let Some(seat) = self.seats.get_mut(&id) {
                 seat.peers.online = seat.peers.online.saturating_sub(running.online);
@@ -190,6 +190,7 @@
             }
         }
         self.add_peer(&load);
+        self.peers.insert(peer.clone(), load);
     }
 
     /// Stops counting peers that were not heard in time: their runs ended with
