News spread over all who have it; settings that did nothing are gone

The idle time of callers' connections follows the configuration.

Tests of site, formats and settings pass.

--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -3,7 +3,6 @@
 use crate::{Catalog, Class, Doubt, Paces, PeerLoad, Running, Ticket, WorkerRecord, WorkerState};
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 /// Bounds of placement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -217,25 +216,6 @@
             .map(|(id, s)| (id, s.own))
     }
 
-    /// Names of the services that have a worker.
-    #[must_use]
-    pub fn serves(&self, service: &str) -> bool {
-        self.takers(service).next().is_some()
-    }
-
-    /// Services that have workers listed.
-    #[must_use]
-    pub fn services(&self) -> Vec<Arc<str>> {
-        let mut names: Vec<Arc<str>> = self
-            .seats
-            .values()
-            .map(|s| s.record.service.clone())
-            .collect();
-        names.sort();
-        names.dedup();
-        names
-    }
-
     fn sum_peers(&mut self) {
         for seat in self.seats.values_mut() {
             seat.peers = Running::default();
--- a/crates/bluebellreel_gateway/src/members.rs
+++ b/crates/bluebellreel_gateway/src/members.rs
@@ -1,5 +1,6 @@
 //! The other daemons: who they are, when they were heard, what they said.
 
+use crate::facts::Revisions;
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -35,6 +36,8 @@
     pub(crate) registered: bool,
     /// How long the store has served it without an outage; in seconds.
     pub(crate) served_s: u32,
+    /// How far its knowledge goes.
+    pub(crate) revisions: Revisions,
     /// Jobs that it owns.
     pub(crate) jobs: BTreeSet<JobId>,
     /// Tokens of its jobs that wait, by route.
@@ -143,6 +146,7 @@
                     stopping: false,
                     registered: true,
                     served_s: 0,
+                    revisions: Revisions::default(),
                     jobs: BTreeSet::new(),
                     tokens: BTreeMap::new(),
                     reaches_store: true,
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -12,6 +12,7 @@
 use bluebellreel_dispatch::{PeerLoad, Running};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use log::{info, warn};
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -174,13 +175,12 @@
         };
         gw.jobs.borrow_mut().reported(job, owner);
     }
-    let (calls, revisions) = (report.calls, report.revisions);
-    let name = report.entry.clone();
+    let revisions = report.revisions;
     note_peer(gw, report, now);
     crate::jobs::make_room(gw);
     gw.batch_due.notify_one();
     if gw.facts.borrow().lacks(revisions) {
-        catch_up(gw, &name, calls, asking);
+        catch_up(gw, asking);
     }
 }
 
@@ -205,26 +205,53 @@
         tokens: report.tokens.into_iter().collect::<BTreeMap<_, _>>(),
         reaches_store: report.reaches_store,
         served_s: report.served_s,
+        revisions: report.revisions,
     };
     members.peers.insert(report.entry, peer);
 }
 
 /// Asks a peer for what it knows and we do not; one question at a time.
-fn catch_up(gw: &Rc<Gateway>, peer: &EntryName, calls: SocketAddr, asking: &Rc<Cell<bool>>) {
+///
+/// All peers hear of news at the same moment, from the two that watch. Each
+/// waits a random time, longer the more they are, and asks any that has the
+/// news by then: else two daemons would answer hundreds at once.
+fn catch_up(gw: &Rc<Gateway>, asking: &Rc<Cell<bool>>) {
     if asking.replace(true) {
         return;
     }
-    let (gw, asking, peer) = (gw.clone(), asking.clone(), peer.clone());
+    let (gw, asking) = (gw.clone(), asking.clone());
     tokio::task::spawn_local(async move {
-        let seen = gw.facts.borrow().seen();
-        match peer_calls::facts(&gw, calls, seen).await {
-            Ok(shared) => learn(&gw, shared, &peer),
-            Err(e) => warn!(target: "facts", peer:% = peer, error:% = e; "facts not brought"),
+        let peers = gw.members.borrow().peers.len();
+        let wait = gap(peers).mul_f64(gw.rng.borrow_mut().random_range(0.0..1.0));
+        sleep(wait).await;
+        let knowing = peers_that_know_more(&gw);
+        if !knowing.is_empty() {
+            let at = gw.rng.borrow_mut().random_range(0..knowing.len());
+            ask(&gw, &knowing[at]).await;
         }
         asking.set(false);
     });
 }
 
+fn peers_that_know_more(gw: &Gateway) -> Vec<(EntryName, SocketAddr)> {
+    let facts = gw.facts.borrow();
+    let members = gw.members.borrow();
+    let heard = members.heard(gw.now());
+    let heard = heard.iter().filter_map(|n| members.peers.get_key_value(n));
+    heard
+        .filter(|(_, peer)| facts.lacks(peer.revisions))
+        .map(|(name, peer)| (name.clone(), peer.calls))
+        .collect()
+}
+
+async fn ask(gw: &Rc<Gateway>, (peer, calls): &(EntryName, SocketAddr)) {
+    let seen = gw.facts.borrow().seen();
+    match peer_calls::facts(gw, *calls, seen).await {
+        Ok(shared) => learn(gw, shared, peer),
+        Err(e) => warn!(target: "facts", peer:% = peer, error:% = e; "facts not brought"),
+    }
+}
+
 fn learn(gw: &Gateway, shared: SharedFacts, peer: &EntryName) {
     let changed = gw.facts.borrow_mut().learn(shared, peer.as_str(), gw.now());
     info!(target: "facts", peer:% = peer, changed; "facts taken over");
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -105,11 +105,12 @@
     let socket = Rc::new(socket);
 
     let g = gw.clone();
+    let of_limits = gw.clone();
     spawn_local(bluebellreel_net::serve(
         callers,
         stop.clone(),
         served.clone(),
-        CALLER_IDLE,
+        move || caller_idle(&of_limits),
         move |req| serve::answer(g.clone(), req),
     ));
     let inner = Stop::default();
@@ -118,7 +119,7 @@
         balancer,
         inner.clone(),
         Served::default(),
-        INNER_IDLE,
+        || INNER_IDLE,
         move |_| {
             let answer = serve::readiness(&g);
             async move { answer }
@@ -129,7 +130,7 @@
         peers,
         inner.clone(),
         Served::default(),
-        INNER_IDLE,
+        || INNER_IDLE,
         move |req| peer_api::answer(g.clone(), req),
     ));
     let g = gw.clone();
@@ -137,7 +138,7 @@
         metrics,
         inner,
         Served::default(),
-        INNER_IDLE,
+        || INNER_IDLE,
         move |_| {
             let answer = crate::answers::bytes(metrics_text(&g, lines_dropped()));
             async move { answer }
@@ -157,6 +158,13 @@
     Ok(())
 }
 
+/// How long a caller's connection may stay without a request, as the operators
+/// have it.
+fn caller_idle(gw: &Gateway) -> Duration {
+    let configuration = gw.configuration();
+    configuration.map_or(CALLER_IDLE, |c| c.limits.idle_time)
+}
+
 fn sweep(gw: &Gateway) {
     let now = gw.now();
     gw.workers.sweep();
--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -81,13 +81,13 @@
     socket.listen(BACKLOG)
 }
 
-/// Serves each connection by `answer` until the process ends. `idle` is how
-/// long a connection may stay without a request.
+/// Serves each connection by `answer` until the process ends. `idle` gives how
+/// long a new connection may stay without a request.
 pub async fn serve<F, A>(
     listener: TcpListener,
     stop: Stop,
     served: Served,
-    idle: Duration,
+    idle: impl Fn() -> Duration,
     answer: F,
 ) where
     F: Fn(hyper::Request<Incoming>) -> A + 'static,
@@ -98,7 +98,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let count = Counted::new(&served.0);
-                let connection = serve_one(stream, stop.clone(), idle, answer.clone());
+                let connection = serve_one(stream, stop.clone(), idle(), answer.clone());
                 tokio::task::spawn_local(async move {
                     connection.await;
                     drop(count);
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -34,8 +34,6 @@
     pub value_bytes: usize,
     /// Shortest lease that the store grants.
     pub shortest_lease: Duration,
-    /// Time between a worker's registrations.
-    pub heartbeat: Duration,
     /// Time from SIGTERM until the process is killed.
     pub grace: Duration,
 }
@@ -47,7 +45,6 @@
     #[serde(default)]
     peers: RawPeers,
     store: RawStore,
-    workers: RawWorkers,
     stop: RawStop,
 }
 
@@ -80,11 +77,6 @@
     shortest_lease_ms: u64,
 }
 
-#[derive(Deserialize)]
-struct RawWorkers {
-    heartbeat_ms: u64,
-}
-
 #[derive(Deserialize)]
 struct RawStop {
     grace_s: f64,
@@ -128,13 +120,6 @@
         let reason = "must be 65536 or more";
         return Err(SettingsError::new(file, "store.value_bytes", reason));
     }
-    if raw.workers.heartbeat_ms == 0 {
-        return Err(SettingsError::new(
-            file,
-            "workers.heartbeat_ms",
-            "must not be 0",
-        ));
-    }
     Ok(GatewaySettings {
         name: EntryName::from(raw.vm.name),
         data_centre: DataCentre::from(raw.vm.data_centre),
@@ -147,7 +132,6 @@
         store: raw.store.address,
         value_bytes: raw.store.value_bytes,
         shortest_lease: Duration::from_millis(raw.store.shortest_lease_ms),
-        heartbeat: Duration::from_millis(raw.workers.heartbeat_ms),
         grace: Duration::from_secs_f64(raw.stop.grace_s),
     })
 }
