--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -66,8 +66,11 @@
     seen: fn(&Gateway) -> i64,
     /// Takes the complete list.
     listed: fn(&Rc<Gateway>, &[KeyValue], i64),
-    /// Takes one change.
-    changed: fn(&Rc<Gateway>, WatchEvent),
+    /// Takes one change; whether it matters to what follows.
+    changed: fn(&Rc<Gateway>, WatchEvent) -> bool,
+    /// Brings what mattered into force, once for all changes of an answer:
+    /// with thousands of workers, once for each would take seconds.
+    settle: fn(&Gateway),
     /// Everything up to a revision was handed out.
     seen_to: fn(&Gateway, i64),
 }
@@ -84,18 +87,19 @@
         if let WatchEvent::Put(kv) = event {
             operator_wrote(gw, &kv);
         }
+        false
     },
+    settle: |_| {},
     seen_to: operator_seen_to,
 };
 
 const WORKERS: Subject = Subject {
     seen: |gw| gw.facts.borrow().catalog.revision(),
     listed: workers_listed,
-    changed: |gw, event| {
-        if worker_changed(gw, event) {
-            follow_workers(gw);
-            gw.report_due.notify_one();
-        }
+    changed: |gw, event| worker_changed(gw, event),
+    settle: |gw| {
+        follow_workers(gw);
+        gw.report_due.notify_one();
     },
     seen_to: |gw, revision| gw.facts.borrow_mut().catalog.seen_to(revision),
 };
@@ -224,8 +228,12 @@
         match gw.store.watch(&prefix, after, WATCH_WAIT).await {
             Ok(Watched::Changes(changes)) => {
                 must_list = works(gw, &prefix, &failing);
+                let mut matters = false;
                 for event in changes.events {
-                    (subject.changed)(gw, event);
+                    matters |= (subject.changed)(gw, event);
+                }
+                if matters {
+                    (subject.settle)(gw);
                 }
                 (subject.seen_to)(gw, changes.revision);
             }
