Look again soon at a job whose owner is silent

Cause: a dead owner's entry in the store outlives it by its lease (3.6 s). A daemon that missed it looked after 2.4 s, found the entry, took the job for settled and looked again only at its next regular look, after 6 or 20 s.

Ruled out: a shorter lease (more renewals, and more jobs that move when a daemon is only paused). Left as it is: the take-over of a job whose owner is heard by some and not by others waits for 8 s of silence.

Now the decision is a function of what is known of the owner (bluebellreel_batch::custody, tested without a network), and a silent owner means another look after 0.9 s. Its jobs' records are not read meanwhile.

--- /dev/null
+++ b/crates/bluebellreel_batch/src/custody.rs
@@ -0,0 +1,48 @@
+//! Who looks after a job whose owner may be dead.
+//!
+//! A dead owner falls silent at once, but its entry in the store stands until
+//! its lease ends, some seconds later. In between nobody may take the job over,
+//! as the owner may only be cut off from its peers, and nobody may take the job
+//! for settled either.
+
+/// What a daemon knows of a job's owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerSign {
+    /// The owner is this run of this daemon.
+    Me,
+    /// It reports.
+    Heard,
+    /// It has fallen silent, and its entry in the store stands.
+    Silent,
+    /// Its entry is gone, or another run has taken its place.
+    Gone,
+}
+
+/// What a daemon does about a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Custody {
+    /// Nothing: its owner is there.
+    Settled,
+    /// It looks again soon.
+    LookAgain,
+    /// It runs the job, which is its own by the store's word.
+    Run,
+    /// It takes the job over.
+    TakeOver,
+}
+
+/// Decides what a daemon does about a job. `is_heir` says whether it is the one
+/// that takes the job over first, or its heir has left it too long.
+///
+/// A silent owner means another look, soon: when it was taken for a live one,
+/// its job waited for the next regular look, six seconds of a job that is due in
+/// eighteen.
+#[must_use]
+pub fn custody(owner: OwnerSign, is_heir: bool) -> Custody {
+    match owner {
+        OwnerSign::Me => Custody::Run,
+        OwnerSign::Heard => Custody::Settled,
+        OwnerSign::Gone if is_heir => Custody::TakeOver,
+        OwnerSign::Silent | OwnerSign::Gone => Custody::LookAgain,
+    }
+}
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -4,7 +4,7 @@
 use super::{key, load};
 use crate::gateway::Gateway;
 use crate::registration;
-use bluebellreel_batch::{JobPhase, JobRecord, Owner, keys};
+use bluebellreel_batch::{Custody, JobPhase, JobRecord, Owner, OwnerSign, custody, keys};
 use bluebellreel_kv::{Commit, Compare, Key, KvError, Put, Txn};
 use bluebellreel_types::{EntryName, JobId};
 use log::{info, warn};
@@ -74,6 +74,10 @@
         if !std::mem::replace(&mut entries_read, true) {
             registration::read_members(gw).await?;
         }
+        if is_owner_silent(gw, &id) {
+            left += 1;
+            continue;
+        }
         // One job that cannot be read must not hold up those behind it.
         match take_over(gw, &id).await {
             Ok(settled) => left += usize::from(!settled),
@@ -113,27 +117,40 @@
     if record.phase != JobPhase::Open {
         return Ok(true);
     }
-    let ours = record.owner.entry == *gw.me() && record.owner.run == gw.run;
-    if ours {
-        let job = load::job(gw, id, record, revision).await?;
-        adopt(gw, job);
-        return Ok(true);
-    }
-    if !is_gone(gw, &record.owner) {
-        return Ok(true);
-    }
-    if !is_heir(gw, id) && !is_left_by_heir(gw, id) {
-        return Ok(false);
+    let sign = sign_of(gw, &record.owner);
+    let is_heir = sign == OwnerSign::Gone && (is_heir(gw, id) || is_left_by_heir(gw, id));
+    match custody(sign, is_heir) {
+        Custody::Settled => Ok(true),
+        Custody::LookAgain => Ok(false),
+        Custody::Run => {
+            let job = load::job(gw, id, record, revision).await?;
+            adopt(gw, job);
+            Ok(true)
+        }
+        Custody::TakeOver => claim(gw, id, record, revision).await,
     }
-    claim(gw, id, record, revision).await
 }
 
-fn is_gone(gw: &Gateway, owner: &Owner) -> bool {
-    if owner.entry == *gw.me() {
-        return true;
-    }
+/// Whether the owner, as far as it is known, is silent and not gone yet; saves
+/// reading the record at each look.
+fn is_owner_silent(gw: &Gateway, id: &JobId) -> bool {
+    let jobs = gw.jobs.borrow();
     let members = gw.members.borrow();
-    members.is_gone(&owner.entry, owner.run, gw.now())
+    jobs.owners
+        .get(id)
+        .is_some_and(|o| members.sign_of(&o.entry, o.run, gw.now()) == OwnerSign::Silent)
+}
+
+fn sign_of(gw: &Gateway, owner: &Owner) -> OwnerSign {
+    if owner.entry != *gw.me() {
+        let members = gw.members.borrow();
+        return members.sign_of(&owner.entry, owner.run, gw.now());
+    }
+    if owner.run == gw.run {
+        OwnerSign::Me
+    } else {
+        OwnerSign::Gone
+    }
 }
 
 /// Whether this daemon takes a job over: the first by rendezvous of those that
--- a/crates/bluebellreel_gateway/src/members.rs
+++ b/crates/bluebellreel_gateway/src/members.rs
@@ -1,6 +1,7 @@
 //! The other daemons: who they are, when they were heard, what they said.
 
 use crate::facts::Revisions;
+use bluebellreel_batch::OwnerSign;
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -98,20 +99,23 @@
         self.peers.get(name).filter(|p| is_heard(p, now))
     }
 
-    /// Whether a run of a daemon is certainly not at work any more, or cannot
-    /// be reached by anybody: its jobs may be taken over.
-    pub(crate) fn is_gone(&self, name: &EntryName, run: Incarnation, now: Moment) -> bool {
-        let Some(peer) = self.peers.get(name) else {
-            return true;
+    /// What is known of a run of a daemon. One that has been silent for long
+    /// counts as gone though its entry stands: nobody can reach it.
+    pub(crate) fn sign_of(&self, name: &EntryName, run: Incarnation, now: Moment) -> OwnerSign {
+        let Some(peer) = self.peers.get(name).filter(|p| p.run == run) else {
+            return OwnerSign::Gone;
         };
-        if peer.run != run {
-            return true;
-        }
         if is_heard(peer, now) {
-            return false;
+            return OwnerSign::Heard;
+        }
+        let long_silent = peer
+            .heard_at
+            .is_none_or(|at| (at + LONG_SILENT).is_past(now));
+        if peer.registered && !long_silent {
+            OwnerSign::Silent
+        } else {
+            OwnerSign::Gone
         }
-        let silent = |span| peer.heard_at.is_none_or(|at| (at + span).is_past(now));
-        !peer.registered || silent(LONG_SILENT)
     }
 
     /// Takes the entries of the store over, as listed at a revision.
