An owner's heir knows how far its items are; metrics in one line each

Cause: what an item has generated lies in its owner's memory only. An owner that dies threw away half of the work of each item under way, and whoever took its jobs over had the workers do it again.

Ruled out: the store (paid by the call), differences instead of full copies (a lost one would need repair), a copy to every peer.

--- /dev/null
+++ b/crates/bluebellreel_batch/src/copies.rs
@@ -0,0 +1,134 @@
+//! What items have generated, told to the daemon that would take their job
+//! over.
+//!
+//! An item's output lies in its owner's memory until the item has ended. If the
+//! owner dies, whoever takes the job over would begin every item anew. So the
+//! owner tells its heir now and then how far its items are; the heir keeps that
+//! for a while, within a bound, and goes on from there.
+
+use crate::{Item, ItemPhase, Job, Progress};
+use bluebellreel_types::{JobId, Moment};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How far one item is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemProgress {
+    /// The item's id.
+    pub item: Arc<str>,
+    /// Its runs that failed by its own fault.
+    pub failures: u32,
+    /// Id of its last event.
+    pub last_id: u64,
+    /// Number of its events.
+    pub events: u64,
+    /// Its text so far.
+    pub text: String,
+}
+
+impl ItemProgress {
+    fn of(item: &Item) -> Option<Self> {
+        Some(Self {
+            item: item.input.id.clone(),
+            failures: item.failures,
+            last_id: item.progress.last_id()?,
+            events: item.progress.events(),
+            text: item.progress.text().to_owned(),
+        })
+    }
+
+    fn bytes(&self) -> usize {
+        self.text.len() + self.item.len()
+    }
+}
+
+impl Job {
+    /// How far all items are that have generated something and have not ended.
+    #[must_use]
+    pub fn progress(&self) -> Vec<ItemProgress> {
+        let begun = self.items.iter().filter(|i| i.phase != ItemPhase::Ended);
+        begun.filter_map(ItemProgress::of).collect()
+    }
+
+    /// Lets waiting items go on from where they were, if that is further.
+    pub fn restore(&mut self, begun: Vec<ItemProgress>) {
+        for known in begun {
+            let item = self.items.iter_mut().find(|i| i.input.id == known.item);
+            let Some(item) = item else {
+                continue;
+            };
+            let waits = matches!(item.phase, ItemPhase::Waiting { .. });
+            if waits && item.progress.events() < known.events {
+                item.failures = item.failures.max(known.failures);
+                item.progress = Progress::restored(known.last_id, known.events, known.text);
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Copy {
+    until: Moment,
+    items: Vec<ItemProgress>,
+}
+
+impl Copy {
+    fn bytes(&self) -> usize {
+        self.items.iter().map(ItemProgress::bytes).sum()
+    }
+}
+
+/// Progress of other daemons' jobs, each until a moment, within a bound of
+/// bytes.
+#[derive(Clone, Debug)]
+pub struct ProgressCopies {
+    jobs: BTreeMap<JobId, Copy>,
+    bytes: usize,
+    limit: usize,
+}
+
+impl ProgressCopies {
+    /// Nothing yet; at most `limit` bytes are kept.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            jobs: BTreeMap::new(),
+            bytes: 0,
+            limit,
+        }
+    }
+
+    /// Keeps how far a job's items are in place of what was known of it. What
+    /// does not fit is not kept: its items begin anew, which is right if slower.
+    pub fn keep(&mut self, id: JobId, items: Vec<ItemProgress>, until: Moment) {
+        self.take(&id);
+        let copy = Copy { until, items };
+        if self.bytes + copy.bytes() > self.limit {
+            return;
+        }
+        self.bytes += copy.bytes();
+        self.jobs.insert(id, copy);
+    }
+
+    /// Hands out what is known of a job, and forgets it.
+    pub fn take(&mut self, id: &JobId) -> Vec<ItemProgress> {
+        let Some(copy) = self.jobs.remove(id) else {
+            return Vec::new();
+        };
+        self.bytes -= copy.bytes();
+        copy.items
+    }
+
+    /// Forgets what was kept until now.
+    pub fn sweep(&mut self, now: Moment) {
+        self.jobs.retain(|_, copy| !copy.until.is_past(now));
+        self.bytes = self.jobs.values().map(Copy::bytes).sum();
+    }
+
+    /// Bytes that are kept.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(keys::segment(&id, 2).as_str(), "job/out/7c41/00002");
 //! ```
 
+mod copies;
 mod custody;
 mod input;
 mod job;
@@ -25,6 +26,7 @@
 mod result;
 mod schedule;
 
+pub use copies::{ItemProgress, ProgressCopies};
 pub use custody::{Custody, OwnerSign, custody};
 pub use input::{NewItem, decode_items, encode_items, split_input};
 pub use job::{Item, ItemEnd, ItemPhase, Job, Segment};
--- a/crates/bluebellreel_batch/tests/jobs.rs
+++ b/crates/bluebellreel_batch/tests/jobs.rs
@@ -253,3 +253,30 @@
         prop_assert_eq!(back, items);
     }
 }
+
+/// A job is taken over with a copy that is older than what was recorded, and
+/// items run again already. Nothing that is further is set back, and an item
+/// that has ended stays so.
+#[test]
+fn a_copy_never_sets_an_item_back() {
+    let mut dead = job("j", 3, NOW);
+    for item in 0..3 {
+        dead.items[item].phase = ItemPhase::Running;
+        for event in 1..=4 {
+            let pushed = dead.items[item].progress.push(event, "t");
+            assert!(pushed.is_ok());
+        }
+    }
+    let copy = dead.progress();
+    assert_eq!(copy.len(), 3);
+
+    let mut heir = job("j", 3, NOW);
+    heir.items[0].phase = ItemPhase::Running;
+    heir.items[1].phase = ItemPhase::Running;
+    heir.end_run(1, ItemEnd::Completed, 3, NOW);
+    heir.restore(copy);
+    assert_eq!(heir.items[0].progress.last_id(), None, "it runs");
+    assert_eq!(heir.items[1].phase, ItemPhase::Ended);
+    assert_eq!(heir.items[2].progress.last_id(), Some(4));
+    assert_eq!(heir.items[2].progress.text(), "t\nt\nt\nt");
+}
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -70,6 +70,7 @@
             idle: PEER_IDLE,
             idle_per_address: PEER_IDLE_COUNT,
         });
+        let metrics = Metrics::default();
         let board = Board::new(settings.data_centre.clone(), PlacementLimits::default());
         Rc::new(Self {
             run: Incarnation::random(),
@@ -81,8 +82,8 @@
             jobs: RefCell::default(),
             workers,
             peers,
-            store: StoreClient::new(settings.store),
-            metrics: Metrics::default(),
+            store: StoreClient::new(settings.store, metrics.store_call.clone()),
+            metrics,
             lease: Cell::new(0),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -6,15 +6,13 @@
 use super::takeover::{heir, owner_txn};
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
-use bluebellreel_batch::{ItemPhase, Job, JobRecord, Owner, Progress};
+use bluebellreel_batch::{ItemPhase, ItemProgress, JobRecord, Owner};
 use bluebellreel_kv::Commit;
 use bluebellreel_net::Body;
 use bluebellreel_types::JobId;
 use http::{Response, StatusCode};
 use log::{info, warn};
-use serde::{Deserialize, Serialize};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -26,16 +24,6 @@
 /// How long a hand-over's write is repeated.
 const DECIDE: Duration = Duration::from_millis(1500);
 
-/// What an item had generated.
-#[derive(Serialize, Deserialize)]
-struct ItemProgress {
-    item: Arc<str>,
-    failures: u32,
-    last_id: u64,
-    events: u64,
-    text: String,
-}
-
 /// Hands all jobs over to peers that go on. Jobs that cannot be handed over
 /// are taken over by others once this daemon is gone.
 pub(crate) async fn hand_over_all(gw: &Rc<Gateway>) {
@@ -108,19 +96,8 @@
 }
 
 fn progress(owned: &OwnedJob) -> Vec<u8> {
-    let job = owned.job.borrow();
-    let begun = job.items.iter().filter_map(|item| {
-        Some(ItemProgress {
-            item: item.input.id.clone(),
-            failures: item.failures,
-            last_id: item.progress.last_id()?,
-            events: item.progress.events(),
-            text: item.progress.text().to_owned(),
-        })
-    });
-    let begun: Vec<ItemProgress> = begun.collect();
     // Without it the items begin anew, which is right if slower.
-    postcard::to_allocvec(&begun).unwrap_or_default()
+    postcard::to_allocvec(&owned.job.borrow().progress()).unwrap_or_default()
 }
 
 /// Takes a job that a peer has handed over.
@@ -133,7 +110,7 @@
     // Somebody who only knew of the new owner may have told us before.
     let known = gw.jobs.borrow().own.get(id).cloned();
     if let Some(owned) = known {
-        restore(&mut owned.job.borrow_mut(), begun);
+        owned.job.borrow_mut().restore(begun);
         return answers::status(StatusCode::OK);
     }
     let loaded = match load::record(gw, id).await {
@@ -151,7 +128,7 @@
             return answers::failure(StatusCode::SERVICE_UNAVAILABLE, "not read");
         }
     };
-    restore(&mut job, begun);
+    job.restore(begun);
     if !gw.jobs.borrow().own.contains_key(id) {
         adopt(gw, job);
     }
@@ -159,7 +136,7 @@
 }
 
 /// What the items had generated; nothing if the peer did not know.
-fn read_progress(id: &JobId, progress: &[u8]) -> Vec<ItemProgress> {
+pub(super) fn read_progress(id: &JobId, progress: &[u8]) -> Vec<ItemProgress> {
     if progress.is_empty() {
         return Vec::new();
     }
@@ -169,18 +146,3 @@
         Vec::new()
     })
 }
-
-/// Lets waiting items go on from where they were, if that is further.
-fn restore(job: &mut Job, begun: Vec<ItemProgress>) {
-    for known in begun {
-        let item = job.items.iter_mut().find(|i| i.input.id == known.item);
-        let Some(item) = item else {
-            continue;
-        };
-        let waits = matches!(item.phase, ItemPhase::Waiting { .. });
-        if waits && item.progress.events() < known.events {
-            item.failures = item.failures.max(known.failures);
-            item.progress = Progress::restored(known.last_id, known.events, known.text);
-        }
-    }
-}
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod archive;
+mod backup;
 mod cancel;
 mod hand_over;
 mod load;
@@ -24,6 +25,7 @@
 use std::rc::Rc;
 
 pub(crate) use accept::submit;
+pub(crate) use backup::{copy_progress, keep_copy};
 pub(crate) use cancel::{cancel_own, heard_cancelled};
 pub(crate) use hand_over::{hand_over_all, take_hand_over};
 pub(crate) use own::{Jobs, KnownOwner};
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -1,6 +1,6 @@
 //! The jobs that this daemon owns.
 
-use bluebellreel_batch::{Job, JobRecord};
+use bluebellreel_batch::{Job, JobRecord, ProgressCopies};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -56,7 +56,6 @@
 }
 
 /// All jobs that this daemon knows of.
-#[derive(Default)]
 pub(crate) struct Jobs {
     pub(crate) own: BTreeMap<JobId, Rc<OwnedJob>>,
     pub(crate) runs: HashMap<(JobId, usize), ItemRun>,
@@ -70,6 +69,8 @@
     /// Jobs that were owned here or that peers have reported as theirs.
     reported: HashSet<JobId>,
     pub(crate) archive: Archive,
+    /// How far the items of peers' jobs are that this daemon would take over.
+    pub(crate) copies: ProgressCopies,
     /// Wakes the task that looks for jobs without an owner.
     pub(crate) orphans_due: Rc<Notify>,
 }
@@ -80,6 +81,26 @@
 /// Owners remembered; each takes some hundred bytes.
 const OWNERS: usize = 8192;
 
+/// Bytes of peers' progress that are kept: some hundred items half done, of
+/// a VM that may have 88 MB.
+const COPIES_BYTES: usize = 8 * 1024 * 1024;
+
+impl Default for Jobs {
+    fn default() -> Self {
+        Self {
+            own: BTreeMap::new(),
+            runs: HashMap::new(),
+            submissions: HashMap::new(),
+            owners: HashMap::new(),
+            orphans: HashMap::new(),
+            reported: HashSet::new(),
+            archive: Archive::default(),
+            copies: ProgressCopies::new(COPIES_BYTES),
+            orphans_due: Rc::default(),
+        }
+    }
+}
+
 impl Jobs {
     /// Remembers who owns a job.
     pub(crate) fn note_owner(&mut self, id: &JobId, record: &JobRecord) {
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -211,7 +211,10 @@
         return Ok(false);
     };
     info!(target: "jobs", job:% = id, owner:% = before.entry, run:% = before.run, revision; "job taken over");
-    let job = load::job(gw, id, record, revision).await?;
+    let mut job = load::job(gw, id, record, revision).await?;
+    let begun = gw.jobs.borrow_mut().copies.take(id);
+    info!(target: "jobs", job:% = id, begun = begun.len(); "items go on");
+    job.restore(begun);
     adopt(gw, job);
     Ok(true)
 }
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -6,7 +6,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 
 /// First bucket of latencies, in seconds.
 const FIRST_BUCKET: f64 = 0.002;
@@ -25,100 +25,76 @@
 pub(crate) struct Metrics {
     pub(crate) requests: Family<Outcome, Counter>,
     pub(crate) first_event: Histogram,
+    /// Longest pause of each stream.
+    pub(crate) pause: Histogram,
     pub(crate) resumed: Counter,
     pub(crate) jobs: Family<Outcome, Counter>,
     pub(crate) job_accepted: Histogram,
     pub(crate) items: Family<Outcome, Counter>,
     pub(crate) yields: Counter,
+    pub(crate) store_call: Histogram,
+    /// Age of the oldest peer's report that a choice of a worker counted on.
+    pub(crate) report_age: Histogram,
     pub(crate) in_progress: Gauge,
     pub(crate) store_calls: Gauge,
     pub(crate) store_failures: Gauge,
     pub(crate) workers: Gauge,
     pub(crate) peers: Gauge,
     pub(crate) jobs_owned: Gauge,
+    pub(crate) copies_bytes: Gauge,
+    pub(crate) configuration_version: Gauge,
     pub(crate) lines_dropped: Gauge,
     registry: Registry,
 }
 
+/// Registers a metric and hands it back.
+fn add<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
+    registry.register(name, help, metric.clone());
+    metric
+}
+
+fn latency(registry: &mut Registry, name: &str, help: &str) -> Histogram {
+    let buckets = exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS);
+    add(registry, name, help, Histogram::new(buckets))
+}
+
+fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
+    add(registry, name, help, Gauge::default())
+}
+
+fn counter(registry: &mut Registry, name: &str, help: &str) -> Counter {
+    add(registry, name, help, Counter::default())
+}
+
+fn by_outcome(registry: &mut Registry, name: &str, help: &str) -> Family<Outcome, Counter> {
+    add(registry, name, help, Family::default())
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("bluebellreel");
-        let latency = || Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS));
-        let metrics = Self {
-            requests: Family::default(),
-            first_event: latency(),
-            resumed: Counter::default(),
-            jobs: Family::default(),
-            job_accepted: latency(),
-            items: Family::default(),
-            yields: Counter::default(),
-            in_progress: Gauge::default(),
-            store_calls: Gauge::default(),
-            store_failures: Gauge::default(),
-            workers: Gauge::default(),
-            peers: Gauge::default(),
-            jobs_owned: Gauge::default(),
-            lines_dropped: Gauge::default(),
-            registry: Registry::default(),
-        };
         let r = &mut registry;
-        r.register("requests", "Requests by outcome", metrics.requests.clone());
-        r.register(
-            "first_event_seconds",
-            "From arrival to the first event",
-            metrics.first_event.clone(),
-        );
-        r.register(
-            "resumed",
-            "Streams that went on at another worker",
-            metrics.resumed.clone(),
-        );
-        r.register(
-            "jobs",
-            "Batch jobs by outcome of their submission",
-            metrics.jobs.clone(),
-        );
-        r.register(
-            "job_accepted_seconds",
-            "From arrival to acceptance",
-            metrics.job_accepted.clone(),
-        );
-        r.register(
-            "items",
-            "Runs of batch items by outcome",
-            metrics.items.clone(),
-        );
-        r.register(
-            "yields",
-            "Batch runs that made room",
-            metrics.yields.clone(),
-        );
-        r.register(
-            "in_progress",
-            "Requests in progress",
-            metrics.in_progress.clone(),
-        );
-        r.register(
-            "store_calls",
-            "Calls to the store",
-            metrics.store_calls.clone(),
-        );
-        r.register(
-            "store_failures",
-            "Calls to the store that failed",
-            metrics.store_failures.clone(),
-        );
-        r.register("workers", "Workers listed", metrics.workers.clone());
-        r.register("peers", "Peers heard", metrics.peers.clone());
-        r.register("jobs_owned", "Jobs owned", metrics.jobs_owned.clone());
-        r.register(
-            "log_lines_dropped",
-            "Log lines dropped as nobody read them",
-            metrics.lines_dropped.clone(),
-        );
         Self {
+            requests: by_outcome(r, "requests", "Requests by outcome"),
+            first_event: latency(r, "first_event_seconds", "From arrival to the first event"),
+            pause: latency(r, "pause_seconds", "Longest pause of each stream"),
+            resumed: counter(r, "resumed", "Streams that went on at another worker"),
+            jobs: by_outcome(r, "jobs", "Batch jobs by outcome of their submission"),
+            job_accepted: latency(r, "job_accepted_seconds", "From arrival to acceptance"),
+            items: by_outcome(r, "items", "Runs of batch items by outcome"),
+            yields: counter(r, "yields", "Batch runs that made room"),
+            store_call: latency(r, "store_call_seconds", "Calls to the store but watches"),
+            report_age: latency(r, "report_age_seconds", "Oldest report behind a choice"),
+            in_progress: gauge(r, "in_progress", "Requests in progress"),
+            store_calls: gauge(r, "store_calls", "Calls to the store"),
+            store_failures: gauge(r, "store_failures", "Calls to the store that failed"),
+            workers: gauge(r, "workers", "Workers listed"),
+            peers: gauge(r, "peers", "Peers heard"),
+            jobs_owned: gauge(r, "jobs_owned", "Jobs owned"),
+            copies_bytes: gauge(r, "copies_bytes", "Progress kept of peers' items"),
+            configuration_version: gauge(r, "configuration_version", "Configuration in force"),
+            lines_dropped: gauge(r, "log_lines_dropped", "Log lines dropped unread"),
             registry,
-            ..metrics
         }
     }
 }
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -188,6 +188,8 @@
         return;
     };
     let running = seat.running();
+    let report_age = gw.members.borrow().oldest_report(gw.now());
+    gw.metrics.report_age.observe(report_age.as_secs_f64());
     info!(
         target: "online",
         request:% = req.id,
@@ -199,7 +201,7 @@
         tried = req.tried.len(),
         left_ms = millis(req.left()),
         version = gw.configuration().map_or(0, |c| c.version),
-        report_age_ms = millis(gw.members.borrow().oldest_report(gw.now()));
+        report_age_ms = millis(report_age);
         "sent"
     );
 }
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -7,6 +7,7 @@
 use crate::jobs;
 use bluebellreel_net::{Body, read_body};
 use bluebellreel_types::JobId;
+use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::rc::Rc;
@@ -33,23 +34,37 @@
             jobs::body_of_own(&gw, &JobId::from(*id), item)
         }
         (&Method::DELETE, ["jobs", id]) => jobs::cancel_own(&gw, &JobId::from(*id)).await,
-        (&Method::PUT, ["jobs", id, "owner"]) => {
+        (&Method::PUT, ["jobs", id, what @ ("owner" | "progress")]) => {
             let id = JobId::from(*id);
-            match read_body(req.into_body(), BODY_BYTES, BODY_TIME).await {
-                Ok(Some(progress)) => jobs::take_hand_over(&gw, &id, &progress).await,
-                _ => answers::failure(StatusCode::BAD_REQUEST, "no body"),
+            let is_owner = *what == "owner";
+            let Some(progress) = body_of(req).await else {
+                return no_body();
+            };
+            if is_owner {
+                return jobs::take_hand_over(&gw, &id, &progress).await;
             }
+            jobs::keep_copy(&gw, id, &progress);
+            answers::status(StatusCode::OK)
         }
         (&Method::POST, ["store"]) => store(&gw, req).await,
         _ => answers::failure(StatusCode::NOT_FOUND, "no such call"),
     }
 }
 
+/// The whole body of a peer's call.
+async fn body_of(req: Request<Incoming>) -> Option<Bytes> {
+    let body = read_body(req.into_body(), BODY_BYTES, BODY_TIME).await;
+    body.ok().flatten()
+}
+
+fn no_body() -> Response<Body> {
+    answers::failure(StatusCode::BAD_REQUEST, "no body")
+}
+
 /// Makes a call to the store for a peer that the store turns away.
 async fn store(gw: &Gateway, req: Request<Incoming>) -> Response<Body> {
-    let body = read_body(req.into_body(), BODY_BYTES, BODY_TIME).await;
-    let Ok(Some(body)) = body else {
-        return answers::failure(StatusCode::BAD_REQUEST, "no body");
+    let Some(body) = body_of(req).await else {
+        return no_body();
     };
     match detour::make_for_peer(gw, &body).await {
         Ok(answer) => answers::bytes(answer),
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -129,3 +129,16 @@
     let (status, _) = call(gw, to, Method::PUT, &path, body, TIMEOUT).await?;
     Ok(status)
 }
+
+/// Tells a peer how far the items of a job are that it would take over.
+pub(crate) async fn copy_progress(
+    gw: &Gateway,
+    to: SocketAddr,
+    id: &JobId,
+    progress: Vec<u8>,
+) -> Result<(), PeerError> {
+    let path = format!("/jobs/{id}/progress");
+    let body = Bytes::from(progress);
+    call(gw, to, Method::PUT, &path, body, TIMEOUT).await?;
+    Ok(())
+}
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -56,6 +56,9 @@
     quiet_until: Instant,
     /// When its first event came.
     begun: Instant,
+    /// When its last event came.
+    last_at: Instant,
+    longest_pause: Duration,
     over: bool,
 }
 
@@ -73,6 +76,8 @@
             passed: 0,
             quiet_until,
             begun: Instant::now(),
+            last_at: Instant::now(),
+            longest_pause: Duration::ZERO,
             over: false,
         }
     }
@@ -149,7 +154,10 @@
             let waited = self.req.received.elapsed();
             self.gw.metrics.first_event.observe(waited.as_secs_f64());
             self.begun = Instant::now();
+        } else {
+            self.longest_pause = self.longest_pause.max(self.last_at.elapsed());
         }
+        self.last_at = Instant::now();
         self.passed += 1;
         let worker = self.upstream.place.worker();
         self.pulse.beat(&self.gw, worker);
@@ -238,8 +246,10 @@
         self.over = true;
         let lasted = self.begun.elapsed();
         self.gw.board.borrow_mut().paces.note_run(lasted);
-        self.gw.metrics.request("served");
-        info!(target: "online", request:% = self.req.id, worker:% = self.upstream.place.worker(), events = self.passed, runs = self.req.runs, took_ms = millis(self.req.received.elapsed()); "served");
+        let metrics = &self.gw.metrics;
+        metrics.pause.observe(self.longest_pause.as_secs_f64());
+        metrics.request("served");
+        info!(target: "online", request:% = self.req.id, worker:% = self.upstream.place.worker(), events = self.passed, runs = self.req.runs, pause_ms = millis(self.longest_pause), took_ms = millis(self.req.received.elapsed()); "served");
     }
 
     fn break_off(&mut self, reason: &str) -> Result<Bytes, Broken> {
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -153,6 +153,7 @@
     spawn_local(registration::list_members(gw.clone()));
     spawn_local(jobs::start_items(gw.clone()));
     spawn_local(jobs::adopt_orphans(gw.clone()));
+    spawn_local(jobs::copy_progress(gw.clone()));
     let g = gw.clone();
     every(SWEEP, move || sweep(&g));
     Ok(())
@@ -173,6 +174,7 @@
     if gw.members.borrow_mut().has_lost_peer(now) {
         gw.jobs.borrow().orphans_due.notify_one();
     }
+    gw.jobs.borrow_mut().copies.sweep(now);
     gw.board.borrow_mut().forget_silent(now);
     gw.board.borrow_mut().paces.sweep(now);
     let expired = gw.facts.borrow_mut().catalog.expire(now);
@@ -183,25 +185,22 @@
 
 fn metrics_text(gw: &Gateway, lines_dropped: u64) -> String {
     let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+    let total = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
     let (calls, failures) = gw.store.counts();
+    let version = gw.configuration().map_or(0, |c| c.version);
+    let jobs = gw.jobs.borrow();
     let metrics = &gw.metrics;
     metrics.in_progress.set(count(gw.in_progress.get()));
-    metrics.jobs_owned.set(count(gw.jobs.borrow().own.len()));
-    metrics
-        .store_calls
-        .set(i64::try_from(calls).unwrap_or(i64::MAX));
-    metrics
-        .store_failures
-        .set(i64::try_from(failures).unwrap_or(i64::MAX));
-    metrics
-        .workers
-        .set(count(gw.board.borrow().seats().count()));
-    metrics
-        .peers
-        .set(count(gw.members.borrow().heard(gw.now()).len()));
-    metrics
-        .lines_dropped
-        .set(i64::try_from(lines_dropped).unwrap_or(i64::MAX));
+    metrics.jobs_owned.set(count(jobs.own.len()));
+    metrics.copies_bytes.set(count(jobs.copies.bytes()));
+    metrics.store_calls.set(total(calls));
+    metrics.store_failures.set(total(failures));
+    let seats = gw.board.borrow().seats().count();
+    metrics.workers.set(count(seats));
+    let heard = gw.members.borrow().heard(gw.now()).len();
+    metrics.peers.set(count(heard));
+    metrics.configuration_version.set(total(version));
+    metrics.lines_dropped.set(total(lines_dropped));
     metrics.text()
 }
 
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -12,6 +12,7 @@
 use futures::future::LocalBoxFuture;
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
+use prometheus_client::metrics::histogram::Histogram;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -73,10 +74,12 @@
     /// When a call succeeded last, either way.
     answered_at: Cell<Option<Instant>>,
     detour: RefCell<Option<Detour>>,
+    /// Latencies of calls that were answered, but watches, which wait.
+    latency: Histogram,
 }
 
 impl StoreClient {
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr, latency: Histogram) -> Self {
         let limits = PoolLimits {
             connect: CONNECT_TIMEOUT,
             idle: IDLE,
@@ -92,6 +95,7 @@
             regained_at: Cell::new(None),
             answered_at: Cell::new(None),
             detour: RefCell::new(None),
+            latency,
         }
     }
 
@@ -141,6 +145,7 @@
     /// store; else straight.
     async fn call_by(&self, by_peer: bool, req: Request<Bytes>, longest: Duration) -> StoreAnswer {
         self.calls.set(self.calls.get() + 1);
+        let begun = Instant::now();
         let detour = if by_peer {
             let detour = self.detour.borrow();
             detour.as_ref().and_then(|d| d(req.clone(), longest))
@@ -153,6 +158,9 @@
         };
         if is_good(&answer) {
             self.answered_at.set(Some(Instant::now()));
+            if longest <= CALL_TIMEOUT {
+                self.latency.observe(begun.elapsed().as_secs_f64());
+            }
         } else {
             self.failures.set(self.failures.get() + 1);
         }
