List after each watch that failed; a gap in the history is one for all watches

Cause: while the store drops its history, watches are told nothing. A watch that timed out was opened again at once, was deaf as well, and waited its 4 s out: a version of the configuration was in force 5 s after its acknowledgement, and callers of its new route got 404 (CONFIG).

Ruled out: the relay between gateways (both watching ones were deaf alike), the list's age (it was made 4 s late, not stale).

Now a list follows each watch that failed; a watch that meets the gap tells the other prefix's; and a watch waits 1.5 s instead of 4 s, which bounds what a deaf one can hide. Test a_new_route_is_known_though_watches_are_deaf failed before (never within a minute).

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -56,6 +56,9 @@
     pub(crate) report_due: Notify,
     /// Wakes the task that starts batch items.
     pub(crate) batch_due: Notify,
+    /// Wakes those that watch the store: its history was dropped, and their
+    /// watches may never bring what happened meanwhile.
+    pub(crate) history_gone: Notify,
 }
 
 impl Gateway {
@@ -90,6 +93,7 @@
             in_progress: Cell::new(0),
             report_due: Notify::new(),
             batch_due: Notify::new(),
+            history_gone: Notify::new(),
             settings,
         })
     }
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -22,8 +22,9 @@
 /// silent, without anybody knowing yet.
 const WATCHERS: usize = 2;
 /// Longest wait of one watch. A connection that has silently died brings
-/// nothing; the next watch shows what was missed, within this time.
-const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// nothing, nor does a watch that the store has lost; what was missed shows
+/// within this time. Operators expect a change in force within two seconds.
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(300);
 /// Time between looks of a daemon that does not watch whether it should.
@@ -197,8 +198,12 @@
     }
 }
 
-/// Lists a prefix and follows its changes for ever. After a gap in the history
-/// it lists again at once: what changed in the gap would otherwise stay hidden.
+/// Lists a prefix and follows its changes for ever.
+///
+/// After a gap in the history, and after a watch that failed, it lists again at
+/// once. The store may stop telling watches of changes while it drops its
+/// history: a watch opened then brings nothing and waits its time out, and
+/// callers of a new route would get 404 for as long. A list shows what is so.
 async fn follow(gw: &Rc<Gateway>, prefix: Key, subject: &Subject) {
     let failing = Cell::new(None::<Moment>);
     let mut must_list = true;
@@ -225,9 +230,18 @@
             }
         }
         let after = (subject.seen)(gw);
-        match gw.store.watch(&prefix, after, WATCH_WAIT).await {
+        let watch = gw.store.watch(&prefix, after, WATCH_WAIT);
+        let watched = tokio::select! {
+            watched = watch => watched,
+            // The other prefix's watch has met the gap.
+            () = gw.history_gone.notified() => {
+                must_list = true;
+                continue;
+            }
+        };
+        match watched {
             Ok(Watched::Changes(changes)) => {
-                must_list = works(gw, &prefix, &failing);
+                works(gw, &prefix, &failing);
                 let mut matters = false;
                 for event in changes.events {
                     matters |= (subject.changed)(gw, event);
@@ -239,10 +253,12 @@
             }
             Ok(Watched::HistoryGone) => {
                 info!(target: "facts", prefix:% = prefix, after; "history gone, listing again");
+                gw.history_gone.notify_waiters();
                 must_list = true;
             }
             Err(e) => {
                 failed(gw, &prefix, &failing, &e);
+                must_list = true;
                 sleep(RETRY).await;
             }
         }
@@ -256,13 +272,12 @@
     }
 }
 
-/// Notes that the store answers; whether that ends an outage.
-fn works(gw: &Gateway, prefix: &Key, failing: &Cell<Option<Moment>>) -> bool {
+/// Notes that the store answers.
+fn works(gw: &Gateway, prefix: &Key, failing: &Cell<Option<Moment>>) {
     let Some(since) = failing.take() else {
-        return false;
+        return;
     };
     let lasted = gw.now().since(since);
     let lasted_ms = crate::online::millis(lasted);
     info!(target: "facts", prefix:% = prefix, lasted_ms; "store regained");
-    true
 }
