--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -15,6 +15,9 @@
 const BEFORE: Duration = Duration::from_secs(5);
 /// The same after its last line.
 const AFTER: Duration = Duration::from_secs(1);
+/// A log that goes on for so long after a request's last line does not end with
+/// it: callers wait for five seconds.
+const STILL_THERE: Duration = Duration::from_secs(5);
 /// Events that tell what a process believes, apart from any request.
 const SURROUNDINGS: [&str; 14] = [
     "started",
@@ -33,6 +36,17 @@
     "lines dropped",
 ];
 
+/// Events after which nothing more comes of a request.
+const ENDS: [&str; 7] = [
+    "served",
+    "answered",
+    "given up",
+    "broken off",
+    "caller left",
+    "no route",
+    "item run ended",
+];
+
 /// One log line.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LogLine {
@@ -112,5 +126,34 @@
     for line in story {
         line.print(&mut out);
     }
+    for source in sources {
+        out.push_str(&what_cut_it(id, source, lines));
+    }
     out
 }
+
+/// Says so when a process ended before what it did for an id: a process that is
+/// killed writes nothing, and its request would seem to have no end.
+fn what_cut_it(id: &str, source: &str, lines: &[LogLine]) -> String {
+    let mut of_source: Vec<&LogLine> = lines.iter().filter(|l| l.source == source).collect();
+    of_source.sort_by_key(|l| l.at);
+    let Some(last) = of_source.iter().rposition(|l| l.names(id)) else {
+        return String::new();
+    };
+    let is_request = of_source[last].text("request") == id;
+    if !is_request || ENDS.contains(&of_source[last].text("event")) {
+        return String::new();
+    }
+    let after = &of_source[last..];
+    let started = after.iter().position(|l| l.text("event") == "started");
+    let (end, what) = match started {
+        Some(at) => (after[at - 1], "ended without a word and was started again"),
+        None => (after[after.len() - 1], "says nothing more"),
+    };
+    if started.is_none() && end.at > of_source[last].at + STILL_THERE {
+        return String::new();
+    }
+    let at = humantime::format_rfc3339_millis(end.at).to_string();
+    let time = at.get(11..23).unwrap_or(&at);
+    format!("=> {source} {what}; its last line before is of {time}\n")
+}
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -47,3 +47,27 @@
     assert_eq!(sources[..3], ["entry-1", "entry-1", "entry-2"]);
     assert_eq!(explain("nobody", &all), "");
 }
+
+/// A process is killed between a request and its answer. Its log shows a
+/// request that was sent and nothing after: whoever read it looked for the
+/// cause at the worker.
+#[test]
+fn a_process_that_was_killed_is_named() {
+    let killed = r#"
+{"at":"2026-12-02T10:00:01.000Z","event":"sent","request":"r1","worker":"w-1"}
+{"at":"2026-12-02T10:00:01.200Z","event":"served","request":"r2","worker":"w-1"}
+{"at":"2026-12-02T10:00:04.000Z","event":"started","run":"b"}
+{"at":"2026-12-02T10:00:09.000Z","event":"served","request":"r3"}
+"#;
+    let story = explain("r1", &lines("entry-1", killed));
+    let last = story.lines().last().unwrap_or("");
+    assert_eq!(
+        last,
+        "=> entry-1 ended without a word and was started again; its last line before is of 10:00:01.200"
+    );
+    assert!(!explain("r2", &lines("entry-1", killed)).contains("=>"));
+
+    let gone = killed.split("{\"at\":\"2026-12-02T10:00:04").next();
+    let story = explain("r1", &lines("entry-1", gone.unwrap_or("")));
+    assert!(story.contains("=> entry-1 says nothing more"), "{story}");
+}
