--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -32,7 +33,12 @@
 
 /// One daemon.
 pub(crate) struct Gateway {
+    /// Settings as of the start.
     pub(crate) settings: GatewaySettings,
+    /// Peers to begin with, as of now.
+    pub(crate) seeds: RefCell<Vec<SocketAddr>>,
+    /// Time from SIGTERM to the kill, as of now.
+    pub(crate) grace: Cell<Duration>,
     pub(crate) run: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) rng: RefCell<SmallRng>,
@@ -76,6 +82,8 @@
         let metrics = Metrics::default();
         let board = Board::new(settings.data_centre.clone(), PlacementLimits::default());
         Rc::new(Self {
+            seeds: RefCell::new(settings.seeds.clone()),
+            grace: Cell::new(settings.grace),
             run: Incarnation::random(),
             clock: Clock::start(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -12,7 +12,8 @@
 //!
 //! ```no_run
 //! let settings = bluebellreel_settings::load_gateway("gateway.toml".as_ref()).unwrap();
-//! let clean = bluebellreel_gateway::run_gateway(settings, || 0).unwrap();
+//! let around = bluebellreel_gateway::Surroundings::fixed(&settings);
+//! let clean = bluebellreel_gateway::run_gateway(settings, around).unwrap();
 //! assert!(clean);
 //! ```
 
@@ -30,6 +31,7 @@
 mod pulse;
 mod registration;
 mod relay;
+mod reload;
 mod reports;
 mod run;
 mod serve;
@@ -38,4 +40,5 @@
 mod upstream;
 mod watching;
 
+pub use reload::Surroundings;
 pub use run::{live, run_gateway};
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -121,8 +121,8 @@
     let members = gw.members.borrow();
     let mut targets: BTreeSet<SocketAddr> = members.peers.values().map(|p| p.reports).collect();
     let port = gw.settings.reports.port();
-    let seeds = gw.settings.seeds.iter();
-    targets.extend(seeds.map(|s| SocketAddr::new(s.ip(), port)));
+    let seeds = gw.seeds.borrow();
+    targets.extend(seeds.iter().map(|s| SocketAddr::new(s.ip(), port)));
     targets.remove(&gw.settings.reports);
     targets
 }
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -1,7 +1,8 @@
 //! The life of a gateway: start, signals, graceful stop.
 
 use crate::gateway::Gateway;
-use crate::{detour, facts, jobs, peer_api, registration, reports, serve, watching};
+use crate::reload::Surroundings;
+use crate::{detour, facts, jobs, peer_api, registration, reload, reports, serve, watching};
 use bluebellreel_net::{Served, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
 use eyre::Context;
@@ -10,6 +11,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
@@ -32,33 +34,31 @@
 const LOOK: Duration = Duration::from_millis(20);
 
 /// Runs a gateway until it is asked to stop by a signal; whether nothing was
-/// cut. `lines_dropped` gives the number of log lines that were dropped.
+/// cut.
 ///
 /// # Errors
 ///
 /// Gives the reason when an address cannot be listened on.
-pub fn run_gateway(
-    settings: GatewaySettings,
-    lines_dropped: impl Fn() -> u64 + 'static,
-) -> eyre::Result<bool> {
+pub fn run_gateway(settings: GatewaySettings, around: Surroundings) -> eyre::Result<bool> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     LocalSet::new().block_on(&runtime, async {
-        let asked = asked_to_stop()?;
-        live(settings, asked, lines_dropped).await
+        let asked = asked_to_stop(around.settings_changed.clone())?;
+        live(settings, asked, around).await
     })
 }
 
-/// Ends when a signal asks for the end. The handlers stand once this returns.
-fn asked_to_stop() -> eyre::Result<impl Future<Output = ()>> {
+/// Ends when a signal asks for the end, and tells of those that say that the
+/// settings have changed. The handlers stand once this returns.
+fn asked_to_stop(settings_changed: Rc<Notify>) -> eyre::Result<impl Future<Output = ()>> {
     let mut hang_up = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     Ok(async move {
         loop {
             tokio::select! {
-                _ = hang_up.recv() => info!(target: "gateway", "settings changed; they take effect at the next start"),
+                _ = hang_up.recv() => settings_changed.notify_one(),
                 _ = terminate.recv() => return,
                 _ = interrupt.recv() => return,
             }
@@ -75,13 +75,13 @@
 pub async fn live(
     settings: GatewaySettings,
     stop_asked: impl Future<Output = ()>,
-    lines_dropped: impl Fn() -> u64 + 'static,
+    around: Surroundings,
 ) -> eyre::Result<bool> {
     let gw = Gateway::new(settings);
     detour::install(&gw);
     let stop = Stop::default();
     let served = Served::default();
-    start(&gw, &stop, &served, lines_dropped).await?;
+    start(&gw, &stop, &served, Rc::new(around)).await?;
     info!(target: "gateway", entry:% = gw.me(), run:% = gw.run, data_centre:% = gw.settings.data_centre, requests:% = gw.settings.requests; "started");
     stop_asked.await;
     let clean = leave(&gw, &stop, &served).await;
@@ -93,7 +93,7 @@
     gw: &Rc<Gateway>,
     stop: &Stop,
     served: &Served,
-    lines_dropped: impl Fn() -> u64 + 'static,
+    around: Rc<Surroundings>,
 ) -> eyre::Result<()> {
     let callers = listen(gw.settings.requests).wrap_err("address for requests")?;
     let balancer = listen(gw.settings.readiness).wrap_err("address for readiness")?;
@@ -134,17 +134,19 @@
         move |req| peer_api::answer(g.clone(), req),
     ));
     let g = gw.clone();
+    let drops = around.clone();
     spawn_local(bluebellreel_net::serve(
         metrics,
         inner,
         Served::default(),
         || INNER_IDLE,
         move |_| {
-            let answer = crate::answers::bytes(metrics_text(&g, lines_dropped()));
+            let answer = crate::answers::bytes(metrics_text(&g, (drops.lines_dropped)()));
             async move { answer }
         },
     ));
 
+    spawn_local(reload::follow_settings(gw.clone(), around));
     spawn_local(reports::send_reports(gw.clone(), socket.clone()));
     spawn_local(reports::take_reports(gw.clone(), socket));
     spawn_local(watching::watch_operator(gw.clone()));
@@ -208,14 +210,14 @@
 /// streams finished.
 async fn leave(gw: &Rc<Gateway>, stop: &Stop, served: &Served) -> bool {
     let asked_at = Instant::now();
-    let end = asked_at + gw.settings.grace.saturating_sub(BEFORE_KILL);
+    let end = asked_at + gw.grace.get().saturating_sub(BEFORE_KILL);
     gw.stopping.set(true);
     gw.report_due.notify_one();
     info!(target: "gateway", entry:% = gw.me(), in_progress = gw.in_progress.get(), jobs = gw.jobs.borrow().own.len(); "stopping");
     jobs::hand_over_all(gw).await;
     tokio::time::sleep_until((asked_at + LEAVE_ROTATION).min(end)).await;
     stop.close();
-    let refuse_from = asked_at + gw.settings.grace.mul_f64(REFUSE_FROM);
+    let refuse_from = asked_at + gw.grace.get().mul_f64(REFUSE_FROM);
     while (gw.in_progress.get() > 0 || served.open() > 0) && Instant::now() < end {
         gw.refusing.set(Instant::now() >= refuse_from);
         sleep(LOOK).await;
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -38,6 +38,27 @@
     pub grace: Duration,
 }
 
+impl GatewaySettings {
+    /// Keys in which other settings differ and that only a start brings into
+    /// force; `peers.seeds` and `stop.grace_s` are taken over at once.
+    #[must_use]
+    pub fn start_needed_for(&self, other: &Self) -> Vec<&'static str> {
+        let store = |s: &Self| (s.store, s.value_bytes, s.shortest_lease);
+        let pairs = [
+            ("vm.name", self.name != other.name),
+            ("vm.data_centre", self.data_centre != other.data_centre),
+            ("listen.requests", self.requests != other.requests),
+            ("listen.readiness", self.readiness != other.readiness),
+            ("listen.peers", self.peers != other.peers),
+            ("listen.reports_port", self.reports != other.reports),
+            ("listen.metrics_port", self.metrics != other.metrics),
+            ("store", store(self) != store(other)),
+        ];
+        let differ = pairs.into_iter().filter(|(_, differs)| *differs);
+        differ.map(|(key, _)| key).collect()
+    }
+}
+
 #[derive(Deserialize)]
 struct Raw {
     vm: RawVm,
--- /dev/null
+++ b/crates/bluebellreel_settings/tests/gateway.rs
@@ -0,0 +1,72 @@
+//! Settings of a gateway: what is refused, and what a change of them needs.
+
+use bluebellreel_settings::{GatewaySettings, parse_gateway};
+use std::time::Duration;
+
+const TEXT: &str = r#"
+[vm]
+name = "entry-1"
+address = "127.0.0.1"
+data_centre = "hall"
+[listen]
+requests = "127.0.0.1:8000"
+readiness = "127.0.0.1:8001"
+peers = "127.0.0.1:8002"
+reports_port = 8003
+metrics_port = 9464
+[peers]
+seeds = ["127.0.0.2:8002"]
+[store]
+address = "127.0.0.9:2379"
+value_bytes = 1048576
+shortest_lease_ms = 1000
+[stop]
+grace_s = 8
+"#;
+
+fn parse(text: &str) -> Result<GatewaySettings, String> {
+    parse_gateway("gateway.toml", text).map_err(|e| e.to_string())
+}
+
+#[test]
+fn a_whole_file_is_taken() {
+    let settings = parse(TEXT).expect("proper settings");
+    assert_eq!(settings.reports.to_string(), "127.0.0.1:8003");
+    assert_eq!(settings.grace, Duration::from_secs(8));
+}
+
+/// An operator mistypes a value. The daemon must name the file and the key
+/// instead of starting with something else.
+#[test]
+fn what_is_wrong_is_named() {
+    for (right, wrong, key) in [
+        ("name = \"entry-1\"", "name = \"\"", "vm.name"),
+        ("grace_s = 8", "grace_s = 0.1", "stop.grace_s"),
+        (
+            "value_bytes = 1048576",
+            "value_bytes = 10",
+            "store.value_bytes",
+        ),
+    ] {
+        let e = parse(&TEXT.replace(right, wrong)).expect_err(key);
+        assert!(e.starts_with("gateway.toml"), "{e}");
+        assert!(e.contains(key), "{e}");
+    }
+}
+
+/// The file changes while the daemon runs. Seeds and the time to stop count at
+/// once; for an address the daemon would have to listen anew.
+#[test]
+fn a_change_says_whether_it_needs_a_start() {
+    let before = parse(TEXT).expect("proper settings");
+    let seeds = TEXT.replace("127.0.0.2:8002", "127.0.0.3:8002");
+    let at_once = parse(&seeds.replace("grace_s = 8", "grace_s = 4")).expect("proper settings");
+    assert_ne!(before, at_once);
+    assert!(before.start_needed_for(&at_once).is_empty());
+    let other = TEXT.replace(":8000", ":8100").replace(":2379", ":2380");
+    let later = parse(&other).expect("proper settings");
+    assert_eq!(
+        before.start_needed_for(&later),
+        ["listen.requests", "store"]
+    );
+}
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -59,7 +59,7 @@
     pub(super) logs: Vec<PathBuf>,
 }
 
-/// check settings of either program, or a manifest
+/// check settings of any program, or a manifest
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "check")]
 pub(super) struct Check {
@@ -69,6 +69,9 @@
     /// settings file of a side process
     #[argh(option)]
     pub(super) side: Option<String>,
+    /// settings file of a gateway
+    #[argh(option)]
+    pub(super) gateway: Option<PathBuf>,
     /// manifest
     #[argh(option)]
     pub(super) manifest: Option<String>,
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -10,7 +10,7 @@
 use crate::program::{Running, run_program};
 use bluebellreel_entry::start_entry;
 use bluebellreel_fleet::Manifest;
-use bluebellreel_settings::{load_entry, load_side};
+use bluebellreel_settings::{load_entry, load_gateway, load_side};
 use eyre::{Context, bail};
 use serde_json::Value;
 use std::process::ExitCode;
@@ -88,11 +88,15 @@
     if let Some(path) = &check.side {
         errors.extend(load_side(path).err().map(|e| e.to_string()));
     }
+    if let Some(path) = &check.gateway {
+        errors.extend(load_gateway(path).err().map(|e| e.to_string()));
+    }
     if let Some(path) = &check.manifest {
         errors.extend(manifest_errors(path));
     }
-    if check.entry.is_none() && check.side.is_none() && check.manifest.is_none() {
-        errors.push("nothing to check: give --entry, --side or --manifest".into());
+    let files = [&check.entry, &check.side, &check.manifest];
+    if check.gateway.is_none() && files.iter().all(|f| f.is_none()) {
+        errors.push("nothing to check: give --entry, --side, --gateway or --manifest".into());
     }
     if errors.is_empty() {
         println!("ok");
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -1,6 +1,6 @@
 //! Commands of VMs on the users' platform: the gateway, and waiting.
 
-use bluebellreel_gateway::run_gateway;
+use bluebellreel_gateway::{Surroundings, run_gateway};
 use bluebellreel_settings::load_gateway;
 use bluebellreel_telemetry::start_json_logging;
 use eyre::WrapErr;
@@ -8,6 +8,7 @@
 use signal_hook::iterator::Signals;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
 
 /// Variable that names the settings file where no option does.
 const SETTINGS_VARIABLE: &str = "BLUEBELLREEL_CONFIG";
@@ -37,7 +38,14 @@
     let stdout = std::io::stdout();
     let run = start_json_logging(log::LevelFilter::Info, &PARTS, stdout)
         .wrap_err("logs")
-        .and_then(|dropped| run_gateway(settings, move || dropped.count()));
+        .and_then(|dropped| {
+            let around = Surroundings {
+                lines_dropped: Box::new(move || dropped.count()),
+                read_settings: Box::new(move || load_gateway(&path)),
+                settings_changed: Rc::default(),
+            };
+            run_gateway(settings, around)
+        });
     match run {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(CUT),
