--- a/crates/bluebellreel_gateway/src/detour.rs
+++ b/crates/bluebellreel_gateway/src/detour.rs
@@ -52,8 +52,7 @@
     let members = gw.members.borrow();
     let able: Vec<SocketAddr> = members
         .heard_with_store(gw.now())
-        .filter_map(|name| members.peers.get(name))
-        .map(|peer| peer.calls)
+        .map(|(_, peer)| peer.calls)
         .collect();
     if able.is_empty() {
         return None;
--- a/crates/bluebellreel_gateway/src/facts.rs
+++ b/crates/bluebellreel_gateway/src/facts.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{Catalog, Configuration, WorkerRecord};
+use bluebellreel_members::Revisions;
 use bluebellreel_platform::decode_configuration;
 use bluebellreel_types::{Moment, WorkerName};
 use log::{info, warn};
@@ -31,15 +32,6 @@
     pub(crate) operator_seen: i64,
 }
 
-/// How far some daemon's knowledge goes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Revisions {
-    /// Of the configuration.
-    pub(crate) configuration: i64,
-    /// Of the newest fact on workers.
-    pub(crate) workers: i64,
-}
-
 /// Facts as peers hand them on.
 #[derive(Serialize, Deserialize)]
 pub(crate) struct SharedFacts {
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -2,10 +2,10 @@
 
 use crate::facts::Facts;
 use crate::jobs::Jobs;
-use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::store::StoreClient;
 use bluebellreel_dispatch::{Board, Configuration, PlacementLimits};
+use bluebellreel_members::Members;
 use bluebellreel_net::{Pool, PoolLimits};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_types::{Clock, EntryName, Incarnation, Moment};
--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -5,7 +5,6 @@
 //! death threw away some thirty seconds of engine time. Copies are full, not
 //! differences: one that is lost is made up for by the next.
 
-use super::takeover::heir;
 use crate::gateway::Gateway;
 use crate::peer_calls;
 use bluebellreel_batch::ItemProgress;
@@ -52,11 +51,12 @@
 }
 
 async fn copy(gw: &Rc<Gateway>, id: &JobId, items: &[ItemProgress]) {
-    let Some(heir) = heir(gw, id, false) else {
-        return;
+    let found = {
+        let members = gw.members.borrow();
+        let heir = members.heir(id, None, gw.now());
+        heir.and_then(|h| Some((members.alive(&h, gw.now())?.calls, h)))
     };
-    let peer = gw.members.borrow().alive(&heir, gw.now()).cloned();
-    let Some(peer) = peer else {
+    let Some((calls, heir)) = found else {
         return;
     };
     let body = match postcard::to_allocvec(items) {
@@ -66,7 +66,7 @@
             return;
         }
     };
-    if let Err(e) = peer_calls::copy_progress(gw, peer.calls, id, body).await {
+    if let Err(e) = peer_calls::copy_progress(gw, calls, id, body).await {
         warn!(target: "jobs", job:% = id, peer:% = heir, error = e.as_str(); "progress not copied");
     }
 }
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -141,20 +141,18 @@
     info!(target: "jobs", job:% = id, revision; "job ended by its sender");
     gw.jobs.borrow_mut().let_go(id);
     let until = gw.now() + TELL;
-    let told = id.to_string();
-    gw.members.borrow_mut().cancelled.insert(told, until);
+    gw.jobs.borrow_mut().ended.insert(id.clone(), until);
     gw.report_due.notify_one();
     answers::status(StatusCode::OK)
 }
 
 /// A peer says that a job was ended.
-pub(crate) fn heard_cancelled(gw: &Gateway, id: &str) {
-    let id = JobId::from(id);
-    let owned = gw.jobs.borrow().own.get(&id).cloned();
+pub(crate) fn heard_cancelled(gw: &Gateway, id: &JobId) {
+    let owned = gw.jobs.borrow().own.get(id).cloned();
     let Some(owned) = owned else {
         return;
     };
     info!(target: "jobs", job:% = id; "job ended, says a peer");
     stop_running(gw, &owned);
-    gw.jobs.borrow_mut().let_go(&id);
+    gw.jobs.borrow_mut().let_go(id);
 }
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -3,7 +3,7 @@
 use super::accept::adopt;
 use super::load;
 use super::own::OwnedJob;
-use super::takeover::{heir, owner_txn};
+use super::takeover::owner_txn;
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
 use bluebellreel_batch::{ItemPhase, ItemProgress, JobRecord, Owner};
@@ -49,7 +49,8 @@
     if !owned.job.borrow().is_open() || !gw.jobs.borrow().own.contains_key(&id) {
         return;
     }
-    let Some(to) = heir(&gw, &id, false) else {
+    let to = gw.members.borrow().heir(&id, None, gw.now());
+    let Some(to) = to else {
         warn!(target: "jobs", job:% = id; "nobody to hand the job over to");
         return;
     };
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -69,6 +69,9 @@
     /// Jobs that were owned here or that peers have reported as theirs.
     reported: HashSet<JobId>,
     pub(crate) archive: Archive,
+    /// Jobs that their senders ended lately, with when peers need no longer be
+    /// told.
+    pub(crate) ended: BTreeMap<JobId, Moment>,
     /// How far the items of peers' jobs are that this daemon would take over.
     pub(crate) copies: ProgressCopies,
     /// Wakes the task that looks for jobs without an owner.
@@ -95,6 +98,7 @@
             orphans: HashMap::new(),
             reported: HashSet::new(),
             archive: Archive::default(),
+            ended: BTreeMap::new(),
             copies: ProgressCopies::new(COPIES_BYTES),
             orphans_due: Rc::default(),
         }
@@ -144,6 +148,17 @@
         self.own.keys().take(REPORTED).cloned().collect()
     }
 
+    /// Jobs that peers are told were ended.
+    pub(crate) fn ended_lately(&self) -> Vec<JobId> {
+        self.ended.keys().cloned().collect()
+    }
+
+    /// Forgets what has outlived its time.
+    pub(crate) fn sweep(&mut self, now: Moment) {
+        self.copies.sweep(now);
+        self.ended.retain(|_, until| !until.is_past(now));
+    }
+
     /// Items that wait for a slot.
     pub(crate) fn items_waiting(&self) -> u32 {
         let open = self
--- a/crates/bluebellreel_gateway/src/jobs/quota.rs
+++ b/crates/bluebellreel_gateway/src/jobs/quota.rs
@@ -18,8 +18,10 @@
     let own = gw.jobs.borrow().tokens_by_route();
     let own = own.get(route).copied().unwrap_or(0);
     let members = gw.members.borrow();
-    let peers = members.peers.values();
-    let theirs: u64 = peers.filter_map(|p| p.tokens.get(route)).sum();
+    let theirs: u64 = members
+        .peers()
+        .filter_map(|(_, p)| p.tokens.get(route))
+        .sum();
     own + theirs
 }
 
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -6,12 +6,12 @@
 use crate::registration;
 use bluebellreel_batch::{Custody, JobPhase, JobRecord, Owner, OwnerSign, custody, keys};
 use bluebellreel_kv::{Commit, Compare, Key, KvError, Put, Txn};
-use bluebellreel_types::{EntryName, JobId};
+use bluebellreel_members::Presence;
+use bluebellreel_types::JobId;
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
-use twox_hash::XxHash64;
 
 /// Time between looks when nothing hints at a lost owner.
 const LOOK: Duration = Duration::from_secs(6);
@@ -90,22 +90,15 @@
     Ok(left)
 }
 
-/// Whether this daemon is the first of those that live, which looks more often
-/// than the others.
+/// Whether this daemon looks more often than the others.
 fn is_caretaker(gw: &Gateway) -> bool {
-    let heard = gw.members.borrow().heard(gw.now());
-    heard.iter().all(|peer| gw.me() < peer)
+    gw.members.borrow().is_caretaker(gw.me(), gw.now())
 }
 
 /// Whether a peer that is heard says that it owns a job; saves reading the
 /// record.
 fn has_owner(gw: &Gateway, id: &JobId) -> bool {
-    let members = gw.members.borrow();
-    let heard = members.heard(gw.now());
-    heard
-        .iter()
-        .filter_map(|name| members.peers.get(name))
-        .any(|peer| peer.jobs.contains(id))
+    gw.members.borrow().is_owned(id, gw.now())
 }
 
 /// Takes a job over if its owner is gone and this daemon is the one to do so;
@@ -138,25 +131,30 @@
     let members = gw.members.borrow();
     jobs.owners
         .get(id)
-        .is_some_and(|o| members.sign_of(&o.entry, o.run, gw.now()) == OwnerSign::Silent)
+        .is_some_and(|o| members.presence(&o.entry, o.run, gw.now()) == Presence::Silent)
 }
 
 fn sign_of(gw: &Gateway, owner: &Owner) -> OwnerSign {
-    if owner.entry != *gw.me() {
-        let members = gw.members.borrow();
-        return members.sign_of(&owner.entry, owner.run, gw.now());
+    if owner.entry == *gw.me() {
+        let is_now = owner.run == gw.run;
+        return if is_now {
+            OwnerSign::Me
+        } else {
+            OwnerSign::Gone
+        };
     }
-    if owner.run == gw.run {
-        OwnerSign::Me
-    } else {
-        OwnerSign::Gone
+    let members = gw.members.borrow();
+    match members.presence(&owner.entry, owner.run, gw.now()) {
+        Presence::Heard => OwnerSign::Heard,
+        Presence::Silent => OwnerSign::Silent,
+        Presence::Gone => OwnerSign::Gone,
     }
 }
 
-/// Whether this daemon takes a job over: the first by rendezvous of those that
-/// live and do not stop.
+/// Whether this daemon takes a job over first.
 fn is_heir(gw: &Gateway, id: &JobId) -> bool {
-    heir(gw, id, true).is_some_and(|name| name == *gw.me())
+    let members = gw.members.borrow();
+    members.heir(id, Some(gw.me()), gw.now()).as_ref() == Some(gw.me())
 }
 
 /// Whether this daemon is the one that looks after jobs that their heir leaves
@@ -169,21 +167,6 @@
     is_caretaker(gw) && (found_at + LEFT_BY_HEIR).is_past(now)
 }
 
-/// The daemon that should have a job.
-pub(super) fn heir(gw: &Gateway, id: &JobId, with_me: bool) -> Option<EntryName> {
-    let members = gw.members.borrow();
-    let now = gw.now();
-    let peers = members.peers.keys().filter(|name| {
-        let peer = members.alive(name, now);
-        peer.is_some_and(|p| !p.stopping)
-    });
-    let me = with_me.then(|| gw.me());
-    peers
-        .chain(me)
-        .max_by_key(|name| XxHash64::oneshot(0, format!("{id}/{name}").as_bytes()))
-        .cloned()
-}
-
 async fn claim(
     gw: &Rc<Gateway>,
     id: &JobId,
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -23,7 +23,6 @@
 mod facts;
 mod gateway;
 mod jobs;
-mod members;
 mod metrics;
 mod online;
 mod peer_api;
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -2,9 +2,9 @@
 
 use crate::answers;
 use crate::detour;
-use crate::facts::Revisions;
 use crate::gateway::Gateway;
 use crate::jobs;
+use bluebellreel_members::Revisions;
 use bluebellreel_net::{Body, read_body};
 use bluebellreel_types::JobId;
 use bytes::Bytes;
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -1,7 +1,8 @@
 //! Calls to peers.
 
-use crate::facts::{Revisions, SharedFacts};
+use crate::facts::SharedFacts;
 use crate::gateway::Gateway;
+use bluebellreel_members::Revisions;
 use bluebellreel_net::Reuse;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -5,8 +5,8 @@
 //! it again.
 
 use crate::gateway::Gateway;
-use crate::members::MemberEntry;
 use bluebellreel_kv::{Commit, Key, KeyValue, KvError, Put, Txn};
+use bluebellreel_members::MemberEntry;
 use bluebellreel_types::EntryName;
 use log::{info, warn};
 use std::rc::Rc;
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -4,12 +4,12 @@
 //! few milliseconds apart, and four times a second in any case. It is complete
 //! in itself: one that is lost is made up for by the next.
 
-use crate::facts::{Revisions, SharedFacts, follow_workers};
+use crate::facts::{SharedFacts, follow_workers};
 use crate::gateway::Gateway;
 use crate::jobs::KnownOwner;
-use crate::members::{Peer, SILENT};
 use crate::peer_calls;
 use bluebellreel_dispatch::{PeerLoad, Running};
+use bluebellreel_members::{Peer, Revisions, SILENT};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use log::{info, warn};
 use rand::RngExt;
@@ -54,7 +54,7 @@
     running: Vec<(WorkerName, u32, u32)>,
     waiting: u32,
     tokens: Vec<(String, u64)>,
-    cancelled: Vec<String>,
+    cancelled: Vec<JobId>,
 }
 
 fn report(gw: &Gateway, sequence: u64) -> Report {
@@ -77,7 +77,7 @@
         running: running.collect(),
         waiting: gw.jobs.borrow().items_waiting(),
         tokens: gw.jobs.borrow().tokens_by_route().into_iter().collect(),
-        cancelled: gw.members.borrow().cancelled.keys().cloned().collect(),
+        cancelled: gw.jobs.borrow().ended_lately(),
     }
 }
 
@@ -119,7 +119,7 @@
 /// Peers that are known, and seeds as long as they are not among them.
 fn targets(gw: &Gateway) -> BTreeSet<SocketAddr> {
     let members = gw.members.borrow();
-    let mut targets: BTreeSet<SocketAddr> = members.peers.values().map(|p| p.reports).collect();
+    let mut targets: BTreeSet<SocketAddr> = members.peers().map(|(_, p)| p.reports).collect();
     let port = gw.settings.reports.port();
     let seeds = gw.seeds.borrow();
     targets.extend(seeds.iter().map(|s| SocketAddr::new(s.ip(), port)));
@@ -185,29 +185,25 @@
 }
 
 fn note_peer(gw: &Gateway, report: Report, now: Moment) {
-    let mut members = gw.members.borrow_mut();
-    let known = members.peers.get(&report.entry);
-    let registered = known.is_some_and(|p| p.run == report.run && p.registered);
-    // A daemon that was restarted at once is never missed, but the jobs of its
-    // run before have no owner now.
-    if known.is_none_or(|p| p.run != report.run || p.heard_at.is_none()) {
-        gw.jobs.borrow().orphans_due.notify_one();
-        info!(target: "members", peer:% = report.entry, run:% = report.run; "peer heard");
-    }
     let peer = Peer {
         run: report.run,
         calls: report.calls,
         reports: report.reports,
         heard_at: Some(now),
         stopping: report.stopping,
-        registered,
+        registered: false,
         jobs: report.jobs.into_iter().collect(),
         tokens: report.tokens.into_iter().collect::<BTreeMap<_, _>>(),
         reaches_store: report.reaches_store,
         served_s: report.served_s,
         revisions: report.revisions,
     };
-    members.peers.insert(report.entry, peer);
+    let is_news = gw.members.borrow_mut().hear(report.entry.clone(), peer);
+    if is_news {
+        // The jobs of its run before, if any, have no owner now.
+        gw.jobs.borrow().orphans_due.notify_one();
+        info!(target: "members", peer:% = report.entry, run:% = report.run; "peer heard");
+    }
 }
 
 /// Asks a peer for what it knows and we do not; one question at a time.
@@ -221,7 +217,7 @@
     }
     let (gw, asking) = (gw.clone(), asking.clone());
     tokio::task::spawn_local(async move {
-        let peers = gw.members.borrow().peers.len();
+        let peers = gw.members.borrow().peers().count();
         let wait = gap(peers).mul_f64(gw.rng.borrow_mut().random_range(0.0..1.0));
         sleep(wait).await;
         let knowing = peers_that_know_more(&gw);
@@ -236,9 +232,8 @@
 fn peers_that_know_more(gw: &Gateway) -> Vec<(EntryName, SocketAddr)> {
     let facts = gw.facts.borrow();
     let members = gw.members.borrow();
-    let heard = members.heard(gw.now());
-    let heard = heard.iter().filter_map(|n| members.peers.get_key_value(n));
-    heard
+    members
+        .heard(gw.now())
         .filter(|(_, peer)| facts.lacks(peer.revisions))
         .map(|(name, peer)| (name.clone(), peer.calls))
         .collect()
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -176,7 +176,7 @@
     if gw.members.borrow_mut().has_lost_peer(now) {
         gw.jobs.borrow().orphans_due.notify_one();
     }
-    gw.jobs.borrow_mut().copies.sweep(now);
+    gw.jobs.borrow_mut().sweep(now);
     gw.board.borrow_mut().forget_silent(now);
     gw.board.borrow_mut().paces.sweep(now);
     let expired = gw.facts.borrow_mut().catalog.expire(now);
@@ -199,7 +199,7 @@
     metrics.store_failures.set(total(failures));
     let seats = gw.board.borrow().seats().count();
     metrics.workers.set(count(seats));
-    let heard = gw.members.borrow().heard(gw.now()).len();
+    let heard = gw.members.borrow().heard(gw.now()).count();
     metrics.peers.set(count(heard));
     metrics.configuration_version.set(total(version));
     metrics.lines_dropped.set(total(lines_dropped));
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -10,17 +10,13 @@
 use bluebellreel_kv::{Key, KeyValue, KvError, Txn, WatchEvent};
 use bluebellreel_platform::store::Watched;
 use bluebellreel_platform::{decode_worker, keys};
-use bluebellreel_types::{EntryName, Moment, WorkerName};
+use bluebellreel_types::{Moment, WorkerName};
 use log::{info, warn};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
-use twox_hash::XxHash64;
 
-/// Daemons that watch. Two, as one may be turned away, or its connection
-/// silent, without anybody knowing yet.
-const WATCHERS: usize = 2;
 /// Longest wait of one watch. A connection that has silently died brings
 /// nothing, nor does a watch that the store has lost; what was missed shows
 /// within this time. Operators expect a change in force within two seconds.
@@ -38,17 +34,10 @@
 /// How long the answer to a request to empty a VM is repeated.
 const SAY_EMPTY: Duration = Duration::from_secs(30);
 
-/// Whether this daemon is one of those that watch: the first by rank of those
-/// that are heard and reach the store.
+/// Whether this daemon is one of those that watch.
 fn is_watcher(gw: &Gateway) -> bool {
-    let rank = |name: &EntryName| XxHash64::oneshot(1, name.as_str().as_bytes());
-    let mine = rank(gw.me());
     let members = gw.members.borrow();
-    let mut others = members.heard_with_store(gw.now());
-    if gw.store.is_lost() {
-        return others.next().is_none();
-    }
-    others.filter(|n| rank(n) > mine).count() < WATCHERS
+    members.is_watcher(gw.me(), !gw.store.is_lost(), gw.now())
 }
 
 /// Keeps the configuration current, and answers requests to empty VMs.
--- /dev/null
+++ b/crates/bluebellreel_members/src/members.rs
@@ -0,0 +1,159 @@
+//! All peers, and who does what among them.
+
+use crate::peer::{LONG_SILENT, MemberEntry, Peer, Presence, rank, rank_for};
+use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Daemons that watch the store for all. Two, as one may be turned away, or its
+/// connection silent, without anybody knowing yet.
+const WATCHERS: usize = 2;
+
+/// All peers.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    peers: BTreeMap<EntryName, Peer>,
+    last_heard: BTreeSet<EntryName>,
+    revision: i64,
+}
+
+impl Members {
+    /// All peers that are known, heard or not.
+    pub fn peers(&self) -> impl Iterator<Item = (&EntryName, &Peer)> {
+        self.peers.iter()
+    }
+
+    /// Peers that were heard lately.
+    pub fn heard(&self, now: Moment) -> impl Iterator<Item = (&EntryName, &Peer)> {
+        self.peers.iter().filter(move |(_, p)| p.is_heard(now))
+    }
+
+    /// Peers that were heard lately and reach the store.
+    pub fn heard_with_store(&self, now: Moment) -> impl Iterator<Item = (&EntryName, &Peer)> {
+        self.heard(now).filter(|(_, p)| p.reaches_store)
+    }
+
+    /// A peer that is heard.
+    #[must_use]
+    pub fn alive(&self, name: &EntryName, now: Moment) -> Option<&Peer> {
+        self.peers.get(name).filter(|p| p.is_heard(now))
+    }
+
+    /// Whether the store has served some peer for so long without an outage.
+    #[must_use]
+    pub fn is_served_for(&self, span: Duration, now: Moment) -> bool {
+        self.heard(now)
+            .any(|(_, p)| u64::from(p.served_s) >= span.as_secs())
+    }
+
+    /// Age of the oldest report that is still counted.
+    #[must_use]
+    pub fn oldest_report(&self, now: Moment) -> Duration {
+        let ages = self.heard(now).filter_map(|(_, p)| p.heard_at);
+        ages.map(|at| now.since(at)).max().unwrap_or_default()
+    }
+
+    /// Whether a peer that is heard says that it owns a job.
+    #[must_use]
+    pub fn is_owned(&self, job: &JobId, now: Moment) -> bool {
+        self.heard(now).any(|(_, p)| p.jobs.contains(job))
+    }
+
+    /// What is known of a run of a daemon. One that has been silent for long
+    /// counts as gone though its entry stands: nobody can reach it.
+    #[must_use]
+    pub fn presence(&self, name: &EntryName, run: Incarnation, now: Moment) -> Presence {
+        let Some(peer) = self.peers.get(name).filter(|p| p.run == run) else {
+            return Presence::Gone;
+        };
+        if peer.is_heard(now) {
+            Presence::Heard
+        } else if peer.registered && peer.heard_within(LONG_SILENT, now) {
+            Presence::Silent
+        } else {
+            Presence::Gone
+        }
+    }
+
+    /// Whether daemon `me`, which reaches the store or not, watches it for the
+    /// others: the first by rank of those that are heard and reach it do.
+    #[must_use]
+    pub fn is_watcher(&self, me: &EntryName, reaches_store: bool, now: Moment) -> bool {
+        let mut others = self.heard_with_store(now);
+        if !reaches_store {
+            return others.next().is_none();
+        }
+        let before_me = others.filter(|(name, _)| rank(name) > rank(me));
+        before_me.count() < WATCHERS
+    }
+
+    /// Whether daemon `me` is the first of those that live, which looks after
+    /// what others leave.
+    #[must_use]
+    pub fn is_caretaker(&self, me: &EntryName, now: Moment) -> bool {
+        self.heard(now).all(|(peer, _)| me < peer)
+    }
+
+    /// The daemon that should have a job: of those that live and do not stop,
+    /// `me` among them if it is given, the first by the job's own order.
+    #[must_use]
+    pub fn heir(&self, job: &JobId, me: Option<&EntryName>, now: Moment) -> Option<EntryName> {
+        let able = self.heard(now).filter(|(_, p)| !p.stopping);
+        let names = able.map(|(name, _)| name).chain(me);
+        names.max_by_key(|name| rank_for(name, job)).cloned()
+    }
+
+    /// Takes a peer's word over; whether it was not heard before as this run.
+    ///
+    /// A daemon that is killed and back within half a second is never missed,
+    /// but the jobs of its run before have no owner: its new run is news.
+    pub fn hear(&mut self, name: EntryName, mut peer: Peer) -> bool {
+        let known = self.peers.get(&name).filter(|p| p.run == peer.run);
+        peer.registered = known.is_some_and(|p| p.registered);
+        let is_news = known.is_none_or(|p| p.heard_at.is_none());
+        self.peers.insert(name, peer);
+        is_news
+    }
+
+    /// Whether a peer has fallen silent since the last call.
+    pub fn has_lost_peer(&mut self, now: Moment) -> bool {
+        let heard: BTreeSet<EntryName> = self.heard(now).map(|(name, _)| name.clone()).collect();
+        let lost = self.last_heard.difference(&heard).next().is_some();
+        self.last_heard = heard;
+        lost
+    }
+
+    /// Takes the entries of the store over, as listed at a revision.
+    pub fn listed(&mut self, list: Vec<(EntryName, MemberEntry)>, revision: i64) {
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
+        let names: BTreeSet<EntryName> = list.iter().map(|(n, _)| n.clone()).collect();
+        for (name, entry) in list {
+            self.entered(name, entry);
+        }
+        for (name, peer) in &mut self.peers {
+            peer.registered &= names.contains(name);
+        }
+    }
+
+    /// A daemon has an entry in the store.
+    fn entered(&mut self, name: EntryName, entry: MemberEntry) {
+        match self.peers.get_mut(&name) {
+            Some(peer) if peer.run == entry.run => peer.registered = true,
+            // A peer that is heard under another run tells better than an
+            // entry that may be its last run's.
+            Some(peer) if peer.heard_at.is_some() && !peer.registered => {}
+            _ => {
+                self.peers.insert(name, Peer::entered(entry));
+            }
+        }
+    }
+
+    /// Forgets peers that neither stand in the store nor are heard.
+    pub fn sweep(&mut self, now: Moment) {
+        self.peers
+            .retain(|_, peer| peer.registered || peer.heard_within(LONG_SILENT, now));
+    }
+}
--- /dev/null
+++ b/crates/bluebellreel_members/src/peer.rs
@@ -0,0 +1,114 @@
+//! One peer.
+
+use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Silence after which a peer no longer counts as alive. It reports four times
+/// a second; a few reports are lost now and then.
+pub const SILENT: Duration = Duration::from_millis(1500);
+/// Silence after which a peer whose entry in the store still stands counts as
+/// gone: its entry cannot be seen to end while the store is away.
+pub const LONG_SILENT: Duration = Duration::from_secs(8);
+
+/// How far some daemon's knowledge of the store goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revisions {
+    /// Of the configuration.
+    pub configuration: i64,
+    /// Of the newest fact on workers.
+    pub workers: i64,
+}
+
+/// A daemon's entry in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberEntry {
+    /// Its run.
+    pub run: Incarnation,
+    /// Where it takes calls of peers.
+    pub calls: SocketAddr,
+    /// Where it takes reports.
+    pub reports: SocketAddr,
+}
+
+/// Whether a run of a daemon is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It reports.
+    Heard,
+    /// It has fallen silent, and its entry in the store stands.
+    Silent,
+    /// It is certainly not at work any more, or nobody can reach it.
+    Gone,
+}
+
+/// One peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its run.
+    pub run: Incarnation,
+    /// Where it takes calls of peers.
+    pub calls: SocketAddr,
+    /// Where it takes reports.
+    pub reports: SocketAddr,
+    /// When it was heard last; never, if only its entry is known.
+    pub heard_at: Option<Moment>,
+    /// Whether it is about to end.
+    pub stopping: bool,
+    /// Whether its entry stands in the store, as far as is known.
+    pub registered: bool,
+    /// How long the store has served it without an outage; in seconds.
+    pub served_s: u32,
+    /// How far its knowledge goes.
+    pub revisions: Revisions,
+    /// Jobs that it owns.
+    pub jobs: BTreeSet<JobId>,
+    /// Tokens of its jobs that wait, by route.
+    pub tokens: BTreeMap<String, u64>,
+    /// Whether it reaches the store, as far as it knows.
+    pub reaches_store: bool,
+}
+
+impl Peer {
+    /// A peer of which only the entry is known.
+    #[must_use]
+    pub fn entered(entry: MemberEntry) -> Self {
+        Self {
+            run: entry.run,
+            calls: entry.calls,
+            reports: entry.reports,
+            heard_at: None,
+            stopping: false,
+            registered: true,
+            served_s: 0,
+            revisions: Revisions::default(),
+            jobs: BTreeSet::new(),
+            tokens: BTreeMap::new(),
+            reaches_store: true,
+        }
+    }
+
+    /// Whether it was heard lately.
+    #[must_use]
+    pub fn is_heard(&self, now: Moment) -> bool {
+        self.heard_within(SILENT, now)
+    }
+
+    /// Whether it was heard within a time.
+    #[must_use]
+    pub fn heard_within(&self, span: Duration, now: Moment) -> bool {
+        self.heard_at.is_some_and(|at| !(at + span).is_past(now))
+    }
+}
+
+/// Where a daemon stands in an order that all agree on.
+pub(crate) fn rank(name: &EntryName) -> u64 {
+    twox_hash::XxHash64::oneshot(1, name.as_str().as_bytes())
+}
+
+/// The same for one job, so that jobs of a dead daemon spread over the others.
+pub(crate) fn rank_for(name: &EntryName, job: &JobId) -> u64 {
+    twox_hash::XxHash64::oneshot(0, format!("{job}/{name}").as_bytes())
+}
--- /dev/null
+++ b/crates/bluebellreel_members/tests/members.rs
@@ -0,0 +1,160 @@
+//! Who lives, and who does what.
+
+use bluebellreel_members::{LONG_SILENT, MemberEntry, Members, Peer, Presence, SILENT};
+use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const NOW: Moment = Moment(100_000_000);
+/// Longer ago than any silence that is forgiven.
+const LONG_AGO: Moment = Moment(0);
+const TICK: Duration = Duration::from_millis(1);
+
+fn name(n: usize) -> EntryName {
+    EntryName::from(format!("entry-{n}"))
+}
+
+fn entry(run: u64) -> MemberEntry {
+    let address = SocketAddr::from(([127, 0, 0, 1], 8000));
+    MemberEntry {
+        run: Incarnation(run),
+        calls: address,
+        reports: address,
+    }
+}
+
+fn peer(run: u64, heard_at: Moment) -> Peer {
+    Peer {
+        heard_at: Some(heard_at),
+        registered: false,
+        ..Peer::entered(entry(run))
+    }
+}
+
+fn heard(count: usize) -> Members {
+    let mut members = Members::default();
+    for n in 1..=count {
+        members.hear(name(n), peer(1, NOW));
+    }
+    members
+}
+
+/// A job's owner is killed and back within half a second. Its peers never miss
+/// it, and if its new run were not news to them, nobody would look for the jobs
+/// of the run before: they lay open for ever.
+#[test]
+fn a_new_run_of_a_known_daemon_is_news() {
+    let mut members = Members::default();
+    assert!(members.hear(name(1), peer(1, NOW)));
+    assert!(!members.hear(name(1), peer(1, NOW + TICK)));
+    assert!(members.hear(name(1), peer(2, NOW + TICK)));
+    let run = |n| members.presence(&name(1), Incarnation(n), NOW + TICK);
+    assert_eq!((run(1), run(2)), (Presence::Gone, Presence::Heard));
+}
+
+/// Its entry was read before it was heard; the first report is news all the
+/// same, as it may have jobs that nobody asked it for.
+#[test]
+fn the_first_report_of_an_entered_daemon_is_news() {
+    let mut members = Members::default();
+    members.listed(vec![(name(1), entry(1))], 5);
+    assert!(members.hear(name(1), peer(1, NOW)));
+}
+
+/// A daemon falls silent. While its entry stands it may only be cut off from
+/// its peers, for a while; then nobody can reach it, and it counts as gone.
+#[test]
+fn a_silent_daemon_is_gone_with_its_entry_or_after_long_silence() {
+    let mut members = Members::default();
+    members.hear(name(1), peer(1, NOW));
+    members.listed(vec![(name(1), entry(1))], 5);
+    let presence =
+        |m: &Members, after: Duration| m.presence(&name(1), Incarnation(1), NOW + after + TICK);
+    assert_eq!(presence(&members, Duration::ZERO), Presence::Heard);
+    assert_eq!(presence(&members, SILENT), Presence::Silent);
+    assert_eq!(presence(&members, LONG_SILENT), Presence::Gone);
+    members.listed(Vec::new(), 6);
+    assert_eq!(presence(&members, SILENT), Presence::Gone);
+}
+
+/// A list that was on its way while a newer one was read brings back an entry
+/// that has ended: the dead daemon's jobs would wait for it.
+#[test]
+fn an_older_list_changes_nothing() {
+    let mut members = Members::default();
+    members.hear(name(1), peer(1, NOW));
+    members.listed(Vec::new(), 6);
+    members.listed(vec![(name(1), entry(1))], 5);
+    let later = NOW + SILENT + TICK;
+    assert_eq!(
+        members.presence(&name(1), Incarnation(1), later),
+        Presence::Gone
+    );
+}
+
+/// Two watch for all; a third only takes their word. One that the store turns
+/// away watches only where nobody else can.
+#[test]
+fn two_daemons_watch_the_store() {
+    let members = heard(6);
+    let watchers = (1..=6).filter(|n| {
+        let mut others = members.clone();
+        others.hear(name(*n), peer(1, LONG_AGO));
+        others.is_watcher(&name(*n), true, NOW)
+    });
+    assert_eq!(watchers.count(), 2);
+    assert!(!members.is_watcher(&name(7), false, NOW));
+    assert!(Members::default().is_watcher(&name(7), false, NOW));
+    let mut turned_away = Members::default();
+    let outcast = Peer {
+        reaches_store: false,
+        ..peer(1, NOW)
+    };
+    turned_away.hear(name(1), outcast);
+    assert!(turned_away.is_watcher(&name(7), true, NOW));
+}
+
+/// A daemon dies and its jobs go to the others. All must name the same heir for
+/// a job, never one that stops, and not the same for all jobs.
+#[test]
+fn heirs_are_agreed_on_and_spread() {
+    let members = heard(4);
+    let mut chosen = std::collections::BTreeSet::new();
+    for job in 0..40 {
+        let job = JobId::from(format!("job-{job}").as_str());
+        let heir = members.heir(&job, None, NOW).expect("four live");
+        // The heir, asked itself, comes to the same.
+        let mut others = members.clone();
+        others.hear(heir.clone(), peer(1, LONG_AGO));
+        assert_eq!(others.heir(&job, Some(&heir), NOW), Some(heir.clone()));
+        chosen.insert(heir.clone());
+        let mut stops = members.clone();
+        let stopping = Peer {
+            stopping: true,
+            ..peer(1, NOW)
+        };
+        stops.hear(heir.clone(), stopping);
+        assert_ne!(stops.heir(&job, None, NOW), Some(heir));
+    }
+    assert_eq!(chosen.len(), 4);
+}
+
+#[test]
+fn a_lost_peer_shows_once() {
+    let mut members = heard(2);
+    assert!(!members.has_lost_peer(NOW));
+    let later = NOW + SILENT + TICK;
+    members.hear(name(1), peer(1, later));
+    assert!(members.has_lost_peer(later));
+    assert!(!members.has_lost_peer(later));
+}
+
+/// Addresses of daemons that are gone for good would be sent reports for ever.
+#[test]
+fn daemons_that_are_gone_are_forgotten() {
+    let mut members = heard(2);
+    members.listed(vec![(name(1), entry(1))], 5);
+    members.sweep(NOW + LONG_SILENT + TICK);
+    let left: Vec<_> = members.peers().map(|(n, _)| n.clone()).collect();
+    assert_eq!(left, [name(1)]);
+}
--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -1,5 +1,7 @@
 //! A soak of real gateways with faults from outside, for seeds one after the
-//! other: `cargo run --release --example soak -- FIRST COUNT SECONDS`.
+//! other: `cargo run --release --example soak -- FIRST COUNT SECONDS GATEWAYS
+//! WORKERS`. Odd seeds bring changes of configuration, workers, settings and
+//! store as well.
 //!
 //! Prints a line a seed, and for a broken promise the faults that led to it.
 //! Settings and logs of a seed stay in a folder under the system's folder for
@@ -16,6 +18,8 @@
     let first = numbers.first().copied().unwrap_or(1);
     let count = numbers.get(1).copied().unwrap_or(1);
     let seconds = numbers.get(2).copied().unwrap_or(20);
+    let gateways = usize::try_from(numbers.get(3).copied().unwrap_or(3))?;
+    let workers = usize::try_from(numbers.get(4).copied().unwrap_or(4))?;
     let here = std::env::current_exe()?;
     let folder = here.parent().and_then(|p| p.parent());
     let program = folder.map(|p| p.join("bluebellreel")).unwrap_or_default();
@@ -25,8 +29,9 @@
         let report = soak(SoakPlan {
             seed,
             span: Duration::from_secs(seconds),
-            gateways: 3,
-            workers: 4,
+            gateways,
+            workers,
+            changes: seed % 2 == 1,
             program: program.clone(),
             folder: folder.clone(),
         })?;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,13 +4,14 @@
 use bluebellreel_platform_standins::{SoakPlan, soak};
 use std::time::Duration;
 
-fn play(seed: u64, seconds: u64) {
+fn play(seed: u64, seconds: u64, changes: bool) {
     let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
     let report = soak(SoakPlan {
         seed,
         span: Duration::from_secs(seconds),
         gateways: 3,
         workers: 4,
+        changes,
         program: env!("CARGO_BIN_EXE_bluebellreel").into(),
         folder: folder.clone(),
     })
@@ -30,16 +31,23 @@
 /// the end was not recorded, and the job lay open for ever.
 #[test]
 fn an_end_asked_for_during_an_outage_is_kept() {
-    play(18, 12);
+    play(18, 12, false);
 }
 
 /// The same, with the connection reset.
 #[test]
 fn an_end_asked_for_on_a_reset_connection_is_kept() {
-    play(59, 12);
+    play(59, 12, false);
 }
 
 #[test]
 fn promises_hold_under_faults_from_outside() {
-    play(1, 12);
+    play(1, 12, false);
+}
+
+/// Operators, workers, settings and the store change while the faults come, and
+/// callers keep connections open.
+#[test]
+fn promises_hold_under_faults_and_changes() {
+    play(2, 12, true);
 }
