--- a/crates/bluebellreel_entry/src/jobs/store.rs
+++ b/crates/bluebellreel_entry/src/jobs/store.rs
@@ -255,11 +255,7 @@
             Compare::Unchanged(running.clone(), revision),
         ],
         puts: vec![
-            Put {
-                key: done,
-                value: job_value(ended),
-                lease: 0,
-            },
+            Put::lasting(done, job_value(ended)),
             Put {
                 key: ended_key(
                     day_of(ended.ended_at.unwrap_or(ended.accepted_at)),
--- a/crates/bluebellreel_entry/src/jobs/upload.rs
+++ b/crates/bluebellreel_entry/src/jobs/upload.rs
@@ -182,11 +182,7 @@
 fn create_record(kv: &KvClient, record: JobRecord) -> Result<AcceptAnswer, ApiError> {
     let done = done_key(&record.id);
     let txn = Txn {
-        puts: vec![Put {
-            key: job_key(&record.id),
-            value: job_value(&record),
-            lease: 0,
-        }],
+        puts: vec![Put::lasting(job_key(&record.id), job_value(&record))],
         compares: vec![
             Compare::Absent(job_key(&record.id)),
             Compare::Absent(done.clone()),
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -193,7 +193,7 @@
         .iter()
         .enumerate()
         .map(|(at, chunk)| {
-            put(
+            Put::lasting(
                 key(&keys::input(id, at)),
                 bluebellreel_batch::encode_items(chunk),
             )
@@ -214,8 +214,8 @@
         }
     }
     let record_key = key(&keys::record(id));
-    puts.push(put(record_key.clone(), record.encode()));
-    puts.push(put(key(&keys::open(id)), Vec::new()));
+    puts.push(Put::lasting(record_key.clone(), record.encode()));
+    puts.push(Put::lasting(key(&keys::open(id)), Vec::new()));
     let txn = Txn {
         compares: vec![Compare::Absent(record_key.clone())],
         puts,
@@ -246,14 +246,6 @@
     puts.iter().map(|p| p.value.len()).sum()
 }
 
-fn put(key: Key, value: Vec<u8>) -> Put {
-    Put {
-        key,
-        value,
-        lease: 0,
-    }
-}
-
 /// Creates the record. A first try is short; once an answer was lost the write
 /// is repeated until it is decided. `None` if another acceptance on the route
 /// came first.
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -7,7 +7,7 @@
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
 use bluebellreel_batch::{JobPhase, JobRecord, keys};
-use bluebellreel_kv::{Commit, Compare, Put, Txn};
+use bluebellreel_kv::{Commit, Txn};
 use bluebellreel_net::Body;
 use bluebellreel_types::JobId;
 use http::{Response, StatusCode};
@@ -120,20 +120,13 @@
 }
 
 fn end_txn(id: &JobId, record: &JobRecord, revision: i64) -> Txn {
-    let record_key = key(&keys::record(id));
     let ended = JobRecord {
         phase: JobPhase::Cancelled,
         ..record.clone()
     };
     Txn {
-        compares: vec![Compare::Unchanged(record_key.clone(), revision)],
-        puts: vec![Put {
-            key: record_key,
-            value: ended.encode(),
-            lease: 0,
-        }],
         deletes: vec![key(&keys::open(id))],
-        ..Txn::default()
+        ..Txn::replace(key(&keys::record(id)), revision, ended.encode())
     }
 }
 
--- a/crates/bluebellreel_gateway/src/jobs/quota.rs
+++ b/crates/bluebellreel_gateway/src/jobs/quota.rs
@@ -72,10 +72,6 @@
         None => Compare::Absent(ledger_key.clone()),
     };
     let mut txn = txn.clone().and(compare);
-    txn.puts.push(Put {
-        key: ledger_key,
-        value: ledger.encode(),
-        lease: 0,
-    });
+    txn.puts.push(Put::lasting(ledger_key, ledger.encode()));
     Ok(Some(txn))
 }
--- a/crates/bluebellreel_gateway/src/jobs/record.rs
+++ b/crates/bluebellreel_gateway/src/jobs/record.rs
@@ -67,11 +67,7 @@
             Compare::Unchanged(record_key.clone(), job.revision),
             Compare::Absent(segment_key.clone()),
         ],
-        puts: vec![Put {
-            key: segment_key,
-            value: encode_segment(&segment.results),
-            lease: 0,
-        }],
+        puts: vec![Put::lasting(segment_key, encode_segment(&segment.results))],
         ..Txn::default()
     };
     if segment.last {
@@ -79,11 +75,7 @@
             phase: JobPhase::Done,
             ..job.record.clone()
         };
-        txn.puts.push(Put {
-            key: record_key,
-            value: done.encode(),
-            lease: 0,
-        });
+        txn.puts.push(Put::lasting(record_key, done.encode()));
         txn.deletes.push(key(&keys::open(&job.id)));
     }
     txn
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -5,7 +5,7 @@
 use crate::gateway::Gateway;
 use crate::registration;
 use bluebellreel_batch::{Custody, JobPhase, JobRecord, Owner, OwnerSign, custody, keys};
-use bluebellreel_kv::{Commit, Compare, Key, KvError, Put, Txn};
+use bluebellreel_kv::{Commit, Key, KvError, Txn};
 use bluebellreel_members::Presence;
 use bluebellreel_types::JobId;
 use log::{info, warn};
@@ -204,14 +204,5 @@
 
 /// A write that makes the record's owner the job's owner.
 pub(super) fn owner_txn(id: &JobId, record: &JobRecord, revision: i64) -> Txn {
-    let record_key = key(&keys::record(id));
-    Txn {
-        compares: vec![Compare::Unchanged(record_key.clone(), revision)],
-        puts: vec![Put {
-            key: record_key,
-            value: record.encode(),
-            lease: 0,
-        }],
-        ..Txn::default()
-    }
+    Txn::replace(key(&keys::record(id)), revision, record.encode())
 }
--- a/crates/bluebellreel_kv/src/txn.rs
+++ b/crates/bluebellreel_kv/src/txn.rs
@@ -22,6 +22,18 @@
     pub lease: i64,
 }
 
+impl Put {
+    /// A write that stays until it is replaced or removed.
+    #[must_use]
+    pub fn lasting(key: Key, value: Vec<u8>) -> Self {
+        Self {
+            key,
+            value,
+            lease: 0,
+        }
+    }
+}
+
 /// Writes that take effect together if all guards hold. The first put is the
 /// one by which a lost answer is resolved, so its guard must fail once the
 /// transaction has taken effect.
@@ -43,11 +55,7 @@
     pub fn create(key: Key, value: Vec<u8>) -> Self {
         Self {
             compares: vec![Compare::Absent(key.clone())],
-            puts: vec![Put {
-                key,
-                value,
-                lease: 0,
-            }],
+            puts: vec![Put::lasting(key, value)],
             ..Self::default()
         }
     }
@@ -57,11 +65,7 @@
     pub fn replace(key: Key, revision: i64, value: Vec<u8>) -> Self {
         Self {
             compares: vec![Compare::Unchanged(key.clone(), revision)],
-            puts: vec![Put {
-                key,
-                value,
-                lease: 0,
-            }],
+            puts: vec![Put::lasting(key, value)],
             ..Self::default()
         }
     }
