The operators' limit on heads is in force

Cause: the limit was read and not used; only bodies and idle times were bounded. A longer head gets 431 before anything is sent. Left: the time for a head to arrive is bounded by the idle time, as hyper knows one time for both.

--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -88,6 +88,9 @@
         let reason = "no configuration yet";
         return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, NOT_CONFIGURED);
     };
+    if head_bytes(&req) > configuration.limits.head_bytes {
+        return answers::status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    }
     if let Some(call) = ingress::job_call(&req) {
         return jobs::answer(gw, call).await;
     }
@@ -113,6 +116,13 @@
     online::answer(gw.clone(), request).await
 }
 
+/// Bytes of a request's head, without what the protocol adds between its parts.
+fn head_bytes<B>(req: &http::Request<B>) -> usize {
+    let headers = req.headers().iter();
+    let fields: usize = headers.map(|(n, v)| n.as_str().len() + v.len()).sum();
+    fields + req.uri().path().len() + req.uri().query().map_or(0, str::len)
+}
+
 async fn body_of(
     configuration: &Configuration,
     body: Incoming,
