Refused callers return the later the longer an overload has lasted

Cause: refused callers were told to return after 0.25 to 1.2 s whatever went on. In a burst of some seconds they returned into it, and most return only once.

How long a burst lasts is not known; the guess is that it goes on for as long as it has lasted (bluebellreel_dispatch::Overloads, pure, with its tests). Ruled out: a later fixed time (better at two sites, worse at the grown one).

--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod board;
 mod catalog;
 mod doubt;
+mod overload;
 mod pace;
 mod peer;
 mod place;
@@ -29,6 +30,7 @@
 pub use board::{Board, PlacementLimits, Seat};
 pub use catalog::{Catalog, WorkerRecord, WorkerState};
 pub use doubt::Doubt;
+pub use overload::{Overloads, return_after};
 pub use pace::Paces;
 pub use peer::{PeerLoad, Running};
 pub use place::{
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use crate::jobs::Jobs;
 use crate::metrics::Metrics;
 use crate::store::StoreClient;
-use bluebellreel_dispatch::{Board, Configuration, PlacementLimits};
+use bluebellreel_dispatch::{Board, Configuration, Overloads, PlacementLimits};
 use bluebellreel_members::Members;
 use bluebellreel_net::{Pool, PoolLimits};
 use bluebellreel_settings::GatewaySettings;
@@ -44,6 +44,7 @@
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) facts: RefCell<Facts>,
     pub(crate) board: RefCell<Board>,
+    pub(crate) overloads: RefCell<Overloads>,
     pub(crate) members: RefCell<Members>,
     pub(crate) jobs: RefCell<Jobs>,
     pub(crate) workers: Pool,
@@ -89,6 +90,7 @@
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
             facts: RefCell::default(),
             board: RefCell::new(board),
+            overloads: RefCell::default(),
             members: RefCell::default(),
             jobs: RefCell::default(),
             workers,
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -6,7 +6,7 @@
 use crate::ticket::Place;
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_dispatch::{
-    Class, Placement, Query, Route, RouteKind, place_online, should_leave,
+    Class, Placement, Query, Route, RouteKind, place_online, return_after, should_leave,
 };
 use bluebellreel_net::{Body, Reuse};
 use bluebellreel_platform::engine::Outgoing;
@@ -40,9 +40,6 @@
 /// Sends that nothing came of before a request is given up. Refusals by
 /// workers cost a round trip each.
 const MOST_REFUSALS: u32 = 4;
-/// Bounds of the time after which a refused caller should return: spread over
-/// a wave's length, so that callers do not return together.
-const RETURN_AFTER: (f64, f64) = (0.25, 1.2);
 
 /// A caller's request on its way.
 pub(crate) struct Request {
@@ -267,15 +264,10 @@
     let held = millis(req.received.elapsed());
     let mut answer = if req.runs == 0 {
         gw.metrics.request("refused");
-        let after = gw
-            .rng
-            .borrow_mut()
-            .random_range(RETURN_AFTER.0..RETURN_AFTER.1);
-        answers::come_back(
-            StatusCode::SERVICE_UNAVAILABLE,
-            reason,
-            Duration::from_secs_f64(after),
-        )
+        let lasted = gw.overloads.borrow_mut().refused(&req.service, gw.now());
+        let draw = gw.rng.borrow_mut().random_range(0.0..1.0);
+        let after = return_after(lasted, req.left(), draw);
+        answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, after)
     } else if req.left().is_zero() {
         gw.metrics.request("timed_out");
         answers::failure(StatusCode::GATEWAY_TIMEOUT, reason)
