--- a/crates/bluebellreel_job/src/owned.rs
+++ b/crates/bluebellreel_job/src/owned.rs
@@ -1,12 +1,12 @@
 //! A job as its owner sees it.
 
+mod handout;
 mod poll;
 mod report;
 
 use crate::input::{numbered_lines, read_line};
 use crate::{
-    ClaimedItem, InputItem, ItemEnd, ItemLease, ItemResult, JobCounts, JobRecord, JobState,
-    LeaseState,
+    ClaimedItem, InputItem, ItemEnd, ItemResult, JobCounts, JobRecord, JobState, LeaseState,
 };
 use bluebellreel_types::{AttemptId, Incarnation, Moment, RequestId, WorkerName};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -336,126 +336,6 @@
         self.retry_at = now + WRITE_PAUSE;
     }
 
-    /// Hands out up to `room` items to a worker that holds `held` of ours.
-    pub fn take(
-        &mut self,
-        room: usize,
-        worker: &WorkerName,
-        incarnation: Incarnation,
-        held: usize,
-        now: Moment,
-    ) -> Vec<ItemLease> {
-        let mut taken = Vec::new();
-        if self.closing || self.record.deadline.is_past(now) {
-            return taken;
-        }
-        // An item under suspicion goes out alone, so that it cannot take good
-        // items down with its worker.
-        if held == 0
-            && let Some(index) = self.pop_loaded_alone()
-        {
-            taken.extend(self.lease(index, worker, incarnation, now));
-            return taken;
-        }
-        while taken.len() < room {
-            let Some(index) = self.pop_loaded() else {
-                break;
-            };
-            taken.extend(self.lease(index, worker, incarnation, now));
-        }
-        taken
-    }
-
-    fn is_loaded(&self, index: u32) -> bool {
-        self.chunks.contains_key(&self.record.chunk_of(index))
-    }
-
-    fn pop_loaded_alone(&mut self) -> Option<u32> {
-        let index = *self.alone.front()?;
-        if self.is_loaded(index) {
-            self.alone.pop_front()
-        } else {
-            None
-        }
-    }
-
-    fn pop_loaded(&mut self) -> Option<u32> {
-        if let Some(index) = self.again.front().copied()
-            && self.is_loaded(index)
-        {
-            return self.again.pop_front();
-        }
-        while self.next_fresh < self.record.items {
-            let index = self.next_fresh;
-            if self.items[index as usize].state != ItemState::Waiting {
-                self.next_fresh += 1;
-                continue;
-            }
-            if !self.is_loaded(index) {
-                return None;
-            }
-            self.next_fresh += 1;
-            return Some(index);
-        }
-        None
-    }
-
-    fn lease(
-        &mut self,
-        index: u32,
-        worker: &WorkerName,
-        incarnation: Incarnation,
-        now: Moment,
-    ) -> Option<ItemLease> {
-        let chunk = self.record.chunk_of(index);
-        let first = self.record.chunks[chunk as usize].first;
-        let input = self.chunks.get(&chunk)?.get((index - first) as usize)?;
-        let item = &mut self.items[index as usize];
-        item.state = ItemState::Leased;
-        item.attempts += 1;
-        let number = u32::from(item.attempts);
-        let key = format!("{}/{}", self.record.id, input.custom_id);
-        let work = input.work(
-            &self.record.target,
-            &self.record.team,
-            &key,
-            self.repeatable,
-        );
-        let request = RequestId::random();
-        let until = now + self.limits.lease;
-        let lease = LeaseState {
-            index,
-            number,
-            worker: worker.clone(),
-            incarnation,
-            until,
-            in_doubt: false,
-        };
-        self.leases.insert(request, lease);
-        Some(ItemLease {
-            attempt: AttemptId { request, number },
-            work: Arc::new(work),
-            deadline: until.min(self.record.deadline),
-            resume: self.partials.remove(&index).unwrap_or_default(),
-        })
-    }
-
-    /// The claims to write before leased unrepeatable items are sent.
-    #[must_use]
-    pub fn claims_of(&self, attempts: impl Iterator<Item = AttemptId>) -> Vec<ClaimedItem> {
-        let claim = |attempt: AttemptId| {
-            let lease = self.leases.get(&attempt.request)?;
-            Some(ClaimedItem {
-                index: lease.index,
-                attempt,
-                worker: lease.worker.clone(),
-                incarnation: lease.incarnation,
-                deadline: lease.until,
-            })
-        };
-        attempts.filter_map(claim).collect()
-    }
-
     /// Results were written.
     pub fn note_recorded(&mut self, seq: u64, now: Moment) {
         let Some((writing, results)) = self.recording.take() else {
--- a/crates/bluebellreel_site/src/lib.rs
+++ b/crates/bluebellreel_site/src/lib.rs
@@ -11,12 +11,15 @@
 
 mod asking;
 mod caller;
+mod observed;
 mod plan;
+mod process;
 mod processes;
 mod site;
 
 pub use asking::{AskCounts, wait_until};
 pub use caller::{Caller, ItemLine, JobView, chat_body, chat_line, service_line};
 pub use plan::{Deployment, DiskPlan, SitePlan};
-pub use processes::{MODEL, Process, ProcessPlan, ProcessSite, retry, run_with_stand_ins};
+pub use process::Process;
+pub use processes::{MODEL, ProcessPlan, ProcessSite, retry, run_with_stand_ins};
 pub use site::{OPERATOR_TOKEN, Site, TEAM_TOKEN, WorkerParts};
--- a/crates/bluebellreel_site/src/processes.rs
+++ b/crates/bluebellreel_site/src/processes.rs
@@ -1,16 +1,13 @@
 //! A site of real processes on loopback, whose stand-ins are this very program.
 
-use crate::Caller;
+use crate::{Caller, Process};
 use bluebellreel_settings::hash_token;
 use bluebellreel_standins::program;
 use eyre::{OptionExt, bail, ensure};
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
+use std::path::PathBuf;
+use std::process::ExitCode;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -37,127 +34,6 @@
     pub step_micros: u32,
 }
 
-/// Environment variable naming a folder in which each process's log is kept.
-const LOGS: &str = "BLUEBELLREEL_SITE_LOGS";
-
-/// Where a process's log goes: nowhere unless somebody looks for a fault.
-fn log_of(program: &Path, arguments: &[String]) -> eyre::Result<Stdio> {
-    let Some(folder) = std::env::var_os(LOGS) else {
-        return Ok(Stdio::null());
-    };
-    let program = program.file_name().and_then(|name| name.to_str());
-    let last = arguments.last().map_or("", String::as_str);
-    let last = last.rsplit('/').next().unwrap_or(last);
-    let me = std::process::id();
-    let name = format!("{me}-{}-{last}.log", program.unwrap_or("process"));
-    let file = std::fs::OpenOptions::new()
-        .create(true)
-        .append(true)
-        .open(Path::new(&folder).join(name))?;
-    Ok(Stdio::from(file))
-}
-
-/// A process that can be started again with the same arguments.
-pub struct Process {
-    program: PathBuf,
-    arguments: Vec<String>,
-    child: Child,
-}
-
-impl Process {
-    fn start(program: &Path, arguments: &[String]) -> eyre::Result<Self> {
-        let child = Command::new(program)
-            .args(arguments)
-            .stdout(Stdio::null())
-            .stderr(log_of(program, arguments)?)
-            .spawn()?;
-        Ok(Self {
-            program: program.to_owned(),
-            arguments: arguments.to_vec(),
-            child,
-        })
-    }
-
-    /// Its id.
-    #[must_use]
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    fn signal(&self, signal: Signal) -> eyre::Result<()> {
-        let id = i32::try_from(self.child.id())?;
-        Ok(kill(Pid::from_raw(id), signal)?)
-    }
-
-    /// Freezes it.
-    ///
-    /// # Errors
-    ///
-    /// Gives the system's error.
-    pub fn pause(&self) -> eyre::Result<()> {
-        self.signal(Signal::SIGSTOP)
-    }
-
-    /// Lets it go on.
-    ///
-    /// # Errors
-    ///
-    /// Gives the system's error.
-    pub fn resume(&self) -> eyre::Result<()> {
-        self.signal(Signal::SIGCONT)
-    }
-
-    /// Kills it.
-    ///
-    /// # Errors
-    ///
-    /// Gives the system's error.
-    pub fn kill(&mut self) -> eyre::Result<()> {
-        self.child.kill()?;
-        self.child.wait()?;
-        Ok(())
-    }
-
-    /// Starts it again.
-    ///
-    /// # Errors
-    ///
-    /// Gives the system's error.
-    pub fn restart(&mut self) -> eyre::Result<()> {
-        *self = Self::start(&self.program, &self.arguments)?;
-        Ok(())
-    }
-
-    /// Asks it to stop gracefully and waits until it has.
-    ///
-    /// # Errors
-    ///
-    /// Gives the system's error.
-    pub fn stop(&mut self) -> eyre::Result<ExitStatus> {
-        self.signal(Signal::SIGTERM)?;
-        Ok(self.child.wait()?)
-    }
-
-    /// Most memory that it has held so far, in KiB.
-    ///
-    /// # Errors
-    ///
-    /// Gives the system's error.
-    pub fn peak_memory_kib(&self) -> eyre::Result<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-        let field = line.and_then(|line| line.split_whitespace().nth(1));
-        Ok(field.ok_or_eyre("no peak memory")?.parse()?)
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
-    }
-}
-
 /// All processes of a site.
 pub struct ProcessSite {
     /// The key-value service's address.
@@ -172,7 +48,7 @@
     pub sides: Vec<Process>,
     /// Engines.
     pub engines: Vec<Process>,
-    engine_addresses: Vec<SocketAddr>,
+    pub(crate) engine_addresses: Vec<SocketAddr>,
     platform: Vec<Process>,
     folder: PathBuf,
     me: PathBuf,
@@ -416,80 +292,4 @@
         }
         Ok(())
     }
-
-    /// Workers that an entry daemon reaches and that have its manifest.
-    ///
-    /// # Errors
-    ///
-    /// Gives the daemon's error.
-    pub fn workers_in_force(&self, index: usize) -> eyre::Result<usize> {
-        let outcomes = self.outcomes(index)?;
-        let in_force = outcomes["changes_hold"]["in_force"].as_u64().unwrap_or(0);
-        Ok(usize::try_from(in_force)?)
-    }
-
-    /// Lets the key-value service go down or come back.
-    ///
-    /// # Errors
-    ///
-    /// Gives the connection's error.
-    pub fn set_kv_down(&self, down: bool) -> eyre::Result<()> {
-        let faults = json!({ "down": down });
-        ureq::post(format!("http://{}/stand-in/faults", self.kv)).send_json(faults)?;
-        Ok(())
-    }
-
-    /// Calls that the key-value service has counted.
-    ///
-    /// # Errors
-    ///
-    /// Gives the connection's error.
-    pub fn kv_counts(&self) -> eyre::Result<Value> {
-        let url = format!("http://{}/stand-in/counts", self.kv);
-        Ok(ureq::get(&url).call()?.body_mut().read_json()?)
-    }
-
-    /// Attempts that reached an engine.
-    ///
-    /// # Errors
-    ///
-    /// Gives the connection's error.
-    pub fn engine_requests(&self) -> eyre::Result<u64> {
-        (0..self.engine_addresses.len())
-            .map(|index| self.engine_admitted(index))
-            .sum()
-    }
-
-    /// Attempts that reached one engine.
-    ///
-    /// # Errors
-    ///
-    /// Gives the connection's error.
-    pub fn engine_admitted(&self, index: usize) -> eyre::Result<u64> {
-        let address = self.engine_addresses[index];
-        let url = format!("http://{address}/stand-in/admitted");
-        Ok(ureq::get(&url).call()?.body_mut().read_json()?)
-    }
-
-    /// The outcomes as an entry daemon sees them.
-    ///
-    /// # Errors
-    ///
-    /// Gives the daemon's error.
-    pub fn outcomes(&self, index: usize) -> eyre::Result<Value> {
-        let path = "/operator/v1/outcomes";
-        let (status, text) = self.operator(index).send("GET", path, &[], b"")?;
-        ensure!(status == 200, "{status}: {text}");
-        Ok(serde_json::from_str(&text)?)
-    }
-
-    /// Runs of the plain service's calls by key.
-    ///
-    /// # Errors
-    ///
-    /// Gives the connection's error.
-    pub fn service_runs(&self) -> eyre::Result<BTreeMap<String, u32>> {
-        let url = format!("http://{}/stand-in/runs", self.service);
-        Ok(ureq::get(&url).call()?.body_mut().read_json()?)
-    }
 }
