--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -102,7 +102,7 @@
 }
 
 /// Takes a job over if its owner is gone and this daemon is the one to do so;
-/// whether the job is in good hands.
+/// whether no further look is needed soon.
 async fn take_over(gw: &Rc<Gateway>, id: &JobId) -> Result<bool, KvError> {
     let Some((revision, record)) = load::record(gw, id).await? else {
         return Ok(true);
