--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -33,6 +33,8 @@
     pub doubt: Doubt,
     /// When one of our runs there last gave an event.
     pub heard_at: Moment,
+    /// Whether it left the catalog.
+    left: bool,
 }
 
 impl Seat {
@@ -84,20 +86,30 @@
         }
     }
 
-    /// Follows the catalog. A worker that left it keeps its seat while runs of
-    /// ours are there, but takes nothing new.
-    pub fn follow(&mut self, catalog: &Catalog) {
+    /// Follows the catalog; gives the workers whose state is another one now,
+    /// with that state, or none for those that left.
+    ///
+    /// A worker that left keeps its seat while runs of ours are there, but takes
+    /// nothing new.
+    pub fn follow(&mut self, catalog: &Catalog) -> Vec<(WorkerName, Option<WorkerState>)> {
         let listed: BTreeMap<&WorkerName, &WorkerRecord> =
             catalog.workers().map(|r| (&r.id, r)).collect();
-        self.seats.retain(|id, seat| {
-            if !listed.contains_key(id) {
+        let mut changes = Vec::new();
+        for (id, seat) in &mut self.seats {
+            if !listed.contains_key(id) && !std::mem::replace(&mut seat.left, true) {
                 seat.record.state = WorkerState::Draining;
+                changes.push((id.clone(), None));
             }
-            listed.contains_key(id) || seat.own.total() > 0
-        });
+        }
+        self.seats.retain(|_, s| !s.left || s.own.total() > 0);
         for (id, record) in listed {
+            let before = self.seats.get(id).filter(|s| !s.left);
+            if before.is_none_or(|s| s.record.state != record.state) {
+                changes.push((id.clone(), Some(record.state)));
+            }
             if let Some(seat) = self.seats.get_mut(id) {
                 seat.record = record.clone();
+                seat.left = false;
                 continue;
             }
             let seat = Seat {
@@ -106,10 +118,12 @@
                 peers: Running::default(),
                 doubt: Doubt::default(),
                 heard_at: Moment::default(),
+                left: false,
             };
             self.seats.insert(id.clone(), seat);
         }
         self.sum_peers();
+        changes
     }
 
     /// All workers with their load.
--- a/crates/bluebellreel_dispatch/tests/placement.rs
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -396,3 +396,38 @@
     assert_eq!(started, 3);
     assert!(matches!(online(&board), Placement::Send(_)));
 }
+
+/// A worker leaves, and the one who looks for the cause of a failed request
+/// must find when each daemon knew, whichever way the news came: a list or a
+/// peer named no worker, and only a watch left a line.
+#[test]
+fn changes_of_workers_are_named_once() {
+    let mut board = board(2);
+    let id = |n: usize| {
+        catalog(n, WorkerState::Ready)
+            .workers()
+            .last()
+            .map(|r| r.id.clone())
+    };
+    assert!(board.follow(&catalog(2, WorkerState::Ready)).is_empty());
+    let drained = board.follow(&catalog(2, WorkerState::Draining));
+    assert_eq!(drained.len(), 2);
+    assert!(
+        drained
+            .iter()
+            .all(|(_, s)| *s == Some(WorkerState::Draining))
+    );
+
+    // It is gone while a run of ours is still there, and is told once.
+    let last = id(2).expect("two workers");
+    let ticket = board.start(&last, Class::Online);
+    let gone = board.follow(&catalog(1, WorkerState::Draining));
+    assert_eq!(gone, [(last.clone(), None)]);
+    assert!(board.follow(&catalog(1, WorkerState::Draining)).is_empty());
+    assert!(board.seat(&last).is_some());
+    board.end(&ticket);
+    assert!(board.follow(&catalog(1, WorkerState::Draining)).is_empty());
+    assert!(board.seat(&last).is_none());
+    let back = board.follow(&catalog(2, WorkerState::Ready));
+    assert_eq!(back.len(), 2, "one is ready again, one is back");
+}
--- a/crates/bluebellreel_gateway/src/facts.rs
+++ b/crates/bluebellreel_gateway/src/facts.rs
@@ -137,11 +137,20 @@
     }
 }
 
-/// Applies changed workers to the board.
-pub(crate) fn follow_workers(gw: &Gateway) {
+/// Applies changed workers to the board, whichever way the news came.
+pub(crate) fn follow_workers(gw: &Gateway, source: &str) {
     let facts = gw.facts.borrow();
-    gw.board.borrow_mut().follow(&facts.catalog);
+    let revision = facts.catalog.newest();
+    let changes = gw.board.borrow_mut().follow(&facts.catalog);
     drop(facts);
+    for (worker, state) in changes {
+        match state {
+            Some(state) => {
+                info!(target: "facts", worker:% = worker, state:? = state, revision, source; "worker listed");
+            }
+            None => info!(target: "facts", worker:% = worker, revision, source; "worker gone"),
+        }
+    }
     gw.batch_due.notify_one();
     crate::jobs::make_room(gw);
 }
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -251,7 +251,7 @@
     let changed = gw.facts.borrow_mut().learn(shared, peer.as_str(), gw.now());
     info!(target: "facts", peer:% = peer, changed; "facts taken over");
     if changed {
-        follow_workers(gw);
+        follow_workers(gw, peer.as_str());
     }
     gw.report_due.notify_one();
 }
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -182,7 +182,7 @@
     gw.board.borrow_mut().paces.sweep(now);
     let expired = gw.facts.borrow_mut().catalog.expire(now);
     if expired {
-        facts::follow_workers(gw);
+        facts::follow_workers(gw, "time to register again is over");
     }
 }
 
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -88,7 +88,7 @@
     listed: workers_listed,
     changed: |gw, event| worker_changed(gw, event),
     settle: |gw| {
-        follow_workers(gw);
+        follow_workers(gw, "store");
         gw.report_due.notify_one();
     },
     seen_to: |gw, revision| gw.facts.borrow_mut().catalog.seen_to(revision),
@@ -137,12 +137,7 @@
             let Some(record) = read_worker(&kv) else {
                 return false;
             };
-            let (id, state) = (record.id.clone(), record.state);
-            let changed = facts.catalog.put(kv.revision, record);
-            if changed {
-                info!(target: "facts", worker:% = id, state:? = state, revision = kv.revision; "worker listed");
-            }
-            changed
+            facts.catalog.put(kv.revision, record)
         }
         WatchEvent::Deleted { key, revision } => {
             let Some(id) = keys::worker_id(key.as_str()) else {
@@ -171,7 +166,7 @@
         facts.catalog.replace(revision, list, keep_until)
     };
     if changed {
-        follow_workers(gw);
+        follow_workers(gw, "store");
         gw.report_due.notify_one();
     }
 }
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -19,12 +19,13 @@
 /// it: callers wait for five seconds.
 const STILL_THERE: Duration = Duration::from_secs(5);
 /// Events that tell what a process believes, apart from any request.
-const SURROUNDINGS: [&str; 14] = [
+const SURROUNDINGS: [&str; 15] = [
     "started",
     "stopping",
     "stopped",
     "configuration in force",
     "worker listed",
+    "worker gone",
     "worker no longer listed",
     "workers read",
     "store lost",
