--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -1,8 +1,11 @@
 //! The slots of all workers, and who uses them.
 
-use crate::{Catalog, Class, Doubt, Paces, PeerLoad, Running, Ticket, WorkerRecord, WorkerState};
+use crate::{
+    Boot, Catalog, Class, Doubt, Paces, PeerLoad, Running, Ticket, WorkerRecord, WorkerState,
+};
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Bounds of placement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +23,17 @@
     }
 }
 
+/// What has become of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerChange {
+    /// It is new, or in another state than before.
+    Listed(WorkerState),
+    /// It has started again under its id, and is in this state.
+    StartedAgain(WorkerState),
+    /// It left.
+    Left,
+}
+
 /// One worker with its load.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seat {
@@ -38,6 +52,17 @@
 }
 
 impl Seat {
+    fn new(record: WorkerRecord) -> Self {
+        Self {
+            record,
+            own: Running::default(),
+            peers: Running::default(),
+            doubt: Doubt::default(),
+            heard_at: Moment::default(),
+            left: false,
+        }
+    }
+
     /// All runs there.
     #[must_use]
     pub fn running(&self) -> Running {
@@ -86,46 +111,50 @@
         }
     }
 
-    /// Follows the catalog; gives the workers whose state is another one now,
-    /// with that state, or none for those that left.
+    /// Follows the catalog; gives what has become of workers.
     ///
     /// A worker that left keeps its seat while runs of ours are there, but takes
-    /// nothing new.
-    pub fn follow(&mut self, catalog: &Catalog) -> Vec<(WorkerName, Option<WorkerState>)> {
+    /// nothing new. One that has started again under its id gets a new seat: its
+    /// runs, our doubt and its pace were those of its former life. Kept, they
+    /// would hold back requests from slots that are all free.
+    pub fn follow(&mut self, catalog: &Catalog) -> Vec<(WorkerName, WorkerChange)> {
         let listed: BTreeMap<&WorkerName, &WorkerRecord> =
             catalog.workers().map(|r| (&r.id, r)).collect();
         let mut changes = Vec::new();
         for (id, seat) in &mut self.seats {
             if !listed.contains_key(id) && !std::mem::replace(&mut seat.left, true) {
                 seat.record.state = WorkerState::Draining;
-                changes.push((id.clone(), None));
+                changes.push((id.clone(), WorkerChange::Left));
             }
         }
         self.seats.retain(|_, s| !s.left || s.own.total() > 0);
         for (id, record) in listed {
-            let before = self.seats.get(id).filter(|s| !s.left);
-            if before.is_none_or(|s| s.record.state != record.state) {
-                changes.push((id.clone(), Some(record.state)));
+            if let Some(change) = self.seat_listed(record) {
+                changes.push((id.clone(), change));
             }
-            if let Some(seat) = self.seats.get_mut(id) {
-                seat.record = record.clone();
-                seat.left = false;
-                continue;
-            }
-            let seat = Seat {
-                record: record.clone(),
-                own: Running::default(),
-                peers: Running::default(),
-                doubt: Doubt::default(),
-                heard_at: Moment::default(),
-                left: false,
-            };
-            self.seats.insert(id.clone(), seat);
         }
         self.sum_peers();
         changes
     }
 
+    /// Takes over what a listed worker says of itself.
+    fn seat_listed(&mut self, record: &WorkerRecord) -> Option<WorkerChange> {
+        let Some(seat) = self.seats.get_mut(&record.id) else {
+            let seat = Seat::new(record.clone());
+            self.seats.insert(record.id.clone(), seat);
+            return Some(WorkerChange::Listed(record.state));
+        };
+        if seat.record.boot != record.boot {
+            *seat = Seat::new(record.clone());
+            self.paces.forget(&record.id);
+            return Some(WorkerChange::StartedAgain(record.state));
+        }
+        let returned = std::mem::replace(&mut seat.left, false);
+        let news = returned || seat.record.state != record.state;
+        seat.record = record.clone();
+        news.then_some(WorkerChange::Listed(record.state))
+    }
+
     /// All workers with their load.
     pub fn seats(&self) -> impl Iterator<Item = &Seat> {
         self.seats.values()
@@ -146,7 +175,9 @@
 
     /// Counts a run at a worker.
     pub fn start(&mut self, worker: &WorkerName, class: Class) -> Ticket {
+        let mut boot = None;
         if let Some(seat) = self.seats.get_mut(worker) {
+            boot = seat.record.boot;
             match class {
                 Class::Online => seat.own.online += 1,
                 Class::Batch => seat.own.batch += 1,
@@ -155,13 +186,30 @@
         }
         Ticket {
             worker: worker.clone(),
+            boot,
             class,
         }
     }
 
+    /// The worker of a run, if it still lives the life that the run was sent to.
+    ///
+    /// What a run tells of a former life must not be held against the present
+    /// one, or be counted for it.
+    fn seat_of(&mut self, ticket: &Ticket) -> Option<&mut Seat> {
+        let seat = self.seats.get_mut(&ticket.worker)?;
+        (seat.record.boot == ticket.boot).then_some(seat)
+    }
+
+    /// Whether a run's worker has started again since the run was sent there.
+    #[must_use]
+    pub fn is_of_former_life(&self, ticket: &Ticket) -> bool {
+        let seat = self.seats.get(&ticket.worker);
+        seat.is_some_and(|s| s.record.boot != ticket.boot)
+    }
+
     /// A run is over.
     pub fn end(&mut self, ticket: &Ticket) {
-        let Some(seat) = self.seats.get_mut(&ticket.worker) else {
+        let Some(seat) = self.seat_of(ticket) else {
             return;
         };
         let count = match ticket.class {
@@ -172,17 +220,24 @@
         seat.doubt.trial_over();
     }
 
-    /// A run gave its first event or a whole answer.
-    pub fn succeeded(&mut self, worker: &WorkerName, now: Moment) {
-        if let Some(seat) = self.seats.get_mut(worker) {
+    /// A run gave an event or a whole answer.
+    pub fn succeeded(&mut self, ticket: &Ticket, now: Moment) {
+        if let Some(seat) = self.seat_of(ticket) {
             seat.doubt.succeeded();
             seat.heard_at = now;
         }
     }
 
+    /// Two events of a run came so far apart.
+    pub fn note_interval(&mut self, ticket: &Ticket, interval: Duration, now: Moment) {
+        if self.seat_of(ticket).is_some() {
+            self.paces.note_interval(&ticket.worker, interval, now);
+        }
+    }
+
     /// A run failed in a way that speaks against its worker.
-    pub fn failed(&mut self, worker: &WorkerName, now: Moment) {
-        if let Some(seat) = self.seats.get_mut(worker) {
+    pub fn failed(&mut self, ticket: &Ticket, now: Moment) {
+        if let Some(seat) = self.seat_of(ticket) {
             seat.doubt.failed(now);
         }
     }
@@ -196,10 +251,10 @@
         // Only what this peer says changes: with hundreds of peers, summing all
         // of them up anew for each report would take most of a small core.
         let before = self.peers.remove(peer);
-        for (id, running) in before.into_iter().flat_map(|b| b.running) {
-            if let Some(seat) = self.seats.get_mut(&id) {
-                seat.peers.online = seat.peers.online.saturating_sub(running.online);
-                seat.peers.batch = seat.peers.batch.saturating_sub(running.batch);
+        for (id, runs) in before.into_iter().flat_map(|b| b.running) {
+            if let Some(seat) = peer_seat(&mut self.seats, &id, runs.boot) {
+                seat.peers.online = seat.peers.online.saturating_sub(runs.running.online);
+                seat.peers.batch = seat.peers.batch.saturating_sub(runs.running.batch);
             }
         }
         self.add_peer(&load);
@@ -222,12 +277,12 @@
         waiting.map(|(name, _)| name)
     }
 
-    /// Our own runs at each worker that has any.
-    pub fn own(&self) -> impl Iterator<Item = (&WorkerName, Running)> {
+    /// Our own runs at each worker that has any, with the life that it lives.
+    pub fn own(&self) -> impl Iterator<Item = (&WorkerName, Option<Boot>, Running)> {
         self.seats
             .iter()
             .filter(|(_, s)| s.own.total() > 0)
-            .map(|(id, s)| (id, s.own))
+            .map(|(id, s)| (id, s.record.boot, s.own))
     }
 
     fn sum_peers(&mut self) {
@@ -242,11 +297,21 @@
     }
 
     fn add_peer(&mut self, load: &PeerLoad) {
-        for (id, running) in &load.running {
-            if let Some(seat) = self.seats.get_mut(id) {
-                seat.peers.online += running.online;
-                seat.peers.batch += running.batch;
+        for (id, runs) in &load.running {
+            if let Some(seat) = peer_seat(&mut self.seats, id, runs.boot) {
+                seat.peers.online += runs.running.online;
+                seat.peers.batch += runs.running.batch;
             }
         }
     }
 }
+
+/// The seat that a peer's runs count at. A peer may not know yet that a worker
+/// has started again; the runs that it names are gone then.
+fn peer_seat<'a>(
+    seats: &'a mut BTreeMap<WorkerName, Seat>,
+    id: &WorkerName,
+    boot: Option<Boot>,
+) -> Option<&'a mut Seat> {
+    seats.get_mut(id).filter(|s| s.record.boot == boot)
+}
--- a/crates/bluebellreel_dispatch/src/catalog.rs
+++ b/crates/bluebellreel_dispatch/src/catalog.rs
@@ -5,7 +5,7 @@
 
 use bluebellreel_types::{DataCentre, Moment, WorkerName};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -18,11 +18,22 @@
     Draining,
 }
 
+/// One life of a worker.
+///
+/// A worker may start again under the id that it had; it then holds nothing of
+/// what it held before. Lives are equal or not, never earlier or later: the
+/// number comes from the worker's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Boot(pub u64);
+
 /// What a worker says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
-    /// The worker; a restart is another one.
+    /// The worker.
     pub id: WorkerName,
+    /// Its life; none where workers do not tell.
+    pub boot: Option<Boot>,
     /// The service that it serves.
     pub service: Arc<str>,
     /// Where it listens.
@@ -77,6 +88,19 @@
         before.is_none_or(|b| b.record != entry.record || b.missing.is_some())
     }
 
+    /// Takes over what stands at a worker's place at a revision: a worker, or
+    /// nothing that could be used as one; whether it was news.
+    ///
+    /// An entry of another writer may stand where a worker's was. What the worker
+    /// said before no longer holds then, so it gets nothing new, and no other
+    /// worker is concerned.
+    pub fn take(&mut self, revision: i64, id: &WorkerName, record: Option<WorkerRecord>) -> bool {
+        match record {
+            Some(record) => self.put(revision, record),
+            None => self.remove(revision, id),
+        }
+    }
+
     /// A worker's entry is gone: it leaves, or it is dead.
     pub fn remove(&mut self, revision: i64, id: &WorkerName) -> bool {
         if self.is_old(id, revision) {
@@ -97,7 +121,8 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Takes a complete list over: what it lacks is gone.
+    /// Takes a complete list over: what it lacks is gone. An entry that names no
+    /// worker to use is there, with nothing in it.
     ///
     /// After an outage of the store the entries of live workers may have
     /// lapsed; they register again within about two seconds. `keep_until`
@@ -106,16 +131,16 @@
     pub fn replace(
         &mut self,
         revision: i64,
-        list: Vec<(i64, WorkerRecord)>,
+        list: Vec<(i64, WorkerName, Option<WorkerRecord>)>,
         keep_until: Option<Moment>,
     ) -> bool {
         if revision < self.revision {
             return false;
         }
         let mut changed = false;
-        let listed: Vec<WorkerName> = list.iter().map(|(_, r)| r.id.clone()).collect();
-        for (at, record) in list {
-            changed |= self.put(at, record);
+        let listed: BTreeSet<WorkerName> = list.iter().map(|(_, id, _)| id.clone()).collect();
+        for (at, id, record) in list {
+            changed |= self.take(at, &id, record);
         }
         let missing: Vec<WorkerName> = self
             .entries
--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -27,12 +27,12 @@
 mod routes;
 mod ticket;
 
-pub use board::{Board, PlacementLimits, Seat};
-pub use catalog::{Catalog, WorkerRecord, WorkerState};
+pub use board::{Board, PlacementLimits, Seat, WorkerChange};
+pub use catalog::{Boot, Catalog, WorkerRecord, WorkerState};
 pub use doubt::Doubt;
 pub use overload::{Overloads, return_after};
 pub use pace::Paces;
-pub use peer::{PeerLoad, Running};
+pub use peer::{PeerLoad, PeerRuns, Running};
 pub use place::{
     BatchRun, Placement, Query, batch_to_yield, place_batch, place_online, should_leave,
 };
--- a/crates/bluebellreel_dispatch/src/pace.rs
+++ b/crates/bluebellreel_dispatch/src/pace.rs
@@ -55,6 +55,11 @@
             .or_insert(Sample { seconds, until });
     }
 
+    /// What was seen of a worker no longer holds: it has started again.
+    pub fn forget(&mut self, worker: &WorkerName) {
+        self.events.remove(worker);
+    }
+
     /// An online run held its slot for so long.
     pub fn note_run(&mut self, lasted: Duration) {
         self.run_seconds += WEIGHT * (lasted.as_secs_f64() - self.run_seconds);
--- a/crates/bluebellreel_dispatch/src/routes.rs
+++ b/crates/bluebellreel_dispatch/src/routes.rs
@@ -138,6 +138,13 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Whether some route goes to this service.
+    #[must_use]
+    pub fn names_service(&self, service: &str) -> bool {
+        let mut targets = self.routes.iter().flat_map(|route| &route.targets);
+        targets.any(|target| &*target.service == service)
+    }
+
     /// The route with this name.
     #[must_use]
     pub fn named(&self, name: &str) -> Option<&Arc<Route>> {
--- a/crates/bluebellreel_dispatch/src/ticket.rs
+++ b/crates/bluebellreel_dispatch/src/ticket.rs
@@ -1,5 +1,6 @@
 //! One piece of work at a worker.
 
+use crate::Boot;
 use bluebellreel_types::WorkerName;
 
 /// What a run is for.
@@ -16,6 +17,8 @@
 pub struct Ticket {
     /// Where it runs.
     pub worker: WorkerName,
+    /// The life of that worker that it was sent to.
+    pub boot: Option<Boot>,
     /// What it is for.
     pub class: Class,
 }
--- a/crates/bluebellreel_dispatch/tests/catalog.rs
+++ b/crates/bluebellreel_dispatch/tests/catalog.rs
@@ -9,6 +9,7 @@
 fn worker(id: &str, state: WorkerState) -> WorkerRecord {
     WorkerRecord {
         id: WorkerName::from(id),
+        boot: None,
         service: Arc::from("lm"),
         address: "10.0.0.1:80".parse().expect("an address"),
         data_centre: DataCentre::from("hall"),
@@ -17,6 +18,12 @@
     }
 }
 
+/// A listed worker that takes requests.
+fn ready(revision: i64, id: &str) -> (i64, WorkerName, Option<WorkerRecord>) {
+    let record = worker(id, WorkerState::Ready);
+    (revision, record.id.clone(), Some(record))
+}
+
 fn listed(catalog: &Catalog) -> Vec<String> {
     catalog.workers().map(|w| w.id.to_string()).collect()
 }
@@ -41,7 +48,7 @@
     let mut catalog = Catalog::default();
     catalog.put(3, worker("a", WorkerState::Ready));
     catalog.put(4, worker("b", WorkerState::Ready));
-    assert!(catalog.replace(10, vec![(4, worker("b", WorkerState::Ready))], None));
+    assert!(catalog.replace(10, vec![ready(4, "b")], None));
     assert_eq!(listed(&catalog), ["b"]);
     // A list from before is no news.
     assert!(!catalog.replace(8, vec![], None));
--- a/crates/bluebellreel_dispatch/tests/placement.rs
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -1,8 +1,9 @@
 //! Where work goes under load.
 
 use bluebellreel_dispatch::{
-    BatchRun, Board, Catalog, Class, PeerLoad, Placement, PlacementLimits, Query, Running,
-    WorkerRecord, WorkerState, batch_to_yield, place_batch, place_online, should_leave,
+    BatchRun, Board, Catalog, Class, PeerLoad, PeerRuns, Placement, PlacementLimits, Query,
+    Running, Ticket, WorkerChange, WorkerRecord, WorkerState, batch_to_yield, place_batch,
+    place_online, should_leave,
 };
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
 use proptest::prelude::*;
@@ -36,6 +37,7 @@
         let place = if n % 2 == 0 { "here" } else { "there" };
         let record = WorkerRecord {
             id: name(n),
+            boot: None,
             service: Arc::from("lm"),
             address: "10.0.0.1:80".parse().expect("an address"),
             data_centre: DataCentre::from(place),
@@ -68,14 +70,15 @@
 }
 
 fn peer(board: &mut Board, entry: &str, sequence: u64, waiting: u32, runs: &[(usize, u32, u32)]) {
-    let running: BTreeMap<WorkerName, Running> = runs
+    let running: BTreeMap<WorkerName, PeerRuns> = runs
         .iter()
         .map(|(worker, online, batch)| {
             let running = Running {
                 online: *online,
                 batch: *batch,
             };
-            (name(*worker), running)
+            let boot = None;
+            (name(*worker), PeerRuns { boot, running })
         })
         .collect();
     let load = PeerLoad {
@@ -87,6 +90,15 @@
     board.hear(&EntryName::from(entry), load);
 }
 
+/// An online run at a worker that does not tell of its life.
+fn ticket(worker: WorkerName) -> Ticket {
+    Ticket {
+        worker,
+        boot: None,
+        class: Class::Online,
+    }
+}
+
 fn online(board: &Board) -> Placement {
     place_online(board, &query(&[]))
 }
@@ -205,10 +217,7 @@
         start(&mut board, worker, Class::Online, SLOTS + 2);
     }
     assert_eq!(online(&board), Placement::Full);
-    board.end(&bluebellreel_dispatch::Ticket {
-        worker: name(1),
-        class: Class::Online,
-    });
+    board.end(&ticket(name(1)));
     assert_eq!(online(&board), Placement::Send(name(1)));
 }
 
@@ -255,8 +264,8 @@
 fn a_failing_worker_is_set_aside_and_let_back() {
     let mut board = board(1);
     board.follow(&catalog(3, WorkerState::Ready));
-    board.failed(&name(0), NOW);
-    board.failed(&name(2), NOW);
+    board.failed(&ticket(name(0)), NOW);
+    board.failed(&ticket(name(2)), NOW);
     let choose = |board: &Board, after: u64| {
         let query = Query {
             service: "lm",
@@ -275,7 +284,7 @@
     board.start(&first, Class::Online);
     // One request is on trial there; the next goes elsewhere.
     assert_ne!(choose(&board, 600), Placement::Send(first.clone()));
-    board.succeeded(&first, NOW);
+    board.succeeded(&ticket(first.clone()), NOW);
     assert!(board.seat(&first).is_some_and(|s| s.doubt.takes(NOW)));
 }
 
@@ -285,7 +294,7 @@
 fn where_all_are_doubted_one_is_used() {
     let mut board = board(2);
     for worker in 0..2 {
-        board.failed(&name(worker), NOW);
+        board.failed(&ticket(name(worker)), NOW);
     }
     assert!(matches!(online(&board), Placement::Send(_)));
 }
@@ -302,15 +311,12 @@
         let tried = [name(0)];
         should_leave(board, &query(&tried), &name(0))
     };
-    board.succeeded(&name(0), NOW);
+    board.succeeded(&ticket(name(0)), NOW);
     assert!(!silent(&board));
-    board.end(&bluebellreel_dispatch::Ticket {
-        worker: name(1),
-        class: Class::Online,
-    });
+    board.end(&ticket(name(1)));
     assert!(silent(&board), "another one has a free slot");
     start(&mut board, 1, Class::Online, 1);
-    board.succeeded(&name(0), Moment(0));
+    board.succeeded(&ticket(name(0)), Moment(0));
     assert!(silent(&board), "nothing at all is heard from it");
     start(&mut board, 1, Class::Online, 2);
     assert!(!silent(&board), "nobody else takes it");
@@ -415,14 +421,14 @@
     assert!(
         drained
             .iter()
-            .all(|(_, s)| *s == Some(WorkerState::Draining))
+            .all(|(_, s)| *s == WorkerChange::Listed(WorkerState::Draining))
     );
 
     // It is gone while a run of ours is still there, and is told once.
     let last = id(2).expect("two workers");
     let ticket = board.start(&last, Class::Online);
     let gone = board.follow(&catalog(1, WorkerState::Draining));
-    assert_eq!(gone, [(last.clone(), None)]);
+    assert_eq!(gone, [(last.clone(), WorkerChange::Left)]);
     assert!(board.follow(&catalog(1, WorkerState::Draining)).is_empty());
     assert!(board.seat(&last).is_some());
     board.end(&ticket);
--- /dev/null
+++ b/crates/bluebellreel_dispatch/tests/restarts.rs
@@ -0,0 +1,192 @@
+//! Workers that start again under the id that they had, and entries that name
+//! no worker.
+
+use bluebellreel_dispatch::{
+    Board, Boot, Catalog, Class, PeerLoad, PeerRuns, Placement, PlacementLimits, Query, Running,
+    Ticket, WorkerChange, WorkerRecord, WorkerState, place_online,
+};
+use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const SLOTS: u32 = 4;
+const NOW: Moment = Moment(1_000_000);
+
+fn id() -> WorkerName {
+    WorkerName::from("w-1")
+}
+
+fn worker(boot: Option<u64>) -> WorkerRecord {
+    WorkerRecord {
+        id: id(),
+        boot: boot.map(Boot),
+        service: Arc::from("lm"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: DataCentre::from("hall"),
+        slots: SLOTS,
+        state: WorkerState::Ready,
+    }
+}
+
+/// A board with one worker in a life.
+fn board(catalog: &mut Catalog, boot: u64) -> Board {
+    let mut board = Board::new(DataCentre::from("hall"), PlacementLimits::default());
+    catalog.put(1, worker(Some(boot)));
+    board.follow(catalog);
+    board
+}
+
+fn reborn(board: &mut Board, catalog: &mut Catalog, revision: i64, boot: u64) {
+    catalog.put(revision, worker(Some(boot)));
+    let changes = board.follow(catalog);
+    let again = WorkerChange::StartedAgain(WorkerState::Ready);
+    assert_eq!(changes, [(id(), again)]);
+}
+
+fn load(sequence: u64, boot: u64, online: u32) -> PeerLoad {
+    let runs = PeerRuns {
+        boot: Some(Boot(boot)),
+        running: Running { online, batch: 0 },
+    };
+    PeerLoad {
+        sequence,
+        running: BTreeMap::from([(id(), runs)]),
+        waiting: 0,
+        expires_at: NOW + Duration::from_secs(9),
+    }
+}
+
+fn place(board: &Board) -> Placement {
+    let query = Query {
+        service: "lm",
+        avoid: &[],
+        patience: Duration::ZERO,
+        salt: 0,
+        now: NOW,
+    };
+    place_online(board, &query)
+}
+
+/// A worker crashes with all slots taken and is back under its id half a second
+/// later. Callers were refused for seconds, as the runs of its former life were
+/// still counted, by us and by peers that had not heard of it yet.
+#[test]
+fn a_worker_that_starts_again_has_all_slots_free() {
+    let mut catalog = Catalog::default();
+    let mut board = board(&mut catalog, 7);
+    let ours = board.start(&id(), Class::Online);
+    board.hear(&EntryName::from("entry-2"), load(1, 7, SLOTS));
+    assert_eq!(place(&board), Placement::Full);
+    reborn(&mut board, &mut catalog, 2, 8);
+    assert_eq!(place(&board), Placement::Send(id()));
+    // A late word of its former life changes nothing.
+    board.hear(&EntryName::from("entry-2"), load(2, 7, SLOTS));
+    assert_eq!(board.seat(&id()).map(|s| s.running().total()), Some(0));
+    let again = board.start(&id(), Class::Online);
+    board.end(&ours);
+    assert_eq!(board.seat(&id()).map(|s| s.own.online), Some(1));
+    board.end(&again);
+    assert_eq!(board.seat(&id()).map(|s| s.own.online), Some(0));
+}
+
+/// Streams of the former life break off after the new one is known. Held against
+/// the new one, it would be set aside for seconds though it is well.
+#[test]
+fn failures_of_a_former_life_do_not_count() {
+    let mut catalog = Catalog::default();
+    let mut board = board(&mut catalog, 7);
+    let runs: Vec<Ticket> = (0..4).map(|_| board.start(&id(), Class::Online)).collect();
+    for _ in 0..40 {
+        board.note_interval(&runs[0], Duration::from_millis(400), NOW);
+    }
+    board.failed(&runs[0], NOW);
+    assert!(!board.seat(&id()).expect("listed").doubt.takes(NOW));
+    assert!(!board.is_of_former_life(&runs[1]));
+    reborn(&mut board, &mut catalog, 2, 8);
+    assert!(board.seat(&id()).expect("listed").doubt.takes(NOW));
+    assert!(board.is_of_former_life(&runs[1]));
+    for run in &runs[1..] {
+        board.failed(run, NOW);
+        board.note_interval(run, Duration::from_millis(400), NOW);
+    }
+    assert!(board.seat(&id()).expect("listed").doubt.takes(NOW));
+    assert_eq!(board.paces.interval(&id(), NOW), None, "nor its pace");
+}
+
+/// An entry of another writer stands where a worker's was. The worker gets
+/// nothing new, also by an older word of it, and its neighbour is as before.
+#[test]
+fn an_entry_that_names_no_worker_takes_only_its_own_place() {
+    let mut catalog = Catalog::default();
+    let mut other = worker(None);
+    other.id = WorkerName::from("w-2");
+    catalog.put(1, worker(None));
+    catalog.put(2, other.clone());
+    let keep_until = Some(NOW + Duration::from_secs(2));
+    let list = vec![(5, id(), None), (2, other.id.clone(), Some(other.clone()))];
+    assert!(catalog.replace(6, list, keep_until));
+    let listed: Vec<_> = catalog.workers().map(|w| w.id.clone()).collect();
+    assert_eq!(listed, [other.id], "it is not kept as one that has lapsed");
+    assert!(!catalog.put(1, worker(None)), "an older word");
+    assert!(catalog.take(7, &id(), Some(worker(None))), "it is back");
+}
+
+/// What may happen to one worker with two daemons before it.
+#[derive(Clone, Debug)]
+enum Step {
+    Start,
+    End(prop::sample::Index),
+    Reborn(u64),
+    Peer { boot: u64, online: u32 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        Just(Step::Start),
+        any::<prop::sample::Index>().prop_map(Step::End),
+        (0u64..3).prop_map(Step::Reborn),
+        (0u64..3, 0u32..5).prop_map(|(boot, online)| Step::Peer { boot, online }),
+    ]
+}
+
+proptest! {
+    /// In whichever order runs, ends, restarts and reports come: what counts at
+    /// a worker are the runs that were sent to its present life.
+    #[test]
+    fn only_runs_of_the_present_life_count(steps in prop::collection::vec(step(), 1..60)) {
+        let mut catalog = Catalog::default();
+        let mut board = board(&mut catalog, 0);
+        let mut present = 0;
+        let mut lives = 0u32;
+        let mut runs: Vec<(u32, Ticket)> = Vec::new();
+        let mut peer = (0, 0);
+        for (at, step) in steps.into_iter().enumerate() {
+            let at = u64::try_from(at).expect("few") + 2;
+            match step {
+                Step::Start => runs.push((lives, board.start(&id(), Class::Online))),
+                Step::End(index) if !runs.is_empty() => {
+                    let (_, ticket) = runs.remove(index.index(runs.len()));
+                    // A life that comes twice cannot be told from its first time.
+                    board.end(&ticket);
+                }
+                Step::Reborn(boot) if boot > present => {
+                    present = boot;
+                    lives += 1;
+                    reborn(&mut board, &mut catalog, i64::try_from(at).expect("few"), boot);
+                }
+                Step::End(_) | Step::Reborn(_) => {}
+                Step::Peer { boot, online } => {
+                    peer = (boot, online);
+                    board.hear(&EntryName::from("entry-2"), load(at, boot, online));
+                }
+            }
+            let own = runs.iter().filter(|(life, _)| *life == lives).count();
+            let of_peer = if peer.0 == present { peer.1 } else { 0 };
+            let seat = board.seat(&id()).expect("listed");
+            prop_assert_eq!(seat.own.online, u32::try_from(own).expect("few"));
+            prop_assert_eq!(seat.peers.online, of_peer);
+        }
+    }
+}
--- a/crates/bluebellreel_gateway/src/facts.rs
+++ b/crates/bluebellreel_gateway/src/facts.rs
@@ -5,7 +5,7 @@
 //! an older fact, whichever way it came.
 
 use crate::gateway::Gateway;
-use bluebellreel_dispatch::{Catalog, Configuration, WorkerRecord};
+use bluebellreel_dispatch::{Catalog, Configuration, WorkerChange, WorkerRecord};
 use bluebellreel_members::Revisions;
 use bluebellreel_platform::decode_configuration;
 use bluebellreel_types::{Moment, WorkerName};
@@ -27,6 +27,8 @@
 #[derive(Default)]
 pub(crate) struct Facts {
     configured: Option<Configured>,
+    /// Revision of the configuration that was not taken last.
+    refused: i64,
     pub(crate) catalog: Catalog,
     /// Revision up to which all that operators wrote is known.
     pub(crate) operator_seen: i64,
@@ -82,15 +84,24 @@
         if revision <= self.configuration_revision() {
             return;
         }
-        let checked = match decode_configuration(text) {
-            Ok(checked) => checked,
+        // It stands in the store until the next one, and is read at each list.
+        if revision == self.refused {
+            return;
+        }
+        let (checked, passed_over) = match decode_configuration(text) {
+            Ok(decoded) => decoded,
             Err(e) => {
+                self.refused = revision;
                 warn!(target: "facts", revision, source, error:% = e; "configuration not taken");
                 return;
             }
         };
+        for e in passed_over {
+            warn!(target: "facts", revision, source, error:% = e; "route not taken");
+        }
         let known = self.configured.as_ref().map_or(0, |c| c.checked.version);
         if checked.version < known {
+            self.refused = revision;
             warn!(target: "facts", revision, source, version = checked.version, known; "older configuration not taken");
             return;
         }
@@ -126,10 +137,7 @@
         }
         let mut changed = false;
         for (revision, id, record) in shared.workers {
-            changed |= match record {
-                Some(record) => self.catalog.put(revision, record),
-                None => self.catalog.remove(revision, &id),
-            };
+            changed |= self.catalog.take(revision, &id, record);
         }
         self.catalog.seen_to(shared.workers_seen);
         self.operator_seen = self.operator_seen.max(shared.operator_seen);
@@ -143,14 +151,32 @@
     let revision = facts.catalog.newest();
     let changes = gw.board.borrow_mut().follow(&facts.catalog);
     drop(facts);
-    for (worker, state) in changes {
-        match state {
-            Some(state) => {
+    for (worker, change) in changes {
+        match change {
+            WorkerChange::Listed(state) => {
                 info!(target: "facts", worker:% = worker, state:? = state, revision, source; "worker listed");
             }
-            None => info!(target: "facts", worker:% = worker, revision, source; "worker gone"),
+            WorkerChange::StartedAgain(state) => {
+                info!(target: "facts", worker:% = worker, state:? = state, revision, source; "worker started again");
+                leave_former_life(gw, &worker);
+            }
+            WorkerChange::Left => {
+                info!(target: "facts", worker:% = worker, revision, source; "worker gone");
+            }
         }
     }
     gw.batch_due.notify_one();
     crate::jobs::make_room(gw);
 }
+
+/// Ends what hangs on the former life of a worker that has started again.
+///
+/// Its kept connections lead nowhere, and a run that waits there would do so
+/// until its own silence is noticed, or its caller leaves.
+fn leave_former_life(gw: &Gateway, worker: &WorkerName) {
+    let address = gw.board.borrow().seat(worker).map(|s| s.record.address);
+    if let Some(address) = address {
+        gw.workers.drop_idle(address);
+    }
+    gw.worker_restarted.notify_waiters();
+}
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -4,7 +4,9 @@
 use crate::jobs::Jobs;
 use crate::metrics::Metrics;
 use crate::store::StoreClient;
+use crate::unreadable::Unreadable;
 use bluebellreel_dispatch::{Board, Configuration, Overloads, PlacementLimits};
+use bluebellreel_kv::KeyValue;
 use bluebellreel_members::Members;
 use bluebellreel_net::{Pool, PoolLimits};
 use bluebellreel_settings::GatewaySettings;
@@ -51,6 +53,7 @@
     pub(crate) peers: Pool,
     pub(crate) store: StoreClient,
     pub(crate) metrics: Metrics,
+    pub(crate) unreadable: RefCell<Unreadable>,
     /// Lease of this daemon's entry in the store; zero for none.
     pub(crate) lease: Cell<i64>,
     /// Set from SIGTERM on.
@@ -66,6 +69,8 @@
     /// Wakes those that watch the store: its history was dropped, and their
     /// watches may never bring what happened meanwhile.
     pub(crate) history_gone: Notify,
+    /// Wakes runs whose worker may have started again.
+    pub(crate) worker_restarted: Notify,
 }
 
 impl Gateway {
@@ -97,6 +102,7 @@
             peers,
             store: StoreClient::new(settings.store, metrics.store_call.clone()),
             metrics,
+            unreadable: RefCell::default(),
             lease: Cell::new(0),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
@@ -104,6 +110,7 @@
             report_due: Notify::new(),
             batch_due: Notify::new(),
             history_gone: Notify::new(),
+            worker_restarted: Notify::new(),
             settings,
         })
     }
@@ -121,9 +128,26 @@
         self.facts.borrow().configuration()
     }
 
-    /// Whether the balancer should send requests here.
+    /// Notes an entry of the store that cannot be used, once for each of its
+    /// revisions; whether it is news.
+    pub(crate) fn note_unreadable(&self, kv: &KeyValue) -> bool {
+        let is_news = self.unreadable.borrow_mut().note(kv);
+        if is_news {
+            self.metrics.unreadable.inc();
+        }
+        is_news
+    }
+
+    /// Whether the balancer should send requests here: routes are known, and a
+    /// worker of some service that they name.
     pub(crate) fn is_ready(&self) -> bool {
-        let knows_workers = self.board.borrow().seats().next().is_some();
-        !self.stopping.get() && self.configuration().is_some() && knows_workers
+        let Some(configuration) = self.configuration() else {
+            return false;
+        };
+        let board = self.board.borrow();
+        let knows_worker = board
+            .seats()
+            .any(|s| configuration.names_service(&s.record.service));
+        !self.stopping.get() && knows_worker
     }
 }
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -4,13 +4,14 @@
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::pulse::Pulse;
-use crate::ticket::Place;
+use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
 use bluebellreel_dispatch::{BatchRun, Class, Query, Route, batch_to_yield, place_batch};
-use bluebellreel_net::Reuse;
+use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_types::{JobId, Moment, WorkerName};
+use bytes::Bytes;
 use http::StatusCode;
 use log::{info, warn};
 use std::collections::BTreeSet;
@@ -185,6 +186,7 @@
         return ItemEnd::Impossible;
     };
     let worker = place.worker().clone();
+    let ticket = place.ticket().clone();
     let sent = send(
         gw,
         Send {
@@ -202,7 +204,7 @@
         Ok(upstream) => of_status(gw, next, &upstream),
         Err(e) => {
             if e == NoAnswer::Silent {
-                gw.board.borrow_mut().failed(&worker, gw.now());
+                gw.board.borrow_mut().failed(&ticket, gw.now());
             }
             warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, outcome:? = e; "no answer to an item");
             rest(gw)
@@ -228,7 +230,7 @@
     let mut events = Events::default();
     let mut pulse = Pulse::default();
     loop {
-        match timeout(SILENCE, upstream.body.next()).await {
+        match timeout(SILENCE, next_piece(gw, &mut upstream)).await {
             Ok(Ok(Some(bytes))) => {
                 events.push(&bytes);
                 if let Err(reason) = take_events(gw, next, &mut events, &mut pulse, &upstream) {
@@ -242,6 +244,19 @@
     }
 }
 
+/// The next piece of an item's output. A worker that has started again brings
+/// none, and its silence is not waited out.
+async fn next_piece(gw: &Gateway, upstream: &mut Upstream) -> Result<Option<Bytes>, Broken> {
+    let Upstream { body, place, .. } = upstream;
+    tokio::select! {
+        biased;
+        read = body.next() => return read,
+        () = worker_restarted(gw, place.ticket()) => {}
+    }
+    let read = timeout(AFTER_RESTART, body.next()).await;
+    read.unwrap_or(Err(Broken))
+}
+
 fn take_events(
     gw: &Gateway,
     next: &Next,
@@ -258,7 +273,7 @@
         if progress.push(id, &event.data).is_err() {
             return Err("events do not follow");
         }
-        pulse.beat(gw, upstream.place.worker());
+        pulse.beat(gw, &upstream.place);
     }
     Ok(())
 }
@@ -270,7 +285,7 @@
 fn interrupted(gw: &Gateway, next: &Next, upstream: &Upstream, reason: &str) -> ItemEnd {
     let worker = upstream.place.worker();
     warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, reason; "item interrupted");
-    gw.board.borrow_mut().failed(worker, gw.now());
+    upstream.place.failed();
     rest(gw)
 }
 
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod serve;
 mod store;
 mod ticket;
+mod unreadable;
 mod upstream;
 mod watching;
 
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -3,7 +3,7 @@
 use crate::answers;
 use crate::gateway::Gateway;
 use crate::relay::Relay;
-use crate::ticket::Place;
+use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_dispatch::{
     Class, Placement, Query, Route, RouteKind, place_online, return_after, should_leave,
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
 /// Share of a route's objective that a request may wait in line; the rest is
 /// for its way, its prompt, and what is not known of the others in line.
@@ -141,10 +141,14 @@
     } else {
         Reuse::Never
     };
+    let place = Place::take(gw, worker, Class::Online);
+    let ticket = place.ticket().clone();
+    let mut restarted = pin!(worker_restarted(gw, &ticket));
+    let mut of_former_life = false;
     let mut answer = pin!(send(
         gw,
         Send {
-            place: Place::take(gw, worker, Class::Online),
+            place,
             out: &req.out,
             left: Some(req.left()),
             after: None,
@@ -153,13 +157,20 @@
         },
     ));
     let outcome = loop {
-        match timeout_at(due, answer.as_mut()).await {
-            Ok(outcome) => break outcome,
-            Err(_) if does_better_elsewhere(gw, req, worker) => {
-                gw.board.borrow_mut().failed(worker, gw.now());
-                break Err(NoAnswer::Silent);
+        tokio::select! {
+            biased;
+            outcome = answer.as_mut() => break outcome,
+            () = restarted.as_mut(), if !of_former_life => {
+                of_former_life = true;
+                due = due.min(Instant::now() + AFTER_RESTART);
+            }
+            () = sleep_until(due) => {
+                if of_former_life || does_better_elsewhere(gw, req, worker) {
+                    gw.board.borrow_mut().failed(&ticket, gw.now());
+                    break Err(NoAnswer::Silent);
+                }
+                due = (Instant::now() + LOOK_AGAIN).min(req.deadline);
             }
-            Err(_) => due = (Instant::now() + LOOK_AGAIN).min(req.deadline),
         }
     };
     if let Err(e) = &outcome {
@@ -214,9 +225,7 @@
     let failed = status.is_server_error();
     req.runs += 1;
     if failed && req.route.repeatable() && req.may_repeat() {
-        gw.board
-            .borrow_mut()
-            .failed(upstream.place.worker(), gw.now());
+        upstream.place.failed();
         return Err(req);
     }
     if req.route.kind == RouteKind::Stream && status.is_success() {
@@ -224,15 +233,11 @@
     }
     let body = tokio::time::timeout_at(req.deadline, upstream.body.whole(ANSWER_BYTES)).await;
     let Ok(Ok(body)) = body else {
-        gw.board
-            .borrow_mut()
-            .failed(upstream.place.worker(), gw.now());
+        upstream.place.failed();
         return Err(req);
     };
     if !failed {
-        gw.board
-            .borrow_mut()
-            .succeeded(upstream.place.worker(), gw.now());
+        upstream.place.succeeded();
     }
     gw.metrics
         .request(if failed { "worker_failed" } else { "served" });
--- a/crates/bluebellreel_gateway/src/pulse.rs
+++ b/crates/bluebellreel_gateway/src/pulse.rs
@@ -1,7 +1,8 @@
 //! What the events of one stream tell of its worker.
 
 use crate::gateway::Gateway;
-use bluebellreel_types::{Moment, WorkerName};
+use crate::ticket::Place;
+use bluebellreel_types::Moment;
 
 /// Follows the events of one run at one worker.
 #[derive(Debug, Default)]
@@ -11,12 +12,12 @@
 
 impl Pulse {
     /// An event has come: the worker is well, and this is its pace.
-    pub(crate) fn beat(&mut self, gw: &Gateway, worker: &WorkerName) {
+    pub(crate) fn beat(&mut self, gw: &Gateway, place: &Place) {
         let now = gw.now();
         let mut board = gw.board.borrow_mut();
-        board.succeeded(worker, now);
+        board.succeeded(place.ticket(), now);
         if let Some(last) = self.last.replace(now) {
-            board.paces.note_interval(worker, now.since(last), now);
+            board.note_interval(place.ticket(), now.since(last), now);
         }
     }
 }
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use crate::gateway::Gateway;
 use crate::online::{Request, choose, millis};
 use crate::pulse::Pulse;
-use crate::ticket::Place;
+use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_dispatch::{Class, Placement};
 use bluebellreel_net::{Broken, Reuse};
@@ -19,7 +19,7 @@
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Silence after which a stream goes on at another worker. Events come some
 /// 30 ms apart and a pause is late from 300 ms on: noticed after half of it,
@@ -44,6 +44,16 @@
     DeadlinePassed,
 }
 
+impl From<Result<Option<Bytes>, Broken>> for Brought {
+    fn from(read: Result<Option<Bytes>, Broken>) -> Self {
+        match read {
+            Ok(Some(bytes)) => Self::Bytes(bytes),
+            Ok(None) => Self::End,
+            Err(Broken) => Self::Broken,
+        }
+    }
+}
+
 /// A stream on its way to a caller.
 pub(crate) struct Relay {
     gw: Rc<Gateway>,
@@ -59,6 +69,8 @@
     /// When its last event came.
     last_at: Instant,
     longest_pause: Duration,
+    /// Whether its worker has started again since it was sent there.
+    of_former_life: bool,
     over: bool,
 }
 
@@ -78,6 +90,7 @@
             begun: Instant::now(),
             last_at: Instant::now(),
             longest_pause: Duration::ZERO,
+            of_former_life: false,
             over: false,
         }
     }
@@ -119,7 +132,15 @@
                     }
                 }
                 Brought::Silent => {
-                    if !self.go_on("worker silent").await {
+                    let reason = if self.of_former_life {
+                        "worker started again"
+                    } else {
+                        "worker silent"
+                    };
+                    if !self.go_on(reason).await {
+                        if self.of_former_life {
+                            return Some(self.break_off(reason));
+                        }
                         self.quiet_until = self.req.deadline;
                     }
                 }
@@ -159,8 +180,7 @@
         }
         self.last_at = Instant::now();
         self.passed += 1;
-        let worker = self.upstream.place.worker();
-        self.pulse.beat(&self.gw, worker);
+        self.pulse.beat(&self.gw, &self.upstream.place);
         self.quiet_until = Instant::now() + self.longest_silence();
     }
 
@@ -176,6 +196,19 @@
     }
 
     async fn bring(&mut self) -> Brought {
+        if !self.of_former_life {
+            let Upstream { body, place, .. } = &mut self.upstream;
+            let until = self.quiet_until.min(self.req.deadline);
+            tokio::select! {
+                biased;
+                read = body.next() => return read.into(),
+                () = worker_restarted(&self.gw, place.ticket()) => {
+                    self.of_former_life = true;
+                    self.quiet_until = until.min(Instant::now() + AFTER_RESTART);
+                }
+                () = sleep_until(until) => {}
+            }
+        }
         let until = self.quiet_until.min(self.req.deadline);
         let mut read = timeout_at(until, self.upstream.body.next()).await;
         if read.is_err() {
@@ -183,9 +216,7 @@
             read = timeout_at(last, self.upstream.body.next()).await;
         }
         match read {
-            Ok(Ok(Some(bytes))) => Brought::Bytes(bytes),
-            Ok(Ok(None)) => Brought::End,
-            Ok(Err(Broken)) => Brought::Broken,
+            Ok(read) => read.into(),
             Err(_) if self.req.left().is_zero() => Brought::DeadlinePassed,
             Err(_) => Brought::Silent,
         }
@@ -194,10 +225,9 @@
     /// Goes on at another worker; whether it could.
     async fn go_on(&mut self, reason: &str) -> bool {
         let worker = self.upstream.place.worker().clone();
-        let now = self.gw.now();
         let resumable = self.req.route.resumable && self.req.may_repeat();
         warn!(target: "online", request:% = self.req.id, worker:% = worker, events = self.passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
-        self.gw.board.borrow_mut().failed(&worker, now);
+        self.upstream.place.failed();
         while resumable && self.req.may_repeat() && !self.req.left().is_zero() {
             // Its caller has a part of the answer: the rest is worth more late
             // than not at all.
@@ -211,6 +241,7 @@
                     // Dropping the old one closes its connection, and with it
                     // ends its run.
                     self.upstream = upstream;
+                    self.of_former_life = false;
                     self.events = Events::default();
                     self.pulse = Pulse::default();
                     self.req.runs += 1;
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -8,7 +8,7 @@
 use crate::gateway::Gateway;
 use crate::jobs::KnownOwner;
 use crate::peer_calls;
-use bluebellreel_dispatch::{PeerLoad, Running};
+use bluebellreel_dispatch::{Boot, PeerLoad, PeerRuns, Running};
 use bluebellreel_members::{Peer, Revisions, SILENT};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use log::{info, warn};
@@ -57,13 +57,21 @@
     cancelled: Vec<JobId>,
 }
 
-fn report(gw: &Gateway, sequence: u64) -> Report {
+/// What follows a report. Daemons of an earlier version read the report and
+/// leave this; what they send lacks it.
+#[derive(Default, Serialize, Deserialize)]
+struct Supplement {
+    /// The lives of the workers in `running`, in the same order.
+    boots: Vec<Option<Boot>>,
+}
+
+fn report(gw: &Gateway, sequence: u64) -> (Report, Supplement) {
     let board = gw.board.borrow();
     let running = board
         .own()
-        .map(|(worker, r)| (worker.clone(), r.online, r.batch));
+        .map(|(worker, _, r)| (worker.clone(), r.online, r.batch));
     let facts = gw.facts.borrow();
-    Report {
+    let report = Report {
         entry: gw.me().clone(),
         run: gw.run,
         sequence,
@@ -78,6 +86,38 @@
         waiting: gw.jobs.borrow().items_waiting(),
         tokens: gw.jobs.borrow().tokens_by_route().into_iter().collect(),
         cancelled: gw.jobs.borrow().ended_lately(),
+    };
+    let boots = board.own().map(|(_, boot, _)| boot).collect();
+    (report, Supplement { boots })
+}
+
+/// Reads a report with what may follow it.
+fn read_report(datagram: &[u8]) -> Result<(Report, Supplement), postcard::Error> {
+    let (report, rest) = postcard::take_from_bytes::<Report>(datagram)?;
+    let supplement = if rest.is_empty() {
+        Supplement::default()
+    } else {
+        postcard::from_bytes(rest)?
+    };
+    Ok((report, supplement))
+}
+
+/// A peer's load as its report tells it.
+fn load_of(report: &Report, supplement: Supplement, now: Moment) -> PeerLoad {
+    let boots = supplement.boots.into_iter().chain(std::iter::repeat(None));
+    let runs = report.running.iter().zip(boots);
+    let running = runs.map(|((worker, online, batch), boot)| {
+        let running = Running {
+            online: *online,
+            batch: *batch,
+        };
+        (worker.clone(), PeerRuns { boot, running })
+    });
+    PeerLoad {
+        sequence: report.sequence,
+        running: running.collect(),
+        waiting: report.waiting,
+        expires_at: now + SILENT,
     }
 }
 
@@ -136,9 +176,9 @@
             // A datagram that came back as undeliverable; the peer is down.
             continue;
         };
-        match postcard::from_bytes::<Report>(&buf[..length]) {
-            Ok(report) if report.entry != *gw.me() => {
-                hear(&gw, report, &asking);
+        match read_report(&buf[..length]) {
+            Ok((report, supplement)) if report.entry != *gw.me() => {
+                hear(&gw, report, supplement, &asking);
             }
             Ok(_) => {}
             Err(e) => warn!(target: "members", from:% = from, error:% = e; "report not read"),
@@ -146,24 +186,9 @@
     }
 }
 
-fn hear(gw: &Rc<Gateway>, report: Report, asking: &Rc<Cell<bool>>) {
+fn hear(gw: &Rc<Gateway>, report: Report, supplement: Supplement, asking: &Rc<Cell<bool>>) {
     let now = gw.now();
-    let load = PeerLoad {
-        sequence: report.sequence,
-        running: report
-            .running
-            .iter()
-            .map(|(worker, online, batch)| {
-                let running = Running {
-                    online: *online,
-                    batch: *batch,
-                };
-                (worker.clone(), running)
-            })
-            .collect(),
-        waiting: report.waiting,
-        expires_at: now + SILENT,
-    };
+    let load = load_of(&report, supplement, now);
     gw.board.borrow_mut().hear(&report.entry, load);
     for job in &report.cancelled {
         crate::jobs::heard_cancelled(gw, job);
--- a/crates/bluebellreel_gateway/src/ticket.rs
+++ b/crates/bluebellreel_gateway/src/ticket.rs
@@ -4,6 +4,7 @@
 use bluebellreel_dispatch::{Class, Ticket};
 use bluebellreel_types::WorkerName;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Counts one run at a worker until it is dropped.
 pub(crate) struct Place {
@@ -29,6 +30,22 @@
     pub(crate) fn worker(&self) -> &WorkerName {
         &self.ticket.worker
     }
+
+    pub(crate) fn ticket(&self) -> &Ticket {
+        &self.ticket
+    }
+
+    /// The run has given an event or a whole answer.
+    pub(crate) fn succeeded(&self) {
+        let now = self.gw.now();
+        self.gw.board.borrow_mut().succeeded(&self.ticket, now);
+    }
+
+    /// The run has failed in a way that speaks against its worker.
+    pub(crate) fn failed(&self) {
+        let now = self.gw.now();
+        self.gw.board.borrow_mut().failed(&self.ticket, now);
+    }
 }
 
 impl Drop for Place {
@@ -38,3 +55,20 @@
         self.gw.batch_due.notify_one();
     }
 }
+
+/// How long a run may still bring something once its worker is known to have
+/// started again. The worker may have done so before the run was sent: its entry
+/// comes some hundred milliseconds after its first answers, and events come some
+/// 30 ms apart.
+pub(crate) const AFTER_RESTART: Duration = Duration::from_millis(150);
+
+/// Ends once a run's worker is known to have started again under its id.
+pub(crate) async fn worker_restarted(gw: &Gateway, ticket: &Ticket) {
+    loop {
+        let restarted = gw.worker_restarted.notified();
+        if gw.board.borrow().is_of_former_life(ticket) {
+            return;
+        }
+        restarted.await;
+    }
+}
--- a/crates/bluebellreel_gateway/src/upstream.rs
+++ b/crates/bluebellreel_gateway/src/upstream.rs
@@ -59,7 +59,7 @@
     let reply = match timeout_at(send.until, answer).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(e)) => {
-            gw.board.borrow_mut().failed(worker, gw.now());
+            send.place.failed();
             return Err(match e {
                 SendError::Unsent(reason) => NoAnswer::Unsent(reason),
                 SendError::Unknown(reason) => NoAnswer::Unknown(reason),
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -134,10 +134,10 @@
     let mut facts = gw.facts.borrow_mut();
     match event {
         WatchEvent::Put(kv) => {
-            let Some(record) = read_worker(&kv) else {
+            let Some((id, record)) = read_worker(gw, &kv) else {
                 return false;
             };
-            facts.catalog.put(kv.revision, record)
+            facts.catalog.take(kv.revision, &id, record)
         }
         WatchEvent::Deleted { key, revision } => {
             let Some(id) = keys::worker_id(key.as_str()) else {
@@ -155,11 +155,13 @@
 }
 
 fn workers_listed(gw: &Rc<Gateway>, all: &[KeyValue], revision: i64) {
-    let list: Vec<(i64, WorkerRecord)> = all
-        .iter()
-        .filter_map(|kv| Some((kv.revision, read_worker(kv)?)))
-        .collect();
-    info!(target: "facts", workers = list.len(), revision; "workers read");
+    let read = |kv: &KeyValue| {
+        let (id, record) = read_worker(gw, kv)?;
+        Some((kv.revision, id, record))
+    };
+    let list: Vec<(i64, WorkerName, Option<WorkerRecord>)> = all.iter().filter_map(read).collect();
+    let workers = list.iter().filter(|(_, _, record)| record.is_some());
+    info!(target: "facts", workers = workers.count(), revision; "workers read");
     let keep_until = keep_missing_until(gw);
     let changed = {
         let mut facts = gw.facts.borrow_mut();
@@ -171,15 +173,43 @@
     }
 }
 
-fn read_worker(kv: &KeyValue) -> Option<WorkerRecord> {
+/// What stands at a worker's place: its id, and the worker if the entry names
+/// one that could be used.
+fn read_worker(gw: &Gateway, kv: &KeyValue) -> Option<(WorkerName, Option<WorkerRecord>)> {
     let id = keys::worker_id(kv.key.as_str())?;
-    match decode_worker(id, &kv.value) {
+    let record = match decode_worker(id, &kv.value) {
         Ok(record) => Some(record),
         Err(e) => {
-            warn!(target: "facts", worker = id, error:% = e; "worker not taken");
+            if gw.note_unreadable(kv) {
+                warn!(target: "facts", worker = id, revision = kv.revision, error:% = e; "worker not taken");
+            }
             None
         }
+    };
+    Some((WorkerName::from(id), record))
+}
+
+/// Time without what a peer knows after which a daemon that does not watch
+/// looks for itself. Peers answer within some milliseconds; one of another
+/// version, or behind a cut, may never do so.
+const LEFT_BEHIND: Duration = Duration::from_secs(1);
+
+/// Whether a peer has known more than this daemon for too long. `since` holds
+/// since when one does.
+fn is_left_behind(gw: &Gateway, since: &Cell<Option<Moment>>) -> bool {
+    let now = gw.now();
+    let lacks = {
+        let facts = gw.facts.borrow();
+        let members = gw.members.borrow();
+        members.heard(now).any(|(_, p)| facts.lacks(p.revisions))
+    };
+    if !lacks {
+        since.set(None);
+        return false;
     }
+    let begun = since.get().unwrap_or(now);
+    since.set(Some(begun));
+    (begun + LEFT_BEHIND).is_past(now)
 }
 
 /// Lists a prefix and follows its changes for ever.
@@ -190,10 +220,11 @@
 /// callers of a new route would get 404 for as long. A list shows what is so.
 async fn follow(gw: &Rc<Gateway>, prefix: Key, subject: &Subject) {
     let failing = Cell::new(None::<Moment>);
+    let behind = Cell::new(None::<Moment>);
     let mut must_list = true;
     loop {
         let known = (subject.seen)(gw) > 0;
-        if known && !is_watcher(gw) {
+        if known && !is_watcher(gw) && !is_left_behind(gw, &behind) {
             // What a peer brings meanwhile is complete up to its revision.
             must_list = false;
             sleep(LOOK).await;
