Keepers hold what gateways know of the store, for starts while it is away

Cause: a gateway keeps nothing on its VM.

It visits gateways, takes over newer facts of those that have them from the store, writes them to two places by turns, and brings them to a gateway that the store has not answered since its start. Facts carry the store's revision, an age and an end of belief; the store's first answer ends it.

Ruled out: pushes by gateways (they would have to know keepers), processes beside workers (billed, killed with the others).

--- a/crates/bluebellreel_gateway/src/facts.rs
+++ b/crates/bluebellreel_gateway/src/facts.rs
@@ -5,13 +5,14 @@
 //! an older fact, whichever way it came.
 
 use crate::gateway::Gateway;
-use bluebellreel_dispatch::{Catalog, Configuration, WorkerChange, WorkerRecord};
+use bluebellreel_dispatch::{Catalog, Configuration, WorkerChange};
 use bluebellreel_members::Revisions;
 use bluebellreel_platform::decode_configuration;
+use bluebellreel_snapshot::SharedFacts;
 use bluebellreel_types::{Moment, WorkerName};
 use log::{info, warn};
-use serde::{Deserialize, Serialize};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The configuration with its origin.
 #[derive(Clone)]
@@ -29,20 +30,16 @@
     configured: Option<Configured>,
     /// Revision of the configuration that was not taken last.
     refused: i64,
+    /// Until when facts are believed that a snapshot brought; no bound for what
+    /// the store has said, itself or by way of peers.
+    believed_until: Option<Moment>,
+    /// Newest revision of a configuration that was ever in force in this run.
+    in_force_to: i64,
     pub(crate) catalog: Catalog,
     /// Revision up to which all that operators wrote is known.
     pub(crate) operator_seen: i64,
 }
 
-/// Facts as peers hand them on.
-#[derive(Serialize, Deserialize)]
-pub(crate) struct SharedFacts {
-    configuration: Option<(i64, Vec<u8>)>,
-    operator_seen: i64,
-    workers_seen: i64,
-    workers: Vec<(i64, WorkerName, Option<WorkerRecord>)>,
-}
-
 impl Facts {
     pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
         self.configured.as_ref().map(|c| c.checked.clone())
@@ -81,7 +78,7 @@
 
     /// Takes a configuration over unless a newer one is in force.
     pub(crate) fn configure(&mut self, revision: i64, text: &[u8], source: &str, now: Moment) {
-        if revision <= self.configuration_revision() {
+        if revision <= self.configuration_revision() || revision < self.in_force_to {
             return;
         }
         // It stands in the store until the next one, and is read at each list.
@@ -106,6 +103,7 @@
             return;
         }
         info!(target: "facts", revision, source, version = checked.version, routes = checked.routes.len(); "configuration in force");
+        self.in_force_to = revision;
         self.configured = Some(Configured {
             revision,
             since: now,
@@ -115,7 +113,7 @@
     }
 
     /// What a peer lacks that knows everything up to `seen`.
-    pub(crate) fn share(&self, seen: Revisions) -> SharedFacts {
+    pub(crate) fn share(&self, seen: Revisions, now: Moment) -> SharedFacts {
         let newer = self.configured.as_ref();
         let newer = newer.filter(|c| c.revision > seen.configuration);
         let workers = self
@@ -127,11 +125,55 @@
             operator_seen: self.operator_seen,
             workers_seen: self.catalog.revision(),
             workers: workers.collect(),
+            believed_for: self.believed_until.map(|until| until.since(now)),
+        }
+    }
+
+    /// Notes how long facts may be believed that are about to be taken over.
+    /// What the store has said is not made less sure by what a snapshot adds.
+    fn believe(&mut self, believed_for: Option<Duration>, now: Moment) {
+        let knows_nothing = self.configured.is_none();
+        match believed_for {
+            None => self.believed_until = None,
+            Some(left) if knows_nothing || self.believed_until.is_some() => {
+                let until = now + left;
+                let before = self.believed_until.unwrap_or(until);
+                self.believed_until = Some(before.max(until));
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// The store has told all that is known of what operators wrote.
+    pub(crate) fn told_by_store(&mut self) {
+        self.believed_until = None;
+    }
+
+    /// Whether all that is known comes from a snapshot.
+    pub(crate) fn is_from_snapshot(&self) -> bool {
+        self.believed_until.is_some()
+    }
+
+    /// Forgets what a snapshot brought once it is no longer believed; whether
+    /// there was any.
+    ///
+    /// An operator's change that was acknowledged meanwhile would never come into
+    /// force here. A configuration that was in force is not forgotten as such:
+    /// no older one follows it in this run.
+    pub(crate) fn expire(&mut self, now: Moment) -> bool {
+        if !self.believed_until.is_some_and(|until| until.is_past(now)) {
+            return false;
         }
+        self.believed_until = None;
+        self.configured = None;
+        self.catalog = Catalog::default();
+        self.operator_seen = 0;
+        true
     }
 
     /// Takes over what a peer knows better; whether workers changed.
     pub(crate) fn learn(&mut self, shared: SharedFacts, source: &str, now: Moment) -> bool {
+        self.believe(shared.believed_for, now);
         if let Some((revision, text)) = shared.configuration {
             self.configure(revision, &text, source, now);
         }
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod facts;
 mod gateway;
 mod jobs;
+mod keepers;
 mod metrics;
 mod online;
 mod peer_api;
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -4,6 +4,7 @@
 use crate::detour;
 use crate::gateway::Gateway;
 use crate::jobs;
+use crate::keepers;
 use bluebellreel_members::Revisions;
 use bluebellreel_net::{Body, read_body};
 use bluebellreel_types::JobId;
@@ -24,6 +25,11 @@
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (req.method(), parts.as_slice()) {
         (&Method::GET, ["facts"]) => facts(&gw, &req),
+        (&Method::GET, ["state"]) => keepers::state(&gw),
+        (&Method::PUT, ["facts"]) => match body_of(req).await {
+            Some(body) => keepers::take_offer(&gw, &body),
+            None => no_body(),
+        },
         (&Method::GET, ["jobs", id, "results"]) => {
             let after = number(&req, "after");
             let wait = Duration::from_millis(number(&req, "wait_ms"));
@@ -78,7 +84,7 @@
         configuration: revision("configuration"),
         workers: revision("workers"),
     };
-    match postcard::to_allocvec(&gw.facts.borrow().share(seen)) {
+    match postcard::to_allocvec(&gw.facts.borrow().share(seen, gw.now())) {
         Ok(bytes) => answers::bytes(bytes),
         Err(e) => answers::failure(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
     }
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -1,9 +1,9 @@
 //! Calls to peers.
 
-use crate::facts::SharedFacts;
 use crate::gateway::Gateway;
 use bluebellreel_members::Revisions;
 use bluebellreel_net::Reuse;
+use bluebellreel_snapshot::SharedFacts;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
--- a/crates/bluebellreel_gateway/src/reports.rs
+++ b/crates/bluebellreel_gateway/src/reports.rs
@@ -4,12 +4,13 @@
 //! few milliseconds apart, and four times a second in any case. It is complete
 //! in itself: one that is lost is made up for by the next.
 
-use crate::facts::{SharedFacts, follow_workers};
+use crate::facts::follow_workers;
 use crate::gateway::Gateway;
 use crate::jobs::KnownOwner;
 use crate::peer_calls;
 use bluebellreel_dispatch::{Boot, PeerLoad, PeerRuns, Running};
 use bluebellreel_members::{Peer, Revisions, SILENT};
+use bluebellreel_snapshot::SharedFacts;
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use log::{info, warn};
 use rand::RngExt;
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -184,6 +184,11 @@
     if expired {
         facts::follow_workers(gw, "time to register again is over");
     }
+    let outlived = gw.facts.borrow_mut().expire(now);
+    if outlived {
+        warn!(target: "facts", entry:% = gw.me(); "snapshot no longer believed");
+        facts::follow_workers(gw, "snapshot no longer believed");
+    }
 }
 
 fn metrics_text(gw: &Gateway, lines_dropped: u64) -> String {
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -98,6 +98,11 @@
     let Some(route) = configuration.route(ingress::host(&req), path).cloned() else {
         let id = ingress::request_id(req.headers());
         info!(target: "online", request = id, path, host = ingress::host(&req), version = configuration.version; "no route");
+        if gw.facts.borrow().is_from_snapshot() {
+            // It may be newer than the snapshot.
+            let reason = "store away";
+            return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, NOT_CONFIGURED);
+        }
         return answers::failure(StatusCode::NOT_FOUND, "no route");
     };
     let received = Instant::now();
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -38,6 +38,9 @@
 /// the end of an outage. Leases lapse only in longer ones, but this daemon may
 /// have made its first call late in it.
 const OUTAGE: Duration = Duration::from_millis(250);
+/// Time after the start in which a store that is there has answered: it takes
+/// some 4 ms, and a new daemon calls it at once.
+const FIRST_ANSWER: Duration = Duration::from_millis(300);
 /// How much longer than asked for a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
@@ -115,6 +118,13 @@
         failing.is_some_and(|since| since.elapsed() > LOST)
     }
 
+    /// Whether this daemon has looked for the store since its start, and nobody
+    /// has answered.
+    pub(crate) fn finds_nobody(&self) -> bool {
+        let looked = self.failures.get() > 0 || self.started.elapsed() > FIRST_ANSWER;
+        looked && self.answered_at.get().is_none()
+    }
+
     /// How long ago the last outage ended.
     pub(crate) fn regained_for(&self) -> Option<Duration> {
         Some(self.regained_at.get()?.elapsed())
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -96,6 +96,7 @@
 
 fn operator_seen_to(gw: &Gateway, revision: i64) {
     let mut facts = gw.facts.borrow_mut();
+    facts.told_by_store();
     facts.operator_seen = facts.operator_seen.max(revision);
 }
 
@@ -223,7 +224,10 @@
     let behind = Cell::new(None::<Moment>);
     let mut must_list = true;
     loop {
-        let known = (subject.seen)(gw) > 0;
+        // What a snapshot says is to be confirmed by the store, by each daemon
+        // itself: its peers may have nothing that it lacks, and say nothing.
+        let by_store = !gw.facts.borrow().is_from_snapshot();
+        let known = by_store && (subject.seen)(gw) > 0;
         if known && !is_watcher(gw) && !is_left_behind(gw, &behind) {
             // What a peer brings meanwhile is complete up to its revision.
             must_list = false;
--- /dev/null
+++ b/crates/bluebellreel_keeper/src/lib.rs
@@ -0,0 +1,23 @@
+//! A keeper: a small process on a VM with a disk that holds what gateways know
+//! of the store, for gateways that start while the store is away.
+//!
+//! It visits gateways now and then. From one that has newer facts from the store
+//! it takes them over and writes them to its disk; to one that the store does not
+//! answer it brings what it has. Gateways know no keepers and never wait for one.
+//! What a snapshot is and when it may be believed is decided in
+//! `bluebellreel_snapshot`.
+//!
+//! ```no_run
+//! use bluebellreel_settings::load_keeper;
+//!
+//! let read = || load_keeper("keeper.toml".as_ref());
+//! bluebellreel_keeper::run_keeper(read().unwrap(), Box::new(read)).unwrap();
+//! ```
+
+mod calls;
+mod disk;
+mod keeper;
+mod rounds;
+
+pub use disk::{Disk, DiskOutcome, load};
+pub use keeper::{ReadSettings, live, run_keeper};
--- /dev/null
+++ b/crates/bluebellreel_keeper/tests/disk.rs
@@ -0,0 +1,77 @@
+//! Disks that are empty, torn, foreign, or no folder at all.
+
+use bluebellreel_keeper::{Disk, DiskOutcome, load};
+use bluebellreel_snapshot::{KnownGateway, Snapshot};
+use bluebellreel_types::EntryName;
+use std::fs;
+use std::path::Path;
+
+fn snapshot(gateways: u16) -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    for n in 0..gateways {
+        let gateway = KnownGateway {
+            calls: ([10, 0, 0, 9], n).into(),
+            data_centre: None,
+        };
+        snapshot.meet(EntryName::from(format!("entry-{n}")), gateway);
+    }
+    snapshot
+}
+
+/// Writes snapshots of 1, 2, 3 … gateways.
+fn write(folder: &Path, count: u16) -> Vec<DiskOutcome> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .expect("a runtime");
+    let mut disk = Disk::start(folder.to_owned(), 0);
+    runtime.block_on(async {
+        let mut outcomes = Vec::new();
+        for gateways in 1..=count {
+            disk.write(snapshot(gateways).encode());
+            outcomes.push(disk.outcome().await.expect("its thread lives"));
+        }
+        outcomes
+    })
+}
+
+fn read(folder: &Path) -> (u64, usize) {
+    let (count, snapshot) = load(folder);
+    (count, snapshot.gateways().count())
+}
+
+#[test]
+fn the_last_write_is_read() {
+    let folder = tempfile::tempdir().expect("a folder");
+    assert_eq!(read(folder.path()), (0, 0));
+    assert_eq!(write(folder.path(), 3), vec![DiskOutcome::Written; 3]);
+    assert_eq!(read(folder.path()), (3, 3));
+}
+
+/// Power is lost in the middle of a write. The keeper is back with what it had
+/// written before, and goes on counting from there.
+#[test]
+fn a_torn_write_costs_one_snapshot() {
+    let folder = tempfile::tempdir().expect("a folder");
+    write(folder.path(), 4);
+    let newer = folder.path().join("snapshot-a");
+    let whole = fs::read(&newer).expect("written");
+    fs::write(&newer, &whole[..whole.len() / 2]).expect("torn");
+    assert_eq!(read(folder.path()), (3, 3));
+    fs::write(folder.path().join("snapshot-b"), b"no snapshot").expect("written");
+    assert_eq!(read(folder.path()), (0, 0), "it begins with nothing");
+}
+
+/// The disk is gone. Each write says so, and the keeper does not end.
+#[test]
+fn a_disk_that_refuses_is_told_of() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("file");
+    fs::write(&file, b"").expect("written");
+    let outcomes = write(&file, 2);
+    assert!(
+        outcomes
+            .iter()
+            .all(|o| matches!(o, DiskOutcome::Refused(_))),
+        "{outcomes:?}"
+    );
+}
--- a/crates/bluebellreel_model/src/lib.rs
+++ b/crates/bluebellreel_model/src/lib.rs
@@ -1,10 +1,10 @@
 //! Model checking of the core protocol.
 //!
-//! Three small specifications, each explored through all its states: the life
+//! Small specifications, each explored through all its states: the life
 //! of one call that may not be repeated ([`call`]), which drives the real
 //! admission and claim functions, the ownership of one job's item
-//! ([`ownership`]), and the segments in which a gateway records results
-//! ([`segments`]). Guards can be left out, to show that the checker finds what
+//! ([`ownership`]), the segments in which a gateway records results
+//! ([`segments`]), and a gateway that lives by a snapshot ([`snapshot`]). Guards can be left out, to show that the checker finds what
 //! each one is for.
 //!
 //! ```
@@ -18,5 +18,6 @@
 mod explored;
 pub mod ownership;
 pub mod segments;
+pub mod snapshot;
 
 pub use explored::Explored;
--- a/crates/bluebellreel_model/tests/guards.rs
+++ b/crates/bluebellreel_model/tests/guards.rs
@@ -1,6 +1,6 @@
 //! All states hold with all guards; without one of them the checker finds why.
 
-use bluebellreel_model::{Explored, call, ownership, segments};
+use bluebellreel_model::{Explored, call, ownership, segments, snapshot};
 
 fn holds(name: &str, explored: &Explored) {
     println!("{name}: {} states", explored.states);
@@ -19,6 +19,7 @@
     holds("ownership", &ownership::explore(ownership::Guards::all()));
     holds("call", &call::explore(call::Guards::all()));
     holds("segments", &segments::explore(segments::Guards::all()));
+    holds("snapshot", &snapshot::explore(snapshot::Guards::all()));
 }
 
 /// An owner is paused, another takes its job over and records. The first one's
@@ -131,3 +132,58 @@
         "of a call that ran",
     );
 }
+
+/// A gateway starts while the store is away and gets a snapshot in which a worker
+/// is listed whose address another service has now. Unless work names its worker,
+/// that service runs it.
+#[test]
+fn without_naming_the_worker_a_stranger_runs_its_work() {
+    let guards = snapshot::Guards {
+        instance: false,
+        ..snapshot::Guards::all()
+    };
+    found(
+        "no instance",
+        &snapshot::explore(guards),
+        "no route ever sent",
+    );
+}
+
+/// A gateway lives by a keeper's snapshot when another keeper, which was cut off
+/// for a while, brings an older one.
+#[test]
+fn without_revisions_a_snapshot_reverts_a_version() {
+    let guards = snapshot::Guards {
+        revision: false,
+        ..snapshot::Guards::all()
+    };
+    found("no revision", &snapshot::explore(guards), "has reverted");
+}
+
+/// The store is there when a gateway starts, and a keeper is quicker than it.
+#[test]
+fn without_asking_the_store_first_an_older_version_is_in_force() {
+    let guards = snapshot::Guards {
+        store_first: false,
+        ..snapshot::Guards::all()
+    };
+    found(
+        "snapshot first",
+        &snapshot::explore(guards),
+        "though the store answers",
+    );
+}
+
+/// Gateways that live by a snapshot tell keepers that they know just that.
+#[test]
+fn without_the_store_s_word_a_snapshot_never_grows_old() {
+    let guards = snapshot::Guards {
+        store_s_word: false,
+        ..snapshot::Guards::all()
+    };
+    found(
+        "any word",
+        &snapshot::explore(guards),
+        "confirmed by itself",
+    );
+}
--- /dev/null
+++ b/crates/bluebellreel_settings/src/keeper.rs
@@ -0,0 +1,79 @@
+//! Settings of a keeper of snapshots.
+
+use crate::SettingsError;
+use bluebellreel_types::{DataCentre, EntryName};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Checked settings of a keeper.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeeperSettings {
+    /// Its name, unique in the fleet.
+    pub name: EntryName,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Folder that it writes to.
+    pub folder: PathBuf,
+    /// Gateways to begin with; they may be stale or down.
+    pub seeds: Vec<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    vm: RawVm,
+    data: RawData,
+    #[serde(default)]
+    peers: RawPeers,
+}
+
+#[derive(Deserialize)]
+struct RawVm {
+    name: String,
+    data_centre: String,
+}
+
+#[derive(Deserialize)]
+struct RawData {
+    folder: PathBuf,
+}
+
+#[derive(Default, Deserialize)]
+struct RawPeers {
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+}
+
+/// Reads and checks the settings file of a keeper.
+///
+/// # Errors
+///
+/// Names the file, the key and what is wrong.
+pub fn load_keeper(path: &Path) -> Result<KeeperSettings, SettingsError> {
+    let file = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).map_err(|e| SettingsError::new(&file, "", e.to_string()))?;
+    parse_keeper(&file, &text)
+}
+
+/// Checks the text of a keeper's settings; `file` names it in errors.
+///
+/// # Errors
+///
+/// Names the file, the key and what is wrong.
+pub fn parse_keeper(file: &str, text: &str) -> Result<KeeperSettings, SettingsError> {
+    let raw: Raw = toml::from_str(text).map_err(|e| SettingsError::new(file, "", e.to_string()))?;
+    if raw.vm.name.is_empty() {
+        return Err(SettingsError::new(file, "vm.name", "must not be empty"));
+    }
+    if !raw.data.folder.is_absolute() {
+        let reason = "must be an absolute path";
+        return Err(SettingsError::new(file, "data.folder", reason));
+    }
+    Ok(KeeperSettings {
+        name: EntryName::from(raw.vm.name),
+        data_centre: DataCentre::from(raw.vm.data_centre),
+        folder: raw.data.folder,
+        seeds: raw.peers.seeds,
+    })
+}
--- /dev/null
+++ b/crates/bluebellreel_settings/tests/keeper.rs
@@ -0,0 +1,41 @@
+//! Settings of a keeper.
+
+use bluebellreel_settings::parse_keeper;
+
+const GOOD: &str = r#"
+[vm]
+name = "store-1"
+data_centre = "hall"
+
+[data]
+folder = "/data"
+
+[peers]
+seeds = ["10.0.0.1:8166", "10.0.0.2:8166"]
+"#;
+
+#[test]
+fn good_settings_are_read() {
+    let read = parse_keeper("keeper.toml", GOOD).expect("they are good");
+    assert_eq!(read.name.as_str(), "store-1");
+    assert_eq!(read.seeds.len(), 2);
+    let without_seeds = GOOD.split("[peers]").next().expect("a part");
+    let read = parse_keeper("keeper.toml", without_seeds).expect("seeds may lack");
+    assert!(read.seeds.is_empty());
+}
+
+/// A mistake names the file and the key, as only a phone is at hand.
+#[test]
+fn mistakes_are_named() {
+    let wrong = [
+        (GOOD.replace("store-1", ""), "vm.name"),
+        (GOOD.replace("/data", "data"), "data.folder"),
+        (GOOD.replace("folder", "place"), "folder"),
+        (GOOD.replace("10.0.0.1:8166", "here"), "seeds"),
+    ];
+    for (text, key) in wrong {
+        let e = parse_keeper("keeper.toml", &text).expect_err("it is wrong");
+        let e = e.to_string();
+        assert!(e.contains("keeper.toml") && e.contains(key), "{key}: {e}");
+    }
+}
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -14,7 +14,7 @@
 pub(super) enum Command {
     Serve(Serve),
     Gateway(GatewayCommand),
-    Idle(Idle),
+    Keeper(KeeperCommand),
     Explain(Explain),
     Check(Check),
     Manifest(ManifestCommand),
@@ -42,10 +42,14 @@
     pub(super) settings: Option<PathBuf>,
 }
 
-/// wait for the end, for VMs that must run a process and have nothing to do
+/// keep what gateways know of the store, for those that start while it is away
 #[derive(argh::FromArgs)]
-#[argh(subcommand, name = "idle")]
-pub(super) struct Idle {}
+#[argh(subcommand, name = "keeper")]
+pub(super) struct KeeperCommand {
+    /// settings file (TOML); else the file named by the environment
+    #[argh(option)]
+    pub(super) settings: Option<PathBuf>,
+}
 
 /// print the story of a request, job or item from gateways' logs
 #[derive(argh::FromArgs)]
@@ -72,6 +76,9 @@
     /// settings file of a gateway
     #[argh(option)]
     pub(super) gateway: Option<PathBuf>,
+    /// settings file of a keeper
+    #[argh(option)]
+    pub(super) keeper: Option<PathBuf>,
     /// manifest
     #[argh(option)]
     pub(super) manifest: Option<String>,
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -1,7 +1,7 @@
 //! Subcommands.
 
 use crate::cli::arguments::{
-    Arguments, Check, Command, Explain, Idle, JobAction, ManifestAction, Serve, WorkerAction,
+    Arguments, Check, Command, Explain, JobAction, ManifestAction, Serve, WorkerAction,
 };
 use crate::cli::client::{Answer, Client};
 use crate::cli::explain::{self, LogLine};
@@ -10,7 +10,7 @@
 use crate::program::{Running, run_program};
 use bluebellreel_entry::start_entry;
 use bluebellreel_fleet::Manifest;
-use bluebellreel_settings::{load_entry, load_gateway, load_side};
+use bluebellreel_settings::{load_entry, load_gateway, load_keeper, load_side};
 use eyre::{Context, bail};
 use serde_json::Value;
 use std::process::ExitCode;
@@ -28,7 +28,7 @@
     match arguments.command {
         Command::Serve(serve) => run_serve(&serve),
         Command::Gateway(command) => gateway::gateway(command.settings),
-        Command::Idle(Idle {}) => gateway::idle(),
+        Command::Keeper(command) => gateway::keeper(command.settings),
         Command::Explain(explain) => run_explain(&explain),
         Command::Check(check) => run_check(&check),
         command => match run_call(command) {
@@ -91,12 +91,17 @@
     if let Some(path) = &check.gateway {
         errors.extend(load_gateway(path).err().map(|e| e.to_string()));
     }
+    if let Some(path) = &check.keeper {
+        errors.extend(load_keeper(path).err().map(|e| e.to_string()));
+    }
     if let Some(path) = &check.manifest {
         errors.extend(manifest_errors(path));
     }
-    let files = [&check.entry, &check.side, &check.manifest];
-    if check.gateway.is_none() && files.iter().all(|f| f.is_none()) {
-        errors.push("nothing to check: give --entry, --side, --gateway or --manifest".into());
+    let names = [&check.entry, &check.side, &check.manifest];
+    let paths = [&check.gateway, &check.keeper];
+    if paths.iter().all(|p| p.is_none()) && names.iter().all(|n| n.is_none()) {
+        let options = "--entry, --side, --gateway, --keeper or --manifest";
+        errors.push(format!("nothing to check: give {options}"));
     }
     if errors.is_empty() {
         println!("ok");
@@ -152,7 +157,7 @@
         }
         Command::Serve(_)
         | Command::Gateway(_)
-        | Command::Idle(_)
+        | Command::Keeper(_)
         | Command::Explain(_)
         | Command::Check(_) => {
             unreachable!("run without a daemon")
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -1,12 +1,11 @@
-//! Commands of VMs on the users' platform: the gateway, and waiting.
+//! Commands of VMs on the users' platform: the gateway and the keeper.
 
 use bluebellreel_gateway::{Surroundings, run_gateway};
-use bluebellreel_settings::load_gateway;
+use bluebellreel_keeper::run_keeper;
+use bluebellreel_settings::{SettingsError, load_gateway, load_keeper};
 use bluebellreel_telemetry::start_json_logging;
 use eyre::WrapErr;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 
@@ -20,23 +19,39 @@
 const CUT: u8 = 3;
 /// Parts of a gateway that log their decisions.
 const PARTS: [&str; 6] = ["gateway", "facts", "members", "online", "jobs", "http"];
+/// Parts of a keeper that do.
+const KEEPER_PARTS: [&str; 2] = ["keeper", "http"];
 
-/// Runs a gateway until it is asked to stop.
-pub(super) fn gateway(settings: Option<PathBuf>) -> ExitCode {
-    let Some(path) = settings.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
-    else {
+/// The settings file: as given, or as the environment names it.
+fn settings_path(given: Option<PathBuf>) -> Option<PathBuf> {
+    let path = given.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
+    if path.is_none() {
         eprintln!("no settings file: give --settings or set {SETTINGS_VARIABLE}");
-        return ExitCode::from(BAD_INPUT);
-    };
-    let settings = match load_gateway(&path) {
-        Ok(settings) => settings,
+    }
+    path
+}
+
+/// Reads the settings of a program.
+fn settings<T>(
+    given: Option<PathBuf>,
+    load: impl Fn(&Path) -> Result<T, SettingsError>,
+) -> Option<(PathBuf, T)> {
+    let path = settings_path(given)?;
+    match load(&path) {
+        Ok(settings) => Some((path, settings)),
         Err(e) => {
             eprintln!("{e}");
-            return ExitCode::from(BAD_INPUT);
+            None
         }
+    }
+}
+
+/// Runs a gateway until it is asked to stop.
+pub(super) fn gateway(given: Option<PathBuf>) -> ExitCode {
+    let Some((path, settings)) = settings(given, load_gateway) else {
+        return ExitCode::from(BAD_INPUT);
     };
-    let stdout = std::io::stdout();
-    let run = start_json_logging(log::LevelFilter::Info, &PARTS, stdout)
+    let run = start_json_logging(log::LevelFilter::Info, &PARTS, std::io::stdout())
         .wrap_err("logs")
         .and_then(|dropped| {
             let around = Surroundings {
@@ -56,20 +71,19 @@
     }
 }
 
-/// Waits until it is asked to stop.
-pub(super) fn idle() -> ExitCode {
-    let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
-        Ok(signals) => signals,
+/// Runs a keeper until it is asked to stop.
+pub(super) fn keeper(given: Option<PathBuf>) -> ExitCode {
+    let Some((path, settings)) = settings(given, load_keeper) else {
+        return ExitCode::from(BAD_INPUT);
+    };
+    let run = start_json_logging(log::LevelFilter::Info, &KEEPER_PARTS, std::io::stdout())
+        .wrap_err("logs")
+        .and_then(|_| run_keeper(settings, Box::new(move || load_keeper(&path))));
+    match run {
+        Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("not started: {e}");
-            return ExitCode::from(FAILED);
+            eprintln!("not started: {e:#}");
+            ExitCode::from(FAILED)
         }
-    };
-    println!("{{\"level\":\"INFO\",\"part\":\"idle\",\"event\":\"started\"}}");
-    let asked = signals.forever().find(|signal| *signal != SIGHUP);
-    println!("{{\"level\":\"INFO\",\"part\":\"idle\",\"event\":\"stopped\"}}");
-    match asked {
-        Some(_) => ExitCode::SUCCESS,
-        None => ExitCode::from(FAILED),
     }
 }
