Keepers hold how far items are, and results that are not recorded yet

Cause: what items had generated lay with their owner and, a moment old, with the job's heir, both gateways.

Now: owners tell the keeper of their own data centre once a second (their heir only where there is none); the keeper writes it to its disk. Results that the store has not recorded are told with it. Whoever takes a job over asks all keepers that have visited it. A gateway that did not answer a keeper is visited again after 0.3 s wherever it stands.

--- a/crates/bluebellreel_batch/src/copies.rs
+++ b/crates/bluebellreel_batch/src/copies.rs
@@ -6,7 +6,7 @@
 //! owner tells its heir now and then how far its items are; the heir keeps that
 //! for a while, within a bound, and goes on from there.
 
-use crate::{Item, ItemPhase, Job, Progress};
+use crate::{Item, ItemPhase, ItemResult, Job, Progress, ResultState};
 use bluebellreel_types::{JobId, Moment};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -19,12 +19,14 @@
     pub item: Arc<str>,
     /// Its runs that failed by its own fault.
     pub failures: u32,
-    /// Id of its last event.
+    /// Id of its last event; zero for an item that has ended.
     pub last_id: u64,
-    /// Number of its events.
+    /// Number of its events; zero for an item that has ended.
     pub events: u64,
     /// Its text so far.
     pub text: String,
+    /// How it has ended, if it has; its result is not recorded yet.
+    pub ended: Option<ResultState>,
 }
 
 impl ItemProgress {
@@ -35,36 +37,64 @@
             last_id: item.progress.last_id()?,
             events: item.progress.events(),
             text: item.progress.text().to_owned(),
+            ended: None,
         })
     }
 
+    /// An item whose result waits to be recorded. While the store is away that
+    /// lasts as long as the outage: the result would be lost with its owner.
+    fn of_result(result: &ItemResult) -> Self {
+        Self {
+            item: result.id.clone(),
+            failures: 0,
+            last_id: 0,
+            events: 0,
+            text: result.text.to_string(),
+            ended: Some(result.state),
+        }
+    }
+
     fn bytes(&self) -> usize {
         self.text.len() + self.item.len()
     }
 }
 
 impl Job {
-    /// How far all items are that have generated something and have not ended.
+    /// How far all items are that have generated something and whose results
+    /// are not recorded.
     #[must_use]
     pub fn progress(&self) -> Vec<ItemProgress> {
         let begun = self.items.iter().filter(|i| i.phase != ItemPhase::Ended);
-        begun.filter_map(ItemProgress::of).collect()
+        let begun = begun.filter_map(ItemProgress::of);
+        begun
+            .chain(self.unrecorded().map(ItemProgress::of_result))
+            .collect()
     }
 
-    /// Lets waiting items go on from where they were, if that is further.
-    pub fn restore(&mut self, begun: Vec<ItemProgress>) {
+    /// Lets waiting items go on from where they were, if that is further, and
+    /// ends those that had ended.
+    pub fn restore(&mut self, begun: Vec<ItemProgress>, now: Moment) {
         for known in begun {
-            let item = self.items.iter_mut().find(|i| i.input.id == known.item);
-            let Some(item) = item else {
-                continue;
-            };
-            let waits = matches!(item.phase, ItemPhase::Waiting { .. });
-            if waits && item.progress.events() < known.events {
-                item.failures = item.failures.max(known.failures);
-                item.progress = Progress::restored(known.last_id, known.events, known.text);
+            let at = self.items.iter().position(|i| i.input.id == known.item);
+            if let Some(at) = at {
+                self.restore_item(at, known, now);
             }
         }
     }
+
+    fn restore_item(&mut self, at: usize, known: ItemProgress, now: Moment) {
+        let item = &mut self.items[at];
+        if !matches!(item.phase, ItemPhase::Waiting { .. }) {
+            return;
+        }
+        item.failures = item.failures.max(known.failures);
+        if let Some(state) = known.ended {
+            item.progress = Progress::restored(known.last_id, known.events, known.text);
+            self.conclude(at, state, now);
+        } else if item.progress.events() < known.events {
+            item.progress = Progress::restored(known.last_id, known.events, known.text);
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
--- a/crates/bluebellreel_batch/src/job.rs
+++ b/crates/bluebellreel_batch/src/job.rs
@@ -138,6 +138,12 @@
         self.items.iter().filter(waits).count()
     }
 
+    /// Results that are not surely recorded.
+    pub(crate) fn unrecorded(&self) -> impl Iterator<Item = &ItemResult> {
+        let writing = self.writing.iter().flat_map(|s| &s.results);
+        writing.chain(&self.pending)
+    }
+
     /// Whether a result waits to be recorded.
     #[must_use]
     pub fn has_pending(&self) -> bool {
@@ -192,7 +198,7 @@
         }
     }
 
-    fn conclude(&mut self, item: usize, state: ResultState, now: Moment) {
+    pub(crate) fn conclude(&mut self, item: usize, state: ResultState, now: Moment) {
         let found = &mut self.items[item];
         found.phase = ItemPhase::Ended;
         let progress = std::mem::take(&mut found.progress);
--- a/crates/bluebellreel_batch/tests/copies.rs
+++ b/crates/bluebellreel_batch/tests/copies.rs
@@ -14,6 +14,7 @@
         last_id: events,
         events,
         text: "x".repeat(usize::try_from(events).unwrap_or(0)),
+        ended: None,
     }
 }
 
--- a/crates/bluebellreel_batch/tests/jobs.rs
+++ b/crates/bluebellreel_batch/tests/jobs.rs
@@ -274,9 +274,36 @@
     heir.items[0].phase = ItemPhase::Running;
     heir.items[1].phase = ItemPhase::Running;
     heir.end_run(1, ItemEnd::Completed, 3, NOW);
-    heir.restore(copy);
+    heir.restore(copy, NOW);
     assert_eq!(heir.items[0].progress.last_id(), None, "it runs");
     assert_eq!(heir.items[1].phase, ItemPhase::Ended);
     assert_eq!(heir.items[2].progress.last_id(), Some(4));
     assert_eq!(heir.items[2].progress.text(), "t\nt\nt\nt");
 }
+
+/// The store is away when items end, and their owner dies. What has ended is told
+/// with what is under way, and whoever takes the job over need not run it again;
+/// what the store has recorded after all stays as it is.
+#[test]
+fn results_that_are_not_recorded_are_told_too() {
+    let mut dead = job("j", 3, NOW);
+    for item in 0..2 {
+        dead.items[item].phase = ItemPhase::Running;
+        assert!(dead.items[item].progress.push(1, "t").is_ok());
+        dead.end_run(item, ItemEnd::Completed, 3, NOW);
+    }
+    let segment = dead.segment_to_write(|since| since, NOW, BYTES);
+    assert_eq!(segment.map(|s| s.results.len()), Some(2), "in doubt");
+    let copy = dead.progress();
+    assert_eq!(copy.len(), 2);
+
+    let mut heir = job("j", 3, NOW);
+    heir.items[0].phase = ItemPhase::Ended;
+    heir.restore(copy, NOW);
+    assert_eq!(heir.items[1].phase, ItemPhase::Ended);
+    assert!(matches!(heir.items[2].phase, ItemPhase::Waiting { .. }));
+    let segment = heir.segment_to_write(|since| since, NOW, BYTES);
+    let results = segment.expect("one result").results;
+    assert_eq!(results.len(), 1);
+    assert_eq!(&*results[0].text, "t");
+}
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::facts::Facts;
 use crate::jobs::Jobs;
+use crate::keepers::Keepers;
 use crate::metrics::Metrics;
 use crate::store::StoreClient;
 use crate::unreadable::Unreadable;
@@ -53,6 +54,7 @@
     pub(crate) peers: Pool,
     pub(crate) store: StoreClient,
     pub(crate) metrics: Metrics,
+    pub(crate) keepers: RefCell<Keepers>,
     pub(crate) unreadable: RefCell<Unreadable>,
     /// Lease of this daemon's entry in the store; zero for none.
     pub(crate) lease: Cell<i64>,
@@ -102,6 +104,7 @@
             peers,
             store: StoreClient::new(settings.store, metrics.store_call.clone()),
             metrics,
+            keepers: RefCell::default(),
             unreadable: RefCell::default(),
             lease: Cell::new(0),
             stopping: Cell::new(false),
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -111,7 +111,7 @@
     // Somebody who only knew of the new owner may have told us before.
     let known = gw.jobs.borrow().own.get(id).cloned();
     if let Some(owned) = known {
-        owned.job.borrow_mut().restore(begun);
+        owned.job.borrow_mut().restore(begun, gw.now());
         return answers::status(StatusCode::OK);
     }
     let loaded = match load::record(gw, id).await {
@@ -129,7 +129,7 @@
             return answers::failure(StatusCode::SERVICE_UNAVAILABLE, "not read");
         }
     };
-    job.restore(begun);
+    job.restore(begun, gw.now());
     if !gw.jobs.borrow().own.contains_key(id) {
         adopt(gw, job);
     }
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -1,7 +1,7 @@
 //! Taking over jobs whose owner is gone.
 
 use super::accept::{adopt, stored_record};
-use super::{key, load};
+use super::{backup, key, load};
 use crate::gateway::Gateway;
 use crate::registration;
 use bluebellreel_batch::{Custody, JobPhase, JobRecord, Owner, OwnerSign, custody, keys};
@@ -195,9 +195,7 @@
     };
     info!(target: "jobs", job:% = id, owner:% = before.entry, run:% = before.run, revision; "job taken over");
     let mut job = load::job(gw, id, record, revision).await?;
-    let begun = gw.jobs.borrow_mut().copies.take(id);
-    info!(target: "jobs", job:% = id, begun = begun.len(); "items go on");
-    job.restore(begun);
+    backup::recall(gw, id, &mut job).await;
     adopt(gw, job);
     Ok(true)
 }
--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -9,11 +9,13 @@
 use crate::gateway::Gateway;
 use bluebellreel_net::Body;
 use bluebellreel_snapshot::{GatewayState, SharedFacts};
-use bluebellreel_types::EntryName;
+use bluebellreel_types::{EntryName, Moment};
 use http::{Response, StatusCode};
 use log::{info, warn};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Whether the store has not told this daemon anything yet.
 fn wants_facts(gw: &Gateway) -> bool {
@@ -22,8 +24,68 @@
     knows_nothing || facts.is_from_snapshot()
 }
 
-/// Tells a keeper what is known here.
-pub(crate) fn state(gw: &Gateway) -> Response<Body> {
+/// How long a keeper counts as there after a visit: three times as long as far
+/// ones leave between visits before few gateways.
+const THERE: Duration = Duration::from_secs(4);
+
+/// Keepers that have visited this daemon.
+#[derive(Debug, Default)]
+pub(crate) struct Keepers {
+    seen: BTreeMap<SocketAddr, Seen>,
+}
+
+#[derive(Debug)]
+struct Seen {
+    is_near: bool,
+    until: Moment,
+}
+
+impl Keepers {
+    /// One that stands in this daemon's data centre, and that is there.
+    pub(crate) fn near(&self, now: Moment) -> Option<SocketAddr> {
+        let there = self.there(now);
+        let mut near = there.filter(|(_, seen)| seen.is_near);
+        near.next().map(|(at, _)| at)
+    }
+
+    /// All that are there.
+    pub(crate) fn all(&self, now: Moment) -> Vec<SocketAddr> {
+        self.there(now).map(|(at, _)| at).collect()
+    }
+
+    fn there(&self, now: Moment) -> impl Iterator<Item = (SocketAddr, &Seen)> {
+        let all = self.seen.iter().map(|(at, seen)| (*at, seen));
+        all.filter(move |(_, seen)| !seen.until.is_past(now))
+    }
+
+    /// Forgets those that are gone.
+    pub(crate) fn sweep(&mut self, now: Moment) {
+        self.seen.retain(|_, seen| !seen.until.is_past(now));
+    }
+}
+
+/// Remembers the keeper that asks.
+fn note_keeper(gw: &Gateway, query: &str) {
+    let pairs = form_urlencoded::parse(query.as_bytes());
+    let mut address = None;
+    let mut is_near = false;
+    for (name, value) in pairs {
+        match &*name {
+            "keeper" => address = value.parse().ok(),
+            "data_centre" => is_near = *value == *gw.settings.data_centre.as_str(),
+            _ => {}
+        }
+    }
+    if let Some(at) = address {
+        let until = gw.now() + THERE;
+        let seen = Seen { is_near, until };
+        gw.keepers.borrow_mut().seen.insert(at, seen);
+    }
+}
+
+/// Tells a keeper what is known here. `query` says who asks.
+pub(crate) fn state(gw: &Gateway, query: &str) -> Response<Body> {
+    note_keeper(gw, query);
     let peers: Vec<(EntryName, SocketAddr)> = {
         let members = gw.members.borrow();
         let peers = members.peers();
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -25,7 +25,7 @@
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (req.method(), parts.as_slice()) {
         (&Method::GET, ["facts"]) => facts(&gw, &req),
-        (&Method::GET, ["state"]) => keepers::state(&gw),
+        (&Method::GET, ["state"]) => keepers::state(&gw, req.uri().query().unwrap_or("")),
         (&Method::PUT, ["facts"]) => match body_of(req).await {
             Some(body) => keepers::take_offer(&gw, &body),
             None => no_body(),
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -131,7 +131,18 @@
     Ok(status)
 }
 
-/// Tells a peer how far the items of a job are that it would take over.
+/// How far the items of a job are, as a keeper knows it; empty if it does not.
+pub(crate) async fn progress(gw: &Gateway, to: SocketAddr, id: &JobId) -> Result<Bytes, PeerError> {
+    let path = format!("/jobs/{id}/progress");
+    let (status, body) = call(gw, to, Method::GET, &path, Bytes::new(), TIMEOUT).await?;
+    match status {
+        StatusCode::OK => Ok(body),
+        StatusCode::NOT_FOUND => Ok(Bytes::new()),
+        other => Err(format!("status {other}")),
+    }
+}
+
+/// Tells a keeper, or the peer that would take a job over, how far its items are.
 pub(crate) async fn copy_progress(
     gw: &Gateway,
     to: SocketAddr,
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -177,6 +177,7 @@
         gw.jobs.borrow().orphans_due.notify_one();
     }
     gw.jobs.borrow_mut().sweep(now);
+    gw.keepers.borrow_mut().sweep(now);
     gw.overloads.borrow_mut().sweep(now);
     gw.board.borrow_mut().forget_silent(now);
     gw.board.borrow_mut().paces.sweep(now);
--- a/crates/bluebellreel_keeper/src/calls.rs
+++ b/crates/bluebellreel_keeper/src/calls.rs
@@ -2,6 +2,7 @@
 
 use bluebellreel_net::{Pool, Reuse};
 use bluebellreel_snapshot::{GatewayState, SharedFacts, Snapshot};
+use bluebellreel_types::DataCentre;
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
@@ -48,9 +49,26 @@
     }
 }
 
-/// What a gateway says of itself.
-pub(crate) async fn state(pool: &Pool, to: SocketAddr) -> Result<GatewayState, CallError> {
-    let body = call(pool, to, Method::GET, "/state", Bytes::new()).await?;
+/// What a gateway says of itself. It is told where this keeper is called, and
+/// where it stands.
+pub(crate) async fn state(
+    pool: &Pool,
+    to: SocketAddr,
+    own: SocketAddr,
+    place: &DataCentre,
+) -> Result<GatewayState, CallError> {
+    let query = form_urlencoded::Serializer::new(String::new())
+        .append_pair("keeper", &own.to_string())
+        .append_pair("data_centre", place.as_str())
+        .finish();
+    let body = call(
+        pool,
+        to,
+        Method::GET,
+        &format!("/state?{query}"),
+        Bytes::new(),
+    )
+    .await?;
     postcard::from_bytes(&body).map_err(|e| e.to_string())
 }
 
--- a/crates/bluebellreel_keeper/src/disk.rs
+++ b/crates/bluebellreel_keeper/src/disk.rs
@@ -4,7 +4,7 @@
 //! waits for it, so that gateways are visited meanwhile; what it holds is a
 //! moment older then, which its age says.
 
-use bluebellreel_snapshot::{Snapshot, newest, write_slot};
+use bluebellreel_snapshot::{Snapshot, SnapshotError, newest, write_slot};
 use log::warn;
 use std::fs::{File, OpenOptions};
 use std::io::{ErrorKind, Write};
@@ -12,8 +12,14 @@
 use std::thread;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
-/// The two files that are written by turns.
-const SLOTS: [&str; 2] = ["snapshot-a", "snapshot-b"];
+/// A pair of files that are written by turns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pair([&'static str; 2]);
+
+/// What gateways know of the store.
+pub const SNAPSHOT: Pair = Pair(["snapshot-a", "snapshot-b"]);
+/// How far the items of jobs are.
+pub const PROGRESS: Pair = Pair(["progress-a", "progress-b"]);
 
 /// What came of a write.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,13 +47,12 @@
 }
 
 impl Disk {
-    /// Writes to a folder from now on; `count` is that of the newest snapshot
-    /// there.
+    /// Writes to a pair of files from now on; `count` is that of the newer one.
     #[must_use]
-    pub fn start(folder: PathBuf, count: u64) -> Self {
+    pub fn start(folder: PathBuf, pair: Pair, count: u64) -> Self {
         let (orders, due) = std::sync::mpsc::channel();
         let (tx, outcomes) = unbounded_channel();
-        thread::spawn(move || write_all(&folder, &due, &tx));
+        thread::spawn(move || write_all(&folder, pair, &due, &tx));
         Self {
             orders,
             outcomes,
@@ -80,11 +85,12 @@
 
 fn write_all(
     folder: &Path,
+    pair: Pair,
     due: &std::sync::mpsc::Receiver<Order>,
     tx: &UnboundedSender<DiskOutcome>,
 ) {
     while let Ok(order) = due.recv() {
-        let outcome = match write_one(folder, &order) {
+        let outcome = match write_one(folder, pair, &order) {
             Ok(()) => DiskOutcome::Written,
             Err(e) if e.kind() == ErrorKind::StorageFull => DiskOutcome::Full,
             Err(e) => DiskOutcome::Refused(e.to_string()),
@@ -97,9 +103,9 @@
 
 /// Writes over the older of the two places, so that a write which is cut leaves
 /// the newer one whole.
-fn write_one(folder: &Path, order: &Order) -> std::io::Result<()> {
+fn write_one(folder: &Path, pair: Pair, order: &Order) -> std::io::Result<()> {
     let slot = usize::from(order.count % 2 == 1);
-    let path = folder.join(SLOTS[slot]);
+    let path = folder.join(pair.0[slot]);
     let is_new = !path.exists();
     let mut file = OpenOptions::new()
         .create(true)
@@ -114,23 +120,34 @@
     Ok(())
 }
 
-/// Reads the newest snapshot of a folder, with its count. What cannot be read is
-/// told of and passed over: the keeper begins with less, which gateways bring.
+/// Reads the newer of a pair, with its count. What cannot be read is told of and
+/// passed over: the keeper begins with less, which gateways bring.
 #[must_use]
-pub fn load(folder: &Path) -> (u64, Snapshot) {
-    let slots = SLOTS.map(|name| read(&folder.join(name)));
+pub fn load<T>(
+    folder: &Path,
+    pair: Pair,
+    read_body: impl Fn(&[u8]) -> Result<T, SnapshotError>,
+) -> (u64, Option<T>) {
+    let slots = pair.0.map(|name| read(&folder.join(name)));
     let Some((at, count, body)) = newest([&slots[0], &slots[1]]) else {
-        return (0, Snapshot::default());
+        return (0, None);
     };
-    match Snapshot::try_from(body) {
-        Ok(snapshot) => (count, snapshot),
+    match read_body(body) {
+        Ok(read) => (count, Some(read)),
         Err(e) => {
-            warn!(target: "keeper", path = SLOTS[at], error:% = e; "snapshot not read");
-            (count, Snapshot::default())
+            warn!(target: "keeper", path = pair.0[at], error:% = e; "snapshot not read");
+            (count, None)
         }
     }
 }
 
+/// Reads the newest snapshot of a folder, with its count.
+#[must_use]
+pub fn load_snapshot(folder: &Path) -> (u64, Snapshot) {
+    let (count, read) = load(folder, SNAPSHOT, |body| Snapshot::try_from(body));
+    (count, read.unwrap_or_default())
+}
+
 fn read(path: &Path) -> Vec<u8> {
     let bytes = match std::fs::read(path) {
         Ok(bytes) => bytes,
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -1,21 +1,24 @@
 //! The life of a keeper.
 
 use crate::calls;
-use crate::disk::{Disk, DiskOutcome, load};
+use crate::disk::{Disk, PROGRESS, SNAPSHOT, load, load_snapshot};
 use crate::rounds::{Rounds, Visited, is_near};
-use bluebellreel_net::{Pool, PoolLimits};
+use crate::writing::{Due, write_progress, write_snapshots};
+use bluebellreel_net::{Pool, PoolLimits, Served, Stop, listen, serve};
 use bluebellreel_settings::{KeeperSettings, SettingsError};
-use bluebellreel_snapshot::{GatewayState, KnownGateway, Snapshot, VisitOutcome, after_visit};
+use bluebellreel_snapshot::{
+    GatewayState, KeptProgress, KnownGateway, Snapshot, VisitOutcome, after_visit,
+};
 use bluebellreel_types::{Clock, EntryName, Moment};
+use eyre::Context;
 use log::{info, warn};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Time between looks which visit is due.
 const LOOK: Duration = Duration::from_millis(50);
@@ -25,39 +28,33 @@
 const IDLE: Duration = Duration::from_secs(25);
 /// Time between looks at the settings file.
 const READ_SETTINGS: Duration = Duration::from_secs(5);
-/// Time after which a snapshot is written again that only got younger: what a
-/// restart makes it older than it is.
-const REFRESH: Duration = Duration::from_secs(10);
-/// Least time between two writes: a wave of changes is written once.
-const GATHER: Duration = Duration::from_millis(200);
-/// Time without an end after which a write counts as hanging.
-const HANGS: Duration = Duration::from_secs(1);
+/// Bytes of progress that are kept: some thousand items half done. Keepers' VMs
+/// have 130 MB and more, and disks of 310 MB and more.
+const PROGRESS_BYTES: usize = 32 * 1024 * 1024;
+/// Longest that a gateway's connection may stay without a request.
+const SERVED_IDLE: Duration = Duration::from_secs(30);
 
 /// Reads the settings anew.
 pub type ReadSettings = Box<dyn Fn() -> Result<KeeperSettings, SettingsError>>;
 
-struct Keeper {
+pub(crate) struct Keeper {
     settings: KeeperSettings,
     seeds: RefCell<Vec<SocketAddr>>,
     clock: Clock,
     pool: Pool,
-    snapshot: RefCell<Snapshot>,
+    pub(crate) snapshot: RefCell<Snapshot>,
+    pub(crate) progress: RefCell<KeptProgress>,
     rounds: RefCell<Rounds>,
-    /// Whether the snapshot holds something that is not on the disk.
-    changed: Cell<bool>,
-    write_due: Notify,
+    /// What is not on the disk yet.
+    pub(crate) snapshot_due: Due,
+    pub(crate) progress_due: Due,
 }
 
 impl Keeper {
-    fn now(&self) -> Moment {
+    pub(crate) fn now(&self) -> Moment {
         self.clock.now()
     }
 
-    fn note_change(&self) {
-        self.changed.set(true);
-        self.write_due.notify_one();
-    }
-
     fn plan_rounds(&self) {
         let snapshot = self.snapshot.borrow();
         let known = snapshot.gateways().map(|(_, g)| g.calls);
@@ -90,22 +87,32 @@
                 }
             }
         };
-        live(settings, read_settings, stop_asked).await;
-        Ok(())
+        live(settings, read_settings, stop_asked).await
     })
 }
 
 /// Runs a keeper on the present local task set until `stop_asked` ends.
+///
+/// # Errors
+///
+/// Gives the reason when its address cannot be listened on.
 pub async fn live(
     settings: KeeperSettings,
     read_settings: ReadSettings,
     stop_asked: impl Future<Output = ()>,
-) {
-    let (count, snapshot) = load(&settings.folder);
+) -> eyre::Result<()> {
+    let listener = listen(settings.calls).wrap_err("address for calls")?;
+    let (count, snapshot) = load_snapshot(&settings.folder);
+    let (progress_count, progress) = load(&settings.folder, PROGRESS, |body| {
+        let mut progress = KeptProgress::new(PROGRESS_BYTES);
+        progress.read(body).map(|()| progress)
+    });
+    let progress = progress.unwrap_or_else(|| KeptProgress::new(PROGRESS_BYTES));
     let newest = snapshot.newest();
     let gateways = snapshot.gateways().count();
     info!(target: "keeper", keeper:% = settings.name, data_centre:% = settings.data_centre, count, configuration = newest.configuration, workers = newest.workers, gateways; "started");
-    let disk = Disk::start(settings.folder.clone(), count);
+    let snapshots = Disk::start(settings.folder.clone(), SNAPSHOT, count);
+    let progresses = Disk::start(settings.folder.clone(), PROGRESS, progress_count);
     let keeper = Rc::new(Keeper {
         seeds: RefCell::new(settings.seeds.clone()),
         clock: Clock::start(),
@@ -115,14 +122,25 @@
             idle_per_address: 1,
         }),
         snapshot: RefCell::new(snapshot),
+        progress: RefCell::new(progress),
         rounds: RefCell::default(),
-        changed: Cell::new(false),
-        write_due: Notify::new(),
+        snapshot_due: Due::default(),
+        progress_due: Due::default(),
         settings,
     });
+    let k = keeper.clone();
+    let served = serve(
+        listener,
+        Stop::default(),
+        Served::default(),
+        || SERVED_IDLE,
+        move |req| crate::serve::answer(k.clone(), req),
+    );
     let tasks = [
+        spawn_local(served),
         spawn_local(visit_all(keeper.clone())),
-        spawn_local(write_snapshots(keeper.clone(), disk)),
+        spawn_local(write_snapshots(keeper.clone(), snapshots)),
+        spawn_local(write_progress(keeper.clone(), progresses)),
         spawn_local(follow_settings(keeper.clone(), read_settings)),
     ];
     stop_asked.await;
@@ -130,6 +148,7 @@
         task.abort();
     }
     info!(target: "keeper", keeper:% = keeper.settings.name; "stopped");
+    Ok(())
 }
 
 async fn follow_settings(keeper: Rc<Keeper>, read_settings: ReadSettings) {
@@ -185,13 +204,14 @@
         snapshot.forget(&name);
     }
     drop(snapshot);
-    keeper.note_change();
+    keeper.snapshot_due.note();
 }
 
 /// Visits a gateway.
 async fn visit(keeper: &Keeper, at: SocketAddr) -> Visited {
     let own = &keeper.settings.data_centre;
-    let Ok(state) = calls::state(&keeper.pool, at).await else {
+    let asked = calls::state(&keeper.pool, at, keeper.settings.calls, own).await;
+    let Ok(state) = asked else {
         // It is down, or not yet up: nothing that is worth a line each time.
         let snapshot = keeper.snapshot.borrow();
         let mut known = snapshot.gateways().filter(|(_, g)| g.calls == at);
@@ -234,7 +254,7 @@
     }
     drop(snapshot);
     if is_news {
-        keeper.note_change();
+        keeper.snapshot_due.note();
     }
 }
 
@@ -257,7 +277,7 @@
         snapshot.newest()
     };
     info!(target: "keeper", gateway:% = state.entry, configuration = newest.configuration, workers = newest.workers; "facts taken over");
-    keeper.note_change();
+    keeper.snapshot_due.note();
 }
 
 async fn offer(keeper: &Keeper, at: SocketAddr, state: &GatewayState) {
@@ -276,51 +296,3 @@
         }
     }
 }
-
-/// Writes the snapshot whenever it has changed, for ever.
-async fn write_snapshots(keeper: Rc<Keeper>, mut disk: Disk) {
-    let mut last = None;
-    loop {
-        // A timeout is the refresh.
-        let changed = timeout(REFRESH, keeper.write_due.notified()).await.is_ok();
-        let confirmed_at = keeper.snapshot.borrow().confirmed_at();
-        if !changed && !keeper.changed.get() && confirmed_at == last {
-            continue;
-        }
-        sleep(GATHER).await;
-        keeper.changed.set(false);
-        let body = keeper.snapshot.borrow().encode();
-        last = keeper.snapshot.borrow().confirmed_at();
-        let bytes = body.len();
-        disk.write(body);
-        let outcome = ended(&mut disk, bytes).await;
-        if outcome != DiskOutcome::Written {
-            keeper.changed.set(true);
-        }
-    }
-}
-
-/// Waits for the end of a write, and tells what came of it.
-async fn ended(disk: &mut Disk, bytes: usize) -> DiskOutcome {
-    let mut hangs = false;
-    let outcome = loop {
-        match timeout(HANGS, disk.outcome()).await {
-            Ok(Some(outcome)) => break outcome,
-            Ok(None) => break DiskOutcome::Refused("its thread has ended".into()),
-            Err(_) => {
-                if !std::mem::replace(&mut hangs, true) {
-                    warn!(target: "keeper", bytes; "disk hangs");
-                }
-            }
-        }
-    };
-    match &outcome {
-        DiskOutcome::Written if hangs => info!(target: "keeper", bytes; "disk answers again"),
-        DiskOutcome::Written => {}
-        DiskOutcome::Full => warn!(target: "keeper", bytes; "disk full"),
-        DiskOutcome::Refused(reason) => {
-            warn!(target: "keeper", bytes, error = reason.as_str(); "disk refuses a write");
-        }
-    }
-    outcome
-}
--- a/crates/bluebellreel_keeper/src/lib.rs
+++ b/crates/bluebellreel_keeper/src/lib.rs
@@ -18,6 +18,8 @@
 mod disk;
 mod keeper;
 mod rounds;
+mod serve;
+mod writing;
 
-pub use disk::{Disk, DiskOutcome, load};
+pub use disk::{Disk, DiskOutcome, PROGRESS, Pair, SNAPSHOT, load, load_snapshot};
 pub use keeper::{ReadSettings, live, run_keeper};
--- a/crates/bluebellreel_keeper/src/rounds.rs
+++ b/crates/bluebellreel_keeper/src/rounds.rs
@@ -69,7 +69,9 @@
     /// A visit has ended; whether its gateway is to be forgotten.
     pub(crate) fn ended(&mut self, at: SocketAddr, visited: Visited, now: Moment) -> bool {
         let all = u32::try_from(self.stops.len()).unwrap_or(u32::MAX);
-        let pause = if visited.is_near { NEAR } else { FAR };
+        // One that does not answer may just be starting, and need a snapshot.
+        let soon = visited.is_near || !visited.reached;
+        let pause = if soon { NEAR } else { FAR };
         let pause = pause.max(APART.saturating_mul(all));
         let Some(stop) = self.stops.get_mut(&at) else {
             return false;
--- a/crates/bluebellreel_keeper/tests/disk.rs
+++ b/crates/bluebellreel_keeper/tests/disk.rs
@@ -1,6 +1,6 @@
 //! Disks that are empty, torn, foreign, or no folder at all.
 
-use bluebellreel_keeper::{Disk, DiskOutcome, load};
+use bluebellreel_keeper::{Disk, DiskOutcome, SNAPSHOT, load_snapshot};
 use bluebellreel_snapshot::{KnownGateway, Snapshot};
 use bluebellreel_types::EntryName;
 use std::fs;
@@ -23,7 +23,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .build()
         .expect("a runtime");
-    let mut disk = Disk::start(folder.to_owned(), 0);
+    let mut disk = Disk::start(folder.to_owned(), SNAPSHOT, 0);
     runtime.block_on(async {
         let mut outcomes = Vec::new();
         for gateways in 1..=count {
@@ -35,7 +35,7 @@
 }
 
 fn read(folder: &Path) -> (u64, usize) {
-    let (count, snapshot) = load(folder);
+    let (count, snapshot) = load_snapshot(folder);
     (count, snapshot.gateways().count())
 }
 
--- a/crates/bluebellreel_settings/src/keeper.rs
+++ b/crates/bluebellreel_settings/src/keeper.rs
@@ -3,7 +3,7 @@
 use crate::SettingsError;
 use bluebellreel_types::{DataCentre, EntryName};
 use serde::Deserialize;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 /// Checked settings of a keeper.
@@ -13,6 +13,8 @@
     pub name: EntryName,
     /// Where it stands.
     pub data_centre: DataCentre,
+    /// Where gateways call it.
+    pub calls: SocketAddr,
     /// Folder that it writes to.
     pub folder: PathBuf,
     /// Gateways to begin with; they may be stale or down.
@@ -22,6 +24,7 @@
 #[derive(Deserialize)]
 struct Raw {
     vm: RawVm,
+    listen: RawListen,
     data: RawData,
     #[serde(default)]
     peers: RawPeers,
@@ -30,9 +33,15 @@
 #[derive(Deserialize)]
 struct RawVm {
     name: String,
+    address: IpAddr,
     data_centre: String,
 }
 
+#[derive(Deserialize)]
+struct RawListen {
+    calls_port: u16,
+}
+
 #[derive(Deserialize)]
 struct RawData {
     folder: PathBuf,
@@ -73,6 +82,7 @@
     Ok(KeeperSettings {
         name: EntryName::from(raw.vm.name),
         data_centre: DataCentre::from(raw.vm.data_centre),
+        calls: SocketAddr::new(raw.vm.address, raw.listen.calls_port),
         folder: raw.data.folder,
         seeds: raw.peers.seeds,
     })
--- a/crates/bluebellreel_settings/tests/keeper.rs
+++ b/crates/bluebellreel_settings/tests/keeper.rs
@@ -5,8 +5,12 @@
 const GOOD: &str = r#"
 [vm]
 name = "store-1"
+address = "10.0.0.7"
 data_centre = "hall"
 
+[listen]
+calls_port = 7720
+
 [data]
 folder = "/data"
 
@@ -19,6 +23,7 @@
     let read = parse_keeper("keeper.toml", GOOD).expect("they are good");
     assert_eq!(read.name.as_str(), "store-1");
     assert_eq!(read.seeds.len(), 2);
+    assert_eq!(read.calls.to_string(), "10.0.0.7:7720");
     let without_seeds = GOOD.split("[peers]").next().expect("a part");
     let read = parse_keeper("keeper.toml", without_seeds).expect("seeds may lack");
     assert!(read.seeds.is_empty());
--- a/crates/bluebellreel_snapshot/src/lib.rs
+++ b/crates/bluebellreel_snapshot/src/lib.rs
@@ -21,11 +21,13 @@
 //! ```
 
 mod facts;
+mod progress;
 mod slot;
 mod snapshot;
 mod visit;
 
 pub use facts::{SharedFacts, WorkerFact};
+pub use progress::KeptProgress;
 pub use slot::{SlotError, newest, read_slot, write_slot};
 pub use snapshot::{BELIEVED, KnownGateway, Snapshot, SnapshotError};
 pub use visit::{GatewayState, VisitOutcome, after_visit};
--- a/crates/bluebellreel_snapshot/src/snapshot.rs
+++ b/crates/bluebellreel_snapshot/src/snapshot.rs
@@ -48,6 +48,12 @@
 
 impl std::error::Error for SnapshotError {}
 
+impl From<String> for SnapshotError {
+    fn from(reason: String) -> Self {
+        Self(reason)
+    }
+}
+
 /// A snapshot as it is written.
 #[derive(Serialize, Deserialize)]
 struct Stored {
--- a/crates/bluebellreel_snapshot/tests/snapshot.rs
+++ b/crates/bluebellreel_snapshot/tests/snapshot.rs
@@ -3,10 +3,10 @@
 use bluebellreel_dispatch::{Boot, WorkerRecord, WorkerState};
 use bluebellreel_members::Revisions;
 use bluebellreel_snapshot::{
-    BELIEVED, GatewayState, KnownGateway, SharedFacts, Snapshot, VisitOutcome, WorkerFact,
-    after_visit,
+    BELIEVED, GatewayState, KeptProgress, KnownGateway, SharedFacts, Snapshot, VisitOutcome,
+    WorkerFact, after_visit,
 };
-use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
+use bluebellreel_types::{DataCentre, EntryName, JobId, Moment, WorkerName};
 use proptest::prelude::*;
 use std::sync::Arc;
 use std::time::Duration;
@@ -226,3 +226,24 @@
         prop_assert_eq!(straight.offer(NOW), shuffled.offer(NOW));
     }
 }
+
+/// Owners tell how far their jobs are, again and again. The newest word is kept,
+/// within the bound, and for a while.
+#[test]
+fn progress_is_kept_within_its_bound() {
+    let mut kept = KeptProgress::new(10);
+    let (one, two) = (JobId::from("j1"), JobId::from("j2"));
+    let until = NOW + Duration::from_secs(9);
+    kept.keep(one.clone(), vec![1; 8], until);
+    kept.keep(one.clone(), vec![2; 6], until);
+    kept.keep(two.clone(), vec![3; 5], until);
+    assert_eq!(kept.get(&one), Some(&[2; 6][..]));
+    assert_eq!(kept.get(&two), None, "over the bound");
+    let mut again = KeptProgress::new(10);
+    again.read(&kept.encode()).expect("just written");
+    assert_eq!(again, kept);
+    assert!(again.read(b"something else").is_err());
+    assert!(!kept.sweep(NOW));
+    assert!(kept.sweep(until));
+    assert_eq!(kept.bytes(), 0);
+}
