Batch stays in its data centre while it can

Hypothesis: a worker's free slots belonged to one daemon by rendezvous, whichever data centre it stands in, and of those the emptiest was taken: three of four items ran in another data centre, and 15 KB each came back from there.

Now: the slots belong to a daemon of the worker's own data centre while one has items, and near workers are filled first. Places are told with full reports; as long as one is not known, places do not count.

--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -103,6 +103,8 @@
     seats: BTreeMap<WorkerName, Seat>,
     tags: HashMap<WorkerTag, WorkerName>,
     peers: BTreeMap<EntryName, PeerLoad>,
+    /// Where peers stand.
+    places: BTreeMap<EntryName, DataCentre>,
 }
 
 impl Board {
@@ -116,9 +118,23 @@
             seats: BTreeMap::new(),
             tags: HashMap::new(),
             peers: BTreeMap::new(),
+            places: BTreeMap::new(),
         }
     }
 
+    /// Notes where a peer stands.
+    pub fn note_place(&mut self, peer: &EntryName, place: DataCentre) {
+        if self.places.get(peer) != Some(&place) {
+            self.places.insert(peer.clone(), place);
+        }
+    }
+
+    /// Where a peer stands, if it has said so.
+    #[must_use]
+    pub fn place_of(&self, peer: &EntryName) -> Option<&DataCentre> {
+        self.places.get(peer)
+    }
+
     /// Follows the catalog; gives what has become of workers.
     ///
     /// A worker that left keeps its seat while runs of ours are there, but takes
@@ -283,6 +299,7 @@
     pub fn forget_silent(&mut self, now: Moment) {
         let before = self.peers.len();
         self.peers.retain(|_, load| !load.expires_at.is_past(now));
+        self.places.retain(|peer, _| self.peers.contains_key(peer));
         if self.peers.len() != before {
             self.sum_peers();
         }
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -6,8 +6,8 @@
 //! refused at once, while the caller can still come back in time. Batch takes
 //! what is free and leaves as soon as the sum of all runs passes the slots.
 
-use crate::{Board, Seat};
-use bluebellreel_types::{EntryName, Moment, WorkerName};
+use crate::{Board, Seat, WorkerRecord};
+use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
 use std::time::Duration;
 use twox_hash::XxHash64;
 
@@ -173,14 +173,16 @@
 ///
 /// Daemons that take the same free slot at the same moment overfill a worker,
 /// and one of them has to yield at once. So each worker's free slots belong to
-/// one daemon: the first by rendezvous of those that have items waiting. And
-/// some slots are left free, so that online arrivals find one without making
+/// one daemon: of those that have items waiting, one of the worker's own data
+/// centre if there is any, the first by rendezvous. An item's output, some 15 KB,
+/// then crosses data centres only where its own has no slot for it. And some
+/// slots are left free, so that online arrivals find one without making
 /// an item yield; see [`crate::PlacementLimits::reserve_percent`].
 #[must_use]
 pub fn place_batch(board: &Board, query: &Query, me: &EntryName) -> Option<WorkerName> {
     let ours: Vec<&Seat> = board
         .takers(query.service)
-        .filter(|s| s.doubt.takes(query.now) && is_first(board, me, &s.record.id))
+        .filter(|s| s.doubt.takes(query.now) && is_first(board, me, &s.record))
         .collect();
     let free: u32 = ours.iter().map(|s| s.free()).sum();
     let online: u32 = ours.iter().map(|s| s.running().online).sum();
@@ -192,16 +194,26 @@
         .filter(|s| s.free() > 0)
         .max_by_key(|s| {
             let quick = !is_slow(board, s, query.now);
-            (quick, s.free(), s.record.data_centre == board.local)
+            (quick, s.record.data_centre == board.local, s.free())
         })
         .map(|s| s.record.id.clone())
 }
 
-fn is_first(board: &Board, me: &EntryName, worker: &WorkerName) -> bool {
-    let mine = rendezvous(me, worker);
-    board
+/// Whether a worker's free slots belong to daemon `me`. While some peer has not
+/// said where it stands, places do not count: two daemons that do not know of
+/// each other would both take themselves for the only near one.
+fn is_first(board: &Board, me: &EntryName, worker: &WorkerRecord) -> bool {
+    let place = &worker.data_centre;
+    let mut peers = board.peers_with_items().filter(|peer| *peer != me);
+    let by_place = board
         .peers_with_items()
-        .all(|peer| peer == me || rendezvous(peer, worker) < mine)
+        .all(|peer| peer == me || board.place_of(peer).is_some());
+    let rank = |name: &EntryName, stands: Option<&DataCentre>| {
+        let is_near = by_place && stands == Some(place);
+        (is_near, rendezvous(name, &worker.id))
+    };
+    let mine = rank(me, Some(&board.local));
+    peers.all(|peer| rank(peer, board.place_of(peer)) < mine)
 }
 
 /// One batch run of this daemon.
--- a/crates/bluebellreel_dispatch/tests/placement.rs
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -437,3 +437,22 @@
     let back = board.follow(&catalog(2, WorkerState::Ready));
     assert_eq!(back.len(), 2, "one is ready again, one is back");
 }
+
+/// Items were sent to whichever worker had the most free slots, three of four in
+/// another data centre, and all that they generated came back from there. A
+/// worker's free slots go to a daemon of its own data centre while one has items,
+/// and to the others when none has.
+#[test]
+fn batch_stays_in_its_data_centre_while_it_can() {
+    let mut board = board(2);
+    board.note_place(&EntryName::from("entry-2"), DataCentre::from("there"));
+    peer(&mut board, "entry-2", 1, 5, &[]);
+    let place = |board: &Board| place_batch(board, &query(&[]), &me());
+    for _ in 0..SLOTS {
+        assert_eq!(place(&board), Some(name(0)));
+        board.start(&name(0), Class::Batch);
+    }
+    assert_eq!(place(&board), None, "the other worker is the peer's");
+    peer(&mut board, "entry-2", 2, 0, &[]);
+    assert_eq!(place(&board), Some(name(1)), "it has no items any more");
+}
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -173,6 +173,9 @@
 fn hear(gw: &Rc<Gateway>, report: Report, supplement: Supplement, asking: &Rc<Cell<bool>>) {
     let now = gw.now();
     let reads_briefs = supplement.reads_briefs;
+    if let Some(place) = supplement.place.clone() {
+        gw.board.borrow_mut().note_place(&report.entry, place);
+    }
     let load = load_of(&report, supplement, now);
     hear_load(gw, &report.entry, load);
     for job in &report.cancelled {
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -7,7 +7,7 @@
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{Boot, PeerLoad, PeerRuns, Running, WorkerTag};
 use bluebellreel_members::{Revisions, SILENT};
-use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
+use bluebellreel_types::{DataCentre, EntryName, Incarnation, JobId, Moment, WorkerName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use twox_hash::XxHash64;
@@ -44,6 +44,8 @@
     boots: Vec<Option<Boot>>,
     /// Whether its sender understands briefs.
     pub(super) reads_briefs: bool,
+    /// Where its sender stands.
+    pub(super) place: Option<DataCentre>,
 }
 
 /// What runs where, between two full reports.
@@ -162,6 +164,7 @@
     let supplement = Supplement {
         boots,
         reads_briefs: true,
+        place: Some(gw.settings.data_centre.clone()),
     };
     (report, supplement)
 }
