--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -1,8 +1,8 @@
 //! What keepers of snapshots ask and bring.
 //!
-//! They come by themselves; a gateway knows none of them. It tells what it
-//! knows, and while the store has not answered it since its start it takes what
-//! they have.
+//! They come by themselves; a gateway knows those that have visited it lately. It
+//! tells what it knows, and while the store has not answered it since its start
+//! it takes what they have.
 
 use crate::answers;
 use crate::facts::follow_workers;
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -2,23 +2,18 @@
 
 use crate::gateway::Gateway;
 use bluebellreel_members::Revisions;
-use bluebellreel_net::Reuse;
+use bluebellreel_net::CallError;
 use bluebellreel_snapshot::SharedFacts;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
-use http_body_util::Full;
+use http::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::timeout;
 
 /// Longest wait for a peer that should answer at once.
 const TIMEOUT: Duration = Duration::from_millis(600);
-/// Longest answer read.
-const ANSWER_BYTES: usize = 4 * 1024 * 1024;
-
 /// Why a peer gave no answer.
-pub(crate) type PeerError = String;
+pub(crate) type PeerError = CallError;
 
 async fn call(
     gw: &Gateway,
@@ -28,25 +23,7 @@
     body: Bytes,
     longest: Duration,
 ) -> Result<(StatusCode, Bytes), PeerError> {
-    let mut req = Request::new(Full::new(body));
-    *req.method_mut() = method;
-    *req.uri_mut() = path.parse().map_err(|_| format!("path {path}"))?;
-    let host = http::HeaderValue::try_from(to.to_string()).map_err(|e| e.to_string())?;
-    req.headers_mut().insert(http::header::HOST, host);
-    let sent = async {
-        let mut reply = gw
-            .peers
-            .send(to, req, Reuse::Any)
-            .await
-            .map_err(|e| e.to_string())?;
-        let body = reply.body.whole(ANSWER_BYTES).await;
-        Ok((reply.head.status, body.map_err(|e| e.to_string())?))
-    };
-    timeout(longest, sent).await.unwrap_or_else(|_| {
-        // Its kept connections may all have fallen silent.
-        gw.peers.drop_idle(to);
-        Err("no answer in time".into())
-    })
+    bluebellreel_net::call(&gw.peers, to, method, path, body, longest).await
 }
 
 /// What a peer knows beyond `seen`.
--- a/crates/bluebellreel_keeper/src/calls.rs
+++ b/crates/bluebellreel_keeper/src/calls.rs
@@ -1,23 +1,16 @@
 //! Calls to gateways.
 
-use bluebellreel_net::{Pool, Reuse};
-use bluebellreel_snapshot::{GatewayState, SharedFacts, Snapshot};
+use bluebellreel_members::Revisions;
+use bluebellreel_net::{CallError, Pool};
+use bluebellreel_snapshot::{GatewayState, SharedFacts};
 use bluebellreel_types::DataCentre;
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::Full;
+use http::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::timeout;
 
 /// Longest wait for an answer: a gateway answers from memory.
 const TIMEOUT: Duration = Duration::from_millis(600);
-/// Longest answer read; a configuration has at most a megabyte.
-const ANSWER_BYTES: usize = 8 * 1024 * 1024;
-
-/// Why a gateway gave no answer.
-pub(crate) type CallError = String;
-
 async fn call(
     pool: &Pool,
     to: SocketAddr,
@@ -25,25 +18,7 @@
     path: &str,
     body: Bytes,
 ) -> Result<Bytes, CallError> {
-    let mut req = Request::new(Full::new(body));
-    *req.method_mut() = method;
-    *req.uri_mut() = path.parse().map_err(|_| format!("path {path}"))?;
-    let host = HeaderValue::try_from(to.to_string()).map_err(|e| e.to_string())?;
-    req.headers_mut().insert(header::HOST, host);
-    let sent = async {
-        let mut reply = pool
-            .send(to, req, Reuse::Any)
-            .await
-            .map_err(|e| e.to_string())?;
-        let body = reply.body.whole(ANSWER_BYTES).await;
-        Ok((reply.head.status, body.map_err(|e| e.to_string())?))
-    };
-    let answer: Result<_, CallError> = timeout(TIMEOUT, sent).await.unwrap_or_else(|_| {
-        // Its kept connections may all have fallen silent.
-        pool.drop_idle(to);
-        Err("no answer in time".into())
-    });
-    match answer? {
+    match bluebellreel_net::call(pool, to, method, path, body, TIMEOUT).await? {
         (StatusCode::OK, body) => Ok(body),
         (status, _) => Err(format!("status {status}")),
     }
@@ -72,13 +47,12 @@
     postcard::from_bytes(&body).map_err(|e| e.to_string())
 }
 
-/// What a gateway knows beyond a snapshot.
+/// What a gateway knows beyond these revisions.
 pub(crate) async fn ask(
     pool: &Pool,
     to: SocketAddr,
-    snapshot: &Snapshot,
+    newest: Revisions,
 ) -> Result<SharedFacts, CallError> {
-    let newest = snapshot.newest();
     let path = format!(
         "/facts?configuration={}&workers={}",
         newest.configuration, newest.workers
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -259,8 +259,8 @@
 }
 
 async fn ask(keeper: &Keeper, at: SocketAddr, state: &GatewayState) {
-    let before = keeper.snapshot.borrow().clone();
-    let facts = match calls::ask(&keeper.pool, at, &before).await {
+    let known = keeper.snapshot.borrow().newest();
+    let facts = match calls::ask(&keeper.pool, at, known).await {
         Ok(facts) => facts,
         Err(e) => {
             warn!(target: "keeper", gateway:% = state.entry, error = e.as_str(); "facts not brought");
--- a/crates/bluebellreel_keeper/src/lib.rs
+++ b/crates/bluebellreel_keeper/src/lib.rs
@@ -3,9 +3,9 @@
 //!
 //! It visits gateways now and then. From one that has newer facts from the store
 //! it takes them over and writes them to its disk; to one that the store does not
-//! answer it brings what it has. Gateways know no keepers and never wait for one.
-//! What a snapshot is and when it may be believed is decided in
-//! `bluebellreel_snapshot`.
+//! answer it brings what it has. It also keeps how far the items of jobs are, as
+//! their owners tell it. Gateways know those keepers that have visited them. What
+//! a snapshot is and when it may be believed is decided in `bluebellreel_snapshot`.
 //!
 //! ```no_run
 //! use bluebellreel_settings::load_keeper;
--- a/crates/bluebellreel_net/src/lib.rs
+++ b/crates/bluebellreel_net/src/lib.rs
@@ -13,12 +13,14 @@
 //! ```
 
 mod body;
+mod call;
 mod pool;
 mod reply;
 mod server;
 mod tasks;
 
 pub use body::{Body, Broken, read_body};
+pub use call::{CallError, call};
 pub use pool::{Pool, PoolLimits, Reuse, SendError};
 pub use reply::{Reply, ReplyBody};
 pub use server::{Served, Stop, listen, serve};
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -2,9 +2,10 @@
 //! keeps what must last in the platform's store.
 
 use crate::SettingsError;
+use crate::vm::{self, RawPeers, RawVm};
 use bluebellreel_types::{DataCentre, EntryName};
 use serde::Deserialize;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -69,13 +70,6 @@
     stop: RawStop,
 }
 
-#[derive(Deserialize)]
-struct RawVm {
-    name: String,
-    address: IpAddr,
-    data_centre: String,
-}
-
 #[derive(Deserialize)]
 struct RawListen {
     requests: SocketAddr,
@@ -85,12 +79,6 @@
     metrics_port: u16,
 }
 
-#[derive(Default, Deserialize)]
-struct RawPeers {
-    #[serde(default)]
-    seeds: Vec<SocketAddr>,
-}
-
 #[derive(Deserialize)]
 struct RawStore {
     address: SocketAddr,
@@ -114,10 +102,7 @@
 ///
 /// Names the file, the key and what is wrong.
 pub fn load_gateway(path: &Path) -> Result<GatewaySettings, SettingsError> {
-    let file = path.display().to_string();
-    let text =
-        std::fs::read_to_string(path).map_err(|e| SettingsError::new(&file, "", e.to_string()))?;
-    parse_gateway(&file, &text)
+    vm::load(path, parse_gateway)
 }
 
 /// Checks the text of a gateway's settings; `file` names it in errors.
@@ -127,9 +112,7 @@
 /// Names the file, the key and what is wrong.
 pub fn parse_gateway(file: &str, text: &str) -> Result<GatewaySettings, SettingsError> {
     let raw: Raw = toml::from_str(text).map_err(|e| SettingsError::new(file, "", e.to_string()))?;
-    if raw.vm.name.is_empty() {
-        return Err(SettingsError::new(file, "vm.name", "must not be empty"));
-    }
+    let (name, data_centre) = raw.vm.checked(file)?;
     if !raw.stop.grace_s.is_finite() || raw.stop.grace_s < LEAST_GRACE_S {
         return Err(SettingsError::new(
             file,
@@ -142,8 +125,8 @@
         return Err(SettingsError::new(file, "store.value_bytes", reason));
     }
     Ok(GatewaySettings {
-        name: EntryName::from(raw.vm.name),
-        data_centre: DataCentre::from(raw.vm.data_centre),
+        name,
+        data_centre,
         requests: raw.listen.requests,
         readiness: raw.listen.readiness,
         peers: raw.listen.peers,
--- a/crates/bluebellreel_settings/src/keeper.rs
+++ b/crates/bluebellreel_settings/src/keeper.rs
@@ -1,9 +1,10 @@
 //! Settings of a keeper of snapshots.
 
 use crate::SettingsError;
+use crate::vm::{self, RawPeers, RawVm};
 use bluebellreel_types::{DataCentre, EntryName};
 use serde::Deserialize;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// Checked settings of a keeper.
@@ -30,13 +31,6 @@
     peers: RawPeers,
 }
 
-#[derive(Deserialize)]
-struct RawVm {
-    name: String,
-    address: IpAddr,
-    data_centre: String,
-}
-
 #[derive(Deserialize)]
 struct RawListen {
     calls_port: u16,
@@ -47,22 +41,13 @@
     folder: PathBuf,
 }
 
-#[derive(Default, Deserialize)]
-struct RawPeers {
-    #[serde(default)]
-    seeds: Vec<SocketAddr>,
-}
-
 /// Reads and checks the settings file of a keeper.
 ///
 /// # Errors
 ///
 /// Names the file, the key and what is wrong.
 pub fn load_keeper(path: &Path) -> Result<KeeperSettings, SettingsError> {
-    let file = path.display().to_string();
-    let text =
-        std::fs::read_to_string(path).map_err(|e| SettingsError::new(&file, "", e.to_string()))?;
-    parse_keeper(&file, &text)
+    vm::load(path, parse_keeper)
 }
 
 /// Checks the text of a keeper's settings; `file` names it in errors.
@@ -72,16 +57,14 @@
 /// Names the file, the key and what is wrong.
 pub fn parse_keeper(file: &str, text: &str) -> Result<KeeperSettings, SettingsError> {
     let raw: Raw = toml::from_str(text).map_err(|e| SettingsError::new(file, "", e.to_string()))?;
-    if raw.vm.name.is_empty() {
-        return Err(SettingsError::new(file, "vm.name", "must not be empty"));
-    }
+    let (name, data_centre) = raw.vm.checked(file)?;
     if !raw.data.folder.is_absolute() {
         let reason = "must be an absolute path";
         return Err(SettingsError::new(file, "data.folder", reason));
     }
     Ok(KeeperSettings {
-        name: EntryName::from(raw.vm.name),
-        data_centre: DataCentre::from(raw.vm.data_centre),
+        name,
+        data_centre,
         calls: SocketAddr::new(raw.vm.address, raw.listen.calls_port),
         folder: raw.data.folder,
         seeds: raw.peers.seeds,
--- a/crates/bluebellreel_settings/src/lib.rs
+++ b/crates/bluebellreel_settings/src/lib.rs
@@ -16,6 +16,7 @@
 mod parts;
 mod side;
 mod token;
+mod vm;
 
 pub use data::DataSettings;
 pub use entry::{EntryLimits, EntrySettings, load_entry, parse_entry};
--- a/crates/bluebellreel_snapshot/src/lib.rs
+++ b/crates/bluebellreel_snapshot/src/lib.rs
@@ -12,6 +12,9 @@
 //! sends somewhere names the worker that it means, which refuses what is meant
 //! for another one. All of it is plain data: no clock, no I/O.
 //!
+//! Beside it keepers hold how far the items of jobs are ([`KeptProgress`]), which
+//! would be lost with the gateways that run them.
+//!
 //! ```
 //! use bluebellreel_snapshot::Snapshot;
 //! use bluebellreel_types::Moment;
