Model check of a worker that starts again under its id

One daemon that counts its runs, a request that may run once at the most, others beside it, three lives: runs of a former life are not counted, and one whose worker has started again may have run. Without either guard the checker finds why.

--- a/crates/bluebellreel_model/src/lib.rs
+++ b/crates/bluebellreel_model/src/lib.rs
@@ -4,7 +4,8 @@
 //! of one call that may not be repeated ([`call`]), which drives the real
 //! admission and claim functions, the ownership of one job's item
 //! ([`ownership`]), the segments in which a gateway records results
-//! ([`segments`]), and a gateway that lives by a snapshot ([`snapshot`]). Guards can be left out, to show that the checker finds what
+//! ([`segments`]), a gateway that lives by a snapshot ([`snapshot`]), and a
+//! worker that starts again under its id ([`restart`]). Guards can be left out, to show that the checker finds what
 //! each one is for.
 //!
 //! ```
@@ -17,6 +18,7 @@
 pub mod call;
 mod explored;
 pub mod ownership;
+pub mod restart;
 pub mod segments;
 pub mod snapshot;
 
--- a/crates/bluebellreel_model/tests/guards.rs
+++ b/crates/bluebellreel_model/tests/guards.rs
@@ -1,6 +1,6 @@
 //! All states hold with all guards; without one of them the checker finds why.
 
-use bluebellreel_model::{Explored, call, ownership, segments, snapshot};
+use bluebellreel_model::{Explored, call, ownership, restart, segments, snapshot};
 
 fn holds(name: &str, explored: &Explored) {
     println!("{name}: {} states", explored.states);
@@ -20,6 +20,7 @@
     holds("call", &call::explore(call::Guards::all()));
     holds("segments", &segments::explore(segments::Guards::all()));
     holds("snapshot", &snapshot::explore(snapshot::Guards::all()));
+    holds("restart", &restart::explore(restart::Guards::all()));
 }
 
 /// An owner is paused, another takes its job over and records. The first one's
@@ -187,3 +188,29 @@
         "confirmed by itself",
     );
 }
+
+/// A worker starts again while a run of its former life has not ended. When that
+/// one ends at last, a slot of the new life would look free that is not.
+#[test]
+fn without_tickets_runs_of_a_former_life_are_counted() {
+    let guards = restart::Guards {
+        tickets: false,
+        ..restart::Guards::all()
+    };
+    found("no tickets", &restart::explore(guards), "another life");
+}
+
+/// A booking ran in a worker's former life, and its answer died with it. Taken
+/// for not run, it would be made twice.
+#[test]
+fn without_doubt_a_booking_of_a_former_life_runs_twice() {
+    let guards = restart::Guards {
+        in_doubt: false,
+        ..restart::Guards::all()
+    };
+    found(
+        "no doubt",
+        &restart::explore(guards),
+        "of a request that ran",
+    );
+}
