A stop's phases and the requests it cuts have their lines, and the last lines are written

No line told when a gateway stopped waiting and what it counted then. Change: the log can be flushed up to a deadline, gateway and keeper do so before they end (200 ms at the most, so that a reader that has stopped holds nobody up); 'idle connections closed', 'waited for requests' (requests and connections counted at the last look), 'cut by the stop' for each request, 'stopped' with the time taken. A stream that the end of the process drops is no longer logged as 'caller left'. No decision is changed. Ruled out: dropping the logger at exit (it is global and never dropped).

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What one daemon holds; shared by all its tasks on the one thread.
 
 use crate::facts::Facts;
+use crate::in_progress::InProgress;
 use crate::jobs::Jobs;
 use crate::keepers::Keepers;
 use crate::metrics::Metrics;
@@ -62,8 +63,10 @@
     pub(crate) stopping: Cell<bool>,
     /// Set once a new request could not end before the process does.
     pub(crate) refusing: Cell<bool>,
+    /// Set at the very end: what is dropped then is cut by the stop.
+    pub(crate) ended: Cell<bool>,
     /// Requests of callers that are being answered.
-    pub(crate) in_progress: Cell<usize>,
+    pub(crate) in_progress: Rc<InProgress>,
     /// Wakes the sender of reports to peers.
     pub(crate) report_due: Notify,
     /// Wakes the task that starts batch items.
@@ -109,7 +112,8 @@
             lease: Cell::new(0),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
-            in_progress: Cell::new(0),
+            ended: Cell::new(false),
+            in_progress: Rc::default(),
             report_due: Notify::new(),
             batch_due: Notify::new(),
             history_gone: Notify::new(),
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/in_progress.rs
@@ -0,0 +1,48 @@
+//! Requests of callers that are being answered.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// The requests in progress, by the order in which they came.
+#[derive(Debug, Default)]
+pub(crate) struct InProgress {
+    open: RefCell<BTreeMap<u64, Arc<str>>>,
+    begun: Cell<u64>,
+}
+
+impl InProgress {
+    /// Notes a request until what is given back is dropped.
+    pub(crate) fn begin(self: &Rc<Self>, id: &str) -> Begun {
+        let number = self.begun.get();
+        self.begun.set(number + 1);
+        self.open.borrow_mut().insert(number, Arc::from(id));
+        Begun {
+            number,
+            all: self.clone(),
+        }
+    }
+
+    /// How many there are.
+    pub(crate) fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Their ids.
+    pub(crate) fn ids(&self) -> Vec<Arc<str>> {
+        self.open.borrow().values().cloned().collect()
+    }
+}
+
+/// A request in progress as long as it lives.
+pub(crate) struct Begun {
+    number: u64,
+    all: Rc<InProgress>,
+}
+
+impl Drop for Begun {
+    fn drop(&mut self) {
+        self.all.open.borrow_mut().remove(&self.number);
+    }
+}
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod events;
 mod facts;
 mod gateway;
+mod in_progress;
 mod jobs;
 mod keepers;
 mod metrics;
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -305,7 +305,7 @@
     /// A relay that is dropped before its stream is over has lost its caller.
     /// The worker's connection closes with it, which ends the run there.
     fn drop(&mut self) {
-        if !self.over {
+        if !self.over && !self.gw.ended.get() {
             self.gw.metrics.request("caller_left");
             info!(target: "online", request:% = self.req.id, worker:% = self.upstream.place.worker(), events = self.passed, took_ms = millis(self.req.received.elapsed()); "caller left");
         }
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! The life of a gateway: start, signals, graceful stop.
 
 use crate::gateway::Gateway;
+use crate::online::millis;
 use crate::reload::Surroundings;
 use crate::{detour, facts, jobs, peer_api, registration, reload, reports, serve, watching};
 use bluebellreel_net::{Served, Stop, every, listen};
@@ -85,7 +86,6 @@
     info!(target: "gateway", entry:% = gw.me(), run:% = gw.run, data_centre:% = gw.settings.data_centre, requests:% = gw.settings.requests; "started");
     stop_asked.await;
     let clean = leave(&gw, &stop, &served).await;
-    info!(target: "gateway", entry:% = gw.me(), clean; "stopped");
     Ok(clean)
 }
 
@@ -199,7 +199,7 @@
     let version = gw.configuration().map_or(0, |c| c.version);
     let jobs = gw.jobs.borrow();
     let metrics = &gw.metrics;
-    metrics.in_progress.set(count(gw.in_progress.get()));
+    metrics.in_progress.set(count(gw.in_progress.count()));
     metrics.jobs_owned.set(count(jobs.own.len()));
     metrics.copies_bytes.set(count(jobs.copies.bytes()));
     metrics.store_calls.set(total(calls));
@@ -220,19 +220,32 @@
     let end = asked_at + gw.grace.get().saturating_sub(BEFORE_KILL);
     gw.stopping.set(true);
     gw.report_due.notify_one();
-    info!(target: "gateway", entry:% = gw.me(), in_progress = gw.in_progress.get(), jobs = gw.jobs.borrow().own.len(); "stopping");
+    info!(target: "gateway", entry:% = gw.me(), in_progress = gw.in_progress.count(), jobs = gw.jobs.borrow().own.len(); "stopping");
     jobs::hand_over_all(gw).await;
     tokio::time::sleep_until((asked_at + LEAVE_ROTATION).min(end)).await;
     stop.close();
+    info!(target: "gateway", entry:% = gw.me(), in_progress = gw.in_progress.count(), open = served.open(), jobs = gw.jobs.borrow().own.len(), took_ms = millis(asked_at.elapsed()); "idle connections closed");
     let refuse_from = asked_at + gw.grace.get().mul_f64(REFUSE_FROM);
-    while (gw.in_progress.get() > 0 || served.open() > 0) && Instant::now() < end {
+    while (gw.in_progress.count() > 0 || served.open() > 0) && Instant::now() < end {
         gw.refusing.set(Instant::now() >= refuse_from);
         sleep(LOOK).await;
     }
+    info!(target: "gateway", entry:% = gw.me(), in_progress = gw.in_progress.count(), open = served.open(), took_ms = millis(asked_at.elapsed()); "waited for requests");
     registration::unregister(gw).await;
-    let cut = gw.in_progress.get();
-    if cut > 0 {
-        warn!(target: "gateway", cut; "requests cut by the stop");
+    let clean = tell_cut(gw);
+    info!(target: "gateway", entry:% = gw.me(), clean, open = served.open(), took_ms = millis(asked_at.elapsed()); "stopped");
+    clean
+}
+
+/// Names the requests that the end of the process cuts; whether there are none.
+fn tell_cut(gw: &Gateway) -> bool {
+    gw.ended.set(true);
+    let ids = gw.in_progress.ids();
+    for id in &ids {
+        warn!(target: "gateway", request:% = id; "cut by the stop");
+    }
+    if !ids.is_empty() {
+        warn!(target: "gateway", cut = ids.len(); "requests cut by the stop");
     }
-    cut == 0
+    ids.is_empty()
 }
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -1,6 +1,7 @@
 //! Telling callers' requests apart.
 
 use crate::gateway::Gateway;
+use crate::in_progress::Begun;
 use crate::online::{self, Request};
 use crate::{answers, jobs};
 use bluebellreel_dispatch::{Configuration, Route, RouteKind};
@@ -22,27 +23,10 @@
 /// When a caller should return to another daemon.
 const STOPPING: Duration = Duration::from_millis(50);
 
-struct InProgress(Rc<Gateway>);
-
-impl InProgress {
-    fn begin(gw: &Rc<Gateway>) -> Self {
-        gw.in_progress.set(gw.in_progress.get() + 1);
-        Self(gw.clone())
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0
-            .in_progress
-            .set(self.0.in_progress.get().saturating_sub(1));
-    }
-}
-
 /// Answers a caller. While the daemon stops, every answer asks the caller to
 /// open its next connection elsewhere.
 pub(crate) async fn answer(gw: Rc<Gateway>, req: http::Request<Incoming>) -> Response<Body> {
-    let in_progress = InProgress::begin(&gw);
+    let in_progress = gw.in_progress.begin(ingress::request_id(req.headers()));
     let mut answer = answer_open(&gw, req).await;
     if gw.stopping.get() {
         let close = HeaderValue::from_static("close");
@@ -62,7 +46,7 @@
 
 struct Held<S> {
     pieces: S,
-    _until_dropped: InProgress,
+    _until_dropped: Begun,
 }
 
 impl<S: futures::Stream + Unpin> futures::Stream for Held<S> {
--- a/crates/bluebellreel_telemetry/src/json_log.rs
+++ b/crates/bluebellreel_telemetry/src/json_log.rs
@@ -2,15 +2,17 @@
 //!
 //! Lines pass through a queue of fixed length to a thread that writes them. A
 //! reader that stops reading fills the queue; further lines are dropped and
-//! counted, and the count is written once there is room again.
+//! counted, and the count is written once there is room again. Whoever ends the
+//! process has the queue written first: its last lines tell why it ended.
 
+use crossbeam_channel::{Receiver, Sender, bounded};
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, Value as Json};
 use std::io::{self, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
+use std::time::Instant;
 
 /// Lines that may wait for the reader: some seconds of a busy daemon's, half a
 /// megabyte at the most.
@@ -30,6 +32,33 @@
     }
 }
 
+/// What the writing thread is handed.
+enum Queued {
+    Line(Vec<u8>),
+    /// Answered once all before it is written.
+    Flush(Sender<()>),
+}
+
+/// The log of the process.
+#[derive(Clone, Debug)]
+pub struct JsonLog {
+    /// Lines dropped so far.
+    pub dropped: DroppedLines,
+    queue: Sender<Queued>,
+}
+
+impl JsonLog {
+    /// Waits until all lines so far are written, but not past a deadline: a
+    /// reader that has stopped reading must not hold up the end of a process.
+    /// Whether they are written.
+    #[must_use = "lines that are not written are lost with the process"]
+    pub fn flush(&self, deadline: Instant) -> bool {
+        let (written, wait) = bounded(1);
+        let asked = self.queue.send_deadline(Queued::Flush(written), deadline);
+        asked.is_ok() && wait.recv_deadline(deadline).is_ok()
+    }
+}
+
 struct Fields(Map<String, Json>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
@@ -49,13 +78,13 @@
 }
 
 /// Gathers one line and hands it to the queue.
-struct Queued {
+struct LineWriter {
     line: Vec<u8>,
-    queue: SyncSender<Vec<u8>>,
+    queue: Sender<Queued>,
     dropped: DroppedLines,
 }
 
-impl Write for Queued {
+impl Write for LineWriter {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.line.extend_from_slice(bytes);
         Ok(bytes.len())
@@ -65,11 +94,9 @@
         if self.line.is_empty() {
             return Ok(());
         }
-        match self.queue.try_send(std::mem::take(&mut self.line)) {
-            Ok(()) => {}
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                self.dropped.0.fetch_add(1, Ordering::Relaxed);
-            }
+        let line = Queued::Line(std::mem::take(&mut self.line));
+        if self.queue.try_send(line).is_err() {
+            self.dropped.0.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
@@ -85,17 +112,17 @@
     level: log::LevelFilter,
     parts: &[&'static str],
     out: impl Write + Send + 'static,
-) -> eyre::Result<DroppedLines> {
-    let (tx, rx) = sync_channel(QUEUE);
+) -> eyre::Result<JsonLog> {
+    let (tx, rx) = bounded(QUEUE);
     let dropped = DroppedLines::default();
     let counted = dropped.clone();
     thread::Builder::new()
         .name("log".into())
         .stack_size(64 * 1024)
         .spawn(move || write_lines(&rx, out, &counted))?;
-    let queued = Queued {
+    let writer = LineWriter {
         line: Vec::new(),
-        queue: tx,
+        queue: tx.clone(),
         dropped: dropped.clone(),
     };
     let mut dispatch = fern::Dispatch::new()
@@ -116,17 +143,21 @@
     for part in parts {
         dispatch = dispatch.level_for(*part, level);
     }
-    let boxed: Box<dyn Write + Send> = Box::new(queued);
+    let boxed: Box<dyn Write + Send> = Box::new(writer);
     dispatch.chain(boxed).apply()?;
-    Ok(dropped)
+    Ok(JsonLog { dropped, queue: tx })
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>, mut out: impl Write, dropped: &DroppedLines) {
+fn write_lines(queue: &Receiver<Queued>, mut out: impl Write, dropped: &DroppedLines) {
     let mut told = 0;
-    while let Ok(first) = lines.recv() {
-        let mut buf = first;
-        for more in lines.try_iter().take(AT_ONCE) {
-            buf.extend_from_slice(&more);
+    while let Ok(first) = queue.recv() {
+        let mut buf = Vec::new();
+        let mut flushed = Vec::new();
+        for next in std::iter::once(first).chain(queue.try_iter().take(AT_ONCE)) {
+            match next {
+                Queued::Line(line) => buf.extend_from_slice(&line),
+                Queued::Flush(written) => flushed.push(written),
+            }
         }
         let lost = dropped.count();
         if lost > told {
@@ -139,5 +170,9 @@
         }
         // There is nowhere to tell that nothing can be told.
         let _ = out.write_all(&buf).and_then(|()| out.flush());
+        for written in flushed {
+            // Whoever asked may have stopped waiting.
+            let _ = written.send(());
+        }
     }
 }
--- a/crates/bluebellreel_telemetry/src/lib.rs
+++ b/crates/bluebellreel_telemetry/src/lib.rs
@@ -18,7 +18,7 @@
 mod otlp;
 mod tracing;
 
-pub use json_log::{DroppedLines, start_json_logging};
+pub use json_log::{DroppedLines, JsonLog, start_json_logging};
 pub use logging::{LogSettings, start_logging};
 pub use metrics::{EntryMetrics, ModelLabel, OutcomeLabel, SideMetrics, encode_metrics};
 pub use otlp::{TraceSink, span_json};
--- a/crates/bluebellreel_telemetry/tests/json_log.rs
+++ b/crates/bluebellreel_telemetry/tests/json_log.rs
@@ -42,13 +42,15 @@
         open: false,
         written: written.clone(),
     };
-    let dropped = start_json_logging(log::LevelFilter::Info, &["online"], out).expect("the first");
+    let log = start_json_logging(log::LevelFilter::Info, &["online"], out).expect("the first");
     for n in 0..10_000 {
         info!(target: "online", request = "r1", n, late = true; "sent");
     }
     // All of them returned while nothing could be written.
-    assert!(dropped.count() > 5_000, "{}", dropped.count());
+    assert!(log.dropped.count() > 5_000, "{}", log.dropped.count());
     assert!(written.lock().expect("not poisoned").is_empty());
+    // Nor does the end of the process wait for ever.
+    assert!(!log.flush(Instant::now() + Duration::from_millis(20)));
 
     go.send(()).expect("it is waiting");
     let until = Instant::now() + Duration::from_mins(1);
@@ -67,4 +69,12 @@
     assert_eq!((&first["request"], &first["n"]), (&"r1".into(), &0.into()));
     assert_eq!(first["late"], true);
     assert_eq!(first["part"], "online");
+
+    // With a reader, the last lines are written before the process may end.
+    info!(target: "online", "stopped");
+    assert!(log.flush(Instant::now() + Duration::from_mins(1)));
+    let bytes = written.lock().expect("not poisoned").clone();
+    let text = String::from_utf8(bytes).expect("UTF-8");
+    let last = text.lines().last().expect("a line");
+    assert!(last.contains("\"stopped\""), "{last}");
 }
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -19,9 +19,11 @@
 /// it: callers wait for five seconds.
 const STILL_THERE: Duration = Duration::from_secs(5);
 /// Events that tell what a process believes, apart from any request.
-const SURROUNDINGS: [&str; 15] = [
+const SURROUNDINGS: [&str; 17] = [
     "started",
     "stopping",
+    "idle connections closed",
+    "waited for requests",
     "stopped",
     "configuration in force",
     "worker listed",
@@ -38,12 +40,13 @@
 ];
 
 /// Events after which nothing more comes of a request.
-const ENDS: [&str; 7] = [
+const ENDS: [&str; 8] = [
     "served",
     "answered",
     "given up",
     "broken off",
     "caller left",
+    "cut by the stop",
     "no route",
     "item run ended",
 ];
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -3,11 +3,12 @@
 use bluebellreel_gateway::{Surroundings, run_gateway};
 use bluebellreel_keeper::run_keeper;
 use bluebellreel_settings::{SettingsError, load_gateway, load_keeper};
-use bluebellreel_telemetry::start_json_logging;
+use bluebellreel_telemetry::{JsonLog, start_json_logging};
 use eyre::WrapErr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// Variable that names the settings file where no option does.
 const SETTINGS_VARIABLE: &str = "BLUEBELLREEL_CONFIG";
@@ -17,6 +18,9 @@
 const FAILED: u8 = 1;
 /// Exit code of a stop that cut something.
 const CUT: u8 = 3;
+/// Longest that the end of a process waits for the reader of its log; a gateway
+/// ends some 700 ms before it would be killed.
+const LAST_LINES: Duration = Duration::from_millis(200);
 /// Parts of a gateway that log their decisions.
 const PARTS: [&str; 6] = ["gateway", "facts", "members", "online", "jobs", "http"];
 /// Parts of a keeper that do.
@@ -46,6 +50,15 @@
     }
 }
 
+/// Has the log written to its end. A process that ends while its last lines
+/// wait for their thread takes them with it: what was cut by a stop, and that
+/// it was one, would never be known.
+fn end_log(log: &JsonLog) {
+    if !log.flush(Instant::now() + LAST_LINES) {
+        eprintln!("the last log lines were not written: their reader has stopped");
+    }
+}
+
 /// Runs a gateway until it is asked to stop.
 pub(super) fn gateway(given: Option<PathBuf>) -> ExitCode {
     let Some((path, settings)) = settings(given, load_gateway) else {
@@ -53,13 +66,16 @@
     };
     let run = start_json_logging(log::LevelFilter::Info, &PARTS, std::io::stdout())
         .wrap_err("logs")
-        .and_then(|dropped| {
+        .and_then(|log| {
+            let dropped = log.dropped.clone();
             let around = Surroundings {
                 lines_dropped: Box::new(move || dropped.count()),
                 read_settings: Box::new(move || load_gateway(&path)),
                 settings_changed: Rc::default(),
             };
-            run_gateway(settings, around)
+            let run = run_gateway(settings, around);
+            end_log(&log);
+            run
         });
     match run {
         Ok(true) => ExitCode::SUCCESS,
@@ -78,7 +94,11 @@
     };
     let run = start_json_logging(log::LevelFilter::Info, &KEEPER_PARTS, std::io::stdout())
         .wrap_err("logs")
-        .and_then(|_| run_keeper(settings, Box::new(move || load_keeper(&path))));
+        .and_then(|log| {
+            let run = run_keeper(settings, Box::new(move || load_keeper(&path)));
+            end_log(&log);
+            run
+        });
     match run {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
