--- /dev/null
+++ b/crates/bluebellreel_net/tests/raw/mod.rs
@@ -0,0 +1,185 @@
+//! A server on loopback, and callers that write their bytes by hand.
+
+use bluebellreel_net::{Body, Served, Stop, listen, read_body, serve};
+use bytes::Bytes;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::io::ErrorKind;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+/// How long a test waits for what must come, however slow the machine is.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Time a connection may stay without a request while nothing stops.
+const IDLE: Duration = Duration::from_mins(2);
+
+/// A server that a test stops.
+pub struct Server {
+    pub address: SocketAddr,
+    pub stop: Stop,
+    pub served: Served,
+    /// Paths of the requests that reached the function.
+    pub taken: Rc<RefCell<Vec<String>>>,
+    /// Lets the answers to `/held` go on.
+    pub go_on: Rc<Notify>,
+    /// Whether answers to `/held` have begun.
+    pub held: Rc<Cell<bool>>,
+}
+
+impl Server {
+    /// Runs a test before a server.
+    pub fn test<T: Future<Output = ()>>(test: impl FnOnce(Self) -> T) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        LocalSet::new().block_on(&runtime, async { test(Self::start()).await });
+    }
+
+    fn start() -> Self {
+        let listener = listen((Ipv4Addr::LOCALHOST, 0).into()).expect("a free port");
+        let server = Self {
+            address: listener.local_addr().expect("an address"),
+            stop: Stop::default(),
+            served: Served::default(),
+            taken: Rc::default(),
+            go_on: Rc::default(),
+            held: Rc::default(),
+        };
+        let (taken, go_on, held) = (
+            server.taken.clone(),
+            server.go_on.clone(),
+            server.held.clone(),
+        );
+        spawn_local(serve(
+            listener,
+            server.stop.clone(),
+            server.served.clone(),
+            || IDLE,
+            move |req| answer(req, taken.clone(), go_on.clone(), held.clone()),
+        ));
+        server
+    }
+
+    /// Waits until something is so.
+    pub async fn until(&self, what: &str, is_so: impl Fn(&Self) -> bool) {
+        let until = Instant::now() + PATIENCE;
+        while !is_so(self) {
+            assert!(Instant::now() < until, "never: {what}");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Connects a caller that the server has accepted.
+    pub async fn connect(&self) -> Caller {
+        let open = self.served.open();
+        let caller = Caller(TcpStream::connect(self.address).await.expect("accepted"));
+        self.until("the connection is served", |s| s.served.open() > open)
+            .await;
+        caller
+    }
+
+    /// Connects a caller whose connection has answered a request.
+    pub async fn connect_and_ask(&self) -> Caller {
+        let mut caller = self.connect().await;
+        caller.write("GET /first HTTP/1.1\r\nhost: a\r\n\r\n");
+        let answer = caller.read_answer().await;
+        assert!(answer.ends_with("/first"), "{answer}");
+        caller
+    }
+}
+
+async fn answer(
+    req: Request<Incoming>,
+    taken: Rc<RefCell<Vec<String>>>,
+    go_on: Rc<Notify>,
+    held: Rc<Cell<bool>>,
+) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    taken.borrow_mut().push(path.clone());
+    if path == "/refused" {
+        // Without reading the body.
+        return Response::new(Body::full(path));
+    }
+    let read = read_body(req.into_body(), 1 << 20, PATIENCE).await;
+    let body = read.ok().flatten().unwrap_or_default();
+    let text = format!("{path}{}", String::from_utf8_lossy(&body));
+    if path != "/held" {
+        return Response::new(Body::full(text));
+    }
+    let end = async move {
+        held.set(true);
+        go_on.notified().await;
+        Ok(Bytes::from("end"))
+    };
+    Response::new(Body::stream(futures::stream::once(Box::pin(end))))
+}
+
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// In order.
+    Closed,
+    /// By a reset.
+    Reset,
+}
+
+/// A caller's connection.
+pub struct Caller(pub TcpStream);
+
+impl Caller {
+    /// Writes bytes at once: the server can't run before they are with the
+    /// kernel.
+    pub fn write(&self, text: &str) {
+        let written = self.0.try_write(text.as_bytes());
+        assert_eq!(written.ok(), Some(text.len()));
+    }
+
+    /// Reads one answer of known length.
+    pub async fn read_answer(&mut self) -> String {
+        let mut all = Vec::new();
+        loop {
+            let text = String::from_utf8_lossy(&all).into_owned();
+            if let Some((head, body)) = text.split_once("\r\n\r\n") {
+                let length = head
+                    .lines()
+                    .find_map(|l| l.strip_prefix("content-length: "));
+                let length: usize = length.and_then(|l| l.parse().ok()).expect("a length");
+                if body.len() == length {
+                    return text;
+                }
+            }
+            let mut byte = [0];
+            let read = timeout(PATIENCE, self.0.read_exact(&mut byte));
+            read.await.expect("in time").expect("an answer");
+            all.push(byte[0]);
+        }
+    }
+
+    /// Reads until the connection ends.
+    pub async fn read_to_end(&mut self) -> (String, End) {
+        let mut all = Vec::new();
+        let mut buf = [0; 4096];
+        loop {
+            let read = timeout(PATIENCE, self.0.read(&mut buf)).await;
+            let end = match read.expect("the connection ends") {
+                Ok(0) => End::Closed,
+                Ok(n) => {
+                    all.extend_from_slice(&buf[..n]);
+                    continue;
+                }
+                Err(e) if e.kind() == ErrorKind::ConnectionReset => End::Reset,
+                Err(e) => panic!("{e}"),
+            };
+            return (String::from_utf8_lossy(&all).into_owned(), end);
+        }
+    }
+}
