A stopping server answers what has come on its connections

Cause: at the close each open connection was handed to the HTTP library's graceful shutdown, which ends an idle one whatever waits in the kernel or in its own buffer, and a new one before its first request is read. Unread bytes make the kernel reset the connection, which also loses an answer on its way.

Ruled out: looking through the runtime only. It knows of bytes only since its last look at the kernel, which is not the moment of the close.

Change: a served connection counts what it has read since its last answer and looks into the kernel by a peek. It is asked to end only when nothing of a request is there. A new one has 1 s from its accept for its first request, half a head 3 s; neither holds a stop longer. Every answer after the close says that it is the last one, on all servers. After such an answer the connection is read on for up to 1 s, so that no reset catches it; without that word what comes stays unread, as the caller's next request has not run.

--- a/crates/bluebellreel_net/src/lib.rs
+++ b/crates/bluebellreel_net/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod body;
 mod call;
+mod line;
 mod pool;
 mod reply;
 mod server;
--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -1,20 +1,24 @@
 //! Serving HTTP on the loop.
 
 use crate::Body;
+use crate::line::{Bytewise, Guarded, Line, Wait};
+use http::header::{CONNECTION, HeaderValue};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::warn;
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
 
 /// Connections that wait to be accepted. When the queue is full, the kernel
 /// drops the first packet and the caller repeats it after a second.
@@ -24,6 +28,15 @@
 /// Longest that written bytes may stay unacknowledged. A peer without power
 /// never answers; the kernel alone would hold its connection for minutes.
 const DEAD_PEER: Duration = Duration::from_secs(10);
+/// How long after its accept a connection of a stopping server may stay without a
+/// request: callers give a new connection a second.
+const FIRST_REQUEST: Duration = Duration::from_secs(1);
+/// Longest wait of a stopping server for the rest of a request's head. Callers
+/// usually may take three seconds.
+const REST: Duration = Duration::from_secs(3);
+
+/// A connection as the HTTP library takes it.
+type Io = TokioIo<Bytewise>;
 
 /// Asks all connections of a server to end.
 #[derive(Clone, Debug)]
@@ -36,7 +49,9 @@
 }
 
 impl Stop {
-    /// Closes idle connections now and the others after their answer.
+    /// Closes idle connections now and the others after their answer, which says
+    /// that it is the last one. A connection that comes later is served one
+    /// request.
     pub fn close(&self) {
         self.0.send_replace(true);
     }
@@ -112,37 +127,93 @@
     }
 }
 
+/// Serves one connection until it ends.
 async fn serve_one<F, A>(stream: TcpStream, stop: Stop, idle: Duration, answer: Rc<F>)
 where
     F: Fn(hyper::Request<Incoming>) -> A + 'static,
     A: Future<Output = hyper::Response<Body>> + 'static,
 {
     prepare(&stream);
+    let line = Line::new(stream);
+    let (of_requests, asked) = (line.clone(), stop.clone());
     let service = service_fn(move |req| {
-        let answer = answer.clone();
-        async move { Ok::<_, Infallible>(answer(req).await) }
+        let until_out = of_requests.take();
+        let (line, asked, answer) = (of_requests.clone(), asked.clone(), answer.clone());
+        async move {
+            let mut answer = answer(req).await;
+            say_last(&line, &asked, &mut answer);
+            Ok::<_, Infallible>(answer.map(|body| Guarded::new(body, until_out)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Bytewise::new(line.clone())), service);
     let mut connection = pin!(connection);
     let mut stopping = stop.0.subscribe();
-    // A connection that comes after the stop is here for one request, which
-    // would be lost if the connection were closed before it is read.
-    if *stopping.borrow() {
-        let _ = connection.as_mut().await;
-        return;
-    }
     tokio::select! {
         // How a caller's connection ends is the caller's affair: what it meant
         // for a request is logged where the request is.
-        _ = connection.as_mut() => {}
-        asked = stopping.wait_for(|s| *s) => {
-            drop(asked);
+        _ = connection.as_mut() => return,
+        asked = stopping.wait_for(|s| *s) => drop(asked),
+    }
+    end(connection, &line).await;
+}
+
+/// Serves a connection of a stopping server until nothing of a request has come
+/// on it. Asked for its end before, the HTTP library drops requests that are not
+/// read yet, or half read, and closes new connections under their first one.
+async fn end<S>(mut connection: Pin<&mut http1::Connection<Io, S>>, line: &Line)
+where
+    S: HttpService<Incoming, ResBody = Guarded, Error = Infallible>,
+{
+    let mut due = pin!(sleep(Duration::ZERO));
+    let mut rest_due = None;
+    let mut is_asked = false;
+    poll_fn(|cx| {
+        loop {
+            if connection.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(());
+            }
+            if is_asked || line.is_looked_after() {
+                rest_due = None;
+                return Poll::Pending;
+            }
+            let now = Instant::now();
+            let wait = line.wait();
+            let until = match wait {
+                Wait::First => line.accepted_at + FIRST_REQUEST,
+                Wait::Rest => *rest_due.get_or_insert(now + REST),
+                Wait::Nothing => now,
+            };
+            if until > now {
+                due.as_mut().reset(until);
+                if due.as_mut().poll(cx).is_pending() {
+                    return Poll::Pending;
+                }
+            }
+            if wait == Wait::Rest {
+                return Poll::Ready(());
+            }
+            is_asked = true;
             connection.as_mut().graceful_shutdown();
-            let _ = connection.as_mut().await;
         }
+    })
+    .await;
+}
+
+/// Has an answer say that it is the last one if the server stops, and notes it.
+fn say_last(line: &Line, stop: &Stop, answer: &mut hyper::Response<Body>) {
+    if *stop.0.borrow() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    if answer
+        .headers()
+        .get(CONNECTION)
+        .is_some_and(|v| v == "close")
+    {
+        line.say_last();
     }
 }
 
