A server can finish: no listener, nothing open, and it tells

Cause: a server listened until its process ended. Whoever ended the process after a last look at its counts could not know that nothing had come since: a connection may be accepted, and its request passed on, at any time between.

Change: `Stop::finish` is a second stage after `close`. The listener ends, after all connections that wait in its backlog have been taken; the runtime may not know of them, so the kernel is asked. `Served::is_over` says that neither listener nor connection is left, `Served::over` waits for it.

Ruled out: ending the listener alone.

--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -11,13 +11,14 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
+use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
 
 /// Connections that wait to be accepted. When the queue is full, the kernel
@@ -38,13 +39,24 @@
 /// A connection as the HTTP library takes it.
 type Io = TokioIo<Bytewise>;
 
-/// Asks all connections of a server to end.
+/// How far a server's stop is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// It does not stop.
+    Serving,
+    /// Connections end after their answer.
+    Closing,
+    /// No new ones are taken.
+    Finishing,
+}
+
+/// Asks a server to stop, in two stages.
 #[derive(Clone, Debug)]
-pub struct Stop(watch::Sender<bool>);
+pub struct Stop(watch::Sender<Stage>);
 
 impl Default for Stop {
     fn default() -> Self {
-        Self(watch::Sender::new(false))
+        Self(watch::Sender::new(Stage::Serving))
     }
 }
 
@@ -53,34 +65,96 @@
     /// that it is the last one. A connection that comes later is served one
     /// request.
     pub fn close(&self) {
-        self.0.send_replace(true);
+        self.raise(Stage::Closing);
+    }
+
+    /// Closes, and listens no longer. Connections that wait to be accepted are
+    /// still served; [`Served::over`] tells when all is done.
+    pub fn finish(&self) {
+        self.raise(Stage::Finishing);
+    }
+
+    fn raise(&self, stage: Stage) {
+        self.0.send_modify(|now| *now = stage.max(*now));
+    }
+
+    fn is_closing(&self) -> bool {
+        *self.0.borrow() >= Stage::Closing
     }
+
+    /// Ends once the stop has come to a stage.
+    async fn reached(&self, stage: Stage) {
+        // The sender lives as long as `self`.
+        let _ = self.0.subscribe().wait_for(|now| *now >= stage).await;
+    }
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    listeners: Cell<usize>,
+    open: Cell<usize>,
+    changed: Notify,
 }
 
-/// How many connections are open.
+/// What a server holds: its listener and its connections.
 #[derive(Clone, Debug, Default)]
-pub struct Served(Rc<Cell<usize>>);
+pub struct Served(Rc<Counts>);
 
 impl Served {
     /// Connections that are open now.
     #[must_use]
     pub fn open(&self) -> usize {
-        self.0.get()
+        self.0.open.get()
+    }
+
+    /// Whether nothing is open and nothing can come: the process may end.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.0.listeners.get() == 0 && self.open() == 0
+    }
+
+    /// Waits until that is so, which needs [`Stop::finish`].
+    pub async fn over(&self) {
+        loop {
+            let changed = self.0.changed.notified();
+            if self.is_over() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn listen(&self) -> Counted {
+        Counted::new(&self.0, |counts| &counts.listeners)
+    }
+
+    fn accept(&self) -> Counted {
+        Counted::new(&self.0, |counts| &counts.open)
     }
 }
 
-struct Counted(Rc<Cell<usize>>);
+/// Something that is counted while it lasts.
+struct Counted {
+    counts: Rc<Counts>,
+    of: fn(&Counts) -> &Cell<usize>,
+}
 
 impl Counted {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
+    fn new(counts: &Rc<Counts>, of: fn(&Counts) -> &Cell<usize>) -> Self {
+        let count = of(counts);
         count.set(count.get() + 1);
-        Self(count.clone())
+        Self {
+            counts: counts.clone(),
+            of,
+        }
     }
 }
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+        let count = (self.of)(&self.counts);
+        count.set(count.get().saturating_sub(1));
+        self.counts.changed.notify_waiters();
     }
 }
 
@@ -89,15 +163,15 @@
 /// # Errors
 ///
 /// Gives the system's error when the address cannot be used.
-pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
 
-/// Serves each connection by `answer` until the process ends. `idle` gives how
-/// long a new connection may stay without a request.
+/// Serves each connection by `answer` until the server is asked to finish. `idle`
+/// gives how long a new connection may stay without a request.
 pub async fn serve<F, A>(
     listener: TcpListener,
     stop: Stop,
@@ -108,23 +182,48 @@
     F: Fn(hyper::Request<Incoming>) -> A + 'static,
     A: Future<Output = hyper::Response<Body>> + 'static,
 {
+    let listening = served.listen();
     let answer = Rc::new(answer);
+    let begin = |stream| {
+        let count = served.accept();
+        let connection = serve_one(stream, stop.clone(), idle(), answer.clone());
+        tokio::task::spawn_local(async move {
+            connection.await;
+            drop(count);
+        });
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let count = Counted::new(&served.0);
-                let connection = serve_one(stream, stop.clone(), idle(), answer.clone());
-                tokio::task::spawn_local(async move {
-                    connection.await;
-                    drop(count);
-                });
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.reached(Stage::Finishing) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => begin(stream),
             Err(e) => {
                 warn!(target: "http", error:% = e; "no connection accepted");
-                tokio::time::sleep(ACCEPT_REST).await;
+                sleep(ACCEPT_REST).await;
             }
         }
     }
+    match waiting(listener) {
+        Ok(streams) => streams.into_iter().for_each(begin),
+        Err(e) => warn!(target: "http", error:% = e; "waiting connections not taken"),
+    }
+    drop(listening);
+}
+
+/// Closes a listener; gives the connections that waited to be accepted. Their
+/// callers have connected and may have sent a request: the end of the listener
+/// would reset them.
+fn waiting(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    // The runtime knows only of those that came before its last look.
+    let listener = listener.into_std()?;
+    let mut streams = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        streams.push(TcpStream::from_std(stream)?);
+    }
+    Ok(streams)
 }
 
 /// Serves one connection until it ends.
@@ -150,12 +249,11 @@
         .header_read_timeout(idle)
         .serve_connection(TokioIo::new(Bytewise::new(line.clone())), service);
     let mut connection = pin!(connection);
-    let mut stopping = stop.0.subscribe();
     tokio::select! {
         // How a caller's connection ends is the caller's affair: what it meant
         // for a request is logged where the request is.
         _ = connection.as_mut() => return,
-        asked = stopping.wait_for(|s| *s) => drop(asked),
+        () = stop.reached(Stage::Closing) => {}
     }
     end(connection, &line).await;
 }
@@ -204,7 +302,7 @@
 
 /// Has an answer say that it is the last one if the server stops, and notes it.
 fn say_last(line: &Line, stop: &Stop, answer: &mut hyper::Response<Body>) {
-    if *stop.0.borrow() {
+    if stop.is_closing() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/bluebellreel_net/tests/stop.rs
+++ b/crates/bluebellreel_net/tests/stop.rs
@@ -2,7 +2,7 @@
 
 mod raw;
 
-use raw::{End, PATIENCE, Server};
+use raw::{Caller, End, PATIENCE, Server};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::{sleep, timeout};
@@ -200,3 +200,53 @@
         drop((silent, half));
     });
 }
+
+/// A caller's connection, with its request, waits to be accepted at the moment in
+/// which the listener ends. It was reset, and with it the request.
+#[test]
+fn what_waits_to_be_accepted_is_served() {
+    Server::test(|server| async move {
+        let address = server.address;
+        let connect = move || {
+            let stream = std::net::TcpStream::connect(address)?;
+            stream.set_nonblocking(true)?;
+            tokio::net::TcpStream::from_std(stream)
+        };
+        let mut caller = Caller(connect().expect("listened on"));
+        caller.0.writable().await.expect("connected");
+        // The server has no turn between this and the end of its listener.
+        let mut other = Caller(connect().expect("listened on"));
+        server.stop.finish();
+        caller.write(LATER);
+        let (answer, end) = caller.read_to_end().await;
+        assert!(is_last(&answer, "/later"), "{answer:?} {end:?}");
+        assert_eq!(end, End::Closed);
+        other.0.writable().await.expect("connected");
+        other.write(LATER);
+        let (answer, end) = other.read_to_end().await;
+        assert!(is_last(&answer, "/later"), "{answer:?} {end:?}");
+        assert_eq!(end, End::Closed);
+        let over = timeout(PATIENCE, server.served.over()).await;
+        assert!(over.is_ok(), "{:?}", server.served);
+        assert!(connect().is_err());
+    });
+}
+
+/// The end is told only once the last answer is out.
+#[test]
+fn a_server_is_over_after_its_last_answer() {
+    Server::test(|server| async move {
+        let mut caller = server.connect().await;
+        caller.write("GET /held HTTP/1.1\r\nhost: a\r\n\r\n");
+        server.until("it has begun", |s| s.held.get()).await;
+        server.stop.finish();
+        sleep(Duration::from_millis(50)).await;
+        assert!(!server.served.is_over());
+        server.go_on.notify_one();
+        server.served.over().await;
+        // Nothing of the server runs any more.
+        let (answer, end) = caller.read_to_end().await;
+        assert!(answer.ends_with("end\r\n0\r\n\r\n"), "{answer}");
+        assert_eq!(end, End::Closed);
+    });
+}
