Calls to the store don't go by way of a peer that stops

Cause: any peer that is heard and reaches the store was chosen. One that stops is heard until its process ends, which is seconds later, and a call that it makes for another then is lost with it: the caller of a job is told that it is in doubt.

Change: a stopping peer is chosen only if there is no other.

Ruled out: leaving stopping peers out altogether. In a stop of the whole fleet the only way to the store may be one of them.

--- a/crates/bluebellreel_gateway/src/detour.rs
+++ b/crates/bluebellreel_gateway/src/detour.rs
@@ -48,16 +48,23 @@
     }));
 }
 
+/// A peer that reaches the store. One that stops is the last resort: a call that
+/// it makes is in doubt if its process ends meanwhile.
 fn choose_peer(gw: &Gateway) -> Option<SocketAddr> {
     let members = gw.members.borrow();
-    let able: Vec<SocketAddr> = members
+    let (stopping, staying): (Vec<_>, Vec<_>) = members
         .heard_with_store(gw.now())
-        .map(|(_, peer)| peer.calls)
-        .collect();
+        .map(|(_, peer)| peer)
+        .partition(|peer| peer.stopping);
+    let able = if staying.is_empty() {
+        stopping
+    } else {
+        staying
+    };
     if able.is_empty() {
         return None;
     }
-    Some(able[gw.rng.borrow_mut().random_range(0..able.len())])
+    Some(able[gw.rng.borrow_mut().random_range(0..able.len())].calls)
 }
 
 async fn by_peer(
