A job that comes to a stopping daemon is handed on

Cause: a stop looks through the daemon's own jobs once, at its beginning. One that comes to be owned after that (a peer hands it over before it has heard of the stop, or its acceptance was on its way to the store) stays: no item of it starts, and its peers leave it alone while they hear its owner.

Change: a daemon that stops hands on each job as it comes to own it, with the progress that came with it.

Ruled out: refusing the hand-over. The store's record names the daemon by then; the sender could only write it again, with less knowledge of who stops.

--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -4,6 +4,7 @@
 //! has left, until it is decided: while it is in doubt the answer promises
 //! nothing, as "not run" would be untrue if it took effect later.
 
+use super::hand_over::hand_over;
 use super::key;
 use super::own::{Accepted, OwnedJob};
 use super::quota;
@@ -317,7 +318,12 @@
             jobs.end_runs(&id);
         }
     }
-    tokio::task::spawn_local(jobs::record::record_results(gw.clone(), owned));
+    tokio::task::spawn_local(jobs::record::record_results(gw.clone(), owned.clone()));
+    if gw.stopping.get() {
+        // A peer handed it over before it heard of the stop, or it was on its way
+        // to the store: it would stand still until others miss this daemon.
+        tokio::task::spawn_local(hand_over(gw.clone(), owned));
+    }
     gw.report_due.notify_one();
     gw.batch_due.notify_one();
 }
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -38,7 +38,8 @@
     }
 }
 
-async fn hand_over(gw: Rc<Gateway>, owned: Rc<OwnedJob>) {
+/// Hands one job over to a peer that goes on.
+pub(super) async fn hand_over(gw: Rc<Gateway>, owned: Rc<OwnedJob>) {
     let id = owned.job.borrow().id.clone();
     stop_items(&gw, &owned, &id);
     let until = Instant::now() + RECORD;
