Backlog that can't be taken is logged as any connection that isn't

Cause: the line had words of its own, which the operators' page doesn't list (events_stand_on_the_operators_page failed).

Change: the words that operators know. After: documented.rs passes, 3 tests.

--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -207,7 +207,7 @@
     }
     match waiting(listener) {
         Ok(streams) => streams.into_iter().for_each(begin),
-        Err(e) => warn!(target: "http", error:% = e; "waiting connections not taken"),
+        Err(e) => warn!(target: "http", error:% = e; "no connection accepted"),
     }
     drop(listening);
 }
