A stopping gateway waits for peers' calls and closes its doors before its last look

Cause: the servers for peers, balancer and metrics were never stopped nor waited for: a call that the process made to the store for a peer, or a hand-over it took, was cut by its end. And while the callers' listener is open, a connection may be taken after any look. Change: callers' and peers' servers have a stop each; peers' close at the signal (one call a connection from then on). Order: finish, refuse, give the lease back, wait until nothing is in progress, listen no longer, wait until every connection has ended, last look. Conclusion: between the last look and the end nothing can come in by callers' or peers' doors. Metrics and balancer are not waited for; they change nothing.

--- a/crates/bluebellreel_gateway/src/leave.rs
+++ b/crates/bluebellreel_gateway/src/leave.rs
@@ -8,8 +8,8 @@
 
 use crate::gateway::Gateway;
 use crate::online::millis;
+use crate::run::Doors;
 use crate::{jobs, registration};
-use bluebellreel_net::{Served, Stop};
 use bluebellreel_types::JobId;
 use log::{info, warn};
 use std::cell::RefCell;
@@ -36,8 +36,7 @@
 /// A stop that was asked for.
 struct Leaving<'a> {
     gw: &'a Rc<Gateway>,
-    stop: &'a Stop,
-    served: &'a Served,
+    doors: &'a Doors,
     asked_at: Instant,
     /// Time to the kill when the stop was asked for.
     grace: Duration,
@@ -61,14 +60,14 @@
     }
 
     fn is_busy(&self) -> bool {
-        self.gw.in_progress.count() > 0 || self.served.open() > 0
+        self.gw.in_progress.count() > 0 || self.doors.callers.served.open() > 0
     }
 
     /// Logs where the stop is.
     fn tell(&self, phase: &str) {
         let gw = self.gw;
         let took_ms = millis(self.asked_at.elapsed());
-        info!(target: "gateway", entry:% = gw.me(), phase, in_progress = gw.in_progress.count(), open = self.served.open(), jobs = gw.jobs.borrow().own.len(), took_ms; "stop goes on");
+        info!(target: "gateway", entry:% = gw.me(), phase, in_progress = gw.in_progress.count(), open = self.doors.callers.served.open(), jobs = gw.jobs.borrow().own.len(), took_ms; "stop goes on");
     }
 
     /// Waits until nothing is in progress and all jobs are handed over, but not
@@ -77,7 +76,7 @@
         let tried = Rc::default();
         let mut handing = hand_over(self.gw, &tried);
         sleep_until((self.asked_at + LEAVE_ROTATION).min(self.end())).await;
-        self.stop.close();
+        self.doors.callers.stop.close();
         self.tell("idle connections closed");
         while Instant::now() < self.refuse_from().min(self.end()) {
             if handing.is_finished() {
@@ -103,28 +102,44 @@
             warn!(target: "members", "lease not given back in time");
         }
     }
+
+    /// Listens no longer once nothing is in progress, and waits until every
+    /// connection has ended: after that nothing can come between the last look and
+    /// the end. While a stream goes on, callers are better off with a refusal that
+    /// says when to return.
+    async fn shut_doors(&self) {
+        while self.gw.in_progress.count() > 0 && Instant::now() < self.end() {
+            sleep(LOOK).await;
+        }
+        for door in [&self.doors.callers, &self.doors.peers] {
+            door.stop.finish();
+        }
+        for door in [&self.doors.callers, &self.doors.peers] {
+            // What is cut is told below.
+            let _ = timeout_at(self.end(), door.served.over()).await;
+        }
+    }
 }
 
 /// Stops; whether no request was cut.
-pub(crate) async fn leave(gw: &Rc<Gateway>, stop: &Stop, served: &Served) -> bool {
+pub(crate) async fn leave(gw: &Rc<Gateway>, doors: &Doors) -> bool {
     let leaving = Leaving {
         gw,
-        stop,
-        served,
+        doors,
         asked_at: Instant::now(),
         grace: gw.grace.get(),
     };
     gw.stopping.set(true);
     gw.report_due.notify_one();
     info!(target: "gateway", entry:% = gw.me(), in_progress = gw.in_progress.count(), jobs = gw.jobs.borrow().own.len(); "stopping");
+    // Later calls of peers come on connections of their own, one each.
+    doors.peers.stop.close();
     leaving.finish_requests().await;
     leaving.refuse_and_give_lease_back().await;
-    while leaving.is_busy() && Instant::now() < leaving.end() {
-        sleep(LOOK).await;
-    }
+    leaving.shut_doors().await;
     // Nothing is awaited from this look to the end of the process.
     let clean = tell_cut(gw);
-    info!(target: "gateway", entry:% = gw.me(), clean, open = served.open(), took_ms = millis(leaving.asked_at.elapsed()); "stopped");
+    info!(target: "gateway", entry:% = gw.me(), clean, open = doors.callers.served.open(), took_ms = millis(leaving.asked_at.elapsed()); "stopped");
     clean
 }
 
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -69,21 +69,29 @@
 ) -> eyre::Result<bool> {
     let gw = Gateway::new(settings);
     detour::install(&gw);
-    let stop = Stop::default();
-    let served = Served::default();
-    start(&gw, &stop, &served, Rc::new(around)).await?;
+    let doors = Doors::default();
+    start(&gw, &doors, Rc::new(around)).await?;
     info!(target: "gateway", entry:% = gw.me(), run:% = gw.run, data_centre:% = gw.settings.data_centre, requests:% = gw.settings.requests; "started");
     stop_asked.await;
-    let clean = leave(&gw, &stop, &served).await;
+    let clean = leave(&gw, &doors).await;
     Ok(clean)
 }
 
-async fn start(
-    gw: &Rc<Gateway>,
-    stop: &Stop,
-    served: &Served,
-    around: Rc<Surroundings>,
-) -> eyre::Result<()> {
+/// A server and what it serves.
+#[derive(Default)]
+pub(crate) struct Door {
+    pub(crate) stop: Stop,
+    pub(crate) served: Served,
+}
+
+/// Servers whose connections a stop waits for.
+#[derive(Default)]
+pub(crate) struct Doors {
+    pub(crate) callers: Door,
+    pub(crate) peers: Door,
+}
+
+async fn start(gw: &Rc<Gateway>, doors: &Doors, around: Rc<Surroundings>) -> eyre::Result<()> {
     let callers = listen(gw.settings.requests).wrap_err("address for requests")?;
     let balancer = listen(gw.settings.readiness).wrap_err("address for readiness")?;
     let peers = listen(gw.settings.peers).wrap_err("address for peers")?;
@@ -97,8 +105,8 @@
     let of_limits = gw.clone();
     spawn_local(bluebellreel_net::serve(
         callers,
-        stop.clone(),
-        served.clone(),
+        doors.callers.stop.clone(),
+        doors.callers.served.clone(),
         move || caller_idle(&of_limits),
         move |req| serve::answer(g.clone(), req),
     ));
@@ -117,8 +125,8 @@
     let g = gw.clone();
     spawn_local(bluebellreel_net::serve(
         peers,
-        inner.clone(),
-        Served::default(),
+        doors.peers.stop.clone(),
+        doors.peers.served.clone(),
         || INNER_IDLE,
         move |req| peer_api::answer(g.clone(), req),
     ));
