Reports between gateways end with a checksum; bytes that are none are refused

Cause: a datagram was a report if postcard could read one from its start. 900 bytes of 1 are one: of a peer named U+0001, stopping, that owns a job, has cancelled one and runs items. It was heard for 1.5 s. The same holds for a report with a byte turned.

Ruled out: the requests of the test; all were answered with 200.

Change: a datagram ends with four bytes of checksum. Daemons of earlier versions leave what follows a message, so they read it. What they send has none: it must end where its message does and name a daemon as settings allow; a test has such a report read.

--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
-use wire::{Datagram, Report, Supplement, Urgent, load_of, sender_tag};
+use wire::{Datagram, Report, Supplement, Urgent, load_of, seal, sender_tag};
 
 /// Time between reports when nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(250);
@@ -89,7 +89,7 @@
     let (report, supplement) = wire::report(gw, sequence);
     let brief = report.brief(&supplement);
     let urgent = report.urgent();
-    let full = postcard::to_allocvec(&(report, supplement))?;
+    let full = seal(postcard::to_allocvec(&(report, supplement))?);
     let now = gw.now();
     if told.urgent.as_ref() == Some(&urgent) && !told.full_due.is_past(now) {
         return Ok((full, brief.encode()?));
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -3,12 +3,16 @@
 //! A full report says everything of its sender. Between two of them, what changes
 //! some fifty times a second is only what runs where: that goes in a brief, which
 //! needs the full report before it to be understood.
+//!
+//! Each datagram ends with a checksum of what stands before. Daemons of earlier
+//! versions leave what follows a message; what they send has none.
 
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{Boot, PeerLoad, PeerRuns, Running, WorkerTag};
 use bluebellreel_members::{Revisions, SILENT};
 use bluebellreel_types::{DataCentre, EntryName, Incarnation, JobId, Moment, WorkerName};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 use twox_hash::XxHash64;
 
@@ -16,6 +20,10 @@
 /// which is never none.
 const BRIEF: u8 = 0;
 
+/// Length of a checksum in bytes. One in four billion datagrams that are no
+/// reports has a right one.
+const SEAL_BYTES: usize = 4;
+
 /// A full report.
 #[derive(Serialize, Deserialize)]
 pub(super) struct Report {
@@ -59,6 +67,33 @@
     running: Vec<(WorkerTag, u8, u8)>,
 }
 
+/// Why a datagram is no report.
+#[derive(Debug)]
+pub(super) enum Unread {
+    /// It ends early, or a value in it cannot be.
+    Malformed(postcard::Error),
+    /// Bytes follow that are not its checksum.
+    TurnedOrCut,
+    /// No daemon has such a name.
+    Sender,
+}
+
+impl fmt::Display for Unread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(e) => e.fmt(f),
+            Self::TurnedOrCut => f.write_str("it is not as it was sent"),
+            Self::Sender => f.write_str("its sender's name cannot be"),
+        }
+    }
+}
+
+impl From<postcard::Error> for Unread {
+    fn from(e: postcard::Error) -> Self {
+        Self::Malformed(e)
+    }
+}
+
 /// A datagram as it was read.
 pub(super) enum Datagram {
     Full(Box<Report>, Supplement),
@@ -113,7 +148,7 @@
 impl Brief {
     /// A brief as it is sent.
     pub(super) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_allocvec(&(BRIEF, self))
+        postcard::to_allocvec(&(BRIEF, self)).map(seal)
     }
 
     /// The load that it tells of. Workers that are not known here are left out:
@@ -169,18 +204,64 @@
     (report, supplement)
 }
 
+/// Adds its checksum to a datagram.
+pub(super) fn seal(mut datagram: Vec<u8>) -> Vec<u8> {
+    let sum = checksum(&datagram);
+    datagram.extend_from_slice(&sum);
+    datagram
+}
+
+fn checksum(bytes: &[u8]) -> [u8; SEAL_BYTES] {
+    let hash = XxHash64::oneshot(0, bytes);
+    u32::try_from(hash >> 32).unwrap_or(0).to_le_bytes()
+}
+
+/// What stands before a checksum that is right.
+fn unsealed(datagram: &[u8]) -> Option<&[u8]> {
+    let (bytes, sum) = datagram.split_last_chunk::<SEAL_BYTES>()?;
+    (checksum(bytes) == *sum).then_some(bytes)
+}
+
 /// Reads a datagram.
-pub(super) fn read(datagram: &[u8]) -> Result<Datagram, postcard::Error> {
+pub(super) fn read(datagram: &[u8]) -> Result<Datagram, Unread> {
+    if let Some(bytes) = unsealed(datagram) {
+        return Ok(parse(bytes)?.0);
+    }
+    let (read, rest) = parse(datagram)?;
+    // Guard: bytes that nobody sent as a report can be read as one, for which
+    // 900 bytes of 1 are enough. A peer that nobody had started was heard, with
+    // jobs and load. Without a checksum a datagram must be an earlier version's:
+    // it ends where its message does, and a daemon may have its sender's name.
+    if !rest.is_empty() {
+        return Err(Unread::TurnedOrCut);
+    }
+    if let Datagram::Full(report, _) = &read
+        && !is_name(report.entry.as_str())
+    {
+        return Err(Unread::Sender);
+    }
+    Ok(read)
+}
+
+/// Reads a message; the bytes that follow it.
+fn parse(datagram: &[u8]) -> Result<(Datagram, &[u8]), postcard::Error> {
     if let [BRIEF, rest @ ..] = datagram {
-        return postcard::from_bytes(rest).map(Datagram::Brief);
+        let (brief, rest) = postcard::take_from_bytes(rest)?;
+        return Ok((Datagram::Brief(brief), rest));
     }
     let (report, rest) = postcard::take_from_bytes::<Report>(datagram)?;
-    let supplement = if rest.is_empty() {
-        Supplement::default()
+    let (supplement, rest) = if rest.is_empty() {
+        (Supplement::default(), rest)
     } else {
-        postcard::from_bytes(rest)?
+        postcard::take_from_bytes(rest)?
     };
-    Ok(Datagram::Full(Box::new(report), supplement))
+    Ok((Datagram::Full(Box::new(report), supplement), rest))
+}
+
+/// Whether settings allow a daemon this name.
+fn is_name(name: &str) -> bool {
+    let plain = |c: char| c.is_alphanumeric() || "-_.".contains(c);
+    !name.is_empty() && name.chars().all(plain)
 }
 
 /// A peer's load as its report tells it.
