Tests of disks and of calls tell what they saw when they fail

Change: the first prints the job, which items are not recorded and what each daemon says of itself, the second all eight answers. What is asserted is the same. BLUEBELLREEL_TEST_LOG writes the daemons' logs of the disks' tests.

--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -39,7 +39,8 @@
             .map(|t| t.join().expect("sent"))
             .collect()
     });
-    assert!(answers.iter().any(|(status, _)| *status == 201));
+    let has_run = answers.iter().any(|(status, _)| *status == 201);
+    assert!(has_run, "{answers:?}");
     for (status, text) in &answers {
         assert!(matches!(status, 201 | 409), "{status}: {text}");
     }
--- a/tests/disks.rs
+++ b/tests/disks.rs
@@ -12,8 +12,19 @@
 /// Two volumes' worth of holders each, for three disks.
 const VOLUMES: u64 = 24;
 
+/// Variable that makes a test write the daemons' logs.
+const LOG_VARIABLE: &str = "BLUEBELLREEL_TEST_LOG";
+
 /// Three daemons with disks in three data centres, a fourth without one.
 fn start_site(max_mb: u64) -> Site {
+    if std::env::var_os(LOG_VARIABLE).is_some() {
+        // A second test of the process finds logging started already.
+        let _ = bluebellreel_telemetry::start_json_logging(
+            log::LevelFilter::Info,
+            &["data", "jobs", "kv", "router", "rpc", "side", "http"],
+            std::io::stderr(),
+        );
+    }
     let site = Site::start(&SitePlan {
         entries: 4,
         lease_s: 2,
@@ -91,10 +102,8 @@
     // What follows must rest on a copy, so the loss is to be seen first.
     wait_until(|| volumes(&site, 3)["on_one_disk"] != 0);
     wait_until(|| volumes(&site, 3)["on_one_disk"] == 0);
-    let over = site
-        .caller(3)
-        .wait(&job, Duration::from_mins(1))
-        .expect("it ends");
+    let over = site.caller(3).wait(&job, Duration::from_mins(1));
+    let over = over.unwrap_or_else(|e| panic!("{e}: {}", story(&site, &job, items)));
     assert_eq!(over.request_counts.completed, items);
     let space = kv_space(&site);
     assert!(
@@ -121,6 +130,22 @@
     assert_names(&site, &waiting, items);
 }
 
+/// Where a job stands that should be over, as its caller and each daemon that
+/// is up see it.
+fn story(site: &Site, job: &str, items: u32) -> String {
+    let view = site.caller(3).job(job);
+    let results = site.caller(3).results(job).unwrap_or_default();
+    let recorded: BTreeSet<&str> = results.iter().map(|l| l.custom_id.as_str()).collect();
+    let names = (0..items).map(|n| format!("note-{n}"));
+    let missing: Vec<String> = names.filter(|n| !recorded.contains(n.as_str())).collect();
+    let mut story = format!("{view:?}\n{} not recorded: {missing:?}\n", missing.len());
+    for entry in (0..site.entries.len()).filter(|at| site.entries[*at].is_some()) {
+        let outcomes = site.outcomes(entry).unwrap_or_default();
+        story.push_str(&format!("entry-{entry}: {outcomes}\n"));
+    }
+    story
+}
+
 fn submit(site: &Site, key: &str, items: u32) -> String {
     let job = site.caller(3).submit(key, &lines(items));
     job.expect("accepted").id
