A job that its living owner lets go of: two tests that show it

Cause: in a run of jobs_outlive_two_disks_lost_one_after_the_other that failed, the owner logs "Job is no longer ours." eight seconds after it accepted the job. Nobody takes it over, as its record names a daemon that lives; 1,184 of 4,000 items are never recorded. The last write was taken for another owner's.

Ruled out: a take-over (no such line at any daemon), lost chunks (no volume unreadable), load alone (other runs beside the same load took 15 to 22 s).

Change: a write of results that lasts longer than a group waits must not be made beside itself; one whose answer was lost for good must be found by the next try. A third test keeps that a former owner is fenced.

--- a/crates/bluebellreel_entry/src/jobs/store.rs
+++ b/crates/bluebellreel_entry/src/jobs/store.rs
@@ -336,3 +336,6 @@
     })?;
     Ok(counts)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/bluebellreel_entry/src/jobs/store/tests.rs
@@ -0,0 +1,125 @@
+//! What writes to a job lead to.
+
+use super::*;
+use bluebellreel_kv::KvSettings;
+use bluebellreel_standins::KvCalls;
+use bluebellreel_types::{Clock, TeamName};
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Room of the stand-in's values.
+const VALUE_BYTES: usize = 1 << 20;
+
+struct Fixture {
+    kv: KvClient,
+    data: ChunkAccess,
+    /// Whether calls are done and their answers lost.
+    is_deaf: Arc<AtomicBool>,
+    clock: Clock,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let clock = Clock::standing_at(Moment(1_000_000));
+        let calls = Mutex::new(KvCalls::new(VALUE_BYTES));
+        let is_deaf = Arc::new(AtomicBool::new(false));
+        let (time, deaf) = (clock.clone(), is_deaf.clone());
+        let send = move |path: &str, body: &serde_json::Value| {
+            let mut calls = calls.lock().expect("no test thread panicked");
+            let answer = calls.call(path, body, time.now());
+            if deaf.load(Ordering::Relaxed) {
+                return Err(KvError::Unknown("the answer is lost".into()));
+            }
+            answer.map_err(KvError::Refused)
+        };
+        let settings = KvSettings {
+            url: String::new(),
+            call_timeout: Duration::from_secs(1),
+            calls_per_second: 1_000_000,
+        };
+        let kv = KvClient::over(Box::new(send), settings, Incarnation(1), clock.clone());
+        Self {
+            kv,
+            data: ChunkAccess::default(),
+            is_deaf,
+            clock,
+        }
+    }
+
+    fn put(&self, record: &JobRecord) -> i64 {
+        let txn = Txn::create(job_key(&record.id), job_value(record));
+        match self.kv.commit(&txn, self.clock.now() + WRITE_TIME) {
+            Commit::Applied { revision } => revision,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn write(&self, record: &JobRecord, revision: i64, seq: u64) -> JobWrite {
+        let at = JobStorage {
+            kv: &self.kv,
+            data: &self.data,
+        };
+        let result = ItemResult {
+            index: 0,
+            custom_id: Arc::from("a"),
+            end: ItemEnd::Succeeded {
+                status: 200,
+                body: Arc::from("answer"),
+            },
+        };
+        record_results(at, record, revision, seq, &[result])
+    }
+}
+
+fn record() -> JobRecord {
+    JobRecord {
+        id: JobId::from("job"),
+        team: TeamName::from("school"),
+        digest: String::new(),
+        upload: String::new(),
+        target: bluebellreel_job::JobTarget::Chat("m".into()),
+        accepted_at: Moment(0),
+        deadline: Moment(0) + Duration::from_hours(1),
+        items: 2,
+        chunks: Vec::new(),
+        state: JobState::Running,
+        owner: EntryName::from("e"),
+        owner_run: Incarnation(1),
+        epoch: 1,
+        counts: JobCounts::default(),
+        ended_at: None,
+    }
+}
+
+/// Results were written, but the answer was lost for as long as the write was
+/// tried. The next try found them and took them for another owner's: the daemon
+/// let go of its job, which then lay for ever.
+#[test]
+fn results_whose_answer_was_lost_are_found() {
+    let fixture = Fixture::new();
+    let record = record();
+    let revision = fixture.put(&record);
+    fixture.is_deaf.store(true, Ordering::Relaxed);
+    assert_eq!(fixture.write(&record, revision, 0), JobWrite::Failed);
+    fixture.is_deaf.store(false, Ordering::Relaxed);
+    assert_eq!(fixture.write(&record, revision, 0), JobWrite::Done);
+    assert_eq!(fixture.write(&record, revision, 1), JobWrite::Done);
+}
+
+/// An owner that another has followed can write nothing more.
+#[test]
+fn a_former_owner_is_fenced() {
+    let fixture = Fixture::new();
+    let record = record();
+    let revision = fixture.put(&record);
+    let taken = take_over(
+        &fixture.kv,
+        &record,
+        revision,
+        EntryName::from("f"),
+        Incarnation(2),
+    );
+    assert!(taken.is_some());
+    assert_eq!(fixture.write(&record, revision, 0), JobWrite::Fenced);
+}
--- a/crates/bluebellreel_job/tests/owned.rs
+++ b/crates/bluebellreel_job/tests/owned.rs
@@ -101,6 +101,16 @@
         }
     }
 
+    /// Numbers of the writes that are due; all of them stay out.
+    fn writes(&mut self) -> Vec<u64> {
+        let effects = self.job.poll(self.now).into_iter();
+        let writes = effects.filter_map(|effect| match effect {
+            JobEffect::Record { seq, .. } => Some(seq),
+            _ => None,
+        });
+        writes.collect()
+    }
+
     fn pull(&mut self, worker: &str, room: usize) {
         let worker = WorkerName::from(worker);
         let held = self.job.held_by(&worker);
@@ -330,6 +340,30 @@
     assert!(bench.job.is_handed_over());
 }
 
+/// A disk was lost, and the next results waited seconds for it while items went
+/// on ending. The same write was made once more beside the first one; the one
+/// that came second was taken for another owner's work, and the daemon let go
+/// of its job, which then lay for ever.
+#[test]
+fn results_that_take_long_to_write_are_not_written_beside_it() {
+    let limits = JobLimits {
+        group_items: 2,
+        ..JobLimits::default()
+    };
+    let mut bench = Bench::new(20, limits.clone());
+    bench.poll(true);
+    bench.pull("w", 5);
+    bench.end_one(0, completed());
+    bench.end_one(0, completed());
+    assert_eq!(bench.writes(), [0], "a group is full");
+    bench.end_one(0, completed());
+    bench.now = bench.now + limits.group_wait * 2;
+    assert_eq!(bench.writes(), [0; 0], "the first is still out");
+    bench.job.note_recorded(0, bench.now);
+    bench.now = bench.now + limits.group_wait * 2;
+    assert_eq!(bench.writes(), [1], "the others wait no longer");
+}
+
 /// A side process died with a call that may not be repeated. The daemon that
 /// sent it can stop: its claim is recorded, and the next owner settles it.
 #[test]
