Results that take long to write are not written beside it

Cause: an item that ends while a write is out, and nothing else waits, sets the moment of the next write. If the write lasts longer than a group waits (5 s; a chunk for a disk that was just lost waits as long for its answer), the same write is made again beside the first. Both create one key: the second comes out as another owner's, and the job is let go of.

--- a/crates/bluebellreel_job/src/owned/report.rs
+++ b/crates/bluebellreel_job/src/owned/report.rs
@@ -114,7 +114,9 @@
             ItemEnd::Succeeded { body, .. } => body.len(),
             ItemEnd::Failed { reason, .. } => reason.len(),
         };
-        if self.unrecorded.is_empty() {
+        // Guard: while a write is out, this moment would make the same one again
+        // beside it, and the second of the two comes out as another owner's.
+        if self.unrecorded.is_empty() && self.recording.is_none() {
             self.flush_at = now + self.limits.group_wait;
         }
         self.unrecorded_bytes += size + custom_id.len() + RESULT_OVERHEAD;
