Results whose answer was lost are found by the next try

Cause: a write that may have been done is made again under its number. If it had been done, its key stood, and that was taken for another owner's: the daemon let go of its job, which nobody takes over while the record's owner lives.

Change: results that already stand under the number, and are equal, count as written. Other results there still fence, a test says so; left silently, the later ones would be gone.

--- a/crates/bluebellreel_entry/src/jobs/store.rs
+++ b/crates/bluebellreel_entry/src/jobs/store.rs
@@ -10,7 +10,7 @@
 use bluebellreel_job::{
     ClaimChunk, ClaimedItem, ItemEnd, ItemResult, JobCounts, JobRecord, JobState, ResultChunk,
 };
-use bluebellreel_kv::{Commit, Compare, Key, KvClient, KvError, Put, Txn};
+use bluebellreel_kv::{Commit, Compare, Key, KeyValue, KvClient, KvError, Put, Txn};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, content_digest};
 use std::time::Duration;
 
@@ -215,8 +215,31 @@
     };
     let value = serde_json::to_vec(&chunk).unwrap_or_default();
     let key = output_key(&record.id, record.epoch, seq);
-    let txn = guarded(record, revision, key, value);
-    write_of(&at.kv.commit(&txn, at.kv.now() + WRITE_TIME))
+    let txn = guarded(record, revision, key.clone(), value);
+    match at.kv.commit(&txn, at.kv.now() + WRITE_TIME) {
+        // Guard: a try whose answer was lost is no other owner's. Taken for one,
+        // its job was let go of and lay for ever, as its record names a daemon
+        // that lives. Only an owner writes under its epoch, and equal results
+        // are no others'.
+        Commit::Beaten(found) if found.iter().any(|kv| kv.key == key && holds(kv, results)) => {
+            JobWrite::Done
+        }
+        commit => write_of(&commit),
+    }
+}
+
+/// Whether a chunk of results holds just these, wherever they lie.
+fn holds(kv: &KeyValue, results: &[ItemResult]) -> bool {
+    let Ok(chunk) = parse::<ResultChunk>(&kv.value) else {
+        return false;
+    };
+    match chunk.held {
+        Some(held) => {
+            let bytes = serde_json::to_vec(results).unwrap_or_default();
+            held.digest == content_digest(&bytes)
+        }
+        None => chunk.results == results,
+    }
 }
 
 /// Writes claims of items that may not be repeated.
--- a/crates/bluebellreel_entry/src/jobs/store/tests.rs
+++ b/crates/bluebellreel_entry/src/jobs/store/tests.rs
@@ -56,12 +56,16 @@
     }
 
     fn write(&self, record: &JobRecord, revision: i64, seq: u64) -> JobWrite {
+        self.write_item(record, revision, seq, 0)
+    }
+
+    fn write_item(&self, record: &JobRecord, revision: i64, seq: u64, index: u32) -> JobWrite {
         let at = JobStorage {
             kv: &self.kv,
             data: &self.data,
         };
         let result = ItemResult {
-            index: 0,
+            index,
             custom_id: Arc::from("a"),
             end: ItemEnd::Succeeded {
                 status: 200,
@@ -107,6 +111,19 @@
     assert_eq!(fixture.write(&record, revision, 1), JobWrite::Done);
 }
 
+/// Other results under the same number are no lost answer: passed over, the
+/// later ones would be gone.
+#[test]
+fn other_results_under_a_number_are_not_taken_for_these() {
+    let fixture = Fixture::new();
+    let record = record();
+    let revision = fixture.put(&record);
+    let first = fixture.write_item(&record, revision, 0, 0);
+    assert_eq!(first, JobWrite::Done);
+    let other = fixture.write_item(&record, revision, 0, 1);
+    assert_eq!(other, JobWrite::Fenced);
+}
+
 /// An owner that another has followed can write nothing more.
 #[test]
 fn a_former_owner_is_fenced() {
