A resend does not ask for a call whose daemon lives and still tells its end

Cause: the question that a resend has its daemon ask ends a call that its side process has not seen yet.

Change: as long as the claim's daemon lives in the run that claimed, and the call's time is not over, a resend is told that it is in progress and nobody asks; a daemon that has itself let go of the call asks.

--- a/crates/bluebellreel_entry/src/core.rs
+++ b/crates/bluebellreel_entry/src/core.rs
@@ -76,8 +76,14 @@
                 self.reach.list(list);
                 self.reach_out();
             }
-            Message::EntrySeen(record) => self.jobs.on_entry_seen(record),
-            Message::EntryGone(name) => self.jobs.on_entry_gone(&name),
+            Message::EntrySeen(record) => {
+                self.online.note_entry(record.name.clone(), record.run);
+                self.jobs.on_entry_seen(record);
+            }
+            Message::EntryGone(name) => {
+                self.online.forget_entry(&name);
+                self.jobs.on_entry_gone(&name);
+            }
             Message::Rpc(notice) => self.deliver_notice(notice),
             Message::IdleAsked(answer) => {
                 answer.send(self.is_idle()).ok();
--- a/crates/bluebellreel_entry/src/online/part.rs
+++ b/crates/bluebellreel_entry/src/online/part.rs
@@ -1,28 +1,23 @@
 //! The part that drives the router.
 
-use crate::message::Message;
+mod claiming;
+
 use crate::online::caller::{AskAnswer, CallerEvent, NewCall, OnlineMessage};
-use crate::online::claims::{self, ClaimAnswer, ClaimContext};
+use crate::online::claims::{ClaimAnswer, ClaimContext};
 use crate::parts::Parts;
 use crate::platform::{ListedState, ListedWorker};
-use bluebellreel_claim::{ClaimRecord, ClaimState};
 use bluebellreel_fleet::Manifest;
 use bluebellreel_routing::{ClaimIntent, Effect, Event, Outcome, Router, RouterLimits, step};
 use bluebellreel_rpc::{EntryCommand, EntryNotice};
 use bluebellreel_telemetry::{OutcomeLabel, Span, Tracer};
-use bluebellreel_types::{AttemptId, AttemptVerdict, Moment, RequestId, WorkerName};
+use bluebellreel_types::{
+    AttemptId, AttemptVerdict, EntryName, Incarnation, Moment, RequestId, WorkerName,
+};
 use crossbeam_channel::Sender;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Duration;
-
-/// Longest time that a claim may take: a caller who hears "not run" soon can
-/// still go elsewhere.
-const LONGEST_CLAIM: Duration = Duration::from_secs(2);
-/// How long an outcome is tried to be recorded.
-const LONGEST_RECORD: Duration = Duration::from_mins(2);
 
 /// A caller that waits.
 struct Caller {
@@ -56,6 +51,8 @@
     callers: HashMap<RequestId, Caller>,
     askers: HashMap<AttemptId, Vec<Asker>>,
     links: BTreeMap<WorkerName, ListedWorker>,
+    /// Daemons that are there, this one among them.
+    entries: HashMap<EntryName, Incarnation>,
     /// Listed workers whose first try to connect is still out; none before the
     /// first list.
     untried: Option<HashSet<WorkerName>>,
@@ -83,6 +80,7 @@
             callers: HashMap::new(),
             askers: HashMap::new(),
             links: BTreeMap::new(),
+            entries: HashMap::new(),
         }
     }
 
@@ -370,76 +368,6 @@
         self.parts.tracer.finish(span, now);
         caller.tx.send(CallerEvent::Finished(outcome)).ok();
     }
-
-    fn write_claim(&mut self, intent: ClaimIntent, now: Moment) {
-        let attempt = intent.attempt;
-        let kv_down = self.parts.kv.seems_down();
-        let Some(claim) = self.claim_of(intent.request) else {
-            return;
-        };
-        if kv_down {
-            return self.decide(Event::ClaimFailed(attempt));
-        }
-        claim.intent = Some(intent.clone());
-        let cx = claim.cx.clone();
-        let until = cx.deadline.min(now + LONGEST_CLAIM);
-        let parts = self.parts.clone();
-        let queued = self.parts.pool.run(move |kv| {
-            let answer = claims::claim(kv, &cx, &intent, until);
-            let message = OnlineMessage::Claim { attempt, answer };
-            parts.tell(Message::Online(message));
-        });
-        if !queued {
-            self.decide(Event::ClaimFailed(attempt));
-        }
-    }
-
-    fn record(&mut self, request: RequestId, outcome: &Outcome) {
-        let state = claims::state_of(outcome);
-        let Some(claim) = self.claim_of(request) else {
-            return;
-        };
-        let Some(record) = claim_record(claim, state) else {
-            self.decide(Event::OutcomeRecorded(request));
-            return;
-        };
-        let revision = claim.cx.revision;
-        let parts = self.parts.clone();
-        let until = self.now() + LONGEST_RECORD;
-        let queued = self.parts.pool.run(move |kv| {
-            claims::record_state(kv, &record, revision, until);
-            let message = OnlineMessage::OutcomeRecorded(request);
-            parts.tell(Message::Online(message));
-        });
-        if !queued {
-            self.decide(Event::OutcomeRecorded(request));
-        }
-    }
-
-    /// Asks the side process that a claim names.
-    fn ask(&mut self, record: &ClaimRecord, answer: Sender<AskAnswer>) {
-        let present = self
-            .router
-            .workers
-            .get(&record.worker)
-            .and_then(|w| w.incarnation);
-        match present {
-            Some(run) if run == record.incarnation => {
-                let until = self.now() + Duration::from_secs(2);
-                let asker = Asker { until, answer };
-                let attempt = record.attempt;
-                self.askers.entry(attempt).or_default().push(asker);
-                let worker = record.worker.clone();
-                self.parts.send(EntryCommand::Cancel { worker, attempt });
-            }
-            Some(_) => {
-                answer.send(AskAnswer::Gone).ok();
-            }
-            None => {
-                answer.send(AskAnswer::Unreachable).ok();
-            }
-        }
-    }
 }
 
 fn end_hop(tracer: &Tracer, hop: Option<Span>, now: Moment) {
@@ -448,26 +376,6 @@
     }
 }
 
-fn claim_record(claim: &Claim, state: ClaimState) -> Option<ClaimRecord> {
-    let intent = claim.intent.as_ref()?;
-    // Nothing was recorded, so there is nothing to settle.
-    if claim.cx.revision == 0 {
-        return None;
-    }
-    Some(ClaimRecord {
-        team: claim.cx.team.clone(),
-        key: claim.cx.key.clone(),
-        digest: claim.cx.digest.clone(),
-        attempt: intent.attempt,
-        worker: intent.worker.clone(),
-        incarnation: intent.incarnation,
-        entry: claim.cx.entry.clone(),
-        entry_run: claim.cx.entry_run,
-        deadline: claim.cx.deadline,
-        state,
-    })
-}
-
 fn outcome_label(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::Completed { .. } => "completed",
--- /dev/null
+++ b/crates/bluebellreel_entry/src/online/part/claiming.rs
@@ -0,0 +1,140 @@
+//! Claims of calls that may not be repeated: written, settled, asked about.
+
+use super::{Asker, Claim, OnlinePart};
+use crate::message::Message;
+use crate::online::caller::{AskAnswer, OnlineMessage};
+use crate::online::claims;
+use bluebellreel_claim::{ClaimRecord, ClaimState};
+use bluebellreel_routing::{ClaimIntent, Event, Outcome};
+use bluebellreel_rpc::EntryCommand;
+use bluebellreel_types::{AttemptVerdict, EntryName, Incarnation, Moment, RequestId};
+use crossbeam_channel::Sender;
+use std::time::Duration;
+
+/// Longest time that a claim may take: a caller who hears "not run" soon can
+/// still go elsewhere.
+const LONGEST_CLAIM: Duration = Duration::from_secs(2);
+/// How long an outcome is tried to be recorded.
+const LONGEST_RECORD: Duration = Duration::from_mins(2);
+
+impl OnlinePart {
+    /// A daemon is there.
+    pub(crate) fn note_entry(&mut self, name: EntryName, run: Incarnation) {
+        self.entries.insert(name, run);
+    }
+
+    /// A daemon is gone.
+    pub(crate) fn forget_entry(&mut self, name: &EntryName) {
+        self.entries.remove(name);
+    }
+
+    pub(super) fn write_claim(&mut self, intent: ClaimIntent, now: Moment) {
+        let attempt = intent.attempt;
+        let kv_down = self.parts.kv.seems_down();
+        let Some(claim) = self.claim_of(intent.request) else {
+            return;
+        };
+        if kv_down {
+            return self.decide(Event::ClaimFailed(attempt));
+        }
+        claim.intent = Some(intent.clone());
+        let cx = claim.cx.clone();
+        let until = cx.deadline.min(now + LONGEST_CLAIM);
+        let parts = self.parts.clone();
+        let queued = self.parts.pool.run(move |kv| {
+            let answer = claims::claim(kv, &cx, &intent, until);
+            let message = OnlineMessage::Claim { attempt, answer };
+            parts.tell(Message::Online(message));
+        });
+        if !queued {
+            self.decide(Event::ClaimFailed(attempt));
+        }
+    }
+
+    pub(super) fn record(&mut self, request: RequestId, outcome: &Outcome) {
+        let state = claims::state_of(outcome);
+        let Some(claim) = self.claim_of(request) else {
+            return;
+        };
+        let Some(record) = claim_record(claim, state) else {
+            self.decide(Event::OutcomeRecorded(request));
+            return;
+        };
+        let revision = claim.cx.revision;
+        let parts = self.parts.clone();
+        let until = self.now() + LONGEST_RECORD;
+        let queued = self.parts.pool.run(move |kv| {
+            claims::record_state(kv, &record, revision, until);
+            let message = OnlineMessage::OutcomeRecorded(request);
+            parts.tell(Message::Online(message));
+        });
+        if !queued {
+            self.decide(Event::OutcomeRecorded(request));
+        }
+    }
+
+    /// Whether the daemon that claimed a call lives and is to tell its end.
+    fn is_under_way(&self, record: &ClaimRecord) -> bool {
+        if record.deadline.is_past(self.now()) {
+            return false;
+        }
+        if record.entry_run == self.parts.run {
+            return self.router.requests.contains_key(&record.attempt.request);
+        }
+        self.entries.get(&record.entry) == Some(&record.entry_run)
+    }
+
+    /// Asks the side process that a claim names.
+    pub(super) fn ask(&mut self, record: &ClaimRecord, answer: Sender<AskAnswer>) {
+        // Guard: a question that comes before the call itself ends it, as the
+        // side process refuses from then on what it says it has never seen. Of
+        // eight confirmations at once all were told "not run".
+        if self.is_under_way(record) {
+            answer
+                .send(AskAnswer::Verdict(AttemptVerdict::Running))
+                .ok();
+            return;
+        }
+        let present = self
+            .router
+            .workers
+            .get(&record.worker)
+            .and_then(|w| w.incarnation);
+        match present {
+            Some(run) if run == record.incarnation => {
+                let until = self.now() + Duration::from_secs(2);
+                let asker = Asker { until, answer };
+                let attempt = record.attempt;
+                self.askers.entry(attempt).or_default().push(asker);
+                let worker = record.worker.clone();
+                self.parts.send(EntryCommand::Cancel { worker, attempt });
+            }
+            Some(_) => {
+                answer.send(AskAnswer::Gone).ok();
+            }
+            None => {
+                answer.send(AskAnswer::Unreachable).ok();
+            }
+        }
+    }
+}
+
+fn claim_record(claim: &Claim, state: ClaimState) -> Option<ClaimRecord> {
+    let intent = claim.intent.as_ref()?;
+    // Nothing was recorded, so there is nothing to settle.
+    if claim.cx.revision == 0 {
+        return None;
+    }
+    Some(ClaimRecord {
+        team: claim.cx.team.clone(),
+        key: claim.cx.key.clone(),
+        digest: claim.cx.digest.clone(),
+        attempt: intent.attempt,
+        worker: intent.worker.clone(),
+        incarnation: intent.incarnation,
+        entry: claim.cx.entry.clone(),
+        entry_run: claim.cx.entry_run,
+        deadline: claim.cx.deadline,
+        state,
+    })
+}
