Tests of disks wait until the daemon they ask knows the disks, too

The test waited until the daemon knew all volumes, not until it knew the daemons before their disks, which it learns by another watch; until then no volume has a holder and chunks go to the service.

Ruled out: a disk that refuses (no line of a chunk that could not be kept) and a daemon that was missed (no "Entry daemon gone.").

Change: the start also waits until that daemon sees both holders of every volume. What is asserted is the same.

--- a/tests/disks.rs
+++ b/tests/disks.rs
@@ -41,7 +41,11 @@
         ..SitePlan::default()
     })
     .expect("a site");
-    wait_until(|| volumes(&site, 3)["volumes"] == VOLUMES);
+    // A daemon that does not know the disks yet writes to the key-value service.
+    wait_until(|| {
+        let seen = volumes(&site, 3);
+        seen["volumes"] == VOLUMES && seen["on_one_disk"] == 0 && seen["unreadable"] == 0
+    });
     site
 }
 
