--- a/tests/disks.rs
+++ b/tests/disks.rs
@@ -4,6 +4,7 @@
 use bluebellreel_standins::{EngineCosts, expected_answer};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -145,7 +146,7 @@
     let mut story = format!("{view:?}\n{} not recorded: {missing:?}\n", missing.len());
     for entry in (0..site.entries.len()).filter(|at| site.entries[*at].is_some()) {
         let outcomes = site.outcomes(entry).unwrap_or_default();
-        story.push_str(&format!("entry-{entry}: {outcomes}\n"));
+        let _ = writeln!(story, "entry-{entry}: {outcomes}");
     }
     story
 }
