A job whose take-over found no room in the queue: two tests that show it

Cause: found while reading for ways in which a job can lie. A take-over, and the reading of a job that was taken over, are noted as under way before the call is queued. Where 4,096 calls wait already the call is dropped and the note stays: neither is ever tried again at this daemon, which is the job's only heir.

Change: a queue that is full, then has room.

--- a/crates/bluebellreel_entry/src/jobs/part.rs
+++ b/crates/bluebellreel_entry/src/jobs/part.rs
@@ -417,3 +417,6 @@
     // its connection is seen to be lost.
     pull.answer.0.send(pull.ready).ok();
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/bluebellreel_entry/src/jobs/part/tests.rs
@@ -0,0 +1,121 @@
+//! Jobs at a daemon whose calls to the key-value service queue up.
+
+use super::*;
+use crate::data::ChunkAccess;
+use crate::platform::KvPool;
+use crate::readiness::Readiness;
+use bluebellreel_job::{JobCounts, JobState, JobTarget};
+use bluebellreel_kv::{KvClient, KvError, KvSettings};
+use bluebellreel_settings::parse_entry;
+use bluebellreel_telemetry::{EntryMetrics, Tracer};
+use bluebellreel_types::{Clock, TeamName};
+use crossbeam_channel::{Receiver, bounded, unbounded};
+use std::sync::Arc;
+use tokio::sync::mpsc::unbounded_channel;
+
+/// Longer than any pause before something is tried again.
+const LATER: Duration = Duration::from_secs(5);
+
+type Task = Box<dyn FnOnce(&KvClient) + Send>;
+
+/// The part, and the queue of its calls, which takes one.
+struct Fixture {
+    part: JobsPart,
+    queue: Receiver<Task>,
+    clock: Clock,
+}
+
+impl Fixture {
+    /// A daemon whose queue is full.
+    fn full() -> Self {
+        let clock = Clock::standing_at(Moment(1_000_000));
+        let (tx, queue) = bounded::<Task>(1);
+        let parts = parts(KvPool::Threads(tx), &clock);
+        assert!(parts.pool.run(|_| ()), "one fits");
+        let mut part = JobsPart::new(parts);
+        let (name, run) = (part.parts.settings.name.clone(), part.parts.run);
+        part.index.note_entry(name, run);
+        Self { part, queue, clock }
+    }
+
+    /// There is room again; whether something is tried soon.
+    fn tries_once_there_is_room(&mut self) -> bool {
+        drop(self.queue.try_recv().expect("the one that fitted"));
+        self.clock.advance(LATER);
+        self.part.tick();
+        self.queue.try_recv().is_ok()
+    }
+}
+
+fn parts(pool: KvPool, clock: &Clock) -> Parts {
+    let settings = "name = \"e\"\ndata_centre = \"Sligo\"\nlisten = \"127.0.0.1:0\"\n\
+         [platform]\nkv = \"http://127.0.0.1:1\"\nvm_list = \"http://127.0.0.1:1\"\n\
+         [[teams]]\nname = \"school\"\ntoken_sha256 = \"HASH\"\n";
+    let settings = settings.replace("HASH", &"0".repeat(64));
+    let settings = parse_entry("test", &settings).expect("valid settings");
+    let kv_settings = KvSettings {
+        url: String::new(),
+        call_timeout: Duration::from_secs(1),
+        calls_per_second: 1_000,
+    };
+    let send = |_: &str, _: &serde_json::Value| Err(KvError::NotDone("no service".into()));
+    let run = Incarnation(1);
+    let kv = KvClient::over(Box::new(send), kv_settings, run, clock.clone());
+    Parts {
+        run,
+        clock: clock.clone(),
+        lease: Arc::default(),
+        kv: Arc::new(kv),
+        pool,
+        rpc: unbounded_channel().0,
+        tx: unbounded().0,
+        tracer: Tracer::disabled(),
+        metrics: Arc::new(EntryMetrics::default()),
+        readiness: Readiness::default(),
+        data: ChunkAccess::default(),
+        settings: Arc::new(settings),
+    }
+}
+
+fn record(owner: &str) -> JobRecord {
+    JobRecord {
+        id: JobId::from("job"),
+        team: TeamName::from("school"),
+        digest: String::new(),
+        upload: String::new(),
+        target: JobTarget::Chat("m".into()),
+        accepted_at: Moment(0),
+        deadline: Moment(0) + Duration::from_hours(1),
+        items: 1,
+        chunks: Vec::new(),
+        state: JobState::Running,
+        owner: EntryName::from(owner),
+        owner_run: Incarnation(1),
+        epoch: 1,
+        counts: JobCounts::default(),
+        ended_at: None,
+    }
+}
+
+/// A daemon died while too many calls waited at its heir. The take-over was not
+/// queued and never tried again: the dead daemon's job lay for ever.
+#[test]
+fn a_take_over_that_found_no_room_is_tried_again() {
+    let mut fixture = Fixture::full();
+    let jobs = vec![(record("dead"), 1)];
+    fixture.part.on_message(JobsMessage::AllJobs(jobs));
+    fixture.part.tick();
+    fixture.clock.advance(LATER);
+    fixture.part.tick();
+    assert!(fixture.tries_once_there_is_room());
+}
+
+/// The same for a job that is taken over and not read yet.
+#[test]
+fn a_job_that_found_no_room_to_be_opened_is_opened_later() {
+    let mut fixture = Fixture::full();
+    let (id, result) = (JobId::from("job"), Some((Box::new(record("e")), 1)));
+    let taken = JobsMessage::TakenOver { id, result };
+    fixture.part.on_message(taken);
+    assert!(fixture.tries_once_there_is_room());
+}
