A take-over or an opening that found no room in the queue is tried again

Cause: both were noted as under way before the call was queued, and the note stayed where the queue was full.

Change: what was not queued counts as failed, as if the service had not answered: the take-over is due again at the next look, the opening after its pause.

--- a/crates/bluebellreel_entry/src/jobs/part.rs
+++ b/crates/bluebellreel_entry/src/jobs/part.rs
@@ -180,10 +180,7 @@
             JobsMessage::AllJobs(jobs) => self.note_all(jobs),
             JobsMessage::Changed(event) => self.note_change(event),
             JobsMessage::Opened(opened) => self.open(*opened),
-            JobsMessage::OpenFailed(id) => {
-                self.opening.remove(&id);
-                self.reopen_at.insert(id, now + REOPEN_PAUSE);
-            }
+            JobsMessage::OpenFailed(id) => self.note_not_opened(id),
             JobsMessage::TakenOver { id, result } => self.note_taken(&id, result),
             JobsMessage::Chunk {
                 id,
--- a/crates/bluebellreel_entry/src/jobs/part/ownership.rs
+++ b/crates/bluebellreel_entry/src/jobs/part/ownership.rs
@@ -1,6 +1,6 @@
 //! Which jobs are ours: accepted, taken over, lost.
 
-use super::JobsPart;
+use super::{JobsPart, REOPEN_PAUSE};
 use crate::jobs::messages::{JobsMessage, OpenedJob};
 use crate::jobs::store;
 use crate::message::Message;
@@ -19,11 +19,15 @@
         for (record, revision) in self.index.due(&me, now) {
             let (me, run) = (me.clone(), self.parts.run);
             let parts = self.parts.clone();
-            self.parts.pool.run(move |kv| {
+            let id = record.id.clone();
+            let queued = self.parts.pool.run(move |kv| {
                 let result = store::take_over(kv, &record, revision, me, run);
                 let id = record.id.clone();
                 parts.tell(Message::Jobs(JobsMessage::TakenOver { id, result }));
             });
+            if !queued {
+                self.note_taken(&id, None);
+            }
         }
     }
 
@@ -63,7 +67,8 @@
         }
         let (record, revision) = (job.record.clone(), job.revision);
         let (parts, id) = (self.parts.clone(), id.clone());
-        self.parts.pool.run(move |_| {
+        let job = id.clone();
+        let queued = self.parts.pool.run(move |_| {
             let message = match store::open_job(parts.storage(), record, revision) {
                 Ok(opened) => JobsMessage::Opened(Box::new(opened)),
                 Err(e) => {
@@ -73,6 +78,15 @@
             };
             parts.tell(Message::Jobs(message));
         });
+        if !queued {
+            self.note_not_opened(job);
+        }
+    }
+
+    /// A job could not be opened: it is tried again later.
+    pub(super) fn note_not_opened(&mut self, id: JobId) {
+        self.opening.remove(&id);
+        self.reopen_at.insert(id, self.now() + REOPEN_PAUSE);
     }
 
     pub(super) fn open(&mut self, opened: OpenedJob) {
