A chunk that a disk does not take is logged with the reason

Cause: beside load chunks of a job went to the key-value service instead of two disks, and no log told why: a refusal and an answer that did not come were both silent.

Change: a warning each, with the volume and the status or the error. No other change.

--- a/crates/bluebellreel_entry/src/data/access.rs
+++ b/crates/bluebellreel_entry/src/data/access.rs
@@ -322,7 +322,14 @@
         match call.send(bytes).map(|answer| answer.status().as_u16()) {
             Ok(204) => Sent::Kept,
             Ok(507) => Sent::Full,
-            Ok(_) | Err(_) => Sent::Refused,
+            Ok(status) => {
+                log::warn!(target: "data", volume:% = folder.volume, status; "A chunk was refused there.");
+                Sent::Refused
+            }
+            Err(e) => {
+                log::warn!(target: "data", volume:% = folder.volume, error:% = e; "A chunk could not be kept there.");
+                Sent::Refused
+            }
         }
     }
 
