A job that its living owner let go of: a test that nobody takes it up again

Cause: found while reading. A list of all jobs that was read before one was accepted and handed in after it makes the owner let go of the job; the watch's word of it then changes nothing. The same holds for any write that is taken for another owner's by mistake. As the record names a daemon that lives, the job lies until that daemon starts again.

Change: the list and the word in that order, by hand; and that a job which its owner holds is never taken from itself.

--- a/crates/bluebellreel_entry/src/jobs/part/tests.rs
+++ b/crates/bluebellreel_entry/src/jobs/part/tests.rs
@@ -3,9 +3,10 @@
 use super::*;
 use crate::data::ChunkAccess;
 use crate::platform::KvPool;
+use crate::platform::job_key;
 use crate::readiness::Readiness;
-use bluebellreel_job::{JobCounts, JobState, JobTarget};
-use bluebellreel_kv::{KvClient, KvError, KvSettings};
+use bluebellreel_job::{ChunkRef, JobCounts, JobState, JobTarget};
+use bluebellreel_kv::{KeyValue, KvClient, KvError, KvSettings, WatchEvent};
 use bluebellreel_settings::parse_entry;
 use bluebellreel_telemetry::{EntryMetrics, Tracer};
 use bluebellreel_types::{Clock, TeamName};
@@ -38,12 +39,24 @@
         Self { part, queue, clock }
     }
 
+    /// A daemon with nothing queued.
+    fn idle() -> Self {
+        let fixture = Self::full();
+        fixture.run_queued();
+        fixture
+    }
+
+    /// The calls that were queued are made; whether there were any.
+    fn run_queued(&self) -> bool {
+        self.queue.try_iter().map(drop).count() > 0
+    }
+
     /// There is room again; whether something is tried soon.
     fn tries_once_there_is_room(&mut self) -> bool {
-        drop(self.queue.try_recv().expect("the one that fitted"));
+        assert!(self.run_queued(), "the one that fitted");
         self.clock.advance(LATER);
         self.part.tick();
-        self.queue.try_recv().is_ok()
+        self.run_queued()
     }
 }
 
@@ -87,7 +100,13 @@
         accepted_at: Moment(0),
         deadline: Moment(0) + Duration::from_hours(1),
         items: 1,
-        chunks: Vec::new(),
+        chunks: vec![ChunkRef {
+            first: 0,
+            items: 1,
+            digest: String::new(),
+            bytes: 0,
+            volume: None,
+        }],
         state: JobState::Running,
         owner: EntryName::from(owner),
         owner_run: Incarnation(1),
@@ -119,3 +138,43 @@
     fixture.part.on_message(taken);
     assert!(fixture.tries_once_there_is_room());
 }
+
+/// All jobs were listed, one was accepted, and then the list was handed in: the
+/// daemon let go of the job, and the watch's word of it changed nothing. Its
+/// record names a daemon that lives, so nobody took it over.
+#[test]
+fn a_job_that_its_owner_let_go_of_is_taken_over_anew() {
+    let mut fixture = Fixture::idle();
+    let record = record("e");
+    let value = store::job_value(&record);
+    let accepted = JobsMessage::Accepted(Box::new(record.clone()), 5);
+    fixture.part.on_message(accepted);
+    fixture.part.on_message(JobsMessage::AllJobs(Vec::new()));
+    let changed = WatchEvent::Put(KeyValue {
+        key: job_key(&record.id),
+        revision: 5,
+        writer: String::new(),
+        value,
+    });
+    fixture.part.on_message(JobsMessage::Changed(changed));
+    fixture.run_queued();
+    fixture.part.tick();
+    fixture.clock.advance(LATER);
+    fixture.part.tick();
+    assert!(fixture.run_queued(), "nobody tries");
+}
+
+/// The owner of a job that it holds does not take it from itself: what is out
+/// with workers would run twice.
+#[test]
+fn a_job_that_its_owner_holds_stays_as_it_is() {
+    let mut fixture = Fixture::idle();
+    let accepted = JobsMessage::Accepted(Box::new(record("e")), 5);
+    fixture.part.on_message(accepted);
+    assert!(fixture.run_queued(), "its chunk is read");
+    for _ in 0..3 {
+        fixture.clock.advance(LATER);
+        fixture.part.tick();
+        assert!(!fixture.run_queued(), "nothing else is to be done");
+    }
+}
