--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -1,6 +1,7 @@
-//! The life of a gateway: start, signals, graceful stop.
+//! The life of a gateway: start, signals, end.
 
 use crate::gateway::Gateway;
+use crate::leave::leave;
 use crate::reload::Surroundings;
 use crate::{detour, facts, jobs, peer_api, registration, reload, reports, serve, watching};
 use bluebellreel_net::{Served, Stop, every, listen};
@@ -13,7 +14,6 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep};
 
 /// Longest that a caller's connection may stay without a request, until the
 /// configuration says otherwise.
@@ -22,16 +22,6 @@
 const INNER_IDLE: Duration = Duration::from_secs(30);
 /// Time between clean-ups of what has outlived its time.
 const SWEEP: Duration = Duration::from_millis(250);
-/// How long a stopping daemon still takes connections: the balancer asks each
-/// second and needs two misses.
-const LEAVE_ROTATION: Duration = Duration::from_millis(2600);
-/// Time before the kill at which the process ends by itself.
-const BEFORE_KILL: Duration = Duration::from_millis(700);
-/// Share of the time to the kill after which new requests are refused: a
-/// request passed on later may be cut by the end of the process.
-const REFUSE_FROM: f64 = 0.6;
-/// Time between looks whether requests are still in progress.
-const LOOK: Duration = Duration::from_millis(20);
 
 /// Runs a gateway until it is asked to stop by a signal; whether nothing was
 /// cut.
@@ -85,7 +75,6 @@
     info!(target: "gateway", entry:% = gw.me(), run:% = gw.run, data_centre:% = gw.settings.data_centre, requests:% = gw.settings.requests; "started");
     stop_asked.await;
     let clean = leave(&gw, &stop, &served).await;
-    info!(target: "gateway", entry:% = gw.me(), clean; "stopped");
     Ok(clean)
 }
 
@@ -199,7 +188,7 @@
     let version = gw.configuration().map_or(0, |c| c.version);
     let jobs = gw.jobs.borrow();
     let metrics = &gw.metrics;
-    metrics.in_progress.set(count(gw.in_progress.get()));
+    metrics.in_progress.set(count(gw.in_progress.count()));
     metrics.jobs_owned.set(count(jobs.own.len()));
     metrics.copies_bytes.set(count(jobs.copies.bytes()));
     metrics.store_calls.set(total(calls));
@@ -212,27 +201,3 @@
     metrics.lines_dropped.set(total(lines_dropped));
     metrics.text()
 }
-
-/// Stops: not ready, still accepting until out of rotation, jobs handed over,
-/// streams finished.
-async fn leave(gw: &Rc<Gateway>, stop: &Stop, served: &Served) -> bool {
-    let asked_at = Instant::now();
-    let end = asked_at + gw.grace.get().saturating_sub(BEFORE_KILL);
-    gw.stopping.set(true);
-    gw.report_due.notify_one();
-    info!(target: "gateway", entry:% = gw.me(), in_progress = gw.in_progress.get(), jobs = gw.jobs.borrow().own.len(); "stopping");
-    jobs::hand_over_all(gw).await;
-    tokio::time::sleep_until((asked_at + LEAVE_ROTATION).min(end)).await;
-    stop.close();
-    let refuse_from = asked_at + gw.grace.get().mul_f64(REFUSE_FROM);
-    while (gw.in_progress.get() > 0 || served.open() > 0) && Instant::now() < end {
-        gw.refusing.set(Instant::now() >= refuse_from);
-        sleep(LOOK).await;
-    }
-    registration::unregister(gw).await;
-    let cut = gw.in_progress.get();
-    if cut > 0 {
-        warn!(target: "gateway", cut; "requests cut by the stop");
-    }
-    cut == 0
-}
