--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -45,11 +45,12 @@
             folder: folder.clone(),
         })?;
         println!(
-            "seed {seed}: {} faults, {} stops, {} of {} requests served, {} closed unread, {} jobs, {} broken",
+            "seed {seed}: {} faults, {} stops, {} of {} requests served, {} judged, {} closed unread, {} jobs, {} broken",
             report.faults.len(),
             report.stops,
             report.served,
             report.asked,
+            report.judged,
             report.unread,
             report.jobs,
             report.broken.len()
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -48,6 +48,10 @@
         folder.display()
     );
     assert!(report.served > 0 && report.jobs > 0, "nothing was served");
+    assert!(
+        report.judged > 0 || !brings.stops,
+        "no request was without a fault near it"
+    );
     std::fs::remove_dir_all(folder).expect("the folder is ours");
 }
 
