--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -47,7 +47,8 @@
     gw.jobs.borrow().own.keys().any(|id| !tried.contains(id))
 }
 
-async fn hand_over(gw: Rc<Gateway>, owned: Rc<OwnedJob>) {
+/// Hands one job over to a peer that goes on.
+pub(super) async fn hand_over(gw: Rc<Gateway>, owned: Rc<OwnedJob>) {
     let id = owned.job.borrow().id.clone();
     stop_items(&gw, &owned, &id);
     let until = Instant::now() + RECORD;
