A keeper that stops answers its calls and writes what it acknowledged

Cause: SIGTERM dropped all tasks: a call in progress was closed, and what was answered with 200 but due to be written 0.3 s later was lost. A refused write of progress was repeated only when more was told. Ruled out: the order of writes; the places by turns hold. `stopped` tells what was cut and what is on the disk. Conclusion: a planned stop loses nothing that was acknowledged, unless the disk hangs or refuses for the whole of it.

--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -2,6 +2,7 @@
 
 use crate::calls;
 use crate::disk::{Disk, PROGRESS, SNAPSHOT, load, load_snapshot};
+use crate::leaving::{Ended, Parts, leave};
 use crate::rounds::{Rounds, Visited, is_near};
 use crate::writing::{Due, write_progress, write_snapshots};
 use bluebellreel_net::{Pool, PoolLimits, Served, Stop, listen, serve};
@@ -12,7 +13,7 @@
 use bluebellreel_types::{Clock, EntryName, Moment};
 use eyre::Context;
 use log::{info, warn};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,7 +39,7 @@
 pub type ReadSettings = Box<dyn Fn() -> Result<KeeperSettings, SettingsError>>;
 
 pub(crate) struct Keeper {
-    settings: KeeperSettings,
+    pub(crate) settings: KeeperSettings,
     seeds: RefCell<Vec<SocketAddr>>,
     clock: Clock,
     pool: Pool,
@@ -48,6 +49,14 @@
     /// What is not on the disk yet.
     pub(crate) snapshot_due: Due,
     pub(crate) progress_due: Due,
+    /// Whether it was asked to stop.
+    pub(crate) stopping: Cell<bool>,
+    /// Whether it takes nothing more: the last write is under way.
+    pub(crate) closed: Cell<bool>,
+    /// Visits under way.
+    pub(crate) visits: Cell<usize>,
+    /// Time from the request to stop until the process is killed.
+    pub(crate) grace: Cell<Duration>,
 }
 
 impl Keeper {
@@ -87,11 +96,13 @@
                 }
             }
         };
-        live(settings, read_settings, stop_asked).await
+        live(settings, read_settings, stop_asked).await?;
+        Ok(())
     })
 }
 
-/// Runs a keeper on the present local task set until `stop_asked` ends.
+/// Runs a keeper on the present local task set until `stop_asked` ends; what was
+/// finished.
 ///
 /// # Errors
 ///
@@ -100,7 +111,7 @@
     settings: KeeperSettings,
     read_settings: ReadSettings,
     stop_asked: impl Future<Output = ()>,
-) -> eyre::Result<()> {
+) -> eyre::Result<Ended> {
     let listener = listen(settings.calls).wrap_err("address for calls")?;
     let (count, snapshot) = load_snapshot(&settings.folder);
     let (progress_count, progress) = load(&settings.folder, PROGRESS, |body| {
@@ -126,29 +137,35 @@
         rounds: RefCell::default(),
         snapshot_due: Due::default(),
         progress_due: Due::default(),
+        stopping: Cell::new(false),
+        closed: Cell::new(false),
+        visits: Cell::new(0),
+        grace: Cell::new(settings.grace),
         settings,
     });
+    let stop = Stop::default();
+    let served = Served::default();
     let k = keeper.clone();
-    let served = serve(
+    let serving = serve(
         listener,
-        Stop::default(),
-        Served::default(),
+        stop.clone(),
+        served.clone(),
         || SERVED_IDLE,
         move |req| crate::serve::answer(k.clone(), req),
     );
-    let tasks = [
-        spawn_local(served),
-        spawn_local(visit_all(keeper.clone())),
-        spawn_local(write_snapshots(keeper.clone(), snapshots)),
-        spawn_local(write_progress(keeper.clone(), progresses)),
-        spawn_local(follow_settings(keeper.clone(), read_settings)),
-    ];
+    let parts = Parts {
+        serving: spawn_local(serving),
+        visiting: spawn_local(visit_all(keeper.clone())),
+        following: spawn_local(follow_settings(keeper.clone(), read_settings)),
+        snapshots: spawn_local(write_snapshots(keeper.clone(), snapshots)),
+        progress: spawn_local(write_progress(keeper.clone(), progresses)),
+        stop,
+        served,
+    };
     stop_asked.await;
-    for task in tasks {
-        task.abort();
-    }
-    info!(target: "keeper", keeper:% = keeper.settings.name; "stopped");
-    Ok(())
+    let ended = leave(&keeper, parts).await;
+    info!(target: "keeper", keeper:% = keeper.settings.name, calls_cut = ended.calls_cut, visits_cut = ended.visits_cut, snapshot_kept = ended.snapshot_kept, progress_kept = ended.progress_kept; "stopped");
+    Ok(ended)
 }
 
 async fn follow_settings(keeper: Rc<Keeper>, read_settings: ReadSettings) {
@@ -162,6 +179,7 @@
                     info!(target: "keeper", seeds = read.seeds.len(); "settings reloaded");
                     keeper.seeds.replace(read.seeds);
                 }
+                keeper.grace.set(read.grace);
             }
             Err(e) => {
                 let e = e.to_string();
@@ -184,8 +202,10 @@
             continue;
         };
         let keeper = keeper.clone();
+        keeper.visits.update(|n| n + 1);
         spawn_local(async move {
             let visited = visit(&keeper, at).await;
+            keeper.visits.update(|n| n - 1);
             let now = keeper.now();
             if keeper.rounds.borrow_mut().ended(at, visited, now) {
                 forget(&keeper, at);
--- a/crates/bluebellreel_keeper/src/lib.rs
+++ b/crates/bluebellreel_keeper/src/lib.rs
@@ -17,9 +17,11 @@
 mod calls;
 mod disk;
 mod keeper;
+mod leaving;
 mod rounds;
 mod serve;
 mod writing;
 
 pub use disk::{Disk, DiskOutcome, PROGRESS, Pair, SNAPSHOT, load, load_snapshot};
 pub use keeper::{ReadSettings, live, run_keeper};
+pub use leaving::Ended;
--- a/crates/bluebellreel_keeper/src/serve.rs
+++ b/crates/bluebellreel_keeper/src/serve.rs
@@ -4,6 +4,7 @@
 use bluebellreel_net::{Body, read_body};
 use bluebellreel_types::JobId;
 use bytes::Bytes;
+use http::header::{CONNECTION, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::rc::Rc;
@@ -23,8 +24,18 @@
     answer
 }
 
-/// Answers a gateway.
+/// Answers a gateway. While the keeper stops, its connection ends with that: kept
+/// open, it would hold the stop up.
 pub(crate) async fn answer(keeper: Rc<Keeper>, req: Request<Incoming>) -> Response<Body> {
+    let mut answer = answer_call(&keeper, req).await;
+    if keeper.stopping.get() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
+}
+
+async fn answer_call(keeper: &Keeper, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (req.method(), parts.as_slice()) {
@@ -33,7 +44,11 @@
             let Ok(Some(body)) = read else {
                 return status(StatusCode::BAD_REQUEST);
             };
-            keep(&keeper, JobId::from(*id), body.to_vec());
+            if keeper.closed.get() {
+                // An acknowledgement would say that it outlives the stop.
+                return status(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            keep(keeper, JobId::from(*id), body.to_vec());
             status(StatusCode::OK)
         }
         (&Method::GET, ["jobs", id, "progress"]) => {
--- a/crates/bluebellreel_keeper/src/writing.rs
+++ b/crates/bluebellreel_keeper/src/writing.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Time after which a snapshot is written again that only got younger: by what a
 /// restart would make it older than it is.
@@ -17,6 +17,9 @@
 const GATHER: Duration = Duration::from_millis(200);
 /// Least time between two writes of progress. Owners tell it once a second.
 const GATHER_PROGRESS: Duration = Duration::from_millis(300);
+/// Least time between two writes of which the first failed. A stop that has to
+/// end tries some times more.
+const AGAIN: Duration = Duration::from_millis(100);
 /// Time without an end after which a write counts as hanging.
 const HANGS: Duration = Duration::from_secs(1);
 
@@ -24,6 +27,7 @@
 #[derive(Default)]
 pub(crate) struct Due {
     changed: Cell<bool>,
+    last: Cell<bool>,
     wake: Notify,
 }
 
@@ -34,50 +38,74 @@
         self.wake.notify_one();
     }
 
+    /// Nothing new comes after this: what there is is written without a rest,
+    /// and then the writing ends.
+    pub(crate) fn finish(&self) {
+        self.last.set(true);
+        self.wake.notify_one();
+    }
+
     /// Waits until something is new, at most for `longest`; whether it is.
     async fn wait(&self, longest: Duration) -> bool {
-        if !self.changed.get() {
+        if !self.changed.get() && !self.last.get() {
             // A timeout is the next look.
             let _ = timeout(longest, self.wake.notified()).await;
         }
         self.changed.get()
     }
+
+    /// Rests until then, or until nothing new comes.
+    async fn rest_until(&self, end: Instant) {
+        while !self.last.get() && Instant::now() < end {
+            // What is new meanwhile is seen by the next wait.
+            let _ = timeout_at(end, self.wake.notified()).await;
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.last.get() && !self.changed.get()
+    }
+
+    /// Writes what is due then. What was not written stays due: it has been
+    /// acknowledged, and nobody may tell it again.
+    async fn write(&self, disk: &mut Disk, gather: Duration, encode: impl FnOnce() -> Vec<u8>) {
+        self.rest_until(Instant::now() + gather).await;
+        self.changed.set(false);
+        if write(disk, encode()).await != DiskOutcome::Written {
+            self.changed.set(true);
+            self.rest_until(Instant::now() + REFRESH).await;
+            sleep(AGAIN).await;
+        }
+    }
 }
 
-/// Writes the snapshot whenever it has changed, for ever.
+/// Writes the snapshot whenever it has changed, until nothing new comes.
 pub(crate) async fn write_snapshots(keeper: Rc<Keeper>, mut disk: Disk) {
+    let due = &keeper.snapshot_due;
     let mut written = None;
-    loop {
-        let changed = keeper.snapshot_due.wait(REFRESH).await;
+    while !due.is_over() {
+        let changed = due.wait(REFRESH).await;
         let confirmed_at = keeper.snapshot.borrow().confirmed_at();
         if !changed && confirmed_at == written {
             continue;
         }
-        sleep(GATHER).await;
-        keeper.snapshot_due.changed.set(false);
-        let body = keeper.snapshot.borrow().encode();
         written = confirmed_at;
-        if write(&mut disk, body).await != DiskOutcome::Written {
-            keeper.snapshot_due.changed.set(true);
-            sleep(REFRESH).await;
-        }
+        let encode = || keeper.snapshot.borrow().encode();
+        due.write(&mut disk, GATHER, encode).await;
     }
 }
 
-/// Writes the progress of items whenever it has changed, for ever.
+/// Writes the progress of items whenever it has changed, until nothing new
+/// comes.
 pub(crate) async fn write_progress(keeper: Rc<Keeper>, mut disk: Disk) {
-    loop {
+    let due = &keeper.progress_due;
+    while !due.is_over() {
         let forgot = keeper.progress.borrow_mut().sweep(keeper.now());
-        if !keeper.progress_due.wait(REFRESH).await && !forgot {
+        if !due.wait(REFRESH).await && !forgot {
             continue;
         }
-        sleep(GATHER_PROGRESS).await;
-        keeper.progress_due.changed.set(false);
-        let body = keeper.progress.borrow().encode();
-        if write(&mut disk, body).await != DiskOutcome::Written {
-            // Nothing is lost but with this process; owners tell more soon.
-            sleep(REFRESH).await;
-        }
+        let encode = || keeper.progress.borrow().encode();
+        due.write(&mut disk, GATHER_PROGRESS, encode).await;
     }
 }
 
