--- a/crates/bluebellreel_keeper/tests/disk.rs
+++ b/crates/bluebellreel_keeper/tests/disk.rs
@@ -75,3 +75,32 @@
         "{outcomes:?}"
     );
 }
+
+/// A write fails in the middle, as a full disk does, and the process is killed in
+/// the next one. The second try went over the newest snapshot that was whole,
+/// and the keeper began with nothing.
+#[test]
+fn a_write_after_one_that_failed_leaves_the_newest_whole() {
+    let folder = tempfile::tempdir().expect("a folder");
+    write(folder.path(), 4);
+    let newest = folder.path().join("snapshot-a");
+    let older = folder.path().join("snapshot-b");
+    let whole = fs::read(&newest).expect("written");
+    fs::remove_file(&older).expect("written");
+    fs::create_dir(&older).expect("it is removed");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .expect("a runtime");
+    let mut disk = Disk::start(folder.path().to_owned(), SNAPSHOT, 4);
+    let mut again = || {
+        disk.write(snapshot(9).encode());
+        runtime.block_on(disk.outcome()).expect("its thread lives")
+    };
+    for _ in 0..3 {
+        assert!(matches!(again(), DiskOutcome::Refused(_)));
+        assert_eq!(fs::read(&newest).expect("written"), whole);
+    }
+    fs::remove_dir(&older).expect("it is empty");
+    assert_eq!(again(), DiskOutcome::Written);
+    assert_eq!(read(folder.path()), (5, 9));
+}
