A write after one that failed leaves the newest place whole

Cause: a failed write advanced the count; the next went by turns over the only place that was whole, and a kill in it left nothing. Change: the count is that of the newest write that lasts, so a failed one is repeated at its place. Conclusion: whatever fails or is cut, the newest whole write is read.

--- a/crates/bluebellreel_keeper/src/disk.rs
+++ b/crates/bluebellreel_keeper/src/disk.rs
@@ -42,6 +42,7 @@
 pub struct Disk {
     orders: std::sync::mpsc::Sender<Order>,
     outcomes: UnboundedReceiver<DiskOutcome>,
+    /// Count of the newest that lasts.
     count: u64,
     underway: bool,
 }
@@ -66,9 +67,10 @@
         if self.underway {
             return;
         }
-        self.count += 1;
+        // After a write that failed, the same place again: it is torn, and going
+        // on by turns would write over the only one that is whole.
         let order = Order {
-            count: self.count,
+            count: self.count + 1,
             body,
         };
         // The thread lives as long as this does.
@@ -79,6 +81,9 @@
     pub async fn outcome(&mut self) -> Option<DiskOutcome> {
         let outcome = self.outcomes.recv().await;
         self.underway = false;
+        if outcome == Some(DiskOutcome::Written) {
+            self.count += 1;
+        }
         outcome
     }
 }
