A keeper whose disk hangs at its start can be stopped

Cause: the disk was read on the loop, before anything waited for signals: a keeper that was stopped meanwhile had to be killed. Conclusion: nothing on the loop waits for the disk any more.

--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -1,7 +1,8 @@
 //! The life of a keeper.
 
 use crate::calls;
-use crate::disk::{Disk, PROGRESS, SNAPSHOT, load, load_snapshot};
+use crate::disk::{Disk, PROGRESS, SNAPSHOT};
+use crate::held::{Held, read_held};
 use crate::leaving::{Ended, Parts, leave};
 use crate::rounds::{Rounds, Visited, is_near};
 use crate::writing::{Due, write_progress, write_snapshots};
@@ -15,6 +16,7 @@
 use log::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
@@ -29,9 +31,6 @@
 const IDLE: Duration = Duration::from_secs(25);
 /// Time between looks at the settings file.
 const READ_SETTINGS: Duration = Duration::from_secs(5);
-/// Bytes of progress that are kept: some thousand items half done. Keepers' VMs
-/// have 130 MB and more, and disks of 310 MB and more.
-const PROGRESS_BYTES: usize = 32 * 1024 * 1024;
 /// Longest that a gateway's connection may stay without a request.
 const SERVED_IDLE: Duration = Duration::from_secs(30);
 
@@ -113,12 +112,18 @@
     stop_asked: impl Future<Output = ()>,
 ) -> eyre::Result<Ended> {
     let listener = listen(settings.calls).wrap_err("address for calls")?;
-    let (count, snapshot) = load_snapshot(&settings.folder);
-    let (progress_count, progress) = load(&settings.folder, PROGRESS, |body| {
-        let mut progress = KeptProgress::new(PROGRESS_BYTES);
-        progress.read(body).map(|()| progress)
-    });
-    let progress = progress.unwrap_or_else(|| KeptProgress::new(PROGRESS_BYTES));
+    let mut stop_asked = pin!(stop_asked);
+    let held = tokio::select! {
+        held = read_held(settings.folder.clone()) => held,
+        () = &mut stop_asked => {
+            // Nothing was taken yet, so nothing is left to do.
+            info!(target: "keeper", keeper:% = settings.name; "stopped before its start");
+            return Ok(Ended::BEFORE_START);
+        }
+    };
+    let Held { snapshot, progress } = held?;
+    let (count, snapshot) = snapshot;
+    let (progress_count, progress) = progress;
     let newest = snapshot.newest();
     let gateways = snapshot.gateways().count();
     info!(target: "keeper", keeper:% = settings.name, data_centre:% = settings.data_centre, count, configuration = newest.configuration, workers = newest.workers, gateways; "started");
--- a/crates/bluebellreel_keeper/src/leaving.rs
+++ b/crates/bluebellreel_keeper/src/leaving.rs
@@ -49,6 +49,16 @@
     pub progress_kept: bool,
 }
 
+impl Ended {
+    /// The end of a keeper that was stopped before it took anything.
+    pub(crate) const BEFORE_START: Self = Self {
+        calls_cut: 0,
+        visits_cut: 0,
+        snapshot_kept: true,
+        progress_kept: true,
+    };
+}
+
 /// Finishes what is in progress, and ends before the platform kills.
 pub(crate) async fn leave(keeper: &Keeper, parts: Parts) -> Ended {
     let asked_at = Instant::now();
--- a/crates/bluebellreel_keeper/src/lib.rs
+++ b/crates/bluebellreel_keeper/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod calls;
 mod disk;
+mod held;
 mod keeper;
 mod leaving;
 mod rounds;
