Signals from the first moment of a process on

Cause: no handler stands until the loop runs: SIGHUP before kills, and SIGTERM ends the process as a crash does. Gateways and keepers have the same handlers, written twice. Change: bluebellreel_signals: `take` first in a program, `stop_asked` on its loop; in between a stop ends the process with code 0 at once. A keeper waits by it; the command line has to call `take`.

--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -19,7 +19,6 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -82,19 +81,8 @@
         .enable_all()
         .build()?;
     LocalSet::new().block_on(&runtime, async {
-        let mut hang_up = signal(SignalKind::hangup())?;
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let stop_asked = async move {
-            loop {
-                tokio::select! {
-                    // Settings are read now and then in any case.
-                    _ = hang_up.recv() => {}
-                    _ = terminate.recv() => return,
-                    _ = interrupt.recv() => return,
-                }
-            }
-        };
+        // Settings are read now and then in any case.
+        let stop_asked = bluebellreel_signals::stop_asked(|| {})?;
         live(settings, read_settings, stop_asked).await?;
         Ok(())
     })
