--- a/tests/common/keepers.rs
+++ b/tests/common/keepers.rs
@@ -59,9 +59,14 @@
 
     /// Starts the process, and does not wait for it.
     pub fn spawn(&mut self) {
+        self.spawn_as("keeper");
+    }
+
+    /// Starts a process that has the same settings file and obeys another command.
+    pub fn spawn_as(&mut self, command: &str) {
         let log = File::create(&self.log).expect("a new file");
         let child = Command::new(env!("CARGO_BIN_EXE_bluebellreel"))
-            .args(["keeper", "--settings"])
+            .args([command, "--settings"])
             .arg(&self.settings)
             .stdout(Stdio::from(log.try_clone().expect("a file")))
             .stderr(Stdio::from(log))
--- a/tests/keeper_process.rs
+++ b/tests/keeper_process.rs
@@ -6,7 +6,7 @@
 
 use keepers::{KeeperVm, answer, hang_at, send_head};
 use nix::sys::signal::Signal;
-use std::fs::OpenOptions;
+use std::fs::{File, OpenOptions};
 use std::io::Write;
 use std::time::{Duration, Instant};
 
@@ -148,19 +148,35 @@
 /// stood before the settings were read; a stop must end it as later stops do.
 #[test]
 fn signals_in_the_very_start_are_taken() {
+    for command in ["keeper", "gateway"] {
+        let mut vm = KeeperVm::new(LONG);
+        hang_at(&vm.settings);
+        vm.spawn_as(command);
+        let settings = opened_by_reader(&vm);
+        vm.signal(Signal::SIGHUP);
+        vm.signal(Signal::SIGTERM);
+        assert_eq!(vm.ended(), Some(0), "{command}: {}", vm.log());
+        drop(settings);
+    }
+}
+
+/// The same, without a stop: the process starts, and can be stopped later.
+#[test]
+fn a_start_goes_on_after_a_hang_up() {
     let mut vm = KeeperVm::new(LONG);
     let text = vm.text(LONG);
     hang_at(&vm.settings);
     vm.spawn();
-    // Opens once the keeper opens its settings.
-    let mut settings = OpenOptions::new()
-        .write(true)
-        .open(&vm.settings)
-        .expect("a pipe");
+    let mut settings = opened_by_reader(&vm);
     vm.signal(Signal::SIGHUP);
-    vm.signal(Signal::SIGTERM);
-    // The process may have ended already.
-    let _ = settings.write_all(text.as_bytes());
+    settings.write_all(text.as_bytes()).expect("it reads them");
     drop(settings);
-    assert_eq!(vm.ended(), Some(0), "{}", vm.log());
+    vm.until_logged("started");
+    assert_eq!(vm.stop(), Some(0), "{}", vm.log());
+}
+
+/// The settings for writing, once the process has opened them.
+fn opened_by_reader(vm: &KeeperVm) -> File {
+    let settings = OpenOptions::new().write(true).open(&vm.settings);
+    settings.expect("a pipe")
 }
