Keepers of tests have addresses of their own

Cause: `Address already in use` at a keeper's start, once in 12 runs of the file; once in 25 with an address for each VM, which fits a process just forked by another test that still holds the socket of the search for a port (inferred, not seen). An earlier `never: the process ends` or `started` of a start that failed said nothing of its cause. Change: an address for each VM; no search while a process is started; a keeper that is not started says so at once. Conclusion: a mend of tests only.

--- a/tests/common/keepers.rs
+++ b/tests/common/keepers.rs
@@ -4,9 +4,11 @@
 use nix::unistd::Pid;
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -32,8 +34,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         let data = folder.path().join("data");
         std::fs::create_dir(&data).expect("a new folder");
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let calls = listener.local_addr().expect("it is bound");
+        let calls = free_address();
         let vm = Self {
             settings: folder.path().join("keeper.toml"),
             log: folder.path().join("log"),
@@ -65,6 +66,7 @@
     /// Starts a process that has the same settings file and obeys another command.
     pub fn spawn_as(&mut self, command: &str) {
         let log = File::create(&self.log).expect("a new file");
+        let _alone = PORTS.lock().unwrap_or_else(PoisonError::into_inner);
         let child = Command::new(env!("CARGO_BIN_EXE_bluebellreel"))
             .args([command, "--settings"])
             .arg(&self.settings)
@@ -78,7 +80,8 @@
     /// Starts the keeper and waits until it takes calls.
     pub fn start(&mut self) {
         self.spawn();
-        self.until_logged("started");
+        self.until_logged_or_ended("started");
+        assert!(self.runs(), "not started: {}", self.log());
     }
 
     /// Waits until its log tells an event.
@@ -165,6 +168,25 @@
     }
 }
 
+/// Held while a port is looked for, and while a process is started: until its
+/// program runs, a new process holds all sockets of this one open, and the port
+/// would not be free.
+static PORTS: Mutex<()> = Mutex::new(());
+
+/// An address on loopback that no other VM of a test has, with a free port: on a
+/// shared one, the port of a keeper that is down may be taken by somebody's
+/// connection.
+fn free_address() -> SocketAddr {
+    static VMS: AtomicU8 = AtomicU8::new(1);
+    // These bytes of the process id differ between runs side by side.
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let vm = VMS.fetch_add(1, Ordering::Relaxed);
+    let _alone = PORTS.lock().unwrap_or_else(PoisonError::into_inner);
+    let listener = TcpListener::bind((Ipv4Addr::new(127, high | 0x80, low, vm), 0));
+    let address = listener.and_then(|l| l.local_addr());
+    address.expect("a free port")
+}
+
 /// Sends the head of a call that tells how far a job is.
 pub fn send_head(stream: &mut TcpStream, job: &str, length: usize) {
     let head = format!(
@@ -217,6 +239,7 @@
 pub fn hang_at(path: &Path) {
     // It may not have been written yet.
     let _ = std::fs::remove_file(path);
+    let _alone = PORTS.lock().unwrap_or_else(PoisonError::into_inner);
     let made = Command::new("mkfifo").arg(path).status();
     assert!(made.expect("a tool of the system").success());
 }
