Signals: a name that does not resemble another

Cause: Clippy's pedantic group finds `hung_up` too near to `hang_up`. Change: the argument is called by what it is for. Conclusion: no change of what runs.

--- a/crates/bluebellreel_signals/src/lib.rs
+++ b/crates/bluebellreel_signals/src/lib.rs
@@ -53,14 +53,14 @@
     Ok(())
 }
 
-/// Ends when a signal asks for the end, and calls `hung_up` at each SIGHUP until
+/// Ends when a signal asks for the end, and calls `settings_changed` at each SIGHUP until
 /// then. From this call on no signal ends the process, also not a second one. To
 /// be called on a runtime with I/O.
 ///
 /// # Errors
 ///
 /// Gives the system's error when a signal cannot be handled.
-pub fn stop_asked(mut hung_up: impl FnMut()) -> io::Result<impl Future<Output = ()>> {
+pub fn stop_asked(mut settings_changed: impl FnMut()) -> io::Result<impl Future<Output = ()>> {
     let mut hang_up = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -71,7 +71,7 @@
     Ok(async move {
         loop {
             tokio::select! {
-                _ = hang_up.recv() => hung_up(),
+                _ = hang_up.recv() => settings_changed(),
                 _ = terminate.recv() => return,
                 _ = interrupt.recv() => return,
             }
