Gateways and keepers handle signals before they read their settings

Cause: no handler stood until the loop ran: SIGHUP before killed the process, and SIGTERM ended it as a crash does. Change: the command line takes signals first; a gateway waits by the same function as a keeper. Conclusion: the window left is the system's own start of the process.

--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -11,7 +11,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
 
@@ -42,18 +41,8 @@
 /// Ends when a signal asks for the end, and tells of those that say that the
 /// settings have changed. The handlers stand once this returns.
 fn asked_to_stop(settings_changed: Rc<Notify>) -> eyre::Result<impl Future<Output = ()>> {
-    let mut hang_up = signal(SignalKind::hangup())?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    Ok(async move {
-        loop {
-            tokio::select! {
-                _ = hang_up.recv() => settings_changed.notify_one(),
-                _ = terminate.recv() => return,
-                _ = interrupt.recv() => return,
-            }
-        }
-    })
+    let hung_up = move || settings_changed.notify_one();
+    Ok(bluebellreel_signals::stop_asked(hung_up)?)
 }
 
 /// Runs a gateway on the present local task set until `stop` ends; whether
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -59,8 +59,20 @@
     }
 }
 
+/// Handles signals before anything else is done; whether it could.
+fn handles_signals() -> bool {
+    let taken = bluebellreel_signals::take();
+    if let Err(e) = &taken {
+        eprintln!("not started: signals: {e}");
+    }
+    taken.is_ok()
+}
+
 /// Runs a gateway until it is asked to stop.
 pub(super) fn gateway(given: Option<PathBuf>) -> ExitCode {
+    if !handles_signals() {
+        return ExitCode::from(FAILED);
+    }
     let Some((path, settings)) = settings(given, load_gateway) else {
         return ExitCode::from(BAD_INPUT);
     };
@@ -89,6 +101,9 @@
 
 /// Runs a keeper until it is asked to stop.
 pub(super) fn keeper(given: Option<PathBuf>) -> ExitCode {
+    if !handles_signals() {
+        return ExitCode::from(FAILED);
+    }
     let Some((path, settings)) = settings(given, load_keeper) else {
         return ExitCode::from(BAD_INPUT);
     };
