Test of stops: a daemon that ends leaves requests unanswered

Cause: Entry::stop looks once that nothing is in progress, tells the HTTP server to stop handing requests out and then awaits the release of its lease, while the listener accepts and the library's threads go on reading: what they read is never answered. Requests half sent (within the head, or within a body of up to 1,024 bytes) are not counted; answers in a stop do not close their connections; an idle connection is closed under a request. Change: tests/stops, entry.rs: real daemons, callers that go on over new and open connections until the processes are gone, a slow store.

--- a/tests/stops/main.rs
+++ b/tests/stops/main.rs
@@ -1,6 +1,7 @@
 //! Stops of real daemons, seen by callers that go on until the process is gone.
 
 mod daemon;
+mod entry;
 mod signals;
 mod wire;
 
