HTTP server of its own, which a stop can wait for

Cause: tiny_http cannot be stopped whole. Its unblock only ends the handing out: the listener goes on accepting, threads go on reading, and what they read is never answered. It shows no request before its head (and a body of up to 1,024 bytes) is read, takes no Connection header, never closes an idle connection, and gives up accepting for good after one failed accept (too many open files). Ruled out: keeping it and closing a copy of its listener: connections made but not accepted are reset, half-read requests stay uncounted. Change: bluebellreel_http accepts and reads by itself, over httparse. Phases open, leaving, closed. A request counts from its first byte to the last byte of its answer. From 'leaving' on answers close their connections. A closing listener lets nobody new in (a filter drops SYN), accepts what was made, and is closed then. An idle connection that is closed hears 'not run' unasked, for a request that crosses with the close. Heads have 10 s, bodies their time also while nothing comes; before, a body of which nothing came held a thread, and a stop, for ever. Bodies whose end can be read in two ways are refused.

--- a/crates/bluebellreel_entry/src/http/batches.rs
+++ b/crates/bluebellreel_entry/src/http/batches.rs
@@ -7,7 +7,7 @@
     cancel_job, find_job, read_results,
 };
 use crate::message::Message;
-use bluebellreel_http::{ApiError, ChunkedStream, Method, Reply};
+use bluebellreel_http::{ApiError, ChunkedStream, Method, Reply, unread};
 use bluebellreel_job::{JobRecord, JobState};
 use bluebellreel_types::{JobId, Moment, Ran, TeamName};
 use serde_json::{Value, json};
@@ -50,7 +50,8 @@
     };
     let announced = call.req.body_length();
     let until = Instant::now() + settings.limits.job_time;
-    let next = body_pieces(call.req.as_reader(), announced, most, until);
+    call.req.set_read_deadline(Some(until));
+    let next = body_pieces(call.req.as_reader(), announced, most);
     let admit = || admit_job(rim, &submission.team);
     let answer = accept_job(rim.parts.storage(), &submission, admit, next)?;
     match answer {
@@ -92,16 +93,12 @@
     reader: &mut dyn Read,
     announced: Option<usize>,
     most: usize,
-    until: Instant,
 ) -> impl FnMut() -> Result<Option<Vec<u8>>, ApiError> {
     let mut total = 0;
     move || {
         let cut_short = || ApiError::new(400, "cut_short", "the body ended early");
-        if Instant::now() >= until {
-            return Err(ApiError::new(408, "too_slow", "the body came too slowly"));
-        }
         let mut piece = vec![0; PIECE];
-        let read = reader.read(&mut piece).map_err(|_| cut_short())?;
+        let read = reader.read(&mut piece).map_err(|e| unread(&e))?;
         piece.truncate(read);
         total += read;
         if total > most {
--- a/crates/bluebellreel_http/src/answer.rs
+++ b/crates/bluebellreel_http/src/answer.rs
@@ -1,10 +1,10 @@
 //! Whole answers.
 
-use crate::ApiError;
+use crate::{ApiError, Request};
 use serde::Serialize;
+use std::fmt::Write;
 use std::sync::Arc;
 use std::time::Duration;
-use tiny_http::{Header, Request, Response};
 
 /// An answer that is known as a whole.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,19 +61,47 @@
 }
 
 /// Sends an answer; a caller that has gone away is no error.
-pub fn respond(req: Request, reply: &Reply) {
-    let mut response = Response::from_data(reply.body.to_vec()).with_status_code(reply.status);
-    response.add_header(plain_header("Content-Type", reply.kind));
+pub fn respond(mut req: Request, reply: &Reply) {
+    req.answer(&head_of(reply), &reply.body);
+}
+
+/// The status line and the headers that a reply itself knows.
+pub(crate) fn head_of(reply: &Reply) -> String {
+    let (status, kind) = (reply.status, reply.kind);
+    let reason = reason_of(status);
+    let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\n");
     if let Some(tag) = &reply.tag {
-        response.add_header(plain_header("ETag", &format!("\"{tag}\"")));
+        write!(head, "ETag: \"{tag}\"\r\n").ok();
     }
     if let Some(span) = reply.retry_after {
         let seconds = span.as_millis().div_ceil(1_000).max(1);
-        response.add_header(plain_header("Retry-After", &seconds.to_string()));
+        write!(head, "Retry-After: {seconds}\r\n").ok();
     }
-    req.respond(response).ok();
+    head
 }
 
-fn plain_header(name: &str, value: &str) -> Header {
-    Header::from_bytes(name, value).expect("names and values here are plain ASCII")
+/// A status in words, for people who look at the wire.
+fn reason_of(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        304 => "Not Modified",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        412 => "Precondition Failed",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        507 => "Insufficient Storage",
+        _ => "",
+    }
 }
--- a/crates/bluebellreel_http/src/server.rs
+++ b/crates/bluebellreel_http/src/server.rs
@@ -1,45 +1,52 @@
-//! Accepting requests.
+//! Accepting connections, and the order of a stop.
 
-use crate::{ApiError, Reply, respond};
-use socket2::{Domain, Protocol, SockAddr, Socket, TcpKeepalive, Type};
+use crate::Request;
+use crate::connection::{Serving, run};
+use crate::gate::{Gate, Phase};
+use crate::listen::{accept_all, listen};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
-use tiny_http::{Request, Server};
 
-/// Connections that the system holds until they are accepted.
-const BACKLOG: i32 = 1_024;
-/// Silence after which a caller's machine is probed.
-const KEEPALIVE: Duration = Duration::from_secs(20);
-/// Bytes of all headers together.
-const MOST_HEADER_BYTES: usize = 32 << 10;
+/// Stack of a connection's thread.
+const STACK: usize = 512 << 10;
 
 /// A running server.
 pub struct HttpServer {
     /// Where it listens.
     pub address: SocketAddr,
-    server: Arc<Server>,
-    in_progress: Arc<AtomicUsize>,
+    gate: Arc<Gate>,
 }
 
 impl HttpServer {
-    /// Requests in progress.
+    /// Requests in progress: from their first byte to the last of the answer.
     #[must_use]
     pub fn in_progress(&self) -> usize {
-        self.in_progress.load(Ordering::SeqCst)
+        self.gate.in_progress()
     }
 
-    /// Stops accepting; requests in progress go on.
+    /// Goes on taking whatever comes, but closes each connection with the next
+    /// answer, so that callers go elsewhere.
+    pub fn leave(&self) {
+        self.gate.advance(Phase::Leaving);
+    }
+
+    /// Stops accepting and closes idle connections; requests in progress go on
+    /// and are answered.
     pub fn stop(&self) {
-        self.server.unblock();
+        self.gate.advance(Phase::Closed);
+    }
+
+    /// Whether nobody can connect any more and all connections are closed.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        self.gate.open() == 0
     }
 }
 
-/// Listens at an address and hands each request to `handle` on a thread of its
-/// own, at most `threads` at one time.
+/// Listens at an address and hands each request to `handle` on the thread of
+/// its connection, at most `threads` at one time.
 ///
 /// # Errors
 ///
@@ -51,85 +58,35 @@
 ) -> io::Result<HttpServer> {
     let listener = listen(address)?;
     let address = listener.local_addr()?;
-    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-    let server = Arc::new(server);
-    let in_progress = Arc::new(AtomicUsize::new(0));
-    let accepting = server.clone();
-    let counted = in_progress.clone();
-    let handle = Arc::new(handle);
+    let gate = Arc::new(Gate::new()?);
+    let cx = Arc::new(Serving {
+        gate: gate.clone(),
+        threads,
+        handle,
+    });
+    let open = gate.count_open();
     thread::Builder::new()
         .name("http-accept".into())
         .spawn(move || {
-            while let Ok(req) = accepting.recv() {
-                dispatch(req, threads, &counted, &handle);
-            }
+            accept_all(&listener, &cx.gate, |stream| spawn(stream, &cx));
+            drop(listener);
+            drop(open);
         })?;
-    Ok(HttpServer {
-        address,
-        server,
-        in_progress,
-    })
-}
-
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    // Accepted connections take this over: a caller's machine that is lost
-    // without a word frees its thread after some probes.
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE)
-        .with_interval(KEEPALIVE / 4);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_nodelay(true)?;
-    socket.bind(&SockAddr::from(address))?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
-}
-
-/// Counts a request as long as it is in progress, even if its handler panics.
-struct InProgress(Arc<AtomicUsize>);
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
+    Ok(HttpServer { address, gate })
 }
 
-fn dispatch<H>(req: Request, threads: usize, counted: &Arc<AtomicUsize>, handle: &Arc<H>)
-where
-    H: Fn(Request) + Send + Sync + 'static,
-{
-    let header_bytes: usize = req
-        .headers()
-        .iter()
-        .map(|h| h.field.as_str().as_str().len() + h.value.as_str().len())
-        .sum();
-    let refusal = if header_bytes > MOST_HEADER_BYTES {
-        Some(ApiError::new(431, "headers_too_large", "too many headers"))
-    } else if counted.load(Ordering::SeqCst) >= threads {
-        let error = ApiError::new(503, "overloaded", "too many requests in progress");
-        Some(error.retry_after(Duration::from_secs(1)))
-    } else {
-        None
-    };
-    counted.fetch_add(1, Ordering::SeqCst);
-    let guard = InProgress(counted.clone());
-    let handle = handle.clone();
+fn spawn<H: Fn(Request) + Send + Sync + 'static>(stream: TcpStream, cx: &Arc<Serving<H>>) {
+    let cx = cx.clone();
+    // Counted here: between the accept and the thread's first step it is open.
+    let open = cx.gate.count_open();
     let spawned = thread::Builder::new()
         .name("http-request".into())
-        .stack_size(512 << 10)
+        .stack_size(STACK)
         .spawn(move || {
-            let _guard = guard;
-            match refusal {
-                Some(error) => respond(req, &Reply::from(error)),
-                None => handle(req),
-            }
+            run(stream, &cx);
+            drop(open);
         });
     if let Err(e) = spawned {
-        log::error!(target: "http", error = e.to_string(); "No thread for a request.");
+        log::error!(target: "http", error:% = e; "No thread for a connection.");
     }
 }
--- a/crates/bluebellreel_http/src/stream.rs
+++ b/crates/bluebellreel_http/src/stream.rs
@@ -1,20 +1,17 @@
 //! Streamed answers.
 
+use crate::{Request, ResponseWriter};
 use chunked_transfer::Encoder;
 use std::io::{self, Write};
-use tiny_http::Request;
 
 /// A chunked answer whose pieces go out at once.
-///
-/// `tiny_http` gathers chunked bodies before it sends them, which would hold
-/// back tokens; this writes the answer on the raw connection instead.
 pub struct ChunkedStream {
     encoder: Encoder<Gate>,
 }
 
 /// A connection to which nothing more is written once it is shut.
 struct Gate {
-    writer: Box<dyn Write + Send>,
+    writer: ResponseWriter,
     shut: bool,
 }
 
