Entry daemon: nothing slow after a stop's last look

Cause: Entry::stop looked once that nothing was in progress, then awaited the release of its lease (up to 2 s) and ended, whatever had come meanwhile. Quit was dropped when the actors' queue was full, and the stop then hung. Change: from the beginning of the stop answers close their connections; the lease is given back while late callers still hear 'not run'; then the listener and idle connections are closed, and the last look is that nothing is in progress and every connection is gone. Closing has two seconds of its own past the deadline. Conclusion: between the last look and the end nothing can come in.

--- a/crates/bluebellreel_entry/src/run.rs
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -37,6 +37,9 @@
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
 /// Between two looks at whether a stop is done.
 const IDLE_POLL: Duration = Duration::from_millis(10);
+/// Time for connections to be closed, also past the deadline: longer than the
+/// HTTP server waits for a caller that says nothing more.
+const CLOSE_TIME: Duration = Duration::from_secs(2);
 /// Longest wait for one call to the key-value service.
 const KV_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -53,28 +56,26 @@
 impl Entry {
     /// Stops gracefully: nothing new, what is in progress finishes. Whether
     /// nothing was cut.
+    ///
+    /// Guards against requests that come between the last look and the end: the
+    /// lease is given back, a call that may take seconds, while late callers
+    /// are still told "not run", and nothing slow comes after the last look.
+    /// Nobody can connect any more by then, and connections are closed.
     #[must_use = "a stop that cut something must be reported"]
     pub fn stop(self) -> bool {
-        self.parts.readiness.stop();
-        log::info!(target: "entry", "Stopping: not ready any more.");
-        // The balancer goes on sending for a while; those callers are served.
-        thread::sleep(self.parts.settings.notice);
+        self.leave_rotation();
         let until = Instant::now() + self.parts.settings.stop;
         self.tx.send(Message::StopAsked).ok();
-        // The actors go on to the end: a late caller hears "not run" from them.
-        let mut clean = self.is_done();
-        while !clean && Instant::now() < until {
-            thread::sleep(IDLE_POLL);
-            clean = self.is_done();
-        }
-        let cut = self.http.in_progress();
+        let mut clean = wait_until(until, || self.is_done());
+        give_back_lease(&self.parts);
         self.http.stop();
-        self.tx.try_send(Message::Quit).ok();
+        let until = until.max(Instant::now() + CLOSE_TIME);
+        wait_until(until, || self.is_done() && self.http.is_gone());
+        clean &= self.is_done();
+        let cut = self.http.in_progress();
         if clean {
+            self.tx.send(Message::Quit).ok();
             self.actors.join().ok();
-        }
-        give_back_lease(&self.parts);
-        if clean {
             log::info!(target: "entry", "Stopped; nothing was cut.");
         } else {
             log::error!(target: "entry", cut; "Stopped at the deadline with work in progress.");
@@ -82,6 +83,14 @@
         clean
     }
 
+    /// The balancer goes on sending for a while; those callers are served.
+    fn leave_rotation(&self) {
+        self.parts.readiness.stop();
+        self.http.leave();
+        log::info!(target: "entry", "Stopping: not ready any more.");
+        thread::sleep(self.parts.settings.notice);
+    }
+
     /// Whether nothing is in progress any more.
     fn is_done(&self) -> bool {
         let (answer, idle) = bounded(1);
@@ -90,6 +99,17 @@
     }
 }
 
+/// Looks until it holds, at least once; false at the deadline.
+fn wait_until(until: Instant, holds: impl Fn() -> bool) -> bool {
+    while !holds() {
+        if Instant::now() >= until {
+            return false;
+        }
+        thread::sleep(IDLE_POLL);
+    }
+    true
+}
+
 /// Gives the lease back, so that other daemons need not wait for its end to
 /// take over what is left.
 fn give_back_lease(parts: &Parts) {
