Side process: stays until every daemon knows of its stop

Cause: once idle it slept 200 ms without its actor and ended; whatever came meanwhile hung until the connection broke and counted as 'may have run'. Daemons learn that a worker leaves with an end or with the next question for its load, which may be three seconds away; those without work there did not know before the close. Ends, reports and pulled items under way were given the 200 ms, however slow the way. Ruled out: only running the actor on in the 200 ms; the gap between its last look and the close would stay. Change: the connections tell when an entry has heard the load and when an end or a report has arrived. The order is a small pure state (stop.rs); the actor runs to the end and says 'leaving'. Conclusion: a daemon that obeys what it was told sends nothing into the close.

--- a/crates/bluebellreel_rpc/src/side.rs
+++ b/crates/bluebellreel_rpc/src/side.rs
@@ -93,6 +93,16 @@
     },
     /// The load is asked for.
     LoadAsked(oneshot::Sender<LoadReport>),
+    /// An entry has been told the load.
+    LoadTold {
+        /// The entry.
+        entry: EntryName,
+        /// Whether it knows now that the worker takes nothing new.
+        leaving: bool,
+    },
+    /// The end of an online attempt or a report has reached its entry, or has
+    /// been given up.
+    Delivered,
     /// A manifest to bring into force.
     Configured {
         /// Its generation.
@@ -120,6 +130,7 @@
 type Notify = Rc<dyn Fn(SideNotice)>;
 
 struct OpenSink {
+    entry: EntryName,
     sink: wire::sink::Client,
     closed: oneshot::Sender<()>,
 }
@@ -176,7 +187,11 @@
         let dispatch = Box::new(convert::read_dispatch(params.get_dispatch()?)?);
         let sink = params.get_sink()?;
         let (closed, end_told) = oneshot::channel();
-        let open = OpenSink { sink, closed };
+        let open = OpenSink {
+            entry: entry.clone(),
+            sink,
+            closed,
+        };
         self.shared
             .borrow_mut()
             .sinks
@@ -221,6 +236,10 @@
         (self.notify)(SideNotice::LoadAsked(answer));
         let load = load.await.map_err(gone)?;
         convert::write_load(results.get().init_load(), &load);
+        if let Some(entry) = self.entry.borrow().clone() {
+            let leaving = load.leaving;
+            (self.notify)(SideNotice::LoadTold { entry, leaving });
+        }
         Ok(())
     }
 
@@ -355,9 +374,14 @@
             }
         }
         SideCommand::End { attempt, end, load } => {
-            if let Some(open) = shared.borrow_mut().sinks.remove(&attempt) {
-                tokio::task::spawn_local(tell_end(open, end, load));
-            }
+            let open = shared.borrow_mut().sinks.remove(&attempt);
+            let notify = notify.clone();
+            tokio::task::spawn_local(async move {
+                if let Some(open) = open {
+                    tell_end(open, end, load, &notify).await;
+                }
+                notify(SideNotice::Delivered);
+            });
         }
         SideCommand::Pull { entry, room } => {
             let feed = shared.borrow().feeds.get(&entry).cloned();
@@ -365,16 +389,25 @@
         }
         SideCommand::Report { entry, reports } => {
             let feed = shared.borrow().feeds.get(&entry).cloned();
-            tokio::task::spawn_local(report(entry, reports, feed, notify.clone()));
+            let notify = notify.clone();
+            tokio::task::spawn_local(async move {
+                if !report(&reports, feed).await {
+                    notify(SideNotice::ReportLost { entry });
+                }
+                notify(SideNotice::Delivered);
+            });
         }
     }
 }
 
-async fn tell_end(open: OpenSink, end: AttemptEnd, load: LoadReport) {
+async fn tell_end(open: OpenSink, end: AttemptEnd, load: LoadReport, notify: &Notify) {
     let mut call = open.sink.end_request();
     convert::write_end(call.get().init_end(), &end);
     convert::write_load(call.get().init_load(), &load);
-    call.send().promise.await.ok();
+    if call.send().promise.await.is_ok() {
+        let (entry, leaving) = (open.entry, load.leaving);
+        notify(SideNotice::LoadTold { entry, leaving });
+    }
     open.closed.send(()).ok();
 }
 
@@ -397,25 +430,18 @@
     items.iter().map(convert::read_dispatch).collect()
 }
 
-async fn report(
-    entry: EntryName,
-    reports: Vec<BatchReport>,
-    feed: Option<wire::batch_feed::Client>,
-    notify: Notify,
-) {
+/// Tells an entry how its batch items ended; whether it has heard.
+async fn report(reports: &[BatchReport], feed: Option<wire::batch_feed::Client>) -> bool {
     let Some(feed) = feed else {
-        notify(SideNotice::ReportLost { entry });
-        return;
+        return false;
     };
     let mut call = feed.report_request();
     let count = u32::try_from(reports.len()).unwrap_or(u32::MAX);
     let mut list = call.get().init_reports(count);
-    for (index, report) in (0..count).zip(&reports) {
+    for (index, report) in (0..count).zip(reports) {
         let mut slot = list.reborrow().get(index);
         convert::write_attempt(slot.reborrow().init_attempt(), report.attempt);
         convert::write_end(slot.init_end(), &report.end);
     }
-    if call.send().promise.await.is_err() {
-        notify(SideNotice::ReportLost { entry });
-    }
+    call.send().promise.await.is_ok()
 }
--- a/crates/bluebellreel_side/src/actor.rs
+++ b/crates/bluebellreel_side/src/actor.rs
@@ -2,6 +2,7 @@
 
 use crate::core::SideCore;
 use crate::message::Message;
+use crate::stop::Look;
 use stakker::{CX, after};
 use std::time::Duration;
 
@@ -32,7 +33,12 @@
         self.core.on_message(message);
     }
 
-    pub(crate) fn is_idle(&mut self, _: CX![]) -> bool {
-        self.core.is_idle()
+    /// How things stand, `heard` apart.
+    pub(crate) fn look(&mut self, _: CX![]) -> Look {
+        Look {
+            idle: self.core.is_idle(),
+            settled: self.core.is_settled(),
+            heard: false,
+        }
     }
 }
--- a/crates/bluebellreel_side/src/core.rs
+++ b/crates/bluebellreel_side/src/core.rs
@@ -1,5 +1,6 @@
 //! The side process's state: it takes messages in and carries out effects.
 
+use crate::farewell::Farewell;
 use crate::fence::Fence;
 use crate::message::{Message, OrderAnswer};
 use crate::parts::{BackendOrder, Parts};
@@ -23,6 +24,7 @@
     generation: u64,
     fence: Fence,
     orders: HashMap<ModelVersion, Vec<OrderAnswer>>,
+    farewell: Farewell,
 }
 
 impl SideCore {
@@ -36,6 +38,7 @@
             generation: 0,
             fence: Fence::default(),
             orders: HashMap::new(),
+            farewell: Farewell::default(),
         }
     }
 
@@ -81,13 +84,21 @@
         self.state.is_idle() && self.reports.is_empty()
     }
 
+    /// Whether nothing is under way to or from the entries, and all of them
+    /// know of the stop.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.farewell.is_settled()
+    }
+
     fn on_notice(&mut self, notice: SideNotice) {
         match notice {
             SideNotice::Connected(entry) => {
                 log::info!(target: "side", entry:% = entry; "Entry connected.");
+                self.farewell.note_connected(entry);
             }
             SideNotice::Lost(entry) => {
                 log::warn!(target: "side", entry:% = entry; "Entry lost.");
+                self.farewell.note_lost(&entry);
                 self.decide(Event::EntryLost(entry));
             }
             SideNotice::Submitted { entry, dispatch } => {
@@ -103,6 +114,7 @@
                 self.decide(Event::Offered { entry, waiting });
             }
             SideNotice::Pulled { entry, items } => {
+                self.farewell.note_pulled();
                 for item in &items {
                     self.begin_span(item);
                 }
@@ -114,6 +126,8 @@
             SideNotice::LoadAsked(answer) => {
                 answer.send(self.state.load(self.now())).ok();
             }
+            SideNotice::LoadTold { entry, leaving } => self.farewell.note_told(entry, leaving),
+            SideNotice::Delivered => self.farewell.note_delivered(),
             SideNotice::Configured {
                 generation, answer, ..
             } => {
@@ -176,6 +190,7 @@
             self.carry_out(effect, now);
         }
         for (entry, reports) in std::mem::take(&mut self.reports) {
+            self.farewell.note_sent();
             self.send(SideCommand::Report { entry, reports });
         }
     }
@@ -193,9 +208,13 @@
             Effect::SendEnd { attempt, end } => {
                 self.end_span(attempt, &end);
                 let load = self.state.load(now);
+                self.farewell.note_sent();
                 self.send(SideCommand::End { attempt, end, load });
             }
-            Effect::Pull { entry, room } => self.send(SideCommand::Pull { entry, room }),
+            Effect::Pull { entry, room } => {
+                self.farewell.note_pull();
+                self.send(SideCommand::Pull { entry, room });
+            }
             Effect::Report { entry, report } => {
                 self.end_span(report.attempt, &report.end);
                 if is_preempted(&report.end) {
--- a/crates/bluebellreel_side/src/lib.rs
+++ b/crates/bluebellreel_side/src/lib.rs
@@ -14,11 +14,13 @@
 mod backend;
 pub mod bench;
 mod core;
+mod farewell;
 mod fence;
 mod message;
 mod parts;
 mod rim;
 mod run;
+mod stop;
 
 pub use parts::BackendOrder;
 pub use run::{Side, start_side};
--- a/crates/bluebellreel_side/src/message.rs
+++ b/crates/bluebellreel_side/src/message.rs
@@ -31,3 +31,14 @@
     /// The process is asked to stop gracefully.
     StopAsked,
 }
+
+impl Message {
+    /// Whether it brings work.
+    pub(crate) fn brings_work(&self) -> bool {
+        match self {
+            Self::Rpc(SideNotice::Submitted { .. }) => true,
+            Self::Rpc(SideNotice::Pulled { items, .. }) => !items.is_empty(),
+            _ => false,
+        }
+    }
+}
--- a/crates/bluebellreel_side/src/run.rs
+++ b/crates/bluebellreel_side/src/run.rs
@@ -6,6 +6,7 @@
 use crate::message::Message;
 use crate::parts::{BackendOrder, Parts};
 use crate::rim;
+use crate::stop::{Look, Stop, Verdict};
 use bluebellreel_admission::{Admission, AdmissionLimits, Lean};
 use bluebellreel_http::HttpServer;
 use bluebellreel_rpc::{SideCommand, SideNotice, run_side};
@@ -27,8 +28,6 @@
 const MESSAGES: usize = 16_384;
 /// Longest sleep of the actor's loop.
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
-/// How long the last answers get to leave the process.
-const LINGER: Duration = Duration::from_millis(200);
 
 /// A running side process.
 pub struct Side {
@@ -205,15 +204,17 @@
     let core = SideCore::new(state, parts);
     let side: ActorOwn<SideActor> = actor!(s, SideActor::init(core), ret_nop!());
     s.run(Instant::now(), false);
-    let mut stop_at: Option<Instant> = None;
+    let mut stopping: Option<Stop> = None;
     loop {
         let sleep = s.next_wait_max(Instant::now(), LONGEST_SLEEP, false);
+        let mut heard = false;
         match rx.recv_timeout(sleep) {
             Ok(message) => {
                 for message in std::iter::once(message).chain(rx.try_iter().take(MESSAGES)) {
-                    if matches!(message, Message::StopAsked) {
+                    heard |= message.brings_work();
+                    if matches!(message, Message::StopAsked) && stopping.is_none() {
                         log::info!(target: "side", "Stopping: nothing new is taken.");
-                        stop_at.get_or_insert(Instant::now() + stop);
+                        stopping = Some(Stop::new(Instant::now() + stop));
                     }
                     call!([side], on_message(message));
                 }
@@ -222,14 +223,19 @@
             Err(RecvTimeoutError::Disconnected) => return true,
         }
         s.run(Instant::now(), false);
-        if let Some(stop_at) = stop_at {
-            let idle = query!([side, s], is_idle()).unwrap_or(true);
-            if idle {
-                thread::sleep(LINGER);
-                log::info!(target: "side", "Stopped; nothing was cut.");
+        let Some(stopping) = &mut stopping else {
+            continue;
+        };
+        let Some(look) = query!([side, s], look()) else {
+            return true;
+        };
+        match stopping.look(Look { heard, ..look }, Instant::now()) {
+            Verdict::GoOn => {}
+            Verdict::Done => {
+                log::info!(target: "side", settled = look.settled; "Stopped; nothing was cut.");
                 return true;
             }
-            if Instant::now() >= stop_at {
+            Verdict::Cut => {
                 log::error!(target: "side", "Stopped at the deadline; requests in progress were cut.");
                 return false;
             }
--- a/crates/bluebellreel_side/tests/stop.rs
+++ b/crates/bluebellreel_side/tests/stop.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 
 /// Longest wait for anything; generous, as machines are busy.
-const LONGEST: Duration = Duration::from_secs(60);
+const LONGEST: Duration = Duration::from_mins(1);
 /// A deadline far away.
 const FAR: Moment = Moment::FAR;
 
