Test of a start: ready before the manifest is read

Cause: readiness waits for the workers only. A daemon that has not read the manifest knows no services and answers 404, 'no such service'.

--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -26,6 +26,49 @@
     }
 }
 
+/// A daemon was restarted while the key-value service was slow, and bookings
+/// were refused with 404, "no such service": the balancer had sent them before
+/// the daemon had read the manifest. It is ready only when it has.
+#[test]
+fn daemon_is_ready_only_with_its_manifest() {
+    let mut site = Site::start(&SitePlan::default()).expect("a site");
+    assert!(site.stop_entry(0).expect("it was up"), "nothing was cut");
+    let slow = KvFaults {
+        slow_ms: 1_000,
+        ..KvFaults::default()
+    };
+    site.set_kv_faults(&slow).expect("set");
+    site.restart_entry(0).expect("it starts");
+    let caller = site.caller(0);
+    let end = Instant::now() + Duration::from_secs(30);
+    while !matches!(caller.send("GET", "/readyz", &[], b""), Ok((200, _))) {
+        assert!(Instant::now() < end, "it never became ready");
+        thread::sleep(Duration::from_millis(1));
+    }
+    let path = "/services/desk/slots";
+    let (status, text) = caller.send("GET", path, &[], b"").expect("an answer");
+    assert_eq!(status, 200, "{text}");
+}
+
+/// A daemon cannot read the manifest, as the key-value service is down. It does
+/// not know which services there are, and says so instead of "no such service".
+#[test]
+fn daemon_without_a_manifest_names_no_service_unknown() {
+    let mut site = Site::start(&SitePlan::default()).expect("a site");
+    assert!(site.stop_entry(0).expect("it was up"), "nothing was cut");
+    let down = KvFaults {
+        down: true,
+        ..KvFaults::default()
+    };
+    site.set_kv_faults(&down).expect("set");
+    site.restart_entry(0).expect("it starts");
+    let path = "/services/desk/slots";
+    let answer = site.caller(0).send("GET", path, &[], b"");
+    let (status, text) = answer.expect("an answer");
+    assert_eq!(status, 503, "{text}");
+    assert!(text.contains("\"ran\":\"no\""), "{text}");
+}
+
 /// The key-value service was away and all daemons found it back at the same
 /// moment. They must not bring it down again: each comes back with a few calls,
 /// the same however many daemons there are.
