Entry daemon: ready only once its manifest has been read

Cause: readiness waited for the workers only; a daemon that has not read the manifest knows no services and answered 404, 'no such service'. Change: readiness waits for the first reading of the manifest as well, within the same ten seconds; before it, an unknown service is answered 503, not run, with Retry-After.

--- a/crates/bluebellreel_entry/src/core.rs
+++ b/crates/bluebellreel_entry/src/core.rs
@@ -72,6 +72,7 @@
                 self.fleet.on_message(message);
                 self.online.apply(&self.fleet.manifest());
             }
+            Message::ManifestRead => self.parts.readiness.note_manifest(),
             Message::Listed(list) => {
                 self.reach.list(list);
                 self.reach_out();
--- a/crates/bluebellreel_entry/src/fleet/store.rs
+++ b/crates/bluebellreel_entry/src/fleet/store.rs
@@ -106,7 +106,7 @@
             follow_prefix(
                 &parts.kv,
                 &manifest_key(),
-                |all| all.iter().all(offer),
+                |all| all.iter().all(offer) && parts.tell(Message::ManifestRead),
                 |event| match event {
                     WatchEvent::Put(kv) => offer(&kv),
                     WatchEvent::Deleted { .. } => true,
--- a/crates/bluebellreel_entry/src/http/services.rs
+++ b/crates/bluebellreel_entry/src/http/services.rs
@@ -7,6 +7,10 @@
 use bluebellreel_routing::Outcome;
 use bluebellreel_types::{ModelName, Work, WorkKind, content_digest};
 use std::sync::Arc;
+use std::time::Duration;
+
+/// When a caller may come back who came before the manifest was read.
+const NOT_READY_PAUSE: Duration = Duration::from_secs(1);
 
 /// `/services/{name}/…`
 pub(crate) fn call(rim: &Rim, call: CallerRequest, rest: &str, query: &str) {
@@ -18,6 +22,10 @@
     let service = ModelName::from(name);
     let manifest = rim.manifest.get();
     if !manifest.services.iter().any(|spec| spec.name == service) {
+        if !rim.parts.readiness.knows_manifest() {
+            let error = ApiError::new(503, "not_ready", "the services are not known yet");
+            return Err(error.retry_after(NOT_READY_PAUSE));
+        }
         return Err(ApiError::new(404, "no_service", "no such service"));
     }
     let path = if query.is_empty() {
--- a/crates/bluebellreel_entry/src/message.rs
+++ b/crates/bluebellreel_entry/src/message.rs
@@ -18,6 +18,8 @@
     Jobs(JobsMessage),
     /// For the manifest and the fleet.
     Fleet(FleetMessage),
+    /// The manifest has been read, if there is one.
+    ManifestRead,
     /// The platform lists these workers.
     Listed(Vec<crate::platform::ListedWorker>),
     /// Another daemon's lease is there.
--- a/crates/bluebellreel_entry/src/readiness.rs
+++ b/crates/bluebellreel_entry/src/readiness.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Longest time that a daemon stays away from the balancer while it looks for
-/// its workers: with the VM list down it can still take jobs.
+/// its workers and its manifest: with the VM list down it can still take jobs.
 const LONGEST_LOOK: Duration = Duration::from_secs(10);
 
 /// Whether this daemon serves, as told at `/readyz`.
@@ -14,25 +14,38 @@
 /// Shared by the actors, which know the workers, and the HTTP threads.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Readiness {
-    workers_known: Arc<AtomicBool>,
+    started: Arc<AtomicBool>,
+    manifest_read: Arc<AtomicBool>,
     stopping: Arc<AtomicBool>,
 }
 
 impl Readiness {
     /// Whether people may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.workers_known.load(Ordering::SeqCst) && !self.stopping.load(Ordering::SeqCst)
+        self.started.load(Ordering::SeqCst) && !self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// The manifest has been read for the first time, or there is none yet.
+    pub(crate) fn note_manifest(&self) {
+        self.manifest_read.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether it is known which models and services there are.
+    pub(crate) fn knows_manifest(&self) -> bool {
+        self.manifest_read.load(Ordering::SeqCst)
     }
 
     /// Takes in whether every listed worker has been tried once.
     ///
-    /// A daemon that said "ready" before that would refuse people with "no
-    /// worker serves this model" right after a restart, though the fleet is
-    /// whole.
+    /// A daemon that said "ready" before that, or before it has read the
+    /// manifest, would refuse people with "no worker serves this model" or "no
+    /// such service" right after a restart, though the fleet is whole.
     pub(crate) fn note_workers(&self, all_tried: bool, started_at: Moment, now: Moment) {
         let waited = (started_at + LONGEST_LOOK).is_past(now);
-        if (all_tried || waited) && !self.workers_known.swap(true, Ordering::SeqCst) {
-            log::info!(target: "entry", all_tried; "Ready: the listed workers have been tried.");
+        let manifest = self.knows_manifest();
+        let found = all_tried && manifest;
+        if (found || waited) && !self.started.swap(true, Ordering::SeqCst) {
+            log::info!(target: "entry", all_tried, manifest; "Ready: workers and manifest have been looked for.");
         }
     }
 
@@ -66,8 +79,20 @@
     fn stays_ready_when_a_worker_is_new() {
         let start = Moment(1_000_000);
         let readiness = Readiness::default();
+        readiness.note_manifest();
         readiness.note_workers(true, start, start);
         readiness.note_workers(false, start, start);
         assert!(readiness.is_ready());
     }
+
+    #[test]
+    fn waits_for_the_manifest_as_well() {
+        let start = Moment(1_000_000);
+        let readiness = Readiness::default();
+        readiness.note_workers(true, start, start);
+        assert!(!readiness.is_ready());
+        readiness.note_manifest();
+        readiness.note_workers(true, start, start);
+        assert!(readiness.is_ready());
+    }
 }
