--- a/crates/bluebellreel_http/src/lib.rs
+++ b/crates/bluebellreel_http/src/lib.rs
@@ -1,8 +1,9 @@
-//! HTTP at the rim of the system, over `tiny_http` and `ureq`.
+//! HTTP at the rim of the system, over `hyper` and `ureq`.
 //!
-//! Requests are handled on threads, one for each in progress and bounded in
-//! number; bodies are bounded in bytes and in time, so that a caller that
-//! sends too much, too slowly or not all of it harms nobody else.
+//! One loop reads heads and writes answers, with the connections of
+//! `bluebellreel_net`; each request is handled on a thread of its own, and their
+//! number is bounded. Heads and bodies are bounded in bytes and in time, so that
+//! a caller that sends too much, too slowly or not all of it harms nobody else.
 //!
 //! ```
 //! let error = bluebellreel_http::ApiError::new(404, "not_found", "no such path");
@@ -12,6 +13,7 @@
 mod answer;
 mod client;
 mod error;
+mod method;
 mod request;
 mod server;
 mod stream;
@@ -19,7 +21,7 @@
 pub use answer::{Reply, respond};
 pub use client::is_unsent;
 pub use error::ApiError;
-pub use request::{BodyLimits, header, read_body};
+pub use method::Method;
+pub use request::{BodyLimits, Request, header, read_body, unread};
 pub use server::{HttpServer, serve};
 pub use stream::ChunkedStream;
-pub use tiny_http::{Method, Request};
