A job that its living owner let go of is taken over anew

Cause: only jobs whose daemon is gone counted as left.

Change: a job that names this run, and that is neither open here nor about to be opened, counts as left too after the same grace time.

--- a/crates/bluebellreel_entry/src/jobs/index.rs
+++ b/crates/bluebellreel_entry/src/jobs/index.rs
@@ -21,7 +21,7 @@
     /// When its owner was first missed.
     missed_at: Option<Moment>,
     /// Whether a take-over is under way here.
-    pub(crate) taking: bool,
+    taking: bool,
 }
 
 /// The index.
@@ -64,6 +64,15 @@
         }
     }
 
+    /// A take-over did not come about. The grace time begins anew, so that one
+    /// that fails again and again costs few calls.
+    pub(crate) fn note_not_taken(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.taking = false;
+            job.missed_at = None;
+        }
+    }
+
     /// A daemon is there.
     pub(crate) fn note_entry(&mut self, name: EntryName, run: Incarnation) {
         self.entries.insert(name, run);
@@ -87,19 +96,36 @@
         orphaned.count()
     }
 
-    /// The jobs that this daemon should take over now. Each orphaned job has
-    /// one daemon that ranks highest for it, so that they do not all try.
-    pub(crate) fn due(&mut self, me: &EntryName, now: Moment) -> Vec<(JobRecord, i64)> {
+    /// The jobs that this daemon, in this run, should take over now. Each
+    /// orphaned job has one daemon that ranks highest for it, so that they do
+    /// not all try.
+    ///
+    /// Guard: a job that names this run and that it does not hold is taken over
+    /// anew. It had let go of it by mistake, and nobody else would take it up
+    /// while this run lives.
+    pub(crate) fn due(
+        &mut self,
+        (me, run): (&EntryName, Incarnation),
+        holds: impl Fn(&JobId) -> bool,
+        now: Moment,
+    ) -> Vec<(JobRecord, i64)> {
         let mut due = Vec::new();
         let entries = &self.entries;
         for job in self.jobs.values_mut() {
-            if entries.get(&job.record.owner) == Some(&job.record.owner_run) {
+            let is_mine = job.record.owner == *me && job.record.owner_run == run;
+            let is_there = if is_mine {
+                holds(&job.record.id)
+            } else {
+                entries.get(&job.record.owner) == Some(&job.record.owner_run)
+            };
+            if is_there {
                 job.missed_at = None;
                 continue;
             }
             let missed_at = *job.missed_at.get_or_insert(now);
             let waited = (missed_at + TAKE_OVER_GRACE).is_past(now);
-            if !waited || job.taking || heir(entries, &job.record.id) != Some(me) {
+            let is_heir = is_mine || heir(entries, &job.record.id) == Some(me);
+            if !waited || job.taking || !is_heir {
                 continue;
             }
             job.taking = true;
--- a/crates/bluebellreel_entry/src/jobs/part/ownership.rs
+++ b/crates/bluebellreel_entry/src/jobs/part/ownership.rs
@@ -16,8 +16,13 @@
             return;
         }
         let me = self.parts.settings.name.clone();
-        for (record, revision) in self.index.due(&me, now) {
-            let (me, run) = (me.clone(), self.parts.run);
+        let run = self.parts.run;
+        let holds = |id: &JobId| {
+            let is_open = self.board.jobs.contains_key(id);
+            is_open || self.opening.contains(id) || self.reopen_at.contains_key(id)
+        };
+        for (record, revision) in self.index.due((&me, run), holds, now) {
+            let me = me.clone();
             let parts = self.parts.clone();
             let id = record.id.clone();
             let queued = self.parts.pool.run(move |kv| {
@@ -39,11 +44,7 @@
                 self.index.put(*record, revision);
                 self.reopen(id);
             }
-            None => {
-                if let Some(job) = self.index.jobs.get_mut(id) {
-                    job.taking = false;
-                }
-            }
+            None => self.index.note_not_taken(id),
         }
     }
 
--- a/crates/bluebellreel_entry/src/jobs/part/tests.rs
+++ b/crates/bluebellreel_entry/src/jobs/part/tests.rs
@@ -54,8 +54,10 @@
     /// There is room again; whether something is tried soon.
     fn tries_once_there_is_room(&mut self) -> bool {
         assert!(self.run_queued(), "the one that fitted");
-        self.clock.advance(LATER);
-        self.part.tick();
+        for _ in 0..2 {
+            self.clock.advance(LATER);
+            self.part.tick();
+        }
         self.run_queued()
     }
 }
