Progress that a keeper missed is told again

Cause: an owner noted progress as told before the call, and whatever its answer; while a keeper started again, what ended then was told to nobody, or to the heir only, and never to the keeper. Change: what was told is noted with whom, and forgotten when the call failed or was not answered with 200. A keeper that missed one is away until its next visit; the heir is told meanwhile.

--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -26,29 +26,50 @@
 /// its heir takes to look, and than an item lasts.
 const KEPT: Duration = Duration::from_secs(20);
 
+/// What was told of a job last, and to whom.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Told {
+    to: SocketAddr,
+    bytes: u64,
+}
+
 /// Tells heirs how far items are, for ever.
 pub(crate) async fn copy_progress(gw: Rc<Gateway>) {
-    let mut copied: HashMap<JobId, u64> = HashMap::new();
+    let mut told = HashMap::new();
     loop {
         sleep(PAUSE).await;
-        let due = due(&gw, &mut copied);
-        for (id, items) in due {
-            copy(&gw, &id, &items).await;
+        let due = due(&gw, &mut told);
+        for (id, to, items) in due {
+            if !copy(&gw, &id, to, &items).await {
+                // Nothing more may come of its items, so it is told again. A
+                // keeper that starts again is missed for a moment; its disk is
+                // all that a kill of everything leaves.
+                told.remove(&id);
+                gw.keepers.borrow_mut().miss(to);
+            }
         }
     }
 }
 
-/// Jobs whose items have got further since their last copy.
-fn due(gw: &Gateway, copied: &mut HashMap<JobId, u64>) -> Vec<(JobId, Vec<ItemProgress>)> {
+/// Jobs whose items have got further since they were told, or of which somebody
+/// else is to be told now.
+fn due(
+    gw: &Gateway,
+    told: &mut HashMap<JobId, Told>,
+) -> Vec<(JobId, SocketAddr, Vec<ItemProgress>)> {
     let jobs = gw.jobs.borrow();
-    copied.retain(|id, _| jobs.own.contains_key(id));
+    told.retain(|id, _| jobs.own.contains_key(id));
     let mut due = Vec::new();
     for (id, owned) in &jobs.own {
         let items = owned.job.borrow().progress();
         let bytes = items.iter().map(|i| i.text.len() as u64 + 1).sum();
-        let before = copied.insert(id.clone(), bytes);
-        if bytes > 0 && before != Some(bytes) {
-            due.push((id.clone(), items));
+        let Some(to) = target(gw, id) else {
+            continue;
+        };
+        let now = Told { to, bytes };
+        let before = told.insert(id.clone(), now);
+        if bytes > 0 && before != Some(now) {
+            due.push((id.clone(), to, items));
         }
     }
     due
@@ -66,20 +87,16 @@
     Some(members.alive(&heir, now)?.calls)
 }
 
-async fn copy(gw: &Rc<Gateway>, id: &JobId, items: &[ItemProgress]) {
-    let Some(to) = target(gw, id) else {
-        return;
-    };
-    let body = match postcard::to_allocvec(items) {
-        Ok(body) => body,
-        Err(e) => {
-            warn!(target: "jobs", job:% = id, error:% = e; "progress not copied");
-            return;
-        }
+/// Tells of one job; whether it was taken.
+async fn copy(gw: &Rc<Gateway>, id: &JobId, to: SocketAddr, items: &[ItemProgress]) -> bool {
+    let told = match postcard::to_allocvec(items) {
+        Ok(body) => peer_calls::copy_progress(gw, to, id, body).await,
+        Err(e) => Err(e.to_string()),
     };
-    if let Err(e) = peer_calls::copy_progress(gw, to, id, body).await {
+    if let Err(e) = &told {
         warn!(target: "jobs", job:% = id, to:% = to, error = e.as_str(); "progress not copied");
     }
+    told.is_ok()
 }
 
 /// Longest wait for keepers when a job is taken over: one that is down must not
--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -38,17 +38,27 @@
 struct Seen {
     is_near: bool,
     until: Moment,
+    /// Whether a call to it has failed since its last visit: it may be starting
+    /// again.
+    is_away: bool,
 }
 
 impl Keepers {
-    /// One that stands in this daemon's data centre, and that is there.
+    /// One that stands in this daemon's data centre, and that takes calls.
     pub(crate) fn near(&self, now: Moment) -> Option<SocketAddr> {
         let there = self.there(now);
-        let mut near = there.filter(|(_, seen)| seen.is_near);
+        let mut near = there.filter(|(_, seen)| seen.is_near && !seen.is_away);
         near.next().map(|(at, _)| at)
     }
 
-    /// All that are there.
+    /// A call to it has failed: until its next visit it is away.
+    pub(crate) fn miss(&mut self, at: SocketAddr) {
+        if let Some(seen) = self.seen.get_mut(&at) {
+            seen.is_away = true;
+        }
+    }
+
+    /// All that have visited lately, also those that are away.
     pub(crate) fn all(&self, now: Moment) -> Vec<SocketAddr> {
         self.there(now).map(|(at, _)| at).collect()
     }
@@ -78,7 +88,11 @@
     }
     if let Some(at) = address {
         let until = gw.now() + THERE;
-        let seen = Seen { is_near, until };
+        let seen = Seen {
+            is_near,
+            until,
+            is_away: false,
+        };
         gw.keepers.borrow_mut().seen.insert(at, seen);
     }
 }
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -128,6 +128,9 @@
 ) -> Result<(), PeerError> {
     let path = format!("/jobs/{id}/progress");
     let body = Bytes::from(progress);
-    call(gw, to, Method::PUT, &path, body, TIMEOUT).await?;
+    let (status, _) = call(gw, to, Method::PUT, &path, body, TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
     Ok(())
 }
