Whoever takes a job over waits for a keeper that starts again

Cause: each keeper was asked once; one that cut or refused the call because it was stopping had the progress on its disk a second later, and the items began anew. Change: it is asked each 0.1 s for up to 1.2 s, once between two of its visits, so that many jobs do not wait one after the other. One that is silent is given up after 0.3 s as before.

--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -11,13 +11,14 @@
 use crate::peer_calls;
 use bluebellreel_batch::{ItemProgress, Job};
 use bluebellreel_types::JobId;
+use bytes::Bytes;
 use futures::future::join_all;
 use log::{info, warn};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time between copies. An item of 190 events lasts some five seconds; copied
 /// this often, each of its events is sent about three times.
@@ -103,27 +104,53 @@
 /// hold the job up for longer than what its items would gain.
 const RECALL: Duration = Duration::from_millis(300);
 
+/// How long a keeper that refuses or cuts calls is asked again: one that stops as
+/// planned is back within a second, and the half of an item of five seconds that
+/// it knows on average is worth the wait.
+const STARTS_AGAIN: Duration = Duration::from_millis(1200);
+/// Time between two calls to it.
+const AGAIN: Duration = Duration::from_millis(100);
+
 /// Lets the items of a job that was taken over go on from where they were, as
 /// far as this daemon or a keeper knows.
 pub(super) async fn recall(gw: &Rc<Gateway>, id: &JobId, job: &mut Job) {
     let mut begun = gw.jobs.borrow_mut().copies.take(id);
     let keepers = gw.keepers.borrow().all(gw.now());
-    let asked = keepers
-        .into_iter()
-        .map(|at| timeout(RECALL, peer_calls::progress(gw, at, id)));
-    for answer in join_all(asked).await {
-        match answer {
-            Ok(Ok(progress)) => begun.extend(super::hand_over::read_progress(id, &progress)),
-            Ok(Err(e)) => {
-                warn!(target: "jobs", job:% = id, error = e.as_str(); "progress not fetched");
-            }
-            Err(_) => warn!(target: "jobs", job:% = id; "progress not fetched"),
-        }
+    let asked = keepers.into_iter().map(|at| ask(gw, at, id));
+    for progress in join_all(asked).await.into_iter().flatten() {
+        begun.extend(super::hand_over::read_progress(id, &progress));
     }
     info!(target: "jobs", job:% = id, begun = begun.len(); "items go on");
     job.restore(begun, gw.now());
 }
 
+/// Asks a keeper how far the items of a job are.
+///
+/// One that refuses or cuts the call may be starting again, with the answer on
+/// its disk: without another try the items would begin anew. It is waited for
+/// once, so that many jobs do not wait one after the other. One that is silent
+/// has lost its VM, and is not.
+async fn ask(gw: &Rc<Gateway>, at: SocketAddr, id: &JobId) -> Option<Bytes> {
+    let end = Instant::now() + STARTS_AGAIN;
+    loop {
+        let call = timeout(RECALL, peer_calls::progress(gw, at, id));
+        let error = match call.await {
+            Ok(Ok(progress)) => return Some(progress),
+            Ok(Err(e)) => e,
+            Err(_) => {
+                warn!(target: "jobs", job:% = id, keeper:% = at; "progress not fetched");
+                return None;
+            }
+        };
+        if !gw.keepers.borrow().may_come_back(at) || Instant::now() >= end {
+            gw.keepers.borrow_mut().give_up(at);
+            warn!(target: "jobs", job:% = id, keeper:% = at, error = error.as_str(); "progress not fetched");
+            return None;
+        }
+        sleep(AGAIN).await;
+    }
+}
+
 /// Keeps how far the items of a peer's job are.
 pub(crate) fn keep_copy(gw: &Gateway, id: JobId, progress: &[u8]) {
     let items = super::hand_over::read_progress(&id, progress);
--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -41,6 +41,8 @@
     /// Whether a call to it has failed since its last visit: it may be starting
     /// again.
     is_away: bool,
+    /// Whether it was waited for in vain since its last visit.
+    is_given_up: bool,
 }
 
 impl Keepers {
@@ -58,6 +60,18 @@
         }
     }
 
+    /// It was waited for in vain: until its next visit nobody waits for it again.
+    pub(crate) fn give_up(&mut self, at: SocketAddr) {
+        if let Some(seen) = self.seen.get_mut(&at) {
+            seen.is_given_up = true;
+        }
+    }
+
+    /// Whether it may be waited for.
+    pub(crate) fn may_come_back(&self, at: SocketAddr) -> bool {
+        self.seen.get(&at).is_some_and(|seen| !seen.is_given_up)
+    }
+
     /// All that have visited lately, also those that are away.
     pub(crate) fn all(&self, now: Moment) -> Vec<SocketAddr> {
         self.there(now).map(|(at, _)| at).collect()
@@ -92,6 +106,7 @@
             is_near,
             until,
             is_away: false,
+            is_given_up: false,
         };
         gw.keepers.borrow_mut().seen.insert(at, seen);
     }
