--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -38,17 +38,41 @@
 struct Seen {
     is_near: bool,
     until: Moment,
+    /// Whether a call to it has failed since its last visit: it may be starting
+    /// again.
+    is_away: bool,
+    /// Whether it was waited for in vain since its last visit.
+    is_given_up: bool,
 }
 
 impl Keepers {
-    /// One that stands in this daemon's data centre, and that is there.
+    /// One that stands in this daemon's data centre, and that takes calls.
     pub(crate) fn near(&self, now: Moment) -> Option<SocketAddr> {
         let there = self.there(now);
-        let mut near = there.filter(|(_, seen)| seen.is_near);
+        let mut near = there.filter(|(_, seen)| seen.is_near && !seen.is_away);
         near.next().map(|(at, _)| at)
     }
 
-    /// All that are there.
+    /// A call to it has failed: until its next visit it is away.
+    pub(crate) fn miss(&mut self, at: SocketAddr) {
+        if let Some(seen) = self.seen.get_mut(&at) {
+            seen.is_away = true;
+        }
+    }
+
+    /// It was waited for in vain: until its next visit nobody waits for it again.
+    pub(crate) fn give_up(&mut self, at: SocketAddr) {
+        if let Some(seen) = self.seen.get_mut(&at) {
+            seen.is_given_up = true;
+        }
+    }
+
+    /// Whether it may be waited for.
+    pub(crate) fn may_come_back(&self, at: SocketAddr) -> bool {
+        self.seen.get(&at).is_some_and(|seen| !seen.is_given_up)
+    }
+
+    /// All that have visited lately, also those that are away.
     pub(crate) fn all(&self, now: Moment) -> Vec<SocketAddr> {
         self.there(now).map(|(at, _)| at).collect()
     }
@@ -78,7 +102,12 @@
     }
     if let Some(at) = address {
         let until = gw.now() + THERE;
-        let seen = Seen { is_near, until };
+        let seen = Seen {
+            is_near,
+            until,
+            is_away: false,
+            is_given_up: false,
+        };
         gw.keepers.borrow_mut().seen.insert(at, seen);
     }
 }
