--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -11,7 +11,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
 
@@ -42,18 +41,8 @@
 /// Ends when a signal asks for the end, and tells of those that say that the
 /// settings have changed. The handlers stand once this returns.
 fn asked_to_stop(settings_changed: Rc<Notify>) -> eyre::Result<impl Future<Output = ()>> {
-    let mut hang_up = signal(SignalKind::hangup())?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    Ok(async move {
-        loop {
-            tokio::select! {
-                _ = hang_up.recv() => settings_changed.notify_one(),
-                _ = terminate.recv() => return,
-                _ = interrupt.recv() => return,
-            }
-        }
-    })
+    let hung_up = move || settings_changed.notify_one();
+    Ok(bluebellreel_signals::stop_asked(hung_up)?)
 }
 
 /// Runs a gateway on the present local task set until `stop` ends; whether
@@ -69,21 +58,29 @@
 ) -> eyre::Result<bool> {
     let gw = Gateway::new(settings);
     detour::install(&gw);
-    let stop = Stop::default();
-    let served = Served::default();
-    start(&gw, &stop, &served, Rc::new(around)).await?;
+    let doors = Doors::default();
+    start(&gw, &doors, Rc::new(around)).await?;
     info!(target: "gateway", entry:% = gw.me(), run:% = gw.run, data_centre:% = gw.settings.data_centre, requests:% = gw.settings.requests; "started");
     stop_asked.await;
-    let clean = leave(&gw, &stop, &served).await;
+    let clean = leave(&gw, &doors).await;
     Ok(clean)
 }
 
-async fn start(
-    gw: &Rc<Gateway>,
-    stop: &Stop,
-    served: &Served,
-    around: Rc<Surroundings>,
-) -> eyre::Result<()> {
+/// A server and what it serves.
+#[derive(Default)]
+pub(crate) struct Door {
+    pub(crate) stop: Stop,
+    pub(crate) served: Served,
+}
+
+/// Servers whose connections a stop waits for.
+#[derive(Default)]
+pub(crate) struct Doors {
+    pub(crate) callers: Door,
+    pub(crate) peers: Door,
+}
+
+async fn start(gw: &Rc<Gateway>, doors: &Doors, around: Rc<Surroundings>) -> eyre::Result<()> {
     let callers = listen(gw.settings.requests).wrap_err("address for requests")?;
     let balancer = listen(gw.settings.readiness).wrap_err("address for readiness")?;
     let peers = listen(gw.settings.peers).wrap_err("address for peers")?;
@@ -97,8 +94,8 @@
     let of_limits = gw.clone();
     spawn_local(bluebellreel_net::serve(
         callers,
-        stop.clone(),
-        served.clone(),
+        doors.callers.stop.clone(),
+        doors.callers.served.clone(),
         move || caller_idle(&of_limits),
         move |req| serve::answer(g.clone(), req),
     ));
@@ -117,8 +114,8 @@
     let g = gw.clone();
     spawn_local(bluebellreel_net::serve(
         peers,
-        inner.clone(),
-        Served::default(),
+        doors.peers.stop.clone(),
+        doors.peers.served.clone(),
         || INNER_IDLE,
         move |req| peer_api::answer(g.clone(), req),
     ));
--- a/crates/bluebellreel_http/src/answer.rs
+++ b/crates/bluebellreel_http/src/answer.rs
@@ -1,10 +1,32 @@
 //! Whole answers.
 
-use crate::ApiError;
+use crate::{ApiError, Request};
+use bluebellreel_net::{Body, Broken};
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, ETAG, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
 use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
-use tiny_http::{Header, Request, Response};
+use tokio::sync::mpsc;
+
+/// The body of an answer on its way from a handler's thread to the loop.
+pub(crate) enum AnswerBody {
+    Whole(Bytes),
+    Pieces(mpsc::Receiver<Result<Bytes, Broken>>),
+}
+
+impl From<AnswerBody> for Body {
+    fn from(body: AnswerBody) -> Self {
+        match body {
+            AnswerBody::Whole(bytes) => Self::full(bytes),
+            AnswerBody::Pieces(rx) => Self::stream(futures::stream::unfold(rx, |mut rx| async {
+                let piece = rx.recv().await?;
+                Some((piece, rx))
+            })),
+        }
+    }
+}
 
 /// An answer that is known as a whole.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,18 +84,28 @@
 
 /// Sends an answer; a caller that has gone away is no error.
 pub fn respond(req: Request, reply: &Reply) {
-    let mut response = Response::from_data(reply.body.to_vec()).with_status_code(reply.status);
-    response.add_header(plain_header("Content-Type", reply.kind));
+    let answer = response_of(reply);
+    req.answer(answer);
+}
+
+/// A reply as the HTTP library takes it.
+pub(crate) fn response_of(reply: &Reply) -> Response<AnswerBody> {
+    let body = Bytes::copy_from_slice(&reply.body);
+    let mut answer = Response::new(AnswerBody::Whole(body));
+    let status = StatusCode::from_u16(reply.status);
+    *answer.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(reply.kind));
     if let Some(tag) = &reply.tag {
-        response.add_header(plain_header("ETag", &format!("\"{tag}\"")));
+        headers.insert(ETAG, text_header(&format!("\"{tag}\"")));
     }
     if let Some(span) = reply.retry_after {
         let seconds = span.as_millis().div_ceil(1_000).max(1);
-        response.add_header(plain_header("Retry-After", &seconds.to_string()));
+        headers.insert(RETRY_AFTER, text_header(&seconds.to_string()));
     }
-    req.respond(response).ok();
+    answer
 }
 
-fn plain_header(name: &str, value: &str) -> Header {
-    Header::from_bytes(name, value).expect("names and values here are plain ASCII")
+fn text_header(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).expect("tags and numbers are plain ASCII")
 }
--- a/crates/bluebellreel_http/src/server.rs
+++ b/crates/bluebellreel_http/src/server.rs
@@ -1,40 +1,71 @@
-//! Accepting requests.
+//! Accepting requests, and the order of a stop.
 
-use crate::{ApiError, Reply, respond};
-use socket2::{Domain, Protocol, SockAddr, Socket, TcpKeepalive, Type};
+use crate::answer::response_of;
+use crate::request::InProgress;
+use crate::{ApiError, Request};
+use bluebellreel_net::{Body, Served, Stop};
+use bluebellreel_types::Ran;
+use http::header::{CONNECTION, HeaderValue};
+use hyper::Response;
+use hyper::body::Incoming;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
-use tiny_http::{Request, Server};
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
 
-/// Connections that the system holds until they are accepted.
-const BACKLOG: i32 = 1_024;
-/// Silence after which a caller's machine is probed.
-const KEEPALIVE: Duration = Duration::from_secs(20);
 /// Bytes of all headers together.
 const MOST_HEADER_BYTES: usize = 32 << 10;
+/// Stack of a request's thread.
+const STACK: usize = 512 << 10;
+/// Longest that a connection may stay without a whole head. Idle ones cost no
+/// thread; callers' pools keep them for less than a minute.
+const IDLE: Duration = Duration::from_secs(75);
+/// When a caller may come back that came too early.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// A running server.
 pub struct HttpServer {
     /// Where it listens.
     pub address: SocketAddr,
-    server: Arc<Server>,
+    stop: Stop,
+    state: Arc<State>,
+}
+
+#[derive(Default)]
+struct State {
     in_progress: Arc<AtomicUsize>,
+    leaving: AtomicBool,
+    gone: AtomicBool,
 }
 
 impl HttpServer {
-    /// Requests in progress.
+    /// Requests in progress: from the end of their head to that of the answer.
     #[must_use]
     pub fn in_progress(&self) -> usize {
-        self.in_progress.load(Ordering::SeqCst)
+        self.state.in_progress.load(Ordering::SeqCst)
+    }
+
+    /// Goes on taking whatever comes, but closes each connection with the next
+    /// answer, so that callers go elsewhere.
+    pub fn leave(&self) {
+        self.state.leaving.store(true, Ordering::SeqCst);
     }
 
-    /// Stops accepting; requests in progress go on.
+    /// Stops accepting and closes idle connections; what has been sent is read,
+    /// and requests in progress go on and are answered.
     pub fn stop(&self) {
-        self.server.unblock();
+        self.leave();
+        self.stop.finish();
+    }
+
+    /// Whether nobody can connect any more and all connections are closed.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        self.state.gone.load(Ordering::SeqCst)
     }
 }
 
@@ -49,87 +80,102 @@
     threads: usize,
     handle: impl Fn(Request) + Send + Sync + 'static,
 ) -> io::Result<HttpServer> {
-    let listener = listen(address)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let listener = {
+        let _within = runtime.enter();
+        bluebellreel_net::listen(address)?
+    };
     let address = listener.local_addr()?;
-    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-    let server = Arc::new(server);
-    let in_progress = Arc::new(AtomicUsize::new(0));
-    let accepting = server.clone();
-    let counted = in_progress.clone();
+    let (stop, state) = (Stop::default(), Arc::new(State::default()));
+    let (asked, shared) = (stop.clone(), state.clone());
     let handle = Arc::new(handle);
     thread::Builder::new()
-        .name("http-accept".into())
+        .name("http-loop".into())
         .spawn(move || {
-            while let Ok(req) = accepting.recv() {
-                dispatch(req, threads, &counted, &handle);
-            }
+            let served = Served::default();
+            let of_loop = shared.clone();
+            LocalSet::new().block_on(&runtime, async {
+                let answer = move |req| answer(shared.clone(), threads, handle.clone(), req);
+                bluebellreel_net::serve(listener, asked, served.clone(), || IDLE, answer).await;
+                served.over().await;
+            });
+            of_loop.gone.store(true, Ordering::SeqCst);
         })?;
     Ok(HttpServer {
         address,
-        server,
-        in_progress,
+        stop,
+        state,
     })
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    // Accepted connections take this over: a caller's machine that is lost
-    // without a word frees its thread after some probes.
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE)
-        .with_interval(KEEPALIVE / 4);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_nodelay(true)?;
-    socket.bind(&SockAddr::from(address))?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
+/// Has a request answered by its handler, and ends the connection with it while
+/// the server stops.
+async fn answer<H>(
+    state: Arc<State>,
+    threads: usize,
+    handle: Arc<H>,
+    req: hyper::Request<Incoming>,
+) -> Response<Body>
+where
+    H: Fn(Request) + Send + Sync + 'static,
+{
+    let mut answer = match refusal(&state, threads, &req) {
+        Some(error) => refuse(&error),
+        None => handled(&state, handle, req).await,
+    };
+    if state.leaving.load(Ordering::SeqCst) {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
 }
 
-/// Counts a request as long as it is in progress, even if its handler panics.
-struct InProgress(Arc<AtomicUsize>);
+/// An answer to a request whose body stays unread.
+fn refuse(error: &ApiError) -> Response<Body> {
+    let mut answer = response_of(&error.clone().into());
+    let close = HeaderValue::from_static("close");
+    answer.headers_mut().insert(CONNECTION, close);
+    answer.map(Body::from)
+}
 
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+fn refusal(state: &State, threads: usize, req: &hyper::Request<Incoming>) -> Option<ApiError> {
+    let headers = req.headers();
+    let bytes: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    if bytes > MOST_HEADER_BYTES {
+        let error = ApiError::new(431, "headers_too_large", "too many headers");
+        return Some(error);
+    }
+    if state.in_progress.load(Ordering::SeqCst) >= threads {
+        let error = ApiError::new(503, "overloaded", "too many requests in progress");
+        return Some(error.retry_after(RETRY_PAUSE));
     }
+    None
 }
 
-fn dispatch<H>(req: Request, threads: usize, counted: &Arc<AtomicUsize>, handle: &Arc<H>)
+async fn handled<H>(state: &State, handle: Arc<H>, req: hyper::Request<Incoming>) -> Response<Body>
 where
     H: Fn(Request) + Send + Sync + 'static,
 {
-    let header_bytes: usize = req
-        .headers()
-        .iter()
-        .map(|h| h.field.as_str().as_str().len() + h.value.as_str().len())
-        .sum();
-    let refusal = if header_bytes > MOST_HEADER_BYTES {
-        Some(ApiError::new(431, "headers_too_large", "too many headers"))
-    } else if counted.load(Ordering::SeqCst) >= threads {
-        let error = ApiError::new(503, "overloaded", "too many requests in progress");
-        Some(error.retry_after(Duration::from_secs(1)))
-    } else {
-        None
-    };
-    counted.fetch_add(1, Ordering::SeqCst);
-    let guard = InProgress(counted.clone());
-    let handle = handle.clone();
+    let (tx, answered) = oneshot::channel();
+    let req = Request::new(req, tx, InProgress::begin(&state.in_progress));
     let spawned = thread::Builder::new()
         .name("http-request".into())
-        .stack_size(512 << 10)
-        .spawn(move || {
-            let _guard = guard;
-            match refusal {
-                Some(error) => respond(req, &Reply::from(error)),
-                None => handle(req),
-            }
-        });
+        .stack_size(STACK)
+        .spawn(move || handle(req));
     if let Err(e) = spawned {
-        log::error!(target: "http", error = e.to_string(); "No thread for a request.");
+        log::error!(target: "http", error:% = e; "No thread for a request.");
+        let error = ApiError::new(503, "overloaded", "no thread for the request");
+        return refuse(&error.retry_after(RETRY_PAUSE));
     }
+    let Ok(answer) = answered.await else {
+        // Its handler has panicked: whether anything ran is not known.
+        let error = ApiError::new(500, "failed", "the request failed").ran(Ran::Unknown);
+        return refuse(&error);
+    };
+    answer.map(Body::from)
 }
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -1,7 +1,9 @@
 //! The life of a keeper.
 
 use crate::calls;
-use crate::disk::{Disk, PROGRESS, SNAPSHOT, load, load_snapshot};
+use crate::disk::{Disk, PROGRESS, SNAPSHOT};
+use crate::held::{Held, read_held};
+use crate::leaving::{Ended, Parts, leave};
 use crate::rounds::{Rounds, Visited, is_near};
 use crate::writing::{Due, write_progress, write_snapshots};
 use bluebellreel_net::{Pool, PoolLimits, Served, Stop, listen, serve};
@@ -12,11 +14,11 @@
 use bluebellreel_types::{Clock, EntryName, Moment};
 use eyre::Context;
 use log::{info, warn};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -28,9 +30,6 @@
 const IDLE: Duration = Duration::from_secs(25);
 /// Time between looks at the settings file.
 const READ_SETTINGS: Duration = Duration::from_secs(5);
-/// Bytes of progress that are kept: some thousand items half done. Keepers' VMs
-/// have 130 MB and more, and disks of 310 MB and more.
-const PROGRESS_BYTES: usize = 32 * 1024 * 1024;
 /// Longest that a gateway's connection may stay without a request.
 const SERVED_IDLE: Duration = Duration::from_secs(30);
 
@@ -38,7 +37,7 @@
 pub type ReadSettings = Box<dyn Fn() -> Result<KeeperSettings, SettingsError>>;
 
 pub(crate) struct Keeper {
-    settings: KeeperSettings,
+    pub(crate) settings: KeeperSettings,
     seeds: RefCell<Vec<SocketAddr>>,
     clock: Clock,
     pool: Pool,
@@ -48,6 +47,14 @@
     /// What is not on the disk yet.
     pub(crate) snapshot_due: Due,
     pub(crate) progress_due: Due,
+    /// Whether it was asked to stop.
+    pub(crate) stopping: Cell<bool>,
+    /// Whether it takes nothing more: the last write is under way.
+    pub(crate) closed: Cell<bool>,
+    /// Visits under way.
+    pub(crate) visits: Cell<usize>,
+    /// Time from the request to stop until the process is killed.
+    pub(crate) grace: Cell<Duration>,
 }
 
 impl Keeper {
@@ -74,24 +81,15 @@
         .enable_all()
         .build()?;
     LocalSet::new().block_on(&runtime, async {
-        let mut hang_up = signal(SignalKind::hangup())?;
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let stop_asked = async move {
-            loop {
-                tokio::select! {
-                    // Settings are read now and then in any case.
-                    _ = hang_up.recv() => {}
-                    _ = terminate.recv() => return,
-                    _ = interrupt.recv() => return,
-                }
-            }
-        };
-        live(settings, read_settings, stop_asked).await
+        // Settings are read now and then in any case.
+        let stop_asked = bluebellreel_signals::stop_asked(|| {})?;
+        live(settings, read_settings, stop_asked).await?;
+        Ok(())
     })
 }
 
-/// Runs a keeper on the present local task set until `stop_asked` ends.
+/// Runs a keeper on the present local task set until `stop_asked` ends; what was
+/// finished.
 ///
 /// # Errors
 ///
@@ -100,14 +98,20 @@
     settings: KeeperSettings,
     read_settings: ReadSettings,
     stop_asked: impl Future<Output = ()>,
-) -> eyre::Result<()> {
+) -> eyre::Result<Ended> {
     let listener = listen(settings.calls).wrap_err("address for calls")?;
-    let (count, snapshot) = load_snapshot(&settings.folder);
-    let (progress_count, progress) = load(&settings.folder, PROGRESS, |body| {
-        let mut progress = KeptProgress::new(PROGRESS_BYTES);
-        progress.read(body).map(|()| progress)
-    });
-    let progress = progress.unwrap_or_else(|| KeptProgress::new(PROGRESS_BYTES));
+    let mut stop_asked = pin!(stop_asked);
+    let held = tokio::select! {
+        held = read_held(settings.folder.clone()) => held,
+        () = &mut stop_asked => {
+            // Nothing was taken yet, so nothing is left to do.
+            info!(target: "keeper", keeper:% = settings.name; "stopped before its start");
+            return Ok(Ended::BEFORE_START);
+        }
+    };
+    let Held { snapshot, progress } = held?;
+    let (count, snapshot) = snapshot;
+    let (progress_count, progress) = progress;
     let newest = snapshot.newest();
     let gateways = snapshot.gateways().count();
     info!(target: "keeper", keeper:% = settings.name, data_centre:% = settings.data_centre, count, configuration = newest.configuration, workers = newest.workers, gateways; "started");
@@ -126,29 +130,35 @@
         rounds: RefCell::default(),
         snapshot_due: Due::default(),
         progress_due: Due::default(),
+        stopping: Cell::new(false),
+        closed: Cell::new(false),
+        visits: Cell::new(0),
+        grace: Cell::new(settings.grace),
         settings,
     });
+    let stop = Stop::default();
+    let served = Served::default();
     let k = keeper.clone();
-    let served = serve(
+    let serving = serve(
         listener,
-        Stop::default(),
-        Served::default(),
+        stop.clone(),
+        served.clone(),
         || SERVED_IDLE,
         move |req| crate::serve::answer(k.clone(), req),
     );
-    let tasks = [
-        spawn_local(served),
-        spawn_local(visit_all(keeper.clone())),
-        spawn_local(write_snapshots(keeper.clone(), snapshots)),
-        spawn_local(write_progress(keeper.clone(), progresses)),
-        spawn_local(follow_settings(keeper.clone(), read_settings)),
-    ];
+    let parts = Parts {
+        serving: spawn_local(serving),
+        visiting: spawn_local(visit_all(keeper.clone())),
+        following: spawn_local(follow_settings(keeper.clone(), read_settings)),
+        snapshots: spawn_local(write_snapshots(keeper.clone(), snapshots)),
+        progress: spawn_local(write_progress(keeper.clone(), progresses)),
+        stop,
+        served,
+    };
     stop_asked.await;
-    for task in tasks {
-        task.abort();
-    }
-    info!(target: "keeper", keeper:% = keeper.settings.name; "stopped");
-    Ok(())
+    let ended = leave(&keeper, parts).await;
+    info!(target: "keeper", keeper:% = keeper.settings.name, calls_cut = ended.calls_cut, visits_cut = ended.visits_cut, snapshot_kept = ended.snapshot_kept, progress_kept = ended.progress_kept; "stopped");
+    Ok(ended)
 }
 
 async fn follow_settings(keeper: Rc<Keeper>, read_settings: ReadSettings) {
@@ -162,6 +172,7 @@
                     info!(target: "keeper", seeds = read.seeds.len(); "settings reloaded");
                     keeper.seeds.replace(read.seeds);
                 }
+                keeper.grace.set(read.grace);
             }
             Err(e) => {
                 let e = e.to_string();
@@ -184,8 +195,10 @@
             continue;
         };
         let keeper = keeper.clone();
+        keeper.visits.update(|n| n + 1);
         spawn_local(async move {
             let visited = visit(&keeper, at).await;
+            keeper.visits.update(|n| n - 1);
             let now = keeper.now();
             if keeper.rounds.borrow_mut().ended(at, visited, now) {
                 forget(&keeper, at);
