Test of stops: late callers hold a stop to its deadline

Cause: Entry::stop waits for a moment without any request in progress while the listener still accepts. With callers coming one after another there may be none; since requests count from their first byte, slow links suffice.

--- a/tests/stops/entry.rs
+++ b/tests/stops/entry.rs
@@ -210,3 +210,37 @@
     let over = caller.wait(&job.id, crate::daemon::LONGEST).expect("over");
     assert_eq!(over.request_counts.completed, 1);
 }
+
+/// Callers on slow links came one after another, so that at every look some
+/// request was in progress. The stop waited for a moment without any until its
+/// deadline and then cut what was there.
+#[test]
+fn late_callers_do_not_hold_a_stop() {
+    const SLOW: Duration = Duration::from_millis(300);
+    let site = site();
+    let mut daemon = Daemon::start(&site, 1);
+    daemon.wait_until_ready();
+    let address = daemon.address;
+    let call_slowly = move || {
+        while let Ok(mut wire) = Wire::connect(address) {
+            let text = models();
+            let (first, rest) = text.split_at(20);
+            // What a closing daemon says before the rest counts as well.
+            wire.send(first).ok();
+            thread::sleep(SLOW);
+            wire.send(rest).ok();
+            wire.answer().expect("an answer");
+        }
+    };
+    thread::scope(|scope| {
+        for number in 0..6 {
+            scope.spawn(move || {
+                thread::sleep(SLOW / 6 * number);
+                call_slowly();
+            });
+        }
+        thread::sleep(SLOW * 2);
+        daemon.signal(Signal::SIGTERM);
+        assert!(daemon.end().success(), "{}", daemon.log());
+    });
+}
