Entry daemon: late callers do not hold its stop

Cause: the stop waited for a moment without any request in progress while anybody could still connect. Change: the stop first waits for the actors' own work, which only becomes less once nothing new is taken; then it gives the lease back, closes the listener and waits for the requests and connections that are left. Conclusion: a stop ends under any traffic, and the order stays: nothing slow after the last look.

--- a/crates/bluebellreel_entry/src/run.rs
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -66,13 +66,15 @@
         self.leave_rotation();
         let until = Instant::now() + self.parts.settings.stop;
         self.tx.send(Message::StopAsked).ok();
-        let mut clean = wait_until(until, || self.is_done());
+        // Late callers may come one after another for as long as anybody can
+        // connect; the actors' work only becomes less.
+        wait_until(until, || self.is_idle());
         give_back_lease(&self.parts);
         self.http.stop();
         let until = until.max(Instant::now() + CLOSE_TIME);
-        wait_until(until, || self.is_done() && self.http.is_gone());
-        clean &= self.is_done();
+        wait_until(until, || self.is_idle() && self.http.is_gone());
         let cut = self.http.in_progress();
+        let clean = self.is_idle() && cut == 0;
         if clean {
             self.tx.send(Message::Quit).ok();
             self.actors.join().ok();
@@ -91,23 +93,19 @@
         thread::sleep(self.parts.settings.notice);
     }
 
-    /// Whether nothing is in progress any more.
-    fn is_done(&self) -> bool {
+    /// Whether the actors have nothing to do any more.
+    fn is_idle(&self) -> bool {
         let (answer, idle) = bounded(1);
         self.tx.send(Message::IdleAsked(answer)).ok();
-        idle.recv_timeout(LONGEST_SLEEP * 10).unwrap_or(false) && self.http.in_progress() == 0
+        idle.recv_timeout(LONGEST_SLEEP * 10).unwrap_or(false)
     }
 }
 
-/// Looks until it holds, at least once; false at the deadline.
-fn wait_until(until: Instant, holds: impl Fn() -> bool) -> bool {
-    while !holds() {
-        if Instant::now() >= until {
-            return false;
-        }
+/// Looks until it holds or the time is up.
+fn wait_until(until: Instant, holds: impl Fn() -> bool) {
+    while !holds() && Instant::now() < until {
         thread::sleep(IDLE_POLL);
     }
-    true
 }
 
 /// Gives the lease back, so that other daemons need not wait for its end to
