Tests of visits during a keeper's stop; machines that stand still

Cause: nothing tested a stop during a visit; and two tests of the process would fail where the machine stands still for a second or two. The tests that depend on a wait of the product try again when the machine itself stood still for it. Conclusion: guards of the stop.

--- /dev/null
+++ b/crates/bluebellreel_keeper/tests/stop.rs
@@ -0,0 +1,157 @@
+//! Visits to gateways that are under way when a keeper is stopped.
+
+use bluebellreel_keeper::{Ended, live, load_snapshot};
+use bluebellreel_members::Revisions;
+use bluebellreel_net::{Body, Served, Stop, listen, serve};
+use bluebellreel_settings::KeeperSettings;
+use bluebellreel_snapshot::{GatewayState, SharedFacts};
+use bluebellreel_types::{DataCentre, EntryName};
+use bytes::Bytes;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use std::cell::RefCell;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tokio::task::{LocalSet, spawn_local};
+
+/// Revision of the configuration that the gateway has.
+const REVISION: i64 = 7;
+
+/// Time after which a keeper gives a gateway's answer up: a machine that stands
+/// still for as long proves nothing, and the test tries again.
+const VISIT: Duration = Duration::from_millis(600);
+/// Tries at the most.
+const TRIES: usize = 20;
+
+fn free_address() -> SocketAddr {
+    let bound = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr());
+    bound.expect("a free port")
+}
+
+/// A gateway that has a configuration from the store, and answers when it is let.
+#[derive(Clone, Default)]
+struct Gateway {
+    asked: Rc<Notify>,
+    may_answer: Rc<Notify>,
+    paths: Rc<RefCell<Vec<String>>>,
+}
+
+impl Gateway {
+    fn start(&self) -> SocketAddr {
+        let listener = listen(free_address()).expect("a free port");
+        let at = listener.local_addr().expect("it is bound");
+        let gateway = self.clone();
+        spawn_local(serve(
+            listener,
+            Stop::default(),
+            Served::default(),
+            || Duration::from_secs(30),
+            move |req| gateway.clone().answer(req),
+        ));
+        at
+    }
+
+    async fn answer(self, req: Request<Incoming>) -> Response<Body> {
+        let path = req.uri().path().to_owned();
+        self.paths.borrow_mut().push(path.clone());
+        if path == "/state" {
+            self.asked.notify_one();
+            self.may_answer.notified().await;
+            return encoded(&state());
+        }
+        encoded(&SharedFacts {
+            configuration: Some((REVISION, b"{}".to_vec())),
+            operator_seen: REVISION,
+            workers_seen: 0,
+            workers: Vec::new(),
+            believed_for: None,
+        })
+    }
+}
+
+fn state() -> GatewayState {
+    GatewayState {
+        entry: EntryName::from("entry-1"),
+        data_centre: DataCentre::from("hall"),
+        newest: Revisions {
+            configuration: REVISION,
+            workers: 0,
+        },
+        from_store: true,
+        reaches_store: true,
+        wants_facts: false,
+        peers: Vec::new(),
+    }
+}
+
+fn encoded(value: &impl serde::Serialize) -> Response<Body> {
+    let bytes = postcard::to_allocvec(value).expect("plain data");
+    Response::new(Body::full(Bytes::from(bytes)))
+}
+
+fn settings(folder: &Path, gateway: SocketAddr) -> KeeperSettings {
+    KeeperSettings {
+        name: EntryName::from("keeper-1"),
+        data_centre: DataCentre::from("hall"),
+        calls: free_address(),
+        folder: folder.to_owned(),
+        seeds: vec![gateway],
+        grace: Duration::from_secs(20),
+    }
+}
+
+/// Runs a keeper that is stopped during its first visit to a gateway.
+fn stopped_in_a_visit(gateway: &Gateway, folder: &Path, answers: bool) -> Ended {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let settings = settings(folder, gateway.start());
+        let again = settings.clone();
+        let read = Box::new(move || Ok(again.clone()));
+        let stop_asked = async {
+            gateway.asked.notified().await;
+            if answers {
+                gateway.may_answer.notify_one();
+            }
+        };
+        live(settings, read, stop_asked).await.expect("it starts")
+    })
+}
+
+/// A keeper is stopped while a gateway tells it of a new configuration. The visit
+/// was cut, and after the next start the keeper did not have what it had been
+/// about to learn; it ends, and its snapshot is written.
+#[test]
+fn a_visit_under_way_ends_and_is_kept() {
+    for _ in 0..TRIES {
+        let folder = tempfile::tempdir().expect("a folder");
+        let gateway = Gateway::default();
+        let begun = Instant::now();
+        let ended = stopped_in_a_visit(&gateway, folder.path(), true);
+        assert!(ended.snapshot_kept && ended.progress_kept, "{ended:?}");
+        assert_eq!((ended.calls_cut, ended.visits_cut), (0, 0));
+        let (_, snapshot) = load_snapshot(folder.path());
+        if snapshot.newest().configuration == REVISION {
+            assert_eq!(*gateway.paths.borrow(), ["/state", "/facts"]);
+            return;
+        }
+        assert!(begun.elapsed() > VISIT, "the visit was cut");
+    }
+    panic!("the machine stands still in each try");
+}
+
+/// A gateway does not answer a visit. The stop goes on without it, and writes
+/// what there is.
+#[test]
+fn a_visit_that_is_not_answered_is_given_up() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let gateway = Gateway::default();
+    let ended = stopped_in_a_visit(&gateway, folder.path(), false);
+    assert!(ended.snapshot_kept && ended.progress_kept, "{ended:?}");
+    assert_eq!((ended.calls_cut, ended.visits_cut), (0, 0));
+}
