A keeper's stop uses that its server can finish

Cause: the server was asked to close and looked at until it was quiet; a connection just opened was closed at the stop, if nothing had come. Change: the server's own finish: no listener, what waits is served, and it tells when nothing is open. The answers' close is the server's too.

--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -47,8 +47,6 @@
     /// What is not on the disk yet.
     pub(crate) snapshot_due: Due,
     pub(crate) progress_due: Due,
-    /// Whether it was asked to stop.
-    pub(crate) stopping: Cell<bool>,
     /// Whether it takes nothing more: the last write is under way.
     pub(crate) closed: Cell<bool>,
     /// Visits under way.
@@ -130,7 +128,6 @@
         rounds: RefCell::default(),
         snapshot_due: Due::default(),
         progress_due: Due::default(),
-        stopping: Cell::new(false),
         closed: Cell::new(false),
         visits: Cell::new(0),
         grace: Cell::new(settings.grace),
@@ -146,8 +143,8 @@
         || SERVED_IDLE,
         move |req| crate::serve::answer(k.clone(), req),
     );
+    spawn_local(serving);
     let parts = Parts {
-        serving: spawn_local(serving),
         visiting: spawn_local(visit_all(keeper.clone())),
         following: spawn_local(follow_settings(keeper.clone(), read_settings)),
         snapshots: spawn_local(write_snapshots(keeper.clone(), snapshots)),
--- a/crates/bluebellreel_keeper/src/leaving.rs
+++ b/crates/bluebellreel_keeper/src/leaving.rs
@@ -19,15 +19,11 @@
 const CALLS: Duration = Duration::from_millis(2600);
 /// Part of the time until the end that calls may take; the rest is the disk's.
 const CALLS_PART: f64 = 0.5;
-/// Time between looks whether calls are still in progress.
+/// Time between looks whether visits are still under way.
 const LOOK: Duration = Duration::from_millis(20);
-/// Looks without a call, one after the other, after which none is waiting to be
-/// accepted either: between two of them the loop accepts all that wait.
-const QUIET_LOOKS: u32 = 3;
 
 /// The tasks of a keeper.
 pub(crate) struct Parts {
-    pub(crate) serving: JoinHandle<()>,
     pub(crate) visiting: JoinHandle<()>,
     pub(crate) following: JoinHandle<()>,
     pub(crate) snapshots: JoinHandle<()>,
@@ -64,14 +60,12 @@
     let asked_at = Instant::now();
     let left = keeper.grace.get().saturating_sub(BEFORE_KILL);
     let calls_end = asked_at + CALLS.min(left.mul_f64(CALLS_PART));
-    keeper.stopping.set(true);
     parts.visiting.abort();
     parts.following.abort();
-    parts.stop.close();
+    parts.stop.finish();
     info!(target: "keeper", keeper:% = keeper.settings.name, connections = parts.served.open(), visits = keeper.visits.get(); "stopping");
     until_quiet(keeper, &parts.served, calls_end).await;
     // From here on nothing is acknowledged that the last write would not hold.
-    parts.serving.abort();
     keeper.closed.set(true);
     let (calls_cut, visits_cut) = (parts.served.open(), keeper.visits.get());
     keeper.snapshot_due.finish();
@@ -98,10 +92,9 @@
 
 /// Waits until no gateway's call and no visit is in progress, at most until then.
 async fn until_quiet(keeper: &Keeper, served: &Served, end: Instant) {
-    let mut quiet = 0;
-    while quiet < QUIET_LOOKS && Instant::now() < end {
+    // What is left is counted after it.
+    let _ = timeout_at(end, served.over()).await;
+    while keeper.visits.get() > 0 && Instant::now() < end {
         sleep(LOOK).await;
-        let busy = served.open() > 0 || keeper.visits.get() > 0;
-        quiet = if busy { 0 } else { quiet + 1 };
     }
 }
--- a/crates/bluebellreel_keeper/src/serve.rs
+++ b/crates/bluebellreel_keeper/src/serve.rs
@@ -4,7 +4,6 @@
 use bluebellreel_net::{Body, read_body};
 use bluebellreel_types::JobId;
 use bytes::Bytes;
-use http::header::{CONNECTION, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::rc::Rc;
@@ -24,18 +23,8 @@
     answer
 }
 
-/// Answers a gateway. While the keeper stops, its connection ends with that: kept
-/// open, it would hold the stop up.
+/// Answers a gateway.
 pub(crate) async fn answer(keeper: Rc<Keeper>, req: Request<Incoming>) -> Response<Body> {
-    let mut answer = answer_call(&keeper, req).await;
-    if keeper.stopping.get() {
-        let close = HeaderValue::from_static("close");
-        answer.headers_mut().insert(CONNECTION, close);
-    }
-    answer
-}
-
-async fn answer_call(keeper: &Keeper, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (req.method(), parts.as_slice()) {
@@ -48,7 +37,7 @@
                 // An acknowledgement would say that it outlives the stop.
                 return status(StatusCode::SERVICE_UNAVAILABLE);
             }
-            keep(keeper, JobId::from(*id), body.to_vec());
+            keep(&keeper, JobId::from(*id), body.to_vec());
             status(StatusCode::OK)
         }
         (&Method::GET, ["jobs", id, "progress"]) => {
