--- a/tests/common/keepers.rs
+++ b/tests/common/keepers.rs
@@ -101,6 +101,11 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// The last line of its log.
+    pub fn last_line(&self) -> String {
+        self.log().lines().last().unwrap_or_default().to_owned()
+    }
+
     /// Signals the process, unless it has ended.
     pub fn signal(&mut self, signal: Signal) {
         let child = self.child.as_mut().expect("it was started");
--- a/tests/keeper_process.rs
+++ b/tests/keeper_process.rs
@@ -134,6 +134,30 @@
     let asked = Instant::now();
     vm.stop().expect("no signal kills it");
     assert!(asked.elapsed() < Duration::from_secs(10));
+    let last = vm.last_line();
+    assert!(last.contains("\"event\":\"stopped\""), "{last}");
+    assert!(last.contains("\"progress_kept\":false"), "{last}");
+}
+
+/// A keeper ended, and its log said neither that it had stopped nor what it had
+/// written: the lines were still on their way when the process ended.
+#[test]
+fn the_last_line_tells_what_was_finished() {
+    let mut vm = KeeperVm::new(LONG);
+    for _ in 0..5 {
+        vm.start();
+        assert_eq!(vm.put("job", b"so far"), 200);
+        assert_eq!(vm.stop(), Some(0), "{}", vm.log());
+        let last = vm.last_line();
+        assert!(last.contains("\"event\":\"stopped\""), "{last}");
+        for told in [
+            "\"progress_kept\":true",
+            "\"calls_cut\":0",
+            "\"visits_cut\":0",
+        ] {
+            assert!(last.contains(told), "{told}: {last}");
+        }
+    }
 }
 
 /// The disk refuses a write for a while, and nobody tells anything more. When it
