A keeper that loses something in a stop says so; times to stop are checked alike

Change: exit code 3 when calls were cut or something is not on the disk; one checked time to stop for both programs (1 to 3600 s, 5 if not set). Conclusion: a planned stop that lost something cannot be taken for one that did not.

--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -69,20 +69,19 @@
     }
 }
 
-/// Runs a keeper until it is asked to stop by a signal.
+/// Runs a keeper until it is asked to stop by a signal; what was finished.
 ///
 /// # Errors
 ///
 /// Gives the reason when the process cannot wait for signals.
-pub fn run_keeper(settings: KeeperSettings, read_settings: ReadSettings) -> eyre::Result<()> {
+pub fn run_keeper(settings: KeeperSettings, read_settings: ReadSettings) -> eyre::Result<Ended> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     LocalSet::new().block_on(&runtime, async {
         // Settings are read now and then in any case.
         let stop_asked = bluebellreel_signals::stop_asked(|| {})?;
-        live(settings, read_settings, stop_asked).await?;
-        Ok(())
+        live(settings, read_settings, stop_asked).await
     })
 }
 
--- a/crates/bluebellreel_keeper/src/leaving.rs
+++ b/crates/bluebellreel_keeper/src/leaving.rs
@@ -46,6 +46,13 @@
 }
 
 impl Ended {
+    /// Whether no call was cut and all is kept. A visit that was cut is made by
+    /// others.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.calls_cut == 0 && self.snapshot_kept && self.progress_kept
+    }
+
     /// The end of a keeper that was stopped before it took anything.
     pub(crate) const BEFORE_START: Self = Self {
         calls_cut: 0,
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -2,7 +2,7 @@
 //! keeps what must last in the platform's store.
 
 use crate::SettingsError;
-use crate::vm::{self, RawPeers, RawVm};
+use crate::vm::{self, RawPeers, RawStop, RawVm};
 use bluebellreel_types::{DataCentre, EntryName};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -86,13 +86,6 @@
     shortest_lease_ms: u64,
 }
 
-#[derive(Deserialize)]
-struct RawStop {
-    grace_s: f64,
-}
-
-/// Shortest stop in which requests in progress can end.
-const LEAST_GRACE_S: f64 = 1.0;
 /// Least value size that a batch item's longest result fits into.
 const LEAST_VALUE_BYTES: usize = 64 * 1024;
 
@@ -113,13 +106,7 @@
 pub fn parse_gateway(file: &str, text: &str) -> Result<GatewaySettings, SettingsError> {
     let raw: Raw = toml::from_str(text).map_err(|e| SettingsError::new(file, "", e.to_string()))?;
     let (name, data_centre) = raw.vm.checked(file)?;
-    if !raw.stop.grace_s.is_finite() || raw.stop.grace_s < LEAST_GRACE_S {
-        return Err(SettingsError::new(
-            file,
-            "stop.grace_s",
-            "must be 1 or more",
-        ));
-    }
+    let grace = raw.stop.checked(file)?;
     if raw.store.value_bytes < LEAST_VALUE_BYTES {
         let reason = "must be 65536 or more";
         return Err(SettingsError::new(file, "store.value_bytes", reason));
@@ -136,6 +123,6 @@
         store: raw.store.address,
         value_bytes: raw.store.value_bytes,
         shortest_lease: Duration::from_millis(raw.store.shortest_lease_ms),
-        grace: Duration::from_secs_f64(raw.stop.grace_s),
+        grace,
     })
 }
--- a/crates/bluebellreel_settings/src/keeper.rs
+++ b/crates/bluebellreel_settings/src/keeper.rs
@@ -1,7 +1,7 @@
 //! Settings of a keeper of snapshots.
 
 use crate::SettingsError;
-use crate::vm::{self, RawPeers, RawVm};
+use crate::vm::{self, RawPeers, RawStop, RawVm};
 use bluebellreel_types::{DataCentre, EntryName};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -46,27 +46,6 @@
     folder: PathBuf,
 }
 
-#[derive(Deserialize)]
-struct RawStop {
-    grace_s: f64,
-}
-
-impl Default for RawStop {
-    fn default() -> Self {
-        Self {
-            grace_s: USUAL_GRACE_S,
-        }
-    }
-}
-
-/// Time to stop where the settings name none: half of what service managers
-/// usually give.
-const USUAL_GRACE_S: f64 = 5.0;
-/// Shortest stop in which a disk can be written once more.
-const LEAST_GRACE_S: f64 = 1.0;
-/// Longest: an hour, beyond any service manager's.
-const LONGEST_GRACE_S: f64 = 3600.0;
-
 /// Reads and checks the settings file of a keeper.
 ///
 /// # Errors
@@ -88,16 +67,13 @@
         let reason = "must be an absolute path";
         return Err(SettingsError::new(file, "data.folder", reason));
     }
-    if !(LEAST_GRACE_S..=LONGEST_GRACE_S).contains(&raw.stop.grace_s) {
-        let reason = "must be from 1 to 3600";
-        return Err(SettingsError::new(file, "stop.grace_s", reason));
-    }
+    let grace = raw.stop.checked(file)?;
     Ok(KeeperSettings {
         name,
         data_centre,
         calls: SocketAddr::new(raw.vm.address, raw.listen.calls_port),
         folder: raw.data.folder,
         seeds: raw.peers.seeds,
-        grace: Duration::from_secs_f64(raw.stop.grace_s),
+        grace,
     })
 }
--- a/crates/bluebellreel_settings/src/vm.rs
+++ b/crates/bluebellreel_settings/src/vm.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
+use std::time::Duration;
 
 /// The VM that a program runs on.
 #[derive(Deserialize)]
@@ -33,6 +34,39 @@
     }
 }
 
+/// How a program stops.
+#[derive(Deserialize)]
+pub(crate) struct RawStop {
+    grace_s: f64,
+}
+
+/// Time to stop where the settings name none: half of what service managers
+/// usually give.
+const USUAL_GRACE_S: f64 = 5.0;
+/// Shortest stop in which a request can end and a disk be written once more.
+const LEAST_GRACE_S: f64 = 1.0;
+/// Longest: an hour, beyond any service manager's.
+const LONGEST_GRACE_S: f64 = 3600.0;
+
+impl Default for RawStop {
+    fn default() -> Self {
+        Self {
+            grace_s: USUAL_GRACE_S,
+        }
+    }
+}
+
+impl RawStop {
+    /// Time from SIGTERM until the process is killed.
+    pub(crate) fn checked(&self, file: &str) -> Result<Duration, SettingsError> {
+        if !(LEAST_GRACE_S..=LONGEST_GRACE_S).contains(&self.grace_s) {
+            let reason = "must be from 1 to 3600";
+            return Err(SettingsError::new(file, "stop.grace_s", reason));
+        }
+        Ok(Duration::from_secs_f64(self.grace_s))
+    }
+}
+
 /// Reads a settings file; `parse` gets its name and text.
 pub(crate) fn load<T>(
     path: &Path,
--- a/crates/bluebellreel_settings/tests/gateway.rs
+++ b/crates/bluebellreel_settings/tests/gateway.rs
@@ -42,6 +42,7 @@
     for (right, wrong, key) in [
         ("name = \"entry-1\"", "name = \"\"", "vm.name"),
         ("grace_s = 8", "grace_s = 0.1", "stop.grace_s"),
+        ("grace_s = 8", "grace_s = 1e30", "stop.grace_s"),
         (
             "value_bytes = 1048576",
             "value_bytes = 10",
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -115,7 +115,8 @@
             run
         });
     match run {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(ended) if ended.is_clean() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(CUT),
         Err(e) => {
             eprintln!("not started: {e:#}");
             ExitCode::from(FAILED)
