--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -76,10 +76,11 @@
     }
 
     /// Whether daemon `me`, which reaches the store or not, watches it for the
-    /// others: the first by rank of those that are heard and reach it do.
+    /// others: the first by rank of those that are heard, go on and reach it do.
     #[must_use]
     pub fn is_watcher(&self, me: &EntryName, reaches_store: bool, now: Moment) -> bool {
-        let mut others = self.heard_with_store(now);
+        // Whoever stops would be missed only when it has been silent for a while.
+        let mut others = self.heard_with_store(now).filter(|(_, p)| !p.stopping);
         if !reaches_store {
             return others.next().is_none();
         }
--- a/crates/bluebellreel_members/tests/members.rs
+++ b/crates/bluebellreel_members/tests/members.rs
@@ -114,6 +114,32 @@
     assert!(turned_away.is_watcher(&name(7), true, NOW));
 }
 
+/// Both daemons that watch the store were stopped at once, and nobody watched
+/// until the others had missed them: a new route got 404 for a second and more.
+/// Whoever stops does not count; the next by rank watch at once.
+#[test]
+fn daemons_that_stop_leave_the_watch_to_others() {
+    let mut members = heard(6);
+    let (watching, others): (Vec<usize>, Vec<usize>) = (1..=6).partition(|n| {
+        let mut as_it_sees = members.clone();
+        as_it_sees.hear(name(*n), peer(1, LONG_AGO));
+        as_it_sees.is_watcher(&name(*n), true, NOW)
+    });
+    for n in watching {
+        let stopping = Peer {
+            stopping: true,
+            ..peer(1, NOW)
+        };
+        members.hear(name(n), stopping);
+    }
+    let next = others.iter().filter(|n| {
+        let mut as_it_sees = members.clone();
+        as_it_sees.hear(name(**n), peer(1, LONG_AGO));
+        as_it_sees.is_watcher(&name(**n), true, NOW)
+    });
+    assert_eq!(next.count(), 2);
+}
+
 /// A daemon dies and its jobs go to the others. All must name the same heir for
 /// a job, never one that stops, and not the same for all jobs.
 #[test]
