Gateway: a stream keeps its place in line at the last worker left

Cause: a stream that goes on elsewhere gave the next worker 250 ms for its answer, also where that worker had all slots taken and nobody else was left. It left the line, found no untried worker, stood until its deadline and was broken off. This is what made `a_silent_worker_is_left` fail now and then.

Ruled out: the other worker doubted, tries used up, "full" as an answer of the choice (the logs of ten failures show one send on, then nothing until the deadline).

Change: where no other worker would take the stream after the send, or no try is left, the send is waited for until the deadline. After the first 250 ms the former worker is listened to meanwhile, and what it brings is passed on.

--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -17,6 +17,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
 use log::{info, warn};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -29,7 +30,8 @@
 const STEADY: f64 = 2.5;
 /// Share of a route's longest pause after which a slow worker is left, too.
 const LATE: f64 = 0.75;
-/// How long a worker may take to the first event of a stream that goes on.
+/// How long a worker may take to the first event of a stream that goes on,
+/// where another one could take it instead.
 const RESUMED_FIRST: Duration = Duration::from_millis(250);
 /// Silence of other workers, too, is a sign that this process was paused: what
 /// has arrived meanwhile is read before a worker is doubted.
@@ -44,6 +46,13 @@
     DeadlinePassed,
 }
 
+/// Where a stream goes on.
+enum Next {
+    Other(Box<Upstream>),
+    /// Its former worker was late and brings this; nothing at its end.
+    Former(Bytes),
+}
+
 impl From<Result<Option<Bytes>, Broken>> for Brought {
     fn from(read: Result<Option<Bytes>, Broken>) -> Self {
         match read {
@@ -111,7 +120,7 @@
             let whole = match self.whole_events() {
                 Ok(whole) => whole,
                 Err(reason) => {
-                    if self.go_on(reason).await {
+                    if self.go_on(reason, false).await {
                         continue;
                     }
                     return Some(self.break_off(reason));
@@ -127,7 +136,7 @@
                     return None;
                 }
                 Brought::End | Brought::Broken => {
-                    if !self.go_on("broken off by the worker").await {
+                    if !self.go_on("broken off by the worker", false).await {
                         return Some(self.break_off("broken off by the worker"));
                     }
                 }
@@ -137,7 +146,7 @@
                     } else {
                         "worker silent"
                     };
-                    if !self.go_on(reason).await {
+                    if !self.go_on(reason, true).await {
                         if self.of_former_life {
                             return Some(self.break_off(reason));
                         }
@@ -222,8 +231,9 @@
         }
     }
 
-    /// Goes on at another worker; whether it could.
-    async fn go_on(&mut self, reason: &str) -> bool {
+    /// Goes on at another worker; whether it could. Its former one, if `open`,
+    /// may still bring something.
+    async fn go_on(&mut self, reason: &str, open: bool) -> bool {
         let worker = self.upstream.place.worker().clone();
         let resumable = self.req.route.resumable && self.req.may_repeat();
         warn!(target: "online", request:% = self.req.id, worker:% = worker, events = self.passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
@@ -236,11 +246,17 @@
                 return false;
             };
             self.req.tried.push(next.clone());
-            match self.send_on(&next).await {
-                Ok(upstream) if upstream.head.status.is_success() => {
+            match self.send_on(&next, open).await {
+                Ok(Next::Former(bytes)) => {
+                    self.events.push(&bytes);
+                    self.quiet_until = Instant::now() + self.longest_silence();
+                    self.req.runs += 1;
+                    return true;
+                }
+                Ok(Next::Other(upstream)) if upstream.head.status.is_success() => {
                     // Dropping the old one closes its connection, and with it
                     // ends its run.
-                    self.upstream = upstream;
+                    self.upstream = *upstream;
                     self.of_former_life = false;
                     self.events = Events::default();
                     self.pulse = Pulse::default();
@@ -257,9 +273,16 @@
         false
     }
 
-    async fn send_on(&self, worker: &WorkerName) -> Result<Upstream, NoAnswer> {
-        let until = (Instant::now() + RESUMED_FIRST).min(self.req.deadline);
-        send(
+    /// Sends to one more worker. Where it is the last one, it is waited for as
+    /// long as the caller waits, or until the former one brings something.
+    async fn send_on(&mut self, worker: &WorkerName, mut open: bool) -> Result<Next, NoAnswer> {
+        let soon = (Instant::now() + RESUMED_FIRST).min(self.req.deadline);
+        let until = if self.is_last_try() {
+            self.req.deadline
+        } else {
+            soon
+        };
+        let mut sent = pin!(send(
             &self.gw,
             Send {
                 place: Place::take(&self.gw, worker, Class::Online),
@@ -269,8 +292,32 @@
                 reuse: Reuse::Any,
                 until,
             },
-        )
-        .await
+        ));
+        if let Ok(answer) = timeout_at(soon, sent.as_mut()).await {
+            return answer.map(Box::new).map(Next::Other);
+        }
+        loop {
+            tokio::select! {
+                biased;
+                answer = sent.as_mut() => return answer.map(Box::new).map(Next::Other),
+                read = self.upstream.body.next(), if open => match read {
+                    Ok(bytes) => return Ok(Next::Former(bytes.unwrap_or_default())),
+                    Err(Broken) => open = false,
+                },
+            }
+        }
+    }
+
+    /// Whether nobody else would take the stream after the send that begins.
+    ///
+    /// A worker with all slots taken answers when a turn comes. Left before
+    /// that for nobody, the stream would stand until its deadline and break.
+    fn is_last_try(&self) -> bool {
+        if self.req.runs + 1 >= self.req.route.max_workers.max(1) {
+            return true;
+        }
+        let next = choose(&self.gw, &self.req, self.req.left());
+        !matches!(next, Placement::Send(_))
     }
 
     fn finish(&mut self) {
