Entry daemon and side process handle signals before they log

Ruled out: before the settings are read; they are read by the caller of run_program. Conclusion: the gap left is the reading of the settings.

--- a/src/program.rs
+++ b/src/program.rs
@@ -74,8 +74,10 @@
         },
         file: log.file.clone(),
     };
-    let started = start_logging(&settings)
-        .and_then(|()| Ok(Signals::new([SIGTERM, SIGINT, SIGHUP])?))
+    // Signals first: until then SIGHUP would kill the process.
+    let started = Signals::new([SIGTERM, SIGINT, SIGHUP])
+        .map_err(eyre::Report::from)
+        .and_then(|signals| start_logging(&settings).map(|()| signals))
         .and_then(|signals| Ok((signals, start()?)));
     match started {
         Ok((signals, running)) => wait_and_stop(signals, running),
