Owners answer readers from memory only while their job is surely theirs

Cause: a job's owner told readers what it remembered as soon as the store had answered it anything within 2.5 s. Change: Tenure (pure) tells for how long an owner's entry has stood without a gap, counting time suspended; outside of it, and while stopping or hearing few peers, the store is asked before "nothing is listed there" is said. All own jobs are looked at again when a new span begins. A take-over is guarded by the end of the owner's entry. Every way to a job but its creation reads what is recorded (adopt). A hand-over whose answer was lost is recognised. Nothing is said to be missing while a write is under way; the model check found that one, and that a word given while an entry is being written must not count.

--- a/crates/bluebellreel_batch/src/job.rs
+++ b/crates/bluebellreel_batch/src/job.rs
@@ -144,6 +144,13 @@
         writing.chain(&self.pending)
     }
 
+    /// Whether results are being written, which readers may find in the store
+    /// before the answer comes.
+    #[must_use]
+    pub fn is_writing(&self) -> bool {
+        self.writing.is_some()
+    }
+
     /// Whether a result waits to be recorded.
     #[must_use]
     pub fn has_pending(&self) -> bool {
--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -25,6 +25,7 @@
 mod record;
 mod result;
 mod schedule;
+mod tenure;
 
 pub use copies::{ItemProgress, ProgressCopies};
 pub use custody::{Custody, OwnerSign, custody};
@@ -35,3 +36,4 @@
 pub use record::{JobPhase, JobRecord, Owner, RecordError};
 pub use result::{ItemResult, ResultState, decode_segment, encode_segment};
 pub use schedule::{Candidate, next_item};
+pub use tenure::{Stamp, Tenure};
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -6,7 +6,9 @@
 use crate::keepers::Keepers;
 use crate::metrics::Metrics;
 use crate::store::StoreClient;
+use crate::suspension::time_suspended;
 use crate::unreadable::Unreadable;
+use bluebellreel_batch::{Stamp, Tenure};
 use bluebellreel_dispatch::{Board, Configuration, Overloads, PlacementLimits};
 use bluebellreel_kv::KeyValue;
 use bluebellreel_members::Members;
@@ -59,6 +61,11 @@
     pub(crate) unreadable: RefCell<Unreadable>,
     /// Lease of this daemon's entry in the store; zero for none.
     pub(crate) lease: Cell<i64>,
+    /// How long this daemon's entry has stood; what it remembers of its jobs may
+    /// be told meanwhile.
+    pub(crate) tenure: Cell<Tenure>,
+    /// Set while few peers are heard.
+    pub(crate) isolated: Cell<bool>,
     /// Set from SIGTERM on.
     pub(crate) stopping: Cell<bool>,
     /// Set once a new request could not end before the process does.
@@ -110,6 +117,8 @@
             keepers: RefCell::default(),
             unreadable: RefCell::default(),
             lease: Cell::new(0),
+            tenure: Cell::default(),
+            isolated: Cell::new(false),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
             ended: Cell::new(false),
@@ -130,6 +139,14 @@
         self.clock.now()
     }
 
+    /// The present moment, with the time suspended so far.
+    pub(crate) fn stamp(&self) -> Stamp {
+        Stamp {
+            at: self.now(),
+            suspended: time_suspended(),
+        }
+    }
+
     /// The configuration in force; none before the first is known.
     pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
         self.facts.borrow().configuration()
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -4,13 +4,14 @@
 //! has left, until it is decided: while it is in doubt the answer promises
 //! nothing, as "not run" would be untrue if it took effect later.
 
+use super::adopt::{adopt_new, adopt_stored};
 use super::key;
-use super::own::{Accepted, OwnedJob};
+use super::own::Accepted;
 use super::quota;
+use crate::answers;
 use crate::gateway::Gateway;
 use crate::online::millis;
-use crate::{answers, jobs};
-use bluebellreel_batch::{Job, JobPhase, JobRecord, NewItem, Owner, keys, split_input};
+use bluebellreel_batch::{JobPhase, JobRecord, NewItem, Owner, keys, split_input};
 use bluebellreel_dispatch::Route;
 use bluebellreel_kv::{Commit, Compare, Key, KeyValue, Put, Txn};
 use bluebellreel_net::Body;
@@ -258,6 +259,7 @@
     txn: &Txn,
     record_key: &Key,
 ) -> Option<Accepted> {
+    let asked = gw.stamp();
     let mut outcome = gw.store.commit(txn, Instant::now() + TRY_STORE).await;
     if let Commit::Unknown(reason) = &outcome {
         warn!(target: "jobs", job:% = id, reason = reason.as_str(); "acceptance in doubt");
@@ -269,13 +271,13 @@
     }
     match outcome {
         Commit::Applied { revision } => {
-            own(gw, id, record.clone(), revision, items.to_vec());
+            adopt_new(gw, id, record.clone(), revision, items.to_vec(), asked);
             Some(Accepted::Kept)
         }
         Commit::Beaten(found) => {
             let (revision, stored) = stored_record(&found, record_key)?;
             if stored == *record {
-                own(gw, id, stored, revision, items.to_vec());
+                adopt_stored(gw, id, stored, revision, asked).await;
             } else {
                 gw.jobs.borrow_mut().note_owner(id, &stored);
             }
@@ -297,38 +299,3 @@
         }
     }
 }
-
-fn own(gw: &Rc<Gateway>, id: &JobId, record: JobRecord, revision: i64, items: Vec<NewItem>) {
-    let job = Job::new(id.clone(), record, revision, items, Vec::new());
-    adopt(gw, job);
-}
-
-/// Begins to run a job that this daemon owns by the store's word.
-pub(super) fn adopt(gw: &Rc<Gateway>, job: Job) {
-    let id = job.id.clone();
-    let known = gw.jobs.borrow().own.get(&id).cloned();
-    if let Some(known) = known
-        && known.job.borrow().revision >= job.revision
-    {
-        // Two ways led here while each awaited the store: an acceptance without
-        // an answer, a look for jobs without an owner, a caller's read. The one
-        // that runs goes on; it has listed what the other has not read.
-        known.job.borrow_mut().restore(job.progress(), gw.now());
-        return;
-    }
-    let due_in = job.record.due_at.since(gw.now());
-    info!(target: "jobs", job:% = id, items = job.items.len(), listed = job.listed.len(), revision = job.revision, due_in_ms = millis(due_in); "job owned");
-    let owned = OwnedJob::new(job);
-    {
-        let mut jobs = gw.jobs.borrow_mut();
-        jobs.owners.remove(&id);
-        jobs.orphans.remove(&id);
-        jobs.note_reported(&id);
-        if jobs.own.insert(id.clone(), owned.clone()).is_some() {
-            jobs.end_runs(&id);
-        }
-    }
-    tokio::task::spawn_local(jobs::record::record_results(gw.clone(), owned));
-    gw.report_due.notify_one();
-    gw.batch_due.notify_one();
-}
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -87,7 +87,7 @@
     let until = Instant::now() + DECIDE;
     for _ in 0..TRIES {
         let (revision, record) = match load::record(gw, id).await {
-            Ok(Some(found)) => found,
+            Ok(Some(found)) => (found.revision, found.record),
             Ok(None) => return answers::failure(StatusCode::NOT_FOUND, "no such job"),
             Err(e) => {
                 warn!(target: "jobs", job:% = id, error:% = e; "end not recorded");
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -1,13 +1,14 @@
 //! Handing jobs over when this daemon stops.
 
-use super::accept::adopt;
-use super::load;
+use super::accept::stored_record;
+use super::adopt::adopt;
 use super::own::OwnedJob;
 use super::takeover::owner_txn;
+use super::{confirm, key, load, owned_job};
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
-use bluebellreel_batch::{ItemPhase, ItemProgress, JobRecord, Owner};
-use bluebellreel_kv::Commit;
+use bluebellreel_batch::{ItemPhase, ItemProgress, Job, JobRecord, Owner, Stamp, keys};
+use bluebellreel_kv::{Commit, KvError};
 use bluebellreel_net::Body;
 use bluebellreel_types::JobId;
 use http::{Response, StatusCode};
@@ -94,7 +95,7 @@
     };
     let txn = owner_txn(&id, &record, revision);
     let outcome = gw.store.commit(&txn, Instant::now() + DECIDE).await;
-    let Commit::Applied { revision } = outcome else {
+    let Some(revision) = handed_over(&outcome, &id, &record) else {
         warn!(target: "jobs", job:% = id, outcome:? = outcome; "job not handed over");
         return;
     };
@@ -107,6 +108,19 @@
     info!(target: "jobs", job:% = id, peer:% = to, revision, told:? = told; "job handed over");
 }
 
+/// The record's revision after a hand-over. The first try's answer may be lost,
+/// and the second one meet the first one's record.
+fn handed_over(outcome: &Commit, id: &JobId, record: &JobRecord) -> Option<i64> {
+    match outcome {
+        Commit::Applied { revision } => Some(*revision),
+        Commit::Beaten(found) => {
+            let (revision, stored) = stored_record(found, &key(&keys::record(id)))?;
+            (stored == *record).then_some(revision)
+        }
+        Commit::NotDone(_) | Commit::Unknown(_) => None,
+    }
+}
+
 /// Ends the job's runs; their items keep what they have generated.
 fn stop_items(gw: &Gateway, owned: &OwnedJob, id: &JobId) {
     gw.jobs.borrow_mut().end_runs(id);
@@ -131,21 +145,17 @@
     progress: &[u8],
 ) -> Response<Body> {
     let begun = read_progress(id, progress);
-    // Somebody who only knew of the new owner may have told us before.
-    let known = gw.jobs.borrow().own.get(id).cloned();
-    if let Some(owned) = known {
+    // Somebody who only knew of the new owner may have told us before. Or it was
+    // ours long ago, and the one that hands it over has listed more.
+    if let Some(owned) = owned_job(gw, id)
+        && confirm::confirm(gw, &owned).await.unwrap_or(false)
+    {
         owned.job.borrow_mut().restore(begun, gw.now());
         return answers::status(StatusCode::OK);
     }
-    let loaded = match load::record(gw, id).await {
-        Ok(Some((revision, record))) if record.owner.run == gw.run => {
-            load::job(gw, id, record, revision).await
-        }
-        Ok(_) => return answers::failure(StatusCode::CONFLICT, "not the owner"),
-        Err(e) => Err(e),
-    };
-    let mut job = match loaded {
-        Ok(job) => job,
+    let (mut job, asked) = match load_own(gw, id).await {
+        Ok(Some(loaded)) => loaded,
+        Ok(None) => return answers::failure(StatusCode::CONFLICT, "not the owner"),
         Err(e) => {
             warn!(target: "jobs", job:% = id, error:% = e; "handed-over job not read");
             gw.jobs.borrow().orphans_due.notify_one();
@@ -153,12 +163,22 @@
         }
     };
     job.restore(begun, gw.now());
-    if !gw.jobs.borrow().own.contains_key(id) {
-        adopt(gw, job);
-    }
+    adopt(gw, job, asked);
     answers::status(StatusCode::OK)
 }
 
+/// A job that the store says is ours, and when it was asked.
+async fn load_own(gw: &Gateway, id: &JobId) -> Result<Option<(Job, Stamp)>, KvError> {
+    let Some(found) = load::record(gw, id).await? else {
+        return Ok(None);
+    };
+    if found.record.owner.run != gw.run {
+        return Ok(None);
+    }
+    let job = load::job(gw, id, found.record, found.revision).await?;
+    Ok(Some((job, found.asked)))
+}
+
 /// What the items had generated; nothing if the peer did not know.
 pub(super) fn read_progress(id: &JobId, progress: &[u8]) -> Vec<ItemProgress> {
     if progress.is_empty() {
--- a/crates/bluebellreel_gateway/src/jobs/load.rs
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -3,7 +3,7 @@
 use super::key;
 use crate::gateway::Gateway;
 use bluebellreel_batch::{
-    ItemResult, Job, JobRecord, NewItem, RecordError, decode_items, decode_segment, keys,
+    ItemResult, Job, JobRecord, NewItem, RecordError, Stamp, decode_items, decode_segment, keys,
 };
 use bluebellreel_kv::{Key, KvError};
 use bluebellreel_types::JobId;
@@ -12,14 +12,27 @@
     KvError::Refused(e.to_string())
 }
 
-/// A job's record and its revision; `None` if there is no such job.
-pub(super) async fn record(gw: &Gateway, id: &JobId) -> Result<Option<(i64, JobRecord)>, KvError> {
+/// A job's record as the store has it.
+pub(super) struct FoundRecord {
+    pub(super) revision: i64,
+    pub(super) record: JobRecord,
+    /// When the store was asked.
+    pub(super) asked: Stamp,
+}
+
+/// A job's record; `None` if there is no such job.
+pub(super) async fn record(gw: &Gateway, id: &JobId) -> Result<Option<FoundRecord>, KvError> {
+    let asked = gw.stamp();
     let Some(kv) = gw.store.read(&key(&keys::record(id))).await? else {
         return Ok(None);
     };
     let record = JobRecord::try_from(kv.value.as_slice()).map_err(|e| unreadable(&e))?;
     gw.jobs.borrow_mut().note_owner(id, &record);
-    Ok(Some((kv.revision, record)))
+    Ok(Some(FoundRecord {
+        revision: kv.revision,
+        record,
+        asked,
+    }))
 }
 
 /// All recorded results of a job, by segment.
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -4,9 +4,11 @@
 //! here it meets the store, the workers and the peers.
 
 mod accept;
+mod adopt;
 mod archive;
 mod backup;
 mod cancel;
+mod confirm;
 mod hand_over;
 mod load;
 mod own;
@@ -21,12 +23,15 @@
 use bluebellreel_kv::Key;
 use bluebellreel_net::Body;
 use bluebellreel_platform::ingress::JobCall;
+use bluebellreel_types::JobId;
 use http::Response;
+use own::OwnedJob;
 use std::rc::Rc;
 
 pub(crate) use accept::submit;
 pub(crate) use backup::{copy_progress, keep_copy};
 pub(crate) use cancel::{cancel_own, heard_cancelled};
+pub(crate) use confirm::{confirm_all, heard_owned};
 pub(crate) use hand_over::{HandOvers, take_hand_over};
 pub(crate) use own::{Jobs, KnownOwner};
 pub(crate) use read::{body_of_own, read_own};
@@ -42,6 +47,11 @@
     }
 }
 
+/// A job that this daemon takes for its own.
+fn owned_job(gw: &Gateway, id: &JobId) -> Option<Rc<OwnedJob>> {
+    gw.jobs.borrow().own.get(id).cloned()
+}
+
 /// A key of the store.
 fn key(text: &KeyText) -> Key {
     Key::from(text.as_str())
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -1,11 +1,11 @@
 //! The jobs that this daemon owns.
 
-use bluebellreel_batch::{Job, JobRecord, ProgressCopies};
+use bluebellreel_batch::{Job, JobRecord, ProgressCopies, Stamp};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, Notify, watch};
 use tokio::task::AbortHandle;
 
 use super::archive::Archive;
@@ -17,16 +17,32 @@
     pub(crate) record_due: Notify,
     /// Wakes readers.
     pub(crate) listed: Notify,
+    /// When the call was sent to which the store last said that the job is this
+    /// daemon's.
+    pub(super) word: Cell<Stamp>,
+    /// Held while the store is asked whose the job is.
+    pub(super) confirming: Mutex<()>,
 }
 
 impl OwnedJob {
-    pub(crate) fn new(job: Job) -> Rc<Self> {
+    /// A job that is this daemon's by the store's word, given to a call that was
+    /// sent at `asked`.
+    pub(super) fn new(job: Job, asked: Stamp) -> Rc<Self> {
         Rc::new(Self {
             job: RefCell::new(job),
             record_due: Notify::new(),
             listed: Notify::new(),
+            word: Cell::new(asked),
+            confirming: Mutex::new(()),
         })
     }
+
+    /// The store has said once more that the job is this daemon's.
+    pub(super) fn confirmed(&self, asked: Stamp) {
+        if asked.at > self.word.get().at {
+            self.word.set(asked);
+        }
+    }
 }
 
 /// A run of an item at a worker.
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -4,8 +4,8 @@
 //! answers. "No such job" is said only on the store's word.
 
 use super::archive::Archived;
-use super::load;
 use super::own::OwnedJob;
+use super::{confirm, load, owned_job};
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
 use bluebellreel_batch::{ItemResult, JobPhase};
@@ -22,11 +22,11 @@
 
 /// Longest that a read waits for a result.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// How much longer a read waits for results that are being written. The store
+/// answers in some 4 ms; to read the job there costs two calls.
+const SETTLE: Duration = Duration::from_millis(100);
 /// When a caller should return while a job cannot be read.
 const RETURN_AFTER: Duration = Duration::from_millis(300);
-/// Time without a good call to the store after which ownership is only
-/// believed: another daemon may have taken the jobs over meanwhile.
-const BELIEVED: Duration = Duration::from_millis(2500);
 
 fn page(total: usize, after: usize, listed: &[ItemResult]) -> Response<Body> {
     answers::json(encode_results(total, after, listed))
@@ -39,14 +39,19 @@
     after: usize,
     wait: Duration,
 ) -> Response<Body> {
-    let wait = wait.min(LONGEST_WAIT);
-    if let Some(owned) = owned(gw, id) {
-        return read_owned(gw, &owned, after, wait).await;
+    let until = Instant::now() + wait.min(LONGEST_WAIT);
+    if let Some(owned) = owned_job(gw, id) {
+        match read_owned(gw, &owned, after, until).await {
+            Ok(Some(answer)) => return answer,
+            Ok(None) => {}
+            Err(e) => return unsure(id, &e),
+        }
     }
     if let Some(archived) = gw.jobs.borrow().archive.get(id) {
         return page(archived.total, after, &archived.listed);
     }
     if let Some(owner) = owner_address(gw, id) {
+        let wait = until.saturating_duration_since(Instant::now());
         match peer_calls::results(gw, owner, id, after, wait).await {
             Ok((StatusCode::OK, body)) => return answers::json(body),
             Ok((status, _)) => {
@@ -68,9 +73,10 @@
 fn tell_owner(gw: &Rc<Gateway>, id: &JobId, owner: SocketAddr) {
     let (gw, id) = (gw.clone(), id.clone());
     tokio::task::spawn_local(async move {
-        let Ok(Some((_, record))) = load::record(&gw, &id).await else {
+        let Ok(Some(found)) = load::record(&gw, &id).await else {
             return;
         };
+        let record = found.record;
         if record.phase == JobPhase::Open && owner_address(&gw, &id) == Some(owner) {
             let told = peer_calls::hand_over(&gw, owner, &id, Vec::new()).await;
             info!(target: "jobs", job:% = id, owner:% = record.owner.entry, told:? = told; "owner told of its job");
@@ -84,13 +90,6 @@
     answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, RETURN_AFTER)
 }
 
-fn owned(gw: &Gateway, id: &JobId) -> Option<Rc<OwnedJob>> {
-    if !gw.store.has_answered_within(BELIEVED) {
-        return None;
-    }
-    gw.jobs.borrow().own.get(id).cloned()
-}
-
 /// Where the owner of a job is, if it is heard.
 pub(super) fn owner_address(gw: &Gateway, id: &JobId) -> Option<SocketAddr> {
     let jobs = gw.jobs.borrow();
@@ -107,8 +106,13 @@
     after: usize,
     wait: Duration,
 ) -> Response<Body> {
-    if let Some(owned) = owned(gw, id) {
-        return read_owned(gw, &owned, after, wait).await;
+    let until = Instant::now() + wait.min(LONGEST_WAIT);
+    if let Some(owned) = owned_job(gw, id) {
+        match read_owned(gw, &owned, after, until).await {
+            Ok(Some(answer)) => return answer,
+            Ok(None) => {}
+            Err(e) => return unsure(id, &e),
+        }
     }
     match gw.jobs.borrow().archive.get(id) {
         Some(archived) => page(archived.total, after, &archived.listed),
@@ -116,32 +120,58 @@
     }
 }
 
+/// Results of a job of ours; none if it is another daemon's now.
+///
+/// What is listed at a position stays, so results may be told from memory at any
+/// time. That nothing is listed there may be told only while the job is surely
+/// ours: another owner may have listed more, and a reader have seen it.
 async fn read_owned(
-    gw: &Gateway,
+    gw: &Rc<Gateway>,
     owned: &Rc<OwnedJob>,
     after: usize,
-    wait: Duration,
-) -> Response<Body> {
-    let until = Instant::now() + wait;
+    until: Instant,
+) -> Result<Option<Response<Body>>, KvError> {
+    wait_for_results(gw, owned, after, until).await;
+    if owned.job.borrow().listed.len() <= after {
+        let is_ours = confirm::confirm(gw, owned).await?;
+        if !is_ours || owned.job.borrow().is_writing() {
+            // Others may find in the store what is being written.
+            return Ok(None);
+        }
+    }
+    let job = owned.job.borrow();
+    Ok(Some(page(job.items.len(), after, &job.listed)))
+}
+
+/// Waits until a position is listed, or cannot be, or `until` has come; a moment
+/// longer for results that are being written.
+async fn wait_for_results(gw: &Gateway, owned: &OwnedJob, after: usize, until: Instant) {
     loop {
         let listed = owned.listed.notified();
         {
             let job = owned.job.borrow();
-            let waits = job.is_open() && job.listed.len() <= after && !gw.stopping.get();
-            if !waits || Instant::now() >= until {
-                return page(job.items.len(), after, &job.listed);
+            let is_over = !job.is_open() || gw.stopping.get() || Instant::now() >= until;
+            let settles = job.is_writing() && Instant::now() < until + SETTLE;
+            if job.listed.len() > after || (is_over && !settles) {
+                return;
             }
         }
         // A timeout shows at the top of the loop.
+        let until = if Instant::now() < until {
+            until
+        } else {
+            until + SETTLE
+        };
         let _ = timeout_at(until, listed).await;
     }
 }
 
 /// Recorded results as the store has them.
 async fn from_store(gw: &Gateway, id: &JobId) -> Result<Option<Archived>, KvError> {
-    let Some((_, record)) = load::record(gw, id).await? else {
+    let Some(found) = load::record(gw, id).await? else {
         return Ok(None);
     };
+    let record = found.record;
     let segments = load::segments(gw, id).await?;
     let archived = || Archived {
         total: record.items,
@@ -155,7 +185,7 @@
 
 /// Body of an item, wherever its job is.
 pub(super) async fn item_body(gw: &Rc<Gateway>, id: &JobId, item: &str) -> Response<Body> {
-    if let Some(owned) = owned(gw, id)
+    if let Some(owned) = owned_job(gw, id)
         && let Some(body) = owned.job.borrow().body(item)
     {
         return answers::bytes(body);
@@ -187,7 +217,7 @@
 
 /// Body of an item of a job of ours, for a peer's caller.
 pub(crate) fn body_of_own(gw: &Gateway, id: &JobId, item: &str) -> Response<Body> {
-    let body = owned(gw, id).and_then(|owned| owned.job.borrow().body(item));
+    let body = owned_job(gw, id).and_then(|owned| owned.job.borrow().body(item));
     match body {
         Some(body) => answers::bytes(body),
         None => answers::failure(StatusCode::CONFLICT, "not here"),
--- a/crates/bluebellreel_gateway/src/jobs/record.rs
+++ b/crates/bluebellreel_gateway/src/jobs/record.rs
@@ -1,5 +1,6 @@
 //! Recording results: the only way for a result to count.
 
+use super::accept::stored_record;
 use super::archive::Archived;
 use super::key;
 use super::own::OwnedJob;
@@ -83,11 +84,15 @@
 
 async fn write(gw: &Rc<Gateway>, id: &JobId, owned: &Rc<OwnedJob>, segment: &Segment) {
     let txn = txn_of(&owned.job.borrow(), segment);
+    let asked = gw.stamp();
     match gw.store.commit(&txn, Instant::now() + ROUND).await {
-        Commit::Applied { revision } => recorded(gw, id, owned, segment, revision),
+        Commit::Applied { revision } => {
+            owned.confirmed(asked);
+            recorded(gw, id, owned, segment, revision);
+        }
         Commit::Beaten(found) => match own_write(&found, &txn) {
             Some(revision) => recorded(gw, id, owned, segment, revision),
-            None => lost(gw, id, &found),
+            None => lost(gw, id, stored_record(&found, &key(&keys::record(id)))),
         },
         Commit::NotDone(reason) | Commit::Unknown(reason) => {
             warn!(target: "jobs", job:% = id, segment = segment.number, reason = reason.as_str(); "results not recorded yet");
@@ -124,15 +129,17 @@
     gw.report_due.notify_one();
 }
 
-/// Another daemon owns the job now, or it was ended.
-fn lost(gw: &Gateway, id: &JobId, found: &[KeyValue]) {
-    let record_key = key(&keys::record(id));
-    let stored = super::accept::stored_record(found, &record_key);
+/// Another daemon owns the job now, or it was ended: its record is as stored.
+pub(super) fn lost(gw: &Gateway, id: &JobId, stored: Option<(i64, JobRecord)>) {
     let mut jobs = gw.jobs.borrow_mut();
     jobs.let_go(id);
     if let Some((revision, record)) = stored {
         warn!(target: "jobs", job:% = id, owner:% = record.owner.entry, run:% = record.owner.run, phase:? = record.phase, revision; "job lost");
         jobs.note_owner(id, &record);
+        if record.owner.entry == *gw.me() && record.phase == JobPhase::Open {
+            // It has come back here, with more recorded than was remembered.
+            jobs.orphans_due.notify_one();
+        }
     } else {
         warn!(target: "jobs", job:% = id; "job lost");
     }
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -1,9 +1,11 @@
 //! Taking over jobs whose owner is gone.
 
-use super::accept::{adopt, stored_record};
+use super::accept::stored_record;
+use super::adopt::{adopt, adopt_stored};
+use super::load::FoundRecord;
 use super::{backup, key, load};
 use crate::gateway::Gateway;
-use crate::registration;
+use crate::registration::{self, EntryEnd};
 use bluebellreel_batch::{Custody, JobPhase, JobRecord, Owner, OwnerSign, custody, keys};
 use bluebellreel_kv::{Commit, Key, KvError, Txn};
 use bluebellreel_members::Presence;
@@ -111,9 +113,10 @@
 /// Takes a job over if its owner is gone and this daemon is the one to do so;
 /// whether no further look is needed soon.
 async fn take_over(gw: &Rc<Gateway>, id: &JobId) -> Result<bool, KvError> {
-    let Some((revision, record)) = load::record(gw, id).await? else {
+    let Some(found) = load::record(gw, id).await? else {
         return Ok(true);
     };
+    let record = &found.record;
     if record.phase != JobPhase::Open {
         return Ok(true);
     }
@@ -123,11 +126,10 @@
         Custody::Settled => Ok(true),
         Custody::LookAgain => Ok(false),
         Custody::Run => {
-            let job = load::job(gw, id, record, revision).await?;
-            adopt(gw, job);
+            adopt_stored(gw, id, found.record, found.revision, found.asked).await;
             Ok(true)
         }
-        Custody::TakeOver => claim(gw, id, record, revision).await,
+        Custody::TakeOver => claim(gw, id, found).await,
     }
 }
 
@@ -174,21 +176,29 @@
     is_caretaker(gw) && (found_at + LEFT_BY_HEIR).is_past(now)
 }
 
-async fn claim(
-    gw: &Rc<Gateway>,
-    id: &JobId,
-    record: JobRecord,
-    revision: i64,
-) -> Result<bool, KvError> {
-    let before = record.owner.clone();
+/// Makes this daemon the owner of a job whose owner is gone.
+///
+/// What is known of the owner may be old: a daemon that has just started has heard
+/// nobody, and one that is cut off hears nobody. An owner whose entry stands runs
+/// its jobs and answers readers from memory, so the write is guarded by the entry's
+/// end as well.
+async fn claim(gw: &Rc<Gateway>, id: &JobId, found: FoundRecord) -> Result<bool, KvError> {
+    let before = found.record.owner.clone();
+    let ended = match registration::end_of(gw, &before).await? {
+        EntryEnd::Stands => return Ok(false),
+        EntryEnd::Own => None,
+        EntryEnd::Guard(guard) => Some(guard),
+    };
     let record = JobRecord {
         owner: Owner {
             entry: gw.me().clone(),
             run: gw.run,
         },
-        ..record
+        ..found.record
     };
-    let txn = owner_txn(id, &record, revision);
+    let mut txn = owner_txn(id, &record, found.revision);
+    txn.compares.extend(ended);
+    let asked = gw.stamp();
     let taken = match gw.store.commit(&txn, Instant::now() + DECIDE).await {
         Commit::Applied { revision } => Some(revision),
         Commit::Beaten(found) => stored_record(&found, &key(&keys::record(id)))
@@ -203,7 +213,7 @@
     info!(target: "jobs", job:% = id, owner:% = before.entry, run:% = before.run, revision; "job taken over");
     let mut job = load::job(gw, id, record, revision).await?;
     backup::recall(gw, id, &mut job).await;
-    adopt(gw, job);
+    adopt(gw, job, asked);
     Ok(true)
 }
 
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod run;
 mod serve;
 mod store;
+mod suspension;
 mod ticket;
 mod unreadable;
 mod upstream;
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -5,7 +5,9 @@
 //! it again.
 
 use crate::gateway::Gateway;
-use bluebellreel_kv::{Commit, Key, KeyValue, KvError, Put, Txn};
+use crate::jobs;
+use bluebellreel_batch::{Owner, Stamp};
+use bluebellreel_kv::{Commit, Compare, Key, KeyValue, KvError, Put, Txn};
 use bluebellreel_members::MemberEntry;
 use bluebellreel_types::EntryName;
 use log::{info, warn};
@@ -30,8 +32,56 @@
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(300);
 
+fn key_of(entry: &EntryName) -> Key {
+    Key::from(format!("{MEMBERS}{entry}"))
+}
+
 fn own_key(gw: &Gateway) -> Key {
-    Key::from(format!("{MEMBERS}{}", gw.me()))
+    key_of(gw.me())
+}
+
+/// Whether a run of a daemon has ended, by the store's word.
+pub(crate) enum EntryEnd {
+    /// Its entry stands.
+    Stands,
+    /// It is an earlier run of this daemon.
+    Own,
+    /// It has ended as long as this guard holds.
+    Guard(Compare),
+}
+
+/// Asks the store whether the run of a daemon that owns a job has ended.
+pub(crate) async fn end_of(gw: &Gateway, owner: &Owner) -> Result<EntryEnd, KvError> {
+    if owner.entry == *gw.me() {
+        return Ok(EntryEnd::Own);
+    }
+    let key = key_of(&owner.entry);
+    let Some(kv) = gw.store.read(&key).await? else {
+        return Ok(EntryEnd::Guard(Compare::Absent(key)));
+    };
+    // An entry that cannot be read is not the one that run wrote.
+    let entry = serde_json::from_slice::<MemberEntry>(&kv.value);
+    if entry.is_ok_and(|entry| entry.run == owner.run) {
+        return Ok(EntryEnd::Stands);
+    }
+    Ok(EntryEnd::Guard(Compare::Unchanged(key, kv.revision)))
+}
+
+/// The store has renewed this daemon's entry by a call that was sent at `sent`.
+fn renewed(gw: &Rc<Gateway>, sent: Stamp) {
+    let mut tenure = gw.tenure.get();
+    let begins = tenure.renewed(sent, gw.stamp());
+    gw.tenure.set(tenure);
+    if begins {
+        tokio::task::spawn_local(jobs::confirm_all(gw.clone()));
+    }
+}
+
+/// This daemon's entry has gone, or its lease is not known to run on.
+pub(crate) fn interrupted(gw: &Gateway) {
+    let mut tenure = gw.tenure.get();
+    tenure.interrupt();
+    gw.tenure.set(tenure);
 }
 
 /// Keeps this daemon's entry in the store until it stops.
@@ -54,9 +104,11 @@
 async fn renew_while_it_lasts(gw: &Rc<Gateway>, lease: i64) {
     while gw.lease.get() == lease && !gw.stopping.get() {
         sleep(RENEWAL).await;
+        let sent = gw.stamp();
         match gw.store.renew(lease).await {
-            Ok(true) => {}
+            Ok(true) => renewed(gw, sent),
             Ok(false) => {
+                interrupted(gw);
                 warn!(target: "members", lease; "lease has ended");
                 return;
             }
@@ -83,8 +135,12 @@
         }],
         ..Txn::default()
     };
+    let sent = gw.stamp();
     match gw.store.commit(&txn, Instant::now() + ttl).await {
-        Commit::Applied { .. } => Ok(lease.id),
+        Commit::Applied { .. } => {
+            renewed(gw, sent);
+            Ok(lease.id)
+        }
         Commit::Beaten(_) => Err(KvError::NotDone("guard failed".into())),
         Commit::NotDone(reason) => Err(KvError::NotDone(reason)),
         Commit::Unknown(reason) => Err(KvError::Unknown(reason)),
@@ -97,6 +153,7 @@
     if lease == 0 {
         return;
     }
+    interrupted(gw);
     if let Err(e) = gw.store.release(lease).await {
         warn!(target: "members", lease, error:% = e; "lease not given back");
     }
@@ -127,6 +184,7 @@
     if !all.iter().any(|kv| kv.key == own_key(gw)) && gw.lease.get() != 0 {
         warn!(target: "members", revision; "own entry has vanished, registering again");
         gw.lease.set(0);
+        interrupted(gw);
     }
     let list = all.iter().filter_map(|kv| read_member(gw, kv)).collect();
     gw.members.borrow_mut().listed(list, revision);
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -187,6 +187,7 @@
             run: report.run,
         };
         gw.jobs.borrow_mut().reported(job, owner);
+        crate::jobs::heard_owned(gw, job);
     }
     let revisions = report.revisions;
     note_peer(gw, report, reads_briefs, now);
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -159,6 +159,11 @@
     gw.workers.sweep();
     gw.peers.sweep();
     gw.members.borrow_mut().sweep(now);
+    let isolated = !gw.members.borrow().hears_most(now);
+    if gw.isolated.replace(isolated) && !isolated {
+        // Peers may have taken jobs over unheard.
+        registration::interrupted(gw);
+    }
     if gw.members.borrow_mut().has_lost_peer(now) {
         gw.jobs.borrow().orphans_due.notify_one();
     }
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -139,12 +139,6 @@
             .unwrap_or_else(|| self.started.elapsed())
     }
 
-    /// Whether any call has succeeded in the last `span`.
-    pub(crate) fn has_answered_within(&self, span: Duration) -> bool {
-        let answered = self.answered_at.get();
-        answered.is_some_and(|at| at.elapsed() <= span)
-    }
-
     /// Makes a call by the way that is likely to succeed.
     async fn call(&self, req: Request<Bytes>, longest: Duration) -> StoreAnswer {
         let by_peer = self.is_lost();
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -46,6 +46,16 @@
             .any(|(_, p)| u64::from(p.served_s) >= span.as_secs())
     }
 
+    /// Whether at least half of all daemons that should be there are heard. One
+    /// that hears fewer is rather cut off than the only one left.
+    #[must_use]
+    pub fn hears_most(&self, now: Moment) -> bool {
+        let heard = self.heard(now).count();
+        let silent = self.peers.values().filter(|p| !p.is_heard(now));
+        let missed = silent.filter(|p| p.registered && !p.stopping).count();
+        heard + 1 >= missed
+    }
+
     /// Age of the oldest report that is still counted.
     #[must_use]
     pub fn oldest_report(&self, now: Moment) -> Duration {
@@ -59,8 +69,9 @@
         self.heard(now).any(|(_, p)| p.jobs.contains(job))
     }
 
-    /// What is known of a run of a daemon. One that has been silent for long
-    /// counts as gone though its entry stands: nobody can reach it.
+    /// What is known of a run of a daemon. One whose entry stands may only be cut
+    /// off from its peers, however long it has been silent: its jobs cannot be
+    /// taken over until its entry ends, and a look at each of them would be in vain.
     #[must_use]
     pub fn presence(&self, name: &EntryName, run: Incarnation, now: Moment) -> Presence {
         let Some(peer) = self.peers.get(name).filter(|p| p.run == run) else {
@@ -68,7 +79,7 @@
         };
         if peer.is_heard(now) {
             Presence::Heard
-        } else if peer.registered && peer.heard_within(LONG_SILENT, now) {
+        } else if peer.registered {
             Presence::Silent
         } else {
             Presence::Gone
--- a/crates/bluebellreel_members/src/peer.rs
+++ b/crates/bluebellreel_members/src/peer.rs
@@ -9,8 +9,7 @@
 /// Silence after which a peer no longer counts as alive. It reports four times
 /// a second; a few reports are lost now and then.
 pub const SILENT: Duration = Duration::from_millis(1500);
-/// Silence after which a peer whose entry in the store still stands counts as
-/// gone: its entry cannot be seen to end while the store is away.
+/// Silence after which a peer whose entry in the store has ended is forgotten.
 pub const LONG_SILENT: Duration = Duration::from_secs(8);
 
 /// How far some daemon's knowledge of the store goes.
--- a/crates/bluebellreel_model/tests/guards.rs
+++ b/crates/bluebellreel_model/tests/guards.rs
@@ -1,6 +1,6 @@
 //! All states hold with all guards; without one of them the checker finds why.
 
-use bluebellreel_model::{Explored, call, ownership, restart, segments, snapshot};
+use bluebellreel_model::{Explored, call, ownership, restart, segments, snapshot, tenure};
 
 fn holds(name: &str, explored: &Explored) {
     println!("{name}: {} states", explored.states);
@@ -21,6 +21,10 @@
     holds("segments", &segments::explore(segments::Guards::all()));
     holds("snapshot", &snapshot::explore(snapshot::Guards::all()));
     holds("restart", &restart::explore(restart::Guards::all()));
+    for answered in [true, false] {
+        let explored = tenure::explore(answered, tenure::Guards::all());
+        holds("tenure", &explored);
+    }
 }
 
 /// An owner is paused, another takes its job over and records. The first one's
@@ -214,3 +218,73 @@
         "of a request that ran",
     );
 }
+
+/// What a reader is told that must not be.
+const TAKEN_BACK: &str = "a result that was read is not there";
+
+/// An owner is cut off while its heir lists results. When it reaches the store
+/// again it tells readers what it remembers.
+#[test]
+fn without_tenure_an_owner_that_was_cut_off_takes_results_back() {
+    let guards = tenure::Guards {
+        tenure: false,
+        ..tenure::Guards::all()
+    };
+    found("no tenure", &tenure::explore(true, guards), TAKEN_BACK);
+}
+
+/// An owner's VM is suspended until its entry has ended and its heir has listed
+/// results. By its steady clock no time has passed.
+#[test]
+fn without_time_suspended_an_owner_takes_results_back() {
+    let guards = tenure::Guards {
+        suspension: false,
+        ..tenure::Guards::all()
+    };
+    found("no suspension", &tenure::explore(true, guards), TAKEN_BACK);
+}
+
+/// An acceptance is decided after the job has been taken over, listed and handed
+/// back. It begins with nothing listed.
+#[test]
+fn without_reading_back_an_acceptance_in_doubt_takes_results_back() {
+    let guards = tenure::Guards {
+        read_back: false,
+        ..tenure::Guards::all()
+    };
+    found("no read-back", &tenure::explore(false, guards), TAKEN_BACK);
+}
+
+/// The answer to a hand-over is lost, or the job is still being read for another
+/// reason when it goes. The former owner goes by its memory while the new one lists
+/// results.
+#[test]
+fn a_stopping_owner_that_is_sure_takes_results_back() {
+    let guards = tenure::Guards {
+        stopping: false,
+        ..tenure::Guards::all()
+    };
+    found("no stopping", &tenure::explore(true, guards), TAKEN_BACK);
+}
+
+/// An owner is silent to its peer, and its entry stands. Taken over all the same,
+/// its job is told of by two.
+#[test]
+fn without_the_entrys_end_two_owners_answer_readers() {
+    let guards = tenure::Guards {
+        entry: false,
+        ..tenure::Guards::all()
+    };
+    found("no entry", &tenure::explore(true, guards), TAKEN_BACK);
+}
+
+/// The answer to an owner's write is lost. A reader finds the result in the store,
+/// and the next one is told by the owner that there is none.
+#[test]
+fn without_heeding_a_write_in_doubt_an_owner_takes_results_back() {
+    let guards = tenure::Guards {
+        writing: false,
+        ..tenure::Guards::all()
+    };
+    found("no writing", &tenure::explore(true, guards), TAKEN_BACK);
+}
