Items that failed go to other workers; an item's 500 may speak against its worker

Cause: a 500 to an item counted against the item only, and a worker that fails at once has the most free slots: it got the next try as well, and after three a healthy item was given up for good. An online 500 counted against the worker only if the request could be sent on. Ruled out: a doubt for each 500 to an item: an item that fails everywhere would set three healthy workers aside. It counts only where no run of ours gives events at that worker (0.5 s). Change: place_batch avoids workers where the item has failed while another one is trusted, proven ones first; failed_item; online 500s always count.

--- a/crates/bluebellreel_batch/src/job.rs
+++ b/crates/bluebellreel_batch/src/job.rs
@@ -1,7 +1,7 @@
 //! One job as its owner knows it.
 
 use crate::{ItemResult, JobPhase, JobRecord, NewItem, Progress, ResultState};
-use bluebellreel_types::{JobId, Moment};
+use bluebellreel_types::{JobId, Moment, WorkerName};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +33,8 @@
     pub progress: Progress,
     /// Its runs that failed by its own fault.
     pub failures: u32,
+    /// Workers where it has failed, as far as this daemon knows.
+    pub failed_at: Vec<WorkerName>,
 }
 
 /// How a run of an item ended.
@@ -94,6 +96,7 @@
             phase: ItemPhase::Waiting { from: Moment(0) },
             progress: Progress::default(),
             failures: 0,
+            failed_at: Vec::new(),
         });
         let mut job = Self {
             id,
--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -8,6 +8,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+/// Time after an event of a run of ours for which its worker counts as well.
+/// Events of one run come some 30 ms apart, and most workers run few of ours.
+const WELL: Duration = Duration::from_millis(500);
+
 /// Bounds of placement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlacementLimits {
@@ -275,6 +279,18 @@
         }
     }
 
+    /// A worker has failed at a batch item.
+    ///
+    /// The fault may be the item's, which then fails everywhere. It speaks against
+    /// the worker only if no run of ours there gives events meanwhile.
+    pub fn failed_item(&mut self, ticket: &Ticket, now: Moment) {
+        if let Some(seat) = self.seat_of(ticket)
+            && (seat.heard_at + WELL).is_past(now)
+        {
+            seat.doubt.failed(now);
+        }
+    }
+
     /// Takes a peer's word over, unless a newer one is known.
     pub fn hear(&mut self, peer: &EntryName, load: PeerLoad) {
         let known = self.peers.get(peer).map_or(0, |p| p.sequence);
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -16,7 +16,7 @@
 pub struct Query<'a> {
     /// The service.
     pub service: &'a str,
-    /// Workers that this request has tried.
+    /// Workers that this request has tried; for batch, where the item has failed.
     pub avoid: &'a [WorkerName],
     /// How long it may wait in line and still be served in time; of no account
     /// for batch.
@@ -178,19 +178,66 @@
 /// then crosses data centres only where its own has no slot for it. And some
 /// slots are left free, so that online arrivals find one without making
 /// an item yield; see [`crate::PlacementLimits::reserve_percent`].
+///
+/// An item that has failed goes to a worker where it has not, whoever the slot
+/// belongs to: see [`place_failed_item`].
 #[must_use]
 pub fn place_batch(board: &Board, query: &Query, me: &EntryName) -> Option<WorkerName> {
-    let ours: Vec<&Seat> = board
+    let trusted = board
         .takers(query.service)
-        .filter(|s| s.doubt.takes(query.now) && is_first(board, me, &s.record))
-        .collect();
+        .filter(|s| s.doubt.takes(query.now));
+    let (ours, others): (Vec<&Seat>, Vec<&Seat>) =
+        trusted.partition(|s| is_first(board, me, &s.record));
     let free: u32 = ours.iter().map(|s| s.free()).sum();
     let online: u32 = ours.iter().map(|s| s.running().online).sum();
     let reserve = (online * board.limits.reserve_percent).div_ceil(100);
+    if !query.avoid.is_empty() {
+        return place_failed_item(board, query, &ours, &others);
+    }
     if free <= reserve {
         return None;
     }
-    ours.into_iter()
+    best_for_batch(board, query, &ours)
+}
+
+/// Time after an event of a run of ours for which its worker counts as one that
+/// does its work: the time of some seventy events, and long enough to know several
+/// workers from the ten or so runs that a daemon has.
+const PROVEN: Duration = Duration::from_secs(2);
+
+/// Chooses a worker for an item that has failed at others.
+///
+/// A worker that fails at once whatever it is sent has the most free slots, and
+/// would get the item's next try as well: where three in ten workers did so, two
+/// items in five were given up though nothing was wrong with them. So no worker
+/// gets an item twice while another one is trusted, and one whose runs here give
+/// events goes first.
+fn place_failed_item(
+    board: &Board,
+    query: &Query,
+    ours: &[&Seat],
+    others: &[&Seat],
+) -> Option<WorkerName> {
+    let (mine, theirs) = (untried(ours, query), untried(others, query));
+    if mine.is_empty() && theirs.is_empty() {
+        return best_for_batch(board, query, ours);
+    }
+    let is_proven = |s: &&Seat| !(s.heard_at + PROVEN).is_past(query.now);
+    let both = mine.iter().chain(&theirs).copied();
+    let proven: Vec<&Seat> = both.filter(is_proven).collect();
+    [&proven, &mine, &theirs]
+        .into_iter()
+        .find_map(|seats| best_for_batch(board, query, seats))
+}
+
+fn untried<'a>(seats: &[&'a Seat], query: &Query) -> Vec<&'a Seat> {
+    let is_untried = |s: &&Seat| !query.avoid.contains(&s.record.id);
+    seats.iter().copied().filter(is_untried).collect()
+}
+
+fn best_for_batch(board: &Board, query: &Query, seats: &[&Seat]) -> Option<WorkerName> {
+    seats
+        .iter()
         .filter(|s| s.free() > 0)
         .max_by_key(|s| {
             let quick = !is_slow(board, s, query.now);
--- a/crates/bluebellreel_dispatch/tests/placement.rs
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -456,3 +456,55 @@
     peer(&mut board, "entry-2", 2, 0, &[]);
     assert_eq!(place(&board), Some(name(1)), "it has no items any more");
 }
+
+/// A worker fails at everything at once, so all its slots are free. An item that
+/// failed there was sent there again, and was given up after three tries though
+/// nothing was wrong with it.
+#[test]
+fn an_item_that_failed_goes_to_another_worker() {
+    let mut board = board(4);
+    start(&mut board, 2, Class::Online, SLOTS - 1);
+    let avoid = [name(0)];
+    let first = place_batch(&board, &query(&[]), &me());
+    assert_eq!(first, Some(name(0)), "the emptiest nearby");
+    let next = place_batch(&board, &query(&avoid), &me());
+    assert_eq!(next, Some(name(2)), "another one nearby");
+    // One whose runs give events goes before those that nothing is known of.
+    let known = board.start(&name(3), Class::Online);
+    board.succeeded(&known, NOW);
+    let next = place_batch(&board, &query(&avoid), &me());
+    assert_eq!(next, Some(name(3)));
+    // Where it has failed at all of them, it is tried once more at one.
+    let all: Vec<_> = (0..4).map(name).collect();
+    assert_eq!(place_batch(&board, &query(&all), &me()), Some(name(0)));
+}
+
+/// The slots of the workers where an item has not failed belong to peers, as these
+/// have items waiting too. It must not wait for a worker of its own for ever.
+#[test]
+fn an_item_that_failed_may_take_a_peers_slot() {
+    let mut board = board(8);
+    peer(&mut board, "entry-2", 1, 3, &[]);
+    let mine: Vec<_> = {
+        let is_mine = |n: &usize| {
+            let others: Vec<_> = (0..8).filter(|m| m != n).map(name).collect();
+            place_batch(&board, &query(&others), &me()) == Some(name(*n))
+        };
+        (0..8).filter(is_mine).map(name).collect()
+    };
+    assert!(place_batch(&board, &query(&mine), &me()).is_some());
+}
+
+/// An item that fails everywhere goes round the workers. Those whose other runs
+/// give events are well; each would be set aside for it.
+#[test]
+fn a_bad_item_sets_no_worker_aside_that_does_its_work() {
+    let mut board = board(2);
+    let (well, silent) = (board.start(&name(0), Class::Batch), ticket(name(1)));
+    board.succeeded(&well, NOW);
+    board.failed_item(&well, NOW);
+    board.failed_item(&silent, NOW);
+    let takes = |n: usize| board.seat(&name(n)).is_some_and(|s| s.doubt.takes(NOW));
+    assert!(takes(0));
+    assert!(!takes(1));
+}
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -40,12 +40,8 @@
     wait: Duration,
 ) -> Response<Body> {
     let until = Instant::now() + wait.min(LONGEST_WAIT);
-    if let Some(owned) = owned_job(gw, id) {
-        match read_owned(gw, &owned, after, until).await {
-            Ok(Some(answer)) => return answer,
-            Ok(None) => {}
-            Err(e) => return unsure(id, &e),
-        }
+    if let Some(answer) = read_here(gw, id, after, until).await {
+        return answer;
     }
     if let Some(archived) = gw.jobs.borrow().archive.get(id) {
         return page(archived.total, after, &archived.listed);
@@ -107,12 +103,8 @@
     wait: Duration,
 ) -> Response<Body> {
     let until = Instant::now() + wait.min(LONGEST_WAIT);
-    if let Some(owned) = owned_job(gw, id) {
-        match read_owned(gw, &owned, after, until).await {
-            Ok(Some(answer)) => return answer,
-            Ok(None) => {}
-            Err(e) => return unsure(id, &e),
-        }
+    if let Some(answer) = read_here(gw, id, after, until).await {
+        return answer;
     }
     match gw.jobs.borrow().archive.get(id) {
         Some(archived) => page(archived.total, after, &archived.listed),
@@ -120,6 +112,18 @@
     }
 }
 
+/// The answer to a reader, if the job is this daemon's or that cannot be told.
+async fn read_here(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    after: usize,
+    until: Instant,
+) -> Option<Response<Body>> {
+    let owned = owned_job(gw, id)?;
+    let read = read_owned(gw, &owned, after, until).await;
+    read.unwrap_or_else(|e| Some(unsure(id, &e)))
+}
+
 /// Results of a job of ours; none if it is another daemon's now.
 ///
 /// What is listed at a position stays, so results may be told from memory at any
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -47,9 +47,10 @@
 fn fill_slots(gw: &Rc<Gateway>) {
     let mut full: BTreeSet<Arc<str>> = BTreeSet::new();
     while let Some(next) = choose_item(gw, &full) {
+        let avoid = next.owned.job.borrow().items[next.item].failed_at.clone();
         let query = Query {
             service: &next.service,
-            avoid: &[],
+            avoid: &avoid,
             patience: Duration::ZERO,
             salt: 0,
             now: gw.now(),
@@ -57,6 +58,13 @@
         let worker = place_batch(&gw.board.borrow(), &query, gw.me());
         match worker {
             Some(worker) => start(gw, next, &worker),
+            None if !avoid.is_empty() => {
+                // Others may start where it has failed: it holds none of them up.
+                let later = ItemPhase::Waiting {
+                    from: gw.now() + REST,
+                };
+                next.owned.job.borrow_mut().items[next.item].phase = later;
+            }
             None => {
                 full.insert(next.service.clone());
             }
@@ -163,6 +171,9 @@
     gw.metrics.item(outcome);
     let mut job = next.owned.job.borrow_mut();
     info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, events = job.items[next.item].progress.events(), outcome; "item run ended");
+    if end == ItemEnd::Failed {
+        job.items[next.item].failed_at.push(worker);
+    }
     job.end_run(next.item, end, next.route.max_workers, now);
     drop(job);
     next.owned.record_due.notify_one();
@@ -217,7 +228,10 @@
     warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = upstream.place.worker(), status = status.as_u16(); "item not done");
     match status {
         StatusCode::UNPROCESSABLE_ENTITY => ItemEnd::Impossible,
-        StatusCode::INTERNAL_SERVER_ERROR => ItemEnd::Failed,
+        StatusCode::INTERNAL_SERVER_ERROR => {
+            upstream.place.failed_item();
+            ItemEnd::Failed
+        }
         _ => rest(gw),
     }
 }
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -224,9 +224,13 @@
     let status = upstream.head.status;
     let failed = status.is_server_error();
     req.runs += 1;
-    if failed && req.route.repeatable() && req.may_repeat() {
+    if failed {
+        // Also where the request cannot be sent on: the next one would meet the
+        // same worker, which looks emptiest as it fails at once.
         upstream.place.failed();
-        return Err(req);
+        if req.route.repeatable() && req.may_repeat() {
+            return Err(req);
+        }
     }
     if req.route.kind == RouteKind::Stream && status.is_success() {
         return Ok(stream(gw, req, upstream));
--- a/crates/bluebellreel_gateway/src/ticket.rs
+++ b/crates/bluebellreel_gateway/src/ticket.rs
@@ -46,6 +46,12 @@
         let now = self.gw.now();
         self.gw.board.borrow_mut().failed(&self.ticket, now);
     }
+
+    /// The worker has failed at a batch item.
+    pub(crate) fn failed_item(&self) {
+        let now = self.gw.now();
+        self.gw.board.borrow_mut().failed_item(&self.ticket, now);
+    }
 }
 
 impl Drop for Place {
