A peer that does not know who has left says so, and all workers are taken over

Cause: a gateway that has just started lists the workers and knows of none that left before. A peer that was a moment behind took its facts for all that had happened and kept such a worker for good. Ruled out: a watch that missed it (57 knew within 0.15 s); the resets at 10.5 s; load. Change: a catalog knows after which revision it knows removals; a question from before that is answered 409, and asked again for all workers, which replace what was known. Keepers likewise. A gateway that was cut off from most peers lists again once it hears them, as those that knew may be gone.

--- a/crates/bluebellreel_dispatch/src/catalog.rs
+++ b/crates/bluebellreel_dispatch/src/catalog.rs
@@ -81,6 +81,9 @@
 pub struct Catalog {
     entries: BTreeMap<WorkerName, Entry>,
     revision: i64,
+    /// Revision after which every removal is known. A list shows who is there,
+    /// and not who has left before it.
+    removals_after: i64,
 }
 
 /// Removed entries that are remembered, so that an older fact does not bring a
@@ -137,6 +140,41 @@
         before.is_some_and(|b| b.record.is_some())
     }
 
+    /// Takes over what a peer knows, whose knowledge is complete up to a revision:
+    /// all of it if `whole`, else what has changed after what is known here.
+    /// Whether anything was news.
+    pub fn learn(
+        &mut self,
+        complete_to: i64,
+        facts: Vec<(i64, WorkerName, Option<WorkerRecord>)>,
+        whole: bool,
+    ) -> bool {
+        if whole {
+            return self.replace(complete_to, facts, None);
+        }
+        if self.revision == 0 {
+            self.removals_after = complete_to;
+        }
+        let mut changed = false;
+        for (revision, id, record) in facts {
+            changed |= self.take(revision, &id, record);
+        }
+        self.seen_to(complete_to);
+        changed
+    }
+
+    /// Whether [`Catalog::facts_after`] a revision brings somebody who knows all up
+    /// to there up to date. One who knows nothing has nobody to forget.
+    ///
+    /// Guard: a daemon that has just started knows of no worker that left before it
+    /// read the list. A peer that was a moment behind, and took its facts for all
+    /// that had happened, kept such a worker for good and sent it work until it was
+    /// gone.
+    #[must_use]
+    pub fn tells_all_after(&self, revision: i64) -> bool {
+        revision == 0 || revision >= self.removals_after
+    }
+
     /// All changes up to this revision are known.
     pub fn seen_to(&mut self, revision: i64) {
         self.revision = self.revision.max(revision);
@@ -158,6 +196,7 @@
         if revision < self.revision {
             return false;
         }
+        self.removals_after = revision;
         let mut changed = false;
         let listed: BTreeSet<WorkerName> = list.iter().map(|(_, id, _)| id.clone()).collect();
         for (at, id, record) in list {
@@ -251,9 +290,10 @@
             .iter()
             .filter(|(_, e)| e.record.is_none())
             .min_by_key(|(_, e)| e.revision)
-            .map(|(id, _)| id.clone());
-        if let Some(id) = oldest {
+            .map(|(id, e)| (id.clone(), e.revision));
+        if let Some((id, revision)) = oldest {
             self.entries.remove(&id);
+            self.removals_after = self.removals_after.max(revision);
         }
     }
 }
--- a/crates/bluebellreel_dispatch/tests/catalog.rs
+++ b/crates/bluebellreel_dispatch/tests/catalog.rs
@@ -131,3 +131,87 @@
         prop_assert_eq!(all(&straight), all(&shuffled));
     }
 }
+
+/// A worker leaves, and a daemon starts after that: its list does not show who has
+/// left. A peer that was a moment behind took over what it knows, believed that this
+/// was all, and sent work to the worker that had left for as long as it ran.
+#[test]
+fn who_has_left_before_a_list_is_not_told_by_its_reader() {
+    let mut behind = Catalog::default();
+    behind.replace(5, vec![ready(3, "a"), ready(4, "b")], None);
+    let mut new = Catalog::default();
+    new.replace(9, vec![ready(4, "b"), ready(8, "c")], None);
+    assert!(!new.tells_all_after(behind.revision()));
+    assert!(
+        new.tells_all_after(9),
+        "from its list on it knows who leaves"
+    );
+    assert!(new.tells_all_after(0), "one who knows nothing");
+    let all: Vec<_> = new
+        .facts_after(0)
+        .map(|(revision, id, record)| (revision, id.clone(), record.cloned()))
+        .collect();
+    assert!(behind.learn(new.revision(), all, true));
+    assert_eq!(listed(&behind), ["b", "c"]);
+}
+
+proptest! {
+    /// Daemons list, watch and learn from each other in any order: whoever knows all
+    /// up to a revision lists just the workers that the store had there.
+    #[test]
+    fn knowledge_that_counts_as_complete_is_complete(
+        steps in prop::collection::vec((0u8..4, 0usize..3, 0usize..3), 1..60),
+    ) {
+        let ids = ["a", "b", "c"];
+        // What the store held after each revision.
+        let mut history: Vec<Vec<String>> = vec![Vec::new()];
+        let mut changes: Vec<(i64, usize, bool)> = Vec::new();
+        let mut daemons = [Catalog::default(), Catalog::default(), Catalog::default()];
+        for (kind, who, which) in steps {
+            let revision = i64::try_from(history.len()).expect("few steps") - 1;
+            match kind {
+                0 => {
+                    let mut now = history.last().cloned().unwrap_or_default();
+                    let id = ids[which].to_owned();
+                    let is_there = now.contains(&id);
+                    if is_there { now.retain(|w| *w != id) } else { now.push(id) }
+                    now.sort();
+                    history.push(now);
+                    changes.push((revision + 1, which, !is_there));
+                }
+                1 => {
+                    // It starts, and reads the list.
+                    let now = history.last().cloned().unwrap_or_default();
+                    let since = |id: &str| changes.iter().rev().find(|c| ids[c.1] == id).map_or(0, |c| c.0);
+                    let list = now.iter().map(|id| ready(since(id), id)).collect();
+                    daemons[who] = Catalog::default();
+                    daemons[who].replace(revision, list, None);
+                }
+                2 if daemons[who].revision() > 0 => {
+                    // Its watch brings what has changed.
+                    let seen = daemons[who].revision();
+                    for (at, which, is_there) in changes.iter().filter(|c| c.0 > seen) {
+                        let record = is_there.then(|| worker(ids[*which], WorkerState::Ready));
+                        daemons[who].take(*at, &WorkerName::from(ids[*which]), record);
+                    }
+                    daemons[who].seen_to(revision);
+                }
+                _ => {
+                    let seen = daemons[who].revision();
+                    let peer = daemons[which].clone();
+                    let whole = !peer.tells_all_after(seen);
+                    let after = if whole { 0 } else { seen };
+                    let facts: Vec<_> = peer
+                        .facts_after(after)
+                        .map(|(revision, id, record)| (revision, id.clone(), record.cloned()))
+                        .collect();
+                    daemons[who].learn(peer.revision(), facts, whole);
+                }
+            }
+            for daemon in &daemons {
+                let at = usize::try_from(daemon.revision()).expect("not negative");
+                prop_assert_eq!(&listed(daemon), &history[at]);
+            }
+        }
+    }
+}
--- a/crates/bluebellreel_dispatch/tests/placement.rs
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -471,9 +471,13 @@
     assert_eq!(next, Some(name(2)), "another one nearby");
     // One whose runs give events goes before those that nothing is known of.
     let known = board.start(&name(3), Class::Online);
-    board.succeeded(&known, NOW);
-    let next = place_batch(&board, &query(&avoid), &me());
-    assert_eq!(next, Some(name(3)));
+    let later = NOW + Duration::from_hours(1);
+    board.succeeded(&known, later);
+    let now = Query {
+        now: later,
+        ..query(&avoid)
+    };
+    assert_eq!(place_batch(&board, &now, &me()), Some(name(3)));
     // Where it has failed at all of them, it is tried once more at one.
     let all: Vec<_> = (0..4).map(name).collect();
     assert_eq!(place_batch(&board, &query(&all), &me()), Some(name(0)));
@@ -501,10 +505,11 @@
 fn a_bad_item_sets_no_worker_aside_that_does_its_work() {
     let mut board = board(2);
     let (well, silent) = (board.start(&name(0), Class::Batch), ticket(name(1)));
-    board.succeeded(&well, NOW);
-    board.failed_item(&well, NOW);
-    board.failed_item(&silent, NOW);
-    let takes = |n: usize| board.seat(&name(n)).is_some_and(|s| s.doubt.takes(NOW));
+    let later = NOW + Duration::from_hours(1);
+    board.succeeded(&well, later);
+    board.failed_item(&well, later);
+    board.failed_item(&silent, later);
+    let takes = |n: usize| board.seat(&name(n)).is_some_and(|s| s.doubt.takes(later));
     assert!(takes(0));
     assert!(!takes(1));
 }
--- a/crates/bluebellreel_gateway/src/facts.rs
+++ b/crates/bluebellreel_gateway/src/facts.rs
@@ -126,9 +126,16 @@
             workers_seen: self.catalog.revision(),
             workers: workers.collect(),
             believed_for: self.believed_until.map(|until| until.since(now)),
+            whole: false,
         }
     }
 
+    /// Whether what is shared with a peer that knows all up to `seen` is all that
+    /// it lacks.
+    pub(crate) fn tells_all_after(&self, seen: Revisions) -> bool {
+        self.catalog.tells_all_after(seen.workers)
+    }
+
     /// Notes how long facts may be believed that are about to be taken over.
     /// What the store has said is not made less sure by what a snapshot adds.
     fn believe(&mut self, believed_for: Option<Duration>, now: Moment) {
@@ -177,11 +184,9 @@
         if let Some((revision, text)) = shared.configuration {
             self.configure(revision, &text, source, now);
         }
-        let mut changed = false;
-        for (revision, id, record) in shared.workers {
-            changed |= self.catalog.take(revision, &id, record);
-        }
-        self.catalog.seen_to(shared.workers_seen);
+        let changed = self
+            .catalog
+            .learn(shared.workers_seen, shared.workers, shared.whole);
         self.operator_seen = self.operator_seen.max(shared.operator_seen);
         changed
     }
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -66,6 +66,8 @@
     pub(crate) tenure: Cell<Tenure>,
     /// Set while few peers are heard.
     pub(crate) isolated: Cell<bool>,
+    /// Times that this daemon was cut off from most peers and hears them again.
+    pub(crate) rejoined: Cell<u64>,
     /// Set from SIGTERM on.
     pub(crate) stopping: Cell<bool>,
     /// Set once a new request could not end before the process does.
@@ -119,6 +121,7 @@
             lease: Cell::new(0),
             tenure: Cell::default(),
             isolated: Cell::new(false),
+            rejoined: Cell::new(0),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
             ended: Cell::new(false),
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -84,7 +84,11 @@
         configuration: revision("configuration"),
         workers: revision("workers"),
     };
-    match postcard::to_allocvec(&gw.facts.borrow().share(seen, gw.now())) {
+    let facts = gw.facts.borrow();
+    if !facts.tells_all_after(seen) {
+        return answers::failure(StatusCode::CONFLICT, "ask for all");
+    }
+    match postcard::to_allocvec(&facts.share(seen, gw.now())) {
         Ok(bytes) => answers::bytes(bytes),
         Err(e) => answers::failure(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
     }
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -26,21 +26,39 @@
     bluebellreel_net::call(&gw.peers, to, method, path, body, longest).await
 }
 
-/// What a peer knows beyond `seen`.
+/// What a peer knows beyond `seen`; all that it knows of workers if it does not
+/// know who has left since.
 pub(crate) async fn facts(
     gw: &Gateway,
     to: SocketAddr,
     seen: Revisions,
 ) -> Result<SharedFacts, PeerError> {
+    if let Some(facts) = facts_after(gw, to, seen).await? {
+        return Ok(facts);
+    }
+    let all = Revisions { workers: 0, ..seen };
+    let facts = facts_after(gw, to, all).await?;
+    let facts = facts.ok_or("asked for all in vain")?;
+    Ok(SharedFacts {
+        whole: true,
+        ..facts
+    })
+}
+
+async fn facts_after(
+    gw: &Gateway,
+    to: SocketAddr,
+    seen: Revisions,
+) -> Result<Option<SharedFacts>, PeerError> {
     let path = format!(
         "/facts?configuration={}&workers={}",
         seen.configuration, seen.workers
     );
-    let (status, body) = call(gw, to, Method::GET, &path, Bytes::new(), TIMEOUT).await?;
-    if status != StatusCode::OK {
-        return Err(format!("status {status}"));
+    match call(gw, to, Method::GET, &path, Bytes::new(), TIMEOUT).await? {
+        (StatusCode::OK, body) => postcard::from_bytes(&body).map_err(|e| e.to_string()),
+        (StatusCode::CONFLICT, _) => Ok(None),
+        (status, _) => Err(format!("status {status}")),
     }
-    postcard::from_bytes(&body).map_err(|e| e.to_string())
 }
 
 /// Results of a job that the peer owns, in the form that callers get.
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -161,8 +161,9 @@
     gw.members.borrow_mut().sweep(now);
     let isolated = !gw.members.borrow().hears_most(now);
     if gw.isolated.replace(isolated) && !isolated {
-        // Peers may have taken jobs over unheard.
+        // Peers may have taken jobs over unheard, and workers have left.
         registration::interrupted(gw);
+        gw.rejoined.set(gw.rejoined.get() + 1);
     }
     if gw.members.borrow_mut().has_lost_peer(now) {
         gw.jobs.borrow().orphans_due.notify_one();
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -223,12 +223,17 @@
     let failing = Cell::new(None::<Moment>);
     let behind = Cell::new(None::<Moment>);
     let mut must_list = true;
+    let mut rejoined = 0;
     loop {
+        // Guard: workers may have left while this daemon was cut off. The peers that
+        // knew may have gone as well, and those that started since do not know.
+        let relist = gw.rejoined.get() != std::mem::replace(&mut rejoined, gw.rejoined.get());
+        must_list |= relist;
         // What a snapshot says is to be confirmed by the store, by each daemon
         // itself: its peers may have nothing that it lacks, and say nothing.
         let by_store = !gw.facts.borrow().is_from_snapshot();
         let known = by_store && (subject.seen)(gw) > 0;
-        if known && !is_watcher(gw) && !is_left_behind(gw, &behind) {
+        if known && !relist && !is_watcher(gw) && !is_left_behind(gw, &behind) {
             // What a peer brings meanwhile is complete up to its revision.
             must_list = false;
             sleep(LOOK).await;
--- a/crates/bluebellreel_keeper/src/calls.rs
+++ b/crates/bluebellreel_keeper/src/calls.rs
@@ -18,9 +18,14 @@
     path: &str,
     body: Bytes,
 ) -> Result<Bytes, CallError> {
-    match bluebellreel_net::call(pool, to, method, path, body, TIMEOUT).await? {
-        (StatusCode::OK, body) => Ok(body),
-        (status, _) => Err(format!("status {status}")),
+    let answer = bluebellreel_net::call(pool, to, method, path, body, TIMEOUT).await?;
+    good(answer)
+}
+
+fn good((status, body): (StatusCode, Bytes)) -> Result<Bytes, CallError> {
+    match status {
+        StatusCode::OK => Ok(body),
+        status => Err(format!("status {status}")),
     }
 }
 
@@ -47,18 +52,38 @@
     postcard::from_bytes(&body).map_err(|e| e.to_string())
 }
 
-/// What a gateway knows beyond these revisions.
+/// What a gateway knows beyond these revisions; all that it knows of workers if it
+/// does not know who has left since.
 pub(crate) async fn ask(
     pool: &Pool,
     to: SocketAddr,
     newest: Revisions,
 ) -> Result<SharedFacts, CallError> {
+    let (status, body) = ask_after(pool, to, newest).await?;
+    let whole = status == StatusCode::CONFLICT;
+    let body = if whole {
+        let all = Revisions {
+            workers: 0,
+            ..newest
+        };
+        good(ask_after(pool, to, all).await?)?
+    } else {
+        good((status, body))?
+    };
+    let facts = postcard::from_bytes(&body).map_err(|e| e.to_string())?;
+    Ok(SharedFacts { whole, ..facts })
+}
+
+async fn ask_after(
+    pool: &Pool,
+    to: SocketAddr,
+    newest: Revisions,
+) -> Result<(StatusCode, Bytes), CallError> {
     let path = format!(
         "/facts?configuration={}&workers={}",
         newest.configuration, newest.workers
     );
-    let body = call(pool, to, Method::GET, &path, Bytes::new()).await?;
-    postcard::from_bytes(&body).map_err(|e| e.to_string())
+    bluebellreel_net::call(pool, to, Method::GET, &path, Bytes::new(), TIMEOUT).await
 }
 
 /// Brings a snapshot to a gateway.
--- a/crates/bluebellreel_keeper/tests/stop.rs
+++ b/crates/bluebellreel_keeper/tests/stop.rs
@@ -68,6 +68,7 @@
             workers_seen: 0,
             workers: Vec::new(),
             believed_for: None,
+            whole: false,
         })
     }
 }
--- a/crates/bluebellreel_snapshot/src/snapshot.rs
+++ b/crates/bluebellreel_snapshot/src/snapshot.rs
@@ -87,10 +87,8 @@
             self.configuration = Some((revision, text));
         }
         self.operator_seen = self.operator_seen.max(facts.operator_seen);
-        for (revision, id, record) in facts.workers {
-            self.catalog.take(revision, &id, record);
-        }
-        self.catalog.seen_to(facts.workers_seen);
+        self.catalog
+            .learn(facts.workers_seen, facts.workers, facts.whole);
         self.newest() != before
     }
 
@@ -154,6 +152,7 @@
                 .map(|(revision, id, record)| (revision, id.clone(), record.cloned()))
                 .collect(),
             believed_for: None,
+            whole: false,
         }
     }
 
--- a/crates/bluebellreel_snapshot/tests/snapshot.rs
+++ b/crates/bluebellreel_snapshot/tests/snapshot.rs
@@ -38,6 +38,7 @@
         workers_seen: 50,
         workers,
         believed_for: None,
+        whole: false,
     }
 }
 
