--- a/crates/bluebellreel_gateway/src/jobs/confirm.rs
+++ b/crates/bluebellreel_gateway/src/jobs/confirm.rs
@@ -7,7 +7,6 @@
 use super::own::OwnedJob;
 use super::{load, owned_job, record};
 use crate::gateway::Gateway;
-use bluebellreel_batch::Stamp;
 use bluebellreel_kv::KvError;
 use bluebellreel_types::JobId;
 use log::{info, warn};
@@ -77,7 +76,7 @@
     if owned.word.get().is_fresh(gw.stamp()) || owned.confirming.try_lock().is_err() {
         return;
     }
-    owned.word.set(Stamp::default());
+    owned.doubt();
     let gw = gw.clone();
     tokio::task::spawn_local(async move {
         if let Err(e) = confirm(&gw, &owned).await {
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -147,11 +147,13 @@
     let begun = read_progress(id, progress);
     // Somebody who only knew of the new owner may have told us before. Or it was
     // ours long ago, and the one that hands it over has listed more.
-    if let Some(owned) = owned_job(gw, id)
-        && confirm::confirm(gw, &owned).await.unwrap_or(false)
-    {
-        owned.job.borrow_mut().restore(begun, gw.now());
-        return answers::status(StatusCode::OK);
+    if let Some(owned) = owned_job(gw, id) {
+        owned.doubt();
+        // If the store does not answer now, nor does it below.
+        if confirm::confirm(gw, &owned).await.unwrap_or(false) {
+            owned.job.borrow_mut().restore(begun, gw.now());
+            return answers::status(StatusCode::OK);
+        }
     }
     let (mut job, asked) = match load_own(gw, id).await {
         Ok(Some(loaded)) => loaded,
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -37,6 +37,12 @@
         })
     }
 
+    /// Something speaks against the job's being this daemon's: the store is asked
+    /// before it is believed again.
+    pub(super) fn doubt(&self) {
+        self.word.set(Stamp::default());
+    }
+
     /// The store has said once more that the job is this daemon's.
     pub(super) fn confirmed(&self, asked: Stamp) {
         if asked.at > self.word.get().at {
