--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -64,8 +64,8 @@
     /// How long this daemon's entry has stood; what it remembers of its jobs may
     /// be told meanwhile.
     pub(crate) tenure: Cell<Tenure>,
-    /// Set while few peers are heard.
-    pub(crate) isolated: Cell<bool>,
+    /// Since when few peers are heard; none while most are.
+    pub(crate) isolated_since: Cell<Option<Moment>>,
     /// Times that this daemon was cut off from most peers and hears them again.
     pub(crate) rejoined: Cell<u64>,
     /// Set from SIGTERM on.
@@ -120,7 +120,7 @@
             unreadable: RefCell::default(),
             lease: Cell::new(0),
             tenure: Cell::default(),
-            isolated: Cell::new(false),
+            isolated_since: Cell::new(None),
             rejoined: Cell::new(0),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
--- a/crates/bluebellreel_gateway/src/jobs/confirm.rs
+++ b/crates/bluebellreel_gateway/src/jobs/confirm.rs
@@ -23,7 +23,7 @@
     // An entry may be taken away while its lease is renewed as ever. Peers that
     // hear this daemon leave its jobs alone all the same.
     let vouched = gw.tenure.get().covers(word, now);
-    vouched && (!gw.isolated.get() || word.is_fresh(now))
+    vouched && (gw.isolated_since.get().is_none() || word.is_fresh(now))
 }
 
 /// Whether a job is this daemon's own. One that is not is let go.
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -6,6 +6,7 @@
 use crate::{detour, facts, jobs, peer_api, registration, reload, reports, serve, watching};
 use bluebellreel_net::{Served, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
+use bluebellreel_types::Moment;
 use eyre::Context;
 use log::{info, warn};
 use std::rc::Rc;
@@ -21,6 +22,9 @@
 const INNER_IDLE: Duration = Duration::from_secs(30);
 /// Time between clean-ups of what has outlived its time.
 const SWEEP: Duration = Duration::from_millis(250);
+/// Time without most peers after which a daemon counts as cut off from them. One
+/// that has just started reads who they are, and hears all within half a second.
+const CUT_OFF: Duration = Duration::from_secs(1);
 
 /// Runs a gateway until it is asked to stop by a signal; whether nothing was
 /// cut.
@@ -159,12 +163,7 @@
     gw.workers.sweep();
     gw.peers.sweep();
     gw.members.borrow_mut().sweep(now);
-    let isolated = !gw.members.borrow().hears_most(now);
-    if gw.isolated.replace(isolated) && !isolated {
-        // Peers may have taken jobs over unheard, and workers have left.
-        registration::interrupted(gw);
-        gw.rejoined.set(gw.rejoined.get() + 1);
-    }
+    note_isolation(gw, now);
     if gw.members.borrow_mut().has_lost_peer(now) {
         gw.jobs.borrow().orphans_due.notify_one();
     }
@@ -184,6 +183,19 @@
     }
 }
 
+/// Notes whether few peers are heard, or most of them again.
+fn note_isolation(gw: &Gateway, now: Moment) {
+    let isolated = !gw.members.borrow().hears_most(now);
+    let since = gw.isolated_since.get();
+    gw.isolated_since
+        .set(isolated.then_some(since.unwrap_or(now)));
+    if !isolated && since.is_some_and(|since| (since + CUT_OFF).is_past(now)) {
+        // Peers may have taken jobs over unheard, and workers have left.
+        registration::interrupted(gw);
+        gw.rejoined.set(gw.rejoined.get() + 1);
+    }
+}
+
 fn metrics_text(gw: &Gateway, lines_dropped: u64) -> String {
     let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
     let total = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
