--- /dev/null
+++ b/crates/bluebellreel_dispatch/tests/common/mod.rs
@@ -0,0 +1,104 @@
+//! A board with workers and peers, for the tests of placement.
+
+use bluebellreel_dispatch::{
+    Board, Catalog, Class, PeerLoad, PeerRuns, Placement, PlacementLimits, Query, Running, Ticket,
+    WorkerRecord, WorkerState, place_online,
+};
+use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const SLOTS: u32 = 4;
+/// Two runs of 600 ms on four slots may be waited for.
+pub const PATIENCE: Duration = Duration::from_millis(300);
+pub const NOW: Moment = Moment(1_000_000);
+
+pub fn name(n: usize) -> WorkerName {
+    WorkerName::from(format!("w-{n}"))
+}
+
+/// A board with workers; the odd ones stand in another data centre.
+pub fn board(workers: usize) -> Board {
+    let mut board = Board::new(DataCentre::from("here"), PlacementLimits::default());
+    board.follow(&catalog(workers, WorkerState::Ready));
+    board
+}
+
+pub fn catalog(workers: usize, state: WorkerState) -> Catalog {
+    let mut catalog = Catalog::default();
+    for n in 0..workers {
+        let place = if n % 2 == 0 { "here" } else { "there" };
+        let record = WorkerRecord {
+            id: name(n),
+            boot: None,
+            service: Arc::from("lm"),
+            address: "10.0.0.1:80".parse().expect("an address"),
+            data_centre: DataCentre::from(place),
+            slots: SLOTS,
+            state,
+        };
+        let revision = match state {
+            WorkerState::Ready => 1,
+            WorkerState::Draining => 2,
+        };
+        catalog.put(revision, record);
+    }
+    catalog
+}
+
+pub fn query(avoid: &[WorkerName]) -> Query<'_> {
+    Query {
+        service: "lm",
+        avoid,
+        patience: PATIENCE,
+        salt: 0,
+        now: NOW,
+    }
+}
+
+pub fn start(board: &mut Board, worker: usize, class: Class, count: u32) {
+    for _ in 0..count {
+        board.start(&name(worker), class);
+    }
+}
+
+pub fn peer(
+    board: &mut Board,
+    entry: &str,
+    sequence: u64,
+    waiting: u32,
+    runs: &[(usize, u32, u32)],
+) {
+    let running: BTreeMap<WorkerName, PeerRuns> = runs
+        .iter()
+        .map(|(worker, online, batch)| {
+            let running = Running {
+                online: *online,
+                batch: *batch,
+            };
+            let boot = None;
+            (name(*worker), PeerRuns { boot, running })
+        })
+        .collect();
+    let load = PeerLoad {
+        sequence,
+        running,
+        waiting,
+        expires_at: NOW + Duration::from_secs(2),
+    };
+    board.hear(&EntryName::from(entry), load);
+}
+
+/// An online run at a worker that does not tell of its life.
+pub fn ticket(worker: WorkerName) -> Ticket {
+    Ticket {
+        worker,
+        boot: None,
+        class: Class::Online,
+    }
+}
+
+pub fn online(board: &Board) -> Placement {
+    place_online(board, &query(&[]))
+}
