Facts of peers are read as what they are

Ruled out: reads that confirm ownership; read_costs.rs shows that reading a job with nothing new reads no key. Change: the type is named.

--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -55,7 +55,10 @@
         seen.configuration, seen.workers
     );
     match call(gw, to, Method::GET, &path, Bytes::new(), TIMEOUT).await? {
-        (StatusCode::OK, body) => postcard::from_bytes(&body).map_err(|e| e.to_string()),
+        (StatusCode::OK, body) => {
+            let facts = postcard::from_bytes::<SharedFacts>(&body);
+            facts.map(Some).map_err(|e| e.to_string())
+        }
         (StatusCode::CONFLICT, _) => Ok(None),
         (status, _) => Err(format!("status {status}")),
     }
