Sight: a run that its worker broke off is looked into, and says what it asked for

Change: a fingerprint of host, method, path, query and body (the same for each attempt, at each gateway), reckoned only for runs that were broken off; a look at the worker's address, which is refused where it has crashed, shared by all runs of a gateway there and kept as a connection otherwise; a line and a counter.

--- /dev/null
+++ b/crates/bluebellreel_dispatch/src/fingerprint.rs
@@ -0,0 +1,36 @@
+//! Which requests are the same one, come again.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt;
+
+/// What a request asks for, whichever attempt it is and whichever daemon takes it.
+///
+/// Each attempt has an id of its own, so ids cannot tell. A cryptographic hash, so
+/// that nobody can make a request that is taken for another one's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub [u8; 8]);
+
+impl Fingerprint {
+    /// The fingerprint of a request with these parts, in this order.
+    #[must_use]
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hash = Sha256::new();
+        for part in parts {
+            hash.update((part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        let mut short = [0; 8];
+        for (to, from) in short.iter_mut().zip(hash.finalize()) {
+            *to = from;
+        }
+        Self(short)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod board;
 mod catalog;
 mod doubt;
+mod fingerprint;
 mod overload;
 mod pace;
 mod peer;
@@ -30,6 +31,7 @@
 pub use board::{Board, PlacementLimits, Seat, WorkerChange};
 pub use catalog::{Boot, Catalog, WorkerRecord, WorkerState, WorkerTag};
 pub use doubt::Doubt;
+pub use fingerprint::Fingerprint;
 pub use overload::{Overloads, return_after};
 pub use pace::Paces;
 pub use peer::{PeerLoad, PeerRuns, Running};
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -0,0 +1,103 @@
+//! Whether a worker has crashed under a run.
+//!
+//! A run that is broken off may have lost its connection only. A worker has crashed
+//! if its VM refuses connections right after, or if it is no longer there a moment
+//! later though it did not say that it leaves.
+
+use crate::gateway::Gateway;
+use crate::online::Request;
+use bluebellreel_dispatch::{Fingerprint, Ticket, WorkerState};
+use bluebellreel_net::Knock;
+use bluebellreel_platform::engine::Outgoing;
+use bluebellreel_types::Moment;
+use log::warn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How long a broken-off run waits for the look at its worker before it goes on
+/// elsewhere. A VM answers within some milliseconds.
+const LOOK: Duration = Duration::from_millis(30);
+/// When a worker that listens is looked at once more: one that has started again is
+/// listed by then, its former life is not.
+const LOOK_AGAIN: Duration = Duration::from_millis(2500);
+
+/// A run that its worker broke off.
+pub(crate) struct Cut {
+    request: Arc<str>,
+    fingerprint: Fingerprint,
+    ticket: Ticket,
+    /// When it was sent.
+    began: Moment,
+}
+
+impl Cut {
+    pub(crate) fn of(req: &Request, ticket: Ticket, began: Moment) -> Self {
+        Self {
+            request: req.id.clone(),
+            fingerprint: req.fingerprint(),
+            ticket,
+            began,
+        }
+    }
+
+    pub(crate) fn of_item(id: &Arc<str>, out: &Outgoing, ticket: Ticket, began: Moment) -> Self {
+        Self {
+            request: id.clone(),
+            fingerprint: Fingerprint::of(&out.identity()),
+            ticket,
+            began,
+        }
+    }
+}
+
+/// Looks whether a run was broken off as its worker has crashed. What is found
+/// later than a moment is noted all the same.
+pub(crate) async fn look(gw: &Rc<Gateway>, cut: Cut) {
+    let Some(address) = listed_at(gw, &cut.ticket) else {
+        // It leaves: what it breaks off then is no crash.
+        return;
+    };
+    let looking = tokio::task::spawn_local(find_out(gw.clone(), cut, address, gw.now()));
+    // It goes on by itself.
+    let _ = timeout(LOOK, looking).await;
+}
+
+/// Where a run's worker listens, unless it has said that it leaves.
+fn listed_at(gw: &Gateway, ticket: &Ticket) -> Option<SocketAddr> {
+    let board = gw.board.borrow();
+    let seat = board.seat(&ticket.worker)?;
+    (seat.record.state == WorkerState::Ready).then_some(seat.record.address)
+}
+
+async fn find_out(gw: Rc<Gateway>, cut: Cut, address: SocketAddr, at: Moment) {
+    if has_started_again(&gw, &cut.ticket) {
+        return note(&gw, &cut, at, "started again");
+    }
+    match gw.workers.knock(address).await {
+        Knock::Refused => note(&gw, &cut, at, "refuses connections"),
+        Knock::Unknown => {}
+        Knock::Open => {
+            sleep(LOOK_AGAIN).await;
+            if has_started_again(&gw, &cut.ticket) {
+                note(&gw, &cut, at, "started again");
+            }
+        }
+    }
+}
+
+/// Whether a run's worker lives another life, or none, though it did not say that it
+/// would leave.
+fn has_started_again(gw: &Gateway, ticket: &Ticket) -> bool {
+    let board = gw.board.borrow();
+    let gone = board.seat(&ticket.worker).is_none();
+    gone || board.is_of_former_life(ticket)
+}
+
+fn note(gw: &Gateway, cut: &Cut, at: Moment, reason: &str) {
+    let lasted = u64::try_from(at.since(cut.began).as_millis()).unwrap_or(u64::MAX);
+    gw.metrics.crashes.inc();
+    warn!(target: "online", request:% = cut.request, fingerprint:% = cut.fingerprint, worker:% = cut.ticket.worker, took_ms = lasted, reason; "worker crashed under a run");
+}
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -1,6 +1,7 @@
 //! Running items at workers.
 
 use super::own::{ItemRun, Jobs, OwnedJob};
+use crate::crash::{self, Cut};
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::pulse::Pulse;
@@ -198,6 +199,7 @@
     };
     let worker = place.worker().clone();
     let ticket = place.ticket().clone();
+    let began = gw.now();
     let sent = send(
         gw,
         Send {
@@ -211,12 +213,20 @@
     )
     .await;
     match sent {
-        Ok(upstream) if upstream.head.status.is_success() => read_events(gw, next, upstream).await,
+        Ok(mut upstream) if upstream.head.status.is_success() => {
+            match read_events(gw, next, &mut upstream).await {
+                Ok(()) => ItemEnd::Completed,
+                Err(reason) => interrupted(gw, next, &upstream, &out, reason).await,
+            }
+        }
         Ok(upstream) => of_status(gw, next, &upstream),
         Err(e) => {
             if e == NoAnswer::Silent {
                 gw.board.borrow_mut().failed(&ticket, gw.now());
             }
+            if matches!(e, NoAnswer::Unknown(_)) {
+                crash::look(gw, Cut::of_item(&next.id, &out, ticket, began)).await;
+            }
             warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, outcome:? = e; "no answer to an item");
             rest(gw)
         }
@@ -240,20 +250,26 @@
     ItemEnd::Interrupted(gw.now() + REST)
 }
 
-async fn read_events(gw: &Rc<Gateway>, next: &Next, mut upstream: Upstream) -> ItemEnd {
+/// Why an item's run was broken off by its worker.
+const BROKEN_OFF: &str = "broken off";
+
+/// Reads a run's events to its end; else why it has none.
+async fn read_events(
+    gw: &Rc<Gateway>,
+    next: &Next,
+    upstream: &mut Upstream,
+) -> Result<(), &'static str> {
     let mut events = Events::default();
     let mut pulse = Pulse::default();
     loop {
-        match timeout(SILENCE, next_piece(gw, &mut upstream)).await {
+        match timeout(SILENCE, next_piece(gw, upstream)).await {
             Ok(Ok(Some(bytes))) => {
                 events.push(&bytes);
-                if let Err(reason) = take_events(gw, next, &mut events, &mut pulse, &upstream) {
-                    return interrupted(gw, next, &upstream, reason);
-                }
+                take_events(gw, next, &mut events, &mut pulse, upstream)?;
             }
-            Ok(Ok(None)) if !events.has_rest() => return ItemEnd::Completed,
-            Ok(Ok(None) | Err(_)) => return interrupted(gw, next, &upstream, "broken off"),
-            Err(_) => return interrupted(gw, next, &upstream, "silent"),
+            Ok(Ok(None)) if !events.has_rest() => return Ok(()),
+            Ok(Ok(None) | Err(_)) => return Err(BROKEN_OFF),
+            Err(_) => return Err("silent"),
         }
     }
 }
@@ -296,10 +312,20 @@
     &mut job.items[item].progress
 }
 
-fn interrupted(gw: &Gateway, next: &Next, upstream: &Upstream, reason: &str) -> ItemEnd {
+async fn interrupted(
+    gw: &Rc<Gateway>,
+    next: &Next,
+    upstream: &Upstream,
+    out: &Outgoing,
+    reason: &str,
+) -> ItemEnd {
     let worker = upstream.place.worker();
     warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, reason; "item interrupted");
     upstream.place.failed();
+    if reason == BROKEN_OFF {
+        let ticket = upstream.place.ticket().clone();
+        crash::look(gw, Cut::of_item(&next.id, out, ticket, upstream.began)).await;
+    }
     rest(gw)
 }
 
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod answers;
+mod crash;
 mod detour;
 mod events;
 mod facts;
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub(crate) report_age: Histogram,
     /// Entries of the store that could not be used, each revision once.
     pub(crate) unreadable: Counter,
+    /// Runs of ours under which a worker crashed.
+    pub(crate) crashes: Counter,
     pub(crate) in_progress: Gauge,
     pub(crate) store_calls: Gauge,
     pub(crate) store_failures: Gauge,
@@ -88,6 +90,7 @@
             store_call: latency(r, "store_call_seconds", "Calls to the store but watches"),
             report_age: latency(r, "report_age_seconds", "Oldest report behind a choice"),
             unreadable: counter(r, "unreadable_entries", "Entries that could not be used"),
+            crashes: counter(r, "crashes", "Runs under which a worker crashed"),
             in_progress: gauge(r, "in_progress", "Requests in progress"),
             store_calls: gauge(r, "store_calls", "Calls to the store"),
             store_failures: gauge(r, "store_failures", "Calls to the store that failed"),
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -1,12 +1,14 @@
 //! One caller's request: chosen a worker, sent, answered.
 
 use crate::answers;
+use crate::crash::{self, Cut};
 use crate::gateway::Gateway;
 use crate::relay::Relay;
 use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_dispatch::{
-    Class, Placement, Query, Route, RouteKind, place_online, return_after, should_leave,
+    Class, Fingerprint, Placement, Query, Route, RouteKind, place_online, return_after,
+    should_leave,
 };
 use bluebellreel_net::{Body, Reuse};
 use bluebellreel_platform::engine::Outgoing;
@@ -16,6 +18,7 @@
 use http::{Response, StatusCode, header};
 use log::{info, warn};
 use rand::RngExt;
+use std::cell::OnceCell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -54,6 +57,8 @@
     pub(crate) tried: Vec<WorkerName>,
     /// Sends that may have run.
     pub(crate) runs: u32,
+    /// Reckoned when it is first asked for.
+    pub(crate) fingerprint: OnceCell<Fingerprint>,
 }
 
 impl Request {
@@ -63,6 +68,13 @@
         allowed && self.runs < self.route.max_workers.max(1)
     }
 
+    /// What it asks for, whichever attempt it is.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self
+            .fingerprint
+            .get_or_init(|| Fingerprint::of(&self.out.identity()))
+    }
+
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -143,6 +155,7 @@
     };
     let place = Place::take(gw, worker, Class::Online);
     let ticket = place.ticket().clone();
+    let began = gw.now();
     let mut restarted = pin!(worker_restarted(gw, &ticket));
     let mut of_former_life = false;
     let mut answer = pin!(send(
@@ -176,6 +189,9 @@
     if let Err(e) = &outcome {
         warn!(target: "online", request:% = req.id, worker:% = worker, outcome:? = e, runs = req.runs; "no answer from worker");
     }
+    if matches!(outcome, Err(NoAnswer::Unknown(_))) {
+        crash::look(gw, Cut::of(req, ticket.clone(), began)).await;
+    }
     outcome
 }
 
@@ -238,6 +254,13 @@
     let body = tokio::time::timeout_at(req.deadline, upstream.body.whole(ANSWER_BYTES)).await;
     let Ok(Ok(body)) = body else {
         upstream.place.failed();
+        if matches!(body, Ok(Err(_))) {
+            crash::look(
+                gw,
+                Cut::of(&req, upstream.place.ticket().clone(), upstream.began),
+            )
+            .await;
+        }
         return Err(req);
     };
     if !failed {
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -5,6 +5,7 @@
 //! that a stream can go on at another worker after any event. A stream that
 //! cannot be finished is broken off visibly.
 
+use crate::crash::{self, Cut};
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::online::{Request, choose, millis};
@@ -136,6 +137,7 @@
                     return None;
                 }
                 Brought::End | Brought::Broken => {
+                    self.look_for_crash().await;
                     if !self.go_on("broken off by the worker", false).await {
                         return Some(self.break_off("broken off by the worker"));
                     }
@@ -231,6 +233,13 @@
         }
     }
 
+    /// Looks whether the worker that broke off has crashed.
+    async fn look_for_crash(&self) {
+        let ticket = self.upstream.place.ticket().clone();
+        let cut = Cut::of(&self.req, ticket, self.upstream.began);
+        crash::look(&self.gw, cut).await;
+    }
+
     /// Goes on at another worker; whether it could. Its former one, if `open`,
     /// may still bring something.
     async fn go_on(&mut self, reason: &str, open: bool) -> bool {
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -12,6 +12,7 @@
 use http::{HeaderValue, Method, Response, StatusCode, header};
 use hyper::body::Incoming;
 use log::info;
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -151,6 +152,7 @@
         received,
         tried: Vec::new(),
         runs: 0,
+        fingerprint: OnceCell::new(),
     }
 }
 
--- a/crates/bluebellreel_gateway/src/upstream.rs
+++ b/crates/bluebellreel_gateway/src/upstream.rs
@@ -5,6 +5,7 @@
 use bluebellreel_net::{ReplyBody, Reuse, SendError};
 use bluebellreel_platform::engine::{AnswerHead, Outgoing, read_head};
 use bluebellreel_platform::ingress;
+use bluebellreel_types::Moment;
 use http::StatusCode;
 use http_body_util::Full;
 use std::time::Duration;
@@ -15,6 +16,8 @@
     pub(crate) head: http::response::Parts,
     pub(crate) body: ReplyBody,
     pub(crate) place: Place,
+    /// When the request was sent.
+    pub(crate) began: Moment,
 }
 
 /// Why a send has no answer to pass on.
@@ -54,6 +57,7 @@
     let Some(address) = address else {
         return Err(NoAnswer::Unsent("worker no longer listed".into()));
     };
+    let began = gw.now();
     let req = send.out.for_worker(worker, send.left, send.after);
     let answer = gw.workers.send(address, req.map(Full::new), send.reuse);
     let reply = match timeout_at(send.until, answer).await {
@@ -89,5 +93,6 @@
         head: reply.head,
         body: reply.body,
         place: send.place,
+        began,
     })
 }
--- a/crates/bluebellreel_net/src/pool.rs
+++ b/crates/bluebellreel_net/src/pool.rs
@@ -3,12 +3,15 @@
 use crate::reply::{Reply, ReplyBody};
 use crate::server::prepare;
 use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::{LocalBoxFuture, Shared};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,6 +47,17 @@
     Never,
 }
 
+/// What a look at an address shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Knock {
+    /// Something listens there.
+    Open,
+    /// The VM answers, and nothing listens there.
+    Refused,
+    /// No answer that tells.
+    Unknown,
+}
+
 /// Bounds of a pool.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolLimits {
@@ -75,6 +89,8 @@
     limits: PoolLimits,
     idle: RefCell<HashMap<SocketAddr, Vec<Kept>>>,
     opened: Cell<u64>,
+    /// Looks under way.
+    knocks: RefCell<HashMap<SocketAddr, Shared<LocalBoxFuture<'static, Knock>>>>,
 }
 
 /// Kept connections by address. Clones share them.
@@ -89,6 +105,7 @@
             limits,
             idle: RefCell::default(),
             opened: Cell::new(0),
+            knocks: RefCell::default(),
         }))
     }
 
@@ -134,6 +151,37 @@
         }
     }
 
+    /// Looks whether something listens at an address. Looks at the same time are one;
+    /// a connection that it opens is kept for a call.
+    pub async fn knock(&self, address: SocketAddr) -> Knock {
+        let under_way = self.0.knocks.borrow().get(&address).cloned();
+        if let Some(under_way) = under_way {
+            return under_way.await;
+        }
+        let pool = self.clone();
+        let look = async move {
+            let found = pool.knock_once(address).await;
+            pool.0.knocks.borrow_mut().remove(&address);
+            found
+        };
+        let look = look.boxed_local().shared();
+        self.0.knocks.borrow_mut().insert(address, look.clone());
+        look.await
+    }
+
+    async fn knock_once(&self, address: SocketAddr) -> Knock {
+        match self.dial(address).await {
+            Ok(stream) => {
+                if let Ok(kept) = self.speak(stream).await {
+                    self.0.give_back(address, kept, self.0.limits.idle);
+                }
+                Knock::Open
+            }
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => Knock::Refused,
+            Err(_) => Knock::Unknown,
+        }
+    }
+
     /// Drops the idle connections that have outlived their time.
     pub fn sweep(&self) {
         let now = Instant::now();
@@ -150,16 +198,24 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Kept, SendError> {
-        let unsent = |reason: String| SendError::Unsent(reason);
-        let stream = tokio::time::timeout(self.0.limits.connect, TcpStream::connect(address))
+        let unsent = |e: io::Error| SendError::Unsent(e.to_string());
+        let stream = self.dial(address).await.map_err(unsent)?;
+        self.speak(stream)
+            .await
+            .map_err(|e| SendError::Unsent(e.to_string()))
+    }
+
+    async fn dial(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let late = |_| io::Error::new(io::ErrorKind::TimedOut, "no connection in time");
+        tokio::time::timeout(self.0.limits.connect, TcpStream::connect(address))
             .await
-            .map_err(|_| unsent("no connection in time".into()))?
-            .map_err(|e| unsent(e.to_string()))?;
+            .map_err(late)?
+    }
+
+    async fn speak(&self, stream: TcpStream) -> hyper::Result<Kept> {
         prepare(&stream);
         self.0.opened.set(self.0.opened.get() + 1);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| unsent(e.to_string()))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let task = tokio::task::spawn_local(async move {
             // Its end shows in the call that used it.
             let _ = connection.await;
