Requests that crash workers are held back at every gateway

Cause: a run that was broken off counted against its worker only. Nothing remembered the request, so each gateway sent it to the next worker, and its repeats, with other ids and at other gateways, began anew. Class: what fails everywhere is blamed on where it failed last. Ruled out: that several requests have to meet (one alone does it, failing test). Change: gateways count crashes under a request's fingerprint, tell each other which crash they saw, and conclude by themselves. Counted are crashes in turn, so that a mass kill counts once; a crash counts only against the requests that were at the most crashes; a run that ends well takes all back. After three a request is held back for a minute (an item ten seconds), then tried out once at a time. After: all six tests pass, among them a gateway just started, one alone, and a mass kill that passes before and after.

--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 mod peer;
 mod place;
 mod routes;
+mod suspects;
 mod ticket;
 
 pub use board::{Board, PlacementLimits, Seat, WorkerChange};
@@ -39,4 +40,5 @@
     BatchRun, Placement, Query, batch_to_yield, place_batch, place_online, should_leave,
 };
 pub use routes::{CallerLimits, Configuration, Route, RouteKind, Service, Target};
+pub use suspects::{Sender, Standing, Strike, Suspects, Told};
 pub use ticket::{Class, Ticket};
--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::Gateway;
 use crate::online::Request;
-use bluebellreel_dispatch::{Fingerprint, Ticket, WorkerState};
+use bluebellreel_dispatch::{Fingerprint, Strike, Ticket, Told, WorkerState, WorkerTag};
 use bluebellreel_net::Knock;
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_types::Moment;
@@ -99,5 +99,17 @@
 fn note(gw: &Gateway, cut: &Cut, at: Moment, reason: &str) {
     let lasted = u64::try_from(at.since(cut.began).as_millis()).unwrap_or(u64::MAX);
     gw.metrics.crashes.inc();
-    warn!(target: "online", request:% = cut.request, fingerprint:% = cut.fingerprint, worker:% = cut.ticket.worker, took_ms = lasted, reason; "worker crashed under a run");
+    let strike = Strike {
+        began: cut.began,
+        crashed: at,
+        excused: false,
+    };
+    let told = Told {
+        fingerprint: cut.fingerprint,
+        worker: WorkerTag::of(&cut.ticket.worker, cut.ticket.boot),
+        strike,
+    };
+    let crashes = gw.suspects.borrow_mut().saw(told, gw.now());
+    gw.report_due.notify_one();
+    warn!(target: "online", request:% = cut.request, fingerprint:% = cut.fingerprint, worker:% = cut.ticket.worker, took_ms = lasted, crashes, reason; "worker crashed under a run");
 }
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use crate::suspension::time_suspended;
 use crate::unreadable::Unreadable;
 use bluebellreel_batch::{Stamp, Tenure};
-use bluebellreel_dispatch::{Board, Configuration, Overloads, PlacementLimits};
+use bluebellreel_dispatch::{Board, Configuration, Overloads, PlacementLimits, Suspects};
 use bluebellreel_kv::KeyValue;
 use bluebellreel_members::Members;
 use bluebellreel_net::{Pool, PoolLimits};
@@ -51,6 +51,8 @@
     pub(crate) facts: RefCell<Facts>,
     pub(crate) board: RefCell<Board>,
     pub(crate) overloads: RefCell<Overloads>,
+    /// Requests under which workers have crashed.
+    pub(crate) suspects: RefCell<Suspects>,
     pub(crate) members: RefCell<Members>,
     pub(crate) jobs: RefCell<Jobs>,
     pub(crate) workers: Pool,
@@ -110,6 +112,7 @@
             facts: RefCell::default(),
             board: RefCell::new(board),
             overloads: RefCell::default(),
+            suspects: RefCell::default(),
             members: RefCell::default(),
             jobs: RefCell::default(),
             workers,
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -5,10 +5,13 @@
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::pulse::Pulse;
+use crate::suspicion::{self, Trial};
 use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
-use bluebellreel_dispatch::{BatchRun, Class, Query, Route, batch_to_yield, place_batch};
+use bluebellreel_dispatch::{
+    BatchRun, Class, Fingerprint, Query, Route, Sender, batch_to_yield, place_batch,
+};
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_types::{JobId, Moment, WorkerName};
@@ -48,6 +51,14 @@
 fn fill_slots(gw: &Rc<Gateway>) {
     let mut full: BTreeSet<Arc<str>> = BTreeSet::new();
     while let Some(next) = choose_item(gw, &full) {
+        let trial = match may_run(gw, &next) {
+            Ok(trial) => trial,
+            Err(until) => {
+                let later = ItemPhase::Waiting { from: until };
+                next.owned.job.borrow_mut().items[next.item].phase = later;
+                continue;
+            }
+        };
         let avoid = next.owned.job.borrow().items[next.item].failed_at.clone();
         let query = Query {
             service: &next.service,
@@ -58,7 +69,7 @@
         };
         let worker = place_batch(&gw.board.borrow(), &query, gw.me());
         match worker {
-            Some(worker) => start(gw, next, &worker),
+            Some(worker) => start(gw, next, &worker, trial),
             None if !avoid.is_empty() => {
                 // Others may start where it has failed: it holds none of them up.
                 let later = ItemPhase::Waiting {
@@ -73,6 +84,13 @@
     }
 }
 
+/// Whether an item may be sent to a worker; else when it may be tried again.
+fn may_run(gw: &Rc<Gateway>, next: &Next) -> Result<Option<Trial>, Moment> {
+    let fingerprint =
+        || outgoing(next).map_or_else(|| Fingerprint::of(&[]), |o| Fingerprint::of(&o.identity()));
+    suspicion::may_run(gw, &next.id, Sender::Job, fingerprint)
+}
+
 /// An item to start and what it needs.
 struct Next {
     owned: Rc<OwnedJob>,
@@ -139,11 +157,11 @@
     owned.record_due.notify_one();
 }
 
-fn start(gw: &Rc<Gateway>, next: Next, worker: &WorkerName) {
+fn start(gw: &Rc<Gateway>, next: Next, worker: &WorkerName, trial: Option<Trial>) {
     let place = Place::take(gw, worker, Class::Batch);
     next.owned.job.borrow_mut().items[next.item].phase = ItemPhase::Running;
     let key = (next.job.clone(), next.item);
-    let task = tokio::task::spawn_local(run(gw.clone(), next, place));
+    let task = tokio::task::spawn_local(run(gw.clone(), next, place, trial));
     let run = ItemRun {
         worker: worker.clone(),
         abort: task.abort_handle(),
@@ -151,7 +169,7 @@
     gw.jobs.borrow_mut().runs.insert(key, run);
 }
 
-async fn run(gw: Rc<Gateway>, next: Next, place: Place) {
+async fn run(gw: Rc<Gateway>, next: Next, place: Place, trial: Option<Trial>) {
     let worker = place.worker().clone();
     let id = next.id.clone();
     let after = {
@@ -160,6 +178,7 @@
     };
     info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, after:? = after; "item sent");
     let end = run_at(&gw, &next, place, after).await;
+    drop(trial);
     let now = gw.now();
     let key = (next.job.clone(), next.item);
     gw.jobs.borrow_mut().runs.remove(&key);
@@ -181,19 +200,16 @@
     gw.batch_due.notify_one();
 }
 
+/// An item's request; `None` if none can be made of it.
+fn outgoing(next: &Next) -> Option<Outgoing> {
+    let job = next.owned.job.borrow();
+    let input = &job.items[next.item].input;
+    let (host, body) = (&job.record.host, input.body.clone());
+    Outgoing::of_item(host, &input.id, &input.path, &input.headers, body)
+}
+
 async fn run_at(gw: &Rc<Gateway>, next: &Next, place: Place, after: Option<u64>) -> ItemEnd {
-    let out = {
-        let job = next.owned.job.borrow();
-        let input = &job.items[next.item].input;
-        let host = &job.record.host;
-        Outgoing::of_item(
-            host,
-            &input.id,
-            &input.path,
-            &input.headers,
-            input.body.clone(),
-        )
-    };
+    let out = outgoing(next);
     let Some(out) = out else {
         return ItemEnd::Impossible;
     };
@@ -215,7 +231,10 @@
     match sent {
         Ok(mut upstream) if upstream.head.status.is_success() => {
             match read_events(gw, next, &mut upstream).await {
-                Ok(()) => ItemEnd::Completed,
+                Ok(()) => {
+                    suspicion::ended_well(gw, || Fingerprint::of(&out.identity()));
+                    ItemEnd::Completed
+                }
                 Err(reason) => interrupted(gw, next, &upstream, &out, reason).await,
             }
         }
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod serve;
 mod store;
 mod suspension;
+mod suspicion;
 mod ticket;
 mod unreadable;
 mod upstream;
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     pub(crate) unreadable: Counter,
     /// Runs of ours under which a worker crashed.
     pub(crate) crashes: Counter,
+    /// Requests remembered, under which workers crashed.
+    pub(crate) suspects: Gauge,
     pub(crate) in_progress: Gauge,
     pub(crate) store_calls: Gauge,
     pub(crate) store_failures: Gauge,
@@ -91,6 +93,7 @@
             report_age: latency(r, "report_age_seconds", "Oldest report behind a choice"),
             unreadable: counter(r, "unreadable_entries", "Entries that could not be used"),
             crashes: counter(r, "crashes", "Runs under which a worker crashed"),
+            suspects: gauge(r, "suspects", "Requests that workers crashed under"),
             in_progress: gauge(r, "in_progress", "Requests in progress"),
             store_calls: gauge(r, "store_calls", "Calls to the store"),
             store_failures: gauge(r, "store_failures", "Calls to the store that failed"),
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -4,16 +4,17 @@
 use crate::crash::{self, Cut};
 use crate::gateway::Gateway;
 use crate::relay::Relay;
+use crate::suspicion::{self, Trial};
 use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_dispatch::{
-    Class, Fingerprint, Placement, Query, Route, RouteKind, place_online, return_after,
+    Class, Fingerprint, Placement, Query, Route, RouteKind, Sender, place_online, return_after,
     should_leave,
 };
 use bluebellreel_net::{Body, Reuse};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_platform::ingress;
-use bluebellreel_types::WorkerName;
+use bluebellreel_types::{Moment, WorkerName};
 use bytes::Bytes;
 use http::{Response, StatusCode, header};
 use log::{info, warn};
@@ -59,6 +60,8 @@
     pub(crate) runs: u32,
     /// Reckoned when it is first asked for.
     pub(crate) fingerprint: OnceCell<Fingerprint>,
+    /// While it shows whether workers can run it now.
+    pub(crate) trial: Option<Trial>,
 }
 
 impl Request {
@@ -75,6 +78,14 @@
             .get_or_init(|| Fingerprint::of(&self.out.identity()))
     }
 
+    /// Whether it may be sent to a worker; else when it may be tried again.
+    pub(crate) fn may_run(&mut self, gw: &Rc<Gateway>) -> Result<(), Moment> {
+        self.trial = None;
+        let fingerprint = || self.fingerprint();
+        self.trial = suspicion::may_run(gw, &self.id, Sender::Caller, fingerprint)?;
+        Ok(())
+    }
+
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -108,6 +119,9 @@
         if req.left().is_zero() {
             return give_up(&gw, &req, "deadline passed");
         }
+        if let Err(until) = req.may_run(&gw) {
+            return hold_back(&gw, &req, until);
+        }
         let worker = match choose(&gw, &req, req.patience()) {
             Placement::Send(worker) => worker,
             Placement::Full => return give_up(&gw, &req, "all workers full"),
@@ -266,6 +280,7 @@
     if !failed {
         upstream.place.succeeded();
     }
+    suspicion::ended_well(gw, || req.fingerprint());
     gw.metrics
         .request(if failed { "worker_failed" } else { "served" });
     info!(target: "online", request:% = req.id, worker:% = upstream.place.worker(), status = status.as_u16(); "answered");
@@ -291,6 +306,19 @@
     answer
 }
 
+/// The final answer to a request that workers crash under.
+fn hold_back(gw: &Gateway, req: &Request, until: Moment) -> Response<Body> {
+    let mut answer = if req.runs == 0 {
+        let after = until.since(gw.now());
+        answers::come_back(StatusCode::SERVICE_UNAVAILABLE, suspicion::REASON, after)
+    } else {
+        answers::failure(StatusCode::BAD_GATEWAY, suspicion::REASON)
+    };
+    gw.metrics.request("held_back");
+    ingress::set_request_id(answer.headers_mut(), &req.id);
+    answer
+}
+
 /// The final answer to a request that nothing more is tried for.
 fn give_up(gw: &Gateway, req: &Request, reason: &str) -> Response<Body> {
     let held = millis(req.received.elapsed());
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use crate::gateway::Gateway;
 use crate::online::{Request, choose, millis};
 use crate::pulse::Pulse;
+use crate::suspicion;
 use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_dispatch::{Class, Placement};
@@ -248,6 +249,9 @@
         warn!(target: "online", request:% = self.req.id, worker:% = worker, events = self.passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
         self.upstream.place.failed();
         while resumable && self.req.may_repeat() && !self.req.left().is_zero() {
+            if self.req.may_run(&self.gw).is_err() {
+                return false;
+            }
             // Its caller has a part of the answer: the rest is worth more late
             // than not at all.
             let patience = self.req.left();
@@ -333,6 +337,7 @@
         self.over = true;
         let lasted = self.begun.elapsed();
         self.gw.board.borrow_mut().paces.note_run(lasted);
+        suspicion::ended_well(&self.gw, || self.req.fingerprint());
         let metrics = &self.gw.metrics;
         metrics.pause.observe(self.longest_pause.as_secs_f64());
         metrics.request("served");
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
-use wire::{Datagram, Report, Supplement, Urgent, load_of, seal, sender_tag};
+use wire::{Datagram, Report, Supplement, Urgent, Warnings, load_of, seal, sender_tag};
 
 /// Time between reports when nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(250);
@@ -88,8 +88,13 @@
 ) -> Result<(Vec<u8>, Vec<u8>), postcard::Error> {
     let (report, supplement) = wire::report(gw, sequence);
     let brief = report.brief(&supplement);
-    let urgent = report.urgent();
-    let full = seal(postcard::to_allocvec(&(report, supplement))?);
+    let urgent = report.urgent(gw.suspects.borrow().version());
+    let mut full = postcard::to_allocvec(&(report, supplement))?;
+    let warnings = Warnings::own(gw);
+    if !warnings.is_empty() {
+        full.extend(postcard::to_allocvec(&warnings)?);
+    }
+    let full = seal(full);
     let now = gw.now();
     if told.urgent.as_ref() == Some(&urgent) && !told.full_due.is_past(now) {
         return Ok((full, brief.encode()?));
@@ -134,8 +139,9 @@
             continue;
         };
         match wire::read(&buf[..length]) {
-            Ok(Datagram::Full(report, _)) if report.entry == *gw.me() => {}
-            Ok(Datagram::Full(report, supplement)) => {
+            Ok(Datagram::Full(report, ..)) if report.entry == *gw.me() => {}
+            Ok(Datagram::Full(report, supplement, warnings)) => {
+                warnings.take(&mut gw.suspects.borrow_mut(), gw.now());
                 senders.note(&report.entry, report.run);
                 hear(&gw, *report, supplement, &asking);
             }
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -8,7 +8,9 @@
 //! versions leave what follows a message; what they send has none.
 
 use crate::gateway::Gateway;
-use bluebellreel_dispatch::{Boot, PeerLoad, PeerRuns, Running, WorkerTag};
+use bluebellreel_dispatch::{
+    Boot, Fingerprint, PeerLoad, PeerRuns, Running, Strike, Suspects, Told, WorkerTag,
+};
 use bluebellreel_members::{Revisions, SILENT};
 use bluebellreel_types::{DataCentre, EntryName, Incarnation, JobId, Moment, WorkerName};
 use serde::{Deserialize, Serialize};
@@ -56,6 +58,78 @@
     pub(super) place: Option<DataCentre>,
 }
 
+/// What follows a supplement if there is anything to say: crashes of workers, and the
+/// requests that were there. Some 500 bytes at the most.
+#[derive(Default, Serialize, Deserialize)]
+pub(super) struct Warnings {
+    crashes: Vec<Crash>,
+    /// Requests that are tried out now.
+    trials: Vec<Fingerprint>,
+}
+
+/// One crash under one request; ages in milliseconds, as clocks differ.
+#[derive(Serialize, Deserialize)]
+struct Crash {
+    fingerprint: Fingerprint,
+    worker: WorkerTag,
+    began_ms_ago: u32,
+    crashed_ms_ago: u32,
+    excused: bool,
+}
+
+impl Warnings {
+    /// What this daemon warns of.
+    pub(super) fn own(gw: &Gateway) -> Self {
+        let now = gw.now();
+        let mut suspects = gw.suspects.borrow_mut();
+        let crashes = suspects.to_tell(now).into_iter();
+        Self {
+            crashes: crashes.map(|told| Crash::of(&told, now)).collect(),
+            trials: suspects.trials().collect(),
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.trials.is_empty()
+    }
+
+    /// Takes over what a peer warns of.
+    pub(super) fn take(self, suspects: &mut Suspects, now: Moment) {
+        for crash in self.crashes {
+            suspects.hear(crash.told(now), now);
+        }
+        for fingerprint in self.trials {
+            suspects.hear_trial(fingerprint, now);
+        }
+    }
+}
+
+impl Crash {
+    fn of(told: &Told, now: Moment) -> Self {
+        let ago = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        Self {
+            fingerprint: told.fingerprint,
+            worker: told.worker,
+            began_ms_ago: ago(told.strike.began),
+            crashed_ms_ago: ago(told.strike.crashed),
+            excused: told.strike.excused,
+        }
+    }
+
+    fn told(&self, now: Moment) -> Told {
+        let at = |ms: u32| Moment(now.0.saturating_sub(u64::from(ms) * 1000));
+        Told {
+            fingerprint: self.fingerprint,
+            worker: self.worker,
+            strike: Strike {
+                began: at(self.began_ms_ago),
+                crashed: at(self.crashed_ms_ago),
+                excused: self.excused,
+            },
+        }
+    }
+}
+
 /// What runs where, between two full reports.
 #[derive(Serialize, Deserialize)]
 pub(super) struct Brief {
@@ -96,7 +170,7 @@
 
 /// A datagram as it was read.
 pub(super) enum Datagram {
-    Full(Box<Report>, Supplement),
+    Full(Box<Report>, Supplement, Warnings),
     Brief(Brief),
 }
 
@@ -116,11 +190,14 @@
     revisions: Revisions,
     jobs: Vec<JobId>,
     cancelled: Vec<JobId>,
+    /// Of what is known of crashes.
+    suspects: u64,
 }
 
 impl Report {
-    pub(super) fn urgent(&self) -> Urgent {
+    pub(super) fn urgent(&self, suspects: u64) -> Urgent {
         Urgent {
+            suspects,
             stopping: self.stopping,
             reaches_store: self.reaches_store,
             revisions: self.revisions,
@@ -235,7 +312,7 @@
     if !rest.is_empty() {
         return Err(Unread::TurnedOrCut);
     }
-    if let Datagram::Full(report, _) = &read
+    if let Datagram::Full(report, ..) = &read
         && !is_name(report.entry.as_str())
     {
         return Err(Unread::Sender);
@@ -255,7 +332,13 @@
     } else {
         postcard::take_from_bytes(rest)?
     };
-    Ok((Datagram::Full(Box::new(report), supplement), rest))
+    let (warnings, rest) = if rest.is_empty() {
+        (Warnings::default(), rest)
+    } else {
+        postcard::take_from_bytes(rest)?
+    };
+    let full = Datagram::Full(Box::new(report), supplement, warnings);
+    Ok((full, rest))
 }
 
 /// Whether settings allow a daemon this name.
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -170,6 +170,7 @@
     gw.jobs.borrow_mut().sweep(now);
     gw.keepers.borrow_mut().sweep(now);
     gw.overloads.borrow_mut().sweep(now);
+    gw.suspects.borrow_mut().sweep(now);
     gw.board.borrow_mut().forget_silent(now);
     gw.board.borrow_mut().paces.sweep(now);
     let expired = gw.facts.borrow_mut().catalog.expire(now);
@@ -203,6 +204,7 @@
     let version = gw.configuration().map_or(0, |c| c.version);
     let jobs = gw.jobs.borrow();
     let metrics = &gw.metrics;
+    metrics.suspects.set(count(gw.suspects.borrow().len()));
     metrics.in_progress.set(count(gw.in_progress.count()));
     metrics.jobs_owned.set(count(jobs.own.len()));
     metrics.copies_bytes.set(count(jobs.copies.bytes()));
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -153,6 +153,7 @@
         tried: Vec::new(),
         runs: 0,
         fingerprint: OnceCell::new(),
+        trial: None,
     }
 }
 
