Who is held back: crashes of many at once, ties, trials by few

Change: a crash does not count where two other workers crashed at the same moment under requests that were at no other crash; the first hold is two seconds, after which one run of either of two at the same crashes tells them apart; a minute (an item 15 s) after the fourth; one daemon of many may try at first, twice as many after each second; only what was seen here is told, and by eight daemons what is held back; a trial begins with its run.

--- a/crates/bluebellreel_dispatch/src/suspects.rs
+++ b/crates/bluebellreel_dispatch/src/suspects.rs
@@ -5,18 +5,21 @@
 //! after the other, each under a run that began after the crash before: workers that
 //! are killed at the same moment count once, however many of them ran the same
 //! request. A crash counts only against the requests that were at the most crashes of
-//! those there, so that it does not count against those beside the one that causes it.
-//! And a run that ends well takes all that was counted before it back.
+//! those there, so that it does not count against those beside the one that causes it;
+//! and not at all where workers crashed at the same moment under requests that were at
+//! no other crash, as they do when they are killed. A run that ends well takes all that
+//! was counted before it back.
 //!
 //! All daemons tell each other which crash they saw under which request. Nothing that
 //! was concluded is told: each daemon concludes for itself, from the same crashes, and
 //! what is learned late corrects it.
 
 use crate::{Fingerprint, WorkerTag};
-use bluebellreel_types::Moment;
+use bluebellreel_types::{EntryName, Moment};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use twox_hash::XxHash64;
 
 /// Crashes after which a request is held back. With two, one request in some hundred
 /// that had met two workers' ends by accident would be; each further one costs all that
@@ -24,11 +27,20 @@
 const ENOUGH: u32 = 3;
 /// How far clocks may differ by which daemons place what others saw: the way of a report.
 const SLACK: Duration = Duration::from_millis(30);
-/// How long a caller's request is held back after its last crash, at first. Callers
-/// repeat within seconds.
+/// Within this time of each other workers crash at the same moment.
+const AT_ONCE: Duration = Duration::from_millis(250);
+/// Other workers that crash at the same moment, for no reason that shows, from which on
+/// a crash is taken for one of many. One may be another request's first.
+const MANY: usize = 2;
+/// How long a request is held back at first. One that was at the same three crashes by bad
+/// luck cannot be told from the one that caused them; the first run of either after this
+/// time tells.
+const HELD_FIRST: Duration = Duration::from_secs(2);
+/// How long a caller's request is held back after a crash more. Callers repeat within
+/// seconds.
 const HELD_ONLINE: Duration = Duration::from_mins(1);
 /// The same for an item of a job, which only its owner sends: it holds its whole job up.
-const HELD_BATCH: Duration = Duration::from_secs(10);
+const HELD_BATCH: Duration = Duration::from_secs(15);
 /// Longest that one is held back: workers that can run it by then are found out so late
 /// at the most.
 const HELD_LONGEST: Duration = Duration::from_mins(10);
@@ -38,13 +50,11 @@
 const TRIAL: Duration = Duration::from_secs(10);
 /// Requests remembered. A mass kill brings thousands; those at few crashes go first.
 const MOST_REQUESTS: usize = 512;
-/// Crashes remembered of one request.
-const MOST_CRASHES: usize = 8;
-/// How long a crash is told to peers after it is known, in reports some of which are lost.
+/// Crashes remembered of one request. More than it takes to hold it back at hundreds of
+/// daemons: without its crashes, those beside it would seem to have caused them.
+const MOST_CRASHES: usize = 32;
+/// How long a daemon tells what it has seen itself, in reports some of which are lost.
 const TOLD: Duration = Duration::from_secs(3);
-/// Age from which on a crash that a peer told is not told on: what one daemon has forgotten
-/// for want of room would come back from others for ever.
-const TOLD_ON: Duration = Duration::from_secs(6);
 /// Crashes told in one report: some 500 bytes.
 const MOST_TOLD: usize = 24;
 
@@ -86,26 +96,34 @@
     Clear,
     /// It was at crashes that may have other causes.
     Suspect,
-    /// It was held back long enough: one run shows whether workers can run it now.
-    OnTrial,
+    /// It was held back long enough, until this moment: one run shows whether workers can
+    /// run it now. See [`may_try`].
+    OnTrial(Moment),
     /// It is held back until then.
     Held(Moment),
 }
 
+/// A crash as it is remembered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Known {
+    strike: Strike,
+    /// Until when it is told, as it was seen here.
+    told_until: Moment,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Record {
-    strikes: BTreeMap<WorkerTag, Strike>,
+    strikes: BTreeMap<WorkerTag, Known>,
     /// Until when one request is tried out, here or at a peer.
     trial_until: Moment,
     /// Whether that is here.
     on_trial_here: bool,
-    /// Until when all of it is told.
-    told_until: Moment,
 }
 
 impl Record {
     fn charges(&self) -> impl Iterator<Item = (&WorkerTag, &Strike)> {
-        self.strikes.iter().filter(|(_, s)| !s.excused)
+        let strikes = self.strikes.iter().map(|(worker, k)| (worker, &k.strike));
+        strikes.filter(|(_, s)| !s.excused)
     }
 
     /// Crashes one after the other, whoever caused them.
@@ -114,20 +132,39 @@
     }
 
     fn last(&self) -> Moment {
-        let crashes = self.strikes.values().map(|s| s.crashed);
+        let crashes = self.strikes.values().map(|k| k.strike.crashed);
         crashes.max().unwrap_or_default()
     }
 
     /// Makes room for one more crash.
     fn forget_oldest(&mut self) {
         while self.strikes.len() >= MOST_CRASHES {
-            let oldest = self.strikes.iter().min_by_key(|(_, s)| s.crashed);
+            let oldest = self.strikes.iter().min_by_key(|(_, k)| k.strike.crashed);
             let Some((&worker, _)) = oldest else { return };
             self.strikes.remove(&worker);
         }
     }
 }
 
+/// One worker's crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Crash {
+    at: Moment,
+    /// Crashes in turn of the request there that was at the most.
+    heaviest: u32,
+}
+
+/// Whether a crash under a request is one of many at the same moment, that came under
+/// requests which were at no other.
+fn is_one_of_many(crashes: &BTreeMap<WorkerTag, Crash>, of: &Record, strike: &Strike) -> bool {
+    let (from, until) = (strike.crashed, strike.crashed + AT_ONCE);
+    let at_once = |c: &Crash| c.at <= until && from <= c.at + AT_ONCE;
+    let others = crashes
+        .iter()
+        .filter(|(worker, c)| !of.strikes.contains_key(worker) && c.heaviest <= 1 && at_once(c));
+    others.count() >= MANY
+}
+
 /// The most crashes of these that came one after the other, and the last one's moment.
 fn in_turn(strikes: impl Iterator<Item = Strike>) -> (u32, Moment) {
     let mut all: Vec<Strike> = strikes.collect();
@@ -142,6 +179,25 @@
     (count, last)
 }
 
+/// Whether a daemon may try a request out, now that it was held back long enough.
+///
+/// One of `daemons` may at first, twice as many after each second. If all might at once, a
+/// request that comes back some times a second at hundreds of daemons would be tried by
+/// many before they hear of each other.
+#[must_use]
+pub fn may_try(
+    fingerprint: Fingerprint,
+    me: &EntryName,
+    daemons: usize,
+    since: Moment,
+    now: Moment,
+) -> bool {
+    let seed = u64::from_le_bytes(fingerprint.0);
+    let place = XxHash64::oneshot(seed, me.as_str().as_bytes()) % (daemons.max(1) as u64);
+    let seconds = now.since(since).as_secs().min(u64::from(u32::BITS));
+    place < 1 << seconds
+}
+
 /// Requests under which workers have crashed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Suspects {
@@ -176,8 +232,13 @@
     pub fn saw(&mut self, told: Told, now: Moment) -> u32 {
         self.hear(told, now);
         self.version += 1;
-        let record = self.records.get(&told.fingerprint);
-        record.map_or(0, Record::weight)
+        let Some(record) = self.records.get_mut(&told.fingerprint) else {
+            return 0;
+        };
+        if let Some(known) = record.strikes.get_mut(&told.worker) {
+            known.told_until = now + TOLD;
+        }
+        record.weight()
     }
 
     /// Takes a crash over; whether it was news.
@@ -193,15 +254,16 @@
         }
         let record = self.records.entry(fingerprint).or_default();
         if let Some(known) = record.strikes.get_mut(&worker) {
-            let is_news = strike.excused && !known.excused;
-            known.excused |= strike.excused;
+            let is_news = strike.excused && !known.strike.excused;
+            known.strike.excused |= strike.excused;
             return is_news;
         }
         record.forget_oldest();
-        record.strikes.insert(worker, strike);
-        if !(strike.crashed + TOLD_ON).is_past(now) {
-            record.told_until = now + TOLD;
-        }
+        let known = Known {
+            strike,
+            told_until: Moment(0),
+        };
+        record.strikes.insert(worker, known);
         self.forget_weakest();
         true
     }
@@ -212,16 +274,14 @@
             return false;
         };
         record.trial_until = Moment(0);
-        let mut charges = record
-            .strikes
-            .values_mut()
-            .filter(|s| !s.excused)
-            .peekable();
-        if charges.peek().is_none() {
+        let charges = record.strikes.values_mut().filter(|k| !k.strike.excused);
+        let excuse = |known: &mut Known| {
+            known.strike.excused = true;
+            known.told_until = now + TOLD;
+        };
+        if charges.map(excuse).count() == 0 {
             return false;
         }
-        charges.for_each(|s| s.excused = true);
-        record.told_until = now + TOLD;
         self.version += 1;
         true
     }
@@ -235,18 +295,29 @@
         if weight < ENOUGH {
             return (weight, record.last());
         }
-        let own = record.charges();
-        let own = own.filter(|(worker, _)| !self.is_outweighed(**worker, weight));
+        let crashes = self.crashes();
+        let own = record.charges().filter(|(worker, strike)| {
+            let is_heaviest = crashes[worker].heaviest <= weight;
+            is_heaviest && !is_one_of_many(&crashes, record, strike)
+        });
         in_turn(own.map(|(_, strike)| *strike))
     }
 
-    /// Whether another request that was at a worker's crash was at more of them.
-    fn is_outweighed(&self, worker: WorkerTag, weight: u32) -> bool {
-        let mut there = self.records.values().filter(|r| {
-            let strike = r.strikes.get(&worker);
-            strike.is_some_and(|s| !s.excused)
-        });
-        there.any(|r| r.weight() > weight)
+    /// All crashes that are remembered.
+    fn crashes(&self) -> BTreeMap<WorkerTag, Crash> {
+        let mut crashes: BTreeMap<WorkerTag, Crash> = BTreeMap::new();
+        for record in self.records.values() {
+            let weight = record.weight();
+            for (worker, Known { strike, .. }) in &record.strikes {
+                let crash = crashes.entry(*worker).or_insert(Crash {
+                    at: strike.crashed,
+                    heaviest: 0,
+                });
+                let counts = if strike.excused { 0 } else { weight };
+                crash.heaviest = crash.heaviest.max(counts);
+            }
+        }
+        crashes
     }
 
     /// Whether a request may be sent.
@@ -259,18 +330,22 @@
         let Some(beyond) = charged.checked_sub(ENOUGH) else {
             return Standing::Suspect;
         };
-        let first = match sender {
+        let more = match sender {
             Sender::Caller => HELD_ONLINE,
             Sender::Job => HELD_BATCH,
         };
-        let until = last + (first * 2u32.saturating_pow(beyond)).min(HELD_LONGEST);
+        let held = match beyond.checked_sub(1) {
+            None => HELD_FIRST,
+            Some(doublings) => (more * 2u32.saturating_pow(doublings)).min(HELD_LONGEST),
+        };
+        let until = last + held;
         let trial_until = self.records[&fingerprint].trial_until;
         if !until.is_past(now) {
             Standing::Held(until)
         } else if !trial_until.is_past(now) {
             Standing::Held(trial_until)
         } else {
-            Standing::OnTrial
+            Standing::OnTrial(until)
         }
     }
 
@@ -307,39 +382,39 @@
         records.map(|(fingerprint, _)| *fingerprint).take(MOST_TOLD)
     }
 
-    /// What the next report tells: crashes that are news, and those of requests that
-    /// are held back, for daemons that have started since.
-    pub fn to_tell(&mut self, now: Moment) -> Vec<Told> {
-        let mut news = Vec::new();
+    /// What the next report tells: what was seen here lately and, if `all`, the crashes of
+    /// requests that are held back, for daemons that have started since. The latter are
+    /// the same at each daemon, so that few of many need to tell them.
+    pub fn to_tell(&mut self, all: bool, now: Moment) -> Vec<Told> {
+        let mut seen = Vec::new();
         let mut known = Vec::new();
         for (fingerprint, record) in &self.records {
             let weight = record.weight();
-            let is_news = !record.told_until.is_past(now);
-            let list = match (is_news, weight) {
-                (true, _) => &mut news,
-                (false, ENOUGH..) => &mut known,
-                (false, _) => continue,
-            };
-            list.extend(record.strikes.iter().map(|(worker, strike)| {
+            for (worker, k) in &record.strikes {
+                let list = match (k.told_until.is_past(now), weight) {
+                    (false, _) => &mut seen,
+                    (true, ENOUGH..) if all => &mut known,
+                    (true, _) => continue,
+                };
                 let told = Told {
                     fingerprint: *fingerprint,
                     worker: *worker,
-                    strike: *strike,
+                    strike: k.strike,
                 };
-                (weight, told)
-            }));
+                list.push((weight, told));
+            }
         }
-        // Of many that are new, as after a mass kill, those at several crashes first.
-        news.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        let room = MOST_TOLD.saturating_sub(known.len().min(MOST_TOLD / 2));
-        news.truncate(room);
+        // Of many, as after a mass kill, those at several crashes first.
+        seen.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let room_for_known = known.len().min(MOST_TOLD / 2);
+        seen.truncate(MOST_TOLD - room_for_known);
         if !known.is_empty() {
             self.turn = (self.turn + MOST_TOLD / 2) % known.len();
             known.rotate_left(self.turn);
-            known.truncate(MOST_TOLD - news.len());
+            known.truncate(MOST_TOLD - seen.len());
         }
-        let all = news.into_iter().chain(known);
-        all.map(|(_, told)| told).collect()
+        let told = seen.into_iter().chain(known);
+        told.map(|(_, told)| told).collect()
     }
 
     /// Forgets crashes of long ago.
@@ -347,7 +422,7 @@
         for record in self.records.values_mut() {
             record
                 .strikes
-                .retain(|_, s| !(s.crashed + FORGOTTEN).is_past(now));
+                .retain(|_, k| !(k.strike.crashed + FORGOTTEN).is_past(now));
         }
         self.records.retain(|_, r| !r.strikes.is_empty());
     }
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -5,7 +5,7 @@
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::pulse::Pulse;
-use crate::suspicion::{self, Trial};
+use crate::suspicion::{self, Leave, Trial};
 use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
@@ -51,8 +51,8 @@
 fn fill_slots(gw: &Rc<Gateway>) {
     let mut full: BTreeSet<Arc<str>> = BTreeSet::new();
     while let Some(next) = choose_item(gw, &full) {
-        let trial = match may_run(gw, &next) {
-            Ok(trial) => trial,
+        let leave = match may_run(gw, &next) {
+            Ok(leave) => leave,
             Err(until) => {
                 let later = ItemPhase::Waiting { from: until };
                 next.owned.job.borrow_mut().items[next.item].phase = later;
@@ -69,7 +69,7 @@
         };
         let worker = place_batch(&gw.board.borrow(), &query, gw.me());
         match worker {
-            Some(worker) => start(gw, next, &worker, trial),
+            Some(worker) => start(gw, next, &worker, leave),
             None if !avoid.is_empty() => {
                 // Others may start where it has failed: it holds none of them up.
                 let later = ItemPhase::Waiting {
@@ -85,9 +85,11 @@
 }
 
 /// Whether an item may be sent to a worker; else when it may be tried again.
-fn may_run(gw: &Rc<Gateway>, next: &Next) -> Result<Option<Trial>, Moment> {
-    let fingerprint =
-        || outgoing(next).map_or_else(|| Fingerprint::of(&[]), |o| Fingerprint::of(&o.identity()));
+fn may_run(gw: &Gateway, next: &Next) -> Result<Leave, Moment> {
+    let fingerprint = || {
+        let out = outgoing(next);
+        out.map_or(Fingerprint::of(&[]), |out| Fingerprint::of(&out.identity()))
+    };
     suspicion::may_run(gw, &next.id, Sender::Job, fingerprint)
 }
 
@@ -157,7 +159,8 @@
     owned.record_due.notify_one();
 }
 
-fn start(gw: &Rc<Gateway>, next: Next, worker: &WorkerName, trial: Option<Trial>) {
+fn start(gw: &Rc<Gateway>, next: Next, worker: &WorkerName, leave: Leave) {
+    let trial = Trial::begin(gw, &next.id, leave);
     let place = Place::take(gw, worker, Class::Batch);
     next.owned.job.borrow_mut().items[next.item].phase = ItemPhase::Running;
     let key = (next.job.clone(), next.item);
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -80,9 +80,10 @@
 
     /// Whether it may be sent to a worker; else when it may be tried again.
     pub(crate) fn may_run(&mut self, gw: &Rc<Gateway>) -> Result<(), Moment> {
+        // What an earlier run has shown counts by now.
         self.trial = None;
-        let fingerprint = || self.fingerprint();
-        self.trial = suspicion::may_run(gw, &self.id, Sender::Caller, fingerprint)?;
+        let leave = suspicion::may_run(gw, &self.id, Sender::Caller, || self.fingerprint())?;
+        self.trial = Trial::begin(gw, &self.id, leave);
         Ok(())
     }
 
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -13,6 +13,7 @@
 };
 use bluebellreel_members::{Revisions, SILENT};
 use bluebellreel_types::{DataCentre, EntryName, Incarnation, JobId, Moment, WorkerName};
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
@@ -26,6 +27,10 @@
 /// reports has a right one.
 const SEAL_BYTES: usize = 4;
 
+/// How many daemons tell, in each round of full reports, what all know of requests that
+/// are held back: enough for one that has just started, whatever is lost.
+const TELLERS: usize = 8;
+
 /// A full report.
 #[derive(Serialize, Deserialize)]
 pub(super) struct Report {
@@ -81,8 +86,10 @@
     /// What this daemon warns of.
     pub(super) fn own(gw: &Gateway) -> Self {
         let now = gw.now();
+        let peers = gw.members.borrow().heard(now).count().max(1);
+        let tells_all = gw.rng.borrow_mut().random_range(0..peers) < TELLERS;
         let mut suspects = gw.suspects.borrow_mut();
-        let crashes = suspects.to_tell(now).into_iter();
+        let crashes = suspects.to_tell(tells_all, now).into_iter();
         Self {
             crashes: crashes.map(|told| Crash::of(&told, now)).collect(),
             trials: suspects.trials().collect(),
--- a/crates/bluebellreel_gateway/src/suspicion.rs
+++ b/crates/bluebellreel_gateway/src/suspicion.rs
@@ -7,14 +7,18 @@
 //! here they are stopped before they are sent.
 
 use crate::gateway::Gateway;
-use bluebellreel_dispatch::{Fingerprint, Sender, Standing};
+use bluebellreel_dispatch::{Fingerprint, Sender, Standing, may_try};
 use bluebellreel_types::Moment;
 use log::warn;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// What a caller is told whose request is held back.
 pub(crate) const REASON: &str = "workers crash under it";
 
+/// Time after which a request that another daemon may try out may return here.
+const TURN: Duration = Duration::from_secs(1);
+
 /// A request that shows whether workers can run it now, as long as it lives. Others like
 /// it wait for what it shows.
 pub(crate) struct Trial {
@@ -29,35 +33,60 @@
     }
 }
 
-/// Whether a request may be sent to a worker, and whether as a trial; else when it may be
-/// tried again.
+/// How a request may be sent to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Leave {
+    /// As any other.
+    Plain,
+    /// As a trial; see [`Trial::begin`].
+    OnTrial(Fingerprint),
+}
+
+impl Trial {
+    /// Tells all that a request is tried out, if it is.
+    pub(crate) fn begin(gw: &Rc<Gateway>, request: &str, leave: Leave) -> Option<Self> {
+        let Leave::OnTrial(fingerprint) = leave else {
+            return None;
+        };
+        gw.suspects.borrow_mut().begin_trial(fingerprint, gw.now());
+        gw.report_due.notify_one();
+        warn!(target: "online", request, fingerprint:% = fingerprint; "request tried out");
+        let gw = gw.clone();
+        Some(Self { gw, fingerprint })
+    }
+}
+
+/// Whether a request may be sent to a worker; else when it may be tried again.
 pub(crate) fn may_run(
-    gw: &Rc<Gateway>,
+    gw: &Gateway,
     request: &str,
     sender: Sender,
     fingerprint: impl FnOnce() -> Fingerprint,
-) -> Result<Option<Trial>, Moment> {
+) -> Result<Leave, Moment> {
     if gw.suspects.borrow().is_empty() {
-        return Ok(None);
+        return Ok(Leave::Plain);
     }
     let (fingerprint, now) = (fingerprint(), gw.now());
     let standing = gw.suspects.borrow().standing(fingerprint, sender, now);
-    match standing {
-        Standing::Clear | Standing::Suspect => Ok(None),
-        Standing::OnTrial => {
-            gw.suspects.borrow_mut().begin_trial(fingerprint, now);
-            gw.report_due.notify_one();
-            warn!(target: "online", request, fingerprint:% = fingerprint; "request tried out");
-            let gw = gw.clone();
-            Ok(Some(Trial { gw, fingerprint }))
-        }
-        Standing::Held(until) => {
-            let left = until.since(now);
-            let held_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-            warn!(target: "online", request, fingerprint:% = fingerprint, due_in_ms = held_ms; "request held back");
-            Err(until)
+    let until = match standing {
+        Standing::Clear | Standing::Suspect => return Ok(Leave::Plain),
+        Standing::OnTrial(since) if may_try_here(gw, fingerprint, sender, since) => {
+            return Ok(Leave::OnTrial(fingerprint));
         }
-    }
+        Standing::OnTrial(_) => now + TURN,
+        Standing::Held(until) => until,
+    };
+    let left = until.since(now);
+    let held_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    warn!(target: "online", request, fingerprint:% = fingerprint, due_in_ms = held_ms; "request held back");
+    Err(until)
+}
+
+/// Whether this daemon may try a request out now. A job's item has one owner.
+fn may_try_here(gw: &Gateway, fingerprint: Fingerprint, sender: Sender, since: Moment) -> bool {
+    let now = gw.now();
+    let peers = gw.members.borrow().heard(now).count();
+    sender == Sender::Job || may_try(fingerprint, gw.me(), peers + 1, since, now)
 }
 
 /// A run of a request has ended without a crash.
