What is held back outlives all gateways

Cause: all that is known of a request lies in the gateways' memory; when all are killed at the same moment it ended three more workers (failing test: the request ran at once). Change: the gateway that saw the crash keeps the request in the store under a lease of ten minutes (two calls for each crash from the third on); gateways read all such entries once at their start; a run that ends well removes it.

--- a/crates/bluebellreel_dispatch/src/fingerprint.rs
+++ b/crates/bluebellreel_dispatch/src/fingerprint.rs
@@ -29,6 +29,20 @@
     }
 }
 
+/// A text that is no fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoFingerprint;
+
+impl TryFrom<&str> for Fingerprint {
+    type Error = NoFingerprint;
+
+    fn try_from(text: &str) -> Result<Self, NoFingerprint> {
+        let is_hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = is_hex.then(|| u64::from_str_radix(text, 16).ok()).flatten();
+        number.map(|n| Self(n.to_be_bytes())).ok_or(NoFingerprint)
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -32,7 +32,7 @@
 pub use board::{Board, PlacementLimits, Seat, WorkerChange};
 pub use catalog::{Boot, Catalog, WorkerRecord, WorkerState, WorkerTag};
 pub use doubt::Doubt;
-pub use fingerprint::Fingerprint;
+pub use fingerprint::{Fingerprint, NoFingerprint};
 pub use overload::{Overloads, return_after};
 pub use pace::Paces;
 pub use peer::{PeerLoad, PeerRuns, Running};
@@ -40,5 +40,5 @@
     BatchRun, Placement, Query, batch_to_yield, place_batch, place_online, should_leave,
 };
 pub use routes::{CallerLimits, Configuration, Route, RouteKind, Service, Target};
-pub use suspects::{Sender, Standing, Strike, Suspects, Told, may_try};
+pub use suspects::{Cleared, Sender, Standing, Strike, Suspects, Told, may_try};
 pub use ticket::{Class, Ticket};
--- a/crates/bluebellreel_dispatch/src/suspects.rs
+++ b/crates/bluebellreel_dispatch/src/suspects.rs
@@ -111,6 +111,17 @@
     told_until: Moment,
 }
 
+/// What a run that ended well takes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cleared {
+    /// Nothing was known against its request.
+    Nothing,
+    /// Too few crashes to hold it back.
+    Suspicion,
+    /// Enough of them, whether it was held back for them or another one was.
+    Hold,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Record {
     strikes: BTreeMap<WorkerTag, Known>,
@@ -268,11 +279,38 @@
         true
     }
 
-    /// A run of a request has ended well; whether that takes something back.
-    pub fn completed(&mut self, fingerprint: Fingerprint, now: Moment) -> bool {
+    /// The lives of workers that crashed under a request.
+    #[must_use]
+    pub fn workers_of(&self, fingerprint: Fingerprint) -> Vec<WorkerTag> {
+        let record = self.records.get(&fingerprint);
+        let charges = record.into_iter().flat_map(Record::charges);
+        charges.map(|(worker, _)| *worker).collect()
+    }
+
+    /// Takes over which workers crashed under a request, before this daemon began. When
+    /// is not known: it is held back as if the last one had just crashed.
+    pub fn recall(&mut self, fingerprint: Fingerprint, workers: &[WorkerTag], now: Moment) {
+        for worker in workers.iter().take(MOST_CRASHES) {
+            let strike = Strike {
+                began: now,
+                crashed: now,
+                excused: false,
+            };
+            let told = Told {
+                fingerprint,
+                worker: *worker,
+                strike,
+            };
+            self.hear(told, now);
+        }
+    }
+
+    /// A run of a request has ended well; what that takes back.
+    pub fn completed(&mut self, fingerprint: Fingerprint, now: Moment) -> Cleared {
         let Some(record) = self.records.get_mut(&fingerprint) else {
-            return false;
+            return Cleared::Nothing;
         };
+        let weight = record.weight();
         record.trial_until = Moment(0);
         let charges = record.strikes.values_mut().filter(|k| !k.strike.excused);
         let excuse = |known: &mut Known| {
@@ -280,10 +318,13 @@
             known.told_until = now + TOLD;
         };
         if charges.map(excuse).count() == 0 {
-            return false;
+            return Cleared::Nothing;
         }
         self.version += 1;
-        true
+        match weight {
+            ENOUGH.. => Cleared::Hold,
+            _ => Cleared::Suspicion,
+        }
     }
 
     /// How many crashes in turn speak against a request, and when the last one was.
--- a/crates/bluebellreel_dispatch/tests/suspects.rs
+++ b/crates/bluebellreel_dispatch/tests/suspects.rs
@@ -1,7 +1,7 @@
 //! Which requests are held back for the workers that crashed under them.
 
 use bluebellreel_dispatch::{
-    Fingerprint, Sender, Standing, Strike, Suspects, Told, WorkerTag, may_try,
+    Cleared, Fingerprint, Sender, Standing, Strike, Suspects, Told, WorkerTag, may_try,
 };
 use bluebellreel_types::{EntryName, Moment};
 use proptest::prelude::*;
@@ -147,7 +147,8 @@
 fn a_run_that_ends_well_clears_a_request_everywhere() {
     let bad = request(1);
     let (mut here, mut there) = (convicted(bad), convicted(bad));
-    assert!(here.completed(bad, at(70_000)));
+    assert_eq!(here.completed(bad, at(70_000)), Cleared::Hold);
+    assert_eq!(here.completed(bad, at(70_000)), Cleared::Nothing);
     assert_eq!(standing(&here, bad, 70_001), Standing::Clear);
     for told in here.to_tell(true, at(70_001)) {
         there.hear(told, at(70_001));
@@ -234,6 +235,24 @@
     assert_eq!(may(1, 0), 1);
 }
 
+/// All daemons were killed. What the store has kept holds a request back as its own
+/// crashes do, until a trial.
+#[test]
+fn what_was_kept_holds_a_request_back_after_a_start() {
+    let bad = request(1);
+    let kept = convicted(bad).workers_of(bad);
+    assert_eq!(kept.len(), 3);
+    let mut suspects = Suspects::default();
+    suspects.recall(bad, &kept, at(5000));
+    assert!(is_held(&suspects, bad, 5001));
+    assert!(on_trial(&suspects, bad, Sender::Caller, 7001));
+    let name = bad.to_string();
+    assert_eq!(Fingerprint::try_from(name.as_str()), Ok(bad));
+    for no in ["", "xyz", "+123456789abcdef", &name[1..]] {
+        assert!(Fingerprint::try_from(no).is_err(), "{no}");
+    }
+}
+
 /// A peer's trial is waited for, and not told on.
 #[test]
 fn a_trial_elsewhere_is_waited_for() {
--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -5,8 +5,11 @@
 //! later though it did not say that it leaves.
 
 use crate::gateway::Gateway;
+use crate::held;
 use crate::online::Request;
-use bluebellreel_dispatch::{Fingerprint, Strike, Ticket, Told, WorkerState, WorkerTag};
+use bluebellreel_dispatch::{
+    Fingerprint, Sender, Standing, Strike, Ticket, Told, WorkerState, WorkerTag,
+};
 use bluebellreel_net::Knock;
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_types::Moment;
@@ -96,7 +99,7 @@
     gone || board.is_of_former_life(ticket)
 }
 
-fn note(gw: &Gateway, cut: &Cut, at: Moment, reason: &str) {
+fn note(gw: &Rc<Gateway>, cut: &Cut, at: Moment, reason: &str) {
     let lasted = u64::try_from(at.since(cut.began).as_millis()).unwrap_or(u64::MAX);
     gw.metrics.crashes.inc();
     let strike = Strike {
@@ -111,5 +114,12 @@
     };
     let crashes = gw.suspects.borrow_mut().saw(told, gw.now());
     gw.report_due.notify_one();
+    let standing = gw
+        .suspects
+        .borrow()
+        .standing(cut.fingerprint, Sender::Caller, gw.now());
+    if matches!(standing, Standing::Held(_)) {
+        held::keep(gw, cut.fingerprint);
+    }
     warn!(target: "online", request:% = cut.request, fingerprint:% = cut.fingerprint, worker:% = cut.ticket.worker, took_ms = lasted, crashes, reason; "worker crashed under a run");
 }
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/held.rs
@@ -0,0 +1,117 @@
+//! Requests that are held back, kept in the store for gateways that start when no peer is
+//! left to tell.
+//!
+//! Guard: all gateways may be killed at the same moment. A request that had ended workers
+//! came again as soon as they were back, and ended three more before they knew again. An
+//! entry stands under a lease, as long as a request is held back at the most, so that
+//! nothing has to be cleaned up.
+
+use crate::gateway::Gateway;
+use bluebellreel_dispatch::{Fingerprint, WorkerTag};
+use bluebellreel_kv::{Commit, Key, KeyValue, KvError, Put, Txn};
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Prefix of all entries.
+const HELD: &str = "held/";
+/// How long an entry stands: the longest that the store grants, and that a request is held
+/// back.
+const TTL: Duration = Duration::from_mins(10);
+/// Longest that an entry is tried to be written. After that others have seen the next
+/// crash, or the request has not come again.
+const WRITE: Duration = Duration::from_secs(20);
+/// Pause after a call that failed.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// The value of an entry: the lives of the workers that crashed.
+#[derive(Serialize, Deserialize)]
+struct Entry {
+    workers: Vec<WorkerTag>,
+}
+
+fn key_of(fingerprint: Fingerprint) -> Key {
+    Key::from(format!("{HELD}{fingerprint}"))
+}
+
+/// Keeps a request that is held back.
+pub(crate) fn keep(gw: &Rc<Gateway>, fingerprint: Fingerprint) {
+    let gw = gw.clone();
+    tokio::task::spawn_local(async move {
+        let until = Instant::now() + WRITE;
+        while let Err(e) = write(&gw, fingerprint).await {
+            warn!(target: "online", fingerprint:% = fingerprint, error:% = e; "held request not kept");
+            if Instant::now() > until {
+                return;
+            }
+            sleep(RETRY).await;
+        }
+    });
+}
+
+async fn write(gw: &Gateway, fingerprint: Fingerprint) -> Result<(), KvError> {
+    let workers = gw.suspects.borrow().workers_of(fingerprint);
+    let value = serde_json::to_vec(&Entry { workers });
+    let value = value.map_err(|e| KvError::Refused(e.to_string()))?;
+    let lease = gw.store.lease(TTL).await?.id;
+    let key = key_of(fingerprint);
+    let puts = vec![Put { key, value, lease }];
+    let txn = Txn {
+        puts,
+        ..Txn::default()
+    };
+    done(gw.store.commit(&txn, Instant::now() + RETRY).await)
+}
+
+/// Forgets a request that workers can run again. An entry that stays holds it back once
+/// more at the next start of all gateways, for two seconds at the least.
+pub(crate) fn forget(gw: &Rc<Gateway>, fingerprint: Fingerprint) {
+    let gw = gw.clone();
+    tokio::task::spawn_local(async move {
+        let txn = Txn {
+            deletes: vec![key_of(fingerprint)],
+            ..Txn::default()
+        };
+        let until = Instant::now() + WRITE;
+        if let Err(e) = done(gw.store.commit(&txn, until).await) {
+            warn!(target: "online", fingerprint:% = fingerprint, error:% = e; "held request not forgotten");
+        }
+    });
+}
+
+fn done(commit: Commit) -> Result<(), KvError> {
+    match commit {
+        Commit::Applied { .. } => Ok(()),
+        Commit::Beaten(_) => Err(KvError::NotDone("guard failed".into())),
+        Commit::NotDone(reason) => Err(KvError::NotDone(reason)),
+        Commit::Unknown(reason) => Err(KvError::Unknown(reason)),
+    }
+}
+
+/// Reads, once at the start, what is held back.
+pub(crate) async fn recall(gw: Rc<Gateway>) {
+    let all = loop {
+        match gw.store.list(&Key::from(HELD)).await {
+            Ok((all, _)) => break all,
+            Err(_) => sleep(RETRY).await,
+        }
+    };
+    for kv in &all {
+        let Some((fingerprint, entry)) = read(kv) else {
+            warn!(target: "online", key:% = kv.key; "held request not read");
+            continue;
+        };
+        let now = gw.now();
+        let mut suspects = gw.suspects.borrow_mut();
+        suspects.recall(fingerprint, &entry.workers, now);
+        info!(target: "online", fingerprint:% = fingerprint, crashes = entry.workers.len(); "held request recalled");
+    }
+}
+
+fn read(kv: &KeyValue) -> Option<(Fingerprint, Entry)> {
+    let name = kv.key.as_str().strip_prefix(HELD)?;
+    let fingerprint = Fingerprint::try_from(name).ok()?;
+    Some((fingerprint, serde_json::from_slice(&kv.value).ok()?))
+}
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod events;
 mod facts;
 mod gateway;
+mod held;
 mod in_progress;
 mod jobs;
 mod keepers;
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -3,7 +3,7 @@
 use crate::gateway::Gateway;
 use crate::leave::leave;
 use crate::reload::Surroundings;
-use crate::{detour, facts, jobs, peer_api, registration, reload, reports, serve, watching};
+use crate::{detour, facts, held, jobs, peer_api, registration, reload, reports, serve, watching};
 use bluebellreel_net::{Served, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_types::Moment;
@@ -143,6 +143,7 @@
     spawn_local(watching::watch_workers(gw.clone()));
     spawn_local(registration::keep_registered(gw.clone()));
     spawn_local(registration::list_members(gw.clone()));
+    spawn_local(held::recall(gw.clone()));
     spawn_local(jobs::start_items(gw.clone()));
     spawn_local(jobs::adopt_orphans(gw.clone()));
     spawn_local(jobs::copy_progress(gw.clone()));
--- a/crates/bluebellreel_gateway/src/suspicion.rs
+++ b/crates/bluebellreel_gateway/src/suspicion.rs
@@ -7,7 +7,8 @@
 //! here they are stopped before they are sent.
 
 use crate::gateway::Gateway;
-use bluebellreel_dispatch::{Fingerprint, Sender, Standing, may_try};
+use crate::held;
+use bluebellreel_dispatch::{Cleared, Fingerprint, Sender, Standing, may_try};
 use bluebellreel_types::Moment;
 use log::warn;
 use std::rc::Rc;
@@ -90,13 +91,16 @@
 }
 
 /// A run of a request has ended without a crash.
-pub(crate) fn ended_well(gw: &Gateway, fingerprint: impl FnOnce() -> Fingerprint) {
+pub(crate) fn ended_well(gw: &Rc<Gateway>, fingerprint: impl FnOnce() -> Fingerprint) {
     if gw.suspects.borrow().is_empty() {
         return;
     }
     let fingerprint = fingerprint();
     let cleared = gw.suspects.borrow_mut().completed(fingerprint, gw.now());
-    if cleared {
+    if cleared == Cleared::Hold {
+        held::forget(gw, fingerprint);
+    }
+    if cleared != Cleared::Nothing {
         gw.report_due.notify_one();
         warn!(target: "online", fingerprint:% = fingerprint; "request cleared");
     }
