Soak: requests that crash workers

A stream, a note and an item of a job that crash each worker that begins to run them come again and again, beside changes or faults from outside; workers refuse connections meanwhile and come back under other ids. Seeds below 3000 are as they were.

--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -2,7 +2,8 @@
 //! other: `cargo run --release --example soak -- FIRST COUNT SECONDS GATEWAYS
 //! WORKERS [PROGRAM]`. Odd seeds bring changes of configuration, workers,
 //! settings and store as well. From 1000 on seeds bring rolling stops too: two of
-//! three nothing else, the third (1002, 1005) with faults.
+//! three nothing else, the third (1002, 1005) with faults. From 3000 on they bring requests
+//! that crash workers, odd ones with changes and faults, even ones with faults.
 //!
 //! Prints a line a seed, and for a broken promise the faults that led to it.
 //! Settings and logs of a seed stay in a folder under the system's folder for
@@ -13,6 +14,8 @@
 
 /// The first seed with rolling stops.
 const STOPS_FROM: u64 = 1000;
+/// The first seed with requests that crash workers.
+const CRASHES_FROM: u64 = 3000;
 
 fn main() -> eyre::Result<()> {
     let numbers: Vec<u64> = std::env::args()
@@ -31,8 +34,9 @@
     let mut broken = 0;
     for seed in first..first + count {
         let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
-        let stops = seed >= STOPS_FROM;
+        let stops = (STOPS_FROM..CRASHES_FROM).contains(&seed);
         let stops_only = stops && seed % 3 != 0;
+        let crashes = seed >= CRASHES_FROM;
         let report = soak(SoakPlan {
             seed,
             span: Duration::from_secs(seconds),
@@ -41,6 +45,7 @@
             changes: seed % 2 == 1 && !stops_only,
             faults: !stops_only,
             stops,
+            crashes,
             program: program.clone(),
             folder: folder.clone(),
         })?;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,12 +9,14 @@
     faults: bool,
     changes: bool,
     stops: bool,
+    crashes: bool,
 }
 
 const FAULTS: Brings = Brings {
     faults: true,
     changes: false,
     stops: false,
+    crashes: false,
 };
 const CHANGES: Brings = Brings {
     changes: true,
@@ -24,6 +26,13 @@
     faults: false,
     changes: false,
     stops: true,
+    crashes: false,
+};
+const CRASHES: Brings = Brings {
+    faults: false,
+    changes: true,
+    stops: false,
+    crashes: true,
 };
 
 fn play(seed: u64, seconds: u64, brings: &Brings) {
@@ -36,6 +45,7 @@
         faults: brings.faults,
         changes: brings.changes,
         stops: brings.stops,
+        crashes: brings.crashes,
         program: env!("CARGO_BIN_EXE_bluebellreel").into(),
         folder: folder.clone(),
     })
@@ -88,3 +98,21 @@
 fn planned_stops_cut_nothing() {
     play(1000, 12, &STOPS);
 }
+
+/// One caller's request, another one's note and an item of a job crash each worker that
+/// begins to run them, and come again and again. Each gateway sent them to the next
+/// worker, until none was left, and all others were cut or refused with them.
+#[test]
+fn requests_that_crash_workers_are_held_back() {
+    play(3000, 12, &CRASHES);
+}
+
+/// The same while gateways are killed, paused and cut off.
+#[test]
+fn requests_that_crash_workers_are_held_back_under_faults() {
+    let brings = Brings {
+        faults: true,
+        ..CRASHES
+    };
+    play(3001, 12, &brings);
+}
