--- a/crates/bluebellreel_experiment/src/measure.rs
+++ b/crates/bluebellreel_experiment/src/measure.rs
@@ -124,6 +124,8 @@
     pub batch: BatchFigures,
     /// Tokens a second generated for online callers.
     pub online_tokens_per_second: f64,
+    /// Engines that crashed under requests.
+    pub engines_crashed: u64,
     /// Most bytes queued at one side process.
     pub most_queued_bytes: usize,
     /// Points of the plot.
--- a/crates/bluebellreel_experiment/src/scenario.rs
+++ b/crates/bluebellreel_experiment/src/scenario.rs
@@ -103,6 +103,8 @@
     batch_tokens: [u32; 2],
     teams: Vec<BatchTeam>,
     poison_every: u32,
+    crash_every: u32,
+    crash_seconds: f64,
     troubles: Vec<Trouble>,
     client_retries: u32,
     client_pause_ms: u64,
@@ -133,6 +135,8 @@
             batch_tokens: [32, 96],
             teams: Vec::new(),
             poison_every: 0,
+            crash_every: 0,
+            crash_seconds: 3.0,
             troubles: Vec::new(),
             client_retries: 0,
             client_pause_ms: 500,
@@ -183,6 +187,10 @@
     pub teams: Vec<BatchTeam>,
     /// Every so many batch items takes its engine's streams down; zero for none.
     pub poison_every: u32,
+    /// Every so many online requests crashes its engine; zero for none.
+    pub crash_every: u32,
+    /// How long a crashed engine is away.
+    pub crash_span: Duration,
     /// Troubles of workers.
     pub troubles: Vec<Trouble>,
     /// Times that a refused caller asks again.
@@ -244,6 +252,8 @@
             batch_tokens: raw.batch_tokens,
             teams: raw.teams,
             poison_every: raw.poison_every,
+            crash_every: raw.crash_every,
+            crash_span: Duration::from_secs_f64(raw.crash_seconds.max(0.0)),
             troubles: raw.troubles,
             client_retries: raw.client_retries,
             client_pause: Duration::from_millis(raw.client_pause_ms),
--- a/crates/bluebellreel_experiment/src/simulation.rs
+++ b/crates/bluebellreel_experiment/src/simulation.rs
@@ -47,6 +47,7 @@
     Submit(usize),
     TroubleBegins(usize),
     TroubleEnds(usize),
+    EngineBack(usize),
 }
 
 struct Side {
@@ -271,6 +272,7 @@
                 engine.dead = false;
                 engine.slow_percent = 100;
             }
+            What::EngineBack(index) => self.sides[index].engine.dead = false,
         }
     }
 
@@ -284,6 +286,14 @@
         self.break_streams(trouble.worker);
     }
 
+    /// An engine crashes, and is back after a while.
+    fn crash(&mut self, index: usize) {
+        self.outcome.engines_crashed += 1;
+        self.sides[index].engine.dead = true;
+        self.break_streams(index);
+        self.at(self.now + self.scenario.crash_span, What::EngineBack(index));
+    }
+
     fn break_streams(&mut self, side: usize) {
         for attempt in self.sides[side].engine.drop_all() {
             let end = EngineEnd::Broken;
@@ -441,6 +451,10 @@
                 return;
             }
         }
+        if self.crashes_engine(attempt) {
+            self.crash(index);
+            return;
+        }
         let text = Arc::from("w ");
         let tokens = 1;
         self.admit(
--- a/crates/bluebellreel_experiment/src/simulation/online.rs
+++ b/crates/bluebellreel_experiment/src/simulation/online.rs
@@ -5,7 +5,7 @@
 use crate::load::Arrival;
 use bluebellreel_admission as admission;
 use bluebellreel_routing::{self as routing, NewRequest};
-use bluebellreel_types::{Moment, RequestId, TraceContext};
+use bluebellreel_types::{AttemptId, Moment, RequestId, TraceContext};
 use std::time::Duration;
 
 impl Simulation<'_> {
@@ -34,6 +34,13 @@
         }));
     }
 
+    /// Whether an attempt is of a request that crashes its engine.
+    pub(super) fn crashes_engine(&self, attempt: AttemptId) -> bool {
+        let every = self.scenario.crash_every as usize;
+        let followed = self.followed.get(&attempt.request);
+        every > 0 && followed.is_some_and(|f| f.arrival % every == every - 1)
+    }
+
     pub(super) fn route(&mut self, event: routing::Event) {
         let effects = routing::step(&mut self.router, event, self.now, &mut self.rng);
         for effect in effects {
--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -9,7 +9,7 @@
 //! Settings and logs of a seed stay in a folder under the system's folder for
 //! temporary files when it breaks something.
 
-use bluebellreel_platform_standins::{SoakPlan, soak};
+use bluebellreel_platform_standins::{Callers, SoakPlan, soak};
 use std::time::Duration;
 
 /// The first seed with rolling stops.
@@ -36,7 +36,11 @@
         let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
         let stops = (STOPS_FROM..CRASHES_FROM).contains(&seed);
         let stops_only = stops && seed % 3 != 0;
-        let crashes = seed >= CRASHES_FROM;
+        let callers = if seed >= CRASHES_FROM {
+            Callers::SomeInVain
+        } else {
+            Callers::Usual
+        };
         let report = soak(SoakPlan {
             seed,
             span: Duration::from_secs(seconds),
@@ -45,7 +49,7 @@
             changes: seed % 2 == 1 && !stops_only,
             faults: !stops_only,
             stops,
-            crashes,
+            callers,
             program: program.clone(),
             folder: folder.clone(),
         })?;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,7 +1,7 @@
 //! A short soak of real gateway processes. Seeds that ever broke a promise stay
 //! here, each with a line on the cause.
 
-use bluebellreel_platform_standins::{SoakPlan, soak};
+use bluebellreel_platform_standins::{Callers, SoakPlan, soak};
 use std::time::Duration;
 
 /// What a soak brings: faults that nobody planned, changes, planned stops.
@@ -9,14 +9,14 @@
     faults: bool,
     changes: bool,
     stops: bool,
-    crashes: bool,
+    callers: Callers,
 }
 
 const FAULTS: Brings = Brings {
     faults: true,
     changes: false,
     stops: false,
-    crashes: false,
+    callers: Callers::Usual,
 };
 const CHANGES: Brings = Brings {
     changes: true,
@@ -26,13 +26,13 @@
     faults: false,
     changes: false,
     stops: true,
-    crashes: false,
+    callers: Callers::Usual,
 };
 const CRASHES: Brings = Brings {
     faults: false,
     changes: true,
     stops: false,
-    crashes: true,
+    callers: Callers::SomeInVain,
 };
 
 fn play(seed: u64, seconds: u64, brings: &Brings) {
@@ -45,7 +45,7 @@
         faults: brings.faults,
         changes: brings.changes,
         stops: brings.stops,
-        crashes: brings.crashes,
+        callers: brings.callers,
         program: env!("CARGO_BIN_EXE_bluebellreel").into(),
         folder: folder.clone(),
     })
