Suspects in three modules; who was cut off is told by those who know

Change: crashes under one request, who tries one out, and who is held back stand apart; requests and items make the note of a cut run themselves. No decision changes: tests of the crate pass.

--- a/crates/bluebellreel_dispatch/src/suspects.rs
+++ b/crates/bluebellreel_dispatch/src/suspects/mod.rs
@@ -14,24 +14,23 @@
 //! was concluded is told: each daemon concludes for itself, from the same crashes, and
 //! what is learned late corrects it.
 
+mod record;
+mod trial;
+
 use crate::{Fingerprint, WorkerTag};
-use bluebellreel_types::{EntryName, Moment};
+use bluebellreel_types::Moment;
+use record::{Crash, Known, MOST_CRASHES, Record, in_turn, is_one_of_many};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use twox_hash::XxHash64;
+
+pub use record::{Strike, Told};
+pub use trial::may_try;
 
 /// Crashes after which a request is held back. With two, one request in some hundred
 /// that had met two workers' ends by accident would be; each further one costs all that
 /// run at a worker.
 const ENOUGH: u32 = 3;
-/// How far clocks may differ by which daemons place what others saw: the way of a report.
-const SLACK: Duration = Duration::from_millis(30);
-/// Within this time of each other workers crash at the same moment.
-const AT_ONCE: Duration = Duration::from_millis(250);
-/// Other workers that crash at the same moment, for no reason that shows, from which on
-/// a crash is taken for one of many. One may be another request's first.
-const MANY: usize = 2;
 /// How long a request is held back at first. One that was at the same three crashes by bad
 /// luck cannot be told from the one that caused them; the first run of either after this
 /// time tells.
@@ -50,36 +49,11 @@
 const TRIAL: Duration = Duration::from_secs(10);
 /// Requests remembered. A mass kill brings thousands; those at few crashes go first.
 const MOST_REQUESTS: usize = 512;
-/// Crashes remembered of one request. More than it takes to hold it back at hundreds of
-/// daemons: without its crashes, those beside it would seem to have caused them.
-const MOST_CRASHES: usize = 32;
 /// How long a daemon tells what it has seen itself, in reports some of which are lost.
 const TOLD: Duration = Duration::from_secs(3);
 /// Crashes told in one report: some 500 bytes.
 const MOST_TOLD: usize = 24;
 
-/// A worker's crash, as far as a request is concerned that was there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Strike {
-    /// When the request was sent there.
-    pub began: Moment,
-    /// When its run was broken off.
-    pub crashed: Moment,
-    /// Whether it has run well since.
-    pub excused: bool,
-}
-
-/// One crash under one request, as daemons tell each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Told {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// The life of the worker that crashed.
-    pub worker: WorkerTag,
-    /// The crash.
-    pub strike: Strike,
-}
-
 /// What a request is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Sender {
@@ -103,14 +77,6 @@
     Held(Moment),
 }
 
-/// A crash as it is remembered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Known {
-    strike: Strike,
-    /// Until when it is told, as it was seen here.
-    told_until: Moment,
-}
-
 /// What a run that ended well takes back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cleared {
@@ -122,93 +88,6 @@
     Hold,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Record {
-    strikes: BTreeMap<WorkerTag, Known>,
-    /// Until when one request is tried out, here or at a peer.
-    trial_until: Moment,
-    /// Whether that is here.
-    on_trial_here: bool,
-}
-
-impl Record {
-    fn charges(&self) -> impl Iterator<Item = (&WorkerTag, &Strike)> {
-        let strikes = self.strikes.iter().map(|(worker, k)| (worker, &k.strike));
-        strikes.filter(|(_, s)| !s.excused)
-    }
-
-    /// Crashes one after the other, whoever caused them.
-    fn weight(&self) -> u32 {
-        in_turn(self.charges().map(|(_, s)| *s)).0
-    }
-
-    fn last(&self) -> Moment {
-        let crashes = self.strikes.values().map(|k| k.strike.crashed);
-        crashes.max().unwrap_or_default()
-    }
-
-    /// Makes room for one more crash.
-    fn forget_oldest(&mut self) {
-        while self.strikes.len() >= MOST_CRASHES {
-            let oldest = self.strikes.iter().min_by_key(|(_, k)| k.strike.crashed);
-            let Some((&worker, _)) = oldest else { return };
-            self.strikes.remove(&worker);
-        }
-    }
-}
-
-/// One worker's crash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Crash {
-    at: Moment,
-    /// Crashes in turn of the request there that was at the most.
-    heaviest: u32,
-}
-
-/// Whether a crash under a request is one of many at the same moment, that came under
-/// requests which were at no other.
-fn is_one_of_many(crashes: &BTreeMap<WorkerTag, Crash>, of: &Record, strike: &Strike) -> bool {
-    let (from, until) = (strike.crashed, strike.crashed + AT_ONCE);
-    let at_once = |c: &Crash| c.at <= until && from <= c.at + AT_ONCE;
-    let others = crashes
-        .iter()
-        .filter(|(worker, c)| !of.strikes.contains_key(worker) && c.heaviest <= 1 && at_once(c));
-    others.count() >= MANY
-}
-
-/// The most crashes of these that came one after the other, and the last one's moment.
-fn in_turn(strikes: impl Iterator<Item = Strike>) -> (u32, Moment) {
-    let mut all: Vec<Strike> = strikes.collect();
-    all.sort_by_key(|s| s.crashed);
-    let (mut count, mut last) = (0, Moment(0));
-    for strike in all {
-        if count == 0 || strike.began + SLACK >= last {
-            count += 1;
-            last = strike.crashed;
-        }
-    }
-    (count, last)
-}
-
-/// Whether a daemon may try a request out, now that it was held back long enough.
-///
-/// One of `daemons` may at first, twice as many after each second. If all might at once, a
-/// request that comes back some times a second at hundreds of daemons would be tried by
-/// many before they hear of each other.
-#[must_use]
-pub fn may_try(
-    fingerprint: Fingerprint,
-    me: &EntryName,
-    daemons: usize,
-    since: Moment,
-    now: Moment,
-) -> bool {
-    let seed = u64::from_le_bytes(fingerprint.0);
-    let place = XxHash64::oneshot(seed, me.as_str().as_bytes()) % (daemons.max(1) as u64);
-    let seconds = now.since(since).as_secs().min(u64::from(u32::BITS));
-    place < 1 << seconds
-}
-
 /// Requests under which workers have crashed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Suspects {
--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -6,12 +6,10 @@
 
 use crate::gateway::Gateway;
 use crate::held;
-use crate::online::Request;
 use bluebellreel_dispatch::{
     Fingerprint, Sender, Standing, Strike, Ticket, Told, WorkerState, WorkerTag,
 };
 use bluebellreel_net::Knock;
-use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_types::Moment;
 use log::warn;
 use std::net::SocketAddr;
@@ -29,31 +27,12 @@
 
 /// A run that its worker broke off.
 pub(crate) struct Cut {
-    request: Arc<str>,
-    fingerprint: Fingerprint,
-    ticket: Ticket,
+    /// Id of the attempt, or of the item's request.
+    pub(crate) request: Arc<str>,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) ticket: Ticket,
     /// When it was sent.
-    began: Moment,
-}
-
-impl Cut {
-    pub(crate) fn of(req: &Request, ticket: Ticket, began: Moment) -> Self {
-        Self {
-            request: req.id.clone(),
-            fingerprint: req.fingerprint(),
-            ticket,
-            began,
-        }
-    }
-
-    pub(crate) fn of_item(id: &Arc<str>, out: &Outgoing, ticket: Ticket, began: Moment) -> Self {
-        Self {
-            request: id.clone(),
-            fingerprint: Fingerprint::of(&out.identity()),
-            ticket,
-            began,
-        }
-    }
+    pub(crate) began: Moment,
 }
 
 /// Looks whether a run was broken off as its worker has crashed. What is found
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -10,7 +10,7 @@
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
 use bluebellreel_dispatch::{
-    BatchRun, Class, Fingerprint, Query, Route, Sender, batch_to_yield, place_batch,
+    BatchRun, Class, Fingerprint, Query, Route, Sender, Ticket, batch_to_yield, place_batch,
 };
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_platform::engine::Outgoing;
@@ -247,7 +247,7 @@
                 gw.board.borrow_mut().failed(&ticket, gw.now());
             }
             if matches!(e, NoAnswer::Unknown(_)) {
-                crash::look(gw, Cut::of_item(&next.id, &out, ticket, began)).await;
+                crash::look(gw, cut_of(next, &out, ticket, began)).await;
             }
             warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, outcome:? = e; "no answer to an item");
             rest(gw)
@@ -346,11 +346,21 @@
     upstream.place.failed();
     if reason == BROKEN_OFF {
         let ticket = upstream.place.ticket().clone();
-        crash::look(gw, Cut::of_item(&next.id, out, ticket, upstream.began)).await;
+        crash::look(gw, cut_of(next, out, ticket, upstream.began)).await;
     }
     rest(gw)
 }
 
+/// A run of an item that its worker broke off.
+fn cut_of(next: &Next, out: &Outgoing, ticket: Ticket, began: Moment) -> Cut {
+    Cut {
+        request: next.id.clone(),
+        fingerprint: Fingerprint::of(&out.identity()),
+        ticket,
+        began,
+    }
+}
+
 fn events_of(jobs: &Jobs, key: &(JobId, usize)) -> u64 {
     let owned = jobs.own.get(&key.0);
     owned.map_or(0, |o| o.job.borrow().items[key.1].progress.events())
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -8,8 +8,8 @@
 use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_dispatch::{
-    Class, Fingerprint, Placement, Query, Route, RouteKind, Sender, place_online, return_after,
-    should_leave,
+    Class, Fingerprint, Placement, Query, Route, RouteKind, Sender, Ticket, place_online,
+    return_after, should_leave,
 };
 use bluebellreel_net::{Body, Reuse};
 use bluebellreel_platform::engine::Outgoing;
@@ -71,6 +71,16 @@
         allowed && self.runs < self.route.max_workers.max(1)
     }
 
+    /// A run of it that its worker broke off.
+    pub(crate) fn cut(&self, ticket: Ticket, began: Moment) -> Cut {
+        Cut {
+            request: self.id.clone(),
+            fingerprint: self.fingerprint(),
+            ticket,
+            began,
+        }
+    }
+
     /// What it asks for, whichever attempt it is.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self
@@ -205,7 +215,7 @@
         warn!(target: "online", request:% = req.id, worker:% = worker, outcome:? = e, runs = req.runs; "no answer from worker");
     }
     if matches!(outcome, Err(NoAnswer::Unknown(_))) {
-        crash::look(gw, Cut::of(req, ticket.clone(), began)).await;
+        crash::look(gw, req.cut(ticket.clone(), began)).await;
     }
     outcome
 }
@@ -270,11 +280,8 @@
     let Ok(Ok(body)) = body else {
         upstream.place.failed();
         if matches!(body, Ok(Err(_))) {
-            crash::look(
-                gw,
-                Cut::of(&req, upstream.place.ticket().clone(), upstream.began),
-            )
-            .await;
+            let ticket = upstream.place.ticket().clone();
+            crash::look(gw, req.cut(ticket, upstream.began)).await;
         }
         return Err(req);
     };
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -5,7 +5,7 @@
 //! that a stream can go on at another worker after any event. A stream that
 //! cannot be finished is broken off visibly.
 
-use crate::crash::{self, Cut};
+use crate::crash;
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::online::{Request, choose, millis};
@@ -237,7 +237,7 @@
     /// Looks whether the worker that broke off has crashed.
     async fn look_for_crash(&self) {
         let ticket = self.upstream.place.ticket().clone();
-        let cut = Cut::of(&self.req, ticket, self.upstream.began);
+        let cut = self.req.cut(ticket, self.upstream.began);
         crash::look(&self.gw, cut).await;
     }
 
