--- a/crates/bluebellreel_dispatch/src/suspects/mod.rs
+++ b/crates/bluebellreel_dispatch/src/suspects/mod.rs
@@ -20,16 +20,14 @@
 use crate::{Fingerprint, WorkerTag};
 use bluebellreel_types::Moment;
 use record::{Crash, Known, MOST_CRASHES, Record, in_turn, is_one_of_many};
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 pub use record::{Strike, Told};
 pub use trial::may_try;
 
-/// Crashes after which a request is held back. With two, one request in some hundred
-/// that had met two workers' ends by accident would be; each further one costs all that
-/// run at a worker.
+/// Crashes after which a request is held back. Fewer would hold back those that met the
+/// ends of two workers by accident; each further one costs all that run at a worker.
 const ENOUGH: u32 = 3;
 /// How long a request is held back at first. One that was at the same three crashes by bad
 /// luck cannot be told from the one that caused them; the first run of either after this
@@ -55,7 +53,7 @@
 const MOST_TOLD: usize = 24;
 
 /// What a request is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sender {
     /// A caller, who may return to any daemon.
     Caller,
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -85,6 +85,9 @@
 impl Warnings {
     /// What this daemon warns of.
     pub(super) fn own(gw: &Gateway) -> Self {
+        if gw.suspects.borrow().is_empty() {
+            return Self::default();
+        }
         let now = gw.now();
         let peers = gw.members.borrow().heard(now).count().max(1);
         let tells_all = gw.rng.borrow_mut().random_range(0..peers) < TELLERS;
