Logs and metrics tell why an owner goes on with an ended job

Callers saw: items ran after their job's end had been acknowledged; the logs could not tell whether the owner was not notified, became owner later, or went on knowingly. Change: the gateway that takes an end logs whether the owner ended it, was not known or was not reached; the owner logs from whom it learned of an end and at which revision it holds the job; item sent names that revision and the age of the store's last confirmation. Counted as job_ends and confirmation_age_seconds. explain of an item also shows what happened to its job. Evidence: test an_items_story_tells_of_its_jobs_end. No logic changed.

--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -9,7 +9,7 @@
 use bluebellreel_batch::{JobPhase, JobRecord, keys};
 use bluebellreel_kv::{Commit, Txn};
 use bluebellreel_net::Body;
-use bluebellreel_types::JobId;
+use bluebellreel_types::{EntryName, JobId};
 use http::{Response, StatusCode};
 use log::{info, warn};
 use std::rc::Rc;
@@ -33,14 +33,31 @@
     if gw.jobs.borrow().own.contains_key(id) {
         return cancel_own(gw, id).await;
     }
-    if let Some(owner) = owner_address(gw, id)
-        && let Ok((StatusCode::OK, _)) = peer_calls::cancel(gw, owner, id).await
-    {
+    if ask_owner(gw, id).await {
         return answers::status(StatusCode::OK);
     }
     cancel_in_store(gw, id).await
 }
 
+/// Has the owner of a job end it; whether it has.
+async fn ask_owner(gw: &Gateway, id: &JobId) -> bool {
+    let Some(owner) = owner_address(gw, id) else {
+        info!(target: "jobs", job:% = id; "owner of an ended job not known");
+        gw.metrics.job_end("owner_unknown");
+        return false;
+    };
+    let outcome = peer_calls::cancel(gw, owner, id).await;
+    if let Ok((StatusCode::OK, _)) = outcome {
+        info!(target: "jobs", job:% = id, owner:% = owner; "owner ended its job");
+        gw.metrics.job_end("by_owner");
+        return true;
+    }
+    let outcome = outcome.map(|(status, _)| status.as_u16());
+    warn!(target: "jobs", job:% = id, owner:% = owner, outcome:? = outcome; "owner did not end its job");
+    gw.metrics.job_end("owner_not_reached");
+    false
+}
+
 /// Ends a job of ours.
 pub(crate) async fn cancel_own(gw: &Rc<Gateway>, id: &JobId) -> Response<Body> {
     let owned = gw.jobs.borrow().own.get(id).cloned();
@@ -140,12 +157,14 @@
 }
 
 /// A peer says that a job was ended.
-pub(crate) fn heard_cancelled(gw: &Gateway, id: &JobId) {
+pub(crate) fn heard_cancelled(gw: &Gateway, id: &JobId, peer: &EntryName) {
     let owned = gw.jobs.borrow().own.get(id).cloned();
     let Some(owned) = owned else {
         return;
     };
-    info!(target: "jobs", job:% = id; "job ended, says a peer");
+    let revision = owned.job.borrow().revision;
+    info!(target: "jobs", job:% = id, peer:% = peer, revision; "job ended, says a peer");
+    gw.metrics.job_end("reported");
     stop_running(gw, &owned);
     gw.jobs.borrow_mut().let_go(id);
 }
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -5,6 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{Mutex, Notify, watch};
 use tokio::task::AbortHandle;
 
@@ -37,6 +38,12 @@
         })
     }
 
+    /// Time since the store was asked that last confirmed the job as this daemon's.
+    pub(super) fn confirmation_age(&self, now: Stamp) -> Duration {
+        let asked = self.word.get();
+        now.at.since(asked.at) + now.suspended.saturating_sub(asked.suspended)
+    }
+
     /// Something speaks against the job's being this daemon's: the store is asked
     /// before it is believed again.
     pub(super) fn doubt(&self) {
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -4,6 +4,7 @@
 use crate::crash::{self, Cut};
 use crate::events::Events;
 use crate::gateway::Gateway;
+use crate::online::millis;
 use crate::pulse::Pulse;
 use crate::suspicion::{self, Leave, Trial};
 use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
@@ -175,11 +176,13 @@
 async fn run(gw: Rc<Gateway>, next: Next, place: Place, trial: Option<Trial>) {
     let worker = place.worker().clone();
     let id = next.id.clone();
-    let after = {
+    let (after, revision) = {
         let job = next.owned.job.borrow();
-        job.items[next.item].progress.last_id()
+        (job.items[next.item].progress.last_id(), job.revision)
     };
-    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, after:? = after; "item sent");
+    let confirmed = next.owned.confirmation_age(gw.stamp());
+    gw.metrics.confirmation_age.observe(confirmed.as_secs_f64());
+    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, after:? = after, revision, confirmed_ms = millis(confirmed); "item sent");
     let end = run_at(&gw, &next, place, after).await;
     drop(trial);
     let now = gw.now();
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -31,6 +31,10 @@
     pub(crate) jobs: Family<Outcome, Counter>,
     pub(crate) job_accepted: Histogram,
     pub(crate) items: Family<Outcome, Counter>,
+    /// Ends of jobs by how this gateway learned of them or notified the owner.
+    pub(crate) job_ends: Family<Outcome, Counter>,
+    /// Age of the store's last confirmation of a job when an item was sent.
+    pub(crate) confirmation_age: Histogram,
     pub(crate) yields: Counter,
     pub(crate) store_call: Histogram,
     /// Age of the oldest peer's report that a choice of a worker counted on.
@@ -88,6 +92,8 @@
             jobs: by_outcome(r, "jobs", "Batch jobs by outcome of their submission"),
             job_accepted: latency(r, "job_accepted_seconds", "From arrival to acceptance"),
             items: by_outcome(r, "items", "Runs of batch items by outcome"),
+            job_ends: by_outcome(r, "job_ends", "Ends of jobs by how they were learned"),
+            confirmation_age: latency(r, "confirmation_age_seconds", "Of jobs of items sent"),
             yields: counter(r, "yields", "Batch runs that made room"),
             store_call: latency(r, "store_call_seconds", "Calls to the store but watches"),
             report_age: latency(r, "report_age_seconds", "Oldest report behind a choice"),
@@ -119,6 +125,11 @@
         self.items.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Counts how the end of a job was learned, or its owner notified.
+    pub(crate) fn job_end(&self, outcome: &'static str) {
+        self.job_ends.get_or_create(&Outcome { outcome }).inc();
+    }
+
     /// Counts a submission's outcome.
     pub(crate) fn job(&self, outcome: &'static str) {
         self.jobs.get_or_create(&Outcome { outcome }).inc();
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -185,7 +185,7 @@
     let load = load_of(&report, supplement, now);
     hear_load(gw, &report.entry, load);
     for job in &report.cancelled {
-        crate::jobs::heard_cancelled(gw, job);
+        crate::jobs::heard_cancelled(gw, job, &report.entry);
     }
     for job in &report.jobs {
         let owner = KnownOwner {
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -82,6 +82,11 @@
         self.text("request") == id || self.text("job") == id
     }
 
+    /// Whether it tells of a whole job, and of none of its items.
+    fn is_of_job(&self, jobs: &BTreeSet<&str>) -> bool {
+        self.text("request").is_empty() && jobs.contains(self.text("job"))
+    }
+
     fn print(&self, out: &mut String) {
         let at = humantime::format_rfc3339_millis(self.at).to_string();
         let time = at.get(11..23).unwrap_or(&at);
@@ -112,6 +117,8 @@
         return String::new();
     };
     let sources: BTreeSet<&str> = of_id.iter().map(|l| l.source.as_str()).collect();
+    let jobs: BTreeSet<&str> = of_id.iter().map(|l| l.text("job")).collect();
+    let jobs: BTreeSet<&str> = jobs.into_iter().filter(|job| !job.is_empty()).collect();
     let workers: BTreeSet<&str> = of_id.iter().map(|l| l.text("worker")).collect();
     let surrounds = |line: &&LogLine| {
         let in_time = line.at + BEFORE >= first && line.at <= last + AFTER;
@@ -122,7 +129,10 @@
             && sources.contains(line.source.as_str())
             && SURROUNDINGS.contains(&line.text("event"))
     };
+    // An item's story is its job's as well: who owns it, and who has ended it.
+    let of_job = |line: &&LogLine| line.is_of_job(&jobs) && !line.names(id);
     let mut story: Vec<&LogLine> = lines.iter().filter(surrounds).collect();
+    story.extend(lines.iter().filter(of_job));
     story.extend(of_id);
     story.sort_by_key(|l| l.at);
     let mut out = String::new();
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -71,3 +71,33 @@
     let story = explain("r1", &lines("entry-1", gone.unwrap_or("")));
     assert!(story.contains("=> entry-1 says nothing more"), "{story}");
 }
+
+/// An item that runs after its job's end: the story says who ended the job, and who was not notified.
+#[test]
+fn an_items_story_tells_of_its_jobs_end() {
+    let owner = r#"
+{"at":"2026-12-02T10:00:01.000Z","event":"job owned","job":"j1","revision":7}
+{"at":"2026-12-02T10:00:05.000Z","event":"item sent","job":"j1","request":"i1","worker":"w-1","confirmed_ms":4000}
+{"at":"2026-12-02T10:00:05.000Z","event":"item sent","job":"j1","request":"i2","worker":"w-1"}
+{"at":"2026-12-02T10:00:06.000Z","event":"item run ended","job":"j1","request":"i1"}
+{"at":"2026-12-02T10:00:05.000Z","event":"job owned","job":"j2","revision":9}
+"#;
+    let other = r#"
+{"at":"2026-12-02T10:00:02.000Z","event":"owner did not end its job","job":"j1"}
+{"at":"2026-12-02T10:00:02.004Z","event":"job ended by its sender","job":"j1","revision":8}
+"#;
+    let mut all = lines("entry-1", owner);
+    all.extend(lines("entry-2", other));
+    let story = explain("i1", &all);
+    let events: Vec<&str> = story.lines().map(|l| &l[39..]).collect();
+    assert_eq!(
+        events,
+        [
+            "job owned  job=j1  revision=7",
+            "owner did not end its job  job=j1",
+            "job ended by its sender  job=j1  revision=8",
+            "item sent  confirmed_ms=4000  job=j1  request=i1  worker=w-1",
+            "item run ended  job=j1  request=i1",
+        ]
+    );
+}
