An owner asks the store before it starts items

Cause: the store's record decides who may run a job, but an owner asked it only when it wrote results. Whoever withdrew the right, by ending the job or taking it over, notified the owner once and by datagrams, and may die, pause or be cut off from it. Change: the right to start items is a lease. It runs from when the store was asked, for the bound of an end (jobs.cancel_within_ms, 3 s; filled in from the site's own bound) less 500 ms for the send, and is renewed by asking again: one guarded call without writes for up to 32 jobs, on demand, when an item wants to start and half the lease is used. A job of which nothing wants to start is asked for after twice the lease. Without an answer nothing starts; what runs goes on. Notices stay as the fast way. Ways to become owner start with the moment at which the store was asked, so a job that was ended while it was read is covered as well. Weighed: a watch of each owner (a call for each end of the fleet, or a key for each owner), a list of all open jobs (22 KB for 225 open jobs, worked out), a renewal of the entry's lease (says nothing of jobs), acknowledging an end only after the owner's word (an owner that is cut off holds its sender up).

--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(keys::segment(&id, 2).as_str(), "job/out/7c41/00002");
 //! ```
 
+mod confirmation;
 mod copies;
 mod custody;
 mod input;
@@ -27,6 +28,7 @@
 mod schedule;
 mod tenure;
 
+pub use confirmation::{JOBS_PER_CHECK, StartLease, StartTerms};
 pub use copies::{ItemProgress, ProgressCopies};
 pub use custody::{Custody, OwnerSign, custody};
 pub use input::{NewItem, decode_items, encode_items, split_input};
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use crate::store::StoreClient;
 use crate::suspension::time_suspended;
 use crate::unreadable::Unreadable;
-use bluebellreel_batch::{Stamp, Tenure};
+use bluebellreel_batch::{Stamp, StartTerms, Tenure};
 use bluebellreel_dispatch::{Board, Configuration, Overloads, PlacementLimits, Suspects};
 use bluebellreel_kv::KeyValue;
 use bluebellreel_members::Members;
@@ -82,6 +82,10 @@
     pub(crate) report_due: Notify,
     /// Wakes the task that starts batch items.
     pub(crate) batch_due: Notify,
+    /// Wakes the task that has the store confirm own jobs.
+    pub(crate) confirmation_due: Notify,
+    /// For how long a confirmation allows items to start.
+    pub(crate) start_terms: StartTerms,
     /// Wakes those that watch the store: its history was dropped, and their
     /// watches may never bring what happened meanwhile.
     pub(crate) history_gone: Notify,
@@ -131,6 +135,8 @@
             in_progress: Rc::default(),
             report_due: Notify::new(),
             batch_due: Notify::new(),
+            confirmation_due: Notify::new(),
+            start_terms: StartTerms::within(settings.cancel_within),
             history_gone: Notify::new(),
             worker_restarted: Notify::new(),
             settings,
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -5,15 +5,15 @@
 //! nothing, as "not run" would be untrue if it took effect later.
 
 use super::adopt::{adopt_new, adopt_stored};
-use super::key;
 use super::own::Accepted;
-use super::quota;
+use super::record::stored_record;
+use super::{key, quota};
 use crate::answers;
 use crate::gateway::Gateway;
 use crate::online::millis;
 use bluebellreel_batch::{JobPhase, JobRecord, NewItem, Owner, keys, split_input};
 use bluebellreel_dispatch::Route;
-use bluebellreel_kv::{Commit, Compare, Key, KeyValue, Put, Txn};
+use bluebellreel_kv::{Commit, Compare, Key, Put, Txn};
 use bluebellreel_net::Body;
 use bluebellreel_platform::{ingress, jobs as wire};
 use bluebellreel_types::JobId;
@@ -287,15 +287,3 @@
         Commit::Unknown(_) => Some(Accepted::Open),
     }
 }
-
-/// The record among the keys that a failed guard showed.
-pub(super) fn stored_record(found: &[KeyValue], record_key: &Key) -> Option<(i64, JobRecord)> {
-    let kv = found.iter().find(|kv| kv.key == *record_key)?;
-    match JobRecord::try_from(kv.value.as_slice()) {
-        Ok(record) => Some((kv.revision, record)),
-        Err(e) => {
-            warn!(target: "jobs", key:% = record_key, error:% = e; "record not read");
-            None
-        }
-    }
-}
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -149,7 +149,7 @@
 
 fn ended(gw: &Gateway, id: &JobId, revision: i64) -> Response<Body> {
     info!(target: "jobs", job:% = id, revision; "job ended by its sender");
-    gw.jobs.borrow_mut().let_go(id);
+    gw.jobs.borrow_mut().evict(id);
     let until = gw.now() + TELL;
     gw.jobs.borrow_mut().ended.insert(id.clone(), until);
     gw.report_due.notify_one();
@@ -157,7 +157,7 @@
 }
 
 /// A peer says that a job was ended.
-pub(crate) fn heard_cancelled(gw: &Gateway, id: &JobId, peer: &EntryName) {
+pub(crate) fn end_reported(gw: &Gateway, id: &JobId, peer: &EntryName) {
     let owned = gw.jobs.borrow().own.get(id).cloned();
     let Some(owned) = owned else {
         return;
@@ -166,5 +166,5 @@
     info!(target: "jobs", job:% = id, peer:% = peer, revision; "job ended, says a peer");
     gw.metrics.job_end("reported");
     stop_running(gw, &owned);
-    gw.jobs.borrow_mut().let_go(id);
+    gw.jobs.borrow_mut().evict(id);
 }
--- a/crates/bluebellreel_gateway/src/jobs/confirm.rs
+++ b/crates/bluebellreel_gateway/src/jobs/confirm.rs
@@ -1,32 +1,42 @@
 //! Making sure that a job is still this daemon's own.
 //!
-//! What an owner has listed is remembered. It may say "nothing more is listed" only
-//! while it surely owns the job; [`bluebellreel_batch::Tenure`] tells when that is
-//! so without a call. Else the store is asked.
+//! Two things rest on the store's confirmation of a job. Items start only while
+//! it is young ([`bluebellreel_batch::StartLease`]). And an owner that remembers
+//! what it has listed may say "nothing more is listed" only while it surely owns
+//! the job; [`bluebellreel_batch::Tenure`] tells when that is so without a call.
 
 use super::own::OwnedJob;
-use super::{load, owned_job, record};
+use super::{key, load, owned_job, record};
 use crate::gateway::Gateway;
-use bluebellreel_kv::KvError;
+use bluebellreel_batch::{JOBS_PER_CHECK, JobPhase, keys};
+use bluebellreel_kv::{Compare, KeyValue, KvError};
+use bluebellreel_platform::store::TxnOutcome;
 use bluebellreel_types::JobId;
 use log::{info, warn};
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Time between looks for jobs to confirm when nothing wakes the task.
+const LOOK: Duration = Duration::from_millis(500);
+/// Pause after a call that failed.
+const RETRY: Duration = Duration::from_millis(400);
 
 /// Whether a job that was owned is still owned, as far as can be told without a
 /// call to the store.
 fn is_sure(gw: &Gateway, owned: &OwnedJob) -> bool {
     if gw.stopping.get() {
-        // It hands its jobs over, and may not hear that it has.
+        // It hands its jobs over, and may not be notified that it has.
         return false;
     }
-    let (word, now) = (owned.word.get(), gw.stamp());
+    let (asked, now) = (owned.lease.get().asked(), gw.stamp());
     // An entry may be taken away while its lease is renewed as ever. Peers that
     // hear this daemon leave its jobs alone all the same.
-    let vouched = gw.tenure.get().covers(word, now);
-    vouched && (gw.isolated_since.get().is_none() || word.is_fresh(now))
+    let vouched = gw.tenure.get().covers(asked, now);
+    vouched && (gw.isolated_since.get().is_none() || asked.is_fresh(now))
 }
 
-/// Whether a job is this daemon's own. One that is not is let go.
+/// Whether a job is this daemon's own. One that is not is evicted.
 pub(super) async fn confirm(gw: &Rc<Gateway>, owned: &Rc<OwnedJob>) -> Result<bool, KvError> {
     let id = owned.job.borrow().id.clone();
     // Readers that come together ask once.
@@ -39,11 +49,11 @@
     let revision = owned.job.borrow().revision;
     match found {
         Some(found) if found.revision == revision => {
-            owned.confirmed(found.asked);
+            owned.confirmed(found.asked, &gw.start_terms);
             Ok(true)
         }
         found => {
-            record::lost(gw, &id, found.map(|f| (f.revision, f.record)));
+            record::lost(gw, owned, found.map(|f| (f.revision, f.record)));
             Ok(false)
         }
     }
@@ -67,16 +77,17 @@
     }
 }
 
-/// A peer says that it owns a job.
-pub(crate) fn heard_owned(gw: &Rc<Gateway>, id: &JobId) {
+/// A peer reports that it owns a job.
+pub(crate) fn owner_reported(gw: &Rc<Gateway>, id: &JobId) {
     let Some(owned) = owned_job(gw, id) else {
         return;
     };
     // Its report may have been under way since before the job came here.
-    if owned.word.get().is_fresh(gw.stamp()) || owned.confirming.try_lock().is_err() {
+    let asked = owned.lease.get().asked();
+    if asked.is_fresh(gw.stamp()) || owned.confirming.try_lock().is_err() {
         return;
     }
-    owned.doubt();
+    owned.doubt(&gw.start_terms);
     let gw = gw.clone();
     tokio::task::spawn_local(async move {
         if let Err(e) = confirm(&gw, &owned).await {
@@ -84,3 +95,100 @@
         }
     });
 }
+
+/// Whether an item of a job may start now. If the store's confirmation is not
+/// young enough, or soon will not be, the store is asked.
+pub(super) fn allows_start(gw: &Gateway, owned: &OwnedJob) -> bool {
+    let (lease, now) = (owned.lease.get(), gw.stamp());
+    if lease.is_due(true, now) && !owned.wants_start.replace(true) {
+        gw.confirmation_due.notify_one();
+    }
+    lease.allows_start(now)
+}
+
+/// Has the store confirm own jobs whose items want to start, for ever.
+pub(crate) async fn keep_confirmed(gw: Rc<Gateway>) {
+    let mut other_way = false;
+    loop {
+        // A timeout is the next look.
+        let _ = timeout(LOOK, gw.confirmation_due.notified()).await;
+        loop {
+            let due = due_jobs(&gw);
+            if due.is_empty() {
+                break;
+            }
+            let by_peer = gw.store.is_lost() != other_way;
+            match check(&gw, &due, by_peer).await {
+                Ok(()) => gw.batch_due.notify_one(),
+                Err(e) => {
+                    warn!(target: "jobs", jobs = due.len(), error:% = e; "own jobs not confirmed");
+                    other_way = !other_way;
+                    sleep(RETRY).await;
+                }
+            }
+        }
+    }
+}
+
+/// Jobs to ask the store for, those confirmed longest ago first; none if no job
+/// needs it now.
+fn due_jobs(gw: &Gateway) -> Vec<Rc<OwnedJob>> {
+    let now = gw.stamp();
+    let jobs = gw.jobs.borrow();
+    let open = || jobs.own.values().filter(|o| o.job.borrow().is_open());
+    let is_due = |o: &Rc<OwnedJob>| o.lease.get().is_due(o.wants_start.get(), now);
+    if !open().any(is_due) {
+        return Vec::new();
+    }
+    let renewable = open().filter(|o| o.lease.get().is_renewable(now));
+    let mut due: Vec<_> = renewable.cloned().collect();
+    due.sort_by_key(|o| o.lease.get().asked().at);
+    due.truncate(JOBS_PER_CHECK);
+    due
+}
+
+/// Asks the store about several jobs in one call.
+async fn check(gw: &Rc<Gateway>, jobs: &[Rc<OwnedJob>], by_peer: bool) -> Result<(), KvError> {
+    let asked = gw.stamp();
+    let revisions: Vec<(JobId, i64)> = jobs
+        .iter()
+        .map(|o| (o.job.borrow().id.clone(), o.job.borrow().revision))
+        .collect();
+    let guards = revisions
+        .iter()
+        .map(|(id, revision)| Compare::Unchanged(key(&keys::record(id)), *revision));
+    let found = match gw.store.check(guards.collect(), by_peer).await? {
+        TxnOutcome::Conflict(found) => Some(found),
+        TxnOutcome::Done(_) | TxnOutcome::NoLease => None,
+    };
+    for (owned, (id, revision)) in jobs.iter().zip(&revisions) {
+        let holds = found
+            .as_ref()
+            .is_none_or(|found| holds(found, id, *revision));
+        if holds {
+            owned.confirmed(asked, &gw.start_terms);
+        } else if let Some(found) = &found {
+            changed(gw, owned, id, found);
+        }
+    }
+    Ok(())
+}
+
+fn holds(found: &[KeyValue], id: &JobId, revision: i64) -> bool {
+    let record_key = key(&keys::record(id));
+    found
+        .iter()
+        .any(|kv| kv.key == record_key && kv.revision == revision)
+}
+
+/// A job's record is not as this daemon knows it.
+fn changed(gw: &Gateway, owned: &Rc<OwnedJob>, id: &JobId, found: &[KeyValue]) {
+    let stored = record::stored_record(found, &key(&keys::record(id)));
+    let own_end = stored
+        .as_ref()
+        .is_some_and(|(_, r)| r.phase == JobPhase::Done && r.owner.run == gw.run);
+    // The answer to the write that completed it is on its way.
+    if !own_end {
+        record::lost(gw, owned, stored);
+    }
+}
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -1,8 +1,8 @@
 //! Handing jobs over when this daemon stops.
 
-use super::accept::stored_record;
 use super::adopt::adopt;
 use super::own::OwnedJob;
+use super::record::stored_record;
 use super::takeover::owner_txn;
 use super::{confirm, key, load, owned_job};
 use crate::gateway::Gateway;
@@ -101,7 +101,7 @@
     };
     {
         let mut jobs = gw.jobs.borrow_mut();
-        jobs.let_go(&id);
+        jobs.evict(&id);
         jobs.note_owner(&id, &record);
     }
     let told = peer_calls::hand_over(&gw, peer.calls, &id, progress).await;
@@ -148,7 +148,7 @@
     // Somebody who only knew of the new owner may have told us before. Or it was
     // ours long ago, and the one that hands it over has listed more.
     if let Some(owned) = owned_job(gw, id) {
-        owned.doubt();
+        owned.doubt(&gw.start_terms);
         // If the store does not answer now, nor does it below.
         if confirm::confirm(gw, &owned).await.unwrap_or(false) {
             owned.job.borrow_mut().restore(begun, gw.now());
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -30,8 +30,8 @@
 
 pub(crate) use accept::submit;
 pub(crate) use backup::{copy_progress, keep_copy};
-pub(crate) use cancel::{cancel_own, heard_cancelled};
-pub(crate) use confirm::{confirm_all, heard_owned};
+pub(crate) use cancel::{cancel_own, end_reported};
+pub(crate) use confirm::{confirm_all, keep_confirmed, owner_reported};
 pub(crate) use hand_over::{HandOvers, take_hand_over};
 pub(crate) use own::{Jobs, KnownOwner};
 pub(crate) use read::{body_of_own, read_own};
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -1,11 +1,10 @@
 //! The jobs that this daemon owns.
 
-use bluebellreel_batch::{Job, JobRecord, ProgressCopies, Stamp};
+use bluebellreel_batch::{Job, JobRecord, ProgressCopies, Stamp, StartLease, StartTerms};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::{Mutex, Notify, watch};
 use tokio::task::AbortHandle;
 
@@ -18,42 +17,39 @@
     pub(crate) record_due: Notify,
     /// Wakes readers.
     pub(crate) listed: Notify,
-    /// When the call was sent to which the store last said that the job is this
-    /// daemon's.
-    pub(super) word: Cell<Stamp>,
+    /// The right to start its items, by the store's last confirmation that the
+    /// job is this daemon's.
+    pub(super) lease: Cell<StartLease>,
+    /// Whether an item waits for a confirmation only.
+    pub(super) wants_start: Cell<bool>,
     /// Held while the store is asked whose the job is.
     pub(super) confirming: Mutex<()>,
 }
 
 impl OwnedJob {
-    /// A job that is this daemon's by the store's word, given to a call that was
-    /// sent at `asked`.
-    pub(super) fn new(job: Job, asked: Stamp) -> Rc<Self> {
+    /// A job that the store has confirmed to a call that was sent at `asked`.
+    pub(super) fn new(job: Job, asked: Stamp, terms: &StartTerms) -> Rc<Self> {
         Rc::new(Self {
             job: RefCell::new(job),
             record_due: Notify::new(),
             listed: Notify::new(),
-            word: Cell::new(asked),
+            lease: Cell::new(StartLease::new(asked, terms)),
+            wants_start: Cell::new(false),
             confirming: Mutex::new(()),
         })
     }
 
-    /// Time since the store was asked that last confirmed the job as this daemon's.
-    pub(super) fn confirmation_age(&self, now: Stamp) -> Duration {
-        let asked = self.word.get();
-        now.at.since(asked.at) + now.suspended.saturating_sub(asked.suspended)
+    /// Something speaks against the job's being this daemon's: none of its items
+    /// starts before the store has confirmed it again.
+    pub(super) fn doubt(&self, terms: &StartTerms) {
+        self.lease.set(StartLease::new(Stamp::default(), terms));
     }
 
-    /// Something speaks against the job's being this daemon's: the store is asked
-    /// before it is believed again.
-    pub(super) fn doubt(&self) {
-        self.word.set(Stamp::default());
-    }
-
-    /// The store has said once more that the job is this daemon's.
-    pub(super) fn confirmed(&self, asked: Stamp) {
-        if asked.at > self.word.get().at {
-            self.word.set(asked);
+    /// The store has confirmed the job once more.
+    pub(super) fn confirmed(&self, asked: Stamp, terms: &StartTerms) {
+        if asked.at > self.lease.get().asked().at {
+            self.lease.set(StartLease::new(asked, terms));
+            self.wants_start.set(false);
         }
     }
 }
@@ -98,8 +94,8 @@
     /// Jobs that were owned here or that peers have reported as theirs.
     reported: HashSet<JobId>,
     pub(crate) archive: Archive,
-    /// Jobs that their senders ended lately, with when peers need no longer be
-    /// told.
+    /// Jobs that their senders ended lately, with when reports need no longer name
+    /// them.
     pub(crate) ended: BTreeMap<JobId, Moment>,
     /// How far the items of peers' jobs are that this daemon would take over.
     pub(crate) copies: ProgressCopies,
@@ -172,12 +168,12 @@
         self.reported.contains(id)
     }
 
-    /// Jobs owned here that peers are told of.
+    /// Jobs owned here that reports name.
     pub(crate) fn owned_ids(&self) -> Vec<JobId> {
         self.own.keys().take(REPORTED).cloned().collect()
     }
 
-    /// Jobs that peers are told were ended.
+    /// Jobs that reports name as ended.
     pub(crate) fn ended_lately(&self) -> Vec<JobId> {
         self.ended.keys().cloned().collect()
     }
@@ -210,9 +206,9 @@
         tokens
     }
 
-    /// Drops a job that another daemon owns now, or that is over, and ends its
+    /// Evicts a job that another daemon owns now, or that is over, and aborts its
     /// runs.
-    pub(crate) fn let_go(&mut self, id: &JobId) -> Option<Rc<OwnedJob>> {
+    pub(crate) fn evict(&mut self, id: &JobId) -> Option<Rc<OwnedJob>> {
         self.end_runs(id);
         let owned = self.own.remove(id)?;
         owned.record_due.notify_one();
--- a/crates/bluebellreel_gateway/src/jobs/record.rs
+++ b/crates/bluebellreel_gateway/src/jobs/record.rs
@@ -1,12 +1,11 @@
 //! Recording results: the only way for a result to count.
 
-use super::accept::stored_record;
 use super::archive::Archived;
 use super::key;
 use super::own::OwnedJob;
 use crate::gateway::Gateway;
 use bluebellreel_batch::{Job, JobPhase, JobRecord, Segment, encode_segment, keys};
-use bluebellreel_kv::{Commit, Compare, KeyValue, Put, Txn};
+use bluebellreel_kv::{Commit, Compare, Key, KeyValue, Put, Txn};
 use bluebellreel_types::{JobId, Moment};
 use log::{info, warn};
 use std::rc::Rc;
@@ -87,12 +86,12 @@
     let asked = gw.stamp();
     match gw.store.commit(&txn, Instant::now() + ROUND).await {
         Commit::Applied { revision } => {
-            owned.confirmed(asked);
+            owned.confirmed(asked, &gw.start_terms);
             recorded(gw, id, owned, segment, revision);
         }
         Commit::Beaten(found) => match own_write(&found, &txn) {
             Some(revision) => recorded(gw, id, owned, segment, revision),
-            None => lost(gw, id, stored_record(&found, &key(&keys::record(id)))),
+            None => lost(gw, owned, stored_record(&found, &key(&keys::record(id)))),
         },
         Commit::NotDone(reason) | Commit::Unknown(reason) => {
             warn!(target: "jobs", job:% = id, segment = segment.number, reason = reason.as_str(); "results not recorded yet");
@@ -123,24 +122,45 @@
         drop(job);
         let mut jobs = gw.jobs.borrow_mut();
         jobs.archive.add(id.clone(), archived);
-        jobs.let_go(id);
+        jobs.evict(id);
     }
     owned.listed.notify_waiters();
     gw.report_due.notify_one();
 }
 
 /// Another daemon owns the job now, or it was ended: its record is as stored.
-pub(super) fn lost(gw: &Gateway, id: &JobId, stored: Option<(i64, JobRecord)>) {
+pub(super) fn lost(gw: &Gateway, owned: &Rc<OwnedJob>, stored: Option<(i64, JobRecord)>) {
+    let id = &owned.job.borrow().id.clone();
     let mut jobs = gw.jobs.borrow_mut();
-    jobs.let_go(id);
-    if let Some((revision, record)) = stored {
-        warn!(target: "jobs", job:% = id, owner:% = record.owner.entry, run:% = record.owner.run, phase:? = record.phase, revision; "job lost");
-        jobs.note_owner(id, &record);
-        if record.owner.entry == *gw.me() && record.phase == JobPhase::Open {
-            // It has come back here, with more recorded than was remembered.
-            jobs.orphans_due.notify_one();
-        }
-    } else {
+    if !jobs.own.get(id).is_some_and(|o| Rc::ptr_eq(o, owned)) {
+        return;
+    }
+    jobs.evict(id);
+    let Some((revision, record)) = stored else {
         warn!(target: "jobs", job:% = id; "job lost");
+        return;
+    };
+    jobs.note_owner(id, &record);
+    if record.phase == JobPhase::Cancelled {
+        info!(target: "jobs", job:% = id, revision; "job ended, says the store");
+        gw.metrics.job_end("found_in_store");
+        return;
+    }
+    warn!(target: "jobs", job:% = id, owner:% = record.owner.entry, run:% = record.owner.run, phase:? = record.phase, revision; "job lost");
+    if record.owner.entry == *gw.me() && record.phase == JobPhase::Open {
+        // It has come back here, with more recorded than was remembered.
+        jobs.orphans_due.notify_one();
+    }
+}
+
+/// The record among the keys that a failed guard showed.
+pub(super) fn stored_record(found: &[KeyValue], record_key: &Key) -> Option<(i64, JobRecord)> {
+    let kv = found.iter().find(|kv| kv.key == *record_key)?;
+    match JobRecord::try_from(kv.value.as_slice()) {
+        Ok(record) => Some((kv.revision, record)),
+        Err(e) => {
+            warn!(target: "jobs", key:% = record_key, error:% = e; "record not read");
+            None
+        }
     }
 }
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -1,5 +1,6 @@
 //! Running items at workers.
 
+use super::confirm;
 use super::own::{ItemRun, Jobs, OwnedJob};
 use crate::crash::{self, Cut};
 use crate::events::Events;
@@ -51,7 +52,8 @@
 
 fn fill_slots(gw: &Rc<Gateway>) {
     let mut full: BTreeSet<Arc<str>> = BTreeSet::new();
-    while let Some(next) = choose_item(gw, &full) {
+    let mut unconfirmed: BTreeSet<JobId> = BTreeSet::new();
+    while let Some(next) = choose_item(gw, &full, &unconfirmed) {
         let leave = match may_run(gw, &next) {
             Ok(leave) => leave,
             Err(until) => {
@@ -70,6 +72,9 @@
         };
         let worker = place_batch(&gw.board.borrow(), &query, gw.me());
         match worker {
+            Some(_) if !confirm::allows_start(gw, &next.owned) => {
+                unconfirmed.insert(next.job);
+            }
             Some(worker) => start(gw, next, &worker, leave),
             None if !avoid.is_empty() => {
                 // Others may start where it has failed: it holds none of them up.
@@ -105,11 +110,16 @@
     service: Arc<str>,
 }
 
-fn choose_item(gw: &Gateway, full: &BTreeSet<Arc<str>>) -> Option<Next> {
+/// The item to start next, of a service that is not full and a job that may go on.
+fn choose_item(
+    gw: &Gateway,
+    full: &BTreeSet<Arc<str>>,
+    unconfirmed: &BTreeSet<JobId>,
+) -> Option<Next> {
     let now = gw.now();
     let configuration = gw.configuration()?;
     let jobs = gw.jobs.borrow();
-    let mut ruled_out: BTreeSet<JobId> = BTreeSet::new();
+    let mut ruled_out = unconfirmed.clone();
     loop {
         let open = jobs.own.iter().filter(|(id, _)| !ruled_out.contains(*id));
         let borrowed: Vec<_> = open.map(|(_, owned)| owned.job.borrow()).collect();
@@ -180,7 +190,7 @@
         let job = next.owned.job.borrow();
         (job.items[next.item].progress.last_id(), job.revision)
     };
-    let confirmed = next.owned.confirmation_age(gw.stamp());
+    let confirmed = next.owned.lease.get().age(gw.stamp());
     gw.metrics.confirmation_age.observe(confirmed.as_secs_f64());
     info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, after:? = after, revision, confirmed_ms = millis(confirmed); "item sent");
     let end = run_at(&gw, &next, place, after).await;
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -1,8 +1,8 @@
 //! Taking over jobs whose owner is gone.
 
-use super::accept::stored_record;
 use super::adopt::{adopt, adopt_stored};
 use super::load::FoundRecord;
+use super::record::stored_record;
 use super::{backup, key, load};
 use crate::gateway::Gateway;
 use crate::registration::{self, EntryEnd};
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -185,7 +185,7 @@
     let load = load_of(&report, supplement, now);
     hear_load(gw, &report.entry, load);
     for job in &report.cancelled {
-        crate::jobs::heard_cancelled(gw, job, &report.entry);
+        crate::jobs::end_reported(gw, job, &report.entry);
     }
     for job in &report.jobs {
         let owner = KnownOwner {
@@ -193,7 +193,7 @@
             run: report.run,
         };
         gw.jobs.borrow_mut().reported(job, owner);
-        crate::jobs::heard_owned(gw, job);
+        crate::jobs::owner_reported(gw, job);
     }
     let revisions = report.revisions;
     note_peer(gw, report, reads_briefs, now);
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -5,7 +5,7 @@
 //! seconds later while its guards hold: [`StoreClient::commit`] repeats it
 //! unchanged until it is decided.
 
-use bluebellreel_kv::{Commit, Key, KeyValue, KvError, Txn};
+use bluebellreel_kv::{Commit, Compare, Key, KeyValue, KvError, Txn};
 use bluebellreel_net::{Pool, PoolLimits, Reuse, SendError};
 use bluebellreel_platform::store::{self, Lease, Page, TxnOutcome, Watched};
 use bytes::Bytes;
@@ -247,6 +247,21 @@
         store::watch_answer(status, &body)
     }
 
+    /// Whether guards hold; what the guarded keys hold if one does not.
+    pub(crate) async fn check(
+        &self,
+        guards: Vec<Compare>,
+        by_peer: bool,
+    ) -> Result<TxnOutcome, KvError> {
+        let txn = Txn {
+            compares: guards,
+            ..Txn::default()
+        };
+        let call = self.call_by(by_peer, store::txn_call(&txn), CALL_TIMEOUT);
+        let (status, body) = call.await?;
+        store::txn_answer(status, &body)
+    }
+
     /// Asks for a lease.
     pub(crate) async fn lease(&self, ttl: Duration) -> Result<Lease, KvError> {
         let (status, body) = self.call(store::lease_call(ttl), CALL_TIMEOUT).await?;
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -37,6 +37,8 @@
     pub shortest_lease: Duration,
     /// Time from SIGTERM until the process is killed.
     pub grace: Duration,
+    /// Longest time from a job's end until its items no longer start.
+    pub cancel_within: Duration,
 }
 
 impl GatewaySettings {
@@ -54,6 +56,10 @@
             ("listen.reports_port", self.reports != other.reports),
             ("listen.metrics_port", self.metrics != other.metrics),
             ("store", store(self) != store(other)),
+            (
+                "jobs.cancel_within_ms",
+                self.cancel_within != other.cancel_within,
+            ),
         ];
         let differ = pairs.into_iter().filter(|(_, differs)| *differs);
         differ.map(|(key, _)| key).collect()
@@ -68,6 +74,8 @@
     peers: RawPeers,
     store: RawStore,
     stop: RawStop,
+    #[serde(default)]
+    jobs: RawJobs,
 }
 
 #[derive(Deserialize)]
@@ -86,6 +94,24 @@
     shortest_lease_ms: u64,
 }
 
+#[derive(Deserialize)]
+#[serde(default)]
+struct RawJobs {
+    cancel_within_ms: u64,
+}
+
+impl Default for RawJobs {
+    fn default() -> Self {
+        Self {
+            cancel_within_ms: 3000,
+        }
+    }
+}
+
+/// Least time within which jobs can be ended, in milliseconds: an item takes up
+/// to 500 to reach its worker, and the store up to 800 to answer.
+const LEAST_CANCEL_WITHIN_MS: u64 = 1500;
+
 /// Least value size that a batch item's longest result fits into.
 const LEAST_VALUE_BYTES: usize = 64 * 1024;
 
@@ -111,6 +137,10 @@
         let reason = "must be 65536 or more";
         return Err(SettingsError::new(file, "store.value_bytes", reason));
     }
+    if raw.jobs.cancel_within_ms < LEAST_CANCEL_WITHIN_MS {
+        let reason = "must be 1500 or more";
+        return Err(SettingsError::new(file, "jobs.cancel_within_ms", reason));
+    }
     Ok(GatewaySettings {
         name,
         data_centre,
@@ -124,5 +154,6 @@
         value_bytes: raw.store.value_bytes,
         shortest_lease: Duration::from_millis(raw.store.shortest_lease_ms),
         grace,
+        cancel_within: Duration::from_millis(raw.jobs.cancel_within_ms),
     })
 }
--- a/crates/bluebellreel_settings/tests/gateway.rs
+++ b/crates/bluebellreel_settings/tests/gateway.rs
@@ -71,3 +71,18 @@
         ["listen.requests", "store"]
     );
 }
+
+/// Guards that a bound too short to ask the store within is refused, and that one is always in force.
+#[test]
+fn the_time_to_end_a_job_is_checked() {
+    let given = parse(TEXT).expect("proper settings");
+    assert_eq!(given.cancel_within, Duration::from_secs(3));
+    let longer = format!("{TEXT}[jobs]\ncancel_within_ms = 5000\n");
+    let longer = parse(&longer).expect("proper settings");
+    assert_eq!(longer.cancel_within, Duration::from_secs(5));
+    assert_eq!(given.start_needed_for(&longer), ["jobs.cancel_within_ms"]);
+    let short = format!("{TEXT}[jobs]\ncancel_within_ms = 1499\n");
+    let error = parse(&short).expect_err("too short");
+    assert!(error.contains("jobs.cancel_within_ms"), "{error}");
+    assert_eq!(parse(&format!("{TEXT}[jobs]\n")).expect("no key"), given);
+}
