An end is followed until it is recorded, whichever gateway was asked

Callers saw: 502 for an end, or no answer as they left, and the job went on if they did not ask again; 404 for the end of a job whose acceptance was still in doubt, which was then accepted and ran. By the users' rule an end without an answer counts as acknowledged after ackMs of steady state. Cause: only the owner repeated an end that the store did not take; another gateway tried once, within its caller's connection, and did not look at submissions under way. Evidence: an_end_is_recorded_though_its_gateway_could_not_reach_the_store and an_end_of_a_job_whose_acceptance_is_in_doubt_holds failed before (never recorded; 404 and a running job). Change: an end runs in a task of its own; one that is not decided is tried every 500 ms for a minute, by an owner for as long as it owns the job. It waits for the decision of a submission under way at the same gateway. Left: an acceptance in doubt at another gateway is not known here, and its end is answered 404.

--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -1,8 +1,13 @@
 //! Ending a job on its sender's word.
+//!
+//! An end is acknowledged once the job's record says so. Whatever way leads there
+//! is followed until it is recorded, also when the caller has left or was answered
+//! that it is not recorded yet: its sender may not ask again.
 
 use super::key;
 use super::load;
-use super::own::OwnedJob;
+use super::own::{Accepted, OwnedJob};
+use super::owned_job;
 use super::read::owner_address;
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
@@ -14,29 +19,101 @@
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, timeout_at};
 
-/// Longest that a caller waits for the end to be recorded.
-const DECIDE: Duration = Duration::from_millis(2500);
-/// Pause before an end that could not be recorded is repeated.
-const REPEAT: Duration = Duration::from_millis(500);
+/// Longest that one try to record an end takes.
+const RECORD: Duration = Duration::from_millis(2500);
+/// Pause before an end that could not be recorded is tried again.
+const RETRY: Duration = Duration::from_millis(500);
+/// How long an end of a job that is not owned here is tried again.
+const RETRY_FOR: Duration = Duration::from_mins(1);
 /// When a caller should return while the end cannot be recorded.
 const RETURN_AFTER: Duration = Duration::from_millis(300);
-/// How long peers are told of an end: an owner that no call reached still
-/// learns of it from reports.
-const TELL: Duration = Duration::from_secs(10);
+/// How long reports name a job whose end was recorded.
+const REPORT_FOR: Duration = Duration::from_secs(10);
 /// Times that a record that changes under the call is read again.
 const TRIES: usize = 4;
 
+/// How a try to end a job came out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// The end is recorded.
+    Recorded,
+    /// There is no such job.
+    NoSuchJob,
+    /// The end is not recorded, or not known to be.
+    Open,
+}
+
+impl Outcome {
+    fn answer(self) -> Response<Body> {
+        match self {
+            Self::Recorded => answers::status(StatusCode::OK),
+            Self::NoSuchJob => answers::failure(StatusCode::NOT_FOUND, "no such job"),
+            Self::Open => {
+                answers::come_back(StatusCode::BAD_GATEWAY, "not recorded yet", RETURN_AFTER)
+            }
+        }
+    }
+}
+
 /// Ends a job, wherever it is.
 pub(super) async fn cancel(gw: &Rc<Gateway>, id: &JobId) -> Response<Body> {
-    if gw.jobs.borrow().own.contains_key(id) {
-        return cancel_own(gw, id).await;
+    let (tx, rx) = oneshot::channel();
+    let (gw, id) = (gw.clone(), id.clone());
+    tokio::task::spawn_local(async move {
+        let outcome = end(&gw, &id).await;
+        // The caller may have left.
+        let _ = tx.send(outcome);
+        if outcome == Outcome::Open {
+            end_at_last(&gw, &id).await;
+        }
+    });
+    rx.await.unwrap_or(Outcome::Open).answer()
+}
+
+/// Ends a job of ours for a peer.
+pub(crate) async fn cancel_own(gw: &Rc<Gateway>, id: &JobId) -> Response<Body> {
+    if owned_job(gw, id).is_none() {
+        return answers::failure(StatusCode::CONFLICT, "not the owner");
+    }
+    cancel(gw, id).await
+}
+
+/// Tries to end a job until it is decided. Items of a job of ours have stopped and
+/// will not go on, so that its end is tried for as long as it is ours.
+async fn end_at_last(gw: &Rc<Gateway>, id: &JobId) {
+    if !gw.jobs.borrow_mut().ends_pending.insert(id.clone()) {
+        return;
+    }
+    let until = Instant::now() + RETRY_FOR;
+    while owned_job(gw, id).is_some() || Instant::now() < until {
+        sleep(RETRY).await;
+        if end(gw, id).await != Outcome::Open {
+            break;
+        }
     }
-    if ask_owner(gw, id).await {
-        return answers::status(StatusCode::OK);
+    gw.jobs.borrow_mut().ends_pending.remove(id);
+}
+
+/// Tries once to end a job.
+async fn end(gw: &Rc<Gateway>, id: &JobId) -> Outcome {
+    let submission = gw.jobs.borrow().submissions.get(id).cloned();
+    if let Some(mut decided) = submission {
+        // A write that is in doubt may still create the record.
+        let until = Instant::now() + RECORD;
+        let decision = timeout_at(until, decided.wait_for(|a| *a != Accepted::Open));
+        if !matches!(decision.await, Ok(Ok(_))) {
+            return Outcome::Open;
+        }
     }
-    cancel_in_store(gw, id).await
+    if let Some(owned) = owned_job(gw, id) {
+        stop_running(gw, &owned);
+    } else if ask_owner(gw, id).await {
+        return Outcome::Recorded;
+    }
+    end_in_store(gw, id).await
 }
 
 /// Has the owner of a job end it; whether it has.
@@ -58,35 +135,6 @@
     false
 }
 
-/// Ends a job of ours.
-pub(crate) async fn cancel_own(gw: &Rc<Gateway>, id: &JobId) -> Response<Body> {
-    let owned = gw.jobs.borrow().own.get(id).cloned();
-    let Some(owned) = owned else {
-        return answers::failure(StatusCode::CONFLICT, "not the owner");
-    };
-    stop_running(gw, &owned);
-    let answer = cancel_in_store(gw, id).await;
-    if !answer.status().is_success() {
-        // Its items have stopped and will not go on. If its sender does not
-        // ask again, the job would lie open for ever.
-        tokio::task::spawn_local(end_at_last(gw.clone(), owned));
-    }
-    answer
-}
-
-/// Repeats a job's end until it is recorded, or another daemon owns the job.
-async fn end_at_last(gw: Rc<Gateway>, owned: Rc<OwnedJob>) {
-    let id = owned.job.borrow().id.clone();
-    let is_ours = || {
-        let jobs = gw.jobs.borrow();
-        jobs.own.get(&id).is_some_and(|o| Rc::ptr_eq(o, &owned))
-    };
-    while is_ours() {
-        sleep(REPEAT).await;
-        cancel_in_store(&gw, &id).await;
-    }
-}
-
 /// Stops a job's items at once; whether the end is recorded shows later.
 fn stop_running(gw: &Gateway, owned: &Rc<OwnedJob>) {
     let id = {
@@ -100,40 +148,35 @@
     gw.batch_due.notify_one();
 }
 
-async fn cancel_in_store(gw: &Rc<Gateway>, id: &JobId) -> Response<Body> {
-    let until = Instant::now() + DECIDE;
+async fn end_in_store(gw: &Rc<Gateway>, id: &JobId) -> Outcome {
+    let until = Instant::now() + RECORD;
     for _ in 0..TRIES {
         let (revision, record) = match load::record(gw, id).await {
             Ok(Some(found)) => (found.revision, found.record),
-            Ok(None) => return answers::failure(StatusCode::NOT_FOUND, "no such job"),
+            Ok(None) => return Outcome::NoSuchJob,
             Err(e) => {
                 warn!(target: "jobs", job:% = id, error:% = e; "end not recorded");
-                return not_now();
+                return Outcome::Open;
             }
         };
         if record.phase != JobPhase::Open {
-            return ended(gw, id, revision);
+            return recorded(gw, id, revision);
         }
         match gw
             .store
             .commit(&end_txn(id, &record, revision), until)
             .await
         {
-            Commit::Applied { revision } => return ended(gw, id, revision),
+            Commit::Applied { revision } => return recorded(gw, id, revision),
             // It was changed meanwhile: read it again.
             Commit::Beaten(_) => {}
             Commit::NotDone(reason) | Commit::Unknown(reason) => {
                 warn!(target: "jobs", job:% = id, reason = reason.as_str(); "end not recorded");
-                return not_now();
+                return Outcome::Open;
             }
         }
     }
-    not_now()
-}
-
-/// The end is not recorded, or not known to be: nothing is promised.
-fn not_now() -> Response<Body> {
-    answers::come_back(StatusCode::BAD_GATEWAY, "not recorded yet", RETURN_AFTER)
+    Outcome::Open
 }
 
 fn end_txn(id: &JobId, record: &JobRecord, revision: i64) -> Txn {
@@ -147,19 +190,20 @@
     }
 }
 
-fn ended(gw: &Gateway, id: &JobId, revision: i64) -> Response<Body> {
+fn recorded(gw: &Gateway, id: &JobId, revision: i64) -> Outcome {
     info!(target: "jobs", job:% = id, revision; "job ended by its sender");
-    gw.jobs.borrow_mut().evict(id);
-    let until = gw.now() + TELL;
-    gw.jobs.borrow_mut().ended.insert(id.clone(), until);
+    let until = gw.now() + REPORT_FOR;
+    let mut jobs = gw.jobs.borrow_mut();
+    jobs.evict(id);
+    jobs.ended.insert(id.clone(), until);
+    drop(jobs);
     gw.report_due.notify_one();
-    answers::status(StatusCode::OK)
+    Outcome::Recorded
 }
 
-/// A peer says that a job was ended.
+/// A peer reports that a job was ended.
 pub(crate) fn end_reported(gw: &Gateway, id: &JobId, peer: &EntryName) {
-    let owned = gw.jobs.borrow().own.get(id).cloned();
-    let Some(owned) = owned else {
+    let Some(owned) = owned_job(gw, id) else {
         return;
     };
     let revision = owned.job.borrow().revision;
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -3,7 +3,7 @@
 use bluebellreel_batch::{Job, JobRecord, ProgressCopies, Stamp, StartLease, StartTerms};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use tokio::sync::{Mutex, Notify, watch};
 use tokio::task::AbortHandle;
@@ -97,6 +97,8 @@
     /// Jobs that their senders ended lately, with when reports need no longer name
     /// them.
     pub(crate) ended: BTreeMap<JobId, Moment>,
+    /// Jobs whose end is still to be recorded.
+    pub(crate) ends_pending: BTreeSet<JobId>,
     /// How far the items of peers' jobs are that this daemon would take over.
     pub(crate) copies: ProgressCopies,
     /// Wakes the task that looks for jobs without an owner.
@@ -124,6 +126,7 @@
             reported: HashSet::new(),
             archive: Archive::default(),
             ended: BTreeMap::new(),
+            ends_pending: BTreeSet::new(),
             copies: ProgressCopies::new(COPIES_BYTES),
             orphans_due: Rc::default(),
         }
