A job that is known to be ended is not begun

Callers saw: items of a job sent by the very gateway that had acknowledged its end a moment before. Cause: a job that a gateway is still reading from the store, to take it over or to settle its acceptance, is not among its own; the end passed it by, and reports of peers' ends were dropped for jobs not owned. The job was then begun as read before. With the lease alone the owner found out within it. Change: ends are remembered for 10 s as tombstones, who recorded them or a peer's report; a job with a tombstone is not begun. Reports name only those recorded here, so that they do not go round.

--- a/crates/bluebellreel_gateway/src/jobs/adopt.rs
+++ b/crates/bluebellreel_gateway/src/jobs/adopt.rs
@@ -73,6 +73,10 @@
         }
         return;
     }
+    if gw.jobs.borrow().is_ended(&id) {
+        info!(target: "jobs", job:% = id, revision = job.revision; "job ended before it was owned");
+        return;
+    }
     let due_in = job.record.due_at.since(gw.now());
     info!(target: "jobs", job:% = id, items = job.items.len(), listed = job.listed.len(), revision = job.revision, due_in_ms = millis(due_in); "job owned");
     let owned = OwnedJob::new(job, asked, &gw.start_terms);
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -6,7 +6,7 @@
 
 use super::key;
 use super::load;
-use super::own::{Accepted, OwnedJob};
+use super::own::{Accepted, EndedBy, OwnedJob};
 use super::owned_job;
 use super::read::owner_address;
 use crate::gateway::Gateway;
@@ -30,8 +30,9 @@
 const RETRY_FOR: Duration = Duration::from_mins(1);
 /// When a caller should return while the end cannot be recorded.
 const RETURN_AFTER: Duration = Duration::from_millis(300);
-/// How long reports name a job whose end was recorded.
-const REPORT_FOR: Duration = Duration::from_secs(10);
+/// How long an end is remembered, and named by the reports of the daemon that
+/// recorded it.
+const REMEMBER_FOR: Duration = Duration::from_secs(10);
 /// Times that a record that changes under the call is read again.
 const TRIES: usize = 4;
 
@@ -192,10 +193,10 @@
 
 fn recorded(gw: &Gateway, id: &JobId, revision: i64) -> Outcome {
     info!(target: "jobs", job:% = id, revision; "job ended by its sender");
-    let until = gw.now() + REPORT_FOR;
+    let until = gw.now() + REMEMBER_FOR;
     let mut jobs = gw.jobs.borrow_mut();
     jobs.evict(id);
-    jobs.ended.insert(id.clone(), until);
+    jobs.bury(id, EndedBy::Us, until);
     drop(jobs);
     gw.report_due.notify_one();
     Outcome::Recorded
@@ -203,6 +204,8 @@
 
 /// A peer reports that a job was ended.
 pub(crate) fn end_reported(gw: &Gateway, id: &JobId, peer: &EntryName) {
+    let until = gw.now() + REMEMBER_FOR;
+    gw.jobs.borrow_mut().bury(id, EndedBy::Peer, until);
     let Some(owned) = owned_job(gw, id) else {
         return;
     };
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -67,6 +67,22 @@
     pub(crate) run: Incarnation,
 }
 
+/// Who recorded the end of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndedBy {
+    /// This daemon, whose reports name the job.
+    Us,
+    /// A peer.
+    Peer,
+}
+
+/// A job that was ended.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    by: EndedBy,
+    until: Moment,
+}
+
 /// How a submission came out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Accepted {
@@ -94,9 +110,9 @@
     /// Jobs that were owned here or that peers have reported as theirs.
     reported: HashSet<JobId>,
     pub(crate) archive: Archive,
-    /// Jobs that their senders ended lately, with when reports need no longer name
-    /// them.
-    pub(crate) ended: BTreeMap<JobId, Moment>,
+    /// Jobs that were ended lately. One that is still being read from the store
+    /// must not be run.
+    tombstones: BTreeMap<JobId, Tombstone>,
     /// Jobs whose end is still to be recorded.
     pub(crate) ends_pending: BTreeSet<JobId>,
     /// How far the items of peers' jobs are that this daemon would take over.
@@ -108,6 +124,8 @@
 /// Jobs named in a report, some 20 bytes each. Owners of more are found by
 /// reading records.
 const REPORTED: usize = 500;
+/// Tombstones kept, some 40 bytes each.
+const TOMBSTONES: usize = 8192;
 /// Owners remembered; each takes some hundred bytes.
 const OWNERS: usize = 8192;
 
@@ -125,7 +143,7 @@
             orphans: HashMap::new(),
             reported: HashSet::new(),
             archive: Archive::default(),
-            ended: BTreeMap::new(),
+            tombstones: BTreeMap::new(),
             ends_pending: BTreeSet::new(),
             copies: ProgressCopies::new(COPIES_BYTES),
             orphans_due: Rc::default(),
@@ -176,15 +194,35 @@
         self.own.keys().take(REPORTED).cloned().collect()
     }
 
+    /// Remembers that a job was ended, by whom, until a moment.
+    pub(crate) fn bury(&mut self, id: &JobId, by: EndedBy, until: Moment) {
+        if self.tombstones.len() >= TOMBSTONES {
+            self.tombstones.clear();
+        }
+        let known = self.tombstones.get(id).map(|t| t.by);
+        let by = if known == Some(EndedBy::Us) {
+            EndedBy::Us
+        } else {
+            by
+        };
+        self.tombstones.insert(id.clone(), Tombstone { by, until });
+    }
+
+    /// Whether a job is known to be ended.
+    pub(crate) fn is_ended(&self, id: &JobId) -> bool {
+        self.tombstones.contains_key(id)
+    }
+
     /// Jobs that reports name as ended.
-    pub(crate) fn ended_lately(&self) -> Vec<JobId> {
-        self.ended.keys().cloned().collect()
+    pub(crate) fn ended_here(&self) -> Vec<JobId> {
+        let here = self.tombstones.iter().filter(|(_, t)| t.by == EndedBy::Us);
+        here.map(|(id, _)| id.clone()).collect()
     }
 
     /// Forgets what has outlived its time.
     pub(crate) fn sweep(&mut self, now: Moment) {
         self.copies.sweep(now);
-        self.ended.retain(|_, until| !until.is_past(now));
+        self.tombstones.retain(|_, t| !t.until.is_past(now));
     }
 
     /// Items that wait for a slot.
