A write that meets its own results also sees that the record has changed

Callers saw: nothing by itself; an owner went on with a job although the store had shown it the changed record. Cause: a segment whose first write had lost its answer was taken for recorded when the next try was refused, and the record among the keys that the refusal showed was not looked at: the job may have been ended or taken over since. Evidence: by reading, and a trial test that passes with and without this change, as the lease of starts now finds the same within its bound; so it does not land. Change: the results count as recorded, then the record is compared; a changed one evicts the job at once. A job that was adopted anew meanwhile is left alone.

--- a/crates/bluebellreel_gateway/src/jobs/record.rs
+++ b/crates/bluebellreel_gateway/src/jobs/record.rs
@@ -89,10 +89,18 @@
             owned.confirmed(asked, &gw.start_terms);
             recorded(gw, id, owned, segment, revision);
         }
-        Commit::Beaten(found) => match own_write(&found, &txn) {
-            Some(revision) => recorded(gw, id, owned, segment, revision),
-            None => lost(gw, owned, stored_record(&found, &key(&keys::record(id)))),
-        },
+        Commit::Beaten(found) => {
+            // A try whose answer was lost may have recorded them, and the job have
+            // been ended or taken over since.
+            if let Some(revision) = own_write(&found, &txn) {
+                recorded(gw, id, owned, segment, revision);
+            }
+            let stored = stored_record(&found, &key(&keys::record(id)));
+            let revision = owned.job.borrow().revision;
+            if stored.as_ref().is_none_or(|(at, _)| *at != revision) {
+                lost(gw, owned, stored);
+            }
+        }
         Commit::NotDone(reason) | Commit::Unknown(reason) => {
             warn!(target: "jobs", job:% = id, segment = segment.number, reason = reason.as_str(); "results not recorded yet");
         }
