A job that is over is not taken by a hand-over

Callers saw: nothing at a worker; a gateway reported a job that was over as its own for ever, and peers asked it for results. Cause: a handed-over job's record was read, and its phase not looked at. Evidence: a_job_that_is_over_is_not_taken_by_a_hand_over: 200 before, 409 after. Change: only an open job is taken.

--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -7,7 +7,7 @@
 use super::{confirm, key, load, owned_job};
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
-use bluebellreel_batch::{ItemPhase, ItemProgress, Job, JobRecord, Owner, Stamp, keys};
+use bluebellreel_batch::{ItemPhase, ItemProgress, Job, JobPhase, JobRecord, Owner, Stamp, keys};
 use bluebellreel_kv::{Commit, KvError};
 use bluebellreel_net::Body;
 use bluebellreel_types::JobId;
@@ -174,7 +174,7 @@
     let Some(found) = load::record(gw, id).await? else {
         return Ok(None);
     };
-    if found.record.owner.run != gw.run {
+    if found.record.owner.run != gw.run || found.record.phase != JobPhase::Open {
         return Ok(None);
     }
     let job = load::job(gw, id, found.record, found.revision).await?;
