One call confirms all jobs of an owner

Callers saw: nothing; calls to the store are paid for, and counted against its rates. Cause: a call asked only for jobs whose own confirmation was half used, so that jobs confirmed at different moments each got calls of their own. A job that its own write had just completed was asked for again at once until that write's answer came. Evidence: the fleet model with the real decisions, every owner holding 32 jobs. Change: a call asks for all open jobs, those confirmed longest ago first, 32 at most; a job completed by this gateway counts as confirmed. The model's decisions are the real functions now.

--- a/crates/bluebellreel_batch/src/confirmation.rs
+++ b/crates/bluebellreel_batch/src/confirmation.rs
@@ -90,16 +90,33 @@
         !self.expires_at.is_past(now.at) && !now.slept_since(self.asked)
     }
 
-    /// Whether a call that asks the store for other jobs should ask for this one.
-    #[must_use]
-    pub fn is_renewable(&self, now: Stamp) -> bool {
-        self.renew_at.is_past(now.at) || now.slept_since(self.asked)
-    }
-
     /// Whether the store should be asked now. A job none of whose items wants to
     /// start is asked for seldom: its end frees slots and its route's quota.
     #[must_use]
     pub fn is_due(&self, wants_start: bool, now: Stamp) -> bool {
-        self.is_renewable(now) && (wants_start || self.idle_until.is_past(now.at))
+        let due_at = if wants_start {
+            self.renew_at
+        } else {
+            self.idle_until
+        };
+        due_at.is_past(now.at) || now.slept_since(self.asked)
+    }
+}
+
+/// Jobs that the store should be asked for now in one call, those confirmed longest
+/// ago first; none if no job needs it. Each comes with its lease and whether an item
+/// of it wants to start. A job that could wait costs a fifth of a call of its own.
+pub fn jobs_to_check<K>(jobs: impl Iterator<Item = (K, StartLease, bool)>, now: Stamp) -> Vec<K> {
+    let mut is_due = false;
+    let mut all: Vec<(K, Moment)> = Vec::new();
+    for (job, lease, wants_start) in jobs {
+        is_due |= lease.is_due(wants_start, now);
+        all.push((job, lease.asked().at));
+    }
+    if !is_due {
+        return Vec::new();
     }
+    all.sort_by_key(|(_, asked)| *asked);
+    let first = all.into_iter().take(JOBS_PER_CHECK);
+    first.map(|(job, _)| job).collect()
 }
--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -28,7 +28,7 @@
 mod schedule;
 mod tenure;
 
-pub use confirmation::{JOBS_PER_CHECK, StartLease, StartTerms};
+pub use confirmation::{JOBS_PER_CHECK, StartLease, StartTerms, jobs_to_check};
 pub use copies::{ItemProgress, ProgressCopies};
 pub use custody::{Custody, OwnerSign, custody};
 pub use input::{NewItem, decode_items, encode_items, split_input};
--- a/crates/bluebellreel_batch/tests/ends_at_scale.rs
+++ b/crates/bluebellreel_batch/tests/ends_at_scale.rs
@@ -1,33 +1,22 @@
 //! What it costs owners to learn from the store alone that their jobs were ended.
 
+use bluebellreel_batch::{JOBS_PER_CHECK, Stamp, StartLease, StartTerms, jobs_to_check};
 use bluebellreel_types::Moment;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::ops::Range;
 use std::time::Duration;
 
-/// How long after the store was asked for the last time an item may start.
-const START_WITHIN: Duration = Duration::from_millis(2500);
-/// Jobs that one call asks for.
-const AT_ONCE: usize = 32;
-
-/// Whether an item may start of a job that the store has confirmed by a call that was
-/// sent at `confirmed`.
-fn may_start(confirmed: Moment, now: Moment) -> bool {
-    !(confirmed + START_WITHIN).is_past(now)
-}
-
-/// Whether to ask the store when an item of such a job wants to start.
-fn should_ask(confirmed: Moment, asking: bool, now: Moment) -> bool {
-    !asking && (confirmed + START_WITHIN / 2).is_past(now)
+/// The moment `now` of a VM that is never suspended.
+fn awake(now: Moment) -> Stamp {
+    Stamp {
+        at: now,
+        suspended: Duration::ZERO,
+    }
 }
 
-/// Which jobs to ask for: those that were confirmed longest ago.
-fn to_ask(confirmed: &[Moment]) -> Vec<usize> {
-    let mut all: Vec<usize> = (0..confirmed.len()).collect();
-    all.sort_by_key(|at| confirmed[*at]);
-    all.truncate(AT_ONCE);
-    all
+fn confirmed_at(asked: Moment) -> StartLease {
+    StartLease::new(awake(asked), &StartTerms::within(CANCEL))
 }
 
 /// Time after a job's end in which items may still reach workers.
@@ -70,7 +59,7 @@
 /// A job that its owner takes for open.
 struct Held {
     ends: Moment,
-    confirmed: Moment,
+    lease: StartLease,
     asked: bool,
 }
 
@@ -103,7 +92,7 @@
     jobs: Vec<Held>,
     call: Option<Call>,
     /// The longest ago that a job was confirmed, and the first end.
-    oldest: Moment,
+    oldest: Option<StartLease>,
     first_end: Moment,
     minute: u64,
     minute_bytes: usize,
@@ -128,13 +117,13 @@
                 // Its acceptance is the store's word.
                 self.jobs.push(Held {
                     ends: life.ends,
-                    confirmed: life.from,
+                    lease: confirmed_at(life.from),
                     asked: false,
                 });
                 self.changed();
             }
             self.start_items(now);
-            if !self.jobs.is_empty() && should_ask(self.oldest, self.call.is_some(), now) {
+            if self.call.is_none() {
                 self.ask(now);
             }
             now = now + Duration::from_micros(self.rng.random_range(LOOK));
@@ -142,23 +131,23 @@
     }
 
     fn changed(&mut self) {
-        let confirmed = self.jobs.iter().map(|j| j.confirmed).min();
-        self.oldest = confirmed.unwrap_or(Moment::FAR);
+        let leases = self.jobs.iter().map(|j| j.lease);
+        self.oldest = leases.min_by_key(|l| l.asked().at);
         let ends = self.jobs.iter().map(|j| j.ends).min();
         self.first_end = ends.unwrap_or(Moment::FAR);
     }
 
     /// Each job has items that want to start at each look.
     fn start_items(&mut self, now: Moment) {
-        if !self.jobs.is_empty() {
+        if let Some(oldest) = self.oldest {
             self.seen.looks += 1;
-            self.seen.held_up += usize::from(!may_start(self.oldest, now));
+            self.seen.held_up += usize::from(!oldest.allows_start(awake(now)));
         }
         if !self.first_end.is_past(now) {
             return;
         }
         for job in self.jobs.iter().filter(|j| j.ends.is_past(now)) {
-            if may_start(job.confirmed, now) {
+            if job.lease.allows_start(awake(now)) {
                 let late = (now + SEND).since(job.ends);
                 self.seen.latest = self.seen.latest.max(late);
             }
@@ -166,9 +155,13 @@
     }
 
     fn ask(&mut self, now: Moment) {
-        let confirmed: Vec<Moment> = self.jobs.iter().map(|j| j.confirmed).collect();
-        let asked = to_ask(&confirmed);
-        assert!((1..=AT_ONCE).contains(&asked.len()));
+        // The one confirmed longest ago decides, and few looks need more.
+        if !self.oldest.is_some_and(|l| l.is_due(true, awake(now))) {
+            return;
+        }
+        let leases = self.jobs.iter().enumerate();
+        let asked = jobs_to_check(leases.map(|(at, j)| (at, j.lease, true)), awake(now));
+        assert!((1..=JOBS_PER_CHECK).contains(&asked.len()));
         for at in &asked {
             self.jobs[*at].asked = true;
         }
@@ -202,7 +195,7 @@
         let learned = before - self.jobs.len();
         for job in &mut self.jobs {
             if std::mem::take(&mut job.asked) {
-                job.confirmed = call.sent;
+                job.lease = confirmed_at(call.sent);
             }
         }
         self.seen.learned += learned;
@@ -261,7 +254,7 @@
         let owner = Owner {
             jobs: Vec::new(),
             call: None,
-            oldest: Moment::FAR,
+            oldest: None,
             first_end: Moment::FAR,
             minute: 0,
             minute_bytes: 0,
@@ -318,7 +311,7 @@
     for daemons in FLEETS {
         let mut rng = SmallRng::seed_from_u64(2);
         let lives: Vec<_> = (0..daemons)
-            .map(|_| one_after_the_other(AT_ONCE, HOUR, &mut rng))
+            .map(|_| one_after_the_other(JOBS_PER_CHECK, HOUR, &mut rng))
             .collect();
         assert_in_bounds(&run("busy hour", &lives, HOUR, &mut rng));
     }
@@ -329,7 +322,7 @@
 fn owners_of_more_jobs_than_one_call_takes_learn_of_each_end() {
     let mut rng = SmallRng::seed_from_u64(3);
     let lives: Vec<_> = (0..5)
-        .map(|_| one_after_the_other(AT_ONCE * 5 / 2, HOUR, &mut rng))
+        .map(|_| one_after_the_other(JOBS_PER_CHECK * 5 / 2, HOUR, &mut rng))
         .collect();
     assert_in_time(&run("more than one call", &lives, HOUR, &mut rng));
 }
--- a/crates/bluebellreel_gateway/src/jobs/confirm.rs
+++ b/crates/bluebellreel_gateway/src/jobs/confirm.rs
@@ -8,8 +8,8 @@
 use super::own::OwnedJob;
 use super::{key, load, owned_job, record};
 use crate::gateway::Gateway;
-use bluebellreel_batch::{JOBS_PER_CHECK, JobPhase, keys};
-use bluebellreel_kv::{Compare, KeyValue, KvError};
+use bluebellreel_batch::{JobPhase, jobs_to_check, keys};
+use bluebellreel_kv::{Compare, KvError};
 use bluebellreel_platform::store::TxnOutcome;
 use bluebellreel_types::JobId;
 use log::{info, warn};
@@ -119,7 +119,10 @@
             }
             let by_peer = gw.store.is_lost() != other_way;
             match check(&gw, &due, by_peer).await {
-                Ok(()) => gw.batch_due.notify_one(),
+                Ok(()) => {
+                    other_way = false;
+                    gw.batch_due.notify_one();
+                }
                 Err(e) => {
                     warn!(target: "jobs", jobs = due.len(), error:% = e; "own jobs not confirmed");
                     other_way = !other_way;
@@ -130,21 +133,12 @@
     }
 }
 
-/// Jobs to ask the store for, those confirmed longest ago first; none if no job
-/// needs it now.
+/// Open jobs that the store should be asked for now.
 fn due_jobs(gw: &Gateway) -> Vec<Rc<OwnedJob>> {
-    let now = gw.stamp();
     let jobs = gw.jobs.borrow();
-    let open = || jobs.own.values().filter(|o| o.job.borrow().is_open());
-    let is_due = |o: &Rc<OwnedJob>| o.lease.get().is_due(o.wants_start.get(), now);
-    if !open().any(is_due) {
-        return Vec::new();
-    }
-    let renewable = open().filter(|o| o.lease.get().is_renewable(now));
-    let mut due: Vec<_> = renewable.cloned().collect();
-    due.sort_by_key(|o| o.lease.get().asked().at);
-    due.truncate(JOBS_PER_CHECK);
-    due
+    let open = jobs.own.values().filter(|o| o.job.borrow().is_open());
+    let leases = open.map(|o| (o.clone(), o.lease.get(), o.wants_start.get()));
+    jobs_to_check(leases, gw.stamp())
 }
 
 /// Asks the store about several jobs in one call.
@@ -159,36 +153,24 @@
         .map(|(id, revision)| Compare::Unchanged(key(&keys::record(id)), *revision));
     let found = match gw.store.check(guards.collect(), by_peer).await? {
         TxnOutcome::Conflict(found) => Some(found),
-        TxnOutcome::Done(_) | TxnOutcome::NoLease => None,
+        TxnOutcome::Done(_) => None,
+        TxnOutcome::NoLease => return Err(KvError::Refused("no lease was named".into())),
     };
     for (owned, (id, revision)) in jobs.iter().zip(&revisions) {
-        let holds = found
-            .as_ref()
-            .is_none_or(|found| holds(found, id, *revision));
+        let stored = match &found {
+            Some(found) => record::stored_record(found, &key(&keys::record(id))),
+            None => None,
+        };
+        let holds = match &stored {
+            // The answer to the write that completed it may be on its way.
+            Some((at, r)) => at == revision || (r.phase == JobPhase::Done && r.owner.run == gw.run),
+            None => found.is_none(),
+        };
         if holds {
             owned.confirmed(asked, &gw.start_terms);
-        } else if let Some(found) = &found {
-            changed(gw, owned, id, found);
+        } else {
+            record::lost(gw, owned, stored);
         }
     }
     Ok(())
 }
-
-fn holds(found: &[KeyValue], id: &JobId, revision: i64) -> bool {
-    let record_key = key(&keys::record(id));
-    found
-        .iter()
-        .any(|kv| kv.key == record_key && kv.revision == revision)
-}
-
-/// A job's record is not as this daemon knows it.
-fn changed(gw: &Gateway, owned: &Rc<OwnedJob>, id: &JobId, found: &[KeyValue]) {
-    let stored = record::stored_record(found, &key(&keys::record(id)));
-    let own_end = stored
-        .as_ref()
-        .is_some_and(|(_, r)| r.phase == JobPhase::Done && r.owner.run == gw.run);
-    // The answer to the write that completed it is on its way.
-    if !own_end {
-        record::lost(gw, owned, stored);
-    }
-}
