Settings: a gateway may advertise other addresses than it listens on

Callers saw: nothing; needed to stand a relay before one gateway, as behind address translation, and so to separate gateways in a soak. Cause: the addresses that peers are told were always the listening ones. Nothing relies on where a report comes from: that address is only logged, senders are known by name and run.

--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -122,8 +122,8 @@
     let lease = gw.store.lease(ttl).await?;
     let entry = MemberEntry {
         run: gw.run,
-        calls: gw.settings.peers,
-        reports: gw.settings.reports,
+        calls: gw.settings.advertised_peers(),
+        reports: gw.settings.advertised_reports(),
     };
     let value = serde_json::to_vec(&entry).map_err(|e| KvError::Refused(e.to_string()))?;
     // Unguarded: the newest run of a name is the one that lives.
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -125,6 +125,7 @@
     let seeds = gw.seeds.borrow();
     targets.extend(seeds.iter().map(|s| SocketAddr::new(s.ip(), port)));
     targets.remove(&gw.settings.reports);
+    targets.remove(&gw.settings.advertised_reports());
     (targets, briefed)
 }
 
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -25,6 +25,8 @@
     /// Where its peers send their reports, by UDP; the port is the same on
     /// all VMs.
     pub reports: SocketAddr,
+    /// Where peers are told to reach it.
+    pub advertise: Advertise,
     /// Where metrics are served.
     pub metrics: SocketAddr,
     /// Peers to begin with; they may be stale or down.
@@ -41,7 +43,45 @@
     pub cancel_within: Duration,
 }
 
+/// Addresses that peers are told instead of those it listens on, as behind
+/// address translation.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+pub struct Advertise {
+    /// Instead of [`GatewaySettings::peers`].
+    pub peers: Option<SocketAddr>,
+    /// Instead of [`GatewaySettings::reports`].
+    pub reports: Option<SocketAddr>,
+}
+
+impl Advertise {
+    fn checked(self, file: &str) -> Result<Self, SettingsError> {
+        let keys = [
+            ("advertise.peers", self.peers),
+            ("advertise.reports", self.reports),
+        ];
+        for (key, address) in keys {
+            if address.is_some_and(|a| a.port() == 0 || a.ip().is_unspecified()) {
+                let reason = "must be an address that peers can reach";
+                return Err(SettingsError::new(file, key, reason));
+            }
+        }
+        Ok(self)
+    }
+}
+
 impl GatewaySettings {
+    /// Where peers are told to send their calls.
+    #[must_use]
+    pub fn advertised_peers(&self) -> SocketAddr {
+        self.advertise.peers.unwrap_or(self.peers)
+    }
+
+    /// Where peers are told to send their reports.
+    #[must_use]
+    pub fn advertised_reports(&self) -> SocketAddr {
+        self.advertise.reports.unwrap_or(self.reports)
+    }
+
     /// Keys in which other settings differ and that only a start brings into
     /// force; `peers.seeds` and `stop.grace_s` are taken over at once.
     #[must_use]
@@ -55,6 +95,7 @@
             ("listen.peers", self.peers != other.peers),
             ("listen.reports_port", self.reports != other.reports),
             ("listen.metrics_port", self.metrics != other.metrics),
+            ("advertise", self.advertise != other.advertise),
             ("store", store(self) != store(other)),
             (
                 "jobs.cancel_within_ms",
@@ -71,6 +112,8 @@
     vm: RawVm,
     listen: RawListen,
     #[serde(default)]
+    advertise: Advertise,
+    #[serde(default)]
     peers: RawPeers,
     store: RawStore,
     stop: RawStop,
@@ -133,6 +176,7 @@
     let raw: Raw = toml::from_str(text).map_err(|e| SettingsError::new(file, "", e.to_string()))?;
     let (name, data_centre) = raw.vm.checked(file)?;
     let grace = raw.stop.checked(file)?;
+    let advertise = raw.advertise.checked(file)?;
     if raw.store.value_bytes < LEAST_VALUE_BYTES {
         let reason = "must be 65536 or more";
         return Err(SettingsError::new(file, "store.value_bytes", reason));
@@ -148,6 +192,7 @@
         readiness: raw.listen.readiness,
         peers: raw.listen.peers,
         reports: SocketAddr::new(raw.vm.address, raw.listen.reports_port),
+        advertise,
         metrics: SocketAddr::new(raw.vm.address, raw.listen.metrics_port),
         seeds: raw.peers.seeds,
         store: raw.store.address,
--- a/crates/bluebellreel_settings/src/lib.rs
+++ b/crates/bluebellreel_settings/src/lib.rs
@@ -21,7 +21,7 @@
 pub use data::DataSettings;
 pub use entry::{EntryLimits, EntrySettings, load_entry, parse_entry};
 pub use error::SettingsError;
-pub use gateway::{GatewaySettings, load_gateway, parse_gateway};
+pub use gateway::{Advertise, GatewaySettings, load_gateway, parse_gateway};
 pub use keeper::{KeeperSettings, load_keeper, parse_keeper};
 pub use parts::{LogLevel, LogTarget, TraceTarget};
 pub use side::{SideLean, SideSettings, load_side, parse_side};
--- a/crates/bluebellreel_settings/tests/gateway.rs
+++ b/crates/bluebellreel_settings/tests/gateway.rs
@@ -35,6 +35,20 @@
     assert_eq!(settings.grace, Duration::from_secs(8));
 }
 
+/// Peers are told the listening addresses where none are set, else those that are.
+#[test]
+fn peers_are_told_the_advertised_addresses() {
+    let plain = parse(TEXT).expect("proper settings");
+    assert_eq!(plain.advertised_peers(), plain.peers);
+    assert_eq!(plain.advertised_reports(), plain.reports);
+    let section = "[advertise]\npeers = \"127.0.0.3:9002\"\nreports = \"127.0.0.3:9003\"\n[peers]";
+    let told = parse(&TEXT.replace("[peers]", section)).expect("proper settings");
+    assert_eq!(told.advertised_peers().to_string(), "127.0.0.3:9002");
+    assert_eq!(told.advertised_reports().to_string(), "127.0.0.3:9003");
+    assert_eq!(told.peers, plain.peers);
+    assert_eq!(plain.start_needed_for(&told), ["advertise"]);
+}
+
 /// An operator mistypes a value. The daemon must name the file and the key
 /// instead of starting with something else.
 #[test]
@@ -48,6 +62,16 @@
             "value_bytes = 10",
             "store.value_bytes",
         ),
+        (
+            "[peers]",
+            "[advertise]\npeers = \"127.0.0.3:0\"\n[peers]",
+            "advertise.peers",
+        ),
+        (
+            "[peers]",
+            "[advertise]\nreports = \"0.0.0.0:9003\"\n[peers]",
+            "advertise.reports",
+        ),
     ] {
         let e = parse(&TEXT.replace(right, wrong)).expect_err(key);
         assert!(e.starts_with("gateway.toml"), "{e}");
