Soak: a gateway is parted from its peers

Cause: faults of a soak are those of processes, workers and ways to the store. No gateway ever lost its peers while it reached everything else.

--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -3,7 +3,9 @@
 //! WORKERS [PROGRAM]`. Odd seeds bring changes of configuration, workers,
 //! settings and store as well. From 1000 on seeds bring rolling stops too: two of
 //! three nothing else, the third (1002, 1005) with faults. From 3000 on they bring requests
-//! that crash workers, odd ones with changes and faults, even ones with faults.
+//! that crash workers, odd ones with changes and faults, even ones with faults. From 5000
+//! on jobs of long items are ended while gateways are parted from their peers, odd seeds
+//! with changes and faults, even ones with nothing else.
 //!
 //! Prints a line a seed, and for a broken promise the faults that led to it.
 //! Settings and logs of a seed stay in a folder under the system's folder for
@@ -16,6 +18,8 @@
 const STOPS_FROM: u64 = 1000;
 /// The first seed with requests that crash workers.
 const CRASHES_FROM: u64 = 3000;
+/// The first seed with jobs of long items that are ended.
+const ENDS_FROM: u64 = 5000;
 
 fn main() -> eyre::Result<()> {
     let numbers: Vec<u64> = std::env::args()
@@ -36,7 +40,10 @@
         let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
         let stops = (STOPS_FROM..CRASHES_FROM).contains(&seed);
         let stops_only = stops && seed % 3 != 0;
-        let callers = if seed >= CRASHES_FROM {
+        let ends_only = seed >= ENDS_FROM && seed % 2 == 0;
+        let callers = if seed >= ENDS_FROM {
+            Callers::SomeEndJobs
+        } else if seed >= CRASHES_FROM {
             Callers::SomeInVain
         } else {
             Callers::Usual
@@ -47,7 +54,7 @@
             gateways,
             workers,
             changes: seed % 2 == 1 && !stops_only,
-            faults: !stops_only,
+            faults: !stops_only && !ends_only,
             stops,
             callers,
             program: program.clone(),
