--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -61,7 +61,7 @@
             folder: folder.clone(),
         })?;
         println!(
-            "seed {seed}: {} faults, {} stops, {} of {} requests served, {} judged, {} closed unread, {} jobs, {} broken",
+            "seed {seed}: {} faults, {} stops, {} of {} requests served, {} judged, {} closed unread, {} jobs, {} ended ({} late runs excused), {} broken",
             report.faults.len(),
             report.stops,
             report.served,
@@ -69,6 +69,8 @@
             report.judged,
             report.unread,
             report.jobs,
+            report.ended,
+            report.excused,
             report.broken.len()
         );
         if report.broken.is_empty() {
