Failing test: items of an ended job go on while peers are cut off

Callers saw: items of jobs ran more than 3 s after the end of their job had been acknowledged. Cause: a gateway that cannot reach a job's owner records the end itself, answers 200 and names the job in its reports for 10 s. An owner that those do not reach goes on until it writes results.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -28,6 +28,12 @@
     stops: true,
     callers: Callers::Usual,
 };
+const ENDS: Brings = Brings {
+    faults: false,
+    changes: false,
+    stops: false,
+    callers: Callers::SomeEndJobs,
+};
 const CRASHES: Brings = Brings {
     faults: false,
     changes: true,
@@ -62,6 +68,10 @@
         report.judged > 0 || !brings.stops,
         "no request was without a fault near it"
     );
+    assert!(
+        report.ended > 0 || brings.callers != Callers::SomeEndJobs,
+        "no end was acknowledged"
+    );
     std::fs::remove_dir_all(folder).expect("the folder is ours");
 }
 
@@ -116,3 +126,10 @@
     };
     play(3001, 12, &brings);
 }
+
+/// A job was ended at another gateway than its owner's, which that one could not reach:
+/// the owner learned of the end only from reports, and they were lost.
+#[test]
+fn items_of_an_ended_job_stop_though_peers_are_cut_off() {
+    play(5018, 12, &ENDS);
+}
