Gateway: what is known of workers is applied outside the state of facts

Cause: facts.rs held both what the store tells and the function that applies it to the board, which takes the gateway; so gateway.rs imported a file that imports it. Change: workers.rs has that function; facts.rs is state and imports nothing of this crate. Behaviour as before. Evidence: clippy; cargo test of the gateway and of the platform's stand-ins.

--- a/crates/bluebellreel_gateway/src/facts.rs
+++ b/crates/bluebellreel_gateway/src/facts.rs
@@ -4,12 +4,11 @@
 //! Every fact carries the store's revision. Nothing known is ever replaced by
 //! an older fact, whichever way it came.
 
-use crate::gateway::Gateway;
-use bluebellreel_dispatch::{Catalog, Configuration, WorkerChange};
+use bluebellreel_dispatch::{Catalog, Configuration};
 use bluebellreel_members::Revisions;
 use bluebellreel_platform::decode_configuration;
 use bluebellreel_snapshot::SharedFacts;
-use bluebellreel_types::{Moment, WorkerName};
+use bluebellreel_types::Moment;
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -191,39 +190,3 @@
         changed
     }
 }
-
-/// Applies changed workers to the board, whichever way the news came.
-pub(crate) fn follow_workers(gw: &Gateway, source: &str) {
-    let facts = gw.facts.borrow();
-    let revision = facts.catalog.newest();
-    let changes = gw.board.borrow_mut().follow(&facts.catalog);
-    drop(facts);
-    for (worker, change) in changes {
-        match change {
-            WorkerChange::Listed(state) => {
-                info!(target: "facts", worker:% = worker, state:? = state, revision, source; "worker listed");
-            }
-            WorkerChange::StartedAgain(state) => {
-                info!(target: "facts", worker:% = worker, state:? = state, revision, source; "worker started again");
-                leave_former_life(gw, &worker);
-            }
-            WorkerChange::Left => {
-                info!(target: "facts", worker:% = worker, revision, source; "worker gone");
-            }
-        }
-    }
-    gw.batch_due.notify_one();
-    crate::jobs::make_room(gw);
-}
-
-/// Ends what hangs on the former life of a worker that has started again.
-///
-/// Its kept connections lead nowhere, and a run that waits there would do so
-/// until its own silence is noticed, or its caller leaves.
-fn leave_former_life(gw: &Gateway, worker: &WorkerName) {
-    let address = gw.board.borrow().seat(worker).map(|s| s.record.address);
-    if let Some(address) = address {
-        gw.workers.drop_idle(address);
-    }
-    gw.worker_restarted.notify_waiters();
-}
--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -5,8 +5,8 @@
 //! it takes what they have.
 
 use crate::answers;
-use crate::facts::follow_workers;
 use crate::gateway::Gateway;
+use crate::workers::apply_workers;
 use bluebellreel_net::Body;
 use bluebellreel_snapshot::{GatewayState, SharedFacts};
 use bluebellreel_types::{EntryName, Moment};
@@ -160,7 +160,7 @@
     let changed = gw.facts.borrow_mut().learn(offered, "snapshot", gw.now());
     info!(target: "facts", revision, workers, believed_ms; "snapshot taken over");
     if changed {
-        follow_workers(gw, "snapshot");
+        apply_workers(gw, "snapshot");
     }
     gw.report_due.notify_one();
     answers::status(StatusCode::OK)
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod unreadable;
 mod upstream;
 mod watching;
+mod workers;
 
 pub use reload::Surroundings;
 pub use run::{live, run_gateway};
--- a/crates/bluebellreel_gateway/src/reports/catch_up.rs
+++ b/crates/bluebellreel_gateway/src/reports/catch_up.rs
@@ -1,9 +1,9 @@
 //! Asking peers for what they know and this daemon does not.
 
 use super::gap;
-use crate::facts::follow_workers;
 use crate::gateway::Gateway;
 use crate::peer_calls;
+use crate::workers::apply_workers;
 use bluebellreel_snapshot::SharedFacts;
 use bluebellreel_types::EntryName;
 use log::{info, warn};
@@ -58,7 +58,7 @@
     let changed = gw.facts.borrow_mut().learn(shared, peer.as_str(), gw.now());
     info!(target: "facts", peer:% = peer, changed; "facts taken over");
     if changed {
-        follow_workers(gw, peer.as_str());
+        apply_workers(gw, peer.as_str());
     }
     gw.report_due.notify_one();
 }
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -3,7 +3,8 @@
 use crate::gateway::Gateway;
 use crate::leave::leave;
 use crate::reload::Surroundings;
-use crate::{detour, facts, held, jobs, peer_api, registration, reload, reports, serve, watching};
+use crate::workers::apply_workers;
+use crate::{detour, held, jobs, peer_api, registration, reload, reports, serve, watching};
 use bluebellreel_net::{Served, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_types::Moment;
@@ -177,12 +178,12 @@
     gw.board.borrow_mut().paces.sweep(now);
     let expired = gw.facts.borrow_mut().catalog.expire(now);
     if expired {
-        facts::follow_workers(gw, "time to register again is over");
+        apply_workers(gw, "time to register again is over");
     }
     let outlived = gw.facts.borrow_mut().expire(now);
     if outlived {
         warn!(target: "facts", entry:% = gw.me(); "snapshot no longer believed");
-        facts::follow_workers(gw, "snapshot no longer believed");
+        apply_workers(gw, "snapshot no longer believed");
     }
 }
 
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -4,8 +4,8 @@
 //! take over what those report (see `reports`). A daemon that the store turns
 //! away says so and is passed over. One that hears nobody watches by itself.
 
-use crate::facts::follow_workers;
 use crate::gateway::Gateway;
+use crate::workers::apply_workers;
 use bluebellreel_dispatch::WorkerRecord;
 use bluebellreel_kv::{Key, KeyValue, KvError, Txn, WatchEvent};
 use bluebellreel_platform::store::Watched;
@@ -88,7 +88,7 @@
     listed: workers_listed,
     changed: |gw, event| worker_changed(gw, event),
     settle: |gw| {
-        follow_workers(gw, "store");
+        apply_workers(gw, "store");
         gw.report_due.notify_one();
     },
     seen_to: |gw, revision| gw.facts.borrow_mut().catalog.seen_to(revision),
@@ -169,7 +169,7 @@
         facts.catalog.replace(revision, list, keep_until)
     };
     if changed {
-        follow_workers(gw, "store");
+        apply_workers(gw, "store");
         gw.report_due.notify_one();
     }
 }
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/workers.rs
@@ -0,0 +1,41 @@
+//! Applying what is known of workers to the board.
+
+use crate::gateway::Gateway;
+use crate::jobs::make_room;
+use bluebellreel_dispatch::WorkerChange;
+use bluebellreel_types::WorkerName;
+use log::info;
+
+/// Applies changed workers to the board, whichever way the news came.
+pub(crate) fn apply_workers(gw: &Gateway, source: &str) {
+    let facts = gw.facts.borrow();
+    let revision = facts.catalog.newest();
+    let changes = gw.board.borrow_mut().follow(&facts.catalog);
+    drop(facts);
+    for (worker, change) in changes {
+        match change {
+            WorkerChange::Listed(state) => {
+                info!(target: "facts", worker:% = worker, state:? = state, revision, source; "worker listed");
+            }
+            WorkerChange::StartedAgain(state) => {
+                info!(target: "facts", worker:% = worker, state:? = state, revision, source; "worker started again");
+                drop_former_life(gw, &worker);
+            }
+            WorkerChange::Left => {
+                info!(target: "facts", worker:% = worker, revision, source; "worker gone");
+            }
+        }
+    }
+    gw.batch_due.notify_one();
+    make_room(gw);
+}
+
+/// Drops the connections to a worker's former life, which lead nowhere, and wakes the
+/// runs that wait there.
+fn drop_former_life(gw: &Gateway, worker: &WorkerName) {
+    let address = gw.board.borrow().seat(worker).map(|s| s.record.address);
+    if let Some(address) = address {
+        gw.workers.drop_idle(address);
+    }
+    gw.worker_restarted.notify_waiters();
+}
