Gateway: keepers' visits are state of their own

Cause: keepers.rs held both which keepers have visited and the answers to them, which take the gateway. Change: keeper_visits.rs has the state, and imports nothing of this crate; its words are visit, present, unreachable. gateway.rs now imports only files that do not import it. Behaviour as before. Evidence: clippy; cargo test of the gateway and of the platform's stand-ins.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use crate::facts::Facts;
 use crate::in_progress::InProgress;
 use crate::jobs::Jobs;
-use crate::keepers::Keepers;
+use crate::keeper_visits::Keepers;
 use crate::metrics::Metrics;
 use crate::store::StoreClient;
 use crate::suspension::time_suspended;
--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -46,7 +46,7 @@
                 // keeper that starts again is missed for a moment; its disk is
                 // all that a kill of everything leaves.
                 told.remove(&id);
-                gw.keepers.borrow_mut().miss(to);
+                gw.keepers.borrow_mut().mark_unreachable(to);
             }
         }
     }
@@ -142,7 +142,7 @@
                 return None;
             }
         };
-        if !gw.keepers.borrow().may_come_back(at) || Instant::now() >= end {
+        if !gw.keepers.borrow().may_retry(at) || Instant::now() >= end {
             gw.keepers.borrow_mut().give_up(at);
             warn!(target: "jobs", job:% = id, keeper:% = at, error = error.as_str(); "progress not fetched");
             return None;
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod held;
 mod in_progress;
 mod jobs;
+mod keeper_visits;
 mod keepers;
 mod leave;
 mod metrics;
