--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::Gateway;
 use crate::held;
+use crate::millis::millis;
 use bluebellreel_dispatch::{
     Fingerprint, Sender, Standing, Strike, Ticket, Told, WorkerState, WorkerTag,
 };
@@ -79,7 +80,7 @@
 }
 
 fn note(gw: &Rc<Gateway>, cut: &Cut, at: Moment, reason: &str) {
-    let lasted = u64::try_from(at.since(cut.began).as_millis()).unwrap_or(u64::MAX);
+    let lasted = millis(at.since(cut.began));
     gw.metrics.crashes.inc();
     let strike = Strike {
         began: cut.began,
--- a/crates/bluebellreel_gateway/src/detour.rs
+++ b/crates/bluebellreel_gateway/src/detour.rs
@@ -6,6 +6,7 @@
 //! that is lost on the way is as much in doubt as one lost at the store.
 
 use crate::gateway::Gateway;
+use crate::millis::millis;
 use crate::peer_calls;
 use crate::store::StoreAnswer;
 use bluebellreel_kv::KvError;
@@ -77,7 +78,7 @@
         method: req.method().to_string(),
         path: req.uri().to_string(),
         body: req.body().to_vec(),
-        longest_ms: crate::online::millis(longest),
+        longest_ms: millis(longest),
     };
     let call = postcard::to_allocvec(&call).map_err(|e| KvError::Refused(e.to_string()))?;
     let answer = peer_calls::store(&gw, peer, call, longest).await;
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -10,7 +10,7 @@
 use super::{key, quota};
 use crate::answers;
 use crate::gateway::Gateway;
-use crate::online::millis;
+use crate::millis::millis;
 use bluebellreel_batch::{JobPhase, JobRecord, NewItem, Owner, keys, split_input};
 use bluebellreel_dispatch::Route;
 use bluebellreel_kv::{Commit, Compare, Key, Put, Txn};
--- a/crates/bluebellreel_gateway/src/jobs/adopt.rs
+++ b/crates/bluebellreel_gateway/src/jobs/adopt.rs
@@ -8,7 +8,7 @@
 use super::own::OwnedJob;
 use super::{load, owned_job, record};
 use crate::gateway::Gateway;
-use crate::online::millis;
+use crate::millis::millis;
 use bluebellreel_batch::{Job, JobRecord, NewItem, Stamp};
 use bluebellreel_types::JobId;
 use log::{info, warn};
--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -5,6 +5,7 @@
 
 use crate::answers;
 use crate::gateway::Gateway;
+use crate::millis::millis;
 use crate::workers::apply_workers;
 use bluebellreel_net::Body;
 use bluebellreel_snapshot::{GatewayState, SharedFacts};
@@ -81,7 +82,7 @@
         return answers::failure(StatusCode::CONFLICT, "the store has answered");
     }
     let workers = offered.workers.len();
-    let believed_ms = offered.believed_for.map_or(0, crate::online::millis);
+    let believed_ms = offered.believed_for.map_or(0, millis);
     let revision = offered.configuration.as_ref().map_or(0, |(r, _)| *r);
     let changed = gw.facts.borrow_mut().learn(offered, "snapshot", gw.now());
     info!(target: "facts", revision, workers, believed_ms; "snapshot taken over");
--- a/crates/bluebellreel_gateway/src/leave.rs
+++ b/crates/bluebellreel_gateway/src/leave.rs
@@ -8,7 +8,7 @@
 
 use crate::gateway::Gateway;
 use crate::jobs::HandOvers;
-use crate::online::millis;
+use crate::millis::millis;
 use crate::registration;
 use crate::run::Doors;
 use log::{info, warn};
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -5,8 +5,9 @@
 //! by the daemon that owns them. Daemons tell each other what they run, so
 //! that none piles work on a worker that another has filled.
 //!
-//! The way of a request: [`run_gateway`] listens, `serve` tells calls apart,
-//! `online` chooses a worker and sends, `relay` passes events on; `jobs` holds
+//! The way of a request, each file importing those after it: [`run_gateway`]
+//! listens, `serve` tells calls apart, `online` answers, `relay` passes events on
+//! and goes on elsewhere, `place` chooses a worker, `upstream` sends; `jobs` holds
 //! what happens to batch jobs. Decisions are in `bluebellreel_dispatch` and
 //! `bluebellreel_batch`.
 //!
@@ -30,14 +31,17 @@
 mod keepers;
 mod leave;
 mod metrics;
+mod millis;
 mod online;
 mod peer_api;
 mod peer_calls;
+mod place;
 mod pulse;
 mod registration;
 mod relay;
 mod reload;
 mod reports;
+mod request;
 mod run;
 mod serve;
 mod store;
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -1,43 +1,30 @@
 //! One caller's request: chosen a worker, sent, answered.
 
 use crate::answers;
-use crate::crash::{self, Cut};
+use crate::crash;
 use crate::gateway::Gateway;
+use crate::millis::millis;
+use crate::place;
 use crate::relay::Relay;
-use crate::suspicion::{self, Trial};
-use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
+use crate::request::Request;
+use crate::suspicion;
+use crate::ticket::{AFTER_RESTART, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
-use bluebellreel_dispatch::{
-    Class, Fingerprint, Placement, Query, Route, RouteKind, Sender, Ticket, place_online,
-    return_after, should_leave,
-};
+use bluebellreel_dispatch::{Placement, RouteKind, return_after};
 use bluebellreel_net::{Body, Reuse};
-use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_platform::ingress;
 use bluebellreel_types::{Moment, WorkerName};
 use bytes::Bytes;
 use http::{Response, StatusCode, header};
 use log::{info, warn};
 use rand::RngExt;
-use std::cell::OnceCell;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
 
-/// Share of a route's objective that a request may wait in line; the rest is
-/// for its way, its prompt, and what is not known of the others in line.
-const PATIENCE: f64 = 0.62;
 /// Longest answer that is gathered before it is passed on.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
-/// How long a worker with a free slot may take to its first byte before a
-/// request that may be repeated goes elsewhere. An idle engine takes some
-/// 20 ms; a send elsewhere must still leave half of a 300 ms objective.
-const FIRST_BYTE: Duration = Duration::from_millis(130);
-/// Added for each request that waits before it: about the time in which one of
-/// a worker's slots comes free.
-const FIRST_BYTE_PER_WAITING: Duration = Duration::from_millis(110);
 /// Time between looks whether a request whose first byte is late does better
 /// elsewhere.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
@@ -45,84 +32,6 @@
 /// workers cost a round trip each.
 const MOST_REFUSALS: u32 = 4;
 
-/// A caller's request on its way.
-pub(crate) struct Request {
-    pub(crate) id: Arc<str>,
-    pub(crate) route: Arc<Route>,
-    pub(crate) service: Arc<str>,
-    pub(crate) out: Outgoing,
-    /// When its answer is no longer wanted, or no longer allowed.
-    pub(crate) deadline: Instant,
-    pub(crate) received: Instant,
-    /// Workers that it was sent to.
-    pub(crate) tried: Vec<WorkerName>,
-    /// Sends that may have run.
-    pub(crate) runs: u32,
-    /// Reckoned when it is first asked for.
-    pub(crate) fingerprint: OnceCell<Fingerprint>,
-    /// While it shows whether workers can run it now.
-    pub(crate) trial: Option<Trial>,
-}
-
-impl Request {
-    /// Whether it may be sent once more.
-    pub(crate) fn may_repeat(&self) -> bool {
-        let allowed = self.runs == 0 || self.route.repeatable();
-        allowed && self.runs < self.route.max_workers.max(1)
-    }
-
-    /// A run of it that its worker broke off.
-    pub(crate) fn cut(&self, ticket: Ticket, began: Moment) -> Cut {
-        Cut {
-            request: self.id.clone(),
-            fingerprint: self.fingerprint(),
-            ticket,
-            began,
-        }
-    }
-
-    /// What it asks for, whichever attempt it is.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
-        *self
-            .fingerprint
-            .get_or_init(|| Fingerprint::of(&self.out.identity()))
-    }
-
-    /// Whether it may be sent to a worker; else when it may be tried again.
-    pub(crate) fn may_run(&mut self, gw: &Rc<Gateway>) -> Result<(), Moment> {
-        // What an earlier run has shown counts by now.
-        self.trial = None;
-        let leave = suspicion::may_run(gw, &self.id, Sender::Caller, || self.fingerprint())?;
-        self.trial = Trial::begin(gw, &self.id, leave);
-        Ok(())
-    }
-
-    pub(crate) fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-
-    /// How long it may wait in line and still meet its objective.
-    fn patience(&self) -> Duration {
-        self.route.objective.mul_f64(PATIENCE)
-    }
-
-    /// When the first byte from a worker counts as late; never for a request
-    /// that cannot go elsewhere.
-    fn first_byte_due(&self, gw: &Gateway, worker: &WorkerName) -> Instant {
-        let last_try = self.runs + 1 >= self.route.max_workers.max(1);
-        if last_try || !self.route.repeatable() {
-            return self.deadline;
-        }
-        let waiting = gw
-            .board
-            .borrow()
-            .seat(worker)
-            .map_or(0, |s| s.running().online.saturating_sub(s.record.slots));
-        let wait = FIRST_BYTE + FIRST_BYTE_PER_WAITING * waiting;
-        (Instant::now() + wait).min(self.deadline)
-    }
-}
-
 /// Answers a caller.
 pub(crate) async fn answer(gw: Rc<Gateway>, mut req: Request) -> Response<Body> {
     let mut refusals = 0;
@@ -133,7 +42,7 @@
         if let Err(until) = req.may_run(&gw) {
             return hold_back(&gw, &req, until);
         }
-        let worker = match choose(&gw, &req, req.patience()) {
+        let worker = match place::choose(&gw, &req, req.patience()) {
             Placement::Send(worker) => worker,
             Placement::Full => return give_up(&gw, &req, "all workers full"),
             Placement::NoWorker => return give_up(&gw, &req, "no worker"),
@@ -152,20 +61,8 @@
     }
 }
 
-/// Chooses a worker for a request that may wait in line for `patience`.
-pub(crate) fn choose(gw: &Gateway, req: &Request, patience: Duration) -> Placement {
-    let query = Query {
-        service: &req.service,
-        avoid: &req.tried,
-        patience,
-        salt: gw.rng.borrow_mut().random(),
-        now: gw.now(),
-    };
-    place_online(&gw.board.borrow(), &query)
-}
-
 /// Sends to a worker, and logs what decided it and what came of it.
-pub(crate) async fn send_to(
+async fn send_to(
     gw: &Rc<Gateway>,
     req: &mut Request,
     worker: &WorkerName,
@@ -178,7 +75,7 @@
     } else {
         Reuse::Never
     };
-    let place = Place::take(gw, worker, Class::Online);
+    let place = place::take(gw, worker);
     let ticket = place.ticket().clone();
     let began = gw.now();
     let mut restarted = pin!(worker_restarted(gw, &ticket));
@@ -203,7 +100,7 @@
                 due = due.min(Instant::now() + AFTER_RESTART);
             }
             () = sleep_until(due) => {
-                if of_former_life || does_better_elsewhere(gw, req, worker) {
+                if of_former_life || place::does_better_elsewhere(gw, req, worker) {
                     gw.board.borrow_mut().failed(&ticket, gw.now());
                     break Err(NoAnswer::Silent);
                 }
@@ -220,17 +117,6 @@
     outcome
 }
 
-fn does_better_elsewhere(gw: &Gateway, req: &Request, worker: &WorkerName) -> bool {
-    let query = Query {
-        service: &req.service,
-        avoid: &req.tried,
-        patience: req.patience(),
-        salt: gw.rng.borrow_mut().random(),
-        now: gw.now(),
-    };
-    should_leave(&gw.board.borrow(), &query, worker)
-}
-
 fn log_choice(gw: &Gateway, req: &Request, worker: &WorkerName) {
     let board = gw.board.borrow();
     let Some(seat) = board.seat(worker) else {
@@ -347,7 +233,3 @@
     ingress::set_request_id(answer.headers_mut(), &req.id);
     answer
 }
-
-pub(crate) fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/place.rs
@@ -0,0 +1,39 @@
+//! A worker for a caller's request, and a place there.
+
+use crate::gateway::Gateway;
+use crate::jobs::make_room;
+use crate::request::Request;
+use crate::ticket::Place;
+use bluebellreel_dispatch::{Class, Placement, Query, place_online, should_leave};
+use bluebellreel_types::WorkerName;
+use rand::RngExt;
+use std::rc::Rc;
+use std::time::Duration;
+
+fn query<'a>(gw: &Gateway, req: &'a Request, patience: Duration) -> Query<'a> {
+    Query {
+        service: &req.service,
+        avoid: &req.tried,
+        patience,
+        salt: gw.rng.borrow_mut().random(),
+        now: gw.now(),
+    }
+}
+
+/// Chooses a worker for a request that may wait in line for `patience`.
+pub(crate) fn choose(gw: &Gateway, req: &Request, patience: Duration) -> Placement {
+    place_online(&gw.board.borrow(), &query(gw, req, patience))
+}
+
+/// Whether a request should leave the worker that it waits for, for another one.
+pub(crate) fn does_better_elsewhere(gw: &Gateway, req: &Request, worker: &WorkerName) -> bool {
+    let query = query(gw, req, req.patience());
+    should_leave(&gw.board.borrow(), &query, worker)
+}
+
+/// Takes a place for a caller's request; batch there makes room.
+pub(crate) fn take(gw: &Rc<Gateway>, worker: &WorkerName) -> Place {
+    let place = Place::take(gw, worker, Class::Online);
+    make_room(gw);
+    place
+}
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -8,12 +8,14 @@
 use crate::crash;
 use crate::events::Events;
 use crate::gateway::Gateway;
-use crate::online::{Request, choose, millis};
+use crate::millis::millis;
+use crate::place;
 use crate::pulse::Pulse;
+use crate::request::Request;
 use crate::suspicion;
-use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
+use crate::ticket::{AFTER_RESTART, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
-use bluebellreel_dispatch::{Class, Placement};
+use bluebellreel_dispatch::Placement;
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_types::WorkerName;
 use bytes::{Bytes, BytesMut};
@@ -255,7 +257,7 @@
             // Its caller has a part of the answer: the rest is worth more late
             // than not at all.
             let patience = self.req.left();
-            let Placement::Send(next) = choose(&self.gw, &self.req, patience) else {
+            let Placement::Send(next) = place::choose(&self.gw, &self.req, patience) else {
                 return false;
             };
             self.req.tried.push(next.clone());
@@ -298,7 +300,7 @@
         let mut sent = pin!(send(
             &self.gw,
             Send {
-                place: Place::take(&self.gw, worker, Class::Online),
+                place: place::take(&self.gw, worker),
                 out: &self.req.out,
                 left: Some(self.req.left()),
                 after: self.last_id,
@@ -329,7 +331,7 @@
         if self.req.runs + 1 >= self.req.route.max_workers.max(1) {
             return true;
         }
-        let next = choose(&self.gw, &self.req, self.req.left());
+        let next = place::choose(&self.gw, &self.req, self.req.left());
         !matches!(next, Placement::Send(_))
     }
 
--- a/crates/bluebellreel_gateway/src/reload.rs
+++ b/crates/bluebellreel_gateway/src/reload.rs
@@ -4,6 +4,7 @@
 //! is; the rest waits for the next start, and the log names it.
 
 use crate::gateway::Gateway;
+use crate::millis::millis;
 use bluebellreel_settings::{GatewaySettings, SettingsError};
 use log::{info, warn};
 use std::rc::Rc;
@@ -68,5 +69,5 @@
     gw.seeds.replace(read.seeds.clone());
     gw.grace.set(read.grace);
     gw.report_due.notify_one();
-    info!(target: "gateway", signalled, seeds = read.seeds.len(), grace_ms = crate::online::millis(read.grace), start_needed_for = start_needed_for.as_str(); "settings reloaded");
+    info!(target: "gateway", signalled, seeds = read.seeds.len(), grace_ms = millis(read.grace), start_needed_for = start_needed_for.as_str(); "settings reloaded");
 }
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -2,7 +2,8 @@
 
 use crate::gateway::Gateway;
 use crate::in_progress::Begun;
-use crate::online::{self, Request};
+use crate::online;
+use crate::request::Request;
 use crate::{answers, jobs};
 use bluebellreel_dispatch::{Configuration, Route, RouteKind};
 use bluebellreel_net::{Body, read_body};
--- a/crates/bluebellreel_gateway/src/suspicion.rs
+++ b/crates/bluebellreel_gateway/src/suspicion.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::Gateway;
 use crate::held;
+use crate::millis::millis;
 use bluebellreel_dispatch::{Cleared, Fingerprint, Sender, Standing, may_try};
 use bluebellreel_types::Moment;
 use log::warn;
@@ -77,8 +78,7 @@
         Standing::OnTrial(_) => now + TURN,
         Standing::Held(until) => until,
     };
-    let left = until.since(now);
-    let held_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let held_ms = millis(until.since(now));
     warn!(target: "online", request, fingerprint:% = fingerprint, due_in_ms = held_ms; "request held back");
     Err(until)
 }
--- a/crates/bluebellreel_gateway/src/ticket.rs
+++ b/crates/bluebellreel_gateway/src/ticket.rs
@@ -13,14 +13,11 @@
 }
 
 impl Place {
-    /// Takes a place. Peers are told at once, so that none takes the same
-    /// slot, and batch there makes room.
+    /// Takes a place, and reports it to peers at once, so that none takes the same
+    /// slot.
     pub(crate) fn take(gw: &Rc<Gateway>, worker: &WorkerName, class: Class) -> Self {
         let ticket = gw.board.borrow_mut().start(worker, class);
         gw.report_due.notify_one();
-        if class == Class::Online {
-            crate::jobs::make_room(gw);
-        }
         Self {
             gw: gw.clone(),
             ticket,
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -5,6 +5,7 @@
 //! away says so and is passed over. One that hears nobody watches by itself.
 
 use crate::gateway::Gateway;
+use crate::millis::millis;
 use crate::workers::apply_workers;
 use bluebellreel_dispatch::WorkerRecord;
 use bluebellreel_kv::{Key, KeyValue, KvError, Txn, WatchEvent};
@@ -302,6 +303,6 @@
         return;
     };
     let lasted = gw.now().since(since);
-    let lasted_ms = crate::online::millis(lasted);
+    let lasted_ms = millis(lasted);
     info!(target: "facts", prefix:% = prefix, lasted_ms; "store regained");
 }
