Gateway: the lease apart from the daemons' entries, the doors apart from the run

Cause: a take-over reads the daemons' entries in registration.rs, which also renewed the lease and then had all jobs confirmed; the stop took the servers' handles from run.rs, which begins the stop. Change: lease.rs keeps this daemon's entry, registration.rs reads all; doors.rs has the handles; an interrupted tenure is a method of the gateway. Behaviour as before.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -159,6 +159,13 @@
         }
     }
 
+    /// This daemon's entry has gone, or its lease is not known to run on.
+    pub(crate) fn interrupt_tenure(&self) {
+        let mut tenure = self.tenure.get();
+        tenure.interrupt();
+        self.tenure.set(tenure);
+    }
+
     /// The configuration in force; none before the first is known.
     pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
         self.facts.borrow().configuration()
--- a/crates/bluebellreel_gateway/src/leave.rs
+++ b/crates/bluebellreel_gateway/src/leave.rs
@@ -6,11 +6,11 @@
 //! nothing is in progress it refuses what still comes, gives its lease back,
 //! and ends.
 
+use crate::doors::Doors;
 use crate::gateway::Gateway;
 use crate::jobs::HandOvers;
+use crate::lease;
 use crate::millis::millis;
-use crate::registration;
-use crate::run::Doors;
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -105,7 +105,7 @@
         self.gw.refusing.set(true);
         self.tell("requests refused");
         let until = (Instant::now() + RELEASE).min(self.end);
-        let released = timeout_at(until, registration::unregister(self.gw)).await;
+        let released = timeout_at(until, lease::unregister(self.gw)).await;
         if released.is_err() {
             warn!(target: "members", "lease not given back in time");
         }
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod answers;
 mod crash;
 mod detour;
+mod doors;
 mod events;
 mod facts;
 mod gateway;
@@ -29,6 +30,7 @@
 mod jobs;
 mod keeper_visits;
 mod keepers;
+mod lease;
 mod leave;
 mod metrics;
 mod millis;
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -1,10 +1,11 @@
 //! The life of a gateway: start, signals, end.
 
+use crate::doors::Doors;
 use crate::gateway::Gateway;
 use crate::leave::leave;
 use crate::reload::Surroundings;
 use crate::workers::apply_workers;
-use crate::{detour, held, jobs, peer_api, registration, reload, reports, serve, watching};
+use crate::{detour, held, jobs, lease, peer_api, registration, reload, reports, serve, watching};
 use bluebellreel_net::{Served, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_types::Moment;
@@ -71,20 +72,6 @@
     Ok(clean)
 }
 
-/// A server and what it serves.
-#[derive(Default)]
-pub(crate) struct Door {
-    pub(crate) stop: Stop,
-    pub(crate) served: Served,
-}
-
-/// Servers whose connections a stop waits for.
-#[derive(Default)]
-pub(crate) struct Doors {
-    pub(crate) callers: Door,
-    pub(crate) peers: Door,
-}
-
 async fn start(gw: &Rc<Gateway>, doors: &Doors, around: Rc<Surroundings>) -> eyre::Result<()> {
     let callers = listen(gw.settings.requests).wrap_err("address for requests")?;
     let balancer = listen(gw.settings.readiness).wrap_err("address for readiness")?;
@@ -142,7 +129,7 @@
     spawn_local(reports::take_reports(gw.clone(), socket));
     spawn_local(watching::watch_operator(gw.clone()));
     spawn_local(watching::watch_workers(gw.clone()));
-    spawn_local(registration::keep_registered(gw.clone()));
+    spawn_local(lease::keep_registered(gw.clone()));
     spawn_local(registration::list_members(gw.clone()));
     spawn_local(held::recall(gw.clone()));
     spawn_local(jobs::start_items(gw.clone()));
@@ -195,7 +182,7 @@
         .set(isolated.then_some(since.unwrap_or(now)));
     if !isolated && since.is_some_and(|since| (since + CUT_OFF).is_past(now)) {
         // Peers may have taken jobs over unheard, and workers have left.
-        registration::interrupted(gw);
+        gw.interrupt_tenure();
         gw.rejoined.set(gw.rejoined.get() + 1);
     }
 }
