Names: crash notices, quarantine, evict

Cause: newcomers met told, hear, saw, ENOUGH, TELLERS and held where the field says notice, quarantine and evict. Change: names and comments of dispatch's suspects, and where the gateway and the tests use them; the tests check the same. Constants and the bytes on the wire are the same; log lines too. A comment of reports/wire.rs that told an old find keeps its reason.

--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -40,5 +40,5 @@
     BatchRun, Placement, Query, batch_to_yield, place_batch, place_online, should_leave,
 };
 pub use routes::{CallerLimits, Configuration, Route, RouteKind, Service, Target};
-pub use suspects::{Cleared, Sender, Standing, Strike, Suspects, Told, may_try};
+pub use suspects::{Cleared, CrashNotice, Sender, Standing, Strike, Suspects, may_try};
 pub use ticket::{Class, Ticket};
--- a/crates/bluebellreel_dispatch/src/suspects/mod.rs
+++ b/crates/bluebellreel_dispatch/src/suspects/mod.rs
@@ -1,4 +1,4 @@
-//! Requests under which workers crash, and which of them are held back.
+//! Requests under which workers crash, and which of them are quarantined.
 //!
 //! A crash alone says little: all that ran at the worker were there, and so is a
 //! request that a killed worker happened to run. Counted are crashes that came one
@@ -10,47 +10,45 @@
 //! no other crash, as they do when they are killed. A run that ends well takes all that
 //! was counted before it back.
 //!
-//! All daemons tell each other which crash they saw under which request. Nothing that
-//! was concluded is told: each daemon concludes for itself, from the same crashes, and
-//! what is learned late corrects it.
+//! Daemons notify each other of each crash that they saw, and under which request. No
+//! conclusion is replicated: each daemon concludes for itself, from the same crashes, and
+//! a late notice corrects it.
 
 mod record;
 mod trial;
 
 use crate::{Fingerprint, WorkerTag};
 use bluebellreel_types::Moment;
-use record::{Crash, Known, MOST_CRASHES, Record, in_turn, is_one_of_many};
+use record::{Crash, Known, MAX_CRASHES, Record, in_turn, is_one_of_many};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-pub use record::{Strike, Told};
+pub use record::{CrashNotice, Strike};
 pub use trial::may_try;
 
-/// Crashes after which a request is held back. Fewer would hold back those that met the
-/// ends of two workers by accident; each further one costs all that run at a worker.
-const ENOUGH: u32 = 3;
-/// How long a request is held back at first. One that was at the same three crashes by bad
-/// luck cannot be told from the one that caused them; the first run of either after this
-/// time tells.
-const HELD_FIRST: Duration = Duration::from_secs(2);
-/// How long a caller's request is held back after a crash more. Callers repeat within
-/// seconds.
-const HELD_ONLINE: Duration = Duration::from_mins(1);
+/// Crashes after which a request is quarantined. Fewer would quarantine those that met
+/// the ends of two workers by accident; each further one costs all that run at a worker.
+const QUARANTINE_CRASHES: u32 = 3;
+/// The first quarantine. A request that was at the same three crashes by bad luck cannot
+/// be distinguished from their cause; the first run of either after this time decides.
+const QUARANTINE_FIRST: Duration = Duration::from_secs(2);
+/// Quarantine of a caller's request after a crash more, doubled after each further one.
+/// Callers repeat within seconds.
+const QUARANTINE_ONLINE: Duration = Duration::from_mins(1);
 /// The same for an item of a job, which only its owner sends: it holds its whole job up.
-const HELD_BATCH: Duration = Duration::from_secs(15);
-/// Longest that one is held back: workers that can run it by then are found out so late
-/// at the most.
-const HELD_LONGEST: Duration = Duration::from_mins(10);
-/// Time after which a crash is forgotten.
-const FORGOTTEN: Duration = Duration::from_mins(30);
+const QUARANTINE_BATCH: Duration = Duration::from_secs(15);
+/// The longest quarantine, also of a request that workers can run by then.
+const QUARANTINE_LONGEST: Duration = Duration::from_mins(10);
+/// How long a crash is remembered.
+const CRASH_KEPT: Duration = Duration::from_mins(30);
 /// How long one request may be tried out before the next one may.
-const TRIAL: Duration = Duration::from_secs(10);
+const TRIAL_LONGEST: Duration = Duration::from_secs(10);
 /// Requests remembered. A mass kill brings thousands; those at few crashes go first.
-const MOST_REQUESTS: usize = 512;
-/// How long a daemon tells what it has seen itself, in reports some of which are lost.
-const TOLD: Duration = Duration::from_secs(3);
-/// Crashes told in one report: some 500 bytes.
-const MOST_TOLD: usize = 24;
+const MAX_REQUESTS: usize = 512;
+/// How long a daemon repeats its own notices, as some reports are lost.
+const NOTIFY_FOR: Duration = Duration::from_secs(3);
+/// Notices in one report: some 500 bytes.
+const MAX_NOTICES: usize = 24;
 
 /// What a request is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,11 +66,11 @@
     Clear,
     /// It was at crashes that may have other causes.
     Suspect,
-    /// It was held back long enough, until this moment: one run shows whether workers can
-    /// run it now. See [`may_try`].
+    /// Its quarantine ended at this moment: one run shows whether workers can run it now.
+    /// See [`may_try`].
     OnTrial(Moment),
-    /// It is held back until then.
-    Held(Moment),
+    /// It is quarantined until then.
+    Quarantined(Moment),
 }
 
 /// What a run that ended well takes back.
@@ -80,10 +78,10 @@
 pub enum Cleared {
     /// Nothing was known against its request.
     Nothing,
-    /// Too few crashes to hold it back.
+    /// Too few crashes for a quarantine.
     Suspicion,
-    /// Enough of them, whether it was held back for them or another one was.
-    Hold,
+    /// Enough of them, whether it was quarantined for them or another one was.
+    Quarantine,
 }
 
 /// Requests under which workers have crashed.
@@ -109,7 +107,7 @@
         self.records.len()
     }
 
-    /// Grows with each thing that peers should hear at once.
+    /// Grows with each thing of which peers should be notified at once.
     #[must_use]
     pub fn version(&self) -> u64 {
         self.version
@@ -117,27 +115,27 @@
 
     /// A worker has crashed under a run of ours; how many crashes in turn the request was
     /// at.
-    pub fn saw(&mut self, told: Told, now: Moment) -> u32 {
-        self.hear(told, now);
+    pub fn note_own_crash(&mut self, notice: CrashNotice, now: Moment) -> u32 {
+        self.note_crash(notice, now);
         self.version += 1;
-        let Some(record) = self.records.get_mut(&told.fingerprint) else {
+        let Some(record) = self.records.get_mut(&notice.fingerprint) else {
             return 0;
         };
-        if let Some(known) = record.strikes.get_mut(&told.worker) {
-            known.told_until = now + TOLD;
+        if let Some(known) = record.strikes.get_mut(&notice.worker) {
+            known.notify_until = now + NOTIFY_FOR;
         }
         record.weight()
     }
 
     /// Takes a crash over; whether it was news.
-    pub fn hear(&mut self, told: Told, now: Moment) -> bool {
-        let Told {
+    pub fn note_crash(&mut self, notice: CrashNotice, now: Moment) -> bool {
+        let CrashNotice {
             fingerprint,
             worker,
             strike,
-        } = told;
+        } = notice;
         let never = strike.crashed < strike.began || strike.crashed > now;
-        if never || (strike.crashed + FORGOTTEN).is_past(now) {
+        if never || (strike.crashed + CRASH_KEPT).is_past(now) {
             return false;
         }
         let record = self.records.entry(fingerprint).or_default();
@@ -146,13 +144,13 @@
             known.strike.excused |= strike.excused;
             return is_news;
         }
-        record.forget_oldest();
+        record.evict_oldest();
         let known = Known {
             strike,
-            told_until: Moment(0),
+            notify_until: Moment(0),
         };
         record.strikes.insert(worker, known);
-        self.forget_weakest();
+        self.evict_weakest();
         true
     }
 
@@ -165,20 +163,20 @@
     }
 
     /// Takes over which workers crashed under a request, before this daemon began. When
-    /// is not known: it is held back as if the last one had just crashed.
+    /// is not known: it is quarantined as if the last one had just crashed.
     pub fn recall(&mut self, fingerprint: Fingerprint, workers: &[WorkerTag], now: Moment) {
-        for worker in workers.iter().take(MOST_CRASHES) {
+        for worker in workers.iter().take(MAX_CRASHES) {
             let strike = Strike {
                 began: now,
                 crashed: now,
                 excused: false,
             };
-            let told = Told {
+            let notice = CrashNotice {
                 fingerprint,
                 worker: *worker,
                 strike,
             };
-            self.hear(told, now);
+            self.note_crash(notice, now);
         }
     }
 
@@ -192,14 +190,14 @@
         let charges = record.strikes.values_mut().filter(|k| !k.strike.excused);
         let excuse = |known: &mut Known| {
             known.strike.excused = true;
-            known.told_until = now + TOLD;
+            known.notify_until = now + NOTIFY_FOR;
         };
         if charges.map(excuse).count() == 0 {
             return Cleared::Nothing;
         }
         self.version += 1;
         match weight {
-            ENOUGH.. => Cleared::Hold,
+            QUARANTINE_CRASHES.. => Cleared::Quarantine,
             _ => Cleared::Suspicion,
         }
     }
@@ -210,7 +208,7 @@
             return (0, Moment(0));
         };
         let weight = record.weight();
-        if weight < ENOUGH {
+        if weight < QUARANTINE_CRASHES {
             return (weight, record.last());
         }
         let crashes = self.crashes();
@@ -245,23 +243,23 @@
         if charged == 0 {
             return Standing::Clear;
         }
-        let Some(beyond) = charged.checked_sub(ENOUGH) else {
+        let Some(beyond) = charged.checked_sub(QUARANTINE_CRASHES) else {
             return Standing::Suspect;
         };
         let more = match sender {
-            Sender::Caller => HELD_ONLINE,
-            Sender::Job => HELD_BATCH,
+            Sender::Caller => QUARANTINE_ONLINE,
+            Sender::Job => QUARANTINE_BATCH,
         };
-        let held = match beyond.checked_sub(1) {
-            None => HELD_FIRST,
-            Some(doublings) => (more * 2u32.saturating_pow(doublings)).min(HELD_LONGEST),
+        let lasts = match beyond.checked_sub(1) {
+            None => QUARANTINE_FIRST,
+            Some(doublings) => (more * 2u32.saturating_pow(doublings)).min(QUARANTINE_LONGEST),
         };
-        let until = last + held;
+        let until = last + lasts;
         let trial_until = self.records[&fingerprint].trial_until;
         if !until.is_past(now) {
-            Standing::Held(until)
+            Standing::Quarantined(until)
         } else if !trial_until.is_past(now) {
-            Standing::Held(trial_until)
+            Standing::Quarantined(trial_until)
         } else {
             Standing::OnTrial(until)
         }
@@ -269,7 +267,7 @@
 
     /// A request is tried out here.
     pub fn begin_trial(&mut self, fingerprint: Fingerprint, now: Moment) {
-        self.hear_trial(fingerprint, now);
+        self.note_trial(fingerprint, now);
         if let Some(record) = self.records.get_mut(&fingerprint) {
             record.on_trial_here = true;
             self.version += 1;
@@ -277,15 +275,15 @@
     }
 
     /// A request is tried out at a peer.
-    pub fn hear_trial(&mut self, fingerprint: Fingerprint, now: Moment) {
+    pub fn note_trial(&mut self, fingerprint: Fingerprint, now: Moment) {
         if let Some(record) = self.records.get_mut(&fingerprint)
             && record.trial_until.is_past(now)
         {
-            record.trial_until = now + TRIAL;
+            record.trial_until = now + TRIAL_LONGEST;
         }
     }
 
-    /// A trial has ended without telling anything.
+    /// A trial has ended without showing anything.
     pub fn end_trial(&mut self, fingerprint: Fingerprint) {
         if let Some(record) = self.records.get_mut(&fingerprint) {
             record.trial_until = Moment(0);
@@ -293,62 +291,64 @@
         }
     }
 
-    /// Requests that are tried out here now. What peers try out is theirs to tell: told
-    /// on, it would go round for ever.
+    /// Requests that are tried out here now. Peers report their own trials: passed on, they
+    /// would go round for ever.
     pub fn trials(&self) -> impl Iterator<Item = Fingerprint> {
         let records = self.records.iter().filter(|(_, r)| r.on_trial_here);
-        records.map(|(fingerprint, _)| *fingerprint).take(MOST_TOLD)
+        records
+            .map(|(fingerprint, _)| *fingerprint)
+            .take(MAX_NOTICES)
     }
 
-    /// What the next report tells: what was seen here lately and, if `all`, the crashes of
-    /// requests that are held back, for daemons that have started since. The latter are
-    /// the same at each daemon, so that few of many need to tell them.
-    pub fn to_tell(&mut self, all: bool, now: Moment) -> Vec<Told> {
+    /// Notices for the next report: crashes that were seen here lately and, if `all`, those
+    /// of quarantined requests, for daemons that have started since. The latter are the
+    /// same at each daemon, so that few of many need to send them.
+    pub fn notices(&mut self, all: bool, now: Moment) -> Vec<CrashNotice> {
         let mut seen = Vec::new();
         let mut known = Vec::new();
         for (fingerprint, record) in &self.records {
             let weight = record.weight();
             for (worker, k) in &record.strikes {
-                let list = match (k.told_until.is_past(now), weight) {
+                let list = match (k.notify_until.is_past(now), weight) {
                     (false, _) => &mut seen,
-                    (true, ENOUGH..) if all => &mut known,
+                    (true, QUARANTINE_CRASHES..) if all => &mut known,
                     (true, _) => continue,
                 };
-                let told = Told {
+                let notice = CrashNotice {
                     fingerprint: *fingerprint,
                     worker: *worker,
                     strike: k.strike,
                 };
-                list.push((weight, told));
+                list.push((weight, notice));
             }
         }
         // Of many, as after a mass kill, those at several crashes first.
         seen.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        let room_for_known = known.len().min(MOST_TOLD / 2);
-        seen.truncate(MOST_TOLD - room_for_known);
+        let room_for_known = known.len().min(MAX_NOTICES / 2);
+        seen.truncate(MAX_NOTICES - room_for_known);
         if !known.is_empty() {
-            self.turn = (self.turn + MOST_TOLD / 2) % known.len();
+            self.turn = (self.turn + MAX_NOTICES / 2) % known.len();
             known.rotate_left(self.turn);
-            known.truncate(MOST_TOLD - seen.len());
+            known.truncate(MAX_NOTICES - seen.len());
         }
-        let told = seen.into_iter().chain(known);
-        told.map(|(_, told)| told).collect()
+        let notices = seen.into_iter().chain(known);
+        notices.map(|(_, notice)| notice).collect()
     }
 
-    /// Forgets crashes of long ago.
+    /// Evicts crashes of long ago.
     pub fn sweep(&mut self, now: Moment) {
         for record in self.records.values_mut() {
             record
                 .strikes
-                .retain(|_, k| !(k.strike.crashed + FORGOTTEN).is_past(now));
+                .retain(|_, k| !(k.strike.crashed + CRASH_KEPT).is_past(now));
         }
         self.records.retain(|_, r| !r.strikes.is_empty());
     }
 
     /// Keeps the stronger half once there are too many: a mass kill then costs one sort
     /// for each 256 of its runs.
-    fn forget_weakest(&mut self) {
-        if self.records.len() <= MOST_REQUESTS {
+    fn evict_weakest(&mut self) {
+        if self.records.len() <= MAX_REQUESTS {
             return;
         }
         let mut ranks: Vec<(u32, Moment, Fingerprint)> = self
@@ -357,7 +357,7 @@
             .map(|(fingerprint, r)| (r.weight(), r.last(), *fingerprint))
             .collect();
         ranks.sort_unstable();
-        for (_, _, fingerprint) in &ranks[..ranks.len() - MOST_REQUESTS / 2] {
+        for (_, _, fingerprint) in &ranks[..ranks.len() - MAX_REQUESTS / 2] {
             self.records.remove(fingerprint);
         }
     }
--- a/crates/bluebellreel_dispatch/src/suspects/record.rs
+++ b/crates/bluebellreel_dispatch/src/suspects/record.rs
@@ -6,15 +6,15 @@
 use std::time::Duration;
 
 /// How far clocks may differ by which daemons place what others saw: the way of a report.
-const SLACK: Duration = Duration::from_millis(30);
+const CLOCK_SLACK: Duration = Duration::from_millis(30);
 /// Within this time of each other workers crash at the same moment.
-const AT_ONCE: Duration = Duration::from_millis(250);
-/// Other workers that crash at the same moment, for no reason that shows, from which on
-/// a crash is taken for one of many. One may be another request's first.
-const MANY: usize = 2;
-/// Crashes remembered of one request. More than it takes to hold it back at hundreds of
+const SAME_MOMENT: Duration = Duration::from_millis(250);
+/// Number of other workers that crash at the same moment, without a reason that shows,
+/// from which on a crash is one of many. A single one may be another request's first.
+const MASS_CRASH: usize = 2;
+/// Crashes remembered of one request. More than it takes to quarantine it at hundreds of
 /// daemons: without its crashes, those beside it would seem to have caused them.
-pub(super) const MOST_CRASHES: usize = 32;
+pub(super) const MAX_CRASHES: usize = 32;
 
 /// A worker's crash, as far as a request is concerned that was there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,13 +23,13 @@
     pub began: Moment,
     /// When its run was broken off.
     pub crashed: Moment,
-    /// Whether it has run well since.
+    /// Whether the request has run well since.
     pub excused: bool,
 }
 
-/// One crash under one request, as daemons tell each other.
+/// One crash under one request, as daemons notify each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Told {
+pub struct CrashNotice {
     /// The request.
     pub fingerprint: Fingerprint,
     /// The life of the worker that crashed.
@@ -42,8 +42,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Known {
     pub(super) strike: Strike,
-    /// Until when it is told, as it was seen here.
-    pub(super) told_until: Moment,
+    /// Until when peers are notified, as it was seen here.
+    pub(super) notify_until: Moment,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -72,8 +72,8 @@
     }
 
     /// Makes room for one more crash.
-    pub(super) fn forget_oldest(&mut self) {
-        while self.strikes.len() >= MOST_CRASHES {
+    pub(super) fn evict_oldest(&mut self) {
+        while self.strikes.len() >= MAX_CRASHES {
             let oldest = self.strikes.iter().min_by_key(|(_, k)| k.strike.crashed);
             let Some((&worker, _)) = oldest else { return };
             self.strikes.remove(&worker);
@@ -96,12 +96,12 @@
     of: &Record,
     strike: &Strike,
 ) -> bool {
-    let (from, until) = (strike.crashed, strike.crashed + AT_ONCE);
-    let at_once = |c: &Crash| c.at <= until && from <= c.at + AT_ONCE;
+    let (from, until) = (strike.crashed, strike.crashed + SAME_MOMENT);
+    let at_once = |c: &Crash| c.at <= until && from <= c.at + SAME_MOMENT;
     let others = crashes
         .iter()
         .filter(|(worker, c)| !of.strikes.contains_key(worker) && c.heaviest <= 1 && at_once(c));
-    others.count() >= MANY
+    others.count() >= MASS_CRASH
 }
 
 /// The most crashes of these that came one after the other, and the last one's moment.
@@ -110,7 +110,7 @@
     all.sort_by_key(|s| s.crashed);
     let (mut count, mut last) = (0, Moment(0));
     for strike in all {
-        if count == 0 || strike.began + SLACK >= last {
+        if count == 0 || strike.began + CLOCK_SLACK >= last {
             count += 1;
             last = strike.crashed;
         }
--- a/crates/bluebellreel_dispatch/src/suspects/trial.rs
+++ b/crates/bluebellreel_dispatch/src/suspects/trial.rs
@@ -1,14 +1,14 @@
-//! Which daemon tries a request out that was held back.
+//! Which daemon tries a request out after its quarantine.
 
 use crate::Fingerprint;
 use bluebellreel_types::{EntryName, Moment};
 use twox_hash::XxHash64;
 
-/// Whether a daemon may try a request out, now that it was held back long enough.
+/// Whether a daemon may try a request out, now that its quarantine is over.
 ///
 /// One of `daemons` may at first, twice as many after each second. If all might at once, a
 /// request that comes back some times a second at hundreds of daemons would be tried by
-/// many before they hear of each other.
+/// many before they are notified.
 #[must_use]
 pub fn may_try(
     fingerprint: Fingerprint,
--- a/crates/bluebellreel_dispatch/tests/suspects.rs
+++ b/crates/bluebellreel_dispatch/tests/suspects.rs
@@ -1,7 +1,7 @@
 //! Which requests are held back for the workers that crashed under them.
 
 use bluebellreel_dispatch::{
-    Cleared, Fingerprint, Sender, Standing, Strike, Suspects, Told, WorkerTag, may_try,
+    Cleared, CrashNotice, Fingerprint, Sender, Standing, Strike, Suspects, WorkerTag, may_try,
 };
 use bluebellreel_types::{EntryName, Moment};
 use proptest::prelude::*;
@@ -18,8 +18,8 @@
 }
 
 /// A request was sent to a worker, which crashed.
-fn crash(request: Fingerprint, worker: u32, began_ms: u64, crashed_ms: u64) -> Told {
-    Told {
+fn crash(request: Fingerprint, worker: u32, began_ms: u64, crashed_ms: u64) -> CrashNotice {
+    CrashNotice {
         fingerprint: request,
         worker: WorkerTag(worker),
         strike: Strike {
@@ -33,9 +33,9 @@
 /// Three crashes of a request, one after the other, the last one at 1 s.
 fn convicted(bad: Fingerprint) -> Suspects {
     let mut suspects = Suspects::default();
-    suspects.saw(crash(bad, 1, 0, 60), at(60));
-    suspects.saw(crash(bad, 2, 65, 130), at(130));
-    suspects.saw(crash(bad, 3, 900, 1000), at(1000));
+    suspects.note_own_crash(crash(bad, 1, 0, 60), at(60));
+    suspects.note_own_crash(crash(bad, 2, 65, 130), at(130));
+    suspects.note_own_crash(crash(bad, 3, 900, 1000), at(1000));
     suspects
 }
 
@@ -44,7 +44,7 @@
 }
 
 fn is_held(suspects: &Suspects, request: Fingerprint, ms: u64) -> bool {
-    matches!(standing(suspects, request, ms), Standing::Held(_))
+    matches!(standing(suspects, request, ms), Standing::Quarantined(_))
 }
 
 /// One request ends each worker that runs it: with the third it is held back, and no
@@ -54,22 +54,25 @@
     let bad = request(1);
     let mut suspects = Suspects::default();
     assert_eq!(standing(&suspects, bad, 0), Standing::Clear);
-    suspects.saw(crash(bad, 1, 0, 60), at(60));
-    suspects.saw(crash(bad, 2, 65, 130), at(130));
+    suspects.note_own_crash(crash(bad, 1, 0, 60), at(60));
+    suspects.note_own_crash(crash(bad, 2, 65, 130), at(130));
     assert_eq!(standing(&suspects, bad, 131), Standing::Suspect);
-    assert_eq!(suspects.saw(crash(bad, 3, 900, 1000), at(1000)), 3);
+    assert_eq!(
+        suspects.note_own_crash(crash(bad, 3, 900, 1000), at(1000)),
+        3
+    );
     assert!(is_held(&suspects, bad, 1001));
     assert_eq!(standing(&suspects, request(2), 1001), Standing::Clear);
 }
 
-/// The same crash, seen by two daemons and told twice, is one.
+/// The same crash, seen by two daemons and reported twice, is one.
 #[test]
 fn a_crash_that_many_tell_of_counts_once() {
     let bad = request(1);
     let mut suspects = Suspects::default();
-    suspects.saw(crash(bad, 1, 0, 60), at(60));
-    for told in 0..5 {
-        assert!(!suspects.hear(crash(bad, 1, 200 + told, 400 + told), at(500)));
+    suspects.note_own_crash(crash(bad, 1, 0, 60), at(60));
+    for late in 0..5 {
+        assert!(!suspects.note_crash(crash(bad, 1, 200 + late, 400 + late), at(500)));
     }
     assert_eq!(standing(&suspects, bad, 501), Standing::Suspect);
 }
@@ -81,7 +84,7 @@
     let popular = request(1);
     let mut suspects = Suspects::default();
     for worker in 0..5 {
-        suspects.saw(crash(popular, worker, u64::from(worker) * 10, 400), at(400));
+        suspects.note_own_crash(crash(popular, worker, u64::from(worker) * 10, 400), at(400));
     }
     assert_eq!(standing(&suspects, popular, 401), Standing::Suspect);
 }
@@ -94,17 +97,20 @@
     let mut suspects = Suspects::default();
     for round in 0..3_u32 {
         let ms = 1000 + u64::from(round) * 1500;
-        suspects.saw(crash(item, round * 10, ms - 900, ms), at(ms));
+        suspects.note_own_crash(crash(item, round * 10, ms - 900, ms), at(ms));
         for other in 1..4 {
             let beside = request(100 + round * 10 + other);
-            suspects.saw(
+            suspects.note_own_crash(
                 crash(beside, round * 10 + other, ms - 90, ms + 3),
                 at(ms + 3),
             );
         }
     }
     let standing = suspects.standing(item, Sender::Job, at(4100));
-    assert!(!matches!(standing, Standing::Held(_)), "{standing:?}");
+    assert!(
+        !matches!(standing, Standing::Quarantined(_)),
+        "{standing:?}"
+    );
 }
 
 /// A request that was beside the one that causes the crashes, twice or thrice by bad luck,
@@ -115,9 +121,9 @@
     let mut suspects = Suspects::default();
     for worker in 1..=4 {
         let ms = u64::from(worker) * 200;
-        suspects.saw(crash(bad, worker, ms - 60, ms), at(ms));
+        suspects.note_own_crash(crash(bad, worker, ms - 60, ms), at(ms));
         if worker != 2 {
-            suspects.saw(crash(beside, worker, ms - 90, ms), at(ms));
+            suspects.note_own_crash(crash(beside, worker, ms - 90, ms), at(ms));
         }
     }
     assert!(is_held(&suspects, bad, 1000));
@@ -131,12 +137,12 @@
     let mut suspects = Suspects::default();
     for worker in 1..=3 {
         let ms = u64::from(worker) * 200;
-        suspects.hear(crash(beside, worker, ms - 90, ms), at(1000));
+        suspects.note_crash(crash(beside, worker, ms - 90, ms), at(1000));
     }
     assert!(is_held(&suspects, beside, 1000));
     for worker in 1..=4 {
         let ms = u64::from(worker) * 200;
-        suspects.hear(crash(bad, worker, ms - 60, ms), at(1001));
+        suspects.note_crash(crash(bad, worker, ms - 60, ms), at(1001));
     }
     assert!(!is_held(&suspects, beside, 1002));
     assert!(is_held(&suspects, bad, 1002));
@@ -147,16 +153,16 @@
 fn a_run_that_ends_well_clears_a_request_everywhere() {
     let bad = request(1);
     let (mut here, mut there) = (convicted(bad), convicted(bad));
-    assert_eq!(here.completed(bad, at(70_000)), Cleared::Hold);
+    assert_eq!(here.completed(bad, at(70_000)), Cleared::Quarantine);
     assert_eq!(here.completed(bad, at(70_000)), Cleared::Nothing);
     assert_eq!(standing(&here, bad, 70_001), Standing::Clear);
-    for told in here.to_tell(true, at(70_001)) {
-        there.hear(told, at(70_001));
+    for notice in here.notices(true, at(70_001)) {
+        there.note_crash(notice, at(70_001));
     }
     assert_eq!(standing(&there, bad, 70_002), Standing::Clear);
     // What another one still tells of the same crashes does not bring them back.
-    for told in convicted(bad).to_tell(true, at(1001)) {
-        here.hear(told, at(70_003));
+    for notice in convicted(bad).notices(true, at(1001)) {
+        here.note_crash(notice, at(70_003));
     }
     assert_eq!(standing(&here, bad, 70_004), Standing::Clear);
 }
@@ -180,14 +186,14 @@
         is_held(&suspects, bad, 3002),
         "another one beside the trial"
     );
-    suspects.saw(crash(bad, 4, 3001, 3100), at(3100));
+    suspects.note_own_crash(crash(bad, 4, 3001, 3100), at(3100));
     suspects.end_trial(bad);
     assert!(is_held(&suspects, bad, 63_099));
     assert!(on_trial(&suspects, bad, Sender::Caller, 63_101));
     let mut ms = 63_101;
     for worker in 5..9 {
-        suspects.saw(crash(bad, worker, ms, ms + 100), at(ms + 100));
-        let Standing::Held(until) = standing(&suspects, bad, ms + 101) else {
+        suspects.note_own_crash(crash(bad, worker, ms, ms + 100), at(ms + 100));
+        let Standing::Quarantined(until) = standing(&suspects, bad, ms + 101) else {
             panic!("not held back")
         };
         assert!(until >= at(ms + 100) + Duration::from_mins(2));
@@ -201,7 +207,7 @@
 fn an_item_is_tried_out_sooner() {
     let bad = request(1);
     let mut suspects = convicted(bad);
-    suspects.saw(crash(bad, 4, 3001, 3100), at(3100));
+    suspects.note_own_crash(crash(bad, 4, 3001, 3100), at(3100));
     assert!(!on_trial(&suspects, bad, Sender::Job, 18_000));
     assert!(on_trial(&suspects, bad, Sender::Job, 18_200));
 }
@@ -212,11 +218,11 @@
 fn of_two_at_the_same_crashes_the_next_run_tells() {
     let (bad, beside) = (request(1), request(2));
     let mut suspects = convicted(bad);
-    suspects.saw(crash(beside, 1, 0, 60), at(60));
-    suspects.saw(crash(beside, 2, 65, 130), at(130));
-    suspects.saw(crash(beside, 3, 900, 1000), at(1000));
+    suspects.note_own_crash(crash(beside, 1, 0, 60), at(60));
+    suspects.note_own_crash(crash(beside, 2, 65, 130), at(130));
+    suspects.note_own_crash(crash(beside, 3, 900, 1000), at(1000));
     assert!(is_held(&suspects, bad, 1001) && is_held(&suspects, beside, 1001));
-    suspects.saw(crash(bad, 4, 3001, 3100), at(3100));
+    suspects.note_own_crash(crash(bad, 4, 3001, 3100), at(3100));
     assert!(is_held(&suspects, bad, 3101));
     assert!(!is_held(&suspects, beside, 3101));
 }
@@ -253,12 +259,12 @@
     }
 }
 
-/// A peer's trial is waited for, and not told on.
+/// A peer's trial is waited for, and not passed on.
 #[test]
 fn a_trial_elsewhere_is_waited_for() {
     let bad = request(1);
     let mut suspects = convicted(bad);
-    suspects.hear_trial(bad, at(62_000));
+    suspects.note_trial(bad, at(62_000));
     assert!(is_held(&suspects, bad, 62_001));
     assert_eq!(suspects.trials().count(), 0);
     assert!(on_trial(&suspects, bad, Sender::Caller, 72_001));
@@ -280,14 +286,17 @@
     let mut suspects = Suspects::default();
     let now = at(40 * 60_000);
     assert!(
-        !suspects.hear(crash(bad, 1, 100, 50), now),
+        !suspects.note_crash(crash(bad, 1, 100, 50), now),
         "it ended before it began"
     );
     assert!(
-        !suspects.hear(crash(bad, 2, 0, 41 * 60_000), now),
+        !suspects.note_crash(crash(bad, 2, 0, 41 * 60_000), now),
         "it is still to come"
     );
-    assert!(!suspects.hear(crash(bad, 3, 0, 60), now), "it is forgotten");
+    assert!(
+        !suspects.note_crash(crash(bad, 3, 0, 60), now),
+        "it is forgotten"
+    );
     assert!(suspects.is_empty());
 }
 
@@ -298,19 +307,19 @@
     let bad = request(1);
     let mut suspects = convicted(bad);
     for n in 0..15_000 {
-        let told = crash(request(100 + n), 1000 + n / 8, 1500, 2000);
-        suspects.saw(told, at(2000));
+        let notice = crash(request(100 + n), 1000 + n / 8, 1500, 2000);
+        suspects.note_own_crash(notice, at(2000));
         assert!(suspects.len() <= 512);
     }
     assert!(is_held(&suspects, bad, 2001));
-    let told = suspects.to_tell(true, at(2001));
-    assert!(told.len() <= 24);
+    let notices = suspects.notices(true, at(2001));
+    assert!(notices.len() <= 24);
     assert!(
-        told.iter().any(|t| t.fingerprint == bad),
+        notices.iter().any(|t| t.fingerprint == bad),
         "for those that have just started"
     );
     assert!(
-        suspects.to_tell(true, at(60_000)).len() <= 3,
+        suspects.notices(true, at(60_000)).len() <= 3,
         "only what is held back"
     );
 }
@@ -323,20 +332,20 @@
         turn in 0..40_usize,
     ) {
         // A worker's life has one end, and a request one run there.
-        let told: std::collections::BTreeMap<_, _> = crashes
+        let notices: std::collections::BTreeMap<_, _> = crashes
             .into_iter()
             .map(|(r, w, lasted, end)| ((r, w), crash(request(r), w, end, end + lasted)))
             .collect();
-        let mut told: Vec<Told> = told.into_values().collect();
+        let mut notices: Vec<CrashNotice> = notices.into_values().collect();
         let mut one = Suspects::default();
-        for t in &told {
-            one.hear(*t, at(4000));
+        for notice in &notices {
+            one.note_crash(*notice, at(4000));
         }
-        let middle = turn.min(told.len());
-        told.rotate_left(middle);
+        let middle = turn.min(notices.len());
+        notices.rotate_left(middle);
         let mut other = Suspects::default();
-        for t in &told {
-            other.hear(*t, at(4000));
+        for notice in &notices {
+            other.note_crash(*notice, at(4000));
         }
         for r in 0..6 {
             prop_assert_eq!(standing(&one, request(r), 4000), standing(&other, request(r), 4000));
@@ -348,8 +357,8 @@
     fn two_crashes_hold_nobody_back(began in 0..1000_u64, first in 0..1000_u64, second in 0..1000_u64) {
         let bad = request(1);
         let mut suspects = Suspects::default();
-        suspects.saw(crash(bad, 1, began, began + first), at(5000));
-        suspects.saw(crash(bad, 2, began + first, began + first + second), at(5000));
+        suspects.note_own_crash(crash(bad, 1, began, began + first), at(5000));
+        suspects.note_own_crash(crash(bad, 2, began + first, began + first + second), at(5000));
         prop_assert!(!is_held(&suspects, bad, 5000));
     }
 }
--- a/crates/bluebellreel_dispatch/tests/suspects_fleet.rs
+++ b/crates/bluebellreel_dispatch/tests/suspects_fleet.rs
@@ -7,7 +7,7 @@
 //! that a crash cuts, half meet the next crash as well.
 
 use bluebellreel_dispatch::{
-    Fingerprint, Sender, Standing, Strike, Suspects, Told, WorkerTag, may_try,
+    CrashNotice, Fingerprint, Sender, Standing, Strike, Suspects, WorkerTag, may_try,
 };
 use bluebellreel_types::{EntryName, Moment};
 use rand::rngs::SmallRng;
@@ -16,8 +16,8 @@
 
 /// Time between two rounds of reports.
 const ROUND: u64 = 250;
-/// Daemons that tell of requests that are held back, in each round.
-const TELLERS: usize = 8;
+/// Daemons that send notices of quarantined requests, in each round.
+const FULL_NOTIFIERS: usize = 8;
 /// How long a run takes to end its worker.
 const RUN: u64 = 60;
 /// Others that run beside it.
@@ -63,7 +63,7 @@
         let now = at(self.now);
         match self.daemons[daemon].standing(request, Sender::Caller, now) {
             Standing::Clear | Standing::Suspect => true,
-            Standing::Held(_) => false,
+            Standing::Quarantined(_) => false,
             Standing::OnTrial(since) => {
                 let me = EntryName::from(format!("entry-{daemon}"));
                 let may = may_try(request, &me, self.daemons.len(), since, now);
@@ -77,7 +77,7 @@
 
     fn holds(&self, daemon: usize, request: Fingerprint) -> bool {
         let standing = self.daemons[daemon].standing(request, Sender::Caller, at(self.now));
-        matches!(standing, Standing::Held(_))
+        matches!(standing, Standing::Quarantined(_))
     }
 
     /// Runs a request until its worker has crashed.
@@ -112,31 +112,31 @@
             crashed: at(self.now),
             excused: false,
         };
-        let told = Told {
+        let notice = CrashNotice {
             fingerprint: request,
             worker: life,
             strike,
         };
-        self.daemons[daemon].saw(told, at(self.now));
+        self.daemons[daemon].note_own_crash(notice, at(self.now));
     }
 
     /// All daemons report to all others.
     fn report(&mut self) {
         let now = at(self.now);
         for from in 0..self.daemons.len() {
-            let all = self.rng.random_range(0..self.daemons.len()) < TELLERS;
-            let told = self.daemons[from].to_tell(all, now);
+            let all = self.rng.random_range(0..self.daemons.len()) < FULL_NOTIFIERS;
+            let notices = self.daemons[from].notices(all, now);
             let trials: Vec<Fingerprint> = self.daemons[from].trials().collect();
-            if told.is_empty() && trials.is_empty() {
+            if notices.is_empty() && trials.is_empty() {
                 continue;
             }
             for to in 0..self.daemons.len() {
                 if to != from && self.rng.random_bool(0.8) {
-                    for one in &told {
-                        self.daemons[to].hear(*one, now);
+                    for one in &notices {
+                        self.daemons[to].note_crash(*one, now);
                     }
                     for one in &trials {
-                        self.daemons[to].hear_trial(*one, now);
+                        self.daemons[to].note_trial(*one, now);
                     }
                 }
             }
--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -8,7 +8,7 @@
 use crate::held;
 use crate::millis::millis;
 use bluebellreel_dispatch::{
-    Fingerprint, Sender, Standing, Strike, Ticket, Told, WorkerState, WorkerTag,
+    CrashNotice, Fingerprint, Sender, Standing, Strike, Ticket, WorkerState, WorkerTag,
 };
 use bluebellreel_net::Knock;
 use bluebellreel_types::Moment;
@@ -87,18 +87,18 @@
         crashed: at,
         excused: false,
     };
-    let told = Told {
+    let notice = CrashNotice {
         fingerprint: cut.fingerprint,
         worker: WorkerTag::of(&cut.ticket.worker, cut.ticket.boot),
         strike,
     };
-    let crashes = gw.suspects.borrow_mut().saw(told, gw.now());
+    let crashes = gw.suspects.borrow_mut().note_own_crash(notice, gw.now());
     gw.report_due.notify_one();
     let standing = gw
         .suspects
         .borrow()
         .standing(cut.fingerprint, Sender::Caller, gw.now());
-    if matches!(standing, Standing::Held(_)) {
+    if matches!(standing, Standing::Quarantined(_)) {
         held::keep(gw, cut.fingerprint);
     }
     warn!(target: "online", request:% = cut.request, fingerprint:% = cut.fingerprint, worker:% = cut.ticket.worker, took_ms = lasted, crashes, reason; "worker crashed under a run");
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -9,7 +9,7 @@
 
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{
-    Boot, Fingerprint, PeerLoad, PeerRuns, Running, Strike, Suspects, Told, WorkerTag,
+    Boot, CrashNotice, Fingerprint, PeerLoad, PeerRuns, Running, Strike, Suspects, WorkerTag,
 };
 use bluebellreel_members::{Revisions, SILENT};
 use bluebellreel_types::{DataCentre, EntryName, Incarnation, JobId, Moment, WorkerName};
@@ -27,9 +27,9 @@
 /// reports has a right one.
 const SEAL_BYTES: usize = 4;
 
-/// How many daemons tell, in each round of full reports, what all know of requests that
-/// are held back: enough for one that has just started, whatever is lost.
-const TELLERS: usize = 8;
+/// How many daemons send, in each round of full reports, the notices that all have of
+/// quarantined requests: enough for one that has just started, whatever is lost.
+const FULL_NOTIFIERS: usize = 8;
 
 /// A full report.
 #[derive(Serialize, Deserialize)]
@@ -90,11 +90,11 @@
         }
         let now = gw.now();
         let peers = gw.members.borrow().heard(now).count().max(1);
-        let tells_all = gw.rng.borrow_mut().random_range(0..peers) < TELLERS;
+        let notifies_all = gw.rng.borrow_mut().random_range(0..peers) < FULL_NOTIFIERS;
         let mut suspects = gw.suspects.borrow_mut();
-        let crashes = suspects.to_tell(tells_all, now).into_iter();
+        let crashes = suspects.notices(notifies_all, now).into_iter();
         Self {
-            crashes: crashes.map(|told| Crash::of(&told, now)).collect(),
+            crashes: crashes.map(|notice| Crash::of(&notice, now)).collect(),
             trials: suspects.trials().collect(),
         }
     }
@@ -106,29 +106,29 @@
     /// Takes over what a peer warns of.
     pub(super) fn take(self, suspects: &mut Suspects, now: Moment) {
         for crash in self.crashes {
-            suspects.hear(crash.told(now), now);
+            suspects.note_crash(crash.notice(now), now);
         }
         for fingerprint in self.trials {
-            suspects.hear_trial(fingerprint, now);
+            suspects.note_trial(fingerprint, now);
         }
     }
 }
 
 impl Crash {
-    fn of(told: &Told, now: Moment) -> Self {
+    fn of(notice: &CrashNotice, now: Moment) -> Self {
         let ago = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
         Self {
-            fingerprint: told.fingerprint,
-            worker: told.worker,
-            began_ms_ago: ago(told.strike.began),
-            crashed_ms_ago: ago(told.strike.crashed),
-            excused: told.strike.excused,
+            fingerprint: notice.fingerprint,
+            worker: notice.worker,
+            began_ms_ago: ago(notice.strike.began),
+            crashed_ms_ago: ago(notice.strike.crashed),
+            excused: notice.strike.excused,
         }
     }
 
-    fn told(&self, now: Moment) -> Told {
+    fn notice(&self, now: Moment) -> CrashNotice {
         let at = |ms: u32| Moment(now.0.saturating_sub(u64::from(ms) * 1000));
-        Told {
+        CrashNotice {
             fingerprint: self.fingerprint,
             worker: self.worker,
             strike: Strike {
@@ -238,7 +238,7 @@
         postcard::to_allocvec(&(BRIEF, self)).map(seal)
     }
 
-    /// The load that it tells of. Workers that are not known here are left out:
+    /// The load that it reports. Workers that are not known here are left out:
     /// nothing is sent to them either.
     pub(super) fn load(&self, gw: &Gateway) -> PeerLoad {
         let board = gw.board.borrow();
@@ -315,10 +315,10 @@
         return Ok(parse(bytes)?.0);
     }
     let (read, rest) = parse(datagram)?;
-    // Guard: bytes that nobody sent as a report can be read as one, for which
-    // 900 bytes of 1 are enough. A peer that nobody had started was heard, with
-    // jobs and load. Without a checksum a datagram must be an earlier version's:
-    // it ends where its message does, and a daemon may have its sender's name.
+    // Guard: bytes that nobody sent as a report can be read as one, with a peer that
+    // does not exist, its jobs and its load. Without a checksum a datagram must be an
+    // earlier version's: it ends where its message does, and a daemon may have its
+    // sender's name.
     if !rest.is_empty() {
         return Err(Unread::TurnedOrCut);
     }
@@ -357,7 +357,7 @@
     !name.is_empty() && name.chars().all(plain)
 }
 
-/// A peer's load as its report tells it.
+/// A peer's load as it reports it.
 pub(super) fn load_of(report: &Report, supplement: Supplement, now: Moment) -> PeerLoad {
     let boots = supplement.boots.into_iter().chain(std::iter::repeat(None));
     let runs = report.running.iter().zip(boots);
--- a/crates/bluebellreel_gateway/src/suspicion.rs
+++ b/crates/bluebellreel_gateway/src/suspicion.rs
@@ -76,7 +76,7 @@
             return Ok(Leave::OnTrial(fingerprint));
         }
         Standing::OnTrial(_) => now + TURN,
-        Standing::Held(until) => until,
+        Standing::Quarantined(until) => until,
     };
     let held_ms = millis(until.since(now));
     warn!(target: "online", request, fingerprint:% = fingerprint, due_in_ms = held_ms; "request held back");
@@ -97,7 +97,7 @@
     }
     let fingerprint = fingerprint();
     let cleared = gw.suspects.borrow_mut().completed(fingerprint, gw.now());
-    if cleared == Cleared::Hold {
+    if cleared == Cleared::Quarantine {
         held::forget(gw, fingerprint);
     }
     if cleared != Cleared::Nothing {
