Names of the gateway: quarantine, copied, reported, and constants that say what they bound

Cause: newcomers met held, told, tell, TURN, KEPT, AGAIN, STEADY and WELL; some comments told how a value was found instead of why it is needed. Change: names and comments of the gateway outside jobs' way of being owned, and of dispatch's board; held.rs is quarantine.rs. Values, log lines, the store's keys and the bytes on the wire are the same. Evidence: clippy; cargo test of dispatch, the gateway and the platform's stand-ins.

--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -8,9 +8,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-/// Time after an event of a run of ours for which its worker counts as well.
+/// How long a worker counts as healthy after an event of a run of ours.
 /// Events of one run come some 30 ms apart, and most workers run few of ours.
-const WELL: Duration = Duration::from_millis(500);
+const HEALTHY_AFTER_EVENT: Duration = Duration::from_millis(500);
 
 /// Bounds of placement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,7 +51,7 @@
     /// How far it is trusted.
     pub doubt: Doubt,
     /// When one of our runs there last gave an event.
-    pub heard_at: Moment,
+    pub last_event_at: Moment,
     /// Whether it left the catalog.
     left: bool,
 }
@@ -63,7 +63,7 @@
             own: Running::default(),
             peers: Running::default(),
             doubt: Doubt::default(),
-            heard_at: Moment::default(),
+            last_event_at: Moment::default(),
             left: false,
         }
     }
@@ -261,7 +261,7 @@
     pub fn succeeded(&mut self, ticket: &Ticket, now: Moment) {
         if let Some(seat) = self.seat_of(ticket) {
             seat.doubt.succeeded();
-            seat.heard_at = now;
+            seat.last_event_at = now;
         }
     }
 
@@ -285,13 +285,13 @@
     /// the worker only if no run of ours there gives events meanwhile.
     pub fn failed_item(&mut self, ticket: &Ticket, now: Moment) {
         if let Some(seat) = self.seat_of(ticket)
-            && (seat.heard_at + WELL).is_past(now)
+            && (seat.last_event_at + HEALTHY_AFTER_EVENT).is_past(now)
         {
             seat.doubt.failed(now);
         }
     }
 
-    /// Takes a peer's word over, unless a newer one is known.
+    /// Takes a peer's load over, unless a newer one is known.
     pub fn hear(&mut self, peer: &EntryName, load: PeerLoad) {
         let known = self.peers.get(peer).map_or(0, |p| p.sequence);
         if load.sequence <= known {
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -135,8 +135,8 @@
     let Placement::Send(other) = place_online(board, query) else {
         return false;
     };
-    let heard_at = board.seat(worker).map_or(Moment(0), |s| s.heard_at);
-    let busy = !(heard_at + BUSY).is_past(query.now);
+    let last_event_at = board.seat(worker).map_or(Moment(0), |s| s.last_event_at);
+    let busy = !(last_event_at + BUSY).is_past(query.now);
     let free = board.seat(&other).is_some_and(|s| s.free() > 0);
     free || !busy
 }
@@ -222,7 +222,7 @@
     if mine.is_empty() && theirs.is_empty() {
         return best_for_batch(board, query, ours);
     }
-    let is_proven = |s: &&Seat| !(s.heard_at + PROVEN).is_past(query.now);
+    let is_proven = |s: &&Seat| !(s.last_event_at + PROVEN).is_past(query.now);
     let both = mine.iter().chain(&theirs).copied();
     let proven: Vec<&Seat> = both.filter(is_proven).collect();
     [&proven, &mine, &theirs]
--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -5,8 +5,8 @@
 //! later though it did not say that it leaves.
 
 use crate::gateway::Gateway;
-use crate::held;
 use crate::millis::millis;
+use crate::quarantine;
 use bluebellreel_dispatch::{
     CrashNotice, Fingerprint, Sender, Standing, Strike, Ticket, WorkerState, WorkerTag,
 };
@@ -19,12 +19,12 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
-/// How long a broken-off run waits for the look at its worker before it goes on
+/// How long a broken-off run waits for the probe of its worker before it goes on
 /// elsewhere. A VM answers within some milliseconds.
-const LOOK: Duration = Duration::from_millis(30);
-/// When a worker that listens is looked at once more: one that has started again is
+const PROBE_LONGEST: Duration = Duration::from_millis(30);
+/// When a worker that listens is checked once more: one that has started again is
 /// listed by then, its former life is not.
-const LOOK_AGAIN: Duration = Duration::from_millis(2500);
+const CHECK_AGAIN: Duration = Duration::from_millis(2500);
 
 /// A run that its worker broke off.
 pub(crate) struct Cut {
@@ -43,9 +43,9 @@
         // It leaves: what it breaks off then is no crash.
         return;
     };
-    let looking = tokio::task::spawn_local(find_out(gw.clone(), cut, address, gw.now()));
+    let probing = tokio::task::spawn_local(find_out(gw.clone(), cut, address, gw.now()));
     // It goes on by itself.
-    let _ = timeout(LOOK, looking).await;
+    let _ = timeout(PROBE_LONGEST, probing).await;
 }
 
 /// Where a run's worker listens, unless it has said that it leaves.
@@ -63,7 +63,7 @@
         Knock::Refused => note(&gw, &cut, at, "refuses connections"),
         Knock::Unknown => {}
         Knock::Open => {
-            sleep(LOOK_AGAIN).await;
+            sleep(CHECK_AGAIN).await;
             if has_started_again(&gw, &cut.ticket) {
                 note(&gw, &cut, at, "started again");
             }
@@ -99,7 +99,7 @@
         .borrow()
         .standing(cut.fingerprint, Sender::Caller, gw.now());
     if matches!(standing, Standing::Quarantined(_)) {
-        held::keep(gw, cut.fingerprint);
+        quarantine::store(gw, cut.fingerprint);
     }
     warn!(target: "online", request:% = cut.request, fingerprint:% = cut.fingerprint, worker:% = cut.ticket.worker, took_ms = lasted, crashes, reason; "worker crashed under a run");
 }
--- a/crates/bluebellreel_gateway/src/facts.rs
+++ b/crates/bluebellreel_gateway/src/facts.rs
@@ -1,4 +1,4 @@
-//! What the store tells of configuration and workers, as this daemon believes
+//! What the store says of configuration and workers, as this daemon believes
 //! it, and what it hands on to peers.
 //!
 //! Every fact carries the store's revision. Nothing known is ever replaced by
@@ -53,7 +53,7 @@
         self.configured.as_ref().map_or(0, |c| c.revision)
     }
 
-    /// What peers are told of the facts known here.
+    /// What is reported to peers of the facts known here.
     pub(crate) fn revisions(&self) -> Revisions {
         Revisions {
             configuration: self.configuration_revision(),
@@ -150,8 +150,8 @@
         }
     }
 
-    /// The store has told all that is known of what operators wrote.
-    pub(crate) fn told_by_store(&mut self) {
+    /// All that is known of what operators wrote comes from the store.
+    pub(crate) fn confirmed_by_store(&mut self) {
         self.believed_until = None;
     }
 
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -63,8 +63,8 @@
     pub(crate) unreadable: RefCell<Unreadable>,
     /// Lease of this daemon's entry in the store; zero for none.
     pub(crate) lease: Cell<i64>,
-    /// How long this daemon's entry has stood; what it remembers of its jobs may
-    /// be told meanwhile.
+    /// How long this daemon's entry has stood; readers may be answered from memory
+    /// meanwhile.
     pub(crate) tenure: Cell<Tenure>,
     /// Since when few peers are heard; none while most are.
     pub(crate) isolated_since: Cell<Option<Moment>>,
--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -1,11 +1,9 @@
-//! Telling a keeper how far the items of each job are.
+//! Replicating to a keeper how far the items of each job are.
 //!
-//! An owner that dies takes what its items have generated with it, and results
-//! that the store has not recorded yet. Where a third of all slots run items of
-//! five seconds each, the death of one gateway threw away some thirty seconds of
-//! engine time, the death of all a hundred and more. Copies are full, not
-//! differences: one that is lost is made up for by the next. They stay within
-//! the data centre, so their bytes are not priced.
+//! Else an owner that dies takes what its items have generated with it, and results
+//! that the store has not recorded yet. Copies are full, not differences: one that
+//! is lost is made up for by the next. They stay within the data centre, so their
+//! bytes are not priced.
 
 use crate::gateway::Gateway;
 use crate::peer_calls;
@@ -22,44 +20,44 @@
 
 /// Time between copies. An item of 190 events lasts some five seconds; copied
 /// this often, each of its events is sent about three times.
-const PAUSE: Duration = Duration::from_secs(1);
+const COPY_EVERY: Duration = Duration::from_secs(1);
 /// How long a copy is kept: longer than a dead owner's entry stands (3.6 s) and
 /// its heir takes to look, and than an item lasts.
-const KEPT: Duration = Duration::from_secs(20);
+const COPY_KEPT: Duration = Duration::from_secs(20);
 
-/// What was told of a job last, and to whom.
+/// How much of a job was copied last, and to whom.
 #[derive(Clone, Copy, PartialEq, Eq)]
-struct Told {
+struct Copied {
     to: SocketAddr,
     bytes: u64,
 }
 
-/// Tells heirs how far items are, for ever.
+/// Replicates how far items are, for ever.
 pub(crate) async fn copy_progress(gw: Rc<Gateway>) {
-    let mut told = HashMap::new();
+    let mut copied = HashMap::new();
     loop {
-        sleep(PAUSE).await;
-        let due = due(&gw, &mut told);
+        sleep(COPY_EVERY).await;
+        let due = due(&gw, &mut copied);
         for (id, to, items) in due {
             if !copy(&gw, &id, to, &items).await {
-                // Nothing more may come of its items, so it is told again. A
-                // keeper that starts again is missed for a moment; its disk is
-                // all that a kill of everything leaves.
-                told.remove(&id);
+                // Its items may generate nothing more, so it is copied again. A
+                // keeper that starts again is unreachable for a moment; its disk
+                // is all that a kill of everything leaves.
+                copied.remove(&id);
                 gw.keepers.borrow_mut().mark_unreachable(to);
             }
         }
     }
 }
 
-/// Jobs whose items have got further since they were told, or of which somebody
-/// else is to be told now.
+/// Jobs whose items have got further since they were copied, or that are to be
+/// copied to another place now.
 fn due(
     gw: &Gateway,
-    told: &mut HashMap<JobId, Told>,
+    copied: &mut HashMap<JobId, Copied>,
 ) -> Vec<(JobId, SocketAddr, Vec<ItemProgress>)> {
     let jobs = gw.jobs.borrow();
-    told.retain(|id, _| jobs.own.contains_key(id));
+    copied.retain(|id, _| jobs.own.contains_key(id));
     let mut due = Vec::new();
     for (id, owned) in &jobs.own {
         let items = owned.job.borrow().progress();
@@ -67,8 +65,8 @@
         let Some(to) = target(gw, id) else {
             continue;
         };
-        let now = Told { to, bytes };
-        let before = told.insert(id.clone(), now);
+        let now = Copied { to, bytes };
+        let before = copied.insert(id.clone(), now);
         if bytes > 0 && before != Some(now) {
             due.push((id.clone(), to, items));
         }
@@ -88,28 +86,27 @@
     Some(members.alive(&heir, now)?.calls)
 }
 
-/// Tells of one job; whether it was taken.
+/// Copies one job's progress; whether it was taken.
 async fn copy(gw: &Rc<Gateway>, id: &JobId, to: SocketAddr, items: &[ItemProgress]) -> bool {
-    let told = match postcard::to_allocvec(items) {
+    let copied = match postcard::to_allocvec(items) {
         Ok(body) => peer_calls::copy_progress(gw, to, id, body).await,
         Err(e) => Err(e.to_string()),
     };
-    if let Err(e) = &told {
+    if let Err(e) = &copied {
         warn!(target: "jobs", job:% = id, to:% = to, error = e.as_str(); "progress not copied");
     }
-    told.is_ok()
+    copied.is_ok()
 }
 
 /// Longest wait for keepers when a job is taken over: one that is down must not
 /// hold the job up for longer than what its items would gain.
-const RECALL: Duration = Duration::from_millis(300);
+const CALL_LONGEST: Duration = Duration::from_millis(300);
 
 /// How long a keeper that refuses or cuts calls is asked again: one that stops as
-/// planned is back within a second, and the half of an item of five seconds that
-/// it knows on average is worth the wait.
-const STARTS_AGAIN: Duration = Duration::from_millis(1200);
+/// planned is back within a second, and what it knows is worth the wait.
+const RESTART_LONGEST: Duration = Duration::from_millis(1200);
 /// Time between two calls to it.
-const AGAIN: Duration = Duration::from_millis(100);
+const RETRY: Duration = Duration::from_millis(100);
 
 /// Lets the items of a job that was taken over go on from where they were, as
 /// far as this daemon or a keeper knows.
@@ -131,9 +128,9 @@
 /// once, so that many jobs do not wait one after the other. One that is silent
 /// has lost its VM, and is not.
 async fn ask(gw: &Rc<Gateway>, at: SocketAddr, id: &JobId) -> Option<Bytes> {
-    let end = Instant::now() + STARTS_AGAIN;
+    let end = Instant::now() + RESTART_LONGEST;
     loop {
-        let call = timeout(RECALL, peer_calls::progress(gw, at, id));
+        let call = timeout(CALL_LONGEST, peer_calls::progress(gw, at, id));
         let error = match call.await {
             Ok(Ok(progress)) => return Some(progress),
             Ok(Err(e)) => e,
@@ -147,13 +144,13 @@
             warn!(target: "jobs", job:% = id, keeper:% = at, error = error.as_str(); "progress not fetched");
             return None;
         }
-        sleep(AGAIN).await;
+        sleep(RETRY).await;
     }
 }
 
 /// Keeps how far the items of a peer's job are.
 pub(crate) fn keep_copy(gw: &Gateway, id: JobId, progress: &[u8]) {
     let items = super::hand_over::read_progress(&id, progress);
-    let until = gw.now() + KEPT;
+    let until = gw.now() + COPY_KEPT;
     gw.jobs.borrow_mut().copies.keep(id, items, until);
 }
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -1,7 +1,7 @@
 //! Reading results and bodies at any daemon.
 //!
 //! The owner knows best and is asked first. If it is not heard, the store
-//! answers. "No such job" is said only on the store's word.
+//! answers. "No such job" is said only if the store says so.
 
 use super::archive::Archived;
 use super::own::OwnedJob;
@@ -52,7 +52,7 @@
             Ok((StatusCode::OK, body)) => return answers::json(body),
             Ok((status, _)) => {
                 info!(target: "jobs", job:% = id, status = status.as_u16(); "owner does not have it");
-                tell_owner(gw, id, owner);
+                notify_owner(gw, id, owner);
             }
             Err(e) => warn!(target: "jobs", job:% = id, error:% = e; "owner not reached"),
         }
@@ -64,9 +64,9 @@
     }
 }
 
-/// Tells a daemon that the record names it a job's owner. It may have missed
+/// Notifies a daemon that the record names it a job's owner. It may have missed
 /// the hand-over, and would find the job only when it looks for orphans.
-fn tell_owner(gw: &Rc<Gateway>, id: &JobId, owner: SocketAddr) {
+fn notify_owner(gw: &Rc<Gateway>, id: &JobId, owner: SocketAddr) {
     let (gw, id) = (gw.clone(), id.clone());
     tokio::task::spawn_local(async move {
         let Ok(Some(found)) = load::record(&gw, &id).await else {
@@ -112,7 +112,7 @@
     }
 }
 
-/// The answer to a reader, if the job is this daemon's or that cannot be told.
+/// The answer to a reader, if the job is this daemon's or that is not known.
 async fn read_here(
     gw: &Rc<Gateway>,
     id: &JobId,
@@ -126,8 +126,8 @@
 
 /// Results of a job of ours; none if it is another daemon's now.
 ///
-/// What is listed at a position stays, so results may be told from memory at any
-/// time. That nothing is listed there may be told only while the job is surely
+/// What is listed at a position stays, so results may be read from memory at any
+/// time. That nothing is listed there may be answered only while the job is surely
 /// ours: another owner may have listed more, and a reader have seen it.
 async fn read_owned(
     gw: &Rc<Gateway>,
--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Whether the store has not told this daemon anything yet.
+/// Whether the store has not answered this daemon yet.
 fn wants_facts(gw: &Gateway) -> bool {
     let facts = gw.facts.borrow();
     let knows_nothing = facts.configuration().is_none() && gw.store.finds_nobody();
--- a/crates/bluebellreel_gateway/src/leave.rs
+++ b/crates/bluebellreel_gateway/src/leave.rs
@@ -22,9 +22,8 @@
 const LEAVE_ROTATION: Duration = Duration::from_millis(2600);
 /// Time before the kill at which the process ends by itself.
 const BEFORE_KILL: Duration = Duration::from_millis(700);
-/// Share of the time to the end after which new requests are refused: a request
-/// passed on later may be cut by it. Of eight seconds to the kill it leaves 2.9;
-/// answers take up to 1.6 s under the heaviest load seen.
+/// Share of the time to the end after which new requests are refused: answers
+/// take more than a second under load, and a request passed on later may be cut.
 const REFUSE_FROM: f64 = 0.6;
 /// Time kept before the end for closing the doors: refusals that are on their
 /// way, connections that wait to be accepted.
@@ -68,7 +67,7 @@
     }
 
     /// Logs where the stop is.
-    fn tell(&self, phase: &str) {
+    fn log_phase(&self, phase: &str) {
         let gw = self.gw;
         let took_ms = millis(self.asked_at.elapsed());
         info!(target: "gateway", entry:% = gw.me(), phase, in_progress = gw.in_progress.count(), open = self.doors.callers.served.open(), jobs = gw.jobs.borrow().own.len(), took_ms; "stop goes on");
@@ -91,19 +90,19 @@
     async fn finish_requests(&self) {
         sleep_until((self.asked_at + LEAVE_ROTATION).min(self.refuse_from)).await;
         self.doors.callers.stop.close();
-        self.tell("idle connections closed");
+        self.log_phase("idle connections closed");
         while self.is_busy() && Instant::now() < self.refuse_from {
             sleep(LOOK).await;
         }
     }
 
-    /// Takes no more requests: each that still comes is told that it has not
-    /// run. Whatever is awaited at the end of a stop is awaited after this. A
-    /// request that was passed on meanwhile would be cut by the end of the
-    /// process, and its caller could not know whether it ran.
+    /// Takes no more requests: each that still comes is refused as not run.
+    /// Whatever is awaited at the end of a stop is awaited after this: a request
+    /// that was passed on meanwhile would be cut by the end of the process, and
+    /// its caller could not know whether it ran.
     async fn refuse_and_give_lease_back(&self) {
         self.gw.refusing.set(true);
-        self.tell("requests refused");
+        self.log_phase("requests refused");
         let until = (Instant::now() + RELEASE).min(self.end);
         let released = timeout_at(until, lease::unregister(self.gw)).await;
         if released.is_err() {
@@ -125,14 +124,14 @@
             door.stop.finish();
         }
         for door in [&self.doors.callers, &self.doors.peers] {
-            // What is cut is told below.
+            // What is cut is logged below.
             let _ = timeout_at(self.end, door.served.over()).await;
         }
     }
 
     /// Names the requests that the end of the process cuts; whether nothing is
     /// cut, also no answer that is not written to its end.
-    fn tell_cut(&self) -> bool {
+    fn log_cut(&self) -> bool {
         let gw = self.gw;
         gw.ended.set(true);
         let ids = gw.in_progress.ids();
@@ -160,7 +159,7 @@
     leaving.refuse_and_give_lease_back().await;
     leaving.shut_doors().await;
     // Nothing is awaited from this look to the end of the process.
-    let clean = leaving.tell_cut();
+    let clean = leaving.log_cut();
     info!(target: "gateway", entry:% = gw.me(), clean, took_ms = millis(leaving.asked_at.elapsed()); "stopped");
     clean
 }
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! One process on each entry VM, one thread, one event loop. Callers' requests
 //! go straight to workers; batch jobs are kept in the platform's store and run
-//! by the daemon that owns them. Daemons tell each other what they run, so
+//! by the daemon that owns them. Daemons report to each other what they run, so
 //! that none piles work on a worker that another has filled.
 //!
 //! The way of a request, each file importing those after it: [`run_gateway`]
@@ -25,7 +25,6 @@
 mod events;
 mod facts;
 mod gateway;
-mod held;
 mod in_progress;
 mod jobs;
 mod keeper_visits;
@@ -39,6 +38,7 @@
 mod peer_calls;
 mod place;
 mod pulse;
+mod quarantine;
 mod registration;
 mod relay;
 mod reload;
--- a/crates/bluebellreel_gateway/src/pulse.rs
+++ b/crates/bluebellreel_gateway/src/pulse.rs
@@ -1,4 +1,4 @@
-//! What the events of one stream tell of its worker.
+//! What the events of one stream show of its worker.
 
 use crate::gateway::Gateway;
 use crate::ticket::Place;
--- a/crates/bluebellreel_gateway/src/held.rs
+++ b/crates/bluebellreel_gateway/src/quarantine.rs
@@ -1,9 +1,7 @@
-//! Requests that are held back, kept in the store for gateways that start when no peer is
-//! left to tell.
+//! Quarantined requests, kept in the store.
 //!
-//! Guard: all gateways may be killed at the same moment. A request that had ended workers
-//! came again as soon as they were back, and ended three more before they knew again. An
-//! entry stands under a lease, as long as a request is held back at the most, so that
+//! Guard: all gateways may be killed at the same moment, and none is left to notify those
+//! that start. An entry stands under a lease, as long as the longest quarantine, so that
 //! nothing has to be cleaned up.
 
 use crate::gateway::Gateway;
@@ -16,13 +14,13 @@
 use tokio::time::{Instant, sleep};
 
 /// Prefix of all entries.
-const HELD: &str = "held/";
-/// How long an entry stands: the longest that the store grants, and that a request is held
-/// back.
-const TTL: Duration = Duration::from_mins(10);
-/// Longest that an entry is tried to be written. After that others have seen the next
-/// crash, or the request has not come again.
-const WRITE: Duration = Duration::from_secs(20);
+const ENTRIES_PREFIX: &str = "held/";
+/// How long an entry stands: the longest lease that the store grants, and the longest
+/// quarantine.
+const ENTRY_TTL: Duration = Duration::from_mins(10);
+/// How long a write is tried again. After that others have seen the next crash, or the
+/// request has not come again.
+const WRITE_LONGEST: Duration = Duration::from_secs(20);
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -33,14 +31,14 @@
 }
 
 fn key_of(fingerprint: Fingerprint) -> Key {
-    Key::from(format!("{HELD}{fingerprint}"))
+    Key::from(format!("{ENTRIES_PREFIX}{fingerprint}"))
 }
 
-/// Keeps a request that is held back.
-pub(crate) fn keep(gw: &Rc<Gateway>, fingerprint: Fingerprint) {
+/// Stores a request that is quarantined.
+pub(crate) fn store(gw: &Rc<Gateway>, fingerprint: Fingerprint) {
     let gw = gw.clone();
     tokio::task::spawn_local(async move {
-        let until = Instant::now() + WRITE;
+        let until = Instant::now() + WRITE_LONGEST;
         while let Err(e) = write(&gw, fingerprint).await {
             warn!(target: "online", fingerprint:% = fingerprint, error:% = e; "held request not kept");
             if Instant::now() > until {
@@ -55,7 +53,7 @@
     let workers = gw.suspects.borrow().workers_of(fingerprint);
     let value = serde_json::to_vec(&Entry { workers });
     let value = value.map_err(|e| KvError::Refused(e.to_string()))?;
-    let lease = gw.store.lease(TTL).await?.id;
+    let lease = gw.store.lease(ENTRY_TTL).await?.id;
     let key = key_of(fingerprint);
     let puts = vec![Put { key, value, lease }];
     let txn = Txn {
@@ -65,16 +63,16 @@
     done(gw.store.commit(&txn, Instant::now() + RETRY).await)
 }
 
-/// Forgets a request that workers can run again. An entry that stays holds it back once
-/// more at the next start of all gateways, for two seconds at the least.
-pub(crate) fn forget(gw: &Rc<Gateway>, fingerprint: Fingerprint) {
+/// Removes a request that workers can run again. An entry that stays quarantines it once
+/// more at the next start of all gateways.
+pub(crate) fn remove(gw: &Rc<Gateway>, fingerprint: Fingerprint) {
     let gw = gw.clone();
     tokio::task::spawn_local(async move {
         let txn = Txn {
             deletes: vec![key_of(fingerprint)],
             ..Txn::default()
         };
-        let until = Instant::now() + WRITE;
+        let until = Instant::now() + WRITE_LONGEST;
         if let Err(e) = done(gw.store.commit(&txn, until).await) {
             warn!(target: "online", fingerprint:% = fingerprint, error:% = e; "held request not forgotten");
         }
@@ -90,10 +88,10 @@
     }
 }
 
-/// Reads, once at the start, what is held back.
-pub(crate) async fn recall(gw: Rc<Gateway>) {
+/// Reads, once at the start, which requests are quarantined.
+pub(crate) async fn load(gw: Rc<Gateway>) {
     let all = loop {
-        match gw.store.list(&Key::from(HELD)).await {
+        match gw.store.list(&Key::from(ENTRIES_PREFIX)).await {
             Ok((all, _)) => break all,
             Err(_) => sleep(RETRY).await,
         }
@@ -111,7 +109,7 @@
 }
 
 fn read(kv: &KeyValue) -> Option<(Fingerprint, Entry)> {
-    let name = kv.key.as_str().strip_prefix(HELD)?;
+    let name = kv.key.as_str().strip_prefix(ENTRIES_PREFIX)?;
     let fingerprint = Fingerprint::try_from(name).ok()?;
     Some((fingerprint, serde_json::from_slice(&kv.value).ok()?))
 }
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -31,15 +31,15 @@
 /// the other worker still brings its first event in time.
 const SILENCE: Duration = Duration::from_millis(150);
 /// Events in whose time a slow worker must give the next one.
-const STEADY: f64 = 2.5;
+const SLOW_INTERVALS: f64 = 2.5;
 /// Share of a route's longest pause after which a slow worker is left, too.
-const LATE: f64 = 0.75;
+const LATE_PAUSE_SHARE: f64 = 0.75;
 /// How long a worker may take to the first event of a stream that goes on,
 /// where another one could take it instead.
-const RESUMED_FIRST: Duration = Duration::from_millis(250);
+const RESUMED_FIRST_EVENT: Duration = Duration::from_millis(250);
 /// Silence of other workers, too, is a sign that this process was paused: what
 /// has arrived meanwhile is read before a worker is doubted.
-const LAST_LOOK: Duration = Duration::from_millis(12);
+const LAST_READ: Duration = Duration::from_millis(12);
 
 /// What the worker's body brought.
 enum Brought {
@@ -204,8 +204,8 @@
         let board = self.gw.board.borrow();
         let worker = self.upstream.place.worker();
         let pace = board.paces.interval(worker, self.gw.now());
-        let slow = pace.unwrap_or_default().mul_f64(STEADY);
-        let late = self.req.route.pause.mul_f64(LATE);
+        let slow = pace.unwrap_or_default().mul_f64(SLOW_INTERVALS);
+        let late = self.req.route.pause.mul_f64(LATE_PAUSE_SHARE);
         SILENCE.max(slow.min(late))
     }
 
@@ -226,7 +226,7 @@
         let until = self.quiet_until.min(self.req.deadline);
         let mut read = timeout_at(until, self.upstream.body.next()).await;
         if read.is_err() {
-            let last = Instant::now() + LAST_LOOK;
+            let last = Instant::now() + LAST_READ;
             read = timeout_at(last, self.upstream.body.next()).await;
         }
         match read {
@@ -276,7 +276,7 @@
                     self.events = Events::default();
                     self.pulse = Pulse::default();
                     self.req.runs += 1;
-                    self.quiet_until = Instant::now() + RESUMED_FIRST;
+                    self.quiet_until = Instant::now() + RESUMED_FIRST_EVENT;
                     self.gw.metrics.resumed.inc();
                     info!(target: "online", request:% = self.req.id, worker:% = next, last_id:? = self.last_id; "stream goes on");
                     return true;
@@ -291,7 +291,7 @@
     /// Sends to one more worker. Where it is the last one, it is waited for as
     /// long as the caller waits, or until the former one brings something.
     async fn send_on(&mut self, worker: &WorkerName, mut open: bool) -> Result<Next, NoAnswer> {
-        let soon = (Instant::now() + RESUMED_FIRST).min(self.req.deadline);
+        let soon = (Instant::now() + RESUMED_FIRST_EVENT).min(self.req.deadline);
         let until = if self.is_last_try() {
             self.req.deadline
         } else {
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -5,7 +5,9 @@
 use crate::leave::leave;
 use crate::reload::Surroundings;
 use crate::workers::apply_workers;
-use crate::{detour, held, jobs, lease, peer_api, registration, reload, reports, serve, watching};
+use crate::{
+    detour, jobs, lease, peer_api, quarantine, registration, reload, reports, serve, watching,
+};
 use bluebellreel_net::{Served, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_types::Moment;
@@ -44,7 +46,7 @@
     })
 }
 
-/// Ends when a signal asks for the end, and tells of those that say that the
+/// Ends when a signal asks for the end, and notifies of those that say that the
 /// settings have changed. The handlers stand once this returns.
 fn asked_to_stop(settings_changed: Rc<Notify>) -> eyre::Result<impl Future<Output = ()>> {
     let hung_up = move || settings_changed.notify_one();
@@ -131,7 +133,7 @@
     spawn_local(watching::watch_workers(gw.clone()));
     spawn_local(lease::keep_registered(gw.clone()));
     spawn_local(registration::list_members(gw.clone()));
-    spawn_local(held::recall(gw.clone()));
+    spawn_local(quarantine::load(gw.clone()));
     spawn_local(jobs::start_items(gw.clone()));
     spawn_local(jobs::keep_confirmed(gw.clone()));
     spawn_local(jobs::adopt_orphans(gw.clone()));
--- a/crates/bluebellreel_gateway/src/suspicion.rs
+++ b/crates/bluebellreel_gateway/src/suspicion.rs
@@ -1,25 +1,25 @@
 //! Holding back requests that workers crash under.
 //!
-//! Guard: a request that crashes each worker that begins to run it was sent on to the
-//! next one, at any gateway, as often as its caller came back: one caller took all
-//! workers of a service down, and up to eight others with each. Which requests they are
-//! is decided in `bluebellreel_dispatch`, from crashes that all gateways tell each other;
-//! here they are stopped before they are sent.
+//! Guard: a request that crashes each worker that begins to run it would be sent on to the
+//! next one, at any gateway, as often as its caller returns, and each crash ends what else
+//! runs there. Which requests are quarantined is decided in `bluebellreel_dispatch`, from
+//! crashes of which all gateways notify each other; here they are stopped before they are
+//! sent.
 
 use crate::gateway::Gateway;
-use crate::held;
 use crate::millis::millis;
+use crate::quarantine;
 use bluebellreel_dispatch::{Cleared, Fingerprint, Sender, Standing, may_try};
 use bluebellreel_types::Moment;
 use log::warn;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// What a caller is told whose request is held back.
+/// The reason in the answer to a caller whose request is quarantined.
 pub(crate) const REASON: &str = "workers crash under it";
 
-/// Time after which a request that another daemon may try out may return here.
-const TURN: Duration = Duration::from_secs(1);
+/// Backoff of a request that another daemon may try out.
+const TRIED_ELSEWHERE_BACKOFF: Duration = Duration::from_secs(1);
 
 /// A request that shows whether workers can run it now, as long as it lives. Others like
 /// it wait for what it shows.
@@ -45,7 +45,7 @@
 }
 
 impl Trial {
-    /// Tells all that a request is tried out, if it is.
+    /// Notifies all that a request is tried out, if it is.
     pub(crate) fn begin(gw: &Rc<Gateway>, request: &str, leave: Leave) -> Option<Self> {
         let Leave::OnTrial(fingerprint) = leave else {
             return None;
@@ -75,7 +75,7 @@
         Standing::OnTrial(since) if may_try_here(gw, fingerprint, sender, since) => {
             return Ok(Leave::OnTrial(fingerprint));
         }
-        Standing::OnTrial(_) => now + TURN,
+        Standing::OnTrial(_) => now + TRIED_ELSEWHERE_BACKOFF,
         Standing::Quarantined(until) => until,
     };
     let held_ms = millis(until.since(now));
@@ -98,7 +98,7 @@
     let fingerprint = fingerprint();
     let cleared = gw.suspects.borrow_mut().completed(fingerprint, gw.now());
     if cleared == Cleared::Quarantine {
-        held::forget(gw, fingerprint);
+        quarantine::remove(gw, fingerprint);
     }
     if cleared != Cleared::Nothing {
         gw.report_due.notify_one();
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -24,16 +24,16 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(300);
-/// Time between looks of a daemon that does not watch whether it should.
-const LOOK: Duration = Duration::from_millis(250);
+/// Time between checks of a daemon that does not watch whether it should.
+const CHECK_EVERY: Duration = Duration::from_millis(250);
 /// How long a worker that is missing after an outage may take to register
 /// again: the platform says about two seconds.
-const REGISTER_AGAIN: Duration = Duration::from_millis(2500);
+const REGISTER_AGAIN_LONGEST: Duration = Duration::from_millis(2500);
 /// Time for which the store must have served a peer to have been there all
 /// along: longer than daemons take to notice the end of an outage.
-const ALL_ALONG: Duration = Duration::from_secs(6);
+const SERVED_ALL_ALONG: Duration = Duration::from_secs(6);
 /// How long the answer to a request to empty a VM is repeated.
-const SAY_EMPTY: Duration = Duration::from_secs(30);
+const REPORT_EMPTY_LONGEST: Duration = Duration::from_secs(30);
 
 /// Whether this daemon is one of those that watch.
 fn is_watcher(gw: &Gateway) -> bool {
@@ -97,7 +97,7 @@
 
 fn operator_seen_to(gw: &Gateway, revision: i64) {
     let mut facts = gw.facts.borrow_mut();
-    facts.told_by_store();
+    facts.confirmed_by_store();
     facts.operator_seen = facts.operator_seen.max(revision);
 }
 
@@ -107,16 +107,19 @@
         facts.configure(kv.revision, &kv.value, "store", gw.now());
         gw.report_due.notify_one();
     } else if let Some(vm) = keys::vm_to_empty(kv.key.as_str()) {
-        tokio::task::spawn_local(say_empty(gw.clone(), vm.to_owned()));
+        tokio::task::spawn_local(report_empty(gw.clone(), vm.to_owned()));
     }
 }
 
 /// VMs with a disk hold nothing of ours, so one that is to be emptied is empty
 /// at once. Each watching daemon writes the same; one write suffices.
-async fn say_empty(gw: Rc<Gateway>, vm: String) {
+async fn report_empty(gw: Rc<Gateway>, vm: String) {
     let key = Key::from(keys::vm_status(&vm));
     let txn = Txn::create(key, keys::vm_is_empty().to_vec());
-    let outcome = gw.store.commit(&txn, Instant::now() + SAY_EMPTY).await;
+    let outcome = gw
+        .store
+        .commit(&txn, Instant::now() + REPORT_EMPTY_LONGEST)
+        .await;
     info!(target: "facts", vm = vm.as_str(), outcome:? = outcome; "VM reported empty");
 }
 
@@ -125,8 +128,12 @@
 /// A store that has served a peer all along was not away, it was cut off from
 /// this daemon: entries did not lapse, and a worker that is missing leaves.
 fn keep_missing_until(gw: &Gateway) -> Option<Moment> {
-    let left = REGISTER_AGAIN.checked_sub(gw.store.regained_for()?)?;
-    if gw.members.borrow().is_served_for(ALL_ALONG, gw.now()) {
+    let left = REGISTER_AGAIN_LONGEST.checked_sub(gw.store.regained_for()?)?;
+    if gw
+        .members
+        .borrow()
+        .is_served_for(SERVED_ALL_ALONG, gw.now())
+    {
         return None;
     }
     Some(gw.now() + left)
@@ -194,11 +201,11 @@
 /// Time without what a peer knows after which a daemon that does not watch
 /// looks for itself. Peers answer within some milliseconds; one of another
 /// version, or behind a cut, may never do so.
-const LEFT_BEHIND: Duration = Duration::from_secs(1);
+const STALE_LONGEST: Duration = Duration::from_secs(1);
 
 /// Whether a peer has known more than this daemon for too long. `since` holds
 /// since when one does.
-fn is_left_behind(gw: &Gateway, since: &Cell<Option<Moment>>) -> bool {
+fn is_stale(gw: &Gateway, since: &Cell<Option<Moment>>) -> bool {
     let now = gw.now();
     let lacks = {
         let facts = gw.facts.borrow();
@@ -211,15 +218,14 @@
     }
     let begun = since.get().unwrap_or(now);
     since.set(Some(begun));
-    (begun + LEFT_BEHIND).is_past(now)
+    (begun + STALE_LONGEST).is_past(now)
 }
 
 /// Lists a prefix and follows its changes for ever.
 ///
 /// After a gap in the history, and after a watch that failed, it lists again at
-/// once. The store may stop telling watches of changes while it drops its
-/// history: a watch opened then brings nothing and waits its time out, and
-/// callers of a new route would get 404 for as long. A list shows what is so.
+/// once: a watch opened while the store drops its history may bring nothing and
+/// wait its time out, and callers of a new route would get 404 for as long.
 async fn follow(gw: &Rc<Gateway>, prefix: Key, subject: &Subject) {
     let failing = Cell::new(None::<Moment>);
     let behind = Cell::new(None::<Moment>);
@@ -234,10 +240,10 @@
         // itself: its peers may have nothing that it lacks, and say nothing.
         let by_store = !gw.facts.borrow().is_from_snapshot();
         let known = by_store && (subject.seen)(gw) > 0;
-        if known && !relist && !is_watcher(gw) && !is_left_behind(gw, &behind) {
+        if known && !relist && !is_watcher(gw) && !is_stale(gw, &behind) {
             // What a peer brings meanwhile is complete up to its revision.
             must_list = false;
-            sleep(LOOK).await;
+            sleep(CHECK_EVERY).await;
             continue;
         }
         if must_list || !known {
