Names of dispatch: backoff, tombstones, evict; comments without figures of one fleet

Change: names and comments only, also one constant of the keeper's rounds; values are the same. Evidence: clippy; cargo test of dispatch, the keeper, the gateway and the platform's stand-ins.

--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -312,7 +312,7 @@
 
     /// Stops counting peers that were not heard in time: their runs ended with
     /// them, or will.
-    pub fn forget_silent(&mut self, now: Moment) {
+    pub fn evict_silent(&mut self, now: Moment) {
         let before = self.peers.len();
         self.peers.retain(|_, load| !load.expires_at.is_past(now));
         self.places.retain(|peer, _| self.peers.contains_key(peer));
--- a/crates/bluebellreel_dispatch/src/catalog.rs
+++ b/crates/bluebellreel_dispatch/src/catalog.rs
@@ -1,7 +1,7 @@
-//! Which workers there are, as the platform's store tells.
+//! Which workers there are, as the platform's store says.
 //!
 //! Each fact carries the store's revision, and the higher one wins, whichever
-//! way it came: by a watch of our own, by a list, or told by a peer.
+//! way it came: by a watch of our own, by a list, or by a peer.
 
 use bluebellreel_types::{DataCentre, Moment, WorkerName};
 use serde::{Deserialize, Serialize};
@@ -53,7 +53,7 @@
 pub struct WorkerRecord {
     /// The worker.
     pub id: WorkerName,
-    /// Its life; none where workers do not tell.
+    /// Its life; none where workers do not say.
     pub boot: Option<Boot>,
     /// The service that it serves.
     pub service: Arc<str>,
@@ -86,9 +86,9 @@
     removals_after: i64,
 }
 
-/// Removed entries that are remembered, so that an older fact does not bring a
-/// worker back.
-const REMEMBERED: usize = 4096;
+/// Most tombstones kept, so that an older fact does not bring a removed worker
+/// back.
+const MAX_TOMBSTONES: usize = 4096;
 
 impl Catalog {
     /// Revision up to which all changes are known.
@@ -282,7 +282,7 @@
 
     fn forget_some(&mut self) {
         let gone = self.entries.values().filter(|e| e.record.is_none()).count();
-        if gone <= REMEMBERED {
+        if gone <= MAX_TOMBSTONES {
             return;
         }
         let oldest = self
--- a/crates/bluebellreel_dispatch/src/overload.rs
+++ b/crates/bluebellreel_dispatch/src/overload.rs
@@ -11,14 +11,14 @@
 use std::time::Duration;
 
 /// Time without a refusal after which the next one begins a new overload.
-const OVER: Duration = Duration::from_secs(1);
+const OVER_AFTER: Duration = Duration::from_secs(1);
 /// Shortest guess: a slot of any worker comes free sooner, but not for all that
 /// were refused with it.
-const SHORTEST: Duration = Duration::from_millis(600);
+const SHORTEST_GUESS: Duration = Duration::from_millis(600);
 /// Callers heed a time to return of up to this part of the time they have left.
-const HEEDED: u32 = 3;
+const HEEDED_PART: u32 = 3;
 /// The earliest return, as a part of the latest: returns spread over the rest.
-const SPREAD: u32 = 3;
+const EARLIEST_PART: u32 = 3;
 
 #[derive(Clone, Copy, Debug)]
 struct Overload {
@@ -40,17 +40,17 @@
             refused_at: now,
         };
         let known = self.services.entry(service.clone()).or_insert(begun);
-        if (known.refused_at + OVER).is_past(now) {
+        if (known.refused_at + OVER_AFTER).is_past(now) {
             *known = begun;
         }
         known.refused_at = now;
         now.since(known.since)
     }
 
-    /// Forgets overloads that are over.
+    /// Evicts overloads that are over.
     pub fn sweep(&mut self, now: Moment) {
         self.services
-            .retain(|_, o| !(o.refused_at + OVER).is_past(now));
+            .retain(|_, o| !(o.refused_at + OVER_AFTER).is_past(now));
     }
 }
 
@@ -59,7 +59,7 @@
 /// 1 and spreads the callers.
 #[must_use]
 pub fn return_after(lasted: Duration, left: Duration, draw: f64) -> Duration {
-    let latest = (lasted.max(SHORTEST) * 2).min(left / HEEDED);
-    let earliest = latest / SPREAD;
+    let latest = (lasted.max(SHORTEST_GUESS) * 2).min(left / HEEDED_PART);
+    let earliest = latest / EARLIEST_PART;
     earliest + latest.saturating_sub(earliest).mul_f64(draw)
 }
--- a/crates/bluebellreel_dispatch/src/pace.rs
+++ b/crates/bluebellreel_dispatch/src/pace.rs
@@ -8,14 +8,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Weight of a new sample. About ten events decide, a third of a second of one
-/// stream.
-const WEIGHT: f64 = 0.1;
+/// Weight of a new sample: about ten events decide.
+const SAMPLE_WEIGHT: f64 = 0.1;
 /// How long a pace is believed without a new sample.
-const BELIEVED: Duration = Duration::from_secs(5);
-/// Time that a run holds its slot before any has been seen. Runs of today's
-/// deployments last 450 to 700 ms.
-const FIRST_RUN: Duration = Duration::from_millis(600);
+const PACE_KEPT: Duration = Duration::from_secs(5);
+/// Time that a run is assumed to hold its slot before any has been seen.
+const ASSUMED_RUN: Duration = Duration::from_millis(600);
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Sample {
@@ -35,7 +33,7 @@
     fn default() -> Self {
         Self {
             events: BTreeMap::new(),
-            run_seconds: FIRST_RUN.as_secs_f64(),
+            run_seconds: ASSUMED_RUN.as_secs_f64(),
             usual_seconds: None,
         }
     }
@@ -45,11 +43,11 @@
     /// Two events of one stream came so far apart.
     pub fn note_interval(&mut self, worker: &WorkerName, interval: Duration, now: Moment) {
         let seconds = interval.as_secs_f64();
-        let until = now + BELIEVED;
+        let until = now + PACE_KEPT;
         self.events
             .entry(worker.clone())
             .and_modify(|s| {
-                s.seconds += WEIGHT * (seconds - s.seconds);
+                s.seconds += SAMPLE_WEIGHT * (seconds - s.seconds);
                 s.until = until;
             })
             .or_insert(Sample { seconds, until });
@@ -62,7 +60,7 @@
 
     /// An online run held its slot for so long.
     pub fn note_run(&mut self, lasted: Duration) {
-        self.run_seconds += WEIGHT * (lasted.as_secs_f64() - self.run_seconds);
+        self.run_seconds += SAMPLE_WEIGHT * (lasted.as_secs_f64() - self.run_seconds);
     }
 
     /// Time between events of a worker, as far as it is known.
@@ -88,7 +86,7 @@
         Duration::from_secs_f64(self.run_seconds / f64::from(slots.max(1)))
     }
 
-    /// Forgets what is no longer believed, and learns the usual pace: that of
+    /// Evicts what is no longer believed, and learns the usual pace: that of
     /// the worker in the middle.
     pub fn sweep(&mut self, now: Moment) {
         self.events.retain(|_, s| !s.until.is_past(now));
--- a/crates/bluebellreel_dispatch/src/peer.rs
+++ b/crates/bluebellreel_dispatch/src/peer.rs
@@ -30,7 +30,7 @@
     pub running: Running,
 }
 
-/// The newest word of one peer.
+/// The newest report of one peer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PeerLoad {
     /// Sequence of the report, so that a reordered datagram is not believed.
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -82,9 +82,7 @@
 /// The emptier of two drawn at random.
 ///
 /// What is known of peers' runs is a moment old. If every daemon chose the
-/// emptiest worker, all would choose the same one: at 25 daemons before 55
-/// workers that sent one request in four to a worker whose slots had all been
-/// taken meanwhile, though others were free.
+/// emptiest worker, all would choose the same one.
 fn better_of_two<'a>(alike: &[&'a Seat], salt: u64) -> &'a Seat {
     let count = alike.len() as u64;
     let first = salt % count;
@@ -104,8 +102,8 @@
 
 /// How long one more online request would stand in line at a worker.
 ///
-/// A slot of 8 comes free about every 90 ms where a run lasts 700 ms; four
-/// times as slowly at a worker that is four times as slow.
+/// Slots come free as often as runs end: four times as slowly at a worker that is
+/// four times as slow.
 fn expected_wait(board: &Board, seat: &Seat, now: Moment) -> Duration {
     let before = (seat.running().online + 1).saturating_sub(seat.record.slots);
     let one = board.paces.wait_for_one(seat.record.slots);
@@ -114,15 +112,15 @@
 }
 
 /// How much slower than usual a worker is from which on others are preferred.
-const SLOW: f64 = 1.6;
+const SLOW_FACTOR: f64 = 1.6;
 
 fn is_slow(board: &Board, seat: &Seat, now: Moment) -> bool {
-    board.paces.slowness(&seat.record.id, now) > SLOW
+    board.paces.slowness(&seat.record.id, now) > SLOW_FACTOR
 }
 
 /// Time without any event from a worker after which it counts as silent, and
 /// not only as busy. Events of one stream come some 30 ms apart.
-const BUSY: Duration = Duration::from_millis(120);
+const SILENT_AFTER: Duration = Duration::from_millis(120);
 
 /// Whether a request that has waited long for its first byte does better
 /// elsewhere.
@@ -136,7 +134,7 @@
         return false;
     };
     let last_event_at = board.seat(worker).map_or(Moment(0), |s| s.last_event_at);
-    let busy = !(last_event_at + BUSY).is_past(query.now);
+    let busy = !(last_event_at + SILENT_AFTER).is_past(query.now);
     let free = board.seat(&other).is_some_and(|s| s.free() > 0);
     free || !busy
 }
@@ -200,18 +198,15 @@
     best_for_batch(board, query, &ours)
 }
 
-/// Time after an event of a run of ours for which its worker counts as one that
-/// does its work: the time of some seventy events, and long enough to know several
-/// workers from the ten or so runs that a daemon has.
-const PROVEN: Duration = Duration::from_secs(2);
+/// How long a worker counts as proven after an event of a run of ours: long enough
+/// to know several workers from the ten or so runs that a daemon has.
+const PROVEN_AFTER_EVENT: Duration = Duration::from_secs(2);
 
 /// Chooses a worker for an item that has failed at others.
 ///
 /// A worker that fails at once whatever it is sent has the most free slots, and
-/// would get the item's next try as well: where three in ten workers did so, two
-/// items in five were given up though nothing was wrong with them. So no worker
-/// gets an item twice while another one is trusted, and one whose runs here give
-/// events goes first.
+/// would get the item's next try as well. So no worker gets an item twice while
+/// another one is trusted, and one whose runs here give events goes first.
 fn place_failed_item(
     board: &Board,
     query: &Query,
@@ -222,7 +217,7 @@
     if mine.is_empty() && theirs.is_empty() {
         return best_for_batch(board, query, ours);
     }
-    let is_proven = |s: &&Seat| !(s.last_event_at + PROVEN).is_past(query.now);
+    let is_proven = |s: &&Seat| !(s.last_event_at + PROVEN_AFTER_EVENT).is_past(query.now);
     let both = mine.iter().chain(&theirs).copied();
     let proven: Vec<&Seat> = both.filter(is_proven).collect();
     [&proven, &mine, &theirs]
--- a/crates/bluebellreel_dispatch/tests/placement.rs
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -32,7 +32,7 @@
     peer(&mut board, "entry-2", 2, 0, &[(0, 4, 0), (2, 0, 0)]);
     assert_eq!(online(&board), Placement::Send(name(0)));
     // A peer that is not heard any more runs nothing that counts.
-    board.forget_silent(NOW + Duration::from_secs(3));
+    board.evict_silent(NOW + Duration::from_secs(3));
     assert!(board.seats().all(|s| s.peers.total() == 0));
 }
 
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -163,7 +163,7 @@
     gw.keepers.borrow_mut().sweep(now);
     gw.overloads.borrow_mut().sweep(now);
     gw.suspects.borrow_mut().sweep(now);
-    gw.board.borrow_mut().forget_silent(now);
+    gw.board.borrow_mut().evict_silent(now);
     gw.board.borrow_mut().paces.sweep(now);
     let expired = gw.facts.borrow_mut().catalog.expire(now);
     if expired {
--- a/crates/bluebellreel_keeper/src/rounds.rs
+++ b/crates/bluebellreel_keeper/src/rounds.rs
@@ -15,9 +15,9 @@
 /// second, 0.1 % of a core, also before some hundred gateways.
 const APART: Duration = Duration::from_millis(50);
 
-/// Silence after which a gateway is forgotten: a VM that was replaced does not
+/// Silence after which a gateway is evicted: a VM that was replaced does not
 /// come back. One that does is named by its peers.
-const FORGOTTEN: Duration = Duration::from_mins(10);
+const EVICTED_AFTER: Duration = Duration::from_mins(10);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Stop {
@@ -83,7 +83,7 @@
             return false;
         }
         let since = *stop.silent_since.get_or_insert(now);
-        (since + FORGOTTEN).is_past(now)
+        (since + EVICTED_AFTER).is_past(now)
     }
 }
 
