--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -5,7 +5,7 @@
 use crate::crash::{self, Cut};
 use crate::events::Events;
 use crate::gateway::Gateway;
-use crate::online::millis;
+use crate::millis::millis;
 use crate::pulse::Pulse;
 use crate::suspicion::{self, Leave, Trial};
 use crate::ticket::{AFTER_RESTART, Place, worker_restarted};
