--- a/crates/bluebellreel_gateway/src/detour.rs
+++ b/crates/bluebellreel_gateway/src/detour.rs
@@ -37,7 +37,7 @@
 }
 
 /// Longest that a peer's call may take; that of a watch.
-const LONGEST: Duration = Duration::from_secs(5);
+const CALL_LONGEST: Duration = Duration::from_secs(5);
 
 /// Lets a daemon's store client go by way of its peers.
 pub(crate) fn install(gw: &Rc<Gateway>) {
@@ -110,7 +110,7 @@
         .map_err(|_| format!("path {}", call.path))?;
     let json = HeaderValue::from_static("application/json");
     req.headers_mut().insert(header::CONTENT_TYPE, json);
-    let longest = Duration::from_millis(call.longest_ms).min(LONGEST);
+    let longest = Duration::from_millis(call.longest_ms).min(CALL_LONGEST);
     let outcome = match gw.store.straight(req, longest).await {
         Ok((status, body)) => Outcome::Answered(status.as_u16(), body.to_vec()),
         Err(KvError::NotDone(reason) | KvError::Refused(reason)) => Outcome::NotDone(reason),
--- a/crates/bluebellreel_gateway/src/jobs/archive.rs
+++ b/crates/bluebellreel_gateway/src/jobs/archive.rs
@@ -5,9 +5,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
-/// Bytes of results kept. A small VM has some 100 MB; a day's results of one
-/// daemon are some megabytes.
-const BYTES: usize = 12 * 1024 * 1024;
+/// Bytes of results kept. A small VM has some 100 MB.
+const MAX_BYTES: usize = 12 * 1024 * 1024;
 
 /// The final results of one job.
 pub(crate) struct Archived {
@@ -41,7 +40,7 @@
         self.bytes += archived.bytes();
         self.order.push_back(id.clone());
         self.jobs.insert(id, Rc::new(archived));
-        while self.bytes > BYTES && self.order.len() > 1 {
+        while self.bytes > MAX_BYTES && self.order.len() > 1 {
             let Some(oldest) = self.order.pop_front() else {
                 return;
             };
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -24,7 +24,7 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 /// How much longer a read waits for results that are being written. The store
 /// answers in some 4 ms; to read the job there costs two calls.
-const SETTLE: Duration = Duration::from_millis(100);
+const SETTLE_LONGEST: Duration = Duration::from_millis(100);
 /// When a caller should return while a job cannot be read.
 const RETURN_AFTER: Duration = Duration::from_millis(300);
 
@@ -155,7 +155,7 @@
         {
             let job = owned.job.borrow();
             let is_over = !job.is_open() || gw.stopping.get() || Instant::now() >= until;
-            let settles = job.is_writing() && Instant::now() < until + SETTLE;
+            let settles = job.is_writing() && Instant::now() < until + SETTLE_LONGEST;
             if job.listed.len() > after || (is_over && !settles) {
                 return;
             }
@@ -164,7 +164,7 @@
         let until = if Instant::now() < until {
             until
         } else {
-            until + SETTLE
+            until + SETTLE_LONGEST
         };
         let _ = timeout_at(until, listed).await;
     }
--- a/crates/bluebellreel_gateway/src/lease.rs
+++ b/crates/bluebellreel_gateway/src/lease.rs
@@ -13,9 +13,9 @@
 
 /// Time to live of a daemon's entry. Short, as a dead daemon's jobs wait for
 /// it to end; a renewal costs a tenth of a read.
-const TTL: Duration = Duration::from_millis(3600);
+const ENTRY_TTL: Duration = Duration::from_millis(3600);
 /// Time between renewals: three within the time to live.
-const RENEWAL: Duration = Duration::from_millis(1100);
+const RENEW_EVERY: Duration = Duration::from_millis(1100);
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -48,7 +48,7 @@
 
 async fn renew_until_it_ends(gw: &Rc<Gateway>, lease: i64) {
     while gw.lease.get() == lease && !gw.stopping.get() {
-        sleep(RENEWAL).await;
+        sleep(RENEW_EVERY).await;
         let sent = gw.stamp();
         match gw.store.renew(lease).await {
             Ok(true) => renewed(gw, sent),
@@ -63,7 +63,7 @@
 }
 
 async fn register(gw: &Rc<Gateway>) -> Result<i64, KvError> {
-    let ttl = TTL.max(gw.settings.shortest_lease);
+    let ttl = ENTRY_TTL.max(gw.settings.shortest_lease);
     let lease = gw.store.lease(ttl).await?;
     let entry = MemberEntry {
         run: gw.run,
--- a/crates/bluebellreel_gateway/src/leave.rs
+++ b/crates/bluebellreel_gateway/src/leave.rs
@@ -24,15 +24,15 @@
 const BEFORE_KILL: Duration = Duration::from_millis(700);
 /// Share of the time to the end after which new requests are refused: answers
 /// take more than a second under load, and a request passed on later may be cut.
-const REFUSE_FROM: f64 = 0.6;
+const REFUSE_FROM_SHARE: f64 = 0.6;
 /// Time kept before the end for closing the doors: refusals that are on their
 /// way, connections that wait to be accepted.
 const CLOSE_DOORS: Duration = Duration::from_millis(300);
 /// Longest wait for the store to take the lease back. It takes some
 /// milliseconds; from a silent store the lease lapses by itself.
-const RELEASE: Duration = Duration::from_millis(300);
-/// Time between looks whether requests are still in progress.
-const LOOK: Duration = Duration::from_millis(20);
+const RELEASE_LONGEST: Duration = Duration::from_millis(300);
+/// Time between checks whether requests are still in progress.
+const CHECK_EVERY: Duration = Duration::from_millis(20);
 
 /// A stop that was asked for.
 struct Leaving<'a> {
@@ -55,7 +55,7 @@
             doors,
             hand_overs: Rc::default(),
             asked_at,
-            refuse_from: asked_at + left.mul_f64(REFUSE_FROM),
+            refuse_from: asked_at + left.mul_f64(REFUSE_FROM_SHARE),
             end: asked_at + left,
         }
     }
@@ -80,7 +80,7 @@
         spawn_local(async move {
             loop {
                 hand_overs.begin(&gw);
-                sleep(LOOK).await;
+                sleep(CHECK_EVERY).await;
             }
         });
     }
@@ -92,7 +92,7 @@
         self.doors.callers.stop.close();
         self.log_phase("idle connections closed");
         while self.is_busy() && Instant::now() < self.refuse_from {
-            sleep(LOOK).await;
+            sleep(CHECK_EVERY).await;
         }
     }
 
@@ -103,7 +103,7 @@
     async fn refuse_and_give_lease_back(&self) {
         self.gw.refusing.set(true);
         self.log_phase("requests refused");
-        let until = (Instant::now() + RELEASE).min(self.end);
+        let until = (Instant::now() + RELEASE_LONGEST).min(self.end);
         let released = timeout_at(until, lease::unregister(self.gw)).await;
         if released.is_err() {
             warn!(target: "members", "lease not given back in time");
@@ -118,7 +118,7 @@
         let shut_at = self.end - CLOSE_DOORS;
         let is_busy = || self.gw.in_progress.count() > 0 || self.hand_overs.is_busy(self.gw);
         while is_busy() && Instant::now() < shut_at {
-            sleep(LOOK).await;
+            sleep(CHECK_EVERY).await;
         }
         for door in [&self.doors.callers, &self.doors.peers] {
             door.stop.finish();
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -25,9 +25,9 @@
 
 /// Longest answer that is gathered before it is passed on.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
-/// Time between looks whether a request whose first byte is late does better
+/// Time between checks whether a request whose first byte is late does better
 /// elsewhere.
-const LOOK_AGAIN: Duration = Duration::from_millis(40);
+const RECHECK_EVERY: Duration = Duration::from_millis(40);
 /// Sends that nothing came of before a request is given up. Refusals by
 /// workers cost a round trip each.
 const MOST_REFUSALS: u32 = 4;
@@ -104,7 +104,7 @@
                     gw.board.borrow_mut().failed(&ticket, gw.now());
                     break Err(NoAnswer::Silent);
                 }
-                due = (Instant::now() + LOOK_AGAIN).min(req.deadline);
+                due = (Instant::now() + RECHECK_EVERY).min(req.deadline);
             }
         }
     };
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -29,7 +29,7 @@
 /// Silence after which a stream goes on at another worker. Events come some
 /// 30 ms apart and a pause is late from 300 ms on: noticed after half of it,
 /// the other worker still brings its first event in time.
-const SILENCE: Duration = Duration::from_millis(150);
+const SILENCE_LONGEST: Duration = Duration::from_millis(150);
 /// Events in whose time a slow worker must give the next one.
 const SLOW_INTERVALS: f64 = 2.5;
 /// Share of a route's longest pause after which a slow worker is left, too.
@@ -206,7 +206,7 @@
         let pace = board.paces.interval(worker, self.gw.now());
         let slow = pace.unwrap_or_default().mul_f64(SLOW_INTERVALS);
         let late = self.req.route.pause.mul_f64(LATE_PAUSE_SHARE);
-        SILENCE.max(slow.min(late))
+        SILENCE_LONGEST.max(slow.min(late))
     }
 
     async fn bring(&mut self) -> Brought {
@@ -361,7 +361,7 @@
         .borrow()
         .seat(worker)
         .map_or(0, |s| s.running().total().saturating_sub(s.record.slots));
-    Instant::now() + SILENCE + Duration::from_millis(110) * waiting
+    Instant::now() + SILENCE_LONGEST + Duration::from_millis(110) * waiting
 }
 
 impl Drop for Relay {
--- a/crates/bluebellreel_gateway/src/reload.rs
+++ b/crates/bluebellreel_gateway/src/reload.rs
@@ -12,8 +12,8 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-/// Time between looks at the file. It is read whole, some hundred bytes.
-const LOOK: Duration = Duration::from_secs(3);
+/// Time between reads of the file, which has some hundred bytes.
+const CHECK_EVERY: Duration = Duration::from_secs(3);
 
 /// What a daemon gets from the program around it.
 pub struct Surroundings {
@@ -43,7 +43,7 @@
     let mut known = gw.settings.clone();
     let mut known_error = String::new();
     loop {
-        let changed = timeout(LOOK, around.settings_changed.notified()).await;
+        let changed = timeout(CHECK_EVERY, around.settings_changed.notified()).await;
         let signalled = changed.is_ok();
         match (around.read_settings)() {
             Ok(read) => {
--- a/crates/bluebellreel_gateway/src/request.rs
+++ b/crates/bluebellreel_gateway/src/request.rs
@@ -18,7 +18,7 @@
 /// How long a worker with a free slot may take to its first byte before a
 /// request that may be repeated goes elsewhere. An idle engine takes some
 /// 20 ms; a send elsewhere must still leave half of a 300 ms objective.
-const FIRST_BYTE: Duration = Duration::from_millis(130);
+const FIRST_BYTE_LONGEST: Duration = Duration::from_millis(130);
 /// Added for each request that waits before it: about the time in which one of
 /// a worker's slots comes free.
 const FIRST_BYTE_PER_WAITING: Duration = Duration::from_millis(110);
@@ -96,7 +96,7 @@
             .borrow()
             .seat(worker)
             .map_or(0, |s| s.running().online.saturating_sub(s.record.slots));
-        let wait = FIRST_BYTE + FIRST_BYTE_PER_WAITING * waiting;
+        let wait = FIRST_BYTE_LONGEST + FIRST_BYTE_PER_WAITING * waiting;
         (Instant::now() + wait).min(self.deadline)
     }
 }
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -25,10 +25,10 @@
 /// The same for connections of peers and the balancer.
 const INNER_IDLE: Duration = Duration::from_secs(30);
 /// Time between clean-ups of what has outlived its time.
-const SWEEP: Duration = Duration::from_millis(250);
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
 /// Time without most peers after which a daemon counts as cut off from them. One
 /// that has just started reads who they are, and hears all within half a second.
-const CUT_OFF: Duration = Duration::from_secs(1);
+const ISOLATED_AFTER: Duration = Duration::from_secs(1);
 
 /// Runs a gateway until it is asked to stop by a signal; whether nothing was
 /// cut.
@@ -139,7 +139,7 @@
     spawn_local(jobs::adopt_orphans(gw.clone()));
     spawn_local(jobs::copy_progress(gw.clone()));
     let g = gw.clone();
-    every(SWEEP, move || sweep(&g));
+    every(SWEEP_EVERY, move || sweep(&g));
     Ok(())
 }
 
@@ -182,7 +182,7 @@
     let since = gw.isolated_since.get();
     gw.isolated_since
         .set(isolated.then_some(since.unwrap_or(now)));
-    if !isolated && since.is_some_and(|since| (since + CUT_OFF).is_past(now)) {
+    if !isolated && since.is_some_and(|since| (since + ISOLATED_AFTER).is_past(now)) {
         // Peers may have taken jobs over unheard, and workers have left.
         gw.interrupt_tenure();
         gw.rejoined.set(gw.rejoined.get() + 1);
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -20,10 +20,10 @@
 use tokio::time::Instant;
 
 /// When a caller should return to a daemon that knows no configuration yet.
-const NOT_CONFIGURED: Duration = Duration::from_millis(500);
+const RETRY_UNCONFIGURED: Duration = Duration::from_millis(500);
 
 /// When a caller should return to another daemon.
-const STOPPING: Duration = Duration::from_millis(50);
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 
 /// Answers a caller. While the daemon stops, every answer asks the caller to
 /// open its next connection elsewhere.
@@ -71,7 +71,7 @@
     }
     let Some(configuration) = gw.configuration() else {
         let reason = "no configuration yet";
-        return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, NOT_CONFIGURED);
+        return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, RETRY_UNCONFIGURED);
     };
     if head_bytes(&req) > configuration.limits.head_bytes {
         return answers::status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
@@ -86,7 +86,7 @@
         if gw.facts.borrow().is_from_snapshot() {
             // It may be newer than the snapshot.
             let reason = "store away";
-            return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, NOT_CONFIGURED);
+            return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, RETRY_UNCONFIGURED);
         }
         return answers::failure(StatusCode::NOT_FOUND, "no route");
     };
@@ -112,7 +112,7 @@
 
 /// Tells a caller that its request has not run, as this daemon ends.
 fn refusal() -> Response<Body> {
-    answers::come_back(StatusCode::SERVICE_UNAVAILABLE, "stopping", STOPPING)
+    answers::come_back(StatusCode::SERVICE_UNAVAILABLE, "stopping", RETRY_ELSEWHERE)
 }
 
 /// Bytes of a request's head, without what the protocol adds between its parts.
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -24,23 +24,23 @@
 /// Longest wait for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle time of connections.
-const IDLE: Duration = Duration::from_secs(5);
+const CONNECTION_IDLE: Duration = Duration::from_secs(5);
 /// Idle connections kept.
-const IDLE_COUNT: usize = 4;
+const MAX_IDLE: usize = 4;
 /// Pause before a refused or lost call is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(150);
 /// Longest answer read.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Time in which every straight call failed after which the store counts as
 /// lost. A single call may fail by a reset connection.
-const LOST: Duration = Duration::from_millis(500);
+const LOST_AFTER: Duration = Duration::from_millis(500);
 /// Time in which every straight call failed after which a success counts as
 /// the end of an outage. Leases lapse only in longer ones, but this daemon may
 /// have made its first call late in it.
-const OUTAGE: Duration = Duration::from_millis(250);
+const OUTAGE_SHORTEST: Duration = Duration::from_millis(250);
 /// Time after the start in which a store that is there has answered: it takes
 /// some 4 ms, and a new daemon calls it at once.
-const FIRST_ANSWER: Duration = Duration::from_millis(300);
+const FIRST_ANSWER_LONGEST: Duration = Duration::from_millis(300);
 /// How much longer than asked for a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
@@ -85,8 +85,8 @@
     pub(crate) fn new(address: SocketAddr, latency: Histogram) -> Self {
         let limits = PoolLimits {
             connect: CONNECT_TIMEOUT,
-            idle: IDLE,
-            idle_per_address: IDLE_COUNT,
+            idle: CONNECTION_IDLE,
+            idle_per_address: MAX_IDLE,
         };
         Self {
             pool: Pool::new(limits),
@@ -115,13 +115,13 @@
     /// Whether the store turns this daemon's own calls away.
     pub(crate) fn is_lost(&self) -> bool {
         let failing = self.failing_since.get();
-        failing.is_some_and(|since| since.elapsed() > LOST)
+        failing.is_some_and(|since| since.elapsed() > LOST_AFTER)
     }
 
     /// Whether this daemon has looked for the store since its start, and nobody
     /// has answered.
     pub(crate) fn finds_nobody(&self) -> bool {
-        let looked = self.failures.get() > 0 || self.started.elapsed() > FIRST_ANSWER;
+        let looked = self.failures.get() > 0 || self.started.elapsed() > FIRST_ANSWER_LONGEST;
         looked && self.answered_at.get().is_none()
     }
 
@@ -197,7 +197,7 @@
         });
         if is_good(&answer) {
             let failing = self.failing_since.take();
-            if failing.is_some_and(|since| since.elapsed() >= OUTAGE) {
+            if failing.is_some_and(|since| since.elapsed() >= OUTAGE_SHORTEST) {
                 self.regained_at.set(Some(Instant::now()));
             }
         } else if self.failing_since.get().is_none() {
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -115,7 +115,7 @@
         names.max_by_key(|name| rank_for(name, job)).cloned()
     }
 
-    /// Takes a peer's word over; whether it was not heard before as this run.
+    /// Takes a peer's report over; whether it was not heard before as this run.
     ///
     /// A daemon that is killed and back within half a second is never missed,
     /// but the jobs of its run before have no owner: its new run is news.
