A segment that is taken by other results makes the owner read the job anew

Evidence: found by review; an_owner_whose_segment_is_taken_reads_the_job_anew: 'never: the job is done' before, 0.1 s after. Change: a refused write that finds other results evicts the job, as it did before; the look for open jobs brings it back with what is recorded.

--- a/crates/bluebellreel_gateway/src/jobs/record.rs
+++ b/crates/bluebellreel_gateway/src/jobs/record.rs
@@ -92,12 +92,14 @@
         Commit::Beaten(found) => {
             // A try whose answer was lost may have recorded them, and the job have
             // been ended or taken over since.
-            if let Some(revision) = own_write(&found, &txn) {
+            let own = own_write(&found, &txn);
+            if let Some(revision) = own {
                 recorded(gw, id, owned, segment, revision);
             }
             let stored = stored_record(&found, &key(&keys::record(id)));
             let revision = owned.job.borrow().revision;
-            if stored.as_ref().is_none_or(|(at, _)| *at != revision) {
+            let is_unchanged = stored.as_ref().is_some_and(|(at, _)| *at == revision);
+            if own.is_none() || !is_unchanged {
                 lost(gw, owned, stored);
             }
         }
