Gateway: no circle of imports is left among its modules

Cause: jobs' files reached each other through jobs/mod.rs, and gateway.rs took its state from there; reports and catch_up took from each other. Change: keys, stored records and ownership writes stand in jobs/stored.rs, progress is read where it is written (backup.rs), the job in memory is looked up in load.rs, the gap of reports has a file of its own; gateway.rs takes the jobs' state from jobs/own.rs. Behaviour as before; functions moved, none changed.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use crate::facts::Facts;
 use crate::in_progress::InProgress;
-use crate::jobs::Jobs;
+use crate::jobs::own::Jobs;
 use crate::keeper_visits::Keepers;
 use crate::metrics::Metrics;
 use crate::store::StoreClient;
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -6,8 +6,8 @@
 
 use super::adopt::{adopt_new, adopt_stored};
 use super::own::Accepted;
-use super::record::stored_record;
-use super::{key, quota};
+use super::quota;
+use super::stored::{key, stored_record};
 use crate::answers;
 use crate::gateway::Gateway;
 use crate::millis::millis;
--- a/crates/bluebellreel_gateway/src/jobs/adopt.rs
+++ b/crates/bluebellreel_gateway/src/jobs/adopt.rs
@@ -5,8 +5,9 @@
 //! daemon has just created begins with nothing listed; every other one begins
 //! with what the store has recorded, as somebody may have read it.
 
+use super::load::owned_job;
 use super::own::OwnedJob;
-use super::{load, owned_job, record};
+use super::{load, record};
 use crate::gateway::Gateway;
 use crate::millis::millis;
 use bluebellreel_batch::{Job, JobRecord, NewItem, Stamp};
--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -115,7 +115,7 @@
     let keepers = gw.keepers.borrow().all(gw.now());
     let asked = keepers.into_iter().map(|at| ask(gw, at, id));
     for progress in join_all(asked).await.into_iter().flatten() {
-        begun.extend(super::hand_over::read_progress(id, &progress));
+        begun.extend(read_progress(id, &progress));
     }
     info!(target: "jobs", job:% = id, begun = begun.len(); "items go on");
     job.restore(begun, gw.now());
@@ -150,7 +150,19 @@
 
 /// Keeps how far the items of a peer's job are.
 pub(crate) fn keep_copy(gw: &Gateway, id: JobId, progress: &[u8]) {
-    let items = super::hand_over::read_progress(&id, progress);
+    let items = read_progress(&id, progress);
     let until = gw.now() + COPY_KEPT;
     gw.jobs.borrow_mut().copies.keep(id, items, until);
 }
+
+/// What the items had generated; nothing if the peer did not know.
+pub(super) fn read_progress(id: &JobId, progress: &[u8]) -> Vec<ItemProgress> {
+    if progress.is_empty() {
+        return Vec::new();
+    }
+    postcard::from_bytes(progress).unwrap_or_else(|e| {
+        // The items begin anew, which is right if slower.
+        warn!(target: "jobs", job:% = id, error:% = e; "progress not read");
+        Vec::new()
+    })
+}
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -4,11 +4,11 @@
 //! is followed until it is recorded, also when the caller has left or was answered
 //! that it is not recorded yet: its sender may not ask again.
 
-use super::key;
 use super::load;
+use super::load::owned_job;
 use super::own::{Accepted, EndedBy, OwnedJob};
-use super::owned_job;
 use super::read::owner_address;
+use super::stored::key;
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
 use bluebellreel_batch::{JobPhase, JobRecord, keys};
--- a/crates/bluebellreel_gateway/src/jobs/confirm.rs
+++ b/crates/bluebellreel_gateway/src/jobs/confirm.rs
@@ -5,8 +5,10 @@
 //! what it has listed may say "nothing more is listed" only while it surely owns
 //! the job; [`bluebellreel_batch::Tenure`] tells when that is so without a call.
 
+use super::load::owned_job;
 use super::own::OwnedJob;
-use super::{key, load, owned_job, record};
+use super::stored::{key, stored_record};
+use super::{load, record};
 use crate::gateway::Gateway;
 use bluebellreel_batch::{JobPhase, jobs_to_check, keys};
 use bluebellreel_kv::{Compare, KvError};
@@ -158,7 +160,7 @@
     };
     for (owned, (id, revision)) in jobs.iter().zip(&revisions) {
         let stored = match &found {
-            Some(found) => record::stored_record(found, &key(&keys::record(id))),
+            Some(found) => stored_record(found, &key(&keys::record(id))),
             None => None,
         };
         let holds = match &stored {
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -1,13 +1,14 @@
 //! Handing jobs over when this daemon stops.
 
 use super::adopt::adopt;
+use super::backup::read_progress;
+use super::load::owned_job;
 use super::own::OwnedJob;
-use super::record::stored_record;
-use super::takeover::owner_txn;
-use super::{confirm, key, load, owned_job};
+use super::stored::{key, owner_txn, stored_record};
+use super::{confirm, load};
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
-use bluebellreel_batch::{ItemPhase, ItemProgress, Job, JobPhase, JobRecord, Owner, Stamp, keys};
+use bluebellreel_batch::{ItemPhase, Job, JobPhase, JobRecord, Owner, Stamp, keys};
 use bluebellreel_kv::{Commit, KvError};
 use bluebellreel_net::Body;
 use bluebellreel_types::JobId;
@@ -180,15 +181,3 @@
     let job = load::job(gw, id, found.record, found.revision).await?;
     Ok(Some((job, found.asked)))
 }
-
-/// What the items had generated; nothing if the peer did not know.
-pub(super) fn read_progress(id: &JobId, progress: &[u8]) -> Vec<ItemProgress> {
-    if progress.is_empty() {
-        return Vec::new();
-    }
-    postcard::from_bytes(progress).unwrap_or_else(|e| {
-        // The items begin anew, which is right if slower.
-        warn!(target: "jobs", job:% = id, error:% = e; "progress not read");
-        Vec::new()
-    })
-}
--- a/crates/bluebellreel_gateway/src/jobs/load.rs
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -1,12 +1,14 @@
 //! Reading a job from the store.
 
-use super::key;
+use super::own::OwnedJob;
+use super::stored::key;
 use crate::gateway::Gateway;
 use bluebellreel_batch::{
     ItemResult, Job, JobRecord, NewItem, RecordError, Stamp, decode_items, decode_segment, keys,
 };
 use bluebellreel_kv::{Key, KvError};
 use bluebellreel_types::JobId;
+use std::rc::Rc;
 
 fn unreadable(e: &RecordError) -> KvError {
     KvError::Refused(e.to_string())
@@ -66,3 +68,8 @@
     let segments = segments(gw, id).await?;
     Ok(Job::new(id.clone(), record, revision, input, segments))
 }
+
+/// A job that this daemon takes for its own.
+pub(super) fn owned_job(gw: &Gateway, id: &JobId) -> Option<Rc<OwnedJob>> {
+    gw.jobs.borrow().own.get(id).cloned()
+}
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -11,21 +11,18 @@
 mod confirm;
 mod hand_over;
 mod load;
-mod own;
+pub(crate) mod own;
 mod quota;
 mod read;
 mod record;
 mod runs;
+mod stored;
 mod takeover;
 
 use crate::gateway::Gateway;
-use bluebellreel_batch::keys::KeyText;
-use bluebellreel_kv::Key;
 use bluebellreel_net::Body;
 use bluebellreel_platform::ingress::JobCall;
-use bluebellreel_types::JobId;
 use http::Response;
-use own::OwnedJob;
 use std::rc::Rc;
 
 pub(crate) use accept::submit;
@@ -33,7 +30,6 @@
 pub(crate) use cancel::{cancel_own, end_reported};
 pub(crate) use confirm::{confirm_all, keep_confirmed, owner_reported};
 pub(crate) use hand_over::{HandOvers, take_hand_over};
-pub(crate) use own::{Jobs, KnownOwner};
 pub(crate) use read::{body_of_own, read_own};
 pub(crate) use runs::{make_room, start_items};
 pub(crate) use takeover::adopt_orphans;
@@ -46,13 +42,3 @@
         JobCall::End { id } => cancel::cancel(gw, &id).await,
     }
 }
-
-/// A job that this daemon takes for its own.
-fn owned_job(gw: &Gateway, id: &JobId) -> Option<Rc<OwnedJob>> {
-    gw.jobs.borrow().own.get(id).cloned()
-}
-
-/// A key of the store.
-fn key(text: &KeyText) -> Key {
-    Key::from(text.as_str())
-}
--- a/crates/bluebellreel_gateway/src/jobs/quota.rs
+++ b/crates/bluebellreel_gateway/src/jobs/quota.rs
@@ -1,6 +1,6 @@
 //! How much a route's callers may have waiting.
 
-use super::key;
+use super::stored::key;
 use crate::gateway::Gateway;
 use bluebellreel_batch::{QuotaLedger, keys};
 use bluebellreel_dispatch::Route;
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -4,8 +4,9 @@
 //! answers. "No such job" is said only if the store says so.
 
 use super::archive::Archived;
+use super::load::owned_job;
 use super::own::OwnedJob;
-use super::{confirm, load, owned_job};
+use super::{confirm, load};
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
 use bluebellreel_batch::{ItemResult, JobPhase};
--- a/crates/bluebellreel_gateway/src/jobs/record.rs
+++ b/crates/bluebellreel_gateway/src/jobs/record.rs
@@ -1,11 +1,11 @@
 //! Recording results: the only way for a result to count.
 
 use super::archive::Archived;
-use super::key;
 use super::own::OwnedJob;
+use super::stored::{key, stored_record};
 use crate::gateway::Gateway;
 use bluebellreel_batch::{Job, JobPhase, JobRecord, Segment, encode_segment, keys};
-use bluebellreel_kv::{Commit, Compare, Key, KeyValue, Put, Txn};
+use bluebellreel_kv::{Commit, Compare, KeyValue, Put, Txn};
 use bluebellreel_types::{JobId, Moment};
 use log::{info, warn};
 use std::rc::Rc;
@@ -162,15 +162,3 @@
         jobs.orphans_due.notify_one();
     }
 }
-
-/// The record among the keys that a failed guard showed.
-pub(super) fn stored_record(found: &[KeyValue], record_key: &Key) -> Option<(i64, JobRecord)> {
-    let kv = found.iter().find(|kv| kv.key == *record_key)?;
-    match JobRecord::try_from(kv.value.as_slice()) {
-        Ok(record) => Some((kv.revision, record)),
-        Err(e) => {
-            warn!(target: "jobs", key:% = record_key, error:% = e; "record not read");
-            None
-        }
-    }
-}
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -2,12 +2,12 @@
 
 use super::adopt::{adopt, adopt_stored};
 use super::load::FoundRecord;
-use super::record::stored_record;
-use super::{backup, key, load};
+use super::stored::{key, owner_txn, stored_record};
+use super::{backup, load};
 use crate::gateway::Gateway;
 use crate::registration::{self, EntryEnd};
 use bluebellreel_batch::{Custody, JobPhase, JobRecord, Owner, OwnerSign, custody, keys};
-use bluebellreel_kv::{Commit, Key, KvError, Txn};
+use bluebellreel_kv::{Commit, Key, KvError};
 use bluebellreel_members::Presence;
 use bluebellreel_types::JobId;
 use log::{info, warn};
@@ -216,8 +216,3 @@
     adopt(gw, job, asked);
     Ok(true)
 }
-
-/// A write that makes the record's owner the job's owner.
-pub(super) fn owner_txn(id: &JobId, record: &JobRecord, revision: i64) -> Txn {
-    Txn::replace(key(&keys::record(id)), revision, record.encode())
-}
--- a/crates/bluebellreel_gateway/src/reports/catch_up.rs
+++ b/crates/bluebellreel_gateway/src/reports/catch_up.rs
@@ -1,6 +1,6 @@
 //! Asking peers for what they know and this daemon does not.
 
-use super::gap;
+use super::gap::gap;
 use crate::gateway::Gateway;
 use crate::peer_calls;
 use crate::workers::apply_workers;
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -5,14 +5,16 @@
 //! in itself: one that is lost is made up for by the next.
 
 mod catch_up;
+mod gap;
 mod wire;
 
 use crate::gateway::Gateway;
-use crate::jobs::KnownOwner;
+use crate::jobs::own::KnownOwner;
 use bluebellreel_dispatch::PeerLoad;
 use bluebellreel_members::Peer;
 use bluebellreel_types::{EntryName, Incarnation, Moment};
 use catch_up::catch_up;
+use gap::gap;
 use log::{info, warn};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -25,15 +27,6 @@
 
 /// Time between reports when nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(250);
-/// Least time between reports to few peers. Two daemons that choose a worker
-/// within it may both take its last slot.
-const GAP_FEW: Duration = Duration::from_millis(8);
-/// Least time between reports to many peers, for each of them: a daemon sends
-/// a thousand datagrams a second at the most, some 2 % of a core, however many
-/// peers there are.
-const GAP_EACH: Duration = Duration::from_millis(1);
-/// From this many peers on they count as many.
-const MANY: usize = 8;
 /// Longest wait for room to send one report.
 const SEND: Duration = Duration::from_millis(20);
 /// Longest datagram taken.
@@ -104,15 +97,6 @@
     Ok((full.clone(), full))
 }
 
-/// Least time between reports to so many peers.
-fn gap(peers: usize) -> Duration {
-    if peers < MANY {
-        return GAP_FEW;
-    }
-    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-    GAP_FEW.max(GAP_EACH.saturating_mul(peers))
-}
-
 /// Peers that are known, and seeds as long as they are not among them; and those
 /// of them that read briefs.
 fn targets(gw: &Gateway) -> (BTreeSet<SocketAddr>, BTreeSet<SocketAddr>) {
