Experiment tool: jobs that are ended, and their items that start afterwards

Callers saw: nothing; a tool for hypotheses on the end of jobs. Change: a scenario's team may end its job (`ends`), and the job's owner may hear of that later (`heard_after`); what is out is withdrawn then. Batch figures count the items that start after the end was acknowledged, and the latest. Troubles of engines moved to a file of their own.

--- a/crates/bluebellreel_experiment/src/jobs.rs
+++ b/crates/bluebellreel_experiment/src/jobs.rs
@@ -5,7 +5,7 @@
     Board, BoardLimits, ChunkRef, JobCounts, JobEffect, JobLimits, JobRecord, JobState, JobTarget,
     OwnedJob,
 };
-use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, TeamName};
+use bluebellreel_types::{AttemptId, EntryName, Incarnation, JobId, Moment, TeamName, WorkerName};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::fmt::Write;
@@ -44,7 +44,7 @@
             volume: None,
         });
         let record = JobRecord {
-            id: JobId::from(format!("job-{}", team.name)),
+            id: JobId::from(team.job()),
             team: TeamName::from(team.name.as_str()),
             digest: String::new(),
             upload: String::new(),
@@ -65,6 +65,20 @@
         self.board.jobs.insert(id, job);
     }
 
+    /// A team's job is over; what of it is out at which worker.
+    pub(crate) fn end(&mut self, team: &BatchTeam) -> Vec<(WorkerName, Vec<AttemptId>)> {
+        let Some(mut job) = self.board.jobs.remove(&JobId::from(team.job())) else {
+            return Vec::new();
+        };
+        let mut effects = Vec::new();
+        job.withdraw_all(&mut effects);
+        let withdrawn = effects.into_iter().filter_map(|effect| match effect {
+            JobEffect::Withdraw { worker, attempts } => Some((worker, attempts)),
+            _ => None,
+        });
+        withdrawn.collect()
+    }
+
     /// Does what the jobs want done; the store answers at once.
     pub(crate) fn poll(&mut self, now: Moment) {
         let mut over = Vec::new();
--- a/crates/bluebellreel_experiment/src/measure.rs
+++ b/crates/bluebellreel_experiment/src/measure.rs
@@ -96,6 +96,10 @@
     pub tokens_per_second: f64,
     /// Tokens generated again or thrown away, in percent of all of batch's.
     pub wasted_percent: f64,
+    /// Items that started after the end of their job was acknowledged.
+    pub started_late: u64,
+    /// The latest of them, in ms after it.
+    pub latest_start_ms: f64,
     /// Attempts that gave way.
     pub preemptions: u64,
     /// Tokens served by team while all had work.
--- a/crates/bluebellreel_experiment/src/report.rs
+++ b/crates/bluebellreel_experiment/src/report.rs
@@ -123,7 +123,7 @@
         text,
         "first token p99 {:.3}x of no batch | inter-token p95 {:.3}x | batch {:.1}% of what is left \
          | place free p99 {:.1} ms | retries {:.1}% | in time {:.2}% | shares {:.2}..{:.2} of fair \
-         | broken gap p99 {:.1} ms",
+         | broken gap p99 {:.1} ms | started after their job's end {}, latest {:.0} ms",
         comparison.first_token_p99,
         comparison.inter_token_p95,
         comparison.batch_of_left_percent,
@@ -133,6 +133,8 @@
         comparison.least_over_fair,
         comparison.most_over_fair,
         full.online.broken_gap.p99_ms,
+        full.batch.started_late,
+        full.batch.latest_start_ms,
     )
     .ok();
     text
--- a/crates/bluebellreel_experiment/src/scenario.rs
+++ b/crates/bluebellreel_experiment/src/scenario.rs
@@ -2,9 +2,13 @@
 
 use bluebellreel_admission::Lean;
 use bluebellreel_standins::EngineCosts;
+use bluebellreel_types::Moment;
 use serde::Deserialize;
 use std::time::Duration;
 
+/// Longest scenario, in seconds.
+const LONGEST_S: f64 = 3_600.0;
+
 /// Which of the four runs of a scenario.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -57,6 +61,40 @@
     /// Seconds until the job is due.
     #[serde(default = "default_due")]
     pub due: f64,
+    /// When the end of its job is acknowledged, in seconds; without it the job is not ended.
+    pub ends: Option<f64>,
+    /// Seconds from then on until the job's owner hears of it.
+    #[serde(default)]
+    pub heard_after: f64,
+}
+
+impl BatchTeam {
+    /// Its job's id.
+    pub(crate) fn job(&self) -> String {
+        format!("job-{}", self.name)
+    }
+
+    /// When the end of its job is acknowledged.
+    pub(crate) fn ended_at(&self) -> Option<Moment> {
+        let ends = Duration::from_secs_f64(self.ends?);
+        Some(Moment(0) + ends)
+    }
+
+    /// When the job's owner hears of it.
+    pub(crate) fn end_heard_at(&self) -> Option<Moment> {
+        Some(self.ended_at()? + Duration::from_secs_f64(self.heard_after))
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let times = [self.at, self.ends.unwrap_or(0.0), self.heard_after];
+        if times.iter().all(|t| (0.0..=LONGEST_S).contains(t)) {
+            return Ok(());
+        }
+        Err(format!(
+            "team {:?}: times must be from 0 to 3600",
+            self.name
+        ))
+    }
 }
 
 fn default_due() -> f64 {
@@ -209,9 +247,10 @@
             "booking-desk" => (Lean::Tail, 9, 32),
             other => return Err(format!("deployment: {other:?} is none of ours")),
         };
-        if raw.seconds <= 0.0 || raw.seconds > 3_600.0 {
+        if raw.seconds <= 0.0 || raw.seconds > LONGEST_S {
             return Err("seconds: must be more than 0 and at most 3600".into());
         }
+        raw.teams.iter().try_for_each(BatchTeam::check)?;
         let costs = EngineCosts {
             base: Duration::from_micros(raw.step_micros),
             per_sequence: Duration::from_micros(raw.sequence_micros),
--- a/crates/bluebellreel_experiment/src/simulation.rs
+++ b/crates/bluebellreel_experiment/src/simulation.rs
@@ -1,7 +1,9 @@
 //! One run of a scenario.
 
 mod batch;
+mod ends;
 mod online;
+mod troubles;
 
 use crate::engine::{Engine, StepResult};
 use crate::jobs::Jobs;
@@ -45,6 +47,7 @@
     Report(usize),
     Sample,
     Submit(usize),
+    EndHeard(usize),
     TroubleBegins(usize),
     TroubleEnds(usize),
     EngineBack(usize),
@@ -208,6 +211,9 @@
             for (index, team) in self.scenario.teams.iter().enumerate() {
                 let at = Moment(0) + Duration::from_secs_f64(team.at);
                 self.at(at, What::Submit(index));
+                if let Some(heard_at) = team.end_heard_at() {
+                    self.at(heard_at, What::EndHeard(index));
+                }
             }
         }
         for (index, trouble) in self.scenario.troubles.iter().enumerate() {
@@ -267,40 +273,12 @@
                 self.feed_batch();
             }
             What::TroubleBegins(index) => self.begin_trouble(index),
-            What::TroubleEnds(index) => {
-                let engine = &mut self.sides[self.scenario.troubles[index].worker].engine;
-                engine.dead = false;
-                engine.slow_percent = 100;
-            }
+            What::TroubleEnds(index) => self.end_trouble(index),
+            What::EndHeard(index) => self.hear_end(index),
             What::EngineBack(index) => self.sides[index].engine.dead = false,
         }
     }
 
-    fn begin_trouble(&mut self, index: usize) {
-        let trouble = self.scenario.troubles[index];
-        if trouble.slow_percent > 0 {
-            self.sides[trouble.worker].engine.slow_percent = trouble.slow_percent;
-            return;
-        }
-        self.sides[trouble.worker].engine.dead = true;
-        self.break_streams(trouble.worker);
-    }
-
-    /// An engine crashes, and is back after a while.
-    fn crash(&mut self, index: usize) {
-        self.outcome.engines_crashed += 1;
-        self.sides[index].engine.dead = true;
-        self.break_streams(index);
-        self.at(self.now + self.scenario.crash_span, What::EngineBack(index));
-    }
-
-    fn break_streams(&mut self, side: usize) {
-        for attempt in self.sides[side].engine.drop_all() {
-            let end = EngineEnd::Broken;
-            self.admit(side, admission::Event::EngineEnded { attempt, end });
-        }
-    }
-
     fn sample(&mut self) {
         let seconds = SAMPLE.as_secs_f64();
         let tokens = self.batch_tokens - self.batch_at_sample;
@@ -396,6 +374,7 @@
             self.admit(index, admission::Event::EngineEnded { attempt, end });
             return;
         }
+        self.note_start(dispatch);
         let request = dispatch.attempt.request;
         let prompt = self.prompts.get(&request).copied().unwrap_or(60);
         self.sides[index].engine.admit(dispatch, prompt);
