Items go on while the store is away for all gateways

Cause: the lease of starts cannot be renewed in an outage, though nothing can be ended or taken over in one. Change: where the store is away for this gateway and all peers that it hears, and it hears most, items of jobs whose lease ran when the outage began may start. Alone, isolated, or beside a peer that the store serves it starts nothing, as before. A failing confirmation is logged once, not at each try. Left: an end recorded less than 2.5 s before an outage, all of its notices lost, is learned of when the store is back.

--- a/crates/bluebellreel_batch/src/confirmation.rs
+++ b/crates/bluebellreel_batch/src/confirmation.rs
@@ -90,6 +90,12 @@
         !self.expires_at.is_past(now.at) && !now.slept_since(self.asked)
     }
 
+    /// Whether it ran at an earlier moment, the VM having been awake since.
+    #[must_use]
+    pub fn ran_at(&self, moment: Moment, now: Stamp) -> bool {
+        !self.expires_at.is_past(moment) && !now.slept_since(self.asked)
+    }
+
     /// Whether the store should be asked now. A job none of whose items wants to
     /// start is asked for seldom: its end frees slots and its route's quota.
     #[must_use]
--- a/crates/bluebellreel_gateway/src/jobs/confirm.rs
+++ b/crates/bluebellreel_gateway/src/jobs/confirm.rs
@@ -13,7 +13,7 @@
 use bluebellreel_batch::{JobPhase, jobs_to_check, keys};
 use bluebellreel_kv::{Compare, KvError};
 use bluebellreel_platform::store::TxnOutcome;
-use bluebellreel_types::JobId;
+use bluebellreel_types::{JobId, Moment};
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -105,12 +105,31 @@
     if lease.is_due(true, now) && !owned.wants_start.replace(true) {
         gw.confirmation_due.notify_one();
     }
-    lease.allows_start(now)
+    lease.allows_start(now) || outage_began(gw).is_some_and(|at| lease.ran_at(at, now))
+}
+
+/// Since when the store is away for all daemons, as far as is known; none if it may
+/// be there for some.
+///
+/// Nothing can be ended or taken over in an outage, so that items of the jobs that
+/// were confirmed when it began go on. A daemon that hears no peer, or few of them,
+/// cannot tell an outage from its own being cut off.
+fn outage_began(gw: &Gateway) -> Option<Moment> {
+    let members = gw.members.borrow();
+    let now = gw.now();
+    let is_alone = gw.isolated_since.get().is_some() || members.heard(now).next().is_none();
+    let is_served = members.heard_with_store(now).next().is_some();
+    if is_alone || is_served || !gw.store.is_lost() {
+        return None;
+    }
+    let failing_for = gw.store.failing_for()?;
+    Some(now - failing_for)
 }
 
 /// Has the store confirm own jobs whose items want to start, for ever.
 pub(crate) async fn keep_confirmed(gw: Rc<Gateway>) {
     let mut other_way = false;
+    let mut fails = false;
     loop {
         // A timeout is the next look.
         let _ = timeout(LOOK, gw.confirmation_due.notified()).await;
@@ -123,10 +142,14 @@
             match check(&gw, &due, by_peer).await {
                 Ok(()) => {
                     other_way = false;
+                    fails = false;
                     gw.batch_due.notify_one();
                 }
                 Err(e) => {
-                    warn!(target: "jobs", jobs = due.len(), error:% = e; "own jobs not confirmed");
+                    if !fails {
+                        warn!(target: "jobs", jobs = due.len(), error:% = e; "own jobs not confirmed");
+                    }
+                    fails = true;
                     other_way = !other_way;
                     sleep(RETRY).await;
                 }
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -118,6 +118,11 @@
         failing.is_some_and(|since| since.elapsed() > LOST_AFTER)
     }
 
+    /// How long every straight call has failed; none while calls succeed.
+    pub(crate) fn failing_for(&self) -> Option<Duration> {
+        Some(self.failing_since.get()?.elapsed())
+    }
+
     /// Whether this daemon has looked for the store since its start, and nobody
     /// has answered.
     pub(crate) fn finds_nobody(&self) -> bool {
--- a/crates/bluebellreel_types/src/time.rs
+++ b/crates/bluebellreel_types/src/time.rs
@@ -4,7 +4,7 @@
 //! layer reads a clock. State keeps moments (deadlines), never durations.
 
 use serde::{Deserialize, Serialize};
-use std::ops::Add;
+use std::ops::{Add, Sub};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -59,6 +59,14 @@
     }
 }
 
+impl Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(micros(span)))
+    }
+}
+
 fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX / 4)
 }
