--- a/crates/bluebellreel_gateway/src/answers.rs
+++ b/crates/bluebellreel_gateway/src/answers.rs
@@ -32,9 +32,9 @@
     answer
 }
 
-/// A failure that says when to come back. With 429 and 503 it promises that
+/// A failure that says when to try again. With 429 and 503 it promises that
 /// the request has not run and never will.
-pub(crate) fn come_back(code: StatusCode, reason: &str, after: Duration) -> Response<Body> {
+pub(crate) fn retry_after(code: StatusCode, reason: &str, after: Duration) -> Response<Body> {
     let mut answer = failure(code, reason);
     let seconds = format!("{:.3}", after.as_secs_f64());
     if let Ok(value) = HeaderValue::try_from(seconds) {
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -66,7 +66,7 @@
         // It would lie here until this process has ended. One that is under way
         // may be kept: its sender must not be told otherwise.
         let reason = "stopping";
-        return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, ELSEWHERE);
+        return answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, reason, ELSEWHERE);
     }
     let decided = if let Some(underway) = underway {
         underway
@@ -98,9 +98,9 @@
     gw.metrics.job("no_room");
     if known.is_err() {
         let reason = "store away";
-        return answers::come_back(StatusCode::BAD_GATEWAY, reason, RETURN_AFTER);
+        return answers::retry_after(StatusCode::BAD_GATEWAY, reason, RETURN_AFTER);
     }
-    answers::come_back(StatusCode::TOO_MANY_REQUESTS, "no room", RETURN_WHEN_ROOM)
+    answers::retry_after(StatusCode::TOO_MANY_REQUESTS, "no room", RETURN_WHEN_ROOM)
 }
 
 fn kept(gw: &Gateway, id: &JobId, received: Instant, how: &str) -> Response<Body> {
@@ -128,12 +128,12 @@
         Accepted::NotKept => {
             warn!(target: "jobs", job:% = id; "job refused: store away");
             gw.metrics.job("refused");
-            answers::come_back(StatusCode::SERVICE_UNAVAILABLE, "store away", RETURN_AFTER)
+            answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, "store away", RETURN_AFTER)
         }
         Accepted::NoRoom => {
             warn!(target: "jobs", job:% = id; "job does not fit");
             gw.metrics.job("no_room");
-            answers::come_back(StatusCode::TOO_MANY_REQUESTS, "no room", RETURN_WHEN_ROOM)
+            answers::retry_after(StatusCode::TOO_MANY_REQUESTS, "no room", RETURN_WHEN_ROOM)
         }
         Accepted::Open => {
             warn!(target: "jobs", job:% = id; "job in doubt");
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -53,7 +53,7 @@
             Self::Recorded => answers::status(StatusCode::OK),
             Self::NoSuchJob => answers::failure(StatusCode::NOT_FOUND, "no such job"),
             Self::Open => {
-                answers::come_back(StatusCode::BAD_GATEWAY, "not recorded yet", RETURN_AFTER)
+                answers::retry_after(StatusCode::BAD_GATEWAY, "not recorded yet", RETURN_AFTER)
             }
         }
     }
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -84,7 +84,7 @@
 fn unsure(id: &JobId, e: &KvError) -> Response<Body> {
     warn!(target: "jobs", job:% = id, error:% = e; "job not readable now");
     let reason = "job not readable now";
-    answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, RETURN_AFTER)
+    answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, reason, RETURN_AFTER)
 }
 
 /// Where the owner of a job is, if it is heard.
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -23,9 +23,8 @@
 /// being lost.
 const LOOK_SELDOM: Duration = Duration::from_secs(20);
 /// Wait after the start for peers to be heard: they report four times a second,
-/// and to a new daemon from its first report on. Until then the jobs of a fleet
-/// that was killed stand still; at twice this, items of a job that is due in 18 s
-/// were late more often (0.007 of a day's worth, four days, eight seeds).
+/// and to a new daemon from its first report on. The jobs of a fleet that was
+/// killed stand still until then.
 const FIRST_LOOK: Duration = Duration::from_millis(600);
 /// How long a job without an owner is left to its heir.
 const LEFT_BY_HEIR: Duration = Duration::from_millis(2500);
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -204,7 +204,7 @@
 fn hold_back(gw: &Gateway, req: &Request, until: Moment) -> Response<Body> {
     let mut answer = if req.runs == 0 {
         let after = until.since(gw.now());
-        answers::come_back(StatusCode::SERVICE_UNAVAILABLE, suspicion::REASON, after)
+        answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, suspicion::REASON, after)
     } else {
         answers::failure(StatusCode::BAD_GATEWAY, suspicion::REASON)
     };
@@ -221,7 +221,7 @@
         let lasted = gw.overloads.borrow_mut().refused(&req.service, gw.now());
         let draw = gw.rng.borrow_mut().random_range(0.0..1.0);
         let after = return_after(lasted, req.left(), draw);
-        answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, after)
+        answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, reason, after)
     } else if req.left().is_zero() {
         gw.metrics.request("timed_out");
         answers::failure(StatusCode::GATEWAY_TIMEOUT, reason)
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -31,9 +31,10 @@
 const SEND: Duration = Duration::from_millis(20);
 /// Longest datagram taken.
 const DATAGRAM_BYTES: usize = 60 * 1024;
-/// What was told last.
+
+/// What the last full report said, and when the next one is due.
 #[derive(Default)]
-struct Told {
+struct LastFull {
     urgent: Option<Urgent>,
     /// When the next full report is due.
     full_due: Moment,
@@ -43,13 +44,13 @@
 pub(crate) async fn send_reports(gw: Rc<Gateway>, socket: Rc<UdpSocket>) {
     // Later runs of this daemon must not be taken for older than this one.
     let mut sequence = gw.now().0;
-    let mut told = Told::default();
+    let mut last = LastFull::default();
     loop {
         // A timeout is the heartbeat.
         let _ = timeout(HEARTBEAT, gw.report_due.notified()).await;
         sequence += 1;
         let (targets, briefed) = targets(&gw);
-        match datagrams(&gw, sequence, &mut told) {
+        match datagrams(&gw, sequence, &mut last) {
             Ok((full, brief)) => {
                 for to in &targets {
                     let bytes = if briefed.contains(to) { &brief } else { &full };
@@ -71,13 +72,12 @@
 /// the same where something has changed that a brief does not say, and each
 /// [`HEARTBEAT`].
 ///
-/// Sent in full each time, reports were three quarters of all bytes between data
-/// centres of a site of 4 gateways and 18 workers: 500 bytes fifty times a second
-/// to each peer, of which what runs where is 100.
+/// What runs where changes some fifty times a second and is a fifth of a full
+/// report; the rest would be most of the bytes between data centres.
 fn datagrams(
     gw: &Gateway,
     sequence: u64,
-    told: &mut Told,
+    last: &mut LastFull,
 ) -> Result<(Vec<u8>, Vec<u8>), postcard::Error> {
     let (report, supplement) = wire::report(gw, sequence);
     let brief = report.brief(&supplement);
@@ -89,11 +89,11 @@
     }
     let full = seal(full);
     let now = gw.now();
-    if told.urgent.as_ref() == Some(&urgent) && !told.full_due.is_past(now) {
+    if last.urgent.as_ref() == Some(&urgent) && !last.full_due.is_past(now) {
         return Ok((full, brief.encode()?));
     }
-    told.urgent = Some(urgent);
-    told.full_due = now + HEARTBEAT;
+    last.urgent = Some(urgent);
+    last.full_due = now + HEARTBEAT;
     Ok((full.clone(), full))
 }
 
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -71,7 +71,7 @@
     }
     let Some(configuration) = gw.configuration() else {
         let reason = "no configuration yet";
-        return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, RETRY_UNCONFIGURED);
+        return answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, reason, RETRY_UNCONFIGURED);
     };
     if head_bytes(&req) > configuration.limits.head_bytes {
         return answers::status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
@@ -86,7 +86,11 @@
         if gw.facts.borrow().is_from_snapshot() {
             // It may be newer than the snapshot.
             let reason = "store away";
-            return answers::come_back(StatusCode::SERVICE_UNAVAILABLE, reason, RETRY_UNCONFIGURED);
+            return answers::retry_after(
+                StatusCode::SERVICE_UNAVAILABLE,
+                reason,
+                RETRY_UNCONFIGURED,
+            );
         }
         return answers::failure(StatusCode::NOT_FOUND, "no route");
     };
@@ -112,7 +116,7 @@
 
 /// Tells a caller that its request has not run, as this daemon ends.
 fn refusal() -> Response<Body> {
-    answers::come_back(StatusCode::SERVICE_UNAVAILABLE, "stopping", RETRY_ELSEWHERE)
+    answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, "stopping", RETRY_ELSEWHERE)
 }
 
 /// Bytes of a request's head, without what the protocol adds between its parts.
