Entry daemon: items of a job that was dropped meanwhile are not handed out

Callers saw: an item of a cancelled job, or of one that another daemon had taken over, ran although its owner knew; one that may not be repeated as well. Cause: claims are written before items are handed out, for up to some seconds; what was then written was dispatched without a look at whether the job is still held. The withdrawal had gone out before and met nothing. Change: only what the job board still holds is handed out, claimed or not.

--- a/crates/bluebellreel_entry/src/jobs/part/handout.rs
+++ b/crates/bluebellreel_entry/src/jobs/part/handout.rs
@@ -6,7 +6,7 @@
 use crate::message::Message;
 use bluebellreel_job::Handout;
 use bluebellreel_rpc::{EntryCommand, PullAnswer};
-use bluebellreel_types::{Moment, WorkerName};
+use bluebellreel_types::{Dispatch, Moment, WorkerName};
 
 impl JobsPart {
     pub(super) fn pull(&mut self, worker: &WorkerName, room: u32, answer: PullAnswer, now: Moment) {
@@ -84,6 +84,10 @@
                 JobWrite::Fenced => self.drop_job(&part.job),
             }
         }
+        // A job may have been cancelled, or taken over, while the claims were written.
+        let jobs = &self.board.jobs;
+        let is_held = |d: &Dispatch| jobs.values().any(|job| job.holds(d.attempt.request));
+        pull.ready.retain(is_held);
         answer_pull(pull);
     }
 
--- a/crates/bluebellreel_entry/src/jobs/part/tests.rs
+++ b/crates/bluebellreel_entry/src/jobs/part/tests.rs
@@ -2,17 +2,21 @@
 
 use super::*;
 use crate::data::ChunkAccess;
+use crate::jobs::messages::{ClaimedPart, JobWrite, PendingPull};
 use crate::platform::KvPool;
 use crate::platform::job_key;
 use crate::readiness::Readiness;
 use bluebellreel_job::{ChunkRef, JobCounts, JobState, JobTarget};
 use bluebellreel_kv::{KeyValue, KvClient, KvError, KvSettings, WatchEvent};
+use bluebellreel_rpc::PullAnswer;
 use bluebellreel_settings::parse_entry;
 use bluebellreel_telemetry::{EntryMetrics, Tracer};
-use bluebellreel_types::{Clock, TeamName};
+use bluebellreel_types::{
+    AttemptId, Clock, Dispatch, ModelName, RequestId, TeamName, Work, WorkKind,
+};
 use crossbeam_channel::{Receiver, bounded, unbounded};
 use std::sync::Arc;
-use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::{mpsc::unbounded_channel, oneshot};
 
 /// Longer than any pause before something is tried again.
 const LATER: Duration = Duration::from_secs(5);
@@ -180,3 +184,49 @@
         assert!(!fixture.run_queued(), "nothing else is to be done");
     }
 }
+
+fn dispatch() -> Dispatch {
+    let work = Work {
+        kind: WorkKind::Chat,
+        model: ModelName::from("m"),
+        body: Arc::default(),
+        tokens: 1,
+        prefix: 0,
+        repeatable: false,
+        key: Arc::default(),
+        team: TeamName::from("school"),
+    };
+    Dispatch {
+        attempt: AttemptId {
+            request: RequestId(7),
+            number: 1,
+        },
+        side: Incarnation(2),
+        class: Class::Batch,
+        work: Arc::new(work),
+        deadline: Moment::FAR,
+        resume: Arc::default(),
+        trace: TraceContext::fresh(),
+    }
+}
+
+/// Guards that nothing is handed out of a job that was dropped while its claims were written.
+#[test]
+fn items_of_a_job_that_was_dropped_meanwhile_are_not_handed_out() {
+    let mut fixture = Fixture::idle();
+    let (tx, mut rx) = oneshot::channel();
+    let part = ClaimedPart {
+        job: JobId::from("cancelled"),
+        dispatches: vec![dispatch()],
+    };
+    let pull = PendingPull {
+        answer: PullAnswer(tx),
+        ready: vec![dispatch()],
+        claimed: vec![part],
+    };
+    fixture.part.on_message(JobsMessage::Claimed {
+        pull: Box::new(pull),
+        written: vec![JobWrite::Done],
+    });
+    assert_eq!(rx.try_recv().ok(), Some(Vec::new()));
+}
