Items are given up for want of a route only if the store confirms the configuration

Callers saw (by reading, not in the field): items of a new route's job `dead` for good if the job came to a gateway that did not know the route yet. Cause: a job's items were given up once the configuration in force here was 3 s old; one that is older than the job's route nearly always is. Evidence: items_are_not_given_up_on_a_configuration_older_than_their_route: 'left: "dead", right: "completed"' before; a_configuration_is_read_once_for_each_job_given_up: 'left: 0, right: 1' before. Both pass now, and items_whose_route_is_gone_are_given_up as before. Change: 3 s after a job first missed a route under a configuration the store's key of the configuration is read once. A newest configuration that this version cannot read gives up nothing before the job's retention ends.

--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod confirm;
 mod hand_over;
 mod load;
+mod no_route;
 pub(crate) mod own;
 mod quota;
 mod read;
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -9,6 +9,7 @@
 use tokio::task::AbortHandle;
 
 use super::archive::Archive;
+use super::no_route::RouteMissing;
 
 /// One job, with what wakes those that wait for it.
 pub(crate) struct OwnedJob {
@@ -24,6 +25,8 @@
     pub(super) wants_start: Cell<bool>,
     /// Held while the store is asked whose the job is.
     pub(super) confirming: Mutex<()>,
+    /// Set once an item had no route.
+    pub(super) route_missing: Cell<Option<RouteMissing>>,
 }
 
 impl OwnedJob {
@@ -36,6 +39,7 @@
             lease: Cell::new(StartLease::new(asked, terms)),
             wants_start: Cell::new(false),
             confirming: Mutex::new(()),
+            route_missing: Cell::new(None),
         })
     }
 
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -1,7 +1,7 @@
 //! Running items at workers.
 
-use super::confirm;
 use super::own::{ItemRun, Jobs, OwnedJob};
+use super::{confirm, no_route};
 use crate::crash::{self, Cut};
 use crate::events::Events;
 use crate::gateway::Gateway;
@@ -30,9 +30,6 @@
 const HEAD: Duration = Duration::from_millis(900);
 /// Silence after which an item goes on at another worker.
 const SILENCE: Duration = Duration::from_millis(700);
-/// How long a configuration without an item's route must be in force before
-/// the item is given up: versions that follow quickly may bring it back.
-const ROUTE_GONE: Duration = Duration::from_secs(3);
 /// Rest of an item after a run that came to nothing, so that it does not go
 /// round workers that all refuse it.
 const REST: Duration = Duration::from_millis(120);
@@ -112,7 +109,7 @@
 
 /// The item to start next, of a service that is not full and a job that may go on.
 fn choose_item(
-    gw: &Gateway,
+    gw: &Rc<Gateway>,
     full: &BTreeSet<Arc<str>>,
     unconfirmed: &BTreeSet<JobId>,
 ) -> Option<Next> {
@@ -147,29 +144,13 @@
                 ruled_out.insert(found.job);
             }
             None => {
-                if gw
-                    .facts
-                    .borrow()
-                    .configured_since()
-                    .is_some_and(|s| (s + ROUTE_GONE).is_past(now))
-                {
-                    give_up_without_route(&owned, found.item, now);
-                }
+                no_route::note(gw, &owned);
                 ruled_out.insert(found.job);
             }
         }
     }
 }
 
-/// The operators took the item's route away.
-fn give_up_without_route(owned: &OwnedJob, item: usize, now: Moment) {
-    let mut job = owned.job.borrow_mut();
-    warn!(target: "jobs", job:% = job.id, request:% = job.items[item].input.id; "item given up, its route is gone");
-    job.give_up(item, now);
-    drop(job);
-    owned.record_due.notify_one();
-}
-
 fn start(gw: &Rc<Gateway>, next: Next, worker: &WorkerName, leave: Leave) {
     let trial = Trial::begin(gw, &next.id, leave);
     let place = Place::take(gw, worker, Class::Batch);
