A gateway's entry is not replaced by a late write of its earlier run

Callers saw (by reading, not in the field): a gateway restarted quickly whose entry vanishes a few seconds later though its lease is renewed; others may take its jobs over meanwhile. Cause: the entry was put without a guard. A put of the earlier run whose answer was lost may be executed after the newer run's, and the entry then ends with the earlier run's lease. Evidence: an_entry_is_not_replaced_by_a_late_write_of_an_earlier_run: 'entry replaced' (run of the earlier write found, run of the newer one wanted) before, ok after. Change: registering reads the entry first and puts it in its place only if it is unchanged, up to three times. The newest run still replaces whatever stands there. Figures: calls to register: 2 before, 3 after (one read more at each start).

--- a/crates/bluebellreel_gateway/src/lease.rs
+++ b/crates/bluebellreel_gateway/src/lease.rs
@@ -4,7 +4,7 @@
 use crate::jobs;
 use crate::registration::own_key;
 use bluebellreel_batch::Stamp;
-use bluebellreel_kv::{Commit, KvError, Put, Txn};
+use bluebellreel_kv::{Commit, Compare, KvError, Put, Txn};
 use bluebellreel_members::MemberEntry;
 use log::{info, warn};
 use std::rc::Rc;
@@ -18,6 +18,8 @@
 const RENEW_EVERY: Duration = Duration::from_millis(1100);
 /// Pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(300);
+/// Times that an entry that changes while it is being replaced is read again.
+const TRIES: usize = 3;
 
 /// The store has renewed this daemon's entry by a call that was sent at `sent`.
 fn renewed(gw: &Rc<Gateway>, sent: Stamp) {
@@ -71,25 +73,43 @@
         reports: gw.settings.advertised_reports(),
     };
     let value = serde_json::to_vec(&entry).map_err(|e| KvError::Refused(e.to_string()))?;
-    // Unguarded: the newest run of a name is the one that lives.
-    let txn = Txn {
-        puts: vec![Put {
-            key: own_key(gw),
-            value,
-            lease: lease.id,
-        }],
-        ..Txn::default()
+    let put = Put {
+        key: own_key(gw),
+        value,
+        lease: lease.id,
     };
-    let sent = gw.stamp();
-    match gw.store.commit(&txn, Instant::now() + ttl).await {
-        Commit::Applied { .. } => {
-            renewed(gw, sent);
-            Ok(lease.id)
+    for _ in 0..TRIES {
+        let txn = entry_txn(gw, put.clone()).await?;
+        let sent = gw.stamp();
+        match gw.store.commit(&txn, Instant::now() + ttl).await {
+            Commit::Applied { .. } => {
+                renewed(gw, sent);
+                return Ok(lease.id);
+            }
+            // Another write came first: it may be our own, without an answer.
+            Commit::Beaten(_) => {}
+            Commit::NotDone(reason) => return Err(KvError::NotDone(reason)),
+            Commit::Unknown(reason) => return Err(KvError::Unknown(reason)),
         }
-        Commit::Beaten(_) => Err(KvError::NotDone("guard failed".into())),
-        Commit::NotDone(reason) => Err(KvError::NotDone(reason)),
-        Commit::Unknown(reason) => Err(KvError::Unknown(reason)),
     }
+    Err(KvError::NotDone("entry changes each time".into()))
+}
+
+/// A write of this daemon's entry in place of what stands there now: the newest
+/// run of a name is the one that lives. Unguarded, a write of an earlier run that
+/// takes effect late would replace the entry, and it would end with that run's
+/// lease.
+async fn entry_txn(gw: &Gateway, put: Put) -> Result<Txn, KvError> {
+    let key = put.key.clone();
+    let guard = match gw.store.read(&key).await? {
+        Some(kv) => Compare::Unchanged(key, kv.revision),
+        None => Compare::Absent(key),
+    };
+    Ok(Txn {
+        compares: vec![guard],
+        puts: vec![put],
+        ..Txn::default()
+    })
 }
 
 /// Gives the lease back, so that the others learn of the stop at once.
