A daemon's own outage is told from one of the store by peers that started lately, too

Cause: a peer counted as served all along from 6 s on, whatever the outage's own age. The store's outage ends for each peer after it has begun here, so one that was served since before that met none. Change: the client keeps when the last outage began; a peer need only have been served since (and a second, the unit of reports), at most 6 s as before. Not done: "a call by way of a peer succeeded" as proof. After an outage of the store the first success of a daemon may go by way of a peer that was quicker; an outage of 1.5 s would keep no workers. Tests of members, dispatch, gateway and stand-ins pass, among them an_outage_of_the_store_costs_callers_nothing.

--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -44,6 +44,13 @@
 /// How much longer than asked for a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
+/// A time in which every straight call failed.
+#[derive(Clone, Copy)]
+struct Outage {
+    began: Instant,
+    ended: Instant,
+}
+
 /// What a call brought: status and body.
 pub(crate) type StoreAnswer = Result<(StatusCode, Bytes), KvError>;
 /// Makes a call through a peer; `None` if no peer reaches the store.
@@ -72,8 +79,7 @@
     /// Since when every straight call has failed.
     failing_since: Cell<Option<Instant>>,
     started: Instant,
-    /// When the last outage ended.
-    regained_at: Cell<Option<Instant>>,
+    last_outage: Cell<Option<Outage>>,
     /// When a call succeeded last, either way.
     answered_at: Cell<Option<Instant>>,
     detour: RefCell<Option<Detour>>,
@@ -95,7 +101,7 @@
             failures: Cell::new(0),
             failing_since: Cell::new(None),
             started: Instant::now(),
-            regained_at: Cell::new(None),
+            last_outage: Cell::new(None),
             answered_at: Cell::new(None),
             detour: RefCell::new(None),
             latency,
@@ -132,7 +138,12 @@
 
     /// How long ago the last outage ended.
     pub(crate) fn regained_for(&self) -> Option<Duration> {
-        Some(self.regained_at.get()?.elapsed())
+        Some(self.last_outage.get()?.ended.elapsed())
+    }
+
+    /// How long ago the last outage began, as far as this daemon noticed.
+    pub(crate) fn outage_began_ago(&self) -> Option<Duration> {
+        Some(self.last_outage.get()?.began.elapsed())
     }
 
     /// How long the store has served this daemon without an outage.
@@ -201,9 +212,11 @@
             Err(KvError::Unknown("no answer in time".into()))
         });
         if is_good(&answer) {
-            let failing = self.failing_since.take();
-            if failing.is_some_and(|since| since.elapsed() >= OUTAGE_SHORTEST) {
-                self.regained_at.set(Some(Instant::now()));
+            if let Some(began) = self.failing_since.take()
+                && began.elapsed() >= OUTAGE_SHORTEST
+            {
+                let ended = Instant::now();
+                self.last_outage.set(Some(Outage { began, ended }));
             }
         } else if self.failing_since.get().is_none() {
             self.failing_since.set(Some(Instant::now()));
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -32,6 +32,8 @@
 /// Time for which the store must have served a peer to have been there all
 /// along: longer than daemons take to notice the end of an outage.
 const SERVED_ALL_ALONG: Duration = Duration::from_secs(6);
+/// In what units peers tell how long the store has served them.
+const SERVED_UNIT: Duration = Duration::from_secs(1);
 /// How long the answer to a request to empty a VM is repeated.
 const REPORT_EMPTY_LONGEST: Duration = Duration::from_secs(30);
 
@@ -129,11 +131,10 @@
 /// this daemon: entries did not lapse, and a worker that is missing leaves.
 fn keep_missing_until(gw: &Gateway) -> Option<Moment> {
     let left = REGISTER_AGAIN_LONGEST.checked_sub(gw.store.regained_for()?)?;
-    if gw
-        .members
-        .borrow()
-        .is_served_for(SERVED_ALL_ALONG, gw.now())
-    {
+    // An outage of the store ends for a peer after it began here. One that was served
+    // before that met none, however short a time it has been there.
+    let all_along = (gw.store.outage_began_ago()? + SERVED_UNIT).min(SERVED_ALL_ALONG);
+    if gw.members.borrow().is_served_for(all_along, gw.now()) {
         return None;
     }
     Some(gw.now() + left)
