A stream returns to a worker that broke it off rather than being cut

Callers saw: a resumable stream that two workers broke off once each ended broken, with a try of its route left and both workers well; with one worker, after the first break. Cause: a stream that goes on was placed only where it had not been. Change: where no untried worker is left, a stream that was broken off returns to a worker that had it, another than the last one first. Not to one that was silent or refused it, not while its former worker may still bring something, and never beyond maxAttempts. A request without a first byte is placed as before.

--- a/crates/bluebellreel_gateway/src/place.rs
+++ b/crates/bluebellreel_gateway/src/place.rs
@@ -10,10 +10,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-fn query<'a>(gw: &Gateway, req: &'a Request, patience: Duration) -> Query<'a> {
+fn query<'a>(
+    gw: &Gateway,
+    req: &'a Request,
+    avoid: &'a [WorkerName],
+    patience: Duration,
+) -> Query<'a> {
     Query {
         service: &req.service,
-        avoid: &req.tried,
+        avoid,
         patience,
         salt: gw.rng.borrow_mut().random(),
         now: gw.now(),
@@ -22,12 +27,22 @@
 
 /// Chooses a worker for a request that may wait in line for `patience`.
 pub(crate) fn choose(gw: &Gateway, req: &Request, patience: Duration) -> Placement {
-    place_online(&gw.board.borrow(), &query(gw, req, patience))
+    choose_besides(gw, req, &req.tried, patience)
+}
+
+/// The same among all workers but some, whether they were tried or not.
+pub(crate) fn choose_besides(
+    gw: &Gateway,
+    req: &Request,
+    avoid: &[WorkerName],
+    patience: Duration,
+) -> Placement {
+    place_online(&gw.board.borrow(), &query(gw, req, avoid, patience))
 }
 
 /// Whether a request should leave the worker that it waits for, for another one.
 pub(crate) fn does_better_elsewhere(gw: &Gateway, req: &Request, worker: &WorkerName) -> bool {
-    let query = query(gw, req, req.patience());
+    let query = query(gw, req, &req.tried, req.patience());
     should_leave(&gw.board.borrow(), &query, worker)
 }
 
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -84,6 +84,8 @@
     longest_pause: Duration,
     /// Whether its worker has started again since it was sent there.
     of_former_life: bool,
+    /// Workers that it does not return to: they were silent, or did not take it.
+    unfit: Vec<WorkerName>,
     over: bool,
 }
 
@@ -104,6 +106,7 @@
             last_at: Instant::now(),
             longest_pause: Duration::ZERO,
             of_former_life: false,
+            unfit: Vec::new(),
             over: false,
         }
     }
@@ -243,8 +246,8 @@
         crash::look(&self.gw, cut).await;
     }
 
-    /// Goes on at another worker; whether it could. Its former one, if `open`,
-    /// may still bring something.
+    /// Goes on at a worker, if possible at one that has not had it; whether it
+    /// could. Its former one, if `open`, may still bring something.
     async fn go_on(&mut self, reason: &str, open: bool) -> bool {
         let worker = self.upstream.place.worker().clone();
         let resumable = self.req.route.resumable && self.req.may_repeat();
@@ -254,10 +257,7 @@
             if self.req.may_run(&self.gw).is_err() {
                 return false;
             }
-            // Its caller has a part of the answer: the rest is worth more late
-            // than not at all.
-            let patience = self.req.left();
-            let Placement::Send(next) = place::choose(&self.gw, &self.req, patience) else {
+            let Some(next) = self.next_worker(!open) else {
                 return false;
             };
             self.req.tried.push(next.clone());
@@ -269,6 +269,9 @@
                     return true;
                 }
                 Ok(Next::Other(upstream)) if upstream.head.status.is_success() => {
+                    if open {
+                        self.unfit.push(worker);
+                    }
                     // Dropping the old one closes its connection, and with it
                     // ends its run.
                     self.upstream = *upstream;
@@ -281,13 +284,40 @@
                     info!(target: "online", request:% = self.req.id, worker:% = next, last_id:? = self.last_id; "stream goes on");
                     return true;
                 }
-                Ok(_) | Err(NoAnswer::Unknown(_) | NoAnswer::Silent) => self.req.runs += 1,
-                Err(NoAnswer::Unsent(_) | NoAnswer::NotRun(_)) => {}
+                Ok(_) | Err(NoAnswer::Unknown(_)) => self.req.runs += 1,
+                Err(NoAnswer::Silent) => {
+                    self.req.runs += 1;
+                    self.unfit.push(next);
+                }
+                Err(NoAnswer::Unsent(_) | NoAnswer::NotRun(_)) => self.unfit.push(next),
             }
         }
         false
     }
 
+    /// The worker that it goes on at: one that has not had it; else, if it may
+    /// return, one that has, rather another than the last one.
+    ///
+    /// Its caller has a part of the answer: the rest is worth more late than not
+    /// at all.
+    fn next_worker(&self, may_return: bool) -> Option<WorkerName> {
+        let patience = self.req.left();
+        let besides = |avoid: &[WorkerName]| {
+            let placed = place::choose_besides(&self.gw, &self.req, avoid, patience);
+            match placed {
+                Placement::Send(worker) => Some(worker),
+                Placement::Full | Placement::NoWorker => None,
+            }
+        };
+        let untried = besides(&self.req.tried);
+        if untried.is_some() || !may_return {
+            return untried;
+        }
+        let last = self.req.tried.last().cloned();
+        let unfit_or_last: Vec<WorkerName> = self.unfit.iter().cloned().chain(last).collect();
+        besides(&unfit_or_last).or_else(|| besides(&self.unfit))
+    }
+
     /// Sends to one more worker. Where it is the last one, it is waited for as
     /// long as the caller waits, or until the former one brings something.
     async fn send_on(&mut self, worker: &WorkerName, mut open: bool) -> Result<Next, NoAnswer> {
