A stream in the line of a worker that starts again goes on

Callers saw: a stream that went on at a worker stood in its line until the deadline and broke, as that worker had started again and nothing reset the connection. Cause: a send of a stream that goes on did not watch for a new life of its worker. Evidence, before: a_stream_in_the_line_of_a_worker_that_starts_again_goes_on: 'long before the deadline: Elapsed' after 30 s of 60. It passes now. Change: such a send ends 150 ms after the new life is known, as a first send does, and counts as one that may have run; the new life counts as untried.

--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -319,7 +319,8 @@
     }
 
     /// Sends to one more worker. Where it is the last one, it is waited for as
-    /// long as the caller waits, or until the former one brings something.
+    /// long as the caller waits, or until the former one brings something, or
+    /// until it has started again: its new life has not had the stream.
     async fn send_on(&mut self, worker: &WorkerName, mut open: bool) -> Result<Next, NoAnswer> {
         let soon = (Instant::now() + RESUMED_FIRST_EVENT).min(self.req.deadline);
         let until = if self.is_last_try() {
@@ -327,10 +328,14 @@
         } else {
             soon
         };
+        let place = place::take(&self.gw, worker);
+        let ticket = place.ticket().clone();
+        let mut restarted = pin!(worker_restarted(&self.gw, &ticket));
+        let mut lost_at = None;
         let mut sent = pin!(send(
             &self.gw,
             Send {
-                place: place::take(&self.gw, worker),
+                place,
                 out: &self.req.out,
                 left: Some(self.req.left()),
                 after: self.last_id,
@@ -349,6 +354,13 @@
                     Ok(bytes) => return Ok(Next::Former(bytes.unwrap_or_default())),
                     Err(Broken) => open = false,
                 },
+                () = restarted.as_mut(), if lost_at.is_none() => {
+                    lost_at = Some(Instant::now() + AFTER_RESTART);
+                }
+                () = sleep_until(lost_at.unwrap_or(until)), if lost_at.is_some() => {
+                    self.req.tried.retain(|w| w != worker);
+                    return Err(NoAnswer::Unknown("worker started again".into()));
+                }
             }
         }
     }
