--- a/crates/bluebellreel_gateway/src/jobs/no_route.rs
+++ b/crates/bluebellreel_gateway/src/jobs/no_route.rs
@@ -5,14 +5,13 @@
 //! is so for good, so the store must have said that there is nothing newer.
 
 use super::load::owned_job;
-use super::own::OwnedJob;
+use super::own::{OwnedJob, RouteMissing};
 use crate::gateway::Gateway;
 use crate::millis::millis;
 use bluebellreel_batch::ItemPhase;
 use bluebellreel_dispatch::Configuration;
 use bluebellreel_kv::Key;
 use bluebellreel_platform::keys;
-use bluebellreel_types::Moment;
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,15 +20,6 @@
 /// item is given up: versions that follow quickly may bring it back.
 const ROUTE_GONE: Duration = Duration::from_secs(3);
 
-/// A job of which an item has no route.
-#[derive(Clone, Copy)]
-pub(super) struct RouteMissing {
-    /// Revision of the configuration that lacks it.
-    configuration: i64,
-    /// When the store is asked whether that is the newest one.
-    ask_at: Moment,
-}
-
 /// An item of a job has no route. Once that has lasted, the store is asked, and
 /// the job's items without a route are given up if it agrees.
 pub(super) fn note(gw: &Rc<Gateway>, owned: &Rc<OwnedJob>) {
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -9,7 +9,6 @@
 use tokio::task::AbortHandle;
 
 use super::archive::Archive;
-use super::no_route::RouteMissing;
 
 /// One job, with what wakes those that wait for it.
 pub(crate) struct OwnedJob {
@@ -58,6 +57,15 @@
     }
 }
 
+/// A job of which an item has no route.
+#[derive(Clone, Copy)]
+pub(super) struct RouteMissing {
+    /// Revision of the configuration that lacks it.
+    pub(super) configuration: i64,
+    /// When the store is asked whether that is the newest one.
+    pub(super) ask_at: Moment,
+}
+
 /// A run of an item at a worker.
 pub(crate) struct ItemRun {
     pub(crate) worker: WorkerName,
