Reports name at most 500 ended jobs

Callers saw: nothing; read in the diff. A report that names thousands of ends does not fit a datagram, is not sent, and its sender counts as silent. Change: as many as of owned jobs; owners of the others ask the store. Names of two functions.

--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -68,7 +68,7 @@
         // The caller may have left.
         let _ = tx.send(outcome);
         if outcome == Outcome::Open {
-            end_at_last(&gw, &id).await;
+            retry_end(&gw, &id).await;
         }
     });
     rx.await.unwrap_or(Outcome::Open).answer()
@@ -84,7 +84,7 @@
 
 /// Tries to end a job until it is decided. Items of a job of ours have stopped and
 /// will not go on, so that its end is tried for as long as it is ours.
-async fn end_at_last(gw: &Rc<Gateway>, id: &JobId) {
+async fn retry_end(gw: &Rc<Gateway>, id: &JobId) {
     if !gw.jobs.borrow_mut().ends_pending.insert(id.clone()) {
         return;
     }
@@ -196,7 +196,7 @@
     let until = gw.now() + REMEMBER_FOR;
     let mut jobs = gw.jobs.borrow_mut();
     jobs.evict(id);
-    jobs.bury(id, EndedBy::Us, until);
+    jobs.add_tombstone(id, EndedBy::Us, until);
     drop(jobs);
     gw.members.borrow_mut().claimed(id, gw.now());
     gw.report_due.notify_one();
@@ -206,7 +206,7 @@
 /// A peer reports that a job was ended.
 pub(crate) fn end_reported(gw: &Gateway, id: &JobId, peer: &EntryName) {
     let until = gw.now() + REMEMBER_FOR;
-    gw.jobs.borrow_mut().bury(id, EndedBy::Peer, until);
+    gw.jobs.borrow_mut().add_tombstone(id, EndedBy::Peer, until);
     let Some(owned) = owned_job(gw, id) else {
         return;
     };
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -133,8 +133,8 @@
     pub(crate) orphans_due: Rc<Notify>,
 }
 
-/// Jobs named in a report, some 20 bytes each. Owners of more are found by
-/// reading records.
+/// Jobs named in a report as owned, and as ended, some 20 bytes each. Owners of
+/// more are found by reading records, ends of more by asking the store.
 const REPORTED: usize = 500;
 /// Tombstones kept, some 40 bytes each.
 const TOMBSTONES: usize = 8192;
@@ -207,7 +207,7 @@
     }
 
     /// Remembers that a job was ended, by whom, until a moment.
-    pub(crate) fn bury(&mut self, id: &JobId, by: EndedBy, until: Moment) {
+    pub(crate) fn add_tombstone(&mut self, id: &JobId, by: EndedBy, until: Moment) {
         if self.tombstones.len() >= TOMBSTONES {
             self.tombstones.clear();
         }
@@ -228,7 +228,7 @@
     /// Jobs that reports name as ended.
     pub(crate) fn ended_here(&self) -> Vec<JobId> {
         let here = self.tombstones.iter().filter(|(_, t)| t.by == EndedBy::Us);
-        here.map(|(id, _)| id.clone()).collect()
+        here.take(REPORTED).map(|(id, _)| id.clone()).collect()
     }
 
     /// Forgets what has outlived its time.
