Failures of an item that has generated nothing go with its job

Callers saw (by reading, not in the field): an item that fails at once is tried more often than the route's maxAttempts if its job changes owner on the way. Cause: only items with events went into copies and hand-overs; the next owner counted the others' failures from nothing. Change: an item with failures is in the copy, without text; a copy is due again after each failure as it is after each event.

--- a/crates/bluebellreel_batch/src/copies.rs
+++ b/crates/bluebellreel_batch/src/copies.rs
@@ -19,9 +19,9 @@
     pub item: Arc<str>,
     /// Its runs that failed by its own fault.
     pub failures: u32,
-    /// Id of its last event; zero for an item that has ended.
+    /// Id of its last event; zero for an item without any, or that has ended.
     pub last_id: u64,
-    /// Number of its events; zero for an item that has ended.
+    /// Number of its events; zero for an item without any, or that has ended.
     pub events: u64,
     /// Its text so far.
     pub text: String,
@@ -31,10 +31,14 @@
 
 impl ItemProgress {
     fn of(item: &Item) -> Option<Self> {
+        let last_id = item.progress.last_id();
+        if last_id.is_none() && item.failures == 0 {
+            return None;
+        }
         Some(Self {
             item: item.input.id.clone(),
             failures: item.failures,
-            last_id: item.progress.last_id()?,
+            last_id: last_id.unwrap_or(0),
             events: item.progress.events(),
             text: item.progress.text().to_owned(),
             ended: None,
@@ -57,11 +61,17 @@
     fn bytes(&self) -> usize {
         self.text.len() + self.item.len()
     }
+
+    /// How much there is to copy: more after each event and each failure.
+    #[must_use]
+    pub fn extent(&self) -> u64 {
+        self.text.len() as u64 + u64::from(self.failures) + 1
+    }
 }
 
 impl Job {
-    /// How far all items are that have generated something and whose results
-    /// are not recorded.
+    /// How far all items are that have generated something or failed, and whose
+    /// results are not recorded.
     #[must_use]
     pub fn progress(&self) -> Vec<ItemProgress> {
         let begun = self.items.iter().filter(|i| i.phase != ItemPhase::Ended);
--- a/crates/bluebellreel_batch/tests/jobs.rs
+++ b/crates/bluebellreel_batch/tests/jobs.rs
@@ -307,3 +307,22 @@
     assert_eq!(results.len(), 1);
     assert_eq!(&*results[0].text, "t");
 }
+
+/// Guards that failures of an item without events count on at its job's next owner.
+#[test]
+fn failures_without_events_go_with_a_copy() {
+    let mut owner = job("j", 2, NOW);
+    run(&mut owner, 0, "", ItemEnd::Failed);
+    let once = owner.progress();
+    run(&mut owner, 0, "", ItemEnd::Failed);
+    let copy = owner.progress();
+    assert_eq!(copy.len(), 1);
+    assert!(once[0].extent() < copy[0].extent(), "not copied again");
+
+    let mut heir = job("j", 2, NOW);
+    heir.restore(copy, NOW);
+    assert_eq!((heir.items[0].failures, heir.items[1].failures), (2, 0));
+    assert!(heir.items[0].progress.last_id().is_none());
+    run(&mut heir, 0, "", ItemEnd::Failed);
+    assert_eq!(heir.items[0].phase, ItemPhase::Ended);
+}
--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct Copied {
     to: SocketAddr,
-    bytes: u64,
+    extent: u64,
 }
 
 /// Replicates how far items are, for ever.
@@ -61,13 +61,13 @@
     let mut due = Vec::new();
     for (id, owned) in &jobs.own {
         let items = owned.job.borrow().progress();
-        let bytes = items.iter().map(|i| i.text.len() as u64 + 1).sum();
+        let extent = items.iter().map(ItemProgress::extent).sum();
         let Some(to) = target(gw, id) else {
             continue;
         };
-        let now = Copied { to, bytes };
+        let now = Copied { to, extent };
         let before = copied.insert(id.clone(), now);
-        if bytes > 0 && before != Some(now) {
+        if extent > 0 && before != Some(now) {
             due.push((id.clone(), to, items));
         }
     }
