A stream goes on at the new life of its worker

Callers saw: a resumable stream was cut when its worker had started again under its id and no other worker was there, though the new life served. Cause: a worker's id stood among those that had had the stream, whichever life had. Evidence, before: a_stream_goes_on_at_the_new_life_of_its_worker: 'whole: false', no event passed on; with the first half of the change, the new life breaking off once as well: 'whole: false' after event 9 of 20. It passes now. Change: a life that the stream has not had counts as untried, and may be returned to.

--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -253,6 +253,10 @@
         let resumable = self.req.route.resumable && self.req.may_repeat();
         warn!(target: "online", request:% = self.req.id, worker:% = worker, events = self.passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
         self.upstream.place.failed();
+        if self.of_former_life {
+            // Its new life has not had the stream.
+            self.req.tried.retain(|w| *w != worker);
+        }
         while resumable && self.req.may_repeat() && !self.req.left().is_zero() {
             if self.req.may_run(&self.gw).is_err() {
                 return false;
@@ -269,7 +273,7 @@
                     return true;
                 }
                 Ok(Next::Other(upstream)) if upstream.head.status.is_success() => {
-                    if open {
+                    if open && !self.of_former_life {
                         self.unfit.push(worker);
                     }
                     // Dropping the old one closes its connection, and with it
