A gateway starts with any bound that a site has for an end

Callers saw (review, by parsing): a site whose bound is 1,000 ms, or written 3000.0, would have had no gateway at all, as each refused its settings. Cause: the bound was a whole number of 1,500 or more. Change: any number from 1 to an hour; a confirmation holds for 250 ms at the least, so that a bound under 750 cannot be kept and costs no calls without a pause.

--- a/crates/bluebellreel_batch/src/confirmation.rs
+++ b/crates/bluebellreel_batch/src/confirmation.rs
@@ -27,6 +27,9 @@
 /// Longest time from the decision to start an item until its worker has it: a
 /// new connection takes up to 250 ms.
 const SEND: Duration = Duration::from_millis(500);
+/// Shortest time for which a confirmation holds. The store would be asked without
+/// a pause for one that has hardly come before it is over.
+const VALID_SHORTEST: Duration = Duration::from_millis(250);
 
 /// For how long the store's confirmation holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +44,7 @@
     /// end was recorded.
     #[must_use]
     pub fn within(bound: Duration) -> Self {
-        let valid = bound.saturating_sub(SEND);
+        let valid = bound.saturating_sub(SEND).max(VALID_SHORTEST);
         Self {
             valid,
             renew_after: valid / 2,
--- /dev/null
+++ b/crates/bluebellreel_batch/tests/confirmation.rs
@@ -0,0 +1,80 @@
+//! Leases of starts, by a passed-in clock.
+
+use bluebellreel_batch::{JOBS_PER_CHECK, Stamp, StartLease, StartTerms, jobs_to_check};
+use bluebellreel_types::Moment;
+use std::time::Duration;
+
+const BOUND: Duration = Duration::from_secs(3);
+
+fn at(ms: u64) -> Stamp {
+    after_sleep(ms, 0)
+}
+
+fn after_sleep(ms: u64, suspended_ms: u64) -> Stamp {
+    Stamp {
+        at: Moment(ms * 1000),
+        suspended: Duration::from_millis(suspended_ms),
+    }
+}
+
+fn lease(asked: u64) -> StartLease {
+    StartLease::new(at(asked), &StartTerms::within(BOUND))
+}
+
+/// Guards that items start for 2.5 s after the store was asked, and not later.
+#[test]
+fn a_lease_runs_from_when_the_store_was_asked() {
+    let lease = lease(1000);
+    assert!(lease.allows_start(at(3499)));
+    assert!(!lease.allows_start(at(3500)));
+    assert_eq!(lease.age(at(3500)), Duration::from_millis(2500));
+}
+
+/// Guards that a VM that was suspended asks before it starts an item.
+#[test]
+fn a_lease_does_not_outlive_a_suspension() {
+    let lease = lease(1000);
+    let woken = after_sleep(1010, 5000);
+    assert!(!lease.allows_start(woken));
+    assert!(!lease.ran_at(Moment(1_005_000), woken));
+    assert!(lease.is_due(false, woken));
+    assert_eq!(lease.age(woken), Duration::from_millis(5010));
+}
+
+/// Guards that a lease is renewed before it is over, and one that nobody needs seldom.
+#[test]
+fn a_lease_is_renewed_when_an_item_wants_to_start() {
+    let lease = lease(1000);
+    assert!(!lease.is_due(true, at(2249)));
+    assert!(lease.is_due(true, at(2250)));
+    assert!(!lease.is_due(false, at(5999)));
+    assert!(lease.is_due(false, at(6000)));
+}
+
+/// Guards that in an outage only jobs go on whose lease ran when it began.
+#[test]
+fn a_lease_that_was_over_before_an_outage_does_not_count() {
+    let lease = lease(1000);
+    assert!(lease.ran_at(Moment(3_499_000), at(9000)));
+    assert!(!lease.ran_at(Moment(3_500_000), at(9000)));
+}
+
+/// Guards that a bound shorter than a send still leaves time between two calls.
+#[test]
+fn a_bound_that_cannot_be_kept_does_not_ask_without_a_pause() {
+    let terms = StartTerms::within(Duration::from_millis(1));
+    let lease = StartLease::new(at(1000), &terms);
+    assert!(lease.allows_start(at(1249)));
+    assert!(!lease.is_due(true, at(1124)));
+}
+
+/// Guards that a call asks for the jobs confirmed longest ago, and for none if none is due.
+#[test]
+fn a_call_takes_the_jobs_that_were_confirmed_longest_ago() {
+    let jobs = || (0..100u64).map(|n| (n, lease(1000 + (n * 37) % 100), n == 50));
+    assert!(jobs_to_check(jobs(), at(2000)).is_empty());
+    let asked = jobs_to_check(jobs(), at(2400));
+    let oldest: Vec<u64> = asked.iter().map(|n| (n * 37) % 100).collect();
+    let expected: Vec<u64> = (0..JOBS_PER_CHECK as u64).collect();
+    assert_eq!(oldest, expected);
+}
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -140,20 +140,32 @@
 #[derive(Deserialize)]
 #[serde(default)]
 struct RawJobs {
-    cancel_within_ms: u64,
+    cancel_within_ms: f64,
 }
 
 impl Default for RawJobs {
     fn default() -> Self {
         Self {
-            cancel_within_ms: 3000,
+            cancel_within_ms: USUAL_CANCEL_WITHIN_MS,
         }
     }
 }
 
-/// Least time within which jobs can be ended, in milliseconds: an item takes up
-/// to 500 to reach its worker, and the store up to 800 to answer.
-const LEAST_CANCEL_WITHIN_MS: u64 = 1500;
+/// Time in which jobs end where the settings name none, in milliseconds.
+const USUAL_CANCEL_WITHIN_MS: f64 = 3000.0;
+/// Longest: an hour, beyond any job's patience.
+const LONGEST_CANCEL_WITHIN_MS: f64 = 3_600_000.0;
+
+impl RawJobs {
+    fn checked(&self, file: &str) -> Result<Duration, SettingsError> {
+        let ms = self.cancel_within_ms;
+        if !(1.0..=LONGEST_CANCEL_WITHIN_MS).contains(&ms) {
+            let reason = "must be from 1 to 3600000";
+            return Err(SettingsError::new(file, "jobs.cancel_within_ms", reason));
+        }
+        Ok(Duration::from_secs_f64(ms / 1000.0))
+    }
+}
 
 /// Least value size that a batch item's longest result fits into.
 const LEAST_VALUE_BYTES: usize = 64 * 1024;
@@ -181,10 +193,7 @@
         let reason = "must be 65536 or more";
         return Err(SettingsError::new(file, "store.value_bytes", reason));
     }
-    if raw.jobs.cancel_within_ms < LEAST_CANCEL_WITHIN_MS {
-        let reason = "must be 1500 or more";
-        return Err(SettingsError::new(file, "jobs.cancel_within_ms", reason));
-    }
+    let cancel_within = raw.jobs.checked(file)?;
     Ok(GatewaySettings {
         name,
         data_centre,
@@ -199,6 +208,6 @@
         value_bytes: raw.store.value_bytes,
         shortest_lease: Duration::from_millis(raw.store.shortest_lease_ms),
         grace,
-        cancel_within: Duration::from_millis(raw.jobs.cancel_within_ms),
+        cancel_within,
     })
 }
