Ends that cannot be recorded are tried again more and more seldom

Cause: each was tried twice a second for a minute, however many there were. Change: the pause doubles from 0.5 to 5 s; 256 ends are followed at once, besides those of own jobs. Names: retry_end, Undecided.

--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -24,8 +24,12 @@
 
 /// Longest that one try to record an end takes.
 const RECORD: Duration = Duration::from_millis(2500);
-/// Pause before an end that could not be recorded is tried again.
-const RETRY: Duration = Duration::from_millis(500);
+/// First pause before an end that could not be recorded is tried again.
+const BACKOFF: Duration = Duration::from_millis(500);
+/// Longest such pause; each is twice the one before.
+const BACKOFF_LONGEST: Duration = Duration::from_secs(5);
+/// Ends that are tried again at once, apart from those of jobs owned here.
+const PENDING: usize = 256;
 /// How long an end of a job that is not owned here is tried again.
 const RETRY_FOR: Duration = Duration::from_mins(1);
 /// When a caller should return while the end cannot be recorded.
@@ -44,7 +48,7 @@
     /// There is no such job.
     NoSuchJob,
     /// The end is not recorded, or not known to be.
-    Open,
+    Undecided,
 }
 
 impl Outcome {
@@ -52,7 +56,7 @@
         match self {
             Self::Recorded => answers::status(StatusCode::OK),
             Self::NoSuchJob => answers::failure(StatusCode::NOT_FOUND, "no such job"),
-            Self::Open => {
+            Self::Undecided => {
                 answers::retry_after(StatusCode::BAD_GATEWAY, "not recorded yet", RETURN_AFTER)
             }
         }
@@ -67,11 +71,11 @@
         let outcome = end(&gw, &id).await;
         // The caller may have left.
         let _ = tx.send(outcome);
-        if outcome == Outcome::Open {
+        if outcome == Outcome::Undecided {
             retry_end(&gw, &id).await;
         }
     });
-    rx.await.unwrap_or(Outcome::Open).answer()
+    rx.await.unwrap_or(Outcome::Undecided).answer()
 }
 
 /// Ends a job of ours for a peer.
@@ -85,13 +89,16 @@
 /// Tries to end a job until it is decided. Items of a job of ours have stopped and
 /// will not go on, so that its end is tried for as long as it is ours.
 async fn retry_end(gw: &Rc<Gateway>, id: &JobId) {
-    if !gw.jobs.borrow_mut().ends_pending.insert(id.clone()) {
+    let is_full = gw.jobs.borrow().ends_pending.len() >= PENDING && owned_job(gw, id).is_none();
+    if is_full || !gw.jobs.borrow_mut().ends_pending.insert(id.clone()) {
         return;
     }
     let until = Instant::now() + RETRY_FOR;
+    let mut pause = BACKOFF;
     while owned_job(gw, id).is_some() || Instant::now() < until {
-        sleep(RETRY).await;
-        if end(gw, id).await != Outcome::Open {
+        sleep(pause).await;
+        pause = BACKOFF_LONGEST.min(pause * 2);
+        if end(gw, id).await != Outcome::Undecided {
             break;
         }
     }
@@ -106,7 +113,7 @@
         let until = Instant::now() + RECORD;
         let decision = timeout_at(until, decided.wait_for(|a| *a != Accepted::Open));
         if !matches!(decision.await, Ok(Ok(_))) {
-            return Outcome::Open;
+            return Outcome::Undecided;
         }
     }
     if let Some(owned) = owned_job(gw, id) {
@@ -157,7 +164,7 @@
             Ok(None) => return Outcome::NoSuchJob,
             Err(e) => {
                 warn!(target: "jobs", job:% = id, error:% = e; "end not recorded");
-                return Outcome::Open;
+                return Outcome::Undecided;
             }
         };
         if record.phase != JobPhase::Open {
@@ -173,11 +180,11 @@
             Commit::Beaten(_) => {}
             Commit::NotDone(reason) | Commit::Unknown(reason) => {
                 warn!(target: "jobs", job:% = id, reason = reason.as_str(); "end not recorded");
-                return Outcome::Open;
+                return Outcome::Undecided;
             }
         }
     }
-    Outcome::Open
+    Outcome::Undecided
 }
 
 fn end_txn(id: &JobId, record: &JobRecord, revision: i64) -> Txn {
--- a/crates/bluebellreel_gateway/src/jobs/confirm.rs
+++ b/crates/bluebellreel_gateway/src/jobs/confirm.rs
@@ -72,7 +72,7 @@
     info!(target: "jobs", jobs = unsure.len(); "own jobs looked at again");
     for owned in unsure {
         if let Err(e) = confirm(&gw, &owned).await {
-            // Readers ask again, and so does the next renewal.
+            // Readers ask again, and so do items that want to start.
             warn!(target: "jobs", error:% = e; "own jobs not confirmed");
             return;
         }
