A stopping owner notifies the successor of its job up to three times

Callers saw (by reading, not in the field): a job that stands still for up to 20 s after its owner stopped as planned; its items begin anew. Cause: the call that tells the new owner was made once. When it was lost, the record named a gateway that did not know, and that found the job at its own look only. Evidence: a_hand_over_is_told_again_when_its_call_is_lost, which ends the connections of the first two calls: 'left: 1, right: 0' (ends left) before, as there was no second call. Change: a call without an answer, or that the successor could not follow, is repeated twice, 150 ms apart, while the process lasts. The successor takes a repeated call as a known one.

--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -6,8 +6,9 @@
 use super::own::OwnedJob;
 use super::stored::{key, owner_txn, stored_record};
 use super::{confirm, load};
+use crate::answers;
 use crate::gateway::Gateway;
-use crate::{answers, peer_calls};
+use crate::peer_calls::{self, PeerError};
 use bluebellreel_batch::{ItemPhase, Job, JobPhase, JobRecord, Owner, Stamp, keys};
 use bluebellreel_kv::{Commit, KvError};
 use bluebellreel_net::Body;
@@ -16,6 +17,7 @@
 use log::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -27,6 +29,10 @@
 const LOOK: Duration = Duration::from_millis(25);
 /// How long a hand-over's write is repeated.
 const DECIDE: Duration = Duration::from_millis(1500);
+/// Times that a new owner is notified of its job, while this process lasts.
+const NOTICES: u32 = 3;
+/// Pause before it is notified again.
+const NOTICE_PAUSE: Duration = Duration::from_millis(150);
 
 /// The hand-overs of a daemon that stops.
 #[derive(Default)]
@@ -105,10 +111,29 @@
         jobs.evict(&id);
         jobs.note_owner(&id, &record);
     }
-    let told = peer_calls::hand_over(&gw, peer.calls, &id, progress).await;
+    let told = notify(&gw, peer.calls, &id, &progress).await;
     info!(target: "jobs", job:% = id, peer:% = to, revision, told:? = told; "job handed over");
 }
 
+/// Notifies the new owner of a job: one that misses it finds the job at a look, and
+/// its items begin anew. What it has taken before does no harm.
+async fn notify(
+    gw: &Gateway,
+    to: SocketAddr,
+    id: &JobId,
+    progress: &[u8],
+) -> Result<StatusCode, PeerError> {
+    let mut left = NOTICES;
+    loop {
+        let told = peer_calls::hand_over(gw, to, id, progress.to_vec()).await;
+        left -= 1;
+        if matches!(told, Ok(StatusCode::OK | StatusCode::CONFLICT)) || left == 0 {
+            return told;
+        }
+        sleep(NOTICE_PAUSE).await;
+    }
+}
+
 /// The record's revision after a hand-over. The first try's answer may be lost,
 /// and the second one meet the first one's record.
 fn handed_over(outcome: &Commit, id: &JobId, record: &JobRecord) -> Option<i64> {
