The caretaker notifies an owner that does not report its job

Callers saw (by reading, not in the field): a job whose record names a gateway that lives and does not know of it stands still until that gateway's own look, 20 s apart. Cause: a look took a job for settled as soon as its named owner was heard; only readers notified an owner that does not have its job. Evidence: an_owner_that_does_not_report_its_job_is_notified, whose owner cannot list open jobs: 'never: the job is done' (60 s) before, ok after. Change: the caretaker remembers from look to look since when a heard owner leaves an open job out of its reports, looks again soon, and notifies the owner after 3 s as a reader would. An owner that reports as many jobs as a report takes (500) is passed over; that bound has no test. a_hand_over_is_told_again_when_its_call_is_lost refuses the list for the same reason. A job that the caretaker finds before its owner's first report costs one look more.

--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -140,7 +140,7 @@
 
 /// Jobs named in a report as owned, and as ended, some 20 bytes each. Owners of
 /// more are found by reading records, ends of more by asking the store.
-const REPORTED: usize = 500;
+pub(super) const REPORTED: usize = 500;
 /// Tombstones kept, some 40 bytes each.
 const TOMBSTONES: usize = 8192;
 /// Owners remembered; each takes some hundred bytes.
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -67,7 +67,7 @@
 
 /// Notifies a daemon that the record names it a job's owner. It may have missed
 /// the hand-over, and would find the job only when it looks for orphans.
-fn notify_owner(gw: &Rc<Gateway>, id: &JobId, owner: SocketAddr) {
+pub(super) fn notify_owner(gw: &Rc<Gateway>, id: &JobId, owner: SocketAddr) {
     let (gw, id) = (gw.clone(), id.clone());
     tokio::task::spawn_local(async move {
         let Ok(Some(found)) = load::record(&gw, &id).await else {
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -2,15 +2,17 @@
 
 use super::adopt::{adopt, adopt_stored};
 use super::load::FoundRecord;
+use super::own::REPORTED;
 use super::stored::{key, owner_txn, stored_record};
-use super::{backup, load};
+use super::{backup, load, read};
 use crate::gateway::Gateway;
 use crate::registration::{self, EntryEnd};
 use bluebellreel_batch::{Custody, JobPhase, JobRecord, Owner, OwnerSign, custody, keys};
 use bluebellreel_kv::{Commit, Key, KvError};
 use bluebellreel_members::Presence;
-use bluebellreel_types::JobId;
+use bluebellreel_types::{JobId, Moment};
 use log::{info, warn};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
@@ -28,15 +30,22 @@
 const FIRST_LOOK: Duration = Duration::from_millis(600);
 /// How long a job without an owner is left to its heir.
 const LEFT_BY_HEIR: Duration = Duration::from_millis(2500);
+/// How long an owner that is heard may leave a job out of its reports before it
+/// is notified that the job is its own.
+const UNREPORTED: Duration = Duration::from_secs(3);
 /// How long a take-over's write is repeated.
 const DECIDE: Duration = Duration::from_secs(3);
 
+/// Jobs whose owners are heard and do not report them, and when those are notified.
+type Unreported = HashMap<JobId, Moment>;
+
 /// Looks for jobs without an owner, for ever.
 pub(crate) async fn adopt_orphans(gw: Rc<Gateway>) {
     let due = gw.jobs.borrow().orphans_due.clone();
+    let mut unreported = Unreported::new();
     sleep(FIRST_LOOK).await;
     loop {
-        let more = match look(&gw).await {
+        let more = match look(&gw, &mut unreported).await {
             Ok(left) => left > 0,
             Err(e) => {
                 warn!(target: "jobs", error:% = e; "open jobs not listed");
@@ -57,7 +66,7 @@
 
 /// Goes through all open jobs; gives the number of those whose owner is not
 /// here and that are not taken over yet.
-async fn look(gw: &Rc<Gateway>) -> Result<usize, KvError> {
+async fn look(gw: &Rc<Gateway>, unreported: &mut Unreported) -> Result<usize, KvError> {
     if gw.stopping.get() {
         return Ok(0);
     }
@@ -67,6 +76,7 @@
     }
     let mut left = 0;
     let mut entries_read = false;
+    let before = std::mem::take(unreported);
     for kv in open {
         let Some(id) = kv.key.as_str().strip_prefix(keys::OPEN) else {
             continue;
@@ -87,7 +97,7 @@
             continue;
         }
         // One job that cannot be read must not hold up those behind it.
-        match take_over(gw, &id).await {
+        match take_over(gw, &id, before.get(&id).copied(), unreported).await {
             Ok(settled) => left += usize::from(!settled),
             Err(KvError::Refused(reason)) => {
                 warn!(target: "jobs", job:% = id, reason = reason.as_str(); "job not taken over");
@@ -110,8 +120,14 @@
 }
 
 /// Takes a job over if its owner is gone and this daemon is the one to do so;
-/// whether no further look is needed soon.
-async fn take_over(gw: &Rc<Gateway>, id: &JobId) -> Result<bool, KvError> {
+/// whether no further look is needed soon. `notify_at` is when an owner that does
+/// not report the job is notified, if that is known from the look before.
+async fn take_over(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    notify_at: Option<Moment>,
+    unreported: &mut Unreported,
+) -> Result<bool, KvError> {
     let Some(found) = load::record(gw, id).await? else {
         return Ok(true);
     };
@@ -122,7 +138,11 @@
     let sign = sign_of(gw, &record.owner);
     let is_heir = sign == OwnerSign::Gone && (is_heir(gw, id) || is_left_by_heir(gw, id));
     match custody(sign, is_heir) {
-        Custody::Settled => Ok(true),
+        Custody::Settled => {
+            let waits = leave_to_owner(gw, id, &record.owner, notify_at);
+            unreported.extend(waits.map(|until| (id.clone(), until)));
+            Ok(waits.is_none())
+        }
         Custody::LookAgain => Ok(false),
         Custody::Run => {
             adopt_stored(gw, id, found.record, found.revision, found.asked).await;
@@ -132,6 +152,34 @@
     }
 }
 
+/// Leaves a job to its owner, which is heard and does not report it: it may not
+/// know that the job is its own. Gives when it is to be notified, unless that is done
+/// or left to the caretaker.
+fn leave_to_owner(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    owner: &Owner,
+    notify_at: Option<Moment>,
+) -> Option<Moment> {
+    let now = gw.now();
+    // An owner of very many jobs reports some of them only.
+    let reports_all = {
+        let members = gw.members.borrow();
+        let peer = members.alive(&owner.entry, now);
+        peer.is_some_and(|p| p.jobs.len() < REPORTED)
+    };
+    let address = read::owner_address(gw, id)?;
+    if !reports_all || !is_caretaker(gw) {
+        return None;
+    }
+    let notify_at = notify_at.unwrap_or(now + UNREPORTED);
+    if !notify_at.is_past(now) {
+        return Some(notify_at);
+    }
+    read::notify_owner(gw, id, address);
+    None
+}
+
 /// Whether the owner, as far as it is known, is silent and not gone yet; saves
 /// reading the record at each look.
 fn is_owner_silent(gw: &Gateway, id: &JobId) -> bool {
