Others watch the store once both watchers' last answers of it are old

Cause: "reaches the store" in reports is a conclusion of their sender, of unknown age. Change: full reports say how long ago the store answered their sender last. Of a peer whose last answer is over 1.5 s old (a lease is renewed each 1.1 s, a report sent each 0.25 s) nobody waits for the watch: the next by rank watch too, from what they know, without a list. The age follows the warnings, not in the supplement: the version before reads the warnings from where the supplement ends and leaves only what follows those. 5 bytes more a full report. What an earlier version sends is read as before and counts as young. Evidence: daemons_whose_last_answer_is_old_leave_the_watch_to_others: 0 instead of 2 others watch without the filter. Tests of batch, members, dispatch, gateway and stand-ins pass.

--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -23,7 +23,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
-use wire::{Datagram, Report, Supplement, Urgent, Warnings, load_of, seal, sender_tag};
+use wire::{Datagram, Freshness, Report, Supplement, Urgent, Warnings, load_of, seal, sender_tag};
 
 /// Time between reports when nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(250);
@@ -82,12 +82,8 @@
     let (report, supplement) = wire::report(gw, sequence);
     let brief = report.brief(&supplement);
     let urgent = report.urgent(gw.suspects.borrow().version());
-    let mut full = postcard::to_allocvec(&(report, supplement))?;
-    let warnings = Warnings::own(gw);
-    if !warnings.is_empty() {
-        full.extend(postcard::to_allocvec(&warnings)?);
-    }
-    let full = seal(full);
+    let rest = (Warnings::own(gw), Freshness::own(gw));
+    let full = seal(postcard::to_allocvec(&(report, supplement, rest))?);
     let now = gw.now();
     if last.urgent.as_ref() == Some(&urgent) && !last.full_due.is_past(now) {
         return Ok((full, brief.encode()?));
@@ -125,10 +121,10 @@
         };
         match wire::read(&buf[..length]) {
             Ok(Datagram::Full(report, ..)) if report.entry == *gw.me() => {}
-            Ok(Datagram::Full(report, supplement, warnings)) => {
+            Ok(Datagram::Full(report, supplement, warnings, freshness)) => {
                 warnings.take(&mut gw.suspects.borrow_mut(), gw.now());
                 senders.note(&report.entry, report.run);
-                hear(&gw, *report, supplement, &asking);
+                hear(&gw, *report, supplement, freshness, &asking);
             }
             Ok(Datagram::Brief(brief)) => {
                 // Of a sender that is not known yet the next full one tells all.
@@ -161,7 +157,13 @@
     }
 }
 
-fn hear(gw: &Rc<Gateway>, report: Report, supplement: Supplement, asking: &Rc<Cell<bool>>) {
+fn hear(
+    gw: &Rc<Gateway>,
+    report: Report,
+    supplement: Supplement,
+    freshness: Freshness,
+    asking: &Rc<Cell<bool>>,
+) {
     let now = gw.now();
     let reads_briefs = supplement.reads_briefs;
     if let Some(place) = supplement.place.clone() {
@@ -182,7 +184,7 @@
     }
     let revisions = report.revisions;
     let cancelled = report.cancelled.clone();
-    note_peer(gw, report, reads_briefs, now);
+    note_peer(gw, report, reads_briefs, freshness, now);
     for job in &cancelled {
         gw.members.borrow_mut().claimed(job, now);
     }
@@ -198,7 +200,7 @@
     gw.batch_due.notify_one();
 }
 
-fn note_peer(gw: &Gateway, report: Report, reads_briefs: bool, now: Moment) {
+fn note_peer(gw: &Gateway, report: Report, reads_briefs: bool, freshness: Freshness, now: Moment) {
     let peer = Peer {
         run: report.run,
         calls: report.calls,
@@ -210,6 +212,7 @@
         tokens: report.tokens.into_iter().collect::<BTreeMap<_, _>>(),
         reaches_store: report.reaches_store,
         served_s: report.served_s,
+        answered_at: freshness.answered_at(now),
         revisions: report.revisions,
         reads_briefs,
     };
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -63,8 +63,8 @@
     pub(super) place: Option<DataCentre>,
 }
 
-/// What follows a supplement if there is anything to say: crashes of workers, and the
-/// requests that were there. Some 500 bytes at the most.
+/// What follows a supplement: crashes of workers, and the requests that were there.
+/// Some 500 bytes at the most.
 #[derive(Default, Serialize, Deserialize)]
 pub(super) struct Warnings {
     crashes: Vec<Crash>,
@@ -72,6 +72,29 @@
     trials: Vec<Fingerprint>,
 }
 
+/// What follows the warnings. Daemons of the version before read as far as those.
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
+pub(super) struct Freshness {
+    /// How long ago the store answered its sender last.
+    answered_ms_ago: Option<u32>,
+}
+
+impl Freshness {
+    pub(super) fn own(gw: &Gateway) -> Self {
+        let ago = gw.store.answered_ago();
+        let ms = ago.map(|ago| u32::try_from(ago.as_millis()).unwrap_or(u32::MAX));
+        Self {
+            answered_ms_ago: ms,
+        }
+    }
+
+    /// When the store answered a report's sender last.
+    pub(super) fn answered_at(self, now: Moment) -> Option<Moment> {
+        let ms = u64::from(self.answered_ms_ago?);
+        Some(Moment(now.0.saturating_sub(ms * 1000)))
+    }
+}
+
 /// One crash under one request; ages in milliseconds, as clocks differ.
 #[derive(Serialize, Deserialize)]
 struct Crash {
@@ -99,10 +122,6 @@
         }
     }
 
-    pub(super) fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.trials.is_empty()
-    }
-
     /// Takes over what a peer warns of.
     pub(super) fn take(self, suspects: &mut Suspects, now: Moment) {
         for crash in self.crashes {
@@ -180,7 +199,7 @@
 
 /// A datagram as it was read.
 pub(super) enum Datagram {
-    Full(Box<Report>, Supplement, Warnings),
+    Full(Box<Report>, Supplement, Warnings, Freshness),
     Brief(Brief),
 }
 
@@ -347,7 +366,12 @@
     } else {
         postcard::take_from_bytes(rest)?
     };
-    let full = Datagram::Full(Box::new(report), supplement, warnings);
+    let (freshness, rest) = if rest.is_empty() {
+        (Freshness::default(), rest)
+    } else {
+        postcard::take_from_bytes(rest)?
+    };
+    let full = Datagram::Full(Box::new(report), supplement, warnings, freshness);
     Ok((full, rest))
 }
 
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -136,6 +136,11 @@
         looked && self.answered_at.get().is_none()
     }
 
+    /// How long ago a call succeeded last, either way.
+    pub(crate) fn answered_ago(&self) -> Option<Duration> {
+        Some(self.answered_at.get()?.elapsed())
+    }
+
     /// How long ago the last outage ended.
     pub(crate) fn regained_for(&self) -> Option<Duration> {
         Some(self.last_outage.get()?.ended.elapsed())
--- a/crates/bluebellreel_members/src/lib.rs
+++ b/crates/bluebellreel_members/src/lib.rs
@@ -19,4 +19,4 @@
 mod unclaimed;
 
 pub use members::Members;
-pub use peer::{LONG_SILENT, MemberEntry, Peer, Presence, Revisions, SILENT};
+pub use peer::{ANSWER_OLD, LONG_SILENT, MemberEntry, Peer, Presence, Revisions, SILENT};
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -116,7 +116,8 @@
     }
 
     /// Whether daemon `me`, which reaches the store or not, watches it for the
-    /// others: the first by rank of those that are heard, go on and reach it do.
+    /// others: the first by rank of those that are heard, go on and reach it do. Those
+    /// whose last answer of the store is old may be cut off from it without knowing.
     #[must_use]
     pub fn is_watcher(&self, me: &EntryName, reaches_store: bool, now: Moment) -> bool {
         // Whoever stops would be missed only when it has been silent for a while.
@@ -125,7 +126,7 @@
             return others.next().is_none();
         }
         let before_me = others.filter(|(name, _)| rank(name) > rank(me));
-        before_me.count() < WATCHERS
+        before_me.filter(|(_, p)| p.is_answered(now)).count() < WATCHERS
     }
 
     /// Whether daemon `me` is the first of those that live, which looks after
--- a/crates/bluebellreel_members/src/peer.rs
+++ b/crates/bluebellreel_members/src/peer.rs
@@ -12,6 +12,10 @@
 /// Silence after which a peer whose entry in the store has ended is forgotten.
 pub const LONG_SILENT: Duration = Duration::from_secs(8);
 
+/// Age from which a peer's last answer of the store is old. One that is well renews
+/// its lease each 1.1 s and says how old its last answer is each 0.25 s.
+pub const ANSWER_OLD: Duration = Duration::from_millis(1500);
+
 /// How far some daemon's knowledge of the store goes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Revisions {
@@ -64,6 +68,8 @@
     pub registered: bool,
     /// How long the store has served it without an outage; in seconds.
     pub served_s: u32,
+    /// When the store answered it last; none if it does not say.
+    pub answered_at: Option<Moment>,
     /// How far its knowledge goes.
     pub revisions: Revisions,
     /// Jobs that it owns.
@@ -88,6 +94,7 @@
             stopping: false,
             registered: true,
             served_s: 0,
+            answered_at: None,
             revisions: Revisions::default(),
             jobs: BTreeSet::new(),
             tokens: BTreeMap::new(),
@@ -96,6 +103,12 @@
         }
     }
 
+    /// Whether the store may have answered it lately.
+    pub(crate) fn is_answered(&self, now: Moment) -> bool {
+        self.answered_at
+            .is_none_or(|at| !(at + ANSWER_OLD).is_past(now))
+    }
+
     /// Whether it was heard lately.
     #[must_use]
     pub fn is_heard(&self, now: Moment) -> bool {
--- a/crates/bluebellreel_members/tests/members.rs
+++ b/crates/bluebellreel_members/tests/members.rs
@@ -1,6 +1,6 @@
 //! Who lives, and who does what.
 
-use bluebellreel_members::{LONG_SILENT, MemberEntry, Members, Peer, Presence, SILENT};
+use bluebellreel_members::{ANSWER_OLD, LONG_SILENT, MemberEntry, Members, Peer, Presence, SILENT};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -288,3 +288,32 @@
     assert_eq!(members.tokens_heard("book", NOW), 600);
     assert_eq!(members.tokens_heard("book", NOW + SILENT + TICK), 0);
 }
+
+/// Watchers that are cut off from the store without knowing leave the watch to others.
+#[test]
+fn daemons_whose_last_answer_is_old_leave_the_watch_to_others() {
+    let watchers = |members: &Members| -> Vec<usize> {
+        let all = (1..=6).filter(|n| {
+            let mut as_it_sees = members.clone();
+            as_it_sees.hear(name(*n), peer(1, LONG_AGO));
+            as_it_sees.is_watcher(&name(*n), true, NOW + ANSWER_OLD)
+        });
+        all.collect()
+    };
+    let answered = |at| Peer {
+        answered_at: Some(at),
+        ..peer(1, NOW + ANSWER_OLD)
+    };
+    let mut members = Members::default();
+    for n in 1..=6 {
+        members.hear(name(n), answered(NOW + TICK));
+    }
+    let first = watchers(&members);
+    assert_eq!(first.len(), 2);
+    for n in &first {
+        members.hear(name(*n), answered(NOW));
+    }
+    let next = watchers(&members);
+    let others = next.iter().filter(|n| !first.contains(n));
+    assert_eq!(others.count(), 2, "{first:?} {next:?}");
+}
