Tests: each guard of a worker's life fails a test without it

Callers saw: nothing. Cause: 23 of 47 guards in board.rs, catalog.rs, suspects and workers.rs could be taken out and the tests run for it still passed. No other code. Evidence: each guard taken out alone.

--- a/crates/bluebellreel_dispatch/tests/catalog.rs
+++ b/crates/bluebellreel_dispatch/tests/catalog.rs
@@ -132,6 +132,87 @@
     }
 }
 
+/// A removal that is older than what is known takes no worker away, and what stands at a
+/// removal's revision brings none back.
+#[test]
+fn an_older_removal_takes_no_worker_away() {
+    let a = WorkerName::from("a");
+    let mut catalog = Catalog::default();
+    catalog.put(9, worker("a", WorkerState::Ready));
+    assert!(!catalog.remove(5, &a));
+    assert_eq!(listed(&catalog), ["a"]);
+    assert!(catalog.remove(12, &a));
+    assert!(!catalog.put(12, worker("a", WorkerState::Ready)));
+    assert!(listed(&catalog).is_empty());
+}
+
+/// A list or a lapse that is older than a worker's entry does not end it.
+#[test]
+fn an_older_lapse_ends_no_newer_worker() {
+    let until = Moment(1_000_000);
+    for keep_until in [None, Some(until)] {
+        let mut catalog = Catalog::default();
+        catalog.put(25, worker("a", WorkerState::Ready));
+        catalog.replace(20, vec![], keep_until);
+        catalog.miss(20, &WorkerName::from("a"), until);
+        assert!(!catalog.expire(until));
+        assert_eq!(listed(&catalog), ["a"]);
+    }
+}
+
+/// A worker whose entry is found again after an outage is kept, and is news.
+#[test]
+fn a_worker_that_was_missing_and_is_back_is_kept() {
+    let until = Moment(1_000_000);
+    for revision in [3, 21] {
+        let mut catalog = Catalog::default();
+        catalog.put(3, worker("a", WorkerState::Ready));
+        catalog.replace(20, vec![], Some(until));
+        assert!(catalog.put(revision, worker("a", WorkerState::Ready)));
+        assert!(!catalog.expire(until));
+        assert_eq!(listed(&catalog), ["a"]);
+    }
+}
+
+/// A worker that is missed twice has the time of the first one; one that left has none.
+#[test]
+fn a_second_lapse_gives_no_more_time() {
+    let until = Moment(1_000_000);
+    let a = WorkerName::from("a");
+    let mut catalog = Catalog::default();
+    catalog.put(3, worker("a", WorkerState::Ready));
+    catalog.miss(20, &a, until);
+    catalog.miss(22, &a, until + Duration::from_secs(1));
+    assert!(catalog.expire(until));
+    assert!(listed(&catalog).is_empty());
+    catalog.miss(30, &a, until);
+    assert!(!catalog.expire(until));
+    assert_eq!(catalog.newest(), 20);
+}
+
+/// Who has learned all workers from a peer does not know who left before.
+#[test]
+fn a_first_lesson_tells_nothing_of_earlier_removals() {
+    let mut catalog = Catalog::default();
+    catalog.learn(10, vec![ready(4, "a")], false);
+    assert!(!catalog.tells_all_after(9));
+    assert!(catalog.tells_all_after(10));
+}
+
+/// Who has forgotten removals does not claim to know all that has changed since.
+#[test]
+fn a_forgotten_removal_is_not_passed_over() {
+    let mut catalog = Catalog::default();
+    for revision in 1..4200 {
+        catalog.remove(revision, &WorkerName::from(format!("w-{revision}")));
+    }
+    let known = catalog.facts_after(0).map(|(revision, ..)| revision).min();
+    let first = known.expect("most of them");
+    assert!(first > 2, "some are forgotten");
+    assert!(!catalog.tells_all_after(first - 2));
+    assert!(catalog.tells_all_after(first - 1));
+}
+
 /// A worker leaves, and a daemon starts after that: its list does not show who has
 /// left. A peer that was a moment behind took over what it knows, believed that this
 /// was all, and sent work to the worker that had left for as long as it ran.
--- a/crates/bluebellreel_dispatch/tests/restarts.rs
+++ b/crates/bluebellreel_dispatch/tests/restarts.rs
@@ -115,6 +115,83 @@
     assert_eq!(board.paces.interval(&id(), NOW), None, "nor its pace");
 }
 
+/// What a run of a former life tells does not clear or blame the present one.
+#[test]
+fn events_and_items_of_a_former_life_do_not_count() {
+    let mut catalog = Catalog::default();
+    let mut board = board(&mut catalog, 7);
+    let former = board.start(&id(), Class::Batch);
+    reborn(&mut board, &mut catalog, 2, 8);
+    board.failed_item(&former, NOW);
+    assert!(board.seat(&id()).expect("listed").doubt.takes(NOW));
+    let present = board.start(&id(), Class::Online);
+    board.failed(&present, NOW);
+    board.succeeded(&former, NOW);
+    let seat = board.seat(&id()).expect("listed");
+    assert!(!seat.doubt.takes(NOW));
+    assert_eq!(seat.last_event_at, Moment::default());
+}
+
+/// What a peer had at a former life is not taken off what others have at the present one.
+#[test]
+fn a_peer_that_hears_of_a_new_life_takes_no_run_of_others_away() {
+    let mut catalog = Catalog::default();
+    let mut board = board(&mut catalog, 7);
+    board.hear(&EntryName::from("entry-2"), load(1, 7, 2));
+    reborn(&mut board, &mut catalog, 2, 8);
+    board.hear(&EntryName::from("entry-3"), load(1, 8, 3));
+    board.hear(&EntryName::from("entry-2"), load(2, 8, 1));
+    assert_eq!(board.seat(&id()).map(|s| s.peers.online), Some(4));
+}
+
+/// Peers are told at which life our runs are.
+#[test]
+fn our_runs_are_told_with_the_life_that_they_are_at() {
+    let mut catalog = Catalog::default();
+    let mut board = board(&mut catalog, 7);
+    let _ = board.start(&id(), Class::Online);
+    let online = Running {
+        online: 1,
+        batch: 0,
+    };
+    let own: Vec<_> = board.own().collect();
+    assert_eq!(own, [(&id(), Some(Boot(7)), online)]);
+}
+
+/// A worker that leaves while runs of ours are there gets nothing new, and may come back.
+#[test]
+fn a_worker_that_leaves_under_runs_takes_nothing_new_until_it_is_back() {
+    let mut catalog = Catalog::default();
+    let mut board = board(&mut catalog, 7);
+    let run = board.start(&id(), Class::Online);
+    catalog.remove(2, &id());
+    assert_eq!(board.follow(&catalog), [(id(), WorkerChange::Left)]);
+    assert_eq!(place(&board), Placement::NoWorker);
+    let mut leaving = worker(Some(7));
+    leaving.state = WorkerState::Draining;
+    catalog.put(3, leaving);
+    let back = WorkerChange::Listed(WorkerState::Draining);
+    assert_eq!(board.follow(&catalog), [(id(), back)]);
+    catalog.put(4, worker(Some(7)));
+    board.follow(&catalog);
+    board.end(&run);
+    assert!(board.follow(&catalog).is_empty(), "it has not left again");
+    assert_eq!(place(&board), Placement::Send(id()));
+}
+
+/// A run at a worker that is not listed is at no former life: nothing has started again.
+#[test]
+fn a_worker_that_is_gone_has_not_started_again() {
+    let mut catalog = Catalog::default();
+    let mut board = board(&mut catalog, 7);
+    let run = board.start(&id(), Class::Online);
+    board.end(&run);
+    catalog.remove(2, &id());
+    board.follow(&catalog);
+    assert!(board.seat(&id()).is_none());
+    assert!(!board.is_of_former_life(&run));
+}
+
 /// An entry of another writer stands where a worker's was. The worker gets
 /// nothing new, also by an older word of it, and its neighbour is as before.
 #[test]
