--- a/crates/bluebellreel_batch/src/copies.rs
+++ b/crates/bluebellreel_batch/src/copies.rs
@@ -3,7 +3,7 @@
 //!
 //! An item's output lies in its owner's memory until the item has ended. If the
 //! owner dies, whoever takes the job over would begin every item anew. So the
-//! owner tells its heir now and then how far its items are; the heir keeps that
+//! owner tells its successor now and then how far its items are; the successor keeps that
 //! for a while, within a bound, and goes on from there.
 
 use crate::{Item, ItemPhase, ItemResult, Job, Progress, ResultState};
--- a/crates/bluebellreel_batch/src/custody.rs
+++ b/crates/bluebellreel_batch/src/custody.rs
@@ -31,18 +31,18 @@
     TakeOver,
 }
 
-/// Decides what a daemon does about a job. `is_heir` says whether it is the one
-/// that takes the job over first, or its heir has left it too long.
+/// Decides what a daemon does about a job. `is_successor` says whether it is the one
+/// that takes the job over first, or its successor has left it too long.
 ///
 /// A silent owner means another look, soon: when it was taken for a live one,
 /// its job waited for the next regular look, six seconds of a job that is due in
 /// eighteen.
 #[must_use]
-pub fn custody(owner: OwnerSign, is_heir: bool) -> Custody {
+pub fn custody(owner: OwnerSign, is_successor: bool) -> Custody {
     match owner {
         OwnerSign::Me => Custody::Run,
         OwnerSign::Heard => Custody::Settled,
-        OwnerSign::Gone if is_heir => Custody::TakeOver,
+        OwnerSign::Gone if is_successor => Custody::TakeOver,
         OwnerSign::Silent | OwnerSign::Gone => Custody::LookAgain,
     }
 }
--- a/crates/bluebellreel_batch/src/tenure.rs
+++ b/crates/bluebellreel_batch/src/tenure.rs
@@ -2,7 +2,7 @@
 //!
 //! Results are listed by the store's word, and an owner remembers what it has
 //! listed. One that was cut off, or whose VM was suspended, may have lost its job
-//! without knowing: the heir has listed more since, and a reader who has seen
+//! without knowing: the successor has listed more since, and a reader who has seen
 //! that would be told that it is not there. So an owner keeps two things: when
 //! the store last said that a job is its own, and since when and until when its
 //! entry in the store has stood without a gap. A job is taken over only once its
--- a/crates/bluebellreel_batch/tests/copies.rs
+++ b/crates/bluebellreel_batch/tests/copies.rs
@@ -1,4 +1,4 @@
-//! Progress that the heir of a job keeps.
+//! Progress that the successor of a job keeps.
 
 use bluebellreel_batch::{ItemProgress, ProgressCopies};
 use bluebellreel_types::{JobId, Moment};
@@ -46,7 +46,7 @@
     assert_eq!(copies.take(&JobId::from("j0")), vec![progress("a", 20)]);
 }
 
-/// Jobs end at their owner without a word to the heir. Their copies would fill
+/// Jobs end at their owner without a word to the successor. Their copies would fill
 /// the bound for good.
 #[test]
 fn copies_are_forgotten_in_time() {
--- a/crates/bluebellreel_batch/tests/custody.rs
+++ b/crates/bluebellreel_batch/tests/custody.rs
@@ -8,8 +8,8 @@
 /// in eighteen seconds lay for up to ten.
 #[test]
 fn a_silent_owner_is_looked_at_again() {
-    for is_heir in [false, true] {
-        assert_eq!(custody(OwnerSign::Silent, is_heir), Custody::LookAgain);
+    for is_successor in [false, true] {
+        assert_eq!(custody(OwnerSign::Silent, is_successor), Custody::LookAgain);
     }
 }
 
@@ -18,8 +18,8 @@
 #[test]
 fn nothing_is_taken_from_an_owner_that_may_live() {
     for sign in [OwnerSign::Heard, OwnerSign::Silent, OwnerSign::Me] {
-        for is_heir in [false, true] {
-            assert_ne!(custody(sign, is_heir), Custody::TakeOver);
+        for is_successor in [false, true] {
+            assert_ne!(custody(sign, is_successor), Custody::TakeOver);
         }
     }
 }
--- a/crates/bluebellreel_batch/tests/jobs.rs
+++ b/crates/bluebellreel_batch/tests/jobs.rs
@@ -270,15 +270,15 @@
     let copy = dead.progress();
     assert_eq!(copy.len(), 3);
 
-    let mut heir = job("j", 3, NOW);
-    heir.items[0].phase = ItemPhase::Running;
-    heir.items[1].phase = ItemPhase::Running;
-    heir.end_run(1, ItemEnd::Completed, 3, NOW);
-    heir.restore(copy, NOW);
-    assert_eq!(heir.items[0].progress.last_id(), None, "it runs");
-    assert_eq!(heir.items[1].phase, ItemPhase::Ended);
-    assert_eq!(heir.items[2].progress.last_id(), Some(4));
-    assert_eq!(heir.items[2].progress.text(), "t\nt\nt\nt");
+    let mut successor = job("j", 3, NOW);
+    successor.items[0].phase = ItemPhase::Running;
+    successor.items[1].phase = ItemPhase::Running;
+    successor.end_run(1, ItemEnd::Completed, 3, NOW);
+    successor.restore(copy, NOW);
+    assert_eq!(successor.items[0].progress.last_id(), None, "it runs");
+    assert_eq!(successor.items[1].phase, ItemPhase::Ended);
+    assert_eq!(successor.items[2].progress.last_id(), Some(4));
+    assert_eq!(successor.items[2].progress.text(), "t\nt\nt\nt");
 }
 
 /// The store is away when items end, and their owner dies. What has ended is told
@@ -297,12 +297,15 @@
     let copy = dead.progress();
     assert_eq!(copy.len(), 2);
 
-    let mut heir = job("j", 3, NOW);
-    heir.items[0].phase = ItemPhase::Ended;
-    heir.restore(copy, NOW);
-    assert_eq!(heir.items[1].phase, ItemPhase::Ended);
-    assert!(matches!(heir.items[2].phase, ItemPhase::Waiting { .. }));
-    let segment = heir.segment_to_write(|since| since, NOW, BYTES);
+    let mut successor = job("j", 3, NOW);
+    successor.items[0].phase = ItemPhase::Ended;
+    successor.restore(copy, NOW);
+    assert_eq!(successor.items[1].phase, ItemPhase::Ended);
+    assert!(matches!(
+        successor.items[2].phase,
+        ItemPhase::Waiting { .. }
+    ));
+    let segment = successor.segment_to_write(|since| since, NOW, BYTES);
     let results = segment.expect("one result").results;
     assert_eq!(results.len(), 1);
     assert_eq!(&*results[0].text, "t");
@@ -319,12 +322,15 @@
     assert_eq!(copy.len(), 1);
     assert!(once[0].extent() < copy[0].extent(), "not copied again");
 
-    let mut heir = job("j", 2, NOW);
-    heir.restore(copy, NOW);
-    assert_eq!((heir.items[0].failures, heir.items[1].failures), (2, 0));
-    assert!(heir.items[0].progress.last_id().is_none());
-    run(&mut heir, 0, "", ItemEnd::Failed);
-    assert_eq!(heir.items[0].phase, ItemPhase::Ended);
+    let mut successor = job("j", 2, NOW);
+    successor.restore(copy, NOW);
+    assert_eq!(
+        (successor.items[0].failures, successor.items[1].failures),
+        (2, 0)
+    );
+    assert!(successor.items[0].progress.last_id().is_none());
+    run(&mut successor, 0, "", ItemEnd::Failed);
+    assert_eq!(successor.items[0].phase, ItemPhase::Ended);
 }
 
 /// The index of open jobs is told from one that an earlier version has written.
--- a/crates/bluebellreel_batch/tests/tenure.rs
+++ b/crates/bluebellreel_batch/tests/tenure.rs
@@ -22,7 +22,7 @@
     }
 }
 
-/// An owner is cut off from the store for longer than its entry stands. Its heir
+/// An owner is cut off from the store for longer than its entry stands. Its successor
 /// takes its jobs over. The first call that the store answers again must not make
 /// it believe what it knew before.
 #[test]
--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -22,7 +22,7 @@
 /// this often, each of its events is sent about three times.
 const COPY_EVERY: Duration = Duration::from_secs(1);
 /// How long a copy is kept: longer than a dead owner's entry stands (3.6 s) and
-/// its heir takes to look, and than an item lasts.
+/// its successor takes to look, and than an item lasts.
 const COPY_KEPT: Duration = Duration::from_secs(20);
 
 /// How much of a job was copied last, and to whom.
@@ -75,15 +75,15 @@
 }
 
 /// Where a job's progress is copied to: the keeper of this data centre, whose
-/// disk outlives a kill of everything; if there is none, the job's heir.
+/// disk outlives a kill of everything; if there is none, the job's successor.
 fn target(gw: &Gateway, id: &JobId) -> Option<SocketAddr> {
     let now = gw.now();
     if let Some(near) = gw.keepers.borrow().near(now) {
         return Some(near);
     }
     let members = gw.members.borrow();
-    let heir = members.heir(id, None, now)?;
-    Some(members.alive(&heir, now)?.calls)
+    let successor = members.successor(id, None, now)?;
+    Some(members.alive(&successor, now)?.calls)
 }
 
 /// Copies one job's progress; whether it was taken.
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -80,7 +80,7 @@
     if !owned.job.borrow().is_open() || !gw.jobs.borrow().own.contains_key(&id) {
         return;
     }
-    let to = gw.members.borrow().heir(&id, None, gw.now());
+    let to = gw.members.borrow().successor(&id, None, gw.now());
     let Some(to) = to else {
         warn!(target: "jobs", job:% = id; "nobody to hand the job over to");
         return;
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -28,8 +28,8 @@
 /// and to a new daemon from its first report on. The jobs of a fleet that was
 /// killed stand still until then.
 const FIRST_LOOK: Duration = Duration::from_millis(600);
-/// How long a job without an owner is left to its heir.
-const LEFT_BY_HEIR: Duration = Duration::from_millis(2500);
+/// How long a job without an owner is left to its successor.
+const LEFT_BY_SUCCESSOR: Duration = Duration::from_millis(2500);
 /// How long an owner that is heard may leave a job out of its reports before it
 /// is notified that the job is its own.
 const UNREPORTED: Duration = Duration::from_secs(3);
@@ -136,8 +136,9 @@
         return Ok(true);
     }
     let sign = sign_of(gw, &record.owner);
-    let is_heir = sign == OwnerSign::Gone && (is_heir(gw, id) || is_left_by_heir(gw, id));
-    match custody(sign, is_heir) {
+    let is_successor =
+        sign == OwnerSign::Gone && (is_successor(gw, id) || is_left_by_successor(gw, id));
+    match custody(sign, is_successor) {
         Custody::Settled => {
             let waits = leave_to_owner(gw, id, &record.owner, notify_at);
             unreported.extend(waits.map(|until| (id.clone(), until)));
@@ -208,19 +209,19 @@
 }
 
 /// Whether this daemon takes a job over first.
-fn is_heir(gw: &Gateway, id: &JobId) -> bool {
+fn is_successor(gw: &Gateway, id: &JobId) -> bool {
     let members = gw.members.borrow();
-    members.heir(id, Some(gw.me()), gw.now()).as_ref() == Some(gw.me())
+    members.successor(id, Some(gw.me()), gw.now()).as_ref() == Some(gw.me())
 }
 
-/// Whether this daemon is the one that looks after jobs that their heir leaves
-/// alone: the heir may believe that the owner lives, or not reach the store.
+/// Whether this daemon is the one that looks after jobs that their successor leaves
+/// alone: the successor may believe that the owner lives, or not reach the store.
 /// The write is guarded, so two that claim a job at once do no harm.
-fn is_left_by_heir(gw: &Gateway, id: &JobId) -> bool {
+fn is_left_by_successor(gw: &Gateway, id: &JobId) -> bool {
     let now = gw.now();
     let mut jobs = gw.jobs.borrow_mut();
     let found_at = *jobs.orphans.entry(id.clone()).or_insert(now);
-    is_caretaker(gw) && (found_at + LEFT_BY_HEIR).is_past(now)
+    is_caretaker(gw) && (found_at + LEFT_BY_SUCCESSOR).is_past(now)
 }
 
 /// Makes this daemon the owner of a job whose owner is gone.
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -139,7 +139,7 @@
     /// The daemon that should have a job: of those that live and do not stop,
     /// `me` among them if it is given, the first by the job's own order.
     #[must_use]
-    pub fn heir(&self, job: &JobId, me: Option<&EntryName>, now: Moment) -> Option<EntryName> {
+    pub fn successor(&self, job: &JobId, me: Option<&EntryName>, now: Moment) -> Option<EntryName> {
         let able = self.heard(now).filter(|(_, p)| !p.stopping);
         let names = able.map(|(name, _)| name).chain(me);
         names.max_by_key(|name| rank_for(name, job)).cloned()
--- a/crates/bluebellreel_members/tests/members.rs
+++ b/crates/bluebellreel_members/tests/members.rs
@@ -142,7 +142,7 @@
     assert_eq!(next.count(), 2);
 }
 
-/// A daemon dies and its jobs go to the others. All must name the same heir for
+/// A daemon dies and its jobs go to the others. All must name the same successor for
 /// a job, never one that stops, and not the same for all jobs.
 #[test]
 fn heirs_are_agreed_on_and_spread() {
@@ -150,19 +150,22 @@
     let mut chosen = std::collections::BTreeSet::new();
     for job in 0..40 {
         let job = JobId::from(format!("job-{job}").as_str());
-        let heir = members.heir(&job, None, NOW).expect("four live");
-        // The heir, asked itself, comes to the same.
+        let successor = members.successor(&job, None, NOW).expect("four live");
+        // The successor, asked itself, comes to the same.
         let mut others = members.clone();
-        others.hear(heir.clone(), peer(1, LONG_AGO));
-        assert_eq!(others.heir(&job, Some(&heir), NOW), Some(heir.clone()));
-        chosen.insert(heir.clone());
+        others.hear(successor.clone(), peer(1, LONG_AGO));
+        assert_eq!(
+            others.successor(&job, Some(&successor), NOW),
+            Some(successor.clone())
+        );
+        chosen.insert(successor.clone());
         let mut stops = members.clone();
         let stopping = Peer {
             stopping: true,
             ..peer(1, NOW)
         };
-        stops.hear(heir.clone(), stopping);
-        assert_ne!(stops.heir(&job, None, NOW), Some(heir));
+        stops.hear(successor.clone(), stopping);
+        assert_ne!(stops.successor(&job, None, NOW), Some(successor));
     }
     assert_eq!(chosen.len(), 4);
 }
