Quotas go by reports and the ledger again after a start

Cause: lists what is open in the store before each acceptance of a gateway that does not know all jobs, one acceptance at a time; after restarts and in cuts that takes longer than callers wait. Change: is reverted.

--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -11,7 +11,7 @@
 use crate::answers;
 use crate::gateway::Gateway;
 use crate::millis::millis;
-use bluebellreel_batch::{JobPhase, JobRecord, NewItem, OpenJob, Owner, keys, split_input};
+use bluebellreel_batch::{JobPhase, JobRecord, NewItem, Owner, keys, split_input};
 use bluebellreel_dispatch::Route;
 use bluebellreel_kv::{Commit, Compare, Key, Put, Txn};
 use bluebellreel_net::Body;
@@ -217,15 +217,15 @@
     }
     let record_key = key(&keys::record(id));
     puts.push(Put::lasting(record_key.clone(), record.encode()));
-    let open = OpenJob::from(&record).encode();
-    puts.push(Put::lasting(key(&keys::open(id)), open));
+    puts.push(Put::lasting(key(&keys::open(id)), Vec::new()));
     let txn = Txn {
         compares: vec![Compare::Absent(record_key.clone())],
         puts,
         ..Txn::default()
     };
+    let near = quota::is_near(gw, route, record.tokens);
     for _ in 0..LEDGER_TRIES {
-        let txn = if quota::is_near(gw, route, record.tokens) {
+        let txn = if near {
             match quota::guard(gw, route, id, record.tokens, &txn).await {
                 Ok(Some(txn)) => txn,
                 Ok(None) => return Accepted::NoRoom,
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -119,11 +119,6 @@
     /// Jobs without an owner that another daemon should take over, and since
     /// when they are known.
     pub(crate) orphans: HashMap<JobId, Moment>,
-    /// Whether all open jobs of the store were known to have owners that are heard,
-    /// and nothing has spoken against that since.
-    pub(super) sees_all_open: bool,
-    /// Held by the acceptance that reads what is open in the store.
-    pub(super) reading_open: Rc<Mutex<()>>,
     /// Jobs that were owned here or that peers have reported as theirs.
     reported: HashSet<JobId>,
     pub(crate) archive: Archive,
@@ -158,8 +153,6 @@
             submissions: HashMap::new(),
             owners: HashMap::new(),
             orphans: HashMap::new(),
-            sees_all_open: false,
-            reading_open: Rc::default(),
             reported: HashSet::new(),
             archive: Archive::default(),
             tombstones: BTreeMap::new(),
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -73,20 +73,6 @@
         reported.sum::<u64>() + self.unclaimed.tokens(route, now)
     }
 
-    /// Tokens that wait on a route at peers that are heard.
-    #[must_use]
-    pub fn tokens_heard(&self, route: &str, now: Moment) -> u64 {
-        let reported = self.heard(now).filter_map(|(_, p)| p.tokens.get(route));
-        reported.sum()
-    }
-
-    /// Whether the entries have been read, and each daemon that has one was heard once.
-    #[must_use]
-    pub fn has_heard_all(&self) -> bool {
-        let mut entered = self.peers.values().filter(|p| p.registered);
-        self.revision > 0 && entered.all(|p| p.heard_at.is_some())
-    }
-
     /// A job has an owner that is no peer, or has ended.
     pub fn claimed(&mut self, job: &JobId, now: Moment) {
         self.unclaimed.claimed(job, now);
