Split the experiment's simulation by topic

simulation.rs had 476 lines: the run's clock and events, and what side processes and their engines do at each step. The latter (admit, track, side_effect, start, begin_step, step_done, token) moves to simulation/sides.rs; simulation.rs has 324 lines. No change of behaviour; tests of the crate pass as before.

--- a/crates/bluebellreel_experiment/src/simulation.rs
+++ b/crates/bluebellreel_experiment/src/simulation.rs
@@ -1,8 +1,9 @@
-//! One run of a scenario.
+//! One run of a scenario: its clock, its events in order of time, its figures.
 
 mod batch;
 mod ends;
 mod online;
+mod sides;
 mod troubles;
 
 use crate::engine::{Engine, StepResult};
@@ -10,13 +11,11 @@
 use crate::load::{Arrival, arrivals};
 use crate::measure::{Latencies, Outcome, Sample};
 use crate::{Mode, Scenario};
-use bluebellreel_admission::{
-    self as admission, Admission, AdmissionLimits, BatchWindow, EngineEnd,
-};
+use bluebellreel_admission::{self as admission, Admission, AdmissionLimits};
 use bluebellreel_routing::{self as routing, Router, RouterLimits};
 use bluebellreel_types::{
-    AttemptEnd, AttemptId, Class, DataCentre, Dispatch, EntryName, Incarnation, ModelName,
-    ModelVersion, Moment, NotRunReason, RequestId, SideHello, WorkerName,
+    AttemptId, DataCentre, EntryName, Incarnation, ModelName, ModelVersion, Moment, RequestId,
+    SideHello, WorkerName,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -295,157 +294,6 @@
         self.at(self.now + SAMPLE, What::Sample);
     }
 
-    fn admit(&mut self, index: usize, event: admission::Event) {
-        if self.mode == Mode::FirstCome
-            && let admission::Event::Arrived { dispatch, .. } = event
-        {
-            let attempt = dispatch.attempt;
-            if self.sides[index].engine.dead {
-                self.route(routing::Event::AttemptEnded {
-                    worker: worker_name(index),
-                    attempt,
-                    end: AttemptEnd::NotRun(NotRunReason::Unreachable),
-                    load: None,
-                });
-                return;
-            }
-            self.start(index, &dispatch);
-            self.track(index, attempt, dispatch);
-            return;
-        }
-        if self.mode == Mode::FirstCome {
-            let open = BatchWindow::new(OPEN_WINDOW, self.scenario.lean);
-            self.sides[index].admission.batch_window = open;
-        }
-        let effects = admission::step(&mut self.sides[index].admission, event, self.now);
-        for effect in effects {
-            self.side_effect(index, effect);
-        }
-    }
-
-    /// Without admission, attempts still have to be known to the side.
-    fn track(&mut self, index: usize, attempt: AttemptId, dispatch: Box<Dispatch>) {
-        let running = admission::Running {
-            entry: entry(),
-            dispatch,
-            started_at: self.now,
-            last_token_at: None,
-            tokens: 0,
-            text: String::new(),
-            stopping: None,
-            unreported: false,
-        };
-        self.sides[index].admission.running.insert(attempt, running);
-    }
-
-    fn side_effect(&mut self, index: usize, effect: admission::Effect) {
-        match effect {
-            admission::Effect::StartEngine(dispatch) => self.start(index, &dispatch),
-            admission::Effect::CancelEngine(attempt) => {
-                self.sides[index].engine.cancel(attempt);
-                self.freeing.insert(attempt, self.now);
-                let end = EngineEnd::Broken;
-                self.admit(index, admission::Event::EngineEnded { attempt, end });
-            }
-            admission::Effect::SendPart { attempt, text } => {
-                self.route(routing::Event::PartArrived { attempt, text });
-            }
-            admission::Effect::SendEnd { attempt, end } => {
-                let load = Some(self.sides[index].admission.load(self.now));
-                self.route(routing::Event::AttemptEnded {
-                    worker: worker_name(index),
-                    attempt,
-                    end,
-                    load,
-                });
-            }
-            admission::Effect::Pull { entry, room } => self.pull(index, entry, room),
-            admission::Effect::Report { report, .. } => {
-                self.note_report(&report.end, report.attempt);
-            }
-            admission::Effect::SendVerdict { .. } => {}
-        }
-    }
-
-    fn start(&mut self, index: usize, dispatch: &Dispatch) {
-        if self.sides[index].engine.dead {
-            let attempt = dispatch.attempt;
-            let end = EngineEnd::Unreachable;
-            self.admit(index, admission::Event::EngineEnded { attempt, end });
-            return;
-        }
-        self.note_start(dispatch);
-        let request = dispatch.attempt.request;
-        let prompt = self.prompts.get(&request).copied().unwrap_or(60);
-        self.sides[index].engine.admit(dispatch, prompt);
-        self.begin_step(index);
-    }
-
-    fn begin_step(&mut self, index: usize) {
-        let side = &mut self.sides[index];
-        if side.engine.stepping || side.engine.dead || side.engine.is_idle() {
-            return;
-        }
-        let result = side.engine.step();
-        side.engine.stepping = true;
-        self.next_step += 1;
-        let at = self.now + result.span;
-        side.steps.insert(self.next_step, result);
-        self.at(at, What::StepDone(index, self.next_step));
-    }
-
-    fn step_done(&mut self, index: usize, step: u64) {
-        self.sides[index].engine.stepping = false;
-        // A place given up during the step is free from the next one on.
-        let freed: Vec<Moment> = self.freeing.drain().map(|(_, at)| at).collect();
-        for at in freed {
-            self.preemption.note(self.now.since(at));
-        }
-        let Some(result) = self.sides[index].steps.remove(&step) else {
-            return;
-        };
-        for attempt in result.tokens {
-            self.token(index, attempt);
-        }
-        for attempt in result.finished {
-            let end = EngineEnd::Completed {
-                status: 200,
-                body: Arc::from([]),
-            };
-            self.admit(index, admission::Event::EngineEnded { attempt, end });
-        }
-        self.begin_step(index);
-    }
-
-    fn token(&mut self, index: usize, attempt: AttemptId) {
-        let Some(running) = self.sides[index].admission.running.get(&attempt) else {
-            return;
-        };
-        if running.dispatch.class == Class::Batch {
-            if self.counts() {
-                self.batch_tokens += 1;
-            }
-            if self.is_poison(&running.dispatch.clone()) {
-                self.break_streams(index);
-                return;
-            }
-        }
-        if self.crashes_engine(attempt) {
-            self.crash(index);
-            return;
-        }
-        let text = Arc::from("w ");
-        let tokens = 1;
-        self.admit(
-            index,
-            admission::Event::EngineText {
-                attempt,
-                text,
-                tokens,
-            },
-        );
-    }
-
     fn finish(mut self) -> Outcome {
         let seconds = self.scenario.length.as_secs_f64();
         let online = &mut self.outcome.online;
