--- a/crates/bluebellreel_standins/src/engine.rs
+++ b/crates/bluebellreel_standins/src/engine.rs
@@ -1,11 +1,14 @@
 //! Stand-in for a model engine: an OpenAI-compatible API with streams, plus
 //! cancel, resume, load and order calls.
 
-use crate::engine_model::{EngineCosts, EngineModel, Sequence};
+mod streams;
+mod wire;
+
+pub use wire::{EngineFaults, EngineSettings};
+
+use crate::engine_model::{EngineModel, Sequence};
 use crate::http::{self, StandIn};
-use crate::words::word;
 use bluebellreel_http::{ChunkedStream, Request};
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
@@ -14,6 +17,8 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
+use streams::{StreamEvent, send_stream};
+use wire::{Cancel, Completion, Load, Order};
 
 /// Words of a prompt that make up its cached prefix.
 const PREFIX_WORDS: usize = 8;
@@ -22,97 +27,6 @@
 /// A prompt with this word takes the engine's streams down with it.
 const POISON: &str = "poison";
 
-/// How an engine stand-in is set up.
-#[derive(Clone, Debug)]
-pub struct EngineSettings {
-    /// What its steps cost.
-    pub costs: EngineCosts,
-    /// Models it holds at the start.
-    pub models: Vec<String>,
-    /// Whether it refuses orders with an old fencing number.
-    pub fences: bool,
-    /// Lag of its load report.
-    pub load_lag: Duration,
-    /// The weight store that it loads models from, if any.
-    pub weight_store: Option<String>,
-}
-
-impl Default for EngineSettings {
-    fn default() -> Self {
-        Self {
-            costs: EngineCosts::default(),
-            models: vec!["rental-assistant".into()],
-            fences: true,
-            load_lag: Duration::from_millis(200),
-            weight_store: None,
-        }
-    }
-}
-
-/// Faults that can be switched on.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(default)]
-pub struct EngineFaults {
-    /// Steps take this many times as long, in percent; zero for normal.
-    pub slow_percent: u32,
-    /// Every stream breaks after this many tokens; zero for never.
-    pub break_after: u32,
-    /// The engine answers nothing and generates nothing.
-    pub frozen: bool,
-    /// Loads of models fail.
-    pub fail_loads: bool,
-}
-
-#[derive(Deserialize)]
-struct Completion {
-    model: String,
-    messages: Vec<Message>,
-    #[serde(default = "default_tokens")]
-    max_tokens: u32,
-    #[serde(default)]
-    request_id: String,
-    #[serde(default)]
-    resume: String,
-}
-
-#[derive(Deserialize)]
-struct Message {
-    content: String,
-}
-
-fn default_tokens() -> u32 {
-    16
-}
-
-#[derive(Deserialize)]
-struct Cancel {
-    request_id: String,
-}
-
-/// An order to the engine.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Order {
-    kind: String,
-    name: String,
-    #[serde(default)]
-    version: String,
-    fence: u64,
-}
-
-#[derive(Clone, Debug, Default, Serialize)]
-struct Load {
-    running: usize,
-    waiting: usize,
-    cache_hits: u64,
-    cache_misses: u64,
-}
-
-enum StreamEvent {
-    Token(u32),
-    Finished,
-    Broken,
-}
-
 struct State {
     model: EngineModel,
     streams: HashMap<String, Sender<StreamEvent>>,
@@ -425,27 +339,3 @@
         span * percent / 100
     }
 }
-
-fn send_stream(
-    rx: &Receiver<StreamEvent>,
-    prompt: &str,
-    stream: &mut ChunkedStream,
-) -> io::Result<()> {
-    while let Ok(event) = rx.recv() {
-        match event {
-            StreamEvent::Token(index) => {
-                let text = word(prompt, index);
-                let chunk = serde_json::json!({ "choices": [{ "delta": { "content": text } }] });
-                stream.send(format!("data: {chunk}\n\n").as_bytes())?;
-            }
-            StreamEvent::Finished => {
-                let chunk =
-                    serde_json::json!({ "choices": [{ "delta": {}, "finish_reason": "stop" }] });
-                stream.send(format!("data: {chunk}\n\ndata: [DONE]\n\n").as_bytes())?;
-                return Ok(());
-            }
-            StreamEvent::Broken => return Ok(()),
-        }
-    }
-    Ok(())
-}
