Split the fault matrix's scenario and world, without circles

The circle of two files is gone, and the crate's head says in which order files take from each other.

--- a/crates/bluebellreel_faults/src/invariants.rs
+++ b/crates/bluebellreel_faults/src/invariants.rs
@@ -1,8 +1,7 @@
 //! What must always hold.
 
-use crate::scenario::{
-    BOOKINGS, FollowedCall, IMPOSSIBLE_NOTE, NOTES, Scenario, TOKENS, note_prompt,
-};
+use crate::items::{BOOKINGS, IMPOSSIBLE_NOTE, NOTES, TOKENS, note_prompt};
+use crate::scenario::{FollowedCall, Scenario};
 use bluebellreel_claim::ClaimState;
 use bluebellreel_entry::bench::{BenchLine, CallEnd};
 use bluebellreel_job::JobState;
@@ -14,20 +13,6 @@
 /// Times that results are tried to be read.
 const READINGS: u32 = 20;
 
-/// Remembers how often a key had run when its caller was told "not run".
-pub(crate) fn note_refusals(scenario: &mut Scenario) {
-    let runs = scenario.world.service().runs.clone();
-    for followed in &mut scenario.calls {
-        let refused = matches!(
-            followed.call.as_ref().and_then(|call| call.end.as_ref()),
-            Some(CallEnd::Outcome(Outcome::NotRun { .. }))
-        );
-        if let (true, None, Some(key)) = (refused, followed.runs_when_refused, &followed.key) {
-            followed.runs_when_refused = Some(runs.get(key).copied().unwrap_or(0));
-        }
-    }
-}
-
 /// Checks everything; gives the bookings that ended in doubt.
 pub(crate) fn check(scenario: &mut Scenario) -> usize {
     check_notes(scenario);
--- a/crates/bluebellreel_faults/src/lib.rs
+++ b/crates/bluebellreel_faults/src/lib.rs
@@ -6,6 +6,9 @@
 //! fault and the step at which it strikes. [`run_plan`] lets the main work run
 //! through it and checks what must always hold.
 //!
+//! Each file takes only from those before it: `plan`, `net`, `backend`, `kv`,
+//! `world`, `items`, `scenario`, `invariants`, `run`, `matrix`.
+//!
 //! ```
 //! use bluebellreel_faults::{run_plan, Plan};
 //!
@@ -15,10 +18,12 @@
 
 mod backend;
 mod invariants;
+mod items;
 mod kv;
 mod matrix;
 mod net;
 mod plan;
+mod run;
 mod scenario;
 mod world;
 
@@ -27,5 +32,5 @@
 pub use matrix::{Cell, CellResult, run_matrix, table};
 pub use net::{Envelope, Link, Payload};
 pub use plan::{Fault, Plan, Step, Strike};
-pub use scenario::{Report, run_plan};
+pub use run::{Report, run_plan};
 pub use world::World;
--- a/crates/bluebellreel_faults/src/matrix.rs
+++ b/crates/bluebellreel_faults/src/matrix.rs
@@ -1,7 +1,7 @@
 //! All faults by all steps.
 
 use crate::plan::{Fault, Plan, Step};
-use crate::scenario::{Report, run_plan};
+use crate::run::{Report, run_plan};
 use std::fmt::Write;
 
 /// Times of a step at which a fault strikes, one run each.
--- a/crates/bluebellreel_faults/src/scenario.rs
+++ b/crates/bluebellreel_faults/src/scenario.rs
@@ -1,32 +1,18 @@
-//! The work that goes on while faults strike.
+//! The work that goes on while faults strike: what callers and operators do.
 
-use crate::invariants;
+use crate::items::{TOKENS, bookings, chat, notes};
 use crate::plan::{Fault, Plan, Step};
-use crate::world::{DESK, MODEL, World};
-use bluebellreel_entry::bench::{BenchCall, BenchQuestion};
+use crate::world::{DESK, World};
+use bluebellreel_entry::bench::{BenchCall, BenchQuestion, CallEnd};
 use bluebellreel_job::JobState;
+use bluebellreel_routing::Outcome;
 use bluebellreel_types::{ChatBody, JobId, ModelName, Moment, TeamName, Work, WorkKind};
-use serde_json::json;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Items of each job of chat completions.
-pub(crate) const NOTES: u32 = 24;
-/// The item that can never be done.
-pub(crate) const IMPOSSIBLE_NOTE: u32 = 7;
-/// Tokens of each item.
-pub(crate) const TOKENS: u32 = 4;
-/// Items of the job of bookings.
-pub(crate) const BOOKINGS: u32 = 8;
-/// Longest time until everything must be over.
-const LONGEST: Duration = Duration::from_mins(4);
 /// Pause before a caller sends again.
 const RESEND_PAUSE: Duration = Duration::from_secs(1);
-/// When the bulk booking is cancelled.
-const CANCEL_AFTER: Duration = Duration::from_millis(200);
-/// When members lose patience and ask elsewhere what became of their calls.
-const IMPATIENCE: Duration = Duration::from_millis(1_500);
 /// Time that an online caller waits.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -71,113 +57,8 @@
     pub(crate) broken: Vec<String>,
 }
 
-/// How a run came out.
-#[derive(Clone, Debug)]
-pub struct Report {
-    /// What must hold and did not.
-    pub broken: Vec<String>,
-    /// Whether every planned fault struck.
-    pub struck: bool,
-    /// How often each step was reached.
-    pub reached: BTreeMap<Step, u32>,
-    /// Time until everything was over.
-    pub took: Duration,
-    /// Items of the plain service's job that ended in doubt.
-    pub in_doubt: usize,
-}
-
-/// Runs the work through a plan's faults and checks what must always hold.
-#[must_use]
-pub fn run_plan(plan: &Plan) -> Report {
-    let mut scenario = Scenario::new(plan);
-    let begun = scenario.world.now();
-    scenario.world.run_for(Duration::from_millis(600));
-    scenario.put_manifest(0, 0);
-    scenario.start_jobs();
-    scenario.start_calls();
-    if plan.owner_dies {
-        scenario.world.run_for(Duration::from_millis(300));
-        let back = scenario.world.now() + Duration::from_secs(15);
-        scenario.world.kill_entry(0, Some(back));
-    }
-    let cancel_at = scenario.world.now() + CANCEL_AFTER;
-    let mut ask_at = Some(scenario.world.now() + IMPATIENCE);
-    let until = begun + LONGEST + plan.trouble;
-    while !until.is_past(scenario.world.now()) && !scenario.is_over() {
-        scenario.world.turn();
-        scenario.react();
-        if cancel_at.is_past(scenario.world.now()) {
-            scenario.cancel_harps(1);
-        }
-        if ask_at.is_some_and(|at| at.is_past(scenario.world.now())) {
-            ask_at = None;
-            scenario.ask_outcomes();
-        }
-        scenario.note_generations();
-    }
-    let took = scenario.world.now().since(begun);
-    // Late and doubled messages still arrive, and nothing may come of them.
-    scenario.world.run_for(Duration::from_secs(15));
-    scenario.react();
-    let in_doubt = invariants::check(&mut scenario);
-    let kv = scenario.world.kv.clone();
-    Report {
-        broken: scenario.broken,
-        struck: kv.with(|kv| kv.all_struck()),
-        reached: Step::ALL
-            .iter()
-            .map(|step| (*step, kv.with(|kv| kv.reached(*step))))
-            .collect(),
-        took,
-        in_doubt,
-    }
-}
-
-/// A note's prompt.
-pub(crate) fn note_prompt(job: &str, number: u32) -> String {
-    if number == IMPOSSIBLE_NOTE {
-        format!("impossible {job} {number}")
-    } else {
-        format!("{job} {number}")
-    }
-}
-
-fn chat(prompt: &str) -> serde_json::Value {
-    json!({
-        "model": MODEL,
-        "messages": [{ "role": "user", "content": prompt }],
-        "max_tokens": TOKENS,
-    })
-}
-
-fn notes(job: &str) -> String {
-    let line = |number| {
-        json!({
-            "custom_id": format!("{job}-{number}"),
-            "method": "POST",
-            "url": "/v1/chat/completions",
-            "body": chat(&note_prompt(job, number)),
-        })
-        .to_string()
-    };
-    (0..NOTES).map(line).collect::<Vec<_>>().join("\n")
-}
-
-fn bookings() -> String {
-    let line = |number: u32| {
-        json!({
-            "custom_id": format!("harp-{number}"),
-            "method": "POST",
-            "url": format!("/services/{DESK}/bookings"),
-            "body": {},
-        })
-        .to_string()
-    };
-    (0..BOOKINGS).map(line).collect::<Vec<_>>().join("\n")
-}
-
 impl Scenario {
-    fn new(plan: &Plan) -> Self {
+    pub(crate) fn new(plan: &Plan) -> Self {
         Self {
             world: World::new(plan),
             team: TeamName::from("school"),
@@ -192,7 +73,7 @@
         }
     }
 
-    fn start_jobs(&mut self) {
+    pub(crate) fn start_jobs(&mut self) {
         for (key, entry, body) in [
             ("notes", 0, notes("notes")),
             ("bookings", 0, bookings()),
@@ -240,7 +121,7 @@
         }
     }
 
-    fn start_calls(&mut self) {
+    pub(crate) fn start_calls(&mut self) {
         for (number, key) in [None, None, Some("answer-1")].into_iter().enumerate() {
             let prompt = format!("pass window {number}");
             let body = chat(&prompt).to_string();
@@ -289,7 +170,7 @@
     }
 
     /// What callers and operators do as things come about.
-    fn react(&mut self) {
+    pub(crate) fn react(&mut self) {
         let now = self.world.now();
         let unheard: Vec<&'static str> = self
             .jobs
@@ -305,7 +186,7 @@
                 call.poll();
             }
         }
-        invariants::note_refusals(self);
+        self.note_refusals();
         self.settle_asked();
         for fault in std::mem::take(&mut self.world.asked) {
             match fault {
@@ -315,8 +196,22 @@
         }
     }
 
+    /// Remembers how often a key had run when its caller was told "not run".
+    fn note_refusals(&mut self) {
+        let runs = self.world.service().runs.clone();
+        for followed in &mut self.calls {
+            let refused = matches!(
+                followed.call.as_ref().and_then(|call| call.end.as_ref()),
+                Some(CallEnd::Outcome(Outcome::NotRun { .. }))
+            );
+            if let (true, None, Some(key)) = (refused, followed.runs_when_refused, &followed.key) {
+                followed.runs_when_refused = Some(runs.get(key).copied().unwrap_or(0));
+            }
+        }
+    }
+
     /// Members ask through another daemon what became of their calls.
-    fn ask_outcomes(&mut self) {
+    pub(crate) fn ask_outcomes(&mut self) {
         let keys: Vec<String> = self.calls.iter().filter_map(|c| c.key.clone()).collect();
         let team = self.team.clone();
         for key in keys {
@@ -367,7 +262,7 @@
         self.put_manifest(2, seen.unwrap_or(0));
     }
 
-    fn put_manifest(&mut self, from: usize, seen: u64) {
+    pub(crate) fn put_manifest(&mut self, from: usize, seen: u64) {
         let manifest = "[[services]]\nname = \"desk\"\n";
         let put = self
             .world
@@ -385,7 +280,7 @@
     }
 
     /// Cancels the job of harps unless it was cancelled before.
-    fn cancel_harps(&mut self, from: usize) {
+    pub(crate) fn cancel_harps(&mut self, from: usize) {
         let (Some(job), None) = (self.jobs.get("harps"), &self.cancel_told) else {
             return;
         };
@@ -414,7 +309,7 @@
         Some(lines?.iter().filter(ended).count())
     }
 
-    fn note_generations(&mut self) {
+    pub(crate) fn note_generations(&mut self) {
         let mut all = self.generations.last().copied().unwrap_or_default();
         for (index, known) in all.iter_mut().enumerate() {
             if let Some(entry) = self.world.entry(index) {
@@ -426,7 +321,7 @@
         }
     }
 
-    fn is_over(&mut self) -> bool {
+    pub(crate) fn is_over(&mut self) -> bool {
         if self.calls.iter().any(|c| {
             let waiting = c.call.as_ref().is_some_and(|call| call.end.is_none());
             waiting && !c.is_stranded()
--- /dev/null
+++ b/crates/bluebellreel_faults/src/world/sides.rs
@@ -0,0 +1,98 @@
+//! Side processes of a world and their backend servers.
+
+use super::{ENTRIES, EntryState, LOADING, World, worker_name};
+use crate::backend::BackendEvent;
+use crate::net::Link;
+use crate::plan::Step;
+use bluebellreel_rpc::{EntryNotice, SideNotice};
+use bluebellreel_side::BackendOrder;
+use bluebellreel_side::bench::SideBench;
+use bluebellreel_types::{Dispatch, LoadReport};
+use tokio::sync::oneshot;
+
+impl World {
+    pub(super) fn run_side(&mut self, index: usize) {
+        let now = self.now();
+        let side = &mut self.sides[index];
+        let events = side.backend.step(now);
+        self.hand_in(index, events);
+        let side = &mut self.sides[index];
+        let Some(bench) = side.bench.as_mut() else {
+            return;
+        };
+        bench.tick();
+        if side.load_at.is_past(now) {
+            side.load_at = now + LOADING;
+            self.report_load(index);
+        }
+        self.carry_out_orders(index);
+        self.send_from_side(index);
+    }
+
+    pub(super) fn hand_in(&mut self, index: usize, events: Vec<BackendEvent>) {
+        let Some(bench) = self.sides[index].bench.as_mut() else {
+            return;
+        };
+        for event in events {
+            match event {
+                BackendEvent::Text(attempt, text) => bench.text(attempt, &text, 1),
+                BackendEvent::End(attempt, end) => bench.end(attempt, end),
+            }
+        }
+    }
+
+    fn report_load(&mut self, index: usize) {
+        let Some(bench) = self.sides[index].bench.as_mut() else {
+            return;
+        };
+        let (answer, mut rx) = oneshot::channel();
+        bench.notice(SideNotice::LoadAsked(answer));
+        let Ok(load): Result<LoadReport, _> = rx.try_recv() else {
+            return;
+        };
+        for entry in 0..ENTRIES {
+            let link = Link { entry, side: index };
+            let up = matches!(self.entries[entry].state, EntryState::Up);
+            if up
+                && self.connected.contains(&link)
+                && let Some(bench) = self.entries[entry].bench.as_mut()
+            {
+                let worker = worker_name(index);
+                let load = load.clone();
+                bench.notice(EntryNotice::Load { worker, load });
+            }
+        }
+    }
+
+    fn carry_out_orders(&mut self, index: usize) {
+        let now = self.now();
+        while let Some(order) = self.sides[index].bench.as_mut().and_then(SideBench::order) {
+            match order {
+                BackendOrder::Start(dispatch) => {
+                    for strike in self.kv.with(|kv| kv.reach(Step::Run)) {
+                        let entry = self.entry_of(&dispatch);
+                        self.strike(strike, entry, index);
+                    }
+                    if self.sides[index].bench.is_none() {
+                        return;
+                    }
+                    self.started.push((now, (*dispatch).clone()));
+                    let attempt = dispatch.attempt;
+                    if let Some(end) = self.sides[index].backend.start(&dispatch, now) {
+                        self.hand_in(index, vec![BackendEvent::End(attempt, end)]);
+                    }
+                }
+                BackendOrder::Load(..) => {}
+                BackendOrder::Cancel(attempt) => {
+                    let event = self.sides[index].backend.cancel(attempt);
+                    self.hand_in(index, event.into_iter().collect());
+                }
+            }
+        }
+    }
+
+    fn entry_of(&self, dispatch: &Dispatch) -> usize {
+        let sender = self.senders.get(&dispatch.attempt);
+        sender.copied().unwrap_or(0)
+    }
+}
