Names of the field for waits, successors and changes

Names on the wire, in settings (patience_s) and in log lines stay. In tests only names and words change; no check or figure does. No change of behaviour.

--- a/crates/bluebellreel_chunk/src/volume.rs
+++ b/crates/bluebellreel_chunk/src/volume.rs
@@ -82,13 +82,13 @@
 }
 
 /// The holder that is gone and the disk to copy the volume to, if the disk `me`
-/// is the holder that is left and the other has been gone for `patience`.
+/// is the holder that is left and the other has been gone for `grace`.
 #[must_use]
 pub fn copy_target(
     record: &VolumeRecord,
     disks: &BTreeMap<DiskId, DiskSeat>,
     me: &DiskId,
-    patience: Duration,
+    grace: Duration,
     now: Moment,
 ) -> Option<(DiskId, DiskId)> {
     let [one, other] = &record.holders;
@@ -100,7 +100,7 @@
         return None;
     };
     let gone_since = disks.get(partner)?.gone_since?;
-    if !(gone_since + patience).is_past(now) {
+    if !(gone_since + grace).is_past(now) {
         return None;
     }
     let here = &disks.get(me)?.data_centre;
--- a/crates/bluebellreel_chunk/tests/volumes.rs
+++ b/crates/bluebellreel_chunk/tests/volumes.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-const PATIENCE: Duration = Duration::from_mins(1);
+const GRACE: Duration = Duration::from_mins(1);
 
 fn disk(number: usize) -> DiskId {
     DiskId(Arc::from(format!("disk-{number}")))
@@ -66,10 +66,10 @@
     if let Some(seat) = disks.get_mut(&disk(1)) {
         seat.gone_since = Some(gone);
     }
-    let at = |me: usize, now| copy_target(&volume, &disks, &disk(me), PATIENCE, now);
+    let at = |me: usize, now| copy_target(&volume, &disks, &disk(me), GRACE, now);
     assert!(!is_writable(&volume, &disks));
     assert_eq!(at(0, gone), None, "it may come back");
-    let later = gone + PATIENCE;
+    let later = gone + GRACE;
     assert_eq!(at(0, later), Some((disk(1), disk(2))));
     assert_eq!(at(1, later), None, "the one that is gone");
     assert_eq!(at(2, later), None, "holds nothing of it");
@@ -92,14 +92,14 @@
         let mut volume = record(holders_for(VolumeId(1), &disks).expect("enough disks"));
         let mut now = Moment(1_000_000);
         for (number, leaves) in steps {
-            now = now + PATIENCE;
+            now = now + GRACE;
             if let Some(seat) = disks.get_mut(&disk(number)) {
                 seat.gone_since = leaves.then_some(now);
             }
-            now = now + PATIENCE;
+            now = now + GRACE;
             for me in 0..5 {
                 let live = disks[&disk(me)].gone_since.is_none();
-                let target = copy_target(&volume, &disks, &disk(me), PATIENCE, now);
+                let target = copy_target(&volume, &disks, &disk(me), GRACE, now);
                 if let Some((gone, to)) = target.filter(|_| live) {
                     let next = volume.moved(&gone, &to);
                     prop_assert!(next.holders.contains(&disk(me)));
--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -187,9 +187,9 @@
             return Some(WorkerChange::StartedAgain(record.state));
         }
         let returned = std::mem::replace(&mut seat.left, false);
-        let news = returned || seat.record.state != record.state;
+        let changed = returned || seat.record.state != record.state;
         seat.record = record.clone();
-        news.then_some(WorkerChange::Listed(record.state))
+        changed.then_some(WorkerChange::Listed(record.state))
     }
 
     /// All workers with their load.
--- a/crates/bluebellreel_dispatch/src/suspects/mod.rs
+++ b/crates/bluebellreel_dispatch/src/suspects/mod.rs
@@ -88,7 +88,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Suspects {
     records: BTreeMap<Fingerprint, Record>,
-    /// Counts what is news; see [`Suspects::version`].
+    /// Counts changes; see [`Suspects::version`].
     version: u64,
     /// Where the next report begins among what does not fit into one.
     turn: usize,
@@ -127,7 +127,7 @@
         record.weight()
     }
 
-    /// Takes a crash over; whether it was news.
+    /// Takes a crash over; whether it changed anything.
     pub fn note_crash(&mut self, notice: CrashNotice, now: Moment) -> bool {
         let CrashNotice {
             fingerprint,
@@ -140,9 +140,9 @@
         }
         let record = self.records.entry(fingerprint).or_default();
         if let Some(known) = record.strikes.get_mut(&worker) {
-            let is_news = strike.excused && !known.strike.excused;
+            let changed = strike.excused && !known.strike.excused;
             known.strike.excused |= strike.excused;
-            return is_news;
+            return changed;
         }
         record.evict_oldest();
         let known = Known {
--- a/crates/bluebellreel_dispatch/tests/catalog.rs
+++ b/crates/bluebellreel_dispatch/tests/catalog.rs
@@ -28,7 +28,7 @@
     catalog.workers().map(|w| w.id.to_string()).collect()
 }
 
-/// A worker is drained. A peer whose news is older says that it is ready; if
+/// A worker is drained. A peer whose facts are older says that it is ready; if
 /// believed, the worker would get requests that its end cuts.
 #[test]
 fn an_older_fact_never_replaces_a_newer_one() {
@@ -50,7 +50,7 @@
     catalog.put(4, worker("b", WorkerState::Ready));
     assert!(catalog.replace(10, vec![ready(4, "b")], None));
     assert_eq!(listed(&catalog), ["b"]);
-    // A list from before is no news.
+    // A list from before changes nothing.
     assert!(!catalog.replace(8, vec![], None));
     assert_eq!(listed(&catalog), ["b"]);
 }
@@ -87,11 +87,11 @@
     watcher.miss(20, &WorkerName::from("a"), until);
     watcher.expire(until);
     assert!(watcher.newest() > other.revision());
-    let news: Vec<_> = watcher
+    let missed: Vec<_> = watcher
         .facts_after(other.revision())
         .map(|(revision, id, record)| (revision, id.clone(), record.cloned()))
         .collect();
-    for (revision, id, record) in news {
+    for (revision, id, record) in missed {
         assert!(record.is_none());
         assert!(other.remove(revision, &id));
     }
@@ -160,7 +160,7 @@
     }
 }
 
-/// A worker whose entry is found again after an outage is kept, and is news.
+/// A worker whose entry is found again after an outage is kept, and counts as changed.
 #[test]
 fn a_worker_that_was_missing_and_is_back_is_kept() {
     let until = Moment(1_000_000);
--- a/crates/bluebellreel_dispatch/tests/common/mod.rs
+++ b/crates/bluebellreel_dispatch/tests/common/mod.rs
@@ -11,7 +11,7 @@
 
 pub const SLOTS: u32 = 4;
 /// Two runs of 600 ms on four slots may be waited for.
-pub const PATIENCE: Duration = Duration::from_millis(300);
+pub const MAX_WAIT: Duration = Duration::from_millis(300);
 pub const NOW: Moment = Moment(1_000_000);
 
 pub fn name(n: usize) -> WorkerName {
@@ -51,7 +51,7 @@
     Query {
         service: "lm",
         avoid,
-        patience: PATIENCE,
+        patience: MAX_WAIT,
         salt: 0,
         now: NOW,
     }
--- a/crates/bluebellreel_dispatch/tests/placement.rs
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -6,7 +6,7 @@
     Board, Class, Placement, Query, WorkerChange, WorkerState, place_online, should_leave,
 };
 use bluebellreel_types::{Moment, WorkerName};
-use common::{NOW, PATIENCE, SLOTS, board, catalog, name, online, peer, query, start, ticket};
+use common::{MAX_WAIT, NOW, SLOTS, board, catalog, name, online, peer, query, start, ticket};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -123,7 +123,7 @@
         let query = Query {
             service: "lm",
             avoid: &[],
-            patience: PATIENCE,
+            patience: MAX_WAIT,
             salt: 0,
             now: NOW + Duration::from_millis(after),
         };
@@ -218,7 +218,7 @@
 }
 
 /// A worker leaves, and the one who looks for the cause of a failed request
-/// must find when each daemon knew, whichever way the news came: a list or a
+/// must find when each daemon knew, whichever way it heard: a list or a
 /// peer named no worker, and only a watch left a line.
 #[test]
 fn changes_of_workers_are_named_once() {
--- a/crates/bluebellreel_entry/src/fleet/part.rs
+++ b/crates/bluebellreel_entry/src/fleet/part.rs
@@ -148,14 +148,14 @@
             self.matcher = Matcher::default();
         }
         for worker in self.workers.keys() {
-            self.tell_fence(worker);
+            self.send_fence(worker);
         }
     }
 
     /// A side process takes no order before it has heard the number that
     /// stands. Without a matcher there is none to tell. Numbers of other data
     /// centres' matchers would only make this one's orders look outdated.
-    fn tell_fence(&self, worker: &WorkerName) {
+    fn send_fence(&self, worker: &WorkerName) {
         let here = &self.parts.settings.data_centre;
         let known = self.workers.get(worker);
         if self.fence > 0 && known.is_some_and(|k| k.data_centre == *here) {
@@ -293,7 +293,7 @@
                 self.workers.insert(hello.worker.clone(), known);
                 self.configure(&hello.worker);
                 self.drain_if_ordered(&hello.worker);
-                self.tell_fence(&hello.worker);
+                self.send_fence(&hello.worker);
             }
             EntryNotice::Load { worker, load } => self.note_load(&worker, load),
             EntryNotice::OrderEnded {
--- a/crates/bluebellreel_entry/src/jobs/index.rs
+++ b/crates/bluebellreel_entry/src/jobs/index.rs
@@ -124,8 +124,8 @@
             }
             let missed_at = *job.missed_at.get_or_insert(now);
             let waited = (missed_at + TAKE_OVER_GRACE).is_past(now);
-            let is_heir = is_mine || heir(entries, &job.record.id) == Some(me);
-            if !waited || job.taking || !is_heir {
+            let is_successor = is_mine || successor(entries, &job.record.id) == Some(me);
+            if !waited || job.taking || !is_successor {
                 continue;
             }
             job.taking = true;
@@ -135,7 +135,10 @@
     }
 }
 
-fn heir<'a>(entries: &'a HashMap<EntryName, Incarnation>, job: &JobId) -> Option<&'a EntryName> {
+fn successor<'a>(
+    entries: &'a HashMap<EntryName, Incarnation>,
+    job: &JobId,
+) -> Option<&'a EntryName> {
     entries
         .keys()
         .max_by_key(|entry| (rendezvous_score(hash_of(job), entry.as_str()), *entry))
--- a/crates/bluebellreel_entry/src/jobs/part/tests.rs
+++ b/crates/bluebellreel_entry/src/jobs/part/tests.rs
@@ -122,7 +122,7 @@
     }
 }
 
-/// A daemon died while too many calls waited at its heir. The take-over was not
+/// A daemon died while too many calls waited at its successor. The take-over was not
 /// queued and never tried again: the dead daemon's job lay for ever.
 #[test]
 fn a_take_over_that_found_no_room_is_tried_again() {
--- a/crates/bluebellreel_faults/src/run.rs
+++ b/crates/bluebellreel_faults/src/run.rs
@@ -10,8 +10,8 @@
 const LONGEST: Duration = Duration::from_mins(4);
 /// When the bulk booking is cancelled.
 const CANCEL_AFTER: Duration = Duration::from_millis(200);
-/// When members lose patience and ask elsewhere what became of their calls.
-const IMPATIENCE: Duration = Duration::from_millis(1_500);
+/// When members ask elsewhere what became of their calls.
+const ASK_AFTER: Duration = Duration::from_millis(1_500);
 
 /// How a run came out.
 #[derive(Clone, Debug)]
@@ -43,7 +43,7 @@
         scenario.world.kill_entry(0, Some(back));
     }
     let cancel_at = scenario.world.now() + CANCEL_AFTER;
-    let mut ask_at = Some(scenario.world.now() + IMPATIENCE);
+    let mut ask_at = Some(scenario.world.now() + ASK_AFTER);
     let until = begun + LONGEST + plan.trouble;
     while !until.is_past(scenario.world.now()) && !scenario.is_over() {
         scenario.world.turn();
--- a/crates/bluebellreel_faults/src/scenario.rs
+++ b/crates/bluebellreel_faults/src/scenario.rs
@@ -14,7 +14,7 @@
 /// Pause before a caller sends again.
 const RESEND_PAUSE: Duration = Duration::from_secs(1);
 /// Time that an online caller waits.
-const PATIENCE: Duration = Duration::from_secs(20);
+const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A job as its caller follows it.
 #[derive(Clone, Debug)]
@@ -154,7 +154,7 @@
     }
 
     fn start_call(&mut self, from: usize, key: Option<&str>, work: Work, expected: String) {
-        let deadline = self.world.now() + PATIENCE;
+        let deadline = self.world.now() + CALL_TIMEOUT;
         let call = self
             .world
             .live_entry(from)
--- a/crates/bluebellreel_faults/tests/claims.rs
+++ b/crates/bluebellreel_faults/tests/claims.rs
@@ -18,7 +18,7 @@
 const VALUE_BYTES: usize = 1 << 20;
 /// Longer than a daemon's lease lasts, shorter than the call.
 const LEASE_ENDS: Duration = Duration::from_secs(30);
-const PATIENCE: Duration = Duration::from_mins(2);
+const CALL_TIMEOUT: Duration = Duration::from_mins(2);
 
 /// Two daemons that reach the same side process and key-value service.
 struct TwoDaemons {
@@ -45,7 +45,7 @@
 
     /// The first daemon claims a booking and sends it; its message is under way.
     fn book(&mut self) -> bluebellreel_entry::bench::BenchCall {
-        let call = self.first.call(booking(), self.clock.now() + PATIENCE);
+        let call = self.first.call(booking(), self.clock.now() + CALL_TIMEOUT);
         while self.first.run_kv_task() {
             self.first.handle_messages();
         }
@@ -154,7 +154,7 @@
 fn a_call_whose_time_is_over_is_asked_for() {
     let mut two = TwoDaemons::new();
     let _call = two.book();
-    two.clock.advance(PATIENCE * 2);
+    two.clock.advance(CALL_TIMEOUT * 2);
     two.first.renew_lease();
     two.other.read_all();
     assert!(two.resend_ends_it());
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -172,13 +172,13 @@
     }
 
     /// Notes an entry of the store that cannot be used, once for each of its
-    /// revisions; whether it is news.
+    /// revisions; whether this one is new.
     pub(crate) fn note_unreadable(&self, kv: &KeyValue) -> bool {
-        let is_news = self.unreadable.borrow_mut().note(kv);
-        if is_news {
+        let is_new = self.unreadable.borrow_mut().note(kv);
+        if is_new {
             self.metrics.unreadable.inc();
         }
-        is_news
+        is_new
     }
 
     /// Whether the balancer should send requests here: routes are known, and a
--- a/crates/bluebellreel_gateway/src/unreadable.rs
+++ b/crates/bluebellreel_gateway/src/unreadable.rs
@@ -17,7 +17,7 @@
 }
 
 impl Unreadable {
-    /// Notes an entry that cannot be used; whether it is news.
+    /// Notes an entry that cannot be used; whether this revision is new.
     pub(crate) fn note(&mut self, kv: &KeyValue) -> bool {
         if self.reported.len() >= MAX_ENTRIES {
             self.reported.clear();
--- a/crates/bluebellreel_gateway/src/workers.rs
+++ b/crates/bluebellreel_gateway/src/workers.rs
@@ -6,7 +6,7 @@
 use bluebellreel_types::WorkerName;
 use log::info;
 
-/// Applies changed workers to the board, whichever way the news came.
+/// Applies changed workers to the board, whichever source they came from.
 pub(crate) fn apply_workers(gw: &Gateway, source: &str) {
     let facts = gw.facts.borrow();
     let revision = facts.catalog.newest();
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -253,16 +253,16 @@
         calls: at,
         data_centre: Some(state.data_centre.clone()),
     };
-    let mut is_news = snapshot.meet(state.entry.clone(), met);
+    let mut changed = snapshot.meet(state.entry.clone(), met);
     for (name, calls) in &state.peers {
         let named = KnownGateway {
             calls: *calls,
             data_centre: None,
         };
-        is_news |= snapshot.meet(name.clone(), named);
+        changed |= snapshot.meet(name.clone(), named);
     }
     drop(snapshot);
-    if is_news {
+    if changed {
         keeper.snapshot_due.note();
     }
 }
--- a/crates/bluebellreel_model/src/tenure.rs
+++ b/crates/bluebellreel_model/src/tenure.rs
@@ -407,12 +407,12 @@
         return;
     };
     let may_change = !state.ended && state.revision < MOST_REVISIONS;
-    let heir = 1 - at;
-    if owned.revision != state.revision || !may_change || state.daemons[heir].stopping {
+    let successor = 1 - at;
+    if owned.revision != state.revision || !may_change || state.daemons[successor].stopping {
         return;
     }
     let mut handed = state.clone();
-    handed.owner = heir;
+    handed.owner = successor;
     handed.revision += 1;
     handed.daemons[at].stopping = true;
     next.push(handed.clone());
--- a/crates/bluebellreel_model/tests/guards.rs
+++ b/crates/bluebellreel_model/tests/guards.rs
@@ -222,7 +222,7 @@
 /// What a reader is told that must not be.
 const TAKEN_BACK: &str = "a result that was read is not there";
 
-/// An owner is cut off while its heir lists results. When it reaches the store
+/// An owner is cut off while its successor lists results. When it reaches the store
 /// again it tells readers what it remembers.
 #[test]
 fn without_tenure_an_owner_that_was_cut_off_takes_results_back() {
@@ -233,7 +233,7 @@
     found("no tenure", &tenure::explore(true, guards), TAKEN_BACK);
 }
 
-/// An owner's VM is suspended until its entry has ended and its heir has listed
+/// An owner's VM is suspended until its entry has ended and its successor has listed
 /// results. By its steady clock no time has passed.
 #[test]
 fn without_time_suspended_an_owner_takes_results_back() {
--- a/crates/bluebellreel_net/tests/raw/mod.rs
+++ b/crates/bluebellreel_net/tests/raw/mod.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// How long a test waits for what must come, however slow the machine is.
-pub const PATIENCE: Duration = Duration::from_secs(30);
+pub const TIMEOUT: Duration = Duration::from_secs(30);
 /// Time a connection may stay without a request while nothing stops.
 const IDLE: Duration = Duration::from_mins(2);
 
@@ -71,7 +71,7 @@
 
     /// Waits until something is so.
     pub async fn until(&self, what: &str, is_so: impl Fn(&Self) -> bool) {
-        let until = Instant::now() + PATIENCE;
+        let until = Instant::now() + TIMEOUT;
         while !is_so(self) {
             assert!(Instant::now() < until, "never: {what}");
             sleep(Duration::from_millis(5)).await;
@@ -109,7 +109,7 @@
         // Without reading the body.
         return Response::new(Body::full(path));
     }
-    let read = read_body(req.into_body(), 1 << 20, PATIENCE).await;
+    let read = read_body(req.into_body(), 1 << 20, TIMEOUT).await;
     let body = read.ok().flatten().unwrap_or_default();
     let text = format!("{path}{}", String::from_utf8_lossy(&body));
     if path != "/held" {
@@ -158,7 +158,7 @@
                 }
             }
             let mut byte = [0];
-            let read = timeout(PATIENCE, self.0.read_exact(&mut byte));
+            let read = timeout(TIMEOUT, self.0.read_exact(&mut byte));
             read.await.expect("in time").expect("an answer");
             all.push(byte[0]);
         }
@@ -169,7 +169,7 @@
         let mut all = Vec::new();
         let mut buf = [0; 4096];
         loop {
-            let read = timeout(PATIENCE, self.0.read(&mut buf)).await;
+            let read = timeout(TIMEOUT, self.0.read(&mut buf)).await;
             let end = match read.expect("the connection ends") {
                 Ok(0) => End::Closed,
                 Ok(n) => {
--- a/crates/bluebellreel_net/tests/stop.rs
+++ b/crates/bluebellreel_net/tests/stop.rs
@@ -2,7 +2,7 @@
 
 mod raw;
 
-use raw::{Caller, End, PATIENCE, Server};
+use raw::{Caller, End, Server, TIMEOUT};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::{sleep, timeout};
@@ -164,7 +164,7 @@
             .until("it is taken", |s| !s.taken.borrow().is_empty())
             .await;
         sleep(Duration::from_millis(50)).await;
-        let sent = timeout(PATIENCE, caller.0.write_all(&vec![b'x'; length])).await;
+        let sent = timeout(TIMEOUT, caller.0.write_all(&vec![b'x'; length])).await;
         assert!(matches!(sent, Ok(Ok(()))), "{sent:?}");
         let (answer, end) = caller.read_to_end().await;
         assert!(is_last(&answer, "/refused"), "{answer:?} {end:?}");
@@ -226,7 +226,7 @@
         let (answer, end) = other.read_to_end().await;
         assert!(is_last(&answer, "/later"), "{answer:?} {end:?}");
         assert_eq!(end, End::Closed);
-        let over = timeout(PATIENCE, server.served.over()).await;
+        let over = timeout(TIMEOUT, server.served.over()).await;
         assert!(over.is_ok(), "{:?}", server.served);
         assert!(connect().is_err());
     });
--- a/crates/bluebellreel_rpc/src/side.rs
+++ b/crates/bluebellreel_rpc/src/side.rs
@@ -378,7 +378,7 @@
             let notify = notify.clone();
             tokio::task::spawn_local(async move {
                 if let Some(open) = open {
-                    tell_end(open, end, load, &notify).await;
+                    send_end(open, end, load, &notify).await;
                 }
                 notify(SideNotice::Delivered);
             });
@@ -400,7 +400,7 @@
     }
 }
 
-async fn tell_end(open: OpenSink, end: AttemptEnd, load: LoadReport, notify: &Notify) {
+async fn send_end(open: OpenSink, end: AttemptEnd, load: LoadReport, notify: &Notify) {
     let mut call = open.sink.end_request();
     convert::write_end(call.get().init_end(), &end);
     convert::write_load(call.get().init_load(), &load);
--- a/crates/bluebellreel_snapshot/src/snapshot.rs
+++ b/crates/bluebellreel_snapshot/src/snapshot.rs
@@ -92,7 +92,7 @@
         self.newest() != before
     }
 
-    /// Remembers where a gateway is; whether that is news.
+    /// Remembers where a gateway is; whether that has changed.
     pub fn meet(&mut self, name: EntryName, gateway: KnownGateway) -> bool {
         let known = self.gateways.get(&name);
         if known == Some(&gateway) {
--- a/tests/common/keepers.rs
+++ b/tests/common/keepers.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 /// Longest that a test waits for something that must happen.
-pub const PATIENCE: Duration = Duration::from_secs(30);
+pub const TIMEOUT: Duration = Duration::from_secs(30);
 /// Time between looks.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -140,7 +140,7 @@
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.calls).expect("it listens");
         stream
-            .set_read_timeout(Some(PATIENCE))
+            .set_read_timeout(Some(TIMEOUT))
             .expect("a time-out of its own");
         stream
     }
@@ -233,7 +233,7 @@
 
 /// Waits until something is so.
 pub fn until(what: &str, mut is_so: impl FnMut() -> bool) {
-    let limit = Instant::now() + PATIENCE;
+    let limit = Instant::now() + TIMEOUT;
     while !is_so() {
         assert!(Instant::now() < limit, "never: {what}");
         sleep(LOOK);
