Take apart the circle of files in admission

step, batch and settle used each other: settle and batch took how an attempt is stopped, refused and started from step, which took their decisions. Stopping and refusing are now in settle, taking and starting in the new admit.rs; each file takes only from those below, as the crate's head lists them. One circle of three files before, none after. No change of behaviour; the crate's tests pass.

--- a/crates/bluebellreel_admission/src/batch.rs
+++ b/crates/bluebellreel_admission/src/batch.rs
@@ -1,7 +1,7 @@
 //! Batch items: asked for, taken in, and put aside for online work.
 
-use crate::settle::open;
-use crate::step::{refusal, start, stop};
+use crate::admit::{refusal, start};
+use crate::settle::{open, stop};
 use crate::{Admission, Effect, LedgerEntry, Running};
 use bluebellreel_types::{
     AttemptEnd, BatchReport, BrokenReason, Class, Dispatch, EntryName, Moment, NotRunReason,
--- a/crates/bluebellreel_admission/src/lib.rs
+++ b/crates/bluebellreel_admission/src/lib.rs
@@ -9,6 +9,10 @@
 //! [`step`] is the whole of it: it takes the state, one event and the present
 //! moment, and returns effects for the caller to carry out. No I/O, no clock.
 //!
+//! Each file takes only from those before it: `limits`, `pace`, `start_pace`,
+//! `batch_window`, `ledger`, `online_queue`; `state`, `event`; `settle`,
+//! `admit`, `batch`; `step`.
+//!
 //! ```
 //! use bluebellreel_admission::*;
 //! use bluebellreel_types::prelude::*;
@@ -19,6 +23,7 @@
 //! assert!(admission.load(Moment(0)).leaving);
 //! ```
 
+mod admit;
 mod batch;
 mod batch_window;
 mod event;
--- a/crates/bluebellreel_admission/src/settle.rs
+++ b/crates/bluebellreel_admission/src/settle.rs
@@ -1,7 +1,6 @@
 //! What is remembered of attempts, and how they are put an end to.
 
-use crate::step::{refuse_queued, stop};
-use crate::{Admission, Effect, LedgerEntry};
+use crate::{Admission, Effect, LedgerEntry, Queued};
 use bluebellreel_types::{
     AttemptEnd, AttemptId, AttemptVerdict, BrokenReason, Dispatch, Moment, NotRunReason,
     OUTCOME_KEPT,
@@ -55,6 +54,32 @@
     }
 }
 
+pub(crate) fn refuse_queued(
+    state: &mut Admission,
+    queued: &Queued,
+    reason: NotRunReason,
+    effects: &mut Vec<Effect>,
+) {
+    let end = AttemptEnd::NotRun(reason);
+    remember_end(state, &queued.dispatch, &end);
+    let attempt = queued.dispatch.attempt;
+    effects.push(Effect::SendEnd { attempt, end });
+}
+
+pub(crate) fn stop(
+    state: &mut Admission,
+    attempt: AttemptId,
+    reason: BrokenReason,
+    effects: &mut Vec<Effect>,
+) {
+    if let Some(running) = state.running.get_mut(&attempt)
+        && running.stopping.is_none()
+    {
+        running.stopping = Some(reason);
+        effects.push(Effect::CancelEngine(attempt));
+    }
+}
+
 pub(crate) fn cancel(
     state: &mut Admission,
     attempt: AttemptId,
