Take apart the circle of the entry daemon's HTTP files

Eight files of entry/http used each other by way of route and operator. What all handlers work with (Rim, CallerRequest, answer, principal, ask) is now in rim.rs at the bottom; what operators change and whether the outcomes hold are in changes.rs and outcomes.rs, below the page and the operators' calls. One circle of eight files before, none after. No change of behaviour; tests of the crate and of operators, calls, HTTP limits, jobs and streams pass.

--- a/crates/bluebellreel_entry/src/http/batches.rs
+++ b/crates/bluebellreel_entry/src/http/batches.rs
@@ -1,7 +1,6 @@
 //! Batch jobs.
 
-use crate::http::operator::ask;
-use crate::http::route::{CallerRequest, Rim, answer};
+use crate::http::rim::{CallerRequest, Rim, answer, ask};
 use crate::jobs::{
     AcceptAnswer, CancelAnswer, JobsCount, JobsMessage, ResultPage, Submission, accept_job,
     cancel_job, find_job, read_results,
--- a/crates/bluebellreel_entry/src/http/chat.rs
+++ b/crates/bluebellreel_entry/src/http/chat.rs
@@ -1,7 +1,7 @@
 //! Chat completions.
 
 use crate::http::online::{Pending, begin, error_of};
-use crate::http::route::{CallerRequest, Rim, answer};
+use crate::http::rim::{CallerRequest, Rim, answer};
 use crate::http::sse;
 use crate::online::CallerEvent;
 use bluebellreel_http::{ApiError, ChunkedStream, Reply, read_body};
--- a/crates/bluebellreel_entry/src/http/online.rs
+++ b/crates/bluebellreel_entry/src/http/online.rs
@@ -1,7 +1,7 @@
 //! What chat completions and service calls share: the way through the actor.
 
 use crate::http::requests::claimed_reply;
-use crate::http::route::{CallerRequest, Rim};
+use crate::http::rim::{CallerRequest, Rim};
 use crate::message::Message;
 use crate::online::{CallerEvent, NewCall, OnlineMessage};
 use bluebellreel_claim::ClaimRecord;
--- /dev/null
+++ b/crates/bluebellreel_entry/src/http/outcomes.rs
@@ -0,0 +1,76 @@
+//! Whether what callers and operators rely on holds.
+
+use crate::data::VolumesSummary;
+use crate::fleet::{FleetMessage, FleetSummary};
+use crate::http::rim::{Rim, ask};
+use crate::jobs::{JobsMessage, JobsSummary};
+use crate::message::Message;
+use bluebellreel_http::ApiError;
+use serde_json::{Value, json};
+
+/// Whether the outcomes hold.
+pub(crate) fn outcomes(rim: &Rim) -> Result<Value, ApiError> {
+    let jobs: JobsSummary = ask(rim, |answer| {
+        Message::Jobs(JobsMessage::SummaryAsked(answer))
+    })?;
+    let fleet: FleetSummary = ask(rim, |answer| {
+        Message::Fleet(FleetMessage::SummaryAsked(answer))
+    })?;
+    let volumes = rim.parts.data.places().map(|places| places.summary());
+    let volumes = volumes.unwrap_or_default();
+    let metrics = &rim.parts.metrics;
+    let (in_time, late) = (metrics.in_time.get(), metrics.late.get());
+    Ok(json!({
+        "entry": rim.parts.settings.name,
+        "answers_in_time": {
+            "state": answers_state(in_time, late),
+            "in_time": in_time,
+            "late": late,
+        },
+        "items_finish_once": {
+            "state": items_state(&jobs, volumes),
+            "volumes": volumes,
+            "running_jobs": jobs.running,
+            "orphaned_jobs": jobs.orphaned,
+            "late_jobs": jobs.late,
+            "unrecorded_bytes": jobs.unrecorded_bytes,
+            "owned": jobs.owned,
+        },
+        "changes_hold": {
+            "state": if fleet.behind.is_empty() && fleet.failed_loads.is_empty() {
+                "holds"
+            } else {
+                "at risk"
+            },
+            "generation": fleet.generation,
+            "workers": fleet.workers,
+            "in_force": fleet.in_force,
+            "behind": fleet.behind,
+            "failed_loads": fleet.failed_loads,
+            "draining": fleet.draining,
+            "worker_names": fleet.names,
+        },
+    }))
+}
+
+/// Nineteen answers in twenty are to come in time.
+fn answers_state(in_time: u64, late: u64) -> &'static str {
+    let total = in_time + late;
+    if late * 20 > total {
+        "broken"
+    } else if late * 100 > total {
+        "at risk"
+    } else {
+        "holds"
+    }
+}
+
+fn items_state(jobs: &JobsSummary, volumes: VolumesSummary) -> &'static str {
+    if jobs.late > 0 || volumes.unreadable > 0 {
+        "broken"
+    } else if volumes.on_one_disk > 0 || jobs.orphaned > 0 || jobs.unrecorded_bytes > 16 << 20 {
+        "at risk"
+    } else {
+        "holds"
+    }
+}
--- a/crates/bluebellreel_entry/src/http/page.rs
+++ b/crates/bluebellreel_entry/src/http/page.rs
@@ -7,8 +7,9 @@
 //! generation that was seen.
 
 use crate::http::batches;
-use crate::http::operator::{drain, outcomes, roll_forward};
-use crate::http::route::Rim;
+use crate::http::changes::{drain, roll_forward};
+use crate::http::outcomes::outcomes;
+use crate::http::rim::Rim;
 use bluebellreel_http::{ApiError, Method, Reply, Request, read_body, respond};
 use bluebellreel_settings::Principal;
 use bluebellreel_types::{JobId, WorkerName};
--- a/crates/bluebellreel_entry/src/http/requests.rs
+++ b/crates/bluebellreel_entry/src/http/requests.rs
@@ -1,6 +1,6 @@
 //! Outcomes of calls with an idempotency key.
 
-use crate::http::route::Rim;
+use crate::http::rim::Rim;
 use crate::message::Message;
 use crate::online::{AskAnswer, OnlineMessage, find_claim, record_state};
 use bluebellreel_claim::{ClaimRecord, ClaimState, state_after_verdict};
--- a/crates/bluebellreel_entry/src/http/route.rs
+++ b/crates/bluebellreel_entry/src/http/route.rs
@@ -1,50 +1,16 @@
 //! From a request to its handler.
 
 use crate::data;
-use crate::fleet::SharedManifest;
+use crate::http::rim::{CallerRequest, Rim, answer, principal};
 use crate::http::{batches, chat, operator, requests, services};
-use crate::parts::Parts;
-use bluebellreel_http::{ApiError, BodyLimits, Method, Reply, Request, header, respond};
+use bluebellreel_http::{ApiError, Method, Reply, Request, header, respond};
 use bluebellreel_settings::Principal;
-use bluebellreel_telemetry::{Span, Tracer};
+use bluebellreel_telemetry::Span;
 use bluebellreel_types::{Moment, TeamName, TraceContext};
 
 /// Longest idempotency key, in bytes.
 const LONGEST_KEY: usize = 255;
 
-/// What HTTP handlers work with.
-#[derive(Clone)]
-pub(crate) struct Rim {
-    pub(crate) parts: Parts,
-    pub(crate) manifest: SharedManifest,
-}
-
-/// A caller's request, its caller known.
-pub(crate) struct CallerRequest {
-    pub(crate) req: Request,
-    pub(crate) team: TeamName,
-    pub(crate) key: Option<String>,
-    pub(crate) deadline: Option<Moment>,
-    pub(crate) span: Span,
-}
-
-impl Rim {
-    pub(crate) fn now(&self) -> Moment {
-        self.parts.clock.now()
-    }
-
-    pub(crate) fn body_limits(&self) -> BodyLimits {
-        BodyLimits {
-            bytes: self.parts.settings.limits.body_bytes,
-            time: self.parts.settings.limits.body_time,
-        }
-    }
-
-    pub(crate) fn tracer(&self) -> &Tracer {
-        &self.parts.tracer
-    }
-}
-
 /// Serves one request.
 pub(crate) fn handle(rim: &Rim, req: Request) {
     let url = req.url().to_owned();
@@ -112,18 +78,6 @@
     }
 }
 
-/// Runs a handler whose answer is known as a whole, and closes its span.
-pub(crate) fn answer(
-    rim: &Rim,
-    mut call: CallerRequest,
-    run: impl FnOnce(&mut CallerRequest) -> Result<Reply, ApiError>,
-) {
-    let reply = run(&mut call).unwrap_or_else(Reply::from);
-    let span = call.span.with("status", reply.status.to_string());
-    rim.tracer().finish(span, rim.now());
-    respond(call.req, &reply);
-}
-
 struct KnownCaller {
     team: TeamName,
     key: Option<String>,
@@ -161,15 +115,6 @@
     })
 }
 
-/// Who sends a request.
-pub(crate) fn principal<'a>(rim: &'a Rim, req: &Request) -> Result<&'a Principal, ApiError> {
-    let refused = || ApiError::new(401, "unauthorized", "a known bearer token is needed");
-    let token = header(req, "Authorization")
-        .and_then(|value| value.strip_prefix("Bearer "))
-        .ok_or_else(refused)?;
-    rim.parts.settings.tokens.find(token).ok_or_else(refused)
-}
-
 fn key_of(req: &Request) -> Result<Option<String>, ApiError> {
     let Some(key) = header(req, "Idempotency-Key") else {
         return Ok(None);
--- a/crates/bluebellreel_entry/src/http/services.rs
+++ b/crates/bluebellreel_entry/src/http/services.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services.
 
 use crate::http::online::{begin, error_of};
-use crate::http::route::{CallerRequest, Rim, answer};
+use crate::http::rim::{CallerRequest, Rim, answer};
 use crate::online::CallerEvent;
 use bluebellreel_http::{ApiError, Reply, read_body};
 use bluebellreel_routing::Outcome;
