Take apart the last circle of files in the entry daemon

Eleven files used each other over four places: chunks' names between daemons (now data/wire.rs), what reaches the fleet part (fleet/messages.rs), records of daemons and VMs (platform/records.rs), and names and numbers that tell ages (jobs/ages.rs). These types and functions move below those that use them; serialised forms are the same. Circles among the crate's files: one of eleven before, none after; the crate's head says who takes from whom. No change of behaviour; tests of the crate, of disks, changes, reach, operators and jobs, and claims and outage of the fault matrix pass.

--- a/crates/bluebellreel_entry/src/data/access.rs
+++ b/crates/bluebellreel_entry/src/data/access.rs
@@ -1,7 +1,7 @@
 //! Writing and reading chunks, wherever they lie.
 
-use crate::data::endpoint::{COPY_HEADER, EPOCH_HEADER, chunk_path};
 use crate::data::places::Places;
+use crate::data::wire::{COPY_HEADER, EPOCH_HEADER, MOST_BYTES, chunk_path};
 use crate::platform::EntryRecord;
 use bluebellreel_chunk::{
     ChunkFolder, ChunkName, ChunkStore, DiskId, StoreError, StoreLimits, VolumeId, VolumeRecord,
@@ -19,8 +19,6 @@
 const CALL_TIME: Duration = Duration::from_secs(5);
 /// Volumes tried for one chunk.
 const TRIES: usize = 4;
-/// Bytes of a chunk at the most.
-pub(crate) const MOST_BYTES: usize = 8 << 20;
 
 /// Why a chunk could not be kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/bluebellreel_entry/src/data/endpoint.rs
+++ b/crates/bluebellreel_entry/src/data/endpoint.rs
@@ -1,31 +1,16 @@
 //! A disk as other daemons reach it.
 
-use crate::data::access::{ChunkAccess, MOST_BYTES};
+use crate::data::access::ChunkAccess;
+use crate::data::wire::{COPY_HEADER, EPOCH_HEADER, MOST_BYTES};
 use bluebellreel_chunk::{ChunkFolder, ChunkStore, StoreError, VolumeId};
 use bluebellreel_http::{ApiError, BodyLimits, Method, Reply, Request, header, read_body};
 use bluebellreel_settings::is_same_token;
 use bluebellreel_types::content_digest;
 use std::time::Duration;
 
-/// Below it lie the chunks.
-pub(crate) const PATH_PREFIX: &str = "/internal/v1/chunks/";
-/// Names the epoch of the volume as the writer knows it.
-pub(crate) const EPOCH_HEADER: &str = "Bluebellreel-Epoch";
-/// Marks a copy by another holder.
-pub(crate) const COPY_HEADER: &str = "Bluebellreel-Copy";
 /// Longest time to read a chunk.
 const BODY_TIME: Duration = Duration::from_secs(5);
 
-/// Where a chunk is reached.
-pub(crate) fn chunk_path(folder: &ChunkFolder, digest: &str) -> String {
-    let ChunkFolder {
-        volume,
-        job,
-        upload,
-    } = folder;
-    format!("{PATH_PREFIX}{volume}/{job}/{upload}/{digest}")
-}
-
 /// Serves one request of a peer.
 pub(crate) fn handle(data: &ChunkAccess, req: &mut Request, rest: &str) -> Reply {
     serve(data, req, rest).unwrap_or_else(Reply::from)
--- a/crates/bluebellreel_entry/src/data/mod.rs
+++ b/crates/bluebellreel_entry/src/data/mod.rs
@@ -9,8 +9,10 @@
 mod endpoint;
 mod keeper;
 mod places;
+mod wire;
 
 pub(crate) use access::{ChunkAccess, PutError};
-pub(crate) use endpoint::{PATH_PREFIX, handle};
+pub(crate) use endpoint::handle;
 pub(crate) use keeper::{keep_volumes, watch_volumes};
 pub(crate) use places::VolumesSummary;
+pub(crate) use wire::PATH_PREFIX;
--- a/crates/bluebellreel_entry/src/fleet/drain.rs
+++ b/crates/bluebellreel_entry/src/fleet/drain.rs
@@ -3,13 +3,11 @@
 //! An order names the run of the side process that it was given for, so that a
 //! VM which comes back under the same name is not held to it.
 
-use crate::fleet::FleetMessage;
+use crate::fleet::messages::{DrainOrder, FleetMessage};
 use crate::message::Message;
 use crate::parts::Parts;
 use crate::platform::{drain_key, drain_prefix, follow_prefix};
 use bluebellreel_kv::{Commit, KeyValue, KvClient, Txn, WatchEvent};
-use bluebellreel_types::{Incarnation, Moment, WorkerName};
-use serde::{Deserialize, Serialize};
 use std::io;
 use std::thread;
 use std::time::Duration;
@@ -17,14 +15,6 @@
 /// Longest time to record an order.
 const ORDER_TIME: Duration = Duration::from_secs(4);
 
-/// A drain order as it is stored.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct DrainOrder {
-    pub(crate) worker: WorkerName,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) at: Moment,
-}
-
 /// Records a drain order; the reason when it could not be. An order for the
 /// same run that is there already is as good.
 pub(crate) fn order_drain(kv: &KvClient, order: &DrainOrder) -> Result<(), String> {
--- a/crates/bluebellreel_entry/src/fleet/mod.rs
+++ b/crates/bluebellreel_entry/src/fleet/mod.rs
@@ -2,10 +2,12 @@
 
 mod drain;
 mod matching;
+mod messages;
 mod part;
 mod store;
 
-pub(crate) use drain::{DrainOrder, order_drain, watch_drains};
+pub(crate) use drain::{order_drain, watch_drains};
 pub(crate) use matching::watch_matchers;
-pub(crate) use part::{FleetMessage, FleetPart, FleetSummary, SharedManifest};
+pub(crate) use messages::{DrainOrder, FleetMessage, FleetSummary};
+pub(crate) use part::{FleetPart, SharedManifest};
 pub(crate) use store::{PutAnswer, accepted, get_manifest, put_manifest, watch_manifest};
--- a/crates/bluebellreel_entry/src/fleet/part.rs
+++ b/crates/bluebellreel_entry/src/fleet/part.rs
@@ -1,6 +1,6 @@
 //! The part that brings manifests into force.
 
-use crate::fleet::DrainOrder;
+use crate::fleet::messages::{DrainOrder, FleetMessage, FleetSummary};
 use crate::parts::Parts;
 use bluebellreel_fleet::{
     AcceptedManifest, Applied, LoadOrder, LoadedModel, Manifest, Matcher, WorkerView,
@@ -9,8 +9,6 @@
 use bluebellreel_types::{
     DataCentre, Incarnation, LoadReport, ModelName, ModelVersion, Moment, WorkerName,
 };
-use crossbeam_channel::Sender;
-use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
@@ -35,42 +33,6 @@
     }
 }
 
-/// What reaches the fleet part.
-#[derive(Debug)]
-pub(crate) enum FleetMessage {
-    /// A manifest that was accepted.
-    Offered(AcceptedManifest),
-    /// Who matches the fleet in this data centre, and under which number.
-    MatcherSeen { fence: u64, mine: bool },
-    /// Nobody matches it now.
-    MatcherGone,
-    /// An operator ordered a worker to leave.
-    DrainOrdered(DrainOrder),
-    /// What is in force is asked for.
-    SummaryAsked(Sender<FleetSummary>),
-    /// The run of a worker's side process is asked for.
-    IncarnationAsked(WorkerName, Sender<Option<Incarnation>>),
-}
-
-/// What is in force where.
-#[derive(Clone, Debug, Default, Serialize)]
-pub(crate) struct FleetSummary {
-    /// The generation in force here.
-    pub(crate) generation: u64,
-    /// Workers connected here.
-    pub(crate) workers: usize,
-    /// Workers that have it in force.
-    pub(crate) in_force: usize,
-    /// Workers that do not.
-    pub(crate) behind: Vec<WorkerName>,
-    /// Workers that an operator ordered to leave.
-    pub(crate) draining: Vec<WorkerName>,
-    /// All connected workers.
-    pub(crate) names: Vec<WorkerName>,
-    /// Loads that failed and are tried again.
-    pub(crate) failed_loads: Vec<String>,
-}
-
 /// Brings manifests into force.
 pub(crate) struct FleetPart {
     parts: Parts,
--- a/crates/bluebellreel_entry/src/jobs/mod.rs
+++ b/crates/bluebellreel_entry/src/jobs/mod.rs
@@ -1,5 +1,6 @@
 //! Batch jobs: accepting, owning, reading back.
 
+mod ages;
 mod index;
 mod messages;
 mod part;
--- a/crates/bluebellreel_entry/src/jobs/store.rs
+++ b/crates/bluebellreel_entry/src/jobs/store.rs
@@ -1,8 +1,8 @@
 //! Jobs as they are kept.
 
 use crate::data::ChunkAccess;
+use crate::jobs::ages::day_of;
 use crate::jobs::messages::{JobWrite, OpenedJob};
-use crate::jobs::sweep::day_of;
 use crate::platform::{
     done_key, ended_key, input_key, item_claim_key, item_claim_prefix, job_key, output_key,
     output_prefix,
--- a/crates/bluebellreel_entry/src/jobs/sweep.rs
+++ b/crates/bluebellreel_entry/src/jobs/sweep.rs
@@ -4,6 +4,7 @@
 //! All of it may be done twice, or half and then again: only what no record
 //! names is removed, and a job's record goes last.
 
+use crate::jobs::ages::{began_at, day_of};
 use crate::jobs::store::{JobStorage, find_job};
 use crate::parts::Parts;
 use crate::platform::{
@@ -12,7 +13,7 @@
 };
 use bluebellreel_chunk::{ChunkFolder, ChunkStore};
 use bluebellreel_kv::{Key, KvClient, KvError};
-use bluebellreel_types::{Incarnation, JobId, Moment};
+use bluebellreel_types::{JobId, Moment};
 use std::io;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -30,24 +31,6 @@
 const FOLDERS_A_PASS: usize = 500;
 /// Longest time for one removal.
 const REMOVE_TIME: Duration = Duration::from_secs(5);
-/// Microseconds of a day.
-const DAY_MICROS: u64 = 86_400_000_000;
-
-/// A name for an upload that tells when it began.
-pub(crate) fn upload_name(now: Moment) -> String {
-    format!("{:016x}-{}", now.0, Incarnation::random())
-}
-
-/// When an upload began; none for a name that does not tell.
-fn began_at(upload: &str) -> Option<Moment> {
-    let (time, _) = upload.split_once('-')?;
-    u64::from_str_radix(time, 16).ok().map(Moment)
-}
-
-/// The day of a moment, counted from 1970.
-pub(crate) fn day_of(moment: Moment) -> u64 {
-    moment.0 / DAY_MICROS
-}
 
 /// Where a sweep of the key-value service goes on.
 #[derive(Debug, Default)]
@@ -232,12 +215,13 @@
 mod tests {
     use super::*;
     use crate::data::ChunkAccess;
+    use crate::jobs::ages::{DAY_MICROS, upload_name};
     use crate::jobs::upload::{AcceptAnswer, Submission, accept_job};
     use crate::jobs::{CancelAnswer, cancel_job};
     use crate::platform::input_key;
     use bluebellreel_kv::{Commit, KvSettings, Txn};
     use bluebellreel_standins::KvCalls;
-    use bluebellreel_types::{Clock, EntryName, TeamName};
+    use bluebellreel_types::{Clock, EntryName, Incarnation, TeamName};
     use std::sync::Mutex;
 
     const LINE: &[u8] = br#"{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"m","messages":[{"role":"user","content":"a"}]}}"#;
--- a/crates/bluebellreel_entry/src/jobs/upload.rs
+++ b/crates/bluebellreel_entry/src/jobs/upload.rs
@@ -2,8 +2,8 @@
 //! created. The record is the acceptance.
 
 use crate::data::PutError;
+use crate::jobs::ages::upload_name;
 use crate::jobs::store::{JobStorage, find_job, job_value};
-use crate::jobs::sweep::upload_name;
 use crate::platform::{done_key, input_key, input_prefix, job_key};
 use bluebellreel_chunk::VolumeId;
 use bluebellreel_http::ApiError;
--- a/crates/bluebellreel_entry/src/lib.rs
+++ b/crates/bluebellreel_entry/src/lib.rs
@@ -7,6 +7,11 @@
 //! threads at the rim and talk to the actor by channels. [`start_entry`] wires
 //! all of it; [`bench`] drives the same code by hand.
 //!
+//! Files take only from those below them, from top to bottom: `run`, `bench`;
+//! `actor`, `core`; `http`; the actor's parts and the threads that watch the
+//! platform; `parts`; `message`; chunks, and jobs in the store; messages and
+//! records; names of keys.
+//!
 //! ```no_run
 //! let settings = bluebellreel_settings::load_entry("entry.toml").unwrap();
 //! let entry = bluebellreel_entry::start_entry(settings).unwrap();
--- a/crates/bluebellreel_entry/src/platform/membership.rs
+++ b/crates/bluebellreel_entry/src/platform/membership.rs
@@ -2,13 +2,12 @@
 
 use crate::message::Message;
 use crate::parts::Parts;
-use crate::platform::{entry_key, entry_prefix};
-use bluebellreel_chunk::DiskId;
+use crate::platform::keys::{entry_key, entry_prefix};
+use crate::platform::records::EntryRecord;
 use bluebellreel_kv::{
     Backoff, Commit, Key, KeyValue, KvClient, KvError, Put, Txn, Watch, WatchEvent,
 };
-use bluebellreel_types::{DataCentre, EntryName, Incarnation};
-use serde::{Deserialize, Serialize};
+use bluebellreel_types::EntryName;
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
@@ -21,22 +20,6 @@
 /// Pause before a watch is opened again.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
 
-/// A live daemon, as its lease's key tells.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct EntryRecord {
-    /// Its name.
-    pub(crate) name: EntryName,
-    /// Its run.
-    pub(crate) run: Incarnation,
-    /// Where operators reach it.
-    pub(crate) address: SocketAddr,
-    /// Where it stands.
-    pub(crate) data_centre: DataCentre,
-    /// Its disk for chunks, if it has one.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) disk: Option<DiskId>,
-}
-
 /// Holds the daemon's lease until the process ends.
 pub(crate) fn hold_lease(parts: &Parts, address: SocketAddr) -> io::Result<()> {
     let parts = parts.clone();
--- a/crates/bluebellreel_entry/src/platform/mod.rs
+++ b/crates/bluebellreel_entry/src/platform/mod.rs
@@ -3,6 +3,7 @@
 mod keys;
 mod kv_pool;
 mod membership;
+mod records;
 mod vm_list;
 
 pub(crate) use keys::{
@@ -12,5 +13,6 @@
     volume_key, volume_prefix,
 };
 pub(crate) use kv_pool::KvPool;
-pub(crate) use membership::{EntryRecord, STOPPED, follow_prefix, hold_lease, watch_entries};
-pub(crate) use vm_list::{ListedState, ListedWorker, watch_vms};
+pub(crate) use membership::{STOPPED, follow_prefix, hold_lease, watch_entries};
+pub(crate) use records::{EntryRecord, ListedState, ListedWorker};
+pub(crate) use vm_list::watch_vms;
--- a/crates/bluebellreel_entry/src/platform/vm_list.rs
+++ b/crates/bluebellreel_entry/src/platform/vm_list.rs
@@ -2,10 +2,8 @@
 
 use crate::message::Message;
 use crate::parts::Parts;
-use bluebellreel_types::{DataCentre, WorkerName};
-use serde::Deserialize;
+use crate::platform::records::ListedWorker;
 use std::io;
-use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
@@ -16,29 +14,6 @@
 /// Longest wait for the list.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A VM with a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-pub(crate) struct ListedWorker {
-    /// The worker's name.
-    pub(crate) name: WorkerName,
-    /// Where its side process listens.
-    pub(crate) side: SocketAddr,
-    /// Where it stands.
-    pub(crate) data_centre: DataCentre,
-    /// Whether it stays.
-    pub(crate) state: ListedState,
-}
-
-/// Whether a VM stays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub(crate) enum ListedState {
-    /// It stays.
-    Live,
-    /// It will be taken away.
-    Leaving,
-}
-
 /// Looks at the list from time to time. While it cannot be read, the last one
 /// counts.
 pub(crate) fn watch_vms(parts: &Parts) -> io::Result<()> {
