Owners take no outage of the store for granted

Two ways: - the owner's own calls had failed before the store went away for the others: the moment since which they failed was taken for the beginning of the outage, at which its right to start items still ran; the end was recorded in between; - a peer that reaches the store, and takes ends there, was cut off from the owner, which heard most of the others and took their outage for one of all. Cause: a right that is over was revived by what is heard, as in the incident itself. Change: the outage begins at the store's last answer to any peer, as they report it; and it is one only if no peer that reached the store when it was heard last may still be there, that is, until a list of the store's entries lacks it. Peers are not forgotten before such a list. Cost, by reading: batch of an owner stands still in an outage in which a peer died until it is back.

--- a/crates/bluebellreel_gateway/src/jobs/confirm.rs
+++ b/crates/bluebellreel_gateway/src/jobs/confirm.rs
@@ -113,17 +113,17 @@
 ///
 /// Nothing can be ended or taken over in an outage, so that items of the jobs that
 /// were confirmed when it began go on. A daemon that hears no peer, or few of them,
-/// cannot tell an outage from its own being cut off.
+/// cannot tell an outage from its own being cut off, and one whose own calls fail may
+/// have been cut off long before the outage began.
 fn outage_began(gw: &Gateway) -> Option<Moment> {
     let members = gw.members.borrow();
     let now = gw.now();
     let is_alone = gw.isolated_since.get().is_some() || members.heard(now).next().is_none();
-    let is_served = members.heard_with_store(now).next().is_some();
-    if is_alone || is_served || !gw.store.is_lost() {
+    if is_alone || !gw.store.is_lost() || members.may_reach_store(now) {
         return None;
     }
-    let failing_for = gw.store.failing_for()?;
-    Some(now - failing_for)
+    let failing_since = now - gw.store.failing_for()?;
+    Some(failing_since.max(members.store_answered_at()))
 }
 
 /// Has the store confirm own jobs whose items want to start, for ever.
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -217,6 +217,7 @@
         heard_at: Some(now),
         stopping: report.stopping,
         registered: false,
+        is_gone: false,
         jobs: report.jobs.into_iter().collect(),
         tokens: report.tokens.into_iter().collect::<BTreeMap<_, _>>(),
         reaches_store: report.reaches_store,
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -35,6 +35,23 @@
         self.heard(now).filter(|(_, p)| p.reaches_store)
     }
 
+    /// Whether the store may be there for some peer: for one that says so, or one that
+    /// said so until it fell silent and may only be cut off from here.
+    #[must_use]
+    pub fn may_reach_store(&self, now: Moment) -> bool {
+        self.peers.values().any(|peer| {
+            let is_there = peer.is_heard(now) || !(peer.is_gone || peer.stopping);
+            is_there && peer.reaches_store
+        })
+    }
+
+    /// When the store answered some peer last, as far as they say.
+    #[must_use]
+    pub fn store_answered_at(&self) -> Moment {
+        let answered = self.peers.values().filter_map(|p| p.answered_at);
+        answered.max().unwrap_or_default()
+    }
+
     /// A peer that is heard.
     #[must_use]
     pub fn alive(&self, name: &EntryName, now: Moment) -> Option<&Peer> {
@@ -195,6 +212,7 @@
         }
         for (name, peer) in &mut self.peers {
             peer.registered &= names.contains(name);
+            peer.is_gone = !names.contains(name);
         }
     }
 
@@ -209,9 +227,9 @@
         }
     }
 
-    /// Forgets peers that neither stand in the store nor are heard.
+    /// Forgets peers that are not in the store and not heard.
     pub fn sweep(&mut self, now: Moment) {
         self.peers
-            .retain(|_, peer| peer.registered || peer.heard_within(LONG_SILENT, now));
+            .retain(|_, peer| !peer.is_gone || peer.heard_within(LONG_SILENT, now));
     }
 }
--- a/crates/bluebellreel_members/src/peer.rs
+++ b/crates/bluebellreel_members/src/peer.rs
@@ -90,6 +90,8 @@
     pub stopping: bool,
     /// Whether its entry stands in the store, as far as is known.
     pub registered: bool,
+    /// Whether the entries in the store, listed since it was heard, lack its own.
+    pub is_gone: bool,
     /// How long the store has served it without an outage; in seconds.
     pub served_s: u32,
     /// When the store answered it last; none if it does not say.
@@ -119,6 +121,7 @@
             heard_at: None,
             stopping: false,
             registered: true,
+            is_gone: false,
             served_s: 0,
             answered_at: None,
             revisions: Revisions::default(),
--- a/crates/bluebellreel_members/tests/members.rs
+++ b/crates/bluebellreel_members/tests/members.rs
@@ -306,3 +306,26 @@
     let others = next.iter().filter(|n| !first.contains(n));
     assert_eq!(others.count(), 2, "{first:?} {next:?}");
 }
+
+/// Guards that a silent peer which reached the store may still do so, until its entry is known to be gone.
+#[test]
+fn a_peer_that_fell_silent_may_reach_the_store() {
+    let later = NOW + LONG_SILENT + TICK;
+    let lost = |reaches_store| {
+        let mut members = heard(0);
+        let peer = Peer {
+            reaches_store,
+            ..peer(1, NOW)
+        };
+        members.hear(name(1), peer);
+        members.sweep(later);
+        members
+    };
+    assert!(!lost(false).may_reach_store(later));
+    let mut members = lost(true);
+    assert!(members.may_reach_store(later));
+    members.listed(vec![(name(1), entry(1))], 5);
+    assert!(members.may_reach_store(later));
+    members.listed(vec![], 6);
+    assert!(!members.may_reach_store(later));
+}
