A peer's old tombstone lists no worker

Cause: a peer that lists twice has no record of a worker that returned and left in between, only its older tombstone. The tombstone is older than what is known here, so it was passed over, and its id counted as listed, so the worker was not missing either. Change: only ids with a worker count as listed.

--- a/crates/bluebellreel_dispatch/src/catalog.rs
+++ b/crates/bluebellreel_dispatch/src/catalog.rs
@@ -209,7 +209,9 @@
         }
         self.removals_after = revision;
         let mut changed = false;
-        let listed: BTreeSet<WorkerName> = list.iter().map(|(_, id, _)| id.clone()).collect();
+        // A peer's tombstone may be older than what is known here.
+        let there = list.iter().filter(|(.., record)| record.is_some());
+        let listed: BTreeSet<WorkerName> = there.map(|(_, id, _)| id.clone()).collect();
         for (at, id, record) in list {
             changed |= self.take(at, &id, record);
         }
--- a/crates/bluebellreel_dispatch/tests/catalog.rs
+++ b/crates/bluebellreel_dispatch/tests/catalog.rs
@@ -98,6 +98,29 @@
     assert!(listed(&other).is_empty());
 }
 
+/// Has a daemon ask a peer for what has changed.
+fn ask(asker: &mut Catalog, peer: &Catalog) {
+    let seen = asker.revision();
+    let whole = !peer.tells_all_after(seen);
+    let facts = peer.facts_after(if whole { 0 } else { seen });
+    let facts = facts.map(|(revision, id, record)| (revision, id.clone(), record.cloned()));
+    asker.learn(peer.revision(), facts.collect(), whole);
+}
+
+/// A worker returned and left between two lists of a peer, whose tombstone of it is older.
+#[test]
+fn a_tombstone_in_a_whole_list_lists_no_worker() {
+    let mut peer = Catalog::default();
+    peer.replace(1, vec![ready(1, "a"), ready(1, "b")], None);
+    peer.replace(2, vec![ready(1, "a")], None);
+    let mut kept = Catalog::default();
+    kept.replace(5, vec![ready(1, "a"), ready(5, "b")], None);
+    peer.replace(6, vec![ready(1, "a")], None);
+    ask(&mut kept, &peer);
+    assert_eq!(listed(&kept), ["a"]);
+    assert_eq!(kept.digest(), peer.digest());
+}
+
 proptest! {
     /// Facts may come twice and in any order, by a watch or from peers: what
     /// is believed in the end does not depend on it.
