A worker that died in an outage is forgotten by those who asked meanwhile

Cause: those that watch keep missing workers for 2.5 s. Who asks them for other news by then is told everything up to a revision, with that worker; its removal counted from an earlier one, so nobody was told it. Where nothing is written to the store after that, the digest did not help either: only lists complete to a later revision were asked for. Change: such a removal counts from the revision up to which all is known at its end. Facts for a peer include removals at its own revision. Lists that differ at one revision are asked about too, for changes only, as either of the two may be the one that knows less; all workers are asked of those that are complete to a later revision only.

--- a/crates/bluebellreel_dispatch/src/catalog.rs
+++ b/crates/bluebellreel_dispatch/src/catalog.rs
@@ -244,9 +244,9 @@
         false
     }
 
-    /// Drops workers whose time to register again is over. The removal counts
-    /// from the revision at which they were missing, so that peers take it
-    /// over as well.
+    /// Drops workers whose time to register again is over. The removal counts from the
+    /// revision up to which all is known: they were not there, and peers that have
+    /// learned all up to there meanwhile were told that they were.
     pub fn expire(&mut self, now: Moment) -> bool {
         let mut changed = false;
         for (id, entry) in &mut self.entries {
@@ -256,7 +256,7 @@
                 self.digest ^= entry.digest(id);
                 entry.record = None;
                 entry.missing = None;
-                entry.revision = entry.revision.max(revision);
+                entry.revision = entry.revision.max(revision).max(self.revision);
                 changed = true;
             }
         }
@@ -283,15 +283,15 @@
         revisions.max().unwrap_or(0)
     }
 
-    /// Facts after a revision, for a peer: removed ones without a record.
+    /// Facts after a revision, for a peer: removed ones without a record, and with those
+    /// at the revision, which may have been learned after the peer was told of it.
     pub fn facts_after(
         &self,
         revision: i64,
     ) -> impl Iterator<Item = (i64, &WorkerName, Option<&WorkerRecord>)> {
-        let newer = self
-            .entries
-            .iter()
-            .filter(move |(_, e)| e.revision > revision);
+        let newer = self.entries.iter().filter(move |(_, e)| {
+            e.revision > revision || (e.revision == revision && e.record.is_none())
+        });
         newer.map(|(id, e)| (e.revision, id, e.record.as_ref()))
     }
 
--- a/crates/bluebellreel_dispatch/tests/catalog.rs
+++ b/crates/bluebellreel_dispatch/tests/catalog.rs
@@ -107,6 +107,29 @@
     asker.learn(peer.revision(), facts.collect(), whole);
 }
 
+/// A worker dies in an outage. Peers that ask for other news before its time to return
+/// is over are told of its removal when they ask again.
+#[test]
+fn the_removal_after_an_outage_reaches_peers_that_asked_meanwhile() {
+    let until = Moment(1_000_000);
+    for written_meanwhile in [0, 1, 30] {
+        let before = vec![ready(3, "a"), ready(4, "b")];
+        let mut watcher = Catalog::default();
+        watcher.replace(10, before, None);
+        let mut other = watcher.clone();
+        watcher.replace(20, vec![], Some(until));
+        watcher.put(25, worker("b", WorkerState::Ready));
+        watcher.seen_to(25);
+        ask(&mut other, &watcher);
+        assert_eq!(listed(&other), ["a", "b"], "it is kept for a while");
+        watcher.seen_to(25 + written_meanwhile);
+        watcher.expire(until);
+        ask(&mut other, &watcher);
+        assert_eq!(listed(&other), ["b"], "{written_meanwhile} writes");
+        assert_eq!(other.digest(), watcher.digest());
+    }
+}
+
 /// A worker returned and left between two lists of a peer, whose tombstone of it is older.
 #[test]
 fn a_tombstone_in_a_whole_list_lists_no_worker() {
--- a/crates/bluebellreel_gateway/src/reports/catch_up.rs
+++ b/crates/bluebellreel_gateway/src/reports/catch_up.rs
@@ -54,7 +54,7 @@
         .collect()
 }
 
-/// Asks peers, for ever, whose lists of workers differ and are complete to a later
+/// Asks peers, for ever, whose lists of workers differ and are complete to no earlier
 /// revision than the one here. Where lists are equal nothing is asked, however the
 /// revisions rise.
 pub(crate) async fn compare_lists(gw: Rc<Gateway>) {
@@ -74,7 +74,7 @@
         let spread = SPREAD_EACH.saturating_mul(peers);
         let wait = spread.mul_f64(gw.rng.borrow_mut().random_range(0.0..1.0));
         sleep(wait).await;
-        let ahead = peers_ahead(&gw);
+        let ahead = peers_to_ask(&gw, question);
         if !ahead.is_empty() {
             let at = gw.rng.borrow_mut().random_range(0..ahead.len());
             info!(target: "facts", peer:% = ahead[at].0, question:? = question; "lists differ");
@@ -83,12 +83,15 @@
     }
 }
 
-fn peers_ahead(gw: &Gateway) -> Vec<(EntryName, SocketAddr)> {
+fn peers_to_ask(gw: &Gateway, question: Question) -> Vec<(EntryName, SocketAddr)> {
     let own = gw.facts.borrow().list();
     let members = gw.members.borrow();
     members
         .heard(gw.now())
-        .filter(|(_, peer)| own.is_behind(peer.list))
+        .filter(|(_, peer)| match question {
+            Question::Changes => own.may_learn_from(peer.list),
+            Question::All => own.is_behind(peer.list),
+        })
         .map(|(name, peer)| (name.clone(), peer.calls))
         .collect()
 }
--- a/crates/bluebellreel_members/src/divergence.rs
+++ b/crates/bluebellreel_members/src/divergence.rs
@@ -20,7 +20,7 @@
 pub enum Question {
     /// What has changed since the revision up to which its list is complete.
     Changes,
-    /// All workers.
+    /// All workers; asked of peers whose lists are complete to a later revision.
     All,
 }
 
@@ -41,10 +41,11 @@
 }
 
 impl Divergence {
-    /// What is to be asked now of a peer that the own list is behind, given the lists
-    /// of all that are heard. The question counts as asked.
+    /// What is to be asked now of a peer that the own list may learn from, given the
+    /// lists of all that are heard; all workers only of one that it is behind. The
+    /// question counts as asked.
     ///
-    /// A list of a peer that does not lead is ignored: that peer asks. While lists
+    /// A list that is complete to an earlier revision is ignored: its owner asks. While lists
     /// differ and the own one stays as it is, questions are further and further apart.
     pub fn question(
         &mut self,
@@ -53,9 +54,11 @@
         now: Moment,
     ) -> Option<Question> {
         let mut differs = false;
+        let mut may_learn = false;
         let mut is_behind = false;
         for list in peers {
             differs |= own.differs_from(list);
+            may_learn |= own.may_learn_from(list);
             is_behind |= own.is_behind(list);
         }
         if !differs || own.digest != self.digest {
@@ -64,7 +67,7 @@
                 ..Self::default()
             };
         }
-        if !is_behind {
+        if !may_learn {
             self.since = None;
             return None;
         }
@@ -75,7 +78,7 @@
         self.backoff = (self.backoff * 2).clamp(BACKOFF_FIRST, BACKOFF_LONGEST);
         self.not_before = now + self.backoff;
         let first = *self.first_asked.get_or_insert(now);
-        if (first + CHANGES_LONGEST).is_past(now) {
+        if is_behind && (first + CHANGES_LONGEST).is_past(now) {
             Some(Question::All)
         } else {
             Some(Question::Changes)
--- a/crates/bluebellreel_members/src/peer.rs
+++ b/crates/bluebellreel_members/src/peer.rs
@@ -42,6 +42,13 @@
         both_told && self.digest != other.digest
     }
 
+    /// Whether another list differs and is complete to no earlier revision: where they
+    /// are equal, one of the two knows of a removal that it has learned late.
+    #[must_use]
+    pub fn may_learn_from(self, other: Self) -> bool {
+        self.differs_from(other) && other.complete_to >= self.complete_to
+    }
+
     /// Whether another list differs and is complete to a later revision.
     #[must_use]
     pub fn is_behind(self, other: Self) -> bool {
