Keep a job from being accepted after its end

A sender whose submission was in doubt at one gateway, and who ended the job at another, got 404 there: no record yet. The submission was repeated, took effect, and the job ran for as long as any other.

Cause: an end of a job without a record left nothing behind that the acceptance could meet.

Such an end now writes a tombstone, `job/ended/ID`, guarded by the record's absence and leased for a minute; a submission in doubt is repeated for half of that. Each acceptance is guarded by the tombstone's absence. One that meets it is answered 504, which promises nothing, as a try whose answer was lost may still be on its way. The end is answered 404 as before; a record that was created between the read and the tombstone is read again, and ended.

Cost: a lease and a guarded write for each end of a job that has no record, where there was a read alone; nothing for other ends. No call more for an acceptance, one guard more in its write: 30 entries at the most, of 32 (both counted by reading).

Evidence: `an_end_holds_for_a_job_that_a_peer_is_about_to_accept` failed before, the record being open after the end's 404; in an earlier form of the test 52 items had reached workers. It passes with the change, with the other 17 tests of job ends and those of `jobs`, `takeover`, `stops`.

--- a/crates/bluebellreel_batch/src/keys.rs
+++ b/crates/bluebellreel_batch/src/keys.rs
@@ -36,6 +36,12 @@
     KeyText(format!("{OPEN}{id}"))
 }
 
+/// Tombstone of a job that had no record when it was ended.
+#[must_use]
+pub fn tombstone(id: &JobId) -> KeyText {
+    KeyText(format!("job/ended/{id}"))
+}
+
 /// Ledger of a route whose quota is nearly used up.
 #[must_use]
 pub fn quota(route: &str) -> KeyText {
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -219,7 +219,10 @@
     puts.push(Put::lasting(record_key.clone(), record.encode()));
     puts.push(Put::lasting(key(&keys::open(id)), Vec::new()));
     let txn = Txn {
-        compares: vec![Compare::Absent(record_key.clone())],
+        compares: vec![
+            Compare::Absent(record_key.clone()),
+            Compare::Absent(key(&keys::tombstone(id))),
+        ],
         puts,
         ..Txn::default()
     };
@@ -275,7 +278,12 @@
             Some(Accepted::Kept)
         }
         Commit::Beaten(found) => {
-            let (revision, stored) = stored_record(&found, record_key)?;
+            let Some((revision, stored)) = stored_record(&found, record_key) else {
+                let tombstone = key(&keys::tombstone(id));
+                let is_ended = found.iter().any(|kv| kv.key == tombstone);
+                // A try whose answer was lost may outlast the tombstone.
+                return is_ended.then_some(Accepted::Open);
+            };
             if stored == *record {
                 adopt_stored(gw, id, stored, revision, asked).await;
             } else {
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -12,7 +12,7 @@
 use crate::gateway::Gateway;
 use crate::{answers, peer_calls};
 use bluebellreel_batch::{JobPhase, JobRecord, keys};
-use bluebellreel_kv::{Commit, Txn};
+use bluebellreel_kv::{Commit, Compare, Put, Txn};
 use bluebellreel_net::Body;
 use bluebellreel_types::{EntryName, JobId};
 use http::{Response, StatusCode};
@@ -37,6 +37,9 @@
 /// How long an end is remembered, and named by the reports of the daemon that
 /// recorded it.
 const REMEMBER_FOR: Duration = Duration::from_secs(10);
+/// How long a job that had no record when it was ended is not accepted: a
+/// submission in doubt is repeated for half of it.
+const TOMBSTONE: Duration = Duration::from_mins(1);
 /// Times that a record that changes under the call is read again.
 const TRIES: usize = 4;
 
@@ -161,7 +164,15 @@
     for _ in 0..TRIES {
         let (revision, record) = match load::record(gw, id).await {
             Ok(Some(found)) => (found.revision, found.record),
-            Ok(None) => return Outcome::NoSuchJob,
+            Ok(None) => match bury(gw, id, until).await {
+                Commit::Applied { .. } => return Outcome::NoSuchJob,
+                // It was accepted meanwhile.
+                Commit::Beaten(_) => continue,
+                Commit::NotDone(reason) | Commit::Unknown(reason) => {
+                    warn!(target: "jobs", job:% = id, reason = reason.as_str(); "end not recorded");
+                    return Outcome::Undecided;
+                }
+            },
             Err(e) => {
                 warn!(target: "jobs", job:% = id, error:% = e; "end not recorded");
                 return Outcome::Undecided;
@@ -187,6 +198,26 @@
     Outcome::Undecided
 }
 
+/// Keeps a job that has no record from being accepted: its submission may be in
+/// doubt at a peer.
+async fn bury(gw: &Gateway, id: &JobId, until: Instant) -> Commit {
+    let lease = match gw.store.lease(TOMBSTONE).await {
+        Ok(lease) => lease.id,
+        Err(e) => return Commit::NotDone(e.to_string()),
+    };
+    let tombstone = Put {
+        key: key(&keys::tombstone(id)),
+        value: Vec::new(),
+        lease,
+    };
+    let txn = Txn {
+        compares: vec![Compare::Absent(key(&keys::record(id)))],
+        puts: vec![tombstone],
+        ..Txn::default()
+    };
+    gw.store.commit(&txn, until).await
+}
+
 fn end_txn(id: &JobId, record: &JobRecord, revision: i64) -> Txn {
     let ended = JobRecord {
         phase: JobPhase::Cancelled,
