A body that broke off stays broken, however often it is read

So the end came from the former worker's body, which had broken. Cause: while another worker is asked, the former one is read as well. It broke; the other one gave no answer; the next one was asked, and the former was read once more: hyper gives an end after an error, which was taken for the end of the stream. Ruled out: the stand-in's engine ends a stream before its last event only as broken. Change: ReplyBody says broken each time it is read after that. Evidence: a_stream_that_is_waited_for_after_it_broke_is_not_whole: 4 of 20 events, whole, before; passes now, with the other eleven of streams.rs.

--- a/crates/bluebellreel_net/src/reply.rs
+++ b/crates/bluebellreel_net/src/reply.rs
@@ -22,6 +22,7 @@
 /// it.
 pub struct ReplyBody {
     incoming: Incoming,
+    broken: bool,
     kept: Option<Kept>,
     pool: Rc<Inner>,
     address: SocketAddr,
@@ -38,6 +39,7 @@
     ) -> Self {
         Self {
             incoming,
+            broken: false,
             kept: Some(kept),
             pool,
             address,
@@ -49,8 +51,11 @@
     ///
     /// # Errors
     ///
-    /// `Broken` if the body ended before its end.
+    /// `Broken` if the body ended before its end, however often it is asked for.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
+        if self.broken {
+            return Err(Broken);
+        }
         loop {
             match self.incoming.frame().await {
                 None => {
@@ -60,6 +65,7 @@
                     return Ok(None);
                 }
                 Some(Err(_)) => {
+                    self.broken = true;
                     self.kept = None;
                     return Err(Broken);
                 }
