Quotas count jobs that lie open in the store and that nobody reports

Callers saw (by reading): up to a whole quota more than allowed, from a gateway that had just started (jobs open and owned by nobody yet) or does not hear all peers. Cause: what waits was the sum of own jobs and peers' reports, whoever was heard. Change: a gateway keeps the open jobs of the store that are neither its own nor among those whose tokens peers' reports count, 8192 at most, and adds their tokens. They are listed in the background: once at the start, and at each look for jobs without an owner; a look comes after 6 s instead of 20 s while such a job is known or a registered peer is silent. A job goes when it is owned here, reported, ended, or no longer listed. The index names route and tokens; of an entry that an earlier version has written the look reads the record, as it did. A job that a peer's full report (500 names) has no room for is not counted twice. Acceptances read nothing for this. On a route with a quota they wait for the first list since the start, side by side, for 1.2 s at most, then get 503 with Retry-After 50 ms: the write would go the way of the list, and another gateway knows. A list that the store refuses for good is not waited for.

--- a/crates/bluebellreel_batch/tests/jobs.rs
+++ b/crates/bluebellreel_batch/tests/jobs.rs
@@ -1,7 +1,7 @@
 //! One job at its owner: items, segments, order.
 
 use bluebellreel_batch::{
-    ItemEnd, ItemPhase, Job, JobPhase, JobRecord, NewItem, Owner, Progress, QuotaLedger,
+    ItemEnd, ItemPhase, Job, JobPhase, JobRecord, NewItem, OpenJob, Owner, Progress, QuotaLedger,
     ResultState, decode_items, encode_items, next_item, split_input,
 };
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
@@ -332,3 +332,12 @@
     run(&mut successor, 0, "", ItemEnd::Failed);
     assert_eq!(successor.items[0].phase, ItemPhase::Ended);
 }
+
+/// The index of open jobs is told from one that an earlier version has written.
+#[test]
+fn the_index_of_open_jobs_says_what_counts() {
+    let waits = OpenJob::from(&job("a", 3, NOW).record);
+    assert_eq!((&*waits.route, waits.tokens), ("book", 30));
+    assert_eq!(OpenJob::try_from(waits.encode().as_slice()), Ok(waits));
+    assert!(OpenJob::try_from([].as_slice()).is_err());
+}
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -11,7 +11,7 @@
 use crate::answers;
 use crate::gateway::Gateway;
 use crate::millis::millis;
-use bluebellreel_batch::{JobPhase, JobRecord, NewItem, Owner, keys, split_input};
+use bluebellreel_batch::{JobPhase, JobRecord, NewItem, OpenJob, Owner, keys, split_input};
 use bluebellreel_dispatch::Route;
 use bluebellreel_kv::{Commit, Compare, Key, Put, Txn};
 use bluebellreel_net::Body;
@@ -58,6 +58,7 @@
     if id.as_str().is_empty() {
         return answers::failure(StatusCode::BAD_REQUEST, "no id");
     }
+    let is_countable = quota::is_countable(gw, route, deadline.min(received + TRY_STORE)).await;
     if gw.jobs.borrow().own.contains_key(&id) {
         return kept(gw, &id, received, "known");
     }
@@ -70,6 +71,13 @@
     }
     let decided = if let Some(underway) = underway {
         underway
+    } else if !is_countable {
+        // The write would go the way of the list that has failed, and the caller can
+        // be told now that the job is not kept.
+        warn!(target: "jobs", job:% = id; "job refused: open jobs not listed yet");
+        gw.metrics.job("refused");
+        let reason = "open jobs not listed yet";
+        return answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, reason, ELSEWHERE);
     } else {
         let items = match wire::decode_job(body) {
             Ok(items) => items,
@@ -217,7 +225,8 @@
     }
     let record_key = key(&keys::record(id));
     puts.push(Put::lasting(record_key.clone(), record.encode()));
-    puts.push(Put::lasting(key(&keys::open(id)), Vec::new()));
+    let open = OpenJob::from(&record).encode();
+    puts.push(Put::lasting(key(&keys::open(id)), open));
     let txn = Txn {
         compares: vec![
             Compare::Absent(record_key.clone()),
--- a/crates/bluebellreel_gateway/src/jobs/load.rs
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -29,7 +29,11 @@
         return Ok(None);
     };
     let record = JobRecord::try_from(kv.value.as_slice()).map_err(|e| unreadable(&e))?;
-    gw.jobs.borrow_mut().note_owner(id, &record);
+    {
+        let mut jobs = gw.jobs.borrow_mut();
+        jobs.note_owner(id, &record);
+        jobs.open.read(id, &record);
+    }
     Ok(Some(FoundRecord {
         revision: kv.revision,
         record,
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 mod hand_over;
 mod load;
 mod no_route;
+mod open;
 pub(crate) mod own;
 mod quota;
 mod read;
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -9,6 +9,7 @@
 use tokio::task::AbortHandle;
 
 use super::archive::Archive;
+use super::open::OpenJobs;
 
 /// One job, with what wakes those that wait for it.
 pub(crate) struct OwnedJob {
@@ -119,6 +120,8 @@
     /// Jobs without an owner that another daemon should take over, and since
     /// when they are known.
     pub(crate) orphans: HashMap<JobId, Moment>,
+    /// Jobs that lie open in the store and that nobody reports.
+    pub(crate) open: OpenJobs,
     /// Jobs that were owned here or that peers have reported as theirs.
     reported: HashSet<JobId>,
     pub(crate) archive: Archive,
@@ -153,6 +156,7 @@
             submissions: HashMap::new(),
             owners: HashMap::new(),
             orphans: HashMap::new(),
+            open: OpenJobs::default(),
             reported: HashSet::new(),
             archive: Archive::default(),
             tombstones: BTreeMap::new(),
@@ -186,6 +190,7 @@
             self.reported.clear();
         }
         self.reported.insert(id.clone());
+        self.open.remove(id);
     }
 
     fn set_owner(&mut self, id: &JobId, owner: KnownOwner) {
@@ -201,6 +206,11 @@
         self.reported.contains(id)
     }
 
+    /// Whether a job is counted as this daemon's, or is over as far as is known here.
+    pub(super) fn counts_or_ended(&self, id: &JobId) -> bool {
+        self.own.contains_key(id) || self.is_ended(id) || self.archive.get(id).is_some()
+    }
+
     /// Jobs owned here that reports name.
     pub(crate) fn owned_ids(&self) -> Vec<JobId> {
         self.own.keys().take(REPORTED).cloned().collect()
@@ -218,6 +228,7 @@
             by
         };
         self.tombstones.insert(id.clone(), Tombstone { by, until });
+        self.open.remove(id);
     }
 
     /// Whether a job is known to be ended.
--- a/crates/bluebellreel_gateway/src/jobs/quota.rs
+++ b/crates/bluebellreel_gateway/src/jobs/quota.rs
@@ -1,5 +1,6 @@
 //! How much a route's callers may have waiting.
 
+use super::open;
 use super::stored::key;
 use crate::gateway::Gateway;
 use bluebellreel_batch::{QuotaLedger, keys};
@@ -7,6 +8,7 @@
 use bluebellreel_kv::{Compare, KvError, Put, Txn};
 use bluebellreel_types::JobId;
 use log::warn;
+use tokio::time::Instant;
 
 /// Share of a quota from which on acceptances go through the route's ledger,
 /// in percent. Below it, four daemons that accept at the same moment without
@@ -15,9 +17,15 @@
 
 /// Tokens that wait on a route at all daemons, as far as is known.
 pub(crate) fn tokens_waiting(gw: &Gateway, route: &str) -> u64 {
-    let own = gw.jobs.borrow().tokens_by_route();
-    let own = own.get(route).copied().unwrap_or(0);
-    own + gw.members.borrow().tokens(route, gw.now())
+    let jobs = gw.jobs.borrow();
+    let own = jobs.tokens_by_route().get(route).copied().unwrap_or(0);
+    own + gw.members.borrow().tokens(route, gw.now()) + jobs.open.tokens(route)
+}
+
+/// Waits until what is open in the store was read since this daemon's start; whether
+/// it was in time. Only jobs of routes with a quota wait.
+pub(crate) async fn is_countable(gw: &Gateway, route: &Route, deadline: Instant) -> bool {
+    route.quota_tokens == 0 || open::is_listed(gw, deadline).await
 }
 
 /// Whether a job of so many tokens fits, as far as is known.
@@ -55,7 +63,7 @@
     let now = gw.now();
     let unreported = {
         let jobs = gw.jobs.borrow();
-        let is_known = |job: &JobId| job == id || jobs.is_counted(job);
+        let is_known = |job: &JobId| job == id || jobs.is_counted(job) || jobs.open.counts(job);
         ledger.unreported(is_known, now)
     };
     if tokens_waiting(gw, &route.name) + unreported + tokens > route.quota_tokens {
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -4,18 +4,18 @@
 use super::load::FoundRecord;
 use super::own::REPORTED;
 use super::stored::{key, owner_txn, stored_record};
-use super::{backup, load, read};
+use super::{backup, load, open, read};
 use crate::gateway::Gateway;
 use crate::registration::{self, EntryEnd};
 use bluebellreel_batch::{Custody, JobPhase, JobRecord, Owner, OwnerSign, custody, keys};
-use bluebellreel_kv::{Commit, Key, KvError};
+use bluebellreel_kv::{Commit, KvError};
 use bluebellreel_members::Presence;
 use bluebellreel_types::{JobId, Moment};
 use log::{info, warn};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Time between looks when nothing hints at a lost owner.
 const LOOK: Duration = Duration::from_secs(6);
@@ -43,7 +43,9 @@
 pub(crate) async fn adopt_orphans(gw: Rc<Gateway>) {
     let due = gw.jobs.borrow().orphans_due.clone();
     let mut unreported = Unreported::new();
-    sleep(FIRST_LOOK).await;
+    let first_look = Instant::now() + FIRST_LOOK;
+    open::list_first(&gw).await;
+    sleep_until(first_look).await;
     loop {
         let more = match look(&gw, &mut unreported).await {
             Ok(left) => left > 0,
@@ -55,6 +57,7 @@
         let pause = match (more, is_caretaker(&gw)) {
             (true, _) => LOOK_SOON,
             (false, true) => LOOK,
+            (false, false) if !hears_of_all_jobs(&gw) => LOOK,
             (false, false) => LOOK_SELDOM,
         };
         if timeout(pause, due.notified()).await.is_ok() {
@@ -70,18 +73,14 @@
     if gw.stopping.get() {
         return Ok(0);
     }
-    let (open, _) = gw.store.list(&Key::from(keys::OPEN)).await?;
+    let open = open::list(gw).await?;
     if open.is_empty() {
         gw.jobs.borrow_mut().orphans.clear();
     }
     let mut left = 0;
     let mut entries_read = false;
     let before = std::mem::take(unreported);
-    for kv in open {
-        let Some(id) = kv.key.as_str().strip_prefix(keys::OPEN) else {
-            continue;
-        };
-        let id = JobId::from(id);
+    for id in open {
         if gw.stopping.get() {
             // What it took now, it would have to hand over at once.
             return Ok(0);
@@ -92,7 +91,7 @@
         if !std::mem::replace(&mut entries_read, true) {
             registration::read_members(gw).await?;
         }
-        if is_owner_silent(gw, &id) {
+        if is_owner_silent(gw, &id) && !gw.jobs.borrow().open.lacks(&id) {
             left += 1;
             continue;
         }
@@ -113,6 +112,11 @@
     gw.members.borrow().is_caretaker(gw.me(), gw.now())
 }
 
+/// Whether reports tell of all jobs that count against quotas.
+fn hears_of_all_jobs(gw: &Gateway) -> bool {
+    gw.members.borrow().hears_all(gw.now()) && gw.jobs.borrow().open.is_empty()
+}
+
 /// Whether a peer that is heard says that it owns a job; saves reading the
 /// record.
 fn has_owner(gw: &Gateway, id: &JobId) -> bool {
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -3,7 +3,7 @@
 use crate::peer::{LONG_SILENT, MemberEntry, Peer, Presence, rank, rank_for};
 use crate::unclaimed::Unclaimed;
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::Duration;
 
 /// Daemons that watch the store for all. Two, as one may be turned away, or its
@@ -75,6 +75,14 @@
         heard + 1 >= missed
     }
 
+    /// Whether all daemons that should be there are heard, so that reports tell of all
+    /// that they do.
+    #[must_use]
+    pub fn hears_all(&self, now: Moment) -> bool {
+        let mut silent = self.peers.values().filter(|p| !p.is_heard(now));
+        !silent.any(|p| p.registered && !p.stopping)
+    }
+
     /// Age of the oldest report that is still counted.
     #[must_use]
     pub fn oldest_report(&self, now: Moment) -> Duration {
@@ -90,6 +98,13 @@
         reported.sum::<u64>() + self.unclaimed.tokens(route, now)
     }
 
+    /// Jobs whose tokens are among [`Self::tokens`].
+    #[must_use]
+    pub fn counted_jobs(&self, now: Moment) -> HashSet<&JobId> {
+        let reported = self.peers.values().flat_map(|p| &p.jobs);
+        reported.chain(self.unclaimed.jobs(now)).collect()
+    }
+
     /// A job has an owner that is no peer, or has ended.
     pub fn claimed(&mut self, job: &JobId, now: Moment) {
         self.unclaimed.claimed(job, now);
--- a/crates/bluebellreel_members/src/unclaimed.rs
+++ b/crates/bluebellreel_members/src/unclaimed.rs
@@ -62,6 +62,12 @@
         counted.filter_map(|loss| loss.tokens.get(route)).sum()
     }
 
+    /// Jobs that are counted.
+    pub(crate) fn jobs(&self, now: Moment) -> impl Iterator<Item = &JobId> {
+        let counted = self.0.iter().filter(move |loss| !loss.until.is_past(now));
+        counted.flat_map(|loss| &loss.jobs)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
--- a/crates/bluebellreel_members/tests/members.rs
+++ b/crates/bluebellreel_members/tests/members.rs
@@ -278,6 +278,47 @@
     assert_eq!(members.tokens("book", NOW + TICK), 100);
 }
 
+/// A daemon that misses a single one knows that it does not know all.
+#[test]
+fn all_are_heard_while_each_entry_has_a_report() {
+    let mut members = heard(1);
+    assert!(members.hears_all(NOW));
+    members.listed(vec![(name(1), entry(1)), (name(2), entry(1))], 5);
+    assert!(!members.hears_all(NOW), "one never heard");
+    members.hear(name(2), peer(1, NOW));
+    assert!(members.hears_all(NOW));
+    members.hear(name(1), peer(1, NOW + SILENT));
+    assert!(!members.hears_all(NOW + SILENT + TICK), "one silent");
+    members.listed(vec![(name(1), entry(1))], 6);
+    assert!(
+        members.hears_all(NOW + SILENT + TICK),
+        "its entry has ended"
+    );
+}
+
+/// Jobs whose tokens count are named, so that nobody counts them twice.
+#[test]
+fn jobs_are_named_as_long_as_their_tokens_count() {
+    let names = |members: &Members, now| {
+        let mut jobs: Vec<String> = members
+            .counted_jobs(now)
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        jobs.sort();
+        jobs
+    };
+    let mut members = heard(2);
+    members.hear(name(1), owner(1, &["a", "b"], 600, NOW));
+    members.hear(name(2), owner(1, &["c"], 100, NOW));
+    assert_eq!(names(&members, NOW + SILENT + TICK), ["a", "b", "c"]);
+    members.hear(name(1), owner(2, &[], 0, NOW + TICK));
+    assert_eq!(names(&members, NOW + TICK), ["a", "b", "c"]);
+    members.claimed(&JobId::from("a"), NOW + TICK);
+    assert_eq!(names(&members, NOW + TICK), ["b", "c"]);
+    assert_eq!(names(&members, NOW + LONG_SILENT * 2), ["c"]);
+}
+
 /// Watchers that are cut off from the store without knowing leave the watch to others.
 #[test]
 fn daemons_whose_last_answer_is_old_leave_the_watch_to_others() {
