A job that was accepted before is not refused for its route's ledger

Cause: only the check by reports looked for the job's record before it refused; the one by the ledger did not. Change: a job that the ledger has no room for is looked up; 504 if the store does not say. Cost: one read for each refusal by a ledger.

--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -240,7 +240,7 @@
         let txn = if near {
             match quota::guard(gw, route, id, record.tokens, &txn).await {
                 Ok(Some(txn)) => txn,
-                Ok(None) => return Accepted::NoRoom,
+                Ok(None) => return without_room(gw, &record_key).await,
                 Err(e) => {
                     warn!(target: "jobs", job:% = id, error:% = e; "quota not read");
                     return Accepted::NotKept;
@@ -256,6 +256,15 @@
     Accepted::NotKept
 }
 
+/// A job that its route's ledger has no room for may be one that was accepted before.
+async fn without_room(gw: &Gateway, record_key: &Key) -> Accepted {
+    match gw.store.read(record_key).await {
+        Ok(Some(_)) => Accepted::Kept,
+        Ok(None) => Accepted::NoRoom,
+        Err(_) => Accepted::Open,
+    }
+}
+
 fn chunk_weight(puts: &[Put]) -> usize {
     puts.iter().map(|p| p.value.len()).sum()
 }
