Lists of workers that differ are asked for while others change

Cause: the time for which lists differ began anew with each change of the own list, and whenever no peer was ahead. Change: it runs from when they differ until they agree; backoff likewise. Evidence: a_list_that_stays_anothers_is_asked_for_though_others_change (the reviewer's) and lists_that_pass_each_other_are_asked_for failed before (no question in 400 looks), pass now with the other tests of the crate.

--- a/crates/bluebellreel_members/src/divergence.rs
+++ b/crates/bluebellreel_members/src/divergence.rs
@@ -31,8 +31,6 @@
 /// have nothing to ask it for, and kept a worker that had left.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Divergence {
-    /// Digest of the own list, to which the rest belongs.
-    digest: u64,
     since: Option<Moment>,
     first_asked: Option<Moment>,
     /// When the next question is due at the earliest.
@@ -45,8 +43,8 @@
     /// lists of all that are heard; all workers only of one that it is behind. The
     /// question counts as asked.
     ///
-    /// A list that is complete to an earlier revision is ignored: its owner asks. While lists
-    /// differ and the own one stays as it is, questions are further and further apart.
+    /// A list that is complete to an earlier revision is ignored: its owner asks. Until
+    /// the lists agree, questions are further and further apart.
     pub fn question(
         &mut self,
         own: WorkerList,
@@ -61,18 +59,12 @@
             may_learn |= own.may_learn_from(list);
             is_behind |= own.is_behind(list);
         }
-        if !differs || own.digest != self.digest {
-            *self = Self {
-                digest: own.digest,
-                ..Self::default()
-            };
-        }
-        if !may_learn {
-            self.since = None;
+        if !differs {
+            *self = Self::default();
             return None;
         }
         let since = *self.since.get_or_insert(now);
-        if !(since + DIFFER_LONGEST).is_past(now) || !self.not_before.is_past(now) {
+        if !may_learn || !(since + DIFFER_LONGEST).is_past(now) || !self.not_before.is_past(now) {
             return None;
         }
         self.backoff = (self.backoff * 2).clamp(BACKOFF_FIRST, BACKOFF_LONGEST);
