--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -93,7 +93,11 @@
 /// will not go on, so that its end is tried for as long as it is ours.
 async fn retry_end(gw: &Rc<Gateway>, id: &JobId) {
     let is_full = gw.jobs.borrow().ends_pending.len() >= PENDING && owned_job(gw, id).is_none();
-    if is_full || !gw.jobs.borrow_mut().ends_pending.insert(id.clone()) {
+    if is_full {
+        warn!(target: "jobs", job:% = id, jobs = PENDING; "end not tried again");
+        return;
+    }
+    if !gw.jobs.borrow_mut().ends_pending.insert(id.clone()) {
         return;
     }
     let until = Instant::now() + RETRY_FOR;
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -265,9 +265,9 @@
         // itself: its peers may have nothing that it lacks, and say nothing.
         let by_store = !gw.facts.borrow().is_from_snapshot();
         let known = by_store && (subject.seen)(gw) > 0;
-        let watches = is_watcher(gw);
-        must_list |= succession.is_list_due(watches, gw.now());
-        if known && !relist && !watches && !is_stale(gw, &behind) {
+        let leads = is_watcher(gw);
+        must_list |= succession.is_list_due(leads, gw.now());
+        if known && !relist && !leads && !is_stale(gw, &behind) {
             // What a peer brings meanwhile is complete up to its revision.
             must_list = false;
             sleep(CHECK_EVERY).await;
