A stopping gateway passes on the ends that it could not record

The successor took the job over and sent its items again and again. By the rule an end without an acknowledgement counts as acknowledged after some seconds in which the fleet is well. Cause: who follows an end until it is recorded was one process. Left: a gateway that is killed with such an end leaves it to its sender.

--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -10,6 +10,7 @@
 use super::read::owner_address;
 use super::stored::key;
 use crate::gateway::Gateway;
+use crate::peer_calls::PeerError;
 use crate::{answers, peer_calls};
 use bluebellreel_batch::{JobPhase, JobRecord, keys};
 use bluebellreel_kv::{Commit, Compare, Put, Txn};
@@ -68,6 +69,12 @@
 
 /// Ends a job, wherever it is.
 pub(super) async fn cancel(gw: &Rc<Gateway>, id: &JobId) -> Response<Body> {
+    let decided = begin(gw, id).await;
+    decided.unwrap_or(Outcome::Undecided).answer()
+}
+
+/// Ends a job in a task of its own; how the first try came out.
+fn begin(gw: &Rc<Gateway>, id: &JobId) -> oneshot::Receiver<Outcome> {
     let (tx, rx) = oneshot::channel();
     let (gw, id) = (gw.clone(), id.clone());
     tokio::task::spawn_local(async move {
@@ -78,7 +85,49 @@
             retry_end(&gw, &id).await;
         }
     });
-    rx.await.unwrap_or(Outcome::Undecided).answer()
+    rx
+}
+
+/// Goes on with an end that a stopping peer could not record.
+pub(crate) fn take_end(gw: &Rc<Gateway>, id: &JobId) -> Response<Body> {
+    if gw.stopping.get() {
+        return answers::failure(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+    }
+    drop(begin(gw, id));
+    answers::status(StatusCode::OK)
+}
+
+/// Has peers go on with the ends that a stopping daemon could not record.
+pub(crate) fn pass_ends_on(gw: &Rc<Gateway>) {
+    let pending: Vec<JobId> = {
+        let jobs = &mut *gw.jobs.borrow_mut();
+        let passed_on = &mut jobs.ends_passed_on;
+        let left = jobs.ends_pending.iter();
+        left.filter(|id| passed_on.insert((*id).clone()))
+            .cloned()
+            .collect()
+    };
+    for id in pending {
+        let gw = gw.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(e) = pass_on(&gw, &id).await {
+                warn!(target: "jobs", job:% = id, error:% = e; "end not passed on");
+                sleep(BACKOFF).await;
+                gw.jobs.borrow_mut().ends_passed_on.remove(&id);
+            }
+        });
+    }
+}
+
+/// Has the job's successor go on with its end.
+async fn pass_on(gw: &Gateway, id: &JobId) -> Result<(), PeerError> {
+    let (now, members) = (gw.now(), &gw.members);
+    let successor = members.borrow().successor(id, None, now);
+    let successor = successor.ok_or("nobody is heard")?;
+    let calls = members.borrow().alive(&successor, now).map(|p| p.calls);
+    peer_calls::pass_end_on(gw, calls.ok_or("nobody is heard")?, id).await?;
+    info!(target: "jobs", job:% = id, peer:% = successor; "end passed on");
+    Ok(())
 }
 
 /// Ends a job of ours for a peer.
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -29,7 +29,7 @@
 
 pub(crate) use accept::submit;
 pub(crate) use backup::{copy_progress, keep_copy};
-pub(crate) use cancel::{cancel_own, end_reported};
+pub(crate) use cancel::{cancel_own, end_reported, pass_ends_on, take_end};
 pub(crate) use confirm::{confirm_all, keep_confirmed, owner_reported};
 pub(crate) use hand_over::{HandOvers, take_hand_over};
 pub(crate) use read::{body_of_own, read_own};
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -130,6 +130,8 @@
     tombstones: BTreeMap<JobId, Tombstone>,
     /// Jobs whose end is still to be recorded.
     pub(crate) ends_pending: BTreeSet<JobId>,
+    /// Those of them that a stopping daemon has passed on, or is passing on.
+    pub(super) ends_passed_on: BTreeSet<JobId>,
     /// How far the items of peers' jobs are that this daemon would take over.
     pub(crate) copies: ProgressCopies,
     /// Wakes the task that looks for jobs without an owner.
@@ -161,6 +163,7 @@
             archive: Archive::default(),
             tombstones: BTreeMap::new(),
             ends_pending: BTreeSet::new(),
+            ends_passed_on: BTreeSet::new(),
             copies: ProgressCopies::new(COPIES_BYTES),
             orphans_due: Rc::default(),
         }
--- a/crates/bluebellreel_gateway/src/leave.rs
+++ b/crates/bluebellreel_gateway/src/leave.rs
@@ -8,7 +8,7 @@
 
 use crate::doors::Doors;
 use crate::gateway::Gateway;
-use crate::jobs::HandOvers;
+use crate::jobs::{self, HandOvers};
 use crate::lease;
 use crate::millis::millis;
 use log::{info, warn};
@@ -74,12 +74,14 @@
     }
 
     /// Hands jobs over as they come. Some come after the signal: accepted
-    /// before it, taken over, or handed over by a peer that stops as well.
+    /// before it, taken over, or handed over by a peer that stops as well. So do ends
+    /// of jobs that cannot be recorded.
     fn hand_jobs_over(&self) {
         let (gw, hand_overs) = (self.gw.clone(), self.hand_overs.clone());
         spawn_local(async move {
             loop {
                 hand_overs.begin(&gw);
+                jobs::pass_ends_on(&gw);
                 sleep(CHECK_EVERY).await;
             }
         });
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -40,6 +40,7 @@
             jobs::body_of_own(&gw, &JobId::from(*id), item)
         }
         (&Method::DELETE, ["jobs", id]) => jobs::cancel_own(&gw, &JobId::from(*id)).await,
+        (&Method::PUT, ["jobs", id, "end"]) => jobs::take_end(&gw, &JobId::from(*id)),
         (&Method::PUT, ["jobs", id, what @ ("owner" | "progress")]) => {
             let id = JobId::from(*id);
             let is_owner = *what == "owner";
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -109,6 +109,16 @@
     call(gw, to, Method::DELETE, &path, Bytes::new(), TIMEOUT).await
 }
 
+/// Has a peer go on with the end of a job.
+pub(crate) async fn pass_end_on(gw: &Gateway, to: SocketAddr, id: &JobId) -> Result<(), PeerError> {
+    let path = format!("/jobs/{id}/end");
+    let (status, _) = call(gw, to, Method::PUT, &path, Bytes::new(), TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    Ok(())
+}
+
 /// Has a peer make a call to the store.
 pub(crate) async fn store(
     gw: &Gateway,
