--- a/crates/bluebellreel_batch/src/open.rs
+++ b/crates/bluebellreel_batch/src/open.rs
@@ -14,7 +14,7 @@
 }
 
 impl OpenJob {
-    /// The value as it is stored, without names, as all daemons list all of them.
+    /// The value as it is stored: an array, as each daemon reads the whole index.
     ///
     /// # Panics
     ///
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -58,7 +58,8 @@
     if id.as_str().is_empty() {
         return answers::failure(StatusCode::BAD_REQUEST, "no id");
     }
-    let is_countable = quota::is_countable(gw, route, deadline.min(received + TRY_STORE)).await;
+    let is_countable =
+        quota::wait_until_countable(gw, route, deadline.min(received + TRY_STORE)).await;
     if gw.jobs.borrow().own.contains_key(&id) {
         return kept(gw, &id, received, "known");
     }
--- a/crates/bluebellreel_gateway/src/jobs/load.rs
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -32,7 +32,7 @@
     {
         let mut jobs = gw.jobs.borrow_mut();
         jobs.note_owner(id, &record);
-        jobs.open.read(id, &record);
+        jobs.open.note_record(id, &record);
     }
     Ok(Some(FoundRecord {
         revision: kv.revision,
--- a/crates/bluebellreel_gateway/src/jobs/open.rs
+++ b/crates/bluebellreel_gateway/src/jobs/open.rs
@@ -7,8 +7,8 @@
 use crate::gateway::Gateway;
 use bluebellreel_batch::{JobPhase, JobRecord, OpenJob, keys};
 use bluebellreel_kv::{Key, KvError};
-use bluebellreel_members::Members;
-use bluebellreel_types::JobId;
+use bluebellreel_members::Peer;
+use bluebellreel_types::{EntryName, JobId};
 use log::warn;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -42,7 +42,7 @@
     }
 
     /// Whether a job is listed, and its record has to be read for what it counts.
-    pub(super) fn lacks(&self, id: &JobId) -> bool {
+    pub(super) fn needs_record(&self, id: &JobId) -> bool {
         self.unreported.get(id).is_some_and(Option::is_none)
     }
 
@@ -56,7 +56,7 @@
     }
 
     /// A listed job's record was read.
-    pub(super) fn read(&mut self, id: &JobId, record: &JobRecord) {
+    pub(super) fn note_record(&mut self, id: &JobId, record: &JobRecord) {
         if record.phase != JobPhase::Open {
             self.remove(id);
         } else if let Some(open) = self.unreported.get_mut(id) {
@@ -105,25 +105,29 @@
     let members = gw.members.borrow();
     let mut jobs = gw.jobs.borrow_mut();
     let counted = members.counted_jobs(gw.now());
+    let full: Vec<_> = members
+        .peers()
+        .filter(|(_, p)| p.jobs.len() >= REPORTED)
+        .collect();
     let unreported: Vec<_> = all
         .into_iter()
-        .filter(|(id, _)| !counted.contains(id) && !jobs.counts_or_ended(id))
-        .filter(|(id, _)| !may_be_left_out(&members, &jobs, id))
+        .filter(|(id, _)| !counted.contains(id) && !jobs.is_own_or_ended(id))
+        .filter(|(id, _)| !may_be_left_out(&full, &jobs, id))
         .collect();
     jobs.open.replace(unreported.into_iter());
     Ok(ids)
 }
 
-/// Whether a job may be one that its owner counts and has no room to name in its
-/// reports.
-fn may_be_left_out(members: &Members, jobs: &Jobs, id: &JobId) -> bool {
+/// Whether a job may be one that its owner counts and has no room to name, given the
+/// peers whose reports are full.
+fn may_be_left_out(full: &[(&EntryName, &Peer)], jobs: &Jobs, id: &JobId) -> bool {
     let owner = jobs.owners.get(id);
-    let mut full = members.peers().filter(|(_, p)| p.jobs.len() >= REPORTED);
-    full.any(|(name, p)| owner.is_none_or(|o| o.entry == *name && o.run == p.run))
+    full.iter()
+        .any(|(name, p)| owner.is_none_or(|o| o.entry == **name && o.run == p.run))
 }
 
 /// Waits until the index was read since the start; whether it was in time.
-pub(super) async fn is_listed(gw: &Gateway, deadline: Instant) -> bool {
+pub(super) async fn wait_until_listed(gw: &Gateway, deadline: Instant) -> bool {
     let mut listed = gw.jobs.borrow().open.is_listed.subscribe();
     let listed = timeout_at(deadline, listed.wait_for(|l| *l)).await;
     matches!(listed, Ok(Ok(_)))
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -210,7 +210,7 @@
     }
 
     /// Whether a job is counted as this daemon's, or is over as far as is known here.
-    pub(super) fn counts_or_ended(&self, id: &JobId) -> bool {
+    pub(super) fn is_own_or_ended(&self, id: &JobId) -> bool {
         self.own.contains_key(id) || self.is_ended(id) || self.archive.get(id).is_some()
     }
 
--- a/crates/bluebellreel_gateway/src/jobs/quota.rs
+++ b/crates/bluebellreel_gateway/src/jobs/quota.rs
@@ -24,8 +24,8 @@
 
 /// Waits until what is open in the store was read since this daemon's start; whether
 /// it was in time. Only jobs of routes with a quota wait.
-pub(crate) async fn is_countable(gw: &Gateway, route: &Route, deadline: Instant) -> bool {
-    route.quota_tokens == 0 || open::is_listed(gw, deadline).await
+pub(crate) async fn wait_until_countable(gw: &Gateway, route: &Route, deadline: Instant) -> bool {
+    route.quota_tokens == 0 || open::wait_until_listed(gw, deadline).await
 }
 
 /// Whether a job of so many tokens fits, as far as is known.
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -91,7 +91,7 @@
         if !std::mem::replace(&mut entries_read, true) {
             registration::read_members(gw).await?;
         }
-        if is_owner_silent(gw, &id) && !gw.jobs.borrow().open.lacks(&id) {
+        if is_owner_silent(gw, &id) && !gw.jobs.borrow().open.needs_record(&id) {
             left += 1;
             continue;
         }
--- a/crates/bluebellreel_members/src/divergence.rs
+++ b/crates/bluebellreel_members/src/divergence.rs
@@ -43,8 +43,8 @@
     /// lists of all that are heard; all workers only of one that it is behind. The
     /// question counts as asked.
     ///
-    /// A list that is complete to an earlier revision is ignored: its owner asks. Until
-    /// the lists agree, questions are further and further apart.
+    /// A list that is complete to an earlier revision is ignored: its owner asks. Until the
+    /// lists agree, questions are further and further apart.
     pub fn question(
         &mut self,
         own: WorkerList,
