--- a/crates/bluebellreel_dispatch/src/routes.rs
+++ b/crates/bluebellreel_dispatch/src/routes.rs
@@ -1,5 +1,6 @@
 //! The operators' active configuration: routes, services and limits.
 
+use bluebellreel_teams::Teams;
 use std::sync::Arc;
 use std::time::Duration;
 use twox_hash::XxHash64;
@@ -45,6 +46,8 @@
     pub objective: Duration,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
+    /// Whether callers need no key.
+    pub anonymous: bool,
     /// Maximum number of workers that one attempt of a caller may be sent to; for a job,
     /// the number of failures after which an item is given up.
     pub max_workers: u32,
@@ -113,7 +116,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Configuration {
     /// Version number; a higher one replaces a lower one.
     pub version: u64,
@@ -123,6 +126,8 @@
     pub services: Vec<Service>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// The teams that may send requests; none if callers need no keys.
+    pub teams: Option<Teams>,
 }
 
 impl Configuration {
@@ -139,6 +144,16 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Whether a host has a batch route that needs no key.
+    #[must_use]
+    pub fn has_open_batch_route(&self, host: &str) -> bool {
+        let name = host.split(':').next().unwrap_or(host);
+        self.routes
+            .iter()
+            .filter(|route| route.host.eq_ignore_ascii_case(name))
+            .any(|route| route.kind == RouteKind::Batch && route.anonymous)
+    }
+
     /// Whether any route has this service as a target.
     #[must_use]
     pub fn names_service(&self, service: &str) -> bool {
