--- a/crates/bluebellreel_batch/src/keys.rs
+++ b/crates/bluebellreel_batch/src/keys.rs
@@ -42,10 +42,10 @@
     KeyText(format!("job/ended/{id}"))
 }
 
-/// Key of the ledger of a route whose quota is nearly used up.
+/// Key of the ledger of a quota that is nearly used up.
 #[must_use]
-pub fn quota(route: &str) -> KeyText {
-    KeyText(format!("quota/{route}"))
+pub fn quota(scope: &str) -> KeyText {
+    KeyText(format!("quota/{scope}"))
 }
 
 /// Key of one chunk of a job's input.
--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -35,7 +35,7 @@
 pub use progress::{EventGap, Progress};
 pub use progress_copies::{ItemProgress, ProgressCopies};
 pub use quota_ledger::QuotaLedger;
-pub use record::{JobPhase, JobRecord, Owner, RecordError};
+pub use record::{JobPhase, JobRecord, Owner, RecordError, quota_scope};
 pub use registration_span::{RegistrationSpan, Stamp};
 pub use result::{ItemResult, ResultState, decode_segment, encode_segment};
 pub use schedule::{Candidate, next_item};
--- a/crates/bluebellreel_batch/src/open_job.rs
+++ b/crates/bluebellreel_batch/src/open_job.rs
@@ -3,12 +3,12 @@
 use crate::{JobRecord, RecordError};
 use std::sync::Arc;
 
-/// Route and tokens of an open job, which count against the route's quota. Daemons of
+/// Quota scope and tokens of an open job. Daemons of
 /// earlier versions leave the values of the index empty.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenJob {
-    /// Name of its route.
-    pub route: Arc<str>,
+    /// What its tokens count against; see [`crate::quota_scope`].
+    pub scope: Arc<str>,
     /// Tokens of all its items.
     pub tokens: u64,
 }
@@ -22,14 +22,14 @@
     /// Never: the value always serializes to JSON.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        serde_json::to_vec(&(&*self.route, self.tokens)).expect("it is plain data")
+        serde_json::to_vec(&(&*self.scope, self.tokens)).expect("it is plain data")
     }
 }
 
 impl From<&JobRecord> for OpenJob {
     fn from(record: &JobRecord) -> Self {
         Self {
-            route: record.route.clone(),
+            scope: record.quota_scope(),
             tokens: record.tokens,
         }
     }
@@ -39,9 +39,9 @@
     type Error = RecordError;
 
     fn try_from(bytes: &[u8]) -> Result<Self, RecordError> {
-        let (route, tokens): (String, u64) = serde_json::from_slice(bytes)?;
+        let (scope, tokens): (String, u64) = serde_json::from_slice(bytes)?;
         Ok(Self {
-            route: route.into(),
+            scope: scope.into(),
             tokens,
         })
     }
--- a/crates/bluebellreel_batch/src/record.rs
+++ b/crates/bluebellreel_batch/src/record.rs
@@ -32,6 +32,9 @@
     pub host: Arc<str>,
     /// Name of its route when it was accepted.
     pub route: Arc<str>,
+    /// Name of the team whose key accompanied it; none if no key was needed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<Arc<str>>,
     /// When the job was accepted, by the wall clock of the accepting daemon.
     pub accepted_at: Moment,
     /// When the results are due, by the clock of the accepting daemon.
@@ -57,6 +60,16 @@
     Moment::DISTANT_FUTURE
 }
 
+/// The name under which the waiting tokens of a team on a route are counted. Without a
+/// team it is the route.
+#[must_use]
+pub fn quota_scope(route: &Arc<str>, team: Option<&str>) -> Arc<str> {
+    match team {
+        Some(team) => Arc::from(format!("{route} {team}")),
+        None => route.clone(),
+    }
+}
+
 /// A stored value that cannot be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordError(String);
@@ -84,6 +97,12 @@
 }
 
 impl JobRecord {
+    /// What its tokens count against: its route, or its team on this route.
+    #[must_use]
+    pub fn quota_scope(&self) -> Arc<str> {
+        quota_scope(&self.route, self.team.as_deref())
+    }
+
     /// Encodes the record for the store.
     ///
     /// # Panics
--- a/crates/bluebellreel_batch/src/registration_span.rs
+++ b/crates/bluebellreel_batch/src/registration_span.rs
@@ -99,7 +99,9 @@
         self.is_unbroken(now) && self.since.is_some_and(|since| confirmed.at > since.at)
     }
 
-    fn is_unbroken(&self, now: Stamp) -> bool {
+    /// Whether the registration certainly exists.
+    #[must_use]
+    pub fn is_unbroken(&self, now: Stamp) -> bool {
         let not_suspended = self.since.is_some_and(|since| !now.suspended_since(since));
         not_suspended && !self.until.is_past(now.at)
     }
--- a/crates/bluebellreel_batch/tests/jobs.rs
+++ b/crates/bluebellreel_batch/tests/jobs.rs
@@ -27,6 +27,7 @@
     let record = JobRecord {
         host: Arc::from("desk.example"),
         route: Arc::from("book"),
+        team: None,
         accepted_at: NOW,
         due_at,
         give_up_at: NOW + Duration::from_mins(1),
@@ -345,12 +346,29 @@
     assert_eq!(successor.items[0].phase, ItemPhase::Ended);
 }
 
-/// Guards that index values carry the route and the tokens, and that the empty values
+/// Guards that index values carry the quota scope and the tokens, and that the empty values
 /// of an earlier version are rejected.
 #[test]
-fn index_values_carry_route_and_tokens() {
+fn index_values_carry_scope_and_tokens() {
     let value = OpenJob::from(&job("a", 3, NOW).record);
-    assert_eq!((&*value.route, value.tokens), ("book", 30));
+    assert_eq!((&*value.scope, value.tokens), ("book", 30));
     assert_eq!(OpenJob::try_from(value.encode().as_slice()), Ok(value));
     assert!(OpenJob::try_from([].as_slice()).is_err());
+    let mut record = job("a", 3, NOW).record;
+    record.team = Some(Arc::from("school"));
+    assert_eq!(&*OpenJob::from(&record).scope, "book school");
+}
+
+/// Guards that a record keeps its team, and that one of an earlier version is read.
+#[test]
+fn a_record_keeps_its_team() {
+    let mut record = job("a", 3, NOW).record;
+    let of_earlier_version = record.encode();
+    assert!(!String::from_utf8_lossy(&of_earlier_version).contains("team"));
+    assert_eq!(
+        JobRecord::try_from(of_earlier_version.as_slice()),
+        Ok(record.clone())
+    );
+    record.team = Some(Arc::from("school"));
+    assert_eq!(JobRecord::try_from(record.encode().as_slice()), Ok(record));
 }
--- a/crates/bluebellreel_gateway/src/cluster_state.rs
+++ b/crates/bluebellreel_gateway/src/cluster_state.rs
@@ -6,8 +6,9 @@
 
 use bluebellreel_dispatch::{Catalog, Configuration};
 use bluebellreel_members::{Revisions, WorkerList};
-use bluebellreel_platform::decode_configuration;
+use bluebellreel_platform::{decode_configuration, without_keys};
 use bluebellreel_snapshot::SharedFacts;
+use bluebellreel_teams::Teams;
 use bluebellreel_types::Moment;
 use log::{info, warn};
 use std::rc::Rc;
@@ -53,6 +54,11 @@
         self.configured.as_ref().map_or(0, |c| c.revision)
     }
 
+    /// Revision of the newest configuration read, even if it was rejected.
+    pub(crate) fn held_revision(&self) -> i64 {
+        self.configuration_revision().max(self.rejected_revision)
+    }
+
     /// The newest known revisions, as reported to peers.
     pub(crate) fn revisions(&self) -> Revisions {
         Revisions {
@@ -94,7 +100,8 @@
         if revision == self.rejected_revision {
             return;
         }
-        let (parsed, skipped) = match decode_configuration(text) {
+        let text = without_keys(text);
+        let (parsed, skipped) = match decode_configuration(&text) {
             Ok(decoded) => decoded,
             Err(e) => {
                 self.rejected_revision = revision;
@@ -111,12 +118,12 @@
             warn!(target: "facts", revision, source, version = parsed.version, known; "older configuration ignored");
             return;
         }
-        info!(target: "facts", revision, source, version = parsed.version, routes = parsed.routes.len(); "configuration in force");
+        info!(target: "facts", revision, source, version = parsed.version, routes = parsed.routes.len(), teams = parsed.teams.as_ref().map_or(0, Teams::len); "configuration in force");
         self.newest_in_force = revision;
         self.configured = Some(Configured {
             revision,
             since: now,
-            text: text.to_vec(),
+            text,
             parsed: Rc::new(parsed),
         });
     }
--- /dev/null
+++ b/crates/bluebellreel_gateway/src/confirmation.rs
@@ -0,0 +1,135 @@
+//! Keeps confirmed that the configuration is the newest one, where revoked keys must open
+//! nothing (see `bluebellreel_teams`).
+//!
+//! The daemons that watch the store check the configuration's revision there about once a
+//! second, by a transaction without writes. The others ask one of them. A daemon that
+//! gets no recent confirmation from them asks the store itself.
+
+use crate::answers;
+use crate::gateway::Gateway;
+use crate::peer_calls;
+use crate::watching::is_watcher;
+use bluebellreel_kv::{Compare, Key, KvError};
+use bluebellreel_net::Body;
+use bluebellreel_platform::keys;
+use bluebellreel_platform::store::TxnOutcome;
+use bluebellreel_teams::RevocationTerms;
+use http::{Response, StatusCode};
+use log::{info, warn};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Interval between checks whether a confirmation is due.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of intervals after which a daemon that gets no confirmation from its peers asks
+/// the store.
+const INTERVALS_UNTIL_STORE: u32 = 2;
+
+/// The answer to a peer that asks for a confirmation.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Confirmed {
+    /// Revision of the newest configuration.
+    revision: i64,
+    /// How long ago that was certainly the newest one.
+    age: Duration,
+}
+
+/// Keeps the configuration confirmed, forever.
+pub(crate) async fn keep_confirmed(gw: Rc<Gateway>) {
+    let Some(terms) = gw.revocation else {
+        return;
+    };
+    let mut was_valid = true;
+    loop {
+        sleep(POLL_INTERVAL).await;
+        let is_valid = gw.accepts_keys();
+        if is_valid != was_valid && gw.configuration().is_some() {
+            let confirmed_ms = gw.confirmation_age().map(|age| age.as_millis());
+            if is_valid {
+                info!(target: "teams", confirmed_ms:? = confirmed_ms; "keys confirmed");
+            } else {
+                warn!(target: "teams", confirmed_ms:? = confirmed_ms; "keys no longer confirmed");
+            }
+            was_valid = is_valid;
+        }
+        let peers = gw.members.borrow().alive_peers(gw.now()).count();
+        if is_older_than(&gw, terms.interval(peers)) {
+            confirm(&gw, &terms, peers).await;
+        }
+    }
+}
+
+fn is_older_than(gw: &Gateway, limit: Duration) -> bool {
+    gw.confirmation_age().is_none_or(|age| age >= limit)
+}
+
+async fn confirm(gw: &Rc<Gateway>, terms: &RevocationTerms, peers: usize) {
+    if gw.configuration().is_none() {
+        return;
+    }
+    if !is_watcher(gw) {
+        ask_peer(gw).await;
+        if !is_older_than(gw, terms.interval(peers) * INTERVALS_UNTIL_STORE) {
+            return;
+        }
+    }
+    if let Err(e) = check_store(gw).await {
+        info!(target: "teams", error:% = e; "configuration not confirmed by the store");
+    }
+}
+
+/// Checks in the store that the held configuration is the newest one, and takes over a
+/// newer one.
+async fn check_store(gw: &Rc<Gateway>) -> Result<(), KvError> {
+    let asked = gw.elapsed();
+    let held = gw.cluster_state.borrow().held_revision();
+    let key = Key::from(keys::CONFIGURATION);
+    let guard = Compare::Unchanged(key.clone(), held);
+    match gw.store.check(vec![guard], gw.store.is_lost()).await? {
+        TxnOutcome::Done(_) => gw.note_confirmation(held, asked),
+        TxnOutcome::Conflict(found) => {
+            if let Some(kv) = found.iter().find(|kv| kv.key == key) {
+                gw.take_configuration(kv);
+                gw.note_confirmation(kv.revision, asked);
+            }
+        }
+        TxnOutcome::NoLease => {}
+    }
+    Ok(())
+}
+
+/// Asks one of the daemons that watch the store.
+async fn ask_peer(gw: &Gateway) {
+    let watchers: Vec<SocketAddr> = {
+        let members = gw.members.borrow();
+        let watchers = members.watchers(gw.now());
+        watchers.map(|peer| peer.calls).collect()
+    };
+    if watchers.is_empty() {
+        return;
+    }
+    let at = gw.rng.borrow_mut().random_range(0..watchers.len());
+    let asked = gw.elapsed();
+    match peer_calls::confirmation(gw, watchers[at]).await {
+        Ok(confirmed) => {
+            let newest_at = asked - confirmed.age;
+            gw.note_confirmation(confirmed.revision, newest_at);
+        }
+        Err(e) => info!(target: "teams", error:% = e; "configuration not confirmed by a peer"),
+    }
+}
+
+/// Answers a peer that asks for a confirmation.
+pub(crate) fn answer_peer(gw: &Gateway) -> Response<Body> {
+    let Some((revision, age)) = gw.newest_confirmed() else {
+        return answers::failure(StatusCode::SERVICE_UNAVAILABLE, "not confirmed");
+    };
+    match postcard::to_allocvec(&Confirmed { revision, age }) {
+        Ok(bytes) => answers::bytes(bytes),
+        Err(e) => answers::failure(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+    }
+}
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use bluebellreel_members::Members;
 use bluebellreel_net::{Pool, PoolLimits};
 use bluebellreel_settings::GatewaySettings;
+use bluebellreel_teams::{Allowances, Confirmation, RevocationTerms};
 use bluebellreel_types::{Clock, EntryName, Incarnation, Moment};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -54,6 +55,12 @@
     /// Requests whose runs have crashed workers.
     pub(crate) suspects: RefCell<Suspects>,
     pub(crate) members: RefCell<Members>,
+    /// Rate limits of teams.
+    pub(crate) allowances: RefCell<Allowances>,
+    /// When the configuration was last confirmed to be the newest one.
+    confirmation: Cell<Confirmation>,
+    /// How long a confirmation allows keys; none if keys need no confirmation.
+    pub(crate) revocation: Option<RevocationTerms>,
     pub(crate) jobs: RefCell<Jobs>,
     pub(crate) workers: Pool,
     pub(crate) peers: Pool,
@@ -121,6 +128,9 @@
             overloads: RefCell::default(),
             suspects: RefCell::default(),
             members: RefCell::default(),
+            allowances: RefCell::new(Allowances::new(settings.rate_tolerance)),
+            confirmation: Cell::default(),
+            revocation: settings.revoke_within.map(RevocationTerms::within),
             jobs: RefCell::default(),
             workers,
             peers,
@@ -154,6 +164,68 @@
         self.clock.now()
     }
 
+    /// The current moment on a clock that also runs while the VM is suspended.
+    pub(crate) fn elapsed(&self) -> Moment {
+        self.now() + time_suspended()
+    }
+
+    /// Records that no configuration newer than `revision` existed at some moment after
+    /// `asked`.
+    pub(crate) fn note_confirmation(&self, revision: i64, asked: Moment) {
+        let mut confirmation = self.confirmation.get();
+        confirmation.note(revision, asked);
+        self.confirmation.set(confirmation);
+    }
+
+    /// Time since the held configuration was confirmed to be the newest one.
+    pub(crate) fn confirmation_age(&self) -> Option<Duration> {
+        let held = self.cluster_state.borrow().held_revision();
+        self.confirmation.get().age(held, self.elapsed())
+    }
+
+    /// The revision that was confirmed last, and its age, for peers.
+    pub(crate) fn newest_confirmed(&self) -> Option<(i64, Duration)> {
+        let confirmation = self.confirmation.get();
+        let age = confirmation.age(i64::MAX, self.elapsed())?;
+        Some((confirmation.revision(), age))
+    }
+
+    /// Whether keys of the held configuration are accepted.
+    pub(crate) fn accepts_keys(&self) -> bool {
+        let held = self.cluster_state.borrow().held_revision();
+        let confirmation = self.confirmation.get();
+        let allows = |terms| confirmation.allows_keys(held, &terms, self.elapsed());
+        self.revocation.is_none_or(allows)
+    }
+
+    /// Whether a key that the held configuration lacks may have been added since.
+    pub(crate) fn cannot_reject_keys(&self) -> bool {
+        let cluster_state = self.cluster_state.borrow();
+        if self.revocation.is_none() {
+            return cluster_state.is_from_snapshot();
+        }
+        let held = cluster_state.held_revision();
+        !self
+            .confirmation
+            .get()
+            .allows_rejection(held, self.elapsed())
+    }
+
+    /// Puts the configuration in a store entry into force if it is newer.
+    pub(crate) fn take_configuration(&self, kv: &KeyValue) {
+        let mut cluster_state = self.cluster_state.borrow_mut();
+        cluster_state.configure(kv.revision, &kv.value, "store", self.now());
+        self.report_due.notify_one();
+    }
+
+    /// Updates the share of the teams' rate limits that this daemon may use.
+    pub(crate) fn update_allowances(&self) {
+        let gateways = self.members.borrow().expected_gateways(self.now());
+        let is_registered = self.registration_span.get().is_unbroken(self.stamp());
+        let mut allowances = self.allowances.borrow_mut();
+        allowances.update(gateways, is_registered, self.elapsed());
+    }
+
     /// The current moment and the total time suspended so far.
     pub(crate) fn stamp(&self) -> Stamp {
         Stamp {
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -6,8 +6,9 @@
 //! nor that it will not run: the write may still take effect later.
 
 use super::adopt::{adopt_new, adopt_stored};
+use super::load::{self, owned_job};
 use super::own::SubmissionOutcome;
-use super::quota;
+use super::quota::{self, Quota};
 use super::stored::{key, stored_record};
 use crate::answers;
 use crate::gateway::Gateway;
@@ -16,7 +17,7 @@
 use bluebellreel_dispatch::Route;
 use bluebellreel_kv::{Commit, Compare, Key, Put, Txn};
 use bluebellreel_net::Body;
-use bluebellreel_platform::{ingress, jobs as wire};
+use bluebellreel_platform::jobs as wire;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -38,9 +39,9 @@
 /// Sent to a caller that should retry at another daemon, as this one stops or has
 /// not listed the open jobs yet.
 const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(50);
-/// Sent to a caller whose job exceeds its route's quota.
+/// Sent to a caller whose job exceeds its quota.
 const RETRY_AFTER_OVER_QUOTA: Duration = Duration::from_millis(1200);
-/// Limit on the attempts to write an acceptance together with its route's ledger,
+/// Limit on the attempts to write an acceptance together with its quota's ledger,
 /// which concurrent acceptances change.
 const MAX_LEDGER_TRIES: usize = 5;
 /// Limit on the puts of one transaction: the store takes 32 entries.
@@ -49,22 +50,39 @@
 /// takes.
 const CHUNK_PERCENT: usize = 60;
 
+/// A caller's submission of a job.
+pub(crate) struct Submission {
+    pub(crate) id: JobId,
+    /// Name of the team whose key accompanied it.
+    pub(crate) team: Option<Arc<str>>,
+    pub(crate) body: Bytes,
+    pub(crate) received: Instant,
+    pub(crate) deadline: Instant,
+}
+
 /// Answers a submission.
 pub(crate) async fn submit(
     gw: &Rc<Gateway>,
     route: &Arc<Route>,
-    head: &http::request::Parts,
-    body: &Bytes,
-    received: Instant,
-    deadline: Instant,
+    submission: Submission,
 ) -> Response<Body> {
-    let id = JobId::from(ingress::request_id(&head.headers));
+    let Submission {
+        id,
+        team,
+        body,
+        received,
+        deadline,
+    } = submission;
     if id.as_str().is_empty() {
         return answers::failure(StatusCode::BAD_REQUEST, "no id");
     }
     let is_countable =
         quota::wait_until_countable(gw, route, deadline.min(received + STORE_TIMEOUT)).await;
-    if gw.jobs.borrow().own.contains_key(&id) {
+    let known_team = owned_job(gw, &id).map(|owned| owned.job.borrow().record.team.clone());
+    if let Some(known_team) = known_team {
+        if known_team.is_some() && known_team != team {
+            return other_team(&id);
+        }
         return accepted_response(gw, &id, received, "known");
     }
     let underway = gw.jobs.borrow().submissions.get(&id).cloned();
@@ -93,7 +111,7 @@
             RETRY_AFTER_STOPPING,
         );
     } else {
-        let items = match wire::decode_job(body) {
+        let items = match wire::decode_job(&body) {
             Ok(items) => items,
             Err(e) => {
                 warn!(target: "jobs", job:% = id, error:% = e; "job not read");
@@ -101,23 +119,33 @@
             }
         };
         let tokens: u64 = items.iter().map(|i| i.tokens).sum();
-        if !quota::fits(gw, route, tokens) {
-            return answer_over_quota(gw, &id, route, tokens).await;
+        let record = new_record(gw, route, team, &items);
+        let quota = Quota::of(route, &record);
+        if !quota.fits(gw, tokens) {
+            return answer_over_quota(gw, &id, &quota, &record).await;
         }
-        begin(gw, &id, route, items, tokens)
+        begin(gw, &id, quota, record, items)
     };
     await_decision(gw, &id, decided, received, deadline).await
 }
 
 /// Answers a submission that exceeds the quota. Its job may have been accepted
 /// before, so the store is read first.
-async fn answer_over_quota(gw: &Gateway, id: &JobId, route: &Route, tokens: u64) -> Response<Body> {
-    let known = gw.store.read(&key(&keys::record(id))).await;
-    if let Ok(Some(_)) = known {
+async fn answer_over_quota(
+    gw: &Gateway,
+    id: &JobId,
+    quota: &Quota,
+    record: &JobRecord,
+) -> Response<Body> {
+    let known = load::record(gw, id).await;
+    if let Ok(Some(found)) = &known {
+        if found.record.team.is_some() && found.record.team != record.team {
+            return other_team(id);
+        }
         return answers::status(StatusCode::ACCEPTED);
     }
-    let waiting = quota::tokens_waiting(gw, &route.name);
-    warn!(target: "jobs", job:% = id, route:% = route.name, tokens, waiting, quota = route.quota_tokens; "job does not fit");
+    let waiting = quota.tokens_waiting(gw);
+    warn!(target: "jobs", job:% = id, scope:% = quota.scope, tokens = record.tokens, waiting, quota = quota.tokens; "job does not fit");
     gw.metrics.job("no_room");
     if known.is_err() {
         let reason = "store away";
@@ -130,6 +158,12 @@
     )
 }
 
+/// The answer to a submission under the id of another team's job.
+fn other_team(id: &JobId) -> Response<Body> {
+    warn!(target: "jobs", job:% = id; "job refused: another team's job has this id");
+    answers::failure(StatusCode::CONFLICT, "id in use")
+}
+
 fn accepted_response(gw: &Gateway, id: &JobId, received: Instant, how: &str) -> Response<Body> {
     let took = received.elapsed();
     gw.metrics.job("accepted");
@@ -170,6 +204,7 @@
                 RETRY_AFTER_OVER_QUOTA,
             )
         }
+        SubmissionOutcome::OtherTeam => other_team(id),
         SubmissionOutcome::Pending => {
             warn!(target: "jobs", job:% = id; "job in doubt");
             gw.metrics.job("in_doubt");
@@ -178,39 +213,44 @@
     }
 }
 
-/// Starts writing the job. Concurrent submissions of the same job wait for the
-/// same outcome.
-fn begin(
-    gw: &Rc<Gateway>,
-    id: &JobId,
-    route: &Arc<Route>,
-    items: Vec<NewItem>,
-    tokens: u64,
-) -> watch::Receiver<SubmissionOutcome> {
-    let (tx, rx) = watch::channel(SubmissionOutcome::Pending);
+/// The record of a new job that this daemon owns.
+fn new_record(gw: &Gateway, route: &Route, team: Option<Arc<str>>, items: &[NewItem]) -> JobRecord {
     let now = gw.now();
-    let record = JobRecord {
+    JobRecord {
         host: route.host.clone(),
         route: route.name.clone(),
+        team,
         accepted_at: now,
         due_at: now + route.job_objective,
         give_up_at: now + route.retention,
         items: items.len(),
-        tokens,
+        tokens: items.iter().map(|i| i.tokens).sum(),
         chunks: 0,
         phase: JobPhase::Open,
         owner: Owner {
             entry: gw.me().clone(),
             run: gw.run,
         },
-    };
+    }
+}
+
+/// Starts writing the job. Concurrent submissions of the same job wait for the
+/// same outcome.
+fn begin(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    quota: Quota,
+    record: JobRecord,
+    items: Vec<NewItem>,
+) -> watch::Receiver<SubmissionOutcome> {
+    let (tx, rx) = watch::channel(SubmissionOutcome::Pending);
     gw.jobs
         .borrow_mut()
         .submissions
         .insert(id.clone(), rx.clone());
-    let (gw, id, route) = (gw.clone(), id.clone(), route.clone());
+    let (gw, id) = (gw.clone(), id.clone());
     tokio::task::spawn_local(async move {
-        let accepted = store(&gw, &id, &route, record, items).await;
+        let accepted = store(&gw, &id, &quota, record, items).await;
         gw.jobs.borrow_mut().submissions.remove(&id);
         tx.send_replace(accepted);
     });
@@ -220,7 +260,7 @@
 async fn store(
     gw: &Rc<Gateway>,
     id: &JobId,
-    route: &Route,
+    quota: &Quota,
     mut record: JobRecord,
     items: Vec<NewItem>,
 ) -> SubmissionOutcome {
@@ -267,10 +307,10 @@
         puts,
         ..Txn::default()
     };
-    let uses_ledger = quota::needs_ledger(gw, route, record.tokens);
+    let uses_ledger = quota.needs_ledger(gw, record.tokens);
     for _ in 0..MAX_LEDGER_TRIES {
         let txn = if uses_ledger {
-            match quota::add_ledger(gw, route, id, record.tokens, &txn).await {
+            match quota.add_ledger(gw, id, record.tokens, &txn).await {
                 Ok(Some(txn)) => txn,
                 Ok(None) => return outcome_over_quota(gw, &record_key).await,
                 Err(e) => {
@@ -340,6 +380,9 @@
                 // still be applied after the tombstone has expired.
                 return is_cancelled.then_some(SubmissionOutcome::Pending);
             };
+            if stored.team.is_some() && stored.team != record.team {
+                return Some(SubmissionOutcome::OtherTeam);
+            }
             if stored == *record {
                 adopt_stored(gw, id, stored, revision, asked).await;
             } else {
--- a/crates/bluebellreel_gateway/src/jobs/archive.rs
+++ b/crates/bluebellreel_gateway/src/jobs/archive.rs
@@ -4,6 +4,7 @@
 use bluebellreel_types::JobId;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Limit on the cached results, in bytes. A small VM has about 100 MB of memory.
 const MAX_BYTES: usize = 12 * 1024 * 1024;
@@ -11,6 +12,8 @@
 /// The final results of one job.
 pub(crate) struct Archived {
     pub(crate) total: usize,
+    /// Name of its team.
+    pub(crate) team: Option<Arc<str>>,
     pub(crate) listed: Vec<ItemResult>,
 }
 
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -7,7 +7,7 @@
 use super::load;
 use super::load::owned_job;
 use super::own::{CancelledBy, OwnedJob, SubmissionOutcome};
-use super::read::owner_address;
+use super::read::{may_access, no_such_job, owner_address};
 use super::stored::key;
 use crate::gateway::Gateway;
 use crate::peer_calls::PeerError;
@@ -15,6 +15,7 @@
 use bluebellreel_batch::{JobPhase, JobRecord, keys};
 use bluebellreel_kv::{Commit, Compare, Put, Txn};
 use bluebellreel_net::Body;
+use bluebellreel_teams::Caller;
 use bluebellreel_types::{EntryName, JobId};
 use http::{Response, StatusCode};
 use log::{info, warn};
@@ -61,7 +62,7 @@
     fn answer(self) -> Response<Body> {
         match self {
             Self::Recorded => answers::status(StatusCode::OK),
-            Self::NoSuchJob => answers::failure(StatusCode::NOT_FOUND, "no such job"),
+            Self::NoSuchJob => no_such_job(),
             Self::Undecided => {
                 answers::retry_after(StatusCode::BAD_GATEWAY, "not recorded yet", RETRY_AFTER)
             }
@@ -70,22 +71,22 @@
 }
 
 /// Cancels a job, whichever daemon owns it.
-pub(super) async fn cancel(gw: &Rc<Gateway>, id: &JobId) -> Response<Body> {
-    let decided = begin(gw, id).await;
+pub(super) async fn cancel(gw: &Rc<Gateway>, caller: &Caller, id: &JobId) -> Response<Body> {
+    let decided = begin(gw, caller, id).await;
     decided.unwrap_or(Outcome::Undecided).answer()
 }
 
 /// Spawns a task that cancels a job. The receiver gets the outcome of the first
 /// attempt.
-fn begin(gw: &Rc<Gateway>, id: &JobId) -> oneshot::Receiver<Outcome> {
+fn begin(gw: &Rc<Gateway>, caller: &Caller, id: &JobId) -> oneshot::Receiver<Outcome> {
     let (tx, rx) = oneshot::channel();
-    let (gw, id) = (gw.clone(), id.clone());
+    let (gw, caller, id) = (gw.clone(), caller.clone(), id.clone());
     tokio::task::spawn_local(async move {
-        let outcome = try_cancel(&gw, &id).await;
+        let outcome = try_cancel(&gw, &caller, &id).await;
         // The caller may have left.
         let _ = tx.send(outcome);
         if outcome == Outcome::Undecided {
-            retry_cancel(&gw, &id).await;
+            retry_cancel(&gw, &caller, &id).await;
         }
     });
     rx
@@ -96,7 +97,8 @@
     if gw.stopping.get() {
         return answers::failure(StatusCode::SERVICE_UNAVAILABLE, "stopping");
     }
-    drop(begin(gw, id));
+    // The peer has checked whether the caller may cancel the job.
+    drop(begin(gw, &Caller::Unrestricted, id));
     answers::status(StatusCode::OK)
 }
 
@@ -137,17 +139,17 @@
 }
 
 /// Cancels a job that this daemon owns, at a peer's request.
-pub(crate) async fn cancel_own(gw: &Rc<Gateway>, id: &JobId) -> Response<Body> {
+pub(crate) async fn cancel_own(gw: &Rc<Gateway>, caller: &Caller, id: &JobId) -> Response<Body> {
     if owned_job(gw, id).is_none() {
         return answers::failure(StatusCode::CONFLICT, "not the owner");
     }
-    cancel(gw, id).await
+    cancel(gw, caller, id).await
 }
 
 /// Retries a cancellation until its outcome is known. The items of a job owned by
 /// this daemon have been stopped permanently, so its cancellation is retried for as long
 /// as the daemon owns the job.
-async fn retry_cancel(gw: &Rc<Gateway>, id: &JobId) {
+async fn retry_cancel(gw: &Rc<Gateway>, caller: &Caller, id: &JobId) {
     let is_full =
         gw.jobs.borrow().pending_cancellations.len() >= MAX_PENDING && owned_job(gw, id).is_none();
     if is_full {
@@ -167,7 +169,7 @@
     while owned_job(gw, id).is_some() || Instant::now() < until {
         sleep(pause).await;
         pause = MAX_BACKOFF.min(pause * 2);
-        if try_cancel(gw, id).await != Outcome::Undecided {
+        if try_cancel(gw, caller, id).await != Outcome::Undecided {
             break;
         }
     }
@@ -175,7 +177,7 @@
 }
 
 /// Makes one attempt to cancel a job.
-async fn try_cancel(gw: &Rc<Gateway>, id: &JobId) -> Outcome {
+async fn try_cancel(gw: &Rc<Gateway>, caller: &Caller, id: &JobId) -> Outcome {
     let submission = gw.jobs.borrow().submissions.get(id).cloned();
     if let Some(mut decided) = submission {
         // A submission with an unknown outcome may still create the record.
@@ -189,21 +191,24 @@
         }
     }
     if let Some(owned) = owned_job(gw, id) {
+        if !may_access(caller, &owned) {
+            return Outcome::NoSuchJob;
+        }
         stop_running(gw, &owned);
-    } else if cancel_at_owner(gw, id).await {
+    } else if cancel_at_owner(gw, caller, id).await {
         return Outcome::Recorded;
     }
-    cancel_in_store(gw, id).await
+    cancel_in_store(gw, caller, id).await
 }
 
 /// Requests the owner of a job to cancel it. Returns whether it has done so.
-async fn cancel_at_owner(gw: &Gateway, id: &JobId) -> bool {
+async fn cancel_at_owner(gw: &Gateway, caller: &Caller, id: &JobId) -> bool {
     let Some(owner) = owner_address(gw, id) else {
         info!(target: "jobs", job:% = id; "owner of an ended job not known");
         gw.metrics.job_end("owner_unknown");
         return false;
     };
-    let outcome = peer_calls::cancel(gw, owner, id).await;
+    let outcome = peer_calls::cancel(gw, owner, caller, id).await;
     if let Ok((StatusCode::OK, _)) = outcome {
         info!(target: "jobs", job:% = id, owner:% = owner; "owner ended its job");
         gw.metrics.job_end("by_owner");
@@ -228,7 +233,7 @@
     gw.batch_due.notify_one();
 }
 
-async fn cancel_in_store(gw: &Rc<Gateway>, id: &JobId) -> Outcome {
+async fn cancel_in_store(gw: &Rc<Gateway>, caller: &Caller, id: &JobId) -> Outcome {
     let until = Instant::now() + RECORD_TIMEOUT;
     for _ in 0..MAX_TRIES {
         let (revision, record) = match load::record(gw, id).await {
@@ -247,6 +252,9 @@
                 return Outcome::Undecided;
             }
         };
+        if !caller.may_access(record.team.as_deref()) {
+            return Outcome::NoSuchJob;
+        }
         if record.phase != JobPhase::Open {
             return recorded(gw, id, revision);
         }
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -25,10 +25,11 @@
 use crate::gateway::Gateway;
 use bluebellreel_net::Body;
 use bluebellreel_platform::ingress::JobCall;
+use bluebellreel_teams::Caller;
 use http::Response;
 use std::rc::Rc;
 
-pub(crate) use accept::submit;
+pub(crate) use accept::{Submission, submit};
 pub(crate) use backup::{copy_progress, store_progress_copy};
 pub(crate) use cancel::{
     cancel_own, cancellation_reported, forward_cancellations, take_cancellation,
@@ -40,10 +41,10 @@
 pub(crate) use takeover::adopt_orphans;
 
 /// Answers a caller's request about a job that was submitted before.
-pub(crate) async fn answer(gw: &Rc<Gateway>, call: JobCall) -> Response<Body> {
+pub(crate) async fn answer(gw: &Rc<Gateway>, call: JobCall, caller: &Caller) -> Response<Body> {
     match call {
-        JobCall::Read { id, after, wait } => read::read(gw, &id, after, wait).await,
-        JobCall::ItemBody { id, item } => read::item_body(gw, &id, &item).await,
-        JobCall::End { id } => cancel::cancel(gw, &id).await,
+        JobCall::Read { id, after, wait } => read::read(gw, caller, &id, after, wait).await,
+        JobCall::ItemBody { id, item } => read::item_body(gw, caller, &id, &item).await,
+        JobCall::End { id } => cancel::cancel(gw, caller, &id).await,
     }
 }
--- a/crates/bluebellreel_gateway/src/jobs/open.rs
+++ b/crates/bluebellreel_gateway/src/jobs/open.rs
@@ -33,10 +33,10 @@
 }
 
 impl OpenJobs {
-    /// Total tokens of a route's unreported jobs.
-    pub(super) fn tokens(&self, route: &str) -> u64 {
+    /// Total tokens of a quota scope's unreported jobs.
+    pub(super) fn tokens(&self, scope: &str) -> u64 {
         let known = self.unreported.values().flatten();
-        known.filter(|o| *o.route == *route).map(|o| o.tokens).sum()
+        known.filter(|o| *o.scope == *scope).map(|o| o.tokens).sum()
     }
 
     /// Whether the tokens of a job are counted here.
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -105,8 +105,10 @@
     Stored,
     /// The job is certainly not stored and never will be.
     NotStored,
-    /// As [`Self::NotStored`], because the job exceeds its route's quota.
+    /// As [`Self::NotStored`], because the job exceeds its quota.
     OverQuota,
+    /// As [`Self::NotStored`], because a job of another team has the same id.
+    OtherTeam,
 }
 
 /// All jobs that this daemon has information on.
@@ -263,14 +265,16 @@
         u32::try_from(open.sum::<usize>()).unwrap_or(u32::MAX)
     }
 
-    /// Tokens of own jobs that are still to be processed, by route.
-    pub(crate) fn tokens_by_route(&self) -> BTreeMap<String, u64> {
+    /// Tokens of own jobs that are still to be processed, by quota scope.
+    pub(crate) fn tokens_by_scope(&self) -> BTreeMap<String, u64> {
         let mut tokens = BTreeMap::new();
         for owned in self.own.values() {
             let job = owned.job.borrow();
             let left = job.tokens_left();
             if left > 0 {
-                *tokens.entry(job.record.route.to_string()).or_default() += left;
+                *tokens
+                    .entry(job.record.quota_scope().to_string())
+                    .or_default() += left;
             }
         }
         tokens
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -14,6 +14,7 @@
 use bluebellreel_kv::KvError;
 use bluebellreel_net::Body;
 use bluebellreel_platform::jobs::encode_results;
+use bluebellreel_teams::Caller;
 use bluebellreel_types::JobId;
 use http::{Response, StatusCode};
 use log::{info, warn};
@@ -37,21 +38,23 @@
 /// Answers a caller with results of a job, whichever daemon owns it.
 pub(super) async fn read(
     gw: &Rc<Gateway>,
+    caller: &Caller,
     id: &JobId,
     after: usize,
     wait: Duration,
 ) -> Response<Body> {
     let until = Instant::now() + wait.min(MAX_WAIT);
-    if let Some(answer) = read_here(gw, id, after, until).await {
+    if let Some(answer) = read_here(gw, caller, id, after, until).await {
         return answer;
     }
     if let Some(archived) = gw.jobs.borrow().archive.get(id) {
-        return page(archived.total, after, &archived.listed);
+        return archived_page(caller, &archived, after);
     }
     if let Some(owner) = owner_address(gw, id) {
         let wait = until.saturating_duration_since(Instant::now());
-        match peer_calls::results(gw, owner, id, after, wait).await {
+        match peer_calls::results(gw, owner, caller, id, after, wait).await {
             Ok((StatusCode::OK, body)) => return answers::json(body),
+            Ok((StatusCode::FORBIDDEN, _)) => return no_such_job(),
             Ok((status, _)) => {
                 info!(target: "jobs", job:% = id, status = status.as_u16(); "owner does not have the job");
                 notify_owner(gw, id, owner);
@@ -60,12 +63,34 @@
         }
     }
     match from_store(gw, id).await {
-        Ok(Some(archived)) => page(archived.total, after, &archived.listed),
-        Ok(None) => answers::failure(StatusCode::NOT_FOUND, "no such job"),
+        Ok(Some(archived)) => archived_page(caller, &archived, after),
+        Ok(None) => no_such_job(),
         Err(e) => not_readable(id, &e),
     }
 }
 
+/// The answer to a caller whose job does not exist, or belongs to another team.
+pub(super) fn no_such_job() -> Response<Body> {
+    answers::failure(StatusCode::NOT_FOUND, "no such job")
+}
+
+/// The answer to a peer that asks for another team's job.
+fn other_team() -> Response<Body> {
+    answers::failure(StatusCode::FORBIDDEN, "another team's job")
+}
+
+fn archived_page(caller: &Caller, archived: &Archived, after: usize) -> Response<Body> {
+    if !caller.may_access(archived.team.as_deref()) {
+        return no_such_job();
+    }
+    page(archived.total, after, &archived.listed)
+}
+
+/// Whether the caller may access a job that this daemon owns.
+pub(super) fn may_access(caller: &Caller, owned: &OwnedJob) -> bool {
+    caller.may_access(owned.job.borrow().record.team.as_deref())
+}
+
 /// Notifies a daemon that a job's record names it as the owner. It may have missed
 /// the hand-over, and would otherwise find the job only with its next scan for jobs
 /// without an owner.
@@ -101,15 +126,20 @@
 /// Results of a job owned by this daemon, for a caller of a peer.
 pub(crate) async fn read_own(
     gw: &Rc<Gateway>,
+    caller: &Caller,
     id: &JobId,
     after: usize,
     wait: Duration,
 ) -> Response<Body> {
     let until = Instant::now() + wait.min(MAX_WAIT);
-    if let Some(answer) = read_here(gw, id, after, until).await {
+    if owned_job(gw, id).is_some_and(|owned| !may_access(caller, &owned)) {
+        return other_team();
+    }
+    if let Some(answer) = read_here(gw, caller, id, after, until).await {
         return answer;
     }
     match gw.jobs.borrow().archive.get(id) {
+        Some(archived) if !caller.may_access(archived.team.as_deref()) => other_team(),
         Some(archived) => page(archived.total, after, &archived.listed),
         None => answers::failure(StatusCode::CONFLICT, "not the owner"),
     }
@@ -119,11 +149,15 @@
 /// ownership cannot be confirmed. `None` if another daemon owns it.
 async fn read_here(
     gw: &Rc<Gateway>,
+    caller: &Caller,
     id: &JobId,
     after: usize,
     until: Instant,
 ) -> Option<Response<Body>> {
     let owned = owned_job(gw, id)?;
+    if !may_access(caller, &owned) {
+        return Some(no_such_job());
+    }
     let read = read_owned(gw, &owned, after, until).await;
     read.unwrap_or_else(|e| Some(not_readable(id, &e)))
 }
@@ -184,6 +218,7 @@
     let segments = load::segments(gw, id).await?;
     let archived = || Archived {
         total: record.items,
+        team: record.team.clone(),
         listed: segments.concat(),
     };
     if record.phase == JobPhase::Done {
@@ -193,18 +228,28 @@
 }
 
 /// Answers a caller with the body of an item, whichever daemon owns its job.
-pub(super) async fn item_body(gw: &Rc<Gateway>, id: &JobId, item: &str) -> Response<Body> {
+pub(super) async fn item_body(
+    gw: &Rc<Gateway>,
+    caller: &Caller,
+    id: &JobId,
+    item: &str,
+) -> Response<Body> {
     if let Some(owned) = owned_job(gw, id)
         && let Some(body) = owned.job.borrow().body(item)
     {
+        if !may_access(caller, &owned) {
+            return no_such_job();
+        }
         return answers::bytes(body);
     }
-    if let Some(owner) = owner_address(gw, id)
-        && let Ok((StatusCode::OK, body)) = peer_calls::item_body(gw, owner, id, item).await
-    {
-        return answers::bytes(body);
+    if let Some(owner) = owner_address(gw, id) {
+        match peer_calls::item_body(gw, owner, caller, id, item).await {
+            Ok((StatusCode::OK, body)) => return answers::bytes(body),
+            Ok((StatusCode::FORBIDDEN, _)) => return no_such_job(),
+            _ => {}
+        }
     }
-    match body_from_store(gw, id, item).await {
+    match body_from_store(gw, caller, id, item).await {
         Ok(Some(body)) => answers::bytes(body),
         Ok(None) => answers::failure(StatusCode::NOT_FOUND, "no such item"),
         Err(e) => not_readable(id, &e),
@@ -213,10 +258,12 @@
 
 async fn body_from_store(
     gw: &Gateway,
+    caller: &Caller,
     id: &JobId,
     item: &str,
 ) -> Result<Option<bytes::Bytes>, KvError> {
-    if load::record(gw, id).await?.is_none() {
+    let found = load::record(gw, id).await?;
+    if !found.is_some_and(|found| caller.may_access(found.record.team.as_deref())) {
         return Ok(None);
     }
     let items = load::input(gw, id).await?;
@@ -225,8 +272,15 @@
 }
 
 /// Body of an item of a job owned by this daemon, for a caller of a peer.
-pub(crate) fn body_of_own(gw: &Gateway, id: &JobId, item: &str) -> Response<Body> {
-    let body = owned_job(gw, id).and_then(|owned| owned.job.borrow().body(item));
+pub(crate) fn body_of_own(gw: &Gateway, caller: &Caller, id: &JobId, item: &str) -> Response<Body> {
+    let owned = owned_job(gw, id);
+    if owned
+        .as_ref()
+        .is_some_and(|owned| !may_access(caller, owned))
+    {
+        return other_team();
+    }
+    let body = owned.and_then(|owned| owned.job.borrow().body(item));
     match body {
         Some(body) => answers::bytes(body),
         None => answers::failure(StatusCode::CONFLICT, "not here"),
--- a/crates/bluebellreel_gateway/src/jobs/record.rs
+++ b/crates/bluebellreel_gateway/src/jobs/record.rs
@@ -130,6 +130,7 @@
         let job = owned.job.borrow();
         let archived = Archived {
             total: job.items.len(),
+            team: job.record.team.clone(),
             listed: job.listed.clone(),
         };
         drop(job);
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -16,6 +16,7 @@
 };
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_platform::engine::Outgoing;
+use bluebellreel_platform::ingress;
 use bluebellreel_types::{JobId, Moment, WorkerName};
 use bytes::Bytes;
 use http::StatusCode;
@@ -91,7 +92,7 @@
 /// Whether an item may be sent to a worker. The error is the time of the next attempt.
 fn may_run(gw: &Gateway, next: &Next) -> Result<Permit, Moment> {
     let fingerprint = || {
-        let out = outgoing(next);
+        let out = outgoing(gw, next);
         out.map_or(Fingerprint::of(&[]), |out| Fingerprint::of(&out.identity()))
     };
     quarantine_gate::may_run(gw, &next.id, Sender::Job, fingerprint)
@@ -200,15 +201,20 @@
 }
 
 /// An item's request; `None` if the item cannot be turned into a valid request.
-fn outgoing(next: &Next) -> Option<Outgoing> {
+fn outgoing(gw: &Gateway, next: &Next) -> Option<Outgoing> {
     let job = next.owned.job.borrow();
     let input = &job.items[next.item].input;
     let (host, body) = (&job.record.host, input.body.clone());
-    Outgoing::of_item(host, &input.id, &input.path, &input.headers, body)
+    let mut out = Outgoing::of_item(host, &input.id, &input.path, &input.headers, body)?;
+    let team = job.record.team.as_deref();
+    if team.is_some() || gw.configuration().is_some_and(|c| c.teams.is_some()) {
+        ingress::set_team(&mut out.headers, team);
+    }
+    Some(out)
 }
 
 async fn run_at(gw: &Rc<Gateway>, next: &Next, run_guard: RunGuard, after: Option<u64>) -> ItemEnd {
-    let out = outgoing(next);
+    let out = outgoing(gw, next);
     let Some(out) = out else {
         return ItemEnd::Impossible;
     };
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod answers;
 mod cluster_state;
+mod confirmation;
 mod crash;
 mod events;
 mod gateway;
@@ -49,6 +50,7 @@
 mod store_proxy;
 mod stream_monitor;
 mod suspension;
+mod teams;
 mod ticket;
 mod unreadable;
 mod upstream;
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -21,6 +21,13 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Label of counts by team.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TeamOutcome {
+    pub(crate) team: String,
+    pub(crate) outcome: &'static str,
+}
+
 /// Metrics of one gateway.
 pub(crate) struct Metrics {
     pub(crate) requests: Family<Outcome, Counter>,
@@ -53,6 +60,10 @@
     pub(crate) jobs_owned: Gauge,
     pub(crate) copies_bytes: Gauge,
     pub(crate) configuration_version: Gauge,
+    /// Requests of the largest teams with a rate limit, and of all others together.
+    pub(crate) team_requests: Family<TeamOutcome, Gauge>,
+    /// Share of the teams' rates that this gateway counts on, in percent.
+    pub(crate) rate_share: Gauge,
     pub(crate) lines_dropped: Gauge,
     registry: Registry,
 }
@@ -108,6 +119,8 @@
             jobs_owned: gauge(r, "jobs_owned", "Jobs owned"),
             copies_bytes: gauge(r, "copies_bytes", "Progress kept of peers' items"),
             configuration_version: gauge(r, "configuration_version", "Configuration in force"),
+            team_requests: add(r, "team_requests", "Requests by team", Family::default()),
+            rate_share: gauge(r, "rate_share_percent", "Share of the teams' rates in use"),
             lines_dropped: gauge(r, "log_lines_dropped", "Log lines dropped unread"),
             registry,
         }
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -8,6 +8,7 @@
 use crate::quarantine_gate;
 use crate::relay::Relay;
 use crate::request::Request;
+use crate::teams::{self, Denial};
 use crate::ticket::{RESTART_GRACE, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use bluebellreel_dispatch::{Placement, RouteKind, retry_delay};
@@ -42,6 +43,9 @@
         if let Err(until) = req.may_run(&gw) {
             return refuse_quarantined(&gw, &req, until);
         }
+        if let Some(denial) = req.denial(&gw) {
+            return refuse_key(&gw, &req, denial);
+        }
         let worker = match placement::choose(&gw, &req, req.max_wait()) {
             Placement::Send(worker) => worker,
             Placement::Full => return give_up(&gw, &req, "all workers full"),
@@ -136,7 +140,10 @@
         tried = req.tried.len(),
         left_ms = millis(req.left()),
         version = gw.configuration().map_or(0, |c| c.version),
-        report_age_ms = millis(report_age);
+        report_age_ms = millis(report_age),
+        team:? = req.credential.as_ref().map(|c| &c.team.name),
+        tokens_left:? = teams::tokens_left(gw, req).map(f64::floor),
+        confirmed_ms:? = gw.confirmation_age().map(|age| age.as_millis());
         "sent"
     );
 }
@@ -208,6 +215,7 @@
 /// The final answer to a request that is held back because it crashes workers.
 fn refuse_quarantined(gw: &Gateway, req: &Request, until: Moment) -> Response<Body> {
     let mut answer = if req.runs == 0 {
+        teams::give_back(gw, req);
         let after = until.since(gw.now());
         answers::retry_after(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -222,10 +230,26 @@
     answer
 }
 
+/// The final answer to a request whose key was revoked, or is not confirmed any more,
+/// before a send.
+fn refuse_key(gw: &Gateway, req: &Request, denial: Denial) -> Response<Body> {
+    let mut answer = if req.runs == 0 {
+        teams::give_back(gw, req);
+        denial.answer()
+    } else {
+        answers::failure(StatusCode::BAD_GATEWAY, denial.reason())
+    };
+    gw.metrics.request("denied");
+    warn!(target: "online", request:% = req.id, status = answer.status().as_u16(), runs = req.runs, reason = denial.reason(); "key denied before a send");
+    ingress::set_request_id(answer.headers_mut(), &req.id);
+    answer
+}
+
 /// The final answer to a request that is not sent again.
 fn give_up(gw: &Gateway, req: &Request, reason: &str) -> Response<Body> {
     let held = millis(req.received.elapsed());
     let mut answer = if req.runs == 0 {
+        teams::give_back(gw, req);
         gw.metrics.request("refused");
         let lasted = gw.overloads.borrow_mut().refused(&req.service, gw.now());
         let draw = gw.rng.borrow_mut().random_range(0.0..1.0);
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -1,17 +1,21 @@
 //! The interface for calls of peers and keepers.
 
 use crate::answers;
+use crate::confirmation;
 use crate::gateway::Gateway;
 use crate::jobs;
 use crate::keepers;
 use crate::store_proxy;
 use bluebellreel_members::Revisions;
 use bluebellreel_net::{Body, read_body};
+use bluebellreel_teams::Caller;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Maximum size of the body of a peer's call.
@@ -23,8 +27,12 @@
 pub(crate) async fn answer(gw: Rc<Gateway>, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
-    match (req.method(), parts.as_slice()) {
+    let Some((caller, parts)) = caller(&parts) else {
+        return answers::failure(StatusCode::BAD_REQUEST, "team not readable");
+    };
+    match (req.method(), parts) {
         (&Method::GET, ["facts"]) => cluster_state(&gw, &req),
+        (&Method::GET, ["confirmation"]) => confirmation::answer_peer(&gw),
         (&Method::GET, ["state"]) => keepers::state(&gw, req.uri().query().unwrap_or("")),
         (&Method::PUT, ["facts"]) => match read_call_body(req).await {
             Some(body) => keepers::accept_snapshot(&gw, &body),
@@ -34,12 +42,12 @@
             let after = query_number(&req, "after");
             let wait = Duration::from_millis(query_number(&req, "wait_ms"));
             let after = usize::try_from(after).unwrap_or(usize::MAX);
-            jobs::read_own(&gw, &JobId::from(*id), after, wait).await
+            jobs::read_own(&gw, &caller, &JobId::from(*id), after, wait).await
         }
         (&Method::GET, ["jobs", id, "items", item]) => {
-            jobs::body_of_own(&gw, &JobId::from(*id), item)
+            jobs::body_of_own(&gw, &caller, &JobId::from(*id), item)
         }
-        (&Method::DELETE, ["jobs", id]) => jobs::cancel_own(&gw, &JobId::from(*id)).await,
+        (&Method::DELETE, ["jobs", id]) => jobs::cancel_own(&gw, &caller, &JobId::from(*id)).await,
         (&Method::PUT, ["jobs", id, "end"]) => jobs::take_cancellation(&gw, &JobId::from(*id)),
         (&Method::PUT, ["jobs", id, what @ ("owner" | "progress")]) => {
             let id = JobId::from(*id);
@@ -58,6 +66,18 @@
     }
 }
 
+/// The caller on whose behalf a peer accesses a job, and the rest of the path.
+fn caller<'a>(parts: &'a [&'a str]) -> Option<(Caller, &'a [&'a str])> {
+    match parts {
+        ["team", name, rest @ ..] => {
+            let name = percent_decode_str(name).decode_utf8().ok()?;
+            Some((Caller::Team(Arc::from(&*name)), rest))
+        }
+        ["anonymous", rest @ ..] => Some((Caller::Anonymous, rest)),
+        rest => Some((Caller::Unrestricted, rest)),
+    }
+}
+
 /// Reads the whole body of a peer's call; none if it is too long or incomplete.
 async fn read_call_body(req: Request<Incoming>) -> Option<Bytes> {
     let body = read_body(req.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -1,12 +1,15 @@
 //! Calls to peers and keepers.
 
+use crate::confirmation::Confirmed;
 use crate::gateway::Gateway;
 use bluebellreel_members::Revisions;
 use bluebellreel_net::CallError;
 use bluebellreel_snapshot::SharedFacts;
+use bluebellreel_teams::Caller;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
 use http::{Method, StatusCode};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -56,6 +59,16 @@
     })
 }
 
+/// Asks a peer which configuration was the newest one, and how long ago.
+pub(crate) async fn confirmation(gw: &Gateway, to: SocketAddr) -> Result<Confirmed, PeerError> {
+    let path = "/confirmation";
+    let (status, body) = call(gw, to, Method::GET, path, Bytes::new(), CALL_TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    postcard::from_bytes(&body).map_err(|e| e.to_string())
+}
+
 async fn cluster_state_after(
     gw: &Gateway,
     to: SocketAddr,
@@ -75,16 +88,28 @@
     }
 }
 
+/// Names the caller on whose behalf a job is accessed. A peer of a version that does not
+/// know teams rejects such a path, and the call is then answered from the store.
+fn path_prefix(caller: &Caller) -> String {
+    match caller {
+        Caller::Unrestricted => String::new(),
+        Caller::Anonymous => "/anonymous".to_owned(),
+        Caller::Team(name) => format!("/team/{}", utf8_percent_encode(name, NON_ALPHANUMERIC)),
+    }
+}
+
 /// Fetches results of a job that the peer owns, in the form that callers receive.
 pub(crate) async fn results(
     gw: &Gateway,
     to: SocketAddr,
+    caller: &Caller,
     id: &JobId,
     after: usize,
     wait: Duration,
 ) -> Result<(StatusCode, Bytes), PeerError> {
     let path = format!(
-        "/jobs/{id}/results?after={after}&wait_ms={}",
+        "{}/jobs/{id}/results?after={after}&wait_ms={}",
+        path_prefix(caller),
         wait.as_millis()
     );
     call(
@@ -102,10 +127,11 @@
 pub(crate) async fn item_body(
     gw: &Gateway,
     to: SocketAddr,
+    caller: &Caller,
     id: &JobId,
     item: &str,
 ) -> Result<(StatusCode, Bytes), PeerError> {
-    let path = format!("/jobs/{id}/items/{item}");
+    let path = format!("{}/jobs/{id}/items/{item}", path_prefix(caller));
     call(gw, to, Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await
 }
 
@@ -113,9 +139,10 @@
 pub(crate) async fn cancel(
     gw: &Gateway,
     to: SocketAddr,
+    caller: &Caller,
     id: &JobId,
 ) -> Result<(StatusCode, Bytes), PeerError> {
-    let path = format!("/jobs/{id}");
+    let path = format!("{}/jobs/{id}", path_prefix(caller));
     call(gw, to, Method::DELETE, &path, Bytes::new(), CALL_TIMEOUT).await
 }
 
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -271,7 +271,7 @@
             self.req.tried.retain(|w| *w != worker);
         }
         while resumable && self.req.may_repeat() && !self.req.left().is_zero() {
-            if self.req.may_run(&self.gw).is_err() {
+            if self.req.may_run(&self.gw).is_err() || self.req.denial(&self.gw).is_some() {
                 return false;
             }
             let Some(next) = self.next_worker(!open) else {
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -19,7 +19,7 @@
 pub(crate) use catch_up::compare_lists;
 use interval::min_report_interval;
 use log::{info, warn};
-use parts::{Freshness, Trailer};
+use parts::{Freshness, Limits, Trailer};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -98,7 +98,7 @@
     ))?);
     let now = gw.now();
     if last.urgent.as_ref() == Some(&urgent) && !last.full_due.is_past(now) {
-        return Ok((full, brief.encode()?));
+        return Ok((full, brief.encode(&Limits::own(gw, true))?));
     }
     last.urgent = Some(urgent);
     last.full_due = now + HEARTBEAT;
@@ -136,9 +136,10 @@
                 senders.note(&report.entry, report.run);
                 apply_report(&gw, *report, supplement, trailer, &is_asking);
             }
-            Ok(Datagram::Brief(brief)) => {
+            Ok(Datagram::Brief(brief, limits)) => {
                 // Briefs of an unknown sender are ignored until its next full report.
-                if let Some(sender) = senders.get(brief.sender) {
+                if let Some((sender, run)) = senders.get(brief.sender) {
+                    limits.take(&gw, sender, *run);
                     apply_load(&gw, sender, brief.load(&gw));
                 }
             }
@@ -149,20 +150,20 @@
 
 /// Daemons that have sent a full report, by the tag in their briefs.
 #[derive(Default)]
-struct Senders(HashMap<u32, EntryName>);
+struct Senders(HashMap<u32, (EntryName, Incarnation)>);
 
 impl Senders {
     fn note(&mut self, entry: &EntryName, run: Incarnation) {
         let tag = sender_tag(entry, run);
-        if self.0.get(&tag) == Some(entry) {
+        if self.0.get(&tag).is_some_and(|(known, _)| known == entry) {
             return;
         }
         // The sender's previous incarnation sends no more briefs.
-        self.0.retain(|_, known| known != entry);
-        self.0.insert(tag, entry.clone());
+        self.0.retain(|_, (known, _)| known != entry);
+        self.0.insert(tag, (entry.clone(), run));
     }
 
-    fn get(&self, tag: u32) -> Option<&EntryName> {
+    fn get(&self, tag: u32) -> Option<&(EntryName, Incarnation)> {
         self.0.get(&tag)
     }
 }
@@ -176,6 +177,7 @@
 ) {
     let now = gw.now();
     trailer.warnings.take(&mut gw.suspects.borrow_mut(), now);
+    trailer.limits.take(gw, &report.entry, report.run);
     let reads_briefs = supplement.reads_briefs;
     if let Some(sender_data_centre) = supplement.sender_data_centre.clone() {
         gw.board
--- a/crates/bluebellreel_gateway/src/reports/parts.rs
+++ b/crates/bluebellreel_gateway/src/reports/parts.rs
@@ -5,7 +5,8 @@
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{CrashNotice, CrashedRun, Fingerprint, Suspects, WorkerTag};
 use bluebellreel_members::WorkerList;
-use bluebellreel_types::Moment;
+use bluebellreel_teams::Spending;
+use bluebellreel_types::{EntryName, Incarnation, Moment};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +22,7 @@
     pub(super) freshness: Freshness,
     /// Digest of the sender's list of workers.
     pub(super) list: WorkerList,
+    pub(super) limits: Limits,
 }
 
 impl Trailer {
@@ -29,6 +31,7 @@
             warnings: Warnings::own(gw),
             freshness: Freshness::own(gw),
             list: gw.cluster_state.borrow().list(),
+            limits: Limits::own(gw, false),
         }
     }
 }
@@ -49,6 +52,35 @@
     answered_ms_ago: Option<u32>,
 }
 
+/// The part after the list, which also follows a brief: requests admitted by the sender
+/// that count against their teams' rate limits.
+#[derive(Default, Serialize, Deserialize)]
+pub(super) struct Limits {
+    /// Number of gateways that the sender knows, itself included; zero if unknown.
+    gateways: u32,
+    spending: Vec<Spending>,
+}
+
+impl Limits {
+    pub(super) fn own(gw: &Gateway, is_brief: bool) -> Self {
+        let gateways = gw.members.borrow().expected_gateways(gw.now());
+        let mut allowances = gw.allowances.borrow_mut();
+        Self {
+            gateways: gateways.map_or(0, |n| u32::try_from(n).unwrap_or(u32::MAX)),
+            spending: allowances.spending(is_brief, gw.elapsed()),
+        }
+    }
+
+    /// Records what a peer has admitted.
+    pub(super) fn take(&self, gw: &Gateway, peer: &EntryName, run: Incarnation) {
+        let configuration = gw.configuration();
+        let teams = configuration.as_ref().and_then(|c| c.teams.as_ref());
+        let gateways = usize::try_from(self.gateways).unwrap_or(0);
+        let mut allowances = gw.allowances.borrow_mut();
+        allowances.hear(peer, run, (gateways, &self.spending), teams, gw.elapsed());
+    }
+}
+
 impl Freshness {
     pub(super) fn own(gw: &Gateway) -> Self {
         let ago = gw.store.since_last_answer();
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -7,7 +7,7 @@
 //! Each datagram ends with a checksum of the preceding bytes. Daemons of earlier versions
 //! ignore the bytes after a message, and send no checksum.
 
-use super::parts::Trailer;
+use super::parts::{Limits, Trailer};
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{Boot, PeerLoad, PeerRuns, Running, WorkerTag};
 use bluebellreel_members::{PEER_TIMEOUT, Revisions};
@@ -99,7 +99,7 @@
 /// A decoded datagram.
 pub(super) enum Datagram {
     Full(Box<Report>, Supplement, Trailer),
-    Brief(Brief),
+    Brief(Brief, Limits),
 }
 
 /// A short identifier of a daemon's incarnation: a restarted daemon counts its reports
@@ -156,8 +156,8 @@
 
 impl Brief {
     /// Encodes the brief as a datagram.
-    pub(super) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_allocvec(&(BRIEF_TAG, self)).map(append_checksum)
+    pub(super) fn encode(&self, limits: &Limits) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_allocvec(&(BRIEF_TAG, self, limits)).map(append_checksum)
     }
 
     /// The load that the brief reports. Workers that this daemon does not know are
@@ -201,7 +201,7 @@
         jobs: gw.jobs.borrow().owned_ids(),
         running: running.collect(),
         waiting: gw.jobs.borrow().items_waiting(),
-        tokens: gw.jobs.borrow().tokens_by_route().into_iter().collect(),
+        tokens: gw.jobs.borrow().tokens_by_scope().into_iter().collect(),
         cancelled: gw.jobs.borrow().cancelled_here(),
     };
     let boots = board.own().map(|(_, boot, _)| boot).collect();
@@ -255,17 +255,20 @@
 fn parse(datagram: &[u8]) -> Result<(Datagram, &[u8]), postcard::Error> {
     if let [BRIEF_TAG, rest @ ..] = datagram {
         let (brief, rest) = postcard::take_from_bytes(rest)?;
-        return Ok((Datagram::Brief(brief), rest));
+        let (limits, rest) = optional(rest)?;
+        return Ok((Datagram::Brief(brief, limits), rest));
     }
     let (report, rest) = postcard::take_from_bytes::<Report>(datagram)?;
     let (supplement, rest) = optional(rest)?;
     let (warnings, rest) = optional(rest)?;
     let (freshness, rest) = optional(rest)?;
     let (list, rest) = optional(rest)?;
+    let (limits, rest) = optional(rest)?;
     let parts = Trailer {
         warnings,
         freshness,
         list,
+        limits,
     };
     let full = Datagram::Full(Box::new(report), supplement, parts);
     Ok((full, rest))
--- a/crates/bluebellreel_gateway/src/request.rs
+++ b/crates/bluebellreel_gateway/src/request.rs
@@ -3,6 +3,7 @@
 use crate::crash::InterruptedRun;
 use crate::gateway::Gateway;
 use crate::quarantine_gate::{self, Trial};
+use crate::teams::{self, Credential, Denial};
 use bluebellreel_dispatch::{Fingerprint, Route, Sender, Ticket};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_types::{Moment, WorkerName};
@@ -29,6 +30,8 @@
     pub(crate) id: Arc<str>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
+    /// The team that sent it.
+    pub(crate) credential: Option<Credential>,
     pub(crate) out: Outgoing,
     /// When the caller stops waiting or the route's time limit is reached.
     pub(crate) deadline: Instant,
@@ -50,6 +53,12 @@
         allowed && self.runs < self.route.max_workers.max(1)
     }
 
+    /// Why the request's key does not allow a send now.
+    pub(crate) fn denial(&self, gw: &Gateway) -> Option<Denial> {
+        let credential = self.credential.as_ref()?;
+        teams::recheck(gw, credential).err()
+    }
+
     /// A run of this request that its worker broke off.
     pub(crate) fn interrupted_run(&self, ticket: Ticket, began: Moment) -> InterruptedRun {
         InterruptedRun {
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -6,8 +6,8 @@
 use crate::shutdown::shut_down;
 use crate::workers::apply_workers;
 use crate::{
-    jobs, lease, peer_api, quarantine_store, registration, reload, reports, serve, store_proxy,
-    watching,
+    confirmation, jobs, lease, peer_api, quarantine_store, registration, reload, reports, serve,
+    store_proxy, teams, watching,
 };
 use bluebellreel_net::{ConnectionTracker, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
@@ -139,6 +139,7 @@
     spawn_local(reports::compare_lists(gw.clone()));
     spawn_local(watching::watch_operator(gw.clone()));
     spawn_local(watching::watch_workers(gw.clone()));
+    spawn_local(confirmation::keep_confirmed(gw.clone()));
     spawn_local(lease::keep_registered(gw.clone()));
     spawn_local(registration::list_members(gw.clone()));
     spawn_local(quarantine_store::load(gw.clone()));
@@ -166,6 +167,8 @@
     if gw.members.borrow_mut().has_lost_peer(now) {
         gw.jobs.borrow().orphans_due.notify_one();
     }
+    gw.update_allowances();
+    gw.allowances.borrow_mut().sweep(gw.elapsed());
     gw.jobs.borrow_mut().sweep(now);
     gw.keepers.borrow_mut().sweep(now);
     gw.overloads.borrow_mut().sweep(now);
@@ -212,6 +215,7 @@
     metrics.copies_bytes.set(count(jobs.copies.bytes()));
     metrics.store_calls.set(total(calls));
     metrics.store_failures.set(total(failures));
+    teams::update_metrics(gw);
     let worker_views = gw.board.borrow().worker_views().count();
     metrics.workers.set(count(worker_views));
     let alive_peers = gw.members.borrow().alive_peers(gw.now()).count();
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -4,11 +4,12 @@
 use crate::in_progress::InProgressGuard;
 use crate::online;
 use crate::request::Request;
-use crate::{answers, jobs};
+use crate::{answers, jobs, teams};
 use bluebellreel_dispatch::{Configuration, Route, RouteKind};
 use bluebellreel_net::{Body, read_body};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_platform::ingress;
+use bluebellreel_types::JobId;
 use bytes::Bytes;
 use http::{HeaderValue, Method, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -77,7 +78,11 @@
         return answers::status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
     }
     if let Some(call) = ingress::job_call(&req) {
-        return jobs::answer(gw, call).await;
+        let is_open = configuration.has_open_batch_route(ingress::host(&req));
+        return match teams::caller_of_jobs(gw, &configuration, is_open, req.headers()) {
+            Ok(caller) => jobs::answer(gw, call, &caller).await,
+            Err(denial) => denial.answer(),
+        };
     }
     let path = req.uri().path();
     let Some(route) = configuration.route(ingress::host(&req), path).cloned() else {
@@ -94,6 +99,10 @@
         }
         return answers::failure(StatusCode::NOT_FOUND, "no route");
     };
+    let credential = match teams::identify(gw, &configuration, route.anonymous, req.headers()) {
+        Ok(credential) => credential,
+        Err(denial) => return denial.answer(),
+    };
     let received = Instant::now();
     let caller_timeout = ingress::caller_timeout(req.headers()).unwrap_or(route.timeout);
     let deadline = received + caller_timeout.min(route.timeout);
@@ -109,9 +118,24 @@
     }
     if route.kind == RouteKind::Batch && head.method == Method::POST {
         let deadline = received + caller_timeout;
-        return jobs::submit(gw, &route, &head, &body, received, deadline).await;
+        let submission = jobs::Submission {
+            id: JobId::from(ingress::request_id(&head.headers)),
+            team: credential.map(|c| c.team.name.clone()),
+            body,
+            received,
+            deadline,
+        };
+        return jobs::submit(gw, &route, submission).await;
+    }
+    let mut request = request(&route, &head, body, received, deadline);
+    if configuration.teams.is_some() {
+        let team = credential.as_ref().map(|c| &*c.team.name);
+        ingress::set_team(&mut request.out.headers, team);
+    }
+    request.credential = credential;
+    if let Err(answer) = teams::admit(gw, &request) {
+        return answer;
     }
-    let request = request(&route, &head, body, received, deadline);
     online::answer(gw.clone(), request).await
 }
 
@@ -153,6 +177,7 @@
         service: route.service_for(&id),
         id,
         route: route.clone(),
+        credential: None,
         out: Outgoing::of_caller(head, body),
         deadline,
         received,
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -38,7 +38,7 @@
 const REPORT_EMPTY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Whether this daemon is one of the elected watchers.
-fn is_watcher(gw: &Gateway) -> bool {
+pub(crate) fn is_watcher(gw: &Gateway) -> bool {
     let members = gw.members.borrow();
     members.is_watcher(gw.me(), !gw.store.is_lost(), gw.now())
 }
@@ -59,7 +59,7 @@
     /// Returns the revision up to which all changes were processed.
     seen: fn(&Gateway) -> i64,
     /// Processes a complete list of the prefix.
-    listed: fn(&Rc<Gateway>, &[KeyValue], i64),
+    listed: fn(&Rc<Gateway>, &Listing),
     /// Processes one change. Returns whether `apply` is needed.
     changed: fn(&Rc<Gateway>, WatchEvent) -> bool,
     /// Applies changes, once for all changes of an answer: with thousands of workers,
@@ -71,12 +71,7 @@
 
 const OPERATOR: WatchHandler = WatchHandler {
     seen: |gw| gw.cluster_state.borrow().operator_seen,
-    listed: |gw, all, revision| {
-        for kv in all {
-            operator_wrote(gw, kv);
-        }
-        operator_seen_to(gw, revision);
-    },
+    listed: operator_listed,
     changed: |gw, event| {
         if let WatchEvent::Put(kv) = event {
             operator_wrote(gw, &kv);
@@ -98,6 +93,24 @@
     advance_to: |gw, revision| gw.cluster_state.borrow_mut().catalog.advance_to(revision),
 };
 
+/// A complete list of a prefix.
+struct Listing {
+    all: Vec<KeyValue>,
+    revision: i64,
+    /// When the call was sent, on a clock that also runs while the VM is suspended.
+    asked: Moment,
+}
+
+fn operator_listed(gw: &Rc<Gateway>, listing: &Listing) {
+    for kv in &listing.all {
+        operator_wrote(gw, kv);
+        if kv.key.as_str() == keys::CONFIGURATION {
+            gw.note_confirmation(kv.revision, listing.asked);
+        }
+    }
+    operator_seen_to(gw, listing.revision);
+}
+
 fn operator_seen_to(gw: &Gateway, revision: i64) {
     let mut cluster_state = gw.cluster_state.borrow_mut();
     cluster_state.confirmed_by_store();
@@ -106,9 +119,7 @@
 
 fn operator_wrote(gw: &Rc<Gateway>, kv: &KeyValue) {
     if kv.key.as_str() == keys::CONFIGURATION {
-        let mut cluster_state = gw.cluster_state.borrow_mut();
-        cluster_state.configure(kv.revision, &kv.value, "store", gw.now());
-        gw.report_due.notify_one();
+        gw.take_configuration(kv);
     } else if let Some(vm) = keys::vm_to_empty(kv.key.as_str()) {
         tokio::task::spawn_local(report_empty(gw.clone(), vm.to_owned()));
     }
@@ -166,12 +177,14 @@
     }
 }
 
-fn workers_listed(gw: &Rc<Gateway>, all: &[KeyValue], revision: i64) {
+fn workers_listed(gw: &Rc<Gateway>, listing: &Listing) {
+    let revision = listing.revision;
     let read = |kv: &KeyValue| {
         let (id, record) = read_worker(gw, kv)?;
         Some((kv.revision, id, record))
     };
-    let list: Vec<(i64, WorkerName, Option<WorkerRecord>)> = all.iter().filter_map(read).collect();
+    let list: Vec<(i64, WorkerName, Option<WorkerRecord>)> =
+        listing.all.iter().filter_map(read).collect();
     let workers = list.iter().filter(|(_, _, record)| record.is_some());
     info!(target: "facts", workers = workers.count(), revision; "workers read");
     let keep_until = keep_missing_until(gw);
@@ -280,10 +293,16 @@
             continue;
         }
         if must_list || !known {
+            let asked = gw.elapsed();
             match gw.store.list(&prefix).await {
                 Ok((all, revision)) => {
                     note_recovery(gw, &prefix, &failing_since);
-                    (handler.listed)(gw, &all, revision);
+                    let listing = Listing {
+                        all,
+                        revision,
+                        asked,
+                    };
+                    (handler.listed)(gw, &listing);
                     must_list = false;
                     succession.has_listed = true;
                 }
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -76,6 +76,31 @@
         alive_peers + 1 >= missing
     }
 
+    /// Number of gateways that may be serving callers, this one included; none before the
+    /// registrations were read. A silent daemon counts until its registration is gone.
+    #[must_use]
+    pub fn expected_gateways(&self, now: Moment) -> Option<usize> {
+        if self.revision == 0 {
+            return None;
+        }
+        let peers = self.peers.values().filter(|peer| {
+            let may_serve = peer.registered || peer.reported_within(PEER_RETENTION, now);
+            peer.is_alive(now) || (may_serve && !peer.stopping)
+        });
+        Some(peers.count() + 1)
+    }
+
+    /// The peers that watch the store for the others, by the same order as
+    /// [`Self::is_watcher`].
+    pub fn watchers(&self, now: Moment) -> impl Iterator<Item = &Peer> {
+        let able = self
+            .alive_with_store(now)
+            .filter(|(_, p)| !p.stopping && p.has_recent_store_answer(now));
+        let mut able: Vec<(&EntryName, &Peer)> = able.collect();
+        able.sort_by_key(|(name, _)| std::cmp::Reverse(rank(name)));
+        able.into_iter().take(WATCHERS).map(|(_, peer)| peer)
+    }
+
     /// Whether all daemons that should be running are alive, so that the reports cover
     /// all of their work.
     #[must_use]
@@ -91,12 +116,12 @@
         ages.map(|at| now.since(at)).max().unwrap_or_default()
     }
 
-    /// Tokens that wait on a route: those that peers reported, and those of jobs that
+    /// Tokens that wait in a quota scope: those that peers reported, and those of jobs that
     /// disappeared from a peer and are not reported by another owner yet.
     #[must_use]
-    pub fn tokens(&self, route: &str, now: Moment) -> u64 {
-        let reported = self.peers.values().filter_map(|p| p.tokens.get(route));
-        reported.sum::<u64>() + self.unclaimed.tokens(route, now)
+    pub fn tokens(&self, scope: &str, now: Moment) -> u64 {
+        let reported = self.peers.values().filter_map(|p| p.tokens.get(scope));
+        reported.sum::<u64>() + self.unclaimed.tokens(scope, now)
     }
 
     /// Jobs whose tokens are among [`Self::tokens`].
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -3,6 +3,7 @@
 
 use crate::SettingsError;
 use crate::vm::{self, RawPeers, RawStop, RawVm};
+use bluebellreel_teams::Tolerance;
 use bluebellreel_types::{DataCentre, EntryName};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -10,7 +11,7 @@
 use std::time::Duration;
 
 /// Checked settings of a gateway.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
     /// The gateway's name, unique in the fleet.
     pub name: EntryName,
@@ -41,6 +42,11 @@
     /// Limit on the time from a job's cancellation until none of its items starts any
     /// more.
     pub cancel_within: Duration,
+    /// Limit on the time from the revocation of a key until it opens nothing any more, on
+    /// any gateway; none if gateways that are cut off go on to accept the keys they know.
+    pub revoke_within: Option<Duration>,
+    /// By how much a team may exceed its rate limit over all gateways.
+    pub rate_tolerance: Tolerance,
 }
 
 /// Addresses that are advertised to peers instead of the listening ones, as needed
@@ -101,6 +107,14 @@
                 "jobs.cancel_within_ms",
                 self.cancel_within != other.cancel_within,
             ),
+            (
+                "teams.revoke_within_ms",
+                self.revoke_within != other.revoke_within,
+            ),
+            (
+                "teams.rate_window_s, teams.rate_excess, teams.rate_slack",
+                self.rate_tolerance != other.rate_tolerance,
+            ),
         ];
         let differ = pairs.into_iter().filter(|(_, differs)| *differs);
         differ.map(|(key, _)| key).collect()
@@ -119,6 +133,8 @@
     stop: RawStop,
     #[serde(default)]
     jobs: RawJobs,
+    #[serde(default)]
+    teams: RawTeams,
 }
 
 #[derive(Deserialize)]
@@ -168,6 +184,73 @@
     }
 }
 
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RawTeams {
+    revoke_within_ms: Option<f64>,
+    rate_window_s: Option<f64>,
+    rate_excess: Option<f64>,
+    rate_slack: Option<f64>,
+}
+
+/// Minimum of `revoke_within_ms`: below it, gateways could not confirm the configuration
+/// often enough.
+const MIN_REVOKE_WITHIN_MS: f64 = 1000.0;
+/// Maximum of `revoke_within_ms`: an hour.
+const MAX_REVOKE_WITHIN_MS: f64 = 3_600_000.0;
+
+/// Maximum of `rate_window_s`: a day.
+const MAX_RATE_WINDOW_S: f64 = 86_400.0;
+/// Maximum of `rate_excess` and of `rate_slack`.
+const MAX_TOLERANCE: f64 = 1e6;
+
+impl RawTeams {
+    fn tolerance(&self, file: &str) -> Result<Tolerance, SettingsError> {
+        let usual = Tolerance::default();
+        let checked = |key: &str, value: Option<f64>, usual: f64, max: f64| {
+            let value = value.unwrap_or(usual);
+            if (0.0..=max).contains(&value) {
+                return Ok(value);
+            }
+            let reason = format!("must be from 0 to {max}");
+            Err(SettingsError::new(file, key, reason))
+        };
+        let window = usual.window.as_secs_f64();
+        let window = checked(
+            "teams.rate_window_s",
+            self.rate_window_s,
+            window,
+            MAX_RATE_WINDOW_S,
+        )?;
+        Ok(Tolerance {
+            window: Duration::from_secs_f64(window),
+            excess: checked(
+                "teams.rate_excess",
+                self.rate_excess,
+                usual.excess,
+                MAX_TOLERANCE,
+            )?,
+            slack: checked(
+                "teams.rate_slack",
+                self.rate_slack,
+                usual.slack,
+                MAX_TOLERANCE,
+            )?,
+        })
+    }
+
+    fn revoke_within(&self, file: &str) -> Result<Option<Duration>, SettingsError> {
+        let Some(ms) = self.revoke_within_ms else {
+            return Ok(None);
+        };
+        if !(MIN_REVOKE_WITHIN_MS..=MAX_REVOKE_WITHIN_MS).contains(&ms) {
+            let reason = "must be from 1000 to 3600000";
+            return Err(SettingsError::new(file, "teams.revoke_within_ms", reason));
+        }
+        Ok(Some(Duration::from_secs_f64(ms / 1000.0)))
+    }
+}
+
 /// Minimum value size of the store, into which the longest result of a batch item fits.
 const MIN_VALUE_BYTES: usize = 64 * 1024;
 
@@ -195,6 +278,8 @@
         return Err(SettingsError::new(file, "store.value_bytes", reason));
     }
     let cancel_within = raw.jobs.checked(file)?;
+    let revoke_within = raw.teams.revoke_within(file)?;
+    let rate_tolerance = raw.teams.tolerance(file)?;
     Ok(GatewaySettings {
         name,
         data_centre,
@@ -210,5 +295,7 @@
         min_lease_ttl: Duration::from_millis(raw.store.shortest_lease_ms),
         grace,
         cancel_within,
+        revoke_within,
+        rate_tolerance,
     })
 }
--- a/crates/bluebellreel_settings/tests/gateway.rs
+++ b/crates/bluebellreel_settings/tests/gateway.rs
@@ -120,3 +120,28 @@
     }
     assert_eq!(parse(&format!("{TEXT}[jobs]\n")).expect("no key"), given);
 }
+
+/// Guards that the bounds of the teams' keys and rates are read and checked.
+#[test]
+fn bounds_of_teams_are_validated() {
+    let plain = parse(TEXT).expect("valid settings");
+    assert_eq!(plain.revoke_within, None);
+    let given =
+        "[teams]\nrevoke_within_ms = 5000\nrate_window_s = 10\nrate_excess = 0.2\nrate_slack = 0\n";
+    let given = parse(&format!("{TEXT}{given}")).expect("valid settings");
+    assert_eq!(given.revoke_within, Some(Duration::from_secs(5)));
+    let tolerance = given.rate_tolerance;
+    assert_eq!(tolerance.window, Duration::from_secs(10));
+    assert!((tolerance.excess - 0.2).abs() < 1e-9 && tolerance.slack.abs() < 1e-9);
+    assert_eq!(plain.start_needed_for(&given).len(), 2);
+    for (key, value) in [
+        ("revoke_within_ms", "999"),
+        ("rate_window_s", "-1"),
+        ("rate_excess", "-0.1"),
+        ("rate_slack", "nan"),
+    ] {
+        let text = format!("{TEXT}[teams]\n{key} = {value}\n");
+        let error = parse(&text).expect_err("out of range");
+        assert!(error.contains(key), "{error}");
+    }
+}
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -23,7 +23,9 @@
 /// some 700 ms before it would be killed.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Log targets of a gateway whose lines are written.
-const GATEWAY_LOG_TARGETS: [&str; 6] = ["gateway", "facts", "members", "online", "jobs", "http"];
+const GATEWAY_LOG_TARGETS: [&str; 7] = [
+    "gateway", "facts", "members", "online", "jobs", "teams", "http",
+];
 /// Log targets of a keeper whose lines are written.
 const KEEPER_LOG_TARGETS: [&str; 2] = ["keeper", "http"];
 
