--- a/crates/bluebellreel_gateway/src/confirmation.rs
+++ b/crates/bluebellreel_gateway/src/confirmation.rs
@@ -13,7 +13,7 @@
 use bluebellreel_net::Body;
 use bluebellreel_platform::keys;
 use bluebellreel_platform::store::TxnOutcome;
-use bluebellreel_teams::RevocationTerms;
+use bluebellreel_types::Moment;
 use http::{Response, StatusCode};
 use log::{info, warn};
 use rand::RngExt;
@@ -25,9 +25,17 @@
 
 /// Interval between checks whether a confirmation is due.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Number of intervals after which a daemon that gets no confirmation from its peers asks
-/// the store.
-const INTERVALS_UNTIL_STORE: u32 = 2;
+/// Pause after an attempt without success. Each call to the store has its price, and most
+/// of all while it is overloaded.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Interval of the calls to peers, in intervals of those to the store: what a peer
+/// confirms is up to one such interval old.
+const INTERVALS_BETWEEN_CALLS: f64 = 1.5;
+/// Age, in intervals of the calls to peers, from which a daemon that gets no confirmation
+/// from them asks the store.
+const INTERVALS_UNTIL_STORE: f64 = 1.6;
+/// Pause between such calls, which all daemons make at the same time if the store is down.
+const STORE_RETRY_PAUSE: Duration = Duration::from_millis(1500);
 
 /// The answer to a peer that asks for a confirmation.
 #[derive(Serialize, Deserialize)]
@@ -44,6 +52,8 @@
         return;
     };
     let mut was_valid = true;
+    let mut next_attempt = Moment::default();
+    let mut next_store_call = Moment::default();
     loop {
         sleep(POLL_INTERVAL).await;
         let is_valid = gw.accepts_keys();
@@ -57,8 +67,31 @@
             was_valid = is_valid;
         }
         let peers = gw.members.borrow().alive_peers(gw.now()).count();
-        if is_older_than(&gw, terms.interval(peers)) {
-            confirm(&gw, &terms, peers).await;
+        let is_watcher = is_watcher(&gw);
+        let mut interval = terms.interval(peers);
+        if !is_watcher {
+            interval = interval.mul_f64(INTERVALS_BETWEEN_CALLS);
+        }
+        let now = gw.elapsed();
+        if !is_older_than(&gw, interval) || !next_attempt.is_past(now) {
+            continue;
+        }
+        if gw.configuration().is_none() {
+            continue;
+        }
+        if is_watcher {
+            check_store(&gw).await;
+        } else {
+            ask_peer(&gw).await;
+            let is_late = is_older_than(&gw, interval.mul_f64(INTERVALS_UNTIL_STORE));
+            if is_late && next_store_call.is_past(now) {
+                let spread = gw.rng.borrow_mut().random_range(0.5..1.5);
+                next_store_call = now + STORE_RETRY_PAUSE.mul_f64(spread);
+                check_store(&gw).await;
+            }
+        }
+        if is_older_than(&gw, interval) {
+            next_attempt = gw.elapsed() + RETRY_PAUSE;
         }
     }
 }
@@ -67,24 +100,16 @@
     gw.confirmation_age().is_none_or(|age| age >= limit)
 }
 
-async fn confirm(gw: &Rc<Gateway>, terms: &RevocationTerms, peers: usize) {
-    if gw.configuration().is_none() {
-        return;
-    }
-    if !is_watcher(gw) {
-        ask_peer(gw).await;
-        if !is_older_than(gw, terms.interval(peers) * INTERVALS_UNTIL_STORE) {
-            return;
-        }
-    }
-    if let Err(e) = check_store(gw).await {
+/// Checks in the store that the held configuration is the newest one, and logs a failure.
+async fn check_store(gw: &Rc<Gateway>) {
+    if let Err(e) = compare_with_store(gw).await {
         info!(target: "teams", error:% = e; "configuration not confirmed by the store");
     }
 }
 
 /// Checks in the store that the held configuration is the newest one, and takes over a
 /// newer one.
-async fn check_store(gw: &Rc<Gateway>) -> Result<(), KvError> {
+async fn compare_with_store(gw: &Rc<Gateway>) -> Result<(), KvError> {
     let asked = gw.elapsed();
     let held = gw.cluster_state.borrow().held_revision();
     let key = Key::from(keys::CONFIGURATION);
--- a/crates/bluebellreel_teams/src/allowance.rs
+++ b/crates/bluebellreel_teams/src/allowance.rs
@@ -12,8 +12,8 @@
 //! sides do the same, so that their sum stays within the limit. What a peer admitted
 //! while it was silent has thereby been paid for.
 //!
-//! Buckets are empty after a restart. All gateways may have been killed after they used
-//! up the burst, and a full bucket would grant it a second time.
+//! Buckets of large teams are empty after a restart. All gateways may have been killed
+//! after they used up the burst, and a full bucket would grant it a second time.
 //!
 //! All moments are on a clock that also runs while the VM is suspended.
 
@@ -105,13 +105,15 @@
 }
 
 /// The rate limits of all teams.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Allowances {
     tolerance: Tolerance,
     share: Share,
     /// The value of [`Share::filled`] since which buckets that do not exist yet have been
     /// filling.
     filling_since: f64,
+    /// The part that these have left of their tokens after the restart.
+    kept: f64,
     buckets: HashMap<TeamTag, Bucket>,
     own: HashMap<TeamTag, Own>,
     peers: HashMap<EntryName, PeerCounts>,
@@ -119,13 +121,25 @@
     minority_since: Option<Moment>,
 }
 
+impl Default for Allowances {
+    fn default() -> Self {
+        Self::new(Tolerance::default())
+    }
+}
+
 impl Allowances {
     /// Creates buckets that are empty.
     #[must_use]
     pub fn new(tolerance: Tolerance) -> Self {
         Self {
             tolerance,
-            ..Self::default()
+            share: Share::default(),
+            filling_since: 0.0,
+            kept: 1.0,
+            buckets: HashMap::new(),
+            own: HashMap::new(),
+            peers: HashMap::new(),
+            minority_since: None,
         }
     }
 
@@ -152,10 +166,12 @@
                     bucket.scale(factor);
                 }
                 self.filling_since = self.share.filled();
+                self.kept *= factor;
             }
             ShareChange::Empty => {
                 self.buckets.clear();
                 self.filling_since = self.share.filled();
+                self.kept = 0.0;
             }
         }
     }
@@ -175,7 +191,7 @@
     ) -> Result<(), Duration> {
         let at = self.share.filled();
         let tolerance = self.tolerance;
-        let level = self.bucket(team).fill(limit, &tolerance, at);
+        let level = self.bucket(team, limit).fill(limit, &tolerance, at);
         let own = self.own.entry(team).or_default();
         if level < 1.0 {
             let waiting = own.refused.count(now);
@@ -186,7 +202,7 @@
         own.total = own.total.wrapping_add(1);
         own.admitted.add(now);
         own.changed = now;
-        self.bucket(team).take(1.0);
+        self.bucket(team, limit).take(1.0);
         Ok(())
     }
 
@@ -195,13 +211,15 @@
         let own = self.own.entry(team).or_default();
         own.total = own.total.wrapping_sub(1);
         own.changed = now;
-        self.bucket(team).take(-1.0);
+        if let Some(bucket) = self.buckets.get_mut(&team) {
+            bucket.take(-1.0);
+        }
     }
 
-    fn bucket(&mut self, team: TeamTag) -> &mut Bucket {
-        let since = self.filling_since;
+    fn bucket(&mut self, team: TeamTag, limit: Limit) -> &mut Bucket {
+        let (since, kept, tolerance) = (self.filling_since, self.kept, self.tolerance);
         let bucket = self.buckets.entry(team);
-        bucket.or_insert_with(|| Bucket::empty(since))
+        bucket.or_insert_with(|| Bucket::unused(limit, &tolerance, kept, since))
     }
 
     /// The time until the bucket has a token for this caller, after those that were
@@ -256,7 +274,7 @@
             if let Some(limit) = limit.filter(|_| new != 0.0 && !is_paid) {
                 let at = self.share.filled();
                 let tolerance = self.tolerance;
-                let bucket = self.bucket(spent.team);
+                let bucket = self.bucket(spent.team, limit);
                 bucket.fill(limit, &tolerance, at);
                 bucket.take(new);
             }
@@ -283,7 +301,7 @@
     #[must_use]
     pub fn left(&mut self, team: TeamTag, limit: Limit) -> f64 {
         let (at, tolerance) = (self.share.filled(), self.tolerance);
-        self.bucket(team).fill(limit, &tolerance, at)
+        self.bucket(team, limit).fill(limit, &tolerance, at)
     }
 
     /// Numbers of requests of teams with a limit that this gateway has admitted and
--- a/crates/bluebellreel_teams/src/bucket.rs
+++ b/crates/bluebellreel_teams/src/bucket.rs
@@ -41,14 +41,30 @@
     /// Maximum number of tokens in a bucket.
     ///
     /// Until a partition is noticed, both sides may use a full bucket. Twice the capacity
-    /// must therefore be within the burst and the tolerance, less what several gateways
-    /// admit at the same moment.
+    /// must therefore be within the burst and the tolerance.
     fn capacity(&self, limit: Limit) -> f64 {
+        let twice = limit.burst + self.margin(limit);
+        limit.burst.min(twice / 2.0).max(1.0)
+    }
+
+    /// Number of tokens in a bucket after a restart.
+    ///
+    /// All gateways may have been killed after they used up the burst. A part of it is
+    /// granted again only as far as the tolerance allows, also beside a partition.
+    fn after_restart(&self, limit: Limit) -> f64 {
+        let margin = self.margin(limit);
+        let beside_partition = margin - limit.burst;
+        let tokens = beside_partition.min(margin / 2.0);
+        tokens.clamp(0.0, self.capacity(limit))
+    }
+
+    /// Number of requests by which a window may exceed the limit, less what several
+    /// gateways admit at the same moment.
+    fn margin(&self, limit: Limit) -> f64 {
         let Limit { per_second, burst } = limit;
         let refilled = per_second * self.window.as_secs_f64();
         let simultaneous = per_second * FLOOD_DELAY.as_secs_f64();
-        let twice = burst + self.excess * (burst + refilled) + self.slack - simultaneous;
-        burst.min(twice / 2.0).max(1.0)
+        self.excess * (burst + refilled) + self.slack - simultaneous
     }
 }
 
@@ -61,10 +77,11 @@
 }
 
 impl Bucket {
-    /// A bucket that was empty at this time.
-    pub(crate) fn empty(at: f64) -> Self {
+    /// The bucket of a gateway that had not admitted any of the team's requests until this
+    /// time. `kept` is the part that is left of the tokens after the restart.
+    pub(crate) fn unused(limit: Limit, tolerance: &Tolerance, kept: f64, at: f64) -> Self {
         Self {
-            level: 0.0,
+            level: tolerance.after_restart(limit) * kept,
             filled_at: at,
         }
     }
--- a/crates/bluebellreel_teams/tests/fleet.rs
+++ b/crates/bluebellreel_teams/tests/fleet.rs
@@ -261,6 +261,24 @@
     fleet.assert_bound();
 }
 
+/// All gateways are killed while a small team makes few requests. Guards against refusals
+/// within the limit after the restart.
+#[test]
+fn a_small_team_is_admitted_right_after_a_kill_of_all() {
+    let small = Limit {
+        per_second: 4.0,
+        burst: 4.0,
+    };
+    let mut fleet = Fleet::new(27, small, 0.02, 13);
+    let kill = Fault::Kill {
+        below: 27,
+        at: 4000,
+    };
+    fleet.play(5400, 0.0, std::slice::from_ref(&kill));
+    fleet.play(9000, 2.0, &[kill]);
+    assert_eq!(fleet.refused, 0);
+}
+
 /// Two in five gateways are parted from the others, with a flood on both sides. Guards
 /// against a limit that each side grants for itself.
 #[test]
