--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -35,8 +35,8 @@
 /// it over.
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How long a live owner may omit a job from its reports before it is notified that it
-/// owns the job.
-const UNREPORTED_TIMEOUT: Duration = Duration::from_secs(3);
+/// owns the job, after the cleanup leader has read the job's record.
+const UNREPORTED_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long the write of a takeover is retried.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -97,9 +97,16 @@
         if !std::mem::replace(&mut entries_read, true) {
             registration::read_members(gw).await?;
         }
-        if is_owner_silent(gw, &id) && !gw.jobs.borrow().open.needs_record(&id) {
-            remaining += 1;
-            continue;
+        if !gw.jobs.borrow().open.needs_record(&id) {
+            if is_owner_silent(gw, &id) {
+                remaining += 1;
+                continue;
+            }
+            if !is_successor(gw, &id) && !has_successor_timed_out(gw, &id) {
+                // Only the cleanup leader has to check whether the successor takes over.
+                remaining += usize::from(is_cleanup_leader(gw));
+                continue;
+            }
         }
         // A job that cannot be read must not hold up the remaining ones.
         match take_over(gw, &id, before.get(&id).copied(), unreported).await {
