--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -70,6 +70,8 @@
     pub(crate) unreadable: RefCell<Unreadable>,
     /// Id of the lease of this daemon's entry in the store; zero if there is none.
     pub(crate) lease: Cell<i64>,
+    /// Revision at which this daemon's entry was written.
+    pub(crate) registered_revision: Cell<i64>,
     /// How long this daemon's entry has existed without interruption. Meanwhile reads
     /// of jobs may be answered from memory.
     pub(crate) registration_span: Cell<RegistrationSpan>,
@@ -139,6 +141,7 @@
             keepers: RefCell::default(),
             unreadable: RefCell::default(),
             lease: Cell::new(0),
+            registered_revision: Cell::new(0),
             registration_span: Cell::default(),
             isolated_since: Cell::new(None),
             reconnections: Cell::new(0),
--- a/crates/bluebellreel_gateway/src/jobs/open.rs
+++ b/crates/bluebellreel_gateway/src/jobs/open.rs
@@ -7,7 +7,7 @@
 use super::own::{Jobs, MAX_REPORTED};
 use crate::gateway::Gateway;
 use bluebellreel_batch::{JobPhase, JobRecord, OpenJob, keys};
-use bluebellreel_kv::{Key, KvError};
+use bluebellreel_kv::{Key, KeyValue, KvError};
 use bluebellreel_members::Peer;
 use bluebellreel_types::{EntryName, JobId};
 use log::warn;
@@ -97,8 +97,20 @@
 
 /// Lists all open jobs in the store. Those that no daemon reports are counted here
 /// from now on.
-pub(super) async fn list(gw: &Gateway) -> Result<Vec<JobId>, KvError> {
+async fn list(gw: &Gateway) -> Result<(), KvError> {
     let (all, _) = gw.store.list(&Key::from(keys::OPEN_JOBS_PREFIX)).await?;
+    note_listed(gw, &all);
+    Ok(())
+}
+
+/// As [`list`], but the list may be seconds old. Also returns the ids of the jobs.
+pub(super) async fn list_stale(gw: &Gateway) -> Result<Vec<JobId>, KvError> {
+    let prefix = Key::from(keys::OPEN_JOBS_PREFIX);
+    let (all, _) = gw.store.list_stale(&prefix).await?;
+    Ok(note_listed(gw, &all))
+}
+
+fn note_listed(gw: &Gateway, all: &[KeyValue]) -> Vec<JobId> {
     let all: Vec<(JobId, Option<OpenJob>)> = all
         .iter()
         .filter_map(|kv| {
@@ -120,7 +132,7 @@
         .filter(|(id, _)| !may_be_omitted(&full_reports, &jobs, id))
         .collect();
     jobs.open.replace(unreported.into_iter());
-    Ok(ids)
+    ids
 }
 
 /// Whether the report of a job's owner may include the job's tokens without naming the
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -79,7 +79,7 @@
     if gw.stopping.get() {
         return Ok(0);
     }
-    let open = open::list(gw).await?;
+    let open = open::list_stale(gw).await?;
     if open.is_empty() {
         gw.jobs.borrow_mut().orphans.clear();
     }
--- a/crates/bluebellreel_gateway/src/lease.rs
+++ b/crates/bluebellreel_gateway/src/lease.rs
@@ -84,7 +84,8 @@
         let txn = entry_txn(gw, put.clone()).await?;
         let sent = gw.stamp();
         match gw.store.commit(&txn, Instant::now() + ttl).await {
-            Commit::Applied { .. } => {
+            Commit::Applied { revision } => {
+                gw.registered_revision.set(revision);
                 record_renewal(gw, sent);
                 return Ok(lease.id);
             }
--- a/crates/bluebellreel_gateway/src/quarantine_store.rs
+++ b/crates/bluebellreel_gateway/src/quarantine_store.rs
@@ -91,7 +91,7 @@
 /// Loads the quarantined requests from the store, once at the start.
 pub(crate) async fn load(gw: Rc<Gateway>) {
     let all = loop {
-        match gw.store.list(&Key::from(ENTRIES_PREFIX)).await {
+        match gw.store.list_stale(&Key::from(ENTRIES_PREFIX)).await {
             Ok((all, _)) => break all,
             Err(_) => sleep(RETRY_PAUSE).await,
         }
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -84,8 +84,10 @@
 /// Reads the entries of all daemons and updates the members. If this daemon's own
 /// entry is missing, it registers again.
 pub(crate) async fn read_members(gw: &Rc<Gateway>) -> Result<(), KvError> {
-    let (all, revision) = gw.store.list(&Key::from(MEMBER_PREFIX)).await?;
-    if !all.iter().any(|kv| kv.key == own_key(gw)) && gw.lease.get() != 0 {
+    let (all, revision) = gw.store.list_stale(&Key::from(MEMBER_PREFIX)).await?;
+    // A list from before the registration lacks this daemon's entry.
+    let is_newer = revision >= gw.registered_revision.get();
+    if is_newer && !all.iter().any(|kv| kv.key == own_key(gw)) && gw.lease.get() != 0 {
         warn!(target: "members", revision; "own entry has vanished, registering again");
         gw.lease.set(0);
         gw.interrupt_registration_span();
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -248,13 +248,15 @@
         list,
         reads_briefs,
     };
-    let is_new_incarnation = gw
-        .members
-        .borrow_mut()
-        .record_report(report.entry.clone(), peer);
-    if is_new_incarnation {
-        // The jobs of the peer's previous incarnation, if any, have no owner now.
+    let mut members = gw.members.borrow_mut();
+    let has_restarted = members.knows_other_run(&report.entry, report.run);
+    let is_new_incarnation = members.record_report(report.entry.clone(), peer);
+    drop(members);
+    if has_restarted {
+        // The jobs of the peer's previous incarnation have no owner now.
         gw.jobs.borrow().orphans_due.notify_one();
+    }
+    if is_new_incarnation {
         info!(target: "members", peer:% = report.entry, run:% = report.run; "peer discovered");
     }
 }
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -246,11 +246,25 @@
     /// Reads all keys that start with `prefix`. Also returns the revision of the first
     /// page: a watch after it delivers every later change.
     pub(crate) async fn list(&self, prefix: &Key) -> Result<(Vec<KeyValue>, i64), KvError> {
+        self.list_pages(prefix, true).await
+    }
+
+    /// As [`Self::list`], at a tenth of the price, but the answer may be seconds old. It is
+    /// enough where a guarded write follows, or where the next list comes soon.
+    pub(crate) async fn list_stale(&self, prefix: &Key) -> Result<(Vec<KeyValue>, i64), KvError> {
+        self.list_pages(prefix, false).await
+    }
+
+    async fn list_pages(
+        &self,
+        prefix: &Key,
+        is_fresh: bool,
+    ) -> Result<(Vec<KeyValue>, i64), KvError> {
         let mut all = Vec::new();
         let mut revision = None;
         loop {
             let after = all.last().map(|kv: &KeyValue| kv.key.clone());
-            let call = store::list_call(prefix, after.as_ref());
+            let call = store::list_call(prefix, after.as_ref(), is_fresh);
             let (status, body) = self.call(call, CALL_TIMEOUT).await?;
             let Page {
                 items,
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -22,6 +22,9 @@
 /// has lost, delivers nothing; the changes it missed are noticed within this time.
 /// Operators expect a change to be in force within two seconds.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause after a watch that has delivered changes, so that the next one delivers those
+/// that follow shortly after each other together.
+const GATHER_PAUSE: Duration = Duration::from_millis(120);
 /// Pause before a failed call is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Interval at which a daemon that does not watch checks whether it should.
@@ -327,6 +330,7 @@
             Ok(Watched::Changes(changes)) => {
                 note_recovery(gw, &prefix, &failing_since);
                 let mut needs_apply = false;
+                let is_delivery = !changes.events.is_empty();
                 for event in changes.events {
                     needs_apply |= (handler.changed)(gw, event);
                 }
@@ -334,6 +338,9 @@
                     (handler.apply)(gw);
                 }
                 (handler.advance_to)(gw, changes.revision);
+                if is_delivery {
+                    sleep(GATHER_PAUSE).await;
+                }
             }
             Ok(Watched::HistoryGone) => {
                 info!(target: "facts", prefix:% = prefix, after; "history compacted, listing again");
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -195,6 +195,12 @@
         names.max_by_key(|name| rank_for(name, job)).cloned()
     }
 
+    /// Whether another incarnation of this daemon is known.
+    #[must_use]
+    pub fn knows_other_run(&self, name: &EntryName, run: Incarnation) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.run != run)
+    }
+
     /// Applies a peer's report. Returns whether it is the first report of this
     /// incarnation.
     ///
