--- a/crates/bluebellreel_gateway/src/confirmation.rs
+++ b/crates/bluebellreel_gateway/src/confirmation.rs
@@ -67,7 +67,8 @@
             was_valid = is_valid;
         }
         let peers = gw.members.borrow().alive_peers(gw.now()).count();
-        let is_watcher = is_watcher(&gw);
+        // While the store is lost, every daemon may be elected.
+        let is_watcher = is_watcher(&gw) && !gw.store.is_lost();
         let mut interval = terms.interval(peers);
         if !is_watcher {
             interval = interval.mul_f64(INTERVALS_BETWEEN_CALLS);
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -22,7 +22,7 @@
 /// Interval between these early reads.
 const EARLY_LIST_INTERVAL: Duration = Duration::from_millis(1500);
 /// Interval between reads of all entries afterwards.
-const LIST_INTERVAL: Duration = Duration::from_secs(15);
+const LIST_INTERVAL: Duration = Duration::from_secs(5);
 /// Pause before a failed read is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
