--- a/crates/bluebellreel_batch/src/keys.rs
+++ b/crates/bluebellreel_batch/src/keys.rs
@@ -36,10 +36,14 @@
     KeyText(format!("{OPEN_JOBS_PREFIX}{id}"))
 }
 
-/// Key of the tombstone of a job that was cancelled before it had a record.
+/// Key of the tombstone of a job that was cancelled before it had a record. Each team has
+/// its own, as another team's job may have the same id.
 #[must_use]
-pub fn tombstone(id: &JobId) -> KeyText {
-    KeyText(format!("job/ended/{id}"))
+pub fn tombstone(id: &JobId, team: Option<&str>) -> KeyText {
+    match team {
+        Some(team) => KeyText(format!("job/ended/{id} {team}")),
+        None => KeyText(format!("job/ended/{id}")),
+    }
 }
 
 /// Key of the ledger of a quota that is nearly used up.
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -302,7 +302,7 @@
     let txn = Txn {
         compares: vec![
             Compare::Absent(record_key.clone()),
-            Compare::Absent(key(&keys::tombstone(id))),
+            Compare::Absent(key(&keys::tombstone(id, record.team.as_deref()))),
         ],
         puts,
         ..Txn::default()
@@ -374,7 +374,7 @@
         }
         Commit::Beaten(found) => {
             let Some((revision, stored)) = stored_record(&found, record_key) else {
-                let tombstone = key(&keys::tombstone(id));
+                let tombstone = key(&keys::tombstone(id, record.team.as_deref()));
                 let is_cancelled = found.iter().any(|kv| kv.key == tombstone);
                 // The outcome stays unknown: an attempt whose response was lost may
                 // still be applied after the tombstone has expired.
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -93,39 +93,39 @@
 }
 
 /// Takes over a cancellation that a stopping peer could not record.
-pub(crate) fn take_cancellation(gw: &Rc<Gateway>, id: &JobId) -> Response<Body> {
+pub(crate) fn take_cancellation(gw: &Rc<Gateway>, caller: &Caller, id: &JobId) -> Response<Body> {
     if gw.stopping.get() {
         return answers::failure(StatusCode::SERVICE_UNAVAILABLE, "stopping");
     }
-    // The peer has checked whether the caller may cancel the job.
-    drop(begin(gw, &Caller::Unrestricted, id));
+    drop(begin(gw, caller, id));
     answers::status(StatusCode::OK)
 }
 
 /// Forwards the cancellations that this stopping daemon could not record to peers.
 pub(crate) fn forward_cancellations(gw: &Rc<Gateway>) {
-    let pending: Vec<JobId> = {
+    let pending: Vec<(JobId, Caller)> = {
         let jobs = &mut *gw.jobs.borrow_mut();
         let forwarded = &mut jobs.forwarded_cancellations;
         let left = jobs.pending_cancellations.iter();
-        left.filter(|id| forwarded.insert((*id).clone()))
+        left.filter(|end| forwarded.insert((*end).clone()))
             .cloned()
             .collect()
     };
-    for id in pending {
+    for (id, caller) in pending {
         let gw = gw.clone();
         tokio::task::spawn_local(async move {
-            if let Err(e) = forward(&gw, &id).await {
+            if let Err(e) = forward(&gw, &caller, &id).await {
                 warn!(target: "jobs", job:% = id, error:% = e; "job end not passed on");
                 sleep(MIN_BACKOFF).await;
-                gw.jobs.borrow_mut().forwarded_cancellations.remove(&id);
+                let end = (id, caller);
+                gw.jobs.borrow_mut().forwarded_cancellations.remove(&end);
             }
         });
     }
 }
 
 /// Forwards the cancellation of a job to the job's successor.
-async fn forward(gw: &Gateway, id: &JobId) -> Result<(), PeerError> {
+async fn forward(gw: &Gateway, caller: &Caller, id: &JobId) -> Result<(), PeerError> {
     let (now, members) = (gw.now(), &gw.members);
     let successor = members.borrow().successor(id, None, now);
     let successor = successor.ok_or("no live peer to forward to")?;
@@ -133,7 +133,8 @@
         .borrow()
         .alive_peer(&successor, now)
         .map(|p| p.calls);
-    peer_calls::forward_end(gw, calls.ok_or("no live peer to forward to")?, id).await?;
+    let calls = calls.ok_or("no live peer to forward to")?;
+    peer_calls::forward_end(gw, calls, caller, id).await?;
     info!(target: "jobs", job:% = id, peer:% = successor; "job end passed on to a peer");
     Ok(())
 }
@@ -156,11 +157,12 @@
         warn!(target: "jobs", job:% = id, jobs = MAX_PENDING; "job end not retried, too many pending");
         return;
     }
+    let end = (id.clone(), caller.clone());
     if !gw
         .jobs
         .borrow_mut()
         .pending_cancellations
-        .insert(id.clone())
+        .insert(end.clone())
     {
         return;
     }
@@ -173,7 +175,7 @@
             break;
         }
     }
-    gw.jobs.borrow_mut().pending_cancellations.remove(id);
+    gw.jobs.borrow_mut().pending_cancellations.remove(&end);
 }
 
 /// Makes one attempt to cancel a job.
@@ -238,7 +240,7 @@
     for _ in 0..MAX_TRIES {
         let (revision, record) = match load::record(gw, id).await {
             Ok(Some(found)) => (found.revision, found.record),
-            Ok(None) => match put_tombstone(gw, id, until).await {
+            Ok(None) => match put_tombstone(gw, caller, id, until).await {
                 Commit::Applied { .. } => return Outcome::NoSuchJob,
                 // The job was accepted meanwhile.
                 Commit::Beaten(_) => continue,
@@ -277,13 +279,13 @@
 
 /// Writes a tombstone that keeps a job without a record from being accepted: a peer
 /// may still be retrying its submission.
-async fn put_tombstone(gw: &Gateway, id: &JobId, until: Instant) -> Commit {
+async fn put_tombstone(gw: &Gateway, caller: &Caller, id: &JobId, until: Instant) -> Commit {
     let lease = match gw.store.lease(TOMBSTONE_TTL).await {
         Ok(lease) => lease.id,
         Err(e) => return Commit::NotDone(e.to_string()),
     };
     let tombstone = Put {
-        key: key(&keys::tombstone(id)),
+        key: key(&keys::tombstone(id, caller.team().map(|team| &**team))),
         value: Vec::new(),
         lease,
     };
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -1,6 +1,7 @@
 //! The jobs that this daemon owns or has information on.
 
 use bluebellreel_batch::{Job, JobRecord, ProgressCopies, Stamp, StartLease, StartTerms};
+use bluebellreel_teams::Caller;
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -131,9 +132,9 @@
     /// it must not be run.
     tombstones: BTreeMap<JobId, Tombstone>,
     /// Jobs whose cancellation is still to be recorded.
-    pub(crate) pending_cancellations: BTreeSet<JobId>,
+    pub(crate) pending_cancellations: BTreeSet<(JobId, Caller)>,
     /// Those pending cancellations that this stopping daemon has forwarded or is forwarding.
-    pub(super) forwarded_cancellations: BTreeSet<JobId>,
+    pub(super) forwarded_cancellations: BTreeSet<(JobId, Caller)>,
     /// Progress of the items of peers' jobs, for which this daemon is the successor.
     pub(crate) copies: ProgressCopies,
     /// Wakes the task that scans for jobs without an owner.
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -48,7 +48,9 @@
             jobs::body_of_own(&gw, &caller, &JobId::from(*id), item)
         }
         (&Method::DELETE, ["jobs", id]) => jobs::cancel_own(&gw, &caller, &JobId::from(*id)).await,
-        (&Method::PUT, ["jobs", id, "end"]) => jobs::take_cancellation(&gw, &JobId::from(*id)),
+        (&Method::PUT, ["jobs", id, "end"]) => {
+            jobs::take_cancellation(&gw, &caller, &JobId::from(*id))
+        }
         (&Method::PUT, ["jobs", id, what @ ("owner" | "progress")]) => {
             let id = JobId::from(*id);
             let is_owner = *what == "owner";
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -147,8 +147,13 @@
 }
 
 /// Requests a peer to complete the cancellation of a job.
-pub(crate) async fn forward_end(gw: &Gateway, to: SocketAddr, id: &JobId) -> Result<(), PeerError> {
-    let path = format!("/jobs/{id}/end");
+pub(crate) async fn forward_end(
+    gw: &Gateway,
+    to: SocketAddr,
+    caller: &Caller,
+    id: &JobId,
+) -> Result<(), PeerError> {
+    let path = format!("{}/jobs/{id}/end", path_prefix(caller));
     let (status, _) = call(gw, to, Method::PUT, &path, Bytes::new(), CALL_TIMEOUT).await?;
     if status != StatusCode::OK {
         return Err(format!("status {status}"));
--- a/crates/bluebellreel_teams/src/allowance.rs
+++ b/crates/bluebellreel_teams/src/allowance.rs
@@ -128,7 +128,7 @@
 }
 
 impl Allowances {
-    /// Creates buckets that are empty.
+    /// Creates the state of a gateway that has just started.
     #[must_use]
     pub fn new(tolerance: Tolerance) -> Self {
         Self {
--- a/crates/bluebellreel_teams/src/caller.rs
+++ b/crates/bluebellreel_teams/src/caller.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 /// The identity of a caller of the job API.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Caller {
     /// The configuration has no teams, so that every caller may access every job.
     Unrestricted,
