Move the fleet model of rate limits to the model package; plainer names in reports

Cause: a model of gateways, reports and faults is more than a test, and two names of the reports said nothing to a newcomer. No behaviour changes.

--- a/crates/bluebellreel_gateway/src/quarantine_gate.rs
+++ b/crates/bluebellreel_gateway/src/quarantine_gate.rs
@@ -38,7 +38,7 @@
 /// Permission to send a request to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Permit {
-    /// Without restriction.
+    /// The request may run without restriction.
     Normal,
     /// As a trial; see [`Trial::begin`].
     TrialOnly(Fingerprint),
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -19,7 +19,7 @@
 pub(crate) use catch_up::compare_lists;
 use interval::min_report_interval;
 use log::{info, warn};
-use parts::{Freshness, Limits, Trailer};
+use parts::{Extensions, Freshness, Limits};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -94,7 +94,7 @@
     let full = append_checksum(postcard::to_allocvec(&(
         report,
         supplement,
-        Trailer::own(gw),
+        Extensions::own(gw),
     ))?);
     let now = gw.now();
     if last.urgent.as_ref() == Some(&urgent) && !last.full_due.is_past(now) {
@@ -132,9 +132,9 @@
         };
         match wire::read(&buf[..length]) {
             Ok(Datagram::Full(report, ..)) if report.entry == *gw.me() => {}
-            Ok(Datagram::Full(report, supplement, trailer)) => {
+            Ok(Datagram::Full(report, supplement, extensions)) => {
                 senders.note(&report.entry, report.run);
-                apply_report(&gw, *report, supplement, trailer, &is_asking);
+                apply_report(&gw, *report, supplement, extensions, &is_asking);
             }
             Ok(Datagram::Brief(brief, limits)) => {
                 // Briefs of an unknown sender are ignored until its next full report.
@@ -172,12 +172,14 @@
     gw: &Rc<Gateway>,
     report: Report,
     supplement: Supplement,
-    trailer: Trailer,
+    extensions: Extensions,
     is_asking: &Rc<Cell<bool>>,
 ) {
     let now = gw.now();
-    trailer.warnings.take(&mut gw.suspects.borrow_mut(), now);
-    trailer.limits.take(gw, &report.entry, report.run);
+    extensions
+        .crash_notices
+        .take(&mut gw.suspects.borrow_mut(), now);
+    extensions.limits.take(gw, &report.entry, report.run);
     let reads_briefs = supplement.reads_briefs;
     if let Some(sender_data_centre) = supplement.sender_data_centre.clone() {
         gw.board
@@ -203,8 +205,8 @@
         gw,
         report,
         reads_briefs,
-        trailer.freshness,
-        trailer.list,
+        extensions.freshness,
+        extensions.list,
         now,
     );
     for job in &cancelled {
--- a/crates/bluebellreel_gateway/src/reports/parts.rs
+++ b/crates/bluebellreel_gateway/src/reports/parts.rs
@@ -17,18 +17,18 @@
 
 /// All these parts, in the order of encoding.
 #[derive(Default, Serialize)]
-pub(super) struct Trailer {
-    pub(super) warnings: Warnings,
+pub(super) struct Extensions {
+    pub(super) crash_notices: CrashNotices,
     pub(super) freshness: Freshness,
     /// Digest of the sender's list of workers.
     pub(super) list: WorkerList,
     pub(super) limits: Limits,
 }
 
-impl Trailer {
+impl Extensions {
     pub(super) fn own(gw: &Gateway) -> Self {
         Self {
-            warnings: Warnings::own(gw),
+            crash_notices: CrashNotices::own(gw),
             freshness: Freshness::own(gw),
             list: gw.cluster_state.borrow().list(),
             limits: Limits::own(gw, false),
@@ -39,13 +39,13 @@
 /// The part after the supplement: crashes of workers, and the requests that ran there. At
 /// most about 500 bytes.
 #[derive(Default, Serialize, Deserialize)]
-pub(super) struct Warnings {
+pub(super) struct CrashNotices {
     crashes: Vec<Crash>,
     /// Requests of which trial runs are in progress.
     trials: Vec<Fingerprint>,
 }
 
-/// The part after the warnings. Daemons of the previous version ignore it.
+/// The part after the crash notices. Daemons of the previous version ignore it.
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub(super) struct Freshness {
     /// How long ago the store last answered the sender.
@@ -108,7 +108,7 @@
     cleared: bool,
 }
 
-impl Warnings {
+impl CrashNotices {
     /// The crashes and trials that this daemon reports.
     pub(super) fn own(gw: &Gateway) -> Self {
         if gw.suspects.borrow().is_empty() {
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -7,7 +7,7 @@
 //! Each datagram ends with a checksum of the preceding bytes. Daemons of earlier versions
 //! ignore the bytes after a message, and send no checksum.
 
-use super::parts::{Limits, Trailer};
+use super::parts::{Extensions, Limits};
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{Boot, PeerLoad, PeerRuns, Running, WorkerTag};
 use bluebellreel_members::{PEER_TIMEOUT, Revisions};
@@ -98,7 +98,7 @@
 
 /// A decoded datagram.
 pub(super) enum Datagram {
-    Full(Box<Report>, Supplement, Trailer),
+    Full(Box<Report>, Supplement, Extensions),
     Brief(Brief, Limits),
 }
 
@@ -260,12 +260,12 @@
     }
     let (report, rest) = postcard::take_from_bytes::<Report>(datagram)?;
     let (supplement, rest) = optional(rest)?;
-    let (warnings, rest) = optional(rest)?;
+    let (crash_notices, rest) = optional(rest)?;
     let (freshness, rest) = optional(rest)?;
     let (list, rest) = optional(rest)?;
     let (limits, rest) = optional(rest)?;
-    let parts = Trailer {
-        warnings,
+    let parts = Extensions {
+        crash_notices,
         freshness,
         list,
         limits,
--- a/crates/bluebellreel_model/src/lib.rs
+++ b/crates/bluebellreel_model/src/lib.rs
@@ -7,7 +7,8 @@
 //! numbered segments in which a gateway records results, [`snapshot`] a gateway that
 //! runs on a snapshot from a keeper, and [`restart`] a worker that restarts under the
 //! same id. [`owner_reads`] covers the results that owners report to readers, and
-//! drives the real batch functions.
+//! drives the real batch functions. [`rates`] covers the rate limit of a team over all
+//! gateways, and drives the real allowances.
 //!
 //! Each guard of the protocol can be disabled, which shows that the checker finds the
 //! violation that the guard prevents.
@@ -23,6 +24,7 @@
 mod explored;
 pub mod owner_reads;
 pub mod ownership;
+pub mod rates;
 pub mod restart;
 pub mod segments;
 pub mod snapshot;
