--- a/crates/bluebellreel_gateway/src/lease.rs
+++ b/crates/bluebellreel_gateway/src/lease.rs
@@ -4,7 +4,7 @@
 use crate::jobs;
 use crate::registration::own_key;
 use bluebellreel_batch::Stamp;
-use bluebellreel_kv::{Commit, Compare, KvError, Put, Txn};
+use bluebellreel_kv::{Commit, Compare, Key, KeyValue, KvError, Put, Txn};
 use bluebellreel_members::MemberEntry;
 use log::{info, warn};
 use std::rc::Rc;
@@ -80,8 +80,13 @@
         value,
         lease: lease.id,
     };
+    let mut guard = Compare::Absent(put.key.clone());
     for _ in 0..MAX_TRIES {
-        let txn = entry_txn(gw, put.clone()).await?;
+        let txn = Txn {
+            compares: vec![guard],
+            puts: vec![put.clone()],
+            ..Txn::default()
+        };
         let sent = gw.stamp();
         match gw.store.commit(&txn, Instant::now() + ttl).await {
             Commit::Applied { revision } => {
@@ -89,8 +94,9 @@
                 record_renewal(gw, sent);
                 return Ok(lease.id);
             }
-            // Another write came first: possibly this daemon's own, whose answer was lost.
-            Commit::Beaten(_) => {}
+            // The entry of an earlier incarnation, or this daemon's own, if the answer to
+            // its write was lost.
+            Commit::Beaten(found) => guard = guard_of(&put.key, &found),
             Commit::NotDone(reason) => return Err(KvError::NotDone(reason)),
             Commit::Unknown(reason) => return Err(KvError::Unknown(reason)),
         }
@@ -100,21 +106,14 @@
     ))
 }
 
-/// A write that replaces the current entry under this daemon's name, guarded by the
-/// revision of that entry: the newest incarnation of a name is the valid one. Without the
-/// guard, a delayed write of an earlier incarnation would replace the entry, which would
-/// then expire with that incarnation's lease.
-async fn entry_txn(gw: &Gateway, put: Put) -> Result<Txn, KvError> {
-    let key = put.key.clone();
-    let guard = match gw.store.read(&key).await? {
-        Some(kv) => Compare::Unchanged(key, kv.revision),
-        None => Compare::Absent(key),
-    };
-    Ok(Txn {
-        compares: vec![guard],
-        puts: vec![put],
-        ..Txn::default()
-    })
+/// A guard on the current entry: the newest incarnation of a name is the valid one.
+/// Without the guard, a delayed write of an earlier incarnation would replace the entry,
+/// which would then expire with that incarnation's lease.
+fn guard_of(key: &Key, found: &[KeyValue]) -> Compare {
+    match found.iter().find(|kv| kv.key == *key) {
+        Some(kv) => Compare::Unchanged(key.clone(), kv.revision),
+        None => Compare::Absent(key.clone()),
+    }
 }
 
 /// Releases the lease, so that the other daemons notice the shutdown at once.
