--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -168,8 +168,29 @@
     }
 }
 
-fn rendezvous_score(entry: &EntryName, worker: &WorkerName) -> u64 {
-    XxHash64::oneshot(0, format!("{entry}/{worker}").as_bytes())
+/// A daemon that may own free slots.
+struct Claimant<'a> {
+    /// Hash of its name.
+    seed: u64,
+    /// Its data centre; none if it is unknown or does not count.
+    data_centre: Option<&'a DataCentre>,
+}
+
+impl<'a> Claimant<'a> {
+    fn new(name: &EntryName, data_centre: Option<&'a DataCentre>) -> Self {
+        Self {
+            seed: XxHash64::oneshot(0, name.as_str().as_bytes()),
+            data_centre,
+        }
+    }
+
+    /// Its rank for a worker's free slots, by rendezvous hashing; the highest one owns
+    /// them.
+    fn rank(&self, worker: &WorkerRecord) -> (bool, u64) {
+        let is_local = self.data_centre == Some(&worker.data_centre);
+        let score = XxHash64::oneshot(self.seed, worker.id.as_str().as_bytes());
+        (is_local, score)
+    }
 }
 
 /// Chooses a worker with a free slot for a batch item.
@@ -189,8 +210,12 @@
     let allowed = board
         .ready_workers(query.service)
         .filter(|s| s.breaker.allows(query.now));
-    let (ours, others): (Vec<&WorkerView>, Vec<&WorkerView>) =
-        allowed.partition(|s| owns_free_slots(board, me, &s.record));
+    let (own, peers) = claimants(board, me);
+    let owns = |s: &&WorkerView| {
+        let mine = own.rank(&s.record);
+        peers.iter().all(|peer| peer.rank(&s.record) < mine)
+    };
+    let (ours, others): (Vec<&WorkerView>, Vec<&WorkerView>) = allowed.partition(owns);
     let free: u32 = ours.iter().map(|s| s.free()).sum();
     let online: u32 = ours.iter().map(|s| s.running().online).sum();
     let reserve = (online * board.limits.reserve_percent).div_ceil(100);
@@ -248,21 +273,16 @@
         .map(|s| s.record.id.clone())
 }
 
-/// Whether a worker's free slots belong to daemon `me`. While the data centre of some
-/// peer is unknown, data centres are ignored: two daemons that do not know each other's
-/// data centre would both consider themselves the only local one.
-fn owns_free_slots(board: &Board, me: &EntryName, worker: &WorkerRecord) -> bool {
-    let worker_data_centre = &worker.data_centre;
-    let mut peers = board.peers_with_items().filter(|peer| *peer != me);
-    let all_located = board
-        .peers_with_items()
-        .all(|peer| peer == me || board.data_centre_of(peer).is_some());
-    let rank = |name: &EntryName, located_in: Option<&DataCentre>| {
-        let is_local = all_located && located_in == Some(worker_data_centre);
-        (is_local, rendezvous_score(name, &worker.id))
-    };
-    let mine = rank(me, Some(&board.local));
-    peers.all(|peer| rank(peer, board.data_centre_of(peer)) < mine)
+/// Daemon `me` and the peers that have items waiting. While the data centre of some peer
+/// is unknown, data centres are ignored: two daemons that do not know each other's data
+/// centre would both consider themselves the only local one.
+fn claimants<'a>(board: &'a Board, me: &EntryName) -> (Claimant<'a>, Vec<Claimant<'a>>) {
+    let peers = || board.peers_with_items().filter(|peer| *peer != me);
+    let all_located = peers().all(|peer| board.data_centre_of(peer).is_some());
+    let own = Claimant::new(me, all_located.then_some(&board.local));
+    let located = |peer| board.data_centre_of(peer).filter(|_| all_located);
+    let peers = peers().map(|peer| Claimant::new(peer, located(peer)));
+    (own, peers.collect())
 }
 
 /// One batch run of this daemon.
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -25,7 +25,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Limit on the wait for the head of a worker's response to an item.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(900);
@@ -39,12 +39,16 @@
 pub(crate) async fn start_items(gw: Rc<Gateway>) {
     /// Interval between checks when nothing wakes the task.
     const POLL_INTERVAL: Duration = Duration::from_millis(50);
+    /// Minimum interval between checks. Each report of a peer wakes the task, hundreds of
+    /// times a second in a large fleet, and a check looks at all workers.
+    const MIN_INTERVAL: Duration = Duration::from_millis(10);
     loop {
         // A timeout triggers the next periodic check.
         let _ = timeout(POLL_INTERVAL, gw.batch_due.notified()).await;
         if !gw.stopping.get() {
             fill_slots(&gw);
         }
+        sleep(MIN_INTERVAL).await;
     }
 }
 
