--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -9,6 +9,7 @@
 use crate::workers::apply_workers;
 use bluebellreel_dispatch::WorkerRecord;
 use bluebellreel_kv::{Key, KeyValue, KvError, Txn, WatchEvent};
+use bluebellreel_members::{Lag, Revisions};
 use bluebellreel_platform::store::Watched;
 use bluebellreel_platform::{decode_worker, keys};
 use bluebellreel_types::{Moment, WorkerName};
@@ -59,6 +60,8 @@
 
 /// The operations by which a watched prefix is processed.
 struct WatchHandler {
+    /// The prefix's own revision among several.
+    revision: fn(Revisions) -> i64,
     /// Returns the revision up to which all changes were processed.
     seen: fn(&Gateway) -> i64,
     /// Processes a complete list of the prefix.
@@ -73,6 +76,7 @@
 }
 
 const OPERATOR: WatchHandler = WatchHandler {
+    revision: |revisions| revisions.configuration,
     seen: |gw| gw.cluster_state.borrow().operator_seen,
     listed: operator_listed,
     changed: |gw, event| {
@@ -86,6 +90,7 @@
 };
 
 const WORKERS: WatchHandler = WatchHandler {
+    revision: |revisions| revisions.workers,
     seen: |gw| gw.cluster_state.borrow().catalog.revision(),
     listed: workers_listed,
     changed: |gw, event| worker_changed(gw, event),
@@ -216,29 +221,12 @@
     Some((WorkerName::from(id), record))
 }
 
-/// How long a daemon that does not watch may lack changes that a peer knows, before it
-/// reads the store itself. Peers answer requests for changes within a few milliseconds;
-/// one of another version, or one that is unreachable, may never answer.
-const MAX_STALENESS: Duration = Duration::from_secs(1);
-
-/// Whether this daemon has lacked changes that a peer has for longer than
-/// [`MAX_STALENESS`]. `since` holds the time at which it was first found to lack some.
-fn is_stale(gw: &Gateway, since: &Cell<Option<Moment>>) -> bool {
-    let now = gw.now();
-    let lacks = {
-        let cluster_state = gw.cluster_state.borrow();
-        let members = gw.members.borrow();
-        members
-            .alive_peers(now)
-            .any(|(_, p)| cluster_state.lacks(p.revisions))
-    };
-    if !lacks {
-        since.set(None);
-        return false;
-    }
-    let begun = since.get().unwrap_or(now);
-    since.set(Some(begun));
-    (begun + MAX_STALENESS).is_past(now)
+/// The newest revision of a prefix that peers report.
+fn newest_reported(gw: &Gateway, handler: &WatchHandler) -> i64 {
+    let members = gw.members.borrow();
+    let peers = members.alive_peers(gw.now());
+    let revisions = peers.map(|(_, peer)| (handler.revision)(peer.revisions));
+    revisions.max().unwrap_or(0)
 }
 
 /// Delay after which a daemon that has become a watcher lists the prefix once. It may know
@@ -272,7 +260,7 @@
 /// callers of a new route would get 404 in the meantime.
 async fn follow(gw: &Rc<Gateway>, prefix: Key, handler: &WatchHandler) {
     let failing_since = Cell::new(None::<Moment>);
-    let stale_since = Cell::new(None::<Moment>);
+    let mut lag = Lag::default();
     let mut must_list = true;
     let mut reconnections = 0;
     let mut succession = Succession::default();
@@ -289,7 +277,9 @@
         let known = is_confirmed && (handler.seen)(gw) > 0;
         let is_elected = is_watcher(gw);
         must_list |= succession.is_list_due(is_elected, gw.now());
-        if known && !relist && !is_elected && !is_stale(gw, &stale_since) {
+        let own = (handler.revision)(gw.cluster_state.borrow().seen());
+        let lags = lag.is_overdue(own, newest_reported(gw, handler), gw.now());
+        if known && !relist && !is_elected && !lags {
             // State fetched from a peer meanwhile is complete up to its revision.
             must_list = false;
             sleep(CHECK_INTERVAL).await;
--- a/crates/bluebellreel_members/src/lib.rs
+++ b/crates/bluebellreel_members/src/lib.rs
@@ -17,11 +17,13 @@
 //! ```
 
 mod divergence;
+mod lag;
 mod members;
 mod peer;
 mod unclaimed;
 
 pub use divergence::{Divergence, SyncRequest};
+pub use lag::Lag;
 pub use members::Members;
 pub use peer::{
     MemberEntry, PEER_RETENTION, PEER_TIMEOUT, Peer, Presence, Revisions, STORE_ANSWER_MAX_AGE,
