--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::jobs::own::Jobs;
 use crate::keeper_visits::Keepers;
 use crate::metrics::Metrics;
+use crate::reports::Discoveries;
 use crate::store::StoreClient;
 use crate::suspension::time_suspended;
 use crate::unreadable::Unreadable;
@@ -90,6 +91,8 @@
     pub(crate) ended: Cell<bool>,
     /// Callers' requests that are being answered.
     pub(crate) in_progress: Rc<InProgress>,
+    /// Peers discovered recently.
+    pub(crate) discoveries: RefCell<Discoveries>,
     /// Wakes the task that sends reports to peers.
     pub(crate) report_due: Notify,
     /// Wakes the task that starts batch items.
@@ -153,6 +156,7 @@
             refusing: Cell::new(false),
             ended: Cell::new(false),
             in_progress: Rc::default(),
+            discoveries: RefCell::default(),
             report_due: Notify::new(),
             batch_due: Notify::new(),
             confirmation_due: Notify::new(),
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -6,6 +6,7 @@
 //! one is compensated by the next.
 
 mod catch_up;
+mod discoveries;
 mod interval;
 mod parts;
 mod wire;
@@ -17,6 +18,7 @@
 use bluebellreel_types::{EntryName, Incarnation, Moment};
 use catch_up::catch_up;
 pub(crate) use catch_up::compare_lists;
+pub(crate) use discoveries::Discoveries;
 use interval::min_report_interval;
 use log::{info, warn};
 use parts::{Extensions, Freshness, Limits};
@@ -258,7 +260,7 @@
         // The jobs of the peer's previous incarnation have no owner now.
         gw.jobs.borrow().orphans_due.notify_one();
     }
-    if is_new_incarnation {
+    if is_new_incarnation && gw.discoveries.borrow_mut().note(gw.now()) {
         info!(target: "members", peer:% = report.entry, run:% = report.run; "peer discovered");
     }
 }
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -163,6 +163,10 @@
     gw.workers.sweep();
     gw.peers.sweep();
     gw.members.borrow_mut().sweep(now);
+    let unlogged = gw.discoveries.borrow_mut().take_unlogged(now);
+    if let Some(count) = unlogged {
+        info!(target: "members", count; "more peers discovered");
+    }
     update_isolation(gw, now);
     if gw.members.borrow_mut().has_lost_peer(now) {
         gw.jobs.borrow().orphans_due.notify_one();
--- a/crates/bluebellreel_gateway/src/workers.rs
+++ b/crates/bluebellreel_gateway/src/workers.rs
@@ -6,6 +6,10 @@
 use bluebellreel_types::WorkerName;
 use log::info;
 
+/// Maximum number of changes that are logged one by one. A daemon that starts finds all
+/// workers of the fleet at once.
+const MAX_LOGGED: usize = 8;
+
 /// Applies changes of the workers' list to the board, and logs them with the source
 /// that they came from.
 pub(crate) fn apply_workers(gw: &Gateway, source: &str) {
@@ -13,6 +17,22 @@
     let revision = cluster_state.catalog.newest();
     let changes = gw.board.borrow_mut().apply_catalog(&cluster_state.catalog);
     drop(cluster_state);
+    if changes.len() > MAX_LOGGED {
+        let gone = changes.iter().filter(|(_, c)| *c == WorkerChange::Left);
+        info!(target: "facts", listed = changes.len() - gone.clone().count(), gone = gone.count(), revision, source; "many workers changed");
+    } else {
+        log_changes(&changes, revision, source);
+    }
+    for (worker, change) in &changes {
+        if let WorkerChange::Restarted(_) = change {
+            drop_stale_connections(gw, worker);
+        }
+    }
+    gw.batch_due.notify_one();
+    preempt_batch_runs(gw);
+}
+
+fn log_changes(changes: &[(WorkerName, WorkerChange)], revision: i64, source: &str) {
     for (worker, change) in changes {
         match change {
             WorkerChange::Listed(state) => {
@@ -20,15 +40,12 @@
             }
             WorkerChange::Restarted(state) => {
                 info!(target: "facts", worker:% = worker, state:? = state, revision, source; "worker started again");
-                drop_stale_connections(gw, &worker);
             }
             WorkerChange::Left => {
                 info!(target: "facts", worker:% = worker, revision, source; "worker gone");
             }
         }
     }
-    gw.batch_due.notify_one();
-    preempt_batch_runs(gw);
 }
 
 /// Drops the idle connections to a worker's previous incarnation, which are dead, and
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -19,7 +19,7 @@
 /// the reason why the request has no final event: callers wait for five seconds.
 const ALIVE_AFTER: Duration = Duration::from_secs(5);
 /// Events about the environment of a process, unrelated to a single request.
-const CONTEXT_EVENTS: [&str; 16] = [
+const CONTEXT_EVENTS: [&str; 18] = [
     "started",
     "stopping",
     "stop goes on",
@@ -27,11 +27,13 @@
     "configuration in force",
     "worker listed",
     "worker gone",
+    "many workers changed",
     "worker no longer listed",
     "workers read",
     "store lost",
     "store regained",
     "peer discovered",
+    "more peers discovered",
     "own entry has vanished, registering again",
     "lease has ended",
     "facts taken over",
