--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use bluebellreel_batch::{RegistrationSpan, Stamp, StartTerms};
 use bluebellreel_dispatch::{Board, Configuration, Overloads, PlacementLimits, Suspects};
 use bluebellreel_kv::KeyValue;
-use bluebellreel_members::Members;
+use bluebellreel_members::{Members, WatchDuty};
 use bluebellreel_net::{Pool, PoolLimits};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_teams::{Allowances, Confirmation, RevocationTerms};
@@ -56,6 +56,8 @@
     /// Requests whose runs have crashed workers.
     pub(crate) suspects: RefCell<Suspects>,
     pub(crate) members: RefCell<Members>,
+    /// This daemon's part in elections of watchers.
+    pub(crate) watch_duty: RefCell<WatchDuty>,
     /// Rate limits of teams.
     pub(crate) allowances: RefCell<Allowances>,
     /// When the configuration was last confirmed to be the newest one.
@@ -133,6 +135,7 @@
             overloads: RefCell::default(),
             suspects: RefCell::default(),
             members: RefCell::default(),
+            watch_duty: RefCell::default(),
             allowances: RefCell::new(Allowances::new(settings.rate_tolerance)),
             confirmation: Cell::default(),
             revocation: settings.revoke_within.map(RevocationTerms::within),
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -5,6 +5,7 @@
 //! reads those of the others.
 
 use crate::gateway::Gateway;
+use crate::reports;
 use bluebellreel_batch::Owner;
 use bluebellreel_kv::{Compare, Key, KeyValue, KvError};
 use bluebellreel_members::MemberEntry;
@@ -74,6 +75,9 @@
             (Ok(()), 0) => LIST_INTERVAL,
         };
         early = early.saturating_sub(u32::from(listed.is_ok()));
+        if listed.is_ok() {
+            stand_for_election(&gw, early);
+        }
         if let Err(e) = listed {
             warn!(target: "members", error:% = e; "entries not read");
         }
@@ -81,6 +85,23 @@
     }
 }
 
+/// Makes this daemon a candidate in elections of watchers once it knows its peers: after
+/// the early reads, or at once if it has no peers.
+fn stand_for_election(gw: &Gateway, reads_left: u32) {
+    let peers = gw.members.borrow().peers().count();
+    let is_alone = peers == 0 && !has_seeds(gw);
+    if is_alone || reads_left == 0 {
+        let report_time = reports::report_time(peers);
+        gw.watch_duty.borrow_mut().stand(report_time, gw.now());
+    }
+}
+
+/// Whether the settings name other daemons.
+fn has_seeds(gw: &Gateway) -> bool {
+    let own = gw.settings.advertised_peers();
+    gw.seeds.borrow().iter().any(|seed| *seed != own)
+}
+
 /// Reads the entries of all daemons and updates the members. If this daemon's own
 /// entry is missing, it registers again.
 pub(crate) async fn read_members(gw: &Rc<Gateway>) -> Result<(), KvError> {
--- a/crates/bluebellreel_gateway/src/reports/interval.rs
+++ b/crates/bluebellreel_gateway/src/reports/interval.rs
@@ -1,5 +1,6 @@
 //! The minimum interval between a daemon's reports.
 
+use super::HEARTBEAT;
 use std::time::Duration;
 
 /// Minimum interval between reports to few peers. Two daemons that choose a worker within
@@ -11,6 +12,12 @@
 /// Number of peers from which on the interval grows with their number.
 const MANY_PEERS: usize = 8;
 
+/// Time within which a report reaches all of this number of peers, and theirs reach the
+/// sender.
+pub(crate) fn report_time(peers: usize) -> Duration {
+    (HEARTBEAT + min_report_interval(peers)) * 2
+}
+
 /// Minimum interval between reports to this number of peers.
 pub(super) fn min_report_interval(peers: usize) -> Duration {
     if peers < MANY_PEERS {
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -20,8 +20,9 @@
 pub(crate) use catch_up::compare_lists;
 pub(crate) use discoveries::Discoveries;
 use interval::min_report_interval;
+pub(crate) use interval::report_time;
 use log::{info, warn};
-use parts::{Extensions, Freshness, Limits};
+use parts::{Extensions, Freshness, Limits, Roles};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -207,8 +208,7 @@
         gw,
         report,
         reads_briefs,
-        extensions.freshness,
-        extensions.list,
+        (extensions.freshness, extensions.list, extensions.roles),
         now,
     );
     for job in &cancelled {
@@ -231,8 +231,7 @@
     gw: &Gateway,
     report: Report,
     reads_briefs: bool,
-    freshness: Freshness,
-    list: WorkerList,
+    (freshness, list, roles): (Freshness, WorkerList, Roles),
     now: Moment,
 ) {
     let peer = Peer {
@@ -251,6 +250,7 @@
         revisions: report.revisions,
         list,
         reads_briefs,
+        is_candidate: roles.is_candidate(),
     };
     let mut members = gw.members.borrow_mut();
     let has_restarted = members.knows_other_run(&report.entry, report.run);
--- a/crates/bluebellreel_gateway/src/reports/parts.rs
+++ b/crates/bluebellreel_gateway/src/reports/parts.rs
@@ -23,6 +23,7 @@
     /// Digest of the sender's list of workers.
     pub(super) list: WorkerList,
     pub(super) limits: Limits,
+    pub(super) roles: Roles,
 }
 
 impl Extensions {
@@ -32,6 +33,7 @@
             freshness: Freshness::own(gw),
             list: gw.cluster_state.borrow().list(),
             limits: Limits::own(gw, false),
+            roles: Roles::own(gw),
         }
     }
 }
@@ -81,6 +83,25 @@
     }
 }
 
+/// The part after the limits: what the sender does for its peers.
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
+pub(super) struct Roles {
+    /// Whether the sender takes part in elections of watchers; none if it does not say.
+    is_candidate: Option<bool>,
+}
+
+impl Roles {
+    fn own(gw: &Gateway) -> Self {
+        Self {
+            is_candidate: Some(gw.watch_duty.borrow().is_candidate()),
+        }
+    }
+
+    pub(super) fn is_candidate(self) -> bool {
+        self.is_candidate.unwrap_or(true)
+    }
+}
+
 impl Freshness {
     pub(super) fn own(gw: &Gateway) -> Self {
         let ago = gw.store.since_last_answer();
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -264,11 +264,13 @@
     let (freshness, rest) = optional(rest)?;
     let (list, rest) = optional(rest)?;
     let (limits, rest) = optional(rest)?;
+    let (roles, rest) = optional(rest)?;
     let parts = Extensions {
         crash_notices,
         freshness,
         list,
         limits,
+        roles,
     };
     let full = Datagram::Full(Box::new(report), supplement, parts);
     Ok((full, rest))
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -41,10 +41,14 @@
 /// How long the write that reports a VM as empty is retried.
 const REPORT_EMPTY_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Whether this daemon is one of the elected watchers.
+/// Whether this daemon watches the store for all.
 pub(crate) fn is_watcher(gw: &Gateway) -> bool {
-    let members = gw.members.borrow();
-    members.is_watcher(gw.me(), !gw.store.is_lost(), gw.now())
+    let now = gw.now();
+    let is_elected = {
+        let members = gw.members.borrow();
+        members.is_watcher(gw.me(), !gw.store.is_lost(), now)
+    };
+    gw.watch_duty.borrow_mut().watches(is_elected, now)
 }
 
 /// Follows the operators' prefix: keeps the configuration current, and answers requests
--- a/crates/bluebellreel_members/src/lib.rs
+++ b/crates/bluebellreel_members/src/lib.rs
@@ -21,6 +21,7 @@
 mod members;
 mod peer;
 mod unclaimed;
+mod watch_duty;
 
 pub use divergence::{Divergence, SyncRequest};
 pub use lag::Lag;
@@ -29,3 +30,4 @@
     MemberEntry, PEER_RETENTION, PEER_TIMEOUT, Peer, Presence, Revisions, STORE_ANSWER_MAX_AGE,
     WorkerList,
 };
+pub use watch_duty::WatchDuty;
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -95,7 +95,7 @@
     pub fn watchers(&self, now: Moment) -> impl Iterator<Item = &Peer> {
         let able = self
             .alive_with_store(now)
-            .filter(|(_, p)| !p.stopping && p.has_recent_store_answer(now));
+            .filter(|(_, p)| p.may_watch() && p.has_recent_store_answer(now));
         let mut able: Vec<(&EntryName, &Peer)> = able.collect();
         able.sort_by_key(|(name, _)| std::cmp::Reverse(rank(name)));
         able.into_iter().take(WATCHERS).map(|(_, peer)| peer)
@@ -161,14 +161,14 @@
     }
 
     /// Whether daemon `me` watches the store for the others. The watchers are the first
-    /// daemons by rank that are alive, are not stopping and reach the store. Daemons
+    /// candidates by rank that are alive, are not stopping and reach the store. Daemons
     /// whose last answer from the store is old do not count, as they may be cut off
     /// from it without noticing.
     #[must_use]
     pub fn is_watcher(&self, me: &EntryName, reaches_store: bool, now: Moment) -> bool {
         // A stopping daemon is excluded at once; otherwise it would be replaced only
         // after its silence is noticed.
-        let mut others = self.alive_with_store(now).filter(|(_, p)| !p.stopping);
+        let mut others = self.alive_with_store(now).filter(|(_, p)| p.may_watch());
         if !reaches_store {
             return others.next().is_none();
         }
--- a/crates/bluebellreel_members/src/peer.rs
+++ b/crates/bluebellreel_members/src/peer.rs
@@ -116,6 +116,9 @@
     pub reaches_store: bool,
     /// Whether it accepts short reports; daemons of earlier versions do not.
     pub reads_briefs: bool,
+    /// Whether it takes part in elections of watchers. Daemons of earlier versions always
+    /// do.
+    pub is_candidate: bool,
 }
 
 impl Peer {
@@ -138,9 +141,15 @@
             tokens: BTreeMap::new(),
             reaches_store: true,
             reads_briefs: false,
+            is_candidate: true,
         }
     }
 
+    /// Whether it may be elected as a watcher.
+    pub(crate) fn may_watch(&self) -> bool {
+        self.is_candidate && !self.stopping
+    }
+
     /// Whether the store may have answered it recently.
     pub(crate) fn has_recent_store_answer(&self, now: Moment) -> bool {
         self.answered_at
