--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// Timeout of connecting to a worker. A connect takes a few milliseconds; after this
 /// time the worker is down, unreachable or overloaded.
@@ -93,6 +93,9 @@
     pub(crate) ended: Cell<bool>,
     /// Callers' requests that are being answered.
     pub(crate) in_progress: Rc<InProgress>,
+    /// Whether this daemon has the cluster state from its peers, or is to read it from the
+    /// store.
+    pub(crate) joined: watch::Sender<bool>,
     /// Peers discovered recently.
     pub(crate) discoveries: RefCell<Discoveries>,
     /// Wakes the task that sends reports to peers.
@@ -159,6 +162,7 @@
             refusing: Cell::new(false),
             ended: Cell::new(false),
             in_progress: Rc::default(),
+            joined: watch::Sender::new(false),
             discoveries: RefCell::default(),
             report_due: Notify::new(),
             batch_due: Notify::new(),
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod gateway;
 mod in_progress;
 mod jobs;
+mod join;
 mod keeper_visits;
 mod keepers;
 mod lease;
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -5,6 +5,7 @@
 //! reads those of the others.
 
 use crate::gateway::Gateway;
+use crate::join;
 use crate::reports;
 use bluebellreel_batch::Owner;
 use bluebellreel_kv::{Compare, Key, KeyValue, KvError};
@@ -13,6 +14,7 @@
 use log::warn;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 /// Prefix of all daemons' entries.
@@ -67,8 +69,12 @@
 /// to all members that it finds, so the others discover it without a read.
 pub(crate) async fn list_members(gw: Rc<Gateway>) {
     let mut early = EARLY_LIST_COUNT;
+    let mut join = Some(join::join(gw.clone()));
     loop {
         let listed = read_members(&gw).await;
+        if let Some(join) = join.take() {
+            spawn_local(join);
+        }
         let pause = match (&listed, early) {
             (Err(_), _) => RETRY_PAUSE,
             (Ok(()), 1..) => EARLY_LIST_INTERVAL,
@@ -97,7 +103,7 @@
 }
 
 /// Whether the settings name other daemons.
-fn has_seeds(gw: &Gateway) -> bool {
+pub(crate) fn has_seeds(gw: &Gateway) -> bool {
     let own = gw.settings.advertised_peers();
     gw.seeds.borrow().iter().any(|seed| *seed != own)
 }
--- a/crates/bluebellreel_gateway/src/reports/catch_up.rs
+++ b/crates/bluebellreel_gateway/src/reports/catch_up.rs
@@ -108,7 +108,7 @@
     }
 }
 
-fn merge_cluster_state(gw: &Gateway, shared: SharedFacts, peer: &EntryName) {
+pub(crate) fn merge_cluster_state(gw: &Gateway, shared: SharedFacts, peer: &EntryName) {
     let changed = gw
         .cluster_state
         .borrow_mut()
--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -17,7 +17,7 @@
 use bluebellreel_members::{Peer, WorkerList};
 use bluebellreel_types::{EntryName, Incarnation, Moment};
 use catch_up::catch_up;
-pub(crate) use catch_up::compare_lists;
+pub(crate) use catch_up::{compare_lists, merge_cluster_state};
 pub(crate) use discoveries::Discoveries;
 use interval::min_report_interval;
 pub(crate) use interval::report_time;
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -5,6 +5,7 @@
 //! and is not elected as a watcher. A daemon that receives no reports watches by itself.
 
 use crate::gateway::Gateway;
+use crate::join::joined;
 use crate::millis::millis;
 use crate::workers::apply_workers;
 use bluebellreel_dispatch::WorkerRecord;
@@ -54,11 +55,13 @@
 /// Follows the operators' prefix: keeps the configuration current, and answers requests
 /// to empty VMs.
 pub(crate) async fn watch_operator(gw: Rc<Gateway>) {
+    joined(&gw).await;
     follow(&gw, Key::from(keys::OPERATOR), &OPERATOR).await;
 }
 
 /// Keeps the list of workers current.
 pub(crate) async fn watch_workers(gw: Rc<Gateway>) {
+    joined(&gw).await;
     follow(&gw, Key::from(keys::WORKERS), &WORKERS).await;
 }
 
--- a/crates/bluebellreel_members/src/lib.rs
+++ b/crates/bluebellreel_members/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod divergence;
+mod joining;
 mod lag;
 mod members;
 mod peer;
@@ -24,6 +25,7 @@
 mod watch_duty;
 
 pub use divergence::{Divergence, SyncRequest};
+pub use joining::reads_store_at;
 pub use lag::Lag;
 pub use members::Members;
 pub use peer::{
--- a/crates/bluebellreel_members/tests/watch_duty.rs
+++ b/crates/bluebellreel_members/tests/watch_duty.rs
@@ -10,7 +10,7 @@
 /// Time after which a starting daemon has read the registrations twice.
 const STANDS_AFTER: Duration = Duration::from_millis(1500);
 /// Time within which each daemon's reports reach all others.
-const REPORT_TIME: Duration = Duration::from_millis(1000);
+const REPORT_TIME: Duration = Duration::from_secs(1);
 
 fn name(n: usize) -> EntryName {
     EntryName::from(format!("entry-{n}"))
@@ -64,7 +64,8 @@
 #[test]
 fn few_daemons_watch_while_a_fleet_starts() {
     for daemons in [3, 30, 60] {
-        let started = |n: usize| START + Duration::from_millis(300) * u32::from(n % 2 == 0);
+        let started =
+            |n: usize| START + Duration::from_millis(300) * u32::from(n.is_multiple_of(2));
         let (most, last) = start(daemons, started);
         assert!(most <= 3, "{most} of {daemons}");
         assert_eq!(last, 2, "of {daemons}");
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -31,6 +31,8 @@
     pub metrics: SocketAddr,
     /// Peers to contact at the start. The list may be stale, and the peers may be down.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole installation starts for the first time.
+    pub first_start: bool,
     /// The address of the store.
     pub store: SocketAddr,
     /// Limit of the store on the size of a value, in bytes.
@@ -132,11 +134,19 @@
     store: RawStore,
     stop: RawStop,
     #[serde(default)]
+    start: RawStart,
+    #[serde(default)]
     jobs: RawJobs,
     #[serde(default)]
     teams: RawTeams,
 }
 
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct RawStart {
+    first: bool,
+}
+
 #[derive(Deserialize)]
 struct RawListen {
     requests: SocketAddr,
@@ -290,6 +300,7 @@
         advertise,
         metrics: SocketAddr::new(raw.vm.address, raw.listen.metrics_port),
         seeds: raw.peers.seeds,
+        first_start: raw.start.first,
         store: raw.store.address,
         value_bytes: raw.store.value_bytes,
         min_lease_ttl: Duration::from_millis(raw.store.shortest_lease_ms),
