--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use crate::jobs::own::Jobs;
 use crate::keeper_visits::Keepers;
 use crate::metrics::Metrics;
-use crate::reports::Discoveries;
+use crate::reports::{Discoveries, ForwardQueue};
 use crate::store::StoreClient;
 use crate::suspension::time_suspended;
 use crate::unreadable::Unreadable;
@@ -98,6 +98,8 @@
     pub(crate) joined: watch::Sender<bool>,
     /// Peers discovered recently.
     pub(crate) discoveries: RefCell<Discoveries>,
+    /// Peers' reports that wait to be forwarded.
+    pub(crate) forward_queue: RefCell<ForwardQueue>,
     /// Wakes the task that sends reports to peers.
     pub(crate) report_due: Notify,
     /// Wakes the task that starts batch items.
@@ -164,6 +166,7 @@
             in_progress: Rc::default(),
             joined: watch::Sender::new(false),
             discoveries: RefCell::default(),
+            forward_queue: RefCell::default(),
             report_due: Notify::new(),
             batch_due: Notify::new(),
             confirmation_due: Notify::new(),
--- a/crates/bluebellreel_gateway/src/join.rs
+++ b/crates/bluebellreel_gateway/src/join.rs
@@ -66,11 +66,17 @@
     }
 }
 
-/// A registered peer, at random.
+/// A registered peer, at random; preferably one of this data centre.
 fn any_peer(gw: &Gateway) -> Option<(EntryName, SocketAddr)> {
     let members = gw.members.borrow();
-    let staying = members.peers().filter(|(_, peer)| !peer.stopping);
-    let peers: Vec<_> = staying.collect();
+    let is_local = |d| d == Some(&gw.settings.data_centre);
+    let staying = || members.peers().filter(|(_, peer)| !peer.stopping);
+    let mut peers: Vec<_> = staying()
+        .filter(|(_, peer)| is_local(peer.data_centre.as_ref()))
+        .collect();
+    if peers.is_empty() {
+        peers = staying().collect();
+    }
     if peers.is_empty() {
         return None;
     }
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -75,6 +75,8 @@
     /// Share of the teams' rates that this gateway counts on, in percent.
     pub(crate) rate_share: Gauge,
     pub(crate) lines_dropped: Gauge,
+    /// Peers' reports that were not forwarded because too many waited.
+    pub(crate) reports_dropped: Counter,
     registry: Registry,
 }
 
@@ -137,6 +139,7 @@
             team_requests: add(r, "team_requests", "Requests by team", Family::default()),
             rate_share: gauge(r, "rate_share_percent", "Share of the teams' rates in use"),
             lines_dropped: gauge(r, "log_lines_dropped", "Log lines dropped unread"),
+            reports_dropped: counter(r, "reports_dropped", "Reports not forwarded"),
             registry,
         }
     }
--- a/crates/bluebellreel_gateway/src/reports/parts.rs
+++ b/crates/bluebellreel_gateway/src/reports/parts.rs
@@ -86,6 +86,8 @@
 /// The part after the limits: what the sender does for its peers.
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
 pub(super) struct Roles {
+    /// Whether the sender forwards reports.
+    pub(super) forwards: bool,
     /// Whether the sender takes part in elections of watchers; none if it does not say.
     is_candidate: Option<bool>,
 }
@@ -93,6 +95,7 @@
 impl Roles {
     fn own(gw: &Gateway) -> Self {
         Self {
+            forwards: true,
             is_candidate: Some(gw.watch_duty.borrow().is_candidate()),
         }
     }
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -22,6 +22,12 @@
 /// which is never zero.
 const BRIEF_TAG: u8 = 0;
 
+/// First byte of a full report that its recipient is asked to forward. As the length of a
+/// name it would need a second byte, and names are shorter.
+const FORWARD_TAG: u8 = 0xff;
+/// First byte of a bundle of reports, which cannot be the length of a name either.
+const BUNDLE_TAG: u8 = 0xfe;
+
 /// Length of a checksum in bytes. One in four billion invalid datagrams has a correct
 /// checksum by chance.
 const CHECKSUM_BYTES: usize = 4;
@@ -102,6 +108,53 @@
     Brief(Brief, Limits),
 }
 
+/// The reports in a datagram.
+pub(super) enum Envelope<'a> {
+    /// One report of the datagram's sender.
+    Single(&'a [u8]),
+    /// A full report of the datagram's sender, which its recipient is asked to forward.
+    Forward(&'a [u8]),
+    /// A report of the datagram's sender, followed by full reports that it forwards.
+    Bundle(Vec<&'a [u8]>),
+}
+
+/// Unpacks a datagram.
+pub(super) fn open(datagram: &[u8]) -> Result<Envelope<'_>, DecodeError> {
+    match datagram {
+        [FORWARD_TAG, report @ ..] => Ok(Envelope::Forward(report)),
+        [BUNDLE_TAG, ..] => {
+            let bytes = strip_checksum(datagram).ok_or(DecodeError::Corrupt)?;
+            Ok(Envelope::Bundle(postcard::from_bytes(&bytes[1..])?))
+        }
+        _ => Ok(Envelope::Single(datagram)),
+    }
+}
+
+/// Packs a full report that its recipient is asked to forward.
+pub(super) fn to_forward(report: &[u8]) -> Vec<u8> {
+    let mut datagram = vec![FORWARD_TAG];
+    datagram.extend_from_slice(report);
+    datagram
+}
+
+/// Packs a report of this daemon and reports that it forwards.
+pub(super) fn bundle(own: &[u8], forwarded: &[Vec<u8>]) -> Result<Vec<u8>, postcard::Error> {
+    let reports: Vec<&[u8]> = std::iter::once(own)
+        .chain(forwarded.iter().map(Vec::as_slice))
+        .collect();
+    postcard::to_extend(&reports, vec![BUNDLE_TAG]).map(append_checksum)
+}
+
+/// The sender, its incarnation and the sequence of a full report; none if the datagram is
+/// not one. Decodes no more than that.
+pub(super) fn header(report: &[u8]) -> Option<(EntryName, Incarnation, u64)> {
+    if report.first() == Some(&BRIEF_TAG) {
+        return None;
+    }
+    let (header, _) = postcard::take_from_bytes(report).ok()?;
+    Some(header)
+}
+
 /// A short identifier of a daemon's incarnation: a restarted daemon counts its reports
 /// from a new number, and briefs of its previous incarnation must not be attributed to it.
 pub(super) fn sender_tag(entry: &EntryName, run: Incarnation) -> u32 {
--- a/crates/bluebellreel_members/src/lib.rs
+++ b/crates/bluebellreel_members/src/lib.rs
@@ -16,14 +16,17 @@
 //! assert_eq!(stranger, Presence::Gone);
 //! ```
 
+mod audience;
 mod divergence;
 mod joining;
 mod lag;
 mod members;
 mod peer;
+mod report_order;
 mod unclaimed;
 mod watch_duty;
 
+pub use audience::{Audience, MAX_DIRECT_PEERS, Recipient};
 pub use divergence::{Divergence, SyncRequest};
 pub use joining::reads_store_at;
 pub use lag::Lag;
@@ -32,4 +35,5 @@
     MemberEntry, PEER_RETENTION, PEER_TIMEOUT, Peer, Presence, Revisions, STORE_ANSWER_MAX_AGE,
     WorkerList,
 };
+pub use report_order::{Path, ReportOrder};
 pub use watch_duty::WatchDuty;
--- a/crates/bluebellreel_members/src/peer.rs
+++ b/crates/bluebellreel_members/src/peer.rs
@@ -1,6 +1,6 @@
 //! State of one peer.
 
-use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
+use bluebellreel_types::{DataCentre, EntryName, Incarnation, JobId, Moment};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -116,6 +116,11 @@
     pub reaches_store: bool,
     /// Whether it accepts short reports; daemons of earlier versions do not.
     pub reads_briefs: bool,
+    /// Its data centre, if it has reported it.
+    pub data_centre: Option<DataCentre>,
+    /// Whether it forwards reports to the peers of its data centre; daemons of earlier
+    /// versions do not.
+    pub forwards: bool,
     /// Whether it takes part in elections of watchers. Daemons of earlier versions always
     /// do.
     pub is_candidate: bool,
@@ -141,6 +146,8 @@
             tokens: BTreeMap::new(),
             reaches_store: true,
             reads_briefs: false,
+            data_centre: None,
+            forwards: false,
             is_candidate: true,
         }
     }
--- a/crates/bluebellreel_model/src/lib.rs
+++ b/crates/bluebellreel_model/src/lib.rs
@@ -8,7 +8,8 @@
 //! runs on a snapshot from a keeper, and [`restart`] a worker that restarts under the
 //! same id. [`owner_reads`] covers the results that owners report to readers, and
 //! drives the real batch functions. [`rates`] covers the rate limit of a team over all
-//! gateways, and drives the real allowances.
+//! gateways, and drives the real allowances. [`reports`] covers what daemons know of each
+//! other, and drives the real choice of recipients.
 //!
 //! Each guard of the protocol can be disabled, which shows that the checker finds the
 //! violation that the guard prevents.
@@ -25,6 +26,7 @@
 pub mod owner_reads;
 pub mod ownership;
 pub mod rates;
+pub mod reports;
 pub mod restart;
 pub mod segments;
 pub mod snapshot;
