--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -9,6 +9,7 @@
 
 use crate::{Board, WorkerRecord, WorkerView};
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
+use std::collections::BTreeMap;
 use std::time::Duration;
 use twox_hash::XxHash64;
 
@@ -303,13 +304,15 @@
 /// resumes elsewhere, so the cost is processing that output and the prompt once more.
 #[must_use]
 pub fn batch_to_yield<T: Clone>(board: &Board, runs: &[BatchRun<T>]) -> Vec<T> {
+    let mut by_worker: BTreeMap<&WorkerName, Vec<&BatchRun<T>>> = BTreeMap::new();
+    for run in runs {
+        by_worker.entry(&run.worker).or_default().push(run);
+    }
     let mut yields = Vec::new();
-    for view in board.worker_views() {
-        let mut local_runs: Vec<&BatchRun<T>> =
-            runs.iter().filter(|r| r.worker == view.record.id).collect();
-        if local_runs.is_empty() {
+    for (worker, mut local_runs) in by_worker {
+        let Some(view) = board.worker_view(worker) else {
             continue;
-        }
+        };
         local_runs.sort_by_key(|r| r.events);
         let count = if view.record.state == crate::WorkerState::Draining {
             local_runs.len()
--- a/crates/bluebellreel_dispatch/tests/batch_placement.rs
+++ b/crates/bluebellreel_dispatch/tests/batch_placement.rs
@@ -54,6 +54,38 @@
     assert_eq!(batch_to_yield(&board, &runs), [0]);
 }
 
+/// The decision is made for each report of a peer, a thousand times a second in a large
+/// fleet. Guards against a cost that grows with the workers at which this daemon has no
+/// runs: among thousands of them, the same runs yield as among few.
+#[test]
+fn only_workers_with_own_runs_decide_which_runs_yield() {
+    let yields = |workers: usize| {
+        let mut board = board(workers);
+        start(&mut board, 0, Class::Batch, 2);
+        peer(&mut board, "entry-2", 1, 0, &[(0, 2, 2)]);
+        let runs: Vec<BatchRun<u64>> = (0..2)
+            .map(|n| BatchRun {
+                key: n,
+                worker: name(0),
+                events: n,
+            })
+            .collect();
+        (0..2000).map(|_| batch_to_yield(&board, &runs)).last()
+    };
+    assert_eq!(yields(3000), yields(1));
+}
+
+/// Runs at a worker that has left the table are ended elsewhere.
+#[test]
+fn runs_at_unknown_workers_do_not_yield() {
+    let run = BatchRun {
+        key: 1,
+        worker: name(9),
+        events: 1,
+    };
+    assert!(batch_to_yield(&board(1), &[run]).is_empty());
+}
+
 #[test]
 fn batch_leaves_a_worker_that_drains() {
     let mut board = board(1);
