--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -15,13 +15,15 @@
 use bluebellreel_members::{Members, WatchDuty};
 use bluebellreel_net::{Pool, PoolLimits};
 use bluebellreel_settings::GatewaySettings;
-use bluebellreel_teams::{Allowances, Confirmation, RevocationTerms};
+use bluebellreel_teams::{ActiveClasses, Allowances, Confirmation, RevocationTerms};
 use bluebellreel_types::{Clock, EntryName, Incarnation, Moment};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
@@ -60,6 +62,8 @@
     pub(crate) watch_duty: RefCell<WatchDuty>,
     /// Rate limits of teams.
     pub(crate) allowances: RefCell<Allowances>,
+    /// Classes of requests that are active, by service.
+    pub(crate) classes: RefCell<BTreeMap<Arc<str>, ActiveClasses>>,
     /// When the configuration was last confirmed to be the newest one.
     confirmation: Cell<Confirmation>,
     /// How long a confirmation allows keys; none if keys need no confirmation.
@@ -142,6 +146,7 @@
             members: RefCell::default(),
             watch_duty: RefCell::default(),
             allowances: RefCell::new(Allowances::new(settings.rate_tolerance)),
+            classes: RefCell::default(),
             confirmation: Cell::default(),
             revocation: settings.revoke_within.map(RevocationTerms::within),
             jobs: RefCell::default(),
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -36,6 +36,7 @@
 /// Answers a caller.
 pub(crate) async fn answer(gw: Rc<Gateway>, mut req: Request) -> Response<Body> {
     let mut refusals = 0;
+    req.note_class(&gw);
     loop {
         if req.left().is_zero() {
             return give_up(&gw, &req, "deadline passed");
--- a/crates/bluebellreel_gateway/src/placement.rs
+++ b/crates/bluebellreel_gateway/src/placement.rs
@@ -28,7 +28,20 @@
 /// Chooses a worker for a request that may wait in its queue for `max_wait`. Workers
 /// that were tried before are excluded.
 pub(crate) fn choose(gw: &Gateway, req: &Request, max_wait: Duration) -> Placement {
-    choose_except(gw, req, &req.tried, max_wait)
+    let placement = choose_except(gw, req, &req.tried, max_wait);
+    match &placement {
+        Placement::Send(worker) if !has_free_slot(gw, worker) => {
+            let max_wait = max_wait.min(req.wait_by_turn(gw));
+            choose_except(gw, req, &req.tried, max_wait)
+        }
+        _ => placement,
+    }
+}
+
+fn has_free_slot(gw: &Gateway, worker: &WorkerName) -> bool {
+    let board = gw.board.borrow();
+    let view = board.worker_view(worker);
+    view.is_some_and(|view| view.running().online < view.record.slots)
 }
 
 /// Chooses a worker among all except those in `avoid`; workers that were tried before
--- a/crates/bluebellreel_gateway/src/request.rs
+++ b/crates/bluebellreel_gateway/src/request.rs
@@ -6,6 +6,7 @@
 use crate::teams::{self, Credential, Denial};
 use bluebellreel_dispatch::{Fingerprint, Route, Sender, Ticket};
 use bluebellreel_platform::engine::Outgoing;
+use bluebellreel_teams::{TeamTag, Use, wait_share};
 use bluebellreel_types::{Moment, WorkerName};
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -95,6 +96,36 @@
         self.route.objective.mul_f64(MAX_QUEUEING_SHARE)
     }
 
+    /// Its priority: its team's if that has one, else the route's.
+    fn priority(&self) -> u32 {
+        let team = self.credential.as_ref().and_then(|c| c.team.priority);
+        team.unwrap_or(self.route.priority)
+    }
+
+    /// Records that a request of its class is active.
+    pub(crate) fn note_class(&self, gw: &Gateway) {
+        let mut classes = gw.classes.borrow_mut();
+        let classes = classes.entry(self.service.clone()).or_default();
+        classes.note(self.priority(), gw.now());
+    }
+
+    /// How long the request may wait in a worker's queue while slots are short.
+    pub(crate) fn wait_by_turn(&self, gw: &Gateway) -> Duration {
+        let more_urgent = {
+            let classes = gw.classes.borrow();
+            let classes = classes.get(&self.service);
+            classes.map_or(0, |c| c.more_urgent(self.priority(), gw.now()))
+        };
+        let recent = self
+            .credential
+            .as_ref()
+            .map_or(Use::default(), |credential| {
+                let team = TeamTag::of(&credential.team.name);
+                gw.allowances.borrow_mut().recent_use(team, gw.elapsed())
+            });
+        self.max_wait().mul_f64(wait_share(recent, more_urgent))
+    }
+
     /// When the first byte from a worker counts as late. For a request that cannot be
     /// sent elsewhere this is its deadline.
     pub(crate) fn first_byte_due(&self, gw: &Gateway, worker: &WorkerName) -> Instant {
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -176,6 +176,9 @@
     gw.jobs.borrow_mut().sweep(now);
     gw.keepers.borrow_mut().sweep(now);
     gw.overloads.borrow_mut().sweep(now);
+    for classes in gw.classes.borrow_mut().values_mut() {
+        classes.sweep(now);
+    }
     gw.suspects.borrow_mut().sweep(now);
     gw.board.borrow_mut().evict_expired_peers(now);
     gw.board.borrow_mut().speeds.sweep(now);
--- a/crates/bluebellreel_teams/src/allowance.rs
+++ b/crates/bluebellreel_teams/src/allowance.rs
@@ -19,7 +19,7 @@
 
 use crate::bucket::Bucket;
 use crate::share::{Share, ShareChange};
-use crate::{Limit, PEER_SILENCE, TeamTag, Teams, Tolerance};
+use crate::{Limit, PEER_SILENCE, TeamTag, Teams, Tolerance, Use};
 use bluebellreel_types::{EntryName, Incarnation, Moment};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -101,7 +101,23 @@
     heard: Moment,
     /// Number of gateways that it knows.
     gateways: usize,
-    totals: HashMap<TeamTag, (u32, Moment)>,
+    totals: HashMap<TeamTag, Counted>,
+}
+
+/// What a peer has admitted of one team's requests, as last reported.
+#[derive(Clone, Copy, Debug)]
+struct Counted {
+    total: u32,
+    recent: u32,
+    at: Moment,
+}
+
+impl Counted {
+    /// Requests admitted within the last seconds.
+    fn recent(&self, now: Moment) -> u32 {
+        let is_old = (self.at + RECENT_PERIOD * 2).is_past(now);
+        if is_old { 0 } else { self.recent }
+    }
 }
 
 /// The rate limits of all teams.
@@ -263,11 +279,16 @@
         // What a silent peer has admitted was withheld from the buckets meanwhile.
         let is_paid = !counts.is_heard(now) && !counts.totals.is_empty();
         for spent in spending {
-            let before = counts.totals.insert(spent.team, (spent.total, now));
+            let counted = Counted {
+                total: spent.total,
+                recent: spent.recent,
+                at: now,
+            };
+            let before = counts.totals.insert(spent.team, counted);
             // Negative if tokens were returned, or if reports have overtaken each other; the
             // next one then makes up for it.
             let new = match before {
-                Some((before, _)) => f64::from(spent.total.wrapping_sub(before).cast_signed()),
+                Some(before) => f64::from(spent.total.wrapping_sub(before.total).cast_signed()),
                 None => f64::from(spent.recent),
             };
             let limit = teams.and_then(|teams| teams.limit(spent.team));
@@ -291,12 +312,30 @@
         for counts in self.peers.values_mut() {
             counts
                 .totals
-                .retain(|_, (_, at)| !(*at + COUNT_RETENTION).is_past(now));
+                .retain(|_, counted| !(counted.at + COUNT_RETENTION).is_past(now));
         }
         self.peers
             .retain(|_, counts| !(counts.heard + COUNT_RETENTION).is_past(now));
     }
 
+    /// Requests that were admitted within the last seconds over all gateways, of one team
+    /// and of all.
+    pub fn recent_use(&mut self, team: TeamTag, now: Moment) -> Use {
+        let mut by_team: HashMap<TeamTag, u32> = HashMap::new();
+        for (tag, own) in &mut self.own {
+            *by_team.entry(*tag).or_default() += own.admitted.count(now);
+        }
+        for (tag, counted) in self.peers.values().flat_map(|peer| &peer.totals) {
+            *by_team.entry(*tag).or_default() += counted.recent(now);
+        }
+        by_team.retain(|_, count| *count > 0);
+        Use {
+            own: by_team.get(&team).copied().unwrap_or(0),
+            all: by_team.values().sum(),
+            teams: u32::try_from(by_team.len()).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Tokens left for a team, as far as this gateway knows.
     #[must_use]
     pub fn left(&mut self, team: TeamTag, limit: Limit) -> f64 {
--- a/crates/bluebellreel_teams/src/lib.rs
+++ b/crates/bluebellreel_teams/src/lib.rs
@@ -24,6 +24,7 @@
 mod index;
 mod key;
 mod share;
+mod turn;
 
 pub use allowance::{Allowances, Spending};
 pub use bucket::{Limit, Tolerance};
@@ -32,3 +33,4 @@
 pub use index::{Team, TeamTag, Teams};
 pub use key::{InvalidDigest, KeyDigest};
 pub use share::PEER_SILENCE;
+pub use turn::{ActiveClasses, Use, wait_share};
