--- a/crates/bluebellreel_batch/src/registration_span.rs
+++ b/crates/bluebellreel_batch/src/registration_span.rs
@@ -24,10 +24,12 @@
 use bluebellreel_types::Moment;
 use std::time::Duration;
 
-/// Time after the sending of a renewal for which the registration certainly exists. By
-/// the store's clock it exists for 3.6 s after the renewal; the remainder is a margin
-/// for the rate difference of the two clocks and for a call in flight.
-const RENEWAL_VALIDITY: Duration = Duration::from_millis(2500);
+/// Time after the sending of a renewal for which the registration certainly exists, if its
+/// time to live was not given.
+const DEFAULT_VALIDITY: Duration = Duration::from_millis(2500);
+/// How much shorter than its time to live a registration counts on after a renewal was
+/// sent: a margin for the rate difference of the two clocks and for a call in flight.
+const TTL_MARGIN: Duration = Duration::from_millis(1100);
 /// Shortest suspension that counts. The two clocks that reveal a suspension are not
 /// read at the same moment, and the registration outlives shorter ones.
 const MIN_SUSPENSION: Duration = Duration::from_millis(100);
@@ -61,8 +63,10 @@
 }
 
 /// The span for which a daemon's registration in the store has existed without a gap.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RegistrationSpan {
+    /// Time after the sending of a renewal for which the registration certainly exists.
+    renewal_validity: Duration,
     /// When the first successful call of the span was answered. The registration may
     /// have been written at any moment before that, and the job may have been taken
     /// over until then.
@@ -70,7 +74,23 @@
     until: Moment,
 }
 
+impl Default for RegistrationSpan {
+    fn default() -> Self {
+        Self {
+            renewal_validity: DEFAULT_VALIDITY,
+            since: None,
+            until: Moment::default(),
+        }
+    }
+}
+
 impl RegistrationSpan {
+    /// Notes that a new registration with this time to live was made. A span that exists
+    /// goes on until its last renewal runs out.
+    pub fn registered(&mut self, ttl: Duration) {
+        self.renewal_validity = ttl.saturating_sub(TTL_MARGIN);
+    }
+
     /// Notes that the store renewed the registration's lease in a call sent at `sent`.
     /// Returns whether a new span begins.
     pub fn renewed(&mut self, sent: Stamp, now: Stamp) -> bool {
@@ -83,7 +103,7 @@
         if begins {
             self.since = Some(now);
         }
-        self.until = sent.at + RENEWAL_VALIDITY;
+        self.until = sent.at + self.renewal_validity;
         begins
     }
 
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -97,6 +97,8 @@
     pub(crate) ended: Cell<bool>,
     /// Callers' requests that are being answered.
     pub(crate) in_progress: Rc<InProgress>,
+    /// Whether this daemon has tried to read the registrations since its start.
+    pub(crate) members_read: watch::Sender<bool>,
     /// Whether this daemon has the cluster state from its peers, or is to read it from the
     /// store.
     pub(crate) joined: watch::Sender<bool>,
@@ -169,6 +171,7 @@
             refusing: Cell::new(false),
             ended: Cell::new(false),
             in_progress: Rc::default(),
+            members_read: watch::Sender::new(false),
             joined: watch::Sender::new(false),
             discoveries: RefCell::default(),
             forward_queue: RefCell::default(),
--- a/crates/bluebellreel_gateway/src/lease.rs
+++ b/crates/bluebellreel_gateway/src/lease.rs
@@ -2,20 +2,18 @@
 
 use crate::gateway::Gateway;
 use crate::jobs;
-use crate::registration::own_key;
+use crate::registration::{has_seeds, own_key};
 use bluebellreel_batch::Stamp;
 use bluebellreel_kv::{Commit, Compare, Key, KeyValue, KvError, Put, Txn};
-use bluebellreel_members::MemberEntry;
+use bluebellreel_members::{MemberEntry, Upkeep};
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// Time to live of a daemon's entry. It is short because a dead daemon's jobs are taken
-/// over only after it expires; a renewal costs a tenth of a read.
-const ENTRY_TTL: Duration = Duration::from_millis(3600);
-/// Interval between renewals: three within the time to live.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1100);
+/// How long a daemon waits at the first start of an installation until it knows how many
+/// others start, as its seeds report it: the time to live of its entry depends on it.
+const FIRST_START_DELAY: Duration = Duration::from_secs(1);
 /// Pause before a failed registration is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum number of attempts to replace an entry that changes between its read and its
@@ -35,8 +33,15 @@
 
 /// Keeps this daemon's entry in the store until the daemon stops.
 pub(crate) async fn keep_registered(gw: Rc<Gateway>) {
+    let mut members_read = gw.members_read.subscribe();
+    // The sender lives as long as the gateway.
+    let _ = members_read.wait_for(|read| *read).await;
+    if gw.settings.first_start && has_seeds(&gw) {
+        sleep(FIRST_START_DELAY).await;
+    }
     while !gw.stopping.get() {
-        let lease = match register(&gw).await {
+        let upkeep = upkeep(&gw);
+        let lease = match register(&gw, upkeep.ttl).await {
             Ok(lease) => lease,
             Err(e) => {
                 warn!(target: "members", error:% = e; "not registered");
@@ -46,13 +51,13 @@
         };
         gw.lease.set(lease);
         info!(target: "members", lease; "registered");
-        renew_until_expired(&gw, lease).await;
+        renew_until_expired(&gw, lease, upkeep.renew_interval).await;
     }
 }
 
-async fn renew_until_expired(gw: &Rc<Gateway>, lease: i64) {
+async fn renew_until_expired(gw: &Rc<Gateway>, lease: i64, interval: Duration) {
     while gw.lease.get() == lease && !gw.stopping.get() {
-        sleep(RENEW_INTERVAL).await;
+        sleep(interval).await;
         let sent = gw.stamp();
         match gw.store.renew(lease).await {
             Ok(true) => record_renewal(gw, sent),
@@ -66,8 +71,16 @@
     }
 }
 
-async fn register(gw: &Rc<Gateway>) -> Result<i64, KvError> {
-    let ttl = ENTRY_TTL.max(gw.settings.min_lease_ttl);
+/// How often the registration is renewed, by the largest number of gateways that this
+/// daemon or a peer knows.
+fn upkeep(gw: &Gateway) -> Upkeep {
+    let known = gw.members.borrow().peers().count() + 1;
+    let reported = gw.allowances.borrow().most_gateways();
+    Upkeep::of_fleet(known.max(reported))
+}
+
+async fn register(gw: &Rc<Gateway>, ttl: Duration) -> Result<i64, KvError> {
+    let ttl = ttl.max(gw.settings.min_lease_ttl);
     let lease = gw.store.lease(ttl).await?;
     let entry = MemberEntry {
         run: gw.run,
@@ -91,6 +104,9 @@
         match gw.store.commit(&txn, Instant::now() + ttl).await {
             Commit::Applied { revision } => {
                 gw.registered_revision.set(revision);
+                let mut registration_span = gw.registration_span.get();
+                registration_span.registered(ttl);
+                gw.registration_span.set(registration_span);
                 record_renewal(gw, sent);
                 return Ok(lease.id);
             }
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -9,7 +9,7 @@
 use crate::reports;
 use bluebellreel_batch::Owner;
 use bluebellreel_kv::{Compare, Key, KeyValue, KvError};
-use bluebellreel_members::MemberEntry;
+use bluebellreel_members::{MemberEntry, Upkeep};
 use bluebellreel_types::EntryName;
 use log::warn;
 use std::rc::Rc;
@@ -24,8 +24,6 @@
 const EARLY_LIST_COUNT: u32 = 2;
 /// Interval between these early reads.
 const EARLY_LIST_INTERVAL: Duration = Duration::from_millis(1500);
-/// Interval between reads of all entries afterwards.
-const LIST_INTERVAL: Duration = Duration::from_secs(5);
 /// Pause before a failed read is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -73,12 +71,13 @@
     loop {
         let listed = read_members(&gw).await;
         if let Some(join) = join.take() {
+            gw.members_read.send_replace(true);
             spawn_local(join);
         }
         let pause = match (&listed, early) {
             (Err(_), _) => RETRY_PAUSE,
             (Ok(()), 1..) => EARLY_LIST_INTERVAL,
-            (Ok(()), 0) => LIST_INTERVAL,
+            (Ok(()), 0) => list_interval(&gw),
         };
         early = early.saturating_sub(u32::from(listed.is_ok()));
         if listed.is_ok() {
@@ -91,6 +90,15 @@
     }
 }
 
+/// Interval between reads of all entries once the early ones are made. It does not grow
+/// with the fleet while few daemons are heard: their entries show whether they have ended.
+fn list_interval(gw: &Gateway) -> Duration {
+    if gw.isolated_since.get().is_some() {
+        return Upkeep::of_fleet(1).list_interval;
+    }
+    gw.members.borrow().upkeep().list_interval
+}
+
 /// Makes this daemon a candidate in elections of watchers once it knows its peers: after
 /// the early reads, or at once if it has no peers.
 fn stand_for_election(gw: &Gateway, reads_left: u32) {
--- a/crates/bluebellreel_members/src/lib.rs
+++ b/crates/bluebellreel_members/src/lib.rs
@@ -24,6 +24,7 @@
 mod peer;
 mod report_order;
 mod unclaimed;
+mod upkeep;
 mod watch_duty;
 
 pub use audience::{Audience, MAX_DIRECT_PEERS, Recipient};
@@ -36,4 +37,5 @@
     WorkerList,
 };
 pub use report_order::{Path, ReportOrder};
+pub use upkeep::Upkeep;
 pub use watch_duty::WatchDuty;
--- a/crates/bluebellreel_members/src/members.rs
+++ b/crates/bluebellreel_members/src/members.rs
@@ -1,7 +1,8 @@
 //! All peers, and the division of duties among them.
 
+use crate::Upkeep;
 use crate::peer::{MemberEntry, PEER_RETENTION, Peer, Presence, rank, rank_for};
-use crate::unclaimed::Unclaimed;
+use crate::unclaimed::{LOSS_RETENTION, Unclaimed};
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::Duration;
@@ -35,6 +36,12 @@
         self.alive_peers(now).filter(|(_, p)| p.reaches_store)
     }
 
+    /// How often this daemon and its peers renew and list their registrations.
+    #[must_use]
+    pub fn upkeep(&self) -> Upkeep {
+        Upkeep::of_fleet(self.peers.len() + 1)
+    }
+
     /// Whether some peer may reach the store: an alive peer that reports so, or a silent
     /// one whose last report said so and that may only be cut off from this daemon.
     #[must_use]
@@ -93,9 +100,10 @@
     /// The peers that watch the store for the others, by the same order as
     /// [`Self::is_watcher`].
     pub fn watchers(&self, now: Moment) -> impl Iterator<Item = &Peer> {
+        let upkeep = self.upkeep();
         let able = self
             .alive_with_store(now)
-            .filter(|(_, p)| p.may_watch() && p.has_recent_store_answer(now));
+            .filter(|(_, p)| p.may_watch() && p.has_recent_store_answer(&upkeep, now));
         let mut able: Vec<(&EntryName, &Peer)> = able.collect();
         able.sort_by_key(|(name, _)| std::cmp::Reverse(rank(name)));
         able.into_iter().take(WATCHERS).map(|(_, peer)| peer)
@@ -172,9 +180,10 @@
         if !reaches_store {
             return others.next().is_none();
         }
+        let upkeep = self.upkeep();
         let before_me = others.filter(|(name, _)| rank(name) > rank(me));
         before_me
-            .filter(|(_, p)| p.has_recent_store_answer(now))
+            .filter(|(_, p)| p.has_recent_store_answer(&upkeep, now))
             .count()
             < WATCHERS
     }
@@ -247,7 +256,8 @@
             let less = before.saturating_sub(left.copied().unwrap_or(0));
             (less > 0).then_some((route, less))
         });
-        self.unclaimed.add(lost, less.collect(), now);
+        let keep_for = LOSS_RETENTION + self.upkeep().extra_ttl();
+        self.unclaimed.add(lost, less.collect(), keep_for, now);
     }
 
     /// Whether a peer has become silent since the last call.
--- a/crates/bluebellreel_members/src/peer.rs
+++ b/crates/bluebellreel_members/src/peer.rs
@@ -1,5 +1,6 @@
 //! State of one peer.
 
+use crate::Upkeep;
 use bluebellreel_types::{DataCentre, EntryName, Incarnation, JobId, Moment};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,8 +13,9 @@
 /// Silence after which a peer without a registration is evicted.
 pub const PEER_RETENTION: Duration = Duration::from_secs(8);
 
-/// Age from which a peer's last answer from the store counts as old. A healthy peer
-/// renews its lease every 1.1 s and reports the age of its last answer every 0.25 s.
+/// Age from which a peer's last answer from the store counts as old, in a small fleet. A
+/// healthy peer renews its lease every 1.1 s there, and reports the age of its last answer
+/// every 0.25 s.
 pub const STORE_ANSWER_MAX_AGE: Duration = Duration::from_millis(1500);
 
 /// Newest revisions of the store that a daemon has received.
@@ -157,10 +159,11 @@
         self.is_candidate && !self.stopping
     }
 
-    /// Whether the store may have answered it recently.
-    pub(crate) fn has_recent_store_answer(&self, now: Moment) -> bool {
+    /// Whether the store may have answered it recently, in a fleet with this upkeep.
+    pub(crate) fn has_recent_store_answer(&self, upkeep: &Upkeep, now: Moment) -> bool {
+        let max_age = STORE_ANSWER_MAX_AGE + upkeep.renewal_delay();
         self.answered_at
-            .is_none_or(|at| !(at + STORE_ANSWER_MAX_AGE).is_past(now))
+            .is_none_or(|at| !(at + max_age).is_past(now))
     }
 
     /// Whether it reported within `PEER_TIMEOUT`.
--- a/crates/bluebellreel_members/src/unclaimed.rs
+++ b/crates/bluebellreel_members/src/unclaimed.rs
@@ -4,9 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// Time for which tokens count after the last of their jobs was found at a new owner.
-/// Jobs that ended unobserved are never found.
-const LOSS_RETENTION: Duration = Duration::from_secs(10);
+/// Time for which tokens count after the last of their jobs was found at a new owner, in a
+/// small fleet. Jobs that ended unobserved are never found.
+pub(crate) const LOSS_RETENTION: Duration = Duration::from_secs(10);
 /// Maximum number of groups of disappeared jobs that are kept. Each group holds at
 /// most the jobs that one report names.
 const MAX_LOSSES: usize = 256;
@@ -17,6 +17,7 @@
 struct Loss {
     jobs: BTreeSet<JobId>,
     tokens: BTreeMap<String, u64>,
+    keep_for: Duration,
     until: Moment,
 }
 
@@ -30,6 +31,7 @@
         &mut self,
         jobs: BTreeSet<JobId>,
         tokens: BTreeMap<String, u64>,
+        keep_for: Duration,
         now: Moment,
     ) {
         self.0.retain(|loss| !loss.until.is_past(now));
@@ -39,10 +41,11 @@
         if self.0.len() >= MAX_LOSSES {
             self.0.pop_front();
         }
-        let until = now + LOSS_RETENTION;
+        let until = now + keep_for;
         self.0.push_back(Loss {
             jobs,
             tokens,
+            keep_for,
             until,
         });
     }
@@ -51,7 +54,7 @@
     pub(crate) fn claimed(&mut self, job: &JobId, now: Moment) {
         for loss in &mut self.0 {
             if loss.jobs.remove(job) {
-                loss.until = now + LOSS_RETENTION;
+                loss.until = now + loss.keep_for;
             }
         }
         self.0.retain(|loss| !loss.jobs.is_empty());
--- a/crates/bluebellreel_teams/src/allowance.rs
+++ b/crates/bluebellreel_teams/src/allowance.rs
@@ -355,6 +355,13 @@
         counts
     }
 
+    /// The largest number of gateways that a peer knows, itself included; zero if none has
+    /// told.
+    #[must_use]
+    pub fn most_gateways(&self) -> usize {
+        self.peers.values().map(|p| p.gateways).max().unwrap_or(0)
+    }
+
     /// The share of all limits that the gateways that hear each other may use.
     #[must_use]
     pub fn share(&self) -> f64 {
