Read the registrations again only after those that start alike have registered (44)

At the first start gateways register after a second; the read after which they take part in elections came half a second later, and a stale one could miss most of them.

--- a/crates/bluebellreel_gateway/src/lease.rs
+++ b/crates/bluebellreel_gateway/src/lease.rs
@@ -14,6 +14,15 @@
 /// How long a daemon waits at the first start of an installation until it knows how many
 /// others start, as its seeds report it: the time to live of its entry depends on it.
 const FIRST_START_DELAY: Duration = Duration::from_secs(1);
+
+/// How long this daemon waits after its start before it registers.
+pub(crate) fn registration_delay(gw: &Gateway) -> Duration {
+    if gw.settings.first_start && has_seeds(gw) {
+        FIRST_START_DELAY
+    } else {
+        Duration::ZERO
+    }
+}
 /// Pause before a failed registration is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum number of attempts to replace an entry that changes between its read and its
@@ -36,9 +45,7 @@
     let mut members_read = gw.members_read.subscribe();
     // The sender lives as long as the gateway.
     let _ = members_read.wait_for(|read| *read).await;
-    if gw.settings.first_start && has_seeds(&gw) {
-        sleep(FIRST_START_DELAY).await;
-    }
+    sleep(registration_delay(&gw)).await;
     while !gw.stopping.get() {
         let upkeep = upkeep(&gw);
         let lease = match register(&gw, upkeep.ttl).await {
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::Gateway;
 use crate::join;
+use crate::lease::registration_delay;
 use crate::reports;
 use bluebellreel_batch::Owner;
 use bluebellreel_kv::{Compare, Key, KeyValue, KvError};
@@ -73,6 +74,8 @@
         if let Some(join) = join.take() {
             gw.members_read.send_replace(true);
             spawn_local(join);
+            // The next read is to find the daemons that start at the same time.
+            sleep(registration_delay(&gw)).await;
         }
         let pause = match (&listed, early) {
             (Err(_), _) => RETRY_PAUSE,
