--- a/crates/bluebellreel_snapshot/src/visit_schedule.rs
+++ b/crates/bluebellreel_snapshot/src/visit_schedule.rs
@@ -18,7 +18,7 @@
 /// Minimum time between two visits to other gateways. Without a limit of their own, those
 /// of a large fleet would take the time of the near ones, which keep the keeper's copies
 /// up to date.
-const FAR_SPACING: Duration = Duration::from_millis(200);
+const FAR_SPACING: Duration = Duration::from_millis(50);
 
 /// Silence after which a gateway is evicted. A VM that was replaced does not come back.
 /// A gateway that does come back is reported by its peers.
