--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -97,7 +97,7 @@
     pub(crate) ended: Cell<bool>,
     /// Callers' requests that are being answered.
     pub(crate) in_progress: Rc<InProgress>,
-    /// Whether this daemon has tried to read the registrations since its start.
+    /// Whether the first read of the registrations has ended, with or without success.
     pub(crate) members_read: watch::Sender<bool>,
     /// Whether this daemon has the cluster state from its peers, or is to read it from the
     /// store.
--- a/crates/bluebellreel_gateway/src/reports/discoveries.rs
+++ b/crates/bluebellreel_gateway/src/reports/discoveries.rs
@@ -9,7 +9,7 @@
 /// Maximum number of discoveries per period that are logged one by one.
 const MAX_LOGGED: usize = 8;
 
-/// Discoveries in the current period.
+/// Number of peers discovered in the current period, which begins with a discovery.
 #[derive(Debug, Default)]
 pub(crate) struct Discoveries {
     count: usize,
--- a/crates/bluebellreel_members/src/joining.rs
+++ b/crates/bluebellreel_members/src/joining.rs
@@ -9,7 +9,7 @@
 use bluebellreel_types::Moment;
 use std::time::Duration;
 
-/// Expected number of pioneers.
+/// Expected number of daemons that read the store at once, in a fleet of any size.
 const PIONEERS: usize = 16;
 /// How long a daemon asks its peers while callers are waiting for it. A round takes some
 /// hundred milliseconds, and in each the number of those that know the state doubles.
--- a/crates/bluebellreel_members/src/watch_duty.rs
+++ b/crates/bluebellreel_members/src/watch_duty.rs
@@ -4,8 +4,8 @@
 //! ([`Members::is_watcher`](crate::Members::is_watcher)). A daemon that has just started
 //! knows few of its peers and would elect itself; if all start at the same time, each of
 //! them would watch. A daemon therefore takes part in elections only once it has read the
-//! registrations and its peers have had time to report. From then on its own reports
-//! name it as a candidate, and it is elected a little later, when all have received them.
+//! registrations. From then on its own reports name it as a candidate. It can be elected
+//! once these reports have reached all peers, and theirs have reached it.
 
 use bluebellreel_types::Moment;
 use std::time::Duration;
--- a/crates/bluebellreel_members/tests/watch_duty.rs
+++ b/crates/bluebellreel_members/tests/watch_duty.rs
@@ -1,4 +1,4 @@
-//! Which daemons watch the store while a fleet starts and while watchers change.
+//! How many daemons watch the store for all, at a start and when watchers restart.
 
 use bluebellreel_members::{MemberEntry, Members, Peer, WatchDuty};
 use bluebellreel_types::{EntryName, Incarnation, Moment};
--- a/crates/bluebellreel_model/src/reports.rs
+++ b/crates/bluebellreel_model/src/reports.rs
@@ -81,7 +81,7 @@
     Paused,
 }
 
-/// What was measured since the last call of [`Fleet::reset`].
+/// Traffic and errors of the fleet since the last call of [`Fleet::reset`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Figures {
     /// Datagrams sent by all daemons.
@@ -135,7 +135,7 @@
         }
     }
 
-    /// What was measured.
+    /// Traffic and errors since the last reset.
     #[must_use]
     pub fn figures(&self) -> Figures {
         self.figures
--- a/crates/bluebellreel_model/tests/reports.rs
+++ b/crates/bluebellreel_model/tests/reports.rs
@@ -4,7 +4,8 @@
 use proptest::prelude::*;
 use std::ops::Range;
 
-/// Time after which a fleet that starts at once is calm.
+/// Time, in milliseconds, after which all daemons of a fleet that starts at once hear each
+/// other.
 const SETTLED_MS: u32 = 3000;
 
 fn plan(daemons: usize) -> Plan {
--- a/crates/bluebellreel_snapshot/tests/visit_schedule.rs
+++ b/crates/bluebellreel_snapshot/tests/visit_schedule.rs
@@ -61,8 +61,8 @@
 }
 
 /// All gateways shared the visits of a keeper: with 274 of them each was visited every 14 s,
-/// while a visit counted for 4 s, so most owners of jobs found no keeper for the progress
-/// of their items.
+/// and a gateway counts a keeper as present for 4 s after its visit. Most gateways that ran
+/// jobs therefore had no keeper to which they could copy the progress of the items.
 #[test]
 fn near_gateways_are_visited_as_often_in_a_large_fleet() {
     for gateways in [NEAR, 274, 1000] {
--- a/crates/bluebellreel_teams/src/turn.rs
+++ b/crates/bluebellreel_teams/src/turn.rs
@@ -37,8 +37,9 @@
     pub teams: u32,
 }
 
-/// Share of the time in a queue that a request of a team may use, by the team's recent use
-/// and the number of more urgent classes that are active.
+/// Share, from 0 to 1, of the route's longest wait in a worker's queue that a request may
+/// use. `recent` is what its team and all teams had in the last seconds, `more_urgent` the
+/// number of active classes with a lower priority number.
 #[must_use]
 pub fn wait_share(recent: Use, more_urgent: usize) -> f64 {
     let fair = f64::from(recent.all) / f64::from(recent.teams.max(1));
--- a/crates/bluebellreel_teams/tests/turn.rs
+++ b/crates/bluebellreel_teams/tests/turn.rs
@@ -15,7 +15,8 @@
 const RUN_STEPS: usize = 60;
 /// Steps over which recent requests are counted.
 const RECENT_STEPS: usize = 150;
-/// Longest wait in a queue, in steps.
+/// Expected wait, in steps, from which a request is refused if its team uses no more than
+/// its share.
 const MAX_WAIT_STEPS: f64 = 18.0;
 
 fn float(n: usize) -> f64 {
