--- a/crates/bluebellreel_gateway/src/reports/forwarding.rs
+++ b/crates/bluebellreel_gateway/src/reports/forwarding.rs
@@ -7,8 +7,8 @@
 /// How long a report waits to be forwarded. It leaves with this daemon's next report,
 /// unless the VM was suspended meanwhile.
 const MAX_WAIT: Duration = Duration::from_millis(600);
-/// Maximum size of all reports that wait. A daemon receives about two of every three
-/// hundred reports of the fleet.
+/// Maximum size of all reports that wait. In each quarter of a second a daemon receives two
+/// for each daemon of the other data centres, divided by the number of those in its own.
 const MAX_QUEUE_BYTES: usize = 256 * 1024;
 /// Maximum size of the reports in one datagram.
 const MAX_BUNDLE_BYTES: usize = 16 * 1024;
