--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -10,6 +10,7 @@
 use crate::{Board, WorkerRecord, WorkerView};
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 use std::time::Duration;
 use twox_hash::XxHash64;
 
@@ -171,16 +172,20 @@
 
 /// A daemon that may own free slots.
 struct Claimant<'a> {
-    /// Hash of its name.
-    seed: u64,
+    /// Hash of its name and a slash. Daemons of all versions rank alike, since two that did
+    /// not would both take the same slots during an upgrade.
+    prefix: XxHash64,
     /// Its data centre; none if it is unknown or does not count.
     data_centre: Option<&'a DataCentre>,
 }
 
 impl<'a> Claimant<'a> {
     fn new(name: &EntryName, data_centre: Option<&'a DataCentre>) -> Self {
+        let mut prefix = XxHash64::with_seed(0);
+        prefix.write(name.as_str().as_bytes());
+        prefix.write(b"/");
         Self {
-            seed: XxHash64::oneshot(0, name.as_str().as_bytes()),
+            prefix,
             data_centre,
         }
     }
@@ -189,8 +194,9 @@
     /// them.
     fn rank(&self, worker: &WorkerRecord) -> (bool, u64) {
         let is_local = self.data_centre == Some(&worker.data_centre);
-        let score = XxHash64::oneshot(self.seed, worker.id.as_str().as_bytes());
-        (is_local, score)
+        let mut score = self.prefix.clone();
+        score.write(worker.id.as_str().as_bytes());
+        (is_local, score.finish())
     }
 }
 
--- a/crates/bluebellreel_dispatch/tests/batch_placement.rs
+++ b/crates/bluebellreel_dispatch/tests/batch_placement.rs
@@ -227,3 +227,21 @@
     assert!(allows(0));
     assert!(!allows(1));
 }
+
+/// Gateways of two versions run during an upgrade. Guards against ranks by another hash, by
+/// which a gateway of each version would own the same slots, or none would.
+#[test]
+fn slots_belong_to_the_same_daemon_in_all_versions() {
+    for n in 0..40 {
+        let mut board = board(1);
+        let other = format!("entry-{n}x");
+        peer(&mut board, &other, 1, 3, &[]);
+        let rank = |entry: &str| {
+            let text = format!("{entry}/{}", name(0));
+            twox_hash::XxHash64::oneshot(0, text.as_bytes())
+        };
+        let is_ours = rank(&other) < rank("entry-1");
+        let placed = place_batch(&board, &query(&[]), &me());
+        assert_eq!(placed.is_some(), is_ours, "{other}");
+    }
+}
