--- a/crates/bluebellreel_gateway/src/lease.rs
+++ b/crates/bluebellreel_gateway/src/lease.rs
@@ -14,6 +14,11 @@
 /// How long a daemon waits at the first start of an installation until it knows how many
 /// others start, as its seeds report it: the time to live of its entry depends on it.
 const FIRST_START_DELAY: Duration = Duration::from_secs(1);
+/// Pause before a failed registration is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Maximum number of attempts to replace an entry that changes between its read and its
+/// write.
+const MAX_TRIES: usize = 3;
 
 /// How long this daemon waits after its start before it registers.
 pub(crate) fn registration_delay(gw: &Gateway) -> Duration {
@@ -23,11 +28,6 @@
         Duration::ZERO
     }
 }
-/// Pause before a failed registration is repeated.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Maximum number of attempts to replace an entry that changes between its read and its
-/// write.
-const MAX_TRIES: usize = 3;
 
 /// Records that the store has renewed this daemon's entry, by a call sent at `sent`. If a
 /// new registration span begins, all jobs are confirmed.
@@ -112,7 +112,7 @@
             Commit::Applied { revision } => {
                 gw.registered_revision.set(revision);
                 let mut registration_span = gw.registration_span.get();
-                registration_span.registered(ttl);
+                registration_span.registered(lease.ttl);
                 gw.registration_span.set(registration_span);
                 record_renewal(gw, sent);
                 return Ok(lease.id);
--- a/crates/bluebellreel_gateway/src/reports/receive.rs
+++ b/crates/bluebellreel_gateway/src/reports/receive.rs
@@ -62,9 +62,12 @@
             }
             Envelope::Bundle(reports) => {
                 let paths = std::iter::once(Path::Direct).chain(std::iter::repeat(Path::Forwarded));
+                let mut outcome = Ok(());
                 for (report, path) in reports.into_iter().zip(paths) {
-                    self.take_report(gw, report, path)?;
+                    // One that cannot be read must not keep back those after it.
+                    outcome = outcome.and(self.take_report(gw, report, path).map(|_| ()));
                 }
+                return outcome;
             }
         }
         Ok(())
