--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -21,10 +21,10 @@
 /// Interval between copies. An item of 190 events takes about five seconds, so each
 /// of its events is sent about three times at this interval.
 const COPY_INTERVAL: Duration = Duration::from_secs(1);
-/// How long a peer's progress is kept: longer than it takes until a dead owner's
-/// entry in the store expires (3.6 s) and its successor scans for the job, and longer
-/// than a run of an item takes.
-const COPY_RETENTION: Duration = Duration::from_secs(20);
+/// How long a peer's progress is kept beyond the time after which a dead owner's entry in
+/// the store expires: until its successor has scanned for the job, and longer than a run of
+/// an item takes.
+const COPY_MARGIN: Duration = Duration::from_millis(16_400);
 
 /// What was last copied of a job, and to which daemon.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -153,7 +153,8 @@
 /// Stores a copy of the progress of a peer's job.
 pub(crate) fn store_progress_copy(gw: &Gateway, id: JobId, progress: &[u8]) {
     let items = read_progress(&id, progress);
-    let until = gw.now() + COPY_RETENTION;
+    let entry_ttl = gw.members.borrow().upkeep().ttl;
+    let until = gw.now() + entry_ttl + COPY_MARGIN;
     gw.jobs.borrow_mut().copies.keep(id, items, until);
 }
 
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -7,6 +7,7 @@
 use crate::gateway::Gateway;
 use crate::join::joined;
 use crate::millis::millis;
+use crate::reports::report_time;
 use crate::workers::apply_workers;
 use bluebellreel_dispatch::WorkerRecord;
 use bluebellreel_kv::{Key, KeyValue, KvError, Txn, WatchEvent};
@@ -285,7 +286,8 @@
         let is_elected = is_watcher(gw);
         must_list |= succession.is_list_due(is_elected, gw.now());
         let own = (handler.revision)(gw.cluster_state.borrow().seen());
-        let lags = lag.is_overdue(own, newest_reported(gw, handler), gw.now());
+        let report_time = report_time(gw.members.borrow().peers().count());
+        let lags = lag.is_overdue(own, newest_reported(gw, handler), report_time, gw.now());
         if known && !relist && !is_elected && !lags {
             // State fetched from a peer meanwhile is complete up to its revision.
             must_list = false;
--- a/crates/bluebellreel_members/src/joining.rs
+++ b/crates/bluebellreel_members/src/joining.rs
@@ -11,9 +11,10 @@
 
 /// Expected number of daemons that read the store at once, in a fleet of any size.
 const PIONEERS: usize = 16;
-/// How long a daemon asks its peers while callers are waiting for it. A round takes some
-/// hundred milliseconds, and in each the number of those that know the state doubles.
-const MAX_WAIT: Duration = Duration::from_millis(1200);
+/// How long a daemon asks its peers while callers are waiting for it. In a round of a tenth
+/// of a second the number of those that know the state nearly doubles, and a call to one
+/// that does not answer takes 0.6 s.
+const MAX_WAIT: Duration = Duration::from_secs(2);
 /// The same at the first start of an installation, before anyone calls.
 const MAX_WAIT_FIRST_START: Duration = Duration::from_secs(3);
 /// At the first start nothing is known of the fleet: one daemon in this many is a pioneer.
--- a/crates/bluebellreel_members/src/lag.rs
+++ b/crates/bluebellreel_members/src/lag.rs
@@ -4,9 +4,9 @@
 use bluebellreel_types::Moment;
 use std::time::Duration;
 
-/// Time within which a change that a peer reports is to be received from a peer. Peers
-/// answer within milliseconds; one of another version, or one that is unreachable, may
-/// never answer.
+/// Minimum time within which a change that a peer reports is to be received from a peer.
+/// Peers answer within milliseconds; one of another version, or one that is unreachable,
+/// may never answer.
 const MAX_LAG: Duration = Duration::from_secs(1);
 
 /// Tracks a revision that peers have reported and this daemon has not reached.
@@ -22,8 +22,15 @@
 
 impl Lag {
     /// Whether a daemon whose state is complete up to `own` lags, if `newest` is the
-    /// newest revision that its peers report.
-    pub fn is_overdue(&mut self, own: i64, newest: i64, now: Moment) -> bool {
+    /// newest revision that its peers report. `report_time` is the time within which
+    /// reports reach all peers, over which these also spread their requests.
+    pub fn is_overdue(
+        &mut self,
+        own: i64,
+        newest: i64,
+        report_time: Duration,
+        now: Moment,
+    ) -> bool {
         if own >= newest {
             self.awaited = None;
             return false;
@@ -31,7 +38,7 @@
         match self.awaited {
             Some((revision, deadline)) if own < revision => deadline.is_past(now),
             _ => {
-                self.awaited = Some((newest, now + MAX_LAG));
+                self.awaited = Some((newest, now + MAX_LAG.max(report_time)));
                 false
             }
         }
--- a/crates/bluebellreel_members/tests/joining.rs
+++ b/crates/bluebellreel_members/tests/joining.rs
@@ -4,6 +4,7 @@
 use bluebellreel_types::Moment;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use std::time::Duration;
 
 const NOW: Moment = Moment(100_000_000);
 
@@ -39,3 +40,47 @@
     let pioneers = pioneers(300, 0, true);
     assert!((6..=40).contains(&pioneers), "{pioneers}");
 }
+
+/// Plays a start of all daemons at once. Each asks a random peer every tenth of a second;
+/// one call in `lost_every` gets no answer and takes 0.6 s. Returns how many read the store.
+fn store_reads(daemons: usize, lost_every: usize) -> usize {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut reads_at = Vec::new();
+    for _ in 0..daemons {
+        let draw = |n| rng.random_range(0..n);
+        reads_at.push(reads_store_at(daemons - 1, true, false, NOW, draw));
+    }
+    let mut knows = vec![false; daemons];
+    let mut free_at = vec![NOW; daemons];
+    let mut reads = 0;
+    for step in 0..40_u32 {
+        let now = NOW + Duration::from_millis(100) * step;
+        for n in 0..daemons {
+            if knows[n] || !free_at[n].is_past(now) {
+                continue;
+            }
+            if reads_at[n].is_past(now) {
+                reads += 1;
+                knows[n] = true;
+                continue;
+            }
+            let peer = rng.random_range(0..daemons);
+            if rng.random_range(0..lost_every) == 0 {
+                free_at[n] = now + Duration::from_millis(600);
+            } else {
+                knows[n] = knows[peer];
+            }
+        }
+    }
+    reads
+}
+
+/// Guards against a state that spreads too slowly, so that most daemons read the store in
+/// the end.
+#[test]
+fn a_state_reaches_all_before_they_read_the_store() {
+    for daemons in [30, 300, 2000] {
+        let reads = store_reads(daemons, 10);
+        assert!(reads <= 40, "{reads} of {daemons}");
+    }
+}
