Carry the version of a worker's software with its record, and log it

The logs of the incident could not tell the three hypotheses apart: no line named a worker's version, and a request by which a caller resumes a stream looked like any other.

The record now has it, as does a run's ticket; lines about a worker that is listed, a request, stream or item that is sent, resumed or interrupted show `worker_version`, and a request that resumes a stream shows `resumes` and `after`. `explain` of an attempt lists the attempts that resumed it. Versions follow the encoded facts, so that daemons of an earlier build read them and are read; what such a daemon sends lacks them, and a gateway that lacks a version lists the workers itself. A worker whose version changes under its id counts as restarted.

No decision uses the version yet.

--- a/crates/bluebellreel_dispatch/benches/catalog.rs
+++ b/crates/bluebellreel_dispatch/benches/catalog.rs
@@ -11,6 +11,7 @@
     WorkerRecord {
         id: WorkerName::from(format!("worker-{number:05}")),
         boot: None,
+        version: None,
         service: Arc::from("lm"),
         address: "10.0.0.1:80".parse().expect("an address"),
         data_centre: DataCentre::from("hall"),
--- a/crates/bluebellreel_dispatch/benches/placement.rs
+++ b/crates/bluebellreel_dispatch/benches/placement.rs
@@ -23,6 +23,7 @@
     WorkerRecord {
         id: name(n),
         boot: None,
+        version: None,
         service: Arc::from("lm"),
         address: "10.0.0.1:80".parse().expect("an address"),
         data_centre: DataCentre::from(format!("hall-{}", n % 5)),
--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -4,7 +4,7 @@
     Boot, Catalog, CircuitBreaker, Class, PeerLoad, Running, Ticket, WorkerRecord, WorkerSpeeds,
     WorkerState, WorkerTag,
 };
-use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
+use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName, WorkerVersion};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -181,7 +181,7 @@
             self.views.insert(record.id.clone(), view);
             return Some(WorkerChange::Listed(record.state));
         };
-        if view.record.boot != record.boot {
+        if view.record.boot != record.boot || differ(&view.record.version, &record.version) {
             *view = WorkerView::new(record.clone());
             self.speeds.forget(&record.id);
             return Some(WorkerChange::Restarted(record.state));
@@ -203,6 +203,12 @@
         self.views.get(id)
     }
 
+    /// The version of a worker's software, if known.
+    #[must_use]
+    pub fn version_of(&self, id: &WorkerName) -> Option<&WorkerVersion> {
+        self.views.get(id)?.record.version.as_ref()
+    }
+
     /// Workers of a service that accept new work.
     pub fn ready_workers<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a WorkerView> {
         self.views
@@ -212,9 +218,10 @@
 
     /// Counts a new run at a worker.
     pub fn start(&mut self, worker: &WorkerName, class: Class) -> Ticket {
-        let mut boot = None;
+        let (mut boot, mut version) = (None, None);
         if let Some(view) = self.views.get_mut(worker) {
             boot = view.record.boot;
+            version.clone_from(&view.record.version);
             match class {
                 Class::Online => view.own.online += 1,
                 Class::Batch => view.own.batch += 1,
@@ -224,6 +231,7 @@
         Ticket {
             worker: worker.clone(),
             boot,
+            version,
             class,
         }
     }
@@ -235,14 +243,14 @@
     /// the current one nor in its favour.
     fn current_view(&mut self, ticket: &Ticket) -> Option<&mut WorkerView> {
         let view = self.views.get_mut(&ticket.worker)?;
-        (view.record.boot == ticket.boot).then_some(view)
+        is_same_incarnation(&view.record, ticket).then_some(view)
     }
 
     /// Whether a run's worker has restarted since the run was sent there.
     #[must_use]
     pub fn is_from_previous_incarnation(&self, ticket: &Ticket) -> bool {
         let view = self.views.get(&ticket.worker);
-        view.is_some_and(|s| s.record.boot != ticket.boot)
+        view.is_some_and(|s| !is_same_incarnation(&s.record, ticket))
     }
 
     /// Removes an ended run from the counts.
@@ -360,6 +368,16 @@
     }
 }
 
+/// Whether two versions are known and differ.
+fn differ(one: &Option<WorkerVersion>, other: &Option<WorkerVersion>) -> bool {
+    matches!((one, other), (Some(one), Some(other)) if one != other)
+}
+
+/// Whether a run was sent to the listed incarnation of its worker.
+fn is_same_incarnation(record: &WorkerRecord, ticket: &Ticket) -> bool {
+    record.boot == ticket.boot && !differ(&record.version, &ticket.version)
+}
+
 /// The view of the worker at which a peer's runs are counted; none if the worker has
 /// restarted, as those runs no longer exist. The peer may not know of the restart yet.
 fn view_for_peer_run<'a>(
--- a/crates/bluebellreel_dispatch/src/catalog.rs
+++ b/crates/bluebellreel_dispatch/src/catalog.rs
@@ -4,7 +4,7 @@
 //! and the higher revision wins, whether the fact came from this daemon's own watch,
 //! from a list or from a peer.
 
-use bluebellreel_types::{DataCentre, Moment, WorkerName};
+use bluebellreel_types::{DataCentre, Moment, WorkerName, WorkerVersion};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -56,6 +56,10 @@
     pub id: WorkerName,
     /// Its incarnation; none if the worker does not report it.
     pub boot: Option<Boot>,
+    /// Version of its software; none if the fact came from a daemon of an earlier build,
+    /// which does not pass versions on.
+    #[serde(skip)]
+    pub version: Option<WorkerVersion>,
     /// The service that the worker runs.
     pub service: Arc<str>,
     /// Address that the worker listens on.
@@ -112,7 +116,7 @@
     /// Stores a worker's record unless a newer fact is known. Returns whether anything
     /// changed.
     pub fn put(&mut self, revision: i64, record: WorkerRecord) -> bool {
-        if self.is_stale(&record.id, revision) {
+        if self.is_stale(&record.id, revision) && !self.adds_version(revision, &record) {
             return false;
         }
         let id = record.id.clone();
@@ -218,7 +222,8 @@
         let listed: BTreeSet<WorkerName> = present.map(|(_, id, _)| id.clone()).collect();
         for (at, id, record) in list {
             // A fact that is known already is no sign that a missing worker is back.
-            if self.entries.get(&id).is_none_or(|e| e.revision < at) {
+            let is_newer = self.entries.get(&id).is_none_or(|e| e.revision < at);
+            if is_newer || record.as_ref().is_some_and(|r| self.adds_version(at, r)) {
                 changed |= self.take(at, &id, record);
             }
         }
@@ -283,6 +288,12 @@
         self.entries.values().filter_map(|e| e.record.as_ref())
     }
 
+    /// Whether the version of some listed worker is not known.
+    #[must_use]
+    pub fn lacks_versions(&self) -> bool {
+        self.workers().any(|r| r.version.is_none())
+    }
+
     /// Revision of the newest fact; less than [`Catalog::revision`] while nothing
     /// changes.
     #[must_use]
@@ -318,6 +329,14 @@
         })
     }
 
+    /// Whether a record is the known one, with the version that this catalog lacks.
+    fn adds_version(&self, revision: i64, record: &WorkerRecord) -> bool {
+        let known = self.entries.get(&record.id);
+        let same = known.filter(|e| e.revision == revision);
+        let held = same.and_then(|e| e.record.as_ref());
+        record.version.is_some() && held.is_some_and(|r| r.version.is_none())
+    }
+
     fn evict_oldest_tombstone(&mut self) {
         let tombstones = self.entries.values().filter(|e| e.record.is_none()).count();
         if tombstones <= MAX_TOMBSTONES {
--- a/crates/bluebellreel_dispatch/src/ticket.rs
+++ b/crates/bluebellreel_dispatch/src/ticket.rs
@@ -1,7 +1,7 @@
 //! A run of this daemon at a worker.
 
 use crate::Boot;
-use bluebellreel_types::WorkerName;
+use bluebellreel_types::{WorkerName, WorkerVersion};
 
 /// Kind of work that a run executes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -19,6 +19,8 @@
     pub worker: WorkerName,
     /// The incarnation of the worker that the run was sent to.
     pub boot: Option<Boot>,
+    /// The version of the worker's software, if it was known then.
+    pub version: Option<WorkerVersion>,
     /// Kind of work.
     pub class: Class,
 }
--- a/crates/bluebellreel_dispatch/tests/catalog.rs
+++ b/crates/bluebellreel_dispatch/tests/catalog.rs
@@ -1,7 +1,7 @@
 //! State of the worker catalog for facts that arrive in any order from any source.
 
 use bluebellreel_dispatch::{Catalog, WorkerRecord, WorkerState};
-use bluebellreel_types::{DataCentre, Moment, WorkerName};
+use bluebellreel_types::{DataCentre, Moment, WorkerName, WorkerVersion};
 use proptest::prelude::*;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
     WorkerRecord {
         id: WorkerName::from(id),
         boot: None,
+        version: None,
         service: Arc::from("lm"),
         address: "10.0.0.1:80".parse().expect("an address"),
         data_centre: DataCentre::from("hall"),
@@ -368,3 +369,23 @@
         }
     }
 }
+
+/// A daemon that learned a worker from a peer of an earlier build lacks its version. The
+/// same fact with the version must not count as known already.
+#[test]
+fn a_version_that_arrives_later_is_added() {
+    let mut catalog = Catalog::default();
+    let early = worker("a", WorkerState::Ready);
+    let late = WorkerRecord {
+        version: Some(WorkerVersion::from("v1")),
+        ..early.clone()
+    };
+    catalog.put(5, early.clone());
+    assert!(catalog.lacks_versions());
+    let digest = catalog.digest();
+    assert!(catalog.replace(5, vec![(5, late.id.clone(), Some(late))], None));
+    assert!(!catalog.lacks_versions());
+    assert_eq!(catalog.digest(), digest);
+    assert!(!catalog.put(5, early));
+    assert!(!catalog.lacks_versions());
+}
--- a/crates/bluebellreel_dispatch/tests/common/mod.rs
+++ b/crates/bluebellreel_dispatch/tests/common/mod.rs
@@ -32,6 +32,7 @@
         let record = WorkerRecord {
             id: name(n),
             boot: None,
+            version: None,
             service: Arc::from("lm"),
             address: "10.0.0.1:80".parse().expect("an address"),
             data_centre: DataCentre::from(place),
@@ -95,6 +96,7 @@
     Ticket {
         worker,
         boot: None,
+        version: None,
         class: Class::Online,
     }
 }
--- a/crates/bluebellreel_dispatch/tests/restarts.rs
+++ b/crates/bluebellreel_dispatch/tests/restarts.rs
@@ -21,6 +21,7 @@
     WorkerRecord {
         id: id(),
         boot: boot.map(Boot),
+        version: None,
         service: Arc::from("lm"),
         address: "10.0.0.1:80".parse().expect("an address"),
         data_centre: DataCentre::from("hall"),
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -10,6 +10,7 @@
 use crate::stream_monitor::StreamMonitor;
 use crate::ticket::{RESTART_GRACE, RunGuard, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
+use crate::workers::version_text;
 use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
 use bluebellreel_dispatch::{
     BatchRun, Class, Fingerprint, Query, Route, Sender, Ticket, batch_to_yield, place_batch,
@@ -180,7 +181,7 @@
     };
     let confirmed = next.owned.lease.get().age(gw.stamp());
     gw.metrics.confirmation_age.observe(confirmed.as_secs_f64());
-    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, after:? = after, revision, confirmed_ms = millis(confirmed); "item sent");
+    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, worker_version = version_text(run_guard.version()), after:? = after, revision, confirmed_ms = millis(confirmed); "item sent");
     let end = run_at(&gw, &next, run_guard, after).await;
     drop(trial);
     let now = gw.now();
--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -76,7 +76,7 @@
 /// All gateways may be killed while the store is unavailable. Without a snapshot every
 /// caller would be refused until the store is available again.
 pub(crate) fn accept_snapshot(gw: &Rc<Gateway>, body: &[u8]) -> Response<Body> {
-    let offered = match postcard::from_bytes::<SharedFacts>(body) {
+    let offered = match SharedFacts::decode(body) {
         Ok(offered) => offered,
         Err(e) => {
             warn!(target: "facts", error:% = e; "snapshot not read");
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -11,6 +11,7 @@
 use crate::teams::{self, Denial};
 use crate::ticket::{RESTART_GRACE, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
+use crate::workers::version_text;
 use bluebellreel_dispatch::{Placement, RouteKind, retry_delay};
 use bluebellreel_net::{Body, Reuse};
 use bluebellreel_platform::ingress;
@@ -135,6 +136,9 @@
         request:% = req.id,
         route:% = req.route.name,
         worker:% = worker,
+        worker_version = version_text(worker_view.record.version.as_ref()),
+        resumes = ingress::resumed_attempt(&req.out.headers),
+        after = ingress::last_event_id(&req.out.headers),
         online = running.online,
         batch = running.batch,
         slots = worker_view.record.slots,
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -116,10 +116,7 @@
     if !cluster_state.has_all_changes_after(seen) {
         return answers::failure(StatusCode::CONFLICT, "ask for all");
     }
-    match postcard::to_allocvec(&cluster_state.share(seen, gw.now())) {
-        Ok(bytes) => answers::bytes(bytes),
-        Err(e) => answers::failure(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
-    }
+    answers::bytes(cluster_state.share(seen, gw.now()).encode())
 }
 
 fn query_number(req: &Request<Incoming>, name: &str) -> u64 {
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -88,7 +88,7 @@
     );
     match call(gw, to, Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await? {
         (StatusCode::OK, body) => {
-            let cluster_state = postcard::from_bytes::<SharedFacts>(&body);
+            let cluster_state = SharedFacts::decode(&body);
             cluster_state.map(Some).map_err(|e| e.to_string())
         }
         (StatusCode::CONFLICT, _) => Ok(None),
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::stream_monitor::StreamMonitor;
 use crate::ticket::{RESTART_GRACE, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
+use crate::workers::version_text;
 use bluebellreel_dispatch::Placement;
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_types::WorkerName;
@@ -264,7 +265,7 @@
     async fn resume(&mut self, reason: &str, open: bool) -> bool {
         let worker = self.upstream.run_guard.worker().clone();
         let resumable = self.req.route.resumable && self.req.may_repeat();
-        warn!(target: "online", request:% = self.req.id, worker:% = worker, events = self.events_passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
+        warn!(target: "online", request:% = self.req.id, worker:% = worker, worker_version = version_text(self.upstream.run_guard.version()), events = self.events_passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
         self.upstream.run_guard.failed();
         if self.has_restarted {
             // The worker's new incarnation has not had the stream.
@@ -298,7 +299,7 @@
                     self.req.runs += 1;
                     self.silence_deadline = Instant::now() + RESUMED_FIRST_EVENT_TIMEOUT;
                     self.gw.metrics.resumed.inc();
-                    info!(target: "online", request:% = self.req.id, worker:% = next, last_id:? = self.last_id; "stream resumed");
+                    info!(target: "online", request:% = self.req.id, worker:% = next, worker_version = version_text(self.upstream.run_guard.version()), last_id:? = self.last_id; "stream resumed");
                     return true;
                 }
                 Ok(_) | Err(NoAnswer::Unknown(_)) => self.req.runs += 1,
--- a/crates/bluebellreel_gateway/src/ticket.rs
+++ b/crates/bluebellreel_gateway/src/ticket.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{Class, Ticket};
-use bluebellreel_types::WorkerName;
+use bluebellreel_types::{WorkerName, WorkerVersion};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,6 +28,11 @@
         &self.ticket.worker
     }
 
+    /// The version of the worker's software, if it was known when the run was sent.
+    pub(crate) fn version(&self) -> Option<&WorkerVersion> {
+        self.ticket.version.as_ref()
+    }
+
     pub(crate) fn ticket(&self) -> &Ticket {
         &self.ticket
     }
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -72,6 +72,8 @@
     revision: fn(Revisions) -> i64,
     /// Returns the revision up to which all changes were processed.
     seen: fn(&Gateway) -> i64,
+    /// Whether the facts held lack a part that only a list from the store adds.
+    is_incomplete: fn(&Gateway) -> bool,
     /// Processes a complete list of the prefix.
     listed: fn(&Rc<Gateway>, &Listing),
     /// Processes one change. Returns whether `apply` is needed.
@@ -86,6 +88,7 @@
 const OPERATOR: WatchHandler = WatchHandler {
     revision: |revisions| revisions.configuration,
     seen: |gw| gw.cluster_state.borrow().operator_seen,
+    is_incomplete: |_| false,
     listed: operator_listed,
     changed: |gw, event| {
         if let WatchEvent::Put(kv) = event {
@@ -100,6 +103,8 @@
 const WORKERS: WatchHandler = WatchHandler {
     revision: |revisions| revisions.workers,
     seen: |gw| gw.cluster_state.borrow().catalog.revision(),
+    // Peers of an earlier build do not pass versions on.
+    is_incomplete: |gw| gw.cluster_state.borrow().catalog.lacks_versions(),
     listed: workers_listed,
     changed: |gw, event| worker_changed(gw, event),
     apply: |gw| {
@@ -288,7 +293,9 @@
         let own = (handler.revision)(gw.cluster_state.borrow().seen());
         let report_time = report_time(gw.members.borrow().peers().count());
         let lags = lag.is_overdue(own, newest_reported(gw, handler), report_time, gw.now());
-        if known && !relist && !is_elected && !lags {
+        let is_incomplete = (handler.is_incomplete)(gw);
+        must_list |= is_incomplete;
+        if known && !relist && !is_elected && !lags && !is_incomplete {
             // State fetched from a peer meanwhile is complete up to its revision.
             must_list = false;
             sleep(CHECK_INTERVAL).await;
--- a/crates/bluebellreel_gateway/src/workers.rs
+++ b/crates/bluebellreel_gateway/src/workers.rs
@@ -3,7 +3,7 @@
 use crate::gateway::Gateway;
 use crate::jobs::preempt_batch_runs;
 use bluebellreel_dispatch::WorkerChange;
-use bluebellreel_types::WorkerName;
+use bluebellreel_types::{WorkerName, WorkerVersion};
 use log::info;
 
 /// Maximum number of changes that are logged one by one. A daemon that starts finds all
@@ -21,7 +21,7 @@
         let gone = changes.iter().filter(|(_, c)| *c == WorkerChange::Left);
         info!(target: "facts", listed = changes.len() - gone.clone().count(), gone = gone.count(), revision, source; "many workers changed");
     } else {
-        log_changes(&changes, revision, source);
+        log_changes(gw, &changes, revision, source);
     }
     for (worker, change) in &changes {
         if let WorkerChange::Restarted(_) = change {
@@ -32,14 +32,16 @@
     preempt_batch_runs(gw);
 }
 
-fn log_changes(changes: &[(WorkerName, WorkerChange)], revision: i64, source: &str) {
+fn log_changes(gw: &Gateway, changes: &[(WorkerName, WorkerChange)], revision: i64, source: &str) {
+    let board = gw.board.borrow();
     for (worker, change) in changes {
+        let worker_version = version_text(board.version_of(worker));
         match change {
             WorkerChange::Listed(state) => {
-                info!(target: "facts", worker:% = worker, state:? = state, revision, source; "worker listed");
+                info!(target: "facts", worker:% = worker, worker_version, state:? = state, revision, source; "worker listed");
             }
             WorkerChange::Restarted(state) => {
-                info!(target: "facts", worker:% = worker, state:? = state, revision, source; "worker started again");
+                info!(target: "facts", worker:% = worker, worker_version, state:? = state, revision, source; "worker started again");
             }
             WorkerChange::Left => {
                 info!(target: "facts", worker:% = worker, revision, source; "worker gone");
@@ -48,6 +50,11 @@
     }
 }
 
+/// The version of a worker's software as logged.
+pub(crate) fn version_text(version: Option<&WorkerVersion>) -> &str {
+    version.map_or("unknown", WorkerVersion::as_str)
+}
+
 /// Drops the idle connections to a worker's previous incarnation, which are dead, and
 /// wakes the runs that wait for an answer from it.
 fn drop_stale_connections(gw: &Gateway, worker: &WorkerName) {
--- a/crates/bluebellreel_keeper/src/calls.rs
+++ b/crates/bluebellreel_keeper/src/calls.rs
@@ -72,7 +72,7 @@
     } else {
         expect_ok((status, body))?
     };
-    let facts = postcard::from_bytes(&body).map_err(|e| e.to_string())?;
+    let facts = SharedFacts::decode(&body).map_err(|e| e.to_string())?;
     Ok(SharedFacts {
         is_full_list,
         ..facts
@@ -97,7 +97,7 @@
     to: SocketAddr,
     facts: &SharedFacts,
 ) -> Result<(), CallError> {
-    let body = postcard::to_allocvec(facts).map_err(|e| e.to_string())?;
-    call(pool, to, Method::PUT, "/facts", Bytes::from(body)).await?;
+    let body = Bytes::from(facts.encode());
+    call(pool, to, Method::PUT, "/facts", body).await?;
     Ok(())
 }
--- a/crates/bluebellreel_members/tests/divergence.rs
+++ b/crates/bluebellreel_members/tests/divergence.rs
@@ -30,6 +30,7 @@
     WorkerRecord {
         id: WorkerName::from(id),
         boot: None,
+        version: None,
         service: Arc::from("lm"),
         address: "10.0.0.1:80".parse().expect("an address"),
         data_centre: DataCentre::from("hall"),
--- a/crates/bluebellreel_snapshot/src/facts.rs
+++ b/crates/bluebellreel_snapshot/src/facts.rs
@@ -1,7 +1,10 @@
 //! Facts from the store as daemons pass them on.
+//!
+//! The versions of workers follow the facts in the encoded form. Daemons of an earlier build
+//! ignore the bytes after the facts, and send none.
 
 use bluebellreel_dispatch::WorkerRecord;
-use bluebellreel_types::WorkerName;
+use bluebellreel_types::{WorkerName, WorkerVersion};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -28,3 +31,50 @@
     #[serde(skip)]
     pub is_full_list: bool,
 }
+
+/// Versions of the workers in a list of facts, in the same order.
+type Versions = Vec<Option<WorkerVersion>>;
+
+impl SharedFacts {
+    /// Encodes the facts for a daemon or for the disk.
+    ///
+    /// # Panics
+    ///
+    /// Never: facts always serialize to postcard.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        self.encode_with(self).expect("facts serialize to postcard")
+    }
+
+    /// Decodes facts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the decoding error if the bytes are not encoded facts.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut facts, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        facts.read_versions(rest)?;
+        Ok(facts)
+    }
+
+    /// Encodes a value that contains these facts, followed by the versions of the workers.
+    pub(crate) fn encode_with(&self, value: &impl Serialize) -> Result<Vec<u8>, postcard::Error> {
+        let records = self.workers.iter().map(|(.., record)| record.as_ref());
+        let versions: Versions = records.map(|r| r?.version.clone()).collect();
+        postcard::to_extend(&versions, postcard::to_allocvec(value)?)
+    }
+
+    /// Sets the versions of the workers from the bytes that follow the facts.
+    pub(crate) fn read_versions(&mut self, bytes: &[u8]) -> Result<(), postcard::Error> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        let versions: Versions = postcard::from_bytes(bytes)?;
+        for ((.., record), version) in self.workers.iter_mut().zip(versions) {
+            if let Some(record) = record {
+                record.version = version;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/bluebellreel_snapshot/src/snapshot.rs
+++ b/crates/bluebellreel_snapshot/src/snapshot.rs
@@ -171,7 +171,8 @@
             gateways: self.gateways.clone(),
             confirmed_at: self.confirmed_at,
         };
-        postcard::to_allocvec(&stored).expect("a snapshot serializes to postcard")
+        let encoded = stored.facts.encode_with(&stored);
+        encoded.expect("a snapshot serializes to postcard")
     }
 }
 
@@ -179,8 +180,10 @@
     type Error = SnapshotError;
 
     fn try_from(bytes: &[u8]) -> Result<Self, SnapshotError> {
-        let stored: StoredSnapshot =
-            postcard::from_bytes(bytes).map_err(|e| SnapshotError(e.to_string()))?;
+        let unreadable = |e: postcard::Error| SnapshotError(e.to_string());
+        let (mut stored, rest) =
+            postcard::take_from_bytes::<StoredSnapshot>(bytes).map_err(unreadable)?;
+        stored.facts.read_versions(rest).map_err(unreadable)?;
         let mut snapshot = Self {
             gateways: stored.gateways,
             confirmed_at: stored.confirmed_at,
--- a/crates/bluebellreel_snapshot/tests/snapshot.rs
+++ b/crates/bluebellreel_snapshot/tests/snapshot.rs
@@ -6,7 +6,7 @@
     GatewayState, KnownGateway, ProgressBackups, SNAPSHOT_TTL, SharedFacts, Snapshot, VisitOutcome,
     WorkerFact, visit_outcome,
 };
-use bluebellreel_types::{DataCentre, EntryName, JobId, Moment, WorkerName};
+use bluebellreel_types::{DataCentre, EntryName, JobId, Moment, WorkerName, WorkerVersion};
 use proptest::prelude::*;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +17,7 @@
     WorkerRecord {
         id: WorkerName::from(id),
         boot: Some(Boot(7)),
+        version: None,
         service: Arc::from("lm"),
         address: "10.0.0.1:80".parse().expect("an address"),
         data_centre: DataCentre::from("hall"),
@@ -263,3 +264,52 @@
     assert!(backups.sweep(expires_at));
     assert_eq!(backups.bytes(), 0);
 }
+
+fn versioned(id: &str, version: &str) -> WorkerRecord {
+    WorkerRecord {
+        version: Some(WorkerVersion::from(version)),
+        ..worker(id, WorkerState::Ready)
+    }
+}
+
+#[test]
+fn versions_of_workers_are_passed_on_and_stored() {
+    let fact = |id: &str, version| (20, WorkerName::from(id), Some(versioned(id, version)));
+    let removed = (21, WorkerName::from("c"), None);
+    let sent = facts(10, vec![fact("a", "v1"), removed, fact("b", "v2")]);
+    let read = SharedFacts::decode(&sent.encode()).expect("facts");
+    assert_eq!(read, sent);
+    let mut snapshot = Snapshot::default();
+    snapshot.merge(read);
+    snapshot.confirm(NOW);
+    let stored = Snapshot::try_from(&*snapshot.encode()).expect("a snapshot");
+    let offered = stored.offer(NOW).expect("an offer");
+    let versions: Vec<_> = offered
+        .workers
+        .iter()
+        .map(|(.., r)| r.as_ref()?.version.clone())
+        .collect();
+    assert!(
+        versions.contains(&Some(WorkerVersion::from("v1"))),
+        "{versions:?}"
+    );
+    assert!(
+        versions.contains(&Some(WorkerVersion::from("v2"))),
+        "{versions:?}"
+    );
+}
+
+/// Facts of a daemon of an earlier build, which ends its message before the versions, must
+/// still be read; and such a daemon must still read facts that have them.
+#[test]
+fn facts_without_versions_are_read() {
+    let sent = facts(
+        10,
+        vec![(20, WorkerName::from("a"), Some(versioned("a", "v1")))],
+    );
+    let earlier = postcard::to_allocvec(&sent).expect("facts");
+    let read = SharedFacts::decode(&earlier).expect("facts");
+    assert_eq!(read.workers[0].2.as_ref().expect("a record").version, None);
+    let read: SharedFacts = postcard::from_bytes(&sent.encode()).expect("facts");
+    assert_eq!(read.workers.len(), 1);
+}
--- a/crates/bluebellreel_types/src/id.rs
+++ b/crates/bluebellreel_types/src/id.rs
@@ -56,6 +56,8 @@
 name_type! {
     /// Name of a backend server (worker), unique in the fleet.
     WorkerName,
+    /// Version of a worker's software. Versions are only equal or different.
+    WorkerVersion,
     /// Name of a caller's team; a team may also be a member or a school.
     TeamName,
     /// Name of a model or of a plain service.
--- a/crates/bluebellreel_types/src/lib.rs
+++ b/crates/bluebellreel_types/src/lib.rs
@@ -31,6 +31,6 @@
     pub use crate::{
         AttemptEnd, AttemptId, BrokenReason, Class, DataCentre, Dispatch, EntryName, Incarnation,
         JobId, LoadReport, ModelName, Moment, NotRunReason, RequestId, TeamName, Work, WorkKind,
-        WorkerName,
+        WorkerName, WorkerVersion,
     };
 }
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -81,7 +81,9 @@
     }
 
     fn mentions(&self, id: &str) -> bool {
-        self.text("request") == id || self.text("job") == id
+        ["request", "job", "resumes"]
+            .iter()
+            .any(|field| self.text(field) == id)
     }
 
     /// Whether the line is about a whole job and not about one of its items.
