A broken stream goes on only at the version that began it

Callers got events of two versions of a worker's software in one answer. A gateway that resumed a stream whose worker broke off or fell silent took any worker of the service, as no part knew versions.

A request is bound to the version of the worker that brought its first event, and is placed only at workers of that version from then on. If the version was not known, it is looked up again; if it is not known by then, or no worker of it is left, the stream is broken off at once, so that the caller notices. A worker that restarted under its id with another version is not the one that began the stream; what it may still send is not passed on, and a run that was sent less than a second before such a restart became known counts as one of an unknown version.

New output begins, among workers that are as good otherwise, at a version that has more than one ready worker, so that it can go on.

--- a/crates/bluebellreel_dispatch/benches/placement.rs
+++ b/crates/bluebellreel_dispatch/benches/placement.rs
@@ -70,6 +70,7 @@
         let board = board(workers);
         let query = Query {
             service: "lm",
+            version: None,
             avoid: &[],
             max_wait: Duration::from_millis(180),
             salt: 12345,
--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -209,6 +209,17 @@
         self.views.get(id)?.record.version.as_ref()
     }
 
+    /// The version of the worker that a run was sent to, as far as it is known by now.
+    #[must_use]
+    pub fn version_of_run(&self, ticket: &Ticket) -> Option<WorkerVersion> {
+        let listed = || {
+            let record = &self.views.get(&ticket.worker)?.record;
+            let is_same = is_same_incarnation(record, ticket);
+            record.version.clone().filter(|_| is_same)
+        };
+        ticket.version.clone().or_else(listed)
+    }
+
     /// Workers of a service that accept new work.
     pub fn ready_workers<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a WorkerView> {
         self.views
@@ -216,6 +227,13 @@
             .filter(move |s| &*s.record.service == service && s.record.state == WorkerState::Ready)
     }
 
+    /// Whether a worker of this version of the service accepts new work.
+    #[must_use]
+    pub fn has_ready_version(&self, service: &str, version: &WorkerVersion) -> bool {
+        let mut ready = self.ready_workers(service);
+        ready.any(|s| s.record.version.as_ref() == Some(version))
+    }
+
     /// Counts a new run at a worker.
     pub fn start(&mut self, worker: &WorkerName, class: Class) -> Ticket {
         let (mut boot, mut version) = (None, None);
--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -14,7 +14,7 @@
 //! use std::time::Duration;
 //!
 //! let board = Board::new(DataCentre::from("sligo"), PlacementLimits::default());
-//! let query = Query { service: "assist", avoid: &[], max_wait: Duration::ZERO, salt: 0, now: Moment(0) };
+//! let query = Query { service: "assist", version: None, avoid: &[], max_wait: Duration::ZERO, salt: 0, now: Moment(0) };
 //! assert_eq!(place_online(&board, &query), Placement::NoWorker);
 //! ```
 
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -8,7 +8,7 @@
 //! slots and yield as soon as the runs at a worker exceed its slots.
 
 use crate::{Board, WorkerRecord, WorkerView};
-use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
+use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName, WorkerVersion};
 use std::collections::BTreeMap;
 use std::hash::Hasher;
 use std::time::Duration;
@@ -19,6 +19,9 @@
 pub struct Query<'a> {
     /// The service that runs the work.
     pub service: &'a str,
+    /// The version that began the output, if there is any: what two versions generate does
+    /// not fit together.
+    pub version: Option<&'a WorkerVersion>,
     /// Workers that this request has already tried; for a batch item, those where it has
     /// failed.
     pub avoid: &'a [WorkerName],
@@ -42,13 +45,22 @@
     NoWorker,
 }
 
+/// Workers of the service that accept new work and may run the query's.
+fn eligible_workers<'a>(
+    board: &'a Board,
+    query: &'a Query,
+) -> impl Iterator<Item = &'a WorkerView> {
+    let ready = board.ready_workers(query.service);
+    ready.filter(|s| query.version.is_none() || s.record.version.as_ref() == query.version)
+}
+
 /// Chooses a worker for an online request.
 ///
 /// Circuit breakers only express a preference: if every one is open, the request goes to
 /// one of the workers anyway.
 #[must_use]
 pub fn place_online(board: &Board, query: &Query) -> Placement {
-    let ready_workers: Vec<&WorkerView> = board.ready_workers(query.service).collect();
+    let ready_workers: Vec<&WorkerView> = eligible_workers(board, query).collect();
     if ready_workers.is_empty() {
         return Placement::NoWorker;
     }
@@ -68,9 +80,10 @@
     } else {
         allowed
     };
+    let lone = lone_versions(&ready_workers);
     let ranks: Vec<(Rank, &WorkerView)> = pool
         .into_iter()
-        .map(|view| (rank(board, view, query.now), view))
+        .map(|view| (rank(board, view, &lone, query.now), view))
         .collect();
     let Some(best) = ranks.iter().map(|(rank, _)| *rank).min() else {
         return Placement::NoWorker;
@@ -147,17 +160,18 @@
 
 /// Rank of a worker for an online request; lower is better. The order is: shortest wait,
 /// then workers that are not slow, then a free slot, then a slot that one of this
-/// daemon's own batch runs gives up (which needs no message), then the local data
-/// centre.
+/// daemon's own batch runs gives up (which needs no message), then a version at which the
+/// output could go on, then the local data centre.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     wait: Duration,
     slow: bool,
     slot: u8,
+    lone: bool,
     remote: bool,
 }
 
-fn rank(board: &Board, view: &WorkerView, now: Moment) -> Rank {
+fn rank(board: &Board, view: &WorkerView, lone: &LoneVersions, now: Moment) -> Rank {
     Rank {
         wait: expected_wait(board, view, now),
         slow: is_slow(board, view, now),
@@ -166,10 +180,33 @@
             (0, 1..) => 1,
             (0, 0) => 2,
         },
+        lone: lone.contains(&view.record.version.as_ref()),
         remote: view.record.data_centre != board.local,
     }
 }
 
+/// Versions with a single worker, while another version has more.
+type LoneVersions<'a> = Vec<Option<&'a WorkerVersion>>;
+
+/// Versions of which only one of these workers is, while another version has more. If that
+/// worker left or failed, the output that it has begun could not go on anywhere.
+fn lone_versions<'a>(workers: &[&'a WorkerView]) -> LoneVersions<'a> {
+    let mut versions = workers.iter().map(|s| s.record.version.as_ref());
+    let first = versions.next();
+    if first.is_none_or(|first| versions.all(|version| version == first)) {
+        return Vec::new();
+    }
+    let mut counts: BTreeMap<Option<&WorkerVersion>, usize> = BTreeMap::new();
+    for worker in workers {
+        *counts.entry(worker.record.version.as_ref()).or_default() += 1;
+    }
+    let has_larger = counts.values().any(|count| *count > 1);
+    let lone = counts
+        .into_iter()
+        .filter(|(_, count)| has_larger && *count == 1);
+    lone.map(|(version, _)| version).collect()
+}
+
 /// A daemon that may own free slots.
 struct Claimant<'a> {
     /// Hash of its name and a slash. Daemons of all versions rank alike, since two that did
@@ -210,12 +247,15 @@
 /// stay free, so that online requests find one without making an item yield; see
 /// [`crate::PlacementLimits::reserve_percent`].
 ///
-/// An item that has failed goes to a worker where it has not failed yet, whichever
-/// daemon the slot belongs to: see [`place_failed_item`].
+/// An item that has failed goes to a worker where it has not failed yet, and one that has
+/// output to a worker of its version, whichever daemon the slot belongs to: see
+/// [`place_restricted_item`].
 #[must_use]
 pub fn place_batch(board: &Board, query: &Query, me: &EntryName) -> Option<WorkerName> {
-    let allowed = board
-        .ready_workers(query.service)
+    let ready_workers: Vec<&WorkerView> = eligible_workers(board, query).collect();
+    let lone = lone_versions(&ready_workers);
+    let allowed = ready_workers
+        .into_iter()
         .filter(|s| s.breaker.allows(query.now));
     let (own, peers) = claimants(board, me);
     let owns = |s: &&WorkerView| {
@@ -226,13 +266,13 @@
     let free: u32 = ours.iter().map(|s| s.free()).sum();
     let online: u32 = ours.iter().map(|s| s.running().online).sum();
     let reserve = (online * board.limits.reserve_percent).div_ceil(100);
-    if !query.avoid.is_empty() {
-        return place_failed_item(board, query, &ours, &others);
+    if !query.avoid.is_empty() || query.version.is_some() {
+        return place_restricted_item(board, query, &ours, &others);
     }
     if free <= reserve {
         return None;
     }
-    best_for_batch(board, query, &ours)
+    best_for_batch(board, query, &lone, &ours)
 }
 
 /// How long a worker counts as responsive after an event of one of this daemon's runs.
@@ -240,13 +280,14 @@
 /// responsive workers.
 const RESPONSIVE_WINDOW: Duration = Duration::from_secs(2);
 
-/// Chooses a worker for an item that has failed at others.
+/// Chooses a worker for an item that has failed at others, or that has output and may run
+/// at workers of one version only.
 ///
 /// A worker that fails every request immediately has the most free slots and would get
 /// the item's next attempt as well. No worker therefore gets an item twice while another
 /// one is available, and workers where this daemon's runs recently produced events come
 /// first.
-fn place_failed_item(
+fn place_restricted_item(
     board: &Board,
     query: &Query,
     ours: &[&WorkerView],
@@ -254,14 +295,14 @@
 ) -> Option<WorkerName> {
     let (mine, theirs) = (untried(ours, query), untried(others, query));
     if mine.is_empty() && theirs.is_empty() {
-        return best_for_batch(board, query, ours);
+        return best_for_batch(board, query, &[], ours);
     }
     let is_responsive = |s: &&WorkerView| !(s.last_event_at + RESPONSIVE_WINDOW).is_past(query.now);
     let both = mine.iter().chain(&theirs).copied();
     let responsive: Vec<&WorkerView> = both.filter(is_responsive).collect();
     [&responsive, &mine, &theirs]
         .into_iter()
-        .find_map(|views| best_for_batch(board, query, views))
+        .find_map(|views| best_for_batch(board, query, &[], views))
 }
 
 fn untried<'a>(views: &[&'a WorkerView], query: &Query) -> Vec<&'a WorkerView> {
@@ -269,13 +310,20 @@
     views.iter().copied().filter(is_untried).collect()
 }
 
-fn best_for_batch(board: &Board, query: &Query, views: &[&WorkerView]) -> Option<WorkerName> {
+fn best_for_batch(
+    board: &Board,
+    query: &Query,
+    lone: &[Option<&WorkerVersion>],
+    views: &[&WorkerView],
+) -> Option<WorkerName> {
     views
         .iter()
         .filter(|s| s.free() > 0)
         .max_by_key(|s| {
             let is_fast = !is_slow(board, s, query.now);
-            (is_fast, s.record.data_centre == board.local, s.free())
+            let may_go_on = !lone.contains(&s.record.version.as_ref());
+            let is_local = s.record.data_centre == board.local;
+            (is_fast, may_go_on, is_local, s.free())
         })
         .map(|s| s.record.id.clone())
 }
--- a/crates/bluebellreel_dispatch/tests/common/mod.rs
+++ b/crates/bluebellreel_dispatch/tests/common/mod.rs
@@ -51,6 +51,7 @@
 pub fn query(avoid: &[WorkerName]) -> Query<'_> {
     Query {
         service: "lm",
+        version: None,
         avoid,
         max_wait: MAX_WAIT,
         salt: 0,
--- a/crates/bluebellreel_dispatch/tests/placement.rs
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -123,6 +123,7 @@
     let choose = |board: &Board, after: u64| {
         let query = Query {
             service: "lm",
+            version: None,
             avoid: &[],
             max_wait: MAX_WAIT,
             salt: 0,
--- a/crates/bluebellreel_dispatch/tests/restarts.rs
+++ b/crates/bluebellreel_dispatch/tests/restarts.rs
@@ -61,6 +61,7 @@
 fn place(board: &Board) -> Placement {
     let query = Query {
         service: "lm",
+        version: None,
         avoid: &[],
         max_wait: Duration::ZERO,
         salt: 0,
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -68,6 +68,7 @@
         let avoid = next.owned.job.borrow().items[next.item].failed_at.clone();
         let query = Query {
             service: &next.service,
+            version: None,
             avoid: &avoid,
             max_wait: Duration::ZERO,
             salt: 0,
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -21,6 +21,14 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Labels of resumptions.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Resumption {
+    /// Who resumes: `gateway`, `caller` or `item`.
+    pub(crate) by: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
 /// Label of counts by team.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct TeamOutcome {
@@ -44,6 +52,9 @@
     /// Longest pause of each stream.
     pub(crate) pause: Histogram,
     pub(crate) resumed: Counter,
+    /// Resumptions of streams and items, by who resumes and whether they go on at the
+    /// version that began them.
+    pub(crate) resumptions: Family<Resumption, Counter>,
     pub(crate) jobs: Family<Outcome, Counter>,
     pub(crate) job_accepted: Histogram,
     pub(crate) items: Family<Outcome, Counter>,
@@ -116,6 +127,12 @@
             first_event: latency(r, "first_event_seconds", "From arrival to the first event"),
             pause: latency(r, "pause_seconds", "Longest pause of each stream"),
             resumed: counter(r, "resumed", "Streams that went on at another worker"),
+            resumptions: add(
+                r,
+                "resumptions",
+                "Resumptions by outcome",
+                Family::default(),
+            ),
             jobs: by_outcome(r, "jobs", "Batch jobs by outcome of their submission"),
             job_accepted: latency(r, "job_accepted_seconds", "From arrival to acceptance"),
             items: by_outcome(r, "items", "Runs of batch items by outcome"),
@@ -151,6 +168,12 @@
         self.requests.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Counts a resumption's outcome.
+    pub(crate) fn resumption(&self, by: &'static str, outcome: &'static str) {
+        let labels = Resumption { by, outcome };
+        self.resumptions.get_or_create(&labels).inc();
+    }
+
     /// Counts an item run's outcome.
     pub(crate) fn item(&self, outcome: &'static str) {
         self.items.get_or_create(&Outcome { outcome }).inc();
--- a/crates/bluebellreel_gateway/src/placement.rs
+++ b/crates/bluebellreel_gateway/src/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::Gateway;
 use crate::jobs::preempt_batch_runs;
-use crate::request::Request;
+use crate::request::{Binding, Request};
 use crate::ticket::RunGuard;
 use bluebellreel_dispatch::{Class, Placement, Query, place_online, should_reroute};
 use bluebellreel_types::WorkerName;
@@ -18,6 +18,7 @@
 ) -> Query<'a> {
     Query {
         service: &req.service,
+        version: req.binding.version(),
         avoid,
         max_wait,
         salt: gw.rng.borrow_mut().random(),
@@ -52,6 +53,9 @@
     avoid: &[WorkerName],
     max_wait: Duration,
 ) -> Placement {
+    if req.binding == Binding::Unknown {
+        return Placement::NoWorker;
+    }
     place_online(&gw.board.borrow(), &query(gw, req, avoid, max_wait))
 }
 
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -11,9 +11,9 @@
 use crate::millis::millis;
 use crate::placement;
 use crate::quarantine_gate;
-use crate::request::Request;
+use crate::request::{Binding, Request};
 use crate::stream_monitor::StreamMonitor;
-use crate::ticket::{RESTART_GRACE, worker_restarted};
+use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use crate::workers::version_text;
 use bluebellreel_dispatch::Placement;
@@ -160,7 +160,8 @@
                     } else {
                         "worker silent"
                     };
-                    if !self.resume(reason, true).await {
+                    let open = !self.has_other_version();
+                    if !self.resume(reason, open).await {
                         if self.has_restarted {
                             return Some(self.abort(reason));
                         }
@@ -189,12 +190,39 @@
                 break;
             }
             self.last_id = event.id.or(self.last_id);
+            self.bind();
             self.note_event();
             all.extend_from_slice(&event.bytes);
         }
         Ok(all.freeze())
     }
 
+    /// Binds the stream to the version of the worker that has begun it.
+    fn bind(&mut self) {
+        if self.req.binding == Binding::Free {
+            let ticket = self.upstream.run_guard.ticket();
+            let version = self.gw.board.borrow().version_of_run(ticket);
+            self.req.binding = Binding::of(version);
+        }
+    }
+
+    /// Looks the version up again if it was not known when the stream began.
+    fn rebind(&mut self) {
+        if self.req.binding == Binding::Unknown && self.events_passed > 0 {
+            self.req.binding = Binding::Free;
+            self.bind();
+        }
+    }
+
+    /// Whether the worker is listed with another version than the one that began the
+    /// stream.
+    fn has_other_version(&self) -> bool {
+        let board = self.gw.board.borrow();
+        let listed = board.version_of(self.upstream.run_guard.worker());
+        let began = self.req.binding.version();
+        began.is_some() && listed.is_some() && listed != began
+    }
+
     fn note_event(&mut self) {
         if self.events_passed == 0 {
             let waited = self.req.received.elapsed();
@@ -234,6 +262,9 @@
                 read = body.next() => return read.into(),
                 () = worker_restarted(&self.gw, run_guard.ticket()) => {
                     self.has_restarted = true;
+                    if self.has_other_version() {
+                        return ReadOutcome::Silent;
+                    }
                     self.silence_deadline = until.min(Instant::now() + RESTART_GRACE);
                 }
                 () = sleep_until(until) => {}
@@ -267,6 +298,13 @@
         let resumable = self.req.route.resumable && self.req.may_repeat();
         warn!(target: "online", request:% = self.req.id, worker:% = worker, worker_version = version_text(self.upstream.run_guard.version()), events = self.events_passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
         self.upstream.run_guard.failed();
+        self.rebind();
+        if self.has_other_version()
+            && !(self.upstream.began + RESTART_REPORT_TIMEOUT).is_past(self.gw.now())
+        {
+            // The run may have been sent to the new incarnation already.
+            self.req.binding = Binding::Unknown;
+        }
         if self.has_restarted {
             // The worker's new incarnation has not had the stream.
             self.req.tried.retain(|w| *w != worker);
@@ -276,6 +314,11 @@
                 return false;
             }
             let Some(next) = self.next_worker(!open) else {
+                let outcome = match self.req.binding {
+                    Binding::Unknown => "version_unknown",
+                    Binding::Free | Binding::Version(_) => "no_worker",
+                };
+                self.gw.metrics.resumption("gateway", outcome);
                 return false;
             };
             self.req.tried.push(next.clone());
@@ -299,6 +342,7 @@
                     self.req.runs += 1;
                     self.silence_deadline = Instant::now() + RESUMED_FIRST_EVENT_TIMEOUT;
                     self.gw.metrics.resumed.inc();
+                    self.gw.metrics.resumption("gateway", "same_version");
                     info!(target: "online", request:% = self.req.id, worker:% = next, worker_version = version_text(self.upstream.run_guard.version()), last_id:? = self.last_id; "stream resumed");
                     return true;
                 }
--- a/crates/bluebellreel_gateway/src/request.rs
+++ b/crates/bluebellreel_gateway/src/request.rs
@@ -7,7 +7,7 @@
 use bluebellreel_dispatch::{Fingerprint, Route, Sender, Ticket};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_teams::{TeamTag, Use, wait_share};
-use bluebellreel_types::{Moment, WorkerName};
+use bluebellreel_types::{Moment, WorkerName, WorkerVersion};
 use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,6 +26,31 @@
 /// one of a worker's slots becomes free.
 const FIRST_BYTE_PER_WAITING: Duration = Duration::from_millis(110);
 
+/// Which workers may run a request, by the version of their software.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Binding {
+    /// Any: the caller has nothing of an answer.
+    Free,
+    /// Those of the version that began the answer.
+    Version(WorkerVersion),
+    /// None: the answer was begun by a version that is not known.
+    Unknown,
+}
+
+impl Binding {
+    /// The binding of an answer that a worker of this version has begun.
+    pub(crate) fn of(version: Option<WorkerVersion>) -> Self {
+        version.map_or(Self::Unknown, Self::Version)
+    }
+
+    pub(crate) fn version(&self) -> Option<&WorkerVersion> {
+        match self {
+            Self::Version(version) => Some(version),
+            Self::Free | Self::Unknown => None,
+        }
+    }
+}
+
 /// A caller's request that is being processed.
 pub(crate) struct Request {
     pub(crate) id: Arc<str>,
@@ -34,6 +59,7 @@
     /// The team that sent it.
     pub(crate) credential: Option<Credential>,
     pub(crate) out: Outgoing,
+    pub(crate) binding: Binding,
     /// When the caller stops waiting or the route's time limit is reached.
     pub(crate) deadline: Instant,
     pub(crate) received: Instant,
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::gateway::Gateway;
 use crate::in_progress::InProgressGuard;
 use crate::online;
-use crate::request::Request;
+use crate::request::{Binding, Request};
 use crate::teams::{Credential, Denial, Need};
 use crate::{answers, jobs, teams};
 use bluebellreel_dispatch::{Configuration, Route, RouteKind};
@@ -316,6 +316,7 @@
         route: route.clone(),
         credential: None,
         out: Outgoing::of_caller(head, body),
+        binding: Binding::Free,
         deadline,
         received,
         tried: Vec::new(),
--- a/crates/bluebellreel_gateway/src/ticket.rs
+++ b/crates/bluebellreel_gateway/src/ticket.rs
@@ -70,6 +70,10 @@
 /// about 30 ms apart.
 pub(crate) const RESTART_GRACE: Duration = Duration::from_millis(150);
 
+/// Time within which the entry of a worker that has restarted appears in the store. A run
+/// that was sent this shortly before may have reached either incarnation.
+pub(crate) const RESTART_REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Completes once a run's worker is known to have restarted under the same id.
 pub(crate) async fn worker_restarted(gw: &Gateway, ticket: &Ticket) {
     loop {
