Items go on only at the version that began them

Results of items held events of two versions: an item that left a draining, broken-off or full worker went on at any other one, and so did items of a job that was taken over or handed over.

An item's progress now names the version that generated it. It is placed at workers of that version only, whichever daemon owns the free slot. If none of that version is ready, if it is not known, or if none has a slot for two seconds, the output is dropped and the item starts over: nothing of it has been listed yet. Copies for successors and keepers and hand-over messages carry the version behind the progress, so that daemons of an earlier build read them; progress from such a daemon starts over.

--- a/crates/bluebellreel_batch/src/job.rs
+++ b/crates/bluebellreel_batch/src/job.rs
@@ -36,6 +36,8 @@
     pub failures: u32,
     /// Workers where it has failed, as far as this daemon knows.
     pub failed_at: Vec<WorkerName>,
+    /// Until when it waits for a worker of the version that generated its output.
+    pub version_deadline: Option<Moment>,
 }
 
 /// How a run of an item ended.
@@ -98,6 +100,7 @@
             progress: Progress::default(),
             failures: 0,
             failed_at: Vec::new(),
+            version_deadline: None,
         });
         let mut job = Self {
             id,
@@ -191,6 +194,15 @@
         }
     }
 
+    /// Drops the output of an item that has not ended, so that it runs from its beginning.
+    pub fn start_over(&mut self, item: usize) {
+        let found = &mut self.items[item];
+        if found.phase != ItemPhase::Ended {
+            found.progress = Progress::default();
+            found.version_deadline = None;
+        }
+    }
+
     /// Gives up an item if it is waiting to run.
     pub fn give_up(&mut self, item: usize, now: Moment) {
         if matches!(self.items[item].phase, ItemPhase::Waiting { .. }) {
--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -32,7 +32,7 @@
 pub use input::{NewItem, decode_items, encode_items, split_input};
 pub use job::{Item, ItemEnd, ItemPhase, Job, Segment};
 pub use open_job::OpenJob;
-pub use progress::{EventGap, Progress};
+pub use progress::{EventGap, OtherVersion, Progress};
 pub use progress_copies::{ItemProgress, ProgressCopies};
 pub use quota_ledger::QuotaLedger;
 pub use record::{JobPhase, JobRecord, Owner, RecordError, quota_scope};
--- a/crates/bluebellreel_batch/src/progress_copies.rs
+++ b/crates/bluebellreel_batch/src/progress_copies.rs
@@ -7,7 +7,7 @@
 //! bytes, and resumes from it after a take-over.
 
 use crate::{Item, ItemPhase, ItemResult, Job, Progress, ResultState};
-use bluebellreel_types::{JobId, Moment};
+use bluebellreel_types::{JobId, Moment, WorkerVersion};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -27,6 +27,10 @@
     pub text: String,
     /// Final state, if the item has ended and its result is not recorded yet.
     pub ended: Option<ResultState>,
+    /// Version of the workers that generated the text; none if it is not known. It is not
+    /// part of the serialized form, which daemons of an earlier build read.
+    #[serde(skip)]
+    pub version: Option<WorkerVersion>,
 }
 
 impl ItemProgress {
@@ -42,6 +46,7 @@
             events: item.progress.events(),
             text: item.progress.text().to_owned(),
             ended: None,
+            version: item.progress.version().cloned(),
         })
     }
 
@@ -56,6 +61,7 @@
             events: 0,
             text: result.text.to_string(),
             ended: Some(result.state),
+            version: None,
         }
     }
 
@@ -101,10 +107,12 @@
         }
         item.failures = item.failures.max(known.failures);
         if let Some(state) = known.ended {
-            item.progress = Progress::restored(known.last_id, known.events, known.text);
+            item.progress =
+                Progress::restored(known.last_id, known.events, known.text, known.version);
             self.conclude(at, state, now);
         } else if item.progress.events() < known.events {
-            item.progress = Progress::restored(known.last_id, known.events, known.text);
+            item.progress =
+                Progress::restored(known.last_id, known.events, known.text, known.version);
         }
     }
 }
--- a/crates/bluebellreel_batch/tests/progress_copies.rs
+++ b/crates/bluebellreel_batch/tests/progress_copies.rs
@@ -15,6 +15,7 @@
         events,
         text: "x".repeat(usize::try_from(events).unwrap_or(0)),
         ended: None,
+        version: None,
     }
 }
 
--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -8,7 +8,7 @@
 use crate::gateway::Gateway;
 use crate::peer_calls;
 use bluebellreel_batch::{ItemProgress, Job};
-use bluebellreel_types::JobId;
+use bluebellreel_types::{JobId, WorkerVersion};
 use bytes::Bytes;
 use futures::future::join_all;
 use log::{info, warn};
@@ -90,7 +90,7 @@
 
 /// Copies one job's progress. Returns whether the receiver has accepted it.
 async fn copy(gw: &Rc<Gateway>, id: &JobId, to: SocketAddr, items: &[ItemProgress]) -> bool {
-    let copied = match postcard::to_allocvec(items) {
+    let copied = match encode_progress(items) {
         Ok(body) => peer_calls::copy_progress(gw, to, id, body).await,
         Err(e) => Err(e.to_string()),
     };
@@ -175,13 +175,31 @@
     gw.jobs.borrow_mut().copies.keep(id, items, until);
 }
 
+/// Encodes the progress of a job's items, followed by the version that generated each one's
+/// text. Daemons of an earlier build ignore the versions, and send none.
+pub(super) fn encode_progress(items: &[ItemProgress]) -> Result<Vec<u8>, postcard::Error> {
+    let versions: Vec<Option<&WorkerVersion>> = items.iter().map(|i| i.version.as_ref()).collect();
+    postcard::to_extend(&versions, postcard::to_allocvec(items)?)
+}
+
+fn decode_progress(bytes: &[u8]) -> Result<Vec<ItemProgress>, postcard::Error> {
+    let (mut items, rest) = postcard::take_from_bytes::<Vec<ItemProgress>>(bytes)?;
+    if !rest.is_empty() {
+        let versions: Vec<Option<WorkerVersion>> = postcard::from_bytes(rest)?;
+        for (item, version) in items.iter_mut().zip(versions) {
+            item.version = version;
+        }
+    }
+    Ok(items)
+}
+
 /// Decodes the progress of a job's items. An empty body means that the peer has no
 /// progress of the job.
 pub(super) fn read_progress(id: &JobId, progress: &[u8]) -> Vec<ItemProgress> {
     if progress.is_empty() {
         return Vec::new();
     }
-    postcard::from_bytes(progress).unwrap_or_else(|e| {
+    decode_progress(progress).unwrap_or_else(|e| {
         // The items start from scratch, which is correct but slower.
         warn!(target: "jobs", job:% = id, error:% = e; "progress not read");
         Vec::new()
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -1,7 +1,7 @@
 //! Handing over jobs to peers when this daemon stops.
 
 use super::adopt::adopt;
-use super::backup::read_progress;
+use super::backup::{encode_progress, read_progress};
 use super::load::owned_job;
 use super::own::OwnedJob;
 use super::stored::{key, owner_txn, stored_record};
@@ -162,7 +162,7 @@
 
 fn progress(owned: &OwnedJob) -> Vec<u8> {
     // Without progress the items start from scratch, which is correct but slower.
-    postcard::to_allocvec(&owned.job.borrow().progress()).unwrap_or_default()
+    encode_progress(&owned.job.borrow().progress()).unwrap_or_default()
 }
 
 /// Accepts a job that a peer has handed over.
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -8,7 +8,7 @@
 use crate::millis::millis;
 use crate::quarantine_gate::{self, Permit, Trial};
 use crate::stream_monitor::StreamMonitor;
-use crate::ticket::{RESTART_GRACE, RunGuard, worker_restarted};
+use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, RunGuard, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use crate::workers::version_text;
 use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
@@ -18,7 +18,7 @@
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_platform::ingress;
-use bluebellreel_types::{JobId, Moment, WorkerName};
+use bluebellreel_types::{JobId, Moment, WorkerName, WorkerVersion};
 use bytes::Bytes;
 use http::StatusCode;
 use log::{info, warn};
@@ -32,6 +32,9 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time without output after which an item resumes on another worker.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for which an item that has output waits for a slot at a worker of its version. It is
+/// the time that an item takes to generate about half of its output anew.
+const VERSION_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause of an item after a run without success, so that it does not cycle through
 /// workers that all refuse it.
 const ITEM_BACKOFF: Duration = Duration::from_millis(120);
@@ -65,10 +68,11 @@
                 continue;
             }
         };
+        let version = version_to_keep(gw, &next);
         let avoid = next.owned.job.borrow().items[next.item].failed_at.clone();
         let query = Query {
             service: &next.service,
-            version: None,
+            version: version.as_ref(),
             avoid: &avoid,
             max_wait: Duration::ZERO,
             salt: 0,
@@ -80,9 +84,9 @@
                 unconfirmed.insert(next.job);
             }
             Some(worker) => start(gw, next, &worker, permit),
-            None if !avoid.is_empty() => {
-                // Other items may start on the workers where this one has failed, so it
-                // must not hold them up.
+            None if !avoid.is_empty() || version.is_some() => {
+                // Other items may start on workers that this one may not use, so it must
+                // not hold them up.
                 let later = ItemPhase::Waiting {
                     from: gw.now() + ITEM_BACKOFF,
                 };
@@ -95,6 +99,31 @@
     }
 }
 
+/// The version at whose workers an item goes on; none if it has no output. Output that
+/// cannot go on is dropped, and the item starts over.
+fn version_to_keep(gw: &Gateway, next: &Next) -> Option<WorkerVersion> {
+    let now = gw.now();
+    let mut job = next.owned.job.borrow_mut();
+    let item = &mut job.items[next.item];
+    if item.progress.events() == 0 {
+        return None;
+    }
+    let version = item.progress.version().cloned();
+    let deadline = *item.version_deadline.get_or_insert(now + VERSION_TIMEOUT);
+    let reason = match &version {
+        None => "version not known",
+        Some(v) if !gw.board.borrow().has_ready_version(&next.service, v) => {
+            "no worker of its version"
+        }
+        Some(_) if deadline.is_past(now) => "all workers of its version are full",
+        Some(_) => return version,
+    };
+    info!(target: "jobs", job:% = next.job, request:% = next.id, worker_version = version_text(version.as_ref()), events = item.progress.events(), reason; "item starts over");
+    gw.metrics.resumption("item", "started_over");
+    job.start_over(next.item);
+    None
+}
+
 /// Whether an item may be sent to a worker. The error is the time of the next attempt.
 fn may_run(gw: &Gateway, next: &Next) -> Result<Permit, Moment> {
     let fingerprint = || {
@@ -163,7 +192,15 @@
 fn start(gw: &Rc<Gateway>, next: Next, worker: &WorkerName, permit: Permit) {
     let trial = Trial::begin(gw, &next.id, permit);
     let run_guard = RunGuard::acquire(gw, worker, Class::Batch);
-    next.owned.job.borrow_mut().items[next.item].phase = ItemPhase::Running;
+    {
+        let mut job = next.owned.job.borrow_mut();
+        let item = &mut job.items[next.item];
+        item.phase = ItemPhase::Running;
+        item.version_deadline = None;
+        if item.progress.events() > 0 {
+            gw.metrics.resumption("item", "same_version");
+        }
+    }
     let key = (next.job.clone(), next.item);
     let task = tokio::task::spawn_local(run(gw.clone(), next, run_guard, trial));
     let run = ItemRun {
@@ -316,10 +353,21 @@
         read = body.next() => return read,
         () = worker_restarted(gw, run_guard.ticket()) => {}
     }
+    if has_other_version(gw, run_guard) {
+        return Err(Broken);
+    }
     let read = timeout(RESTART_GRACE, body.next()).await;
     read.unwrap_or(Err(Broken))
 }
 
+/// Whether a run's worker is listed with another version than the one that the run was sent
+/// to.
+fn has_other_version(gw: &Gateway, run_guard: &RunGuard) -> bool {
+    let board = gw.board.borrow();
+    let listed = board.version_of(run_guard.worker());
+    listed.is_some() && run_guard.version().is_some() && listed != run_guard.version()
+}
+
 fn take_events(
     gw: &Gateway,
     next: &Next,
@@ -327,8 +375,15 @@
     stream_monitor: &mut StreamMonitor,
     upstream: &Upstream,
 ) -> Result<(), &'static str> {
+    let version = gw
+        .board
+        .borrow()
+        .version_of_run(upstream.run_guard.ticket());
     let mut job = next.owned.job.borrow_mut();
     let progress = progress_of(&mut job, next.item);
+    if progress.continue_at(version.as_ref()).is_err() {
+        return Err("worker of another version");
+    }
     while let Some(event) = events.next() {
         let Some(id) = event.id else {
             continue;
@@ -355,6 +410,11 @@
     let worker = upstream.run_guard.worker();
     warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, reason; "item interrupted");
     upstream.run_guard.failed();
+    let sent_lately = !(upstream.began + RESTART_REPORT_TIMEOUT).is_past(gw.now());
+    if sent_lately && has_other_version(gw, &upstream.run_guard) {
+        // The run may have been sent to the new incarnation already.
+        next.owned.job.borrow_mut().start_over(next.item);
+    }
     if reason == BROKEN_OFF {
         let ticket = upstream.run_guard.ticket().clone();
         crash::check_for_crash(gw, cut_of(next, out, ticket, upstream.began)).await;
