A caller resumes its stream at the version that began it

Callers whose gateway was killed, or whose connection broke, got the rest of their stream from a worker of any version: the gateway that they came back to knew neither the stream nor versions.

A gateway that is not certain that a single version of the service has been listed for ten seconds (or twice the route's timeout) records the version of each stream before it passes on the first event: at the keeper of its data centre, which writes it to its disk within 100 ms, and at another keeper; peers take the place of missing keepers. A resumption names the attempt that brought the first event; the gateway asks all keepers and two peers by that id, and binds the request to the version. If there is no record, the stream was begun while its gateway knew one version only, and the history of versions tells which. If the version is not known, or no worker of it is left, the caller gets 503 and `Retry-After` at once and nothing runs.

--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -181,7 +181,9 @@
             self.views.insert(record.id.clone(), view);
             return Some(WorkerChange::Listed(record.state));
         };
-        if view.record.boot != record.boot || differ(&view.record.version, &record.version) {
+        if view.record.boot != record.boot
+            || differ(view.record.version.as_ref(), record.version.as_ref())
+        {
             *view = WorkerView::new(record.clone());
             self.speeds.forget(&record.id);
             return Some(WorkerChange::Restarted(record.state));
@@ -387,13 +389,13 @@
 }
 
 /// Whether two versions are known and differ.
-fn differ(one: &Option<WorkerVersion>, other: &Option<WorkerVersion>) -> bool {
+fn differ(one: Option<&WorkerVersion>, other: Option<&WorkerVersion>) -> bool {
     matches!((one, other), (Some(one), Some(other)) if one != other)
 }
 
 /// Whether a run was sent to the listed incarnation of its worker.
 fn is_same_incarnation(record: &WorkerRecord, ticket: &Ticket) -> bool {
-    record.boot == ticket.boot && !differ(&record.version, &ticket.version)
+    record.boot == ticket.boot && !differ(record.version.as_ref(), ticket.version.as_ref())
 }
 
 /// The view of the worker at which a peer's runs are counted; none if the worker has
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use bluebellreel_kv::KeyValue;
 use bluebellreel_members::{Members, WatchDuty};
 use bluebellreel_net::{Pool, PoolLimits};
+use bluebellreel_origins::{OriginRecords, VersionHistory};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_teams::{ActiveClasses, Allowances, Confirmation, RevocationTerms};
 use bluebellreel_types::{Clock, EntryName, Incarnation, Moment};
@@ -40,6 +41,9 @@
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Idle timeout of connections to peers.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Maximum number of streams whose version is kept: those of half a minute at the peak of
+/// the whole fleet, in some 6 MB.
+const MAX_ORIGINS: usize = 65_536;
 /// Maximum number of idle connections per peer.
 const MAX_PEER_IDLE: usize = 8;
 
@@ -57,6 +61,10 @@
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) cluster_state: RefCell<ClusterState>,
     pub(crate) board: RefCell<Board>,
+    /// Versions of workers that were listed lately.
+    pub(crate) versions: RefCell<VersionHistory>,
+    /// Versions that began streams, of this daemon's and of peers' callers.
+    pub(crate) origins: RefCell<OriginRecords>,
     pub(crate) overloads: RefCell<Overloads>,
     /// Requests whose runs have crashed workers.
     pub(crate) suspects: RefCell<Suspects>,
@@ -152,6 +160,8 @@
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
             cluster_state: RefCell::default(),
             board: RefCell::new(board),
+            versions: RefCell::default(),
+            origins: RefCell::new(OriginRecords::new(MAX_ORIGINS)),
             overloads: RefCell::default(),
             suspects: RefCell::default(),
             members: RefCell::default(),
@@ -200,6 +210,11 @@
         &self.settings.name
     }
 
+    /// Whether this daemon has read the cluster state since its start.
+    pub(crate) fn has_joined(&self) -> bool {
+        *self.joined.borrow()
+    }
+
     pub(crate) fn now(&self) -> Moment {
         self.clock.now()
     }
--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -6,6 +6,7 @@
 //! stay within the data centre, where traffic is not charged.
 
 use crate::gateway::Gateway;
+use crate::keepers::first_visit;
 use crate::peer_calls;
 use bluebellreel_batch::{ItemProgress, Job};
 use bluebellreel_types::{JobId, WorkerVersion};
@@ -16,7 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Interval between copies. An item of 190 events takes about five seconds, so each
 /// of its events is sent about three times at this interval.
@@ -114,22 +115,10 @@
 /// jobs. Keepers visit the daemons of their data centre several times a second.
 const FIRST_VISIT_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Waits until a keeper of this data centre has visited this daemon, which may just have
-/// started: a daemon knows the keepers by their visits only.
-async fn first_visit(gw: &Gateway) {
-    let deadline = gw.started + FIRST_VISIT_TIMEOUT;
-    while gw.keepers.borrow().near(gw.now()).is_none() {
-        let visited = gw.keeper_visited.notified();
-        if timeout_at(deadline, visited).await.is_err() {
-            return;
-        }
-    }
-}
-
 /// Restores the progress of the items of a job that was taken over, from the copies
 /// on this daemon and on the keepers.
 pub(super) async fn restore_progress(gw: &Rc<Gateway>, id: &JobId, job: &mut Job) {
-    first_visit(gw).await;
+    first_visit(gw, gw.started + FIRST_VISIT_TIMEOUT).await;
     let mut begun = gw.jobs.borrow_mut().copies.take(id);
     let keepers = gw.keepers.borrow().all(gw.now());
     let asked = keepers.into_iter().map(|at| fetch_progress(gw, at, id));
--- a/crates/bluebellreel_gateway/src/keeper_visits.rs
+++ b/crates/bluebellreel_gateway/src/keeper_visits.rs
@@ -78,6 +78,12 @@
         self.visits.get(&at).is_some_and(|visit| !visit.is_given_up)
     }
 
+    /// All keepers that count as present and are not known to be unreachable.
+    pub(crate) fn reachable(&self, now: Moment) -> Vec<SocketAddr> {
+        let present = self.present(now).filter(|(_, v)| !v.is_unreachable);
+        present.map(|(at, _)| at).collect()
+    }
+
     /// All keepers that count as present, including those that are unreachable.
     pub(crate) fn all(&self, now: Moment) -> Vec<SocketAddr> {
         self.present(now).map(|(at, _)| at).collect()
--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
 
 /// Whether the store has not answered this daemon yet, so that it accepts a snapshot.
 fn needs_snapshot(gw: &Gateway) -> bool {
@@ -45,6 +46,17 @@
     }
 }
 
+/// Waits until a keeper of this data centre has visited this daemon, which may just have
+/// started, at most until `deadline`: a daemon knows the keepers by their visits only.
+pub(crate) async fn first_visit(gw: &Gateway, deadline: Instant) {
+    while gw.keepers.borrow().near(gw.now()).is_none() {
+        let visited = gw.keeper_visited.notified();
+        if timeout_at(deadline, visited).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Answers a keeper with this gateway's state. `query` identifies the keeper.
 pub(crate) fn state(gw: &Gateway, query: &str) -> Response<Body> {
     note_visit(gw, query);
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod metrics;
 mod millis;
 mod online;
+mod origins;
 mod peer_api;
 mod peer_calls;
 mod placement;
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -55,6 +55,8 @@
     /// Resumptions of streams and items, by who resumes and whether they go on at the
     /// version that began them.
     pub(crate) resumptions: Family<Resumption, Counter>,
+    /// Records of the versions that began streams, by outcome.
+    pub(crate) origins: Family<Outcome, Counter>,
     pub(crate) jobs: Family<Outcome, Counter>,
     pub(crate) job_accepted: Histogram,
     pub(crate) items: Family<Outcome, Counter>,
@@ -118,6 +120,10 @@
     add(registry, name, help, Family::default())
 }
 
+fn by_resumer(registry: &mut Registry, name: &str, help: &str) -> Family<Resumption, Counter> {
+    add(registry, name, help, Family::default())
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("bluebellreel");
@@ -127,12 +133,8 @@
             first_event: latency(r, "first_event_seconds", "From arrival to the first event"),
             pause: latency(r, "pause_seconds", "Longest pause of each stream"),
             resumed: counter(r, "resumed", "Streams that went on at another worker"),
-            resumptions: add(
-                r,
-                "resumptions",
-                "Resumptions by outcome",
-                Family::default(),
-            ),
+            resumptions: by_resumer(r, "resumptions", "Resumptions by outcome"),
+            origins: by_outcome(r, "origins", "Records of streams' versions by outcome"),
             jobs: by_outcome(r, "jobs", "Batch jobs by outcome of their submission"),
             job_accepted: latency(r, "job_accepted_seconds", "From arrival to acceptance"),
             items: by_outcome(r, "items", "Runs of batch items by outcome"),
@@ -174,6 +176,11 @@
         self.resumptions.get_or_create(&labels).inc();
     }
 
+    /// Counts the outcome of recording which version began a stream.
+    pub(crate) fn origin(&self, outcome: &'static str) {
+        self.origins.get_or_create(&Outcome { outcome }).inc();
+    }
+
     /// Counts an item run's outcome.
     pub(crate) fn item(&self, outcome: &'static str) {
         self.items.get_or_create(&Outcome { outcome }).inc();
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -4,6 +4,7 @@
 use crate::crash;
 use crate::gateway::Gateway;
 use crate::millis::millis;
+use crate::origins;
 use crate::placement;
 use crate::quarantine_gate;
 use crate::relay::Relay;
@@ -38,6 +39,10 @@
 pub(crate) async fn answer(gw: Rc<Gateway>, mut req: Request) -> Response<Body> {
     let mut refusals = 0;
     req.note_class(&gw);
+    if let Err(refused) = origins::bind(&gw, &mut req).await {
+        teams::give_back(&gw, &req);
+        return refused;
+    }
     loop {
         if req.left().is_zero() {
             return give_up(&gw, &req, "deadline passed");
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -5,9 +5,11 @@
 use crate::gateway::Gateway;
 use crate::jobs;
 use crate::keepers;
+use crate::origins;
 use crate::store_proxy;
 use bluebellreel_members::Revisions;
 use bluebellreel_net::{Body, read_body};
+use bluebellreel_origins::{Origin, StreamTag};
 use bluebellreel_teams::Caller;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
@@ -68,6 +70,11 @@
             jobs::store_progress_copy(&gw, id, &progress);
             answers::status(StatusCode::OK)
         }
+        (&Method::PUT, ["origins"]) => match read_call_body(req).await {
+            Some(body) => keep_origin(&gw, &body),
+            None => missing_body(),
+        },
+        (&Method::GET, ["origins", stream]) => origin(&gw, stream),
         (&Method::POST, ["store"]) => store(&gw, req).await,
         _ => answers::failure(StatusCode::NOT_FOUND, "no such call"),
     }
@@ -95,6 +102,26 @@
     answers::failure(StatusCode::BAD_REQUEST, "no body")
 }
 
+/// Keeps the record of the version that began a peer's stream.
+fn keep_origin(gw: &Gateway, body: &[u8]) -> Response<Body> {
+    match postcard::from_bytes::<Origin>(body) {
+        Ok(origin) => {
+            origins::keep(gw, &origin);
+            answers::status(StatusCode::OK)
+        }
+        Err(e) => answers::failure(StatusCode::BAD_REQUEST, &e.to_string()),
+    }
+}
+
+/// Answers a peer's question for the version that began a stream.
+fn origin(gw: &Gateway, stream: &str) -> Response<Body> {
+    let version = StreamTag::parse(stream).and_then(|stream| origins::recorded(gw, stream));
+    version.map_or_else(
+        || answers::failure(StatusCode::NOT_FOUND, "no record"),
+        |version| answers::bytes(version.as_str().to_owned()),
+    )
+}
+
 /// Makes a call to the store on behalf of a peer that the store rejects.
 async fn store(gw: &Gateway, req: Request<Incoming>) -> Response<Body> {
     let Some(body) = read_call_body(req).await else {
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -4,9 +4,10 @@
 use crate::gateway::Gateway;
 use bluebellreel_members::Revisions;
 use bluebellreel_net::CallError;
+use bluebellreel_origins::{Origin, StreamTag};
 use bluebellreel_snapshot::SharedFacts;
 use bluebellreel_teams::Caller;
-use bluebellreel_types::JobId;
+use bluebellreel_types::{JobId, WorkerVersion};
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
@@ -224,3 +225,36 @@
     }
     Ok(())
 }
+
+/// Sends the record of the version that began a stream to a keeper or peer.
+pub(crate) async fn record_origin(
+    gw: &Gateway,
+    to: SocketAddr,
+    origin: &Origin,
+) -> Result<(), PeerError> {
+    let body = postcard::to_allocvec(origin).map_err(|e| e.to_string())?;
+    let body = Bytes::from(body);
+    let (status, _) = call(gw, to, Method::PUT, "/origins", body, CALL_TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    Ok(())
+}
+
+/// Fetches the version that began a stream from a keeper or peer; none if it has no record.
+pub(crate) async fn origin(
+    gw: &Gateway,
+    to: SocketAddr,
+    stream: StreamTag,
+) -> Result<Option<WorkerVersion>, PeerError> {
+    let path = format!("/origins/{stream}");
+    let (status, body) = call(gw, to, Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
+    match status {
+        StatusCode::OK => {
+            let version = std::str::from_utf8(&body).map_err(|e| e.to_string())?;
+            Ok(Some(WorkerVersion::from(version)))
+        }
+        StatusCode::NOT_FOUND => Ok(None),
+        other => Err(format!("status {other}")),
+    }
+}
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::millis::millis;
+use crate::origins;
 use crate::placement;
 use crate::quarantine_gate;
 use crate::request::{Binding, Request};
@@ -92,6 +93,8 @@
     /// Workers at which the stream is not resumed again: they were silent, or did not
     /// accept it.
     excluded: Vec<WorkerName>,
+    /// Whether the version that began the stream was recorded, if that is needed.
+    is_recorded: bool,
     finished: bool,
 }
 
@@ -113,6 +116,7 @@
             longest_pause: Duration::ZERO,
             has_restarted: false,
             excluded: Vec::new(),
+            is_recorded: false,
             finished: false,
         }
     }
@@ -140,6 +144,9 @@
                 }
             };
             if !complete.is_empty() {
+                if !std::mem::replace(&mut self.is_recorded, true) {
+                    origins::record(&self.gw, &self.req).await;
+                }
                 return Some(Ok(complete));
             }
             match self.read_next().await {
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -175,6 +175,7 @@
     gw.allowances.borrow_mut().sweep(gw.elapsed());
     gw.jobs.borrow_mut().sweep(now);
     gw.keepers.borrow_mut().sweep(now);
+    gw.origins.borrow_mut().sweep(now);
     gw.overloads.borrow_mut().sweep(now);
     for classes in gw.classes.borrow_mut().values_mut() {
         classes.sweep(now);
--- a/crates/bluebellreel_gateway/src/workers.rs
+++ b/crates/bluebellreel_gateway/src/workers.rs
@@ -16,6 +16,9 @@
     let cluster_state = gw.cluster_state.borrow();
     let revision = cluster_state.catalog.newest();
     let changes = gw.board.borrow_mut().apply_catalog(&cluster_state.catalog);
+    let listed = cluster_state.catalog.workers();
+    let versions = listed.map(|r| (&r.service, r.version.as_ref()));
+    gw.versions.borrow_mut().update(versions, gw.now());
     drop(cluster_state);
     if changes.len() > MAX_LOGGED {
         let gone = changes.iter().filter(|(_, c)| *c == WorkerChange::Left);
--- a/crates/bluebellreel_keeper/src/disk.rs
+++ b/crates/bluebellreel_keeper/src/disk.rs
@@ -21,6 +21,9 @@
 /// Files of the progress backups.
 pub const PROGRESS: SlotFiles = SlotFiles(["progress-a", "progress-b"]);
 
+/// Files of the records of which versions began streams.
+pub const ORIGINS: SlotFiles = SlotFiles(["origins-a", "origins-b"]);
+
 /// Outcome of a write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DiskOutcome {
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -1,11 +1,12 @@
 //! Main loop of a keeper.
 
 use crate::calls;
-use crate::disk::{Disk, PROGRESS, SNAPSHOT};
-use crate::persistence::{PendingWrite, write_progress, write_snapshots};
+use crate::disk::{Disk, ORIGINS, PROGRESS, SNAPSHOT};
+use crate::persistence::{PendingWrite, write_origins, write_progress, write_snapshots};
 use crate::shutdown::{KeeperTasks, StopSummary, shut_down};
 use crate::stored_state::{StoredState, read_stored_state};
 use bluebellreel_net::{ConnectionTracker, Pool, PoolLimits, Stop, listen, serve};
+use bluebellreel_origins::OriginRecords;
 use bluebellreel_settings::{KeeperSettings, SettingsError};
 use bluebellreel_snapshot::{
     GatewayState, KnownGateway, ProgressBackups, Snapshot, VisitOutcome, VisitResult,
@@ -44,10 +45,13 @@
     pool: Pool,
     pub(crate) snapshot: RefCell<Snapshot>,
     pub(crate) progress: RefCell<ProgressBackups>,
+    /// Versions that began streams.
+    pub(crate) origins: RefCell<OriginRecords>,
     schedule: RefCell<VisitSchedule>,
     /// Changes that are not on the disk yet.
     pub(crate) pending_snapshot: PendingWrite,
     pub(crate) pending_progress: PendingWrite,
+    pub(crate) pending_origins: PendingWrite,
     /// Whether new backups are refused because the last write before the process ends
     /// has begun.
     pub(crate) closed: Cell<bool>,
@@ -112,14 +116,20 @@
             return Ok(StopSummary::STOPPED_BEFORE_START);
         }
     };
-    let StoredState { snapshot, progress } = stored?;
+    let StoredState {
+        snapshot,
+        progress,
+        origins,
+    } = stored?;
     let (count, snapshot) = snapshot;
     let (progress_count, progress) = progress;
+    let (origins_count, origins) = origins;
     let newest = snapshot.newest();
     let gateways = snapshot.gateways().count();
     info!(target: "keeper", keeper:% = settings.name, data_centre:% = settings.data_centre, count, configuration = newest.configuration, workers = newest.workers, gateways; "started");
     let snapshots = Disk::start(settings.folder.clone(), SNAPSHOT, count);
     let progresses = Disk::start(settings.folder.clone(), PROGRESS, progress_count);
+    let origins_disk = Disk::start(settings.folder.clone(), ORIGINS, origins_count);
     let keeper = Rc::new(Keeper {
         seeds: RefCell::new(settings.seeds.clone()),
         clock: Clock::start(),
@@ -130,9 +140,11 @@
         }),
         snapshot: RefCell::new(snapshot),
         progress: RefCell::new(progress),
+        origins: RefCell::new(origins),
         schedule: RefCell::default(),
         pending_snapshot: PendingWrite::default(),
         pending_progress: PendingWrite::default(),
+        pending_origins: PendingWrite::default(),
         closed: Cell::new(false),
         visits: Cell::new(0),
         grace: Cell::new(settings.grace),
@@ -154,12 +166,13 @@
         settings_watcher: spawn_local(watch_settings(keeper.clone(), read_settings)),
         snapshots: spawn_local(write_snapshots(keeper.clone(), snapshots)),
         progress: spawn_local(write_progress(keeper.clone(), progresses)),
+        origins: spawn_local(write_origins(keeper.clone(), origins_disk)),
         stop,
         served,
     };
     stop_requested.await;
     let ended = shut_down(&keeper, tasks).await;
-    info!(target: "keeper", keeper:% = keeper.settings.name, calls_cut = ended.calls_cut, visits_cut = ended.visits_cut, snapshot_kept = ended.snapshot_kept, progress_kept = ended.progress_kept; "stopped");
+    info!(target: "keeper", keeper:% = keeper.settings.name, calls_cut = ended.calls_cut, visits_cut = ended.visits_cut, snapshot_kept = ended.snapshot_kept, progress_kept = ended.progress_kept, origins_kept = ended.origins_kept; "stopped");
     Ok(ended)
 }
 
--- a/crates/bluebellreel_keeper/src/persistence.rs
+++ b/crates/bluebellreel_keeper/src/persistence.rs
@@ -17,6 +17,9 @@
 const MIN_SNAPSHOT_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum time between two writes of progress backups. Owners send them once a second.
 const MIN_PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
+/// Minimum time between two writes of the records of streams. If all processes are killed,
+/// the records of this time are lost, and the streams that were begun then cannot go on.
+const MIN_ORIGINS_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum delay after a failed write. A shutdown, which skips longer delays, retries
 /// several times within its deadline.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -114,6 +117,20 @@
     }
 }
 
+/// Writes the records of streams whenever they have changed, until `finish` is called and
+/// everything is written.
+pub(crate) async fn write_origins(keeper: Rc<Keeper>, mut disk: Disk) {
+    let pending = &keeper.pending_origins;
+    while !pending.is_finished() {
+        keeper.origins.borrow_mut().sweep(keeper.now());
+        if !pending.wait(REFRESH_INTERVAL).await {
+            continue;
+        }
+        let encode = || keeper.origins.borrow().encode();
+        pending.write(&mut disk, MIN_ORIGINS_INTERVAL, encode).await;
+    }
+}
+
 /// Writes to the disk, waits for the outcome and logs failures.
 async fn write(disk: &mut Disk, body: Vec<u8>) -> DiskOutcome {
     let bytes = body.len();
--- a/crates/bluebellreel_keeper/src/serve.rs
+++ b/crates/bluebellreel_keeper/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::keeper::Keeper;
 use bluebellreel_net::{Body, read_body};
+use bluebellreel_origins::{Origin, StreamTag};
 use bluebellreel_types::JobId;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -40,6 +41,27 @@
             store_progress(&keeper, JobId::from(*id), body.to_vec());
             status(StatusCode::OK)
         }
+        (&Method::PUT, ["origins"]) => {
+            let read = read_body(req.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+            let origin = read.ok().flatten();
+            let origin = origin.and_then(|body| postcard::from_bytes::<Origin>(&body).ok());
+            let Some(origin) = origin else {
+                return status(StatusCode::BAD_REQUEST);
+            };
+            if keeper.closed.get() {
+                return status(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            store_origin(&keeper, &origin);
+            status(StatusCode::OK)
+        }
+        (&Method::GET, ["origins", stream]) => {
+            let origins = keeper.origins.borrow();
+            let stream = StreamTag::parse(stream);
+            match stream.and_then(|stream| origins.get(stream, keeper.now())) {
+                Some(version) => Response::new(Body::full(version.as_str().to_owned())),
+                None => status(StatusCode::NOT_FOUND),
+            }
+        }
         (&Method::GET, ["jobs", id, "progress"]) => {
             let progress = keeper.progress.borrow();
             match progress.get(&JobId::from(*id)) {
@@ -51,6 +73,13 @@
     }
 }
 
+fn store_origin(keeper: &Keeper, origin: &Origin) {
+    let expires_at = keeper.now() + origin.keep_for;
+    let mut origins = keeper.origins.borrow_mut();
+    origins.keep(origin.stream, &origin.version, expires_at);
+    keeper.pending_origins.mark_changed();
+}
+
 fn store_progress(keeper: &Keeper, id: JobId, progress: Vec<u8>) {
     let expires_at = keeper.now() + PROGRESS_RETENTION;
     keeper.progress.borrow_mut().keep(id, progress, expires_at);
--- a/crates/bluebellreel_keeper/src/shutdown.rs
+++ b/crates/bluebellreel_keeper/src/shutdown.rs
@@ -28,6 +28,7 @@
     pub(crate) settings_watcher: JoinHandle<()>,
     pub(crate) snapshots: JoinHandle<()>,
     pub(crate) progress: JoinHandle<()>,
+    pub(crate) origins: JoinHandle<()>,
     pub(crate) stop: Stop,
     pub(crate) served: ConnectionTracker,
 }
@@ -43,6 +44,8 @@
     pub snapshot_kept: bool,
     /// Whether all acknowledged progress is on the disk.
     pub progress_kept: bool,
+    /// Whether all records of streams are on the disk.
+    pub origins_kept: bool,
 }
 
 impl StopSummary {
@@ -50,7 +53,7 @@
     /// off do not count, as other keepers visit the same gateways.
     #[must_use]
     pub fn is_clean(&self) -> bool {
-        self.calls_cut == 0 && self.snapshot_kept && self.progress_kept
+        self.calls_cut == 0 && self.snapshot_kept && self.progress_kept && self.origins_kept
     }
 
     /// Summary of a keeper that was stopped before it accepted any data.
@@ -59,6 +62,7 @@
         visits_cut: 0,
         snapshot_kept: true,
         progress_kept: true,
+        origins_kept: true,
     };
 }
 
@@ -77,15 +81,18 @@
     let (calls_cut, visits_cut) = (tasks.served.open(), keeper.visits.get());
     keeper.pending_snapshot.finish();
     keeper.pending_progress.finish();
+    keeper.pending_origins.finish();
     let end = requested_at + left;
     // A writer ends only when everything is on the disk.
     let snapshot_kept = matches!(timeout_at(end, tasks.snapshots).await, Ok(Ok(())));
     let progress_kept = matches!(timeout_at(end, tasks.progress).await, Ok(Ok(())));
+    let origins_kept = matches!(timeout_at(end, tasks.origins).await, Ok(Ok(())));
     let summary = StopSummary {
         calls_cut,
         visits_cut,
         snapshot_kept,
         progress_kept,
+        origins_kept,
     };
     if calls_cut > 0 {
         warn!(target: "keeper", calls_cut; "calls cut off by the shutdown");
--- a/crates/bluebellreel_keeper/src/stored_state.rs
+++ b/crates/bluebellreel_keeper/src/stored_state.rs
@@ -1,7 +1,8 @@
 //! State on the keeper's disk at its start.
 
-use crate::disk::{PROGRESS, load, load_snapshot};
-use bluebellreel_snapshot::{ProgressBackups, Snapshot};
+use crate::disk::{ORIGINS, PROGRESS, load, load_snapshot};
+use bluebellreel_origins::OriginRecords;
+use bluebellreel_snapshot::{ProgressBackups, Snapshot, SnapshotError};
 use eyre::eyre;
 use log::{info, warn};
 use std::path::{Path, PathBuf};
@@ -14,6 +15,9 @@
 /// Limit of all progress backups: the progress of thousands of half-finished items.
 /// The VMs of keepers have at least 130 MB of memory and disks of at least 310 MB.
 const PROGRESS_BYTES: usize = 32 * 1024 * 1024;
+/// Maximum number of streams whose version is kept: those that a data centre begins in some
+/// minutes, in some 13 MB.
+const MAX_ORIGINS: usize = 131_072;
 /// Time without an answer after which the disk counts as hanging.
 const HANG_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -21,6 +25,7 @@
 pub(crate) struct StoredState {
     pub(crate) snapshot: (u64, Snapshot),
     pub(crate) progress: (u64, ProgressBackups),
+    pub(crate) origins: (u64, OriginRecords),
 }
 
 /// Reads the disk on a separate thread. If the main thread read a disk that hangs, it
@@ -65,5 +70,17 @@
     StoredState {
         snapshot,
         progress: (sequence, progress),
+        origins: read_origins(folder),
     }
 }
+
+fn read_origins(folder: &Path) -> (u64, OriginRecords) {
+    let (sequence, origins) = load(folder, ORIGINS, |body| {
+        let mut origins = OriginRecords::new(MAX_ORIGINS);
+        let read = origins.read(body);
+        read.map_err(|e| SnapshotError::from(e.to_string()))?;
+        Ok(origins)
+    });
+    let none = || OriginRecords::new(MAX_ORIGINS);
+    (sequence, origins.unwrap_or_else(none))
+}
--- /dev/null
+++ b/crates/bluebellreel_origins/src/history.rs
@@ -0,0 +1,107 @@
+//! Which versions of each service's workers were listed when.
+
+use bluebellreel_types::{Moment, WorkerVersion};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a version that is no longer listed is remembered.
+const RETENTION: Duration = Duration::from_mins(30);
+
+/// A time during which workers of a version were listed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Span {
+    /// None stands for workers whose version is not known.
+    version: Option<WorkerVersion>,
+    from: Moment,
+    /// None while workers of the version are listed.
+    until: Option<Moment>,
+}
+
+impl Span {
+    fn overlaps(&self, since: Moment) -> bool {
+        self.until.is_none_or(|until| until >= since)
+    }
+}
+
+/// The versions that were listed lately, for each service.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    services: BTreeMap<Arc<str>, Vec<Span>>,
+    /// When this daemon first had a list of workers.
+    since: Option<Moment>,
+}
+
+impl VersionHistory {
+    /// Applies a list of all workers, each with its service and version.
+    pub fn update<'a>(
+        &mut self,
+        workers: impl Iterator<Item = (&'a Arc<str>, Option<&'a WorkerVersion>)>,
+        now: Moment,
+    ) {
+        let listed: BTreeSet<(&Arc<str>, Option<&WorkerVersion>)> = workers.collect();
+        let mut listed: BTreeSet<(Arc<str>, Option<WorkerVersion>)> = listed
+            .into_iter()
+            .map(|(service, version)| (service.clone(), version.cloned()))
+            .collect();
+        if !listed.is_empty() {
+            self.since.get_or_insert(now);
+        }
+        for (service, spans) in &mut self.services {
+            for span in spans.iter_mut().filter(|s| s.until.is_none()) {
+                if !listed.remove(&(service.clone(), span.version.clone())) {
+                    span.until = Some(now);
+                }
+            }
+            spans.retain(|s| {
+                s.until
+                    .is_none_or(|until| !(until + RETENTION).is_past(now))
+            });
+        }
+        for (service, version) in listed {
+            let span = Span {
+                version,
+                from: now,
+                until: None,
+            };
+            self.services.entry(service).or_default().push(span);
+        }
+        self.services.retain(|_, spans| !spans.is_empty());
+    }
+
+    /// The version that began a stream of which there is no record, if it began at `since`
+    /// or later.
+    ///
+    /// A daemon records each stream for which it is not certain of a single version, so the
+    /// stream was begun by a daemon that knew no other.
+    #[must_use]
+    pub fn unrecorded(&self, service: &str, since: Moment) -> Option<&WorkerVersion> {
+        let listed = self.versions_since(service, since);
+        if let [version] = listed[..] {
+            return version;
+        }
+        let spans = self.services.get(service)?;
+        let mut at_begin = spans
+            .iter()
+            .filter(|s| s.from <= since && s.overlaps(since));
+        match (at_begin.next(), at_begin.next()) {
+            (Some(sole), None) => sole.version.as_ref(),
+            _ => None,
+        }
+    }
+
+    /// Whether a single version of a service was listed since a moment, at which this daemon
+    /// already had a list.
+    #[must_use]
+    pub fn is_certain(&self, service: &str, since: Moment) -> bool {
+        let reaches_back = self.since.is_some_and(|first| first <= since);
+        reaches_back && self.versions_since(service, since).len() == 1
+    }
+
+    fn versions_since(&self, service: &str, since: Moment) -> Vec<Option<&WorkerVersion>> {
+        let spans = self.services.get(service).into_iter().flatten();
+        let listed = spans.filter(|s| s.overlaps(since));
+        let versions: BTreeSet<_> = listed.map(|s| s.version.as_ref()).collect();
+        versions.into_iter().collect()
+    }
+}
