Items that have output are placed like others while one version serves

An item with output was placed without regard to whose slots were free, and dropped its output after two seconds without a slot, also while there was a single version: daemons took the same slots at once, and items started over in every queue.

Only while workers of other versions serve does an item take slots that belong to another daemon, and only while one of those has a slot for it does it wait for its version, for two seconds. A caller's resumption waits no longer in a queue than any request.

--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -247,13 +247,14 @@
 /// stay free, so that online requests find one without making an item yield; see
 /// [`crate::PlacementLimits::reserve_percent`].
 ///
-/// An item that has failed goes to a worker where it has not failed yet, and one that has
-/// output to a worker of its version, whichever daemon the slot belongs to: see
-/// [`place_restricted_item`].
+/// An item that has failed goes to a worker where it has not failed yet, whichever daemon
+/// the slot belongs to; so does one that has output if workers of other versions serve too:
+/// see [`place_restricted_item`].
 #[must_use]
 pub fn place_batch(board: &Board, query: &Query, me: &EntryName) -> Option<WorkerName> {
     let ready_workers: Vec<&WorkerView> = eligible_workers(board, query).collect();
     let lone = lone_versions(&ready_workers);
+    let is_restricted = ready_workers.len() < board.ready_workers(query.service).count();
     let allowed = ready_workers
         .into_iter()
         .filter(|s| s.breaker.allows(query.now));
@@ -266,7 +267,7 @@
     let free: u32 = ours.iter().map(|s| s.free()).sum();
     let online: u32 = ours.iter().map(|s| s.running().online).sum();
     let reserve = (online * board.limits.reserve_percent).div_ceil(100);
-    if !query.avoid.is_empty() || query.version.is_some() {
+    if !query.avoid.is_empty() || is_restricted {
         return place_restricted_item(board, query, &ours, &others);
     }
     if free <= reserve {
@@ -294,6 +295,10 @@
     others: &[&WorkerView],
 ) -> Option<WorkerName> {
     let (mine, theirs) = (untried(ours, query), untried(others, query));
+    if query.avoid.is_empty() {
+        let mut either = [&mine, &theirs].into_iter();
+        return either.find_map(|views| best_for_batch(board, query, &[], views));
+    }
     if mine.is_empty() && theirs.is_empty() {
         return best_for_batch(board, query, &[], ours);
     }
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -32,8 +32,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time without output after which an item resumes on another worker.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
-/// Time for which an item that has output waits for a slot at a worker of its version. It is
-/// the time that an item takes to generate about half of its output anew.
+/// Time for which an item that has output waits for a slot at a worker of its version while
+/// there are slots at others. An item generates about half of its output in this time.
 const VERSION_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause of an item after a run without success, so that it does not cycle through
 /// workers that all refuse it.
@@ -84,9 +84,10 @@
                 unconfirmed.insert(next.job);
             }
             Some(worker) => start(gw, next, &worker, permit),
-            None if !avoid.is_empty() || version.is_some() => {
-                // Other items may start on workers that this one may not use, so it must
-                // not hold them up.
+            None if has_slot_at_other_version(gw, &query) => wait_for_version(gw, &next),
+            None if !avoid.is_empty() => {
+                // Other items may start on the workers where this one has failed, so it
+                // must not hold them up.
                 let later = ItemPhase::Waiting {
                     from: gw.now() + ITEM_BACKOFF,
                 };
@@ -102,26 +103,58 @@
 /// The version at whose workers an item goes on; none if it has no output. Output that
 /// cannot go on is dropped, and the item starts over.
 fn version_to_keep(gw: &Gateway, next: &Next) -> Option<WorkerVersion> {
-    let now = gw.now();
-    let mut job = next.owned.job.borrow_mut();
-    let item = &mut job.items[next.item];
-    if item.progress.events() == 0 {
+    let version = {
+        let job = next.owned.job.borrow();
+        let progress = &job.items[next.item].progress;
+        if progress.events() == 0 {
+            return None;
+        }
+        progress.version().cloned()
+    };
+    let Some(version) = version else {
+        start_over(gw, next, "version not known");
+        return None;
+    };
+    if !gw.board.borrow().has_ready_version(&next.service, &version) {
+        start_over(gw, next, "no worker of its version");
         return None;
     }
-    let version = item.progress.version().cloned();
-    let deadline = *item.version_deadline.get_or_insert(now + VERSION_TIMEOUT);
-    let reason = match &version {
-        None => "version not known",
-        Some(v) if !gw.board.borrow().has_ready_version(&next.service, v) => {
-            "no worker of its version"
-        }
-        Some(_) if deadline.is_past(now) => "all workers of its version are full",
-        Some(_) => return version,
+    Some(version)
+}
+
+/// Whether an item that finds no slot at workers of its version would find one at others.
+fn has_slot_at_other_version(gw: &Gateway, query: &Query) -> bool {
+    let unrestricted = Query {
+        version: None,
+        ..*query
     };
-    info!(target: "jobs", job:% = next.job, request:% = next.id, worker_version = version_text(version.as_ref()), events = item.progress.events(), reason; "item starts over");
+    query.version.is_some() && place_batch(&gw.board.borrow(), &unrestricted, gw.me()).is_some()
+}
+
+/// Has an item wait for a slot at a worker of its version, or start over if it has waited
+/// for too long.
+fn wait_for_version(gw: &Gateway, next: &Next) {
+    let now = gw.now();
+    let is_overdue = {
+        let mut job = next.owned.job.borrow_mut();
+        let item = &mut job.items[next.item];
+        item.phase = ItemPhase::Waiting {
+            from: now + ITEM_BACKOFF,
+        };
+        let deadline = item.version_deadline.get_or_insert(now + VERSION_TIMEOUT);
+        deadline.is_past(now)
+    };
+    if is_overdue {
+        start_over(gw, next, "all workers of its version are full");
+    }
+}
+
+fn start_over(gw: &Gateway, next: &Next, reason: &str) {
+    let mut job = next.owned.job.borrow_mut();
+    let progress = &job.items[next.item].progress;
+    info!(target: "jobs", job:% = next.job, request:% = next.id, worker_version = version_text(progress.version()), events = progress.events(), reason; "item starts over");
     gw.metrics.resumption("item", "started_over");
     job.start_over(next.item);
-    None
 }
 
 /// Whether an item may be sent to a worker. The error is the time of the next attempt.
--- a/crates/bluebellreel_gateway/src/placement.rs
+++ b/crates/bluebellreel_gateway/src/placement.rs
@@ -29,15 +29,12 @@
 /// Chooses a worker for a request that may wait in its queue for `max_wait`. Workers
 /// that were tried before are excluded.
 ///
-/// The rest of a stream may wait as long as its caller does: few workers can run it, and
-/// the caller already has a part of it.
+/// While slots are short, requests wait by their turn, except those that resume a stream:
+/// their callers already have a part of it.
 pub(crate) fn choose(gw: &Gateway, req: &Request, max_wait: Duration) -> Placement {
-    if req.binding != Binding::Free {
-        return choose_except(gw, req, &req.tried, req.left());
-    }
     let placement = choose_except(gw, req, &req.tried, max_wait);
     match &placement {
-        Placement::Send(worker) if !has_free_slot(gw, worker) => {
+        Placement::Send(worker) if req.binding == Binding::Free && !has_free_slot(gw, worker) => {
             let max_wait = max_wait.min(req.wait_by_turn(gw));
             choose_except(gw, req, &req.tried, max_wait)
         }
