--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -65,13 +65,16 @@
             folder: folder.clone(),
         })?;
         println!(
-            "seed {seed}: {} faults, {} stops, {} of {} requests served, {} judged, {} closed unread, {} jobs, {} ended ({} late runs excused), {} broken",
+            "seed {seed}: {} faults, {} stops, {} of {} requests served, {} judged, {} closed unread, {} resumed by callers ({} went on, {} refused), {} jobs, {} ended ({} late runs excused), {} broken",
             report.faults.len(),
             report.stops,
             report.served,
             report.asked,
             report.judged,
             report.unread,
+            report.resumed,
+            report.went_on,
+            report.not_resumed,
             report.jobs,
             report.ended,
             report.excused,
