Model check of resumptions; daemons that do not know the past ask others

The new model of a stream that is resumed while versions, gateways and keepers come and go drives the real records and history of versions. And two silent keepers were no reason to doubt for a gateway that had not learned of a release.

A daemon now infers a version only if its history reaches back to when the stream may have begun.

--- a/crates/bluebellreel_gateway/src/origins.rs
+++ b/crates/bluebellreel_gateway/src/origins.rs
@@ -9,7 +9,7 @@
 use crate::answers;
 use crate::gateway::Gateway;
 use crate::keepers::first_visit;
-use crate::peer_calls;
+use crate::peer_calls::{self, KnownOrigin};
 use crate::request::{Binding, Request};
 use crate::workers::version_text;
 use bluebellreel_dispatch::RouteKind;
@@ -21,6 +21,7 @@
 use futures::stream::FuturesUnordered;
 use http::{Response, StatusCode};
 use log::{info, warn};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -183,67 +184,80 @@
     Ok(())
 }
 
+/// The version that began a stream of which nobody has a record, by this daemon's history.
+pub(crate) fn inferred(gw: &Gateway, service: &str, within: Duration) -> Option<WorkerVersion> {
+    let versions = gw.versions.borrow();
+    versions.unrecorded(service, gw.now() - within).cloned()
+}
+
 /// The version that began the stream that a request resumes.
 async fn origin_of(gw: &Rc<Gateway>, req: &Request) -> Result<WorkerVersion, Refusal> {
-    let lookup = if ingress::resumed_attempt(&req.out.headers).is_some() {
-        look_up(gw, tag(req)).await
-    } else {
-        Lookup::NotRecorded
-    };
     let lifetime = lifetime(req);
-    let is_complete = match lookup {
-        Lookup::Found(version) => return Ok(version),
-        Lookup::NotRecorded => true,
-        Lookup::Incomplete => false,
-    };
-    if !is_complete && !is_certain(gw, req, lifetime) {
-        return Err(Refusal::Undecided);
+    let own = inferred(gw, &req.service, lifetime);
+    if ingress::resumed_attempt(&req.out.headers).is_none() {
+        return own.ok_or(Refusal::Unknown);
+    }
+    match look_up(gw, req, lifetime).await {
+        Lookup::Found(version) => Ok(version),
+        Lookup::NotRecorded(inferred) => own.or(inferred).ok_or(Refusal::Unknown),
+        Lookup::OneSilent if is_certain(gw, req, lifetime) => own.ok_or(Refusal::Unknown),
+        Lookup::OneSilent | Lookup::Incomplete => Err(Refusal::Undecided),
     }
-    let history = gw.versions.borrow();
-    let version = history.unrecorded(&req.service, gw.now() - lifetime);
-    version.cloned().ok_or(Refusal::Unknown)
 }
 
 /// The outcome of the questions for a stream's record.
 enum Lookup {
     Found(WorkerVersion),
-    /// All who may have a record answered that they have none.
-    NotRecorded,
-    /// Some did not answer.
+    /// All who may have a record answered that they have none. Those whose history reaches
+    /// back far enough name this version.
+    NotRecorded(Option<WorkerVersion>),
+    /// One keeper did not answer, and the others have no record. Records are at two.
+    OneSilent,
+    /// More did not answer.
     Incomplete,
 }
 
-async fn look_up(gw: &Rc<Gateway>, stream: StreamTag) -> Lookup {
+async fn look_up(gw: &Rc<Gateway>, req: &Request, lifetime: Duration) -> Lookup {
+    let stream = tag(req);
     if let Some(version) = recorded(gw, stream) {
         return Lookup::Found(version);
     }
-    let visited = first_visit(gw, gw.started + FIRST_VISIT_TIMEOUT);
-    visited.await;
+    first_visit(gw, gw.started + FIRST_VISIT_TIMEOUT).await;
     let keepers = gw.keepers.borrow().all(gw.now());
     let peers = ranked_peers(gw, stream);
     if keepers.is_empty() && peers.is_empty() && !gw.has_joined() {
         return Lookup::Incomplete;
     }
-    let ask = async |to| (to, peer_calls::origin(gw, to, stream).await);
-    let mut answers: FuturesUnordered<_> =
-        keepers.iter().chain(&peers).map(|to| ask(*to)).collect();
+    let ask = async |to| {
+        let asked = peer_calls::origin(gw, to, stream, &req.service, lifetime);
+        (to, asked.await)
+    };
+    let all = keepers.iter().chain(&peers);
+    let mut answers: FuturesUnordered<_> = all.map(|to| ask(*to)).collect();
     let deadline = Instant::now() + LOOKUP_TIMEOUT;
     // The records of a peer that does not answer are lost if it was killed; a keeper has
     // them on its disk.
     let mut silent_keepers = keepers.len();
-    while silent_keepers > 0 || !answers.is_empty() {
-        match timeout_at(deadline, answers.next()).await {
-            Ok(Some((_, Ok(Some(version))))) => return Lookup::Found(version),
-            Ok(Some((at, Ok(None)))) if keepers.contains(&at) => silent_keepers -= 1,
-            Ok(Some(_)) => {}
-            Ok(None) | Err(_) => break,
+    let mut inferred: BTreeSet<WorkerVersion> = BTreeSet::new();
+    while let Ok(Some((at, answer))) = timeout_at(deadline, answers.next()).await {
+        if answer.is_ok() && keepers.contains(&at) {
+            silent_keepers -= 1;
+        }
+        match answer {
+            Ok(KnownOrigin::Recorded(version)) => return Lookup::Found(version),
+            Ok(KnownOrigin::Inferred(version)) => {
+                inferred.insert(version);
+            }
+            Ok(KnownOrigin::Nothing) | Err(_) => {}
         }
     }
-    if silent_keepers == 0 {
-        Lookup::NotRecorded
-    } else {
-        Lookup::Incomplete
+    match silent_keepers {
+        0 => {}
+        1 => return Lookup::OneSilent,
+        _ => return Lookup::Incomplete,
     }
+    let agreed = (inferred.len() == 1).then(|| inferred.pop_first());
+    Lookup::NotRecorded(agreed.flatten())
 }
 
 fn refuse(
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -74,7 +74,7 @@
             Some(body) => keep_origin(&gw, &body),
             None => missing_body(),
         },
-        (&Method::GET, ["origins", stream]) => origin(&gw, stream),
+        (&Method::GET, ["origins", stream]) => origin(&gw, stream, &req),
         (&Method::POST, ["store"]) => store(&gw, req).await,
         _ => answers::failure(StatusCode::NOT_FOUND, "no such call"),
     }
@@ -113,13 +113,24 @@
     }
 }
 
-/// Answers a peer's question for the version that began a stream.
-fn origin(gw: &Gateway, stream: &str) -> Response<Body> {
-    let version = StreamTag::parse(stream).and_then(|stream| origins::recorded(gw, stream));
-    version.map_or_else(
-        || answers::failure(StatusCode::NOT_FOUND, "no record"),
-        |version| answers::bytes(version.as_str().to_owned()),
-    )
+/// Answers a peer's question for the version that began a stream: from a record, else from
+/// the history of versions.
+fn origin(gw: &Gateway, stream: &str, req: &Request<Incoming>) -> Response<Body> {
+    let recorded = StreamTag::parse(stream).and_then(|stream| origins::recorded(gw, stream));
+    if let Some(version) = recorded {
+        return answers::bytes(version.as_str().to_owned());
+    }
+    let query = req.uri().query().unwrap_or("");
+    let service = form_urlencoded::parse(query.as_bytes()).find(|(name, _)| name == "service");
+    let within = Duration::from_millis(query_number(req, "within_ms"));
+    match service.and_then(|(_, service)| origins::inferred(gw, &service, within)) {
+        Some(version) => {
+            let mut answer = answers::bytes(version.as_str().to_owned());
+            *answer.status_mut() = StatusCode::NON_AUTHORITATIVE_INFORMATION;
+            answer
+        }
+        None => answers::failure(StatusCode::NOT_FOUND, "no record"),
+    }
 }
 
 /// Makes a call to the store on behalf of a peer that the store rejects.
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -241,20 +241,39 @@
     Ok(())
 }
 
-/// Fetches the version that began a stream from a keeper or peer; none if it has no record.
+/// What a keeper or peer knows of the version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum KnownOrigin {
+    /// It has a record.
+    Recorded(WorkerVersion),
+    /// It has no record, and knew a single version that can have begun the stream.
+    Inferred(WorkerVersion),
+    Nothing,
+}
+
+/// Asks a keeper or peer for the version that began a stream of a service, at most `within`
+/// ago.
 pub(crate) async fn origin(
     gw: &Gateway,
     to: SocketAddr,
     stream: StreamTag,
-) -> Result<Option<WorkerVersion>, PeerError> {
-    let path = format!("/origins/{stream}");
+    service: &str,
+    within: Duration,
+) -> Result<KnownOrigin, PeerError> {
+    let service = utf8_percent_encode(service, NON_ALPHANUMERIC);
+    let path = format!(
+        "/origins/{stream}?service={service}&within_ms={}",
+        within.as_millis()
+    );
     let (status, body) = call(gw, to, Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
+    let version = || {
+        let text = std::str::from_utf8(&body).map_err(|e| e.to_string())?;
+        Ok::<_, PeerError>(WorkerVersion::from(text))
+    };
     match status {
-        StatusCode::OK => {
-            let version = std::str::from_utf8(&body).map_err(|e| e.to_string())?;
-            Ok(Some(WorkerVersion::from(version)))
-        }
-        StatusCode::NOT_FOUND => Ok(None),
+        StatusCode::OK => version().map(KnownOrigin::Recorded),
+        StatusCode::NON_AUTHORITATIVE_INFORMATION => version().map(KnownOrigin::Inferred),
+        StatusCode::NOT_FOUND => Ok(KnownOrigin::Nothing),
         other => Err(format!("status {other}")),
     }
 }
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -6,7 +6,7 @@
 use crate::shutdown::{KeeperTasks, StopSummary, shut_down};
 use crate::stored_state::{StoredState, read_stored_state};
 use bluebellreel_net::{ConnectionTracker, Pool, PoolLimits, Stop, listen, serve};
-use bluebellreel_origins::OriginRecords;
+use bluebellreel_origins::{OriginRecords, VersionHistory};
 use bluebellreel_settings::{KeeperSettings, SettingsError};
 use bluebellreel_snapshot::{
     GatewayState, KnownGateway, ProgressBackups, Snapshot, VisitOutcome, VisitResult,
@@ -45,6 +45,8 @@
     pool: Pool,
     pub(crate) snapshot: RefCell<Snapshot>,
     pub(crate) progress: RefCell<ProgressBackups>,
+    /// Versions of workers that were listed lately.
+    pub(crate) versions: RefCell<VersionHistory>,
     /// Versions that began streams.
     pub(crate) origins: RefCell<OriginRecords>,
     schedule: RefCell<VisitSchedule>,
@@ -66,6 +68,15 @@
         self.clock.now()
     }
 
+    /// Adds the workers of the snapshot, as they were listed at a moment, to the history of
+    /// versions.
+    fn update_versions(&self, at: Moment) {
+        let snapshot = self.snapshot.borrow();
+        let workers = snapshot.workers();
+        let versions = workers.map(|r| (&r.service, r.version.as_ref()));
+        self.versions.borrow_mut().update(versions, at);
+    }
+
     fn update_schedule(&self) {
         let snapshot = self.snapshot.borrow();
         let known = snapshot.gateways().map(|(_, g)| g.calls);
@@ -140,6 +151,7 @@
         }),
         snapshot: RefCell::new(snapshot),
         progress: RefCell::new(progress),
+        versions: RefCell::default(),
         origins: RefCell::new(origins),
         schedule: RefCell::default(),
         pending_snapshot: PendingWrite::default(),
@@ -150,6 +162,10 @@
         grace: Cell::new(settings.grace),
         settings,
     });
+    let confirmed_at = keeper.snapshot.borrow().confirmed_at();
+    if let Some(at) = confirmed_at {
+        keeper.update_versions(at);
+    }
     let stop = Stop::default();
     let served = ConnectionTracker::default();
     let k = keeper.clone();
@@ -306,6 +322,7 @@
         }
         snapshot.newest()
     };
+    keeper.update_versions(now);
     info!(target: "keeper", gateway:% = state.entry, configuration = newest.configuration, workers = newest.workers; "facts taken over");
     keeper.pending_snapshot.mark_changed();
 }
--- a/crates/bluebellreel_keeper/src/serve.rs
+++ b/crates/bluebellreel_keeper/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::keeper::Keeper;
 use bluebellreel_net::{Body, read_body};
 use bluebellreel_origins::{Origin, StreamTag};
-use bluebellreel_types::JobId;
+use bluebellreel_types::{JobId, WorkerVersion};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -55,12 +55,8 @@
             status(StatusCode::OK)
         }
         (&Method::GET, ["origins", stream]) => {
-            let origins = keeper.origins.borrow();
-            let stream = StreamTag::parse(stream);
-            match stream.and_then(|stream| origins.get(stream, keeper.now())) {
-                Some(version) => Response::new(Body::full(version.as_str().to_owned())),
-                None => status(StatusCode::NOT_FOUND),
-            }
+            let query = req.uri().query().unwrap_or("");
+            origin(&keeper, stream, query)
         }
         (&Method::GET, ["jobs", id, "progress"]) => {
             let progress = keeper.progress.borrow();
@@ -73,6 +69,33 @@
     }
 }
 
+/// The version that began a stream: from a record, else from the history of versions.
+fn origin(keeper: &Keeper, stream: &str, query: &str) -> Response<Body> {
+    let now = keeper.now();
+    let text = |version: &WorkerVersion| Body::full(version.as_str().to_owned());
+    let origins = keeper.origins.borrow();
+    let recorded = StreamTag::parse(stream).and_then(|stream| origins.get(stream, now));
+    if let Some(version) = recorded {
+        return Response::new(text(version));
+    }
+    let parameter = |name: &str| {
+        let mut pairs = form_urlencoded::parse(query.as_bytes());
+        pairs.find(|(n, _)| n == name).map(|(_, value)| value)
+    };
+    let within = parameter("within_ms").and_then(|ms| ms.parse().ok());
+    let since = now - Duration::from_millis(within.unwrap_or(0));
+    let versions = keeper.versions.borrow();
+    let inferred = parameter("service").and_then(|s| versions.unrecorded(&s, since));
+    inferred.map_or_else(
+        || status(StatusCode::NOT_FOUND),
+        |version| {
+            let mut answer = Response::new(text(version));
+            *answer.status_mut() = StatusCode::NON_AUTHORITATIVE_INFORMATION;
+            answer
+        },
+    )
+}
+
 fn store_origin(keeper: &Keeper, origin: &Origin) {
     let expires_at = keeper.now() + origin.keep_for;
     let mut origins = keeper.origins.borrow_mut();
--- a/crates/bluebellreel_model/src/lib.rs
+++ b/crates/bluebellreel_model/src/lib.rs
@@ -9,7 +9,8 @@
 //! same id. [`owner_reads`] covers the results that owners report to readers, and
 //! drives the real batch functions. [`rates`] covers the rate limit of a team over all
 //! gateways, and drives the real allowances. [`reports`] covers what daemons know of each
-//! other, and drives the real choice of recipients.
+//! other, and drives the real choice of recipients. [`versions`] covers the version at which a caller
+//! resumes its stream, and drives the real records and history of versions.
 //!
 //! Each guard of the protocol can be disabled, which shows that the checker finds the
 //! violation that the guard prevents.
@@ -30,5 +31,6 @@
 pub mod restart;
 pub mod segments;
 pub mod snapshot;
+pub mod versions;
 
 pub use explored::Explored;
--- a/crates/bluebellreel_origins/src/history.rs
+++ b/crates/bluebellreel_origins/src/history.rs
@@ -70,14 +70,16 @@
     }
 
     /// The version that began a stream of which there is no record, if it began at `since`
-    /// or later.
+    /// or later; none if this daemon had no list by then.
     ///
     /// A daemon records each stream for which it is not certain of a single version, so the
     /// stream was begun by a daemon that knew no other.
     #[must_use]
     pub fn unrecorded(&self, service: &str, since: Moment) -> Option<&WorkerVersion> {
-        let listed = self.versions_since(service, since);
-        if let [version] = listed[..] {
+        if !self.reaches_back_to(since) {
+            return None;
+        }
+        if let [version] = self.versions_since(service, since)[..] {
             return version;
         }
         let spans = self.services.get(service)?;
@@ -94,8 +96,11 @@
     /// already had a list.
     #[must_use]
     pub fn is_certain(&self, service: &str, since: Moment) -> bool {
-        let reaches_back = self.since.is_some_and(|first| first <= since);
-        reaches_back && self.versions_since(service, since).len() == 1
+        self.reaches_back_to(since) && self.versions_since(service, since).len() == 1
+    }
+
+    fn reaches_back_to(&self, since: Moment) -> bool {
+        self.since.is_some_and(|first| first <= since)
     }
 
     fn versions_since(&self, service: &str, since: Moment) -> Vec<Option<&WorkerVersion>> {
--- a/crates/bluebellreel_origins/src/lib.rs
+++ b/crates/bluebellreel_origins/src/lib.rs
@@ -6,7 +6,7 @@
 //! version of a service is listed, each daemon therefore records the version of each stream
 //! that it begins, at other daemons, before it passes on the first event: see
 //! [`OriginRecords`]. While a single version is listed nothing is recorded, and
-//! [`VersionHistory`] tells which version that was.
+//! [`VersionHistory`] tells which version that was, at any daemon that had a list then.
 //!
 //! ```
 //! use bluebellreel_origins::{OriginRecords, StreamTag};
--- a/crates/bluebellreel_snapshot/src/snapshot.rs
+++ b/crates/bluebellreel_snapshot/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! A keeper's snapshot of the configuration, the workers and the gateways.
 
 use crate::SharedFacts;
-use bluebellreel_dispatch::Catalog;
+use bluebellreel_dispatch::{Catalog, WorkerRecord};
 use bluebellreel_members::Revisions;
 use bluebellreel_types::{DataCentre, EntryName, Moment};
 use serde::{Deserialize, Serialize};
@@ -72,6 +72,11 @@
         }
     }
 
+    /// All listed workers.
+    pub fn workers(&self) -> impl Iterator<Item = &WorkerRecord> {
+        self.catalog.workers()
+    }
+
     /// All known gateways.
     pub fn gateways(&self) -> impl Iterator<Item = (&EntryName, &KnownGateway)> {
         self.gateways.iter()
