Resume streams whose callers do not name the first attempt

Callers of deployments without `Resumes` send `Last-Event-Id` only. It now asks keepers and peers for their history as for any other stream.

--- a/crates/bluebellreel_gateway/src/origins.rs
+++ b/crates/bluebellreel_gateway/src/origins.rs
@@ -194,9 +194,6 @@
 async fn origin_of(gw: &Rc<Gateway>, req: &Request) -> Result<WorkerVersion, Refusal> {
     let lifetime = lifetime(req);
     let own = inferred(gw, &req.service, lifetime);
-    if ingress::resumed_attempt(&req.out.headers).is_none() {
-        return own.ok_or(Refusal::Unknown);
-    }
     match look_up(gw, req, lifetime).await {
         Lookup::Found(version) => Ok(version),
         Lookup::NotRecorded(inferred) => own.or(inferred).ok_or(Refusal::Unknown),
@@ -282,7 +279,8 @@
     answer
 }
 
-/// The tag of the request's stream: that of the attempt that brought its first event.
+/// The tag of the request's stream: that of the attempt that brought its first event. There
+/// is no record of a stream whose caller does not name that attempt.
 fn tag(req: &Request) -> StreamTag {
     let began = ingress::resumed_attempt(&req.out.headers);
     StreamTag::of(began.unwrap_or(&req.id))
