--- a/crates/bluebellreel_dispatch/tests/placement.rs
+++ b/crates/bluebellreel_dispatch/tests/placement.rs
@@ -3,9 +3,10 @@
 mod common;
 
 use bluebellreel_dispatch::{
-    Board, Class, Placement, Query, WorkerChange, WorkerState, place_online, should_reroute,
+    Board, Class, Placement, PlacementLimits, Query, WorkerChange, WorkerRecord, WorkerState,
+    place_batch, place_online, should_reroute,
 };
-use bluebellreel_types::{Moment, WorkerName};
+use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName, WorkerVersion};
 use common::{MAX_WAIT, NOW, SLOTS, board, catalog, name, online, peer, query, start, ticket};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -270,3 +271,51 @@
     let back = board.apply_catalog(&catalog(2, WorkerState::Ready));
     assert_eq!(back.len(), 2, "one is ready again, one is listed again");
 }
+
+/// A board whose workers have these versions.
+fn board_of_versions(versions: &[&str]) -> Board {
+    let mut catalog = catalog(versions.len(), WorkerState::Ready);
+    let records: Vec<WorkerRecord> = catalog.workers().cloned().collect();
+    for (record, version) in records.into_iter().zip(versions) {
+        let version = Some(WorkerVersion::from(*version));
+        catalog.put(9, WorkerRecord { version, ..record });
+    }
+    let mut board = Board::new(DataCentre::from("here"), PlacementLimits::default());
+    board.apply_catalog(&catalog);
+    board
+}
+
+/// Guards that a stream begins at the only worker of a version, where it could not go on if
+/// that worker failed, while versions with several workers have free slots.
+#[test]
+fn new_output_begins_at_a_version_with_several_workers() {
+    let board = board_of_versions(&["v1", "v2", "v2"]);
+    for salt in 0..20 {
+        let placed = place_online(&board, &Query { salt, ..query(&[]) });
+        assert_ne!(placed, Placement::Send(name(0)));
+    }
+    let me = EntryName::from("entry-1");
+    assert_ne!(place_batch(&board, &query(&[]), &me), Some(name(0)));
+}
+
+/// Guards that output goes on at another version, or is placed while none of its own is
+/// ready.
+#[test]
+fn output_goes_on_at_its_version_only() {
+    let board = board_of_versions(&["v1", "v2", "v2"]);
+    let me = EntryName::from("entry-1");
+    let (first, gone) = (WorkerVersion::from("v1"), WorkerVersion::from("v3"));
+    let bound = |version| Query {
+        version: Some(version),
+        ..query(&[])
+    };
+    assert_eq!(
+        place_online(&board, &bound(&first)),
+        Placement::Send(name(0))
+    );
+    assert_eq!(place_batch(&board, &bound(&first), &me), Some(name(0)));
+    assert_eq!(place_online(&board, &bound(&gone)), Placement::NoWorker);
+    assert_eq!(place_batch(&board, &bound(&gone), &me), None);
+    assert!(board.has_ready_version("lm", &first));
+    assert!(!board.has_ready_version("lm", &gone));
+}
