Keepers keep the history of versions across a kill of all

A keeper writes its history with the records of streams, on each change and every ten seconds, and continues it at its start if that write is at most 15 seconds old.

`unrecorded_streams_are_resumed_after_a_kill_of_all` failed before (503) and passes, for callers that name the first attempt and for those that do not.

--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -35,6 +35,10 @@
 /// Time for which a gateway's connection may stay open without a request.
 const SERVER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time since the last write of the history of versions after which a keeper that starts
+/// does not continue it: versions may have come and gone meanwhile.
+const MAX_HISTORY_GAP: Duration = Duration::from_secs(15);
+
 /// Reads the settings file again.
 pub type ReadSettings = Box<dyn Fn() -> Result<KeeperSettings, SettingsError>>;
 
@@ -68,13 +72,13 @@
         self.clock.now()
     }
 
-    /// Adds the workers of the snapshot, as they were listed at a moment, to the history of
-    /// versions.
-    fn update_versions(&self, at: Moment) {
+    /// Adds the workers of the snapshot to the history of versions.
+    fn update_versions(&self) {
         let snapshot = self.snapshot.borrow();
         let workers = snapshot.workers();
         let versions = workers.map(|r| (&r.service, r.version.as_ref()));
-        self.versions.borrow_mut().update(versions, at);
+        self.versions.borrow_mut().update(versions, self.now());
+        self.pending_origins.mark_changed();
     }
 
     fn update_schedule(&self) {
@@ -152,7 +156,7 @@
         snapshot: RefCell::new(snapshot),
         progress: RefCell::new(progress),
         versions: RefCell::default(),
-        origins: RefCell::new(origins),
+        origins: RefCell::new(origins.records),
         schedule: RefCell::default(),
         pending_snapshot: PendingWrite::default(),
         pending_progress: PendingWrite::default(),
@@ -162,9 +166,9 @@
         grace: Cell::new(settings.grace),
         settings,
     });
-    let confirmed_at = keeper.snapshot.borrow().confirmed_at();
-    if let Some(at) = confirmed_at {
-        keeper.update_versions(at);
+    let is_continuous = !(origins.written_at + MAX_HISTORY_GAP).is_past(keeper.now());
+    if is_continuous {
+        keeper.versions.replace(origins.history);
     }
     let stop = Stop::default();
     let served = ConnectionTracker::default();
@@ -322,7 +326,7 @@
         }
         snapshot.newest()
     };
-    keeper.update_versions(now);
+    keeper.update_versions();
     info!(target: "keeper", gateway:% = state.entry, configuration = newest.configuration, workers = newest.workers; "facts taken over");
     keeper.pending_snapshot.mark_changed();
 }
--- a/crates/bluebellreel_keeper/src/persistence.rs
+++ b/crates/bluebellreel_keeper/src/persistence.rs
@@ -2,6 +2,7 @@
 
 use crate::disk::{Disk, DiskOutcome};
 use crate::keeper::Keeper;
+use crate::stored_state::encode_origins;
 use log::{info, warn};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -117,16 +118,20 @@
     }
 }
 
-/// Writes the records of streams whenever they have changed, until `finish` is called and
-/// everything is written.
+/// Writes the records of streams and the history of versions whenever they have changed, and
+/// at intervals, as only a recent history is continued after a restart. Ends when `finish` is
+/// called and everything is written.
 pub(crate) async fn write_origins(keeper: Rc<Keeper>, mut disk: Disk) {
     let pending = &keeper.pending_origins;
     while !pending.is_finished() {
         keeper.origins.borrow_mut().sweep(keeper.now());
-        if !pending.wait(REFRESH_INTERVAL).await {
+        if !pending.wait(REFRESH_INTERVAL).await && pending.is_finished() {
             continue;
         }
-        let encode = || keeper.origins.borrow().encode();
+        let encode = || {
+            let history = keeper.versions.borrow();
+            encode_origins(&keeper.origins.borrow(), &history, keeper.now())
+        };
         pending.write(&mut disk, MIN_ORIGINS_INTERVAL, encode).await;
     }
 }
--- a/crates/bluebellreel_keeper/src/stored_state.rs
+++ b/crates/bluebellreel_keeper/src/stored_state.rs
@@ -1,8 +1,9 @@
 //! State on the keeper's disk at its start.
 
 use crate::disk::{ORIGINS, PROGRESS, load, load_snapshot};
-use bluebellreel_origins::OriginRecords;
+use bluebellreel_origins::{OriginRecords, VersionHistory};
 use bluebellreel_snapshot::{ProgressBackups, Snapshot, SnapshotError};
+use bluebellreel_types::Moment;
 use eyre::eyre;
 use log::{info, warn};
 use std::path::{Path, PathBuf};
@@ -25,7 +26,45 @@
 pub(crate) struct StoredState {
     pub(crate) snapshot: (u64, Snapshot),
     pub(crate) progress: (u64, ProgressBackups),
-    pub(crate) origins: (u64, OriginRecords),
+    pub(crate) origins: (u64, StoredOrigins),
+}
+
+/// Records of streams, and the history of versions at the time of the write.
+pub(crate) struct StoredOrigins {
+    pub(crate) records: OriginRecords,
+    pub(crate) history: VersionHistory,
+    pub(crate) written_at: Moment,
+}
+
+impl StoredOrigins {
+    fn none() -> Self {
+        Self {
+            records: OriginRecords::new(MAX_ORIGINS),
+            history: VersionHistory::default(),
+            written_at: Moment::default(),
+        }
+    }
+
+    fn decode(body: &[u8]) -> Result<Self, postcard::Error> {
+        let mut stored = Self::none();
+        let rest = stored.records.read(body)?;
+        (stored.history, stored.written_at) = postcard::from_bytes(rest)?;
+        Ok(stored)
+    }
+}
+
+/// Encodes the records of streams and the history of versions for the disk.
+///
+/// # Panics
+///
+/// Never: both always serialize to postcard.
+pub(crate) fn encode_origins(
+    records: &OriginRecords,
+    history: &VersionHistory,
+    now: Moment,
+) -> Vec<u8> {
+    let encoded = postcard::to_extend(&(history, now), records.encode());
+    encoded.expect("the history serializes to postcard")
 }
 
 /// Reads the disk on a separate thread. If the main thread read a disk that hangs, it
@@ -74,13 +113,9 @@
     }
 }
 
-fn read_origins(folder: &Path) -> (u64, OriginRecords) {
-    let (sequence, origins) = load(folder, ORIGINS, |body| {
-        let mut origins = OriginRecords::new(MAX_ORIGINS);
-        let read = origins.read(body);
-        read.map_err(|e| SnapshotError::from(e.to_string()))?;
-        Ok(origins)
+fn read_origins(folder: &Path) -> (u64, StoredOrigins) {
+    let (sequence, stored) = load(folder, ORIGINS, |body| {
+        StoredOrigins::decode(body).map_err(|e| SnapshotError::from(e.to_string()))
     });
-    let none = || OriginRecords::new(MAX_ORIGINS);
-    (sequence, origins.unwrap_or_else(none))
+    (sequence, stored.unwrap_or_else(StoredOrigins::none))
 }
--- a/crates/bluebellreel_origins/src/history.rs
+++ b/crates/bluebellreel_origins/src/history.rs
@@ -1,6 +1,7 @@
 //! Which versions of each service's workers were listed when.
 
 use bluebellreel_types::{Moment, WorkerVersion};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 const RETENTION: Duration = Duration::from_mins(30);
 
 /// A time during which workers of a version were listed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Span {
     /// None stands for workers whose version is not known.
     version: Option<WorkerVersion>,
@@ -25,7 +26,7 @@
 }
 
 /// The versions that were listed lately, for each service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct VersionHistory {
     services: BTreeMap<Arc<str>, Vec<Span>>,
     /// When this daemon first had a list of workers.
--- a/crates/bluebellreel_origins/src/records.rs
+++ b/crates/bluebellreel_origins/src/records.rs
@@ -140,17 +140,17 @@
         postcard::to_allocvec(&self.entries).expect("records serialize to postcard")
     }
 
-    /// Adds the records that were written to the disk.
+    /// Adds the records that were written to the disk. Returns the bytes that follow them.
     ///
     /// # Errors
     ///
     /// Returns the decoding error if the bytes are not encoded records.
-    pub fn read(&mut self, bytes: &[u8]) -> Result<(), postcard::Error> {
-        let entries: HashMap<StreamTag, Entry> = postcard::from_bytes(bytes)?;
+    pub fn read<'a>(&mut self, bytes: &'a [u8]) -> Result<&'a [u8], postcard::Error> {
+        let (entries, rest): (HashMap<StreamTag, Entry>, _) = postcard::take_from_bytes(bytes)?;
         for (stream, entry) in entries {
             self.keep(stream, &entry.version, entry.expires_at);
         }
-        Ok(())
+        Ok(rest)
     }
 
     /// The same version, with its text shared among all records.
