--- a/crates/bluebellreel_gateway/src/reports/mod.rs
+++ b/crates/bluebellreel_gateway/src/reports/mod.rs
@@ -11,11 +11,15 @@
 //! to be missing.
 
 mod catch_up;
+mod demand;
 mod discoveries;
+mod evidence;
 mod forwarding;
 mod interval;
 mod parts;
 mod receive;
+mod reservations;
+mod scheduling;
 mod send;
 mod wire;
 
--- a/crates/bluebellreel_gateway/src/reports/parts.rs
+++ b/crates/bluebellreel_gateway/src/reports/parts.rs
@@ -2,6 +2,7 @@
 //! version of the daemon adds parts at the end, and ignores those after the last one that
 //! it defines.
 
+use super::scheduling::Scheduling;
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{
     CrashNotice, CrashedRun, Fingerprint, PartCrash, PartNotice, PartSuspects, Suspects,
@@ -28,6 +29,7 @@
     pub(super) limits: Limits,
     pub(super) roles: Roles,
     pub(super) part_notices: PartNotices,
+    pub(super) scheduling: Scheduling,
 }
 
 impl Extensions {
@@ -39,6 +41,7 @@
             limits: Limits::own(gw, false),
             roles: Roles::own(gw),
             part_notices: PartNotices::own(gw),
+            scheduling: Scheduling::own(gw, false),
         }
     }
 }
--- a/crates/bluebellreel_gateway/src/reports/receive.rs
+++ b/crates/bluebellreel_gateway/src/reports/receive.rs
@@ -122,10 +122,11 @@
                 apply_report(gw, *report, supplement, extensions, &self.is_asking);
                 Ok(true)
             }
-            Datagram::Brief(brief, limits) => {
+            Datagram::Brief(brief, limits, scheduling) => {
                 // Briefs of an unknown sender are ignored until its next full report.
                 if let Some((sender, run)) = self.senders.get(brief.sender) {
                     limits.take(gw, sender, *run);
+                    scheduling.take(gw, sender, *run, brief.sequence);
                     let load = brief.load(gw);
                     gw.board.borrow_mut().hear(sender, load);
                     self.loads_changed = true;
@@ -171,6 +172,9 @@
         .part_notices
         .take(&mut gw.part_suspects.borrow_mut(), now);
     extensions.limits.take(gw, &report.entry, report.run);
+    extensions
+        .scheduling
+        .take(gw, &report.entry, report.run, report.sequence);
     let reads_briefs = supplement.reads_briefs;
     let data_centre = supplement.sender_data_centre.clone();
     if let Some(data_centre) = data_centre.clone() {
--- a/crates/bluebellreel_gateway/src/reports/send.rs
+++ b/crates/bluebellreel_gateway/src/reports/send.rs
@@ -3,6 +3,7 @@
 use super::HEARTBEAT;
 use super::interval::min_audience_interval;
 use super::parts::{Extensions, Limits};
+use super::scheduling::Scheduling;
 use super::wire::{self, Urgent, append_checksum};
 use crate::gateway::Gateway;
 use bluebellreel_members::{Audience, MAX_DIRECT_PEERS};
@@ -79,7 +80,7 @@
     let full = append_checksum(postcard::to_allocvec(&parts)?);
     let now = gw.now();
     if state.urgent.as_ref() == Some(&urgent) && !state.full_due.is_past(now) {
-        let brief = brief.encode(&Limits::own(gw, true))?;
+        let brief = brief.encode(&Limits::own(gw, true), &Scheduling::own(gw, true))?;
         return Ok(Encoded {
             full,
             brief: Some(brief),
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -8,6 +8,7 @@
 //! ignore the bytes after a message, and send no checksum.
 
 use super::parts::{Extensions, Limits};
+use super::scheduling::Scheduling;
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{Boot, PeerLoad, PeerRuns, Running, WorkerTag};
 use bluebellreel_members::{PEER_TIMEOUT, Revisions};
@@ -105,7 +106,7 @@
 /// A decoded datagram.
 pub(super) enum Datagram {
     Full(Box<Report>, Supplement, Extensions),
-    Brief(Brief, Limits),
+    Brief(Brief, Limits, Scheduling),
 }
 
 /// The reports in a datagram.
@@ -209,8 +210,12 @@
 
 impl Brief {
     /// Encodes the brief as a datagram.
-    pub(super) fn encode(&self, limits: &Limits) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_allocvec(&(BRIEF_TAG, self, limits)).map(append_checksum)
+    pub(super) fn encode(
+        &self,
+        limits: &Limits,
+        scheduling: &Scheduling,
+    ) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_allocvec(&(BRIEF_TAG, self, limits, scheduling)).map(append_checksum)
     }
 
     /// The load that the brief reports. Workers that this daemon does not know are
@@ -309,7 +314,8 @@
     if let [BRIEF_TAG, rest @ ..] = datagram {
         let (brief, rest) = postcard::take_from_bytes(rest)?;
         let (limits, rest) = optional(rest)?;
-        return Ok((Datagram::Brief(brief, limits), rest));
+        let (scheduling, rest) = optional(rest)?;
+        return Ok((Datagram::Brief(brief, limits, scheduling), rest));
     }
     let (report, rest) = postcard::take_from_bytes::<Report>(datagram)?;
     let (supplement, rest) = optional(rest)?;
@@ -319,6 +325,7 @@
     let (limits, rest) = optional(rest)?;
     let (roles, rest) = optional(rest)?;
     let (part_notices, rest) = optional(rest)?;
+    let (scheduling, rest) = optional(rest)?;
     let parts = Extensions {
         crash_notices,
         freshness,
@@ -326,6 +333,7 @@
         limits,
         roles,
         part_notices,
+        scheduling,
     };
     let full = Datagram::Full(Box::new(report), supplement, parts);
     Ok((full, rest))
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -2,6 +2,7 @@
 //! stores its persistent state in the platform's store.
 
 use crate::SettingsError;
+use crate::scheduling::{RawScheduling, Scheduling};
 use crate::vm::{self, RawPeers, RawStop, RawVm};
 use bluebellreel_teams::Tolerance;
 use bluebellreel_types::{DataCentre, EntryName};
@@ -49,6 +50,8 @@
     pub revoke_within: Option<Duration>,
     /// By how much a team may exceed its rate limit over all gateways.
     pub rate_tolerance: Tolerance,
+    /// Scheduling features that are on.
+    pub scheduling: Scheduling,
 }
 
 /// Addresses that are advertised to peers instead of the listening ones, as needed
@@ -117,6 +120,7 @@
                 "teams.rate_window_s, teams.rate_excess, teams.rate_slack",
                 self.rate_tolerance != other.rate_tolerance,
             ),
+            ("scheduling", self.scheduling != other.scheduling),
         ];
         let differ = pairs.into_iter().filter(|(_, differs)| *differs);
         differ.map(|(key, _)| key).collect()
@@ -139,6 +143,8 @@
     jobs: RawJobs,
     #[serde(default)]
     teams: RawTeams,
+    #[serde(default)]
+    scheduling: RawScheduling,
 }
 
 #[derive(Default, Deserialize)]
@@ -293,6 +299,7 @@
     let cancel_within = raw.jobs.checked(file)?;
     let revoke_within = raw.teams.revoke_within(file)?;
     let rate_tolerance = raw.teams.tolerance(file)?;
+    let scheduling = raw.scheduling.checked(file)?;
     Ok(GatewaySettings {
         name,
         data_centre,
@@ -311,5 +318,6 @@
         cancel_within,
         revoke_within,
         rate_tolerance,
+        scheduling,
     })
 }
--- a/crates/bluebellreel_settings/tests/gateway.rs
+++ b/crates/bluebellreel_settings/tests/gateway.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway: validation, and which changes need a restart.
 
-use bluebellreel_settings::{GatewaySettings, parse_gateway};
+use bluebellreel_settings::{GatewaySettings, Scheduling, parse_gateway};
 use std::time::Duration;
 
 const TEXT: &str = r#"
@@ -145,3 +145,23 @@
         assert!(error.contains(key), "{error}");
     }
 }
+
+/// Guards that a scheduling feature is off unless its term is among those of the
+/// deployment.
+#[test]
+fn scheduling_features_depend_on_the_terms() {
+    let plain = parse(TEXT).expect("valid settings");
+    assert_eq!(plain.scheduling, Scheduling::default());
+    let section =
+        "[scheduling]\nterms = [\"a\", \"b\"]\nworker_evidence = \"b\"\njob_deadlines = \"c\"\n";
+    let given = parse(&format!("{TEXT}{section}")).expect("valid settings");
+    let expected = Scheduling {
+        worker_evidence: true,
+        ..Scheduling::default()
+    };
+    assert_eq!(given.scheduling, expected);
+    assert_eq!(plain.start_needed_for(&given), ["scheduling"]);
+    let wrong = format!("{TEXT}[scheduling]\njob_deadlines = \"\"\n");
+    let error = parse(&wrong).expect_err("empty term");
+    assert!(error.contains("scheduling.job_deadlines"), "{error}");
+}
