Limit trials of a prompt part that other suspects excuse

Cause: a part that other parts together explain gets its next trial at once. Popular parts that were present at each crash excuse the cause of the crashes in this way, also after its own trials have failed.

Change: after two failed trials nothing excuses a part. One trial of a sound part may still fail beside the cause.

--- a/crates/bluebellreel_dispatch/src/prompt_parts/mod.rs
+++ b/crates/bluebellreel_dispatch/src/prompt_parts/mod.rs
@@ -46,6 +46,10 @@
 /// Delay of a trial run for each crash of another suspect part in its prompt, so that the
 /// request with the fewest is tried first.
 const RIVAL_DELAY: Duration = Duration::from_millis(400);
+/// Failed trials of a part after which no other parts excuse it. Popular parts that were
+/// merely present may together explain the crashes of the cause, also those of its trials;
+/// one trial of a sound part may fail beside the cause.
+const MAX_EXCUSED_TRIALS: usize = 2;
 /// Pause before a request is checked again while another one is on trial; a trial lasts
 /// for about a second.
 const TRIAL_PAUSE: Duration = Duration::from_secs(1);
@@ -289,7 +293,9 @@
             let crashes: usize = rivals.map(|(_, r)| r.open_count()).sum();
             let delay = RIVAL_DELAY * u32::try_from(crashes).unwrap_or(u32::MAX);
             let is_new_version = !record.open().any(|(_, c)| c.version == version);
-            let quarantine = if is_new_version || self.is_explained_without(record, parts) {
+            let is_excused = record.failed_trials() < MAX_EXCUSED_TRIALS
+                && self.is_explained_without(record, parts);
+            let quarantine = if is_new_version || is_excused {
                 Duration::ZERO
             } else {
                 record.quarantine()
--- a/crates/bluebellreel_dispatch/src/prompt_parts/record.rs
+++ b/crates/bluebellreel_dispatch/src/prompt_parts/record.rs
@@ -133,10 +133,14 @@
         count_in_turn(self.uncleared().map(|(_, c)| c)) / LATE_CRASHES
     }
 
+    /// Number of trials that failed.
+    pub(super) fn failed_trials(&self) -> usize {
+        self.open().filter(|(_, c)| c.trial).count()
+    }
+
     /// Duration of the present quarantine, which grows with each trial that failed.
     pub(super) fn quarantine(&self) -> Duration {
-        let failed = self.open().filter(|(_, c)| c.trial).count();
-        match u32::try_from(failed) {
+        match u32::try_from(self.failed_trials()) {
             Ok(0) => FIRST_TRIAL_DELAY,
             failed => quarantine_duration(failed.unwrap_or(u32::MAX), PART_QUARANTINE),
         }
--- a/crates/bluebellreel_dispatch/tests/prompt_parts.rs
+++ b/crates/bluebellreel_dispatch/tests/prompt_parts.rs
@@ -264,6 +264,34 @@
     }
 }
 
+/// Nothing was answered before the crashes, and other parts ran at each of them. Guards
+/// against a trial of the cause right after each one that failed: the other parts together
+/// explained all crashes, so that failed trials did not count.
+#[test]
+fn trials_that_fail_beside_other_suspects_are_limited() {
+    let (first, bad, _) = parts();
+    let beside = |worker: u32| part(4 + worker % 2);
+    let mut suspects = PartSuspects::default();
+    for worker in 0..8 {
+        let ms = 1000 + u64::from(worker) * 40;
+        crash(&mut suspects, &[first, bad], worker, ms - 30, ms);
+        crash(&mut suspects, &[beside(worker)], worker, ms - 30, ms);
+    }
+    suspects.note_answer(&[first], V1, at(1390));
+    let mut worker = 100;
+    for ms in (1400..10_000).step_by(50) {
+        if !is_trial_due(&suspects, &[first, bad], ms) {
+            continue;
+        }
+        let mut failed = notice(bad, worker, ms, ms + 30);
+        failed.crash.trial = true;
+        suspects.note_own_crash(failed, at(ms + 30));
+        crash(&mut suspects, &[first, beside(worker)], worker, ms, ms + 30);
+        worker += 1;
+    }
+    assert!(worker - 100 <= 2, "{} trials", worker - 100);
+}
+
 /// A quarantined part gets a trial soon, then one in half a minute, in one, and so on. An
 /// answer ends that.
 #[test]
