Soak: seeds with more load than capacity, from 8000 on

Cause: the three scheduling features are to be tested in real processes under faults, with the load that each of them answers. The soak had no load above capacity, no workers that fail for seconds, and no teams.

Every fourth seed has no other faults, so that most requests are judged there.

--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -13,6 +13,9 @@
 //! - From 7000: requests that share a part of their prompts which crashes workers, most
 //!   connections to one gateway at times, answers that end with their connection, and
 //!   faults. Odd seeds have changes as well.
+//! - From 8000: more load than capacity, workers that fail requests for some seconds, and
+//!   a team that sends more than its rate limit. Every fourth seed has nothing else; the
+//!   others have faults, odd ones changes as well.
 //!
 //! Prints one line per seed, and for each violated guarantee the faults before it. If a
 //! seed violates a guarantee, its settings and logs remain in a folder under the system's
@@ -29,6 +32,8 @@
 const FIRST_END_SEED: u64 = 5000;
 /// The first seed with a part of prompts that crashes workers.
 const FIRST_PART_SEED: u64 = 7000;
+/// The first seed with more load than capacity.
+const FIRST_LOAD_SEED: u64 = 8000;
 
 fn main() -> eyre::Result<()> {
     let numbers: Vec<u64> = std::env::args()
@@ -50,7 +55,10 @@
         let stops = (FIRST_STOP_SEED..FIRST_CRASH_SEED).contains(&seed);
         let stops_only = stops && seed % 3 != 0;
         let ends_only = (FIRST_END_SEED..FIRST_PART_SEED).contains(&seed) && seed % 2 == 0;
-        let callers = if seed >= FIRST_PART_SEED {
+        let load_only = seed >= FIRST_LOAD_SEED && seed.is_multiple_of(4);
+        let callers = if seed >= FIRST_LOAD_SEED {
+            Callers::HardLoad
+        } else if seed >= FIRST_PART_SEED {
             Callers::SomeShareCrashingPart
         } else if seed >= FIRST_END_SEED {
             Callers::SomeEndJobs
@@ -65,7 +73,7 @@
             gateways,
             workers,
             changes: seed % 2 == 1 && !stops_only,
-            faults: !stops_only && !ends_only,
+            faults: !stops_only && !ends_only && !load_only,
             stops,
             callers,
             program: program.clone(),
@@ -87,6 +95,15 @@
             report.excused,
             report.broken.len()
         );
+        if callers == Callers::HardLoad {
+            println!(
+                "  {} of {} online requests served while items waited; flooding team: {} admitted, {} refused",
+                report.served_beside_items,
+                report.beside_items,
+                report.flood_admitted,
+                report.flood_refused
+            );
+        }
         if report.broken.is_empty() {
             std::fs::remove_dir_all(&folder)?;
             continue;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -48,6 +48,13 @@
     callers: Callers::SomeShareCrashingPart,
 };
 
+const HARD_LOAD: SoakMode = SoakMode {
+    faults: true,
+    changes: false,
+    stops: false,
+    callers: Callers::HardLoad,
+};
+
 fn run_soak(seed: u64, seconds: u64, mode: &SoakMode) {
     let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
     let report = soak(SoakPlan {
@@ -79,6 +86,10 @@
         report.ended > 0 || mode.callers != Callers::SomeEndJobs,
         "no end of a job was acknowledged"
     );
+    assert!(
+        report.flood_refused > 0 || mode.callers != Callers::HardLoad,
+        "no request over the rate limit was refused"
+    );
     std::fs::remove_dir_all(folder).expect("the folder is ours");
 }
 
@@ -149,3 +160,11 @@
 fn parts_that_crash_workers_are_held_back() {
     run_soak(7000, 12, &CRASHING_PARTS);
 }
+
+/// Waves of jobs and of online requests exceed the capacity, workers fail requests, and a
+/// team exceeds its rate limit, with all scheduling features on. Guards against features
+/// that lose, repeat or hold back work, or let the team exceed its limit.
+#[test]
+fn guarantees_hold_under_more_load_than_capacity() {
+    run_soak(8002, 12, &HARD_LOAD);
+}
