Reserve tokens for callers over their team's rate limit

Cause: a refused caller is told a time at which nothing guarantees it a token; callers retry at the same time and are refused again.

A request is still admitted only if the bucket holds a token. With the feature off the gateway takes the path as before.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use bluebellreel_net::{LoopLag, Pool, PoolLimits};
 use bluebellreel_origins::{OriginRecords, VersionHistory};
 use bluebellreel_settings::GatewaySettings;
-use bluebellreel_teams::{ActiveClasses, Allowances, Confirmation, RevocationTerms};
+use bluebellreel_teams::{ActiveClasses, Allowances, Confirmation, Reservations, RevocationTerms};
 use bluebellreel_types::{Clock, EntryName, Incarnation, Moment};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -79,6 +79,8 @@
     pub(crate) watch_duty: RefCell<WatchDuty>,
     /// Rate limits of teams.
     pub(crate) allowances: RefCell<Allowances>,
+    /// Tokens reserved for callers over their team's limit.
+    pub(crate) reservations: RefCell<Reservations>,
     /// Classes of requests that are active, by service.
     pub(crate) classes: RefCell<BTreeMap<Arc<str>, ActiveClasses>>,
     /// When the configuration was last confirmed to be the newest one.
@@ -177,6 +179,7 @@
             members: RefCell::default(),
             watch_duty: RefCell::default(),
             allowances: RefCell::new(Allowances::new(settings.rate_tolerance)),
+            reservations: RefCell::new(Reservations::new(rand::random())),
             classes: RefCell::default(),
             confirmation: Cell::default(),
             confirmation_on_demand: OnDemand::default(),
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -55,6 +55,7 @@
 mod suspension;
 mod teams;
 mod ticket;
+mod token_wait;
 mod unreadable;
 mod upstream;
 mod watching;
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -95,6 +95,10 @@
     pub(crate) team_requests: Family<TeamOutcome, Gauge>,
     /// Share of the teams' rates that this gateway counts on, in percent.
     pub(crate) rate_share: Gauge,
+    /// Requests over their team's limit, by what became of them.
+    pub(crate) token_claims: Family<Outcome, Counter>,
+    /// Reserved tokens of all teams.
+    pub(crate) reservations: Gauge,
     pub(crate) lines_dropped: Gauge,
     /// Peers' reports that were not forwarded because too many waited.
     pub(crate) reports_dropped: Counter,
@@ -169,6 +173,8 @@
             configuration_version: gauge(r, "configuration_version", "Configuration in force"),
             team_requests: add(r, "team_requests", "Requests by team", Family::default()),
             rate_share: gauge(r, "rate_share_percent", "Share of the teams' rates in use"),
+            token_claims: by_outcome(r, "token_claims", "Requests over a team's limit by outcome"),
+            reservations: gauge(r, "reservations", "Tokens reserved for refused callers"),
             lines_dropped: gauge(r, "log_lines_dropped", "Log lines dropped unread"),
             reports_dropped: counter(r, "reports_dropped", "Reports not forwarded"),
             registry,
--- a/crates/bluebellreel_gateway/src/request.rs
+++ b/crates/bluebellreel_gateway/src/request.rs
@@ -6,7 +6,7 @@
 use crate::teams::{self, Credential, Denial};
 use bluebellreel_dispatch::{Fingerprint, Route, Sender, Ticket};
 use bluebellreel_platform::engine::Outgoing;
-use bluebellreel_teams::{TeamTag, Use, wait_share};
+use bluebellreel_teams::{Limit, TeamTag, Use, wait_share};
 use bluebellreel_types::{Moment, WorkerName, WorkerVersion};
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -84,6 +84,17 @@
         allowed && self.runs < self.route.max_workers.max(1)
     }
 
+    /// The team that sent it and the team's rate limit; none without a limit.
+    pub(crate) fn limit(&self) -> Option<(TeamTag, Limit)> {
+        let team = &self.credential.as_ref()?.team;
+        Some((TeamTag::of(&team.name), team.limit?))
+    }
+
+    /// Name of the team that sent it; empty without one.
+    pub(crate) fn team_name(&self) -> &str {
+        self.credential.as_ref().map_or("", |c| &c.team.name)
+    }
+
     /// Why the request's key does not allow a send now.
     pub(crate) fn denial(&self, gw: &Gateway) -> Option<Denial> {
         let credential = self.credential.as_ref()?;
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -176,6 +176,7 @@
     }
     gw.update_allowances();
     gw.allowances.borrow_mut().sweep(gw.elapsed());
+    teams::sweep_reservations(gw);
     gw.jobs.borrow_mut().sweep(now);
     gw.keepers.borrow_mut().sweep(now);
     gw.origins.borrow_mut().sweep(now);
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -259,14 +259,14 @@
         ingress::set_team(&mut request.out.headers, team);
     }
     request.credential = credential;
-    if let Err(answer) = teams::admit(gw, &request) {
+    if let Err(answer) = teams::admit(gw, &mut request).await {
         return answer;
     }
     online::answer(gw.clone(), request).await
 }
 
 /// The answer to a request that has not run because this daemon is stopping.
-fn refuse_stopping() -> Response<Body> {
+pub(crate) fn refuse_stopping() -> Response<Body> {
     answers::retry_after(StatusCode::SERVICE_UNAVAILABLE, "stopping", RETRY_ELSEWHERE)
 }
 
--- a/crates/bluebellreel_gateway/src/teams.rs
+++ b/crates/bluebellreel_gateway/src/teams.rs
@@ -4,7 +4,9 @@
 use crate::answers;
 use crate::gateway::Gateway;
 use crate::metrics::TeamOutcome;
+use crate::millis::millis;
 use crate::request::Request;
+use crate::token_wait;
 use bluebellreel_dispatch::Configuration;
 use bluebellreel_net::Body;
 use bluebellreel_platform::ingress;
@@ -122,6 +124,17 @@
     }
 }
 
+/// Rechecks a key and updates its team, whose limit may have changed.
+pub(crate) fn renew(gw: &Gateway, credential: &mut Credential) -> Result<(), Denial> {
+    recheck(gw, credential)?;
+    let configuration = gw.configuration();
+    let teams = configuration.as_ref().and_then(|c| c.teams.as_ref());
+    if let Some(team) = teams.and_then(|teams| teams.holder(&credential.key)) {
+        credential.team = team.clone();
+    }
+    Ok(())
+}
+
 fn check_confirmation(gw: &Gateway) -> Result<(), Denial> {
     if gw.accepts_keys() {
         Ok(())
@@ -149,40 +162,62 @@
 /// # Errors
 ///
 /// Returns the answer to a request that is over the limit. It has not run.
-#[expect(
-    clippy::result_large_err,
-    reason = "the error is the answer that is sent"
-)]
-pub(crate) fn admit(gw: &Gateway, req: &Request) -> Result<(), Response<Body>> {
-    let Some(credential) = &req.credential else {
-        return Ok(());
-    };
-    let Some(limit) = credential.team.limit else {
+pub(crate) async fn admit(gw: &Gateway, req: &mut Request) -> Result<(), Response<Body>> {
+    if gw.settings.scheduling.token_reservations {
+        return token_wait::admit(gw, req).await;
+    }
+    let Some((team, limit)) = req.limit() else {
         return Ok(());
     };
     gw.update_allowances();
     let now = gw.elapsed();
     let draw = gw.rng.borrow_mut().random_range(0.0..1.0);
-    let team = TeamTag::of(&credential.team.name);
-    let mut allowances = gw.allowances.borrow_mut();
-    if allowances.share() <= 0.0 {
-        warn!(target: "teams", request:% = req.id, team:% = credential.team.name; "gateways not counted yet");
-        gw.metrics.request("uncounted");
-        let reason = "gateways not counted yet";
-        return Err(answers::retry_after(
-            StatusCode::SERVICE_UNAVAILABLE,
-            reason,
-            RETRY_UNCOUNTED,
-        ));
+    check_counted(gw, req)?;
+    let admitted = gw.allowances.borrow_mut().admit(team, limit, draw, now);
+    admitted.map_err(|wait| refuse(gw, req, wait, false))
+}
+
+/// Checks that this gateway knows which share of the limits it may use.
+///
+/// # Errors
+///
+/// Returns the answer to a request that cannot be admitted yet. It has not run.
+#[expect(
+    clippy::result_large_err,
+    reason = "the error is the answer that is sent"
+)]
+pub(crate) fn check_counted(gw: &Gateway, req: &Request) -> Result<(), Response<Body>> {
+    if gw.allowances.borrow().share() > 0.0 {
+        return Ok(());
     }
-    let admitted = allowances.admit(team, limit, draw, now);
-    admitted.map_err(|wait| {
-        info!(target: "teams", request:% = req.id, team:% = credential.team.name, share = allowances.share(), wait_ms = crate::millis::millis(wait); "over the rate limit");
-        gw.metrics.request("over_rate");
-        let mut answer = answers::retry_after(StatusCode::TOO_MANY_REQUESTS, "over the rate limit", wait);
-        ingress::set_request_id(answer.headers_mut(), &req.id);
-        answer
-    })
+    let reason = "gateways not counted yet";
+    warn!(target: "teams", request:% = req.id, team:% = req.team_name(); "gateways not counted yet");
+    gw.metrics.request("uncounted");
+    let code = StatusCode::SERVICE_UNAVAILABLE;
+    Err(answers::retry_after(code, reason, RETRY_UNCOUNTED))
+}
+
+/// The answer to a request over its team's limit, whose caller is to return after `wait`.
+pub(crate) fn refuse(
+    gw: &Gateway,
+    req: &Request,
+    wait: Duration,
+    is_reserved: bool,
+) -> Response<Body> {
+    let share = gw.allowances.borrow().share();
+    info!(target: "teams", request:% = req.id, team:% = req.team_name(), share, wait_ms = millis(wait), reserved = is_reserved; "over the rate limit");
+    gw.metrics.request("over_rate");
+    let code = StatusCode::TOO_MANY_REQUESTS;
+    let mut answer = answers::retry_after(code, "over the rate limit", wait);
+    ingress::set_request_id(answer.headers_mut(), &req.id);
+    answer
+}
+
+/// Evicts reservations that are over, and those of teams whose limit has changed.
+pub(crate) fn sweep_reservations(gw: &Gateway) {
+    let configuration = gw.configuration();
+    let teams = configuration.as_ref().and_then(|c| c.teams.as_ref());
+    gw.reservations.borrow_mut().sweep(teams, gw.elapsed());
 }
 
 /// Number of teams with metrics of their own.
@@ -195,6 +230,10 @@
     let allowances = gw.allowances.borrow();
     let metrics = &gw.metrics;
     metrics.rate_share.set(percent(allowances.share()));
+    let reservations = gw.reservations.borrow().len(gw.elapsed());
+    metrics
+        .reservations
+        .set(i64::try_from(reservations).unwrap_or(i64::MAX));
     metrics.team_requests.clear();
     for (n, (tag, admitted, refused)) in allowances.counts().into_iter().enumerate() {
         let name = teams.and_then(|teams| teams.name(tag));
--- a/crates/bluebellreel_teams/src/allowance.rs
+++ b/crates/bluebellreel_teams/src/allowance.rs
@@ -208,18 +208,29 @@
         let at = self.share.filled();
         let tolerance = self.tolerance;
         let level = self.bucket(team, limit).fill(limit, &tolerance, at);
-        let own = self.own.entry(team).or_default();
         if level < 1.0 {
-            let waiting = own.refused.count(now);
-            own.refused.add(now);
-            own.refused_total = own.refused_total.wrapping_add(1);
+            let waiting = self.own.entry(team).or_default().refused.count(now);
+            self.note_refusal(team, now);
             return Err(self.retry_after(level, waiting, limit, draw));
         }
+        self.take(team, limit, now);
+        Ok(())
+    }
+
+    /// Takes a token for a request that this gateway admits.
+    pub(crate) fn take(&mut self, team: TeamTag, limit: Limit, now: Moment) {
+        let own = self.own.entry(team).or_default();
         own.total = own.total.wrapping_add(1);
         own.admitted.add(now);
         own.changed = now;
         self.bucket(team, limit).take(1.0);
-        Ok(())
+    }
+
+    /// Counts a request that this gateway refuses.
+    pub(crate) fn note_refusal(&mut self, team: TeamTag, now: Moment) {
+        let own = self.own.entry(team).or_default();
+        own.refused.add(now);
+        own.refused_total = own.refused_total.wrapping_add(1);
     }
 
     /// Returns the token of an admitted request that did not run.
--- a/crates/bluebellreel_teams/src/lib.rs
+++ b/crates/bluebellreel_teams/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`Teams`] maps the digest of an API key to its team. [`Confirmation`] limits how long
 //! keys are accepted without proof that the configuration is the newest one, so that a
 //! revoked key opens nothing on a VM that is cut off. [`Allowances`] enforces one token
-//! bucket per team over all gateways. Everything here is plain data and functions,
+//! bucket per team over all gateways, and [`Reservations`] tells refused callers when to
+//! return. Everything here is plain data and functions,
 //! without clock or I/O.
 //!
 //! ```
@@ -20,17 +21,24 @@
 mod allowance;
 mod bucket;
 mod caller;
+mod claim;
 mod confirmation;
 mod index;
 mod key;
+mod reservation;
 mod share;
 mod turn;
 
 pub use allowance::{Allowances, Spending};
 pub use bucket::{Limit, Tolerance};
 pub use caller::Caller;
+pub use claim::{Claim, Decision};
 pub use confirmation::{Confirmation, RevocationTerms};
 pub use index::{Team, TeamTag, Teams};
 pub use key::{InvalidDigest, KeyDigest};
+pub use reservation::{
+    InvalidReport, MAX_OWN, MAX_REPORTED, MAX_WAITING, Print, ReservationId, ReservationNotice,
+    ReservationReport, Reservations,
+};
 pub use share::PEER_SILENCE;
 pub use turn::{ActiveClasses, Use, wait_share};
--- /dev/null
+++ b/crates/bluebellreel_teams/src/reservation.rs
@@ -0,0 +1,446 @@
+//! Tokens reserved for callers that were over their team's rate limit.
+//!
+//! A refused caller is told when to return, and a token is reserved for that moment.
+//! Gateways report reservations to each other, because a caller usually returns to another
+//! gateway. Requests that come for the first time leave tokens in the bucket for the
+//! reservations that are due. The bucket itself does not change: a request is admitted only
+//! if the bucket holds a token, so reservations cannot raise a limit.
+//!
+//! Reservations are due one after the other, at a part of the rate. The time of a new one
+//! follows from the number of those that are not due yet, over all gateways, and not from
+//! the last one's time: gateways that reserve at the same moment do not know of each other
+//! and choose the same time, and the next reservations then leave room for all of these.
+//!
+//! A reservation has a random id. Reports repeat it, and may be lost, duplicated or
+//! reordered; the id shows which reservations are already known or used. A used one is kept
+//! for a while, so that a report that arrives late does not make it valid again.
+
+use crate::{Limit, TeamTag, Teams};
+use bluebellreel_types::{EntryName, Incarnation, Moment};
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+/// Maximum number of reservations of one gateway.
+pub const MAX_OWN: usize = 512;
+/// Maximum number of reservations, and of uses, in a report.
+pub const MAX_REPORTED: usize = 64;
+/// Maximum number of requests of a team that wait for a token at one gateway.
+pub const MAX_WAITING: usize = 64;
+
+/// How long before it is due a reservation can be used. Callers wait for less than they
+/// are told if their timers are coarse.
+const EARLY: Duration = Duration::from_millis(50);
+/// How long after it is due a reservation can be used.
+const RETENTION: Duration = Duration::from_secs(1);
+/// How long reports repeat a reservation or its use, so that it arrives despite lost
+/// datagrams.
+const REPEAT_FULL: Duration = Duration::from_millis(1500);
+/// The same for briefs, of which there are many per second.
+const REPEAT_BRIEF: Duration = Duration::from_millis(150);
+/// Maximum time until a reported reservation is due. Callers do not wait longer.
+const MAX_AHEAD: Duration = Duration::from_secs(10);
+/// How long the number of a peer's last report is remembered: longer than a datagram is
+/// under way.
+const HEARD_RETENTION: Duration = Duration::from_secs(30);
+/// Part of the rate at which reservations are due. The rest is for requests that come for
+/// the first time, which can still meet their objective.
+const RATE_SHARE: f64 = 0.5;
+/// Distance between the ids of successive reservations of one gateway. It is odd, so that
+/// all ids occur before one repeats.
+const ID_STEP: u32 = 0x9E37_79B1;
+
+/// The first bytes of a request's fingerprint, the same for each attempt of its caller.
+pub type Print = [u8; 4];
+
+/// Identifies a reservation over all gateways.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ReservationId(u32);
+
+/// A reservation in a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReservationNotice {
+    /// The team.
+    pub team: TeamTag,
+    /// Its id.
+    pub id: ReservationId,
+    /// Whose request it is for.
+    pub print: Print,
+    /// Time until it is due in milliseconds; negative if it is overdue.
+    pub due_ms: i32,
+}
+
+/// What a gateway reports: reservations that it made, and those that were used at it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReservationReport {
+    /// Reservations made.
+    pub made: Vec<ReservationNotice>,
+    /// Reservations used, by any gateway's id.
+    pub used: Vec<(TeamTag, ReservationId)>,
+}
+
+/// A report has too many entries, an entry twice, or an implausible time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InvalidReport;
+
+/// One reservation.
+#[derive(Clone, Debug)]
+struct Held {
+    id: ReservationId,
+    print: Print,
+    due: Moment,
+    /// The gateway that made it; none for this one.
+    origin: Option<EntryName>,
+    made: Moment,
+    /// When it was used, as far as this gateway knows.
+    used: Option<Moment>,
+    /// Whether it was used at this gateway.
+    used_here: bool,
+}
+
+impl Held {
+    fn is_valid(&self, now: Moment) -> bool {
+        self.used.is_none() && !(self.due + RETENTION).is_past(now)
+    }
+
+    /// Whether a token is to be left for it.
+    fn is_due(&self, now: Moment) -> bool {
+        self.is_valid(now) && self.due.is_past(now + EARLY)
+    }
+
+    fn is_discarded(&self, now: Moment) -> bool {
+        let used = self.used.unwrap_or(self.due);
+        (self.due.max(used) + RETENTION + REPEAT_FULL).is_past(now)
+    }
+}
+
+/// The reservations of one team.
+#[derive(Clone, Debug)]
+struct TeamReservations {
+    limit: Limit,
+    held: Vec<Held>,
+    /// Requests that wait for a token at this gateway.
+    waiting: usize,
+}
+
+/// The last report of a peer.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    run: Incarnation,
+    sequence: u64,
+    at: Moment,
+}
+
+/// The reservations of all teams, as far as this gateway knows.
+#[derive(Clone, Debug)]
+pub struct Reservations {
+    teams: HashMap<TeamTag, TeamReservations>,
+    next_id: u32,
+    share: f64,
+    heard: HashMap<EntryName, Heard>,
+}
+
+impl Reservations {
+    /// Creates the state of a gateway that has just started. `seed` is a random number.
+    #[must_use]
+    pub fn new(seed: u32) -> Self {
+        Self::with_share(seed, RATE_SHARE)
+    }
+
+    /// The same with another part of the rate for reservations, from 0 to 1.
+    #[must_use]
+    pub fn with_share(seed: u32, share: f64) -> Self {
+        Self {
+            teams: HashMap::new(),
+            next_id: seed,
+            share,
+            heard: HashMap::new(),
+        }
+    }
+
+    /// The team's reservations. Those under another limit are dropped.
+    fn team(&mut self, tag: TeamTag, limit: Limit) -> &mut TeamReservations {
+        let team = self.teams.entry(tag).or_insert(TeamReservations {
+            limit,
+            held: Vec::new(),
+            waiting: 0,
+        });
+        if team.limit != limit {
+            team.limit = limit;
+            team.held.clear();
+        }
+        team
+    }
+
+    /// The reservation with which a request may now take a token.
+    pub(crate) fn usable(
+        &mut self,
+        tag: TeamTag,
+        limit: Limit,
+        print: Print,
+        now: Moment,
+    ) -> Option<ReservationId> {
+        let held = self.team(tag, limit).held.iter();
+        let usable = held.filter(|h| h.print == print && h.is_due(now));
+        usable.min_by_key(|h| h.due).map(|h| h.id)
+    }
+
+    /// Number of reservations that are due and not used, without `own`.
+    pub(crate) fn due(
+        &mut self,
+        tag: TeamTag,
+        limit: Limit,
+        own: Option<ReservationId>,
+        now: Moment,
+    ) -> usize {
+        let held = self.team(tag, limit).held.iter();
+        held.filter(|h| h.is_due(now) && Some(h.id) != own).count()
+    }
+
+    /// When the next reservation can be due at `per_second` tokens; none if it cannot be
+    /// reserved.
+    pub(crate) fn next_due(
+        &mut self,
+        tag: TeamTag,
+        limit: Limit,
+        per_second: f64,
+        now: Moment,
+    ) -> Option<Moment> {
+        let held = self.team(tag, limit).held.iter();
+        let ahead = held.filter(|h| h.is_valid(now) && !h.due.is_past(now));
+        let ahead = u32::try_from(ahead.count()).unwrap_or(u32::MAX);
+        let seconds = f64::from(ahead) / (per_second * self.share);
+        let wait = Duration::try_from_secs_f64(seconds).ok()?;
+        Some(now + wait)
+    }
+
+    /// Reserves a token; none if this gateway has too many reservations.
+    pub(crate) fn reserve(
+        &mut self,
+        tag: TeamTag,
+        limit: Limit,
+        print: Print,
+        due: Moment,
+        now: Moment,
+    ) -> Option<ReservationId> {
+        if self.share <= 0.0 || self.count_of(None, now) >= MAX_OWN {
+            return None;
+        }
+        let id = ReservationId(self.next_id);
+        self.next_id = self.next_id.wrapping_add(ID_STEP);
+        self.team(tag, limit).held.push(Held {
+            id,
+            print,
+            due,
+            origin: None,
+            made: now,
+            used: None,
+            used_here: false,
+        });
+        Some(id)
+    }
+
+    /// Number of valid reservations of a gateway; none for this one.
+    fn count_of(&self, origin: Option<&EntryName>, now: Moment) -> usize {
+        let held = self.teams.values().flat_map(|team| &team.held);
+        let of_origin = held.filter(|h| h.origin.as_ref() == origin && h.is_valid(now));
+        of_origin.count()
+    }
+
+    /// Records that a reservation was used, or is no longer needed.
+    pub(crate) fn end(&mut self, tag: TeamTag, id: ReservationId, now: Moment) {
+        let held = self.teams.get_mut(&tag).map(|team| &mut team.held);
+        let held = held.and_then(|held| held.iter_mut().find(|h| h.id == id));
+        if let Some(held) = held.filter(|h| h.used.is_none()) {
+            held.used = Some(now);
+            held.used_here = true;
+        }
+    }
+
+    /// Whether one more request of a team may wait at this gateway.
+    pub(crate) fn has_room_to_wait(&self, tag: TeamTag) -> bool {
+        let waiting = self.teams.get(&tag).map_or(0, |team| team.waiting);
+        waiting < MAX_WAITING
+    }
+
+    /// Adds a request that waits for a token at this gateway.
+    pub(crate) fn begin_wait(&mut self, tag: TeamTag, limit: Limit) {
+        self.team(tag, limit).waiting += 1;
+    }
+
+    /// Removes a request that waited, with its reservation.
+    pub fn end_wait(&mut self, tag: TeamTag, id: ReservationId, now: Moment) {
+        self.end(tag, id, now);
+        if let Some(team) = self.teams.get_mut(&tag) {
+            team.waiting = team.waiting.saturating_sub(1);
+        }
+    }
+
+    /// What to report: recent reservations of this gateway and recent uses at it.
+    #[must_use]
+    pub fn report(&self, is_brief: bool, now: Moment) -> ReservationReport {
+        let repeat = if is_brief { REPEAT_BRIEF } else { REPEAT_FULL };
+        let is_recent = |at: Moment| !(at + repeat).is_past(now);
+        let held = || {
+            let teams = self.teams.iter();
+            teams.flat_map(|(tag, team)| team.held.iter().map(|h| (*tag, h)))
+        };
+        let made = held().filter(|(_, h)| h.origin.is_none() && is_recent(h.made));
+        let mut made: Vec<_> = made.filter(|(_, h)| h.is_valid(now)).collect();
+        let used = held().filter(|(_, h)| h.used_here && h.used.is_some_and(is_recent));
+        let mut used: Vec<_> = used.collect();
+        // The latest ones have been reported the fewest times.
+        made.sort_by_key(|(_, h)| std::cmp::Reverse(h.made));
+        used.sort_by_key(|(_, h)| std::cmp::Reverse(h.used));
+        made.truncate(MAX_REPORTED);
+        used.truncate(MAX_REPORTED);
+        let notice = |(team, h): (TeamTag, &Held)| ReservationNotice {
+            team,
+            id: h.id,
+            print: h.print,
+            due_ms: signed_millis(h.due, now),
+        };
+        ReservationReport {
+            made: made.into_iter().map(notice).collect(),
+            used: used.into_iter().map(|(team, h)| (team, h.id)).collect(),
+        }
+    }
+
+    /// Applies a peer's report. `run` is its incarnation, `sequence` the report's number.
+    /// Teams that this gateway does not know, or that have no limit, are ignored.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`InvalidReport`] and applies nothing if the content is impossible.
+    pub fn hear(
+        &mut self,
+        peer: &EntryName,
+        (run, sequence): (Incarnation, u64),
+        report: &ReservationReport,
+        teams: Option<&Teams>,
+        now: Moment,
+    ) -> Result<(), InvalidReport> {
+        if report.made.is_empty() && report.used.is_empty() {
+            return Ok(());
+        }
+        let last = self.heard.get(peer);
+        if last.is_some_and(|last| last.run == run && last.sequence >= sequence) {
+            return Ok(());
+        }
+        check(report)?;
+        let heard = Heard {
+            run,
+            sequence,
+            at: now,
+        };
+        self.heard.insert(peer.clone(), heard);
+        for notice in &report.made {
+            self.hear_made(peer, notice, teams, now);
+        }
+        for (tag, id) in &report.used {
+            let Some(limit) = teams.and_then(|teams| teams.limit(*tag)) else {
+                continue;
+            };
+            let team = self.team(*tag, limit);
+            match team.held.iter_mut().find(|h| h.id == *id) {
+                Some(held) => held.used = held.used.or(Some(now)),
+                // The report of the reservation may arrive after that of its use.
+                None => team.held.push(Held {
+                    id: *id,
+                    print: Print::default(),
+                    due: now,
+                    origin: Some(peer.clone()),
+                    made: now,
+                    used: Some(now),
+                    used_here: false,
+                }),
+            }
+        }
+        Ok(())
+    }
+
+    fn hear_made(
+        &mut self,
+        peer: &EntryName,
+        notice: &ReservationNotice,
+        teams: Option<&Teams>,
+        now: Moment,
+    ) {
+        let Some(limit) = teams.and_then(|teams| teams.limit(notice.team)) else {
+            return;
+        };
+        let held = &self.team(notice.team, limit).held;
+        let is_known = held.iter().any(|h| h.id == notice.id);
+        if is_known || self.count_of(Some(peer), now) >= MAX_OWN {
+            return;
+        }
+        let wait = Duration::from_millis(u64::from(notice.due_ms.unsigned_abs()));
+        let due = if notice.due_ms < 0 {
+            now - wait
+        } else {
+            now + wait
+        };
+        self.team(notice.team, limit).held.push(Held {
+            id: notice.id,
+            print: notice.print,
+            due,
+            origin: Some(peer.clone()),
+            made: now,
+            used: None,
+            used_here: false,
+        });
+    }
+
+    /// Evicts reservations that are over, and those of teams whose limit has changed.
+    pub fn sweep(&mut self, teams: Option<&Teams>, now: Moment) {
+        for (tag, team) in &mut self.teams {
+            let limit = teams.and_then(|teams| teams.limit(*tag));
+            if limit == Some(team.limit) {
+                team.held.retain(|h| !h.is_discarded(now));
+            } else {
+                team.held.clear();
+            }
+        }
+        self.teams
+            .retain(|_, team| !team.held.is_empty() || team.waiting > 0);
+        self.heard
+            .retain(|_, heard| !(heard.at + HEARD_RETENTION).is_past(now));
+    }
+
+    /// Number of reservations that can still be used.
+    #[must_use]
+    pub fn len(&self, now: Moment) -> usize {
+        let held = self.teams.values().flat_map(|team| &team.held);
+        held.filter(|h| h.is_valid(now)).count()
+    }
+
+    /// Number of requests that wait for a token at this gateway.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.teams.values().map(|team| team.waiting).sum()
+    }
+}
+
+/// Checks the content of a report.
+fn check(report: &ReservationReport) -> Result<(), InvalidReport> {
+    let made: HashSet<_> = report.made.iter().map(|notice| notice.id).collect();
+    let used: HashSet<_> = report.used.iter().collect();
+    let is_unique = made.len() == report.made.len() && used.len() == report.used.len();
+    let is_short = made.len() <= MAX_REPORTED && used.len() <= MAX_REPORTED;
+    let ahead = i32::try_from(MAX_AHEAD.as_millis()).unwrap_or(i32::MAX);
+    let overdue = i32::try_from(RETENTION.as_millis()).unwrap_or(i32::MAX);
+    let times = report.made.iter().map(|notice| notice.due_ms);
+    let is_plausible = times.into_iter().all(|ms| (-overdue..=ahead).contains(&ms));
+    if is_unique && is_short && is_plausible {
+        Ok(())
+    } else {
+        Err(InvalidReport)
+    }
+}
+
+/// Time until `due` in milliseconds, negative if it has passed.
+fn signed_millis(due: Moment, now: Moment) -> i32 {
+    let millis = |span: Duration| i32::try_from(span.as_millis()).unwrap_or(i32::MAX);
+    millis(due.since(now)) - millis(now.since(due))
+}
