--- a/crates/bluebellreel_teams/src/reservation.rs
+++ b/crates/bluebellreel_teams/src/reservation.rs
@@ -24,7 +24,7 @@
 };
 use crate::{Limit, TeamTag, Teams};
 use bluebellreel_types::{EntryName, Incarnation, Moment};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// Maximum number of reservations of one gateway.
@@ -99,7 +99,7 @@
 #[derive(Clone, Debug)]
 struct TeamReservations {
     limit: Limit,
-    held: Vec<Held>,
+    held: BTreeMap<ReservationId, Held>,
     /// Requests that wait for a token at this gateway.
     waiting: usize,
 }
@@ -143,7 +143,7 @@
     fn team(&mut self, tag: TeamTag, limit: Limit) -> &mut TeamReservations {
         let team = self.teams.entry(tag).or_insert(TeamReservations {
             limit,
-            held: Vec::new(),
+            held: BTreeMap::new(),
             waiting: 0,
         });
         if team.limit != limit {
@@ -161,7 +161,7 @@
         (print, kind): (Print, Kind),
         now: Moment,
     ) -> Option<ReservationId> {
-        let held = self.team(tag, limit).held.iter();
+        let held = self.team(tag, limit).held.values();
         let of_request = held.filter(|h| h.print == print && h.kind == kind);
         let due = of_request.filter(|h| h.is_due(now));
         due.min_by_key(|h| h.due).map(|h| h.id)
@@ -170,7 +170,8 @@
     /// Whether a reservation is for a caller that was refused.
     pub(crate) fn is_return(&self, tag: TeamTag, id: ReservationId) -> bool {
         let held = self.teams.get(&tag).map(|team| &team.held);
-        held.is_some_and(|held| held.iter().any(|h| h.id == id && h.kind == Kind::Return))
+        let held = held.and_then(|held| held.get(&id));
+        held.is_some_and(|h| h.kind == Kind::Return)
     }
 
     /// Number of tokens to be left for others than `own`.
@@ -181,7 +182,7 @@
         own: Option<ReservationId>,
         now: Moment,
     ) -> usize {
-        let held = self.team(tag, limit).held.iter();
+        let held = self.team(tag, limit).held.values();
         held.filter(|h| h.keeps_token(now) && Some(h.id) != own)
             .count()
     }
@@ -196,7 +197,7 @@
         now: Moment,
     ) -> (u32, Option<Moment>) {
         let share = per_second * self.share;
-        let held = self.team(tag, limit).held.iter();
+        let held = self.team(tag, limit).held.values();
         let (past, ahead): (Vec<_>, Vec<_>) = held
             .filter(|h| h.kind == Kind::Return)
             .partition(|h| h.due.is_past(now));
@@ -225,7 +226,7 @@
         }
         let id = ReservationId(self.next_id);
         self.next_id = self.next_id.wrapping_add(ID_STEP);
-        self.team(tag, limit).held.push(Held {
+        let held = Held {
             id,
             print,
             due,
@@ -234,13 +235,14 @@
             made: now,
             used: None,
             used_here: false,
-        });
+        };
+        self.team(tag, limit).held.insert(id, held);
         Some(id)
     }
 
     /// Number of valid reservations of a gateway; none for this one.
     fn count_of(&self, origin: Option<&EntryName>, now: Moment) -> usize {
-        let held = self.teams.values().flat_map(|team| &team.held);
+        let held = self.teams.values().flat_map(|team| team.held.values());
         let of_origin = held.filter(|h| h.origin.as_ref() == origin && h.is_valid(now));
         of_origin.count()
     }
@@ -248,7 +250,7 @@
     /// Records that a reservation was used, or is no longer needed.
     pub(crate) fn end(&mut self, tag: TeamTag, id: ReservationId, now: Moment) {
         let held = self.teams.get_mut(&tag).map(|team| &mut team.held);
-        let held = held.and_then(|held| held.iter_mut().find(|h| h.id == id));
+        let held = held.and_then(|held| held.get_mut(&id));
         if let Some(held) = held.filter(|h| h.used.is_none()) {
             held.used = Some(now);
             held.used_here = true;
@@ -265,7 +267,7 @@
         now: Moment,
     ) -> ReservationId {
         let team = self.teams.get(&tag);
-        let held = team.and_then(|team| team.held.iter().find(|h| h.id == id));
+        let held = team.and_then(|team| team.held.get(&id));
         let (Some(team), Some(held)) = (team, held) else {
             return id;
         };
@@ -306,7 +308,7 @@
         let is_recent = |at: Moment| !(at + repeat).is_past(now);
         let held = || {
             let teams = self.teams.iter();
-            teams.flat_map(|(tag, team)| team.held.iter().map(|h| (*tag, h)))
+            teams.flat_map(|(tag, team)| team.held.values().map(|h| (*tag, h)))
         };
         let made = held().filter(|(_, h)| h.origin.is_none() && is_recent(h.made));
         let mut made: Vec<_> = made.filter(|(_, h)| h.is_valid(now)).collect();
@@ -366,20 +368,18 @@
                 continue;
             };
             let team = self.team(*tag, limit);
-            match team.held.iter_mut().find(|h| h.id == *id) {
-                Some(held) => held.used = held.used.or(Some(now)),
-                // The report of the reservation may arrive after that of its use.
-                None => team.held.push(Held {
-                    id: *id,
-                    print: Print::default(),
-                    due: now,
-                    kind: Kind::Unreserved,
-                    origin: Some(peer.clone()),
-                    made: now,
-                    used: Some(now),
-                    used_here: false,
-                }),
-            }
+            // The report of the reservation may arrive after that of its use.
+            let held = team.held.entry(*id).or_insert_with(|| Held {
+                id: *id,
+                print: Print::default(),
+                due: now,
+                kind: Kind::Unreserved,
+                origin: Some(peer.clone()),
+                made: now,
+                used: None,
+                used_here: false,
+            });
+            held.used = held.used.or(Some(now));
         }
         Ok(())
     }
@@ -395,7 +395,7 @@
             return;
         };
         let held = &self.team(notice.team, limit).held;
-        let is_known = held.iter().any(|h| h.id == notice.id);
+        let is_known = held.contains_key(&notice.id);
         if is_known || self.count_of(Some(peer), now) >= MAX_OWN {
             return;
         }
@@ -405,7 +405,7 @@
         } else {
             now + wait
         };
-        self.team(notice.team, limit).held.push(Held {
+        let held = Held {
             id: notice.id,
             print: notice.print,
             due,
@@ -414,7 +414,8 @@
             made: now,
             used: None,
             used_here: false,
-        });
+        };
+        self.team(notice.team, limit).held.insert(notice.id, held);
     }
 
     /// Evicts reservations that are over, and those of teams whose limit has changed.
@@ -422,7 +423,7 @@
         for (tag, team) in &mut self.teams {
             let limit = teams.and_then(|teams| teams.limit(*tag));
             if limit == Some(team.limit) {
-                team.held.retain(|h| !h.is_discarded(now));
+                team.held.retain(|_, h| !h.is_discarded(now));
             } else {
                 team.held.clear();
             }
@@ -436,7 +437,7 @@
     /// Number of reservations that can still be used.
     #[must_use]
     pub fn len(&self, now: Moment) -> usize {
-        let held = self.teams.values().flat_map(|team| &team.held);
+        let held = self.teams.values().flat_map(|team| team.held.values());
         held.filter(|h| h.kind != Kind::Unreserved && h.is_valid(now))
             .count()
     }
