--- a/crates/bluebellreel_dispatch/benches/placement.rs
+++ b/crates/bluebellreel_dispatch/benches/placement.rs
@@ -1,8 +1,9 @@
 //! Cost of the decisions that a gateway makes for each request and each report of a peer.
 
 use bluebellreel_dispatch::{
-    Attempt, BatchRun, Board, Catalog, Class, PeerLoad, PeerRuns, PlacementLimits, Query, Running,
-    WorkerRecord, WorkerState, batch_to_yield, place_batch, place_online,
+    Attempt, BatchRun, Board, Catalog, Class, Evidence, Outcome, PeerLoad, PeerRuns,
+    PlacementLimits, Query, Running, WorkerRecord, WorkerState, batch_to_yield, place_batch,
+    place_online,
 };
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
 use criterion::{Criterion, criterion_group, criterion_main};
@@ -88,6 +89,25 @@
         c.bench_function(&id("place_online"), |b| {
             b.iter(|| place_online(&board, &query));
         });
+        let mut board_with_evidence = board.clone();
+        board_with_evidence.evidence = Some(Evidence::default());
+        let ticket = board_with_evidence.start(&name(0), Class::Online);
+        board_with_evidence.note_outcome(&ticket, Outcome::Bad, NOW);
+        board_with_evidence.assess_workers(NOW);
+        let once = Query {
+            attempt: Attempt::Last,
+            ..query
+        };
+        c.bench_function(&id("place_online_with_evidence"), |b| {
+            b.iter(|| place_online(&board_with_evidence, &once));
+        });
+        let mut assessed_at = NOW;
+        c.bench_function(&id("assess_workers"), |b| {
+            b.iter(|| {
+                assessed_at = assessed_at + Duration::from_secs(1);
+                board_with_evidence.assess_workers(assessed_at)
+            });
+        });
         c.bench_function(&id("place_batch"), |b| {
             b.iter(|| place_batch(&board, &query, &me));
         });
--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -170,6 +170,9 @@
         }
         let views = self.views.iter();
         self.tags = views.map(|(id, s)| (s.tag(), id.clone())).collect();
+        if let Some(evidence) = &mut self.evidence {
+            evidence.retain(|tag| self.tags.contains_key(&tag));
+        }
         self.sum_peers();
         changes
     }
--- a/crates/bluebellreel_dispatch/src/evidence/assessing.rs
+++ b/crates/bluebellreel_dispatch/src/evidence/assessing.rs
@@ -12,9 +12,9 @@
 
 /// Interval between assessments while no bad outcome changes.
 const ASSESS_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum interval between assessments: each looks at all workers, and in a large fleet
-/// reports arrive hundreds of times a second.
-const MIN_ASSESS_INTERVAL: Duration = Duration::from_millis(5);
+/// Minimum interval between assessments: each looks at all workers, which takes 0.1 ms with
+/// 1,900 of them, and reports with bad outcomes may arrive hundreds of times a second.
+const MIN_ASSESS_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A change of a worker's standing.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/bluebellreel_dispatch/src/evidence/mod.rs
+++ b/crates/bluebellreel_dispatch/src/evidence/mod.rs
@@ -35,12 +35,13 @@
 const BRIEF_AGE: Duration = Duration::from_millis(150);
 /// Number of workers with mostly bad outcomes from which on a daemon's path may be at fault.
 const BROKEN_PATH_WORKERS: usize = 3;
-/// Number of parts of a second; a full report has the workers without bad outcomes of the
-/// part in which it is sent. With all of them in each full report, reports on a day without
-/// faults would be a sixth longer.
-const GOOD_PARTS: u64 = 4;
-/// Length of one part, in microseconds.
-const GOOD_PART_MICROS: u64 = 250_000;
+/// Number of groups of workers without bad outcomes. A full report has only one group, as
+/// these workers are most of its bytes on a day without faults. Each group is reported
+/// every 750 ms, so that one lost report does not let its counts expire.
+const GOOD_GROUPS: u64 = 3;
+/// Time for which the full reports have the same group, in microseconds: that between two
+/// full reports.
+const GROUP_MICROS: u64 = 250_000;
 
 /// Outcomes of the runs of this daemon and of its peers, by worker and incarnation.
 #[derive(Clone, Debug, Default)]
@@ -90,12 +91,12 @@
     /// bad outcome; if there are too many workers, those with the most bad outcomes remain.
     #[must_use]
     pub fn report(&self, is_brief: bool, now: Moment) -> Vec<RawOutcome> {
-        let part = now.0 / GOOD_PART_MICROS % GOOD_PARTS;
+        let group = now.0 / GROUP_MICROS % GOOD_GROUPS;
         let is_due = |tag: WorkerTag, window: &Window, counts: Counts| {
             if is_brief {
                 return counts.bad > 0 && !(window.last_bad_at + BRIEF_AGE).is_past(now);
             }
-            counts.bad > 0 || (counts.good > 0 && u64::from(tag.0) % GOOD_PARTS == part)
+            counts.bad > 0 || (counts.good > 0 && u64::from(tag.0) % GOOD_GROUPS == group)
         };
         let mut due: Vec<RawOutcome> = self
             .own
@@ -174,14 +175,16 @@
         Ok(())
     }
 
+    /// Drops the outcomes of this daemon's runs at workers for which `is_known` does not
+    /// hold: peers do not know these either.
+    pub fn retain(&mut self, is_known: impl Fn(WorkerTag) -> bool) {
+        self.own.retain(|tag, _| is_known(*tag));
+    }
+
     /// Evicts outcomes that have left the window and reports that have expired.
     pub fn sweep(&mut self, now: Moment) {
         self.own.retain(|_, window| window.counts(now).total() > 0);
-        let names: Vec<EntryName> = self.peers.keys().cloned().collect();
-        for name in names {
-            let Some(mut peer) = self.peers.remove(&name) else {
-                continue;
-            };
+        for (name, mut peer) in std::mem::take(&mut self.peers) {
             let expired = peer
                 .entries
                 .iter()
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -67,8 +67,8 @@
 fn fill_slots(gw: &Rc<Gateway>) {
     evidence::assess_workers(gw);
     let mut full: BTreeSet<Arc<str>> = BTreeSet::new();
-    let mut unconfirmed: BTreeSet<JobId> = BTreeSet::new();
-    while let Some(mut next) = choose_item(gw, &full, &unconfirmed) {
+    let mut skipped: BTreeSet<JobId> = BTreeSet::new();
+    while let Some(mut next) = choose_item(gw, &full, &skipped) {
         match may_run(gw, &next) {
             Ok(permit) => next.permit = permit,
             Err(held) => {
@@ -95,11 +95,17 @@
         };
         match worker {
             Some(_) if !confirm::allows_start(gw, &next.owned) => {
-                unconfirmed.insert(next.job);
+                skipped.insert(next.job);
             }
             Some(worker) => start(gw, next, &worker),
             None if has_slot_at_other_version(gw, &query) => wait_for_version(gw, &next),
-            None if query.attempt == Attempt::Last => wait_for_proven(gw, &next),
+            None if query.attempt == Attempt::Last && has_unproven_slot(gw, &query) => {
+                wait_for_proven(gw, &next);
+                if avoid.is_empty() {
+                    // All items of its job may have to wait, and there may be thousands.
+                    skipped.insert(next.job);
+                }
+            }
             None if !avoid.is_empty() => {
                 // Other items may start on the workers where this one has failed, so it
                 // must not hold them up.
@@ -159,6 +165,15 @@
     }
 }
 
+/// Whether an item that finds no slot at a proven worker would find one at others.
+fn has_unproven_slot(gw: &Gateway, query: &Query) -> bool {
+    let overdue = Query {
+        attempt: Attempt::Overdue,
+        ..*query
+    };
+    place_batch(&gw.board.borrow(), &overdue, gw.me()).is_some()
+}
+
 /// Has an item wait for a slot at a proven worker.
 fn wait_for_proven(gw: &Gateway, next: &Next) {
     let now = gw.now();
@@ -232,17 +247,17 @@
     permit: Permit,
 }
 
-/// Chooses the item to start next, of a service with free slots and a job whose
-/// ownership is confirmed.
+/// Chooses the item to start next, of a service with free slots and a job that is not
+/// skipped: one whose ownership is not confirmed, or whose items wait for proven workers.
 fn choose_item(
     gw: &Rc<Gateway>,
     full: &BTreeSet<Arc<str>>,
-    unconfirmed: &BTreeSet<JobId>,
+    skipped: &BTreeSet<JobId>,
 ) -> Option<Next> {
     let now = gw.now();
     let configuration = gw.configuration()?;
     let jobs = gw.jobs.borrow();
-    let mut excluded = unconfirmed.clone();
+    let mut excluded = skipped.clone();
     loop {
         let open = jobs.own.iter().filter(|(id, _)| !excluded.contains(*id));
         let borrowed: Vec<_> = open.map(|(_, owned)| owned.job.borrow()).collect();
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -442,8 +442,11 @@
         let ticket = run_guard.ticket().clone();
         let mut restarted = pin!(worker_restarted(&self.gw, &ticket));
         let mut restart_deadline = None;
-        let is_late = |answer: &Result<Upstream, NoAnswer>| {
-            matches!(answer, Err(NoAnswer::Silent)) && !self.req.left().is_zero()
+        let (gw, deadline) = (&self.gw, self.req.deadline);
+        let note_late = |answer: &Result<Upstream, NoAnswer>| {
+            if matches!(answer, Err(NoAnswer::Silent)) && Instant::now() < deadline {
+                note_outcome(gw, &ticket, Outcome::Bad);
+            }
         };
         let mut sent = pin!(send(
             &self.gw,
@@ -457,15 +460,16 @@
             },
         ));
         if let Ok(answer) = timeout_at(early_deadline, sent.as_mut()).await {
-            if is_late(&answer) {
-                note_outcome(&self.gw, &ticket, Outcome::Bad);
-            }
+            note_late(&answer);
             return answer.map(Box::new).map(Resumption::NewWorker);
         }
         loop {
             tokio::select! {
                 biased;
-                answer = sent.as_mut() => return answer.map(Box::new).map(Resumption::NewWorker),
+                answer = sent.as_mut() => {
+                    note_late(&answer);
+                    return answer.map(Box::new).map(Resumption::NewWorker);
+                }
                 read = self.upstream.body.next(), if open => match read {
                     Ok(bytes) => return Ok(Resumption::FormerWorker(bytes.unwrap_or_default())),
                     Err(Broken) => open = false,
