Late first bytes of busy workers do not count against them

Cause: while a service is overloaded, requests leave long queues before their first byte. Counted as lost, they would make up to half of the workers seem to fail, and the others would get their load as well. Also, with the feature off a lost run woke the task that sends reports once more than before.

Change: a run of which nothing came in time counts only if its worker has no more requests than slots and has sent no event of another run for 120 ms. Reports are woken only by outcomes that are counted. Shorter tests.

--- a/crates/bluebellreel_dispatch/src/evidence/assessing.rs
+++ b/crates/bluebellreel_dispatch/src/evidence/assessing.rs
@@ -4,6 +4,7 @@
     Counts, Evidence, InvalidOutcomes, Outcome, Record, ReportId, ReportedOutcomes, Standing,
     assess,
 };
+use crate::place::UNRESPONSIVE_AFTER;
 use crate::{Board, Ticket, WorkerState, WorkerView};
 use bluebellreel_types::{EntryName, Moment, WorkerName};
 use std::collections::BTreeMap;
@@ -35,18 +36,32 @@
     /// Counts the outcome of a run of this daemon, if evidence is in use.
     ///
     /// A run that is lost at a worker that leaves, or that has restarted since, says nothing
-    /// about the worker that is listed now.
-    pub fn note_outcome(&mut self, ticket: &Ticket, outcome: Outcome, now: Moment) {
+    /// about the worker that is listed now. Returns whether the outcome was counted.
+    pub fn note_outcome(&mut self, ticket: &Ticket, outcome: Outcome, now: Moment) -> bool {
         let is_previous = self.is_from_previous_incarnation(ticket);
         let Some(evidence) = &mut self.evidence else {
-            return;
+            return false;
         };
         let Some(view) = self.views.get(&ticket.worker) else {
-            return;
+            return false;
         };
-        if !is_previous && view.record.state == WorkerState::Ready {
+        let is_counted = !is_previous && view.record.state == WorkerState::Ready;
+        if is_counted {
             evidence.note(view.tag(), outcome, now);
         }
+        is_counted
+    }
+
+    /// Counts a run of which nothing came in time as lost, unless its worker seems to be
+    /// busy: it has more requests than slots, or sends events of other runs. While a service
+    /// is overloaded, its workers would otherwise seem to fail, and the others would get
+    /// their load as well. Returns whether the run was counted.
+    pub fn note_late(&mut self, ticket: &Ticket, now: Moment) -> bool {
+        let is_busy = self.views.get(&ticket.worker).is_none_or(|view| {
+            let has_queue = view.running().online > view.record.slots;
+            has_queue || !(view.last_event_at + UNRESPONSIVE_AFTER).is_past(now)
+        });
+        !is_busy && self.note_outcome(ticket, Outcome::Bad, now)
     }
 
     /// Applies a peer's reported outcomes, if evidence is in use.
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -191,7 +191,7 @@
 
 /// Time without any event from a worker after which it counts as unresponsive and not
 /// only as busy. Events of one stream are some 30 ms apart.
-const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(120);
+pub(crate) const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(120);
 
 /// Whether a request that has waited long for its first byte should move to another
 /// worker.
--- a/crates/bluebellreel_dispatch/tests/evidence.rs
+++ b/crates/bluebellreel_dispatch/tests/evidence.rs
@@ -75,6 +75,18 @@
     assert_eq!(counts(&board, 0, NOW), (0, 0));
 }
 
+/// Requests wait for long at workers of an overloaded service, which are not at fault.
+#[test]
+fn a_busy_worker_is_not_blamed_for_late_answers() {
+    let mut board = board_with_evidence(3);
+    start(&mut board, 0, Class::Online, SLOTS + 1);
+    board.succeeded(&ticket(name(1)), NOW);
+    for (worker, is_counted) in [(0, false), (1, false), (2, true)] {
+        assert_eq!(board.note_late(&ticket(name(worker)), NOW), is_counted);
+        assert_eq!(counts(&board, worker, NOW), (0, u32::from(is_counted)));
+    }
+}
+
 /// Datagrams arrive late, twice or in another order, and a peer starts again.
 #[test]
 fn the_newest_report_of_a_peer_counts() {
@@ -104,8 +116,7 @@
     take(&mut board, report(1, 1), vec![(tag(0), 9, 1)], NOW);
     for (after, expected) in [(1900, (9, 1)), (2000, (0, 0))] {
         let now = NOW + Duration::from_millis(after);
-        let evidence = board.evidence.as_mut().expect("in use");
-        evidence.sweep(now);
+        board.evidence.as_mut().expect("in use").sweep(now);
         assert_eq!(counts(&board, 0, now), expected);
     }
 }
@@ -196,6 +207,8 @@
 fn items_go_to_doubtful_workers_except_for_their_last_run() {
     let me = EntryName::from("me");
     let mut board = board_with_evidence(3);
+    // On an idle service no worker is proven, so it does not wait for one.
+    assert!(place_batch(&board, &once(), &me).is_some());
     note(&mut board, 0, 20, 3);
     note(&mut board, 1, 0, 9);
     note(&mut board, 2, 900, 0);
@@ -215,13 +228,6 @@
     assert_eq!(place_batch(&board, &query(&[]), &me), None);
 }
 
-/// On an idle service no worker is proven: an item must not wait for one.
-#[test]
-fn a_last_run_does_not_wait_if_no_worker_is_proven() {
-    let board = board_with_evidence(2);
-    assert!(place_batch(&board, &once(), &EntryName::from("me")).is_some());
-}
-
 proptest! {
     /// With the feature off, neither outcomes nor the kind of attempt may change a choice.
     #[test]
--- a/crates/bluebellreel_dispatch/tests/evidence_fleet.rs
+++ b/crates/bluebellreel_dispatch/tests/evidence_fleet.rs
@@ -32,10 +32,6 @@
     WorkerName::from(format!("w-{n}"))
 }
 
-fn gateway_name(n: usize) -> EntryName {
-    EntryName::from(format!("entry-{n}"))
-}
-
 struct Run {
     ends_at: Moment,
     gateway: usize,
@@ -44,13 +40,8 @@
     is_once: bool,
 }
 
-struct InTransit {
-    arrives_at: Moment,
-    from: usize,
-    to: usize,
-    sequence: u64,
-    outcomes: Vec<RawOutcome>,
-}
+/// A report on its way: when it arrives, its sender, recipient, sequence and content.
+type InTransit = (Moment, usize, usize, u64, Vec<RawOutcome>);
 
 struct Fleet {
     boards: Vec<Board>,
@@ -62,7 +53,6 @@
     catalog: Catalog,
     /// Lost requests that may run only once, by worker.
     lost: BTreeMap<WorkerName, u32>,
-    sent: u32,
 }
 
 impl Fleet {
@@ -76,7 +66,6 @@
             rng: SmallRng::seed_from_u64(seed),
             catalog: Catalog::default(),
             lost: BTreeMap::new(),
-            sent: 0,
         };
         for n in 0..WORKERS {
             fleet.list(n, 0);
@@ -144,7 +133,6 @@
         let Placement::Send(worker) = place_online(board, &query) else {
             return;
         };
-        self.sent += 1;
         let number: usize = worker.as_str()[2..].parse().expect("a number");
         let is_lost = self.rng.random_bool(loss(gateway, number));
         let ticket = board.start(&worker, Class::Online);
@@ -196,13 +184,9 @@
                 }
                 // A random delay reorders reports.
                 let delay = Duration::from_millis(self.rng.random_range(5..60));
-                self.in_transit.push(InTransit {
-                    arrives_at: self.now + delay,
-                    from,
-                    to,
-                    sequence: self.sequence,
-                    outcomes: outcomes.clone(),
-                });
+                let (arrives_at, sequence) = (self.now + delay, self.sequence);
+                self.in_transit
+                    .push((arrives_at, from, to, sequence, outcomes.clone()));
             }
         }
         for board in &mut self.boards {
@@ -216,19 +200,14 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let arrived = self
-            .in_transit
-            .extract_if(.., |r| r.arrives_at.is_past(now));
-        for report in arrived {
-            let id = ReportId {
-                run: Incarnation(1),
-                sequence: report.sequence,
-            };
-            let outcomes = ReportedOutcomes::try_from(report.outcomes).expect("well-formed");
-            let taken =
-                self.boards[report.to].take_outcomes(&gateway_name(report.from), id, outcomes, now);
-            // A worker that has restarted is not known under its former tag.
-            let _ = taken;
+        let arrived = self.in_transit.extract_if(.., |r| r.0.is_past(now));
+        for (_, from, to, sequence, raw) in arrived {
+            let run = Incarnation(1);
+            let id = ReportId { run, sequence };
+            let outcomes = ReportedOutcomes::try_from(raw).expect("well-formed");
+            // Fails for workers that have restarted, whose former tags are not known.
+            let peer = EntryName::from(format!("entry-{from}"));
+            let _ = self.boards[to].take_outcomes(&peer, id, outcomes, now);
         }
     }
 
@@ -239,6 +218,10 @@
     fn count(&self, gateway: usize, standing: Standing) -> usize {
         self.boards[gateway].count_standing(standing)
     }
+
+    fn doubted(&self, gateway: usize) -> usize {
+        self.count(gateway, Standing::Failing) + self.count(gateway, Standing::Doubtful)
+    }
 }
 
 const SEEDS: u64 = 3;
@@ -312,8 +295,7 @@
     fleet.run(WARM_UP, none);
     fleet.run(Duration::from_secs(7), |_, _| 0.9);
     for gateway in 0..GATEWAYS {
-        assert_eq!(fleet.count(gateway, Standing::Failing), 0);
-        assert_eq!(fleet.count(gateway, Standing::Doubtful), 0);
+        assert_eq!(fleet.doubted(gateway), 0);
     }
 }
 
@@ -323,7 +305,7 @@
 fn a_service_that_starts_again_is_not_doubted() {
     let mut fleet = Fleet::new(true, 0);
     fleet.run(WARM_UP, |_, worker| if worker < 10 { 1.0 } else { 0.0 });
-    assert!(fleet.count(0, Standing::Failing) + fleet.count(0, Standing::Doubtful) >= 8);
+    assert!(fleet.doubted(0) >= 8);
     for n in 0..WORKERS {
         fleet.list(n, 1);
     }
@@ -334,8 +316,7 @@
     fleet.run(Duration::from_secs(3), none);
     assert_eq!(fleet.lost(), before);
     for gateway in 0..GATEWAYS {
-        assert_eq!(fleet.count(gateway, Standing::Failing), 0);
-        assert_eq!(fleet.count(gateway, Standing::Doubtful), 0);
+        assert_eq!(fleet.doubted(gateway), 0);
         assert!(fleet.count(gateway, Standing::Proven) > WORKERS / 2);
     }
 }
@@ -368,7 +349,6 @@
     assert!(evidence(3).has_broken_path());
     for gateway in (0..GATEWAYS).filter(|n| *n != 3) {
         assert!(!evidence(gateway).has_broken_path());
-        assert_eq!(fleet.count(gateway, Standing::Failing), 0);
-        assert_eq!(fleet.count(gateway, Standing::Doubtful), 0);
+        assert_eq!(fleet.doubted(gateway), 0);
     }
 }
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -10,14 +10,12 @@
 use crate::placement::for_suspect;
 use crate::quarantine_gate::{self, Checked, Held, PROGRESS_EVENTS, Permit, PromptPart, Trial};
 use crate::stream_monitor::StreamMonitor;
-use crate::ticket::{
-    RESTART_GRACE, RESTART_REPORT_TIMEOUT, RunGuard, note_outcome, worker_restarted,
-};
+use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, RunGuard, note_late, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use crate::workers::version_text;
 use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
 use bluebellreel_dispatch::{
-    Attempt, BatchRun, Class, Fingerprint, Outcome, Query, Route, Sender, Ticket, batch_to_yield,
+    Attempt, BatchRun, Class, Fingerprint, Query, Route, Sender, Ticket, batch_to_yield,
     place_batch,
 };
 use bluebellreel_net::{Broken, Reuse};
@@ -401,7 +399,7 @@
         Err(e) => {
             if e == NoAnswer::Silent {
                 gw.board.borrow_mut().failed(&ticket, gw.now());
-                note_outcome(gw, &ticket, Outcome::Bad);
+                note_late(gw, &ticket);
             }
             if matches!(e, NoAnswer::Unknown(_)) {
                 crash::check_for_crash(gw, cut_of(next, &out, ticket, began)).await;
@@ -577,8 +575,11 @@
     let worker = upstream.run_guard.worker();
     warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, reason; "item interrupted");
     upstream.run_guard.failed();
-    if reason != OTHER_VERSION && (reason != SILENT || !has_answered(next, after)) {
-        upstream.run_guard.lost();
+    match reason {
+        OTHER_VERSION => {}
+        SILENT if has_answered(next, after) => {}
+        SILENT => upstream.run_guard.late(),
+        _ => upstream.run_guard.lost(),
     }
     let sent_lately = !(upstream.began + RESTART_REPORT_TIMEOUT).is_past(gw.now());
     if sent_lately && has_other_version(gw, &upstream.run_guard) {
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -11,10 +11,10 @@
 use crate::relay::Relay;
 use crate::request::Request;
 use crate::teams::{self, Denial};
-use crate::ticket::{RESTART_GRACE, note_outcome, worker_restarted};
+use crate::ticket::{RESTART_GRACE, note_late, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use crate::workers::version_text;
-use bluebellreel_dispatch::{Outcome, Placement, RouteKind, retry_delay};
+use bluebellreel_dispatch::{Placement, RouteKind, retry_delay};
 use bluebellreel_net::{Body, Reuse};
 use bluebellreel_platform::ingress;
 use bluebellreel_types::WorkerName;
@@ -115,7 +115,7 @@
                 if has_restarted || placement::is_better_elsewhere(gw, req, worker) {
                     gw.board.borrow_mut().failed(&ticket, gw.now());
                     if !req.left().is_zero() {
-                        note_outcome(gw, &ticket, Outcome::Bad);
+                        note_late(gw, &ticket);
                     }
                     break Err(NoAnswer::Silent);
                 }
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -14,10 +14,10 @@
 use crate::quarantine_gate::{self, PROGRESS_EVENTS};
 use crate::request::{Binding, Request};
 use crate::stream_monitor::StreamMonitor;
-use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, note_outcome, worker_restarted};
+use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, note_late, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use crate::workers::version_text;
-use bluebellreel_dispatch::{Outcome, Placement};
+use bluebellreel_dispatch::Placement;
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_types::WorkerName;
 use bytes::{Bytes, BytesMut};
@@ -174,7 +174,7 @@
                         "worker silent"
                     };
                     if self.events_of_run == 0 {
-                        self.upstream.run_guard.lost();
+                        self.upstream.run_guard.late();
                     }
                     let open = !self.has_other_version();
                     if !self.resume(reason, open).await {
@@ -443,9 +443,9 @@
         let mut restarted = pin!(worker_restarted(&self.gw, &ticket));
         let mut restart_deadline = None;
         let (gw, deadline) = (&self.gw, self.req.deadline);
-        let note_late = |answer: &Result<Upstream, NoAnswer>| {
+        let check_late = |answer: &Result<Upstream, NoAnswer>| {
             if matches!(answer, Err(NoAnswer::Silent)) && Instant::now() < deadline {
-                note_outcome(gw, &ticket, Outcome::Bad);
+                note_late(gw, &ticket);
             }
         };
         let mut sent = pin!(send(
@@ -460,14 +460,14 @@
             },
         ));
         if let Ok(answer) = timeout_at(early_deadline, sent.as_mut()).await {
-            note_late(&answer);
+            check_late(&answer);
             return answer.map(Box::new).map(Resumption::NewWorker);
         }
         loop {
             tokio::select! {
                 biased;
                 answer = sent.as_mut() => {
-                    note_late(&answer);
+                    check_late(&answer);
                     return answer.map(Box::new).map(Resumption::NewWorker);
                 }
                 read = self.upstream.body.next(), if open => match read {
--- a/crates/bluebellreel_gateway/src/ticket.rs
+++ b/crates/bluebellreel_gateway/src/ticket.rs
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Records that nothing of the answer came in time.
+    pub(crate) fn late(&self) {
+        if !self.is_bad.get() {
+            self.is_bad.set(note_late(&self.gw, &self.ticket));
+        }
+    }
+
     /// Records that the worker has failed to run a batch item.
     pub(crate) fn failed_item(&self) {
         let now = self.gw.now();
@@ -78,12 +85,21 @@
     }
 }
 
+/// Records a run of which nothing came in time for the evidence on its worker. Returns
+/// whether it was counted.
+pub(crate) fn note_late(gw: &Gateway, ticket: &Ticket) -> bool {
+    let is_counted = gw.board.borrow_mut().note_late(ticket, gw.now());
+    if is_counted {
+        gw.report_due.notify_one();
+    }
+    is_counted
+}
+
 /// Records the outcome of a run for the evidence on its worker.
-pub(crate) fn note_outcome(gw: &Gateway, ticket: &Ticket, outcome: Outcome) {
-    gw.board
-        .borrow_mut()
-        .note_outcome(ticket, outcome, gw.now());
-    if outcome == Outcome::Bad {
+fn note_outcome(gw: &Gateway, ticket: &Ticket, outcome: Outcome) {
+    let mut board = gw.board.borrow_mut();
+    let is_counted = board.note_outcome(ticket, outcome, gw.now());
+    if is_counted && outcome == Outcome::Bad {
         gw.report_due.notify_one();
     }
 }
