--- a/crates/bluebellreel_dispatch/tests/evidence_fleet.rs
+++ b/crates/bluebellreel_dispatch/tests/evidence_fleet.rs
@@ -256,7 +256,6 @@
         let most = with.lost.values().max().copied().unwrap_or(0);
         losses.most_at_one = losses.most_at_one.max(most);
     }
-    println!("{losses:?}");
     losses
 }
 
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod cancel;
 mod confirm;
 mod hand_over;
+mod last_run;
 mod load;
 mod no_route;
 mod open;
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -1,7 +1,7 @@
 //! Running items on workers.
 
 use super::own::{ItemRun, Jobs, OwnedJob};
-use super::{confirm, no_route};
+use super::{confirm, last_run, no_route};
 use crate::crash::{self, InterruptedRun};
 use crate::events::Events;
 use crate::evidence;
@@ -38,12 +38,9 @@
 /// Time for which an item that has output waits for a slot at a worker of its version while
 /// there are slots at others. An item generates about half of its output in this time.
 const VERSION_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time for which an item waits for a slot at a proven worker before its last run. Such
-/// slots become free several times a second, also where all are taken.
-const PROVEN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause of an item after a run without success, so that it does not cycle through
 /// workers that all refuse it.
-const ITEM_BACKOFF: Duration = Duration::from_millis(120);
+pub(super) const ITEM_BACKOFF: Duration = Duration::from_millis(120);
 
 /// Starts waiting items on free worker slots, in an endless loop.
 pub(crate) async fn start_items(gw: Rc<Gateway>) {
@@ -81,7 +78,11 @@
             service: &next.service,
             version: version.as_ref(),
             avoid: &avoid,
-            attempt: attempt_of(gw, &next),
+            attempt: last_run::attempt_of(
+                gw,
+                &next.owned.job.borrow().items[next.item],
+                &next.route,
+            ),
             max_wait: Duration::ZERO,
             salt: 0,
             now: gw.now(),
@@ -97,8 +98,8 @@
             }
             Some(worker) => start(gw, next, &worker),
             None if has_slot_at_other_version(gw, &query) => wait_for_version(gw, &next),
-            None if query.attempt == Attempt::Last && has_unproven_slot(gw, &query) => {
-                wait_for_proven(gw, &next);
+            None if query.attempt == Attempt::Last && last_run::has_unproven_slot(gw, &query) => {
+                last_run::wait(&mut next.owned.job.borrow_mut().items[next.item], gw.now());
                 if avoid.is_empty() {
                     // All items of its job may have to wait, and there may be thousands.
                     skipped.insert(next.job);
@@ -150,39 +151,6 @@
     query.version.is_some() && place_batch(&gw.board.borrow(), &unrestricted, gw.me()).is_some()
 }
 
-/// Whether the next run of an item is its last one, while evidence on workers is in use.
-fn attempt_of(gw: &Gateway, next: &Next) -> Attempt {
-    let job = next.owned.job.borrow();
-    let item = &job.items[next.item];
-    if !gw.settings.scheduling.worker_evidence || item.failures + 1 < next.route.max_workers {
-        return Attempt::Repeatable;
-    }
-    match item.proven_deadline {
-        Some(deadline) if deadline.is_past(gw.now()) => Attempt::Overdue,
-        _ => Attempt::Last,
-    }
-}
-
-/// Whether an item that finds no slot at a proven worker would find one at others.
-fn has_unproven_slot(gw: &Gateway, query: &Query) -> bool {
-    let overdue = Query {
-        attempt: Attempt::Overdue,
-        ..*query
-    };
-    place_batch(&gw.board.borrow(), &overdue, gw.me()).is_some()
-}
-
-/// Has an item wait for a slot at a proven worker.
-fn wait_for_proven(gw: &Gateway, next: &Next) {
-    let now = gw.now();
-    let mut job = next.owned.job.borrow_mut();
-    let item = &mut job.items[next.item];
-    item.phase = ItemPhase::Waiting {
-        from: now + ITEM_BACKOFF,
-    };
-    item.proven_deadline.get_or_insert(now + PROVEN_TIMEOUT);
-}
-
 /// Has an item wait for a slot at a worker of its version, or start over if it has waited
 /// for too long.
 fn wait_for_version(gw: &Gateway, next: &Next) {
