--- a/crates/bluebellreel_dispatch/tests/evidence_fleet.rs
+++ b/crates/bluebellreel_dispatch/tests/evidence_fleet.rs
@@ -286,16 +286,20 @@
     assert!(losses.with_evidence * 3 < losses.without, "{losses:?}");
 }
 
+/// A fleet with evidence, after a warm-up and a fault.
+fn fleet_after(fault: Duration, loss: impl Fn(usize, usize) -> f64) -> Fleet {
+    let mut fleet = Fleet::new(true, 0);
+    fleet.run(WARM_UP, none);
+    fleet.run(fault, loss);
+    fleet
+}
+
 /// If all workers fail alike, none may be held back: the others would be no better, and
 /// their load would double.
 #[test]
 fn no_worker_is_doubted_if_all_fail() {
-    let mut fleet = Fleet::new(true, 0);
-    fleet.run(WARM_UP, none);
-    fleet.run(Duration::from_secs(7), |_, _| 0.9);
-    for gateway in 0..GATEWAYS {
-        assert_eq!(fleet.doubted(gateway), 0);
-    }
+    let fleet = fleet_after(Duration::from_secs(7), |_, _| 0.9);
+    assert!((0..GATEWAYS).all(|gateway| fleet.doubted(gateway) == 0));
 }
 
 /// All workers of the service start again within a second, after some were failing. The
@@ -340,10 +344,8 @@
 /// not make the other gateways hold back workers that answer them.
 #[test]
 fn a_gateway_with_a_broken_path_is_ignored() {
-    let mut fleet = Fleet::new(true, 0);
-    fleet.run(WARM_UP, none);
     let loss = |gateway, _| if gateway == 3 { 1.0 } else { 0.0 };
-    fleet.run(Duration::from_secs(4), loss);
+    let fleet = fleet_after(Duration::from_secs(4), loss);
     let evidence = |n: usize| fleet.boards[n].evidence.as_ref().expect("in use");
     assert!(evidence(3).has_broken_path());
     for gateway in (0..GATEWAYS).filter(|n| *n != 3) {
