--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -1,20 +1,22 @@
 //! Running items on workers.
 
 use super::own::{ItemRun, Jobs, OwnedJob};
-use super::{confirm, no_route};
+use super::{confirm, last_run, no_route};
 use crate::crash::{self, InterruptedRun};
 use crate::events::Events;
+use crate::evidence;
 use crate::gateway::Gateway;
 use crate::millis::millis;
 use crate::placement::for_suspect;
 use crate::quarantine_gate::{self, Checked, Held, PROGRESS_EVENTS, Permit, PromptPart, Trial};
 use crate::stream_monitor::StreamMonitor;
-use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, RunGuard, worker_restarted};
+use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, RunGuard, note_late, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use crate::workers::version_text;
 use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
 use bluebellreel_dispatch::{
-    BatchRun, Class, Fingerprint, Query, Route, Sender, Ticket, batch_to_yield, place_batch,
+    Attempt, BatchRun, Class, Fingerprint, Query, Route, Sender, Ticket, batch_to_yield,
+    place_batch,
 };
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_platform::engine::Outgoing;
@@ -38,7 +40,7 @@
 const VERSION_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause of an item after a run without success, so that it does not cycle through
 /// workers that all refuse it.
-const ITEM_BACKOFF: Duration = Duration::from_millis(120);
+pub(super) const ITEM_BACKOFF: Duration = Duration::from_millis(120);
 
 /// Starts waiting items on free worker slots, in an endless loop.
 pub(crate) async fn start_items(gw: Rc<Gateway>) {
@@ -58,9 +60,10 @@
 }
 
 fn fill_slots(gw: &Rc<Gateway>) {
+    evidence::assess_workers(gw);
     let mut full: BTreeSet<Arc<str>> = BTreeSet::new();
-    let mut unconfirmed: BTreeSet<JobId> = BTreeSet::new();
-    while let Some(mut next) = choose_item(gw, &full, &unconfirmed) {
+    let mut skipped: BTreeSet<JobId> = BTreeSet::new();
+    while let Some(mut next) = choose_item(gw, &full, &skipped) {
         match may_run(gw, &next) {
             Ok(permit) => next.permit = permit,
             Err(held) => {
@@ -75,6 +78,11 @@
             service: &next.service,
             version: version.as_ref(),
             avoid: &avoid,
+            attempt: last_run::attempt_of(
+                gw,
+                &next.owned.job.borrow().items[next.item],
+                &next.route,
+            ),
             max_wait: Duration::ZERO,
             salt: 0,
             now: gw.now(),
@@ -86,10 +94,17 @@
         };
         match worker {
             Some(_) if !confirm::allows_start(gw, &next.owned) => {
-                unconfirmed.insert(next.job);
+                skipped.insert(next.job);
             }
             Some(worker) => start(gw, next, &worker),
             None if has_slot_at_other_version(gw, &query) => wait_for_version(gw, &next),
+            None if query.attempt == Attempt::Last && last_run::has_unproven_slot(gw, &query) => {
+                last_run::wait(&mut next.owned.job.borrow_mut().items[next.item], gw.now());
+                if avoid.is_empty() {
+                    // All items of its job may have to wait, and there may be thousands.
+                    skipped.insert(next.job);
+                }
+            }
             None if !avoid.is_empty() => {
                 // Other items may start on the workers where this one has failed, so it
                 // must not hold them up.
@@ -198,17 +213,17 @@
     permit: Permit,
 }
 
-/// Chooses the item to start next, of a service with free slots and a job whose
-/// ownership is confirmed.
+/// Chooses the item to start next, of a service with free slots and a job that is not
+/// skipped: one whose ownership is not confirmed, or whose items wait for proven workers.
 fn choose_item(
     gw: &Rc<Gateway>,
     full: &BTreeSet<Arc<str>>,
-    unconfirmed: &BTreeSet<JobId>,
+    skipped: &BTreeSet<JobId>,
 ) -> Option<Next> {
     let now = gw.now();
     let configuration = gw.configuration()?;
     let jobs = gw.jobs.borrow();
-    let mut excluded = unconfirmed.clone();
+    let mut excluded = skipped.clone();
     loop {
         let open = jobs.own.iter().filter(|(id, _)| !excluded.contains(*id));
         let borrowed: Vec<_> = open.map(|(_, owned)| owned.job.borrow()).collect();
@@ -252,6 +267,7 @@
         let item = &mut job.items[next.item];
         item.phase = ItemPhase::Running;
         item.version_deadline = None;
+        item.proven_deadline = None;
         if item.progress.events() > 0 {
             gw.metrics.resumption("item", "same_version");
         }
@@ -335,6 +351,7 @@
         Ok(mut upstream) if upstream.head.status.is_success() => {
             match read_output(gw, next, &mut upstream, &out).await {
                 Ok(()) => {
+                    upstream.run_guard.proved();
                     quarantine_gate::run_completed(gw, || Fingerprint::of(&out.identity()));
                     if has_answered(next, after) {
                         let parts = PromptPart::of(&out, &next.service);
@@ -343,13 +360,14 @@
                     }
                     ItemEnd::Completed
                 }
-                Err(reason) => interrupted(gw, next, &upstream, &out, reason).await,
+                Err(reason) => interrupted(gw, next, &upstream, (&out, after), reason).await,
             }
         }
         Ok(upstream) => of_status(gw, next, &upstream),
         Err(e) => {
             if e == NoAnswer::Silent {
                 gw.board.borrow_mut().failed(&ticket, gw.now());
+                note_late(gw, &ticket);
             }
             if matches!(e, NoAnswer::Unknown(_)) {
                 crash::check_for_crash(gw, cut_of(next, &out, ticket, began)).await;
@@ -374,18 +392,36 @@
         StatusCode::UNPROCESSABLE_ENTITY => ItemEnd::Impossible,
         StatusCode::INTERNAL_SERVER_ERROR => {
             upstream.run_guard.failed_item();
+            if has_failed_elsewhere(next, upstream.run_guard.worker()) {
+                upstream.run_guard.lost();
+            }
             ItemEnd::Failed
         }
+        status if status.is_server_error() => {
+            upstream.run_guard.lost();
+            back_off(gw)
+        }
         _ => back_off(gw),
     }
 }
 
+/// Whether an item has failed at another worker before. Its first failure may be its own
+/// fault and says nothing about the worker.
+fn has_failed_elsewhere(next: &Next, worker: &WorkerName) -> bool {
+    let job = next.owned.job.borrow();
+    job.items[next.item].failed_at.iter().any(|w| w != worker)
+}
+
 fn back_off(gw: &Gateway) -> ItemEnd {
     ItemEnd::Interrupted(gw.now() + ITEM_BACKOFF)
 }
 
 /// Reason logged for a run whose response the worker broke off.
 const BROKEN_OFF: &str = "broken off";
+/// Reason logged for a run whose worker sent nothing for [`SILENCE_TIMEOUT`].
+const SILENT: &str = "silent";
+/// Reason logged for a run whose worker is of another version than the item's output.
+const OTHER_VERSION: &str = "worker of another version";
 
 /// Reads a run's events as [`read_events`] does. A response that ends with its connection
 /// may have been cut short by a crash of its worker.
@@ -426,6 +462,7 @@
                 take_events(gw, next, &mut events, &mut stream_monitor, upstream)?;
                 if !has_progressed && events_of(next) >= due {
                     has_progressed = true;
+                    upstream.run_guard.proved();
                     let parts = PromptPart::of(out, &next.service);
                     let version = upstream.run_guard.version();
                     quarantine_gate::prompt_progressed(gw, &parts, version);
@@ -433,7 +470,7 @@
             }
             Ok(Ok(None)) if !events.has_partial_event() => return Ok(()),
             Ok(Ok(None) | Err(_)) => return Err(BROKEN_OFF),
-            Err(_) => return Err("silent"),
+            Err(_) => return Err(SILENT),
         }
     }
 }
@@ -478,7 +515,7 @@
     let mut job = next.owned.job.borrow_mut();
     let progress = progress_of(&mut job, next.item);
     if progress.continue_at(version.as_ref()).is_err() {
-        return Err("worker of another version");
+        return Err(OTHER_VERSION);
     }
     while let Some(event) = events.next() {
         let Some(id) = event.id else {
@@ -500,12 +537,18 @@
     gw: &Rc<Gateway>,
     next: &Next,
     upstream: &Upstream,
-    out: &Outgoing,
+    (out, after): (&Outgoing, Option<u64>),
     reason: &str,
 ) -> ItemEnd {
     let worker = upstream.run_guard.worker();
     warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, reason; "item interrupted");
     upstream.run_guard.failed();
+    match reason {
+        OTHER_VERSION => {}
+        SILENT if has_answered(next, after) => {}
+        SILENT => upstream.run_guard.late(),
+        _ => upstream.run_guard.lost(),
+    }
     let sent_lately = !(upstream.began + RESTART_REPORT_TIMEOUT).is_past(gw.now());
     if sent_lately && has_other_version(gw, &upstream.run_guard) {
         // The run may have been sent to the new incarnation already.
