Start batch items by what can still be in time

Cause: jobs that could no longer be in time ran before others, and free slots were split evenly between gateways whatever waited there. Change: a forecast from completed items (events, pace, stretch by route) tells which items can be in time; these start first and yield last. Reports carry the numbers of waiting items, by which the owner of a worker's free slots is drawn. The reserve is checked over all gateways, as each rounded its share up; a slot that stays free for 0.3 s passes to the next gateway; an item whose service is full no longer holds up the other items of its job. All of it is off unless `job_deadlines` is on. Tests of the packages batch (jobs), dispatch and gateway, and documented, jobs and settings of the stand-ins pass.

--- a/crates/bluebellreel_batch/src/job.rs
+++ b/crates/bluebellreel_batch/src/job.rs
@@ -1,6 +1,6 @@
 //! State of one job at its owner.
 
-use crate::{ItemResult, JobPhase, JobRecord, NewItem, Progress, ResultState};
+use crate::{ItemResult, ItemTiming, JobPhase, JobRecord, NewItem, Progress, ResultState};
 use bluebellreel_types::{JobId, Moment, WorkerName};
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,6 +38,8 @@
     pub failed_at: Vec<WorkerName>,
     /// Until when it waits for a worker of the version that generated its output.
     pub version_deadline: Option<Moment>,
+    /// When it ran.
+    pub timing: ItemTiming,
 }
 
 /// How a run of an item ended.
@@ -101,6 +103,7 @@
             failures: 0,
             failed_at: Vec::new(),
             version_deadline: None,
+            timing: ItemTiming::default(),
         });
         let mut job = Self {
             id,
@@ -174,6 +177,7 @@
         if found.phase != ItemPhase::Running {
             return;
         }
+        found.timing.end(now);
         let state = match end {
             ItemEnd::Completed => Some(ResultState::Completed),
             ItemEnd::Impossible => {
@@ -201,6 +205,7 @@
         if found.phase != ItemPhase::Ended {
             found.progress = Progress::default();
             found.version_deadline = None;
+            found.timing = ItemTiming::default();
         }
     }
 
--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(keys::segment(&id, 2).as_str(), "job/out/7c41/00002");
 //! ```
 
+mod forecast;
 mod input;
 mod job;
 pub mod keys;
@@ -29,6 +30,7 @@
 mod start_lease;
 mod takeover;
 
+pub use forecast::{FewestEvents, Forecast, ItemTiming};
 pub use input::{NewItem, decode_items, encode_items, split_input};
 pub use job::{Item, ItemEnd, ItemPhase, Job, Segment};
 pub use open_job::OpenJob;
@@ -38,6 +40,6 @@
 pub use record::{JobPhase, JobRecord, Owner, RecordError, quota_scope};
 pub use registration_span::{RegistrationSpan, Stamp};
 pub use result::{ItemResult, ResultState, decode_segment, encode_segment};
-pub use schedule::{Candidate, next_item};
+pub use schedule::{Candidate, WaitingItems, count_waiting, next_item, next_item_by_forecast};
 pub use start_lease::{JOBS_PER_CHECK, StartLease, StartTerms, jobs_to_check};
 pub use takeover::{OwnerPresence, TakeoverDecision, decide_takeover};
--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -1,8 +1,8 @@
 //! The table of all workers, their slots and the runs that occupy them.
 
 use crate::{
-    Boot, Catalog, CircuitBreaker, Class, PeerLoad, Running, Ticket, WorkerRecord, WorkerSpeeds,
-    WorkerState, WorkerTag,
+    Boot, Catalog, CircuitBreaker, Class, Demands, PeerLoad, Running, Ticket, WorkerRecord,
+    WorkerSpeeds, WorkerState, WorkerTag,
 };
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName, WorkerVersion};
 use std::collections::{BTreeMap, HashMap};
@@ -104,6 +104,8 @@
     pub limits: PlacementLimits,
     /// Observed speed of each worker.
     pub speeds: WorkerSpeeds,
+    /// Waiting items of all daemons, by which free slots are divided.
+    pub demands: Demands,
     views: BTreeMap<WorkerName, WorkerView>,
     tags: HashMap<WorkerTag, WorkerName>,
     peers: BTreeMap<EntryName, PeerLoad>,
@@ -119,6 +121,7 @@
             local,
             limits,
             speeds: WorkerSpeeds::default(),
+            demands: Demands::default(),
             views: BTreeMap::new(),
             tags: HashMap::new(),
             peers: BTreeMap::new(),
@@ -347,11 +350,28 @@
         self.peers.retain(|_, load| !load.expires_at.is_past(now));
         self.data_centres
             .retain(|peer, _| self.peers.contains_key(peer));
+        self.demands
+            .retain_peers(|peer| self.peers.contains_key(peer));
         if self.peers.len() != before {
             self.sum_peers();
         }
     }
 
+    /// Notes which workers have slots that batch items may use and do not. A slot that
+    /// stays free passes to another daemon.
+    pub fn note_free_slots(&mut self, now: Moment) {
+        if !self.demands.is_due(now) {
+            return;
+        }
+        let mut demands = std::mem::take(&mut self.demands);
+        if demands.has_own() || self.peers_with_items().next().is_some() {
+            demands.note_free(self.limits, self.views.values(), now);
+        } else {
+            demands.clear_free();
+        }
+        self.demands = demands;
+    }
+
     /// Peers that have batch items waiting.
     pub fn peers_with_items(&self) -> impl Iterator<Item = &EntryName> {
         let waiting = self.peers.iter().filter(|(_, load)| load.waiting > 0);
--- /dev/null
+++ b/crates/bluebellreel_dispatch/src/demand.rs
@@ -0,0 +1,392 @@
+//! Which daemon may start batch items on a worker's free slots.
+//!
+//! If several daemons take the same free slot at the same moment, the worker has too many
+//! runs and one of them has to yield immediately. Each worker's free slots therefore belong
+//! to one daemon, which all daemons compute alike from the same reports, by rendezvous
+//! hashing.
+//!
+//! Without [`Demands::set_own`], all daemons with waiting items have the same weight, and
+//! one in the worker's data centre precedes all others. With it, daemons with items that
+//! can be in time precede the others, and weigh by the number of these items.
+//!
+//! The owner may be unable to use a slot: its items need another service or version, or
+//! are held back. A slot that stays free passes to the next daemon after
+//! [`PASS_ON_AFTER`].
+
+use crate::{Board, PlacementLimits, WorkerRecord, WorkerState, WorkerView};
+use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::hash::Hasher;
+use std::time::Duration;
+use twox_hash::XxHash64;
+
+/// Limit on the waiting items that a daemon may report. A job has at most 64,000 items.
+const MAX_ITEMS: u32 = 1_000_000;
+
+/// Factor of the weight of daemons in a worker's data centre. An item's output, some
+/// 15 KB, then rarely crosses data centres.
+const LOCAL_WEIGHT: f64 = 4.0;
+
+/// How long a slot may stay free while its owner has items waiting. Owners start items
+/// within 50 ms, as far as any can start.
+const PASS_ON_AFTER: Duration = Duration::from_millis(300);
+/// Time in which a free slot then passes through all daemons with waiting items. No slot
+/// should be free for a second while items wait.
+const PASS_ROUND: Duration = Duration::from_millis(600);
+/// Minimum time for each of them, about the age of a report.
+const MIN_TURN: Duration = Duration::from_millis(20);
+
+/// Interval at which free slots are noted, as there may be thousands of workers.
+const FREE_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Number of waiting items of one daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    in_time: u32,
+    late: u32,
+}
+
+impl Demand {
+    /// A daemon's own demand, as far as it may be reported.
+    #[must_use]
+    pub fn new(in_time: usize, late: usize) -> Self {
+        let bounded = |n| u32::try_from(n).unwrap_or(u32::MAX).min(MAX_ITEMS / 2);
+        Self {
+            in_time: bounded(in_time),
+            late: bounded(late),
+        }
+    }
+
+    /// Items that can be in time.
+    #[must_use]
+    pub fn in_time(self) -> u32 {
+        self.in_time
+    }
+
+    /// The other items.
+    #[must_use]
+    pub fn late(self) -> u32 {
+        self.late
+    }
+}
+
+/// A number of waiting items that no daemon can have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ImpossibleDemand(u32);
+
+impl fmt::Display for ImpossibleDemand {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "expected at most {MAX_ITEMS} items, got {}", self.0)
+    }
+}
+
+impl std::error::Error for ImpossibleDemand {}
+
+impl TryFrom<(u32, u32)> for Demand {
+    type Error = ImpossibleDemand;
+
+    /// Checks the numbers of items that can be in time and of the others.
+    fn try_from((in_time, late): (u32, u32)) -> Result<Self, Self::Error> {
+        let items = in_time.saturating_add(late);
+        if items > MAX_ITEMS {
+            return Err(ImpossibleDemand(items));
+        }
+        Ok(Self { in_time, late })
+    }
+}
+
+/// A peer's demand and the report that it is from.
+#[derive(Clone, Copy, Debug)]
+struct PeerDemand {
+    sequence: u64,
+    /// None if the peer's build does not report it.
+    demand: Option<Demand>,
+}
+
+/// A time during which a worker had free slots and no item started there.
+#[derive(Clone, Copy, Debug)]
+struct FreeSpell {
+    since: Moment,
+    /// Number of batch runs at the worker, which rises if an item starts.
+    batch: u32,
+}
+
+/// Waiting items of all daemons, and since when slots are free.
+#[derive(Clone, Debug, Default)]
+pub struct Demands {
+    own: Option<Demand>,
+    peers: BTreeMap<EntryName, PeerDemand>,
+    free: HashMap<WorkerName, FreeSpell>,
+    /// When free slots are next noted.
+    free_due: Moment,
+}
+
+impl Demands {
+    /// Sets this daemon's demand; from then on, free slots are divided by demand.
+    pub fn set_own(&mut self, demand: Demand) {
+        self.own = Some(demand);
+    }
+
+    /// Whether free slots are divided by demand.
+    #[must_use]
+    pub fn is_on(&self) -> bool {
+        self.own.is_some()
+    }
+
+    /// Replaces a peer's demand unless a newer report is already known. It is none if the
+    /// peer's build does not report it.
+    pub fn hear(&mut self, peer: &EntryName, sequence: u64, demand: Option<Demand>) {
+        let known = self.peers.get(peer).map_or(0, |p| p.sequence);
+        if sequence > known {
+            let heard = PeerDemand { sequence, demand };
+            self.peers.insert(peer.clone(), heard);
+        }
+    }
+
+    /// Forgets the peers whose load has expired.
+    pub(crate) fn retain_peers(&mut self, is_known: impl Fn(&EntryName) -> bool) {
+        self.peers.retain(|peer, _| is_known(peer));
+    }
+
+    /// Whether this daemon has waiting items.
+    pub(crate) fn has_own(&self) -> bool {
+        self.own.is_some_and(|d| d.in_time > 0 || d.late > 0)
+    }
+
+    /// Whether free slots are to be noted again.
+    pub(crate) fn is_due(&self, now: Moment) -> bool {
+        self.is_on() && self.free_due.is_past(now)
+    }
+
+    /// Forgets since when slots are free, as nobody has items for them.
+    pub(crate) fn clear_free(&mut self) {
+        self.free.clear();
+    }
+
+    /// Notes which workers have slots that batch items may use. Slots of a service whose
+    /// free slots are all reserved for online requests are not among them.
+    pub(crate) fn note_free<'a>(
+        &mut self,
+        limits: PlacementLimits,
+        views: impl Iterator<Item = &'a WorkerView> + Clone,
+        now: Moment,
+    ) {
+        self.free_due = now + FREE_INTERVAL;
+        let is_ready = |s: &&WorkerView| s.record.state == WorkerState::Ready;
+        let mut totals: BTreeMap<&str, SlotTotals> = BTreeMap::new();
+        for view in views.clone().filter(is_ready) {
+            totals.entry(&view.record.service).or_default().add(view);
+        }
+        let has_room = |view: &WorkerView| {
+            let totals = totals.get(&*view.record.service);
+            view.free() > 0 && totals.is_some_and(|totals| totals.has_room(limits))
+        };
+        let mut before = std::mem::take(&mut self.free);
+        for view in views.filter(is_ready).filter(|view| has_room(view)) {
+            let batch = view.running().batch;
+            let known = before.remove_entry(&view.record.id);
+            let (worker, mut spell) = known.unwrap_or_else(|| {
+                let spell = FreeSpell { since: now, batch };
+                (view.record.id.clone(), spell)
+            });
+            if batch > spell.batch {
+                spell.since = now;
+            }
+            spell.batch = batch;
+            self.free.insert(worker, spell);
+        }
+    }
+
+    /// Which of `count` daemons in the order of their ranks owns a worker's free slots.
+    fn turn(&self, worker: &WorkerName, count: usize, now: Moment) -> usize {
+        let Some(spell) = self.free.get(worker) else {
+            return 0;
+        };
+        let free_for = now.since(spell.since);
+        let Some(passed_on_for) = free_for.checked_sub(PASS_ON_AFTER) else {
+            return 0;
+        };
+        let divisor = u32::try_from(count.max(1)).unwrap_or(u32::MAX);
+        let turn = (PASS_ROUND / divisor).max(MIN_TURN);
+        let turns = passed_on_for.as_micros() / turn.as_micros();
+        (1 + usize::try_from(turns).unwrap_or(0)) % count.max(1)
+    }
+}
+
+/// A daemon that may own free slots.
+struct Claimant<'a> {
+    name: &'a EntryName,
+    /// Hash of its name and a slash. Daemons of all versions rank alike, since two that did
+    /// not would both take the same slots during an upgrade.
+    prefix: XxHash64,
+    /// Its data centre; none if it is unknown or does not count.
+    data_centre: Option<&'a DataCentre>,
+    /// Whether it has items that can be in time.
+    has_in_time: bool,
+    /// Number of its items that count, rounded up to a power of two so that small changes
+    /// move nothing.
+    weight: f64,
+}
+
+impl<'a> Claimant<'a> {
+    /// `demand` is none if the daemon's build does not report it. It then counts as if one
+    /// item could be in time.
+    fn new(
+        name: &'a EntryName,
+        data_centre: Option<&'a DataCentre>,
+        demand: Option<Demand>,
+    ) -> Self {
+        let mut prefix = XxHash64::with_seed(0);
+        prefix.write(name.as_str().as_bytes());
+        prefix.write(b"/");
+        let has_in_time = demand.is_none_or(|d| d.in_time > 0);
+        let items = match demand {
+            Some(demand) if demand.in_time > 0 => demand.in_time,
+            Some(demand) => demand.late.max(1),
+            None => 1,
+        };
+        Self {
+            name,
+            prefix,
+            data_centre,
+            has_in_time,
+            weight: f64::from(items.next_power_of_two()),
+        }
+    }
+
+    fn is_local(&self, worker: &WorkerRecord) -> bool {
+        self.data_centre == Some(&worker.data_centre)
+    }
+
+    fn hash(&self, worker: &WorkerRecord) -> u64 {
+        let mut score = self.prefix.clone();
+        score.write(worker.id.as_str().as_bytes());
+        score.finish()
+    }
+
+    /// Its rank for a worker's free slots; the highest one owns them.
+    fn rank(&self, worker: &WorkerRecord) -> (bool, u64) {
+        (self.is_local(worker), self.hash(worker))
+    }
+
+    /// Its rank for a worker's free slots by demand.
+    fn weighted_rank(&self, worker: &WorkerRecord) -> WeightedRank<'a> {
+        let hash = self.hash(worker);
+        // The upper half of the hash, as a number between 0 and 1.
+        let upper = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
+        let uniform = (f64::from(upper) + 0.5) / (f64::from(u32::MAX) + 1.0);
+        let locality = if self.is_local(worker) {
+            LOCAL_WEIGHT
+        } else {
+            1.0
+        };
+        WeightedRank {
+            has_in_time: self.has_in_time,
+            score: uniform.ln() / (self.weight * locality),
+            hash,
+            name: self.name,
+        }
+    }
+}
+
+/// Rank of a daemon for a worker's free slots: daemons with items that can be in time
+/// first, then by weighted rendezvous hashing. With equal weights, the order is that of
+/// the hashes.
+#[derive(PartialEq)]
+struct WeightedRank<'a> {
+    has_in_time: bool,
+    score: f64,
+    hash: u64,
+    name: &'a EntryName,
+}
+
+impl WeightedRank<'_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.has_in_time
+            .cmp(&other.has_in_time)
+            .then(self.score.total_cmp(&other.score))
+            .then(self.hash.cmp(&other.hash))
+            .then(self.name.cmp(other.name))
+    }
+}
+
+/// This daemon and the peers that have items waiting.
+pub(crate) struct Owners<'a> {
+    demands: &'a Demands,
+    own: Claimant<'a>,
+    peers: Vec<Claimant<'a>>,
+    now: Moment,
+}
+
+impl<'a> Owners<'a> {
+    /// While the data centre of some peer is unknown, data centres are ignored: two
+    /// daemons that do not know each other's data centre would both consider themselves
+    /// the only local one.
+    pub(crate) fn new(board: &'a Board, me: &'a EntryName, now: Moment) -> Self {
+        let demands = &board.demands;
+        let peers = || board.peers_with_items().filter(|peer| *peer != me);
+        let all_located = peers().all(|peer| board.data_centre_of(peer).is_some());
+        let located = |peer| board.data_centre_of(peer).filter(|_| all_located);
+        let peers = peers().map(|peer| {
+            let heard = demands.peers.get(peer);
+            Claimant::new(peer, located(peer), heard.and_then(|p| p.demand))
+        });
+        Self {
+            demands,
+            own: Claimant::new(me, all_located.then_some(&board.local), demands.own),
+            peers: peers.collect(),
+            now,
+        }
+    }
+
+    /// Whether a worker's free slots belong to this daemon.
+    pub(crate) fn owns(&self, worker: &WorkerRecord) -> bool {
+        if !self.demands.is_on() {
+            let mine = self.own.rank(worker);
+            return self.peers.iter().all(|peer| peer.rank(worker) < mine);
+        }
+        let turn = self
+            .demands
+            .turn(&worker.id, self.peers.len() + 1, self.now);
+        let mine = self.own.weighted_rank(worker);
+        let precedes = |peer: &&Claimant| peer.weighted_rank(worker).cmp(&mine).is_gt();
+        // Counts no further than needed, as there may be hundreds of peers.
+        let ahead = self.peers.iter().filter(precedes).take(turn + 1).count();
+        ahead == turn
+    }
+}
+
+/// Free slots of some workers, and their online requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SlotTotals {
+    free: u32,
+    online: u32,
+}
+
+impl SlotTotals {
+    pub(crate) fn of<'a>(views: impl Iterator<Item = &'a WorkerView>) -> Self {
+        let mut totals = Self::default();
+        for view in views {
+            totals.add(view);
+        }
+        totals
+    }
+
+    fn add(&mut self, view: &WorkerView) {
+        self.free += view.free();
+        self.online += view.running().online;
+    }
+
+    /// Whether more slots are free than must stay free for online requests.
+    pub(crate) fn has_room(self, limits: PlacementLimits) -> bool {
+        self.free > (self.online * limits.reserve_percent).div_ceil(100)
+    }
+
+    /// As [`Self::has_room`] for one of many daemons that divide slots by demand. If the
+    /// reserve of each was rounded up, each would keep one of its few slots free.
+    pub(crate) fn has_room_of_share(self, limits: PlacementLimits) -> bool {
+        self.free > self.online * limits.reserve_percent / 100
+    }
+}
--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod board;
 mod catalog;
 mod circuit_breaker;
+mod demand;
 mod fingerprint;
 mod overload;
 mod peer;
@@ -34,12 +35,13 @@
 pub use board::{Board, PlacementLimits, WorkerChange, WorkerView};
 pub use catalog::{Boot, Catalog, WorkerRecord, WorkerState, WorkerTag};
 pub use circuit_breaker::CircuitBreaker;
+pub use demand::{Demand, Demands, ImpossibleDemand};
 pub use fingerprint::{Fingerprint, InvalidFingerprint};
 pub use overload::{Overloads, retry_delay};
 pub use peer::{PeerLoad, PeerRuns, Running};
 pub use place::{
-    BatchRun, Placement, Query, batch_to_yield, place_batch, place_contained, place_online,
-    place_trial, should_reroute,
+    BatchRun, Placement, Query, batch_to_yield, batch_to_yield_by, place_batch, place_contained,
+    place_online, place_trial, should_reroute,
 };
 pub use prompt_parts::{PartCrash, PartNotice, PartSuspects, PartVerdict, VersionTag};
 pub use routes::{CallerLimits, Configuration, Route, RouteKind, Service, Target};
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -7,10 +7,10 @@
 //! refused at once, while the caller still has time to retry. Batch items take free
 //! slots and yield as soon as the runs at a worker exceed its slots.
 
-use crate::{Board, Fingerprint, WorkerRecord, WorkerView};
-use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName, WorkerVersion};
+use crate::demand::{Owners, SlotTotals};
+use crate::{Board, Fingerprint, WorkerView};
+use bluebellreel_types::{EntryName, Moment, WorkerName, WorkerVersion};
 use std::collections::BTreeMap;
-use std::hash::Hasher;
 use std::time::Duration;
 use twox_hash::XxHash64;
 
@@ -237,44 +237,10 @@
     lone.map(|(version, _)| version).collect()
 }
 
-/// A daemon that may own free slots.
-struct Claimant<'a> {
-    /// Hash of its name and a slash. Daemons of all versions rank alike, since two that did
-    /// not would both take the same slots during an upgrade.
-    prefix: XxHash64,
-    /// Its data centre; none if it is unknown or does not count.
-    data_centre: Option<&'a DataCentre>,
-}
-
-impl<'a> Claimant<'a> {
-    fn new(name: &EntryName, data_centre: Option<&'a DataCentre>) -> Self {
-        let mut prefix = XxHash64::with_seed(0);
-        prefix.write(name.as_str().as_bytes());
-        prefix.write(b"/");
-        Self {
-            prefix,
-            data_centre,
-        }
-    }
-
-    /// Its rank for a worker's free slots, by rendezvous hashing; the highest one owns
-    /// them.
-    fn rank(&self, worker: &WorkerRecord) -> (bool, u64) {
-        let is_local = self.data_centre == Some(&worker.data_centre);
-        let mut score = self.prefix.clone();
-        score.write(worker.id.as_str().as_bytes());
-        (is_local, score.finish())
-    }
-}
-
 /// Chooses a worker with a free slot for a batch item.
 ///
-/// If several daemons take the same free slot at the same moment, the worker has too
-/// many runs and one of them has to yield immediately. Each worker's free slots therefore
-/// belong to one daemon: among the daemons with waiting items, one in the worker's data
-/// centre if there is any, selected by rendezvous hashing. An item's output, some 15 KB,
-/// then crosses data centres only if its own data centre has no slot for it. Some slots
-/// stay free, so that online requests find one without making an item yield; see
+/// Each worker's free slots belong to one daemon; see [`crate::Demands`]. Some slots stay
+/// free, so that online requests find one without making an item yield; see
 /// [`crate::PlacementLimits::reserve_percent`].
 ///
 /// An item that has failed goes to a worker where it has not failed yet, whichever daemon
@@ -288,19 +254,20 @@
     let allowed = ready_workers
         .into_iter()
         .filter(|s| s.breaker.allows(query.now));
-    let (own, peers) = claimants(board, me);
-    let owns = |s: &&WorkerView| {
-        let mine = own.rank(&s.record);
-        peers.iter().all(|peer| peer.rank(&s.record) < mine)
-    };
+    let owners = Owners::new(board, me, query.now);
+    let owns = |s: &&WorkerView| owners.owns(&s.record);
     let (ours, others): (Vec<&WorkerView>, Vec<&WorkerView>) = allowed.partition(owns);
-    let free: u32 = ours.iter().map(|s| s.free()).sum();
-    let online: u32 = ours.iter().map(|s| s.running().online).sum();
-    let reserve = (online * board.limits.reserve_percent).div_ceil(100);
     if !query.avoid.is_empty() || is_restricted {
         return place_restricted_item(board, query, &ours, &others);
     }
-    if free <= reserve {
+    let own = SlotTotals::of(ours.iter().copied());
+    let has_room = if board.demands.is_on() {
+        let all = SlotTotals::of(ours.iter().chain(&others).copied());
+        own.has_room_of_share(board.limits) && all.has_room(board.limits)
+    } else {
+        own.has_room(board.limits)
+    };
+    if !has_room {
         return None;
     }
     best_for_batch(board, query, &lone, &ours)
@@ -363,18 +330,6 @@
         .map(|s| s.record.id.clone())
 }
 
-/// Daemon `me` and the peers that have items waiting. While the data centre of some peer
-/// is unknown, data centres are ignored: two daemons that do not know each other's data
-/// centre would both consider themselves the only local one.
-fn claimants<'a>(board: &'a Board, me: &EntryName) -> (Claimant<'a>, Vec<Claimant<'a>>) {
-    let peers = || board.peers_with_items().filter(|peer| *peer != me);
-    let all_located = peers().all(|peer| board.data_centre_of(peer).is_some());
-    let own = Claimant::new(me, all_located.then_some(&board.local));
-    let located = |peer| board.data_centre_of(peer).filter(|_| all_located);
-    let peers = peers().map(|peer| Claimant::new(peer, located(peer)));
-    (own, peers.collect())
-}
-
 /// One batch run of this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BatchRun<T> {
@@ -393,6 +348,16 @@
 /// resumes elsewhere, so the cost is processing that output and the prompt once more.
 #[must_use]
 pub fn batch_to_yield<T: Clone>(board: &Board, runs: &[BatchRun<T>]) -> Vec<T> {
+    batch_to_yield_by(board, runs, |run| run.events)
+}
+
+/// As [`batch_to_yield`], but the run with the lowest key yields first.
+#[must_use]
+pub fn batch_to_yield_by<T: Clone, K: Ord>(
+    board: &Board,
+    runs: &[BatchRun<T>],
+    key: impl Fn(&BatchRun<T>) -> K,
+) -> Vec<T> {
     let mut by_worker: BTreeMap<&WorkerName, Vec<&BatchRun<T>>> = BTreeMap::new();
     for run in runs {
         by_worker.entry(&run.worker).or_default().push(run);
@@ -402,7 +367,7 @@
         let Some(view) = board.worker_view(worker) else {
             continue;
         };
-        local_runs.sort_by_key(|r| r.events);
+        local_runs.sort_by_key(|r| key(r));
         let count = if view.record.state == crate::WorkerState::Draining {
             local_runs.len()
         } else {
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::cluster_state::ClusterState;
 use crate::confirmation::OnDemand;
 use crate::in_progress::InProgress;
+use crate::jobs::Deadlines;
 use crate::jobs::own::Jobs;
 use crate::keeper_visits::Keepers;
 use crate::metrics::Metrics;
@@ -88,6 +89,8 @@
     /// How long a confirmation allows keys; none if keys need no confirmation.
     pub(crate) revocation: Option<RevocationTerms>,
     pub(crate) jobs: RefCell<Jobs>,
+    /// When items complete, and which of them can be in time.
+    pub(crate) deadlines: Deadlines,
     pub(crate) workers: Pool,
     pub(crate) peers: Pool,
     pub(crate) store: StoreClient,
@@ -182,6 +185,7 @@
             confirmation_on_demand: OnDemand::default(),
             revocation: settings.revoke_within.map(RevocationTerms::within),
             jobs: RefCell::default(),
+            deadlines: Deadlines::default(),
             workers,
             peers,
             store: StoreClient::new(
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -10,6 +10,7 @@
 mod backup;
 mod cancel;
 mod confirm;
+mod deadlines;
 mod hand_over;
 mod load;
 mod no_route;
@@ -35,6 +36,9 @@
     cancel_own, cancellation_reported, forward_cancellations, take_cancellation,
 };
 pub(crate) use confirm::{confirm_all, owner_reported, renew_start_leases};
+pub(crate) use deadlines::{
+    Deadlines, is_on as deadlines_on, items_waiting, own_demand, waiting as waiting_by_forecast,
+};
 pub(crate) use hand_over::{HandOvers, take_hand_over};
 pub(crate) use read::{body_of_own, read_own};
 pub(crate) use runs::{preempt_batch_runs, start_items};
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -1,6 +1,9 @@
 //! The jobs that this daemon owns or has information on.
 
-use bluebellreel_batch::{Job, JobRecord, ProgressCopies, Stamp, StartLease, StartTerms};
+use bluebellreel_batch::{
+    Forecast, Job, JobRecord, ProgressCopies, Stamp, StartLease, StartTerms, WaitingItems,
+    count_waiting,
+};
 use bluebellreel_teams::Caller;
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use std::cell::{Cell, RefCell};
@@ -281,6 +284,18 @@
         u32::try_from(open.sum::<usize>()).unwrap_or(u32::MAX)
     }
 
+    /// As [`Self::items_waiting`], by whether they can be in time.
+    pub(crate) fn items_by_forecast(&self, forecast: &Forecast, now: Moment) -> WaitingItems {
+        let mut waiting = WaitingItems::default();
+        for owned in self.own.values() {
+            let job = owned.job.borrow();
+            let of_job = count_waiting(&job, forecast, now + CLAIM_TIME, now);
+            waiting.in_time += of_job.in_time;
+            waiting.late += of_job.late;
+        }
+        waiting
+    }
+
     /// Tokens of own jobs that are still to be processed, by quota scope.
     pub(crate) fn tokens_by_scope(&self) -> BTreeMap<String, u64> {
         let mut tokens = BTreeMap::new();
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -1,5 +1,6 @@
 //! Running items on workers.
 
+use super::deadlines::{self, YieldOrder};
 use super::own::{ItemRun, Jobs, OwnedJob};
 use super::{confirm, no_route};
 use crate::crash::{self, InterruptedRun};
@@ -14,7 +15,7 @@
 use crate::workers::version_text;
 use bluebellreel_batch::{ItemEnd, ItemPhase, Job, next_item};
 use bluebellreel_dispatch::{
-    BatchRun, Class, Fingerprint, Query, Route, Sender, Ticket, batch_to_yield, place_batch,
+    BatchRun, Class, Fingerprint, Query, Route, Sender, Ticket, batch_to_yield_by, place_batch,
 };
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_platform::engine::Outgoing;
@@ -60,6 +61,9 @@
 fn fill_slots(gw: &Rc<Gateway>) {
     let mut full: BTreeSet<Arc<str>> = BTreeSet::new();
     let mut unconfirmed: BTreeSet<JobId> = BTreeSet::new();
+    if deadlines::is_on(gw) {
+        deadlines::update_board(gw);
+    }
     while let Some(mut next) = choose_item(gw, &full, &unconfirmed) {
         match may_run(gw, &next) {
             Ok(permit) => next.permit = permit,
@@ -210,10 +214,17 @@
     let jobs = gw.jobs.borrow();
     let mut excluded = unconfirmed.clone();
     loop {
-        let open = jobs.own.iter().filter(|(id, _)| !excluded.contains(*id));
-        let borrowed: Vec<_> = open.map(|(_, owned)| owned.job.borrow()).collect();
-        let found = next_item(borrowed.iter().map(|j| &**j), now)?;
-        drop(borrowed);
+        let found = if deadlines::is_on(gw) {
+            let (found, without_route) = deadlines::next_item(gw, &jobs, full, &excluded);
+            for owned in without_route.iter().filter_map(|id| jobs.own.get(id)) {
+                no_route::note_missing_route(gw, owned);
+            }
+            found?
+        } else {
+            let open = jobs.own.iter().filter(|(id, _)| !excluded.contains(*id));
+            let borrowed: Vec<_> = open.map(|(_, owned)| owned.job.borrow()).collect();
+            next_item(borrowed.iter().map(|j| &**j), now)?
+        };
         let owned = jobs.own.get(&found.job)?.clone();
         let wanted = {
             let job = owned.job.borrow();
@@ -252,6 +263,7 @@
         let item = &mut job.items[next.item];
         item.phase = ItemPhase::Running;
         item.version_deadline = None;
+        item.timing.start(item.progress.events(), gw.now());
         if item.progress.events() > 0 {
             gw.metrics.resumption("item", "same_version");
         }
@@ -268,13 +280,16 @@
 async fn run(gw: Rc<Gateway>, next: Next, run_guard: RunGuard, trial: Option<Trial>) {
     let worker = run_guard.worker().clone();
     let id = next.id.clone();
-    let (after, revision) = {
+    let (after, revision, can_be_in_time, left) = {
         let job = next.owned.job.borrow();
-        (job.items[next.item].progress.last_id(), job.revision)
+        let after = job.items[next.item].progress.last_id();
+        let can_be_in_time = deadlines::can_be_in_time(&gw, &job, next.item);
+        let left = job.record.due_at.since(gw.now());
+        (after, job.revision, can_be_in_time, left)
     };
     let confirmed = next.owned.lease.get().age(gw.stamp());
     gw.metrics.confirmation_age.observe(confirmed.as_secs_f64());
-    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, worker_version = version_text(run_guard.version()), after:? = after, revision, confirmed_ms = millis(confirmed); "item sent");
+    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, worker_version = version_text(run_guard.version()), after:? = after, revision, can_be_in_time, left_ms = millis(left), confirmed_ms = millis(confirmed); "item sent");
     let end = run_at(&gw, &next, run_guard, after).await;
     drop(trial);
     let now = gw.now();
@@ -289,6 +304,9 @@
     gw.metrics.item(outcome);
     let mut job = next.owned.job.borrow_mut();
     info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, events = job.items[next.item].progress.events(), outcome; "item run ended");
+    if end == ItemEnd::Completed {
+        deadlines::item_completed(&gw, &job, next.item);
+    }
     if end == ItemEnd::Failed {
         job.items[next.item].failed_at.push(worker);
     }
@@ -539,6 +557,12 @@
     owned.map_or(0, |o| o.job.borrow().items[key.1].progress.events())
 }
 
+fn yield_order(gw: &Gateway, jobs: &Jobs, key: &(JobId, usize)) -> YieldOrder {
+    let owned = jobs.own.get(&key.0);
+    let job = owned.map(|owned| owned.job.borrow());
+    YieldOrder::new(gw, job.as_deref(), key.1)
+}
+
 /// Preempts the batch runs that must yield their slots to online requests now. Their
 /// items resume on other workers.
 pub(crate) fn preempt_batch_runs(gw: &Gateway) {
@@ -548,17 +572,17 @@
     if jobs.runs.is_empty() {
         return;
     }
-    let runs: Vec<BatchRun<(JobId, usize)>> = jobs
+    let runs: Vec<BatchRun<((JobId, usize), YieldOrder)>> = jobs
         .runs
         .iter()
         .map(|(key, run)| BatchRun {
-            key: key.clone(),
+            key: (key.clone(), yield_order(gw, &jobs, key)),
             worker: run.worker.clone(),
             events: events_of_run(&jobs, key),
         })
         .collect();
-    let yields = batch_to_yield(&gw.board.borrow(), &runs);
-    for key in yields {
+    let yields = batch_to_yield_by(&gw.board.borrow(), &runs, |run| run.key.1);
+    for (key, order) in yields {
         let Some(run) = jobs.runs.remove(&key) else {
             continue;
         };
@@ -568,7 +592,8 @@
             let mut job = owned.job.borrow_mut();
             let end = ItemEnd::Interrupted(gw.now());
             job.end_run(key.1, end, u32::MAX, gw.now());
-            info!(target: "jobs", job:% = key.0, request:% = job.items[key.1].input.id, worker:% = run.worker; "item preempted");
+            let reason = order.reason(gw, &gw.board.borrow(), &run.worker);
+            info!(target: "jobs", job:% = key.0, request:% = job.items[key.1].input.id, worker:% = run.worker, reason; "item preempted");
         }
     }
 }
--- a/crates/bluebellreel_gateway/src/metrics.rs
+++ b/crates/bluebellreel_gateway/src/metrics.rs
@@ -64,6 +64,10 @@
     pub(crate) job_ends: Family<Outcome, Counter>,
     /// Age of the store's last confirmation of an item's job when the item was sent.
     pub(crate) confirmation_age: Histogram,
+    /// Items that were completed after their job was due.
+    pub(crate) items_late: Counter,
+    pub(crate) items_waiting_in_time: Gauge,
+    pub(crate) items_waiting_late: Gauge,
     pub(crate) yields: Counter,
     pub(crate) store_call: Histogram,
     /// Age of the oldest peer's report that a choice of a worker was based on.
@@ -98,6 +102,8 @@
     pub(crate) lines_dropped: Gauge,
     /// Peers' reports that were not forwarded because too many waited.
     pub(crate) reports_dropped: Counter,
+    /// Parts of peers' reports that were ignored because of their content.
+    pub(crate) reports_invalid: Counter,
     registry: Registry,
 }
 
@@ -148,6 +154,9 @@
             items: by_outcome(r, "items", "Runs of batch items by outcome"),
             job_ends: by_outcome(r, "job_ends", "Ends of jobs by how they were learned"),
             confirmation_age: latency(r, "confirmation_age_seconds", "Of jobs of items sent"),
+            items_late: counter(r, "items_late", "Items completed after they were due"),
+            items_waiting_in_time: gauge(r, "items_waiting_in_time", "Items that can be in time"),
+            items_waiting_late: gauge(r, "items_waiting_late", "Items that cannot be in time"),
             yields: counter(r, "yields", "Batch runs that made room"),
             store_call: latency(r, "store_call_seconds", "Calls to the store but watches"),
             report_age: latency(r, "report_age_seconds", "Oldest report behind a choice"),
@@ -171,6 +180,7 @@
             rate_share: gauge(r, "rate_share_percent", "Share of the teams' rates in use"),
             lines_dropped: gauge(r, "log_lines_dropped", "Log lines dropped unread"),
             reports_dropped: counter(r, "reports_dropped", "Reports not forwarded"),
+            reports_invalid: counter(r, "reports_invalid", "Parts of reports ignored"),
             registry,
         }
     }
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -258,7 +258,7 @@
         revisions: cluster_state.revisions(),
         jobs: gw.jobs.borrow().owned_ids(),
         running: running.collect(),
-        waiting: gw.jobs.borrow().items_waiting(gw.now()),
+        waiting: crate::jobs::items_waiting(gw),
         tokens: gw.jobs.borrow().tokens_by_scope().into_iter().collect(),
         cancelled: gw.jobs.borrow().cancelled_here(),
     };
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -227,6 +227,11 @@
     let quarantined_parts = part_suspects.quarantined();
     metrics.quarantined_parts.set(count(quarantined_parts));
     metrics.in_progress.set(count(gw.in_progress.count()));
+    if crate::jobs::deadlines_on(gw) {
+        let waiting = crate::jobs::waiting_by_forecast(gw);
+        metrics.items_waiting_in_time.set(count(waiting.in_time));
+        metrics.items_waiting_late.set(count(waiting.late));
+    }
     metrics.jobs_owned.set(count(jobs.own.len()));
     metrics.copies_bytes.set(count(jobs.copies.bytes()));
     metrics.store_calls.set(total(calls));
