Compare ranks without logarithms where weights are equal

Change: daemons of equal weight are compared by hash, a score is computed once, and slots are summed over the workers at hand. The bench measures both ways.

--- a/crates/bluebellreel_dispatch/benches/placement.rs
+++ b/crates/bluebellreel_dispatch/benches/placement.rs
@@ -1,7 +1,7 @@
 //! Cost of the decisions that a gateway makes for each request and each report of a peer.
 
 use bluebellreel_dispatch::{
-    BatchRun, Board, Catalog, Class, PeerLoad, PeerRuns, PlacementLimits, Query, Running,
+    BatchRun, Board, Catalog, Class, Demand, PeerLoad, PeerRuns, PlacementLimits, Query, Running,
     WorkerRecord, WorkerState, batch_to_yield, place_batch, place_online,
 };
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
@@ -90,6 +90,15 @@
         c.bench_function(&id("place_batch"), |b| {
             b.iter(|| place_batch(&board, &query, &me));
         });
+        let mut by_demand = board.clone();
+        for n in 0..PEERS {
+            let peer = EntryName::from(format!("entry-{n}"));
+            by_demand.demands.hear(&peer, 1, Some(Demand::new(3, 0)));
+        }
+        by_demand.demands.set_own(Demand::new(3, 0));
+        c.bench_function(&id("place_batch_by_demand"), |b| {
+            b.iter(|| place_batch(&by_demand, &query, &me));
+        });
         c.bench_function(&id("batch_to_yield"), |b| {
             b.iter(|| batch_to_yield(&board, &runs));
         });
--- a/crates/bluebellreel_dispatch/src/demand.rs
+++ b/crates/bluebellreel_dispatch/src/demand.rs
@@ -17,6 +17,7 @@
 
 use crate::{Board, PlacementLimits, WorkerRecord, WorkerState, WorkerView};
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName};
+use std::cell::OnceCell;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
@@ -29,7 +30,7 @@
 
 /// Factor of the weight of daemons in a worker's data centre. An item's output, some
 /// 15 KB, then rarely crosses data centres.
-const LOCAL_WEIGHT: f64 = 4.0;
+const LOCAL_WEIGHT: u32 = 4;
 
 /// Free slots that each waiting item that can be in time claims, and its weight compared
 /// with other items where slots are left. With one slot each, some items would find none,
@@ -235,9 +236,9 @@
     data_centre: Option<&'a DataCentre>,
     /// Weight of its items that can be in time; zero if it has none. Weights are rounded up
     /// to powers of two so that small changes move nothing.
-    in_time: f64,
+    in_time: u32,
     /// Weight of all its items.
-    all: f64,
+    all: u32,
 }
 
 impl<'a> Claimant<'a> {
@@ -262,8 +263,8 @@
             name,
             prefix,
             data_centre,
-            in_time: f64::from(in_time),
-            all: f64::from(all.next_power_of_two()),
+            in_time,
+            all: all.next_power_of_two(),
         }
     }
 
@@ -286,17 +287,17 @@
     /// if there are enough of these.
     fn weighted_rank(&self, worker: &WorkerRecord, is_for_in_time: bool) -> WeightedRank<'a> {
         let hash = self.hash(worker);
-        let uniform = uniform(hash);
-        let has_in_time = is_for_in_time && self.in_time > 0.0;
+        let has_in_time = is_for_in_time && self.in_time > 0;
         let weight = if has_in_time { self.in_time } else { self.all };
         let locality = if self.is_local(worker) {
             LOCAL_WEIGHT
         } else {
-            1.0
+            1
         };
         WeightedRank {
             has_in_time,
-            score: uniform.ln() / (weight * locality),
+            weight: weight.saturating_mul(locality),
+            score: OnceCell::new(),
             hash,
             name: self.name,
         }
@@ -312,19 +313,34 @@
 /// Rank of a daemon for a worker's free slots: daemons with items that can be in time
 /// first, then by weighted rendezvous hashing. With equal weights, the order is that of
 /// the hashes.
-#[derive(PartialEq)]
 struct WeightedRank<'a> {
     has_in_time: bool,
-    score: f64,
+    weight: u32,
+    /// Computed when needed.
+    score: OnceCell<f64>,
     hash: u64,
     name: &'a EntryName,
 }
 
 impl WeightedRank<'_> {
+    fn score(&self) -> f64 {
+        let score = || uniform(self.hash).ln() / f64::from(self.weight);
+        *self.score.get_or_init(score)
+    }
+
+    fn cmp_score(&self, other: &Self) -> Ordering {
+        if self.weight == other.weight {
+            // Spares the logarithms, which are most of the time among many daemons.
+            Ordering::Equal
+        } else {
+            self.score().total_cmp(&other.score())
+        }
+    }
+
     fn cmp(&self, other: &Self) -> Ordering {
         self.has_in_time
             .cmp(&other.has_in_time)
-            .then(self.score.total_cmp(&other.score))
+            .then_with(|| self.cmp_score(other))
             .then(self.hash.cmp(&other.hash))
             .then(self.name.cmp(other.name))
     }
@@ -348,7 +364,12 @@
     /// While the data centre of some peer is unknown, data centres are ignored: two
     /// daemons that do not know each other's data centre would both consider themselves
     /// the only local one.
-    pub(crate) fn new(board: &'a Board, me: &'a EntryName, now: Moment) -> Self {
+    pub(crate) fn new(
+        board: &'a Board,
+        me: &'a EntryName,
+        ready: &[&WorkerView],
+        now: Moment,
+    ) -> Self {
         let demands = &board.demands;
         let peers = || board.peers_with_items().filter(|peer| *peer != me);
         let all_located = peers().all(|peer| board.data_centre_of(peer).is_some());
@@ -358,11 +379,15 @@
         let peers = peers().map(|peer| Claimant::new(peer, located(peer), demand_of(peer)));
         let own = Claimant::new(me, all_located.then_some(&board.local), demands.own);
         let peers: Vec<Claimant> = peers.collect();
-        let in_time: f64 = peers.iter().map(|p| p.in_time).sum::<f64>() + own.in_time;
+        let in_time: f64 = peers
+            .iter()
+            .chain([&own])
+            .map(|p| f64::from(p.in_time))
+            .sum();
         // Starts of own items must not change the division before peers know of them.
-        let for_batch = |s: &WorkerView| s.record.slots.saturating_sub(s.running().online);
+        let for_batch = |s: &&WorkerView| s.record.slots.saturating_sub(s.running().online);
         let slots: u32 = if demands.is_on() {
-            board.worker_views().map(for_batch).sum()
+            ready.iter().map(for_batch).sum()
         } else {
             0
         };
@@ -379,8 +404,8 @@
 
     /// Whether a worker's free slots are for items that can be in time.
     fn is_for_in_time(&self, worker: &WorkerRecord) -> bool {
-        let hash = XxHash64::oneshot(0, worker.id.as_str().as_bytes());
-        uniform(hash) < self.in_time_share
+        let hash = || XxHash64::oneshot(0, worker.id.as_str().as_bytes());
+        self.in_time_share >= 1.0 || uniform(hash()) < self.in_time_share
     }
 
     /// Whether a worker's free slots belong to this daemon.
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -251,10 +251,10 @@
     let ready_workers: Vec<&WorkerView> = eligible_workers(board, query).collect();
     let lone = lone_versions(&ready_workers);
     let is_restricted = ready_workers.len() < board.ready_workers(query.service).count();
+    let owners = Owners::new(board, me, &ready_workers, query.now);
     let allowed = ready_workers
         .into_iter()
         .filter(|s| s.breaker.allows(query.now));
-    let owners = Owners::new(board, me, query.now);
     let owns = |s: &&WorkerView| owners.owns(&s.record);
     let (ours, others): (Vec<&WorkerView>, Vec<&WorkerView>) = allowed.partition(owns);
     if !query.avoid.is_empty() || is_restricted {
