--- a/crates/bluebellreel_batch/src/job.rs
+++ b/crates/bluebellreel_batch/src/job.rs
@@ -1,6 +1,6 @@
 //! State of one job at its owner.
 
-use crate::{ItemResult, JobPhase, JobRecord, NewItem, Progress, ResultState};
+use crate::{ItemResult, ItemTiming, JobPhase, JobRecord, NewItem, Progress, ResultState};
 use bluebellreel_types::{JobId, Moment, WorkerName};
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +40,8 @@
     pub version_deadline: Option<Moment>,
     /// Until when it waits for a proven worker before its last run.
     pub proven_deadline: Option<Moment>,
+    /// When it ran.
+    pub timing: ItemTiming,
 }
 
 /// How a run of an item ended.
@@ -104,6 +106,7 @@
             failed_at: Vec::new(),
             version_deadline: None,
             proven_deadline: None,
+            timing: ItemTiming::default(),
         });
         let mut job = Self {
             id,
@@ -177,6 +180,7 @@
         if found.phase != ItemPhase::Running {
             return;
         }
+        found.timing.end(now);
         let state = match end {
             ItemEnd::Completed => Some(ResultState::Completed),
             ItemEnd::Impossible => {
@@ -204,6 +208,7 @@
         if found.phase != ItemPhase::Ended {
             found.progress = Progress::default();
             found.version_deadline = None;
+            found.timing = ItemTiming::default();
         }
     }
 
--- a/crates/bluebellreel_dispatch/src/board.rs
+++ b/crates/bluebellreel_dispatch/src/board.rs
@@ -1,7 +1,7 @@
 //! The table of all workers, their slots and the runs that occupy them.
 
 use crate::{
-    Boot, Catalog, CircuitBreaker, Class, Evidence, PeerLoad, Running, Standing, Ticket,
+    Boot, Catalog, CircuitBreaker, Class, Demands, Evidence, PeerLoad, Running, Standing, Ticket,
     WorkerRecord, WorkerSpeeds, WorkerState, WorkerTag,
 };
 use bluebellreel_types::{DataCentre, EntryName, Moment, WorkerName, WorkerVersion};
@@ -110,6 +110,8 @@
     pub speeds: WorkerSpeeds,
     /// Outcomes of runs at each worker; none if they are not in use.
     pub evidence: Option<Evidence>,
+    /// Waiting items of all daemons, by which free slots are divided.
+    pub demands: Demands,
     pub(crate) views: BTreeMap<WorkerName, WorkerView>,
     pub(crate) tags: HashMap<WorkerTag, WorkerName>,
     peers: BTreeMap<EntryName, PeerLoad>,
@@ -126,6 +128,7 @@
             limits,
             speeds: WorkerSpeeds::default(),
             evidence: None,
+            demands: Demands::default(),
             views: BTreeMap::new(),
             tags: HashMap::new(),
             peers: BTreeMap::new(),
@@ -357,11 +360,28 @@
         self.peers.retain(|_, load| !load.expires_at.is_past(now));
         self.data_centres
             .retain(|peer, _| self.peers.contains_key(peer));
+        self.demands
+            .retain_peers(|peer| self.peers.contains_key(peer));
         if self.peers.len() != before {
             self.sum_peers();
         }
     }
 
+    /// Notes which workers have slots that batch items may use and do not. A slot that
+    /// stays free passes to another daemon.
+    pub fn note_free_slots(&mut self, now: Moment) {
+        if !self.demands.is_due(now) {
+            return;
+        }
+        let mut demands = std::mem::take(&mut self.demands);
+        if demands.has_own() || self.peers_with_items().next().is_some() {
+            demands.note_free(self.limits, self.views.values(), now);
+        } else {
+            demands.clear_free();
+        }
+        self.demands = demands;
+    }
+
     /// Peers that have batch items waiting.
     pub fn peers_with_items(&self) -> impl Iterator<Item = &EntryName> {
         let waiting = self.peers.iter().filter(|(_, load)| load.waiting > 0);
--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod board;
 mod catalog;
 mod circuit_breaker;
+mod demand;
 mod evidence;
 mod fingerprint;
 mod overload;
@@ -35,6 +36,7 @@
 pub use board::{Board, PlacementLimits, WorkerChange, WorkerView};
 pub use catalog::{Boot, Catalog, WorkerRecord, WorkerState, WorkerTag};
 pub use circuit_breaker::CircuitBreaker;
+pub use demand::{Demand, Demands, ImpossibleDemand};
 pub use evidence::{
     Assessment, Counts, Evidence, InvalidOutcomes, MAX_REPORTED_WORKERS, Outcome, RawOutcome,
     Record, ReportId, ReportedOutcomes, Standing, StandingChange, assess,
@@ -43,8 +45,8 @@
 pub use overload::{Overloads, retry_delay};
 pub use peer::{PeerLoad, PeerRuns, Running};
 pub use place::{
-    Attempt, BatchRun, Placement, Query, batch_to_yield, place_batch, place_contained,
-    place_online, place_trial, should_reroute,
+    Attempt, BatchRun, Placement, Query, batch_to_yield, batch_to_yield_by, place_batch,
+    place_contained, place_online, place_trial, should_reroute,
 };
 pub use prompt_parts::{PartCrash, PartNotice, PartSuspects, PartVerdict, VersionTag};
 pub use routes::{CallerLimits, Configuration, Route, RouteKind, Service, Target};
