Load tests of job deadlines state whether items may run again

Cause: the merge of two parts left a test that did not build: a query now says whether the work may run again. Change: the field is set in the load tests. Result: Clippy passes on the workspace.

--- a/crates/bluebellreel_gateway/tests/common/mod.rs
+++ b/crates/bluebellreel_gateway/tests/common/mod.rs
@@ -6,8 +6,8 @@
     count_waiting, next_item, next_item_by_forecast,
 };
 use bluebellreel_dispatch::{
-    BatchRun, Board, Catalog, Class, Demand, PeerLoad, PeerRuns, PlacementLimits, Query, Ticket,
-    WorkerRecord, WorkerState, batch_to_yield_by, place_batch,
+    Attempt, BatchRun, Board, Catalog, Class, Demand, PeerLoad, PeerRuns, PlacementLimits, Query,
+    Ticket, WorkerRecord, WorkerState, batch_to_yield_by, place_batch,
 };
 use bluebellreel_types::{DataCentre, EntryName, Incarnation, JobId, Moment, WorkerName};
 use rand::rngs::SmallRng;
@@ -145,6 +145,7 @@
                 service: "lm",
                 version: None,
                 avoid: &[],
+                attempt: Attempt::Repeatable,
                 max_wait: Duration::ZERO,
                 salt: 0,
                 now,
