--- a/crates/bluebellreel_dispatch/src/evidence/mod.rs
+++ b/crates/bluebellreel_dispatch/src/evidence/mod.rs
@@ -37,12 +37,12 @@
 const BROKEN_PATH_WORKERS: usize = 3;
 /// Number of groups of workers without bad outcomes. A full report has only one group, as
 /// these workers are most of its bytes on a day without faults: with three groups, reports
-/// of a nearly idle gateway were 13 % longer. Each group is reported every 1.25 s; if a
+/// of a nearly idle gateway were 13 % longer. Each group is reported every 1.75 s; if a
 /// report is lost, the counts expire half a second before the next one.
 const GOOD_GROUPS: u64 = 5;
 /// Time for which the full reports have the same group, in microseconds: that between two
 /// full reports.
-const GROUP_MICROS: u64 = 250_000;
+const GROUP_MICROS: u64 = 350_000;
 
 /// Outcomes of the runs of this daemon and of its peers, by worker and incarnation.
 #[derive(Clone, Debug, Default)]
--- a/crates/bluebellreel_dispatch/src/place.rs
+++ b/crates/bluebellreel_dispatch/src/place.rs
@@ -23,7 +23,8 @@
     Repeatable,
     /// It may not: the next run is the only or the last one.
     Last,
-    /// It may not, and it has waited for long enough for a proven worker.
+    /// It may not, and no better worker is worth waiting for: an item has waited long enough
+    /// for a proven one, or a request has run before and cannot be refused as not run.
     Overdue,
 }
 
@@ -103,9 +104,9 @@
     let Some(mut best) = ranks.iter().map(|(rank, _)| *rank).min() else {
         return Placement::NoWorker;
     };
-    if best.wait > query.max_wait && query.attempt == Attempt::Repeatable {
-        // A failing worker that has room is better than a refusal if the request may run
-        // again. One that may not had better be refused unrun, and come back.
+    if best.wait > query.max_wait && query.attempt != Attempt::Last {
+        // A failing worker that has room is better than a refusal, except for a request that
+        // may run only once and has not run: it is refused, and its caller may come back.
         let in_time = ranks.iter().map(|(rank, _)| *rank);
         best = in_time
             .filter(|rank| rank.group == Group::Failing && rank.wait <= query.max_wait)
@@ -204,11 +205,14 @@
     let Placement::Send(other) = place_online(board, query) else {
         return false;
     };
-    let last_event_at = board
-        .worker_view(worker)
-        .map_or(Moment(0), |s| s.last_event_at);
+    let (present, other) = (board.worker_view(worker), board.worker_view(&other));
+    let last_event_at = present.map_or(Moment(0), |s| s.last_event_at);
     let busy = !(last_event_at + UNRESPONSIVE_AFTER).is_past(query.now);
-    let free = board.worker_view(&other).is_some_and(|s| s.free() > 0);
+    let is_failing =
+        |view: Option<&WorkerView>| view.is_some_and(|s| s.standing == Standing::Failing);
+    // A place in the queue of a sound worker is better than a slot at one that loses requests.
+    let leads_to_failing = is_failing(other) && !is_failing(present);
+    let free = other.is_some_and(|s| s.free() > 0) && !leads_to_failing;
     free || !busy
 }
 
--- a/crates/bluebellreel_gateway/src/request.rs
+++ b/crates/bluebellreel_gateway/src/request.rs
@@ -97,10 +97,12 @@
 
     /// Whether the request may run again after the next send.
     pub(crate) fn attempt(&self) -> Attempt {
-        if self.is_last_send() || !self.route.repeatable() {
+        if !self.is_last_send() && self.route.repeatable() {
+            Attempt::Repeatable
+        } else if self.runs == 0 {
             Attempt::Last
         } else {
-            Attempt::Repeatable
+            Attempt::Overdue
         }
     }
 
