Limit when refused callers return; skip only implausible entries

Cause: the time until a refused caller returns followed from its deadline without an upper limit. On routes with a deadline over 30 s reservations were due more than 10 s ahead, and peers rejected the whole report with those of all teams. A request that waits for a quarter of a long objective did the same.

Change: callers return within 5 s, as without the feature, and a longer wait is cut into parts. A receiver skips and counts an entry with an implausible time (outcome report_entry_invalid) and applies the rest. A report with nothing else is invalid as before.

--- a/crates/bluebellreel_gateway/src/reports/reservations.rs
+++ b/crates/bluebellreel_gateway/src/reports/reservations.rs
@@ -23,10 +23,16 @@
         let teams = configuration.as_ref().and_then(|c| c.teams.as_ref());
         let mut reservations = gw.reservations.borrow_mut();
         let heard = reservations.hear(peer, (run, sequence), &self.0, teams, gw.elapsed());
-        if heard.is_err() {
-            let outcome = "report_invalid";
+        let skipped = reservations.take_skipped();
+        let count = |outcome, number| {
             let claims = &gw.metrics.token_claims;
-            claims.get_or_create(&Outcome { outcome }).inc();
+            claims.get_or_create(&Outcome { outcome }).inc_by(number);
+        };
+        if heard.is_err() {
+            count("report_invalid", 1);
+        }
+        if skipped > 0 {
+            count("report_entry_invalid", skipped);
         }
     }
 }
--- a/crates/bluebellreel_teams/src/allowance.rs
+++ b/crates/bluebellreel_teams/src/allowance.rs
@@ -37,7 +37,7 @@
 /// Minimum time until a refused caller returns.
 const MIN_RETRY: Duration = Duration::from_millis(100);
 /// Maximum time until a refused caller returns.
-const MAX_RETRY: Duration = Duration::from_secs(5);
+pub const MAX_RETRY: Duration = Duration::from_secs(5);
 
 /// Time in a minority after which a gateway without a registration admits nothing more to
 /// teams with a limit. Its peers cease to count it some seconds later.
--- a/crates/bluebellreel_teams/src/claim.rs
+++ b/crates/bluebellreel_teams/src/claim.rs
@@ -1,6 +1,7 @@
 //! Decides whether a request gets a token of its team now, waits for one at the gateway, or
 //! is refused with a reservation or without.
 
+use crate::allowance::MAX_RETRY;
 use crate::reservation::Reservations;
 use crate::reservation_report::{Kind, Print, ReservationId};
 use crate::{Allowances, Limit, TeamTag};
@@ -33,7 +34,7 @@
     /// Until when it may wait at the gateway, unless its caller has returned to a reserved
     /// token; it then may wait until `return_by`.
     pub wait_by: Moment,
-    /// Until when its caller returns if it is told to.
+    /// Until when its caller returns if it is told to, within [`MAX_RETRY`] from now.
     pub return_by: Moment,
     /// The reservation with which it waits.
     pub waits_with: Option<ReservationId>,
@@ -72,6 +73,12 @@
         claim: &Claim,
         now: Moment,
     ) -> Decision {
+        // Peers reject reservations that are due much later.
+        let return_by = claim.return_by.min(now + MAX_RETRY);
+        let claim = &Claim {
+            return_by,
+            ..*claim
+        };
         let Claim { team, limit, .. } = *claim;
         let mut find = |kind| reservations.returning(team, limit, (claim.print, kind), now);
         let own = claim.waits_with.or_else(|| find(Kind::Return));
@@ -127,7 +134,8 @@
     now: Moment,
 ) -> Option<Decision> {
     let Claim { team, limit, .. } = *claim;
-    let until = until.max(now + MIN_WAIT);
+    // A longer wait is cut into parts, as peers reject reservations that are due later.
+    let until = until.clamp(now + MIN_WAIT, now + MAX_RETRY);
     if let Some(id) = claim.waits_with {
         // Other gateways leave a token for it only while its reservation is valid.
         let id = reservations.renew(team, id, until, now);
--- a/crates/bluebellreel_teams/src/lib.rs
+++ b/crates/bluebellreel_teams/src/lib.rs
@@ -30,7 +30,7 @@
 mod share;
 mod turn;
 
-pub use allowance::{Allowances, Spending};
+pub use allowance::{Allowances, MAX_RETRY, Spending};
 pub use bucket::{Limit, Tolerance};
 pub use caller::Caller;
 pub use claim::{Claim, Decision};
--- a/crates/bluebellreel_teams/src/reservation.rs
+++ b/crates/bluebellreel_teams/src/reservation.rs
@@ -119,6 +119,8 @@
     next_id: u32,
     share: f64,
     heard: HashMap<EntryName, Heard>,
+    /// Entries of reports that were skipped because of their times.
+    skipped: u64,
 }
 
 impl Reservations {
@@ -136,6 +138,7 @@
             next_id: seed,
             share,
             heard: HashMap::new(),
+            skipped: 0,
         }
     }
 
@@ -333,7 +336,9 @@
     }
 
     /// Applies a peer's report. `run` is its incarnation, `sequence` the report's number.
-    /// Teams that this gateway does not know, or that have no limit, are ignored.
+    /// Teams that this gateway does not know, or that have no limit, are ignored. Entries
+    /// with an implausible time are skipped and counted, so that they do not hide those of
+    /// other teams.
     ///
     /// # Errors
     ///
@@ -361,6 +366,10 @@
         };
         self.heard.insert(peer.clone(), heard);
         for notice in &report.made {
+            if !notice.is_plausible() {
+                self.skipped += 1;
+                continue;
+            }
             self.hear_made(peer, notice, teams, now);
         }
         for (tag, id) in &report.used {
@@ -434,6 +443,12 @@
             .retain(|_, heard| !(heard.at + HEARD_RETENTION).is_past(now));
     }
 
+    /// Number of entries of valid reports that were skipped since the last call, because
+    /// of implausible times.
+    pub fn take_skipped(&mut self) -> u64 {
+        std::mem::take(&mut self.skipped)
+    }
+
     /// Number of reservations that can still be used.
     #[must_use]
     pub fn len(&self, now: Moment) -> usize {
--- a/crates/bluebellreel_teams/src/reservation_report.rs
+++ b/crates/bluebellreel_teams/src/reservation_report.rs
@@ -8,7 +8,7 @@
 
 /// Maximum number of reservations, and of uses, in a report.
 pub const MAX_REPORTED: usize = 64;
-/// Maximum time until a reported reservation is due. Callers do not wait longer.
+/// Maximum time until a reported reservation is due: twice what callers are told at most.
 const MAX_AHEAD: Duration = Duration::from_secs(10);
 
 /// The first bytes of a request's fingerprint, the same for each attempt of its caller.
@@ -45,6 +45,15 @@
     pub kind: Kind,
 }
 
+impl ReservationNotice {
+    /// Whether a peer can have made the reservation for this time.
+    pub(crate) fn is_plausible(&self) -> bool {
+        let ahead = i32::try_from(MAX_AHEAD.as_millis()).unwrap_or(i32::MAX);
+        let overdue = i32::try_from(RETENTION.as_millis()).unwrap_or(i32::MAX);
+        (-overdue..=ahead).contains(&self.due_ms)
+    }
+}
+
 /// What a gateway reports: reservations that it made, and those that were used at it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReservationReport {
@@ -54,7 +63,7 @@
     pub used: Vec<(TeamTag, ReservationId)>,
 }
 
-/// A report has too many entries, an entry twice, or an implausible time.
+/// A report has too many entries, an entry twice, or nothing but implausible times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct InvalidReport;
 
@@ -65,10 +74,8 @@
         let used: HashSet<_> = self.used.iter().collect();
         let is_unique = made.len() == self.made.len() && used.len() == self.used.len();
         let is_short = made.len() <= MAX_REPORTED && used.len() <= MAX_REPORTED;
-        let ahead = i32::try_from(MAX_AHEAD.as_millis()).unwrap_or(i32::MAX);
-        let overdue = i32::try_from(RETENTION.as_millis()).unwrap_or(i32::MAX);
-        let mut times = self.made.iter().map(|notice| notice.due_ms);
-        let is_plausible = times.all(|ms| (-overdue..=ahead).contains(&ms));
+        let has_plausible = self.made.iter().any(ReservationNotice::is_plausible);
+        let is_plausible = self.made.is_empty() || has_plausible || !self.used.is_empty();
         if is_unique && is_short && is_plausible {
             Ok(())
         } else {
--- /dev/null
+++ b/crates/bluebellreel_teams/tests/reservation_bounds.rs
@@ -0,0 +1,100 @@
+//! Bounds of what callers are told and of what gateways keep back.
+
+use bluebellreel_teams::{
+    Allowances, Claim, Decision, Kind, Limit, ReservationNotice, ReservationReport, Reservations,
+    Team, TeamTag, Teams,
+};
+use bluebellreel_types::{EntryName, Incarnation, Moment};
+use std::time::Duration;
+
+const NOW: Moment = Moment(1_000_000_000);
+
+fn tag() -> TeamTag {
+    TeamTag::of("school")
+}
+
+fn limit(per_second: f64, burst: f64) -> Limit {
+    Limit { per_second, burst }
+}
+
+/// A claim of a request that waits for 75 ms at most and returns within `return_in`.
+fn request(n: u32, limit: Limit, return_in: Duration, now: Moment) -> Claim {
+    Claim {
+        team: tag(),
+        limit,
+        print: n.to_be_bytes(),
+        wait_by: now + Duration::from_millis(75),
+        return_by: now + return_in,
+        waits_with: None,
+    }
+}
+
+fn decide(
+    allowances: &mut Allowances,
+    held: &mut Reservations,
+    claim: &Claim,
+    now: Moment,
+) -> Decision {
+    allowances.update(Some(1), true, now);
+    allowances.claim(held, claim, now)
+}
+
+/// Applies a report of a peer. Returns whether it is valid.
+fn hear(held: &mut Reservations, limit: Limit, report: &ReservationReport) -> bool {
+    let teams = Teams::from(vec![Team {
+        name: "school".into(),
+        keys: Vec::new(),
+        priority: None,
+        limit: Some(limit),
+    }]);
+    let (peer, order) = (EntryName::from("peer"), (Incarnation(1), 1));
+    held.hear(&peer, order, report, Some(&teams), NOW).is_ok()
+}
+
+/// A route's deadline is a minute. Guards against a caller that is told to return so late
+/// that peers reject the whole report with its reservation, and those of other teams.
+#[test]
+fn long_deadlines_do_not_make_implausible_reservations() {
+    let limit = limit(0.08, 1.0);
+    for wait in [0, 15].map(Duration::from_secs) {
+        let (mut allowances, mut held) = (Allowances::default(), Reservations::new(7));
+        for n in 0..10 {
+            let mut claim = request(n, limit, Duration::from_secs(20), NOW);
+            claim.wait_by = NOW + wait;
+            let told = match decide(&mut allowances, &mut held, &claim, NOW) {
+                Decision::Refused { return_at, .. } => return_at,
+                Decision::Wait { until, .. } => until,
+                Decision::Admitted { .. } => NOW,
+            };
+            assert!(told <= NOW + Duration::from_secs(5), "{told:?}");
+        }
+        let report = held.report(false, NOW);
+        assert!(!report.made.is_empty());
+        let mut other = Reservations::new(8);
+        assert!(hear(&mut other, limit, &report));
+        assert_eq!(other.len(NOW), held.len(NOW));
+    }
+}
+
+/// Guards against one entry with an implausible time that hides the others of its report.
+#[test]
+fn only_an_implausible_entry_is_skipped() {
+    let limit = limit(20.0, 20.0);
+    let (mut allowances, mut held) = (Allowances::default(), Reservations::new(7));
+    for n in 0..30 {
+        let claim = request(n, limit, Duration::from_millis(1600), NOW);
+        decide(&mut allowances, &mut held, &claim, NOW);
+    }
+    let mut report = held.report(false, NOW);
+    let made = report.made.iter_mut();
+    let reserved = made.filter(|m| m.kind != Kind::Unreserved);
+    let first = reserved.take(1).next().expect("a reservation");
+    *first = ReservationNotice {
+        due_ms: 10_001,
+        ..*first
+    };
+    let mut other = Reservations::new(8);
+    assert!(hear(&mut other, limit, &report));
+    assert_eq!(other.len(NOW), held.len(NOW) - 1);
+    assert_eq!(other.take_skipped(), 1);
+}
