Fix the end of a returned caller's wait; return after 100 ms at least

Cause: the gateway computed the end of the wait as a third of the remaining time at each claim, so that it moved on and a returned caller could be held until its deadline. A caller that was refused near that end was told to return at once, before other gateways could know of it.

Change: the gateway computes both limits once per request. A refused caller returns after MIN_RETURN (100 ms) or later, with a reservation or without.

No test covers the computation in the gateway.

--- a/crates/bluebellreel_gateway/src/token_wait.rs
+++ b/crates/bluebellreel_gateway/src/token_wait.rs
@@ -9,7 +9,7 @@
 use crate::teams::{self, Denial};
 use bluebellreel_net::Body;
 use bluebellreel_platform::ingress;
-use bluebellreel_teams::{Claim, Decision, Limit, ReservationId, TeamTag};
+use bluebellreel_teams::{Claim, Decision, Limit, MAX_RETRY, ReservationId, TeamTag};
 use bluebellreel_types::Moment;
 use http::Response;
 use log::warn;
@@ -50,6 +50,10 @@
     let mut guard: Option<WaitGuard<'_>> = None;
     let began = gw.elapsed();
     let to_wait = (req.route.objective / WAIT_PART).saturating_sub(req.received.elapsed());
+    let returns_in = (req.left() / RETURN_PART).saturating_sub(RETURN_MARGIN);
+    // Computed once: from the time that is left at each claim, the limit would move on, and
+    // a returned caller could be held until its deadline.
+    let limits = (began + to_wait, began + returns_in.min(MAX_RETRY));
     loop {
         let Some((team, limit)) = req.limit() else {
             return Ok(());
@@ -57,7 +61,7 @@
         gw.update_allowances();
         teams::check_counted(gw, req)?;
         let now = gw.elapsed();
-        let claim = claim(req, (team, limit), began + to_wait, guard.as_ref(), now);
+        let claim = claim(req, (team, limit), limits, guard.as_ref());
         let decision = {
             let mut reservations = gw.reservations.borrow_mut();
             let mut allowances = gw.allowances.borrow_mut();
@@ -104,18 +108,16 @@
 fn claim(
     req: &Request,
     (team, limit): (TeamTag, Limit),
-    wait_by: Moment,
+    (wait_by, return_by): (Moment, Moment),
     guard: Option<&WaitGuard<'_>>,
-    now: Moment,
 ) -> Claim {
     let [a, b, c, d, ..] = req.fingerprint().0;
-    let returns_in = (req.left() / RETURN_PART).saturating_sub(RETURN_MARGIN);
     Claim {
         team,
         limit,
         print: [a, b, c, d],
         wait_by,
-        return_by: now + returns_in,
+        return_by,
         waits_with: guard.map(|guard| guard.id),
     }
 }
--- a/crates/bluebellreel_teams/src/claim.rs
+++ b/crates/bluebellreel_teams/src/claim.rs
@@ -34,7 +34,8 @@
     /// Until when it may wait at the gateway, unless its caller has returned to a reserved
     /// token; it then may wait until `return_by`.
     pub wait_by: Moment,
-    /// Until when its caller returns if it is told to, within [`MAX_RETRY`] from now.
+    /// Until when its caller returns if it is told to, within [`MAX_RETRY`] from now. It is
+    /// the same for each claim of the request, so that its wait ends.
     pub return_by: Moment,
     /// The reservation with which it waits.
     pub waits_with: Option<ReservationId>,
@@ -165,11 +166,13 @@
     let due = due.filter(|due| *due <= claim.return_by);
     let mut add = |kind, due| reservations.add(team, limit, (claim.print, kind), due, now);
     let reserved = due.filter(|due| add(Kind::Return, *due).is_some());
+    // After a wait the caller may be past that time.
+    let unreserved = claim.return_by.max(now + MIN_RETURN);
     if reserved.is_none() {
-        add(Kind::Unreserved, claim.return_by);
+        add(Kind::Unreserved, unreserved);
     }
     Decision::Refused {
-        return_at: reserved.unwrap_or(claim.return_by),
+        return_at: reserved.unwrap_or(unreserved),
         is_reserved: reserved.is_some(),
     }
 }
--- a/crates/bluebellreel_teams/tests/reservation_bounds.rs
+++ b/crates/bluebellreel_teams/tests/reservation_bounds.rs
@@ -98,3 +98,55 @@
     assert_eq!(other.len(NOW), held.len(NOW) - 1);
     assert_eq!(other.take_skipped(), 1);
 }
+
+/// Takes all tokens for callers of which `held` does not know, as a gateway does before
+/// its report arrives.
+fn drain(allowances: &mut Allowances, limit: Limit, now: Moment) {
+    let mut unknown = Reservations::new(99);
+    for n in 1000..1100 {
+        let mut claim = request(n, limit, Duration::ZERO, now);
+        claim.wait_by = now;
+        decide(allowances, &mut unknown, &claim, now);
+    }
+}
+
+/// Others take each token of a caller that has returned to its reservation. Guards against
+/// a wait beyond its fixed end, and against a refusal with which the caller returns at
+/// once, before other gateways can know of it.
+#[test]
+fn a_returned_caller_waits_no_longer_than_its_end() {
+    let limit = limit(20.0, 1.0);
+    let (mut allowances, mut held) = (Allowances::default(), Reservations::new(7));
+    drain(&mut allowances, limit, NOW);
+    let mut claim = request(1, limit, Duration::from_secs(1), NOW);
+    claim.wait_by = NOW;
+    let first = decide(&mut allowances, &mut held, &claim, NOW);
+    let Decision::Refused {
+        return_at,
+        is_reserved: true,
+    } = first
+    else {
+        panic!("{first:?}");
+    };
+    let end = return_at + Duration::from_millis(300);
+    let (mut now, mut waits_with) = (return_at, None);
+    loop {
+        drain(&mut allowances, limit, now);
+        let claim = Claim {
+            wait_by: now,
+            return_by: end,
+            waits_with,
+            ..claim
+        };
+        match decide(&mut allowances, &mut held, &claim, now) {
+            Decision::Wait { id, until } => (now, waits_with) = (until, Some(id)),
+            Decision::Refused { return_at, .. } => {
+                assert!(return_at >= now + Duration::from_millis(100));
+                break;
+            }
+            Decision::Admitted { .. } => panic!("no token is left"),
+        }
+        assert!(now <= end, "waits beyond its end");
+    }
+    assert!(waits_with.is_some(), "it waits first");
+}
