Admit callers without a reservation from small buckets

Cause: a caller that returns without a reservation leaves four tokens to new requests. A bucket with a burst of four or less never holds that many beside the caller's own, so that it was refused at a full bucket.

Change: what it leaves is at most the capacity less one token. Reservations that are due still keep all their tokens, as otherwise a new request would take the only token of a burst of one from the caller for whom it is reserved.

Result: a test with bursts 1, 2 and 4 fails before and passes now. A test that a burst of one keeps a due reservation passes before and now. 32 tests of the package pass.

--- a/crates/bluebellreel_teams/src/allowance.rs
+++ b/crates/bluebellreel_teams/src/allowance.rs
@@ -354,6 +354,11 @@
         self.bucket(team, limit).fill(limit, &tolerance, at)
     }
 
+    /// Maximum number of tokens in the bucket of a team with this limit.
+    pub(crate) fn capacity(&self, limit: Limit) -> f64 {
+        self.tolerance.capacity(limit)
+    }
+
     /// Numbers of requests of teams with a limit that this gateway has admitted and
     /// refused since its start, most first.
     #[must_use]
--- a/crates/bluebellreel_teams/src/bucket.rs
+++ b/crates/bluebellreel_teams/src/bucket.rs
@@ -42,7 +42,7 @@
     ///
     /// Until a partition is noticed, both sides may use a full bucket. Twice the capacity
     /// must therefore be within the burst and the tolerance.
-    fn capacity(&self, limit: Limit) -> f64 {
+    pub(crate) fn capacity(&self, limit: Limit) -> f64 {
         let twice = limit.burst + self.margin(limit);
         limit.burst.min(twice / 2.0).max(1.0)
     }
--- a/crates/bluebellreel_teams/src/claim.rs
+++ b/crates/bluebellreel_teams/src/claim.rs
@@ -19,7 +19,8 @@
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
 /// Tokens that a caller which returns without a reservation leaves in the bucket: about
-/// the number of requests that come for the first time within the delay of a report.
+/// the number of requests that come for the first time within the delay of a report. It
+/// leaves fewer if the bucket cannot hold as many beside its own.
 const LEFT_TO_NEW: f64 = 4.0;
 
 /// A request that claims a token.
@@ -90,7 +91,11 @@
         let kept_back = match (own, unreserved) {
             (Some(_), _) => 0.0,
             (None, None) => others,
-            (None, Some(_)) => others + LEFT_TO_NEW,
+            // A full bucket must admit it, unless its tokens are reserved.
+            (None, Some(_)) => {
+                let most = (self.capacity(limit) - 1.0).max(others);
+                (others + LEFT_TO_NEW).min(most)
+            }
         };
         if level - kept_back >= 1.0 {
             if let Some(id) = own.or(unreserved) {
--- a/crates/bluebellreel_teams/tests/reservation_bounds.rs
+++ b/crates/bluebellreel_teams/tests/reservation_bounds.rs
@@ -150,3 +150,48 @@
     }
     assert!(waits_with.is_some(), "it waits first");
 }
+
+/// A caller that was refused without a reservation returns to a full bucket. Guards against
+/// tokens left to new requests that a small bucket can never hold, so that the caller is
+/// refused at each return.
+#[test]
+fn a_small_burst_admits_callers_without_a_reservation() {
+    for burst in [1.0, 2.0, 4.0] {
+        let limit = limit(8.0, burst);
+        let (mut allowances, mut held) = (Allowances::default(), Reservations::new(7));
+        drain(&mut allowances, limit, NOW);
+        let mut claim = request(1, limit, Duration::from_millis(100), NOW);
+        claim.wait_by = NOW;
+        let first = decide(&mut allowances, &mut held, &claim, NOW);
+        let is_reserved = matches!(first, Decision::Refused { is_reserved, .. } if is_reserved);
+        assert!(!is_reserved, "{first:?}");
+        let later = NOW + Duration::from_millis(1000);
+        let mut claim = request(1, limit, Duration::from_millis(100), later);
+        claim.wait_by = later;
+        let returned = decide(&mut allowances, &mut held, &claim, later);
+        let expected = Decision::Admitted { is_reserved: false };
+        assert_eq!(returned, expected, "burst {burst}");
+    }
+}
+
+/// Guards against a request that takes the only token of a small bucket while a
+/// reservation for it is due.
+#[test]
+fn a_small_burst_keeps_a_due_reservation() {
+    let limit = limit(8.0, 1.0);
+    let (mut allowances, mut held) = (Allowances::default(), Reservations::new(7));
+    drain(&mut allowances, limit, NOW);
+    let mut claim = request(1, limit, Duration::from_secs(1), NOW);
+    claim.wait_by = NOW;
+    let first = decide(&mut allowances, &mut held, &claim, NOW);
+    let Decision::Refused { return_at, .. } = first else {
+        panic!("{first:?}");
+    };
+    for n in [2, 3, 1] {
+        let mut claim = request(n, limit, Duration::from_secs(1), return_at);
+        claim.wait_by = return_at;
+        let decision = decide(&mut allowances, &mut held, &claim, return_at);
+        let is_admitted = decision == Decision::Admitted { is_reserved: true };
+        assert_eq!(is_admitted, n == 1, "{decision:?}");
+    }
+}
