--- a/crates/bluebellreel_teams/tests/reservation_bounds.rs
+++ b/crates/bluebellreel_teams/tests/reservation_bounds.rs
@@ -165,7 +165,7 @@
         let first = decide(&mut allowances, &mut held, &claim, NOW);
         let is_reserved = matches!(first, Decision::Refused { is_reserved, .. } if is_reserved);
         assert!(!is_reserved, "{first:?}");
-        let later = NOW + Duration::from_millis(1000);
+        let later = NOW + Duration::from_secs(1);
         let mut claim = request(1, limit, Duration::from_millis(100), later);
         claim.wait_by = later;
         let returned = decide(&mut allowances, &mut held, &claim, later);
