Report reservations of refused callers before other entries

Cause: a report holds the newest 64 entries of any kind. In a burst, later entries of callers without a reservation filled it, and no other gateway learned of the tokens that were reserved earlier.

Change: entries are sorted by kind, first reservations of refused callers, then those of waiting requests, then callers without one, and by age within a kind.

--- a/crates/bluebellreel_teams/src/reservation.rs
+++ b/crates/bluebellreel_teams/src/reservation.rs
@@ -317,8 +317,9 @@
         let mut made: Vec<_> = made.filter(|(_, h)| h.is_valid(now)).collect();
         let used = held().filter(|(_, h)| h.used_here && h.used.is_some_and(is_recent));
         let mut used: Vec<_> = used.collect();
-        // The latest ones have been reported the fewest times.
-        made.sort_by_key(|(_, h)| std::cmp::Reverse(h.made));
+        // A refused caller returns to another gateway, which must know of its reservation;
+        // the others matter less. The latest ones have been reported the fewest times.
+        made.sort_by_key(|(_, h)| (h.kind, std::cmp::Reverse(h.made)));
         used.sort_by_key(|(_, h)| std::cmp::Reverse(h.used));
         made.truncate(MAX_REPORTED);
         used.truncate(MAX_REPORTED);
--- a/crates/bluebellreel_teams/src/reservation_report.rs
+++ b/crates/bluebellreel_teams/src/reservation_report.rs
@@ -19,8 +19,8 @@
 #[serde(transparent)]
 pub struct ReservationId(pub(crate) u32);
 
-/// What an entry is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// What an entry is for, in the order in which entries are reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Kind {
     /// A token for a refused caller.
     Return,
--- a/crates/bluebellreel_teams/tests/reservation_bounds.rs
+++ b/crates/bluebellreel_teams/tests/reservation_bounds.rs
@@ -195,3 +195,28 @@
         assert_eq!(is_admitted, n == 1, "{decision:?}");
     }
 }
+
+/// 200 requests come at one moment. Guards against callers that are told to return to a
+/// reserved token of which no report tells the other gateways, because the entries of
+/// callers without a reservation fill it.
+#[test]
+fn reservations_of_refused_callers_are_reported_first() {
+    let limit = limit(100.0, 20.0);
+    let (mut allowances, mut held) = (Allowances::default(), Reservations::new(7));
+    let mut reserved = Vec::new();
+    for n in 0..200 {
+        let claim = request(n, limit, Duration::from_millis(1600), NOW);
+        let decision = decide(&mut allowances, &mut held, &claim, NOW);
+        if matches!(decision, Decision::Refused { is_reserved, .. } if is_reserved) {
+            reserved.push(n.to_be_bytes());
+        }
+    }
+    assert!(reserved.len() > 5, "{}", reserved.len());
+    for is_brief in [true, false] {
+        let report = held.report(is_brief, NOW);
+        let returns = report.made.iter().filter(|m| m.kind == Kind::Return);
+        let mut returns: Vec<_> = returns.map(|m| m.print).collect();
+        returns.sort_unstable();
+        assert_eq!(returns, reserved);
+    }
+}
