Notice a revoked key while its request waits for a token

Cause: the key was checked only when the wait ended, so that a request of a revoked key was held for up to a third of its deadline and kept its reservation.

Change: it is checked at each CHECK_INTERVAL (50 ms). Keys that are not confirmed are still denied at the end of the wait only, as they may be confirmed again by then.

--- a/crates/bluebellreel_gateway/src/token_wait.rs
+++ b/crates/bluebellreel_gateway/src/token_wait.rs
@@ -24,7 +24,8 @@
 const RETURN_PART: u32 = 3;
 /// Subtracted from that time, for the way of the answer to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
-/// Interval at which a waiting request checks whether the daemon refuses requests.
+/// Interval at which a waiting request checks whether the daemon refuses requests, and
+/// whether its key is revoked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Ends the wait of a request, also when its caller's connection closes.
@@ -95,7 +96,7 @@
                     None => guard = Some(WaitGuard { gw, team, id }),
                 }
                 gw.report_due.notify_one();
-                wait_until(gw, until).await?;
+                wait_until(gw, req, until).await?;
                 if let Some(credential) = &mut req.credential {
                     let renewed = teams::renew(gw, credential);
                     renewed.map_err(|denial| deny(gw, req, denial))?;
@@ -126,12 +127,18 @@
 ///
 /// # Errors
 ///
-/// Returns the answer if this daemon begins to refuse requests meanwhile.
-async fn wait_until(gw: &Gateway, until: Moment) -> Result<(), Response<Body>> {
+/// Returns the answer if this daemon begins to refuse requests meanwhile, or if the key is
+/// revoked.
+async fn wait_until(gw: &Gateway, req: &Request, until: Moment) -> Result<(), Response<Body>> {
     loop {
         if gw.refusing.get() {
             return Err(refuse_stopping());
         }
+        let checked = req.credential.as_ref().map(|c| teams::recheck(gw, c));
+        // A key that is not confirmed now may be again when the wait ends.
+        if let Some(Err(denial @ Denial::UnknownKey)) = checked {
+            return Err(deny(gw, req, denial));
+        }
         let left = until.since(gw.elapsed());
         if left.is_zero() {
             return Ok(());
