--- a/crates/bluebellreel_gateway/src/token_wait.rs
+++ b/crates/bluebellreel_gateway/src/token_wait.rs
@@ -9,7 +9,7 @@
 use crate::teams::{self, Denial};
 use bluebellreel_net::Body;
 use bluebellreel_platform::ingress;
-use bluebellreel_teams::{Claim, Decision, Limit, ReservationId, TeamTag};
+use bluebellreel_teams::{Claim, Decision, Limit, MAX_RETRY, ReservationId, TeamTag};
 use bluebellreel_types::Moment;
 use http::Response;
 use log::warn;
@@ -24,7 +24,8 @@
 const RETURN_PART: u32 = 3;
 /// Subtracted from that time, for the way of the answer to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
-/// Interval at which a waiting request checks whether the daemon refuses requests.
+/// Interval at which a waiting request checks whether the daemon refuses requests, and
+/// whether its key is revoked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Ends the wait of a request, also when its caller's connection closes.
@@ -50,6 +51,10 @@
     let mut guard: Option<WaitGuard<'_>> = None;
     let began = gw.elapsed();
     let to_wait = (req.route.objective / WAIT_PART).saturating_sub(req.received.elapsed());
+    let returns_in = (req.left() / RETURN_PART).saturating_sub(RETURN_MARGIN);
+    // Computed once: from the time that is left at each claim, the limit would move on, and
+    // a returned caller could be held until its deadline.
+    let limits = (began + to_wait, began + returns_in.min(MAX_RETRY));
     loop {
         let Some((team, limit)) = req.limit() else {
             return Ok(());
@@ -57,7 +62,7 @@
         gw.update_allowances();
         teams::check_counted(gw, req)?;
         let now = gw.elapsed();
-        let claim = claim(req, (team, limit), began + to_wait, guard.as_ref(), now);
+        let claim = claim(req, (team, limit), limits, guard.as_ref());
         let decision = {
             let mut reservations = gw.reservations.borrow_mut();
             let mut allowances = gw.allowances.borrow_mut();
@@ -91,7 +96,7 @@
                     None => guard = Some(WaitGuard { gw, team, id }),
                 }
                 gw.report_due.notify_one();
-                wait_until(gw, until).await?;
+                wait_until(gw, req, until).await?;
                 if let Some(credential) = &mut req.credential {
                     let renewed = teams::renew(gw, credential);
                     renewed.map_err(|denial| deny(gw, req, denial))?;
@@ -104,18 +109,16 @@
 fn claim(
     req: &Request,
     (team, limit): (TeamTag, Limit),
-    wait_by: Moment,
+    (wait_by, return_by): (Moment, Moment),
     guard: Option<&WaitGuard<'_>>,
-    now: Moment,
 ) -> Claim {
     let [a, b, c, d, ..] = req.fingerprint().0;
-    let returns_in = (req.left() / RETURN_PART).saturating_sub(RETURN_MARGIN);
     Claim {
         team,
         limit,
         print: [a, b, c, d],
         wait_by,
-        return_by: now + returns_in,
+        return_by,
         waits_with: guard.map(|guard| guard.id),
     }
 }
@@ -124,12 +127,18 @@
 ///
 /// # Errors
 ///
-/// Returns the answer if this daemon begins to refuse requests meanwhile.
-async fn wait_until(gw: &Gateway, until: Moment) -> Result<(), Response<Body>> {
+/// Returns the answer if this daemon begins to refuse requests meanwhile, or if the key is
+/// revoked.
+async fn wait_until(gw: &Gateway, req: &Request, until: Moment) -> Result<(), Response<Body>> {
     loop {
         if gw.refusing.get() {
             return Err(refuse_stopping());
         }
+        let checked = req.credential.as_ref().map(|c| teams::recheck(gw, c));
+        // A key that is not confirmed now may be again when the wait ends.
+        if let Some(Err(denial @ Denial::UnknownKey)) = checked {
+            return Err(deny(gw, req, denial));
+        }
         let left = until.since(gw.elapsed());
         if left.is_zero() {
             return Ok(());
--- a/crates/bluebellreel_teams/src/allowance.rs
+++ b/crates/bluebellreel_teams/src/allowance.rs
@@ -37,7 +37,7 @@
 /// Minimum time until a refused caller returns.
 const MIN_RETRY: Duration = Duration::from_millis(100);
 /// Maximum time until a refused caller returns.
-const MAX_RETRY: Duration = Duration::from_secs(5);
+pub const MAX_RETRY: Duration = Duration::from_secs(5);
 
 /// Time in a minority after which a gateway without a registration admits nothing more to
 /// teams with a limit. Its peers cease to count it some seconds later.
@@ -354,6 +354,11 @@
         self.bucket(team, limit).fill(limit, &tolerance, at)
     }
 
+    /// Maximum number of tokens in the bucket of a team with this limit.
+    pub(crate) fn capacity(&self, limit: Limit) -> f64 {
+        self.tolerance.capacity(limit)
+    }
+
     /// Numbers of requests of teams with a limit that this gateway has admitted and
     /// refused since its start, most first.
     #[must_use]
--- a/crates/bluebellreel_teams/src/claim.rs
+++ b/crates/bluebellreel_teams/src/claim.rs
@@ -1,6 +1,7 @@
 //! Decides whether a request gets a token of its team now, waits for one at the gateway, or
 //! is refused with a reservation or without.
 
+use crate::allowance::MAX_RETRY;
 use crate::reservation::Reservations;
 use crate::reservation_report::{Kind, Print, ReservationId};
 use crate::{Allowances, Limit, TeamTag};
@@ -18,7 +19,8 @@
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
 /// Tokens that a caller which returns without a reservation leaves in the bucket: about
-/// the number of requests that come for the first time within the delay of a report.
+/// the number of requests that come for the first time within the delay of a report. It
+/// leaves fewer if the bucket cannot hold as many beside its own.
 const LEFT_TO_NEW: f64 = 4.0;
 
 /// A request that claims a token.
@@ -33,7 +35,8 @@
     /// Until when it may wait at the gateway, unless its caller has returned to a reserved
     /// token; it then may wait until `return_by`.
     pub wait_by: Moment,
-    /// Until when its caller returns if it is told to.
+    /// Until when its caller returns if it is told to, within [`MAX_RETRY`] from now. It is
+    /// the same for each claim of the request, so that its wait ends.
     pub return_by: Moment,
     /// The reservation with which it waits.
     pub waits_with: Option<ReservationId>,
@@ -72,6 +75,12 @@
         claim: &Claim,
         now: Moment,
     ) -> Decision {
+        // Peers reject reservations that are due much later.
+        let return_by = claim.return_by.min(now + MAX_RETRY);
+        let claim = &Claim {
+            return_by,
+            ..*claim
+        };
         let Claim { team, limit, .. } = *claim;
         let mut find = |kind| reservations.returning(team, limit, (claim.print, kind), now);
         let own = claim.waits_with.or_else(|| find(Kind::Return));
@@ -82,7 +91,11 @@
         let kept_back = match (own, unreserved) {
             (Some(_), _) => 0.0,
             (None, None) => others,
-            (None, Some(_)) => others + LEFT_TO_NEW,
+            // A full bucket must admit it, unless its tokens are reserved.
+            (None, Some(_)) => {
+                let most = (self.capacity(limit) - 1.0).max(others);
+                (others + LEFT_TO_NEW).min(most)
+            }
         };
         if level - kept_back >= 1.0 {
             if let Some(id) = own.or(unreserved) {
@@ -127,7 +140,8 @@
     now: Moment,
 ) -> Option<Decision> {
     let Claim { team, limit, .. } = *claim;
-    let until = until.max(now + MIN_WAIT);
+    // A longer wait is cut into parts, as peers reject reservations that are due later.
+    let until = until.clamp(now + MIN_WAIT, now + MAX_RETRY);
     if let Some(id) = claim.waits_with {
         // Other gateways leave a token for it only while its reservation is valid.
         let id = reservations.renew(team, id, until, now);
@@ -157,11 +171,13 @@
     let due = due.filter(|due| *due <= claim.return_by);
     let mut add = |kind, due| reservations.add(team, limit, (claim.print, kind), due, now);
     let reserved = due.filter(|due| add(Kind::Return, *due).is_some());
+    // After a wait the caller may be past that time.
+    let unreserved = claim.return_by.max(now + MIN_RETURN);
     if reserved.is_none() {
-        add(Kind::Unreserved, claim.return_by);
+        add(Kind::Unreserved, unreserved);
     }
     Decision::Refused {
-        return_at: reserved.unwrap_or(claim.return_by),
+        return_at: reserved.unwrap_or(unreserved),
         is_reserved: reserved.is_some(),
     }
 }
