--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod cancel;
 mod confirm;
 mod deadlines;
+mod execution;
 mod hand_over;
 mod last_run;
 mod load;
