--- a/review/platform/standin/src/cases.rs
+++ b/review/platform/standin/src/cases.rs
@@ -5,7 +5,7 @@
 use crate::site::{HOST, Record, SIGKILL, SIGTERM, Site, WorkerPlan, signal, unix_ms};
 use crate::worker::data;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -18,6 +18,7 @@
     let record = Record::default();
     record.note(format!("case {case}, trouble {trouble}"));
     let outcome = match case {
+        "crashing-workers" => crashing_workers(&record, trouble),
         "leaving-worker" => leaving_worker(&record, trouble),
         "late-in-stop" => late_in_stop(&record, trouble),
         "ended-in-outage" => ended_in_outage(&record, trouble),
@@ -601,3 +602,112 @@
     ));
     false
 }
+
+/// MIXED: workers crash while they run items of batch jobs.
+fn crashing_workers(record: &Record, trouble: bool) -> Outcome {
+    const EVENTS: u64 = 40;
+    const WAVES: usize = 7;
+    let plan = WorkerPlan {
+        slots: 8,
+        events: EVENTS,
+        interval_ms: 50,
+        unframed: true,
+    };
+    let mut site = Site::start(record.clone(), 3, 12, &plan)?;
+    thread::sleep(Duration::from_secs(4));
+    let addresses: Vec<SocketAddr> = site.gateways.iter().map(|g| g.requests).collect();
+    let done = Arc::new(Mutex::new(false));
+    let mut readers = Vec::new();
+    let mut others: Vec<Vec<TcpStream>> = Vec::new();
+    for worker in &site.workers {
+        others.push(hold_channels(worker.address)?);
+    }
+    let began = Instant::now();
+    let mut down: Option<(Instant, [usize; 2])> = None;
+    let mut crashes = 0;
+    for wave in 0..WAVES {
+        let lots = submit_lots(record, &addresses, wave);
+        if lots.len() < LOTS / 2 {
+            return Err(std::io::Error::other("less than half was accepted"));
+        }
+        for lot in lots {
+            let (to, done, record) = (addresses[lot.gateway], done.clone(), record.clone());
+            readers.push(thread::spawn(move || follow_lot(&record, to, lot, &done)));
+        }
+        // Two of twelve workers crash at once, and are back as new ones 4.5 s later.
+        let next = WAVE * u32::try_from(wave + 1).unwrap_or(0);
+        while began.elapsed() < next {
+            thread::sleep(Duration::from_millis(20));
+            let into = WAVE.saturating_sub(next.saturating_sub(began.elapsed()));
+            if trouble && down.is_none() && crashes == wave / 2 && wave % 2 == 0 && into > CRASH_AT
+            {
+                let at = [crashes * 2, crashes * 2 + 1];
+                for n in at {
+                    signal(&site.workers[n].process.child, SIGKILL);
+                    record.note(format!("worker {} crashes", site.workers[n].id));
+                }
+                down = Some((Instant::now(), at));
+                crashes += 1;
+            }
+            let Some((since, at)) = down else { continue };
+            if since.elapsed() > Duration::from_millis(4500) {
+                for n in at {
+                    site.remove(&format!("servers/{}", site.workers[n].id));
+                    let number = 100 + crashes * 2 + n;
+                    site.restart_worker(n, number, &plan)?;
+                    others[n] = hold_channels(site.workers[n].address)?;
+                    record.note(format!("worker {} is new", site.workers[n].id));
+                }
+                down = None;
+            }
+        }
+    }
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(18) {
+        thread::sleep(Duration::from_millis(500));
+    }
+    *done.lock().expect("done") = true;
+    let lots: Vec<Lot> = readers.into_iter().filter_map(|r| r.join().ok()).collect();
+    let listed: usize = lots.iter().map(|l| l.read.len()).sum();
+    let sent = lots.len() * ITEMS;
+    record.note(format!("{listed} results of {sent} items were read"));
+    if listed < sent / 2 {
+        return Err(std::io::Error::other("less than half was done"));
+    }
+    let mut broken = 0;
+    for lot in &lots {
+        for (position, text) in &lot.read {
+            let mut words = text.splitn(3, ' ');
+            let mut word = || words.next().unwrap_or("");
+            let (item, state, output) = (word(), word(), word());
+            let whole: Vec<String> = (1..=EVENTS).map(|e| data(item, e)).collect();
+            if state == "completed" && output != whole.join("|") {
+                broken += 1;
+                let events = output.split('|').count();
+                record.note(format!(
+                    "MIXED broken: {} position {position}, {item} is completed with {events} of {EVENTS} events",
+                    lot.id
+                ));
+            }
+        }
+    }
+    Ok(broken)
+}
+
+/// Channels that other callers keep open at each worker, which takes 230.
+const OTHER_CHANNELS: usize = 120;
+
+fn hold_channels(to: SocketAddr) -> std::io::Result<Vec<TcpStream>> {
+    let limit = Duration::from_secs(1);
+    let until = Instant::now() + Duration::from_secs(5);
+    while TcpStream::connect_timeout(&to, limit).is_err() && Instant::now() < until {
+        thread::sleep(Duration::from_millis(10));
+    }
+    (0..OTHER_CHANNELS)
+        .map(|_| TcpStream::connect_timeout(&to, limit))
+        .collect()
+}
+
+/// Time between two waves of batch jobs, and from a wave to the crash in it.
+const WAVE: Duration = Duration::from_secs(4);
+const CRASH_AT: Duration = Duration::from_millis(1500);
--- a/review/platform/standin/src/site.rs
+++ b/review/platform/standin/src/site.rs
@@ -90,8 +90,16 @@
 }
 
 impl Gateway {
-    /// Starts the program of the deploy file.
+    /// Starts the program of the deploy file. Only its first start is that of the whole
+    /// system.
     pub fn start(&mut self) -> std::io::Result<()> {
+        if self.log.exists() {
+            let settings = fs::read_to_string(&self.settings)?;
+            fs::write(
+                &self.settings,
+                settings.replace("first = true", "first = false"),
+            )?;
+        }
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new("target/release/bluebellreel")
             .arg("gateway")
@@ -354,7 +362,20 @@
             address,
             process: Process { child },
         });
-        self.register(n, "ready", 1);
+        self.register(self.workers.len() - 1, "ready", 1);
+        Ok(())
+    }
+
+    /// Puts a new worker, with an id of its own, in the place of one that is gone.
+    pub fn restart_worker(
+        &mut self,
+        at: usize,
+        number: usize,
+        plan: &WorkerPlan,
+    ) -> std::io::Result<()> {
+        self.add_worker(number, plan)?;
+        let new = self.workers.pop();
+        self.workers[at] = new.ok_or(std::io::ErrorKind::NotFound)?;
         Ok(())
     }
 
