--- a/review/platform/standin/src/site.rs
+++ b/review/platform/standin/src/site.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -18,6 +19,22 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// `PR_SET_PDEATHSIG` of `prctl`.
+const SET_PARENT_DEATH_SIGNAL: i32 = 1;
+
+/// Starts a process that ends with this one, however this one ends. Called by the main
+/// thread, as the signal comes when the thread that has started the process ends.
+fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let with_parent = || {
+        // SAFETY: `prctl` with these arguments only sets a signal of the new process.
+        unsafe { prctl(SET_PARENT_DEATH_SIGNAL, SIGKILL) };
+        Ok(())
+    };
+    // SAFETY: the closure makes one system call and touches no memory of the parent.
+    unsafe { command.pre_exec(with_parent) }.spawn()
 }
 
 /// Sends a signal to a process that this program started.
@@ -101,13 +118,14 @@
             )?;
         }
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new("target/release/bluebellreel")
-            .arg("gateway")
-            .env("BLUEBELLREEL_CONFIG", &self.settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+        let child = spawn(
+            Command::new("target/release/bluebellreel")
+                .arg("gateway")
+                .env("BLUEBELLREEL_CONFIG", &self.settings)
+                .stdin(Stdio::null())
+                .stdout(log.try_clone()?)
+                .stderr(log),
+        )?;
         self.process = Some(Process { child });
         Ok(())
     }
@@ -190,10 +208,11 @@
         let own = std::env::current_exe()?;
         let at = |n: u8| Ipv4Addr::new(ip[0], ip[1], ip[2], n);
         let store = SocketAddr::from((at(1), free_port(at(1))?));
-        let child = Command::new(&own)
-            .args(["store", &store.to_string()])
-            .stdin(Stdio::null())
-            .spawn()?;
+        let child = spawn(
+            Command::new(&own)
+                .args(["store", &store.to_string()])
+                .stdin(Stdio::null()),
+        )?;
         let mut site = Self {
             record,
             folder,
@@ -340,13 +359,14 @@
             "i-{:08x}",
             0x7f3a_91c2_u32.wrapping_add(u32::try_from(n).unwrap_or(0))
         );
-        let mut child = Command::new(std::env::current_exe()?)
-            .args(["worker", &address.to_string(), &id])
-            .args([plan.slots.to_string(), plan.events.to_string()])
-            .args([plan.interval_ms.to_string(), plan.unframed.to_string()])
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()?;
+        let mut child = spawn(
+            Command::new(std::env::current_exe()?)
+                .args(["worker", &address.to_string(), &id])
+                .args([plan.slots.to_string(), plan.events.to_string()])
+                .args([plan.interval_ms.to_string(), plan.unframed.to_string()])
+                .stdin(Stdio::null())
+                .stdout(Stdio::piped()),
+        )?;
         if let Some(out) = child.stdout.take() {
             let record = self.record.clone();
             thread::spawn(move || {
