Jobs: a cancellation that is not recorded yet finishes no job

What callers saw: batch jobs were ended while the store was down and got 502.

Cause: the request to cancel set the phase in the owner's copy of the record to `Cancelled`. The code that records results took each phase but `Open` for the end of the job. So a write of results that was in flight when the request came, and that succeeded after the outage, put the partial list into the archive of finished jobs and evicted the job, which was still open and this gateway's in the store. A peer's notice or the scan for orphans adopted it again, it ran on and listed more. The archive keeps the first list, and readers are answered from it before the store.

That the store lost them is ruled out (it held both segments), and that another owner listed them as well (the revision of the record is the same).

Change: `Job` keeps the wish to cancel apart from the phase of its record. `may_run` stops the items; `is_open` says what the store is known to hold, and only a recorded last segment ends it. Results are recorded as long as the job is owned. `results recorded` logs the number of items besides.

Why this works: the phase in memory now changes only by the answer to a write of the last segment, so what is archived is the complete list, whatever the length of the outage.

--- a/crates/bluebellreel_batch/src/job.rs
+++ b/crates/bluebellreel_batch/src/job.rs
@@ -86,6 +86,7 @@
     pending: Vec<ItemResult>,
     pending_since: Option<Moment>,
     writing: Option<Segment>,
+    cancel_requested: bool,
 }
 
 impl Job {
@@ -118,6 +119,7 @@
             pending: Vec::new(),
             pending_since: None,
             writing: None,
+            cancel_requested: false,
         };
         for results in segments {
             job.append_results(results);
@@ -125,16 +127,28 @@
         job
     }
 
-    /// Whether items may run.
+    /// Whether the job is open in the store, as far as its owner knows.
     #[must_use]
     pub fn is_open(&self) -> bool {
         self.record.phase == JobPhase::Open
     }
 
+    /// Whether items may run.
+    #[must_use]
+    pub fn may_run(&self) -> bool {
+        self.is_open() && !self.cancel_requested
+    }
+
+    /// Stops the items from running. The job stays open until its cancellation is in the
+    /// store: until then results may still be recorded, or another daemon may run it.
+    pub fn request_cancel(&mut self) {
+        self.cancel_requested = true;
+    }
+
     /// Tokens of items that have not ended.
     #[must_use]
     pub fn tokens_left(&self) -> u64 {
-        if !self.is_open() {
+        if !self.may_run() {
             return 0;
         }
         let left = self.items.iter().filter(|i| i.phase != ItemPhase::Ended);
@@ -145,7 +159,7 @@
     /// for longer.
     #[must_use]
     pub fn items_waiting(&self, by: Moment) -> usize {
-        if !self.is_open() {
+        if !self.may_run() {
             return 0;
         }
         let waits = |item: &&Item| matches!(item.phase, ItemPhase::Waiting { from } if from <= by);
@@ -222,7 +236,7 @@
     /// Gives up all waiting items once the job's `give_up_at` has passed. `slack`
     /// covers the clock difference between daemons.
     pub fn give_up_overdue(&mut self, slack: Duration, now: Moment) {
-        if !self.is_open() || !(self.record.give_up_at + slack).is_past(now) {
+        if !self.may_run() || !(self.record.give_up_at + slack).is_past(now) {
             return;
         }
         for item in 0..self.items.len() {
--- a/crates/bluebellreel_batch/src/schedule.rs
+++ b/crates/bluebellreel_batch/src/schedule.rs
@@ -22,7 +22,7 @@
 /// lost if this daemon died.
 pub fn next_item<'a>(jobs: impl Iterator<Item = &'a Job>, now: Moment) -> Option<Candidate> {
     let may_start = |i: &Item| may_start(i, now);
-    let open = jobs.filter(|j| j.is_open() && j.items.iter().any(may_start));
+    let open = jobs.filter(|j| j.may_run() && j.items.iter().any(may_start));
     let job = open.min_by_key(|j| (j.record.due_at.is_past(now), j.record.due_at))?;
     let (item, _) = job
         .items
@@ -59,7 +59,7 @@
     now: Moment,
     mut accepts: impl FnMut(&Job, usize) -> bool,
 ) -> Option<Candidate> {
-    let mut open: Vec<&Job> = jobs.filter(|j| j.is_open()).collect();
+    let mut open: Vec<&Job> = jobs.filter(|j| j.may_run()).collect();
     open.sort_by_key(|j| j.record.due_at);
     // In each job, the item with the most events is the likeliest to be in time.
     let mut first_late: Option<(&Job, usize)> = None;
@@ -128,7 +128,7 @@
 /// Counts a job's items that wait to run by a moment, as [`Job::items_waiting`] does.
 #[must_use]
 pub fn count_waiting(job: &Job, forecast: &Forecast, by: Moment, now: Moment) -> WaitingItems {
-    if !job.is_open() {
+    if !job.may_run() {
         return WaitingItems::default();
     }
     let fewest = forecast.fewest_events(&job.record.route, job.record.due_at, now);
--- a/crates/bluebellreel_batch/tests/jobs.rs
+++ b/crates/bluebellreel_batch/tests/jobs.rs
@@ -89,6 +89,23 @@
     assert!(!job.is_open());
 }
 
+/// Guards that a write that was in flight when a cancellation was requested does not
+/// finish the job.
+#[test]
+fn a_job_to_be_cancelled_stays_open_until_that_is_recorded() {
+    let mut job = job("j", 2, NOW);
+    run(&mut job, 0, "a", ItemEnd::Completed);
+    let later = NOW + Duration::from_secs(2);
+    let segment = job.segment_to_write(flush_after_a_second, later, SEGMENT_BYTES);
+    assert!(segment.is_some_and(|s| !s.last));
+    job.request_cancel();
+    job.recorded(None);
+    assert_eq!((job.listed.len(), job.is_open()), (1, true));
+    assert!(!job.may_run());
+    assert_eq!(next_item(std::iter::once(&job), NOW), None);
+    assert_eq!(job.tokens_left(), 0);
+}
+
 #[test]
 fn results_are_batched_until_due_or_done() {
     let mut job = job("j", 2, NOW);
--- a/crates/bluebellreel_gateway/src/jobs/cancel.rs
+++ b/crates/bluebellreel_gateway/src/jobs/cancel.rs
@@ -224,11 +224,12 @@
     false
 }
 
-/// Stops a job's items at once, before the cancellation is recorded.
+/// Stops a job's items at once, before the cancellation is recorded. The job stays owned
+/// until then.
 fn stop_running(gw: &Gateway, owned: &Rc<OwnedJob>) {
     let id = {
         let mut job = owned.job.borrow_mut();
-        job.record.phase = JobPhase::Cancelled;
+        job.request_cancel();
         job.id.clone()
     };
     gw.jobs.borrow_mut().end_runs(&id);
--- a/crates/bluebellreel_gateway/src/jobs/confirm.rs
+++ b/crates/bluebellreel_gateway/src/jobs/confirm.rs
@@ -163,11 +163,11 @@
     }
 }
 
-/// Open jobs to confirm now, in one call to the store.
+/// Jobs to confirm now, in one call to the store: those whose items may run.
 fn due_jobs(gw: &Gateway) -> Vec<Rc<OwnedJob>> {
     let jobs = gw.jobs.borrow();
-    let open = jobs.own.values().filter(|o| o.job.borrow().is_open());
-    let leases = open.map(|o| (o.clone(), o.lease.get(), o.wants_start.get()));
+    let active = jobs.own.values().filter(|o| o.job.borrow().may_run());
+    let leases = active.map(|o| (o.clone(), o.lease.get(), o.wants_start.get()));
     jobs_to_check(leases, gw.stamp())
 }
 
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -77,7 +77,7 @@
     while owned.job.borrow().has_pending() && Instant::now() < until {
         sleep(POLL_INTERVAL).await;
     }
-    if !owned.job.borrow().is_open() || !gw.jobs.borrow().own.contains_key(&id) {
+    if !owned.job.borrow().may_run() || !gw.jobs.borrow().own.contains_key(&id) {
         return;
     }
     let to = gw.members.borrow().successor(&id, None, gw.now());
--- a/crates/bluebellreel_gateway/src/jobs/no_route.rs
+++ b/crates/bluebellreel_gateway/src/jobs/no_route.rs
@@ -87,7 +87,7 @@
 
 fn without_route(owned: &OwnedJob, configuration: &Configuration) -> Vec<usize> {
     let job = owned.job.borrow();
-    if !job.is_open() {
+    if !job.may_run() {
         return Vec::new();
     }
     let waiting = job.items.iter().enumerate();
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -193,7 +193,7 @@
         let listed = owned.listed.notified();
         {
             let job = owned.job.borrow();
-            let is_over = !job.is_open() || gw.stopping.get() || Instant::now() >= until;
+            let is_over = !job.may_run() || gw.stopping.get() || Instant::now() >= until;
             let settles = job.is_writing() && Instant::now() < until + MAX_SETTLE;
             if job.listed.len() > after || (is_over && !settles) {
                 return;
--- a/crates/bluebellreel_gateway/src/jobs/record.rs
+++ b/crates/bluebellreel_gateway/src/jobs/record.rs
@@ -26,7 +26,7 @@
 /// takes. The JSON escapes and the ids take the rest.
 const SEGMENT_PERCENT: usize = 40;
 
-/// Records a job's results until the job has finished or another daemon owns it.
+/// Records a job's results until this daemon no longer owns the job.
 pub(crate) async fn record_results(gw: Rc<Gateway>, owned: Rc<OwnedJob>) {
     let id = owned.job.borrow().id.clone();
     while is_ours(&gw, &id, &owned) {
@@ -40,11 +40,10 @@
     }
 }
 
-/// Whether this daemon still owns the job and the job can have more results.
+/// Whether this daemon still owns the job. One whose last result is recorded is evicted.
 fn is_ours(gw: &Gateway, id: &JobId, owned: &Rc<OwnedJob>) -> bool {
     let jobs = gw.jobs.borrow();
-    let same = jobs.own.get(id).is_some_and(|o| Rc::ptr_eq(o, owned));
-    same && owned.job.borrow().is_open()
+    jobs.own.get(id).is_some_and(|o| Rc::ptr_eq(o, owned))
 }
 
 fn next_segment(gw: &Gateway, owned: &OwnedJob) -> Option<Segment> {
@@ -120,12 +119,12 @@
 }
 
 fn recorded(gw: &Rc<Gateway>, id: &JobId, owned: &OwnedJob, segment: &Segment, revision: i64) {
-    let (listed, done) = {
+    let (listed, items, done) = {
         let mut job = owned.job.borrow_mut();
         job.recorded(segment.last.then_some(revision));
-        (job.listed.len(), !job.is_open())
+        (job.listed.len(), job.items.len(), !job.is_open())
     };
-    info!(target: "jobs", job:% = id, segment = segment.number, results = segment.results.len(), listed, done, revision; "results recorded");
+    info!(target: "jobs", job:% = id, segment = segment.number, results = segment.results.len(), listed, items, done, revision; "results recorded");
     if done {
         let job = owned.job.borrow();
         let archived = Archived {
