Jobs: a pending cancellation also stops a job that is taken over

Cause: a gateway stops items of jobs that it owns at the moment of an attempt to cancel. A job that it adopts between two attempts, which are up to 5 s apart, started to run.

Change: `adopt` looks for a pending cancellation of the job by a caller that may access it, and adopts the job with its cancellation requested. It logs `job owned while its end is being recorded`.

--- a/crates/bluebellreel_gateway/src/jobs/adopt.rs
+++ b/crates/bluebellreel_gateway/src/jobs/adopt.rs
@@ -65,7 +65,7 @@
 
 /// Starts to run a job that this daemon owns, as the store confirmed to a call sent
 /// at `asked`.
-pub(super) fn adopt(gw: &Rc<Gateway>, job: Job, asked: Stamp) {
+pub(super) fn adopt(gw: &Rc<Gateway>, mut job: Job, asked: Stamp) {
     let id = job.id.clone();
     if runs_already(gw, &id, job.revision) {
         // Several tasks may adopt the same job, each after waiting for the store: an
@@ -81,6 +81,11 @@
         info!(target: "jobs", job:% = id, revision = job.revision; "job ended before it was owned");
         return;
     }
+    let team = job.record.team.as_deref();
+    if gw.jobs.borrow().is_cancellation_pending(&id, team) {
+        info!(target: "jobs", job:% = id, revision = job.revision; "job owned while its end is being recorded");
+        job.request_cancel();
+    }
     let due_in = job.record.due_at.since(gw.now());
     info!(target: "jobs", job:% = id, items = job.items.len(), listed = job.listed.len(), revision = job.revision, due_in_ms = millis(due_in); "job owned");
     let owned = OwnedJob::new(job, asked, &gw.start_terms);
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -255,6 +255,12 @@
         self.open.remove(id);
     }
 
+    /// Whether a cancellation that may apply to a job of this team is still to be recorded.
+    pub(super) fn is_cancellation_pending(&self, id: &JobId, team: Option<&str>) -> bool {
+        let mut pending = self.pending_cancellations.iter();
+        pending.any(|(job, caller)| job == id && caller.may_access(team))
+    }
+
     /// Whether a job is known to be cancelled.
     pub(crate) fn is_cancelled(&self, id: &JobId) -> bool {
         self.tombstones.contains_key(id)
