Gateway: a stop refuses requests whose time limit it cannot outlast

What callers saw: gateways were stopped in turn, 2 s apart. Streams of 4 s with a limit of 5 s that reached a stopping gateway 3.3 to 4.3 s after SIGTERM were passed on to a worker and cut off in the middle, 7.3 s after it (LOST).

Cause: a stopping gateway passed requests on until 0.6 of its time was over (4.38 s of 8), whatever time the requests had. An answer that took more than the other 0.4 (2.9 s) could not end before the process.

Change: the stop stores the time by which requests must be answered, 0.3 s before the process ends. A request whose deadline is later is refused at once as not run: before its body is read, after it, while it waits for a token, and before its first send. All requests are refused only 0.3 s before that time, for the release of the lease; what fits is served until then. Open connections do not keep the process running once a request was refused for its limit.

Why this works: an accepted request has its answer, or has reached its own limit, before the process ends, for any grace time and any limit. The share is gone; no constant replaces it. What it costs: with limits as long as the grace time a stopping gateway refuses from the signal on.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -118,8 +118,12 @@
     pub(crate) reconnections: Cell<u64>,
     /// Whether SIGTERM was received.
     pub(crate) stopping: Cell<bool>,
-    /// Whether new requests are refused because they could not complete before the
-    /// process ends.
+    /// Until when requests must be answered in full, as the process ends soon after; none
+    /// while the daemon does not stop.
+    pub(crate) answer_by: Cell<Option<Instant>>,
+    /// Whether the last request on a route was refused because it could outlast the stop.
+    pub(crate) refused_by_limit: Cell<bool>,
+    /// Whether all new requests are refused, as the process is about to end.
     pub(crate) refusing: Cell<bool>,
     /// Set just before the process ends: requests dropped after this are cut off by
     /// the stop and do not count as abandoned by their callers.
@@ -211,6 +215,8 @@
             isolated_since: Cell::new(None),
             reconnections: Cell::new(0),
             stopping: Cell::new(false),
+            answer_by: Cell::new(None),
+            refused_by_limit: Cell::new(false),
             refusing: Cell::new(false),
             ended: Cell::new(false),
             loop_lag: RefCell::default(),
@@ -330,6 +336,13 @@
         is_new
     }
 
+    /// Whether a request with this deadline is refused: the process could end before it
+    /// does, and would cut its answer off.
+    pub(crate) fn refuses(&self, deadline: Instant) -> bool {
+        let outlasts_stop = self.answer_by.get().is_some_and(|by| deadline > by);
+        self.refusing.get() || outlasts_stop
+    }
+
     /// Whether the balancer should send requests to this daemon: it is not stopping, it
     /// knows routes, and it knows a worker of at least one service that they name.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -10,6 +10,7 @@
 use crate::quarantine_gate::{self, Held};
 use crate::relay::Relay;
 use crate::request::Request;
+use crate::serve::refuse_stopping;
 use crate::teams::{self, Denial};
 use crate::ticket::{RESTART_GRACE, note_late, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
@@ -48,6 +49,10 @@
         if req.left().is_zero() {
             return give_up(&gw, &req, "deadline passed");
         }
+        if req.runs == 0 && gw.refuses(req.deadline) {
+            teams::give_back(&gw, &req);
+            return refuse_stopping();
+        }
         if let Err(held) = req.may_run(&gw) {
             return refuse_quarantined(&gw, &req, held);
         }
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -233,16 +233,23 @@
     let caller_timeout = ingress::caller_timeout(req.headers()).unwrap_or(route.timeout);
     let deadline = received + caller_timeout.min(route.timeout);
     let (head, body) = req.into_parts();
+    let is_submission = route.kind == RouteKind::Batch && head.method == Method::POST;
+    // A submission may be of a job that is being written: only its handler can tell
+    // whether it has not run.
+    let is_refused = || gw.refusing.get() || (!is_submission && gw.refuses(deadline));
+    gw.refused_by_limit.set(is_refused());
+    if is_refused() {
+        return refuse_stopping();
+    }
     let body = match read_request_body(gw, &configuration, body, deadline).await {
         Ok(body) => body,
         Err(answer) => return answer,
     };
-    if gw.refusing.get() {
-        // The daemon began to refuse requests while this body was being received. A
-        // request sent to a worker now would be cut off by the end of the process.
+    if is_refused() {
+        // The stop began while this body was being received.
         return refuse_stopping();
     }
-    if route.kind == RouteKind::Batch && head.method == Method::POST {
+    if is_submission {
         let deadline = received + caller_timeout;
         let submission = jobs::Submission {
             id: JobId::from(ingress::request_id(&head.headers)),
--- a/crates/bluebellreel_gateway/src/shutdown.rs
+++ b/crates/bluebellreel_gateway/src/shutdown.rs
@@ -2,8 +2,10 @@
 //!
 //! From the signal on the gateway reports itself as not ready and hands its jobs over.
 //! It accepts requests until the balancer has noticed, and also later ones: when few
-//! gateways are left, the balancer sends callers to stopping ones too. Once nothing is
-//! in progress it refuses further requests, releases its lease, and ends.
+//! gateways are left, the balancer sends callers to stopping ones too. A request is
+//! accepted only if its time limit ends before the process does, so that no accepted
+//! request is cut off; others are refused at once as not run. Once nothing is in progress
+//! the gateway refuses further requests, releases its lease, and ends.
 
 use crate::gateway::Gateway;
 use crate::jobs::{self, HandOvers};
@@ -21,10 +23,7 @@
 const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(2600);
 /// How long before SIGKILL the process ends by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
-/// Share of the time until the end after which new requests are refused: answers take
-/// more than a second under load, and a request sent to a worker later may be cut off.
-const REFUSE_AFTER_SHARE: f64 = 0.6;
-/// Time reserved before the end for closing the listeners: for refusals that are being
+/// Time reserved before the end for closing the listeners: for answers that are being
 /// sent and connections that wait to be accepted.
 const CLOSE_MARGIN: Duration = Duration::from_millis(300);
 /// Timeout of releasing the lease. The store takes a few milliseconds; if it does not
@@ -39,8 +38,10 @@
     handles: &'a ServerHandles,
     hand_overs: Rc<HandOvers>,
     requested_at: Instant,
-    /// When new requests are refused at the latest.
+    /// When all new requests are refused at the latest.
     refuse_from: Instant,
+    /// Until when requests must be answered in full.
+    answer_by: Instant,
     /// When the process ends, even if requests are in progress.
     end: Instant,
 }
@@ -48,22 +49,29 @@
 impl<'a> Shutdown<'a> {
     fn new(gw: &'a Rc<Gateway>, handles: &'a ServerHandles) -> Self {
         let requested_at = Instant::now();
-        let left = gw.grace.get().saturating_sub(KILL_MARGIN);
+        let end = requested_at + gw.grace.get().saturating_sub(KILL_MARGIN);
+        let answer_by = end - CLOSE_MARGIN;
         Self {
             gw,
             handles,
             hand_overs: Rc::default(),
             requested_at,
-            refuse_from: requested_at + left.mul_f64(REFUSE_AFTER_SHARE),
-            end: requested_at + left,
+            refuse_from: answer_by - RELEASE_TIMEOUT,
+            answer_by,
+            end,
         }
     }
 
-    /// Whether a request is in progress, a connection is active or a job has still to be
-    /// handed over.
-    fn is_busy(&self) -> bool {
+    /// Whether a request is in progress or a job has still to be handed over.
+    fn has_work(&self) -> bool {
+        self.gw.in_progress.count() > 0 || self.hand_overs.is_busy(self.gw)
+    }
+
+    /// Whether a connection is active whose next request may be served. Once a request has
+    /// been refused for its time limit, further ones with this limit will be too.
+    fn expects_requests(&self) -> bool {
         let connections = self.handles.callers.connection_tracker.open();
-        self.gw.in_progress.count() > 0 || connections > 0 || self.hand_overs.is_busy(self.gw)
+        connections > 0 && !self.gw.refused_by_limit.get()
     }
 
     /// Logs the phase that the shutdown has reached.
@@ -88,12 +96,12 @@
         });
     }
 
-    /// Waits until nothing is in progress, but at most until requests are refused.
+    /// Waits until nothing is in progress, but at most until all requests are refused.
     async fn finish_requests(&self) {
         sleep_until((self.requested_at + BALANCER_DRAIN_TIME).min(self.refuse_from)).await;
         self.handles.callers.stop.close();
         self.log_phase("idle connections closed");
-        while self.is_busy() && Instant::now() < self.refuse_from {
+        while (self.has_work() || self.expects_requests()) && Instant::now() < self.refuse_from {
             sleep(CHECK_INTERVAL).await;
         }
     }
@@ -117,9 +125,7 @@
     /// of the process. While a stream is in progress the gateway keeps listening, as a
     /// refusal with `Retry-After` serves callers better than a refused connection.
     async fn close_listeners(&self) {
-        let close_at = self.end - CLOSE_MARGIN;
-        let is_busy = || self.gw.in_progress.count() > 0 || self.hand_overs.is_busy(self.gw);
-        while is_busy() && Instant::now() < close_at {
+        while self.has_work() && Instant::now() < self.answer_by {
             sleep(CHECK_INTERVAL).await;
         }
         for handle in [&self.handles.callers, &self.handles.peers] {
@@ -152,6 +158,7 @@
 pub(crate) async fn shut_down(gw: &Rc<Gateway>, handles: &ServerHandles) -> bool {
     let shutdown = Shutdown::new(gw, handles);
     gw.stopping.set(true);
+    gw.answer_by.set(Some(shutdown.answer_by));
     gw.report_due.notify_one();
     info!(target: "gateway", entry:% = gw.me(), in_progress = gw.in_progress.count(), jobs = gw.jobs.borrow().own.len(); "stopping");
     // Idle connections from peers are closed; from now on each call of a peer uses a
--- a/crates/bluebellreel_gateway/src/token_wait.rs
+++ b/crates/bluebellreel_gateway/src/token_wait.rs
@@ -24,7 +24,7 @@
 const RETURN_PART: u32 = 3;
 /// Subtracted from that time, for the way of the answer to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
-/// Interval at which a waiting request checks whether the daemon refuses requests, and
+/// Interval at which a waiting request checks whether the daemon refuses it, and
 /// whether its key is revoked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -127,11 +127,11 @@
 ///
 /// # Errors
 ///
-/// Returns the answer if this daemon begins to refuse requests meanwhile, or if the key is
+/// Returns the answer if this daemon begins to refuse the request meanwhile, or if the key is
 /// revoked.
 async fn wait_until(gw: &Gateway, req: &Request, until: Moment) -> Result<(), Response<Body>> {
     loop {
-        if gw.refusing.get() {
+        if gw.refuses(req.deadline) {
             return Err(refuse_stopping());
         }
         let checked = req.credential.as_ref().map(|c| teams::recheck(gw, c));
