Gateway: requests that a stop leaves unanswered get 502 and not a closed connection

Cause: the last step of a stop only waited for requests in progress and then let the process cut them.

This covers requests on routes, and reads, ends and submissions of jobs; an end or a submission goes on being recorded as before. Logged as `not answered before the stop`.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -125,6 +125,9 @@
     pub(crate) refused_by_limit: Cell<bool>,
     /// Whether all new requests are refused, as the process is about to end.
     pub(crate) refusing: Cell<bool>,
+    /// Notified at `answer_by`: requests that are not answered yet get a failure instead of
+    /// a closed connection.
+    pub(crate) answers_due: Notify,
     /// Set just before the process ends: requests dropped after this are cut off by
     /// the stop and do not count as abandoned by their callers.
     pub(crate) ended: Cell<bool>,
@@ -218,6 +221,7 @@
             answer_by: Cell::new(None),
             refused_by_limit: Cell::new(false),
             refusing: Cell::new(false),
+            answers_due: Notify::new(),
             ended: Cell::new(false),
             loop_lag: RefCell::default(),
             in_progress: Rc::default(),
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Method, Response, StatusCode, header};
 use hyper::body::Incoming;
-use log::info;
+use log::{info, warn};
 use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -37,7 +37,7 @@
 /// that the caller's next request goes to another daemon.
 pub(crate) async fn answer(gw: Rc<Gateway>, req: http::Request<Incoming>) -> Response<Body> {
     let in_progress = gw.in_progress.begin(ingress::request_id(req.headers()));
-    let mut answer = answer_request(&gw, req).await;
+    let mut answer = answer_before_end(&gw, req).await;
     if gw.stopping.get() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
@@ -70,6 +70,23 @@
     }
 }
 
+/// Answers a caller, with a failure if a stop leaves no time for the answer.
+async fn answer_before_end(gw: &Rc<Gateway>, req: http::Request<Incoming>) -> Response<Body> {
+    let answers_due = gw.answers_due.notified();
+    let id = ingress::request_id(req.headers()).to_owned();
+    tokio::select! {
+        biased;
+        answer = answer_request(gw, req) => answer,
+        () = answers_due => {
+            warn!(target: "gateway", request = id; "not answered before the stop");
+            // A worker may have run the request.
+            let mut answer = answers::failure(StatusCode::BAD_GATEWAY, "stopping");
+            ingress::set_request_id(answer.headers_mut(), &id);
+            answer
+        }
+    }
+}
+
 async fn answer_request(gw: &Rc<Gateway>, req: http::Request<Incoming>) -> Response<Body> {
     if ingress::is_readiness(req.uri().path()) {
         return readiness(gw);
--- a/crates/bluebellreel_gateway/src/shutdown.rs
+++ b/crates/bluebellreel_gateway/src/shutdown.rs
@@ -128,6 +128,7 @@
         while self.has_work() && Instant::now() < self.answer_by {
             sleep(CHECK_INTERVAL).await;
         }
+        self.gw.answers_due.notify_waiters();
         for handle in [&self.handles.callers, &self.handles.peers] {
             handle.stop.finish();
         }
