Entry daemon: a stop refuses requests whose deadline lies after its end

For `deadlines.notice_s` after SIGTERM it took requests whatever their deadline; one that was given more time than `deadlines.notice_s` and `deadlines.stop_s` could be cut off by the end of the process. Found by reading; the settings see to it that only callers who name a deadline of their own are concerned.

Change: the router knows when the daemon ends and refuses requests with a later deadline as not run (`leaving`).

Tests: `request_that_could_outlast_the_stop_is_not_run`, with a process, failed before (the booking ran during the stop); `request_that_could_outlast_the_daemon_is_refused` at the router. Both pass now.

--- a/crates/bluebellreel_entry/src/core.rs
+++ b/crates/bluebellreel_entry/src/core.rs
@@ -95,6 +95,7 @@
             }
             // Handled by the loop that runs the actor.
             Message::Quit => {}
+            Message::Drain(ends_at) => self.online.begin_drain(ends_at),
             Message::Stop => {
                 log::info!(target: "entry", "Stopping: accepting no new work.");
                 self.online.stop();
--- a/crates/bluebellreel_entry/src/message.rs
+++ b/crates/bluebellreel_entry/src/message.rs
@@ -4,7 +4,7 @@
 use crate::jobs::JobsMessage;
 use crate::online::OnlineMessage;
 use bluebellreel_rpc::EntryNotice;
-use bluebellreel_types::EntryName;
+use bluebellreel_types::{EntryName, Moment};
 use crossbeam_channel::Sender;
 
 /// A message to the actor's thread.
@@ -26,6 +26,8 @@
     EntryJoined(crate::platform::EntryRecord),
     /// A daemon's lease has ended.
     EntryLeft(EntryName),
+    /// Announces the end of the daemon: online requests with a later deadline are refused.
+    Drain(Moment),
     /// Starts a graceful stop: no new work is accepted.
     Stop,
     /// Requests whether a stop would interrupt no work now.
--- a/crates/bluebellreel_entry/src/online/component.rs
+++ b/crates/bluebellreel_entry/src/online/component.rs
@@ -115,6 +115,11 @@
         self.router.requests.is_empty()
     }
 
+    /// Makes the router refuse requests that could outlast the end of the daemon.
+    pub(crate) fn begin_drain(&mut self, ends_at: Moment) {
+        self.router.ends_at = Some(ends_at);
+    }
+
     /// Makes the router refuse new requests from now on.
     pub(crate) fn stop(&mut self) {
         self.router.stopping = true;
--- a/crates/bluebellreel_entry/src/run.rs
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -63,8 +63,11 @@
     /// the server accepts no connections, and existing ones are closed.
     #[must_use = "a stop that interrupted work must be reported"]
     pub fn stop(self) -> bool {
+        let settings = &self.handles.settings;
+        let until = Instant::now() + settings.drain_delay + settings.stop;
+        let ends_at = self.handles.clock.now() + settings.drain_delay + settings.stop;
+        self.tx.send(Message::Drain(ends_at)).ok();
         self.leave_rotation();
-        let until = Instant::now() + self.handles.settings.stop;
         self.tx.send(Message::Stop).ok();
         // Late callers may keep arriving while the server accepts connections, so
         // this waits only for the actor, whose work can only decrease.
--- a/crates/bluebellreel_routing/src/arrival.rs
+++ b/crates/bluebellreel_routing/src/arrival.rs
@@ -44,7 +44,8 @@
     let team = &new.work.team;
     let team_count = router.team_counts.get(team).copied().unwrap_or(0);
     let bytes = router.bytes + new.work.body.len();
-    let reason = if router.stopping {
+    let outlasts_stop = router.ends_at.is_some_and(|end| new.deadline > end);
+    let reason = if router.stopping || outlasts_stop {
         NotRunReason::Leaving
     } else if new.deadline.is_past(now) {
         NotRunReason::Expired
--- a/crates/bluebellreel_routing/src/router.rs
+++ b/crates/bluebellreel_routing/src/router.rs
@@ -25,6 +25,9 @@
     pub budget: RetryBudget,
     /// Whether the daemon accepts no new requests.
     pub stopping: bool,
+    /// When the daemon ends, if it has been asked to stop. Requests with a later deadline
+    /// are not accepted.
+    pub ends_at: Option<Moment>,
 }
 
 impl Router {
@@ -41,6 +44,7 @@
             team_limits: HashMap::new(),
             bytes: 0,
             stopping: false,
+            ends_at: None,
         }
     }
 
--- a/crates/bluebellreel_routing/tests/requests.rs
+++ b/crates/bluebellreel_routing/tests/requests.rs
@@ -42,7 +42,10 @@
     }
 
     fn submit(&mut self, id: u64, repeatable: bool) -> Vec<Effect> {
-        let deadline = self.now + Duration::from_secs(10);
+        self.submit_until(id, repeatable, self.now + Duration::from_secs(10))
+    }
+
+    fn submit_until(&mut self, id: u64, repeatable: bool, deadline: Moment) -> Vec<Effect> {
         self.step(Event::Arrived(NewRequest {
             id: RequestId(id),
             work: Arc::new(work(repeatable)),
@@ -102,6 +105,26 @@
     }
 }
 
+/// Guards that a stopping daemon accepts only requests that cannot outlast it.
+#[test]
+fn request_that_could_outlast_the_daemon_is_refused() {
+    let mut harness = Harness::new(&["w1"]);
+    let end = harness.now + Duration::from_secs(5);
+    harness.router.ends_at = Some(end);
+    let effects = harness.submit_until(1, true, end + Duration::from_millis(1));
+    let leaving = |o: &Outcome| {
+        matches!(
+            o,
+            Outcome::NotRun {
+                reason: NotRunReason::Leaving,
+                ..
+            }
+        )
+    };
+    assert!(outcome(&effects).is_some_and(leaving), "{effects:?}");
+    sent(&harness.submit_until(2, true, end));
+}
+
 /// A stream is interrupted and the second attempt resumes after the delivered text. Text
 /// of the first attempt that arrives later must not reach the caller.
 #[test]
--- a/tests/stops/entry.rs
+++ b/tests/stops/entry.rs
@@ -151,6 +151,28 @@
     assert!(daemon.wait_for_exit().success(), "{}", daemon.log());
 }
 
+/// Guards that a request whose deadline lies after the daemon's end is refused: it was
+/// accepted while the load balancer takes the daemon out, and cut off by the end.
+#[test]
+fn request_that_could_outlast_the_stop_is_not_run() {
+    let site = site();
+    let mut daemon = Daemon::start(&site, 1);
+    daemon.wait_until_ready();
+    daemon.signal(Signal::SIGTERM);
+    daemon.wait_for_line("Stopping: no longer ready.");
+    let late = "Idempotency-Key: outlasts\r\nBluebellreel-Deadline: 2200-01-01T00:00:00Z";
+    let outlasts = booking_request("outlasts").replace("Idempotency-Key: outlasts", late);
+    let mut connection = Connection::connect(daemon.address).expect("connected");
+    let answer = connection.ask(&outlasts).expect("an answer");
+    assert!(answer.reports_not_run(), "{answer:?}");
+    let mut connection = Connection::connect(daemon.address).expect("connected");
+    let answer = connection.ask(&booking_request("fits")).expect("an answer");
+    assert!(matches!(answer.status, 200 | 201), "{answer:?}");
+    assert!(daemon.wait_for_exit().success(), "{}", daemon.log());
+    let runs = site.service_runs().expect("runs");
+    assert!(!runs.contains_key("outlasts"));
+}
+
 /// A load balancer reuses connections. From the beginning of the stop each answer carries
 /// `Connection: close`, so that no connection is reused when the daemon exits.
 #[test]
