--- a/crates/bluebellreel_batch/tests/jobs.rs
+++ b/crates/bluebellreel_batch/tests/jobs.rs
@@ -89,8 +89,7 @@
     assert!(!job.is_open());
 }
 
-/// Guards that a write that was in flight when a cancellation was requested does not
-/// finish the job.
+/// Guards against a job that a write of results finishes while its end is pending.
 #[test]
 fn a_job_to_be_cancelled_stays_open_until_that_is_recorded() {
     let mut job = job("j", 2, NOW);
--- a/crates/bluebellreel_routing/tests/requests.rs
+++ b/crates/bluebellreel_routing/tests/requests.rs
@@ -105,7 +105,7 @@
     }
 }
 
-/// Guards that a stopping daemon accepts only requests that cannot outlast it.
+/// Guards against requests that the end of the daemon cuts off.
 #[test]
 fn request_that_could_outlast_the_daemon_is_refused() {
     let mut harness = Harness::new(&["w1"]);
--- a/tests/stops/entry.rs
+++ b/tests/stops/entry.rs
@@ -151,8 +151,7 @@
     assert!(daemon.wait_for_exit().success(), "{}", daemon.log());
 }
 
-/// Guards that a request whose deadline lies after the daemon's end is refused: it was
-/// accepted while the load balancer takes the daemon out, and cut off by the end.
+/// Guards against requests that the end of the daemon cuts off.
 #[test]
 fn request_that_could_outlast_the_stop_is_not_run() {
     let site = site();
