Gateway: an open port of a dead worker does not make its answer complete

Cause: an answer that ends with its connection counted as whole if the worker's port still took a connection. A killed process closes its connections one after the other and its listener among the last, so with many open connections the port outlives an answer by some ms, and the kernel accepts connections that no process will serve.

Change: the worker is asked for its health, by its id, after the answer has ended. Only an answer to that request, of whatever status, shows that the process outlived its answer. A refused port, another worker at the address, or silence for 2 s count as a cut; a connection that breaks is tried again.

Why this works: a dead process answers nothing, however long its port stays open. A doubtful answer is resumed or broken off, which is always true.

--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -13,14 +13,16 @@
     CrashNotice, CrashedRun, Fingerprint, PartCrash, PartNotice, QuarantineStatus, Sender, Ticket,
     VersionTag, WorkerState, WorkerTag,
 };
-use bluebellreel_net::ProbeResult;
-use bluebellreel_types::Moment;
+use bluebellreel_net::{ProbeResult, Reply, Reuse};
+use bluebellreel_platform::engine;
+use bluebellreel_types::{Moment, WorkerName};
+use http_body_util::Full;
 use log::warn;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// How long a broken-off run waits for the probe of its worker before it is resumed
 /// elsewhere. A VM answers within a few milliseconds.
@@ -28,6 +30,12 @@
 /// Delay after which a worker that accepts connections is checked again: if it has
 /// restarted, its new incarnation is listed by then instead of the previous one.
 const RECHECK_DELAY: Duration = Duration::from_millis(2500);
+/// How long a worker may take to show that it is alive. A health check waits for a slot.
+const LIVENESS_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause before another health check after one whose connection broke.
+const LIVENESS_RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Limit on the body of the answer to a health check.
+const MAX_HEALTH_BYTES: usize = 4096;
 
 /// A run that its worker broke off.
 pub(crate) struct InterruptedRun {
@@ -62,17 +70,64 @@
     (worker_view.record.state == WorkerState::Ready).then_some(worker_view.record.address)
 }
 
-/// Whether a run whose answer ended with its connection was cut short by a crash of its
-/// worker, which closes its connections as well. Returns after [`PROBE_TIMEOUT`] at the
-/// latest.
-pub(crate) async fn ended_by_crash(gw: &Rc<Gateway>, run: InterruptedRun) -> bool {
-    let Some(address) = ready_address(gw, &run.ticket) else {
+/// Whether the answer of a run at an address, which ended with its connection, was cut short
+/// by the end of its worker.
+///
+/// The connections of a killed process close before its listener does, so the worker is
+/// known to have finished the answer only once it answers a request that is sent now.
+/// Without that within [`LIVENESS_TIMEOUT`] the answer counts as cut short.
+pub(crate) async fn ended_by_crash(
+    gw: &Rc<Gateway>,
+    run: InterruptedRun,
+    address: SocketAddr,
+) -> bool {
+    if ready_address(gw, &run.ticket) != Some(address) {
         // A worker that leaves ends its runs before it exits.
         return false;
-    };
-    let probe = probe_for_crash(gw, &run, address, gw.now());
-    let probed = timeout(PROBE_TIMEOUT, probe).await;
-    probed.is_ok_and(|found| found == ProbeResult::Refused)
+    }
+    let at = gw.now();
+    let until = Instant::now() + LIVENESS_TIMEOUT;
+    loop {
+        match timeout_at(until, probe_for_crash(gw, &run, address, at)).await {
+            Ok(ProbeResult::Refused) | Err(_) => return true,
+            Ok(ProbeResult::Open | ProbeResult::Unknown) => {}
+        }
+        match timeout_at(until, is_alive(gw, &run.ticket, address)).await {
+            Ok(Some(is_alive)) => return !is_alive,
+            Ok(None) => sleep(LIVENESS_RETRY_PAUSE).await,
+            Err(_) => return true,
+        }
+    }
+}
+
+/// Whether a worker answers a health check as the one that had the run; none if the
+/// connection broke.
+async fn is_alive(gw: &Gateway, ticket: &Ticket, address: SocketAddr) -> Option<bool> {
+    let path = health_path(gw, &ticket.worker);
+    let req = engine::health_check(&path, &ticket.worker)?;
+    let reply = gw.workers.send(address, req.map(Full::new), Reuse::Any);
+    let Reply { head, mut body } = reply.await.ok()?;
+    tokio::task::spawn_local(async move {
+        // Read to its end, a connection can be used again.
+        let _ = timeout(PROBE_TIMEOUT, body.whole(MAX_HEALTH_BYTES)).await;
+    });
+    Some(engine::is_from_worker(
+        head.status,
+        &head.headers,
+        &ticket.worker,
+    ))
+}
+
+/// Path of the health check of a worker's service.
+fn health_path(gw: &Gateway, worker: &WorkerName) -> Arc<str> {
+    let board = gw.board.borrow();
+    let service = board.worker_view(worker).map(|v| v.record.service.clone());
+    let configuration = gw.configuration();
+    let services = configuration.iter().flat_map(|c| &c.services);
+    let mut found = services.filter(|s| Some(&s.name) == service.as_ref());
+    found
+        .next()
+        .map_or_else(|| Arc::from("/"), |s| s.health_path.clone())
 }
 
 async fn confirm_crash(gw: Rc<Gateway>, run: InterruptedRun, address: SocketAddr, at: Moment) {
--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -193,7 +193,7 @@
     }
     let ticket = upstream.run_guard.ticket().clone();
     let run = cut_of(next, out, ticket, upstream.began);
-    if crash::ended_by_crash(gw, run).await {
+    if crash::ended_by_crash(gw, run, upstream.address).await {
         return Err("cut short by a crash");
     }
     Ok(())
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -199,7 +199,8 @@
             return true;
         }
         let is_empty = self.events_of_run == 0 && self.last_id.is_none();
-        !is_empty && !crash::ended_by_crash(&self.gw, self.interrupted_run()).await
+        let address = self.upstream.address;
+        !is_empty && !crash::ended_by_crash(&self.gw, self.interrupted_run(), address).await
     }
 
     /// Removes the complete events from the buffer whose ids follow the last forwarded
--- a/crates/bluebellreel_gateway/src/upstream.rs
+++ b/crates/bluebellreel_gateway/src/upstream.rs
@@ -8,6 +8,7 @@
 use bluebellreel_types::Moment;
 use http::StatusCode;
 use http_body_util::Full;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -16,6 +17,7 @@
     pub(crate) head: http::response::Parts,
     pub(crate) body: ReplyBody,
     pub(crate) run_guard: RunGuard,
+    pub(crate) address: SocketAddr,
     /// When the request was sent.
     pub(crate) began: Moment,
 }
@@ -96,6 +98,7 @@
         head: reply.head,
         body: reply.body,
         run_guard: send.run_guard,
+        address,
         began,
     })
 }
