Gateway: an answer of a leaving worker is not complete just because it ends

What callers saw: a worker announced that it leaves and was gone 2 s later.

The end of a leaving worker is not recorded as a crash, as before.

Test: `an_unframed_stream_of_a_leaving_worker_that_ends_is_broken_off` failed before, passes now.

--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -81,14 +81,18 @@
     run: InterruptedRun,
     address: SocketAddr,
 ) -> bool {
-    if ready_address(gw, &run.ticket) != Some(address) {
-        // A worker that leaves ends its runs before it exits.
-        return false;
-    }
     let at = gw.now();
     let until = Instant::now() + LIVENESS_TIMEOUT;
     loop {
-        match timeout_at(until, probe_for_crash(gw, &run, address, at)).await {
+        let is_ready = ready_address(gw, &run.ticket) == Some(address);
+        let probe = async {
+            if is_ready {
+                probe_for_crash(gw, &run, address, at).await
+            } else {
+                gw.workers.probe(address).await
+            }
+        };
+        match timeout_at(until, probe).await {
             Ok(ProbeResult::Refused) | Err(_) => return true,
             Ok(ProbeResult::Open | ProbeResult::Unknown) => {}
         }
