--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -76,7 +76,7 @@
 /// The connections of a killed process close before its listener does, so the worker is
 /// known to have finished the answer only once it answers a request that is sent now.
 /// Without that within [`LIVENESS_TIMEOUT`] the answer counts as cut short.
-pub(crate) async fn ended_by_crash(
+pub(crate) async fn was_cut_short(
     gw: &Rc<Gateway>,
     run: InterruptedRun,
     address: SocketAddr,
--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -180,7 +180,7 @@
 const OTHER_VERSION: &str = "worker of another version";
 
 /// Reads a run's events as [`read_events`] does. A response that ends with its connection
-/// may have been cut short by a crash of its worker.
+/// may have been cut short by the end of its worker.
 async fn read_output(
     gw: &Rc<Gateway>,
     next: &Next,
@@ -193,8 +193,8 @@
     }
     let ticket = upstream.run_guard.ticket().clone();
     let run = cut_of(next, out, ticket, upstream.began);
-    if crash::ended_by_crash(gw, run, upstream.address).await {
-        return Err("cut short by a crash");
+    if crash::was_cut_short(gw, run, upstream.address).await {
+        return Err("cut short by its worker's end");
     }
     Ok(())
 }
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -203,7 +203,7 @@
     let body = match body {
         Ok(Ok(body)) => {
             let is_unframed = upstream.body.is_unframed();
-            if is_unframed && crash::ended_by_crash(gw, interrupted_run(), upstream.address).await {
+            if is_unframed && crash::was_cut_short(gw, interrupted_run(), upstream.address).await {
                 upstream.run_guard.failed();
                 upstream.run_guard.lost();
                 return Err(req);
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -190,7 +190,7 @@
     }
 
     /// Whether a stream whose body has ended is complete. One that ends with its connection
-    /// may have been cut short by a crash of its worker, even before its first event.
+    /// may have been cut short by the end of its worker, even before its first event.
     async fn is_complete(&self) -> bool {
         if self.events.has_partial_event() {
             return false;
@@ -200,7 +200,7 @@
         }
         let is_empty = self.events_of_run == 0 && self.last_id.is_none();
         let address = self.upstream.address;
-        !is_empty && !crash::ended_by_crash(&self.gw, self.interrupted_run(), address).await
+        !is_empty && !crash::was_cut_short(&self.gw, self.interrupted_run(), address).await
     }
 
     /// Removes the complete events from the buffer whose ids follow the last forwarded
