Logs: events of a run that crashed its worker, and why a broken-off run is no crash

The logs could not tell a part that crashes workers late from one that is present by chance, nor a crash that was missed from a connection that broke. The line of a crash now says how many events the run had; a broken-off run that is not taken for a crash gets a line with the reason. No logic is changed.

--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -17,7 +17,7 @@
 use bluebellreel_platform::engine;
 use bluebellreel_types::{Moment, WorkerName};
 use http_body_util::Full;
-use log::warn;
+use log::{info, warn};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -49,6 +49,8 @@
     pub(crate) ticket: Ticket,
     /// When the request was sent.
     pub(crate) began: Moment,
+    /// Number of events that the worker wrote in it.
+    pub(crate) events: u64,
 }
 
 /// Checks whether a run was broken off because its worker has crashed. Returns after
@@ -56,6 +58,7 @@
 pub(crate) async fn check_for_crash(gw: &Rc<Gateway>, run: InterruptedRun) {
     let Some(address) = ready_address(gw, &run.ticket) else {
         // The worker is leaving, so a run that it breaks off does not indicate a crash.
+        log_no_crash(&run, gw.now(), "worker leaves");
         return;
     };
     let probing = tokio::task::spawn_local(confirm_crash(gw.clone(), run, address, gw.now()));
@@ -135,14 +138,26 @@
 }
 
 async fn confirm_crash(gw: Rc<Gateway>, run: InterruptedRun, address: SocketAddr, at: Moment) {
-    if probe_for_crash(&gw, &run, address, at).await == ProbeResult::Open {
-        sleep(RECHECK_DELAY).await;
-        if has_restarted(&gw, &run.ticket) {
-            record_crash(&gw, &run, at, "started again");
+    match probe_for_crash(&gw, &run, address, at).await {
+        ProbeResult::Refused => {}
+        ProbeResult::Unknown => log_no_crash(&run, at, "no answer to a probe"),
+        ProbeResult::Open => {
+            sleep(RECHECK_DELAY).await;
+            if has_restarted(&gw, &run.ticket) {
+                record_crash(&gw, &run, at, "started again");
+            } else {
+                log_no_crash(&run, at, "accepts connections");
+            }
         }
     }
 }
 
+/// Logs why a run that was broken off at a moment is not taken for one that a crash ended.
+fn log_no_crash(run: &InterruptedRun, at: Moment, reason: &str) {
+    let lasted = millis(at.since(run.began));
+    info!(target: "online", request:% = run.request, fingerprint:% = run.fingerprint, worker:% = run.ticket.worker, events = run.events, took_ms = lasted, reason; "run broken off without a crash");
+}
+
 /// Probes the worker of a run that ended at a moment. If no process listens there any more,
 /// or only a later incarnation, records a crash and returns [`ProbeResult::Refused`].
 async fn probe_for_crash(
@@ -194,7 +209,7 @@
     if matches!(quarantine_status, QuarantineStatus::Quarantined(_)) {
         quarantine_store::store(gw, Subject::Request(run.fingerprint));
     }
-    warn!(target: "online", request:% = run.request, fingerprint:% = run.fingerprint, worker:% = run.ticket.worker, worker_version = version_text(run.ticket.version.as_ref()), parts, took_ms = lasted, crashes, reason; "worker crashed under a run");
+    warn!(target: "online", request:% = run.request, fingerprint:% = run.fingerprint, worker:% = run.ticket.worker, worker_version = version_text(run.ticket.version.as_ref()), parts, events = run.events, took_ms = lasted, crashes, reason; "worker crashed under a run");
 }
 
 /// Records the crash for each part of the run's prompt. Returns the parts for the log, each
--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -105,7 +105,7 @@
     .await;
     match sent {
         Ok(mut upstream) if upstream.head.status.is_success() => {
-            match read_output(gw, next, &mut upstream, &out).await {
+            match read_output(gw, next, &mut upstream, (&out, after)).await {
                 Ok(()) => {
                     upstream.run_guard.proved();
                     quarantine_gate::run_completed(gw, || Fingerprint::of(&out.identity()));
@@ -126,7 +126,7 @@
                 note_late(gw, &ticket);
             }
             if matches!(e, NoAnswer::Unknown(_)) {
-                crash::check_for_crash(gw, cut_of(next, &out, ticket, began)).await;
+                crash::check_for_crash(gw, cut_of(next, (&out, after), ticket, began)).await;
             }
             warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, outcome:? = e; "no answer to an item");
             back_off(gw)
@@ -185,14 +185,14 @@
     gw: &Rc<Gateway>,
     next: &Next,
     upstream: &mut Upstream,
-    out: &Outgoing,
+    (out, after): (&Outgoing, Option<u64>),
 ) -> Result<(), &'static str> {
     read_events(gw, next, upstream, out).await?;
     if !upstream.body.is_unframed() {
         return Ok(());
     }
     let ticket = upstream.run_guard.ticket().clone();
-    let run = cut_of(next, out, ticket, upstream.began);
+    let run = cut_of(next, (out, after), ticket, upstream.began);
     if crash::was_cut_short(gw, run, upstream.address).await {
         return Err("cut short by its worker's end");
     }
@@ -312,13 +312,20 @@
     }
     if reason == BROKEN_OFF {
         let ticket = upstream.run_guard.ticket().clone();
-        crash::check_for_crash(gw, cut_of(next, out, ticket, upstream.began)).await;
+        let run = cut_of(next, (out, after), ticket, upstream.began);
+        crash::check_for_crash(gw, run).await;
     }
     back_off(gw)
 }
 
-/// Describes a run whose response the worker broke off.
-fn cut_of(next: &Next, out: &Outgoing, ticket: Ticket, began: Moment) -> InterruptedRun {
+/// Describes a run whose response the worker broke off; `after` is the last event before it.
+fn cut_of(
+    next: &Next,
+    (out, after): (&Outgoing, Option<u64>),
+    ticket: Ticket,
+    began: Moment,
+) -> InterruptedRun {
+    let last = next.owned.job.borrow().items[next.item].progress.last_id();
     InterruptedRun {
         request: next.id.clone(),
         fingerprint: Fingerprint::of(&out.identity()),
@@ -326,6 +333,9 @@
         trial_parts: next.permit.trial_parts(),
         ticket,
         began,
+        events: last
+            .unwrap_or_default()
+            .saturating_sub(after.unwrap_or_default()),
     }
 }
 
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -132,7 +132,7 @@
         warn!(target: "online", request:% = req.id, worker:% = worker, outcome:? = e, runs = req.runs; "no answer from worker");
     }
     if matches!(outcome, Err(NoAnswer::Unknown(_))) {
-        crash::check_for_crash(gw, req.interrupted_run(ticket.clone(), began)).await;
+        crash::check_for_crash(gw, req.interrupted_run(ticket.clone(), began, 0)).await;
     }
     outcome
 }
@@ -198,7 +198,7 @@
     let body = tokio::time::timeout_at(req.deadline, upstream.body.whole(MAX_ANSWER_BYTES)).await;
     let interrupted_run = || {
         let ticket = upstream.run_guard.ticket().clone();
-        req.interrupted_run(ticket, upstream.began)
+        req.interrupted_run(ticket, upstream.began, 0)
     };
     let body = match body {
         Ok(Ok(body)) => {
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -326,7 +326,8 @@
 
     fn interrupted_run(&self) -> InterruptedRun {
         let ticket = self.upstream.run_guard.ticket().clone();
-        self.req.interrupted_run(ticket, self.upstream.began)
+        self.req
+            .interrupted_run(ticket, self.upstream.began, self.events_of_run)
     }
 
     /// Resumes the stream at a worker, preferably one that has not had it. Returns
--- a/crates/bluebellreel_gateway/src/request.rs
+++ b/crates/bluebellreel_gateway/src/request.rs
@@ -118,7 +118,12 @@
     }
 
     /// A run of this request that its worker broke off.
-    pub(crate) fn interrupted_run(&self, ticket: Ticket, began: Moment) -> InterruptedRun {
+    pub(crate) fn interrupted_run(
+        &self,
+        ticket: Ticket,
+        began: Moment,
+        events: u64,
+    ) -> InterruptedRun {
         InterruptedRun {
             request: self.id.clone(),
             fingerprint: self.fingerprint(),
@@ -126,6 +131,7 @@
             trial_parts: self.permit.trial_parts(),
             ticket,
             began,
+            events,
         }
     }
 
