Quarantine: what a worker writes before it crashes, or a resumed run after it, clears nothing

Callers repeated requests that crash their worker late in an answer, and workers went on crashing for as long as they came: no crash was counted beyond the first few.

Two things cleared them. Ten events written on a part of a prompt excused it for all crashes before, also where the run crashed its worker after the eleventh. And a stream that was resumed at another worker after the crash was complete there, which cleared the request and its parts, though the resumed run had not read what crashed the first worker.

A crash now keeps how far its run had written, and only a run of the same version that gets further speaks for the part; reports carry it in a part of their own, which earlier builds ignore. Only a run that began the answer clears a request or its parts by completing it. A part restored from the store needs a complete answer.

Existing tests: PartCrash literals name the depth, note_progress its argument; nothing else changed in them.

--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -48,7 +48,7 @@
     Attempt, BatchRun, Placement, Query, batch_to_yield, batch_to_yield_by, place_batch,
     place_contained, place_online, place_trial, should_reroute,
 };
-pub use prompt_parts::{PartCrash, PartNotice, PartSuspects, PartVerdict, VersionTag};
+pub use prompt_parts::{Depth, PartCrash, PartNotice, PartSuspects, PartVerdict, VersionTag};
 pub use routes::{CallerLimits, Configuration, Route, RouteKind, Service, Target};
 pub use speed::WorkerSpeeds;
 pub use suspects::{Cleared, CrashNotice, CrashedRun, QuarantineStatus, Sender, Suspects, may_try};
--- a/crates/bluebellreel_dispatch/src/prompt_parts/answers.rs
+++ b/crates/bluebellreel_dispatch/src/prompt_parts/answers.rs
@@ -1,11 +1,11 @@
 //! What workers have written on which parts of prompts.
 
-use super::VersionTag;
+use super::{Depth, VersionTag};
 use crate::Fingerprint;
 use bluebellreel_types::Moment;
 use std::collections::HashMap;
 
-/// Maximum number of parts, some 300 KB. Callers choose the ids of parts; beyond this
+/// Maximum number of parts, some 500 KB. Callers choose the ids of parts; beyond this
 /// number those that were not answered for the longest time are evicted.
 const MAX_PARTS: usize = 4096;
 /// Maximum number of versions that are remembered for a part.
@@ -15,8 +15,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ByVersion {
     version: VersionTag,
-    /// When the first part of an answer was last written.
-    progress: Moment,
+    /// When an answer last went beyond each depth; not so far if zero.
+    beyond: [Moment; Depth::COUNT],
     /// When an answer was last complete; none so far if zero.
     answer: Moment,
 }
@@ -24,15 +24,16 @@
 /// What workers have written on one part.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Written {
-    /// When the first part of an answer was written first.
-    since: Moment,
+    /// When an answer first went beyond each depth; none so far if zero.
+    since: [Moment; Depth::COUNT],
     /// The same for each version, the latest one last.
     versions: Vec<ByVersion>,
 }
 
 impl Written {
     fn last(&self) -> Moment {
-        self.versions.last().map_or(Moment(0), |v| v.progress)
+        let latest = self.versions.last();
+        latest.map_or(Moment(0), |v| v.beyond[0])
     }
 
     fn of_version(&self, version: VersionTag) -> Option<&ByVersion> {
@@ -47,33 +48,48 @@
 impl Answers {
     /// Records a complete answer.
     pub(super) fn note(&mut self, part: Fingerprint, version: VersionTag, now: Moment) {
-        self.note_progress(part, version, now);
+        self.note_beyond(part, version, Depth::COUNT, now);
         let versions = self.0.get_mut(&part).map(|written| &mut written.versions);
         if let Some(latest) = versions.and_then(|versions| versions.last_mut()) {
             latest.answer = now;
         }
     }
 
-    /// Records that a worker has written the first part of an answer.
-    pub(super) fn note_progress(&mut self, part: Fingerprint, version: VersionTag, now: Moment) {
+    /// Records that a worker has written an answer up to a depth.
+    pub(super) fn note_progress(
+        &mut self,
+        part: Fingerprint,
+        version: VersionTag,
+        depth: Depth,
+        now: Moment,
+    ) {
+        self.note_beyond(part, version, depth.index(), now);
+    }
+
+    /// Records that an answer has gone beyond the first `depths`.
+    fn note_beyond(&mut self, part: Fingerprint, version: VersionTag, depths: usize, now: Moment) {
         if self.0.len() >= MAX_PARTS && !self.0.contains_key(&part) {
             self.evict_older_half();
         }
-        let written = self.0.entry(part).or_insert_with(|| Written {
-            since: now,
-            versions: Vec::new(),
+        let written = self.0.entry(part).or_default();
+        for since in &mut written.since[..depths] {
+            if *since == Moment(0) {
+                *since = now;
+            }
+        }
+        let known = written.of_version(version).copied();
+        let mut by_version = known.unwrap_or(ByVersion {
+            version,
+            beyond: [Moment(0); Depth::COUNT],
+            answer: Moment(0),
         });
-        let answer = written.of_version(version).map_or(Moment(0), |v| v.answer);
+        by_version.beyond[..depths].fill(now);
         let versions = &mut written.versions;
         versions.retain(|v| v.version != version);
         if versions.len() >= MAX_VERSIONS {
             versions.remove(0);
         }
-        versions.push(ByVersion {
-            version,
-            progress: now,
-            answer,
-        });
+        versions.push(by_version);
     }
 
     fn evict_older_half(&mut self) {
@@ -83,14 +99,21 @@
         self.0.retain(|_, written| written.last() > oldest_kept);
     }
 
-    /// Whether a worker of any version had written on a part by a moment.
-    pub(super) fn was_written(&self, part: Fingerprint, by: Moment) -> bool {
-        self.0.get(&part).is_some_and(|written| written.since < by)
+    /// Whether a worker of any version had gone beyond a depth on a part by a moment.
+    pub(super) fn was_written(&self, part: Fingerprint, depth: Depth, by: Moment) -> bool {
+        let since = self.0.get(&part).map(|w| w.since[depth.index()]);
+        since.is_some_and(|since| since != Moment(0) && since < by)
     }
 
-    /// When workers of a version last wrote the first part of an answer on a part.
-    pub(super) fn last_progress(&self, part: Fingerprint, version: VersionTag) -> Option<Moment> {
-        Some(self.0.get(&part)?.of_version(version)?.progress)
+    /// When workers of a version last went beyond a depth on a part.
+    pub(super) fn last_beyond(
+        &self,
+        part: Fingerprint,
+        version: VersionTag,
+        depth: Depth,
+    ) -> Option<Moment> {
+        let at = self.0.get(&part)?.of_version(version)?.beyond[depth.index()];
+        (at != Moment(0)).then_some(at)
     }
 
     /// When workers of a version last gave a complete answer on a part.
--- a/crates/bluebellreel_dispatch/src/prompt_parts/mod.rs
+++ b/crates/bluebellreel_dispatch/src/prompt_parts/mod.rs
@@ -8,9 +8,12 @@
 //! A part is quarantined after three crashes. The parts that were merely present are told
 //! from the cause by what each of the crashes can be attributed to: it does not count
 //! against a part if another one explains it better, which is one that no worker has ever
-//! written on, or else one with more crashes. A part on which workers have written at least
-//! the first part of an answer needs three crashes one after the other, as workers that are
-//! killed at one moment run many popular parts.
+//! written on, or else one with more crashes. A part on which workers have written more than
+//! the runs that crashed needs three crashes one after the other, as workers that are killed
+//! at one moment run many popular parts.
+//!
+//! What a worker has written on a part speaks for it only as far as it goes, so that a part
+//! that crashes workers late in their answers is not cleared by what they write before.
 //!
 //! As long as two parts cannot be told from each other, both are quarantined, and a trial
 //! run decides: that of the request with the fewest other suspects comes first, at once if
@@ -22,6 +25,7 @@
 //! [`crate::Suspects`], which does the same for requests that are repeated.
 
 mod answers;
+mod depth;
 mod record;
 
 use crate::suspects::{
@@ -37,6 +41,7 @@
 use std::time::Duration;
 use twox_hash::XxHash64;
 
+pub use depth::Depth;
 pub use record::{PartCrash, PartNotice};
 
 /// Number of crashes after which a part is quarantined.
@@ -144,8 +149,8 @@
             return false;
         }
         let answered_at = self.answers.last(part, crash.version);
-        let progressed_at = self.answers.last_progress(part, crash.version);
-        crash.written |= self.answers.was_written(part, run.crashed);
+        let progressed_at = self.answers.last_beyond(part, crash.version, crash.depth);
+        crash.written |= self.answers.was_written(part, crash.depth, run.crashed);
         crash.progressed |= progressed_at.is_some_and(|at| at > run.crashed);
         crash.run.cleared |= answered_at.is_some_and(|at| at > run.crashed);
         let corrected = crash != notice.crash;
@@ -211,16 +216,23 @@
         all
     }
 
-    /// Records that a worker of a version has written the first part of an answer: other
-    /// parts are the likelier causes of the crashes so far.
-    pub fn note_progress(&mut self, parts: &[Fingerprint], version: VersionTag, now: Moment) {
+    /// Records that a worker of a version has written an answer up to a depth: other parts
+    /// are the likelier causes of the crashes of runs that got less far.
+    pub fn note_progress(
+        &mut self,
+        parts: &[Fingerprint],
+        version: VersionTag,
+        depth: Depth,
+        now: Moment,
+    ) {
         for part in parts {
-            self.answers.note_progress(*part, version, now);
+            self.answers.note_progress(*part, version, depth, now);
             let Some(record) = self.records.get_mut(part) else {
                 continue;
             };
             let crashes = record.crashes.values_mut();
-            for known in crashes.filter(|k| k.crash.version == version && !k.crash.progressed) {
+            let outdone = |k: &&mut Known| k.crash.version == version && k.crash.depth < depth;
+            for known in crashes.filter(outdone).filter(|k| !k.crash.progressed) {
                 known.crash.progressed = true;
                 known.notify_until = now + NOTIFY_PERIOD;
                 self.version += 1;
@@ -248,6 +260,8 @@
             let crash = PartCrash {
                 run,
                 version: *version,
+                // Not known: only a complete answer shows that the part is sound.
+                depth: Depth::MAX,
                 written: false,
                 progressed: false,
                 trial: false,
--- a/crates/bluebellreel_dispatch/src/prompt_parts/record.rs
+++ b/crates/bluebellreel_dispatch/src/prompt_parts/record.rs
@@ -1,6 +1,6 @@
 //! Recorded crashes of workers under requests that share one part of their prompts.
 
-use super::VersionTag;
+use super::{Depth, VersionTag};
 use crate::suspects::{MAX_CRASHES, count_sequential, quarantine_duration};
 use crate::{CrashedRun, Fingerprint, WorkerTag};
 use bluebellreel_types::Moment;
@@ -24,8 +24,9 @@
     pub run: CrashedRun,
     /// Version of the worker's software.
     pub version: VersionTag,
-    /// Whether a worker had written on the part before, at least the first part of an
-    /// answer.
+    /// How far the run had written its answer.
+    pub depth: Depth,
+    /// Whether a worker had gone further on the part before.
     pub written: bool,
     /// Whether a worker of this version has done so since.
     pub progressed: bool,
@@ -82,7 +83,7 @@
         crashes.filter(|(_, c)| !c.run.cleared)
     }
 
-    /// Crashes since which no worker of their version has written on the part.
+    /// Crashes since which no worker of their version has gone further on the part.
     pub(super) fn open(&self) -> impl Iterator<Item = (&WorkerTag, &PartCrash)> {
         self.uncleared().filter(|(_, c)| !c.progressed)
     }
--- a/crates/bluebellreel_dispatch/tests/prompt_parts.rs
+++ b/crates/bluebellreel_dispatch/tests/prompt_parts.rs
@@ -1,7 +1,7 @@
 //! Quarantine of parts of prompts on which workers crashed.
 
 use bluebellreel_dispatch::{
-    Cleared, CrashedRun, Fingerprint, PartCrash, PartNotice, PartSuspects, QuarantineStatus,
+    Cleared, CrashedRun, Depth, Fingerprint, PartCrash, PartNotice, PartSuspects, QuarantineStatus,
     VersionTag, WorkerTag,
 };
 use bluebellreel_types::Moment;
@@ -39,6 +39,7 @@
         crash: PartCrash {
             run: run(began_ms, crashed_ms),
             version: V1,
+            depth: Depth::default(),
             written: false,
             progressed: false,
             trial: false,
@@ -144,7 +145,7 @@
     let (first, bad, sound) = parts();
     let mut suspects = PartSuspects::default();
     crash(&mut suspects, &[first, bad], 0, 950, 1000);
-    suspects.note_progress(&[first, sound], V1, at(1005));
+    suspects.note_progress(&[first, sound], V1, Depth::of(10), at(1005));
     for worker in 1..5 {
         crash(&mut suspects, &[first, bad], worker, 950, 1010);
     }
@@ -160,7 +161,7 @@
     let mut suspects = PartSuspects::default();
     for n in 0..9_u32 {
         let ms = 1000 + u64::from(n) * 200;
-        suspects.note_progress(&[first], V1, at(ms - 60));
+        suspects.note_progress(&[first], V1, Depth::of(10), at(ms - 60));
         crash(&mut suspects, &[first, part(100 + n)], n, ms - 50, ms);
         assert!(!is_held(&suspects, &[first, part(99)], ms), "crash {n}");
     }
@@ -173,12 +174,31 @@
     let mut suspects = PartSuspects::default();
     for n in 0..16_u32 {
         let ms = 1000 + u64::from(n) * 500;
-        suspects.note_progress(&[bad], V1, at(ms - 60));
+        suspects.note_progress(&[bad], V1, Depth::of(10), at(ms - 60));
         crash(&mut suspects, &[bad], n, ms - 400, ms);
     }
     assert!(is_held(&suspects, &[bad], 9000));
 }
 
+/// A part crashes workers late in an answer; what they write before that must not clear it,
+/// but an answer that goes further does.
+#[test]
+fn a_part_is_not_cleared_by_runs_that_get_less_far_than_those_that_crashed() {
+    let (_, bad, _) = parts();
+    let mut suspects = PartSuspects::default();
+    for n in 0..3_u32 {
+        let ms = 1000 + u64::from(n) * 500;
+        suspects.note_progress(&[bad], V1, Depth::of(10), at(ms - 60));
+        let mut crash = notice(bad, n, ms - 400, ms);
+        crash.crash.depth = Depth::of(15);
+        suspects.note_own_crash(crash, at(ms));
+    }
+    suspects.note_progress(&[bad], V1, Depth::of(19), at(2100));
+    assert!(is_held(&suspects, &[bad], 2110));
+    suspects.note_progress(&[bad], V1, Depth::of(20), at(2200));
+    assert!(!is_held(&suspects, &[bad], 2210));
+}
+
 /// Two parts crash workers at the same time; the first part of all prompts is at all
 /// crashes of both.
 #[test]
@@ -332,7 +352,7 @@
         other(&suspects, 1100),
         QuarantineStatus::TrialOnly(_)
     ));
-    suspects.note_progress(&asked, V2, at(1500));
+    suspects.note_progress(&asked, V2, Depth::of(10), at(1500));
     assert!(is_held(&suspects, &asked, 1501));
     suspects.note_answer(&asked, V2, at(2000));
     assert_eq!(other(&suspects, 2001), QuarantineStatus::Clear);
--- a/crates/bluebellreel_dispatch/tests/prompt_parts_fleet.rs
+++ b/crates/bluebellreel_dispatch/tests/prompt_parts_fleet.rs
@@ -5,8 +5,8 @@
 //! any daemon, no two alike; all prompts share their first part.
 
 use bluebellreel_dispatch::{
-    CrashedRun, Fingerprint, PartCrash, PartNotice, PartSuspects, QuarantineStatus, VersionTag,
-    WorkerTag, may_try,
+    CrashedRun, Depth, Fingerprint, PartCrash, PartNotice, PartSuspects, QuarantineStatus,
+    VersionTag, WorkerTag, may_try,
 };
 use bluebellreel_types::{EntryName, Moment};
 use rand::rngs::SmallRng;
@@ -127,6 +127,7 @@
             let crash = PartCrash {
                 run,
                 version: VERSION,
+                depth: Depth::default(),
                 written: false,
                 progressed: false,
                 trial: trial.contains(part),
--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -10,8 +10,8 @@
 use crate::quarantine_store;
 use crate::workers::version_text;
 use bluebellreel_dispatch::{
-    CrashNotice, CrashedRun, Fingerprint, PartCrash, PartNotice, QuarantineStatus, Sender, Ticket,
-    VersionTag, WorkerState, WorkerTag,
+    CrashNotice, CrashedRun, Depth, Fingerprint, PartCrash, PartNotice, QuarantineStatus, Sender,
+    Ticket, VersionTag, WorkerState, WorkerTag,
 };
 use bluebellreel_net::{ProbeResult, Reply, Reuse};
 use bluebellreel_platform::engine;
@@ -228,6 +228,7 @@
         let crash = PartCrash {
             run: crashed_run,
             version,
+            depth: Depth::of(run.events),
             written: false,
             progressed: false,
             trial: run.trial_parts.contains(fingerprint),
--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -7,13 +7,13 @@
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::millis::millis;
-use crate::quarantine_gate::{self, PROGRESS_EVENTS, PromptPart, Trial};
+use crate::quarantine_gate::{self, PromptPart, Trial};
 use crate::stream_monitor::StreamMonitor;
 use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, RunGuard, note_late, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use crate::workers::version_text;
 use bluebellreel_batch::{ItemEnd, Job};
-use bluebellreel_dispatch::{Fingerprint, Ticket};
+use bluebellreel_dispatch::{Depth, Fingerprint, Ticket};
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_platform::ingress;
@@ -108,8 +108,9 @@
             match read_output(gw, next, &mut upstream, (&out, after)).await {
                 Ok(()) => {
                     upstream.run_guard.proved();
-                    quarantine_gate::run_completed(gw, || Fingerprint::of(&out.identity()));
-                    if has_answered(next, after) {
+                    // A run that resumes an item shows nothing about what comes before.
+                    if after.is_none() {
+                        quarantine_gate::run_completed(gw, || Fingerprint::of(&out.identity()));
                         let parts = PromptPart::of(&out, &next.service);
                         let version = upstream.run_guard.version();
                         quarantine_gate::prompt_answered(gw, &parts, version);
@@ -209,19 +210,20 @@
 ) -> Result<(), &'static str> {
     let mut events = Events::default();
     let mut stream_monitor = StreamMonitor::default();
-    let due = events_of(next) + PROGRESS_EVENTS;
-    let mut has_progressed = false;
+    let before = events_of(next);
+    let mut depth = Depth::default();
     loop {
         match timeout(SILENCE_TIMEOUT, next_chunk(gw, upstream)).await {
             Ok(Ok(Some(bytes))) => {
                 events.push(&bytes);
                 take_events(gw, next, &mut events, &mut stream_monitor, upstream)?;
-                if !has_progressed && events_of(next) >= due {
-                    has_progressed = true;
+                let reached = Depth::of(events_of(next) - before);
+                if reached > depth {
+                    depth = reached;
                     upstream.run_guard.proved();
                     let parts = PromptPart::of(out, &next.service);
                     let version = upstream.run_guard.version();
-                    quarantine_gate::prompt_progressed(gw, &parts, version);
+                    quarantine_gate::prompt_progressed(gw, &parts, version, depth);
                 }
             }
             Ok(Ok(None)) if !events.has_partial_event() => return Ok(()),
--- a/crates/bluebellreel_gateway/src/quarantine_gate.rs
+++ b/crates/bluebellreel_gateway/src/quarantine_gate.rs
@@ -11,7 +11,7 @@
 use crate::millis::millis;
 use crate::quarantine_store;
 use bluebellreel_dispatch::{
-    Cleared, Fingerprint, PartVerdict, QuarantineStatus, Sender, VersionTag, may_try,
+    Cleared, Depth, Fingerprint, PartVerdict, QuarantineStatus, Sender, VersionTag, may_try,
 };
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_platform::ingress;
@@ -37,10 +37,6 @@
 /// items with one part.
 const ITEM_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Number of events of a run from which on its worker has written on the prompt without a
-/// crash. A part that crashes workers does so as they begin an answer.
-pub(crate) const PROGRESS_EVENTS: u64 = 10;
-
 /// Why a request is not sent to a worker now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Held {
@@ -340,11 +336,12 @@
     note_cleared(gw, Subject::Request(fingerprint), cleared);
 }
 
-/// Records that a worker has written the first part of an answer on the parts of a prompt.
+/// Records that a worker has written an answer on the parts of a prompt up to a depth.
 pub(crate) fn prompt_progressed(
     gw: &Gateway,
     parts: &[PromptPart],
     version: Option<&WorkerVersion>,
+    depth: Depth,
 ) {
     if parts.is_empty() {
         return;
@@ -352,7 +349,7 @@
     let parts: Vec<Fingerprint> = parts.iter().map(|p| p.fingerprint).collect();
     gw.part_suspects
         .borrow_mut()
-        .note_progress(&parts, VersionTag::of(version), gw.now());
+        .note_progress(&parts, VersionTag::of(version), depth, gw.now());
 }
 
 /// Records that a worker has given a complete answer on the parts of a prompt.
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -11,13 +11,13 @@
 use crate::millis::millis;
 use crate::origins;
 use crate::placement;
-use crate::quarantine_gate::{self, PROGRESS_EVENTS};
+use crate::quarantine_gate;
 use crate::request::{Binding, Request};
 use crate::stream_monitor::StreamMonitor;
 use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, note_late, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use crate::workers::version_text;
-use bluebellreel_dispatch::Placement;
+use bluebellreel_dispatch::{Depth, Placement};
 use bluebellreel_net::{Broken, Reuse};
 use bluebellreel_types::WorkerName;
 use bytes::{Bytes, BytesMut};
@@ -82,9 +82,10 @@
     stream_monitor: StreamMonitor,
     last_id: Option<u64>,
     events_passed: u64,
-    /// Events of the present run: a worker that resumes a stream at its end answers without
-    /// reading the prompt.
+    /// Events of the present run.
     events_of_run: u64,
+    /// The event after which the present run resumes the answer; none if it began it.
+    resumed_after: Option<u64>,
     silence_deadline: Instant,
     /// When the first event arrived.
     first_event_at: Instant,
@@ -114,6 +115,7 @@
             last_id,
             events_passed: 0,
             events_of_run: 0,
+            resumed_after: last_id,
             silence_deadline,
             first_event_at: Instant::now(),
             last_event_at: Instant::now(),
@@ -264,10 +266,11 @@
         self.last_event_at = Instant::now();
         self.events_passed += 1;
         self.events_of_run += 1;
-        if self.events_of_run == PROGRESS_EVENTS {
+        let depth = Depth::of(self.events_of_run);
+        if depth > Depth::of(self.events_of_run - 1) {
             self.upstream.run_guard.proved();
             let version = self.upstream.run_guard.version();
-            quarantine_gate::prompt_progressed(&self.gw, self.req.parts(), version);
+            quarantine_gate::prompt_progressed(&self.gw, self.req.parts(), version, depth);
         }
         self.stream_monitor
             .record_event(&self.gw, &self.upstream.run_guard);
@@ -379,6 +382,7 @@
                     self.has_restarted = false;
                     self.events = Events::default();
                     self.events_of_run = 0;
+                    self.resumed_after = self.last_id;
                     self.stream_monitor = StreamMonitor::default();
                     self.req.runs += 1;
                     self.silence_deadline = Instant::now() + RESUMED_FIRST_EVENT_TIMEOUT;
@@ -505,8 +509,9 @@
         self.upstream.run_guard.proved();
         let lasted = self.first_event_at.elapsed();
         self.gw.board.borrow_mut().speeds.note_run(lasted);
-        quarantine_gate::run_completed(&self.gw, || self.req.fingerprint());
-        if self.events_of_run > 0 {
+        // A run that resumes an answer shows nothing about what comes before.
+        if self.resumed_after.is_none() {
+            quarantine_gate::run_completed(&self.gw, || self.req.fingerprint());
             let version = self.upstream.run_guard.version();
             quarantine_gate::prompt_answered(&self.gw, self.req.parts(), version);
         }
--- a/crates/bluebellreel_gateway/src/reports/parts.rs
+++ b/crates/bluebellreel_gateway/src/reports/parts.rs
@@ -5,7 +5,7 @@
 use super::scheduling::Scheduling;
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{
-    CrashNotice, CrashedRun, Fingerprint, PartCrash, PartNotice, PartSuspects, Suspects,
+    CrashNotice, CrashedRun, Depth, Fingerprint, PartCrash, PartNotice, PartSuspects, Suspects,
     VersionTag, WorkerTag,
 };
 use bluebellreel_members::WorkerList;
@@ -13,6 +13,7 @@
 use bluebellreel_types::{EntryName, Incarnation, Moment};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
+use std::iter;
 
 /// Mean number of daemons that include all notices of quarantined requests in a full
 /// report, per round of full reports. All daemons know these notices; this number is
@@ -30,18 +31,21 @@
     pub(super) roles: Roles,
     pub(super) part_notices: PartNotices,
     pub(super) scheduling: Scheduling,
+    pub(super) part_depths: PartDepths,
 }
 
 impl Extensions {
     pub(super) fn own(gw: &Gateway) -> Self {
+        let (part_notices, part_depths) = PartNotices::own(gw);
         Self {
             crash_notices: CrashNotices::own(gw),
             freshness: Freshness::own(gw),
             list: gw.cluster_state.borrow().list(),
             limits: Limits::own(gw, false),
             roles: Roles::own(gw),
-            part_notices: PartNotices::own(gw),
+            part_notices,
             scheduling: Scheduling::own(gw, false),
+            part_depths,
         }
     }
 }
@@ -192,17 +196,23 @@
     trial: bool,
 }
 
+/// The part after those of the scheduling features: how far each of the runs in
+/// [`PartNotices`] had written its answer, in the same order.
+#[derive(Default, Serialize, Deserialize)]
+pub(super) struct PartDepths(Vec<Depth>);
+
 impl PartNotices {
-    /// The crashes and trials that this daemon reports.
-    fn own(gw: &Gateway) -> Self {
+    /// The crashes and trials that this daemon reports, and the depths of the crashes.
+    fn own(gw: &Gateway) -> (Self, PartDepths) {
         if gw.part_suspects.borrow().is_empty() {
-            return Self::default();
+            return Default::default();
         }
         let now = gw.now();
         let notifies_all = notifies_all(gw, now);
         let mut suspects = gw.part_suspects.borrow_mut();
-        let crashes = suspects.notices(notifies_all, now).into_iter();
-        let crashes = crashes.map(|notice| PartCrashed {
+        let notices = suspects.notices(notifies_all, now);
+        let depths = notices.iter().map(|n| n.crash.depth).collect();
+        let crashes = notices.into_iter().map(|notice| PartCrashed {
             crash: Crash::of(
                 &CrashNotice {
                     fingerprint: notice.part,
@@ -216,22 +226,25 @@
             progressed: notice.crash.progressed,
             trial: notice.crash.trial,
         });
-        Self {
+        let notices = Self {
             crashes: crashes.collect(),
             trials: suspects.trials().collect(),
-        }
+        };
+        (notices, PartDepths(depths))
     }
 
-    /// Records the crashes and trials that a peer reports.
-    pub(super) fn take(self, suspects: &mut PartSuspects, now: Moment) {
-        for PartCrashed {
-            crash,
-            version,
-            written,
-            progressed,
-            trial,
-        } in self.crashes
-        {
+    /// Records the crashes and trials that a peer reports. Peers of earlier versions do not
+    /// report depths.
+    pub(super) fn take(self, depths: PartDepths, suspects: &mut PartSuspects, now: Moment) {
+        let depths = depths.0.into_iter().chain(iter::repeat(Depth::default()));
+        for (reported, depth) in self.crashes.into_iter().zip(depths) {
+            let PartCrashed {
+                crash,
+                version,
+                written,
+                progressed,
+                trial,
+            } = reported;
             let CrashNotice {
                 fingerprint,
                 worker,
@@ -243,6 +256,7 @@
                 crash: PartCrash {
                     run: crashed_run,
                     version,
+                    depth,
                     written,
                     progressed,
                     trial,
--- a/crates/bluebellreel_gateway/src/reports/receive.rs
+++ b/crates/bluebellreel_gateway/src/reports/receive.rs
@@ -168,9 +168,11 @@
     extensions
         .crash_notices
         .take(&mut gw.suspects.borrow_mut(), now);
-    extensions
-        .part_notices
-        .take(&mut gw.part_suspects.borrow_mut(), now);
+    extensions.part_notices.take(
+        extensions.part_depths,
+        &mut gw.part_suspects.borrow_mut(),
+        now,
+    );
     extensions.limits.take(gw, &report.entry, report.run);
     extensions
         .scheduling
--- a/crates/bluebellreel_gateway/src/reports/wire.rs
+++ b/crates/bluebellreel_gateway/src/reports/wire.rs
@@ -326,6 +326,7 @@
     let (roles, rest) = optional(rest)?;
     let (part_notices, rest) = optional(rest)?;
     let (scheduling, rest) = optional(rest)?;
+    let (part_depths, rest) = optional(rest)?;
     let parts = Extensions {
         crash_notices,
         freshness,
@@ -334,6 +335,7 @@
         roles,
         part_notices,
         scheduling,
+        part_depths,
     };
     let full = Datagram::Full(Box::new(report), supplement, parts);
     Ok((full, rest))
--- a/crates/bluebellreel_model/src/prompt_parts.rs
+++ b/crates/bluebellreel_model/src/prompt_parts.rs
@@ -7,8 +7,8 @@
 use crate::Explored;
 use crate::explored::explore_all;
 use bluebellreel_dispatch::{
-    CrashedRun, Fingerprint, PartCrash, PartNotice, PartSuspects, QuarantineStatus, VersionTag,
-    WorkerTag,
+    CrashedRun, Depth, Fingerprint, PartCrash, PartNotice, PartSuspects, QuarantineStatus,
+    VersionTag, WorkerTag,
 };
 use bluebellreel_types::Moment;
 use std::time::Duration;
@@ -137,6 +137,7 @@
             let crash = PartCrash {
                 run,
                 version: VERSION,
+                depth: Depth::default(),
                 written: false,
                 progressed: false,
                 trial: is_trial && self.guards.trials && verdict.parts.contains(&part),
