Crashes: each run that ends with its worker is attributed, and a trial lasts until that is known

Callers repeated requests that crash their workers, and were not held back, or late.

A run that resumes an answer and breaks off before its head was not looked into at all, so that one of an attempt's three crashes counted. A worker that was seen to have started again before its connections broke did not count either.

The worker of a broken-off run now has to answer a health check, by its id; the runs that it broke off together share one. The same code decides for answers that end with their connection. Resumed runs and runs left because of a restart are looked into like others. A trial is shared with the task that looks into its run.

--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -5,37 +5,34 @@
 //! longer listed a moment later without having announced that it leaves.
 
 use crate::gateway::Gateway;
+use crate::health;
 use crate::millis::millis;
-use crate::quarantine_gate::{PromptPart, Subject};
+use crate::quarantine_gate::{PromptPart, Subject, Trial};
 use crate::quarantine_store;
 use crate::workers::version_text;
 use bluebellreel_dispatch::{
     CrashNotice, CrashedRun, Depth, Fingerprint, PartCrash, PartNotice, QuarantineStatus, Sender,
     Ticket, VersionTag, WorkerState, WorkerTag,
 };
-use bluebellreel_net::{ProbeResult, Reply, Reuse};
-use bluebellreel_platform::engine;
-use bluebellreel_types::{Moment, WorkerName};
-use http_body_util::Full;
+use bluebellreel_net::ProbeResult;
+use bluebellreel_types::Moment;
 use log::{info, warn};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// How long a broken-off run waits for the probe of its worker before it is resumed
 /// elsewhere. A VM answers within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(30);
-/// Delay after which a worker that accepts connections is checked again: if it has
-/// restarted, its new incarnation is listed by then instead of the previous one.
+/// How long the worker of a broken-off run is watched: if it has restarted, its new
+/// incarnation is listed by then instead of the previous one.
 const RECHECK_DELAY: Duration = Duration::from_millis(2500);
 /// How long a worker may take to show that it is alive. A health check waits for a slot.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause before another health check after one whose connection broke.
 const LIVENESS_RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// Limit on the body of the answer to a health check.
-const MAX_HEALTH_BYTES: usize = 4096;
 
 /// A run that its worker broke off.
 pub(crate) struct InterruptedRun {
@@ -46,6 +43,8 @@
     pub(crate) parts: Vec<PromptPart>,
     /// The parts of which it was a trial.
     pub(crate) trial_parts: Vec<Fingerprint>,
+    /// The trial that it was, which lasts until its end is known.
+    pub(crate) trial: Option<Rc<Trial>>,
     pub(crate) ticket: Ticket,
     /// When the request was sent.
     pub(crate) began: Moment,
@@ -73,82 +72,86 @@
     (worker_view.record.state == WorkerState::Ready).then_some(worker_view.record.address)
 }
 
+/// What is known of the worker of a run that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Liveness {
+    /// It has answered a request that was sent after the run's end.
+    Alive,
+    /// Its process has ended.
+    Ended,
+    /// Neither was found out in time.
+    Unknown,
+}
+
 /// Whether the answer of a run at an address, which ended with its connection, was cut short
-/// by the end of its worker.
-///
-/// The connections of a killed process close before its listener does, so the worker is
-/// known to have finished the answer only once it answers a request that is sent now.
-/// Without that within [`LIVENESS_TIMEOUT`] the answer counts as cut short.
+/// by the end of its worker. Without an answer to a health check within [`LIVENESS_TIMEOUT`]
+/// it counts as cut short.
 pub(crate) async fn was_cut_short(
     gw: &Rc<Gateway>,
     run: InterruptedRun,
     address: SocketAddr,
 ) -> bool {
-    let at = gw.now();
     let until = Instant::now() + LIVENESS_TIMEOUT;
+    find_liveness(gw, &run, address, (gw.now(), until)).await != Liveness::Alive
+}
+
+/// Finds out whether the worker of a run that ended at a moment is alive, and records a crash
+/// if it is not and has not announced that it leaves.
+///
+/// The connections of a killed process close before its listener does, so an open port shows
+/// nothing: the worker has to answer a request that is sent now.
+async fn find_liveness(
+    gw: &Rc<Gateway>,
+    run: &InterruptedRun,
+    address: SocketAddr,
+    (at, until): (Moment, Instant),
+) -> Liveness {
     loop {
         let is_ready = ready_address(gw, &run.ticket) == Some(address);
         let probe = async {
             if is_ready {
-                probe_for_crash(gw, &run, address, at).await
+                probe_for_crash(gw, run, address, at).await
             } else {
                 gw.workers.probe(address).await
             }
         };
         match timeout_at(until, probe).await {
-            Ok(ProbeResult::Refused) | Err(_) => return true,
+            Ok(ProbeResult::Refused) => return Liveness::Ended,
             Ok(ProbeResult::Open | ProbeResult::Unknown) => {}
+            Err(_) => return Liveness::Unknown,
         }
-        match timeout_at(until, is_alive(gw, &run.ticket, address)).await {
-            Ok(Some(is_alive)) => return !is_alive,
+        match timeout_at(until, health::is_alive(gw, &run.ticket.worker, address)).await {
+            Ok(Some(true)) => return Liveness::Alive,
+            Ok(Some(false)) => {
+                if is_ready {
+                    record_crash(gw, run, at, "another worker answers");
+                }
+                return Liveness::Ended;
+            }
             Ok(None) => sleep(LIVENESS_RETRY_PAUSE).await,
-            Err(_) => return true,
+            Err(_) => return Liveness::Unknown,
         }
     }
 }
 
-/// Whether a worker answers a health check as the one that had the run; none if the
-/// connection broke.
-async fn is_alive(gw: &Gateway, ticket: &Ticket, address: SocketAddr) -> Option<bool> {
-    let path = health_path(gw, &ticket.worker);
-    let req = engine::health_check(&path, &ticket.worker)?;
-    let reply = gw.workers.send(address, req.map(Full::new), Reuse::Any);
-    let Reply { head, mut body } = reply.await.ok()?;
-    tokio::task::spawn_local(async move {
-        // Read to its end, a connection can be used again.
-        let _ = timeout(PROBE_TIMEOUT, body.whole(MAX_HEALTH_BYTES)).await;
-    });
-    Some(engine::is_from_worker(
-        head.status,
-        &head.headers,
-        &ticket.worker,
-    ))
-}
-
-/// Path of the health check of a worker's service.
-fn health_path(gw: &Gateway, worker: &WorkerName) -> Arc<str> {
-    let board = gw.board.borrow();
-    let service = board.worker_view(worker).map(|v| v.record.service.clone());
-    let configuration = gw.configuration();
-    let services = configuration.iter().flat_map(|c| &c.services);
-    let mut found = services.filter(|s| Some(&s.name) == service.as_ref());
-    found
-        .next()
-        .map_or_else(|| Arc::from("/"), |s| s.health_path.clone())
-}
-
-async fn confirm_crash(gw: Rc<Gateway>, run: InterruptedRun, address: SocketAddr, at: Moment) {
+async fn confirm_crash(gw: Rc<Gateway>, mut run: InterruptedRun, address: SocketAddr, at: Moment) {
+    let until = Instant::now() + RECHECK_DELAY;
     match probe_for_crash(&gw, &run, address, at).await {
-        ProbeResult::Refused => {}
-        ProbeResult::Unknown => log_no_crash(&run, at, "no answer to a probe"),
-        ProbeResult::Open => {
-            sleep(RECHECK_DELAY).await;
-            if has_restarted(&gw, &run.ticket) {
-                record_crash(&gw, &run, at, "started again");
-            } else {
-                log_no_crash(&run, at, "accepts connections");
-            }
-        }
+        ProbeResult::Refused => return,
+        ProbeResult::Unknown => return log_no_crash(&run, at, "no answer to a probe"),
+        ProbeResult::Open => {}
+    }
+    let reason = match find_liveness(&gw, &run, address, (at, until)).await {
+        Liveness::Ended => return,
+        Liveness::Alive => "alive",
+        Liveness::Unknown => "no answer to a health check",
+    };
+    log_no_crash(&run, at, reason);
+    run.trial = None;
+    // A worker that has restarted under its id is listed as a new incarnation by then.
+    sleep_until(until).await;
+    if has_restarted(&gw, &run.ticket) {
+        record_crash(&gw, &run, at, "started again");
     }
 }
 
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::cluster_state::ClusterState;
 use crate::confirmation::OnDemand;
 use crate::evidence::EvidenceLog;
+use crate::health::HealthChecks;
 use crate::in_progress::InProgress;
 use crate::jobs::Deadlines;
 use crate::jobs::own::Jobs;
@@ -97,6 +98,7 @@
     /// When items complete, and which of them can be in time.
     pub(crate) deadlines: Deadlines,
     pub(crate) workers: Pool,
+    pub(crate) health_checks: HealthChecks,
     pub(crate) peers: Pool,
     pub(crate) store: StoreClient,
     pub(crate) metrics: Metrics,
@@ -211,6 +213,7 @@
             metrics,
             keepers: RefCell::default(),
             keeper_visited: Notify::new(),
+            health_checks: HealthChecks::default(),
             unreadable: RefCell::default(),
             lease: Cell::new(0),
             registered_revision: Cell::new(0),
--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -7,7 +7,7 @@
 use crate::events::Events;
 use crate::gateway::Gateway;
 use crate::millis::millis;
-use crate::quarantine_gate::{self, PromptPart, Trial};
+use crate::quarantine_gate::{self, PromptPart};
 use crate::stream_monitor::StreamMonitor;
 use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, RunGuard, note_late, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
@@ -31,7 +31,7 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Runs an item at a worker to the end of the run, and records how it ended.
-pub(super) async fn run(gw: Rc<Gateway>, next: Next, run_guard: RunGuard, trial: Option<Trial>) {
+pub(super) async fn run(gw: Rc<Gateway>, mut next: Next, run_guard: RunGuard) {
     let worker = run_guard.worker().clone();
     let id = next.id.clone();
     let (after, revision, can_be_in_time, left) = {
@@ -45,7 +45,7 @@
     gw.metrics.confirmation_age.observe(confirmed.as_secs_f64());
     info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, worker_version = version_text(run_guard.version()), after:? = after, revision, can_be_in_time, left_ms = millis(left), confirmed_ms = millis(confirmed); "item sent");
     let end = run_at(&gw, &next, run_guard, after).await;
-    drop(trial);
+    next.trial = None;
     let now = gw.now();
     let key = (next.job.clone(), next.item);
     gw.jobs.borrow_mut().runs.remove(&key);
@@ -126,7 +126,8 @@
                 gw.board.borrow_mut().failed(&ticket, gw.now());
                 note_late(gw, &ticket);
             }
-            if matches!(e, NoAnswer::Unknown(_)) {
+            let has_restarted = gw.board.borrow().is_from_previous_incarnation(&ticket);
+            if has_restarted || matches!(e, NoAnswer::Unknown(_)) {
                 crash::check_for_crash(gw, cut_of(next, (&out, after), ticket, began)).await;
             }
             warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, outcome:? = e; "no answer to an item");
@@ -333,6 +334,7 @@
         fingerprint: Fingerprint::of(&out.identity()),
         parts: PromptPart::of(out, &next.service),
         trial_parts: next.permit.trial_parts(),
+        trial: next.trial.clone(),
         ticket,
         began,
         events: last
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -204,6 +204,8 @@
     pub(super) service: Arc<str>,
     /// Where it may run.
     pub(super) permit: Permit,
+    /// Set while it runs on trial.
+    pub(super) trial: Option<Rc<Trial>>,
 }
 
 /// Chooses the item to start next, of a service with free slots and a job that is not
@@ -246,6 +248,7 @@
                     route,
                     service,
                     permit: Permit::default(),
+                    trial: None,
                 });
             }
             Some(_) => {
@@ -259,8 +262,8 @@
     }
 }
 
-fn start(gw: &Rc<Gateway>, next: Next, worker: &WorkerName) {
-    let trial = Trial::begin(gw, &next.id, &next.permit);
+fn start(gw: &Rc<Gateway>, mut next: Next, worker: &WorkerName) {
+    next.trial = Trial::begin(gw, &next.id, &next.permit);
     let run_guard = RunGuard::acquire(gw, worker, Class::Batch);
     {
         let mut job = next.owned.job.borrow_mut();
@@ -274,7 +277,7 @@
         }
     }
     let key = (next.job.clone(), next.item);
-    let task = tokio::task::spawn_local(run(gw.clone(), next, run_guard, trial));
+    let task = tokio::task::spawn_local(run(gw.clone(), next, run_guard));
     let run = ItemRun {
         worker: worker.clone(),
         abort: task.abort_handle(),
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod events;
 mod evidence;
 mod gateway;
+mod health;
 mod in_progress;
 mod jobs;
 mod join;
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -131,7 +131,8 @@
     if let Err(e) = &outcome {
         warn!(target: "online", request:% = req.id, worker:% = worker, outcome:? = e, runs = req.runs; "no answer from worker");
     }
-    if matches!(outcome, Err(NoAnswer::Unknown(_))) {
+    let was_left = has_restarted && matches!(outcome, Err(NoAnswer::Silent));
+    if was_left || matches!(outcome, Err(NoAnswer::Unknown(_))) {
         crash::check_for_crash(gw, req.interrupted_run(ticket.clone(), began, 0)).await;
     }
     outcome
--- a/crates/bluebellreel_gateway/src/quarantine_gate.rs
+++ b/crates/bluebellreel_gateway/src/quarantine_gate.rs
@@ -98,7 +98,8 @@
 
 /// A trial run of a request that has crashed workers, which shows whether workers can run
 /// it now. While it exists, other requests that the same crashes speak against are held
-/// back.
+/// back. It is shared with the task that finds out whether the run's worker has crashed, so
+/// that no other trial begins before that is known.
 pub(crate) struct Trial {
     gw: Rc<Gateway>,
     subjects: Vec<Subject>,
@@ -145,7 +146,7 @@
 
 impl Trial {
     /// Begins a trial and notifies all peers of it, if the permit is for one.
-    pub(crate) fn begin(gw: &Rc<Gateway>, request: &str, permit: &Permit) -> Option<Self> {
+    pub(crate) fn begin(gw: &Rc<Gateway>, request: &str, permit: &Permit) -> Option<Rc<Self>> {
         if !permit.is_trial() {
             return None;
         }
@@ -163,7 +164,7 @@
         gw.report_due.notify_one();
         let gw = gw.clone();
         let subjects = permit.trial_of.clone();
-        Some(Self { gw, subjects })
+        Some(Rc::new(Self { gw, subjects }))
     }
 }
 
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -178,6 +178,9 @@
                     if self.events_of_run == 0 {
                         self.upstream.run_guard.late();
                     }
+                    if self.has_restarted {
+                        self.probe_for_crash().await;
+                    }
                     let open = !self.has_other_version();
                     if !self.resume(reason, open).await {
                         if self.has_restarted {
@@ -446,13 +449,19 @@
         };
         let run_guard = placement::acquire(&self.gw, worker);
         let ticket = run_guard.ticket().clone();
+        let began = self.gw.now();
         let mut restarted = pin!(worker_restarted(&self.gw, &ticket));
         let mut restart_deadline = None;
-        let (gw, deadline) = (&self.gw, self.req.deadline);
-        let check_late = |answer: &Result<Upstream, NoAnswer>| {
-            if matches!(answer, Err(NoAnswer::Silent)) && Instant::now() < deadline {
+        let (gw, req) = (&self.gw, &self.req);
+        let note_failure = async |answer: &Result<Upstream, NoAnswer>| match answer {
+            Err(NoAnswer::Silent) if Instant::now() < req.deadline => {
                 note_late(gw, &ticket);
             }
+            Err(NoAnswer::Unknown(_)) => {
+                let run = req.interrupted_run(ticket.clone(), began, 0);
+                crash::check_for_crash(gw, run).await;
+            }
+            _ => {}
         };
         let mut sent = pin!(send(
             &self.gw,
@@ -466,14 +475,14 @@
             },
         ));
         if let Ok(answer) = timeout_at(early_deadline, sent.as_mut()).await {
-            check_late(&answer);
+            note_failure(&answer).await;
             return answer.map(Box::new).map(Resumption::NewWorker);
         }
         loop {
             tokio::select! {
                 biased;
                 answer = sent.as_mut() => {
-                    check_late(&answer);
+                    note_failure(&answer).await;
                     return answer.map(Box::new).map(Resumption::NewWorker);
                 }
                 read = self.upstream.body.next(), if open => match read {
@@ -484,8 +493,10 @@
                     restart_deadline = Some(Instant::now() + RESTART_GRACE);
                 }
                 () = sleep_until(restart_deadline.unwrap_or(until)), if restart_deadline.is_some() => {
+                    let answer = Err(NoAnswer::Unknown("worker started again".into()));
+                    note_failure(&answer).await;
                     self.req.tried.retain(|w| w != worker);
-                    return Err(NoAnswer::Unknown("worker started again".into()));
+                    return answer.map(Box::new).map(Resumption::NewWorker);
                 }
             }
         }
--- a/crates/bluebellreel_gateway/src/request.rs
+++ b/crates/bluebellreel_gateway/src/request.rs
@@ -74,7 +74,7 @@
     /// Where the request may run next.
     pub(crate) permit: Permit,
     /// Set while the request is a trial run that shows whether workers can run it.
-    pub(crate) trial: Option<Trial>,
+    pub(crate) trial: Option<Rc<Trial>>,
 }
 
 impl Request {
@@ -129,6 +129,7 @@
             fingerprint: self.fingerprint(),
             parts: self.parts().to_vec(),
             trial_parts: self.permit.trial_parts(),
+            trial: self.trial.clone(),
             ticket,
             began,
             events,
@@ -154,7 +155,6 @@
     ///
     /// Returns why it is held back, and until when.
     pub(crate) fn may_run(&mut self, gw: &Rc<Gateway>) -> Result<(), Held> {
-        // The outcome of an earlier run has been recorded by now.
         self.trial = None;
         self.permit = Permit::default();
         let checked = Checked {
