Items: one under which workers crashed runs again once workers are calm, however many crashed

Items that were running at three or more crashes in turn waited 2 s, 15 s, 30 s, up to ten minutes after the last one, and items with a part of their prompt for which callers' requests are held back as long as those: they lay there though all workers were calm and had room. Workers' crashes spoke against items as against callers' requests, which send themselves again; an item is owed until a worker has said that it cannot be done.

An item now waits one second after the last crash under it, or under a quarantined part of its prompt, whatever their number. Then it runs at the worker with the fewest runs; a daemon runs one such item at a time, one more with each that a worker gets ahead with, and one again after the next crash; daemons whose items share a part take turns by 250 ms. An item needs no trial of its own, so that none that a killed owner had begun blocks it. Callers' requests and parts are held back as before.

--- a/crates/bluebellreel_dispatch/src/lib.rs
+++ b/crates/bluebellreel_dispatch/src/lib.rs
@@ -51,5 +51,8 @@
 pub use prompt_parts::{Depth, PartCrash, PartNotice, PartSuspects, PartVerdict, VersionTag};
 pub use routes::{CallerLimits, Configuration, Route, RouteKind, Service, Target};
 pub use speed::WorkerSpeeds;
-pub use suspects::{Cleared, CrashNotice, CrashedRun, QuarantineStatus, Sender, Suspects, may_try};
+pub use suspects::{
+    Cleared, CrashNotice, CrashedRun, ItemStatus, ItemTrials, QuarantineStatus, Suspects, may_try,
+    may_try_item,
+};
 pub use ticket::{Class, Ticket};
--- a/crates/bluebellreel_dispatch/src/prompt_parts/mod.rs
+++ b/crates/bluebellreel_dispatch/src/prompt_parts/mod.rs
@@ -32,7 +32,7 @@
     CRASH_RETENTION, MAX_CRASHES, MAX_NOTICES, MAX_TRIAL, MIN_SIMULTANEOUS_CRASHES, NOTIFY_PERIOD,
     QUARANTINE_CRASHES, SIMULTANEOUS_WINDOW, select_notices,
 };
-use crate::{Cleared, CrashedRun, Fingerprint, QuarantineStatus, WorkerTag};
+use crate::{Cleared, CrashedRun, Fingerprint, ItemStatus, QuarantineStatus, WorkerTag};
 use answers::Answers;
 use bluebellreel_types::{Moment, WorkerVersion};
 use record::{Known, Record};
@@ -277,13 +277,12 @@
         }
     }
 
-    /// Whether a request with these shared parts may be sent to workers of a version now.
+    /// Whether a caller's request with these shared parts may be sent to workers of a version
+    /// now.
     #[must_use]
     pub fn verdict(&self, parts: &[Fingerprint], version: VersionTag, now: Moment) -> PartVerdict {
-        let present: Vec<(Fingerprint, &Record)> = parts
-            .iter()
-            .filter_map(|part| Some((*part, self.records.get(part)?)))
-            .filter(|(part, r)| !self.is_cleared_at(*part, r, version))
+        let present: Vec<(Fingerprint, &Record)> = self
+            .uncleared(parts, version)
             .filter(|(_, r)| self.attributed_crashes(r) > 0 || r.open_count() > 0)
             .collect();
         let quarantined: Vec<(Fingerprint, &Record)> = present
@@ -330,6 +329,34 @@
         }
     }
 
+    /// Whether an item with these shared parts may be sent to workers of a version now, and
+    /// the part that decides.
+    #[must_use]
+    pub fn item_status(
+        &self,
+        parts: &[Fingerprint],
+        version: VersionTag,
+        now: Moment,
+    ) -> (ItemStatus, Option<Fingerprint>) {
+        let quarantined = self
+            .uncleared(parts, version)
+            .filter(|(_, r)| self.attributed_crashes(r) >= MIN_CRASHES);
+        let statuses =
+            quarantined.map(|(part, r)| (ItemStatus::after_crash(r.last(), now), Some(part)));
+        statuses.max().unwrap_or((ItemStatus::Clear, None))
+    }
+
+    /// Those of the parts that no answer by this version has cleared, with their crashes.
+    fn uncleared<'a>(
+        &'a self,
+        parts: &'a [Fingerprint],
+        version: VersionTag,
+    ) -> impl Iterator<Item = (Fingerprint, &'a Record)> {
+        let known = parts.iter();
+        let known = known.filter_map(|part| Some((*part, self.records.get(part)?)));
+        known.filter(move |(part, r)| !self.is_cleared_at(*part, r, version))
+    }
+
     /// Whether a version of the workers has answered on a part that crashed others.
     fn is_cleared_at(&self, part: Fingerprint, record: &Record, version: VersionTag) -> bool {
         let has_crashed = record.open().any(|(_, c)| c.version == version);
--- a/crates/bluebellreel_dispatch/src/suspects/mod.rs
+++ b/crates/bluebellreel_dispatch/src/suspects/mod.rs
@@ -10,10 +10,14 @@
 //! as happens when workers are killed. A run that completes clears all crashes counted
 //! before it.
 //!
+//! Callers' requests are quarantined, for longer with each further crash. Items of jobs are
+//! owed: they wait only until workers are calm.
+//!
 //! Daemons notify each other of each crash that they observe and of the request that was
 //! running. Conclusions are not replicated: each daemon derives its own from the same
 //! crashes, and a late notice corrects it.
 
+mod item;
 mod record;
 mod trial;
 
@@ -23,11 +27,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+pub use item::{ItemStatus, ItemTrials};
 pub use record::{CrashNotice, CrashedRun};
 pub(crate) use record::{
     MAX_CRASHES, MIN_SIMULTANEOUS_CRASHES, SIMULTANEOUS_WINDOW, count_sequential,
 };
-pub use trial::may_try;
+pub use trial::{may_try, may_try_item};
 
 /// Number of crashes after which a request is quarantined. A lower number would
 /// quarantine requests that ran during two crashes by accident; each additional crash
@@ -37,12 +42,9 @@
 /// crashes by accident cannot be distinguished from their cause; the first run of either
 /// request after this time decides.
 const INITIAL_QUARANTINE: Duration = Duration::from_secs(2);
-/// Second quarantine of a caller's request, after one more crash; it doubles with each
-/// further one. Longer than for batch items, as callers repeat requests within seconds.
-const ONLINE_QUARANTINE: Duration = Duration::from_mins(1);
-/// Second quarantine of a batch item, after one more crash; it doubles with each further
-/// one. Shorter, as only the job's owner sends the item, and its whole job waits for it.
-const BATCH_QUARANTINE: Duration = Duration::from_secs(15);
+/// Second quarantine, after one more crash; it doubles with each further one. Callers repeat
+/// requests within seconds.
+const SECOND_QUARANTINE: Duration = Duration::from_mins(1);
 /// Maximum quarantine. Once workers can run the request again, it waits this long at
 /// most.
 const MAX_QUARANTINE: Duration = Duration::from_mins(10);
@@ -58,16 +60,7 @@
 /// Maximum number of notices in one report, some 500 bytes.
 pub(crate) const MAX_NOTICES: usize = 24;
 
-/// Who sends a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sender {
-    /// A caller, who may retry at any daemon.
-    Caller,
-    /// The owner of a batch job.
-    Job,
-}
-
-/// Whether a request may be sent to a worker.
+/// Whether a caller's request may be sent to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineStatus {
     /// No crash is attributed to it.
@@ -281,14 +274,9 @@
         crashes
     }
 
-    /// Whether a request may be sent to a worker now.
+    /// Whether a caller's request may be sent to a worker now.
     #[must_use]
-    pub fn quarantine_status(
-        &self,
-        fingerprint: Fingerprint,
-        sender: Sender,
-        now: Moment,
-    ) -> QuarantineStatus {
+    pub fn quarantine_status(&self, fingerprint: Fingerprint, now: Moment) -> QuarantineStatus {
         let (attributed_crashes, last) = self.attributed_crashes(fingerprint);
         if attributed_crashes == 0 {
             return QuarantineStatus::Clear;
@@ -296,11 +284,7 @@
         let Some(extra) = attributed_crashes.checked_sub(QUARANTINE_CRASHES) else {
             return QuarantineStatus::Suspect;
         };
-        let base = match sender {
-            Sender::Caller => ONLINE_QUARANTINE,
-            Sender::Job => BATCH_QUARANTINE,
-        };
-        let until = last + quarantine_duration(extra, base);
+        let until = last + quarantine_duration(extra, SECOND_QUARANTINE);
         let trial_until = self.records[&fingerprint].trial_until;
         if !until.is_past(now) {
             QuarantineStatus::Quarantined(until)
@@ -311,6 +295,16 @@
         }
     }
 
+    /// Whether an item of a job may be sent to a worker now.
+    #[must_use]
+    pub fn item_status(&self, fingerprint: Fingerprint, now: Moment) -> ItemStatus {
+        let (attributed_crashes, last) = self.attributed_crashes(fingerprint);
+        if attributed_crashes < QUARANTINE_CRASHES {
+            return ItemStatus::Clear;
+        }
+        ItemStatus::after_crash(last, now)
+    }
+
     /// Records the start of a trial run at this daemon.
     pub fn begin_trial(&mut self, fingerprint: Fingerprint, now: Moment) {
         self.note_trial(fingerprint, now);
--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -11,8 +11,8 @@
 use crate::quarantine_store;
 use crate::workers::version_text;
 use bluebellreel_dispatch::{
-    CrashNotice, CrashedRun, Depth, Fingerprint, PartCrash, PartNotice, QuarantineStatus, Sender,
-    Ticket, VersionTag, WorkerState, WorkerTag,
+    CrashNotice, CrashedRun, Depth, Fingerprint, PartCrash, PartNotice, QuarantineStatus, Ticket,
+    VersionTag, WorkerState, WorkerTag,
 };
 use bluebellreel_net::ProbeResult;
 use bluebellreel_types::Moment;
@@ -43,6 +43,8 @@
     pub(crate) parts: Vec<PromptPart>,
     /// The parts of which it was a trial.
     pub(crate) trial_parts: Vec<Fingerprint>,
+    /// Whether it was a run of a batch item.
+    pub(crate) is_item: bool,
     /// The trial that it was, which lasts until its end is known.
     pub(crate) trial: Option<Rc<Trial>>,
     pub(crate) ticket: Ticket,
@@ -205,11 +207,11 @@
     let crashes = gw.suspects.borrow_mut().note_own_crash(notice, now);
     let parts = record_parts(gw, run, worker, crashed_run);
     gw.report_due.notify_one();
-    let quarantine_status =
-        gw.suspects
-            .borrow()
-            .quarantine_status(run.fingerprint, Sender::Caller, now);
-    if matches!(quarantine_status, QuarantineStatus::Quarantined(_)) {
+    if run.trial.as_ref().is_some_and(|t| t.is_item) {
+        gw.item_trials.borrow_mut().crashed();
+    }
+    let quarantine_status = gw.suspects.borrow().quarantine_status(run.fingerprint, now);
+    if !run.is_item && matches!(quarantine_status, QuarantineStatus::Quarantined(_)) {
         quarantine_store::store(gw, Subject::Request(run.fingerprint));
     }
     warn!(target: "online", request:% = run.request, fingerprint:% = run.fingerprint, worker:% = run.ticket.worker, worker_version = version_text(run.ticket.version.as_ref()), parts, events = run.events, took_ms = lasted, crashes, reason; "worker crashed under a run");
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use crate::unreadable::Unreadable;
 use bluebellreel_batch::{RegistrationSpan, Stamp, StartTerms};
 use bluebellreel_dispatch::{
-    Board, Configuration, Evidence, Overloads, PartSuspects, PlacementLimits, Suspects,
+    Board, Configuration, Evidence, ItemTrials, Overloads, PartSuspects, PlacementLimits, Suspects,
 };
 use bluebellreel_kv::KeyValue;
 use bluebellreel_members::{Members, WatchDuty};
@@ -77,7 +77,9 @@
     pub(crate) suspects: RefCell<Suspects>,
     /// Parts of prompts on which workers have crashed.
     pub(crate) part_suspects: RefCell<PartSuspects>,
-    /// When an item that is held back for a part of its prompt was last logged.
+    /// How many items under which workers have crashed may run.
+    pub(crate) item_trials: RefCell<ItemTrials>,
+    /// When an item that is held back was last logged.
     pub(crate) held_item_logged: Cell<Moment>,
     pub(crate) members: RefCell<Members>,
     /// This daemon's part in elections of watchers.
@@ -192,6 +194,7 @@
             overloads: RefCell::default(),
             suspects: RefCell::default(),
             part_suspects: RefCell::default(),
+            item_trials: RefCell::default(),
             held_item_logged: Cell::default(),
             members: RefCell::default(),
             watch_duty: RefCell::default(),
--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -6,6 +6,7 @@
 use crate::crash::{self, InterruptedRun};
 use crate::events::Events;
 use crate::gateway::Gateway;
+use crate::item_gate;
 use crate::millis::millis;
 use crate::quarantine_gate::{self, PromptPart};
 use crate::stream_monitor::StreamMonitor;
@@ -220,6 +221,9 @@
                 take_events(gw, next, &mut events, &mut stream_monitor, upstream)?;
                 let reached = Depth::of(events_of(next) - before);
                 if reached > depth {
+                    if next.trial.is_some() && depth == Depth::default() {
+                        item_gate::progressed(gw);
+                    }
                     depth = reached;
                     upstream.run_guard.proved();
                     let parts = PromptPart::of(out, &next.service);
@@ -335,6 +339,7 @@
         parts: PromptPart::of(out, &next.service),
         trial_parts: next.permit.trial_parts(),
         trial: next.trial.clone(),
+        is_item: true,
         ticket,
         began,
         events: last
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -6,15 +6,16 @@
 use super::{confirm, last_run, no_route};
 use crate::evidence;
 use crate::gateway::Gateway;
+use crate::item_gate;
 use crate::placement::for_suspect;
-use crate::quarantine_gate::{self, Checked, Held, Permit, PromptPart, Trial};
+use crate::quarantine_gate::{Checked, Permit, PromptPart, Trial};
 use crate::ticket::RunGuard;
 use crate::workers::version_text;
 use bluebellreel_batch::{ItemEnd, ItemPhase, next_item};
 use bluebellreel_dispatch::{
-    Attempt, BatchRun, Class, Fingerprint, Query, Route, Sender, batch_to_yield_by, place_batch,
+    Attempt, BatchRun, Class, Fingerprint, Query, Route, batch_to_yield_by, place_batch,
 };
-use bluebellreel_types::{JobId, WorkerName, WorkerVersion};
+use bluebellreel_types::{JobId, Moment, WorkerName, WorkerVersion};
 use log::info;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -56,8 +57,8 @@
     while let Some(mut next) = choose_item(gw, &full, &skipped) {
         match may_run(gw, &next) {
             Ok(permit) => next.permit = permit,
-            Err(held) => {
-                let later = ItemPhase::Waiting { from: held.until };
+            Err(until) => {
+                let later = ItemPhase::Waiting { from: until };
                 next.owned.job.borrow_mut().items[next.item].phase = later;
                 continue;
             }
@@ -171,7 +172,7 @@
 }
 
 /// Whether an item may be sent to a worker. The error says when to try again.
-fn may_run(gw: &Gateway, next: &Next) -> Result<Permit, Held> {
+fn may_run(gw: &Gateway, next: &Next) -> Result<Permit, Moment> {
     if gw.suspects.borrow().is_empty() && gw.part_suspects.borrow().is_empty() {
         return Ok(Permit::default());
     }
@@ -184,13 +185,12 @@
     };
     let checked = Checked {
         request: &next.id,
-        sender: Sender::Job,
         service: &next.service,
         version: version.as_ref(),
         fingerprint: || Fingerprint::of(&out.identity()),
         parts: &PromptPart::of(&out, &next.service),
     };
-    quarantine_gate::may_run(gw, checked)
+    item_gate::may_run(gw, checked)
 }
 
 /// The item to start next, with its route and service.
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod gateway;
 mod health;
 mod in_progress;
+mod item_gate;
 mod jobs;
 mod join;
 mod keeper_visits;
--- a/crates/bluebellreel_gateway/src/quarantine_gate.rs
+++ b/crates/bluebellreel_gateway/src/quarantine_gate.rs
@@ -5,18 +5,19 @@
 //! other runs at that worker. So would requests of which no two are alike, but which share
 //! a part of their prompts that crashes workers. `bluebellreel_dispatch` decides which
 //! requests and which parts are quarantined, from crashes of which the gateways notify
-//! each other. This module checks each request before it is sent.
+//! each other. This module checks each request before it is sent; `item_gate` does so for
+//! items of jobs.
 
 use crate::gateway::Gateway;
 use crate::millis::millis;
 use crate::quarantine_store;
 use bluebellreel_dispatch::{
-    Cleared, Depth, Fingerprint, PartVerdict, QuarantineStatus, Sender, VersionTag, may_try,
+    Cleared, Depth, Fingerprint, PartVerdict, QuarantineStatus, VersionTag, may_try,
 };
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_platform::ingress;
 use bluebellreel_types::{Moment, WorkerVersion};
-use log::warn;
+use log::{info, warn};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::rc::Rc;
@@ -30,13 +31,6 @@
 /// Backoff of a request whose trial is left to another daemon.
 const TRIED_ELSEWHERE_BACKOFF: Duration = Duration::from_secs(1);
 
-/// Pause before an item is checked again, so that a quarantine that ends early does not
-/// hold up its job.
-const ITEM_RECHECK: Duration = Duration::from_secs(15);
-/// Time between two log lines about items that are held back. A job may have thousands of
-/// items with one part.
-const ITEM_LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Why a request is not sent to a worker now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Held {
@@ -88,7 +82,6 @@
 pub(crate) struct Checked<'a, F: FnOnce() -> Fingerprint> {
     /// Id of the caller's attempt or of the batch item.
     pub(crate) request: &'a str,
-    pub(crate) sender: Sender,
     pub(crate) service: &'a str,
     /// The only version that may run it, if it has output.
     pub(crate) version: Option<&'a WorkerVersion>,
@@ -103,6 +96,8 @@
 pub(crate) struct Trial {
     gw: Rc<Gateway>,
     subjects: Vec<Subject>,
+    /// Whether it counts among the items on trial.
+    pub(crate) is_item: bool,
 }
 
 impl Drop for Trial {
@@ -115,6 +110,10 @@
                 Subject::Part(part) => self.gw.part_suspects.borrow_mut().end_trial(*part),
             }
         }
+        if self.is_item {
+            self.gw.item_trials.borrow_mut().end();
+            self.gw.batch_due.notify_one();
+        }
     }
 }
 
@@ -123,6 +122,8 @@
 pub(crate) struct Permit {
     /// What the run is a trial of; see [`Trial::begin`].
     trial_of: Vec<Subject>,
+    /// Whether it is for an item under which workers have crashed.
+    item_on_trial: bool,
     /// A part under suspicion: all requests with it go to the same few workers.
     pub(crate) contained: Option<Fingerprint>,
     /// The only version of workers that may run the request.
@@ -130,8 +131,17 @@
 }
 
 impl Permit {
+    /// Permission to send an item.
+    pub(crate) fn for_item(item_on_trial: bool, version: Option<WorkerVersion>) -> Self {
+        Self {
+            item_on_trial,
+            version,
+            ..Self::default()
+        }
+    }
+
     pub(crate) fn is_trial(&self) -> bool {
-        !self.trial_of.is_empty()
+        self.item_on_trial || !self.trial_of.is_empty()
     }
 
     /// The parts of which the run is a trial.
@@ -160,15 +170,21 @@
             }
             warn!(target: "online", request, fingerprint:% = subject; "request on trial");
         }
+        if permit.item_on_trial {
+            gw.item_trials.borrow_mut().begin();
+            info!(target: "online", request; "item on trial");
+        }
         gw.metrics.quarantine("trial");
         gw.report_due.notify_one();
-        let gw = gw.clone();
-        let subjects = permit.trial_of.clone();
-        Some(Rc::new(Self { gw, subjects }))
+        Some(Rc::new(Self {
+            gw: gw.clone(),
+            subjects: permit.trial_of.clone(),
+            is_item: permit.item_on_trial,
+        }))
     }
 }
 
-/// Checks whether a request may be sent to a worker.
+/// Checks whether a caller's request may be sent to a worker.
 ///
 /// # Errors
 ///
@@ -181,20 +197,12 @@
     if gw.suspects.borrow().is_empty() {
         return Ok(permit);
     }
-    let Checked {
-        request, sender, ..
-    } = checked;
+    let request = checked.request;
     let (fingerprint, now) = ((checked.fingerprint)(), gw.now());
-    let quarantine_status = gw
-        .suspects
-        .borrow()
-        .quarantine_status(fingerprint, sender, now);
+    let quarantine_status = gw.suspects.borrow().quarantine_status(fingerprint, now);
     let until = match quarantine_status {
         QuarantineStatus::Clear | QuarantineStatus::Suspect => return Ok(permit),
-        QuarantineStatus::TrialOnly(since)
-            // Only the owner of its job sends an item.
-            if sender == Sender::Job || may_try_here(gw, fingerprint, since) =>
-        {
+        QuarantineStatus::TrialOnly(since) if may_try_here(gw, fingerprint, since) => {
             permit.trial_of.push(Subject::Request(fingerprint));
             return Ok(permit);
         }
@@ -240,9 +248,9 @@
     if let Some((version, verdict)) = verdicts.iter().find(|(_, v)| is_free(v)) {
         let all_free = verdicts.iter().all(|(_, v)| is_free(v));
         return Ok(Permit {
-            trial_of: Vec::new(),
             contained: verdict.parts.last().copied(),
             version: restricted_to(version).filter(|_| !all_free),
+            ..Permit::default()
         });
     }
     let mut until = None;
@@ -251,8 +259,8 @@
             QuarantineStatus::TrialOnly(since) if may_try_here(gw, verdict.parts[0], since) => {
                 return Ok(Permit {
                     trial_of: verdict.parts.iter().copied().map(Subject::Part).collect(),
-                    contained: None,
                     version: restricted_to(version),
+                    ..Permit::default()
                 });
             }
             QuarantineStatus::Quarantined(until) => until,
@@ -260,21 +268,11 @@
         };
         until = Some(until.map_or(later, |until: Moment| until.min(later)));
     }
-    let Some(mut until) = until else {
+    let Some(until) = until else {
         return Ok(Permit::default());
     };
     gw.metrics.quarantine("part");
-    let is_logged = checked.sender == Sender::Caller
-        || (gw.held_item_logged.get() + ITEM_LOG_INTERVAL).is_past(now);
-    if is_logged {
-        log_held_part(gw, checked, &verdicts, until);
-    }
-    if checked.sender == Sender::Job {
-        until = until.min(now + ITEM_RECHECK);
-        if is_logged {
-            gw.held_item_logged.set(now);
-        }
-    }
+    log_held_part(gw, checked, &verdicts, until);
     Err(Held {
         until,
         reason: PART_REASON,
@@ -302,7 +300,7 @@
 }
 
 /// Versions of the workers that may run a request; those with the most workers come first.
-fn ready_versions<F: FnOnce() -> Fingerprint>(
+pub(crate) fn ready_versions<F: FnOnce() -> Fingerprint>(
     gw: &Gateway,
     checked: &Checked<F>,
 ) -> Vec<Option<WorkerVersion>> {
@@ -322,9 +320,12 @@
 
 /// Whether this daemon may begin a trial now.
 fn may_try_here(gw: &Gateway, fingerprint: Fingerprint, since: Moment) -> bool {
-    let now = gw.now();
-    let peers = gw.members.borrow().alive_peers(now).count();
-    may_try(fingerprint, gw.me(), peers + 1, since, now)
+    may_try(fingerprint, gw.me(), daemons(gw), since, gw.now())
+}
+
+/// Number of daemons that are alive, this one included.
+pub(crate) fn daemons(gw: &Gateway) -> usize {
+    gw.members.borrow().alive_peers(gw.now()).count() + 1
 }
 
 /// Records that a run of a request has ended without a crash.
--- a/crates/bluebellreel_gateway/src/request.rs
+++ b/crates/bluebellreel_gateway/src/request.rs
@@ -4,7 +4,7 @@
 use crate::gateway::Gateway;
 use crate::quarantine_gate::{self, Checked, Held, Permit, PromptPart, Trial};
 use crate::teams::{self, Credential, Denial};
-use bluebellreel_dispatch::{Attempt, Fingerprint, Route, Sender, Ticket};
+use bluebellreel_dispatch::{Attempt, Fingerprint, Route, Ticket};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_teams::{Limit, TeamTag, Use, wait_share};
 use bluebellreel_types::{Moment, WorkerName, WorkerVersion};
@@ -130,6 +130,7 @@
             parts: self.parts().to_vec(),
             trial_parts: self.permit.trial_parts(),
             trial: self.trial.clone(),
+            is_item: false,
             ticket,
             began,
             events,
@@ -159,7 +160,6 @@
         self.permit = Permit::default();
         let checked = Checked {
             request: &self.id,
-            sender: Sender::Caller,
             service: &self.service,
             version: self.binding.version(),
             fingerprint: || self.fingerprint(),
