Pool: a probe that all its callers gave up still ends

A probe whose callers stopped waiting stayed in the table of probes with its connection, and nobody drove it: the connection was never closed, and the next probe of that address got the old result. A worker that had ended meanwhile passed for one that listens, so its crash under a request was missed. Found beside a worker that floods its health checks: one connection stayed open for over a minute.

A probe is now a task of its own and leaves the table when it ends. The test failed before: Open instead of Refused.

--- a/crates/bluebellreel_net/src/pool.rs
+++ b/crates/bluebellreel_net/src/pool.rs
@@ -177,11 +177,14 @@
             return in_progress.await;
         }
         let pool = self.clone();
-        let attempt = async move {
+        // A task of its own: if all callers give up, the attempt still ends, and none joins
+        // it later and takes its result for that of a new one.
+        let attempt = tokio::task::spawn_local(async move {
             let found = pool.probe_once(address).await;
             pool.0.probes.borrow_mut().remove(&address);
             found
-        };
+        });
+        let attempt = attempt.map(|found| found.unwrap_or(ProbeResult::Unknown));
         let attempt = attempt.boxed_local().shared();
         self.0.probes.borrow_mut().insert(address, attempt.clone());
         attempt.await
--- a/crates/bluebellreel_net/tests/pool.rs
+++ b/crates/bluebellreel_net/tests/pool.rs
@@ -1,14 +1,15 @@
-//! What servers receive of calls that are dropped.
+//! What servers receive of calls that are dropped, and what is left of dropped probes.
 
-use bluebellreel_net::{Pool, PoolLimits, Reuse};
+use bluebellreel_net::{Pool, PoolLimits, ProbeResult, Reuse};
 use bytes::Bytes;
+use futures::FutureExt;
 use http_body_util::Full;
 use std::io::ErrorKind;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// More than the socket buffers of both ends hold.
 const BODY_BYTES: usize = 64 * 1024 * 1024;
@@ -44,3 +45,27 @@
         assert!(received.len() < BODY_BYTES);
     });
 }
+
+/// A probe is given up while it connects, and the server ends. The next probe must not get
+/// the result of the first one.
+#[test]
+fn a_probe_that_was_given_up_does_not_answer_for_a_later_one() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the runtime can be built");
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let to = listener.local_addr().expect("an address");
+        let pool = Pool::resetting(PoolLimits {
+            connect: Duration::from_secs(1),
+            idle: Duration::from_secs(1),
+            idle_per_address: 1,
+        });
+        assert!(pool.probe(to).now_or_never().is_none());
+        let (accepted, _) = listener.accept().await.expect("a connection");
+        drop((accepted, listener));
+        sleep(SEND_TIME).await;
+        assert_eq!(pool.probe(to).await, ProbeResult::Refused);
+    });
+}
