Answers: bytes without end from a worker end the answer, within bounds of memory and time

Workers may send bytes that have no end, in a head or a body.

- An event was collected without a limit and searched from its start with each piece.
It now has 64 KiB, and what was searched is not searched again.
Events without an id count neither as progress nor as a sign of life: a stream whose worker sends only those goes on at another worker, and an item's silence is counted from its last numbered event.
- Consecutive events without end: an answer may have twice as many as its request allows tokens, and 64 more; an item's output has a size that goes with them, and starts over.
- A worker that only was late goes on with its stream only if it sends a complete event.
- Heads, informational responses, the framing of chunks and tiny chunks: a connection may read 256 KiB without a complete head or a piece of a body, and a body's pieces beyond the first 1,024 must have 16 bytes in the mean.
This is in the pool that workers, keepers, peers and the store are called through.
- Answers that are held until they are whole share 16 MiB: beyond it the largest is given up, and not those of other requests.
- Entry daemon and side process: lines of 256 KiB, streams of 8 MiB and errors of 64 KiB from a backend server, messages of 16 MiB and answers of 64 MiB from the key-value service, where there was no limit.

--- a/crates/bluebellreel_gateway/src/events.rs
+++ b/crates/bluebellreel_gateway/src/events.rs
@@ -13,10 +13,28 @@
     pub(crate) bytes: Bytes,
 }
 
+/// Maximum number of bytes without a numbered event.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+
+/// An answer that has gone on for [`MAX_EVENT_BYTES`] without a numbered event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Oversized;
+
+impl Oversized {
+    /// The reason as logged.
+    pub(crate) const REASON: &str = "too many bytes without an event";
+}
+
 /// Buffers bytes until events are complete.
 #[derive(Debug, Default)]
 pub(crate) struct Events {
     buf: BytesMut,
+    /// Number of bytes in the buffer that were searched for the end of an event.
+    searched: usize,
+    /// Start of the line at which the search goes on.
+    line_start: usize,
+    /// Number of bytes of events without an id since the last one with one.
+    unnumbered: usize,
 }
 
 impl Events {
@@ -26,31 +44,66 @@
     }
 
     /// Removes and returns the next complete event.
-    pub(crate) fn next(&mut self) -> Option<Event> {
-        let end = end_of_event(&self.buf)?;
-        let bytes = self.buf.split_to(end).freeze();
-        Some(read_event(bytes))
+    ///
+    /// # Errors
+    ///
+    /// Returns `Oversized` if too many bytes have come without a numbered event.
+    pub(crate) fn next(&mut self) -> Result<Option<Event>, Oversized> {
+        let Some(end) = self.end_of_event() else {
+            let is_oversized = self.unnumbered + self.buf.len() > MAX_EVENT_BYTES;
+            return if is_oversized {
+                Err(Oversized)
+            } else {
+                Ok(None)
+            };
+        };
+        if end > MAX_EVENT_BYTES {
+            return Err(Oversized);
+        }
+        let event = read_event(self.buf.split_to(end).freeze());
+        (self.searched, self.line_start) = (0, 0);
+        self.unnumbered = match event.id {
+            Some(_) => 0,
+            None => self.unnumbered + end,
+        };
+        Ok(Some(event))
+    }
+
+    /// Whether the buffer holds a complete event.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Oversized` as [`Self::next`] does.
+    pub(crate) fn has_complete_event(&mut self) -> Result<bool, Oversized> {
+        let has_end = self.end_of_event().is_some();
+        if !has_end && self.unnumbered + self.buf.len() > MAX_EVENT_BYTES {
+            return Err(Oversized);
+        }
+        Ok(has_end)
     }
 
     /// Whether the buffer holds bytes of an incomplete event.
     pub(crate) fn has_partial_event(&self) -> bool {
         !self.buf.is_empty()
     }
-}
 
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..at];
-        if line.is_empty() || line == b"\r" {
-            return Some(at + 1);
+    /// Number of bytes up to the end of the first event. Bytes that were searched before are
+    /// not searched again.
+    fn end_of_event(&mut self) -> Option<usize> {
+        let mut line_start = self.line_start;
+        for at in self.searched..self.buf.len() {
+            if self.buf[at] != b'\n' {
+                continue;
+            }
+            let line = &self.buf[line_start..at];
+            if line.is_empty() || line == b"\r" {
+                return Some(at + 1);
+            }
+            line_start = at + 1;
         }
-        line_start = at + 1;
+        (self.searched, self.line_start) = (self.buf.len(), line_start);
+        None
     }
-    None
 }
 
 fn read_event(bytes: Bytes) -> Event {
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! The state of one daemon, shared by all its tasks on one thread.
 
+use crate::answer_buffers::AnswerBuffers;
 use crate::cluster_state::ClusterState;
 use crate::confirmation::OnDemand;
 use crate::evidence::EvidenceLog;
@@ -101,6 +102,7 @@
     pub(crate) deadlines: Deadlines,
     pub(crate) workers: Pool,
     pub(crate) health_checks: HealthChecks,
+    pub(crate) answer_buffers: AnswerBuffers,
     pub(crate) peers: Pool,
     pub(crate) store: StoreClient,
     pub(crate) metrics: Metrics,
@@ -217,6 +219,7 @@
             keepers: RefCell::default(),
             keeper_visited: Notify::new(),
             health_checks: HealthChecks::default(),
+            answer_buffers: AnswerBuffers::default(),
             unreadable: RefCell::default(),
             lease: Cell::new(0),
             registered_revision: Cell::new(0),
--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -3,8 +3,9 @@
 
 use super::deadlines;
 use super::runs::{ITEM_BACKOFF, Next};
+use crate::answer_limits::{AnswerLimits, TOO_LONG};
 use crate::crash::{self, InterruptedRun};
-use crate::events::Events;
+use crate::events::{Events, Oversized};
 use crate::gateway::Gateway;
 use crate::item_gate;
 use crate::millis::millis;
@@ -24,7 +25,7 @@
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Limit on the wait for the head of a worker's response to an item.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(900);
@@ -213,12 +214,24 @@
     let mut events = Events::default();
     let mut stream_monitor = StreamMonitor::default();
     let before = events_of(next);
+    let limits = AnswerLimits::of(&out.headers);
     let mut depth = Depth::default();
+    let mut silent_at = Instant::now() + SILENCE_TIMEOUT;
     loop {
-        match timeout(SILENCE_TIMEOUT, next_chunk(gw, upstream)).await {
+        match timeout_at(silent_at, next_chunk(gw, upstream)).await {
             Ok(Ok(Some(bytes))) => {
                 events.push(&bytes);
-                take_events(gw, next, &mut events, &mut stream_monitor, upstream)?;
+                let known = events_of(next);
+                take_events(
+                    gw,
+                    next,
+                    (&mut events, limits),
+                    &mut stream_monitor,
+                    upstream,
+                )?;
+                if events_of(next) > known {
+                    silent_at = Instant::now() + SILENCE_TIMEOUT;
+                }
                 let reached = Depth::of(events_of(next) - before);
                 if reached > depth {
                     if next.trial.is_some() && depth == Depth::default() {
@@ -267,7 +280,7 @@
 fn take_events(
     gw: &Gateway,
     next: &Next,
-    events: &mut Events,
+    (events, limits): (&mut Events, AnswerLimits),
     stream_monitor: &mut StreamMonitor,
     upstream: &Upstream,
 ) -> Result<(), &'static str> {
@@ -280,10 +293,16 @@
     if progress.continue_at(version.as_ref()).is_err() {
         return Err(OTHER_VERSION);
     }
-    while let Some(event) = events.next() {
+    while let Some(event) = events.next().map_err(|Oversized| Oversized::REASON)? {
         let Some(id) = event.id else {
             continue;
         };
+        let bytes = progress.text().len() + event.data.len();
+        if progress.events() >= limits.events || bytes as u64 > limits.bytes {
+            // Nothing of it can be relied on.
+            job.start_over(next.item);
+            return Err(TOO_LONG);
+        }
         if progress.push(id, &event.data).is_err() {
             return Err("event ids not consecutive");
         }
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -19,6 +19,8 @@
 //! ```
 
 mod admission;
+mod answer_buffers;
+mod answer_limits;
 mod answers;
 mod cluster_state;
 mod confirmation;
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -26,10 +26,8 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Maximum size of an answer that is buffered before it is forwarded.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Interval between checks whether a request whose first byte is late should be sent
 /// elsewhere.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(40);
@@ -196,7 +194,8 @@
     if req.route.kind == RouteKind::Stream && status.is_success() {
         return Ok(stream(gw, req, upstream));
     }
-    let body = tokio::time::timeout_at(req.deadline, upstream.body.whole(MAX_ANSWER_BYTES)).await;
+    let body = gw.answer_buffers.read(&mut upstream.body);
+    let body = timeout_at(req.deadline, body).await;
     let interrupted_run = || {
         let ticket = upstream.run_guard.ticket().clone();
         req.interrupted_run(ticket, upstream.began, 0)
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -5,8 +5,9 @@
 //! resumed at another worker after any event. If a stream cannot be completed, the
 //! connection to the caller is broken, so that the caller notices.
 
+use crate::answer_limits::{AnswerLimits, TOO_LONG};
 use crate::crash::{self, InterruptedRun};
-use crate::events::Events;
+use crate::events::{Events, Oversized};
 use crate::gateway::Gateway;
 use crate::millis::millis;
 use crate::origins;
@@ -58,9 +59,8 @@
 /// Where a stream is resumed.
 enum Resumption {
     NewWorker(Box<Upstream>),
-    /// The former worker was only late and sends these bytes; empty at the end of the
-    /// stream.
-    FormerWorker(Bytes),
+    /// The former worker was only late: it has sent something that is to be read now.
+    FormerWorker,
 }
 
 impl From<Result<Option<Bytes>, Broken>> for ReadOutcome {
@@ -82,6 +82,7 @@
     stream_monitor: StreamMonitor,
     last_id: Option<u64>,
     events_passed: u64,
+    max_events: u64,
     /// Events of the present run.
     events_of_run: u64,
     /// The event after which the present run resumes the answer; none if it began it.
@@ -106,6 +107,7 @@
     pub(crate) fn new(gw: Rc<Gateway>, req: Request, upstream: Upstream) -> Self {
         let silence_deadline = first_event_deadline(&gw, upstream.run_guard.worker());
         let last_id = bluebellreel_platform::ingress::last_event_id(&req.out.headers);
+        let max_events = AnswerLimits::of(&req.out.headers).events;
         Self {
             gw,
             req,
@@ -114,6 +116,7 @@
             stream_monitor: StreamMonitor::default(),
             last_id,
             events_passed: 0,
+            max_events,
             events_of_run: 0,
             resumed_after: last_id,
             silence_deadline,
@@ -209,10 +212,16 @@
     }
 
     /// Removes the complete events from the buffer whose ids follow the last forwarded
-    /// one. Fails if the first one does not follow.
+    /// one. Fails if the first one does not follow, or if the answer is too long.
     fn complete_events(&mut self) -> Result<Bytes, &'static str> {
         let mut all = BytesMut::new();
-        while let Some(event) = self.events.next() {
+        loop {
+            let event = match self.events.next() {
+                Ok(Some(event)) => event,
+                // Events before the excess are forwarded first.
+                Err(Oversized) if all.is_empty() => return Err(Oversized::REASON),
+                Ok(None) | Err(Oversized) => break,
+            };
             if let (Some(last), Some(id)) = (self.last_id, event.id)
                 && id != last + 1
             {
@@ -224,9 +233,14 @@
                 self.events = Events::default();
                 break;
             }
-            self.last_id = event.id.or(self.last_id);
-            self.bind();
-            self.note_event();
+            if event.id.is_some() {
+                if self.events_passed >= self.max_events {
+                    return Err(TOO_LONG);
+                }
+                self.last_id = event.id;
+                self.bind();
+                self.note_event();
+            }
             all.extend_from_slice(&event.bytes);
         }
         Ok(all.freeze())
@@ -369,8 +383,7 @@
             };
             self.req.tried.push(next.clone());
             match self.send_resumed(&next, open).await {
-                Ok(Resumption::FormerWorker(bytes)) => {
-                    self.events.push(&bytes);
+                Ok(Resumption::FormerWorker) => {
                     self.silence_deadline = Instant::now() + self.max_silence();
                     self.req.runs += 1;
                     return true;
@@ -486,7 +499,15 @@
                     return answer.map(Box::new).map(Resumption::NewWorker);
                 }
                 read = self.upstream.body.next(), if open => match read {
-                    Ok(bytes) => return Ok(Resumption::FormerWorker(bytes.unwrap_or_default())),
+                    Ok(Some(bytes)) => {
+                        self.events.push(&bytes);
+                        match self.events.has_complete_event() {
+                            Ok(true) => return Ok(Resumption::FormerWorker),
+                            Ok(false) => {}
+                            Err(Oversized) => open = false,
+                        }
+                    }
+                    Ok(None) => return Ok(Resumption::FormerWorker),
                     Err(Broken) => open = false,
                 },
                 () = restarted.as_mut(), if restart_deadline.is_none() => {
--- a/crates/bluebellreel_http/src/lib.rs
+++ b/crates/bluebellreel_http/src/lib.rs
@@ -19,7 +19,7 @@
 mod server;
 mod stream;
 
-pub use client::is_unsent;
+pub use client::{is_unsent, read_line};
 pub use error::ApiError;
 pub use method::Method;
 pub use request::{BodyLimits, Request, body_read_error, header, read_body};
--- a/crates/bluebellreel_kv/src/client.rs
+++ b/crates/bluebellreel_kv/src/client.rs
@@ -308,6 +308,9 @@
     }
 }
 
+/// Maximum size of an answer, in bytes: some ten thousand keys with their values.
+const MAX_ANSWER_BYTES: u64 = 64 << 20;
+
 fn http_transport(settings: &KvSettings) -> KvTransport {
     let config = ureq::Agent::config_builder()
         .timeout_global(Some(settings.call_timeout))
@@ -327,7 +330,7 @@
         200 => answer
             .body_mut()
             .with_config()
-            .limit(u64::MAX)
+            .limit(MAX_ANSWER_BYTES)
             .read_json()
             .map_err(unknown),
         429 => Err(KvError::NotDone(
--- a/crates/bluebellreel_kv/src/watch.rs
+++ b/crates/bluebellreel_kv/src/watch.rs
@@ -2,7 +2,8 @@
 
 use crate::gateway::{self, StreamMessage, WatchAnswer};
 use crate::{Key, KeyValue, KvClient, KvError};
-use std::io::{BufRead, BufReader};
+use bluebellreel_http::read_line;
+use std::io::BufReader;
 use std::time::Duration;
 
 /// Maximum duration of one watch. Guards against a connection that has broken
@@ -10,6 +11,10 @@
 /// the last revision seen.
 const MAX_WATCH_DURATION: Duration = Duration::from_secs(30);
 
+/// Maximum size of one message, in bytes. The service sends the changes of one moment in
+/// one message.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
 /// One change of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchEvent {
@@ -75,12 +80,11 @@
     ///
     /// Fails if the watch has ended.
     pub fn wait(&mut self) -> Result<Vec<WatchEvent>, KvError> {
-        let mut line = String::new();
         let ended = |reason: String| KvError::NotDone(reason);
-        let read = self.reader.read_line(&mut line);
-        if read.map_err(|e| ended(e.to_string()))? == 0 {
+        let read = read_line(&mut self.reader, MAX_MESSAGE_BYTES);
+        let Some(line) = read.map_err(|e| ended(e.to_string()))? else {
             return Err(ended("the service closed the watch".into()));
-        }
+        };
         let message: StreamMessage<WatchAnswer> =
             serde_json::from_str(&line).map_err(|e| ended(e.to_string()))?;
         let message = message.result;
--- a/crates/bluebellreel_net/src/lib.rs
+++ b/crates/bluebellreel_net/src/lib.rs
@@ -12,6 +12,7 @@
 //! assert_eq!(answer.status(), 200);
 //! ```
 
+mod allowance;
 mod body;
 mod call;
 mod connection;
--- a/crates/bluebellreel_net/src/pool.rs
+++ b/crates/bluebellreel_net/src/pool.rs
@@ -1,5 +1,6 @@
 //! HTTP client with a pool of reusable connections.
 
+use crate::allowance::{Allowance, LimitedStream, MAX_READ_BUFFER};
 use crate::reply::{Reply, ReplyBody};
 use crate::server::set_socket_options;
 use bytes::Bytes;
@@ -78,6 +79,7 @@
 pub(crate) struct PooledConnection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) task: AbortHandle,
+    pub(crate) allowance: Allowance,
     idle_until: Instant,
 }
 
@@ -144,6 +146,7 @@
         reuse: Reuse,
     ) -> Result<Reply, SendError> {
         while let Some(mut pooled) = self.0.take(address, reuse) {
+            pooled.allowance.renew();
             match pooled.sender.try_send_request(req).await {
                 Ok(answer) => return Ok(self.reply(address, pooled, answer)),
                 Err(mut e) => match e.take_message() {
@@ -241,7 +244,12 @@
             warn!(target: "http", error:% = e; "cannot set SO_LINGER");
         }
         self.0.opened.set(self.0.opened.get() + 1);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let allowance = Allowance::new();
+        let stream = LimitedStream::new(stream, allowance.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER)
+            .handshake(TokioIo::new(stream))
+            .await?;
         let task = tokio::task::spawn_local(async move {
             // The call that uses the connection observes its failure.
             let _ = connection.await;
@@ -249,6 +257,7 @@
         Ok(PooledConnection {
             sender,
             task: task.abort_handle(),
+            allowance,
             idle_until: Instant::now(),
         })
     }
@@ -259,6 +268,7 @@
         pooled: PooledConnection,
         answer: http::Response<hyper::body::Incoming>,
     ) -> Reply {
+        pooled.allowance.renew();
         let (head, body) = answer.into_parts();
         let idle = idle_time(&head.headers).unwrap_or(self.0.limits.idle);
         let unframed = is_unframed(&head, &body);
--- a/crates/bluebellreel_net/src/reply.rs
+++ b/crates/bluebellreel_net/src/reply.rs
@@ -9,6 +9,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Number of pieces of a body that may be as small as they like.
+const MAX_SMALL_PIECES: u64 = 1024;
+/// Minimum mean size of further pieces, in bytes: less than that of the shortest events. The
+/// event loop spends more on a piece than on some hundred bytes.
+const MIN_MEAN_PIECE: u64 = 16;
+
 /// A response whose body has not been read yet.
 pub struct Reply {
     /// Status and headers.
@@ -25,6 +31,8 @@
     /// Whether the body ends with the connection; see [`ReplyBody::is_unframed`].
     unframed: bool,
     broken: bool,
+    pieces: u64,
+    bytes: u64,
     pooled: Option<PooledConnection>,
     pool: Rc<Inner>,
     address: SocketAddr,
@@ -44,6 +52,8 @@
             incoming,
             unframed,
             broken: false,
+            pieces: 0,
+            bytes: 0,
             pooled: Some(pooled),
             pool,
             address,
@@ -62,8 +72,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `Broken` if the connection ended before the body did; later calls
-    /// return it as well.
+    /// Returns `Broken` if the connection ended before the body did, or if the server sends
+    /// framing or tiny pieces without end; later calls return it as well.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
         if self.broken {
             return Err(Broken);
@@ -76,20 +86,36 @@
                     }
                     return Ok(None);
                 }
-                Some(Err(_)) => {
-                    self.broken = true;
-                    self.pooled = None;
-                    return Err(Broken);
-                }
+                Some(Err(_)) => return Err(self.close()),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
+                        return self.count(data).map(Some);
                     }
                 }
             }
         }
     }
 
+    /// Counts a piece, and lets the server send the next one.
+    fn count(&mut self, data: Bytes) -> Result<Bytes, Broken> {
+        self.pieces += 1;
+        self.bytes += data.len() as u64;
+        if self.pieces > MAX_SMALL_PIECES + self.bytes / MIN_MEAN_PIECE {
+            return Err(self.close());
+        }
+        if let Some(pooled) = &self.pooled {
+            pooled.allowance.renew();
+        }
+        Ok(data)
+    }
+
+    /// Closes the connection.
+    fn close(&mut self) -> Broken {
+        self.broken = true;
+        self.pooled = None;
+        Broken
+    }
+
     /// Reads the whole body.
     ///
     /// # Errors
@@ -99,7 +125,7 @@
         let mut all = BytesMut::new();
         while let Some(piece) = self.next().await? {
             if all.len() + piece.len() > limit {
-                return Err(Broken);
+                return Err(self.close());
             }
             all.extend_from_slice(&piece);
         }
--- a/crates/bluebellreel_side/src/backend.rs
+++ b/crates/bluebellreel_side/src/backend.rs
@@ -2,13 +2,13 @@
 
 use crate::message::Message;
 use bluebellreel_admission::EngineEnd;
-use bluebellreel_http::is_unsent;
+use bluebellreel_http::{is_unsent, read_line};
 use bluebellreel_telemetry::{Span, Tracer};
 use bluebellreel_types::{AttemptId, Clock, Dispatch, ModelName, ModelVersion, WorkKind};
 use crossbeam_channel::Sender;
 use serde::Deserialize;
 use serde_json::Value;
-use std::io::{BufRead, BufReader};
+use std::io::BufReader;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -24,8 +24,12 @@
 /// Time past the deadline after which a call that must not be repeated times
 /// out.
 const UNREPEATABLE_DEADLINE_GRACE: Duration = Duration::from_mins(1);
-/// Maximum body size of a plain service's response, in bytes.
+/// Maximum body size of a response, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 8 << 20;
+/// Maximum length of a line of a stream, in bytes.
+const MAX_LINE_BYTES: usize = 256 << 10;
+/// Maximum size of the description of an error, in bytes.
+const MAX_ERROR_BYTES: u64 = 64 << 10;
 /// Stack size of a thread that makes one call.
 const READER_STACK_BYTES: usize = 256 << 10;
 
@@ -162,8 +166,9 @@
         attempt: AttemptId,
         response: ureq::http::Response<ureq::Body>,
     ) -> EngineEnd {
-        let reader = BufReader::new(response.into_body().into_reader());
-        for line in reader.lines() {
+        let limited = response.into_body().into_with_config();
+        let mut reader = BufReader::new(limited.limit(MAX_RESPONSE_BYTES).reader());
+        while let Some(line) = read_line(&mut reader, MAX_LINE_BYTES).transpose() {
             let Ok(line) = line else {
                 return EngineEnd::Broken;
             };
@@ -353,7 +358,8 @@
 }
 
 fn rejected(status: u16, mut response: ureq::http::Response<ureq::Body>) -> EngineEnd {
-    let text = response.body_mut().read_to_string().unwrap_or_default();
+    let limited = response.body_mut().with_config().limit(MAX_ERROR_BYTES);
+    let text = limited.read_to_string().unwrap_or_default();
     let parsed: Option<Value> = serde_json::from_str(&text).ok();
     let message = parsed
         .as_ref()
