--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -7,12 +7,14 @@
 //!   store.
 //! - From 1000: rolling stops. Two of three seeds have nothing else; the third (1002, 1005)
 //!   has faults as well, and if it is odd changes too.
-//! - From 3000: requests that crash workers, and faults. Odd seeds have changes as well.
+//! - From 3000: requests that crash workers, and faults. Odd seeds have changes as well. From
+//!   3500 the moment of the crash in an answer goes with the seed.
 //! - From 5000: jobs of long items are ended while gateways are partitioned from their
 //!   peers. Odd seeds have changes and faults as well, even seeds nothing else.
 //! - From 7000: requests that share a part of their prompts which crashes workers, most
 //!   connections to one gateway at times, answers that end with their connection, and
-//!   faults. Odd seeds have changes as well.
+//!   faults. Odd seeds have changes as well. From 7500 the moment of the crash in an answer
+//!   goes with the seed.
 //! - From 8000: more load than capacity, workers that fail requests for some seconds, and
 //!   a team that sends more than its rate limit. Every fourth seed has nothing else; the
 //!   others have faults, odd ones changes as well.
@@ -21,7 +23,7 @@
 //! seed violates a guarantee, its settings and logs remain in a folder under the system's
 //! temporary folder.
 
-use bluebellreel_platform_standins::{Callers, SoakPlan, soak};
+use bluebellreel_platform_standins::{Callers, CrashMoment, SoakPlan, soak};
 use std::time::Duration;
 
 /// The first seed with rolling stops.
@@ -35,6 +37,17 @@
 /// The first seed with more load than capacity.
 const FIRST_LOAD_SEED: u64 = 8000;
 
+/// When the requests that crash workers do so in the soak of a seed.
+fn crash_moment(seed: u64) -> CrashMoment {
+    let varies = [3500..FIRST_END_SEED, 7500..FIRST_LOAD_SEED];
+    if !varies.iter().any(|seeds| seeds.contains(&seed)) {
+        return CrashMoment::default();
+    }
+    let moments = CrashMoment::ALL;
+    let at = usize::try_from(seed).unwrap_or_default() % moments.len();
+    moments[at]
+}
+
 fn main() -> eyre::Result<()> {
     let numbers: Vec<u64> = std::env::args()
         .skip(1)
@@ -76,6 +89,7 @@
             faults: !stops_only && !ends_only && !load_only,
             stops,
             callers,
+            crash_moment: crash_moment(seed),
             program: program.clone(),
             folder: folder.clone(),
         })?;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Short soak runs of gateway processes. Each seed that once violated a guarantee has a
 //! test here that states the cause.
 
-use bluebellreel_platform_standins::{Callers, SoakPlan, soak};
+use bluebellreel_platform_standins::{Callers, CrashMoment, SoakPlan, soak};
 use std::time::Duration;
 
 /// Disturbances of a soak run: unplanned faults, configuration changes, planned stops.
@@ -10,6 +10,7 @@
     changes: bool,
     stops: bool,
     callers: Callers,
+    crash_moment: CrashMoment,
 }
 
 const FAULTS: SoakMode = SoakMode {
@@ -17,6 +18,7 @@
     changes: false,
     stops: false,
     callers: Callers::Usual,
+    crash_moment: CrashMoment::Early,
 };
 const CHANGES: SoakMode = SoakMode {
     changes: true,
@@ -27,18 +29,21 @@
     changes: false,
     stops: true,
     callers: Callers::Usual,
+    ..FAULTS
 };
 const ENDS: SoakMode = SoakMode {
     faults: false,
     changes: false,
     stops: false,
     callers: Callers::SomeEndJobs,
+    ..FAULTS
 };
 const CRASHES: SoakMode = SoakMode {
     faults: false,
     changes: true,
     stops: false,
     callers: Callers::SomeCrashWorkers,
+    ..FAULTS
 };
 
 const CRASHING_PARTS: SoakMode = SoakMode {
@@ -46,6 +51,7 @@
     changes: true,
     stops: false,
     callers: Callers::SomeShareCrashingPart,
+    ..FAULTS
 };
 
 const HARD_LOAD: SoakMode = SoakMode {
@@ -53,6 +59,7 @@
     changes: false,
     stops: false,
     callers: Callers::HardLoad,
+    ..FAULTS
 };
 
 fn run_soak(seed: u64, seconds: u64, mode: &SoakMode) {
@@ -66,6 +73,7 @@
         changes: mode.changes,
         stops: mode.stops,
         callers: mode.callers,
+        crash_moment: mode.crash_moment,
         program: env!("CARGO_BIN_EXE_bluebellreel").into(),
         folder: folder.clone(),
     })
@@ -168,3 +176,14 @@
 fn guarantees_hold_under_more_load_than_capacity() {
     run_soak(8002, 12, &HARD_LOAD);
 }
+
+/// Requests crash workers late in their answers, which are resumed and completed elsewhere.
+/// Guards against a quarantine that such an answer lifts.
+#[test]
+fn requests_that_crash_workers_late_are_quarantined() {
+    let mode = SoakMode {
+        crash_moment: CrashMoment::Late,
+        ..CRASHES
+    };
+    run_soak(3502, 12, &mode);
+}
