Streams: events before the excess of an answer are passed on

A stream with more events than its request allows was resumed elsewhere after an event that its caller had not got: the events read together with the first one too many were dropped, though they counted as passed on. Such a stream could end as complete with events missing. An item's count of events of a run cannot go below zero.

--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -232,7 +232,7 @@
                 if events_of(next) > known {
                     silent_at = Instant::now() + SILENCE_TIMEOUT;
                 }
-                let reached = Depth::of(events_of(next) - before);
+                let reached = Depth::of(events_of(next).saturating_sub(before));
                 if reached > depth {
                     if next.trial.is_some() && depth == Depth::default() {
                         item_gate::progressed(gw);
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -212,13 +212,20 @@
     }
 
     /// Removes the complete events from the buffer whose ids follow the last forwarded
-    /// one. Fails if the first one does not follow, or if the answer is too long.
+    /// one. Fails if the first one does not follow, or if the answer is too long; events
+    /// before that are forwarded first.
     fn complete_events(&mut self) -> Result<Bytes, &'static str> {
         let mut all = BytesMut::new();
         loop {
+            let is_excess = self.events_passed >= self.max_events;
+            if is_excess && self.events.has_complete_event() == Ok(true) {
+                if all.is_empty() {
+                    return Err(TOO_LONG);
+                }
+                break;
+            }
             let event = match self.events.next() {
                 Ok(Some(event)) => event,
-                // Events before the excess are forwarded first.
                 Err(Oversized) if all.is_empty() => return Err(Oversized::REASON),
                 Ok(None) | Err(Oversized) => break,
             };
@@ -234,9 +241,6 @@
                 break;
             }
             if event.id.is_some() {
-                if self.events_passed >= self.max_events {
-                    return Err(TOO_LONG);
-                }
                 self.last_id = event.id;
                 self.bind();
                 self.note_event();
