Crashes: an answer that ends with its connection needs a health check of its own

Runs that a worker breaks off at one moment share a health check since. For an answer without a length a shared one is not enough: a worker may have answered it and have ended before the answer did, so that a part of the answer would pass for the whole. Such an answer now has a check that is sent after its end, as before.

--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -5,7 +5,7 @@
 //! longer listed a moment later without having announced that it leaves.
 
 use crate::gateway::Gateway;
-use crate::health;
+use crate::health::{self, Check};
 use crate::millis::millis;
 use crate::quarantine_gate::{PromptPart, Subject, Trial};
 use crate::quarantine_store;
@@ -77,7 +77,7 @@
 /// What is known of the worker of a run that has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Liveness {
-    /// It has answered a request that was sent after the run's end.
+    /// It has answered a health check.
     Alive,
     /// Its process has ended.
     Ended,
@@ -94,19 +94,21 @@
     address: SocketAddr,
 ) -> bool {
     let until = Instant::now() + LIVENESS_TIMEOUT;
-    find_liveness(gw, &run, address, (gw.now(), until)).await != Liveness::Alive
+    let at = (gw.now(), until);
+    find_liveness(gw, &run, address, at, Check::SentNow).await != Liveness::Alive
 }
 
 /// Finds out whether the worker of a run that ended at a moment is alive, and records a crash
 /// if it is not and has not announced that it leaves.
 ///
 /// The connections of a killed process close before its listener does, so an open port shows
-/// nothing: the worker has to answer a request that is sent now.
+/// nothing: the worker has to answer a health check.
 async fn find_liveness(
     gw: &Rc<Gateway>,
     run: &InterruptedRun,
     address: SocketAddr,
     (at, until): (Moment, Instant),
+    check: Check,
 ) -> Liveness {
     loop {
         let is_ready = ready_address(gw, &run.ticket) == Some(address);
@@ -122,7 +124,8 @@
             Ok(ProbeResult::Open | ProbeResult::Unknown) => {}
             Err(_) => return Liveness::Unknown,
         }
-        match timeout_at(until, health::is_alive(gw, &run.ticket.worker, address)).await {
+        let is_alive = health::is_alive(gw, &run.ticket.worker, address, check);
+        match timeout_at(until, is_alive).await {
             Ok(Some(true)) => return Liveness::Alive,
             Ok(Some(false)) => {
                 if is_ready {
@@ -143,7 +146,7 @@
         ProbeResult::Unknown => return log_no_crash(&run, at, "no answer to a probe"),
         ProbeResult::Open => {}
     }
-    let reason = match find_liveness(&gw, &run, address, (at, until)).await {
+    let reason = match find_liveness(&gw, &run, address, (at, until), Check::Shared).await {
         Liveness::Ended => return,
         Liveness::Alive => "alive",
         Liveness::Unknown => "no answer to a health check",
--- a/crates/bluebellreel_gateway/src/health.rs
+++ b/crates/bluebellreel_gateway/src/health.rs
@@ -23,8 +23,8 @@
 /// Maximum size of the body of an answer, in bytes.
 const MAX_BODY_BYTES: usize = 4096;
 
-/// Checks in progress, by the worker and its address. All runs that a worker breaks off at
-/// one moment share a check.
+/// Shared checks in progress, by the worker and its address: the runs that a worker breaks
+/// off at one moment need one for all.
 #[derive(Default)]
 pub(crate) struct HealthChecks(RefCell<HashMap<Target, Shared<LocalBoxFuture<'static, Answer>>>>);
 
@@ -34,9 +34,26 @@
 /// came in time.
 type Answer = Option<bool>;
 
+/// Which check shows that a worker is alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Check {
+    /// One that is sent now: it shows that the worker has outlived what ended before.
+    SentNow,
+    /// One that may have been sent, and answered, shortly before.
+    Shared,
+}
+
 /// Whether a worker answers a health check at an address.
-pub(crate) async fn is_alive(gw: &Rc<Gateway>, worker: &WorkerName, address: SocketAddr) -> Answer {
+pub(crate) async fn is_alive(
+    gw: &Rc<Gateway>,
+    worker: &WorkerName,
+    address: SocketAddr,
+    which: Check,
+) -> Answer {
     let target = (worker.clone(), address);
+    if which == Check::SentNow {
+        return check(gw, &target).await;
+    }
     let in_progress = gw.health_checks.0.borrow().get(&target).cloned();
     if let Some(in_progress) = in_progress {
         return in_progress.await;
@@ -45,10 +62,10 @@
     // A task of its own: a check that stands still until the next run joins it would answer
     // for a later moment than it was sent.
     let task = spawn_local(async move {
-        let answer = timeout(CHECK_TIMEOUT, check(&gw_of_check, &target_of_check)).await;
+        let answer = check(&gw_of_check, &target_of_check).await;
         let mut in_progress = gw_of_check.health_checks.0.borrow_mut();
         in_progress.remove(&target_of_check);
-        answer.ok().flatten()
+        answer
     });
     let shared = task.map(|answer| answer.ok().flatten());
     let shared = shared.boxed_local().shared();
@@ -60,7 +77,8 @@
 async fn check(gw: &Gateway, (worker, address): &Target) -> Answer {
     let req = engine::health_check(&health_path(gw, worker), worker)?;
     let reply = gw.workers.send(*address, req.map(Full::new), Reuse::Any);
-    let Reply { head, mut body } = reply.await.ok()?;
+    let reply = timeout(CHECK_TIMEOUT, reply).await.ok()?;
+    let Reply { head, mut body } = reply.ok()?;
     spawn_local(async move {
         // Read to its end, a connection can be used again.
         let _ = timeout(BODY_TIMEOUT, body.whole(MAX_BODY_BYTES)).await;
