--- a/review/platform/kit-2/src/main.rs
+++ b/review/platform/kit-2/src/main.rs
@@ -6,8 +6,11 @@
 mod http;
 mod json;
 mod late_answer;
+mod proxy;
+mod reborn;
 mod trial;
 mod site;
+mod upgrade;
 mod store;
 mod worker;
 
@@ -25,6 +28,8 @@
         record.note(format!("case {case}, trouble {trouble}"));
         let is_broken = match case.as_str() {
             "late-answer" => late_answer::run(&record, trouble),
+            "reborn" => reborn::run(&record, trouble),
+            "upgrade" => upgrade::run(&record, trouble),
             "trial" => trial::run(&record, trouble),
             other => panic!("no case {other}"),
         };
--- a/review/platform/kit-2/src/trial.rs
+++ b/review/platform/kit-2/src/trial.rs
@@ -17,7 +17,8 @@
     let folder = Folder::create();
     let (store, at) = Store::start((ip(250), 0).into());
     store.put("op/config", CONFIGURATION);
-    let _w = Worker::start("i-1", (ip(251), 0).into(), 8, &store, record);
+    let _w = Worker::start("i-1", (ip(251), 0).into(), 8, record);
+    _w.register(&store, _w.address, 1);
     let mut gateways = gateways(&folder.0, 1, at);
     start_all(&mut gateways, &store);
     let to = gateways[0].requests;
--- a/review/platform/kit-2/src/worker.rs
+++ b/review/platform/kit-2/src/worker.rs
@@ -9,11 +9,14 @@
 use crate::store::Store;
 use std::collections::VecDeque;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::{self, sleep};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Time between two steps.
+const STEP_MICROS: u64 = 20_000;
 
 #[derive(Default)]
 struct Slots {
@@ -27,6 +30,8 @@
 #[derive(Clone)]
 pub struct Worker {
     pub id: String,
+    /// Version of its software, which its events name.
+    pub version: String,
     pub address: SocketAddr,
     slots: usize,
     state: Arc<(Mutex<Slots>, Condvar)>,
@@ -34,36 +39,89 @@
     pub faulty: Arc<AtomicBool>,
     /// Number of runs that have begun.
     pub runs: Arc<AtomicUsize>,
+    /// Number of events sent.
+    pub events: Arc<AtomicUsize>,
+    started: Instant,
+    has_crashed: Arc<AtomicBool>,
+    channels: Arc<Mutex<Vec<TcpStream>>>,
     record: Record,
 }
 
 impl Worker {
-    /// Starts a worker and registers it.
-    pub fn start(id: &str, at: SocketAddr, slots: usize, store: &Store, record: &Record) -> Self {
+    /// Starts a worker. It is not registered yet.
+    pub fn start(id: &str, at: SocketAddr, slots: usize, record: &Record) -> Self {
+        Self::start_as("v1", id, at, slots, record)
+    }
+
+    /// Starts a worker of a version of its software. It is not registered yet.
+    pub fn start_as(
+        version: &str,
+        id: &str,
+        at: SocketAddr,
+        slots: usize,
+        record: &Record,
+    ) -> Self {
         let listener = TcpListener::bind(at).expect("the worker listens");
+        listener.set_nonblocking(true).expect("the listener is polled");
         let worker = Self {
             id: id.to_owned(),
+            version: version.to_owned(),
             address: listener.local_addr().expect("it has an address"),
             slots,
             state: Arc::default(),
             faulty: Arc::default(),
             runs: Arc::default(),
+            events: Arc::default(),
+            started: Instant::now(),
+            has_crashed: Arc::default(),
+            channels: Arc::default(),
             record: record.clone(),
         };
         let serving = worker.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while !serving.has_crashed.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(Duration::from_micros(200));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                if let Ok(channel) = stream.try_clone() {
+                    serving.channels.lock().unwrap().push(channel);
+                }
                 let worker = serving.clone();
-                thread::spawn(move || worker.serve(stream));
+                thread::spawn(move || {
+                    let channel = stream.try_clone();
+                    worker.serve(stream);
+                    if let Ok(channel) = channel {
+                        let _ = channel.shutdown(Shutdown::Both);
+                    }
+                });
             }
         });
+        worker
+    }
+
+    /// Writes the worker's entry, with the address at which it is reached.
+    pub fn register(&self, store: &Store, address: SocketAddr, born: u64) {
+        let version = &self.version;
         let entry = format!(
-            "{{\"service\":\"lm\",\"address\":\"{}\",\"zone\":\"hall\",\"version\":\"v1\",\
-             \"slots\":{slots},\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1}}",
-            worker.address
+            "{{\"service\":\"lm\",\"address\":\"{address}\",\"zone\":\"hall\",\"version\":\"{version}\",\
+             \"slots\":{},\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":{born}}}",
+            self.slots
         );
-        store.put(&format!("servers/{id}"), &entry);
-        worker
+        store.put(&format!("servers/{}", self.id), &entry);
+        self.record
+            .note(format!("{} is registered: version {version}, born {born}", self.id));
+    }
+
+    /// Ends the worker as a crash does: its port and its channels close.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::Relaxed);
+        sleep(Duration::from_millis(2));
+        for channel in self.channels.lock().unwrap().drain(..) {
+            let _ = channel.shutdown(Shutdown::Both);
+        }
+        self.record.note(format!("{} crashes", self.id));
     }
 
     /// Waits for a slot in order of arrival.
@@ -153,6 +211,12 @@
         }
     }
 
+    /// Waits for the worker's next step: it makes the events of all its runs in batches.
+    fn wait_for_step(&self) {
+        let into_step = self.started.elapsed().as_micros() as u64 % STEP_MICROS;
+        sleep(Duration::from_micros(STEP_MICROS - into_step));
+    }
+
     fn head(&self, id: &str, framing: &str) -> Vec<u8> {
         format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
@@ -177,10 +241,14 @@
         let mut is_delivered = true;
         for n in after + 1..=how.events {
             sleep(how.interval);
+            self.wait_for_step();
+            if self.has_crashed.load(Ordering::Relaxed) {
+                return (all, false);
+            }
             if n == after + 1 {
                 is_delivered &= to.write_all(&self.head(id, framing)).is_ok();
             }
-            let event = event(id, n);
+            let event = event(&self.version, id, n);
             let bytes = if how.unframed {
                 event.clone().into_bytes()
             } else {
@@ -188,6 +256,10 @@
             };
             is_delivered = is_delivered && to.write_all(&bytes).is_ok();
             all.extend_from_slice(event.as_bytes());
+            self.events.fetch_add(1, Ordering::Relaxed);
+        }
+        if after >= how.events {
+            is_delivered = to.write_all(&self.head(id, framing)).is_ok();
         }
         if !how.unframed {
             is_delivered = is_delivered && to.write_all(b"0\r\n\r\n").is_ok();
@@ -197,13 +269,17 @@
 }
 
 /// One event of a request's answer.
-pub fn event(id: &str, n: u64) -> String {
-    format!("id: {n}\ndata: {id}-{n}\n\n")
+pub fn event(version: &str, id: &str, n: u64) -> String {
+    format!("id: {n}\ndata: {}\n\n", data(version, id, n))
+}
+
+fn data(version: &str, id: &str, n: u64) -> String {
+    format!("{version}.{id}-{n}")
 }
 
 /// The text of an item's whole output.
 pub fn text(id: &str, events: u64) -> String {
-    let all: Vec<String> = (1..=events).map(|n| format!("{id}-{n}")).collect();
+    let all: Vec<String> = (1..=events).map(|n| data("v1", id, n)).collect();
     all.join("\n")
 }
 
