--- a/review/platform/kit-2/src/late_answer.rs
+++ b/review/platform/kit-2/src/late_answer.rs
@@ -72,7 +72,13 @@
 }
 
 /// Plays the order of events once.
-fn run_round(to: SocketAddr, workers: &[Worker], round: usize, record: &Record, trouble: bool) -> bool {
+fn run_round(
+    to: SocketAddr,
+    workers: &[Worker],
+    round: usize,
+    record: &Record,
+    trouble: bool,
+) -> bool {
     record.note(format!("round {round}"));
     let all_taken = || workers.iter().all(|w| w.load().0 == SLOTS);
     let runs = |w: &Worker| w.runs.load(Ordering::Relaxed);
@@ -103,7 +109,13 @@
     for n in 0..WORKERS * SLOTS {
         let id = format!("c{round}.{n}");
         record.note(format!("caller sends {id}"));
-        leaving.push(open(to, "POST", "/check/e22-i45", &headers(&id, "5000"), b"prompt"));
+        leaving.push(open(
+            to,
+            "POST",
+            "/check/e22-i45",
+            &headers(&id, "5000"),
+            b"prompt",
+        ));
         sleep(Duration::from_millis(1));
     }
     until("the queues have the slots", Duration::from_secs(3), || {
@@ -112,7 +124,9 @@
     });
     sleep(Duration::from_millis(50));
     let loads: Vec<_> = workers.iter().map(Worker::load).collect();
-    record.note(format!("callers of c{round}.0 and so on leave; taken and waiting: {loads:?}"));
+    record.note(format!(
+        "callers of c{round}.0 and so on leave; taken and waiting: {loads:?}"
+    ));
     drop(leaving);
     sleep(Duration::from_millis(60));
 
@@ -136,7 +150,14 @@
     let items = format!("{{\"items\":[{}]}}", items.join(","));
     let (job, path) = (format!("job-{round}"), format!("/book/job-{round}"));
     let all = headers(&job, "4000");
-    let answer = call(to, "POST", &path, &all, items.as_bytes(), Duration::from_secs(5));
+    let answer = call(
+        to,
+        "POST",
+        &path,
+        &all,
+        items.as_bytes(),
+        Duration::from_secs(5),
+    );
     record.note(format!("caller has {job}: status {}", answer.status));
     assert!(answer.status == 202, "the job is not accepted");
     let end = Instant::now() + Duration::from_secs(20);
--- a/review/platform/kit-2/src/main.rs
+++ b/review/platform/kit-2/src/main.rs
@@ -5,13 +5,14 @@
 
 mod http;
 mod json;
+mod kill_all;
 mod late_answer;
+mod mix;
 mod proxy;
 mod reborn;
-mod trial;
 mod site;
-mod upgrade;
 mod store;
+mod upgrade;
 mod worker;
 
 use site::Record;
@@ -30,7 +31,8 @@
             "late-answer" => late_answer::run(&record, trouble),
             "reborn" => reborn::run(&record, trouble),
             "upgrade" => upgrade::run(&record, trouble),
-            "trial" => trial::run(&record, trouble),
+            "kill-all" => kill_all::run(&record, trouble),
+            "mix" => mix::run(&record, trouble),
             other => panic!("no case {other}"),
         };
         record.note(if is_broken { "BROKEN" } else { "held" });
--- a/review/platform/kit-2/src/reborn.rs
+++ b/review/platform/kit-2/src/reborn.rs
@@ -40,7 +40,14 @@
         base64(b"prompt")
     );
     let all = headers("job-1", "4000");
-    let answer = call(to, "POST", "/book/job-1", &all, items.as_bytes(), Duration::from_secs(5));
+    let answer = call(
+        to,
+        "POST",
+        "/book/job-1",
+        &all,
+        items.as_bytes(),
+        Duration::from_secs(5),
+    );
     record.note(format!("caller has job-1: status {}", answer.status));
     assert!(answer.status == 202, "the job is not accepted");
     let mut at = None;
@@ -80,7 +87,11 @@
         if let Some(result) = result {
             let (state, got) = (result.get("state").text(), result.get("text").text());
             let events = got.lines().count();
-            record.note(format!("caller reads item-1: state {}, {events} of {EVENTS} events, text {}", quote(state), quote(got)));
+            record.note(format!(
+                "caller reads item-1: state {}, {events} of {EVENTS} events, text {}",
+                quote(state),
+                quote(got)
+            ));
             is_broken = state == "completed" && got != text("item-1", EVENTS);
             break;
         }
--- a/review/platform/kit-2/src/site.rs
+++ b/review/platform/kit-2/src/site.rs
@@ -27,7 +27,9 @@
 impl Record {
     pub fn create(path: &str) -> Self {
         Self {
-            file: Arc::new(Mutex::new(File::create(path).expect("the record is written"))),
+            file: Arc::new(Mutex::new(
+                File::create(path).expect("the record is written"),
+            )),
             started: Instant::now(),
         }
     }
@@ -63,7 +65,12 @@
 pub fn ip(number: u8) -> IpAddr {
     let id = std::process::id();
     let octet = |n: u32| u8::try_from(n % 250 + 2).unwrap_or(2);
-    IpAddr::V4(Ipv4Addr::new(127, 64 + (id / 250 % 100) as u8, octet(id), number))
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        64 + (id / 250 % 100) as u8,
+        octet(id),
+        number,
+    ))
 }
 
 /// Free ports at an address.
@@ -80,9 +87,10 @@
     ports
 }
 
-/// A gateway process.
+/// A gateway or keeper process.
 pub struct Gateway {
     pub name: String,
+    role: &'static str,
     pub requests: SocketAddr,
     pub readiness: SocketAddr,
     pub peers: SocketAddr,
@@ -94,13 +102,19 @@
 impl Gateway {
     /// Writes the settings of a gateway, as the template of the deploy file does. All
     /// gateways of a run have the same ports.
-    pub fn prepare(folder: &Path, number: u8, ports: [u16; 5], seeds: &[SocketAddr], store: SocketAddr) -> Self {
+    fn prepare(
+        folder: &Path,
+        (number, data_centre): (u8, &str),
+        ports: [u16; 5],
+        seeds: &[SocketAddr],
+        store: SocketAddr,
+    ) -> Self {
         let at = ip(number);
         let name = format!("front-hall-{number}");
         let [requests, readiness, peers, reports, metrics] = ports;
         let seeds: Vec<String> = seeds.iter().map(|s| quote(&s.to_string())).collect();
         let text = format!(
-            "[vm]\nname = \"{name}\"\naddress = \"{at}\"\ndata_centre = \"hall\"\n\
+            "[vm]\nname = \"{name}\"\naddress = \"{at}\"\ndata_centre = \"{data_centre}\"\n\
              [listen]\nrequests = \"{at}:{requests}\"\nreadiness = \"{at}:{readiness}\"\n\
              peers = \"{at}:{peers}\"\nreports_port = {reports}\nmetrics_port = {metrics}\n\
              [peers]\nseeds = [{}]\n[start]\nfirst = false\n\
@@ -115,6 +129,7 @@
         Self {
             log: folder.join(format!("{name}.log")),
             name,
+            role: "gateway",
             requests: (at, requests).into(),
             readiness: (at, readiness).into(),
             peers: (at, peers).into(),
@@ -123,11 +138,44 @@
         }
     }
 
+    /// Writes the settings of a keeper, as the template of the deploy file does.
+    fn prepare_keeper(
+        folder: &Path,
+        (number, data_centre): (u8, &str),
+        calls: u16,
+        seeds: &[SocketAddr],
+    ) -> Self {
+        let at = ip(100 + number);
+        let name = format!("store-{data_centre}-{number}");
+        let disk = folder.join(format!("disk-{number}"));
+        std::fs::create_dir_all(&disk).expect("the keeper's folder is made");
+        let seeds: Vec<String> = seeds.iter().map(|s| quote(&s.to_string())).collect();
+        let text = format!(
+            "[vm]\nname = \"{name}\"\naddress = \"{at}\"\ndata_centre = \"{data_centre}\"\n\
+             [listen]\ncalls_port = {calls}\n[data]\nfolder = {}\n\
+             [peers]\nseeds = [{}]\n[stop]\ngrace_s = 8\n",
+            quote(&disk.to_string_lossy()),
+            seeds.join(", ")
+        );
+        let settings = folder.join(format!("{name}.toml"));
+        std::fs::write(&settings, text).expect("the settings are written");
+        Self {
+            log: folder.join(format!("{name}.log")),
+            name,
+            role: "keeper",
+            requests: (at, calls).into(),
+            readiness: (at, calls).into(),
+            peers: (at, calls).into(),
+            settings,
+            child: None,
+        }
+    }
+
     pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("the log is written");
         let child = Command::new(PROGRAM)
-            .arg("gateway")
+            .arg(self.role)
             .env("BLUEBELLREEL_CONFIG", &self.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("the log is shared"))
@@ -161,7 +209,16 @@
 
     pub fn is_ready(&self) -> bool {
         let within = Duration::from_millis(500);
-        call(self.readiness, "GET", "/v1/ready", &[("Host", "x")], b"", within).status == 200
+        call(
+            self.readiness,
+            "GET",
+            "/v1/ready",
+            &[("Host", "x")],
+            b"",
+            within,
+        )
+        .status
+            == 200
     }
 }
 
@@ -173,11 +230,26 @@
 
 /// Prepares gateways that know each other as seeds.
 pub fn gateways(folder: &Path, count: u8, store: SocketAddr) -> Vec<Gateway> {
+    gateways_in(folder, &vec!["hall"; count.into()], store).0
+}
+
+/// Prepares one gateway in each data centre, and the same number of keepers.
+pub fn gateways_in(
+    folder: &Path,
+    data_centres: &[&str],
+    store: SocketAddr,
+) -> (Vec<Gateway>, Vec<Gateway>) {
+    let count = data_centres.len() as u8;
     let ports: [u16; 5] = free_ports(ip(1));
     let seeds: Vec<SocketAddr> = (1..=count).map(|n| (ip(n), ports[2]).into()).collect();
-    (1..=count)
-        .map(|n| Gateway::prepare(folder, n, ports, &seeds, store))
-        .collect()
+    let numbered = || (1..=count).zip(data_centres.iter().copied());
+    let gateways = numbered()
+        .map(|of| Gateway::prepare(folder, of, ports, &seeds, store))
+        .collect();
+    let keepers = numbered()
+        .map(|of| Gateway::prepare_keeper(folder, of, ports[3], &seeds))
+        .collect();
+    (gateways, keepers)
 }
 
 /// Waits until a condition holds; ends the case as one that could not run otherwise.
--- a/review/platform/kit-2/src/worker.rs
+++ b/review/platform/kit-2/src/worker.rs
@@ -41,6 +41,9 @@
     pub runs: Arc<AtomicUsize>,
     /// Number of events sent.
     pub events: Arc<AtomicUsize>,
+    /// Ids of the requests that have begun to run.
+    pub began: Arc<Mutex<Vec<String>>>,
+    pub mischief: Arc<Mutex<Mischief>>,
     started: Instant,
     has_crashed: Arc<AtomicBool>,
     channels: Arc<Mutex<Vec<TcpStream>>>,
@@ -62,7 +65,9 @@
         record: &Record,
     ) -> Self {
         let listener = TcpListener::bind(at).expect("the worker listens");
-        listener.set_nonblocking(true).expect("the listener is polled");
+        listener
+            .set_nonblocking(true)
+            .expect("the listener is polled");
         let worker = Self {
             id: id.to_owned(),
             version: version.to_owned(),
@@ -72,6 +77,8 @@
             faulty: Arc::default(),
             runs: Arc::default(),
             events: Arc::default(),
+            began: Arc::default(),
+            mischief: Arc::default(),
             started: Instant::now(),
             has_crashed: Arc::default(),
             channels: Arc::default(),
@@ -110,8 +117,23 @@
             self.slots
         );
         store.put(&format!("servers/{}", self.id), &entry);
-        self.record
-            .note(format!("{} is registered: version {version}, born {born}", self.id));
+        self.record.note(format!(
+            "{} is registered: version {version}, born {born}",
+            self.id
+        ));
+    }
+
+    /// The last part of its id.
+    pub fn number(&self) -> usize {
+        self.id
+            .rsplit('-')
+            .next()
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(0)
+    }
+
+    pub fn is_up(&self) -> bool {
+        !self.has_crashed.load(Ordering::Relaxed)
     }
 
     /// Ends the worker as a crash does: its port and its channels close.
@@ -164,8 +186,10 @@
         let mut second_answer: Option<Vec<u8>> = None;
         while let Some(req) = read_request(&mut from) {
             if let Some(bytes) = second_answer.take() {
-                self.record
-                    .note(format!("{} channel {channel}: a second answer goes out", self.id));
+                self.record.note(format!(
+                    "{} channel {channel}: a second answer goes out",
+                    self.id
+                ));
                 if to.write_all(&bytes).is_err() {
                     return;
                 }
@@ -178,24 +202,48 @@
                 continue;
             }
             if req.path == "/health" {
-                self.record
-                    .note(format!("{} channel {channel}: health check waits for a slot", self.id));
+                self.record.note(format!(
+                    "{} channel {channel}: health check waits for a slot",
+                    self.id
+                ));
                 self.take_slot();
                 let headers = format!("X-Instance-Id: {}\r\n{}", self.id, self.load_header());
                 self.free_slot();
-                self.record
-                    .note(format!("{} channel {channel}: health check answered", self.id));
+                self.record.note(format!(
+                    "{} channel {channel}: health check answered",
+                    self.id
+                ));
                 if !respond(&mut to, 200, &headers, b"") {
                     return;
                 }
                 continue;
             }
-            let how = How::of(&req);
+            let mut how = How::of(&req);
+            let is_refused = {
+                let mut mischief = self.mischief.lock().unwrap();
+                let m = *mischief;
+                if m.seed != 0 {
+                    how.unframed |= mischief.draw(m.unframed);
+                    how.second_answer |= mischief.draw(m.second_answer);
+                    how.truncated |= mischief.draw(m.truncated) && !how.unframed;
+                    how.lost |= mischief.draw(m.lost);
+                }
+                m.seed != 0 && mischief.draw(m.refused)
+            };
+            if is_refused {
+                if !respond(&mut to, 503, "X-Not-Run: 1\r\n", b"") {
+                    return;
+                }
+                continue;
+            }
             self.take_slot();
             self.runs.fetch_add(1, Ordering::Relaxed);
             let id = req.header("x-request-id").to_owned();
-            self.record
-                .note(format!("{} channel {channel}: runs {id} {}", self.id, req.path));
+            self.began.lock().unwrap().push(id.clone());
+            self.record.note(format!(
+                "{} channel {channel}: runs {id} {}",
+                self.id, req.path
+            ));
             let (body, is_delivered) = self.run(&req, &how, &mut to);
             self.free_slot();
             self.record
@@ -203,7 +251,9 @@
             if !is_delivered || how.unframed {
                 return;
             }
-            if how.second_answer && self.faulty.load(Ordering::Relaxed) {
+            if how.second_answer
+                && (self.faulty.load(Ordering::Relaxed) || self.mischief.lock().unwrap().seed != 0)
+            {
                 let mut bytes = self.head(&id, &format!("Content-Length: {}\r\n", body.len()));
                 bytes.extend_from_slice(&body);
                 second_answer = Some(bytes);
@@ -245,6 +295,13 @@
             if self.has_crashed.load(Ordering::Relaxed) {
                 return (all, false);
             }
+            if how.lost {
+                continue;
+            }
+            if how.truncated && n > how.events / 2 {
+                let _ = to.write_all(b"7\r\nid: 9\nd\r\n");
+                return (all, false);
+            }
             if n == after + 1 {
                 is_delivered &= to.write_all(&self.head(id, framing)).is_ok();
             }
@@ -258,6 +315,9 @@
             all.extend_from_slice(event.as_bytes());
             self.events.fetch_add(1, Ordering::Relaxed);
         }
+        if how.lost {
+            return (all, false);
+        }
         if after >= how.events {
             is_delivered = to.write_all(&self.head(id, framing)).is_ok();
         }
@@ -283,7 +343,29 @@
     all.join("\n")
 }
 
+/// Shares of answers that a faulty worker spoils, in percent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Mischief {
+    pub unframed: u64,
+    pub second_answer: u64,
+    pub truncated: u64,
+    pub lost: u64,
+    pub refused: u64,
+    pub seed: u64,
+}
+
+impl Mischief {
+    pub fn draw(&mut self, percent: u64) -> bool {
+        self.seed ^= self.seed << 13;
+        self.seed ^= self.seed >> 7;
+        self.seed ^= self.seed << 17;
+        self.seed % 100 < percent
+    }
+}
+
 struct How {
+    truncated: bool,
+    lost: bool,
     events: u64,
     interval: Duration,
     unframed: bool,
@@ -297,6 +379,8 @@
             interval: Duration::from_millis(20),
             unframed: false,
             second_answer: false,
+            truncated: false,
+            lost: false,
         };
         for word in req.path.rsplit('/').next().unwrap_or("").split('-') {
             let number = || word.get(1..).and_then(|n| n.parse().ok());
