--- a/review/platform/kit-2/src/main.rs
+++ b/review/platform/kit-2/src/main.rs
@@ -12,7 +12,6 @@
 mod reborn;
 mod site;
 mod store;
-mod upgrade;
 mod worker;
 
 use site::Record;
@@ -30,7 +29,6 @@
         let is_broken = match case.as_str() {
             "late-answer" => late_answer::run(&record, trouble),
             "reborn" => reborn::run(&record, trouble),
-            "upgrade" => upgrade::run(&record, trouble),
             "kill-all" => kill_all::run(&record, trouble),
             "mix" => mix::run(&record, trouble),
             other => panic!("no case {other}"),
--- a/review/platform/kit-2/src/mix.rs
+++ b/review/platform/kit-2/src/mix.rs
@@ -5,7 +5,7 @@
 use crate::json::{base64, parse};
 use crate::late_answer::headers;
 use crate::proxy::Proxy;
-use crate::site::{Folder, HOST, Record, gateways, ip, start_all};
+use crate::site::{Folder, Gateway, HOST, Record, gateways_in, ip, start_all};
 use crate::store::{Mode, Store};
 use crate::worker::{Mischief, Worker, event, text};
 use std::collections::HashMap;
@@ -69,7 +69,8 @@
             (worker, proxy)
         })
         .collect();
-    let mut gateways = gateways(&folder.0, 3, at);
+    let (mut gateways, mut keepers) = gateways_in(&folder.0, &["hall-a", "hall-b", "hall-c"], at);
+    keepers.iter_mut().for_each(Gateway::start);
     start_all(&mut gateways, &store);
     if on("mischief") {
         for (n, (worker, _)) in workers.iter().enumerate() {
@@ -151,6 +152,30 @@
             }
         }));
     }
+    let ended = Arc::new(Mutex::new(HashMap::<String, Option<Instant>>::new()));
+    {
+        let (to, stop, jobs, ended) = (to.clone(), stop.clone(), jobs.clone(), ended.clone());
+        threads.push(thread::spawn(move || {
+            let mut n = 0;
+            while !stop.load(Ordering::Relaxed) {
+                sleep(Duration::from_millis(2500));
+                let job = jobs.lock().unwrap().last().cloned();
+                let Some((job, _)) = job else { continue };
+                n += 1;
+                let path = format!("/v1/lots/{job}");
+                let answer = call(
+                    to[n % 3],
+                    "DELETE",
+                    &path,
+                    &[("Host", HOST)],
+                    b"",
+                    Duration::from_secs(4),
+                );
+                let ack = (answer.status == 200).then(Instant::now);
+                ended.lock().unwrap().insert(job, ack);
+            }
+        }));
+    }
     let seen = Arc::new(Mutex::new(
         HashMap::<(String, usize), (String, Instant)>::new(),
     ));
@@ -284,6 +309,26 @@
             sleep(Duration::from_millis(500 + dice.seed % 4000));
             store.set(Mode::Up);
         }
+        if on("all") && dice.draw(8) {
+            record.note("kill all");
+            gateways
+                .iter_mut()
+                .chain(&mut keepers)
+                .for_each(Gateway::kill);
+            sleep(Duration::from_millis(900));
+            keepers
+                .iter_mut()
+                .chain(&mut gateways)
+                .for_each(Gateway::start);
+            sleep(Duration::from_secs(3));
+        }
+        if on("keeper") && dice.draw(15) {
+            let at = (dice.seed / 128 % 3) as usize;
+            record.note(format!("kill {}", keepers[at].name));
+            keepers[at].kill();
+            sleep(Duration::from_millis(300));
+            keepers[at].start();
+        }
         if on("gateway") && dice.draw(15) {
             let at = (dice.seed / 128 % 3) as usize;
             let id = gateways[at].id() as i32;
@@ -331,7 +376,7 @@
     threads.into_iter().for_each(|t| drop(t.join()));
     record.note("calm");
     for worker in past.iter().chain(workers.iter().map(|(w, _)| w)) {
-        for id in worker.began.lock().unwrap().iter() {
+        for (id, _) in worker.began.lock().unwrap().iter() {
             *began.lock().unwrap().entry(id.clone()).or_default() += 1;
         }
     }
@@ -347,8 +392,25 @@
                 .push(format!("{id}: status {status} and {runs} runs"));
         }
     }
+    let ended = ended.lock().unwrap();
+    for worker in past.iter().chain(workers.iter().map(|(w, _)| w)) {
+        for (id, at) in worker.began.lock().unwrap().iter() {
+            let job = id.split('.').next().unwrap_or("");
+            if let Some(Some(end)) = ended.get(job) {
+                if *at > *end + Duration::from_secs(3) {
+                    broken.lock().unwrap().push(format!(
+                        "{id} began {:?} after the end of its job",
+                        *at - *end
+                    ));
+                }
+            }
+        }
+    }
     let by = Instant::now() + Duration::from_secs(25);
     for (id, count) in jobs.lock().unwrap().iter() {
+        if ended.contains_key(id) {
+            continue;
+        }
         let mut n = 0;
         loop {
             n += 1;
--- a/review/platform/kit-2/src/site.rs
+++ b/review/platform/kit-2/src/site.rs
@@ -93,7 +93,6 @@
     role: &'static str,
     pub requests: SocketAddr,
     pub readiness: SocketAddr,
-    pub peers: SocketAddr,
     settings: PathBuf,
     pub log: PathBuf,
     child: Option<Child>,
@@ -132,7 +131,6 @@
             role: "gateway",
             requests: (at, requests).into(),
             readiness: (at, readiness).into(),
-            peers: (at, peers).into(),
             settings,
             child: None,
         }
@@ -165,7 +163,6 @@
             role: "keeper",
             requests: (at, calls).into(),
             readiness: (at, calls).into(),
-            peers: (at, calls).into(),
             settings,
             child: None,
         }
--- a/review/platform/kit-2/src/store.rs
+++ b/review/platform/kit-2/src/store.rs
@@ -5,7 +5,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -87,7 +86,6 @@
 pub struct Store {
     shared: Arc<(Mutex<State>, Condvar)>,
     mode: Arc<Mutex<Mode>>,
-    extra_ms: Arc<AtomicU64>,
 }
 
 impl Store {
@@ -96,7 +94,6 @@
         let store = Self {
             shared: Arc::default(),
             mode: Arc::new(Mutex::new(Mode::Up)),
-            extra_ms: Arc::default(),
         };
         let listener = TcpListener::bind(at).expect("the store listens");
         let at = listener.local_addr().expect("it has an address");
@@ -118,12 +115,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Makes each answer take longer.
-    pub fn slow(&self, by: Duration) {
-        self.extra_ms
-            .store(by.as_millis() as u64, Ordering::Relaxed);
-    }
-
     /// Writes a key as the operator or a worker does.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.shared.0.lock().unwrap();
@@ -179,8 +170,6 @@
         let mut from = BufReader::new(stream);
         while let Some(req) = read_request(&mut from) {
             thread::sleep(ANSWER_TIME);
-            let extra = self.extra_ms.load(Ordering::Relaxed);
-            thread::sleep(Duration::from_millis(extra));
             if self.mode() == Mode::Down {
                 return;
             }
--- a/review/platform/kit-2/src/worker.rs
+++ b/review/platform/kit-2/src/worker.rs
@@ -42,7 +42,7 @@
     /// Number of events sent.
     pub events: Arc<AtomicUsize>,
     /// Ids of the requests that have begun to run.
-    pub began: Arc<Mutex<Vec<String>>>,
+    pub began: Arc<Mutex<Vec<(String, Instant)>>>,
     pub mischief: Arc<Mutex<Mischief>>,
     started: Instant,
     has_crashed: Arc<AtomicBool>,
@@ -239,7 +239,10 @@
             self.take_slot();
             self.runs.fetch_add(1, Ordering::Relaxed);
             let id = req.header("x-request-id").to_owned();
-            self.began.lock().unwrap().push(id.clone());
+            self.began
+                .lock()
+                .unwrap()
+                .push((id.clone(), Instant::now()));
             self.record.note(format!(
                 "{} channel {channel}: runs {id} {}",
                 self.id, req.path
