--- a/review/platform/kit-2/src/worker.rs
+++ b/review/platform/kit-2/src/worker.rs
@@ -132,10 +132,6 @@
             .unwrap_or(0)
     }
 
-    pub fn is_up(&self) -> bool {
-        !self.has_crashed.load(Ordering::Relaxed)
-    }
-
     /// Ends the worker as a crash does: its port and its channels close.
     pub fn crash(&self) {
         self.has_crashed.store(true, Ordering::Relaxed);
