--- a/review/platform/kit-2/src/late_answer.rs
+++ b/review/platform/kit-2/src/late_answer.rs
@@ -11,12 +11,12 @@
 use std::thread::{self, JoinHandle, sleep};
 use std::time::{Duration, Instant};
 
-const WORKERS: usize = 2;
+const WORKERS: usize = 3;
 /// Slots of a worker.
 const SLOTS: usize = 4;
 /// Sound answers of the faulty worker before its second answer.
 const SOUND_ANSWERS: usize = 60;
-const ITEMS: usize = 4;
+const ITEMS: usize = 10;
 /// How often the order of events is played at most.
 const ROUNDS: usize = 5;
 const ITEM_EVENTS: u64 = 20;
@@ -63,6 +63,8 @@
         .map(|n| Worker::start(&format!("i-{n}"), (ip(251), 0).into(), SLOTS, record))
         .collect();
     for worker in &workers {
+        // The first one runs a request on after its caller has left.
+        worker.drops.store(worker.id != "i-1", Ordering::Relaxed);
         worker.register(&store, worker.address, 1);
     }
     let mut gateways = gateways(&folder.0, 1, at);
@@ -104,7 +106,7 @@
     }
     until("the workers are full", Duration::from_secs(2), all_taken);
     // Requests in the workers' queues, which take the slots as they become free. Their
-    // callers leave; these workers run them to their end.
+    // callers leave; the faulty worker runs them to their end.
     let mut leaving = Vec::new();
     for n in 0..WORKERS * SLOTS {
         let id = format!("c{round}.{n}");
--- a/review/platform/kit-2/src/worker.rs
+++ b/review/platform/kit-2/src/worker.rs
@@ -37,6 +37,8 @@
     state: Arc<(Mutex<Slots>, Condvar)>,
     /// Whether second answers are sent.
     pub faulty: Arc<AtomicBool>,
+    /// Whether a request is dropped when its channel closes.
+    pub drops: Arc<AtomicBool>,
     /// Number of runs that have begun.
     pub runs: Arc<AtomicUsize>,
     /// Number of events sent.
@@ -75,6 +77,7 @@
             slots,
             state: Arc::default(),
             faulty: Arc::default(),
+            drops: Arc::default(),
             runs: Arc::default(),
             events: Arc::default(),
             began: Arc::default(),
@@ -276,7 +279,7 @@
         .into_bytes()
     }
 
-    /// Runs a request to its end, also if its channel closes. Returns the body and whether
+    /// Runs a request, to its end also if its channel closes, unless the worker drops it. Returns the body and whether
     /// the caller got it.
     fn run(&self, req: &Request, how: &How, to: &mut TcpStream) -> (Vec<u8>, bool) {
         let id = req.header("x-request-id");
@@ -311,6 +314,9 @@
                 format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()
             };
             is_delivered = is_delivered && to.write_all(&bytes).is_ok();
+            if !is_delivered && self.drops.load(Ordering::Relaxed) {
+                return (all, false);
+            }
             all.extend_from_slice(event.as_bytes());
             self.events.fetch_add(1, Ordering::Relaxed);
         }
