--- a/review/platform/kit-2/src/main.rs
+++ b/review/platform/kit-2/src/main.rs
@@ -10,6 +10,7 @@
 mod mix;
 mod proxy;
 mod reborn;
+mod same_id;
 mod site;
 mod store;
 mod worker;
@@ -31,6 +32,7 @@
             "reborn" => reborn::run(&record, trouble),
             "kill-all" => kill_all::run(&record, trouble),
             "mix" => mix::run(&record, trouble),
+            "same-id" => same_id::run(&record, trouble),
             other => panic!("no case {other}"),
         };
         record.note(if is_broken { "BROKEN" } else { "held" });
