Log how the version of a resumed stream was found

Two causes were possible and the logs told neither apart: the record was lost with the keepers, or the gateway that resumes did not ask a keeper that has it. `version of a stream found` now names the source and the number of daemons asked, and a keeper's `started` the number of records that it read.

No behaviour is changed, so there is no test.

--- a/crates/bluebellreel_gateway/src/origins.rs
+++ b/crates/bluebellreel_gateway/src/origins.rs
@@ -172,10 +172,17 @@
     if !resumes || req.route.kind != RouteKind::Stream {
         return Ok(());
     }
-    let version = match origin_of(gw, req).await {
-        Ok(version) => version,
+    let found = match origin_of(gw, req).await {
+        Ok(found) => found,
         Err(refusal) => return Err(refuse(gw, req, refusal, None)),
     };
+    let began = ingress::resumed_attempt(&req.out.headers);
+    let FoundOrigin {
+        version,
+        source,
+        asked,
+    } = found;
+    info!(target: "online", request:% = req.id, resumes = began, worker_version:% = version, source, asked; "version of a stream found");
     if !gw.board.borrow().has_ready_version(&req.service, &version) {
         return Err(refuse(gw, req, Refusal::NoWorker, Some(&version)));
     }
@@ -190,16 +197,33 @@
     versions.unrecorded(service, gw.now() - within).cloned()
 }
 
+/// The version that began a stream, and how it was found.
+struct FoundOrigin {
+    version: WorkerVersion,
+    /// `recorded`, or whose history names it.
+    source: &'static str,
+    /// Number of keepers and peers that were asked for a record.
+    asked: usize,
+}
+
 /// The version that began the stream that a request resumes.
-async fn origin_of(gw: &Rc<Gateway>, req: &Request) -> Result<WorkerVersion, Refusal> {
+async fn origin_of(gw: &Rc<Gateway>, req: &Request) -> Result<FoundOrigin, Refusal> {
     let lifetime = lifetime(req);
     let own = inferred(gw, &req.service, lifetime);
-    match look_up(gw, req, lifetime).await {
-        Lookup::Found(version) => Ok(version),
-        Lookup::NotRecorded(inferred) => own.or(inferred).ok_or(Refusal::Unknown),
-        Lookup::OneSilent if is_certain(gw, req, lifetime) => own.ok_or(Refusal::Unknown),
-        Lookup::OneSilent | Lookup::Incomplete => Err(Refusal::Undecided),
-    }
+    let (lookup, asked) = look_up(gw, req, lifetime).await;
+    let (version, source) = match lookup {
+        Lookup::Found(version) => (Some(version), "recorded"),
+        Lookup::NotRecorded(inferred) if own.is_none() => (inferred, "history_of_others"),
+        Lookup::NotRecorded(_) => (own, "own_history"),
+        Lookup::OneSilent if is_certain(gw, req, lifetime) => (own, "own_history"),
+        Lookup::OneSilent | Lookup::Incomplete => return Err(Refusal::Undecided),
+    };
+    let version = version.ok_or(Refusal::Unknown)?;
+    Ok(FoundOrigin {
+        version,
+        source,
+        asked,
+    })
 }
 
 /// The outcome of the questions for a stream's record.
@@ -214,17 +238,19 @@
     Incomplete,
 }
 
-async fn look_up(gw: &Rc<Gateway>, req: &Request, lifetime: Duration) -> Lookup {
+/// Asks for a stream's record. Returns what came of it, and how many were asked.
+async fn look_up(gw: &Rc<Gateway>, req: &Request, lifetime: Duration) -> (Lookup, usize) {
     let stream = tag(req);
     if let Some(version) = recorded(gw, stream) {
-        return Lookup::Found(version);
+        return (Lookup::Found(version), 0);
     }
     first_visit(gw, gw.started + FIRST_VISIT_TIMEOUT).await;
     let keepers = gw.keepers.borrow().all(gw.now());
     let peers = ranked_peers(gw, stream);
     if keepers.is_empty() && peers.is_empty() && !gw.has_joined() {
-        return Lookup::Incomplete;
+        return (Lookup::Incomplete, 0);
     }
+    let asked = keepers.len() + peers.len();
     let ask = async |to| {
         let asked = peer_calls::origin(gw, to, stream, &req.service, lifetime);
         (to, asked.await)
@@ -241,7 +267,7 @@
             silent_keepers -= 1;
         }
         match answer {
-            Ok(KnownOrigin::Recorded(version)) => return Lookup::Found(version),
+            Ok(KnownOrigin::Recorded(version)) => return (Lookup::Found(version), asked),
             Ok(KnownOrigin::Inferred(version)) => {
                 inferred.insert(version);
             }
@@ -250,11 +276,11 @@
     }
     match silent_keepers {
         0 => {}
-        1 => return Lookup::OneSilent,
-        _ => return Lookup::Incomplete,
+        1 => return (Lookup::OneSilent, asked),
+        _ => return (Lookup::Incomplete, asked),
     }
     let agreed = (inferred.len() == 1).then(|| inferred.pop_first());
-    Lookup::NotRecorded(agreed.flatten())
+    (Lookup::NotRecorded(agreed.flatten()), asked)
 }
 
 fn refuse(
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -139,9 +139,10 @@
     let (count, snapshot) = snapshot;
     let (progress_count, progress) = progress;
     let (origins_count, origins) = origins;
+    let streams = origins.records.len();
     let newest = snapshot.newest();
     let gateways = snapshot.gateways().count();
-    info!(target: "keeper", keeper:% = settings.name, data_centre:% = settings.data_centre, count, configuration = newest.configuration, workers = newest.workers, gateways; "started");
+    info!(target: "keeper", keeper:% = settings.name, data_centre:% = settings.data_centre, count, configuration = newest.configuration, workers = newest.workers, gateways, streams; "started");
     let snapshots = Disk::start(settings.folder.clone(), SNAPSHOT, count);
     let progresses = Disk::start(settings.folder.clone(), PROGRESS, progress_count);
     let origins_disk = Disk::start(settings.folder.clone(), ORIGINS, origins_count);
