--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -253,8 +253,9 @@
     }
 
     /// Whether this daemon has read the cluster state since its start.
-    pub(crate) fn has_joined(&self) -> bool {
-        *self.joined.borrow()
+    /// Whether this daemon has run for some time.
+    pub(crate) fn has_run_for(&self, time: Duration) -> bool {
+        self.started.elapsed() >= time
     }
 
     pub(crate) fn now(&self) -> Moment {
--- a/crates/bluebellreel_gateway/src/keeper_visits.rs
+++ b/crates/bluebellreel_gateway/src/keeper_visits.rs
@@ -12,11 +12,18 @@
 const INTERVALS_PRESENT: u32 = 3;
 /// Maximum time for which a keeper counts as present after a visit.
 const MAX_VISIT_TTL: Duration = Duration::from_mins(5);
+/// How long a keeper that is no longer present is remembered. It exceeds the time for which
+/// callers may resume a stream.
+const RETENTION: Duration = Duration::from_mins(1);
 
 /// Keepers that have visited this daemon, by the address at which they accept calls.
 #[derive(Debug, Default)]
 pub(crate) struct Keepers {
     visits: BTreeMap<SocketAddr, Visit>,
+    /// Whether a keeper has ever visited this daemon.
+    have_visited: bool,
+    /// Whether no keeper took the last record in time.
+    has_record_failed: bool,
 }
 
 /// A keeper's last visit, and the outcome of calls to it since.
@@ -31,6 +38,12 @@
     is_given_up: bool,
 }
 
+impl Visit {
+    fn is_known(&self, now: Moment) -> bool {
+        !(self.until + RETENTION).is_past(now)
+    }
+}
+
 impl Keepers {
     /// Records a visit of the keeper at `at`, which is in this daemon's data centre if
     /// `is_near`. Its next visit is due after `next_in`; zero if it has not said so.
@@ -49,6 +62,23 @@
             is_given_up: false,
         };
         self.visits.insert(at, visit);
+        self.have_visited = true;
+    }
+
+    /// Whether there are keepers, present or not.
+    pub(crate) fn exist(&self) -> bool {
+        self.have_visited
+    }
+
+    /// Records whether a keeper took a stream's record in time.
+    pub(crate) fn note_record(&mut self, is_kept: bool) {
+        self.has_record_failed = !is_kept;
+    }
+
+    /// Whether a record is unlikely to be taken: there are keepers, but none is reachable, or
+    /// none took the last one.
+    pub(crate) fn take_no_records(&self, now: Moment) -> bool {
+        self.have_visited && (self.has_record_failed || self.reachable(now).is_empty())
     }
 
     /// A reachable keeper in this daemon's data centre.
@@ -89,13 +119,20 @@
         self.present(now).map(|(at, _)| at).collect()
     }
 
+    /// All keepers that count as present, or did so a short time ago: records of streams may
+    /// be on their disks.
+    pub(crate) fn known(&self, now: Moment) -> Vec<SocketAddr> {
+        let known = self.visits.iter().filter(|(_, v)| v.is_known(now));
+        known.map(|(at, _)| *at).collect()
+    }
+
     fn present(&self, now: Moment) -> impl Iterator<Item = (SocketAddr, &Visit)> {
         let all = self.visits.iter().map(|(at, visit)| (*at, visit));
         all.filter(move |(_, visit)| !visit.until.is_past(now))
     }
 
-    /// Evicts keepers that no longer count as present.
+    /// Evicts keepers that have not been present for some time.
     pub(crate) fn sweep(&mut self, now: Moment) {
-        self.visits.retain(|_, visit| !visit.until.is_past(now));
+        self.visits.retain(|_, visit| visit.is_known(now));
     }
 }
--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -18,6 +18,11 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
+/// How long a daemon that has just started waits for a keeper's first visit before it asks
+/// for the version of a stream, or records one. It exceeds the time between a keeper's visits
+/// to a daemon that is down.
+pub(crate) const FIRST_VISIT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Whether the store has not answered this daemon yet, so that it accepts a snapshot.
 fn needs_snapshot(gw: &Gateway) -> bool {
     let cluster_state = gw.cluster_state.borrow();
@@ -77,7 +82,9 @@
         wants_facts: needs_snapshot(gw),
         peers,
     };
-    match postcard::to_allocvec(&state) {
+    let keepers = gw.keepers.borrow().all(gw.now());
+    // The state comes first: keepers of an earlier build read no more.
+    match postcard::to_allocvec(&(state, keepers)) {
         Ok(bytes) => answers::bytes(bytes),
         Err(e) => answers::failure(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
     }
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod metrics;
 mod millis;
 mod online;
+mod origin_lookup;
 mod origins;
 mod peer_api;
 mod peer_calls;
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -5,7 +5,6 @@
 use crate::evidence;
 use crate::gateway::Gateway;
 use crate::millis::millis;
-use crate::origins;
 use crate::placement;
 use crate::quarantine_gate::{self, Held};
 use crate::relay::Relay;
@@ -15,6 +14,7 @@
 use crate::ticket::{RESTART_GRACE, note_late, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use crate::workers::version_text;
+use crate::{origin_lookup, origins};
 use bluebellreel_dispatch::{Placement, RouteKind, retry_delay};
 use bluebellreel_net::{Body, Reuse};
 use bluebellreel_platform::ingress;
@@ -39,7 +39,7 @@
 pub(crate) async fn answer(gw: Rc<Gateway>, mut req: Request) -> Response<Body> {
     let mut refusals = 0;
     req.note_class(&gw);
-    if let Err(refused) = origins::bind(&gw, &mut req).await {
+    if let Err(refused) = origin_lookup::bind(&gw, &mut req).await {
         teams::give_back(&gw, &req);
         return refused;
     }
@@ -57,6 +57,7 @@
         if let Some(denial) = req.denial(&gw) {
             return refuse_key(&gw, &req, denial);
         }
+        req.required_version = origins::required_version(&gw, &req);
         let worker = match placement::choose(&gw, &req, req.max_wait()) {
             Placement::Send(worker) => worker,
             Placement::Full => return give_up(&gw, &req, "all workers full"),
--- a/crates/bluebellreel_gateway/src/origins.rs
+++ b/crates/bluebellreel_gateway/src/origins.rs
@@ -4,54 +4,50 @@
 //! begins a stream is recorded before its first event is passed on: at the keeper of this
 //! data centre, whose disk survives if every process is killed, and at another one, which
 //! survives the loss of that VM. Peers take the place of keepers that are missing. Whoever
-//! resumes a stream asks all keepers and those peers.
+//! resumes a stream asks all keepers and those peers: see `origin_lookup`.
+//!
+//! A stream without a record is taken for one of the version that was listed alone some time
+//! ago. While keepers take no records, streams of other versions are therefore not passed on:
+//! new streams begin at that version.
 
-use crate::answers;
 use crate::gateway::Gateway;
-use crate::keepers::first_visit;
-use crate::peer_calls::{self, KnownOrigin};
+use crate::keepers::{FIRST_VISIT_TIMEOUT, first_visit};
+use crate::peer_calls;
 use crate::request::{Binding, Request};
-use crate::workers::version_text;
 use bluebellreel_dispatch::RouteKind;
-use bluebellreel_net::Body;
 use bluebellreel_origins::{Origin, StreamTag};
 use bluebellreel_platform::ingress;
 use bluebellreel_types::{Moment, WorkerVersion};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use http::{Response, StatusCode};
-use log::{info, warn};
-use std::collections::BTreeSet;
+use log::warn;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout_at};
 
 /// Number of other daemons at which a stream is recorded.
 const HOLDERS: usize = 2;
-/// How long the first event of a stream waits until the stream is recorded. Holders answer
-/// from memory within milliseconds.
+/// How long the first event of a stream waits until the stream is recorded. Keepers answer
+/// once the record is on their disk, within milliseconds.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
-/// Limit on a question for the version that began a stream.
-const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
-/// How long a daemon that has just started waits for a keeper's first visit before it asks
-/// for the version of a stream.
-const FIRST_VISIT_TIMEOUT: Duration = Duration::from_millis(300);
-/// `Retry-After` if the version of a stream may be known soon: keepers restart within a
-/// second, and a worker that this daemon does not list yet is listed within half a second.
-const RETRY_SOON: Duration = Duration::from_millis(400);
+/// How long it waits if the stream would be taken for one of another version otherwise.
+const MAX_RECORD_TIMEOUT: Duration = Duration::from_millis(250);
 /// Minimum time for which a caller may resume its stream.
 const MIN_LIFETIME: Duration = Duration::from_secs(10);
 
-/// Records which version began a stream, unless a single one can have. Completes once
-/// another daemon has the record, or after [`RECORD_TIMEOUT`].
-pub(crate) async fn record(gw: &Rc<Gateway>, req: &Request) {
+/// Records which version began a stream, unless a single one can have. Completes once a
+/// keeper has the record on its disk, or a peer has it if there are no keepers, or after a
+/// timeout. Returns whether the stream may be passed on: it has been recorded, or will not be
+/// taken for one of another version without a record.
+pub(crate) async fn record(gw: &Rc<Gateway>, req: &Request) -> bool {
     let Binding::Version(version) = &req.binding else {
-        return;
+        return true;
     };
     let lifetime = lifetime(req);
     if !req.route.resumable || is_certain(gw, req, lifetime) {
-        return;
+        return true;
     }
     let origin = Origin {
         stream: tag(req),
@@ -59,29 +55,116 @@
         keep_for: lifetime,
     };
     keep(gw, &origin);
-    let mut sent: FuturesUnordered<_> = holders(gw, origin.stream)
-        .into_iter()
-        .map(|to| {
-            let (gw, origin) = (gw.clone(), origin.clone());
-            tokio::task::spawn_local(async move { send(&gw, to, &origin).await })
-        })
-        .collect();
-    let one_has_it = async {
-        while let Some(sent) = sent.next().await {
-            if sent.unwrap_or(false) {
-                return true;
-            }
-        }
-        false
+    let is_first_attempt = ingress::last_event_id(&req.out.headers).is_none();
+    let needs_record = is_first_attempt && {
+        let versions = gw.versions.borrow();
+        versions.may_be_mistaken(&req.service, version, gw.now() - lifetime)
     };
-    let outcome = match timeout(RECORD_TIMEOUT, one_has_it).await {
-        Ok(true) => "recorded",
-        Ok(false) => "not_recorded",
-        Err(_) => "late",
+    let began = Instant::now();
+    first_visit(gw, gw.started + FIRST_VISIT_TIMEOUT).await;
+    let mut copies = Copies::send(gw, origin, holders);
+    copies.wait(began + RECORD_TIMEOUT).await;
+    if needs_record && !copies.at_keeper {
+        copies.send_to(gw, |gw, _| gw.keepers.borrow().all(gw.now()));
+        copies.wait(began + MAX_RECORD_TIMEOUT).await;
+    }
+    let have_keepers = gw.keepers.borrow().exist();
+    if have_keepers {
+        gw.keepers.borrow_mut().note_record(copies.at_keeper);
+    }
+    let outcome = match () {
+        () if copies.at_keeper || copies.at_peer => "recorded",
+        () if copies.sent.is_empty() => "not_recorded",
+        () => "late",
     };
     gw.metrics.origin(outcome);
-    if outcome != "recorded" {
-        warn!(target: "online", request:% = req.id, worker_version:% = version, outcome; "version of a stream not recorded in time");
+    let is_kept = copies.at_keeper || (copies.at_peer && !have_keepers);
+    if !is_kept {
+        warn!(target: "online", request:% = req.id, worker_version:% = version, outcome, needs_record; "version of a stream not recorded in time");
+    }
+    is_kept || !needs_record
+}
+
+/// The copies of a stream's record that are sent to other daemons.
+struct Copies {
+    origin: Origin,
+    holders: Vec<SocketAddr>,
+    /// Each with whether it is a keeper and whether it has the copy.
+    sent: FuturesUnordered<JoinHandle<(bool, bool)>>,
+    at_keeper: bool,
+    at_peer: bool,
+}
+
+impl Copies {
+    fn send(
+        gw: &Rc<Gateway>,
+        origin: Origin,
+        holders: fn(&Gateway, StreamTag) -> Vec<SocketAddr>,
+    ) -> Self {
+        let mut copies = Self {
+            origin,
+            holders: Vec::new(),
+            sent: FuturesUnordered::new(),
+            at_keeper: false,
+            at_peer: false,
+        };
+        copies.send_to(gw, holders);
+        copies
+    }
+
+    /// Sends a copy to those of the holders that have not been sent one.
+    fn send_to(&mut self, gw: &Rc<Gateway>, holders: fn(&Gateway, StreamTag) -> Vec<SocketAddr>) {
+        let keepers = gw.keepers.borrow().all(gw.now());
+        for to in holders(gw, self.origin.stream) {
+            if self.holders.contains(&to) {
+                continue;
+            }
+            self.holders.push(to);
+            let is_keeper = keepers.contains(&to);
+            let (gw, origin) = (gw.clone(), self.origin.clone());
+            // The copy arrives also if it is late.
+            let sent =
+                tokio::task::spawn_local(async move { (is_keeper, send(&gw, to, &origin).await) });
+            self.sent.push(sent);
+        }
+    }
+
+    /// Waits for the first keeper that has a copy, or for the first peer if no keeper was
+    /// sent one.
+    async fn wait(&mut self, deadline: Instant) {
+        while !self.at_keeper
+            && let Ok(Some(sent)) = timeout_at(deadline, self.sent.next()).await
+        {
+            match sent {
+                Ok((true, true)) => self.at_keeper = true,
+                Ok((false, true)) => self.at_peer = true,
+                Ok((_, false)) | Err(_) => {}
+            }
+        }
+    }
+}
+
+/// The version that others take an unrecorded stream for, if a worker of it is ready: where a
+/// stream begins while no record is kept.
+pub(crate) fn version_without_record(gw: &Gateway, req: &Request) -> Option<WorkerVersion> {
+    let version = inferred(gw, &req.service, lifetime(req))?;
+    let board = gw.board.borrow();
+    board
+        .has_ready_version(&req.service, &version)
+        .then_some(version)
+}
+
+/// The version at which a stream has to begin because keepers do not take its record.
+pub(crate) fn required_version(gw: &Gateway, req: &Request) -> Option<WorkerVersion> {
+    let is_new_stream =
+        req.binding == Binding::Free && req.route.kind == RouteKind::Stream && req.route.resumable;
+    let needs_record = is_new_stream
+        && gw.keepers.borrow().take_no_records(gw.now())
+        && !is_certain(gw, req, lifetime(req));
+    if needs_record {
+        version_without_record(gw, req)
+    } else {
+        None
     }
 }
 
@@ -111,7 +194,7 @@
 }
 
 /// The peers that hold a stream's record if there are not enough keepers.
-fn ranked_peers(gw: &Gateway, stream: StreamTag) -> Vec<SocketAddr> {
+pub(crate) fn ranked_peers(gw: &Gateway, stream: StreamTag) -> Vec<SocketAddr> {
     let members = gw.members.borrow();
     let alive = members.alive_peers(gw.now()).filter(|(_, p)| !p.stopping);
     let mut ranked: Vec<(u64, SocketAddr)> = alive
@@ -133,193 +216,27 @@
     gw.origins.borrow().get(stream, gw.now()).cloned()
 }
 
-/// Why a caller's stream cannot be resumed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Refusal {
-    /// No worker of the version that began the stream is listed.
-    NoWorker,
-    /// The version that began the stream is not known any more.
-    Unknown,
-    /// Daemons that may know the version did not answer.
-    Undecided,
-}
-
-impl Refusal {
-    fn outcome(self) -> &'static str {
-        match self {
-            Self::NoWorker => "no_worker",
-            Self::Unknown => "version_unknown",
-            Self::Undecided => "undecided",
-        }
-    }
-
-    fn reason(self) -> &'static str {
-        match self {
-            Self::NoWorker => "no worker of the version that began the stream",
-            Self::Unknown => "version that began the stream not known",
-            Self::Undecided => "version that began the stream not known yet",
-        }
-    }
-}
-
-/// Binds a request by which a caller resumes a stream to the version that began it.
-///
-/// # Errors
-///
-/// Returns the answer to the caller if the stream cannot go on.
-pub(crate) async fn bind(gw: &Rc<Gateway>, req: &mut Request) -> Result<(), Response<Body>> {
-    let resumes = ingress::last_event_id(&req.out.headers).is_some();
-    if !resumes || req.route.kind != RouteKind::Stream {
-        return Ok(());
-    }
-    let found = match origin_of(gw, req).await {
-        Ok(found) => found,
-        Err(refusal) => return Err(refuse(gw, req, refusal, None)),
-    };
-    let began = ingress::resumed_attempt(&req.out.headers);
-    let FoundOrigin {
-        version,
-        source,
-        asked,
-    } = found;
-    info!(target: "online", request:% = req.id, resumes = began, worker_version:% = version, source, asked; "version of a stream found");
-    if !gw.board.borrow().has_ready_version(&req.service, &version) {
-        return Err(refuse(gw, req, Refusal::NoWorker, Some(&version)));
-    }
-    gw.metrics.resumption("caller", "same_version");
-    req.binding = Binding::Version(version);
-    Ok(())
-}
-
 /// The version that began a stream of which nobody has a record, by this daemon's history.
 pub(crate) fn inferred(gw: &Gateway, service: &str, within: Duration) -> Option<WorkerVersion> {
     let versions = gw.versions.borrow();
     versions.unrecorded(service, gw.now() - within).cloned()
 }
 
-/// The version that began a stream, and how it was found.
-struct FoundOrigin {
-    version: WorkerVersion,
-    /// `recorded`, or whose history names it.
-    source: &'static str,
-    /// Number of keepers and peers that were asked for a record.
-    asked: usize,
-}
-
-/// The version that began the stream that a request resumes.
-async fn origin_of(gw: &Rc<Gateway>, req: &Request) -> Result<FoundOrigin, Refusal> {
-    let lifetime = lifetime(req);
-    let own = inferred(gw, &req.service, lifetime);
-    let (lookup, asked) = look_up(gw, req, lifetime).await;
-    let (version, source) = match lookup {
-        Lookup::Found(version) => (Some(version), "recorded"),
-        Lookup::NotRecorded(inferred) if own.is_none() => (inferred, "history_of_others"),
-        Lookup::NotRecorded(_) => (own, "own_history"),
-        Lookup::OneSilent if is_certain(gw, req, lifetime) => (own, "own_history"),
-        Lookup::OneSilent | Lookup::Incomplete => return Err(Refusal::Undecided),
-    };
-    let version = version.ok_or(Refusal::Unknown)?;
-    Ok(FoundOrigin {
-        version,
-        source,
-        asked,
-    })
-}
-
-/// The outcome of the questions for a stream's record.
-enum Lookup {
-    Found(WorkerVersion),
-    /// All who may have a record answered that they have none. Those whose history reaches
-    /// back far enough name this version.
-    NotRecorded(Option<WorkerVersion>),
-    /// One keeper did not answer, and the others have no record. Records are at two.
-    OneSilent,
-    /// More did not answer.
-    Incomplete,
-}
-
-/// Asks for a stream's record. Returns what came of it, and how many were asked.
-async fn look_up(gw: &Rc<Gateway>, req: &Request, lifetime: Duration) -> (Lookup, usize) {
-    let stream = tag(req);
-    if let Some(version) = recorded(gw, stream) {
-        return (Lookup::Found(version), 0);
-    }
-    first_visit(gw, gw.started + FIRST_VISIT_TIMEOUT).await;
-    let keepers = gw.keepers.borrow().all(gw.now());
-    let peers = ranked_peers(gw, stream);
-    if keepers.is_empty() && peers.is_empty() && !gw.has_joined() {
-        return (Lookup::Incomplete, 0);
-    }
-    let asked = keepers.len() + peers.len();
-    let ask = async |to| {
-        let asked = peer_calls::origin(gw, to, stream, &req.service, lifetime);
-        (to, asked.await)
-    };
-    let all = keepers.iter().chain(&peers);
-    let mut answers: FuturesUnordered<_> = all.map(|to| ask(*to)).collect();
-    let deadline = Instant::now() + LOOKUP_TIMEOUT;
-    // The records of a peer that does not answer are lost if it was killed; a keeper has
-    // them on its disk.
-    let mut silent_keepers = keepers.len();
-    let mut inferred: BTreeSet<WorkerVersion> = BTreeSet::new();
-    while let Ok(Some((at, answer))) = timeout_at(deadline, answers.next()).await {
-        if answer.is_ok() && keepers.contains(&at) {
-            silent_keepers -= 1;
-        }
-        match answer {
-            Ok(KnownOrigin::Recorded(version)) => return (Lookup::Found(version), asked),
-            Ok(KnownOrigin::Inferred(version)) => {
-                inferred.insert(version);
-            }
-            Ok(KnownOrigin::Nothing) | Err(_) => {}
-        }
-    }
-    match silent_keepers {
-        0 => {}
-        1 => return (Lookup::OneSilent, asked),
-        _ => return (Lookup::Incomplete, asked),
-    }
-    let agreed = (inferred.len() == 1).then(|| inferred.pop_first());
-    (Lookup::NotRecorded(agreed.flatten()), asked)
-}
-
-fn refuse(
-    gw: &Gateway,
-    req: &Request,
-    refusal: Refusal,
-    version: Option<&WorkerVersion>,
-) -> Response<Body> {
-    let after = match refusal {
-        // The caller's other attempts would end the same way.
-        Refusal::Unknown => req.left(),
-        Refusal::NoWorker | Refusal::Undecided => RETRY_SOON,
-    };
-    let resumes = ingress::resumed_attempt(&req.out.headers);
-    let last_id = ingress::last_event_id(&req.out.headers);
-    gw.metrics.resumption("caller", refusal.outcome());
-    gw.metrics.request("refused");
-    info!(target: "online", request:% = req.id, resumes, last_id, worker_version = version_text(version), reason = refusal.reason(); "stream not resumed");
-    let code = StatusCode::SERVICE_UNAVAILABLE;
-    let mut answer = answers::retry_after(code, refusal.reason(), after);
-    ingress::set_request_id(answer.headers_mut(), &req.id);
-    answer
-}
-
 /// The tag of the request's stream: that of the attempt that brought its first event. There
 /// is no record of a stream whose caller does not name that attempt.
-fn tag(req: &Request) -> StreamTag {
+pub(crate) fn tag(req: &Request) -> StreamTag {
     let began = ingress::resumed_attempt(&req.out.headers);
     StreamTag::of(began.unwrap_or(&req.id))
 }
 
 /// How long callers may resume a stream: for the rest of its attempt, and in one more.
-fn lifetime(req: &Request) -> Duration {
+pub(crate) fn lifetime(req: &Request) -> Duration {
     (req.route.timeout * 2).max(MIN_LIFETIME)
 }
 
 /// Whether a single version of the service can have begun a stream that callers may still
 /// resume.
-fn is_certain(gw: &Gateway, req: &Request, lifetime: Duration) -> bool {
+pub(crate) fn is_certain(gw: &Gateway, req: &Request, lifetime: Duration) -> bool {
     let since: Moment = gw.now() - lifetime;
     gw.versions.borrow().is_certain(&req.service, since)
 }
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -9,11 +9,11 @@
 use crate::store_proxy;
 use bluebellreel_members::Revisions;
 use bluebellreel_net::{Body, read_body};
-use bluebellreel_origins::{Origin, StreamTag};
+use bluebellreel_origins::{KNOWN_KEEPERS, Origin, SOLE_VERSION, StreamTag, format_keepers};
 use bluebellreel_teams::Caller;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use percent_encoding::percent_decode_str;
 use std::rc::Rc;
@@ -116,6 +116,15 @@
 /// Answers a peer's question for the version that began a stream: from a record, else from
 /// the history of versions.
 fn origin(gw: &Gateway, stream: &str, req: &Request<Incoming>) -> Response<Body> {
+    let mut answer = known_origin(gw, stream, req);
+    let keepers = gw.keepers.borrow().known(gw.now());
+    if let Ok(value) = HeaderValue::try_from(format_keepers(keepers)) {
+        answer.headers_mut().insert(KNOWN_KEEPERS, value);
+    }
+    answer
+}
+
+fn known_origin(gw: &Gateway, stream: &str, req: &Request<Incoming>) -> Response<Body> {
     let recorded = StreamTag::parse(stream).and_then(|stream| origins::recorded(gw, stream));
     if let Some(version) = recorded {
         return answers::bytes(version.as_str().to_owned());
@@ -123,14 +132,18 @@
     let query = req.uri().query().unwrap_or("");
     let service = form_urlencoded::parse(query.as_bytes()).find(|(name, _)| name == "service");
     let within = Duration::from_millis(query_number(req, "within_ms"));
-    match service.and_then(|(_, service)| origins::inferred(gw, &service, within)) {
-        Some(version) => {
-            let mut answer = answers::bytes(version.as_str().to_owned());
-            *answer.status_mut() = StatusCode::NON_AUTHORITATIVE_INFORMATION;
-            answer
-        }
-        None => answers::failure(StatusCode::NOT_FOUND, "no record"),
+    let service = service.map_or_else(Default::default, |(_, service)| service);
+    let Some(version) = origins::inferred(gw, &service, within) else {
+        return answers::failure(StatusCode::NOT_FOUND, "no record");
+    };
+    let mut answer = answers::bytes(version.as_str().to_owned());
+    *answer.status_mut() = StatusCode::NON_AUTHORITATIVE_INFORMATION;
+    let versions = gw.versions.borrow();
+    if versions.is_certain(&service, gw.now() - within) {
+        let value = HeaderValue::from_static("1");
+        answer.headers_mut().insert(SOLE_VERSION, value);
     }
+    answer
 }
 
 /// Makes a call to the store on behalf of a peer that the store rejects.
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -3,8 +3,10 @@
 use crate::confirmation::Confirmed;
 use crate::gateway::Gateway;
 use bluebellreel_members::Revisions;
-use bluebellreel_net::CallError;
-use bluebellreel_origins::{Origin, StreamTag};
+use bluebellreel_net::{CallError, exchange};
+use bluebellreel_origins::{
+    KNOWN_KEEPERS, Origin, RECORDS_LOST, SOLE_VERSION, StreamTag, parse_keepers,
+};
 use bluebellreel_snapshot::SharedFacts;
 use bluebellreel_teams::Caller;
 use bluebellreel_types::{JobId, WorkerVersion};
@@ -246,11 +248,25 @@
 pub(crate) enum KnownOrigin {
     /// It has a record.
     Recorded(WorkerVersion),
-    /// It has no record, and knew a single version that can have begun the stream.
-    Inferred(WorkerVersion),
+    /// It has no record, and knew a single version when the stream may have begun.
+    Inferred {
+        version: WorkerVersion,
+        /// Whether it has known no other version since.
+        is_sole: bool,
+    },
     Nothing,
 }
 
+/// The answer of a keeper or peer to the question for a stream's version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct OriginAnswer {
+    pub(crate) origin: KnownOrigin,
+    /// Whether it may lack a record, as it has lost its disk since the stream may have begun.
+    pub(crate) records_lost: bool,
+    /// The keepers that it knows.
+    pub(crate) keepers: Vec<SocketAddr>,
+}
+
 /// Asks a keeper or peer for the version that began a stream of a service, at most `within`
 /// ago.
 pub(crate) async fn origin(
@@ -259,21 +275,34 @@
     stream: StreamTag,
     service: &str,
     within: Duration,
-) -> Result<KnownOrigin, PeerError> {
+) -> Result<OriginAnswer, PeerError> {
     let service = utf8_percent_encode(service, NON_ALPHANUMERIC);
     let path = format!(
         "/origins/{stream}?service={service}&within_ms={}",
         within.as_millis()
     );
-    let (status, body) = call(gw, to, Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
+    let (peers, body) = (&gw.peers, Bytes::new());
+    let answer = exchange(peers, to, Method::GET, &path, body, CALL_TIMEOUT).await?;
+    let (head, body) = answer.into_parts();
     let version = || {
         let text = std::str::from_utf8(&body).map_err(|e| e.to_string())?;
         Ok::<_, PeerError>(WorkerVersion::from(text))
     };
-    match status {
-        StatusCode::OK => version().map(KnownOrigin::Recorded),
-        StatusCode::NON_AUTHORITATIVE_INFORMATION => version().map(KnownOrigin::Inferred),
-        StatusCode::NOT_FOUND => Ok(KnownOrigin::Nothing),
-        other => Err(format!("status {other}")),
-    }
+    let origin = match head.status {
+        StatusCode::OK => KnownOrigin::Recorded(version()?),
+        StatusCode::NON_AUTHORITATIVE_INFORMATION => KnownOrigin::Inferred {
+            version: version()?,
+            is_sole: head.headers.contains_key(SOLE_VERSION),
+        },
+        StatusCode::NOT_FOUND => KnownOrigin::Nothing,
+        other => return Err(format!("status {other}")),
+    };
+    // Keepers of an earlier build name no others.
+    let keepers = head.headers.get(KNOWN_KEEPERS);
+    let keepers = keepers.and_then(|value| value.to_str().ok());
+    Ok(OriginAnswer {
+        origin,
+        records_lost: head.headers.contains_key(RECORDS_LOST),
+        keepers: keepers.map(parse_keepers).unwrap_or_default(),
+    })
 }
--- a/crates/bluebellreel_gateway/src/placement.rs
+++ b/crates/bluebellreel_gateway/src/placement.rs
@@ -20,9 +20,10 @@
     avoid: &'a [WorkerName],
     max_wait: Duration,
 ) -> Query<'a> {
+    let bound = req.binding.version().or(req.required_version.as_ref());
     Query {
         service: &req.service,
-        version: req.binding.version().or(req.permit.version.as_ref()),
+        version: bound.or(req.permit.version.as_ref()),
         avoid,
         attempt: req.attempt(),
         max_wait,
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::workers::version_text;
 use bluebellreel_dispatch::{Depth, Placement};
 use bluebellreel_net::{Broken, Reuse};
-use bluebellreel_types::WorkerName;
+use bluebellreel_types::{WorkerName, WorkerVersion};
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
 use log::{info, warn};
@@ -47,6 +47,9 @@
 /// worker counts as silent.
 const FINAL_READ_TIMEOUT: Duration = Duration::from_millis(12);
 
+/// Why a stream that no keeper has recorded is begun at another version.
+const NOT_RECORDED: &str = "version not recorded";
+
 /// The outcome of a read from the worker's answer.
 enum ReadOutcome {
     Bytes(Bytes),
@@ -154,8 +157,14 @@
                 }
             };
             if !complete.is_empty() {
-                if !std::mem::replace(&mut self.is_recorded, true) {
-                    origins::record(&self.gw, &self.req).await;
+                if !std::mem::replace(&mut self.is_recorded, true)
+                    && !origins::record(&self.gw, &self.req).await
+                    && let Some(version) = origins::version_without_record(&self.gw, &self.req)
+                {
+                    if self.begin_anew(version).await {
+                        continue;
+                    }
+                    return Some(self.abort(NOT_RECORDED));
                 }
                 return Some(Ok(complete));
             }
@@ -354,12 +363,24 @@
             .interrupted_run(ticket, self.upstream.began, self.events_of_run)
     }
 
+    /// Begins the stream anew at a worker of `version`, with nothing passed on of it yet.
+    /// Returns whether that succeeded.
+    async fn begin_anew(&mut self, version: WorkerVersion) -> bool {
+        info!(target: "online", request:% = self.req.id, worker:% = self.upstream.run_guard.worker(), worker_version = version_text(self.upstream.run_guard.version()), required_version:% = version; "stream begun anew");
+        self.upstream.run_guard.proved();
+        self.req.binding = Binding::Version(version);
+        self.last_id = None;
+        self.events_passed = 0;
+        self.is_recorded = false;
+        self.send_elsewhere(false).await
+    }
+
     /// Resumes the stream at a worker, preferably one that has not had it. Returns
     /// whether that succeeded. If `open`, the connection to the former worker is kept
     /// meanwhile, as it may still send events.
     async fn resume(&mut self, reason: &str, open: bool) -> bool {
         let worker = self.upstream.run_guard.worker().clone();
-        let resumable = self.req.route.resumable && self.req.may_repeat();
+        let resumable = self.may_resume();
         warn!(target: "online", request:% = self.req.id, worker:% = worker, worker_version = version_text(self.upstream.run_guard.version()), events = self.events_passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
         self.upstream.run_guard.failed();
         self.rebind();
@@ -373,7 +394,17 @@
             // The worker's new incarnation has not had the stream.
             self.req.tried.retain(|w| *w != worker);
         }
-        while resumable && self.req.may_repeat() && !self.req.left().is_zero() {
+        self.send_elsewhere(open).await
+    }
+
+    fn may_resume(&self) -> bool {
+        self.req.route.resumable && self.req.may_repeat()
+    }
+
+    /// Sends the stream to other workers until one answers. Returns whether one has.
+    async fn send_elsewhere(&mut self, open: bool) -> bool {
+        let worker = self.upstream.run_guard.worker().clone();
+        while self.may_resume() && !self.req.left().is_zero() {
             if self.req.may_run(&self.gw).is_err() || self.req.denial(&self.gw).is_some() {
                 return false;
             }
@@ -394,7 +425,7 @@
                 }
                 Ok(Resumption::NewWorker(upstream)) if upstream.head.status.is_success() => {
                     if open && !self.has_restarted {
-                        self.excluded.push(worker);
+                        self.excluded.push(worker.clone());
                     }
                     // Dropping the old upstream closes its connection, which ends the
                     // run at the former worker.
--- a/crates/bluebellreel_gateway/src/request.rs
+++ b/crates/bluebellreel_gateway/src/request.rs
@@ -60,6 +60,8 @@
     pub(crate) credential: Option<Credential>,
     pub(crate) out: Outgoing,
     pub(crate) binding: Binding,
+    /// The version at which its answer has to begin.
+    pub(crate) required_version: Option<WorkerVersion>,
     /// When the caller stops waiting or the route's time limit is reached.
     pub(crate) deadline: Instant,
     pub(crate) received: Instant,
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -348,6 +348,7 @@
         runs: 0,
         fingerprint: OnceCell::new(),
         parts: OnceCell::new(),
+        required_version: None,
         permit: Permit::default(),
         trial: None,
     }
--- a/crates/bluebellreel_keeper/src/calls.rs
+++ b/crates/bluebellreel_keeper/src/calls.rs
@@ -29,7 +29,7 @@
     }
 }
 
-/// Fetches the state of a gateway, and gives it this keeper's address and data centre, and
+/// Fetches the state of a gateway and the keepers that it knows, and gives it this keeper's address and data centre, and
 /// the time until its next visit.
 pub(crate) async fn state(
     pool: &Pool,
@@ -37,7 +37,7 @@
     own: SocketAddr,
     data_centre: &DataCentre,
     next_in: Duration,
-) -> Result<GatewayState, CallError> {
+) -> Result<(GatewayState, Vec<SocketAddr>), CallError> {
     let query = form_urlencoded::Serializer::new(String::new())
         .append_pair("keeper", &own.to_string())
         .append_pair("data_centre", data_centre.as_str())
@@ -51,7 +51,14 @@
         Bytes::new(),
     )
     .await?;
-    postcard::from_bytes(&body).map_err(|e| e.to_string())
+    let (state, rest) = postcard::take_from_bytes(&body).map_err(|e| e.to_string())?;
+    // Gateways of an earlier build name no keepers.
+    let keepers = if rest.is_empty() {
+        Vec::new()
+    } else {
+        postcard::from_bytes(rest).map_err(|e| e.to_string())?
+    };
+    Ok((state, keepers))
 }
 
 /// Fetches the facts of a gateway that are newer than the revisions `newest`. If the
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -2,6 +2,8 @@
 
 use crate::calls;
 use crate::disk::{Disk, ORIGINS, PROGRESS, SNAPSHOT};
+use crate::known_keepers::KnownKeepers;
+use crate::origin_log::OriginLog;
 use crate::persistence::{PendingWrite, write_origins, write_progress, write_snapshots};
 use crate::shutdown::{KeeperTasks, StopSummary, shut_down};
 use crate::stored_state::{StoredState, read_stored_state};
@@ -53,6 +55,12 @@
     pub(crate) versions: RefCell<VersionHistory>,
     /// Versions that began streams.
     pub(crate) origins: RefCell<OriginRecords>,
+    pub(crate) origin_log: OriginLog,
+    /// Generation of the log to which records are appended.
+    pub(crate) log_generation: Cell<u64>,
+    /// Since when this keeper has each record that it has acknowledged.
+    pub(crate) records_since: Moment,
+    pub(crate) keepers: RefCell<KnownKeepers>,
     schedule: RefCell<VisitSchedule>,
     /// Changes that are not on the disk yet.
     pub(crate) pending_snapshot: PendingWrite,
@@ -146,9 +154,16 @@
     let snapshots = Disk::start(settings.folder.clone(), SNAPSHOT, count);
     let progresses = Disk::start(settings.folder.clone(), PROGRESS, progress_count);
     let origins_disk = Disk::start(settings.folder.clone(), ORIGINS, origins_count);
+    let clock = Clock::start();
+    let records_since = origins.records_since.unwrap_or(clock.now());
+    let checkpointed = origins.checkpointed;
     let keeper = Rc::new(Keeper {
         seeds: RefCell::new(settings.seeds.clone()),
-        clock: Clock::start(),
+        origin_log: OriginLog::start(settings.folder.clone(), origins.log_end),
+        log_generation: Cell::new(origins.log_end.generation),
+        records_since,
+        keepers: RefCell::new(KnownKeepers::restore(origins.keepers, clock.now())),
+        clock,
         pool: Pool::new(PoolLimits {
             connect: CONNECT_TIMEOUT,
             idle: IDLE_TIMEOUT,
@@ -187,7 +202,7 @@
         settings_watcher: spawn_local(watch_settings(keeper.clone(), read_settings)),
         snapshots: spawn_local(write_snapshots(keeper.clone(), snapshots)),
         progress: spawn_local(write_progress(keeper.clone(), progresses)),
-        origins: spawn_local(write_origins(keeper.clone(), origins_disk)),
+        origins: spawn_local(write_origins(keeper.clone(), origins_disk, checkpointed)),
         stop,
         served,
     };
@@ -261,7 +276,7 @@
     let own = &keeper.settings.data_centre;
     let next_in = keeper.schedule.borrow().interval_of(at);
     let answer = calls::state(&keeper.pool, at, keeper.settings.calls, own, next_in).await;
-    let Ok(state) = answer else {
+    let Ok((state, keepers)) = answer else {
         // The gateway is down or has not started yet. Logging each attempt would be
         // noise.
         let snapshot = keeper.snapshot.borrow();
@@ -272,6 +287,9 @@
         };
     };
     add_gateways(keeper, at, &state);
+    if keeper.keepers.borrow_mut().add(&keepers, keeper.now()) {
+        keeper.pending_origins.mark_changed();
+    }
     let outcome = visit_outcome(&keeper.snapshot.borrow(), &state);
     match outcome {
         VisitOutcome::FetchFacts => fetch_facts(keeper, at, &state).await,
--- a/crates/bluebellreel_keeper/src/lib.rs
+++ b/crates/bluebellreel_keeper/src/lib.rs
@@ -17,6 +17,8 @@
 mod calls;
 mod disk;
 mod keeper;
+mod known_keepers;
+mod origin_log;
 mod persistence;
 mod serve;
 mod shutdown;
--- a/crates/bluebellreel_keeper/src/persistence.rs
+++ b/crates/bluebellreel_keeper/src/persistence.rs
@@ -18,8 +18,8 @@
 const MIN_SNAPSHOT_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum time between two writes of progress backups. Owners send them once a second.
 const MIN_PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
-/// Minimum time between two writes of the records of streams. If all processes are killed,
-/// the records of this time are lost, and the streams that were begun then cannot go on.
+/// Minimum time between two checkpoints of the records of streams. Between them, records are
+/// appended to the log.
 const MIN_ORIGINS_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum delay after a failed write. A shutdown, which skips longer delays, retries
 /// several times within its deadline.
@@ -71,15 +71,23 @@
     }
 
     /// Writes the state after `delay`. If the write fails, the state stays pending: it
-    /// has been acknowledged, and its sender may not send it again.
-    async fn write(&self, disk: &mut Disk, delay: Duration, encode: impl FnOnce() -> Vec<u8>) {
+    /// has been acknowledged, and its sender may not send it again. Returns whether the write
+    /// has succeeded.
+    async fn write(
+        &self,
+        disk: &mut Disk,
+        delay: Duration,
+        encode: impl FnOnce() -> Vec<u8>,
+    ) -> bool {
         self.pause_until(Instant::now() + delay).await;
         self.changed.set(false);
-        if write(disk, encode()).await != DiskOutcome::Written {
+        let is_written = write(disk, encode()).await == DiskOutcome::Written;
+        if !is_written {
             self.changed.set(true);
             self.pause_until(Instant::now() + REFRESH_INTERVAL).await;
             sleep(RETRY_DELAY).await;
         }
+        is_written
     }
 }
 
@@ -118,10 +126,12 @@
     }
 }
 
-/// Writes the records of streams and the history of versions whenever they have changed, and
-/// at intervals, as only a recent history is continued after a restart. Ends when `finish` is
-/// called and everything is written.
-pub(crate) async fn write_origins(keeper: Rc<Keeper>, mut disk: Disk) {
+/// Writes checkpoints of the records of streams and the history of versions whenever the
+/// history has changed, and at intervals, as only a recent history is continued after a
+/// restart and as the log grows. Ends when `finish` is called and everything is written.
+///
+/// `checkpointed` is the generation of the log that began with the last checkpoint.
+pub(crate) async fn write_origins(keeper: Rc<Keeper>, mut disk: Disk, mut checkpointed: u64) {
     let pending = &keeper.pending_origins;
     while !pending.is_finished() {
         keeper.origins.borrow_mut().sweep(keeper.now());
@@ -129,10 +139,16 @@
             continue;
         }
         let encode = || {
-            let history = keeper.versions.borrow();
-            encode_origins(&keeper.origins.borrow(), &history, keeper.now())
+            let generation = &keeper.log_generation;
+            if checkpointed == generation.get() {
+                // The older one of the two files is not needed any more.
+                generation.set(generation.get() + 1);
+            }
+            encode_origins(&keeper)
         };
-        pending.write(&mut disk, MIN_ORIGINS_INTERVAL, encode).await;
+        if pending.write(&mut disk, MIN_ORIGINS_INTERVAL, encode).await {
+            checkpointed = keeper.log_generation.get();
+        }
     }
 }
 
--- a/crates/bluebellreel_keeper/src/serve.rs
+++ b/crates/bluebellreel_keeper/src/serve.rs
@@ -2,10 +2,12 @@
 
 use crate::keeper::Keeper;
 use bluebellreel_net::{Body, read_body};
-use bluebellreel_origins::{Origin, StreamTag};
+use bluebellreel_origins::{
+    KNOWN_KEEPERS, Origin, RECORDS_LOST, SOLE_VERSION, StreamTag, format_keepers,
+};
 use bluebellreel_types::{JobId, WorkerVersion};
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,8 +53,11 @@
             if keeper.closed.get() {
                 return status(StatusCode::SERVICE_UNAVAILABLE);
             }
-            store_origin(&keeper, &origin);
-            status(StatusCode::OK)
+            if store_origin(&keeper, origin).await {
+                status(StatusCode::OK)
+            } else {
+                status(StatusCode::INSUFFICIENT_STORAGE)
+            }
         }
         (&Method::GET, ["origins", stream]) => {
             let query = req.uri().query().unwrap_or("");
@@ -69,8 +74,18 @@
     }
 }
 
-/// The version that began a stream: from a record, else from the history of versions.
+/// The version that began a stream: from a record, else from the history of versions. Names
+/// the other keepers, which may have a record too.
 fn origin(keeper: &Keeper, stream: &str, query: &str) -> Response<Body> {
+    let mut answer = known_origin(keeper, stream, query);
+    let others = keeper.keepers.borrow();
+    if let Ok(value) = HeaderValue::try_from(format_keepers(others.addresses())) {
+        answer.headers_mut().insert(KNOWN_KEEPERS, value);
+    }
+    answer
+}
+
+fn known_origin(keeper: &Keeper, stream: &str, query: &str) -> Response<Body> {
     let now = keeper.now();
     let text = |version: &WorkerVersion| Body::full(version.as_str().to_owned());
     let origins = keeper.origins.borrow();
@@ -85,22 +100,36 @@
     let within = parameter("within_ms").and_then(|ms| ms.parse().ok());
     let since = now - Duration::from_millis(within.unwrap_or(0));
     let versions = keeper.versions.borrow();
-    let inferred = parameter("service").and_then(|s| versions.unrecorded(&s, since));
-    inferred.map_or_else(
-        || status(StatusCode::NOT_FOUND),
-        |version| {
+    let service = parameter("service").unwrap_or_default();
+    let mut answer = match versions.unrecorded(&service, since) {
+        Some(version) => {
             let mut answer = Response::new(text(version));
             *answer.status_mut() = StatusCode::NON_AUTHORITATIVE_INFORMATION;
             answer
-        },
-    )
+        }
+        None => status(StatusCode::NOT_FOUND),
+    };
+    let flags = [
+        (SOLE_VERSION, versions.is_certain(&service, since)),
+        (RECORDS_LOST, keeper.records_since > since),
+    ];
+    for (name, _) in flags.into_iter().filter(|(_, is_set)| *is_set) {
+        let value = HeaderValue::from_static("1");
+        answer.headers_mut().insert(name, value);
+    }
+    answer
 }
 
-fn store_origin(keeper: &Keeper, origin: &Origin) {
+/// Keeps a record. Returns whether it is on the disk.
+async fn store_origin(keeper: &Keeper, origin: Origin) -> bool {
     let expires_at = keeper.now() + origin.keep_for;
-    let mut origins = keeper.origins.borrow_mut();
-    origins.keep(origin.stream, &origin.version, expires_at);
-    keeper.pending_origins.mark_changed();
+    keeper
+        .origins
+        .borrow_mut()
+        .keep(origin.stream, &origin.version, expires_at);
+    let generation = keeper.log_generation.get();
+    let entry = (origin, expires_at);
+    keeper.origin_log.append(generation, entry).await
 }
 
 fn store_progress(keeper: &Keeper, id: JobId, progress: Vec<u8>) {
--- a/crates/bluebellreel_keeper/src/stored_state.rs
+++ b/crates/bluebellreel_keeper/src/stored_state.rs
@@ -1,11 +1,15 @@
 //! State on the keeper's disk at its start.
 
 use crate::disk::{ORIGINS, PROGRESS, load, load_snapshot};
+use crate::keeper::Keeper;
+use crate::origin_log::{LogEnd, read_log};
 use bluebellreel_origins::{OriginRecords, VersionHistory};
 use bluebellreel_snapshot::{ProgressBackups, Snapshot, SnapshotError};
 use bluebellreel_types::Moment;
 use eyre::eyre;
 use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::pin::pin;
 use std::thread;
@@ -34,6 +38,20 @@
     pub(crate) records: OriginRecords,
     pub(crate) history: VersionHistory,
     pub(crate) written_at: Moment,
+    /// Since when all acknowledged records were kept; none without a checkpoint.
+    pub(crate) records_since: Option<Moment>,
+    pub(crate) keepers: Vec<SocketAddr>,
+    /// The generation of the log that began with the checkpoint.
+    pub(crate) checkpointed: u64,
+    pub(crate) log_end: LogEnd,
+}
+
+/// The part of a checkpoint that checkpoints of an earlier build lack.
+#[derive(Default, Serialize, Deserialize)]
+struct LogState {
+    generation: u64,
+    records_since: Moment,
+    keepers: Vec<SocketAddr>,
 }
 
 impl StoredOrigins {
@@ -42,29 +60,45 @@
             records: OriginRecords::new(MAX_ORIGINS),
             history: VersionHistory::default(),
             written_at: Moment::default(),
+            records_since: None,
+            keepers: Vec::new(),
+            checkpointed: 0,
+            log_end: LogEnd::default(),
         }
     }
 
     fn decode(body: &[u8]) -> Result<Self, postcard::Error> {
         let mut stored = Self::none();
         let rest = stored.records.read(body)?;
-        (stored.history, stored.written_at) = postcard::from_bytes(rest)?;
+        let ((history, written_at), rest) = postcard::take_from_bytes(rest)?;
+        (stored.history, stored.written_at) = (history, written_at);
+        let log = if rest.is_empty() {
+            LogState::default()
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        stored.records_since = Some(log.records_since);
+        stored.keepers = log.keepers;
+        stored.checkpointed = log.generation;
         Ok(stored)
     }
 }
 
-/// Encodes the records of streams and the history of versions for the disk.
+/// Encodes a checkpoint: the records of streams, the history of versions, and where the log
+/// goes on.
 ///
 /// # Panics
 ///
-/// Never: both always serialize to postcard.
-pub(crate) fn encode_origins(
-    records: &OriginRecords,
-    history: &VersionHistory,
-    now: Moment,
-) -> Vec<u8> {
-    let encoded = postcard::to_extend(&(history, now), records.encode());
-    encoded.expect("the history serializes to postcard")
+/// Never: all parts serialize to postcard.
+pub(crate) fn encode_origins(keeper: &Keeper) -> Vec<u8> {
+    let log = LogState {
+        generation: keeper.log_generation.get(),
+        records_since: keeper.records_since,
+        keepers: keeper.keepers.borrow().addresses().collect(),
+    };
+    let rest = (&*keeper.versions.borrow(), keeper.now(), log);
+    let encoded = postcard::to_extend(&rest, keeper.origins.borrow().encode());
+    encoded.expect("a checkpoint serializes to postcard")
 }
 
 /// Reads the disk on a separate thread. If the main thread read a disk that hangs, it
@@ -117,5 +151,12 @@
     let (sequence, stored) = load(folder, ORIGINS, |body| {
         StoredOrigins::decode(body).map_err(|e| SnapshotError::from(e.to_string()))
     });
-    (sequence, stored.unwrap_or_else(StoredOrigins::none))
+    let mut stored = stored.unwrap_or_else(StoredOrigins::none);
+    let (entries, end) = read_log(folder, stored.checkpointed);
+    for (origin, expires_at) in entries {
+        let records = &mut stored.records;
+        records.keep(origin.stream, &origin.version, expires_at);
+    }
+    stored.log_end = end;
+    (sequence, stored)
 }
--- a/crates/bluebellreel_model/src/versions.rs
+++ b/crates/bluebellreel_model/src/versions.rs
@@ -2,8 +2,9 @@
 //! serve callers, and two keepers hold records. Any of them may be killed.
 //!
 //! Drives the real history of versions and the real records; calls between daemons are
-//! modelled as done at once or not at all. Gateways learn of changes within a lifetime of
-//! a stream.
+//! modelled as done at once or not at all, and each keeper takes a record or does not.
+//! Gateways learn of changes within a lifetime of a stream, keepers at once. A gateway that
+//! has just started may have been visited by the first keeper only.
 
 use crate::Explored;
 use crate::explored::explore_all;
@@ -34,18 +35,28 @@
     Ask,
     /// If both keepers are silent, no version is inferred.
     WaitForKeepers,
-    /// Keepers have their records on their disks.
+    /// Keepers have records on their disks before they acknowledge them.
     Disks,
+    /// A stream that would be taken for one of another version is passed on only once a
+    /// keeper has its record.
+    RequireRecord,
+    /// Keepers name each other to gateways that they have not all visited.
+    NameKeepers,
+    /// While a keeper is silent, no version is inferred if another one has listed two.
+    Contradict,
 }
 
 impl Guard {
     /// All guards.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 8] = [
         Self::Record,
         Self::UncertainAtStart,
         Self::Ask,
         Self::WaitForKeepers,
         Self::Disks,
+        Self::RequireRecord,
+        Self::NameKeepers,
+        Self::Contradict,
     ];
 }
 
@@ -85,7 +96,8 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
-    listed: Listed,
+    /// All lists, in order, and whether each was made at most a lifetime ago.
+    lists: Vec<(bool, Listed)>,
     changes: u8,
     gateways: [Gateway; GATEWAYS],
     keepers: [Keeper; KEEPERS],
@@ -95,6 +107,13 @@
     resumed: Option<usize>,
 }
 
+impl State {
+    /// The present list.
+    fn listed(&self) -> Listed {
+        self.lists.last().map_or([false; 2], |(_, listed)| *listed)
+    }
+}
+
 /// Explores all states.
 #[must_use]
 pub fn explore(guards: Guards) -> Explored {
@@ -109,7 +128,7 @@
         kills: 0,
     };
     let initial = State {
-        listed: [true, false],
+        lists: vec![(false, [true, false])],
         changes: 0,
         gateways: [gateway.clone(), gateway],
         keepers: [keeper.clone(), keeper],
@@ -152,13 +171,13 @@
         let gateway = &state.gateways[at];
         if gateway.learned.is_empty() {
             let mut started = state.clone();
-            started.gateways[at].learned = vec![(true, state.listed)];
+            started.gateways[at].learned = vec![(true, state.listed())];
             next.push(started);
             continue;
         }
-        if gateway.learned.last().map(|(_, listed)| *listed) != Some(state.listed) {
+        if gateway.learned.last().map(|(_, listed)| *listed) != Some(state.listed()) {
             let mut learned = state.clone();
-            learned.gateways[at].learned.push((true, state.listed));
+            learned.gateways[at].learned.push((true, state.listed()));
             next.push(learned);
         }
         begin(state, at, guards, &mut next);
@@ -179,9 +198,9 @@
 
 fn change_list(state: &State, next: &mut Vec<State>) {
     for listed in [[true, false], [true, true], [false, true]] {
-        if state.changes < MAX_CHANGES && listed != state.listed {
+        if state.changes < MAX_CHANGES && listed != state.listed() {
             let mut changed = state.clone();
-            changed.listed = listed;
+            changed.lists.push((true, listed));
             changed.changes += 1;
             next.push(changed);
         }
@@ -190,14 +209,15 @@
 
 /// A lifetime passes before the stream begins. By then all gateways that run know the list.
 fn pass_time(state: &State, next: &mut Vec<State>) {
-    let is_known = |g: &Gateway| g.learned.last().is_none_or(|(_, l)| *l == state.listed);
+    let is_known = |g: &Gateway| g.learned.last().is_none_or(|(_, l)| *l == state.listed());
     if state.began.is_some() || !state.gateways.iter().all(is_known) {
         return;
     }
     let mut later = state.clone();
-    for gateway in &mut later.gateways {
-        let last = gateway.learned.pop();
-        gateway.learned = last.into_iter().map(|(_, list)| (false, list)).collect();
+    let learned = later.gateways.iter_mut().map(|g| &mut g.learned);
+    for lists in learned.chain([&mut later.lists]) {
+        let last = lists.pop();
+        *lists = last.into_iter().map(|(_, list)| (false, list)).collect();
     }
     next.push(later);
 }
@@ -222,10 +242,14 @@
 
 /// The history of versions that a gateway has.
 fn history(gateway: &Gateway, guards: Guards) -> VersionHistory {
+    history_of(&gateway.learned, guards)
+}
+
+fn history_of(lists: &[(bool, Listed)], guards: Guards) -> VersionHistory {
     let mut history = VersionHistory::default();
     let service: Arc<str> = Arc::from(SERVICE);
     let versions = VERSIONS.map(WorkerVersion::from);
-    for (n, (is_recent, listed)) in gateway.learned.iter().enumerate() {
+    for (n, (is_recent, listed)) in lists.iter().enumerate() {
         let is_recent = *is_recent && (n > 0 || guards.has(Guard::UncertainAtStart));
         let workers = versions.iter().zip(listed).filter(|(_, listed)| **listed);
         history.update(
@@ -245,13 +269,24 @@
         return;
     };
     let since = now() - LIFETIME;
-    let is_certain = history(gateway, guards).is_certain(SERVICE, since);
-    for version in (0..VERSIONS.len()).filter(|v| known[*v]) {
+    let history = history(gateway, guards);
+    let is_certain = history.is_certain(SERVICE, since);
+    let takers = [[false, false], [true, false], [false, true], [true, true]];
+    for (version, takes) in (0..VERSIONS.len()).flat_map(|v| takers.map(|takes| (v, takes))) {
+        if !known[version] {
+            continue;
+        }
+        let name = WorkerVersion::from(VERSIONS[version]);
         let mut begun = state.clone();
         begun.began = Some(version);
         if guards.has(Guard::Record) && !is_certain {
-            for keeper in begun.keepers.iter_mut().filter(|k| k.is_up) {
-                keeper.record = Some(version);
+            for (keeper, takes) in begun.keepers.iter_mut().zip(takes) {
+                keeper.record = (takes && keeper.is_up).then_some(version);
+            }
+            let is_kept = begun.keepers.iter().any(|k| k.record.is_some());
+            let is_mistaken = history.may_be_mistaken(SERVICE, &name, since);
+            if guards.has(Guard::RequireRecord) && is_mistaken && !is_kept {
+                continue;
             }
             let takes_place = begun.keepers.iter().any(|k| !k.is_up);
             for (n, gateway) in begun.gateways.iter_mut().enumerate() {
@@ -269,36 +304,51 @@
     if state.began.is_none() {
         return;
     }
-    let stream = StreamTag::of("r1");
-    let silent = state.keepers.iter().filter(|k| !k.is_up).count();
+    let own = history(&state.gateways[at], guards);
+    let keepers_history = history_of(&state.lists, guards);
+    let has_just_started = matches!(state.gateways[at].learned[..], [(true, _)]);
+    let knows_all = guards.has(Guard::NameKeepers) || !has_just_started;
+    let asked = if knows_all {
+        &state.keepers[..]
+    } else {
+        &state.keepers[..1]
+    };
+    let silent = asked.iter().filter(|k| !k.is_up).count();
     let mut found = OriginRecords::new(1);
-    let keepers = state.keepers.iter().filter(|k| k.is_up);
-    let records = keepers.map(|k| k.record);
+    let records = asked.iter().filter(|k| k.is_up).map(|k| k.record);
     for record in records.chain(state.gateways.iter().map(|g| g.record)) {
         if let Some(version) = record.filter(|_| guards.has(Guard::Ask)) {
             let version = WorkerVersion::from(VERSIONS[version]);
-            found.keep(stream, &version, now() + LIFETIME);
+            found.keep(StreamTag::of("r1"), &version, now() + LIFETIME);
         }
     }
     let since = now() - LIFETIME;
-    let infer = |at: usize| {
-        let history = history(&state.gateways[at], guards);
-        history.unrecorded(SERVICE, since).cloned()
-    };
-    let is_certain = history(&state.gateways[at], guards).is_certain(SERVICE, since);
-    let by_others = (0..GATEWAYS).filter(|g| *g != at).find_map(infer);
-    let inferred = infer(at).or(by_others.filter(|_| silent == 0));
-    let may_infer = match silent {
-        0 => true,
-        1 => is_certain,
-        _ => !guards.has(Guard::WaitForKeepers),
+    let infer = |history: &VersionHistory| history.unrecorded(SERVICE, since).cloned();
+    let others = (0..GATEWAYS).filter(|g| *g != at);
+    let peers = others.map(|g| history(&state.gateways[g], guards));
+    let keepers = asked.iter().filter(|k| k.is_up).map(|_| &keepers_history);
+    let by_others = || keepers.clone().find_map(infer);
+    let is_sole = |h: &VersionHistory| h.is_certain(SERVICE, since);
+    let agrees =
+        !guards.has(Guard::Contradict) || keepers.clone().all(|h| infer(h).is_none() || is_sole(h));
+    let lists_no_other = |v: &WorkerVersion| !own.lists_other(SERVICE, v, since);
+    let inferred = match silent {
+        0 => infer(&own)
+            .or_else(by_others)
+            .or_else(|| peers.into_iter().find_map(|h| infer(&h))),
+        1 if is_sole(&own) && agrees => infer(&own),
+        1 => by_others()
+            .filter(|_| is_sole(&keepers_history))
+            .filter(lists_no_other),
+        _ if guards.has(Guard::WaitForKeepers) => None,
+        _ => infer(&own),
     };
-    let recorded = found.get(stream, now()).cloned();
-    let version = recorded.or(inferred.filter(|_| may_infer));
+    let recorded = found.get(StreamTag::of("r1"), now()).cloned();
     let known = state.gateways[at]
         .learned
         .last()
         .map_or([false; 2], |(_, l)| *l);
+    let version = recorded.or(inferred);
     let index = version.and_then(|v| VERSIONS.iter().position(|name| *name == v.as_str()));
     if let Some(index) = index.filter(|v| known[*v]) {
         let mut resumed = state.clone();
--- a/crates/bluebellreel_net/src/call.rs
+++ b/crates/bluebellreel_net/src/call.rs
@@ -2,7 +2,7 @@
 
 use crate::{Pool, Reuse};
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,6 +29,24 @@
     body: Bytes,
     max_wait: Duration,
 ) -> Result<(StatusCode, Bytes), CallError> {
+    let response = exchange(pool, to, method, path, body, max_wait).await?;
+    Ok((response.status(), response.into_body()))
+}
+
+/// Makes a call as [`call`] does. Returns the response with its headers.
+///
+/// # Errors
+///
+/// Fails if no complete response arrives within `max_wait`. The call may have taken
+/// effect nevertheless.
+pub async fn exchange(
+    pool: &Pool,
+    to: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+    max_wait: Duration,
+) -> Result<Response<Bytes>, CallError> {
     let mut req = Request::new(Full::new(body));
     *req.method_mut() = method;
     *req.uri_mut() = path.parse().map_err(|_| format!("path {path}"))?;
@@ -40,7 +58,10 @@
             .await
             .map_err(|e| e.to_string())?;
         let body = reply.body.whole(MAX_RESPONSE_BYTES).await;
-        Ok((reply.head.status, body.map_err(|e| e.to_string())?))
+        Ok(Response::from_parts(
+            reply.head,
+            body.map_err(|e| e.to_string())?,
+        ))
     };
     timeout(max_wait, sent).await.unwrap_or_else(|_| {
         // All pooled connections to this address may be broken.
--- a/crates/bluebellreel_net/src/lib.rs
+++ b/crates/bluebellreel_net/src/lib.rs
@@ -23,7 +23,7 @@
 mod tasks;
 
 pub use body::{Body, Broken, read_body};
-pub use call::{CallError, call};
+pub use call::{CallError, call, exchange};
 pub use pool::{Pool, PoolLimits, ProbeResult, Reuse, SendError};
 pub use reply::{Reply, ReplyBody};
 pub use saturation::{LoopLag, sample_lag};
--- a/crates/bluebellreel_origins/src/history.rs
+++ b/crates/bluebellreel_origins/src/history.rs
@@ -9,6 +9,11 @@
 /// How long a version that is no longer listed is remembered.
 const RETENTION: Duration = Duration::from_mins(30);
 
+/// How much later than another daemon one may learn of a version.
+const MAX_LAG: Duration = Duration::from_secs(5);
+/// The smallest difference between two moments.
+const TICK: Duration = Duration::from_micros(1);
+
 /// A time during which workers of a version were listed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Span {
@@ -73,8 +78,8 @@
     /// The version that began a stream of which there is no record, if it began at `since`
     /// or later; none if this daemon had no list by then.
     ///
-    /// A daemon records each stream for which it is not certain of a single version, so the
-    /// stream was begun by a daemon that knew no other.
+    /// A daemon records each stream for which it is not certain of a single version, and no
+    /// stream goes unrecorded that [`may_be_mistaken`](Self::may_be_mistaken).
     #[must_use]
     pub fn unrecorded(&self, service: &str, since: Moment) -> Option<&WorkerVersion> {
         if !self.reaches_back_to(since) {
@@ -83,16 +88,45 @@
         if let [version] = self.versions_since(service, since)[..] {
             return version;
         }
+        self.sole_version(service, since)
+    }
+
+    /// The version that was listed alone at a moment.
+    fn sole_version(&self, service: &str, at: Moment) -> Option<&WorkerVersion> {
         let spans = self.services.get(service)?;
-        let mut at_begin = spans
-            .iter()
-            .filter(|s| s.from <= since && s.overlaps(since));
-        match (at_begin.next(), at_begin.next()) {
+        let mut listed = spans.iter().filter(|s| s.from <= at && s.overlaps(at));
+        match (listed.next(), listed.next()) {
             (Some(sole), None) => sole.version.as_ref(),
             _ => None,
         }
     }
 
+    /// Whether an unrecorded stream of `version` that begins now may be taken for one of
+    /// another version, by a daemon with the same history, for as long as streams that began
+    /// at `since` can be resumed now.
+    #[must_use]
+    pub fn may_be_mistaken(&self, service: &str, version: &WorkerVersion, since: Moment) -> bool {
+        let since = since - MAX_LAG;
+        if !self.reaches_back_to(since) {
+            return true;
+        }
+        let spans = || self.services.get(service).into_iter().flatten();
+        let ends = spans().filter_map(|s| s.until).map(|until| until + TICK);
+        let changes = spans().map(|s| s.from).chain(ends).filter(|at| *at > since);
+        let mut moments = std::iter::once(since).chain(changes);
+        moments.any(|at| {
+            let sole = self.sole_version(service, at);
+            sole.is_some_and(|sole| sole != version)
+        })
+    }
+
+    /// Whether another version of a service was listed since a moment.
+    #[must_use]
+    pub fn lists_other(&self, service: &str, version: &WorkerVersion, since: Moment) -> bool {
+        let versions = self.versions_since(service, since);
+        versions.into_iter().any(|listed| listed != Some(version))
+    }
+
     /// Whether a single version of a service was listed since a moment, at which this daemon
     /// already had a list.
     #[must_use]
--- a/crates/bluebellreel_origins/src/lib.rs
+++ b/crates/bluebellreel_origins/src/lib.rs
@@ -19,8 +19,10 @@
 //! assert_eq!(records.get(stream, Moment(20)), None);
 //! ```
 
+mod headers;
 mod history;
 mod records;
 
+pub use headers::{KNOWN_KEEPERS, RECORDS_LOST, SOLE_VERSION, format_keepers, parse_keepers};
 pub use history::VersionHistory;
 pub use records::{Origin, OriginRecords, StreamTag};
--- a/crates/bluebellreel_snapshot/src/lib.rs
+++ b/crates/bluebellreel_snapshot/src/lib.rs
@@ -34,7 +34,7 @@
 
 pub use facts::{SharedFacts, WorkerFact};
 pub use progress::ProgressBackups;
-pub use slot::{SlotError, newest, read_slot, write_slot};
+pub use slot::{SlotError, newest, read_slot, read_slots, slot_bytes, write_slot};
 pub use snapshot::{KnownGateway, SNAPSHOT_TTL, Snapshot, SnapshotError};
 pub use validity::Validity;
 pub use visit::{GatewayState, VisitOutcome, visit_outcome};
--- a/crates/bluebellreel_snapshot/src/slot.rs
+++ b/crates/bluebellreel_snapshot/src/slot.rs
@@ -89,3 +89,19 @@
     });
     read.max_by_key(|(_, sequence, _)| *sequence)
 }
+
+/// The sequence numbers and bodies of consecutive slots, up to the first one that cannot be
+/// read.
+pub fn read_slots(mut bytes: &[u8]) -> impl Iterator<Item = (u64, &[u8])> {
+    std::iter::from_fn(move || {
+        let (sequence, body) = read_slot(bytes).ok()?;
+        bytes = &bytes[slot_bytes(body)..];
+        Some((sequence, body))
+    })
+}
+
+/// Size of the slot that holds a body, in bytes.
+#[must_use]
+pub fn slot_bytes(body: &[u8]) -> usize {
+    HEADER_BYTES + body.len()
+}
