Count a health check whose answer is broken off as not answered

Callers saw: nothing of it by itself. An answer without a length counts as whole if its worker answers a health check sent after it. A worker that breaks that answer off too, after its head, passed for alive.

Cause: the check ended with the head; its body was read only to keep the connection.

Change: a body that ends before it is complete ends the check without an answer. One that is late or long still counts, as the head came from the worker.

--- a/crates/bluebellreel_gateway/src/health.rs
+++ b/crates/bluebellreel_gateway/src/health.rs
@@ -1,7 +1,7 @@
 //! Health checks of workers whose answers have broken off.
 
 use crate::gateway::Gateway;
-use bluebellreel_net::{Reply, Reuse};
+use bluebellreel_net::{Reply, ReplyBody, Reuse};
 use bluebellreel_platform::engine;
 use bluebellreel_types::WorkerName;
 use futures::FutureExt;
@@ -20,7 +20,7 @@
 const CHECK_TIMEOUT: Duration = Duration::from_secs(3);
 /// Timeout of the body of an answer.
 const BODY_TIMEOUT: Duration = Duration::from_millis(30);
-/// Maximum size of the body of an answer, in bytes.
+/// Size of the part of a body that is read, in bytes.
 const MAX_BODY_BYTES: usize = 4096;
 
 /// Shared checks in progress, by the worker and its address: the runs that a worker breaks
@@ -78,14 +78,28 @@
     let req = engine::health_check(&health_path(gw, worker), worker)?;
     let reply = gw.workers.send(*address, req.map(Full::new), Reuse::Any);
     let reply = timeout(CHECK_TIMEOUT, reply).await.ok()?;
-    let Reply { head, mut body } = reply.ok()?;
-    spawn_local(async move {
-        // Read to its end, a connection can be used again.
-        let _ = timeout(BODY_TIMEOUT, body.whole(MAX_BODY_BYTES)).await;
-    });
+    let Reply { head, body } = reply.ok()?;
+    let is_broken_off = timeout(BODY_TIMEOUT, is_broken_off(body)).await;
+    if is_broken_off == Ok(true) {
+        return None;
+    }
     Some(engine::is_from_worker(head.status, &head.headers, worker))
 }
 
+/// Whether a body ends before it is complete, within its first part. Read to its end, its
+/// connection can be used again.
+async fn is_broken_off(mut body: ReplyBody) -> bool {
+    let mut bytes = 0;
+    while bytes <= MAX_BODY_BYTES {
+        match body.next().await {
+            Ok(Some(piece)) => bytes += piece.len(),
+            Ok(None) => return false,
+            Err(_) => return true,
+        }
+    }
+    false
+}
+
 /// Path of the health check of a worker's service.
 fn health_path(gw: &Gateway, worker: &WorkerName) -> Arc<str> {
     let board = gw.board.borrow();
