Treat an answer as unframed unless its last coding is chunked

Callers saw: 200 with an empty or short body, framed as whole; streams that end as complete without an event; items completed with no text.

Cause: an answer with any Transfer-Encoding counted as framed. With a coding other than chunked as its last one, the body ends with the connection, and the end of a worker looks like the end of its answer.

Evidence: broken_off.rs breaks seven responses off at each byte, on new and on kept connections. Heads, lengths, chunks and trailers that are cut always failed; `identity` and `gzip` passed for whole.

Change: only chunks or a length frame an answer; all others are checked as answers without a length are. A call to a peer or keeper without framing fails.

--- a/crates/bluebellreel_net/src/call.rs
+++ b/crates/bluebellreel_net/src/call.rs
@@ -57,6 +57,9 @@
             .send(to, req, Reuse::Any)
             .await
             .map_err(|e| e.to_string())?;
+        if reply.body.is_unframed() {
+            return Err("response without a length".into());
+        }
         let body = reply.body.whole(MAX_RESPONSE_BYTES).await;
         Ok(Response::from_parts(
             reply.head,
--- a/crates/bluebellreel_net/src/pool.rs
+++ b/crates/bluebellreel_net/src/pool.rs
@@ -280,8 +280,21 @@
 /// Whether a response with this head has a body that ends with its connection.
 fn is_unframed(head: &http::response::Parts, body: &hyper::body::Incoming) -> bool {
     let has_length = head.headers.contains_key(http::header::CONTENT_LENGTH);
-    let has_chunks = head.headers.contains_key(http::header::TRANSFER_ENCODING);
-    !has_length && !has_chunks && !body.is_end_stream()
+    let codings = head.headers.get_all(http::header::TRANSFER_ENCODING);
+    let mut codings = codings.iter().peekable();
+    let is_framed = if codings.peek().is_some() {
+        // Chunks are the only coding that shows where the body ends.
+        codings.last().is_some_and(ends_in_chunked)
+    } else {
+        has_length
+    };
+    !is_framed && !body.is_end_stream()
+}
+
+fn ends_in_chunked(codings: &http::HeaderValue) -> bool {
+    let codings = codings.to_str().unwrap_or("");
+    let last = codings.rsplit(',').next().unwrap_or("").trim();
+    last.eq_ignore_ascii_case("chunked")
 }
 
 /// How long the server keeps an idle connection, according to its `Keep-Alive`
