Log how old the list of workers was where a stream goes on, and who did not answer

There are no logs.

Adds 'unanswered' and 'list_age_ms', the time since the store was asked for a list or for changes that have been applied. No decision changes.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -71,6 +71,9 @@
     pub(crate) evidence_log: RefCell<EvidenceLog>,
     /// Versions of workers that were listed lately.
     pub(crate) versions: RefCell<VersionHistory>,
+    /// When the list of workers was last known to be complete, on the clock of
+    /// [`Self::elapsed`]; none if it never was.
+    pub(crate) list_complete_at: Cell<Option<Moment>>,
     /// Versions that began streams, of this daemon's and of peers' callers.
     pub(crate) origins: RefCell<OriginRecords>,
     pub(crate) overloads: RefCell<Overloads>,
@@ -192,6 +195,7 @@
             board: RefCell::new(board),
             evidence_log: RefCell::default(),
             versions: RefCell::default(),
+            list_complete_at: Cell::new(None),
             origins: RefCell::new(OriginRecords::new(MAX_ORIGINS)),
             overloads: RefCell::default(),
             suspects: RefCell::default(),
@@ -252,7 +256,12 @@
         &self.settings.name
     }
 
-    /// Whether this daemon has read the cluster state since its start.
+    /// How long ago the list of workers was known to be complete.
+    pub(crate) fn list_age(&self) -> Option<Duration> {
+        let complete_at = self.list_complete_at.get()?;
+        Some(self.elapsed().since(complete_at))
+    }
+
     /// Whether this daemon has run for some time.
     pub(crate) fn has_run_for(&self, time: Duration) -> bool {
         self.started.elapsed() >= time
--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -45,7 +45,8 @@
     };
     let confirmed = next.owned.lease.get().age(gw.stamp());
     gw.metrics.confirmation_age.observe(confirmed.as_secs_f64());
-    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, worker_version = version_text(run_guard.version()), after:? = after, revision, can_be_in_time, left_ms = millis(left), confirmed_ms = millis(confirmed); "item sent");
+    let list_age_ms = gw.list_age().map(millis);
+    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, worker_version = version_text(run_guard.version()), after:? = after, revision, list_age_ms:? = list_age_ms, can_be_in_time, left_ms = millis(left), confirmed_ms = millis(confirmed); "item sent");
     let end = run_at(&gw, &next, run_guard, after).await;
     next.trial = None;
     let now = gw.now();
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -161,6 +161,7 @@
         left_ms = millis(req.left()),
         version = gw.configuration().map_or(0, |c| c.version),
         report_age_ms = millis(report_age),
+        list_age_ms:? = gw.list_age().map(millis),
         team:? = req.credential.as_ref().map(|c| &c.team.name),
         tokens_left:? = teams::tokens_left(gw, req).map(f64::floor),
         confirmed_ms:? = gw.confirmation_age().map(|age| age.as_millis());
--- a/crates/bluebellreel_gateway/src/origin_lookup.rs
+++ b/crates/bluebellreel_gateway/src/origin_lookup.rs
@@ -8,6 +8,7 @@
 use crate::answers;
 use crate::gateway::Gateway;
 use crate::keepers::{FIRST_VISIT_TIMEOUT, first_visit};
+use crate::millis::millis;
 use crate::origins::{inferred, is_certain, lifetime, ranked_peers, recorded, tag};
 use crate::peer_calls::{self, KnownOrigin};
 use crate::request::{Binding, Request};
@@ -80,8 +81,10 @@
         version,
         source,
         asked,
+        unanswered,
     } = found;
-    info!(target: "online", request:% = req.id, resumes = began, worker_version:% = version, source, asked; "version of a stream found");
+    let list_age_ms = gw.list_age().map(millis);
+    info!(target: "online", request:% = req.id, resumes = began, worker_version:% = version, source, asked, unanswered, list_age_ms:? = list_age_ms; "version of a stream found");
     if !gw.board.borrow().has_ready_version(&req.service, &version) {
         return Err(refuse(gw, req, Refusal::NoWorker, Some(&version)));
     }
@@ -97,6 +100,8 @@
     source: &'static str,
     /// Number of keepers and peers that were asked for a record.
     asked: usize,
+    /// Number of them that did not answer.
+    unanswered: usize,
 }
 
 /// The version that began the stream that a request resumes.
@@ -105,10 +110,12 @@
     let own = inferred(gw, &req.service, lifetime);
     let lookup = look_up(gw, req, lifetime).await;
     let asked = lookup.asked.len();
+    let unanswered = asked - lookup.answered;
     let found = |version, source| FoundOrigin {
         version,
         source,
         asked,
+        unanswered,
     };
     if let Some(version) = lookup.recorded {
         return Ok(found(version, "recorded"));
@@ -154,6 +161,7 @@
     /// Whether another version has been listed at one of those who answered.
     has_other_versions: bool,
     asked: BTreeSet<SocketAddr>,
+    answered: usize,
     keepers: BTreeSet<SocketAddr>,
     /// Keepers that have visited this daemon lately.
     present: BTreeSet<SocketAddr>,
@@ -222,6 +230,7 @@
             continue;
         };
         lookup.silent.remove(&at);
+        lookup.answered += 1;
         if answer.records_lost {
             lookup.lossy.insert(at);
         }
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -439,7 +439,8 @@
                     self.silence_deadline = Instant::now() + RESUMED_FIRST_EVENT_TIMEOUT;
                     self.gw.metrics.resumed.inc();
                     self.gw.metrics.resumption("gateway", "same_version");
-                    info!(target: "online", request:% = self.req.id, worker:% = next, worker_version = version_text(self.upstream.run_guard.version()), last_id:? = self.last_id; "stream resumed");
+                    let list_age_ms = self.gw.list_age().map(millis);
+                    info!(target: "online", request:% = self.req.id, worker:% = next, worker_version = version_text(self.upstream.run_guard.version()), last_id:? = self.last_id, list_age_ms:? = list_age_ms; "stream resumed");
                     return true;
                 }
                 Ok(Resumption::NewWorker(upstream)) => {
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -81,8 +81,9 @@
     /// Applies changes, once for all changes of an answer: with thousands of workers,
     /// applying each one separately would take seconds.
     apply: fn(&Gateway),
-    /// Records that all changes up to a revision were processed.
-    advance_to: fn(&Gateway, i64),
+    /// Records that all changes up to a revision were processed, which was the store's at
+    /// some time after the moment.
+    advance_to: fn(&Gateway, i64, Moment),
 }
 
 const OPERATOR: WatchHandler = WatchHandler {
@@ -97,7 +98,7 @@
         false
     },
     apply: |_| {},
-    advance_to: operator_seen_to,
+    advance_to: |gw, revision, _| operator_seen_to(gw, revision),
 };
 
 const WORKERS: WatchHandler = WatchHandler {
@@ -111,7 +112,10 @@
         apply_workers(gw, "store");
         gw.report_due.notify_one();
     },
-    advance_to: |gw, revision| gw.cluster_state.borrow_mut().catalog.advance_to(revision),
+    advance_to: |gw, revision, asked| {
+        gw.cluster_state.borrow_mut().catalog.advance_to(revision);
+        gw.list_complete_at.set(Some(asked));
+    },
 };
 
 /// A complete list of a prefix.
@@ -213,6 +217,7 @@
         let mut cluster_state = gw.cluster_state.borrow_mut();
         cluster_state.catalog.replace(revision, list, keep_until)
     };
+    gw.list_complete_at.set(Some(listing.asked));
     if changed {
         apply_workers(gw, "store");
         gw.report_due.notify_one();
@@ -323,6 +328,7 @@
             }
         }
         let after = (handler.seen)(gw);
+        let asked = gw.elapsed();
         let watch = gw.store.watch(&prefix, after, WATCH_TIMEOUT);
         let watched = tokio::select! {
             watched = watch => watched,
@@ -343,7 +349,7 @@
                 if needs_apply {
                     (handler.apply)(gw);
                 }
-                (handler.advance_to)(gw, changes.revision);
+                (handler.advance_to)(gw, changes.revision, asked);
                 if is_delivery {
                     sleep(GATHER_PAUSE).await;
                 }
