Resume a caller's stream only by a list of workers that is known to be complete

Cause: three conclusions from silence. A gateway that nobody answered took a stream without a record for one of the version of its own list, however old: with one keeper it could ignore that one, keepers were not 'present' any more after four seconds, and without keepers the silence of peers did not count at all. Nothing told a gateway that its list was old, so that it sent streams to workers that had been replaced under their ids, although keepers answered. And the history of versions went by when a version was learned, as if the list had been complete until then.

Change: a gateway knows when its list was last known to be complete: when the store, or a peer that has it from the store, was asked for newer changes (list_check). The age counts from the question, so that it survives a stop. A caller's stream goes on only with a check of at most 250 ms; without answers of all who may hold a record, only with one made since the request arrived, and a single version all the time. The history keeps for each change when the list was last complete without it, and names no version for a time in which it may have missed one. Keepers learn from the gateways that they visit how old their lists are.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::jobs::Deadlines;
 use crate::jobs::own::Jobs;
 use crate::keeper_visits::Keepers;
+use crate::list_check::ListChecks;
 use crate::metrics::Metrics;
 use crate::reports::{Discoveries, ForwardQueue};
 use crate::store::StoreClient;
@@ -74,6 +75,7 @@
     /// When the list of workers was last known to be complete, on the clock of
     /// [`Self::elapsed`]; none if it never was.
     pub(crate) list_complete_at: Cell<Option<Moment>>,
+    pub(crate) list_checks: ListChecks,
     /// Versions that began streams, of this daemon's and of peers' callers.
     pub(crate) origins: RefCell<OriginRecords>,
     pub(crate) overloads: RefCell<Overloads>,
@@ -196,6 +198,7 @@
             evidence_log: RefCell::default(),
             versions: RefCell::default(),
             list_complete_at: Cell::new(None),
+            list_checks: ListChecks::default(),
             origins: RefCell::new(OriginRecords::new(MAX_ORIGINS)),
             overloads: RefCell::default(),
             suspects: RefCell::default(),
@@ -256,6 +259,14 @@
         &self.settings.name
     }
 
+    /// Records that the list of workers was complete at a moment of the clock of
+    /// [`Self::elapsed`], and that all changes until then are applied.
+    pub(crate) fn note_list_complete(&self, at: Moment) {
+        let newest = self.list_complete_at.get().max(Some(at));
+        self.list_complete_at.set(newest);
+        self.versions.borrow_mut().prove(at);
+    }
+
     /// How long ago the list of workers was known to be complete.
     pub(crate) fn list_age(&self) -> Option<Duration> {
         let complete_at = self.list_complete_at.get()?;
--- a/crates/bluebellreel_gateway/src/keepers.rs
+++ b/crates/bluebellreel_gateway/src/keepers.rs
@@ -83,8 +83,8 @@
         peers,
     };
     let keepers = gw.keepers.borrow().all(gw.now());
-    // The state comes first: keepers of an earlier build read no more.
-    match postcard::to_allocvec(&(state, keepers)) {
+    // Keepers of earlier builds read the first part, or the first two.
+    match postcard::to_allocvec(&(state, keepers, gw.list_age())) {
         Ok(bytes) => answers::bytes(bytes),
         Err(e) => answers::failure(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
     }
--- a/crates/bluebellreel_gateway/src/lib.rs
+++ b/crates/bluebellreel_gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod keeper_visits;
 mod keepers;
 mod lease;
+mod list_check;
 mod metrics;
 mod millis;
 mod online;
--- a/crates/bluebellreel_gateway/src/origin_lookup.rs
+++ b/crates/bluebellreel_gateway/src/origin_lookup.rs
@@ -1,23 +1,30 @@
 //! Finds the version that began a stream which its caller resumes.
 //!
-//! A record counts wherever it is found. Its absence says something only if every keeper that
-//! may have it has answered: the stream is then of the version that was listed alone when it
-//! may have begun. Keepers and peers name the keepers that they know, as a gateway which has
-//! just started does not know them all.
+//! A record counts wherever it is found. Its absence says something only if everybody who may
+//! have it has answered: the stream is then of the version that was listed alone when it may
+//! have begun. Otherwise a single version must have been listed until now, by a list that is
+//! known to be complete since the request arrived. Keepers and peers name the keepers that they
+//! know, as a gateway which has just started does not know them all.
+//!
+//! In each case the list must be known to be complete, as workers of the version may have been
+//! replaced: see `list_check`.
 
 use crate::answers;
 use crate::gateway::Gateway;
 use crate::keepers::{FIRST_VISIT_TIMEOUT, first_visit};
+use crate::list_check::{check_for_send, check_since};
 use crate::millis::millis;
-use crate::origins::{inferred, is_certain, lifetime, ranked_peers, recorded, tag};
-use crate::peer_calls::{self, KnownOrigin};
+use crate::origins::{inferred, lifetime, ranked_peers, recorded, tag};
+use crate::peer_calls::{self, KnownOrigin, OriginAnswer};
 use crate::request::{Binding, Request};
 use crate::workers::version_text;
 use bluebellreel_dispatch::RouteKind;
 use bluebellreel_net::Body;
+use bluebellreel_origins::MAX_LAG;
 use bluebellreel_platform::ingress;
-use bluebellreel_types::WorkerVersion;
+use bluebellreel_types::{Moment, WorkerVersion};
 use futures::StreamExt;
+use futures::future::join;
 use futures::stream::FuturesUnordered;
 use http::{Response, StatusCode};
 use log::info;
@@ -27,8 +34,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Limit on a question for the version that began a stream.
-const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
+/// Limit on a question for the version that began a stream. It is shorter than the time-out of
+/// a connection, so that a daemon which is cut off does not count as one that has ended.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(240);
 /// `Retry-After` if the version of a stream may be known soon: keepers restart within a
 /// second, and a worker that this daemon does not list yet is listed within half a second.
 const RETRY_SOON: Duration = Duration::from_millis(400);
@@ -42,6 +50,8 @@
     Unknown,
     /// Daemons that may know the version did not answer.
     Undecided,
+    /// The list of workers may not be complete.
+    OutOfStep,
 }
 
 impl Refusal {
@@ -50,6 +60,7 @@
             Self::NoWorker => "no_worker",
             Self::Unknown => "version_unknown",
             Self::Undecided => "undecided",
+            Self::OutOfStep => "out_of_step",
         }
     }
 
@@ -58,6 +69,7 @@
             Self::NoWorker => "no worker of the version that began the stream",
             Self::Unknown => "version that began the stream not known",
             Self::Undecided => "version that began the stream not known yet",
+            Self::OutOfStep => "list of workers not confirmed",
         }
     }
 }
@@ -107,42 +119,57 @@
 /// The version that began the stream that a request resumes.
 async fn origin_of(gw: &Rc<Gateway>, req: &Request) -> Result<FoundOrigin, Refusal> {
     let lifetime = lifetime(req);
-    let own = inferred(gw, &req.service, lifetime);
-    let lookup = look_up(gw, req, lifetime).await;
-    let asked = lookup.asked.len();
-    let unanswered = asked - lookup.answered;
+    let arrived = gw.elapsed();
+    let (lookup, may_send) = join(look_up(gw, req, lifetime), check_for_send(gw)).await;
+    if !may_send {
+        return Err(Refusal::OutOfStep);
+    }
     let found = |version, source| FoundOrigin {
         version,
         source,
-        asked,
-        unanswered,
+        asked: lookup.asked.len(),
+        unanswered: lookup.asked.len() - lookup.answered,
     };
     if let Some(version) = lookup.recorded {
         return Ok(found(version, "recorded"));
     }
-    let is_complete = lookup.silent.is_empty() && lookup.lossy.is_empty();
-    let may_ignore_silent = lookup.may_ignore_silent_present() && !lookup.has_other_versions;
-    if let Some(version) = own
-        && (is_complete || (may_ignore_silent && is_certain(gw, req, lifetime)))
-    {
-        return Ok(found(version, "own_history"));
+    if lookup.silent.is_empty() && lookup.lossy.is_empty() {
+        if let Some(version) = inferred(gw, &req.service, lifetime) {
+            return Ok(found(version, "own_history"));
+        }
+        if let Some(version) = sole(&lookup.inferred) {
+            return Ok(found(version, "history_of_others"));
+        }
+        let may_know_soon = lookup.keepers.is_empty() && !gw.has_run_for(lifetime);
+        return Err(if may_know_soon {
+            Refusal::Undecided
+        } else {
+            Refusal::Unknown
+        });
     }
-    let is_sole = |version: &WorkerVersion| {
-        let since = gw.now() - lifetime;
+    // A record may exist that nobody has told of, unless no other version was ever listed.
+    if check_since(gw, arrived).await {
+        let now = gw.elapsed();
         let versions = gw.versions.borrow();
-        lookup.may_ignore_silent() && !versions.lists_other(&req.service, version, since)
-    };
-    let by_others = if is_complete {
-        sole(&lookup.inferred)
-    } else {
-        sole(&lookup.sole).filter(is_sole)
-    };
-    match by_others {
-        Some(version) => Ok(found(version, "history_of_others")),
-        None if !lookup.silent.is_empty() => Err(Refusal::Undecided),
-        None if lookup.keepers.is_empty() && !gw.has_run_for(lifetime) => Err(Refusal::Undecided),
-        None => Err(Refusal::Unknown),
+        if versions.is_certain(&req.service, now - lifetime)
+            && let Some(version) = versions.sole_since(&req.service, now - lifetime)
+        {
+            return Ok(found(version.clone(), "own_history"));
+        }
+        // What others know reaches up to about the start of this daemon's own history.
+        let is_sole_here = |(version, proven): &&(WorkerVersion, Moment)| {
+            let is_joined = versions.since().is_some_and(|s| s <= *proven + MAX_LAG);
+            is_joined && versions.sole_since(&req.service, *proven) == Some(version)
+        };
+        if let Some((version, _)) = lookup.sole.iter().find(is_sole_here) {
+            return Ok(found(version.clone(), "history_of_others"));
+        }
     }
+    Err(if lookup.silent.is_empty() {
+        Refusal::Unknown
+    } else {
+        Refusal::Undecided
+    })
 }
 
 /// The only element of a set.
@@ -156,33 +183,20 @@
     recorded: Option<WorkerVersion>,
     /// Versions that were listed alone when the stream may have begun.
     inferred: BTreeSet<WorkerVersion>,
-    /// Those of them beside which no other has been listed since.
-    sole: BTreeSet<WorkerVersion>,
-    /// Whether another version has been listed at one of those who answered.
-    has_other_versions: bool,
+    /// Versions beside which no other was listed from then to a moment, by some daemon.
+    sole: Vec<(WorkerVersion, Moment)>,
     asked: BTreeSet<SocketAddr>,
+    /// Number of those who answered.
     answered: usize,
     keepers: BTreeSet<SocketAddr>,
-    /// Keepers that have visited this daemon lately.
-    present: BTreeSet<SocketAddr>,
-    /// Keepers that have not answered. Their records are on their disks.
+    /// Keepers that have not answered, whose records are on their disks, and peers that may
+    /// have a record in memory.
     silent: BTreeSet<SocketAddr>,
     /// Keepers that may have lost records with their disks.
     lossy: BTreeSet<SocketAddr>,
 }
 
 impl Lookup {
-    /// Whether keepers that are silent, although they are present, matter less than the
-    /// certainty of this daemon.
-    fn may_ignore_silent_present(&self) -> bool {
-        let silent = self.silent.intersection(&self.present).count();
-        silent <= max_ignored(self.present.len())
-    }
-
-    fn may_ignore_silent(&self) -> bool {
-        self.silent.len() <= max_ignored(self.keepers.len())
-    }
-
     /// Adds those of the keepers that have not been asked. Returns them.
     fn add_keepers(&mut self, keepers: Vec<SocketAddr>) -> Vec<SocketAddr> {
         let new: Vec<_> = keepers
@@ -193,12 +207,24 @@
         self.asked.extend(new.iter().copied());
         new
     }
-}
 
-/// How many of some keepers may be silent while the others know a single version: a minority,
-/// but one of two as well.
-fn max_ignored(keepers: usize) -> usize {
-    (keepers.saturating_sub(1) / 2).max(1)
+    fn add_answer(&mut self, asked_at: Moment, at: SocketAddr, answer: OriginAnswer) {
+        self.silent.remove(&at);
+        self.answered += 1;
+        if answer.records_lost {
+            self.lossy.insert(at);
+        }
+        match answer.origin {
+            KnownOrigin::Recorded(version) => self.recorded = Some(version),
+            KnownOrigin::Inferred { version, sole_age } => {
+                if let Some(age) = sole_age {
+                    self.sole.push((version.clone(), asked_at - age));
+                }
+                self.inferred.insert(version);
+            }
+            KnownOrigin::Nothing => {}
+        }
+    }
 }
 
 /// Asks for a stream's record.
@@ -216,40 +242,29 @@
         let asked = peer_calls::origin(gw, to, stream, &req.service, lifetime);
         (to, asked.await)
     };
-    lookup.present.extend(gw.keepers.borrow().all(gw.now()));
     let known = gw.keepers.borrow().known(gw.now());
     let mut to_ask = lookup.add_keepers(known);
-    to_ask.extend(ranked_peers(gw, stream));
+    let peers = ranked_peers(gw, stream);
+    lookup.silent.extend(peers.iter().copied());
+    to_ask.extend(peers);
     lookup.asked.extend(to_ask.iter().copied());
+    let asked_at = gw.elapsed();
+    let deadline = Instant::now() + LOOKUP_TIMEOUT;
     let mut answers = FuturesUnordered::new();
     answers.extend(to_ask.into_iter().map(&ask));
-    let deadline = Instant::now() + LOOKUP_TIMEOUT;
     while let Ok(Some((at, answer))) = timeout_at(deadline, answers.next()).await {
-        // The records of a peer that does not answer are lost if it was killed.
-        let Ok(answer) = answer else {
+        let Ok(mut answer) = answer else {
+            // A peer that refuses connections has ended, and its records with it.
+            if !lookup.keepers.contains(&at) {
+                lookup.silent.remove(&at);
+            }
             continue;
         };
-        lookup.silent.remove(&at);
-        lookup.answered += 1;
-        if answer.records_lost {
-            lookup.lossy.insert(at);
-        }
-        match answer.origin {
-            KnownOrigin::Recorded(version) => {
-                lookup.recorded = Some(version);
-                return lookup;
-            }
-            KnownOrigin::Inferred { version, is_sole } => {
-                if is_sole {
-                    lookup.sole.insert(version.clone());
-                } else {
-                    lookup.has_other_versions = true;
-                }
-                lookup.inferred.insert(version);
-            }
-            KnownOrigin::Nothing => {}
+        let named = lookup.add_keepers(std::mem::take(&mut answer.keepers));
+        lookup.add_answer(asked_at, at, answer);
+        if lookup.recorded.is_some() {
+            return lookup;
         }
-        let named = lookup.add_keepers(answer.keepers);
         answers.extend(named.into_iter().map(&ask));
     }
     lookup
@@ -264,7 +279,7 @@
     let after = match refusal {
         // The caller's other attempts would end the same way.
         Refusal::Unknown => req.left(),
-        Refusal::NoWorker | Refusal::Undecided => RETRY_SOON,
+        Refusal::NoWorker | Refusal::Undecided | Refusal::OutOfStep => RETRY_SOON,
     };
     let resumes = ingress::resumed_attempt(&req.out.headers);
     let last_id = ingress::last_event_id(&req.out.headers);
--- a/crates/bluebellreel_gateway/src/origins.rs
+++ b/crates/bluebellreel_gateway/src/origins.rs
@@ -15,9 +15,9 @@
 use crate::peer_calls;
 use crate::request::{Binding, Request};
 use bluebellreel_dispatch::RouteKind;
-use bluebellreel_origins::{Origin, StreamTag};
+use bluebellreel_origins::{MAX_LAG, Origin, StreamTag};
 use bluebellreel_platform::ingress;
-use bluebellreel_types::{Moment, WorkerVersion};
+use bluebellreel_types::WorkerVersion;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use log::warn;
@@ -46,7 +46,7 @@
         return true;
     };
     let lifetime = lifetime(req);
-    if !req.route.resumable || is_certain(gw, req, lifetime) {
+    if !req.route.resumable || is_certain(gw, &req.service, lifetime) {
         return true;
     }
     let origin = Origin {
@@ -58,7 +58,7 @@
     let is_first_attempt = ingress::last_event_id(&req.out.headers).is_none();
     let needs_record = is_first_attempt && {
         let versions = gw.versions.borrow();
-        versions.may_be_mistaken(&req.service, version, gw.now() - lifetime)
+        versions.may_be_mistaken(&req.service, version, gw.elapsed() - lifetime)
     };
     let began = Instant::now();
     first_visit(gw, gw.started + FIRST_VISIT_TIMEOUT).await;
@@ -160,7 +160,7 @@
         req.binding == Binding::Free && req.route.kind == RouteKind::Stream && req.route.resumable;
     let needs_record = is_new_stream
         && gw.keepers.borrow().take_no_records(gw.now())
-        && !is_certain(gw, req, lifetime(req));
+        && !is_certain(gw, &req.service, lifetime(req));
     if needs_record {
         version_without_record(gw, req)
     } else {
@@ -219,7 +219,7 @@
 /// The version that began a stream of which nobody has a record, by this daemon's history.
 pub(crate) fn inferred(gw: &Gateway, service: &str, within: Duration) -> Option<WorkerVersion> {
     let versions = gw.versions.borrow();
-    versions.unrecorded(service, gw.now() - within).cloned()
+    versions.unrecorded(service, gw.elapsed() - within).cloned()
 }
 
 /// The tag of the request's stream: that of the attempt that brought its first event. There
@@ -234,9 +234,10 @@
     (req.route.timeout * 2).max(MIN_LIFETIME)
 }
 
-/// Whether a single version of the service can have begun a stream that callers may still
-/// resume.
-pub(crate) fn is_certain(gw: &Gateway, req: &Request, lifetime: Duration) -> bool {
-    let since: Moment = gw.now() - lifetime;
-    gw.versions.borrow().is_certain(&req.service, since)
+/// Whether a single version of the service can have been listed for as long as callers may
+/// resume a stream.
+pub(crate) fn is_certain(gw: &Gateway, service: &str, within: Duration) -> bool {
+    let now = gw.elapsed();
+    let versions = gw.versions.borrow();
+    versions.is_proven_at(now - MAX_LAG) && versions.is_certain(service, now - within)
 }
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -5,11 +5,15 @@
 use crate::gateway::Gateway;
 use crate::jobs;
 use crate::keepers;
+use crate::list_check;
+use crate::millis::millis;
 use crate::origins;
 use crate::store_proxy;
 use bluebellreel_members::Revisions;
 use bluebellreel_net::{Body, read_body};
-use bluebellreel_origins::{KNOWN_KEEPERS, Origin, SOLE_VERSION, StreamTag, format_keepers};
+use bluebellreel_origins::{
+    KNOWN_KEEPERS, LIST_AGE_MS, Origin, SOLE_VERSION, StreamTag, format_keepers,
+};
 use bluebellreel_teams::Caller;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
@@ -40,6 +44,10 @@
             let max_age = (max_age > 0).then(|| Duration::from_millis(max_age));
             confirmation::answer_peer(&gw, max_age).await
         }
+        (&Method::GET, ["completeness"]) => {
+            let max_age = req.uri().query().map(|_| query_number(&req, "max_age_ms"));
+            list_check::answer_peer(&gw, max_age.map(Duration::from_millis)).await
+        }
         (&Method::GET, ["state"]) => keepers::state(&gw, req.uri().query().unwrap_or("")),
         (&Method::PUT, ["facts"]) => match read_call_body(req).await {
             Some(body) => keepers::accept_snapshot(&gw, &body),
@@ -138,11 +146,15 @@
     };
     let mut answer = answers::bytes(version.as_str().to_owned());
     *answer.status_mut() = StatusCode::NON_AUTHORITATIVE_INFORMATION;
-    let versions = gw.versions.borrow();
-    if versions.is_certain(&service, gw.now() - within) {
+    let since = gw.elapsed() - within;
+    if gw.versions.borrow().is_certain(&service, since) {
         let value = HeaderValue::from_static("1");
         answer.headers_mut().insert(SOLE_VERSION, value);
     }
+    if let Some(age) = gw.list_age() {
+        let value = HeaderValue::from(millis(age));
+        answer.headers_mut().insert(LIST_AGE_MS, value);
+    }
     answer
 }
 
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -2,10 +2,11 @@
 
 use crate::confirmation::Confirmed;
 use crate::gateway::Gateway;
+use crate::list_check::Completeness;
 use bluebellreel_members::Revisions;
 use bluebellreel_net::{CallError, exchange};
 use bluebellreel_origins::{
-    KNOWN_KEEPERS, Origin, RECORDS_LOST, SOLE_VERSION, StreamTag, parse_keepers,
+    KNOWN_KEEPERS, LIST_AGE_MS, Origin, RECORDS_LOST, SOLE_VERSION, StreamTag, parse_keepers,
 };
 use bluebellreel_snapshot::SharedFacts;
 use bluebellreel_teams::Caller;
@@ -80,6 +81,24 @@
     postcard::from_bytes(&body).map_err(|e| e.to_string())
 }
 
+/// Asks a peer up to which revision its list of workers is complete, as of at most `max_age`
+/// ago if given and if the peer reaches the store.
+pub(crate) async fn completeness(
+    gw: &Gateway,
+    to: SocketAddr,
+    max_age: Option<Duration>,
+) -> Result<Completeness, PeerError> {
+    let path = max_age.map_or_else(
+        || "/completeness".to_owned(),
+        |age| format!("/completeness?max_age_ms={}", age.as_millis()),
+    );
+    let (status, body) = call(gw, to, Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    postcard::from_bytes(&body).map_err(|e| e.to_string())
+}
+
 async fn cluster_state_after(
     gw: &Gateway,
     to: SocketAddr,
@@ -251,8 +270,8 @@
     /// It has no record, and knew a single version when the stream may have begun.
     Inferred {
         version: WorkerVersion,
-        /// Whether it has known no other version since.
-        is_sole: bool,
+        /// How old its list is, if it has known no other version since.
+        sole_age: Option<Duration>,
     },
     Nothing,
 }
@@ -288,11 +307,15 @@
         let text = std::str::from_utf8(&body).map_err(|e| e.to_string())?;
         Ok::<_, PeerError>(WorkerVersion::from(text))
     };
+    // Daemons of an earlier build do not state the age.
+    let list_age = head.headers.get(LIST_AGE_MS);
+    let list_age = list_age.and_then(|value| value.to_str().ok()?.parse().ok());
+    let list_age = list_age.map(Duration::from_millis);
     let origin = match head.status {
         StatusCode::OK => KnownOrigin::Recorded(version()?),
         StatusCode::NON_AUTHORITATIVE_INFORMATION => KnownOrigin::Inferred {
             version: version()?,
-            is_sole: head.headers.contains_key(SOLE_VERSION),
+            sole_age: list_age.filter(|_| head.headers.contains_key(SOLE_VERSION)),
         },
         StatusCode::NOT_FOUND => KnownOrigin::Nothing,
         other => return Err(format!("status {other}")),
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -6,8 +6,8 @@
 use crate::shutdown::shut_down;
 use crate::workers::apply_workers;
 use crate::{
-    admission, confirmation, evidence, jobs, lease, peer_api, quarantine_store, registration,
-    reload, reports, serve, store_proxy, teams, watching,
+    admission, confirmation, evidence, jobs, lease, list_check, peer_api, quarantine_store,
+    registration, reload, reports, serve, store_proxy, teams, watching,
 };
 use bluebellreel_net::{ConnectionTracker, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
@@ -143,6 +143,7 @@
     spawn_local(watching::watch_operator(gw.clone()));
     spawn_local(watching::watch_workers(gw.clone()));
     spawn_local(confirmation::keep_confirmed(gw.clone()));
+    spawn_local(list_check::keep_checked(gw.clone()));
     spawn_local(lease::keep_registered(gw.clone()));
     spawn_local(registration::list_members(gw.clone()));
     spawn_local(quarantine_store::load(gw.clone()));
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -12,7 +12,7 @@
 use bluebellreel_dispatch::WorkerRecord;
 use bluebellreel_kv::{Key, KeyValue, KvError, Txn, WatchEvent};
 use bluebellreel_members::{Lag, Revisions};
-use bluebellreel_platform::store::Watched;
+use bluebellreel_platform::store::{Changes, Watched};
 use bluebellreel_platform::{decode_worker, keys};
 use bluebellreel_types::{Moment, WorkerName};
 use log::{info, warn};
@@ -114,7 +114,7 @@
     },
     advance_to: |gw, revision, asked| {
         gw.cluster_state.borrow_mut().catalog.advance_to(revision);
-        gw.list_complete_at.set(Some(asked));
+        gw.note_list_complete(asked);
     },
 };
 
@@ -217,11 +217,13 @@
         let mut cluster_state = gw.cluster_state.borrow_mut();
         cluster_state.catalog.replace(revision, list, keep_until)
     };
-    gw.list_complete_at.set(Some(listing.asked));
     if changed {
         apply_workers(gw, "store");
         gw.report_due.notify_one();
     }
+    if revision >= gw.cluster_state.borrow().seen().workers {
+        gw.note_list_complete(listing.asked);
+    }
 }
 
 /// Parses a worker's entry: its id, and its record if that is valid.
@@ -341,15 +343,8 @@
         match watched {
             Ok(Watched::Changes(changes)) => {
                 note_recovery(gw, &prefix, &failing_since);
-                let mut needs_apply = false;
                 let is_delivery = !changes.events.is_empty();
-                for event in changes.events {
-                    needs_apply |= (handler.changed)(gw, event);
-                }
-                if needs_apply {
-                    (handler.apply)(gw);
-                }
-                (handler.advance_to)(gw, changes.revision, asked);
+                apply_changes(gw, handler, changes, asked);
                 if is_delivery {
                     sleep(GATHER_PAUSE).await;
                 }
@@ -368,6 +363,46 @@
     }
 }
 
+/// Processes the changes that a watch has delivered, which was begun at `asked`.
+fn apply_changes(gw: &Rc<Gateway>, handler: &WatchHandler, changes: Changes, asked: Moment) {
+    let mut needs_apply = false;
+    for event in changes.events {
+        needs_apply |= (handler.changed)(gw, event);
+    }
+    if needs_apply {
+        (handler.apply)(gw);
+    }
+    (handler.advance_to)(gw, changes.revision, asked);
+}
+
+/// Reads the changes of the list of workers from the store at once. Returns whether the store
+/// has answered.
+pub(crate) async fn refresh_workers(gw: &Rc<Gateway>) -> bool {
+    let prefix = Key::from(keys::WORKERS);
+    let after = (WORKERS.seen)(gw);
+    let asked = gw.elapsed();
+    if after > 0 {
+        match gw.store.watch(&prefix, after, Duration::ZERO).await {
+            Ok(Watched::Changes(changes)) => {
+                apply_changes(gw, &WORKERS, changes, asked);
+                return true;
+            }
+            Ok(Watched::HistoryGone) => {}
+            Err(_) => return false,
+        }
+    }
+    let Ok((all, revision)) = gw.store.list(&prefix).await else {
+        return false;
+    };
+    let listing = Listing {
+        all,
+        revision,
+        asked,
+    };
+    workers_listed(gw, &listing);
+    true
+}
+
 fn note_failure(gw: &Gateway, prefix: &Key, failing_since: &Cell<Option<Moment>>, e: &KvError) {
     if failing_since.get().is_none() {
         failing_since.set(Some(gw.now()));
--- a/crates/bluebellreel_gateway/src/workers.rs
+++ b/crates/bluebellreel_gateway/src/workers.rs
@@ -18,7 +18,7 @@
     let changes = gw.board.borrow_mut().apply_catalog(&cluster_state.catalog);
     let listed = cluster_state.catalog.workers();
     let versions = listed.map(|r| (&r.service, r.version.as_ref()));
-    gw.versions.borrow_mut().update(versions, gw.now());
+    gw.versions.borrow_mut().update(versions, gw.elapsed());
     drop(cluster_state);
     if changes.len() > MAX_LOGGED {
         let gone = changes.iter().filter(|(_, c)| *c == WorkerChange::Left);
--- a/crates/bluebellreel_keeper/src/calls.rs
+++ b/crates/bluebellreel_keeper/src/calls.rs
@@ -6,6 +6,7 @@
 use bluebellreel_types::DataCentre;
 use bytes::Bytes;
 use http::{Method, StatusCode};
+use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,15 +30,24 @@
     }
 }
 
-/// Fetches the state of a gateway and the keepers that it knows, and gives it this keeper's address and data centre, and
-/// the time until its next visit.
+/// What a gateway answers to a visit.
+pub(crate) struct Visited {
+    pub(crate) state: GatewayState,
+    /// The keepers that it knows.
+    pub(crate) keepers: Vec<SocketAddr>,
+    /// How long ago its list of workers was known to be complete.
+    pub(crate) list_age: Option<Duration>,
+}
+
+/// Visits a gateway: gives it this keeper's address and data centre, and the time until its
+/// next visit.
 pub(crate) async fn state(
     pool: &Pool,
     to: SocketAddr,
     own: SocketAddr,
     data_centre: &DataCentre,
     next_in: Duration,
-) -> Result<(GatewayState, Vec<SocketAddr>), CallError> {
+) -> Result<Visited, CallError> {
     let query = form_urlencoded::Serializer::new(String::new())
         .append_pair("keeper", &own.to_string())
         .append_pair("data_centre", data_centre.as_str())
@@ -52,13 +62,23 @@
     )
     .await?;
     let (state, rest) = postcard::take_from_bytes(&body).map_err(|e| e.to_string())?;
-    // Gateways of an earlier build name no keepers.
-    let keepers = if rest.is_empty() {
-        Vec::new()
-    } else {
-        postcard::from_bytes(rest).map_err(|e| e.to_string())?
-    };
-    Ok((state, keepers))
+    let (keepers, rest) = take_or_default(rest)?;
+    let (list_age, _) = take_or_default(rest)?;
+    Ok(Visited {
+        state,
+        keepers,
+        list_age,
+    })
+}
+
+/// Decodes a part that gateways of an earlier build do not send. Also returns the rest.
+fn take_or_default<'a, T: Deserialize<'a> + Default>(
+    bytes: &'a [u8],
+) -> Result<(T, &'a [u8]), CallError> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
+    }
+    postcard::take_from_bytes(bytes).map_err(|e| e.to_string())
 }
 
 /// Fetches the facts of a gateway that are newer than the revisions `newest`. If the
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -275,8 +275,9 @@
 async fn visit(keeper: &Keeper, at: SocketAddr) -> VisitResult {
     let own = &keeper.settings.data_centre;
     let next_in = keeper.schedule.borrow().interval_of(at);
+    let asked = keeper.now();
     let answer = calls::state(&keeper.pool, at, keeper.settings.calls, own, next_in).await;
-    let Ok((state, keepers)) = answer else {
+    let Ok(visited) = answer else {
         // The gateway is down or has not started yet. Logging each attempt would be
         // noise.
         let snapshot = keeper.snapshot.borrow();
@@ -286,8 +287,13 @@
             is_near: known.all(|(_, g)| is_near(own, g.data_centre.as_ref())),
         };
     };
+    let state = visited.state;
     add_gateways(keeper, at, &state);
-    if keeper.keepers.borrow_mut().add(&keepers, keeper.now()) {
+    if keeper
+        .keepers
+        .borrow_mut()
+        .add(&visited.keepers, keeper.now())
+    {
         keeper.pending_origins.mark_changed();
     }
     let outcome = visit_outcome(&keeper.snapshot.borrow(), &state);
@@ -300,6 +306,10 @@
         }
         VisitOutcome::Nothing => {}
     }
+    let knows_all = keeper.snapshot.borrow().newest().workers >= state.newest.workers;
+    if let Some(age) = visited.list_age.filter(|_| state.from_store && knows_all) {
+        keeper.versions.borrow_mut().prove(asked - age);
+    }
     VisitResult {
         reached: true,
         is_near: is_near(own, Some(&state.data_centre)),
--- a/crates/bluebellreel_keeper/src/persistence.rs
+++ b/crates/bluebellreel_keeper/src/persistence.rs
@@ -13,6 +13,9 @@
 /// Interval at which the snapshot is written although only its confirmation time has
 /// changed. After a restart, the snapshot may look older than it is by this time.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// The same for the history of versions, which says less the longer ago the list of workers was
+/// known to be complete.
+const ORIGINS_REFRESH_INTERVAL: Duration = Duration::from_secs(3);
 /// Minimum time between two writes of the snapshot, so that a burst of changes is
 /// written once.
 const MIN_SNAPSHOT_INTERVAL: Duration = Duration::from_millis(200);
@@ -135,7 +138,7 @@
     let pending = &keeper.pending_origins;
     while !pending.is_finished() {
         keeper.origins.borrow_mut().sweep(keeper.now());
-        if !pending.wait(REFRESH_INTERVAL).await && pending.is_finished() {
+        if !pending.wait(ORIGINS_REFRESH_INTERVAL).await && pending.is_finished() {
             continue;
         }
         let encode = || {
--- a/crates/bluebellreel_keeper/src/serve.rs
+++ b/crates/bluebellreel_keeper/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::keeper::Keeper;
 use bluebellreel_net::{Body, read_body};
 use bluebellreel_origins::{
-    KNOWN_KEEPERS, Origin, RECORDS_LOST, SOLE_VERSION, StreamTag, format_keepers,
+    KNOWN_KEEPERS, LIST_AGE_MS, Origin, RECORDS_LOST, SOLE_VERSION, StreamTag, format_keepers,
 };
 use bluebellreel_types::{JobId, WorkerVersion};
 use bytes::Bytes;
@@ -117,6 +117,11 @@
         let value = HeaderValue::from_static("1");
         answer.headers_mut().insert(name, value);
     }
+    if let Some(proven) = versions.proven() {
+        let age = now.since(proven).as_millis();
+        let value = HeaderValue::from(u64::try_from(age).unwrap_or(u64::MAX));
+        answer.headers_mut().insert(LIST_AGE_MS, value);
+    }
     answer
 }
 
--- a/crates/bluebellreel_keeper/src/stored_state.rs
+++ b/crates/bluebellreel_keeper/src/stored_state.rs
@@ -46,7 +46,17 @@
     pub(crate) log_end: LogEnd,
 }
 
-/// The part of a checkpoint that checkpoints of an earlier build lack.
+/// Decodes a part that checkpoints of an earlier build lack. Also returns the rest.
+fn take_or_default<'a, T: Deserialize<'a> + Default>(
+    bytes: &'a [u8],
+) -> Result<(T, &'a [u8]), postcard::Error> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
+    }
+    postcard::take_from_bytes(bytes)
+}
+
+/// The part of a checkpoint on the log.
 #[derive(Default, Serialize, Deserialize)]
 struct LogState {
     generation: u64,
@@ -72,11 +82,9 @@
         let rest = stored.records.read(body)?;
         let ((history, written_at), rest) = postcard::take_from_bytes(rest)?;
         (stored.history, stored.written_at) = (history, written_at);
-        let log = if rest.is_empty() {
-            LogState::default()
-        } else {
-            postcard::from_bytes(rest)?
-        };
+        let (log, rest) = take_or_default::<LogState>(rest)?;
+        let (proven, _) = take_or_default(rest)?;
+        stored.history.restore_proven(proven);
         stored.records_since = Some(log.records_since);
         stored.keepers = log.keepers;
         stored.checkpointed = log.generation;
@@ -96,7 +104,8 @@
         records_since: keeper.records_since,
         keepers: keeper.keepers.borrow().addresses().collect(),
     };
-    let rest = (&*keeper.versions.borrow(), keeper.now(), log);
+    let versions = keeper.versions.borrow();
+    let rest = (&*versions, keeper.now(), log, versions.proven());
     let encoded = postcard::to_extend(&rest, keeper.origins.borrow().encode());
     encoded.expect("a checkpoint serializes to postcard")
 }
--- a/crates/bluebellreel_origins/src/headers.rs
+++ b/crates/bluebellreel_origins/src/headers.rs
@@ -6,7 +6,10 @@
 pub const KNOWN_KEEPERS: &str = "known-keepers";
 /// Set by a keeper that may have lost records of streams that callers still resume.
 pub const RECORDS_LOST: &str = "records-lost";
-/// Set by a keeper that has known a single version since the stream may have begun.
+/// How long ago, in milliseconds, the list of workers of whoever answers was known to be
+/// complete.
+pub const LIST_AGE_MS: &str = "list-age-ms";
+/// Set by a keeper or peer that has known a single version since the stream may have begun.
 pub const SOLE_VERSION: &str = "sole-version";
 
 /// Value of [`KNOWN_KEEPERS`].
--- a/crates/bluebellreel_origins/src/lib.rs
+++ b/crates/bluebellreel_origins/src/lib.rs
@@ -6,7 +6,9 @@
 //! version of a service is listed, each daemon therefore records the version of each stream
 //! that it begins, at other daemons, before it passes on the first event: see
 //! [`OriginRecords`]. While a single version is listed nothing is recorded, and
-//! [`VersionHistory`] tells which version that was, at any daemon that had a list then.
+//! [`VersionHistory`] tells which version that was, at any daemon whose list is known to have
+//! been complete then. That nobody has a record says something only if all who may have one
+//! have answered, or if the list is known to be complete now.
 //!
 //! ```
 //! use bluebellreel_origins::{OriginRecords, StreamTag};
@@ -23,6 +25,8 @@
 mod history;
 mod records;
 
-pub use headers::{KNOWN_KEEPERS, RECORDS_LOST, SOLE_VERSION, format_keepers, parse_keepers};
-pub use history::VersionHistory;
+pub use headers::{
+    KNOWN_KEEPERS, LIST_AGE_MS, RECORDS_LOST, SOLE_VERSION, format_keepers, parse_keepers,
+};
+pub use history::{MAX_LAG, VersionHistory};
 pub use records::{Origin, OriginRecords, StreamTag};
