Use the output of a run that goes on only from a worker that has not been replaced

What callers saw: a stream whose worker broke off went on, at a gateway that was cut off, at a worker which had been replaced under its id by one of another version: events of two versions in one answer (ORDER). The same could happen to items.

Cause: the run is sent by the list of workers, and nothing tells that the list is old. Class: a place in a list taken for the one who holds it now.

Evidence: own_streams_do_not_go_on_at_workers_that_were_replaced_unnoticed fails on the code before (two versions in one answer). The test of items passes there too: its runs are held back after the crash until the list is read; it guards the design.

An item whose worker cannot be checked starts over.

--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -2,12 +2,13 @@
 //! ended.
 
 use super::deadlines;
-use super::runs::{ITEM_BACKOFF, Next};
+use super::runs::{self, ITEM_BACKOFF, Next};
 use crate::answer_limits::{AnswerLimits, TOO_LONG};
 use crate::crash::{self, InterruptedRun};
 use crate::events::{Events, Oversized};
 use crate::gateway::Gateway;
 use crate::item_gate;
+use crate::list_check;
 use crate::millis::millis;
 use crate::quarantine_gate::{self, PromptPart};
 use crate::stream_monitor::StreamMonitor;
@@ -36,6 +37,13 @@
 pub(super) async fn run(gw: Rc<Gateway>, mut next: Next, run_guard: RunGuard) {
     let worker = run_guard.worker().clone();
     let id = next.id.clone();
+    let has_output = next.owned.job.borrow().items[next.item]
+        .progress
+        .last_id()
+        .is_some();
+    if has_output && !list_check::check_for_send(&gw).await {
+        runs::start_over(&gw, &next, "list of workers not confirmed");
+    }
     let (after, revision, can_be_in_time, left) = {
         let job = next.owned.job.borrow();
         let after = job.items[next.item].progress.last_id();
@@ -218,10 +226,17 @@
     let limits = AnswerLimits::of(&out.headers);
     let mut depth = Depth::default();
     let mut silent_at = Instant::now() + SILENCE_TIMEOUT;
+    let mut must_check = before > 0;
     loop {
         match timeout_at(silent_at, next_chunk(gw, upstream)).await {
             Ok(Ok(Some(bytes))) => {
                 events.push(&bytes);
+                let ticket = upstream.run_guard.ticket();
+                if std::mem::take(&mut must_check)
+                    && !list_check::check_run(gw, ticket, upstream.dispatched).await
+                {
+                    return Err(OTHER_VERSION);
+                }
                 let known = events_of(next);
                 take_events(
                     gw,
--- a/crates/bluebellreel_gateway/src/list_check.rs
+++ b/crates/bluebellreel_gateway/src/list_check.rs
@@ -16,6 +16,7 @@
 use crate::peer_calls;
 use crate::reports::merge_cluster_state;
 use crate::watching::{is_watcher, refresh_workers};
+use bluebellreel_dispatch::Ticket;
 use bluebellreel_net::Body;
 use bluebellreel_types::{EntryName, Moment};
 use http::{Response, StatusCode};
@@ -64,6 +65,13 @@
     check_since(gw, gw.elapsed() - MAX_AGE).await
 }
 
+/// Checks that a run which was sent at `sent`, to continue earlier output, went to the worker
+/// that was meant: one that has not restarted by then.
+pub(crate) async fn check_run(gw: &Rc<Gateway>, ticket: &Ticket, sent: Moment) -> bool {
+    let is_complete = check_since(gw, sent - MAX_AGE).await;
+    is_complete && !gw.board.borrow().is_from_previous_incarnation(ticket)
+}
+
 /// Checks that the list was complete at `since` or later, and brings it up to date for that.
 /// Returns whether it was.
 pub(crate) async fn check_since(gw: &Rc<Gateway>, since: Moment) -> bool {
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use crate::crash::{self, InterruptedRun};
 use crate::events::{Events, Oversized};
 use crate::gateway::Gateway;
+use crate::list_check;
 use crate::millis::millis;
 use crate::origins;
 use crate::placement;
@@ -20,7 +21,7 @@
 use crate::workers::version_text;
 use bluebellreel_dispatch::{Depth, Placement};
 use bluebellreel_net::{Broken, Reuse};
-use bluebellreel_types::{WorkerName, WorkerVersion};
+use bluebellreel_types::{Moment, WorkerName, WorkerVersion};
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
 use log::{info, warn};
@@ -49,6 +50,8 @@
 
 /// Why a stream that no keeper has recorded is begun at another version.
 const NOT_RECORDED: &str = "version not recorded";
+/// Why the output of a run that resumes a stream is not used.
+const OUT_OF_STEP: &str = "list of workers not confirmed";
 
 /// The outcome of a read from the worker's answer.
 enum ReadOutcome {
@@ -103,6 +106,9 @@
     excluded: Vec<WorkerName>,
     /// Whether the version that began the stream was recorded, if that is needed.
     is_recorded: bool,
+    /// When the present run was sent, if it resumes the answer and nothing of it has been used
+    /// yet.
+    unchecked: Option<Moment>,
     finished: bool,
 }
 
@@ -111,6 +117,7 @@
         let silence_deadline = first_event_deadline(&gw, upstream.run_guard.worker());
         let last_id = bluebellreel_platform::ingress::last_event_id(&req.out.headers);
         let max_events = AnswerLimits::of(&req.out.headers).events;
+        let dispatched = upstream.dispatched;
         Self {
             gw,
             req,
@@ -129,6 +136,7 @@
             has_restarted: false,
             excluded: Vec::new(),
             is_recorded: false,
+            unchecked: last_id.map(|_| dispatched),
             finished: false,
         }
     }
@@ -146,6 +154,7 @@
             return None;
         }
         loop {
+            let before = (self.last_id, self.events_passed);
             let complete = match self.complete_events() {
                 Ok(complete) => complete,
                 Err(reason) => {
@@ -157,6 +166,13 @@
                 }
             };
             if !complete.is_empty() {
+                if !self.went_to_its_version().await {
+                    self.undo(before);
+                    if self.resume(OUT_OF_STEP, false).await {
+                        continue;
+                    }
+                    return Some(self.abort(OUT_OF_STEP));
+                }
                 if !std::mem::replace(&mut self.is_recorded, true)
                     && !origins::record(&self.gw, &self.req).await
                     && let Some(version) = origins::version_without_record(&self.gw, &self.req)
@@ -363,6 +379,23 @@
             .interrupted_run(ticket, self.upstream.began, self.events_of_run)
     }
 
+    /// Whether the present run, which resumes the answer, was sent to a worker of the version
+    /// that began it.
+    async fn went_to_its_version(&mut self) -> bool {
+        let Some(dispatched) = self.unchecked.take() else {
+            return true;
+        };
+        let ticket = self.upstream.run_guard.ticket();
+        list_check::check_run(&self.gw, ticket, dispatched).await
+    }
+
+    /// Forgets the events of the present run, as none was passed on.
+    fn undo(&mut self, (last_id, events_passed): (Option<u64>, u64)) {
+        self.last_id = last_id;
+        self.events_passed = events_passed;
+        self.events = Events::default();
+    }
+
     /// Begins the stream anew at a worker of `version`, with nothing passed on of it yet.
     /// Returns whether that succeeded.
     async fn begin_anew(&mut self, version: WorkerVersion) -> bool {
@@ -404,6 +437,10 @@
     /// Sends the stream to other workers until one answers. Returns whether one has.
     async fn send_elsewhere(&mut self, open: bool) -> bool {
         let worker = self.upstream.run_guard.worker().clone();
+        if self.last_id.is_some() && !list_check::check_for_send(&self.gw).await {
+            self.gw.metrics.resumption("gateway", "out_of_step");
+            return false;
+        }
         while self.may_resume() && !self.req.left().is_zero() {
             if self.req.may_run(&self.gw).is_err() || self.req.denial(&self.gw).is_some() {
                 return false;
@@ -434,6 +471,7 @@
                     self.events = Events::default();
                     self.events_of_run = 0;
                     self.resumed_after = self.last_id;
+                    self.unchecked = self.last_id.map(|_| self.upstream.dispatched);
                     self.stream_monitor = StreamMonitor::default();
                     self.req.runs += 1;
                     self.silence_deadline = Instant::now() + RESUMED_FIRST_EVENT_TIMEOUT;
--- a/crates/bluebellreel_gateway/src/upstream.rs
+++ b/crates/bluebellreel_gateway/src/upstream.rs
@@ -20,6 +20,8 @@
     pub(crate) address: SocketAddr,
     /// When the request was sent.
     pub(crate) began: Moment,
+    /// The same on the clock that also runs while the VM is suspended.
+    pub(crate) dispatched: Moment,
 }
 
 /// Why a send has no answer to forward.
@@ -59,7 +61,7 @@
     let Some(address) = address else {
         return Err(NoAnswer::Unsent("worker no longer listed".into()));
     };
-    let began = gw.now();
+    let (began, dispatched) = (gw.now(), gw.elapsed());
     let req = send.out.for_worker(worker, send.left, send.after);
     let answer = gw.workers.send(address, req.map(Full::new), send.reuse);
     let reply = match timeout_at(send.until, answer).await {
@@ -100,5 +102,6 @@
         run_guard: send.run_guard,
         address,
         began,
+        dispatched,
     })
 }
