Model check: gateways that are cut off, lists known to be complete, versions that come and go unnoticed

The model had two gateways that always learn of changes. Now one may be cut off (or stopped) at any moment, miss lists, and come back. Guards WaitForKeepers and Contradict are replaced by Silence, as the rule that they stood for is: while anybody who may have a record is silent, a version counts only if no other was listed until now. New: CheckList and ProveHistory.

A version that was listed and removed by changes that arrive together, or in five to ten seconds without a complete list, was never in the history, so that with a silent keeper its stream was taken for the other version's: such times now count (saw, short gaps). And a version listed before and after a time without a complete list counted as listed all the while, so that its streams could go unrecorded: in such a time any version may have been alone.

--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -185,6 +185,10 @@
             let Some((id, record)) = read_worker(gw, &kv) else {
                 return false;
             };
+            if let Some(record) = &record {
+                let mut versions = gw.versions.borrow_mut();
+                versions.saw(&record.service, record.version.as_ref(), gw.elapsed());
+            }
             cluster_state.catalog.take(kv.revision, &id, record)
         }
         WatchEvent::Deleted { key, revision } => {
--- a/crates/bluebellreel_model/src/versions.rs
+++ b/crates/bluebellreel_model/src/versions.rs
@@ -1,14 +1,18 @@
 //! A stream that its caller resumes while workers of two versions come and go. Two gateways
-//! serve callers, and two keepers hold records. Any of them may be killed.
+//! serve callers, and two keepers hold records. Any of them may be killed, and a gateway may be
+//! cut off from the store, the keepers and the other one, or stopped, which is the same.
 //!
 //! Drives the real history of versions and the real records; calls between daemons are
 //! modelled as done at once or not at all, and each keeper takes a record or does not.
-//! Gateways learn of changes within a lifetime of a stream, keepers at once. A gateway that
-//! has just started may have been visited by the first keeper only.
+//! Gateways that are in touch learn of changes within a lifetime of a stream, keepers at once;
+//! one that is cut off does not know that it is. A gateway that has just started may have been
+//! visited by the first keeper only. Workers of a version that has not been listed for a lifetime
+//! have ended. Streams that begin at a gateway which has been cut off for longer are not modelled:
+//! it passes them on without a record.
 
 use crate::Explored;
 use crate::explored::explore_all;
-use bluebellreel_origins::{OriginRecords, StreamTag, VersionHistory};
+use bluebellreel_origins::{MAX_LAG, OriginRecords, StreamTag, VersionHistory};
 use bluebellreel_types::{Moment, WorkerVersion};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +23,10 @@
 const MAX_CHANGES: u8 = 2;
 /// Maximum number of kills of each daemon.
 const MAX_KILLS: u8 = 1;
+/// Maximum number of cuts of all gateways.
+const MAX_CUTS: u8 = 1;
+/// Time for which a gateway is cut off at least.
+const GAP: Duration = Duration::from_secs(6);
 const GATEWAYS: usize = 2;
 const KEEPERS: usize = 2;
 const VERSIONS: [&str; 2] = ["v1", "v2"];
@@ -33,8 +41,9 @@
     UncertainAtStart,
     /// A gateway asks for records before it infers a version.
     Ask,
-    /// If both keepers are silent, no version is inferred.
-    WaitForKeepers,
+    /// While anybody who may have a record is silent, a version is inferred only if no other
+    /// one has been listed until now.
+    Silence,
     /// Keepers have records on their disks before they acknowledge them.
     Disks,
     /// A stream that would be taken for one of another version is passed on only once a
@@ -42,21 +51,25 @@
     RequireRecord,
     /// Keepers name each other to gateways that they have not all visited.
     NameKeepers,
-    /// While a keeper is silent, no version is inferred if another one has listed two.
-    Contradict,
+    /// A stream goes on only by a list that is known to be complete now.
+    CheckList,
+    /// A version that was learned late may have been listed since the list was last known to be
+    /// complete.
+    ProveHistory,
 }
 
 impl Guard {
     /// All guards.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Record,
         Self::UncertainAtStart,
         Self::Ask,
-        Self::WaitForKeepers,
+        Self::Silence,
         Self::Disks,
         Self::RequireRecord,
         Self::NameKeepers,
-        Self::Contradict,
+        Self::CheckList,
+        Self::ProveHistory,
     ];
 }
 
@@ -81,9 +94,37 @@
     /// Its lists, in order, and whether each was learned at most a lifetime ago; empty if it
     /// is down.
     learned: Vec<(bool, Listed)>,
+    /// Later lists that it has yet to learn, in order.
+    pending: Vec<Listed>,
     /// The version that it has recorded for the stream.
     record: Option<usize>,
     kills: u8,
+    is_cut: bool,
+    cuts: u8,
+    /// Whether a lifetime has passed while it was cut off.
+    has_missed: bool,
+    /// Whether it learned the last list only, after it was cut off.
+    has_gap: bool,
+}
+
+impl Gateway {
+    fn is_up(&self) -> bool {
+        !self.learned.is_empty()
+    }
+
+    /// Learns the lists that were made since the last one; after a cut, only the newest.
+    fn learn(&mut self) {
+        if self.has_gap {
+            let newest = self.pending.pop();
+            self.pending = newest.into_iter().collect();
+        }
+        let learned = self.pending.drain(..).map(|l| (true, l));
+        self.learned.extend(learned);
+    }
+
+    fn known(&self) -> Listed {
+        self.learned.last().map_or([false; 2], |(_, l)| *l)
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -112,6 +153,11 @@
     fn listed(&self) -> Listed {
         self.lists.last().map_or([false; 2], |(_, listed)| *listed)
     }
+
+    /// Whether workers of a version run: they end within a lifetime after they are removed.
+    fn has_workers(&self, version: usize) -> bool {
+        self.lists.iter().any(|(_, listed)| listed[version])
+    }
 }
 
 /// Explores all states.
@@ -119,8 +165,13 @@
 pub fn explore(guards: Guards) -> Explored {
     let gateway = Gateway {
         learned: vec![(false, [true, false])],
+        pending: Vec::new(),
         record: None,
         kills: 0,
+        is_cut: false,
+        cuts: 0,
+        has_missed: false,
+        has_gap: false,
     };
     let keeper = Keeper {
         is_up: true,
@@ -169,26 +220,37 @@
     pass_time(state, &mut next);
     for at in 0..GATEWAYS {
         let gateway = &state.gateways[at];
-        if gateway.learned.is_empty() {
+        if !gateway.is_up() {
             let mut started = state.clone();
             started.gateways[at].learned = vec![(true, state.listed())];
             next.push(started);
             continue;
         }
-        if gateway.learned.last().map(|(_, listed)| *listed) != Some(state.listed()) {
+        if !gateway.is_cut && !gateway.pending.is_empty() {
             let mut learned = state.clone();
-            learned.gateways[at].learned.push((true, state.listed()));
+            learned.gateways[at].learn();
             next.push(learned);
         }
         begin(state, at, guards, &mut next);
         resume(state, at, guards, &mut next);
-        if gateway.kills < MAX_KILLS {
+        if gateway.kills < MAX_KILLS && !gateway.is_cut {
             let mut killed = state.clone();
             killed.gateways[at].learned.clear();
+            killed.gateways[at].pending.clear();
             killed.gateways[at].record = None;
             killed.gateways[at].kills += 1;
+            killed.gateways[at].has_missed = false;
+            killed.gateways[at].has_gap = false;
             next.push(killed);
         }
+        let cuts: u8 = state.gateways.iter().map(|g| g.cuts).sum();
+        if gateway.is_cut || cuts < MAX_CUTS {
+            let mut changed = state.clone();
+            changed.gateways[at].is_cut = !gateway.is_cut;
+            changed.gateways[at].cuts += u8::from(!gateway.is_cut);
+            changed.gateways[at].has_gap = true;
+            next.push(changed);
+        }
     }
     for at in 0..KEEPERS {
         restart_keeper(state, at, guards, &mut next);
@@ -202,18 +264,25 @@
             let mut changed = state.clone();
             changed.lists.push((true, listed));
             changed.changes += 1;
+            for gateway in changed.gateways.iter_mut().filter(|g| g.is_up()) {
+                gateway.pending.push(listed);
+            }
             next.push(changed);
         }
     }
 }
 
-/// A lifetime passes before the stream begins. By then all gateways that run know the list.
+/// A lifetime passes before the stream begins. By then all gateways that run and are in touch
+/// know the list.
 fn pass_time(state: &State, next: &mut Vec<State>) {
-    let is_known = |g: &Gateway| g.learned.last().is_none_or(|(_, l)| *l == state.listed());
+    let is_known = |g: &Gateway| !g.is_up() || g.is_cut || g.pending.is_empty();
     if state.began.is_some() || !state.gateways.iter().all(is_known) {
         return;
     }
     let mut later = state.clone();
+    for gateway in later.gateways.iter_mut().filter(|g| g.is_cut) {
+        gateway.has_missed = true;
+    }
     let learned = later.gateways.iter_mut().map(|g| &mut g.learned);
     for lists in learned.chain([&mut later.lists]) {
         let last = lists.pop();
@@ -242,38 +311,65 @@
 
 /// The history of versions that a gateway has.
 fn history(gateway: &Gateway, guards: Guards) -> VersionHistory {
-    history_of(&gateway.learned, guards)
+    let gap = match () {
+        () if !guards.has(Guard::ProveHistory) => Duration::ZERO,
+        () if gateway.has_missed => LIFETIME,
+        () if gateway.has_gap => GAP,
+        () => Duration::ZERO,
+    };
+    let mut history = history_of(&gateway.learned, gap, guards);
+    let proven = match () {
+        () if gateway.pending.is_empty() || !guards.has(Guard::ProveHistory) => now(),
+        () if gateway.has_missed => return history,
+        () => now() - MAX_LAG,
+    };
+    prove_until(&mut history, proven);
+    history
 }
 
-fn history_of(lists: &[(bool, Listed)], guards: Guards) -> VersionHistory {
+/// The history of versions by some lists, with a time without a complete list before the later
+/// ones.
+fn history_of(lists: &[(bool, Listed)], gap: Duration, guards: Guards) -> VersionHistory {
     let mut history = VersionHistory::default();
     let service: Arc<str> = Arc::from(SERVICE);
     let versions = VERSIONS.map(WorkerVersion::from);
     for (n, (is_recent, listed)) in lists.iter().enumerate() {
         let is_recent = *is_recent && (n > 0 || guards.has(Guard::UncertainAtStart));
         let workers = versions.iter().zip(listed).filter(|(_, listed)| **listed);
-        history.update(
-            workers.map(|(v, _)| (&service, Some(v))),
-            learned_at(is_recent),
-        );
+        let at = learned_at(is_recent);
+        let gap = if is_recent { gap } else { Duration::ZERO };
+        prove_until(&mut history, at - gap);
+        history.update(workers.map(|(v, _)| (&service, Some(v))), at);
+        history.prove(at);
     }
     history
 }
 
+/// The list is known to be complete from when it was so last until a moment.
+fn prove_until(history: &mut VersionHistory, until: Moment) {
+    let mut at = history.proven().unwrap_or(until);
+    while at < until {
+        at = (at + LIFETIME / 4).min(until);
+        history.prove(at);
+    }
+}
+
 fn begin(state: &State, at: usize, guards: Guards, next: &mut Vec<State>) {
     if state.began.is_some() {
         return;
     }
     let gateway = &state.gateways[at];
-    let Some((_, known)) = gateway.learned.last() else {
-        return;
-    };
+    let known = gateway.known();
     let since = now() - LIFETIME;
     let history = history(gateway, guards);
+    if gateway.has_missed && (gateway.is_cut || !gateway.pending.is_empty()) {
+        return;
+    }
     let is_certain = history.is_certain(SERVICE, since);
     let takers = [[false, false], [true, false], [false, true], [true, true]];
     for (version, takes) in (0..VERSIONS.len()).flat_map(|v| takers.map(|takes| (v, takes))) {
-        if !known[version] {
+        let is_cut = gateway.is_cut;
+        if !known[version] || !state.has_workers(version) || (is_cut && takes != [false; 2]) {
             continue;
         }
         let name = WorkerVersion::from(VERSIONS[version]);
@@ -290,7 +386,8 @@
             }
             let takes_place = begun.keepers.iter().any(|k| !k.is_up);
             for (n, gateway) in begun.gateways.iter_mut().enumerate() {
-                if n == at || (takes_place && !gateway.learned.is_empty()) {
+                let is_reached = !is_cut && !gateway.is_cut && gateway.is_up();
+                if n == at || (takes_place && is_reached) {
                     gateway.record = Some(version);
                 }
             }
@@ -301,22 +398,38 @@
 
 /// A caller resumes the stream at a gateway, by the rules of the gateway.
 fn resume(state: &State, at: usize, guards: Guards, next: &mut Vec<State>) {
-    if state.began.is_none() {
+    let mut gateway = state.gateways[at].clone();
+    if state.began.is_none() || (gateway.is_cut && guards.has(Guard::CheckList)) {
         return;
     }
-    let own = history(&state.gateways[at], guards);
-    let keepers_history = history_of(&state.lists, guards);
-    let has_just_started = matches!(state.gateways[at].learned[..], [(true, _)]);
+    if guards.has(Guard::CheckList) {
+        gateway.learn();
+    }
+    let own = history(&gateway, guards);
+    let mut keepers_history = history_of(&state.lists, Duration::ZERO, guards);
+    prove_until(&mut keepers_history, now());
+    let has_just_started = matches!(gateway.learned[..], [(true, _)]);
     let knows_all = guards.has(Guard::NameKeepers) || !has_just_started;
     let asked = if knows_all {
         &state.keepers[..]
     } else {
         &state.keepers[..1]
     };
-    let silent = asked.iter().filter(|k| !k.is_up).count();
+    let answering: Vec<_> = asked
+        .iter()
+        .filter(|k| k.is_up && !gateway.is_cut)
+        .collect();
+    let others = (0..GATEWAYS)
+        .filter(|g| *g != at)
+        .map(|g| &state.gateways[g]);
+    let (peers, cut_off): (Vec<_>, Vec<_>) = others
+        .filter(|g| g.is_up())
+        .partition(|g| !g.is_cut && !gateway.is_cut);
+    let has_silent = answering.len() < asked.len() || !cut_off.is_empty();
+    let records = answering.iter().map(|k| k.record);
+    let records = records.chain(peers.iter().map(|g| g.record));
     let mut found = OriginRecords::new(1);
-    let records = asked.iter().filter(|k| k.is_up).map(|k| k.record);
-    for record in records.chain(state.gateways.iter().map(|g| g.record)) {
+    for record in records.chain([gateway.record]) {
         if let Some(version) = record.filter(|_| guards.has(Guard::Ask)) {
             let version = WorkerVersion::from(VERSIONS[version]);
             found.keep(StreamTag::of("r1"), &version, now() + LIFETIME);
@@ -324,33 +437,21 @@
     }
     let since = now() - LIFETIME;
     let infer = |history: &VersionHistory| history.unrecorded(SERVICE, since).cloned();
-    let others = (0..GATEWAYS).filter(|g| *g != at);
-    let peers = others.map(|g| history(&state.gateways[g], guards));
-    let keepers = asked.iter().filter(|k| k.is_up).map(|_| &keepers_history);
-    let by_others = || keepers.clone().find_map(infer);
-    let is_sole = |h: &VersionHistory| h.is_certain(SERVICE, since);
-    let agrees =
-        !guards.has(Guard::Contradict) || keepers.clone().all(|h| infer(h).is_none() || is_sole(h));
-    let lists_no_other = |v: &WorkerVersion| !own.lists_other(SERVICE, v, since);
-    let inferred = match silent {
-        0 => infer(&own)
-            .or_else(by_others)
-            .or_else(|| peers.into_iter().find_map(|h| infer(&h))),
-        1 if is_sole(&own) && agrees => infer(&own),
-        1 => by_others()
-            .filter(|_| is_sole(&keepers_history))
-            .filter(lists_no_other),
-        _ if guards.has(Guard::WaitForKeepers) => None,
-        _ => infer(&own),
+    let inferred = if !has_silent || !guards.has(Guard::Silence) {
+        let by_keepers = || answering.iter().find_map(|_| infer(&keepers_history));
+        let by_peers = || peers.iter().find_map(|g| infer(&history(g, guards)));
+        infer(&own).or_else(by_keepers).or_else(by_peers)
+    } else {
+        let own_sole = own.sole_since(SERVICE, since);
+        let is_sole = |h: &VersionHistory| h.is_certain(SERVICE, since);
+        let others_know = !answering.is_empty() && is_sole(&keepers_history);
+        own_sole.filter(|_| is_sole(&own) || others_know).cloned()
     };
     let recorded = found.get(StreamTag::of("r1"), now()).cloned();
-    let known = state.gateways[at]
-        .learned
-        .last()
-        .map_or([false; 2], |(_, l)| *l);
     let version = recorded.or(inferred);
     let index = version.and_then(|v| VERSIONS.iter().position(|name| *name == v.as_str()));
-    if let Some(index) = index.filter(|v| known[*v]) {
+    let may_go_on = |v: &usize| gateway.known()[*v] && state.has_workers(*v);
+    if let Some(index) = index.filter(may_go_on) {
         let mut resumed = state.clone();
         resumed.resumed = Some(index);
         next.push(resumed);
--- a/crates/bluebellreel_origins/src/history.rs
+++ b/crates/bluebellreel_origins/src/history.rs
@@ -15,11 +15,11 @@
 /// How long a version that is no longer listed is remembered.
 const RETENTION: Duration = Duration::from_mins(30);
 
-/// How much later than another daemon one that is in step may learn of a version.
+/// How much later than another daemon one that is in step may learn of a version. In a longer
+/// time without a complete list a version may have come and gone.
 pub const MAX_LAG: Duration = Duration::from_secs(5);
-/// Time without a complete list after which a version may have come and gone unnoticed. One
-/// that did so in less was never listed alone for as long as a stream can be resumed, so that
-/// its streams were recorded.
+/// Time without a complete list in which a version may have been listed alone for as long as
+/// streams can be resumed, so that streams of it went unrecorded.
 const MAX_GAP: Duration = Duration::from_secs(10);
 /// The smallest difference between two moments.
 const TICK: Duration = Duration::from_micros(1);
@@ -39,9 +39,25 @@
     /// When the list was last known to hold the version; none after a restart.
     #[serde(skip)]
     present_at: Option<Moment>,
+    /// Whether this stands for versions that may have come and gone too fast for a stream of
+    /// theirs to go unrecorded.
+    #[serde(skip)]
+    is_short: bool,
 }
 
 impl Span {
+    /// The time of a version that may have come and gone after `proven`.
+    fn passing(version: Option<WorkerVersion>, proven: Option<Moment>, now: Moment) -> Self {
+        Self {
+            version,
+            from: now,
+            until: Some(now),
+            absent_at: proven,
+            present_at: proven,
+            is_short: false,
+        }
+    }
+
     /// The earliest moment at which workers of the version may have been listed.
     fn earliest(&self) -> Moment {
         self.absent_at.unwrap_or(self.from - MAX_LAG)
@@ -118,6 +134,7 @@
                 until: None,
                 absent_at,
                 present_at: None,
+                is_short: false,
             };
             self.services.entry(service).or_default().push(span);
         }
@@ -134,20 +151,28 @@
         self.proven = self.proven.max(Some(at));
     }
 
+    /// Records that a version was listed at some time since the list was last known to be
+    /// complete: changes that arrive together may list it and remove it.
+    pub fn saw(&mut self, service: &Arc<str>, version: Option<&WorkerVersion>, now: Moment) {
+        let spans = self.services.entry(service.clone()).or_default();
+        let is_open = |s: &Span| s.until.is_none() && s.version.as_ref() == version;
+        if !spans.iter().any(is_open) {
+            spans.push(Span::passing(version.cloned(), self.proven, now));
+        }
+    }
+
     /// Adds the versions that may have come and gone, in each service, since the list was last
     /// known to be complete.
     fn note_gap(&mut self, now: Moment) {
-        let Some(proven) = self.proven.filter(|p| (*p + MAX_GAP).is_past(now)) else {
+        let Some(proven) = self.proven.filter(|p| (*p + MAX_LAG).is_past(now)) else {
             return;
         };
+        let is_short = !(proven + MAX_GAP).is_past(now);
         for spans in self.services.values_mut() {
             spans.retain(|s| s.version.is_some() || s.absent_at != Some(proven));
             spans.push(Span {
-                version: None,
-                from: now,
-                until: Some(now),
-                absent_at: Some(proven),
-                present_at: Some(proven),
+                is_short,
+                ..Span::passing(None, Some(proven), now)
             });
         }
     }
@@ -173,16 +198,15 @@
         if !self.reaches_back_to(since) || self.proven < Some(since) {
             return None;
         }
-        let at_once = self.sole_possible(service, since - MAX_LAG, since);
-        at_once.or_else(|| self.sole_possible(service, since - MAX_LAG, self.proven?))
+        let sole = |until| {
+            let listed = self.spans(service).filter(|s| !s.is_short);
+            sole_possible(listed, since - MAX_LAG, until)
+        };
+        sole(since).or_else(|| sole(self.proven?))
     }
 
-    /// The only version that may have been listed in a time.
-    fn sole_possible(&self, service: &str, since: Moment, until: Moment) -> Option<&WorkerVersion> {
-        match self.possible(service, since, until)[..] {
-            [version] => version,
-            _ => None,
-        }
+    fn spans(&self, service: &str) -> impl Iterator<Item = &Span> {
+        self.services.get(service).into_iter().flatten()
     }
 
     /// Whether an unrecorded stream of `version` that begins now may be taken for one of
@@ -194,7 +218,7 @@
         if !self.reaches_back_to(since) {
             return true;
         }
-        let spans = || self.services.get(service).into_iter().flatten();
+        let spans = || self.spans(service);
         let ends = spans().flat_map(|s| {
             let last = s.present_at.map(|last| last + TICK);
             [last, s.until.map(|until| until + TICK)]
@@ -205,9 +229,10 @@
         moments.any(|at| self.may_be_listed_alone(service, version, at))
     }
 
-    /// Whether some version other than `but` may have been listed alone at a moment.
+    /// Whether some version other than `but` may have been listed alone at a moment: any may,
+    /// while the list was not known to be complete for long.
     fn may_be_listed_alone(&self, service: &str, but: &WorkerVersion, at: Moment) -> bool {
-        let spans = self.services.get(service).into_iter().flatten();
+        let spans = self.spans(service);
         let (mut certain, mut possible) = (BTreeSet::new(), BTreeSet::new());
         for span in spans {
             if span.is_certain(at) {
@@ -218,24 +243,21 @@
             }
         }
         let mut others = possible.into_iter().filter(|v| *v != Some(but));
-        others.any(|other| certain.iter().all(|v| *v == other))
+        others.any(|other| other.is_none() || certain.iter().all(|v| *v == other))
     }
 
     /// Whether a single version of a service can have been listed since a moment, at which this
     /// daemon already had a list.
     #[must_use]
     pub fn is_certain(&self, service: &str, since: Moment) -> bool {
-        self.reaches_back_to(since)
-            && self
-                .sole_possible(service, since, Moment::DISTANT_FUTURE)
-                .is_some()
+        self.reaches_back_to(since) && self.sole_since(service, since).is_some()
     }
 
     /// The only version that can have been listed since a moment, however far back the history
     /// reaches.
     #[must_use]
     pub fn sole_since(&self, service: &str, since: Moment) -> Option<&WorkerVersion> {
-        self.sole_possible(service, since, Moment::DISTANT_FUTURE)
+        sole_possible(self.spans(service), since, Moment::DISTANT_FUTURE)
     }
 
     /// Whether the list was known to be complete at a moment or later.
@@ -253,11 +275,19 @@
     fn reaches_back_to(&self, since: Moment) -> bool {
         self.since.is_some_and(|first| first <= since)
     }
+}
 
-    fn possible(&self, service: &str, since: Moment, until: Moment) -> Vec<Option<&WorkerVersion>> {
-        let spans = self.services.get(service).into_iter().flatten();
-        let listed = spans.filter(|s| s.is_possible(since, until));
-        let versions: BTreeSet<_> = listed.map(|s| s.version.as_ref()).collect();
-        versions.into_iter().collect()
-    }
+/// The only version that may have been listed in a time.
+fn sole_possible<'a>(
+    spans: impl Iterator<Item = &'a Span>,
+    since: Moment,
+    until: Moment,
+) -> Option<&'a WorkerVersion> {
+    let listed = spans.filter(|s| s.is_possible(since, until));
+    let versions: BTreeSet<_> = listed.map(|s| s.version.as_ref()).collect();
+    versions
+        .first()
+        .copied()
+        .flatten()
+        .filter(|_| versions.len() == 1)
 }
--- a/crates/bluebellreel_origins/tests/origins.rs
+++ b/crates/bluebellreel_origins/tests/origins.rs
@@ -22,9 +22,20 @@
     history.update(versions.iter().map(|v| (&service, Some(v))), now);
 }
 
+/// The list is known to be complete, every other second until a moment.
+fn keep_proven(history: &mut VersionHistory, until: Moment) {
+    let mut proven = history.proven().expect("a list");
+    while proven < until {
+        proven = until.min(proven + Duration::from_secs(2));
+        history.prove(proven);
+    }
+}
+
 /// Applies a list at a daemon that is in step: its list was complete before and is after it.
 fn update(history: &mut VersionHistory, versions: &[u8], now: Moment) {
-    history.prove(now - Duration::from_millis(1));
+    if history.proven().is_some() {
+        keep_proven(history, now - Duration::from_millis(1));
+    }
     learn(history, versions, now);
     history.prove(now);
 }
@@ -67,15 +78,13 @@
     assert_eq!(history.unrecorded("lm", at(99)), None);
     assert_eq!(history.unrecorded("lm", at(100)), Some(&version(1)));
     assert!(history.is_certain("lm", at(100)));
-    history.prove(at(109));
-    history.prove(at(118));
     update(&mut history, &[1, 2], at(120));
     assert!(!history.is_certain("lm", at(115)));
     assert_eq!(history.unrecorded("lm", at(115)), Some(&version(1)));
     assert_eq!(history.unrecorded("lm", at(124)), None);
     update(&mut history, &[2], at(130));
     assert_eq!(history.unrecorded("lm", at(125)), None);
-    history.prove(at(139));
+    keep_proven(&mut history, at(139));
     assert_eq!(history.unrecorded("lm", at(136)), Some(&version(2)));
     assert!(history.is_certain("lm", at(136)));
 }
@@ -86,14 +95,13 @@
 fn a_release_that_was_learned_late_may_have_been_earlier() {
     let mut history = VersionHistory::default();
     update(&mut history, &[1], at(100));
-    history.prove(at(109));
-    history.prove(at(114));
+    keep_proven(&mut history, at(114));
     learn(&mut history, &[2], at(120));
     history.prove(at(120));
     assert_eq!(history.unrecorded("lm", at(113)), Some(&version(1)));
     assert_eq!(history.unrecorded("lm", at(118)), None);
     assert!(history.may_be_mistaken("lm", &version(1), at(119)));
-    history.prove(at(126));
+    keep_proven(&mut history, at(126));
     assert_eq!(history.unrecorded("lm", at(126)), Some(&version(2)));
 }
 
@@ -109,16 +117,43 @@
 }
 
 /// Guards that a version which came and went while a daemon had no complete list counts as never
-/// listed.
+/// listed, or the one before as listed all the while.
 #[test]
 fn a_version_may_have_come_and_gone_in_a_gap() {
     let mut history = VersionHistory::default();
     update(&mut history, &[1], at(100));
-    history.prove(at(109));
+    keep_proven(&mut history, at(120));
     assert!(history.is_certain("lm", at(100)));
-    history.prove(at(130));
-    assert!(!history.is_certain("lm", at(100)));
+    assert!(!history.may_be_mistaken("lm", &version(1), at(115)));
+    history.prove(at(131));
+    assert!(!history.is_certain("lm", at(125)));
+    assert!(history.may_be_mistaken("lm", &version(1), at(125)));
     assert_eq!(history.unrecorded("lm", at(125)), None);
-    history.prove(at(139));
-    assert_eq!(history.unrecorded("lm", at(136)), Some(&version(1)));
+    keep_proven(&mut history, at(150));
+    assert_eq!(history.unrecorded("lm", at(140)), Some(&version(1)));
+    assert!(history.is_certain("lm", at(140)));
+}
+
+/// Guards the same for a gap in which no version can have been listed alone for long, and that its
+/// streams, which were recorded, are refused then.
+#[test]
+fn a_version_in_a_short_gap_had_its_streams_recorded() {
+    let mut history = VersionHistory::default();
+    update(&mut history, &[1], at(100));
+    keep_proven(&mut history, at(120));
+    history.prove(at(127));
+    assert_eq!(history.unrecorded("lm", at(125)), Some(&version(1)));
+    assert_eq!(history.sole_since("lm", at(125)), None);
+}
+
+/// Guards that a version is overlooked which changes that arrive together list and remove.
+#[test]
+fn a_version_that_was_seen_in_passing_was_listed() {
+    let mut history = VersionHistory::default();
+    update(&mut history, &[1], at(100));
+    keep_proven(&mut history, at(110));
+    assert!(history.is_certain("lm", at(105)));
+    history.saw(&Arc::from("lm"), Some(&version(2)), at(111));
+    update(&mut history, &[1], at(111));
+    assert!(!history.is_certain("lm", at(105)));
 }
