Let runs go on in an outage of the store if all others know no more; soak gateways out of step

Cause: the check asked for a complete list where nobody can have a newer one. Change: while the store answers neither this daemon nor a peer that is heard, a run goes on if all keepers that are known and two peers answer that their lists are no newer and were last complete before the store was lost here, and most gateways are alive; without keepers all. An item that cannot be checked waits with its output.

--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -2,7 +2,7 @@
 //! ended.
 
 use super::deadlines;
-use super::runs::{self, ITEM_BACKOFF, Next};
+use super::runs::{ITEM_BACKOFF, Next};
 use crate::answer_limits::{AnswerLimits, TOO_LONG};
 use crate::crash::{self, InterruptedRun};
 use crate::events::{Events, Oversized};
@@ -41,9 +41,7 @@
         .progress
         .last_id()
         .is_some();
-    if has_output && !list_check::check_for_send(&gw).await {
-        runs::start_over(&gw, &next, "list of workers not confirmed");
-    }
+    let may_send = !has_output || list_check::check_for_send(&gw).await;
     let (after, revision, can_be_in_time, left) = {
         let job = next.owned.job.borrow();
         let after = job.items[next.item].progress.last_id();
@@ -51,11 +49,16 @@
         let left = job.record.due_at.since(gw.now());
         (after, job.revision, can_be_in_time, left)
     };
-    let confirmed = next.owned.lease.get().age(gw.stamp());
-    gw.metrics.confirmation_age.observe(confirmed.as_secs_f64());
-    let list_age_ms = gw.list_age().map(millis);
-    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, worker_version = version_text(run_guard.version()), after:? = after, revision, list_age_ms:? = list_age_ms, can_be_in_time, left_ms = millis(left), confirmed_ms = millis(confirmed); "item sent");
-    let end = run_at(&gw, &next, run_guard, after).await;
+    let end = if may_send {
+        let confirmed = next.owned.lease.get().age(gw.stamp());
+        gw.metrics.confirmation_age.observe(confirmed.as_secs_f64());
+        let list_age_ms = gw.list_age().map(millis);
+        info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, worker_version = version_text(run_guard.version()), after:? = after, revision, list_age_ms:? = list_age_ms, can_be_in_time, left_ms = millis(left), confirmed_ms = millis(confirmed); "item sent");
+        run_at(&gw, &next, run_guard, after).await
+    } else {
+        gw.metrics.resumption("item", "out_of_step");
+        back_off(&gw)
+    };
     next.trial = None;
     let now = gw.now();
     let key = (next.job.clone(), next.item);
--- a/crates/bluebellreel_gateway/src/jobs/runs.rs
+++ b/crates/bluebellreel_gateway/src/jobs/runs.rs
@@ -163,7 +163,7 @@
     }
 }
 
-pub(super) fn start_over(gw: &Gateway, next: &Next, reason: &str) {
+fn start_over(gw: &Gateway, next: &Next, reason: &str) {
     let mut job = next.owned.job.borrow_mut();
     let progress = &job.items[next.item].progress;
     info!(target: "jobs", job:% = next.job, request:% = next.id, worker_version = version_text(progress.version()), events = progress.events(), reason; "item starts over");
--- a/crates/bluebellreel_gateway/src/list_check.rs
+++ b/crates/bluebellreel_gateway/src/list_check.rs
@@ -9,7 +9,8 @@
 //! The daemons that watch the store learn this by their watches, the others ask one of them
 //! every few seconds. A run that goes on after output of an earlier one needs a recent check,
 //! before it is sent and before its output is used: workers restart under their ids, and with
-//! another version.
+//! another version. While the store answers nobody, no list is newer: it is enough then that
+//! all keepers, and peers of a majority, say that they reach no store and know no more.
 
 use crate::answers;
 use crate::gateway::Gateway;
@@ -19,10 +20,13 @@
 use bluebellreel_dispatch::Ticket;
 use bluebellreel_net::Body;
 use bluebellreel_types::{EntryName, Moment};
+use futures::future::join_all;
 use http::{Response, StatusCode};
 use log::info;
 use rand::RngExt;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,6 +45,10 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Limit on a check by a peer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Number of peers that are asked, beside all keepers, while the store answers nobody.
+const PEERS_ASKED: usize = 2;
+/// How much later than others a daemon may notice that the store is lost.
+const OUTAGE_SLACK: Duration = Duration::from_millis(300);
 /// Limit on the wait for a check, together with those before it.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -49,6 +57,8 @@
 pub(crate) struct ListChecks {
     /// Held during a check, which concurrent requests share.
     checking: Mutex<()>,
+    /// When others last said that they know no more, on the clock of [`Gateway::elapsed`].
+    agreed_at: Cell<Option<Moment>>,
 }
 
 /// The answer to a peer that asks whether its list is complete.
@@ -62,14 +72,16 @@
 
 /// Checks that the list is complete enough for a run to go on that is sent now.
 pub(crate) async fn check_for_send(gw: &Rc<Gateway>) -> bool {
-    check_since(gw, gw.elapsed() - MAX_AGE).await
+    let since = gw.elapsed() - MAX_AGE;
+    check_since(gw, since).await || others_agree(gw, since).await
 }
 
 /// Checks that a run which was sent at `sent`, to continue earlier output, went to the worker
 /// that was meant: one that has not restarted by then.
 pub(crate) async fn check_run(gw: &Rc<Gateway>, ticket: &Ticket, sent: Moment) -> bool {
-    let is_complete = check_since(gw, sent - MAX_AGE).await;
-    is_complete && !gw.board.borrow().is_from_previous_incarnation(ticket)
+    let since = sent - MAX_AGE;
+    let is_newest = check_since(gw, since).await || others_agree(gw, since).await;
+    is_newest && !gw.board.borrow().is_from_previous_incarnation(ticket)
 }
 
 /// Checks that the list was complete at `since` or later, and brings it up to date for that.
@@ -134,6 +146,50 @@
     }
 }
 
+/// Whether the store answers nobody, and all keepers and some peers said at `since` or later that
+/// they know no more of the workers than this daemon.
+async fn others_agree(gw: &Rc<Gateway>, since: Moment) -> bool {
+    let has_agreed = || gw.list_checks.agreed_at.get() >= Some(since);
+    let _turn = gw.list_checks.checking.lock().await;
+    if has_agreed() {
+        return true;
+    }
+    let now = gw.now();
+    let keepers = gw.keepers.borrow().known(now);
+    let asked = {
+        let members = gw.members.borrow();
+        let is_outage = gw.store.is_lost() && members.alive_with_store(now).next().is_none();
+        let are_most = if keepers.is_empty() {
+            members.all_peers_alive(now)
+        } else {
+            members.has_quorum(now)
+        };
+        if !is_outage || !are_most {
+            return false;
+        }
+        let peers = members.alive_peers(now).map(|(_, peer)| peer.calls);
+        let peers = peers.sample(&mut *gw.rng.borrow_mut(), PEERS_ASKED);
+        keepers.into_iter().chain(peers).collect::<Vec<_>>()
+    };
+    let asked_at = gw.elapsed();
+    let ask = async |to| {
+        let answer = timeout(PEER_TIMEOUT, peer_calls::completeness(gw, to, None)).await;
+        answer.ok()?.ok()
+    };
+    let answers = join_all(asked.into_iter().map(ask)).await;
+    let own = gw.cluster_state.borrow().seen().workers;
+    // Whoever has reached the store since it was lost here tells that there is no outage.
+    let lost_for = gw.store.failing_for().unwrap_or_default();
+    let agrees = |answer: &Option<Completeness>| {
+        let answer = answer.as_ref();
+        answer.is_some_and(|c| c.revision <= own && c.age + OUTAGE_SLACK >= lost_for)
+    };
+    if !answers.is_empty() && answers.iter().all(agrees) {
+        gw.list_checks.agreed_at.set(Some(asked_at));
+    }
+    has_agreed()
+}
+
 /// Answers a peer that asks whether its list is complete, with a check of at most the age
 /// `max_age` if given.
 pub(crate) async fn answer_peer(gw: &Rc<Gateway>, max_age: Option<Duration>) -> Response<Body> {
--- a/crates/bluebellreel_keeper/src/serve.rs
+++ b/crates/bluebellreel_keeper/src/serve.rs
@@ -59,6 +59,7 @@
                 status(StatusCode::INSUFFICIENT_STORAGE)
             }
         }
+        (&Method::GET, ["completeness"]) => completeness(&keeper),
         (&Method::GET, ["origins", stream]) => {
             let query = req.uri().query().unwrap_or("");
             origin(&keeper, stream, query)
@@ -74,6 +75,20 @@
     }
 }
 
+/// Up to which revision this keeper knows all workers, and how long ago there was certainly no
+/// later change.
+fn completeness(keeper: &Keeper) -> Response<Body> {
+    let Some(proven) = keeper.versions.borrow().proven() else {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let revision = keeper.snapshot.borrow().newest().workers;
+    let known = (revision, keeper.now().since(proven));
+    match postcard::to_allocvec(&known) {
+        Ok(bytes) => Response::new(Body::full(bytes)),
+        Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
 /// The version that began a stream: from a record, else from the history of versions. Names
 /// the other keepers, which may have a record too.
 fn origin(keeper: &Keeper, stream: &str, query: &str) -> Response<Body> {
--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -18,6 +18,8 @@
 //! - From 8000: more load than capacity, workers that fail requests for some seconds, and
 //!   a team that sends more than its rate limit. Every fourth seed has nothing else; the
 //!   others have faults, odd ones changes as well.
+//! - From 9000: gateways are cut off or stopped for some seconds while workers are replaced by
+//!   workers of other versions, with none to three keepers. Odd seeds have faults as well.
 //!
 //! Prints one line per seed, and for each violated guarantee the faults before it. If a
 //! seed violates a guarantee, its settings and logs remain in a folder under the system's
@@ -36,6 +38,8 @@
 const FIRST_PART_SEED: u64 = 7000;
 /// The first seed with more load than capacity.
 const FIRST_LOAD_SEED: u64 = 8000;
+/// The first seed with gateways that get out of step.
+const FIRST_CUT_SEED: u64 = 9000;
 
 /// When the requests that crash workers do so in the soak of a seed.
 fn crash_moment(seed: u64) -> CrashMoment {
@@ -68,8 +72,12 @@
         let stops = (FIRST_STOP_SEED..FIRST_CRASH_SEED).contains(&seed);
         let stops_only = stops && seed % 3 != 0;
         let ends_only = (FIRST_END_SEED..FIRST_PART_SEED).contains(&seed) && seed % 2 == 0;
-        let load_only = seed >= FIRST_LOAD_SEED && seed.is_multiple_of(4);
-        let callers = if seed >= FIRST_LOAD_SEED {
+        let cuts = seed >= FIRST_CUT_SEED;
+        let cuts_only = cuts && seed.is_multiple_of(2);
+        let load_only = !cuts && seed >= FIRST_LOAD_SEED && seed.is_multiple_of(4);
+        let callers = if cuts {
+            Callers::AmidCuts
+        } else if seed >= FIRST_LOAD_SEED {
             Callers::HardLoad
         } else if seed >= FIRST_PART_SEED {
             Callers::SomeShareCrashingPart
@@ -85,8 +93,8 @@
             span: Duration::from_secs(seconds),
             gateways,
             workers,
-            changes: seed % 2 == 1 && !stops_only,
-            faults: !stops_only && !ends_only && !load_only,
+            changes: seed % 2 == 1 && !stops_only && !cuts,
+            faults: !stops_only && !ends_only && !load_only && !cuts_only,
             stops,
             callers,
             crash_moment: crash_moment(seed),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -38,6 +38,10 @@
     callers: Callers::SomeEndJobs,
     ..FAULTS
 };
+const CUTS: SoakMode = SoakMode {
+    callers: Callers::AmidCuts,
+    ..FAULTS
+};
 const CRASHES: SoakMode = SoakMode {
     faults: false,
     changes: true,
@@ -127,6 +131,13 @@
     run_soak(2, 12, &CHANGES);
 }
 
+/// Guards against streams of two versions after a gateway was cut off or stopped while workers
+/// were replaced.
+#[test]
+fn gateways_out_of_step_mix_no_versions() {
+    run_soak(9001, 12, &CUTS);
+}
+
 /// Guards against cutting a request at a planned stop: a gateway checked once more that
 /// nothing was in progress and revoked its lease at the store. A note that arrived
 /// meanwhile was forwarded to a worker, and the process exited. The caller saw a closed
