Ask also the peers that are silent or stopping for a stream's record

What callers saw: without keepers, at a gateway that reached the store and was cut off from its peers for more than 1.5 s, streams of a new version went on at the one before (ORDER).

Cause: two peers hold a stream's record, the first by rank of those that report and do not stop. Who resumes the stream asks the first two by the same rule, but of its own moment: a holder that has fallen silent, or stops, is left out and does not count as silent; the next one, or nobody, is asked in its place, and everybody who was asked has answered. Class: silence taken for absence.

Change: where no keeper is known, all peers by rank are asked up to the second that reports and does not stop. One that does not answer counts as silent, so that the stream goes on only if a single version was listed until now.

--- a/crates/bluebellreel_gateway/src/origin_lookup.rs
+++ b/crates/bluebellreel_gateway/src/origin_lookup.rs
@@ -14,7 +14,7 @@
 use crate::keepers::{FIRST_VISIT_TIMEOUT, first_visit};
 use crate::list_check::{check_for_send, check_since};
 use crate::millis::millis;
-use crate::origins::{inferred, lifetime, ranked_peers, recorded, tag};
+use crate::origins::{inferred, lifetime, possible_holders, ranked_peers, recorded, tag};
 use crate::peer_calls::{self, KnownOrigin, OriginAnswer};
 use crate::request::{Binding, Request};
 use crate::workers::version_text;
@@ -243,8 +243,13 @@
         (to, asked.await)
     };
     let known = gw.keepers.borrow().known(gw.now());
+    // Without keepers, peers hold all records.
+    let peers = if known.is_empty() {
+        possible_holders(gw, stream)
+    } else {
+        ranked_peers(gw, stream)
+    };
     let mut to_ask = lookup.add_keepers(known);
-    let peers = ranked_peers(gw, stream);
     lookup.silent.extend(peers.iter().copied());
     to_ask.extend(peers);
     lookup.asked.extend(to_ask.iter().copied());
--- a/crates/bluebellreel_gateway/src/origins.rs
+++ b/crates/bluebellreel_gateway/src/origins.rs
@@ -204,6 +204,28 @@
     ranked.into_iter().take(HOLDERS).map(|(_, at)| at).collect()
 }
 
+/// The peers that may hold a stream's record: those that would hold it now, and those that come
+/// before them but are silent or stopping.
+pub(crate) fn possible_holders(gw: &Gateway, stream: StreamTag) -> Vec<SocketAddr> {
+    let now = gw.now();
+    let members = gw.members.borrow();
+    let mut ranked: Vec<(u64, SocketAddr, bool)> = members
+        .peers()
+        .map(|(name, peer)| {
+            let is_holder = peer.is_alive(now) && !peer.stopping;
+            (stream.rank(name.as_str()), peer.calls, is_holder)
+        })
+        .collect();
+    ranked.sort_unstable();
+    let mut holders = 0;
+    let up_to_holders = ranked.into_iter().take_while(|(.., is_holder)| {
+        let is_complete = holders == HOLDERS;
+        holders += usize::from(*is_holder);
+        !is_complete
+    });
+    up_to_holders.map(|(_, at, _)| at).collect()
+}
+
 /// Keeps a record, of this daemon's own or for a peer.
 pub(crate) fn keep(gw: &Gateway, origin: &Origin) {
     let expires_at = gw.now() + origin.keep_for;
