Do not take a run for one of the old version by the moment of learning

What callers saw: a gateway was cut off for more than a second; streams of its own callers that had begun meanwhile at a worker which had been replaced under its id went on at another worker of the version before, in one answer (ORDER).

Cause: a stream is bound to the version that its worker is listed with. When the list shows another version later, the run counted as one of the old version if it had been sent a second or more before that was learned. A gateway that is cut off learns later. Besides, the worker's version was compared before the list was checked, and not after. Class: the moment of learning taken for that of the change.

Evidence: streams_that_begin_at_workers_that_were_replaced_unnoticed_are_not_mixed fails on the code before, with ten events of v2 and ten of v1 in one answer.

Change: with a worker's restart, the moment is kept at which the list was last known to be complete without it. A run is of the old version if the list was complete that way a second after it was sent; else its stream is broken off. The comparison follows the check.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -25,11 +25,11 @@
 use bluebellreel_origins::{OriginRecords, VersionHistory};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_teams::{ActiveClasses, Allowances, Confirmation, Reservations, RevocationTerms};
-use bluebellreel_types::{Clock, EntryName, Incarnation, Moment};
+use bluebellreel_types::{Clock, EntryName, Incarnation, Moment, WorkerName};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -76,6 +76,9 @@
     /// [`Self::elapsed`]; none if it never was.
     pub(crate) list_complete_at: Cell<Option<Moment>>,
     pub(crate) list_checks: ListChecks,
+    /// When the list was last known to be complete before each worker's restart was learned,
+    /// for those that are listed.
+    pub(crate) restarts: RefCell<HashMap<WorkerName, Moment>>,
     /// Versions that began streams, of this daemon's and of peers' callers.
     pub(crate) origins: RefCell<OriginRecords>,
     pub(crate) overloads: RefCell<Overloads>,
@@ -199,6 +202,7 @@
             versions: RefCell::default(),
             list_complete_at: Cell::new(None),
             list_checks: ListChecks::default(),
+            restarts: RefCell::default(),
             origins: RefCell::new(OriginRecords::new(MAX_ORIGINS)),
             overloads: RefCell::default(),
             suspects: RefCell::default(),
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -16,7 +16,7 @@
 use crate::quarantine_gate;
 use crate::request::{Binding, Request};
 use crate::stream_monitor::StreamMonitor;
-use crate::ticket::{RESTART_GRACE, RESTART_REPORT_TIMEOUT, note_late, worker_restarted};
+use crate::ticket::{RESTART_GRACE, may_be_of_other_version, note_late, worker_restarted};
 use crate::upstream::{NoAnswer, Send, Upstream, send};
 use crate::workers::version_text;
 use bluebellreel_dispatch::{Depth, Placement};
@@ -417,12 +417,6 @@
         warn!(target: "online", request:% = self.req.id, worker:% = worker, worker_version = version_text(self.upstream.run_guard.version()), events = self.events_passed, last_id:? = self.last_id, runs = self.req.runs, resumable, reason; "stream interrupted");
         self.upstream.run_guard.failed();
         self.rebind();
-        if self.has_other_version()
-            && !(self.upstream.began + RESTART_REPORT_TIMEOUT).is_past(self.gw.now())
-        {
-            // The run may have been sent to the new incarnation already.
-            self.req.binding = Binding::Unknown;
-        }
         if self.has_restarted {
             // The worker's new incarnation has not had the stream.
             self.req.tried.retain(|w| *w != worker);
@@ -437,9 +431,15 @@
     /// Sends the stream to other workers until one answers. Returns whether one has.
     async fn send_elsewhere(&mut self, open: bool) -> bool {
         let worker = self.upstream.run_guard.worker().clone();
-        if self.last_id.is_some() && !list_check::check_for_send(&self.gw).await {
-            self.gw.metrics.resumption("gateway", "out_of_step");
-            return false;
+        if self.last_id.is_some() {
+            if !list_check::check_for_send(&self.gw).await {
+                self.gw.metrics.resumption("gateway", "out_of_step");
+                return false;
+            }
+            let ticket = self.upstream.run_guard.ticket();
+            if may_be_of_other_version(&self.gw, ticket, self.upstream.dispatched) {
+                self.req.binding = Binding::Unknown;
+            }
         }
         while self.may_resume() && !self.req.left().is_zero() {
             if self.req.may_run(&self.gw).is_err() || self.req.denial(&self.gw).is_some() {
--- a/crates/bluebellreel_gateway/src/ticket.rs
+++ b/crates/bluebellreel_gateway/src/ticket.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::Gateway;
 use bluebellreel_dispatch::{Class, Outcome, Ticket};
-use bluebellreel_types::{WorkerName, WorkerVersion};
+use bluebellreel_types::{Moment, WorkerName, WorkerVersion};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -122,6 +122,18 @@
 /// that was sent this shortly before may have reached either incarnation.
 pub(crate) const RESTART_REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Whether a run, sent at a moment, may have reached a later incarnation of its worker, which is
+/// of another version. It has not if the list was known to be complete without that incarnation
+/// when its entry would have appeared.
+pub(crate) fn may_be_of_other_version(gw: &Gateway, ticket: &Ticket, sent: Moment) -> bool {
+    let board = gw.board.borrow();
+    let listed = board.version_of(&ticket.worker);
+    let has_other_version =
+        listed.is_some() && ticket.version.is_some() && listed != ticket.version.as_ref();
+    let complete_at = gw.restarts.borrow().get(&ticket.worker).copied();
+    has_other_version && complete_at.is_none_or(|at| at < sent + RESTART_REPORT_TIMEOUT)
+}
+
 /// Completes once a run's worker is known to have restarted under the same id.
 pub(crate) async fn worker_restarted(gw: &Gateway, ticket: &Ticket) {
     loop {
--- a/crates/bluebellreel_gateway/src/workers.rs
+++ b/crates/bluebellreel_gateway/src/workers.rs
@@ -26,9 +26,17 @@
     } else {
         log_changes(gw, &changes, revision, source);
     }
+    let complete_at = gw.list_complete_at.get().unwrap_or_default();
     for (worker, change) in &changes {
-        if let WorkerChange::Restarted(_) = change {
-            drop_stale_connections(gw, worker);
+        match change {
+            WorkerChange::Restarted(_) => {
+                gw.restarts.borrow_mut().insert(worker.clone(), complete_at);
+                drop_stale_connections(gw, worker);
+            }
+            WorkerChange::Left => {
+                gw.restarts.borrow_mut().remove(worker);
+            }
+            WorkerChange::Listed(_) => {}
         }
     }
     gw.batch_due.notify_one();
