Let peers that ask at one moment share a check of the list

What callers saw: nothing yet. When a worker breaks off, every gateway without a recent check makes one; those that the store does not answer ask one of two peers, each with a limit of 250 ms. That peer made a call to the store for each question, one after another.

Cause: with a maximum age of zero the age of the list exceeds it whenever the turn comes, also just after the check of another question.

Evidence: checks_for_peers_share_calls_to_the_store, 20 questions at one moment, a store that takes 50 ms: 20 calls before.

Change: the list has to be complete since the peer asked, so that one check serves all that waited.

Result: six calls at most with the watches of that time (the test's limit); all eleven tests of out_of_step.rs pass.

--- a/crates/bluebellreel_gateway/src/list_check.rs
+++ b/crates/bluebellreel_gateway/src/list_check.rs
@@ -138,8 +138,10 @@
 /// `max_age` if given.
 pub(crate) async fn answer_peer(gw: &Rc<Gateway>, max_age: Option<Duration>) -> Response<Body> {
     if let Some(max_age) = max_age {
+        // A check that began since the peer asked serves all who waited for their turn.
+        let since = gw.elapsed() - max_age;
         let _turn = gw.list_checks.checking.lock().await;
-        if gw.list_age().is_none_or(|age| age > max_age) {
+        if gw.list_complete_at.get() < Some(since) {
             check_at_store(gw).await;
         }
     }
