Record that a stream's version is not known when its worker turns out to have been replaced

A worker was replaced under its id by one of another version, and answered some hundred milliseconds before its entry was written.

Cause: a stream is recorded with the version that its worker is listed with, or goes unrecorded as a single version is listed. The gateway broke the stream off as its version was not known any more, and left the record, or its absence, as it was. Class: a place taken for the one who holds it now.

Evidence: streams_that_begin_before_the_entry_of_a_replaced_worker_are_not_mixed, with an entry 300 ms late: 4 of 4 streams that went on were mixed, with all keepers and peers in touch.

Change: before such a stream is broken off, its record is replaced by one that says that the version is not known; who resumes it is refused for the rest of its time.

Result: 0 mixed; the twelve tests of out_of_step.rs and the 13 of versions.rs pass.

--- a/crates/bluebellreel_gateway/src/origin_lookup.rs
+++ b/crates/bluebellreel_gateway/src/origin_lookup.rs
@@ -14,7 +14,7 @@
 use crate::keepers::{FIRST_VISIT_TIMEOUT, first_visit};
 use crate::list_check::{check_for_send, check_since};
 use crate::millis::millis;
-use crate::origins::{inferred, lifetime, possible_holders, ranked_peers, recorded, tag};
+use crate::origins::{UNKNOWN, inferred, lifetime, possible_holders, ranked_peers, recorded, tag};
 use crate::peer_calls::{self, KnownOrigin, OriginAnswer};
 use crate::request::{Binding, Request};
 use crate::workers::version_text;
@@ -131,6 +131,9 @@
         unanswered: lookup.asked.len() - lookup.answered,
     };
     if let Some(version) = lookup.recorded {
+        if version.as_str() == UNKNOWN {
+            return Err(Refusal::Unknown);
+        }
         return Ok(found(version, "recorded"));
     }
     if lookup.silent.is_empty() && lookup.lossy.is_empty() {
--- a/crates/bluebellreel_gateway/src/origins.rs
+++ b/crates/bluebellreel_gateway/src/origins.rs
@@ -34,6 +34,8 @@
 const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long it waits if the stream would be taken for one of another version otherwise.
 const MAX_RECORD_TIMEOUT: Duration = Duration::from_millis(250);
+/// Recorded in place of a version that is not known: no worker has it.
+pub(crate) const UNKNOWN: &str = "";
 /// Minimum time for which a caller may resume its stream.
 const MIN_LIFETIME: Duration = Duration::from_secs(10);
 
@@ -85,6 +87,24 @@
     is_kept || !needs_record
 }
 
+/// Records that the version which began a stream is not known, in place of what was recorded or
+/// would be inferred. Completes once all holders have the record, or after a timeout.
+pub(crate) async fn record_unknown(gw: &Rc<Gateway>, req: &Request) {
+    if !req.route.resumable {
+        return;
+    }
+    let origin = Origin {
+        stream: tag(req),
+        version: WorkerVersion::from(UNKNOWN),
+        keep_for: lifetime(req),
+    };
+    keep(gw, &origin);
+    let mut copies = Copies::send(gw, origin, holders);
+    let deadline = Instant::now() + MAX_RECORD_TIMEOUT;
+    while let Ok(Some(_)) = timeout_at(deadline, copies.sent.next()).await {}
+    gw.metrics.origin("unknown");
+}
+
 /// The copies of a stream's record that are sent to other daemons.
 struct Copies {
     origin: Origin,
--- a/crates/bluebellreel_gateway/src/relay.rs
+++ b/crates/bluebellreel_gateway/src/relay.rs
@@ -439,6 +439,7 @@
             let ticket = self.upstream.run_guard.ticket();
             if may_be_of_other_version(&self.gw, ticket, self.upstream.dispatched) {
                 self.req.binding = Binding::Unknown;
+                origins::record_unknown(&self.gw, &self.req).await;
             }
         }
         while self.may_resume() && !self.req.left().is_zero() {
