--- a/crates/bluebellreel_gateway/src/origins.rs
+++ b/crates/bluebellreel_gateway/src/origins.rs
@@ -34,6 +34,8 @@
 const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long it waits if the stream would be taken for one of another version otherwise.
 const MAX_RECORD_TIMEOUT: Duration = Duration::from_millis(250);
+/// Recorded in place of a version that is not known: no worker has it.
+pub(crate) const UNKNOWN: &str = "";
 /// Minimum time for which a caller may resume its stream.
 const MIN_LIFETIME: Duration = Duration::from_secs(10);
 
@@ -85,6 +87,24 @@
     is_kept || !needs_record
 }
 
+/// Records that the version which began a stream is not known, in place of what was recorded or
+/// would be inferred. Completes once all holders have the record, or after a timeout.
+pub(crate) async fn record_unknown(gw: &Rc<Gateway>, req: &Request) {
+    if !req.route.resumable {
+        return;
+    }
+    let origin = Origin {
+        stream: tag(req),
+        version: WorkerVersion::from(UNKNOWN),
+        keep_for: lifetime(req),
+    };
+    keep(gw, &origin);
+    let mut copies = Copies::send(gw, origin, holders);
+    let deadline = Instant::now() + MAX_RECORD_TIMEOUT;
+    while let Ok(Some(_)) = timeout_at(deadline, copies.sent.next()).await {}
+    gw.metrics.origin("unknown");
+}
+
 /// The copies of a stream's record that are sent to other daemons.
 struct Copies {
     origin: Origin,
@@ -204,6 +224,28 @@
     ranked.into_iter().take(HOLDERS).map(|(_, at)| at).collect()
 }
 
+/// The peers that may hold a stream's record: those that would hold it now, and those that come
+/// before them but are silent or stopping.
+pub(crate) fn possible_holders(gw: &Gateway, stream: StreamTag) -> Vec<SocketAddr> {
+    let now = gw.now();
+    let members = gw.members.borrow();
+    let mut ranked: Vec<(u64, SocketAddr, bool)> = members
+        .peers()
+        .map(|(name, peer)| {
+            let is_holder = peer.is_alive(now) && !peer.stopping;
+            (stream.rank(name.as_str()), peer.calls, is_holder)
+        })
+        .collect();
+    ranked.sort_unstable();
+    let mut holders = 0;
+    let up_to_holders = ranked.into_iter().take_while(|(.., is_holder)| {
+        let is_complete = holders == HOLDERS;
+        holders += usize::from(*is_holder);
+        !is_complete
+    });
+    up_to_holders.map(|(_, at, _)| at).collect()
+}
+
 /// Keeps a record, of this daemon's own or for a peer.
 pub(crate) fn keep(gw: &Gateway, origin: &Origin) {
     let expires_at = gw.now() + origin.keep_for;
