Cut listed entries that are longer than any reader takes

Callers saw nothing yet. Another writer may leave any number of entries of up to valueBytes (1 MiB) among those of the workers or daemons. A daemon held them all, as sent, until it had read the last page, and refused them only then; a VM of 100 MB ends by that, and again at each start, as each start lists.

A list takes the size limit of the values that its reader uses. Longer ones are cut just above it while each page is parsed, so that the reader still refuses them as too long.

--- a/crates/bluebellreel_gateway/src/jobs/load.rs
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -44,7 +44,7 @@
 /// All recorded results of a job, by segment.
 pub(super) async fn segments(gw: &Gateway, id: &JobId) -> Result<Vec<Vec<ItemResult>>, KvError> {
     let prefix = Key::from(keys::segments(id).as_str());
-    let (all, _) = gw.store.list(&prefix).await?;
+    let (all, _) = gw.store.list(&prefix, gw.settings.value_bytes).await?;
     all.iter()
         .map(|kv| decode_segment(&kv.value).map_err(|e| unreadable(&e)))
         .collect()
@@ -53,7 +53,7 @@
 /// All items of a job.
 pub(super) async fn input(gw: &Gateway, id: &JobId) -> Result<Vec<NewItem>, KvError> {
     let prefix = Key::from(keys::inputs(id).as_str());
-    let (all, _) = gw.store.list(&prefix).await?;
+    let (all, _) = gw.store.list(&prefix, gw.settings.value_bytes).await?;
     let mut items = Vec::new();
     for kv in &all {
         items.extend(decode_items(&kv.value).map_err(|e| unreadable(&e))?);
--- a/crates/bluebellreel_gateway/src/jobs/open.rs
+++ b/crates/bluebellreel_gateway/src/jobs/open.rs
@@ -6,6 +6,7 @@
 
 use super::own::{Jobs, MAX_REPORTED};
 use crate::gateway::Gateway;
+use crate::store::MAX_SMALL_ENTRY_BYTES;
 use bluebellreel_batch::{JobPhase, JobRecord, OpenJob, keys};
 use bluebellreel_kv::{Key, KeyValue, KvError};
 use bluebellreel_members::Peer;
@@ -98,7 +99,8 @@
 /// Lists all open jobs in the store. Those that no daemon reports are counted here
 /// from now on.
 async fn list(gw: &Gateway) -> Result<(), KvError> {
-    let (all, _) = gw.store.list(&Key::from(keys::OPEN_JOBS_PREFIX)).await?;
+    let prefix = Key::from(keys::OPEN_JOBS_PREFIX);
+    let (all, _) = gw.store.list(&prefix, MAX_SMALL_ENTRY_BYTES).await?;
     note_listed(gw, &all);
     Ok(())
 }
@@ -106,7 +108,7 @@
 /// As [`list`], but the list may be seconds old. Also returns the ids of the jobs.
 pub(super) async fn list_stale(gw: &Gateway) -> Result<Vec<JobId>, KvError> {
     let prefix = Key::from(keys::OPEN_JOBS_PREFIX);
-    let (all, _) = gw.store.list_stale(&prefix).await?;
+    let (all, _) = gw.store.list_stale(&prefix, MAX_SMALL_ENTRY_BYTES).await?;
     Ok(note_listed(gw, &all))
 }
 
--- a/crates/bluebellreel_gateway/src/quarantine_store.rs
+++ b/crates/bluebellreel_gateway/src/quarantine_store.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::Gateway;
 use crate::quarantine_gate::Subject;
+use crate::store::MAX_SMALL_ENTRY_BYTES;
 use bluebellreel_dispatch::{Fingerprint, VersionTag, WorkerTag};
 use bluebellreel_kv::{Commit, Key, KeyValue, KvError, Put, Txn};
 use log::{info, warn};
@@ -116,7 +117,8 @@
 /// Loads the quarantined requests from the store, once at the start.
 pub(crate) async fn load(gw: Rc<Gateway>) {
     let all = loop {
-        match gw.store.list_stale(&Key::from(ENTRIES_PREFIX)).await {
+        let prefix = Key::from(ENTRIES_PREFIX);
+        match gw.store.list_stale(&prefix, MAX_SMALL_ENTRY_BYTES).await {
             Ok((all, _)) => break all,
             Err(_) => sleep(RETRY_PAUSE).await,
         }
--- a/crates/bluebellreel_gateway/src/registration.rs
+++ b/crates/bluebellreel_gateway/src/registration.rs
@@ -8,6 +8,7 @@
 use crate::join;
 use crate::lease::registration_delay;
 use crate::reports;
+use crate::store::MAX_SMALL_ENTRY_BYTES;
 use bluebellreel_batch::Owner;
 use bluebellreel_kv::{Compare, Key, KeyValue, KvError};
 use bluebellreel_members::{MemberEntry, Upkeep};
@@ -122,7 +123,10 @@
 /// Reads the entries of all daemons and updates the members. If this daemon's own
 /// entry is missing, it registers again.
 pub(crate) async fn read_members(gw: &Rc<Gateway>) -> Result<(), KvError> {
-    let (all, revision) = gw.store.list_stale(&Key::from(MEMBER_PREFIX)).await?;
+    let (all, revision) = gw
+        .store
+        .list_stale(&Key::from(MEMBER_PREFIX), MAX_SMALL_ENTRY_BYTES)
+        .await?;
     // A list from before the registration lacks this daemon's entry.
     let is_newer = revision >= gw.registered_revision.get();
     if is_newer && !all.iter().any(|kv| kv.key == own_key(gw)) && gw.lease.get() != 0 {
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -31,6 +31,8 @@
 const MAX_IDLE: usize = 4;
 /// Pause before a rejected or lost call is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(150);
+/// Size limit of an entry that holds a few fields. It allows for later versions with more.
+pub(crate) const MAX_SMALL_ENTRY_BYTES: usize = 16 * 1024;
 /// Maximum size of an answer.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// The store counts as lost once every direct call has failed for this time. A single
@@ -271,20 +273,30 @@
     }
 
     /// Reads all keys that start with `prefix`. Also returns the revision of the first
-    /// page: a watch after it delivers every later change.
-    pub(crate) async fn list(&self, prefix: &Key) -> Result<(Vec<KeyValue>, i64), KvError> {
-        self.list_pages(prefix, true).await
+    /// page: a watch after it delivers every later change. Values above `max_value_bytes`
+    /// are cut: a prefix may hold any number of entries of other writers.
+    pub(crate) async fn list(
+        &self,
+        prefix: &Key,
+        max_value_bytes: usize,
+    ) -> Result<(Vec<KeyValue>, i64), KvError> {
+        self.list_pages(prefix, max_value_bytes, true).await
     }
 
     /// As [`Self::list`], at a tenth of the price, but the answer may be seconds old. It is
     /// enough where a guarded write follows, or where the next list comes soon.
-    pub(crate) async fn list_stale(&self, prefix: &Key) -> Result<(Vec<KeyValue>, i64), KvError> {
-        self.list_pages(prefix, false).await
+    pub(crate) async fn list_stale(
+        &self,
+        prefix: &Key,
+        max_value_bytes: usize,
+    ) -> Result<(Vec<KeyValue>, i64), KvError> {
+        self.list_pages(prefix, max_value_bytes, false).await
     }
 
     async fn list_pages(
         &self,
         prefix: &Key,
+        max_value_bytes: usize,
         is_fresh: bool,
     ) -> Result<(Vec<KeyValue>, i64), KvError> {
         let mut all = Vec::new();
@@ -299,7 +311,7 @@
                 items,
                 truncated,
                 revision: page_revision,
-            } = store::list_answer(status, &body)?;
+            } = store::list_answer(status, &body, max_value_bytes)?;
             let page_revision = *revision.get_or_insert(page_revision);
             let last_page = !truncated || items.is_empty();
             all.extend(items);
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -13,7 +13,7 @@
 use bluebellreel_kv::{Key, KeyValue, KvError, Txn, WatchEvent};
 use bluebellreel_members::{Lag, Revisions};
 use bluebellreel_platform::store::Watched;
-use bluebellreel_platform::{decode_worker, keys};
+use bluebellreel_platform::{MAX_WORKER_BYTES, decode_worker, keys};
 use bluebellreel_types::{Moment, WorkerName};
 use log::{info, warn};
 use std::cell::Cell;
@@ -68,6 +68,8 @@
 
 /// The operations by which a watched prefix is processed.
 struct WatchHandler {
+    /// Size limit of the values that are used.
+    max_value_bytes: fn(&Gateway) -> usize,
     /// The prefix's own revision among several.
     revision: fn(Revisions) -> i64,
     /// Returns the revision up to which all changes were processed.
@@ -87,6 +89,7 @@
 }
 
 const OPERATOR: WatchHandler = WatchHandler {
+    max_value_bytes: |gw| gw.settings.value_bytes,
     revision: |revisions| revisions.configuration,
     seen: |gw| gw.cluster_state.borrow().operator_seen,
     is_incomplete: |_| false,
@@ -102,6 +105,7 @@
 };
 
 const WORKERS: WatchHandler = WatchHandler {
+    max_value_bytes: |_| MAX_WORKER_BYTES,
     revision: |revisions| revisions.workers,
     seen: |gw| gw.cluster_state.borrow().catalog.revision(),
     // Peers of an earlier build do not pass versions on.
@@ -308,7 +312,8 @@
         }
         if must_list || !known {
             let asked = gw.elapsed();
-            match gw.store.list(&prefix).await {
+            let max_value_bytes = (handler.max_value_bytes)(gw);
+            match gw.store.list(&prefix, max_value_bytes).await {
                 Ok((all, revision)) => {
                     note_recovery(gw, &prefix, &failing_since);
                     let listing = Listing {
