Skip keys that are no text in lists and watches of the key-value service

Callers would have seen that workers, daemons and manifests were followed no more: the service takes keys of any bytes, and one that is no UTF-8 below a prefix made each list and each watch of that prefix fail, in every entry daemon and side process, for as long as it was there.

Such keys are skipped. Pages continue after the last key as sent, so that a page of odd keys only ends no list.

--- a/crates/bluebellreel_kv/src/client.rs
+++ b/crates/bluebellreel_kv/src/client.rs
@@ -1,6 +1,6 @@
 //! Client of the key-value service.
 
-use crate::gateway::{self, LeaseAnswer, RangeAnswer, StreamMessage, TxnAnswer};
+use crate::gateway::{self, LeaseAnswer, RangeAnswer, RawKeyValue, StreamMessage, TxnAnswer};
 use crate::outage::Outage;
 use crate::{Backoff, CallBudget, Commit, Key, KeyValue, KvError, Txn};
 use bluebellreel_http::is_unsent;
@@ -39,6 +39,15 @@
 /// Sends one call, given its path and body, and returns the body of the response.
 pub type KvTransport = Box<dyn Fn(&str, &Value) -> Result<Value, KvError> + Send + Sync>;
 
+/// One page of a range.
+struct RangePage {
+    /// The keys that can be read.
+    found: Vec<KeyValue>,
+    revision: i64,
+    /// Where the next page begins, if more keys follow.
+    next: Option<Vec<u8>>,
+}
+
 /// A client of the key-value service, shared by reference.
 pub struct KvClient {
     settings: KvSettings,
@@ -147,17 +156,14 @@
     pub fn list_from(&self, prefix: &Key, from: &Key) -> Result<(Vec<KeyValue>, i64), KvError> {
         let mut all = Vec::new();
         let mut revision = None;
-        let mut next = from.clone();
+        let mut from = from.as_str().as_bytes().to_vec();
         loop {
-            let (page, at, more) = self.page(&next, &prefix.prefix_end(), RANGE_PAGE, false)?;
-            let first_read = *revision.get_or_insert(at);
-            let Some(last) = page.last() else {
-                return Ok((all, first_read));
-            };
-            next = Key::from(format!("{}\0", last.key));
-            all.extend(page);
-            if !more {
-                return Ok((all, first_read));
+            let page = self.page(&from, &prefix.prefix_end(), RANGE_PAGE, false)?;
+            let first_read = *revision.get_or_insert(page.revision);
+            all.extend(page.found);
+            match page.next {
+                Some(next) => from = next,
+                None => return Ok((all, first_read)),
             }
         }
     }
@@ -175,22 +181,34 @@
         limit: usize,
         keys_only: bool,
     ) -> Result<(Vec<KeyValue>, bool), KvError> {
-        let (page, _, more) = self.page(key, end, limit, keys_only)?;
-        Ok((page, more))
+        let mut from = key.as_str().as_bytes().to_vec();
+        loop {
+            let page = self.page(&from, end, limit, keys_only)?;
+            match page.next {
+                // The caller continues after the last key that it gets.
+                Some(next) if page.found.is_empty() => from = next,
+                next => return Ok((page.found, next.is_some())),
+            }
+        }
     }
 
     fn page(
         &self,
-        key: &Key,
+        from: &[u8],
         end: &[u8],
         limit: usize,
         keys_only: bool,
-    ) -> Result<(Vec<KeyValue>, i64, bool), KvError> {
+    ) -> Result<RangePage, KvError> {
         self.reads.fetch_add(1, Ordering::Relaxed);
-        let body = gateway::range_body(key, end, limit, keys_only);
+        let body = gateway::range_body(from, end, limit, keys_only);
         let answer: RangeAnswer = self.call("/v3/kv/range", &body)?;
-        let found = gateway::key_values(answer.kvs).map_err(KvError::Refused)?;
-        Ok((found, answer.header.revision, answer.more))
+        let last = answer.kvs.last().filter(|_| answer.more);
+        let next = last.map(RawKeyValue::next_key).transpose();
+        Ok(RangePage {
+            next: next.map_err(KvError::Unknown)?,
+            found: gateway::key_values(answer.kvs),
+            revision: answer.header.revision,
+        })
     }
 
     /// Commits a transaction. Retries until the outcome is known or `deadline` has
@@ -208,10 +226,7 @@
                     let revision = answer.header.revision;
                     return Commit::Applied { revision };
                 }
-                Ok(answer) => match resolve_failed_guard(answer, txn, &writer) {
-                    Ok(commit) => return commit,
-                    Err(reason) => reason,
-                },
+                Ok(answer) => return resolve_failed_guard(answer, txn, &writer),
                 Err(KvError::Refused(reason)) => return Commit::NotDone(reason),
                 Err(KvError::NotDone(reason)) => reason,
                 Err(KvError::Unknown(reason)) => {
@@ -358,20 +373,20 @@
 
 /// Interprets a failed guard: either an earlier attempt of this write took effect,
 /// or another client's write came first.
-fn resolve_failed_guard(answer: TxnAnswer, txn: &Txn, writer: &str) -> Result<Commit, String> {
+fn resolve_failed_guard(answer: TxnAnswer, txn: &Txn, writer: &str) -> Commit {
     let mut found = Vec::new();
     for response in answer.responses {
         let raw = response.response_range.unwrap_or_default().kvs;
-        found.extend(gateway::key_values(raw)?);
+        found.extend(gateway::key_values(raw));
     }
     let first = txn.puts.first().map(|put| &put.key);
     let own_write = found
         .iter()
         .find(|kv| Some(&kv.key) == first && kv.writer == writer);
-    Ok(match own_write {
+    match own_write {
         Some(kv) => Commit::Applied {
             revision: kv.revision,
         },
         None => Commit::Beaten(found),
-    })
+    }
 }
--- a/crates/bluebellreel_kv/src/gateway.rs
+++ b/crates/bluebellreel_kv/src/gateway.rs
@@ -21,7 +21,16 @@
     #[serde(default)]
     value: String,
     #[serde(default, deserialize_with = "number")]
-    mod_revision: i64,
+    pub(crate) mod_revision: i64,
+}
+
+impl RawKeyValue {
+    /// The first key after this one.
+    pub(crate) fn next_key(&self) -> Result<Vec<u8>, String> {
+        let mut key = STANDARD.decode(&self.key).map_err(|e| e.to_string())?;
+        key.push(0);
+        Ok(key)
+    }
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -115,13 +124,16 @@
     }
 }
 
-pub(crate) fn key_values(raw: Vec<RawKeyValue>) -> Result<Vec<KeyValue>, String> {
-    raw.into_iter().map(KeyValue::try_from).collect()
+/// The keys and values that can be read. Another writer's key may be no text; an error would
+/// make all others unavailable.
+pub(crate) fn key_values(raw: Vec<RawKeyValue>) -> Vec<KeyValue> {
+    let all = raw.into_iter();
+    all.filter_map(|raw| KeyValue::try_from(raw).ok()).collect()
 }
 
-pub(crate) fn range_body(key: &Key, end: &[u8], limit: usize, keys_only: bool) -> Value {
+pub(crate) fn range_body(key: &[u8], end: &[u8], limit: usize, keys_only: bool) -> Value {
     json!({
-        "key": STANDARD.encode(key.as_str()),
+        "key": STANDARD.encode(key),
         "range_end": STANDARD.encode(end),
         "limit": limit.to_string(),
         "keys_only": keys_only,
--- a/crates/bluebellreel_kv/src/watch.rs
+++ b/crates/bluebellreel_kv/src/watch.rs
@@ -91,10 +91,14 @@
         if message.canceled {
             return Err(KvError::Refused("the service cancelled the watch".into()));
         }
+        let is_progress = message.events.is_empty();
         let mut events = Vec::new();
         for event in message.events {
-            let kv = KeyValue::try_from(event.kv).map_err(ended)?;
-            self.next = self.next.max(kv.revision + 1);
+            self.next = self.next.max(event.kv.mod_revision.saturating_add(1));
+            // Another writer's key may be no text.
+            let Ok(kv) = KeyValue::try_from(event.kv) else {
+                continue;
+            };
             events.push(if event.kind == "DELETE" {
                 WatchEvent::Deleted {
                     key: kv.key,
@@ -106,8 +110,8 @@
         }
         // A message without events is a progress notification: all changes up to
         // its revision have been delivered.
-        if events.is_empty() {
-            self.next = self.next.max(message.header.revision + 1);
+        if is_progress {
+            self.next = self.next.max(message.header.revision.saturating_add(1));
         }
         Ok(events)
     }
