List again after a watch message that can never be read

Callers would have seen workers, daemons and manifests as they were before: changes of one moment that are together longer than a watch message may be (16 MiB), as some entries of the largest size are, failed each watch, which the entry daemon opened again at once and without end. A message that is no JSON did the same.

Both are reported as refused, for which the reader lists the keys.

--- a/crates/bluebellreel_kv/src/watch.rs
+++ b/crates/bluebellreel_kv/src/watch.rs
@@ -3,7 +3,7 @@
 use crate::gateway::{self, StreamMessage, WatchAnswer};
 use crate::{Key, KeyValue, KvClient, KvError};
 use bluebellreel_http::read_line;
-use std::io::BufReader;
+use std::io::{self, BufReader};
 use std::time::Duration;
 
 /// Maximum duration of one watch. Guards against a connection that has broken
@@ -78,15 +78,20 @@
     ///
     /// # Errors
     ///
-    /// Fails if the watch has ended.
+    /// Fails if the watch has ended. [`KvError::Refused`] means that another watch from the
+    /// same revision would fail as well: the keys must be listed.
     pub fn wait(&mut self) -> Result<Vec<WatchEvent>, KvError> {
         let ended = |reason: String| KvError::NotDone(reason);
         let read = read_line(&mut self.reader, MAX_MESSAGE_BYTES);
-        let Some(line) = read.map_err(|e| ended(e.to_string()))? else {
+        let read = read.map_err(|e| match e.kind() {
+            io::ErrorKind::InvalidData => KvError::Refused(e.to_string()),
+            _ => ended(e.to_string()),
+        });
+        let Some(line) = read? else {
             return Err(ended("the service closed the watch".into()));
         };
         let message: StreamMessage<WatchAnswer> =
-            serde_json::from_str(&line).map_err(|e| ended(e.to_string()))?;
+            serde_json::from_str(&line).map_err(|e| KvError::Refused(e.to_string()))?;
         let message = message.result;
         if message.canceled {
             return Err(KvError::Refused("the service cancelled the watch".into()));
--- a/crates/bluebellreel_kv/tests/odd_keys.rs
+++ b/crates/bluebellreel_kv/tests/odd_keys.rs
@@ -2,12 +2,15 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use bluebellreel_kv::{Commit, Key, KvClient, KvSettings, Txn, Watch, WatchEvent};
+use bluebellreel_kv::{Commit, Key, KvClient, KvError, KvSettings, Txn, Watch, WatchEvent};
 use bluebellreel_standins::{KvLimits, StandIn, start_kv};
 use bluebellreel_types::{Clock, Incarnation};
 use serde_json::json;
 use std::time::Duration;
 
+/// Number and size of values whose changes are together more than a watch takes at once.
+const LARGE_VALUES: usize = 14;
+const LARGE_BYTES: usize = 1_000_000;
 /// More than a page of a list has.
 const ODD_KEYS: usize = 1_200;
 
@@ -75,3 +78,28 @@
         }
     }
 }
+
+/// Guards that a watch which can never be read is not opened again without end, but given up
+/// for a list.
+#[test]
+fn a_watch_with_too_many_bytes_asks_for_a_list() {
+    let (_stand_in, client) = start();
+    let prefix = Key::from("worker/");
+    let (_, revision) = client.list(&prefix).expect("listed");
+    for n in 0..LARGE_VALUES {
+        let key = Key::from(format!("worker/{n}"));
+        let txn = Txn::create(key, vec![b'['; LARGE_BYTES]);
+        let commit = client.commit(&txn, client.now() + Duration::from_secs(5));
+        assert!(matches!(commit, Commit::Applied { .. }), "{commit:?}");
+    }
+    let mut watch = Watch::open(&client, &prefix, revision + 1).expect("opened");
+    let read = loop {
+        match watch.wait() {
+            Ok(events) if events.is_empty() => {}
+            read => break read,
+        }
+    };
+    assert!(matches!(read, Err(KvError::Refused(_))), "{read:?}");
+    let (all, _) = client.list(&prefix).expect("listed");
+    assert_eq!(all.len(), LARGE_VALUES);
+}
