Resume a watch that delivered nothing where it began

Callers would have seen workers, daemons or a manifest as they were before: the message by which the key-value service reports that a watch is open has its newest revision and no events. It was taken for a progress notice, so a watch that broke off before its first change was resumed after changes that it had not delivered, and nothing listed them.

Such a message no longer advances the watch.

New test a_watch_that_delivered_nothing_is_resumed_where_it_began: on the code before it failed (2 instead of 1).

--- a/crates/bluebellreel_kv/src/gateway.rs
+++ b/crates/bluebellreel_kv/src/gateway.rs
@@ -76,6 +76,9 @@
 pub(crate) struct WatchAnswer {
     #[serde(default)]
     pub(crate) header: Header,
+    /// The watch is open; no change was looked for yet.
+    #[serde(default)]
+    pub(crate) created: bool,
     #[serde(default)]
     pub(crate) canceled: bool,
     #[serde(default)]
--- a/crates/bluebellreel_kv/src/watch.rs
+++ b/crates/bluebellreel_kv/src/watch.rs
@@ -96,7 +96,7 @@
         if message.canceled {
             return Err(KvError::Refused("the service cancelled the watch".into()));
         }
-        let is_progress = message.events.is_empty();
+        let is_progress = message.events.is_empty() && !message.created;
         let mut events = Vec::new();
         for event in message.events {
             self.next = self.next.max(event.kv.mod_revision.saturating_add(1));
--- a/crates/bluebellreel_kv/tests/lost_answers.rs
+++ b/crates/bluebellreel_kv/tests/lost_answers.rs
@@ -148,3 +148,19 @@
         WatchEvent::Deleted { key, .. } => key.to_string(),
     }
 }
+
+/// Guards that a watch which breaks off before its first change does not pass over the
+/// changes from before it was opened.
+#[test]
+fn a_watch_that_delivered_nothing_is_resumed_where_it_began() {
+    let (_stand_in, client) = start();
+    let prefix = Key::from("job/");
+    let (_, revision) = client.list(&prefix).expect("listed");
+    let txn = Txn::create(Key::from("job/a"), b"first".to_vec());
+    let commit = client.commit(&txn, soon(&client));
+    assert!(matches!(commit, Commit::Applied { .. }), "{commit:?}");
+    let mut watch = Watch::open(&client, &prefix, revision + 1).expect("opened");
+    let events = watch.wait().expect("a message");
+    assert!(events.is_empty(), "{events:?}");
+    assert_eq!(watch.next_revision(), revision + 1);
+}
