Find the oldest tombstone of the catalog without a search

Callers would have waited: an entry that names no worker leaves a tombstone, and each tombstone took a search through all entries (two beyond 4,096 tombstones). With thousands of odd entries each list stopped a daemon for seconds, keepers included; peers then take it for dead.

Tombstones are also kept in order of their revision.

--- a/crates/bluebellreel_dispatch/src/catalog.rs
+++ b/crates/bluebellreel_dispatch/src/catalog.rs
@@ -94,6 +94,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Catalog {
     entries: BTreeMap<WorkerName, Entry>,
+    /// The entries without a record, oldest first.
+    tombstones: BTreeSet<(i64, WorkerName)>,
     revision: i64,
     /// Revision after which every removal is known. A list shows which workers exist at
     /// its revision, not which ones were removed before it.
@@ -270,6 +272,7 @@
                 entry.record = None;
                 entry.missing = None;
                 entry.revision = entry.revision.max(revision).max(self.revision);
+                self.tombstones.insert((entry.revision, id.clone()));
                 changed = true;
             }
         }
@@ -318,9 +321,14 @@
     /// Replaces the entry of a worker and updates the digest.
     fn replace_entry(&mut self, id: WorkerName, entry: Entry) -> Option<Entry> {
         self.digest ^= entry.digest(&id);
-        let before = self.entries.get(&id);
-        self.digest ^= before.map_or(0, |b| b.digest(&id));
-        self.entries.insert(id, entry)
+        let tombstone = entry.record.is_none().then(|| (entry.revision, id.clone()));
+        let before = self.entries.insert(id.clone(), entry);
+        if let Some(before) = &before {
+            self.digest ^= before.digest(&id);
+            self.tombstones.remove(&(before.revision, id));
+        }
+        self.tombstones.extend(tombstone);
+        before
     }
 
     fn is_stale(&self, id: &WorkerName, revision: i64) -> bool {
@@ -338,17 +346,9 @@
     }
 
     fn evict_oldest_tombstone(&mut self) {
-        let tombstones = self.entries.values().filter(|e| e.record.is_none()).count();
-        if tombstones <= MAX_TOMBSTONES {
-            return;
-        }
-        let oldest = self
-            .entries
-            .iter()
-            .filter(|(_, e)| e.record.is_none())
-            .min_by_key(|(_, e)| e.revision)
-            .map(|(id, e)| (id.clone(), e.revision));
-        if let Some((id, revision)) = oldest {
+        if self.tombstones.len() > MAX_TOMBSTONES
+            && let Some((revision, id)) = self.tombstones.pop_first()
+        {
             self.entries.remove(&id);
             self.removals_known_after = self.removals_known_after.max(revision);
         }
--- a/crates/bluebellreel_dispatch/tests/catalog.rs
+++ b/crates/bluebellreel_dispatch/tests/catalog.rs
@@ -4,7 +4,7 @@
 use bluebellreel_types::{DataCentre, Moment, WorkerName, WorkerVersion};
 use proptest::prelude::*;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn worker(id: &str, state: WorkerState) -> WorkerRecord {
     WorkerRecord {
@@ -389,3 +389,42 @@
     assert!(!catalog.put(5, early));
     assert!(!catalog.lacks_versions());
 }
+
+/// A list in which no entry names a worker.
+fn odd_list(entries: i64) -> Vec<(i64, WorkerName, Option<WorkerRecord>)> {
+    (1..=entries)
+        .map(|n| (n, WorkerName::from(format!("odd-{n}")), None))
+        .collect()
+}
+
+/// Guards that a list of many odd entries does not stop a daemon for seconds: each one took a
+/// search through all others.
+#[test]
+fn odd_entries_take_no_longer_than_workers() {
+    let time_of = |list: &[(i64, WorkerName, Option<WorkerRecord>)]| {
+        let times = (0..3).map(|_| {
+            let (mut catalog, list) = (Catalog::default(), list.to_vec());
+            let begun = Instant::now();
+            catalog.replace(9_000, list, None);
+            begun.elapsed()
+        });
+        times.min().expect("three times")
+    };
+    let workers: Vec<_> = (1..=6_000).map(|n| ready(n, &format!("w-{n}"))).collect();
+    let (sound, odd) = (time_of(&workers), time_of(&odd_list(6_000)));
+    assert!(odd < sound * 15, "{sound:?}, {odd:?}");
+}
+
+/// Guards that a worker whose entry is good again is listed, and its tombstone never evicts it.
+#[test]
+fn a_worker_is_not_evicted_by_its_former_tombstone() {
+    let mut catalog = Catalog::default();
+    catalog.remove(1, &WorkerName::from("a"));
+    catalog.put(2, worker("a", WorkerState::Ready));
+    catalog.replace(20_000, odd_list(0), None);
+    catalog.put(20_001, worker("a", WorkerState::Ready));
+    for (revision, id, _) in odd_list(9_000) {
+        catalog.remove(20_001 + revision, &id);
+    }
+    assert_eq!(listed(&catalog), ["a"]);
+}
