List again at once when changes are too long to be read

Callers could have been sent to a worker that had left: changes of one moment that are together longer than 8 MiB, as seven entries of the largest size are, failed the watch and counted as a loss of the store, for the 300 ms until the next call. Workers that left in the next 2.5 s were kept, as after an outage.

Such an answer to a read is an answer (413 to its reader); the watch lists the keys at once.

--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -10,7 +10,7 @@
 use bluebellreel_platform::store::{self, Lease, Page, TxnOutcome, Watched};
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
-use http::{Request, StatusCode, header};
+use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -224,7 +224,8 @@
         answer
     }
 
-    /// Makes a call from this VM.
+    /// Makes a call from this VM. An answer to a read that is longer than this daemon takes
+    /// counts as one with the status 413: the store is not lost.
     pub(crate) async fn call_directly(
         &self,
         mut req: Request<Bytes>,
@@ -233,6 +234,7 @@
         if let Ok(host) = header::HeaderValue::try_from(self.address.to_string()) {
             req.headers_mut().insert(header::HOST, host);
         }
+        let is_read = req.method() == Method::GET;
         let sent = async {
             let mut reply = self
                 .pool
@@ -242,9 +244,13 @@
                     SendError::Unsent(reason) => KvError::NotDone(reason),
                     SendError::Unknown(reason) => KvError::Unknown(reason),
                 })?;
-            let body = reply.body.whole(MAX_ANSWER_BYTES).await;
-            let body = body.map_err(|e| KvError::Unknown(e.to_string()))?;
-            Ok((reply.head.status, body))
+            match reply.body.whole(MAX_ANSWER_BYTES).await {
+                Ok(body) => Ok((reply.head.status, body)),
+                Err(_) if is_read && reply.body.bytes_read() > MAX_ANSWER_BYTES as u64 => {
+                    Ok((StatusCode::PAYLOAD_TOO_LARGE, Bytes::new()))
+                }
+                Err(e) => Err(KvError::Unknown(e.to_string())),
+            }
         };
         let answer = timeout(max_time, sent).await;
         let answer = answer.unwrap_or_else(|_| {
--- a/crates/bluebellreel_gateway/src/watching.rs
+++ b/crates/bluebellreel_gateway/src/watching.rs
@@ -364,6 +364,11 @@
                 gw.history_compacted.notify_waiters();
                 must_list = true;
             }
+            Ok(Watched::TooLong) => {
+                info!(target: "facts", prefix:% = prefix, after; "changes too long, listing again");
+                must_list = true;
+                sleep(GATHER_PAUSE).await;
+            }
             Err(e) => {
                 note_failure(gw, &prefix, &failing_since, &e);
                 must_list = true;
--- a/crates/bluebellreel_net/src/reply.rs
+++ b/crates/bluebellreel_net/src/reply.rs
@@ -116,6 +116,12 @@
         Broken
     }
 
+    /// Number of bytes of the body that were read, including those that were refused.
+    #[must_use]
+    pub fn bytes_read(&self) -> u64 {
+        self.bytes
+    }
+
     /// Reads the whole body.
     ///
     /// # Errors
