Bound counts of tokens from outside where they are read

A caller saw its connection end without an answer, in a debug build: the tokens of its items were so many that their sum overflowed. In a release build the sum wrapped, and a job of any size passed for one that fits into the quota. Entries of the index of open jobs, a ledger, a record and a quota could do the same.

--- a/crates/bluebellreel_batch/src/input.rs
+++ b/crates/bluebellreel_batch/src/input.rs
@@ -1,6 +1,7 @@
 //! Stored form of a job's input.
 
 use crate::RecordError;
+use crate::tokens::bounded_item_tokens;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -101,7 +102,7 @@
                 path: item.path,
                 headers: item.headers,
                 body: Bytes::from(body.map_err(|e: serde_json::Error| RecordError::from(e))?),
-                tokens: item.tokens,
+                tokens: bounded_item_tokens(item.tokens),
             })
         })
         .collect()
--- a/crates/bluebellreel_batch/src/open_job.rs
+++ b/crates/bluebellreel_batch/src/open_job.rs
@@ -1,5 +1,6 @@
 //! Encoding of the values in the index of open jobs.
 
+use crate::tokens::bounded_job_tokens;
 use crate::{JobRecord, RecordError};
 use std::sync::Arc;
 
@@ -42,7 +43,7 @@
         let (scope, tokens): (String, u64) = serde_json::from_slice(bytes)?;
         Ok(Self {
             scope: scope.into(),
-            tokens,
+            tokens: bounded_job_tokens(tokens),
         })
     }
 }
--- a/crates/bluebellreel_batch/src/quota_ledger.rs
+++ b/crates/bluebellreel_batch/src/quota_ledger.rs
@@ -7,6 +7,7 @@
 //! fails, and its daemon rereads the ledger and sees the first job.
 
 use crate::RecordError;
+use crate::tokens::bounded_job_tokens;
 use bluebellreel_types::{JobId, Moment};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -65,6 +66,10 @@
     type Error = RecordError;
 
     fn try_from(bytes: &[u8]) -> Result<Self, RecordError> {
-        Ok(serde_json::from_slice(bytes)?)
+        let mut ledger: Self = serde_json::from_slice(bytes)?;
+        for entry in &mut ledger.entries {
+            entry.tokens = bounded_job_tokens(entry.tokens);
+        }
+        Ok(ledger)
     }
 }
--- a/crates/bluebellreel_batch/src/record.rs
+++ b/crates/bluebellreel_batch/src/record.rs
@@ -1,5 +1,6 @@
 //! A job's record, which alone decides who may write to the job.
 
+use crate::tokens::bounded_job_tokens;
 use bluebellreel_types::{EntryName, Incarnation, Moment};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -92,7 +93,11 @@
     type Error = RecordError;
 
     fn try_from(bytes: &[u8]) -> Result<Self, RecordError> {
-        Ok(serde_json::from_slice(bytes)?)
+        let record: Self = serde_json::from_slice(bytes)?;
+        Ok(Self {
+            tokens: bounded_job_tokens(record.tokens),
+            ..record
+        })
     }
 }
 
