--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -10,7 +10,7 @@
 use bluebellreel_platform::store::{self, Lease, Page, TxnOutcome, Watched};
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
-use http::{Request, StatusCode, header};
+use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -31,6 +31,8 @@
 const MAX_IDLE: usize = 4;
 /// Pause before a rejected or lost call is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(150);
+/// Size limit of an entry that holds a few fields. It allows for later versions with more.
+pub(crate) const MAX_SMALL_ENTRY_BYTES: usize = 16 * 1024;
 /// Maximum size of an answer.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// The store counts as lost once every direct call has failed for this time. A single
@@ -222,7 +224,8 @@
         answer
     }
 
-    /// Makes a call from this VM.
+    /// Makes a call from this VM. An answer to a read that is longer than this daemon takes
+    /// counts as one with the status 413: the store is not lost.
     pub(crate) async fn call_directly(
         &self,
         mut req: Request<Bytes>,
@@ -231,6 +234,7 @@
         if let Ok(host) = header::HeaderValue::try_from(self.address.to_string()) {
             req.headers_mut().insert(header::HOST, host);
         }
+        let is_read = req.method() == Method::GET;
         let sent = async {
             let mut reply = self
                 .pool
@@ -240,9 +244,13 @@
                     SendError::Unsent(reason) => KvError::NotDone(reason),
                     SendError::Unknown(reason) => KvError::Unknown(reason),
                 })?;
-            let body = reply.body.whole(MAX_ANSWER_BYTES).await;
-            let body = body.map_err(|e| KvError::Unknown(e.to_string()))?;
-            Ok((reply.head.status, body))
+            match reply.body.whole(MAX_ANSWER_BYTES).await {
+                Ok(body) => Ok((reply.head.status, body)),
+                Err(_) if is_read && reply.body.bytes_read() > MAX_ANSWER_BYTES as u64 => {
+                    Ok((StatusCode::PAYLOAD_TOO_LARGE, Bytes::new()))
+                }
+                Err(e) => Err(KvError::Unknown(e.to_string())),
+            }
         };
         let answer = timeout(max_time, sent).await;
         let answer = answer.unwrap_or_else(|_| {
@@ -271,20 +279,30 @@
     }
 
     /// Reads all keys that start with `prefix`. Also returns the revision of the first
-    /// page: a watch after it delivers every later change.
-    pub(crate) async fn list(&self, prefix: &Key) -> Result<(Vec<KeyValue>, i64), KvError> {
-        self.list_pages(prefix, true).await
+    /// page: a watch after it delivers every later change. Values above `max_value_bytes`
+    /// are cut: a prefix may hold any number of entries of other writers.
+    pub(crate) async fn list(
+        &self,
+        prefix: &Key,
+        max_value_bytes: usize,
+    ) -> Result<(Vec<KeyValue>, i64), KvError> {
+        self.list_pages(prefix, max_value_bytes, true).await
     }
 
     /// As [`Self::list`], at a tenth of the price, but the answer may be seconds old. It is
     /// enough where a guarded write follows, or where the next list comes soon.
-    pub(crate) async fn list_stale(&self, prefix: &Key) -> Result<(Vec<KeyValue>, i64), KvError> {
-        self.list_pages(prefix, false).await
+    pub(crate) async fn list_stale(
+        &self,
+        prefix: &Key,
+        max_value_bytes: usize,
+    ) -> Result<(Vec<KeyValue>, i64), KvError> {
+        self.list_pages(prefix, max_value_bytes, false).await
     }
 
     async fn list_pages(
         &self,
         prefix: &Key,
+        max_value_bytes: usize,
         is_fresh: bool,
     ) -> Result<(Vec<KeyValue>, i64), KvError> {
         let mut all = Vec::new();
@@ -299,7 +317,7 @@
                 items,
                 truncated,
                 revision: page_revision,
-            } = store::list_answer(status, &body)?;
+            } = store::list_answer(status, &body, max_value_bytes)?;
             let page_revision = *revision.get_or_insert(page_revision);
             let last_page = !truncated || items.is_empty();
             all.extend(items);
--- a/crates/bluebellreel_kv/src/watch.rs
+++ b/crates/bluebellreel_kv/src/watch.rs
@@ -3,7 +3,7 @@
 use crate::gateway::{self, StreamMessage, WatchAnswer};
 use crate::{Key, KeyValue, KvClient, KvError};
 use bluebellreel_http::read_line;
-use std::io::BufReader;
+use std::io::{self, BufReader};
 use std::time::Duration;
 
 /// Maximum duration of one watch. Guards against a connection that has broken
@@ -78,23 +78,32 @@
     ///
     /// # Errors
     ///
-    /// Fails if the watch has ended.
+    /// Fails if the watch has ended. [`KvError::Refused`] means that another watch from the
+    /// same revision would fail as well: the keys must be listed.
     pub fn wait(&mut self) -> Result<Vec<WatchEvent>, KvError> {
         let ended = |reason: String| KvError::NotDone(reason);
         let read = read_line(&mut self.reader, MAX_MESSAGE_BYTES);
-        let Some(line) = read.map_err(|e| ended(e.to_string()))? else {
+        let read = read.map_err(|e| match e.kind() {
+            io::ErrorKind::InvalidData => KvError::Refused(e.to_string()),
+            _ => ended(e.to_string()),
+        });
+        let Some(line) = read? else {
             return Err(ended("the service closed the watch".into()));
         };
         let message: StreamMessage<WatchAnswer> =
-            serde_json::from_str(&line).map_err(|e| ended(e.to_string()))?;
+            serde_json::from_str(&line).map_err(|e| KvError::Refused(e.to_string()))?;
         let message = message.result;
         if message.canceled {
             return Err(KvError::Refused("the service cancelled the watch".into()));
         }
+        let is_progress = message.events.is_empty() && !message.created;
         let mut events = Vec::new();
         for event in message.events {
-            let kv = KeyValue::try_from(event.kv).map_err(ended)?;
-            self.next = self.next.max(kv.revision + 1);
+            self.next = self.next.max(event.kv.mod_revision.saturating_add(1));
+            // Another writer's key may be no text.
+            let Ok(kv) = KeyValue::try_from(event.kv) else {
+                continue;
+            };
             events.push(if event.kind == "DELETE" {
                 WatchEvent::Deleted {
                     key: kv.key,
@@ -106,8 +115,8 @@
         }
         // A message without events is a progress notification: all changes up to
         // its revision have been delivered.
-        if events.is_empty() {
-            self.next = self.next.max(message.header.revision + 1);
+        if is_progress {
+            self.next = self.next.max(message.header.revision.saturating_add(1));
         }
         Ok(events)
     }
