Let one submission at a time write the first parts of a large input

Cause: an input over 0.6 MB needs several transactions. All but the last were written without a guard, under keys made of the job's id alone, before the record decides whose job it is. Whoever read the input took every key with this prefix, whatever the record said. So a refused job, another body of the same team, a write that takes effect late and parts left over by a killed gateway all became parts of the accepted job.

Change: a marker, job/upload/ID, which one submission holds. Each write before the record requires the marker's last revision and that there is no record, and replaces the marker; the transaction that creates the record deletes it. Every acceptance, also one of a single transaction, requires that nobody else holds it. A submission that meets a marker without progress for 1.5 s removes it with its parts, which makes all later writes of its holder fail; the cleanup leader does so after 10 s. Readers take the chunks that the record counts, and no others. No write and no call more for a large job: the marker goes along with the parts.

--- a/crates/bluebellreel_batch/src/keys.rs
+++ b/crates/bluebellreel_batch/src/keys.rs
@@ -24,6 +24,15 @@
 /// Prefix of the index of open jobs.
 pub const OPEN_JOBS_PREFIX: &str = "job/open/";
 
+/// Prefix of the markers of inputs that are being stored.
+pub const UPLOADS_PREFIX: &str = "job/upload/";
+
+/// Key of the marker of a job whose input is being stored; see [`crate::UploadMarker`].
+#[must_use]
+pub fn upload(id: &JobId) -> KeyText {
+    KeyText(format!("{UPLOADS_PREFIX}{id}"))
+}
+
 /// Key of a job's record.
 #[must_use]
 pub fn record(id: &JobId) -> KeyText {
@@ -64,6 +73,15 @@
     KeyText(format!("job/in/{id}/"))
 }
 
+/// Number of the chunk or segment stored under a key with this prefix. `None` if the key
+/// belongs to another job, whose id begins with this job's.
+#[must_use]
+pub fn number(prefix: &KeyText, key: &str) -> Option<usize> {
+    let number = key.strip_prefix(prefix.as_str())?;
+    let is_number = number.bytes().all(|b| b.is_ascii_digit());
+    is_number.then(|| number.parse().ok())?
+}
+
 /// Key of one segment of a job's results.
 #[must_use]
 pub fn segment(id: &JobId, number: usize) -> KeyText {
--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -29,6 +29,7 @@
 mod schedule;
 mod start_lease;
 mod takeover;
+mod upload;
 
 pub use forecast::{FewestEvents, Forecast, ItemTiming};
 pub use input::{NewItem, decode_items, encode_items, split_input};
@@ -43,3 +44,4 @@
 pub use schedule::{Candidate, WaitingItems, count_waiting, next_item, next_item_by_forecast};
 pub use start_lease::{JOBS_PER_CHECK, StartLease, StartTerms, jobs_to_check};
 pub use takeover::{OwnerPresence, TakeoverDecision, decide_takeover};
+pub use upload::UploadMarker;
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -10,12 +10,13 @@
 use super::own::{PendingSubmission, SubmissionOutcome};
 use super::quota::{self, Quota};
 use super::stored::{key, stored_record};
+use super::upload::{self, Interruption, Upload};
 use crate::answers;
 use crate::gateway::Gateway;
 use crate::millis::millis;
 use bluebellreel_batch::{JobPhase, JobRecord, NewItem, OpenJob, Owner, keys, split_input};
 use bluebellreel_dispatch::Route;
-use bluebellreel_kv::{Commit, Compare, Key, Put, Txn};
+use bluebellreel_kv::{Commit, Compare, Key, KeyValue, Put, Txn};
 use bluebellreel_net::Body;
 use bluebellreel_platform::jobs as wire;
 use bluebellreel_types::JobId;
@@ -311,27 +312,47 @@
             )
         })
         .collect();
-    // Chunks without a record belong to no job: only the record creates the job.
+    let mut first = Vec::new();
     while total_bytes(&puts) > chunk_bytes || puts.len() > MAX_CHUNKS_PER_TXN {
-        let first = Txn {
-            puts: vec![puts.remove(0)],
-            ..Txn::default()
-        };
-        match gw
-            .store
-            .commit(&first, Instant::now() + STORE_TIMEOUT)
-            .await
-        {
-            Commit::Applied { .. } => {}
-            other => {
-                warn!(target: "jobs", job:% = id, outcome:? = other; "input not stored");
-                return SubmissionOutcome::NotStored;
+        first.push(puts.remove(0));
+    }
+    let upload = if first.is_empty() {
+        None
+    } else {
+        match upload::write(gw, id, first).await {
+            Ok(upload) => Some(upload),
+            Err(Interruption::Recorded(stored)) => {
+                gw.jobs.borrow_mut().note_owner(id, &stored);
+                return outcome_beside(&record, &stored);
             }
+            Err(Interruption::Displaced) => return SubmissionOutcome::Pending,
+            Err(Interruption::NotStored) => return SubmissionOutcome::NotStored,
         }
+    };
+    let outcome = accept(gw, id, quota, &record, &items, puts, upload.as_ref()).await;
+    let is_rejected = !matches!(
+        outcome,
+        SubmissionOutcome::Stored | SubmissionOutcome::Pending
+    );
+    if let Some(upload) = upload.filter(|_| is_rejected) {
+        upload.discard(gw, id);
     }
+    outcome
+}
+
+/// Creates the record, together with the chunks that are not in the upload.
+async fn accept(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    quota: &Quota,
+    record: &JobRecord,
+    items: &[NewItem],
+    mut puts: Vec<Put>,
+    upload: Option<&Upload>,
+) -> SubmissionOutcome {
     let record_key = key(&keys::record(id));
     puts.push(Put::lasting(record_key.clone(), record.encode()));
-    let open = OpenJob::from(&record).encode();
+    let open = OpenJob::from(record).encode();
     puts.push(Put::lasting(key(&keys::open(id)), open));
     let txn = Txn {
         compares: vec![
@@ -341,6 +362,10 @@
         puts,
         ..Txn::default()
     };
+    let txn = match upload {
+        Some(upload) => upload.finish(id, txn),
+        None => txn.and(upload::no_upload(id)),
+    };
     let uses_ledger = quota.needs_ledger(gw, record.tokens);
     for _ in 0..MAX_LEDGER_TRIES {
         let txn = if uses_ledger {
@@ -355,7 +380,7 @@
         } else {
             txn.clone()
         };
-        if let Some(accepted) = create_record(gw, id, &record, &items, &txn, &record_key).await {
+        if let Some(accepted) = create_record(gw, id, record, items, &txn, upload).await {
             return accepted;
         }
     }
@@ -372,6 +397,15 @@
     }
 }
 
+/// Outcome of a submission whose job's id has this record already.
+fn outcome_beside(record: &JobRecord, stored: &JobRecord) -> SubmissionOutcome {
+    if stored.team.is_some() && stored.team != record.team {
+        SubmissionOutcome::OtherTeam
+    } else {
+        SubmissionOutcome::Stored
+    }
+}
+
 fn total_bytes(puts: &[Put]) -> usize {
     puts.iter().map(|p| p.value.len()).sum()
 }
@@ -385,8 +419,9 @@
     record: &JobRecord,
     items: &[NewItem],
     txn: &Txn,
-    record_key: &Key,
+    upload: Option<&Upload>,
 ) -> Option<SubmissionOutcome> {
+    let record_key = key(&keys::record(id));
     let asked = gw.stamp();
     let mut outcome = gw.store.commit(txn, Instant::now() + STORE_TIMEOUT).await;
     if let Commit::Unknown(reason) = &outcome {
@@ -407,24 +442,52 @@
             Some(SubmissionOutcome::Stored)
         }
         Commit::Beaten(found) => {
-            let Some((revision, stored)) = stored_record(&found, record_key) else {
-                let tombstone = key(&keys::tombstone(id, record.team.as_deref()));
-                let is_cancelled = found.iter().any(|kv| kv.key == tombstone);
-                // The outcome stays unknown: an attempt whose response was lost may
-                // still be applied after the tombstone has expired.
-                return is_cancelled.then_some(SubmissionOutcome::Pending);
+            let Some((revision, stored)) = stored_record(&found, &record_key) else {
+                return outcome_without_record(gw, id, record, upload, &found);
             };
-            if stored.team.is_some() && stored.team != record.team {
-                return Some(SubmissionOutcome::OtherTeam);
-            }
             if stored == *record {
                 adopt_stored(gw, id, stored, revision, asked).await;
-            } else {
+                return Some(SubmissionOutcome::Stored);
+            }
+            let outcome = outcome_beside(record, &stored);
+            if outcome == SubmissionOutcome::Stored {
                 gw.jobs.borrow_mut().note_owner(id, &stored);
             }
-            Some(SubmissionOutcome::Stored)
+            Some(outcome)
         }
         Commit::NotDone(_) => Some(SubmissionOutcome::NotStored),
         Commit::Unknown(_) => Some(SubmissionOutcome::Pending),
     }
 }
+
+/// Outcome of a submission whose record was refused though there is none. `None` if only
+/// the ledger has changed.
+fn outcome_without_record(
+    gw: &Rc<Gateway>,
+    id: &JobId,
+    record: &JobRecord,
+    upload: Option<&Upload>,
+    found: &[KeyValue],
+) -> Option<SubmissionOutcome> {
+    let tombstone = key(&keys::tombstone(id, record.team.as_deref()));
+    if found.iter().any(|kv| kv.key == tombstone) {
+        // The outcome stays unknown: an attempt whose response was lost may still be
+        // applied after the tombstone has expired.
+        return Some(SubmissionOutcome::Pending);
+    }
+    match (upload, upload::stored_marker(id, found)) {
+        // Another submission has displaced this one, and may be of the same job.
+        (Some(upload), marker) if !upload.holds(marker) => Some(SubmissionOutcome::Pending),
+        // An attempt whose response was lost may still be applied once the upload has ended.
+        (None, Some(marker)) => {
+            let (gw, id, marker) = (gw.clone(), id.clone(), marker.clone());
+            tokio::task::spawn_local(async move {
+                if let Err(e) = upload::make_way(&gw, &id, &marker).await {
+                    warn!(target: "jobs", job:% = id, error:% = e; "left-over input not removed");
+                }
+            });
+            Some(SubmissionOutcome::Pending)
+        }
+        _ => None,
+    }
+}
--- a/crates/bluebellreel_gateway/src/jobs/load.rs
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -6,7 +6,7 @@
 use bluebellreel_batch::{
     ItemResult, Job, JobRecord, NewItem, RecordError, Stamp, decode_items, decode_segment, keys,
 };
-use bluebellreel_kv::{Key, KvError};
+use bluebellreel_kv::{KeyValue, KvError};
 use bluebellreel_types::JobId;
 use std::rc::Rc;
 
@@ -43,19 +43,27 @@
 
 /// All recorded results of a job, by segment.
 pub(super) async fn segments(gw: &Gateway, id: &JobId) -> Result<Vec<Vec<ItemResult>>, KvError> {
-    let prefix = Key::from(keys::segments(id).as_str());
-    let (all, _) = gw.store.list(&prefix).await?;
+    let prefix = keys::segments(id);
+    let (all, _) = gw.store.list(&key(&prefix)).await?;
     all.iter()
         .map(|kv| decode_segment(&kv.value).map_err(|e| unreadable(&e)))
         .collect()
 }
 
-/// All items of a job.
-pub(super) async fn input(gw: &Gateway, id: &JobId) -> Result<Vec<NewItem>, KvError> {
-    let prefix = Key::from(keys::inputs(id).as_str());
-    let (all, _) = gw.store.list(&prefix).await?;
+/// All items of a job whose record names this number of chunks. Chunks beyond it may be
+/// left over from a submission that was not accepted.
+pub(super) async fn input(
+    gw: &Gateway,
+    id: &JobId,
+    chunks: usize,
+) -> Result<Vec<NewItem>, KvError> {
+    let prefix = keys::inputs(id);
+    let (all, _) = gw.store.list(&key(&prefix)).await?;
+    let is_own = |kv: &&KeyValue| {
+        keys::number(&prefix, kv.key.as_str()).is_some_and(|number| number < chunks)
+    };
     let mut items = Vec::new();
-    for kv in &all {
+    for kv in all.iter().filter(is_own) {
         items.extend(decode_items(&kv.value).map_err(|e| unreadable(&e))?);
     }
     Ok(items)
@@ -68,7 +76,7 @@
     record: JobRecord,
     revision: i64,
 ) -> Result<Job, KvError> {
-    let input = input(gw, id).await?;
+    let input = input(gw, id, record.chunks).await?;
     let segments = segments(gw, id).await?;
     Ok(Job::new(id.clone(), record, revision, input, segments))
 }
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -24,6 +24,7 @@
 mod runs;
 mod stored;
 mod takeover;
+mod upload;
 
 use crate::gateway::Gateway;
 use bluebellreel_net::Body;
@@ -45,6 +46,7 @@
 pub(crate) use read::{body_of_own, read_own};
 pub(crate) use runs::{preempt_batch_runs, start_items};
 pub(crate) use takeover::adopt_orphans;
+pub(crate) use upload::remove_abandoned;
 
 /// Answers a caller's request about a job that was submitted before.
 pub(crate) async fn answer(gw: &Rc<Gateway>, call: JobCall, caller: &Caller) -> Response<Body> {
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -136,6 +136,8 @@
     pub(crate) runs: HashMap<(JobId, usize), ItemRun>,
     /// Submissions that are being written to the store.
     pub(super) submissions: HashMap<JobId, PendingSubmission>,
+    /// Number of uploads begun, which numbers them.
+    uploads: u64,
     /// Owners of the jobs that peers own, as last read.
     pub(crate) owners: HashMap<JobId, KnownOwner>,
     /// Jobs without an owner that another daemon should take over, with the time at
@@ -178,6 +180,7 @@
             own: BTreeMap::new(),
             runs: HashMap::new(),
             submissions: HashMap::new(),
+            uploads: 0,
             owners: HashMap::new(),
             orphans: HashMap::new(),
             open: OpenJobs::default(),
@@ -193,6 +196,12 @@
 }
 
 impl Jobs {
+    /// Number of the next upload of this run.
+    pub(super) fn next_upload(&mut self) -> u64 {
+        self.uploads += 1;
+        self.uploads
+    }
+
     /// Remembers who owns a job.
     pub(crate) fn note_owner(&mut self, id: &JobId, record: &JobRecord) {
         let owner = KnownOwner {
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -263,10 +263,10 @@
     item: &str,
 ) -> Result<Option<bytes::Bytes>, KvError> {
     let found = load::record(gw, id).await?;
-    if !found.is_some_and(|found| caller.may_access(found.record.team.as_deref())) {
+    let Some(found) = found.filter(|found| caller.may_access(found.record.team.as_deref())) else {
         return Ok(None);
-    }
-    let items = load::input(gw, id).await?;
+    };
+    let items = load::input(gw, id, found.record.chunks).await?;
     let found = items.into_iter().find(|i| &*i.id == item);
     Ok(found.map(|i| i.body))
 }
--- a/crates/bluebellreel_gateway/src/jobs/takeover.rs
+++ b/crates/bluebellreel_gateway/src/jobs/takeover.rs
@@ -121,7 +121,7 @@
 }
 
 /// Whether this daemon is the one that scans more often than the others.
-fn is_cleanup_leader(gw: &Gateway) -> bool {
+pub(super) fn is_cleanup_leader(gw: &Gateway) -> bool {
     gw.members.borrow().is_cleanup_leader(gw.me(), gw.now())
 }
 
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -149,6 +149,7 @@
     spawn_local(jobs::start_items(gw.clone()));
     spawn_local(jobs::renew_start_leases(gw.clone()));
     spawn_local(jobs::adopt_orphans(gw.clone()));
+    spawn_local(jobs::remove_abandoned(gw.clone()));
     spawn_local(jobs::copy_progress(gw.clone()));
     let g = gw.clone();
     every(SWEEP_INTERVAL, move || sweep(&g));
