Read only the segments of the job itself

Callers of a job with the id n1 would get the item of another team's job with the id n1/00000, and its results among their own: ids are free text, and a read of the store takes all keys that begin with job/in/n1/ and job/out/n1/.

Change: a chunk or segment is the job's own only if the rest of its key is a number. Keys and values stay as they are.

Test: an_id_that_continues_another_one_shares_nothing_with_it.

--- a/crates/bluebellreel_gateway/src/jobs/load.rs
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -46,6 +46,7 @@
     let prefix = keys::segments(id);
     let (all, _) = gw.store.list(&key(&prefix)).await?;
     all.iter()
+        .filter(|kv| keys::number(&prefix, kv.key.as_str()).is_some())
         .map(|kv| decode_segment(&kv.value).map_err(|e| unreadable(&e)))
         .collect()
 }
