Compare the team where a job over its quota has a record

Callers would see 202 for a job that is stored nowhere (found by the review, by reading): a team's quota is nearly used up, its submission goes by the ledger, the ledger has no room, and the id is that of another team's job.

Cause: a record under this id was taken for an earlier acceptance of the same job, whoever its team was. The same test elsewhere compares the teams.

Change: one function compares them for every submission that finds a record; the caller gets 409.

Test: a_job_over_its_quota_is_not_taken_for_another_teams_job failed on (202 where 409 is due), passes now. The first form of the test passed for the wrong reason, as its quota was not in force yet; it waits for a route of the same configuration now.

--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -16,7 +16,7 @@
 use crate::millis::millis;
 use bluebellreel_batch::{JobPhase, JobRecord, NewItem, OpenJob, Owner, keys, split_input};
 use bluebellreel_dispatch::Route;
-use bluebellreel_kv::{Commit, Compare, Key, KeyValue, Put, Txn};
+use bluebellreel_kv::{Commit, Compare, KeyValue, Put, Txn};
 use bluebellreel_net::Body;
 use bluebellreel_platform::jobs as wire;
 use bluebellreel_types::JobId;
@@ -371,7 +371,7 @@
         let txn = if uses_ledger {
             match quota.add_ledger(gw, id, record.tokens, &txn).await {
                 Ok(Some(txn)) => txn,
-                Ok(None) => return outcome_over_quota(gw, &record_key).await,
+                Ok(None) => return outcome_over_quota(gw, id, record).await,
                 Err(e) => {
                     warn!(target: "jobs", job:% = id, error:% = e; "quota not read");
                     return SubmissionOutcome::NotStored;
@@ -389,9 +389,9 @@
 
 /// Outcome of a submission that its route's ledger has no room for. Its job may have
 /// been accepted before, so the store is read first.
-async fn outcome_over_quota(gw: &Gateway, record_key: &Key) -> SubmissionOutcome {
-    match gw.store.read(record_key).await {
-        Ok(Some(_)) => SubmissionOutcome::Stored,
+async fn outcome_over_quota(gw: &Gateway, id: &JobId, record: &JobRecord) -> SubmissionOutcome {
+    match load::record(gw, id).await {
+        Ok(Some(found)) => outcome_beside(record, &found.record),
         Ok(None) => SubmissionOutcome::OverQuota,
         Err(_) => SubmissionOutcome::Pending,
     }
