Encode the ids of jobs in calls to peers and keepers

Callers would see an item go on from the output of another team's item: ids are free text and stood in the paths of calls between gateways as they were, so the progress of a job with the id p1/progress? was kept by its successor as that of p1, and restored when p1 was taken over. Such a job's own progress was not found.

Change: the characters that end a segment of a path are encoded, and peers decode them. All other ids stay as they are on the wire, so gateways of the build before understand them; one of them does not find a job with such an id, as before, and the store answers.

--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -16,6 +16,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use percent_encoding::percent_decode_str;
+use std::borrow::Cow;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,17 +50,15 @@
             let after = query_number(&req, "after");
             let wait = Duration::from_millis(query_number(&req, "wait_ms"));
             let after = usize::try_from(after).unwrap_or(usize::MAX);
-            jobs::read_own(&gw, &caller, &JobId::from(*id), after, wait).await
+            jobs::read_own(&gw, &caller, &job_id(id), after, wait).await
         }
         (&Method::GET, ["jobs", id, "items", item]) => {
-            jobs::body_of_own(&gw, &caller, &JobId::from(*id), item)
-        }
-        (&Method::DELETE, ["jobs", id]) => jobs::cancel_own(&gw, &caller, &JobId::from(*id)).await,
-        (&Method::PUT, ["jobs", id, "end"]) => {
-            jobs::take_cancellation(&gw, &caller, &JobId::from(*id))
+            jobs::body_of_own(&gw, &caller, &job_id(id), &decoded(item))
         }
+        (&Method::DELETE, ["jobs", id]) => jobs::cancel_own(&gw, &caller, &job_id(id)).await,
+        (&Method::PUT, ["jobs", id, "end"]) => jobs::take_cancellation(&gw, &caller, &job_id(id)),
         (&Method::PUT, ["jobs", id, what @ ("owner" | "progress")]) => {
-            let id = JobId::from(*id);
+            let id = job_id(id);
             let is_owner = *what == "owner";
             let Some(progress) = read_call_body(req).await else {
                 return missing_body();
@@ -80,6 +79,15 @@
     }
 }
 
+/// A segment of a path as its sender named it.
+fn decoded(segment: &str) -> Cow<'_, str> {
+    percent_decode_str(segment).decode_utf8_lossy()
+}
+
+fn job_id(segment: &str) -> JobId {
+    JobId::from(&*decoded(segment))
+}
+
 /// The caller on whose behalf a peer accesses a job, and the rest of the path.
 fn caller<'a>(parts: &'a [&'a str]) -> Option<(Caller, &'a [&'a str])> {
     match parts {
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -12,12 +12,15 @@
 use bluebellreel_types::{JobId, WorkerVersion};
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use percent_encoding::{AsciiSet, CONTROLS, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Timeout of calls that a peer should answer at once.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Characters that would end a segment of a path. The others stay as they are, as peers of
+/// earlier builds do not decode ids.
+const SEGMENT_ENDS: &AsciiSet = &CONTROLS.add(b' ').add(b'%').add(b'/').add(b'?').add(b'#');
 /// Why a call to a peer failed.
 pub(crate) type PeerError = CallError;
 
@@ -99,6 +102,11 @@
     }
 }
 
+/// An id as one segment of a path. Ids are chosen by callers.
+fn segment(id: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(id, SEGMENT_ENDS)
+}
+
 /// Names the caller on whose behalf a job is accessed. A peer of a version that does not
 /// know teams rejects such a path, and the call is then answered from the store.
 fn path_prefix(caller: &Caller) -> String {
@@ -119,8 +127,9 @@
     wait: Duration,
 ) -> Result<(StatusCode, Bytes), PeerError> {
     let path = format!(
-        "{}/jobs/{id}/results?after={after}&wait_ms={}",
+        "{}/jobs/{}/results?after={after}&wait_ms={}",
         path_prefix(caller),
+        segment(id.as_str()),
         wait.as_millis()
     );
     call(
@@ -142,7 +151,12 @@
     id: &JobId,
     item: &str,
 ) -> Result<(StatusCode, Bytes), PeerError> {
-    let path = format!("{}/jobs/{id}/items/{item}", path_prefix(caller));
+    let path = format!(
+        "{}/jobs/{}/items/{}",
+        path_prefix(caller),
+        segment(id.as_str()),
+        segment(item)
+    );
     call(gw, to, Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await
 }
 
@@ -153,7 +167,7 @@
     caller: &Caller,
     id: &JobId,
 ) -> Result<(StatusCode, Bytes), PeerError> {
-    let path = format!("{}/jobs/{id}", path_prefix(caller));
+    let path = format!("{}/jobs/{}", path_prefix(caller), segment(id.as_str()));
     call(gw, to, Method::DELETE, &path, Bytes::new(), CALL_TIMEOUT).await
 }
 
@@ -164,7 +178,7 @@
     caller: &Caller,
     id: &JobId,
 ) -> Result<(), PeerError> {
-    let path = format!("{}/jobs/{id}/end", path_prefix(caller));
+    let path = format!("{}/jobs/{}/end", path_prefix(caller), segment(id.as_str()));
     let (status, _) = call(gw, to, Method::PUT, &path, Bytes::new(), CALL_TIMEOUT).await?;
     if status != StatusCode::OK {
         return Err(format!("status {status}"));
@@ -195,7 +209,7 @@
     id: &JobId,
     progress: Vec<u8>,
 ) -> Result<StatusCode, PeerError> {
-    let path = format!("/jobs/{id}/owner");
+    let path = format!("/jobs/{}/owner", segment(id.as_str()));
     let body = Bytes::from(progress);
     let (status, _) = call(gw, to, Method::PUT, &path, body, CALL_TIMEOUT).await?;
     Ok(status)
@@ -203,7 +217,7 @@
 
 /// Fetches the progress of a job's items from a keeper; empty if it has none.
 pub(crate) async fn progress(gw: &Gateway, to: SocketAddr, id: &JobId) -> Result<Bytes, PeerError> {
-    let path = format!("/jobs/{id}/progress");
+    let path = format!("/jobs/{}/progress", segment(id.as_str()));
     let (status, body) = call(gw, to, Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
     match status {
         StatusCode::OK => Ok(body),
@@ -219,7 +233,7 @@
     id: &JobId,
     progress: Vec<u8>,
 ) -> Result<(), PeerError> {
-    let path = format!("/jobs/{id}/progress");
+    let path = format!("/jobs/{}/progress", segment(id.as_str()));
     let body = Bytes::from(progress);
     let (status, _) = call(gw, to, Method::PUT, &path, body, CALL_TIMEOUT).await?;
     if status != StatusCode::OK {
