--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -30,6 +30,7 @@
 mod start_lease;
 mod takeover;
 mod tokens;
+mod upload;
 
 pub use forecast::{FewestEvents, Forecast, ItemTiming};
 pub use input::{NewItem, decode_items, encode_items, split_input};
@@ -45,3 +46,4 @@
 pub use start_lease::{JOBS_PER_CHECK, StartLease, StartTerms, jobs_to_check};
 pub use takeover::{OwnerPresence, TakeoverDecision, decide_takeover};
 pub use tokens::{bounded_item_tokens, bounded_job_tokens};
+pub use upload::UploadMarker;
