Give each health check a connection of its own

What callers saw: an item is listed as completed with no text; a stream or an idempotent request gets an empty 200 without the worker's stamp.

Cause: a worker may send an answer a second time, late, where the next answer on the connection is expected. The answer to a health check names no request. A check went out on a kept connection and took any answer, so that it took the late answer to a request; its connection went back to the pool with the true answer still to come, and the next request took that one, as an answer without X-Request-Id passed for its own.

Evidence: late_answers.rs, a worker that sends each answer twice, those to health checks too. On the code before all four tests failed in 4 of 4 runs: "completed" with an empty text, and a 200 of 0 bytes with X-Instance-Id.

Change: a check opens a connection that carries nothing else and is closed after it. It replaces the probe that was made before each check, so a check opens as many connections as before; checks that are wanted before one is sent share it. An answer that names a request does not answer a check. An answer belongs to a request only if it repeats its id; without an id only a refusal does, which workers may make before they read the request. A request without an id gets a new connection.

Result: the four tests pass, as do unframed_answers, broken_off_answers, streams, requests, jobs, failing_workers, evidence and crashing_requests, and the packages net and platform.

--- a/crates/bluebellreel_gateway/src/crash.rs
+++ b/crates/bluebellreel_gateway/src/crash.rs
@@ -5,7 +5,7 @@
 //! longer listed a moment later without having announced that it leaves.
 
 use crate::gateway::Gateway;
-use crate::health::{self, Check};
+use crate::health::{self, Check, Health};
 use crate::millis::millis;
 use crate::quarantine_gate::{PromptPart, Subject, Trial};
 use crate::quarantine_store;
@@ -95,7 +95,7 @@
 ) -> bool {
     let until = Instant::now() + LIVENESS_TIMEOUT;
     let at = (gw.now(), until);
-    find_liveness(gw, &run, address, at, Check::SentNow).await != Liveness::Alive
+    find_liveness(gw, &run, address, at, Check::NotSent).await != Liveness::Alive
 }
 
 /// Finds out whether the worker of a run that ended at a moment is alive, and records a crash
@@ -112,28 +112,21 @@
 ) -> Liveness {
     loop {
         let is_ready = ready_address(gw, &run.ticket) == Some(address);
-        let probe = async {
+        let ended_by = |reason| {
             if is_ready {
-                probe_for_crash(gw, run, address, at).await
-            } else {
-                gw.workers.probe(address).await
+                record_crash(gw, run, at, reason);
             }
+            Liveness::Ended
         };
-        match timeout_at(until, probe).await {
-            Ok(ProbeResult::Refused) => return Liveness::Ended,
-            Ok(ProbeResult::Open | ProbeResult::Unknown) => {}
-            Err(_) => return Liveness::Unknown,
+        if is_ready && has_restarted(gw, &run.ticket) {
+            return ended_by("started again");
         }
-        let is_alive = health::is_alive(gw, &run.ticket.worker, address, check);
-        match timeout_at(until, is_alive).await {
-            Ok(Some(true)) => return Liveness::Alive,
-            Ok(Some(false)) => {
-                if is_ready {
-                    record_crash(gw, run, at, "another worker answers");
-                }
-                return Liveness::Ended;
-            }
-            Ok(None) => sleep(LIVENESS_RETRY_PAUSE).await,
+        let health = health::check(gw, &run.ticket.worker, address, check);
+        match timeout_at(until, health).await {
+            Ok(Health::Alive) => return Liveness::Alive,
+            Ok(Health::Refused) => return ended_by("refuses connections"),
+            Ok(Health::OtherWorker) => return ended_by("another worker answers"),
+            Ok(Health::Unknown) => sleep(LIVENESS_RETRY_PAUSE).await,
             Err(_) => return Liveness::Unknown,
         }
     }
@@ -146,7 +139,7 @@
         ProbeResult::Unknown => return log_no_crash(&run, at, "no answer to a probe"),
         ProbeResult::Open => {}
     }
-    let reason = match find_liveness(&gw, &run, address, (at, until), Check::Shared).await {
+    let reason = match find_liveness(&gw, &run, address, (at, until), Check::Any).await {
         Liveness::Ended => return,
         Liveness::Alive => "alive",
         Liveness::Unknown => "no answer to a health check",
--- a/crates/bluebellreel_gateway/src/upstream.rs
+++ b/crates/bluebellreel_gateway/src/upstream.rs
@@ -3,7 +3,7 @@
 use crate::gateway::Gateway;
 use crate::ticket::RunGuard;
 use bluebellreel_net::{ReplyBody, Reuse, SendError};
-use bluebellreel_platform::engine::{AnswerHead, Outgoing, read_head};
+use bluebellreel_platform::engine::{Outgoing, is_answer_to, read_head};
 use bluebellreel_platform::ingress;
 use bluebellreel_types::Moment;
 use http::StatusCode;
@@ -61,7 +61,14 @@
     };
     let began = gw.now();
     let req = send.out.for_worker(worker, send.left, send.after);
-    let answer = gw.workers.send(address, req.map(Full::new), send.reuse);
+    let id = ingress::request_id(&send.out.headers);
+    let reuse = if id.is_empty() {
+        // Nothing tells its answer from a late one to an earlier request.
+        Reuse::Never
+    } else {
+        send.reuse
+    };
+    let answer = gw.workers.send(address, req.map(Full::new), reuse);
     let reply = match timeout_at(send.until, answer).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(e)) => {
@@ -80,18 +87,15 @@
             return Err(NoAnswer::Silent);
         }
     };
-    let AnswerHead {
-        request_id,
-        not_run,
-        ..
-    } = read_head(reply.head.status, &reply.head.headers);
+    let answer = read_head(reply.head.status, &reply.head.headers);
     // A surplus answer to an earlier request may arrive on the connection in place of
     // this request's answer. It is discarded, and the connection is not reused.
-    let expected = ingress::request_id(&send.out.headers);
-    if request_id.is_some_and(|id| id != expected) {
-        return Err(NoAnswer::Unknown("answer to another request".into()));
+    if !is_answer_to(&answer, id) {
+        let found = answer.request_id.as_deref().unwrap_or("no request");
+        let reason = format!("answer to another request: expected {id}, found {found}");
+        return Err(NoAnswer::Unknown(reason));
     }
-    if not_run {
+    if answer.not_run {
         return Err(NoAnswer::NotRun(reply.head.status));
     }
     Ok(Upstream {
--- a/crates/bluebellreel_net/src/lib.rs
+++ b/crates/bluebellreel_net/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use body::{Body, Broken, read_body};
 pub use call::{CallError, call, exchange};
-pub use pool::{Pool, PoolLimits, ProbeResult, Reuse, SendError};
+pub use pool::{DedicatedConnection, Pool, PoolLimits, ProbeResult, Reuse, SendError};
 pub use reply::{Reply, ReplyBody};
 pub use saturation::{LoopLag, sample_lag};
 pub use server::{ConnectionTracker, Stop, listen, serve, serve_admitted};
--- a/crates/bluebellreel_net/src/pool.rs
+++ b/crates/bluebellreel_net/src/pool.rs
@@ -148,7 +148,7 @@
         while let Some(mut pooled) = self.0.take(address, reuse) {
             pooled.allowance.renew();
             match pooled.sender.try_send_request(req).await {
-                Ok(answer) => return Ok(self.reply(address, pooled, answer)),
+                Ok(answer) => return Ok(self.reply(address, pooled, answer, Kept::Yes)),
                 Err(mut e) => match e.take_message() {
                     // The connection was closed before the request was written.
                     Some(unsent_req) => req = unsent_req,
@@ -156,9 +156,20 @@
                 },
             }
         }
-        let mut pooled = self.connect(address).await?;
-        match pooled.sender.try_send_request(req).await {
-            Ok(answer) => Ok(self.reply(address, pooled, answer)),
+        let pooled = self.connect(address).await?;
+        self.send_on(address, pooled, req, Kept::Yes).await
+    }
+
+    /// Sends a request on a new connection.
+    async fn send_on(
+        &self,
+        address: SocketAddr,
+        mut connection: PooledConnection,
+        req: http::Request<Full<Bytes>>,
+        kept: Kept,
+    ) -> Result<Reply, SendError> {
+        match connection.sender.try_send_request(req).await {
+            Ok(answer) => Ok(self.reply(address, connection, answer, kept)),
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
                 let reason = e.error().to_string();
@@ -201,11 +212,25 @@
                 }
                 ProbeResult::Open
             }
-            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
-            Err(_) => ProbeResult::Unknown,
+            Err(e) => probe_result(&e),
         }
     }
 
+    /// Opens a connection for one call that shares it with no other.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the attempt has shown of the address.
+    pub async fn open(&self, address: SocketAddr) -> Result<DedicatedConnection, ProbeResult> {
+        let stream = self.dial(address).await.map_err(|e| probe_result(&e))?;
+        let opened = self.start_http(stream).await;
+        Ok(DedicatedConnection {
+            connection: opened.map_err(|_| ProbeResult::Unknown)?,
+            pool: self.clone(),
+            address,
+        })
+    }
+
     /// Closes connections that have been idle for longer than their idle time.
     pub fn sweep(&self) {
         let now = Instant::now();
@@ -267,16 +292,60 @@
         address: SocketAddr,
         pooled: PooledConnection,
         answer: http::Response<hyper::body::Incoming>,
+        kept: Kept,
     ) -> Reply {
         pooled.allowance.renew();
         let (head, body) = answer.into_parts();
-        let idle = idle_time(&head.headers).unwrap_or(self.0.limits.idle);
+        let idle = match kept {
+            Kept::Yes => Some(idle_time(&head.headers).unwrap_or(self.0.limits.idle)),
+            Kept::No => None,
+        };
         let unframed = is_unframed(&head, &body);
         let body = ReplyBody::new(body, unframed, pooled, self.0.clone(), address, idle);
         Reply { head, body }
     }
 }
 
+/// A connection that carries one call and is then closed. For calls whose responses do not
+/// show to which call they belong.
+pub struct DedicatedConnection {
+    connection: PooledConnection,
+    pool: Pool,
+    address: SocketAddr,
+}
+
+impl DedicatedConnection {
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// The error states whether the server may have received the request.
+    pub async fn send(self, req: http::Request<Full<Bytes>>) -> Result<Reply, SendError> {
+        let Self {
+            connection,
+            pool,
+            address,
+        } = self;
+        pool.send_on(address, connection, req, Kept::No).await
+    }
+}
+
+/// Whether a connection returns to the pool after its response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kept {
+    Yes,
+    No,
+}
+
+/// What a failed connection attempt shows of its address.
+fn probe_result(e: &io::Error) -> ProbeResult {
+    if e.kind() == io::ErrorKind::ConnectionRefused {
+        ProbeResult::Refused
+    } else {
+        ProbeResult::Unknown
+    }
+}
+
 /// Whether a response with this head has a body that ends with its connection.
 fn is_unframed(head: &http::response::Parts, body: &hyper::body::Incoming) -> bool {
     let has_length = head.headers.contains_key(http::header::CONTENT_LENGTH);
--- a/crates/bluebellreel_net/src/reply.rs
+++ b/crates/bluebellreel_net/src/reply.rs
@@ -23,7 +23,7 @@
     pub body: ReplyBody,
 }
 
-/// The body of a response. Reading it to its end returns the connection to the
+/// The body of a response. Reading it to its end returns a pooled connection to the
 /// pool; dropping it earlier closes the connection, which cancels the request on
 /// the server.
 pub struct ReplyBody {
@@ -36,7 +36,8 @@
     pooled: Option<PooledConnection>,
     pool: Rc<Inner>,
     address: SocketAddr,
-    idle: Duration,
+    /// How long the connection is kept after the body; none if it is closed.
+    idle: Option<Duration>,
 }
 
 impl ReplyBody {
@@ -46,7 +47,7 @@
         pooled: PooledConnection,
         pool: Rc<Inner>,
         address: SocketAddr,
-        idle: Duration,
+        idle: Option<Duration>,
     ) -> Self {
         Self {
             incoming,
@@ -81,8 +82,8 @@
         loop {
             match self.incoming.frame().await {
                 None => {
-                    if let Some(pooled) = self.pooled.take() {
-                        self.pool.put_back(self.address, pooled, self.idle);
+                    if let (Some(pooled), Some(idle)) = (self.pooled.take(), self.idle) {
+                        self.pool.put_back(self.address, pooled, idle);
                     }
                     return Ok(None);
                 }
