--- a/crates/bluebellreel_gateway/src/jobs/upload.rs
+++ b/crates/bluebellreel_gateway/src/jobs/upload.rs
@@ -9,6 +9,7 @@
 use super::stored::{key, stored_record};
 use super::takeover::is_cleanup_leader;
 use crate::gateway::Gateway;
+use crate::store::MAX_SMALL_ENTRY_BYTES;
 use bluebellreel_batch::{JobRecord, Owner, UploadMarker, keys};
 use bluebellreel_kv::{Commit, Compare, Key, KeyValue, KvError, Put, Txn};
 use bluebellreel_types::JobId;
@@ -276,7 +277,7 @@
             abandoned_at.clear();
             continue;
         }
-        let Ok((uploads, _)) = gw.store.list_stale(&prefix).await else {
+        let Ok((uploads, _)) = gw.store.list_stale(&prefix, MAX_SMALL_ENTRY_BYTES).await else {
             continue;
         };
         let before = std::mem::take(&mut abandoned_at);
