Take an answer that names no request for the one that was sent, as before

Cause: dropped answers without an id. What it mended needs only that checks have connections of their own: no answer without an id can be left over on a connection that requests share.

Change: an answer is dropped only if it names another request.

--- a/crates/bluebellreel_gateway/src/upstream.rs
+++ b/crates/bluebellreel_gateway/src/upstream.rs
@@ -93,11 +93,6 @@
     // A surplus answer to an earlier request may arrive on the connection in place of
     // this request's answer. It is discarded, and the connection is not reused.
     if !is_answer_to(&answer, id) {
-        if answer.request_id.is_none() {
-            // Not a late answer, which names its request: the worker fails.
-            send.run_guard.failed();
-            send.run_guard.lost();
-        }
         let found = answer.request_id.as_deref().unwrap_or("no request");
         let reason = format!("answer to another request: expected {id}, found {found}");
         return Err(NoAnswer::Unknown(reason));
