--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -125,7 +125,8 @@
     for progress in join_all(asked).await.into_iter().flatten() {
         begun.extend(read_progress(id, &progress));
     }
-    info!(target: "jobs", job:% = id, begun = begun.len(); "item progress restored");
+    let failed = begun.iter().filter(|item| item.failures > 0).count();
+    info!(target: "jobs", job:% = id, begun = begun.len(), failed; "item progress restored");
     job.restore(begun, gw.now());
 }
 
--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -42,18 +42,19 @@
         .last_id()
         .is_some();
     let may_send = !has_output || list_check::check_for_send(&gw).await;
-    let (after, revision, can_be_in_time, left) = {
+    let (after, failures, revision, can_be_in_time, left) = {
         let job = next.owned.job.borrow();
         let after = job.items[next.item].progress.last_id();
         let can_be_in_time = deadlines::can_be_in_time(&gw, &job, next.item);
         let left = job.record.due_at.since(gw.now());
-        (after, job.revision, can_be_in_time, left)
+        let failures = job.items[next.item].failures;
+        (after, failures, job.revision, can_be_in_time, left)
     };
     let end = if may_send {
         let confirmed = next.owned.lease.get().age(gw.stamp());
         gw.metrics.confirmation_age.observe(confirmed.as_secs_f64());
         let list_age_ms = gw.list_age().map(millis);
-        info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, worker_version = version_text(run_guard.version()), after:? = after, revision, list_age_ms:? = list_age_ms, can_be_in_time, left_ms = millis(left), confirmed_ms = millis(confirmed); "item sent");
+        info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, worker_version = version_text(run_guard.version()), after:? = after, failures, revision, list_age_ms:? = list_age_ms, can_be_in_time, left_ms = millis(left), confirmed_ms = millis(confirmed); "item sent");
         run_at(&gw, &next, run_guard, after).await
     } else {
         gw.metrics.resumption("item", "out_of_step");
@@ -71,7 +72,7 @@
     };
     gw.metrics.item(outcome);
     let mut job = next.owned.job.borrow_mut();
-    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, events = job.items[next.item].progress.events(), outcome; "item run ended");
+    info!(target: "jobs", job:% = next.job, request:% = id, worker:% = worker, events = job.items[next.item].progress.events(), failures_before = job.items[next.item].failures, outcome; "item run ended");
     if end == ItemEnd::Completed {
         deadlines::item_completed(&gw, &job, next.item);
     }
