Store the failures of an item before it runs again

An item that fails at each run got up to three runs from each of its owners, without an end if owners kept being killed; an item that can never be done (422) ran again at each owner.

Cause: failures, and the result that gives an item up, were only in the owner's memory: until the next copy to a keeper, which is made once a second, and until results are recorded, a second later. The next run did not wait for either. Class: a count that bounds repeats is lost with its holder, as the repeat does not wait until the count is safe.

Change: an item that has failed is not run again before its counts are in the store. Counts of up to ten jobs go in one write, guarded by the revision of each job's record and of the counts, so a suspended owner or a late write cannot put them back. They lie behind the segments of the job, so whoever takes the job over reads them with the same call. Items that have never failed need no write. The verdict that an item is given up is stored in the same way before its result is recorded with others. A stopping owner waits for both before it hands a job over.

--- a/crates/bluebellreel_batch/src/job.rs
+++ b/crates/bluebellreel_batch/src/job.rs
@@ -2,6 +2,7 @@
 
 use crate::{ItemResult, ItemTiming, JobPhase, JobRecord, NewItem, Progress, ResultState};
 use bluebellreel_types::{JobId, Moment, WorkerName};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +35,12 @@
     pub progress: Progress,
     /// Runs that failed because of the item itself.
     pub failures: u32,
+    /// Runs without an answer in time.
+    pub unanswered: u32,
+    /// Whether it is given up for its failures, and its result is not recorded yet.
+    pub given_up: bool,
+    /// Since when its counts are in its owner's memory only; it does not run meanwhile.
+    pub uncounted_since: Option<Moment>,
     /// Workers where it has failed, as far as this daemon knows.
     pub failed_at: Vec<WorkerName>,
     /// Until when it waits for a worker of the version that generated its output.
@@ -53,6 +60,8 @@
     Impossible,
     /// The item failed at the worker.
     Failed,
+    /// The worker's answer did not begin in time. The item may run again from this moment.
+    Unanswered(Moment),
     /// The run was cut off or never started for reasons other than the item itself. The
     /// item may run again from this moment.
     Interrupted(Moment),
@@ -87,6 +96,10 @@
     pending_since: Option<Moment>,
     writing: Option<Segment>,
     cancel_requested: bool,
+    /// Chunks of counts that are not in the store yet.
+    pub(crate) unsaved_counts: BTreeSet<usize>,
+    /// Revisions of the chunks of counts in the store.
+    pub(crate) count_revisions: BTreeMap<usize, i64>,
 }
 
 impl Job {
@@ -104,6 +117,9 @@
             phase: ItemPhase::Waiting { from: Moment(0) },
             progress: Progress::default(),
             failures: 0,
+            unanswered: 0,
+            given_up: false,
+            uncounted_since: None,
             failed_at: Vec::new(),
             version_deadline: None,
             proven_deadline: None,
@@ -120,6 +136,8 @@
             pending_since: None,
             writing: None,
             cancel_requested: false,
+            unsaved_counts: BTreeSet::new(),
+            count_revisions: BTreeMap::new(),
         };
         for results in segments {
             job.append_results(results);
@@ -156,14 +174,13 @@
     }
 
     /// Number of items that wait to run by a moment, without those that are held back
-    /// for longer.
+    /// for longer or are uncounted.
     #[must_use]
     pub fn items_waiting(&self, by: Moment) -> usize {
         if !self.may_run() {
             return 0;
         }
-        let waits = |item: &&Item| matches!(item.phase, ItemPhase::Waiting { from } if from <= by);
-        self.items.iter().filter(waits).count()
+        self.items.iter().filter(|item| item.may_start(by)).count()
     }
 
     /// Results not known to be recorded: those of the write in flight and the pending
@@ -180,6 +197,12 @@
         self.writing.is_some()
     }
 
+    /// Whether all items have ended; some results may not be recorded yet.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.items.iter().all(|i| i.phase == ItemPhase::Ended)
+    }
+
     /// Whether a result waits to be recorded.
     #[must_use]
     pub fn has_pending(&self) -> bool {
@@ -195,24 +218,34 @@
             return;
         }
         found.timing.end(now);
-        let state = match end {
-            ItemEnd::Completed => Some(ResultState::Completed),
+        match end {
+            ItemEnd::Completed => self.conclude(item, ResultState::Completed, now),
             ItemEnd::Impossible => {
                 found.failures += IMPOSSIBLE_FAILURES;
-                Some(ResultState::Dead)
+                self.fail(item, true, now);
             }
             ItemEnd::Failed => {
                 found.failures += 1;
-                (found.failures >= max_failures.max(1)).then_some(ResultState::Dead)
+                let is_last = found.failures >= max_failures.max(1);
+                self.fail(item, is_last, now);
             }
-            ItemEnd::Interrupted(from) => {
+            ItemEnd::Unanswered(from) => {
+                found.unanswered += 1;
                 found.phase = ItemPhase::Waiting { from };
-                return;
+                self.counts_changed(item, now);
             }
-        };
-        match state {
-            Some(state) => self.conclude(item, state, now),
-            None => found.phase = ItemPhase::Waiting { from: now },
+            ItemEnd::Interrupted(from) => found.phase = ItemPhase::Waiting { from },
+        }
+    }
+
+    fn fail(&mut self, item: usize, is_last: bool, now: Moment) {
+        self.counts_changed(item, now);
+        let found = &mut self.items[item];
+        if is_last {
+            found.given_up = true;
+            self.conclude(item, ResultState::Dead, now);
+        } else {
+            found.phase = ItemPhase::Waiting { from: now };
         }
     }
 
@@ -274,7 +307,7 @@
             return Some(segment.clone());
         }
         let since = self.pending_since?;
-        let all_ended = self.items.iter().all(|i| i.phase == ItemPhase::Ended);
+        let all_ended = self.has_ended();
         let size: usize = self.pending.iter().map(|r| r.text.len()).sum();
         if !all_ended && size < bytes && !flush_at(since).is_past(now) {
             return None;
@@ -323,6 +356,7 @@
             if let Some(item) = item {
                 item.phase = ItemPhase::Ended;
                 item.progress = Progress::default();
+                item.drop_counts();
             }
             self.listed.push(result);
         }
--- a/crates/bluebellreel_batch/src/keys.rs
+++ b/crates/bluebellreel_batch/src/keys.rs
@@ -24,6 +24,9 @@
 /// Prefix of the index of open jobs.
 pub const OPEN_JOBS_PREFIX: &str = "job/open/";
 
+/// What distinguishes the keys of counts from those of segments.
+const COUNTS_PREFIX: &str = "counts-";
+
 /// Prefix of the markers of inputs that are being stored.
 pub const UPLOADS_PREFIX: &str = "job/upload/";
 
@@ -88,6 +91,20 @@
     KeyText(format!("job/out/{id}/{number:05}"))
 }
 
+/// Key of one chunk of the counts of a job's items. It has the prefix of the segments, so that
+/// one list reads both.
+#[must_use]
+pub fn counts(id: &JobId, chunk: usize) -> KeyText {
+    KeyText(format!("job/out/{id}/{COUNTS_PREFIX}{chunk:05}"))
+}
+
+/// Number of the chunk of counts stored under a key with the prefix of a job's segments.
+#[must_use]
+pub fn counts_number(segments: &KeyText, key: &str) -> Option<usize> {
+    let prefix = KeyText(format!("{segments}{COUNTS_PREFIX}"));
+    number(&prefix, key)
+}
+
 /// Prefix of all segments of a job's results.
 #[must_use]
 pub fn segments(id: &JobId) -> KeyText {
--- a/crates/bluebellreel_batch/src/lib.rs
+++ b/crates/bluebellreel_batch/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(keys::segment(&id, 2).as_str(), "job/out/7c41/00002");
 //! ```
 
+mod counts;
 mod forecast;
 mod input;
 mod job;
@@ -32,6 +33,7 @@
 mod tokens;
 mod upload;
 
+pub use counts::{CountsWrite, ItemCounts, StoredCounts, decode_counts, encode_counts};
 pub use forecast::{FewestEvents, Forecast, ItemTiming};
 pub use input::{NewItem, decode_items, encode_items, split_input};
 pub use job::{Item, ItemEnd, ItemPhase, Job, Segment};
--- a/crates/bluebellreel_batch/src/progress_copies.rs
+++ b/crates/bluebellreel_batch/src/progress_copies.rs
@@ -105,7 +105,11 @@
         if !matches!(item.phase, ItemPhase::Waiting { .. }) {
             return;
         }
-        item.failures = item.failures.max(known.failures);
+        if item.failures < known.failures {
+            item.failures = known.failures;
+            self.counts_changed(at, now);
+        }
+        let item = &mut self.items[at];
         if let Some(state) = known.ended {
             item.progress =
                 Progress::restored(known.last_id, known.events, known.text, known.version);
--- a/crates/bluebellreel_batch/src/schedule.rs
+++ b/crates/bluebellreel_batch/src/schedule.rs
@@ -1,6 +1,6 @@
 //! Chooses which item starts next.
 
-use crate::{Forecast, Item, ItemPhase, Job};
+use crate::{Forecast, Item, Job};
 use bluebellreel_types::{JobId, Moment};
 
 /// An item that may start.
@@ -21,7 +21,7 @@
 /// the most events go first: they are closest to completion, and their output would be
 /// lost if this daemon died.
 pub fn next_item<'a>(jobs: impl Iterator<Item = &'a Job>, now: Moment) -> Option<Candidate> {
-    let may_start = |i: &Item| may_start(i, now);
+    let may_start = |i: &Item| i.may_start(now);
     let open = jobs.filter(|j| j.may_run() && j.items.iter().any(may_start));
     let job = open.min_by_key(|j| (j.record.due_at.is_past(now), j.record.due_at))?;
     let (item, _) = job
@@ -37,13 +37,6 @@
     })
 }
 
-fn may_start(item: &Item, now: Moment) -> bool {
-    match item.phase {
-        ItemPhase::Waiting { from } => from.is_past(now),
-        ItemPhase::Running | ItemPhase::Ended => false,
-    }
-}
-
 /// Number of a job's items that are offered in vain before the job is passed over. A job
 /// may have 64,000 items, and most of them usually need the same service.
 const MAX_DECLINED: usize = 64;
@@ -101,7 +94,7 @@
     let mut most: Option<(usize, u64)> = None;
     for (at, item) in job.items.iter().enumerate() {
         let events = item.progress.events();
-        if most.is_some_and(|(_, most)| events <= most) || !may_start(item, now) {
+        if most.is_some_and(|(_, most)| events <= most) || !item.may_start(now) {
             continue;
         }
         if accepts(job, at) {
@@ -133,7 +126,7 @@
     }
     let fewest = forecast.fewest_events(&job.record.route, job.record.due_at, now);
     let mut waiting = WaitingItems::default();
-    for item in job.items.iter().filter(|item| may_start(item, by)) {
+    for item in job.items.iter().filter(|item| item.may_start(by)) {
         if fewest.is_some_and(|fewest| fewest.allows(item.progress.events())) {
             waiting.in_time += 1;
         } else {
--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -68,6 +68,7 @@
         ItemEnd::Completed => "completed",
         ItemEnd::Impossible => "impossible",
         ItemEnd::Failed => "failed",
+        ItemEnd::Unanswered(_) => "unanswered",
         ItemEnd::Interrupted(_) => "interrupted",
     };
     gw.metrics.item(outcome);
@@ -80,6 +81,9 @@
         job.items[next.item].failed_at.push(worker);
     }
     job.end_run(next.item, end, next.route.max_workers, now);
+    if job.has_uncounted() {
+        gw.jobs.borrow().counts_due.notify_one();
+    }
     drop(job);
     next.owned.record_due.notify_one();
     gw.batch_due.notify_one();
--- a/crates/bluebellreel_gateway/src/jobs/hand_over.rs
+++ b/crates/bluebellreel_gateway/src/jobs/hand_over.rs
@@ -22,8 +22,8 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// How long a hand-over waits until pending results are recorded. After it, the job is
-/// handed over without them.
+/// How long a hand-over waits until pending results and counts of failures are recorded. After
+/// it, the job is handed over without them.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Interval between checks whether the pending results are recorded.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -74,7 +74,8 @@
     stop_items(&gw, &owned, &id);
     let until = Instant::now() + RECORD_TIMEOUT;
     owned.record_due.notify_one();
-    while owned.job.borrow().has_pending() && Instant::now() < until {
+    let is_unsaved = |job: &Job| job.has_pending() || job.has_uncounted();
+    while is_unsaved(&owned.job.borrow()) && Instant::now() < until {
         sleep(POLL_INTERVAL).await;
     }
     if !owned.job.borrow().may_run() || !gw.jobs.borrow().own.contains_key(&id) {
--- a/crates/bluebellreel_gateway/src/jobs/load.rs
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -4,7 +4,8 @@
 use super::stored::key;
 use crate::gateway::Gateway;
 use bluebellreel_batch::{
-    ItemResult, Job, JobRecord, NewItem, RecordError, Stamp, decode_items, decode_segment, keys,
+    ItemResult, Job, JobRecord, NewItem, RecordError, Stamp, StoredCounts, decode_counts,
+    decode_items, decode_segment, keys,
 };
 use bluebellreel_kv::{KeyValue, KvError};
 use bluebellreel_types::JobId;
@@ -43,15 +44,32 @@
 
 /// All recorded results of a job, by segment.
 pub(super) async fn segments(gw: &Gateway, id: &JobId) -> Result<Vec<Vec<ItemResult>>, KvError> {
+    Ok(outputs(gw, id).await?.0)
+}
+
+/// All recorded results of a job, by segment, and the counts of its items.
+async fn outputs(
+    gw: &Gateway,
+    id: &JobId,
+) -> Result<(Vec<Vec<ItemResult>>, Vec<StoredCounts>), KvError> {
     let prefix = keys::segments(id);
     let (all, _) = gw
         .store
         .list(&key(&prefix), gw.settings.value_bytes)
         .await?;
-    all.iter()
-        .filter(|kv| keys::number(&prefix, kv.key.as_str()).is_some())
-        .map(|kv| decode_segment(&kv.value).map_err(|e| unreadable(&e)))
-        .collect()
+    let (mut segments, mut counts) = (Vec::new(), Vec::new());
+    for kv in all {
+        if keys::number(&prefix, kv.key.as_str()).is_some() {
+            segments.push(decode_segment(&kv.value).map_err(|e| unreadable(&e))?);
+        } else if let Some(chunk) = keys::counts_number(&prefix, kv.key.as_str()) {
+            counts.push(StoredCounts {
+                chunk,
+                revision: kv.revision,
+                counts: decode_counts(&kv.value).map_err(|e| unreadable(&e))?,
+            });
+        }
+    }
+    Ok((segments, counts))
 }
 
 /// All items of a job whose record names this number of chunks. Chunks beyond it may be
@@ -76,7 +94,7 @@
     Ok(items)
 }
 
-/// Assembles a job from its record at this revision and its stored input and segments.
+/// Assembles a job from its record at this revision and its stored input, segments and counts.
 pub(super) async fn job(
     gw: &Gateway,
     id: &JobId,
@@ -84,8 +102,9 @@
     revision: i64,
 ) -> Result<Job, KvError> {
     let input = input(gw, id, record.chunks).await?;
-    let segments = segments(gw, id).await?;
-    Ok(Job::new(id.clone(), record, revision, input, segments))
+    let (segments, counts) = outputs(gw, id).await?;
+    let job = Job::new(id.clone(), record, revision, input, segments);
+    Ok(job.with_counts(counts, gw.now()))
 }
 
 /// A job that this daemon owns, as far as it knows.
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -10,6 +10,7 @@
 mod backup;
 mod cancel;
 mod confirm;
+mod counts;
 mod deadlines;
 mod execution;
 mod hand_over;
@@ -39,6 +40,7 @@
     cancel_own, cancellation_reported, forward_cancellations, take_cancellation,
 };
 pub(crate) use confirm::{confirm_all, owner_reported, renew_start_leases};
+pub(crate) use counts::store_counts;
 pub(crate) use deadlines::{
     Deadlines, is_on as deadlines_on, items_waiting, own_demand, waiting as waiting_by_forecast,
 };
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -159,6 +159,8 @@
     pub(crate) copies: ProgressCopies,
     /// Wakes the task that scans for jobs without an owner.
     pub(crate) orphans_due: Rc<Notify>,
+    /// Wakes the task that writes counts of items to the store.
+    pub(super) counts_due: Rc<Notify>,
 }
 
 /// Limit on the owned jobs, and on the cancelled jobs, named in a report, at about 20
@@ -191,6 +193,7 @@
             forwarded_cancellations: BTreeSet::new(),
             copies: ProgressCopies::new(MAX_COPIES_BYTES),
             orphans_due: Rc::default(),
+            counts_due: Rc::default(),
         }
     }
 }
