Wait longer for an item's answer after runs that were not answered

What callers saw: BUDGET. An item whose 500 comes later than 0.9 s ran again and again, 43 times in 50 s, as each run was left before its answer came.

Cause: the wait for the head of an answer was the same for each run, and a run that it ended counted nothing. Class: a repeat without a count.

Change: the wait doubles with each run of the item that was not answered in time, so that a late failure is heard and counts.

--- a/crates/bluebellreel_gateway/src/jobs/execution.rs
+++ b/crates/bluebellreel_gateway/src/jobs/execution.rs
@@ -28,8 +28,12 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// Limit on the wait for the head of a worker's response to an item.
+/// Limit on the wait for the head of a worker's response to an item, for its first run. It
+/// doubles with each run that was not answered in time: an item that fails late must be heard
+/// to fail, as it would run without an end otherwise.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(900);
+/// Maximum number of times that this limit doubles.
+const MAX_DOUBLINGS: u32 = 8;
 /// Time without output after which an item resumes on another worker.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -110,6 +114,8 @@
     let worker = run_guard.worker().clone();
     let ticket = run_guard.ticket().clone();
     let began = gw.now();
+    let unanswered = next.owned.job.borrow().items[next.item].unanswered;
+    let head_timeout = HEAD_TIMEOUT * (1 << unanswered.min(MAX_DOUBLINGS));
     let sent = send(
         gw,
         Send {
@@ -118,7 +124,7 @@
             left: None,
             after,
             reuse: Reuse::Any,
-            until: Instant::now() + HEAD_TIMEOUT,
+            until: Instant::now() + head_timeout,
         },
     )
     .await;
@@ -150,7 +156,11 @@
                 crash::check_for_crash(gw, cut_of(next, (&out, after), ticket, began)).await;
             }
             warn!(target: "jobs", job:% = next.job, request:% = next.id, worker:% = worker, outcome:? = e; "no answer to an item");
-            back_off(gw)
+            if e == NoAnswer::Silent {
+                ItemEnd::Unanswered(gw.now() + ITEM_BACKOFF)
+            } else {
+                back_off(gw)
+            }
         }
     }
 }
