Let an item that failed in an outage run once a keeper has its failures

What callers saw: nothing broken; since failures are stored before the next run, an item that a worker failed during an outage of the store waited for the end of the outage, where another run would have done it in time.

Change: counts that the store has not taken within 50 ms go to up to three keepers. A keeper answers once they are on its disk, with less delay than for progress, and never replaces a newer copy: copies begin with the revision of the job's record and a number. An item runs again as soon as one keeper has them; the store gets them when it answers. Who takes a job over asks the keepers for counts as for progress, and stores what the store lacks before the item runs. Keepers of earlier builds answer 404, and the item waits.

--- a/crates/bluebellreel_gateway/src/jobs/backup.rs
+++ b/crates/bluebellreel_gateway/src/jobs/backup.rs
@@ -5,13 +5,14 @@
 //! complete, not incremental, so that the next copy makes up for a lost one. They
 //! stay within the data centre, where traffic is not charged.
 
+use super::counts_copies::read_counts;
 use crate::gateway::Gateway;
 use crate::keepers::first_visit;
-use crate::peer_calls;
+use crate::peer_calls::{self, PeerError};
 use bluebellreel_batch::{ItemProgress, Job};
 use bluebellreel_types::{JobId, WorkerVersion};
 use bytes::Bytes;
-use futures::future::join_all;
+use futures::future::{join, join_all};
 use log::{info, warn};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -121,26 +122,40 @@
     first_visit(gw, gw.started + FIRST_VISIT_TIMEOUT).await;
     let mut begun = gw.jobs.borrow_mut().copies.take(id);
     let keepers = gw.keepers.borrow().all(gw.now());
-    let asked = keepers.into_iter().map(|at| fetch_progress(gw, at, id));
-    for progress in join_all(asked).await.into_iter().flatten() {
-        begun.extend(read_progress(id, &progress));
+    let asked = keepers.iter().map(|at| {
+        let progress = fetch(gw, *at, id, || peer_calls::progress(gw, *at, id));
+        let counts = fetch(gw, *at, id, || peer_calls::counts(gw, *at, id));
+        join(progress, counts)
+    });
+    for (progress, counts) in join_all(asked).await {
+        begun.extend(
+            progress
+                .into_iter()
+                .flat_map(|body| read_progress(id, &body)),
+        );
+        let counts = counts.into_iter().flat_map(|body| read_counts(id, &body));
+        job.restore_counts(counts.collect(), gw.now());
     }
     let failed = begun.iter().filter(|item| item.failures > 0).count();
     info!(target: "jobs", job:% = id, begun = begun.len(), failed; "item progress restored");
     job.restore(begun, gw.now());
 }
 
-/// Fetches the progress of a job's items from a keeper.
+/// Fetches a backup of a job from a keeper.
 ///
 /// A keeper that refuses or breaks the connection may be restarting, with the
 /// progress on its disk. Without a retry the items would start from scratch. Each
 /// keeper is waited for only once, so that the waits of many jobs do not add up. A
 /// keeper that does not respond at all has lost its VM and is not waited for.
-async fn fetch_progress(gw: &Rc<Gateway>, at: SocketAddr, id: &JobId) -> Option<Bytes> {
+async fn fetch<C: Future<Output = Result<Bytes, PeerError>>>(
+    gw: &Gateway,
+    at: SocketAddr,
+    id: &JobId,
+    call: impl Fn() -> C,
+) -> Option<Bytes> {
     let end = Instant::now() + RESTART_TIMEOUT;
     loop {
-        let call = timeout(CALL_TIMEOUT, peer_calls::progress(gw, at, id));
-        let error = match call.await {
+        let error = match timeout(CALL_TIMEOUT, call()).await {
             Ok(Ok(progress)) => return Some(progress),
             Ok(Err(e)) => e,
             Err(_) => {
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod cancel;
 mod confirm;
 mod counts;
+mod counts_copies;
 mod deadlines;
 mod execution;
 mod hand_over;
@@ -41,6 +42,7 @@
 };
 pub(crate) use confirm::{confirm_all, owner_reported, renew_start_leases};
 pub(crate) use counts::store_counts;
+pub(crate) use counts_copies::copy_counts;
 pub(crate) use deadlines::{
     Deadlines, is_on as deadlines_on, items_waiting, own_demand, waiting as waiting_by_forecast,
 };
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -138,6 +138,8 @@
     pub(super) submissions: HashMap<JobId, PendingSubmission>,
     /// Number of uploads begun, which numbers them.
     uploads: u64,
+    /// Number of copies of counts sent to keepers, which numbers them.
+    counts_copies: u64,
     /// Owners of the jobs that peers own, as last read.
     pub(crate) owners: HashMap<JobId, KnownOwner>,
     /// Jobs without an owner that another daemon should take over, with the time at
@@ -183,6 +185,7 @@
             runs: HashMap::new(),
             submissions: HashMap::new(),
             uploads: 0,
+            counts_copies: 0,
             owners: HashMap::new(),
             orphans: HashMap::new(),
             open: OpenJobs::default(),
@@ -205,6 +208,12 @@
         self.uploads
     }
 
+    /// Number of the next copy of counts of this run.
+    pub(super) fn next_counts_copy(&mut self) -> u64 {
+        self.counts_copies += 1;
+        self.counts_copies
+    }
+
     /// Remembers who owns a job.
     pub(crate) fn note_owner(&mut self, id: &JobId, record: &JobRecord) {
         let owner = KnownOwner {
--- a/crates/bluebellreel_gateway/src/keeper_visits.rs
+++ b/crates/bluebellreel_gateway/src/keeper_visits.rs
@@ -88,6 +88,14 @@
         near.next().map(|(at, _)| at)
     }
 
+    /// Reachable keepers, those of this daemon's data centre first.
+    pub(crate) fn reachable_near_first(&self, now: Moment) -> Vec<SocketAddr> {
+        let present = self.present(now).filter(|(_, v)| !v.is_unreachable);
+        let mut all: Vec<(SocketAddr, &Visit)> = present.collect();
+        all.sort_by_key(|(_, visit)| !visit.is_near);
+        all.into_iter().map(|(at, _)| at).collect()
+    }
+
     /// Marks a keeper as unreachable until its next visit, after a failed call.
     pub(crate) fn mark_unreachable(&mut self, at: SocketAddr) {
         if let Some(visit) = self.visits.get_mut(&at) {
--- a/crates/bluebellreel_gateway/src/peer_calls.rs
+++ b/crates/bluebellreel_gateway/src/peer_calls.rs
@@ -19,6 +19,8 @@
 
 /// Timeout of calls that a peer should answer at once.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Timeout of calls that are answered after a write to a disk.
+const DISK_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Characters that would end a segment of a path. The others stay as they are, as peers of
 /// earlier builds do not decode ids.
 const SEGMENT_ENDS: &AsciiSet = &CONTROLS.add(b' ').add(b'%').add(b'/').add(b'?').add(b'#');
@@ -261,6 +263,33 @@
     Ok(())
 }
 
+/// Fetches the counts of a job's items from a keeper; empty if it has none.
+pub(crate) async fn counts(gw: &Gateway, to: SocketAddr, id: &JobId) -> Result<Bytes, PeerError> {
+    let path = format!("/jobs/{}/counts", segment(id.as_str()));
+    let (status, body) = call(gw, to, Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
+    match status {
+        StatusCode::OK => Ok(body),
+        StatusCode::NOT_FOUND => Ok(Bytes::new()),
+        other => Err(format!("status {other}")),
+    }
+}
+
+/// Sends the counts of a job's items to a keeper, which answers once they are on its disk.
+pub(crate) async fn copy_counts(
+    gw: &Gateway,
+    to: SocketAddr,
+    id: &JobId,
+    counts: Vec<u8>,
+) -> Result<(), PeerError> {
+    let path = format!("/jobs/{}/counts", segment(id.as_str()));
+    let body = Bytes::from(counts);
+    let (status, _) = call(gw, to, Method::PUT, &path, body, DISK_CALL_TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    Ok(())
+}
+
 /// Sends the record of the version that began a stream to a keeper or peer.
 pub(crate) async fn record_origin(
     gw: &Gateway,
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -153,6 +153,7 @@
     spawn_local(jobs::remove_abandoned(gw.clone()));
     spawn_local(jobs::copy_progress(gw.clone()));
     spawn_local(jobs::store_counts(gw.clone()));
+    spawn_local(jobs::copy_counts(gw.clone()));
     let g = gw.clone();
     every(SWEEP_INTERVAL, move || sweep(&g));
     Ok(())
--- a/crates/bluebellreel_keeper/src/persistence.rs
+++ b/crates/bluebellreel_keeper/src/persistence.rs
@@ -7,7 +7,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Interval at which the snapshot is written although only its confirmation time has
@@ -21,6 +21,8 @@
 const MIN_SNAPSHOT_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum time between two writes of progress backups. Owners send them once a second.
 const MIN_PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
+/// The same for a write whose sender waits for it.
+const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(30);
 /// Minimum time between two checkpoints of the records of streams. Between them, records are
 /// appended to the log.
 const MIN_ORIGINS_INTERVAL: Duration = Duration::from_millis(100);
@@ -34,17 +36,34 @@
 #[derive(Default)]
 pub(crate) struct PendingWrite {
     changed: Cell<bool>,
+    /// Whether the sender of a change waits until it is on the disk.
+    urgent: Cell<bool>,
     finishing: Cell<bool>,
     wake: Notify,
+    /// Number of changes so far, and of those that are on the disk.
+    changes: Cell<u64>,
+    written: watch::Sender<u64>,
 }
 
 impl PendingWrite {
     /// Marks the state as changed.
     pub(crate) fn mark_changed(&self) {
         self.changed.set(true);
+        self.changes.update(|n| n + 1);
         self.wake.notify_one();
     }
 
+    /// Waits until all changes so far are on the disk, at most for `max_wait`. Returns whether
+    /// they are. The next write is made sooner than usual.
+    pub(crate) async fn written(&self, max_wait: Duration) -> bool {
+        self.urgent.set(true);
+        self.wake.notify_one();
+        let changes = self.changes.get();
+        let mut written = self.written.subscribe();
+        let wait = timeout(max_wait, written.wait_for(|n| *n >= changes));
+        matches!(wait.await, Ok(Ok(_)))
+    }
+
     /// Signals that no more changes follow. Pending changes are written without delay,
     /// and then the writer ends.
     pub(crate) fn finish(&self) {
@@ -61,9 +80,11 @@
         self.changed.get()
     }
 
-    /// Waits until `end`, or until `finish` is called.
-    async fn pause_until(&self, end: Instant) {
-        while !self.finishing.get() && Instant::now() < end {
+    /// Waits until `end`, or until `finish` is called or, if it `may_be_urgent`, a write is
+    /// urgent.
+    async fn pause_until(&self, end: Instant, may_be_urgent: bool) {
+        let is_due = || self.finishing.get() || (may_be_urgent && self.urgent.get());
+        while !is_due() && Instant::now() < end {
             // Changes that arrive meanwhile are seen by the next `wait`.
             let _ = timeout_at(end, self.wake.notified()).await;
         }
@@ -82,12 +103,20 @@
         delay: Duration,
         encode: impl FnOnce() -> Vec<u8>,
     ) -> bool {
-        self.pause_until(Instant::now() + delay).await;
+        let began = Instant::now();
+        self.pause_until(began + MIN_URGENT_INTERVAL.min(delay), false)
+            .await;
+        self.pause_until(began + delay, true).await;
         self.changed.set(false);
+        self.urgent.set(false);
+        let changes = self.changes.get();
         let is_written = write(disk, encode()).await == DiskOutcome::Written;
-        if !is_written {
+        if is_written {
+            self.written.send_replace(changes);
+        } else {
             self.changed.set(true);
-            self.pause_until(Instant::now() + REFRESH_INTERVAL).await;
+            self.pause_until(Instant::now() + REFRESH_INTERVAL, false)
+                .await;
             sleep(RETRY_DELAY).await;
         }
         is_written
--- a/crates/bluebellreel_keeper/src/serve.rs
+++ b/crates/bluebellreel_keeper/src/serve.rs
@@ -19,6 +19,12 @@
 /// Retention of a backup after its owner last sent it. It exceeds the usual length of
 /// an outage of the store, as jobs are taken over once the store answers again.
 const PROGRESS_RETENTION: Duration = Duration::from_mins(2);
+/// Retention of the counts of a job. They are needed until its next owner has written them to
+/// the store, which may be away for long.
+const COUNTS_RETENTION: Duration = Duration::from_hours(1);
+/// How long the writer of counts waits until they are on the disk. It exceeds the time between
+/// two writes.
+const DISK_TIMEOUT: Duration = Duration::from_millis(900);
 
 fn status(code: StatusCode) -> Response<Body> {
     let mut answer = Response::new(Body::full(Bytes::new()));
@@ -43,6 +49,24 @@
             store_progress(&keeper, JobId::from(*id), body.to_vec());
             status(StatusCode::OK)
         }
+        (&Method::PUT, ["jobs", id, "counts"]) => {
+            let read = read_body(req.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+            let Ok(Some(body)) = read else {
+                return status(StatusCode::BAD_REQUEST);
+            };
+            if keeper.closed.get() {
+                return status(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            if store_counts(&keeper, JobId::from(*id), body.to_vec()).await {
+                status(StatusCode::OK)
+            } else {
+                status(StatusCode::INSUFFICIENT_STORAGE)
+            }
+        }
+        (&Method::GET, ["jobs", id, "counts"]) => {
+            let progress = keeper.progress.borrow();
+            backup(progress.counts(&JobId::from(*id)))
+        }
         (&Method::PUT, ["origins"]) => {
             let read = read_body(req.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
             let origin = read.ok().flatten();
@@ -66,15 +90,19 @@
         }
         (&Method::GET, ["jobs", id, "progress"]) => {
             let progress = keeper.progress.borrow();
-            match progress.get(&JobId::from(*id)) {
-                Some(bytes) => Response::new(Body::full(Bytes::copy_from_slice(bytes))),
-                None => status(StatusCode::NOT_FOUND),
-            }
+            backup(progress.get(&JobId::from(*id)))
         }
         _ => status(StatusCode::NOT_FOUND),
     }
 }
 
+fn backup(found: Option<&[u8]>) -> Response<Body> {
+    match found {
+        Some(bytes) => Response::new(Body::full(Bytes::copy_from_slice(bytes))),
+        None => status(StatusCode::NOT_FOUND),
+    }
+}
+
 /// Up to which revision this keeper knows all workers, and how long ago there was certainly no
 /// later change.
 fn completeness(keeper: &Keeper) -> Response<Body> {
@@ -152,6 +180,20 @@
     keeper.origin_log.append(generation, entry).await
 }
 
+/// Keeps the counts of a job. Returns whether they are on the disk.
+async fn store_counts(keeper: &Keeper, id: JobId, counts: Vec<u8>) -> bool {
+    let expires_at = keeper.now() + COUNTS_RETENTION;
+    let is_kept = keeper
+        .progress
+        .borrow_mut()
+        .keep_counts(id, counts, expires_at);
+    if !is_kept {
+        return false;
+    }
+    keeper.pending_progress.mark_changed();
+    keeper.pending_progress.written(DISK_TIMEOUT).await
+}
+
 fn store_progress(keeper: &Keeper, id: JobId, progress: Vec<u8>) {
     let expires_at = keeper.now() + PROGRESS_RETENTION;
     keeper.progress.borrow_mut().keep(id, progress, expires_at);
--- a/crates/bluebellreel_snapshot/src/lib.rs
+++ b/crates/bluebellreel_snapshot/src/lib.rs
@@ -33,7 +33,7 @@
 mod visit_schedule;
 
 pub use facts::{SharedFacts, WorkerFact};
-pub use progress::ProgressBackups;
+pub use progress::{CountsOrder, ProgressBackups};
 pub use slot::{SlotError, newest, read_slot, read_slots, slot_bytes, write_slot};
 pub use snapshot::{KnownGateway, SNAPSHOT_TTL, Snapshot, SnapshotError};
 pub use validity::Validity;
--- a/crates/bluebellreel_snapshot/tests/snapshot.rs
+++ b/crates/bluebellreel_snapshot/tests/snapshot.rs
@@ -3,8 +3,8 @@
 use bluebellreel_dispatch::{Boot, WorkerRecord, WorkerState};
 use bluebellreel_members::Revisions;
 use bluebellreel_snapshot::{
-    GatewayState, KnownGateway, ProgressBackups, SNAPSHOT_TTL, SharedFacts, Snapshot, VisitOutcome,
-    WorkerFact, visit_outcome,
+    CountsOrder, GatewayState, KnownGateway, ProgressBackups, SNAPSHOT_TTL, SharedFacts, Snapshot,
+    VisitOutcome, WorkerFact, visit_outcome,
 };
 use bluebellreel_types::{DataCentre, EntryName, JobId, Moment, WorkerName, WorkerVersion};
 use proptest::prelude::*;
@@ -313,3 +313,38 @@
     let read: SharedFacts = postcard::from_bytes(&sent.encode()).expect("facts");
     assert_eq!(read.workers.len(), 1);
 }
+
+fn counts(record: i64, number: u64, failures: u32) -> Vec<u8> {
+    postcard::to_allocvec(&(CountsOrder { record, number }, failures)).expect("plain data")
+}
+
+/// A copy of counts that arrived late replaced a newer one.
+#[test]
+fn older_counts_do_not_replace_newer_ones() {
+    let id = JobId::from("a");
+    let mut backups = ProgressBackups::new(100);
+    assert!(backups.keep_counts(id.clone(), counts(5, 2, 2), NOW));
+    assert!(!backups.keep_counts(id.clone(), counts(5, 1, 1), NOW));
+    assert!(!backups.keep_counts(id.clone(), counts(4, 9, 1), NOW));
+    assert_eq!(backups.counts(&id), Some(&*counts(5, 2, 2)));
+    assert!(backups.keep_counts(id.clone(), counts(6, 1, 3), NOW));
+    let mut again = ProgressBackups::new(100);
+    again.read(&backups.encode()).expect("encoded backups");
+    assert_eq!(again, backups);
+    again.sweep(NOW + Duration::from_millis(1));
+    assert_eq!((again.counts(&id), again.bytes()), (None, 0));
+}
+
+/// A keeper acknowledged counts that it had no room for.
+#[test]
+fn counts_beyond_the_limit_are_refused() {
+    let id = JobId::from("a");
+    let mut backups = ProgressBackups::new(4);
+    assert!(backups.keep_counts(id.clone(), counts(1, 1, 1), NOW));
+    let other = JobId::from("b");
+    assert!(!backups.keep_counts(other, counts(1, 1, 1), NOW));
+    assert!(
+        backups.keep_counts(id, counts(2, 1, 1), NOW),
+        "in place of the first"
+    );
+}
