Ask keepers for a job whose take-over was cut short by an outage

What callers saw: items started over, and failures of items were forgotten (BUDGET), after a kill of their owner during an outage of the store.

Cause: the write that takes a job over was applied, and the store fell silent before the job was read. The gateway found the job later by its record, as its own, and then did not ask the keepers.

Evidence: log of failures_during_an_outage_outlive_a_killed_owner: `job taken over` 29.815, `store lost` 29.860, `job owned` 43.445 without `item progress restored`, `item sent failures=0`, where the keeper had 2. Before: 3 of 5 and 3 of 4 copies of the outage tests at a time failed, with 4, 5 and 6 answers. Now 6 of 6 passed; one of 6 had failed for 422 while a keeper's write still took up to 0.3 s.

--- a/crates/bluebellreel_gateway/src/jobs/adopt.rs
+++ b/crates/bluebellreel_gateway/src/jobs/adopt.rs
@@ -8,7 +8,7 @@
 
 use super::load::owned_job;
 use super::own::OwnedJob;
-use super::{load, record};
+use super::{backup, load, record};
 use crate::gateway::Gateway;
 use crate::millis::millis;
 use bluebellreel_batch::{Job, JobRecord, NewItem, Stamp};
@@ -48,7 +48,11 @@
         return;
     }
     match load::job(gw, id, record, revision).await {
-        Ok(job) => adopt(gw, job, asked),
+        Ok(mut job) => {
+            // It may have been taken over by a write after which the store did not answer.
+            backup::restore_progress(gw, id, &mut job).await;
+            adopt(gw, job, asked);
+        }
         Err(e) => {
             warn!(target: "jobs", job:% = id, error:% = e; "own job not read");
             // The scan for jobs without an owner finds it by its record.
