--- a/crates/bluebellreel_model/src/lib.rs
+++ b/crates/bluebellreel_model/src/lib.rs
@@ -12,7 +12,7 @@
 //! other, and drives the real choice of recipients. [`versions`] covers the version at which a caller
 //! resumes its stream, and drives the real records and history of versions.
 //!
-//! [`prompt_parts`] covers requests that share a part which crashes workers, and drives the real
+//! [`failures`] covers the failures of an item over all its owners. [`prompt_parts`] covers requests that share a part which crashes workers, and drives the real
 //! suspects.
 //!
 //! Each guard of the protocol can be disabled, which shows that the checker finds the
@@ -27,6 +27,7 @@
 
 pub mod call;
 mod explored;
+pub mod failures;
 pub mod owner_reads;
 pub mod ownership;
 pub mod prompt_parts;
