Soak with items that fail, and kills right after a failure

Checked: an item that fails is dead, after at least its attempts and at most the rule's (9 and 3); all others complete.

--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -20,6 +20,8 @@
 //!   others have faults, odd ones changes as well.
 //! - From 9000: gateways are cut off or stopped for some seconds while workers are replaced by
 //!   workers of other versions, with none to three keepers. Odd seeds have faults as well.
+//! - From 10000: jobs with items that fail at each run, whose owners are killed right after a
+//!   failure, with none to three keepers. Odd seeds have faults as well.
 //!
 //! Prints one line per seed, and for each violated guarantee the faults before it. If a
 //! seed violates a guarantee, its settings and logs remain in a folder under the system's
@@ -40,6 +42,8 @@
 const FIRST_LOAD_SEED: u64 = 8000;
 /// The first seed with gateways that get out of step.
 const FIRST_CUT_SEED: u64 = 9000;
+/// The first seed with items that fail at each run.
+const FIRST_FAILURE_SEED: u64 = 10_000;
 
 /// When the requests that crash workers do so in the soak of a seed.
 fn crash_moment(seed: u64) -> CrashMoment {
@@ -72,10 +76,13 @@
         let stops = (FIRST_STOP_SEED..FIRST_CRASH_SEED).contains(&seed);
         let stops_only = stops && seed % 3 != 0;
         let ends_only = (FIRST_END_SEED..FIRST_PART_SEED).contains(&seed) && seed % 2 == 0;
-        let cuts = seed >= FIRST_CUT_SEED;
-        let cuts_only = cuts && seed.is_multiple_of(2);
-        let load_only = !cuts && seed >= FIRST_LOAD_SEED && seed.is_multiple_of(4);
-        let callers = if cuts {
+        let fails = seed >= FIRST_FAILURE_SEED;
+        let cuts = !fails && seed >= FIRST_CUT_SEED;
+        let cuts_only = (fails || cuts) && seed.is_multiple_of(2);
+        let load_only = !fails && !cuts && seed >= FIRST_LOAD_SEED && seed.is_multiple_of(4);
+        let callers = if fails {
+            Callers::SomeFailItems
+        } else if cuts {
             Callers::AmidCuts
         } else if seed >= FIRST_LOAD_SEED {
             Callers::HardLoad
@@ -93,7 +100,7 @@
             span: Duration::from_secs(seconds),
             gateways,
             workers,
-            changes: seed % 2 == 1 && !stops_only && !cuts,
+            changes: seed % 2 == 1 && !stops_only && !cuts && !fails,
             faults: !stops_only && !ends_only && !load_only && !cuts_only,
             stops,
             callers,
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -42,6 +42,11 @@
     callers: Callers::AmidCuts,
     ..FAULTS
 };
+const FAILURES: SoakMode = SoakMode {
+    faults: false,
+    callers: Callers::SomeFailItems,
+    ..FAULTS
+};
 const CRASHES: SoakMode = SoakMode {
     faults: false,
     changes: true,
@@ -198,3 +203,10 @@
     };
     run_soak(3502, 12, &mode);
 }
+
+/// Owners of items that fail are killed right after a failure. Guards against items that run
+/// again at each owner, and against those that are given up without their failures.
+#[test]
+fn failing_items_are_given_up_after_their_failures() {
+    run_soak(10_001, 8, &FAILURES);
+}
