Count answers against the memory of all until they are sent

What callers saw: nothing yet; with forty callers that do not read answers of 4 MiB a gateway held all of them and grew by 161 MB, on a VM that may have 88. A process that ends so takes the requests of others with it.

Cause: held answers counted only while they were read from their worker. Once complete, they lay in the answer until the caller had taken them, and counted nothing. Growing buffers also doubled by copies beside themselves. Class: a limit on what is read, none on what is kept.

Change: a held answer is a list of blocks that are never moved, and it is forwarded block by block; it counts against the 16 MiB of all until its last block is taken. Beyond them the largest answer is given up and freed at once, being read or being sent: its connection ends before its length. The length is in the head as before.

--- a/crates/bluebellreel_gateway/src/answer_buffers.rs
+++ b/crates/bluebellreel_gateway/src/answer_buffers.rs
@@ -1,45 +1,76 @@
-//! Answers that are held until they are complete.
+//! Answers that are held until they are complete, and then until their callers have taken them.
 //!
 //! An answer without events is forwarded only once it is whole, so that another worker may
 //! run the request if it breaks off. All answers share a limited amount of memory: beyond it
-//! the largest one is given up, so that one that does not end does not take the memory of
-//! those that do.
+//! the largest one is given up, so that neither an answer that does not end nor a caller that
+//! does not read takes the memory of the others.
 
 use bluebellreel_net::{Broken, ReplyBody};
 use bytes::{Bytes, BytesMut};
+use futures::Stream;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use tokio::sync::Notify;
 
 /// Maximum size of one answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Maximum memory of all answers, in bytes: two of the largest.
 const MAX_TOTAL_BYTES: usize = 2 * MAX_ANSWER_BYTES;
+/// Sizes of the blocks of an answer, in bytes. A block is as large as those before it within
+/// these limits, and is never moved, so that growth takes no memory beside it.
+const MIN_BLOCK_BYTES: usize = 4 * 1024;
+const MAX_BLOCK_BYTES: usize = 128 * 1024;
 
-/// An answer that is being read.
+/// An answer that is held.
 #[derive(Debug, Default)]
 struct Held {
-    bytes: usize,
+    blocks: VecDeque<BytesMut>,
+    /// Memory of the blocks, in bytes.
+    memory: usize,
+    is_given_up: bool,
+    /// Wakes the task that reads it from its worker.
     given_up: Rc<Notify>,
 }
 
-/// The memory that answers take while they are read.
+/// The answers that are held, within the memory that they may take.
 #[derive(Debug, Default)]
 pub(crate) struct AnswerBuffers {
     held: RefCell<BTreeMap<u64, Held>>,
+    /// Memory of all blocks, in bytes.
+    memory: Cell<usize>,
     next_key: Cell<u64>,
 }
 
-/// Removes an answer from the count when dropped.
-struct HeldGuard<'a> {
-    buffers: &'a AnswerBuffers,
+/// A held answer, as a stream of its blocks. It is removed when dropped.
+pub(crate) struct HeldAnswer {
+    buffers: Rc<AnswerBuffers>,
     key: u64,
+    len: usize,
 }
 
-impl Drop for HeldGuard<'_> {
+impl Drop for HeldAnswer {
     fn drop(&mut self) {
-        self.buffers.held.borrow_mut().remove(&self.key);
+        if let Some(held) = self.buffers.held.borrow_mut().remove(&self.key) {
+            self.buffers.memory.update(|all| all - held.memory);
+        }
+    }
+}
+
+impl HeldAnswer {
+    /// Size of the answer, in bytes.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+}
+
+impl Stream for HeldAnswer {
+    type Item = Result<Bytes, Broken>;
+
+    fn poll_next(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        Poll::Ready(self.buffers.take_block(self.key).transpose())
     }
 }
 
@@ -50,16 +81,16 @@
     ///
     /// Returns `Broken` if the body ends early or is too long, or if it is the longest one
     /// while there is no memory for all.
-    pub(crate) async fn read(&self, body: &mut ReplyBody) -> Result<Bytes, Broken> {
+    pub(crate) async fn read(self: &Rc<Self>, body: &mut ReplyBody) -> Result<HeldAnswer, Broken> {
         let key = self.next_key.replace(self.next_key.get() + 1);
-        let given_up = Rc::<Notify>::default();
-        let held = Held {
-            bytes: 0,
-            given_up: given_up.clone(),
-        };
+        let held = Held::default();
+        let given_up = held.given_up.clone();
         self.held.borrow_mut().insert(key, held);
-        let _guard = HeldGuard { buffers: self, key };
-        let mut all = BytesMut::new();
+        let mut answer = HeldAnswer {
+            buffers: self.clone(),
+            key,
+            len: 0,
+        };
         loop {
             let piece = tokio::select! {
                 biased;
@@ -67,28 +98,80 @@
                 piece = body.next() => piece?,
             };
             let Some(piece) = piece else {
-                return Ok(all.freeze());
+                return Ok(answer);
             };
-            if all.len() + piece.len() > MAX_ANSWER_BYTES {
+            if answer.len + piece.len() > MAX_ANSWER_BYTES {
                 return Err(Broken);
             }
-            all.extend_from_slice(&piece);
-            self.grow(key, all.capacity());
+            self.append(key, &piece)?;
+            answer.len += piece.len();
         }
     }
 
-    /// Records the memory that an answer takes, and gives up the largest one if all together are too
-    /// large.
-    fn grow(&self, key: u64, bytes: usize) {
-        let mut held = self.held.borrow_mut();
-        if let Some(held) = held.get_mut(&key) {
-            held.bytes = bytes;
+    fn append(&self, key: u64, mut piece: &[u8]) -> Result<(), Broken> {
+        while !piece.is_empty() {
+            let spare = self.spare(key)?;
+            let (now, rest) = piece.split_at(spare.min(piece.len()));
+            let mut all = self.held.borrow_mut();
+            let held = all.get_mut(&key).filter(|held| !held.is_given_up);
+            let last = held.and_then(|held| held.blocks.back_mut());
+            last.ok_or(Broken)?.extend_from_slice(now);
+            piece = rest;
         }
-        let total: usize = held.values().map(|h| h.bytes).sum();
-        if total > MAX_TOTAL_BYTES
-            && let Some(largest) = held.values().max_by_key(|h| h.bytes)
-        {
-            largest.given_up.notify_one();
+        Ok(())
+    }
+
+    /// Room in an answer's last block, or in a new one if that is full.
+    fn spare(&self, key: u64) -> Result<usize, Broken> {
+        let memory = {
+            let all = self.held.borrow();
+            let held = all.get(&key).filter(|held| !held.is_given_up);
+            let held = held.ok_or(Broken)?;
+            let last = held.blocks.back();
+            let spare = last.map_or(0, |last| last.capacity() - last.len());
+            if spare > 0 {
+                return Ok(spare);
+            }
+            held.memory
+        };
+        let size = memory.clamp(MIN_BLOCK_BYTES, MAX_BLOCK_BYTES);
+        self.make_room(key, size)?;
+        let mut all = self.held.borrow_mut();
+        let held = all.get_mut(&key).ok_or(Broken)?;
+        held.blocks.push_back(BytesMut::with_capacity(size));
+        held.memory += size;
+        self.memory.update(|all| all + size);
+        Ok(size)
+    }
+
+    /// Gives up the largest answers until one may grow, at the most that one itself.
+    fn make_room(&self, key: u64, size: usize) -> Result<(), Broken> {
+        let mut all = self.held.borrow_mut();
+        while self.memory.get() + size > MAX_TOTAL_BYTES {
+            let memory = |(k, held): (&u64, &Held)| held.memory + if *k == key { size } else { 0 };
+            let largest = all.iter().max_by_key(|(k, held)| memory((k, held)));
+            let largest = largest.map(|(k, _)| *k).filter(|k| *k != key);
+            let held = largest.and_then(|largest| all.get_mut(&largest));
+            let held = held.ok_or(Broken)?;
+            self.memory.update(|all| all - held.memory);
+            held.blocks.clear();
+            held.memory = 0;
+            held.is_given_up = true;
+            held.given_up.notify_one();
         }
+        Ok(())
+    }
+
+    /// Takes the first block of an answer.
+    fn take_block(&self, key: u64) -> Result<Option<Bytes>, Broken> {
+        let mut all = self.held.borrow_mut();
+        let held = all.get_mut(&key).filter(|held| !held.is_given_up);
+        let held = held.ok_or(Broken)?;
+        let Some(block) = held.blocks.pop_front() else {
+            return Ok(None);
+        };
+        held.memory -= block.capacity();
+        self.memory.update(|all| all - block.capacity());
+        Ok(Some(block.freeze()))
     }
 }
--- a/crates/bluebellreel_gateway/src/online.rs
+++ b/crates/bluebellreel_gateway/src/online.rs
@@ -1,5 +1,6 @@
 //! Answers one caller's request: chooses a worker, sends the request, forwards the answer.
 
+use crate::answer_buffers::HeldAnswer;
 use crate::answers;
 use crate::crash;
 use crate::evidence;
@@ -20,7 +21,7 @@
 use bluebellreel_platform::ingress;
 use bluebellreel_types::WorkerName;
 use bytes::Bytes;
-use http::{Response, StatusCode, header};
+use http::{HeaderValue, Response, StatusCode, header};
 use log::{info, warn};
 use rand::RngExt;
 use std::pin::pin;
@@ -238,11 +239,17 @@
     Ok(whole(&upstream.head, body))
 }
 
-fn whole(head: &http::response::Parts, body: Bytes) -> Response<Body> {
-    let mut answer = Response::new(Body::full(body));
+fn whole(head: &http::response::Parts, body: HeldAnswer) -> Response<Body> {
+    let mut headers = ingress::end_to_end(&head.headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let mut answer = if body.len() == 0 {
+        Response::new(Body::full(Bytes::new()))
+    } else {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+        Response::new(Body::stream(body))
+    };
     *answer.status_mut() = head.status;
-    *answer.headers_mut() = ingress::end_to_end(&head.headers);
-    answer.headers_mut().remove(header::CONTENT_LENGTH);
+    *answer.headers_mut() = headers;
     answer
 }
 
