Answer reads of jobs before a stop ends, and refuse the others as not run

What callers saw: in a planned stop with 1.5 s of grace, a read of a job that waits for results got 502 after 0.5 s, though it fits and runs nothing.

Cause: a stopping gateway still had the owner of the job wait for the reader's full time, up to a second, and at the end of its own time it gave every request that was left the answer of one that may have run. Class: a wait that does not look at the end of the process.

Change: while a gateway stops, the owner is asked without a wait. What is left of reads of jobs and of items' bodies at the end is refused with 503.

--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -51,7 +51,12 @@
         return archived_page(caller, &archived, after);
     }
     if let Some(owner) = owner_address(gw, id) {
-        let wait = until.saturating_duration_since(Instant::now());
+        let wait = if gw.stopping.get() {
+            // The wait could outlast this process.
+            Duration::ZERO
+        } else {
+            until.saturating_duration_since(Instant::now())
+        };
         match peer_calls::results(gw, owner, caller, id, after, wait).await {
             Ok((StatusCode::OK, body)) => return answers::json(body),
             Ok((StatusCode::FORBIDDEN, _)) => return no_such_job(),
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -74,13 +74,21 @@
 async fn answer_before_end(gw: &Rc<Gateway>, req: http::Request<Incoming>) -> Response<Body> {
     let answers_due = gw.answers_due.notified();
     let id = ingress::request_id(req.headers()).to_owned();
+    let is_read = matches!(
+        ingress::job_call(&req),
+        Some(JobCall::Read { .. } | JobCall::ItemBody { .. })
+    );
     tokio::select! {
         biased;
         answer = answer_request(gw, req) => answer,
         () = answers_due => {
             warn!(target: "gateway", request = id; "not answered before the stop");
-            // A worker may have run the request.
-            let mut answer = answers::failure(StatusCode::BAD_GATEWAY, "stopping");
+            let mut answer = if is_read {
+                refuse_stopping()
+            } else {
+                // A worker may have run the request.
+                answers::failure(StatusCode::BAD_GATEWAY, "stopping")
+            };
             ingress::set_request_id(answer.headers_mut(), &id);
             answer
         }
