Limit how often failures are written where many items fail

Each gateway could write counts of failures every 10 ms, a hundred times a second, of the 400 writes that the store of a small site takes from all of them: with many failing items the store would have refused other writes, by reckoning.

Change: the delay before a write of counts doubles from 5 to 320 ms while there are always counts to write. Keepers get a copy when a write has taken the store 50 ms, or when counts have waited for 0.4 s.

--- a/crates/bluebellreel_gateway/src/jobs/counts.rs
+++ b/crates/bluebellreel_gateway/src/jobs/counts.rs
@@ -15,7 +15,13 @@
 
 /// How long counts are collected before they are written together. Items that fail because
 /// of their workers often fail together.
-const BATCH_DELAY: Duration = Duration::from_millis(5);
+const MIN_BATCH_DELAY: Duration = Duration::from_millis(5);
+/// Limit on this delay, which doubles with each write while there are always counts to write:
+/// the daemons share the number of writes that the store takes, and many may meet failures at
+/// once.
+const MAX_BATCH_DELAY: Duration = Duration::from_millis(320);
+/// Time without counts to write after which the delay is the shortest again.
+const QUIET_TIME: Duration = Duration::from_secs(1);
 /// Interval between checks for counts to write when nothing wakes the task.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of jobs in one write, with three entries each: the store takes 32.
@@ -39,19 +45,32 @@
     let due = gw.jobs.borrow().counts_due.clone();
     let mut last = None;
     let mut max_jobs = JOBS_PER_WRITE;
+    let mut delay = MIN_BATCH_DELAY;
+    let mut written_at = Instant::now();
     loop {
         // A timeout triggers the next periodic check.
         let _ = timeout(POLL_INTERVAL, due.notified()).await;
-        sleep(BATCH_DELAY).await;
+        if written_at.elapsed() > QUIET_TIME {
+            delay = MIN_BATCH_DELAY;
+        }
         loop {
+            sleep(delay).await;
             let due = next_due(&gw, last.as_ref(), max_jobs);
             let Some(newest) = due.last() else {
                 last = None;
                 break;
             };
             last = Some(newest.id.clone());
-            if write(&gw, &due).await {
+            delay = MAX_BATCH_DELAY.min(delay * 2);
+            gw.jobs
+                .borrow_mut()
+                .counts_write_began
+                .get_or_insert(gw.now());
+            let is_decided = write(&gw, &due).await;
+            written_at = Instant::now();
+            if is_decided {
                 max_jobs = JOBS_PER_WRITE;
+                gw.jobs.borrow_mut().counts_write_began = None;
                 gw.batch_due.notify_one();
             } else {
                 // One job whose counts the store does not take must not hold up the others.
--- a/crates/bluebellreel_gateway/src/jobs/counts_copies.rs
+++ b/crates/bluebellreel_gateway/src/jobs/counts_copies.rs
@@ -17,9 +17,11 @@
 
 /// Interval between checks for counts that the store has not taken.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
-/// How long the store may take before counts are copied: several times as long as it usually
-/// takes.
+/// How long the store may take for a write before counts are copied: several times as long as
+/// it usually takes.
 const STORE_TIMEOUT: Duration = Duration::from_millis(50);
+/// How long counts may wait for a write before they are copied, longer than writes are delayed.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Number of keepers that get a copy; one that has it is enough.
 const COPIES: usize = 3;
 /// Maximum number of jobs whose counts are copied at a time.
@@ -44,8 +46,15 @@
 }
 
 fn due(gw: &Gateway) -> Vec<(JobId, Rc<OwnedJob>, Vec<ItemCounts>)> {
-    let latest = gw.now() - STORE_TIMEOUT;
+    let now = gw.now();
     let jobs = gw.jobs.borrow();
+    let began = jobs.counts_write_began;
+    let is_store_slow = began.is_some_and(|at| (at + STORE_TIMEOUT).is_past(now));
+    let latest = if is_store_slow {
+        now
+    } else {
+        now - WRITE_TIMEOUT
+    };
     let due = jobs.own.iter().filter_map(|(id, owned)| {
         let job = owned.job.borrow();
         let counts = job.counts_to_copy(latest).filter(|_| job.may_run())?;
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -161,6 +161,8 @@
     pub(crate) copies: ProgressCopies,
     /// Wakes the task that scans for jobs without an owner.
     pub(crate) orphans_due: Rc<Notify>,
+    /// Since when the store has not decided on a write of counts that waits for it.
+    pub(super) counts_write_began: Option<Moment>,
     /// Wakes the task that writes counts of items to the store.
     pub(super) counts_due: Rc<Notify>,
 }
@@ -196,6 +198,7 @@
             forwarded_cancellations: BTreeSet::new(),
             copies: ProgressCopies::new(MAX_COPIES_BYTES),
             orphans_due: Rc::default(),
+            counts_write_began: None,
             counts_due: Rc::default(),
         }
     }
