Settings: limits of the machine that a program runs on

The settings of all four programs take a table machine: memory_mb, descriptors and files. Left out, each limit will be asked of the system.

--- a/crates/bluebellreel_keeper/tests/origins.rs
+++ b/crates/bluebellreel_keeper/tests/origins.rs
@@ -3,7 +3,7 @@
 use bluebellreel_keeper::run_keeper_until;
 use bluebellreel_net::{Pool, PoolLimits, call};
 use bluebellreel_origins::{Origin, StreamTag};
-use bluebellreel_settings::KeeperSettings;
+use bluebellreel_settings::{KeeperSettings, Machine};
 use bluebellreel_types::{DataCentre, EntryName, WorkerVersion};
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -36,6 +36,7 @@
             folder: folder.to_owned(),
             seeds: Vec::new(),
             grace: Duration::from_secs(8),
+            machine: Machine::default(),
         };
         let reread = settings.clone();
         let task = spawn_local(async move {
--- a/crates/bluebellreel_keeper/tests/stop.rs
+++ b/crates/bluebellreel_keeper/tests/stop.rs
@@ -3,7 +3,7 @@
 use bluebellreel_keeper::{StopSummary, load_snapshot, run_keeper_until};
 use bluebellreel_members::Revisions;
 use bluebellreel_net::{Body, ConnectionTracker, Stop, listen, serve};
-use bluebellreel_settings::KeeperSettings;
+use bluebellreel_settings::{KeeperSettings, Machine};
 use bluebellreel_snapshot::{GatewayState, SharedFacts};
 use bluebellreel_types::{DataCentre, EntryName};
 use bytes::Bytes;
@@ -102,6 +102,7 @@
         folder: folder.to_owned(),
         seeds: vec![gateway],
         grace: Duration::from_secs(20),
+        machine: Machine::default(),
     }
 }
 
--- a/crates/bluebellreel_settings/src/entry.rs
+++ b/crates/bluebellreel_settings/src/entry.rs
@@ -1,8 +1,9 @@
 //! Settings of the entry daemon.
 
 use crate::data::{DataSettings, RawData, check_data};
+use crate::machine::RawMachine;
 use crate::parts::Check;
-use crate::{LogTarget, Principal, SettingsError, TokenTable, TraceTarget};
+use crate::{LogTarget, Machine, Principal, SettingsError, TokenTable, TraceTarget};
 use bluebellreel_types::{DataCentre, EntryName, TeamName};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -25,6 +26,8 @@
     operators: Vec<RawToken>,
     data: Option<RawData>,
     #[serde(default)]
+    machine: RawMachine,
+    #[serde(default)]
     log: LogTarget,
     #[serde(default)]
     trace: TraceTarget,
@@ -180,6 +183,8 @@
     pub limits: EntryLimits,
     /// Bearer tokens of teams and operators.
     pub tokens: TokenTable,
+    /// The machine that the daemon runs on.
+    pub machine: Machine,
     /// Disks for the chunks of large jobs. `None` turns them off.
     pub data: Option<DataSettings>,
     /// Destination of log lines.
@@ -247,6 +252,7 @@
             stop: Duration::from_secs(deadlines.stop_s),
             limits,
             tokens,
+            machine: raw.machine.checked(check.file)?,
             data: raw.data.map(|raw| check_data(check, raw)).transpose()?,
             log: raw.log,
             trace: raw.trace,
--- a/crates/bluebellreel_settings/src/gateway.rs
+++ b/crates/bluebellreel_settings/src/gateway.rs
@@ -1,9 +1,10 @@
 //! Settings of a gateway: an entry daemon that sends requests directly to workers and
 //! stores its persistent state in the platform's store.
 
-use crate::SettingsError;
+use crate::machine::RawMachine;
 use crate::scheduling::{RawScheduling, Scheduling};
 use crate::vm::{self, RawPeers, RawStop, RawVm};
+use crate::{Machine, SettingsError};
 use bluebellreel_teams::Tolerance;
 use bluebellreel_types::{DataCentre, EntryName};
 use serde::Deserialize;
@@ -52,6 +53,8 @@
     pub rate_tolerance: Tolerance,
     /// Scheduling features that are on.
     pub scheduling: Scheduling,
+    /// The machine that the gateway runs on.
+    pub machine: Machine,
 }
 
 /// Addresses that are advertised to peers instead of the listening ones, as needed
@@ -121,6 +124,7 @@
                 self.rate_tolerance != other.rate_tolerance,
             ),
             ("scheduling", self.scheduling != other.scheduling),
+            ("machine", self.machine != other.machine),
         ];
         let differ = pairs.into_iter().filter(|(_, differs)| *differs);
         differ.map(|(key, _)| key).collect()
@@ -145,6 +149,8 @@
     teams: RawTeams,
     #[serde(default)]
     scheduling: RawScheduling,
+    #[serde(default)]
+    machine: RawMachine,
 }
 
 #[derive(Default, Deserialize)]
@@ -300,6 +306,7 @@
     let revoke_within = raw.teams.revoke_within(file)?;
     let rate_tolerance = raw.teams.tolerance(file)?;
     let scheduling = raw.scheduling.checked(file)?;
+    let machine = raw.machine.checked(file)?;
     Ok(GatewaySettings {
         name,
         data_centre,
@@ -319,5 +326,6 @@
         revoke_within,
         rate_tolerance,
         scheduling,
+        machine,
     })
 }
--- a/crates/bluebellreel_settings/src/keeper.rs
+++ b/crates/bluebellreel_settings/src/keeper.rs
@@ -1,7 +1,8 @@
 //! Settings of a keeper, which stores snapshots for gateways.
 
-use crate::SettingsError;
+use crate::machine::RawMachine;
 use crate::vm::{self, RawPeers, RawStop, RawVm};
+use crate::{Machine, SettingsError};
 use bluebellreel_types::{DataCentre, EntryName};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time from SIGTERM until the process is killed.
     pub grace: Duration,
+    /// The machine that the keeper runs on.
+    pub machine: Machine,
 }
 
 #[derive(Deserialize)]
@@ -35,6 +38,8 @@
     peers: RawPeers,
     #[serde(default)]
     stop: RawStop,
+    #[serde(default)]
+    machine: RawMachine,
 }
 
 #[derive(Deserialize)]
@@ -76,5 +81,6 @@
         folder: raw.data.folder,
         seeds: raw.peers.seeds,
         grace,
+        machine: raw.machine.checked(file)?,
     })
 }
--- a/crates/bluebellreel_settings/src/side.rs
+++ b/crates/bluebellreel_settings/src/side.rs
@@ -1,7 +1,8 @@
 //! Settings of the side process.
 
+use crate::machine::RawMachine;
 use crate::parts::Check;
-use crate::{LogTarget, SettingsError, TraceTarget};
+use crate::{LogTarget, Machine, SettingsError, TraceTarget};
 use bluebellreel_types::{DataCentre, ModelName, WorkerName};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -30,6 +31,8 @@
     limits: RawLimits,
     #[serde(default)]
     lean: SidePriority,
+    #[serde(default)]
+    machine: RawMachine,
     #[serde(default = "default_stop")]
     stop_s: u64,
     #[serde(default)]
@@ -93,6 +96,8 @@
     pub queue_bytes: usize,
     /// Target for the time between two tokens of an online stream.
     pub inter_token_target: Duration,
+    /// The machine that the side process runs on.
+    pub machine: Machine,
     /// Which measure has priority.
     pub priority: SidePriority,
     /// Limit on the graceful stop.
@@ -153,6 +158,7 @@
                 limits.inter_token_ms,
                 1,
             )?),
+            machine: raw.machine.checked(check.file)?,
             priority: raw.lean,
             stop: Duration::from_secs(check.at_least("stop_s", raw.stop_s, 1)?),
             log: raw.log,
