--- /dev/null
+++ b/tests/clients/gateway.rs
@@ -0,0 +1,294 @@
+//! Crowds at the listeners of a gateway.
+
+use crate::measure::{answers, check, gateway_withstands, head, head_of_body, on_site, withstand};
+use bluebellreel_platform_standins::{Crowd, ProcessSite, Refusal, Script};
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+/// Clients of a crowd that sends heads.
+const HEADS: usize = 250;
+/// Clients of a crowd that sends bodies.
+const BODIES: usize = 40;
+/// Bytes that a client sends without end.
+const WITHOUT_END: usize = 1024 * 1024;
+/// The longest body that the configuration allows.
+const BODY: usize = 4 * 1024 * 1024;
+/// Clients of a crowd that takes descriptors.
+const SILENT: usize = 300;
+/// Pause of a client that sends a byte now and then.
+const TRICKLE: Duration = Duration::from_secs(1);
+
+fn requests(site: &ProcessSite) -> SocketAddr {
+    site.requests
+}
+
+fn head_line() -> Script {
+    Script::flood(
+        head("POST", "/check/1", "X-Long: "),
+        [b'x'; 4096],
+        WITHOUT_END,
+    )
+}
+
+fn empty_lines() -> Script {
+    Script::flood("", b"\r\n".repeat(2048), WITHOUT_END)
+}
+
+fn target() -> Script {
+    Script::flood("GET /", [b'x'; 4096], WITHOUT_END)
+}
+
+fn short_fields() -> Script {
+    let start = head("POST", "/check/1", "");
+    Script::flood(start, b"a: b\r\n".repeat(512), WITHOUT_END)
+}
+
+/// A field that began took memory as long as its client sent on.
+#[test]
+fn heads_without_end() {
+    gateway_withstands(requests, HEADS, vec![head_line()]);
+}
+
+/// Empty lines before a request took memory, and were read anew with each further one.
+#[test]
+fn empty_lines_without_end() {
+    gateway_withstands(requests, HEADS, vec![empty_lines()]);
+}
+
+/// A target took memory as long as its client sent on.
+#[test]
+fn targets_without_end() {
+    gateway_withstands(requests, HEADS, vec![target()]);
+}
+
+/// Fields took memory as long as their client sent on.
+#[test]
+fn fields_without_end() {
+    gateway_withstands(requests, HEADS, vec![short_fields()]);
+}
+
+/// Clients that are closed for their heads without end come again at once.
+#[test]
+fn heads_without_end_come_again() {
+    let scripts = [head_line(), empty_lines()];
+    let scripts = scripts.map(|s| s.again(3)).to_vec();
+    gateway_withstands(requests, HEADS / 2, scripts);
+}
+
+/// The begin of a head stayed in memory until the idle limit.
+#[test]
+fn heads_that_stall() {
+    let start = head("POST", "/check/1", "X-Long: ") + &"x".repeat(300_000);
+    gateway_withstands(requests, HEADS, vec![Script::stall(start)]);
+}
+
+/// Whole heads of many fields took memory while their bodies were awaited.
+#[test]
+fn many_fields_before_a_body() {
+    let fields = "a: b\r\n".repeat(2000);
+    let start = head("POST", "/check/1", &fields) + "Content-Length: 1000\r\n\r\n";
+    gateway_withstands(requests, HEADS, vec![Script::stall(start)]);
+}
+
+fn most_of_a_body(path: &str) -> Script {
+    let start = head_of_body(path, BODY).into_bytes();
+    Script::stall([start, vec![b'x'; BODY - 1]].concat())
+}
+
+/// Bodies took memory until their last byte.
+#[test]
+fn bodies_without_their_last_byte() {
+    gateway_withstands(requests, BODIES, vec![most_of_a_body("/check/1")]);
+}
+
+/// Bodies of jobs took memory until their last byte.
+#[test]
+fn jobs_without_their_last_byte() {
+    gateway_withstands(requests, BODIES, vec![most_of_a_body("/book/1")]);
+}
+
+/// Bodies in tiny chunks took more memory than they have bytes.
+#[test]
+fn bodies_in_chunks_of_one_byte() {
+    let start = head("POST", "/check/1", "Transfer-Encoding: chunked\r\n\r\n");
+    let script = Script::flood(start, b"1\r\nx\r\n".repeat(512), 6 * WITHOUT_END);
+    gateway_withstands(requests, HEADS / 2, vec![script]);
+}
+
+fn job(start: &str, repeat: &str, end: &str) -> Script {
+    let repeats = (BODY - start.len() - end.len()) / repeat.len();
+    let body = [start, &repeat.repeat(repeats), end].concat();
+    let head = head_of_body("/book/1", body.len());
+    Script::stall([head.into_bytes(), body.into_bytes()].concat())
+}
+
+/// Jobs took many times the memory of their bodies once decoded.
+#[test]
+fn jobs_that_grow_when_decoded() {
+    let nested = job("{\"items\":", "[", "");
+    let numbers = job("{\"items\":[", "0,", "0]}");
+    let objects = job("{\"items\":[", "{\"a\":{}},", "{}]}");
+    gateway_withstands(requests, BODIES / 2, vec![nested, numbers, objects]);
+}
+
+/// Jobs of many items and of many fields took many times the memory of their bodies.
+#[test]
+fn jobs_of_many_small_parts() {
+    let items = job(
+        "{\"items\":[",
+        "{\"id\":\"\",\"path\":\"\"},",
+        "{\"id\":\"\",\"path\":\"\"}]}",
+    );
+    let names: String = (0..300_000).map(|n| format!("\"{n:x}\":\"\",")).collect();
+    let body = format!(
+        "{{\"items\":[{{\"id\":\"a\",\"path\":\"/book/1\",\"headers\":{{{names}\"z\":\"\"}}}}]}}"
+    );
+    let head = head_of_body("/book/1", body.len());
+    let fields = Script::stall(head + &body);
+    gateway_withstands(requests, BODIES / 4, vec![items, fields]);
+}
+
+fn pipelined(request: &str) -> Script {
+    let requests = request.repeat(100);
+    Script::flood("", requests, 4 * WITHOUT_END).unread()
+}
+
+/// Answers took memory as long as callers sent further requests and read nothing.
+#[test]
+fn answers_that_nobody_reads() {
+    let request = head("POST", "/check/1", "Content-Length: 0\r\n\r\n");
+    gateway_withstands(requests, HEADS, vec![pipelined(&request)]);
+}
+
+/// Refusals took memory as long as callers sent further requests and read nothing.
+#[test]
+fn refusals_that_nobody_reads() {
+    let request = head("GET", "/nowhere", "\r\n");
+    gateway_withstands(requests, HEADS, vec![pipelined(&request)]);
+}
+
+/// Silent clients took the descriptors that the gateway's own calls need.
+#[test]
+fn silent_connections() {
+    gateway_withstands(requests, SILENT, vec![Script::stall("")]);
+}
+
+/// Clients that send a byte of a head a second took all descriptors.
+#[test]
+fn heads_that_trickle() {
+    let start = head("POST", "/check/1", "X-Long: ");
+    gateway_withstands(requests, SILENT, vec![Script::trickle(start, "x", TRICKLE)]);
+}
+
+/// Clients that send an empty line a second took all descriptors.
+#[test]
+fn empty_lines_that_trickle() {
+    gateway_withstands(requests, SILENT, vec![Script::trickle("", "\r\n", TRICKLE)]);
+}
+
+/// Clients that send a byte of a body a second took all descriptors.
+#[test]
+fn bodies_that_trickle() {
+    let start = head_of_body("/check/1", 100_000);
+    gateway_withstands(requests, SILENT, vec![Script::trickle(start, "x", TRICKLE)]);
+}
+
+/// Connections that stay open after an answer took all descriptors.
+#[test]
+fn connections_kept_after_an_answer() {
+    let start = head("GET", "/nowhere", "\r\n");
+    gateway_withstands(requests, SILENT, vec![Script::stall(start)]);
+}
+
+/// Clients that are closed for their silence come again at once.
+#[test]
+fn silent_connections_come_again() {
+    gateway_withstands(requests, SILENT, vec![Script::stall("").again(3)]);
+}
+
+/// What each kind does alone must hold when they come together.
+#[test]
+fn all_kinds_at_once() {
+    let request = head("GET", "/nowhere", "\r\n");
+    let scripts = vec![
+        head_line(),
+        empty_lines(),
+        target(),
+        short_fields(),
+        most_of_a_body("/check/1"),
+        most_of_a_body("/book/1"),
+        job("{\"items\":[", "0,", "0]}"),
+        pipelined(&request),
+        Script::stall(""),
+        Script::trickle("", "\r\n", TRICKLE),
+    ];
+    gateway_withstands(requests, HEADS / 10, scripts);
+}
+
+/// All kinds at once, while the store is away.
+#[test]
+fn all_kinds_at_once_while_the_store_is_away() {
+    on_site(|site| async move {
+        site.faults.refusal.set(Some(Refusal::Busy));
+        let scripts = vec![
+            head_line(),
+            empty_lines(),
+            most_of_a_body("/check/1"),
+            most_of_a_body("/book/1"),
+            job("{\"items\":[", "0,", "0]}"),
+            Script::stall(""),
+        ];
+        let crowd = Crowd::start(site.requests, BODIES, scripts);
+        withstand(&mut site.gateway.borrow_mut(), crowd).await;
+        site.faults.refusal.set(None);
+        answers(&site).await;
+    });
+}
+
+/// A crowd at each listener that callers are not meant to reach.
+fn scripts_for_others() -> Vec<Script> {
+    let request = head("GET", "/v1/ready", "\r\n");
+    vec![
+        head_line(),
+        empty_lines(),
+        most_of_a_body("/sync"),
+        pipelined(&request),
+        Script::stall(""),
+    ]
+}
+
+/// Clients of the address for the balancer's checks took memory and descriptors.
+#[test]
+fn crowd_at_the_readiness_listener() {
+    gateway_withstands(|site| site.readiness, HEADS / 4, scripts_for_others());
+}
+
+/// Clients of the address for peers took memory and descriptors.
+#[test]
+fn crowd_at_the_peers_listener() {
+    gateway_withstands(|site| site.peers, HEADS / 4, scripts_for_others());
+}
+
+/// Clients of the address for metrics took memory and descriptors.
+#[test]
+fn crowd_at_the_metrics_listener() {
+    gateway_withstands(|site| site.metrics, HEADS / 4, scripts_for_others());
+}
+
+/// Datagrams that are no reports must leave nothing behind.
+#[test]
+fn datagrams_without_end() {
+    on_site(|site| async move {
+        let socket = UdpSocket::bind((site.reports.ip(), 0)).expect("a free port");
+        for n in 0..50_000_u32 {
+            let bytes = n.to_le_bytes().repeat(1 + n as usize % 300);
+            // A full queue of the receiver drops the datagram.
+            let _ = socket.send_to(&bytes, site.reports);
+            if n % 1000 == 0 {
+                check(&mut site.gateway.borrow_mut());
+                tokio::task::yield_now().await;
+            }
+        }
+        answers(&site).await;
+    });
+}
