--- a/crates/bluebellreel_entry/src/run.rs
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -12,7 +12,7 @@
     KvPool, STOPPED, follow_prefix, hold_lease, job_prefix, watch_entries, watch_vms,
 };
 use crate::readiness::Readiness;
-use bluebellreel_http::{HttpServer, serve};
+use bluebellreel_http::{HttpServer, Machine, serve};
 use bluebellreel_job::JobRecord;
 use bluebellreel_kv::{KeyValue, KvClient, KvSettings};
 use bluebellreel_rpc::{EntryCommand, EntryNotice, run_entry};
@@ -42,6 +42,9 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Timeout of one call to the key-value service.
 const KV_TIMEOUT: Duration = Duration::from_secs(2);
+/// Parts of the machine's memory of which callers may take one. The stacks and heaps of
+/// the daemon's threads take the most.
+const MEMORY_PARTS: usize = 8;
 
 /// A running entry daemon.
 pub struct Entry {
@@ -164,9 +167,17 @@
         handles: handles.clone(),
         manifest: shared.clone(),
     };
-    let http = serve(settings.listen, settings.limits.threads, move |req| {
-        handle(&cx, req);
-    })?;
+    let machine = settings.machine;
+    let machine = Machine::new(machine.memory, machine.descriptors, machine.files);
+    let account = machine.callers(MEMORY_PARTS);
+    let http = serve(
+        settings.listen,
+        settings.limits.threads,
+        account,
+        move |req| {
+            handle(&cx, req);
+        },
+    )?;
     hold_lease(&handles, http.address)?;
     watch_volumes(&handles)?;
     watch_entries(&handles)?;
--- a/crates/bluebellreel_gateway/src/answer_buffers.rs
+++ b/crates/bluebellreel_gateway/src/answer_buffers.rs
@@ -1,11 +1,12 @@
 //! Answers that are held until they are complete, and then until their callers have taken them.
 //!
 //! An answer without events is forwarded only once it is whole, so that another worker may
-//! run the request if it breaks off. All answers share a limited amount of memory: beyond it
+//! run the request if it breaks off. All answers share a limited amount of memory, which is on
+//! the account of callers: beyond it
 //! the largest one is given up, so that neither an answer that does not end nor a caller that
 //! does not read takes the memory of the others.
 
-use bluebellreel_net::{Broken, ReplyBody};
+use bluebellreel_net::{Account, Broken, Hold, NoRoom, ReplyBody};
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
 use std::cell::{Cell, RefCell};
@@ -25,8 +26,8 @@
 const MAX_BLOCK_BYTES: usize = 128 * 1024;
 
 /// An answer that is held.
-#[derive(Debug, Default)]
 struct Held {
+    hold: Hold,
     blocks: VecDeque<BytesMut>,
     /// Memory of the blocks, in bytes.
     memory: usize,
@@ -36,8 +37,8 @@
 }
 
 /// The answers that are held, within the memory that they may take.
-#[derive(Debug, Default)]
 pub(crate) struct AnswerBuffers {
+    account: Account,
     held: RefCell<BTreeMap<u64, Held>>,
     /// Memory of all blocks, in bytes.
     memory: Cell<usize>,
@@ -75,6 +76,16 @@
 }
 
 impl AnswerBuffers {
+    /// Buffers on an account.
+    pub(crate) fn new(account: Account) -> Self {
+        Self {
+            account,
+            held: RefCell::default(),
+            memory: Cell::default(),
+            next_key: Cell::default(),
+        }
+    }
+
     /// Reads a whole answer.
     ///
     /// # Errors
@@ -83,7 +94,13 @@
     /// while there is no memory for all.
     pub(crate) async fn read(self: &Rc<Self>, body: &mut ReplyBody) -> Result<HeldAnswer, Broken> {
         let key = self.next_key.replace(self.next_key.get() + 1);
-        let held = Held::default();
+        let held = Held {
+            hold: self.account.reserve(0).map_err(|NoRoom| Broken)?,
+            blocks: VecDeque::new(),
+            memory: 0,
+            is_given_up: false,
+            given_up: Rc::default(),
+        };
         let given_up = held.given_up.clone();
         self.held.borrow_mut().insert(key, held);
         let mut answer = HeldAnswer {
@@ -138,6 +155,7 @@
         self.make_room(key, size)?;
         let mut all = self.held.borrow_mut();
         let held = all.get_mut(&key).ok_or(Broken)?;
+        held.hold.add(size).map_err(|NoRoom| Broken)?;
         held.blocks.push_back(BytesMut::with_capacity(size));
         held.memory += size;
         self.memory.update(|all| all + size);
@@ -155,6 +173,7 @@
             let held = held.ok_or(Broken)?;
             self.memory.update(|all| all - held.memory);
             held.blocks.clear();
+            held.hold.give_back(held.memory);
             held.memory = 0;
             held.is_given_up = true;
             held.given_up.notify_one();
@@ -171,6 +190,7 @@
             return Ok(None);
         };
         held.memory -= block.capacity();
+        held.hold.give_back(block.capacity());
         self.memory.update(|all| all - block.capacity());
         Ok(Some(block.freeze()))
     }
--- a/crates/bluebellreel_gateway/src/answers.rs
+++ b/crates/bluebellreel_gateway/src/answers.rs
@@ -32,6 +32,15 @@
     answer
 }
 
+/// `Retry-After` of answers to requests that there is no room for.
+const RETRY_NO_ROOM: Duration = Duration::from_millis(400);
+
+/// The answer to a request that there is no room for. It has not run.
+pub(crate) fn no_room() -> Response<Body> {
+    let code = StatusCode::SERVICE_UNAVAILABLE;
+    retry_after(code, "no room for the request", RETRY_NO_ROOM)
+}
+
 /// A failure with `Retry-After`. With status 429 or 503 it guarantees that the request
 /// has not run and never will.
 pub(crate) fn retry_after(code: StatusCode, reason: &str, after: Duration) -> Response<Body> {
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 };
 use bluebellreel_kv::KeyValue;
 use bluebellreel_members::{Members, WatchDuty};
-use bluebellreel_net::{LoopLag, Pool, PoolLimits};
+use bluebellreel_net::{Account, LoopLag, Machine, Pool, PoolLimits};
 use bluebellreel_origins::{OriginRecords, VersionHistory};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_teams::{ActiveClasses, Allowances, Confirmation, Reservations, RevocationTerms};
@@ -51,6 +51,8 @@
 /// Maximum number of streams whose version is kept: those of half a minute at the peak of
 /// the whole fleet, in some 6 MB.
 const MAX_ORIGINS: usize = 65_536;
+/// Parts of the machine's memory of which callers may take one.
+const MEMORY_PARTS: usize = 2;
 /// Maximum number of idle connections per peer.
 const MAX_PEER_IDLE: usize = 8;
 
@@ -111,6 +113,10 @@
     pub(crate) workers: Pool,
     pub(crate) health_checks: HealthChecks,
     pub(crate) answer_buffers: Rc<AnswerBuffers>,
+    /// What callers make this daemon hold.
+    pub(crate) callers: Account,
+    /// What peers, the balancer and readers of metrics make it hold.
+    pub(crate) internal: Account,
     pub(crate) peers: Pool,
     pub(crate) store: StoreClient,
     pub(crate) metrics: Metrics,
@@ -186,6 +192,9 @@
             idle: PEER_IDLE_TIMEOUT,
             idle_per_address: MAX_PEER_IDLE,
         });
+        let limits = settings.machine;
+        let machine = Machine::new(limits.memory, limits.descriptors, limits.files);
+        let callers = Account::new(machine.callers(MEMORY_PARTS));
         let metrics = Metrics::default();
         let mut board = Board::new(settings.data_centre.clone(), PlacementLimits::default());
         board.evidence = settings.scheduling.worker_evidence.then(Evidence::default);
@@ -230,7 +239,9 @@
             keepers: RefCell::default(),
             keeper_visited: Notify::new(),
             health_checks: HealthChecks::default(),
-            answer_buffers: Rc::default(),
+            answer_buffers: Rc::new(AnswerBuffers::new(callers.clone())),
+            callers,
+            internal: Account::new(machine.internal()),
             unreadable: RefCell::default(),
             lease: Cell::new(0),
             registered_revision: Cell::new(0),
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -134,6 +134,18 @@
     await_decision(gw, &id, decided, received, deadline).await
 }
 
+/// Answers a submission that there is no room for. One of the same job may be being written, or
+/// have been accepted.
+pub(crate) fn refuse_unread(gw: &Gateway, id: &JobId) -> Response<Body> {
+    let is_underway = gw.jobs.borrow().submissions.contains_key(id);
+    if is_underway || owned_job(gw, id).is_some() {
+        return in_doubt(gw, id);
+    }
+    warn!(target: "jobs", job:% = id; "job refused: no room");
+    gw.metrics.job("refused");
+    answers::no_room()
+}
+
 /// Answers a submission that exceeds the quota. Its job may have been accepted
 /// before, so the store is read first.
 async fn answer_over_quota(
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -35,7 +35,7 @@
 use http::Response;
 use std::rc::Rc;
 
-pub(crate) use accept::{Submission, submit};
+pub(crate) use accept::{Submission, refuse_unread, submit};
 pub(crate) use backup::{copy_progress, store_progress_copy};
 pub(crate) use cancel::{
     cancel_own, cancellation_reported, forward_cancellations, take_cancellation,
--- a/crates/bluebellreel_gateway/src/peer_api.rs
+++ b/crates/bluebellreel_gateway/src/peer_api.rs
@@ -10,7 +10,7 @@
 use crate::origins;
 use crate::store_proxy;
 use bluebellreel_members::Revisions;
-use bluebellreel_net::{Body, read_body};
+use bluebellreel_net::{Body, RequestBody, read_body};
 use bluebellreel_origins::{
     KNOWN_KEEPERS, LIST_AGE_MS, Origin, SOLE_VERSION, StreamTag, format_keepers,
 };
@@ -18,7 +18,6 @@
 use bluebellreel_types::JobId;
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use percent_encoding::percent_decode_str;
 use std::borrow::Cow;
 use std::rc::Rc;
@@ -31,7 +30,7 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Answers a call of a peer or keeper.
-pub(crate) async fn answer(gw: Rc<Gateway>, req: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn answer(gw: Rc<Gateway>, req: Request<RequestBody>) -> Response<Body> {
     let path = req.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     let Some((caller, parts)) = caller(&parts) else {
@@ -109,7 +108,7 @@
 }
 
 /// Reads the whole body of a peer's call; none if it is too long or incomplete.
-async fn read_call_body(req: Request<Incoming>) -> Option<Bytes> {
+async fn read_call_body(req: Request<RequestBody>) -> Option<Bytes> {
     let body = read_body(req.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
     body.ok().flatten()
 }
@@ -131,7 +130,7 @@
 
 /// Answers a peer's question for the version that began a stream: from a record, else from
 /// the history of versions.
-fn origin(gw: &Gateway, stream: &str, req: &Request<Incoming>) -> Response<Body> {
+fn origin(gw: &Gateway, stream: &str, req: &Request<RequestBody>) -> Response<Body> {
     let mut answer = known_origin(gw, stream, req);
     let keepers = gw.keepers.borrow().known(gw.now());
     if let Ok(value) = HeaderValue::try_from(format_keepers(keepers)) {
@@ -140,7 +139,7 @@
     answer
 }
 
-fn known_origin(gw: &Gateway, stream: &str, req: &Request<Incoming>) -> Response<Body> {
+fn known_origin(gw: &Gateway, stream: &str, req: &Request<RequestBody>) -> Response<Body> {
     let recorded = StreamTag::parse(stream).and_then(|stream| origins::recorded(gw, stream));
     if let Some(version) = recorded {
         return answers::bytes(version.as_str().to_owned());
@@ -167,7 +166,7 @@
 }
 
 /// Makes a call to the store on behalf of a peer that the store rejects.
-async fn store(gw: &Gateway, req: Request<Incoming>) -> Response<Body> {
+async fn store(gw: &Gateway, req: Request<RequestBody>) -> Response<Body> {
     let Some(body) = read_call_body(req).await else {
         return missing_body();
     };
@@ -177,7 +176,7 @@
     }
 }
 
-fn cluster_state(gw: &Gateway, req: &Request<Incoming>) -> Response<Body> {
+fn cluster_state(gw: &Gateway, req: &Request<RequestBody>) -> Response<Body> {
     let revision = |name| i64::try_from(query_number(req, name)).unwrap_or(i64::MAX);
     let seen = Revisions {
         configuration: revision("configuration"),
@@ -190,7 +189,7 @@
     answers::bytes(cluster_state.share(seen, gw.now()).encode())
 }
 
-fn query_number(req: &Request<Incoming>, name: &str) -> u64 {
+fn query_number(req: &Request<RequestBody>, name: &str) -> u64 {
     let query = req.uri().query().unwrap_or("");
     query
         .split('&')
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -9,7 +9,7 @@
     admission, confirmation, evidence, jobs, lease, list_check, peer_api, quarantine_store,
     registration, reload, reports, serve, store_proxy, teams, watching,
 };
-use bluebellreel_net::{ConnectionTracker, Stop, every, listen};
+use bluebellreel_net::{CallerLimits, ConnectionTracker, Intake, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_types::Moment;
 use eyre::Context;
@@ -20,9 +20,12 @@
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
 
-/// How long a caller's connection may be idle before it is closed, while no
-/// configuration is known that sets this limit.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Limits of callers' connections while no configuration is known that sets them.
+const UNCONFIGURED_LIMITS: CallerLimits = CallerLimits {
+    head_bytes: 64 * 1024,
+    head_time: Duration::from_secs(15),
+    idle_time: Duration::from_secs(15),
+};
 /// Idle timeout of connections from peers, the balancer and readers of metrics.
 const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval between evictions of expired entries.
@@ -92,23 +95,24 @@
     let socket = Rc::new(socket);
 
     let g = gw.clone();
-    let limits_gw = gw.clone();
-    let admitting_gw = gw.clone();
-    spawn_local(bluebellreel_net::serve_admitted(
+    spawn_local(bluebellreel_net::serve(
         callers,
         handles.callers.stop.clone(),
         handles.callers.connection_tracker.clone(),
-        move || caller_idle(&limits_gw),
-        move || admission::admits_connection(&admitting_gw),
+        intake_of_callers(gw),
         move |req| serve::answer(g.clone(), req),
     ));
     let internal_stop = Stop::default();
+    let internal = || {
+        let limits = CallerLimits::internal(INTERNAL_IDLE_TIMEOUT);
+        Intake::new(gw.internal.clone(), move || limits)
+    };
     let g = gw.clone();
     spawn_local(bluebellreel_net::serve(
         balancer,
         internal_stop.clone(),
         ConnectionTracker::default(),
-        || INTERNAL_IDLE_TIMEOUT,
+        internal(),
         move |_| {
             let answer = serve::readiness(&g);
             async move { answer }
@@ -119,7 +123,7 @@
         peers,
         handles.peers.stop.clone(),
         handles.peers.connection_tracker.clone(),
-        || INTERNAL_IDLE_TIMEOUT,
+        internal(),
         move |req| peer_api::answer(g.clone(), req),
     ));
     let g = gw.clone();
@@ -128,7 +132,7 @@
         metrics,
         internal_stop,
         ConnectionTracker::default(),
-        || INTERNAL_IDLE_TIMEOUT,
+        internal(),
         move |_| {
             let answer = crate::answers::bytes(metrics_text(&g, (metrics_hooks.lines_dropped)()));
             async move { answer }
@@ -159,10 +163,30 @@
     Ok(())
 }
 
-/// The idle timeout of callers' connections: the configuration's, if one is known.
-fn caller_idle(gw: &Gateway) -> Duration {
+/// What callers may send. A head that is too large is refused only if the limit is certainly
+/// the newest one.
+fn intake_of_callers(gw: &Rc<Gateway>) -> Intake {
+    let (limits_gw, admitting_gw, refusing_gw) = (gw.clone(), gw.clone(), gw.clone());
+    Intake::new(gw.callers.clone(), move || caller_limits(&limits_gw))
+        .admitting(move || admission::admits_connection(&admitting_gw))
+        .refusing(move || {
+            let gw = refusing_gw.clone();
+            let limit = caller_limits(&gw).head_bytes;
+            async move {
+                let is_confirmed = confirmation::confirm_for_rejection(&gw).await.is_ok();
+                is_confirmed && caller_limits(&gw).head_bytes <= limit
+            }
+        })
+}
+
+/// The limits of callers' connections: the configuration's, if one is known.
+fn caller_limits(gw: &Gateway) -> CallerLimits {
     let configuration = gw.configuration();
-    configuration.map_or(CALLER_IDLE_TIMEOUT, |c| c.limits.idle_time)
+    configuration.map_or(UNCONFIGURED_LIMITS, |c| CallerLimits {
+        head_bytes: c.limits.head_bytes,
+        head_time: c.limits.head_time,
+        idle_time: c.limits.idle_time,
+    })
 }
 
 fn sweep(gw: &Gateway) {
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -9,14 +9,13 @@
 use crate::teams::{Credential, Denial, Need};
 use crate::{answers, jobs, teams};
 use bluebellreel_dispatch::{Configuration, Route, RouteKind};
-use bluebellreel_net::{Body, read_body};
+use bluebellreel_net::{Body, ReadError, RequestBody, read_body};
 use bluebellreel_platform::engine::Outgoing;
 use bluebellreel_platform::ingress::{self, JobCall};
 use bluebellreel_teams::Caller;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
 use http::{HeaderValue, Method, Response, StatusCode, header};
-use hyper::body::Incoming;
 use log::{info, warn};
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -35,7 +34,7 @@
 
 /// Answers a caller. While the daemon stops, every answer has `Connection: close`, so
 /// that the caller's next request goes to another daemon.
-pub(crate) async fn answer(gw: Rc<Gateway>, req: http::Request<Incoming>) -> Response<Body> {
+pub(crate) async fn answer(gw: Rc<Gateway>, req: http::Request<RequestBody>) -> Response<Body> {
     let in_progress = gw.in_progress.begin(ingress::request_id(req.headers()));
     let mut answer = answer_before_end(&gw, req).await;
     if gw.stopping.get() {
@@ -71,7 +70,7 @@
 }
 
 /// Answers a caller, with a failure if a stop leaves no time for the answer.
-async fn answer_before_end(gw: &Rc<Gateway>, req: http::Request<Incoming>) -> Response<Body> {
+async fn answer_before_end(gw: &Rc<Gateway>, req: http::Request<RequestBody>) -> Response<Body> {
     let answers_due = gw.answers_due.notified();
     let id = ingress::request_id(req.headers()).to_owned();
     let is_read = matches!(
@@ -95,7 +94,7 @@
     }
 }
 
-async fn answer_request(gw: &Rc<Gateway>, req: http::Request<Incoming>) -> Response<Body> {
+async fn answer_request(gw: &Rc<Gateway>, req: http::Request<RequestBody>) -> Response<Body> {
     if ingress::is_readiness(req.uri().path()) {
         return readiness(gw);
     }
@@ -150,7 +149,7 @@
 
 /// Checks a request against the configuration. Before a request is rejected for good, the
 /// configuration is confirmed to be the newest one.
-async fn admit(gw: &Rc<Gateway>, req: &http::Request<Incoming>) -> Result<Admitted, Rejection> {
+async fn admit(gw: &Rc<Gateway>, req: &http::Request<RequestBody>) -> Result<Admitted, Rejection> {
     match check(gw, req) {
         Err(rejection) if rejection.is_final() => {
             if confirm_for_rejection(gw).await.is_err() {
@@ -163,7 +162,7 @@
 }
 
 /// Checks a request against the configuration as held.
-fn check(gw: &Gateway, req: &http::Request<Incoming>) -> Result<Admitted, Rejection> {
+fn check(gw: &Gateway, req: &http::Request<RequestBody>) -> Result<Admitted, Rejection> {
     let configuration = gw.configuration().ok_or(Rejection::Unconfigured)?;
     if head_bytes(req) > configuration.limits.head_bytes {
         return Err(Rejection::HeadTooLarge);
@@ -224,7 +223,7 @@
 /// configuration names for the caller's key.
 async fn answer_job_call(
     gw: &Rc<Gateway>,
-    req: &http::Request<Incoming>,
+    req: &http::Request<RequestBody>,
     call: JobCall,
     caller: Caller,
 ) -> Response<Body> {
@@ -246,7 +245,7 @@
 /// Answers a request on a route.
 async fn answer_routed(
     gw: &Rc<Gateway>,
-    req: http::Request<Incoming>,
+    req: http::Request<RequestBody>,
     routed: Routed,
     received: Instant,
 ) -> Response<Body> {
@@ -268,7 +267,13 @@
     }
     let body = match read_request_body(gw, &configuration, body, deadline).await {
         Ok(body) => body,
-        Err(answer) => return answer,
+        // The rest of the body is not read.
+        Err(Unread::NoRoom) if is_submission => {
+            let id = JobId::from(ingress::request_id(&head.headers));
+            return closing(jobs::refuse_unread(gw, &id));
+        }
+        Err(Unread::NoRoom) => return closing(answers::no_room()),
+        Err(Unread::Other(answer)) => return closing(answer),
     };
     if is_refused() {
         // The stop began while this body was being received.
@@ -309,12 +314,27 @@
     fields + req.uri().path().len() + req.uri().query().map_or(0, str::len)
 }
 
+/// Why a request's body was not read.
+enum Unread {
+    /// There is no room for it.
+    NoRoom,
+    /// Something else, which the answer tells.
+    Other(Response<Body>),
+}
+
+/// An answer after which the connection closes.
+fn closing(mut answer: Response<Body>) -> Response<Body> {
+    let close = HeaderValue::from_static("close");
+    answer.headers_mut().insert(header::CONNECTION, close);
+    answer
+}
+
 async fn read_request_body(
     gw: &Rc<Gateway>,
     configuration: &Configuration,
-    body: Incoming,
+    body: RequestBody,
     deadline: Instant,
-) -> Result<Bytes, Response<Body>> {
+) -> Result<Bytes, Unread> {
     let left = deadline.saturating_duration_since(Instant::now());
     let max_bytes = configuration.limits.body_bytes;
     match read_body(body, max_bytes, left).await {
@@ -324,14 +344,15 @@
             let newest = gw.configuration().map_or(0, |c| c.limits.body_bytes);
             // The part that was read is lost, so a caller under a higher limit has to send
             // the request again.
-            Err(if is_confirmed && newest <= max_bytes {
+            Err(Unread::Other(if is_confirmed && newest <= max_bytes {
                 answers::status(StatusCode::PAYLOAD_TOO_LARGE)
             } else {
                 retry_later(UNCONFIRMED)
-            })
+            }))
         }
+        Err(ReadError::NoRoom) => Err(Unread::NoRoom),
         // The body did not arrive, so nothing was sent to a worker.
-        Err(_) => Err(answers::status(StatusCode::REQUEST_TIMEOUT)),
+        Err(ReadError::Broken) => Err(Unread::Other(answers::status(StatusCode::REQUEST_TIMEOUT))),
     }
 }
 
--- a/crates/bluebellreel_http/src/lib.rs
+++ b/crates/bluebellreel_http/src/lib.rs
@@ -19,6 +19,7 @@
 mod server;
 mod stream;
 
+pub use bluebellreel_net::{AccountLimits, Machine};
 pub use client::{is_unsent, read_line};
 pub use error::ApiError;
 pub use method::Method;
--- a/crates/bluebellreel_http/src/request.rs
+++ b/crates/bluebellreel_http/src/request.rs
@@ -5,17 +5,20 @@
 
 use crate::response::ResponseBody;
 use crate::{ApiError, Method};
+use bluebellreel_net::{Hold, Keep, ReadError, RequestBody};
 use bytes::{Buf, Bytes};
 use http::header::{CONNECTION, HeaderValue};
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use std::io::{self, Read};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
 
+/// Retry delay sent to callers whose bodies have no room.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Buffer size for reading a body, in bytes.
 const READ_CHUNK_BYTES: usize = 64 << 10;
 
@@ -39,6 +42,8 @@
 /// A handler's request for the next chunk of its body.
 struct ChunkRequest {
     deadline: Option<Instant>,
+    /// Whether the handler keeps the chunks.
+    keeps: bool,
     chunk: oneshot::Sender<io::Result<Option<Bytes>>>,
 }
 
@@ -46,18 +51,32 @@
 struct BodyReader {
     requests_tx: mpsc::UnboundedSender<ChunkRequest>,
     deadline: Option<Instant>,
+    keeps: bool,
     chunk: Bytes,
     ended: bool,
 }
 
 impl BodyReader {
-    /// Starts a task on the event loop that reads the body's chunks on request.
-    fn serve(mut body: Incoming) -> Self {
+    /// Starts a task on the event loop that reads the body's chunks on request. What the handler
+    /// keeps of them counts on `hold` from the body's end until it lets go of the reader, also if
+    /// the caller has disconnected.
+    fn serve(mut body: RequestBody, hold: Hold) -> Self {
         let (requests_tx, mut requests_rx) = mpsc::unbounded_channel::<ChunkRequest>();
         let ended = body.is_end_stream();
         tokio::task::spawn_local(async move {
+            let mut kept = 0;
             while let Some(request) = requests_rx.recv().await {
+                body.keep(if request.keeps {
+                    Keep::Body
+                } else {
+                    Keep::Piece
+                });
                 let chunk = next_chunk(&mut body, request.deadline).await;
+                match &chunk {
+                    Ok(Some(bytes)) if request.keeps => kept += bytes.len(),
+                    Ok(Some(_)) => {}
+                    Ok(None) | Err(_) => hold.force(std::mem::take(&mut kept)),
+                }
                 // Sending fails if the handler has ended and needs no chunk.
                 let _ = request.chunk.send(chunk);
             }
@@ -65,6 +84,7 @@
         Self {
             requests_tx,
             deadline: None,
+            keeps: false,
             chunk: Bytes::new(),
             ended,
         }
@@ -74,6 +94,7 @@
         let (chunk, chunk_rx) = oneshot::channel();
         let request = ChunkRequest {
             deadline: self.deadline,
+            keeps: self.keeps,
             chunk,
         };
         let unexpected_eof = || io::Error::from(io::ErrorKind::UnexpectedEof);
@@ -98,8 +119,15 @@
     }
 }
 
+fn no_room() -> io::Error {
+    io::Error::new(io::ErrorKind::OutOfMemory, ReadError::NoRoom)
+}
+
 /// Reads the next chunk of a body; `None` at its end.
-async fn next_chunk(body: &mut Incoming, deadline: Option<Instant>) -> io::Result<Option<Bytes>> {
+async fn next_chunk(
+    body: &mut RequestBody,
+    deadline: Option<Instant>,
+) -> io::Result<Option<Bytes>> {
     loop {
         let frame = match deadline {
             Some(deadline) => tokio::time::timeout_at(deadline.into(), body.frame())
@@ -110,7 +138,10 @@
         let Some(frame) = frame else {
             return Ok(None);
         };
-        let frame = frame.map_err(|e| io::Error::new(io::ErrorKind::UnexpectedEof, e))?;
+        let frame = frame.map_err(|e| match e {
+            ReadError::Broken => io::Error::new(io::ErrorKind::UnexpectedEof, e),
+            ReadError::NoRoom => no_room(),
+        })?;
         if let Ok(data) = frame.into_data() {
             return Ok(Some(data));
         }
@@ -130,16 +161,17 @@
 impl Request {
     /// Creates a request whose body is read by a task on the current `LocalSet`.
     pub(crate) fn new(
-        req: hyper::Request<Incoming>,
+        req: hyper::Request<RequestBody>,
         response_tx: oneshot::Sender<Response<ResponseBody>>,
         in_progress: InProgressGuard,
+        hold: Hold,
     ) -> Self {
         let (head, body) = req.into_parts();
         Self {
             method: Method::from(head.method.as_str()),
             url: head.uri.to_string(),
             head,
-            body: BodyReader::serve(body),
+            body: BodyReader::serve(body, hold),
             response_tx,
             in_progress,
         }
@@ -216,6 +248,7 @@
     // Without a deadline, a caller that sends its body very slowly, or only half of
     // it, would occupy a thread and delay a stop indefinitely.
     req.set_read_deadline(Some(Instant::now() + limits.time));
+    req.body.keeps = true;
     let mut body = Vec::with_capacity(announced.unwrap_or(0).min(limits.bytes));
     let mut chunk = vec![0; READ_CHUNK_BYTES];
     let reader = req.as_reader();
@@ -238,6 +271,10 @@
     if error.kind() == io::ErrorKind::TimedOut {
         return ApiError::new(408, "too_slow", "the body came too slowly");
     }
+    if error.kind() == io::ErrorKind::OutOfMemory {
+        let error = ApiError::new(503, "overloaded", "no memory for the body");
+        return error.retry_after(RETRY_DELAY);
+    }
     ApiError::new(400, "cut_short", "the body ended early")
 }
 
--- a/crates/bluebellreel_http/src/server.rs
+++ b/crates/bluebellreel_http/src/server.rs
@@ -3,11 +3,12 @@
 use crate::request::InProgressGuard;
 use crate::response::response_of;
 use crate::{ApiError, Request};
-use bluebellreel_net::{Body, ConnectionTracker, Stop};
+use bluebellreel_net::{
+    Account, AccountLimits, Body, CallerLimits, ConnectionTracker, Intake, RequestBody, Stop,
+};
 use bluebellreel_types::Ran;
 use http::header::{CONNECTION, HeaderValue};
 use hyper::Response;
-use hyper::body::Incoming;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,10 +22,19 @@
 const MAX_HEADER_BYTES: usize = 32 << 10;
 /// Stack size of a request's thread, in bytes.
 const STACK_BYTES: usize = 512 << 10;
-/// Maximum time that a connection may stay open without a complete request head.
+/// Maximum time that a connection may stay open without a request.
 /// Idle connections occupy no thread, and callers' connection pools keep them for
 /// less than a minute.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Maximum time from the first byte of a request's head to its end.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Memory of a request's thread in bytes: the used part of its stack.
+const THREAD_BYTES: usize = 64 << 10;
+const CALLER_LIMITS: CallerLimits = CallerLimits {
+    head_bytes: MAX_HEADER_BYTES,
+    head_time: HEAD_TIMEOUT,
+    idle_time: IDLE_TIMEOUT,
+};
 /// Retry delay sent to callers that are refused because of overload.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -72,7 +82,7 @@
 }
 
 /// Listens on an address and calls `handle` for each request on a new thread, with
-/// at most `threads` of them at the same time.
+/// at most `threads` of them at the same time. What callers send is within `account`.
 ///
 /// # Errors
 ///
@@ -81,6 +91,7 @@
 pub fn serve(
     address: SocketAddr,
     threads: usize,
+    account: AccountLimits,
     handle: impl Fn(Request) + Send + Sync + 'static,
 ) -> io::Result<HttpServer> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -99,17 +110,20 @@
         .spawn(move || {
             let connections = ConnectionTracker::default();
             let end_state = loop_state.clone();
+            let account = Account::new(account);
+            let intake = Intake::new(account.clone(), || CALLER_LIMITS);
             LocalSet::new().block_on(&runtime, async {
-                let respond =
-                    move |req| handle_request(loop_state.clone(), threads, handle.clone(), req);
-                bluebellreel_net::serve(
-                    listener,
-                    loop_stop,
-                    connections.clone(),
-                    || HEAD_TIMEOUT,
-                    respond,
-                )
-                .await;
+                let respond = move |req| {
+                    handle_request(
+                        loop_state.clone(),
+                        threads,
+                        handle.clone(),
+                        account.clone(),
+                        req,
+                    )
+                };
+                bluebellreel_net::serve(listener, loop_stop, connections.clone(), intake, respond)
+                    .await;
                 connections.wait_closed().await;
             });
             end_state.closed.store(true, Ordering::SeqCst);
@@ -127,14 +141,15 @@
     state: Arc<State>,
     threads: usize,
     handle: Arc<H>,
-    req: hyper::Request<Incoming>,
+    account: Account,
+    req: hyper::Request<RequestBody>,
 ) -> Response<Body>
 where
     H: Fn(Request) + Send + Sync + 'static,
 {
     let mut response = match check_limits(&state, threads, &req) {
         Some(error) => refuse(&error),
-        None => run_handler(&state, handle, req).await,
+        None => run_handler(&state, handle, &account, req).await,
     };
     if state.draining.load(Ordering::SeqCst) {
         let close = HeaderValue::from_static("close");
@@ -152,7 +167,11 @@
     response.map(Body::from)
 }
 
-fn check_limits(state: &State, threads: usize, req: &hyper::Request<Incoming>) -> Option<ApiError> {
+fn check_limits(
+    state: &State,
+    threads: usize,
+    req: &hyper::Request<RequestBody>,
+) -> Option<ApiError> {
     let headers = req.headers();
     let bytes: usize = headers
         .iter()
@@ -172,13 +191,18 @@
 async fn run_handler<H>(
     state: &State,
     handle: Arc<H>,
-    req: hyper::Request<Incoming>,
+    account: &Account,
+    req: hyper::Request<RequestBody>,
 ) -> Response<Body>
 where
     H: Fn(Request) + Send + Sync + 'static,
 {
     let (tx, response_rx) = oneshot::channel();
-    let req = Request::new(req, tx, InProgressGuard::begin(&state.in_progress));
+    let Ok(hold) = account.reserve(THREAD_BYTES) else {
+        let error = ApiError::new(503, "overloaded", "no memory for the request");
+        return refuse(&error.retry_after(RETRY_DELAY));
+    };
+    let req = Request::new(req, tx, InProgressGuard::begin(&state.in_progress), hold);
     let spawned = thread::Builder::new()
         .name("http-request".into())
         .stack_size(STACK_BYTES)
--- a/crates/bluebellreel_http/tests/server.rs
+++ b/crates/bluebellreel_http/tests/server.rs
@@ -1,6 +1,8 @@
 //! The server's behaviour as seen by callers on the wire.
 
-use bluebellreel_http::{BodyLimits, HttpServer, Reply, Request, read_body, respond, serve};
+use bluebellreel_http::{
+    AccountLimits, BodyLimits, HttpServer, Reply, Request, read_body, respond, serve,
+};
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -33,7 +35,7 @@
 
 fn start(handle: impl Fn(Request) + Send + Sync + 'static) -> HttpServer {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    serve(any_port, 64, handle).expect("a server")
+    serve(any_port, 64, AccountLimits::NONE, handle).expect("a server")
 }
 
 fn connect(server: &HttpServer) -> TcpStream {
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -7,7 +7,10 @@
 use crate::persistence::{PendingWrite, write_origins, write_progress, write_snapshots};
 use crate::shutdown::{KeeperTasks, StopSummary, shut_down};
 use crate::stored_state::{StoredState, read_stored_state};
-use bluebellreel_net::{ConnectionTracker, Pool, PoolLimits, Stop, listen, serve};
+use bluebellreel_net::{
+    Account, CallerLimits, ConnectionTracker, Intake, Machine, Pool, PoolLimits, Stop, listen,
+    serve,
+};
 use bluebellreel_origins::{OriginRecords, VersionHistory};
 use bluebellreel_settings::{KeeperSettings, SettingsError};
 use bluebellreel_snapshot::{
@@ -34,6 +37,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(25);
 /// Time between two reads of the settings file.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
+/// Parts of the machine's memory of which callers may take one. The rest is
+/// for what the keeper keeps.
+const MEMORY_PARTS: usize = 4;
 /// Time for which a gateway's connection may stay open without a request.
 const SERVER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -130,6 +136,8 @@
     stop_requested: impl Future<Output = ()>,
 ) -> eyre::Result<StopSummary> {
     let listener = listen(settings.calls).wrap_err("cannot listen on the address for calls")?;
+    let limits = settings.machine;
+    let machine = Machine::new(limits.memory, limits.descriptors, limits.files);
     let mut stop_requested = pin!(stop_requested);
     let stored = tokio::select! {
         stored = read_stored_state(settings.folder.clone()) => stored,
@@ -189,11 +197,12 @@
     let stop = Stop::default();
     let served = ConnectionTracker::default();
     let k = keeper.clone();
+    let account = Account::new(machine.callers(MEMORY_PARTS));
     let serving = serve(
         listener,
         stop.clone(),
         served.clone(),
-        || SERVER_IDLE_TIMEOUT,
+        Intake::new(account, || CallerLimits::internal(SERVER_IDLE_TIMEOUT)),
         move |req| crate::serve::answer(k.clone(), req),
     );
     spawn_local(serving);
--- a/crates/bluebellreel_keeper/src/serve.rs
+++ b/crates/bluebellreel_keeper/src/serve.rs
@@ -1,14 +1,13 @@
 //! Server for gateways: stores and returns progress backups.
 
 use crate::keeper::Keeper;
-use bluebellreel_net::{Body, read_body};
+use bluebellreel_net::{Body, RequestBody, read_body};
 use bluebellreel_origins::{
     KNOWN_KEEPERS, LIST_AGE_MS, Origin, RECORDS_LOST, SOLE_VERSION, StreamTag, format_keepers,
 };
 use bluebellreel_types::{JobId, WorkerVersion};
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,7 +32,7 @@
 }
 
 /// Handles a request of a gateway.
-pub(crate) async fn answer(keeper: Rc<Keeper>, req: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn answer(keeper: Rc<Keeper>, req: Request<RequestBody>) -> Response<Body> {
     let path = req.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (req.method(), parts.as_slice()) {
--- a/crates/bluebellreel_keeper/tests/stop.rs
+++ b/crates/bluebellreel_keeper/tests/stop.rs
@@ -2,13 +2,12 @@
 
 use bluebellreel_keeper::{StopSummary, load_snapshot, run_keeper_until};
 use bluebellreel_members::Revisions;
-use bluebellreel_net::{Body, ConnectionTracker, Stop, listen, serve};
+use bluebellreel_net::{Body, ConnectionTracker, Intake, RequestBody, Stop, listen, serve};
 use bluebellreel_settings::{KeeperSettings, Machine};
 use bluebellreel_snapshot::{GatewayState, SharedFacts};
 use bluebellreel_types::{DataCentre, EntryName};
 use bytes::Bytes;
 use http::{Request, Response};
-use hyper::body::Incoming;
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
@@ -49,13 +48,13 @@
             listener,
             Stop::default(),
             ConnectionTracker::default(),
-            || Duration::from_secs(30),
+            Intake::unlimited(Duration::from_secs(30)),
             move |req| gateway.clone().answer(req),
         ));
         at
     }
 
-    async fn answer(self, req: Request<Incoming>) -> Response<Body> {
+    async fn answer(self, req: Request<RequestBody>) -> Response<Body> {
         let path = req.uri().path().to_owned();
         self.paths.borrow_mut().push(path.clone());
         if path == "/state" {
--- a/crates/bluebellreel_net/src/connection.rs
+++ b/crates/bluebellreel_net/src/connection.rs
@@ -1,44 +1,101 @@
 //! State and byte stream of a served connection.
 //!
-//! A stopping server must distinguish an idle connection from one on which part of a
-//! request has arrived: it may close the first and has to answer the second. The
-//! HTTP library closes both, so this module tracks the bytes of each connection
-//! itself.
+//! The HTTP library gets the bytes of a request only once its head is complete, and those of a
+//! further request only once the answer to the one before is written. So what a caller may make
+//! this process hold, and whether it may close the connection, is known here: a stopping server
+//! may close an idle connection, and has to answer one on which part of a request has arrived.
 
-use bytes::Bytes;
-use hyper::body::{Frame, SizeHint};
+use crate::account::{Hold, Stage};
+use crate::framing::{
+    BodyEnd, ChunkScan, FREE_FIELD_BYTES, HeadError, HeadScan, MAX_FIELDS, WholeHead,
+    max_head_bytes,
+};
+use crate::intake::{CallerLimits, Intake};
+use crate::{Body, Broken, NoRoom, RequestBody};
+use bytes::{Buf, Bytes, BytesMut};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, Sleep, sleep};
-
-use crate::{Body, Broken};
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 /// How long the server keeps reading from a connection after its last response, for
 /// callers that are still sending the body of the request. Callers allow the same
 /// time for opening a new connection.
 const LINGER: Duration = Duration::from_secs(1);
-/// Size of the buffer for discarded bytes.
-const DISCARD_BYTES: usize = 8192;
+/// Size of the buffer into which bytes are read.
+const READ_BYTES: usize = 8192;
+/// Memory of a connection in bytes: its state and the buffers of the HTTP library.
+const CONNECTION_BYTES: usize = 16 * 1024;
+/// Number of fields that are taken also where the limit of bytes is low.
+const MIN_FIELDS: usize = 100;
+/// Memory of a field of a request's head in bytes, beside its text.
+const FIELD_BYTES: usize = 128;
+/// Size in bytes of the kernel's buffers of a connection, one for each direction; the kernel
+/// takes twice as much.
+pub(crate) const KERNEL_BUFFER_BYTES: usize = 128 * 1024;
+/// The answer to a head that is too large.
+const HEAD_TOO_LARGE: &[u8] =
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// State of one served connection, shared by the server and the connection's I/O.
 pub(crate) struct ConnectionState {
     stream: RefCell<TcpStream>,
+    intake: Rc<Intake>,
+    hold: Hold,
+    input: RefCell<Input>,
     pub(crate) accepted_at: Instant,
+    /// Number of fields that the HTTP library takes.
+    max_fields: usize,
     /// Requests received so far.
     taken: Cell<u64>,
     /// Requests whose responses are not completely written.
     in_progress: Cell<usize>,
-    /// Bytes read since the last write of a response.
-    unanswered_bytes: Cell<usize>,
     /// Whether a response has announced that the connection closes after it.
     close_announced: Cell<bool>,
+    /// Whether the caller does not take what is written.
+    is_blocked: Cell<bool>,
+    /// When the connection has been closed by its caller's silence.
+    silent_at: Cell<Instant>,
+    /// Wakes the HTTP library once it may read the next request.
+    reader: RefCell<Option<Waker>>,
+    /// Memory held for the request in progress, in bytes.
+    request_memory: Cell<usize>,
+    /// Memory held for an answer that is whole until it is written, in bytes.
+    answer_memory: Cell<usize>,
+    error: Cell<Option<HeadError>>,
+}
+
+/// Which part of a request comes next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// A head.
+    Head,
+    /// The rest of a whole head, for the HTTP library.
+    WholeHead { left: usize },
+    /// Nothing until the HTTP library has parsed the head.
+    Parsing,
+    /// A body.
+    Body(BodyEnd),
+}
+
+/// Bytes that were read and not yet given to the HTTP library.
+struct Input {
+    bytes: BytesMut,
+    framing: Framing,
+    scan: HeadScan,
+    /// The head that was given last.
+    head: WholeHead,
+    /// When the head began that is incomplete.
+    head_began: Option<Instant>,
+    /// Memory held for bytes that wait, in this buffer or the kernel's.
+    held: usize,
 }
 
 /// What a connection without a request in progress is waiting for.
@@ -53,22 +110,152 @@
 }
 
 impl ConnectionState {
-    pub(crate) fn new(stream: TcpStream) -> Rc<Self> {
-        Rc::new(Self {
+    /// The state of a new connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the account has no room for it.
+    pub(crate) fn new(stream: TcpStream, intake: &Rc<Intake>) -> Result<Rc<Self>, NoRoom> {
+        let hold = intake.account.connect(CONNECTION_BYTES)?;
+        let now = Instant::now();
+        Ok(Rc::new(Self {
             stream: RefCell::new(stream),
-            accepted_at: Instant::now(),
+            intake: intake.clone(),
+            hold,
+            input: RefCell::new(Input {
+                bytes: BytesMut::new(),
+                framing: Framing::Head,
+                scan: HeadScan::default(),
+                head: WholeHead {
+                    bytes: 0,
+                    fields: 0,
+                },
+                head_began: None,
+                held: 0,
+            }),
+            accepted_at: now,
+            max_fields: max_fields((intake.limits)()),
             taken: Cell::new(0),
             in_progress: Cell::new(0),
-            unanswered_bytes: Cell::new(0),
             close_announced: Cell::new(false),
-        })
+            is_blocked: Cell::new(false),
+            silent_at: Cell::new(now),
+            reader: RefCell::default(),
+            request_memory: Cell::new(0),
+            answer_memory: Cell::new(0),
+            error: Cell::new(None),
+        }))
+    }
+
+    /// Maximum size in bytes of a whole head within the limits, separators included.
+    pub(crate) fn max_head_bytes(&self) -> usize {
+        max_head_bytes((self.intake.limits)().head_bytes)
+    }
+
+    /// Number of fields that the HTTP library is to take.
+    pub(crate) fn max_fields(&self) -> usize {
+        self.max_fields
     }
 
-    /// Counts a request. It is in progress until the returned guard is dropped.
-    pub(crate) fn take(self: &Rc<Self>) -> RequestGuard {
+    /// Counts a request, whose head was parsed. It is in progress until the returned guard is
+    /// dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room for it.
+    pub(crate) fn take(
+        self: &Rc<Self>,
+        req: &hyper::Request<Incoming>,
+    ) -> (RequestGuard, Result<(), NoRoom>) {
         self.taken.set(self.taken.get() + 1);
         self.in_progress.set(self.in_progress.get() + 1);
-        RequestGuard(self.clone())
+        let mut input = self.input.borrow_mut();
+        let head = input.head;
+        let size = req.body().size_hint().exact();
+        let size = size.map(|size| usize::try_from(size).unwrap_or(usize::MAX));
+        input.framing = match size {
+            Some(0) => Framing::Head,
+            Some(size) => Framing::Body(BodyEnd::After(size)),
+            None => Framing::Body(BodyEnd::Chunked(ChunkScan::default())),
+        };
+        drop(input);
+        let has_body = size != Some(0);
+        self.hold
+            .enter(if has_body { Stage::Body } else { Stage::Busy });
+        // The body may arrive before it is read.
+        let unread = size.unwrap_or(usize::MAX).min(KERNEL_BUFFER_BYTES);
+        let room = self.hold_request(head.bytes + head.fields * FIELD_BYTES + unread);
+        (RequestGuard(self.clone()), room)
+    }
+
+    /// Holds memory until the request's end.
+    fn hold_request(&self, bytes: usize) -> Result<(), NoRoom> {
+        self.hold.add(bytes)?;
+        self.request_memory.update(|all| all + bytes);
+        Ok(())
+    }
+
+    /// Counts bytes of a body that its reader gets.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room for them, or if the request was closed for others.
+    pub(crate) fn hold_body(&self, bytes: usize) -> Result<(), NoRoom> {
+        if self.hold.is_evicted() {
+            return Err(NoRoom);
+        }
+        self.hold_request(bytes)
+    }
+
+    /// Gives back memory that was held for a request.
+    pub(crate) fn release(&self, bytes: usize) {
+        let bytes = bytes.min(self.request_memory.get());
+        self.request_memory.update(|all| all - bytes);
+        self.hold.give_back(bytes);
+    }
+
+    /// Counts a whole answer until it is written.
+    pub(crate) fn hold_answer(&self, bytes: usize) {
+        self.hold.force(bytes);
+        self.answer_memory.update(|all| all + bytes);
+    }
+
+    /// Whether the request was closed for others. Wakes the reader of its body then.
+    pub(crate) fn is_refused(&self, cx: &mut Context<'_>) -> bool {
+        self.hold.set_reader(cx.waker());
+        self.hold.is_evicted()
+    }
+
+    /// Records that the body of the request in progress is complete.
+    pub(crate) fn end_body(&self) {
+        if self.hold.stage() == Stage::Body {
+            self.hold.enter(Stage::Busy);
+        }
+    }
+
+    /// Ends a request whose response is written.
+    fn end_request(&self) {
+        self.in_progress
+            .set(self.in_progress.get().saturating_sub(1));
+        self.hold.give_back(self.request_memory.take());
+        self.hold.enter(if self.is_blocked.get() {
+            Stage::Stalled
+        } else {
+            Stage::Idle
+        });
+        self.silent_at.set(Instant::now());
+        self.wake_reader();
+    }
+
+    fn wake_reader(&self) {
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+
+    /// Waits until the account closes the connection.
+    pub(crate) async fn closed_for_others(&self) {
+        self.hold.closed().await;
     }
 
     /// Records that a response has announced the end of the connection.
@@ -85,7 +272,7 @@
     /// What the connection is waiting for. Valid only while no request is in
     /// progress.
     pub(crate) fn awaiting(&self) -> Awaiting {
-        if self.unanswered_bytes.get() > 0 || self.has_unread() {
+        if !self.input.borrow().bytes.is_empty() || self.has_unread() {
             Awaiting::RestOfRequest
         } else if self.taken.get() == 0 {
             Awaiting::FirstRequest
@@ -102,16 +289,39 @@
         let peeked = socket2::SockRef::from(&*stream).peek(&mut byte);
         peeked.is_ok_and(|n| n > 0)
     }
+
+    /// Refuses a head that was not taken, once the HTTP library has let go of the connection.
+    pub(crate) async fn refuse_head(self: Rc<Self>) {
+        if self.error.get() != Some(HeadError::TooLarge) || !(self.intake.refuses)().await {
+            return;
+        }
+        self.announce_close();
+        let mut io = ConnectionIo::new(self);
+        // The caller may be gone.
+        if io.write_all(HEAD_TOO_LARGE).await.is_ok() {
+            let _ = io.shutdown().await;
+        }
+    }
+}
+
+/// Number of fields that a head within the limits can have.
+fn max_fields(limits: CallerLimits) -> usize {
+    let fields = limits.head_bytes / FREE_FIELD_BYTES;
+    fields.clamp(MIN_FIELDS, MAX_FIELDS)
 }
 
 /// Marks a request as in progress until dropped.
 pub(crate) struct RequestGuard(Rc<ConnectionState>);
 
+impl RequestGuard {
+    pub(crate) fn body(&self, incoming: Incoming) -> RequestBody {
+        RequestBody::new(incoming, self.0.clone())
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0
-            .in_progress
-            .set(self.0.in_progress.get().saturating_sub(1));
+        self.0.end_request();
     }
 }
 
@@ -153,6 +363,8 @@
 /// The byte stream of a connection, as the HTTP library reads and writes it.
 pub(crate) struct ConnectionIo {
     state: Rc<ConnectionState>,
+    /// When the caller has been silent for too long.
+    due: Pin<Box<Sleep>>,
     /// When discarding ends; set once the write side is shut down.
     discard_end: Option<Pin<Box<Sleep>>>,
 }
@@ -160,6 +372,7 @@
 impl ConnectionIo {
     pub(crate) fn new(state: Rc<ConnectionState>) -> Self {
         Self {
+            due: Box::pin(sleep_until(state.accepted_at)),
             state,
             discard_end: None,
         }
@@ -172,16 +385,185 @@
             .discard_end
             .get_or_insert_with(|| Box::pin(sleep(LINGER)));
         let mut stream = self.state.stream.borrow_mut();
-        let mut bytes = [0; DISCARD_BYTES];
+        let mut bytes = [0; READ_BYTES];
         loop {
             let mut buf = ReadBuf::new(&mut bytes);
             match Pin::new(&mut *stream).poll_read(cx, &mut buf) {
-                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {}
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
+                    if discard_end.as_mut().poll(cx).is_ready() {
+                        return Poll::Ready(());
+                    }
+                }
                 Poll::Ready(_) => return Poll::Ready(()),
                 Poll::Pending => return discard_end.as_mut().poll(cx),
             }
         }
     }
+
+    /// Reads more bytes into the input; returns false at the end of the stream.
+    fn poll_fill(&self, input: &mut Input, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        let mut bytes = [0; READ_BYTES];
+        let mut buf = ReadBuf::new(&mut bytes);
+        let mut stream = self.state.stream.borrow_mut();
+        ready!(Pin::new(&mut *stream).poll_read(cx, &mut buf))?;
+        input.bytes.extend_from_slice(buf.filled());
+        Poll::Ready(Ok(!buf.filled().is_empty()))
+    }
+
+    /// Waits for a request's head. Returns false if the connection is to be closed.
+    fn poll_head(&mut self, input: &mut Input, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        let state = self.state.clone();
+        if state.hold.is_evicted() {
+            return Poll::Ready(Ok(false));
+        }
+        loop {
+            let limits = (state.intake.limits)();
+            let scanned = input.scan.advance(&input.bytes, limits.head_bytes);
+            input.bytes.advance(input.scan.take_empty_lines());
+            let scanned = match scanned {
+                Ok(Some(head)) if head.fields > max_fields(limits) => Err(HeadError::TooLarge),
+                scanned => scanned,
+            };
+            match scanned {
+                Ok(Some(head)) if head.fields <= state.max_fields => {
+                    input.begin_head(head);
+                    state.hold_waiting(input);
+                    return Poll::Ready(Ok(true));
+                }
+                // The limit has been raised since the connection was opened: its caller may
+                // open another one.
+                Ok(Some(_)) => return Poll::Ready(Ok(false)),
+                Ok(None) => {}
+                Err(e) => {
+                    state.error.set(Some(e));
+                    let reason = "the request's head is not taken";
+                    return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+                }
+            }
+            if input.scan.has_begun() {
+                input.head_began.get_or_insert_with(Instant::now);
+                state.hold.enter(Stage::Head);
+            }
+            if !state.hold_waiting(input) {
+                return Poll::Ready(Ok(false));
+            }
+            match self.poll_fill(input, cx) {
+                Poll::Ready(Ok(true)) => {}
+                Poll::Ready(other) => return Poll::Ready(other),
+                Poll::Pending => {
+                    let until = match input.head_began {
+                        Some(began) => began + limits.head_time,
+                        None => state.silent_at.get() + limits.idle_time,
+                    };
+                    if self.due.deadline() != until {
+                        self.due.as_mut().reset(until);
+                    }
+                    ready!(self.due.as_mut().poll(cx));
+                    return Poll::Ready(Ok(false));
+                }
+            }
+        }
+    }
+
+    /// Reads ahead of a request in progress, so that the end of the stream is seen. Returns
+    /// false at that end.
+    fn poll_ahead(&self, input: &mut Input, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        let state = &self.state;
+        if input.bytes.is_empty() && !ready!(self.poll_fill(input, cx))? {
+            return Poll::Ready(Ok(false));
+        }
+        // A request in progress is not ended for what comes behind it.
+        state.force_waiting(input);
+        state.reader.replace(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+}
+
+impl ConnectionState {
+    /// Whether no further request is to be read yet: one is in progress, or the caller does not
+    /// take the answer to it.
+    fn is_occupied(&self) -> bool {
+        self.in_progress.get() > 0 || self.is_blocked.get()
+    }
+
+    /// Holds memory for the bytes that wait in the input, and for those that may wait behind
+    /// them in the kernel.
+    fn force_waiting(&self, input: &mut Input) {
+        let waiting = input.bytes.len() + 2 * KERNEL_BUFFER_BYTES;
+        if waiting > input.held {
+            self.hold.force(waiting - input.held);
+            input.held = waiting;
+        }
+    }
+
+    /// Holds memory for the bytes that wait in the input. Returns false if there is no room.
+    fn hold_waiting(&self, input: &mut Input) -> bool {
+        let waiting = input.bytes.len();
+        let has_room = if waiting > input.held {
+            self.hold.add(waiting - input.held).is_ok()
+        } else {
+            self.hold.give_back(input.held - waiting);
+            true
+        };
+        if has_room {
+            input.held = waiting;
+        }
+        has_room
+    }
+
+    /// Records whether the caller takes what is written.
+    fn set_blocked(&self, is_blocked: bool) {
+        if self.is_blocked.replace(is_blocked) == is_blocked {
+            return;
+        }
+        let is_in_progress = self.in_progress.get() > 0;
+        if is_blocked {
+            self.hold.enter(Stage::Stalled);
+            self.hold.force(2 * KERNEL_BUFFER_BYTES);
+        } else {
+            self.hold.give_back(2 * KERNEL_BUFFER_BYTES);
+            self.hold.enter(if is_in_progress {
+                Stage::Busy
+            } else {
+                Stage::Idle
+            });
+            self.wake_reader();
+        }
+    }
+}
+
+impl Input {
+    /// Begins to give a whole head to the HTTP library.
+    fn begin_head(&mut self, head: WholeHead) {
+        self.framing = Framing::WholeHead { left: head.bytes };
+        self.head = head;
+        self.scan = HeadScan::default();
+        self.head_began = None;
+    }
+
+    /// Gives bytes to the HTTP library.
+    fn give(&mut self, count: usize, buf: &mut ReadBuf<'_>) -> usize {
+        let count = count.min(buf.remaining()).min(self.bytes.len());
+        buf.put_slice(&self.bytes[..count]);
+        self.bytes.advance(count);
+        if self.bytes.is_empty() {
+            // Returns the memory of a long head.
+            self.bytes = BytesMut::new();
+        }
+        count
+    }
+
+    /// Gives bytes of a body to the HTTP library, up to the body's end.
+    fn give_body(&mut self, mut end: BodyEnd, buf: &mut ReadBuf<'_>) {
+        let count = self.bytes.len().min(buf.remaining());
+        let (taken, has_ended) = end.take(&self.bytes[..count]);
+        self.give(taken, buf);
+        self.framing = if has_ended {
+            Framing::Head
+        } else {
+            Framing::Body(end)
+        };
+    }
 }
 
 impl AsyncRead for ConnectionIo {
@@ -190,13 +572,53 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut *self.state.stream.borrow_mut()).poll_read(cx, buf);
-        let received = buf.filled().len() - before;
-        self.state
-            .unanswered_bytes
-            .set(self.state.unanswered_bytes.get() + received);
-        read
+        let this = self.get_mut();
+        let state = this.state.clone();
+        let mut input = state.input.borrow_mut();
+        loop {
+            match input.framing {
+                Framing::Head if state.is_occupied() => {
+                    ready!(this.poll_ahead(&mut input, cx))?;
+                    return Poll::Ready(Ok(()));
+                }
+                Framing::Head => {
+                    // What was to be written is written.
+                    state.hold.give_back(state.answer_memory.take());
+                    // The end of the stream closes the connection.
+                    if !ready!(this.poll_head(&mut input, cx))? {
+                        return Poll::Ready(Ok(()));
+                    }
+                }
+                Framing::WholeHead { left } => {
+                    let left = left - input.give(left, buf);
+                    input.framing = if left == 0 {
+                        Framing::Parsing
+                    } else {
+                        Framing::WholeHead { left }
+                    };
+                    state.hold_waiting(&mut input);
+                    return Poll::Ready(Ok(()));
+                }
+                // The HTTP library finds no end of the head.
+                Framing::Parsing => return Poll::Ready(Ok(())),
+                Framing::Body(end) => {
+                    if input.bytes.is_empty() && !ready!(this.poll_fill(&mut input, cx))? {
+                        return Poll::Ready(Ok(()));
+                    }
+                    input.give_body(end, buf);
+                    state.hold_waiting(&mut input);
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
+    }
+}
+
+impl ConnectionIo {
+    /// Notes whether the caller takes what is written.
+    fn written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.state.set_blocked(result.is_pending());
+        result
     }
 }
 
@@ -206,8 +628,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.state.unanswered_bytes.set(0);
-        Pin::new(&mut *self.state.stream.borrow_mut()).poll_write(cx, buf)
+        let written = Pin::new(&mut *self.state.stream.borrow_mut()).poll_write(cx, buf);
+        self.written(written)
     }
 
     fn poll_write_vectored(
@@ -215,8 +637,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.state.unanswered_bytes.set(0);
-        Pin::new(&mut *self.state.stream.borrow_mut()).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut *self.state.stream.borrow_mut()).poll_write_vectored(cx, bufs);
+        self.written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/bluebellreel_net/src/lib.rs
+++ b/crates/bluebellreel_net/src/lib.rs
@@ -12,20 +12,27 @@
 //! assert_eq!(answer.status(), 200);
 //! ```
 
+mod account;
 mod allowance;
 mod body;
 mod call;
 mod connection;
+mod framing;
+mod intake;
+mod machine;
 mod pool;
 mod reply;
 mod saturation;
 mod server;
 mod tasks;
 
-pub use body::{Body, Broken, read_body};
+pub use account::{Account, AccountLimits, Hold, NoRoom, Stage};
+pub use body::{Body, Broken, Keep, ReadError, RequestBody, read_body};
 pub use call::{CallError, call, exchange};
+pub use intake::{CallerLimits, Intake};
+pub use machine::Machine;
 pub use pool::{DedicatedConnection, Pool, PoolLimits, ProbeResult, Reuse, SendError};
 pub use reply::{Reply, ReplyBody};
 pub use saturation::{LoopLag, sample_lag};
-pub use server::{ConnectionTracker, Stop, listen, serve, serve_admitted};
+pub use server::{ConnectionTracker, Stop, listen, serve};
 pub use tasks::{Periodic, every};
--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -1,8 +1,12 @@
 //! HTTP server on a single-threaded event loop.
 
-use crate::Body;
-use crate::connection::{Awaiting, ConnectionIo, ConnectionState, GuardedBody};
-use http::header::{CONNECTION, HeaderValue};
+use crate::connection::{
+    Awaiting, ConnectionIo, ConnectionState, GuardedBody, KERNEL_BUFFER_BYTES,
+};
+use crate::{Body, Intake, NoRoom, RequestBody};
+use bytes::Bytes;
+use http::StatusCode;
+use http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
@@ -26,6 +30,8 @@
 const BACKLOG: u32 = 1024;
 /// Pause after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Minimum size of the HTTP library's buffers, in bytes.
+const MIN_BUFFER_BYTES: usize = 400 * 1024;
 /// How long written bytes may stay unacknowledged before the connection counts as
 /// broken. A machine without power never acknowledges; with the kernel's default its
 /// connection would stay open for minutes.
@@ -173,43 +179,38 @@
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    // Connections inherit these sizes. Without them the kernel's buffers grow with what callers
+    // send or do not read.
+    let size = u32::try_from(KERNEL_BUFFER_BYTES).unwrap_or(u32::MAX);
+    socket.set_recv_buffer_size(size)?;
+    socket.set_send_buffer_size(size)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
 
-/// Serves connections with the handler `answer` until [`Stop::finish`] is called.
-/// `idle` returns how long a new connection may stay without a request.
+/// Serves connections with the handler `answer` until [`Stop::finish`] is called, within
+/// `intake`.
 pub async fn serve<F, A>(
     listener: TcpListener,
     stop: Stop,
     served: ConnectionTracker,
-    idle: impl Fn() -> Duration,
+    intake: Intake,
     answer: F,
 ) where
-    F: Fn(hyper::Request<Incoming>) -> A + 'static,
-    A: Future<Output = hyper::Response<Body>> + 'static,
-{
-    serve_admitted(listener, stop, served, idle, || true, answer).await;
-}
-
-/// Serves connections as [`serve`] does. Those that `admits` does not admit are closed
-/// unread, so that their callers may try another server.
-pub async fn serve_admitted<F, A>(
-    listener: TcpListener,
-    stop: Stop,
-    served: ConnectionTracker,
-    idle: impl Fn() -> Duration,
-    admits: impl Fn() -> bool,
-    answer: F,
-) where
-    F: Fn(hyper::Request<Incoming>) -> A + 'static,
+    F: Fn(hyper::Request<RequestBody>) -> A + 'static,
     A: Future<Output = hyper::Response<Body>> + 'static,
 {
     let listening = served.listen();
     let answer = Rc::new(answer);
+    let intake = Rc::new(intake);
     let begin = |stream| {
+        // Without room for the connection it is closed unread, and its caller may try another
+        // server.
+        let Ok(state) = ConnectionState::new(stream, &intake) else {
+            return;
+        };
         let count = served.accept();
-        let connection = serve_one(stream, stop.clone(), idle(), answer.clone());
+        let connection = serve_one(state, stop.clone(), answer.clone());
         tokio::task::spawn_local(async move {
             connection.await;
             drop(count);
@@ -221,7 +222,7 @@
             () = stop.reached(Stage::Finishing) => break,
         };
         match accepted {
-            Ok((stream, _)) if admits() => begin(stream),
+            Ok((stream, _)) if (intake.admits)() => begin(stream),
             Ok(_) => {}
             Err(e) => {
                 warn!(target: "http", error:% = e; "accept failed");
@@ -252,30 +253,50 @@
 }
 
 /// Serves one connection until it closes.
-async fn serve_one<F, A>(stream: TcpStream, stop: Stop, idle: Duration, answer: Rc<F>)
+async fn serve_one<F, A>(state: Rc<ConnectionState>, stop: Stop, answer: Rc<F>)
 where
-    F: Fn(hyper::Request<Incoming>) -> A + 'static,
+    F: Fn(hyper::Request<RequestBody>) -> A + 'static,
+    A: Future<Output = hyper::Response<Body>> + 'static,
+{
+    tokio::select! {
+        () = serve_requests(state.clone(), stop, answer) => {}
+        () = state.closed_for_others() => return,
+    }
+    state.refuse_head().await;
+}
+
+/// Serves the requests on a connection.
+async fn serve_requests<F, A>(state: Rc<ConnectionState>, stop: Stop, answer: Rc<F>)
+where
+    F: Fn(hyper::Request<RequestBody>) -> A + 'static,
     A: Future<Output = hyper::Response<Body>> + 'static,
 {
-    set_socket_options(&stream);
-    let state = ConnectionState::new(stream);
     let (state_of_requests, stop_of_requests) = (state.clone(), stop.clone());
     let service = service_fn(move |req| {
-        let request = state_of_requests.take();
+        let (request, room) = state_of_requests.take(&req);
         let (state, stop_of_requests, answer) = (
             state_of_requests.clone(),
             stop_of_requests.clone(),
             answer.clone(),
         );
         async move {
-            let mut answer = answer(req).await;
+            let req = req.map(|incoming| request.body(incoming));
+            let mut answer = match room {
+                Ok(()) => answer(req).await,
+                Err(NoRoom) => no_room(),
+            };
             announce_close(&state, &stop_of_requests, &mut answer);
+            if let Body::Full(Some(bytes)) = answer.body() {
+                state.hold_answer(bytes.len());
+            }
             Ok::<_, Infallible>(answer.map(|body| GuardedBody::new(body, request)))
         }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        .header_read_timeout(None)
+        .max_headers(state.max_fields())
+        .max_buf_size(state.max_head_bytes().max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(ConnectionIo::new(state.clone())), service);
     let mut connection = pin!(connection);
     tokio::select! {
@@ -287,6 +308,16 @@
     close_when_idle(connection, &state).await;
 }
 
+/// The answer to a request that was not handled, as there is no room for it.
+fn no_room() -> hyper::Response<Body> {
+    let mut answer = hyper::Response::new(Body::full(Bytes::new()));
+    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let headers = answer.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
 /// Serves a connection of a stopping server until no part of a further request has
 /// arrived on it, then closes it. If shut down earlier, the HTTP library
 /// drops requests that are unread or half read, and closes a new connection before
--- a/crates/bluebellreel_net/tests/raw/mod.rs
+++ b/crates/bluebellreel_net/tests/raw/mod.rs
@@ -1,9 +1,10 @@
 //! A server on the loopback interface, and callers that write raw bytes.
 
-use bluebellreel_net::{Body, ConnectionTracker, Stop, listen, read_body, serve};
+use bluebellreel_net::{
+    Body, ConnectionTracker, Intake, RequestBody, Stop, listen, read_body, serve,
+};
 use bytes::Bytes;
 use http::{Request, Response};
-use hyper::body::Incoming;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::ErrorKind;
@@ -64,7 +65,7 @@
             listener,
             server.stop.clone(),
             server.served.clone(),
-            || IDLE,
+            Intake::unlimited(IDLE),
             move |req| answer(req, taken.clone(), release.clone(), held.clone()),
         ));
         server
@@ -99,7 +100,7 @@
 }
 
 async fn answer(
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
     taken: Rc<RefCell<Vec<String>>>,
     release: Rc<Notify>,
     held: Rc<Cell<bool>>,
--- a/crates/bluebellreel_net/tests/saturation.rs
+++ b/crates/bluebellreel_net/tests/saturation.rs
@@ -1,8 +1,8 @@
 //! Saturated event loops, and servers that close connections unread.
 
 use bluebellreel_net::{
-    Body, ConnectionTracker, LoopLag, Pool, PoolLimits, Reuse, Stop, listen, sample_lag,
-    serve_admitted,
+    Body, ConnectionTracker, Intake, LoopLag, Pool, PoolLimits, Reuse, Stop, listen, sample_lag,
+    serve,
 };
 use bytes::Bytes;
 use http::{Request, Response};
@@ -72,12 +72,11 @@
         let to = listener.local_addr().expect("bound");
         let (admits, handled) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(0)));
         let (admits_now, handled_by) = (admits.clone(), handled.clone());
-        tokio::task::spawn_local(serve_admitted(
+        tokio::task::spawn_local(serve(
             listener,
             Stop::default(),
             ConnectionTracker::default(),
-            || Duration::from_mins(1),
-            move || admits_now.get(),
+            Intake::unlimited(Duration::from_mins(1)).admitting(move || admits_now.get()),
             move |_| {
                 handled_by.set(handled_by.get() + 1);
                 async { Response::new(Body::full("ok")) }
--- a/crates/bluebellreel_side/src/metrics_server.rs
+++ b/crates/bluebellreel_side/src/metrics_server.rs
@@ -1,7 +1,7 @@
 //! HTTP server for the side process's metrics and health check.
 
 use crate::message::Message;
-use bluebellreel_http::{ApiError, HttpServer, Reply, Request, respond, serve};
+use bluebellreel_http::{AccountLimits, ApiError, HttpServer, Reply, Request, respond, serve};
 use crossbeam_channel::{Sender, bounded};
 use std::io;
 use std::net::SocketAddr;
@@ -12,8 +12,12 @@
 /// Time that the actor has to produce the metrics.
 const ACTOR_TIMEOUT: Duration = Duration::from_secs(2);
 
-pub(crate) fn serve_metrics(address: SocketAddr, tx: Sender<Message>) -> io::Result<HttpServer> {
-    serve(address, MAX_REQUESTS, move |req| answer(req, &tx))
+pub(crate) fn serve_metrics(
+    address: SocketAddr,
+    account: AccountLimits,
+    tx: Sender<Message>,
+) -> io::Result<HttpServer> {
+    serve(address, MAX_REQUESTS, account, move |req| answer(req, &tx))
 }
 
 fn answer(req: Request, tx: &Sender<Message>) {
--- a/crates/bluebellreel_side/src/run.rs
+++ b/crates/bluebellreel_side/src/run.rs
@@ -8,7 +8,7 @@
 use crate::metrics_server;
 use crate::stop::{Stop, StopDecision, StopStatus};
 use bluebellreel_admission::{Admission, AdmissionLimits, Priority};
-use bluebellreel_http::HttpServer;
+use bluebellreel_http::{HttpServer, Machine};
 use bluebellreel_rpc::{SideCommand, SideNotice, run_side};
 use bluebellreel_settings::{SidePriority, SideSettings};
 use bluebellreel_telemetry::{SideMetrics, TraceSink, Tracer};
@@ -69,9 +69,11 @@
     let listener = std::net::TcpListener::bind(settings.listen)?;
     listener.set_nonblocking(true)?;
     let address = listener.local_addr()?;
+    let machine = settings.machine;
+    let machine = Machine::new(machine.memory, machine.descriptors, machine.files);
     let metrics_server = settings
         .metrics
-        .map(|address| metrics_server::serve_metrics(address, tx.clone()))
+        .map(|address| metrics_server::serve_metrics(address, machine.internal(), tx.clone()))
         .transpose()?;
     let backend = Arc::new(Backend::new(
         settings.backend.clone(),
--- a/crates/bluebellreel_standins/src/http.rs
+++ b/crates/bluebellreel_standins/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP helpers shared by the stand-ins.
 
-use bluebellreel_http::{ChunkedStream, HttpServer, Reply, Request, respond};
+use bluebellreel_http::{AccountLimits, ChunkedStream, HttpServer, Reply, Request, respond};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::io::{self, Read};
@@ -38,7 +38,7 @@
     address: SocketAddr,
     handle: impl Fn(Request) + Send + Sync + 'static,
 ) -> io::Result<StandIn> {
-    let server = bluebellreel_http::serve(address, MAX_REQUESTS, handle)?;
+    let server = bluebellreel_http::serve(address, MAX_REQUESTS, AccountLimits::NONE, handle)?;
     let address = server.address;
     Ok(StandIn { address, server })
 }
--- a/tests/clients/entry.rs
+++ b/tests/clients/entry.rs
@@ -7,6 +7,7 @@
 use bluebellreel_standins::{
     EngineSettings, KvLimits, StandIn, Vm, VmState, start_engine, start_kv, start_vm_list,
 };
+use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::thread;
@@ -26,8 +27,8 @@
 
 /// An entry daemon and a side process, and stand-ins of all else.
 struct Fleet {
-    entry: SystemProcess,
-    side: SystemProcess,
+    entry: RefCell<SystemProcess>,
+    side: RefCell<SystemProcess>,
     calls: SocketAddr,
     rpc: SocketAddr,
     metrics: SocketAddr,
@@ -94,8 +95,8 @@
         );
         let entry = SystemProcess::start(&program(), Some("serve"), &entry, folder.path());
         let fleet = Self {
-            entry: entry.expect("an entry daemon"),
-            side: side.expect("a side process"),
+            entry: RefCell::new(entry.expect("an entry daemon")),
+            side: RefCell::new(side.expect("a side process")),
             calls,
             rpc,
             metrics,
@@ -135,7 +136,7 @@
 }
 
 /// Waits for a crowd on a thread that runs nothing else.
-fn withstand_crowd(process: &mut SystemProcess, crowd: Crowd) {
+fn withstand_crowd(process: &RefCell<SystemProcess>, crowd: Crowd) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -145,9 +146,9 @@
 
 fn entry_withstands(clients: usize, scripts: Vec<Script>) {
     alone(|| {
-        let mut fleet = Fleet::start();
+        let fleet = Fleet::start();
         let crowd = Crowd::start(fleet.calls, clients, scripts);
-        withstand_crowd(&mut fleet.entry, crowd);
+        withstand_crowd(&fleet.entry, crowd);
         fleet.answers();
     });
 }
@@ -158,9 +159,9 @@
     scripts: Vec<Script>,
 ) {
     alone(|| {
-        let mut fleet = Fleet::start();
+        let fleet = Fleet::start();
         let crowd = Crowd::start(address(&fleet), clients, scripts);
-        withstand_crowd(&mut fleet.side, crowd);
+        withstand_crowd(&fleet.side, crowd);
         fleet.is_healthy();
         fleet.answers();
     });
--- a/tests/clients/fuzz.rs
+++ b/tests/clients/fuzz.rs
@@ -15,7 +15,7 @@
         for _ in 0..2 {
             let scripts = (0..SCRIPTS).map(|_| random_script(&mut rng)).collect();
             let crowd = Crowd::start(site.requests, CLIENTS, scripts);
-            withstand(&mut site.gateway.borrow_mut(), crowd).await;
+            withstand(&site.gateway, crowd).await;
             answers(&site).await;
         }
     });
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::measure::{answers, check, gateway_withstands, head, head_of_body, on_site, withstand};
 use bluebellreel_platform_standins::{Crowd, ProcessSite, Refusal, Script};
+use http::Method;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
@@ -139,15 +140,64 @@
         "{\"id\":\"\",\"path\":\"\"},",
         "{\"id\":\"\",\"path\":\"\"}]}",
     );
-    let names: String = (0..300_000).map(|n| format!("\"{n:x}\":\"\",")).collect();
-    let body = format!(
-        "{{\"items\":[{{\"id\":\"a\",\"path\":\"/book/1\",\"headers\":{{{names}\"z\":\"\"}}}}]}}"
-    );
+    let names: Vec<String> = (0..300_000).map(|n| format!("\"{n:x}\":\"\"")).collect();
+    let names = names.join(",");
+    let body =
+        format!("{{\"items\":[{{\"id\":\"a\",\"path\":\"/book/1\",\"headers\":{{{names}}}}}]}}");
     let head = head_of_body("/book/1", body.len());
     let fields = Script::stall(head + &body);
     gateway_withstands(requests, BODIES / 4, vec![items, fields]);
 }
 
+/// Jobs that were accepted took memory for their items, however many these were.
+#[test]
+fn accepted_jobs_without_end() {
+    let body = "A".repeat(BODY / 4);
+    let jobs = (0..HEADS / 2).map(|n| {
+        let items = format!(
+            "{{\"items\":[{{\"id\":\"i{n}\",\"path\":\"/book/1\",\"body\":\"{body}\",\"tokens\":1}}]}}"
+        );
+        let fields = format!("Content-Length: {}\r\n\r\n", items.len());
+        let head = head("POST", "/book/1", &fields).replace("crowd", &format!("job-{n}"));
+        Script::stall(head + &items)
+    });
+    gateway_withstands(requests, 1, jobs.collect());
+}
+
+/// Bodies of items took memory as long as callers asked for further ones and read nothing.
+#[test]
+fn item_bodies_that_nobody_reads() {
+    on_site(|site| async move {
+        let body = "A".repeat(BODY / 4);
+        let job = format!(
+            "{{\"items\":[{{\"id\":\"i\",\"path\":\"/book/1\",\"body\":\"{body}\",\"tokens\":1}}]}}"
+        );
+        for worker in &site.workers {
+            worker.faults.unresponsive.set(true);
+        }
+        let headers = [("x-request-id", "kept"), ("x-deadline-ms", "5000")];
+        let caller = &site.caller;
+        site.until("the job is accepted", || async {
+            let call = caller.call(
+                site.requests,
+                Method::POST,
+                "/book/1",
+                &headers,
+                job.clone(),
+            );
+            call.await.is(202)
+        })
+        .await;
+        let request = head("GET", "/v1/items/kept?id=i", "\r\n");
+        let crowd = Crowd::start(site.requests, HEADS, vec![pipelined(&request)]);
+        withstand(&site.gateway, crowd).await;
+        for worker in &site.workers {
+            worker.faults.unresponsive.set(false);
+        }
+        answers(&site).await;
+    });
+}
+
 fn pipelined(request: &str) -> Script {
     let requests = request.repeat(100);
     Script::flood("", requests, 4 * WITHOUT_END).unread()
@@ -239,7 +289,7 @@
             Script::stall(""),
         ];
         let crowd = Crowd::start(site.requests, BODIES, scripts);
-        withstand(&mut site.gateway.borrow_mut(), crowd).await;
+        withstand(&site.gateway, crowd).await;
         site.faults.refusal.set(None);
         answers(&site).await;
     });
--- a/tests/clients/keeper.rs
+++ b/tests/clients/keeper.rs
@@ -3,6 +3,7 @@
 use crate::measure::{MACHINE, alone, head, head_of_body, program, withstand};
 use bluebellreel_platform_standins::{Caller, Crowd, HOST, Script, SystemProcess};
 use http::Method;
+use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 use tokio::task::LocalSet;
@@ -48,7 +49,7 @@
             MACHINE.settings(),
         );
         let keeper = SystemProcess::start(&program(), Some("keeper"), &settings, folder.path());
-        let mut keeper = keeper.expect("a keeper");
+        let keeper = RefCell::new(keeper.expect("a keeper"));
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
@@ -56,7 +57,7 @@
         LocalSet::new().block_on(&runtime, async {
             answers(calls).await;
             let crowd = Crowd::start(calls, clients, scripts);
-            withstand(&mut keeper, crowd).await;
+            withstand(&keeper, crowd).await;
             answers(calls).await;
         });
     });
--- a/tests/clients/measure.rs
+++ b/tests/clients/measure.rs
@@ -5,6 +5,7 @@
 };
 use http::Method;
 use serde_json::{Value, json};
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -58,11 +59,11 @@
 }
 
 /// Lets a crowd do its worst, and checks the process meanwhile.
-pub async fn withstand(process: &mut SystemProcess, crowd: Crowd) {
+pub async fn withstand(process: &RefCell<SystemProcess>, crowd: Crowd) {
     let until = Instant::now() + CROWD_TIMEOUT;
     let mut settled = None;
     loop {
-        check(process);
+        check(&mut process.borrow_mut());
         if crowd.has_settled() {
             settled = settled.or(Some(Instant::now()));
         }
@@ -73,7 +74,9 @@
     }
     assert!(crowd.opened() > 0);
     drop(crowd);
-    check(process);
+    check(&mut process.borrow_mut());
+    let id = process.borrow().id();
+    println!("peak {:?} KiB", peak_kib(id));
 }
 
 /// Checks that a process lives within its machine.
@@ -102,7 +105,7 @@
 ) {
     on_site(|site| async move {
         let crowd = Crowd::start(address(&site), clients, scripts);
-        withstand(&mut site.gateway.borrow_mut(), crowd).await;
+        withstand(&site.gateway, crowd).await;
         answers(&site).await;
     });
 }
