Jobs: decoded, written and kept within the account

What callers saw: 30 submissions of 4 MB that are no jobs, or jobs of many small parts, took 67 to 73 MB; jobs that were accepted had no bound but their tokens.

Cause: decoding multiplies what has arrived (a short text takes 50 bytes and more), the items are copied for the store and once more in the call to it, and that goes on for 30 s after the caller has left if the store does not answer. The inputs of owned jobs counted nowhere.

Change: before a job is decoded, what it may take is reserved on the account of callers and held until it is stored; what can never fit gets 413, what does not fit now 503 (504 if a submission of it is known). Inputs of owned jobs have an eighth of the machine; beyond it new jobs get 503. Jobs that are taken over or confirmed late are kept in any case.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -115,6 +115,8 @@
     pub(crate) answer_buffers: Rc<AnswerBuffers>,
     /// What callers make this daemon hold.
     pub(crate) callers: Account,
+    /// The inputs of the jobs that this daemon owns.
+    pub(crate) job_inputs: Account,
     /// What peers, the balancer and readers of metrics make it hold.
     pub(crate) internal: Account,
     pub(crate) peers: Pool,
@@ -241,6 +243,7 @@
             health_checks: HealthChecks::default(),
             answer_buffers: Rc::new(AnswerBuffers::new(callers.clone())),
             callers,
+            job_inputs: Account::new(machine.kept()),
             internal: Account::new(machine.internal()),
             unreadable: RefCell::default(),
             lease: Cell::new(0),
--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -7,7 +7,7 @@
 
 use super::adopt::{adopt_new, adopt_stored};
 use super::load::{self, owned_job};
-use super::own::{PendingSubmission, SubmissionOutcome};
+use super::own::{PendingSubmission, SubmissionOutcome, input_bytes};
 use super::quota::{self, Quota};
 use super::stored::{key, stored_record};
 use super::upload::{self, Interruption, Upload};
@@ -17,7 +17,7 @@
 use bluebellreel_batch::{JobPhase, JobRecord, NewItem, OpenJob, Owner, keys, split_input};
 use bluebellreel_dispatch::Route;
 use bluebellreel_kv::{Commit, Compare, KeyValue, Put, Txn};
-use bluebellreel_net::Body;
+use bluebellreel_net::{Body, Hold};
 use bluebellreel_platform::jobs as wire;
 use bluebellreel_types::JobId;
 use bytes::Bytes;
@@ -116,20 +116,34 @@
             RETRY_AFTER_STOPPING,
         );
     } else {
-        let items = match wire::decode_job(&body) {
+        let memory = wire::job_memory(&body);
+        if memory > gw.callers.memory_limit() {
+            warn!(target: "jobs", job:% = id, memory; "job larger than the memory for jobs");
+            return answers::status(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let Ok(hold) = gw.callers.reserve(memory) else {
+            return refuse_unread(gw, &id);
+        };
+        let decoded = wire::decode_job(&body);
+        drop(body);
+        let items = match decoded {
             Ok(items) => items,
             Err(e) => {
                 warn!(target: "jobs", job:% = id, error:% = e; "job not read");
                 return answers::failure(StatusCode::BAD_REQUEST, &e.to_string());
             }
         };
+        let inputs: usize = items.iter().map(input_bytes).sum();
+        if gw.job_inputs.memory() + inputs > gw.job_inputs.memory_limit() {
+            return refuse_unread(gw, &id);
+        }
         let tokens: u64 = items.iter().map(|i| i.tokens).sum();
         let record = new_record(gw, route, team, &items);
         let quota = Quota::of(route, &record);
         if !quota.fits(gw, tokens) {
             return answer_over_quota(gw, &id, &quota, &record).await;
         }
-        begin(gw, &id, quota, record, items)
+        begin(gw, &id, quota, record, items, hold)
     };
     await_decision(gw, &id, decided, received, deadline).await
 }
@@ -288,6 +302,7 @@
     quota: Quota,
     record: JobRecord,
     items: Vec<NewItem>,
+    hold: Hold,
 ) -> watch::Receiver<SubmissionOutcome> {
     let (tx, rx) = watch::channel(SubmissionOutcome::Pending);
     let pending = PendingSubmission {
@@ -299,6 +314,7 @@
     tokio::task::spawn_local(async move {
         let accepted = store(&gw, &id, &quota, record, items).await;
         gw.jobs.borrow_mut().submissions.remove(&id);
+        drop(hold);
         tx.send_replace(accepted);
     });
     rx
--- a/crates/bluebellreel_gateway/src/jobs/adopt.rs
+++ b/crates/bluebellreel_gateway/src/jobs/adopt.rs
@@ -92,7 +92,7 @@
     }
     let due_in = job.record.due_at.since(gw.now());
     info!(target: "jobs", job:% = id, items = job.items.len(), listed = job.listed.len(), revision = job.revision, due_in_ms = millis(due_in); "job owned");
-    let owned = OwnedJob::new(job, asked, &gw.start_terms);
+    let owned = OwnedJob::new(job, asked, &gw.start_terms, &gw.job_inputs);
     gw.members.borrow_mut().claimed(&id, gw.now());
     {
         let mut jobs = gw.jobs.borrow_mut();
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -1,9 +1,10 @@
 //! The jobs that this daemon owns or has information on.
 
 use bluebellreel_batch::{
-    Forecast, Job, JobRecord, ProgressCopies, Stamp, StartLease, StartTerms, WaitingItems,
+    Forecast, Job, JobRecord, NewItem, ProgressCopies, Stamp, StartLease, StartTerms, WaitingItems,
     count_waiting,
 };
+use bluebellreel_net::{Account, Hold};
 use bluebellreel_teams::Caller;
 use bluebellreel_types::{EntryName, Incarnation, JobId, Moment, WorkerName};
 use std::cell::{Cell, RefCell};
@@ -22,6 +23,16 @@
 /// that nobody uses.
 const CLAIM_TIME: Duration = Duration::from_millis(500);
 
+/// Memory of an item beside its input, in bytes.
+const ITEM_BYTES: usize = 512;
+
+/// Memory of an item's input, in bytes.
+pub(super) fn input_bytes(input: &NewItem) -> usize {
+    let headers = input.headers.iter();
+    let headers: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+    ITEM_BYTES + input.id.len() + input.path.len() + headers + input.body.len()
+}
+
 /// One owned job, with the notifications of the tasks that wait for its changes.
 pub(crate) struct OwnedJob {
     pub(crate) job: RefCell<Job>,
@@ -38,11 +49,17 @@
     pub(super) confirming: Mutex<()>,
     /// Set once an item of the job has no route.
     pub(super) route_missing: Cell<Option<RouteMissing>>,
+    /// Its input on the account of jobs.
+    _hold: Hold,
 }
 
 impl OwnedJob {
-    /// Creates the state of a job that the store confirmed by a call sent at `asked`.
-    pub(super) fn new(job: Job, asked: Stamp, terms: &StartTerms) -> Rc<Self> {
+    /// Creates the state of a job that the store confirmed by a call sent at `asked`. Its input
+    /// counts on `account`, also where there is no room for it.
+    pub(super) fn new(job: Job, asked: Stamp, terms: &StartTerms, account: &Account) -> Rc<Self> {
+        // A job that this daemon owns is kept, also where there is no room for further ones.
+        let inputs = job.items.iter().map(|item| &item.input);
+        let hold = account.take(inputs.map(input_bytes).sum());
         Rc::new(Self {
             job: RefCell::new(job),
             record_due: Notify::new(),
@@ -51,6 +68,7 @@
             wants_start: Cell::new(false),
             confirming: Mutex::new(()),
             route_missing: Cell::new(None),
+            _hold: hold,
         })
     }
 
--- a/crates/bluebellreel_net/src/machine.rs
+++ b/crates/bluebellreel_net/src/machine.rs
@@ -36,6 +36,12 @@
         self.share(parts, 2)
     }
 
+    /// What may be kept for callers after their requests are answered.
+    #[must_use]
+    pub fn kept(self) -> AccountLimits {
+        self.share(8, 1)
+    }
+
     /// What peers, the balancer and readers of metrics may take, apart from callers.
     #[must_use]
     pub fn internal(self) -> AccountLimits {
