Keeper: backups take an eighth of its machine at the most

What callers saw: nothing so far; 80 backups of 1 MB of jobs that nobody knows took more than the 64 MB of a keeper (backups_without_end_at_a_keeper failed).

Cause: the limit of 32 MB was the same on each machine, and as much is taken twice more while the backups are encoded for the disk. Keepers have 130 MB and more.

Change: the limit is an eighth of the machine's memory, 32 MB at the most.

--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -140,7 +140,7 @@
     let machine = Machine::new(limits.memory, limits.descriptors, limits.files);
     let mut stop_requested = pin!(stop_requested);
     let stored = tokio::select! {
-        stored = read_stored_state(settings.folder.clone()) => stored,
+        stored = read_stored_state(settings.folder.clone(), machine.memory) => stored,
         () = &mut stop_requested => {
             // No backup has been accepted yet, so there is nothing to write.
             info!(target: "keeper", keeper:% = settings.name; "stopped before start completed");
--- a/crates/bluebellreel_keeper/src/stored_state.rs
+++ b/crates/bluebellreel_keeper/src/stored_state.rs
@@ -17,9 +17,12 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-/// Limit of all progress backups: the progress of thousands of half-finished items.
-/// The VMs of keepers have at least 130 MB of memory and disks of at least 310 MB.
+/// Limit of all progress backups: the progress of thousands of half-finished items. Disks of
+/// keepers have at least 310 MB.
 const PROGRESS_BYTES: usize = 32 * 1024 * 1024;
+/// Fraction of the machine's memory that progress backups may take. As much is needed twice more
+/// while they are encoded for the disk.
+const PROGRESS_FRACTION: usize = 8;
 /// Maximum number of streams whose version is kept: those that a data centre begins in some
 /// minutes, in some 13 MB.
 const MAX_ORIGINS: usize = 131_072;
@@ -111,16 +114,17 @@
 }
 
 /// Reads the disk on a separate thread. If the main thread read a disk that hangs, it
-/// could not handle signals, and the process could only be killed.
+/// could not handle signals, and the process could only be killed. `memory` is that of the
+/// machine in bytes.
 ///
 /// # Errors
 ///
 /// Returns an error if the thread ended without a result.
-pub(crate) async fn read_stored_state(folder: PathBuf) -> eyre::Result<StoredState> {
+pub(crate) async fn read_stored_state(folder: PathBuf, memory: usize) -> eyre::Result<StoredState> {
     let (tx, rx) = oneshot::channel();
     thread::spawn(move || {
         // The receiver is gone if the process is shutting down.
-        let _ = tx.send(read(&folder));
+        let _ = tx.send(read(&folder, memory));
     });
     let mut rx = pin!(rx);
     let mut hanging = false;
@@ -142,13 +146,14 @@
     }
 }
 
-fn read(folder: &Path) -> StoredState {
+fn read(folder: &Path, memory: usize) -> StoredState {
+    let progress_bytes = PROGRESS_BYTES.min(memory / PROGRESS_FRACTION);
     let snapshot = load_snapshot(folder);
     let (sequence, progress) = load(folder, PROGRESS, |body| {
-        let mut progress = ProgressBackups::new(PROGRESS_BYTES);
+        let mut progress = ProgressBackups::new(progress_bytes);
         progress.read(body).map(|()| progress)
     });
-    let progress = progress.unwrap_or_else(|| ProgressBackups::new(PROGRESS_BYTES));
+    let progress = progress.unwrap_or_else(|| ProgressBackups::new(progress_bytes));
     StoredState {
         snapshot,
         progress: (sequence, progress),
