Side process: its connections and incomplete messages are on an account

What callers saw: silent clients of the side process's address took its descriptors, and messages that announce 4 MB and lack their end took its memory (40 of them more than 64 MB); an accept that failed was repeated at once without end.

Cause: the RPC library allocates a message as it is announced, 64 MB at the most, for each connection; nothing bounded their sum.

Change: connections count on an account of half of the sockets and a quarter of the memory, with the announced size of an incomplete message; the account closes those that hold most and get least ahead. A failed accept is repeated after 20 ms.

--- a/crates/bluebellreel_rpc/src/lib.rs
+++ b/crates/bluebellreel_rpc/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(matches!(command, bluebellreel_rpc::EntryCommand::Connect { .. }));
 //! ```
 
+mod accounted;
 mod convert;
 mod entry;
 mod side;
--- a/crates/bluebellreel_rpc/src/side.rs
+++ b/crates/bluebellreel_rpc/src/side.rs
@@ -1,7 +1,9 @@
 //! The side process's end: serves entry daemons and pulls batch items from them.
 
+use crate::accounted::Accounted;
 use crate::convert;
 use crate::side_capnp as wire;
+use bluebellreel_net::{Account, AccountLimits};
 use bluebellreel_types::{
     AttemptEnd, AttemptId, AttemptVerdict, BatchReport, Dispatch, EntryName, LoadReport,
     ModelVersion, SideHello,
@@ -11,8 +13,13 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
-use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use tokio_util::compat::{Compat, TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+/// Pause after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// A command from the side process to its connections.
 #[derive(Clone, Debug)]
@@ -318,15 +325,17 @@
 /// Serves entry daemons on `listener` until the command channel closes.
 ///
 /// Must be called within a `tokio::task::LocalSet`. `notify` is called on this
-/// thread for each message and connection event.
+/// thread for each message and connection event. Connections are within `account`.
 pub async fn run_side(
     hello: SideHello,
     listener: tokio::net::TcpListener,
+    account: AccountLimits,
     mut commands: mpsc::UnboundedReceiver<SideCommand>,
     notify: impl Fn(SideNotice) + 'static,
 ) {
     let notify: Notify = Rc::new(notify);
     let shared = Rc::new(RefCell::new(Shared::default()));
+    let account = Account::new(account);
     loop {
         tokio::select! {
             command = commands.recv() => match command {
@@ -334,28 +343,33 @@
                 None => return,
             },
             accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    stream.set_nodelay(true).ok();
+                let Ok((stream, _)) = accepted else {
+                    // No descriptors are left, for example.
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                };
+                stream.set_nodelay(true).ok();
+                let (reader, writer) = stream.into_split();
+                if let Ok(reader) = Accounted::new(reader.compat(), &account) {
                     let service = Service {
                         hello: hello.clone(),
                         notify: notify.clone(),
                         shared: shared.clone(),
                         entry: RefCell::default(),
                     };
-                    tokio::task::spawn_local(serve(stream, service));
+                    tokio::task::spawn_local(serve(reader, writer, service));
                 }
             }
         }
     }
 }
 
-async fn serve(stream: tokio::net::TcpStream, service: Service) {
+async fn serve(reader: Accounted<Compat<OwnedReadHalf>>, writer: OwnedWriteHalf, service: Service) {
     let shared = service.shared.clone();
     let notify = service.notify.clone();
     let service = Rc::new(service);
-    let (reader, writer) = stream.into_split();
     let network = twoparty::VatNetwork::new(
-        futures::io::BufReader::new(reader.compat()),
+        futures::io::BufReader::new(reader),
         futures::io::BufWriter::new(writer.compat_write()),
         rpc_twoparty_capnp::Side::Server,
         capnp::message::ReaderOptions::default(),
--- a/crates/bluebellreel_side/src/run.rs
+++ b/crates/bluebellreel_side/src/run.rs
@@ -8,7 +8,7 @@
 use crate::metrics_server;
 use crate::stop::{Stop, StopDecision, StopStatus};
 use bluebellreel_admission::{Admission, AdmissionLimits, Priority};
-use bluebellreel_http::{HttpServer, Machine};
+use bluebellreel_http::{AccountLimits, HttpServer, Machine};
 use bluebellreel_rpc::{SideCommand, SideNotice, run_side};
 use bluebellreel_settings::{SidePriority, SideSettings};
 use bluebellreel_telemetry::{SideMetrics, TraceSink, Tracer};
@@ -28,6 +28,9 @@
 const QUEUE_CAPACITY: usize = 16_384;
 /// Maximum time that the actor's loop waits for a message.
 const MAX_SLEEP: Duration = Duration::from_millis(100);
+/// Parts of the machine's memory of which callers may take one. The heaps of its
+/// threads need room beside them.
+const MEMORY_PARTS: usize = 4;
 
 /// A running side process.
 pub struct Side {
@@ -96,7 +99,7 @@
         models: loaded.iter().flatten().map(|m| m.name.clone()).collect(),
     };
     watch_models(&backend, &tx, loaded)?;
-    let rpc = start_rpc(hello, listener, tx.clone())?;
+    let rpc = start_rpc(hello, listener, machine.callers(MEMORY_PARTS), tx.clone())?;
     let handles = Handles {
         clock,
         rpc,
@@ -177,6 +180,7 @@
 fn start_rpc(
     hello: SideHello,
     listener: std::net::TcpListener,
+    account: AccountLimits,
     tx: Sender<Message>,
 ) -> io::Result<mpsc::UnboundedSender<SideCommand>> {
     let (commands, queue) = mpsc::unbounded_channel();
@@ -192,7 +196,7 @@
             };
             local.block_on(&runtime, async move {
                 match tokio::net::TcpListener::from_std(listener) {
-                    Ok(listener) => run_side(hello, listener, queue, notify).await,
+                    Ok(listener) => run_side(hello, listener, account, queue, notify).await,
                     Err(e) => {
                         log::error!(target: "side", error = e.to_string(); "RPC server not started: its listener could not be registered.");
                     }
