--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! The state of one daemon, shared by all its tasks on one thread.
 
+use crate::admission::Shortage;
 use crate::answer_buffers::AnswerBuffers;
 use crate::cluster_state::ClusterState;
 use crate::confirmation::OnDemand;
@@ -115,6 +116,8 @@
     pub(crate) answer_buffers: Rc<AnswerBuffers>,
     /// What callers make this daemon hold.
     pub(crate) callers: Account,
+    /// What was logged last of a shortage of room for callers.
+    pub(crate) shortage: Cell<Shortage>,
     /// The inputs of the jobs that this daemon owns.
     pub(crate) job_inputs: Account,
     /// What peers, the balancer and readers of metrics make it hold.
@@ -183,20 +186,23 @@
 
 impl Gateway {
     pub(crate) fn new(settings: GatewaySettings) -> Rc<Self> {
+        let limits = settings.machine;
+        let machine = Machine::new(limits.memory, limits.descriptors, limits.files);
+        let callers = Account::new(machine.callers(MEMORY_PARTS));
         // A cancelled item must not reach its worker after a partition has ended.
         let workers = Pool::resetting(PoolLimits {
             connect: WORKER_CONNECT_TIMEOUT,
             idle: WORKER_IDLE_TIMEOUT,
             idle_per_address: MAX_WORKER_IDLE,
+            // Their answers are read piece by piece.
+            memory: usize::MAX,
         });
         let peers = Pool::new(PoolLimits {
             connect: PEER_CONNECT_TIMEOUT,
             idle: PEER_IDLE_TIMEOUT,
             idle_per_address: MAX_PEER_IDLE,
+            memory: machine.own_calls(),
         });
-        let limits = settings.machine;
-        let machine = Machine::new(limits.memory, limits.descriptors, limits.files);
-        let callers = Account::new(machine.callers(MEMORY_PARTS));
         let metrics = Metrics::default();
         let mut board = Board::new(settings.data_centre.clone(), PlacementLimits::default());
         board.evidence = settings.scheduling.worker_evidence.then(Evidence::default);
@@ -234,6 +240,7 @@
             peers,
             store: StoreClient::new(
                 settings.store,
+                machine.own_calls(),
                 metrics.store_call.clone(),
                 metrics.store_calls_by_purpose.clone(),
             ),
@@ -243,6 +250,7 @@
             health_checks: HealthChecks::default(),
             answer_buffers: Rc::new(AnswerBuffers::new(callers.clone())),
             callers,
+            shortage: Cell::default(),
             job_inputs: Account::new(machine.kept()),
             internal: Account::new(machine.internal()),
             unreadable: RefCell::default(),
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -202,6 +202,7 @@
     if gw.members.borrow_mut().has_lost_peer(now) {
         gw.jobs.borrow().orphans_due.notify_one();
     }
+    admission::log_shortage(gw, now);
     gw.update_allowances();
     gw.allowances.borrow_mut().sweep(gw.elapsed());
     teams::sweep_reservations(gw);
@@ -257,6 +258,9 @@
     let quarantined_parts = part_suspects.quarantined();
     metrics.quarantined_parts.set(count(quarantined_parts));
     metrics.in_progress.set(count(gw.in_progress.count()));
+    metrics.callers_bytes.set(count(gw.callers.memory()));
+    metrics.closed_for_room.set(total(gw.callers.evicted()));
+    metrics.refused_for_room.set(total(gw.callers.refused()));
     if crate::jobs::deadlines_on(gw) {
         let waiting = crate::jobs::waiting_by_forecast(gw);
         metrics.items_waiting_in_time.set(count(waiting.in_time));
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -104,6 +104,7 @@
 impl StoreClient {
     pub(crate) fn new(
         address: SocketAddr,
+        memory: usize,
         latency: Histogram,
         by_purpose: Family<StoreCall, Counter>,
     ) -> Self {
@@ -111,6 +112,7 @@
             connect: CONNECT_TIMEOUT,
             idle: IDLE_TIMEOUT,
             idle_per_address: MAX_IDLE,
+            memory,
         };
         Self {
             pool: Pool::new(limits),
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -176,6 +176,7 @@
             connect: CONNECT_TIMEOUT,
             idle: IDLE_TIMEOUT,
             idle_per_address: 1,
+            memory: machine.own_calls(),
         }),
         snapshot: RefCell::new(snapshot),
         progress: RefCell::new(progress),
--- a/crates/bluebellreel_keeper/tests/origins.rs
+++ b/crates/bluebellreel_keeper/tests/origins.rs
@@ -48,6 +48,7 @@
             connect: Duration::from_secs(1),
             idle: Duration::from_secs(1),
             idle_per_address: 1,
+            memory: usize::MAX,
         });
         let keeper = Self { task, at, pool };
         while keeper.version(0).await.is_none() {
--- a/crates/bluebellreel_net/src/lib.rs
+++ b/crates/bluebellreel_net/src/lib.rs
@@ -15,6 +15,7 @@
 mod account;
 mod allowance;
 mod body;
+mod body_memory;
 mod call;
 mod connection;
 mod framing;
--- a/crates/bluebellreel_net/src/machine.rs
+++ b/crates/bluebellreel_net/src/machine.rs
@@ -42,6 +42,12 @@
         self.share(8, 1)
     }
 
+    /// Memory of the answers to the process's own calls of one kind, in bytes.
+    #[must_use]
+    pub fn own_calls(self) -> usize {
+        self.memory / 16
+    }
+
     /// What peers, the balancer and readers of metrics may take, apart from callers.
     #[must_use]
     pub fn internal(self) -> AccountLimits {
--- a/crates/bluebellreel_net/src/pool.rs
+++ b/crates/bluebellreel_net/src/pool.rs
@@ -1,6 +1,7 @@
 //! HTTP client with a pool of reusable connections.
 
 use crate::allowance::{Allowance, LimitedStream, MAX_READ_BUFFER};
+use crate::body_memory::BodyMemory;
 use crate::reply::{Reply, ReplyBody};
 use crate::server::set_socket_options;
 use bytes::Bytes;
@@ -70,6 +71,9 @@
     pub idle: Duration,
     /// Maximum number of idle connections to one address.
     pub idle_per_address: usize,
+    /// Memory of all response bodies that are read whole at one moment, in bytes. Further ones
+    /// wait.
+    pub memory: usize,
 }
 
 /// Subtracted from the idle time that the server states, since the server counts
@@ -95,6 +99,8 @@
     resets: bool,
     idle: RefCell<HashMap<SocketAddr, Vec<PooledConnection>>>,
     opened: Cell<u64>,
+    /// Memory of the response bodies that are being read whole.
+    pub(crate) memory: BodyMemory,
     /// Probes in progress; calls for the same address share them.
     probes: RefCell<HashMap<SocketAddr, Shared<LocalBoxFuture<'static, ProbeResult>>>>,
 }
@@ -124,6 +130,7 @@
             resets,
             idle: RefCell::default(),
             opened: Cell::new(0),
+            memory: BodyMemory::new(limits.memory),
             probes: RefCell::default(),
         }))
     }
--- a/crates/bluebellreel_net/src/reply.rs
+++ b/crates/bluebellreel_net/src/reply.rs
@@ -4,7 +4,7 @@
 use crate::pool::{Inner, PooledConnection};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -123,12 +123,19 @@
         self.bytes
     }
 
-    /// Reads the whole body.
+    /// Reads the whole body, once there is memory for it.
     ///
     /// # Errors
     ///
     /// Returns `Broken` if the body ends early or is longer than `limit` bytes.
     pub async fn whole(&mut self, limit: usize) -> Result<Bytes, Broken> {
+        let announced = self.incoming.size_hint().exact();
+        if announced.is_some_and(|bytes| bytes > limit as u64) {
+            self.bytes = announced.unwrap_or(0);
+            return Err(self.close());
+        }
+        let pool = self.pool.clone();
+        let _memory = pool.memory.wait(announced).await;
         let mut all = BytesMut::new();
         while let Some(piece) = self.next().await? {
             if all.len() + piece.len() > limit {
--- a/crates/bluebellreel_net/tests/broken_off.rs
+++ b/crates/bluebellreel_net/tests/broken_off.rs
@@ -18,6 +18,7 @@
     connect: Duration::from_secs(1),
     idle: Duration::from_secs(1),
     idle_per_address: 1,
+    memory: usize::MAX,
 };
 /// A whole response that leaves its connection open.
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
--- a/crates/bluebellreel_net/tests/endless_responses.rs
+++ b/crates/bluebellreel_net/tests/endless_responses.rs
@@ -42,6 +42,7 @@
             connect: Duration::from_secs(1),
             idle: Duration::from_secs(1),
             idle_per_address: 1,
+            memory: usize::MAX,
         });
         let to = start_flood(start, piece);
         let called = call(&pool, to, Method::GET, "/", Bytes::new(), TIMEOUT).await;
--- a/crates/bluebellreel_net/tests/pool.rs
+++ b/crates/bluebellreel_net/tests/pool.rs
@@ -31,6 +31,7 @@
             connect: Duration::from_secs(1),
             idle: Duration::from_secs(1),
             idle_per_address: 1,
+            memory: usize::MAX,
         });
         let body = Full::new(Bytes::from(vec![b'x'; BODY_BYTES]));
         let req = http::Request::post("/item").body(body).expect("a request");
@@ -61,6 +62,7 @@
             connect: Duration::from_secs(1),
             idle: Duration::from_secs(1),
             idle_per_address: 1,
+            memory: usize::MAX,
         });
         assert!(pool.probe(to).now_or_never().is_none());
         let (accepted, _) = listener.accept().await.expect("a connection");
@@ -84,6 +86,7 @@
             connect: Duration::from_secs(1),
             idle: Duration::from_secs(1),
             idle_per_address: 1,
+            memory: usize::MAX,
         });
         let answered = async {
             for kept in [true, false] {
--- a/crates/bluebellreel_net/tests/saturation.rs
+++ b/crates/bluebellreel_net/tests/saturation.rs
@@ -86,6 +86,7 @@
             connect: Duration::from_secs(2),
             idle: Duration::from_secs(5),
             idle_per_address: 4,
+            memory: usize::MAX,
         });
         let ask = || {
             let req = Request::new(Full::new(Bytes::from_static(b"x")));
