Requests: a table for many fields is made only for heads that have them

Cause: the HTTP library makes its table of fields anew for each head in the size that its connection was built with: 4,096 to 16,384 entries instead of its usual 100.

Change: a connection takes the usual 100 fields. The gateway knows the number of fields of a whole head before the library gets it; for a head with more, the library lets go of the connection and begins anew on it with a table of that size.

--- a/crates/bluebellreel_net/src/connection.rs
+++ b/crates/bluebellreel_net/src/connection.rs
@@ -33,8 +33,9 @@
 const READ_BYTES: usize = 8192;
 /// Memory of a connection in bytes: its state and the buffers of the HTTP library.
 const CONNECTION_BYTES: usize = 16 * 1024;
-/// Number of fields that are taken also where the limit of bytes is low.
-const MIN_FIELDS: usize = 100;
+/// Number of fields for which the HTTP library has a table at hand. A larger one takes it many
+/// times as long as the rest of a request.
+const USUAL_FIELDS: usize = 100;
 /// Memory of a field of a request's head in bytes, beside its text.
 const FIELD_BYTES: usize = 128;
 /// Size in bytes of the kernel's buffers of a connection, one for each direction; the kernel
@@ -52,7 +53,9 @@
     input: RefCell<Input>,
     pub(crate) accepted_at: Instant,
     /// Number of fields that the HTTP library takes.
-    max_fields: usize,
+    max_fields: Cell<usize>,
+    /// Whether the HTTP library has to begin anew, as a head has more fields than it takes.
+    begins_anew: Cell<bool>,
     /// Requests received so far.
     taken: Cell<u64>,
     /// Requests whose responses are not completely written.
@@ -134,7 +137,8 @@
                 held: 0,
             }),
             accepted_at: now,
-            max_fields: max_fields((intake.limits)()),
+            max_fields: Cell::new(USUAL_FIELDS),
+            begins_anew: Cell::new(false),
             taken: Cell::new(0),
             in_progress: Cell::new(0),
             close_announced: Cell::new(false),
@@ -152,9 +156,15 @@
         max_head_bytes((self.intake.limits)().head_bytes)
     }
 
-    /// Number of fields that the HTTP library is to take.
-    pub(crate) fn max_fields(&self) -> usize {
-        self.max_fields
+    /// Number of fields that the HTTP library is to take, if they are more than usual.
+    pub(crate) fn max_fields(&self) -> Option<usize> {
+        let fields = self.max_fields.get();
+        (fields > USUAL_FIELDS).then_some(fields)
+    }
+
+    /// Whether the HTTP library has let go of the connection to begin anew on it.
+    pub(crate) fn begins_anew(&self) -> bool {
+        self.begins_anew.take()
     }
 
     /// Counts a request, whose head was parsed. It is in progress until the returned guard is
@@ -307,7 +317,7 @@
 /// Number of fields that a head within the limits can have.
 fn max_fields(limits: CallerLimits) -> usize {
     let fields = limits.head_bytes / FREE_FIELD_BYTES;
-    fields.clamp(MIN_FIELDS, MAX_FIELDS)
+    fields.clamp(USUAL_FIELDS, MAX_FIELDS)
 }
 
 /// Marks a request as in progress until dropped.
@@ -425,14 +435,16 @@
                 scanned => scanned,
             };
             match scanned {
-                Ok(Some(head)) if head.fields <= state.max_fields => {
+                Ok(Some(head)) => {
                     input.begin_head(head);
                     state.hold_waiting(input);
+                    if head.fields > state.max_fields.get() {
+                        state.max_fields.set(head.fields);
+                        state.begins_anew.set(true);
+                        return Poll::Ready(Ok(false));
+                    }
                     return Poll::Ready(Ok(true));
                 }
-                // The limit has been raised since the connection was opened: its caller may
-                // open another one.
-                Ok(Some(_)) => return Poll::Ready(Ok(false)),
                 Ok(None) => {}
                 Err(e) => {
                     state.error.set(Some(e));
@@ -658,6 +670,9 @@
     /// request stays unread, so that the caller can be sure that it has not run.
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
+        if this.state.begins_anew.get() {
+            return Poll::Ready(Ok(()));
+        }
         if this.discard_end.is_none() {
             ready!(Pin::new(&mut *this.state.stream.borrow_mut()).poll_shutdown(cx))?;
         }
--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -271,41 +271,49 @@
     F: Fn(hyper::Request<RequestBody>) -> A + 'static,
     A: Future<Output = hyper::Response<Body>> + 'static,
 {
-    let (state_of_requests, stop_of_requests) = (state.clone(), stop.clone());
-    let service = service_fn(move |req| {
-        let (request, room) = state_of_requests.take(&req);
-        let (state, stop_of_requests, answer) = (
-            state_of_requests.clone(),
-            stop_of_requests.clone(),
-            answer.clone(),
-        );
-        async move {
-            let req = req.map(|incoming| request.body(incoming));
-            let mut answer = match room {
-                Ok(()) => answer(req).await,
-                Err(NoRoom) => no_room(),
-            };
-            announce_close(&state, &stop_of_requests, &mut answer);
-            if let Body::Full(Some(bytes)) = answer.body() {
-                state.hold_answer(bytes.len());
+    loop {
+        let (state_of_requests, stop_of_requests) = (state.clone(), stop.clone());
+        let answer = answer.clone();
+        let service = service_fn(move |req| {
+            let (request, room) = state_of_requests.take(&req);
+            let (state, stop_of_requests, answer) = (
+                state_of_requests.clone(),
+                stop_of_requests.clone(),
+                answer.clone(),
+            );
+            async move {
+                let req = req.map(|incoming| request.body(incoming));
+                let mut answer = match room {
+                    Ok(()) => answer(req).await,
+                    Err(NoRoom) => no_room(),
+                };
+                announce_close(&state, &stop_of_requests, &mut answer);
+                if let Body::Full(Some(bytes)) = answer.body() {
+                    state.hold_answer(bytes.len());
+                }
+                Ok::<_, Infallible>(answer.map(|body| GuardedBody::new(body, request)))
             }
-            Ok::<_, Infallible>(answer.map(|body| GuardedBody::new(body, request)))
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size(state.max_head_bytes().max(MIN_BUFFER_BYTES));
+        if let Some(fields) = state.max_fields() {
+            builder.max_headers(fields);
+        }
+        let io = TokioIo::new(ConnectionIo::new(state.clone()));
+        let mut connection = pin!(builder.serve_connection(io, service));
+        tokio::select! {
+            // Not an error of the server: its effect on a request is logged with the
+            // request.
+            _ = connection.as_mut() => {}
+            () = stop.reached(Stage::Closing) => close_when_idle(connection, &state).await,
+        }
+        if !state.begins_anew() {
+            return;
         }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .max_headers(state.max_fields())
-        .max_buf_size(state.max_head_bytes().max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(ConnectionIo::new(state.clone())), service);
-    let mut connection = pin!(connection);
-    tokio::select! {
-        // Not an error of the server: its effect on a request is logged with the
-        // request.
-        _ = connection.as_mut() => return,
-        () = stop.reached(Stage::Closing) => {}
     }
-    close_when_idle(connection, &state).await;
 }
 
 /// The answer to a request that was not handled, as there is no room for it.
