Refusals of heads and of requests without room are in the server's own form

Cause: the HTTP library shut the connection down before the refusal was written; and the refusal was the same at each server.

Change: a server sets how it answers what it does not take. The library's shutdown is passed over where the server goes on with the connection. Bytes of a body that may wait in the kernel count only until the body is read, not for as long as the request is answered: streams with bodies in chunks would have held 128 KB each.

--- a/crates/bluebellreel_http/src/server.rs
+++ b/crates/bluebellreel_http/src/server.rs
@@ -4,9 +4,11 @@
 use crate::response::response_of;
 use crate::{ApiError, Request};
 use bluebellreel_net::{
-    Account, AccountLimits, Body, CallerLimits, ConnectionTracker, Intake, RequestBody, Stop,
+    Account, AccountLimits, Body, CallerLimits, ConnectionTracker, Intake, Refused, RequestBody,
+    Stop,
 };
 use bluebellreel_types::Ran;
+use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use hyper::Response;
 use std::io;
@@ -111,7 +113,7 @@
             let connections = ConnectionTracker::default();
             let end_state = loop_state.clone();
             let account = Account::new(account);
-            let intake = Intake::new(account.clone(), || CALLER_LIMITS);
+            let intake = Intake::new(account.clone(), || CALLER_LIMITS).answering(refusal);
             LocalSet::new().block_on(&runtime, async {
                 let respond = move |req| {
                     handle_request(
@@ -167,6 +169,23 @@
     response.map(Body::from)
 }
 
+/// The answer to what the server does not take.
+fn refusal(refused: Refused) -> Response<Bytes> {
+    let error = match refused {
+        Refused::HeadTooLarge => headers_too_large(),
+        Refused::NoRoom => {
+            let error = ApiError::new(503, "overloaded", "no memory for the request");
+            error.retry_after(RETRY_DELAY)
+        }
+    };
+    let body = Bytes::from(error.body());
+    response_of(&error.into()).map(|_| body)
+}
+
+fn headers_too_large() -> ApiError {
+    ApiError::new(431, "headers_too_large", "too many headers")
+}
+
 fn check_limits(
     state: &State,
     threads: usize,
@@ -178,8 +197,7 @@
         .map(|(name, value)| name.as_str().len() + value.len())
         .sum();
     if bytes > MAX_HEADER_BYTES {
-        let error = ApiError::new(431, "headers_too_large", "too many headers");
-        return Some(error);
+        return Some(headers_too_large());
     }
     if state.in_progress.load(Ordering::SeqCst) >= threads {
         let error = ApiError::new(503, "overloaded", "too many requests in progress");
--- a/crates/bluebellreel_net/src/connection.rs
+++ b/crates/bluebellreel_net/src/connection.rs
@@ -10,9 +10,10 @@
     BodyEnd, ChunkScan, FREE_FIELD_BYTES, HeadError, HeadScan, MAX_FIELDS, WholeHead,
     max_head_bytes,
 };
-use crate::intake::{CallerLimits, Intake};
+use crate::intake::{CallerLimits, Intake, Refused};
 use crate::{Body, Broken, NoRoom, RequestBody};
 use bytes::{Buf, Bytes, BytesMut};
+use http::header::{CONNECTION, HeaderValue};
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -41,9 +42,6 @@
 /// Size in bytes of the kernel's buffers of a connection, one for each direction; the kernel
 /// takes twice as much.
 pub(crate) const KERNEL_BUFFER_BYTES: usize = 128 * 1024;
-/// The answer to a head that is too large.
-const HEAD_TOO_LARGE: &[u8] =
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// State of one served connection, shared by the server and the connection's I/O.
 pub(crate) struct ConnectionState {
@@ -70,6 +68,8 @@
     reader: RefCell<Option<Waker>>,
     /// Memory held for the request in progress, in bytes.
     request_memory: Cell<usize>,
+    /// The part of it for a body that may wait in the kernel's buffer.
+    unread_memory: Cell<usize>,
     /// Memory held for an answer that is whole until it is written, in bytes.
     answer_memory: Cell<usize>,
     error: Cell<Option<HeadError>>,
@@ -146,6 +146,7 @@
             silent_at: Cell::new(now),
             reader: RefCell::default(),
             request_memory: Cell::new(0),
+            unread_memory: Cell::new(0),
             answer_memory: Cell::new(0),
             error: Cell::new(None),
         }))
@@ -156,6 +157,14 @@
         max_head_bytes((self.intake.limits)().head_bytes)
     }
 
+    /// The answer to a request that was not handled, as there is no room for it.
+    pub(crate) fn no_room(&self) -> hyper::Response<Body> {
+        let mut answer = (self.intake.answer)(Refused::NoRoom).map(Body::full);
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+        answer
+    }
+
     /// Number of fields that the HTTP library is to take, if they are more than usual.
     pub(crate) fn max_fields(&self) -> Option<usize> {
         let fields = self.max_fields.get();
@@ -195,6 +204,9 @@
         // The body may arrive before it is read.
         let unread = size.unwrap_or(usize::MAX).min(KERNEL_BUFFER_BYTES);
         let room = self.hold_request(head.bytes + head.fields * FIELD_BYTES + unread);
+        if room.is_ok() {
+            self.unread_memory.set(unread);
+        }
         (RequestGuard(self.clone()), room)
     }
 
@@ -238,6 +250,7 @@
 
     /// Records that the body of the request in progress is complete.
     pub(crate) fn end_body(&self) {
+        self.release(self.unread_memory.take());
         if self.hold.stage() == Stage::Body {
             self.hold.enter(Stage::Busy);
         }
@@ -248,6 +261,7 @@
         self.in_progress
             .set(self.in_progress.get().saturating_sub(1));
         self.hold.give_back(self.request_memory.take());
+        self.unread_memory.set(0);
         self.hold.enter(if self.is_blocked.get() {
             Stage::Stalled
         } else {
@@ -302,18 +316,40 @@
 
     /// Refuses a head that was not taken, once the HTTP library has let go of the connection.
     pub(crate) async fn refuse_head(self: Rc<Self>) {
-        if self.error.get() != Some(HeadError::TooLarge) || !(self.intake.refuses)().await {
+        if self.error.take() != Some(HeadError::TooLarge) || !(self.intake.refuses)().await {
             return;
         }
+        let answer = (self.intake.answer)(Refused::HeadTooLarge);
         self.announce_close();
         let mut io = ConnectionIo::new(self);
         // The caller may be gone.
-        if io.write_all(HEAD_TOO_LARGE).await.is_ok() {
+        let answer = encoded(&answer);
+        if io.write_all(&answer).await.is_ok() {
             let _ = io.shutdown().await;
         }
     }
 }
 
+/// The bytes of an answer after which the connection closes.
+fn encoded(answer: &http::Response<Bytes>) -> Vec<u8> {
+    let status = answer.status();
+    let reason = status.canonical_reason().unwrap_or_default();
+    let length = answer.body().len();
+    let start = format!(
+        "HTTP/1.1 {} {reason}\r\nconnection: close\r\ncontent-length: {length}\r\n",
+        status.as_u16()
+    );
+    let mut bytes = start.into_bytes();
+    for (name, value) in answer.headers() {
+        for part in [name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"] {
+            bytes.extend_from_slice(part);
+        }
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(answer.body());
+    bytes
+}
+
 /// Number of fields that a head within the limits can have.
 fn max_fields(limits: CallerLimits) -> usize {
     let fields = limits.head_bytes / FREE_FIELD_BYTES;
@@ -670,7 +706,8 @@
     /// request stays unread, so that the caller can be sure that it has not run.
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.state.begins_anew.get() {
+        if this.state.begins_anew.get() || this.state.error.get().is_some() {
+            // The server goes on with the connection.
             return Poll::Ready(Ok(()));
         }
         if this.discard_end.is_none() {
--- a/crates/bluebellreel_net/src/intake.rs
+++ b/crates/bluebellreel_net/src/intake.rs
@@ -1,6 +1,9 @@
 //! What a server takes from its callers.
 
 use crate::{Account, AccountLimits};
+use bytes::Bytes;
+use http::header::{HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
 use std::future::Future;
 use std::pin::Pin;
 use std::time::Duration;
@@ -28,6 +31,31 @@
     }
 }
 
+/// What a server does not take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// A head that is too large.
+    HeadTooLarge,
+    /// A request that there is no room for.
+    NoRoom,
+}
+
+/// The plain answer to what is not taken.
+fn plain(refused: Refused) -> Response<Bytes> {
+    let mut answer = Response::new(Bytes::new());
+    match refused {
+        Refused::HeadTooLarge => {
+            *answer.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        Refused::NoRoom => {
+            *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            let after = HeaderValue::from_static("1");
+            answer.headers_mut().insert(RETRY_AFTER, after);
+        }
+    }
+    answer
+}
+
 type Refuses = Box<dyn Fn() -> Pin<Box<dyn Future<Output = bool>>>>;
 
 /// What a server takes, and on which account.
@@ -36,6 +64,8 @@
     pub(crate) limits: Box<dyn Fn() -> CallerLimits>,
     pub(crate) admits: Box<dyn Fn() -> bool>,
     pub(crate) refuses: Refuses,
+    /// The answer to what is not taken; the connection closes after it.
+    pub(crate) answer: Box<dyn Fn(Refused) -> Response<Bytes>>,
 }
 
 impl Intake {
@@ -46,6 +76,7 @@
             limits: Box::new(limits),
             admits: Box::new(|| true),
             refuses: Box::new(|| Box::pin(async { true })),
+            answer: Box::new(plain),
         }
     }
 
@@ -66,6 +97,15 @@
         }
     }
 
+    /// Answers what is not taken with `answer`. None of it has run.
+    #[must_use]
+    pub fn answering(self, answer: impl Fn(Refused) -> Response<Bytes> + 'static) -> Self {
+        Self {
+            answer: Box::new(answer),
+            ..self
+        }
+    }
+
     /// Refuses a head that is too large only if `refuses` yields true; otherwise closes its
     /// connection unread.
     #[must_use]
--- a/crates/bluebellreel_net/src/lib.rs
+++ b/crates/bluebellreel_net/src/lib.rs
@@ -30,7 +30,7 @@
 pub use account::{Account, AccountLimits, Hold, NoRoom, Stage};
 pub use body::{Body, Broken, Keep, ReadError, RequestBody, read_body};
 pub use call::{CallError, call, exchange};
-pub use intake::{CallerLimits, Intake};
+pub use intake::{CallerLimits, Intake, Refused};
 pub use machine::Machine;
 pub use pool::{DedicatedConnection, Pool, PoolLimits, ProbeResult, Reuse, SendError};
 pub use reply::{Reply, ReplyBody};
--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -4,9 +4,7 @@
     Awaiting, ConnectionIo, ConnectionState, GuardedBody, KERNEL_BUFFER_BYTES,
 };
 use crate::{Body, Intake, NoRoom, RequestBody};
-use bytes::Bytes;
-use http::StatusCode;
-use http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use http::header::{CONNECTION, HeaderValue};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
@@ -285,7 +283,7 @@
                 let req = req.map(|incoming| request.body(incoming));
                 let mut answer = match room {
                     Ok(()) => answer(req).await,
-                    Err(NoRoom) => no_room(),
+                    Err(NoRoom) => state.no_room(),
                 };
                 announce_close(&state, &stop_of_requests, &mut answer);
                 if let Body::Full(Some(bytes)) = answer.body() {
@@ -316,16 +314,6 @@
     }
 }
 
-/// The answer to a request that was not handled, as there is no room for it.
-fn no_room() -> hyper::Response<Body> {
-    let mut answer = hyper::Response::new(Body::full(Bytes::new()));
-    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    let headers = answer.headers_mut();
-    headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
-    headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    answer
-}
-
 /// Serves a connection of a stopping server until no part of a further request has
 /// arrived on it, then closes it. If shut down earlier, the HTTP library
 /// drops requests that are unread or half read, and closes a new connection before
