--- a/crates/bluebellreel_net/src/account.rs
+++ b/crates/bluebellreel_net/src/account.rs
@@ -134,6 +134,12 @@
         self.0.memory.get()
     }
 
+    /// Number of connections, without those that were asked to let go.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.0.connections.get()
+    }
+
     /// Memory that the account may have, in bytes.
     #[must_use]
     pub fn memory_limit(&self) -> usize {
@@ -183,7 +189,7 @@
             let now = Instant::now();
             let holders = inner.holders.borrow();
             let connections = holders.values().filter(|h| h.is_connection);
-            if connections.clone().count() >= with_closing(limit) {
+            if connections.clone().count() > with_closing(limit) {
                 return Err(inner.refuse());
             }
             let victim = connections
