--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -22,6 +22,8 @@
 //!   workers of other versions, with none to three keepers. Odd seeds have faults as well.
 //! - From 10000: jobs with items that fail at each run, whose owners are killed right after a
 //!   failure, with none to three keepers. Odd seeds have faults as well.
+//! - From 11000: crowds of clients that do not behave. Even seeds have rolling stops, odd seeds
+//!   faults and changes.
 //!
 //! Prints one line per seed, and for each violated guarantee the faults before it. If a
 //! seed violates a guarantee, its settings and logs remain in a folder under the system's
@@ -44,6 +46,8 @@
 const FIRST_CUT_SEED: u64 = 9000;
 /// The first seed with items that fail at each run.
 const FIRST_FAILURE_SEED: u64 = 10_000;
+/// The first seed with clients that do not behave.
+const FIRST_CROWD_SEED: u64 = 11_000;
 
 /// When the requests that crash workers do so in the soak of a seed.
 fn crash_moment(seed: u64) -> CrashMoment {
@@ -73,14 +77,19 @@
     let mut broken = 0;
     for seed in first..first + count {
         let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
-        let stops = (FIRST_STOP_SEED..FIRST_CRASH_SEED).contains(&seed);
-        let stops_only = stops && seed % 3 != 0;
+        let crowds = seed >= FIRST_CROWD_SEED;
+        let stops =
+            (FIRST_STOP_SEED..FIRST_CRASH_SEED).contains(&seed) || crowds && seed.is_multiple_of(2);
+        let stops_only = stops && (crowds || seed % 3 != 0);
         let ends_only = (FIRST_END_SEED..FIRST_PART_SEED).contains(&seed) && seed % 2 == 0;
-        let fails = seed >= FIRST_FAILURE_SEED;
-        let cuts = !fails && seed >= FIRST_CUT_SEED;
+        let fails = !crowds && seed >= FIRST_FAILURE_SEED;
+        let cuts = !crowds && !fails && seed >= FIRST_CUT_SEED;
         let cuts_only = (fails || cuts) && seed.is_multiple_of(2);
-        let load_only = !fails && !cuts && seed >= FIRST_LOAD_SEED && seed.is_multiple_of(4);
-        let callers = if fails {
+        let load_only =
+            !crowds && !fails && !cuts && seed >= FIRST_LOAD_SEED && seed.is_multiple_of(4);
+        let callers = if crowds {
+            Callers::SomeMisbehave
+        } else if fails {
             Callers::SomeFailItems
         } else if cuts {
             Callers::AmidCuts
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -55,6 +55,17 @@
     ..FAULTS
 };
 
+const CROWDS: SoakMode = SoakMode {
+    callers: Callers::SomeMisbehave,
+    ..FAULTS
+};
+const CROWDS_IN_STOPS: SoakMode = SoakMode {
+    faults: false,
+    stops: true,
+    callers: Callers::SomeMisbehave,
+    ..FAULTS
+};
+
 const CRASHING_PARTS: SoakMode = SoakMode {
     faults: false,
     changes: true,
@@ -136,6 +147,19 @@
     run_soak(2, 12, &CHANGES);
 }
 
+/// Crowds of clients that do not behave come beside ordinary callers, kills and partitions.
+/// Guards against gateways that outgrow their machines, and against losing what others sent.
+#[test]
+fn guarantees_hold_beside_clients_that_do_not_behave() {
+    run_soak(11_001, 12, &CROWDS);
+}
+
+/// The same beside planned stops, which cut no ordinary request.
+#[test]
+fn planned_stops_cut_nothing_beside_clients_that_do_not_behave() {
+    run_soak(11_000, 12, &CROWDS_IN_STOPS);
+}
+
 /// Guards against streams of two versions after a gateway was cut off or stopped while workers
 /// were replaced.
 #[test]
