Tests of clients: the platform's names stay in its folder

platform_names_appear_only_in_its_folder failed on tests/clients (request ids, paths). Heads, paths and submissions are made by the stand-ins; the crowds and bounds are as they were.

--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -1,8 +1,9 @@
 //! Crowds at the listeners of a gateway.
 
 use crate::measure::{answers, check, gateway_withstands, head, head_of_body, on_site, withstand};
-use bluebellreel_platform_standins::{Crowd, ProcessSite, Refusal, Script};
-use http::Method;
+use bluebellreel_platform_standins::{
+    Crowd, ProcessSite, READY_PATH, Refusal, Script, item_path, raw_head,
+};
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 
@@ -158,7 +159,7 @@
             "{{\"items\":[{{\"id\":\"i{n}\",\"path\":\"/book/1\",\"body\":\"{body}\",\"tokens\":1}}]}}"
         );
         let fields = format!("Content-Length: {}\r\n\r\n", items.len());
-        let head = head("POST", "/book/1", &fields).replace("crowd", &format!("job-{n}"));
+        let head = raw_head(&format!("job-{n}"), "POST", "/book/1", &fields);
         Script::stall(head + &items)
     });
     gateway_withstands(requests, 1, jobs.collect());
@@ -175,20 +176,11 @@
         for worker in &site.workers {
             worker.faults.unresponsive.set(true);
         }
-        let headers = [("x-request-id", "kept"), ("x-deadline-ms", "5000")];
-        let caller = &site.caller;
         site.until("the job is accepted", || async {
-            let call = caller.call(
-                site.requests,
-                Method::POST,
-                "/book/1",
-                &headers,
-                job.clone(),
-            );
-            call.await.is(202)
+            site.submit("kept", &job).await.is(202)
         })
         .await;
-        let request = head("GET", "/v1/items/kept?id=i", "\r\n");
+        let request = head("GET", &item_path("kept", "i"), "\r\n");
         let crowd = Crowd::start(site.requests, HEADS, vec![pipelined(&request)]);
         withstand(&site.gateway, crowd).await;
         for worker in &site.workers {
@@ -297,7 +289,7 @@
 
 /// A crowd at each listener that callers are not meant to reach.
 fn scripts_for_others() -> Vec<Script> {
-    let request = head("GET", "/v1/ready", "\r\n");
+    let request = head("GET", READY_PATH, "\r\n");
     vec![
         head_line(),
         empty_lines(),
--- a/tests/clients/measure.rs
+++ b/tests/clients/measure.rs
@@ -1,7 +1,7 @@
 //! Measures processes under crowds of clients, one test at a time.
 
 use bluebellreel_platform_standins::{
-    Crowd, HOST, Machine, ProcessSite, Script, SystemProcess, descriptors, peak_kib,
+    Crowd, Machine, ProcessSite, Script, SystemProcess, descriptors, peak_kib, raw_head,
 };
 use http::Method;
 use serde_json::{Value, json};
@@ -75,8 +75,6 @@
     assert!(crowd.opened() > 0);
     drop(crowd);
     check(&mut process.borrow_mut());
-    let id = process.borrow().id();
-    println!("peak {:?} KiB", peak_kib(id));
 }
 
 /// Checks that a process lives within its machine.
@@ -121,7 +119,7 @@
 
 /// The head of a request up to its last field.
 pub fn head(method: &str, path: &str, fields: &str) -> String {
-    format!("{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: crowd\r\n{fields}")
+    raw_head("crowd", method, path, fields)
 }
 
 /// A whole head that announces a body.
