Accounts: shares that add up, and a caller that reads a little now and then

What callers saw: nothing yet; found by reading. (1) The shares of a gateway's memory came to seven eighths and those of its sockets to five eighths, while each request of a caller may need a socket of the gateway's own, for a worker, a peer or the store: together more than the machine. (2) A caller that took a few bytes of its answer each second began its stall anew each time, so that its connection could never be closed for others.

Change: callers of a gateway have three eighths of the memory and of the sockets; with all other shares three quarters of the memory is shared out, and half of the sockets besides the gateway's own. Other processes: three eighths of the sockets. An answer waits until it is taken as a whole.

--- a/crates/bluebellreel_entry/src/run.rs
+++ b/crates/bluebellreel_entry/src/run.rs
@@ -42,9 +42,9 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Timeout of one call to the key-value service.
 const KV_TIMEOUT: Duration = Duration::from_secs(2);
-/// Parts of the machine's memory of which callers may take one. The stacks and heaps of
+/// Eighths of the machine's memory that callers may take. The stacks and heaps of
 /// the daemon's threads take the most.
-const MEMORY_PARTS: usize = 8;
+const MEMORY_EIGHTHS: usize = 1;
 
 /// A running entry daemon.
 pub struct Entry {
@@ -169,7 +169,7 @@
     };
     let machine = settings.machine;
     let machine = Machine::new(machine.memory, machine.descriptors, machine.files);
-    let account = machine.callers(MEMORY_PARTS);
+    let account = machine.callers_with(MEMORY_EIGHTHS);
     let http = serve(
         settings.listen,
         settings.limits.threads,
--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -52,8 +52,6 @@
 /// Maximum number of streams whose version is kept: those of half a minute at the peak of
 /// the whole fleet, in some 6 MB.
 const MAX_ORIGINS: usize = 65_536;
-/// Parts of the machine's memory of which callers may take one.
-const MEMORY_PARTS: usize = 2;
 /// Maximum number of idle connections per peer.
 const MAX_PEER_IDLE: usize = 8;
 
@@ -188,7 +186,7 @@
     pub(crate) fn new(settings: GatewaySettings) -> Rc<Self> {
         let limits = settings.machine;
         let machine = Machine::new(limits.memory, limits.descriptors, limits.files);
-        let callers = Account::new(machine.callers(MEMORY_PARTS));
+        let callers = Account::new(machine.callers());
         // A cancelled item must not reach its worker after a partition has ended.
         let workers = Pool::resetting(PoolLimits {
             connect: WORKER_CONNECT_TIMEOUT,
--- a/crates/bluebellreel_keeper/src/keeper.rs
+++ b/crates/bluebellreel_keeper/src/keeper.rs
@@ -37,9 +37,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(25);
 /// Time between two reads of the settings file.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
-/// Parts of the machine's memory of which callers may take one. The rest is
+/// Eighths of the machine's memory that callers may take. The rest is
 /// for what the keeper keeps.
-const MEMORY_PARTS: usize = 4;
+const MEMORY_EIGHTHS: usize = 2;
 /// Time for which a gateway's connection may stay open without a request.
 const SERVER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -198,7 +198,7 @@
     let stop = Stop::default();
     let served = ConnectionTracker::default();
     let k = keeper.clone();
-    let account = Account::new(machine.callers(MEMORY_PARTS));
+    let account = Account::new(machine.callers_with(MEMORY_EIGHTHS));
     let serving = serve(
         listener,
         stop.clone(),
--- a/crates/bluebellreel_net/src/connection.rs
+++ b/crates/bluebellreel_net/src/connection.rs
@@ -663,9 +663,12 @@
 }
 
 impl ConnectionIo {
-    /// Notes whether the caller takes what is written.
+    /// Notes if the caller does not take what is written. That it takes some of it is not
+    /// enough: a caller could hold its connection by reading a little now and then.
     fn written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        self.state.set_blocked(result.is_pending());
+        if result.is_pending() {
+            self.state.set_blocked(true);
+        }
         result
     }
 }
@@ -693,7 +696,9 @@
         self.state.stream.borrow().is_write_vectored()
     }
 
+    /// Called once all that was to be written is written.
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.state.set_blocked(false);
         Pin::new(&mut *self.state.stream.borrow_mut()).poll_flush(cx)
     }
 
--- a/crates/bluebellreel_net/src/machine.rs
+++ b/crates/bluebellreel_net/src/machine.rs
@@ -5,6 +5,8 @@
 
 /// Memory that is assumed if the system does not tell it, in bytes.
 const DEFAULT_MEMORY: usize = 256 << 20;
+/// Parts of which shares are made.
+const PARTS: usize = 8;
 /// Minimum number of connections that a share has.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -29,36 +31,43 @@
         }
     }
 
-    /// What callers may take: half of the sockets, and one of `parts` parts of the memory. The
-    /// rest is for the process itself and for its own calls.
+    /// What callers may take of a gateway: three eighths. Each of their requests may need a
+    /// socket of the gateway's own, and the process itself needs memory.
     #[must_use]
-    pub fn callers(self, parts: usize) -> AccountLimits {
-        self.share(parts, 2)
+    pub fn callers(self) -> AccountLimits {
+        self.share(3, 3)
+    }
+
+    /// What callers may take of another process: three eighths of its sockets, and so many
+    /// eighths of its memory.
+    #[must_use]
+    pub fn callers_with(self, memory: usize) -> AccountLimits {
+        self.share(memory, 3)
     }
 
     /// What may be kept for callers after their requests are answered.
     #[must_use]
     pub fn kept(self) -> AccountLimits {
-        self.share(8, 1)
+        self.share(1, PARTS)
     }
 
     /// Memory of the answers to the process's own calls of one kind, in bytes.
     #[must_use]
     pub fn own_calls(self) -> usize {
-        self.memory / 16
+        self.memory / (2 * PARTS)
     }
 
     /// What peers, the balancer and readers of metrics may take, apart from callers.
     #[must_use]
     pub fn internal(self) -> AccountLimits {
-        self.share(8, 8)
+        self.share(1, 1)
     }
 
-    /// The share of one part in so many of the memory and of the sockets.
+    /// A share of so many parts of the memory and of the sockets.
     fn share(self, memory: usize, sockets: usize) -> AccountLimits {
         AccountLimits {
-            memory: self.memory / memory,
-            connections: (self.sockets / sockets).max(MIN_CONNECTIONS),
+            memory: self.memory / PARTS * memory,
+            connections: (self.sockets / PARTS * sockets).max(MIN_CONNECTIONS),
         }
     }
 }
--- a/crates/bluebellreel_side/src/run.rs
+++ b/crates/bluebellreel_side/src/run.rs
@@ -28,9 +28,9 @@
 const QUEUE_CAPACITY: usize = 16_384;
 /// Maximum time that the actor's loop waits for a message.
 const MAX_SLEEP: Duration = Duration::from_millis(100);
-/// Parts of the machine's memory of which callers may take one. The heaps of its
+/// Eighths of the machine's memory that callers may take. The heaps of its
 /// threads need room beside them.
-const MEMORY_PARTS: usize = 4;
+const MEMORY_EIGHTHS: usize = 2;
 
 /// A running side process.
 pub struct Side {
@@ -99,7 +99,12 @@
         models: loaded.iter().flatten().map(|m| m.name.clone()).collect(),
     };
     watch_models(&backend, &tx, loaded)?;
-    let rpc = start_rpc(hello, listener, machine.callers(MEMORY_PARTS), tx.clone())?;
+    let rpc = start_rpc(
+        hello,
+        listener,
+        machine.callers_with(MEMORY_EIGHTHS),
+        tx.clone(),
+    )?;
     let handles = Handles {
         clock,
         rpc,
--- a/tests/clients/inside.rs
+++ b/tests/clients/inside.rs
@@ -120,6 +120,28 @@
     });
 }
 
+/// A job whose body is of exactly the limit is accepted, also on a small machine.
+#[test]
+fn a_job_of_exactly_the_limit_is_accepted() {
+    on_site(|site| async move {
+        let item = |n: usize, body: usize| {
+            let body = "A".repeat(body);
+            format!("{{\"id\":\"i{n}\",\"path\":\"/book/1\",\"body\":\"{body}\",\"tokens\":1}}")
+        };
+        let mut items: Vec<String> = (0..199).map(|n| item(n, 20_000)).collect();
+        let job = |items: &[String]| format!("{{\"items\":[{}]}}", items.join(","));
+        let rest = BODY - job(&items).len() - item(199, 0).len() - 1;
+        items.push(item(199, rest / 4 * 4));
+        let mut job = job(&items);
+        job += &" ".repeat(BODY - job.len());
+        assert_eq!(job.len(), BODY);
+        site.until("the job is accepted", || async {
+            site.submit("largest", &job).await.is(202)
+        })
+        .await;
+    });
+}
+
 /// An empty line before a request is no part of it, also on a kept connection.
 #[test]
 fn an_empty_line_before_a_request_is_passed_over() {
