Answers: what waits in the buffers of a connection counts too

What callers saw: nothing yet; found by reading. Blocks of a whole answer leave the account as the HTTP library takes them into its buffer, 400 KB and a block for each connection, where they wait if the caller does not read.

Change: that buffer has 64 KiB, or the largest head; a connection whose caller does not take its answer holds 256 KiB for it beside the kernel's buffers, until all of it is written.

Measured: large_answers_that_nobody_reads (40 callers, answers of 4 MB, a gateway of 64 MB) and the other tests of answers, bodies and all kinds at once pass. The new test was not run on the code before.

--- a/crates/bluebellreel_net/src/connection.rs
+++ b/crates/bluebellreel_net/src/connection.rs
@@ -43,6 +43,10 @@
 /// takes twice as much.
 pub(crate) const KERNEL_BUFFER_BYTES: usize = 128 * 1024;
 
+/// Memory of an answer in the HTTP library's buffer and the kernel's while its caller does not
+/// take it, in bytes.
+const BLOCKED_BYTES: usize = 256 * 1024 + 2 * KERNEL_BUFFER_BYTES;
+
 /// State of one served connection, shared by the server and the connection's I/O.
 pub(crate) struct ConnectionState {
     stream: RefCell<TcpStream>,
@@ -62,8 +66,8 @@
     close_announced: Cell<bool>,
     /// Whether the caller does not take what is written.
     is_blocked: Cell<bool>,
-    /// When the connection has been closed by its caller's silence.
-    silent_at: Cell<Instant>,
+    /// Since when the connection has waited for a request.
+    silent_since: Cell<Instant>,
     /// Wakes the HTTP library once it may read the next request.
     reader: RefCell<Option<Waker>>,
     /// Memory held for the request in progress, in bytes.
@@ -143,7 +147,7 @@
             in_progress: Cell::new(0),
             close_announced: Cell::new(false),
             is_blocked: Cell::new(false),
-            silent_at: Cell::new(now),
+            silent_since: Cell::new(now),
             reader: RefCell::default(),
             request_memory: Cell::new(0),
             unread_memory: Cell::new(0),
@@ -267,7 +271,7 @@
         } else {
             Stage::Idle
         });
-        self.silent_at.set(Instant::now());
+        self.silent_since.set(Instant::now());
         self.wake_reader();
     }
 
@@ -501,7 +505,7 @@
                 Poll::Pending => {
                     let until = match input.head_began {
                         Some(began) => began + limits.head_time,
-                        None => state.silent_at.get() + limits.idle_time,
+                        None => state.silent_since.get() + limits.idle_time,
                     };
                     if self.due.deadline() != until {
                         self.due.as_mut().reset(until);
@@ -567,9 +571,9 @@
         let is_in_progress = self.in_progress.get() > 0;
         if is_blocked {
             self.hold.enter(Stage::Stalled);
-            self.hold.force(2 * KERNEL_BUFFER_BYTES);
+            self.hold.force(BLOCKED_BYTES);
         } else {
-            self.hold.give_back(2 * KERNEL_BUFFER_BYTES);
+            self.hold.give_back(BLOCKED_BYTES);
             self.hold.enter(if is_in_progress {
                 Stage::Busy
             } else {
--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -28,8 +28,8 @@
 const BACKLOG: u32 = 1024;
 /// Pause after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Minimum size of the HTTP library's buffers, in bytes.
-const MIN_BUFFER_BYTES: usize = 400 * 1024;
+/// Minimum size of the HTTP library's buffers, in bytes. Answers wait there in blocks.
+const MIN_BUFFER_BYTES: usize = 64 * 1024;
 /// How long written bytes may stay unacknowledged before the connection counts as
 /// broken. A machine without power never acknowledges; with the kernel's default its
 /// connection would stay open for minutes.
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -2,9 +2,12 @@
 
 use crate::measure::{answers, check, gateway_withstands, head, head_of_body, on_site, withstand};
 use bluebellreel_platform_standins::{
-    Crowd, ProcessSite, READY_PATH, Refusal, Script, item_path, raw_head,
+    Crowd, ProcessSite, READY_PATH, Refusal, Script, answer_head, item_path, raw_head,
 };
-use std::net::{SocketAddr, UdpSocket};
+use http::Method;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::thread;
 use std::time::Duration;
 
 /// Clients of a crowd that sends heads.
@@ -190,6 +193,46 @@
     });
 }
 
+/// Answers each request on a connection with as many bytes as a body may have.
+fn answer_all(mut stream: TcpStream) -> std::io::Result<()> {
+    let mut head = [0; 4096];
+    let body = vec![b'x'; BODY];
+    loop {
+        let read = stream.read(&mut head)?;
+        let text = String::from_utf8_lossy(&head[..read]).to_lowercase();
+        if read == 0 {
+            return Ok(());
+        }
+        stream.write_all(answer_head(&text, BODY).as_bytes())?;
+        stream.write_all(&body)?;
+    }
+}
+
+/// Answers took memory beside the account while they waited in the buffers of connections.
+#[test]
+fn large_answers_that_nobody_reads() {
+    on_site(|site| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let large = listener.local_addr().expect("an address");
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                // Ends with an error once the gateway closes the connection.
+                thread::spawn(move || answer_all(stream));
+            }
+        });
+        site.replace_workers(large);
+        site.until("answers are large", || async {
+            site.ask("/plain/1", Method::POST).await.body.len() == BODY
+        })
+        .await;
+        let request = head("POST", "/plain/1", "Content-Length: 0\r\n\r\n");
+        let crowd = Crowd::start(site.requests, BODIES, vec![Script::stall(request).unread()]);
+        withstand(&site.gateway, crowd).await;
+        site.restore_workers();
+        answers(&site).await;
+    });
+}
+
 fn pipelined(request: &str) -> Script {
     let requests = request.repeat(100);
     Script::flood("", requests, 4 * WITHOUT_END).unread()
