--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -7,8 +7,10 @@
 
 use super::adopt::{adopt_new, adopt_stored};
 use super::load::{self, owned_job};
-use super::own::{PendingSubmission, SubmissionOutcome, input_bytes};
+use super::own::{PendingSubmission, SubmissionOutcome};
 use super::quota::{self, Quota};
+use super::refusals;
+use super::room::{self, Unfit};
 use super::stored::{key, stored_record};
 use super::upload::{self, Interruption, Upload};
 use crate::answers;
@@ -82,7 +84,7 @@
         quota::wait_until_countable(gw, route, deadline.min(received + STORE_TIMEOUT)).await;
     let underway = underway_for(gw, &id, team.as_ref(), deadline).await;
     let Ok(underway) = underway else {
-        return in_doubt(gw, &id);
+        return refusals::in_doubt(gw, &id);
     };
     let known_team = owned_job(gw, &id).map(|owned| owned.job.borrow().record.team.clone());
     if let Some(known_team) = known_team {
@@ -116,13 +118,10 @@
             RETRY_AFTER_STOPPING,
         );
     } else {
-        let memory = wire::job_memory(&body);
-        if memory > gw.callers.memory_limit() {
-            warn!(target: "jobs", job:% = id, memory; "job larger than the memory for jobs");
-            return answers::status(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        let Ok(hold) = gw.callers.reserve(memory) else {
-            return refuse_unread(gw, &id);
+        let hold = match room::reserve(gw, &id, &body) {
+            Ok(hold) => hold,
+            Err(Unfit::Now) => return refusals::no_room(gw, &id),
+            Err(Unfit::Ever) => return answers::status(StatusCode::PAYLOAD_TOO_LARGE),
         };
         let decoded = wire::decode_job(&body);
         drop(body);
@@ -133,9 +132,8 @@
                 return answers::failure(StatusCode::BAD_REQUEST, &e.to_string());
             }
         };
-        let inputs: usize = items.iter().map(input_bytes).sum();
-        if gw.job_inputs.memory() + inputs > gw.job_inputs.memory_limit() {
-            return refuse_unread(gw, &id);
+        if !room::fits(gw, &items) {
+            return refusals::no_room(gw, &id);
         }
         let tokens: u64 = items.iter().map(|i| i.tokens).sum();
         let record = new_record(gw, route, team, &items);
@@ -148,18 +146,6 @@
     await_decision(gw, &id, decided, received, deadline).await
 }
 
-/// Answers a submission that there is no room for. One of the same job may be being written, or
-/// have been accepted.
-pub(crate) fn refuse_unread(gw: &Gateway, id: &JobId) -> Response<Body> {
-    let is_underway = gw.jobs.borrow().submissions.contains_key(id);
-    if is_underway || owned_job(gw, id).is_some() {
-        return in_doubt(gw, id);
-    }
-    warn!(target: "jobs", job:% = id; "job refused: no room");
-    gw.metrics.job("refused");
-    answers::no_room()
-}
-
 /// Answers a submission that exceeds the quota. Its job may have been accepted
 /// before, so the store is read first.
 async fn answer_over_quota(
@@ -203,13 +189,6 @@
     answers::status(StatusCode::ACCEPTED)
 }
 
-/// The answer to a submission whose outcome is not known in time.
-fn in_doubt(gw: &Gateway, id: &JobId) -> Response<Body> {
-    warn!(target: "jobs", job:% = id; "job in doubt");
-    gw.metrics.job("in_doubt");
-    answers::failure(StatusCode::GATEWAY_TIMEOUT, "not decided in time")
-}
-
 /// The submission of this job by the same team that is being written, if any. One by
 /// another team is awaited first: its outcome says nothing about this team's job.
 ///
@@ -269,7 +248,7 @@
             )
         }
         SubmissionOutcome::OtherTeam => other_team(id),
-        SubmissionOutcome::Pending => in_doubt(gw, id),
+        SubmissionOutcome::Pending => refusals::in_doubt(gw, id),
     }
 }
 
--- a/crates/bluebellreel_gateway/src/jobs/mod.rs
+++ b/crates/bluebellreel_gateway/src/jobs/mod.rs
@@ -23,6 +23,8 @@
 mod quota;
 mod read;
 mod record;
+mod refusals;
+mod room;
 mod runs;
 mod stored;
 mod takeover;
@@ -35,7 +37,7 @@
 use http::Response;
 use std::rc::Rc;
 
-pub(crate) use accept::{Submission, refuse_unread, submit};
+pub(crate) use accept::{Submission, submit};
 pub(crate) use backup::{copy_progress, store_progress_copy};
 pub(crate) use cancel::{
     cancel_own, cancellation_reported, forward_cancellations, take_cancellation,
@@ -48,6 +50,7 @@
 };
 pub(crate) use hand_over::{HandOvers, take_hand_over};
 pub(crate) use read::{body_of_own, read_own};
+pub(crate) use refusals::no_room;
 pub(crate) use runs::{preempt_batch_runs, start_items};
 pub(crate) use takeover::adopt_orphans;
 pub(crate) use upload::remove_abandoned;
--- a/crates/bluebellreel_net/src/connection.rs
+++ b/crates/bluebellreel_net/src/connection.rs
@@ -1,37 +1,31 @@
-//! State and byte stream of a served connection.
+//! State of a served connection.
 //!
 //! The HTTP library gets the bytes of a request only once its head is complete, and those of a
 //! further request only once the answer to the one before is written. So what a caller may make
 //! this process hold, and whether it may close the connection, is known here: a stopping server
 //! may close an idle connection, and has to answer one on which part of a request has arrived.
 
+mod input;
+mod io;
+
 use crate::account::{Hold, Stage};
-use crate::framing::{
-    BodyEnd, ChunkScan, FREE_FIELD_BYTES, HeadError, HeadScan, MAX_FIELDS, WholeHead,
-    max_head_bytes,
-};
+use crate::framing::{BodyEnd, ChunkScan, FREE_FIELD_BYTES, HeadError, MAX_FIELDS, max_head_bytes};
 use crate::intake::{CallerLimits, Intake, Refused};
 use crate::{Body, Broken, NoRoom, RequestBody};
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use input::{Framing, Input};
+pub(crate) use io::ConnectionIo;
 use std::cell::{Cell, RefCell};
-use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker, ready};
-use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use std::task::{Context, Poll, Waker};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, Sleep, sleep, sleep_until};
-
-/// How long the server keeps reading from a connection after its last response, for
-/// callers that are still sending the body of the request. Callers allow the same
-/// time for opening a new connection.
-const LINGER: Duration = Duration::from_secs(1);
-/// Size of the buffer into which bytes are read.
-const READ_BYTES: usize = 8192;
+use tokio::time::Instant;
+
 /// Memory of a connection in bytes: its state and the buffers of the HTTP library.
 const CONNECTION_BYTES: usize = 16 * 1024;
 /// Number of fields for which the HTTP library has a table at hand. A larger one takes it many
@@ -42,7 +36,6 @@
 /// Size in bytes of the kernel's buffers of a connection, one for each direction; the kernel
 /// takes twice as much.
 pub(crate) const KERNEL_BUFFER_BYTES: usize = 128 * 1024;
-
 /// Memory of an answer in the HTTP library's buffer and the kernel's while its caller does not
 /// take it, in bytes.
 const BLOCKED_BYTES: usize = 256 * 1024 + 2 * KERNEL_BUFFER_BYTES;
@@ -79,32 +72,6 @@
     error: Cell<Option<HeadError>>,
 }
 
-/// Which part of a request comes next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    /// A head.
-    Head,
-    /// The rest of a whole head, for the HTTP library.
-    WholeHead { left: usize },
-    /// Nothing until the HTTP library has parsed the head.
-    Parsing,
-    /// A body.
-    Body(BodyEnd),
-}
-
-/// Bytes that were read and not yet given to the HTTP library.
-struct Input {
-    bytes: BytesMut,
-    framing: Framing,
-    scan: HeadScan,
-    /// The head that was given last.
-    head: WholeHead,
-    /// When the head began that is incomplete.
-    head_began: Option<Instant>,
-    /// Memory held for bytes that wait, in this buffer or the kernel's.
-    held: usize,
-}
-
 /// What a connection without a request in progress is waiting for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Awaiting {
@@ -129,17 +96,7 @@
             stream: RefCell::new(stream),
             intake: intake.clone(),
             hold,
-            input: RefCell::new(Input {
-                bytes: BytesMut::new(),
-                framing: Framing::Head,
-                scan: HeadScan::default(),
-                head: WholeHead {
-                    bytes: 0,
-                    fields: 0,
-                },
-                head_began: None,
-                held: 0,
-            }),
+            input: RefCell::new(Input::new()),
             accepted_at: now,
             max_fields: Cell::new(USUAL_FIELDS),
             begins_anew: Cell::new(false),
@@ -410,127 +367,6 @@
     }
 }
 
-/// The byte stream of a connection, as the HTTP library reads and writes it.
-pub(crate) struct ConnectionIo {
-    state: Rc<ConnectionState>,
-    /// When the caller has been silent for too long.
-    due: Pin<Box<Sleep>>,
-    /// When discarding ends; set once the write side is shut down.
-    discard_end: Option<Pin<Box<Sleep>>>,
-}
-
-impl ConnectionIo {
-    pub(crate) fn new(state: Rc<ConnectionState>) -> Self {
-        Self {
-            due: Box::pin(sleep_until(state.accepted_at)),
-            state,
-            discard_end: None,
-        }
-    }
-
-    /// Discards incoming bytes until the caller closes the connection or [`LINGER`]
-    /// has passed.
-    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let discard_end = self
-            .discard_end
-            .get_or_insert_with(|| Box::pin(sleep(LINGER)));
-        let mut stream = self.state.stream.borrow_mut();
-        let mut bytes = [0; READ_BYTES];
-        loop {
-            let mut buf = ReadBuf::new(&mut bytes);
-            match Pin::new(&mut *stream).poll_read(cx, &mut buf) {
-                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
-                    if discard_end.as_mut().poll(cx).is_ready() {
-                        return Poll::Ready(());
-                    }
-                }
-                Poll::Ready(_) => return Poll::Ready(()),
-                Poll::Pending => return discard_end.as_mut().poll(cx),
-            }
-        }
-    }
-
-    /// Reads more bytes into the input; returns false at the end of the stream.
-    fn poll_fill(&self, input: &mut Input, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
-        let mut bytes = [0; READ_BYTES];
-        let mut buf = ReadBuf::new(&mut bytes);
-        let mut stream = self.state.stream.borrow_mut();
-        ready!(Pin::new(&mut *stream).poll_read(cx, &mut buf))?;
-        input.bytes.extend_from_slice(buf.filled());
-        Poll::Ready(Ok(!buf.filled().is_empty()))
-    }
-
-    /// Waits for a request's head. Returns false if the connection is to be closed.
-    fn poll_head(&mut self, input: &mut Input, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
-        let state = self.state.clone();
-        if state.hold.is_evicted() {
-            return Poll::Ready(Ok(false));
-        }
-        loop {
-            let limits = (state.intake.limits)();
-            let scanned = input.scan.advance(&input.bytes, limits.head_bytes);
-            input.bytes.advance(input.scan.take_empty_lines());
-            let scanned = match scanned {
-                Ok(Some(head)) if head.fields > max_fields(limits) => Err(HeadError::TooLarge),
-                scanned => scanned,
-            };
-            match scanned {
-                Ok(Some(head)) => {
-                    input.begin_head(head);
-                    state.hold_waiting(input);
-                    if head.fields > state.max_fields.get() {
-                        state.max_fields.set(head.fields);
-                        state.begins_anew.set(true);
-                        return Poll::Ready(Ok(false));
-                    }
-                    return Poll::Ready(Ok(true));
-                }
-                Ok(None) => {}
-                Err(e) => {
-                    state.error.set(Some(e));
-                    let reason = "the request's head is not taken";
-                    return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
-                }
-            }
-            if input.scan.has_begun() {
-                input.head_began.get_or_insert_with(Instant::now);
-                state.hold.enter(Stage::Head);
-            }
-            if !state.hold_waiting(input) {
-                return Poll::Ready(Ok(false));
-            }
-            match self.poll_fill(input, cx) {
-                Poll::Ready(Ok(true)) => {}
-                Poll::Ready(other) => return Poll::Ready(other),
-                Poll::Pending => {
-                    let until = match input.head_began {
-                        Some(began) => began + limits.head_time,
-                        None => state.silent_since.get() + limits.idle_time,
-                    };
-                    if self.due.deadline() != until {
-                        self.due.as_mut().reset(until);
-                    }
-                    ready!(self.due.as_mut().poll(cx));
-                    return Poll::Ready(Ok(false));
-                }
-            }
-        }
-    }
-
-    /// Reads ahead of a request in progress, so that the end of the stream is seen. Returns
-    /// false at that end.
-    fn poll_ahead(&self, input: &mut Input, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
-        let state = &self.state;
-        if input.bytes.is_empty() && !ready!(self.poll_fill(input, cx))? {
-            return Poll::Ready(Ok(false));
-        }
-        // A request in progress is not ended for what comes behind it.
-        state.force_waiting(input);
-        state.reader.replace(Some(cx.waker().clone()));
-        Poll::Pending
-    }
-}
-
 impl ConnectionState {
     /// Whether no further request is to be read yet: one is in progress, or the caller does not
     /// take the answer to it.
@@ -583,148 +419,3 @@
         }
     }
 }
-
-impl Input {
-    /// Begins to give a whole head to the HTTP library.
-    fn begin_head(&mut self, head: WholeHead) {
-        self.framing = Framing::WholeHead { left: head.bytes };
-        self.head = head;
-        self.scan = HeadScan::default();
-        self.head_began = None;
-    }
-
-    /// Gives bytes to the HTTP library.
-    fn give(&mut self, count: usize, buf: &mut ReadBuf<'_>) -> usize {
-        let count = count.min(buf.remaining()).min(self.bytes.len());
-        buf.put_slice(&self.bytes[..count]);
-        self.bytes.advance(count);
-        if self.bytes.is_empty() {
-            // Returns the memory of a long head.
-            self.bytes = BytesMut::new();
-        }
-        count
-    }
-
-    /// Gives bytes of a body to the HTTP library, up to the body's end.
-    fn give_body(&mut self, mut end: BodyEnd, buf: &mut ReadBuf<'_>) {
-        let count = self.bytes.len().min(buf.remaining());
-        let (taken, has_ended) = end.take(&self.bytes[..count]);
-        self.give(taken, buf);
-        self.framing = if has_ended {
-            Framing::Head
-        } else {
-            Framing::Body(end)
-        };
-    }
-}
-
-impl AsyncRead for ConnectionIo {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        let state = this.state.clone();
-        let mut input = state.input.borrow_mut();
-        loop {
-            match input.framing {
-                Framing::Head if state.is_occupied() => {
-                    ready!(this.poll_ahead(&mut input, cx))?;
-                    return Poll::Ready(Ok(()));
-                }
-                Framing::Head => {
-                    // What was to be written is written.
-                    state.hold.give_back(state.answer_memory.take());
-                    // The end of the stream closes the connection.
-                    if !ready!(this.poll_head(&mut input, cx))? {
-                        return Poll::Ready(Ok(()));
-                    }
-                }
-                Framing::WholeHead { left } => {
-                    let left = left - input.give(left, buf);
-                    input.framing = if left == 0 {
-                        Framing::Parsing
-                    } else {
-                        Framing::WholeHead { left }
-                    };
-                    state.hold_waiting(&mut input);
-                    return Poll::Ready(Ok(()));
-                }
-                // The HTTP library finds no end of the head.
-                Framing::Parsing => return Poll::Ready(Ok(())),
-                Framing::Body(end) => {
-                    if input.bytes.is_empty() && !ready!(this.poll_fill(&mut input, cx))? {
-                        return Poll::Ready(Ok(()));
-                    }
-                    input.give_body(end, buf);
-                    state.hold_waiting(&mut input);
-                    return Poll::Ready(Ok(()));
-                }
-            }
-        }
-    }
-}
-
-impl ConnectionIo {
-    /// Notes if the caller does not take what is written. That it takes some of it is not
-    /// enough: a caller could hold its connection by reading a little now and then.
-    fn written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if result.is_pending() {
-            self.state.set_blocked(true);
-        }
-        result
-    }
-}
-
-impl AsyncWrite for ConnectionIo {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.state.stream.borrow_mut()).poll_write(cx, buf);
-        self.written(written)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.state.stream.borrow_mut()).poll_write_vectored(cx, bufs);
-        self.written(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.state.stream.borrow().is_write_vectored()
-    }
-
-    /// Called once all that was to be written is written.
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.state.set_blocked(false);
-        Pin::new(&mut *self.state.stream.borrow_mut()).poll_flush(cx)
-    }
-
-    /// Shuts down the write side. If a response has announced the end of the
-    /// connection, keeps reading for up to [`LINGER`]: closing a connection with
-    /// unread bytes resets it, and the reset destroys a response that is still on
-    /// its way, such as a refusal sent while the request's body is arriving.
-    ///
-    /// Without that announcement the caller may have sent its next request. That
-    /// request stays unread, so that the caller can be sure that it has not run.
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        if this.state.begins_anew.get() || this.state.error.get().is_some() {
-            // The server goes on with the connection.
-            return Poll::Ready(Ok(()));
-        }
-        if this.discard_end.is_none() {
-            ready!(Pin::new(&mut *this.state.stream.borrow_mut()).poll_shutdown(cx))?;
-        }
-        if this.state.close_announced.get() {
-            ready!(this.poll_discard(cx));
-        }
-        Poll::Ready(Ok(()))
-    }
-}
