Submissions without room: 503 only if the job is certainly not accepted

What callers could see: a job that another gateway had accepted, whose 202 was lost on the way, got 503 when it came again where there was no room, or 413 on a machine too small for it: a promise that no part of it runs, while it runs.

Cause: only what this gateway owns or writes was asked before the refusal; a refusal over quota reads the store first, the new ones did not. The answer to a request without any room did not look at what it was.

Change: the store is read before a submission is refused for want of room; if its job is stored, being written or cannot be looked up, the answer is 504, which promises nothing. A request that there is not even room to look at gets 502 at a gateway.

No test shows the fault: none submits one job at two gateways without room.

--- a/crates/bluebellreel_gateway/src/jobs/accept.rs
+++ b/crates/bluebellreel_gateway/src/jobs/accept.rs
@@ -120,8 +120,8 @@
     } else {
         let hold = match room::reserve(gw, &id, &body) {
             Ok(hold) => hold,
-            Err(Unfit::Now) => return refusals::no_room(gw, &id),
-            Err(Unfit::Ever) => return answers::status(StatusCode::PAYLOAD_TOO_LARGE),
+            Err(Unfit::Now) => return refusals::no_room(gw, &id).await,
+            Err(Unfit::Ever) => return refusals::too_large(gw, &id).await,
         };
         let decoded = wire::decode_job(&body);
         drop(body);
@@ -133,7 +133,7 @@
             }
         };
         if !room::fits(gw, &items) {
-            return refusals::no_room(gw, &id);
+            return refusals::no_room(gw, &id).await;
         }
         let tokens: u64 = items.iter().map(|i| i.tokens).sum();
         let record = new_record(gw, route, team, &items);
--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -9,10 +9,12 @@
     admission, confirmation, evidence, jobs, lease, list_check, peer_api, quarantine_store,
     registration, reload, reports, serve, store_proxy, teams, watching,
 };
-use bluebellreel_net::{CallerLimits, ConnectionTracker, Intake, Stop, every, listen};
+use bluebellreel_net::{CallerLimits, ConnectionTracker, Intake, Refused, Stop, every, listen};
 use bluebellreel_settings::GatewaySettings;
 use bluebellreel_types::Moment;
+use bytes::Bytes;
 use eyre::Context;
+use http::{Response, StatusCode};
 use log::{info, warn};
 use std::rc::Rc;
 use std::time::Duration;
@@ -168,6 +170,7 @@
 fn intake_of_callers(gw: &Rc<Gateway>) -> Intake {
     let (limits_gw, admitting_gw, refusing_gw) = (gw.clone(), gw.clone(), gw.clone());
     Intake::new(gw.callers.clone(), move || caller_limits(&limits_gw))
+        .answering(refusal)
         .admitting(move || admission::admits_connection(&admitting_gw))
         .refusing(move || {
             let gw = refusing_gw.clone();
@@ -179,6 +182,17 @@
         })
 }
 
+/// The answer to what the server does not take. A request without room may submit a job that was
+/// accepted before, so its answer promises nothing.
+fn refusal(refused: Refused) -> Response<Bytes> {
+    let mut answer = Response::new(Bytes::new());
+    *answer.status_mut() = match refused {
+        Refused::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        Refused::NoRoom => StatusCode::BAD_GATEWAY,
+    };
+    answer
+}
+
 /// The limits of callers' connections: the configuration's, if one is known.
 fn caller_limits(gw: &Gateway) -> CallerLimits {
     let configuration = gw.configuration();
--- a/crates/bluebellreel_gateway/src/serve.rs
+++ b/crates/bluebellreel_gateway/src/serve.rs
@@ -270,7 +270,7 @@
         // The rest of the body is not read.
         Err(Unread::NoRoom) if is_submission => {
             let id = JobId::from(ingress::request_id(&head.headers));
-            return closing(jobs::no_room(gw, &id));
+            return closing(jobs::no_room(gw, &id).await);
         }
         Err(Unread::NoRoom) => return closing(answers::no_room()),
         Err(Unread::Other(answer)) => return closing(answer),
