Stops: the rest of a head may come as late as the configuration allows

What callers saw: a caller that sends its head slowly, in a planned stop, was cut three seconds after the stop whatever headerTimeoutMs allows.

Cause: a stopping server waited three seconds for the rest of a head.

Change: a stopping server waits as long as a head may take.

--- a/crates/bluebellreel_net/src/connection.rs
+++ b/crates/bluebellreel_net/src/connection.rs
@@ -22,6 +22,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -115,6 +116,11 @@
 
     /// Maximum size in bytes of a whole head within the limits, separators included.
     pub(crate) fn max_head_bytes(&self) -> usize {
+    /// How long a request's head may take.
+    pub(crate) fn head_time(&self) -> Duration {
+        (self.intake.limits)().head_time
+    }
+
         max_head_bytes((self.intake.limits)().head_bytes)
     }
 
--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -37,9 +37,6 @@
 /// How long after its accept a connection of a stopping server may stay without a
 /// request. Callers allow one second for a new connection.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long a stopping server waits for the rest of a request's head. Callers
-/// usually have three seconds to send it.
-const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The I/O type that the HTTP library drives.
 type Io = TokioIo<ConnectionIo>;
@@ -340,7 +337,8 @@
             let awaiting = state.awaiting();
             let until = match awaiting {
                 Awaiting::FirstRequest => state.accepted_at + FIRST_REQUEST_TIMEOUT,
-                Awaiting::RestOfRequest => *head_due.get_or_insert(now + REQUEST_HEAD_TIMEOUT),
+                // A head that has begun ends the connection by itself when its time is over.
+                Awaiting::RestOfRequest => *head_due.get_or_insert(now + state.head_time()),
                 Awaiting::Nothing => now,
             };
             if until > now {
