Calls: waiting for memory is not the time of a peer or the store

What callers saw: nothing yet; found by reading. Where the memory for answers that are read whole was short, the calls that waited for it failed with "no complete response before the timeout". A gateway then took its store or a peer for away, closed its idle connections and held an outage against the store: a few callers of large results could do that to all others.

Change: the wait moves the deadline. A body's buffer has the announced size from the start, as growing would take memory beside what was waited for.

--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -18,7 +18,8 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::error::Elapsed;
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Timeout of a call. The store answers in about 4 ms normally, and up to fifty times
 /// more slowly under adverse conditions.
@@ -237,25 +238,25 @@
             req.headers_mut().insert(header::HOST, host);
         }
         let is_read = req.method() == Method::GET;
+        let until = Instant::now() + max_time;
         let sent = async {
-            let mut reply = self
-                .pool
-                .send(self.address, req.map(Full::new), Reuse::Any)
-                .await
-                .map_err(|e| match e {
-                    SendError::Unsent(reason) => KvError::NotDone(reason),
-                    SendError::Unknown(reason) => KvError::Unknown(reason),
-                })?;
-            match reply.body.whole(MAX_ANSWER_BYTES).await {
+            let req = req.map(Full::new);
+            let sent = self.pool.send(self.address, req, Reuse::Any);
+            let mut reply = match timeout_at(until, sent).await? {
+                Ok(reply) => reply,
+                Err(SendError::Unsent(reason)) => return Ok(Err(KvError::NotDone(reason))),
+                Err(SendError::Unknown(reason)) => return Ok(Err(KvError::Unknown(reason))),
+            };
+            let body = reply.body.whole_by(MAX_ANSWER_BYTES, until).await?;
+            Ok::<StoreAnswer, Elapsed>(match body {
                 Ok(body) => Ok((reply.head.status, body)),
                 Err(_) if is_read && reply.body.bytes_read() > MAX_ANSWER_BYTES as u64 => {
                     Ok((StatusCode::PAYLOAD_TOO_LARGE, Bytes::new()))
                 }
                 Err(e) => Err(KvError::Unknown(e.to_string())),
-            }
+            })
         };
-        let answer = timeout(max_time, sent).await;
-        let answer = answer.unwrap_or_else(|_| {
+        let answer = sent.await.unwrap_or_else(|_| {
             // The idle connections to the store may all be dead.
             self.pool.drop_idle(self.address);
             Err(KvError::Unknown("no answer in time".into()))
--- a/crates/bluebellreel_net/src/call.rs
+++ b/crates/bluebellreel_net/src/call.rs
@@ -6,7 +6,8 @@
 use http_body_util::Full;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::error::Elapsed;
+use tokio::time::{Instant, timeout_at};
 
 /// Size limit of a response body, in bytes. A configuration is at most a megabyte,
 /// the results of a job somewhat more.
@@ -52,21 +53,20 @@
     *req.uri_mut() = path.parse().map_err(|_| format!("path {path}"))?;
     let host = HeaderValue::try_from(to.to_string()).map_err(|e| e.to_string())?;
     req.headers_mut().insert(header::HOST, host);
+    let until = Instant::now() + max_wait;
     let sent = async {
-        let mut reply = pool
-            .send(to, req, Reuse::Any)
-            .await
-            .map_err(|e| e.to_string())?;
+        let mut reply = match timeout_at(until, pool.send(to, req, Reuse::Any)).await? {
+            Ok(reply) => reply,
+            Err(e) => return Ok(Err(e.to_string())),
+        };
         if reply.body.is_unframed() {
-            return Err("response without a length".into());
+            return Ok(Err("response without a length".into()));
         }
-        let body = reply.body.whole(MAX_RESPONSE_BYTES).await;
-        Ok(Response::from_parts(
-            reply.head,
-            body.map_err(|e| e.to_string())?,
-        ))
+        let body = reply.body.whole_by(MAX_RESPONSE_BYTES, until).await?;
+        let body = body.map_err(|e| e.to_string());
+        Ok::<_, Elapsed>(body.map(|body| Response::from_parts(reply.head, body)))
     };
-    timeout(max_wait, sent).await.unwrap_or_else(|_| {
+    sent.await.unwrap_or_else(|_| {
         // All pooled connections to this address may be broken.
         pool.drop_idle(to);
         Err("no complete response before the timeout".into())
--- a/crates/bluebellreel_net/src/reply.rs
+++ b/crates/bluebellreel_net/src/reply.rs
@@ -8,6 +8,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::error::Elapsed;
+use tokio::time::{Instant, timeout_at};
 
 /// Number of pieces of a body that may be as small as they like.
 const MAX_SMALL_PIECES: u64 = 1024;
@@ -129,14 +131,43 @@
     ///
     /// Returns `Broken` if the body ends early or is longer than `limit` bytes.
     pub async fn whole(&mut self, limit: usize) -> Result<Bytes, Broken> {
-        let announced = self.incoming.size_hint().exact();
-        if announced.is_some_and(|bytes| bytes > limit as u64) {
-            self.bytes = announced.unwrap_or(0);
+        let pool = self.pool.clone();
+        let _memory = pool.memory.wait(self.announced()).await;
+        self.read_whole(limit).await
+    }
+
+    /// Reads the whole body by a deadline. The wait for memory does not count, as the server does
+    /// not answer for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Broken` if the body ends early or is longer than `limit` bytes, and `Elapsed` if
+    /// it is not complete in time.
+    pub async fn whole_by(
+        &mut self,
+        limit: usize,
+        until: Instant,
+    ) -> Result<Result<Bytes, Broken>, Elapsed> {
+        let begun = Instant::now();
+        let pool = self.pool.clone();
+        let _memory = pool.memory.wait(self.announced()).await;
+        timeout_at(until + begun.elapsed(), self.read_whole(limit)).await
+    }
+
+    fn announced(&self) -> Option<u64> {
+        self.incoming.size_hint().exact()
+    }
+
+    async fn read_whole(&mut self, limit: usize) -> Result<Bytes, Broken> {
+        if let Some(bytes) = self.announced()
+            && bytes > limit as u64
+        {
+            self.bytes = bytes;
             return Err(self.close());
         }
-        let pool = self.pool.clone();
-        let _memory = pool.memory.wait(announced).await;
-        let mut all = BytesMut::new();
+        // Growing would take memory beside what was waited for.
+        let announced = self.announced().map(usize::try_from);
+        let mut all = BytesMut::with_capacity(announced.and_then(Result::ok).unwrap_or(0));
         while let Some(piece) = self.next().await? {
             if all.len() + piece.len() > limit {
                 return Err(self.close());
