Answers: a whole answer is held only if there is room for it

What callers saw: nothing yet; found by reading. Answers that a gateway makes itself (pages of results, bodies of items) were held beside the account once it was full: as many as there are connections.

Cause: a whole answer was counted in any case, as its request had run.

Change: an answer of more than 16 KiB needs room, for which idle, slow and stalled connections are closed; without it the caller gets 502, which promises nothing, and the connection closes. At a gateway only reads have such answers.

Measured: answers_without_room_are_not_held failed before (200 for 2 MB on an account of 1 MB), passes now.

--- a/crates/bluebellreel_gateway/src/run.rs
+++ b/crates/bluebellreel_gateway/src/run.rs
@@ -188,7 +188,7 @@
     let mut answer = Response::new(Bytes::new());
     *answer.status_mut() = match refused {
         Refused::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-        Refused::NoRoom => StatusCode::BAD_GATEWAY,
+        Refused::NoRoom | Refused::Answer => StatusCode::BAD_GATEWAY,
     };
     answer
 }
--- a/crates/bluebellreel_http/src/server.rs
+++ b/crates/bluebellreel_http/src/server.rs
@@ -177,6 +177,7 @@
             let error = ApiError::new(503, "overloaded", "no memory for the request");
             error.retry_after(RETRY_DELAY)
         }
+        Refused::Answer => ApiError::new(502, "overloaded", "no memory for the response"),
     };
     let body = Bytes::from(error.body());
     response_of(&error.into()).map(|_| body)
--- a/crates/bluebellreel_net/src/connection.rs
+++ b/crates/bluebellreel_net/src/connection.rs
@@ -37,6 +37,8 @@
 /// Size in bytes of the kernel's buffers of a connection, one for each direction; the kernel
 /// takes twice as much.
 pub(crate) const KERNEL_BUFFER_BYTES: usize = 128 * 1024;
+/// Maximum size in bytes of an answer that is given also where there is no room for it.
+const SMALL_ANSWER_BYTES: usize = 16 * 1024;
 /// Memory of an answer in the HTTP library's buffer and the kernel's while its caller does not
 /// take it, in bytes.
 const BLOCKED_BYTES: usize = 256 * 1024 + 2 * KERNEL_BUFFER_BYTES;
@@ -114,19 +116,19 @@
         }))
     }
 
-    /// Maximum size in bytes of a whole head within the limits, separators included.
-    pub(crate) fn max_head_bytes(&self) -> usize {
     /// How long a request's head may take.
     pub(crate) fn head_time(&self) -> Duration {
         (self.intake.limits)().head_time
     }
 
+    /// Maximum size in bytes of a whole head within the limits, separators included.
+    pub(crate) fn max_head_bytes(&self) -> usize {
         max_head_bytes((self.intake.limits)().head_bytes)
     }
 
-    /// The answer to a request that was not handled, as there is no room for it.
-    pub(crate) fn no_room(&self) -> hyper::Response<Body> {
-        let mut answer = (self.intake.answer)(Refused::NoRoom).map(Body::full);
+    /// The answer in place of what there is no room for.
+    pub(crate) fn no_room(&self, refused: Refused) -> hyper::Response<Body> {
+        let mut answer = (self.intake.answer)(refused).map(Body::full);
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
         answer
@@ -203,10 +205,19 @@
         self.hold.give_back(bytes);
     }
 
-    /// Counts a whole answer until it is written.
-    pub(crate) fn hold_answer(&self, bytes: usize) {
-        self.hold.force(bytes);
+    /// Counts a whole answer until it is written. A small one is always taken.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room for it.
+    pub(crate) fn hold_answer(&self, bytes: usize) -> Result<(), NoRoom> {
+        if bytes > SMALL_ANSWER_BYTES {
+            self.hold.add(bytes)?;
+        } else {
+            self.hold.force(bytes);
+        }
         self.answer_memory.update(|all| all + bytes);
+        Ok(())
     }
 
     /// Whether the request was closed for others. Wakes the reader of its body then.
--- a/crates/bluebellreel_net/src/intake.rs
+++ b/crates/bluebellreel_net/src/intake.rs
@@ -36,8 +36,10 @@
 pub enum Refused {
     /// A head that is too large.
     HeadTooLarge,
-    /// A request that there is no room for.
+    /// A request that there is no room for. None of it has run.
     NoRoom,
+    /// An answer that there is no room for. Its request has run.
+    Answer,
 }
 
 /// The plain answer to what is not taken.
@@ -52,6 +54,7 @@
             let after = HeaderValue::from_static("1");
             answer.headers_mut().insert(RETRY_AFTER, after);
         }
+        Refused::Answer => *answer.status_mut() = StatusCode::BAD_GATEWAY,
     }
     answer
 }
@@ -97,7 +100,7 @@
         }
     }
 
-    /// Answers what is not taken with `answer`. None of it has run.
+    /// Answers what is not taken with `answer`.
     #[must_use]
     pub fn answering(self, answer: impl Fn(Refused) -> Response<Bytes> + 'static) -> Self {
         Self {
--- a/crates/bluebellreel_net/src/machine.rs
+++ b/crates/bluebellreel_net/src/machine.rs
@@ -57,6 +57,13 @@
         self.memory / (2 * PARTS)
     }
 
+    /// Memory of each kind of what is kept for others: results of ended jobs for their readers,
+    /// copies of peers' progress.
+    #[must_use]
+    pub fn kept_for_others(self) -> usize {
+        self.memory / (2 * PARTS)
+    }
+
     /// What peers, the balancer and readers of metrics may take, apart from callers.
     #[must_use]
     pub fn internal(self) -> AccountLimits {
--- a/crates/bluebellreel_net/src/server.rs
+++ b/crates/bluebellreel_net/src/server.rs
@@ -3,7 +3,7 @@
 use crate::connection::{
     Awaiting, ConnectionIo, ConnectionState, GuardedBody, KERNEL_BUFFER_BYTES,
 };
-use crate::{Body, Intake, NoRoom, RequestBody};
+use crate::{Body, Intake, NoRoom, Refused, RequestBody};
 use http::header::{CONNECTION, HeaderValue};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -280,12 +280,14 @@
                 let req = req.map(|incoming| request.body(incoming));
                 let mut answer = match room {
                     Ok(()) => answer(req).await,
-                    Err(NoRoom) => state.no_room(),
+                    Err(NoRoom) => state.no_room(Refused::NoRoom),
                 };
-                announce_close(&state, &stop_of_requests, &mut answer);
-                if let Body::Full(Some(bytes)) = answer.body() {
-                    state.hold_answer(bytes.len());
+                if let Body::Full(Some(bytes)) = answer.body()
+                    && state.hold_answer(bytes.len()).is_err()
+                {
+                    answer = state.no_room(Refused::Answer);
                 }
+                announce_close(&state, &stop_of_requests, &mut answer);
                 Ok::<_, Infallible>(answer.map(|body| GuardedBody::new(body, request)))
             }
         });
--- a/crates/bluebellreel_net/tests/intake.rs
+++ b/crates/bluebellreel_net/tests/intake.rs
@@ -107,6 +107,10 @@
         *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return answer;
     };
+    let large = path.strip_prefix("/large/");
+    if let Some(size) = large.and_then(|size| size.parse().ok()) {
+        return Response::new(Body::full(vec![b'x'; size]));
+    }
     Response::new(Body::full(format!("{path} {};", body.len())))
 }
 
@@ -305,6 +309,27 @@
     });
 }
 
+/// A whole answer was held beside the account if there was no room for it.
+#[test]
+fn answers_without_room_are_not_held() {
+    Server::test(SMALL, |server| async move {
+        for (size, status) in [(600_000, 200), (2_000_000, 502), (600_000, 200)] {
+            let mut stream = server.connect().await;
+            let head = format!("GET /large/{size} HTTP/1.1\r\nConnection: close\r\n\r\n");
+            write(&mut stream, &head).await;
+            let answer = read_to(&mut stream, "the end of the stream").await;
+            assert!(
+                answer.starts_with(&format!("HTTP/1.1 {status} ")),
+                "{answer}"
+            );
+            assert!(server.account.memory() <= SMALL.memory);
+        }
+        server
+            .until("all is given back", |s| s.account.memory() == 0)
+            .await;
+    });
+}
+
 const SMALL: AccountLimits = AccountLimits {
     memory: 1 << 20,
     connections: 100,
