Jobs: reading an ended job takes a page of the store into memory, not all of it

What callers saw: 60 readers of an ended job with results of 60 MB took 99 MB of a gateway of 64 MB; each reader of an item took the whole input of its job.

Cause: what is read from the store for a reader was collected whole, decoded and copied twice, on no account, and callers decide how many read at one moment. The cache of ended jobs (12 MB) and copies of peers' progress (8 MB) were the same on each machine.

Change: results are collected within the account of callers, page by page; what lies before the reader's position is dropped once they exceed the cache. Only what fits the cache is kept. Items are looked for chunk by chunk. Jobs that fit one page of the store take as many calls as before; an item of a job with several chunks takes a call for each chunk up to its own.

--- a/crates/bluebellreel_gateway/src/gateway.rs
+++ b/crates/bluebellreel_gateway/src/gateway.rs
@@ -232,7 +232,7 @@
             confirmation: Cell::default(),
             confirmation_on_demand: OnDemand::default(),
             revocation: settings.revoke_within.map(RevocationTerms::within),
-            jobs: RefCell::default(),
+            jobs: RefCell::new(Jobs::new(machine.kept_for_others())),
             deadlines: Deadlines::default(),
             workers,
             peers,
--- a/crates/bluebellreel_gateway/src/jobs/archive.rs
+++ b/crates/bluebellreel_gateway/src/jobs/archive.rs
@@ -1,12 +1,13 @@
 //! A bounded cache of the results of finished jobs, for readers.
 
+use super::load::result_bytes;
 use bluebellreel_batch::ItemResult;
 use bluebellreel_types::JobId;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Limit on the cached results, in bytes. A small VM has about 100 MB of memory.
+/// Limit on the cached results, in bytes, on a machine of any size.
 const MAX_BYTES: usize = 12 * 1024 * 1024;
 
 /// The final results of one job.
@@ -19,19 +20,35 @@
 
 impl Archived {
     fn bytes(&self) -> usize {
-        self.listed.iter().map(|r| r.text.len() + r.id.len()).sum()
+        self.listed.iter().map(result_bytes).sum()
     }
 }
 
 /// Results of finished jobs. The oldest entries are evicted first.
-#[derive(Default)]
 pub(crate) struct Archive {
+    /// Limit on the results, in bytes.
+    limit: usize,
     jobs: HashMap<JobId, Rc<Archived>>,
     order: VecDeque<JobId>,
     bytes: usize,
 }
 
 impl Archive {
+    /// An empty cache that takes so many bytes at the most.
+    pub(crate) fn new(memory: usize) -> Self {
+        Self {
+            limit: memory.min(MAX_BYTES),
+            jobs: HashMap::new(),
+            order: VecDeque::new(),
+            bytes: 0,
+        }
+    }
+
+    /// Limit on the results, in bytes.
+    pub(crate) fn limit(&self) -> usize {
+        self.limit
+    }
+
     pub(crate) fn get(&self, id: &JobId) -> Option<Rc<Archived>> {
         self.jobs.get(id).cloned()
     }
@@ -43,7 +60,7 @@
         self.bytes += archived.bytes();
         self.order.push_back(id.clone());
         self.jobs.insert(id, Rc::new(archived));
-        while self.bytes > MAX_BYTES && self.order.len() > 1 {
+        while self.bytes > self.limit && self.order.len() > 1 {
             let Some(oldest) = self.order.pop_front() else {
                 return;
             };
--- a/crates/bluebellreel_gateway/src/jobs/load.rs
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -8,6 +8,7 @@
     decode_items, decode_segment, keys,
 };
 use bluebellreel_kv::{KeyValue, KvError};
+use bluebellreel_net::{Hold, NoRoom};
 use bluebellreel_types::JobId;
 use std::rc::Rc;
 
@@ -42,21 +43,95 @@
     }))
 }
 
-/// All recorded results of a job, by segment.
-pub(super) async fn segments(gw: &Gateway, id: &JobId) -> Result<Vec<Vec<ItemResult>>, KvError> {
-    Ok(outputs(gw, id).await?.0)
+/// Recorded results of a job.
+pub(super) struct Listed {
+    /// Number of results before these.
+    pub(super) skipped: usize,
+    pub(super) results: Vec<ItemResult>,
+    /// Whether these are all that are recorded.
+    pub(super) is_whole: bool,
+}
+
+/// The recorded results of a job, within `hold`: all of them if they take `limit` bytes at the
+/// most, else some from position `after` on.
+///
+/// # Errors
+///
+/// Fails if the store does, or if there is no room for them.
+pub(super) async fn results(
+    gw: &Gateway,
+    id: &JobId,
+    after: usize,
+    limit: usize,
+    hold: &Hold,
+) -> Result<Listed, KvError> {
+    let prefix = key(&keys::segments(id));
+    let max_value_bytes = gw.settings.value_bytes;
+    let mut last = None;
+    let mut listed = Listed {
+        skipped: 0,
+        results: Vec::new(),
+        is_whole: false,
+    };
+    loop {
+        let page = gw
+            .store
+            .list_page(&prefix, last.as_ref(), max_value_bytes, true)
+            .await?;
+        let is_last = !page.truncated || page.items.is_empty();
+        last = page.items.last().map(|kv| kv.key.clone());
+        let page_bytes: usize = page.items.iter().map(|kv| kv.value.len()).sum();
+        let held = hold.set_memory(listed.bytes() + 2 * page_bytes);
+        held.map_err(|NoRoom| KvError::NotDone("no room for the results".into()))?;
+        let (segments, _) = decode_outputs(id, page.items)?;
+        listed.results.extend(segments.into_iter().flatten());
+        if listed.bytes() > limit {
+            listed.skip_to(after);
+        }
+        if is_last {
+            listed.is_whole = listed.skipped == 0;
+            return Ok(listed);
+        }
+        if listed.bytes() > limit {
+            return Ok(listed);
+        }
+    }
+}
+
+impl Listed {
+    /// Memory of the results, in bytes.
+    fn bytes(&self) -> usize {
+        self.results.iter().map(result_bytes).sum()
+    }
+
+    /// Drops results before a position.
+    fn skip_to(&mut self, after: usize) {
+        let passed = after.saturating_sub(self.skipped).min(self.results.len());
+        self.results.drain(..passed);
+        self.skipped += passed;
+    }
+}
+
+/// Memory of a result, in bytes.
+pub(super) fn result_bytes(result: &ItemResult) -> usize {
+    result.text.len() + result.id.len()
 }
 
 /// All recorded results of a job, by segment, and the counts of its items.
 async fn outputs(
     gw: &Gateway,
     id: &JobId,
+) -> Result<(Vec<Vec<ItemResult>>, Vec<StoredCounts>), KvError> {
+    let prefix = key(&keys::segments(id));
+    let (all, _) = gw.store.list(&prefix, gw.settings.value_bytes).await?;
+    decode_outputs(id, all)
+}
+
+fn decode_outputs(
+    id: &JobId,
+    all: Vec<KeyValue>,
 ) -> Result<(Vec<Vec<ItemResult>>, Vec<StoredCounts>), KvError> {
     let prefix = keys::segments(id);
-    let (all, _) = gw
-        .store
-        .list(&key(&prefix), gw.settings.value_bytes)
-        .await?;
     let (mut segments, mut counts) = (Vec::new(), Vec::new());
     for kv in all {
         if keys::number(&prefix, kv.key.as_str()).is_some() {
@@ -72,6 +147,14 @@
     Ok((segments, counts))
 }
 
+/// The items in one chunk of a job's input.
+pub(super) async fn chunk(gw: &Gateway, id: &JobId, chunk: usize) -> Result<Vec<NewItem>, KvError> {
+    let Some(kv) = gw.store.read(&key(&keys::input(id, chunk))).await? else {
+        return Ok(Vec::new());
+    };
+    decode_items(&kv.value).map_err(|e| unreadable(&e))
+}
+
 /// All items of a job whose record names this number of chunks. Chunks beyond it may be
 /// left over from a submission that was not accepted.
 pub(super) async fn input(
--- a/crates/bluebellreel_gateway/src/jobs/own.rs
+++ b/crates/bluebellreel_gateway/src/jobs/own.rs
@@ -194,12 +194,13 @@
 /// Limit on the owners remembered, at about a hundred bytes each.
 const MAX_OWNERS: usize = 8192;
 
-/// Limit on the stored progress of peers' items, in bytes: enough for hundreds of
-/// half-finished items, on a VM that may have 88 MB.
+/// Limit on the stored progress of peers' items, in bytes, on a machine of any size: enough for
+/// hundreds of half-finished items.
 const MAX_COPIES_BYTES: usize = 8 * 1024 * 1024;
 
-impl Default for Jobs {
-    fn default() -> Self {
+impl Jobs {
+    /// No jobs. What is kept for others may take so many bytes of each kind.
+    pub(crate) fn new(kept_for_others: usize) -> Self {
         Self {
             own: BTreeMap::new(),
             runs: HashMap::new(),
@@ -210,11 +211,11 @@
             orphans: HashMap::new(),
             open: OpenJobs::default(),
             reported: HashSet::new(),
-            archive: Archive::default(),
+            archive: Archive::new(kept_for_others),
             tombstones: BTreeMap::new(),
             pending_cancellations: BTreeSet::new(),
             forwarded_cancellations: BTreeSet::new(),
-            copies: ProgressCopies::new(MAX_COPIES_BYTES),
+            copies: ProgressCopies::new(kept_for_others.min(MAX_COPIES_BYTES)),
             orphans_due: Rc::default(),
             counts_write_began: None,
             counts_due: Rc::default(),
--- a/crates/bluebellreel_gateway/src/jobs/read.rs
+++ b/crates/bluebellreel_gateway/src/jobs/read.rs
@@ -13,7 +13,7 @@
 use bluebellreel_batch::{ItemResult, JobPhase};
 use bluebellreel_kv::KvError;
 use bluebellreel_net::Body;
-use bluebellreel_platform::jobs::encode_results;
+use bluebellreel_platform::jobs::{encode_page, encode_results};
 use bluebellreel_teams::Caller;
 use bluebellreel_types::JobId;
 use http::{Response, StatusCode};
@@ -67,8 +67,8 @@
             Err(e) => warn!(target: "jobs", job:% = id, error:% = e; "owner not reached"),
         }
     }
-    match from_store(gw, id).await {
-        Ok(Some(archived)) => archived_page(caller, &archived, after),
+    match from_store(gw, caller, id, after).await {
+        Ok(Some(answer)) => answer,
         Ok(None) => no_such_job(),
         Err(e) => not_readable(id, &e),
     }
@@ -214,22 +214,32 @@
     }
 }
 
-/// The recorded results of a job, read from the store.
-async fn from_store(gw: &Gateway, id: &JobId) -> Result<Option<Archived>, KvError> {
-    let Some(found) = load::record(gw, id).await? else {
+/// The answer to a reader of a job with results that are read from the store.
+async fn from_store(
+    gw: &Gateway,
+    caller: &Caller,
+    id: &JobId,
+    after: usize,
+) -> Result<Option<Response<Body>>, KvError> {
+    let found = load::record(gw, id).await?;
+    let Some(found) = found.filter(|found| caller.may_access(found.record.team.as_deref())) else {
         return Ok(None);
     };
     let record = found.record;
-    let segments = load::segments(gw, id).await?;
-    let archived = || Archived {
-        total: record.items,
-        team: record.team.clone(),
-        listed: segments.concat(),
-    };
-    if record.phase == JobPhase::Done {
-        gw.jobs.borrow_mut().archive.add(id.clone(), archived());
+    let limit = gw.jobs.borrow().archive.limit();
+    let hold = gw.callers.take(0);
+    let listed = load::results(gw, id, after, limit, &hold).await?;
+    let rest = listed.results.get(after.saturating_sub(listed.skipped)..);
+    let answer = answers::json(encode_page(record.items, after, rest.unwrap_or_default()));
+    if record.phase == JobPhase::Done && listed.is_whole {
+        let archived = Archived {
+            total: record.items,
+            team: record.team,
+            listed: listed.results,
+        };
+        gw.jobs.borrow_mut().archive.add(id.clone(), archived);
     }
-    Ok(Some(archived()))
+    Ok(Some(answer))
 }
 
 /// Answers a caller with the body of an item, whichever daemon owns its job.
@@ -271,9 +281,14 @@
     let Some(found) = found.filter(|found| caller.may_access(found.record.team.as_deref())) else {
         return Ok(None);
     };
-    let items = load::input(gw, id, found.record.chunks).await?;
-    let found = items.into_iter().find(|i| &*i.id == item);
-    Ok(found.map(|i| i.body))
+    // One chunk at a time is in memory.
+    for chunk in 0..found.record.chunks {
+        let items = load::chunk(gw, id, chunk).await?;
+        if let Some(found) = items.into_iter().find(|i| &*i.id == item) {
+            return Ok(Some(found.body));
+        }
+    }
+    Ok(None)
 }
 
 /// Body of an item of a job owned by this daemon, for a caller of a peer.
--- a/crates/bluebellreel_gateway/src/store.rs
+++ b/crates/bluebellreel_gateway/src/store.rs
@@ -302,6 +302,22 @@
         self.list_pages(prefix, max_value_bytes, false).await
     }
 
+    /// Reads the next keys that start with `prefix`, after one of them: as many as the store
+    /// gives at once.
+    pub(crate) async fn list_page(
+        &self,
+        prefix: &Key,
+        after: Option<&Key>,
+        max_value_bytes: usize,
+        is_fresh: bool,
+    ) -> Result<Page, KvError> {
+        let call = store::list_call(prefix, after, is_fresh);
+        let name = if is_fresh { "list" } else { "list stale" };
+        self.count(name, prefix.as_str());
+        let (status, body) = self.call(call, CALL_TIMEOUT).await?;
+        store::list_answer(status, &body, max_value_bytes)
+    }
+
     async fn list_pages(
         &self,
         prefix: &Key,
@@ -312,15 +328,13 @@
         let mut revision = None;
         loop {
             let after = all.last().map(|kv: &KeyValue| kv.key.clone());
-            let call = store::list_call(prefix, after.as_ref(), is_fresh);
-            let name = if is_fresh { "list" } else { "list stale" };
-            self.count(name, prefix.as_str());
-            let (status, body) = self.call(call, CALL_TIMEOUT).await?;
             let Page {
                 items,
                 truncated,
                 revision: page_revision,
-            } = store::list_answer(status, &body, max_value_bytes)?;
+            } = self
+                .list_page(prefix, after.as_ref(), max_value_bytes, is_fresh)
+                .await?;
             let page_revision = *revision.get_or_insert(page_revision);
             let last_page = !truncated || items.is_empty();
             all.extend(items);
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -2,7 +2,7 @@
 
 use crate::measure::{answers, check, gateway_withstands, head, head_of_body, on_site, withstand};
 use bluebellreel_platform_standins::{
-    Crowd, ProcessSite, READY_PATH, Refusal, Script, answer_head, item_path, raw_head,
+    Crowd, ProcessSite, READY_PATH, Refusal, Script, answer_head, item_path, raw_head, results_path,
 };
 use http::Method;
 use std::io::{Read, Write};
@@ -193,6 +193,62 @@
     });
 }
 
+/// Clients of a crowd that reads an ended job.
+const READERS: usize = 60;
+
+/// Lets a crowd read a path of an ended job that only the store still has.
+async fn withstands_readers(site: &ProcessSite, job: &str, path: &str) {
+    site.until("the job is accepted", || async {
+        site.submit("ended", job).await.is(202)
+    })
+    .await;
+    site.until("the job has ended", || async {
+        let state = site.store.state.borrow();
+        let record = state.get("job/rec/ended");
+        record.is_some_and(|r| String::from_utf8_lossy(&r.value).contains("\"Done\""))
+    })
+    .await;
+    site.restart_gateway().await;
+    let request = head("GET", path, "\r\n");
+    let crowd = Crowd::start(site.requests, READERS, vec![Script::stall(request)]);
+    withstand(&site.gateway, crowd).await;
+    answers(site).await;
+    site.until("the job is read", || async {
+        site.ask(path, Method::GET).await.is(200)
+    })
+    .await;
+    check(&mut site.gateway.borrow_mut());
+}
+
+/// Each reader of an item of an ended job took the memory of the whole job.
+#[test]
+fn items_of_an_ended_job_that_many_read_at_once() {
+    on_site(|site| async move {
+        let body = "A".repeat(BODY / 8);
+        let items = (0..7).map(|n| {
+            format!("{{\"id\":\"i{n}\",\"path\":\"/book/1\",\"body\":\"{body}\",\"tokens\":1}}")
+        });
+        let items: Vec<String> = items.collect();
+        let job = format!("{{\"items\":[{}]}}", items.join(","));
+        withstands_readers(&site, &job, &item_path("ended", "i6")).await;
+    });
+}
+
+/// Readers of an ended job with results of 60 MB took all of them into memory.
+#[test]
+fn results_of_an_ended_job_that_many_read_at_once() {
+    on_site(|site| async move {
+        let items = (0..100).map(|n| {
+            // Workers repeat it in each of 20 events.
+            let id = format!("{n:030000}");
+            format!("{{\"id\":\"{id}\",\"path\":\"/book/1\",\"body\":\"\",\"tokens\":20}}")
+        });
+        let items: Vec<String> = items.collect();
+        let job = format!("{{\"items\":[{}]}}", items.join(","));
+        withstands_readers(&site, &job, &results_path("ended")).await;
+    });
+}
+
 /// Answers each request on a connection with as many bytes as a body may have.
 fn answer_all(mut stream: TcpStream) -> std::io::Result<()> {
     let mut head = [0; 4096];
