Bodies: large ones are in pages that go back to the system at once

Cause: the account counts what has arrived. A body's buffer had its announced size from the start, and the allocator keeps what is freed: the buffers of bodies that had been refused stayed touched beneath new ones of which little had come. The fewer the connections, the less it shows.

Change: bodies of more than 64 KiB, of callers' requests and of answers that are read whole, are in anonymous pages of their own (memmap2): taken as they fill, never moved, given back when dropped.

--- a/crates/bluebellreel_net/src/body.rs
+++ b/crates/bluebellreel_net/src/body.rs
@@ -1,7 +1,8 @@
 //! Request and response bodies.
 
 use crate::connection::ConnectionState;
-use bytes::{Bytes, BytesMut};
+use crate::paged_buf::PagedBuf;
+use bytes::Bytes;
 use futures::Stream;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
@@ -220,7 +221,7 @@
     }
     body.keep(Keep::Request);
     let read = async {
-        let mut all = BytesMut::new();
+        let mut all = PagedBuf::new(announced.unwrap_or(limit));
         let mut only: Option<Bytes> = None;
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame?.into_data() else {
@@ -231,14 +232,12 @@
             }
             // Most bodies arrive in one piece, which needs no copy.
             match only.take() {
-                None if all.is_empty() => only = Some(data),
+                None if all.len() == 0 => only = Some(data),
                 first => {
-                    if let Some(first) = first {
-                        // Growing would take memory beside what is held.
-                        all.reserve(announced.unwrap_or(0));
-                        all.extend_from_slice(&first);
+                    let pieces = [first.unwrap_or_default(), data];
+                    for piece in pieces {
+                        all.extend(&piece).map_err(|_| ReadError::NoRoom)?;
                     }
-                    all.extend_from_slice(&data);
                 }
             }
         }
--- a/crates/bluebellreel_net/src/lib.rs
+++ b/crates/bluebellreel_net/src/lib.rs
@@ -21,6 +21,7 @@
 mod framing;
 mod intake;
 mod machine;
+mod paged_buf;
 mod pool;
 mod reply;
 mod saturation;
--- a/crates/bluebellreel_net/src/reply.rs
+++ b/crates/bluebellreel_net/src/reply.rs
@@ -1,8 +1,9 @@
 //! Responses to calls.
 
 use crate::Broken;
+use crate::paged_buf::PagedBuf;
 use crate::pool::{Inner, PooledConnection};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use std::net::SocketAddr;
@@ -165,14 +166,12 @@
             self.bytes = bytes;
             return Err(self.close());
         }
-        // Growing would take memory beside what was waited for.
         let announced = self.announced().map(usize::try_from);
-        let mut all = BytesMut::with_capacity(announced.and_then(Result::ok).unwrap_or(0));
+        let mut all = PagedBuf::new(announced.and_then(Result::ok).unwrap_or(limit));
         while let Some(piece) = self.next().await? {
-            if all.len() + piece.len() > limit {
+            if all.extend(&piece).is_err() {
                 return Err(self.close());
             }
-            all.extend_from_slice(&piece);
         }
         Ok(all.freeze())
     }
--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -1,10 +1,15 @@
 //! Crowds at the listeners of a gateway.
 
-use crate::measure::{answers, check, gateway_withstands, head, head_of_body, on_site, withstand};
+use crate::measure::{
+    CROWDED, MACHINE, answers, check, check_held, check_on, gateway_withstands, head, head_of_body,
+    held, on_machine, on_site, withstand, withstand_on,
+};
 use bluebellreel_platform_standins::{
-    Crowd, ProcessSite, READY_PATH, Refusal, Script, answer_head, item_path, raw_head, results_path,
+    Crowd, ProcessSite, READY_PATH, Refusal, Script, answer_head, events_head, item_path, raw_head,
+    results_path,
 };
 use http::Method;
+use nix::sys::signal::Signal;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::thread;
@@ -106,6 +111,21 @@
     gateway_withstands(requests, BODIES, vec![most_of_a_body("/check/1")]);
 }
 
+/// Memory of bodies that were refused for others stayed with the process beside that of others.
+#[test]
+fn more_bodies_than_there_is_room_for() {
+    on_machine(CROWDED, |site| async move {
+        let script = most_of_a_body("/check/1");
+        let crowd = Crowd::start(site.requests, 4 * BODIES, vec![script]);
+        withstand_on(CROWDED, &site.gateway, crowd).await;
+        site.until("an ordinary request is answered", || async {
+            site.ask("/check/1", Method::POST).await.is(200)
+        })
+        .await;
+        check_on(CROWDED, &mut site.gateway.borrow_mut());
+    });
+}
+
 /// Bodies of jobs took memory until their last byte.
 #[test]
 fn jobs_without_their_last_byte() {
@@ -249,6 +269,64 @@
     });
 }
 
+/// Whole bodies took memory while workers had not answered.
+#[test]
+fn whole_bodies_at_workers_that_hang() {
+    on_site(|site| async move {
+        for worker in &site.workers {
+            worker.faults.unresponsive.set(true);
+        }
+        let start = head_of_body("/check/1", BODY).into_bytes();
+        let script = Script::stall([start, vec![b'x'; BODY]].concat());
+        let crowd = Crowd::start(site.requests, BODIES, vec![script]);
+        withstand(&site.gateway, crowd).await;
+        for worker in &site.workers {
+            worker.faults.unresponsive.set(false);
+        }
+        answers(&site).await;
+    });
+}
+
+/// Answers each request on a connection with large events without end.
+fn answer_events(mut stream: TcpStream) -> std::io::Result<()> {
+    let mut head = [0; 4096];
+    loop {
+        let read = stream.read(&mut head)?;
+        let text = String::from_utf8_lossy(&head[..read]).to_lowercase();
+        if read == 0 {
+            return Ok(());
+        }
+        stream.write_all(events_head(&text).as_bytes())?;
+        let data = "x".repeat(60_000);
+        for n in 1.. {
+            let event = format!("id: {n}\ndata: {data}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            stream.write_all(chunk.as_bytes())?;
+        }
+    }
+}
+
+/// Streams took memory while callers did not read their events.
+#[test]
+fn streams_that_nobody_reads() {
+    on_site(|site| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let large = listener.local_addr().expect("an address");
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                // Ends with an error once the gateway closes the connection.
+                thread::spawn(move || answer_events(stream));
+            }
+        });
+        site.replace_workers(large);
+        let request = head("POST", "/check/1", "Content-Length: 0\r\n\r\n");
+        let crowd = Crowd::start(site.requests, BODIES, vec![Script::stall(request).unread()]);
+        withstand(&site.gateway, crowd).await;
+        site.restore_workers();
+        answers(&site).await;
+    });
+}
+
 /// Answers each request on a connection with as many bytes as a body may have.
 fn answer_all(mut stream: TcpStream) -> std::io::Result<()> {
     let mut head = [0; 4096];
@@ -347,11 +425,10 @@
     gateway_withstands(requests, SILENT, vec![Script::stall("").again(3)]);
 }
 
-/// What each kind does alone must hold when they come together.
-#[test]
-fn all_kinds_at_once() {
+/// Clients of each kind.
+fn all_kinds() -> Vec<Script> {
     let request = head("GET", "/nowhere", "\r\n");
-    let scripts = vec![
+    vec![
         head_line(),
         empty_lines(),
         target(),
@@ -362,8 +439,46 @@
         pipelined(&request),
         Script::stall(""),
         Script::trickle("", "\r\n", TRICKLE),
-    ];
-    gateway_withstands(requests, HEADS / 10, scripts);
+    ]
+}
+
+/// What each kind does alone must hold when they come together.
+#[test]
+fn all_kinds_at_once() {
+    gateway_withstands(requests, HEADS / 10, all_kinds());
+}
+
+/// Clients of all kinds must not keep a gateway from stopping.
+#[test]
+fn a_gateway_stops_beside_all_kinds() {
+    on_site(|site| async move {
+        let crowd = Crowd::start(site.requests, HEADS / 10, all_kinds());
+        site.until("the crowd is there", || async { crowd.has_settled() })
+            .await;
+        site.gateway.borrow().signal(Signal::SIGTERM);
+        site.until("the gateway has ended", || async {
+            let mut gateway = site.gateway.borrow_mut();
+            if let Some((memory, open)) = held(&gateway) {
+                check_held(MACHINE, memory, open);
+            }
+            !gateway.is_alive()
+        })
+        .await;
+        drop(crowd);
+        site.restart_gateway().await;
+        answers(&site).await;
+    });
+}
+
+/// Settings are read again beside clients of all kinds.
+#[test]
+fn a_gateway_reloads_beside_all_kinds() {
+    on_site(|site| async move {
+        let crowd = Crowd::start(site.requests, HEADS / 10, all_kinds());
+        site.gateway.borrow().signal(Signal::SIGHUP);
+        withstand(&site.gateway, crowd).await;
+        answers(&site).await;
+    });
 }
 
 /// All kinds at once, while the store is away.
--- a/tests/clients/measure.rs
+++ b/tests/clients/measure.rs
@@ -20,6 +20,11 @@
     sockets: 200,
     files: 40,
 };
+/// A machine whose descriptors are not what is short.
+pub const CROWDED: Machine = Machine {
+    sockets: 1000,
+    ..MACHINE
+};
 /// How long a crowd may take to do its worst.
 const CROWD_TIMEOUT: Duration = Duration::from_secs(12);
 /// How long a crowd stays once it has done that.
@@ -48,22 +53,36 @@
 
 /// Runs a test on a gateway process, a store and workers.
 pub fn on_site<F, T>(test: F)
+where
+    F: FnOnce(Rc<ProcessSite>) -> T,
+    T: Future<Output = ()>,
+{
+    on_machine(MACHINE, test);
+}
+
+/// Runs a test on a gateway process of a machine, a store and workers.
+pub fn on_machine<F, T>(machine: Machine, test: F)
 where
     F: FnOnce(Rc<ProcessSite>) -> T,
     T: Future<Output = ()>,
 {
     alone(|| {
         let folder = tempfile::tempdir().expect("a folder");
-        ProcessSite::test(&program(), folder.path(), MACHINE, &limits(), test);
+        ProcessSite::test(&program(), folder.path(), machine, &limits(), test);
     });
 }
 
 /// Lets a crowd do its worst, and checks the process meanwhile.
 pub async fn withstand(process: &RefCell<SystemProcess>, crowd: Crowd) {
+    withstand_on(MACHINE, process, crowd).await;
+}
+
+/// Lets a crowd do its worst, and checks the process meanwhile, which has a machine.
+pub async fn withstand_on(machine: Machine, process: &RefCell<SystemProcess>, crowd: Crowd) {
     let until = Instant::now() + CROWD_TIMEOUT;
     let mut settled = None;
     loop {
-        check(&mut process.borrow_mut());
+        check_on(machine, &mut process.borrow_mut());
         if crowd.has_settled() {
             settled = settled.or(Some(Instant::now()));
         }
@@ -74,23 +93,37 @@
     }
     assert!(crowd.opened() > 0);
     drop(crowd);
-    check(&mut process.borrow_mut());
+    check_on(machine, &mut process.borrow_mut());
 }
 
 /// Checks that a process lives within its machine.
 pub fn check(process: &mut SystemProcess) {
+    check_on(MACHINE, process);
+}
+
+/// Checks that a process lives within a machine.
+pub fn check_on(machine: Machine, process: &mut SystemProcess) {
     assert!(process.is_alive(), "the process has ended");
-    let memory = peak_kib(process.id()).expect("it lives");
+    let (memory, open) = held(process).expect("it lives");
+    check_held(machine, memory, open);
+}
+
+/// Peak memory of a process in KiB and its open descriptors; none once it has ended.
+pub fn held(process: &SystemProcess) -> Option<(u64, usize)> {
+    Some((peak_kib(process.id())?, descriptors(process.id())?))
+}
+
+/// Checks that memory in KiB and descriptors are within a machine.
+pub fn check_held(machine: Machine, memory: u64, open: usize) {
     assert!(
-        memory <= MACHINE.memory_mb * 1024,
+        memory <= machine.memory_mb * 1024,
         "{memory} KiB of memory, the machine has {} MB",
-        MACHINE.memory_mb
+        machine.memory_mb
     );
-    let open = descriptors(process.id()).expect("it lives");
     assert!(
-        open <= MACHINE.sockets + MACHINE.files,
+        open <= machine.sockets + machine.files,
         "{open} descriptors, the machine has {}",
-        MACHINE.sockets + MACHINE.files
+        machine.sockets + machine.files
     );
 }
 
