--- a/crates/bluebellreel_gateway/src/jobs/load.rs
+++ b/crates/bluebellreel_gateway/src/jobs/load.rs
@@ -8,7 +8,7 @@
     decode_items, decode_segment, keys,
 };
 use bluebellreel_kv::{KeyValue, KvError};
-use bluebellreel_net::{Hold, NoRoom};
+use bluebellreel_net::Hold;
 use bluebellreel_types::JobId;
 use std::rc::Rc;
 
@@ -81,8 +81,10 @@
         let is_last = !page.truncated || page.items.is_empty();
         last = page.items.last().map(|kv| kv.key.clone());
         let page_bytes: usize = page.items.iter().map(|kv| kv.value.len()).sum();
-        let held = hold.set_memory(listed.bytes() + 2 * page_bytes);
-        held.map_err(|NoRoom| KvError::NotDone("no room for the results".into()))?;
+        let has_room = hold.set_memory(listed.bytes() + 2 * page_bytes).is_ok();
+        if !has_room {
+            return Err(KvError::NotDone("no room for the results".into()));
+        }
         let (segments, _) = decode_outputs(id, page.items)?;
         listed.results.extend(segments.into_iter().flatten());
         if listed.bytes() > limit {
