--- a/tests/clients/gateway.rs
+++ b/tests/clients/gateway.rs
@@ -1,12 +1,12 @@
 //! Crowds at the listeners of a gateway.
 
+use crate::jobs::job;
 use crate::measure::{
     CROWDED, MACHINE, answers, check, check_held, check_on, gateway_withstands, head, head_of_body,
     held, on_machine, on_site, withstand, withstand_on,
 };
 use bluebellreel_platform_standins::{
-    Crowd, ProcessSite, READY_PATH, Refusal, Script, answer_head, events_head, item_path, raw_head,
-    results_path,
+    Crowd, ProcessSite, READY_PATH, Refusal, Script, answer_head, events_head,
 };
 use http::Method;
 use nix::sys::signal::Signal;
@@ -16,19 +16,20 @@
 use std::time::Duration;
 
 /// Clients of a crowd that sends heads.
-const HEADS: usize = 250;
+pub const HEADS: usize = 250;
 /// Clients of a crowd that sends bodies.
-const BODIES: usize = 40;
+pub const BODIES: usize = 40;
 /// Bytes that a client sends without end.
 const WITHOUT_END: usize = 1024 * 1024;
 /// The longest body that the configuration allows.
-const BODY: usize = 4 * 1024 * 1024;
+pub const BODY: usize = 4 * 1024 * 1024;
 /// Clients of a crowd that takes descriptors.
 const SILENT: usize = 300;
 /// Pause of a client that sends a byte now and then.
 const TRICKLE: Duration = Duration::from_secs(1);
 
-fn requests(site: &ProcessSite) -> SocketAddr {
+/// The address for callers.
+pub fn requests(site: &ProcessSite) -> SocketAddr {
     site.requests
 }
 
@@ -140,135 +141,6 @@
     gateway_withstands(requests, HEADS / 2, vec![script]);
 }
 
-fn job(start: &str, repeat: &str, end: &str) -> Script {
-    let repeats = (BODY - start.len() - end.len()) / repeat.len();
-    let body = [start, &repeat.repeat(repeats), end].concat();
-    let head = head_of_body("/book/1", body.len());
-    Script::stall([head.into_bytes(), body.into_bytes()].concat())
-}
-
-/// Jobs took many times the memory of their bodies once decoded.
-#[test]
-fn jobs_that_grow_when_decoded() {
-    let nested = job("{\"items\":", "[", "");
-    let numbers = job("{\"items\":[", "0,", "0]}");
-    let objects = job("{\"items\":[", "{\"a\":{}},", "{}]}");
-    gateway_withstands(requests, BODIES / 2, vec![nested, numbers, objects]);
-}
-
-/// Jobs of many items and of many fields took many times the memory of their bodies.
-#[test]
-fn jobs_of_many_small_parts() {
-    let items = job(
-        "{\"items\":[",
-        "{\"id\":\"\",\"path\":\"\"},",
-        "{\"id\":\"\",\"path\":\"\"}]}",
-    );
-    let names: Vec<String> = (0..300_000).map(|n| format!("\"{n:x}\":\"\"")).collect();
-    let names = names.join(",");
-    let body =
-        format!("{{\"items\":[{{\"id\":\"a\",\"path\":\"/book/1\",\"headers\":{{{names}}}}}]}}");
-    let head = head_of_body("/book/1", body.len());
-    let fields = Script::stall(head + &body);
-    gateway_withstands(requests, BODIES / 4, vec![items, fields]);
-}
-
-/// Jobs that were accepted took memory for their items, however many these were.
-#[test]
-fn accepted_jobs_without_end() {
-    let body = "A".repeat(BODY / 4);
-    let jobs = (0..HEADS / 2).map(|n| {
-        let items = format!(
-            "{{\"items\":[{{\"id\":\"i{n}\",\"path\":\"/book/1\",\"body\":\"{body}\",\"tokens\":1}}]}}"
-        );
-        let fields = format!("Content-Length: {}\r\n\r\n", items.len());
-        let head = raw_head(&format!("job-{n}"), "POST", "/book/1", &fields);
-        Script::stall(head + &items)
-    });
-    gateway_withstands(requests, 1, jobs.collect());
-}
-
-/// Bodies of items took memory as long as callers asked for further ones and read nothing.
-#[test]
-fn item_bodies_that_nobody_reads() {
-    on_site(|site| async move {
-        let body = "A".repeat(BODY / 4);
-        let job = format!(
-            "{{\"items\":[{{\"id\":\"i\",\"path\":\"/book/1\",\"body\":\"{body}\",\"tokens\":1}}]}}"
-        );
-        for worker in &site.workers {
-            worker.faults.unresponsive.set(true);
-        }
-        site.until("the job is accepted", || async {
-            site.submit("kept", &job).await.is(202)
-        })
-        .await;
-        let request = head("GET", &item_path("kept", "i"), "\r\n");
-        let crowd = Crowd::start(site.requests, HEADS, vec![pipelined(&request)]);
-        withstand(&site.gateway, crowd).await;
-        for worker in &site.workers {
-            worker.faults.unresponsive.set(false);
-        }
-        answers(&site).await;
-    });
-}
-
-/// Clients of a crowd that reads an ended job.
-const READERS: usize = 60;
-
-/// Lets a crowd read a path of an ended job that only the store still has.
-async fn withstands_readers(site: &ProcessSite, job: &str, path: &str) {
-    site.until("the job is accepted", || async {
-        site.submit("ended", job).await.is(202)
-    })
-    .await;
-    site.until("the job has ended", || async {
-        let state = site.store.state.borrow();
-        let record = state.get("job/rec/ended");
-        record.is_some_and(|r| String::from_utf8_lossy(&r.value).contains("\"Done\""))
-    })
-    .await;
-    site.restart_gateway().await;
-    let request = head("GET", path, "\r\n");
-    let crowd = Crowd::start(site.requests, READERS, vec![Script::stall(request)]);
-    withstand(&site.gateway, crowd).await;
-    answers(site).await;
-    site.until("the job is read", || async {
-        site.ask(path, Method::GET).await.is(200)
-    })
-    .await;
-    check(&mut site.gateway.borrow_mut());
-}
-
-/// Each reader of an item of an ended job took the memory of the whole job.
-#[test]
-fn items_of_an_ended_job_that_many_read_at_once() {
-    on_site(|site| async move {
-        let body = "A".repeat(BODY / 8);
-        let items = (0..7).map(|n| {
-            format!("{{\"id\":\"i{n}\",\"path\":\"/book/1\",\"body\":\"{body}\",\"tokens\":1}}")
-        });
-        let items: Vec<String> = items.collect();
-        let job = format!("{{\"items\":[{}]}}", items.join(","));
-        withstands_readers(&site, &job, &item_path("ended", "i6")).await;
-    });
-}
-
-/// Readers of an ended job with results of 60 MB took all of them into memory.
-#[test]
-fn results_of_an_ended_job_that_many_read_at_once() {
-    on_site(|site| async move {
-        let items = (0..100).map(|n| {
-            // Workers repeat it in each of 20 events.
-            let id = format!("{n:030000}");
-            format!("{{\"id\":\"{id}\",\"path\":\"/book/1\",\"body\":\"\",\"tokens\":20}}")
-        });
-        let items: Vec<String> = items.collect();
-        let job = format!("{{\"items\":[{}]}}", items.join(","));
-        withstands_readers(&site, &job, &results_path("ended")).await;
-    });
-}
-
 /// Whole bodies took memory while workers had not answered.
 #[test]
 fn whole_bodies_at_workers_that_hang() {
@@ -367,7 +239,8 @@
     });
 }
 
-fn pipelined(request: &str) -> Script {
+/// Requests without end whose answers are not read.
+pub fn pipelined(request: &str) -> Script {
     let requests = request.repeat(100);
     Script::flood("", requests, 4 * WITHOUT_END).unread()
 }
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -7,5 +7,6 @@
 mod fuzz;
 mod gateway;
 mod inside;
+mod jobs;
 mod keeper;
 mod measure;
